--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -0,0 +1,413 @@
+package org.umbermount.archive;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/**
+ * The servers there are: soft state on every registrar. Each registrar numbers its own changes; the others
+ * follow them, and one that has missed some takes a snapshot. The registrar that a server's beats reach keeps
+ * it, and only its keeper declares it gone for missing beats.
+ */
+public final class Census {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final int LOG_LENGTH = 256;
+    private static final long TOMBSTONE_MS = 60_000;
+    private static final long LOOP_MS = 300;
+    private static final double MISSED_BEATS = 3.2;
+    private static final double READY_BEATS = 1.5;
+    private static final int DIGEST_PATIENCE = 4;
+
+    private enum Kind {
+        CHANGES, APPLIED, ASK, SNAPSHOT
+    }
+
+    private static final class Followed {
+        long boot;
+        long applied = -1;
+        int digestOff;
+        long askedBoot;
+        Moment asked = Moment.NEVER;
+    }
+
+    private record Change(long seq, Pressmark id) {
+    }
+
+    private static final class Waiting {
+        final long seq;
+        final Runnable told;
+
+        Waiting(long seq, Runnable told) {
+            this.seq = seq;
+            this.told = told;
+        }
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Tally tally;
+    private final long heartbeatMs;
+    private final long boot;
+    private final Map<Pressmark, CensusEntry> entries = new LinkedHashMap<>();
+    private final Map<Pressmark, Moment> lastBeat = new HashMap<>();
+    private final Map<Pressmark, Moment> goneSince = new HashMap<>();
+    private final ArrayDeque<Change> changes = new ArrayDeque<>();
+    private final Map<Imprint, Followed> followed = new HashMap<>();
+    private final Map<Imprint, Long> acknowledged = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final List<Runnable> observers = new ArrayList<>();
+    private RollCall rollCall;
+    private java.util.function.BooleanSupplier mayExpire = () -> false;
+    private final Moment started;
+    private boolean ready;
+    private long seq;
+    private long digest;
+
+    public Census(Almanac almanac, Postbag post, Tally tally, long heartbeatMs, long boot) {
+        this.almanac = almanac;
+        this.post = post;
+        this.tally = tally;
+        this.heartbeatMs = heartbeatMs;
+        this.boot = boot;
+        this.started = almanac.now();
+        post.subscribe(Postbag.Topic.CENSUS, this::receive);
+    }
+
+    /** Starts following the others; {@code canJudge} says whether silence may be held against servers now. */
+    public void start(RollCall calls, java.util.function.BooleanSupplier canJudge) {
+        rollCall = calls;
+        mayExpire = canJudge;
+        calls.observe(this::compare);
+        almanac.every(LOOP_MS, this::reconcile);
+    }
+
+    public void observe(Runnable observer) {
+        observers.add(observer);
+    }
+
+    public Collection<CensusEntry> entries() {
+        return Collections.unmodifiableCollection(entries.values());
+    }
+
+    /**
+     * Whether the list can be relied on to be whole: it has been taken from a registrar whose list was, or every
+     * server has had time to send a beat since this daemon started.
+     */
+    public boolean ready() {
+        return ready;
+    }
+
+    public long boot() {
+        return boot;
+    }
+
+    public long seq() {
+        return seq;
+    }
+
+    public long digest() {
+        return digest;
+    }
+
+    /**
+     * Takes a beat. {@code told} runs once another registrar has the news, or at once if there is none to tell.
+     */
+    public void beat(CensusEntry beat, Runnable told) {
+        CensusEntry known = entries.get(beat.id());
+        if (known != null && beat.sequence() < known.sequence()) {
+            tally.count("census.beats.late");
+            told.run();
+            return;
+        }
+        lastBeat.put(beat.id(), almanac.now());
+        CensusEntry next = known == null ? beat : known.merge(beat);
+        if (next.standing() == CensusEntry.Standing.MISSED) {
+            next = next.with(CensusEntry.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
+        }
+        if (!next.standing().isGone()) {
+            next = next.with(next.standing(), beat.sequence(), post.self());
+        }
+        if (known != null && known.sameNews(next)) {
+            entries.put(next.id(), next);
+            told.run();
+            return;
+        }
+        if (known == null || known.standing() != next.standing()) {
+            LOG.info("Server {} of {} at {} is {}.", next.id(), next.upstream(), next.address(), name(next.standing()));
+        }
+        boolean urgent = known == null || known.standing() != next.standing();
+        store(next);
+        publish(List.of(next));
+        if (urgent) {
+            waiting.add(new Waiting(seq, told));
+        } else {
+            told.run();
+        }
+    }
+
+    /** Takes a sign-off. */
+    public void signOff(Pressmark id, Runnable told) {
+        CensusEntry known = entries.get(id);
+        if (known == null || known.standing() == CensusEntry.Standing.SIGNED_OFF) {
+            told.run();
+            return;
+        }
+        CensusEntry next = known.with(CensusEntry.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
+        LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
+        store(next);
+        publish(List.of(next));
+        waiting.add(new Waiting(seq, told));
+    }
+
+    private static String name(CensusEntry.Standing standing) {
+        return standing.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
+    }
+
+    private void store(CensusEntry next) {
+        CensusEntry old = entries.put(next.id(), next);
+        digest += next.digest() - (old == null ? 0 : old.digest());
+        if (next.standing().isGone()) {
+            goneSince.putIfAbsent(next.id(), almanac.now());
+            lastBeat.remove(next.id());
+        } else {
+            goneSince.remove(next.id());
+        }
+        for (Runnable o : observers) {
+            o.run();
+        }
+    }
+
+    private void publish(List<CensusEntry> changed) {
+        long from = seq;
+        for (CensusEntry e : changed) {
+            changes.add(new Change(++seq, e.id()));
+            if (changes.size() > LOG_LENGTH) {
+                changes.poll();
+            }
+        }
+        byte[] body = encode(Kind.CHANGES, from, changed);
+        if (rollCall != null) {
+            for (RollCall.Peer p : rollCall.peers()) {
+                if (rollCall.connected(p.imprint())) {
+                    post.send(p.imprint(), Postbag.Topic.CENSUS, body);
+                }
+            }
+        }
+    }
+
+    private byte[] encode(Kind kind, long from, Collection<CensusEntry> which) {
+        return Script.write().num(kind.ordinal()).num(boot).num(from).num(seq)
+                .list(which, (o, e) -> e.write(o)).done();
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        int kind = (int) in.num();
+        if (kind < 0 || kind >= Kind.values().length) {
+            throw new Script.UnreadableException("an unknown message about servers", null);
+        }
+        switch (Kind.values()[kind]) {
+            case CHANGES, SNAPSHOT -> {
+                long theirBoot = in.num();
+                long since = in.num();
+                long until = in.num();
+                List<CensusEntry> news = in.list(CensusEntry::read);
+                apply(from, Kind.values()[kind] == Kind.SNAPSHOT, theirBoot, since, until, news);
+            }
+            case APPLIED -> {
+                if (in.num() == boot) {
+                    acknowledged.merge(from, in.num(), Math::max);
+                    settle();
+                }
+            }
+            case ASK -> {
+                long theirBoot = in.num();
+                answerAsk(from, theirBoot, in.num());
+            }
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private void apply(Imprint from, boolean snapshot, long theirBoot, long since, long until, List<CensusEntry> news) {
+        Followed f = followed.computeIfAbsent(from, k -> new Followed());
+        for (CensusEntry e : news) {
+            learn(e);
+        }
+        boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
+        RollCall.Peer peer = rollCall == null ? null : rollCall.peer(from);
+        if (snapshot && peer != null && peer.report() != null && peer.report().censusReady()) {
+            becomeReady();
+        }
+        if (snapshot || follows) {
+            if (theirBoot != f.boot) {
+                f.boot = theirBoot;
+                f.applied = -1;
+            }
+            f.applied = Math.max(f.applied, until);
+            post.send(from, Postbag.Topic.CENSUS, Script.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
+        } else {
+            ask(from, f);
+        }
+    }
+
+    private void learn(CensusEntry e) {
+        CensusEntry known = entries.get(e.id());
+        CensusEntry next = known == null ? e : known.merge(e);
+        if (known == null || !known.equals(next)) {
+            if (known == null || !known.sameNews(next)) {
+                if (!next.standing().isGone()) {
+                    lastBeat.put(next.id(), almanac.now());
+                }
+                store(next);
+            } else {
+                entries.put(next.id(), next);
+            }
+        }
+    }
+
+    private void ask(Imprint from, Followed f) {
+        Moment now = almanac.now();
+        if (now.since(f.asked) < LOOP_MS) {
+            return;
+        }
+        f.asked = now;
+        post.send(from, Postbag.Topic.CENSUS,
+                Script.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
+    }
+
+    private void answerAsk(Imprint from, long theirBoot, long applied) {
+        long oldest = changes.isEmpty() ? seq : changes.peek().seq() - 1;
+        if (theirBoot == boot && applied >= oldest && applied <= seq) {
+            Map<Pressmark, CensusEntry> missed = new LinkedHashMap<>();
+            for (Change c : changes) {
+                CensusEntry e = entries.get(c.id());
+                if (c.seq() > applied && e != null) {
+                    missed.put(c.id(), e);
+                }
+            }
+            post.send(from, Postbag.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
+        } else {
+            tally.count("census.snapshots");
+            post.send(from, Postbag.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
+        }
+    }
+
+    /** Compares what a peer says of itself with what has been applied of it. */
+    private void compare(RollCall.Peer peer) {
+        RollCall.Report r = peer.report();
+        Followed f = followed.computeIfAbsent(peer.imprint(), k -> new Followed());
+        if (f.boot != r.censusBoot() || f.applied < r.censusSeq()) {
+            ask(peer.imprint(), f);
+            f.digestOff = 0;
+        } else if (r.censusDigest() != digest) {
+            if (++f.digestOff >= DIGEST_PATIENCE) {
+                f.digestOff = 0;
+                f.applied = -1;
+                ask(peer.imprint(), f);
+            }
+        } else {
+            f.digestOff = 0;
+        }
+    }
+
+    private void settle() {
+        long best = 0;
+        for (long a : acknowledged.values()) {
+            best = Math.max(best, a);
+        }
+        Iterator<Waiting> it = waiting.iterator();
+        List<Runnable> told = new ArrayList<>();
+        while (it.hasNext()) {
+            Waiting w = it.next();
+            if (w.seq <= best) {
+                it.remove();
+                told.add(w.told);
+            }
+        }
+        told.forEach(Runnable::run);
+    }
+
+    private void becomeReady() {
+        if (!ready) {
+            ready = true;
+            observers.forEach(Runnable::run);
+        }
+    }
+
+    private void reconcile() {
+        Moment now = almanac.now();
+        if (now.since(started) > READY_BEATS * heartbeatMs) {
+            becomeReady();
+        }
+        if (waiting.size() > 1_000) {
+            waiting.subList(0, 500).clear();
+        }
+        goneSince.entrySet().removeIf(e -> {
+            if (now.since(e.getValue()) <= TOMBSTONE_MS) {
+                return false;
+            }
+            CensusEntry old = entries.remove(e.getKey());
+            if (old != null) {
+                digest -= old.digest();
+            }
+            return true;
+        });
+        if (!mayExpire.getAsBoolean()) {
+            // Silence that this daemon may itself be the cause of is not counted.
+            lastBeat.replaceAll((id, at) -> now);
+            return;
+        }
+        List<CensusEntry> missed = new ArrayList<>();
+        for (CensusEntry e : entries.values()) {
+            if (e.standing().isGone()) {
+                continue;
+            }
+            boolean mine = e.keeper().equals(post.self());
+            if (!mine && (rollCall.connected(e.keeper()) || !heir(e.keeper()))) {
+                lastBeat.put(e.id(), now);
+                continue;
+            }
+            Moment last = lastBeat.computeIfAbsent(e.id(), k -> now);
+            if (now.since(last) > MISSED_BEATS * heartbeatMs) {
+                missed.add(e);
+            }
+        }
+        if (missed.isEmpty()) {
+            return;
+        }
+        List<CensusEntry> gone = new ArrayList<>();
+        for (CensusEntry e : missed) {
+            LOG.info("Server {} of {} at {} is gone: its beats stopped.", e.id(), e.upstream(), e.address());
+            CensusEntry next = e.with(CensusEntry.Standing.MISSED, e.sequence(), post.self());
+            store(next);
+            gone.add(next);
+        }
+        tally.counter("census.missed").increment(gone.size());
+        publish(gone);
+    }
+
+    /** Whether this registrar is the first of those left to look after another's servers. */
+    private boolean heir(Imprint lost) {
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && rollCall.connected(p.imprint())) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/CensusEntry.java
@@ -0,0 +1,75 @@
+package org.umbermount.archive;
+
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Script;
+
+/** What is known of one life of a server. {@code warmUntil} is a time of day in milliseconds. */
+public record CensusEntry(Pressmark id, String upstream, String address, String zone, String revision, int capacity,
+        long warmUntil, Standing standing, long sequence, Imprint keeper) {
+
+    /** Where the server stands. */
+    public enum Standing {
+        IN_SERVICE, DRAINING, MISSED, SIGNED_OFF;
+
+        public boolean isGone() {
+            return this == MISSED || this == SIGNED_OFF;
+        }
+    }
+
+    CensusEntry with(Standing next, long nextSequence, Imprint nextKeeper) {
+        return new CensusEntry(id, upstream, address, zone, revision, capacity, warmUntil, next, nextSequence, nextKeeper);
+    }
+
+    /**
+     * The two reports of one life in one: a sign-off is final, draining never reverts, and for the rest the
+     * higher sequence counts.
+     */
+    CensusEntry merge(CensusEntry other) {
+        CensusEntry winner = other.sequence > sequence
+                || other.sequence == sequence && other.standing.compareTo(standing) > 0 ? other : this;
+        Standing merged = winner.standing;
+        if (standing == Standing.SIGNED_OFF || other.standing == Standing.SIGNED_OFF) {
+            merged = Standing.SIGNED_OFF;
+        } else if (merged == Standing.IN_SERVICE
+                && (standing == Standing.DRAINING || other.standing == Standing.DRAINING)) {
+            merged = Standing.DRAINING;
+        }
+        return merged == winner.standing ? winner : winner.with(merged, winner.sequence, winner.keeper);
+    }
+
+    /** Equal but for the running number of the beat. */
+    boolean sameNews(CensusEntry other) {
+        return upstream.equals(other.upstream) && address.equals(other.address) && zone.equals(other.zone)
+                && revision.equals(other.revision) && capacity == other.capacity && standing == other.standing
+                && keeper.equals(other.keeper);
+    }
+
+    long digest() {
+        long h = id.value().hashCode() * 0x9E3779B97F4A7C15L + standing.ordinal() * 0xC2B2AE3D27D4EB4FL
+                + address.hashCode();
+        h ^= h >>> 29;
+        return h * 0xBF58476D1CE4E5B9L;
+    }
+
+    void write(Script.Writer out) {
+        out.text(id.value()).text(upstream).text(address).text(zone).text(revision).num(capacity).num(warmUntil)
+                .num(standing.ordinal()).num(sequence).imprint(keeper);
+    }
+
+    static CensusEntry read(Script.Reader in) throws Script.UnreadableException {
+        Pressmark id = new Pressmark(in.text());
+        String upstream = in.text();
+        String address = in.text();
+        String zone = in.text();
+        String revision = in.text();
+        int capacity = (int) in.num();
+        long warm = in.num();
+        long standing = in.num();
+        if (standing < 0 || standing >= Standing.values().length) {
+            throw new Script.UnreadableException("an unknown standing", null);
+        }
+        return new CensusEntry(id, upstream, address, zone, revision, capacity, warm,
+                Standing.values()[(int) standing], in.num(), in.imprint());
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Charter.java
@@ -0,0 +1,73 @@
+package org.umbermount.archive;
+
+import java.util.List;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Script;
+
+/** A view: its number, who votes on the next one, and the chain from head to tail. */
+public record Charter(long number, List<Fellow> electorate, List<Imprint> chain) {
+    public static final Charter NONE = new Charter(0, List.of(), List.of());
+
+    public Charter {
+        electorate = List.copyOf(electorate);
+        chain = List.copyOf(chain);
+    }
+
+    public int majority() {
+        return electorate.size() / 2 + 1;
+    }
+
+    /** How many other voters a voter without memory has to read. */
+    public int recoveryReads() {
+        return electorate.size() - majority() + 1;
+    }
+
+    public Fellow fellow(Imprint imprint) {
+        for (Fellow f : electorate) {
+            if (f.imprint().equals(imprint)) {
+                return f;
+            }
+        }
+        return null;
+    }
+
+    public boolean votes(Imprint imprint) {
+        return fellow(imprint) != null;
+    }
+
+    public Imprint head() {
+        return chain.isEmpty() ? null : chain.get(0);
+    }
+
+    public Imprint tail() {
+        return chain.isEmpty() ? null : chain.get(chain.size() - 1);
+    }
+
+    public boolean chains(Imprint imprint) {
+        return chain.contains(imprint);
+    }
+
+    public Imprint successor(Imprint imprint) {
+        int at = chain.indexOf(imprint);
+        return at < 0 || at + 1 >= chain.size() ? null : chain.get(at + 1);
+    }
+
+    /** Whether the other has the same voters and chain. */
+    public boolean sameMembers(Charter other) {
+        return electorate.equals(other.electorate) && chain.equals(other.chain);
+    }
+
+    void write(Script.Writer out) {
+        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, Script.Writer::imprint);
+    }
+
+    static Charter read(Script.Reader in) throws Script.UnreadableException {
+        return new Charter(in.num(), in.list(Fellow::read), in.list(Script.Reader::imprint));
+    }
+
+    @Override
+    public String toString() {
+        return "view " + number + " electorate " + electorate.stream().map(f -> f.imprint().toString()).toList()
+                + " chain " + chain;
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -0,0 +1,313 @@
+package org.umbermount.archive;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Tally;
+
+/** The calls of servers and of the operator. */
+final class ControlDesk {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int LARGEST_BODY = 3 << 20;
+    /** Within the second after which callers go elsewhere. */
+    private static final long PATIENCE_MS = 850;
+    private static final long TOLD_MS = 600;
+
+    private final Almanac almanac;
+    private final Porter porter;
+    private final Custodian custodian;
+    private final Census census;
+    private final TenureOffice tenures;
+    private final RollCall rollCall;
+    private final Imprint self;
+    private final Imprint control;
+    private final String zone;
+    private final Tally tally;
+    private Channel listener;
+
+    ControlDesk(Almanac almanac, Porter porter, Custodian custodian, Census census, TenureOffice tenures,
+            RollCall rollCall, Imprint self, Imprint control, String zone, Tally tally) {
+        this.almanac = almanac;
+        this.porter = porter;
+        this.custodian = custodian;
+        this.census = census;
+        this.tenures = tenures;
+        this.rollCall = rollCall;
+        this.self = self;
+        this.control = control;
+        this.zone = zone;
+        this.tally = tally;
+    }
+
+    void bind(EventLoop loop) throws InterruptedException {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS))
+                                .addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true))
+                                .addLast(new Calls());
+                    }
+                }).bind(control.socketAddress()).sync().channel();
+    }
+
+    void close() {
+        listener.close();
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean keep = HttpUtil.isKeepAlive(request);
+            try {
+                if (request.decoderResult().isFailure()) {
+                    throw new FaultException(Erratum.MALFORMED, "The call cannot be read.");
+                }
+                route(ctx, request, keep);
+            } catch (FaultException e) {
+                refuse(ctx, keep, e.erratum(), e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException) && !(cause instanceof io.netty.handler.timeout.ReadTimeoutException)) {
+                LOG.warn("A call failed: {}.", cause.toString());
+            }
+            ctx.close();
+        }
+    }
+
+    private void route(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
+        String path = request.uri();
+        HttpMethod method = request.method();
+        if (path.equals("/config")) {
+            if (method.equals(HttpMethod.PUT)) {
+                putConfig(ctx, request, keep);
+            } else if (method.equals(HttpMethod.GET)) {
+                getConfig(ctx, keep);
+            } else {
+                throw new FaultException(Erratum.WRONG_METHOD, "/config takes GET and PUT.");
+            }
+        } else if (path.startsWith("/instances/") && path.length() > 11 && path.indexOf('/', 11) < 0) {
+            Pressmark id = new Pressmark(path.substring(11));
+            if (method.equals(HttpMethod.PUT)) {
+                beat(ctx, request, id, keep);
+            } else if (method.equals(HttpMethod.DELETE)) {
+                signOff(ctx, id, keep);
+            } else {
+                throw new FaultException(Erratum.WRONG_METHOD, "/instances/ID takes PUT and DELETE.");
+            }
+        } else if (method.equals(HttpMethod.GET) && path.equals("/status")) {
+            json(ctx, keep, 200, status().toString());
+        } else if (method.equals(HttpMethod.GET) && path.equals("/metrics")) {
+            send(ctx, keep, 200, "text/plain", tally.page().getBytes(StandardCharsets.UTF_8), null);
+        } else {
+            throw new FaultException(Erratum.UNKNOWN_CALL, "There is no call " + method + " " + path + ".");
+        }
+    }
+
+    private void putConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
+        byte[] blob = ByteBufUtil.getBytes(request.content());
+        String matchText = request.headers().get(HttpHeaderNames.IF_MATCH);
+        long match;
+        try {
+            match = Long.parseLong(matchText == null ? "" : matchText.replace("\"", "").trim());
+        } catch (NumberFormatException e) {
+            throw new FaultException(Erratum.INVALID_CONFIGURATION, "If-Match must hold the number of a version.");
+        }
+        Regulations regulations = Regulations.parse(blob);
+        Edition edition = regulations.edition();
+        porter.submit(new Edition(match), edition, blob, PATIENCE_MS, verdict -> {
+            switch (verdict) {
+                case TAKEN -> {
+                    LOG.info("Edition {} was taken.", edition);
+                    json(ctx, keep, 200, "{\"revision\":" + edition + "}");
+                }
+                case STALE -> refuse(ctx, keep, Erratum.STALE_MATCH, "Another version than " + match + " is current.");
+                default -> refuse(ctx, keep, Erratum.INVALID_CONFIGURATION,
+                        "The configuration is invalid: revision " + edition + " is not above the current one.");
+            }
+        }, () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The chain did not answer in time."));
+    }
+
+    private void getConfig(ChannelHandlerContext ctx, boolean keep) {
+        porter.read(PATIENCE_MS, state -> {
+            if (state.edition().equals(Edition.NONE)) {
+                refuse(ctx, keep, Erratum.UNKNOWN_CALL, "No configuration has been taken yet.");
+            } else {
+                send(ctx, keep, 200, "application/json", state.blob(), state.edition());
+            }
+        }, () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
+    }
+
+    private void beat(ChannelHandlerContext ctx, FullHttpRequest request, Pressmark id, boolean keep)
+            throws FaultException {
+        JsonNode n;
+        try {
+            n = MAPPER.readTree(ByteBufUtil.getBytes(request.content()));
+        } catch (IOException e) {
+            throw new FaultException(Erratum.INVALID_BEAT, "The beat is not JSON.");
+        }
+        String status = n == null ? "" : n.path("status").asText();
+        boolean draining = status.equals("draining");
+        if (n == null || !n.isObject() || !draining && !status.equals("in_service")
+                || n.path("upstream").asText().isEmpty() || !n.path("sequence").isIntegralNumber()) {
+            throw new FaultException(Erratum.INVALID_BEAT, "The beat needs upstream, address, status and sequence.");
+        }
+        String address = n.path("address").asText();
+        try {
+            Imprint.parse(address);
+        } catch (IllegalArgumentException e) {
+            throw new FaultException(Erratum.INVALID_BEAT, "The beat's address is not IPv4 and a port.");
+        }
+        if (!rollCall.reachesMajority(custodian.charter())) {
+            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
+        }
+        long warm = n.path("warmupLeftMs").asLong(0);
+        CensusEntry entry = new CensusEntry(id, n.path("upstream").asText(), address, n.path("zone").asText(),
+                n.path("revision").asText(), Math.max(1, n.path("capacity").asInt(1)),
+                warm > 0 ? almanac.wallMillis() + warm : 0,
+                draining ? CensusEntry.Standing.DRAINING : CensusEntry.Standing.IN_SERVICE,
+                n.path("sequence").asLong(), self);
+        String answer = heartbeatAnswer(entry.zone());
+        acknowledge(ctx, keep, done -> census.beat(entry, done), answer);
+    }
+
+    private void signOff(ChannelHandlerContext ctx, Pressmark id, boolean keep) throws FaultException {
+        if (!rollCall.reachesMajority(custodian.charter())) {
+            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
+        }
+        acknowledge(ctx, keep, done -> census.signOff(id, done), "{}");
+    }
+
+    /** Answers 200 once another registrar has the news, and 503 if none takes it in time. */
+    private void acknowledge(ChannelHandlerContext ctx, boolean keep, java.util.function.Consumer<Runnable> action,
+            String answer) {
+        boolean[] answered = new boolean[1];
+        Almanac.Cancellable timer = almanac.after(TOLD_MS, () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "No other daemon could be told.");
+            }
+        });
+        action.accept(() -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                timer.cancel();
+                json(ctx, keep, 200, answer);
+            }
+        });
+    }
+
+    /** Steers a server's beats to a registrar of its own zone. */
+    private String heartbeatAnswer(String serverZone) {
+        if (serverZone.equals(zone)) {
+            return "{}";
+        }
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (p.report() != null && p.report().zone().equals(serverZone) && rollCall.goodForMs(p.imprint()) > 2_000) {
+                return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
+            }
+        }
+        return "{}";
+    }
+
+    private ObjectNode status() {
+        ObjectNode root = MAPPER.createObjectNode();
+        Charter charter = custodian.charter();
+        root.put("daemon", self.toString()).put("zone", zone)
+                .put("standing", custodian.standing().name().toLowerCase(java.util.Locale.ROOT))
+                .put("incarnation", custodian.incarnation()).put("view", charter.number())
+                .put("edition", custodian.committed().edition().value())
+                .put("newestEdition", custodian.newestEdition().value());
+        ArrayNode electorate = root.putArray("electorate");
+        charter.electorate().forEach(f -> electorate.add(f.imprint().toString()));
+        ArrayNode chain = root.putArray("chain");
+        charter.chain().forEach(m -> chain.add(m.toString()));
+        ArrayNode peers = root.putArray("registrars");
+        for (RollCall.Peer p : rollCall.peers()) {
+            peers.addObject().put("daemon", p.imprint().toString())
+                    .put("zone", p.report() == null ? "" : p.report().zone())
+                    .put("connected", rollCall.connected(p.imprint())).put("goodForMs", rollCall.goodForMs(p.imprint()))
+                    .put("edition", p.report() == null ? 0 : p.report().edition());
+        }
+        ObjectNode duties = root.putObject("duties");
+        for (String z : tenures.zones()) {
+            Imprint holder = tenures.holder(z);
+            duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", tenures.epoch(z));
+        }
+        ArrayNode servers = root.putArray("servers");
+        for (CensusEntry e : census.entries()) {
+            servers.addObject().put("id", e.id().value()).put("upstream", e.upstream()).put("address", e.address())
+                    .put("zone", e.zone()).put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
+                    .put("sequence", e.sequence()).put("keeper", e.keeper().toString());
+        }
+        return root;
+    }
+
+    private void refuse(ChannelHandlerContext ctx, boolean keep, Erratum erratum, String detail) {
+        tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
+        json(ctx, keep && !erratum.closes(), erratum.status(),
+                MAPPER.createObjectNode().put("errorMessage", detail).toString());
+    }
+
+    private void json(ChannelHandlerContext ctx, boolean keep, int status, String body) {
+        send(ctx, keep, status, "application/json", body.getBytes(StandardCharsets.UTF_8), null);
+    }
+
+    private void send(ChannelHandlerContext ctx, boolean keep, int status, String type, byte[] body, Edition edition) {
+        ByteBuf content = Unpooled.wrappedBuffer(body);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status), content);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type).setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (edition != null) {
+            response.headers().set(HttpHeaderNames.ETAG, edition.toString());
+        }
+        if (status == 503) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, "0.3");
+        }
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        }
+        ctx.writeAndFlush(response).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -0,0 +1,141 @@
+package org.umbermount.archive;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Script;
+import org.umbermount.stacks.Folio;
+import org.umbermount.stacks.Stack;
+
+/**
+ * What a registrar must not forget. {@code recoveredFor} is the number of the view for which a new
+ * incarnation has read enough others; {@code incarnations} is the crash vector.
+ */
+record Memory(long incarnation, long recoveredFor, Charter charter, Accession state, Ballot promised,
+        Ballot acceptedBallot, Proposal accepted, Map<Imprint, Long> incarnations) {
+
+    private static final byte IDENTITY = 1;
+    private static final byte VIEW = 2;
+    private static final byte STATE = 3;
+    private static final byte ACCEPTOR = 4;
+    private static final byte CRASHES = 5;
+
+    static Memory blank(long incarnation) {
+        return new Memory(incarnation, 0, Charter.NONE, Accession.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
+    }
+
+    /** The view is in force and its voter slate for the next view is clean. */
+    Memory adopt(Charter next, Accession base) {
+        return new Memory(incarnation, recoveredFor, next, base, Ballot.NONE, Ballot.NONE, null, incarnations);
+    }
+
+    Memory withState(Accession next) {
+        return new Memory(incarnation, recoveredFor, charter, next, promised, acceptedBallot, accepted, incarnations);
+    }
+
+    Memory promise(Ballot ballot) {
+        return new Memory(incarnation, recoveredFor, charter, state, ballot, acceptedBallot, accepted, incarnations);
+    }
+
+    Memory accept(Ballot ballot, Proposal proposal) {
+        return new Memory(incarnation, recoveredFor, charter, state, ballot, ballot, proposal, incarnations);
+    }
+
+    Memory recovered(long view) {
+        return new Memory(incarnation, view, charter, state, promised, acceptedBallot, accepted, incarnations);
+    }
+
+    Memory withAcceptor(Ballot p, Ballot ab, Proposal a) {
+        return new Memory(incarnation, recoveredFor, charter, state, p, ab, a, incarnations);
+    }
+
+    Memory withIncarnation(Imprint who, long which) {
+        Map<Imprint, Long> next = new HashMap<>(incarnations);
+        next.merge(who, which, Math::max);
+        return new Memory(incarnation, recoveredFor, charter, state, promised, acceptedBallot, accepted, Map.copyOf(next));
+    }
+
+    Memory withIncarnations(Map<Imprint, Long> more) {
+        Memory next = this;
+        for (Map.Entry<Imprint, Long> e : more.entrySet()) {
+            next = next.withIncarnation(e.getKey(), e.getValue());
+        }
+        return next;
+    }
+
+    /** The newest incarnation known of a daemon. */
+    long incarnationOf(Imprint who) {
+        long known = incarnations.getOrDefault(who, 0L);
+        Fellow fellow = charter.fellow(who);
+        return fellow == null ? known : Math.max(known, fellow.incarnation());
+    }
+
+    boolean frozen() {
+        return !promised.isNone();
+    }
+
+    /** The folios that differ from an older memory. */
+    List<Folio> changesSince(Memory old) {
+        List<Folio> out = new ArrayList<>();
+        if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
+            out.add(new Folio(IDENTITY, Script.write().num(incarnation).num(recoveredFor).done()));
+        }
+        if (old == null || old.charter != charter) {
+            Script.Writer w = Script.write();
+            charter.write(w);
+            out.add(new Folio(VIEW, w.done()));
+        }
+        if (old == null || old.state != state) {
+            Script.Writer w = Script.write();
+            state.write(w);
+            out.add(new Folio(STATE, w.done()));
+        }
+        if (old == null || !old.promised.equals(promised) || old.accepted != accepted
+                || !old.acceptedBallot.equals(acceptedBallot)) {
+            Script.Writer w = Script.write();
+            promised.write(w);
+            writeAccepted(w);
+            out.add(new Folio(ACCEPTOR, w.done()));
+        }
+        if (old == null || !old.incarnations.equals(incarnations)) {
+            Script.Writer w = Script.write();
+            writeIncarnations(w);
+            out.add(new Folio(CRASHES, w.done()));
+        }
+        return out;
+    }
+
+    void writeAccepted(Script.Writer w) {
+        acceptedBallot.write(w);
+        w.flag(accepted != null);
+        if (accepted != null) {
+            accepted.write(w);
+        }
+    }
+
+    void writeIncarnations(Script.Writer w) {
+        w.list(incarnations.entrySet(), (o, e) -> o.imprint(e.getKey()).num(e.getValue()));
+    }
+
+    static Map<Imprint, Long> readIncarnations(Script.Reader in) throws Script.UnreadableException {
+        Map<Imprint, Long> out = new HashMap<>();
+        for (Fellow f : in.list(Fellow::read)) {
+            out.put(f.imprint(), f.incarnation());
+        }
+        return Map.copyOf(out);
+    }
+
+    /** Reads the memory from a stack; null if there is none. */
+    static Memory load(Stack stack) throws Script.UnreadableException {
+        if (stack.get(IDENTITY) == null) {
+            return null;
+        }
+        Script.Reader identity = Script.read(stack.get(IDENTITY));
+        Script.Reader acceptor = Script.read(stack.get(ACCEPTOR));
+        return new Memory(identity.num(), identity.num(), Charter.read(Script.read(stack.get(VIEW))),
+                Accession.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
+                acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(Script.read(stack.get(CRASHES))));
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -0,0 +1,102 @@
+package org.umbermount.archive;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+
+/** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
+public final class Porter implements Custodian.OriginListener {
+    private static final long REPEAT_MS = 150;
+
+    private final Custodian custodian;
+    private final Almanac almanac;
+    private final Map<Long, Errand> errands = new HashMap<>();
+    private long nextId;
+
+    private static final class Errand {
+        Runnable ask;
+        Consumer<Custodian.Verdict> verdict;
+        Consumer<Accession> reading;
+        Runnable gaveUp;
+        Moment until;
+    }
+
+    Porter(Custodian custodian, Almanac almanac, Random random) {
+        this.custodian = custodian;
+        this.almanac = almanac;
+        this.nextId = random.nextLong() >>> 1;
+    }
+
+    /** Has a configuration taken; exactly one of the two is called. */
+    public void submit(Edition match, Edition edition, byte[] blob, long patienceMs,
+            Consumer<Custodian.Verdict> verdict, Runnable gaveUp) {
+        Errand errand = new Errand();
+        long id = nextId++;
+        errand.verdict = verdict;
+        errand.ask = () -> {
+            Imprint head = custodian.charter().head();
+            if (head != null) {
+                custodian.sendSubmission(head, id, match, edition, blob);
+            }
+        };
+        begin(id, errand, patienceMs, gaveUp);
+    }
+
+    /** Reads the newest committed state as confirmed by a majority. */
+    public void read(long patienceMs, Consumer<Accession> reading, Runnable gaveUp) {
+        Errand errand = new Errand();
+        long id = nextId++;
+        errand.reading = reading;
+        errand.ask = () -> {
+            Imprint tail = custodian.charter().tail();
+            if (tail != null) {
+                custodian.sendRead(tail, id);
+            }
+        };
+        begin(id, errand, patienceMs, gaveUp);
+    }
+
+    private void begin(long id, Errand errand, long patienceMs, Runnable gaveUp) {
+        errand.gaveUp = gaveUp;
+        errand.until = almanac.now().plus(patienceMs);
+        errands.put(id, errand);
+        step(id);
+    }
+
+    private void step(long id) {
+        Errand errand = errands.get(id);
+        if (errand == null) {
+            return;
+        }
+        if (!almanac.now().isBefore(errand.until)) {
+            errands.remove(id);
+            errand.gaveUp.run();
+            return;
+        }
+        errand.ask.run();
+        almanac.after(Math.min(REPEAT_MS, Math.max(1, errand.until.since(almanac.now()))), () -> step(id));
+    }
+
+    @Override
+    public void verdict(long id, Custodian.Verdict verdict) {
+        Errand errand = errands.get(id);
+        if (errand != null && errand.verdict != null && verdict != Custodian.Verdict.ELSEWHERE) {
+            errands.remove(id);
+            errand.verdict.accept(verdict);
+        }
+    }
+
+    @Override
+    public void reading(long id, Accession committed) {
+        Errand errand = errands.get(id);
+        if (errand != null && errand.reading != null) {
+            errands.remove(id);
+            errand.reading.accept(committed);
+        }
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -0,0 +1,270 @@
+package org.umbermount.archive;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/** Registrars tell each other at short intervals that they are there, how they are, and whom they hear. */
+public final class RollCall {
+    public static final long INTERVAL_MS = 300;
+    /** Silence after which a peer is not relied on. */
+    public static final long SILENCE_MS = 1_000;
+    private static final long STALL_MS = 700;
+    private static final long FORGET_MS = 60_000;
+    private static final int SLOW_ROUNDS = 5;
+
+    /** What a registrar tells of itself. */
+    public record Report(long incarnation, boolean votes, boolean diskGood, boolean leaving, long view, long edition,
+            long censusBoot, long censusSeq, long censusDigest, boolean censusReady, String zone, Imprint control, List<Imprint> heard) {
+        void write(Script.Writer out) {
+            out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition)
+                    .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).text(zone).imprint(control)
+                    .list(heard, Script.Writer::imprint);
+        }
+
+        static Report read(Script.Reader in) throws Script.UnreadableException {
+            return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.num(), in.num(), in.num(), in.num(),
+                    in.num(), in.flag(), in.text(), in.imprint(), in.list(Script.Reader::imprint));
+        }
+    }
+
+    /** What is known of another registrar. */
+    public static final class Peer {
+        private final Imprint imprint;
+        private Report report;
+        private Moment lastHeard = Moment.NEVER;
+        private Moment goodSince;
+        private Moment lostSince;
+
+        Peer(Imprint imprint, Moment now) {
+            this.imprint = imprint;
+            this.lostSince = now;
+        }
+
+        public Imprint imprint() {
+            return imprint;
+        }
+
+        /** The newest report, or null before the first. */
+        public Report report() {
+            return report;
+        }
+
+        public Moment lastHeard() {
+            return lastHeard;
+        }
+    }
+
+    /** Gives the own report; the list of those heard is filled in here. */
+    public interface Reporter {
+        Report report(List<Imprint> heard);
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Reporter reporter;
+    private final Map<Imprint, Peer> peers = new TreeMap<>();
+    private final List<Consumer<Peer>> observers = new ArrayList<>();
+    private final Moment started;
+    private Moment lastTick;
+    private Moment stalledUntil;
+    private Moment connectedSince;
+    private boolean leaving;
+    private int rounds;
+
+    public RollCall(Almanac almanac, Postbag post, Reporter reporter) {
+        this.almanac = almanac;
+        this.post = post;
+        this.reporter = reporter;
+        this.started = almanac.now();
+        this.lastTick = started;
+        this.stalledUntil = started;
+        post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
+    }
+
+    public void start() {
+        tick();
+        almanac.every(INTERVAL_MS, this::tick);
+    }
+
+    /** Adds a registrar to those that are called. */
+    public void enlist(Imprint imprint) {
+        if (!imprint.equals(post.self())) {
+            peers.computeIfAbsent(imprint, i -> new Peer(i, almanac.now()));
+        }
+    }
+
+    public void observe(Consumer<Peer> observer) {
+        observers.add(observer);
+    }
+
+    public Collection<Peer> peers() {
+        return Collections.unmodifiableCollection(peers.values());
+    }
+
+    public Peer peer(Imprint imprint) {
+        return peers.get(imprint);
+    }
+
+    /** Says once more, and at once, how this daemon is. */
+    public void callNow() {
+        send(false);
+    }
+
+    public void leaving() {
+        leaving = true;
+        send(true);
+    }
+
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    private void tick() {
+        Moment now = almanac.now();
+        rounds++;
+        if (now.since(lastTick) > STALL_MS) {
+            // This process stood still: the silence was its own. Give everyone time to be heard again.
+            stalledUntil = now.plus(SILENCE_MS);
+            for (Peer p : peers.values()) {
+                if (lastTick.since(p.lastHeard) <= SILENCE_MS) {
+                    p.lastHeard = now;
+                }
+            }
+        }
+        lastTick = now;
+        send(rounds % SLOW_ROUNDS == 0);
+        for (Peer p : peers.values()) {
+            judge(p, now);
+        }
+    }
+
+    private void send(boolean everyone) {
+        Moment now = almanac.now();
+        List<Imprint> heard = new ArrayList<>();
+        for (Peer p : peers.values()) {
+            if (now.since(p.lastHeard) <= SILENCE_MS) {
+                heard.add(p.imprint);
+            }
+        }
+        Script.Writer out = Script.write();
+        reporter.report(heard).write(out);
+        byte[] body = out.done();
+        for (Peer p : peers.values()) {
+            if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
+                post.send(p.imprint, Postbag.Topic.ROLL_CALL, body);
+            }
+        }
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Report report = Report.read(Script.read(body));
+        boolean unknown = !peers.containsKey(from);
+        Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, almanac.now()));
+        Moment now = almanac.now();
+        boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
+        peer.report = report;
+        peer.lastHeard = now;
+        judge(peer, now);
+        if (unknown || wasSilent) {
+            // Answer at once so that the other sees both directions without waiting for the next round.
+            Script.Writer out = Script.write();
+            List<Imprint> heard = new ArrayList<>();
+            for (Peer p : peers.values()) {
+                if (now.since(p.lastHeard) <= SILENCE_MS) {
+                    heard.add(p.imprint);
+                }
+            }
+            reporter.report(heard).write(out);
+            post.send(from, Postbag.Topic.ROLL_CALL, out.done());
+        }
+        for (Consumer<Peer> o : observers) {
+            o.accept(peer);
+        }
+    }
+
+    private void judge(Peer p, Moment now) {
+        boolean good = isConnected(p, now) && p.report.diskGood() && !p.report.leaving();
+        if (!good) {
+            p.goodSince = null;
+            if (p.lostSince == null) {
+                p.lostSince = now;
+            }
+        } else if (p.goodSince == null) {
+            p.goodSince = now;
+            p.lostSince = null;
+        }
+    }
+
+    private boolean isConnected(Peer p, Moment now) {
+        return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(post.self());
+    }
+
+    /** Heard of lately, and hears this daemon. */
+    public boolean connected(Imprint imprint) {
+        if (imprint.equals(post.self())) {
+            return true;
+        }
+        Peer p = peers.get(imprint);
+        return p != null && isConnected(p, almanac.now());
+    }
+
+    /** How long a peer has been connected with a working disk; -1 if it is not. */
+    public long goodForMs(Imprint imprint) {
+        Peer p = peers.get(imprint);
+        if (p == null) {
+            return -1;
+        }
+        Moment now = almanac.now();
+        judge(p, now);
+        return p.goodSince == null ? -1 : now.since(p.goodSince);
+    }
+
+    /** How long a peer has not been usable; 0 if it is. */
+    public long lostForMs(Imprint imprint) {
+        Peer p = peers.get(imprint);
+        if (p == null) {
+            return 0;
+        }
+        Moment now = almanac.now();
+        judge(p, now);
+        return p.lostSince == null ? 0 : now.since(p.lostSince);
+    }
+
+    /** Whether this daemon itself stood still a moment ago or has just started. */
+    public boolean unsettled(long ms) {
+        Moment now = almanac.now();
+        return now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
+    }
+
+    /** Whether this daemon and those it is connected with are a majority of the voters. */
+    public boolean reachesMajority(Charter charter) {
+        int n = 0;
+        for (Fellow f : charter.electorate()) {
+            if (connected(f.imprint())) {
+                n++;
+            }
+        }
+        boolean reaches = !charter.electorate().isEmpty() && n >= charter.majority();
+        if (!reaches) {
+            connectedSince = null;
+        } else if (connectedSince == null) {
+            connectedSince = almanac.now();
+        }
+        return reaches;
+    }
+
+    /** How long a majority has been reached without a break that was noticed. */
+    public long reachedForMs(Charter charter) {
+        return reachesMajority(charter) ? almanac.now().since(connectedSince) : 0;
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -0,0 +1,325 @@
+package org.umbermount.archive;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/**
+ * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
+ * and stops before the grants end; the epoch rises with each new holder.
+ */
+public final class TenureOffice {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    public static final long TERM_MS = 2_000;
+    private static final long LOOP_MS = 200;
+    private static final long RENEW_MS = 600;
+    private static final long MARGIN_MS = 150;
+    private static final long STEADY_MS = 1_200;
+
+    private enum Kind {
+        ASK, GRANT, DENY, RELEASE
+    }
+
+    private static final class Granted {
+        Imprint holder;
+        long epoch;
+        Moment until = Moment.NEVER;
+    }
+
+    private static final class Held {
+        long epoch;
+        Moment until = Moment.NEVER;
+        Moment asked = Moment.NEVER;
+        final Set<Imprint> granted = new HashSet<>();
+        Moment vacantSince;
+        boolean active;
+    }
+
+    /** Told when a duty begins or ends here. */
+    public interface Observer {
+        void began(String zone, long epoch);
+
+        void ended(String zone);
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Custodian custodian;
+    private final RollCall rollCall;
+    private final Tally tally;
+    private final String ownZone;
+    private final List<String> zones;
+    private final Moment started;
+    private final Map<String, Granted> grants = new HashMap<>();
+    private final Map<String, Held> held = new TreeMap<>();
+    private final List<Observer> observers = new ArrayList<>();
+
+    public TenureOffice(Almanac almanac, Postbag post, Custodian custodian, RollCall rollCall, Tally tally,
+            String ownZone, Iterable<String> zones) {
+        this.almanac = almanac;
+        this.post = post;
+        this.custodian = custodian;
+        this.rollCall = rollCall;
+        this.tally = tally;
+        this.ownZone = ownZone;
+        this.zones = new ArrayList<>();
+        zones.forEach(this.zones::add);
+        this.started = almanac.now();
+        post.subscribe(Postbag.Topic.TENURE, this::receive);
+    }
+
+    public void start() {
+        almanac.every(LOOP_MS, this::reconcile);
+    }
+
+    public void observe(Observer observer) {
+        observers.add(observer);
+    }
+
+    /** The epoch of a duty held here now, or 0. */
+    public long epoch(String zone) {
+        Held h = held.get(zone);
+        return h != null && h.active && almanac.now().isBefore(h.until) ? h.epoch : 0;
+    }
+
+    public List<String> zones() {
+        return zones;
+    }
+
+    /** Who holds a zone's duty as far as this daemon has granted it; null if nobody. */
+    public Imprint holder(String zone) {
+        if (epoch(zone) > 0) {
+            return post.self();
+        }
+        Granted g = grants.get(zone);
+        return g != null && almanac.now().isBefore(g.until) ? g.holder : null;
+    }
+
+    /** Makes sure that the next epoch asked for is above one that was met. */
+    public void noteEpoch(String zone, long epoch) {
+        Held h = held.computeIfAbsent(zone, z -> new Held());
+        if (epoch > h.epoch) {
+            end(zone, h, "a later epoch was met");
+            h.epoch = epoch;
+        }
+    }
+
+    /** Gives up every duty, as before a planned stop. */
+    public void releaseAll() {
+        for (String zone : zones) {
+            release(zone, "this daemon is leaving");
+        }
+    }
+
+    private void reconcile() {
+        Moment now = almanac.now();
+        for (String zone : zones) {
+            Held h = held.computeIfAbsent(zone, z -> new Held());
+            if (h.active && !now.isBefore(h.until)) {
+                end(zone, h, "the lease ran out");
+            }
+            if (!wanted(zone, h, now)) {
+                if (h.active) {
+                    release(zone, "a daemon of the zone takes it");
+                }
+                continue;
+            }
+            if (now.since(h.asked) >= (h.active ? RENEW_MS : 2 * LOOP_MS)) {
+                ask(zone, h, now);
+            }
+        }
+    }
+
+    /** Whether this daemon should have the duty. */
+    private boolean wanted(String zone, Held h, Moment now) {
+        if (rollCall.isLeaving() || custodian.standing() == Custodian.Standing.RECOVERING
+                || !rollCall.reachesMajority(custodian.charter())) {
+            h.vacantSince = null;
+            return false;
+        }
+        if (zone.equals(ownZone)) {
+            return firstOf(zone, 0);
+        }
+        if (localPeer(zone, h.active ? STEADY_MS : 0)) {
+            h.vacantSince = null;
+            return false;
+        }
+        if (h.active) {
+            return true;
+        }
+        Imprint other = holder(zone);
+        if (other != null && !other.equals(post.self())) {
+            h.vacantSince = null;
+            return false;
+        }
+        if (h.vacantSince == null) {
+            h.vacantSince = now;
+        }
+        return now.since(h.vacantSince) > LOOP_MS && !rollCall.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
+    }
+
+    private boolean localPeer(String zone, long steadyMs) {
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (p.report() != null && p.report().zone().equals(zone) && rollCall.connected(p.imprint())
+                    && !p.report().leaving() && rollCall.goodForMs(p.imprint()) >= steadyMs) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Among the daemons that come into question, whether this one comes first. */
+    private boolean firstOf(String zone, int salt) {
+        boolean local = zone.equals(ownZone);
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (p.report() == null || !rollCall.connected(p.imprint()) || p.report().leaving()
+                    || local && !p.report().zone().equals(zone)) {
+                continue;
+            }
+            if (order(p.imprint(), salt) < order(post.self(), salt)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static long order(Imprint imprint, int salt) {
+        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
+    }
+
+    private void ask(String zone, Held h, Moment now) {
+        if (!h.active) {
+            Granted g = grants.get(zone);
+            h.epoch = Math.max(Math.max(h.epoch, g == null ? 0 : g.epoch) + 1, almanac.wallMillis());
+        }
+        h.asked = now;
+        h.granted.clear();
+        byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis()).done();
+        for (Fellow f : custodian.charter().electorate()) {
+            if (f.imprint().equals(post.self())) {
+                if (grant(zone, post.self(), h.epoch)) {
+                    granted(post.self(), zone, h.epoch, now.millis());
+                }
+            } else if (rollCall.connected(f.imprint())) {
+                post.send(f.imprint(), Postbag.Topic.TENURE, body);
+            }
+        }
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        int kind = (int) in.num();
+        if (kind < 0 || kind >= Kind.values().length) {
+            throw new Script.UnreadableException("an unknown message about leases", null);
+        }
+        String zone = in.text();
+        long epoch = in.num();
+        switch (Kind.values()[kind]) {
+            case ASK -> {
+                long asked = in.num();
+                boolean yes = grant(zone, from, epoch);
+                long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
+                post.send(from, Postbag.Topic.TENURE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                        .text(zone).num(yes ? epoch : newest).num(asked).done());
+            }
+            case GRANT -> granted(from, zone, epoch, in.num());
+            case DENY -> {
+                Held h = held.get(zone);
+                if (h != null && !h.active && epoch > h.epoch) {
+                    h.epoch = epoch;
+                }
+            }
+            case RELEASE -> {
+                Granted g = grants.get(zone);
+                if (g != null && from.equals(g.holder) && g.epoch == epoch) {
+                    g.until = Moment.NEVER;
+                }
+            }
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private boolean grant(String zone, Imprint who, long epoch) {
+        Moment now = almanac.now();
+        // What was granted before a restart is not remembered: let it run out first.
+        if (now.since(started) < TERM_MS || !custodian.charter().votes(post.self())) {
+            return false;
+        }
+        Granted g = grants.computeIfAbsent(zone, z -> new Granted());
+        boolean same = who.equals(g.holder) && epoch == g.epoch;
+        boolean free = !now.isBefore(g.until) || who.equals(g.holder);
+        if (!same && (!free || epoch <= g.epoch)) {
+            return false;
+        }
+        g.holder = who;
+        g.epoch = epoch;
+        g.until = now.plus(TERM_MS);
+        return true;
+    }
+
+    private void granted(Imprint from, String zone, long epoch, long asked) {
+        Held h = held.get(zone);
+        if (h == null || h.epoch != epoch || h.asked.millis() != asked) {
+            return;
+        }
+        h.granted.add(from);
+        int votes = 0;
+        for (Imprint g : h.granted) {
+            if (custodian.charter().votes(g)) {
+                votes++;
+            }
+        }
+        if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
+            return;
+        }
+        h.until = h.asked.plus(TERM_MS - MARGIN_MS);
+        if (!h.active) {
+            h.active = true;
+            tally.count("tenure.begun");
+            LOG.info("Duty for {} begins with epoch {}.", zone, epoch);
+            for (Observer o : observers) {
+                o.began(zone, epoch);
+            }
+        }
+    }
+
+    private void end(String zone, Held h, String why) {
+        if (h.active) {
+            h.active = false;
+            LOG.info("Duty for {} ends: {}.", zone, why);
+            for (Observer o : observers) {
+                o.ended(zone);
+            }
+        }
+    }
+
+    private void release(String zone, String why) {
+        Held h = held.get(zone);
+        if (h == null || !h.active) {
+            return;
+        }
+        end(zone, h, why);
+        Granted own = grants.get(zone);
+        if (own != null && post.self().equals(own.holder)) {
+            own.until = Moment.NEVER;
+        }
+        byte[] body = Script.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
+        for (Fellow f : custodian.charter().electorate()) {
+            if (!f.imprint().equals(post.self())) {
+                post.send(f.imprint(), Postbag.Topic.TENURE, body);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Answer.java
@@ -0,0 +1,7 @@
+package org.umbermount.circulation;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** A server's answer held whole. */
+record Answer(int status, HttpHeaders headers, byte[] body) {
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -0,0 +1,224 @@
+package org.umbermount.circulation;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import org.umbermount.kernel.Moment;
+
+/** One sending of a request to one server. */
+final class Attempt {
+    /** Answers up to this size are held whole before the client sees any of them. */
+    static final int HELD_WHOLE = 128 << 10;
+
+    final Borrowing borrowing;
+    final Repository repository;
+    private Carrel carrel;
+    private Moment sentAt;
+    private boolean requestWritten;
+    private HttpResponse head;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream(512);
+    private boolean streaming;
+    private boolean ignored;
+
+    Attempt(Borrowing borrowing, Repository repository) {
+        this.borrowing = borrowing;
+        this.repository = repository;
+    }
+
+    boolean requestWritten() {
+        return requestWritten;
+    }
+
+    boolean sent() {
+        return sentAt != null;
+    }
+
+    /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
+    void write(Carrel over) {
+        Moment now = repository.desk().almanac().now();
+        long left = borrowing.deadline().since(now);
+        if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
+            over.unused();
+            borrowing.notSent(this);
+            return;
+        }
+        carrel = over;
+        sentAt = now;
+        HttpRequest from = borrowing.request();
+        byte[] body = borrowing.body();
+        HttpRequest to;
+        if (borrowing.isLarge()) {
+            to = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
+        } else {
+            to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
+        }
+        Headings.copyEndToEnd(from.headers(), to.headers());
+        to.headers().set(Headings.TARGET, repository.instance.id().value());
+        to.headers().set(Headings.DEADLINE, Long.toString(left));
+        if (borrowing.isLarge()) {
+            String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+            if (length != null) {
+                to.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else {
+                to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            over.channel().write(to);
+            borrowing.carriedBy(this);
+            over.channel().flush();
+        } else {
+            boolean hadBody = from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    || HttpUtil.isTransferEncodingChunked(from);
+            if (body.length > 0 || hadBody) {
+                to.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+            requestWritten = true;
+            over.channel().writeAndFlush(to);
+        }
+        borrowing.nowSent(this, now);
+    }
+
+    /** Passes a piece of a large body on. */
+    void more(byte[] piece, boolean last) {
+        ByteBuf buffer = Unpooled.wrappedBuffer(piece);
+        if (last) {
+            requestWritten = true;
+            carrel.channel().writeAndFlush(new DefaultLastHttpContent(buffer));
+        } else {
+            carrel.channel().writeAndFlush(new DefaultHttpContent(buffer));
+        }
+    }
+
+    boolean canTakeMore() {
+        return carrel.channel().isWritable();
+    }
+
+    void writable() {
+        borrowing.serverWritable();
+    }
+
+    void notSent() {
+        borrowing.notSent(this);
+    }
+
+    void head(HttpResponse response) {
+        head = response;
+        if (repliesTo() && isSealedSuccess() && HttpUtil.getContentLength(response, -1L) > HELD_WHOLE) {
+            beginStreaming();
+        }
+    }
+
+    private boolean repliesTo() {
+        String echoed = head.headers().get(Headings.ATTEMPT);
+        return echoed == null || echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
+    }
+
+    private boolean isSealedSuccess() {
+        int status = head.status().code();
+        boolean framed = status == 204 || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
+                || borrowing.request().method().equals(HttpMethod.HEAD);
+        return status / 100 == 2 && head.headers().contains(Headings.SEAL) && framed
+                && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+    }
+
+    void body(ByteBuf content) {
+        int n = content.readableBytes();
+        if (n == 0 || ignored) {
+            return;
+        }
+        byte[] piece = new byte[n];
+        content.getBytes(content.readerIndex(), piece);
+        if (streaming) {
+            borrowing.streamed(piece);
+            return;
+        }
+        held.write(piece, 0, n);
+        if (held.size() > HELD_WHOLE) {
+            if (isSealedSuccess() && repliesTo()) {
+                beginStreaming();
+            } else {
+                ignored = true;
+            }
+        }
+    }
+
+    private void beginStreaming() {
+        if (!borrowing.beginStreaming(this, head)) {
+            ignored = true;
+            return;
+        }
+        streaming = true;
+        if (held.size() > 0) {
+            borrowing.streamed(held.toByteArray());
+            held.reset();
+        }
+    }
+
+    /** Stops or goes on reading the server's answer. */
+    void reading(boolean on) {
+        if (carrel.isOpen()) {
+            carrel.reading(on);
+        }
+    }
+
+    /** The answer is whole. */
+    void finished() {
+        Moment now = repository.desk().almanac().now();
+        String load = head.headers().get(Headings.LOAD);
+        if (load != null) {
+            repository.reportedLoad(now, load);
+        }
+        int status = head.status().code();
+        long ms = now.since(sentAt);
+        if (streaming) {
+            repository.answered(now, ms, false);
+            borrowing.streamedWhole();
+            return;
+        }
+        if (!repliesTo()) {
+            broken("an answer to another request");
+            return;
+        }
+        Answer answer = new Answer(status, head.headers(), held.toByteArray());
+        boolean notRun = head.headers().contains(Headings.NOT_EXECUTED) || status == 421;
+        repository.answered(now, ms, !notRun && status / 100 == 2);
+        if (notRun) {
+            if (status == 421) {
+                repository.misdirected();
+            } else if (status == 503 || status == 429) {
+                repository.full(now);
+            }
+            borrowing.refused(this, answer);
+        } else if (status / 100 == 2) {
+            if (isSealedSuccess() && !ignored) {
+                borrowing.succeeded(this, answer);
+            } else {
+                borrowing.failed(this, "an unsealed answer", null);
+            }
+        } else if (status == 503 || status == 429 || status == 408) {
+            // These would promise the client that the request has not run; nothing here says so.
+            borrowing.failed(this, "status " + status + " without a promise", null);
+        } else {
+            borrowing.failed(this, "status " + status, answer);
+        }
+    }
+
+    void broken(String how) {
+        repository.desk().tally().count("servers.answers.broken");
+        if (streaming) {
+            borrowing.streamCut();
+        } else {
+            borrowing.failed(this, how, null);
+        }
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -0,0 +1,448 @@
+package org.umbermount.circulation;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.Moment;
+
+/** One try of a client, from its arrival to its answer. */
+final class Borrowing {
+    private static final int PLACEMENTS_AT_MOST = 6;
+    private static final long SHORTEST_WAIT_MS = 20;
+
+    private final FrontDesk desk;
+    private final Reader reader;
+    private final HttpRequest request;
+    private final Regulations.Route route;
+    private final Wing wing;
+    private final Moment arrived;
+    private final Moment deadline;
+    private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
+    private final List<Repository> tried = new ArrayList<>(2);
+    private byte[] body = new byte[0];
+    private boolean large;
+    private boolean started;
+    private boolean abandoned;
+    private boolean answered;
+    private int placements;
+    private int sends;
+    private int active;
+    private boolean waiting;
+    private Almanac.Cancellable deadlineTimer;
+    private Almanac.Cancellable waitTimer;
+    private Almanac.Cancellable hedgeTimer;
+    private Attempt carrier;
+    private final ArrayDeque<byte[]> pieces = new ArrayDeque<>();
+    private boolean lastPiece;
+    private Answer lastFailure;
+    private boolean mayHaveRun;
+
+    // What the reader writes.
+    private Erratum erratum;
+    private Answer answer;
+    private HttpResponse streamHead;
+    private final ArrayDeque<byte[]> stream = new ArrayDeque<>();
+    private Attempt streamer;
+    private boolean streamWhole;
+    private boolean streamCut;
+    private int streamHeld;
+
+    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs) {
+        this.desk = desk;
+        this.reader = reader;
+        this.request = request;
+        this.route = route;
+        this.wing = wing;
+        this.arrived = desk.almanac().now();
+        this.deadline = arrived.plus(deadlineMs);
+    }
+
+    /** A request that is answered without asking a server. */
+    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Erratum erratum) {
+        this(desk, reader, request, null, null, 0);
+        this.erratum = erratum;
+        this.answered = true;
+    }
+
+    HttpRequest request() {
+        return request;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    Moment deadline() {
+        return deadline;
+    }
+
+    int priority() {
+        return route.priority();
+    }
+
+    boolean isLarge() {
+        return large;
+    }
+
+    boolean isSafe() {
+        return route != null && route.safe();
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    Erratum erratum() {
+        return erratum;
+    }
+
+    Answer answer() {
+        return answer;
+    }
+
+    HttpResponse streamHead() {
+        return streamHead;
+    }
+
+    Wing wing() {
+        return wing;
+    }
+
+    /** Whether an answer is still looked for. */
+    boolean wanted() {
+        return !answered && !abandoned;
+    }
+
+    int gather(byte[] piece) {
+        gathered.write(piece, 0, piece.length);
+        return gathered.size();
+    }
+
+    /** The body is too long to be held: it is passed on as it comes, and never sent twice. */
+    void becomeLarge() {
+        large = true;
+        pieces.add(gathered.toByteArray());
+        gathered.reset();
+    }
+
+    /** A further piece of a large body; false if the client should pause. */
+    boolean piece(byte[] piece, boolean last) {
+        lastPiece = last;
+        if (carrier != null) {
+            carrier.more(piece, last);
+            return carrier.canTakeMore();
+        }
+        pieces.add(piece);
+        return false;
+    }
+
+    void carriedBy(Attempt attempt) {
+        carrier = attempt;
+        while (!pieces.isEmpty()) {
+            byte[] piece = pieces.poll();
+            attempt.more(piece, lastPiece && pieces.isEmpty());
+        }
+        reader.resume();
+    }
+
+    void serverWritable() {
+        reader.resume();
+    }
+
+    void bodyWhole() {
+        body = gathered.toByteArray();
+    }
+
+    boolean isStarted() {
+        return started;
+    }
+
+    /** Looks for a server. */
+    void start() {
+        if (started || answered) {
+            return;
+        }
+        started = true;
+        Moment now = desk.almanac().now();
+        wing.allowance.request(now);
+        long left = deadline.since(now);
+        if (left <= 0) {
+            refuse(Erratum.DEADLINE_BEFORE_RUN);
+            return;
+        }
+        deadlineTimer = desk.almanac().after(left, this::deadlineReached);
+        placeOrWait();
+    }
+
+    private void placeOrWait() {
+        if (tryPlace()) {
+            return;
+        }
+        Moment now = desk.almanac().now();
+        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
+        if (patience <= 0 || !wing.enqueue(this)) {
+            giveUp();
+            return;
+        }
+        waiting = true;
+        waitTimer = desk.almanac().after(patience, () -> {
+            if (waiting) {
+                stopWaiting();
+                giveUp();
+            }
+        });
+    }
+
+    private void stopWaiting() {
+        waiting = false;
+        wing.dequeue(this);
+        if (waitTimer != null) {
+            waitTimer.cancel();
+        }
+    }
+
+    /** Sends to a server if one has room. Called again while the request waits; true takes it from the queue. */
+    boolean tryPlace() {
+        if (!wanted()) {
+            waiting = false;
+            return true;
+        }
+        Repository repository = desk.concierge().choose(wing, route, tried, deadline);
+        if (repository == null) {
+            return false;
+        }
+        if (waiting) {
+            waiting = false;
+            waitTimer.cancel();
+        }
+        placements++;
+        active++;
+        repository.carry(new Attempt(this, repository));
+        return true;
+    }
+
+    /** No server can be offered the request: an answer at once, a promise if nothing has run. */
+    private void giveUp() {
+        if (!wanted() || active > 0) {
+            return;
+        }
+        if (mayHaveRun) {
+            if (lastFailure != null) {
+                deliver(lastFailure);
+            } else {
+                refuse(Erratum.SERVER_FAILED);
+            }
+        } else if (sends > 0) {
+            refuse(Erratum.SERVERS_REFUSED);
+        } else {
+            refuse(wing.repositories.isEmpty() ? Erratum.NO_SERVER : Erratum.OVERLOADED);
+        }
+    }
+
+    void nowSent(Attempt attempt, Moment now) {
+        sends++;
+        tried.add(attempt.repository);
+        if (isSafe() && !large && sends == 1 && route.maxTries() > 1) {
+            long hedge = desk.concierge().hedgeAfterMs(wing, route);
+            if (now.plus(hedge).isBefore(deadline)) {
+                hedgeTimer = desk.almanac().after(hedge, this::hedge);
+            }
+        }
+    }
+
+    /** The first server is slow to answer: asks a second one, and takes whichever answers first. */
+    private void hedge() {
+        if (!wanted() || active != 1 || sends >= route.maxTries()) {
+            return;
+        }
+        Moment now = desk.almanac().now();
+        Repository second = desk.concierge().choose(wing, route, tried, deadline);
+        if (second == null || !wing.allowance.spend(now, desk.fleet(), desk.hedgeReserve(wing, now))) {
+            return;
+        }
+        desk.tally().count("requests.hedged");
+        placements++;
+        active++;
+        second.carry(new Attempt(this, second));
+    }
+
+    /** Nothing was sent: the connection could not be had, or the server left meanwhile. */
+    void notSent(Attempt attempt) {
+        active--;
+        if (!wanted() || active > 0) {
+            return;
+        }
+        if (placements >= PLACEMENTS_AT_MOST) {
+            giveUp();
+        } else {
+            placeOrWait();
+        }
+    }
+
+    void succeeded(Attempt attempt, Answer whole) {
+        active--;
+        deliver(whole);
+    }
+
+    /** The server says that it has not run the request. */
+    void refused(Attempt attempt, Answer refusal) {
+        active--;
+        if (!wanted() || active > 0) {
+            return;
+        }
+        if (refusal.status() == 400) {
+            refuse(Erratum.MALFORMED);
+        } else if (mayTryAgain()) {
+            placeOrWait();
+        } else {
+            giveUp();
+        }
+    }
+
+    /** The request may have run, and there is no success to show for it. */
+    void failed(Attempt attempt, String how, Answer relay) {
+        active--;
+        mayHaveRun = true;
+        if (relay != null) {
+            lastFailure = relay;
+        }
+        if (!wanted() || active > 0) {
+            return;
+        }
+        boolean serverFault = relay == null || relay.status() >= 500;
+        if (serverFault && isSafe() && mayTryAgain()) {
+            placeOrWait();
+        } else {
+            giveUp();
+        }
+    }
+
+    private boolean mayTryAgain() {
+        Moment now = desk.almanac().now();
+        if (large || sends >= route.maxTries() || !now.isBefore(deadline)) {
+            return false;
+        }
+        boolean granted = wing.allowance.spend(now, desk.fleet(), 0);
+        desk.tally().count(granted ? "requests.retried" : "requests.retry.denied");
+        return granted;
+    }
+
+    private void deadlineReached() {
+        if (wanted()) {
+            if (waiting) {
+                stopWaiting();
+            }
+            refuse(sends > 0 ? Erratum.TIMED_OUT : Erratum.DEADLINE_BEFORE_RUN);
+        }
+    }
+
+    private void refuse(Erratum kind) {
+        erratum = kind;
+        desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
+        done();
+    }
+
+    private void deliver(Answer whole) {
+        if (!wanted()) {
+            return;
+        }
+        answer = whole;
+        done();
+    }
+
+    private void done() {
+        answered = true;
+        cancelTimers();
+        reader.ready();
+    }
+
+    private void cancelTimers() {
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel();
+        }
+        if (waitTimer != null) {
+            waitTimer.cancel();
+        }
+        if (hedgeTimer != null) {
+            hedgeTimer.cancel();
+        }
+    }
+
+    /** The client has gone. What a server works on is left to end. */
+    void abandon() {
+        abandoned = true;
+        if (waiting) {
+            stopWaiting();
+        }
+        cancelTimers();
+        if (streamer != null) {
+            streamer.reading(true);
+        }
+    }
+
+    // ---- long answers ----
+
+    boolean beginStreaming(Attempt attempt, HttpResponse head) {
+        if (!wanted()) {
+            return false;
+        }
+        streamer = attempt;
+        streamHead = head;
+        done();
+        return true;
+    }
+
+    void streamed(byte[] piece) {
+        if (abandoned) {
+            return;
+        }
+        stream.add(piece);
+        streamHeld += piece.length;
+        reader.ready();
+        if (streamHeld > Attempt.HELD_WHOLE) {
+            streamer.reading(false);
+        }
+    }
+
+    byte[] nextStreamed() {
+        byte[] piece = stream.poll();
+        if (piece != null) {
+            streamHeld -= piece.length;
+            if (streamHeld <= Attempt.HELD_WHOLE / 2) {
+                streamer.reading(true);
+            }
+        }
+        return piece;
+    }
+
+    void streamedWhole() {
+        active--;
+        streamWhole = true;
+        reader.ready();
+    }
+
+    void streamCut() {
+        active--;
+        streamCut = true;
+        reader.ready();
+    }
+
+    boolean streamWhole() {
+        return streamWhole && stream.isEmpty();
+    }
+
+    boolean streamCutShort() {
+        return streamCut;
+    }
+
+    HttpHeaders answerHeaders() {
+        return answer.headers();
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Carrel.java
@@ -0,0 +1,175 @@
+package org.umbermount.circulation;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.umbermount.kernel.Moment;
+
+/** One connection to a server; it serves one request at a time. */
+final class Carrel extends ChannelInboundHandlerAdapter {
+    private final Repository repository;
+    private Channel channel;
+    private Attempt current;
+    private boolean finished;
+    private boolean reusable;
+    private boolean interim;
+    private boolean closed;
+    Moment restingSince = Moment.NEVER;
+    long keepAliveMs = Long.MAX_VALUE;
+
+    Carrel(Repository repository) {
+        this.repository = repository;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        ctx.fireChannelActive();
+    }
+
+    boolean isOpen() {
+        return channel != null && channel.isActive() && !closed;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    void send(Attempt attempt) {
+        current = attempt;
+        finished = false;
+        reusable = false;
+        attempt.write(this);
+    }
+
+    /** Stops or goes on reading, as the client's side can take it. */
+    void reading(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
+    void close() {
+        closed = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        try {
+            if (current == null || finished) {
+                // Bytes that belong to no request: nothing on this connection can be trusted any more.
+                repository.desk().tally().count("servers.stray.bytes");
+                reusable = false;
+                close();
+                return;
+            }
+            if (msg instanceof HttpResponse response) {
+                if (response.decoderResult().isFailure()) {
+                    broken("an unreadable answer");
+                    return;
+                }
+                interim = response.status().code() / 100 == 1;
+                if (interim) {
+                    return;
+                }
+                reusable = HttpUtil.isKeepAlive(response)
+                        && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+                        || response.status().code() == 204 || response.status().code() == 304);
+                readKeepAlive(response);
+                current.head(response);
+            }
+            if (current != null && !interim && msg instanceof HttpContent content) {
+                if (content.decoderResult().isFailure()) {
+                    broken("an unreadable body");
+                    return;
+                }
+                current.body(content.content());
+                if (current != null && msg instanceof LastHttpContent) {
+                    finished = true;
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(msg);
+        }
+    }
+
+    private void readKeepAlive(HttpResponse response) {
+        String value = response.headers().get(Headings.KEEP_ALIVE);
+        int at = value == null ? -1 : value.indexOf("timeout=");
+        if (at >= 0) {
+            int end = at + 8;
+            while (end < value.length() && Character.isDigit(value.charAt(end)) && end < at + 14) {
+                end++;
+            }
+            if (end > at + 8) {
+                keepAliveMs = Math.max(0, Long.parseLong(value.substring(at + 8, end)) * 1000 - 1_500);
+            }
+        }
+    }
+
+    /** An answer counts as ended only when what came with its last bytes has been looked at too. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        settle();
+        ctx.fireChannelReadComplete();
+    }
+
+    private void settle() {
+        if (!finished || current == null) {
+            return;
+        }
+        Attempt done = current;
+        current = null;
+        repository.end();
+        if (reusable && isOpen() && done.requestWritten()) {
+            channel.config().setAutoRead(true);
+            repository.rest(this);
+        } else {
+            close();
+        }
+        done.finished();
+    }
+
+    /** The request is not wanted any more and nothing of it was sent. */
+    void unused() {
+        current = null;
+        repository.end();
+        repository.rest(this);
+    }
+
+    private void broken(String how) {
+        Attempt attempt = current;
+        current = null;
+        close();
+        if (attempt != null) {
+            repository.end();
+            attempt.broken(how);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (current != null && channel.isWritable()) {
+            current.writable();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        closed = true;
+        repository.lost(this);
+        settle();
+        broken("the connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken("the connection failed");
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -0,0 +1,98 @@
+package org.umbermount.circulation;
+
+import io.netty.channel.EventLoop;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.courier.Consignee;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Department;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.net.LoopAlmanac;
+
+/** The traffic plane as a plug-in of the lector. */
+public final class CirculationDepartment implements Department {
+    private static final Logger LOG = LoggerFactory.getLogger("circulation");
+    /** By then the platform has noticed twice that this daemon is not ready. */
+    private static final long NOTICED_MS = 2_300;
+    private static final long LOOK_MS = 50;
+    private static final long GRACE_MARGIN_MS = 400;
+
+    private Institution institution;
+    private FrontDesk desk;
+    private Consignee consignee;
+    private boolean leaving;
+
+    @Override
+    public String name() {
+        return "circulation";
+    }
+
+    @Override
+    public int order() {
+        return 40;
+    }
+
+    @Override
+    public boolean serves(Role role) {
+        return role == Role.LECTOR;
+    }
+
+    @Override
+    public void open(Institution host) throws Exception {
+        institution = host;
+        HouseRules rules = host.rules();
+        Almanac almanac = host.almanac();
+        EventLoop loop = ((LoopAlmanac) almanac).loop();
+        consignee = host.find(Consignee.class);
+        desk = new FrontDesk(loop, almanac, host.tally(), rules.bounds(), rules.zone(),
+                new Random(Imprint.parse(rules.ip() + ":1").packed() ^ almanac.wallMillis()));
+        consignee.observe(desk::apply);
+        host.tally().gauge("clients.connections", desk::openConnections);
+        new Doorplate(() -> !leaving && desk.hasTable(), host.tally()::page, this::status)
+                .bind(loop, listener(rules, "readiness"));
+        desk.bind(listener(rules, "http"));
+    }
+
+    private static Imprint listener(HouseRules rules, String name) {
+        Imprint address = rules.listeners().get(name);
+        if (address == null) {
+            throw new IllegalStateException("The settings name no " + name + " listener.");
+        }
+        return address;
+    }
+
+    private String status() {
+        return "{\"daemon\":\"" + institution.rules().nodeName() + "\",\"zone\":\"" + institution.rules().zone()
+                + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":" + consignee.inForce().edition()
+                + ",\"epoch\":" + consignee.epoch() + ",\"sender\":\"" + consignee.sender()
+                + "\",\"fleet\":" + desk.fleet() + "}";
+    }
+
+    @Override
+    public void leave(Runnable done) {
+        Almanac almanac = institution.almanac();
+        Moment end = almanac.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
+        leaving = true;
+        desk.beginClosing();
+        LOG.info("Leaving: not ready any more, {} connections open.", desk.openConnections());
+        long notice = Math.min(NOTICED_MS, institution.rules().bounds().graceMs() / 2);
+        almanac.after(notice, () -> {
+            desk.stopListening();
+            finish(end, done);
+        });
+    }
+
+    private void finish(Moment end, Runnable done) {
+        if (!desk.anyBusy() || !institution.almanac().now().isBefore(end)) {
+            // What was written has a moment to leave.
+            institution.almanac().after(LOOK_MS, done);
+        } else {
+            institution.almanac().after(LOOK_MS, () -> finish(end, done));
+        }
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -0,0 +1,93 @@
+package org.umbermount.circulation;
+
+import java.util.List;
+import java.util.Random;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Moment;
+
+/** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
+final class Concierge {
+    /** What leaving the zone has to save, as a part of the route's aim. */
+    private static final double ELSEWHERE = 0.3;
+    /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
+    private static final double QUEUE_SAFE = 1.0;
+    private static final double QUEUE_UNSAFE = 0.67;
+    private static final double HEDGE_AT = 0.6;
+
+    private final Almanac almanac;
+    private final Random random;
+    private final String zone;
+
+    Concierge(Almanac almanac, Random random, String zone) {
+        this.almanac = almanac;
+        this.random = random;
+        this.zone = zone;
+    }
+
+    /** A server with room, or null. */
+    Repository choose(Wing wing, Regulations.Route route, List<Repository> tried, Moment deadline) {
+        Moment now = almanac.now();
+        double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
+        Repository local = chooseLocal(wing, tried, now, queue);
+        double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
+        if (local != null && local.load(now) + 1 <= local.instance.capacity() && localMs <= route.targetLatencyMs() * 0.8) {
+            return local;
+        }
+        Repository best = local;
+        double bestMs = localMs;
+        double penalty = route.targetLatencyMs() * ELSEWHERE;
+        for (Repository r : wing.repositories) {
+            if (r == local || tried.contains(r) || !r.usable(now) || !r.hasRoom(now, r.instance.capacity() * queue)) {
+                continue;
+            }
+            double ms = r.expectedMs(now) * (0.95 + 0.1 * random.nextDouble())
+                    + (r.instance.zone().equals(zone) ? 0 : penalty);
+            if (ms < bestMs) {
+                best = r;
+                bestMs = ms;
+            }
+        }
+        return best;
+    }
+
+    private Repository chooseLocal(Wing wing, List<Repository> tried, Moment now, double queue) {
+        Repository first = null;
+        Repository second = null;
+        int seen = 0;
+        for (Repository r : wing.repositories) {
+            if (!r.instance.zone().equals(zone) || tried.contains(r) || !r.usable(now)
+                    || !r.hasRoom(now, r.instance.capacity() * queue)) {
+                continue;
+            }
+            seen++;
+            // Two at random out of a stream of unknown length.
+            if (first == null) {
+                first = r;
+            } else if (second == null) {
+                second = r;
+            } else {
+                int draw = random.nextInt(seen);
+                if (draw == 0) {
+                    first = r;
+                } else if (draw == 1) {
+                    second = r;
+                }
+            }
+        }
+        if (second == null) {
+            return first;
+        }
+        double a = first.expectedMs(now);
+        double b = second.expectedMs(now);
+        if (Math.abs(a - b) < 0.02 * a) {
+            return random.nextBoolean() ? first : second;
+        }
+        return a < b ? first : second;
+    }
+
+    /** How long the first server has before a second is asked. */
+    long hedgeAfterMs(Wing wing, Regulations.Route route) {
+        return (long) Math.max(2.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -0,0 +1,317 @@
+package org.umbermount.circulation;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.archive.Regulations;
+import org.umbermount.courier.Inventory;
+import org.umbermount.courier.Tables;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
+final class FrontDesk {
+    private static final Logger LOG = LoggerFactory.getLogger("circulation");
+    private static final long SWEEP_MS = 500;
+    private static final long WAITING_LOOK_MS = 15;
+
+    private final EventLoop loop;
+    private final Almanac almanac;
+    private final Tally tally;
+    private final HouseRules.Bounds bounds;
+    private final Random random;
+    private final Concierge concierge;
+    private final Moment started;
+    private final Map<String, Wing> wings = new HashMap<>();
+    private final Map<String, Repository> repositories = new HashMap<>();
+    private final Set<Reader> readers = new LinkedHashSet<>();
+    private final Set<Wing> freed = new HashSet<>();
+    private Holdings holdings = Holdings.EMPTY;
+    private Inventory table = Inventory.EMPTY;
+    private int fleet = 1;
+    private boolean closing;
+    private boolean looking;
+    private Channel listener;
+
+    FrontDesk(EventLoop loop, Almanac almanac, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
+        this.loop = loop;
+        this.almanac = almanac;
+        this.tally = tally;
+        this.bounds = bounds;
+        this.random = random;
+        this.concierge = new Concierge(almanac, random, zone);
+        this.started = almanac.now();
+        almanac.every(SWEEP_MS, this::sweep);
+    }
+
+    void bind(Imprint http) throws InterruptedException {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        Reader reader = new Reader(FrontDesk.this, holdings.limits());
+                        ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object msg) {
+                                reader.bytesRead();
+                                ctx.fireChannelRead(msg);
+                            }
+                        }).addLast(new StrictRequestDecoder(holdings.limits().maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder()).addLast(reader);
+                    }
+                }).bind(http.socketAddress()).sync().channel();
+    }
+
+    // ---- the table ----
+
+    /** Takes a table into force. */
+    void apply(Inventory next) {
+        Inventory.Difference d = next.since(table);
+        boolean routes = table.isEmpty();
+        for (String key : d.gone()) {
+            routes |= isConfiguration(key);
+        }
+        for (String key : d.come().keySet()) {
+            routes |= isConfiguration(key);
+        }
+        try {
+            if (routes) {
+                applyConfiguration(next);
+            }
+            for (String key : d.gone()) {
+                if (key.startsWith(Inventory.INSTANCE)) {
+                    remove(key);
+                }
+            }
+            for (Map.Entry<String, byte[]> e : d.come().entrySet()) {
+                if (e.getKey().startsWith(Inventory.INSTANCE)) {
+                    place(e.getKey(), Tables.readInstance(e.getValue()));
+                } else if (e.getKey().equals(Inventory.FLEET)) {
+                    fleet = Math.max(1, Tables.readFleet(e.getValue()));
+                }
+            }
+            table = next;
+        } catch (Script.UnreadableException e) {
+            LOG.error("A table could not be read: {}.", e.getMessage());
+        }
+        for (Wing wing : wings.values()) {
+            wing.serveWaiting();
+        }
+    }
+
+    private static boolean isConfiguration(String key) {
+        return key.equals(Inventory.CONFIGURATION) || key.startsWith(Inventory.ROUTE) || key.startsWith(Inventory.UPSTREAM);
+    }
+
+    private void applyConfiguration(Inventory next) throws Script.UnreadableException {
+        for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
+            if (e.getKey().startsWith(Inventory.UPSTREAM)) {
+                Regulations.Upstream upstream = Tables.readUpstream(e.getValue());
+                wing(upstream.label()).configure(upstream);
+            }
+        }
+        holdings = Holdings.of(next);
+    }
+
+    private Wing wing(String label) {
+        return wings.computeIfAbsent(label, l -> new Wing(l,
+                new Allowance(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
+    }
+
+    private void place(String key, Tables.Instance instance) {
+        Repository known = repositories.get(key);
+        if (known != null) {
+            known.update(instance);
+            return;
+        }
+        Wing wing = wing(instance.upstream());
+        Repository fresh = new Repository(this, wing, instance);
+        repositories.put(key, fresh);
+        wing.repositories.add(fresh);
+    }
+
+    private void remove(String key) {
+        Repository old = repositories.remove(key);
+        if (old != null) {
+            old.retire();
+            old.wing.repositories.remove(old);
+        }
+    }
+
+    boolean hasTable() {
+        return !table.isEmpty();
+    }
+
+    // ---- requests ----
+
+    Borrowing receive(Reader reader, HttpRequest request, long deadlineMs) {
+        tally.count("requests.received");
+        if (!hasTable()) {
+            return new Borrowing(this, reader, request, Erratum.NOT_READY);
+        }
+        Regulations.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        if (route == null) {
+            tally.count("requests.refused.no_route");
+            return new Borrowing(this, reader, request, Erratum.NO_ROUTE);
+        }
+        return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()));
+    }
+
+    private String draw(Regulations.Route route) {
+        List<Regulations.Share> shares = route.shares();
+        if (shares.size() == 1) {
+            return shares.get(0).upstream();
+        }
+        long sum = 0;
+        for (Regulations.Share s : shares) {
+            sum += s.weight();
+        }
+        long at = (long) (random.nextDouble() * sum);
+        for (Regulations.Share s : shares) {
+            at -= s.weight();
+            if (at < 0) {
+                return s.upstream();
+            }
+        }
+        return shares.get(shares.size() - 1).upstream();
+    }
+
+    /** Seconds after which a refused client may come again. */
+    String retryAfter(Borrowing b) {
+        double seconds = b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
+        return String.format(Locale.ROOT, "%.2f", seconds * (0.75 + 0.5 * random.nextDouble()));
+    }
+
+    /** Tries that are kept for failures and not spent on slow answers. */
+    double hedgeReserve(Wing wing, Moment now) {
+        return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
+    }
+
+    /** A server has become free: those that wait are looked at once the current event is over. */
+    void slotFreed(Wing wing) {
+        if (wing.waitingCount() > 0 && freed.add(wing) && freed.size() == 1) {
+            almanac.execute(() -> {
+                Set<Wing> now = new HashSet<>(freed);
+                freed.clear();
+                now.forEach(Wing::serveWaiting);
+            });
+        }
+        lookAgain();
+    }
+
+    /** While someone waits, servers that others have freed are noticed by looking. */
+    private void lookAgain() {
+        if (looking) {
+            return;
+        }
+        for (Wing wing : wings.values()) {
+            if (wing.waitingCount() > 0) {
+                looking = true;
+                almanac.after(WAITING_LOOK_MS, () -> {
+                    looking = false;
+                    wings.values().forEach(Wing::serveWaiting);
+                    lookAgain();
+                });
+                return;
+            }
+        }
+    }
+
+    // ---- connections ----
+
+    void arrived(Reader reader) {
+        readers.add(reader);
+    }
+
+    void left(Reader reader) {
+        readers.remove(reader);
+    }
+
+    private void sweep() {
+        Moment now = almanac.now();
+        for (Reader reader : List.copyOf(readers)) {
+            reader.sweep(now);
+        }
+        for (Iterator<Repository> it = repositories.values().iterator(); it.hasNext();) {
+            it.next().sweep(now);
+        }
+        lookAgain();
+    }
+
+    int openConnections() {
+        return readers.size();
+    }
+
+    /** From now on answers end their connections. */
+    void beginClosing() {
+        closing = true;
+    }
+
+    /** Takes no new connections, and ends those on which nothing is underway. */
+    void stopListening() {
+        listener.close();
+        for (Reader reader : List.copyOf(readers)) {
+            reader.closeIfIdle();
+        }
+    }
+
+    boolean anyBusy() {
+        for (Reader reader : readers) {
+            if (reader.busy()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    int fleet() {
+        return fleet;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Almanac almanac() {
+        return almanac;
+    }
+
+    Tally tally() {
+        return tally;
+    }
+
+    Concierge concierge() {
+        return concierge;
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Headings.java
@@ -0,0 +1,60 @@
+package org.umbermount.circulation;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.List;
+import java.util.Map;
+
+/** The header names of the protocol, and which headers stay on one connection. */
+final class Headings {
+    static final AsciiString ATTEMPT = AsciiString.cached("request-attempt");
+    static final AsciiString DEADLINE = AsciiString.cached("deadline-ms");
+    static final AsciiString SEAL = AsciiString.cached("server-seal");
+    static final AsciiString TARGET = AsciiString.cached("target-instance");
+    static final AsciiString LOAD = AsciiString.cached("server-load");
+    static final AsciiString NOT_EXECUTED = AsciiString.cached("not-executed");
+    static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
+
+    private static final List<AsciiString> HOP = List.of(HttpHeaderNames.CONNECTION, KEEP_ALIVE,
+            AsciiString.cached("proxy-connection"), HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION, HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
+            HttpHeaderNames.CONTENT_LENGTH);
+
+    private Headings() {
+    }
+
+    /** Copies what is not about one connection; the body's length is left to the caller. */
+    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        List<String> connection = from.getAll(HttpHeaderNames.CONNECTION);
+        for (Map.Entry<String, String> e : from) {
+            if (!isHop(e.getKey()) && !isNamed(connection, e.getKey())) {
+                to.add(e.getKey(), e.getValue());
+            }
+        }
+    }
+
+    private static boolean isHop(String name) {
+        for (AsciiString hop : HOP) {
+            if (hop.contentEqualsIgnoreCase(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isNamed(List<String> connection, String name) {
+        for (String value : connection) {
+            for (String token : value.split(",")) {
+                String t = token.trim();
+                // What the servers rely on cannot be taken away by naming it in Connection.
+                if (t.equalsIgnoreCase(name) && !ATTEMPT.contentEqualsIgnoreCase(name)
+                        && !DEADLINE.contentEqualsIgnoreCase(name) && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -0,0 +1,424 @@
+package org.umbermount.circulation;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.Moment;
+
+/** A client's connection: reads requests, and writes their answers in the order they came. */
+final class Reader extends ChannelInboundHandlerAdapter {
+    private static final int PIPELINE_AT_MOST = 32;
+    private static final int HELD_BODY = 256 << 10;
+    private static final long LINGER_MS = 1_000;
+    private static final long DEFAULT_DEADLINE_MS = 30_000;
+
+    private final FrontDesk desk;
+    private final Regulations.Limits limits;
+    private final ArrayDeque<Borrowing> pipeline = new ArrayDeque<>();
+    private Channel channel;
+    private Borrowing arriving;
+    private long arrivedBytes;
+    private boolean lastRequest;
+    private boolean lingering;
+    private boolean streamingHead;
+    private boolean gone;
+    private Moment lastActivity;
+    private boolean headUnderway;
+
+    Reader(FrontDesk desk, Regulations.Limits limits) {
+        this.desk = desk;
+        this.limits = limits;
+        this.lastActivity = desk.almanac().now();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        desk.arrived(this);
+    }
+
+    /** Told by the decoder's side that bytes have come. */
+    void bytesRead() {
+        if (pipeline.isEmpty() && arriving == null && !headUnderway) {
+            headUnderway = true;
+            lastActivity = desk.almanac().now();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        try {
+            if (lingering || lastRequest && arriving == null) {
+                return;
+            }
+            if (msg instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (msg instanceof HttpContent content && arriving != null) {
+                proceed(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(msg);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        headUnderway = false;
+        arrivedBytes = 0;
+        if (request.decoderResult().isFailure()) {
+            Throwable cause = request.decoderResult().cause();
+            boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+            turnAway(request, tooLong ? Erratum.HEADER_TOO_LARGE : Erratum.MALFORMED);
+            return;
+        }
+        if (!wellFormed(request)) {
+            turnAway(request, Erratum.MALFORMED);
+            return;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            turnAway(request, Erratum.BODY_TOO_LARGE);
+            return;
+        }
+        lastRequest = !HttpUtil.isKeepAlive(request);
+        Borrowing borrowing = desk.receive(this, request, deadlineMs(request));
+        arriving = borrowing;
+        pipeline.add(borrowing);
+        if (pipeline.size() >= PIPELINE_AT_MOST) {
+            channel.config().setAutoRead(false);
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private static boolean wellFormed(HttpRequest request) {
+        String uri = request.uri();
+        if (!uri.startsWith("/") || request.headers().getAll(HttpHeaderNames.HOST).size() != 1
+                || request.protocolVersion().majorVersion() != 1 || request.method().equals(HttpMethod.CONNECT)) {
+            return false;
+        }
+        if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            return HttpUtil.isTransferEncodingChunked(request)
+                    && request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
+                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                            request.headers().get(HttpHeaderNames.TRANSFER_ENCODING).trim());
+        }
+        return true;
+    }
+
+    private static long deadlineMs(HttpRequest request) {
+        String text = request.headers().get(Headings.DEADLINE);
+        if (text != null) {
+            try {
+                return Math.max(0, Math.min(600_000, Long.parseLong(text.trim())));
+            } catch (NumberFormatException e) {
+                return DEFAULT_DEADLINE_MS;
+            }
+        }
+        return DEFAULT_DEADLINE_MS;
+    }
+
+    /** Answers without reading on; the connection ends with the answer. */
+    private void turnAway(HttpRequest request, Erratum erratum) {
+        lastRequest = true;
+        arriving = null;
+        if (!pipeline.isEmpty() && !pipeline.peekLast().isStarted() && !pipeline.peekLast().isAnswered()) {
+            pipeline.pollLast();
+        }
+        pipeline.add(new Borrowing(desk, this, request, erratum));
+        desk.tally().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
+        ready();
+    }
+
+    private void proceed(HttpContent content) {
+        Borrowing b = arriving;
+        if (content.decoderResult().isFailure()) {
+            arriving = null;
+            if (b.isLarge() || b.isStarted()) {
+                // Part of it has been passed on: only the connections can end now.
+                channel.close();
+            } else {
+                turnAway(b.request(), Erratum.MALFORMED);
+            }
+            return;
+        }
+        boolean last = content instanceof LastHttpContent;
+        ByteBuf buffer = content.content();
+        int n = buffer.readableBytes();
+        arrivedBytes += n;
+        if (arrivedBytes > limits.maxBodyBytes()) {
+            arriving = null;
+            if (b.isLarge()) {
+                channel.close();
+            } else {
+                turnAway(b.request(), Erratum.BODY_TOO_LARGE);
+            }
+            return;
+        }
+        if (n > 0 || last && b.isLarge()) {
+            byte[] piece = new byte[n];
+            buffer.getBytes(buffer.readerIndex(), piece);
+            if (b.isAnswered()) {
+                // Answered already; the rest is read only to keep the connection in step.
+                piece = new byte[0];
+            } else if (b.isLarge()) {
+                if (!b.piece(piece, last) && !last) {
+                    channel.config().setAutoRead(false);
+                }
+            } else if (b.gather(piece) > HELD_BODY && !last) {
+                b.becomeLarge();
+                startInTurn();
+                channel.config().setAutoRead(false);
+            }
+        }
+        if (last) {
+            arriving = null;
+            if (!b.isLarge()) {
+                b.bodyWhole();
+            }
+            startInTurn();
+            ready();
+        }
+    }
+
+    /** Starts what may start: safe requests at once, others only when nothing is before them. */
+    private void startInTurn() {
+        boolean first = true;
+        for (Borrowing b : pipeline) {
+            boolean whole = b != arriving || b.isLarge();
+            if (!b.isStarted() && !b.isAnswered() && whole && (first || b.isSafe())) {
+                b.start();
+            }
+            if (gone) {
+                return;
+            }
+            first = false;
+        }
+    }
+
+    /** A large body's server can take more. */
+    void resume() {
+        if (channel.isActive() && pipeline.size() < PIPELINE_AT_MOST) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    private boolean writing;
+
+    /** Writes what is ready, in order. */
+    void ready() {
+        if (writing || gone) {
+            return;
+        }
+        writing = true;
+        try {
+            boolean wrote = false;
+            while (!pipeline.isEmpty() && !gone && !lingering) {
+                Borrowing first = pipeline.peek();
+                if (!first.isAnswered()) {
+                    break;
+                }
+                boolean reading = first == arriving;
+                if (first.streamHead() != null) {
+                    if (!writeStream(first)) {
+                        break;
+                    }
+                } else {
+                    if (reading && !first.isLarge() && first.erratum() != null && !first.erratum().closes()) {
+                        // An early answer waits until its request has been read to the end.
+                        break;
+                    }
+                    writeWhole(first, reading);
+                }
+                wrote = true;
+                pipeline.poll();
+                lastActivity = desk.almanac().now();
+                streamingHead = false;
+            }
+            if (wrote && !gone && !lingering) {
+                channel.flush();
+                resume();
+            }
+        } finally {
+            writing = false;
+        }
+        if (!gone && !lingering && !pipeline.isEmpty() && !pipeline.peek().isStarted()) {
+            startInTurn();
+        }
+    }
+
+    private boolean closesAfter(Borrowing b, boolean stillReading) {
+        return stillReading || b.erratum() != null && b.erratum().closes()
+                || pipeline.size() == 1 && (lastRequest || desk.closing());
+    }
+
+    private void writeWhole(Borrowing b, boolean stillReading) {
+        boolean close = closesAfter(b, stillReading);
+        FullHttpResponse response;
+        boolean head = b.request() != null && b.request().method().equals(HttpMethod.HEAD);
+        if (b.erratum() != null) {
+            Erratum e = b.erratum();
+            byte[] body = ("{\"errorMessage\":\"" + e.sentence() + "\"}").getBytes(StandardCharsets.UTF_8);
+            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(e.status()),
+                    head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            String attempt = b.request() == null ? null : b.request().headers().get(Headings.ATTEMPT);
+            if (attempt != null) {
+                response.headers().set(Headings.ATTEMPT, attempt);
+            }
+            if (e.retryAfter()) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, desk.retryAfter(b));
+            }
+        } else {
+            Answer a = b.answer();
+            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()),
+                    Unpooled.wrappedBuffer(a.body()));
+            Headings.copyEndToEnd(a.headers(), response.headers());
+            if (head) {
+                String length = a.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+                if (length != null) {
+                    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+                }
+            } else if (a.status() != 204 && a.status() != 304) {
+                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, a.body().length);
+            }
+        }
+        finish(response, close);
+    }
+
+    private void finish(Object message, boolean close) {
+        if (close) {
+            if (message instanceof HttpResponse response) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            lingering = true;
+            channel.writeAndFlush(message).addListener(f -> linger());
+        } else {
+            channel.write(message);
+        }
+    }
+
+    /** Closes the sending side first, so that a reset for unread bytes does not overtake the answer. */
+    private void linger() {
+        if (!channel.isActive()) {
+            return;
+        }
+        channel.config().setAutoRead(true);
+        ((DuplexChannel) channel).shutdownOutput();
+        desk.almanac().after(LINGER_MS, channel::close);
+    }
+
+    /** Writes what has come of a long answer; true once it is whole. */
+    private boolean writeStream(Borrowing b) {
+        boolean close = closesAfter(b, false);
+        boolean chunked = !HttpUtil.isContentLengthSet(b.streamHead());
+        if (!streamingHead) {
+            streamingHead = true;
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
+            Headings.copyEndToEnd(b.streamHead().headers(), head.headers());
+            if (chunked) {
+                head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else {
+                head.headers().set(HttpHeaderNames.CONTENT_LENGTH,
+                        b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
+            }
+            if (close) {
+                head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            channel.write(head);
+        }
+        while (channel.isWritable()) {
+            byte[] piece = b.nextStreamed();
+            if (piece == null) {
+                break;
+            }
+            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+        }
+        channel.flush();
+        if (b.streamCutShort()) {
+            // The end is left out, so that nothing cut short can look whole.
+            channel.close();
+            return false;
+        }
+        if (!b.streamWhole()) {
+            return false;
+        }
+        finish(LastHttpContent.EMPTY_LAST_CONTENT, close);
+        return true;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (channel.isWritable()) {
+            ready();
+        }
+    }
+
+    /** Ends a connection that has been idle, or whose request head takes too long. */
+    void sweep(Moment now) {
+        long still = now.since(lastActivity);
+        if (pipeline.isEmpty() && arriving == null && !lingering) {
+            if (headUnderway ? still > limits.headerTimeoutMs() : still > limits.idleTimeoutMs()) {
+                if (headUnderway) {
+                    turnAway(null, Erratum.SLOW_REQUEST);
+                } else {
+                    channel.close();
+                }
+            }
+        }
+    }
+
+    /** Ends the connection if nothing is underway on it. */
+    boolean closeIfIdle() {
+        if (pipeline.isEmpty() && !headUnderway) {
+            channel.close();
+            return true;
+        }
+        return false;
+    }
+
+    boolean busy() {
+        return !pipeline.isEmpty();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        gone = true;
+        desk.left(this);
+        for (Borrowing b : pipeline) {
+            b.abandon();
+        }
+        pipeline.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -0,0 +1,247 @@
+package org.umbermount.circulation;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import jdk.net.ExtendedSocketOptions;
+import org.umbermount.courier.Tables;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Tally;
+
+/** One life of a server: its connections, and what its answers have shown of it. */
+final class Repository {
+    static final int CONNECT_MS = 350;
+    private static final int HEADER_BYTES = 32_768;
+    private static final long IDLE_MS = 8_000;
+    private static final long DOWN_FIRST_MS = 400;
+    private static final long DOWN_LONGEST_MS = 4_000;
+    private static final double OTHERS_FADE_MS = 500;
+
+    private final FrontDesk desk;
+    private final Almanac almanac;
+    private final Tally tally;
+    private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
+    Wing wing;
+    Tables.Instance instance;
+    boolean listed = true;
+    int inFlight;
+    int connections;
+    private double latencyMs;
+    private boolean measured;
+    private Moment latencyAt;
+    private double othersLoad;
+    private double othersAverage;
+    private Moment othersAt;
+    private Moment downUntil = Moment.NEVER;
+    private long downMs;
+    private Moment lastAnswer = Moment.NEVER;
+    private Moment busySince = Moment.NEVER;
+    private boolean misdirected;
+
+    Repository(FrontDesk desk, Wing wing, Tables.Instance instance) {
+        this.desk = desk;
+        this.almanac = desk.almanac();
+        this.tally = desk.tally();
+        this.wing = wing;
+        this.instance = instance;
+        this.latencyAt = almanac.now();
+        this.othersAt = latencyAt;
+    }
+
+    void update(Tables.Instance fresh) {
+        instance = fresh;
+        if (fresh.draining()) {
+            closeIdle();
+        }
+    }
+
+    /** The server has left the table. */
+    void retire() {
+        listed = false;
+        closeIdle();
+    }
+
+    boolean usable(Moment now) {
+        return listed && !instance.draining() && !misdirected && !now.isBefore(downUntil);
+    }
+
+    /** Requests believed to be at the server: those of this daemon, and those that others sent. */
+    double load(Moment now) {
+        double fade = Math.exp(-now.since(othersAt) / OTHERS_FADE_MS);
+        return inFlight + othersLoad * fade + othersAverage * (1 - fade);
+    }
+
+    boolean hasRoom(Moment now, double extra) {
+        return load(now) + 1 <= instance.capacity() + extra && (!idle.isEmpty() || connections < connectionCap());
+    }
+
+    private int connectionCap() {
+        return Math.max(2, (int) (wing.maxConnections * 0.85 / Math.max(1, desk.fleet())));
+    }
+
+    /** The time an answer is expected to take if the request is sent now. */
+    double expectedMs(Moment now) {
+        double age = now.since(latencyAt);
+        double weight = measured ? Math.exp(-age / 6_000) : 0;
+        double service = latencyMs * weight + wing.typicalMs * (1 - weight);
+        if (instance.warmUntil() > almanac.wallMillis()) {
+            service = Math.max(service, wing.typicalMs * 1.8);
+        }
+        double load = load(now) + 1;
+        double cap = instance.capacity();
+        double queue = load > cap ? (load - cap) / cap : 0;
+        double crowd = load > 0.8 * cap ? 0.2 : 0.1 * load / cap;
+        double expected = service * (1 + queue + crowd);
+        // Nothing has come back for long although something is owed: the server may be dead or hung.
+        if (inFlight > 0) {
+            double silence = now.since(lastAnswer.isBefore(busySince) ? busySince : lastAnswer);
+            if (silence > 3 * service + 100) {
+                expected += silence;
+            }
+        }
+        return expected;
+    }
+
+    void begin(Moment now) {
+        if (inFlight++ == 0) {
+            busySince = now;
+        }
+    }
+
+    /** A request is no longer at the server. */
+    void end() {
+        inFlight--;
+        desk.slotFreed(wing);
+    }
+
+    void answered(Moment now, double ms, boolean good) {
+        lastAnswer = now;
+        downMs = 0;
+        if (good) {
+            latencyMs = measured ? latencyMs * 0.8 + ms * 0.2 : ms;
+            measured = true;
+            latencyAt = now;
+            wing.sample(ms);
+        }
+    }
+
+    /** Reads {@code running,waiting,slots} as the server saw it when it answered. */
+    void reportedLoad(Moment now, String text) {
+        String[] parts = text.split(",");
+        if (parts.length < 2) {
+            return;
+        }
+        try {
+            double total = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
+            othersLoad = Math.max(0, total - inFlight);
+            othersAverage = othersAverage * 0.9 + othersLoad * 0.1;
+            othersAt = now;
+        } catch (NumberFormatException e) {
+            tally.count("servers.load.unreadable");
+        }
+    }
+
+    void full(Moment now) {
+        othersLoad = Math.max(othersLoad, instance.capacity() + 1 - inFlight);
+        othersAt = now;
+    }
+
+    /** The server could not be reached. */
+    void unreachable(Moment now) {
+        downMs = downMs == 0 ? DOWN_FIRST_MS : Math.min(DOWN_LONGEST_MS, downMs * 2);
+        downUntil = now.plus(downMs);
+        tally.count("servers.unreachable");
+        closeIdle();
+    }
+
+    /** Another server answers at the address. */
+    void misdirected() {
+        misdirected = true;
+        tally.count("servers.misdirected");
+        closeIdle();
+    }
+
+    /** Sends over an idle connection, or over a new one. */
+    void carry(Attempt attempt) {
+        Moment now = almanac.now();
+        begin(now);
+        while (!idle.isEmpty()) {
+            Carrel carrel = idle.pollLast();
+            if (carrel.isOpen()) {
+                carrel.send(attempt);
+                return;
+            }
+        }
+        connections++;
+        tally.count("servers.connections.opened");
+        Bootstrap bootstrap = new Bootstrap().group(desk.loop()).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 2)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
+        Carrel carrel = new Carrel(this);
+        ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel ch) {
+                ch.pipeline().addLast(new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
+                        .setMaxInitialLineLength(4096).setInitialBufferSize(256), false, false)).addLast(carrel);
+            }
+        }).connect(instance.address().socketAddress());
+        future.addListener(f -> {
+            if (f.isSuccess()) {
+                carrel.send(attempt);
+            } else {
+                connections--;
+                unreachable(almanac.now());
+                end();
+                attempt.notSent();
+            }
+        });
+    }
+
+    void rest(Carrel carrel) {
+        if (usable(almanac.now()) && !desk.closing()) {
+            carrel.restingSince = almanac.now();
+            idle.addLast(carrel);
+        } else {
+            carrel.close();
+        }
+    }
+
+    void lost(Carrel carrel) {
+        connections--;
+        idle.remove(carrel);
+    }
+
+    /** Closes connections before the server does. */
+    void sweep(Moment now) {
+        Iterator<Carrel> it = idle.iterator();
+        while (it.hasNext()) {
+            Carrel carrel = it.next();
+            if (now.since(carrel.restingSince) > Math.min(IDLE_MS, carrel.keepAliveMs)) {
+                it.remove();
+                carrel.close();
+            }
+        }
+    }
+
+    private void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.poll().close();
+        }
+    }
+
+    FrontDesk desk() {
+        return desk;
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -0,0 +1,63 @@
+package org.umbermount.circulation;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.umbermount.archive.Regulations;
+
+/** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
+final class Wing {
+    private static final int WAITING_AT_MOST = 256;
+
+    final String label;
+    final Allowance allowance;
+    final List<Repository> repositories = new ArrayList<>();
+    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
+            Comparator.comparingInt(Borrowing::priority).thenComparingLong(b -> b.deadline().millis()));
+    int maxConnections = 64;
+    /** Smoothed time of an answer, over all servers. */
+    double typicalMs = 100;
+    boolean measured;
+
+    Wing(String label, Allowance allowance) {
+        this.label = label;
+        this.allowance = allowance;
+    }
+
+    void configure(Regulations.Upstream upstream) {
+        maxConnections = upstream.maxConnections();
+    }
+
+    void sample(double ms) {
+        typicalMs = measured ? typicalMs * 0.97 + ms * 0.03 : ms;
+        measured = true;
+    }
+
+    /** Takes a request into the queue; false if the queue is full of requests that come first. */
+    boolean enqueue(Borrowing borrowing) {
+        if (waiting.size() >= WAITING_AT_MOST) {
+            return false;
+        }
+        return waiting.add(borrowing);
+    }
+
+    void dequeue(Borrowing borrowing) {
+        waiting.remove(borrowing);
+    }
+
+    int waitingCount() {
+        return waiting.size();
+    }
+
+    /** Offers a slot to those that wait, the first in rank first. */
+    void serveWaiting() {
+        while (!waiting.isEmpty()) {
+            Borrowing first = waiting.peek();
+            if (!first.tryPlace()) {
+                return;
+            }
+            waiting.remove(first);
+        }
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Consignee.java
@@ -0,0 +1,142 @@
+package org.umbermount.courier;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Tally;
+
+/** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
+public final class Consignee {
+    private static final Logger LOG = LoggerFactory.getLogger("courier");
+    private static final int HELD_STATES = 64;
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Tally tally;
+    private final long life;
+    private final TreeMap<Long, Inventory> held = new TreeMap<>();
+    private final List<Consumer<Inventory>> observers = new ArrayList<>();
+    private long epoch;
+    private Imprint sender;
+    private Moment lastHeard = Moment.NEVER;
+    private Inventory inForce = Inventory.EMPTY;
+
+    Consignee(Almanac almanac, Postbag post, Tally tally, long life) {
+        this.almanac = almanac;
+        this.post = post;
+        this.tally = tally;
+        this.life = life;
+        held.put(0L, Inventory.EMPTY);
+        post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
+    }
+
+    /** Told of each table that comes into force. */
+    public void observe(Consumer<Inventory> observer) {
+        observers.add(observer);
+    }
+
+    public Inventory inForce() {
+        return inForce;
+    }
+
+    public long life() {
+        return life;
+    }
+
+    public long epoch() {
+        return epoch;
+    }
+
+    public Imprint sender() {
+        return sender;
+    }
+
+    public Moment lastHeard() {
+        return lastHeard;
+    }
+
+    private void receive(Imprint from, Dispatch d) {
+        if (d.life() != 0 && d.life() != life) {
+            // Meant for an earlier life of this daemon. The answer tells the sender of this one.
+            tally.count("courier.earlier.life");
+            acknowledge(from, d, 0);
+            return;
+        }
+        if (d.epoch() == 0) {
+            if (inForce.isEmpty() && epoch == 0 && d.difference() != null && d.oldNum() == 0) {
+                bringIntoForce(Inventory.EMPTY.with(d.difference()), from);
+            }
+            return;
+        }
+        if (d.epoch() < epoch) {
+            tally.count("courier.stale.epoch");
+            acknowledge(from, d, 0);
+            return;
+        }
+        if (d.epoch() > epoch) {
+            LOG.info("Sender {} with epoch {} replaces epoch {}.", from, d.epoch(), epoch);
+            epoch = d.epoch();
+            sender = from;
+            held.clear();
+            held.put(0L, Inventory.EMPTY);
+        }
+        lastHeard = almanac.now();
+        if (d.difference() != null && !held.containsKey(d.newNum())) {
+            Inventory base = held.get(d.oldNum());
+            if (base == null) {
+                tally.count("courier.unknown.base");
+            } else {
+                Inventory table = base.with(d.difference());
+                if (inForce.edition().isAfter(table.edition())) {
+                    tally.count("courier.older.edition");
+                    return;
+                }
+                boolean newest = d.newNum() > held.lastKey();
+                held.put(d.newNum(), table);
+                if (newest) {
+                    bringIntoForce(table, from);
+                }
+            }
+        }
+        trim(d.throwawayNum());
+        acknowledge(from, d, held.lastKey());
+    }
+
+    private void trim(long throwaway) {
+        held.headMap(throwaway, false).clear();
+        Iterator<Long> it = held.keySet().iterator();
+        while (held.size() > HELD_STATES && it.hasNext()) {
+            it.next();
+            it.remove();
+        }
+        if (held.isEmpty()) {
+            held.put(0L, Inventory.EMPTY);
+        }
+    }
+
+    private void bringIntoForce(Inventory table, Imprint from) {
+        Edition before = inForce.edition();
+        inForce = table;
+        if (!before.equals(table.edition())) {
+            LOG.info("Edition {} is in force, from {}.", table.edition(), from);
+        }
+        tally.count("courier.tables");
+        for (Consumer<Inventory> o : observers) {
+            o.accept(table);
+        }
+    }
+
+    private void acknowledge(Imprint to, Dispatch d, long num) {
+        post.send(to, Postbag.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, almanac.now().millis(),
+                d.stamp(), null).pack());
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -0,0 +1,226 @@
+package org.umbermount.courier;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Tally;
+
+/**
+ * The sender for one proxy, as in the State Synchronization Protocol: a rolling list of sent states whose first
+ * is the one known to have arrived; each difference starts from the newest state that may still be on its way,
+ * and from the known one once its timeout has passed.
+ */
+final class Consignor {
+    static final int SENT_STATES = 32;
+    static final long HEARTBEAT_MS = 3_000;
+    /** Changes within this time travel together. */
+    private static final long COLLECT_MS = 8;
+
+    private static final class Sent {
+        final long num;
+        final Inventory table;
+        Moment at;
+
+        Sent(long num, Inventory table, Moment at) {
+            this.num = num;
+            this.table = table;
+            this.at = at;
+        }
+    }
+
+    private final Imprint proxy;
+    private final long epoch;
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Tally tally;
+    private final List<Sent> sent = new ArrayList<>();
+    private final RoundTrip roundTrip = new RoundTrip();
+    private long life;
+    private Inventory current = Inventory.EMPTY;
+    private long topNum;
+    private Moment lastSend = Moment.NEVER;
+    private Moment lastHeard;
+    private int unanswered;
+    private long echoStamp = -1;
+    private Moment echoAt;
+    private Almanac.Cancellable timer;
+    private boolean closed;
+
+    Consignor(Imprint proxy, long life, long epoch, Almanac almanac, Postbag post, Tally tally) {
+        this.proxy = proxy;
+        this.life = life;
+        this.epoch = epoch;
+        this.almanac = almanac;
+        this.post = post;
+        this.tally = tally;
+        this.lastHeard = almanac.now();
+        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+    }
+
+    Moment lastHeard() {
+        return lastHeard;
+    }
+
+    long life() {
+        return life;
+    }
+
+    /** The number and edition of the newest state known to have arrived. */
+    long knownNum() {
+        return sent.get(0).num;
+    }
+
+    Edition knownEdition() {
+        return sent.get(0).table.edition();
+    }
+
+    long assumedNum() {
+        return assumed(almanac.now()).num;
+    }
+
+    double smoothedRtt() {
+        return roundTrip.smoothed();
+    }
+
+    void close() {
+        closed = true;
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    /** The table that the proxy should have. */
+    void offer(Inventory table) {
+        current = table;
+        schedule(COLLECT_MS);
+    }
+
+    /** The proxy has started again with nothing: everything goes out anew, under higher numbers. */
+    void restart(long newLife) {
+        life = newLife;
+        sent.clear();
+        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+        unanswered = 0;
+        lastHeard = almanac.now();
+        lastSend = Moment.NEVER;
+        schedule(0);
+    }
+
+    private void schedule(long ms) {
+        if (closed) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel();
+        }
+        timer = almanac.after(ms, this::tick);
+    }
+
+    private Sent newest() {
+        return sent.get(sent.size() - 1);
+    }
+
+    /** The newest sent state whose timeout has not passed, or the known one. */
+    private Sent assumed(Moment now) {
+        Sent assumed = sent.get(0);
+        for (Sent s : sent) {
+            if (now.since(s.at) < roundTrip.rto()) {
+                assumed = s;
+            }
+        }
+        return assumed;
+    }
+
+    private void tick() {
+        timer = null;
+        Moment now = almanac.now();
+        long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
+        long wait = frame - now.since(lastSend);
+        if (wait > 0) {
+            schedule(wait);
+            return;
+        }
+        Sent assumed = assumed(now);
+        boolean fresh = !current.sameAs(newest().table);
+        boolean overdue = assumed.num != newest().num;
+        if (fresh) {
+            Sent next = new Sent(++topNum, current, now);
+            sent.add(next);
+            if (sent.size() > SENT_STATES) {
+                // Keep the known state and the newest; one in the middle can be done without.
+                sent.remove(SENT_STATES / 2);
+            }
+            send(assumed, next, now);
+        } else if (overdue) {
+            newest().at = now;
+            send(assumed, newest(), now);
+        } else if (now.since(lastSend) >= HEARTBEAT_MS) {
+            sendEmpty(now);
+        }
+        scheduleNext(now);
+    }
+
+    private void scheduleNext(Moment now) {
+        long next = HEARTBEAT_MS - now.since(lastSend);
+        if (sent.size() > 1) {
+            next = Math.min(next, roundTrip.rto() - now.since(newest().at) + 1);
+        }
+        schedule(Math.max(1, next));
+    }
+
+    private void send(Sent from, Sent to, Moment now) {
+        emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
+                to.table.since(from.table)), now);
+        unanswered++;
+        tally.count("courier.sent");
+    }
+
+    private void sendEmpty(Moment now) {
+        long num = newest().num;
+        emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null), now);
+        tally.count("courier.heartbeats");
+    }
+
+    private void emit(Dispatch dispatch, Moment now) {
+        lastSend = now;
+        post.send(proxy, Postbag.Topic.DISPATCH, dispatch.pack());
+    }
+
+    private long echo(Moment now) {
+        return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
+    }
+
+    /** Takes an acknowledgment. */
+    void acknowledged(Dispatch ack) {
+        Moment now = almanac.now();
+        if (ack.life() != life) {
+            if (life == 0) {
+                life = ack.life();
+            } else {
+                restart(ack.life());
+                return;
+            }
+        }
+        lastHeard = now;
+        unanswered = 0;
+        if (ack.echo() >= 0 && now.millis() >= ack.echo()) {
+            roundTrip.sample(now.millis() - ack.echo());
+        }
+        echoStamp = ack.stamp();
+        echoAt = now;
+        boolean held = false;
+        for (Sent s : sent) {
+            held |= s.num == ack.ackNum();
+        }
+        if (held) {
+            sent.removeIf(s -> s.num < ack.ackNum());
+        }
+        if (sent.size() > 1 || !current.sameAs(newest().table)) {
+            scheduleNext(now);
+        }
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Dispatch.java
@@ -0,0 +1,32 @@
+package org.umbermount.courier;
+
+import org.umbermount.kernel.Script;
+
+/**
+ * One instruction. From sender to proxy it builds state {@code newNum} from {@code oldNum}; with an empty
+ * difference it says only that the sender is there. From proxy to sender it is a bare acknowledgment.
+ *
+ * @param epoch the lease epoch of the sender; 0 for a baseline from a daemon that holds no lease
+ * @param life which life of the proxy this is for, or 0 if the sender does not know it yet
+ * @param stamp the sending clock's low bits, echoed by the other side
+ * @param echo the last stamp received, adjusted by how long it was kept; -1 if there is none
+ */
+record Dispatch(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp,
+        long echo, Inventory.Difference difference) {
+
+    byte[] pack() {
+        Script.Writer out = Script.write().num(epoch).num(life).num(oldNum).num(newNum).num(ackNum)
+                .num(throwawayNum).num(stamp).num(echo);
+        out.flag(difference != null);
+        if (difference != null) {
+            difference.write(out);
+        }
+        return out.done();
+    }
+
+    static Dispatch unpack(byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        return new Dispatch(in.num(), in.num(), in.num(), in.num(), in.num(), in.num(), in.num(), in.num(),
+                in.flag() ? Inventory.Difference.read(in) : null);
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Inventory.java
@@ -0,0 +1,108 @@
+package org.umbermount.courier;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Script;
+
+/**
+ * The route and endpoint table at one moment: entries under keys, each packed. It never changes; a difference
+ * between two of them says which keys go and which entries come, so that taking it twice does no harm.
+ */
+public final class Inventory {
+    public static final Inventory EMPTY = new Inventory(Map.of());
+    /** Holds the edition and the limits; a table without it is empty. */
+    public static final String CONFIGURATION = "c";
+    /** Holds the number of proxies that share the fleet's budgets. */
+    public static final String FLEET = "f";
+    public static final String ROUTE = "r/";
+    public static final String UPSTREAM = "u/";
+    public static final String INSTANCE = "i/";
+
+    private final Map<String, byte[]> entries;
+    private final Edition edition;
+
+    private Inventory(Map<String, byte[]> entries) {
+        this.entries = entries;
+        this.edition = readEdition(entries.get(CONFIGURATION));
+    }
+
+    public static Inventory of(Map<String, byte[]> entries) {
+        return new Inventory(Map.copyOf(entries));
+    }
+
+    private static Edition readEdition(byte[] configuration) {
+        if (configuration == null) {
+            return Edition.NONE;
+        }
+        try {
+            return new Edition(Script.read(configuration).num());
+        } catch (Script.UnreadableException e) {
+            return Edition.NONE;
+        }
+    }
+
+    public Map<String, byte[]> entries() {
+        return Collections.unmodifiableMap(entries);
+    }
+
+    /** The revision of the configuration that the table holds. */
+    public Edition edition() {
+        return edition;
+    }
+
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** What changes from one table to another. */
+    public record Difference(List<String> gone, Map<String, byte[]> come) {
+        public boolean isEmpty() {
+            return gone.isEmpty() && come.isEmpty();
+        }
+
+        void write(Script.Writer out) {
+            out.list(gone, Script.Writer::text)
+                    .list(come.entrySet(), (o, e) -> o.text(e.getKey()).bytes(e.getValue()));
+        }
+
+        static Difference read(Script.Reader in) throws Script.UnreadableException {
+            List<String> gone = in.list(Script.Reader::text);
+            Map<String, byte[]> come = new HashMap<>();
+            in.list(r -> come.put(r.text(), r.bytes()));
+            return new Difference(gone, come);
+        }
+    }
+
+    public Difference since(Inventory older) {
+        List<String> gone = new ArrayList<>();
+        for (String key : older.entries.keySet()) {
+            if (!entries.containsKey(key)) {
+                gone.add(key);
+            }
+        }
+        Map<String, byte[]> come = new HashMap<>();
+        for (Map.Entry<String, byte[]> e : entries.entrySet()) {
+            byte[] old = older.entries.get(e.getKey());
+            if (old != e.getValue() && !Arrays.equals(old, e.getValue())) {
+                come.put(e.getKey(), e.getValue());
+            }
+        }
+        return new Difference(gone, come);
+    }
+
+    public Inventory with(Difference difference) {
+        Map<String, byte[]> next = new HashMap<>(entries);
+        difference.gone().forEach(next::remove);
+        next.putAll(difference.come());
+        return new Inventory(next);
+    }
+
+    public boolean sameAs(Inventory other) {
+        return this == other || entries.size() == other.entries.size() && since(other).isEmpty();
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -0,0 +1,235 @@
+package org.umbermount.courier;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.archive.Accession;
+import org.umbermount.archive.Census;
+import org.umbermount.archive.CensusEntry;
+import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Regulations;
+import org.umbermount.archive.RollCall;
+import org.umbermount.archive.TenureOffice;
+import org.umbermount.gazetteer.Gazetteer;
+import org.umbermount.gazetteer.Placename;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Department;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Script;
+
+/** The sending side as a plug-in of the registrar: one sender for each proxy of the zones whose duty is held. */
+public final class SendingDepartment implements Department {
+    private static final Logger LOG = LoggerFactory.getLogger("courier");
+    private static final long LOOP_MS = 500;
+    private static final long FORGET_MS = 20_000;
+    private static final long STEADY_MS = 600;
+
+    private final Map<Imprint, Known> proxies = new TreeMap<>();
+    private final Map<Imprint, Consignor> consignors = new HashMap<>();
+    private Institution institution;
+    private Almanac almanac;
+    private Postbag post;
+    private Custodian custodian;
+    private Census census;
+    private TenureOffice tenures;
+    private RollCall rollCall;
+    private boolean dirty = true;
+    private Inventory table = Inventory.EMPTY;
+    private Edition packedEdition = Edition.NONE;
+    private Map<String, byte[]> packedConfiguration = Map.of();
+
+    private static final class Known {
+        final String zone;
+        long life;
+        Moment heard;
+
+        Known(String zone, long life, Moment heard) {
+            this.zone = zone;
+            this.life = life;
+            this.heard = heard;
+        }
+    }
+
+    @Override
+    public String name() {
+        return "courier";
+    }
+
+    @Override
+    public int order() {
+        return 30;
+    }
+
+    @Override
+    public boolean serves(Role role) {
+        return role == Role.REGISTRAR;
+    }
+
+    @Override
+    public void open(Institution host) {
+        institution = host;
+        almanac = host.almanac();
+        post = host.find(Postbag.class);
+        custodian = host.find(Custodian.class);
+        census = host.find(Census.class);
+        tenures = host.find(TenureOffice.class);
+        rollCall = host.find(RollCall.class);
+        post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
+        post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
+        host.find(Gazetteer.class).observe(this::noticed);
+        custodian.onCommit(c -> changed());
+        census.observe(this::changed);
+        tenures.observe(new TenureOffice.Observer() {
+            @Override
+            public void began(String zone, long epoch) {
+                reconcile();
+            }
+
+            @Override
+            public void ended(String zone) {
+                reconcile();
+            }
+        });
+        host.tally().gauge("courier.proxies.known", proxies::size);
+        host.tally().gauge("courier.proxies.served", consignors::size);
+        almanac.every(LOOP_MS, this::reconcile);
+    }
+
+    private void noticed(Placename p) {
+        if (p.role() == Role.LECTOR && p.age() == 0 && !proxies.containsKey(p.imprint())) {
+            proxies.put(p.imprint(), new Known(p.zone(), 0, almanac.now()));
+            reconcile();
+        }
+    }
+
+    private void met(Imprint from, Signpost s) {
+        Known known = proxies.get(from);
+        if (known == null || !known.zone.equals(s.zone())) {
+            known = new Known(s.zone(), s.life(), almanac.now());
+            proxies.put(from, known);
+            changed();
+        }
+        known.heard = almanac.now();
+        known.life = s.life();
+        reconcile();
+        Consignor consignor = consignors.get(from);
+        if (consignor != null && consignor.life() != s.life()) {
+            consignor.restart(s.life());
+        }
+        if (s.empty() && consignor == null && reliable()) {
+            post.send(from, Postbag.Topic.DISPATCH,
+                    new Dispatch(0, s.life(), 0, 1, 0, 0, 0, -1, table().since(Inventory.EMPTY)).pack());
+            institution.tally().count("courier.baselines");
+        }
+    }
+
+    /** Whether what this daemon holds may be handed out: committed, whole, and not behind a peer. */
+    private boolean reliable() {
+        if (!census.ready() || custodian.committed().edition().equals(Edition.NONE)
+                || custodian.standing() == Custodian.Standing.RECOVERING
+                || rollCall.reachedForMs(custodian.charter()) < STEADY_MS) {
+            return false;
+        }
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (rollCall.connected(p.imprint()) && p.report().edition() > custodian.committed().edition().value()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void acknowledged(Imprint from, Dispatch ack) {
+        Known known = proxies.get(from);
+        if (known == null) {
+            return;
+        }
+        known.heard = almanac.now();
+        Consignor consignor = consignors.get(from);
+        if (consignor == null) {
+            return;
+        }
+        long epoch = tenures.epoch(known.zone);
+        if (ack.epoch() > epoch) {
+            tenures.noteEpoch(known.zone, ack.epoch());
+            return;
+        }
+        consignor.acknowledged(ack);
+    }
+
+    private void changed() {
+        if (!dirty) {
+            dirty = true;
+            almanac.execute(this::offerAll);
+        }
+    }
+
+    private void offerAll() {
+        if (consignors.isEmpty() || !census.ready() || custodian.committed().edition().equals(Edition.NONE)) {
+            return;
+        }
+        Inventory now = table();
+        consignors.values().forEach(c -> c.offer(now));
+    }
+
+    /** Wanted: a sender for each proxy of each zone whose duty is held here. */
+    private void reconcile() {
+        Moment now = almanac.now();
+        boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
+        Iterator<Map.Entry<Imprint, Consignor>> it = consignors.entrySet().iterator();
+        while (it.hasNext()) {
+            Map.Entry<Imprint, Consignor> e = it.next();
+            Known known = proxies.get(e.getKey());
+            if (known == null || tenures.epoch(known.zone) == 0) {
+                e.getValue().close();
+                it.remove();
+            }
+        }
+        boolean ready = census.ready() && !custodian.committed().edition().equals(Edition.NONE);
+        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+            long epoch = tenures.epoch(e.getValue().zone);
+            if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
+                Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, almanac, post, institution.tally());
+                consignors.put(e.getKey(), c);
+                c.offer(table());
+            }
+        }
+        if (forgot) {
+            changed();
+        }
+    }
+
+    /** The table as it is now: the committed configuration joined with the servers. */
+    private Inventory table() {
+        if (!dirty) {
+            return table;
+        }
+        dirty = false;
+        Accession committed = custodian.committed();
+        if (!committed.edition().equals(packedEdition)) {
+            try {
+                packedConfiguration = Tables.packConfiguration(Regulations.parse(committed.blob()));
+                packedEdition = committed.edition();
+            } catch (FaultException e) {
+                LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
+            }
+        }
+        Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
+        for (CensusEntry e : census.entries()) {
+            if (!e.standing().isGone()) {
+                entries.put(Inventory.INSTANCE + e.id(), Tables.packInstance(e));
+            }
+        }
+        entries.put(Inventory.FLEET, Script.write().num(proxies.size()).done());
+        table = Inventory.of(entries);
+        return table;
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Signpost.java
@@ -0,0 +1,23 @@
+package org.umbermount.courier;
+
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Script;
+
+/**
+ * What a proxy says to registrars: which life and zone it is, whether it holds a table, and whether it hears a
+ * sender. Registrars learn from it whom to send to.
+ */
+record Signpost(long life, String zone, boolean empty, boolean lost, long edition) {
+    byte[] pack() {
+        return Script.write().num(life).text(zone).flag(empty).flag(lost).num(edition).done();
+    }
+
+    static Signpost unpack(byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        return new Signpost(in.num(), in.text(), in.flag(), in.flag(), in.num());
+    }
+
+    /** A proxy as the registrars know it. */
+    record Proxy(Imprint imprint, String zone, long life) {
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/org/umbermount/courier/Tables.java
@@ -0,0 +1,71 @@
+package org.umbermount.courier;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.umbermount.archive.CensusEntry;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Script;
+
+/** How the entries of a table are packed. */
+public final class Tables {
+    private Tables() {
+    }
+
+    /** A server as a proxy sees it. {@code warmUntil} is a time of day in milliseconds. */
+    public record Instance(Pressmark id, String upstream, Imprint address, String zone, int capacity, long warmUntil,
+            boolean draining) {
+    }
+
+    static Map<String, byte[]> packConfiguration(Regulations r) {
+        Map<String, byte[]> out = new HashMap<>();
+        Regulations.Limits l = r.limits();
+        out.put(Inventory.CONFIGURATION, Script.write().num(r.edition().value()).num(l.maxHeaderBytes())
+                .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
+        for (Regulations.Upstream u : r.upstreams()) {
+            out.put(Inventory.UPSTREAM + u.label(),
+                    Script.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).done());
+        }
+        for (Regulations.Route route : r.routes()) {
+            out.put(Inventory.ROUTE + route.host() + route.prefix(), Script.write().text(route.label())
+                    .text(route.host()).text(route.prefix()).flag(route.safe()).num(route.timeoutMs())
+                    .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
+                    .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
+        }
+        return out;
+    }
+
+    public static Regulations.Limits readLimits(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        in.num();
+        return new Regulations.Limits((int) in.num(), in.num(), in.num(), in.num());
+    }
+
+    public static Regulations.Upstream readUpstream(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        return new Regulations.Upstream(in.text(), in.text(), (int) in.num());
+    }
+
+    public static Regulations.Route readRoute(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        return new Regulations.Route(in.text(), in.text(), in.text(), in.flag(), in.num(), in.num(), (int) in.num(),
+                (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
+    }
+
+    static byte[] packInstance(CensusEntry e) {
+        return Script.write().text(e.id().value()).text(e.upstream()).imprint(Imprint.parse(e.address()))
+                .text(e.zone()).num(e.capacity()).num(e.warmUntil())
+                .flag(e.standing() == CensusEntry.Standing.DRAINING).done();
+    }
+
+    public static Instance readInstance(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        return new Instance(new Pressmark(in.text()), in.text(), in.imprint(), in.text(), (int) in.num(), in.num(),
+                in.flag());
+    }
+
+    public static int readFleet(byte[] packed) throws Script.UnreadableException {
+        return (int) Script.read(packed).num();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -0,0 +1,94 @@
+package org.umbermount.kernel;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.ServiceLoader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The host of the plug-ins of one process: opens them, lets them find each other, and closes them in order. */
+public final class Institution {
+    private static final Logger LOG = LoggerFactory.getLogger("kernel");
+
+    private final Role role;
+    private final Almanac almanac;
+    private final Tally tally = new Tally();
+    private final Map<Class<?>, Object> offers = new HashMap<>();
+    private final List<Department> open = new ArrayList<>();
+    private HouseRules rules;
+
+    public Institution(Role role, HouseRules rules, Almanac almanac) {
+        this.role = role;
+        this.rules = rules;
+        this.almanac = almanac;
+        offer(Almanac.class, almanac);
+    }
+
+    public Role role() {
+        return role;
+    }
+
+    public HouseRules rules() {
+        return rules;
+    }
+
+    public Almanac almanac() {
+        return almanac;
+    }
+
+    public Tally tally() {
+        return tally;
+    }
+
+    public <T> void offer(Class<T> type, T service) {
+        offers.put(type, service);
+    }
+
+    public <T> T find(Class<T> type) {
+        Object service = offers.get(type);
+        if (service == null) {
+            throw new IllegalStateException("No part offers " + type.getSimpleName() + ".");
+        }
+        return type.cast(service);
+    }
+
+    /** Opens every part on the class path that serves the role. */
+    public void openAll() throws Exception {
+        List<Department> found = new ArrayList<>();
+        for (Department department : ServiceLoader.load(Department.class)) {
+            if (department.serves(role)) {
+                found.add(department);
+            }
+        }
+        found.sort(Comparator.comparingInt(Department::order));
+        for (Department department : found) {
+            department.open(this);
+            open.add(department);
+        }
+        LOG.info("Opened {} parts as {}.", open.size(), role.name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    /** Closes the parts one after the other, the last opened first, then runs {@code done}. */
+    public void leave(Runnable done) {
+        leaveFrom(open.size() - 1, done);
+    }
+
+    private void leaveFrom(int index, Runnable done) {
+        if (index < 0) {
+            done.run();
+            return;
+        }
+        open.get(index).leave(() -> leaveFrom(index - 1, done));
+    }
+
+    /** Takes newly read settings into use. */
+    public void reread(HouseRules fresh) {
+        rules = fresh;
+        for (Department department : open) {
+            department.reread(fresh);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopAlmanac.java
@@ -0,0 +1,52 @@
+package org.umbermount.kernel.net;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Moment;
+
+/** The real clocks, with timers on a Netty event loop. */
+public final class LoopAlmanac implements Almanac {
+    private static final Logger LOG = LoggerFactory.getLogger("kernel");
+    private final EventLoop loop;
+
+    public LoopAlmanac(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    public EventLoop loop() {
+        return loop;
+    }
+
+    @Override
+    public Moment now() {
+        return new Moment(System.nanoTime() / 1_000_000);
+    }
+
+    @Override
+    public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public Cancellable after(long ms, Runnable task) {
+        Future<?> future = loop.schedule(() -> guard(task), ms, TimeUnit.MILLISECONDS);
+        return () -> future.cancel(false);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        loop.execute(() -> guard(task));
+    }
+
+    private static void guard(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("A task failed.", e);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -0,0 +1,97 @@
+package org.umbermount.kernel.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** One UDP socket for all internal messages of a process; long messages travel in parts. */
+public final class Mailroom implements Postbag {
+    private static final Logger LOG = LoggerFactory.getLogger("kernel");
+
+    private final Imprint self;
+    private final Tally tally;
+    private final Parcels parcels;
+    private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
+    private Channel channel;
+
+    public Mailroom(Imprint self, LoopAlmanac almanac, Tally tally) {
+        this.self = self;
+        this.tally = tally;
+        this.parcels = new Parcels(almanac);
+    }
+
+    /** Binds the socket and waits until it is bound. */
+    public void bind(EventLoop loop) throws InterruptedException {
+        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_RCVBUF, 1 << 19)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(2048))
+                .handler(new Inbox()).bind(self.socketAddress()).sync().channel();
+    }
+
+    @Override
+    public Imprint self() {
+        return self;
+    }
+
+    @Override
+    public void send(Imprint to, Topic topic, byte[] body) {
+        InetSocketAddress address = to.socketAddress();
+        for (byte[] part : parcels.wrap(topic, body)) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(part), address));
+        }
+        channel.flush();
+    }
+
+    @Override
+    public void subscribe(Topic topic, Listener listener) {
+        listeners.put(topic, listener);
+    }
+
+    private final class Inbox extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            ByteBuf content = packet.content();
+            byte[] bytes = new byte[content.readableBytes()];
+            content.readBytes(bytes);
+            Imprint from = Imprint.of(packet.sender());
+            try {
+                Parcels.Whole whole = parcels.unwrap(from, bytes);
+                if (whole == null) {
+                    return;
+                }
+                Listener listener = listeners.get(whole.topic());
+                if (listener == null) {
+                    tally.count("mail.unwanted");
+                    return;
+                }
+                listener.receive(from, whole.body());
+            } catch (Script.UnreadableException e) {
+                tally.count("mail.unreadable");
+            } catch (RuntimeException e) {
+                LOG.error("A message from {} could not be handled.", from, e);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            tally.count("mail.socket.errors");
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -0,0 +1,215 @@
+package org.umbermount.kernel.net;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.zip.CRC32C;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/**
+ * Splits messages into datagrams and puts them together again. Each datagram is
+ * {@code magic, topic, flags, id, index, count, checksum, bytes}. A message over
+ * {@link #COMPRESS_OVER} bytes is deflated first.
+ */
+public final class Parcels {
+    static final int PART = 1180;
+    static final int COMPRESS_OVER = 600;
+    private static final byte MAGIC = (byte) 0xB7;
+    private static final int HEAD = 15;
+    private static final int OPEN_AT_MOST = 64;
+    private static final long KEEP_MS = 3_000;
+
+    private final Almanac almanac;
+    private final Map<Key, Partial> partials = new LinkedHashMap<>();
+    private int nextId = ThreadLocalRandom.current().nextInt();
+
+    public Parcels(Almanac almanac) {
+        this.almanac = almanac;
+    }
+
+    /** A message put together again. */
+    public record Whole(Postbag.Topic topic, byte[] body) {
+    }
+
+    private record Key(Imprint from, int id) {
+    }
+
+    private static final class Partial {
+        final byte[][] parts;
+        final Moment since;
+        int missing;
+
+        Partial(int count, Moment since) {
+            parts = new byte[count][];
+            missing = count;
+            this.since = since;
+        }
+    }
+
+    public List<byte[]> wrap(Postbag.Topic topic, byte[] body) {
+        if (body.length > Postbag.LARGEST) {
+            throw new IllegalArgumentException("message too large: " + body.length);
+        }
+        byte flags = 0;
+        byte[] load = body;
+        if (body.length > COMPRESS_OVER) {
+            byte[] small = deflate(body);
+            if (small.length < body.length) {
+                load = small;
+                flags = 1;
+            }
+        }
+        int count = Math.max(1, (load.length + PART - 1) / PART);
+        int id = nextId++;
+        List<byte[]> out = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            int from = i * PART;
+            int n = Math.min(PART, load.length - from);
+            byte[] datagram = new byte[HEAD + n];
+            datagram[0] = MAGIC;
+            datagram[1] = (byte) topic.ordinal();
+            datagram[2] = flags;
+            putInt(datagram, 3, id);
+            putShort(datagram, 7, i);
+            putShort(datagram, 9, count);
+            System.arraycopy(load, from, datagram, HEAD, n);
+            putInt(datagram, 11, checksum(datagram));
+            out.add(datagram);
+        }
+        return out;
+    }
+
+    /** The whole message, or null while parts are missing. */
+    public Whole unwrap(Imprint from, byte[] datagram) throws Script.UnreadableException {
+        if (datagram.length < HEAD || datagram[0] != MAGIC) {
+            throw new Script.UnreadableException("a foreign datagram", null);
+        }
+        int expected = getInt(datagram, 11);
+        putInt(datagram, 11, 0);
+        int topicIndex = datagram[1];
+        Postbag.Topic[] topics = Postbag.Topic.values();
+        int index = getShort(datagram, 7);
+        int count = getShort(datagram, 9);
+        if (checksum(datagram) != expected || topicIndex < 0 || topicIndex >= topics.length
+                || index >= count || count > Postbag.LARGEST / PART + 1) {
+            throw new Script.UnreadableException("a damaged datagram", null);
+        }
+        byte[] load;
+        if (count == 1) {
+            load = java.util.Arrays.copyOfRange(datagram, HEAD, datagram.length);
+        } else {
+            load = join(from, datagram, index, count);
+            if (load == null) {
+                return null;
+            }
+        }
+        return new Whole(topics[topicIndex], datagram[2] == 1 ? inflate(load) : load);
+    }
+
+    private byte[] join(Imprint from, byte[] datagram, int index, int count) throws Script.UnreadableException {
+        Moment now = almanac.now();
+        Iterator<Partial> oldest = partials.values().iterator();
+        while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
+            if (partials.size() >= OPEN_AT_MOST) {
+                oldest = partials.values().iterator();
+                oldest.next();
+            }
+            oldest.remove();
+        }
+        Key key = new Key(from, getInt(datagram, 3));
+        Partial partial = partials.computeIfAbsent(key, k -> new Partial(count, now));
+        if (partial.parts.length != count) {
+            partials.remove(key);
+            throw new Script.UnreadableException("parts of two messages share an id", null);
+        }
+        if (partial.parts[index] != null) {
+            return null;
+        }
+        partial.parts[index] = java.util.Arrays.copyOfRange(datagram, HEAD, datagram.length);
+        if (--partial.missing > 0) {
+            return null;
+        }
+        partials.remove(key);
+        int total = 0;
+        for (byte[] part : partial.parts) {
+            total += part.length;
+        }
+        byte[] load = new byte[total];
+        int at = 0;
+        for (byte[] part : partial.parts) {
+            System.arraycopy(part, 0, load, at, part.length);
+            at += part.length;
+        }
+        return load;
+    }
+
+    private static byte[] deflate(byte[] body) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED, true);
+        try {
+            deflater.setInput(body);
+            deflater.finish();
+            byte[] out = new byte[body.length + 64];
+            int n = deflater.deflate(out);
+            return deflater.finished() ? java.util.Arrays.copyOf(out, n) : body;
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] inflate(byte[] load) throws Script.UnreadableException {
+        Inflater inflater = new Inflater(true);
+        try {
+            inflater.setInput(load);
+            java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream(load.length * 4);
+            byte[] chunk = new byte[8192];
+            while (!inflater.finished()) {
+                int n = inflater.inflate(chunk);
+                if (n == 0 && !inflater.finished() || out.size() + n > Postbag.LARGEST) {
+                    throw new Script.UnreadableException("a message cannot be unpacked", null);
+                }
+                out.write(chunk, 0, n);
+            }
+            return out.toByteArray();
+        } catch (DataFormatException e) {
+            throw new Script.UnreadableException("a message cannot be unpacked", e);
+        } finally {
+            inflater.end();
+        }
+    }
+
+    private static int checksum(byte[] datagram) {
+        CRC32C crc = new CRC32C();
+        crc.update(datagram, 0, datagram.length);
+        return (int) crc.getValue();
+    }
+
+    private static void putInt(byte[] b, int at, int v) {
+        b[at] = (byte) (v >>> 24);
+        b[at + 1] = (byte) (v >>> 16);
+        b[at + 2] = (byte) (v >>> 8);
+        b[at + 3] = (byte) v;
+    }
+
+    private static int getInt(byte[] b, int at) {
+        return (b[at] & 255) << 24 | (b[at + 1] & 255) << 16 | (b[at + 2] & 255) << 8 | b[at + 3] & 255;
+    }
+
+    private static void putShort(byte[] b, int at, int v) {
+        b[at] = (byte) (v >>> 8);
+        b[at + 1] = (byte) v;
+    }
+
+    private static int getShort(byte[] b, int at) {
+        return (b[at] & 255) << 8 | b[at + 1] & 255;
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
@@ -0,0 +1,100 @@
+package org.umbermount.kernel.testing;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/** A network for tests: delays, loses, doubles and cuts messages by a seed. */
+public final class FakePost {
+    private final FakeAlmanac almanac;
+    private final Random random;
+    private final Map<Imprint, Bag> bags = new HashMap<>();
+    private final Set<Long> cuts = new HashSet<>();
+    public double loss;
+    public double doubles;
+    public long delayMs = 1;
+    public long jitterMs;
+    public long sent;
+
+    public FakePost(FakeAlmanac almanac, long seed) {
+        this.almanac = almanac;
+        this.random = new Random(seed);
+    }
+
+    /** A daemon's bag; a second call with the same address replaces the first, as a restart does. */
+    public Bag bag(Imprint self) {
+        Bag bag = new Bag(self);
+        bags.put(self, bag);
+        return bag;
+    }
+
+    public void down(Imprint self) {
+        bags.remove(self);
+    }
+
+    /** Cuts one direction. */
+    public void cut(Imprint from, Imprint to) {
+        cuts.add(key(from, to));
+    }
+
+    public void cutBoth(Imprint a, Imprint b) {
+        cut(a, b);
+        cut(b, a);
+    }
+
+    public void healAll() {
+        cuts.clear();
+    }
+
+    private static long key(Imprint from, Imprint to) {
+        return from.packed() * 31 + to.packed();
+    }
+
+    public final class Bag implements Postbag {
+        private final Imprint self;
+        private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
+
+        Bag(Imprint self) {
+            this.self = self;
+        }
+
+        @Override
+        public Imprint self() {
+            return self;
+        }
+
+        @Override
+        public void send(Imprint to, Topic topic, byte[] body) {
+            sent++;
+            if (bags.get(self) != this || cuts.contains(key(self, to)) || random.nextDouble() < loss) {
+                return;
+            }
+            int copies = random.nextDouble() < doubles ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                long delay = delayMs + (jitterMs > 0 ? random.nextInt((int) jitterMs) : 0);
+                almanac.after(delay, () -> {
+                    Bag target = bags.get(to);
+                    Listener listener = target == null ? null : target.listeners.get(topic);
+                    if (listener != null) {
+                        try {
+                            listener.receive(self, body);
+                        } catch (Script.UnreadableException e) {
+                            throw new AssertionError(e);
+                        }
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void subscribe(Topic topic, Listener listener) {
+            listeners.put(topic, listener);
+        }
+    }
+}
--- /dev/null
+++ b/stacks/src/main/java/org/umbermount/stacks/Folio.java
@@ -0,0 +1,5 @@
+package org.umbermount.stacks;
+
+/** One record of a stack: a key, and the newest value under it. */
+public record Folio(byte key, byte[] value) {
+}
--- /dev/null
+++ b/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
@@ -0,0 +1,91 @@
+package org.umbermount.stacks;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Moment;
+
+/**
+ * Writes to a stack on a thread of its own and reports back on the loop. Says how long the disk has kept a
+ * write waiting, so that others can act on a full, hung or slow disk.
+ */
+public final class StackRoom {
+    private static final long PROBE_MS = 1_000;
+    private static final byte PROBE_KEY = 127;
+
+    private final Stack stack;
+    private final Executor thread;
+    private final Almanac almanac;
+    private final ArrayDeque<Moment> pending = new ArrayDeque<>();
+    private boolean refusing;
+    private Moment lastRefusal = Moment.NEVER;
+    private long slowestMs;
+
+    /** Told whether a write is safe. */
+    public interface Outcome {
+        void done(boolean safe);
+    }
+
+    public StackRoom(Stack stack, Executor thread, Almanac almanac) {
+        this.stack = stack;
+        this.thread = thread;
+        this.almanac = almanac;
+        almanac.every(PROBE_MS, this::probe);
+    }
+
+    /** Writes; {@code outcome} runs on the loop. */
+    public void write(List<Folio> folios, Outcome outcome) {
+        Moment start = almanac.now();
+        pending.add(start);
+        thread.execute(() -> {
+            boolean safe;
+            try {
+                stack.put(folios);
+                safe = true;
+            } catch (IOException | RuntimeException e) {
+                safe = false;
+            }
+            boolean result = safe;
+            almanac.execute(() -> {
+                pending.poll();
+                refusing = !result;
+                if (!result) {
+                    lastRefusal = almanac.now();
+                }
+                slowestMs = Math.max(slowestMs / 2, almanac.now().since(start));
+                outcome.done(result);
+            });
+        });
+    }
+
+    private void probe() {
+        if (refusing && pending.isEmpty()) {
+            write(List.of(new Folio(PROBE_KEY, new byte[64])), safe -> { });
+        }
+    }
+
+    /** How long the oldest unfinished write has waited. */
+    public long stuckMs() {
+        return pending.isEmpty() ? 0 : almanac.now().since(pending.peek());
+    }
+
+    /** Whether the last write was refused. */
+    public boolean refusing() {
+        return refusing;
+    }
+
+    /** Whether the disk can be relied on now. */
+    public boolean healthy(long patienceMs) {
+        return !refusing && stuckMs() < patienceMs;
+    }
+
+    public long slowestMs() {
+        return slowestMs;
+    }
+
+    public Moment lastRefusal() {
+        return lastRefusal;
+    }
+}
--- /dev/null
+++ b/stacks/src/main/java/org/umbermount/stacks/Vault.java
@@ -0,0 +1,18 @@
+package org.umbermount.stacks;
+
+import java.io.IOException;
+
+/** The few things asked of a disk. Every call may block; none is made on an event loop. */
+public interface Vault {
+    /** The whole file, or null if there is none. */
+    byte[] read(String name) throws IOException;
+
+    /** Writes at the end of the file and waits until it is safe. */
+    void append(String name, long at, byte[] bytes) throws IOException;
+
+    /** Cuts the file to a length and waits until that is safe. */
+    void truncate(String name, long length) throws IOException;
+
+    /** Writes a whole file beside, makes it safe, and puts it in the place of the old one. */
+    void replace(String name, byte[] bytes) throws IOException;
+}
