--- /dev/null
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -0,0 +1,111 @@
+package org.umbermount.umbermount;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.Mailroom;
+
+/** One running program: reads its settings, opens its parts, and leaves in order when told to. */
+final class Daemon {
+    private static final String VARIABLE = "UMBERMOUNT_CONFIG";
+    private static final long REREAD_MS = 2_000;
+
+    private final Role role;
+    private final Path file;
+    private final Logger log = LoggerFactory.getLogger("umbermount");
+    private byte[] lastRead;
+    private Institution institution;
+    private LoopAlmanac almanac;
+    private boolean leaving;
+
+    private Daemon(Role role, Path file) {
+        this.role = role;
+        this.file = file;
+    }
+
+    static void run(Role role) {
+        String name = System.getenv(VARIABLE);
+        if (name == null || name.isEmpty()) {
+            System.err.println("The variable " + VARIABLE + " must name the settings file.");
+            System.exit(2);
+        }
+        Daemon daemon = new Daemon(role, Path.of(name));
+        try {
+            daemon.start();
+        } catch (HouseRules.InvalidException | IllegalStateException e) {
+            System.err.println(e.getMessage());
+            System.exit(1);
+        } catch (Exception e) {
+            System.err.println("The program could not start: " + e + ".");
+            System.exit(1);
+        }
+    }
+
+    private void start() throws Exception {
+        HouseRules rules = HouseRules.load(file);
+        lastRead = Files.readAllBytes(file);
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        almanac = new LoopAlmanac(loop);
+        institution = new Institution(role, rules, almanac);
+        Mailroom mailroom = new Mailroom(rules.ownMail(role), almanac, institution.tally());
+        institution.offer(Postbag.class, mailroom);
+        mailroom.bind(loop);
+        // Parts bind sockets and wait for them, which the loop itself must not do.
+        institution.openAll();
+        watchSignals();
+        almanac.every(REREAD_MS, this::rereadIfChanged);
+        log.info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
+    }
+
+    private void watchSignals() {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> almanac.execute(this::rereadIfChanged));
+        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> almanac.execute(this::leave));
+        sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> almanac.execute(this::leave));
+    }
+
+    private void leave() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        log.info("Told to stop.");
+        institution.leave(() -> {
+            log.info("Everything is finished.");
+            CountDownLatch flushed = new CountDownLatch(1);
+            flushed.countDown();
+            try {
+                flushed.await(1, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Runtime.getRuntime().halt(0);
+        });
+    }
+
+    private void rereadIfChanged() {
+        try {
+            byte[] bytes = Files.readAllBytes(file);
+            if (Arrays.equals(bytes, lastRead)) {
+                return;
+            }
+            lastRead = bytes;
+            institution.reread(HouseRules.parse(bytes));
+            log.info("The settings have been read again.");
+        } catch (IOException | HouseRules.InvalidException e) {
+            log.warn("The changed settings are not used: {}", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/umbermount/src/main/java/org/umbermount/umbermount/RegistrarCommand.java
@@ -0,0 +1,15 @@
+package org.umbermount.umbermount;
+
+import org.umbermount.kernel.Role;
+import picocli.CommandLine.Command;
+
+/** Starts the program that keeps servers and configuration. */
+@Command(name = "registrar", mixinStandardHelpOptions = true,
+        description = "Knows servers and daemons, holds the configuration and delivers it. "
+                + "Reads the settings file named by UMBERMOUNT_CONFIG.")
+final class RegistrarCommand implements Runnable {
+    @Override
+    public void run() {
+        Daemon.run(Role.REGISTRAR);
+    }
+}
