--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/Convener.java
@@ -126,7 +126,9 @@
             }
         }
         for (Imprint member : now.chain()) {
-            if (!good(member)) {
+            if (rollCall.expected(member)) {
+                chain.add(member);
+            } else if (!good(member)) {
                 why = member + " is silent, leaving or cannot write";
                 pressing = true;
             } else if (incarnation(member) > now.fellow(member).incarnation() && !hasMemory(member)) {
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -19,6 +19,8 @@
     /** Silence after which a peer is not relied on. */
     public static final long SILENCE_MS = 1_000;
     private static final long STALL_MS = 700;
+    /** How long a peer that was never heard has to show up after this daemon's start. */
+    private static final long FIRST_MS = 3_000;
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
 
@@ -229,6 +231,12 @@
         return p.goodSince == null ? -1 : now.since(p.goodSince);
     }
 
+    /** Whether a peer may still be on its way: this daemon has just started and has not heard of it. */
+    public boolean expected(Imprint imprint) {
+        Peer p = peers.get(imprint);
+        return p != null && p.report == null && almanac.now().since(started) < FIRST_MS;
+    }
+
     /** How long a peer has not been usable; 0 if it is. */
     public long lostForMs(Imprint imprint) {
         Peer p = peers.get(imprint);
--- a/circulation/src/main/java/org/umbermount/circulation/Carrel.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Carrel.java
@@ -27,9 +27,8 @@
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
+    public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        ctx.fireChannelActive();
     }
 
     boolean isOpen() {
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
+    public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         desk.arrived(this);
     }
--- a/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
+++ b/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
@@ -84,7 +84,7 @@
             }
             return new HouseRules(root.path("nodeName").asText(), root.path("zone").asText(), zones,
                     root.path("ipAddress").asText(), listeners, first, last, seeds,
-                    root.path("bootstrap").asBoolean(false), root.path("dataPath").asText(""),
+                    root.path("bootstrap").asBoolean(false), root.path("dataPath").isTextual() ? root.path("dataPath").asText() : "",
                     root.path("limits").path("memoryMb").asLong(0), root.path("limits").path("maxFds").asInt(1024),
                     root.path("heartbeatMs").asLong(1500), bounds);
         } catch (IllegalArgumentException e) {
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -37,6 +37,9 @@
     }
 
     static void run(Role role) {
+        // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+        System.setProperty("io.netty.processId", "1");
         String name = System.getenv(VARIABLE);
         if (name == null || name.isEmpty()) {
             System.err.println("The variable " + VARIABLE + " must name the settings file.");
