--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -67,7 +67,7 @@
             throw new IllegalStateException("The settings name no controlPlane listener.");
         }
 
-        Stack stack = openStack(rules);
+        Stack stack = stackFor(rules, "memory.stack");
         ExecutorService thread = Executors.newSingleThreadExecutor(r -> {
             Thread t = new Thread(null, r, "stacks", 128 << 10);
             t.setDaemon(true);
@@ -78,12 +78,16 @@
         List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
         Charter genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        custodian = new Custodian(almanac, post, room, host.tally(), random, loaded, genesis, newcomer);
+        custodian = new Custodian(almanac, post, room, host.tally(), random, loaded,
+                notedCommitted(loaded, stack), genesis, newcomer);
         Porter porter = new Porter(custodian, almanac, random);
         Census census = new Census(almanac, post, host.tally(), rules.heartbeatMs(), almanac.wallMillis());
+        CensusNotebook notebook = new CensusNotebook(census, stackFor(rules, "census.stack"), thread, almanac);
+        notebook.recall();
         rollCall = new RollCall(almanac, post, heard -> new RollCall.Report(custodian.incarnation(),
                 custodian.standing() == Custodian.Standing.MEMBER, room.healthy(DISK_PATIENCE_MS), rollCall.isLeaving(),
-                custodian.charter().number(), custodian.committed().edition().value(), census.boot(), census.seq(),
+                custodian.charter().number(), custodian.committed().edition().value(),
+                custodian.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(), rules.zone(), control, heard));
         Convener convener = new Convener(custodian, rollCall, () -> room.healthy(DISK_PATIENCE_MS), almanac, random,
                 host.tally(), post.self());
@@ -113,25 +117,26 @@
         custodian.start();
         convener.start();
         rollCall.start();
-        census.start(rollCall, () -> !rollCall.unsettled(2 * rules.heartbeatMs())
+        census.start(rollCall, () -> custodian.charter().electorate().size() <= 1, () -> !rollCall.unsettled(2 * rules.heartbeatMs())
                 && rollCall.reachedForMs(custodian.charter()) > 2 * rules.heartbeatMs());
+        notebook.start();
         tenures.start();
         desk = new ControlDesk(almanac, porter, custodian, census, tenures, rollCall, post.self(), control,
                 rules.zone(), host.tally());
         desk.bind(((LoopAlmanac) almanac).loop());
     }
 
-    private static Stack openStack(HouseRules rules) throws IOException {
+    private static Stack stackFor(HouseRules rules, String name) throws IOException {
         if (rules.dataPath().isEmpty()) {
             throw new IllegalStateException("The settings name no dataPath, and a registrar needs a disk.");
         }
         Shelving shelving = new Shelving(Path.of(rules.dataPath()));
         try {
-            return Stack.open(shelving, "memory.stack", REWRITE_OVER);
+            return Stack.open(shelving, name, REWRITE_OVER);
         } catch (Stack.DamagedException e) {
-            LOG.error("{} It is set aside and the memory is rebuilt from the others.", e.getMessage());
-            shelving.truncate("memory.stack", 0);
-            return Stack.open(shelving, "memory.stack", REWRITE_OVER);
+            LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
+            shelving.truncate(name, 0);
+            return Stack.open(shelving, name, REWRITE_OVER);
         }
     }
 
@@ -145,6 +150,14 @@
         }
     }
 
+    private static boolean notedCommitted(Memory loaded, Stack stack) {
+        try {
+            return loaded != null && loaded.isNotedCommitted(stack);
+        } catch (Script.UnreadableException e) {
+            return false;
+        }
+    }
+
     private static Charter genesis(List<Imprint> seeds) {
         List<Imprint> members = new ArrayList<>(new TreeSet<>(seeds));
         return new Charter(1, members.stream().map(m -> new Fellow(m, 0)).toList(), members);
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -72,6 +72,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<Runnable> observers = new ArrayList<>();
     private RollCall rollCall;
+    private java.util.function.BooleanSupplier alone = () -> false;
     private java.util.function.BooleanSupplier mayExpire = () -> false;
     private final Moment started;
     private boolean ready;
@@ -88,14 +89,24 @@
         post.subscribe(Postbag.Topic.CENSUS, this::receive);
     }
 
-    /** Starts following the others; {@code canJudge} says whether silence may be held against servers now. */
-    public void start(RollCall calls, java.util.function.BooleanSupplier canJudge) {
+    /** Starts following the others; {@code nobodyElse} says whether there are none, and {@code canJudge} whether silence may be held against servers now. */
+    public void start(RollCall calls, java.util.function.BooleanSupplier nobodyElse,
+            java.util.function.BooleanSupplier canJudge) {
         rollCall = calls;
+        alone = nobodyElse;
         mayExpire = canJudge;
         calls.observe(this::compare);
         almanac.every(LOOP_MS, this::reconcile);
     }
 
+    /** Takes up what an earlier life of this daemon had noted. */
+    void recall(List<CensusEntry> noted) {
+        for (CensusEntry e : noted) {
+            learn(e);
+        }
+        ready = ready || !noted.isEmpty();
+    }
+
     public void observe(Runnable observer) {
         observers.add(observer);
     }
@@ -153,7 +164,7 @@
         boolean urgent = known == null || known.standing() != next.standing();
         store(next);
         publish(List.of(next));
-        if (urgent) {
+        if (urgent && !alone.getAsBoolean()) {
             waiting.add(new Waiting(seq, told));
         } else {
             told.run();
@@ -171,7 +182,11 @@
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
-        waiting.add(new Waiting(seq, told));
+        if (alone.getAsBoolean()) {
+            told.run();
+        } else {
+            waiting.add(new Waiting(seq, told));
+        }
     }
 
     private static String name(CensusEntry.Standing standing) {
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -0,0 +1,85 @@
+package org.umbermount.archive;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Script;
+import org.umbermount.stacks.Folio;
+import org.umbermount.stacks.Stack;
+
+/**
+ * Notes the servers on disk now and then, so that a control plane that was stopped as a whole need not wait for
+ * every server's next beat. The notes are a memory aid: beats and other registrars overrule them, and servers
+ * that do not show up are dropped like any other.
+ */
+final class CensusNotebook {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final byte SERVERS = 1;
+    private static final long INTERVAL_MS = 700;
+    /** Older notes say nothing about now. */
+    private static final long WORTHLESS_MS = 30_000;
+
+    private final Census census;
+    private final Stack stack;
+    private final Executor thread;
+    private final Almanac almanac;
+    private long notedDigest;
+    private long notedAt;
+    private boolean busy;
+
+    CensusNotebook(Census census, Stack stack, Executor thread, Almanac almanac) {
+        this.census = census;
+        this.stack = stack;
+        this.thread = thread;
+        this.almanac = almanac;
+    }
+
+    /** Reads the notes of an earlier life, if they are fresh. */
+    void recall() {
+        byte[] notes = stack.get(SERVERS);
+        if (notes == null) {
+            return;
+        }
+        try {
+            Script.Reader in = Script.read(notes);
+            long age = almanac.wallMillis() - in.num();
+            List<CensusEntry> entries = in.list(CensusEntry::read);
+            if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
+                census.recall(entries);
+                LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
+            }
+        } catch (Script.UnreadableException e) {
+            LOG.warn("The notes on servers cannot be read: {}.", e.getMessage());
+        }
+    }
+
+    void start() {
+        almanac.every(INTERVAL_MS, this::note);
+    }
+
+    private void note() {
+        long now = almanac.wallMillis();
+        boolean stale = now - notedAt > WORTHLESS_MS / 3;
+        if (busy || !census.ready() || census.digest() == notedDigest && !stale) {
+            return;
+        }
+        busy = true;
+        notedDigest = census.digest();
+        notedAt = now;
+        List<CensusEntry> entries = new ArrayList<>(census.entries());
+        byte[] notes = Script.write().num(now).list(entries, (o, e) -> e.write(o)).done();
+        thread.execute(() -> {
+            try {
+                stack.put(List.of(new Folio(SERVERS, notes)));
+            } catch (IOException | RuntimeException e) {
+                // A disk that refuses these refuses the chain's writes too, and is dealt with there.
+                notedDigest = 0;
+            }
+            almanac.execute(() -> busy = false);
+        });
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -126,11 +126,12 @@
 
     /**
      * @param loaded what the disk held, or null
+     * @param loadedCommitted whether the disk also says that the loaded state is committed
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
     Custodian(Almanac almanac, Postbag post, StackRoom room, Tally tally, Random random, Memory loaded,
-            Charter genesis, boolean newcomer) {
+            boolean loadedCommitted, Charter genesis, boolean newcomer) {
         this.almanac = almanac;
         this.post = post;
         this.room = room;
@@ -142,6 +143,10 @@
             memory = loaded;
             onDisk = true;
             standing = standingIn(loaded);
+            if (loadedCommitted) {
+                // Committed before the stop; that no later one is, only others can say.
+                committed = loaded.state().inView(0);
+            }
             LOG.info("Read from disk: {}, edition {}.", loaded.charter(), loaded.state().edition());
         } else if (genesis != null) {
             memory = Memory.blank(0);
@@ -806,6 +811,7 @@
         if (state.edition().isAfter(committed.edition())) {
             LOG.info("Edition {} is committed in view {}.", state.edition(), state.view());
             committed = state;
+            room.write(List.of(Memory.committedNote(state)), safe -> { });
             for (Consumer<Accession> o : commitObservers) {
                 o.accept(state);
             }
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -21,6 +21,7 @@
     private static final byte STATE = 3;
     private static final byte ACCEPTOR = 4;
     private static final byte CRASHES = 5;
+    private static final byte COMMITTED = 6;
 
     static Memory blank(long incarnation) {
         return new Memory(incarnation, 0, Charter.NONE, Accession.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
@@ -127,6 +128,22 @@
         return Map.copyOf(out);
     }
 
+    /** A note beside the memory that an edition is known to be committed. */
+    static Folio committedNote(Accession state) {
+        return new Folio(COMMITTED, Script.write().num(state.edition().value())
+                .num(Accession.hash(state.blob())).done());
+    }
+
+    /** Whether the stack's note says that the state in this memory is committed. */
+    boolean isNotedCommitted(Stack stack) throws Script.UnreadableException {
+        byte[] note = stack.get(COMMITTED);
+        if (note == null) {
+            return false;
+        }
+        Script.Reader in = Script.read(note);
+        return in.num() == state.edition().value() && in.num() == Accession.hash(state.blob());
+    }
+
     /** Reads the memory from a stack; null if there is none. */
     static Memory load(Stack stack) throws Script.UnreadableException {
         if (stack.get(IDENTITY) == null) {
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -26,16 +26,16 @@
 
     /** What a registrar tells of itself. */
     public record Report(long incarnation, boolean votes, boolean diskGood, boolean leaving, long view, long edition,
-            long censusBoot, long censusSeq, long censusDigest, boolean censusReady, String zone, Imprint control, List<Imprint> heard) {
+            long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, String zone, Imprint control, List<Imprint> heard) {
         void write(Script.Writer out) {
-            out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition)
+            out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
                     .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.num(), in.num(), in.num(), in.num(),
-                    in.num(), in.flag(), in.text(), in.imprint(), in.list(Script.Reader::imprint));
+                    in.num(), in.num(), in.flag(), in.text(), in.imprint(), in.list(Script.Reader::imprint));
         }
     }
 
@@ -144,7 +144,7 @@
             }
         }
         lastTick = now;
-        send(rounds % SLOW_ROUNDS == 0);
+        send(rounds % SLOW_ROUNDS == 0 || now.since(started) < FIRST_MS);
         for (Peer p : peers.values()) {
             judge(p, now);
         }
@@ -254,6 +254,11 @@
         return now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
+    /** Whether this daemon stood still so lately that what it knows of others may be old. */
+    public boolean stalledWithin(long ms) {
+        return stalledUntil != started && almanac.now().isBefore(stalledUntil.plus(ms));
+    }
+
     /** Whether this daemon and those it is connected with are a majority of the voters. */
     public boolean reachesMajority(Charter charter) {
         int n = 0;
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -14,6 +14,8 @@
 /** The receiving side as a plug-in of the lector. */
 public final class ReceivingDepartment implements Department {
     private static final long LOOP_MS = 250;
+    private static final long EAGER_MS = 100;
+    private static final long LOST_MS = 500;
     private static final long TELL_MS = 5_000;
     private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
 
@@ -50,11 +52,20 @@
         host.tally().gauge("courier.silence.ms", () -> almanac.now().since(consignee.lastHeard()));
         almanac.execute(this::tell);
         almanac.every(LOOP_MS, this::reconcile);
+        almanac.after(EAGER_MS, this::hurry);
+    }
+
+    /** Without a table nothing can be served: asks again and again. */
+    private void hurry() {
+        if (consignee.inForce().isEmpty()) {
+            tell();
+            institution.almanac().after(EAGER_MS, this::hurry);
+        }
     }
 
     private void reconcile() {
         Moment now = institution.almanac().now();
-        boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
+        boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
         if (lost || now.since(lastTold) > TELL_MS) {
             tell();
         }
@@ -72,7 +83,7 @@
         if (targets.isEmpty()) {
             targets = gazetteer.seeds();
         }
-        boolean everyone = !empty || tries++ % 3 == 2;
+        boolean everyone = !empty || tries++ % 2 == 1;
         int n = 0;
         for (Imprint target : targets) {
             if (everyone || n++ < 1) {
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -31,7 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
-    private static final long STEADY_MS = 600;
+    private static final long STEADY_MS = 50;
 
     private final Map<Imprint, Known> proxies = new TreeMap<>();
     private final Map<Imprint, Consignor> consignors = new HashMap<>();
@@ -132,15 +132,19 @@
         }
     }
 
-    /** Whether what this daemon holds may be handed out: committed, whole, and not behind a peer. */
+    /**
+     * Whether what this daemon holds may be handed out: committed, whole, and the newest that a majority knows of.
+     * Every committed edition is held by a majority of the voters, so one that was missed would show in a report.
+     */
     private boolean reliable() {
-        if (!census.ready() || custodian.committed().edition().equals(Edition.NONE)
-                || custodian.standing() == Custodian.Standing.RECOVERING
+        Edition edition = custodian.committed().edition();
+        if (!census.ready() || edition.equals(Edition.NONE) || custodian.newestEdition().isAfter(edition)
+                || custodian.standing() == Custodian.Standing.RECOVERING || rollCall.stalledWithin(0)
                 || rollCall.reachedForMs(custodian.charter()) < STEADY_MS) {
             return false;
         }
         for (RollCall.Peer p : rollCall.peers()) {
-            if (rollCall.connected(p.imprint()) && p.report().edition() > custodian.committed().edition().value()) {
+            if (rollCall.connected(p.imprint()) && p.report().newestEdition() > edition.value()) {
                 return false;
             }
         }
