--- a/archive/src/main/java/org/umbermount/archive/Regulations.java
+++ b/archive/src/main/java/org/umbermount/archive/Regulations.java
@@ -37,6 +37,15 @@
 
     /** Reads and checks a configuration. */
     public static Regulations parse(byte[] bytes) throws FaultException {
+        return read(bytes, true);
+    }
+
+    /** Reads a configuration that was checked against the schema before it was taken. */
+    public static Regulations readTaken(byte[] bytes) throws FaultException {
+        return read(bytes, false);
+    }
+
+    private static Regulations read(byte[] bytes, boolean withSchema) throws FaultException {
         JsonNode root;
         try {
             root = MAPPER.readTree(bytes);
@@ -46,7 +55,7 @@
         if (root == null || !root.isObject()) {
             throw invalid("it is not an object");
         }
-        String problem = SCHEMA.firstProblem(root);
+        String problem = withSchema ? SCHEMA.firstProblem(root) : null;
         if (problem != null) {
             throw invalid(problem);
         }
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -220,7 +220,7 @@
         Accession committed = custodian.committed();
         if (!committed.edition().equals(packedEdition)) {
             try {
-                packedConfiguration = Tables.packConfiguration(Regulations.parse(committed.blob()));
+                packedConfiguration = Tables.packConfiguration(Regulations.readTaken(committed.blob()));
                 packedEdition = committed.edition();
             } catch (FaultException e) {
                 LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
--- a/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
+++ b/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
@@ -41,54 +41,165 @@
         return parse(bytes);
     }
 
+    /** Reads settings; every field that is used is checked here, and named if it cannot be used. */
     public static HouseRules parse(byte[] bytes) throws InvalidException {
-        JsonNode root;
+        Form root = new Form("", tree(bytes));
+        Map<String, Imprint> listeners = new LinkedHashMap<>();
+        for (Map.Entry<String, Form> e : root.object("listeners").members().entrySet()) {
+            listeners.put(e.getKey(), e.getValue().address());
+        }
+        List<Imprint> seeds = new ArrayList<>();
+        for (Form seed : root.array("seedNodes")) {
+            seeds.add(seed.address());
+        }
+        Map<String, String> zones = new HashMap<>();
+        if (root.has("zones")) {
+            for (Map.Entry<String, Form> e : root.object("zones").members().entrySet()) {
+                zones.put(e.getKey(), e.getValue().text());
+            }
+        }
+        List<Form> ports = root.array("internalPortRange");
+        if (ports.size() != 2) {
+            throw new InvalidException("The settings are invalid: internalPortRange needs a first and a last port.");
+        }
+        int first = (int) ports.get(0).number(1, 65_535);
+        int last = (int) ports.get(1).number(1, 65_535);
+        if (last <= first) {
+            throw new InvalidException("The settings are invalid: internalPortRange needs two ports or more.");
+        }
+        Form b = root.optional("bounds");
+        Bounds bounds = new Bounds((long) b.number("contactMs", 4_000), (long) b.number("ackMs", 5_000),
+                (long) b.number("drainMs", 3_000), (long) (b.number("graceS", 6) * 1_000),
+                (long) b.number("configApplyMs", 3_000), b.number("retryRatio", 0.1),
+                (long) (b.number("retryWindowS", 10) * 1_000), b.number("retryBurst", 10),
+                (long) (b.number("syncTimeS", 4) * 1_000));
+        Form limits = root.optional("limits");
+        String ip = root.member("ipAddress").address(1).host();
+        return new HouseRules(root.member("nodeName").text(), root.member("zone").text(), zones, ip, listeners, first,
+                last, seeds, root.has("bootstrap") && root.member("bootstrap").flag(),
+                root.has("dataPath") ? root.member("dataPath").text() : "", (long) limits.number("memoryMb", 0),
+                (int) limits.number("maxFds", 1_024), (long) root.number("heartbeatMs", 1_500), bounds);
+    }
+
+    /** Checks settings against the whole schema as well; null if all is well, or one sentence. */
+    public static String problem(byte[] bytes) {
+        try {
+            JsonNode root = tree(bytes);
+            String problem = Regimen.SETTINGS.firstProblem(root);
+            if (problem != null) {
+                return "The settings are invalid: " + problem + ".";
+            }
+            parse(bytes);
+            return null;
+        } catch (InvalidException e) {
+            return e.getMessage();
+        }
+    }
+
+    private static JsonNode tree(byte[] bytes) throws InvalidException {
         try {
-            root = MAPPER.readTree(bytes);
+            JsonNode root = MAPPER.readTree(bytes);
+            if (root == null || !root.isObject()) {
+                throw new InvalidException("The settings are invalid: they are not an object.");
+            }
+            return root;
         } catch (IOException e) {
             throw new InvalidException("The settings are not JSON: " + firstLine(e.getMessage()) + ".");
         }
-        String problem = root == null || !root.isObject() ? "the settings must be an object"
-                : Regimen.SETTINGS.firstProblem(root);
-        if (problem != null) {
-            throw new InvalidException("The settings are invalid: " + problem + ".");
+    }
+
+    /** A value of the file together with its name, for sentences that say what is wrong with it. */
+    private record Form(String name, JsonNode node) {
+        private InvalidException wrong(String what) {
+            return new InvalidException("The settings are invalid: " + name + " " + what + ".");
         }
-        String field = "";
-        try {
-            Map<String, Imprint> listeners = new LinkedHashMap<>();
-            for (Map.Entry<String, JsonNode> e : root.path("listeners").properties()) {
-                field = "listeners." + e.getKey();
-                listeners.put(e.getKey(), Imprint.parse(e.getValue().asText()));
+
+        private String path(String child) {
+            return name.isEmpty() ? child : name + "." + child;
+        }
+
+        boolean has(String child) {
+            return node.hasNonNull(child);
+        }
+
+        Form member(String child) throws InvalidException {
+            if (!has(child)) {
+                throw new InvalidException("The settings are invalid: " + path(child) + " is missing.");
+            }
+            return new Form(path(child), node.get(child));
+        }
+
+        Form object(String child) throws InvalidException {
+            Form form = member(child);
+            if (!form.node.isObject()) {
+                throw form.wrong("must be an object");
+            }
+            return form;
+        }
+
+        Form optional(String child) throws InvalidException {
+            return has(child) ? object(child) : new Form(path(child), MAPPER.createObjectNode());
+        }
+
+        Map<String, Form> members() {
+            Map<String, Form> out = new LinkedHashMap<>();
+            for (Map.Entry<String, JsonNode> e : node.properties()) {
+                out.put(e.getKey(), new Form(path(e.getKey()), e.getValue()));
+            }
+            return out;
+        }
+
+        List<Form> array(String child) throws InvalidException {
+            Form form = member(child);
+            if (!form.node.isArray()) {
+                throw form.wrong("must be a list");
+            }
+            List<Form> out = new ArrayList<>();
+            for (JsonNode n : form.node) {
+                out.add(new Form(form.name, n));
+            }
+            return out;
+        }
+
+        String text() throws InvalidException {
+            if (!node.isTextual() || node.asText().isEmpty()) {
+                throw wrong("must be a text");
+            }
+            return node.asText();
+        }
+
+        boolean flag() throws InvalidException {
+            if (!node.isBoolean()) {
+                throw wrong("must be true or false");
             }
-            List<Imprint> seeds = new ArrayList<>();
-            for (JsonNode seed : root.path("seedNodes")) {
-                field = "seedNodes";
-                seeds.add(Imprint.parse(seed.asText()));
+            return node.asBoolean();
+        }
+
+        double number(double least, double most) throws InvalidException {
+            if (!node.isNumber() || node.asDouble() < least || node.asDouble() > most) {
+                throw wrong("must be a number from " + (long) least + " to " + (long) most);
             }
-            field = "ipAddress";
-            Imprint.parse(root.path("ipAddress").asText() + ":1");
-            Map<String, String> zones = new HashMap<>();
-            for (Map.Entry<String, JsonNode> e : root.path("zones").properties()) {
-                zones.put(e.getKey(), e.getValue().asText());
+            return node.asDouble();
+        }
+
+        double number(String child, double otherwise) throws InvalidException {
+            return has(child) ? member(child).number(0, Integer.MAX_VALUE) : otherwise;
+        }
+
+        Imprint address() throws InvalidException {
+            try {
+                return Imprint.parse(text());
+            } catch (IllegalArgumentException e) {
+                throw wrong("must hold an IPv4 address and a port");
             }
-            JsonNode b = root.path("bounds");
-            Bounds bounds = new Bounds(b.path("contactMs").asLong(4000), b.path("ackMs").asLong(5000),
-                    b.path("drainMs").asLong(3000), (long) (b.path("graceS").asDouble(6) * 1000),
-                    b.path("configApplyMs").asLong(3000), b.path("retryRatio").asDouble(0.1),
-                    (long) (b.path("retryWindowS").asDouble(10) * 1000), b.path("retryBurst").asDouble(10),
-                    (long) (b.path("syncTimeS").asDouble(4) * 1000));
-            int first = root.path("internalPortRange").path(0).asInt();
-            int last = root.path("internalPortRange").path(1).asInt();
-            if (last <= first) {
-                throw new InvalidException("The settings are invalid: internalPortRange needs two ports or more.");
+        }
+
+        Imprint address(int port) throws InvalidException {
+            try {
+                return Imprint.parse(text() + ":" + port);
+            } catch (IllegalArgumentException e) {
+                throw wrong("must be an IPv4 address");
             }
-            return new HouseRules(root.path("nodeName").asText(), root.path("zone").asText(), zones,
-                    root.path("ipAddress").asText(), listeners, first, last, seeds,
-                    root.path("bootstrap").asBoolean(false), root.path("dataPath").isTextual() ? root.path("dataPath").asText() : "",
-                    root.path("limits").path("memoryMb").asLong(0), root.path("limits").path("maxFds").asInt(1024),
-                    root.path("heartbeatMs").asLong(1500), bounds);
-        } catch (IllegalArgumentException e) {
-            throw new InvalidException("The settings are invalid: " + field + " is " + e.getMessage() + ".");
         }
     }
 
--- a/umbermount/src/main/java/org/umbermount/umbermount/CheckSettingsCommand.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/CheckSettingsCommand.java
@@ -1,5 +1,7 @@
 package org.umbermount.umbermount;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.umbermount.kernel.HouseRules;
@@ -15,12 +17,15 @@
     @Override
     public Integer call() {
         try {
-            HouseRules rules = HouseRules.load(file);
-            System.out.println("The settings of " + rules.nodeName() + " are valid.");
-            return 0;
-        } catch (HouseRules.InvalidException e) {
-            System.err.println(e.getMessage());
-            return 1;
+            String problem = HouseRules.problem(Files.readAllBytes(file));
+            if (problem == null) {
+                System.out.println("The settings are valid.");
+                return 0;
+            }
+            System.err.println(problem);
+        } catch (IOException e) {
+            System.err.println("The settings file " + file + " cannot be opened.");
         }
+        return 1;
     }
 }
