--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -2,10 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.slf4j.Logger;
@@ -19,24 +15,19 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.net.LoopAlmanac;
 import org.umbermount.stacks.Shelving;
 import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.StackRoom;
 
 /** The control plane as a plug-in of the registrar. */
 public final class ArchiveDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long REWRITE_OVER = 4 << 20;
-    /** A write that waits longer than this makes the chain go on without this daemon. */
-    private static final long DISK_PATIENCE_MS = 900;
     private static final long LEAVE_MS = 700;
 
     private Institution institution;
-    private Custodian custodian;
-    private RollCall rollCall;
-    private TenureOffice tenures;
+    private Archive archive;
     private ControlDesk desk;
 
     @Override
@@ -60,72 +51,42 @@
         HouseRules rules = host.rules();
         Almanac almanac = host.almanac();
         Postbag post = host.find(Postbag.class);
-        Gazetteer gazetteer = host.find(Gazetteer.class);
-        Random random = new Random(post.self().packed() * 31 + almanac.wallMillis());
         Imprint control = rules.listeners().get("controlPlane");
         if (control == null) {
             throw new IllegalStateException("The settings name no controlPlane listener.");
         }
-
-        Stack stack = stackFor(rules, "memory.stack");
         ExecutorService thread = Executors.newSingleThreadExecutor(r -> {
             Thread t = new Thread(null, r, "stacks", 128 << 10);
             t.setDaemon(true);
             return t;
         });
-        StackRoom room = new StackRoom(stack, thread, almanac);
-        Memory loaded = load(stack);
-        List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
-        Charter genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
-        boolean newcomer = rules.bootstrap() && genesis == null;
-        custodian = new Custodian(almanac, post, room, host.tally(), random, loaded,
-                notedCommitted(loaded, stack), genesis, newcomer);
-        Porter porter = new Porter(custodian, almanac, random);
-        Census census = new Census(almanac, post, host.tally(), rules.heartbeatMs(), almanac.wallMillis());
-        CensusNotebook notebook = new CensusNotebook(census, stackFor(rules, "census.stack"), thread, almanac);
-        notebook.recall();
-        rollCall = new RollCall(almanac, post, heard -> new RollCall.Report(custodian.incarnation(),
-                custodian.standing() == Custodian.Standing.MEMBER, room.healthy(DISK_PATIENCE_MS), rollCall.isLeaving(),
-                custodian.charter().number(), custodian.committed().edition().value(),
-                custodian.newestEdition().value(), census.boot(), census.seq(),
-                census.digest(), census.ready(), rules.zone(), control, heard));
-        Convener convener = new Convener(custodian, rollCall, () -> room.healthy(DISK_PATIENCE_MS), almanac, random,
-                host.tally(), post.self());
-        custodian.listen(convener, porter);
-        tenures = new TenureOffice(almanac, post, custodian, rollCall, host.tally(), rules.zone(),
-                new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()));
-
-        seeds.forEach(rollCall::enlist);
-        gazetteer.observe(this::noticed);
-        custodian.onCharter(c -> c.electorate().forEach(f -> rollCall.enlist(f.imprint())));
-        custodian.charter().electorate().forEach(f -> rollCall.enlist(f.imprint()));
-        rollCall.observe(this::compare);
-        almanac.every(RollCall.INTERVAL_MS, this::refreshAudience);
-        refreshAudience();
-
-        host.offer(Custodian.class, custodian);
-        host.offer(Census.class, census);
-        host.offer(TenureOffice.class, tenures);
-        host.offer(RollCall.class, rollCall);
-        host.tally().gauge("archive.view", () -> custodian.charter().number());
-        host.tally().gauge("archive.edition", () -> custodian.committed().edition().value());
-        host.tally().gauge("archive.disk.stuck.ms", room::stuckMs);
-        host.tally().gauge("archive.disk.refusing", () -> room.refusing() ? 1 : 0);
-        host.tally().gauge("archive.frozen.ms", custodian::frozenMs);
-        host.tally().gauge("archive.reaches.majority", () -> rollCall.reachesMajority(custodian.charter()) ? 1 : 0);
-
-        custodian.start();
-        convener.start();
-        rollCall.start();
-        census.start(rollCall, () -> custodian.charter().electorate().size() <= 1, () -> !rollCall.unsettled(2 * rules.heartbeatMs())
-                && rollCall.reachedForMs(custodian.charter()) > 2 * rules.heartbeatMs());
-        notebook.start();
-        tenures.start();
-        desk = new ControlDesk(almanac, porter, custodian, census, tenures, rollCall, post.self(), control,
-                rules.zone(), host.tally());
+        archive = new Archive(almanac, post, rules, control, stackFor(rules, "memory.stack"),
+                stackFor(rules, "census.stack"), thread, host.tally());
+        host.find(Gazetteer.class).observe(this::noticed);
+        host.offer(Custodian.class, archive.custodian);
+        host.offer(Census.class, archive.census);
+        host.offer(TenureOffice.class, archive.tenures);
+        host.offer(RollCall.class, archive.rollCall);
+        meter(host.tally());
+        archive.start();
+        desk = new ControlDesk(archive, almanac, post.self(), control, rules.zone(), host.tally());
+        host.offer(StatusPage.class, desk);
         desk.bind(((LoopAlmanac) almanac).loop());
     }
 
+    private void meter(Tally tally) {
+        Custodian custodian = archive.custodian;
+        tally.gauge("archive.view", () -> custodian.charter().number());
+        tally.gauge("archive.edition", () -> custodian.committed().edition().value());
+        tally.gauge("archive.standing", () -> custodian.standing().ordinal());
+        tally.gauge("archive.frozen.ms", custodian::frozenMs);
+        tally.gauge("archive.disk.stuck.ms", archive.room::stuckMs);
+        tally.gauge("archive.disk.slowest.ms", archive.room::slowestMs);
+        tally.gauge("archive.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
+        tally.gauge("archive.reaches.majority", () -> archive.rollCall.reachesMajority(custodian.charter()) ? 1 : 0);
+        tally.gauge("census.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
+    }
+
     private static Stack stackFor(HouseRules rules, String name) throws IOException {
         if (rules.dataPath().isEmpty()) {
             throw new IllegalStateException("The settings name no dataPath, and a registrar needs a disk.");
@@ -140,59 +101,22 @@
         }
     }
 
-    private static Memory load(Stack stack) throws IOException {
-        try {
-            return Memory.load(stack);
-        } catch (Script.UnreadableException e) {
-            LOG.error("The memory on disk cannot be read: {}. It is rebuilt from the others.", e.getMessage());
-            stack.clear();
-            return null;
-        }
-    }
-
-    private static boolean notedCommitted(Memory loaded, Stack stack) {
-        try {
-            return loaded != null && loaded.isNotedCommitted(stack);
-        } catch (Script.UnreadableException e) {
-            return false;
-        }
-    }
-
-    private static Charter genesis(List<Imprint> seeds) {
-        List<Imprint> members = new ArrayList<>(new TreeSet<>(seeds));
-        return new Charter(1, members.stream().map(m -> new Fellow(m, 0)).toList(), members);
-    }
-
     private void noticed(Placename placename) {
         if (placename.role() == Role.REGISTRAR) {
-            rollCall.enlist(placename.imprint());
-        }
-    }
-
-    private void refreshAudience() {
-        custodian.audience(rollCall.peers().stream().map(RollCall.Peer::imprint)
-                .filter(i -> rollCall.connected(i) || custodian.standing() == Custodian.Standing.RECOVERING).toList());
-    }
-
-    /** Asks a peer that is ahead for its view and state. */
-    private void compare(RollCall.Peer peer) {
-        RollCall.Report r = peer.report();
-        if (r.view() > custodian.charter().number() && custodian.standing() != Custodian.Standing.RECOVERING
-                || r.view() == custodian.charter().number() && r.edition() > custodian.committed().edition().value()) {
-            custodian.fetch(peer.imprint());
+            archive.rollCall.enlist(placename.imprint());
         }
     }
 
     @Override
     public void leave(Runnable done) {
-        tenures.releaseAll();
-        rollCall.leaving();
+        archive.tenures.releaseAll();
+        archive.rollCall.leaving();
         desk.close();
         institution.almanac().after(LEAVE_MS, done);
     }
 
     @Override
     public void reread(HouseRules rules) {
-        rules.seedNodes().forEach(s -> rollCall.enlist(rules.mailAddress(s, Role.REGISTRAR)));
+        rules.seedNodes().forEach(s -> archive.rollCall.enlist(rules.mailAddress(s, Role.REGISTRAR)));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -30,7 +30,10 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Almanac;
@@ -42,7 +45,7 @@
 import org.umbermount.kernel.Tally;
 
 /** The calls of servers and of the operator. */
-final class ControlDesk {
+final class ControlDesk implements StatusPage {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int LARGEST_BODY = 3 << 20;
@@ -60,22 +63,27 @@
     private final Imprint control;
     private final String zone;
     private final Tally tally;
+    private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlDesk(Almanac almanac, Porter porter, Custodian custodian, Census census, TenureOffice tenures,
-            RollCall rollCall, Imprint self, Imprint control, String zone, Tally tally) {
+    ControlDesk(Archive archive, Almanac almanac, Imprint self, Imprint control, String zone, Tally tally) {
         this.almanac = almanac;
-        this.porter = porter;
-        this.custodian = custodian;
-        this.census = census;
-        this.tenures = tenures;
-        this.rollCall = rollCall;
+        this.porter = archive.porter;
+        this.custodian = archive.custodian;
+        this.census = archive.census;
+        this.tenures = archive.tenures;
+        this.rollCall = archive.rollCall;
         this.self = self;
         this.control = control;
         this.zone = zone;
         this.tally = tally;
     }
 
+    @Override
+    public void addSection(Consumer<ObjectNode> section) {
+        sections.add(section);
+    }
+
     void bind(EventLoop loop) throws InterruptedException {
         listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
@@ -220,7 +228,7 @@
     }
 
     /** Answers 200 once another registrar has the news, and 503 if none takes it in time. */
-    private void acknowledge(ChannelHandlerContext ctx, boolean keep, java.util.function.Consumer<Runnable> action,
+    private void acknowledge(ChannelHandlerContext ctx, boolean keep, Consumer<Runnable> action,
             String answer) {
         boolean[] answered = new boolean[1];
         Almanac.Cancellable timer = almanac.after(TOLD_MS, () -> {
@@ -281,6 +289,7 @@
                     .put("zone", e.zone()).put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
                     .put("sequence", e.sequence()).put("keeper", e.keeper().toString());
         }
+        sections.forEach(section -> section.accept(root));
         return root;
     }
 
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/StatusPage.java
@@ -0,0 +1,9 @@
+package org.umbermount.archive;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.Consumer;
+
+/** The page that shows a registrar's state to an operator; other parts add what they know. */
+public interface StatusPage {
+    void addSection(Consumer<ObjectNode> section);
+}
--- /dev/null
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -0,0 +1,257 @@
+package org.umbermount.archive;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ChainTest {
+    private static Fleet settled(long seed) throws IOException {
+        Fleet fleet = new Fleet(4, 3, seed);
+        fleet.run(5_000);
+        return fleet;
+    }
+
+    private static void take(Fleet fleet, int at, long match, long edition) {
+        Fleet.Reply reply = fleet.submit(at, match, edition, "c" + edition);
+        fleet.run(900);
+        assertEquals(Custodian.Verdict.TAKEN, reply.verdict, "edition " + edition);
+    }
+
+    private static long editionAt(Fleet fleet, int at) {
+        Accession read = fleet.read(at, 850);
+        assertNotNull(read, "no reading at " + at);
+        return read.edition().value();
+    }
+
+    @Test
+    void fourthRegistrarJoinsAndAnyOneTakesAConfiguration() throws IOException {
+        Fleet fleet = settled(1);
+        assertEquals(4, fleet.running.get(0).custodian.charter().electorate().size());
+        for (int i = 0; i < 4; i++) {
+            take(fleet, i, i, i + 1);
+            assertEquals(i + 1, editionAt(fleet, 3 - i));
+        }
+        for (int i = 0; i < 4; i++) {
+            assertEquals(4, fleet.running.get(i).custodian.committed().edition().value());
+        }
+    }
+
+    @Test
+    void resentConfigurationIsTakenOnceAndAStaleOneIsRefused() throws IOException {
+        Fleet fleet = settled(2);
+        take(fleet, 0, 0, 5);
+        take(fleet, 1, 5, 9);
+        Fleet.Reply again = fleet.submit(2, 0, 5, "c5");
+        Fleet.Reply other = fleet.submit(2, 0, 7, "c7");
+        Fleet.Reply lower = fleet.submit(3, 9, 8, "c8");
+        fleet.run(900);
+        assertEquals(Custodian.Verdict.TAKEN, again.verdict);
+        assertEquals(Custodian.Verdict.STALE, other.verdict);
+        assertEquals(Custodian.Verdict.NOT_HIGHER, lower.verdict);
+        assertEquals(9, editionAt(fleet, 0));
+    }
+
+    @Test
+    void everyProcessLosesPowerAndNothingTakenIsLost() throws IOException {
+        Fleet fleet = settled(3);
+        take(fleet, 0, 0, 1);
+        take(fleet, 0, 1, 2);
+        for (int i = 0; i < 4; i++) {
+            fleet.kill(i, true);
+        }
+        for (int i = 0; i < 4; i++) {
+            fleet.start(i, false);
+        }
+        fleet.run(2_000);
+        assertEquals(2, editionAt(fleet, 1));
+    }
+
+    @Test
+    void wipedMemberReadsOthersBeforeItVotesAndServesAgain() throws IOException {
+        Fleet fleet = settled(4);
+        take(fleet, 0, 0, 1);
+        fleet.kill(2, true);
+        fleet.wipe(2);
+        fleet.start(2, false);
+        assertEquals(Custodian.Standing.RECOVERING, fleet.running.get(2).custodian.standing());
+        fleet.run(6_000);
+        Custodian back = fleet.running.get(2).custodian;
+        assertEquals(Custodian.Standing.MEMBER, back.standing());
+        assertTrue(back.charter().fellow(Fleet.imprint(2)).incarnation() > 0);
+        assertTrue(back.charter().chains(Fleet.imprint(2)));
+        assertEquals(1, editionAt(fleet, 2));
+    }
+
+    @Test
+    void wipedMemberAloneCannotMakeAMajority() throws IOException {
+        Fleet fleet = settled(5);
+        take(fleet, 0, 0, 1);
+        fleet.kill(0, true);
+        fleet.kill(1, true);
+        fleet.kill(2, true);
+        fleet.wipe(2);
+        fleet.start(2, false);
+        fleet.run(10_000);
+        assertEquals(Custodian.Standing.RECOVERING, fleet.running.get(2).custodian.standing());
+        assertNull(fleet.read(3, 850));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"hung", "full", "slow", "frozen", "cut", "one way in", "one way out"})
+    void stuckMemberIsDroppedWellInsideTheBound(String how) throws IOException {
+        for (int victim = 0; victim < 3; victim++) {
+            Fleet fleet = settled(6 + victim);
+            take(fleet, 3, 0, 1);
+            var disk = fleet.disks.get(victim);
+            for (int o = 0; o < 4; o++) {
+                if (o != victim && (how.equals("cut") || how.equals("one way in"))) {
+                    fleet.network.cut(Fleet.imprint(o), Fleet.imprint(victim));
+                }
+                if (o != victim && (how.equals("cut") || how.equals("one way out"))) {
+                    fleet.network.cut(Fleet.imprint(victim), Fleet.imprint(o));
+                }
+            }
+            disk.hung = how.equals("hung");
+            disk.full = how.equals("full");
+            disk.delayMs = how.equals("slow") ? 125 : 1;
+            if (how.equals("frozen")) {
+                fleet.network.down(Fleet.imprint(victim));
+            }
+            boolean taken = false;
+            for (int t = 0; t < 3 && !taken; t++) {
+                Fleet.Reply reply = fleet.submit(3, 1, 2, "c2");
+                fleet.run(900);
+                taken = reply.verdict == Custodian.Verdict.TAKEN;
+            }
+            assertTrue(taken, how + " at " + victim);
+        }
+    }
+
+    @Test
+    void memberWhoseDiskHasRoomAgainReturnsToTheChain() throws IOException {
+        Fleet fleet = settled(20);
+        take(fleet, 3, 0, 1);
+        fleet.disks.get(1).full = true;
+        fleet.submit(3, 1, 2, "c2");
+        fleet.run(3_000);
+        assertFalse(fleet.running.get(0).custodian.charter().chains(Fleet.imprint(1)));
+        fleet.disks.get(1).full = false;
+        fleet.run(5_000);
+        assertTrue(fleet.running.get(0).custodian.charter().chains(Fleet.imprint(1)));
+        assertEquals(2, editionAt(fleet, 1));
+    }
+
+    /** Random kills, wipes, cuts, full disks and losses: what was acknowledged stays, one winner for each version. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void nothingAcknowledgedIsLostInRandomTrouble(long seed) throws IOException {
+        Random random = new Random(seed);
+        Fleet fleet = settled(seed * 77);
+        fleet.network.loss = 0.03;
+        fleet.network.doubles = 0.02;
+        fleet.network.jitterMs = 8;
+        Map<Long, String> winners = new HashMap<>();
+        long newestTaken = 0;
+        long next = 1;
+        List<Object[]> open = new ArrayList<>();
+        int trouble = -1;
+        boolean down = false;
+        boolean wiped = false;
+        for (int step = 0; step < 150; step++) {
+            if (trouble < 0 && random.nextInt(4) == 0) {
+                trouble = random.nextInt(4);
+                switch (random.nextInt(5)) {
+                    case 0 -> {
+                        fleet.kill(trouble, true);
+                        down = true;
+                        wiped = random.nextBoolean();
+                    }
+                    case 1 -> {
+                        for (int o = 0; o < 4; o++) {
+                            if (o != trouble) {
+                                fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(trouble));
+                            }
+                        }
+                    }
+                    case 2 -> {
+                        for (int o = 0; o < 4; o++) {
+                            if (o != trouble) {
+                                fleet.network.cut(Fleet.imprint(trouble), Fleet.imprint(o));
+                            }
+                        }
+                    }
+                    case 3 -> fleet.disks.get(trouble).full = true;
+                    default -> fleet.disks.get(trouble).hung = true;
+                }
+            } else if (trouble >= 0 && random.nextInt(6) == 0) {
+                if (down) {
+                    if (wiped) {
+                        fleet.wipe(trouble);
+                    }
+                    fleet.start(trouble, false);
+                }
+                fleet.network.healAll();
+                fleet.disks.get(trouble).full = false;
+                fleet.disks.get(trouble).unhang();
+                trouble = -1;
+                down = false;
+                wiped = false;
+                fleet.run(4_500);
+            }
+            // Two operators build on the same version, at two daemons.
+            for (int k = 0; k < 2; k++) {
+                int at = random.nextInt(4);
+                if (fleet.running.containsKey(at)) {
+                    long match = newestTaken;
+                    long edition = next++;
+                    open.add(new Object[] {match, edition, fleet.submit(at, match, edition, "c" + edition)});
+                }
+            }
+            fleet.run(100 + random.nextInt(1_000));
+            for (Object[] o : open) {
+                Fleet.Reply reply = (Fleet.Reply) o[2];
+                if (reply.verdict == Custodian.Verdict.TAKEN) {
+                    String old = winners.put((Long) o[0], "c" + o[1]);
+                    assertTrue(old == null || old.equals("c" + o[1]), "two winners on " + o[0]);
+                    newestTaken = Math.max(newestTaken, (Long) o[1]);
+                }
+            }
+            // A change without an answer may be in force: the operators look before they go on.
+            int at = random.nextInt(4);
+            if (fleet.running.containsKey(at)) {
+                Accession read = fleet.read(at, 400);
+                if (read != null) {
+                    assertTrue(read.edition().value() >= newestTaken,
+                            "read " + read.edition() + " after " + newestTaken + " was taken");
+                    newestTaken = Math.max(newestTaken, read.edition().value());
+                }
+            }
+        }
+        if (down) {
+            fleet.start(trouble, false);
+        }
+        fleet.network.healAll();
+        fleet.network.loss = 0;
+        fleet.disks.values().forEach(d -> {
+            d.full = false;
+            d.unhang();
+        });
+        fleet.run(15_000);
+        for (int i = 0; i < 4; i++) {
+            assertTrue(editionAt(fleet, i) >= newestTaken);
+        }
+        assertTrue(winners.size() > 5, "too little was taken: " + winners.size());
+    }
+}
--- /dev/null
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -0,0 +1,108 @@
+package org.umbermount.archive;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.stacks.Stack;
+import org.umbermount.stacks.testing.FakeVault;
+
+/** Registrars on a fake clock, network and disk. */
+final class Fleet {
+    final FakeAlmanac almanac = new FakeAlmanac();
+    final FakePost network;
+    final Map<Integer, Archive> running = new TreeMap<>();
+    final Map<Integer, FakeVault> disks = new HashMap<>();
+    private final int seeds;
+
+    /** One process: its timers die with it. */
+    private final Map<Integer, MortalAlmanac> clocks = new HashMap<>();
+
+    Fleet(int size, int seeds, long seed) throws IOException {
+        this.network = new FakePost(almanac, seed);
+        this.seeds = seeds;
+        for (int i = 0; i < size; i++) {
+            disks.put(i, new FakeVault());
+            start(i, true);
+        }
+    }
+
+    static Imprint imprint(int i) {
+        return Imprint.parse("10." + (i + 1) + ".0.1:7000");
+    }
+
+    private static String zone(int i) {
+        return "z" + i;
+    }
+
+    void start(int i, boolean bootstrap) throws IOException {
+        MortalAlmanac clock = new MortalAlmanac(almanac);
+        clocks.put(i, clock);
+        List<Imprint> seedNodes = new ArrayList<>();
+        for (int s = 0; s < seeds; s++) {
+            seedNodes.add(imprint(s).withPort(8000));
+        }
+        Map<String, String> zones = new HashMap<>();
+        for (int z = 0; z < 4; z++) {
+            zones.put(zone(z), "r");
+        }
+        HouseRules rules = new HouseRules("n" + i, zone(i), zones, imprint(i).host(), Map.of(), 7000, 7010, seedNodes,
+                bootstrap, "/data", 100, 1000, 1500,
+                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+        FakeVault disk = disks.get(i);
+        disk.clock(clock);
+        Archive archive = new Archive(clock, network.bag(imprint(i)), rules, imprint(i).withPort(8000),
+                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+        running.put(i, archive);
+        archive.start();
+        for (int other = 0; other < 4; other++) {
+            archive.rollCall.enlist(imprint(other));
+        }
+    }
+
+    /** Ends the process; what was not synced is lost if the power goes too. */
+    void kill(int i, boolean power) {
+        clocks.get(i).die();
+        network.down(imprint(i));
+        running.remove(i);
+        if (power) {
+            disks.get(i).losePower();
+        }
+    }
+
+    void wipe(int i) {
+        disks.put(i, new FakeVault());
+    }
+
+    void run(long ms) {
+        almanac.advance(ms);
+    }
+
+    /** What a submission came to, once it has. */
+    static final class Reply {
+        Custodian.Verdict verdict;
+        boolean gaveUp;
+    }
+
+    Reply submit(int at, long match, long edition, String text) {
+        Reply reply = new Reply();
+        running.get(at).porter.submit(new Edition(match), new Edition(edition), text.getBytes(), 850,
+                v -> reply.verdict = v, () -> reply.gaveUp = true);
+        return reply;
+    }
+
+    Accession read(int at, long patience) {
+        Accession[] out = new Accession[1];
+        running.get(at).porter.read(patience, a -> out[0] = a, () -> { });
+        run(patience);
+        return out[0];
+    }
+}
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -1,5 +1,7 @@
 package org.umbermount.courier;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -12,6 +14,7 @@
 import org.umbermount.archive.Custodian;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.RollCall;
+import org.umbermount.archive.StatusPage;
 import org.umbermount.archive.TenureOffice;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
@@ -99,11 +102,26 @@
                 reconcile();
             }
         });
+        host.find(StatusPage.class).addSection(this::show);
         host.tally().gauge("courier.proxies.known", proxies::size);
         host.tally().gauge("courier.proxies.served", consignors::size);
         almanac.every(LOOP_MS, this::reconcile);
     }
 
+    /** What each proxy is known and assumed to hold. */
+    private void show(ObjectNode page) {
+        ArrayNode list = page.putArray("proxies");
+        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+            Consignor c = consignors.get(e.getKey());
+            ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
+                    .put("heardMsAgo", almanac.now().since(e.getValue().heard)).put("servedHere", c != null);
+            if (c != null) {
+                one.put("knownNum", c.knownNum()).put("knownEdition", c.knownEdition().value())
+                        .put("assumedNum", c.assumedNum()).put("rttMs", c.smoothedRtt());
+            }
+        }
+    }
+
     private void noticed(Placename p) {
         if (p.role() == Role.LECTOR && p.age() == 0 && !proxies.containsKey(p.imprint())) {
             proxies.put(p.imprint(), new Known(p.zone(), 0, almanac.now()));
--- /dev/null
+++ b/stacks/src/test/java/org/umbermount/stacks/StackTest.java
@@ -0,0 +1,90 @@
+package org.umbermount.stacks;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.stacks.testing.FakeVault;
+
+class StackTest {
+    private static List<Folio> folio(int key, String value) {
+        return List.of(new Folio((byte) key, value.getBytes()));
+    }
+
+    private static Stack open(Vault vault) throws IOException {
+        return Stack.open(vault, "f", 400);
+    }
+
+    @Test
+    void newestValueOfAKeyIsReadBack(@TempDir Path folder) throws IOException {
+        Stack stack = Stack.open(new Shelving(folder), "f", 400);
+        stack.put(folio(1, "old"));
+        stack.put(List.of(new Folio((byte) 1, "new".getBytes()), new Folio((byte) 2, "two".getBytes())));
+        Stack again = Stack.open(new Shelving(folder), "f", 400);
+        assertArrayEquals("new".getBytes(), again.get((byte) 1));
+        assertArrayEquals("two".getBytes(), again.get((byte) 2));
+    }
+
+    @Test
+    void tornTailIsDroppedAtEveryLength() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = open(vault);
+        stack.put(folio(1, "kept"));
+        int whole = vault.raw("f").length;
+        stack.put(List.of(new Folio((byte) 1, "lost".getBytes()), new Folio((byte) 2, "lost too".getBytes())));
+        byte[] full = vault.raw("f");
+        for (int n = whole; n < full.length; n++) {
+            vault.raw("f", Arrays.copyOf(full, n));
+            Stack again = open(vault);
+            assertArrayEquals("kept".getBytes(), again.get((byte) 1), "cut at " + n);
+            assertNull(again.get((byte) 2), "cut at " + n);
+            again.put(folio(3, "after"));
+            assertArrayEquals("after".getBytes(), open(vault).get((byte) 3));
+        }
+    }
+
+    @Test
+    void damageInTheMiddleIsReported() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = open(vault);
+        stack.put(folio(1, "first"));
+        stack.put(folio(2, "second"));
+        byte[] bytes = vault.raw("f");
+        bytes[Stack.TITLE.length + 14] ^= 1;
+        vault.raw("f", bytes);
+        assertThrows(Stack.DamagedException.class, () -> open(vault));
+    }
+
+    @Test
+    void longFileIsRewrittenAndKeepsTheNewest() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = open(vault);
+        stack.put(folio(9, "stays"));
+        for (int i = 0; i < 100; i++) {
+            stack.put(folio(1, "value " + i));
+        }
+        assertTrue(vault.raw("f").length <= 450, "length " + vault.raw("f").length);
+        assertArrayEquals("value 99".getBytes(), open(vault).get((byte) 1));
+        assertArrayEquals("stays".getBytes(), open(vault).get((byte) 9));
+    }
+
+    @Test
+    void refusedWriteCountsForNothingAndTheNextOneIsWhole() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = open(vault);
+        stack.put(folio(1, "kept"));
+        vault.tearAt = 7;
+        assertThrows(IOException.class, () -> stack.put(folio(1, "refused")));
+        assertArrayEquals("kept".getBytes(), stack.get((byte) 1));
+        assertArrayEquals("kept".getBytes(), open(vault).get((byte) 1));
+        stack.put(folio(1, "next"));
+        assertArrayEquals("next".getBytes(), open(vault).get((byte) 1));
+    }
+}
