--- /dev/null
+++ b/archive/src/test/java/org/umbermount/archive/TenureTest.java
@@ -0,0 +1,98 @@
+package org.umbermount.archive;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TenureTest {
+    private static int holder(Fleet fleet, String zone) {
+        int found = -1;
+        for (Map.Entry<Integer, Archive> e : fleet.running.entrySet()) {
+            if (e.getValue().tenures.epoch(zone) > 0) {
+                assertEquals(-1, found, "two holders of " + zone);
+                found = e.getKey();
+            }
+        }
+        return found;
+    }
+
+    @Test
+    void dutyFallsToTheDaemonOfTheZoneAndReturnsToIt() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 3);
+        fleet.run(6_000);
+        for (int z = 0; z < 4; z++) {
+            assertEquals(z, holder(fleet, "z" + z));
+        }
+        long epoch = fleet.running.get(2).tenures.epoch("z2");
+        fleet.kill(2, true);
+        fleet.run(3_800);
+        int other = holder(fleet, "z2");
+        assertTrue(other >= 0, "nobody took the duty in time");
+        assertTrue(fleet.running.get(other).tenures.epoch("z2") > epoch);
+        fleet.start(2, false);
+        fleet.run(8_000);
+        assertEquals(2, holder(fleet, "z2"));
+    }
+
+    @Test
+    void holderThatIsCutOffStopsBeforeAnotherBegins() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 4);
+        fleet.run(6_000);
+        for (int i = 0; i < 4; i++) {
+            if (i != 1) {
+                fleet.network.cut(Fleet.imprint(i), Fleet.imprint(1));
+            }
+        }
+        for (int t = 0; t < 600; t++) {
+            fleet.run(10);
+            holder(fleet, "z1");
+        }
+        assertTrue(holder(fleet, "z1") != 1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void neverTwoHoldersAndEpochsOnlyRise(long seed) throws IOException {
+        Random random = new Random(seed);
+        Fleet fleet = new Fleet(4, 3, seed);
+        fleet.network.loss = 0.05;
+        fleet.network.jitterMs = 20;
+        Map<String, Long> highest = new HashMap<>();
+        Map<String, Integer> last = new HashMap<>();
+        for (int step = 0; step < 2_000; step++) {
+            if (random.nextInt(60) == 0) {
+                fleet.network.healAll();
+                int a = random.nextInt(4);
+                for (int b = 0; b < 4; b++) {
+                    if (a != b && random.nextBoolean()) {
+                        fleet.network.cut(Fleet.imprint(a), Fleet.imprint(b));
+                    }
+                }
+            }
+            if (random.nextInt(150) == 0) {
+                int a = random.nextInt(4);
+                fleet.kill(a, true);
+                fleet.start(a, false);
+            }
+            fleet.run(20);
+            for (int z = 0; z < 4; z++) {
+                int h = holder(fleet, "z" + z);
+                if (h >= 0) {
+                    long epoch = fleet.running.get(h).tenures.epoch("z" + z);
+                    Integer before = last.put("z" + z, h);
+                    long top = highest.getOrDefault("z" + z, 0L);
+                    assertTrue(before == null || before == h ? epoch >= top : epoch > top, "epoch fell in z" + z);
+                    highest.put("z" + z, Math.max(top, epoch));
+                }
+            }
+        }
+        assertEquals(4, highest.size());
+    }
+}
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -165,6 +165,10 @@
         }
     }
 
+    Inventory table() {
+        return table;
+    }
+
     boolean hasTable() {
         return !table.isEmpty();
     }
--- /dev/null
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -0,0 +1,319 @@
+package org.umbermount.circulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.umbermount.archive.CensusEntry;
+import org.umbermount.archive.Regulations;
+import org.umbermount.courier.Inventory;
+import org.umbermount.courier.Tables;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.net.LoopAlmanac;
+
+class FrontDeskTest {
+    private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final LoopAlmanac almanac = new LoopAlmanac(group.next());
+    private final Tally tally = new Tally();
+    private FrontDesk desk;
+    private int port;
+    private ScriptedServer first;
+    private ScriptedServer second;
+
+    @BeforeEach
+    void open() throws Exception {
+        first = new ScriptedServer(ScriptedServer.ok("hello"));
+        second = new ScriptedServer(ScriptedServer.ok("hello"));
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = probe.getLocalPort();
+        }
+        // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
+        HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
+        desk = new FrontDesk(almanac.loop(), almanac, tally, bounds, "z", new Random(1));
+        desk.bind(Imprint.parse("127.0.0.1:" + port));
+        Thread.sleep(5);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        first.close();
+        second.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(3, TimeUnit.SECONDS);
+    }
+
+    private void table(ScriptedServer... servers) throws Exception {
+        Regulations r = Regulations.parse(("{\"revision\":1,\"routeTable\":["
+                + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
+                + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
+                + "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":1000000}}").getBytes());
+        Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
+        int n = 0;
+        for (ScriptedServer s : servers) {
+            String id = "i" + n++;
+            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new CensusEntry(new Pressmark(id), "s",
+                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, CensusEntry.Standing.IN_SERVICE, 1, Imprint.NONE)));
+        }
+        Inventory table = Inventory.of(entries);
+        almanac.loop().submit(() -> desk.apply(table)).get();
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            ScriptedServer.write(socket.getOutputStream(), request);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n";
+    }
+
+    private static String post(String path, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static int status(String answer) {
+        return answer.length() < 12 ? 0 : Integer.parseInt(answer.substring(9, 12));
+    }
+
+    @Test
+    void requestReachesItsServerUnchanged() throws Exception {
+        table(first);
+        String answer = exchange("POST /once/a%20b?x=1&y HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\n"
+                + "X-Other: kept\r\nConnection: close, X-Hop\r\nX-Hop: gone\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        assertEquals(200, status(answer));
+        assertTrue(answer.endsWith("\r\n\r\nhello") && answer.contains("s1"), answer);
+        ScriptedServer.Request r = first.seen.get(0);
+        assertTrue(r.head().startsWith("POST /once/a%20b?x=1&y HTTP/1.1\r\n"), r.head());
+        assertEquals("abcde", new String(r.body()));
+        assertEquals("t1", r.header("Request-Attempt"));
+        assertEquals("i0", r.header("Target-Instance"));
+        assertEquals("kept", r.header("X-Other"));
+        assertEquals(null, r.header("X-Hop"));
+        int left = Integer.parseInt(r.header("Deadline-Ms"));
+        assertTrue(left > 1_000 && left <= 2_000, "left " + left);
+    }
+
+    @Test
+    void withoutTableRouteOrServerNothingIsPromisedThatIsNotTrue() throws Exception {
+        String none = exchange(get("/safe/x"));
+        assertEquals(503, status(none));
+        assertTrue(none.toLowerCase().contains("retry-after:"), none);
+        table();
+        assertEquals(404, status(exchange(get("/other/x"))));
+        assertEquals(503, status(exchange(get("/safe/x"))));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+            "both|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
+            "lengths|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nContent-Length: 4\\r\\n\\r\\nabcd|400",
+            "chunk|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\nabc\\r\\n0\\r\\n\\r\\n|400",
+            "hosts|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nHost: g\\r\\n\\r\\n|400",
+            "no host|GET /safe/x HTTP/1.1\\r\\n\\r\\n|400",
+            "line|GARBAGE\\r\\n\\r\\n|400",
+            "encoding|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: gzip, chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
+            "space|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length : 3\\r\\n\\r\\nabc|400",
+            "body|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 1000001\\r\\n\\r\\nabc|413"})
+    void whatCanBeReadInTwoWaysIsRefusedAndReachesNobody(String name, String request, int expected) throws Exception {
+        table(first);
+        String answer = exchange(request.replace("\\r", "\r").replace("\\n", "\n"));
+        assertEquals(expected, status(answer), answer);
+        assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+        assertEquals(0, first.seen.size());
+    }
+
+    @Test
+    void headersOverTheLimitAreRefused() throws Exception {
+        table(first);
+        assertEquals(431, status(exchange("GET /safe/x HTTP/1.1\r\nHost: h\r\nX: " + "y".repeat(3_000) + "\r\n\r\n")));
+        assertEquals(0, first.seen.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+            "unsealed|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+            "short|SEALEDContent-Length: 90\\r\\n\\r\\nok",
+            "another's|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t9\\r\\nServer-Seal: s\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+            "no framing|SEALED\\r\\nok",
+            "encoded|SEALEDContent-Encoding: gzip\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+            "noise|\\u0001\\u0002 what is this\\r\\n\\r\\n",
+            "cut chunks|SEALEDTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nab",
+            "nothing|''",
+            "false promise|HTTP/1.1 503 Busy\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 0\\r\\n\\r\\n"})
+    void brokenAnswerIsNeverASuccessNorAPromiseAndAnUnsafeRequestIsSentOnce(String name, String text) throws Exception {
+        table(first, second);
+        String raw = text.replace("SEALED", SEALED).replace("\\r", "\r").replace("\\n", "\n");
+        first.act(ScriptedServer.raw(raw, false));
+        second.act(ScriptedServer.raw(raw, false));
+        String answer = exchange(post("/once/x", "body"));
+        assertEquals(502, status(answer), answer);
+        assertEquals(1, first.seen.size() + second.seen.size());
+        first.act(ScriptedServer.ok("hello"));
+        // A safe request is tried once more, and both may be broken.
+        String again = exchange(get("/safe/x"));
+        assertTrue(status(again) == 200 && again.endsWith("hello") || status(again) == 502, again);
+    }
+
+    @Test
+    void safeRequestIsTriedElsewhereAfterACut() throws Exception {
+        table(first, second);
+        first.act(ScriptedServer.raw("", false));
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, status(exchange(get("/safe/x"))));
+        }
+        assertTrue(first.seen.size() >= 1 && second.seen.size() == 6, first.seen.size() + " " + second.seen.size());
+    }
+
+    @Test
+    void refusalThatSaysNotExecutedIsTriedElsewhereEvenIfUnsafe() throws Exception {
+        table(first, second);
+        String shed = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\nContent-Length: 0\r\n\r\n";
+        first.act(ScriptedServer.raw(shed, true));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(200, status(exchange(post("/once/x", "b"))));
+        }
+        second.act(ScriptedServer.raw(shed, true));
+        String answer = exchange(post("/once/x", "b"));
+        assertEquals(503, status(answer));
+        assertTrue(answer.toLowerCase().contains("retry-after:"), answer);
+    }
+
+    @Test
+    void serverThatIsAnotherIsNotAskedAgain() throws Exception {
+        table(first, second);
+        first.act(ScriptedServer.raw("HTTP/1.1 421 Other\r\nInstance-Id: i9\r\nContent-Length: 0\r\n\r\n", true));
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, status(exchange(post("/once/x", "b"))));
+        }
+        assertTrue(first.seen.size() <= 1, "asked " + first.seen.size());
+    }
+
+    @Test
+    void bytesBehindAnAnswerRetireTheConnection() throws Exception {
+        table(first);
+        first.act(ScriptedServer.raw(SEALED + "Content-Length: 2\r\n\r\nok" + SEALED + "Content-Length: 4\r\n\r\nevil", true));
+        for (int i = 0; i < 3; i++) {
+            String answer = exchange(get("/safe/x"));
+            assertTrue(answer.endsWith("\r\n\r\nok"), answer);
+        }
+        assertEquals(3, first.connections.get());
+    }
+
+    @Test
+    void pipelinedAnswersComeInOrder() throws Exception {
+        table(first);
+        first.act((request, out) -> {
+            if (request.head().contains("/slow")) {
+                Thread.sleep(200);
+            }
+            String body = request.head().substring(4, request.head().indexOf(" HTTP"));
+            ScriptedServer.write(out, SEALED + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+            return true;
+        });
+        String request = get("/safe/slow").replace("Connection: close\r\n", "")
+                + get("/safe/fast").replace("Connection: close\r\n", "") + get("/safe/last");
+        String answer = exchange(request);
+        int a = answer.indexOf("/safe/slow");
+        int b = answer.indexOf("/safe/fast");
+        int c = answer.indexOf("/safe/last");
+        assertTrue(a > 0 && b > a && c > b, answer);
+    }
+
+    @Test
+    void longAnswerIsStreamedAndACutOneNeverLooksWhole() throws Exception {
+        table(first);
+        String long1 = "x".repeat(400_000);
+        first.act(ScriptedServer.raw(SEALED + "Content-Length: 400000\r\n\r\n" + long1, true));
+        assertTrue(exchange(get("/safe/x")).endsWith("\r\n\r\n" + long1));
+        first.act(ScriptedServer.raw(SEALED + "Content-Length: 400000\r\n\r\n" + long1.substring(9), false));
+        String cut = exchange(get("/safe/x"));
+        int body = cut.indexOf("\r\n\r\n") + 4;
+        assertTrue(cut.toLowerCase().contains("content-length: 400000") && cut.length() - body < 400_000);
+        first.act(ScriptedServer.raw(SEALED + "Transfer-Encoding: chunked\r\n\r\n61A80\r\n" + long1 + "\r\n", false));
+        assertFalse(exchange(get("/safe/x")).endsWith("0\r\n\r\n"));
+    }
+
+    @Test
+    void longRequestBodyIsPassedOnWhole() throws Exception {
+        table(first);
+        String body = "b".repeat(700_000);
+        assertEquals(200, status(exchange(post("/once/x", body))));
+        assertEquals(body, new String(first.seen.get(0).body()));
+        assertEquals(1, first.seen.size());
+    }
+
+    @Test
+    void deadlineEndsARequestThatASilentServerHolds() throws Exception {
+        table(first);
+        first.act((request, out) -> {
+            Thread.sleep(5_000);
+            return false;
+        });
+        long start = System.nanoTime();
+        String answer = exchange(post("/once/x", "b").replace("Deadline-Ms: 2000", "Deadline-Ms: 300"));
+        assertEquals(504, status(answer));
+        assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(2));
+    }
+
+    @Test
+    void leavingDaemonAnswersAndEndsTheConnection() throws Exception {
+        table(first);
+        almanac.loop().submit(desk::beginClosing).get();
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(3_000);
+            ScriptedServer.write(socket.getOutputStream(), get("/safe/x").replace("Connection: close\r\n", ""));
+            InputStream in = socket.getInputStream();
+            String answer = new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertEquals(200, status(answer));
+            assertTrue(answer.toLowerCase().contains("connection: close"));
+        }
+    }
+
+    @Test
+    void drainingServerGetsNothingNew() throws Exception {
+        table(first, second);
+        CensusEntry draining = new CensusEntry(new Pressmark("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
+                CensusEntry.Standing.DRAINING, 2, Imprint.NONE);
+        table(first, second);
+        Map<String, byte[]> entries = new HashMap<>();
+        almanac.loop().submit(() -> {
+            entries.putAll(desk.table().entries());
+            entries.put(Inventory.INSTANCE + "i0", Tables.packInstance(draining));
+            desk.apply(Inventory.of(entries));
+        }).get();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, status(exchange(get("/safe/x"))));
+        }
+        assertEquals(0, first.seen.size());
+        assertNotNull(second.seen.get(5));
+    }
+}
--- a/courier/src/main/java/org/umbermount/courier/Tables.java
+++ b/courier/src/main/java/org/umbermount/courier/Tables.java
@@ -18,7 +18,7 @@
             boolean draining) {
     }
 
-    static Map<String, byte[]> packConfiguration(Regulations r) {
+    public static Map<String, byte[]> packConfiguration(Regulations r) {
         Map<String, byte[]> out = new HashMap<>();
         Regulations.Limits l = r.limits();
         out.put(Inventory.CONFIGURATION, Script.write().num(r.edition().value()).num(l.maxHeaderBytes())
@@ -53,7 +53,7 @@
                 (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
     }
 
-    static byte[] packInstance(CensusEntry e) {
+    public static byte[] packInstance(CensusEntry e) {
         return Script.write().text(e.id().value()).text(e.upstream()).imprint(Imprint.parse(e.address()))
                 .text(e.zone()).num(e.capacity()).num(e.warmUntil())
                 .flag(e.standing() == CensusEntry.Standing.DRAINING).done();
--- /dev/null
+++ b/courier/src/test/java/org/umbermount/courier/CourierTest.java
@@ -0,0 +1,248 @@
+package org.umbermount.courier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakePost;
+
+class CourierTest {
+    private static final Imprint SENDER = Imprint.parse("10.0.0.1:7000");
+    private static final Imprint OTHER = Imprint.parse("10.0.0.2:7000");
+    private static final Imprint PROXY = Imprint.parse("10.0.0.3:7001");
+    private final FakeAlmanac almanac = new FakeAlmanac();
+    private final FakePost network = new FakePost(almanac, 5);
+    private final Tally tally = new Tally();
+    private final List<Long> inForce = new ArrayList<>();
+    private Consignee consignee;
+
+    private Consignee proxy(long life) {
+        Consignee c = new Consignee(almanac, network.bag(PROXY), tally, life);
+        c.observe(t -> inForce.add(t.edition().value()));
+        return c;
+    }
+
+    private Consignor sender(Imprint self, long epoch, List<Dispatch> seen) {
+        FakePost.Bag bag = network.bag(self);
+        Consignor[] c = new Consignor[1];
+        Postbag watched = new Postbag() {
+            @Override
+            public Imprint self() {
+                return self;
+            }
+
+            @Override
+            public void send(Imprint to, Topic topic, byte[] body) {
+                try {
+                    seen.add(Dispatch.unpack(body));
+                } catch (Script.UnreadableException e) {
+                    throw new AssertionError(e);
+                }
+                bag.send(to, topic, body);
+            }
+
+            @Override
+            public void subscribe(Topic topic, Listener listener) {
+                bag.subscribe(topic, listener);
+            }
+        };
+        c[0] = new Consignor(PROXY, 0, epoch, almanac, watched, tally);
+        bag.subscribe(Postbag.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
+        return c[0];
+    }
+
+    private static Inventory table(long edition, int... servers) {
+        Map<String, byte[]> entries = new HashMap<>();
+        entries.put(Inventory.CONFIGURATION, Script.write().num(edition).done());
+        for (int s : servers) {
+            entries.put(Inventory.INSTANCE + s, new byte[] {(byte) s});
+        }
+        return Inventory.of(entries);
+    }
+
+    private static Inventory wide(long edition, int servers) {
+        int[] ids = new int[servers];
+        for (int i = 0; i < servers; i++) {
+            ids[i] = i;
+        }
+        return table(edition, ids);
+    }
+
+    @Test
+    void changesTravelAsSmallDifferencesAndAreTrimmed() {
+        consignee = proxy(11);
+        List<Dispatch> seen = new ArrayList<>();
+        Consignor c = sender(SENDER, 1, seen);
+        c.offer(wide(1, 100));
+        almanac.advance(500);
+        assertEquals(101, seen.get(0).difference().come().size());
+        c.offer(wide(2, 101));
+        almanac.advance(500);
+        Dispatch second = seen.get(seen.size() - 1);
+        assertEquals(2, second.difference().come().size());
+        assertEquals(seen.get(0).newNum(), second.oldNum());
+        assertEquals(seen.get(0).newNum(), second.throwawayNum());
+        assertTrue(consignee.inForce().sameAs(wide(2, 101)));
+        assertEquals(second.newNum(), c.knownNum());
+    }
+
+    @Test
+    void quietSenderBeatsWithEmptyInstructions() {
+        consignee = proxy(11);
+        List<Dispatch> seen = new ArrayList<>();
+        sender(SENDER, 1, seen).offer(wide(1, 3));
+        almanac.advance(500);
+        int before = seen.size();
+        almanac.advance(9_100);
+        assertEquals(before + 3, seen.size());
+        assertTrue(seen.get(seen.size() - 1).difference() == null);
+    }
+
+    @Test
+    void afterALossTheDifferenceStartsFromTheKnownState() {
+        consignee = proxy(11);
+        List<Dispatch> seen = new ArrayList<>();
+        Consignor c = sender(SENDER, 1, seen);
+        c.offer(table(1, 1));
+        almanac.advance(2_000);
+        long known = c.knownNum();
+        network.cut(SENDER, PROXY);
+        c.offer(table(1, 1, 2));
+        almanac.advance(30);
+        c.offer(table(1, 1, 2, 3));
+        almanac.advance(30);
+        Dispatch third = seen.get(seen.size() - 1);
+        assertTrue(third.oldNum() > known, "assumes that the second has arrived");
+        almanac.advance(300);
+        Dispatch again = seen.get(seen.size() - 1);
+        assertEquals(known, again.oldNum());
+        assertEquals(2, again.difference().come().size());
+        network.healAll();
+        almanac.advance(1_500);
+        assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
+    }
+
+    @Test
+    void sentStatesStayBoundedWhileTheProxyIsSilent() {
+        List<Dispatch> seen = new ArrayList<>();
+        Consignor c = sender(SENDER, 1, seen);
+        for (int i = 1; i < 400; i++) {
+            c.offer(table(i, i));
+            almanac.advance(300);
+        }
+        // Silence slows the sender down: it does not flood a dead proxy.
+        assertTrue(seen.size() < 200, "sent " + seen.size());
+        consignee = proxy(11);
+        almanac.advance(3_000);
+        assertEquals(399, consignee.inForce().edition().value());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void everyTableArrivesUnderLossDoublingAndReordering(long seed) {
+        FakePost bad = network;
+        bad.loss = 0.3;
+        bad.doubles = 0.2;
+        bad.jitterMs = 40;
+        consignee = proxy(11);
+        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        Random random = new Random(seed);
+        Inventory last = Inventory.EMPTY;
+        for (int i = 1; i < 60; i++) {
+            last = table(1 + i / 4, random.nextInt(9), random.nextInt(9), 10 + random.nextInt(9));
+            c.offer(last);
+            almanac.advance(random.nextInt(120));
+        }
+        almanac.advance(4_000);
+        assertTrue(consignee.inForce().sameAs(last));
+        for (int i = 1; i < inForce.size(); i++) {
+            assertTrue(inForce.get(i) >= inForce.get(i - 1), "went back to " + inForce.get(i));
+        }
+    }
+
+    @Test
+    void newSenderResyncsAndTheOldOneIsFenced() {
+        consignee = proxy(11);
+        Consignor old = sender(SENDER, 5, new ArrayList<>());
+        old.offer(table(3, 1));
+        almanac.advance(500);
+        List<Dispatch> seen = new ArrayList<>();
+        sender(OTHER, 6, seen).offer(table(3, 1, 2));
+        almanac.advance(500);
+        assertEquals(0, seen.get(0).oldNum());
+        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
+        old.offer(table(4, 9));
+        almanac.advance(2_000);
+        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
+        assertEquals(OTHER, consignee.sender());
+        assertTrue(tally.counter("courier.stale.epoch").count() > 0);
+    }
+
+    @Test
+    void lowerRevisionIsNotTakenWithinALife() {
+        consignee = proxy(11);
+        sender(SENDER, 5, new ArrayList<>()).offer(table(7, 1));
+        almanac.advance(500);
+        Consignor behind = sender(OTHER, 6, new ArrayList<>());
+        behind.offer(table(6, 1));
+        almanac.advance(1_000);
+        assertEquals(7, consignee.inForce().edition().value());
+        behind.offer(table(8, 1));
+        almanac.advance(3_000);
+        assertEquals(8, consignee.inForce().edition().value());
+    }
+
+    @Test
+    void proxyThatStartsAgainEmptyIsGivenEverything() {
+        consignee = proxy(11);
+        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        c.offer(table(2, 1, 2));
+        almanac.advance(500);
+        consignee = proxy(12);
+        c.offer(table(2, 1, 2, 3));
+        almanac.advance(1_500);
+        assertTrue(consignee.inForce().sameAs(table(2, 1, 2, 3)));
+    }
+
+    @Test
+    void baselineWithoutALeaseIsTakenOnlyByAnEmptyProxy() {
+        consignee = proxy(11);
+        FakePost.Bag any = network.bag(OTHER);
+        any.send(PROXY, Postbag.Topic.DISPATCH,
+                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(Inventory.EMPTY)).pack());
+        almanac.advance(10);
+        assertEquals(4, consignee.inForce().edition().value());
+        any.send(PROXY, Postbag.Topic.DISPATCH,
+                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(Inventory.EMPTY)).pack());
+        almanac.advance(10);
+        assertEquals(4, consignee.inForce().edition().value());
+    }
+
+    @Test
+    void roundTripFollowsTcpWithItsFloor() {
+        RoundTrip r = new RoundTrip();
+        for (int i = 0; i < 50; i++) {
+            r.sample(1);
+        }
+        assertEquals(50, r.rto());
+        assertEquals(20, r.frame());
+        for (int i = 0; i < 50; i++) {
+            r.sample(i % 2 == 0 ? 300 : 500);
+        }
+        assertTrue(r.rto() > 500 && r.frame() > 150 && r.frame() <= 250, r.rto() + " " + r.frame());
+        assertFalse(r.smoothed() < 300);
+    }
+}
