--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -71,7 +71,8 @@
         archive.start();
         desk = new ControlDesk(archive, almanac, post.self(), control, rules.zone(), host.tally());
         host.offer(StatusPage.class, desk);
-        desk.bind(((LoopAlmanac) almanac).loop());
+        desk.bind(((LoopAlmanac) almanac).loop(),
+                e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
     }
 
     private void meter(Tally tally) {
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -84,8 +85,8 @@
         sections.add(section);
     }
 
-    void bind(EventLoop loop) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    void bind(EventLoop loop, Consumer<Throwable> failed) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -94,7 +95,13 @@
                                 .addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true))
                                 .addLast(new Calls());
                     }
-                }).bind(control.socketAddress()).sync().channel();
+                }).bind(control.socketAddress());
+        listener = bound.channel();
+        bound.addListener(f -> {
+            if (!f.isSuccess()) {
+                failed.accept(f.cause());
+            }
+        });
     }
 
     void close() {
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -1,5 +1,6 @@
 package org.umbermount.circulation;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.Random;
 import org.slf4j.Logger;
@@ -53,9 +54,19 @@
                 new Random(Imprint.parse(rules.ip() + ":1").packed() ^ almanac.wallMillis()));
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
-        new Doorplate(() -> !leaving && desk.hasTable(), host.tally()::page, this::status)
-                .bind(loop, listener(rules, "readiness"));
-        desk.bind(listener(rules, "http"));
+        Imprint readiness = listener(rules, "readiness");
+        Imprint http = listener(rules, "http");
+        watch(new Doorplate(() -> !leaving && desk.hasTable(), host.tally()::page, this::status).bind(loop, readiness),
+                readiness);
+        watch(desk.bind(http), http);
+    }
+
+    private void watch(ChannelFuture bound, Imprint address) {
+        bound.addListener(f -> {
+            if (!f.isSuccess()) {
+                institution.fatal("The address " + address + " cannot be used: " + f.cause().getMessage() + ".");
+            }
+        });
     }
 
     private static Imprint listener(HouseRules rules, String name) {
--- a/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -38,15 +39,15 @@
         this.status = status;
     }
 
-    void bind(EventLoop loop, Imprint address) throws InterruptedException {
-        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    ChannelFuture bind(EventLoop loop, Imprint address) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new ReadTimeoutHandler(30)).addLast(new HttpServerCodec()).addLast(new Page());
                     }
-                }).bind(address.socketAddress()).sync();
+                }).bind(address.socketAddress());
     }
 
     private final class Page extends SimpleChannelInboundHandler<Object> {
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -69,8 +70,8 @@
         almanac.every(SWEEP_MS, this::sweep);
     }
 
-    void bind(Imprint http) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    ChannelFuture bind(Imprint http) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -86,7 +87,9 @@
                         }).addLast(new StrictRequestDecoder(holdings.limits().maxHeaderBytes()))
                                 .addLast(new HttpResponseEncoder()).addLast(reader);
                     }
-                }).bind(http.socketAddress()).sync().channel();
+                }).bind(http.socketAddress());
+        listener = bound.channel();
+        return bound;
     }
 
     // ---- the table ----
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.ServiceLoader;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,8 +57,34 @@
         return type.cast(service);
     }
 
-    /** Opens every part on the class path that serves the role. */
+    /**
+     * Opens every part on the class path that serves the role. This happens on the loop, since parts that are open
+     * already may be at work there while later ones are opened; the caller waits.
+     */
     public void openAll() throws Exception {
+        CompletableFuture<Void> opened = new CompletableFuture<>();
+        almanac.execute(() -> {
+            try {
+                openOnLoop();
+                opened.complete(null);
+            } catch (Exception e) {
+                opened.completeExceptionally(e);
+            }
+        });
+        try {
+            opened.get();
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof Exception cause ? cause : e;
+        }
+    }
+
+    /** Something without which the program is of no use has failed: ends it with a sentence. */
+    public void fatal(String sentence) {
+        System.err.println(sentence);
+        Runtime.getRuntime().halt(1);
+    }
+
+    private void openOnLoop() throws Exception {
         List<Department> found = new ArrayList<>();
         for (Department department : ServiceLoader.load(Department.class)) {
             if (department.serves(role)) {
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -7,8 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.HouseRules;
@@ -66,7 +64,6 @@
         Mailroom mailroom = new Mailroom(rules.ownMail(role), almanac, institution.tally());
         institution.offer(Postbag.class, mailroom);
         mailroom.bind(loop);
-        // Parts bind sockets and wait for them, which the loop itself must not do.
         institution.openAll();
         watchSignals();
         almanac.every(REREAD_MS, this::rereadIfChanged);
@@ -87,13 +84,6 @@
         log.info("Told to stop.");
         institution.leave(() -> {
             log.info("Everything is finished.");
-            CountDownLatch flushed = new CountDownLatch(1);
-            flushed.countDown();
-            try {
-                flushed.await(1, TimeUnit.MILLISECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
             Runtime.getRuntime().halt(0);
         });
     }
