--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -1,6 +1,6 @@
 package org.umbermount.archive;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -41,6 +41,7 @@
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.Form;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
@@ -48,7 +49,6 @@
 /** The calls of servers and of the operator. */
 final class ControlDesk implements StatusPage {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int LARGEST_BODY = 3 << 20;
     /** Within the second after which callers go elsewhere. */
     private static final long PATIENCE_MS = 850;
@@ -196,37 +196,33 @@
 
     private void beat(ChannelHandlerContext ctx, FullHttpRequest request, Pressmark id, boolean keep)
             throws FaultException {
-        JsonNode n;
-        try {
-            n = MAPPER.readTree(ByteBufUtil.getBytes(request.content()));
-        } catch (IOException e) {
-            throw new FaultException(Erratum.INVALID_BEAT, "The beat is not JSON.");
-        }
-        String status = n == null ? "" : n.path("status").asText();
-        boolean draining = status.equals("draining");
-        if (n == null || !n.isObject() || !draining && !status.equals("in_service")
-                || n.path("upstream").asText().isEmpty() || !n.path("sequence").isIntegralNumber()) {
-            throw new FaultException(Erratum.INVALID_BEAT, "The beat needs upstream, address, status and sequence.");
-        }
-        String address = n.path("address").asText();
-        try {
-            Imprint.parse(address);
-        } catch (IllegalArgumentException e) {
-            throw new FaultException(Erratum.INVALID_BEAT, "The beat's address is not IPv4 and a port.");
-        }
         if (!rollCall.reachesMajority(custodian.charter())) {
             throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
         }
-        long warm = n.path("warmupLeftMs").asLong(0);
-        CensusEntry entry = new CensusEntry(id, n.path("upstream").asText(), address, n.path("zone").asText(),
-                n.path("revision").asText(), Math.max(1, n.path("capacity").asInt(1)),
-                warm > 0 ? almanac.wallMillis() + warm : 0,
-                draining ? CensusEntry.Standing.DRAINING : CensusEntry.Standing.IN_SERVICE,
-                n.path("sequence").asLong(), self);
+        CensusEntry entry;
+        try {
+            entry = readBeat(Form.parse(ByteBufUtil.getBytes(request.content())), id);
+        } catch (Form.WrongException e) {
+            throw new FaultException(Erratum.INVALID_BEAT, "The beat is invalid: " + e.getMessage() + ".");
+        }
         String answer = heartbeatAnswer(entry.zone());
         acknowledge(ctx, keep, done -> census.beat(entry, done), answer);
     }
 
+    private CensusEntry readBeat(Form beat, Pressmark id) throws Form.WrongException {
+        String status = beat.member("status").text();
+        boolean draining = status.equals("draining");
+        if (!draining && !status.equals("in_service")) {
+            throw beat.member("status").wrong("must be in_service or draining");
+        }
+        long warm = beat.whole("warmupLeftMs", 0, Integer.MAX_VALUE, 0);
+        return new CensusEntry(id, beat.member("upstream").text(), beat.member("address").address().toString(),
+                beat.text("zone", zone), beat.text("revision", "-"),
+                (int) beat.whole("capacity", 1, 1_000_000, 1), warm > 0 ? almanac.wallMillis() + warm : 0,
+                draining ? CensusEntry.Standing.DRAINING : CensusEntry.Standing.IN_SERVICE,
+                beat.member("sequence").whole(0, Long.MAX_VALUE), self);
+    }
+
     private void signOff(ChannelHandlerContext ctx, Pressmark id, boolean keep) throws FaultException {
         if (!rollCall.reachesMajority(custodian.charter())) {
             throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
@@ -267,7 +263,7 @@
     }
 
     private ObjectNode status() {
-        ObjectNode root = MAPPER.createObjectNode();
+        ObjectNode root = new ObjectMapper().createObjectNode();
         Charter charter = custodian.charter();
         root.put("daemon", self.toString()).put("zone", zone)
                 .put("standing", custodian.standing().name().toLowerCase(java.util.Locale.ROOT))
@@ -303,7 +299,7 @@
     private void refuse(ChannelHandlerContext ctx, boolean keep, Erratum erratum, String detail) {
         tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
         json(ctx, keep && !erratum.closes(), erratum.status(),
-                MAPPER.createObjectNode().put("errorMessage", detail).toString());
+                "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
     }
 
     private void json(ChannelHandlerContext ctx, boolean keep, int status, String body) {
--- a/archive/src/main/java/org/umbermount/archive/Regulations.java
+++ b/archive/src/main/java/org/umbermount/archive/Regulations.java
@@ -1,8 +1,5 @@
 package org.umbermount.archive;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -10,11 +7,11 @@
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.Form;
 import org.umbermount.kernel.Regimen;
 
 /** A configuration: routes, services and limits. */
 public record Regulations(Edition edition, List<Route> routes, List<Upstream> upstreams, Limits limits) {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Regimen SCHEMA = new Regimen("/org/umbermount/archive/configuration.schema.json");
 
     /** A service with its share of a route's requests. */
@@ -46,58 +43,60 @@
     }
 
     private static Regulations read(byte[] bytes, boolean withSchema) throws FaultException {
-        JsonNode root;
         try {
-            root = MAPPER.readTree(bytes);
-        } catch (IOException e) {
-            throw invalid("it is not whole JSON");
-        }
-        if (root == null || !root.isObject()) {
-            throw invalid("it is not an object");
-        }
-        String problem = withSchema ? SCHEMA.firstProblem(root) : null;
-        if (problem != null) {
-            throw invalid(problem);
+            Form root = Form.parse(bytes);
+            String problem = withSchema ? SCHEMA.firstProblem(bytes) : null;
+            if (problem != null) {
+                throw invalid(problem);
+            }
+            return read(root);
+        } catch (Form.WrongException e) {
+            throw invalid(e.getMessage());
         }
+    }
+
+    private static Regulations read(Form root) throws Form.WrongException, FaultException {
         Set<String> known = new HashSet<>();
         List<Upstream> upstreams = new ArrayList<>();
-        for (JsonNode u : root.path("upstreams")) {
-            String label = u.path("label").asText();
+        for (Form u : root.array("upstreams")) {
+            String label = u.member("label").text();
             if (!known.add(label)) {
                 throw invalid("service " + label + " is there twice");
             }
-            upstreams.add(new Upstream(label, u.path("healthCheck").asText("/health"),
-                    u.path("maxConnections").asInt(100)));
+            upstreams.add(new Upstream(label, u.text("healthCheck", "/health"),
+                    (int) u.whole("maxConnections", 1, 1_000_000, 100)));
         }
         List<Route> routes = new ArrayList<>();
         Set<String> places = new HashSet<>();
-        for (JsonNode r : root.path("routeTable")) {
+        for (Form r : root.array("routeTable")) {
             Route route = route(r, known);
             if (!places.add(route.host() + " " + route.prefix())) {
                 throw invalid("two routes share " + route.host() + route.prefix());
             }
             routes.add(route);
         }
-        JsonNode l = root.path("limits");
+        Form l = root.optional("limits");
         Limits d = Limits.DEFAULT;
-        Limits limits = new Limits(l.path("maxHeaderBytes").asInt(d.maxHeaderBytes),
-                l.path("maxBodyBytes").asLong(d.maxBodyBytes), l.path("headerTimeoutMs").asLong(d.headerTimeoutMs),
-                l.path("idleTimeoutMs").asLong(d.idleTimeoutMs));
-        return new Regulations(new Edition(root.path("revision").asLong()), List.copyOf(routes),
+        Limits limits = new Limits((int) l.whole("maxHeaderBytes", 256, 1 << 24, d.maxHeaderBytes),
+                l.whole("maxBodyBytes", 0, Long.MAX_VALUE, d.maxBodyBytes),
+                l.whole("headerTimeoutMs", 1, Integer.MAX_VALUE, d.headerTimeoutMs),
+                l.whole("idleTimeoutMs", 1, Integer.MAX_VALUE, d.idleTimeoutMs));
+        return new Regulations(new Edition(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
                 List.copyOf(upstreams), limits);
     }
 
-    private static Route route(JsonNode r, Set<String> known) throws FaultException {
-        String label = r.path("label").asText();
+    private static Route route(Form r, Set<String> known) throws Form.WrongException, FaultException {
+        String label = r.member("label").text();
         List<Share> shares = new ArrayList<>();
         long sum = 0;
         if (r.has("weightedUpstreams")) {
-            for (JsonNode w : r.path("weightedUpstreams")) {
-                shares.add(new Share(w.path("upstream").asText(), w.path("weight").asLong()));
-                sum += w.path("weight").asLong();
+            for (Form w : r.array("weightedUpstreams")) {
+                long weight = w.member("weight").whole(0, Integer.MAX_VALUE);
+                shares.add(new Share(w.member("upstream").text(), weight));
+                sum += weight;
             }
         } else {
-            shares.add(new Share(r.path("upstream").asText(), 1));
+            shares.add(new Share(r.member("upstream").text(), 1));
             sum = 1;
         }
         for (Share s : shares) {
@@ -108,10 +107,11 @@
         if (sum <= 0) {
             throw invalid("the weights of route " + label + " sum to 0");
         }
-        long timeout = r.path("timeoutMs").asLong(30_000);
-        return new Route(label, r.path("virtualHost").asText().toLowerCase(java.util.Locale.ROOT),
-                r.path("pathPrefix").asText(), "safe".equals(r.path("routeType").asText()), timeout,
-                r.path("targetLatencyMs").asLong(timeout), r.path("priority").asInt(1), r.path("maxTries").asInt(1),
+        long timeout = r.member("timeoutMs").whole(1, Integer.MAX_VALUE);
+        return new Route(label, r.member("virtualHost").text().toLowerCase(java.util.Locale.ROOT),
+                r.member("pathPrefix").text(), r.member("routeType").text().equals("safe"), timeout,
+                r.whole("targetLatencyMs", 1, Integer.MAX_VALUE, timeout),
+                (int) r.whole("priority", 0, Integer.MAX_VALUE, 1), (int) r.whole("maxTries", 1, Integer.MAX_VALUE, 1),
                 List.copyOf(shares));
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Regimen.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Regimen.java
@@ -1,6 +1,6 @@
 package org.umbermount.kernel;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
@@ -21,7 +21,7 @@
     }
 
     /** The first thing that is wrong, as a clause naming the field; null if all is well. */
-    public synchronized String firstProblem(JsonNode node) {
+    public synchronized String firstProblem(byte[] json) {
         if (schema == null) {
             try (InputStream in = Regimen.class.getResourceAsStream(resource)) {
                 schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V7).getSchema(in);
@@ -29,7 +29,12 @@
                 throw new IllegalStateException(e);
             }
         }
-        Set<ValidationMessage> messages = schema.validate(node);
+        Set<ValidationMessage> messages;
+        try {
+            messages = schema.validate(new ObjectMapper().readTree(json));
+        } catch (IOException e) {
+            return "it is not whole JSON";
+        }
         for (ValidationMessage message : messages) {
             return message.getMessage().replaceFirst("^\\$\\.?:? ?", "");
         }
--- /dev/null
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Main.java
@@ -0,0 +1,22 @@
+package org.umbermount.umbermount;
+
+import org.umbermount.kernel.Role;
+
+/**
+ * Where the process begins. The two daemons start from here without touching the command line's library, since the
+ * time of a start is time out of service.
+ */
+public final class Main {
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("lector")) {
+            Daemon.run(Role.LECTOR);
+        } else if (args.length == 1 && args[0].equals("registrar")) {
+            Daemon.run(Role.REGISTRAR);
+        } else {
+            Umbermount.main(args);
+        }
+    }
+}
--- a/umbermount/src/main/java/org/umbermount/umbermount/Umbermount.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Umbermount.java
@@ -15,16 +15,7 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    public static void main(String[] args) {
-        // The two daemons start without the command line's library: start-up time is time out of service.
-        if (args.length == 1 && args[0].equals("lector")) {
-            Daemon.run(org.umbermount.kernel.Role.LECTOR);
-            return;
-        }
-        if (args.length == 1 && args[0].equals("registrar")) {
-            Daemon.run(org.umbermount.kernel.Role.REGISTRAR);
-            return;
-        }
+    static void main(String[] args) {
         System.exit(new CommandLine(new Umbermount()).execute(args));
     }
 
