--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -34,10 +34,13 @@
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
-    private static final long STEADY_MS = 50;
+    private static final long STEADY_MS = 20;
+    private static final long ASKER_LOOK_MS = 20;
+    private static final int ASKER_LOOKS = 25;
 
     private final Map<Imprint, Known> proxies = new TreeMap<>();
     private final Map<Imprint, Consignor> consignors = new HashMap<>();
+    private final Map<Imprint, Long> askers = new HashMap<>();
     private Institution institution;
     private Almanac almanac;
     private Postbag post;
@@ -143,10 +146,26 @@
         if (consignor != null && consignor.life() != s.life()) {
             consignor.restart(s.life());
         }
-        if (s.empty() && consignor == null && reliable()) {
-            post.send(from, Postbag.Topic.DISPATCH,
-                    new Dispatch(0, s.life(), 0, 1, 0, 0, 0, -1, table().since(Inventory.EMPTY)).pack());
-            institution.tally().count("courier.baselines");
+        if (s.empty() && consignor == null && askers.put(from, s.life()) == null && askers.size() == 1) {
+            serveAskers(ASKER_LOOKS);
+        }
+    }
+
+    /** Gives empty proxies a baseline as soon as this daemon can vouch for what it holds. */
+    private void serveAskers(int looksLeft) {
+        if (reliable()) {
+            Inventory.Difference everything = table().since(Inventory.EMPTY);
+            for (Map.Entry<Imprint, Long> e : askers.entrySet()) {
+                post.send(e.getKey(), Postbag.Topic.DISPATCH,
+                        new Dispatch(0, e.getValue(), 0, 1, 0, 0, 0, -1, everything).pack());
+                institution.tally().count("courier.baselines");
+            }
+            askers.clear();
+        } else if (looksLeft > 0) {
+            almanac.after(ASKER_LOOK_MS, () -> serveAskers(looksLeft - 1));
+        } else {
+            // Those that still have nothing ask again.
+            askers.clear();
         }
     }
 
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -38,6 +38,8 @@
         // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
         System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("io.netty.processId", "1");
+        // Named here, the log backend is not searched for in every jar.
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
         String name = System.getenv(VARIABLE);
         if (name == null || name.isEmpty()) {
             System.err.println("The variable " + VARIABLE + " must name the settings file.");
