Ask a second server only when the first seems lost, and leave the zone less readily

A sealed error is now passed on: replays showed the second server returning the same one each time. Conclusion: a second server is asked only after 1.8 aims, when the first is more likely dead than slow.

--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -316,8 +316,8 @@
         if (!wanted() || active > 0) {
             return;
         }
-        boolean serverFault = relay == null || relay.status() >= 500;
-        if (serverFault && isSafe() && mayTryAgain()) {
+        // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
+        if (relay == null && isSafe() && mayTryAgain()) {
             placeOrWait();
         } else {
             giveUp();
--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -9,11 +9,11 @@
 /** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
 final class Concierge {
     /** What leaving the zone has to save, as a part of the route's aim. */
-    private static final double ELSEWHERE = 0.3;
+    private static final double ELSEWHERE = 0.5;
     /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
     private static final double QUEUE_SAFE = 1.0;
     private static final double QUEUE_UNSAFE = 0.67;
-    private static final double HEDGE_AT = 0.6;
+    private static final double HEDGE_AT = 1.8;
 
     private final Almanac almanac;
     private final Random random;
@@ -88,6 +88,6 @@
 
     /** How long the first server has before a second is asked. */
     long hedgeAfterMs(Wing wing, Regulations.Route route) {
-        return (long) Math.max(2.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
+        return (long) Math.max(4.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
     }
 }
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -193,6 +193,18 @@
         assertTrue(first.seen.size() >= 1 && second.seen.size() == 6, first.seen.size() + " " + second.seen.size());
     }
 
+    @Test
+    void errorOfTheServersOwnIsPassedOnAndNotTriedElsewhere() throws Exception {
+        table(first, second);
+        String error = "HTTP/1.1 500 Oops\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\noops";
+        first.act(ScriptedServer.raw(error, true));
+        second.act(ScriptedServer.raw(error, true));
+        String answer = exchange(get("/safe/x"));
+        assertEquals(500, status(answer));
+        assertTrue(answer.endsWith("oops"), answer);
+        assertEquals(1, first.seen.size() + second.seen.size());
+    }
+
     @Test
     void refusalThatSaysNotExecutedIsTriedElsewhereEvenIfUnsafe() throws Exception {
         table(first, second);
