Test the freeze and the choice of a view's first state

Four faults were put into the chain by hand: answering before the tail and voting without memory were caught; starting a view from the oldest state and acting in a view after a promise were not. Both are now.

--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/Convener.java
@@ -1,6 +1,7 @@
 package org.umbermount.archive;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -268,10 +269,19 @@
         if (attempt.promises.size() < custodian.charter().majority()) {
             return;
         }
+        attempt.proposal = choose(attempt.promises.values(), attempt.wanted);
+        push();
+    }
+
+    /**
+     * What has to be proposed, given the promises of a majority: what was accepted under the highest ballot if
+     * anything was; otherwise what is wanted, starting from the newest state that any of them holds.
+     */
+    static Proposal choose(Collection<Custodian.Promise> promises, Charter wanted) {
         Ballot best = Ballot.NONE;
         Proposal earlier = null;
         Accession newest = null;
-        for (Custodian.Promise p : attempt.promises.values()) {
+        for (Custodian.Promise p : promises) {
             if (p.accepted() != null && p.acceptedBallot().compareTo(best) > 0) {
                 best = p.acceptedBallot();
                 earlier = p.accepted();
@@ -280,8 +290,7 @@
                 newest = p.state();
             }
         }
-        attempt.proposal = earlier != null ? earlier : new Proposal(attempt.wanted, newest.inView(attempt.view));
-        push();
+        return earlier != null ? earlier : new Proposal(wanted, newest.inView(wanted.number()));
     }
 
     @Override
--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -108,6 +110,46 @@
         assertNull(fleet.read(3, 850));
     }
 
+    @Test
+    void promisedMemberTakesNoPartInTheOlderView() throws IOException {
+        Fleet fleet = settled(30);
+        take(fleet, 0, 0, 1);
+        Custodian proposer = fleet.running.get(3).custodian;
+        long view = proposer.charter().number();
+        Imprint middle = proposer.charter().chain().get(1);
+        proposer.sendPrepare(middle, view + 1, new Ballot(9, Fleet.imprint(3)));
+        fleet.run(20);
+        Fleet.Reply reply = fleet.submit(0, 1, 2, "c2");
+        fleet.run(400);
+        assertNull(reply.verdict, "committed through a member that had promised a newer view");
+        fleet.run(3_000);
+        assertTrue(proposer.charter().number() > view, "the view change was not finished");
+        take(fleet, 2, editionAt(fleet, 2), 5);
+    }
+
+    @Test
+    void newViewStartsFromTheNewestStateAndKeepsWhatWasAccepted() {
+        Fellow a = new Fellow(Fleet.imprint(0), 0);
+        Fellow b = new Fellow(Fleet.imprint(1), 0);
+        Charter wanted = new Charter(4, List.of(a, b), List.of(a.imprint()));
+        Accession older = Accession.NONE.inView(3).take(new Edition(5), new byte[] {5});
+        Accession newer = older.take(new Edition(6), new byte[] {6});
+        Custodian.Promise fromA = new Custodian.Promise(a, newer, Ballot.NONE, null);
+        Custodian.Promise fromB = new Custodian.Promise(b, older, Ballot.NONE, null);
+        for (List<Custodian.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
+            Proposal p = Convener.choose(order, wanted);
+            assertEquals(6, p.base().edition().value());
+            assertEquals(4, p.base().view());
+            assertEquals(wanted, p.charter());
+        }
+        Proposal low = new Proposal(new Charter(4, List.of(a), List.of(a.imprint())), older.inView(4));
+        Proposal high = new Proposal(new Charter(4, List.of(b), List.of(b.imprint())), older.inView(4));
+        Proposal kept = Convener.choose(List.of(
+                new Custodian.Promise(a, newer, new Ballot(7, a.imprint()), high),
+                new Custodian.Promise(b, older, new Ballot(2, b.imprint()), low)), wanted);
+        assertEquals(high, kept);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"hung", "full", "slow", "frozen", "cut", "one way in", "one way out"})
     void stuckMemberIsDroppedWellInsideTheBound(String how) throws IOException {
