--- a/courier/src/main/java/org/umbermount/courier/RoundTrip.java
+++ b/courier/src/main/java/org/umbermount/courier/RoundTrip.java
@@ -8,8 +8,9 @@
     static final long FRAME_CEILING_MS = 250;
 
     private boolean measured;
-    private double smoothed = 200;
-    private double variation = 100;
+    // Until the first sample: what a sender outside the zone would meet, so that a lost first instruction costs little.
+    private double smoothed = 60;
+    private double variation = 30;
 
     void sample(double rtt) {
         if (!measured) {
--- a/courier/src/test/java/org/umbermount/courier/CourierTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CourierTest.java
@@ -135,6 +135,18 @@
         assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
     }
 
+    /** The first timeout was 600 ms once, and a lector waited that long for its first table. */
+    @Test
+    void firstInstructionThatIsLostCostsLittle() {
+        consignee = proxy(11);
+        network.cut(SENDER, PROXY);
+        sender(SENDER, 1, new ArrayList<>()).offer(table(1, 1));
+        almanac.advance(50);
+        network.healAll();
+        almanac.advance(200);
+        assertEquals(1, consignee.inForce().edition().value());
+    }
+
     @Test
     void sentStatesStayBoundedWhileTheProxyIsSilent() {
         List<Dispatch> seen = new ArrayList<>();
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -43,6 +43,7 @@
         System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("io.netty.processId", "1");
         // Named here, the log backend is not searched for in every jar.
+        System.setProperty("slf4j.internal.verbosity", "WARN");
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
         String name = System.getenv(VARIABLE);
         if (name == null || name.isEmpty()) {
