--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -219,7 +219,10 @@
         if (held) {
             sent.removeIf(s -> s.num < ack.ackNum());
         }
-        if (sent.size() > 1 || !current.sameAs(newest().table)) {
+        if (!current.sameAs(newest().table)) {
+            // A change is waiting for its turn; what is heard meanwhile must not put it off.
+            schedule(0);
+        } else if (sent.size() > 1) {
             scheduleNext(now);
         }
     }
--- a/courier/src/test/java/org/umbermount/courier/CourierTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CourierTest.java
@@ -147,6 +147,24 @@
         assertEquals(1, consignee.inForce().edition().value());
     }
 
+    /** An acknowledgment once put a waiting change off until the next sign of life, 3 s later. */
+    @Test
+    void acknowledgmentDoesNotPutOffAWaitingChange() {
+        consignee = proxy(11);
+        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        c.offer(table(1, 1));
+        almanac.advance(2_000);
+        for (int gap = 0; gap < 25; gap++) {
+            c.offer(table(2 + gap, gap));
+            almanac.advance(9);
+            c.offer(table(2 + gap, gap, gap + 1));
+            almanac.advance(gap);
+            c.acknowledged(new Dispatch(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
+            almanac.advance(200);
+            assertTrue(consignee.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
+        }
+    }
+
     @Test
     void sentStatesStayBoundedWhileTheProxyIsSilent() {
         List<Dispatch> seen = new ArrayList<>();
