--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -17,12 +17,14 @@
     private static final long EAGER_MS = 100;
     private static final long LOST_MS = 500;
     private static final long TELL_MS = 5_000;
+    private static final long TELL_HERE_MS = 700;
     private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
 
     private Institution institution;
     private Gazetteer gazetteer;
     private Consignee consignee;
     private Moment lastTold = Moment.NEVER;
+    private Moment lastToldHere = Moment.NEVER;
     private int tries;
 
     @Override
@@ -68,6 +70,24 @@
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
         if (lost || now.since(lastTold) > TELL_MS) {
             tell();
+        } else if (now.since(lastToldHere) > TELL_HERE_MS) {
+            tellHere(now);
+        }
+    }
+
+    /**
+     * Tells the zone's own registrars more often: one that has just started takes the zone's duty within a second,
+     * and has to know then whom to send to. Inside the zone this costs nothing.
+     */
+    private void tellHere(Moment now) {
+        lastToldHere = now;
+        String zone = institution.rules().zone();
+        byte[] body = new Signpost(consignee.life(), zone, consignee.inForce().isEmpty(), false,
+                consignee.inForce().edition().value()).pack();
+        for (Placename p : gazetteer.known(Role.REGISTRAR, zone)) {
+            if (p.zone().equals(zone)) {
+                institution.find(Postbag.class).send(p.imprint(), Postbag.Topic.SIGNPOST, body);
+            }
         }
     }
 
