--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -56,11 +56,12 @@
         notebook = new CensusNotebook(census, notes, disk, almanac);
         notebook.recall();
         rollCall = new RollCall(almanac, post, heard -> report(heard, control));
-        convener = new Convener(custodian, rollCall, () -> room.healthy(DISK_PATIENCE_MS), almanac, random, tally,
-                post.self());
+        convener = new Convener(custodian, rollCall, this::diskGood, almanac, random, tally, post.self(),
+                rules.zone(), rules.toleratedMachines());
         custodian.listen(convener, porter);
         tenures = new TenureOffice(almanac, post, custodian, rollCall, tally, rules.zone(),
-                new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()));
+                new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
+                rules.guarantees(HouseRules.QUOTA) ? TenureOffice.QUOTA_DUTIES : List.of());
         seeds.forEach(rollCall::enlist);
         custodian.onCharter(c -> c.electorate().forEach(f -> rollCall.enlist(f.imprint())));
         custodian.charter().electorate().forEach(f -> rollCall.enlist(f.imprint()));
@@ -80,11 +81,16 @@
         tenures.start();
     }
 
+    private boolean diskGood() {
+        return room.healthy(DISK_PATIENCE_MS) && custodian.companion().diskGood(DISK_PATIENCE_MS);
+    }
+
     private RollCall.Report report(List<Imprint> heard, Imprint control) {
         return new RollCall.Report(custodian.incarnation(), custodian.standing() == Custodian.Standing.MEMBER,
-                room.healthy(DISK_PATIENCE_MS), rollCall.isLeaving(), custodian.charter().number(),
+                diskGood(), rollCall.isLeaving(), custodian.charter().number(),
                 custodian.committed().edition().value(), custodian.newestEdition().value(), census.boot(), census.seq(),
-                census.digest(), census.ready(), rules.zone(), control, heard);
+                census.digest(), census.ready(),
+                custodian.companion().settledView(), rules.zone(), control, heard);
     }
 
     private static Memory load(Stack stack) throws java.io.IOException {
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -17,6 +17,7 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.stacks.Cellar;
 import org.umbermount.stacks.Shelving;
 import org.umbermount.stacks.Stack;
 
@@ -60,13 +61,16 @@
             t.setDaemon(true);
             return t;
         });
-        archive = new Archive(almanac, post, rules, control, stackFor(rules, "memory.stack"),
-                stackFor(rules, "census.stack"), thread, host.tally());
+        Shelving shelving = shelving(rules);
+        host.offer(Cellar.class, new Cellar(shelving, thread));
+        archive = new Archive(almanac, post, rules, control, stackFor(shelving, "memory.stack"),
+                stackFor(shelving, "census.stack"), thread, host.tally());
         host.find(Gazetteer.class).observe(this::noticed);
         host.offer(Custodian.class, archive.custodian);
         host.offer(Census.class, archive.census);
         host.offer(TenureOffice.class, archive.tenures);
         host.offer(RollCall.class, archive.rollCall);
+        host.offer(Porter.class, archive.porter);
         meter(host.tally());
         archive.start();
         desk = new ControlDesk(archive, almanac, post.self(), control, rules.zone(), host.tally());
@@ -88,11 +92,14 @@
         tally.gauge("census.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
-    private static Stack stackFor(HouseRules rules, String name) throws IOException {
+    private static Shelving shelving(HouseRules rules) throws IOException {
         if (rules.dataPath().isEmpty()) {
             throw new IllegalStateException("The settings name no dataPath, and a registrar needs a disk.");
         }
-        Shelving shelving = new Shelving(Path.of(rules.dataPath()));
+        return new Shelving(Path.of(rules.dataPath()));
+    }
+
+    private static Stack stackFor(Shelving shelving, String name) throws IOException {
         try {
             return Stack.open(shelving, name, REWRITE_OVER);
         } catch (Stack.DamagedException e) {
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Bookmark.java
@@ -0,0 +1,28 @@
+package org.umbermount.archive;
+
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Script;
+
+/**
+ * How far a daemon holds the operation records: the view in which it took part last, its position there, and the
+ * daemon that is there. The further of two marks holds all that was acknowledged up to the nearer one.
+ */
+public record Bookmark(long view, long pos, Imprint holder) {
+    public static final Bookmark NONE = new Bookmark(0, 0, Imprint.NONE);
+
+    public boolean isBeyond(Bookmark other) {
+        return view != other.view ? view > other.view : pos > other.pos;
+    }
+
+    public boolean sameAs(Bookmark other) {
+        return view == other.view && pos == other.pos;
+    }
+
+    public void write(Script.Writer out) {
+        out.num(view).num(pos).imprint(holder);
+    }
+
+    public static Bookmark read(Script.Reader in) throws Script.UnreadableException {
+        return new Bookmark(in.num(), in.num(), in.imprint());
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/Charter.java
+++ b/archive/src/main/java/org/umbermount/archive/Charter.java
@@ -4,10 +4,17 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
-/** A view: its number, who votes on the next one, and the chain from head to tail. */
-public record Charter(long number, List<Fellow> electorate, List<Imprint> chain) {
+/**
+ * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
+ * operation records go on.
+ */
+public record Charter(long number, List<Fellow> electorate, List<Imprint> chain, Bookmark base) {
     public static final Charter NONE = new Charter(0, List.of(), List.of());
 
+    public Charter(long number, List<Fellow> electorate, List<Imprint> chain) {
+        this(number, electorate, chain, Bookmark.NONE);
+    }
+
     public Charter {
         electorate = List.copyOf(electorate);
         chain = List.copyOf(chain);
@@ -17,6 +24,20 @@
         return electorate.size() / 2 + 1;
     }
 
+    /** How many members a chain needs: a majority, and one more than may be lost together. */
+    public int leastChain(int tolerated) {
+        return Math.max(majority(), tolerated + 1);
+    }
+
+    /** The part of the chain that keeps operation records: as many members as a chain needs. */
+    public List<Imprint> line(int tolerated) {
+        return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
+    }
+
+    public Charter withBase(Bookmark mark) {
+        return new Charter(number, electorate, chain, mark);
+    }
+
     /** How many other voters a voter without memory has to read. */
     public int recoveryReads() {
         return electorate.size() - majority() + 1;
@@ -59,10 +80,11 @@
 
     void write(Script.Writer out) {
         out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, Script.Writer::imprint);
+        base.write(out);
     }
 
     static Charter read(Script.Reader in) throws Script.UnreadableException {
-        return new Charter(in.num(), in.list(Fellow::read), in.list(Script.Reader::imprint));
+        return new Charter(in.num(), in.list(Fellow::read), in.list(Script.Reader::imprint), Bookmark.read(in));
     }
 
     @Override
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Companion.java
@@ -0,0 +1,48 @@
+package org.umbermount.archive;
+
+import org.umbermount.kernel.Imprint;
+
+/** Something that is kept beside the configuration under the same views. */
+public interface Companion {
+    /** How far this daemon holds it on disk. While a promise freezes this daemon the mark does not move. */
+    Bookmark mark();
+
+    /** A view has come into force here. */
+    void adopted(Charter charter);
+
+    /** This daemon's memory was lost: fetches everything up to the mark from its holder. */
+    void rebuild(Bookmark upTo, Runnable done);
+
+    /** The newest view in which this daemon holds everything. */
+    long settledView();
+
+    /** Whether the disk keeps up. */
+    boolean diskGood(long patienceMs);
+
+    /** Nothing is kept beside the configuration. */
+    Companion NONE = new Companion() {
+        @Override
+        public Bookmark mark() {
+            return Bookmark.NONE;
+        }
+
+        @Override
+        public void adopted(Charter charter) {
+        }
+
+        @Override
+        public void rebuild(Bookmark upTo, Runnable done) {
+            done.run();
+        }
+
+        @Override
+        public long settledView() {
+            return Long.MAX_VALUE;
+        }
+
+        @Override
+        public boolean diskGood(long patienceMs) {
+            return true;
+        }
+    };
+}
--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/Convener.java
@@ -22,7 +22,7 @@
  */
 final class Convener implements Custodian.BallotListener {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
-    static final int LARGEST_ELECTORATE = 5;
+    static final int LARGEST_ELECTORATE = 9;
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
     private static final long STEADY_MS = 1_500;
@@ -39,6 +39,8 @@
     private final Random random;
     private final Tally tally;
     private final Imprint self;
+    private final String zone;
+    private final int tolerated;
     private Moment wantedSince;
     private Moment quietUntil = Moment.NEVER;
     private Attempt attempt;
@@ -66,7 +68,9 @@
     }
 
     Convener(Custodian custodian, RollCall rollCall, java.util.function.BooleanSupplier diskGood, Almanac almanac,
-            Random random, Tally tally, Imprint self) {
+            Random random, Tally tally, Imprint self, String zone, int tolerated) {
+        this.zone = zone;
+        this.tolerated = tolerated;
         this.custodian = custodian;
         this.rollCall = rollCall;
         this.diskGood = diskGood;
@@ -140,7 +144,7 @@
             }
         }
         Imprint candidate = candidate(now);
-        if (!pressing && candidate != null) {
+        if (!pressing && candidate != null && companionSettled(now)) {
             if (electorate.size() < LARGEST_ELECTORATE) {
                 electorate.add(new Fellow(candidate, incarnation(candidate)));
                 why = candidate + " joins";
@@ -164,13 +168,38 @@
                 }
             }
         }
+        if (!pressing && why != null) {
+            // Neighbours in the chain share a zone where they can, so that records cross as few borders as possible.
+            chain.sort(java.util.Comparator.comparing(this::zoneOf).thenComparing(java.util.Comparator.naturalOrder()));
+        }
         Charter wanted = new Charter(now.number() + 1, electorate, chain);
-        if (why == null || wanted.sameMembers(now) || chain.size() < wanted.majority()) {
+        if (why == null || wanted.sameMembers(now) || chain.size() < wanted.leastChain(tolerated)) {
             return null;
         }
         return new Wish(wanted, why, pressing);
     }
 
+    private String zoneOf(Imprint who) {
+        RollCall.Peer peer = rollCall.peer(who);
+        return who.equals(self) ? zone : peer == null || peer.report() == null ? "" : peer.report().zone();
+    }
+
+    /**
+     * Whether everyone who keeps operation records holds all of them in this view. Voters may change only then:
+     * the argument that some voter of the next view has every acknowledged record rests on it.
+     */
+    private boolean companionSettled(Charter now) {
+        for (Imprint member : now.line(tolerated)) {
+            RollCall.Peer peer = rollCall.peer(member);
+            long settled = member.equals(self) ? custodian.companion().settledView()
+                    : peer == null || peer.report() == null ? 0 : peer.report().settledView();
+            if (settled < now.number()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private Imprint candidate(Charter now) {
         TreeSet<Imprint> found = new TreeSet<>();
         for (RollCall.Peer p : rollCall.peers()) {
@@ -281,6 +310,7 @@
         Ballot best = Ballot.NONE;
         Proposal earlier = null;
         Accession newest = null;
+        Bookmark mark = Bookmark.NONE;
         for (Custodian.Promise p : promises) {
             if (p.accepted() != null && p.acceptedBallot().compareTo(best) > 0) {
                 best = p.acceptedBallot();
@@ -289,8 +319,11 @@
             if (newest == null || p.state().isNewerThan(newest)) {
                 newest = p.state();
             }
+            if (p.mark().isBeyond(mark)) {
+                mark = p.mark();
+            }
         }
-        return earlier != null ? earlier : new Proposal(wanted, newest.inView(wanted.number()));
+        return earlier != null ? earlier : new Proposal(wanted.withBase(mark), newest.inView(wanted.number()));
     }
 
     @Override
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.FaultException;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -29,6 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long RESEND_MS = 200;
     private static final int BACKLOG = 512;
+    private static final long REBUILD_MS = 6_000;
 
     /** How far this daemon's memory can be relied on. */
     public enum Standing {
@@ -45,7 +47,7 @@
     }
 
     private enum Chain {
-        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED
+        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED, ATTEST, ATTESTED
     }
 
     /** What became of a submitted configuration. */
@@ -54,7 +56,7 @@
     }
 
     /** A promise as the proposer sees it. */
-    record Promise(Fellow voter, Accession state, Ballot acceptedBallot, Proposal accepted) {
+    record Promise(Fellow voter, Accession state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
     }
 
     /** Who is still owed an answer for an edition. */
@@ -82,6 +84,8 @@
         void verdict(long id, Verdict verdict);
 
         void reading(long id, Accession committed);
+
+        void attested(long id, Edition newest);
     }
 
     private final Almanac almanac;
@@ -101,12 +105,17 @@
     private BallotListener ballots;
     private OriginListener origins;
     private Moment frozenSince;
+    private boolean freezing;
+    private boolean rebuilding;
+    private Companion companion = Companion.NONE;
+    private Edition readEdition = Edition.NONE;
+    private Regulations regulations;
     private List<Imprint> audience = List.of();
     private long nextNonce;
     private final Map<Imprint, Recovered> recovered = new HashMap<>();
 
     private record Recovered(Charter charter, Accession state, Ballot promised, Ballot acceptedBallot,
-            Proposal accepted, Map<Imprint, Long> incarnations) {
+            Proposal accepted, Map<Imprint, Long> incarnations, Bookmark mark) {
     }
 
     private static final class Confirmation {
@@ -114,9 +123,11 @@
         final long id;
         final long view;
         final Accession reading;
+        final boolean brief;
         final Set<Imprint> agreed = new HashSet<>();
 
-        Confirmation(Imprint origin, long id, long view, Accession reading) {
+        Confirmation(Imprint origin, long id, long view, Accession reading, boolean brief) {
+            this.brief = brief;
             this.origin = origin;
             this.id = id;
             this.view = view;
@@ -169,6 +180,30 @@
         origins = originListener;
     }
 
+    /** Sets what is kept beside the configuration. */
+    public void accompany(Companion other) {
+        companion = other;
+    }
+
+    public Companion companion() {
+        return companion;
+    }
+
+    /** Whether this daemon may act in the chain of its view now; nothing may follow a promise that is on its way to disk. */
+    public boolean acting() {
+        return !freezing && inChain();
+    }
+
+    /** Whether what is kept beside the configuration may change: not under a promise, and not without a memory. */
+    public boolean mayMove() {
+        return !freezing && standing == Standing.MEMBER && !memory.frozen();
+    }
+
+    /** Asks a registrar that is ahead for its view. */
+    public void fetchFrom(Imprint ahead) {
+        fetch(ahead);
+    }
+
     /** Told of each committed state, in rising order. */
     public void onCommit(Consumer<Accession> observer) {
         commitObservers.add(observer);
@@ -195,6 +230,19 @@
         return committed;
     }
 
+    /** The committed configuration as read, or null before the first. */
+    public Regulations regulations() {
+        if (!committed.edition().equals(readEdition)) {
+            try {
+                regulations = committed.edition().equals(Edition.NONE) ? null : Regulations.readTaken(committed.blob());
+            } catch (FaultException e) {
+                LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
+            }
+            readEdition = committed.edition();
+        }
+        return regulations;
+    }
+
     public long incarnation() {
         return memory.incarnation();
     }
@@ -237,6 +285,7 @@
         Memory old = memory;
         room.write(next.changesSince(onDisk ? old : null), safe -> {
             busy = false;
+            freezing = false;
             if (safe) {
                 onDisk = true;
                 memory = next;
@@ -280,7 +329,11 @@
         for (Consumer<Charter> o : charterObservers) {
             o.accept(memory.charter());
         }
-        forwardState();
+        companion.adopted(memory.charter());
+        // Only the head starts: a tail that took this view from news may hold a state that those before it do not.
+        if (post.self().equals(memory.charter().head())) {
+            forwardState();
+        }
     }
 
     // ---- views ----
@@ -305,8 +358,9 @@
                 Ballot acceptedBallot = Ballot.read(in);
                 Proposal accepted = in.flag() ? Proposal.read(in) : null;
                 Map<Imprint, Long> crashes = Memory.readIncarnations(in);
+                Bookmark mark = Bookmark.read(in);
                 serially(() -> learnIncarnations(crashes,
-                        () -> ballots.promised(view, ballot, new Promise(voter, state, acceptedBallot, accepted))));
+                        () -> ballots.promised(view, ballot, new Promise(voter, state, acceptedBallot, accepted, mark))));
             }
             case ACCEPT -> {
                 long view = in.num();
@@ -336,7 +390,8 @@
             case RECOVERED -> {
                 long incarnation = in.num();
                 Recovered reply = new Recovered(Charter.read(in), Accession.read(in), Ballot.read(in),
-                        Ballot.read(in), in.flag() ? Proposal.read(in) : null, Memory.readIncarnations(in));
+                        Ballot.read(in), in.flag() ? Proposal.read(in) : null, Memory.readIncarnations(in),
+                        Bookmark.read(in));
                 serially(() -> recoveredReply(from, incarnation, reply));
             }
             default -> throw new IllegalStateException();
@@ -442,6 +497,7 @@
         } else if (ballot.equals(memory.promised())) {
             promise(from, view, ballot);
         } else {
+            freezing = true;
             persist(memory.promise(ballot), () -> promise(from, view, ballot));
         }
     }
@@ -459,6 +515,7 @@
         memory.state().write(out);
         memory.writeAccepted(out);
         memory.writeIncarnations(out);
+        companion.mark().write(out);
         sendView(to, out);
     }
 
@@ -539,6 +596,7 @@
             memory.promised().write(out);
             memory.writeAccepted(out);
             memory.writeIncarnations(out);
+            companion.mark().write(out);
             sendView(who, out);
         };
         if (memory.incarnationOf(who) >= incarnation) {
@@ -549,7 +607,7 @@
     }
 
     private void recoveredReply(Imprint from, long incarnation, Recovered reply) {
-        if (standing != Standing.RECOVERING || incarnation != memory.incarnation()) {
+        if (standing != Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
             return;
         }
         long known = Math.max(reply.incarnations().getOrDefault(post.self(), 0L),
@@ -606,12 +664,35 @@
                 accepted = r.accepted();
             }
         }
-        next = next.adopt(newest, state).recovered(newest.number()).withAcceptor(promised, acceptedBallot, accepted);
+        Bookmark furthest = Bookmark.NONE;
+        for (Recovered r : recovered.values()) {
+            if (r.mark().isBeyond(furthest)) {
+                furthest = r.mark();
+            }
+        }
+        Memory whole = next.adopt(newest, state).recovered(newest.number()).withAcceptor(promised, acceptedBallot, accepted);
         int reads = recovered.size();
-        persist(next, () -> {
-            recovered.clear();
-            LOG.info("Memory rebuilt as incarnation {} from {} others.", memory.incarnation(), reads);
-            adopted("reading others");
+        rebuilding = true;
+        boolean[] over = new boolean[1];
+        almanac.after(REBUILD_MS, () -> {
+            if (!over[0]) {
+                // The one that was asked is lost itself: read the others again.
+                over[0] = true;
+                rebuilding = false;
+                recovered.clear();
+            }
+        });
+        companion.rebuild(furthest, () -> {
+            if (over[0]) {
+                return;
+            }
+            over[0] = true;
+            serially(() -> persist(whole, () -> {
+                rebuilding = false;
+                recovered.clear();
+                LOG.info("Memory rebuilt as incarnation {} from {} others.", memory.incarnation(), reads);
+                adopted("reading others");
+            }));
         });
     }
 
@@ -650,7 +731,9 @@
                 long hash = in.num();
                 serially(() -> committedElsewhere(from, view, edition, hash));
             }
-            case READ -> read(from, in.num());
+            case READ -> read(from, in.num(), false);
+            case ATTEST -> read(from, in.num(), true);
+            case ATTESTED -> origins.attested(in.num(), new Edition(in.num()));
             case READING -> origins.reading(in.num(), Accession.read(in));
             case CONFIRM -> {
                 long nonce = in.num();
@@ -693,6 +776,10 @@
         sendChain(to, chain(Chain.READ).num(id));
     }
 
+    void sendAttest(Imprint to, long id) {
+        sendChain(to, chain(Chain.ATTEST).num(id));
+    }
+
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     private boolean inChain() {
         if (standing != Standing.MEMBER || memory.frozen() || !memory.charter().chains(post.self())) {
@@ -832,7 +919,7 @@
         }
     }
 
-    private void read(Imprint origin, long id) {
+    private void read(Imprint origin, long id, boolean brief) {
         boolean known = memory.state().edition().equals(Edition.NONE)
                 || committed.view() == memory.charter().number();
         if (!inChain() || !known || !post.self().equals(memory.charter().tail())) {
@@ -842,7 +929,7 @@
             confirmations.clear();
         }
         long nonce = nextNonce++;
-        Confirmation c = new Confirmation(origin, id, memory.charter().number(), committed);
+        Confirmation c = new Confirmation(origin, id, memory.charter().number(), committed, brief);
         confirmations.put(nonce, c);
         for (Fellow f : memory.charter().electorate()) {
             sendChain(f.imprint(), chain(Chain.CONFIRM).num(nonce).num(c.view));
@@ -858,8 +945,12 @@
         c.agreed.add(from);
         if (c.agreed.size() >= memory.charter().majority()) {
             confirmations.remove(nonce);
-            Script.Writer out = chain(Chain.READING).num(c.id);
-            c.reading.write(out);
+            Script.Writer out = chain(c.brief ? Chain.ATTESTED : Chain.READING).num(c.id);
+            if (c.brief) {
+                out.num(c.reading.edition().value());
+            } else {
+                c.reading.write(out);
+            }
             sendChain(c.origin, out);
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -12,12 +12,19 @@
 /** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
 public final class Porter implements Custodian.OriginListener {
     private static final long REPEAT_MS = 150;
+    private static final long ASK_MS = 2_000;
 
     private final Custodian custodian;
     private final Almanac almanac;
     private final Map<Long, Errand> errands = new HashMap<>();
+    private final Map<Long, Asked> asks = new HashMap<>();
+    private Edition attested;
+    private Moment attestedAt;
     private long nextId;
 
+    private record Asked(Moment at) {
+    }
+
     private static final class Errand {
         Runnable ask;
         Consumer<Custodian.Verdict> verdict;
@@ -99,4 +106,34 @@
             errand.reading.accept(committed);
         }
     }
+
+    @Override
+    public void attested(long id, Edition newest) {
+        Asked asked = asks.remove(id);
+        if (asked != null && (attestedAt == null || attestedAt.isBefore(asked.at()))) {
+            attestedAt = asked.at();
+            attested = newest;
+        }
+    }
+
+    /** Asks which edition is the newest that anyone has been told is taken; the answer is kept. */
+    public void askNewest() {
+        Imprint tail = custodian.charter().tail();
+        if (tail != null) {
+            asks.values().removeIf(a -> almanac.now().since(a.at()) > ASK_MS);
+            long id = nextId++;
+            asks.put(id, new Asked(almanac.now()));
+            custodian.sendAttest(tail, id);
+        }
+    }
+
+    /** The newest edition as a majority has confirmed it, or null. */
+    public Edition attested() {
+        return attested;
+    }
+
+    /** The moment before which the confirmation was asked for. */
+    public Moment attestedAt() {
+        return attestedAt;
+    }
 }
--- a/archive/src/main/java/org/umbermount/archive/Regulations.java
+++ b/archive/src/main/java/org/umbermount/archive/Regulations.java
@@ -1,8 +1,10 @@
 package org.umbermount.archive;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Erratum;
@@ -11,7 +13,8 @@
 import org.umbermount.kernel.Regimen;
 
 /** A configuration: routes, services and limits. */
-public record Regulations(Edition edition, List<Route> routes, List<Upstream> upstreams, Limits limits) {
+public record Regulations(Edition edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
+        Limits limits) {
     private static final Regimen SCHEMA = new Regimen("/org/umbermount/archive/configuration.schema.json");
 
     /** A service with its share of a route's requests. */
@@ -19,12 +22,36 @@
     }
 
     /** Where the requests of a host and prefix go, and how. */
-    public record Route(String label, String host, String prefix, boolean safe, long timeoutMs, long targetLatencyMs,
-            int priority, int maxTries, List<Share> shares) {
+    public record Route(String label, String host, String prefix, Kind kind, boolean anonymous, long timeoutMs,
+            long targetLatencyMs, int priority, int maxTries, List<Share> shares) {
+        public boolean safe() {
+            return kind == Kind.SAFE;
+        }
+
+        public boolean idempotent() {
+            return kind == Kind.IDEMPOTENT;
+        }
+    }
+
+    /** What may be repeated on a route. */
+    public enum Kind {
+        /** Requests may run more than once. */
+        SAFE,
+        /** A request runs at most once for each try of a client. */
+        UNSAFE,
+        /** All tries with one key run once. */
+        IDEMPOTENT
+    }
+
+    /** Who may ask: its keys, its rank, and how much it may ask for; a rate of 0 is no limit. */
+    public record Tenant(String label, List<String> apiKeys, int priority, double ratePerS, double burst) {
+        public boolean limited() {
+            return ratePerS > 0;
+        }
     }
 
     /** A service. */
-    public record Upstream(String label, String healthCheck, int maxConnections) {
+    public record Upstream(String label, String healthCheck, int maxConnections, boolean dedupCapable) {
     }
 
     /** What a client may send and how long it may take. */
@@ -64,7 +91,8 @@
                 throw invalid("service " + label + " is there twice");
             }
             upstreams.add(new Upstream(label, u.text("healthCheck", "/health"),
-                    (int) u.whole("maxConnections", 1, 1_000_000, 100)));
+                    (int) u.whole("maxConnections", 1, 1_000_000, 100),
+                    u.has("dedupCapable") && u.member("dedupCapable").flag()));
         }
         List<Route> routes = new ArrayList<>();
         Set<String> places = new HashSet<>();
@@ -82,7 +110,44 @@
                 l.whole("headerTimeoutMs", 1, Integer.MAX_VALUE, d.headerTimeoutMs),
                 l.whole("idleTimeoutMs", 1, Integer.MAX_VALUE, d.idleTimeoutMs));
         return new Regulations(new Edition(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
-                List.copyOf(upstreams), limits);
+                List.copyOf(upstreams), tenants(root), limits);
+    }
+
+    private static List<Tenant> tenants(Form root) throws Form.WrongException, FaultException {
+        if (!root.has("tenants")) {
+            return List.of();
+        }
+        Set<String> labels = new HashSet<>();
+        Map<String, String> holders = new HashMap<>();
+        List<Tenant> tenants = new ArrayList<>();
+        for (Form t : root.array("tenants")) {
+            String label = t.member("label").text();
+            if (!labels.add(label)) {
+                throw invalid("tenant " + label + " is there twice");
+            }
+            List<String> keys = new ArrayList<>();
+            if (t.has("apiKeys")) {
+                for (Form k : t.array("apiKeys")) {
+                    String holder = holders.putIfAbsent(k.text(), label);
+                    if (holder != null && !holder.equals(label)) {
+                        throw invalid("tenants " + holder + " and " + label + " share a key");
+                    }
+                    keys.add(k.text());
+                }
+            }
+            tenants.add(new Tenant(label, List.copyOf(keys), (int) t.whole("priority", 0, Integer.MAX_VALUE, 0),
+                    t.number("ratePerS", 0), t.number("burst", 0)));
+        }
+        return List.copyOf(tenants);
+    }
+
+    private static Kind kind(Form type) throws Form.WrongException {
+        return switch (type.text()) {
+            case "safe" -> Kind.SAFE;
+            case "unsafe" -> Kind.UNSAFE;
+            case "idempotent" -> Kind.IDEMPOTENT;
+            default -> throw type.wrong("must be safe, unsafe or idempotent");
+        };
     }
 
     private static Route route(Form r, Set<String> known) throws Form.WrongException, FaultException {
@@ -109,7 +174,8 @@
         }
         long timeout = r.member("timeoutMs").whole(1, Integer.MAX_VALUE);
         return new Route(label, r.member("virtualHost").text().toLowerCase(java.util.Locale.ROOT),
-                r.member("pathPrefix").text(), r.member("routeType").text().equals("safe"), timeout,
+                r.member("pathPrefix").text(), kind(r.member("routeType")),
+                r.has("anonymous") && r.member("anonymous").flag(), timeout,
                 r.whole("targetLatencyMs", 1, Integer.MAX_VALUE, timeout),
                 (int) r.whole("priority", 0, Integer.MAX_VALUE, 1), (int) r.whole("maxTries", 1, Integer.MAX_VALUE, 1),
                 List.copyOf(shares));
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -26,16 +26,17 @@
 
     /** What a registrar tells of itself. */
     public record Report(long incarnation, boolean votes, boolean diskGood, boolean leaving, long view, long edition,
-            long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, String zone, Imprint control, List<Imprint> heard) {
+            long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
+            String zone, Imprint control, List<Imprint> heard) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
-                    .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).text(zone).imprint(control)
+                    .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.num(), in.num(), in.num(), in.num(),
-                    in.num(), in.num(), in.flag(), in.text(), in.imprint(), in.list(Script.Reader::imprint));
+                    in.num(), in.num(), in.flag(), in.num(), in.text(), in.imprint(), in.list(Script.Reader::imprint));
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -23,6 +23,9 @@
 public final class TenureOffice {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     public static final long TERM_MS = 2_000;
+    /** Each keeps the counts of a share of the tenants. */
+    public static final List<String> QUOTA_DUTIES =
+            List.of("quota/0", "quota/1", "quota/2", "quota/3", "quota/4", "quota/5", "quota/6", "quota/7");
     private static final long LOOP_MS = 200;
     private static final long RENEW_MS = 600;
     private static final long MARGIN_MS = 150;
@@ -52,6 +55,10 @@
         void began(String zone, long epoch);
 
         void ended(String zone);
+
+        /** A grant that this daemon has given has changed hands. */
+        default void moved(String duty) {
+        }
     }
 
     private final Almanac almanac;
@@ -61,13 +68,15 @@
     private final Tally tally;
     private final String ownZone;
     private final List<String> zones;
+    private final List<String> quotas;
     private final Moment started;
     private final Map<String, Granted> grants = new HashMap<>();
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
     public TenureOffice(Almanac almanac, Postbag post, Custodian custodian, RollCall rollCall, Tally tally,
-            String ownZone, Iterable<String> zones) {
+            String ownZone, Iterable<String> zones, List<String> quotas) {
+        this.quotas = List.copyOf(quotas);
         this.almanac = almanac;
         this.post = post;
         this.custodian = custodian;
@@ -76,6 +85,7 @@
         this.ownZone = ownZone;
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
+        this.zones.addAll(quotas);
         this.started = almanac.now();
         post.subscribe(Postbag.Topic.TENURE, this::receive);
     }
@@ -152,6 +162,9 @@
         if (zone.equals(ownZone)) {
             return firstOf(zone, 0);
         }
+        if (quotas.contains(zone) && h.active && tooMany() && !firstOf(zone, zone.hashCode())) {
+            return false;
+        }
         if (localPeer(zone, h.active ? STEADY_MS : 0)) {
             h.vacantSince = null;
             return false;
@@ -170,6 +183,20 @@
         return now.since(h.vacantSince) > LOOP_MS && !rollCall.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
     }
 
+    /** Whether this daemon has clearly more than its share of the quota duties, as the first one up has. */
+    private boolean tooMany() {
+        int mine = 0;
+        for (String q : quotas) {
+            Held h = held.get(q);
+            mine += h != null && h.active ? 1 : 0;
+        }
+        int daemons = 1;
+        for (RollCall.Peer p : rollCall.peers()) {
+            daemons += rollCall.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
+        }
+        return mine > (quotas.size() + daemons - 1) / daemons + 1;
+    }
+
     private boolean localPeer(String zone, long steadyMs) {
         for (RollCall.Peer p : rollCall.peers()) {
             if (p.report() != null && p.report().zone().equals(zone) && rollCall.connected(p.imprint())
@@ -263,9 +290,13 @@
         if (!same && (!free || epoch <= g.epoch)) {
             return false;
         }
+        boolean moved = !who.equals(g.holder);
         g.holder = who;
         g.epoch = epoch;
         g.until = now.plus(TERM_MS);
+        if (moved) {
+            observers.forEach(o -> o.moved(zone));
+        }
         return true;
     }
 
--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -134,8 +134,8 @@
         Charter wanted = new Charter(4, List.of(a, b), List.of(a.imprint()));
         Accession older = Accession.NONE.inView(3).take(new Edition(5), new byte[] {5});
         Accession newer = older.take(new Edition(6), new byte[] {6});
-        Custodian.Promise fromA = new Custodian.Promise(a, newer, Ballot.NONE, null);
-        Custodian.Promise fromB = new Custodian.Promise(b, older, Ballot.NONE, null);
+        Custodian.Promise fromA = new Custodian.Promise(a, newer, Ballot.NONE, null, Bookmark.NONE);
+        Custodian.Promise fromB = new Custodian.Promise(b, older, Ballot.NONE, null, Bookmark.NONE);
         for (List<Custodian.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
             Proposal p = Convener.choose(order, wanted);
             assertEquals(6, p.base().edition().value());
@@ -145,8 +145,8 @@
         Proposal low = new Proposal(new Charter(4, List.of(a), List.of(a.imprint())), older.inView(4));
         Proposal high = new Proposal(new Charter(4, List.of(b), List.of(b.imprint())), older.inView(4));
         Proposal kept = Convener.choose(List.of(
-                new Custodian.Promise(a, newer, new Ballot(7, a.imprint()), high),
-                new Custodian.Promise(b, older, new Ballot(2, b.imprint()), low)), wanted);
+                new Custodian.Promise(a, newer, new Ballot(7, a.imprint()), high, Bookmark.NONE),
+                new Custodian.Promise(b, older, new Ballot(2, b.imprint()), low, Bookmark.NONE)), wanted);
         assertEquals(high, kept);
     }
 
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -55,7 +55,7 @@
             zones.put(zone(z), "r");
         }
         HouseRules rules = new HouseRules("n" + i, zone(i), zones, imprint(i).host(), Map.of(), 7000, 7010, seedNodes,
-                bootstrap, "/data", 100, 1000, 1500,
+                bootstrap, "/data", 100, 1000, 1500, 0, java.util.Set.of(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeVault disk = disks.get(i);
         disk.clock(clock);
--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
+import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
 
 /** One sending of a request to one server. */
@@ -53,6 +54,12 @@
             borrowing.notSent(this);
             return;
         }
+        Erratum why = borrowing.whyNot();
+        if (why != null) {
+            over.unused();
+            borrowing.withdrawn(this, why);
+            return;
+        }
         carrel = over;
         sentAt = now;
         HttpRequest from = borrowing.request();
@@ -64,6 +71,13 @@
             to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
         }
         Headings.copyEndToEnd(from.headers(), to.headers());
+        to.headers().remove(Headings.TENANT);
+        if (repository.desk().keyed()) {
+            to.headers().remove(HttpHeaderNames.AUTHORIZATION);
+        }
+        if (borrowing.tenant() != null) {
+            to.headers().set(Headings.TENANT, borrowing.tenant().label());
+        }
         to.headers().set(Headings.TARGET, repository.instance.id().value());
         to.headers().set(Headings.DEADLINE, Long.toString(left));
         if (borrowing.isLarge()) {
@@ -118,8 +132,12 @@
         }
     }
 
-    private boolean repliesTo() {
-        String echoed = head.headers().get(Headings.ATTEMPT);
+    /** Whether the answer that is coming is this request's: one to another request shows its id. */
+    boolean repliesTo() {
+        String echoed = head == null ? null : head.headers().get(Headings.ATTEMPT);
+        if (echoed == null && carrel.reused()) {
+            repository.desk().tally().count("servers.answers.unnamed");
+        }
         return echoed == null || echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
     }
 
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -11,11 +11,17 @@
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Script;
+import org.umbermount.loans.LoanCounter;
+import org.umbermount.loans.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
 final class Borrowing {
     private static final int PLACEMENTS_AT_MOST = 6;
     private static final long SHORTEST_WAIT_MS = 20;
+    private static final long SHARED_PATIENCE_MS = 250;
+    private static final long SHARED_LEAST_MS = 100;
+    private static final long BUSY_LOOK_MS = 90;
 
     private final FrontDesk desk;
     private final Reader reader;
@@ -43,6 +49,11 @@
     private boolean lastPiece;
     private Answer lastFailure;
     private boolean mayHaveRun;
+    private final Regulations.Tenant tenant;
+    private final String key;
+    private boolean charged;
+    private LoanCounter.Ticket ticket;
+    private Answer kept;
 
     // What the reader writes.
     private Erratum erratum;
@@ -54,7 +65,10 @@
     private boolean streamCut;
     private int streamHeld;
 
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs) {
+    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs,
+            Regulations.Tenant tenant, String key) {
+        this.tenant = tenant;
+        this.key = key;
         this.desk = desk;
         this.reader = reader;
         this.request = request;
@@ -66,7 +80,7 @@
 
     /** A request that is answered without asking a server. */
     Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Erratum erratum) {
-        this(desk, reader, request, null, null, 0);
+        this(desk, reader, request, null, null, 0, null, null);
         this.erratum = erratum;
         this.answered = true;
     }
@@ -87,6 +101,20 @@
         return route.priority();
     }
 
+    int tenantPriority() {
+        return tenant == null ? 0 : tenant.priority();
+    }
+
+    /** Whom the request is from, or null where nobody is asked. */
+    Regulations.Tenant tenant() {
+        return tenant;
+    }
+
+    /** Why the request may not be sent any more; null if it may. */
+    Erratum whyNot() {
+        return tenant == null ? null : desk.whyNot(key);
+    }
+
     boolean isLarge() {
         return large;
     }
@@ -178,7 +206,150 @@
             return;
         }
         deadlineTimer = desk.almanac().after(left, this::deadlineReached);
-        placeOrWait();
+        charge();
+    }
+
+    /** How long the daemons that count and remember are waited for: soon enough for another try elsewhere. */
+    private long sharedPatience() {
+        long left = Math.max(SHARED_LEAST_MS, route.targetLatencyMs() / 4 - desk.almanac().now().since(arrived));
+        return Math.min(SHARED_PATIENCE_MS, left);
+    }
+
+    /** Charges the request to its tenant, once. */
+    private void charge() {
+        if (tenant == null || desk.quotas() == null) {
+            borrow();
+            return;
+        }
+        desk.quotas().take(tenant, sharedPatience(), word -> {
+            if (!wanted()) {
+                return;
+            }
+            switch (word) {
+                case MAY -> {
+                    charged = true;
+                    borrow();
+                }
+                case SPENT -> refuse(Erratum.QUOTA_SPENT);
+                default -> refuse(Erratum.QUOTA_UNKNOWN);
+            }
+        });
+    }
+
+    /** Claims the operation for this try, where the route is one of operations. */
+    private void borrow() {
+        if (!route.idempotent() || desk.loans() == null) {
+            placeOrWait();
+            return;
+        }
+        OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
+                request.headers().get(Headings.OPERATION_KEY));
+        boolean[] over = new boolean[1];
+        LoanCounter.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
+                new LoanCounter.Outcome() {
+                    @Override
+                    public void granted() {
+                        if (wanted()) {
+                            placeOrWait();
+                        } else {
+                            closeLoan();
+                        }
+                    }
+
+                    @Override
+                    public void answered(byte[] answer) {
+                        over[0] = true;
+                        ticket = null;
+                        repeated(answer);
+                    }
+
+                    @Override
+                    public void busy() {
+                        over[0] = true;
+                        ticket = null;
+                        stillAtWork();
+                    }
+
+                    @Override
+                    public void unknown() {
+                        over[0] = true;
+                        ticket = null;
+                        if (wanted()) {
+                            refuse(Erratum.OUTCOME_UNKNOWN);
+                        }
+                    }
+
+                    @Override
+                    public void unavailable() {
+                        over[0] = true;
+                        ticket = null;
+                        if (wanted()) {
+                            refuse(Erratum.LOANS_UNAVAILABLE);
+                        }
+                    }
+                });
+        if (!over[0]) {
+            ticket = claimed;
+        }
+    }
+
+    /** The operation has run before: its answer goes out as it was, under this try's own id. */
+    private void repeated(byte[] packed) {
+        if (!wanted()) {
+            return;
+        }
+        giveBack();
+        try {
+            Answer first = KeptAnswers.unpack(packed);
+            String attempt = request.headers().get(Headings.ATTEMPT);
+            if (attempt != null) {
+                first.headers().set(Headings.ATTEMPT, attempt);
+            }
+            desk.tally().count("requests.repeats");
+            deliver(first);
+        } catch (Script.UnreadableException e) {
+            refuse(Erratum.OUTCOME_UNKNOWN);
+        }
+    }
+
+    /** Another try is at work: its answer is waited for a while, and then the client is told. */
+    private void stillAtWork() {
+        if (!wanted()) {
+            return;
+        }
+        Moment now = desk.almanac().now();
+        long patience = Math.min(route.targetLatencyMs(), deadline.since(arrived) / 3);
+        if (now.since(arrived) + BUSY_LOOK_MS > patience) {
+            giveBack();
+            refuse(Erratum.AT_WORK);
+        } else {
+            desk.almanac().after(BUSY_LOOK_MS, () -> {
+                if (wanted()) {
+                    borrow();
+                }
+            });
+        }
+    }
+
+    private void giveBack() {
+        if (charged) {
+            charged = false;
+            desk.quotas().giveBack(tenant);
+        }
+    }
+
+    /** Once nothing is at work for this try any more, says how it ended. */
+    private void closeLoan() {
+        if (ticket == null || active > 0 || wanted()) {
+            return;
+        }
+        LoanCounter.Ticket ending = ticket;
+        ticket = null;
+        if (kept != null) {
+            ending.close(LoanCounter.End.ANSWERED, KeptAnswers.pack(kept));
+        } else {
+            ending.close(mayHaveRun ? LoanCounter.End.UNKNOWN : LoanCounter.End.RELEASED, new byte[0]);
+        }
     }
 
     private void placeOrWait() {
@@ -277,6 +448,7 @@
     void notSent(Attempt attempt) {
         active--;
         if (!wanted() || active > 0) {
+            closeLoan();
             return;
         }
         if (placements >= PLACEMENTS_AT_MOST) {
@@ -288,13 +460,25 @@
 
     void succeeded(Attempt attempt, Answer whole) {
         active--;
+        kept = whole;
         deliver(whole);
+        closeLoan();
+    }
+
+    /** The request may not be sent any more: its key has gone, or the table here is too old to say. */
+    void withdrawn(Attempt attempt, Erratum why) {
+        active--;
+        if (wanted() && active == 0) {
+            refuse(mayHaveRun ? Erratum.SERVER_FAILED : why);
+        }
+        closeLoan();
     }
 
     /** The server says that it has not run the request. */
     void refused(Attempt attempt, Answer refusal) {
         active--;
         if (!wanted() || active > 0) {
+            closeLoan();
             return;
         }
         if (refusal.status() == 400) {
@@ -312,8 +496,12 @@
         mayHaveRun = true;
         if (relay != null) {
             lastFailure = relay;
+            if (relay.status() != 504) {
+                kept = relay;
+            }
         }
         if (!wanted() || active > 0) {
+            closeLoan();
             return;
         }
         // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
@@ -361,6 +549,7 @@
         answered = true;
         cancelTimers();
         reader.ready();
+        closeLoan();
     }
 
     private void cancelTimers() {
@@ -385,6 +574,7 @@
         if (streamer != null) {
             streamer.reading(true);
         }
+        closeLoan();
     }
 
     // ---- long answers ----
@@ -394,6 +584,8 @@
             return false;
         }
         streamer = attempt;
+        // Too long to be kept for repeats: that it ran is all that is noted.
+        mayHaveRun = true;
         streamHead = head;
         done();
         return true;
@@ -424,12 +616,14 @@
 
     void streamedWhole() {
         active--;
+        closeLoan();
         streamWhole = true;
         reader.ready();
     }
 
     void streamCut() {
         active--;
+        closeLoan();
         streamCut = true;
         reader.ready();
     }
--- a/circulation/src/main/java/org/umbermount/circulation/Carrel.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Carrel.java
@@ -39,6 +39,11 @@
         return channel;
     }
 
+    /** Whether another request has been answered on this connection before. */
+    boolean reused() {
+        return restingSince != Moment.NEVER;
+    }
+
     void send(Attempt attempt) {
         current = attempt;
         finished = false;
@@ -126,7 +131,7 @@
         Attempt done = current;
         current = null;
         repository.end();
-        if (reusable && isOpen() && done.requestWritten()) {
+        if (reusable && isOpen() && done.requestWritten() && done.repliesTo()) {
             channel.config().setAutoRead(true);
             repository.rest(this);
         } else {
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -15,6 +15,8 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.loans.LoanCounter;
+import org.umbermount.readership.QuotaCounter;
 
 /** The traffic plane as a plug-in of the lector. */
 public final class CirculationDepartment implements Department {
@@ -53,6 +55,7 @@
         consignee = host.find(Consignee.class);
         desk = new FrontDesk(loop, almanac, host.tally(), rules.bounds(), rules.zone(),
                 new Random(Imprint.parse(rules.ip() + ":1").packed() ^ almanac.wallMillis()));
+        desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
         Imprint readiness = listener(rules, "readiness");
@@ -83,7 +86,8 @@
         return "{\"daemon\":\"" + institution.rules().nodeName() + "\",\"zone\":\"" + institution.rules().zone()
                 + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":" + consignee.inForce().edition()
                 + ",\"epoch\":" + consignee.epoch() + ",\"sender\":\"" + consignee.sender()
-                + "\",\"fleet\":" + desk.fleet() + "}";
+                + "\",\"tableGoodForMs\":" + (consignee.goodForMs() == Long.MAX_VALUE ? -1 : Math.max(0, consignee.goodForMs()))
+                + ",\"loansToClose\":" + (desk.loans() == null ? 0 : desk.loans().closing()) + ",\"fleet\":" + desk.fleet() + "}";
     }
 
     @Override
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.archive.Regulations;
@@ -35,6 +36,8 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
+import org.umbermount.loans.LoanCounter;
+import org.umbermount.readership.QuotaCounter;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class FrontDesk {
@@ -42,6 +45,7 @@
     static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 500;
     private static final long WAITING_LOOK_MS = 15;
+    private static final long DOUBTFUL_MS = 700;
 
     private final EventLoop loop;
     private final Almanac almanac;
@@ -60,6 +64,9 @@
     private boolean closing;
     private boolean looking;
     private Channel listener;
+    private LoanCounter loans;
+    private QuotaCounter quotas;
+    private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
     FrontDesk(EventLoop loop, Almanac almanac, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
         this.loop = loop;
@@ -143,7 +150,8 @@
     }
 
     private static boolean isConfiguration(String key) {
-        return key.equals(Inventory.CONFIGURATION) || key.startsWith(Inventory.ROUTE) || key.startsWith(Inventory.UPSTREAM);
+        return key.equals(Inventory.CONFIGURATION) || key.startsWith(Inventory.ROUTE) || key.startsWith(Inventory.UPSTREAM)
+                || key.startsWith(Inventory.TENANT);
     }
 
     private void applyConfiguration(Inventory next) throws Script.UnreadableException {
@@ -198,10 +206,68 @@
         }
         Regulations.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
         if (route == null) {
-            tally.count("requests.refused.no_route");
-            return new Borrowing(this, reader, request, Erratum.NO_ROUTE);
+            return refused(reader, request, doubtful() ? Erratum.TABLE_STALE : Erratum.NO_ROUTE);
         }
-        return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()));
+        String key = null;
+        Regulations.Tenant tenant = null;
+        if (holdings.keyed() && !route.anonymous()) {
+            key = Headings.token(request.headers());
+            Erratum why = whyNot(key);
+            if (why != null) {
+                return refused(reader, request, why);
+            }
+            tenant = holdings.tenant(key);
+        }
+        if (route.idempotent() && loans != null) {
+            String operation = request.headers().get(Headings.OPERATION_KEY);
+            if (operation == null || operation.isBlank()) {
+                return refused(reader, request, Erratum.KEY_MISSING);
+            }
+        }
+        return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
+                tenant, key);
+    }
+
+    private Borrowing refused(Reader reader, HttpRequest request, Erratum why) {
+        tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
+        return new Borrowing(this, reader, request, why);
+    }
+
+    /** Why a request with this key may not be sent to a server now; null if it may. */
+    Erratum whyNot(String key) {
+        long good = goodForMs.getAsLong();
+        if (good <= 0) {
+            return Erratum.TABLE_STALE;
+        }
+        if (holdings.tenant(key) == null) {
+            return key != null && doubtful() ? Erratum.TABLE_STALE : Erratum.NOT_A_READER;
+        }
+        return null;
+    }
+
+    /** Whether the table may well be behind: what it does not know may still be there. */
+    private boolean doubtful() {
+        return goodForMs.getAsLong() < DOUBTFUL_MS;
+    }
+
+    /** Whether requests carry keys that are for this system alone. */
+    boolean keyed() {
+        return holdings.keyed();
+    }
+
+    LoanCounter loans() {
+        return loans;
+    }
+
+    QuotaCounter quotas() {
+        return quotas;
+    }
+
+    /** Sets what is shared with other daemons: operation records and quotas where they are kept, and how long the table counts. */
+    void share(LoanCounter operations, QuotaCounter counts, LongSupplier tableGoodForMs) {
+        loans = operations;
+        quotas = counts;
+        goodForMs = tableGoodForMs;
     }
 
     private String draw(Regulations.Route route) {
--- a/circulation/src/main/java/org/umbermount/circulation/Headings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Headings.java
@@ -14,6 +14,8 @@
     static final AsciiString TARGET = AsciiString.cached("target-instance");
     static final AsciiString LOAD = AsciiString.cached("server-load");
     static final AsciiString NOT_EXECUTED = AsciiString.cached("not-executed");
+    static final AsciiString OPERATION_KEY = AsciiString.cached("operation-key");
+    static final AsciiString TENANT = AsciiString.cached("tenant");
     static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
 
     private static final List<AsciiString> HOP = List.of(HttpHeaderNames.CONNECTION, KEEP_ALIVE,
@@ -35,6 +37,20 @@
         }
     }
 
+    /** The token of an {@code Authorization} of the kind {@code Token}, or null. */
+    static String token(HttpHeaders headers) {
+        String value = headers.get(HttpHeaderNames.AUTHORIZATION);
+        if (value == null) {
+            return null;
+        }
+        String text = value.trim();
+        if (text.length() < 7 || !text.regionMatches(true, 0, "Token ", 0, 6)) {
+            return null;
+        }
+        String token = text.substring(6).trim();
+        return token.isEmpty() || token.indexOf(' ') >= 0 ? null : token;
+    }
+
     private static boolean isHop(String name) {
         for (AsciiString hop : HOP) {
             if (hop.contentEqualsIgnoreCase(name)) {
@@ -50,7 +66,8 @@
                 String t = token.trim();
                 // What the servers rely on cannot be taken away by naming it in Connection.
                 if (t.equalsIgnoreCase(name) && !ATTEMPT.contentEqualsIgnoreCase(name)
-                        && !DEADLINE.contentEqualsIgnoreCase(name) && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)) {
+                        && !DEADLINE.contentEqualsIgnoreCase(name) && !OPERATION_KEY.contentEqualsIgnoreCase(name)
+                        && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)) {
                     return true;
                 }
             }
--- a/circulation/src/main/java/org/umbermount/circulation/Holdings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Holdings.java
@@ -13,19 +13,33 @@
 
 /** The routes of a table, ready for looking up. */
 final class Holdings {
-    static final Holdings EMPTY = new Holdings(new Object2ObjectOpenHashMap<>(), Regulations.Limits.DEFAULT);
+    static final Holdings EMPTY = new Holdings(new Object2ObjectOpenHashMap<>(), Regulations.Limits.DEFAULT,
+            new Object2ObjectOpenHashMap<>(), false);
 
     private final Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost;
     private final Regulations.Limits limits;
 
-    private Holdings(Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost, Regulations.Limits limits) {
+    private final Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey;
+    private final boolean keyed;
+
+    private Holdings(Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost, Regulations.Limits limits,
+            Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey, boolean keyed) {
+        this.byKey = byKey;
+        this.keyed = keyed;
         this.byHost = byHost;
         this.limits = limits;
     }
 
     static Holdings of(Inventory table) throws Script.UnreadableException {
         Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost = new Object2ObjectOpenHashMap<>();
+        Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey = new Object2ObjectOpenHashMap<>();
+        boolean keyed = false;
         for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
+            if (e.getKey().startsWith(Inventory.TENANT)) {
+                Regulations.Tenant tenant = Tables.readTenant(e.getValue());
+                keyed = true;
+                tenant.apiKeys().forEach(k -> byKey.put(k, tenant));
+            }
             if (e.getKey().startsWith(Inventory.ROUTE)) {
                 Regulations.Route route = Tables.readRoute(e.getValue());
                 byHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route);
@@ -35,13 +49,23 @@
             routes.sort(Comparator.comparingInt((Regulations.Route r) -> r.prefix().length()).reversed());
         }
         byte[] limits = table.entries().get(Inventory.CONFIGURATION);
-        return new Holdings(byHost, limits == null ? Regulations.Limits.DEFAULT : Tables.readLimits(limits));
+        return new Holdings(byHost, limits == null ? Regulations.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
     }
 
     Regulations.Limits limits() {
         return limits;
     }
 
+    /** Whether requests need a key, but for those of anonymous routes. */
+    boolean keyed() {
+        return keyed;
+    }
+
+    /** The tenant that holds a key, or null. */
+    Regulations.Tenant tenant(String key) {
+        return key == null ? null : byKey.get(key);
+    }
+
     /** The route with the longest prefix that begins the path, or null. */
     Regulations.Route route(String hostHeader, String uri) {
         if (hostHeader == null) {
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/KeptAnswers.java
@@ -0,0 +1,31 @@
+package org.umbermount.circulation;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Map;
+import org.umbermount.kernel.Script;
+
+/** How an answer is packed that is kept for repeats of its operation. */
+final class KeptAnswers {
+    private KeptAnswers() {
+    }
+
+    static byte[] pack(Answer answer) {
+        HttpHeaders kept = new DefaultHttpHeaders(false);
+        Headings.copyEndToEnd(answer.headers(), kept);
+        // These were about the first try and the moment.
+        kept.remove(Headings.ATTEMPT).remove(Headings.LOAD);
+        List<Map.Entry<String, String>> headers = kept.entries();
+        return Script.write().num(answer.status()).list(headers, (o, e) -> o.text(e.getKey()).text(e.getValue()))
+                .bytes(answer.body()).done();
+    }
+
+    static Answer unpack(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        int status = (int) in.num();
+        HttpHeaders headers = new DefaultHttpHeaders(false);
+        in.list(r -> headers.add(r.text(), r.text()));
+        return new Answer(status, headers, in.bytes());
+    }
+}
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -122,6 +122,10 @@
                 || request.protocolVersion().majorVersion() != 1 || request.method().equals(HttpMethod.CONNECT)) {
             return false;
         }
+        if (request.headers().getAll(HttpHeaderNames.AUTHORIZATION).size() > 1
+                || request.headers().getAll(Headings.OPERATION_KEY).size() > 1) {
+            return false;
+        }
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             return HttpUtil.isTransferEncodingChunked(request)
                     && request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -22,6 +22,8 @@
     static final int CONNECT_MS = 350;
     private static final int HEADER_BYTES = 32_768;
     private static final long IDLE_MS = 8_000;
+    /** Requests that cannot be sent again use no connection that has rested longer. */
+    private static final long RESTED_MS = 250;
     private static final long DOWN_FIRST_MS = 400;
     private static final long DOWN_LONGEST_MS = 4_000;
     private static final double OTHERS_FADE_MS = 500;
@@ -176,6 +178,11 @@
         begin(now);
         while (!idle.isEmpty()) {
             Carrel carrel = idle.pollLast();
+            if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS) {
+                // A server may have forgotten it without a word, and what it resets then cannot be sent again.
+                idle.addLast(carrel);
+                break;
+            }
             if (carrel.isOpen()) {
                 carrel.send(attempt);
                 return;
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -14,8 +14,11 @@
     final Allowance allowance;
     final List<Repository> repositories = new ArrayList<>();
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
-            Comparator.comparingInt(Borrowing::priority).thenComparingLong(b -> b.deadline().millis()));
+            Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
+                    .thenComparingLong(b -> b.deadline().millis()));
     int maxConnections = 64;
+    /** Whether its servers themselves know a key again. */
+    boolean dedupCapable;
     /** Smoothed time of an answer, over all servers. */
     double typicalMs = 100;
     boolean measured;
@@ -27,6 +30,7 @@
 
     void configure(Regulations.Upstream upstream) {
         maxConnections = upstream.maxConnections();
+        dedupCapable = upstream.dedupCapable();
     }
 
     void sample(double ms) {
--- a/courier/src/main/java/org/umbermount/courier/Consignee.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignee.java
@@ -29,6 +29,8 @@
     private Imprint sender;
     private Moment lastHeard = Moment.NEVER;
     private Inventory inForce = Inventory.EMPTY;
+    private long keepMs = -1;
+    private Moment goodUntil = Moment.NEVER;
 
     Consignee(Almanac almanac, Postbag post, Tally tally, long life) {
         this.almanac = almanac;
@@ -39,6 +41,33 @@
         post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
     }
 
+    /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
+    void countFor(long ms) {
+        keepMs = ms;
+    }
+
+    /** How much longer the table in force counts for requests that carry a key. */
+    public long goodForMs() {
+        return keepMs < 0 ? Long.MAX_VALUE : goodUntil.since(almanac.now());
+    }
+
+    /**
+     * Takes word that no newer edition than one held here had been taken when a majority was asked. The moment is
+     * put on this daemon's own clock by the echo of its own stamp, which is never later than now: whatever time the
+     * word spent on its way, or this process standing still, is counted against it.
+     */
+    private void vouched(Dispatch d) {
+        long now = almanac.now().millis();
+        if (keepMs < 0 || d.vouched() < 0 || d.echo() < 0 || d.echo() > now || d.life() != life
+                || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
+            return;
+        }
+        Moment until = new Moment(d.echo() - d.vouchAge() + keepMs);
+        if (goodUntil.isBefore(until)) {
+            goodUntil = until;
+        }
+    }
+
     /** Told of each table that comes into force. */
     public void observe(Consumer<Inventory> observer) {
         observers.add(observer);
@@ -75,6 +104,7 @@
             if (inForce.isEmpty() && epoch == 0 && d.difference() != null && d.oldNum() == 0) {
                 bringIntoForce(Inventory.EMPTY.with(d.difference()), from);
             }
+            vouched(d);
             return;
         }
         if (d.epoch() < epoch) {
@@ -107,6 +137,7 @@
                 }
             }
         }
+        vouched(d);
         trim(d.throwawayNum());
         acknowledge(from, d, held.lastKey());
     }
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -49,6 +49,8 @@
     private Moment echoAt;
     private Almanac.Cancellable timer;
     private boolean closed;
+    private Vouching vouching = Vouching.NONE;
+    private long renewMs = HEARTBEAT_MS;
 
     Consignor(Imprint proxy, long life, long epoch, Almanac almanac, Postbag post, Tally tally) {
         this.proxy = proxy;
@@ -61,6 +63,29 @@
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
     }
 
+    /** From now on instructions say how fresh the table is known to be, at least as often as this. */
+    void vouch(Vouching by, long everyMs) {
+        vouching = by;
+        renewMs = Math.min(HEARTBEAT_MS, everyMs);
+    }
+
+    /** The proxy's clock was heard of beside an acknowledgment. */
+    void stamped(long forLife, long stamp, Moment at) {
+        if (forLife == life && (echoStamp < 0 || echoAt.isBefore(at))) {
+            echoStamp = stamp;
+            echoAt = at;
+        }
+    }
+
+    /** The proxy needs to hear now how fresh its table is. */
+    void renew() {
+        Moment now = almanac.now();
+        if (now.since(lastSend) >= roundTrip.frame()) {
+            sendEmpty(now);
+            scheduleNext(now);
+        }
+    }
+
     Moment lastHeard() {
         return lastHeard;
     }
@@ -105,6 +130,7 @@
         sent.clear();
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
         unanswered = 0;
+        echoStamp = -1;
         lastHeard = almanac.now();
         lastSend = Moment.NEVER;
         schedule(0);
@@ -158,14 +184,14 @@
         } else if (overdue) {
             newest().at = now;
             send(assumed, newest(), now);
-        } else if (now.since(lastSend) >= HEARTBEAT_MS) {
+        } else if (now.since(lastSend) >= renewMs) {
             sendEmpty(now);
         }
         scheduleNext(now);
     }
 
     private void scheduleNext(Moment now) {
-        long next = HEARTBEAT_MS - now.since(lastSend);
+        long next = renewMs - now.since(lastSend);
         if (sent.size() > 1) {
             next = Math.min(next, roundTrip.rto() - now.since(newest().at) + 1);
         }
@@ -174,14 +200,15 @@
 
     private void send(Sent from, Sent to, Moment now) {
         emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
-                to.table.since(from.table)), now);
+                to.table.since(from.table), vouched(now), vouchAge(now)), now);
         unanswered++;
         tally.count("courier.sent");
     }
 
     private void sendEmpty(Moment now) {
         long num = newest().num;
-        emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null), now);
+        emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
+                vouched(now), vouchAge(now)), now);
         tally.count("courier.heartbeats");
     }
 
@@ -190,6 +217,14 @@
         post.send(proxy, Postbag.Topic.DISPATCH, dispatch.pack());
     }
 
+    private long vouched(Moment now) {
+        return echo(now) < 0 || vouching.at() == null ? -1 : vouching.edition().value();
+    }
+
+    private long vouchAge(Moment now) {
+        return vouching.at() == null ? 0 : now.since(vouching.at());
+    }
+
     private long echo(Moment now) {
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
--- a/courier/src/main/java/org/umbermount/courier/Dispatch.java
+++ b/courier/src/main/java/org/umbermount/courier/Dispatch.java
@@ -10,13 +10,21 @@
  * @param life which life of the proxy this is for, or 0 if the sender does not know it yet
  * @param stamp the sending clock's low bits, echoed by the other side
  * @param echo the last stamp received, adjusted by how long it was kept; -1 if there is none
+ * @param vouched the edition that a majority has confirmed as the newest one taken; -1 if nothing is said of it
+ * @param vouchAge how long ago that confirmation was asked for
  */
 record Dispatch(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp,
-        long echo, Inventory.Difference difference) {
+        long echo, Inventory.Difference difference, long vouched, long vouchAge) {
+
+    Dispatch(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp, long echo,
+            Inventory.Difference difference) {
+        this(epoch, life, oldNum, newNum, ackNum, throwawayNum, stamp, echo, difference, -1, 0);
+    }
+
 
     byte[] pack() {
         Script.Writer out = Script.write().num(epoch).num(life).num(oldNum).num(newNum).num(ackNum)
-                .num(throwawayNum).num(stamp).num(echo);
+                .num(throwawayNum).num(stamp).num(echo).num(vouched).num(vouchAge);
         out.flag(difference != null);
         if (difference != null) {
             difference.write(out);
@@ -26,7 +34,17 @@
 
     static Dispatch unpack(byte[] body) throws Script.UnreadableException {
         Script.Reader in = Script.read(body);
-        return new Dispatch(in.num(), in.num(), in.num(), in.num(), in.num(), in.num(), in.num(), in.num(),
-                in.flag() ? Inventory.Difference.read(in) : null);
+        long epoch = in.num();
+        long life = in.num();
+        long oldNum = in.num();
+        long newNum = in.num();
+        long ackNum = in.num();
+        long throwaway = in.num();
+        long stamp = in.num();
+        long echo = in.num();
+        long vouched = in.num();
+        long age = in.num();
+        return new Dispatch(epoch, life, oldNum, newNum, ackNum, throwaway, stamp, echo,
+                in.flag() ? Inventory.Difference.read(in) : null, vouched, age);
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -1,15 +1,19 @@
 package org.umbermount.courier;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Department;
+import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Script;
 
 /** The receiving side as a plug-in of the lector. */
 public final class ReceivingDepartment implements Department {
@@ -18,6 +22,8 @@
     private static final long LOST_MS = 500;
     private static final long TELL_MS = 5_000;
     private static final long TELL_HERE_MS = 700;
+    private static final long VOUCH_MARGIN_MS = 300;
+    private static final long VOUCH_LOW_MS = 2_600;
     private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
 
     private Institution institution;
@@ -26,6 +32,8 @@
     private Moment lastTold = Moment.NEVER;
     private Moment lastToldHere = Moment.NEVER;
     private int tries;
+    private boolean strict;
+    private int voucherTurn;
 
     @Override
     public String name() {
@@ -49,9 +57,16 @@
         Almanac almanac = host.almanac();
         consignee = new Consignee(almanac, host.find(Postbag.class), host.tally(), almanac.wallMillis());
         host.offer(Consignee.class, consignee);
+        HouseRules.Sharing sharing = host.rules().bounds().sharing();
+        strict = sharing.strictRevocation();
+        if (strict) {
+            consignee.countFor(sharing.revokeMs() - VOUCH_MARGIN_MS);
+            host.tally().gauge("courier.table.good.ms", () -> Math.max(0, consignee.goodForMs()));
+        }
         host.tally().gauge("courier.epoch", consignee::epoch);
         host.tally().gauge("courier.edition", () -> consignee.inForce().edition().value());
         host.tally().gauge("courier.silence.ms", () -> almanac.now().since(consignee.lastHeard()));
+        consignee.observe(this::learn);
         almanac.execute(this::tell);
         almanac.every(LOOP_MS, this::reconcile);
         almanac.after(EAGER_MS, this::hurry);
@@ -68,6 +83,9 @@
     private void reconcile() {
         Moment now = institution.almanac().now();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
+        if (strict && !consignee.inForce().isEmpty() && consignee.goodForMs() < VOUCH_LOW_MS) {
+            askVoucher(now);
+        }
         if (lost || now.since(lastTold) > TELL_MS) {
             tell();
         } else if (now.since(lastToldHere) > TELL_HERE_MS) {
@@ -83,7 +101,7 @@
         lastToldHere = now;
         String zone = institution.rules().zone();
         byte[] body = new Signpost(consignee.life(), zone, consignee.inForce().isEmpty(), false,
-                consignee.inForce().edition().value()).pack();
+                consignee.inForce().edition().value(), now.millis()).pack();
         for (Placename p : gazetteer.known(Role.REGISTRAR, zone)) {
             if (p.zone().equals(zone)) {
                 institution.find(Postbag.class).send(p.imprint(), Postbag.Topic.SIGNPOST, body);
@@ -91,13 +109,43 @@
         }
     }
 
+    /** Takes up the registrars that the table names, and makes itself known to those of the zone at once. */
+    private void learn(Inventory table) {
+        List<Placename> named = new ArrayList<>();
+        try {
+            for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
+                if (e.getKey().startsWith(Inventory.REGISTRAR)) {
+                    named.add(Tables.readRegistrar(e.getValue()));
+                }
+            }
+        } catch (Script.UnreadableException e) {
+            institution.tally().count("courier.registrars.unreadable");
+            return;
+        }
+        gazetteer.lasting(named);
+        if (consignee.epoch() == 0) {
+            tellHere(institution.almanac().now());
+        }
+    }
+
+    /** The sender is late with its word on how fresh the table is: any registrar may give it. */
+    private void askVoucher(Moment now) {
+        List<Placename> known = gazetteer.known(Role.REGISTRAR, institution.rules().zone());
+        byte[] body = new Signpost(consignee.life(), institution.rules().zone(), false, true,
+                consignee.inForce().edition().value(), now.millis()).pack();
+        for (int i = 0; i < Math.min(2, known.size()); i++) {
+            institution.find(Postbag.class).send(known.get(voucherTurn++ % known.size()).imprint(),
+                    Postbag.Topic.SIGNPOST, body);
+        }
+    }
+
     /** Tells registrars of this proxy: all of them now and then, those of the zone first when in need. */
     private void tell() {
         Moment now = institution.almanac().now();
         boolean empty = consignee.inForce().isEmpty();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
-        byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost,
-                consignee.inForce().edition().value()).pack();
+        byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
+                consignee.inForce().edition().value(), now.millis()).pack();
         List<Imprint> targets = gazetteer.known(Role.REGISTRAR, institution.rules().zone()).stream()
                 .map(Placename::imprint).toList();
         if (targets.isEmpty()) {
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.slf4j.Logger;
@@ -12,6 +13,7 @@
 import org.umbermount.archive.Census;
 import org.umbermount.archive.CensusEntry;
 import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Porter;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.RollCall;
 import org.umbermount.archive.StatusPage;
@@ -21,7 +23,7 @@
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
@@ -37,6 +39,10 @@
     private static final long STEADY_MS = 20;
     private static final long ASKER_LOOK_MS = 20;
     private static final int ASKER_LOOKS = 25;
+    private static final String QUOTA = "quota/";
+    private static final long ATTEST_MS = 450;
+    private static final long RENEW_MS = 800;
+    private static final long VOUCH_MS = 5_000;
 
     private final Map<Imprint, Known> proxies = new TreeMap<>();
     private final Map<Imprint, Consignor> consignors = new HashMap<>();
@@ -53,7 +59,23 @@
     private Edition packedEdition = Edition.NONE;
     private Map<String, byte[]> packedConfiguration = Map.of();
 
+    private Porter porter;
+    private boolean strict;
+    private Moment vouchedUntil = Moment.NEVER;
+    private final Vouching vouching = new Vouching() {
+        @Override
+        public Edition edition() {
+            return porter.attested();
+        }
+
+        @Override
+        public Moment at() {
+            return porter.attestedAt();
+        }
+    };
+
     private static final class Known {
+        long stamp;
         final String zone;
         long life;
         Moment heard;
@@ -89,6 +111,8 @@
         census = host.find(Census.class);
         tenures = host.find(TenureOffice.class);
         rollCall = host.find(RollCall.class);
+        porter = host.find(Porter.class);
+        strict = host.rules().bounds().sharing().strictRevocation();
         post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
         post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
         host.find(Gazetteer.class).observe(this::noticed);
@@ -104,7 +128,18 @@
             public void ended(String zone) {
                 reconcile();
             }
+
+            @Override
+            public void moved(String duty) {
+                if (duty.startsWith(QUOTA)) {
+                    changed();
+                }
+            }
         });
+        custodian.onCharter(c -> changed());
+        if (strict) {
+            almanac.every(ATTEST_MS, this::attest);
+        }
         host.find(StatusPage.class).addSection(this::show);
         host.tally().gauge("courier.proxies.known", proxies::size);
         host.tally().gauge("courier.proxies.served", consignors::size);
@@ -132,6 +167,29 @@
         }
     }
 
+    /** Keeps the word on the newest edition fresh while there is someone to pass it on to. */
+    private void attest() {
+        if (custodian.standing() != Custodian.Standing.RECOVERING
+                && (!consignors.isEmpty() || almanac.now().isBefore(vouchedUntil))) {
+            porter.askNewest();
+        }
+    }
+
+    /** Tells a proxy that is not served here, or late served, how fresh its table is. */
+    private void vouch(Imprint to, Signpost s, Consignor consignor) {
+        Moment now = almanac.now();
+        if (!now.isBefore(vouchedUntil)) {
+            porter.askNewest();
+        }
+        vouchedUntil = now.plus(VOUCH_MS);
+        if (consignor != null) {
+            consignor.renew();
+        } else if (vouching.at() != null) {
+            post.send(to, Postbag.Topic.DISPATCH, new Dispatch(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
+                    vouching.edition().value(), now.since(vouching.at())).pack());
+        }
+    }
+
     private void met(Imprint from, Signpost s) {
         Known known = proxies.get(from);
         if (known == null || !known.zone.equals(s.zone())) {
@@ -141,11 +199,18 @@
         }
         known.heard = almanac.now();
         known.life = s.life();
+        known.stamp = s.stamp();
         reconcile();
         Consignor consignor = consignors.get(from);
         if (consignor != null && consignor.life() != s.life()) {
             consignor.restart(s.life());
         }
+        if (consignor != null) {
+            consignor.stamped(s.life(), s.stamp(), known.heard);
+        }
+        if (strict && s.wantsVoucher()) {
+            vouch(from, s, consignor);
+        }
         if (s.empty() && consignor == null && askers.put(from, s.life()) == null && askers.size() == 1) {
             serveAskers(ASKER_LOOKS);
         }
@@ -157,7 +222,7 @@
             Inventory.Difference everything = table().since(Inventory.EMPTY);
             for (Map.Entry<Imprint, Long> e : askers.entrySet()) {
                 post.send(e.getKey(), Postbag.Topic.DISPATCH,
-                        new Dispatch(0, e.getValue(), 0, 1, 0, 0, 0, -1, everything).pack());
+                        baseline(e.getKey(), e.getValue(), everything).pack());
                 institution.tally().count("courier.baselines");
             }
             askers.clear();
@@ -169,6 +234,16 @@
         }
     }
 
+    private Dispatch baseline(Imprint to, long life, Inventory.Difference everything) {
+        Known known = proxies.get(to);
+        boolean vouch = strict && known != null && known.life == life && vouching.at() != null;
+        if (strict) {
+            vouchedUntil = almanac.now().plus(VOUCH_MS);
+        }
+        return new Dispatch(0, life, 0, 1, 0, 0, 0, vouch ? known.stamp : -1, everything,
+                vouch ? vouching.edition().value() : -1, vouch ? almanac.now().since(vouching.at()) : 0);
+    }
+
     /**
      * Whether what this daemon holds may be handed out: committed, whole, and the newest that a majority knows of.
      * Every committed edition is held by a majority of the voters, so one that was missed would show in a report.
@@ -203,6 +278,11 @@
             tenures.noteEpoch(known.zone, ack.epoch());
             return;
         }
+        if (ack.epoch() < epoch) {
+            // It speaks of an earlier sender's numbers, which are not these.
+            institution.tally().count("courier.earlier.epoch");
+            return;
+        }
         consignor.acknowledged(ack);
     }
 
@@ -240,6 +320,12 @@
             if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
                 Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, almanac, post, institution.tally());
                 consignors.put(e.getKey(), c);
+                if (strict) {
+                    c.vouch(vouching, RENEW_MS);
+                    if (e.getValue().life != 0) {
+                        c.stamped(e.getValue().life, e.getValue().stamp, e.getValue().heard);
+                    }
+                }
                 c.offer(table());
             }
         }
@@ -256,11 +342,10 @@
         dirty = false;
         Accession committed = custodian.committed();
         if (!committed.edition().equals(packedEdition)) {
-            try {
-                packedConfiguration = Tables.packConfiguration(Regulations.readTaken(committed.blob()));
+            Regulations regulations = custodian.regulations();
+            if (regulations != null) {
+                packedConfiguration = Tables.packConfiguration(regulations);
                 packedEdition = committed.edition();
-            } catch (FaultException e) {
-                LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
             }
         }
         Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
@@ -269,6 +354,23 @@
                 entries.put(Inventory.INSTANCE + e.id(), Tables.packInstance(e));
             }
         }
+        HouseRules rules = institution.rules();
+        Imprint head = custodian.charter().head();
+        if (rules.guarantees(HouseRules.KEYS) && head != null) {
+            entries.put(Inventory.DUTY + "loans", Script.write().imprint(head).done());
+        }
+        entries.put(Inventory.REGISTRAR + post.self(), Tables.packRegistrar(post.self(), rules.zone()));
+        for (RollCall.Peer p : rollCall.peers()) {
+            if (p.report() != null && rollCall.lostForMs(p.imprint()) < FORGET_MS) {
+                entries.put(Inventory.REGISTRAR + p.imprint(), Tables.packRegistrar(p.imprint(), p.report().zone()));
+            }
+        }
+        for (String duty : rules.guarantees(HouseRules.QUOTA) ? TenureOffice.QUOTA_DUTIES : List.<String>of()) {
+            Imprint holder = tenures.holder(duty);
+            if (holder != null) {
+                entries.put(Inventory.DUTY + duty, Script.write().imprint(holder).done());
+            }
+        }
         entries.put(Inventory.FLEET, Script.write().num(proxies.size()).done());
         table = Inventory.of(entries);
         return table;
--- a/courier/src/main/java/org/umbermount/courier/Signpost.java
+++ b/courier/src/main/java/org/umbermount/courier/Signpost.java
@@ -4,17 +4,17 @@
 import org.umbermount.kernel.Script;
 
 /**
- * What a proxy says to registrars: which life and zone it is, whether it holds a table, and whether it hears a
- * sender. Registrars learn from it whom to send to.
+ * What a proxy says to registrars: which life and zone it is, whether it holds a table, and whether its table
+ * wants vouching for; the stamp is for measuring. Registrars learn from it whom to send to.
  */
-record Signpost(long life, String zone, boolean empty, boolean lost, long edition) {
+record Signpost(long life, String zone, boolean empty, boolean wantsVoucher, long edition, long stamp) {
     byte[] pack() {
-        return Script.write().num(life).text(zone).flag(empty).flag(lost).num(edition).done();
+        return Script.write().num(life).text(zone).flag(empty).flag(wantsVoucher).num(edition).num(stamp).done();
     }
 
     static Signpost unpack(byte[] body) throws Script.UnreadableException {
         Script.Reader in = Script.read(body);
-        return new Signpost(in.num(), in.text(), in.flag(), in.flag(), in.num());
+        return new Signpost(in.num(), in.text(), in.flag(), in.flag(), in.num(), in.num());
     }
 
     /** A proxy as the registrars know it. */
--- a/courier/src/main/java/org/umbermount/courier/Tables.java
+++ b/courier/src/main/java/org/umbermount/courier/Tables.java
@@ -4,8 +4,10 @@
 import java.util.Map;
 import org.umbermount.archive.CensusEntry;
 import org.umbermount.archive.Regulations;
+import org.umbermount.gazetteer.Placename;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
 /** How the entries of a table are packed. */
@@ -25,17 +27,42 @@
                 .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
         for (Regulations.Upstream u : r.upstreams()) {
             out.put(Inventory.UPSTREAM + u.label(),
-                    Script.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).done());
+                    Script.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
         }
         for (Regulations.Route route : r.routes()) {
             out.put(Inventory.ROUTE + route.host() + route.prefix(), Script.write().text(route.label())
-                    .text(route.host()).text(route.prefix()).flag(route.safe()).num(route.timeoutMs())
+                    .text(route.host()).text(route.prefix()).num(route.kind().ordinal())
+                    .flag(route.anonymous()).num(route.timeoutMs())
                     .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
                     .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
         }
+        for (Regulations.Tenant t : r.tenants()) {
+            out.put(Inventory.TENANT + t.label(), Script.write().text(t.label()).list(t.apiKeys(), Script.Writer::text)
+                    .num(t.priority()).num(Math.round(t.ratePerS() * 1_000)).num(Math.round(t.burst() * 1_000)).done());
+        }
         return out;
     }
 
+    public static Regulations.Tenant readTenant(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        return new Regulations.Tenant(in.text(), in.list(Script.Reader::text), (int) in.num(), in.num() / 1_000.0,
+                in.num() / 1_000.0);
+    }
+
+    public static byte[] packRegistrar(Imprint imprint, String zone) {
+        return Script.write().imprint(imprint).text(zone).done();
+    }
+
+    /** A registrar as a table names it. */
+    public static Placename readRegistrar(byte[] packed) throws Script.UnreadableException {
+        Script.Reader in = Script.read(packed);
+        return new Placename(in.imprint(), Role.REGISTRAR, in.text(), 0);
+    }
+
+    public static Imprint readHolder(byte[] packed) throws Script.UnreadableException {
+        return Script.read(packed).imprint();
+    }
+
     public static Regulations.Limits readLimits(byte[] packed) throws Script.UnreadableException {
         Script.Reader in = Script.read(packed);
         in.num();
@@ -44,13 +71,13 @@
 
     public static Regulations.Upstream readUpstream(byte[] packed) throws Script.UnreadableException {
         Script.Reader in = Script.read(packed);
-        return new Regulations.Upstream(in.text(), in.text(), (int) in.num());
+        return new Regulations.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
     public static Regulations.Route readRoute(byte[] packed) throws Script.UnreadableException {
         Script.Reader in = Script.read(packed);
-        return new Regulations.Route(in.text(), in.text(), in.text(), in.flag(), in.num(), in.num(), (int) in.num(),
-                (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
+        return new Regulations.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
+                (int) in.num(), (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
     }
 
     public static byte[] packInstance(CensusEntry e) {
@@ -68,4 +95,11 @@
     public static int readFleet(byte[] packed) throws Script.UnreadableException {
         return (int) Script.read(packed).num();
     }
+
+    private static Regulations.Kind kind(long ordinal) throws Script.UnreadableException {
+        if (ordinal < 0 || ordinal >= Regulations.Kind.values().length) {
+            throw new Script.UnreadableException("an unknown kind of route", null);
+        }
+        return Regulations.Kind.values()[(int) ordinal];
+    }
 }
--- a/courier/src/test/java/org/umbermount/courier/ReceivingDepartmentTest.java
+++ b/courier/src/test/java/org/umbermount/courier/ReceivingDepartmentTest.java
@@ -27,7 +27,7 @@
         Imprint registrar = Imprint.parse("10.0.0.1:7000");
         Imprint lector = Imprint.parse("10.0.0.2:7001");
         HouseRules rules = new HouseRules("n", "z", Map.of("z", "r"), lector.host(), Map.of(), 7000, 7010,
-                List.of(registrar.withPort(8000)), false, "", 100, 1000, 1500,
+                List.of(registrar.withPort(8000)), false, "", 100, 1000, 1500, 0, java.util.Set.of(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         Institution host = new Institution(Role.LECTOR, rules, almanac);
         FakePost.Bag own = network.bag(lector);
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
+++ b/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
@@ -38,6 +38,7 @@
     private final Map<Imprint, Placename> view = new LinkedHashMap<>();
     private final List<Consumer<Placename>> observers = new ArrayList<>();
     private List<Imprint> seeds;
+    private List<Placename> lasting = List.of();
     private List<Imprint> sentSample = List.of();
     private int rounds;
 
@@ -71,6 +72,11 @@
         return Collections.unmodifiableCollection(view.values());
     }
 
+    /** Sets the registrars that a table names, which are known beside the neighbours. */
+    public void lasting(Collection<Placename> named) {
+        lasting = List.copyOf(named);
+    }
+
     /** The known daemons of a role, those of the zone first, the freshest news first within that. */
     public List<Placename> known(Role role, String zoneFirst) {
         List<Placename> found = new ArrayList<>();
@@ -79,6 +85,11 @@
                 found.add(p);
             }
         }
+        for (Placename p : lasting) {
+            if (p.role() == role && !view.containsKey(p.imprint())) {
+                found.add(p);
+            }
+        }
         found.sort(Comparator.comparing((Placename p) -> !p.zone().equals(zoneFirst)).thenComparingInt(Placename::age));
         return found;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
+++ b/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
@@ -5,19 +5,43 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The settings of a process, checked against {@code settings.schema.json}. */
 public record HouseRules(
         String nodeName, String zone, Map<String, String> zones, String ip,
         Map<String, Imprint> listeners, int firstPort, int lastPort, List<Imprint> seedNodes, boolean bootstrap,
-        String dataPath, long memoryMb, int maxFds, long heartbeatMs, Bounds bounds) {
+        String dataPath, long memoryMb, int maxFds, long heartbeatMs, int toleratedMachines, Set<String> guarantees,
+        Bounds bounds) {
+
+    /** Which part of the rules covers operations that carry a key. */
+    public static final String KEYS = "keys";
+    /** Which part of the rules covers the limits of tenants. */
+    public static final String QUOTA = "quota";
 
     /** The figures that the rules are judged by. */
     public record Bounds(long contactMs, long ackMs, long drainMs, long graceMs, long configApplyMs,
-            double retryRatio, long retryWindowMs, double retryBurst, long syncTimeMs) {
+            double retryRatio, long retryWindowMs, double retryBurst, long syncTimeMs, Sharing sharing) {
+        public Bounds(long contactMs, long ackMs, long drainMs, long graceMs, long configApplyMs,
+                double retryRatio, long retryWindowMs, double retryBurst, long syncTimeMs) {
+            this(contactMs, ackMs, drainMs, graceMs, configApplyMs, retryRatio, retryWindowMs, retryBurst, syncTimeMs,
+                    Sharing.NONE);
+        }
+    }
+
+    /** The figures of what the daemons count and remember as one. */
+    public record Sharing(boolean strictRevocation, long revokeMs, long credentialWindowMs, long quotaWindowMs,
+            double quotaOvershoot, double quotaBurst) {
+        public static final Sharing NONE = new Sharing(false, 5_000, 60_000, 5_000, 0.1, 10);
+    }
+
+    /** Whether a part of the rules is in force here. */
+    public boolean guarantees(String part) {
+        return guarantees.contains(part);
     }
 
     /** The settings cannot be used; the message is one sentence that names the field. */
@@ -73,13 +97,28 @@
                 (long) b.number("drainMs", 3_000), (long) (b.number("graceS", 6) * 1_000),
                 (long) b.number("configApplyMs", 3_000), b.number("retryRatio", 0.1),
                 (long) (b.number("retryWindowS", 10) * 1_000), b.number("retryBurst", 10),
-                (long) (b.number("syncTimeS", 4) * 1_000));
+                (long) (b.number("syncTimeS", 4) * 1_000), sharing(b));
         Form limits = root.optional("limits");
+        Set<String> guarantees = new HashSet<>();
+        if (root.has("guarantees")) {
+            for (Form g : root.array("guarantees")) {
+                guarantees.add(g.text());
+            }
+        }
         return new HouseRules(root.member("nodeName").text(), root.member("zone").text(), zones,
                 root.member("ipAddress").host().host(), listeners, first, last, seeds,
                 root.has("bootstrap") && root.member("bootstrap").flag(), root.text("dataPath", ""),
                 (long) limits.number("memoryMb", 0), (int) limits.number("maxFds", 1_024),
-                (long) root.number("heartbeatMs", 1_500), bounds);
+                (long) root.number("heartbeatMs", 1_500), (int) root.optional("faultTolerance").whole("machines", 0, 1_000, 0),
+                Set.copyOf(guarantees), bounds);
+    }
+
+    private static Sharing sharing(Form b) throws Form.WrongException {
+        Sharing d = Sharing.NONE;
+        return new Sharing(b.has("strictRevocation") && b.member("strictRevocation").flag(),
+                (long) b.number("revokeMs", d.revokeMs), (long) (b.number("credentialWindowS", d.credentialWindowMs / 1_000) * 1_000),
+                (long) (b.number("quotaWindowS", d.quotaWindowMs / 1_000) * 1_000),
+                b.number("quotaOvershoot", d.quotaOvershoot), b.number("quotaBurst", d.quotaBurst));
     }
 
     /** Checks settings against the whole schema as well; null if all is well, or one sentence. */
--- /dev/null
+++ b/loans/src/main/java/org/umbermount/loans/LoanCounter.java
@@ -0,0 +1,253 @@
+package org.umbermount.loans;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** A lector's side of the operation records: claims operations for tries, and closes what was claimed. */
+public final class LoanCounter {
+    private static final long REPEAT_MS = 70;
+    private static final long CLOSE_FIRST_MS = 150;
+    private static final long CLOSE_LONGEST_MS = 1_200;
+    private static final long CLOSE_MS = 30_000;
+    /** The largest answer that is kept for repeats. */
+    public static final int LARGEST_ANSWER = 64 << 10;
+    private static final byte[] NOTHING = new byte[0];
+
+    /** How a claimed operation ended. */
+    public enum End {
+        /** It ran and was answered. */
+        ANSWERED(Slip.Kind.ANSWER),
+        /** It has not run and will not. */
+        RELEASED(Slip.Kind.RELEASE),
+        /** It may have run. */
+        UNKNOWN(Slip.Kind.END);
+
+        private final Slip.Kind kind;
+
+        End(Slip.Kind kind) {
+            this.kind = kind;
+        }
+    }
+
+    /** What became of a claim; exactly one is called, once. */
+    public interface Outcome {
+        /** The try may run, and nobody else may until it is closed. */
+        void granted();
+
+        /** The operation has run before, and this was its answer. */
+        void answered(byte[] answer);
+
+        /** Another try is at work on it. */
+        void busy();
+
+        /** It may have run before, and its answer is lost. */
+        void unknown();
+
+        /** The records cannot be reached in time. The try must not run. */
+        void unavailable();
+    }
+
+    /** One try's claim. */
+    public final class Ticket {
+        private final long serial;
+        private final OperationKey key;
+        private final boolean mayRepeat;
+        private final Moment since;
+        private final Moment until;
+        private Outcome outcome;
+        private End end;
+        private byte[] answer = NOTHING;
+        private int asks;
+        private long pause = CLOSE_FIRST_MS;
+        private Almanac.Cancellable timer;
+
+        private Ticket(OperationKey key, boolean mayRepeat, Outcome outcome, long patienceMs) {
+            this.serial = nextSerial++;
+            this.key = key;
+            this.mayRepeat = mayRepeat;
+            this.outcome = outcome;
+            this.since = almanac.now();
+            this.until = since.plus(patienceMs);
+        }
+
+        /** Gives a granted claim back, or says how it ended. */
+        public void close(End how, byte[] kept) {
+            if (end != null) {
+                return;
+            }
+            outcome = null;
+            if (timer != null) {
+                timer.cancel();
+            }
+            boolean fits = kept.length <= LARGEST_ANSWER;
+            end = how == End.ANSWERED && !fits ? End.UNKNOWN : how;
+            answer = end == End.ANSWERED ? kept : NOTHING;
+            closing++;
+            tellClose();
+        }
+
+        private void ask() {
+            Moment now = almanac.now();
+            if (outcome == null) {
+                return;
+            }
+            if (!now.isBefore(until)) {
+                Outcome told = outcome;
+                tally.count("loans.claims.unavailable");
+                // The claim may be on its way: until it is given back for certain, no other try may run.
+                close(End.RELEASED, NOTHING);
+                told.unavailable();
+                return;
+            }
+            Imprint to = target(asks++);
+            if (to != null) {
+                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
+                        .num(key.high()).num(key.low()).flag(mayRepeat).done());
+            }
+            timer = almanac.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
+        }
+
+        private void tellClose() {
+            Moment now = almanac.now();
+            if (now.since(since) > CLOSE_MS) {
+                tally.count("loans.closes.abandoned");
+                forget();
+                return;
+            }
+            Imprint to = target(asks++);
+            if (to != null) {
+                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
+                        .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
+            }
+            timer = almanac.after(pause, this::tellClose);
+            pause = Math.min(CLOSE_LONGEST_MS, pause * 2);
+        }
+
+        private void forget() {
+            if (timer != null) {
+                timer.cancel();
+            }
+            if (tickets.remove(serial) != null && end != null) {
+                closing--;
+            }
+        }
+
+        private void replied(LoanDesk.Reply reply, byte[] payload) throws Script.UnreadableException {
+            if (reply == LoanDesk.Reply.ELSEWHERE) {
+                Imprint better = Script.read(payload).imprint();
+                if (!better.equals(Imprint.NONE)) {
+                    hint = better;
+                    if (outcome != null && asks < 4) {
+                        timer.cancel();
+                        ask();
+                    }
+                }
+                return;
+            }
+            if (end != null) {
+                if (reply == LoanDesk.Reply.STORED) {
+                    forget();
+                }
+                return;
+            }
+            if (outcome == null) {
+                return;
+            }
+            Outcome told = outcome;
+            outcome = null;
+            timer.cancel();
+            switch (reply) {
+                case GRANTED -> told.granted();
+                case ANSWERED -> {
+                    forget();
+                    told.answered(payload);
+                }
+                case BUSY -> {
+                    forget();
+                    told.busy();
+                }
+                case UNKNOWN -> {
+                    forget();
+                    told.unknown();
+                }
+                default -> outcome = told;
+            }
+        }
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Tally tally;
+    private final Supplier<List<Imprint>> registrars;
+    private final Map<Long, Ticket> tickets = new HashMap<>();
+    private Imprint head;
+    private Imprint hint;
+    private long nextSerial;
+    private int closing;
+
+    /** @param registrars the registrars known, for when the head is not */
+    public LoanCounter(Almanac almanac, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> registrars) {
+        this.almanac = almanac;
+        this.post = post;
+        this.tally = tally;
+        this.registrars = registrars;
+        this.nextSerial = random.nextLong() >>> 1;
+        post.subscribe(Postbag.Topic.LOAN, this::receive);
+        tally.gauge("loans.open", tickets::size);
+    }
+
+    /** Where the table says that claims go. */
+    public void head(Imprint now) {
+        if (now != null && !now.equals(head)) {
+            head = now;
+            hint = null;
+        }
+    }
+
+    private Imprint target(int turn) {
+        if (turn % 3 < 2 && hint != null) {
+            return hint;
+        }
+        if (turn % 3 < 2 && head != null) {
+            return head;
+        }
+        List<Imprint> known = registrars.get();
+        return known.isEmpty() ? head : known.get(turn % known.size());
+    }
+
+    /** Claims an operation for a new try. */
+    public Ticket claim(OperationKey key, boolean mayRepeat, long patienceMs, Outcome outcome) {
+        Ticket ticket = new Ticket(key, mayRepeat, outcome, patienceMs);
+        tickets.put(ticket.serial, ticket);
+        tally.count("loans.claims");
+        ticket.ask();
+        return ticket;
+    }
+
+    /** How many ends have not been noted yet. */
+    public int closing() {
+        return closing;
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        if (in.num() != LoanDesk.Message.REPLY.ordinal()) {
+            return;
+        }
+        Ticket ticket = tickets.get(in.num());
+        int reply = (int) in.num();
+        byte[] payload = in.bytes();
+        if (ticket != null && reply >= 0 && reply < LoanDesk.Reply.values().length) {
+            ticket.replied(LoanDesk.Reply.values()[reply], payload);
+        }
+    }
+}
--- /dev/null
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -0,0 +1,633 @@
+package org.umbermount.loans;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.archive.Bookmark;
+import org.umbermount.archive.Charter;
+import org.umbermount.archive.Companion;
+import org.umbermount.archive.Custodian;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+import org.umbermount.stacks.Ledger;
+
+/**
+ * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
+ * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
+ */
+public final class LoanDesk implements Companion {
+    private static final Logger LOG = LoggerFactory.getLogger("loans");
+    private static final long LOOK_MS = 40;
+    private static final long REPEAT_MS = 90;
+    private static final long FETCH_MS = 200;
+    private static final int PASS_BYTES = 48 << 10;
+    private static final int PORTION_BYTES = 256 << 10;
+    /** After so long a claim that was not closed cannot be at work any more. */
+    static final long LONGEST_WORK_MS = 20_000;
+
+    /** What daemons say about operation records. */
+    enum Message {
+        CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION
+    }
+
+    /** What a lector is told. */
+    enum Reply {
+        GRANTED, ANSWERED, BUSY, UNKNOWN, STORED, ELSEWHERE, AGAIN
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Custodian custodian;
+    private final Ledger ledger;
+    private final LoanBook book;
+    private final java.util.concurrent.Executor disk;
+    private final int tolerated;
+    private final long keepMs;
+    private final long mostBytes;
+    private final Tally tally;
+
+    // The disk.
+    private List<Slip> queue = new ArrayList<>();
+    private final Map<Integer, Moment> segmentWritten = new HashMap<>();
+    private boolean writing;
+    private Moment writeBegan = Moment.NEVER;
+    private boolean refusing;
+    private Bookmark durable;
+
+    // The view.
+    private Charter charter = Charter.NONE;
+    private List<Imprint> line = List.of();
+    private int place = -1;
+    private long acked = -1;
+    private boolean passing;
+    private Moment passedAt = Moment.NEVER;
+    private long announced = -1;
+    private long committed = -1;
+    private long toldCommitted = -1;
+    private Fetching fetching;
+
+    private static final class Fetching {
+        final long view;
+        final Runnable done;
+        long nonce;
+        int turn;
+        Imprint from;
+        Moment asked = Moment.NEVER;
+
+        Fetching(long view, Imprint from, Runnable done) {
+            this.view = view;
+            this.from = from;
+            this.done = done;
+        }
+    }
+
+    /**
+     * @param book what the ledger held
+     * @param keepMs how long a record is kept after it was written
+     * @param mostBytes beyond this answers are no longer kept, only that the operation ran
+     */
+    LoanDesk(Almanac almanac, Postbag post, Custodian custodian, Ledger ledger, LoanBook book,
+            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Tally tally) {
+        this.almanac = almanac;
+        this.post = post;
+        this.custodian = custodian;
+        this.ledger = ledger;
+        this.book = book;
+        this.disk = disk;
+        this.tolerated = tolerated;
+        this.keepMs = keepMs;
+        this.mostBytes = mostBytes;
+        this.tally = tally;
+        this.durable = book.mark();
+        for (int s = 0; s <= ledger.current(); s++) {
+            // How old a record is after a stop nobody knows: its age counts from now.
+            segmentWritten.put(s, almanac.now());
+        }
+        post.subscribe(Postbag.Topic.LOAN, this::receive);
+    }
+
+    void start() {
+        custodian.accompany(this);
+        if (custodian.charter().number() > 0) {
+            adopted(custodian.charter());
+        }
+        almanac.every(LOOK_MS, this::look);
+        almanac.every(2_000, this::expire);
+    }
+
+    // ---- what the views ask ----
+
+    @Override
+    public Bookmark mark() {
+        return new Bookmark(durable.view(), durable.pos(), post.self());
+    }
+
+    @Override
+    public long settledView() {
+        return durable.view();
+    }
+
+    @Override
+    public boolean diskGood(long patienceMs) {
+        return !refusing && (!writing || almanac.now().since(writeBegan) < patienceMs);
+    }
+
+    @Override
+    public void adopted(Charter next) {
+        charter = next;
+        line = next.line(tolerated);
+        place = line.indexOf(post.self());
+        acked = -1;
+        passing = false;
+        announced = -1;
+        committed = -1;
+        toldCommitted = -1;
+        fetching = null;
+        join();
+    }
+
+    @Override
+    public void rebuild(Bookmark upTo, Runnable done) {
+        if (upTo.sameAs(Bookmark.NONE)) {
+            done.run();
+            return;
+        }
+        LOG.info("Reading the operation records again from {}.", upTo.holder());
+        fetching = new Fetching(-1, upTo.holder(), done);
+        fetch();
+    }
+
+    /** Whether the book may grow: a promise on its way or given stands still until the next view. */
+    private boolean mayMove() {
+        return custodian.mayMove();
+    }
+
+    /** Brings the book to where the view begins, and takes part in it. */
+    private void join() {
+        if (place < 0 || !mayMove() || book.mark().view() == charter.number()) {
+            return;
+        }
+        if (book.mark().sameAs(charter.base())) {
+            enterView();
+        } else if (fetching == null) {
+            fetching = new Fetching(charter.number(), charter.base().holder(), null);
+            fetch();
+        }
+    }
+
+    private void enterView() {
+        book.enter(charter.number());
+        write(Slip.marker(Slip.Kind.ENTER, charter.number(), 0));
+    }
+
+    private boolean joined() {
+        return place >= 0 && durable.view() == charter.number();
+    }
+
+    private boolean isHead() {
+        return place == 0;
+    }
+
+    private boolean isTail() {
+        return place >= 0 && place == line.size() - 1;
+    }
+
+    // ---- the disk ----
+
+    private void write(Slip slip) {
+        slip.since = almanac.now();
+        queue.add(slip);
+        flush();
+    }
+
+    private void flush() {
+        if (writing || queue.isEmpty()) {
+            return;
+        }
+        List<Slip> batch = queue;
+        queue = new ArrayList<>();
+        Bookmark upTo = book.mark();
+        List<byte[]> raw = new ArrayList<>(batch.size());
+        for (Slip s : batch) {
+            raw.add(s.raw);
+        }
+        writing = true;
+        writeBegan = almanac.now();
+        disk.execute(() -> {
+            int segment = 0;
+            try {
+                ledger.append(raw);
+                segment = ledger.current();
+            } catch (IOException | RuntimeException e) {
+                segment = -1;
+            }
+            int where = segment;
+            almanac.execute(() -> written(batch, upTo, where));
+        });
+    }
+
+    private void written(List<Slip> batch, Bookmark upTo, int segment) {
+        writing = false;
+        refusing = segment < 0;
+        if (refusing) {
+            tally.count("loans.writes.refused");
+            queue.clear();
+            book.cut(durable);
+            return;
+        }
+        tally.count("loans.writes");
+        for (Slip s : batch) {
+            s.segment = segment;
+        }
+        segmentWritten.put(segment, almanac.now());
+        durable = upTo;
+        if (!queue.isEmpty() && !mayMove() && custodian.standing() == Custodian.Standing.MEMBER) {
+            // A promise was given meanwhile: it names what is on disk now.
+            queue.clear();
+            book.cut(durable);
+        }
+        flush();
+        if (fetching != null && fetching.done != null && fetching.from == null && queue.isEmpty() && !writing) {
+            Runnable done = fetching.done;
+            fetching = null;
+            done.run();
+        }
+        if (joined()) {
+            acknowledge();
+            advance();
+        }
+    }
+
+    /** Lets go of what is older than any operation has to be remembered, a segment at a time. */
+    private void expire() {
+        Moment now = almanac.now();
+        int current = ledger.current();
+        int through = 0;
+        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+            if (e.getKey() < current && now.since(e.getValue()) > keepMs) {
+                through = Math.max(through, e.getKey());
+            }
+        }
+        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+            if (e.getKey() < current && now.since(e.getValue()) <= keepMs) {
+                through = Math.min(through, e.getKey() - 1);
+            }
+        }
+        if (through <= 0) {
+            return;
+        }
+        int last = through;
+        int dropped = book.expireThrough(last);
+        segmentWritten.keySet().removeIf(s -> s <= last);
+        tally.counter("loans.expired").increment(dropped);
+        disk.execute(() -> {
+            try {
+                ledger.dropThrough(last);
+            } catch (IOException | RuntimeException e) {
+                tally.count("loans.segments.kept");
+            }
+        });
+    }
+
+    // ---- messages ----
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        int kind = (int) in.num();
+        if (kind < 0 || kind >= Message.values().length) {
+            throw new Script.UnreadableException("an unknown message about operations", null);
+        }
+        switch (Message.values()[kind]) {
+            case CLAIM -> {
+                long serial = in.num();
+                claim(from, serial, new OperationKey(in.num(), in.num()), in.flag());
+            }
+            case CLOSE -> {
+                long serial = in.num();
+                OperationKey key = new OperationKey(in.num(), in.num());
+                int how = (int) in.num();
+                if (how < Slip.Kind.ANSWER.ordinal() || how > Slip.Kind.END.ordinal()) {
+                    throw new Script.UnreadableException("an unknown end of an operation", null);
+                }
+                close(from, serial, key, Slip.Kind.values()[how], in.bytes());
+            }
+            case PASS -> passed(from, in.num(), in.num(), in.num(), slips(in));
+            case ACK -> acknowledged(from, in.num(), in.num(), in.num());
+            case FETCH -> {
+                long view = in.num();
+                fetched(from, view, in.num(), in.list(Bookmark::read));
+            }
+            case PORTION -> portion(from, in.num(), Bookmark.read(in), Bookmark.read(in), in.flag(), slips(in));
+            default -> tally.count("loans.unwanted");
+        }
+    }
+
+    private static List<Slip> slips(Script.Reader in) throws Script.UnreadableException {
+        return in.list(r -> Slip.read(r.bytes()));
+    }
+
+    private static Script.Writer message(Message kind) {
+        return Script.write().num(kind.ordinal());
+    }
+
+    private void reply(Imprint to, long serial, Reply reply, byte[] payload) {
+        post.send(to, Postbag.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
+    }
+
+    private static final byte[] NOTHING = new byte[0];
+
+    // ---- the head ----
+
+    private boolean turnedAway(Imprint from, long serial) {
+        if (isHead() && joined() && custodian.acting() && !refusing) {
+            return false;
+        }
+        Imprint head = custodian.charter().head();
+        reply(from, serial, Reply.ELSEWHERE, Script.write().imprint(head == null || head.equals(post.self())
+                ? Imprint.NONE : head).done());
+        return true;
+    }
+
+    private void claim(Imprint from, long serial, OperationKey key, boolean mayRepeat) {
+        if (turnedAway(from, serial)) {
+            return;
+        }
+        Slip s = book.standing(key);
+        if (s == null || s.kind == Slip.Kind.RELEASE && !s.sameTry(from, serial)) {
+            enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+            return;
+        }
+        boolean same = s.sameTry(from, serial);
+        switch (s.kind) {
+            case CLAIM -> {
+                if (same) {
+                    if (isCommitted(s)) {
+                        reply(from, serial, Reply.GRANTED, NOTHING);
+                    }
+                } else if (almanac.now().since(s.since) < LONGEST_WORK_MS) {
+                    reply(from, serial, Reply.BUSY, NOTHING);
+                } else if (mayRepeat) {
+                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                } else {
+                    reply(from, serial, Reply.UNKNOWN, NOTHING);
+                }
+            }
+            case ANSWER -> {
+                if (isCommitted(s)) {
+                    tally.count("loans.repeats.answered");
+                    reply(from, serial, Reply.ANSWERED, s.payload());
+                }
+            }
+            case END -> {
+                if (mayRepeat && !same) {
+                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                } else {
+                    reply(from, serial, Reply.UNKNOWN, NOTHING);
+                }
+            }
+            default -> reply(from, serial, Reply.UNKNOWN, NOTHING);
+        }
+    }
+
+    private void close(Imprint from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
+        if (turnedAway(from, serial)) {
+            return;
+        }
+        Slip s = book.standing(key);
+        boolean mine = s != null && s.sameTry(from, serial);
+        if (mine && s.kind == how) {
+            if (isCommitted(s)) {
+                reply(from, serial, Reply.STORED, NOTHING);
+            }
+            return;
+        }
+        boolean open = mine && (s.kind == Slip.Kind.CLAIM || s.kind == Slip.Kind.END && how == Slip.Kind.ANSWER)
+                || s == null && how == Slip.Kind.RELEASE;
+        if (!open) {
+            reply(from, serial, Reply.STORED, NOTHING);
+        } else if (how == Slip.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
+            tally.count("loans.answers.unkept");
+            enter(Slip.Kind.END, key, from, serial, NOTHING);
+        } else {
+            enter(how, key, from, serial, payload);
+        }
+    }
+
+    private void enter(Slip.Kind kind, OperationKey key, Imprint origin, long serial, byte[] payload) {
+        Slip s = Slip.of(kind, charter.number(), book.mark().pos() + 1, key, origin, serial, payload);
+        book.add(s);
+        write(s);
+    }
+
+    private boolean isCommitted(Slip s) {
+        return s.view < charter.number() ? committed >= 0 : s.pos <= committed;
+    }
+
+    // ---- the line ----
+
+    private long position() {
+        return joined() ? durable.pos() : -1;
+    }
+
+    /** Does what the newest news allows: commits at the tail, passes on elsewhere. */
+    private void advance() {
+        if (!joined() || !custodian.acting()) {
+            return;
+        }
+        if (isTail()) {
+            commit(isHead() ? position() : Math.min(position(), announced));
+        } else {
+            pass();
+        }
+    }
+
+    private void pass() {
+        Moment now = almanac.now();
+        if (passing && now.since(passedAt) < REPEAT_MS || acked >= position()) {
+            return;
+        }
+        long from = acked < 0 ? position() : acked;
+        List<Slip> next = book.between(new Bookmark(charter.number(), from, Imprint.NONE), durable, PASS_BYTES);
+        post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(charter.number()).num(from)
+                .num(position()).list(next, (o, s) -> o.bytes(s.raw)).done());
+        passing = true;
+        passedAt = now;
+    }
+
+    private void passed(Imprint from, long view, long since, long theirs, List<Slip> next) {
+        if (view > custodian.charter().number()) {
+            custodian.fetchFrom(from);
+            return;
+        }
+        if (view != charter.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
+                || !custodian.acting()) {
+            return;
+        }
+        announced = Math.max(announced, theirs);
+        boolean grew = false;
+        if (since <= book.mark().pos()) {
+            for (Slip s : next) {
+                if (s.view == view && s.pos == book.mark().pos() + 1) {
+                    book.add(s);
+                    write(s);
+                    grew = true;
+                }
+            }
+        }
+        if (!grew) {
+            acknowledge();
+        }
+        advance();
+    }
+
+    private void acknowledge() {
+        if (place >= 1 && joined()) {
+            toldCommitted = committed;
+            post.send(line.get(place - 1), Postbag.Topic.LOAN, message(Message.ACK).num(charter.number())
+                    .num(position()).num(committed).done());
+        }
+    }
+
+    private void acknowledged(Imprint from, long view, long pos, long theirCommitted) {
+        if (view != charter.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
+            return;
+        }
+        passing = false;
+        acked = Math.max(acked, pos);
+        commit(Math.min(theirCommitted, position()));
+        advance();
+    }
+
+    /** Everyone in the line has written everything up to here. */
+    private void commit(long upTo) {
+        if (upTo <= committed) {
+            return;
+        }
+        if (isTail()) {
+            Bookmark after = new Bookmark(charter.number(), Math.max(0, committed), Imprint.NONE);
+            for (Slip s : book.between(after, new Bookmark(charter.number(), upTo, Imprint.NONE), Integer.MAX_VALUE)) {
+                reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
+            }
+        }
+        if (committed < 0) {
+            LOG.info("View {} keeps operation records from {}/{}, {} of them.", charter.number(), charter.base().view(),
+                    charter.base().pos(), book.size());
+        }
+        committed = upTo;
+    }
+
+    private void look() {
+        if (fetching != null && fetching.from != null && almanac.now().since(fetching.asked) > FETCH_MS) {
+            fetch();
+        }
+        if (refusing && !writing && queue.isEmpty()) {
+            write(Slip.marker(Slip.Kind.CUT, durable.view(), durable.pos()));
+        }
+        if (place >= 0 && !joined() && !writing && fetching == null) {
+            join();
+        }
+        advance();
+        if (toldCommitted < committed) {
+            // Only repeats wait for this news on its way to the head; it need not travel with every entry.
+            acknowledge();
+        }
+    }
+
+    // ---- those that are behind ----
+
+    private void fetch() {
+        Fetching f = fetching;
+        if (f.view >= 0 && f.turn > 0) {
+            f.from = line.get(f.turn % line.size());
+            if (f.from.equals(post.self())) {
+                f.from = line.get((f.turn + 1) % line.size());
+            }
+        }
+        f.turn++;
+        f.nonce++;
+        f.asked = almanac.now();
+        tally.count("loans.fetches");
+        post.send(f.from, Postbag.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
+                .list(book.lineage(), (o, m) -> m.write(o)).done());
+    }
+
+    private void fetched(Imprint from, long view, long nonce, List<Bookmark> theirs) {
+        boolean able = view < 0 ? custodian.standing() != Custodian.Standing.RECOVERING
+                : view == charter.number() && (durable.view() == view || durable.sameAs(charter.base()));
+        if (!able) {
+            return;
+        }
+        Bookmark common = LoanBook.common(book.lineage(), theirs);
+        if (common.isBeyond(durable)) {
+            common = durable;
+        }
+        List<Slip> some = book.between(common, durable, PORTION_BYTES);
+        Slip last = some.isEmpty() ? null : some.get(some.size() - 1);
+        boolean whole = book.between(last == null ? common : new Bookmark(last.view, last.pos, Imprint.NONE), durable, 1)
+                .isEmpty();
+        Script.Writer out = message(Message.PORTION).num(nonce);
+        common.write(out);
+        durable.write(out);
+        post.send(from, Postbag.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
+    }
+
+    private void portion(Imprint from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
+        Fetching f = fetching;
+        if (f == null || f.nonce != nonce || !from.equals(f.from)
+                || f.view >= 0 && (f.view != charter.number() || !mayMove())) {
+            return;
+        }
+        if (!book.mark().sameAs(common)) {
+            if (common.isBeyond(book.mark())) {
+                return;
+            }
+            book.cut(common);
+            write(Slip.marker(Slip.Kind.CUT, common.view(), common.pos()));
+        }
+        for (Slip s : some) {
+            book.add(s);
+            write(s);
+        }
+        if (!whole) {
+            f.turn = 0;
+            fetch();
+            return;
+        }
+        long enter = f.view >= 0 ? f.view : theirs.view();
+        if (book.mark().view() < enter) {
+            book.enter(enter);
+        }
+        write(Slip.marker(Slip.Kind.ENTER, enter, 0));
+        if (f.done == null) {
+            fetching = null;
+        } else {
+            f.from = null;
+        }
+    }
+
+    // ---- for people ----
+
+    Bookmark durable() {
+        return durable;
+    }
+
+    long committed() {
+        return committed;
+    }
+
+    LoanBook book() {
+        return book;
+    }
+
+    Charter view() {
+        return charter;
+    }
+}
--- /dev/null
+++ b/loans/src/main/java/org/umbermount/loans/Slip.java
@@ -0,0 +1,80 @@
+package org.umbermount.loans;
+
+import java.nio.ByteBuffer;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Script;
+
+/**
+ * One entry of the operation records, as it travels and lies on disk: kind (1 byte), view (8), position (8), key
+ * (16), the lector that the try is at (8), the try's number there (8), and what was answered.
+ */
+final class Slip {
+    enum Kind {
+        /** A try takes the operation. */
+        CLAIM,
+        /** The operation has run and was answered. */
+        ANSWER,
+        /** The try will never run. */
+        RELEASE,
+        /** The try has ended and nobody knows whether it ran. */
+        END,
+        /** On disk only: the daemon has taken part in a view. */
+        ENTER,
+        /** On disk only: what lies behind a position does not count. */
+        CUT
+    }
+
+    static final int HEAD = 49;
+
+    final Kind kind;
+    final long view;
+    final long pos;
+    final OperationKey key;
+    final Imprint origin;
+    final long serial;
+    final byte[] raw;
+    /** The segment on disk; 0 until it is written. */
+    int segment;
+    Moment since = Moment.NEVER;
+
+    private Slip(Kind kind, long view, long pos, OperationKey key, Imprint origin, long serial, byte[] raw) {
+        this.kind = kind;
+        this.view = view;
+        this.pos = pos;
+        this.key = key;
+        this.origin = origin;
+        this.serial = serial;
+        this.raw = raw;
+    }
+
+    static Slip of(Kind kind, long view, long pos, OperationKey key, Imprint origin, long serial, byte[] payload) {
+        byte[] raw = ByteBuffer.allocate(HEAD + payload.length).put((byte) kind.ordinal()).putLong(view).putLong(pos)
+                .putLong(key.high()).putLong(key.low()).putLong(origin.packed()).putLong(serial).put(payload).array();
+        return new Slip(kind, view, pos, key, origin, serial, raw);
+    }
+
+    static Slip marker(Kind kind, long view, long pos) {
+        return of(kind, view, pos, new OperationKey(0, 0), Imprint.NONE, 0, new byte[0]);
+    }
+
+    static Slip read(byte[] raw) throws Script.UnreadableException {
+        if (raw.length < HEAD || raw[0] < 0 || raw[0] >= Kind.values().length) {
+            throw new Script.UnreadableException("an unknown operation record", null);
+        }
+        ByteBuffer in = ByteBuffer.wrap(raw);
+        Kind kind = Kind.values()[in.get()];
+        return new Slip(kind, in.getLong(), in.getLong(), new OperationKey(in.getLong(), in.getLong()),
+                Imprint.unpack(in.getLong()), in.getLong(), raw);
+    }
+
+    byte[] payload() {
+        byte[] out = new byte[raw.length - HEAD];
+        System.arraycopy(raw, HEAD, out, 0, out.length);
+        return out;
+    }
+
+    boolean sameTry(Imprint who, long number) {
+        return serial == number && origin.equals(who);
+    }
+}
--- /dev/null
+++ b/readership/src/main/java/org/umbermount/readership/CountingDepartment.java
@@ -0,0 +1,66 @@
+package org.umbermount.readership;
+
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.courier.Consignee;
+import org.umbermount.courier.Inventory;
+import org.umbermount.courier.Tables;
+import org.umbermount.gazetteer.Gazetteer;
+import org.umbermount.gazetteer.Placename;
+import org.umbermount.kernel.Department;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Script;
+
+/** The asking for quota as a plug-in of the lector. */
+public final class CountingDepartment implements Department {
+    private static final Logger LOG = LoggerFactory.getLogger("readership");
+    private static final String QUOTA = Inventory.DUTY + "quota/";
+
+    private QuotaCounter counter;
+
+    @Override
+    public String name() {
+        return "readership";
+    }
+
+    @Override
+    public int order() {
+        return 36;
+    }
+
+    @Override
+    public boolean serves(Role role) {
+        return role == Role.LECTOR;
+    }
+
+    @Override
+    public void open(Institution host) {
+        if (!host.rules().guarantees(HouseRules.QUOTA)) {
+            return;
+        }
+        HouseRules.Sharing sharing = host.rules().bounds().sharing();
+        Gazetteer gazetteer = host.find(Gazetteer.class);
+        // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
+        long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
+        counter = new QuotaCounter(host.almanac(), host.find(Postbag.class), host.tally(), ttl,
+                () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
+        host.offer(QuotaCounter.class, counter);
+        host.find(Consignee.class).observe(this::learn);
+    }
+
+    private void learn(Inventory table) {
+        for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
+            if (e.getKey().startsWith(QUOTA)) {
+                try {
+                    counter.keeper(e.getKey().substring(Inventory.DUTY.length()), Tables.readHolder(e.getValue()));
+                } catch (Script.UnreadableException x) {
+                    LOG.warn("The table does not say who counts {}: {}.", e.getKey(), x.getMessage());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -0,0 +1,205 @@
+package org.umbermount.readership;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** A lector's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
+public final class QuotaCounter {
+    private static final long REPEAT_MS = 60;
+    private static final long REFUSE_LONGEST_MS = 250;
+    private static final int WAITING_AT_MOST = 64;
+
+    /** What a request is told. */
+    public enum Word {
+        /** It may be sent. */
+        MAY,
+        /** The tenant has none left. */
+        SPENT,
+        /** Nobody who counts could be reached. */
+        NOBODY
+    }
+
+    /** Told once whether a request may be sent. */
+    public interface Outcome {
+        void told(Word word);
+    }
+
+    private record Waiting(Outcome outcome, Moment until) {
+    }
+
+    private final class Purse {
+        final String tenant;
+        final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+        int tokens;
+        Moment tokensUntil = Moment.NEVER;
+        Moment refusedUntil = Moment.NEVER;
+        double demand;
+        Moment demandAt = almanac.now();
+        boolean asking;
+        int asks;
+        Almanac.Cancellable timer;
+
+        Purse(String tenant) {
+            this.tenant = tenant;
+        }
+
+        void note(Moment now) {
+            demand = demand * Math.exp(-now.since(demandAt) / 1_000.0) + 1;
+            demandAt = now;
+        }
+
+        boolean spend(Moment now) {
+            if (tokens > 0 && now.isBefore(tokensUntil)) {
+                tokens--;
+                return true;
+            }
+            return false;
+        }
+
+        void ask() {
+            Moment now = almanac.now();
+            while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until())) {
+                tally.count("quota.unreachable");
+                waiting.poll().outcome().told(Word.NOBODY);
+            }
+            if (waiting.isEmpty()) {
+                asking = false;
+                return;
+            }
+            asking = true;
+            // What comes beyond those that wait is for the requests of the next moments.
+            int ahead = (int) Math.min(6, demand * ttlMs / 2_000);
+            Imprint to = target(tenant, asks++);
+            if (to != null) {
+                post.send(to, Postbag.Topic.QUOTA, new QuotaMessages.Ask(now.millis(),
+                        List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
+            }
+            timer = almanac.after(REPEAT_MS, this::ask);
+        }
+
+        void granted(QuotaMessages.Grant grant, Moment asked, Imprint from) {
+            Moment now = almanac.now();
+            if (grant.count() < 0) {
+                if (asking && asks < 4) {
+                    timer.cancel();
+                    ask();
+                }
+                return;
+            }
+            keepers.put(QuotaMessages.dutyOf(tenant), from);
+            int n = now.since(asked) < 2 * ttlMs ? grant.count() : 0;
+            boolean was = asking;
+            while (n > 0 && !waiting.isEmpty()) {
+                n--;
+                waiting.poll().outcome().told(Word.MAY);
+            }
+            if (n > 0) {
+                tokens = n + (now.isBefore(tokensUntil) ? tokens : 0);
+                tokensUntil = asked.plus(ttlMs);
+            }
+            if (grant.waitMs() > 0) {
+                refusedUntil = now.plus(Math.min(REFUSE_LONGEST_MS, grant.waitMs()));
+                while (!waiting.isEmpty()) {
+                    waiting.poll().outcome().told(Word.SPENT);
+                }
+            }
+            if (was && waiting.isEmpty() && timer != null) {
+                timer.cancel();
+                asking = false;
+                asks = 0;
+            }
+        }
+    }
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Tally tally;
+    private final long ttlMs;
+    private final Supplier<List<Imprint>> registrars;
+    private final Map<String, Purse> purses = new HashMap<>();
+    private final Map<String, Imprint> keepers = new HashMap<>();
+
+    /**
+     * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
+     * @param registrars the registrars known, for when the keeper of a count is not
+     */
+    public QuotaCounter(Almanac almanac, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> registrars) {
+        this.almanac = almanac;
+        this.post = post;
+        this.tally = tally;
+        this.ttlMs = Math.max(1, ttlMs);
+        this.registrars = registrars;
+        post.subscribe(Postbag.Topic.QUOTA, this::receive);
+    }
+
+    /** Where the table says that a share of the tenants is counted. */
+    public void keeper(String duty, Imprint holder) {
+        keepers.put(duty, holder);
+    }
+
+    private Imprint target(String tenant, int turn) {
+        Imprint keeper = keepers.get(QuotaMessages.dutyOf(tenant));
+        if (keeper != null && turn % 3 != 2) {
+            return keeper;
+        }
+        List<Imprint> known = registrars.get();
+        return known.isEmpty() ? keeper : known.get(turn % known.size());
+    }
+
+    /** Takes one request's worth; answers at once if there is one here. */
+    public void take(Regulations.Tenant tenant, long patienceMs, Outcome outcome) {
+        if (!tenant.limited()) {
+            outcome.told(Word.MAY);
+            return;
+        }
+        Moment now = almanac.now();
+        Purse purse = purses.computeIfAbsent(tenant.label(), Purse::new);
+        purse.note(now);
+        if (purse.spend(now)) {
+            outcome.told(Word.MAY);
+        } else if (now.isBefore(purse.refusedUntil) || purse.waiting.size() >= WAITING_AT_MOST) {
+            tally.count("quota.refused.here");
+            outcome.told(Word.SPENT);
+        } else {
+            purse.waiting.add(new Waiting(outcome, now.plus(patienceMs)));
+            if (!purse.asking) {
+                purse.ask();
+            }
+        }
+    }
+
+    /** Gives back what was taken for a request that was not sent. */
+    public void giveBack(Regulations.Tenant tenant) {
+        Purse purse = purses.get(tenant.label());
+        if (purse != null && almanac.now().isBefore(purse.tokensUntil)) {
+            purse.tokens++;
+        }
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        if (in.flag()) {
+            return;
+        }
+        QuotaMessages.Answer answer = QuotaMessages.Answer.read(in);
+        if (answer.stamp() > almanac.now().millis()) {
+            return;
+        }
+        for (QuotaMessages.Grant g : answer.grants()) {
+            Purse purse = purses.get(g.tenant());
+            if (purse != null) {
+                purse.granted(g, new Moment(answer.stamp()), from);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -0,0 +1,94 @@
+package org.umbermount.readership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Regulations;
+import org.umbermount.archive.TenureOffice;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
+final class QuotaDesk {
+    /** What a new holder starts with: small enough that two changes of holder in a window stay inside the slack. */
+    private static final double START_SHARE = 0.2;
+    private static final double CAP_SHARE = 0.4;
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final Custodian custodian;
+    private final TenureOffice tenures;
+    private final HouseRules.Sharing sharing;
+    private final Tally tally;
+    private final Map<String, Bucket> buckets = new HashMap<>();
+    private Regulations limitsOf;
+    private Map<String, Regulations.Tenant> limits = Map.of();
+
+    QuotaDesk(Almanac almanac, Postbag post, Custodian custodian, TenureOffice tenures, HouseRules.Sharing sharing,
+            Tally tally) {
+        this.almanac = almanac;
+        this.post = post;
+        this.custodian = custodian;
+        this.tenures = tenures;
+        this.sharing = sharing;
+        this.tally = tally;
+        post.subscribe(Postbag.Topic.QUOTA, this::receive);
+    }
+
+    private Map<String, Regulations.Tenant> limits() {
+        Regulations now = custodian.regulations();
+        if (now != limitsOf) {
+            limitsOf = now;
+            limits = new HashMap<>();
+            if (now != null) {
+                now.tenants().forEach(t -> limits.put(t.label(), t));
+            }
+            buckets.keySet().retainAll(limits.keySet());
+        }
+        return limits;
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        if (!in.flag()) {
+            return;
+        }
+        QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
+        List<QuotaMessages.Grant> grants = new ArrayList<>();
+        for (QuotaMessages.Wish w : ask.wishes()) {
+            grants.add(grant(w));
+        }
+        post.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.stamp(), grants).pack());
+    }
+
+    private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
+        long epoch = tenures.epoch(QuotaMessages.dutyOf(wish.tenant()));
+        if (epoch == 0) {
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0);
+        }
+        Regulations.Tenant limit = limits().get(wish.tenant());
+        if (limit == null || !limit.limited()) {
+            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0);
+        }
+        Moment now = almanac.now();
+        Bucket bucket = buckets.get(wish.tenant());
+        if (bucket == null || bucket.epoch != epoch) {
+            bucket = new Bucket(epoch, START_SHARE * sharing.quotaBurst(), now);
+            buckets.put(wish.tenant(), bucket);
+        }
+        int n = bucket.take(wish.count(), limit.ratePerS(), limit.burst() + CAP_SHARE * sharing.quotaBurst(), now);
+        tally.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
+        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()));
+    }
+
+    Map<String, Bucket> buckets() {
+        return buckets;
+    }
+}
--- /dev/null
+++ b/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
@@ -0,0 +1,61 @@
+package org.umbermount.readership;
+
+import java.util.List;
+import org.umbermount.archive.TenureOffice;
+import org.umbermount.kernel.Script;
+
+/** What lectors and registrars say to each other about quotas. */
+final class QuotaMessages {
+    private QuotaMessages() {
+    }
+
+    /** The duty that counts a tenant. */
+    static String dutyOf(String tenant) {
+        int h = tenant.hashCode();
+        return TenureOffice.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, TenureOffice.QUOTA_DUTIES.size()));
+    }
+
+    /** A lector's wish for one tenant. */
+    record Wish(String tenant, int count) {
+        void write(Script.Writer out) {
+            out.text(tenant).num(count);
+        }
+
+        static Wish read(Script.Reader in) throws Script.UnreadableException {
+            return new Wish(in.text(), (int) in.num());
+        }
+    }
+
+    /** A lector asks; the stamp is its own clock and comes back with the answer. */
+    record Ask(long stamp, List<Wish> wishes) {
+        byte[] pack() {
+            return Script.write().flag(true).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
+        }
+
+        static Ask read(Script.Reader in) throws Script.UnreadableException {
+            return new Ask(in.num(), in.list(Wish::read));
+        }
+    }
+
+    /** What is granted of one wish; -1 if the count is kept elsewhere. {@code waitMs} is until there is more. */
+    record Grant(String tenant, int count, long waitMs) {
+        void write(Script.Writer out) {
+            out.text(tenant).num(count).num(waitMs);
+        }
+
+        static Grant read(Script.Reader in) throws Script.UnreadableException {
+            return new Grant(in.text(), (int) in.num(), in.num());
+        }
+    }
+
+    /** A registrar answers. */
+    record Answer(long stamp, List<Grant> grants) {
+        byte[] pack() {
+            return Script.write().flag(false).num(stamp).list(grants, (o, g) -> g.write(o)).done();
+        }
+
+        static Answer read(Script.Reader in) throws Script.UnreadableException {
+            return new Answer(in.num(), in.list(Grant::read));
+        }
+    }
+}
--- /dev/null
+++ b/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
@@ -0,0 +1,64 @@
+package org.umbermount.readership;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Regulations;
+import org.umbermount.archive.StatusPage;
+import org.umbermount.archive.TenureOffice;
+import org.umbermount.kernel.Department;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+
+/** The counting of tenants as a plug-in of the registrar. */
+public final class ReadershipDepartment implements Department {
+    private Custodian custodian;
+    private QuotaDesk desk;
+
+    @Override
+    public String name() {
+        return "readership";
+    }
+
+    @Override
+    public int order() {
+        return 26;
+    }
+
+    @Override
+    public boolean serves(Role role) {
+        return role == Role.REGISTRAR;
+    }
+
+    @Override
+    public void open(Institution host) {
+        custodian = host.find(Custodian.class);
+        if (host.rules().guarantees(HouseRules.QUOTA)) {
+            desk = new QuotaDesk(host.almanac(), host.find(Postbag.class), custodian, host.find(TenureOffice.class),
+                    host.rules().bounds().sharing(), host.tally());
+        }
+        StatusPage page = host.findOrNull(StatusPage.class);
+        if (page != null) {
+            page.addSection(this::show);
+        }
+    }
+
+    /** Tenants with how many keys they have; the keys themselves are never shown. */
+    private void show(ObjectNode page) {
+        Regulations regulations = custodian.regulations();
+        ArrayNode tenants = page.putArray("tenants");
+        if (regulations == null) {
+            return;
+        }
+        for (Regulations.Tenant t : regulations.tenants()) {
+            ObjectNode one = tenants.addObject().put("tenant", t.label()).put("keys", t.apiKeys().size())
+                    .put("priority", t.priority()).put("ratePerS", t.ratePerS()).put("burst", t.burst());
+            Bucket bucket = desk == null ? null : desk.buckets().get(t.label());
+            if (bucket != null) {
+                one.put("tokensHere", Math.floor(bucket.tokens() * 10) / 10);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/stacks/src/main/java/org/umbermount/stacks/Cellar.java
@@ -0,0 +1,7 @@
+package org.umbermount.stacks;
+
+import java.util.concurrent.Executor;
+
+/** A daemon's disk: its folder, and the one thread that may wait for it. What is asked first is done first. */
+public record Cellar(Vault vault, Executor thread) {
+}
--- a/stacks/src/main/java/org/umbermount/stacks/Shelving.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Shelving.java
@@ -8,7 +8,9 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** A vault in one folder of the real disk. */
 public final class Shelving implements Vault {
@@ -65,6 +67,27 @@
         }
     }
 
+    @Override
+    public void sync(String name) throws IOException {
+        channel(name).force(true);
+    }
+
+    @Override
+    public List<String> list() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(f -> f.getFileName().toString()).sorted().toList();
+        }
+    }
+
+    @Override
+    public void remove(String name) throws IOException {
+        FileChannel old = open.remove(name);
+        if (old != null) {
+            old.close();
+        }
+        Files.deleteIfExists(folder.resolve(name));
+    }
+
     private FileChannel channel(String name) throws IOException {
         FileChannel channel = open.get(name);
         if (channel == null) {
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -47,6 +47,10 @@
     public static Stack open(Vault vault, String name, long rewriteOver) throws IOException {
         Stack stack = new Stack(vault, name, rewriteOver);
         stack.load();
+        if (stack.length > 0) {
+            // What an ended process wrote without waiting for the disk can be read back and still go with the power.
+            vault.sync(name);
+        }
         return stack;
     }
 
--- a/stacks/src/main/java/org/umbermount/stacks/Vault.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Vault.java
@@ -1,6 +1,7 @@
 package org.umbermount.stacks;
 
 import java.io.IOException;
+import java.util.List;
 
 /** The few things asked of a disk. Every call may block; none is made on an event loop. */
 public interface Vault {
@@ -13,6 +14,15 @@
     /** Cuts the file to a length and waits until that is safe. */
     void truncate(String name, long length) throws IOException;
 
+    /** Waits until all that the file holds is safe, also what an earlier process wrote and did not wait for. */
+    void sync(String name) throws IOException;
+
+    /** The names of the files there are. */
+    List<String> list() throws IOException;
+
+    /** Removes a file; a loss of power may bring it back. */
+    void remove(String name) throws IOException;
+
     /** Writes a whole file beside, makes it safe, and puts it in the place of the old one. */
     void replace(String name, byte[] bytes) throws IOException;
 }
--- a/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
+++ b/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
@@ -13,6 +13,7 @@
 /** A disk for tests: slow, hung, full or torn as a test wants. */
 public final class FakeVault implements Vault {
     private final Map<String, byte[]> files = new HashMap<>();
+    private final Map<String, byte[]> unsynced = new HashMap<>();
     private final List<Runnable> held = new ArrayList<>();
     private Almanac clock;
     public long delayMs = 1;
@@ -45,8 +46,35 @@
         work.forEach(Runnable::run);
     }
 
+    /** What was written without having been waited for goes with the power. */
     public void losePower() {
         held.clear();
+        unsynced.forEach((name, bytes) -> {
+            if (bytes == null) {
+                files.remove(name);
+            } else {
+                files.put(name, bytes);
+            }
+        });
+        unsynced.clear();
+    }
+
+    /** The next append reaches the file, and the process ends before the disk has confirmed it. */
+    public boolean endBeforeSync;
+
+    @Override
+    public void sync(String name) {
+        unsynced.remove(name);
+    }
+
+    @Override
+    public List<String> list() {
+        return files.keySet().stream().sorted().toList();
+    }
+
+    @Override
+    public void remove(String name) {
+        files.remove(name);
     }
 
     public byte[] raw(String name) {
@@ -70,7 +98,14 @@
         int n = tearAt >= 0 ? Math.min(tearAt, bytes.length) : bytes.length;
         byte[] next = Arrays.copyOf(old, (int) Math.max(old.length, at + n));
         System.arraycopy(bytes, 0, next, (int) at, n);
+        if (endBeforeSync) {
+            endBeforeSync = false;
+            unsynced.putIfAbsent(name, files.get(name));
+            files.put(name, next);
+            throw new IOException("ended");
+        }
         files.put(name, next);
+        unsynced.remove(name);
         if (tearAt >= 0) {
             tearAt = -1;
             throw new IOException("torn");
