Keep answers on as many disks as must hold them; avoid servers that fail; more tests

A server whose answers are often failures is expected to take longer and its failures are tried elsewhere within the budget. An acknowledgment of an earlier epoch is only a sign of life.

--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -138,7 +138,11 @@
         if (echoed == null && carrel.reused()) {
             repository.desk().tally().count("servers.answers.unnamed");
         }
-        return echoed == null || echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
+        if (echoed == null) {
+            // On a connection that has carried others, a success without a name may be anyone's.
+            return head == null || !carrel.reused() || head.status().code() / 100 != 2;
+        }
+        return echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
     }
 
     private boolean isSealedSuccess() {
@@ -210,6 +214,9 @@
         Answer answer = new Answer(status, head.headers(), held.toByteArray());
         boolean notRun = head.headers().contains(Headings.NOT_EXECUTED) || status == 421;
         repository.answered(now, ms, !notRun && status / 100 == 2);
+        if (!notRun) {
+            repository.ran(status < 500 || status == 504);
+        }
         if (notRun) {
             if (status == 421) {
                 repository.misdirected();
@@ -233,6 +240,7 @@
 
     void broken(String how) {
         repository.desk().tally().count("servers.answers.broken");
+        repository.ran(false);
         if (streaming) {
             borrowing.streamCut();
         } else {
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -505,7 +505,8 @@
             return;
         }
         // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
-        if (relay == null && isSafe() && mayTryAgain()) {
+        // It is different when one server fails far more than others do.
+        if ((relay == null || attempt.repository.suspect() && relay.status() != 504) && isSafe() && mayTryAgain()) {
             placeOrWait();
         } else {
             giveUp();
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -27,6 +27,10 @@
     private static final long DOWN_FIRST_MS = 400;
     private static final long DOWN_LONGEST_MS = 4_000;
     private static final double OTHERS_FADE_MS = 500;
+    private static final double FAILURE_MEMORY = 0.85;
+    private static final double SUSPECT = 0.25;
+    private static final double FAILURE_WEIGHT = 8;
+    private static final double FAILURE_FREE = 0.16;
 
     private final FrontDesk desk;
     private final Almanac almanac;
@@ -48,6 +52,7 @@
     private Moment lastAnswer = Moment.NEVER;
     private Moment busySince = Moment.NEVER;
     private boolean misdirected;
+    private double failures;
 
     Repository(FrontDesk desk, Wing wing, Tables.Instance instance) {
         this.desk = desk;
@@ -102,7 +107,7 @@
         double cap = instance.capacity();
         double queue = load > cap ? (load - cap) / cap : 0;
         double crowd = load > 0.8 * cap ? 0.2 : 0.1 * load / cap;
-        double expected = service * (1 + queue + crowd);
+        double expected = service * (1 + queue + crowd) * (1 + FAILURE_WEIGHT * Math.max(0, failures - FAILURE_FREE));
         // Nothing has come back for long although something is owed: the server may be dead or hung.
         if (inFlight > 0) {
             double silence = now.since(lastAnswer.isBefore(busySince) ? busySince : lastAnswer);
@@ -152,6 +157,16 @@
         }
     }
 
+    /** Whether lately so many of its answers were failures that the server itself is the likely cause. */
+    boolean suspect() {
+        return failures > SUSPECT;
+    }
+
+    /** Takes note of whether a run came to a good answer. */
+    void ran(boolean well) {
+        failures = failures * FAILURE_MEMORY + (well ? 0 : 1 - FAILURE_MEMORY);
+    }
+
     void full(Moment now) {
         othersLoad = Math.max(othersLoad, instance.capacity() + 1 - inFlight);
         othersAt = now;
--- /dev/null
+++ b/circulation/src/test/java/org/umbermount/circulation/FakeCounterPost.java
@@ -0,0 +1,43 @@
+package org.umbermount.circulation;
+
+import java.util.function.Function;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/** A postbag behind which one scripted registrar answers. */
+final class FakeCounterPost implements Postbag {
+    private final Almanac almanac;
+    private final Function<Script.Reader, byte[]> registrar;
+    private Listener listener;
+
+    FakeCounterPost(Almanac almanac, Function<Script.Reader, byte[]> registrar) {
+        this.almanac = almanac;
+        this.registrar = registrar;
+    }
+
+    @Override
+    public Imprint self() {
+        return Imprint.parse("10.0.0.9:7001");
+    }
+
+    @Override
+    public void send(Imprint to, Topic topic, byte[] body) {
+        byte[] reply = registrar.apply(Script.read(body));
+        if (reply != null) {
+            almanac.execute(() -> {
+                try {
+                    listener.receive(to, reply);
+                } catch (Script.UnreadableException e) {
+                    throw new AssertionError(e);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void subscribe(Topic topic, Listener l) {
+        listener = l;
+    }
+}
--- /dev/null
+++ b/circulation/src/test/java/org/umbermount/circulation/FakeRegister.java
@@ -0,0 +1,52 @@
+package org.umbermount.circulation;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.umbermount.kernel.Script;
+
+/** Keeps operation records as a registrar would, in memory. */
+final class FakeRegister {
+    private static final int CLAIM = 0;
+    private static final int REPLY = 2;
+    private static final int GRANTED = 0;
+    private static final int ANSWERED = 1;
+    private static final int BUSY = 2;
+    private static final int UNKNOWN = 3;
+    private static final int STORED = 4;
+    private static final int RELEASE = 2;
+
+    private record Kept(int how, byte[] answer) {
+    }
+
+    volatile boolean granting = true;
+    private final Map<Long, Kept> kept = new HashMap<>();
+
+    synchronized byte[] answer(Script.Reader in) {
+        try {
+            boolean claim = in.num() == CLAIM;
+            long serial = in.num();
+            long key = in.num() ^ in.num();
+            if (claim) {
+                if (!granting) {
+                    return null;
+                }
+                Kept k = kept.putIfAbsent(key, new Kept(BUSY, new byte[0]));
+                return reply(serial, k == null ? GRANTED : k.how, k == null ? new byte[0] : k.answer);
+            }
+            int how = (int) in.num();
+            byte[] answer = in.bytes();
+            if (how == RELEASE) {
+                kept.remove(key);
+            } else {
+                kept.put(key, new Kept(how == 1 ? ANSWERED : UNKNOWN, answer));
+            }
+            return reply(serial, STORED, new byte[0]);
+        } catch (Script.UnreadableException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static byte[] reply(long serial, int word, byte[] payload) {
+        return Script.write().num(REPLY).num(serial).num(word).bytes(payload).done();
+    }
+}
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -33,7 +33,9 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Script;
 import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.loans.LoanCounter;
 
 class FrontDeskTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
@@ -242,6 +244,28 @@
         assertEquals(3, first.connections.get());
     }
 
+    /** A surplus answer that comes late, in the next one's place, is nobody's, and nothing on its connection counts. */
+    @Test
+    void lateSurplusAnswerGoesToNobodyAndRetiresTheConnection() throws Exception {
+        table(first);
+        first.act((request, out) -> {
+            String id = request.header("Request-Attempt");
+            ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: " + id + "\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n" + id);
+            return true;
+        });
+        assertTrue(exchange(get("/safe/x")).endsWith("t1"));
+        first.act((request, out) -> {
+            ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nt1");
+            return true;
+        });
+        String answer = exchange(post("/once/x", "b").replace("t1", "t2"));
+        assertEquals(502, status(answer), answer);
+        int before = first.connections.get();
+        first.act(ScriptedServer.ok("hello"));
+        assertEquals(200, status(exchange(get("/safe/x"))));
+        assertEquals(before + 1, first.connections.get());
+    }
+
     @Test
     void pipelinedAnswersComeInOrder() throws Exception {
         table(first);
@@ -344,4 +368,115 @@
         assertEquals(0, first.seen.size());
         assertNotNull(second.seen.get(5));
     }
+
+    // ---- keys and operations ----
+
+    private void keyedTable(ScriptedServer... servers) throws Exception {
+        table(servers);
+        Regulations r = Regulations.parse(("{\"revision\":2,\"routeTable\":["
+                + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
+                + "{\"label\":\"o\",\"virtualHost\":\"h\",\"pathPrefix\":\"/open/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2,\"anonymous\":true},"
+                + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
+                + "\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"k1\",\"k2\"]},{\"label\":\"shop\",\"apiKeys\":[\"k3\"]}]}").getBytes());
+        almanac.loop().submit(() -> {
+            Map<String, byte[]> entries = new HashMap<>(desk.table().entries());
+            entries.keySet().removeIf(k -> k.startsWith(Inventory.ROUTE));
+            entries.putAll(Tables.packConfiguration(r));
+            desk.apply(Inventory.of(entries));
+        }).get();
+    }
+
+    private static String keyed(String path, String headers) {
+        return get(path).replace("Deadline-Ms", headers + "Deadline-Ms");
+    }
+
+    @Test
+    void serverIsToldTheTenantOfTheKeyAndNeverTheKey() throws Exception {
+        keyedTable(first);
+        assertEquals(200, status(exchange(keyed("/safe/x", "Authorization: Token k3\r\nTenant: mill\r\n"))));
+        assertEquals("shop", first.seen.get(0).header("Tenant"));
+        assertEquals(null, first.seen.get(0).header("Authorization"));
+        assertEquals(200, status(exchange(keyed("/open/x", "Tenant: mill\r\n"))));
+        assertEquals(null, first.seen.get(1).header("Tenant"));
+        assertEquals(200, status(exchange(keyed("/safe/x", "Authorization: Token k2\r\nConnection: close, Tenant\r\n"))));
+        assertEquals("mill", first.seen.get(2).header("Tenant"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"''|401", "Authorization: Token k9\\r\\n|401", "Authorization: Basic k1\\r\\n|401",
+            "Authorization: Token\\r\\n|401", "Authorization: Token k1 k1\\r\\n|401",
+            "Authorization: Token k1\\r\\nAuthorization: Token k3\\r\\n|400"})
+    void requestWithoutAKeyThatCountsReachesNobody(String headers, int expected) throws Exception {
+        keyedTable(first);
+        assertEquals(expected, status(exchange(keyed("/safe/x", headers.replace("\\r", "\r").replace("\\n", "\n")))));
+        assertEquals(0, first.seen.size());
+    }
+
+    /** A daemon that was cut off may not know that a key was taken away: past the time it counts, nothing is sent. */
+    @Test
+    void tableThatNobodyVouchesForAnyMoreSendsNothing() throws Exception {
+        keyedTable(first);
+        long[] good = {1_000};
+        almanac.loop().submit(() -> desk.share(null, null, () -> good[0])).get();
+        assertEquals(200, status(exchange(keyed("/safe/x", "Authorization: Token k1\r\n"))));
+        good[0] = 300;
+        String doubtful = exchange(keyed("/safe/x", "Authorization: Token new\r\n"));
+        assertEquals(503, status(doubtful), doubtful);
+        good[0] = 0;
+        String late = exchange(keyed("/safe/x", "Authorization: Token k1\r\n"));
+        assertEquals(503, status(late));
+        assertTrue(late.toLowerCase().contains("retry-after:"), late);
+        assertEquals(1, first.seen.size());
+        assertEquals(200, status(exchange(keyed("/open/x", ""))));
+    }
+
+    /** What a registrar's side would say, scripted: each message to it is answered by the function. */
+    private LoanCounter counter(java.util.function.Function<Script.Reader, byte[]> registrar) {
+        FakeCounterPost post = new FakeCounterPost(almanac, registrar);
+        LoanCounter counter = new LoanCounter(almanac, post, tally, new Random(4), java.util.List::of);
+        counter.head(Imprint.parse("10.0.0.1:7000"));
+        return counter;
+    }
+
+    @Test
+    void operationRunsOnlyOnceItIsGrantedAndARepeatGetsTheFirstAnswer() throws Exception {
+        keyedTable(first);
+        FakeRegister register = new FakeRegister();
+        LoanCounter counter = counter(register::answer);
+        almanac.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+        String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        register.granting = false;
+        String none = exchange(operation);
+        assertEquals(503, status(none), none);
+        assertEquals(0, first.seen.size());
+        register.granting = true;
+        String ran = exchange(operation);
+        assertEquals(200, status(ran), ran);
+        assertEquals("op1", first.seen.get(0).header("Operation-Key"));
+        Thread.sleep(300);
+        String repeat = exchange(operation.replace("t1", "t7"));
+        assertEquals(200, status(repeat), repeat);
+        assertTrue(repeat.contains("t7") && repeat.contains("s1") && repeat.endsWith("hello"), repeat);
+        assertEquals(1, first.seen.size());
+        String without = exchange(post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"));
+        assertEquals(400, status(without));
+    }
+
+    @Test
+    void operationWhoseAnswerWasLostIsNotRunAgain() throws Exception {
+        keyedTable(first, second);
+        FakeRegister register = new FakeRegister();
+        LoanCounter counter = counter(register::answer);
+        almanac.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+        first.act(ScriptedServer.raw("", false));
+        second.act(ScriptedServer.raw("", false));
+        String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        assertEquals(502, status(exchange(operation)));
+        Thread.sleep(300);
+        assertEquals(502, status(exchange(operation)));
+        assertEquals(1, first.seen.size() + second.seen.size());
+    }
 }
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -229,9 +229,24 @@
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
 
+    /** Learns which life of the proxy is there, from something that acknowledges nothing of this sender. */
+    private void met(long thatLife) {
+        if (life == 0) {
+            life = thatLife;
+        } else if (life != thatLife) {
+            restart(thatLife);
+        }
+    }
+
     /** Takes an acknowledgment. */
     void acknowledged(Dispatch ack) {
         Moment now = almanac.now();
+        if (ack.epoch() < epoch) {
+            // It speaks of an earlier sender's numbers, which are not these.
+            tally.count("courier.earlier.epoch");
+            met(ack.life());
+            return;
+        }
         if (ack.life() != life) {
             if (life == 0) {
                 life = ack.life();
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -293,11 +293,6 @@
             tenures.noteEpoch(known.zone, ack.epoch());
             return;
         }
-        if (ack.epoch() < epoch) {
-            // It speaks of an earlier sender's numbers, which are not these.
-            institution.tally().count("courier.earlier.epoch");
-            return;
-        }
         consignor.acknowledged(ack);
     }
 
--- a/courier/src/test/java/org/umbermount/courier/CourierTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CourierTest.java
@@ -261,6 +261,72 @@
         assertEquals(4, consignee.inForce().edition().value());
     }
 
+    /** However late word of a confirmation comes, the table counts only for so long after it was asked for. */
+    @Test
+    void tableCountsFromBeforeItsConfirmationWasAsked() {
+        consignee = proxy(11);
+        consignee.countFor(4_700);
+        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        long[] asked = {almanac.now().millis()};
+        boolean[] asking = {true};
+        c.vouch(new Vouching() {
+            @Override
+            public org.umbermount.kernel.Edition edition() {
+                return new org.umbermount.kernel.Edition(2);
+            }
+
+            @Override
+            public org.umbermount.kernel.Moment at() {
+                if (asking[0]) {
+                    asked[0] = almanac.now().millis() - 200;
+                }
+                return new org.umbermount.kernel.Moment(asked[0]);
+            }
+        }, 800);
+        assertTrue(consignee.goodForMs() <= 0);
+        c.offer(table(2, 1));
+        for (int i = 0; i < 40; i++) {
+            almanac.advance(100);
+            long good = consignee.goodForMs();
+            assertTrue(i < 10 || good > 3_000, "good for " + good);
+            assertTrue(good <= 4_500, "good for " + good);
+        }
+        // The sender is cut off from the voters, and goes on talking.
+        asking[0] = false;
+        long since = asked[0];
+        almanac.advance(3_000);
+        assertTrue(consignee.goodForMs() <= since + 4_700 - almanac.now().millis());
+        almanac.advance(2_000);
+        assertTrue(consignee.goodForMs() <= 0);
+        // Word that waited while this process stood still says nothing about now.
+        network.delayMs = 6_000;
+        asking[0] = true;
+        almanac.advance(8_000);
+        assertTrue(consignee.goodForMs() <= 0, "good for " + consignee.goodForMs());
+    }
+
+    /** A sender of the same address that came back at once must not take what the earlier one was told for its own. */
+    @Test
+    void acknowledgmentOfAnEarlierSenderDoesNotCount() {
+        consignee = proxy(11);
+        sender(SENDER, 1, new ArrayList<>()).offer(table(2, 1, 2));
+        almanac.advance(500);
+        List<Dispatch> seen = new ArrayList<>();
+        Consignor next = sender(SENDER, 2, seen);
+        next.offer(table(2, 1));
+        // The earlier sender's number 1 is acknowledged late; the new one's number 1 has been lost.
+        Dispatch late = new Dispatch(1, 11, 0, 0, 1, 0, 0, -1, null);
+        network.cutBoth(SENDER, PROXY);
+        almanac.advance(20);
+        next.acknowledged(late);
+        assertEquals(0, next.knownNum());
+        almanac.advance(200);
+        network.healAll();
+        almanac.advance(2_000);
+        assertTrue(consignee.inForce().sameAs(table(2, 1)));
+        assertEquals(1, next.knownNum());
+    }
+
     @Test
     void roundTripFollowsTcpWithItsFloor() {
         RoundTrip r = new RoundTrip();
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -35,7 +35,7 @@
 
     /** What daemons say about operation records. */
     enum Message {
-        CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION
+        CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION, PEEK
     }
 
     /** What a lector is told. */
@@ -321,6 +321,12 @@
             }
             case PASS -> passed(from, in.num(), in.num(), in.num(), slips(in));
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
+            case PEEK -> {
+                long serial = in.num();
+                Imprint lector = in.imprint();
+                OperationKey key = new OperationKey(in.num(), in.num());
+                peeked(serial, lector, key, in.imprint(), in.num());
+            }
             case FETCH -> {
                 long view = in.num();
                 fetched(from, view, in.num(), in.list(Bookmark::read));
@@ -381,9 +387,11 @@
                 }
             }
             case ANSWER -> {
-                if (isCommitted(s)) {
+                if (isCommitted(s) && !s.isThin()) {
                     tally.count("loans.repeats.answered");
                     reply(from, serial, Reply.ANSWERED, s.payload());
+                } else if (isCommitted(s)) {
+                    askForAnswer(from, serial, s);
                 }
             }
             case END -> {
@@ -397,6 +405,25 @@
         }
     }
 
+    /** Only the fact is kept here: whoever has the answer gives it to the lector. */
+    private void askForAnswer(Imprint lector, long serial, Slip s) {
+        tally.count("loans.answers.elsewhere");
+        byte[] body = message(Message.PEEK).num(serial).imprint(lector).num(s.key.high()).num(s.key.low())
+                .imprint(s.origin).num(s.serial).done();
+        charter.electorate().forEach(f -> {
+            if (!f.imprint().equals(post.self())) {
+                post.send(f.imprint(), Postbag.Topic.LOAN, body);
+            }
+        });
+    }
+
+    private void peeked(long serial, Imprint lector, OperationKey key, Imprint origin, long theirs) {
+        Slip s = book.standing(key);
+        if (s != null && s.kind == Slip.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
+            reply(lector, serial, Reply.ANSWERED, s.payload());
+        }
+    }
+
     private void close(Imprint from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
         if (turnedAway(from, serial)) {
             return;
@@ -457,7 +484,7 @@
         long from = acked < 0 ? position() : acked;
         List<Slip> next = book.between(new Bookmark(charter.number(), from, Imprint.NONE), durable, PASS_BYTES);
         post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(charter.number()).num(from)
-                .num(position()).list(next, (o, s) -> o.bytes(s.raw)).done());
+                .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
         passedAt = now;
     }
--- a/loans/src/main/java/org/umbermount/loans/Slip.java
+++ b/loans/src/main/java/org/umbermount/loans/Slip.java
@@ -68,6 +68,16 @@
                 Imprint.unpack(in.getLong()), in.getLong(), raw);
     }
 
+    /** The entry without what was answered, for members that only have to know that it was. */
+    byte[] thin() {
+        return kind == Kind.ANSWER && raw.length > HEAD ? java.util.Arrays.copyOf(raw, HEAD) : raw;
+    }
+
+    /** An answer of which only the fact is kept here. */
+    boolean isThin() {
+        return kind == Kind.ANSWER && raw.length == HEAD;
+    }
+
     byte[] payload() {
         byte[] out = new byte[raw.length - HEAD];
         System.arraycopy(raw, HEAD, out, 0, out.length);
--- /dev/null
+++ b/readership/src/test/java/org/umbermount/readership/QuotaTest.java
@@ -0,0 +1,121 @@
+package org.umbermount.readership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakePost;
+
+class QuotaTest {
+    private static final Imprint KEEPER = Imprint.parse("10.0.0.1:7000");
+    private static final Regulations.Tenant TENANT = new Regulations.Tenant("mill", List.of("k"), 0, 30, 30);
+    private static final long WINDOW_MS = 5_000;
+    private static final double OVERSHOOT = 0.1;
+    private static final double BURST = 20;
+
+    private final FakeAlmanac almanac = new FakeAlmanac();
+    private final FakePost network = new FakePost(almanac, 3);
+    private final List<QuotaCounter> lectors = new ArrayList<>();
+    private Bucket bucket;
+    private boolean reachable = true;
+
+    private void open(int count) {
+        bucket = new Bucket(1, 4, almanac.now());
+        FakePost.Bag bag = network.bag(KEEPER);
+        bag.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
+            Script.Reader in = Script.read(body);
+            in.flag();
+            QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
+            if (reachable) {
+                QuotaMessages.Wish w = ask.wishes().get(0);
+                int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 8, almanac.now());
+                bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.stamp(),
+                        List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS())))).pack());
+            }
+        });
+        for (int i = 0; i < count; i++) {
+            QuotaCounter c = new QuotaCounter(almanac, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
+                    (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+            c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
+            lectors.add(c);
+        }
+    }
+
+    /** Far more is asked than allowed, by many, while the keeper changes and words are lost: no window goes over. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void noWindowGoesOverThroughLossesAndChangesOfKeeper(long seed) {
+        open(12);
+        Random random = new Random(seed);
+        network.loss = 0.1;
+        network.jitterMs = 20;
+        ArrayDeque<Long> sent = new ArrayDeque<>();
+        double most = (TENANT.ratePerS() * WINDOW_MS / 1_000 + TENANT.burst()) * (1 + OVERSHOOT) + BURST;
+        int[] granted = new int[1];
+        long changed = 0;
+        for (int t = 0; t < 30_000; t += 5) {
+            if (random.nextInt(3) > 0) {
+                lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> {
+                    if (word == QuotaCounter.Word.MAY) {
+                        granted[0]++;
+                        sent.add(almanac.now().millis());
+                    }
+                });
+            }
+            if (t - changed > 2_500 && random.nextInt(100) == 0) {
+                changed = t;
+                bucket = new Bucket(bucket.epoch + 1, 4, almanac.now());
+            }
+            almanac.advance(5);
+            while (!sent.isEmpty() && sent.peek() <= almanac.now().millis() - WINDOW_MS) {
+                sent.poll();
+            }
+            assertTrue(sent.size() <= most, sent.size() + " in a window with seed " + seed);
+        }
+        assertTrue(granted[0] > 500, "hardly anything was granted: " + granted[0]);
+    }
+
+    @Test
+    void requestsWithinTheLimitAreNotRefused() {
+        open(12);
+        Random random = new Random(9);
+        almanac.advance(3_000);
+        int[] told = new int[3];
+        for (int t = 0; t < 20_000; t += 50) {
+            lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
+            almanac.advance(50);
+        }
+        assertEquals(0, told[QuotaCounter.Word.NOBODY.ordinal()]);
+        assertTrue(told[QuotaCounter.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaCounter.Word.SPENT.ordinal()]);
+    }
+
+    @Test
+    void daemonThatReachesNobodySpendsNothingBeyondWhatIsLive() {
+        open(1);
+        almanac.advance(3_000);
+        reachable = false;
+        int[] told = new int[3];
+        Moment start = almanac.now();
+        for (int i = 0; i < 40; i++) {
+            lectors.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
+            almanac.advance(25);
+        }
+        almanac.advance(400);
+        assertEquals(0, told[QuotaCounter.Word.MAY.ordinal()]);
+        assertEquals(40, told[QuotaCounter.Word.NOBODY.ordinal()]);
+        assertTrue(almanac.now().since(start) < 2_000);
+    }
+}
--- a/stacks/src/test/java/org/umbermount/stacks/StackTest.java
+++ b/stacks/src/test/java/org/umbermount/stacks/StackTest.java
@@ -87,4 +87,38 @@
         stack.put(folio(1, "next"));
         assertArrayEquals("next".getBytes(), open(vault).get((byte) 1));
     }
+
+    /** A process that ended before its disk had confirmed a write reads it back; the next one must not rest on it unsynced. */
+    @Test
+    void whatIsReadAtAStartIsSafeBeforeAnythingRestsOnIt() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = open(vault);
+        stack.put(folio(1, "first"));
+        vault.endBeforeSync = true;
+        assertThrows(IOException.class, () -> stack.put(folio(1, "second")));
+        assertArrayEquals("second".getBytes(), open(vault).get((byte) 1));
+        vault.losePower();
+        assertArrayEquals("second".getBytes(), open(vault).get((byte) 1));
+    }
+
+    @Test
+    void ledgerKeepsWholeRecordsDropsATornTailAndOldSegments() throws IOException {
+        FakeVault vault = new FakeVault();
+        List<String> read = new java.util.ArrayList<>();
+        Ledger ledger = Ledger.open(vault, "l", 60, (segment, body) -> read.add("never"));
+        for (int i = 0; i < 8; i++) {
+            ledger.append(List.of(("record " + i).getBytes(), ("and " + i).getBytes()));
+        }
+        assertTrue(ledger.current() > 2, "one segment only");
+        vault.tearAt = 11;
+        assertThrows(IOException.class, () -> ledger.append(List.of("torn".getBytes())));
+        Ledger.open(vault, "l", 60, (segment, body) -> read.add(new String(body)));
+        assertTrue(read.size() == 16 && read.get(0).equals("record 0") && read.get(15).equals("and 7"), read.toString());
+        ledger.dropThrough(2);
+        read.clear();
+        Ledger.open(vault, "l", 60, (segment, body) -> read.add(segment + new String(body)));
+        assertTrue(!read.isEmpty() && read.get(0).startsWith("3") && read.get(read.size() - 1).endsWith("and 7"), read.toString());
+        vault.raw("l.3", Arrays.copyOf(vault.raw("l.3"), vault.raw("l.3").length - 3));
+        assertThrows(Stack.DamagedException.class, () -> Ledger.open(vault, "l", 60, (segment, body) -> { }));
+    }
 }
