--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -150,6 +150,9 @@
 
     /** What each proxy is known and assumed to hold. */
     private void show(ObjectNode page) {
+        page.putObject("table").put("edition", table.edition().value()).put("entries", table.entries().size())
+                .put("vouchedEdition", vouching.at() == null ? 0 : vouching.edition().value())
+                .put("vouchedMsAgo", vouching.at() == null ? -1 : almanac.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
         for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
             Consignor c = consignors.get(e.getKey());
--- a/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
@@ -18,7 +18,7 @@
 final class ShowCommand implements Callable<Integer> {
     /** What can be shown. */
     enum Part {
-        all, view, members, duties, servers, proxies, metrics
+        all, view, members, duties, servers, proxies, tenants, operations, table, metrics
     }
 
     @Parameters(index = "0", paramLabel = "PART", description = "one of ${COMPLETION-CANDIDATES}")
@@ -60,6 +60,9 @@
                 case duties -> root.path("duties");
                 case servers -> root.path("servers");
                 case proxies -> root.path("proxies");
+                case tenants -> root.path("tenants");
+                case operations -> root.path("loans");
+                case table -> root.path("table");
                 default -> root;
             };
             System.out.println(mapper.writerWithDefaultPrettyPrinter().writeValueAsString(shown));
