--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -47,6 +47,7 @@
         Moment demandAt = almanac.now();
         boolean asking;
         int asks;
+        int hops;
         Almanac.Cancellable timer;
 
         Purse(String tenant) {
@@ -89,14 +90,21 @@
 
         void granted(QuotaMessages.Grant grant, Moment asked, Imprint from) {
             Moment now = almanac.now();
+            String duty = QuotaMessages.dutyOf(tenant);
             if (grant.count() < 0) {
-                if (asking && asks < 4) {
+                boolean known = !grant.keeper().equals(Imprint.NONE) && !grant.keeper().equals(from);
+                if (known) {
+                    keepers.put(duty, grant.keeper());
+                }
+                if (asking && known && hops++ < 3) {
                     timer.cancel();
+                    asks = 0;
                     ask();
                 }
                 return;
             }
-            keepers.put(QuotaMessages.dutyOf(tenant), from);
+            hops = 0;
+            keepers.put(duty, from);
             int n = now.since(asked) < 2 * ttlMs ? grant.count() : 0;
             boolean was = asking;
             while (n > 0 && !waiting.isEmpty()) {
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -71,11 +71,12 @@
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
         long epoch = tenures.epoch(QuotaMessages.dutyOf(wish.tenant()));
         if (epoch == 0) {
-            return new QuotaMessages.Grant(wish.tenant(), -1, 0);
+            Imprint holder = tenures.holder(QuotaMessages.dutyOf(wish.tenant()));
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? Imprint.NONE : holder);
         }
         Regulations.Tenant limit = limits().get(wish.tenant());
         if (limit == null || !limit.limited()) {
-            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0);
+            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
         }
         Moment now = almanac.now();
         Bucket bucket = buckets.get(wish.tenant());
@@ -85,7 +86,7 @@
         }
         int n = bucket.take(wish.count(), limit.ratePerS(), limit.burst() + CAP_SHARE * sharing.quotaBurst(), now);
         tally.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
-        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()));
+        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), post.self());
     }
 
     Map<String, Bucket> buckets() {
--- a/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.umbermount.archive.TenureOffice;
+import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
 /** What lectors and registrars say to each other about quotas. */
@@ -37,14 +38,17 @@
         }
     }
 
-    /** What is granted of one wish; -1 if the count is kept elsewhere. {@code waitMs} is until there is more. */
-    record Grant(String tenant, int count, long waitMs) {
+    /**
+     * What is granted of one wish; a count of -1 if it is kept elsewhere, by the keeper named if that is known.
+     * {@code waitMs} is until there is more.
+     */
+    record Grant(String tenant, int count, long waitMs, Imprint keeper) {
         void write(Script.Writer out) {
-            out.text(tenant).num(count).num(waitMs);
+            out.text(tenant).num(count).num(waitMs).imprint(keeper);
         }
 
         static Grant read(Script.Reader in) throws Script.UnreadableException {
-            return new Grant(in.text(), (int) in.num(), in.num());
+            return new Grant(in.text(), (int) in.num(), in.num(), in.imprint());
         }
     }
 
--- a/readership/src/test/java/org/umbermount/readership/QuotaTest.java
+++ b/readership/src/test/java/org/umbermount/readership/QuotaTest.java
@@ -43,7 +43,7 @@
                 QuotaMessages.Wish w = ask.wishes().get(0);
                 int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 8, almanac.now());
                 bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.stamp(),
-                        List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS())))).pack());
+                        List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
             }
         });
         for (int i = 0; i < count; i++) {
