Spend less processor time on starts, tables and idle lectors

What grows faster than the traffic: 96 mostly idle lectors, 135 starts, table differences made anew for every proxy, a walk over all proxies for each signpost, one write and two messages for every operation record. Now: differences and packed servers are remembered; the head gathers records for 6 ms; rarer timers; small types that are keys have their own equals and hashCode (a start put 28 method handles together for them); the rehearsal starts as the daemons do.

--- a/archive/src/main/java/org/umbermount/archive/CensusEntry.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusEntry.java
@@ -39,7 +39,7 @@
     }
 
     /** Equal but for the running number of the beat. */
-    boolean sameNews(CensusEntry other) {
+    public boolean sameNews(CensusEntry other) {
         return upstream.equals(other.upstream) && address.equals(other.address) && zone.equals(other.zone)
                 && revision.equals(other.revision) && capacity == other.capacity && standing == other.standing
                 && keeper.equals(other.keeper);
--- a/archive/src/main/java/org/umbermount/archive/Fellow.java
+++ b/archive/src/main/java/org/umbermount/archive/Fellow.java
@@ -5,6 +5,16 @@
 
 /** A voter: where it is, and which incarnation of its memory is meant. */
 public record Fellow(Imprint imprint, long incarnation) {
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Fellow other && incarnation == other.incarnation && imprint.equals(other.imprint);
+    }
+
+    @Override
+    public int hashCode() {
+        return imprint.hashCode() * 31 + Long.hashCode(incarnation);
+    }
+
     void write(Script.Writer out) {
         out.imprint(imprint).num(incarnation);
     }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -43,8 +43,8 @@
 final class FrontDesk {
     private static final Logger LOG = LoggerFactory.getLogger("circulation");
     static final int BACKLOG = 1024;
-    private static final long SWEEP_MS = 500;
-    private static final long WAITING_LOOK_MS = 15;
+    private static final long SWEEP_MS = 1_000;
+    private static final long WAITING_LOOK_MS = 25;
     private static final long DOUBTFUL_MS = 700;
 
     private final EventLoop loop;
--- a/courier/src/main/java/org/umbermount/courier/Inventory.java
+++ b/courier/src/main/java/org/umbermount/courier/Inventory.java
@@ -30,6 +30,9 @@
 
     private final Map<String, byte[]> entries;
     private final Edition edition;
+    // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
+    private Inventory comparedWith;
+    private Difference compared;
 
     private Inventory(Map<String, byte[]> entries) {
         this.entries = entries;
@@ -84,6 +87,14 @@
     }
 
     public Difference since(Inventory older) {
+        if (older != comparedWith) {
+            compared = compare(older);
+            comparedWith = older;
+        }
+        return compared;
+    }
+
+    private Difference compare(Inventory older) {
         List<String> gone = new ArrayList<>();
         for (String key : older.entries.keySet()) {
             if (!entries.containsKey(key)) {
@@ -104,7 +115,10 @@
         Map<String, byte[]> next = new HashMap<>(entries);
         difference.gone().forEach(next::remove);
         next.putAll(difference.come());
-        return new Inventory(next);
+        Inventory result = new Inventory(next);
+        result.compared = difference;
+        result.comparedWith = this;
+        return result;
     }
 
     public boolean sameAs(Inventory other) {
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -17,11 +17,11 @@
 
 /** The receiving side as a plug-in of the lector. */
 public final class ReceivingDepartment implements Department {
-    private static final long LOOP_MS = 250;
+    private static final long LOOP_MS = 400;
     private static final long EAGER_MS = 100;
     private static final long LOST_MS = 500;
     private static final long TELL_MS = 5_000;
-    private static final long TELL_HERE_MS = 700;
+    private static final long TELL_HERE_MS = 1_000;
     private static final long VOUCH_MARGIN_MS = 300;
     private static final long VOUCH_LOW_MS = 2_600;
     private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -28,6 +28,7 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
@@ -41,7 +42,7 @@
     private static final int ASKER_LOOKS = 25;
     private static final String QUOTA = "quota/";
     private static final long ATTEST_MS = 450;
-    private static final long RENEW_MS = 800;
+    private static final long RENEW_MS = 1_100;
     private static final long VOUCH_MS = 5_000;
 
     private final Map<Imprint, Known> proxies = new TreeMap<>();
@@ -75,6 +76,11 @@
         }
     };
 
+    private Map<Pressmark, Packed> packedServers = Map.of();
+
+    private record Packed(CensusEntry entry, String key, byte[] bytes) {
+    }
+
     private static final class Known {
         long stamp;
         final String zone;
@@ -207,7 +213,8 @@
 
     private void met(Imprint from, Signpost s) {
         Known known = proxies.get(from);
-        if (known == null || !known.zone.equals(s.zone())) {
+        boolean fresh = known == null || !known.zone.equals(s.zone());
+        if (fresh) {
             known = new Known(s.zone(), s.life(), almanac.now());
             proxies.put(from, known);
             changed();
@@ -215,7 +222,9 @@
         known.heard = almanac.now();
         known.life = s.life();
         known.stamp = s.stamp();
-        reconcile();
+        if (fresh) {
+            reconcile();
+        }
         Consignor consignor = consignors.get(from);
         if (consignor != null && consignor.life() != s.life()) {
             consignor.restart(s.life());
@@ -362,11 +371,17 @@
             }
         }
         Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
+        Map<Pressmark, Packed> fresh = new HashMap<>();
         for (CensusEntry e : census.entries()) {
             if (!e.standing().isGone()) {
-                entries.put(Inventory.INSTANCE + e.id(), Tables.packInstance(e));
+                Packed old = packedServers.get(e.id());
+                Packed now = old != null && old.entry.sameNews(e) && old.entry.warmUntil() == e.warmUntil()
+                        ? old : new Packed(e, Inventory.INSTANCE + e.id(), Tables.packInstance(e));
+                fresh.put(e.id(), now);
+                entries.put(now.key, now.bytes);
             }
         }
+        packedServers = fresh;
         HouseRules rules = institution.rules();
         Imprint head = custodian.charter().head();
         if (rules.guarantees(HouseRules.KEYS) && head != null) {
--- a/kernel/src/main/java/org/umbermount/kernel/Edition.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Edition.java
@@ -2,6 +2,16 @@
 
 /** The revision of a configuration; 0 is the empty one that precedes the first. */
 public record Edition(long value) implements Comparable<Edition> {
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Edition other && value == other.value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(value);
+    }
+
     public static final Edition NONE = new Edition(0);
 
     public boolean isAfter(Edition other) {
--- a/kernel/src/main/java/org/umbermount/kernel/Imprint.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Imprint.java
@@ -4,6 +4,17 @@
 
 /** Where a daemon receives internal datagrams: an IPv4 address and a port. This is also the daemon's id. */
 public record Imprint(int ip, int port) implements Comparable<Imprint> {
+    // Written out for the small types that serve as keys: what a record makes itself is put together anew at each start.
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Imprint other && ip == other.ip && port == other.port;
+    }
+
+    @Override
+    public int hashCode() {
+        return ip * 31 + port;
+    }
+
     public static final Imprint NONE = new Imprint(0, 0);
 
     public static Imprint of(InetSocketAddress address) {
--- a/kernel/src/main/java/org/umbermount/kernel/Pressmark.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Pressmark.java
@@ -2,6 +2,16 @@
 
 /** The id of one life of a server. */
 public record Pressmark(String value) {
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Pressmark other && value.equals(other.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -42,6 +42,15 @@
     }
 
     private record Key(Imprint from, int id) {
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof Key other && id == other.id && from.equals(other.from);
+        }
+
+        @Override
+        public int hashCode() {
+            return from.hashCode() * 31 + id;
+        }
     }
 
     private static final class Partial {
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -26,6 +26,7 @@
 public final class LoanDesk implements Companion {
     private static final Logger LOG = LoggerFactory.getLogger("loans");
     private static final long LOOK_MS = 40;
+    private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
     private static final long FETCH_MS = 200;
     private static final int PASS_BYTES = 48 << 10;
@@ -58,6 +59,7 @@
     private List<Slip> queue = new ArrayList<>();
     private final Map<Integer, Moment> segmentWritten = new HashMap<>();
     private boolean writing;
+    private boolean gathering;
     private Moment writeBegan = Moment.NEVER;
     private boolean refusing;
     private Bookmark durable;
@@ -205,7 +207,16 @@
     private void write(Slip slip) {
         slip.since = almanac.now();
         queue.add(slip);
-        flush();
+        if (!isHead() || writing) {
+            flush();
+        } else if (!gathering) {
+            // A few more come within moments: one write, one message down the line and one back serve them all.
+            gathering = true;
+            almanac.after(GATHER_MS, () -> {
+                gathering = false;
+                flush();
+            });
+        }
     }
 
     private void flush() {
--- a/loans/src/main/java/org/umbermount/loans/OperationKey.java
+++ b/loans/src/main/java/org/umbermount/loans/OperationKey.java
@@ -7,6 +7,16 @@
 
 /** A tenant's operation key, as a digest: of any length outside, of one length inside, and never a secret in a file. */
 public record OperationKey(long high, long low) {
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof OperationKey other && high == other.high && low == other.low;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(low);
+    }
+
     public static OperationKey of(String tenant, String key) {
         try {
             MessageDigest sha = MessageDigest.getInstance("SHA-256");
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -22,7 +22,7 @@
 /** One running program: reads its settings, opens its parts, and leaves in order when told to. */
 final class Daemon {
     private static final String VARIABLE = "UMBERMOUNT_CONFIG";
-    private static final long REREAD_MS = 2_000;
+    private static final long REREAD_MS = 4_000;
     private static final int EARLY_BACKLOG = 1_024;
 
     private final Role role;
@@ -33,18 +33,13 @@
     private LoopAlmanac almanac;
     private boolean leaving;
 
-    private Daemon(Role role, Path file) {
+    Daemon(Role role, Path file) {
         this.role = role;
         this.file = file;
     }
 
     static void run(Role role) {
-        // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
-        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
-        System.setProperty("io.netty.processId", "1");
-        // Named here, the log backend is not searched for in every jar.
-        System.setProperty("slf4j.internal.verbosity", "WARN");
-        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        prepare();
         String name = System.getenv(VARIABLE);
         if (name == null || name.isEmpty()) {
             System.err.println("The variable " + VARIABLE + " must name the settings file.");
@@ -62,7 +57,17 @@
         }
     }
 
-    private void start() throws Exception {
+    /** Settles what would otherwise be looked for at each start. */
+    static void prepare() {
+        // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+        System.setProperty("io.netty.processId", "1");
+        // Named here, the log backend is not searched for in every jar.
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+    }
+
+    void start() throws Exception {
         HouseRules rules = HouseRules.load(file);
         lastRead = Files.readAllBytes(file);
         ServerSocketChannel early = role == Role.LECTOR ? listenEarly(rules) : null;
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -1,8 +1,5 @@
 package org.umbermount.umbermount;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -16,12 +13,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopAlmanac;
-import org.umbermount.kernel.net.Mailroom;
 
 /**
  * Runs both programs in one process on the loopback address and takes one request through them. The build uses
@@ -36,16 +28,12 @@
     }
 
     private void play(Path folder) throws Exception {
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Daemon.prepare();
         Files.createDirectories(folder);
+        Path settings = folder.resolve("settings.json");
+        Files.writeString(settings, settings(folder));
         for (Role role : Role.values()) {
-            HouseRules rules = HouseRules.parse(settings(folder).getBytes(StandardCharsets.UTF_8));
-            LoopAlmanac almanac = new LoopAlmanac(loop);
-            Institution institution = new Institution(role, rules, almanac);
-            Mailroom mailroom = new Mailroom(rules.ownMail(role), almanac, institution.tally());
-            institution.offer(Postbag.class, mailroom);
-            mailroom.bind(loop);
-            institution.openAll();
+            new Daemon(role, settings).start();
         }
         try (ServerSocket origin = new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"))) {
             Thread server = new Thread(() -> serve(origin), "origin");
