--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -16,7 +16,9 @@
 /** A lector's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
 public final class QuotaCounter {
     private static final long REPEAT_MS = 60;
-    private static final long REFUSE_LONGEST_MS = 250;
+    private static final long REFUSE_MS = 250;
+    /** A token that comes so soon is waited for, once. */
+    private static final long WORTH_WAITING_MS = 120;
     private static final int WAITING_AT_MOST = 64;
 
     /** What a request is told. */
@@ -34,7 +36,15 @@
         void told(Word word);
     }
 
-    private record Waiting(Outcome outcome, Moment until) {
+    private static final class Waiting {
+        final Outcome outcome;
+        final Moment until;
+        boolean again;
+
+        Waiting(Outcome outcome, Moment until) {
+            this.outcome = outcome;
+            this.until = until;
+        }
     }
 
     private final class Purse {
@@ -69,9 +79,10 @@
 
         void ask() {
             Moment now = almanac.now();
-            while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until())) {
-                tally.count("quota.unreachable");
-                waiting.poll().outcome().told(Word.NOBODY);
+            while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until)) {
+                boolean answered = waiting.peek().again;
+                tally.count(answered ? "quota.refused" : "quota.unreachable");
+                waiting.poll().outcome.told(answered ? Word.SPENT : Word.NOBODY);
             }
             if (waiting.isEmpty()) {
                 asking = false;
@@ -109,19 +120,29 @@
             boolean was = asking;
             while (n > 0 && !waiting.isEmpty()) {
                 n--;
-                waiting.poll().outcome().told(Word.MAY);
+                waiting.poll().outcome.told(Word.MAY);
             }
             if (n > 0) {
                 tokens = n + (now.isBefore(tokensUntil) ? tokens : 0);
                 tokensUntil = asked.plus(ttlMs);
             }
-            if (grant.waitMs() > 0) {
-                refusedUntil = now.plus(Math.min(REFUSE_LONGEST_MS, grant.waitMs()));
-                while (!waiting.isEmpty()) {
-                    waiting.poll().outcome().told(Word.SPENT);
+            if (grant.waitMs() > 0 && !waiting.isEmpty()) {
+                boolean twice = waiting.peek().again;
+                if (twice || grant.waitMs() > WORTH_WAITING_MS) {
+                    // Clearly over its limit: its requests are turned away here for a moment, without asking for each.
+                    refusedUntil = now.plus(REFUSE_MS);
+                    while (!waiting.isEmpty()) {
+                        tally.count("quota.refused");
+                        waiting.poll().outcome.told(Word.SPENT);
+                    }
+                } else {
+                    waiting.forEach(w -> w.again = true);
+                    timer.cancel();
+                    timer = almanac.after(grant.waitMs() + 1, this::ask);
+                    return;
                 }
             }
-            if (was && waiting.isEmpty() && timer != null) {
+            if (was && waiting.isEmpty()) {
                 timer.cancel();
                 asking = false;
                 asks = 0;
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -18,8 +18,8 @@
 /** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
 final class QuotaDesk {
     /** What a new holder starts with: small enough that two changes of holder in a window stay inside the slack. */
-    private static final double START_SHARE = 0.2;
-    private static final double CAP_SHARE = 0.4;
+    private static final double START_SHARE = 0.4;
+    private static final double CAP_SHARE = 0.2;
 
     private final Almanac almanac;
     private final Postbag post;
