--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -296,4 +296,42 @@
         }
         assertTrue(winners.size() > 5, "too little was taken: " + winners.size());
     }
+
+    /**
+     * A tail that learns of its view from news may be handed a state that the member before it has not got yet. If it
+     * committed that, a majority without both could take another change on the same version.
+     */
+    @Test
+    void tailThatLearnsOfItsViewFromNewsCommitsOnlyWhatWasPassedToIt() throws Exception {
+        org.umbermount.kernel.testing.FakeAlmanac almanac = new org.umbermount.kernel.testing.FakeAlmanac();
+        org.umbermount.kernel.testing.FakePost network = new org.umbermount.kernel.testing.FakePost(almanac, 1);
+        org.umbermount.stacks.testing.FakeVault disk = new org.umbermount.stacks.testing.FakeVault();
+        disk.clock(almanac);
+        List<Fellow> voters = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            voters.add(new Fellow(Fleet.imprint(i), 0));
+        }
+        List<Imprint> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
+        Memory before = Memory.blank(0).adopt(new Charter(1, voters, chain), Accession.NONE.inView(1));
+        org.umbermount.stacks.StackRoom room = new org.umbermount.stacks.StackRoom(
+                org.umbermount.stacks.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
+        Custodian tail = new Custodian(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
+                new Random(1), before, false, null, false);
+        tail.start();
+        Charter next = new Charter(2, voters, chain);
+        Accession taken = Accession.NONE.inView(2).take(new Edition(8), "c8".getBytes());
+        org.umbermount.kernel.Script.Writer news = org.umbermount.kernel.Script.write().num(5);
+        next.write(news);
+        taken.write(news);
+        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CHARTER, news.flag(false).done());
+        almanac.advance(1_000);
+        assertEquals(2, tail.charter().number());
+        assertEquals(8, tail.newestEdition().value());
+        assertEquals(0, tail.committed().edition().value());
+        org.umbermount.kernel.Script.Writer write = org.umbermount.kernel.Script.write().num(2);
+        taken.write(write);
+        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CUSTODY, write.num(0).done());
+        almanac.advance(1_000);
+        assertEquals(8, tail.committed().edition().value());
+    }
 }
