--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Tally.java
@@ -1,34 +1,63 @@
 package org.umbermount.kernel;
 
-import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 
-/** The process's meters, kept by Micrometer and shown as plain text. */
+/**
+ * The process's meters, handed to Micrometer and shown as plain text. Counting itself is a plain addition: the registry
+ * is put together when somebody first looks, because loading it at each start cost a tenth of the start.
+ */
 public final class Tally {
-    private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
-    private final Map<String, Counter> counters = new HashMap<>();
+    /** A number that only rises. It is counted on the process's loop; readers may see it a little late. */
+    public static final class Count {
+        private volatile double value;
 
-    public Counter counter(String name) {
-        return counters.computeIfAbsent(name, registry::counter);
+        public void increment() {
+            increment(1);
+        }
+
+        public void increment(double by) {
+            value = value + by;
+        }
+
+        public double count() {
+            return value;
+        }
+    }
+
+    private final Map<String, Count> counts = new TreeMap<>();
+    private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
+
+    public synchronized Count counter(String name) {
+        return counts.computeIfAbsent(name, n -> new Count());
     }
 
     public void count(String name) {
         counter(name).increment();
     }
 
-    public void gauge(String name, DoubleSupplier value) {
-        io.micrometer.core.instrument.Gauge.builder(name, value::getAsDouble).register(registry);
+    public synchronized void gauge(String name, DoubleSupplier value) {
+        gauges.put(name, value);
+    }
+
+    /** The meters as a Micrometer registry, for whoever wants to export them. */
+    public synchronized SimpleMeterRegistry registry() {
+        SimpleMeterRegistry registry = new SimpleMeterRegistry();
+        counts.forEach((name, c) -> FunctionCounter.builder(name, c, Count::count).register(registry));
+        gauges.forEach((name, g) -> Gauge.builder(name, g::getAsDouble).register(registry));
+        return registry;
     }
 
     /** One line a meter: its name with underscores, and its value. */
     public String page() {
         StringBuilder out = new StringBuilder();
-        for (Meter meter : registry.getMeters()) {
+        for (Meter meter : registry().getMeters()) {
             double value = meter.measure().iterator().next().getValue();
             out.append("umbermount_").append(meter.getId().getName().replace('.', '_')).append(' ')
                     .append(value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
