--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/Convener.java
@@ -31,6 +31,8 @@
     private static final long RANK_MS = 450;
     private static final long ATTEMPT_MS = 900;
     private static final long FROZEN_MS = 600;
+    /** How long the members of the line have to come by the records that a view begins with. */
+    private static final long GATHERING_MS = 4_000;
 
     private final Custodian custodian;
     private final RollCall rollCall;
@@ -42,6 +44,7 @@
     private final String zone;
     private final int tolerated;
     private Moment wantedSince;
+    private Moment unsettledSince;
     private Moment quietUntil = Moment.NEVER;
     private Attempt attempt;
 
@@ -237,6 +240,16 @@
             Charter c = custodian.charter();
             wish = new Wish(new Charter(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
         }
+        if (companionSettled(custodian.charter())) {
+            unsettledSince = null;
+        } else if (unsettledSince == null) {
+            unsettledSince = now;
+        } else if (wish == null && now.since(unsettledSince) > GATHERING_MS) {
+            // Whoever held the records that this view begins with may be gone: the next one begins with what is there.
+            Charter c = custodian.charter();
+            wish = new Wish(new Charter(c.number() + 1, c.electorate(), c.chain()),
+                    "the operation records that it begins with are not to be had", true);
+        }
         if (wish == null) {
             wantedSince = null;
             return;
@@ -262,6 +275,7 @@
 
     private void propose(Wish wish, Moment now) {
         long round = custodian.promisedBallot().round() + 1;
+        unsettledSince = null;
         attempt = new Attempt(wish.charter().number(), new Ballot(round, self), wish.charter(), wish.why(), now);
         wantedSince = null;
         LOG.info("Proposing view {} because {}.", attempt.view, attempt.why);
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/loans/src/test/java/org/umbermount/loans/LoansTest.java
@@ -189,6 +189,34 @@
         assertArrayEquals(new byte[] {9}, repeat.answer);
     }
 
+    /** The head alone has a record when a view begins with it, and is gone before anyone could fetch it. */
+    @Test
+    void viewWhoseFirstRecordsAreLostIsFollowedByOneThatHasThem() throws IOException {
+        open(5);
+        Imprint head = fleet.custodian(0).charter().head();
+        int first = -1;
+        for (int i = 0; i < SIZE; i++) {
+            first = Fleet.imprint(i).equals(head) ? i : first;
+        }
+        // Nobody hears the head's records, but the views' messages come through until it is gone.
+        for (int i = 0; i < SIZE; i++) {
+            if (i != first) {
+                fleet.network.cut(head, Fleet.imprint(i));
+            }
+        }
+        Told told = new Told();
+        claim(0, "k", told);
+        fleet.run(60);
+        fleet.network.healAll();
+        fleet.kill(first, true);
+        fleet.wipe(first);
+        fleet.run(9_000);
+        assertEquals("granted", ask(1, "k2").word);
+        fleet.start(first, false);
+        fleet.run(8_000);
+        assertEquals("granted", ask(2, "k3").word);
+    }
+
     /** Tries of a few keys through random losses: no key may run twice, and no answer may change. */
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16})
