--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -52,6 +52,7 @@
     private final Regulations.Tenant tenant;
     private final String key;
     private boolean charged;
+    private long comeAgainMs;
     private LoanCounter.Ticket ticket;
     private Answer kept;
 
@@ -101,6 +102,11 @@
         return route.priority();
     }
 
+    /** After how long a refused client may come again, where that is known; otherwise 0. */
+    long comeAgainMs() {
+        return comeAgainMs;
+    }
+
     int tenantPriority() {
         return tenant == null ? 0 : tenant.priority();
     }
@@ -230,7 +236,10 @@
                     charged = true;
                     borrow();
                 }
-                case SPENT -> refuse(Erratum.QUOTA_SPENT);
+                case SPENT -> {
+                    comeAgainMs = desk.quotas().comeAgainMs(tenant);
+                    refuse(Erratum.QUOTA_SPENT);
+                }
                 default -> refuse(Erratum.QUOTA_UNKNOWN);
             }
         });
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -291,7 +291,7 @@
 
     /** Seconds after which a refused client may come again. */
     String retryAfter(Borrowing b) {
-        double seconds = b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
+        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
         return String.format(Locale.ROOT, "%.2f", seconds * (0.75 + 0.5 * random.nextDouble()));
     }
 
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -17,7 +17,7 @@
 
 /** The receiving side as a plug-in of the lector. */
 public final class ReceivingDepartment implements Department {
-    private static final long LOOP_MS = 400;
+    private static final long LOOP_MS = 500;
     private static final long EAGER_MS = 100;
     private static final long LOST_MS = 500;
     private static final long TELL_MS = 5_000;
--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -20,6 +20,9 @@
     /** A token that comes so soon is waited for, once. */
     private static final long WORTH_WAITING_MS = 120;
     private static final int WAITING_AT_MOST = 64;
+    private static final double OFTEN_REFUSED = 4;
+    private static final long SOON_MS = 180;
+    private static final long LATER_MS = 2_000;
 
     /** What a request is told. */
     public enum Word {
@@ -55,6 +58,8 @@
         Moment refusedUntil = Moment.NEVER;
         double demand;
         Moment demandAt = almanac.now();
+        double refusals;
+        Moment refusedAt = demandAt;
         boolean asking;
         int asks;
         int hops;
@@ -69,6 +74,14 @@
             demandAt = now;
         }
 
+        void refused(Outcome outcome) {
+            Moment now = almanac.now();
+            refusals = refusals * Math.exp(-now.since(refusedAt) / 2_000.0) + 1;
+            refusedAt = now;
+            tally.count("quota.refused");
+            outcome.told(Word.SPENT);
+        }
+
         boolean spend(Moment now) {
             if (tokens > 0 && now.isBefore(tokensUntil)) {
                 tokens--;
@@ -80,9 +93,13 @@
         void ask() {
             Moment now = almanac.now();
             while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until)) {
-                boolean answered = waiting.peek().again;
-                tally.count(answered ? "quota.refused" : "quota.unreachable");
-                waiting.poll().outcome.told(answered ? Word.SPENT : Word.NOBODY);
+                Waiting late = waiting.poll();
+                if (late.again) {
+                    refused(late.outcome);
+                } else {
+                    tally.count("quota.unreachable");
+                    late.outcome.told(Word.NOBODY);
+                }
             }
             if (waiting.isEmpty()) {
                 asking = false;
@@ -132,8 +149,7 @@
                     // Clearly over its limit: its requests are turned away here for a moment, without asking for each.
                     refusedUntil = now.plus(REFUSE_MS);
                     while (!waiting.isEmpty()) {
-                        tally.count("quota.refused");
-                        waiting.poll().outcome.told(Word.SPENT);
+                        refused(waiting.poll().outcome);
                     }
                 } else {
                     waiting.forEach(w -> w.again = true);
@@ -197,8 +213,7 @@
         if (purse.spend(now)) {
             outcome.told(Word.MAY);
         } else if (now.isBefore(purse.refusedUntil) || purse.waiting.size() >= WAITING_AT_MOST) {
-            tally.count("quota.refused.here");
-            outcome.told(Word.SPENT);
+            purse.refused(outcome);
         } else {
             purse.waiting.add(new Waiting(outcome, now.plus(patienceMs)));
             if (!purse.asking) {
@@ -207,6 +222,15 @@
         }
     }
 
+    /**
+     * When a refused request may come again. A tenant that is refused again and again is far over its limit: its clients
+     * would only be refused once more if they came soon.
+     */
+    public long comeAgainMs(Regulations.Tenant tenant) {
+        Purse purse = purses.get(tenant.label());
+        return purse == null || purse.refusals < OFTEN_REFUSED ? SOON_MS : LATER_MS;
+    }
+
     /** Gives back what was taken for a request that was not sent. */
     public void giveBack(Regulations.Tenant tenant) {
         Purse purse = purses.get(tenant.label());
