--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -118,7 +118,7 @@
 
     /** Why the request may not be sent any more; null if it may. */
     Erratum whyNot() {
-        return tenant == null ? null : desk.whyNot(key);
+        return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
     boolean isLarge() {
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -245,6 +245,12 @@
         return null;
     }
 
+    /** The same for a request that was taken in for a tenant: a key that has moved on is looked up anew by another try. */
+    Erratum whyNot(String key, String tenant) {
+        Erratum why = whyNot(key);
+        return why == null && !holdings.tenant(key).label().equals(tenant) ? Erratum.TABLE_STALE : why;
+    }
+
     /** Whether the table may well be behind: what it does not know may still be there. */
     private boolean doubtful() {
         return goodForMs.getAsLong() < DOUBTFUL_MS;
