--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -14,6 +14,7 @@
     private static final double QUEUE_SAFE = 1.0;
     private static final double QUEUE_UNSAFE = 0.67;
     private static final double HEDGE_AT = 1.8;
+    private static final int DRAWS = 6;
 
     private final Almanac almanac;
     private final Random random;
@@ -52,12 +53,16 @@
     }
 
     private Repository chooseLocal(Wing wing, List<Repository> tried, Moment now, double queue) {
-        Repository first = null;
-        Repository second = null;
+        Repository first = draw(wing, tried, now, queue, null);
+        Repository second = first == null ? null : draw(wing, tried, now, queue, first);
+        if (second != null) {
+            return better(first, second, now);
+        }
+        // Few are left: look at each of them.
+        first = null;
         int seen = 0;
-        for (Repository r : wing.repositories) {
-            if (!r.instance.zone().equals(zone) || tried.contains(r) || !r.usable(now)
-                    || !r.hasRoom(now, r.instance.capacity() * queue)) {
+        for (Repository r : wing.local) {
+            if (tried.contains(r) || !r.usable(now) || !r.hasRoom(now, r.instance.capacity() * queue)) {
                 continue;
             }
             seen++;
@@ -75,9 +80,22 @@
                 }
             }
         }
-        if (second == null) {
-            return first;
+        return second == null ? first : better(first, second, now);
+    }
+
+    /** One at random that has room; null if a few draws find none. */
+    private Repository draw(Wing wing, List<Repository> tried, Moment now, double queue, Repository not) {
+        int n = wing.local.size();
+        for (int i = 0; n > 0 && i < DRAWS; i++) {
+            Repository r = wing.local.get(random.nextInt(n));
+            if (r != not && !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue)) {
+                return r;
+            }
         }
+        return null;
+    }
+
+    private Repository better(Repository first, Repository second, Moment now) {
         double a = first.expectedMs(now);
         double b = second.expectedMs(now);
         if (Math.abs(a - b) < 0.02 * a) {
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -52,6 +52,7 @@
     private final Tally tally;
     private final HouseRules.Bounds bounds;
     private final Random random;
+    private final String zone;
     private final Concierge concierge;
     private final Moment started;
     private final Map<String, Wing> wings = new HashMap<>();
@@ -74,6 +75,7 @@
         this.tally = tally;
         this.bounds = bounds;
         this.random = random;
+        this.zone = zone;
         this.concierge = new Concierge(almanac, random, zone);
         this.started = almanac.now();
         almanac.every(SWEEP_MS, this::sweep);
@@ -179,6 +181,9 @@
         Repository fresh = new Repository(this, wing, instance);
         repositories.put(key, fresh);
         wing.repositories.add(fresh);
+        if (instance.zone().equals(zone)) {
+            wing.local.add(fresh);
+        }
     }
 
     private void remove(String key) {
@@ -186,6 +191,7 @@
         if (old != null) {
             old.retire();
             old.wing.repositories.remove(old);
+            old.wing.local.remove(old);
         }
     }
 
@@ -298,7 +304,8 @@
     /** Seconds after which a refused client may come again. */
     String retryAfter(Borrowing b) {
         double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
-        return String.format(Locale.ROOT, "%.2f", seconds * (0.75 + 0.5 * random.nextDouble()));
+        long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
+        return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
--- a/circulation/src/main/java/org/umbermount/circulation/Headings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Headings.java
@@ -24,6 +24,9 @@
             HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
             HttpHeaderNames.CONTENT_LENGTH);
 
+    /** A bit for each length that one of them has: most headers are told apart by that. */
+    private static final long HOP_LENGTHS = HOP.stream().mapToLong(h -> 1L << h.length()).reduce(0, (a, b) -> a | b);
+
     private Headings() {
     }
 
@@ -52,6 +55,9 @@
     }
 
     private static boolean isHop(String name) {
+        if ((HOP_LENGTHS >>> Math.min(63, name.length()) & 1) == 0) {
+            return false;
+        }
         for (AsciiString hop : HOP) {
             if (hop.contentEqualsIgnoreCase(name)) {
                 return true;
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -13,6 +13,8 @@
     final String label;
     final Allowance allowance;
     final List<Repository> repositories = new ArrayList<>();
+    /** Those of this daemon's zone. */
+    final List<Repository> local = new ArrayList<>();
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
             Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Tally.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -31,7 +32,7 @@
         }
     }
 
-    private final Map<String, Count> counts = new TreeMap<>();
+    private final Map<String, Count> counts = new HashMap<>();
     private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
 
     public synchronized Count counter(String name) {
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -23,6 +23,7 @@
  */
 public final class Parcels {
     static final int PART = 1180;
+    /** Operation records hold servers' bytes, which hardly shrink, and are too many to try each. */
     static final int COMPRESS_OVER = 600;
     private static final byte MAGIC = (byte) 0xB7;
     private static final int HEAD = 15;
@@ -71,7 +72,7 @@
         }
         byte flags = 0;
         byte[] load = body;
-        if (body.length > COMPRESS_OVER) {
+        if (body.length > COMPRESS_OVER && topic != Postbag.Topic.LOAN) {
             byte[] small = deflate(body);
             if (small.length < body.length) {
                 load = small;
