--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -303,7 +303,10 @@
 
     /** Seconds after which a refused client may come again. */
     String retryAfter(Borrowing b) {
-        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
+        // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
+        boolean shared = b.erratum() == Erratum.QUOTA_UNKNOWN || b.erratum() == Erratum.LOANS_UNAVAILABLE
+                || b.erratum() == Erratum.TABLE_STALE || b.erratum() == Erratum.NOT_READY;
+        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
         long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
