Lose no answer behind a request still at work when a daemon leaves

Ruled out: a lost answer of the server, a stalled lector. Change: a daemon that is leaving passes on nothing behind another request, ends the connection with the first answer behind which nothing is owed, asks a second server for a blocking safe request at half of the grace, and at the very end gives the blocking one up so that the whole answers behind it go out. Two tests, which fail without it.

--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -541,6 +541,18 @@
         }
     }
 
+    /** The daemon is leaving and others wait for this one's answer: asks a second server if that is possible. */
+    void askAnother() {
+        if (isSafe() && !large) {
+            hedge();
+        }
+    }
+
+    /** Ends the request now, as if its time were over. */
+    void breakOff() {
+        deadlineReached();
+    }
+
     private void refuse(Erratum kind) {
         erratum = kind;
         desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -24,6 +24,7 @@
     /** By then the platform has noticed twice that this daemon is not ready. */
     private static final long NOTICED_MS = 2_300;
     private static final long LOOK_MS = 50;
+    private static final long LAST_MS = 100;
     private static final long GRACE_MARGIN_MS = 400;
 
     private Institution institution;
@@ -97,6 +98,7 @@
         leaving = true;
         desk.beginClosing();
         LOG.info("Leaving: not ready any more, {} connections open.", desk.openConnections());
+        almanac.after(institution.rules().bounds().graceMs() / 2, () -> desk.unblock(false));
         long notice = Math.min(NOTICED_MS, institution.rules().bounds().graceMs() / 2);
         almanac.after(notice, () -> {
             desk.stopListening();
@@ -106,8 +108,9 @@
 
     private void finish(Moment end, Runnable done) {
         if (!desk.anyBusy() || !institution.almanac().now().isBefore(end)) {
+            desk.unblock(true);
             // What was written has a moment to leave.
-            institution.almanac().after(LOOK_MS, done);
+            institution.almanac().after(LAST_MS, done);
         } else {
             institution.almanac().after(LOOK_MS, () -> finish(end, done));
         }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -384,6 +384,13 @@
         }
     }
 
+    /** See {@link Reader#unblock}. */
+    void unblock(boolean last) {
+        for (Reader reader : List.copyOf(readers)) {
+            reader.unblock(last);
+        }
+    }
+
     boolean anyBusy() {
         for (Reader reader : readers) {
             if (reader.busy()) {
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.Locale;
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.Erratum;
@@ -210,12 +211,15 @@
         }
     }
 
-    /** Starts what may start: safe requests at once, others only when nothing is before them. */
+    /**
+     * Starts what may start: safe requests at once, others only when nothing is before them. A daemon that is leaving
+     * passes on nothing behind another request: the client asks elsewhere once the answer before it ends the connection.
+     */
     private void startInTurn() {
         boolean first = true;
         for (Borrowing b : pipeline) {
             boolean whole = b != arriving || b.isLarge();
-            if (!b.isStarted() && !b.isAnswered() && whole && (first || b.isSafe())) {
+            if (!b.isStarted() && !b.isAnswered() && whole && (first || b.isSafe() && !desk.closing())) {
                 b.start();
             }
             if (gone) {
@@ -278,7 +282,49 @@
 
     private boolean closesAfter(Borrowing b, boolean stillReading) {
         return stillReading || b.erratum() != null && b.erratum().closes()
-                || pipeline.size() == 1 && (lastRequest || desk.closing());
+                || pipeline.size() == 1 && lastRequest || desk.closing() && !anyStartedBehind();
+    }
+
+    /** Whether a request behind the first has been passed on, so that its answer is owed on this connection. */
+    private boolean anyStartedBehind() {
+        Iterator<Borrowing> it = pipeline.iterator();
+        it.next();
+        while (it.hasNext()) {
+            if (it.next().isStarted()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * This daemon is leaving, and answers wait here behind a request that is still at work. A second server is asked
+     * for it; at the {@code last} moment it is given up, since the answers behind it are whole and owed.
+     */
+    void unblock(boolean last) {
+        while (!gone && !lingering && !pipeline.isEmpty() && !pipeline.peek().isAnswered() && anyStartedBehind()) {
+            Borrowing first = pipeline.peek();
+            if (!last) {
+                first.askAnother();
+                return;
+            }
+            if (!anyAnswered()) {
+                return;
+            }
+            first.breakOff();
+            if (pipeline.peek() == first) {
+                return;
+            }
+        }
+    }
+
+    private boolean anyAnswered() {
+        for (Borrowing b : pipeline) {
+            if (b.isAnswered()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void writeWhole(Borrowing b, boolean stillReading) {
@@ -322,12 +368,21 @@
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             lingering = true;
+            dropBehind();
             channel.writeAndFlush(message).addListener(f -> linger());
         } else {
             channel.write(message);
         }
     }
 
+    /** What was sent behind the last answer has not been passed on: the client sends it again elsewhere. */
+    private void dropBehind() {
+        Borrowing answered = pipeline.poll();
+        pipeline.forEach(Borrowing::abandon);
+        pipeline.clear();
+        pipeline.add(answered);
+    }
+
     /** Closes the sending side first, so that a reset for unread bytes does not overtake the answer. */
     private void linger() {
         if (!channel.isActive()) {
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -479,4 +479,54 @@
         assertEquals(502, status(exchange(operation)));
         assertEquals(1, first.seen.size() + second.seen.size());
     }
+
+    /** What a pipelining client has read after sending some requests, the daemon being told to leave in between. */
+    private String pipelined(String before, String after, boolean last) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            ScriptedServer.write(socket.getOutputStream(), before);
+            Thread.sleep(300);
+            almanac.loop().submit(desk::beginClosing).get();
+            ScriptedServer.write(socket.getOutputStream(), after);
+            Thread.sleep(300);
+            if (last) {
+                almanac.loop().submit(() -> desk.unblock(true)).get();
+            }
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String pipe(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2500\r\n\r\n";
+    }
+
+    private static ScriptedServer.Act slowOn(String path, long ms) {
+        return (request, out) -> {
+            if (request.head().contains(path)) {
+                Thread.sleep(ms);
+            }
+            return ScriptedServer.ok("hello").answer(request, out);
+        };
+    }
+
+    @Test
+    void answerBehindOneStillAtWorkIsNotLostWhenTheDaemonLeaves() throws Exception {
+        table(first);
+        first.act(slowOn("/safe/slow", 4_000));
+        String answers = pipelined(pipe("/safe/slow") + pipe("/safe/quick"), "", true);
+        assertEquals(504, status(answers), answers);
+        int next = answers.indexOf("HTTP/1.1 200");
+        assertTrue(next > 0 && answers.endsWith("hello"), answers);
+        assertTrue(answers.substring(next).toLowerCase().contains("connection: close"), answers);
+    }
+
+    @Test
+    void daemonThatLeavesPassesOnNothingBehindAnotherRequest() throws Exception {
+        table(first);
+        first.act(slowOn("/safe/slow", 900));
+        String answers = pipelined(pipe("/safe/slow"), pipe("/safe/behind"), false);
+        assertTrue(status(answers) == 200 && answers.toLowerCase().contains("connection: close"), answers);
+        assertEquals(answers.indexOf("HTTP/1.1"), answers.lastIndexOf("HTTP/1.1"), answers);
+        assertEquals(1, first.seen.size());
+    }
 }
