Choose servers by what the zone's lectors have there; turn away what would be late; start from a small jar

With a hundred lectors each sees a server a few times a minute, so what a server says of its load is old before it is used, and requests fall on servers at random. Ruled out: processor time of lectors (0.03 cores), refusals, late tables. Change: lectors with requests underway tell the zone's registrar every 100 ms what they have where, and are told the sums (Occupancy); the middle of the answer times, against the aim, turns a part of the requests away at once and stops asking twice (Pressure); how long a server is cold counts on a steady clock.

--- a/archive/src/main/java/org/umbermount/archive/CensusEntry.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusEntry.java
@@ -4,9 +4,12 @@
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Script;
 
-/** What is known of one life of a server. {@code warmUntil} is a time of day in milliseconds. */
+/**
+ * What is known of one life of a server. {@code warmMs} is how long it had left to get warm when it was first heard of;
+ * whoever uses that counts on its own steady clock from when it learned of the server.
+ */
 public record CensusEntry(Pressmark id, String upstream, String address, String zone, String revision, int capacity,
-        long warmUntil, Standing standing, long sequence, Imprint keeper) {
+        long warmMs, Standing standing, long sequence, Imprint keeper) {
 
     /** Where the server stands. */
     public enum Standing {
@@ -18,7 +21,12 @@
     }
 
     CensusEntry with(Standing next, long nextSequence, Imprint nextKeeper) {
-        return new CensusEntry(id, upstream, address, zone, revision, capacity, warmUntil, next, nextSequence, nextKeeper);
+        return new CensusEntry(id, upstream, address, zone, revision, capacity, warmMs, next, nextSequence, nextKeeper);
+    }
+
+    private CensusEntry settled(Standing merged, long warm) {
+        return merged == standing && warm == warmMs ? this
+                : new CensusEntry(id, upstream, address, zone, revision, capacity, warm, merged, sequence, keeper);
     }
 
     /**
@@ -35,7 +43,7 @@
                 && (standing == Standing.DRAINING || other.standing == Standing.DRAINING)) {
             merged = Standing.DRAINING;
         }
-        return merged == winner.standing ? winner : winner.with(merged, winner.sequence, winner.keeper);
+        return winner.settled(merged, Math.max(warmMs, other.warmMs));
     }
 
     /** Equal but for the running number of the beat. */
@@ -53,7 +61,7 @@
     }
 
     void write(Script.Writer out) {
-        out.text(id.value()).text(upstream).text(address).text(zone).text(revision).num(capacity).num(warmUntil)
+        out.text(id.value()).text(upstream).text(address).text(zone).text(revision).num(capacity).num(warmMs)
                 .num(standing.ordinal()).num(sequence).imprint(keeper);
     }
 
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -218,7 +218,7 @@
         long warm = beat.whole("warmupLeftMs", 0, Integer.MAX_VALUE, 0);
         return new CensusEntry(id, beat.member("upstream").text(), beat.member("address").address().toString(),
                 beat.text("zone", zone), beat.text("revision", "-"),
-                (int) beat.whole("capacity", 1, 1_000_000, 1), warm > 0 ? almanac.wallMillis() + warm : 0,
+                (int) beat.whole("capacity", 1, 1_000_000, 1), warm,
                 draining ? CensusEntry.Standing.DRAINING : CensusEntry.Standing.IN_SERVICE,
                 beat.member("sequence").whole(0, Long.MAX_VALUE), self);
     }
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -121,6 +121,11 @@
         return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
+    /** Within how many milliseconds an answer is aimed at. */
+    long aimMs() {
+        return route.targetLatencyMs();
+    }
+
     boolean isLarge() {
         return large;
     }
@@ -211,6 +216,10 @@
             refuse(Erratum.DEADLINE_BEFORE_RUN);
             return;
         }
+        if (desk.turnsAway(wing)) {
+            refuse(Erratum.OVERLOADED);
+            return;
+        }
         deadlineTimer = desk.almanac().after(left, this::deadlineReached);
         charge();
     }
@@ -443,7 +452,7 @@
             return;
         }
         Moment now = desk.almanac().now();
-        Repository second = desk.concierge().choose(wing, route, tried, deadline);
+        Repository second = wing.pressure.busy() ? null : desk.concierge().choose(wing, route, tried, deadline);
         if (second == null || !wing.allowance.spend(now, desk.fleet(), desk.hedgeReserve(wing, now))) {
             return;
         }
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -13,6 +13,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopAlmanac;
 import org.umbermount.loans.LoanCounter;
@@ -57,6 +58,7 @@
         desk = new FrontDesk(loop, almanac, host.tally(), rules.bounds(), rules.zone(),
                 new Random(Imprint.parse(rules.ip() + ":1").packed() ^ almanac.wallMillis()));
         desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
+        desk.watch(new Occupancy(almanac, host.find(Postbag.class), rules.zone(), consignee::sender));
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
         Imprint readiness = listener(rules, "readiness");
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -65,6 +65,7 @@
     private boolean closing;
     private boolean looking;
     private Channel listener;
+    private Occupancy occupancy;
     private LoanCounter loans;
     private QuotaCounter quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
@@ -282,6 +283,16 @@
         goodForMs = tableGoodForMs;
     }
 
+    /** Sets who tells what the other lectors have at the servers. */
+    void watch(Occupancy zone) {
+        occupancy = zone;
+    }
+
+    /** What the other lectors have at the servers, or null where nobody tells. */
+    Occupancy occupancy() {
+        return occupancy;
+    }
+
     private String draw(Regulations.Route route) {
         List<Regulations.Share> shares = route.shares();
         if (shares.size() == 1) {
@@ -311,6 +322,11 @@
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
 
+    /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
+    boolean turnsAway(Wing wing) {
+        return wing.pressure.turnsAway(random);
+    }
+
     /** Tries that are kept for failures and not spent on slow answers. */
     double hedgeReserve(Wing wing, Moment now) {
         return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/Occupancy.java
@@ -0,0 +1,107 @@
+package org.umbermount.circulation;
+
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/**
+ * How many requests the lectors of the zone have at each server. A lector alone sees a server a few times in a minute and
+ * what the server then says of its load is old before it is used; so each lector that has requests underway tells the
+ * zone's registrar at short intervals, and is told the sums. Nothing is said while nothing is underway, and without news
+ * a lector goes by what the servers say.
+ */
+final class Occupancy {
+    static final long REPORT_MS = 100;
+    /** Older sums are not used. */
+    static final long FRESH_MS = 400;
+    private static final int ENTRIES_AT_MOST = 20_000;
+
+    private final Almanac almanac;
+    private final Postbag post;
+    private final String zone;
+    private final Supplier<Imprint> registrar;
+    private final Set<Repository> busy = new LinkedHashSet<>();
+    private Int2IntOpenHashMap sums = new Int2IntOpenHashMap();
+    private Int2IntOpenHashMap reported = new Int2IntOpenHashMap();
+    private Moment heard = Moment.NEVER;
+    private boolean reporting;
+
+    Occupancy(Almanac almanac, Postbag post, String zone, Supplier<Imprint> registrar) {
+        this.almanac = almanac;
+        this.post = post;
+        this.zone = zone;
+        this.registrar = registrar;
+        post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
+    }
+
+    /** A server has got its first request from here. */
+    void began(Repository repository) {
+        busy.add(repository);
+        if (!reporting) {
+            reporting = true;
+            almanac.after(REPORT_MS, this::report);
+        }
+    }
+
+    /** The last request from here has left a server. */
+    void ended(Repository repository) {
+        busy.remove(repository);
+    }
+
+    private void report() {
+        boolean nothing = busy.isEmpty();
+        reporting = !nothing;
+        Imprint to = registrar.get();
+        if (to != null) {
+            Int2IntOpenHashMap now = new Int2IntOpenHashMap(busy.size());
+            Script.Writer out = Script.write().text(zone).num(busy.size());
+            for (Repository r : busy) {
+                out.num(r.code).num(r.inFlight);
+                now.put(r.code, r.inFlight);
+            }
+            reported = now;
+            post.send(to, Postbag.Topic.OCCUPANCY, out.done());
+        }
+        if (!nothing) {
+            almanac.after(REPORT_MS, this::report);
+        }
+    }
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        sums = readCounts(in);
+        heard = almanac.now();
+    }
+
+    static Int2IntOpenHashMap readCounts(Script.Reader in) throws Script.UnreadableException {
+        long n = in.num();
+        if (n < 0 || n > ENTRIES_AT_MOST) {
+            throw new Script.UnreadableException("a count is beyond reason", null);
+        }
+        Int2IntOpenHashMap counts = new Int2IntOpenHashMap((int) n);
+        for (long i = 0; i < n; i++) {
+            counts.put((int) in.num(), (int) in.num());
+        }
+        return counts;
+    }
+
+    /** When the sums in use came. */
+    Moment heard() {
+        return heard;
+    }
+
+    boolean fresh(Moment now) {
+        return now.since(heard) <= FRESH_MS;
+    }
+
+    /** Requests that the other lectors of the zone have at a server. */
+    int others(int code) {
+        return Math.max(0, sums.get(code) - reported.get(code));
+    }
+}
--- /dev/null
+++ b/circulation/src/main/java/org/umbermount/circulation/OccupancyDepartment.java
@@ -0,0 +1,29 @@
+package org.umbermount.circulation;
+
+import org.umbermount.kernel.Department;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+
+/** The sums of what lectors have at servers, as a plug-in of the registrar. */
+public final class OccupancyDepartment implements Department {
+    @Override
+    public String name() {
+        return "occupancy";
+    }
+
+    @Override
+    public int order() {
+        return 45;
+    }
+
+    @Override
+    public boolean serves(Role role) {
+        return role == Role.REGISTRAR;
+    }
+
+    @Override
+    public void open(Institution host) {
+        new OccupancyBoard(host.almanac(), host.find(Postbag.class), host.tally());
+    }
+}
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -38,6 +38,8 @@
     private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
     Wing wing;
     Tables.Instance instance;
+    /** Stands for the id in what lectors tell of their requests. */
+    final int code;
     boolean listed = true;
     int inFlight;
     int connections;
@@ -47,6 +49,7 @@
     private double othersLoad;
     private double othersAverage;
     private Moment othersAt;
+    private final Moment warmAt;
     private Moment downUntil = Moment.NEVER;
     private long downMs;
     private Moment lastAnswer = Moment.NEVER;
@@ -60,6 +63,8 @@
         this.tally = desk.tally();
         this.wing = wing;
         this.instance = instance;
+        this.warmAt = almanac.now().plus(desk.hasTable() ? instance.warmMs() : 0);
+        this.code = instance.id().value().hashCode();
         this.latencyAt = almanac.now();
         this.othersAt = latencyAt;
     }
@@ -83,6 +88,10 @@
 
     /** Requests believed to be at the server: those of this daemon, and those that others sent. */
     double load(Moment now) {
+        Occupancy zone = desk.occupancy();
+        if (zone != null && zone.fresh(now) && !zone.heard().isBefore(othersAt)) {
+            return inFlight + zone.others(code);
+        }
         double fade = Math.exp(-now.since(othersAt) / OTHERS_FADE_MS);
         return inFlight + othersLoad * fade + othersAverage * (1 - fade);
     }
@@ -100,13 +109,13 @@
         double age = now.since(latencyAt);
         double weight = measured ? Math.exp(-age / 6_000) : 0;
         double service = latencyMs * weight + wing.typicalMs * (1 - weight);
-        if (instance.warmUntil() > almanac.wallMillis()) {
+        if (now.isBefore(warmAt)) {
             service = Math.max(service, wing.typicalMs * 1.8);
         }
         double load = load(now) + 1;
         double cap = instance.capacity();
         double queue = load > cap ? (load - cap) / cap : 0;
-        double crowd = load > 0.8 * cap ? 0.2 : 0.1 * load / cap;
+        double crowd = load > 0.8 * cap ? 0.4 : 0.1 * load / cap;
         double expected = service * (1 + queue + crowd) * (1 + FAILURE_WEIGHT * Math.max(0, failures - FAILURE_FREE));
         // Nothing has come back for long although something is owed: the server may be dead or hung.
         if (inFlight > 0) {
@@ -121,12 +130,17 @@
     void begin(Moment now) {
         if (inFlight++ == 0) {
             busySince = now;
+            if (desk.occupancy() != null) {
+                desk.occupancy().began(this);
+            }
         }
     }
 
     /** A request is no longer at the server. */
     void end() {
-        inFlight--;
+        if (--inFlight == 0 && desk.occupancy() != null) {
+            desk.occupancy().ended(this);
+        }
         desk.slotFreed(wing);
     }
 
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -18,6 +18,8 @@
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
             Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
+    /** How it stands with answers, and what part of the requests it would rather not take in. */
+    final Pressure pressure = new Pressure();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
     boolean dedupCapable;
--- /dev/null
+++ b/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
@@ -0,0 +1,110 @@
+package org.umbermount.circulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.umbermount.courier.Tables;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakePost;
+
+class OccupancyTest {
+    private final FakeAlmanac almanac = new FakeAlmanac();
+    private final FakePost post = new FakePost(almanac, 5);
+    private final Imprint registrar = Imprint.parse("10.0.0.1:7540");
+    private final EventLoop loop = new DefaultEventLoop();
+
+    /** A lector with one server, seen through the occupancy of its zone. */
+    private final class Lector {
+        final FrontDesk desk = new FrontDesk(loop, almanac, new Tally(),
+                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
+        final Repository server;
+
+        Lector(String address, String zone) {
+            desk.watch(new Occupancy(almanac, post.bag(Imprint.parse(address)), zone, () -> registrar));
+            server = new Repository(desk, new Wing("s", null), new Tables.Instance(new Pressmark("i-1"), "s",
+                    Imprint.parse("10.0.9.9:80"), zone, 3, 0, false));
+        }
+
+        double load() {
+            return server.load(almanac.now());
+        }
+    }
+
+    @AfterEach
+    void close() {
+        loop.shutdownGracefully();
+    }
+
+    private void startRegistrar() {
+        new OccupancyBoard(almanac, post.bag(registrar), new Tally());
+    }
+
+    @Test
+    void lectorsOfAZoneSeeWhatTheOthersHaveAndNobodyElseDoes() {
+        startRegistrar();
+        Lector a = new Lector("10.0.0.2:7541", "z");
+        Lector b = new Lector("10.0.0.3:7541", "z");
+        Lector elsewhere = new Lector("10.0.0.4:7541", "y");
+        a.server.begin(almanac.now());
+        a.server.begin(almanac.now());
+        b.server.begin(almanac.now());
+        elsewhere.server.begin(almanac.now());
+        almanac.advance(400);
+        assertEquals(3, a.load());
+        assertEquals(3, b.load());
+        assertEquals(1, elsewhere.load());
+        // Its own requests count at once, those of others within some tenths of a second.
+        b.server.begin(almanac.now());
+        assertEquals(4, b.load());
+        a.server.end();
+        a.server.end();
+        almanac.advance(400);
+        assertEquals(2, b.load());
+    }
+
+    @Test
+    void silentLectorIsForgottenAndOldSumsAreNotUsed() {
+        startRegistrar();
+        Lector a = new Lector("10.0.0.2:7541", "z");
+        Lector b = new Lector("10.0.0.3:7541", "z");
+        a.server.begin(almanac.now());
+        b.server.begin(almanac.now());
+        almanac.advance(400);
+        assertEquals(2, b.load());
+        post.down(Imprint.parse("10.0.0.2:7541"));
+        almanac.advance(700);
+        assertEquals(1, b.load());
+        post.down(registrar);
+        almanac.advance(Occupancy.FRESH_MS + 100);
+        assertFalse(b.desk.occupancy().fresh(almanac.now()));
+        startRegistrar();
+        almanac.advance(300);
+        assertTrue(b.desk.occupancy().fresh(almanac.now()));
+    }
+
+    @Test
+    void nothingIsSaidWhileNothingIsUnderway() {
+        startRegistrar();
+        Lector a = new Lector("10.0.0.2:7541", "z");
+        almanac.advance(5_000);
+        assertEquals(0, post.sent);
+        a.server.begin(almanac.now());
+        almanac.advance(1_000);
+        assertTrue(post.sent > 10);
+        a.server.end();
+        almanac.advance(2_500);
+        long before = post.sent;
+        almanac.advance(5_000);
+        assertEquals(before, post.sent);
+    }
+}
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -375,7 +375,7 @@
         for (CensusEntry e : census.entries()) {
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
-                Packed now = old != null && old.entry.sameNews(e) && old.entry.warmUntil() == e.warmUntil()
+                Packed now = old != null && old.entry.sameNews(e) && old.entry.warmMs() == e.warmMs()
                         ? old : new Packed(e, Inventory.INSTANCE + e.id(), Tables.packInstance(e));
                 fresh.put(e.id(), now);
                 entries.put(now.key, now.bytes);
--- a/courier/src/main/java/org/umbermount/courier/Tables.java
+++ b/courier/src/main/java/org/umbermount/courier/Tables.java
@@ -15,8 +15,8 @@
     private Tables() {
     }
 
-    /** A server as a proxy sees it. {@code warmUntil} is a time of day in milliseconds. */
-    public record Instance(Pressmark id, String upstream, Imprint address, String zone, int capacity, long warmUntil,
+    /** A server as a proxy sees it. {@code warmMs} counts from when the proxy learns of the server. */
+    public record Instance(Pressmark id, String upstream, Imprint address, String zone, int capacity, long warmMs,
             boolean draining) {
     }
 
@@ -82,7 +82,7 @@
 
     public static byte[] packInstance(CensusEntry e) {
         return Script.write().text(e.id().value()).text(e.upstream()).imprint(Imprint.parse(e.address()))
-                .text(e.zone()).num(e.capacity()).num(e.warmUntil())
+                .text(e.zone()).num(e.capacity()).num(e.warmMs())
                 .flag(e.standing() == CensusEntry.Standing.DRAINING).done();
     }
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,7 +5,7 @@
 set -e
 mvn -B -ntp -q -DskipTests package
 dir=target/umbermount
-rm -rf "$dir/rehearsal" "$dir/umbermount.jsa" "$dir/whole" "$dir/whole.jar"
+rm -rf "$dir/rehearsal" "$dir/umbermount.jsa" "$dir/whole" "$dir/whole.jar" "$dir/daemon.jar" "$dir/near.txt" "$dir/near.list"
 mkdir -p "$dir/whole"
 root=$(pwd)
 for jar in "$dir"/lib/*.jar "$dir/umbermount.jar"; do
@@ -23,10 +23,24 @@
     sort -u "$list" | grep . >"$dir/whole/META-INF/services/$(basename "$list")"
 done
 rm -rf "$dir/services"
+# What the parts of a program are, in one place: a start that finds this need not look through every jar for them.
+mkdir -p "$dir/whole/META-INF/umbermount"
+cp "$dir/whole/META-INF/services/org.umbermount.kernel.Department" "$dir/whole/META-INF/umbermount/departments"
 printf 'Main-Class: org.umbermount.umbermount.Main\n' >"$dir/whole.manifest"
 jar -c -f "$dir/whole.jar" -0 -m "$dir/whole.manifest" -C "$dir/whole" .
-rm -rf "$dir/whole"
-java -Xshare:auto -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit="$dir/umbermount.jsa" \
-    -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true \
-    -jar "$dir/whole.jar" rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1 ||
+flags="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true"
+# A jar is read through when it is first opened, and of nine thousand classes a start needs two. A rehearsal tells which:
+# they go into the first jar, and the whole one is only opened for what is not among them.
+if java -Xshare:auto $flags -Xlog:class+load:file="$dir/loaded.txt":none -jar "$dir/whole.jar" \
+    rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1; then
+    sed -n 's/^\([^ ]*\) source: .*whole\.jar$/\1/p' "$dir/loaded.txt" | tr . / | sed 's/$/.class/' >"$dir/near.txt"
+    (cd "$dir/whole" && find org/umbermount META-INF/umbermount -type f) >>"$dir/near.txt"
+fi
+sort -u "$dir/near.txt" >"$dir/near.list" 2>/dev/null || (cd "$dir/whole" && find . -type f) >"$dir/near.list"
+(cd "$dir/whole" && while read -r name; do [ ! -f "$name" ] || printf '%s\n' "$name"; done) <"$dir/near.list" >"$dir/near.txt"
+printf 'Main-Class: org.umbermount.umbermount.Main\nClass-Path: whole.jar\n' >"$dir/daemon.manifest"
+(cd "$dir/whole" && jar -c -f "$root/$dir/daemon.jar" -0 -m "$root/$dir/daemon.manifest" @"$root/$dir/near.txt")
+rm -rf "$dir/whole" "$dir/rehearsal"
+java -Xshare:auto $flags -XX:ArchiveClassesAtExit="$dir/umbermount.jsa" \
+    -jar "$dir/daemon.jar" rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1 ||
     echo "No class archive could be made; see $dir/rehearsal.log."
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -1,5 +1,7 @@
 package org.umbermount.kernel;
 
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -15,6 +17,8 @@
 public final class Institution {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
 
+    private static final String JOINED = "META-INF/umbermount/departments";
+
     private final Role role;
     private final Almanac almanac;
     private final Tally tally = new Tally();
@@ -91,7 +95,7 @@
 
     private void openOnLoop() throws Exception {
         List<Department> found = new ArrayList<>();
-        for (Department department : ServiceLoader.load(Department.class)) {
+        for (Department department : registered()) {
             if (department.serves(role)) {
                 found.add(department);
             }
@@ -104,6 +108,25 @@
         LOG.info("Opened {} parts as {}.", open.size(), role.name().toLowerCase(java.util.Locale.ROOT));
     }
 
+    /**
+     * The parts that have registered themselves. The build joins their registrations into one list; where there is none,
+     * as in tests, every jar is looked through.
+     */
+    private static Iterable<Department> registered() throws Exception {
+        try (InputStream joined = Institution.class.getClassLoader().getResourceAsStream(JOINED)) {
+            if (joined == null) {
+                return ServiceLoader.load(Department.class);
+            }
+            List<Department> all = new ArrayList<>();
+            for (String name : new String(joined.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
+                if (!name.isBlank()) {
+                    all.add((Department) Class.forName(name.trim()).getDeclaredConstructor().newInstance());
+                }
+            }
+            return all;
+        }
+    }
+
     /** Closes the parts one after the other, the last opened first, then runs {@code done}. */
     public void leave(Runnable done) {
         leaveFrom(open.size() - 1, done);
