--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -11,19 +11,17 @@
     /** What leaving the zone has to save, as a part of the route's aim. */
     private static final double ELSEWHERE = 0.5;
     /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
-    private static final double QUEUE_SAFE = 1.0;
+    private static final double QUEUE_SAFE = 0.67;
     private static final double QUEUE_UNSAFE = 0.67;
     private static final double HEDGE_AT = 1.8;
     private static final int DRAWS = 6;
 
     private final Almanac almanac;
     private final Random random;
-    private final String zone;
 
-    Concierge(Almanac almanac, Random random, String zone) {
+    Concierge(Almanac almanac, Random random) {
         this.almanac = almanac;
         this.random = random;
-        this.zone = zone;
     }
 
     /** A server with room, or null. */
@@ -43,7 +41,7 @@
                 continue;
             }
             double ms = r.expectedMs(now) * (0.95 + 0.1 * random.nextDouble())
-                    + (r.instance.zone().equals(zone) ? 0 : penalty);
+                    + (r.local ? 0 : penalty);
             if (ms < bestMs) {
                 best = r;
                 bestMs = ms;
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -77,7 +77,7 @@
         this.bounds = bounds;
         this.random = random;
         this.zone = zone;
-        this.concierge = new Concierge(almanac, random, zone);
+        this.concierge = new Concierge(almanac, random);
         this.started = almanac.now();
         almanac.every(SWEEP_MS, this::sweep);
     }
@@ -179,10 +179,10 @@
             return;
         }
         Wing wing = wing(instance.upstream());
-        Repository fresh = new Repository(this, wing, instance);
+        Repository fresh = new Repository(this, wing, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
         wing.repositories.add(fresh);
-        if (instance.zone().equals(zone)) {
+        if (fresh.local) {
             wing.local.add(fresh);
         }
     }
--- a/circulation/src/main/java/org/umbermount/circulation/Pressure.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Pressure.java
@@ -14,8 +14,8 @@
     private static final double LOWEST = 0.1;
     private static final double HIGHEST = 1.6;
     /** Answers that take this part of the aim leave no room for queues in front of the servers. */
-    private static final double BUSY = 0.6;
-    private static final double FULL = 1.4;
+    private static final double BUSY = 0.55;
+    private static final double FULL = 1.1;
     private static final double MOST_TURNED_AWAY = 0.5;
 
     private double middle = LOWEST;
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -27,6 +27,7 @@
     private static final long DOWN_FIRST_MS = 400;
     private static final long DOWN_LONGEST_MS = 4_000;
     private static final double OTHERS_FADE_MS = 500;
+    private static final double UNKNOWN_LOAD = 0.75;
     private static final double FAILURE_MEMORY = 0.85;
     private static final double SUSPECT = 0.25;
     private static final double FAILURE_WEIGHT = 8;
@@ -40,6 +41,8 @@
     Tables.Instance instance;
     /** Stands for the id in what lectors tell of their requests. */
     final int code;
+    /** Whether it stands in this daemon's zone. */
+    final boolean local;
     boolean listed = true;
     int inFlight;
     int connections;
@@ -57,7 +60,8 @@
     private boolean misdirected;
     private double failures;
 
-    Repository(FrontDesk desk, Wing wing, Tables.Instance instance) {
+    Repository(FrontDesk desk, Wing wing, Tables.Instance instance, boolean local) {
+        this.local = local;
         this.desk = desk;
         this.almanac = desk.almanac();
         this.tally = desk.tally();
@@ -93,7 +97,11 @@
             return inFlight + zone.others(code);
         }
         double fade = Math.exp(-now.since(othersAt) / OTHERS_FADE_MS);
-        return inFlight + othersLoad * fade + othersAverage * (1 - fade);
+        // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody here
+        // has asked lately is not idle for that.
+        double usual = local ? othersAverage
+                : Math.max(othersAverage, UNKNOWN_LOAD * wing.localLoad(now));
+        return inFlight + othersLoad * fade + usual * (1 - fade);
     }
 
     boolean hasRoom(Moment now, double extra) {
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import org.umbermount.archive.Regulations;
+import org.umbermount.kernel.Moment;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
 final class Wing {
     private static final int WAITING_AT_MOST = 256;
+    private static final long LOCAL_LOAD_MS = 100;
 
     final String label;
     final Allowance allowance;
@@ -26,6 +28,8 @@
     /** Smoothed time of an answer, over all servers. */
     double typicalMs = 100;
     boolean measured;
+    private double localLoad;
+    private Moment localLoadAt = Moment.NEVER;
 
     Wing(String label, Allowance allowance) {
         this.label = label;
@@ -37,6 +41,23 @@
         dedupCapable = upstream.dedupCapable();
     }
 
+    /** The requests at a server of this daemon's zone, on average; looked at anew now and then. */
+    double localLoad(Moment now) {
+        if (now.since(localLoadAt) > LOCAL_LOAD_MS) {
+            localLoadAt = now;
+            double sum = 0;
+            int n = 0;
+            for (Repository r : local) {
+                if (r.usable(now)) {
+                    sum += r.load(now);
+                    n++;
+                }
+            }
+            localLoad = n == 0 ? 0 : sum / n;
+        }
+        return localLoad;
+    }
+
     void sample(double ms) {
         typicalMs = measured ? typicalMs * 0.97 + ms * 0.03 : ms;
         measured = true;
--- a/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
@@ -32,7 +32,7 @@
         Lector(String address, String zone) {
             desk.watch(new Occupancy(almanac, post.bag(Imprint.parse(address)), zone, () -> registrar));
             server = new Repository(desk, new Wing("s", null), new Tables.Instance(new Pressmark("i-1"), "s",
-                    Imprint.parse("10.0.9.9:80"), zone, 3, 0, false));
+                    Imprint.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
 
         double load() {
