--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -15,6 +15,9 @@
     private static final double QUEUE_UNSAFE = 0.67;
     private static final double HEDGE_AT = 1.8;
     private static final int DRAWS = 6;
+    /** How many more are looked at when the first two have no free slot. */
+    private static final int FURTHER_LOCAL = 3;
+    private static final int FURTHER_ELSEWHERE = 3;
 
     private final Almanac almanac;
     private final Random random;
@@ -35,24 +38,38 @@
         }
         Repository best = local;
         double bestMs = localMs;
-        double penalty = route.targetLatencyMs() * ELSEWHERE;
-        for (Repository r : wing.repositories) {
-            if (r == local || tried.contains(r) || !r.usable(now) || !r.hasRoom(now, r.instance.capacity() * queue)) {
-                continue;
-            }
-            double ms = r.expectedMs(now) * (0.95 + 0.1 * random.nextDouble())
-                    + (r.local ? 0 : penalty);
+        // A few at random, of here and of elsewhere, and not the best of all: every lector would find the same one.
+        for (int i = 0; i < FURTHER_LOCAL + FURTHER_ELSEWHERE; i++) {
+            Repository r = draw(i < FURTHER_LOCAL ? wing.local : wing.elsewhere, tried, now, queue, best);
+            double ms = r == null ? Double.MAX_VALUE : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
             if (ms < bestMs) {
                 best = r;
                 bestMs = ms;
             }
         }
-        return best;
+        return best != null ? best : anyWithRoom(wing, tried, now, queue);
+    }
+
+    /** When draws find none: the first with room, looked for from a random place. */
+    private Repository anyWithRoom(Wing wing, List<Repository> tried, Moment now, double queue) {
+        int n = wing.elsewhere.size();
+        int start = n == 0 ? 0 : random.nextInt(n);
+        for (int i = 0; i < n; i++) {
+            Repository r = wing.elsewhere.get((start + i) % n);
+            if (hasRoom(r, tried, now, queue)) {
+                return r;
+            }
+        }
+        return null;
+    }
+
+    private static boolean hasRoom(Repository r, List<Repository> tried, Moment now, double queue) {
+        return !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue);
     }
 
     private Repository chooseLocal(Wing wing, List<Repository> tried, Moment now, double queue) {
-        Repository first = draw(wing, tried, now, queue, null);
-        Repository second = first == null ? null : draw(wing, tried, now, queue, first);
+        Repository first = draw(wing.local, tried, now, queue, null);
+        Repository second = first == null ? null : draw(wing.local, tried, now, queue, first);
         if (second != null) {
             return better(first, second, now);
         }
@@ -60,7 +77,7 @@
         first = null;
         int seen = 0;
         for (Repository r : wing.local) {
-            if (tried.contains(r) || !r.usable(now) || !r.hasRoom(now, r.instance.capacity() * queue)) {
+            if (!hasRoom(r, tried, now, queue)) {
                 continue;
             }
             seen++;
@@ -82,11 +99,11 @@
     }
 
     /** One at random that has room; null if a few draws find none. */
-    private Repository draw(Wing wing, List<Repository> tried, Moment now, double queue, Repository not) {
-        int n = wing.local.size();
+    private Repository draw(List<Repository> among, List<Repository> tried, Moment now, double queue, Repository not) {
+        int n = among.size();
         for (int i = 0; n > 0 && i < DRAWS; i++) {
-            Repository r = wing.local.get(random.nextInt(n));
-            if (r != not && !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue)) {
+            Repository r = among.get(random.nextInt(n));
+            if (r != not && hasRoom(r, tried, now, queue)) {
                 return r;
             }
         }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -182,9 +182,7 @@
         Repository fresh = new Repository(this, wing, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
         wing.repositories.add(fresh);
-        if (fresh.local) {
-            wing.local.add(fresh);
-        }
+        (fresh.local ? wing.local : wing.elsewhere).add(fresh);
     }
 
     private void remove(String key) {
@@ -192,7 +190,7 @@
         if (old != null) {
             old.retire();
             old.wing.repositories.remove(old);
-            old.wing.local.remove(old);
+            (old.local ? old.wing.local : old.wing.elsewhere).remove(old);
         }
     }
 
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -17,6 +17,7 @@
     final List<Repository> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
     final List<Repository> local = new ArrayList<>();
+    final List<Repository> elsewhere = new ArrayList<>();
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
             Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
