--- a/archive/src/test/java/org/umbermount/archive/RegulationsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/RegulationsTest.java
@@ -45,4 +45,41 @@
         assertEquals(Erratum.INVALID_CONFIGURATION, e.erratum());
         assertTrue(e.getMessage().contains(reason), e.getMessage());
     }
+
+    private static void refused(String text, String what) {
+        FaultException e = assertThrows(FaultException.class, () -> Regulations.parse(text.getBytes()), what);
+        assertEquals(Erratum.INVALID_CONFIGURATION, e.erratum(), what);
+        assertTrue(e.getMessage().startsWith("The configuration is invalid: ") && e.getMessage().length() < 400, e.getMessage());
+    }
+
+    @Test
+    void configurationCutOffAnywhereIsRefused() {
+        for (int end = 0; end < GOOD.length(); end++) {
+            refused(GOOD.substring(0, end), "cut off after " + end);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '^', value = {
+            "\"revision\":7|\"revision\":7,\"revision\":8",
+            "\"timeoutMs\":5000|\"timeoutMs\":5000,\"timeoutMs\":9000",
+            "\"timeoutMs\":5000|\"timeoutMs\":-1",
+            "\"timeoutMs\":5000|\"timeoutMs\":1e400",
+            "\"timeoutMs\":5000|\"timeoutMs\":99999999999999999999999999",
+            "\"timeoutMs\":5000|\"timeoutMs\":0.5",
+            "\"timeoutMs\":5000|\"timeoutMs\":null",
+            "\"revision\":7|\"revision\":0",
+            "\"revision\":7|\"revision\":7.5",
+            "\"weight\":90|\"weight\":-90",
+            "\"maxTries\":2|\"maxTries\":0",
+            "\"routeTable\":[|\"routeTable\":{},\"routes\":[",
+            "\"upstreams\":[{|\"upstreams\":[[],{",
+            "\"label\":\"t\"}|{}",
+            "\"virtualHost\":\"H.example\"|\"virtualHost\":3",
+            "15000}}|15000}} x",
+            "15000}}|15000}}{}"})
+    void malformedConfigurationsAreRefused(String good, String bad) {
+        assertTrue(GOOD.contains(good), good);
+        refused(GOOD.replace(good, bad), bad);
+    }
 }
