--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -199,69 +199,144 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void nothingAcknowledgedIsLostInRandomTrouble(long seed) throws IOException {
-        Random random = new Random(seed);
-        Fleet fleet = settled(seed * 77);
-        fleet.network.loss = 0.03;
-        fleet.network.doubles = 0.02;
-        fleet.network.jitterMs = 8;
-        Map<Long, String> winners = new HashMap<>();
-        long newestTaken = 0;
-        long next = 1;
-        List<Object[]> open = new ArrayList<>();
-        int trouble = -1;
-        boolean down = false;
-        boolean wiped = false;
-        for (int step = 0; step < 150; step++) {
-            if (trouble < 0 && random.nextInt(4) == 0) {
-                trouble = random.nextInt(4);
-                switch (random.nextInt(5)) {
-                    case 0 -> {
-                        fleet.kill(trouble, true);
-                        down = true;
-                        wiped = random.nextBoolean();
-                    }
-                    case 1 -> {
-                        for (int o = 0; o < 4; o++) {
-                            if (o != trouble) {
-                                fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(trouble));
-                            }
-                        }
-                    }
-                    case 2 -> {
-                        for (int o = 0; o < 4; o++) {
-                            if (o != trouble) {
-                                fleet.network.cut(Fleet.imprint(trouble), Fleet.imprint(o));
-                            }
+        new RandomTrouble(4, 0, seed).play();
+    }
+
+    /** The same with an even and an odd electorate of which two may be lost at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void nothingAcknowledgedIsLostWhereTwoMayBeLost(long seed) throws IOException {
+        new RandomTrouble(seed % 2 == 0 ? 6 : 7, 2, seed).play();
+    }
+
+    /** Right after an acknowledgment two lose their disks while all others lose power. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 7})
+    void twoDisksLostWhileTheRestLosePowerTakeNothingAcknowledged(int size) throws IOException {
+        for (int victim = 0; victim < size; victim++) {
+            Fleet fleet = new Fleet(size, 3, 40 + victim, 2, null);
+            fleet.run(9_000);
+            assertEquals(size, fleet.running.get(0).custodian.charter().electorate().size());
+            Fleet.Reply reply = fleet.submit(victim, 0, 3, "c3");
+            while (reply.verdict == null && !reply.gaveUp) {
+                fleet.run(1);
+            }
+            assertEquals(Custodian.Verdict.TAKEN, reply.verdict);
+            List<Integer> wiped = List.of(victim, (victim + 1 + victim % 3) % size);
+            for (int i = 0; i < size; i++) {
+                fleet.kill(i, true);
+            }
+            wiped.forEach(fleet::wipe);
+            for (int i = 0; i < size; i++) {
+                fleet.start(i, false);
+            }
+            fleet.run(12_000);
+            for (int i = 0; i < size; i++) {
+                assertEquals(3, editionAt(fleet, i), "at " + i + " after losing " + wiped);
+            }
+        }
+    }
+
+    private static final class RandomTrouble {
+        private final Random random;
+        private final int size;
+        private final int atOnce;
+        private final Fleet fleet;
+        private final Map<Integer, Boolean> down = new HashMap<>();
+        private final List<Integer> troubled = new ArrayList<>();
+        private final Map<Long, String> winners = new HashMap<>();
+        private final List<Object[]> open = new ArrayList<>();
+        private long newestTaken;
+        private long next = 1;
+
+        RandomTrouble(int size, int tolerated, long seed) throws IOException {
+            this.random = new Random(seed);
+            this.size = size;
+            this.atOnce = Math.max(1, tolerated);
+            this.fleet = new Fleet(size, 3, seed * 77, tolerated, null);
+        }
+
+        void play() throws IOException {
+            fleet.run(size > 4 ? 9_000 : 5_000);
+            fleet.network.loss = 0.03;
+            fleet.network.doubles = 0.02;
+            fleet.network.jitterMs = 8;
+            for (int step = 0; step < 150; step++) {
+                if (troubled.size() < atOnce && random.nextInt(4) == 0) {
+                    strike();
+                } else if (!troubled.isEmpty() && random.nextInt(6) == 0) {
+                    heal();
+                    fleet.run(4_500);
+                }
+                change();
+                fleet.run(100 + random.nextInt(1_000));
+                judge();
+                look();
+            }
+            heal();
+            fleet.network.loss = 0;
+            fleet.run(15_000);
+            for (int i = 0; i < size; i++) {
+                assertTrue(editionAt(fleet, i) >= newestTaken);
+            }
+            assertTrue(winners.size() > 5, "too little was taken: " + winners.size());
+        }
+
+        private void strike() {
+            int victim = random.nextInt(size);
+            if (troubled.contains(victim)) {
+                return;
+            }
+            troubled.add(victim);
+            switch (random.nextInt(5)) {
+                case 0 -> {
+                    fleet.kill(victim, true);
+                    down.put(victim, random.nextBoolean());
+                }
+                case 1, 2 -> {
+                    boolean oneWay = random.nextBoolean();
+                    for (int o = 0; o < size; o++) {
+                        if (o != victim && oneWay) {
+                            fleet.network.cut(Fleet.imprint(victim), Fleet.imprint(o));
+                        } else if (o != victim) {
+                            fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(victim));
                         }
                     }
-                    case 3 -> fleet.disks.get(trouble).full = true;
-                    default -> fleet.disks.get(trouble).hung = true;
                 }
-            } else if (trouble >= 0 && random.nextInt(6) == 0) {
-                if (down) {
-                    if (wiped) {
-                        fleet.wipe(trouble);
-                    }
-                    fleet.start(trouble, false);
+                case 3 -> fleet.disks.get(victim).full = true;
+                default -> fleet.disks.get(victim).hung = true;
+            }
+        }
+
+        private void heal() throws IOException {
+            for (Map.Entry<Integer, Boolean> e : down.entrySet()) {
+                if (e.getValue()) {
+                    fleet.wipe(e.getKey());
                 }
-                fleet.network.healAll();
-                fleet.disks.get(trouble).full = false;
-                fleet.disks.get(trouble).unhang();
-                trouble = -1;
-                down = false;
-                wiped = false;
-                fleet.run(4_500);
+                fleet.start(e.getKey(), false);
             }
-            // Two operators build on the same version, at two daemons.
+            down.clear();
+            troubled.clear();
+            fleet.network.healAll();
+            fleet.disks.values().forEach(d -> {
+                d.full = false;
+                d.unhang();
+            });
+        }
+
+        /** Two operators build on the same version, at two daemons. */
+        private void change() {
             for (int k = 0; k < 2; k++) {
-                int at = random.nextInt(4);
+                int at = random.nextInt(size);
                 if (fleet.running.containsKey(at)) {
                     long match = newestTaken;
                     long edition = next++;
                     open.add(new Object[] {match, edition, fleet.submit(at, match, edition, "c" + edition)});
                 }
             }
-            fleet.run(100 + random.nextInt(1_000));
+        }
+
+        private void judge() {
             for (Object[] o : open) {
                 Fleet.Reply reply = (Fleet.Reply) o[2];
                 if (reply.verdict == Custodian.Verdict.TAKEN) {
@@ -270,8 +345,11 @@
                     newestTaken = Math.max(newestTaken, (Long) o[1]);
                 }
             }
-            // A change without an answer may be in force: the operators look before they go on.
-            int at = random.nextInt(4);
+        }
+
+        /** A change without an answer may be in force: the operators look before they go on. */
+        private void look() {
+            int at = random.nextInt(size);
             if (fleet.running.containsKey(at)) {
                 Accession read = fleet.read(at, 400);
                 if (read != null) {
@@ -281,20 +359,6 @@
                 }
             }
         }
-        if (down) {
-            fleet.start(trouble, false);
-        }
-        fleet.network.healAll();
-        fleet.network.loss = 0;
-        fleet.disks.values().forEach(d -> {
-            d.full = false;
-            d.unhang();
-        });
-        fleet.run(15_000);
-        for (int i = 0; i < 4; i++) {
-            assertTrue(editionAt(fleet, i) >= newestTaken);
-        }
-        assertTrue(winners.size() > 5, "too little was taken: " + winners.size());
     }
 
     /**
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -28,6 +28,7 @@
     public final FakePost network;
     final Map<Integer, Archive> running = new TreeMap<>();
     public final Map<Integer, FakeVault> disks = new HashMap<>();
+    private final int size;
     private final int seeds;
     private final int tolerated;
     private final Attachment attachment;
@@ -40,6 +41,7 @@
     }
 
     public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment) throws IOException {
+        this.size = size;
         this.tolerated = tolerated;
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
@@ -66,7 +68,7 @@
             seedNodes.add(imprint(s).withPort(8000));
         }
         Map<String, String> zones = new HashMap<>();
-        for (int z = 0; z < 4; z++) {
+        for (int z = 0; z < size; z++) {
             zones.put(zone(z), "r");
         }
         HouseRules rules = new HouseRules("n" + i, zone(i), zones, imprint(i).host(), Map.of(), 7000, 7010, seedNodes,
@@ -82,7 +84,7 @@
             attachment.attach(i, clock, bag, archive.custodian, disk);
         }
         archive.start();
-        for (int other = 0; other < 4; other++) {
+        for (int other = 0; other < size; other++) {
             archive.rollCall.enlist(imprint(other));
         }
     }
