--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -213,9 +213,6 @@
         }
         Answer answer = new Answer(status, head.headers(), held.toByteArray());
         boolean notRun = head.headers().contains(Headings.NOT_EXECUTED) || status == 421;
-        if (!notRun) {
-            repository.wing.pressure.answered(ms, borrowing.aimMs());
-        }
         repository.answered(now, ms, !notRun && status / 100 == 2);
         if (!notRun) {
             repository.ran(status < 500 || status == 504);
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -121,11 +121,6 @@
         return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
-    /** Within how many milliseconds an answer is aimed at. */
-    long aimMs() {
-        return route.targetLatencyMs();
-    }
-
     boolean isLarge() {
         return large;
     }
@@ -216,7 +211,7 @@
             refuse(Erratum.DEADLINE_BEFORE_RUN);
             return;
         }
-        if (desk.turnsAway(wing)) {
+        if (desk.turnsAway(wing, now)) {
             refuse(Erratum.OVERLOADED);
             return;
         }
@@ -452,7 +447,7 @@
             return;
         }
         Moment now = desk.almanac().now();
-        Repository second = wing.pressure.busy() ? null : desk.concierge().choose(wing, route, tried, deadline);
+        Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
         if (second == null || !wing.allowance.spend(now, desk.fleet(), desk.hedgeReserve(wing, now))) {
             return;
         }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -321,8 +321,17 @@
     }
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
-    boolean turnsAway(Wing wing) {
-        return wing.pressure.turnsAway(random);
+    boolean turnsAway(Wing wing, Moment now) {
+        return counted(now) && Pressure.turnsAway(wing.localRatio(now), random);
+    }
+
+    /** Whether a service has so much to do that nothing should be asked of it twice without need. */
+    boolean busy(Wing wing, Moment now) {
+        return counted(now) && Pressure.busy(wing.localRatio(now));
+    }
+
+    private boolean counted(Moment now) {
+        return occupancy != null && occupancy.fresh(now);
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
--- a/circulation/src/main/java/org/umbermount/circulation/Pressure.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Pressure.java
@@ -3,46 +3,33 @@
 import java.util.Random;
 
 /**
- * How long a service's answers take, measured against what the operator aims at, and the part of the requests that is
- * turned away for it. When servers are full, one request more does not make one answer more: it makes all of them late.
- *
- * <p>The middle of the answer times is followed by small steps up and down, so that a few slow servers do not count as
- * a full service: what they delay is the business of choosing among servers.
+ * Which part of a service's requests is turned away. When every server of the zone has more than its slots can work on,
+ * one request more does not make one answer more: it makes all of them late. The measure is what the zone's lectors have
+ * at its servers, as a part of their slots; it is a few hundred milliseconds old at most, while answer times tell of a
+ * burst only when it is over.
  */
 final class Pressure {
-    private static final double STEP = 0.05;
-    private static final double LOWEST = 0.1;
-    private static final double HIGHEST = 1.6;
-    /** Answers that take this part of the aim leave no room for queues in front of the servers. */
-    private static final double BUSY = 0.55;
-    private static final double FULL = 1.1;
-    private static final double MOST_TURNED_AWAY = 0.5;
+    /** Here no slot is ever idle, and nothing is asked twice without need. */
+    private static final double BUSY = 0.95;
+    private static final double FROM = 1.2;
+    private static final double FULL = 1.8;
+    private static final double MOST_TURNED_AWAY = 0.9;
 
-    private double middle = LOWEST;
-
-    /** Takes note of an answer that took so many milliseconds where so many were aimed at. */
-    void answered(double ms, double aimMs) {
-        boolean above = ms > middle * aimMs;
-        middle = Math.max(LOWEST, Math.min(HIGHEST, middle + (above ? STEP : -STEP)));
-    }
-
-    /** The middle of the answer times as a part of the aim. */
-    double middle() {
-        return middle;
+    private Pressure() {
     }
 
-    /** Whether answers take so long that nothing should be asked twice without need. */
-    boolean busy() {
-        return middle > BUSY;
+    /** Whether requests at this ratio of requests to slots have to wait for each other. */
+    static boolean busy(double ratio) {
+        return ratio > BUSY;
     }
 
     /** The part of the requests that is turned away. */
-    double turnedAway() {
-        return busy() ? Math.min(MOST_TURNED_AWAY, (middle - BUSY) / (FULL - BUSY)) : 0;
+    static double turnedAway(double ratio) {
+        return Math.max(0, Math.min(MOST_TURNED_AWAY, (ratio - FROM) / (FULL - FROM)));
     }
 
     /** Draws whether one request is turned away. */
-    boolean turnsAway(Random random) {
-        return busy() && random.nextDouble() < turnedAway();
+    static boolean turnsAway(double ratio, Random random) {
+        return ratio > FROM && random.nextDouble() < turnedAway(ratio);
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -100,7 +100,7 @@
         // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody here
         // has asked lately is not idle for that.
         double usual = local ? othersAverage
-                : Math.max(othersAverage, UNKNOWN_LOAD * wing.localLoad(now));
+                : Math.max(othersAverage, UNKNOWN_LOAD * wing.localRatio(now) * instance.capacity());
         return inFlight + othersLoad * fade + usual * (1 - fade);
     }
 
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -10,7 +10,7 @@
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
 final class Wing {
     private static final int WAITING_AT_MOST = 256;
-    private static final long LOCAL_LOAD_MS = 100;
+    private static final long LOCAL_RATIO_MS = 100;
 
     final String label;
     final Allowance allowance;
@@ -21,16 +21,14 @@
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
             Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
-    /** How it stands with answers, and what part of the requests it would rather not take in. */
-    final Pressure pressure = new Pressure();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
     boolean dedupCapable;
     /** Smoothed time of an answer, over all servers. */
     double typicalMs = 100;
     boolean measured;
-    private double localLoad;
-    private Moment localLoadAt = Moment.NEVER;
+    private double localRatio;
+    private Moment localRatioAt = Moment.NEVER;
 
     Wing(String label, Allowance allowance) {
         this.label = label;
@@ -42,21 +40,25 @@
         dedupCapable = upstream.dedupCapable();
     }
 
-    /** The requests at a server of this daemon's zone, on average; looked at anew now and then. */
-    double localLoad(Moment now) {
-        if (now.since(localLoadAt) > LOCAL_LOAD_MS) {
-            localLoadAt = now;
+    /**
+     * The requests at the servers of this daemon's zone as a part of their slots; looked at anew now and then. A server that
+     * hangs counts for twice its slots at most.
+     */
+    double localRatio(Moment now) {
+        if (now.since(localRatioAt) > LOCAL_RATIO_MS) {
+            localRatioAt = now;
             double sum = 0;
-            int n = 0;
+            int slots = 0;
             for (Repository r : local) {
                 if (r.usable(now)) {
-                    sum += r.load(now);
-                    n++;
+                    int capacity = r.instance.capacity();
+                    sum += Math.min(r.load(now), 2 * capacity);
+                    slots += capacity;
                 }
             }
-            localLoad = n == 0 ? 0 : sum / n;
+            localRatio = slots == 0 ? 0 : sum / slots;
         }
-        return localLoad;
+        return localRatio;
     }
 
     void sample(double ms) {
