--- a/circulation/src/main/java/org/umbermount/circulation/Headings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Headings.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -33,8 +34,10 @@
     /** Copies what is not about one connection; the body's length is left to the caller. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         List<String> connection = from.getAll(HttpHeaderNames.CONNECTION);
-        for (Map.Entry<String, String> e : from) {
-            if (!isHop(e.getKey()) && !isNamed(connection, e.getKey())) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> it = from.iteratorCharSequence();
+        while (it.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> e = it.next();
+            if (!isHop(e.getKey()) && (connection.isEmpty() || !isNamed(connection, e.getKey().toString()))) {
                 to.add(e.getKey(), e.getValue());
             }
         }
@@ -54,7 +57,7 @@
         return token.isEmpty() || token.indexOf(' ') >= 0 ? null : token;
     }
 
-    private static boolean isHop(String name) {
+    private static boolean isHop(CharSequence name) {
         if ((HOP_LENGTHS >>> Math.min(63, name.length()) & 1) == 0) {
             return false;
         }
