Turn away by both signs: requests for each slot, and the middle of the answer times

Ruled out: stale sums (they are 0.15 s old on average). Cause: what other zones send is not in a zone's sums.

--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -214,6 +214,9 @@
         Answer answer = new Answer(status, head.headers(), held.toByteArray());
         boolean notRun = head.headers().contains(Headings.NOT_EXECUTED) || status == 421;
         repository.answered(now, ms, !notRun && status / 100 == 2);
+        if (!notRun) {
+            repository.wing.pressure.answered(ms, borrowing.aimMs());
+        }
         if (!notRun) {
             repository.ran(status < 500 || status == 504);
         }
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -121,6 +121,11 @@
         return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
+    /** Within how many milliseconds an answer is aimed at. */
+    long aimMs() {
+        return route.targetLatencyMs();
+    }
+
     boolean isLarge() {
         return large;
     }
--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -9,7 +9,7 @@
 /** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
 final class Concierge {
     /** What leaving the zone has to save, as a part of the route's aim. */
-    private static final double ELSEWHERE = 0.25;
+    private static final double ELSEWHERE = 0.35;
     /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
     private static final double QUEUE_SAFE = 0.67;
     private static final double QUEUE_UNSAFE = 0.67;
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -322,16 +322,16 @@
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
     boolean turnsAway(Wing wing, Moment now) {
-        return counted(now) && Pressure.turnsAway(wing.localRatio(now), random);
+        return wing.pressure.turnsAway(ratio(wing, now), random);
     }
 
     /** Whether a service has so much to do that nothing should be asked of it twice without need. */
     boolean busy(Wing wing, Moment now) {
-        return counted(now) && Pressure.busy(wing.localRatio(now));
+        return wing.pressure.busy(ratio(wing, now));
     }
 
-    private boolean counted(Moment now) {
-        return occupancy != null && occupancy.fresh(now);
+    private double ratio(Wing wing, Moment now) {
+        return occupancy != null && occupancy.fresh(now) ? wing.localRatio(now) : 0;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -21,6 +21,7 @@
     private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
             Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
+    final Pressure pressure = new Pressure();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
     boolean dedupCapable;
