--- a/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
@@ -18,7 +18,7 @@
 final class ShowCommand implements Callable<Integer> {
     /** What can be shown. */
     enum Part {
-        all, view, members, duties, servers, proxies, tenants, operations, table, metrics
+        all, fleet, view, members, duties, servers, proxies, tenants, operations, table, metrics
     }
 
     @Parameters(index = "0", paramLabel = "PART", description = "one of ${COMPLETION-CANDIDATES}")
@@ -49,6 +49,11 @@
         try {
             ObjectMapper mapper = new ObjectMapper();
             JsonNode root = mapper.readTree(body);
+            if (part == Part.fleet) {
+                FleetSummary summary = new FleetSummary(root);
+                System.out.print(summary);
+                return summary.allWell() ? 0 : 4;
+            }
             JsonNode shown = switch (part) {
                 case view -> root.deepCopy().isObject() ? mapper.createObjectNode()
                         .<com.fasterxml.jackson.databind.node.ObjectNode>set("view", root.path("view"))
