--- /dev/null
+++ b/circulation/src/test/java/org/umbermount/circulation/ConciergeTest.java
@@ -0,0 +1,98 @@
+package org.umbermount.circulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.umbermount.archive.Regulations;
+import org.umbermount.courier.Tables;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakeAlmanac;
+
+class ConciergeTest {
+    private final FakeAlmanac almanac = new FakeAlmanac();
+    private final EventLoop loop = new DefaultEventLoop();
+    private final FrontDesk desk = new FrontDesk(loop, almanac, new Tally(),
+            new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
+    private final Wing wing = new Wing("s", null);
+    private final Regulations.Route route = new Regulations.Route("r", "h", "/p/", Regulations.Kind.SAFE, false, 5_000, 800, 1,
+            2, List.of(new Regulations.Share("s", 1)));
+
+    @AfterEach
+    void close() {
+        loop.shutdownGracefully();
+    }
+
+    private Repository server(String id, String zone) {
+        Repository r = new Repository(desk, wing, new Tables.Instance(new Pressmark(id), "s", Imprint.parse("10.0.9.9:80"), zone, 3,
+                0, false), zone.equals("z"));
+        wing.repositories.add(r);
+        (r.local ? wing.local : wing.elsewhere).add(r);
+        return r;
+    }
+
+    private static void busy(Repository r, int requests, Moment now) {
+        while (r.inFlight < requests) {
+            r.begin(now);
+        }
+    }
+
+    private Set<Repository> chosen(Repository... tried) {
+        Set<Repository> chosen = new HashSet<>();
+        for (int i = 0; i < 300; i++) {
+            chosen.add(desk.concierge().choose(wing, route, List.of(tried), almanac.now().plus(2_000)));
+        }
+        return chosen;
+    }
+
+    @Test
+    void freeSlotHereIsUsedAndTheZoneNotLeft() {
+        Repository full = server("a", "z");
+        Repository free = server("b", "z");
+        server("far", "y");
+        busy(full, 3, almanac.now());
+        assertEquals(Set.of(free), chosen());
+        assertTrue(chosen(free).contains(full), "the only one left here has room for a queue");
+    }
+
+    @Test
+    void whereNothingHasRoomHereTheRequestGoesElsewhereAndOtherwiseNowhere() {
+        Repository here = server("a", "z");
+        busy(here, 6, almanac.now());
+        assertNull(desk.concierge().choose(wing, route, List.of(), almanac.now().plus(2_000)));
+        Repository far = server("far", "y");
+        assertEquals(Set.of(far), chosen());
+    }
+
+    @Test
+    void serversElsewhereOfWhichNothingIsKnownAreNotTakenForIdle() {
+        for (int i = 0; i < 4; i++) {
+            busy(server("a" + i, "z"), 4, almanac.now());
+        }
+        Repository far = server("far", "y");
+        almanac.advance(3_000);
+        assertEquals(3, far.load(almanac.now()), 0.01);
+    }
+
+    @Test
+    void overflowIsSpreadOverTheServersElsewhere() {
+        busy(server("a", "z"), 6, almanac.now());
+        Set<Repository> far = new HashSet<>();
+        for (int i = 0; i < 8; i++) {
+            far.add(server("far" + i, "y"));
+        }
+        assertEquals(far, chosen());
+    }
+}
