Whoever is gone gives up its seat; voters are those that are well

Cause: every replaced machine added a voter, and a dead voter's seat was taken over only when nine seats were full, after 12 s. After the third replacement three of six voters were gone and no majority could ever be again. Change: MembershipPlan, a function of what is seen, says which view is wanted. A voter that is gone gives up its seat while more than 2f + 1 are left, or has it taken by one that is well; one seat a view, only when operation records are settled, and 1.5 s apart so that leases granted by earlier voters have run out. Leases count grants of one view only, none under a promise. What is well is judged by what a majority hears: a link broken between two leaves the same one out for whoever looks. A leaver ends only when the others go on without it. MembershipSearchTest looks at all orders of losses, returns, arrivals and departures.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -55,7 +55,7 @@
         census = new Census(almanac, post, tally, rules.heartbeatMs(), almanac.wallMillis());
         notebook = new CensusNotebook(census, notes, disk, almanac);
         notebook.recall();
-        rollCall = new RollCall(almanac, post, heard -> report(heard, control));
+        rollCall = new RollCall(almanac, post, (heard, connected) -> report(heard, connected, control));
         convener = new Convener(custodian, rollCall, this::diskGood, almanac, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
         custodian.listen(convener, porter);
@@ -85,12 +85,13 @@
         return room.healthy(DISK_PATIENCE_MS) && custodian.companion().diskGood(DISK_PATIENCE_MS);
     }
 
-    private RollCall.Report report(List<Imprint> heard, Imprint control) {
+    private RollCall.Report report(List<Imprint> heard, List<Imprint> connected, Imprint control) {
         return new RollCall.Report(custodian.incarnation(), custodian.standing() == Custodian.Standing.MEMBER,
                 diskGood(), rollCall.isLeaving(), custodian.charter().number(),
                 custodian.committed().edition().value(), custodian.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(),
-                custodian.companion().settledView(), tenures.activeDuties(), rules.zone(), control, heard);
+                custodian.companion().settledView(), tenures.activeDuties(), rules.zone(), control, heard,
+                connected);
     }
 
     private static Memory load(Stack stack) throws java.io.IOException {
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -13,6 +13,7 @@
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
@@ -25,7 +26,10 @@
 public final class ArchiveDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long REWRITE_OVER = 4 << 20;
+    /** How long the others have to hear that this daemon leaves, and at most to go on without it. */
     private static final long LEAVE_MS = 700;
+    private static final long LET_GO_MS = 3_500;
+    private static final long LOOK_MS = 50;
 
     private Institution institution;
     private Archive archive;
@@ -120,7 +124,22 @@
         archive.tenures.releaseAll();
         archive.rollCall.leaving();
         desk.close();
-        institution.almanac().after(LEAVE_MS, done);
+        Almanac almanac = institution.almanac();
+        almanac.after(LEAVE_MS, () -> onceLetGo(almanac.now().plus(LET_GO_MS - LEAVE_MS), done));
+    }
+
+    /** Ends only when the others go on without this daemon's copy and vote, if they bring that about in time. */
+    private void onceLetGo(Moment latest, Runnable done) {
+        Almanac almanac = institution.almanac();
+        Charter charter = archive.custodian.charter();
+        Imprint self = institution.find(Postbag.class).self();
+        boolean needed = charter.chains(self) || charter.votes(self)
+                && MembershipPlan.hasSeatToSpare(charter, institution.rules().toleratedMachines());
+        if (needed && almanac.now().isBefore(latest)) {
+            almanac.after(LOOK_MS, () -> onceLetGo(latest, done));
+        } else {
+            done.run();
+        }
     }
 
     @Override
--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/Convener.java
@@ -1,6 +1,5 @@
 package org.umbermount.archive;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +13,7 @@
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 
 /**
@@ -22,12 +22,9 @@
  */
 final class Convener implements Custodian.BallotListener {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
-    static final int LARGEST_ELECTORATE = 9;
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
     private static final long STEADY_MS = 1_500;
-    /** How long a voter may be away before another takes its seat. */
-    private static final long ABSENT_MS = 12_000;
     private static final long RANK_MS = 450;
     private static final long ATTEMPT_MS = 900;
     private static final long FROZEN_MS = 600;
@@ -47,6 +44,8 @@
     private Moment unsettledSince;
     private Moment quietUntil = Moment.NEVER;
     private Attempt attempt;
+    private List<Imprint> seats;
+    private Moment seatsSince;
 
     private static final class Attempt {
         final long view;
@@ -67,9 +66,6 @@
         }
     }
 
-    private record Wish(Charter charter, String why, boolean pressing) {
-    }
-
     Convener(Custodian custodian, RollCall rollCall, java.util.function.BooleanSupplier diskGood, Almanac almanac,
             Random random, Tally tally, Imprint self, String zone, int tolerated) {
         this.zone = zone;
@@ -81,6 +77,9 @@
         this.random = random;
         this.tally = tally;
         this.self = self;
+        this.seatsSince = almanac.now();
+        this.seats = custodian.charter().electorate().stream().map(Fellow::imprint).toList();
+        custodian.onCharter(this::inForce);
     }
 
     void start() {
@@ -91,100 +90,103 @@
         return diskGood.getAsBoolean() && !rollCall.isLeaving();
     }
 
-    /** Well enough to be kept in the chain. */
-    private boolean good(Imprint who) {
-        return who.equals(self) ? selfGood() : rollCall.goodForMs(who) >= 0;
-    }
-
-    private boolean steady(Imprint who) {
-        return who.equals(self) ? selfGood() && !rollCall.unsettled(STEADY_MS) : rollCall.goodForMs(who) >= STEADY_MS;
-    }
-
-    private boolean hasMemory(Imprint who) {
-        if (who.equals(self)) {
-            return custodian.standing() != Custodian.Standing.RECOVERING;
-        }
+    private RollCall.Report report(Imprint who) {
         RollCall.Peer peer = rollCall.peer(who);
-        return peer != null && peer.report() != null && peer.report().votes()
-                && peer.report().incarnation() >= custodian.incarnationOf(who);
+        return peer == null ? null : peer.report();
     }
 
-    private long incarnation(Imprint who) {
-        if (who.equals(self)) {
-            return custodian.incarnation();
+    /** What this daemon sees of the others, and what those that it hears say of each other. */
+    private final class Seen implements MembershipPlan.Sight {
+        private final Charter charter = custodian.charter();
+
+        @Override
+        public Iterable<Imprint> known() {
+            Set<Imprint> all = new TreeSet<>();
+            rollCall.peers().forEach(p -> all.add(p.imprint()));
+            all.add(self);
+            return all;
         }
-        RollCall.Peer peer = rollCall.peer(who);
-        long reported = peer == null || peer.report() == null ? 0 : peer.report().incarnation();
-        return Math.max(reported, custodian.incarnationOf(who));
-    }
 
-    private Wish wish() {
-        Charter now = custodian.charter();
-        List<Fellow> electorate = new ArrayList<>();
-        List<Imprint> chain = new ArrayList<>();
-        String why = null;
-        boolean pressing = false;
-        for (Fellow f : now.electorate()) {
-            long incarnation = incarnation(f.imprint());
-            if (incarnation > f.incarnation() && good(f.imprint()) && hasMemory(f.imprint())) {
-                electorate.add(new Fellow(f.imprint(), incarnation));
-                why = f.imprint() + " came back with a new memory";
-            } else {
-                electorate.add(f);
+        @Override
+        public boolean linked(Imprint one, Imprint other) {
+            if (one.equals(other)) {
+                return true;
             }
-        }
-        for (Imprint member : now.chain()) {
-            if (rollCall.expected(member)) {
-                chain.add(member);
-            } else if (!good(member)) {
-                why = member + " is silent, leaving or cannot write";
-                pressing = true;
-            } else if (incarnation(member) > now.fellow(member).incarnation() && !hasMemory(member)) {
-                why = member + " lost its memory";
-                pressing = true;
-            } else {
-                chain.add(member);
+            if (one.equals(self) || other.equals(self)) {
+                return rollCall.connected(one.equals(self) ? other : one);
             }
+            boolean oneHeard = rollCall.connected(one);
+            boolean otherHeard = rollCall.connected(other);
+            return (oneHeard || otherHeard) && (!oneHeard || report(one).connected().contains(other))
+                    && (!otherHeard || report(other).connected().contains(one));
         }
-        Imprint candidate = candidate(now);
-        if (!pressing && candidate != null && companionSettled(now)) {
-            if (electorate.size() < LARGEST_ELECTORATE) {
-                electorate.add(new Fellow(candidate, incarnation(candidate)));
-                why = candidate + " joins";
-            } else {
-                for (int i = 0; i < electorate.size(); i++) {
-                    Imprint absent = electorate.get(i).imprint();
-                    if (rollCall.lostForMs(absent) > ABSENT_MS) {
-                        electorate.set(i, new Fellow(candidate, incarnation(candidate)));
-                        why = candidate + " takes the seat of " + absent;
-                        break;
-                    }
+
+        @Override
+        public boolean well(Imprint who) {
+            RollCall.Report r = report(who);
+            if (who.equals(self) ? !selfGood() : r == null || !r.diskGood() || r.leaving()) {
+                return false;
+            }
+            int reached = charter.votes(who) ? 1 : 0;
+            for (Fellow f : charter.electorate()) {
+                if (!f.imprint().equals(who) && linked(f.imprint(), who)) {
+                    reached++;
                 }
             }
+            return reached >= charter.majority();
         }
-        if (!pressing) {
-            for (Fellow f : electorate) {
-                if (!chain.contains(f.imprint()) && steady(f.imprint())
-                        && (hasMemory(f.imprint()) || f.imprint().equals(candidate))) {
-                    chain.add(f.imprint());
-                    why = why == null ? f.imprint() + " is well again" : why;
-                }
+
+        @Override
+        public boolean steady(Imprint who) {
+            return who.equals(self) ? !rollCall.unsettled(STEADY_MS) : rollCall.goodForMs(who) >= STEADY_MS;
+        }
+
+        @Override
+        public boolean expected(Imprint who) {
+            return rollCall.expected(who);
+        }
+
+        @Override
+        public boolean hasMemory(Imprint who) {
+            if (who.equals(self)) {
+                return custodian.standing() != Custodian.Standing.RECOVERING;
             }
+            RollCall.Report r = report(who);
+            return r != null && r.votes() && r.incarnation() >= custodian.incarnationOf(who);
         }
-        if (!pressing && why != null) {
-            // Neighbours in the chain share a zone where they can, so that records cross as few borders as possible.
-            chain.sort(java.util.Comparator.comparing(this::zoneOf).thenComparing(java.util.Comparator.naturalOrder()));
+
+        @Override
+        public long incarnation(Imprint who) {
+            if (who.equals(self)) {
+                return custodian.incarnation();
+            }
+            RollCall.Report r = report(who);
+            return Math.max(r == null ? 0 : r.incarnation(), custodian.incarnationOf(who));
         }
-        Charter wanted = new Charter(now.number() + 1, electorate, chain);
-        if (why == null || wanted.sameMembers(now) || chain.size() < wanted.leastChain(tolerated)) {
-            return null;
+
+        @Override
+        public String zone(Imprint who) {
+            RollCall.Report r = report(who);
+            return who.equals(self) ? zone : r == null ? "" : r.zone();
         }
-        return new Wish(wanted, why, pressing);
     }
 
-    private String zoneOf(Imprint who) {
-        RollCall.Peer peer = rollCall.peer(who);
-        return who.equals(self) ? zone : peer == null || peer.report() == null ? "" : peer.report().zone();
+    private MembershipPlan.Wish wish() {
+        Charter now = custodian.charter();
+        return MembershipPlan.wish(now, tolerated, companionSettled(now) && seatsRested(), new Seen());
+    }
+
+    /** Whether leases that voters before the last change of seats may have granted have run out. */
+    private boolean seatsRested() {
+        return almanac.now().since(seatsSince) >= TenureOffice.TERM_MS || !Safeguard.SEATS_REST.holds();
+    }
+
+    private void inForce(Charter charter) {
+        List<Imprint> voters = charter.electorate().stream().map(Fellow::imprint).toList();
+        if (!voters.equals(seats)) {
+            seats = voters;
+            seatsSince = almanac.now();
+        }
     }
 
     /**
@@ -203,19 +205,6 @@
         return true;
     }
 
-    private Imprint candidate(Charter now) {
-        TreeSet<Imprint> found = new TreeSet<>();
-        for (RollCall.Peer p : rollCall.peers()) {
-            if (!now.votes(p.imprint()) && rollCall.goodForMs(p.imprint()) >= STEADY_MS) {
-                found.add(p.imprint());
-            }
-        }
-        if (!now.votes(self) && steady(self)) {
-            found.add(self);
-        }
-        return found.isEmpty() ? null : found.first();
-    }
-
     private void reconcile() {
         Moment now = almanac.now();
         if (attempt != null) {
@@ -235,10 +224,10 @@
             wantedSince = null;
             return;
         }
-        Wish wish = wish();
+        MembershipPlan.Wish wish = wish();
         if (wish == null && custodian.frozenMs() > FROZEN_MS) {
             Charter c = custodian.charter();
-            wish = new Wish(new Charter(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
+            wish = new MembershipPlan.Wish(new Charter(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
         }
         if (companionSettled(custodian.charter())) {
             unsettledSince = null;
@@ -247,7 +236,7 @@
         } else if (wish == null && now.since(unsettledSince) > GATHERING_MS) {
             // Whoever held the records that this view begins with may be gone: the next one begins with what is there.
             Charter c = custodian.charter();
-            wish = new Wish(new Charter(c.number() + 1, c.electorate(), c.chain()),
+            wish = new MembershipPlan.Wish(new Charter(c.number() + 1, c.electorate(), c.chain()),
                     "the operation records that it begins with are not to be had", true);
         }
         if (wish == null) {
@@ -265,15 +254,16 @@
     /** How many well voters stand before this one. */
     private long rank() {
         long rank = 0;
+        Seen seen = new Seen();
         for (Fellow f : custodian.charter().electorate()) {
-            if (f.imprint().compareTo(self) < 0 && good(f.imprint()) && hasMemory(f.imprint())) {
+            if (f.imprint().compareTo(self) < 0 && seen.well(f.imprint()) && seen.hasMemory(f.imprint())) {
                 rank++;
             }
         }
         return rank;
     }
 
-    private void propose(Wish wish, Moment now) {
+    private void propose(MembershipPlan.Wish wish, Moment now) {
         long round = custodian.promisedBallot().round() + 1;
         unsettledSince = null;
         attempt = new Attempt(wish.charter().number(), new Ballot(round, self), wish.charter(), wish.why(), now);
@@ -333,7 +323,9 @@
             if (newest == null || p.state().isNewerThan(newest)) {
                 newest = p.state();
             }
-            if (p.mark().isBeyond(mark)) {
+            // Of two that hold the same, one that stays is asked for it.
+            if (p.mark().isBeyond(mark)
+                    || p.mark().sameAs(mark) && !wanted.chains(mark.holder()) && wanted.chains(p.mark().holder())) {
                 mark = p.mark();
             }
         }
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -205,6 +205,11 @@
         return !freezing && standing == Standing.MEMBER && !memory.frozen();
     }
 
+    /** Whether this voter has promised itself to the next view, or the promise is on its way to disk. */
+    boolean promised() {
+        return freezing || memory.frozen();
+    }
+
     /** Asks a registrar that is ahead for its view. */
     public void fetchFrom(Imprint ahead) {
         fetch(ahead);
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/MembershipPlan.java
@@ -0,0 +1,199 @@
+package org.umbermount.archive;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
+
+/**
+ * Which view is wanted after the one in force, as a function of what is seen of the registrars. The voters are the registrars
+ * that are well, 2f + 1 at least where f may be lost at once, and nine at most: whoever is gone gives its seat up, or has it
+ * taken by a registrar that is well where there are no seats to spare. One seat changes in one view. docs/control.md, point 3,
+ * has the argument; MembershipSearchTest looks at all orders of losses, returns and arrivals.
+ */
+final class MembershipPlan {
+    static final int LARGEST_ELECTORATE = 9;
+
+    /** What a daemon sees of the registrars. */
+    interface Sight {
+        /** All registrars that are known, also those without a vote. */
+        Iterable<Imprint> known();
+
+        /** Whether it is reached by a majority of the voters, can write, and stays. */
+        boolean well(Imprint who);
+
+        /** Whether it has been well for long enough to be taken in. */
+        boolean steady(Imprint who);
+
+        /** Whether it may still be on its way, since the one that looks has just started. */
+        boolean expected(Imprint who);
+
+        /** Whether two registrars hear each other. */
+        boolean linked(Imprint one, Imprint other);
+
+        /** Whether it has its memory and votes, or has rebuilt it. */
+        boolean hasMemory(Imprint who);
+
+        long incarnation(Imprint who);
+
+        String zone(Imprint who);
+    }
+
+    /** The wanted view, why, and whether it cannot wait. */
+    record Wish(Charter charter, String why, boolean pressing) {
+    }
+
+    private final Charter now;
+    private final int tolerated;
+    private final Sight sight;
+    private final List<Fellow> electorate = new ArrayList<>();
+    private final List<Imprint> chain = new ArrayList<>();
+    private String why;
+    private boolean pressing;
+
+    private MembershipPlan(Charter now, int tolerated, Sight sight) {
+        this.now = now;
+        this.tolerated = tolerated;
+        this.sight = sight;
+    }
+
+    /**
+     * @param seatsMayChange whether everyone who keeps operation records holds all of them in this view, and leases granted
+     *     under earlier voters have run out
+     * @return null if nothing is to be done, or nothing can be
+     */
+    static Wish wish(Charter now, int tolerated, boolean seatsMayChange, Sight sight) {
+        return new MembershipPlan(now, tolerated, sight).wish(seatsMayChange);
+    }
+
+    /** Whether a voter that leaves can give its seat up before it goes. */
+    static boolean hasSeatToSpare(Charter charter, int tolerated) {
+        return charter.electorate().size() > leastElectorate(tolerated);
+    }
+
+    /** How many voters there have to be so that {@code tolerated} of them may be lost, with their disks too. */
+    static int leastElectorate(int tolerated) {
+        return 2 * tolerated + 1;
+    }
+
+    private Wish wish(boolean seatsMayChange) {
+        renewIncarnations();
+        keepWhoIsWell();
+        Imprint candidate = pressing || !seatsMayChange ? null : candidate();
+        if (seatsMayChange) {
+            changeOneSeat(candidate);
+        }
+        if (!pressing) {
+            takeIn(candidate);
+        }
+        if (!pressing && why != null) {
+            // Neighbours in the chain share a zone where they can, so that records cross as few borders as possible.
+            chain.sort(Comparator.comparing(sight::zone).thenComparing(Comparator.naturalOrder()));
+        }
+        Charter wanted = new Charter(now.number() + 1, electorate, chain);
+        if (why == null || wanted.sameMembers(now) || chain.size() < wanted.leastChain(tolerated)) {
+            return null;
+        }
+        return new Wish(wanted, why, pressing);
+    }
+
+    private void renewIncarnations() {
+        for (Fellow f : now.electorate()) {
+            long incarnation = sight.incarnation(f.imprint());
+            if (incarnation > f.incarnation() && sight.well(f.imprint()) && sight.hasMemory(f.imprint())) {
+                electorate.add(new Fellow(f.imprint(), incarnation));
+                why = f.imprint() + " came back with a new memory";
+            } else {
+                electorate.add(f);
+            }
+        }
+    }
+
+    /** Members of the chain stay if they are well and hear all those before them: so everyone who looks keeps the same ones. */
+    private void keepWhoIsWell() {
+        for (Imprint member : now.chain().stream().sorted().toList()) {
+            if (sight.expected(member)) {
+                continue;
+            }
+            if (!sight.well(member)) {
+                drop(member, "is silent, leaving or cannot write");
+            } else if (sight.incarnation(member) > now.fellow(member).incarnation() && !sight.hasMemory(member)) {
+                drop(member, "lost its memory");
+            } else if (!hearsAll(member)) {
+                drop(member, "does not hear all of the chain");
+            } else {
+                chain.add(member);
+            }
+        }
+        for (Imprint member : now.chain()) {
+            if (sight.expected(member)) {
+                chain.add(member);
+            }
+        }
+        chain.sort(Comparator.comparing(now.chain()::indexOf));
+    }
+
+    private void drop(Imprint member, String cause) {
+        why = member + " " + cause;
+        pressing = true;
+    }
+
+    private boolean hearsAll(Imprint who) {
+        for (Imprint other : chain) {
+            if (!sight.expected(other) && !sight.linked(who, other)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A voter that is not well any more: it is not in the wanted chain. */
+    private Imprint gone() {
+        for (Fellow f : electorate) {
+            if (!sight.expected(f.imprint()) && !sight.well(f.imprint()) && !chain.contains(f.imprint())) {
+                return f.imprint();
+            }
+        }
+        return null;
+    }
+
+    private void changeOneSeat(Imprint candidate) {
+        Imprint gone = Safeguard.SEAT_GIVEN_UP.holds() ? gone() : null;
+        boolean spare = electorate.size() > leastElectorate(tolerated);
+        if (gone != null && spare) {
+            // Also out of the line that committed last: a majority of those left still meets the rest of it.
+            electorate.removeIf(f -> f.imprint().equals(gone));
+            why = why == null ? gone + " gives up its seat" : why + " and gives up its seat";
+        } else if (candidate != null && gone != null && !now.chains(gone)) {
+            electorate.removeIf(f -> f.imprint().equals(gone));
+            electorate.add(new Fellow(candidate, sight.incarnation(candidate)));
+            why = candidate + " takes the seat of " + gone;
+        } else if (candidate != null && gone == null && electorate.size() < LARGEST_ELECTORATE) {
+            electorate.add(new Fellow(candidate, sight.incarnation(candidate)));
+            why = candidate + " joins";
+        }
+    }
+
+    private Imprint candidate() {
+        TreeSet<Imprint> found = new TreeSet<>();
+        for (Imprint who : sight.known()) {
+            if (!now.votes(who) && sight.well(who) && sight.steady(who)) {
+                found.add(who);
+            }
+        }
+        return found.isEmpty() ? null : found.first();
+    }
+
+    private void takeIn(Imprint candidate) {
+        for (Fellow f : electorate) {
+            Imprint who = f.imprint();
+            if (!chain.contains(who) && sight.well(who) && sight.steady(who) && hearsAll(who)
+                    && (sight.hasMemory(who) || who.equals(candidate))) {
+                chain.add(who);
+                why = why == null ? who + " is well again" : why;
+            }
+        }
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -27,17 +27,18 @@
     /** What a registrar tells of itself. */
     public record Report(long incarnation, boolean votes, boolean diskGood, boolean leaving, long view, long edition,
             long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
-            List<String> duties, String zone, Imprint control, List<Imprint> heard) {
+            List<String> duties, String zone, Imprint control, List<Imprint> heard, List<Imprint> connected) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
                     .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
-                    .list(heard, Script.Writer::imprint);
+                    .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.num(), in.num(), in.num(), in.num(),
-                    in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(), in.imprint(), in.list(Script.Reader::imprint));
+                    in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(), in.imprint(), in.list(Script.Reader::imprint),
+                    in.list(Script.Reader::imprint));
         }
     }
 
@@ -68,9 +69,9 @@
         }
     }
 
-    /** Gives the own report; the list of those heard is filled in here. */
+    /** Gives the own report; the lists of those heard, and heard in both directions, are filled in here. */
     public interface Reporter {
-        Report report(List<Imprint> heard);
+        Report report(List<Imprint> heard, List<Imprint> connected);
     }
 
     private final Almanac almanac;
@@ -152,17 +153,25 @@
         }
     }
 
-    private void send(boolean everyone) {
-        Moment now = almanac.now();
+    private byte[] ownReport(Moment now) {
         List<Imprint> heard = new ArrayList<>();
+        List<Imprint> both = new ArrayList<>();
         for (Peer p : peers.values()) {
             if (now.since(p.lastHeard) <= SILENCE_MS) {
                 heard.add(p.imprint);
             }
+            if (isConnected(p, now)) {
+                both.add(p.imprint);
+            }
         }
         Script.Writer out = Script.write();
-        reporter.report(heard).write(out);
-        byte[] body = out.done();
+        reporter.report(heard, both).write(out);
+        return out.done();
+    }
+
+    private void send(boolean everyone) {
+        Moment now = almanac.now();
+        byte[] body = ownReport(now);
         for (Peer p : peers.values()) {
             if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
                 post.send(p.imprint, Postbag.Topic.ROLL_CALL, body);
@@ -181,15 +190,7 @@
         judge(peer, now);
         if (unknown || wasSilent) {
             // Answer at once so that the other sees both directions without waiting for the next round.
-            Script.Writer out = Script.write();
-            List<Imprint> heard = new ArrayList<>();
-            for (Peer p : peers.values()) {
-                if (now.since(p.lastHeard) <= SILENCE_MS) {
-                    heard.add(p.imprint);
-                }
-            }
-            reporter.report(heard).write(out);
-            post.send(from, Postbag.Topic.ROLL_CALL, out.done());
+            post.send(from, Postbag.Topic.ROLL_CALL, ownReport(now));
         }
         for (Consumer<Peer> o : observers) {
             o.accept(peer);
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -13,6 +13,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
@@ -241,10 +242,11 @@
         }
         h.asked = now;
         h.granted.clear();
-        byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis()).done();
+        byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
+                .num(custodian.charter().number()).done();
         for (Fellow f : custodian.charter().electorate()) {
             if (f.imprint().equals(post.self())) {
-                if (grant(zone, post.self(), h.epoch)) {
+                if (grant(zone, post.self(), h.epoch, custodian.charter().number())) {
                     granted(post.self(), zone, h.epoch, now.millis());
                 }
             } else if (rollCall.connected(f.imprint())) {
@@ -264,7 +266,7 @@
         switch (Kind.values()[kind]) {
             case ASK -> {
                 long asked = in.num();
-                boolean yes = grant(zone, from, epoch);
+                boolean yes = grant(zone, from, epoch, in.num());
                 long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
                 post.send(from, Postbag.Topic.TENURE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
                         .text(zone).num(yes ? epoch : newest).num(asked).done());
@@ -286,8 +288,13 @@
         }
     }
 
-    private boolean grant(String zone, Imprint who, long epoch) {
+    private boolean grant(String zone, Imprint who, long epoch, long view) {
         Moment now = almanac.now();
+        // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
+        // later view meets one that has granted.
+        if ((view != custodian.charter().number() || custodian.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
+            return false;
+        }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
         if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
