The memory of a custodian changes in a class of its own, DurableState

Cause: that memory changes one at a time and is on disk before word goes out is the ground of every other argument of the configuration's control side, and it was spread through a class of 990 lines. Change: DurableState holds the memory, the backlog of changes and the write to disk; Custodian reaches memory through it only. No behaviour, wire format or log text is changed.

--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -16,7 +16,6 @@
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.FaultException;
 import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
@@ -29,7 +28,6 @@
 public final class Custodian {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long RESEND_MS = 200;
-    private static final int BACKLOG = 512;
     private static final long REBUILD_MS = 6_000;
     private static final int SUPERSEDED = 8;
 
@@ -92,21 +90,15 @@
     private final Almanac almanac;
     private final Postbag post;
     private final StackRoom room;
-    private final Tally tally;
-    private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
+    private final DurableState durable;
     private final Map<Long, Owed> owed = new LinkedHashMap<>();
     private final List<Consumer<Accession>> commitObservers = new ArrayList<>();
     private final List<Consumer<Charter>> charterObservers = new ArrayList<>();
     private final Map<Long, Confirmation> confirmations = new HashMap<>();
-    private Memory memory;
-    private boolean busy;
-    private boolean onDisk;
     private Standing standing;
     private Accession committed = Accession.NONE;
     private BallotListener ballots;
     private OriginListener origins;
-    private Moment frozenSince;
-    private boolean freezing;
     private boolean rebuilding;
     private Companion companion = Companion.NONE;
     private Edition readEdition = Edition.NONE;
@@ -152,13 +144,11 @@
         this.almanac = almanac;
         this.post = post;
         this.room = room;
-        this.tally = tally;
         this.nextNonce = random.nextLong() >>> 1;
         post.subscribe(Postbag.Topic.CHARTER, this::receiveCharter);
         post.subscribe(Postbag.Topic.CUSTODY, this::receiveCustody);
+        durable = new DurableState(almanac, room, tally, initial(loaded, genesis, newcomer), loaded != null);
         if (loaded != null) {
-            memory = loaded;
-            onDisk = true;
             standing = standingIn(loaded);
             if (loadedCommitted) {
                 // Committed before the stop; that no later one is, only others can say.
@@ -166,16 +156,33 @@
             }
             LOG.info("Read from disk: {}, edition {}.", loaded.charter(), loaded.state().edition());
         } else if (genesis != null) {
-            memory = Memory.blank(0);
             standing = Standing.LEARNER;
-            persist(memory.adopt(genesis, Accession.NONE.inView(genesis.number())), () -> adopted("the first start"));
+            persist(memory().adopt(genesis, Accession.NONE.inView(genesis.number())), () -> adopted("the first start"));
         } else {
-            memory = Memory.blank(newcomer ? 0 : almanac.wallMillis());
             standing = newcomer ? Standing.LEARNER : Standing.RECOVERING;
-            persist(memory, () -> { });
+            persist(memory(), () -> { });
         }
     }
 
+    private Memory initial(Memory loaded, Charter genesis, boolean newcomer) {
+        if (loaded != null) {
+            return loaded;
+        }
+        return Memory.blank(genesis != null || newcomer ? 0 : almanac.wallMillis());
+    }
+
+    private Memory memory() {
+        return durable.memory();
+    }
+
+    private void serially(Runnable change) {
+        durable.serially(change);
+    }
+
+    private void persist(Memory next, Runnable then) {
+        durable.persist(next, then);
+    }
+
     void start() {
         almanac.every(RESEND_MS, this::resend);
         resend();
@@ -197,12 +204,12 @@
 
     /** Whether this daemon may act in the chain of its view now; nothing may follow a promise that is on its way to disk. */
     public boolean acting() {
-        return !freezing && inChain();
+        return !durable.freezing() && inChain();
     }
 
-    /** Whether what is kept beside the configuration may change: not under a promise, and not without a memory. */
+    /** Whether what is kept beside the configuration may change: not under a promise, and not without a memory(). */
     public boolean mayMove() {
-        return !freezing && standing == Standing.MEMBER && !memory.frozen();
+        return !durable.freezing() && standing == Standing.MEMBER && !memory().frozen();
     }
 
     /** Asks a registrar that is ahead for its view. */
@@ -229,7 +236,7 @@
     }
 
     public Charter charter() {
-        return memory.charter();
+        return memory().charter();
     }
 
     public Accession committed() {
@@ -250,68 +257,28 @@
     }
 
     public long incarnation() {
-        return memory.incarnation();
+        return memory().incarnation();
     }
 
     public Edition newestEdition() {
-        return memory.state().edition();
+        return memory().state().edition();
     }
 
     /** How long this voter has been frozen by a promise; 0 if it is not. */
     public long frozenMs() {
-        return memory.frozen() && frozenSince != null ? almanac.now().since(frozenSince) : 0;
+        return durable.frozenMs();
     }
 
     /** The newest incarnation known of a daemon. */
     long incarnationOf(Imprint who) {
-        return who.equals(post.self()) ? memory.incarnation() : memory.incarnationOf(who);
+        return who.equals(post.self()) ? memory().incarnation() : memory().incarnationOf(who);
     }
 
     Ballot promisedBallot() {
-        return memory.promised();
-    }
-
-    // ---- memory ----
-
-    private void serially(Runnable change) {
-        if (!busy) {
-            change.run();
-        } else if (backlog.size() < BACKLOG) {
-            backlog.add(change);
-        } else {
-            tally.count("archive.backlog.dropped");
-        }
+        return memory().promised();
     }
 
-    private void persist(Memory next, Runnable then) {
-        if (busy) {
-            throw new IllegalStateException("Two changes of memory at once.");
-        }
-        busy = true;
-        Memory old = memory;
-        room.write(next.changesSince(onDisk ? old : null), safe -> {
-            busy = false;
-            freezing = false;
-            if (safe) {
-                onDisk = true;
-                memory = next;
-                if (!next.frozen()) {
-                    frozenSince = null;
-                } else if (frozenSince == null) {
-                    frozenSince = almanac.now();
-                }
-                then.run();
-            } else {
-                tally.count("archive.writes.refused");
-                if (!onDisk && old.charter().number() == 0) {
-                    almanac.after(RESEND_MS, () -> serially(() -> persist(next, then)));
-                }
-            }
-            while (!busy && !backlog.isEmpty()) {
-                backlog.poll().run();
-            }
-        });
-    }
+    // ---- views in force ----
 
     private Standing standingIn(Memory m) {
         Fellow me = m.charter().fellow(post.self());
@@ -324,21 +291,21 @@
 
     private void adopted(String why) {
         Standing before = standing;
-        standing = standingIn(memory);
+        standing = standingIn(memory());
         if (standing == Standing.RECOVERING && before != Standing.RECOVERING) {
             recovered.clear();
         }
         owed.clear();
         confirmations.clear();
         superseded.clear();
-        LOG.info("In force after {}: {}; edition {}; {}.", why, memory.charter(), memory.state().edition(),
+        LOG.info("In force after {}: {}; edition {}; {}.", why, memory().charter(), memory().state().edition(),
                 standing.name().toLowerCase(java.util.Locale.ROOT));
         for (Consumer<Charter> o : charterObservers) {
-            o.accept(memory.charter());
+            o.accept(memory().charter());
         }
-        companion.adopted(memory.charter());
+        companion.adopted(memory().charter());
         // Only the head starts: a tail that took this view from news may hold a state that those before it do not.
-        if (post.self().equals(memory.charter().head())) {
+        if (post.self().equals(memory().charter().head())) {
             forwardState();
         }
     }
@@ -442,10 +409,10 @@
     /** Brings an agreed view into force here and tells everyone. */
     void decided(Proposal proposal, String why) {
         serially(() -> {
-            if (proposal.charter().number() <= memory.charter().number()) {
+            if (proposal.charter().number() <= memory().charter().number()) {
                 return;
             }
-            persist(memory.adopt(proposal.charter(), proposal.base()), () -> {
+            persist(memory().adopt(proposal.charter(), proposal.base()), () -> {
                 adopted(why);
                 broadcastNews(proposal);
             });
@@ -465,14 +432,14 @@
     }
 
     private void sendNews(Imprint to) {
-        if (memory.charter().number() == 0) {
+        if (memory().charter().number() == 0) {
             return;
         }
         Script.Writer out = view(View.NEWS);
-        memory.charter().write(out);
+        memory().charter().write(out);
         // Outside the chain only what is committed may be passed on as such.
-        boolean isCommitted = committed.edition().equals(memory.state().edition());
-        memory.state().write(out);
+        boolean isCommitted = committed.edition().equals(memory().state().edition());
+        memory().state().write(out);
         out.flag(isCommitted);
         if (!isCommitted) {
             committed.write(out);
@@ -489,11 +456,11 @@
         if (standing != Standing.MEMBER) {
             return false;
         }
-        if (memory.charter().number() >= view) {
+        if (memory().charter().number() >= view) {
             sendNews(proposer);
             return false;
         }
-        if (memory.charter().number() < view - 1) {
+        if (memory().charter().number() < view - 1) {
             fetch(proposer);
             return false;
         }
@@ -504,29 +471,28 @@
         if (!mayVote(from, view)) {
             return;
         }
-        if (ballot.compareTo(memory.promised()) < 0) {
+        if (ballot.compareTo(memory().promised()) < 0) {
             refuse(from, view);
-        } else if (ballot.equals(memory.promised())) {
+        } else if (ballot.equals(memory().promised())) {
             promise(from, view, ballot);
         } else {
-            freezing = true;
-            persist(memory.promise(ballot), () -> promise(from, view, ballot));
+            durable.persistPromise(memory().promise(ballot), () -> promise(from, view, ballot));
         }
     }
 
     private void refuse(Imprint to, long view) {
         Script.Writer out = view(View.REFUSAL).num(view);
-        memory.promised().write(out);
+        memory().promised().write(out);
         sendView(to, out);
     }
 
     private void promise(Imprint to, long view, Ballot ballot) {
         Script.Writer out = view(View.PROMISE).num(view);
         ballot.write(out);
-        out.num(memory.incarnation());
-        memory.state().write(out);
-        memory.writeAccepted(out);
-        memory.writeIncarnations(out);
+        out.num(memory().incarnation());
+        memory().state().write(out);
+        memory().writeAccepted(out);
+        memory().writeIncarnations(out);
         companion.mark().write(out);
         sendView(to, out);
     }
@@ -535,39 +501,39 @@
         if (!mayVote(from, view)) {
             return;
         }
-        if (ballot.compareTo(memory.promised()) < 0) {
+        if (ballot.compareTo(memory().promised()) < 0) {
             refuse(from, view);
             return;
         }
         Runnable answer = () -> {
             Script.Writer out = view(View.ACCEPTED).num(view);
             ballot.write(out);
-            out.num(memory.incarnation());
-            memory.writeIncarnations(out);
+            out.num(memory().incarnation());
+            memory().writeIncarnations(out);
             sendView(from, out);
         };
-        if (ballot.equals(memory.acceptedBallot())) {
+        if (ballot.equals(memory().acceptedBallot())) {
             answer.run();
         } else {
-            persist(memory.accept(ballot, proposal), answer);
+            persist(memory().accept(ballot, proposal), answer);
         }
     }
 
     private void news(Charter charter, Accession state, boolean isCommitted) {
-        if (charter.number() < memory.charter().number() || state.view() != charter.number()) {
+        if (charter.number() < memory().charter().number() || state.view() != charter.number()) {
             return;
         }
-        if (charter.number() > memory.charter().number()) {
-            persist(memory.adopt(charter, state), () -> adopted("news of a newer view"));
-        } else if (isCommitted && state.isNewerThan(memory.state()) && !charter.chains(post.self())) {
+        if (charter.number() > memory().charter().number()) {
+            persist(memory().adopt(charter, state), () -> adopted("news of a newer view"));
+        } else if (isCommitted && state.isNewerThan(memory().state()) && !charter.chains(post.self())) {
             // A follower keeps what the chain has committed. Chain members change only by writes of the chain.
-            persist(memory.withState(state), () -> { });
+            persist(memory().withState(state), () -> { });
         }
     }
 
     private void learnIncarnations(Map<Imprint, Long> crashes, Runnable then) {
-        Memory next = memory.withIncarnations(crashes);
-        if (next.incarnations().equals(memory.incarnations())) {
+        Memory next = memory().withIncarnations(crashes);
+        if (next.incarnations().equals(memory().incarnations())) {
             then.run();
         } else {
             persist(next, then);
@@ -578,46 +544,46 @@
 
     private void askForRecovery() {
         Set<Imprint> targets = new HashSet<>(audience);
-        for (Fellow f : memory.charter().electorate()) {
+        for (Fellow f : memory().charter().electorate()) {
             targets.add(f.imprint());
         }
         targets.remove(post.self());
         for (Imprint target : targets) {
-            sendView(target, view(View.RECOVER).num(memory.incarnation()));
+            sendView(target, view(View.RECOVER).num(memory().incarnation()));
         }
     }
 
     private void recover(Imprint who, long incarnation) {
-        if (standing == Standing.RECOVERING || memory.charter().number() == 0) {
+        if (standing == Standing.RECOVERING || memory().charter().number() == 0) {
             return;
         }
         Runnable answer = () -> {
             Script.Writer out = view(View.RECOVERED).num(incarnation);
-            memory.charter().write(out);
-            memory.state().write(out);
-            memory.promised().write(out);
-            memory.writeAccepted(out);
-            memory.writeIncarnations(out);
+            memory().charter().write(out);
+            memory().state().write(out);
+            memory().promised().write(out);
+            memory().writeAccepted(out);
+            memory().writeIncarnations(out);
             companion.mark().write(out);
             sendView(who, out);
         };
-        if (memory.incarnationOf(who) >= incarnation) {
+        if (memory().incarnationOf(who) >= incarnation) {
             answer.run();
         } else {
-            persist(memory.withIncarnation(who, incarnation), answer);
+            persist(memory().withIncarnation(who, incarnation), answer);
         }
     }
 
     private void recoveredReply(Imprint from, long incarnation, Recovered reply) {
-        if (standing != Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+        if (standing != Standing.RECOVERING || incarnation != memory().incarnation() || rebuilding) {
             return;
         }
         long known = Math.max(reply.incarnations().getOrDefault(post.self(), 0L),
                 reply.charter().votes(post.self()) ? reply.charter().fellow(post.self()).incarnation() : 0L);
-        if (known > memory.incarnation()) {
+        if (known > memory().incarnation()) {
             // Someone has met a later life of this daemon: choose a number above it and read again.
             recovered.clear();
-            Memory m = memory;
+            Memory m = memory();
             persist(new Memory(known + 1, 0, m.charter(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
                     m.incarnations()), this::askForRecovery);
             return;
@@ -629,7 +595,7 @@
                 newest = r.charter();
             }
         }
-        if (newest.number() < memory.charter().number()) {
+        if (newest.number() < memory().charter().number()) {
             return;
         }
         int reads = 0;
@@ -649,7 +615,7 @@
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
-        Memory next = memory;
+        Memory next = memory();
         for (Recovered r : recovered.values()) {
             next = next.withIncarnations(r.incarnations());
             if (r.charter().number() != newest.number()) {
@@ -692,7 +658,7 @@
             serially(() -> persist(whole, () -> {
                 rebuilding = false;
                 recovered.clear();
-                LOG.info("Memory rebuilt as incarnation {} from {} others.", memory.incarnation(), reads);
+                LOG.info("Memory rebuilt as incarnation {} from {} others.", memory().incarnation(), reads);
                 adopted("reading others");
             }));
         });
@@ -741,8 +707,8 @@
                 long nonce = in.num();
                 long view = in.num();
                 serially(() -> {
-                    if (standing == Standing.MEMBER && memory.charter().number() == view && !memory.frozen()) {
-                        sendChain(from, chain(Chain.CONFIRMED).num(nonce).num(memory.incarnation()));
+                    if (standing == Standing.MEMBER && memory().charter().number() == view && !memory().frozen()) {
+                        sendChain(from, chain(Chain.CONFIRMED).num(nonce).num(memory().incarnation()));
                     }
                 });
             }
@@ -784,11 +750,11 @@
 
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     private boolean inChain() {
-        if (standing != Standing.MEMBER || memory.frozen() || !memory.charter().chains(post.self())) {
+        if (standing != Standing.MEMBER || memory().frozen() || !memory().charter().chains(post.self())) {
             return false;
         }
-        for (Imprint member : memory.charter().chain()) {
-            if (memory.charter().fellow(member).incarnation() < incarnationOf(member)) {
+        for (Imprint member : memory().charter().chain()) {
+            if (memory().charter().fellow(member).incarnation() < incarnationOf(member)) {
                 return false;
             }
         }
@@ -796,11 +762,11 @@
     }
 
     private void submit(Imprint origin, long id, Edition match, Edition edition, long hash, byte[] blob) {
-        if (!inChain() || !post.self().equals(memory.charter().head())) {
+        if (!inChain() || !post.self().equals(memory().charter().head())) {
             answer(origin, id, Verdict.ELSEWHERE);
             return;
         }
-        Accession state = memory.state();
+        Accession state = memory().state();
         boolean settled = committed.edition().equals(state.edition());
         if (committed.hasTaken(edition, hash)) {
             answer(origin, id, Verdict.TAKEN);
@@ -809,11 +775,11 @@
             forwardState();
         } else if (!match.equals(state.edition())) {
             if (settled) {
-                confirm(new Confirmation(origin, id, memory.charter().number(), committed, false, Verdict.STALE));
+                confirm(new Confirmation(origin, id, memory().charter().number(), committed, false, Verdict.STALE));
             }
         } else if (!edition.isAfter(state.edition())) {
             if (settled) {
-                confirm(new Confirmation(origin, id, memory.charter().number(), committed, false, Verdict.NOT_HIGHER));
+                confirm(new Confirmation(origin, id, memory().charter().number(), committed, false, Verdict.NOT_HIGHER));
             }
         } else if (blob.length == 0) {
             // A question only: its sender knows no version to build on.
@@ -832,8 +798,8 @@
 
     /** Takes a newer state of the same view; the one before may be committed all the same. */
     private void replaceState(Accession next, Runnable then) {
-        Accession before = memory.state();
-        persist(memory.withState(next), () -> {
+        Accession before = memory().state();
+        persist(memory().withState(next), () -> {
             if (before.edition().isAfter(committed.edition())) {
                 superseded.add(before);
                 if (superseded.size() > SUPERSEDED) {
@@ -846,27 +812,27 @@
 
     /** Passes the newest state on, or commits it at the tail. */
     private void forwardState() {
-        if (!inChain() || memory.state().edition().equals(Edition.NONE)) {
+        if (!inChain() || memory().state().edition().equals(Edition.NONE)) {
             return;
         }
-        Imprint next = memory.charter().successor(post.self());
+        Imprint next = memory().charter().successor(post.self());
         if (next == null) {
             commitHere();
             return;
         }
         Script.Writer out = chain(Chain.WRITE);
-        memory.state().write(out);
+        memory().state().write(out);
         out.list(owed.values(), (o, d) -> d.write(o));
         sendChain(next, out);
     }
 
     private void write(Imprint from, Accession state, List<Owed> debts) {
-        if (state.view() > memory.charter().number()) {
+        if (state.view() > memory().charter().number()) {
             fetch(from);
             return;
         }
-        if (!inChain() || state.view() != memory.charter().number()
-                || !post.self().equals(memory.charter().successor(from))) {
+        if (!inChain() || state.view() != memory().charter().number()
+                || !post.self().equals(memory().charter().successor(from))) {
             return;
         }
         Runnable pass = () -> {
@@ -876,18 +842,18 @@
             }
             forwardState();
         };
-        if (state.isNewerThan(memory.state())) {
+        if (state.isNewerThan(memory().state())) {
             replaceState(state, pass);
-        } else if (state.edition().equals(memory.state().edition())) {
+        } else if (state.edition().equals(memory().state().edition())) {
             pass.run();
         }
     }
 
     private void commitHere() {
-        Accession state = memory.state();
+        Accession state = memory().state();
         long hash = state.newestHash();
         Set<Imprint> targets = new HashSet<>(audience);
-        targets.addAll(memory.charter().chain());
+        targets.addAll(memory().charter().chain());
         targets.remove(post.self());
         for (Owed debt : owed.values()) {
             answer(debt.origin(), debt.id(), Verdict.TAKEN);
@@ -901,7 +867,7 @@
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
     private void committedElsewhere(Imprint tail, long view, Edition edition, long hash) {
-        Accession meant = memory.state();
+        Accession meant = memory().state();
         for (Accession earlier : superseded) {
             if (earlier.edition().equals(edition)) {
                 meant = earlier;
@@ -934,20 +900,20 @@
             serially(this::askForRecovery);
             return;
         }
-        boolean unsettled = committed.view() < memory.charter().number()
-                || memory.state().edition().isAfter(committed.edition()) || !owed.isEmpty();
-        if (post.self().equals(memory.charter().head()) && unsettled) {
+        boolean unsettled = committed.view() < memory().charter().number()
+                || memory().state().edition().isAfter(committed.edition()) || !owed.isEmpty();
+        if (post.self().equals(memory().charter().head()) && unsettled) {
             serially(this::forwardState);
         }
     }
 
     private void read(Imprint origin, long id, boolean brief) {
-        boolean known = memory.state().edition().equals(Edition.NONE)
-                || committed.view() == memory.charter().number();
-        if (!inChain() || !known || !post.self().equals(memory.charter().tail())) {
+        boolean known = memory().state().edition().equals(Edition.NONE)
+                || committed.view() == memory().charter().number();
+        if (!inChain() || !known || !post.self().equals(memory().charter().tail())) {
             return;
         }
-        confirm(new Confirmation(origin, id, memory.charter().number(), committed, brief, null));
+        confirm(new Confirmation(origin, id, memory().charter().number(), committed, brief, null));
     }
 
     /**
@@ -960,19 +926,19 @@
         }
         long nonce = nextNonce++;
         confirmations.put(nonce, c);
-        for (Fellow f : memory.charter().electorate()) {
+        for (Fellow f : memory().charter().electorate()) {
             sendChain(f.imprint(), chain(Chain.CONFIRM).num(nonce).num(c.view));
         }
     }
 
     private void confirmed(Imprint from, long nonce, long incarnation) {
         Confirmation c = confirmations.get(nonce);
-        if (c == null || c.view != memory.charter().number() || incarnation < incarnationOf(from)
-                || !memory.charter().votes(from)) {
+        if (c == null || c.view != memory().charter().number() || incarnation < incarnationOf(from)
+                || !memory().charter().votes(from)) {
             return;
         }
         c.agreed.add(from);
-        if (c.agreed.size() >= memory.charter().majority()) {
+        if (c.agreed.size() >= memory().charter().majority()) {
             confirmations.remove(nonce);
             if (c.verdict != null) {
                 answer(c.origin, c.id, c.verdict);
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/DurableState.java
@@ -0,0 +1,110 @@
+package org.umbermount.archive;
+
+import java.util.ArrayDeque;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Tally;
+import org.umbermount.stacks.StackRoom;
+
+/**
+ * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
+ * {@link #memory()} shows it and before anything runs that rests on it. A change that the disk refuses has not happened.
+ */
+final class DurableState {
+    private static final int BACKLOG = 512;
+    private static final long RETRY_MS = 200;
+
+    private final Almanac almanac;
+    private final StackRoom room;
+    private final Tally tally;
+    private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
+    private Memory memory;
+    private boolean busy;
+    private boolean onDisk;
+    private boolean freezing;
+    private Moment frozenSince;
+
+    /**
+     * @param memory what the disk held, or a blank memory to start from
+     * @param onDisk whether the disk held it
+     */
+    DurableState(Almanac almanac, StackRoom room, Tally tally, Memory memory, boolean onDisk) {
+        this.almanac = almanac;
+        this.room = room;
+        this.tally = tally;
+        this.memory = memory;
+        this.onDisk = onDisk;
+    }
+
+    /** The newest memory that is on disk; before the first write the one to start from. */
+    Memory memory() {
+        return memory;
+    }
+
+    /** Whether a promise is on its way to disk. */
+    boolean freezing() {
+        return freezing;
+    }
+
+    /** How long a promise has frozen this voter; 0 if none does. */
+    long frozenMs() {
+        return memory.frozen() && frozenSince != null ? almanac.now().since(frozenSince) : 0;
+    }
+
+    /** Runs a change now, or once the changes before it are done. */
+    void serially(Runnable change) {
+        if (!busy) {
+            change.run();
+        } else if (backlog.size() < BACKLOG) {
+            backlog.add(change);
+        } else {
+            tally.count("archive.backlog.dropped");
+        }
+    }
+
+    /** Writes a memory that holds a new promise; {@link #freezing()} holds from now until the disk has answered. */
+    void persistPromise(Memory next, Runnable then) {
+        freezing = true;
+        persist(next, then);
+    }
+
+    /** Writes the next memory; {@code then} runs once it is on disk, and never if the disk refuses it. */
+    void persist(Memory next, Runnable then) {
+        if (busy) {
+            throw new IllegalStateException("Two changes of memory at once.");
+        }
+        busy = true;
+        Memory old = memory;
+        room.write(next.changesSince(onDisk ? old : null), safe -> {
+            busy = false;
+            freezing = false;
+            if (safe) {
+                take(next);
+                then.run();
+            } else {
+                refused(old, next, then);
+            }
+            while (!busy && !backlog.isEmpty()) {
+                backlog.poll().run();
+            }
+        });
+    }
+
+    private void take(Memory next) {
+        onDisk = true;
+        memory = next;
+        if (!next.frozen()) {
+            frozenSince = null;
+        } else if (frozenSince == null) {
+            frozenSince = almanac.now();
+        }
+    }
+
+    /** Only the very first write is tried again by itself: nothing else would ask for it. */
+    private void refused(Memory old, Memory next, Runnable then) {
+        tally.count("archive.writes.refused");
+        if (!onDisk && old.charter().number() == 0) {
+            almanac.after(RETRY_MS, () -> serially(() -> persist(next, then)));
+        }
+    }
+}
