Custodian is parted: acceptor, membership, chain replica, confirmation, recovery, wire

Cause: one class of 990 lines held every mechanism of the configuration's control side, so no argument could be read by itself. Change: Acceptor votes on views; Membership holds the view in force and this daemon's standing; ChainReplica takes and passes on states; CommitPoint holds what is committed; ViewConfirmation asks a majority; Recovery rebuilds a lost memory; ViewMessages and ChainMessages read and write the wire over a Channel, and decide nothing. Each says the invariant it keeps. Custodian stays as their face with the methods it had. No behaviour, wire format, log text or order of effects is changed.

--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Acceptor.java
@@ -0,0 +1,77 @@
+package org.umbermount.archive;
+
+import org.umbermount.kernel.Imprint;
+
+/**
+ * A voter on the next view: the acceptor of single-decree Paxos. Invariant: only a voter with its memory votes, and only
+ * on the view right after its own; once it has promised a ballot it neither promises nor accepts a lower one, and each
+ * promise and acceptance is on disk before it is sent.
+ */
+final class Acceptor {
+    private final DurableState durable;
+    private final Membership membership;
+    private final ViewMessages messages;
+
+    Acceptor(DurableState durable, Membership membership, ViewMessages messages) {
+        this.durable = durable;
+        this.membership = membership;
+        this.messages = messages;
+    }
+
+    void prepare(Imprint from, long view, Ballot ballot) {
+        if (!mayVote(from, view)) {
+            return;
+        }
+        Memory memory = durable.memory();
+        if (ballot.compareTo(memory.promised()) < 0) {
+            refuse(from, view);
+        } else if (ballot.equals(memory.promised())) {
+            promise(from, view, ballot);
+        } else {
+            durable.persistPromise(memory.promise(ballot), () -> promise(from, view, ballot));
+        }
+    }
+
+    void accept(Imprint from, long view, Ballot ballot, Proposal proposal) {
+        if (!mayVote(from, view)) {
+            return;
+        }
+        Memory memory = durable.memory();
+        if (ballot.compareTo(memory.promised()) < 0) {
+            refuse(from, view);
+        } else if (ballot.equals(memory.acceptedBallot())) {
+            accepted(from, view, ballot);
+        } else {
+            durable.persist(memory.accept(ballot, proposal), () -> accepted(from, view, ballot));
+        }
+    }
+
+    /** A proposer that is behind is told the view; one that is ahead is asked for it. */
+    private boolean mayVote(Imprint proposer, long view) {
+        if (membership.standing() != Custodian.Standing.MEMBER) {
+            return false;
+        }
+        long number = durable.memory().charter().number();
+        if (number >= view) {
+            membership.sendNews(proposer);
+            return false;
+        }
+        if (number < view - 1) {
+            membership.fetch(proposer);
+            return false;
+        }
+        return true;
+    }
+
+    private void refuse(Imprint to, long view) {
+        messages.sendRefusal(to, view, durable.memory().promised());
+    }
+
+    private void promise(Imprint to, long view, Ballot ballot) {
+        messages.sendPromise(to, view, ballot, durable.memory(), membership.companion().mark());
+    }
+
+    private void accepted(Imprint to, long view, Ballot ballot) {
+        messages.sendAccepted(to, view, ballot, durable.memory());
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/archive/src/main/java/org/umbermount/archive/DurableState.java
@@ -8,7 +8,7 @@
 
 /**
  * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
- * {@link #memory()} shows it and before anything runs that rests on it. A change that the disk refuses has not happened.
+ * {@link #memory()} shows it and before anything runs that rests on it. A refused change never shows.
  */
 final class DurableState {
     private static final int BACKLOG = 512;
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/Recovery.java
@@ -0,0 +1,189 @@
+package org.umbermount.archive;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Imprint;
+
+/**
+ * A voter without its memory reads others before it votes. Invariant: it takes up its part again only as an incarnation
+ * of which the others have met no later one, after it has read so many voters of the newest view that they meet every
+ * majority; and none of them answers before that incarnation is on its own disk.
+ */
+final class Recovery {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final long REBUILD_MS = 6_000;
+
+    /** What one of the others remembers. */
+    record Reply(Charter charter, Accession state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
+            Map<Imprint, Long> incarnations, Bookmark mark) {
+    }
+
+    private final Imprint self;
+    private final Almanac almanac;
+    private final DurableState durable;
+    private final Membership membership;
+    private final ViewMessages messages;
+    private final Map<Imprint, Reply> replies = new HashMap<>();
+    private boolean rebuilding;
+
+    Recovery(Imprint self, Almanac almanac, DurableState durable, Membership membership, ViewMessages messages) {
+        this.self = self;
+        this.almanac = almanac;
+        this.durable = durable;
+        this.membership = membership;
+        this.messages = messages;
+    }
+
+    // ---- for another that lost its memory ----
+
+    void answer(Imprint who, long incarnation) {
+        Memory memory = durable.memory();
+        if (membership.standing() == Custodian.Standing.RECOVERING || memory.charter().number() == 0) {
+            return;
+        }
+        if (memory.incarnationOf(who) >= incarnation) {
+            sendRecovered(who, incarnation);
+        } else {
+            durable.persist(memory.withIncarnation(who, incarnation), () -> sendRecovered(who, incarnation));
+        }
+    }
+
+    private void sendRecovered(Imprint who, long incarnation) {
+        messages.sendRecovered(who, incarnation, durable.memory(), membership.companion().mark());
+    }
+
+    // ---- without memory here ----
+
+    /** Asks all others what they remember. */
+    void ask() {
+        Memory memory = durable.memory();
+        for (Imprint target : membership.others(memory.charter())) {
+            messages.sendRecover(target, memory.incarnation());
+        }
+    }
+
+    /** This daemon has just come to lack its memory: what it read before counts no longer. */
+    void reset() {
+        replies.clear();
+    }
+
+    void recovered(Imprint from, long incarnation, Reply reply) {
+        Memory memory = durable.memory();
+        if (membership.standing() != Custodian.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+            return;
+        }
+        long known = incarnationIn(reply);
+        if (known > memory.incarnation()) {
+            startAbove(known);
+            return;
+        }
+        replies.put(from, reply);
+        Charter newest = newestCharter();
+        if (newest.number() >= memory.charter().number() && votersRead(newest) >= newest.recoveryReads()) {
+            finish(newest);
+        }
+    }
+
+    /** The newest life of this daemon that another has met. */
+    private long incarnationIn(Reply reply) {
+        return Math.max(reply.incarnations().getOrDefault(self, 0L),
+                reply.charter().votes(self) ? reply.charter().fellow(self).incarnation() : 0L);
+    }
+
+    /** Someone has met a later life of this daemon: choose a number above it and read again. */
+    private void startAbove(long known) {
+        replies.clear();
+        Memory m = durable.memory();
+        durable.persist(new Memory(known + 1, 0, m.charter(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
+                m.incarnations()), this::ask);
+    }
+
+    private Charter newestCharter() {
+        Charter newest = Charter.NONE;
+        for (Reply r : replies.values()) {
+            if (r.charter().number() > newest.number()) {
+                newest = r.charter();
+            }
+        }
+        return newest;
+    }
+
+    private int votersRead(Charter charter) {
+        int reads = 0;
+        for (Imprint who : replies.keySet()) {
+            if (charter.votes(who)) {
+                reads++;
+            }
+        }
+        return reads;
+    }
+
+    /** Enough has been read; what is kept beside the configuration is fetched before the memory counts as whole. */
+    private void finish(Charter newest) {
+        Memory whole = merge(newest);
+        Bookmark furthest = furthestMark();
+        int reads = replies.size();
+        rebuilding = true;
+        boolean[] over = new boolean[1];
+        almanac.after(REBUILD_MS, () -> {
+            if (!over[0]) {
+                // The one that was asked is lost itself: read the others again.
+                over[0] = true;
+                rebuilding = false;
+                replies.clear();
+            }
+        });
+        membership.companion().rebuild(furthest, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                durable.serially(() -> durable.persist(whole, () -> finished(reads)));
+            }
+        });
+    }
+
+    private void finished(int reads) {
+        rebuilding = false;
+        replies.clear();
+        LOG.info("Memory rebuilt as incarnation {} from {} others.", durable.memory().incarnation(), reads);
+        membership.adopted("reading others");
+    }
+
+    /** The newest state, promise and acceptance that those in the newest view remember. */
+    private Memory merge(Charter newest) {
+        Accession state = Accession.NONE;
+        Ballot promised = Ballot.NONE;
+        Ballot acceptedBallot = Ballot.NONE;
+        Proposal accepted = null;
+        Memory next = durable.memory();
+        for (Reply r : replies.values()) {
+            next = next.withIncarnations(r.incarnations());
+            if (r.charter().number() != newest.number()) {
+                continue;
+            }
+            if (r.state().isNewerThan(state) || state.view() == 0) {
+                state = r.state();
+            }
+            if (r.promised().compareTo(promised) > 0) {
+                promised = r.promised();
+            }
+            if (r.acceptedBallot().compareTo(acceptedBallot) > 0) {
+                acceptedBallot = r.acceptedBallot();
+                accepted = r.accepted();
+            }
+        }
+        return next.adopt(newest, state).recovered(newest.number()).withAcceptor(promised, acceptedBallot, accepted);
+    }
+
+    private Bookmark furthestMark() {
+        Bookmark furthest = Bookmark.NONE;
+        for (Reply r : replies.values()) {
+            if (r.mark().isBeyond(furthest)) {
+                furthest = r.mark();
+            }
+        }
+        return furthest;
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -0,0 +1,108 @@
+package org.umbermount.archive;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+
+/**
+ * Asks a majority whether the view is still in force. Invariant: a read, or the refusal of a submission, is answered only
+ * after a majority of the view's voters, none of them under a promise, has said after the question came that the view is
+ * still theirs. A head that a newer view has left behind must not refuse: what it takes for stale may be on top of the
+ * newest version, and be taken by the head of that view.
+ */
+final class ViewConfirmation {
+    private static final int MOST = 256;
+
+    private final Imprint self;
+    private final DurableState durable;
+    private final Membership membership;
+    private final CommitPoint commits;
+    private final ChainMessages messages;
+    private final Map<Long, Question> questions = new HashMap<>();
+    private long nextNonce;
+
+    /** What waits for a majority: a verdict on a submission, or the committed state for a read. */
+    private record Question(Imprint origin, long id, long view, Accession reading, boolean brief,
+            Custodian.Verdict verdict, Set<Imprint> agreed) {
+    }
+
+    ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
+            ChainMessages messages, long firstNonce) {
+        this.self = self;
+        this.durable = durable;
+        this.membership = membership;
+        this.commits = commits;
+        this.messages = messages;
+        this.nextNonce = firstNonce;
+    }
+
+    /** The tail answers a read, once it knows what is committed in its view. */
+    void read(Imprint origin, long id, boolean brief) {
+        Memory memory = durable.memory();
+        boolean known = memory.state().edition().equals(Edition.NONE)
+                || commits.committed().view() == memory.charter().number();
+        if (!membership.inChain() || !known || !self.equals(memory.charter().tail())) {
+            return;
+        }
+        ask(origin, id, brief, null);
+    }
+
+    /** The head refuses a submission. */
+    void refuse(Imprint origin, long id, Custodian.Verdict verdict) {
+        ask(origin, id, false, verdict);
+    }
+
+    private void ask(Imprint origin, long id, boolean brief, Custodian.Verdict verdict) {
+        if (questions.size() > MOST) {
+            questions.clear();
+        }
+        Charter charter = durable.memory().charter();
+        long nonce = nextNonce++;
+        questions.put(nonce, new Question(origin, id, charter.number(), commits.committed(), brief, verdict,
+                new HashSet<>()));
+        for (Fellow f : charter.electorate()) {
+            messages.sendConfirm(f.imprint(), nonce, charter.number());
+        }
+    }
+
+    /** A voter says whether a view is still its own and no promise may have ended it. */
+    void attest(Imprint from, long nonce, long view) {
+        Memory memory = durable.memory();
+        if (membership.standing() == Custodian.Standing.MEMBER && memory.charter().number() == view
+                && !memory.frozen()) {
+            messages.sendConfirmed(from, nonce, memory.incarnation());
+        }
+    }
+
+    void confirmed(Imprint from, long nonce, long incarnation) {
+        Question q = questions.get(nonce);
+        Charter charter = durable.memory().charter();
+        if (q == null || q.view() != charter.number() || incarnation < membership.incarnationOf(from)
+                || !charter.votes(from)) {
+            return;
+        }
+        q.agreed().add(from);
+        if (q.agreed().size() >= charter.majority()) {
+            questions.remove(nonce);
+            answer(q);
+        }
+    }
+
+    private void answer(Question q) {
+        if (q.verdict() != null) {
+            messages.sendVerdict(q.origin(), q.id(), q.verdict());
+        } else if (q.brief()) {
+            messages.sendAttested(q.origin(), q.id(), q.reading().edition());
+        } else {
+            messages.sendReading(q.origin(), q.id(), q.reading());
+        }
+    }
+
+    /** Questions end with their view. */
+    void viewAdopted() {
+        questions.clear();
+    }
+}
