A new file is safe only with its folder, and a rewrite renames nothing

Cause: a file was made and synced, but its folder never was, so a whole new file (memory.stack, a new segment of operation records) could vanish with the power after its content had been called safe. A removed segment that came back by itself was read as if nothing lay between it and the next. A broken record in the last segment was cut off with all the safe ones behind it, and nothing was said. When the records could not be used, the daemon emptied them before its vote, so one that ended on the way kept its vote without them. Change: SyncedVault decides what is forced for the real disk and for the tests' disk alike, and forces the folder once at the start and for each file that is made. A stack has two files and is rewritten into the empty one; no file is renamed or removed by it. A rewrite waits until half of the file is outdated. Segments before a gap are dropped; a record that is not the first of its sync is marked (version 2 of the format, version 1 is read), so that a torn sync and damage are told apart, and damage is reported with file and offset. Opening writes nothing; tails are cut before the next record. The vote is emptied before the records. The unused Ledger.clear is gone, with the question of what a loss of power leaves of it. Conclusion: one folder sync more at a start and for each new file; a rewrite takes three syncs instead of two.

--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -104,7 +104,7 @@
             return Stack.open(shelving, name, REWRITE_OVER);
         } catch (Stack.DamagedException e) {
             LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
-            shelving.truncate(name, 0);
+            Stack.discard(shelving, name);
             return Stack.open(shelving, name, REWRITE_OVER);
         }
     }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -5,10 +5,18 @@
  * out at a time, to show that the checks notice when it is missing: a check that passes without its safeguard shows nothing.
  */
 public enum Safeguard {
+    /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
+    FILE_SYNCED_AT_OPENING,
+    /** A file counts as safe only when its folder has been synced after the file was made. */
+    FOLDER_SYNCED,
     /** A refusal of an order is given only after a majority has confirmed the view that it rests on. */
     REFUSAL_CONFIRMED,
     /** A read of the configuration is answered only after a majority has confirmed the view, asked after the read came in. */
-    READ_CONFIRMED;
+    READ_CONFIRMED,
+    /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
+    REWRITTEN_BESIDE,
+    /** What is behind the last whole record is cut off before the next record is written. */
+    TORN_TAIL_DROPPED;
 
     private static volatile Safeguard leftOut;
 
--- a/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.archive.Custodian;
@@ -74,16 +77,25 @@
         try {
             return Ledger.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
         } catch (Stack.DamagedException | IllegalStateException e) {
-            // A voter that forgot what it said must not vote as if it had not: it becomes a new incarnation.
             LOG.error("{} The daemon starts again without any memory.", e.getMessage());
-            for (String name : cellar.vault().list()) {
-                cellar.vault().truncate(name, 0);
-            }
+            forget(cellar);
             host.fatal("The operation records on disk cannot be used.");
             throw e;
         }
     }
 
+    /**
+     * A voter that forgot what it said must not vote as if it had not: it becomes a new incarnation. The records go last, for
+     * whoever ends on the way must not be left with its vote and without them.
+     */
+    private static void forget(Cellar cellar) throws IOException {
+        List<String> names = new ArrayList<>(cellar.vault().list());
+        names.sort(Comparator.comparing(name -> name.startsWith(FILES + ".")));
+        for (String name : names) {
+            cellar.vault().truncate(name, 0);
+        }
+    }
+
     private static void replay(LoanBook book, int segment, byte[] body, Institution host) {
         try {
             Slip s = Slip.read(body);
--- a/stacks/src/main/java/org/umbermount/stacks/Ledger.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Ledger.java
@@ -3,25 +3,34 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * A run of checksummed records in segments. Records are written at the end, many in one sync; old ones go a whole
  * segment at a time. The format of a segment: an 8-byte title, then for each record the length of its body (4
  * bytes), its checksum (4) and its body. Numbers are big-endian; the checksum is CRC-32C over length and body.
  * Only the last segment can have a torn tail, because a new one is begun only when all before it is safe.
+ *
+ * <p>Records that were written in one sync can be lost in any order, and what is behind the first lost one counts for
+ * nothing. The highest bit of the length marks a record that is not the first of its sync. A whole first one behind a
+ * broken record therefore shows damage to what was safe, and that is reported.
  */
 public final class Ledger {
-    static final byte[] TITLE = {'u', 'm', 'b', 'l', 'd', 'g', 0, 1};
+    /** The last byte is the version of the format; in version 1 no record was marked. */
+    static final byte[] TITLE = {'u', 'm', 'b', 'l', 'd', 'g', 0, 2};
     private static final int HEAD = 8;
+    private static final int FOLLOWS = 1 << 31;
 
     private final Vault vault;
     private final String prefix;
     private final int segmentBytes;
     private final TreeMap<Integer, Long> segments = new TreeMap<>();
     private boolean uncertainTail;
+    private volatile int current = 1;
 
     /** Receives what the ledger holds, in order. */
     public interface Reader {
@@ -34,7 +43,7 @@
         this.segmentBytes = segmentBytes;
     }
 
-    /** Opens the segments, drops a torn tail, makes the rest safe and hands it out. */
+    /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
     public static Ledger open(Vault vault, String prefix, int segmentBytes, Reader reader) throws IOException {
         Ledger ledger = new Ledger(vault, prefix, segmentBytes);
         ledger.load(reader);
@@ -49,46 +58,101 @@
             }
         }
         numbers.sort(null);
+        numbers = withoutReturned(numbers);
         for (int i = 0; i < numbers.size(); i++) {
             int number = numbers.get(i);
             boolean last = i == numbers.size() - 1;
             byte[] bytes = vault.read(name(number));
-            long whole = read(number, bytes == null ? new byte[0] : bytes, reader);
-            if (bytes != null && whole < bytes.length) {
-                if (!last) {
-                    throw new Stack.DamagedException("The file " + name(number) + " is damaged at byte " + whole + ".");
-                }
-                vault.truncate(name(number), whole);
+            Content content = new Content(bytes);
+            if (content.damaged || !last && content.end < bytes.length) {
+                throw new Stack.DamagedException(name(number), content.brokenAt);
             }
-            segments.put(number, whole);
-            if (last && whole > 0) {
+            if (last && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
                 vault.sync(name(number));
             }
+            content.records.forEach(body -> reader.record(number, body));
+            segments.put(number, (long) content.end);
+            uncertainTail = content.end < bytes.length;
+            current = number;
+        }
+    }
+
+    /** Segments go from the oldest on. So what lies before a gap was removed, and came back with a loss of power. */
+    private List<Integer> withoutReturned(List<Integer> numbers) throws IOException {
+        int first = numbers.size() - 1;
+        while (first > 0 && numbers.get(first - 1) == numbers.get(first) - 1) {
+            first--;
         }
+        for (int i = 0; i < first; i++) {
+            vault.remove(name(numbers.get(i)));
+        }
+        return numbers.subList(Math.max(0, first), numbers.size());
     }
 
-    private static long read(int number, byte[] bytes, Reader reader) {
-        if (bytes.length < TITLE.length) {
-            return 0;
+    private void cutTail() throws IOException {
+        if (Safeguard.TORN_TAIL_DROPPED.holds()) {
+            vault.truncate(name(current), segments.get(current));
         }
-        for (int i = 0; i < TITLE.length; i++) {
-            if (bytes[i] != TITLE[i]) {
-                return 0;
+    }
+
+    /** What a segment holds. */
+    private static final class Content {
+        final List<byte[]> records = new ArrayList<>();
+        /** Where the last whole record ends; 0 if there is none. */
+        int end;
+        int brokenAt;
+        boolean damaged;
+
+        Content(byte[] bytes) {
+            if (bytes.length < TITLE.length) {
+                return;
             }
+            int version = version(bytes);
+            if (version < 0) {
+                boolean missing = Arrays.equals(new byte[TITLE.length], Arrays.copyOf(bytes, TITLE.length));
+                damaged = !missing || laterSync(bytes, TITLE.length);
+                return;
+            }
+            ByteBuffer in = ByteBuffer.wrap(bytes);
+            brokenAt = TITLE.length;
+            while (isWhole(in, brokenAt)) {
+                int n = in.getInt(brokenAt) & ~FOLLOWS;
+                byte[] body = new byte[n];
+                System.arraycopy(bytes, brokenAt + HEAD, body, 0, n);
+                records.add(body);
+                brokenAt += HEAD + n;
+                end = brokenAt;
+            }
+            damaged = version > 1 && laterSync(bytes, brokenAt + 1);
         }
-        ByteBuffer in = ByteBuffer.wrap(bytes);
-        int at = TITLE.length;
-        while (bytes.length - at >= HEAD) {
-            int n = in.getInt(at);
-            if (n < 1 || n > bytes.length - at - HEAD || checksum(bytes, at, n) != in.getInt(at + 4)) {
-                break;
+
+        private static int version(byte[] bytes) {
+            for (int i = 0; i < TITLE.length - 1; i++) {
+                if (bytes[i] != TITLE[i]) {
+                    return -1;
+                }
+            }
+            int version = bytes[TITLE.length - 1];
+            return version == 1 || version == TITLE[TITLE.length - 1] ? version : -1;
+        }
+
+        private static boolean isWhole(ByteBuffer in, int at) {
+            if (in.limit() - at < HEAD) {
+                return false;
             }
-            byte[] body = new byte[n];
-            System.arraycopy(bytes, at + HEAD, body, 0, n);
-            reader.record(number, body);
-            at += HEAD + n;
+            int n = in.getInt(at) & ~FOLLOWS;
+            return n >= 1 && n <= in.limit() - at - HEAD && checksum(in.array(), at, n) == in.getInt(at + 4);
+        }
+
+        private static boolean laterSync(byte[] bytes, int from) {
+            ByteBuffer in = ByteBuffer.wrap(bytes);
+            for (int at = from; at <= bytes.length - HEAD; at++) {
+                if (in.getInt(at) > 0 && isWhole(in, at)) {
+                    return true;
+                }
+            }
+            return false;
         }
-        return at;
     }
 
     private static int checksum(byte[] bytes, int at, int n) {
@@ -104,15 +168,16 @@
 
     /** Writes the records and waits until they are safe; after a failure none of them counts. */
     public void append(List<byte[]> records) throws IOException {
+        if (uncertainTail) {
+            cutTail();
+            uncertainTail = false;
+        }
         if (segments.isEmpty() || segments.lastEntry().getValue() >= segmentBytes) {
             segments.put(segments.isEmpty() ? 1 : segments.lastKey() + 1, 0L);
+            current = segments.lastKey();
         }
-        int number = segments.lastKey();
+        int number = current;
         long length = segments.get(number);
-        if (uncertainTail) {
-            vault.truncate(name(number), length);
-            uncertainTail = false;
-        }
         int total = length == 0 ? TITLE.length : 0;
         for (byte[] r : records) {
             total += HEAD + r.length;
@@ -121,9 +186,11 @@
         if (length == 0) {
             out.put(TITLE);
         }
+        int mark = 0;
         for (byte[] r : records) {
             int at = out.position();
-            out.putInt(r.length).putInt(0).put(r);
+            out.putInt(r.length | mark).putInt(0).put(r);
+            mark = FOLLOWS;
             out.putInt(at + 4, checksum(out.array(), at, r.length));
         }
         uncertainTail = true;
@@ -134,7 +201,7 @@
 
     /** The segment that the next record goes to, unless it is full by then. */
     public int current() {
-        return segments.isEmpty() ? 1 : segments.lastKey();
+        return current;
     }
 
     /** Removes every segment up to this one, which must not be the current one. */
@@ -145,16 +212,6 @@
         }
     }
 
-    /** Removes everything. */
-    public void clear() throws IOException {
-        for (int number : segments.keySet()) {
-            vault.truncate(name(number), 0);
-            vault.remove(name(number));
-        }
-        segments.clear();
-        uncertainTail = false;
-    }
-
     public long length() {
         long total = 0;
         for (long n : segments.values()) {
--- a/stacks/src/main/java/org/umbermount/stacks/Shelving.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Shelving.java
@@ -5,7 +5,6 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
 import java.util.List;
@@ -13,87 +12,91 @@
 import java.util.stream.Stream;
 
 /** A vault in one folder of the real disk. */
-public final class Shelving implements Vault {
-    private final Path folder;
-    private final Map<String, FileChannel> open = new HashMap<>();
-
+public final class Shelving extends SyncedVault {
     public Shelving(Path folder) throws IOException {
-        this.folder = folder;
-        Files.createDirectories(folder);
+        super(new Folder(folder));
     }
 
-    @Override
-    public byte[] read(String name) throws IOException {
-        Path file = folder.resolve(name);
-        return Files.exists(file) ? Files.readAllBytes(file) : null;
-    }
+    private static final class Folder implements Disk {
+        private final Path path;
+        private final Map<String, FileChannel> channels = new HashMap<>();
 
-    @Override
-    public void append(String name, long at, byte[] bytes) throws IOException {
-        FileChannel channel = channel(name);
-        ByteBuffer buffer = ByteBuffer.wrap(bytes);
-        long position = at;
-        while (buffer.hasRemaining()) {
-            position += channel.write(buffer, position);
+        Folder(Path path) throws IOException {
+            this.path = path.toAbsolutePath();
+            make(this.path);
         }
-        channel.force(false);
-    }
 
-    @Override
-    public void truncate(String name, long length) throws IOException {
-        FileChannel channel = channel(name);
-        channel.truncate(length);
-        channel.force(true);
-    }
+        /** A folder that is made is a name in the one above. */
+        private static void make(Path folder) throws IOException {
+            if (!Files.isDirectory(folder)) {
+                make(folder.getParent());
+                Files.createDirectories(folder);
+                forceFolder(folder.getParent());
+            }
+        }
 
-    @Override
-    public void replace(String name, byte[] bytes) throws IOException {
-        Path fresh = folder.resolve(name + ".new");
-        try (FileChannel channel = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
+        private static void forceFolder(Path folder) throws IOException {
+            try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+                directory.force(true);
             }
-            channel.force(true);
         }
-        FileChannel old = open.remove(name);
-        if (old != null) {
-            old.close();
+
+        @Override
+        public byte[] read(String name) throws IOException {
+            Path file = path.resolve(name);
+            return Files.exists(file) ? Files.readAllBytes(file) : null;
         }
-        Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
-            directory.force(true);
+
+        @Override
+        public List<String> list() throws IOException {
+            try (Stream<Path> files = Files.list(path)) {
+                return files.map(f -> f.getFileName().toString()).sorted().toList();
+            }
         }
-    }
 
-    @Override
-    public void sync(String name) throws IOException {
-        channel(name).force(true);
-    }
+        @Override
+        public boolean open(String name) throws IOException {
+            if (channels.containsKey(name)) {
+                return false;
+            }
+            Path file = path.resolve(name);
+            boolean made = !Files.exists(file);
+            channels.put(name, FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+            return made;
+        }
 
-    @Override
-    public List<String> list() throws IOException {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.map(f -> f.getFileName().toString()).sorted().toList();
+        @Override
+        public void write(String name, long at, byte[] bytes) throws IOException {
+            FileChannel channel = channels.get(name);
+            ByteBuffer buffer = ByteBuffer.wrap(bytes);
+            long position = at;
+            while (buffer.hasRemaining()) {
+                position += channel.write(buffer, position);
+            }
         }
-    }
 
-    @Override
-    public void remove(String name) throws IOException {
-        FileChannel old = open.remove(name);
-        if (old != null) {
-            old.close();
+        @Override
+        public void cut(String name, long length) throws IOException {
+            channels.get(name).truncate(length);
+        }
+
+        @Override
+        public void force(String name) throws IOException {
+            channels.get(name).force(true);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            FileChannel channel = channels.remove(name);
+            if (channel != null) {
+                channel.close();
+            }
+            Files.deleteIfExists(path.resolve(name));
         }
-        Files.deleteIfExists(folder.resolve(name));
-    }
 
-    private FileChannel channel(String name) throws IOException {
-        FileChannel channel = open.get(name);
-        if (channel == null) {
-            channel = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            open.put(name, channel);
+        @Override
+        public void forceFolder() throws IOException {
+            forceFolder(path);
         }
-        return channel;
     }
 }
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -1,13 +1,16 @@
 package org.umbermount.stacks;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
@@ -15,15 +18,24 @@
  * 8-byte title, then for each record the length of its body (4 bytes), its checksum (4) and its body. A body is
  * a run of folios: key (1), length of the value (4), value. Numbers are big-endian; the checksum is CRC-32C over
  * the length and the body.
+ *
+ * <p>A stack has two files, and one of them is empty but for the time of a rewrite. A rewrite puts one record with all that
+ * counts and a generation, one higher than before, into the empty file, makes it safe, and empties the other. So no file is
+ * ever renamed or removed. While both files hold something, nothing has been written to the newer one but that record.
+ *
+ * <p>After a put the length is at most the largest of {@code rewriteOver}, twice what counted before it, and what counted
+ * before it with the new record; during a rewrite the disk holds what counts a second time.
  */
 public final class Stack {
     /** A record in the middle of the file is damaged: the disk cannot be trusted. */
     public static final class DamagedException extends IOException {
-        DamagedException(String message) {
-            super(message);
+        DamagedException(String name, long at) {
+            super("The file " + name + " is damaged at byte " + at + ".");
         }
     }
 
+    /** Holds the generation; no put may use it. */
+    static final byte GENERATION = 0;
     static final byte[] TITLE = {'u', 'm', 'b', 's', 't', 'k', 0, 1};
     private static final int HEAD = 8;
     private static final int FOLIO_HEAD = 5;
@@ -31,64 +43,133 @@
     private static final java.nio.ByteOrder ORDER = java.nio.ByteOrder.BIG_ENDIAN;
 
     private final Vault vault;
-    private final String name;
     private final long rewriteOver;
     private final Map<Byte, byte[]> newest = new TreeMap<>();
+    /** The file in use. */
+    private String name;
+    private String spare;
+    private long generation;
     private long length;
     private boolean uncertainTail;
+    /** The spare file may hold a rewrite that did not come to its end. */
+    private boolean uncertainSpare;
 
     private Stack(Vault vault, String name, long rewriteOver) {
         this.vault = vault;
         this.name = name;
+        this.spare = spareOf(name);
         this.rewriteOver = rewriteOver;
     }
 
-    /** Opens the file, dropping a torn tail. */
+    static String spareOf(String name) {
+        return name + ".spare";
+    }
+
+    /** Opens the stack without a write; a torn tail and what is left of a rewrite go before the next put. */
     public static Stack open(Vault vault, String name, long rewriteOver) throws IOException {
         Stack stack = new Stack(vault, name, rewriteOver);
         stack.load();
-        if (stack.length > 0) {
+        return stack;
+    }
+
+    /** Empties the files of a stack that cannot be read. */
+    public static void discard(Vault vault, String name) throws IOException {
+        vault.truncate(name, 0);
+        vault.truncate(spareOf(name), 0);
+    }
+
+    private void load() throws IOException {
+        Content content = new Content(vault.read(name));
+        Content other = new Content(vault.read(spare));
+        boolean rewritten = other.size > 0 && (content.size == 0 || other.outdates(content));
+        if (rewritten) {
+            swapFiles();
+            Content first = content;
+            content = other;
+            other = first;
+        }
+        if (content.damagedAt >= 0) {
+            throw new DamagedException(name, content.damagedAt);
+        }
+        if (content.end == 0 && (rewritten || other.size > 0)) {
+            // There is no rewrite without something safe to rewrite.
+            throw new DamagedException(name, 0);
+        }
+        length = content.end;
+        if (length > 0 && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
             // What an ended process wrote without waiting for the disk can be read back and still go with the power.
             vault.sync(name);
         }
-        return stack;
+        uncertainTail = length < content.size;
+        uncertainSpare = other.size > 0;
+        generation = content.generation;
+        newest.putAll(content.newest);
     }
 
-    private void load() throws IOException {
-        byte[] bytes = vault.read(name);
-        if (bytes == null || bytes.length < TITLE.length) {
-            // Nothing was ever safe: the title is written together with the first record.
-            length = 0;
-            if (bytes != null && bytes.length > 0) {
-                vault.truncate(name, 0);
-            }
-            return;
+    private void swapFiles() {
+        String other = spare;
+        spare = name;
+        name = other;
+    }
+
+    private void cutTail() throws IOException {
+        if (Safeguard.TORN_TAIL_DROPPED.holds()) {
+            vault.truncate(name, length);
         }
-        for (int i = 0; i < TITLE.length; i++) {
-            if (bytes[i] != TITLE[i]) {
-                throw new DamagedException("The file " + name + " is not a stack.");
+    }
+
+    /** What one of the files holds. */
+    private static final class Content {
+        final Map<Byte, byte[]> newest = new TreeMap<>();
+        final int size;
+        /** Where the last whole record ends; 0 if there is none. */
+        int end;
+        int damagedAt = -1;
+        long generation;
+
+        Content(byte[] bytes) {
+            size = bytes == null ? 0 : bytes.length;
+            if (size < TITLE.length) {
+                // Nothing was ever safe: the title is written together with the first record.
+                return;
             }
-        }
-        UnsafeBuffer buffer = new UnsafeBuffer(bytes);
-        int at = TITLE.length;
-        while (at < bytes.length) {
-            int end = recordEnd(buffer, at, bytes.length);
-            if (end < 0) {
-                if (laterRecord(buffer, at, bytes.length)) {
-                    throw new DamagedException("The file " + name + " is damaged at byte " + at + ".");
+            UnsafeBuffer buffer = new UnsafeBuffer(bytes);
+            if (!Arrays.equals(TITLE, Arrays.copyOf(bytes, TITLE.length))) {
+                boolean missing = Arrays.equals(new byte[TITLE.length], Arrays.copyOf(bytes, TITLE.length));
+                damagedAt = missing && !laterRecord(buffer, TITLE.length, size) ? -1 : 0;
+                return;
+            }
+            int at = TITLE.length;
+            while (at < size) {
+                int next = recordEnd(buffer, at, size);
+                if (next < 0) {
+                    damagedAt = laterRecord(buffer, at + 1, size) ? at : -1;
+                    break;
                 }
-                vault.truncate(name, at);
-                break;
+                read(buffer, at + HEAD, next);
+                at = next;
+                end = at;
             }
-            at += HEAD;
-            while (at < end) {
+        }
+
+        private void read(UnsafeBuffer buffer, int from, int to) {
+            int at = from;
+            while (at < to) {
                 byte[] value = new byte[buffer.getInt(at + 1, ORDER)];
                 buffer.getBytes(at + FOLIO_HEAD, value);
-                newest.put(bytes[at], value);
+                if (buffer.getByte(at) == GENERATION) {
+                    generation = new UnsafeBuffer(value).getLong(0, ORDER);
+                } else {
+                    newest.put(buffer.getByte(at), value);
+                }
                 at += FOLIO_HEAD + value.length;
             }
         }
-        length = at;
+
+        /** Whether this is a whole rewrite of the other. */
+        boolean outdates(Content other) {
+            return end > 0 && (other.end == 0 || generation > other.generation);
+        }
     }
 
     /** Where the record at {@code at} ends, or -1 if it is not whole. */
@@ -105,7 +186,7 @@
 
     /** A whole record behind a damaged one shows that more than the tail was harmed. */
     private static boolean laterRecord(UnsafeBuffer buffer, int from, int size) {
-        for (int at = from + 1; at < size; at++) {
+        for (int at = from; at < size; at++) {
             if (recordEnd(buffer, at, size) >= 0) {
                 return true;
             }
@@ -128,41 +209,69 @@
         return newest.isEmpty();
     }
 
-    /** Writes the records and waits until all of them are safe. After a failure nothing of them counts here. */
+    /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
     public void put(List<Folio> folios) throws IOException {
-        Map<Byte, byte[]> next = new TreeMap<>(newest);
-        for (Folio folio : folios) {
-            next.put(folio.key(), folio.value());
+        if (folios.stream().anyMatch(f -> f.key() == GENERATION)) {
+            throw new IllegalArgumentException("The key " + GENERATION + " is the stack's own.");
         }
         if (uncertainTail) {
-            vault.truncate(name, length);
+            cutTail();
             uncertainTail = false;
         }
+        if (uncertainSpare) {
+            // A whole rewrite would outdate what is written here from now on.
+            vault.truncate(spare, 0);
+            uncertainSpare = false;
+        }
         byte[] bytes = encode(folios, length == 0);
         if (length + bytes.length > rewriteOver) {
-            List<Folio> all = new ArrayList<>();
-            next.forEach((k, v) -> all.add(new Folio(k, v)));
-            byte[] whole = encode(all, true);
-            if (whole.length <= length) {
-                vault.replace(name, whole);
-                length = whole.length;
-                newest.putAll(next);
-                return;
+            byte[] whole = whole();
+            if (length + bytes.length > 2L * whole.length) {
+                rewrite(whole);
             }
         }
         uncertainTail = true;
         vault.append(name, length, bytes);
         uncertainTail = false;
         length += bytes.length;
-        newest.putAll(next);
+        for (Folio folio : folios) {
+            newest.put(folio.key(), folio.value());
+        }
+    }
+
+    /** All that counts, as the first record of the next generation. */
+    private byte[] whole() {
+        List<Folio> all = new ArrayList<>();
+        all.add(new Folio(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
+        newest.forEach((k, v) -> all.add(new Folio(k, v)));
+        return encode(all, true);
+    }
+
+    private void rewrite(byte[] whole) throws IOException {
+        if (!Safeguard.REWRITTEN_BESIDE.holds()) {
+            vault.truncate(name, 0);
+            vault.append(name, 0, whole);
+            length = whole.length;
+            return;
+        }
+        uncertainSpare = true;
+        vault.append(spare, 0, whole);
+        // The spare file is safe and says the same: from here on it is the one in use, also if the old one stays for now.
+        swapFiles();
+        generation++;
+        length = whole.length;
+        vault.truncate(spare, 0);
+        uncertainSpare = false;
     }
 
-    /** Starts over with an empty file. */
+    /** Starts over with empty files. */
     public void clear() throws IOException {
+        vault.truncate(spare, 0);
         vault.truncate(name, 0);
         newest.clear();
         length = 0;
         uncertainTail = false;
+        uncertainSpare = false;
     }
 
     public long length() {
