An order that was taken is known for 512 changes, and never refused after

Cause: the state kept 48 taken orders, so that the 48th change after one turned its repeat into a 412. Orders were told apart by 64 bits of the body alone: the same body as PUT and as PATCH was one order. Request ids came from address and clock, so that an answer to an earlier life could answer another order. What was held under the committed number was passed on as committed, also where it was another content under that number. A PATCH whose base was not to be had was answered with 503 as if it had not been taken. Change: 512 orders with a digest of 128 bits of method and body; below the floor nothing is said. Numbers that do not rise are refused from the call alone. What builds on a version that has been built on is stale whatever is under way. An order refused for a version that is not there is barred from a late copy. Ids carry the life of the process. Debts are answered only for orders in the state. `show orders`. The former format is read as knowing no orders.

--- a/archive/src/main/java/org/umbermount/archive/Accession.java
+++ b/archive/src/main/java/org/umbermount/archive/Accession.java
@@ -1,78 +1,74 @@
 package org.umbermount.archive;
 
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
 /**
  * The configuration store's whole state: the newest configuration, the view it belongs to, and which
- * configurations were taken before it.
+ * orders were taken up to it.
  */
-public record Accession(long view, Edition edition, byte[] blob, List<Taken> history) {
-    public static final Accession NONE = new Accession(0, Edition.NONE, new byte[0], List.of());
-    private static final int REMEMBERED = 48;
-
-    /** A configuration that was taken once. */
-    public record Taken(Edition edition, long hash) {
-        void write(Script.Writer out) {
-            out.num(edition.value()).num(hash);
-        }
-
-        static Taken read(Script.Reader in) throws Script.UnreadableException {
-            return new Taken(new Edition(in.num()), in.num());
-        }
-    }
+public record Accession(long view, Edition edition, byte[] blob, TakenOrders taken) {
+    public static final Accession NONE = new Accession(0, Edition.NONE, new byte[0], TakenOrders.NONE);
+    /** What a state begins with; one that was written before there were formats begins with its view, which is not negative. */
+    private static final long FORMAT = -2;
 
     /** The state after taking one more configuration that was sent whole. */
     public Accession take(Edition next, byte[] nextBlob) {
-        return take(next, nextBlob, hash(nextBlob));
+        return take(next, nextBlob, Digest.ofCall("PUT", nextBlob));
     }
 
-    /** The state after taking one more configuration; the hash is that of the call, by which its repeats are known. */
-    public Accession take(Edition next, byte[] nextBlob, long callHash) {
-        List<Taken> taken = new ArrayList<>(history);
-        taken.add(new Taken(next, callHash));
-        if (taken.size() > REMEMBERED) {
-            taken.remove(0);
-        }
-        return new Accession(view, next, nextBlob, List.copyOf(taken));
+    /** The state after taking one more configuration; the digest is that of the call, by which its repeats are known. */
+    public Accession take(Edition next, byte[] nextBlob, Digest call) {
+        return new Accession(view, next, nextBlob, taken.with(new TakenOrders.Taken(next, call)));
     }
 
     public Accession inView(long other) {
-        return new Accession(other, edition, blob, history);
-    }
-
-    /** The hash of the call that brought the newest configuration; 0 before the first. */
-    public long newestHash() {
-        return history.isEmpty() ? 0 : history.get(history.size() - 1).hash();
-    }
-
-    /** Whether the configuration of exactly this call was taken. */
-    public boolean hasTaken(Edition which, long hash) {
-        return history.contains(new Taken(which, hash));
+        return new Accession(other, edition, blob, taken);
     }
 
     public boolean isNewerThan(Accession other) {
         return view != other.view ? view > other.view : edition.isAfter(other.edition);
     }
 
-    public static long hash(byte[] bytes) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
-            return java.nio.ByteBuffer.wrap(digest).getLong();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+    /** Whether the other holds the same configuration, brought by the same call. */
+    public boolean isSameAs(Edition other, Digest call) {
+        return edition.equals(other) && taken.newestDigest().equals(call);
+    }
+
+    /** Whether both hold the same configuration, in whatever views. The number alone does not say so. */
+    public boolean isSameAs(Accession other) {
+        return edition.equals(other.edition) && (!Safeguard.COMMITTED_BY_CONTENT.holds()
+                || taken.newestDigest().equals(other.taken.newestDigest()) && Arrays.equals(blob, other.blob));
     }
 
     void write(Script.Writer out) {
-        out.num(view).num(edition.value()).bytes(blob).list(history, (o, t) -> t.write(o));
+        out.num(FORMAT).num(view).num(edition.value()).bytes(blob);
+        taken.write(out);
     }
 
     static Accession read(Script.Reader in) throws Script.UnreadableException {
-        return new Accession(in.num(), new Edition(in.num()), in.bytes(), in.list(Taken::read));
+        long first = in.num();
+        if (first >= 0) {
+            return readOlder(first, in);
+        }
+        if (first != FORMAT) {
+            throw new Script.UnreadableException("a state of an unknown format", null);
+        }
+        Accession read = new Accession(in.num(), new Edition(in.num()), in.bytes(), TakenOrders.read(in));
+        if (!read.taken.newest().equals(read.edition)) {
+            throw new Script.UnreadableException("a state whose newest order is another one", null);
+        }
+        return read;
+    }
+
+    /** Its short hashes tell nothing for sure: all that it took is below the floor. */
+    private static Accession readOlder(long view, Script.Reader in) throws Script.UnreadableException {
+        Edition edition = new Edition(in.num());
+        byte[] blob = in.bytes();
+        in.list(entry -> new long[] {entry.num(), entry.num()});
+        return new Accession(view, edition, blob, new TakenOrders(edition, List.of()));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Amendment.java
+++ b/archive/src/main/java/org/umbermount/archive/Amendment.java
@@ -31,29 +31,30 @@
     }
 
     private final Edition edition;
-    private final long hash;
+    private final Digest digest;
     private final Map<String, Map<String, JsonNode>> upsert = new HashMap<>();
     private final Map<String, Set<String>> remove = new HashMap<>();
 
-    private Amendment(Edition edition, long hash) {
+    private Amendment(Edition edition, Digest digest) {
         this.edition = edition;
-        this.hash = hash;
+        this.digest = digest;
     }
 
     Edition edition() {
         return edition;
     }
 
-    /** The hash of the call, by which a repeat of it is known. */
-    long hash() {
-        return hash;
+    /** The digest of the call, by which a repeat of it is known. */
+    Digest digest() {
+        return digest;
     }
 
     static Amendment parse(byte[] call) throws FaultException {
         try {
             // The strict reader first: it refuses members that are there twice, and anything behind the object.
             Form form = Form.parse(call);
-            Amendment out = new Amendment(new Edition(form.member("revision").whole(1, Long.MAX_VALUE)), Accession.hash(call));
+            Amendment out = new Amendment(new Edition(form.member("revision").whole(1, Long.MAX_VALUE)),
+                    Digest.ofCall("PATCH", call));
             JsonNode root = Json.MAPPER.readTree(call);
             for (Map.Entry<String, Form> list : form.optional("upsert").members().entrySet()) {
                 out.readUpsert(list.getKey(), form.optional("upsert"), root.path("upsert").path(list.getKey()));
--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -51,7 +51,7 @@
         boolean newcomer = rules.bootstrap() && genesis == null;
         custodian = new Custodian(almanac, post, room, tally, random, loaded, notedCommitted(loaded, memory), genesis,
                 newcomer);
-        porter = new Porter(custodian, almanac, random);
+        porter = new Porter(custodian, almanac);
         census = new Census(almanac, post, tally, rules.heartbeatMs(), almanac.wallMillis());
         notebook = new CensusNotebook(census, notes, disk, almanac);
         notebook.recall();
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -54,6 +55,7 @@
     /** Within the second after which callers go elsewhere. */
     private static final long PATIENCE_MS = 850;
     private static final long TOLD_MS = 600;
+    private static final int ORDERS_SHOWN = 32;
 
     private final Almanac almanac;
     private final Porter porter;
@@ -92,9 +94,8 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS))
-                                .addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true))
-                                .addLast(new Calls());
+                        ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
+                        answerCalls(ch.pipeline());
                     }
                 }).bind(control.socketAddress());
         listener = bound.channel();
@@ -105,6 +106,10 @@
         });
     }
 
+    void answerCalls(ChannelPipeline pipeline) {
+        pipeline.addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true)).addLast(new Calls());
+    }
+
     void close() {
         listener.close();
     }
@@ -171,8 +176,17 @@
     private void putConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         byte[] blob = ByteBufUtil.getBytes(request.content());
         Edition match = match(request);
-        Regulations regulations = Regulations.parse(blob);
-        submit(ctx, keep, match, regulations.edition(), Accession.hash(blob), blob, PATIENCE_MS);
+        // All that can be wrong with an order by itself is told from the call alone: one that was taken passes at any time.
+        Order order = rising(new Order(match, Regulations.parse(blob).edition(), Digest.ofCall("PUT", blob)));
+        submit(ctx, keep, order, blob, PATIENCE_MS);
+    }
+
+    private static Order rising(Order order) throws FaultException {
+        if (!order.rises()) {
+            throw new FaultException(Erratum.INVALID_CONFIGURATION, "The configuration is invalid: revision "
+                    + order.edition() + " is not above " + order.match() + ", on which it builds.");
+        }
+        return order;
     }
 
     private static Edition match(FullHttpRequest request) throws FaultException {
@@ -189,30 +203,33 @@
         byte[] call = ByteBufUtil.getBytes(request.content());
         Edition match = match(request);
         Amendment amendment = Amendment.parse(call);
+        Order order = rising(new Order(match, amendment.edition(), amendment.digest()));
         Accession here = custodian.committed();
         if (here.edition().equals(match) || here.edition().isAfter(match)) {
-            amend(ctx, keep, match, amendment, here, PATIENCE_MS);
+            amend(ctx, keep, order, amendment, here, PATIENCE_MS);
             return;
         }
         Moment asked = almanac.now();
         porter.read(PATIENCE_MS, newest -> {
             try {
-                amend(ctx, keep, match, amendment, newest, PATIENCE_MS - almanac.now().since(asked));
+                amend(ctx, keep, order, amendment, newest, PATIENCE_MS - almanac.now().since(asked));
             } catch (FaultException e) {
                 refuse(ctx, keep, e.erratum(), e.getMessage());
             }
-        }, () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
+        }, () -> refuse(ctx, keep, Erratum.CHANGE_UNKNOWN,
+                "The version it builds on is not known here yet; an earlier sending may have been taken."));
     }
 
-    private void amend(ChannelHandlerContext ctx, boolean keep, Edition match, Amendment amendment, Accession base,
+    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, Amendment amendment, Accession base,
             long patienceMs) throws FaultException {
         byte[] whole = new byte[0];
-        if (base.edition().equals(match)) {
+        if (base.edition().equals(order.match())) {
+            // Made from this base before, it is made again: both depend on the bytes of the base and of the call alone.
             whole = amendment.applyTo(base.blob());
             Regulations.parse(whole);
         }
         // On top of another version it can only be one that was taken before, or one that comes too late.
-        submit(ctx, keep, match, amendment.edition(), amendment.hash(), whole, patienceMs);
+        submit(ctx, keep, order, whole, patienceMs);
     }
 
     private void purge(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
@@ -235,15 +252,15 @@
         json(ctx, keep, 200, "{}");
     }
 
-    private void submit(ChannelHandlerContext ctx, boolean keep, Edition match, Edition edition, long hash, byte[] blob,
-            long patienceMs) {
-        porter.submit(match, edition, hash, blob, patienceMs, verdict -> {
+    private void submit(ChannelHandlerContext ctx, boolean keep, Order order, byte[] blob, long patienceMs) {
+        Edition edition = order.edition();
+        porter.submit(order, blob, patienceMs, verdict -> {
             switch (verdict) {
                 case TAKEN -> {
                     LOG.info("Edition {} was taken.", edition);
                     json(ctx, keep, 200, "{\"revision\":" + edition + "}");
                 }
-                case STALE -> refuse(ctx, keep, Erratum.STALE_MATCH, "Another version than " + match + " is current.");
+                case STALE -> refuse(ctx, keep, Erratum.STALE_MATCH, "Another version than " + order.match() + " is current.");
                 default -> refuse(ctx, keep, Erratum.INVALID_CONFIGURATION,
                         "The configuration is invalid: revision " + edition + " is not above the current one.");
             }
@@ -340,6 +357,7 @@
         charter.electorate().forEach(f -> electorate.add(f.imprint().toString()));
         ArrayNode chain = root.putArray("chain");
         charter.chain().forEach(m -> chain.add(m.toString()));
+        showOrders(root.putObject("orders"), custodian.committed().taken());
         ArrayNode peers = root.putArray("registrars");
         for (RollCall.Peer p : rollCall.peers()) {
             peers.addObject().put("daemon", p.imprint().toString())
@@ -362,6 +380,14 @@
         return root;
     }
 
+    private static void showOrders(ObjectNode orders, TakenOrders taken) {
+        orders.put("floor", taken.floor().value()).put("remembered", taken.entries().size());
+        ArrayNode last = orders.putArray("last");
+        int size = taken.entries().size();
+        taken.entries().subList(Math.max(0, size - ORDERS_SHOWN), size).forEach(t -> last.addObject()
+                .put("edition", t.edition().value()).put("digest", t.digest().toString()));
+    }
+
     private void refuse(ChannelHandlerContext ctx, boolean keep, Erratum erratum, String detail) {
         tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
         json(ctx, keep && !erratum.closes(), erratum.status(),
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -18,6 +18,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.StackRoom;
@@ -60,14 +61,16 @@
     record Promise(Fellow voter, Accession state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
     }
 
-    /** Who is still owed an answer for an edition. */
-    private record Owed(long id, Imprint origin, Edition edition) {
+    /** Who is still owed an answer for an order. */
+    private record Owed(RequestId id, Imprint origin, Edition edition, Digest digest) {
         void write(Script.Writer out) {
-            out.num(id).imprint(origin).num(edition.value());
+            id.write(out);
+            out.imprint(origin).num(edition.value());
+            digest.write(out);
         }
 
         static Owed read(Script.Reader in) throws Script.UnreadableException {
-            return new Owed(in.num(), in.imprint(), new Edition(in.num()));
+            return new Owed(RequestId.read(in), in.imprint(), new Edition(in.num()), Digest.read(in));
         }
     }
 
@@ -82,11 +85,11 @@
 
     /** Hears what concerns requests that started at this daemon. */
     interface OriginListener {
-        void verdict(long id, Verdict verdict);
+        void verdict(RequestId id, Verdict verdict);
 
-        void reading(long id, Accession committed);
+        void reading(RequestId id, Accession committed);
 
-        void attested(long id, Edition newest);
+        void attested(RequestId id, Edition newest);
     }
 
     private final Almanac almanac;
@@ -94,10 +97,11 @@
     private final StackRoom room;
     private final Tally tally;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
-    private final Map<Long, Owed> owed = new LinkedHashMap<>();
+    private final Map<RequestId, Owed> owed = new LinkedHashMap<>();
     private final List<Consumer<Accession>> commitObservers = new ArrayList<>();
     private final List<Consumer<Charter>> charterObservers = new ArrayList<>();
     private final Map<Long, Confirmation> confirmations = new HashMap<>();
+    private final RefusedAhead aheads = new RefusedAhead();
     private Memory memory;
     private boolean busy;
     private boolean onDisk;
@@ -123,15 +127,17 @@
 
     private static final class Confirmation {
         final Imprint origin;
-        final long id;
+        final RequestId id;
         final long view;
         final Accession reading;
         final boolean brief;
         /** What a submission comes to if this view is still in force; null for a read. */
         final Verdict verdict;
+        final Order order;
         final Set<Imprint> agreed = new HashSet<>();
 
-        Confirmation(Imprint origin, long id, long view, Accession reading, boolean brief, Verdict verdict) {
+        Confirmation(Imprint origin, RequestId id, long view, Accession reading, boolean brief, Verdict verdict, Order order) {
+            this.order = order;
             this.brief = brief;
             this.verdict = verdict;
             this.origin = origin;
@@ -153,7 +159,8 @@
         this.post = post;
         this.room = room;
         this.tally = tally;
-        this.nextNonce = random.nextLong() >>> 1;
+        // Not from the clock: after it was set back, answers to an earlier life would count for this one.
+        this.nextNonce = new java.security.SecureRandom().nextLong() >>> 1;
         post.subscribe(Postbag.Topic.CHARTER, this::receiveCharter);
         post.subscribe(Postbag.Topic.CUSTODY, this::receiveCustody);
         if (loaded != null) {
@@ -331,6 +338,7 @@
         owed.clear();
         confirmations.clear();
         superseded.clear();
+        aheads.clear();
         LOG.info("In force after {}: {}; edition {}; {}.", why, memory.charter(), memory.state().edition(),
                 standing.name().toLowerCase(java.util.Locale.ROOT));
         for (Consumer<Charter> o : charterObservers) {
@@ -471,7 +479,7 @@
         Script.Writer out = view(View.NEWS);
         memory.charter().write(out);
         // Outside the chain only what is committed may be passed on as such.
-        boolean isCommitted = committed.edition().equals(memory.state().edition());
+        boolean isCommitted = committed.isSameAs(memory.state());
         memory.state().write(out);
         out.flag(isCommitted);
         if (!isCommitted) {
@@ -708,15 +716,14 @@
         }
         switch (Chain.values()[kind]) {
             case SUBMIT -> {
-                long id = in.num();
-                Edition match = new Edition(in.num());
-                Edition edition = new Edition(in.num());
-                long hash = in.num();
+                RequestId id = RequestId.read(in);
+                long onlyIn = in.num();
+                Order order = Order.read(in);
                 byte[] blob = in.bytes();
-                serially(() -> submit(from, id, match, edition, hash, blob));
+                serially(() -> submit(from, id, onlyIn, order, blob));
             }
             case VERDICT -> {
-                long id = in.num();
+                RequestId id = RequestId.read(in);
                 int verdict = (int) in.num();
                 if (verdict < 0 || verdict >= Verdict.values().length) {
                     throw new Script.UnreadableException("an unknown verdict", null);
@@ -731,12 +738,12 @@
             case COMMITTED -> {
                 long view = in.num();
                 Edition edition = new Edition(in.num());
-                committedElsewhere(from, view, edition, in.num());
+                committedElsewhere(from, view, edition, Digest.read(in));
             }
-            case READ -> read(from, in.num(), false);
-            case ATTEST -> read(from, in.num(), true);
-            case ATTESTED -> origins.attested(in.num(), new Edition(in.num()));
-            case READING -> origins.reading(in.num(), Accession.read(in));
+            case READ -> read(from, RequestId.read(in), false);
+            case ATTEST -> read(from, RequestId.read(in), true);
+            case ATTESTED -> origins.attested(RequestId.read(in), new Edition(in.num()));
+            case READING -> origins.reading(RequestId.read(in), Accession.read(in));
             case CONFIRM -> {
                 long nonce = in.num();
                 long view = in.num();
@@ -770,16 +777,25 @@
         }
     }
 
-    void sendSubmission(Imprint to, long id, Edition match, Edition edition, long hash, byte[] blob) {
-        sendChain(to, chain(Chain.SUBMIT).num(id).num(match.value()).num(edition.value()).num(hash).bytes(blob));
+    private static Script.Writer chain(Chain kind, RequestId id) {
+        Script.Writer out = chain(kind);
+        id.write(out);
+        return out;
+    }
+
+    /** Only the head of that view may act on the order; 0 is any view. */
+    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+        Script.Writer out = chain(Chain.SUBMIT, id).num(onlyIn);
+        order.write(out);
+        sendChain(to, out.bytes(blob));
     }
 
-    void sendRead(Imprint to, long id) {
-        sendChain(to, chain(Chain.READ).num(id));
+    void sendRead(Imprint to, RequestId id) {
+        sendChain(to, chain(Chain.READ, id));
     }
 
-    void sendAttest(Imprint to, long id) {
-        sendChain(to, chain(Chain.ATTEST).num(id));
+    void sendAttest(Imprint to, RequestId id) {
+        sendChain(to, chain(Chain.ATTEST, id));
     }
 
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
@@ -795,39 +811,56 @@
         return true;
     }
 
-    private void submit(Imprint origin, long id, Edition match, Edition edition, long hash, byte[] blob) {
+    private void submit(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
         if (!inChain() || !post.self().equals(memory.charter().head())) {
             answer(origin, id, Verdict.ELSEWHERE);
             return;
         }
+        if (onlyIn != 0 && onlyIn != memory.charter().number()) {
+            return;
+        }
         Accession state = memory.state();
-        boolean settled = committed.edition().equals(state.edition());
-        if (committed.hasTaken(edition, hash)) {
+        TakenOrders.Finding found = committed.taken().find(order);
+        if (!order.rises()) {
+            refuse(origin, id, order, Verdict.NOT_HIGHER);
+        } else if (found == TakenOrders.Finding.TAKEN) {
             answer(origin, id, Verdict.TAKEN);
-        } else if (state.hasTaken(edition, hash)) {
-            owed.put(id, new Owed(id, origin, edition));
+        } else if (found == TakenOrders.Finding.UNCLEAR) {
+            tally.count("archive.orders.unclear");
+        } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
+            owed.put(id, new Owed(id, origin, order.edition(), order.digest()));
             forwardState();
-        } else if (!match.equals(state.edition())) {
-            if (settled) {
-                confirm(new Confirmation(origin, id, memory.charter().number(), committed, false, Verdict.STALE));
-            }
-        } else if (!edition.isAfter(state.edition())) {
-            if (settled) {
-                confirm(new Confirmation(origin, id, memory.charter().number(), committed, false, Verdict.NOT_HIGHER));
+        } else if (committed.edition().isAfter(order.match())) {
+            // The version it builds on has been built on: it was not taken then, and never will be.
+            refuse(origin, id, order, Verdict.STALE);
+        } else if (!order.match().equals(state.edition())) {
+            // What is not committed may still give way, and then the version below it is the newest again.
+            if (committed.isSameAs(state) && aheads.bar(order, almanac.now())) {
+                refuse(origin, id, order, Verdict.STALE);
             }
         } else if (blob.length == 0) {
             // A question only: its sender knows no version to build on.
             answer(origin, id, Verdict.ELSEWHERE);
-        } else {
-            replaceState(state.take(edition, blob, hash), () -> {
-                owed.put(id, new Owed(id, origin, edition));
+        } else if (!aheads.bars(order, almanac.now())) {
+            replaceState(state.take(order.edition(), blob, order.digest()), () -> {
+                owed.put(id, new Owed(id, origin, order.edition(), order.digest()));
                 forwardState();
             });
         }
     }
 
-    private void answer(Imprint origin, long id, Verdict verdict) {
-        sendChain(origin, chain(Chain.VERDICT).num(id).num(verdict.ordinal()));
+    /** Refuses once a majority has confirmed the view. Until then nothing can come to pass here that would take the order. */
+    private void refuse(Imprint origin, RequestId id, Order order, Verdict verdict) {
+        Confirmation c = new Confirmation(origin, id, memory.charter().number(), committed, false, verdict, order);
+        if (Safeguard.REFUSAL_CONFIRMED.holds()) {
+            confirm(c);
+        } else {
+            answer(c.origin, c.id, c.verdict);
+        }
+    }
+
+    private void answer(Imprint origin, RequestId id, Verdict verdict) {
+        sendChain(origin, chain(Chain.VERDICT, id).num(verdict.ordinal()));
     }
 
     /** Takes a newer state of the same view; the one before may be committed all the same. */
@@ -878,36 +911,43 @@
         };
         if (state.isNewerThan(memory.state())) {
             replaceState(state, pass);
-        } else if (state.edition().equals(memory.state().edition())) {
+        } else if (memory.state().isSameAs(state.edition(), state.taken().newestDigest())) {
             pass.run();
         }
     }
 
     private void commitHere() {
         Accession state = memory.state();
-        long hash = state.newestHash();
+        Digest digest = state.taken().newestDigest();
         Set<Imprint> targets = new HashSet<>(audience);
         targets.addAll(memory.charter().chain());
         targets.remove(post.self());
         for (Owed debt : owed.values()) {
-            answer(debt.origin(), debt.id(), Verdict.TAKEN);
+            if (state.taken().holds(new TakenOrders.Taken(debt.edition(), debt.digest()))
+                    || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
+                answer(debt.origin(), debt.id(), Verdict.TAKEN);
+            } else {
+                tally.count("archive.debts.foreign");
+            }
         }
         owed.clear();
         for (Imprint target : targets) {
-            sendChain(target, chain(Chain.COMMITTED).num(state.view()).num(state.edition().value()).num(hash));
+            Script.Writer out = chain(Chain.COMMITTED).num(state.view()).num(state.edition().value());
+            digest.write(out);
+            sendChain(target, out);
         }
         noteCommitted(state);
     }
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
-    private void committedElsewhere(Imprint tail, long view, Edition edition, long hash) {
+    private void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
         Accession meant = memory.state();
         for (Accession earlier : superseded) {
             if (earlier.edition().equals(edition)) {
                 meant = earlier;
             }
         }
-        if (meant.view() == view && meant.edition().equals(edition) && meant.hasTaken(edition, hash)) {
+        if (meant.view() == view && meant.isSameAs(edition, digest)) {
             noteCommitted(meant);
             owed.values().removeIf(debt -> !debt.edition().isAfter(edition));
         } else if (edition.isAfter(committed.edition())) {
@@ -941,13 +981,13 @@
         }
     }
 
-    private void read(Imprint origin, long id, boolean brief) {
+    private void read(Imprint origin, RequestId id, boolean brief) {
         boolean known = memory.state().edition().equals(Edition.NONE)
                 || committed.view() == memory.charter().number();
         if (!inChain() || !known || !post.self().equals(memory.charter().tail())) {
             return;
         }
-        confirm(new Confirmation(origin, id, memory.charter().number(), committed, brief, null));
+        confirm(new Confirmation(origin, id, memory.charter().number(), committed, brief, null, null));
     }
 
     /**
@@ -975,10 +1015,12 @@
         if (c.agreed.size() >= memory.charter().majority()) {
             confirmations.remove(nonce);
             if (c.verdict != null) {
+                LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", c.order,
+                        c.verdict, c.view, c.reading.edition());
                 answer(c.origin, c.id, c.verdict);
                 return;
             }
-            Script.Writer out = chain(c.brief ? Chain.ATTESTED : Chain.READING).num(c.id);
+            Script.Writer out = chain(c.brief ? Chain.ATTESTED : Chain.READING, c.id);
             if (c.brief) {
                 out.num(c.reading.edition().value());
             } else {
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -130,8 +130,9 @@
 
     /** A note beside the memory that an edition is known to be committed. */
     static Folio committedNote(Accession state) {
-        return new Folio(COMMITTED, Script.write().num(state.edition().value())
-                .num(Accession.hash(state.blob())).done());
+        Script.Writer out = Script.write().num(state.edition().value());
+        Digest.of(state.blob()).write(out);
+        return new Folio(COMMITTED, out.done());
     }
 
     /** Whether the stack's note says that the state in this memory is committed. */
@@ -141,7 +142,7 @@
             return false;
         }
         Script.Reader in = Script.read(note);
-        return in.num() == state.edition().value() && in.num() == Accession.hash(state.blob());
+        return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
     }
 
     /** Reads the memory from a stack; null if there is none. */
--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -1,13 +1,14 @@
 package org.umbermount.archive;
 
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Random;
 import java.util.function.Consumer;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 
 /** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
 public final class Porter implements Custodian.OriginListener {
@@ -16,12 +17,14 @@
 
     private final Custodian custodian;
     private final Almanac almanac;
-    private final Map<Long, Errand> errands = new HashMap<>();
-    private final Map<Long, Asked> asks = new HashMap<>();
+    private final Map<RequestId, Errand> errands = new HashMap<>();
+    private final Map<RequestId, Asked> asks = new HashMap<>();
     private Edition attested;
     private Moment attestedAt;
     private Runnable onAttested = () -> { };
-    private long nextId;
+    /** No other life of any process has it, whatever its clock says. */
+    private final long life = new SecureRandom().nextLong();
+    private long lastNumber;
 
     private record Asked(Moment at) {
     }
@@ -32,33 +35,39 @@
         Consumer<Accession> reading;
         Runnable gaveUp;
         Moment until;
+        /** The one view that it may be put to; 0 for any. */
+        long onlyIn;
     }
 
-    Porter(Custodian custodian, Almanac almanac, Random random) {
+    Porter(Custodian custodian, Almanac almanac) {
         this.custodian = custodian;
         this.almanac = almanac;
-        this.nextId = random.nextLong() >>> 1;
     }
 
     /** Has a configuration taken that was sent whole; exactly one of the two is called. */
     public void submit(Edition match, Edition edition, byte[] blob, long patienceMs,
             Consumer<Custodian.Verdict> verdict, Runnable gaveUp) {
-        submit(match, edition, Accession.hash(blob), blob, patienceMs, verdict, gaveUp);
+        submit(new Order(match, edition, Digest.ofCall("PUT", blob)), blob, patienceMs, verdict, gaveUp);
     }
 
     /**
-     * Has a configuration taken; exactly one of the two is called. The hash is that of the call. An empty configuration only
-     * asks whether that call was taken, or comes too late.
+     * Has a configuration taken; exactly one of the two is called. An empty configuration only asks whether the order was
+     * taken, or comes too late. An order on a version that is not known here is put to this view alone: where it is refused
+     * for that, the head remembers, and the head of another view does not.
      */
-    public void submit(Edition match, Edition edition, long hash, byte[] blob, long patienceMs,
+    public void submit(Order order, byte[] blob, long patienceMs,
             Consumer<Custodian.Verdict> verdict, Runnable gaveUp) {
         Errand errand = new Errand();
-        long id = nextId++;
+        RequestId id = nextId();
+        boolean ahead = order.match().isAfter(custodian.committed().edition());
         errand.verdict = verdict;
         errand.ask = () -> {
             Imprint head = custodian.charter().head();
             if (head != null) {
-                custodian.sendSubmission(head, id, match, edition, hash, blob);
+                if (ahead && errand.onlyIn == 0) {
+                    errand.onlyIn = custodian.charter().number();
+                }
+                custodian.sendSubmission(head, id, errand.onlyIn, order, blob);
             }
         };
         begin(id, errand, patienceMs, gaveUp);
@@ -67,7 +76,7 @@
     /** Reads the newest committed state as confirmed by a majority. */
     public void read(long patienceMs, Consumer<Accession> reading, Runnable gaveUp) {
         Errand errand = new Errand();
-        long id = nextId++;
+        RequestId id = nextId();
         errand.reading = reading;
         errand.ask = () -> {
             Imprint tail = custodian.charter().tail();
@@ -78,14 +87,28 @@
         begin(id, errand, patienceMs, gaveUp);
     }
 
-    private void begin(long id, Errand errand, long patienceMs, Runnable gaveUp) {
+    private RequestId nextId() {
+        return new RequestId(life, ++lastNumber);
+    }
+
+    /** The last that was given out here. */
+    RequestId newestId() {
+        return new RequestId(life, lastNumber);
+    }
+
+    /** An answer counts for the life that asked, and for no other one. */
+    private RequestId own(RequestId answered) {
+        return Safeguard.REPLY_OF_THIS_LIFE.holds() ? answered : new RequestId(life, answered.number());
+    }
+
+    private void begin(RequestId id, Errand errand, long patienceMs, Runnable gaveUp) {
         errand.gaveUp = gaveUp;
         errand.until = almanac.now().plus(patienceMs);
         errands.put(id, errand);
         step(id);
     }
 
-    private void step(long id) {
+    private void step(RequestId id) {
         Errand errand = errands.get(id);
         if (errand == null) {
             return;
@@ -100,26 +123,26 @@
     }
 
     @Override
-    public void verdict(long id, Custodian.Verdict verdict) {
-        Errand errand = errands.get(id);
+    public void verdict(RequestId id, Custodian.Verdict verdict) {
+        Errand errand = errands.get(own(id));
         if (errand != null && errand.verdict != null && verdict != Custodian.Verdict.ELSEWHERE) {
-            errands.remove(id);
+            errands.remove(own(id));
             errand.verdict.accept(verdict);
         }
     }
 
     @Override
-    public void reading(long id, Accession committed) {
-        Errand errand = errands.get(id);
+    public void reading(RequestId id, Accession committed) {
+        Errand errand = errands.get(own(id));
         if (errand != null && errand.reading != null) {
-            errands.remove(id);
+            errands.remove(own(id));
             errand.reading.accept(committed);
         }
     }
 
     @Override
-    public void attested(long id, Edition newest) {
-        Asked asked = asks.remove(id);
+    public void attested(RequestId id, Edition newest) {
+        Asked asked = asks.remove(own(id));
         if (asked != null && (attestedAt == null || attestedAt.isBefore(asked.at()))) {
             attestedAt = asked.at();
             attested = newest;
@@ -132,7 +155,7 @@
         Imprint tail = custodian.charter().tail();
         if (tail != null) {
             asks.values().removeIf(a -> almanac.now().since(a.at()) > ASK_MS);
-            long id = nextId++;
+            RequestId id = nextId();
             asks.put(id, new Asked(almanac.now()));
             custodian.sendAttest(tail, id);
         }
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/TakenOrders.java
@@ -0,0 +1,107 @@
+package org.umbermount.archive;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
+
+/**
+ * The orders that were taken last, oldest first, and the floor: the newest number that was taken and is no longer told apart.
+ * Numbers rise strictly, so an order above the floor that is not here was never taken. Nothing is said of one at or below it.
+ */
+public record TakenOrders(Edition floor, List<Taken> entries) {
+    public static final TakenOrders NONE = new TakenOrders(Edition.NONE, List.of());
+    /** Some 10 KB: it travels with each change. Hundreds of changes are made in a day. */
+    static final int REMEMBERED = 512;
+
+    /** The number that a taken order gave, and the digest of its call. It was built on the number before it. */
+    public record Taken(Edition edition, Digest digest) {
+    }
+
+    /** What is known of an order. */
+    public enum Finding {
+        /** This very order was taken. */
+        TAKEN,
+        /** This very order was not taken on top of anything up to the newest number here. */
+        NOT_TAKEN,
+        /** It is too old to tell, or the same call was taken on top of another version. No answer is right for sure. */
+        UNCLEAR
+    }
+
+    public TakenOrders {
+        entries = List.copyOf(entries);
+    }
+
+    TakenOrders with(Taken next) {
+        if (!next.edition().isAfter(newest())) {
+            throw new IllegalArgumentException("Number " + next.edition() + " is not above " + newest() + ".");
+        }
+        int drop = Math.max(0, entries.size() + 1 - REMEMBERED);
+        List<Taken> more = new ArrayList<>(entries.subList(drop, entries.size()));
+        more.add(next);
+        return new TakenOrders(drop == 0 ? floor : entries.get(drop - 1).edition(), more);
+    }
+
+    /** The newest number that was taken. */
+    Edition newest() {
+        return entries.isEmpty() ? floor : entries.get(entries.size() - 1).edition();
+    }
+
+    Digest newestDigest() {
+        return entries.isEmpty() ? Digest.NONE : entries.get(entries.size() - 1).digest();
+    }
+
+    public Finding find(Order order) {
+        if (!order.edition().isAfter(floor)) {
+            return Safeguard.FLOOR_RESPECTED.holds() ? Finding.UNCLEAR : Finding.NOT_TAKEN;
+        }
+        Edition base = floor;
+        for (Taken t : entries) {
+            if (t.edition().equals(order.edition())) {
+                if (!t.digest().equals(order.digest()) && Safeguard.DIGEST_COMPARED.holds()) {
+                    return Finding.NOT_TAKEN;
+                }
+                return base.equals(order.match()) ? Finding.TAKEN : Finding.UNCLEAR;
+            }
+            base = t.edition();
+        }
+        return Finding.NOT_TAKEN;
+    }
+
+    /** Whether the call with this digest was taken under this number. */
+    boolean holds(Taken one) {
+        return entries.contains(one);
+    }
+
+    void write(Script.Writer out) {
+        out.num(floor.value()).num(entries.size());
+        Edition base = floor;
+        for (Taken t : entries) {
+            // The step, since small numbers take fewer bytes.
+            out.num(t.edition().value() - base.value());
+            t.digest().write(out);
+            base = t.edition();
+        }
+    }
+
+    static TakenOrders read(Script.Reader in) throws Script.UnreadableException {
+        Edition floor = new Edition(in.num());
+        long size = in.num();
+        if (floor.value() < 0 || size < 0 || size > REMEMBERED) {
+            throw new Script.UnreadableException("the orders that were taken are out of bounds", null);
+        }
+        List<Taken> entries = new ArrayList<>();
+        Edition base = floor;
+        for (int i = 0; i < size; i++) {
+            long step = in.num();
+            Edition next = new Edition(base.value() + step);
+            if (step <= 0 || !next.isAfter(base)) {
+                throw new Script.UnreadableException("the numbers that were taken do not rise", null);
+            }
+            entries.add(new Taken(next, Digest.read(in)));
+            base = next;
+        }
+        return new TakenOrders(floor, entries);
+    }
+}
--- a/archive/src/test/java/org/umbermount/archive/AmendmentTest.java
+++ b/archive/src/test/java/org/umbermount/archive/AmendmentTest.java
@@ -86,7 +86,8 @@
 
     private static Custodian.Verdict submit(Fleet fleet, int at, long match, Amendment call, byte[] whole) throws IOException {
         Custodian.Verdict[] out = new Custodian.Verdict[1];
-        fleet.porter(at).submit(new Edition(match), call.edition(), call.hash(), whole, 850, v -> out[0] = v, () -> { });
+        Order order = new Order(new Edition(match), call.edition(), call.digest());
+        fleet.porter(at).submit(order, whole, 850, v -> out[0] = v, () -> { });
         fleet.run(900);
         return out[0];
     }
--- a/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
@@ -18,7 +18,7 @@
 final class ShowCommand implements Callable<Integer> {
     /** What can be shown. */
     enum Part {
-        all, fleet, view, members, duties, servers, proxies, tenants, operations, table, metrics
+        all, fleet, view, members, duties, servers, proxies, tenants, orders, operations, table, metrics
     }
 
     @Parameters(index = "0", paramLabel = "PART", description = "one of ${COMPLETION-CANDIDATES}")
@@ -66,6 +66,7 @@
                 case servers -> root.path("servers");
                 case proxies -> root.path("proxies");
                 case tenants -> root.path("tenants");
+                case orders -> root.path("orders");
                 case operations -> root.path("loans");
                 case table -> root.path("table");
                 default -> root;
