--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -49,7 +49,7 @@
         List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
         Charter genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        custodian = new Custodian(almanac, post, room, tally, random, loaded, notedCommitted(loaded, memory), genesis,
+        custodian = new Custodian(almanac, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
                 newcomer);
         porter = new Porter(custodian, almanac);
         census = new Census(almanac, post, tally, rules.heartbeatMs(), almanac.wallMillis());
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -0,0 +1,119 @@
+package org.umbermount.archive;
+
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
+
+/**
+ * Asks a majority whether the view is still in force. Invariant: a read, or the refusal of a submission, is answered only
+ * after a majority of the view's voters, none of them under a promise, has said after the question came that the view is
+ * still theirs. A head that a newer view has left behind must not refuse: what it takes for stale may be on top of the
+ * newest version, and be taken by the head of that view.
+ */
+final class ViewConfirmation {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final int MOST = 256;
+
+    private final Imprint self;
+    private final DurableState durable;
+    private final Membership membership;
+    private final CommitPoint commits;
+    private final ChainMessages messages;
+    private final Map<Long, Question> questions = new HashMap<>();
+    /** Not from the clock: after it was set back, answers to an earlier life would count for this one. */
+    private long nextNonce = new SecureRandom().nextLong() >>> 1;
+
+    /** What waits for a majority: a verdict on a submission, or the committed state for a read. */
+    private record Question(Imprint origin, RequestId id, long view, Accession reading, boolean brief, Order order,
+            Custodian.Verdict verdict, Set<Imprint> agreed) {
+    }
+
+    ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
+            ChainMessages messages) {
+        this.self = self;
+        this.durable = durable;
+        this.membership = membership;
+        this.commits = commits;
+        this.messages = messages;
+    }
+
+    /** The tail answers a read, once it knows what is committed in its view. */
+    void read(Imprint origin, RequestId id, boolean brief) {
+        Memory memory = durable.memory();
+        boolean known = memory.state().edition().equals(Edition.NONE)
+                || commits.committed().view() == memory.charter().number();
+        if (!membership.inChain() || !known || !self.equals(memory.charter().tail())) {
+            return;
+        }
+        ask(origin, id, brief, null, null);
+    }
+
+    /** The head refuses a submission. */
+    void refuse(Imprint origin, RequestId id, Order order, Custodian.Verdict verdict) {
+        if (Safeguard.REFUSAL_CONFIRMED.holds()) {
+            ask(origin, id, false, order, verdict);
+        } else {
+            messages.sendVerdict(origin, id, verdict);
+        }
+    }
+
+    private void ask(Imprint origin, RequestId id, boolean brief, Order order, Custodian.Verdict verdict) {
+        if (questions.size() > MOST) {
+            questions.clear();
+        }
+        Charter charter = durable.memory().charter();
+        long nonce = nextNonce++;
+        questions.put(nonce, new Question(origin, id, charter.number(), commits.committed(), brief, order, verdict,
+                new HashSet<>()));
+        for (Fellow f : charter.electorate()) {
+            messages.sendConfirm(f.imprint(), nonce, charter.number());
+        }
+    }
+
+    /** A voter says whether a view is still its own and no promise may have ended it. */
+    void attest(Imprint from, long nonce, long view) {
+        Memory memory = durable.memory();
+        if (membership.standing() == Custodian.Standing.MEMBER && memory.charter().number() == view
+                && !memory.frozen()) {
+            messages.sendConfirmed(from, nonce, memory.incarnation());
+        }
+    }
+
+    void confirmed(Imprint from, long nonce, long incarnation) {
+        Question q = questions.get(nonce);
+        Charter charter = durable.memory().charter();
+        if (q == null || q.view() != charter.number() || incarnation < membership.incarnationOf(from)
+                || !charter.votes(from)) {
+            return;
+        }
+        q.agreed().add(from);
+        if (q.agreed().size() >= charter.majority()) {
+            questions.remove(nonce);
+            answer(q);
+        }
+    }
+
+    private void answer(Question q) {
+        if (q.verdict() != null) {
+            LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
+                    q.verdict(), q.view(), q.reading().edition());
+            messages.sendVerdict(q.origin(), q.id(), q.verdict());
+        } else if (q.brief()) {
+            messages.sendAttested(q.origin(), q.id(), q.reading().edition());
+        } else {
+            messages.sendReading(q.origin(), q.id(), q.reading());
+        }
+    }
+
+    /** Questions end with their view. */
+    void viewAdopted() {
+        questions.clear();
+    }
+}
