--- a/archive/src/main/java/org/umbermount/archive/ChainMessages.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainMessages.java
@@ -22,18 +22,18 @@
     interface Handler {
         void submit(ChainReplica.Submission submission);
 
-        void verdict(long id, Custodian.Verdict verdict);
+        void verdict(RequestId id, Custodian.Verdict verdict);
 
         void write(Imprint from, Accession state, List<PendingReply> replies);
 
-        void committed(Imprint tail, long view, Edition edition, long hash);
+        void committed(Imprint tail, long view, Edition edition, Digest digest);
 
         /** A read of the committed state, or of its edition alone if it is brief. */
-        void read(Imprint origin, long id, boolean brief);
+        void read(Imprint origin, RequestId id, boolean brief);
 
-        void reading(long id, Accession committed);
+        void reading(RequestId id, Accession committed);
 
-        void attested(long id, Edition newest);
+        void attested(RequestId id, Edition newest);
 
         void confirm(Imprint from, long nonce, long view);
 
@@ -58,12 +58,21 @@
         return Script.write().num(kind.ordinal());
     }
 
-    void sendSubmission(Imprint to, long id, Edition match, Edition edition, long hash, byte[] blob) {
-        channel.send(to, message(Kind.SUBMIT).num(id).num(match.value()).num(edition.value()).num(hash).bytes(blob));
+    private static Script.Writer message(Kind kind, RequestId id) {
+        Script.Writer out = message(kind);
+        id.write(out);
+        return out;
     }
 
-    void sendVerdict(Imprint to, long id, Custodian.Verdict verdict) {
-        channel.send(to, message(Kind.VERDICT).num(id).num(verdict.ordinal()));
+    /** Only the head of that one view may act on it; 0 is any view. */
+    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+        Script.Writer out = message(Kind.SUBMIT, id).num(onlyIn);
+        order.write(out);
+        channel.send(to, out.bytes(blob));
+    }
+
+    void sendVerdict(Imprint to, RequestId id, Custodian.Verdict verdict) {
+        channel.send(to, message(Kind.VERDICT, id).num(verdict.ordinal()));
     }
 
     void sendWrite(Imprint to, Accession state, Collection<PendingReply> replies) {
@@ -73,26 +82,28 @@
         channel.send(to, out);
     }
 
-    void sendCommitted(Imprint to, Accession state, long hash) {
-        channel.send(to, message(Kind.COMMITTED).num(state.view()).num(state.edition().value()).num(hash));
+    void sendCommitted(Imprint to, Accession state) {
+        Script.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
+        state.taken().newestDigest().write(out);
+        channel.send(to, out);
     }
 
-    void sendRead(Imprint to, long id) {
-        channel.send(to, message(Kind.READ).num(id));
+    void sendRead(Imprint to, RequestId id) {
+        channel.send(to, message(Kind.READ, id));
     }
 
-    void sendReading(Imprint to, long id, Accession committed) {
-        Script.Writer out = message(Kind.READING).num(id);
+    void sendReading(Imprint to, RequestId id, Accession committed) {
+        Script.Writer out = message(Kind.READING, id);
         committed.write(out);
         channel.send(to, out);
     }
 
-    void sendAttest(Imprint to, long id) {
-        channel.send(to, message(Kind.ATTEST).num(id));
+    void sendAttest(Imprint to, RequestId id) {
+        channel.send(to, message(Kind.ATTEST, id));
     }
 
-    void sendAttested(Imprint to, long id, Edition newest) {
-        channel.send(to, message(Kind.ATTESTED).num(id).num(newest.value()));
+    void sendAttested(Imprint to, RequestId id, Edition newest) {
+        channel.send(to, message(Kind.ATTESTED, id).num(newest.value()));
     }
 
     void sendConfirm(Imprint to, long nonce, long view) {
@@ -112,15 +123,15 @@
             throw new Script.UnreadableException("an unknown message of the chain", null);
         }
         switch (Kind.values()[kind]) {
-            case SUBMIT -> handler.submit(new ChainReplica.Submission(from, in.num(), new Edition(in.num()),
-                    new Edition(in.num()), in.num(), in.bytes()));
-            case VERDICT -> handler.verdict(in.num(), readVerdict(in));
+            case SUBMIT -> handler.submit(new ChainReplica.Submission(from, RequestId.read(in), in.num(),
+                    Order.read(in), in.bytes()));
+            case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
             case WRITE -> handler.write(from, Accession.read(in), in.list(PendingReply::read));
-            case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), in.num());
-            case READ -> handler.read(from, in.num(), false);
-            case ATTEST -> handler.read(from, in.num(), true);
-            case ATTESTED -> handler.attested(in.num(), new Edition(in.num()));
-            case READING -> handler.reading(in.num(), Accession.read(in));
+            case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), Digest.read(in));
+            case READ -> handler.read(from, RequestId.read(in), false);
+            case ATTEST -> handler.read(from, RequestId.read(in), true);
+            case ATTESTED -> handler.attested(RequestId.read(in), new Edition(in.num()));
+            case READING -> handler.reading(RequestId.read(in), Accession.read(in));
             case CONFIRM -> handler.confirm(from, in.num(), in.num());
             case CONFIRMED -> handler.confirmed(from, in.num(), in.num());
             default -> throw new IllegalStateException();
--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -5,18 +5,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Tally;
 
 /**
  * A member of the chain (chain replication). Invariant: a state is passed on only once it is on disk here, it is
  * taken only from the member before, and only the tail commits; so what is committed is on the disk of every member.
  */
 final class ChainReplica {
-    /** A configuration that a caller hands in: to follow the edition {@code match}, as {@code edition}. */
-    record Submission(Imprint origin, long id, Edition match, Edition edition, long hash, byte[] blob) {
+    /** An order that a caller hands in, with the whole that results; only the head of the one view may act on it, 0 is any. */
+    record Submission(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
         PendingReply reply() {
-            return new PendingReply(id, origin, edition);
+            return new PendingReply(id, origin, order.edition(), order.digest());
         }
     }
 
@@ -26,11 +29,16 @@
     private final CommitPoint commits;
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
-    private final Map<Long, PendingReply> owed = new LinkedHashMap<>();
+    private final Almanac almanac;
+    private final Tally tally;
+    private final RefusedAhead aheads = new RefusedAhead();
+    private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
-    ChainReplica(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages) {
+    ChainReplica(Imprint self, Almanac almanac, DurableState durable, Membership membership, CommitPoint commits,
+            ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
         this.self = self;
+        this.almanac = almanac;
+        this.tally = tally;
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
@@ -45,20 +53,30 @@
             answer(s, Custodian.Verdict.ELSEWHERE);
             return;
         }
+        if (s.onlyIn() != 0 && s.onlyIn() != membership.charter().number()) {
+            return;
+        }
+        Order order = s.order();
         Accession state = durable.memory().state();
-        if (commits.committed().hasTaken(s.edition(), s.hash())) {
+        TakenOrders.Finding found = commits.committed().taken().find(order);
+        if (!order.rises()) {
+            refuse(s, Custodian.Verdict.NOT_HIGHER);
+        } else if (found == TakenOrders.Finding.TAKEN) {
             answer(s, Custodian.Verdict.TAKEN);
-        } else if (state.hasTaken(s.edition(), s.hash())) {
+        } else if (found == TakenOrders.Finding.UNCLEAR) {
+            tally.count("archive.orders.unclear");
+        } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
-        } else if (!s.match().equals(state.edition())) {
-            refuseIfSettled(s, Custodian.Verdict.STALE);
-        } else if (!s.edition().isAfter(state.edition())) {
-            refuseIfSettled(s, Custodian.Verdict.NOT_HIGHER);
+        } else if (commits.edition().isAfter(order.match())) {
+            // The version it builds on has been built on: it was not taken then, and never will be.
+            refuse(s, Custodian.Verdict.STALE);
+        } else if (!order.match().equals(state.edition())) {
+            refuseAhead(s, state);
         } else if (s.blob().length == 0) {
             // A question only: its sender knows no version to build on.
             answer(s, Custodian.Verdict.ELSEWHERE);
-        } else {
-            replaceState(state.take(s.edition(), s.blob(), s.hash()), () -> oweAndForward(s));
+        } else if (!aheads.bars(order, almanac.now())) {
+            replaceState(state.take(order.edition(), s.blob(), order.digest()), () -> oweAndForward(s));
         }
     }
 
@@ -71,10 +89,15 @@
         forward();
     }
 
-    /** While the newest state is not committed, nobody can say yet whether the submission is to be refused. */
-    private void refuseIfSettled(Submission s, Custodian.Verdict verdict) {
-        if (commits.edition().equals(durable.memory().state().edition())) {
-            confirmation.refuse(s.origin(), s.id(), verdict);
+    /** Until a majority has confirmed the view, nothing can come to pass here that would take the order. */
+    private void refuse(Submission s, Custodian.Verdict verdict) {
+        confirmation.refuse(s.origin(), s.id(), s.order(), verdict);
+    }
+
+    /** What is not committed may still give way, and then the version below it is the newest again: nothing is said then. */
+    private void refuseAhead(Submission s, Accession state) {
+        if (commits.committed().isSameAs(state) && aheads.bar(s.order(), almanac.now())) {
+            refuse(s, Custodian.Verdict.STALE);
         }
     }
 
@@ -109,7 +132,7 @@
         }
         if (state.isNewerThan(memory.state())) {
             replaceState(state, () -> pass(replies));
-        } else if (state.edition().equals(memory.state().edition())) {
+        } else if (memory.state().isSameAs(state.edition(), state.taken().newestDigest())) {
             pass(replies);
         }
     }
@@ -146,9 +169,9 @@
     }
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
-    void committedElsewhere(Imprint tail, long view, Edition edition, long hash) {
+    void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
         Accession meant = commits.superseded(edition, durable.memory().state());
-        if (meant.view() == view && meant.edition().equals(edition) && meant.hasTaken(edition, hash)) {
+        if (meant.view() == view && meant.isSameAs(edition, digest)) {
             commits.advance(meant);
             owed.values().removeIf(reply -> !reply.edition().isAfter(edition));
         } else if (edition.isAfter(commits.edition())) {
@@ -159,22 +182,27 @@
     /** Answers are owed within one view; whoever still waits asks again. */
     void viewAdopted() {
         owed.clear();
+        aheads.clear();
     }
 
     // ---- the tail ----
 
     private void commit(Memory memory) {
         Accession state = memory.state();
-        long hash = state.newestHash();
         Set<Imprint> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.charter().chain());
         targets.remove(self);
         for (PendingReply reply : owed.values()) {
-            messages.sendVerdict(reply.origin(), reply.id(), Custodian.Verdict.TAKEN);
+            if (state.taken().holds(new TakenOrders.Taken(reply.edition(), reply.digest()))
+                    || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
+                messages.sendVerdict(reply.origin(), reply.id(), Custodian.Verdict.TAKEN);
+            } else {
+                tally.count("archive.debts.foreign");
+            }
         }
         owed.clear();
         for (Imprint target : targets) {
-            messages.sendCommitted(target, state, hash);
+            messages.sendCommitted(target, state);
         }
         commits.advance(state);
     }
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,11 +50,11 @@
 
     /** Hears what concerns requests that started at this daemon. */
     interface OriginListener {
-        void verdict(long id, Verdict verdict);
+        void verdict(RequestId id, Verdict verdict);
 
-        void reading(long id, Accession committed);
+        void reading(RequestId id, Accession committed);
 
-        void attested(long id, Edition newest);
+        void attested(RequestId id, Edition newest);
     }
 
     private final Almanac almanac;
@@ -77,7 +76,7 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Custodian(Almanac almanac, Postbag post, StackRoom room, Tally tally, Random random, Memory loaded,
+    Custodian(Almanac almanac, Postbag post, StackRoom room, Tally tally, Memory loaded,
             boolean loadedCommitted, Charter genesis, boolean newcomer) {
         this.almanac = almanac;
         Imprint self = post.self();
@@ -87,8 +86,8 @@
         chainMessages = new ChainMessages(almanac, post);
         membership = new Membership(self, durable, commits, viewMessages);
         acceptor = new Acceptor(durable, membership, viewMessages);
-        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages, random.nextLong() >>> 1);
-        chain = new ChainReplica(self, durable, membership, commits, confirmation, chainMessages);
+        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
+        chain = new ChainReplica(self, almanac, durable, membership, commits, confirmation, chainMessages, tally);
         recovery = new Recovery(self, almanac, durable, membership, viewMessages);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
@@ -235,15 +234,16 @@
         membership.fetch(from);
     }
 
-    void sendSubmission(Imprint to, long id, Edition match, Edition edition, long hash, byte[] blob) {
-        chainMessages.sendSubmission(to, id, match, edition, hash, blob);
+    /** Only the head of that one view may act on it; 0 is any view. */
+    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+        chainMessages.sendSubmission(to, id, onlyIn, order, blob);
     }
 
-    void sendRead(Imprint to, long id) {
+    void sendRead(Imprint to, RequestId id) {
         chainMessages.sendRead(to, id);
     }
 
-    void sendAttest(Imprint to, long id) {
+    void sendAttest(Imprint to, RequestId id) {
         chainMessages.sendAttest(to, id);
     }
 
@@ -323,7 +323,7 @@
         }
 
         @Override
-        public void verdict(long id, Verdict verdict) {
+        public void verdict(RequestId id, Verdict verdict) {
             origins.verdict(id, verdict);
         }
 
@@ -333,22 +333,22 @@
         }
 
         @Override
-        public void committed(Imprint tail, long view, Edition edition, long hash) {
-            chain.committedElsewhere(tail, view, edition, hash);
+        public void committed(Imprint tail, long view, Edition edition, Digest digest) {
+            chain.committedElsewhere(tail, view, edition, digest);
         }
 
         @Override
-        public void read(Imprint origin, long id, boolean brief) {
+        public void read(Imprint origin, RequestId id, boolean brief) {
             confirmation.read(origin, id, brief);
         }
 
         @Override
-        public void reading(long id, Accession committed) {
+        public void reading(RequestId id, Accession committed) {
             origins.reading(id, committed);
         }
 
         @Override
-        public void attested(long id, Edition newest) {
+        public void attested(RequestId id, Edition newest) {
             origins.attested(id, newest);
         }
 
--- a/archive/src/main/java/org/umbermount/archive/PendingReply.java
+++ b/archive/src/main/java/org/umbermount/archive/PendingReply.java
@@ -4,13 +4,15 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
-/** A caller who is owed an answer once an edition is committed; it goes down the chain with the write. */
-record PendingReply(long id, Imprint origin, Edition edition) {
+/** A caller who is owed an answer once its order is committed; it goes down the chain with the write. */
+record PendingReply(RequestId id, Imprint origin, Edition edition, Digest digest) {
     void write(Script.Writer out) {
-        out.num(id).imprint(origin).num(edition.value());
+        id.write(out);
+        out.imprint(origin).num(edition.value());
+        digest.write(out);
     }
 
     static PendingReply read(Script.Reader in) throws Script.UnreadableException {
-        return new PendingReply(in.num(), in.imprint(), new Edition(in.num()));
+        return new PendingReply(RequestId.read(in), in.imprint(), new Edition(in.num()), Digest.read(in));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -1,11 +1,15 @@
 package org.umbermount.archive;
 
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * Asks a majority whether the view is still in force. Invariant: a read, or the refusal of a submission, is answered only
@@ -14,6 +18,7 @@
  * newest version, and be taken by the head of that view.
  */
 final class ViewConfirmation {
+    private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final int MOST = 256;
 
     private final Imprint self;
@@ -22,46 +27,50 @@
     private final CommitPoint commits;
     private final ChainMessages messages;
     private final Map<Long, Question> questions = new HashMap<>();
-    private long nextNonce;
+    /** Not from the clock: after it was set back, answers to an earlier life would count for this one. */
+    private long nextNonce = new SecureRandom().nextLong() >>> 1;
 
     /** What waits for a majority: a verdict on a submission, or the committed state for a read. */
-    private record Question(Imprint origin, long id, long view, Accession reading, boolean brief,
+    private record Question(Imprint origin, RequestId id, long view, Accession reading, boolean brief, Order order,
             Custodian.Verdict verdict, Set<Imprint> agreed) {
     }
 
     ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
-            ChainMessages messages, long firstNonce) {
+            ChainMessages messages) {
         this.self = self;
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
         this.messages = messages;
-        this.nextNonce = firstNonce;
     }
 
     /** The tail answers a read, once it knows what is committed in its view. */
-    void read(Imprint origin, long id, boolean brief) {
+    void read(Imprint origin, RequestId id, boolean brief) {
         Memory memory = durable.memory();
         boolean known = memory.state().edition().equals(Edition.NONE)
                 || commits.committed().view() == memory.charter().number();
         if (!membership.inChain() || !known || !self.equals(memory.charter().tail())) {
             return;
         }
-        ask(origin, id, brief, null);
+        ask(origin, id, brief, null, null);
     }
 
     /** The head refuses a submission. */
-    void refuse(Imprint origin, long id, Custodian.Verdict verdict) {
-        ask(origin, id, false, verdict);
+    void refuse(Imprint origin, RequestId id, Order order, Custodian.Verdict verdict) {
+        if (Safeguard.REFUSAL_CONFIRMED.holds()) {
+            ask(origin, id, false, order, verdict);
+        } else {
+            messages.sendVerdict(origin, id, verdict);
+        }
     }
 
-    private void ask(Imprint origin, long id, boolean brief, Custodian.Verdict verdict) {
+    private void ask(Imprint origin, RequestId id, boolean brief, Order order, Custodian.Verdict verdict) {
         if (questions.size() > MOST) {
             questions.clear();
         }
         Charter charter = durable.memory().charter();
         long nonce = nextNonce++;
-        questions.put(nonce, new Question(origin, id, charter.number(), commits.committed(), brief, verdict,
+        questions.put(nonce, new Question(origin, id, charter.number(), commits.committed(), brief, order, verdict,
                 new HashSet<>()));
         for (Fellow f : charter.electorate()) {
             messages.sendConfirm(f.imprint(), nonce, charter.number());
@@ -93,6 +102,8 @@
 
     private void answer(Question q) {
         if (q.verdict() != null) {
+            LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
+                    q.verdict(), q.view(), q.reading().edition());
             messages.sendVerdict(q.origin(), q.id(), q.verdict());
         } else if (q.brief()) {
             messages.sendAttested(q.origin(), q.id(), q.reading().edition());
--- a/archive/src/main/java/org/umbermount/archive/ViewMessages.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewMessages.java
@@ -98,7 +98,7 @@
         Script.Writer out = message(Kind.NEWS);
         memory.charter().write(out);
         // Outside the chain only what is committed may be passed on as such.
-        boolean isCommitted = committed.edition().equals(memory.state().edition());
+        boolean isCommitted = committed.isSameAs(memory.state());
         memory.state().write(out);
         out.flag(isCommitted);
         if (!isCommitted) {
