A rebuilt memory never puts an older view back; promises of before a restart end

Cause: a voter that had read the others wrote what it had worked out then, though a newer view had come into force here while operation records were fetched: its view went back, and a promise given meanwhile was forgotten. A refused write left it reading for ever. A promise read from disk had no moment from which it froze, so that after a stop under a promise given by all voters nobody finished the view change, and nothing was ever taken again.

--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -155,7 +155,7 @@
 
     /** Whether this voter has promised itself to the next view, or the promise is on its way to disk. */
     boolean promised() {
-        return freezing || memory.frozen();
+        return durable.freezing() || durable.memory().frozen();
     }
 
     /** Asks a registrar that is ahead for its view. */
@@ -250,10 +250,8 @@
     /** What a change of views means for the parts. */
     private final class ViewChange implements Membership.Listener {
         @Override
-        public void reset(boolean lostMemory) {
-            if (lostMemory) {
-                recovery.reset();
-            }
+        public void reset() {
+            recovery.reset();
             chain.viewAdopted();
             confirmation.viewAdopted();
             commits.viewAdopted();
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/archive/src/main/java/org/umbermount/archive/DurableState.java
@@ -34,6 +34,8 @@
         this.tally = tally;
         this.memory = memory;
         this.onDisk = onDisk;
+        // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
+        this.frozenSince = memory.frozen() ? almanac.now() : null;
     }
 
     /** The newest memory that is on disk; before the first write the one to start from. */
--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/archive/src/main/java/org/umbermount/archive/Membership.java
@@ -21,8 +21,8 @@
 
     /** Follows the change of views. */
     interface Listener {
-        /** Forgets what belonged to the view before; {@code lostMemory} where this daemon has just come to lack its memory. */
-        void reset(boolean lostMemory);
+        /** Forgets what belonged to the view before. */
+        void reset();
 
         /** The view is in force and everyone here has been told. */
         void inForce();
@@ -178,9 +178,8 @@
     /** The view in the memory is new here and on disk. */
     void adopted(String why) {
         Memory memory = durable.memory();
-        Custodian.Standing before = standing;
         standing = standingIn(memory);
-        listener.reset(standing == Custodian.Standing.RECOVERING && before != Custodian.Standing.RECOVERING);
+        listener.reset();
         LOG.info("In force after {}: {}; edition {}; {}.", why, memory.charter(), memory.state().edition(),
                 standing.name().toLowerCase(Locale.ROOT));
         for (Consumer<Charter> o : observers) {
--- a/archive/src/main/java/org/umbermount/archive/Recovery.java
+++ b/archive/src/main/java/org/umbermount/archive/Recovery.java
@@ -28,6 +28,7 @@
     private final ViewMessages messages;
     private final Map<Imprint, Reply> replies = new HashMap<>();
     private boolean rebuilding;
+    private long attempt;
 
     Recovery(Imprint self, Almanac almanac, DurableState durable, Membership membership, ViewMessages messages) {
         this.self = self;
@@ -65,9 +66,10 @@
         }
     }
 
-    /** This daemon has just come to lack its memory: what it read before counts no longer. */
+    /** What was read before a view came into force, or an attempt that came to nothing, counts no longer. */
     void reset() {
         replies.clear();
+        rebuilding = false;
     }
 
     void recovered(Imprint from, long incarnation, Reply reply) {
@@ -124,29 +126,29 @@
     /** Enough has been read; what is kept beside the configuration is fetched before the memory counts as whole. */
     private void finish(Charter newest) {
         Memory whole = merge(newest);
-        Bookmark furthest = furthestMark();
         int reads = replies.size();
+        long mine = ++attempt;
         rebuilding = true;
-        boolean[] over = new boolean[1];
-        almanac.after(REBUILD_MS, () -> {
-            if (!over[0]) {
-                // The one that was asked is lost itself: read the others again.
-                over[0] = true;
-                rebuilding = false;
-                replies.clear();
-            }
-        });
-        membership.companion().rebuild(furthest, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                durable.serially(() -> durable.persist(whole, () -> finished(reads)));
+        // The one that is asked may be lost itself, or the disk refuse: then the others are read again.
+        almanac.after(REBUILD_MS, () -> giveUp(mine));
+        membership.companion().rebuild(furthestMark(), () -> durable.serially(() -> {
+            // What has come into force meanwhile is newer than what was read.
+            if (mine != attempt || !rebuilding || durable.memory().charter().number() > newest.number()) {
+                giveUp(mine);
+                return;
             }
-        });
+            durable.persist(whole.withIncarnations(durable.memory().incarnations()), () -> finished(reads));
+        }));
+    }
+
+    private void giveUp(long which) {
+        if (which == attempt && rebuilding) {
+            reset();
+        }
     }
 
     private void finished(int reads) {
-        rebuilding = false;
-        replies.clear();
+        reset();
         LOG.info("Memory rebuilt as incarnation {} from {} others.", durable.memory().incarnation(), reads);
         membership.adopted("reading others");
     }
