Stacks and ledgers are played through kills and losses of power

Cause: no test lost a name without its folder's sync, ended a process between two calls of a rewrite, or tore a sync in its middle. DamageTest flips each byte, ends a rewrite at each call, and lets removed segments come back in each choice. The other file of a stack is emptied and synced before the first put, also if it looks empty; the last segment that holds something is never dropped. Conclusion: the bound and each order of loss are checked against the code that runs on the real disk.

--- a/stacks/src/main/java/org/umbermount/stacks/Ledger.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Ledger.java
@@ -204,9 +204,9 @@
         return current;
     }
 
-    /** Removes every segment up to this one, which must not be the current one. */
+    /** Removes every segment up to this one, the oldest first, but never the last one that holds something. */
     public void dropThrough(int number) throws IOException {
-        while (!segments.isEmpty() && segments.firstKey() <= number && segments.size() > 1) {
+        while (segments.size() > 1 && segments.firstKey() <= number && segments.higherEntry(segments.firstKey()).getValue() > 0) {
             vault.remove(name(segments.firstKey()));
             segments.pollFirstEntry();
         }
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -101,7 +101,8 @@
             vault.sync(name);
         }
         uncertainTail = length < content.size;
-        uncertainSpare = other.size > 0;
+        // Also an empty one: an ended process may have cut it without waiting for the disk.
+        uncertainSpare = other.exists;
         generation = content.generation;
         newest.putAll(content.newest);
     }
@@ -121,6 +122,7 @@
     /** What one of the files holds. */
     private static final class Content {
         final Map<Byte, byte[]> newest = new TreeMap<>();
+        final boolean exists;
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
         int end;
@@ -128,6 +130,7 @@
         long generation;
 
         Content(byte[] bytes) {
+            exists = bytes != null;
             size = bytes == null ? 0 : bytes.length;
             if (size < TITLE.length) {
                 // Nothing was ever safe: the title is written together with the first record.
--- /dev/null
+++ b/stacks/src/test/java/org/umbermount/stacks/DamageTest.java
@@ -0,0 +1,222 @@
+package org.umbermount.stacks;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.stacks.testing.FakeVault;
+
+/** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
+class DamageTest {
+    private static final int SEGMENT = 60;
+
+    private static List<String> records(Vault vault) throws IOException {
+        List<String> out = new ArrayList<>();
+        Ledger.open(vault, "l", SEGMENT, (segment, body) -> out.add(new String(body)));
+        return out;
+    }
+
+    private static Ledger ledger(FakeVault vault) throws IOException {
+        return Ledger.open(vault, "l", SEGMENT, (segment, body) -> { });
+    }
+
+    private static void append(Ledger ledger, String... records) throws IOException {
+        ledger.append(Arrays.stream(records).map(String::getBytes).toList());
+    }
+
+    private static List<Folio> folio(int key, String value) {
+        return List.of(new Folio((byte) key, value.getBytes()));
+    }
+
+    private static void flip(FakeVault vault, String name, int at) {
+        byte[] bytes = vault.raw(name);
+        bytes[at] ^= 1;
+        vault.raw(name, bytes);
+    }
+
+    @Test
+    void damageIsReportedWithFileAndOffsetInTheLastSegmentToo() throws IOException {
+        FakeVault vault = new FakeVault();
+        Ledger ledger = ledger(vault);
+        append(ledger, "one", "two");
+        append(ledger, "three");
+        byte[] good = vault.raw("l.1");
+        int second = 8 + 8 + 3;
+        for (int at = 0; at < good.length - 13; at++) {
+            vault.raw("l.1", good);
+            flip(vault, "l.1", at);
+            long broken = at < 8 ? 0 : at < second ? 8 : second;
+            Exception e = assertThrows(Stack.DamagedException.class, () -> records(vault), "byte " + at);
+            assertEquals("The file l.1 is damaged at byte " + broken + ".", e.getMessage());
+        }
+    }
+
+    @Test
+    void damageToAStackIsReportedWithFileAndOffset() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = Stack.open(vault, "f", 120);
+        for (int i = 0; i < 20; i++) {
+            stack.put(folio(1, "value " + i));
+        }
+        String name = vault.raw("f").length > 0 ? "f" : "f.spare";
+        int length = vault.raw(name).length;
+        int last = length - (8 + 5 + 8);
+        assertTrue(last > 8 + 8, "one record only");
+        byte[] good = vault.raw(name);
+        for (int at = 0; at < last; at++) {
+            vault.raw(name, good);
+            flip(vault, name, at);
+            Exception e = assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 120), "byte " + at);
+            assertTrue(e.getMessage().startsWith("The file " + name + " is damaged at byte "), e.getMessage());
+        }
+        Stack.discard(vault, "f");
+        assertTrue(Stack.open(vault, "f", 120).isEmpty());
+    }
+
+    /** A rewrite is one record: if it is gone and the old file is empty, something safe was harmed. */
+    @Test
+    void damageToARewriteAloneIsReported() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = Stack.open(vault, "f", 60);
+        vault.callsLeft = Integer.MAX_VALUE;
+        for (int i = 0; vault.raw("f") == null || vault.raw("f").length > 0; i++) {
+            stack.put(folio(1, "value " + i));
+        }
+        vault.raw("f.spare", Arrays.copyOf(vault.raw("f.spare"), 20));
+        assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 60));
+    }
+
+    @Test
+    void syncThatWasTornInItsMiddleIsNoDamage() throws IOException {
+        for (int seed = 0; seed < 300; seed++) {
+            FakeVault vault = new FakeVault().chance(seed);
+            append(ledger(vault), "kept");
+            vault.endBeforeSync = true;
+            assertThrows(IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
+            vault.losePower();
+            List<String> read = records(vault);
+            assertTrue(read.equals(List.of("kept", "a".repeat(40), "b".repeat(40), "c".repeat(40)).subList(0, read.size()))
+                    && !read.isEmpty(), read.toString());
+        }
+    }
+
+    @Test
+    void segmentsOfVersionOneAreRead() throws IOException {
+        FakeVault vault = new FakeVault();
+        Ledger ledger = ledger(vault);
+        append(ledger, "one");
+        byte[] bytes = vault.raw("l.1");
+        bytes[7] = 1;
+        vault.raw("l.1", bytes);
+        append(ledger(vault), "two", "three");
+        assertEquals(List.of("one", "two", "three"), records(vault));
+    }
+
+    /** Six segments, four of them removed; any of the four may come back. */
+    @Test
+    void removedSegmentsThatComeBackInAnyChoiceLeaveNoGap() throws IOException {
+        for (int choice = 0; choice < 16; choice++) {
+            FakeVault vault = new FakeVault();
+            Ledger ledger = ledger(vault);
+            List<byte[]> files = new ArrayList<>();
+            for (int i = 1; i <= 6; i++) {
+                append(ledger, i + " ".repeat(60));
+                files.add(vault.raw("l." + i));
+            }
+            ledger.dropThrough(4);
+            for (int i = 1; i <= 4; i++) {
+                if ((choice >> (i - 1) & 1) > 0) {
+                    vault.raw("l." + i, files.get(i - 1));
+                }
+            }
+            List<Integer> read = records(vault).stream().map(r -> Integer.parseInt(r.trim())).toList();
+            int first = 5;
+            while (first > 1 && (choice >> (first - 2) & 1) > 0) {
+                first--;
+            }
+            List<Integer> expected = new ArrayList<>();
+            for (int i = first; i <= 6; i++) {
+                expected.add(i);
+            }
+            assertEquals(expected, read, "came back: " + Integer.toBinaryString(choice));
+            append(ledger(vault), "next");
+            assertTrue(records(vault).contains("next"));
+        }
+    }
+
+    /** Ends at each call of a put that rewrites, by a kill and by forty losses of power. */
+    @Test
+    void eachCallOfARewriteMayBeTheLast() throws IOException {
+        int calls = 0;
+        for (int at = 0; at <= calls; at++) {
+            for (int seed = 0; seed <= 40; seed++) {
+                FakeVault vault = new FakeVault().chance(seed);
+                Stack stack = Stack.open(vault, "f", 200);
+                stack.put(folio(2, "stays"));
+                while (stack.length() + 30 <= 200) {
+                    stack.put(folio(1, "a value"));
+                }
+                int before = vault.calls;
+                vault.callsLeft = at;
+                boolean done = true;
+                try {
+                    stack.put(folio(1, "a longer, newer value"));
+                } catch (FakeVault.EndedException e) {
+                    done = false;
+                }
+                calls = Math.max(calls, vault.calls - before);
+                if (seed > 0) {
+                    vault.losePower();
+                } else {
+                    vault.restart();
+                }
+                Stack again = Stack.open(vault, "f", 200);
+                String read = new String(again.get((byte) 1));
+                assertTrue(read.equals("a longer, newer value") || !done && read.equals("a value"), at + ": " + read);
+                assertArrayEquals("stays".getBytes(), again.get((byte) 2));
+                again.put(folio(1, "last"));
+                vault.losePower();
+                assertArrayEquals("last".getBytes(), Stack.open(vault, "f", 200).get((byte) 1));
+                assertEquals(again.length(), vault.taken(), "ended at call " + at + ", seed " + seed);
+            }
+        }
+        assertEquals(8, calls, "calls of a put that rewrites");
+    }
+
+    @Test
+    void folderIsForcedForEachNewFileAndNotForEachAppend() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack stack = Stack.open(vault, "f", 400);
+        Ledger ledger = ledger(vault);
+        for (int i = 0; i < 100; i++) {
+            stack.put(folio(1, "value " + i));
+            append(ledger, "record " + i);
+        }
+        int files = vault.list().size();
+        assertEquals(files, vault.folderForces);
+        vault.restart();
+        Stack.open(vault, "f", 400);
+        ledger(vault);
+        assertEquals(files + 1, vault.folderForces);
+    }
+
+    @Test
+    void realFolderIsMadeAndKeepsAStackThroughRewrites(@TempDir Path above) throws IOException {
+        Path folder = above.resolve("made").resolve("here");
+        Stack stack = Stack.open(new Shelving(folder), "f", 400);
+        for (int i = 0; i < 100; i++) {
+            stack.put(folio(1, "value " + i));
+        }
+        assertArrayEquals("value 99".getBytes(), Stack.open(new Shelving(folder), "f", 400).get((byte) 1));
+        assertEquals(stack.length(), Files.size(folder.resolve("f")) + Files.size(folder.resolve("f.spare")));
+    }
+}
