--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -31,7 +31,7 @@
     private final ChainMessages messages;
     private final Almanac almanac;
     private final Tally tally;
-    private final RefusedAhead aheads = new RefusedAhead();
+    private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
     ChainReplica(Imprint self, Almanac almanac, DurableState durable, Membership membership, CommitPoint commits,
@@ -39,6 +39,7 @@
         this.self = self;
         this.almanac = almanac;
         this.tally = tally;
+        this.aheads = new RefusedAhead(almanac.now());
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
@@ -75,7 +76,7 @@
         } else if (s.blob().length == 0) {
             // A question only: its sender knows no version to build on.
             answer(s, Custodian.Verdict.ELSEWHERE);
-        } else if (!aheads.bars(order, almanac.now())) {
+        } else if (!aheads.bars(order, s.onlyIn() != 0, almanac.now())) {
             replaceState(state.take(order.edition(), s.blob(), order.digest()), () -> oweAndForward(s));
         }
     }
--- a/archive/src/test/java/org/umbermount/archive/ControlDeskOrdersTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ControlDeskOrdersTest.java
@@ -27,12 +27,13 @@
     }
 
     private static String item(String label) {
-        return "{\"label\":\"" + label + "\",\"virtualHost\":\"h.example\",\"pathPrefix\":\"/" + label + "/\",\"routeType\":\"safe\","
-                + "\"timeoutMs\":5000,\"upstream\":\"s\",\"maxTries\":2}";
+        return "{\"label\":\"" + label + "\",\"virtualHost\":\"h.example\",\"pathPrefix\":\"/" + label + "/\","
+                + "\"routeType\":\"safe\",\"timeoutMs\":5000,\"upstream\":\"s\",\"maxTries\":2}";
     }
 
     private static String whole(long revision, String label) {
-        return "{\"revision\":" + revision + ",\"routeTable\":[" + item(label) + "],\"upstreams\":[{\"label\":\"s\"}],\"limits\":{}}";
+        return "{\"revision\":" + revision + ",\"routeTable\":[" + item(label) + "],"
+                + "\"upstreams\":[{\"label\":\"s\"}],\"limits\":{}}";
     }
 
     private static String amendment(long revision, String label) {
--- a/archive/src/test/java/org/umbermount/archive/OrdersTest.java
+++ b/archive/src/test/java/org/umbermount/archive/OrdersTest.java
@@ -452,6 +452,32 @@
                 Mutation.without(Safeguard.AHEAD_BARRED, OrdersTest::lateCopyOfAnOrderThatWasRefusedAhead));
     }
 
+    /** The same, where the head that refused it has ended and is back in the same view. */
+    private static String lateCopyAtTheNextLifeOfTheHead() throws IOException {
+        Fleet fleet = settled(54);
+        takeAll(fleet, 1, 2);
+        Charter charter = fleet.custodian(0).charter();
+        int head = head(fleet, 0);
+        int other = (head + 1) % 4;
+        assertEquals(Verdict.STALE, order(fleet, other, 3, 4, "ahead"));
+        RequestId id = fleet.porter(other).newestId();
+        fleet.kill(head, false);
+        fleet.start(head, false);
+        fleet.run(5);
+        assertEquals(Verdict.TAKEN, order(fleet, other, 2, 3, "c3"));
+        assertEquals(charter.number(), fleet.custodian(head).charter().number(), "the view has changed");
+        Order late = new Order(new Edition(3), new Edition(4), Digest.ofCall("PUT", "ahead".getBytes()));
+        fleet.custodian(other).sendSubmission(charter.head(), id, charter.number(), late, "ahead".getBytes());
+        fleet.run(20);
+        return new String(fleet.custodian(other).committed().blob());
+    }
+
+    @Test
+    void orderThatWasRefusedAheadIsNotTakenByTheNextLifeOfTheHead() throws Exception {
+        assertEquals("c3", lateCopyAtTheNextLifeOfTheHead());
+        assertEquals("ahead", Mutation.without(Safeguard.AHEAD_BARRED, OrdersTest::lateCopyAtTheNextLifeOfTheHead));
+    }
+
     // ---- on the disk and in messages ----
 
     private static byte[] written(Accession state) {
