Seats: replaced again and again, rested, granted in one view; each shown to be needed

Cause: the change of membership rests on three mechanisms; only the search had shown one of them to be needed.

--- /dev/null
+++ b/archive/src/test/java/org/umbermount/archive/SeatsTest.java
@@ -0,0 +1,163 @@
+package org.umbermount.archive;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
+
+/** Seats are given up, taken over and rested, by registrars as they are. */
+class SeatsTest {
+    private static final long SYNC_MS = 4_000;
+
+    private static Custodian any(Fleet fleet) {
+        return fleet.running.values().iterator().next().custodian;
+    }
+
+    private static void take(Fleet fleet, long match, long edition, String when) {
+        for (int i = 0; i < 6; i++) {
+            int at = List.copyOf(fleet.running.keySet()).get(i % fleet.running.size());
+            Fleet.Reply reply = fleet.submit(at, match, edition, "c" + edition);
+            fleet.run(900);
+            if (reply.verdict == Custodian.Verdict.TAKEN) {
+                return;
+            }
+        }
+        throw new AssertionError("nothing was taken " + when);
+    }
+
+    /** Four machines, one gone for good again and again, and the next loss as soon as the page allows it. */
+    private static void replaceAgainAndAgain(boolean planned) throws IOException {
+        Fleet fleet = new Fleet(4, 3, 21);
+        fleet.run(6_000);
+        take(fleet, 0, 1, "at the start");
+        for (int n = 0; n < 5; n++) {
+            int old = n;
+            int fresh = 4 + n;
+            if (planned) {
+                fleet.start(fresh, "z" + old, List.of(old + 1, old + 2, old + 3));
+                fleet.run(SYNC_MS);
+                fleet.leave(old);
+                fleet.run(700);
+                fleet.kill(old, false);
+            } else {
+                fleet.kill(old, true);
+                fleet.run(2_000);
+                fleet.start(fresh, "z" + old, List.of(old + 1, old + 2, old + 3));
+                fleet.run(SYNC_MS);
+            }
+            // Another one is lost the moment the one before stops counting, and comes back with an empty disk.
+            int second = old + 1;
+            fleet.kill(second, true);
+            fleet.wipe(second);
+            fleet.run(500);
+            take(fleet, n + 1, n + 2, "after replacement " + (n + 1) + " and a second loss: " + any(fleet).charter());
+            fleet.start(second, "z" + second, List.of(second + 1, second + 2, fresh));
+            fleet.run(SYNC_MS);
+            assertNotNull(fleet.read(fresh, 850));
+        }
+        assertTrue(any(fleet).charter().electorate().size() <= 5, "dead seats are left: " + any(fleet).charter());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void secondLossRightAfterAReplacementLeavesAMajority(boolean planned) throws IOException {
+        replaceAgainAndAgain(planned);
+    }
+
+    @Test
+    void withSeatsThatStayTheFleetStandsStillForGood() throws Exception {
+        Mutation.without(Safeguard.SEAT_GIVEN_UP, () -> {
+            AssertionError stopped = null;
+            try {
+                replaceAgainAndAgain(false);
+            } catch (AssertionError e) {
+                stopped = e;
+            }
+            assertNotNull(stopped, "nothing was missed without it");
+            return null;
+        });
+    }
+
+    /** The shortest time between two changes of the voters while two of seven are lost at once and replaced. */
+    private static long shortestRest() throws IOException {
+        Fleet fleet = new Fleet(7, 3, 22, 2, null);
+        fleet.run(15_000);
+        assertEquals(7, any(fleet).charter().electorate().size());
+        fleet.kill(5, true);
+        fleet.kill(6, true);
+        long last = Long.MIN_VALUE / 2;
+        long shortest = Long.MAX_VALUE;
+        List<Fellow> before = any(fleet).charter().electorate();
+        for (int t = 0; t < 9_000; t += 10) {
+            if (t == 5_000) {
+                fleet.start(5, false);
+                fleet.start(6, false);
+            }
+            fleet.run(10);
+            List<Fellow> now = any(fleet).charter().electorate();
+            if (!now.equals(before)) {
+                shortest = Math.min(shortest, t - last);
+                last = t;
+                before = now;
+            }
+        }
+        return shortest;
+    }
+
+    /** Two changes within a lease could leave two majorities that do not meet. */
+    @Test
+    void votersChangeOnlyWhenLeasesGrantedBeforeHaveRunOut() throws Exception {
+        assertTrue(shortestRest() >= TenureOffice.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
+        long without = Mutation.without(Safeguard.SEATS_REST, SeatsTest::shortestRest);
+        assertTrue(without < TenureOffice.TERM_MS - 20, "nothing was missed without it: " + without);
+    }
+
+    /** Whether a voter grants a duty to one that asks the voters of an earlier view. */
+    private static boolean grantsToOneOfAnEarlierView() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 23);
+        fleet.run(6_000);
+        boolean[] granted = new boolean[1];
+        var stranger = fleet.network.bag(Fleet.imprint(9));
+        stranger.subscribe(Postbag.Topic.TENURE, (from, body) -> granted[0] |= Script.read(body).num() == 1);
+        long view = any(fleet).charter().number();
+        stranger.send(Fleet.imprint(1), Postbag.Topic.TENURE, Script.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        fleet.run(100);
+        return granted[0];
+    }
+
+    @Test
+    void noGrantForOneThatCountsTheVotersOfAnEarlierView() throws Exception {
+        assertFalse(grantsToOneOfAnEarlierView());
+        assertTrue(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW, SeatsTest::grantsToOneOfAnEarlierView));
+    }
+
+    /** Only some of the others are out of reach: everyone leaves out the same one, and views do not take turns. */
+    @Test
+    void brokenLinkBetweenTwoLeavesTheSameOneOutForEveryone() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 24);
+        fleet.run(6_000);
+        take(fleet, 0, 1, "at the start");
+        fleet.network.cutBoth(Fleet.imprint(2), Fleet.imprint(3));
+        fleet.run(3_000);
+        long view = any(fleet).charter().number();
+        assertEquals(3, any(fleet).charter().chain().size());
+        for (int n = 1; n < 12; n++) {
+            take(fleet, n, n + 1, "while a link is broken");
+            fleet.run(600);
+        }
+        assertEquals(view, any(fleet).charter().number(), "views went on changing");
+        fleet.network.healAll();
+        fleet.run(4_000);
+        assertEquals(4, any(fleet).charter().chain().size());
+    }
+}
