Contact with a majority is dated to the question, and comes before serving

Cause: after a stop of the process the roll call took every peer for heard just now, and a report of before a cut counted for a second; beats, sign-offs, purges, tables, limits and refusals of operations rested on that. A beat that nobody had been told of was acknowledged to its repeat. An invalid named change was refused on the version held here. An edition once shown to be the newest counted as that for the rest of the life, also after a cut of 20 s. A head that was left behind refused operations, and said that it had noted an answer which it had not. Change: roll calls carry a stamp of their sender's clock and bring the other's back (no new message). MajorityContact knows from that when a majority was last asked and answered, and whether a majority of the view held nothing newer then. Beats, sign-offs, silence of servers, tables, baselines and quota are gated on it; news of servers is acknowledged once a majority of the voters holds it, repeats included; purges, invalid named changes, repeats of taken changes, and refusals of operations are confirmed by a majority asked afterwards; answers that come after their caller's time are dropped; a sender looks at its lease each time it sends. The status page says since when a majority answers, and whether the edition is confirmed.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -12,6 +12,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.Stack;
@@ -23,10 +24,14 @@
     /** A write that waits longer than this makes the chain go on without this daemon. */
     private static final long DISK_PATIENCE_MS = 900;
 
+    /** After so long without a break a change of another registrar that was missed has been asked for. */
+    private static final long IN_TOUCH_MS = 1_500;
+
     final Custodian custodian;
     final Porter porter;
     final Census census;
     final RollCall rollCall;
+    final MajorityContact contact;
     final TenureOffice tenures;
     final StackRoom room;
     private final Convener convener;
@@ -56,6 +61,7 @@
         notebook = new CensusNotebook(census, notes, disk, almanac);
         notebook.recall();
         rollCall = new RollCall(almanac, post, heard -> report(heard, control));
+        contact = new MajorityContact(almanac, rollCall, custodian);
         convener = new Convener(custodian, rollCall, this::diskGood, almanac, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
         custodian.listen(convener, porter);
@@ -74,9 +80,9 @@
         custodian.start();
         convener.start();
         rollCall.start();
-        census.start(rollCall, () -> custodian.charter().electorate().size() <= 1,
-                () -> !rollCall.unsettled(2 * rules.heartbeatMs())
-                        && rollCall.reachedForMs(custodian.charter()) > 2 * rules.heartbeatMs());
+        census.start(rollCall, custodian::charter, () -> contact.unbrokenMs() > IN_TOUCH_MS,
+                () -> !rollCall.unsettled(2 * rules.heartbeatMs()) && (Safeguard.CONTACT_BEFORE_SILENCE_COUNTS.holds()
+                        ? contact.unbrokenMs() : rollCall.reachedForMs(custodian.charter())) > 2 * rules.heartbeatMs());
         notebook.start();
         tenures.start();
     }
@@ -87,7 +93,7 @@
 
     private RollCall.Report report(List<Imprint> heard, Imprint control) {
         return new RollCall.Report(custodian.incarnation(), custodian.standing() == Custodian.Standing.MEMBER,
-                diskGood(), rollCall.isLeaving(), custodian.charter().number(),
+                custodian.mayMove(), contact.holds(), diskGood(), rollCall.isLeaving(), custodian.charter().number(),
                 custodian.committed().edition().value(), custodian.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(),
                 custodian.companion().settledView(), tenures.activeDuties(), rules.zone(), control, heard);
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -70,6 +70,7 @@
         host.offer(Census.class, archive.census);
         host.offer(TenureOffice.class, archive.tenures);
         host.offer(RollCall.class, archive.rollCall);
+        host.offer(MajorityContact.class, archive.contact);
         host.offer(Porter.class, archive.porter);
         meter(host.tally());
         archive.start();
@@ -88,7 +89,7 @@
         tally.gauge("archive.disk.stuck.ms", archive.room::stuckMs);
         tally.gauge("archive.disk.slowest.ms", archive.room::slowestMs);
         tally.gauge("archive.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
-        tally.gauge("archive.reaches.majority", () -> archive.rollCall.reachesMajority(custodian.charter()) ? 1 : 0);
+        tally.gauge("archive.reaches.majority", () -> archive.contact.holds() ? 1 : 0);
         tally.gauge("census.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Almanac;
@@ -16,6 +18,7 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
@@ -72,8 +75,11 @@
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<Runnable> observers = new ArrayList<>();
     private RollCall rollCall;
-    private java.util.function.BooleanSupplier alone = () -> false;
-    private java.util.function.BooleanSupplier mayExpire = () -> false;
+    private Supplier<Charter> charter = () -> Charter.NONE;
+    private BooleanSupplier listStands = () -> true;
+    private BooleanSupplier mayExpire = () -> false;
+    /** Under which of this daemon's own changes its news of a server went out last. */
+    private final Map<Pressmark, Long> newsAt = new HashMap<>();
     private final Moment started;
     private boolean ready;
     private long seq;
@@ -89,11 +95,14 @@
         post.subscribe(Postbag.Topic.CENSUS, this::receive);
     }
 
-    /** Starts following the others; {@code nobodyElse} says whether there are none, and {@code canJudge} whether silence may be held against servers now. */
-    public void start(RollCall calls, java.util.function.BooleanSupplier nobodyElse,
-            java.util.function.BooleanSupplier canJudge) {
+    /**
+     * Starts following the others; {@code view} says who votes, {@code inTouch} whether news of the others has come without a
+     * break, and {@code canJudge} whether silence may be held against servers now.
+     */
+    public void start(RollCall calls, Supplier<Charter> view, BooleanSupplier inTouch, BooleanSupplier canJudge) {
         rollCall = calls;
-        alone = nobodyElse;
+        charter = view;
+        listStands = inTouch;
         mayExpire = canJudge;
         calls.observe(this::compare);
         almanac.every(LOOP_MS, this::reconcile);
@@ -136,7 +145,7 @@
     }
 
     /**
-     * Takes a beat. {@code told} runs once another registrar has the news, or at once if there is none to tell.
+     * Takes a beat. {@code told} runs once a majority of the voters has the news, or at once if there is none to tell.
      */
     public void beat(CensusEntry beat, Runnable told) {
         CensusEntry known = entries.get(beat.id());
@@ -155,7 +164,11 @@
         }
         if (known != null && known.sameNews(next)) {
             entries.put(next.id(), next);
-            told.run();
+            if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
+                onceKnown(next, told);
+            } else {
+                told.run();
+            }
             return;
         }
         if (known == null || known.standing() != next.standing()) {
@@ -164,29 +177,66 @@
         boolean urgent = known == null || known.standing() != next.standing();
         store(next);
         publish(List.of(next));
-        if (urgent && !alone.getAsBoolean()) {
-            waiting.add(new Waiting(seq, told));
+        if (urgent) {
+            onceKnown(next, told);
         } else {
             told.run();
         }
     }
 
+    /** Runs something once enough others hold what is known here of a server, whoever was told of it first. */
+    private void onceKnown(CensusEntry entry, Runnable told) {
+        if (!newsAt.containsKey(entry.id()) && entry.standing() != CensusEntry.Standing.IN_SERVICE) {
+            publish(List.of(entry));
+        }
+        Long at = newsAt.get(entry.id());
+        if (at == null || isKnown(at)) {
+            told.run();
+        } else {
+            waiting.add(new Waiting(at, told));
+        }
+    }
+
+    /** Whether a majority of the voters has taken a change of this daemon. */
+    private boolean isKnown(long change) {
+        Charter view = charter.get();
+        if (view.electorate().isEmpty()) {
+            return false;
+        }
+        int n = 0;
+        int others = 0;
+        for (Fellow f : view.electorate()) {
+            boolean self = f.imprint().equals(post.self());
+            boolean holds = self || acknowledged.getOrDefault(f.imprint(), -1L) >= change;
+            n += holds ? 1 : 0;
+            others += holds && !self ? 1 : 0;
+        }
+        return Safeguard.NEWS_WITH_MAJORITY.holds() ? n >= view.majority() : others > 0;
+    }
+
     /** Takes a sign-off. */
     public void signOff(Pressmark id, Runnable told) {
         CensusEntry known = entries.get(id);
-        if (known == null || known.standing() == CensusEntry.Standing.SIGNED_OFF) {
-            told.run();
+        if (known == null) {
+            // Nothing to sign off, if what is known here is whole; otherwise the caller tries again, here or elsewhere.
+            if (ready && listStands.getAsBoolean()) {
+                told.run();
+            }
+            return;
+        }
+        if (known.standing() == CensusEntry.Standing.SIGNED_OFF) {
+            if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
+                onceKnown(known, told);
+            } else {
+                told.run();
+            }
             return;
         }
         CensusEntry next = known.with(CensusEntry.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
-        if (alone.getAsBoolean()) {
-            told.run();
-        } else {
-            waiting.add(new Waiting(seq, told));
-        }
+        onceKnown(next, told);
     }
 
     private static String name(CensusEntry.Standing standing) {
@@ -211,6 +261,7 @@
         long from = seq;
         for (CensusEntry e : changed) {
             changes.add(new Change(++seq, e.id()));
+            newsAt.put(e.id(), seq);
             if (changes.size() > LOG_LENGTH) {
                 changes.poll();
             }
@@ -341,15 +392,11 @@
     }
 
     private void settle() {
-        long best = 0;
-        for (long a : acknowledged.values()) {
-            best = Math.max(best, a);
-        }
         Iterator<Waiting> it = waiting.iterator();
         List<Runnable> told = new ArrayList<>();
         while (it.hasNext()) {
             Waiting w = it.next();
-            if (w.seq <= best) {
+            if (isKnown(w.seq)) {
                 it.remove();
                 told.add(w.told);
             }
@@ -376,6 +423,7 @@
             if (now.since(e.getValue()) <= TOMBSTONE_MS) {
                 return false;
             }
+            newsAt.remove(e.getKey());
             CensusEntry old = entries.remove(e.getKey());
             if (old != null) {
                 digest -= old.digest();
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -45,6 +46,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 
 /** The calls of servers and of the operator. */
@@ -61,6 +63,7 @@
     private final Census census;
     private final TenureOffice tenures;
     private final RollCall rollCall;
+    private final MajorityContact contact;
     private final Imprint self;
     private final Imprint control;
     private final String zone;
@@ -75,6 +78,7 @@
         this.census = archive.census;
         this.tenures = archive.tenures;
         this.rollCall = archive.rollCall;
+        this.contact = archive.contact;
         this.self = self;
         this.control = control;
         this.zone = zone;
@@ -109,6 +113,11 @@
         listener.close();
     }
 
+    /** What answers the calls on one connection. */
+    ChannelHandler calls() {
+        return new Calls();
+    }
+
     private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
@@ -191,8 +200,15 @@
         Amendment amendment = Amendment.parse(call);
         Accession here = custodian.committed();
         if (here.edition().equals(match) || here.edition().isAfter(match)) {
-            amend(ctx, keep, match, amendment, here, PATIENCE_MS);
-            return;
+            try {
+                amend(ctx, keep, match, amendment, here, PATIENCE_MS);
+                return;
+            } catch (FaultException e) {
+                // Another version may be current by now; that this one is the newest, others have to say.
+                if (!Safeguard.INVALIDITY_CONFIRMED.holds()) {
+                    throw e;
+                }
+            }
         }
         Moment asked = almanac.now();
         porter.read(PATIENCE_MS, newest -> {
@@ -231,8 +247,13 @@
         } catch (Form.WrongException e) {
             throw new FaultException(Erratum.INVALID_PURGE, "The purge is invalid: " + e.getMessage() + ".");
         }
+        if (!Safeguard.PURGE_CONFIRMED.holds()) {
+            json(ctx, keep, 200, "{}");
+            return;
+        }
         // No daemon keeps copies yet: nothing that was replaced can be handed out after this.
-        json(ctx, keep, 200, "{}");
+        porter.confirm(PATIENCE_MS, () -> json(ctx, keep, 200, "{}"),
+                () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
     private void submit(ChannelHandlerContext ctx, boolean keep, Edition match, Edition edition, long hash, byte[] blob,
@@ -262,9 +283,7 @@
 
     private void beat(ChannelHandlerContext ctx, FullHttpRequest request, Pressmark id, boolean keep)
             throws FaultException {
-        if (!rollCall.reachesMajority(custodian.charter())) {
-            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
-        }
+        requireContact();
         CensusEntry entry;
         try {
             entry = readBeat(Form.parse(ByteBufUtil.getBytes(request.content())), id);
@@ -275,6 +294,12 @@
         acknowledge(ctx, keep, done -> census.beat(entry, done), answer);
     }
 
+    private void requireContact() throws FaultException {
+        if (Safeguard.CONTACT_BEFORE_BEATS.holds() ? !contact.holds() : !rollCall.reachesMajority(custodian.charter())) {
+            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
+        }
+    }
+
     private CensusEntry readBeat(Form beat, Pressmark id) throws Form.WrongException {
         String status = beat.member("status").text();
         boolean draining = status.equals("draining");
@@ -290,20 +315,18 @@
     }
 
     private void signOff(ChannelHandlerContext ctx, Pressmark id, boolean keep) throws FaultException {
-        if (!rollCall.reachesMajority(custodian.charter())) {
-            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
-        }
+        requireContact();
         acknowledge(ctx, keep, done -> census.signOff(id, done), "{}");
     }
 
-    /** Answers 200 once another registrar has the news, and 503 if none takes it in time. */
+    /** Answers 200 once a majority of the voters has the news, and 503 if it does not take it in time. */
     private void acknowledge(ChannelHandlerContext ctx, boolean keep, Consumer<Runnable> action,
             String answer) {
         boolean[] answered = new boolean[1];
         Almanac.Cancellable timer = almanac.after(TOLD_MS, () -> {
             if (!answered[0]) {
                 answered[0] = true;
-                refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "No other daemon could be told.");
+                refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "Too few other daemons could be told.");
             }
         });
         action.accept(() -> {
@@ -315,13 +338,14 @@
         });
     }
 
-    /** Steers a server's beats to a registrar of its own zone. */
+    /** Steers a server's beats to a registrar of its own zone that a majority answers. */
     private String heartbeatAnswer(String serverZone) {
         if (serverZone.equals(zone)) {
             return "{}";
         }
         for (RollCall.Peer p : rollCall.peers()) {
-            if (p.report() != null && p.report().zone().equals(serverZone) && rollCall.goodForMs(p.imprint()) > 2_000) {
+            if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact()
+                    && rollCall.goodForMs(p.imprint()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
         }
@@ -336,6 +360,10 @@
                 .put("incarnation", custodian.incarnation()).put("view", charter.number())
                 .put("edition", custodian.committed().edition().value())
                 .put("newestEdition", custodian.newestEdition().value());
+        Moment confirmedAt = contact.confirmedAt();
+        root.putObject("contact").put("majorityAnswers", contact.holds())
+                .put("confirmedMsAgo", confirmedAt.equals(Moment.NEVER) ? -1 : almanac.now().since(confirmedAt))
+                .put("unbrokenMs", contact.unbrokenMs()).put("editionConfirmed", contact.assured());
         ArrayNode electorate = root.putArray("electorate");
         charter.electorate().forEach(f -> electorate.add(f.imprint().toString()));
         ArrayNode chain = root.putArray("chain");
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -18,6 +18,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.StackRoom;
@@ -129,6 +130,8 @@
         final boolean brief;
         /** What a submission comes to if this view is still in force; null for a read. */
         final Verdict verdict;
+        /** What this daemon itself wanted to know it for, or null. */
+        Runnable then;
         final Set<Imprint> agreed = new HashSet<>();
 
         Confirmation(Imprint origin, long id, long view, Accession reading, boolean brief, Verdict verdict) {
@@ -741,7 +744,8 @@
                 long nonce = in.num();
                 long view = in.num();
                 serially(() -> {
-                    if (standing == Standing.MEMBER && memory.charter().number() == view && !memory.frozen()) {
+                    if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds()
+                            || standing == Standing.MEMBER && memory.charter().number() == view && !memory.frozen()) {
                         sendChain(from, chain(Chain.CONFIRMED).num(nonce).num(memory.incarnation()));
                     }
                 });
@@ -803,7 +807,11 @@
         Accession state = memory.state();
         boolean settled = committed.edition().equals(state.edition());
         if (committed.hasTaken(edition, hash)) {
-            answer(origin, id, Verdict.TAKEN);
+            if (Safeguard.REPEAT_CONFIRMED.holds()) {
+                confirm(new Confirmation(origin, id, memory.charter().number(), committed, false, Verdict.TAKEN));
+            } else {
+                answer(origin, id, Verdict.TAKEN);
+            }
         } else if (state.hasTaken(edition, hash)) {
             owed.put(id, new Owed(id, origin, edition));
             forwardState();
@@ -955,6 +963,11 @@
      * takes for stale may be on top of the newest version, and be taken by the head of that view.
      */
     private void confirm(Confirmation c) {
+        if (c.verdict == null && c.then == null ? !Safeguard.READ_CONFIRMED.holds()
+                : c.then == null && !Safeguard.REFUSAL_CONFIRMED.holds()) {
+            settle(c);
+            return;
+        }
         if (confirmations.size() > 256) {
             confirmations.clear();
         }
@@ -974,17 +987,32 @@
         c.agreed.add(from);
         if (c.agreed.size() >= memory.charter().majority()) {
             confirmations.remove(nonce);
-            if (c.verdict != null) {
-                answer(c.origin, c.id, c.verdict);
-                return;
-            }
-            Script.Writer out = chain(c.brief ? Chain.ATTESTED : Chain.READING).num(c.id);
-            if (c.brief) {
-                out.num(c.reading.edition().value());
-            } else {
-                c.reading.write(out);
-            }
-            sendChain(c.origin, out);
+            settle(c);
+        }
+    }
+
+    private void settle(Confirmation c) {
+        if (c.then != null) {
+            c.then.run();
+            return;
+        }
+        if (c.verdict != null) {
+            answer(c.origin, c.id, c.verdict);
+            return;
         }
+        Script.Writer out = chain(c.brief ? Chain.ATTESTED : Chain.READING).num(c.id);
+        if (c.brief) {
+            out.num(c.reading.edition().value());
+        } else {
+            c.reading.write(out);
+        }
+        sendChain(c.origin, out);
+    }
+
+    /** Runs something once a majority, asked from now on, has confirmed the view; never if it has not. */
+    public void whileInForce(Runnable then) {
+        Confirmation c = new Confirmation(post.self(), 0, memory.charter().number(), committed, true, null);
+        c.then = then;
+        confirm(c);
     }
 }
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/MajorityContact.java
@@ -0,0 +1,109 @@
+package org.umbermount.archive;
+
+import java.util.Arrays;
+import java.util.function.Supplier;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Moment;
+
+/**
+ * When a majority of the voters last answered this daemon. Roll calls carry a stamp of their sender's steady clock, and those
+ * of the others bring it back; so an answer is dated to the moment at which the question was sent, never to the one at which
+ * it came. After a cut or a stop of the process the date is simply old.
+ */
+public final class MajorityContact {
+    /** How long a majority's word counts: as long as a lease. */
+    public static final long LIMIT_MS = TenureOffice.TERM_MS;
+
+    private final Almanac almanac;
+    private final RollCall rollCall;
+    private final Custodian custodian;
+    private final Supplier<Charter> charter;
+    private Moment judgedAt;
+    private Moment unbrokenSince;
+    private boolean assured;
+
+    MajorityContact(Almanac almanac, RollCall rollCall, Custodian custodian) {
+        this.almanac = almanac;
+        this.rollCall = rollCall;
+        this.custodian = custodian;
+        this.charter = custodian::charter;
+        this.judgedAt = almanac.now();
+        rollCall.keep(this::judge);
+    }
+
+    /** The latest moment such that a majority of the voters has answered something sent then or later. */
+    public Moment confirmedAt() {
+        Charter view = charter.get();
+        if (view.electorate().isEmpty()) {
+            return Moment.NEVER;
+        }
+        long[] answered = new long[view.electorate().size()];
+        for (int i = 0; i < answered.length; i++) {
+            answered[i] = rollCall.answered(view.electorate().get(i).imprint()).millis();
+        }
+        Arrays.sort(answered);
+        return new Moment(answered[answered.length - view.majority()]);
+    }
+
+    private boolean fresh(Moment at) {
+        return almanac.now().since(at) <= LIMIT_MS;
+    }
+
+    /** Looks at every roll call that comes or goes, before and after, so that no break passes unnoticed. */
+    private void judge() {
+        Moment now = almanac.now();
+        if (!fresh(confirmedAt()) || now.since(judgedAt) > LIMIT_MS) {
+            unbrokenSince = null;
+            assured = false;
+        }
+        if (fresh(confirmedAt()) && unbrokenSince == null) {
+            unbrokenSince = now;
+        }
+        judgedAt = now;
+    }
+
+    /** Whether a majority answers. */
+    public boolean holds() {
+        judge();
+        return unbrokenSince != null;
+    }
+
+    /** How long a majority has answered without a break; -1 if it does not. */
+    public long unbrokenMs() {
+        return holds() ? almanac.now().since(unbrokenSince) : -1;
+    }
+
+    /**
+     * Whether a majority of the voters, asked just now, is in this daemon's view, bound by no promise of another, and holds
+     * nothing newer than an edition. What is committed is held by a majority, so whatever was committed before they were
+     * asked would show.
+     */
+    public boolean confirms(Edition edition) {
+        Charter view = charter.get();
+        int n = 0;
+        for (Fellow f : view.electorate()) {
+            RollCall.Peer p = rollCall.peer(f.imprint());
+            if (p == null) {
+                n += rollCall.isSelf(f.imprint()) && custodian.mayMove() ? 1 : 0;
+            } else if (p.report() != null && fresh(p.answered()) && p.report().mayMove()
+                    && p.report().view() == view.number() && p.report().newestEdition() <= edition.value()) {
+                n++;
+            }
+        }
+        return !view.electorate().isEmpty() && n >= view.majority();
+    }
+
+    /**
+     * Whether the committed edition held here has been confirmed as the newest, and a majority has answered without a break
+     * since. From then on news of later ones comes in time.
+     */
+    public boolean assured() {
+        judge();
+        Edition edition = custodian.committed().edition();
+        if (unbrokenSince != null && !assured) {
+            assured = !edition.equals(Edition.NONE) && !custodian.newestEdition().isAfter(edition) && confirms(edition);
+        }
+        return assured;
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -8,6 +8,7 @@
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 
 /** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
 public final class Porter implements Custodian.OriginListener {
@@ -30,6 +31,7 @@
         Runnable ask;
         Consumer<Custodian.Verdict> verdict;
         Consumer<Accession> reading;
+        Runnable confirmed;
         Runnable gaveUp;
         Moment until;
     }
@@ -78,6 +80,20 @@
         begin(id, errand, patienceMs, gaveUp);
     }
 
+    /** Has a majority confirm that the view is in force, asked from now on; exactly one of the two is called. */
+    public void confirm(long patienceMs, Runnable confirmed, Runnable gaveUp) {
+        Errand errand = new Errand();
+        long id = nextId++;
+        errand.confirmed = confirmed;
+        errand.ask = () -> {
+            Imprint tail = custodian.charter().tail();
+            if (tail != null) {
+                custodian.sendAttest(tail, id);
+            }
+        };
+        begin(id, errand, patienceMs, gaveUp);
+    }
+
     private void begin(long id, Errand errand, long patienceMs, Runnable gaveUp) {
         errand.gaveUp = gaveUp;
         errand.until = almanac.now().plus(patienceMs);
@@ -99,9 +115,18 @@
         almanac.after(Math.min(REPEAT_MS, Math.max(1, errand.until.since(almanac.now()))), () -> step(id));
     }
 
+    /**
+     * The errand that an answer is for, unless its time is over: what comes to a process that stood still is of the time
+     * before that.
+     */
+    private Errand inTime(long id) {
+        Errand errand = errands.get(id);
+        return errand != null && Safeguard.LATE_ANSWERS_DROPPED.holds() && !almanac.now().isBefore(errand.until) ? null : errand;
+    }
+
     @Override
     public void verdict(long id, Custodian.Verdict verdict) {
-        Errand errand = errands.get(id);
+        Errand errand = inTime(id);
         if (errand != null && errand.verdict != null && verdict != Custodian.Verdict.ELSEWHERE) {
             errands.remove(id);
             errand.verdict.accept(verdict);
@@ -110,7 +135,7 @@
 
     @Override
     public void reading(long id, Accession committed) {
-        Errand errand = errands.get(id);
+        Errand errand = inTime(id);
         if (errand != null && errand.reading != null) {
             errands.remove(id);
             errand.reading.accept(committed);
@@ -119,6 +144,11 @@
 
     @Override
     public void attested(long id, Edition newest) {
+        Errand errand = inTime(id);
+        if (errand != null && errand.confirmed != null) {
+            errands.remove(id);
+            errand.confirmed.run();
+        }
         Asked asked = asks.remove(id);
         if (asked != null && (attestedAt == null || attestedAt.isBefore(asked.at()))) {
             attestedAt = asked.at();
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -1,6 +1,7 @@
 package org.umbermount.archive;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
@@ -24,20 +25,26 @@
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
 
-    /** What a registrar tells of itself. */
-    public record Report(long incarnation, boolean votes, boolean diskGood, boolean leaving, long view, long edition,
+    /**
+     * What a registrar tells of itself.
+     *
+     * @param mayMove whether it is a voter with its memory that no promise binds
+     * @param inContact whether a majority answers it
+     */
+    public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood, boolean leaving, long view, long edition,
             long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
             List<String> duties, String zone, Imprint control, List<Imprint> heard) {
         void write(Script.Writer out) {
-            out.num(incarnation).flag(votes).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
+            out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
                     .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
-            return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.num(), in.num(), in.num(), in.num(),
-                    in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(), in.imprint(), in.list(Script.Reader::imprint));
+            return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
+                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(),
+                    in.imprint(), in.list(Script.Reader::imprint));
         }
     }
 
@@ -46,6 +53,10 @@
         private final Imprint imprint;
         private Report report;
         private Moment lastHeard = Moment.NEVER;
+        /** The newest moment of this daemon's clock that the peer has sent back. */
+        private Moment answered = Moment.NEVER;
+        /** The newest stamp of the peer's own clock. */
+        private long stamp = -1;
         private Moment goodSince;
         private Moment lostSince;
 
@@ -66,6 +77,11 @@
         public Moment lastHeard() {
             return lastHeard;
         }
+
+        /** When that was sent which the newest report answers. */
+        public Moment answered() {
+            return answered;
+        }
     }
 
     /** Gives the own report; the list of those heard is filled in here. */
@@ -79,6 +95,9 @@
     private final Map<Imprint, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
     private final Moment started;
+    /** Stamps of another life of this daemon are below it, or above now. */
+    private final long firstStamp;
+    private Runnable keeper = () -> { };
     private Moment lastTick;
     private Moment stalledUntil;
     private Moment connectedSince;
@@ -90,6 +109,7 @@
         this.post = post;
         this.reporter = reporter;
         this.started = almanac.now();
+        this.firstStamp = almanac.wallMillis();
         this.lastTick = started;
         this.stalledUntil = started;
         post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
@@ -111,6 +131,21 @@
         observers.add(observer);
     }
 
+    /** Sets what looks after each roll call that is sent, and before and after each that comes. */
+    void keep(Runnable look) {
+        keeper = look;
+    }
+
+    boolean isSelf(Imprint imprint) {
+        return imprint.equals(post.self());
+    }
+
+    /** When that was sent which a registrar has answered last; now for this one. */
+    Moment answered(Imprint imprint) {
+        Peer p = peers.get(imprint);
+        return isSelf(imprint) ? almanac.now() : p == null ? Moment.NEVER : p.answered;
+    }
+
     public Collection<Peer> peers() {
         return Collections.unmodifiableCollection(peers.values());
     }
@@ -146,6 +181,7 @@
             }
         }
         lastTick = now;
+        keeper.run();
         send(rounds % SLOW_ROUNDS == 0 || now.since(started) < FIRST_MS);
         for (Peer p : peers.values()) {
             judge(p, now);
@@ -162,24 +198,49 @@
         }
         Script.Writer out = Script.write();
         reporter.report(heard).write(out);
-        byte[] body = out.done();
+        byte[] report = out.done();
         for (Peer p : peers.values()) {
             if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
-                post.send(p.imprint, Postbag.Topic.ROLL_CALL, body);
+                send(p, report);
             }
         }
     }
 
+    /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
+    private void send(Peer to, byte[] report) {
+        byte[] stamps = Script.write().num(firstStamp + almanac.now().since(started)).num(to.stamp).done();
+        byte[] body = Arrays.copyOf(report, report.length + stamps.length);
+        System.arraycopy(stamps, 0, body, report.length, stamps.length);
+        post.send(to.imprint, Postbag.Topic.ROLL_CALL, body);
+    }
+
     private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Report report = Report.read(Script.read(body));
+        Script.Reader in = Script.read(body);
+        Report report = Report.read(in);
+        long stamp = in.num();
+        long echo = in.num();
+        keeper.run();
         boolean unknown = !peers.containsKey(from);
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, almanac.now()));
         Moment now = almanac.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
+        boolean anew = peer.report != null && peer.report.censusBoot() != report.censusBoot();
+        if (anew) {
+            peer.answered = Moment.NEVER;
+        } else if (stamp < peer.stamp) {
+            // Overtaken on its way by a newer one.
+            return;
+        }
         peer.report = report;
         peer.lastHeard = now;
+        peer.stamp = stamp;
+        Moment answered = started.plus(echo - firstStamp);
+        if (echo >= firstStamp && !now.isBefore(answered) && peer.answered.isBefore(answered)) {
+            peer.answered = answered;
+        }
         judge(peer, now);
-        if (unknown || wasSilent) {
+        keeper.run();
+        if (unknown || wasSilent || anew) {
             // Answer at once so that the other sees both directions without waiting for the next round.
             Script.Writer out = Script.write();
             List<Imprint> heard = new ArrayList<>();
@@ -189,7 +250,7 @@
                 }
             }
             reporter.report(heard).write(out);
-            post.send(from, Postbag.Topic.ROLL_CALL, out.done());
+            send(peer, out.done());
         }
         for (Consumer<Peer> o : observers) {
             o.accept(peer);
@@ -259,7 +320,7 @@
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
         Moment now = almanac.now();
-        return now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
+        return now.since(lastTick) > STALL_MS || now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
     /** Whether this daemon stood still so lately that what it knows of others may be old. */
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -13,6 +13,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
@@ -290,7 +291,8 @@
         Moment now = almanac.now();
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+        if (!custodian.charter().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+                && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -339,7 +341,8 @@
 
     private void granted(Imprint from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
-        if (h == null || h.epoch != epoch || h.asked.millis() != asked || almanac.now().since(h.asked) > GRANT_MS) {
+        if (h == null || h.epoch != epoch || h.asked.millis() != asked
+                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && almanac.now().since(h.asked) > GRANT_MS) {
             return;
         }
         h.granted.add(from);
@@ -352,7 +355,8 @@
         if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
             return;
         }
-        h.until = h.asked.plus(TERM_MS - MARGIN_MS);
+        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : almanac.now();
+        h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
             tally.count("tenure.begun");
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -122,6 +122,7 @@
         host.offer(Census.class, archive.census);
         host.offer(TenureOffice.class, archive.tenures);
         host.offer(RollCall.class, archive.rollCall);
+        host.offer(MajorityContact.class, archive.contact);
         host.offer(Porter.class, archive.porter);
         host.offer(StatusPage.class, section -> { });
         return host;
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 
 /**
@@ -19,6 +21,7 @@
     static final long HEARTBEAT_MS = 3_000;
     /** Changes within this time travel together. */
     private static final long COLLECT_MS = 8;
+    private static final long LAPSED_MS = 50;
 
     private static final class Sent {
         final long num;
@@ -51,6 +54,7 @@
     private boolean closed;
     private Vouching vouching = Vouching.NONE;
     private long renewMs = HEARTBEAT_MS;
+    private BooleanSupplier leased = () -> true;
 
     Consignor(Imprint proxy, long life, long epoch, Almanac almanac, Postbag post, Tally tally) {
         this.proxy = proxy;
@@ -63,6 +67,15 @@
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
     }
 
+    /** Sets what says at each moment whether the lease is held under which this sends. */
+    void under(BooleanSupplier lease) {
+        leased = lease;
+    }
+
+    private boolean mayEmit() {
+        return !Safeguard.LEASE_CHECKED_ON_SENDING.holds() || leased.getAsBoolean();
+    }
+
     /** From now on instructions say how fresh the table is known to be, at least as often as this. */
     void vouch(Vouching by, long everyMs) {
         vouching = by;
@@ -80,7 +93,7 @@
     /** The proxy needs to hear now how fresh its table is. */
     void renew() {
         Moment now = almanac.now();
-        if (now.since(lastSend) >= roundTrip.frame()) {
+        if (mayEmit() && now.since(lastSend) >= roundTrip.frame()) {
             sendEmpty(now);
             scheduleNext(now);
         }
@@ -170,6 +183,11 @@
 
     private void tick() {
         timer = null;
+        if (!mayEmit()) {
+            // As after a stop of this process, before anyone has noticed that the lease ran out.
+            schedule(LAPSED_MS);
+            return;
+        }
         Moment now = almanac.now();
         long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
         long wait = frame - now.since(lastSend);
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -13,6 +13,7 @@
 import org.umbermount.archive.Census;
 import org.umbermount.archive.CensusEntry;
 import org.umbermount.archive.Custodian;
+import org.umbermount.archive.MajorityContact;
 import org.umbermount.archive.Porter;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.RollCall;
@@ -30,6 +31,7 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
 /** The sending side as a plug-in of the registrar: one sender for each proxy of the zones whose duty is held. */
@@ -37,7 +39,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
-    private static final long STEADY_MS = 20;
     private static final long ASKER_LOOK_MS = 20;
     private static final int ASKER_LOOKS = 25;
     private static final String QUOTA = "quota/";
@@ -55,6 +56,7 @@
     private Census census;
     private TenureOffice tenures;
     private RollCall rollCall;
+    private MajorityContact contact;
     private boolean dirty = true;
     private boolean assured;
     private Inventory table = Inventory.EMPTY;
@@ -119,6 +121,7 @@
         census = host.find(Census.class);
         tenures = host.find(TenureOffice.class);
         rollCall = host.find(RollCall.class);
+        contact = host.find(MajorityContact.class);
         porter = host.find(Porter.class);
         strict = host.rules().bounds().sharing().strictRevocation();
         post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
@@ -277,14 +280,13 @@
     }
 
     /**
-     * Whether what this daemon holds may be handed out: committed, whole, and the newest that a majority knows of.
-     * Every committed edition is held by a majority of the voters, so one that was missed would show in a report.
+     * Whether what this daemon holds may be handed out to a lector that has nothing: whole, and confirmed just now as the
+     * newest by a majority, none of those heard of holding anything newer.
      */
     private boolean reliable() {
         Edition edition = custodian.committed().edition();
-        if (!census.ready() || edition.equals(Edition.NONE) || custodian.newestEdition().isAfter(edition)
-                || custodian.standing() == Custodian.Standing.RECOVERING || rollCall.stalledWithin(0)
-                || rollCall.reachedForMs(custodian.charter()) < STEADY_MS) {
+        if (!census.ready() || !assured() || custodian.newestEdition().isAfter(edition)
+                || Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() && !contact.confirms(edition)) {
             return false;
         }
         for (RollCall.Peer p : rollCall.peers()) {
@@ -296,21 +298,20 @@
     }
 
     /**
-     * Whether what this daemon found on its disk has been shown since its start to be the newest. A lector that holds
-     * nothing would take an older edition for the one in force.
+     * Whether what this daemon holds has been confirmed as the newest since it was last without contact, or without its
+     * memory. A lector that holds nothing would take an older edition for the one in force.
      */
     private boolean assured() {
-        if (!assured) {
-            Accession committed = custodian.committed();
-            assured = !committed.edition().equals(Edition.NONE)
-                    && (committed.view() == custodian.charter().number() || reliable());
-        }
+        boolean now = contact.assured();
+        assured = Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() ? now : assured || now;
         return assured;
     }
 
     private void beginOnceAssured() {
-        if (!assured && assured()) {
+        boolean before = assured;
+        if (!before && assured()) {
             reconcile();
+            offerAll();
         }
     }
 
@@ -372,6 +373,8 @@
                         c.stamped(e.getValue().life, e.getValue().stamp, e.getValue().heard);
                     }
                 }
+                String zone = e.getValue().zone;
+                c.under(() -> tenures.epoch(zone) == epoch);
                 c.offer(table());
             }
         }
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -15,6 +15,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.Ledger;
@@ -29,6 +30,8 @@
     private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
     private static final long FETCH_MS = 200;
+    /** After so long a question to the voters counts as lost. */
+    private static final long CONFIRM_MS = 60;
     private static final int PASS_BYTES = 48 << 10;
     private static final int PORTION_BYTES = 256 << 10;
     /** After so long a claim that was not closed cannot be at work any more. */
@@ -75,6 +78,8 @@
     private long committed = -1;
     private long toldCommitted = -1;
     private Fetching fetching;
+    private List<Runnable> unconfirmed = new ArrayList<>();
+    private Moment confirmingSince = Moment.NEVER;
 
     private static final class Fetching {
         final long view;
@@ -153,6 +158,9 @@
         committed = -1;
         toldCommitted = -1;
         fetching = null;
+        // Those that wait for a word ask again.
+        unconfirmed.clear();
+        confirmingSince = Moment.NEVER;
         join();
     }
 
@@ -390,11 +398,11 @@
                         reply(from, serial, Reply.GRANTED, NOTHING);
                     }
                 } else if (almanac.now().since(s.since) < LONGEST_WORK_MS) {
-                    reply(from, serial, Reply.BUSY, NOTHING);
+                    replyConfirmed(from, serial, Reply.BUSY);
                 } else if (mayRepeat) {
                     enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
-                    reply(from, serial, Reply.UNKNOWN, NOTHING);
+                    replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
             }
             case ANSWER -> {
@@ -409,13 +417,45 @@
                 if (mayRepeat && !same) {
                     enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
-                    reply(from, serial, Reply.UNKNOWN, NOTHING);
+                    replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
             }
-            default -> reply(from, serial, Reply.UNKNOWN, NOTHING);
+            default -> replyConfirmed(from, serial, Reply.UNKNOWN);
         }
     }
 
+    /**
+     * Says no to a try, or that there is nothing to note, once a majority has confirmed that this view is still in force: a
+     * head that was left behind does not know what has been claimed, released or answered since. What is decided while a
+     * question is out waits for the next one.
+     */
+    private void replyConfirmed(Imprint to, long serial, Reply why) {
+        if (!Safeguard.OPERATION_REFUSAL_CONFIRMED.holds()) {
+            reply(to, serial, why, NOTHING);
+            return;
+        }
+        unconfirmed.add(() -> reply(to, serial, why, NOTHING));
+        if (almanac.now().since(confirmingSince) >= CONFIRM_MS) {
+            confirmReplies();
+        }
+    }
+
+    private void confirmReplies() {
+        List<Runnable> some = unconfirmed;
+        unconfirmed = new ArrayList<>();
+        Moment asked = almanac.now();
+        confirmingSince = asked;
+        custodian.whileInForce(() -> {
+            some.forEach(Runnable::run);
+            if (confirmingSince.equals(asked)) {
+                confirmingSince = Moment.NEVER;
+                if (!unconfirmed.isEmpty()) {
+                    confirmReplies();
+                }
+            }
+        });
+    }
+
     /** Only the fact is kept here: whoever has the answer gives it to the lector. */
     private void askForAnswer(Imprint lector, long serial, Slip s) {
         tally.count("loans.answers.elsewhere");
@@ -450,7 +490,7 @@
         boolean open = mine && (s.kind == Slip.Kind.CLAIM || s.kind == Slip.Kind.END && how == Slip.Kind.ANSWER)
                 || s == null && how == Slip.Kind.RELEASE;
         if (!open) {
-            reply(from, serial, Reply.STORED, NOTHING);
+            replyConfirmed(from, serial, Reply.STORED);
         } else if (how == Slip.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
             tally.count("loans.answers.unkept");
             enter(Slip.Kind.END, key, from, serial, NOTHING);
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.umbermount.archive.Custodian;
+import org.umbermount.archive.MajorityContact;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.TenureOffice;
 import org.umbermount.kernel.Almanac;
@@ -12,6 +13,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
@@ -25,18 +27,20 @@
     private final Postbag post;
     private final Custodian custodian;
     private final TenureOffice tenures;
+    private final MajorityContact contact;
     private final HouseRules.Sharing sharing;
     private final Tally tally;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private Regulations limitsOf;
     private Map<String, Regulations.Tenant> limits = Map.of();
 
-    QuotaDesk(Almanac almanac, Postbag post, Custodian custodian, TenureOffice tenures, HouseRules.Sharing sharing,
-            Tally tally) {
+    QuotaDesk(Almanac almanac, Postbag post, Custodian custodian, TenureOffice tenures,
+            MajorityContact contact, HouseRules.Sharing sharing, Tally tally) {
         this.almanac = almanac;
         this.post = post;
         this.custodian = custodian;
         this.tenures = tenures;
+        this.contact = contact;
         this.sharing = sharing;
         this.tally = tally;
         post.subscribe(Postbag.Topic.QUOTA, this::receive);
@@ -74,6 +78,10 @@
             Imprint holder = tenures.holder(QuotaMessages.dutyOf(wish.tenant()));
             return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? Imprint.NONE : holder);
         }
+        if (Safeguard.QUOTA_UNDER_CONFIRMED_EDITION.holds() && !contact.assured()) {
+            // The limits held here may be old ones: as after a cut, when the lease is back before the configuration.
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, post.self());
+        }
         Regulations.Tenant limit = limits().get(wish.tenant());
         if (limit == null || !limit.limited()) {
             return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
--- a/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
+++ b/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.umbermount.archive.Custodian;
+import org.umbermount.archive.MajorityContact;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.StatusPage;
 import org.umbermount.archive.TenureOffice;
@@ -37,7 +38,7 @@
         custodian = host.find(Custodian.class);
         if (host.rules().guarantees(HouseRules.QUOTA)) {
             desk = new QuotaDesk(host.almanac(), host.find(Postbag.class), custodian, host.find(TenureOffice.class),
-                    host.rules().bounds().sharing(), host.tally());
+                    host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
         if (page != null) {
