Cuts of 20 s in every way, at every registrar, and what each safeguard is for

Cause: nothing brought about a long cut and looked at each thing that leaves a registrar. The fake network shows and holds back messages.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -12,7 +12,6 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.Stack;
@@ -81,8 +80,7 @@
         convener.start();
         rollCall.start();
         census.start(rollCall, custodian::charter, () -> contact.unbrokenMs() > IN_TOUCH_MS,
-                () -> !rollCall.unsettled(2 * rules.heartbeatMs()) && (Safeguard.CONTACT_BEFORE_SILENCE_COUNTS.holds()
-                        ? contact.unbrokenMs() : rollCall.reachedForMs(custodian.charter())) > 2 * rules.heartbeatMs());
+                () -> !rollCall.unsettled(2 * rules.heartbeatMs()) && contact.unbrokenMs() > 2 * rules.heartbeatMs());
         notebook.start();
         tenures.start();
     }
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -100,7 +100,6 @@
     private Runnable keeper = () -> { };
     private Moment lastTick;
     private Moment stalledUntil;
-    private Moment connectedSince;
     private boolean leaving;
     private int rounds;
 
@@ -323,11 +322,6 @@
         return now.since(lastTick) > STALL_MS || now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
-    /** Whether this daemon stood still so lately that what it knows of others may be old. */
-    public boolean stalledWithin(long ms) {
-        return stalledUntil != started && almanac.now().isBefore(stalledUntil.plus(ms));
-    }
-
     /** Whether this daemon and those it is connected with are a majority of the voters. */
     public boolean reachesMajority(Charter charter) {
         int n = 0;
@@ -336,17 +330,6 @@
                 n++;
             }
         }
-        boolean reaches = !charter.electorate().isEmpty() && n >= charter.majority();
-        if (!reaches) {
-            connectedSince = null;
-        } else if (connectedSince == null) {
-            connectedSince = almanac.now();
-        }
-        return reaches;
-    }
-
-    /** How long a majority has been reached without a break that was noticed. */
-    public long reachedForMs(Charter charter) {
-        return reachesMajority(charter) ? almanac.now().since(connectedSince) : 0;
+        return !charter.electorate().isEmpty() && n >= charter.majority();
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -128,6 +128,19 @@
         return host;
     }
 
+    /** The clock of a running process. */
+    public Almanac clock(int i) {
+        return clocks.get(i);
+    }
+
+    public TenureOffice tenures(int i) {
+        return running.get(i).tenures;
+    }
+
+    public MajorityContact contact(int i) {
+        return running.get(i).contact;
+    }
+
     public FakePost.Bag bag(int i) {
         return bags.get(i);
     }
--- /dev/null
+++ b/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
@@ -0,0 +1,217 @@
+package org.umbermount.courier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Fleet;
+import org.umbermount.archive.Isolation;
+import org.umbermount.gazetteer.Gazetteer;
+import org.umbermount.gazetteer.Placename;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Institution;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+
+/** What a registrar that is cut off, or was, sends to lectors. */
+class CutOffSenderTest {
+    private static final int SIZE = 4;
+    private static final long CUT_MS = 20_000;
+    private static final long SYNC_MS = 4_000;
+
+    /** One lector in each zone, with registrars as they are. */
+    private static final class Site {
+        final Fleet fleet = new Fleet(SIZE, 3, 21, 1, null);
+        final List<Consignee> lectors = new ArrayList<>();
+        /** Epochs and editions of tables that a registrar has sent, with the time. */
+        final List<long[]> sent = new ArrayList<>();
+        int watched = -1;
+
+        Site() throws IOException {
+            for (int i = 0; i < SIZE; i++) {
+                Institution host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
+                furnish(host, Fleet.imprint(i), Role.REGISTRAR, Fleet.zone(i), fleet.bag(i));
+                new SendingDepartment().open(host);
+            }
+            for (int i = 0; i < SIZE; i++) {
+                lectors.add(lector(i, 1, fleet.almanac));
+            }
+            fleet.network.tap = (from, to, topic, body) -> {
+                if (topic == Postbag.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.imprint(watched))) {
+                    note(body);
+                }
+                return true;
+            };
+            fleet.run(9_000);
+            take(2, 0, 1);
+            fleet.run(2_000);
+            for (Consignee c : lectors) {
+                assertEquals(1, c.inForce().edition().value());
+            }
+        }
+
+        private void note(byte[] body) {
+            try {
+                Dispatch d = Dispatch.unpack(body);
+                sent.add(new long[] {fleet.almanac.now().millis(), d.epoch(), d.vouched(), d.vouchAge()});
+            } catch (Script.UnreadableException e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        private static HouseRules rules(String zone, Imprint self) {
+            Map<String, String> zones = new HashMap<>();
+            List<Imprint> seeds = new ArrayList<>();
+            for (int z = 0; z < SIZE; z++) {
+                zones.put(Fleet.zone(z), "r");
+                if (z < 3) {
+                    seeds.add(Fleet.imprint(z).withPort(8000));
+                }
+            }
+            return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
+                    Set.of(), new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+        }
+
+        private static Gazetteer furnish(Institution host, Imprint self, Role role, String zone, Postbag bag) {
+            Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0),
+                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.almanac(), bag, new Tally(),
+                    new Random(self.packed()));
+            host.offer(Postbag.class, bag);
+            host.offer(Gazetteer.class, g);
+            g.start();
+            return g;
+        }
+
+        static Imprint imprint(int zone, int k) {
+            return Imprint.parse("10." + (zone + 1) + ".1." + k + ":7001");
+        }
+
+        Consignee lector(int zone, int k, Almanac clock) {
+            Imprint self = imprint(zone, k);
+            Institution host = new Institution(Role.LECTOR, rules(Fleet.zone(zone), self), clock);
+            furnish(host, self, Role.LECTOR, Fleet.zone(zone), fleet.network.bag(self));
+            new ReceivingDepartment().open(host);
+            return host.find(Consignee.class);
+        }
+
+        void take(int at, long match, long edition) {
+            Custodian.Verdict[] verdict = new Custodian.Verdict[1];
+            fleet.porter(at).submit(new Edition(match), new Edition(edition),
+                    ("{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[]}").getBytes(), 850,
+                    v -> verdict[0] = v, () -> { });
+            fleet.run(900);
+            assertEquals(Custodian.Verdict.TAKEN, verdict[0]);
+        }
+    }
+
+    /** Lectors stay where they were; each hears of a change made during the cut, and of one made after it. */
+    @ParameterizedTest
+    @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROM_SOME", "FROZEN"})
+    void noLectorIsLeftWithoutASenderByACut(Isolation how) throws IOException {
+        for (int one = 0; one < SIZE; one++) {
+            Site site = new Site();
+            site.watched = one;
+            Moment cut = site.fleet.almanac.now();
+            Runnable end = how.begin(site.fleet, SIZE, one);
+            site.fleet.run(2_600);
+            site.sent.clear();
+            int other = (one + 2) % SIZE;
+            site.take(other, 1, 5);
+            site.fleet.run(1_600);
+            for (Consignee c : site.lectors) {
+                assertEquals(5, c.inForce().edition().value(), how + " of " + one);
+            }
+            site.fleet.run(CUT_MS - site.fleet.almanac.now().since(cut));
+            assertTrue(site.sent.isEmpty(), "it sent to a lector " + how + " of " + one);
+            end.run();
+            site.fleet.run(SYNC_MS);
+            for (Consignee c : site.lectors) {
+                assertEquals(5, c.inForce().edition().value());
+            }
+            site.take(one, 5, 6);
+            for (Consignee c : site.lectors) {
+                assertEquals(6, c.inForce().edition().value());
+            }
+        }
+    }
+
+    private interface Check {
+        String run() throws Exception;
+    }
+
+    private static void rests(Safeguard on, Check check) throws Exception {
+        assertNull(check.run(), "with " + on);
+        assertNotNull(Mutation.without(on, check::run), "not noticed without " + on);
+    }
+
+    /** What falls due during a stop runs right after it, before anyone has seen that the lease is over. */
+    @Test
+    void aSenderThatStoodStillSendsNothingUnderItsOldLease() throws Exception {
+        rests(Safeguard.LEASE_CHECKED_ON_SENDING, () -> {
+            Site site = new Site();
+            long epoch = site.fleet.tenures(1).epoch(Fleet.zone(1));
+            assertTrue(epoch > 0);
+            site.fleet.run(700);
+            site.fleet.freeze(1);
+            site.fleet.run(CUT_MS);
+            site.watched = 1;
+            site.fleet.thaw(1);
+            site.fleet.run(3_000);
+            for (long[] s : site.sent) {
+                if (s[1] == epoch) {
+                    return "sent under epoch " + epoch + " at " + s[0];
+                }
+            }
+            return null;
+        });
+    }
+
+    /** After the cut the lease is back, but news of the newer configuration is lost for a while; a lector starts then. */
+    @Test
+    void aSenderThatComesBackOffersNothingBeforeItsEditionIsConfirmed() throws Exception {
+        rests(Safeguard.EDITION_CONFIRMED_BEFORE_TABLES, () -> {
+            Site site = new Site();
+            Runnable end = Isolation.BOTH_WAYS.begin(site.fleet, SIZE, 1);
+            site.fleet.run(4_000);
+            site.take(3, 1, 5);
+            site.fleet.run(8_000);
+            long until = site.fleet.almanac.now().millis() + 3_000;
+            site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(1))
+                    || topic != Postbag.Topic.CHARTER || site.fleet.almanac.now().millis() > until;
+            end.run();
+            site.fleet.run(300);
+            Consignee fresh = site.lector(1, 2, site.fleet.almanac);
+            long[] first = new long[1];
+            fresh.observe(t -> first[0] = first[0] == 0 ? t.edition().value() : first[0]);
+            // It reaches only the registrar of its own zone: the others would have given it the newer one.
+            for (int i = 0; i < SIZE; i++) {
+                if (i != 1) {
+                    site.fleet.network.cutBoth(Site.imprint(1, 2), Fleet.imprint(i));
+                }
+            }
+            site.fleet.run(8_000);
+            assertEquals(5, fresh.inForce().edition().value());
+            return first[0] < 5 ? "the first table had edition " + first[0] : null;
+        });
+    }
+}
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -25,8 +25,6 @@
     NEWS_WITH_MAJORITY,
     /** News that was not acknowledged the first time is not acknowledged to a repeat for its being known here. */
     REPEATED_NEWS_WAITS,
-    /** Servers' silence counts only while a majority has answered without a break. */
-    CONTACT_BEFORE_SILENCE_COUNTS,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
     /** The lease is looked at each time that something is sent to a lector, not only when it is known to have ended. */
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
@@ -24,6 +24,13 @@
     public long delayMs = 1;
     public long jitterMs;
     public long sent;
+    /** Sees each message that is sent, and says whether it goes on its way. */
+    public Tap tap = (from, to, topic, body) -> true;
+
+    /** Looks at messages. */
+    public interface Tap {
+        boolean passes(Imprint from, Imprint to, Postbag.Topic topic, byte[] body);
+    }
 
     public FakePost(FakeAlmanac almanac, long seed) {
         this.almanac = almanac;
@@ -97,7 +104,8 @@
         @Override
         public void send(Imprint to, Topic topic, byte[] body) {
             sent++;
-            if (bags.get(self) != this || cuts.contains(key(self, to)) || random.nextDouble() < loss) {
+            if (bags.get(self) != this || cuts.contains(key(self, to)) || random.nextDouble() < loss
+                    || !tap.passes(self, to, topic, body)) {
                 return;
             }
             int copies = random.nextDouble() < doubles ? 2 : 1;
