Operations and quotas at a registrar that is cut off, or was

Cause: a head of the line that was left behind said 409 for what had been released, and "noted" for an answer of a claim that it had never heard of, which was lost thereby; a counter that came back from a cut applied the limits of before it. Change: tests that bring both about, with the safeguards left out one at a time. Before and after: LoansTest and CutOffQuotaTest pass; each case is noticed without its safeguard. Conclusion: none beyond that.

--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -35,6 +35,7 @@
     private final int seeds;
     private final int tolerated;
     private final Attachment attachment;
+    private final java.util.Set<String> guarantees;
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalAlmanac> clocks = new HashMap<>();
@@ -44,7 +45,13 @@
     }
 
     public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment) throws IOException {
+        this(size, seeds, seed, tolerated, attachment, java.util.Set.of());
+    }
+
+    public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment, java.util.Set<String> guarantees)
+            throws IOException {
         this.size = size;
+        this.guarantees = guarantees;
         this.tolerated = tolerated;
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
@@ -75,7 +82,7 @@
             zones.put(zone(z), "r");
         }
         HouseRules rules = new HouseRules("n" + i, zone(i), zones, imprint(i).host(), Map.of(), 7000, 7010, seedNodes,
-                bootstrap, "/data", 100, 1000, 1500, tolerated, java.util.Set.of(),
+                bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeVault disk = disks.get(i);
         disk.clock(clock);
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/loans/src/test/java/org/umbermount/loans/LoansTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,7 +21,9 @@
 import org.umbermount.archive.Fleet;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.Ledger;
@@ -111,6 +114,51 @@
         return told;
     }
 
+    /**
+     * The head is cut off from the other registrars, but not from lectors, and two operations have moved on without it: one was
+     * released, and one was claimed that the old head has never heard of. A lector that still takes it for the head is refused
+     * nothing there, and told of nothing that it is noted.
+     */
+    @Test
+    void aHeadThatIsCutOffRefusesNothingAndNotesNothing() throws Exception {
+        assertNull(leftBehind());
+        assertNotNull(Mutation.without(Safeguard.OPERATION_REFUSAL_CONFIRMED, this::leftBehind));
+    }
+
+    private String leftBehind() throws IOException {
+        lectors.clear();
+        desks.clear();
+        open(8);
+        Told first = new Told();
+        LoanCounter.Ticket released = claim(0, "k", first);
+        fleet.run(200);
+        assertEquals("granted", first.word);
+        Imprint old = fleet.custodian(0).charter().head();
+        for (int i = 0; i < SIZE; i++) {
+            if (!Fleet.imprint(i).equals(old)) {
+                fleet.network.cutBoth(old, Fleet.imprint(i));
+            }
+        }
+        fleet.network.cutBoth(old, Imprint.parse("10.9.0.1:7001"));
+        fleet.run(4_000);
+        released.close(LoanCounter.End.RELEASED, new byte[0]);
+        fleet.run(2_000);
+        assertEquals(0, lectors.get(0).closing());
+        Told noted = new Told();
+        LoanCounter.Ticket answered = claim(2, "m", noted);
+        fleet.run(900);
+        assertEquals("granted", noted.word);
+        lectors.get(2).head(old);
+        answered.close(LoanCounter.End.ANSWERED, new byte[] {4});
+        lectors.get(1).head(old);
+        Told second = ask(1, "k");
+        fleet.run(3_000);
+        lectors.get(0).head(null);
+        Told repeat = ask(0, "m");
+        return second.word.equals("busy") ? "busy with what was released"
+                : !"answered".equals(repeat.word) ? "the answer was lost: " + repeat.word : null;
+    }
+
     @Test
     void firstTryRunsAndARepeatElsewhereGetsItsAnswer() throws IOException {
         open(1);
--- /dev/null
+++ b/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
@@ -0,0 +1,144 @@
+package org.umbermount.readership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Fleet;
+import org.umbermount.archive.Isolation;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.testing.FakePost;
+
+/** What a counter of quotas grants that is cut off, or was. */
+class CutOffQuotaTest {
+    private static final int SIZE = 4;
+    private static final Imprint LECTOR = Imprint.parse("10.9.9.9:7001");
+    private Fleet fleet;
+    private FakePost.Bag lector;
+    private final Map<Imprint, Integer> granted = new HashMap<>();
+
+    private void open() throws IOException {
+        fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(HouseRules.QUOTA));
+        for (int i = 0; i < SIZE; i++) {
+            new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.custodian(i), fleet.tenures(i), fleet.contact(i),
+                    HouseRules.Sharing.NONE, new Tally());
+        }
+        lector = fleet.network.bag(LECTOR);
+        lector.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
+            Script.Reader in = Script.read(body);
+            in.flag();
+            for (QuotaMessages.Grant g : QuotaMessages.Answer.read(in).grants()) {
+                granted.put(from, g.count());
+            }
+        });
+        fleet.run(10_000);
+        take(0, 0, 1, 50);
+        fleet.run(1_000);
+    }
+
+    private void take(int at, long match, long edition, int rate) {
+        Custodian.Verdict[] verdict = new Custodian.Verdict[1];
+        fleet.porter(at).submit(new Edition(match), new Edition(edition), ("{\"revision\":" + edition
+                + ",\"routeTable\":[],\"upstreams\":[],\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"key-of-mill-0001\"],"
+                + "\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}").getBytes(), 850,
+                v -> verdict[0] = v, () -> { });
+        fleet.run(900);
+        assertEquals(Custodian.Verdict.TAKEN, verdict[0]);
+    }
+
+    private void ask(int at) {
+        lector.send(Fleet.imprint(at), Postbag.Topic.QUOTA,
+                new QuotaMessages.Ask(fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
+    }
+
+    private int holder() {
+        List<Integer> holders = new ArrayList<>();
+        for (int i = 0; i < SIZE; i++) {
+            if (fleet.tenures(i).epoch(QuotaMessages.dutyOf("mill")) > 0) {
+                holders.add(i);
+            }
+        }
+        assertTrue(holders.size() <= 1, "two count: " + holders);
+        return holders.isEmpty() ? -1 : holders.get(0);
+    }
+
+    /** Cut off or frozen: what is asked there, or waited there, is granted nothing once the lease may be another's. */
+    @Test
+    void aHolderThatIsCutOffOrStoodStillGrantsNothing() throws IOException {
+        for (Isolation how : List.of(Isolation.BOTH_WAYS, Isolation.OUTWARD, Isolation.INWARD, Isolation.FROZEN)) {
+            open();
+            int one = holder();
+            Runnable end = how.begin(fleet, SIZE, one);
+            fleet.run(1_600);
+            granted.clear();
+            for (int t = 0; t < 18; t++) {
+                ask(one);
+                fleet.run(1_000);
+            }
+            if (how == Isolation.FROZEN) {
+                assertTrue(granted.isEmpty());
+                fleet.thaw(one);
+                fleet.run(2);
+            }
+            assertEquals(-1, granted.get(Fleet.imprint(one)), how.toString());
+            assertTrue(holder() >= 0 && holder() != one, "nobody counts meanwhile");
+            end.run();
+        }
+    }
+
+    /** The lease is back, and news of the newer limits is lost for a while. */
+    @Test
+    void aHolderAppliesNoLimitsThatMayBeOld() throws Exception {
+        assertNull(oldLimits());
+        assertNotNull(Mutation.without(Safeguard.QUOTA_UNDER_CONFIRMED_EDITION, this::oldLimits));
+    }
+
+    private String oldLimits() throws IOException {
+        open();
+        int one = holder();
+        Runnable end = Isolation.BOTH_WAYS.begin(fleet, SIZE, one);
+        fleet.run(4_000);
+        take((one + 1) % SIZE, 1, 5, 1);
+        fleet.run(12_000);
+        long until = fleet.almanac.now().millis() + 12_000;
+        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Postbag.Topic.CHARTER
+                || fleet.almanac.now().millis() > until;
+        // The others stop, one after the other, so that the duty comes back.
+        end.run();
+        fleet.run(2_500);
+        String wrong = null;
+        int counted = 0;
+        for (int t = 0; t < 400; t++) {
+            granted.clear();
+            int now = holder();
+            if (now >= 0 && now != one && t % 100 == 20) {
+                fleet.tenures(now).releaseAll();
+            }
+            ask(one);
+            fleet.run(20);
+            counted += holder() == one ? 1 : 0;
+            if (granted.getOrDefault(Fleet.imprint(one), -1) >= 0
+                    && fleet.custodian(one).committed().edition().value() < 5) {
+                wrong = "granted under edition " + fleet.custodian(one).committed().edition();
+            }
+        }
+        assertTrue(counted > 0, "the duty never came back");
+        return wrong;
+    }
+}
