--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -31,12 +31,12 @@
      * @param mayMove whether it is a voter with its memory that no promise binds
      * @param inContact whether a majority answers it
      */
-    public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood, boolean leaving, long view, long edition,
-            long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
+    public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
+            boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
             List<String> duties, String zone, Imprint control, List<Imprint> heard) {
         void write(Script.Writer out) {
-            out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition).num(newestEdition)
-                    .num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
+            out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
+                    .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint);
         }
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/loans/src/test/java/org/umbermount/loans/LoansTest.java
@@ -115,9 +115,9 @@
     }
 
     /**
-     * The head is cut off from the other registrars, but not from lectors, and two operations have moved on without it: one was
-     * released, and one was claimed that the old head has never heard of. A lector that still takes it for the head is refused
-     * nothing there, and told of nothing that it is noted.
+     * The head is cut off from the other registrars, but not from lectors, and two operations have moved on without it: one
+     * was released, and one was claimed that the old head has never heard of. A lector that still takes it for the head is
+     * refused nothing there, and told of nothing that it is noted.
      */
     @Test
     void aHeadThatIsCutOffRefusesNothingAndNotesNothing() throws Exception {
