Who has restarted rests its grants on answers that it asked for itself

Cause: a roll call counted as sent when it came; one that was long on its way could say that nobody holds a duty which by then was held. A process that had stood still said in its first roll call that it held what had run out. A lease is told of only while it holds.

--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -121,7 +121,8 @@
      */
     private Errand inTime(long id) {
         Errand errand = errands.get(id);
-        return errand != null && Safeguard.LATE_ANSWERS_DROPPED.holds() && !almanac.now().isBefore(errand.until) ? null : errand;
+        boolean late = errand != null && !almanac.now().isBefore(errand.until);
+        return late && Safeguard.LATE_ANSWERS_DROPPED.holds() ? null : errand;
     }
 
     @Override
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/RollCall.java
@@ -32,8 +32,9 @@
      * @param inContact whether a majority answers it
      */
     public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
-            boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq, long censusDigest, boolean censusReady, long settledView,
-            List<String> duties, String zone, Imprint control, List<Imprint> heard) {
+            boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
+            long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
+            List<Imprint> heard) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
                     .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
@@ -310,10 +311,10 @@
         return p.lostSince == null ? 0 : now.since(p.lostSince);
     }
 
-    /** Whether a peer is connected and has said how it is later than a moment. */
-    public boolean heardSince(Imprint imprint, Moment moment) {
+    /** Whether a peer is connected and has said how it is in answer to something sent later than a moment. */
+    public boolean answeredSince(Imprint imprint, Moment moment) {
         Peer p = peers.get(imprint);
-        return p != null && isConnected(p, almanac.now()) && moment.isBefore(p.lastHeard);
+        return p != null && isConnected(p, almanac.now()) && moment.isBefore(p.answered);
     }
 
     /** Whether this daemon itself stood still a moment ago or has just started. */
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -96,6 +96,8 @@
 
     public void start() {
         almanac.every(LOOP_MS, this::reconcile);
+        // Who answers this could not become a holder by what was granted here before the start.
+        almanac.after(REPORTED_MS + 1, rollCall::callNow);
     }
 
     public void observe(Observer observer) {
@@ -312,7 +314,7 @@
     }
 
     /**
-     * Whether every voter but the one that asks has said, well after this daemon's start, that it does not hold the
+     * Whether every voter but the one that asks has said, asked well after this daemon's start, that it does not hold the
      * duty. Only voters hold duties, and none becomes a holder later than {@link #GRANT_MS} after it asked.
      */
     private boolean nobodyHolds(String duty, Imprint except) {
@@ -321,7 +323,8 @@
             if (who.equals(except) || who.equals(post.self())) {
                 continue;
             }
-            if (!rollCall.heardSince(who, started.plus(REPORTED_MS)) || rollCall.peer(who).report().duties().contains(duty)) {
+            if (!rollCall.answeredSince(who, started.plus(REPORTED_MS))
+                    || rollCall.peer(who).report().duties().contains(duty)) {
                 return false;
             }
         }
@@ -331,9 +334,9 @@
     /** The duties that are held here now. */
     List<String> activeDuties() {
         List<String> active = new ArrayList<>();
-        for (Map.Entry<String, Held> e : held.entrySet()) {
-            if (e.getValue().active) {
-                active.add(e.getKey());
+        for (String duty : held.keySet()) {
+            if (epoch(duty) > 0) {
+                active.add(duty);
             }
         }
         return active;
