--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -61,16 +61,20 @@
         Accession state = durable.memory().state();
         TakenOrders.Finding found = commits.committed().taken().find(order);
         if (!order.rises()) {
-            refuse(s, Custodian.Verdict.NOT_HIGHER);
+            conclude(s, Custodian.Verdict.NOT_HIGHER);
         } else if (found == TakenOrders.Finding.TAKEN) {
-            answer(s, Custodian.Verdict.TAKEN);
+            if (Safeguard.REPEAT_CONFIRMED.holds()) {
+                conclude(s, Custodian.Verdict.TAKEN);
+            } else {
+                answer(s, Custodian.Verdict.TAKEN);
+            }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
             tally.count("archive.orders.unclear");
         } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
             // The version it builds on has been built on: it was not taken then, and never will be.
-            refuse(s, Custodian.Verdict.STALE);
+            conclude(s, Custodian.Verdict.STALE);
         } else if (!order.match().equals(state.edition())) {
             refuseAhead(s, state);
         } else if (s.blob().length == 0) {
@@ -90,15 +94,15 @@
         forward();
     }
 
-    /** Until a majority has confirmed the view, nothing can come to pass here that would take the order. */
-    private void refuse(Submission s, Custodian.Verdict verdict) {
-        confirmation.refuse(s.origin(), s.id(), s.order(), verdict);
+    /** Until a majority has confirmed the view, nothing can come to pass here that would make the verdict another one. */
+    private void conclude(Submission s, Custodian.Verdict verdict) {
+        confirmation.verdict(s.origin(), s.id(), s.order(), verdict);
     }
 
     /** What is not committed may still give way, and then the version below it is the newest again: nothing is said then. */
     private void refuseAhead(Submission s, Accession state) {
         if (commits.committed().isSameAs(state) && aheads.bar(s.order(), almanac.now())) {
-            refuse(s, Custodian.Verdict.STALE);
+            conclude(s, Custodian.Verdict.STALE);
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/Porter.java
@@ -33,6 +33,7 @@
         Runnable ask;
         Consumer<Custodian.Verdict> verdict;
         Consumer<Accession> reading;
+        Runnable confirmed;
         Runnable gaveUp;
         Moment until;
         /** The one view that it may be put to; 0 for any. */
@@ -101,6 +102,20 @@
         return Safeguard.REPLY_OF_THIS_LIFE.holds() ? answered : new RequestId(life, answered.number());
     }
 
+    /** Has a majority confirm that the view is in force, asked from now on; exactly one of the two is called. */
+    public void confirm(long patienceMs, Runnable confirmed, Runnable gaveUp) {
+        Errand errand = new Errand();
+        RequestId id = nextId();
+        errand.confirmed = confirmed;
+        errand.ask = () -> {
+            Imprint tail = custodian.charter().tail();
+            if (tail != null) {
+                custodian.sendAttest(tail, id);
+            }
+        };
+        begin(id, errand, patienceMs, gaveUp);
+    }
+
     private void begin(RequestId id, Errand errand, long patienceMs, Runnable gaveUp) {
         errand.gaveUp = gaveUp;
         errand.until = almanac.now().plus(patienceMs);
@@ -122,9 +137,19 @@
         almanac.after(Math.min(REPEAT_MS, Math.max(1, errand.until.since(almanac.now()))), () -> step(id));
     }
 
+    /**
+     * The errand that an answer is for, unless its time is over: what comes to a process that stood still is of the time
+     * before that.
+     */
+    private Errand inTime(RequestId id) {
+        Errand errand = errands.get(id);
+        boolean late = errand != null && !almanac.now().isBefore(errand.until);
+        return late && Safeguard.LATE_ANSWERS_DROPPED.holds() ? null : errand;
+    }
+
     @Override
     public void verdict(RequestId id, Custodian.Verdict verdict) {
-        Errand errand = errands.get(own(id));
+        Errand errand = inTime(own(id));
         if (errand != null && errand.verdict != null && verdict != Custodian.Verdict.ELSEWHERE) {
             errands.remove(own(id));
             errand.verdict.accept(verdict);
@@ -133,7 +158,7 @@
 
     @Override
     public void reading(RequestId id, Accession committed) {
-        Errand errand = errands.get(own(id));
+        Errand errand = inTime(own(id));
         if (errand != null && errand.reading != null) {
             errands.remove(own(id));
             errand.reading.accept(committed);
@@ -142,6 +167,11 @@
 
     @Override
     public void attested(RequestId id, Edition newest) {
+        Errand errand = inTime(own(id));
+        if (errand != null && errand.confirmed != null) {
+            errands.remove(own(id));
+            errand.confirmed.run();
+        }
         Asked asked = asks.remove(own(id));
         if (asked != null && (attestedAt == null || attestedAt.isBefore(asked.at()))) {
             attestedAt = asked.at();
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -96,6 +96,8 @@
 
     public void start() {
         almanac.every(LOOP_MS, this::reconcile);
+        // Who answers this could not become a holder by what was granted here before the start.
+        almanac.after(REPORTED_MS + 1, rollCall::callNow);
     }
 
     public void observe(Observer observer) {
@@ -297,7 +299,8 @@
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+        if (!custodian.charter().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+                && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -317,7 +320,7 @@
     }
 
     /**
-     * Whether every voter but the one that asks has said, well after this daemon's start, that it does not hold the
+     * Whether every voter but the one that asks has said, asked well after this daemon's start, that it does not hold the
      * duty. Only voters hold duties, and none becomes a holder later than {@link #GRANT_MS} after it asked.
      */
     private boolean nobodyHolds(String duty, Imprint except) {
@@ -326,7 +329,8 @@
             if (who.equals(except) || who.equals(post.self())) {
                 continue;
             }
-            if (!rollCall.heardSince(who, started.plus(REPORTED_MS)) || rollCall.peer(who).report().duties().contains(duty)) {
+            if (!rollCall.answeredSince(who, started.plus(REPORTED_MS))
+                    || rollCall.peer(who).report().duties().contains(duty)) {
                 return false;
             }
         }
@@ -336,9 +340,9 @@
     /** The duties that are held here now. */
     List<String> activeDuties() {
         List<String> active = new ArrayList<>();
-        for (Map.Entry<String, Held> e : held.entrySet()) {
-            if (e.getValue().active) {
-                active.add(e.getKey());
+        for (String duty : held.keySet()) {
+            if (epoch(duty) > 0) {
+                active.add(duty);
             }
         }
         return active;
@@ -346,7 +350,8 @@
 
     private void granted(Imprint from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
-        if (h == null || h.epoch != epoch || h.asked.millis() != asked || almanac.now().since(h.asked) > GRANT_MS) {
+        if (h == null || h.epoch != epoch || h.asked.millis() != asked
+                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && almanac.now().since(h.asked) > GRANT_MS) {
             return;
         }
         h.granted.add(from);
@@ -359,7 +364,8 @@
         if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
             return;
         }
-        h.until = h.asked.plus(TERM_MS - MARGIN_MS);
+        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : almanac.now();
+        h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
             tally.count("tenure.begun");
--- a/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -12,7 +12,7 @@
 import org.umbermount.kernel.Safeguard;
 
 /**
- * Asks a majority whether the view is still in force. Invariant: a read, or the refusal of a submission, is answered only
+ * Asks a majority whether the view is still in force. Invariant: a read, or a verdict on a submission, is given only
  * after a majority of the view's voters, none of them under a promise, has said after the question came that the view is
  * still theirs. A head that a newer view has left behind must not refuse: what it takes for stale may be on top of the
  * newest version, and be taken by the head of that view.
@@ -30,9 +30,9 @@
     /** Not from the clock: after it was set back, answers to an earlier life would count for this one. */
     private long nextNonce = new SecureRandom().nextLong() >>> 1;
 
-    /** What waits for a majority: a verdict on a submission, or the committed state for a read. */
+    /** What waits for a majority: a verdict on a submission, the committed state for a read, or something of this daemon's. */
     private record Question(Imprint origin, RequestId id, long view, Accession reading, boolean brief, Order order,
-            Custodian.Verdict verdict, Set<Imprint> agreed) {
+            Custodian.Verdict verdict, Runnable then, Set<Imprint> agreed) {
     }
 
     ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
@@ -52,26 +52,36 @@
         if (!membership.inChain() || !known || !self.equals(memory.charter().tail())) {
             return;
         }
-        ask(origin, id, brief, null, null);
+        ask(question(origin, id, brief, null, null, null), Safeguard.READ_CONFIRMED);
     }
 
-    /** The head refuses a submission. */
-    void refuse(Imprint origin, RequestId id, Order order, Custodian.Verdict verdict) {
-        if (Safeguard.REFUSAL_CONFIRMED.holds()) {
-            ask(origin, id, false, order, verdict);
-        } else {
-            messages.sendVerdict(origin, id, verdict);
-        }
+    /** The head refuses a submission, or says again that it was taken. */
+    void verdict(Imprint origin, RequestId id, Order order, Custodian.Verdict verdict) {
+        ask(question(origin, id, false, order, verdict, null), Safeguard.REFUSAL_CONFIRMED);
+    }
+
+    /** Runs something once a majority, asked from now on, has confirmed the view; never if it has not. */
+    void whileInForce(Runnable then) {
+        ask(question(self, null, true, null, null, then), null);
     }
 
-    private void ask(Imprint origin, RequestId id, boolean brief, Order order, Custodian.Verdict verdict) {
+    private Question question(Imprint origin, RequestId id, boolean brief, Order order, Custodian.Verdict verdict,
+            Runnable then) {
+        return new Question(origin, id, durable.memory().charter().number(), commits.committed(), brief, order, verdict, then,
+                new HashSet<>());
+    }
+
+    private void ask(Question question, Safeguard by) {
+        if (by != null && !by.holds()) {
+            answer(question);
+            return;
+        }
         if (questions.size() > MOST) {
             questions.clear();
         }
         Charter charter = durable.memory().charter();
         long nonce = nextNonce++;
-        questions.put(nonce, new Question(origin, id, charter.number(), commits.committed(), brief, order, verdict,
-                new HashSet<>()));
+        questions.put(nonce, question);
         for (Fellow f : charter.electorate()) {
             messages.sendConfirm(f.imprint(), nonce, charter.number());
         }
@@ -80,8 +90,8 @@
     /** A voter says whether a view is still its own and no promise may have ended it. */
     void attest(Imprint from, long nonce, long view) {
         Memory memory = durable.memory();
-        if (membership.standing() == Custodian.Standing.MEMBER && memory.charter().number() == view
-                && !memory.frozen()) {
+        if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Custodian.Standing.MEMBER
+                && memory.charter().number() == view && !memory.frozen()) {
             messages.sendConfirmed(from, nonce, memory.incarnation());
         }
     }
@@ -101,9 +111,13 @@
     }
 
     private void answer(Question q) {
-        if (q.verdict() != null) {
-            LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
-                    q.verdict(), q.view(), q.reading().edition());
+        if (q.then() != null) {
+            q.then().run();
+        } else if (q.verdict() != null) {
+            if (q.verdict() != Custodian.Verdict.TAKEN) {
+                LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
+                        q.verdict(), q.view(), q.reading().edition());
+            }
             messages.sendVerdict(q.origin(), q.id(), q.verdict());
         } else if (q.brief()) {
             messages.sendAttested(q.origin(), q.id(), q.reading().edition());
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -35,6 +35,7 @@
     private final int seeds;
     private final int tolerated;
     private final Attachment attachment;
+    private final java.util.Set<String> guarantees;
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalAlmanac> clocks = new HashMap<>();
@@ -45,7 +46,13 @@
     }
 
     public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment) throws IOException {
+        this(size, seeds, seed, tolerated, attachment, java.util.Set.of());
+    }
+
+    public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment, java.util.Set<String> guarantees)
+            throws IOException {
         this.size = size;
+        this.guarantees = guarantees;
         this.tolerated = tolerated;
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
@@ -93,7 +100,7 @@
         Map<String, String> allZones = new HashMap<>();
         zones.values().forEach(z -> allZones.put(z, "r"));
         HouseRules rules = new HouseRules("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
-                bootstrap, "/data", 100, 1000, 1500, tolerated, java.util.Set.of(),
+                bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeVault disk = disks.get(i);
         disk.clock(clock);
@@ -153,11 +160,25 @@
         host.offer(Census.class, archive.census);
         host.offer(TenureOffice.class, archive.tenures);
         host.offer(RollCall.class, archive.rollCall);
+        host.offer(MajorityContact.class, archive.contact);
         host.offer(Porter.class, archive.porter);
         host.offer(StatusPage.class, section -> { });
         return host;
     }
 
+    /** The clock of a running process. */
+    public Almanac clock(int i) {
+        return clocks.get(i);
+    }
+
+    public TenureOffice tenures(int i) {
+        return running.get(i).tenures;
+    }
+
+    public MajorityContact contact(int i) {
+        return running.get(i).contact;
+    }
+
     public FakePost.Bag bag(int i) {
         return bags.get(i);
     }
