A draining that a pair alone knows is acknowledged by neither of them

Cause: a server whose draining was not acknowledged by one turned to the other, which had heard of it from the first, took the change of keeper for news that nobody waits for, and said yes; late beats were answered at once as well. Change: whatever is not plainly in service waits for a majority, and so does what is said again or late. Tests for this, for where beats are sent, for the status page, and for word on freshness through a cut.

--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -151,7 +151,7 @@
         CensusEntry known = entries.get(beat.id());
         if (known != null && beat.sequence() < known.sequence()) {
             tally.count("census.beats.late");
-            told.run();
+            repeat(known, told);
             return;
         }
         lastBeat.put(beat.id(), almanac.now());
@@ -164,17 +164,14 @@
         }
         if (known != null && known.sameNews(next)) {
             entries.put(next.id(), next);
-            if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
-                onceKnown(next, told);
-            } else {
-                told.run();
-            }
+            repeat(next, told);
             return;
         }
         if (known == null || known.standing() != next.standing()) {
             LOG.info("Server {} of {} at {} is {}.", next.id(), next.upstream(), next.address(), name(next.standing()));
         }
-        boolean urgent = known == null || known.standing() != next.standing();
+        boolean urgent = known == null || known.standing() != next.standing()
+                || next.standing() != CensusEntry.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
         store(next);
         publish(List.of(next));
         if (urgent) {
@@ -184,6 +181,15 @@
         }
     }
 
+    /** A server says again what is known here; whether others know it is another matter. */
+    private void repeat(CensusEntry known, Runnable told) {
+        if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
+            onceKnown(known, told);
+        } else {
+            told.run();
+        }
+    }
+
     /** Runs something once enough others hold what is known here of a server, whoever was told of it first. */
     private void onceKnown(CensusEntry entry, Runnable told) {
         if (!newsAt.containsKey(entry.id()) && entry.standing() != CensusEntry.Standing.IN_SERVICE) {
@@ -225,11 +231,7 @@
             return;
         }
         if (known.standing() == CensusEntry.Standing.SIGNED_OFF) {
-            if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
-                onceKnown(known, told);
-            } else {
-                told.run();
-            }
+            repeat(known, told);
             return;
         }
         CensusEntry next = known.with(CensusEntry.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
--- a/archive/src/test/java/org/umbermount/archive/CutOffTest.java
+++ b/archive/src/test/java/org/umbermount/archive/CutOffTest.java
@@ -371,6 +371,20 @@
         });
     }
 
+    /** The server turns to the other one of a pair that is cut off, which has heard of it from the first. */
+    @Test
+    void newsFromOneThatCouldNotTellItIsNotAcknowledgedElsewhere() throws Exception {
+        rests(Safeguard.REPEATED_NEWS_WAITS, () -> {
+            Fleet fleet = calm(5, 2);
+            Isolation.WITH_A_SEED.begin(fleet, 5, 1);
+            beat(fleet, 1, "s", "draining", 5);
+            fleet.run(50);
+            Call again = beat(fleet, 0, "s", "draining", 6);
+            fleet.run(700);
+            return again.status() == 200 ? "yes, and only the pair knows" : null;
+        });
+    }
+
     /** Who has the news from elsewhere acknowledges it too only once a majority holds it. */
     @Test
     void drainingAndSignOffAreAcknowledgedWhereverTheyAreRepeated() throws IOException {
@@ -391,6 +405,33 @@
         }
     }
 
+    /** A server of another zone is sent to that zone's registrar, but not while a majority does not answer that one. */
+    @Test
+    void aServerIsNotSentToOneThatIsCutOffAndThePageSaysWhoIs() throws IOException {
+        Fleet fleet = calm(4, 1);
+        String beat = "{\"upstream\":\"u\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\",\"status\":\"in_service\",\"sequence\":";
+        Call before = call(fleet, 0, HttpMethod.PUT, "/instances/e", null, beat + "1}");
+        fleet.run(300);
+        assertEquals(200, before.status());
+        assertEquals("{\"heartbeatUrl\":\"http://10.2.0.1:8000\"}", before.body);
+        for (int i = 2; i < 4; i++) {
+            fleet.network.cutBoth(Fleet.imprint(1), Fleet.imprint(i));
+        }
+        fleet.run(2_000);
+        Call during = call(fleet, 0, HttpMethod.PUT, "/instances/e", null, beat + "2}");
+        Call page = call(fleet, 1, HttpMethod.GET, "/status", null, "");
+        Call others = call(fleet, 0, HttpMethod.GET, "/status", null, "");
+        fleet.run(10);
+        assertEquals(200, during.status());
+        assertEquals("{}", during.body);
+        assertEquals(200, page.status());
+        assertTrue(page.body.contains("\"majorityAnswers\":false"), page.body);
+        assertTrue(page.body.contains("\"editionConfirmed\":false"), page.body);
+        assertEquals(200, others.status());
+        assertTrue(others.body.contains("\"majorityAnswers\":true"), others.body);
+        assertTrue(others.body.contains("\"editionConfirmed\":true"), others.body);
+    }
+
     private static String twoHolders(Fleet fleet, int size, String zone, long ms) {
         String two = null;
         for (long t = 0; t < ms && two == null; t += 5) {
--- a/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
@@ -38,6 +38,7 @@
     private static final int SIZE = 4;
     private static final long CUT_MS = 20_000;
     private static final long SYNC_MS = 4_000;
+    private static final long REVOKE_MS = 5_000;
 
     /** One lector in each zone, with registrars as they are. */
     private static final class Site {
@@ -47,7 +48,14 @@
         final List<long[]> sent = new ArrayList<>();
         int watched = -1;
 
+        private final boolean strict;
+
         Site() throws IOException {
+            this(false);
+        }
+
+        Site(boolean strict) throws IOException {
+            this.strict = strict;
             for (int i = 0; i < SIZE; i++) {
                 Institution host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
                 furnish(host, Fleet.imprint(i), Role.REGISTRAR, Fleet.zone(i), fleet.bag(i));
@@ -79,7 +87,7 @@
             }
         }
 
-        private static HouseRules rules(String zone, Imprint self) {
+        private HouseRules rules(String zone, Imprint self) {
             Map<String, String> zones = new HashMap<>();
             List<Imprint> seeds = new ArrayList<>();
             for (int z = 0; z < SIZE; z++) {
@@ -89,7 +97,8 @@
                 }
             }
             return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
-                    Set.of(), new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+                    Set.of(), new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000,
+                            new HouseRules.Sharing(strict, REVOKE_MS, 60_000, 5_000, 0.1, 10)));
         }
 
         private static Gazetteer furnish(Institution host, Imprint self, Role role, String zone, Postbag bag) {
@@ -155,6 +164,31 @@
         }
     }
 
+    /** A lector that reaches nobody but a registrar that is cut off, or stood still, is told of no freshness after the cut. */
+    @ParameterizedTest
+    @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROZEN"})
+    void nothingIsVouchedForBeyondTheCut(Isolation how) throws IOException {
+        Site site = new Site(true);
+        Consignee lector = site.lectors.get(1);
+        assertTrue(lector.goodForMs() > 0, "not vouched for to begin with");
+        for (int i = 0; i < SIZE; i++) {
+            if (i != 1) {
+                site.fleet.network.cutBoth(Site.imprint(1, 1), Fleet.imprint(i));
+            }
+        }
+        Moment cut = site.fleet.almanac.now();
+        Runnable end = how.begin(site.fleet, SIZE, 1);
+        while (site.fleet.almanac.now().since(cut) < CUT_MS) {
+            site.fleet.run(50);
+            long until = site.fleet.almanac.now().since(cut) + lector.goodForMs();
+            assertTrue(until <= REVOKE_MS, "counts until " + until + " ms after the cut");
+        }
+        end.run();
+        assertTrue(lector.goodForMs() <= 0, "vouched for on the thaw");
+        site.fleet.run(SYNC_MS);
+        assertTrue(lector.goodForMs() > 0, "not vouched for after the cut");
+    }
+
     private interface Check {
         String run() throws Exception;
     }
