--- a/archive/src/test/java/org/umbermount/archive/TwoOperatorsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/TwoOperatorsTest.java
@@ -66,6 +66,7 @@
         private final int atOnce;
         private final Map<Integer, Boolean> down = new TreeMap<>();
         private final Set<Integer> full = new TreeSet<>();
+        private final Set<Integer> cut = new TreeSet<>();
         private final List<Call> open = new ArrayList<>();
         private final List<Call> acknowledged = new ArrayList<>();
         /** Which order was confirmed under a number, by any answer, heard or not. */
@@ -89,7 +90,7 @@
             fleet.run(size > 4 ? 9_000 : 5_000);
             fleet.network.loss = 0.03;
             fleet.network.doubles = 0.05;
-            fleet.network.jitterMs = 8;
+            fleet.network.jitterMs = random.nextBoolean() ? 8 : 60;
             for (int step = 0; step < 120; step++) {
                 trouble();
                 for (int operator = 0; operator < 2; operator++) {
@@ -114,19 +115,26 @@
         }
 
         private void trouble() throws IOException {
-            if (down.size() + full.size() < atOnce && random.nextInt(12) == 0) {
+            int troubled = down.size() + full.size() + cut.size();
+            if (troubled < atOnce && random.nextInt(12) == 0) {
                 int victim = random.nextInt(size);
-                if (down.containsKey(victim) || full.contains(victim)) {
+                if (down.containsKey(victim) || full.contains(victim) || cut.contains(victim)) {
                     return;
                 }
-                if (random.nextInt(4) == 0) {
+                int kind = random.nextInt(6);
+                if (kind < 2) {
+                    for (int o = 0; o < size; o++) {
+                        fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(victim));
+                    }
+                    cut.add(victim);
+                } else if (kind == 2) {
                     fleet.disks.get(victim).full = true;
                     full.add(victim);
                 } else {
                     fleet.kill(victim, random.nextBoolean());
                     down.put(victim, random.nextBoolean());
                 }
-            } else if (down.size() + full.size() > 0 && random.nextInt(10) == 0) {
+            } else if (troubled > 0 && random.nextInt(10) == 0) {
                 heal();
                 // The next loss comes when the last one has been made good.
                 fleet.run(5_000);
@@ -136,6 +144,8 @@
         private void heal() throws IOException {
             full.forEach(i -> fleet.disks.get(i).full = false);
             full.clear();
+            fleet.network.healAll();
+            cut.clear();
             for (Map.Entry<Integer, Boolean> e : down.entrySet()) {
                 if (e.getValue()) {
                     fleet.wipe(e.getKey());
