Parts of a long message carry the sender's life, and lives are not mixed

Cause: parts are put together by sender and a 32-bit number that each life draws anew. A daemon started anew within three seconds could come upon a number of which parts of its earlier life were still waiting; the two were then joined without a sign, since only each part has a checksum. Change: messages of more than one part carry 4 bytes more, drawn at random for each life. Parts of two lives under one number are dropped and counted (mail.parts.foreign); what matters is sent again by its sender. Messages of one part are as they were. Before and after: ParcelsTest joins two lives without PARTS_OF_ONE_LIFE, and does not with it. Conclusion: mixing needs two random 32-bit numbers to meet now, and not one.

--- a/kernel/src/main/java/org/umbermount/kernel/Erratum.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Erratum.java
@@ -57,6 +57,11 @@
         return retryAfter;
     }
 
+    /** Whether clients take the answer as a promise that the request has not run and never will. */
+    public boolean promisesNotRun() {
+        return status == 503 || status == 429 || status == 408 || status == 421;
+    }
+
     public String sentence() {
         return sentence;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -38,6 +38,7 @@
         this.self = self;
         this.tally = tally;
         this.parcels = new Parcels(almanac);
+        tally.gauge("mail.parts.foreign", parcels::foreign);
         this.bytesIn = tally.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
             String name = topic.name().toLowerCase(java.util.Locale.ROOT);
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -14,12 +14,13 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
 /**
  * Splits messages into datagrams and puts them together again. Each datagram is
- * {@code magic, topic, flags, id, index, count, checksum, bytes}. A message over
- * {@link #COMPRESS_OVER} bytes is deflated first.
+ * {@code magic, topic, flags, id, index, count, checksum, bytes}; where the count is over one, a number that stands for this
+ * life of the sender comes before the bytes. A message over {@link #COMPRESS_OVER} bytes is deflated first.
  */
 public final class Parcels {
     static final int PART = 1180;
@@ -27,15 +28,30 @@
     static final int COMPRESS_OVER = 600;
     private static final byte MAGIC = (byte) 0xB7;
     private static final int HEAD = 15;
+    private static final int LIFE = 4;
     private static final int OPEN_AT_MOST = 64;
     private static final long KEEP_MS = 3_000;
 
     private final Almanac almanac;
     private final Map<Key, Partial> partials = new LinkedHashMap<>();
-    private int nextId = ThreadLocalRandom.current().nextInt();
+    private final int life;
+    private int nextId;
+    private long foreign;
 
     public Parcels(Almanac almanac) {
+        this(almanac, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
+    }
+
+    /** For tests: with a given life and first id. */
+    Parcels(Almanac almanac, int life, int firstId) {
         this.almanac = almanac;
+        this.life = life;
+        this.nextId = firstId;
+    }
+
+    /** How many messages were dropped because two lives of their sender had sent parts under one id. */
+    long foreign() {
+        return foreign;
     }
 
     /** A message put together again. */
@@ -57,9 +73,11 @@
     private static final class Partial {
         final byte[][] parts;
         final Moment since;
+        final int life;
         int missing;
 
-        Partial(int count, Moment since) {
+        Partial(int count, int life, Moment since) {
+            this.life = life;
             parts = new byte[count][];
             missing = count;
             this.since = since;
@@ -81,18 +99,22 @@
         }
         int count = Math.max(1, (load.length + PART - 1) / PART);
         int id = nextId++;
+        int head = count == 1 ? HEAD : HEAD + LIFE;
         List<byte[]> out = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             int from = i * PART;
             int n = Math.min(PART, load.length - from);
-            byte[] datagram = new byte[HEAD + n];
+            byte[] datagram = new byte[head + n];
             datagram[0] = MAGIC;
             datagram[1] = (byte) topic.ordinal();
             datagram[2] = flags;
             putInt(datagram, 3, id);
             putShort(datagram, 7, i);
             putShort(datagram, 9, count);
-            System.arraycopy(load, from, datagram, HEAD, n);
+            if (count > 1) {
+                putInt(datagram, HEAD, life);
+            }
+            System.arraycopy(load, from, datagram, head, n);
             putInt(datagram, 11, checksum(datagram));
             out.add(datagram);
         }
@@ -111,7 +133,7 @@
         int index = getShort(datagram, 7);
         int count = getShort(datagram, 9);
         if (checksum(datagram) != expected || topicIndex < 0 || topicIndex >= topics.length
-                || index >= count || count > Postbag.LARGEST / PART + 1) {
+                || index >= count || count > Postbag.LARGEST / PART + 1 || count > 1 && datagram.length < HEAD + LIFE) {
             throw new Script.UnreadableException("a damaged datagram", null);
         }
         byte[] load;
@@ -137,7 +159,13 @@
             oldest.remove();
         }
         Key key = new Key(from, getInt(datagram, 3));
-        Partial partial = partials.computeIfAbsent(key, k -> new Partial(count, now));
+        int sentIn = getInt(datagram, HEAD);
+        Partial partial = partials.computeIfAbsent(key, k -> new Partial(count, sentIn, now));
+        if (partial.life != sentIn && Safeguard.PARTS_OF_ONE_LIFE.holds()) {
+            partials.remove(key);
+            foreign++;
+            throw new Script.UnreadableException("parts of two lives of a sender share an id", null);
+        }
         if (partial.parts.length != count) {
             partials.remove(key);
             throw new Script.UnreadableException("parts of two messages share an id", null);
@@ -145,7 +173,7 @@
         if (partial.parts[index] != null) {
             return null;
         }
-        partial.parts[index] = java.util.Arrays.copyOfRange(datagram, HEAD, datagram.length);
+        partial.parts[index] = java.util.Arrays.copyOfRange(datagram, HEAD + LIFE, datagram.length);
         if (--partial.missing > 0) {
             return null;
         }
--- a/kernel/src/test/java/org/umbermount/kernel/net/ParcelsTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/ParcelsTest.java
@@ -2,16 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Postbag.Topic;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.testing.FakeAlmanac;
 
@@ -72,4 +76,38 @@
             assertThrows(Script.UnreadableException.class, () -> receiver.unwrap(FROM, cut), "length " + i);
         }
     }
+
+    /** A sender that was started anew and came upon the same ids: its message and the earlier life's are not mixed. */
+    private boolean mixesLives() throws Script.UnreadableException {
+        Parcels earlier = new Parcels(almanac, 1, 77);
+        Parcels later = new Parcels(almanac, 2, 77);
+        byte[] old = noise(5_000, 3);
+        byte[] fresh = noise(5_000, 4);
+        List<byte[]> left = earlier.wrap(Topic.LOAN, old);
+        receiver.unwrap(FROM, left.get(0));
+        for (byte[] part : later.wrap(Topic.LOAN, fresh)) {
+            try {
+                Parcels.Whole whole = receiver.unwrap(FROM, part);
+                if (whole != null && !java.util.Arrays.equals(whole.body(), fresh)) {
+                    return true;
+                }
+            } catch (Script.UnreadableException e) {
+                assertEquals(1, receiver.foreign());
+            }
+        }
+        return false;
+    }
+
+    @Test
+    void partsOfTwoLivesAreNotPutTogether() throws Exception {
+        assertFalse(mixesLives());
+        assertEquals(1, receiver.foreign());
+        byte[] again = noise(5_000, 5);
+        Parcels.Whole whole = null;
+        for (byte[] part : new Parcels(almanac, 2, 78).wrap(Topic.LOAN, again)) {
+            whole = receiver.unwrap(FROM, part);
+        }
+        assertArrayEquals(again, whole.body());
+        assertTrue(Mutation.without(Safeguard.PARTS_OF_ONE_LIFE, () -> new ParcelsTest().mixesLives()));
+    }
 }
