A grant asked for by an earlier life of a lector is not spent

Cause: a grant was matched to its question by the lector's steady clock alone. A lector that was started anew while an answer was on its way spent what its earlier life had asked for, and had perhaps spent. Change: the question carries a number drawn for each life; an answer to another life is dropped and counted (quota.replies.foreign). Claims of operations need nothing: their serials begin at 63 random bits in each life. Before and after: QuotaTest.grantToAnEarlierLifeIsNotSpent; without REPLY_MATCHED_BY_LIFE the grant is spent. Conclusion: five bytes more in each question and answer.

--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -4,12 +4,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
@@ -110,7 +112,7 @@
             int ahead = (int) Math.min(6, demand * ttlMs / 2_000);
             Imprint to = target(tenant, asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.QUOTA, new QuotaMessages.Ask(now.millis(),
+                post.send(to, Postbag.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
                         List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
             }
             timer = almanac.after(REPEAT_MS, this::ask);
@@ -170,6 +172,8 @@
     private final Postbag post;
     private final Tally tally;
     private final long ttlMs;
+    /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
+    private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
     private final Supplier<List<Imprint>> registrars;
     private final Map<String, Purse> purses = new HashMap<>();
     private final Map<String, Imprint> keepers = new HashMap<>();
@@ -245,6 +249,10 @@
             return;
         }
         QuotaMessages.Answer answer = QuotaMessages.Answer.read(in);
+        if (answer.life() != life && Safeguard.REPLY_MATCHED_BY_LIFE.holds()) {
+            tally.count("quota.replies.foreign");
+            return;
+        }
         if (answer.stamp() > almanac.now().millis()) {
             return;
         }
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -65,7 +65,7 @@
         for (QuotaMessages.Wish w : ask.wishes()) {
             grants.add(grant(w));
         }
-        post.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.stamp(), grants).pack());
+        post.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
     }
 
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
--- a/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
@@ -27,14 +27,14 @@
         }
     }
 
-    /** A lector asks; the stamp is its own clock and comes back with the answer. */
-    record Ask(long stamp, List<Wish> wishes) {
+    /** A lector asks; the stamp is its own clock, the life stands for this run of it, and both come back with the answer. */
+    record Ask(long life, long stamp, List<Wish> wishes) {
         byte[] pack() {
-            return Script.write().flag(true).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
+            return Script.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
         }
 
         static Ask read(Script.Reader in) throws Script.UnreadableException {
-            return new Ask(in.num(), in.list(Wish::read));
+            return new Ask(in.num(), in.num(), in.list(Wish::read));
         }
     }
 
@@ -53,13 +53,13 @@
     }
 
     /** A registrar answers. */
-    record Answer(long stamp, List<Grant> grants) {
+    record Answer(long life, long stamp, List<Grant> grants) {
         byte[] pack() {
-            return Script.write().flag(false).num(stamp).list(grants, (o, g) -> g.write(o)).done();
+            return Script.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
         }
 
         static Answer read(Script.Reader in) throws Script.UnreadableException {
-            return new Answer(in.num(), in.list(Grant::read));
+            return new Answer(in.num(), in.num(), in.list(Grant::read));
         }
     }
 }
--- a/readership/src/test/java/org/umbermount/readership/QuotaTest.java
+++ b/readership/src/test/java/org/umbermount/readership/QuotaTest.java
@@ -13,7 +13,9 @@
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.testing.FakeAlmanac;
@@ -42,7 +44,7 @@
             if (reachable) {
                 QuotaMessages.Wish w = ask.wishes().get(0);
                 int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, almanac.now());
-                bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.stamp(),
+                bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
                         List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
             }
         });
@@ -118,4 +120,28 @@
         assertEquals(40, told[QuotaCounter.Word.NOBODY.ordinal()]);
         assertTrue(almanac.now().since(start) < 2_000);
     }
+
+    /** What a daemon is told that was started anew while the answer to its earlier life was on the way. */
+    private QuotaCounter.Word toldAfterARestart() {
+        open(1);
+        almanac.advance(3_000);
+        network.delayMs = 30;
+        lectors.get(0).take(TENANT, 200, word -> { });
+        almanac.advance(35);
+        reachable = false;
+        QuotaCounter anew = new QuotaCounter(almanac, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
+                (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+        anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
+        QuotaCounter.Word[] told = new QuotaCounter.Word[1];
+        anew.take(TENANT, 200, word -> told[0] = word);
+        almanac.advance(500);
+        return told[0];
+    }
+
+    @Test
+    void grantToAnEarlierLifeIsNotSpent() throws Exception {
+        assertEquals(QuotaCounter.Word.NOBODY, toldAfterARestart());
+        assertEquals(QuotaCounter.Word.MAY,
+                Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest().toldAfterARestart()));
+    }
 }
