One type holds the permission to send, and the promise that nothing ran

Cause: that an unsafe request goes out once rested on conditions in five methods of Borrowing, and any code that had a connection could write to it. A review against what servers and clients may do found these holes: an unreadable request behind others threw out the one before it, and its 400 took that one's place; an answer being streamed said that it was the last and was followed by others; a long answer behind a slow one stopped after its first 64 KB; a part of a surplus answer stayed in the decoder of an idle connection; a refusal without an id, late on a used connection, counted as the next request's, so that this was sent again; a connection that was taken and not used counted as fresh; half a long body was left with its server after its client had gone; an unreadable body behind an early answer got a second one. Change: Sendings makes the permits, one for each request and a further one only for a proof that nothing ran (made by it from the answer or the unused permit) or, for safe requests, from the budget. Carrel alone writes to servers, and asks the permit first. Whether 503 may be said is decided in one place, by the same type. Surplus bytes are looked for in the decoder too. The holes above are closed. Conclusion: what may be sent again is decided where the proof is, and the compiler asks for it.

--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -16,6 +16,7 @@
 import java.io.ByteArrayOutputStream;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 
 /** One sending of a request to one server. */
 final class Attempt {
@@ -24,7 +25,10 @@
 
     final Borrowing borrowing;
     final Repository repository;
+    private final Sendings.Permit permit;
     private Carrel carrel;
+    /** Whether the connection had rested before: what comes on it first may be late. */
+    private boolean reused;
     private Moment sentAt;
     private boolean requestWritten;
     private HttpResponse head;
@@ -32,7 +36,8 @@
     private boolean streaming;
     private boolean ignored;
 
-    Attempt(Borrowing borrowing, Repository repository) {
+    Attempt(Borrowing borrowing, Repository repository, Sendings.Permit permit) {
+        this.permit = permit;
         this.borrowing = borrowing;
         this.repository = repository;
     }
@@ -41,26 +46,24 @@
         return requestWritten;
     }
 
-    boolean sent() {
-        return sentAt != null;
-    }
-
     /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
     void write(Carrel over) {
         Moment now = repository.desk().almanac().now();
         long left = borrowing.deadline().since(now);
         if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
             over.unused();
-            borrowing.notSent(this);
+            notSent();
             return;
         }
         Erratum why = borrowing.whyNot();
         if (why != null) {
             over.unused();
-            borrowing.withdrawn(this, why);
+            permit.giveBack();
+            borrowing.withdrawn(why);
             return;
         }
         carrel = over;
+        reused = over.reused();
         sentAt = now;
         HttpRequest from = borrowing.request();
         byte[] body = borrowing.body();
@@ -87,34 +90,53 @@
             } else {
                 to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
-            over.channel().write(to);
+            if (!over.transmit(permit, to, false)) {
+                permitVoid(over);
+                return;
+            }
             borrowing.carriedBy(this);
-            over.channel().flush();
+            over.flush();
         } else {
             boolean hadBody = from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                     || HttpUtil.isTransferEncodingChunked(from);
             if (body.length > 0 || hadBody) {
                 to.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
+            if (!over.transmit(permit, to, true)) {
+                permitVoid(over);
+                return;
+            }
             requestWritten = true;
-            over.channel().writeAndFlush(to);
         }
         borrowing.nowSent(this, now);
     }
 
+    /** The client has been answered meanwhile: nothing was written. */
+    private void permitVoid(Carrel over) {
+        over.unused();
+        notSent();
+    }
+
     /** Passes a piece of a large body on. */
     void more(byte[] piece, boolean last) {
         ByteBuf buffer = Unpooled.wrappedBuffer(piece);
         if (last) {
             requestWritten = true;
-            carrel.channel().writeAndFlush(new DefaultLastHttpContent(buffer));
+            carrel.transmitMore(permit, new DefaultLastHttpContent(buffer));
         } else {
-            carrel.channel().writeAndFlush(new DefaultHttpContent(buffer));
+            carrel.transmitMore(permit, new DefaultHttpContent(buffer));
         }
     }
 
     boolean canTakeMore() {
-        return carrel.channel().isWritable();
+        return carrel.canTakeMore();
+    }
+
+    /** Nobody waits any more for a request of which only a part has been sent: the server must not wait for the rest. */
+    void dropUnlessWritten() {
+        if (!requestWritten && carrel.carries(this)) {
+            carrel.close();
+        }
     }
 
     void writable() {
@@ -122,7 +144,7 @@
     }
 
     void notSent() {
-        borrowing.notSent(this);
+        borrowing.notSent(permit.giveBack());
     }
 
     void head(HttpResponse response) {
@@ -134,13 +156,16 @@
 
     /** Whether the answer that is coming is this request's: one to another request shows its id. */
     boolean repliesTo() {
+        if (!Safeguard.ANSWER_MATCHED_BY_ATTEMPT.holds()) {
+            return true;
+        }
         String echoed = head == null ? null : head.headers().get(Headings.ATTEMPT);
-        if (echoed == null && carrel.reused()) {
+        if (echoed == null && reused) {
             repository.desk().tally().count("servers.answers.unnamed");
         }
         if (echoed == null) {
-            // On a connection that has carried others, a success without a name may be anyone's.
-            return head == null || !carrel.reused() || head.status().code() / 100 != 2;
+            // On a connection that has carried others, an answer without a name may be anyone's, a refusal too.
+            return head == null || !reused;
         }
         return echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
     }
@@ -188,7 +213,7 @@
 
     /** Stops or goes on reading the server's answer. */
     void reading(boolean on) {
-        if (carrel.isOpen()) {
+        if (carrel.carries(this)) {
             carrel.reading(on);
         }
     }
@@ -203,6 +228,7 @@
         int status = head.status().code();
         long ms = now.since(sentAt);
         if (streaming) {
+            permit.answered(head);
             repository.answered(now, ms, false);
             borrowing.streamedWhole();
             return;
@@ -212,7 +238,8 @@
             return;
         }
         Answer answer = new Answer(status, head.headers(), held.toByteArray());
-        boolean notRun = head.headers().contains(Headings.NOT_EXECUTED) || status == 421;
+        Sendings.NotRun proof = permit.answered(head);
+        boolean notRun = proof != null;
         repository.answered(now, ms, !notRun && status / 100 == 2);
         if (!notRun) {
             repository.wing.pressure.answered(ms, borrowing.aimMs());
@@ -226,10 +253,10 @@
             } else if (status == 503 || status == 429) {
                 repository.full(now);
             }
-            borrowing.refused(this, answer);
+            borrowing.refused(proof, status);
         } else if (status / 100 == 2) {
             if (isSealedSuccess() && !ignored) {
-                borrowing.succeeded(this, answer);
+                borrowing.succeeded(answer);
             } else {
                 borrowing.failed(this, "an unsealed answer", null);
             }
@@ -244,6 +271,7 @@
     void broken(String how) {
         repository.desk().tally().count("servers.answers.broken");
         repository.ran(false);
+        permit.lost();
         if (streaming) {
             borrowing.streamCut();
         } else {
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -11,6 +11,7 @@
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.loans.LoanCounter;
 import org.umbermount.loans.OperationKey;
@@ -38,7 +39,6 @@
     private boolean abandoned;
     private boolean answered;
     private int placements;
-    private int sends;
     private int active;
     private boolean waiting;
     private Almanac.Cancellable deadlineTimer;
@@ -48,7 +48,9 @@
     private final ArrayDeque<byte[]> pieces = new ArrayDeque<>();
     private boolean lastPiece;
     private Answer lastFailure;
-    private boolean mayHaveRun;
+    private final Sendings sendings;
+    /** What the next sending goes out under, while a server is looked for. */
+    private Sendings.Permit permit;
     private final Regulations.Tenant tenant;
     private final String key;
     private boolean charged;
@@ -75,6 +77,7 @@
         this.request = request;
         this.route = route;
         this.wing = wing;
+        this.sendings = new Sendings(route != null && route.safe());
         this.arrived = desk.almanac().now();
         this.deadline = arrived.plus(deadlineMs);
     }
@@ -167,6 +170,7 @@
     /** The body is too long to be held: it is passed on as it comes, and never sent twice. */
     void becomeLarge() {
         large = true;
+        sendings.tooLong();
         pieces.add(gathered.toByteArray());
         gathered.reset();
     }
@@ -257,7 +261,7 @@
     /** Claims the operation for this try, where the route is one of operations. */
     private void borrow() {
         if (!route.idempotent() || desk.loans() == null) {
-            placeOrWait();
+            placeOrWait(sendings.first());
             return;
         }
         OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
@@ -268,7 +272,7 @@
                     @Override
                     public void granted() {
                         if (wanted()) {
-                            placeOrWait();
+                            placeOrWait(sendings.first());
                         } else {
                             closeLoan();
                         }
@@ -366,11 +370,12 @@
         if (kept != null) {
             ending.close(LoanCounter.End.ANSWERED, KeptAnswers.pack(kept));
         } else {
-            ending.close(mayHaveRun ? LoanCounter.End.UNKNOWN : LoanCounter.End.RELEASED, new byte[0]);
+            ending.close(sendings.hasNotRun() ? LoanCounter.End.RELEASED : LoanCounter.End.UNKNOWN, new byte[0]);
         }
     }
 
-    private void placeOrWait() {
+    private void placeOrWait(Sendings.Permit under) {
+        permit = under;
         if (tryPlace()) {
             return;
         }
@@ -411,9 +416,11 @@
             waiting = false;
             waitTimer.cancel();
         }
+        Sendings.Permit under = permit;
+        permit = null;
         placements++;
         active++;
-        repository.carry(new Attempt(this, repository));
+        repository.carry(new Attempt(this, repository, under));
         return true;
     }
 
@@ -422,13 +429,9 @@
         if (!wanted() || active > 0) {
             return;
         }
-        if (mayHaveRun) {
-            if (lastFailure != null) {
-                deliver(lastFailure);
-            } else {
-                refuse(Erratum.SERVER_FAILED);
-            }
-        } else if (sends > 0) {
+        if (lastFailure != null) {
+            deliver(lastFailure);
+        } else if (sendings.sent() > 0) {
             refuse(Erratum.SERVERS_REFUSED);
         } else {
             refuse(wing.repositories.isEmpty() ? Erratum.NO_SERVER : Erratum.OVERLOADED);
@@ -436,9 +439,8 @@
     }
 
     void nowSent(Attempt attempt, Moment now) {
-        sends++;
         tried.add(attempt.repository);
-        if (isSafe() && !large && sends == 1 && route.maxTries() > 1) {
+        if (isSafe() && !large && sendings.sent() == 1 && route.maxTries() > 1) {
             long hedge = desk.concierge().hedgeAfterMs(wing, route);
             if (now.plus(hedge).isBefore(deadline)) {
                 hedgeTimer = desk.almanac().after(hedge, this::hedge);
@@ -448,22 +450,26 @@
 
     /** The first server is slow to answer: asks a second one, and takes whichever answers first. */
     private void hedge() {
-        if (!wanted() || active != 1 || sends >= route.maxTries()) {
+        if (!wanted() || active != 1 || sendings.sent() >= route.maxTries()) {
             return;
         }
         Moment now = desk.almanac().now();
         Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
-        if (second == null || !wing.allowance.spend(now, desk.fleet(), desk.hedgeReserve(wing, now))) {
+        if (second == null) {
+            return;
+        }
+        Sendings.Permit under = sendings.further(null, wing.allowance, now, desk.fleet(), desk.hedgeReserve(wing, now));
+        if (under == null) {
             return;
         }
         desk.tally().count("requests.hedged");
         placements++;
         active++;
-        second.carry(new Attempt(this, second));
+        second.carry(new Attempt(this, second, under));
     }
 
     /** Nothing was sent: the connection could not be had, or the server left meanwhile. */
-    void notSent(Attempt attempt) {
+    void notSent(Sendings.NotRun proof) {
         active--;
         if (!wanted() || active > 0) {
             closeLoan();
@@ -472,11 +478,11 @@
         if (placements >= PLACEMENTS_AT_MOST) {
             giveUp();
         } else {
-            placeOrWait();
+            placeOrWait(sendings.instead(proof));
         }
     }
 
-    void succeeded(Attempt attempt, Answer whole) {
+    void succeeded(Answer whole) {
         active--;
         kept = whole;
         deliver(whole);
@@ -484,34 +490,31 @@
     }
 
     /** The request may not be sent any more: its key has gone, or the table here is too old to say. */
-    void withdrawn(Attempt attempt, Erratum why) {
+    void withdrawn(Erratum why) {
         active--;
         if (wanted() && active == 0) {
-            refuse(mayHaveRun ? Erratum.SERVER_FAILED : why);
+            refuse(sendings.hasNotRun() ? why : Erratum.SERVER_FAILED);
         }
         closeLoan();
     }
 
     /** The server says that it has not run the request. */
-    void refused(Attempt attempt, Answer refusal) {
+    void refused(Sendings.NotRun proof, int status) {
         active--;
         if (!wanted() || active > 0) {
             closeLoan();
             return;
         }
-        if (refusal.status() == 400) {
+        if (status == 400) {
             refuse(Erratum.MALFORMED);
-        } else if (mayTryAgain()) {
-            placeOrWait();
         } else {
-            giveUp();
+            goOn(proof);
         }
     }
 
     /** The request may have run, and there is no success to show for it. */
     void failed(Attempt attempt, String how, Answer relay) {
         active--;
-        mayHaveRun = true;
         if (relay != null) {
             lastFailure = relay;
             if (relay.status() != 504) {
@@ -524,21 +527,27 @@
         }
         // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
         // It is different when one server fails far more than others do.
-        if ((relay == null || attempt.repository.suspect() && relay.status() != 504) && isSafe() && mayTryAgain()) {
-            placeOrWait();
+        if (relay == null || attempt.repository.suspect() && relay.status() != 504) {
+            goOn(null);
         } else {
             giveUp();
         }
     }
 
-    private boolean mayTryAgain() {
+    /** Sends again if that may be, and gives up otherwise. */
+    private void goOn(Sendings.NotRun proof) {
         Moment now = desk.almanac().now();
-        if (large || sends >= route.maxTries() || !now.isBefore(deadline)) {
-            return false;
+        if (sendings.sent() >= route.maxTries() || !now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
+            giveUp();
+            return;
+        }
+        Sendings.Permit under = sendings.further(proof, wing.allowance, now, desk.fleet(), 0);
+        desk.tally().count(under != null ? "requests.retried" : "requests.retry.denied");
+        if (under == null) {
+            giveUp();
+        } else {
+            placeOrWait(under);
         }
-        boolean granted = wing.allowance.spend(now, desk.fleet(), 0);
-        desk.tally().count(granted ? "requests.retried" : "requests.retry.denied");
-        return granted;
     }
 
     private void deadlineReached() {
@@ -546,7 +555,10 @@
             if (waiting) {
                 stopWaiting();
             }
-            refuse(sends > 0 ? Erratum.TIMED_OUT : Erratum.DEADLINE_BEFORE_RUN);
+            refuse(sendings.sent() > 0 ? Erratum.TIMED_OUT : Erratum.DEADLINE_BEFORE_RUN);
+            if (carrier != null) {
+                carrier.dropUnlessWritten();
+            }
         }
     }
 
@@ -562,7 +574,12 @@
         deadlineReached();
     }
 
-    private void refuse(Erratum kind) {
+    /** Answers without a server's answer. What would promise that the request has not run says so only if that is certain. */
+    private void refuse(Erratum why) {
+        Erratum kind = why;
+        if (kind.promisesNotRun() && !sendings.hasNotRun() && Safeguard.PROMISE_ONLY_IF_NOT_RUN.holds()) {
+            kind = Erratum.SERVER_FAILED;
+        }
         erratum = kind;
         desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
         done();
@@ -578,6 +595,7 @@
 
     private void done() {
         answered = true;
+        sendings.end();
         cancelTimers();
         reader.ready();
         closeLoan();
@@ -598,6 +616,7 @@
     /** The client has gone. What a server works on is left to end. */
     void abandon() {
         abandoned = true;
+        sendings.end();
         if (waiting) {
             stopWaiting();
         }
@@ -605,6 +624,9 @@
         if (streamer != null) {
             streamer.reading(true);
         }
+        if (carrier != null) {
+            carrier.dropUnlessWritten();
+        }
         closeLoan();
     }
 
@@ -616,7 +638,6 @@
         }
         streamer = attempt;
         // Too long to be kept for repeats: that it ran is all that is noted.
-        mayHaveRun = true;
         streamHead = head;
         done();
         return true;
@@ -645,6 +666,10 @@
         return piece;
     }
 
+    boolean hasStreamed() {
+        return !stream.isEmpty();
+    }
+
     void streamedWhole() {
         active--;
         closeLoan();
--- a/circulation/src/main/java/org/umbermount/circulation/Carrel.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Carrel.java
@@ -4,15 +4,19 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 
-/** One connection to a server; it serves one request at a time. */
+/** One connection to a server; it serves one request at a time. Nothing else writes to a server's connection. */
 final class Carrel extends ChannelInboundHandlerAdapter {
     private final Repository repository;
+    private final AnswerDecoder decoder;
     private Channel channel;
     private Attempt current;
     private boolean finished;
@@ -22,8 +26,9 @@
     Moment restingSince = Moment.NEVER;
     long keepAliveMs = Long.MAX_VALUE;
 
-    Carrel(Repository repository) {
+    Carrel(Repository repository, AnswerDecoder decoder) {
         this.repository = repository;
+        this.decoder = decoder;
     }
 
     @Override
@@ -35,8 +40,44 @@
         return channel != null && channel.isActive() && !closed;
     }
 
-    Channel channel() {
-        return channel;
+    /** Whether nothing has come on it that belongs to no request; half an answer is not shown to this handler yet. */
+    boolean isClean() {
+        return !decoder.hasLeftover() || !Safeguard.SURPLUS_RETIRES_CONNECTION.holds();
+    }
+
+    boolean carries(Attempt attempt) {
+        return current == attempt && !closed;
+    }
+
+    /** Writes a request, or the head of one whose body follows; false if the permit is void, and then nothing is written. */
+    boolean transmit(Sendings.Permit permit, HttpRequest request, boolean whole) {
+        if (!permit.use()) {
+            return false;
+        }
+        decoder.toHead(request.method().equals(HttpMethod.HEAD));
+        if (whole) {
+            channel.writeAndFlush(request);
+        } else {
+            channel.write(request);
+        }
+        return true;
+    }
+
+    /** Writes a further piece of the body of the request that is being sent under a permit. */
+    void transmitMore(Sendings.Permit permit, HttpContent piece) {
+        if (permit.inUse() && !closed) {
+            channel.writeAndFlush(piece);
+        } else {
+            piece.release();
+        }
+    }
+
+    void flush() {
+        channel.flush();
+    }
+
+    boolean canTakeMore() {
+        return channel.isWritable();
     }
 
     /** Whether another request has been answered on this connection before. */
@@ -69,8 +110,10 @@
             if (current == null || finished) {
                 // Bytes that belong to no request: nothing on this connection can be trusted any more.
                 repository.desk().tally().count("servers.stray.bytes");
-                reusable = false;
-                close();
+                if (Safeguard.SURPLUS_RETIRES_CONNECTION.holds()) {
+                    reusable = false;
+                    close();
+                }
                 return;
             }
             if (msg instanceof HttpResponse response) {
@@ -78,6 +121,10 @@
                     broken("an unreadable answer");
                     return;
                 }
+                if (response.status().code() == 101) {
+                    broken("a change of protocol that nobody asked for");
+                    return;
+                }
                 interim = response.status().code() / 100 == 1;
                 if (interim) {
                     return;
@@ -131,7 +178,7 @@
         Attempt done = current;
         current = null;
         repository.end();
-        if (reusable && isOpen() && done.requestWritten() && done.repliesTo()) {
+        if (reusable && isOpen() && isClean() && done.requestWritten() && done.repliesTo()) {
             channel.config().setAutoRead(true);
             repository.rest(this);
         } else {
@@ -144,7 +191,7 @@
     void unused() {
         current = null;
         repository.end();
-        repository.rest(this);
+        repository.putBack(this);
     }
 
     private void broken(String how) {
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -30,6 +30,7 @@
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 
 /** A client's connection: reads requests, and writes their answers in the order they came. */
 final class Reader extends ChannelInboundHandlerAdapter {
@@ -48,6 +49,8 @@
     private boolean lastRequest;
     private boolean lingering;
     private boolean streamingHead;
+    /** The head of the answer that is being streamed says that the connection ends with it. */
+    private boolean closeTold;
     private boolean gone;
     private Moment lastActivity;
     private boolean headUnderway;
@@ -152,10 +155,17 @@
     /** Answers without reading on; the connection ends with the answer. */
     private void turnAway(HttpRequest request, Erratum erratum) {
         lastRequest = true;
-        arriving = null;
-        if (!pipeline.isEmpty() && !pipeline.peekLast().isStarted() && !pipeline.peekLast().isAnswered()) {
+        if (!pipeline.isEmpty() && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
+                && !pipeline.peekLast().isStarted()) {
+            // Only the one whose body cannot be read gives way; those before it wait for their own answers.
+            if (pipeline.peekLast().isAnswered()) {
+                arriving = null;
+                ready();
+                return;
+            }
             pipeline.pollLast();
         }
+        arriving = null;
         pipeline.add(new Borrowing(desk, this, request, erratum));
         desk.tally().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
         ready();
@@ -164,9 +174,9 @@
     private void proceed(HttpContent content) {
         Borrowing b = arriving;
         if (content.decoderResult().isFailure()) {
-            arriving = null;
             if (b.isLarge() || b.isStarted()) {
                 // Part of it has been passed on: only the connections can end now.
+                arriving = null;
                 channel.close();
             } else {
                 turnAway(b.request(), Erratum.MALFORMED);
@@ -178,8 +188,8 @@
         int n = buffer.readableBytes();
         arrivedBytes += n;
         if (arrivedBytes > desk.limits().maxBodyBytes()) {
-            arriving = null;
             if (b.isLarge()) {
+                arriving = null;
                 channel.close();
             } else {
                 turnAway(b.request(), Erratum.BODY_TOO_LARGE);
@@ -268,6 +278,7 @@
                 pipeline.poll();
                 lastActivity = desk.almanac().now();
                 streamingHead = false;
+                closeTold = false;
             }
             if (wrote && !gone && !lingering) {
                 channel.flush();
@@ -398,7 +409,7 @@
 
     /** Writes what has come of a long answer; true once it is whole. */
     private boolean writeStream(Borrowing b) {
-        boolean close = closesAfter(b, false);
+        boolean close = closeTold && Safeguard.CLOSE_AS_TOLD.holds() || closesAfter(b, false);
         boolean chunked = !HttpUtil.isContentLengthSet(b.streamHead());
         if (!streamingHead) {
             streamingHead = true;
@@ -411,18 +422,22 @@
                         b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
             }
             if (close) {
+                closeTold = true;
                 head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             channel.write(head);
         }
-        while (channel.isWritable()) {
-            byte[] piece = b.nextStreamed();
-            if (piece == null) {
-                break;
+        do {
+            while (channel.isWritable()) {
+                byte[] piece = b.nextStreamed();
+                if (piece == null) {
+                    break;
+                }
+                channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
             }
-            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
-        }
-        channel.flush();
+            channel.flush();
+            // What the flush has made room for is told while this is at work, and not again.
+        } while (channel.isWritable() && b.hasStreamed());
         if (b.streamCutShort()) {
             // The end is left out, so that nothing cut short can look whole.
             channel.close();
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -7,14 +7,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import jdk.net.ExtendedSocketOptions;
 import org.umbermount.courier.Tables;
 import org.umbermount.kernel.Almanac;
 import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 
 /** One life of a server: its connections, and what its answers have shown of it. */
@@ -215,14 +216,19 @@
         begin(now);
         while (!idle.isEmpty()) {
             Carrel carrel = idle.pollLast();
-            if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS) {
+            if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS
+                    && Safeguard.CONNECTION_RESTED_TOO_LONG.holds()) {
                 // A server may have forgotten it without a word, and what it resets then cannot be sent again.
                 idle.addLast(carrel);
                 break;
             }
             if (carrel.isOpen()) {
-                carrel.send(attempt);
-                return;
+                if (carrel.isClean()) {
+                    carrel.send(attempt);
+                    return;
+                }
+                tally.count("servers.stray.bytes");
+                carrel.close();
             }
         }
         connections++;
@@ -233,12 +239,13 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 2)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
-        Carrel carrel = new Carrel(this);
+        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
+                .setMaxInitialLineLength(4096).setInitialBufferSize(256));
+        Carrel carrel = new Carrel(this, decoder);
         ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
-                        .setMaxInitialLineLength(4096).setInitialBufferSize(256), false, false)).addLast(carrel);
+                ch.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(carrel);
             }
         }).connect(instance.address().socketAddress());
         future.addListener(f -> {
@@ -262,6 +269,17 @@
         }
     }
 
+    /** Nothing was sent over it after all. It has rested since it last carried an answer, not since now. */
+    void putBack(Carrel carrel) {
+        if (!carrel.reused()) {
+            rest(carrel);
+        } else if (usable(almanac.now()) && !desk.closing()) {
+            idle.addFirst(carrel);
+        } else {
+            carrel.close();
+        }
+    }
+
     void lost(Carrel carrel) {
         connections--;
         idle.remove(carrel);
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,7 +32,9 @@
 import org.umbermount.courier.Tables;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.net.LoopAlmanac;
@@ -404,6 +407,169 @@
         assertNotNull(second.seen.get(5));
     }
 
+    // ---- each answer to its own request ----
+
+    /** What the client's side had taken was not noticed once all of the answer was here: the rest of it never came. */
+    @Test
+    void longAnswerBehindASlowOneComesWhole() throws Exception {
+        table(first);
+        String long1 = "z".repeat(300_000);
+        first.act((request, out) -> {
+            if (request.head().contains("/safe/long")) {
+                ScriptedServer.write(out, SEALED + "Content-Length: 300000\r\n\r\n" + long1);
+                return true;
+            }
+            return slowOn("/safe/slow", 150).answer(request, out);
+        });
+        String answers = exchange(more(get("/safe/slow")) + get("/safe/long"));
+        assertTrue(answers.endsWith("\r\n\r\n" + long1));
+    }
+
+    private static String more(String request) {
+        return request.replace("Connection: close\r\n", "");
+    }
+
+    /** An unreadable request once threw out the one before it, which waited for its turn, and its refusal took that place. */
+    private String answersAroundAnUnreadableRequest() throws Exception {
+        table(first);
+        first.act(slowOn("/once/a", 150));
+        return exchange(more(post("/once/a", "x")) + more(post("/once/b", "x")).replace("t1", "t2")
+                + "GET /safe/c HTTP/1.1\r\nHost: h\r\nHost: g\r\nRequest-Attempt: t3\r\n\r\n");
+    }
+
+    @Test
+    void refusalOfAnUnreadableRequestTakesNoOthersPlace() throws Exception {
+        String answers = answersAroundAnUnreadableRequest();
+        int second = answers.indexOf("HTTP/1.1 ", 9);
+        int third = answers.indexOf("HTTP/1.1 ", second + 9);
+        assertTrue(status(answers) == 200 && third > 0, answers);
+        assertTrue(status(answers.substring(second)) == 200 && answers.substring(second, third).contains("t2"), answers);
+        assertEquals(400, status(answers.substring(third)));
+        String mixed = Mutation.without(Safeguard.REFUSAL_IN_ITS_PLACE, this::answersAroundAnUnreadableRequest);
+        assertEquals(400, status(mixed.substring(mixed.indexOf("HTTP/1.1 ", 9))), mixed);
+    }
+
+    @Test
+    void bodyThatCannotBeReadBehindAnEarlyAnswerGetsNoSecondAnswer() throws Exception {
+        table(first);
+        String answers = exchange("POST /other/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+        assertEquals(404, status(answers));
+        assertEquals(0, answers.lastIndexOf("HTTP/1.1 "), answers);
+    }
+
+    /** What comes of an unsafe request whose server has forgotten the idle connection that is at hand. */
+    private int afterForgottenConnection() throws Exception {
+        table(first);
+        first.act(ScriptedServer.ok("hello"));
+        assertEquals(200, status(exchange(get("/safe/x"))));
+        int before = first.connections.get();
+        first.act((request, out) -> first.connections.get() > before && ScriptedServer.ok("hello").answer(request, out));
+        Thread.sleep(300);
+        return status(exchange(post("/once/x", "b")));
+    }
+
+    @Test
+    void unsafeRequestUsesNoConnectionThatMayBeForgotten() throws Exception {
+        assertEquals(200, afterForgottenConnection());
+        assertEquals(502, Mutation.without(Safeguard.CONNECTION_RESTED_TOO_LONG, this::afterForgottenConnection));
+    }
+
+    /** What comes of an unsafe request after an answer behind which a part of another one came. */
+    private int afterAPartOfAnotherAnswer() throws Exception {
+        // The server before, of the same name, is gone with its connections.
+        table();
+        table(first);
+        first.act(ScriptedServer.raw(SEALED + "Content-Length: 2\r\n\r\nokHTTP/1.1 500 Oops\r\nContent-Le", true));
+        assertEquals(200, status(exchange(get("/safe/x"))));
+        first.act((request, out) -> {
+            ScriptedServer.write(out, first.connections.get() > 1 ? "" : "ngth: 0\r\n\r\n");
+            return ScriptedServer.ok("hello").answer(request, out);
+        });
+        return status(exchange(post("/once/x", "b")));
+    }
+
+    @Test
+    void partOfAnotherAnswerBehindOneRetiresTheConnection() throws Exception {
+        assertEquals(200, afterAPartOfAnotherAnswer());
+        first.close();
+        first = new ScriptedServer(ScriptedServer.ok("hello"));
+        assertEquals(502, Mutation.without(Safeguard.SURPLUS_RETIRES_CONNECTION, this::afterAPartOfAnotherAnswer));
+    }
+
+    /** A surplus refusal without a name, late in the next request's place, is no promise for that one. */
+    @Test
+    void namelessRefusalOnAUsedConnectionPromisesNothing() throws Exception {
+        table(first);
+        assertEquals(200, status(exchange(get("/safe/x"))));
+        first.act(ScriptedServer.raw("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", false));
+        assertEquals(502, status(exchange(post("/once/x", "b"))));
+        assertEquals(2, first.seen.size());
+    }
+
+    /** Whether an answer that said at its head that the connection ends was followed by another one on it. */
+    private boolean answersBehindAnEnd() throws Exception {
+        table(first);
+        int old = port;
+        String half = "y".repeat(200_000);
+        CountDownLatch pipelined = new CountDownLatch(1);
+        first.act((request, out) -> {
+            if (request.head().contains("/safe/long")) {
+                ScriptedServer.write(out, SEALED + "Content-Length: 400000\r\n\r\n" + half);
+                pipelined.await(3, TimeUnit.SECONDS);
+                ScriptedServer.write(out, half);
+                return true;
+            }
+            return slowOn("/safe/b", 400).answer(request, out);
+        });
+        try (Socket socket = new Socket("127.0.0.1", old)) {
+            socket.setSoTimeout(5_000);
+            ScriptedServer.write(socket.getOutputStream(), more(get("/safe/a")));
+            answerOn(socket);
+            // The limits change: the next answer ends the connection, as long as nothing behind it is underway.
+            table("{\"maxHeaderBytes\":" + (4_096 + first.seen.size()) + ",\"maxBodyBytes\":1000000}", first);
+            ScriptedServer.write(socket.getOutputStream(), more(get("/safe/long")));
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                head.append((char) socket.getInputStream().read());
+            }
+            assertTrue(head.toString().toLowerCase().contains("connection: close"), head.toString());
+            int seen = first.seen.size();
+            ScriptedServer.write(socket.getOutputStream(), more(get("/safe/b")) + more(post("/once/c", "x")));
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+            while (first.seen.size() == seen && System.nanoTime() < until) {
+                Thread.sleep(5);
+            }
+            pipelined.countDown();
+            String rest = new String(readToEnd(socket), StandardCharsets.ISO_8859_1);
+            assertTrue(rest.startsWith(half + half));
+            return rest.length() > 400_000 || first.seen.stream().anyMatch(r -> r.head().contains("/once/c"));
+        }
+    }
+
+    private static byte[] readToEnd(Socket socket) throws IOException {
+        java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
+        byte[] piece = new byte[65_536];
+        try {
+            for (int n = socket.getInputStream().read(piece); n > 0; n = socket.getInputStream().read(piece)) {
+                all.write(piece, 0, n);
+                if (all.size() > 400_000 && new String(all.toByteArray(), StandardCharsets.ISO_8859_1).endsWith("hello")) {
+                    break;
+                }
+            }
+        } catch (java.net.SocketTimeoutException e) {
+            // Whatever has come is what there is.
+        }
+        return all.toByteArray();
+    }
+
+    @Test
+    void nothingFollowsAnAnswerThatSaysItIsTheLast() throws Exception {
+        assertFalse(answersBehindAnEnd());
+        first.seen.clear();
+        assertTrue(Mutation.without(Safeguard.CLOSE_AS_TOLD, this::answersBehindAnEnd));
+    }
+
     // ---- keys and operations ----
 
     private void keyedTable(ScriptedServer... servers) throws Exception {
