--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -38,6 +38,7 @@
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalAlmanac> clocks = new HashMap<>();
+    private final Map<Integer, String> zones = new HashMap<>();
 
     Fleet(int size, int seeds, long seed) throws IOException {
         this(size, seeds, seed, 0, null);
@@ -49,6 +50,9 @@
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
         this.seeds = seeds;
+        for (int i = 0; i < size; i++) {
+            zones.put(i, zone(i));
+        }
         for (int i = 0; i < size; i++) {
             disks.put(i, new FakeVault());
             start(i, true);
@@ -63,18 +67,32 @@
         return "z" + i;
     }
 
+    /** Starts a registrar of the first days, which is told of all others of them. */
     public void start(int i, boolean bootstrap) throws IOException {
-        MortalAlmanac clock = new MortalAlmanac(almanac);
-        clocks.put(i, clock);
-        List<Imprint> seedNodes = new ArrayList<>();
+        List<Integer> first = new ArrayList<>();
         for (int s = 0; s < seeds; s++) {
-            seedNodes.add(imprint(s).withPort(8000));
+            first.add(s);
         }
-        Map<String, String> zones = new HashMap<>();
-        for (int z = 0; z < size; z++) {
-            zones.put(zone(z), "r");
+        Archive archive = launch(i, bootstrap, first);
+        for (int other = 0; other < size; other++) {
+            archive.rollCall.enlist(imprint(other));
         }
-        HouseRules rules = new HouseRules("n" + i, zone(i), zones, imprint(i).host(), Map.of(), 7000, 7010, seedNodes,
+    }
+
+    /** Starts a registrar, perhaps one that there was none of before, which is told of its seeds alone. */
+    public void start(int i, String zone, List<Integer> seedNodes) throws IOException {
+        zones.put(i, zone);
+        disks.computeIfAbsent(i, n -> new FakeVault());
+        launch(i, false, seedNodes);
+    }
+
+    private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
+        MortalAlmanac clock = new MortalAlmanac(almanac);
+        clocks.put(i, clock);
+        List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
+        Map<String, String> allZones = new HashMap<>();
+        zones.values().forEach(z -> allZones.put(z, "r"));
+        HouseRules rules = new HouseRules("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
                 bootstrap, "/data", 100, 1000, 1500, tolerated, java.util.Set.of(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeVault disk = disks.get(i);
@@ -88,9 +106,13 @@
             attachment.attach(i, clock, bag, archive.custodian, disk);
         }
         archive.start();
-        for (int other = 0; other < size; other++) {
-            archive.rollCall.enlist(imprint(other));
-        }
+        return archive;
+    }
+
+    /** Says that a registrar is leaving, as before a planned stop. */
+    public void leave(int i) {
+        running.get(i).tenures.releaseAll();
+        running.get(i).rollCall.leaving();
     }
 
     /** Ends the process; what was not synced is lost if the power goes too. */
--- a/courier/src/test/java/org/umbermount/courier/ConfigurationHoldsTest.java
+++ b/courier/src/test/java/org/umbermount/courier/ConfigurationHoldsTest.java
@@ -7,10 +7,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-/**
- * Plays seeded days over registrars, delivery and lectors. More of them:
- * {@code java -cp ... org.umbermount.courier.ConfigurationHoldsTest FIRST-SEED COUNT [STEPS]}.
- */
+/** Plays seeded days over registrars, delivery and lectors. More of them, and longer ones: {@link Simulation}. */
 class ConfigurationHoldsTest {
     private static final int SEEDS = 200;
     private static final int STEPS = 40;
@@ -43,27 +40,7 @@
     }
 
     private static String play(long seed, int steps) throws IOException {
-        ReadingRoom room = new ReadingRoom(seed);
-        try {
-            room.play(steps);
-            return null;
-        } catch (ReadingRoom.BrokenException e) {
-            return e.getMessage();
-        }
-    }
-
-    public static void main(String[] args) throws IOException {
-        long first = Long.parseLong(args[0]);
-        int count = Integer.parseInt(args[1]);
-        int steps = args.length > 2 ? Integer.parseInt(args[2]) : STEPS;
-        int broken = 0;
-        for (long seed = first; seed < first + count; seed++) {
-            String why = play(seed, steps);
-            if (why != null) {
-                broken++;
-                System.out.println("seed " + seed + ": " + (count == 1 ? why : why.lines().findFirst().orElse("")));
-            }
-        }
-        System.out.println(count + " days from seed " + first + ", " + broken + " broken");
+        ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, Profile.ORDINARY, steps));
+        return broken == null ? null : broken.getMessage();
     }
 }
--- /dev/null
+++ b/courier/src/test/java/org/umbermount/courier/Simulation.java
@@ -0,0 +1,59 @@
+package org.umbermount.courier;
+
+import java.io.IOException;
+import java.util.Locale;
+
+/**
+ * Plays drawn days and shows what broke, as short as it can be made:
+ * {@code java -cp ... org.umbermount.courier.Simulation --seed N --count N --steps N --profile P}.
+ */
+public final class Simulation {
+    private static final long SHRINK_MS = 60_000;
+
+    private Simulation() {
+    }
+
+    public static void main(String[] args) throws IOException {
+        long seed = 1;
+        int count = 1;
+        int steps = 40;
+        Profile profile = Profile.ALL;
+        long shrinkMs = SHRINK_MS;
+        for (int k = 0; k + 1 < args.length; k += 2) {
+            switch (args[k]) {
+                case "--seed" -> seed = Long.parseLong(args[k + 1]);
+                case "--count" -> count = Integer.parseInt(args[k + 1]);
+                case "--steps" -> steps = Integer.parseInt(args[k + 1]);
+                case "--profile" -> profile = Profile.valueOf(args[k + 1].toUpperCase(Locale.ROOT));
+                case "--shrink-ms" -> shrinkMs = Long.parseLong(args[k + 1]);
+                default -> throw new IllegalArgumentException("unknown: " + args[k]);
+            }
+        }
+        System.exit(run(seed, count, steps, profile, shrinkMs));
+    }
+
+    private static int run(long first, int count, int steps, Profile profile, long shrinkMs) throws IOException {
+        int found = 0;
+        long playing = 0;
+        for (long seed = first; seed < first + count; seed++) {
+            Day day = Day.draw(seed, profile, steps);
+            long begun = System.nanoTime();
+            ReadingRoom.BrokenException broken = ReadingRoom.breakOf(day);
+            playing += System.nanoTime() - begun;
+            if (broken == null) {
+                continue;
+            }
+            found++;
+            System.out.println("seed " + seed + " profile " + profile + " steps " + steps + ": "
+                    + broken.getMessage().lines().findFirst().orElse(""));
+            if (shrinkMs > 0) {
+                Day shrunk = Shrinking.shrink(day, broken, shrinkMs);
+                System.out.println("  shrunk from " + steps + " events to " + shrunk.events().size() + ":");
+                ReadingRoom.breakOf(shrunk).getMessage().lines().skip(1).forEach(l -> System.out.println("  " + l));
+            }
+        }
+        System.out.println(count + " days of profile " + profile + " from seed " + first + ", " + found + " broken, "
+                + Math.round(count * 60e9 / Math.max(1, playing)) + " a minute");
+        return found == 0 ? 0 : 1;
+    }
+}
