--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -109,6 +109,15 @@
         return archive;
     }
 
+    /** What a registrar that runs holds to be so, for a reader. */
+    public String describe(int i) {
+        Archive a = running.get(i);
+        return a.custodian.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.custodian.charter() + ", committed "
+                + a.custodian.committed().edition() + " in view " + a.custodian.committed().view() + ", newest "
+                + a.custodian.newestEdition() + ", duties " + a.tenures.activeDuties() + (a.census.ready() ? "" : ", no server list")
+                + (a.rollCall.reachesMajority(a.custodian.charter()) ? "" : ", reaches no majority");
+    }
+
     /** Says that a registrar is leaving, as before a planned stop. */
     public void leave(int i) {
         running.get(i).tenures.releaseAll();
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
@@ -30,6 +30,8 @@
     static final long STEP_MS = 50;
     static final long NEVER = Long.MIN_VALUE / 4;
     private static final long TURN_MS = 15_000;
+    /** Set to read a day together with what the daemons log. */
+    private static final boolean ALOUD = Boolean.getBoolean("umbermount.aloud");
 
     /** A rule is broken. */
     static final class BrokenException extends RuntimeException {
@@ -119,10 +121,16 @@
 
     void note(String what) {
         log.append(now()).append(' ').append(what).append('\n');
+        if (ALOUD) {
+            System.out.println(now() + " " + what);
+        }
     }
 
     void broken(String what) {
         note("BROKEN: " + what);
+        for (int i : machines.core()) {
+            note("  registrar " + i + ": " + (fleet.isRunning(i) ? fleet.describe(i) : "does not run"));
+        }
         throw new BrokenException(what + "\n" + log, played);
     }
 
