--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -448,7 +448,7 @@
         org.umbermount.stacks.StackRoom room = new org.umbermount.stacks.StackRoom(
                 org.umbermount.stacks.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
         Custodian tail = new Custodian(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
-                new Random(1), before, false, null, false);
+                before, false, null, false);
         tail.start();
         Charter next = new Charter(2, voters, chain);
         Accession taken = Accession.NONE.inView(2).take(new Edition(8), "c8".getBytes());
