Duties held twice are noticed; each lease and fence can be left out by name

Change: no two registrars may hold one zone's duty at once; five mechanisms of leases and of the receiver have names.

--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -297,7 +297,8 @@
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+        if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)
+                && Safeguard.RESTARTED_GRANTOR_WAITS.holds()) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -356,10 +357,11 @@
                 votes++;
             }
         }
-        if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
+        int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? custodian.charter().majority() : 1;
+        if (custodian.charter().electorate().isEmpty() || votes < needed) {
             return;
         }
-        h.until = h.asked.plus(TERM_MS - MARGIN_MS);
+        h.until = (Safeguard.LEASE_FROM_ASKING.holds() ? h.asked : almanac.now()).plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
             tally.count("tenure.begun");
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -109,6 +109,11 @@
         return archive;
     }
 
+    /** The epoch under which a registrar that runs holds a duty now, or 0. */
+    public long epoch(int i, String duty) {
+        return running.get(i).tenures.epoch(duty);
+    }
+
     /** What a registrar that runs holds to be so, for a reader. */
     public String describe(int i) {
         Archive a = running.get(i);
--- a/courier/src/main/java/org/umbermount/courier/Consignee.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignee.java
@@ -12,6 +12,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
@@ -107,7 +108,7 @@
             vouched(d);
             return;
         }
-        if (d.epoch() < epoch) {
+        if (d.epoch() < epoch && Safeguard.FENCED_BY_EPOCH.holds()) {
             tally.count("courier.stale.epoch");
             acknowledge(from, d, 0);
             return;
@@ -127,7 +128,7 @@
                 tally.count("courier.unknown.base");
             } else {
                 Inventory table = base.with(d.difference());
-                if (inForce.edition().isAfter(table.edition())) {
+                if (inForce.edition().isAfter(table.edition()) && Safeguard.NO_WAY_BACK.holds()) {
                     tally.count("courier.older.edition");
                     return;
                 }
--- a/courier/src/test/java/org/umbermount/courier/Checks.java
+++ b/courier/src/test/java/org/umbermount/courier/Checks.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.umbermount.archive.Accession;
+import org.umbermount.archive.Fleet;
 
 /** What must be true after every step, whatever happens to the machines. */
 final class Checks {
@@ -84,6 +85,7 @@
                 }
             }
         }
+        checkDuties();
         if (room.probes() && calm() && probedAt < machines.lastEvent() && !operators.pending()) {
             probedAt = now;
             operators.change(1);
@@ -91,6 +93,21 @@
         }
     }
 
+    private void checkDuties() {
+        for (int place = 0; place < machines.size(); place++) {
+            String zone = Fleet.zone(place);
+            int holder = -1;
+            for (int i : machines.made()) {
+                if (room.fleet.isRunning(i) && room.fleet.epoch(i, zone) > 0) {
+                    if (holder >= 0) {
+                        room.broken("registrars " + holder + " and " + i + " hold the duty for " + zone + " at once");
+                    }
+                    holder = i;
+                }
+            }
+        }
+    }
+
     private void checkProxies(long now, boolean settled) {
         Operators.Order late = settled ? due.newest(now) : null;
         Operators.Order veryLate = now - majoritySince > APPLY_MS + SKEW_MS ? longDue.newest(now) : null;
--- a/courier/src/test/java/org/umbermount/courier/Machines.java
+++ b/courier/src/test/java/org/umbermount/courier/Machines.java
@@ -30,7 +30,7 @@
     private final List<Integer> core = new ArrayList<>();
     /** The operator's list of machines, by when it came into use. */
     private final TreeMap<Long, List<Integer>> lists = new TreeMap<>();
-    private final Map<Integer, Integer> places = new HashMap<>();
+    private final Map<Integer, Integer> places = new TreeMap<>();
     private final Set<Integer> isolated = new TreeSet<>();
     private final Set<Integer> frozen = new TreeSet<>();
     private final Set<Integer> slowed = new TreeSet<>();
@@ -64,6 +64,11 @@
         return core;
     }
 
+    /** All machines that there have been. */
+    Iterable<Integer> made() {
+        return places.keySet();
+    }
+
     int size() {
         return core.size();
     }
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
@@ -84,6 +84,9 @@
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
         checks = new Checks(this);
+        for (int i = 0; i < registrars && lenient(); i++) {
+            fleet.disks.get(i).chance(seed * 31 + i);
+        }
         for (int i = 0; i < registrars; i++) {
             furnish(i, List.of(0, 1, 2));
             for (int k = 0; k < LECTORS_A_ZONE; k++) {
@@ -126,6 +129,11 @@
         }
     }
 
+    /** All that has happened. */
+    String trace() {
+        return log.toString();
+    }
+
     void broken(String what) {
         note("BROKEN: " + what);
         for (int i : machines.core()) {
@@ -181,6 +189,7 @@
         try {
             List<Integer> seeds = machines.seeds(random);
             fleet.start(i, machines.zone(i), seeds);
+            fleet.disks.get(i).chance(random.nextLong());
             furnish(i, seeds);
             return seeds;
         } catch (IOException e) {
--- /dev/null
+++ b/courier/src/test/java/org/umbermount/courier/SafeguardsAreNeededTest.java
@@ -0,0 +1,27 @@
+package org.umbermount.courier;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
+
+/** Without a safeguard a day breaks, and for the reason that it is there for; with it the same day goes well. */
+class SafeguardsAreNeededTest {
+    @ParameterizedTest
+    @CsvSource({
+        "DIGEST_COMPARED, ORDERS, 1, 40, two changes on version",
+        "GRANTED_BY_MAJORITY, ORDINARY, 18, 40, hold the duty",
+        "NO_WAY_BACK, CUTS, 16, 40, went back",
+        "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"})
+    void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
+        Day day = Day.draw(seed, profile, steps);
+        assertNull(ReadingRoom.breakOf(day));
+        ReadingRoom.BrokenException broken = Mutation.without(safeguard, () -> ReadingRoom.breakOf(day));
+        assertNotNull(broken, "nothing breaks without " + safeguard);
+        assertTrue(broken.getMessage().lines().findFirst().orElse("").contains(sentence), broken.getMessage());
+    }
+}
--- a/courier/src/test/java/org/umbermount/courier/Simulation.java
+++ b/courier/src/test/java/org/umbermount/courier/Simulation.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.Locale;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * Plays drawn days and shows what broke, as short as it can be made:
@@ -14,13 +16,14 @@
     private Simulation() {
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws Exception {
         long seed = 1;
         int count = 1;
         int steps = 40;
         Profile profile = Profile.ALL;
         long shrinkMs = SHRINK_MS;
         String only = null;
+        Safeguard without = null;
         for (int k = 0; k + 1 < args.length; k += 2) {
             switch (args[k]) {
                 case "--seed" -> seed = Long.parseLong(args[k + 1]);
@@ -28,6 +31,7 @@
                 case "--steps" -> steps = Integer.parseInt(args[k + 1]);
                 case "--profile" -> profile = Profile.valueOf(args[k + 1].toUpperCase(Locale.ROOT));
                 case "--shrink-ms" -> shrinkMs = Long.parseLong(args[k + 1]);
+                case "--without" -> without = Safeguard.valueOf(args[k + 1].toUpperCase(Locale.ROOT));
                 case "--only" -> only = args[k + 1];
                 default -> throw new IllegalArgumentException("unknown: " + args[k]);
             }
@@ -37,14 +41,18 @@
             System.out.println(broken == null ? "nothing breaks" : broken.getMessage());
             System.exit(broken == null ? 0 : 1);
         }
-        System.exit(run(seed, count, steps, profile, shrinkMs));
+        Plan plan = new Plan(seed, count, steps, profile, shrinkMs);
+        System.exit(without == null ? run(plan) : Mutation.without(without, () -> run(plan)));
     }
 
-    private static int run(long first, int count, int steps, Profile profile, long shrinkMs) throws IOException {
+    private record Plan(long first, int count, int steps, Profile profile, long shrinkMs) {
+    }
+
+    private static int run(Plan plan) throws IOException {
         int found = 0;
         long playing = 0;
-        for (long seed = first; seed < first + count; seed++) {
-            Day day = Day.draw(seed, profile, steps);
+        for (long seed = plan.first(); seed < plan.first() + plan.count(); seed++) {
+            Day day = Day.draw(seed, plan.profile(), plan.steps());
             long begun = System.nanoTime();
             ReadingRoom.BrokenException broken = ReadingRoom.breakOf(day);
             playing += System.nanoTime() - begun;
@@ -52,17 +60,18 @@
                 continue;
             }
             found++;
-            System.out.println("seed " + seed + " profile " + profile + " steps " + steps + ": "
+            System.out.println("seed " + seed + " profile " + plan.profile() + " steps " + plan.steps() + ": "
                     + broken.getMessage().lines().findFirst().orElse(""));
-            if (shrinkMs > 0) {
-                Day shrunk = Shrinking.shrink(day, broken, shrinkMs);
-                System.out.println("  shrunk from " + steps + " events to " + shrunk.events().size()
-                        + ", again with --seed " + seed + " --profile " + profile + " --steps " + steps + " --only " + shrunk.plan());
+            if (plan.shrinkMs() > 0) {
+                Day shrunk = Shrinking.shrink(day, broken, plan.shrinkMs());
+                System.out.println("  shrunk from " + plan.steps() + " events to " + shrunk.events().size()
+                        + ", again with --seed " + seed + " --profile " + plan.profile() + " --steps " + plan.steps()
+                        + " --only " + shrunk.plan());
                 ReadingRoom.breakOf(shrunk).getMessage().lines().skip(1).forEach(l -> System.out.println("  " + l));
             }
         }
-        System.out.println(count + " days of profile " + profile + " from seed " + first + ", " + found + " broken, "
-                + Math.round(count * 60e9 / Math.max(1, playing)) + " a minute");
+        System.out.println(plan.count() + " days of profile " + plan.profile() + " from seed " + plan.first() + ", " + found
+                + " broken, " + Math.round(plan.count() * 60e9 / Math.max(1, playing)) + " a minute");
         return found == 0 ? 0 : 1;
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -11,14 +11,22 @@
     COMMITTED_BY_CONTENT,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
+    /** A lector drops what a sender of a lower epoch sends. */
+    FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
     /** Nothing is said of an order whose number is at or below the newest one that is no longer remembered. */
     FLOOR_RESPECTED,
     /** A file counts as safe only when its folder has been synced after the file was made. */
     FOLDER_SYNCED,
+    /** A duty is held only once a majority of the voters has granted it. */
+    GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
+    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
+    LEASE_FROM_ASKING,
+    /** Within its life a lector takes no table with an older edition than the one in force. */
+    NO_WAY_BACK,
     /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
     OWED_ONLY_IF_TAKEN,
     /** A read of the configuration is answered only after a majority has confirmed the view, asked after the read came in. */
@@ -27,6 +35,8 @@
     REFUSAL_CONFIRMED,
     /** An answer counts only for the life of the process that asked. */
     REPLY_OF_THIS_LIFE,
+    /** A grantor that has restarted grants nothing for a term, unless all who could hold the duty say that they do not. */
+    RESTARTED_GRANTOR_WAITS,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
     REWRITTEN_BESIDE,
     /** Seats change again only when the leases that the voters before may have granted have run out. */
