--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -299,8 +299,13 @@
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
+<<<<<<< HEAD
+        if (!custodian.charter().votes(post.self()) || now.since(started) < TERM_MS && !nobodyHolds(zone, who)
+                && Safeguard.RESTARTED_GRANTOR_WAITS.holds()) {
+=======
         if (!custodian.charter().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
                 && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+>>>>>>> main
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -361,11 +366,16 @@
                 votes++;
             }
         }
-        if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
+        int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? custodian.charter().majority() : 1;
+        if (custodian.charter().electorate().isEmpty() || votes < needed) {
             return;
         }
+<<<<<<< HEAD
+        h.until = (Safeguard.LEASE_FROM_ASKING.holds() ? h.asked : almanac.now()).plus(TERM_MS - MARGIN_MS);
+=======
         Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : almanac.now();
         h.until = begins.plus(TERM_MS - MARGIN_MS);
+>>>>>>> main
         if (!h.active) {
             h.active = true;
             tally.count("tenure.begun");
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -19,16 +19,29 @@
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
+<<<<<<< HEAD
+    /** A lector drops what a sender of a lower epoch sends. */
+    FENCED_BY_EPOCH,
+=======
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
+>>>>>>> main
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
     /** Nothing is said of an order whose number is at or below the newest one that is no longer remembered. */
     FLOOR_RESPECTED,
     /** A file counts as safe only when its folder has been synced after the file was made. */
     FOLDER_SYNCED,
+    /** A duty is held only once a majority of the voters has granted it. */
+    GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
+<<<<<<< HEAD
+    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
+    LEASE_FROM_ASKING,
+    /** Within its life a lector takes no table with an older edition than the one in force. */
+    NO_WAY_BACK,
+=======
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
     GRANTS_WAIT_AFTER_RESTART,
     /** A named change that is invalid on the version held here is refused only after a confirmed reading of it. */
@@ -43,6 +56,7 @@
     NEWS_WITH_MAJORITY,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
+>>>>>>> main
     /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
     OWED_ONLY_IF_TAKEN,
     /** The parts of a long message are put together only if one life of the sender has sent them. */
@@ -67,6 +81,8 @@
     REPLY_MATCHED_BY_LIFE,
     /** An answer counts only for the life of the process that asked. */
     REPLY_OF_THIS_LIFE,
+    /** A grantor that has restarted grants nothing for a term, unless all who could hold the duty say that they do not. */
+    RESTARTED_GRANTOR_WAITS,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
     REWRITTEN_BESIDE,
     /** Seats change again only when the leases that the voters before may have granted have run out. */
