--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -19,13 +19,10 @@
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
-<<<<<<< HEAD
-    /** A lector drops what a sender of a lower epoch sends. */
-    FENCED_BY_EPOCH,
-=======
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
->>>>>>> main
+    /** A lector drops what a sender of a lower epoch sends. */
+    FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
     /** Nothing is said of an order whose number is at or below the newest one that is no longer remembered. */
@@ -36,12 +33,6 @@
     GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
-<<<<<<< HEAD
-    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
-    LEASE_FROM_ASKING,
-    /** Within its life a lector takes no table with an older edition than the one in force. */
-    NO_WAY_BACK,
-=======
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
     GRANTS_WAIT_AFTER_RESTART,
     /** A named change that is invalid on the version held here is refused only after a confirmed reading of it. */
@@ -52,11 +43,14 @@
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
     LEASE_COUNTED_FROM_ASKING,
+    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
+    LEASE_FROM_ASKING,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
     NEWS_WITH_MAJORITY,
+    /** Within its life a lector takes no table with an older edition than the one in force. */
+    NO_WAY_BACK,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
->>>>>>> main
     /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
     OWED_ONLY_IF_TAKEN,
     /** The parts of a long message are put together only if one life of the sender has sent them. */
