--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -9,8 +9,12 @@
     AHEAD_BARRED,
     /** What is held counts as committed only if it is the very configuration that is, and not another under its number. */
     COMMITTED_BY_CONTENT,
+    /** Beats and sign-offs are answered only while a majority answers roll calls sent lately. */
+    CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
+    /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
+    EDITION_CONFIRMED_BEFORE_TABLES,
     /** A lector drops what a sender of a lower epoch sends. */
     FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
@@ -23,20 +27,38 @@
     GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
-    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
-    LEASE_FROM_ASKING,
+    /** Who has restarted grants nothing while a lease that it has forgotten may run. */
+    GRANTS_WAIT_AFTER_RESTART,
+    /** A named change that is invalid on the version held here is refused only after a confirmed reading of it. */
+    INVALIDITY_CONFIRMED,
+    /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
+    LATE_ANSWERS_DROPPED,
+    /** The lease is looked at each time that something is sent to a lector, not only when it is known to have ended. */
+    LEASE_CHECKED_ON_SENDING,
+    /** A lease is counted from the moment at which it was asked for. */
+    LEASE_COUNTED_FROM_ASKING,
+    /** News of a server is acknowledged only once a majority of the voters holds it. */
+    NEWS_WITH_MAJORITY,
     /** Within its life a lector takes no table with an older edition than the one in force. */
     NO_WAY_BACK,
+    /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
+    OPERATION_REFUSAL_CONFIRMED,
     /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
     OWED_ONLY_IF_TAKEN,
+    /** A purge is confirmed only after a majority has confirmed the view, asked after the call came in. */
+    PURGE_CONFIRMED,
+    /** Quota is granted, and limits are applied, only under a lease that holds at that moment and a confirmed edition. */
+    QUOTA_UNDER_CONFIRMED_EDITION,
     /** A read of the configuration is answered only after a majority has confirmed the view, asked after the read came in. */
     READ_CONFIRMED,
     /** A refusal of an order is given only after a majority has confirmed the view that it rests on. */
     REFUSAL_CONFIRMED,
+    /** News that was not acknowledged the first time is not acknowledged to a repeat for its being known here. */
+    REPEATED_NEWS_WAITS,
+    /** An order that is already committed is confirmed to its caller only after a majority has confirmed the view. */
+    REPEAT_CONFIRMED,
     /** An answer counts only for the life of the process that asked. */
     REPLY_OF_THIS_LIFE,
-    /** A grantor that has restarted grants nothing for a term, unless all who could hold the duty say that they do not. */
-    RESTARTED_GRANTOR_WAITS,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
     REWRITTEN_BESIDE,
     /** Seats change again only when the leases that the voters before may have granted have run out. */
@@ -44,17 +66,19 @@
     /** A voter that is gone gives up its seat while there are more than 2f + 1, or it is taken by one that is well. */
     SEAT_GIVEN_UP,
     /** What is behind the last whole record is cut off before the next record is written. */
-    TORN_TAIL_DROPPED;
+    TORN_TAIL_DROPPED,
+    /** A vote counts only from a member of the view asked about that no promise binds, in its newest incarnation. */
+    VOTES_OF_THE_VIEW_ONLY;
 
-    private static volatile Safeguard leftOut;
+    private volatile boolean leftOut;
 
     /** Whether the mechanism is in place; false only within a test that leaves it out. */
     public boolean holds() {
-        return leftOut != this;
+        return !leftOut;
     }
 
-    /** For tests of the same package alone: null puts everything in place again. */
-    static void leaveOut(Safeguard one) {
-        leftOut = one;
+    /** For tests of the same package alone. */
+    void leaveOut(boolean out) {
+        leftOut = out;
     }
 }
