--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -75,8 +75,6 @@
     REPLY_MATCHED_BY_LIFE,
     /** An answer counts only for the life of the process that asked. */
     REPLY_OF_THIS_LIFE,
-    /** A grantor that has restarted grants nothing for a term, unless all who could hold the duty say that they do not. */
-    RESTARTED_GRANTOR_WAITS,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
     REWRITTEN_BESIDE,
     /** Seats change again only when the leases that the voters before may have granted have run out. */
