--- a/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
+++ b/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
@@ -64,7 +64,7 @@
 
     private void ask(int at) {
         lector.send(Fleet.imprint(at), Postbag.Topic.QUOTA,
-                new QuotaMessages.Ask(fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
+                new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
     }
 
     private int holder() {
