--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -101,7 +101,7 @@
      */
     public void start(FailureDetector calls, Supplier<View> view, BooleanSupplier inTouch, BooleanSupplier canJudge) {
         detector = calls;
-        view = view;
+        this.view = view;
         listStands = inTouch;
         mayExpire = canJudge;
         calls.observe(this::compare);
