--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/archive/src/main/java/org/umbermount/archive/Membership.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * The view in force here and this daemon's part in it. Invariant: the view's number never falls by a decision or by news;
@@ -86,7 +87,8 @@
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     boolean inChain() {
         Memory memory = durable.memory();
-        if (standing != Replica.Standing.MEMBER || memory.frozen() || !memory.view().chains(self)) {
+        boolean bound = memory.frozen() && Safeguard.PROMISE_FREEZES.holds();
+        if (standing != Replica.Standing.MEMBER || bound || !memory.view().chains(self)) {
             return false;
         }
         for (Imprint member : memory.view().chain()) {
--- a/archive/src/main/java/org/umbermount/archive/View.java
+++ b/archive/src/main/java/org/umbermount/archive/View.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
 /**
@@ -40,7 +41,7 @@
 
     /** How many other voters a voter without memory has to read. */
     public int recoveryReads() {
-        return electorate.size() - majority() + 1;
+        return Safeguard.RECOVERY_MEETS_MAJORITIES.holds() ? electorate.size() - majority() + 1 : 1;
     }
 
     public Voter fellow(Imprint imprint) {
--- a/archive/src/main/java/org/umbermount/archive/ViewProposer.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewProposer.java
@@ -320,7 +320,7 @@
                 best = p.acceptedBallot();
                 earlier = p.accepted();
             }
-            if (newest == null || p.state().isNewerThan(newest)) {
+            if (newest == null || p.state().isNewerThan(newest) && Safeguard.NEWEST_PROMISED_STATE.holds()) {
                 newest = p.state();
             }
             // Of two that hold the same, one that stays is asked for it.
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -45,6 +45,8 @@
     LEASE_COUNTED_FROM_ASKING,
     /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
     LEASE_FROM_ASKING,
+    /** A view starts from the newest state among the promises of a majority. */
+    NEWEST_PROMISED_STATE,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
     NEWS_WITH_MAJORITY,
     /** Within its life a lector takes no table with an older edition than the one in force. */
@@ -55,6 +57,8 @@
     OWED_ONLY_IF_TAKEN,
     /** The parts of a long message are put together only if one life of the sender has sent them. */
     PARTS_OF_ONE_LIFE,
+    /** A voter that has promised itself to the next view takes no part in the chain of the present one. */
+    PROMISE_FREEZES,
     /** A client is promised that its request has not run only if no sending is underway and none may have run. */
     PROMISE_ONLY_IF_NOT_RUN,
     /** A purge is confirmed only after a majority has confirmed the view, asked after the call came in. */
@@ -63,6 +67,8 @@
     QUOTA_UNDER_CONFIRMED_EDITION,
     /** A read of the configuration is answered only after a majority has confirmed the view, asked after the read came in. */
     READ_CONFIRMED,
+    /** A voter without its memory reads so many others that they meet every majority it may have been in. */
+    RECOVERY_MEETS_MAJORITIES,
     /** A refusal of an order is given only after a majority has confirmed the view that it rests on. */
     REFUSAL_CONFIRMED,
     /** An answer without a server takes no other request's place among a client's answers. */
