--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -204,9 +204,14 @@
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
-    /** Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none. */
+    /**
+     * Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none,
+     * and one that a majority does not answer asks for none.
+     */
     private boolean mayHold(FailureDetector.Peer p) {
-        return p.report() != null && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
+        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
+                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
+        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
                 && replica.view().votes(p.imprint());
     }
 
--- a/archive/src/main/java/org/umbermount/archive/MembershipPlan.java
+++ b/archive/src/main/java/org/umbermount/archive/MembershipPlan.java
@@ -85,7 +85,9 @@
         if (seatsMayChange) {
             changeOneSeat(candidate);
         }
-        if (!pressing) {
+        View without = new View(now.number() + 1, electorate, chain);
+        if (!pressing || chain.size() < without.leastChain(tolerated) && Safeguard.SHORT_CHAIN_FILLED.holds()) {
+            // A chain that is too short cannot wait until nobody has to be dropped any more.
             takeIn(candidate);
         }
         if (!pressing && why != null) {
--- a/archive/src/test/java/org/umbermount/archive/BoundedFaultsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/BoundedFaultsTest.java
@@ -164,6 +164,7 @@
             private final String text;
             private int at;
             private Fleet.Reply reply;
+            private boolean waiting;
             Replica.Verdict verdict;
 
             Caller(String text, int at) {
@@ -174,12 +175,12 @@
 
             void goOn() {
                 verdict = reply.verdict;
-                if (verdict == null && (reply.gaveUp || !fleet.isRunning(at))) {
-                    do {
-                        at = (at + 1) % size;
-                    } while (!fleet.isRunning(at) && down.size() < size);
+                waiting |= verdict == null && (reply.gaveUp || !fleet.isRunning(at));
+                for (int i = 0; i < size && waiting; i++) {
+                    at = (at + 1) % size;
                     if (fleet.isRunning(at)) {
                         reply = fleet.submit(at, 1, 5, text);
+                        waiting = false;
                     }
                 }
             }
--- a/archive/src/test/java/org/umbermount/archive/MembershipSearchTest.java
+++ b/archive/src/test/java/org/umbermount/archive/MembershipSearchTest.java
@@ -223,6 +223,9 @@
 
     private static String wrong(State s) {
         View now = view(s);
+        if (s.how.equals("rest") && s.count(CHAINED, CHAINED) != s.count(CHAINED | UP, CHAINED | UP)) {
+            return "the chain stands still after a rest";
+        }
         if (s.count(ABLE, ABLE) < now.majority()) {
             return "no majority of " + now.electorate().size() + " can vote";
         }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -19,6 +19,8 @@
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
+    /** A duty is left to a registrar of its zone only if that one says that a majority answers it. */
+    DUTY_LEFT_TO_ONE_IN_CONTACT,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
     /** A lector drops what a sender of a lower epoch sends. */
@@ -89,6 +91,8 @@
     SEAT_GIVEN_UP,
     /** A request that is not safe is sent again only with the proof that it has not run. */
     SENT_ONCE,
+    /** A chain that has become too short takes in who is well at once, also while others have to be dropped. */
+    SHORT_CHAIN_FILLED,
     /** A connection to a server on which anything follows a whole answer is not used again. */
     SURPLUS_RETIRES_CONNECTION,
     /** What is behind the last whole record is cut off before the next record is written. */
