--- a/archive/src/main/java/org/umbermount/archive/Acceptor.java
+++ b/archive/src/main/java/org/umbermount/archive/Acceptor.java
@@ -48,10 +48,10 @@
 
     /** A proposer that is behind is told the view; one that is ahead is asked for it. */
     private boolean mayVote(Imprint proposer, long view) {
-        if (membership.standing() != Custodian.Standing.MEMBER) {
+        if (membership.standing() != Replica.Standing.MEMBER) {
             return false;
         }
-        long number = durable.memory().charter().number();
+        long number = durable.memory().view().number();
         if (number >= view) {
             membership.sendNews(proposer);
             return false;
--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
@@ -26,16 +26,16 @@
     /** After so long without a break a change of another registrar that was missed has been asked for. */
     private static final long IN_TOUCH_MS = 1_500;
 
-    final Custodian custodian;
-    final Porter porter;
+    final Replica replica;
+    final ChainClient chainClient;
     final Census census;
-    final RollCall rollCall;
+    final FailureDetector detector;
     final MajorityContact contact;
-    final TenureOffice tenures;
+    final LeaseOffice leases;
     final StackRoom room;
-    private final Convener convener;
+    private final ViewProposer convener;
     private final CensusNotebook notebook;
-    private final Almanac almanac;
+    private final Clock clock;
     private final HouseRules rules;
 
     /**
@@ -43,58 +43,58 @@
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
      */
-    Archive(Almanac almanac, Postbag post, HouseRules rules, Imprint control, Stack memory, Stack notes, Executor disk,
+    Archive(Clock clock, Postbag post, HouseRules rules, Imprint control, Stack memory, Stack notes, Executor disk,
             Tally tally) throws java.io.IOException {
-        this.almanac = almanac;
+        this.clock = clock;
         this.rules = rules;
-        Random random = new Random(post.self().packed() * 31 + almanac.wallMillis());
-        room = new StackRoom(memory, disk, almanac);
+        Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
+        room = new StackRoom(memory, disk, clock);
         Memory loaded = load(memory);
         List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
-        Charter genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
+        View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        custodian = new Custodian(almanac, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
+        replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
                 newcomer);
-        porter = new Porter(custodian, almanac);
-        census = new Census(almanac, post, tally, rules.heartbeatMs(), almanac.wallMillis());
-        notebook = new CensusNotebook(census, notes, disk, almanac);
+        chainClient = new ChainClient(replica, clock);
+        census = new Census(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
+        notebook = new CensusNotebook(census, notes, disk, clock);
         notebook.recall();
-        rollCall = new RollCall(almanac, post, (heard, connected) -> report(heard, connected, control));
-        contact = new MajorityContact(almanac, rollCall, custodian);
-        convener = new Convener(custodian, rollCall, this::diskGood, almanac, random, tally, post.self(),
+        detector = new FailureDetector(clock, post, (heard, connected) -> report(heard, connected, control));
+        contact = new MajorityContact(clock, detector, replica);
+        convener = new ViewProposer(replica, detector, this::diskGood, clock, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
-        custodian.listen(convener, porter);
-        tenures = new TenureOffice(almanac, post, custodian, rollCall, tally, rules.zone(),
+        replica.listen(convener, chainClient);
+        leases = new LeaseOffice(clock, post, replica, detector, tally, rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
-                rules.guarantees(HouseRules.QUOTA) ? TenureOffice.QUOTA_DUTIES : List.of());
-        seeds.forEach(rollCall::enlist);
-        custodian.onCharter(c -> c.electorate().forEach(f -> rollCall.enlist(f.imprint())));
-        custodian.charter().electorate().forEach(f -> rollCall.enlist(f.imprint()));
-        rollCall.observe(this::compare);
+                rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
+        seeds.forEach(detector::enlist);
+        replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
+        replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
+        detector.observe(this::compare);
     }
 
     void start() {
-        almanac.every(RollCall.INTERVAL_MS, this::refreshAudience);
+        clock.every(FailureDetector.INTERVAL_MS, this::refreshAudience);
         refreshAudience();
-        custodian.start();
+        replica.start();
         convener.start();
-        rollCall.start();
-        census.start(rollCall, custodian::charter, () -> contact.unbrokenMs() > IN_TOUCH_MS,
-                () -> !rollCall.unsettled(2 * rules.heartbeatMs()) && contact.unbrokenMs() > 2 * rules.heartbeatMs());
+        detector.start();
+        census.start(detector, replica::view, () -> contact.unbrokenMs() > IN_TOUCH_MS,
+                () -> !detector.unsettled(2 * rules.heartbeatMs()) && contact.unbrokenMs() > 2 * rules.heartbeatMs());
         notebook.start();
-        tenures.start();
+        leases.start();
     }
 
     private boolean diskGood() {
-        return room.healthy(DISK_PATIENCE_MS) && custodian.companion().diskGood(DISK_PATIENCE_MS);
+        return room.healthy(DISK_PATIENCE_MS) && replica.companion().diskGood(DISK_PATIENCE_MS);
     }
 
-    private RollCall.Report report(List<Imprint> heard, List<Imprint> connected, Imprint control) {
-        return new RollCall.Report(custodian.incarnation(), custodian.standing() == Custodian.Standing.MEMBER,
-                custodian.mayMove(), contact.holds(), diskGood(), rollCall.isLeaving(), custodian.charter().number(),
-                custodian.committed().edition().value(), custodian.newestEdition().value(), census.boot(), census.seq(),
+    private FailureDetector.Report report(List<Imprint> heard, List<Imprint> connected, Imprint control) {
+        return new FailureDetector.Report(replica.incarnation(), replica.standing() == Replica.Standing.MEMBER,
+                replica.mayMove(), contact.holds(), diskGood(), detector.isLeaving(), replica.view().number(),
+                replica.committed().edition().value(), replica.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(),
-                custodian.companion().settledView(), tenures.activeDuties(), rules.zone(), control, heard,
+                replica.companion().settledView(), leases.activeDuties(), rules.zone(), control, heard,
                 connected);
     }
 
@@ -116,22 +116,22 @@
         }
     }
 
-    private static Charter genesis(List<Imprint> seeds) {
+    private static View genesis(List<Imprint> seeds) {
         List<Imprint> members = new ArrayList<>(new TreeSet<>(seeds));
-        return new Charter(1, members.stream().map(m -> new Fellow(m, 0)).toList(), members);
+        return new View(1, members.stream().map(m -> new Voter(m, 0)).toList(), members);
     }
 
     private void refreshAudience() {
-        custodian.audience(rollCall.peers().stream().map(RollCall.Peer::imprint)
-                .filter(i -> rollCall.connected(i) || custodian.standing() == Custodian.Standing.RECOVERING).toList());
+        replica.audience(detector.peers().stream().map(FailureDetector.Peer::imprint)
+                .filter(i -> detector.connected(i) || replica.standing() == Replica.Standing.RECOVERING).toList());
     }
 
     /** Asks a peer that is ahead for its view and state. */
-    private void compare(RollCall.Peer peer) {
-        RollCall.Report r = peer.report();
-        if (r.view() > custodian.charter().number() && custodian.standing() != Custodian.Standing.RECOVERING
-                || r.edition() > custodian.committed().edition().value()) {
-            custodian.fetch(peer.imprint());
+    private void compare(FailureDetector.Peer peer) {
+        FailureDetector.Report r = peer.report();
+        if (r.view() > replica.view().number() && replica.standing() != Replica.Standing.RECOVERING
+                || r.edition() > replica.committed().edition().value()) {
+            replica.fetch(peer.imprint());
         }
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
@@ -17,7 +17,7 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.stacks.Cellar;
 import org.umbermount.stacks.Shelving;
 import org.umbermount.stacks.Stack;
@@ -54,7 +54,7 @@
     public void open(Institution host) throws Exception {
         institution = host;
         HouseRules rules = host.rules();
-        Almanac almanac = host.almanac();
+        Clock clock = host.clock();
         Postbag post = host.find(Postbag.class);
         Imprint control = rules.listeners().get("controlPlane");
         if (control == null) {
@@ -67,29 +67,29 @@
         });
         Shelving shelving = shelving(rules);
         host.offer(Cellar.class, new Cellar(shelving, thread));
-        archive = new Archive(almanac, post, rules, control, stackFor(shelving, "memory.stack"),
+        archive = new Archive(clock, post, rules, control, stackFor(shelving, "memory.stack"),
                 stackFor(shelving, "census.stack"), thread, host.tally());
         host.find(Gazetteer.class).observe(this::noticed);
-        host.offer(Custodian.class, archive.custodian);
+        host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
-        host.offer(TenureOffice.class, archive.tenures);
-        host.offer(RollCall.class, archive.rollCall);
+        host.offer(LeaseOffice.class, archive.leases);
+        host.offer(FailureDetector.class, archive.detector);
         host.offer(MajorityContact.class, archive.contact);
-        host.offer(Porter.class, archive.porter);
+        host.offer(ChainClient.class, archive.chainClient);
         meter(host.tally());
         archive.start();
-        desk = new ControlDesk(archive, almanac, post.self(), control, rules.zone(), host.tally());
+        desk = new ControlDesk(archive, clock, post.self(), control, rules.zone(), host.tally());
         host.offer(StatusPage.class, desk);
-        desk.bind(((LoopAlmanac) almanac).loop(),
+        desk.bind(((LoopClock) clock).loop(),
                 e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
     }
 
     private void meter(Tally tally) {
-        Custodian custodian = archive.custodian;
-        tally.gauge("archive.view", () -> custodian.charter().number());
-        tally.gauge("archive.edition", () -> custodian.committed().edition().value());
-        tally.gauge("archive.standing", () -> custodian.standing().ordinal());
-        tally.gauge("archive.frozen.ms", custodian::frozenMs);
+        Replica replica = archive.replica;
+        tally.gauge("archive.view", () -> replica.view().number());
+        tally.gauge("archive.edition", () -> replica.committed().edition().value());
+        tally.gauge("archive.standing", () -> replica.standing().ordinal());
+        tally.gauge("archive.frozen.ms", replica::frozenMs);
         tally.gauge("archive.disk.stuck.ms", archive.room::stuckMs);
         tally.gauge("archive.disk.slowest.ms", archive.room::slowestMs);
         tally.gauge("archive.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
@@ -116,28 +116,28 @@
 
     private void noticed(Placename placename) {
         if (placename.role() == Role.REGISTRAR) {
-            archive.rollCall.enlist(placename.imprint());
+            archive.detector.enlist(placename.imprint());
         }
     }
 
     @Override
     public void leave(Runnable done) {
-        archive.tenures.releaseAll();
-        archive.rollCall.leaving();
+        archive.leases.releaseAll();
+        archive.detector.leaving();
         desk.close();
-        Almanac almanac = institution.almanac();
-        almanac.after(LEAVE_MS, () -> onceLetGo(almanac.now().plus(LET_GO_MS - LEAVE_MS), done));
+        Clock clock = institution.clock();
+        clock.after(LEAVE_MS, () -> onceLetGo(clock.now().plus(LET_GO_MS - LEAVE_MS), done));
     }
 
     /** Ends only when the others go on without this daemon's copy and vote, if they bring that about in time. */
     private void onceLetGo(Moment latest, Runnable done) {
-        Almanac almanac = institution.almanac();
-        Charter charter = archive.custodian.charter();
+        Clock clock = institution.clock();
+        View view = archive.replica.view();
         Imprint self = institution.find(Postbag.class).self();
-        boolean needed = charter.chains(self) || charter.votes(self)
-                && MembershipPlan.hasSeatToSpare(charter, institution.rules().toleratedMachines());
-        if (needed && almanac.now().isBefore(latest)) {
-            almanac.after(LOOK_MS, () -> onceLetGo(latest, done));
+        boolean needed = view.chains(self) || view.votes(self)
+                && MembershipPlan.hasSeatToSpare(view, institution.rules().toleratedMachines());
+        if (needed && clock.now().isBefore(latest)) {
+            clock.after(LOOK_MS, () -> onceLetGo(latest, done));
         } else {
             done.run();
         }
@@ -145,6 +145,6 @@
 
     @Override
     public void reread(HouseRules rules) {
-        rules.seedNodes().forEach(s -> archive.rollCall.enlist(rules.mailAddress(s, Role.REGISTRAR)));
+        rules.seedNodes().forEach(s -> archive.detector.enlist(rules.mailAddress(s, Role.REGISTRAR)));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -13,7 +13,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -61,7 +61,7 @@
         }
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final long heartbeatMs;
@@ -74,8 +74,8 @@
     private final Map<Imprint, Long> acknowledged = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<Runnable> observers = new ArrayList<>();
-    private RollCall rollCall;
-    private Supplier<Charter> charter = () -> Charter.NONE;
+    private FailureDetector detector;
+    private Supplier<View> view = () -> View.NONE;
     private BooleanSupplier listStands = () -> true;
     private BooleanSupplier mayExpire = () -> false;
     /** Under which of this daemon's own changes its news of a server went out last. */
@@ -85,13 +85,13 @@
     private long seq;
     private long digest;
 
-    public Census(Almanac almanac, Postbag post, Tally tally, long heartbeatMs, long boot) {
-        this.almanac = almanac;
+    public Census(Clock clock, Postbag post, Tally tally, long heartbeatMs, long boot) {
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.heartbeatMs = heartbeatMs;
         this.boot = boot;
-        this.started = almanac.now();
+        this.started = clock.now();
         post.subscribe(Postbag.Topic.CENSUS, this::receive);
     }
 
@@ -99,13 +99,13 @@
      * Starts following the others; {@code view} says who votes, {@code inTouch} whether news of the others has come without a
      * break, and {@code canJudge} whether silence may be held against servers now.
      */
-    public void start(RollCall calls, Supplier<Charter> view, BooleanSupplier inTouch, BooleanSupplier canJudge) {
-        rollCall = calls;
-        charter = view;
+    public void start(FailureDetector calls, Supplier<View> view, BooleanSupplier inTouch, BooleanSupplier canJudge) {
+        detector = calls;
+        view = view;
         listStands = inTouch;
         mayExpire = canJudge;
         calls.observe(this::compare);
-        almanac.every(LOOP_MS, this::reconcile);
+        clock.every(LOOP_MS, this::reconcile);
     }
 
     /** Takes up what an earlier life of this daemon had noted. */
@@ -154,7 +154,7 @@
             repeat(known, told);
             return;
         }
-        lastBeat.put(beat.id(), almanac.now());
+        lastBeat.put(beat.id(), clock.now());
         CensusEntry next = known == null ? beat : known.merge(beat);
         if (next.standing() == CensusEntry.Standing.MISSED) {
             next = next.with(CensusEntry.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
@@ -205,13 +205,13 @@
 
     /** Whether a majority of the voters has taken a change of this daemon. */
     private boolean isKnown(long change) {
-        Charter view = charter.get();
+        View view = view.get();
         if (view.electorate().isEmpty()) {
             return false;
         }
         int n = 0;
         int others = 0;
-        for (Fellow f : view.electorate()) {
+        for (Voter f : view.electorate()) {
             boolean self = f.imprint().equals(post.self());
             boolean holds = self || acknowledged.getOrDefault(f.imprint(), -1L) >= change;
             n += holds ? 1 : 0;
@@ -249,7 +249,7 @@
         CensusEntry old = entries.put(next.id(), next);
         digest += next.digest() - (old == null ? 0 : old.digest());
         if (next.standing().isGone()) {
-            goneSince.putIfAbsent(next.id(), almanac.now());
+            goneSince.putIfAbsent(next.id(), clock.now());
             lastBeat.remove(next.id());
         } else {
             goneSince.remove(next.id());
@@ -269,9 +269,9 @@
             }
         }
         byte[] body = encode(Kind.CHANGES, from, changed);
-        if (rollCall != null) {
-            for (RollCall.Peer p : rollCall.peers()) {
-                if (rollCall.connected(p.imprint())) {
+        if (detector != null) {
+            for (FailureDetector.Peer p : detector.peers()) {
+                if (detector.connected(p.imprint())) {
                     post.send(p.imprint(), Postbag.Topic.CENSUS, body);
                 }
             }
@@ -317,7 +317,7 @@
             learn(e);
         }
         boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
-        RollCall.Peer peer = rollCall == null ? null : rollCall.peer(from);
+        FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
         if (snapshot && peer != null && peer.report() != null && peer.report().censusReady()) {
             becomeReady();
         }
@@ -339,7 +339,7 @@
         if (known == null || !known.equals(next)) {
             if (known == null || !known.sameNews(next)) {
                 if (!next.standing().isGone()) {
-                    lastBeat.put(next.id(), almanac.now());
+                    lastBeat.put(next.id(), clock.now());
                 }
                 store(next);
             } else {
@@ -349,7 +349,7 @@
     }
 
     private void ask(Imprint from, Followed f) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (now.since(f.asked) < LOOP_MS) {
             return;
         }
@@ -376,8 +376,8 @@
     }
 
     /** Compares what a peer says of itself with what has been applied of it. */
-    private void compare(RollCall.Peer peer) {
-        RollCall.Report r = peer.report();
+    private void compare(FailureDetector.Peer peer) {
+        FailureDetector.Report r = peer.report();
         Followed f = followed.computeIfAbsent(peer.imprint(), k -> new Followed());
         if (f.boot != r.censusBoot() || f.applied < r.censusSeq()) {
             ask(peer.imprint(), f);
@@ -414,7 +414,7 @@
     }
 
     private void reconcile() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (now.since(started) > READY_BEATS * heartbeatMs) {
             becomeReady();
         }
@@ -443,7 +443,7 @@
                 continue;
             }
             boolean mine = e.keeper().equals(post.self());
-            if (!mine && (rollCall.connected(e.keeper()) || !heir(e.keeper()))) {
+            if (!mine && (detector.connected(e.keeper()) || !heir(e.keeper()))) {
                 lastBeat.put(e.id(), now);
                 continue;
             }
@@ -468,8 +468,8 @@
 
     /** Whether this registrar is the first of those left to look after another's servers. */
     private boolean heir(Imprint lost) {
-        for (RollCall.Peer p : rollCall.peers()) {
-            if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && rollCall.connected(p.imprint())) {
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && detector.connected(p.imprint())) {
                 return false;
             }
         }
--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Script;
 import org.umbermount.stacks.Folio;
 import org.umbermount.stacks.Stack;
@@ -26,16 +26,16 @@
     private final Census census;
     private final Stack stack;
     private final Executor thread;
-    private final Almanac almanac;
+    private final Clock clock;
     private long notedDigest;
     private long notedAt;
     private boolean busy;
 
-    CensusNotebook(Census census, Stack stack, Executor thread, Almanac almanac) {
+    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock) {
         this.census = census;
         this.stack = stack;
         this.thread = thread;
-        this.almanac = almanac;
+        this.clock = clock;
     }
 
     /** Reads the notes of an earlier life, if they are fresh. */
@@ -46,7 +46,7 @@
         }
         try {
             Script.Reader in = Script.read(notes);
-            long age = almanac.wallMillis() - in.num();
+            long age = clock.wallMillis() - in.num();
             List<CensusEntry> entries = in.list(CensusEntry::read);
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
                 census.recall(entries);
@@ -58,11 +58,11 @@
     }
 
     void start() {
-        almanac.every(INTERVAL_MS, this::note);
+        clock.every(INTERVAL_MS, this::note);
     }
 
     private void note() {
-        long now = almanac.wallMillis();
+        long now = clock.wallMillis();
         boolean stale = now - notedAt > WORTHLESS_MS / 3;
         if (busy || !census.ready() || census.digest() == notedDigest && !stale) {
             return;
@@ -79,7 +79,7 @@
                 // A disk that refuses these refuses the chain's writes too, and is dealt with there.
                 notedDigest = 0;
             }
-            almanac.execute(() -> busy = false);
+            clock.execute(() -> busy = false);
         });
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Porter.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainClient.java
@@ -4,19 +4,19 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
 
 /** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
-public final class Porter implements Custodian.OriginListener {
+public final class ChainClient implements Replica.OriginListener {
     private static final long REPEAT_MS = 150;
     private static final long ASK_MS = 2_000;
 
-    private final Custodian custodian;
-    private final Almanac almanac;
+    private final Replica replica;
+    private final Clock clock;
     private final Map<RequestId, Errand> errands = new HashMap<>();
     private final Map<RequestId, Asked> asks = new HashMap<>();
     private Edition attested;
@@ -31,8 +31,8 @@
 
     private static final class Errand {
         Runnable ask;
-        Consumer<Custodian.Verdict> verdict;
-        Consumer<Accession> reading;
+        Consumer<Replica.Verdict> verdict;
+        Consumer<ConfigurationState> reading;
         Runnable confirmed;
         Runnable gaveUp;
         Moment until;
@@ -40,14 +40,14 @@
         long onlyIn;
     }
 
-    Porter(Custodian custodian, Almanac almanac) {
-        this.custodian = custodian;
-        this.almanac = almanac;
+    ChainClient(Replica replica, Clock clock) {
+        this.replica = replica;
+        this.clock = clock;
     }
 
     /** Has a configuration taken that was sent whole; exactly one of the two is called. */
     public void submit(Edition match, Edition edition, byte[] blob, long patienceMs,
-            Consumer<Custodian.Verdict> verdict, Runnable gaveUp) {
+            Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
         submit(new Order(match, edition, Digest.ofCall("PUT", blob)), blob, patienceMs, verdict, gaveUp);
     }
 
@@ -57,32 +57,32 @@
      * for that, the head remembers, and the head of another view does not.
      */
     public void submit(Order order, byte[] blob, long patienceMs,
-            Consumer<Custodian.Verdict> verdict, Runnable gaveUp) {
+            Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
         Errand errand = new Errand();
         RequestId id = nextId();
-        boolean ahead = order.match().isAfter(custodian.committed().edition());
+        boolean ahead = order.match().isAfter(replica.committed().edition());
         errand.verdict = verdict;
         errand.ask = () -> {
-            Imprint head = custodian.charter().head();
+            Imprint head = replica.view().head();
             if (head != null) {
                 if (ahead && errand.onlyIn == 0) {
-                    errand.onlyIn = custodian.charter().number();
+                    errand.onlyIn = replica.view().number();
                 }
-                custodian.sendSubmission(head, id, errand.onlyIn, order, blob);
+                replica.sendSubmission(head, id, errand.onlyIn, order, blob);
             }
         };
         begin(id, errand, patienceMs, gaveUp);
     }
 
     /** Reads the newest committed state as confirmed by a majority. */
-    public void read(long patienceMs, Consumer<Accession> reading, Runnable gaveUp) {
+    public void read(long patienceMs, Consumer<ConfigurationState> reading, Runnable gaveUp) {
         Errand errand = new Errand();
         RequestId id = nextId();
         errand.reading = reading;
         errand.ask = () -> {
-            Imprint tail = custodian.charter().tail();
+            Imprint tail = replica.view().tail();
             if (tail != null) {
-                custodian.sendRead(tail, id);
+                replica.sendRead(tail, id);
             }
         };
         begin(id, errand, patienceMs, gaveUp);
@@ -108,9 +108,9 @@
         RequestId id = nextId();
         errand.confirmed = confirmed;
         errand.ask = () -> {
-            Imprint tail = custodian.charter().tail();
+            Imprint tail = replica.view().tail();
             if (tail != null) {
-                custodian.sendAttest(tail, id);
+                replica.sendAttest(tail, id);
             }
         };
         begin(id, errand, patienceMs, gaveUp);
@@ -118,7 +118,7 @@
 
     private void begin(RequestId id, Errand errand, long patienceMs, Runnable gaveUp) {
         errand.gaveUp = gaveUp;
-        errand.until = almanac.now().plus(patienceMs);
+        errand.until = clock.now().plus(patienceMs);
         errands.put(id, errand);
         step(id);
     }
@@ -128,13 +128,13 @@
         if (errand == null) {
             return;
         }
-        if (!almanac.now().isBefore(errand.until)) {
+        if (!clock.now().isBefore(errand.until)) {
             errands.remove(id);
             errand.gaveUp.run();
             return;
         }
         errand.ask.run();
-        almanac.after(Math.min(REPEAT_MS, Math.max(1, errand.until.since(almanac.now()))), () -> step(id));
+        clock.after(Math.min(REPEAT_MS, Math.max(1, errand.until.since(clock.now()))), () -> step(id));
     }
 
     /**
@@ -143,21 +143,21 @@
      */
     private Errand inTime(RequestId id) {
         Errand errand = errands.get(id);
-        boolean late = errand != null && !almanac.now().isBefore(errand.until);
+        boolean late = errand != null && !clock.now().isBefore(errand.until);
         return late && Safeguard.LATE_ANSWERS_DROPPED.holds() ? null : errand;
     }
 
     @Override
-    public void verdict(RequestId id, Custodian.Verdict verdict) {
+    public void verdict(RequestId id, Replica.Verdict verdict) {
         Errand errand = inTime(own(id));
-        if (errand != null && errand.verdict != null && verdict != Custodian.Verdict.ELSEWHERE) {
+        if (errand != null && errand.verdict != null && verdict != Replica.Verdict.ELSEWHERE) {
             errands.remove(own(id));
             errand.verdict.accept(verdict);
         }
     }
 
     @Override
-    public void reading(RequestId id, Accession committed) {
+    public void reading(RequestId id, ConfigurationState committed) {
         Errand errand = inTime(own(id));
         if (errand != null && errand.reading != null) {
             errands.remove(own(id));
@@ -182,12 +182,12 @@
 
     /** Asks which edition is the newest that anyone has been told is taken; the answer is kept. */
     public void askNewest() {
-        Imprint tail = custodian.charter().tail();
+        Imprint tail = replica.view().tail();
         if (tail != null) {
-            asks.values().removeIf(a -> almanac.now().since(a.at()) > ASK_MS);
+            asks.values().removeIf(a -> clock.now().since(a.at()) > ASK_MS);
             RequestId id = nextId();
-            asks.put(id, new Asked(almanac.now()));
-            custodian.sendAttest(tail, id);
+            asks.put(id, new Asked(clock.now()));
+            replica.sendAttest(tail, id);
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/ChainMessages.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainMessages.java
@@ -2,7 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
@@ -22,16 +22,16 @@
     interface Handler {
         void submit(ChainReplica.Submission submission);
 
-        void verdict(RequestId id, Custodian.Verdict verdict);
+        void verdict(RequestId id, Replica.Verdict verdict);
 
-        void write(Imprint from, Accession state, List<PendingReply> replies);
+        void write(Imprint from, ConfigurationState state, List<PendingReply> replies);
 
         void committed(Imprint tail, long view, Edition edition, Digest digest);
 
         /** A read of the committed state, or of its edition alone if it is brief. */
         void read(Imprint origin, RequestId id, boolean brief);
 
-        void reading(RequestId id, Accession committed);
+        void reading(RequestId id, ConfigurationState committed);
 
         void attested(RequestId id, Edition newest);
 
@@ -43,8 +43,8 @@
     private final Channel channel;
     private Handler handler;
 
-    ChainMessages(Almanac almanac, Postbag post) {
-        channel = new Channel(almanac, post, Postbag.Topic.CUSTODY, this::receive);
+    ChainMessages(Clock clock, Postbag post) {
+        channel = new Channel(clock, post, Postbag.Topic.CHAIN, this::receive);
     }
 
     void open(Handler to) {
@@ -71,18 +71,18 @@
         channel.send(to, out.bytes(blob));
     }
 
-    void sendVerdict(Imprint to, RequestId id, Custodian.Verdict verdict) {
+    void sendVerdict(Imprint to, RequestId id, Replica.Verdict verdict) {
         channel.send(to, message(Kind.VERDICT, id).num(verdict.ordinal()));
     }
 
-    void sendWrite(Imprint to, Accession state, Collection<PendingReply> replies) {
+    void sendWrite(Imprint to, ConfigurationState state, Collection<PendingReply> replies) {
         Script.Writer out = message(Kind.WRITE);
         state.write(out);
         out.list(replies, (o, r) -> r.write(o));
         channel.send(to, out);
     }
 
-    void sendCommitted(Imprint to, Accession state) {
+    void sendCommitted(Imprint to, ConfigurationState state) {
         Script.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
         state.taken().newestDigest().write(out);
         channel.send(to, out);
@@ -92,7 +92,7 @@
         channel.send(to, message(Kind.READ, id));
     }
 
-    void sendReading(Imprint to, RequestId id, Accession committed) {
+    void sendReading(Imprint to, RequestId id, ConfigurationState committed) {
         Script.Writer out = message(Kind.READING, id);
         committed.write(out);
         channel.send(to, out);
@@ -126,23 +126,23 @@
             case SUBMIT -> handler.submit(new ChainReplica.Submission(from, RequestId.read(in), in.num(),
                     Order.read(in), in.bytes()));
             case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
-            case WRITE -> handler.write(from, Accession.read(in), in.list(PendingReply::read));
+            case WRITE -> handler.write(from, ConfigurationState.read(in), in.list(PendingReply::read));
             case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), Digest.read(in));
             case READ -> handler.read(from, RequestId.read(in), false);
             case ATTEST -> handler.read(from, RequestId.read(in), true);
             case ATTESTED -> handler.attested(RequestId.read(in), new Edition(in.num()));
-            case READING -> handler.reading(RequestId.read(in), Accession.read(in));
+            case READING -> handler.reading(RequestId.read(in), ConfigurationState.read(in));
             case CONFIRM -> handler.confirm(from, in.num(), in.num());
             case CONFIRMED -> handler.confirmed(from, in.num(), in.num());
             default -> throw new IllegalStateException();
         }
     }
 
-    private static Custodian.Verdict readVerdict(Script.Reader in) throws Script.UnreadableException {
+    private static Replica.Verdict readVerdict(Script.Reader in) throws Script.UnreadableException {
         int verdict = (int) in.num();
-        if (verdict < 0 || verdict >= Custodian.Verdict.values().length) {
+        if (verdict < 0 || verdict >= Replica.Verdict.values().length) {
             throw new Script.UnreadableException("an unknown verdict", null);
         }
-        return Custodian.Verdict.values()[verdict];
+        return Replica.Verdict.values()[verdict];
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Safeguard;
@@ -29,17 +29,17 @@
     private final CommitPoint commits;
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Tally tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
-    ChainReplica(Imprint self, Almanac almanac, DurableState durable, Membership membership, CommitPoint commits,
+    ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
             ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
         this.self = self;
-        this.almanac = almanac;
+        this.clock = clock;
         this.tally = tally;
-        this.aheads = new RefusedAhead(almanac.now());
+        this.aheads = new RefusedAhead(clock.now());
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
@@ -51,22 +51,22 @@
 
     void submit(Submission s) {
         if (!membership.inChain() || !membership.isHead()) {
-            answer(s, Custodian.Verdict.ELSEWHERE);
+            answer(s, Replica.Verdict.ELSEWHERE);
             return;
         }
-        if (s.onlyIn() != 0 && s.onlyIn() != membership.charter().number()) {
+        if (s.onlyIn() != 0 && s.onlyIn() != membership.view().number()) {
             return;
         }
         Order order = s.order();
-        Accession state = durable.memory().state();
+        ConfigurationState state = durable.memory().state();
         TakenOrders.Finding found = commits.committed().taken().find(order);
         if (!order.rises()) {
-            conclude(s, Custodian.Verdict.NOT_HIGHER);
+            conclude(s, Replica.Verdict.NOT_HIGHER);
         } else if (found == TakenOrders.Finding.TAKEN) {
             if (Safeguard.REPEAT_CONFIRMED.holds()) {
-                conclude(s, Custodian.Verdict.TAKEN);
+                conclude(s, Replica.Verdict.TAKEN);
             } else {
-                answer(s, Custodian.Verdict.TAKEN);
+                answer(s, Replica.Verdict.TAKEN);
             }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
             tally.count("archive.orders.unclear");
@@ -74,18 +74,18 @@
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
             // The version it builds on has been built on: it was not taken then, and never will be.
-            conclude(s, Custodian.Verdict.STALE);
+            conclude(s, Replica.Verdict.STALE);
         } else if (!order.match().equals(state.edition())) {
             refuseAhead(s, state);
         } else if (s.blob().length == 0) {
             // A question only: its sender knows no version to build on.
-            answer(s, Custodian.Verdict.ELSEWHERE);
-        } else if (!aheads.bars(order, s.onlyIn() != 0, almanac.now())) {
+            answer(s, Replica.Verdict.ELSEWHERE);
+        } else if (!aheads.bars(order, s.onlyIn() != 0, clock.now())) {
             replaceState(state.take(order.edition(), s.blob(), order.digest()), () -> oweAndForward(s));
         }
     }
 
-    private void answer(Submission s, Custodian.Verdict verdict) {
+    private void answer(Submission s, Replica.Verdict verdict) {
         messages.sendVerdict(s.origin(), s.id(), verdict);
     }
 
@@ -95,14 +95,14 @@
     }
 
     /** Until a majority has confirmed the view, nothing can come to pass here that would make the verdict another one. */
-    private void conclude(Submission s, Custodian.Verdict verdict) {
+    private void conclude(Submission s, Replica.Verdict verdict) {
         confirmation.verdict(s.origin(), s.id(), s.order(), verdict);
     }
 
     /** What is not committed may still give way, and then the version below it is the newest again: nothing is said then. */
-    private void refuseAhead(Submission s, Accession state) {
-        if (commits.committed().isSameAs(state) && aheads.bar(s.order(), almanac.now())) {
-            conclude(s, Custodian.Verdict.STALE);
+    private void refuseAhead(Submission s, ConfigurationState state) {
+        if (commits.committed().isSameAs(state) && aheads.bar(s.order(), clock.now())) {
+            conclude(s, Replica.Verdict.STALE);
         }
     }
 
@@ -116,7 +116,7 @@
     /** The head sends again what the chain has not committed in this view. */
     void resend() {
         Memory memory = durable.memory();
-        boolean unsettled = commits.committed().view() < memory.charter().number()
+        boolean unsettled = commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
             durable.serially(this::forward);
@@ -125,14 +125,14 @@
 
     // ---- every member ----
 
-    void write(Imprint from, Accession state, List<PendingReply> replies) {
+    void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
         Memory memory = durable.memory();
-        if (state.view() > memory.charter().number()) {
+        if (state.view() > memory.view().number()) {
             membership.fetch(from);
             return;
         }
-        if (!membership.inChain() || state.view() != memory.charter().number()
-                || !self.equals(memory.charter().successor(from))) {
+        if (!membership.inChain() || state.view() != memory.view().number()
+                || !self.equals(memory.view().successor(from))) {
             return;
         }
         if (state.isNewerThan(memory.state())) {
@@ -151,8 +151,8 @@
     }
 
     /** Takes a newer state of the same view; the one before may be committed all the same. */
-    private void replaceState(Accession next, Runnable then) {
-        Accession before = durable.memory().state();
+    private void replaceState(ConfigurationState next, Runnable then) {
+        ConfigurationState before = durable.memory().state();
         durable.persist(durable.memory().withState(next), () -> {
             commits.supersede(before);
             then.run();
@@ -165,7 +165,7 @@
         if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
             return;
         }
-        Imprint next = memory.charter().successor(self);
+        Imprint next = memory.view().successor(self);
         if (next == null) {
             commit(memory);
         } else {
@@ -175,7 +175,7 @@
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
     void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
-        Accession meant = commits.superseded(edition, durable.memory().state());
+        ConfigurationState meant = commits.superseded(edition, durable.memory().state());
         if (meant.view() == view && meant.isSameAs(edition, digest)) {
             commits.advance(meant);
             owed.values().removeIf(reply -> !reply.edition().isAfter(edition));
@@ -193,14 +193,14 @@
     // ---- the tail ----
 
     private void commit(Memory memory) {
-        Accession state = memory.state();
+        ConfigurationState state = memory.state();
         Set<Imprint> targets = new HashSet<>(membership.audience());
-        targets.addAll(memory.charter().chain());
+        targets.addAll(memory.view().chain());
         targets.remove(self);
         for (PendingReply reply : owed.values()) {
             if (state.taken().holds(new TakenOrders.Taken(reply.edition(), reply.digest()))
                     || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
-                messages.sendVerdict(reply.origin(), reply.id(), Custodian.Verdict.TAKEN);
+                messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
             } else {
                 tally.count("archive.debts.foreign");
             }
--- a/archive/src/main/java/org/umbermount/archive/Channel.java
+++ b/archive/src/main/java/org/umbermount/archive/Channel.java
@@ -1,6 +1,6 @@
 package org.umbermount.archive;
 
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
@@ -10,13 +10,13 @@
  * receiver as what others send, and never runs inside the sender's own step.
  */
 final class Channel {
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Postbag.Topic topic;
     private final Postbag.Listener receiver;
 
-    Channel(Almanac almanac, Postbag post, Postbag.Topic topic, Postbag.Listener receiver) {
-        this.almanac = almanac;
+    Channel(Clock clock, Postbag post, Postbag.Topic topic, Postbag.Listener receiver) {
+        this.clock = clock;
         this.post = post;
         this.topic = topic;
         this.receiver = receiver;
@@ -30,7 +30,7 @@
     void send(Imprint to, Script.Writer out) {
         byte[] body = out.done();
         if (to.equals(post.self())) {
-            almanac.execute(() -> deliver(to, body));
+            clock.execute(() -> deliver(to, body));
         } else {
             post.send(to, topic, body);
         }
--- a/archive/src/main/java/org/umbermount/archive/CommitPoint.java
+++ b/archive/src/main/java/org/umbermount/archive/CommitPoint.java
@@ -19,10 +19,10 @@
     private static final int SUPERSEDED = 8;
 
     private final StackRoom room;
-    private final List<Consumer<Accession>> observers = new ArrayList<>();
+    private final List<Consumer<ConfigurationState>> observers = new ArrayList<>();
     /** States that a newer one has replaced here before word came that they were committed. */
-    private final ArrayDeque<Accession> superseded = new ArrayDeque<>();
-    private Accession committed = Accession.NONE;
+    private final ArrayDeque<ConfigurationState> superseded = new ArrayDeque<>();
+    private ConfigurationState committed = ConfigurationState.NONE;
     private Edition readEdition = Edition.NONE;
     private Regulations regulations;
 
@@ -31,15 +31,15 @@
     }
 
     /** Takes what the disk says was committed before the stop; that no later one is, only others can say. */
-    void restore(Accession state) {
+    void restore(ConfigurationState state) {
         committed = state.inView(0);
     }
 
-    void observe(Consumer<Accession> observer) {
+    void observe(Consumer<ConfigurationState> observer) {
         observers.add(observer);
     }
 
-    Accession committed() {
+    ConfigurationState committed() {
         return committed;
     }
 
@@ -61,7 +61,7 @@
     }
 
     /** A newer state has replaced this one, which may be committed all the same. */
-    void supersede(Accession before) {
+    void supersede(ConfigurationState before) {
         if (before.edition().isAfter(committed.edition())) {
             superseded.add(before);
             if (superseded.size() > SUPERSEDED) {
@@ -71,9 +71,9 @@
     }
 
     /** The superseded state of an edition, or else the newest state. */
-    Accession superseded(Edition edition, Accession newest) {
-        Accession meant = newest;
-        for (Accession earlier : superseded) {
+    ConfigurationState superseded(Edition edition, ConfigurationState newest) {
+        ConfigurationState meant = newest;
+        for (ConfigurationState earlier : superseded) {
             if (earlier.edition().equals(edition)) {
                 meant = earlier;
             }
@@ -87,13 +87,13 @@
     }
 
     /** This state is committed. */
-    void advance(Accession state) {
+    void advance(ConfigurationState state) {
         if (state.edition().isAfter(committed.edition())) {
             superseded.removeIf(s -> !s.edition().isAfter(state.edition()));
             LOG.info("Edition {} is committed in view {}.", state.edition(), state.view());
             committed = state;
             room.write(List.of(Memory.committedNote(state)), safe -> { });
-            for (Consumer<Accession> o : observers) {
+            for (Consumer<ConfigurationState> o : observers) {
                 o.accept(state);
             }
         } else if (state.edition().equals(committed.edition()) && state.view() > committed.view()) {
--- a/archive/src/main/java/org/umbermount/archive/Companion.java
+++ b/archive/src/main/java/org/umbermount/archive/Companion.java
@@ -8,7 +8,7 @@
     Bookmark mark();
 
     /** A view has come into force here. */
-    void adopted(Charter charter);
+    void adopted(View view);
 
     /** This daemon's memory was lost: fetches everything up to the mark from its holder. */
     void rebuild(Bookmark upTo, Runnable done);
@@ -27,7 +27,7 @@
         }
 
         @Override
-        public void adopted(Charter charter) {
+        public void adopted(View view) {
         }
 
         @Override
--- a/archive/src/main/java/org/umbermount/archive/Accession.java
+++ b/archive/src/main/java/org/umbermount/archive/ConfigurationState.java
@@ -10,26 +10,26 @@
  * The configuration store's whole state: the newest configuration, the view it belongs to, and which
  * orders were taken up to it.
  */
-public record Accession(long view, Edition edition, byte[] blob, TakenOrders taken) {
-    public static final Accession NONE = new Accession(0, Edition.NONE, new byte[0], TakenOrders.NONE);
+public record ConfigurationState(long view, Edition edition, byte[] blob, TakenOrders taken) {
+    public static final ConfigurationState NONE = new ConfigurationState(0, Edition.NONE, new byte[0], TakenOrders.NONE);
     /** What a state begins with; one that was written before there were formats begins with its view, which is not negative. */
     private static final long FORMAT = -2;
 
     /** The state after taking one more configuration that was sent whole. */
-    public Accession take(Edition next, byte[] nextBlob) {
+    public ConfigurationState take(Edition next, byte[] nextBlob) {
         return take(next, nextBlob, Digest.ofCall("PUT", nextBlob));
     }
 
     /** The state after taking one more configuration; the digest is that of the call, by which its repeats are known. */
-    public Accession take(Edition next, byte[] nextBlob, Digest call) {
-        return new Accession(view, next, nextBlob, taken.with(new TakenOrders.Taken(next, call)));
+    public ConfigurationState take(Edition next, byte[] nextBlob, Digest call) {
+        return new ConfigurationState(view, next, nextBlob, taken.with(new TakenOrders.Taken(next, call)));
     }
 
-    public Accession inView(long other) {
-        return new Accession(other, edition, blob, taken);
+    public ConfigurationState inView(long other) {
+        return new ConfigurationState(other, edition, blob, taken);
     }
 
-    public boolean isNewerThan(Accession other) {
+    public boolean isNewerThan(ConfigurationState other) {
         return view != other.view ? view > other.view : edition.isAfter(other.edition);
     }
 
@@ -39,7 +39,7 @@
     }
 
     /** Whether both hold the same configuration, in whatever views. The number alone does not say so. */
-    public boolean isSameAs(Accession other) {
+    public boolean isSameAs(ConfigurationState other) {
         return edition.equals(other.edition) && (!Safeguard.COMMITTED_BY_CONTENT.holds()
                 || taken.newestDigest().equals(other.taken.newestDigest()) && Arrays.equals(blob, other.blob));
     }
@@ -49,7 +49,7 @@
         taken.write(out);
     }
 
-    static Accession read(Script.Reader in) throws Script.UnreadableException {
+    static ConfigurationState read(Script.Reader in) throws Script.UnreadableException {
         long first = in.num();
         if (first >= 0) {
             return readOlder(first, in);
@@ -57,7 +57,7 @@
         if (first != FORMAT) {
             throw new Script.UnreadableException("a state of an unknown format", null);
         }
-        Accession read = new Accession(in.num(), new Edition(in.num()), in.bytes(), TakenOrders.read(in));
+        ConfigurationState read = new ConfigurationState(in.num(), new Edition(in.num()), in.bytes(), TakenOrders.read(in));
         if (!read.taken.newest().equals(read.edition)) {
             throw new Script.UnreadableException("a state whose newest order is another one", null);
         }
@@ -65,10 +65,10 @@
     }
 
     /** Its short hashes tell nothing for sure: all that it took is below the floor. */
-    private static Accession readOlder(long view, Script.Reader in) throws Script.UnreadableException {
+    private static ConfigurationState readOlder(long view, Script.Reader in) throws Script.UnreadableException {
         Edition edition = new Edition(in.num());
         byte[] blob = in.bytes();
         in.list(entry -> new long[] {entry.num(), entry.num()});
-        return new Accession(view, edition, blob, new TakenOrders(edition, List.of()));
+        return new ConfigurationState(view, edition, blob, new TakenOrders(edition, List.of()));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -39,7 +39,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.FaultException;
@@ -59,12 +59,12 @@
     private static final long TOLD_MS = 600;
     private static final int ORDERS_SHOWN = 32;
 
-    private final Almanac almanac;
-    private final Porter porter;
-    private final Custodian custodian;
+    private final Clock clock;
+    private final ChainClient chainClient;
+    private final Replica replica;
     private final Census census;
-    private final TenureOffice tenures;
-    private final RollCall rollCall;
+    private final LeaseOffice leases;
+    private final FailureDetector detector;
     private final MajorityContact contact;
     private final Imprint self;
     private final Imprint control;
@@ -73,13 +73,13 @@
     private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlDesk(Archive archive, Almanac almanac, Imprint self, Imprint control, String zone, Tally tally) {
-        this.almanac = almanac;
-        this.porter = archive.porter;
-        this.custodian = archive.custodian;
+    ControlDesk(Archive archive, Clock clock, Imprint self, Imprint control, String zone, Tally tally) {
+        this.clock = clock;
+        this.chainClient = archive.chainClient;
+        this.replica = archive.replica;
         this.census = archive.census;
-        this.tenures = archive.tenures;
-        this.rollCall = archive.rollCall;
+        this.leases = archive.leases;
+        this.detector = archive.detector;
         this.contact = archive.contact;
         this.self = self;
         this.control = control;
@@ -213,7 +213,7 @@
         Edition match = match(request);
         Amendment amendment = Amendment.parse(call);
         Order order = rising(new Order(match, amendment.edition(), amendment.digest()));
-        Accession here = custodian.committed();
+        ConfigurationState here = replica.committed();
         if (here.edition().equals(match) || here.edition().isAfter(match)) {
             try {
                 amend(ctx, keep, order, amendment, here, PATIENCE_MS);
@@ -225,10 +225,10 @@
                 }
             }
         }
-        Moment asked = almanac.now();
-        porter.read(PATIENCE_MS, newest -> {
+        Moment asked = clock.now();
+        chainClient.read(PATIENCE_MS, newest -> {
             try {
-                amend(ctx, keep, order, amendment, newest, PATIENCE_MS - almanac.now().since(asked));
+                amend(ctx, keep, order, amendment, newest, PATIENCE_MS - clock.now().since(asked));
             } catch (FaultException e) {
                 refuse(ctx, keep, e.erratum(), e.getMessage());
             }
@@ -236,7 +236,7 @@
                 "The version it builds on is not known here yet; an earlier sending may have been taken."));
     }
 
-    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, Amendment amendment, Accession base,
+    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, Amendment amendment, ConfigurationState base,
             long patienceMs) throws FaultException {
         byte[] whole = new byte[0];
         if (base.edition().equals(order.match())) {
@@ -269,13 +269,13 @@
             return;
         }
         // No daemon keeps copies yet: nothing that was replaced can be handed out after this.
-        porter.confirm(PATIENCE_MS, () -> json(ctx, keep, 200, "{}"),
+        chainClient.confirm(PATIENCE_MS, () -> json(ctx, keep, 200, "{}"),
                 () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
     private void submit(ChannelHandlerContext ctx, boolean keep, Order order, byte[] blob, long patienceMs) {
         Edition edition = order.edition();
-        porter.submit(order, blob, patienceMs, verdict -> {
+        chainClient.submit(order, blob, patienceMs, verdict -> {
             switch (verdict) {
                 case TAKEN -> {
                     LOG.info("Edition {} was taken.", edition);
@@ -289,7 +289,7 @@
     }
 
     private void getConfig(ChannelHandlerContext ctx, boolean keep) {
-        porter.read(PATIENCE_MS, state -> {
+        chainClient.read(PATIENCE_MS, state -> {
             if (state.edition().equals(Edition.NONE)) {
                 refuse(ctx, keep, Erratum.UNKNOWN_CALL, "No configuration has been taken yet.");
             } else {
@@ -312,7 +312,7 @@
     }
 
     private void requireContact() throws FaultException {
-        if (Safeguard.CONTACT_BEFORE_BEATS.holds() ? !contact.holds() : !rollCall.reachesMajority(custodian.charter())) {
+        if (Safeguard.CONTACT_BEFORE_BEATS.holds() ? !contact.holds() : !detector.reachesMajority(replica.view())) {
             throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
         }
     }
@@ -340,7 +340,7 @@
     private void acknowledge(ChannelHandlerContext ctx, boolean keep, Consumer<Runnable> action,
             String answer) {
         boolean[] answered = new boolean[1];
-        Almanac.Cancellable timer = almanac.after(TOLD_MS, () -> {
+        Clock.Cancellable timer = clock.after(TOLD_MS, () -> {
             if (!answered[0]) {
                 answered[0] = true;
                 refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "Too few other daemons could be told.");
@@ -360,9 +360,9 @@
         if (serverZone.equals(zone)) {
             return "{}";
         }
-        for (RollCall.Peer p : rollCall.peers()) {
+        for (FailureDetector.Peer p : detector.peers()) {
             if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact()
-                    && rollCall.goodForMs(p.imprint()) > 2_000) {
+                    && detector.goodForMs(p.imprint()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
         }
@@ -370,36 +370,36 @@
     }
 
     /** The part that the view in force gives a registrar. */
-    private static String seat(Charter charter, Imprint who) {
-        if (!charter.votes(who)) {
+    private static String seat(View view, Imprint who) {
+        if (!view.votes(who)) {
             return "none";
         }
-        return !charter.chains(who) ? "voter" : who.equals(charter.head()) ? "head" : who.equals(charter.tail()) ? "tail" : "chain";
+        return !view.chains(who) ? "voter" : who.equals(view.head()) ? "head" : who.equals(view.tail()) ? "tail" : "chain";
     }
 
     private ObjectNode status() {
         ObjectNode root = new ObjectMapper().createObjectNode();
-        Charter charter = custodian.charter();
-        root.put("daemon", self.toString()).put("zone", zone).put("seat", seat(charter, self))
-                .put("standing", custodian.standing().name().toLowerCase(java.util.Locale.ROOT))
-                .put("incarnation", custodian.incarnation()).put("view", charter.number())
-                .put("edition", custodian.committed().edition().value())
-                .put("newestEdition", custodian.newestEdition().value());
+        View view = replica.view();
+        root.put("daemon", self.toString()).put("zone", zone).put("seat", seat(view, self))
+                .put("standing", replica.standing().name().toLowerCase(java.util.Locale.ROOT))
+                .put("incarnation", replica.incarnation()).put("view", view.number())
+                .put("edition", replica.committed().edition().value())
+                .put("newestEdition", replica.newestEdition().value());
         Moment confirmedAt = contact.confirmedAt();
         root.putObject("contact").put("majorityAnswers", contact.holds())
-                .put("confirmedMsAgo", confirmedAt.equals(Moment.NEVER) ? -1 : almanac.now().since(confirmedAt))
+                .put("confirmedMsAgo", confirmedAt.equals(Moment.NEVER) ? -1 : clock.now().since(confirmedAt))
                 .put("unbrokenMs", contact.unbrokenMs()).put("editionConfirmed", contact.assured());
         ArrayNode electorate = root.putArray("electorate");
-        charter.electorate().forEach(f -> electorate.add(f.imprint().toString()));
+        view.electorate().forEach(f -> electorate.add(f.imprint().toString()));
         ArrayNode chain = root.putArray("chain");
-        charter.chain().forEach(m -> chain.add(m.toString()));
-        showOrders(root.putObject("orders"), custodian.committed().taken());
+        view.chain().forEach(m -> chain.add(m.toString()));
+        showOrders(root.putObject("orders"), replica.committed().taken());
         ArrayNode peers = root.putArray("registrars");
-        for (RollCall.Peer p : rollCall.peers()) {
-            ObjectNode one = peers.addObject().put("daemon", p.imprint().toString()).put("seat", seat(charter, p.imprint()))
-                    .put("connected", rollCall.connected(p.imprint())).put("goodForMs", rollCall.goodForMs(p.imprint()))
-                    .put("lostForMs", rollCall.lostForMs(p.imprint()));
-            RollCall.Report r = p.report();
+        for (FailureDetector.Peer p : detector.peers()) {
+            ObjectNode one = peers.addObject().put("daemon", p.imprint().toString()).put("seat", seat(view, p.imprint()))
+                    .put("connected", detector.connected(p.imprint())).put("goodForMs", detector.goodForMs(p.imprint()))
+                    .put("lostForMs", detector.lostForMs(p.imprint()));
+            FailureDetector.Report r = p.report();
             if (r != null) {
                 one.put("zone", r.zone()).put("incarnation", r.incarnation()).put("view", r.view())
                         .put("edition", r.edition()).put("newestEdition", r.newestEdition()).put("hasMemory", r.votes())
@@ -410,9 +410,9 @@
             }
         }
         ObjectNode duties = root.putObject("duties");
-        for (String z : tenures.zones()) {
-            Imprint holder = tenures.holder(z);
-            duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", tenures.epoch(z));
+        for (String z : leases.zones()) {
+            Imprint holder = leases.holder(z);
+            duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", leases.epoch(z));
         }
         ArrayNode servers = root.putArray("servers");
         for (CensusEntry e : census.entries()) {
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/archive/src/main/java/org/umbermount/archive/DurableState.java
@@ -1,7 +1,7 @@
 package org.umbermount.archive;
 
 import java.util.ArrayDeque;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.StackRoom;
@@ -14,7 +14,7 @@
     private static final int BACKLOG = 512;
     private static final long RETRY_MS = 200;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final StackRoom room;
     private final Tally tally;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
@@ -28,14 +28,14 @@
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Almanac almanac, StackRoom room, Tally tally, Memory memory, boolean onDisk) {
-        this.almanac = almanac;
+    DurableState(Clock clock, StackRoom room, Tally tally, Memory memory, boolean onDisk) {
+        this.clock = clock;
         this.room = room;
         this.tally = tally;
         this.memory = memory;
         this.onDisk = onDisk;
         // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
-        this.frozenSince = memory.frozen() ? almanac.now() : null;
+        this.frozenSince = memory.frozen() ? clock.now() : null;
     }
 
     /** The newest memory that is on disk; before the first write the one to start from. */
@@ -50,7 +50,7 @@
 
     /** How long a promise has frozen this voter; 0 if none does. */
     long frozenMs() {
-        return memory.frozen() && frozenSince != null ? almanac.now().since(frozenSince) : 0;
+        return memory.frozen() && frozenSince != null ? clock.now().since(frozenSince) : 0;
     }
 
     /** Runs a change now, or once the changes before it are done. */
@@ -98,15 +98,15 @@
         if (!next.frozen()) {
             frozenSince = null;
         } else if (frozenSince == null) {
-            frozenSince = almanac.now();
+            frozenSince = clock.now();
         }
     }
 
     /** Only the very first write is tried again by itself: nothing else would ask for it. */
     private void refused(Memory old, Memory next, Runnable then) {
         tally.count("archive.writes.refused");
-        if (!onDisk && old.charter().number() == 0) {
-            almanac.after(RETRY_MS, () -> serially(() -> persist(next, then)));
+        if (!onDisk && old.view().number() == 0) {
+            clock.after(RETRY_MS, () -> serially(() -> persist(next, then)));
         }
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/RollCall.java
+++ b/archive/src/main/java/org/umbermount/archive/FailureDetector.java
@@ -8,14 +8,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 
 /** Registrars tell each other at short intervals that they are there, how they are, and whom they hear. */
-public final class RollCall {
+public final class FailureDetector {
     public static final long INTERVAL_MS = 300;
     /** Silence after which a peer is not relied on. */
     public static final long SILENCE_MS = 1_000;
@@ -92,7 +92,7 @@
         Report report(List<Imprint> heard, List<Imprint> connected);
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Reporter reporter;
     private final Map<Imprint, Peer> peers = new TreeMap<>();
@@ -106,12 +106,12 @@
     private boolean leaving;
     private int rounds;
 
-    public RollCall(Almanac almanac, Postbag post, Reporter reporter) {
-        this.almanac = almanac;
+    public FailureDetector(Clock clock, Postbag post, Reporter reporter) {
+        this.clock = clock;
         this.post = post;
         this.reporter = reporter;
-        this.started = almanac.now();
-        this.firstStamp = almanac.wallMillis();
+        this.started = clock.now();
+        this.firstStamp = clock.wallMillis();
         this.lastTick = started;
         this.stalledUntil = started;
         post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
@@ -119,13 +119,13 @@
 
     public void start() {
         tick();
-        almanac.every(INTERVAL_MS, this::tick);
+        clock.every(INTERVAL_MS, this::tick);
     }
 
     /** Adds a registrar to those that are called. */
     public void enlist(Imprint imprint) {
         if (!imprint.equals(post.self())) {
-            peers.computeIfAbsent(imprint, i -> new Peer(i, almanac.now()));
+            peers.computeIfAbsent(imprint, i -> new Peer(i, clock.now()));
         }
     }
 
@@ -145,7 +145,7 @@
     /** When that was sent which a registrar has answered last; now for this one. */
     Moment answered(Imprint imprint) {
         Peer p = peers.get(imprint);
-        return isSelf(imprint) ? almanac.now() : p == null ? Moment.NEVER : p.answered;
+        return isSelf(imprint) ? clock.now() : p == null ? Moment.NEVER : p.answered;
     }
 
     public Collection<Peer> peers() {
@@ -171,7 +171,7 @@
     }
 
     private void tick() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         rounds++;
         if (now.since(lastTick) > STALL_MS) {
             // This process stood still: the silence was its own. Give everyone time to be heard again.
@@ -207,7 +207,7 @@
     }
 
     private void send(boolean everyone) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         byte[] report = ownReport(now);
         for (Peer p : peers.values()) {
             if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
@@ -218,7 +218,7 @@
 
     /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
     private void send(Peer to, byte[] report) {
-        byte[] stamps = Script.write().num(firstStamp + almanac.now().since(started)).num(to.stamp).done();
+        byte[] stamps = Script.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
         post.send(to.imprint, Postbag.Topic.ROLL_CALL, body);
@@ -231,8 +231,8 @@
         long echo = in.num();
         keeper.run();
         boolean unknown = !peers.containsKey(from);
-        Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, almanac.now()));
-        Moment now = almanac.now();
+        Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
+        Moment now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
         boolean anew = peer.report != null && peer.report.censusBoot() != report.censusBoot();
         if (anew) {
@@ -282,7 +282,7 @@
             return true;
         }
         Peer p = peers.get(imprint);
-        return p != null && isConnected(p, almanac.now());
+        return p != null && isConnected(p, clock.now());
     }
 
     /** How long a peer has been connected with a working disk; -1 if it is not. */
@@ -291,7 +291,7 @@
         if (p == null) {
             return -1;
         }
-        Moment now = almanac.now();
+        Moment now = clock.now();
         judge(p, now);
         return p.goodSince == null ? -1 : now.since(p.goodSince);
     }
@@ -299,7 +299,7 @@
     /** Whether a peer may still be on its way: this daemon has just started and has not heard of it. */
     public boolean expected(Imprint imprint) {
         Peer p = peers.get(imprint);
-        return p != null && p.report == null && almanac.now().since(started) < FIRST_MS;
+        return p != null && p.report == null && clock.now().since(started) < FIRST_MS;
     }
 
     /** How long a peer has not been usable; 0 if it is. */
@@ -308,7 +308,7 @@
         if (p == null) {
             return 0;
         }
-        Moment now = almanac.now();
+        Moment now = clock.now();
         judge(p, now);
         return p.lostSince == null ? 0 : now.since(p.lostSince);
     }
@@ -316,23 +316,23 @@
     /** Whether a peer is connected and has said how it is in answer to something sent later than a moment. */
     public boolean answeredSince(Imprint imprint, Moment moment) {
         Peer p = peers.get(imprint);
-        return p != null && isConnected(p, almanac.now()) && moment.isBefore(p.answered);
+        return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         return now.since(lastTick) > STALL_MS || now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
     /** Whether this daemon and those it is connected with are a majority of the voters. */
-    public boolean reachesMajority(Charter charter) {
+    public boolean reachesMajority(View view) {
         int n = 0;
-        for (Fellow f : charter.electorate()) {
+        for (Voter f : view.electorate()) {
             if (connected(f.imprint())) {
                 n++;
             }
         }
-        return !charter.electorate().isEmpty() && n >= charter.majority();
+        return !view.electorate().isEmpty() && n >= view.majority();
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -21,7 +21,7 @@
  * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
  * and stops before the grants end; the epoch rises with each new holder.
  */
-public final class TenureOffice {
+public final class LeaseOffice {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     public static final long TERM_MS = 1_500;
     /** Each keeps the counts of a share of the tenants. */
@@ -65,10 +65,10 @@
         }
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
-    private final Custodian custodian;
-    private final RollCall rollCall;
+    private final Replica replica;
+    private final FailureDetector detector;
     private final Tally tally;
     private final String ownZone;
     private final List<String> zones;
@@ -78,26 +78,26 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public TenureOffice(Almanac almanac, Postbag post, Custodian custodian, RollCall rollCall, Tally tally,
+    public LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally,
             String ownZone, Iterable<String> zones, List<String> quotas) {
         this.quotas = List.copyOf(quotas);
-        this.almanac = almanac;
+        this.clock = clock;
         this.post = post;
-        this.custodian = custodian;
-        this.rollCall = rollCall;
+        this.replica = replica;
+        this.detector = detector;
         this.tally = tally;
         this.ownZone = ownZone;
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
-        this.started = almanac.now();
-        post.subscribe(Postbag.Topic.TENURE, this::receive);
+        this.started = clock.now();
+        post.subscribe(Postbag.Topic.LEASE, this::receive);
     }
 
     public void start() {
-        almanac.every(LOOP_MS, this::reconcile);
+        clock.every(LOOP_MS, this::reconcile);
         // Who answers this could not become a holder by what was granted here before the start.
-        almanac.after(REPORTED_MS + 1, rollCall::callNow);
+        clock.after(REPORTED_MS + 1, detector::callNow);
     }
 
     public void observe(Observer observer) {
@@ -107,7 +107,7 @@
     /** The epoch of a duty held here now, or 0. */
     public long epoch(String zone) {
         Held h = held.get(zone);
-        return h != null && h.active && almanac.now().isBefore(h.until) ? h.epoch : 0;
+        return h != null && h.active && clock.now().isBefore(h.until) ? h.epoch : 0;
     }
 
     public List<String> zones() {
@@ -120,7 +120,7 @@
             return post.self();
         }
         Granted g = grants.get(zone);
-        return g != null && almanac.now().isBefore(g.until) ? g.holder : null;
+        return g != null && clock.now().isBefore(g.until) ? g.holder : null;
     }
 
     /** Makes sure that the next epoch asked for is above one that was met. */
@@ -140,7 +140,7 @@
     }
 
     private void reconcile() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         for (String zone : zones) {
             Held h = held.computeIfAbsent(zone, z -> new Held());
             if (h.active && !now.isBefore(h.until)) {
@@ -160,9 +160,9 @@
 
     /** Whether this daemon should have the duty. */
     private boolean wanted(String zone, Held h, Moment now) {
-        if (rollCall.isLeaving() || !custodian.charter().votes(post.self())
-                || custodian.standing() == Custodian.Standing.RECOVERING
-                || !rollCall.reachesMajority(custodian.charter())) {
+        if (detector.isLeaving() || !replica.view().votes(post.self())
+                || replica.standing() == Replica.Standing.RECOVERING
+                || !detector.reachesMajority(replica.view())) {
             h.vacantSince = null;
             return false;
         }
@@ -187,7 +187,7 @@
         if (h.vacantSince == null) {
             h.vacantSince = now;
         }
-        return now.since(h.vacantSince) > LOOP_MS && !rollCall.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
+        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
     }
 
     /** Whether this daemon has clearly more than its share of the quota duties, as the first one up has. */
@@ -198,21 +198,21 @@
             mine += h != null && h.active ? 1 : 0;
         }
         int daemons = 1;
-        for (RollCall.Peer p : rollCall.peers()) {
-            daemons += rollCall.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
+        for (FailureDetector.Peer p : detector.peers()) {
+            daemons += detector.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
         }
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
     /** Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none. */
-    private boolean mayHold(RollCall.Peer p) {
-        return p.report() != null && rollCall.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && custodian.charter().votes(p.imprint());
+    private boolean mayHold(FailureDetector.Peer p) {
+        return p.report() != null && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
+                && replica.view().votes(p.imprint());
     }
 
     private boolean localPeer(String zone, long steadyMs) {
-        for (RollCall.Peer p : rollCall.peers()) {
-            if (mayHold(p) && p.report().zone().equals(zone) && rollCall.goodForMs(p.imprint()) >= steadyMs) {
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
                 return true;
             }
         }
@@ -222,7 +222,7 @@
     /** Among the daemons that come into question, whether this one comes first. */
     private boolean firstOf(String zone, int salt) {
         boolean local = zone.equals(ownZone);
-        for (RollCall.Peer p : rollCall.peers()) {
+        for (FailureDetector.Peer p : detector.peers()) {
             if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
                 continue;
             }
@@ -240,19 +240,19 @@
     private void ask(String zone, Held h, Moment now) {
         if (!h.active) {
             Granted g = grants.get(zone);
-            h.epoch = Math.max(Math.max(h.epoch, g == null ? 0 : g.epoch) + 1, almanac.wallMillis());
+            h.epoch = Math.max(Math.max(h.epoch, g == null ? 0 : g.epoch) + 1, clock.wallMillis());
         }
         h.asked = now;
         h.granted.clear();
         byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
-                .num(custodian.charter().number()).done();
-        for (Fellow f : custodian.charter().electorate()) {
+                .num(replica.view().number()).done();
+        for (Voter f : replica.view().electorate()) {
             if (f.imprint().equals(post.self())) {
-                if (grant(zone, post.self(), h.epoch, custodian.charter().number())) {
+                if (grant(zone, post.self(), h.epoch, replica.view().number())) {
                     granted(post.self(), zone, h.epoch, now.millis());
                 }
-            } else if (rollCall.connected(f.imprint())) {
-                post.send(f.imprint(), Postbag.Topic.TENURE, body);
+            } else if (detector.connected(f.imprint())) {
+                post.send(f.imprint(), Postbag.Topic.LEASE, body);
             }
         }
     }
@@ -270,7 +270,7 @@
                 long asked = in.num();
                 boolean yes = grant(zone, from, epoch, in.num());
                 long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
-                post.send(from, Postbag.Topic.TENURE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                post.send(from, Postbag.Topic.LEASE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
                         .text(zone).num(yes ? epoch : newest).num(asked).done());
             }
             case GRANT -> granted(from, zone, epoch, in.num());
@@ -291,15 +291,15 @@
     }
 
     private boolean grant(String zone, Imprint who, long epoch, long view) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
         // later view meets one that has granted.
-        if ((view != custodian.charter().number() || custodian.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
+        if ((view != replica.view().number() || replica.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
             return false;
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!custodian.charter().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+        if (!replica.view().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
                 && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
             return false;
         }
@@ -324,13 +324,13 @@
      * duty. Only voters hold duties, and none becomes a holder later than {@link #GRANT_MS} after it asked.
      */
     private boolean nobodyHolds(String duty, Imprint except) {
-        for (Fellow f : custodian.charter().electorate()) {
+        for (Voter f : replica.view().electorate()) {
             Imprint who = f.imprint();
             if (who.equals(except) || who.equals(post.self())) {
                 continue;
             }
-            if (!rollCall.answeredSince(who, started.plus(REPORTED_MS))
-                    || rollCall.peer(who).report().duties().contains(duty)) {
+            if (!detector.answeredSince(who, started.plus(REPORTED_MS))
+                    || detector.peer(who).report().duties().contains(duty)) {
                 return false;
             }
         }
@@ -351,21 +351,21 @@
     private void granted(Imprint from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
         if (h == null || h.epoch != epoch || h.asked.millis() != asked
-                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && almanac.now().since(h.asked) > GRANT_MS) {
+                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
             return;
         }
         h.granted.add(from);
         int votes = 0;
         for (Imprint g : h.granted) {
-            if (custodian.charter().votes(g)) {
+            if (replica.view().votes(g)) {
                 votes++;
             }
         }
-        int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? custodian.charter().majority() : 1;
-        if (custodian.charter().electorate().isEmpty() || votes < needed) {
+        int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? replica.view().majority() : 1;
+        if (replica.view().electorate().isEmpty() || votes < needed) {
             return;
         }
-        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : almanac.now();
+        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
         h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
@@ -398,9 +398,9 @@
             own.until = Moment.NEVER;
         }
         byte[] body = Script.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
-        for (Fellow f : custodian.charter().electorate()) {
+        for (Voter f : replica.view().electorate()) {
             if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Postbag.Topic.TENURE, body);
+                post.send(f.imprint(), Postbag.Topic.LEASE, body);
             }
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/MajorityContact.java
+++ b/archive/src/main/java/org/umbermount/archive/MajorityContact.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 import java.util.function.Supplier;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Moment;
 
@@ -13,46 +13,46 @@
  */
 public final class MajorityContact {
     /** How long a majority's word counts: as long as a lease. */
-    public static final long LIMIT_MS = TenureOffice.TERM_MS;
+    public static final long LIMIT_MS = LeaseOffice.TERM_MS;
 
-    private final Almanac almanac;
-    private final RollCall rollCall;
-    private final Custodian custodian;
-    private final Supplier<Charter> charter;
+    private final Clock clock;
+    private final FailureDetector detector;
+    private final Replica replica;
+    private final Supplier<View> view;
     private Moment judgedAt;
     private Moment unbrokenSince;
     private boolean assured;
 
-    MajorityContact(Almanac almanac, RollCall rollCall, Custodian custodian) {
-        this.almanac = almanac;
-        this.rollCall = rollCall;
-        this.custodian = custodian;
-        this.charter = custodian::charter;
-        this.judgedAt = almanac.now();
-        rollCall.keep(this::judge);
+    MajorityContact(Clock clock, FailureDetector detector, Replica replica) {
+        this.clock = clock;
+        this.detector = detector;
+        this.replica = replica;
+        this.view = replica::view;
+        this.judgedAt = clock.now();
+        detector.keep(this::judge);
     }
 
     /** The latest moment such that a majority of the voters has answered something sent then or later. */
     public Moment confirmedAt() {
-        Charter view = charter.get();
+        View view = view.get();
         if (view.electorate().isEmpty()) {
             return Moment.NEVER;
         }
         long[] answered = new long[view.electorate().size()];
         for (int i = 0; i < answered.length; i++) {
-            answered[i] = rollCall.answered(view.electorate().get(i).imprint()).millis();
+            answered[i] = detector.answered(view.electorate().get(i).imprint()).millis();
         }
         Arrays.sort(answered);
         return new Moment(answered[answered.length - view.majority()]);
     }
 
     private boolean fresh(Moment at) {
-        return almanac.now().since(at) <= LIMIT_MS;
+        return clock.now().since(at) <= LIMIT_MS;
     }
 
     /** Looks at every roll call that comes or goes, before and after, so that no break passes unnoticed. */
     private void judge() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (!fresh(confirmedAt()) || now.since(judgedAt) > LIMIT_MS) {
             unbrokenSince = null;
             assured = false;
@@ -71,7 +71,7 @@
 
     /** How long a majority has answered without a break; -1 if it does not. */
     public long unbrokenMs() {
-        return holds() ? almanac.now().since(unbrokenSince) : -1;
+        return holds() ? clock.now().since(unbrokenSince) : -1;
     }
 
     /**
@@ -80,12 +80,12 @@
      * asked would show.
      */
     public boolean confirms(Edition edition) {
-        Charter view = charter.get();
+        View view = view.get();
         int n = 0;
-        for (Fellow f : view.electorate()) {
-            RollCall.Peer p = rollCall.peer(f.imprint());
+        for (Voter f : view.electorate()) {
+            FailureDetector.Peer p = detector.peer(f.imprint());
             if (p == null) {
-                n += rollCall.isSelf(f.imprint()) && custodian.mayMove() ? 1 : 0;
+                n += detector.isSelf(f.imprint()) && replica.mayMove() ? 1 : 0;
             } else if (p.report() != null && fresh(p.answered()) && p.report().mayMove()
                     && p.report().view() == view.number() && p.report().newestEdition() <= edition.value()) {
                 n++;
@@ -100,9 +100,9 @@
      */
     public boolean assured() {
         judge();
-        Edition edition = custodian.committed().edition();
+        Edition edition = replica.committed().edition();
         if (unbrokenSince != null && !assured) {
-            assured = !edition.equals(Edition.NONE) && !custodian.newestEdition().isAfter(edition) && confirms(edition);
+            assured = !edition.equals(Edition.NONE) && !replica.newestEdition().isAfter(edition) && confirms(edition);
         }
         return assured;
     }
--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/archive/src/main/java/org/umbermount/archive/Membership.java
@@ -32,9 +32,9 @@
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages messages;
-    private final List<Consumer<Charter>> observers = new ArrayList<>();
+    private final List<Consumer<View>> observers = new ArrayList<>();
     private Listener listener;
-    private Custodian.Standing standing;
+    private Replica.Standing standing;
     private Companion companion = Companion.NONE;
     private List<Imprint> audience = List.of();
 
@@ -57,40 +57,40 @@
     }
 
     /** The first start of the whole system, with this daemon in the first view. */
-    void establish(Charter genesis) {
-        standing = Custodian.Standing.LEARNER;
-        durable.persist(durable.memory().adopt(genesis, Accession.NONE.inView(genesis.number())),
+    void establish(View genesis) {
+        standing = Replica.Standing.LEARNER;
+        durable.persist(durable.memory().adopt(genesis, ConfigurationState.NONE.inView(genesis.number())),
                 () -> adopted("the first start"));
     }
 
     /** A start with nothing on disk. */
     void startBlank(boolean newcomer) {
-        standing = newcomer ? Custodian.Standing.LEARNER : Custodian.Standing.RECOVERING;
+        standing = newcomer ? Replica.Standing.LEARNER : Replica.Standing.RECOVERING;
         durable.persist(durable.memory(), () -> { });
     }
 
     // ---- this daemon's part ----
 
-    Custodian.Standing standing() {
+    Replica.Standing standing() {
         return standing;
     }
 
-    Charter charter() {
-        return durable.memory().charter();
+    View view() {
+        return durable.memory().view();
     }
 
     boolean isHead() {
-        return self.equals(charter().head());
+        return self.equals(view().head());
     }
 
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     boolean inChain() {
         Memory memory = durable.memory();
-        if (standing != Custodian.Standing.MEMBER || memory.frozen() || !memory.charter().chains(self)) {
+        if (standing != Replica.Standing.MEMBER || memory.frozen() || !memory.view().chains(self)) {
             return false;
         }
-        for (Imprint member : memory.charter().chain()) {
-            if (memory.charter().fellow(member).incarnation() < incarnationOf(member)) {
+        for (Imprint member : memory.view().chain()) {
+            if (memory.view().fellow(member).incarnation() < incarnationOf(member)) {
                 return false;
             }
         }
@@ -103,13 +103,13 @@
         return who.equals(self) ? memory.incarnation() : memory.incarnationOf(who);
     }
 
-    private Custodian.Standing standingIn(Memory m) {
-        Fellow me = m.charter().fellow(self);
+    private Replica.Standing standingIn(Memory m) {
+        Voter me = m.view().fellow(self);
         if (me == null) {
-            return m.charter().number() == 0 ? Custodian.Standing.RECOVERING : Custodian.Standing.LEARNER;
+            return m.view().number() == 0 ? Replica.Standing.RECOVERING : Replica.Standing.LEARNER;
         }
-        return me.incarnation() == m.incarnation() || m.recoveredFor() == m.charter().number()
-                ? Custodian.Standing.MEMBER : Custodian.Standing.RECOVERING;
+        return me.incarnation() == m.incarnation() || m.recoveredFor() == m.view().number()
+                ? Replica.Standing.MEMBER : Replica.Standing.RECOVERING;
     }
 
     // ---- who goes along ----
@@ -123,7 +123,7 @@
         return companion;
     }
 
-    void observe(Consumer<Charter> observer) {
+    void observe(Consumer<View> observer) {
         observers.add(observer);
     }
 
@@ -137,9 +137,9 @@
     }
 
     /** The audience and the voters of a view, without this daemon. */
-    Set<Imprint> others(Charter charter) {
+    Set<Imprint> others(View view) {
         Set<Imprint> targets = new HashSet<>(audience);
-        for (Fellow f : charter.electorate()) {
+        for (Voter f : view.electorate()) {
             targets.add(f.imprint());
         }
         targets.remove(self);
@@ -150,26 +150,26 @@
 
     /** Brings an agreed view into force here and tells everyone. */
     void decided(Proposal proposal, String why) {
-        if (proposal.charter().number() <= charter().number()) {
+        if (proposal.view().number() <= view().number()) {
             return;
         }
-        durable.persist(durable.memory().adopt(proposal.charter(), proposal.base()), () -> {
+        durable.persist(durable.memory().adopt(proposal.view(), proposal.base()), () -> {
             adopted(why);
-            for (Imprint target : others(proposal.charter())) {
+            for (Imprint target : others(proposal.view())) {
                 sendNews(target);
             }
         });
     }
 
     /** Hears of another's view and state. */
-    void news(Charter charter, Accession state, boolean isCommitted) {
+    void news(View view, ConfigurationState state, boolean isCommitted) {
         Memory memory = durable.memory();
-        if (charter.number() < memory.charter().number() || state.view() != charter.number()) {
+        if (view.number() < memory.view().number() || state.view() != view.number()) {
             return;
         }
-        if (charter.number() > memory.charter().number()) {
-            durable.persist(memory.adopt(charter, state), () -> adopted("news of a newer view"));
-        } else if (isCommitted && state.isNewerThan(memory.state()) && !charter.chains(self)) {
+        if (view.number() > memory.view().number()) {
+            durable.persist(memory.adopt(view, state), () -> adopted("news of a newer view"));
+        } else if (isCommitted && state.isNewerThan(memory.state()) && !view.chains(self)) {
             // A follower keeps what the chain has committed. Chain members change only by writes of the chain.
             durable.persist(memory.withState(state), () -> { });
         }
@@ -180,17 +180,17 @@
         Memory memory = durable.memory();
         standing = standingIn(memory);
         listener.reset();
-        LOG.info("In force after {}: {}; edition {}; {}.", why, memory.charter(), memory.state().edition(),
+        LOG.info("In force after {}: {}; edition {}; {}.", why, memory.view(), memory.state().edition(),
                 standing.name().toLowerCase(Locale.ROOT));
-        for (Consumer<Charter> o : observers) {
-            o.accept(memory.charter());
+        for (Consumer<View> o : observers) {
+            o.accept(memory.view());
         }
-        companion.adopted(memory.charter());
+        companion.adopted(memory.view());
         listener.inForce();
     }
 
     void sendNews(Imprint to) {
-        if (charter().number() != 0) {
+        if (view().number() != 0) {
             messages.sendNews(to, durable.memory(), commits.committed());
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/MembershipPlan.java
+++ b/archive/src/main/java/org/umbermount/archive/MembershipPlan.java
@@ -42,18 +42,18 @@
     }
 
     /** The wanted view, why, and whether it cannot wait. */
-    record Wish(Charter charter, String why, boolean pressing) {
+    record Wish(View view, String why, boolean pressing) {
     }
 
-    private final Charter now;
+    private final View now;
     private final int tolerated;
     private final Sight sight;
-    private final List<Fellow> electorate = new ArrayList<>();
+    private final List<Voter> electorate = new ArrayList<>();
     private final List<Imprint> chain = new ArrayList<>();
     private String why;
     private boolean pressing;
 
-    private MembershipPlan(Charter now, int tolerated, Sight sight) {
+    private MembershipPlan(View now, int tolerated, Sight sight) {
         this.now = now;
         this.tolerated = tolerated;
         this.sight = sight;
@@ -64,13 +64,13 @@
      *     under earlier voters have run out
      * @return null if nothing is to be done, or nothing can be
      */
-    static Wish wish(Charter now, int tolerated, boolean seatsMayChange, Sight sight) {
+    static Wish wish(View now, int tolerated, boolean seatsMayChange, Sight sight) {
         return new MembershipPlan(now, tolerated, sight).wish(seatsMayChange);
     }
 
     /** Whether a voter that leaves can give its seat up before it goes. */
-    static boolean hasSeatToSpare(Charter charter, int tolerated) {
-        return charter.electorate().size() > leastElectorate(tolerated);
+    static boolean hasSeatToSpare(View view, int tolerated) {
+        return view.electorate().size() > leastElectorate(tolerated);
     }
 
     /** How many voters there have to be so that {@code tolerated} of them may be lost, with their disks too. */
@@ -92,7 +92,7 @@
             // Neighbours in the chain share a zone where they can, so that records cross as few borders as possible.
             chain.sort(Comparator.comparing(sight::zone).thenComparing(Comparator.naturalOrder()));
         }
-        Charter wanted = new Charter(now.number() + 1, electorate, chain);
+        View wanted = new View(now.number() + 1, electorate, chain);
         if (why == null || wanted.sameMembers(now) || chain.size() < wanted.leastChain(tolerated)) {
             return null;
         }
@@ -100,10 +100,10 @@
     }
 
     private void renewIncarnations() {
-        for (Fellow f : now.electorate()) {
+        for (Voter f : now.electorate()) {
             long incarnation = sight.incarnation(f.imprint());
             if (incarnation > f.incarnation() && sight.well(f.imprint()) && sight.hasMemory(f.imprint())) {
-                electorate.add(new Fellow(f.imprint(), incarnation));
+                electorate.add(new Voter(f.imprint(), incarnation));
                 why = f.imprint() + " came back with a new memory";
             } else {
                 electorate.add(f);
@@ -151,7 +151,7 @@
 
     /** A voter that is not well any more: it is not in the wanted chain. */
     private Imprint gone() {
-        for (Fellow f : electorate) {
+        for (Voter f : electorate) {
             if (!sight.expected(f.imprint()) && !sight.well(f.imprint()) && !chain.contains(f.imprint())) {
                 return f.imprint();
             }
@@ -168,10 +168,10 @@
             why = why == null ? gone + " gives up its seat" : why + " and gives up its seat";
         } else if (candidate != null && gone != null && !now.chains(gone)) {
             electorate.removeIf(f -> f.imprint().equals(gone));
-            electorate.add(new Fellow(candidate, sight.incarnation(candidate)));
+            electorate.add(new Voter(candidate, sight.incarnation(candidate)));
             why = candidate + " takes the seat of " + gone;
         } else if (candidate != null && gone == null && electorate.size() < LARGEST_ELECTORATE) {
-            electorate.add(new Fellow(candidate, sight.incarnation(candidate)));
+            electorate.add(new Voter(candidate, sight.incarnation(candidate)));
             why = candidate + " joins";
         }
     }
@@ -187,7 +187,7 @@
     }
 
     private void takeIn(Imprint candidate) {
-        for (Fellow f : electorate) {
+        for (Voter f : electorate) {
             Imprint who = f.imprint();
             if (!chain.contains(who) && sight.well(who) && sight.steady(who) && hearsAll(who)
                     && (sight.hasMemory(who) || who.equals(candidate))) {
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -13,7 +13,7 @@
  * What a registrar must not forget. {@code recoveredFor} is the number of the view for which a new
  * incarnation has read enough others; {@code incarnations} is the crash vector.
  */
-record Memory(long incarnation, long recoveredFor, Charter charter, Accession state, Ballot promised,
+record Memory(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
         Ballot acceptedBallot, Proposal accepted, Map<Imprint, Long> incarnations) {
 
     private static final byte IDENTITY = 1;
@@ -24,38 +24,38 @@
     private static final byte COMMITTED = 6;
 
     static Memory blank(long incarnation) {
-        return new Memory(incarnation, 0, Charter.NONE, Accession.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
+        return new Memory(incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
     }
 
     /** The view is in force and its voter slate for the next view is clean. */
-    Memory adopt(Charter next, Accession base) {
+    Memory adopt(View next, ConfigurationState base) {
         return new Memory(incarnation, recoveredFor, next, base, Ballot.NONE, Ballot.NONE, null, incarnations);
     }
 
-    Memory withState(Accession next) {
-        return new Memory(incarnation, recoveredFor, charter, next, promised, acceptedBallot, accepted, incarnations);
+    Memory withState(ConfigurationState next) {
+        return new Memory(incarnation, recoveredFor, view, next, promised, acceptedBallot, accepted, incarnations);
     }
 
     Memory promise(Ballot ballot) {
-        return new Memory(incarnation, recoveredFor, charter, state, ballot, acceptedBallot, accepted, incarnations);
+        return new Memory(incarnation, recoveredFor, view, state, ballot, acceptedBallot, accepted, incarnations);
     }
 
     Memory accept(Ballot ballot, Proposal proposal) {
-        return new Memory(incarnation, recoveredFor, charter, state, ballot, ballot, proposal, incarnations);
+        return new Memory(incarnation, recoveredFor, view, state, ballot, ballot, proposal, incarnations);
     }
 
     Memory recovered(long view) {
-        return new Memory(incarnation, view, charter, state, promised, acceptedBallot, accepted, incarnations);
+        return new Memory(incarnation, view, view, state, promised, acceptedBallot, accepted, incarnations);
     }
 
     Memory withAcceptor(Ballot p, Ballot ab, Proposal a) {
-        return new Memory(incarnation, recoveredFor, charter, state, p, ab, a, incarnations);
+        return new Memory(incarnation, recoveredFor, view, state, p, ab, a, incarnations);
     }
 
     Memory withIncarnation(Imprint who, long which) {
         Map<Imprint, Long> next = new HashMap<>(incarnations);
         next.merge(who, which, Math::max);
-        return new Memory(incarnation, recoveredFor, charter, state, promised, acceptedBallot, accepted, Map.copyOf(next));
+        return new Memory(incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
     }
 
     Memory withIncarnations(Map<Imprint, Long> more) {
@@ -69,7 +69,7 @@
     /** The newest incarnation known of a daemon. */
     long incarnationOf(Imprint who) {
         long known = incarnations.getOrDefault(who, 0L);
-        Fellow fellow = charter.fellow(who);
+        Voter fellow = view.fellow(who);
         return fellow == null ? known : Math.max(known, fellow.incarnation());
     }
 
@@ -83,9 +83,9 @@
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
             out.add(new Folio(IDENTITY, Script.write().num(incarnation).num(recoveredFor).done()));
         }
-        if (old == null || old.charter != charter) {
+        if (old == null || old.view != view) {
             Script.Writer w = Script.write();
-            charter.write(w);
+            view.write(w);
             out.add(new Folio(VIEW, w.done()));
         }
         if (old == null || old.state != state) {
@@ -122,14 +122,14 @@
 
     static Map<Imprint, Long> readIncarnations(Script.Reader in) throws Script.UnreadableException {
         Map<Imprint, Long> out = new HashMap<>();
-        for (Fellow f : in.list(Fellow::read)) {
+        for (Voter f : in.list(Voter::read)) {
             out.put(f.imprint(), f.incarnation());
         }
         return Map.copyOf(out);
     }
 
     /** A note beside the memory that an edition is known to be committed. */
-    static Folio committedNote(Accession state) {
+    static Folio committedNote(ConfigurationState state) {
         Script.Writer out = Script.write().num(state.edition().value());
         Digest.of(state.blob()).write(out);
         return new Folio(COMMITTED, out.done());
@@ -152,8 +152,8 @@
         }
         Script.Reader identity = Script.read(stack.get(IDENTITY));
         Script.Reader acceptor = Script.read(stack.get(ACCEPTOR));
-        return new Memory(identity.num(), identity.num(), Charter.read(Script.read(stack.get(VIEW))),
-                Accession.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
+        return new Memory(identity.num(), identity.num(), View.read(Script.read(stack.get(VIEW))),
+                ConfigurationState.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
                 acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(Script.read(stack.get(CRASHES))));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Recovery.java
+++ b/archive/src/main/java/org/umbermount/archive/Recovery.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 
 /**
@@ -17,12 +17,12 @@
     private static final long REBUILD_MS = 6_000;
 
     /** What one of the others remembers. */
-    record Reply(Charter charter, Accession state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
+    record Reply(View view, ConfigurationState state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
             Map<Imprint, Long> incarnations, Bookmark mark) {
     }
 
     private final Imprint self;
-    private final Almanac almanac;
+    private final Clock clock;
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
@@ -30,9 +30,9 @@
     private boolean rebuilding;
     private long attempt;
 
-    Recovery(Imprint self, Almanac almanac, DurableState durable, Membership membership, ViewMessages messages) {
+    Recovery(Imprint self, Clock clock, DurableState durable, Membership membership, ViewMessages messages) {
         this.self = self;
-        this.almanac = almanac;
+        this.clock = clock;
         this.durable = durable;
         this.membership = membership;
         this.messages = messages;
@@ -42,7 +42,7 @@
 
     void answer(Imprint who, long incarnation) {
         Memory memory = durable.memory();
-        if (membership.standing() == Custodian.Standing.RECOVERING || memory.charter().number() == 0) {
+        if (membership.standing() == Replica.Standing.RECOVERING || memory.view().number() == 0) {
             return;
         }
         if (memory.incarnationOf(who) >= incarnation) {
@@ -61,7 +61,7 @@
     /** Asks all others what they remember. */
     void ask() {
         Memory memory = durable.memory();
-        for (Imprint target : membership.others(memory.charter())) {
+        for (Imprint target : membership.others(memory.view())) {
             messages.sendRecover(target, memory.incarnation());
         }
     }
@@ -74,7 +74,7 @@
 
     void recovered(Imprint from, long incarnation, Reply reply) {
         Memory memory = durable.memory();
-        if (membership.standing() != Custodian.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+        if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
             return;
         }
         long known = incarnationIn(reply);
@@ -83,8 +83,8 @@
             return;
         }
         replies.put(from, reply);
-        Charter newest = newestCharter();
-        if (newest.number() >= memory.charter().number() && votersRead(newest) >= newest.recoveryReads()) {
+        View newest = newestView();
+        if (newest.number() >= memory.view().number() && votersRead(newest) >= newest.recoveryReads()) {
             finish(newest);
         }
     }
@@ -92,31 +92,31 @@
     /** The newest life of this daemon that another has met. */
     private long incarnationIn(Reply reply) {
         return Math.max(reply.incarnations().getOrDefault(self, 0L),
-                reply.charter().votes(self) ? reply.charter().fellow(self).incarnation() : 0L);
+                reply.view().votes(self) ? reply.view().fellow(self).incarnation() : 0L);
     }
 
     /** Someone has met a later life of this daemon: choose a number above it and read again. */
     private void startAbove(long known) {
         replies.clear();
         Memory m = durable.memory();
-        durable.persist(new Memory(known + 1, 0, m.charter(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
+        durable.persist(new Memory(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
                 m.incarnations()), this::ask);
     }
 
-    private Charter newestCharter() {
-        Charter newest = Charter.NONE;
+    private View newestView() {
+        View newest = View.NONE;
         for (Reply r : replies.values()) {
-            if (r.charter().number() > newest.number()) {
-                newest = r.charter();
+            if (r.view().number() > newest.number()) {
+                newest = r.view();
             }
         }
         return newest;
     }
 
-    private int votersRead(Charter charter) {
+    private int votersRead(View view) {
         int reads = 0;
         for (Imprint who : replies.keySet()) {
-            if (charter.votes(who)) {
+            if (view.votes(who)) {
                 reads++;
             }
         }
@@ -124,16 +124,16 @@
     }
 
     /** Enough has been read; what is kept beside the configuration is fetched before the memory counts as whole. */
-    private void finish(Charter newest) {
+    private void finish(View newest) {
         Memory whole = merge(newest);
         int reads = replies.size();
         long mine = ++attempt;
         rebuilding = true;
         // The one that is asked may be lost itself, or the disk refuse: then the others are read again.
-        almanac.after(REBUILD_MS, () -> giveUp(mine));
+        clock.after(REBUILD_MS, () -> giveUp(mine));
         membership.companion().rebuild(furthestMark(), () -> durable.serially(() -> {
             // What has come into force meanwhile is newer than what was read.
-            if (mine != attempt || !rebuilding || durable.memory().charter().number() > newest.number()) {
+            if (mine != attempt || !rebuilding || durable.memory().view().number() > newest.number()) {
                 giveUp(mine);
                 return;
             }
@@ -154,15 +154,15 @@
     }
 
     /** The newest state, promise and acceptance that those in the newest view remember. */
-    private Memory merge(Charter newest) {
-        Accession state = Accession.NONE;
+    private Memory merge(View newest) {
+        ConfigurationState state = ConfigurationState.NONE;
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
         Memory next = durable.memory();
         for (Reply r : replies.values()) {
             next = next.withIncarnations(r.incarnations());
-            if (r.charter().number() != newest.number()) {
+            if (r.view().number() != newest.number()) {
                 continue;
             }
             if (r.state().isNewerThan(state) || state.view() == 0) {
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Replica.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
@@ -16,7 +16,7 @@
  * One member of the chain that holds the configuration, and one voter on its views: the face of the parts that do the
  * work. Invariant: whatever may change {@link Memory} goes through {@link DurableState#serially}, one at a time.
  */
-public final class Custodian {
+public final class Replica {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long RESEND_MS = 200;
 
@@ -36,14 +36,14 @@
     }
 
     /** A promise as the proposer sees it. */
-    record Promise(Fellow voter, Accession state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
+    record Promise(Voter voter, ConfigurationState state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
     }
 
     /** Hears what concerns proposals. */
     interface BallotListener {
         void promised(long view, Ballot ballot, Promise promise);
 
-        void accepted(long view, Ballot ballot, Fellow voter);
+        void accepted(long view, Ballot ballot, Voter voter);
 
         void refused(long view, Ballot higher);
     }
@@ -52,12 +52,12 @@
     interface OriginListener {
         void verdict(RequestId id, Verdict verdict);
 
-        void reading(RequestId id, Accession committed);
+        void reading(RequestId id, ConfigurationState committed);
 
         void attested(RequestId id, Edition newest);
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages viewMessages;
@@ -76,39 +76,39 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Custodian(Almanac almanac, Postbag post, StackRoom room, Tally tally, Memory loaded,
-            boolean loadedCommitted, Charter genesis, boolean newcomer) {
-        this.almanac = almanac;
+    Replica(Clock clock, Postbag post, StackRoom room, Tally tally, Memory loaded,
+            boolean loadedCommitted, View genesis, boolean newcomer) {
+        this.clock = clock;
         Imprint self = post.self();
-        durable = new DurableState(almanac, room, tally, initial(loaded, genesis, newcomer), loaded != null);
+        durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer), loaded != null);
         commits = new CommitPoint(room);
-        viewMessages = new ViewMessages(almanac, post);
-        chainMessages = new ChainMessages(almanac, post);
+        viewMessages = new ViewMessages(clock, post);
+        chainMessages = new ChainMessages(clock, post);
         membership = new Membership(self, durable, commits, viewMessages);
         acceptor = new Acceptor(durable, membership, viewMessages);
         confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
-        chain = new ChainReplica(self, almanac, durable, membership, commits, confirmation, chainMessages, tally);
-        recovery = new Recovery(self, almanac, durable, membership, viewMessages);
+        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, tally);
+        recovery = new Recovery(self, clock, durable, membership, viewMessages);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
         chainMessages.open(new ChainHandler());
         begin(loaded, loadedCommitted, genesis, newcomer);
     }
 
-    private Memory initial(Memory loaded, Charter genesis, boolean newcomer) {
+    private Memory initial(Memory loaded, View genesis, boolean newcomer) {
         if (loaded != null) {
             return loaded;
         }
-        return Memory.blank(genesis != null || newcomer ? 0 : almanac.wallMillis());
+        return Memory.blank(genesis != null || newcomer ? 0 : clock.wallMillis());
     }
 
-    private void begin(Memory loaded, boolean loadedCommitted, Charter genesis, boolean newcomer) {
+    private void begin(Memory loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
         if (loaded != null) {
             membership.resume();
             if (loadedCommitted) {
                 commits.restore(loaded.state());
             }
-            LOG.info("Read from disk: {}, edition {}.", loaded.charter(), loaded.state().edition());
+            LOG.info("Read from disk: {}, edition {}.", loaded.view(), loaded.state().edition());
         } else if (genesis != null) {
             membership.establish(genesis);
         } else {
@@ -117,7 +117,7 @@
     }
 
     void start() {
-        almanac.every(RESEND_MS, this::resend);
+        clock.every(RESEND_MS, this::resend);
         resend();
     }
 
@@ -169,11 +169,11 @@
     }
 
     /** Told of each committed state, in rising order. */
-    public void onCommit(Consumer<Accession> observer) {
+    public void onCommit(Consumer<ConfigurationState> observer) {
         commits.observe(observer);
     }
 
-    public void onCharter(Consumer<Charter> observer) {
+    public void onView(Consumer<View> observer) {
         membership.observe(observer);
     }
 
@@ -186,11 +186,11 @@
         return membership.standing();
     }
 
-    public Charter charter() {
-        return membership.charter();
+    public View view() {
+        return membership.view();
     }
 
-    public Accession committed() {
+    public ConfigurationState committed() {
         return commits.committed();
     }
 
@@ -286,7 +286,7 @@
         }
 
         @Override
-        public void accepted(long view, Ballot ballot, Fellow voter, Map<Imprint, Long> incarnations) {
+        public void accepted(long view, Ballot ballot, Voter voter, Map<Imprint, Long> incarnations) {
             durable.serially(() -> membership.learnIncarnations(incarnations,
                     () -> ballots.accepted(view, ballot, voter)));
         }
@@ -297,10 +297,10 @@
         }
 
         @Override
-        public void news(Charter charter, Accession state, boolean isCommitted, Accession committed) {
+        public void news(View view, ConfigurationState state, boolean isCommitted, ConfigurationState committed) {
             // What others have committed counts at once, also where this daemon's own disk hangs or refuses.
             commits.advance(committed);
-            durable.serially(() -> membership.news(charter, state, isCommitted));
+            durable.serially(() -> membership.news(view, state, isCommitted));
         }
 
         @Override
@@ -331,7 +331,7 @@
         }
 
         @Override
-        public void write(Imprint from, Accession state, List<PendingReply> replies) {
+        public void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
             durable.serially(() -> chain.write(from, state, replies));
         }
 
@@ -346,7 +346,7 @@
         }
 
         @Override
-        public void reading(RequestId id, Accession committed) {
+        public void reading(RequestId id, ConfigurationState committed) {
             origins.reading(id, committed);
         }
 
--- a/archive/src/main/java/org/umbermount/archive/Charter.java
+++ b/archive/src/main/java/org/umbermount/archive/View.java
@@ -8,14 +8,14 @@
  * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
  * operation records go on.
  */
-public record Charter(long number, List<Fellow> electorate, List<Imprint> chain, Bookmark base) {
-    public static final Charter NONE = new Charter(0, List.of(), List.of());
+public record View(long number, List<Voter> electorate, List<Imprint> chain, Bookmark base) {
+    public static final View NONE = new View(0, List.of(), List.of());
 
-    public Charter(long number, List<Fellow> electorate, List<Imprint> chain) {
+    public View(long number, List<Voter> electorate, List<Imprint> chain) {
         this(number, electorate, chain, Bookmark.NONE);
     }
 
-    public Charter {
+    public View {
         electorate = List.copyOf(electorate);
         chain = List.copyOf(chain);
     }
@@ -34,8 +34,8 @@
         return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
     }
 
-    public Charter withBase(Bookmark mark) {
-        return new Charter(number, electorate, chain, mark);
+    public View withBase(Bookmark mark) {
+        return new View(number, electorate, chain, mark);
     }
 
     /** How many other voters a voter without memory has to read. */
@@ -43,8 +43,8 @@
         return electorate.size() - majority() + 1;
     }
 
-    public Fellow fellow(Imprint imprint) {
-        for (Fellow f : electorate) {
+    public Voter fellow(Imprint imprint) {
+        for (Voter f : electorate) {
             if (f.imprint().equals(imprint)) {
                 return f;
             }
@@ -74,7 +74,7 @@
     }
 
     /** Whether the other has the same voters and chain. */
-    public boolean sameMembers(Charter other) {
+    public boolean sameMembers(View other) {
         return electorate.equals(other.electorate) && chain.equals(other.chain);
     }
 
@@ -83,8 +83,8 @@
         base.write(out);
     }
 
-    static Charter read(Script.Reader in) throws Script.UnreadableException {
-        return new Charter(in.num(), in.list(Fellow::read), in.list(Script.Reader::imprint), Bookmark.read(in));
+    static View read(Script.Reader in) throws Script.UnreadableException {
+        return new View(in.num(), in.list(Voter::read), in.list(Script.Reader::imprint), Bookmark.read(in));
     }
 
     @Override
--- a/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -31,8 +31,8 @@
     private long nextNonce = new SecureRandom().nextLong() >>> 1;
 
     /** What waits for a majority: a verdict on a submission, the committed state for a read, or something of this daemon's. */
-    private record Question(Imprint origin, RequestId id, long view, Accession reading, boolean brief, Order order,
-            Custodian.Verdict verdict, Runnable then, Set<Imprint> agreed) {
+    private record Question(Imprint origin, RequestId id, long view, ConfigurationState reading, boolean brief, Order order,
+            Replica.Verdict verdict, Runnable then, Set<Imprint> agreed) {
     }
 
     ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
@@ -48,15 +48,15 @@
     void read(Imprint origin, RequestId id, boolean brief) {
         Memory memory = durable.memory();
         boolean known = memory.state().edition().equals(Edition.NONE)
-                || commits.committed().view() == memory.charter().number();
-        if (!membership.inChain() || !known || !self.equals(memory.charter().tail())) {
+                || commits.committed().view() == memory.view().number();
+        if (!membership.inChain() || !known || !self.equals(memory.view().tail())) {
             return;
         }
         ask(question(origin, id, brief, null, null, null), Safeguard.READ_CONFIRMED);
     }
 
     /** The head refuses a submission, or says again that it was taken. */
-    void verdict(Imprint origin, RequestId id, Order order, Custodian.Verdict verdict) {
+    void verdict(Imprint origin, RequestId id, Order order, Replica.Verdict verdict) {
         ask(question(origin, id, false, order, verdict, null), Safeguard.REFUSAL_CONFIRMED);
     }
 
@@ -65,9 +65,9 @@
         ask(question(self, null, true, null, null, then), null);
     }
 
-    private Question question(Imprint origin, RequestId id, boolean brief, Order order, Custodian.Verdict verdict,
+    private Question question(Imprint origin, RequestId id, boolean brief, Order order, Replica.Verdict verdict,
             Runnable then) {
-        return new Question(origin, id, durable.memory().charter().number(), commits.committed(), brief, order, verdict, then,
+        return new Question(origin, id, durable.memory().view().number(), commits.committed(), brief, order, verdict, then,
                 new HashSet<>());
     }
 
@@ -79,32 +79,32 @@
         if (questions.size() > MOST) {
             questions.clear();
         }
-        Charter charter = durable.memory().charter();
+        View view = durable.memory().view();
         long nonce = nextNonce++;
         questions.put(nonce, question);
-        for (Fellow f : charter.electorate()) {
-            messages.sendConfirm(f.imprint(), nonce, charter.number());
+        for (Voter f : view.electorate()) {
+            messages.sendConfirm(f.imprint(), nonce, view.number());
         }
     }
 
     /** A voter says whether a view is still its own and no promise may have ended it. */
     void attest(Imprint from, long nonce, long view) {
         Memory memory = durable.memory();
-        if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Custodian.Standing.MEMBER
-                && memory.charter().number() == view && !memory.frozen()) {
+        if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Replica.Standing.MEMBER
+                && memory.view().number() == view && !memory.frozen()) {
             messages.sendConfirmed(from, nonce, memory.incarnation());
         }
     }
 
     void confirmed(Imprint from, long nonce, long incarnation) {
         Question q = questions.get(nonce);
-        Charter charter = durable.memory().charter();
-        if (q == null || q.view() != charter.number() || incarnation < membership.incarnationOf(from)
-                || !charter.votes(from)) {
+        View view = durable.memory().view();
+        if (q == null || q.view() != view.number() || incarnation < membership.incarnationOf(from)
+                || !view.votes(from)) {
             return;
         }
         q.agreed().add(from);
-        if (q.agreed().size() >= charter.majority()) {
+        if (q.agreed().size() >= view.majority()) {
             questions.remove(nonce);
             answer(q);
         }
@@ -114,7 +114,7 @@
         if (q.then() != null) {
             q.then().run();
         } else if (q.verdict() != null) {
-            if (q.verdict() != Custodian.Verdict.TAKEN) {
+            if (q.verdict() != Replica.Verdict.TAKEN) {
                 LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
                         q.verdict(), q.view(), q.reading().edition());
             }
--- a/archive/src/main/java/org/umbermount/archive/ViewMessages.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewMessages.java
@@ -1,7 +1,7 @@
 package org.umbermount.archive;
 
 import java.util.Map;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
@@ -20,16 +20,16 @@
     interface Handler {
         void prepare(Imprint from, long view, Ballot ballot);
 
-        void promise(long view, Ballot ballot, Custodian.Promise promise, Map<Imprint, Long> incarnations);
+        void promise(long view, Ballot ballot, Replica.Promise promise, Map<Imprint, Long> incarnations);
 
         void accept(Imprint from, long view, Ballot ballot, Proposal proposal);
 
-        void accepted(long view, Ballot ballot, Fellow voter, Map<Imprint, Long> incarnations);
+        void accepted(long view, Ballot ballot, Voter voter, Map<Imprint, Long> incarnations);
 
         void refusal(long view, Ballot higher);
 
         /** A view, its sender's newest state, and the newest state that the sender knows to be committed. */
-        void news(Charter charter, Accession state, boolean isCommitted, Accession committed);
+        void news(View view, ConfigurationState state, boolean isCommitted, ConfigurationState committed);
 
         void fetch(Imprint from);
 
@@ -41,8 +41,8 @@
     private final Channel channel;
     private Handler handler;
 
-    ViewMessages(Almanac almanac, Postbag post) {
-        channel = new Channel(almanac, post, Postbag.Topic.CHARTER, this::receive);
+    ViewMessages(Clock clock, Postbag post) {
+        channel = new Channel(clock, post, Postbag.Topic.VIEW, this::receive);
     }
 
     void open(Handler to) {
@@ -94,9 +94,9 @@
         channel.send(to, out);
     }
 
-    void sendNews(Imprint to, Memory memory, Accession committed) {
+    void sendNews(Imprint to, Memory memory, ConfigurationState committed) {
         Script.Writer out = message(Kind.NEWS);
-        memory.charter().write(out);
+        memory.view().write(out);
         // Outside the chain only what is committed may be passed on as such.
         boolean isCommitted = committed.isSameAs(memory.state());
         memory.state().write(out);
@@ -117,7 +117,7 @@
 
     void sendRecovered(Imprint to, long incarnation, Memory memory, Bookmark mark) {
         Script.Writer out = message(Kind.RECOVERED).num(incarnation);
-        memory.charter().write(out);
+        memory.view().write(out);
         memory.state().write(out);
         memory.promised().write(out);
         memory.writeAccepted(out);
@@ -138,7 +138,7 @@
             case PREPARE -> handler.prepare(from, in.num(), Ballot.read(in));
             case PROMISE -> readPromise(from, in);
             case ACCEPT -> handler.accept(from, in.num(), Ballot.read(in), Proposal.read(in));
-            case ACCEPTED -> handler.accepted(in.num(), Ballot.read(in), new Fellow(from, in.num()),
+            case ACCEPTED -> handler.accepted(in.num(), Ballot.read(in), new Voter(from, in.num()),
                     Memory.readIncarnations(in));
             case REFUSAL -> handler.refusal(in.num(), Ballot.read(in));
             case NEWS -> readNews(in);
@@ -152,24 +152,24 @@
     private void readPromise(Imprint from, Script.Reader in) throws Script.UnreadableException {
         long view = in.num();
         Ballot ballot = Ballot.read(in);
-        Fellow voter = new Fellow(from, in.num());
-        Accession state = Accession.read(in);
+        Voter voter = new Voter(from, in.num());
+        ConfigurationState state = ConfigurationState.read(in);
         Ballot acceptedBallot = Ballot.read(in);
         Proposal accepted = in.flag() ? Proposal.read(in) : null;
         Map<Imprint, Long> incarnations = Memory.readIncarnations(in);
         Bookmark mark = Bookmark.read(in);
-        handler.promise(view, ballot, new Custodian.Promise(voter, state, acceptedBallot, accepted, mark), incarnations);
+        handler.promise(view, ballot, new Replica.Promise(voter, state, acceptedBallot, accepted, mark), incarnations);
     }
 
     private void readNews(Script.Reader in) throws Script.UnreadableException {
-        Charter charter = Charter.read(in);
-        Accession state = Accession.read(in);
+        View view = View.read(in);
+        ConfigurationState state = ConfigurationState.read(in);
         boolean isCommitted = in.flag();
-        handler.news(charter, state, isCommitted, isCommitted ? state : Accession.read(in));
+        handler.news(view, state, isCommitted, isCommitted ? state : ConfigurationState.read(in));
     }
 
     private static Recovery.Reply readReply(Script.Reader in) throws Script.UnreadableException {
-        return new Recovery.Reply(Charter.read(in), Accession.read(in), Ballot.read(in), Ballot.read(in),
+        return new Recovery.Reply(View.read(in), ConfigurationState.read(in), Ballot.read(in), Ballot.read(in),
                 in.flag() ? Proposal.read(in) : null, Memory.readIncarnations(in), Bookmark.read(in));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Convener.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewProposer.java
@@ -10,7 +10,7 @@
 import java.util.TreeSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
@@ -20,7 +20,7 @@
  * Works out which view is wanted and, where it differs from the one in force, proposes it: one single-decree
  * Paxos per view number among the voters of the view before.
  */
-final class Convener implements Custodian.BallotListener {
+final class ViewProposer implements Replica.BallotListener {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
@@ -31,10 +31,10 @@
     /** How long the members of the line have to come by the records that a view begins with. */
     private static final long GATHERING_MS = 4_000;
 
-    private final Custodian custodian;
-    private final RollCall rollCall;
+    private final Replica replica;
+    private final FailureDetector detector;
     private final java.util.function.BooleanSupplier diskGood;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Random random;
     private final Tally tally;
     private final Imprint self;
@@ -50,14 +50,14 @@
     private static final class Attempt {
         final long view;
         final Ballot ballot;
-        final Charter wanted;
+        final View wanted;
         final String why;
         final Moment since;
-        final Map<Imprint, Custodian.Promise> promises = new HashMap<>();
-        final Set<Fellow> accepted = new HashSet<>();
+        final Map<Imprint, Replica.Promise> promises = new HashMap<>();
+        final Set<Voter> accepted = new HashSet<>();
         Proposal proposal;
 
-        Attempt(long view, Ballot ballot, Charter wanted, String why, Moment since) {
+        Attempt(long view, Ballot ballot, View wanted, String why, Moment since) {
             this.view = view;
             this.ballot = ballot;
             this.wanted = wanted;
@@ -66,43 +66,43 @@
         }
     }
 
-    Convener(Custodian custodian, RollCall rollCall, java.util.function.BooleanSupplier diskGood, Almanac almanac,
+    ViewProposer(Replica replica, FailureDetector detector, java.util.function.BooleanSupplier diskGood, Clock clock,
             Random random, Tally tally, Imprint self, String zone, int tolerated) {
         this.zone = zone;
         this.tolerated = tolerated;
-        this.custodian = custodian;
-        this.rollCall = rollCall;
+        this.replica = replica;
+        this.detector = detector;
         this.diskGood = diskGood;
-        this.almanac = almanac;
+        this.clock = clock;
         this.random = random;
         this.tally = tally;
         this.self = self;
-        this.seatsSince = almanac.now();
-        this.seats = custodian.charter().electorate().stream().map(Fellow::imprint).toList();
-        custodian.onCharter(this::inForce);
+        this.seatsSince = clock.now();
+        this.seats = replica.view().electorate().stream().map(Voter::imprint).toList();
+        replica.onView(this::inForce);
     }
 
     void start() {
-        almanac.every(LOOP_MS, this::reconcile);
+        clock.every(LOOP_MS, this::reconcile);
     }
 
     private boolean selfGood() {
-        return diskGood.getAsBoolean() && !rollCall.isLeaving();
+        return diskGood.getAsBoolean() && !detector.isLeaving();
     }
 
-    private RollCall.Report report(Imprint who) {
-        RollCall.Peer peer = rollCall.peer(who);
+    private FailureDetector.Report report(Imprint who) {
+        FailureDetector.Peer peer = detector.peer(who);
         return peer == null ? null : peer.report();
     }
 
     /** What this daemon sees of the others, and what those that it hears say of each other. */
     private final class Seen implements MembershipPlan.Sight {
-        private final Charter charter = custodian.charter();
+        private final View view = replica.view();
 
         @Override
         public Iterable<Imprint> known() {
             Set<Imprint> all = new TreeSet<>();
-            rollCall.peers().forEach(p -> all.add(p.imprint()));
+            detector.peers().forEach(p -> all.add(p.imprint()));
             all.add(self);
             return all;
         }
@@ -113,79 +113,79 @@
                 return true;
             }
             if (one.equals(self) || other.equals(self)) {
-                return rollCall.connected(one.equals(self) ? other : one);
+                return detector.connected(one.equals(self) ? other : one);
             }
-            boolean oneHeard = rollCall.connected(one);
-            boolean otherHeard = rollCall.connected(other);
+            boolean oneHeard = detector.connected(one);
+            boolean otherHeard = detector.connected(other);
             return (oneHeard || otherHeard) && (!oneHeard || report(one).connected().contains(other))
                     && (!otherHeard || report(other).connected().contains(one));
         }
 
         @Override
         public boolean well(Imprint who) {
-            RollCall.Report r = report(who);
+            FailureDetector.Report r = report(who);
             if (who.equals(self) ? !selfGood() : r == null || !r.diskGood() || r.leaving()) {
                 return false;
             }
-            int reached = charter.votes(who) ? 1 : 0;
-            for (Fellow f : charter.electorate()) {
+            int reached = view.votes(who) ? 1 : 0;
+            for (Voter f : view.electorate()) {
                 if (!f.imprint().equals(who) && linked(f.imprint(), who)) {
                     reached++;
                 }
             }
-            return reached >= charter.majority();
+            return reached >= view.majority();
         }
 
         @Override
         public boolean steady(Imprint who) {
-            return who.equals(self) ? !rollCall.unsettled(STEADY_MS) : rollCall.goodForMs(who) >= STEADY_MS;
+            return who.equals(self) ? !detector.unsettled(STEADY_MS) : detector.goodForMs(who) >= STEADY_MS;
         }
 
         @Override
         public boolean expected(Imprint who) {
-            return rollCall.expected(who);
+            return detector.expected(who);
         }
 
         @Override
         public boolean hasMemory(Imprint who) {
             if (who.equals(self)) {
-                return custodian.standing() != Custodian.Standing.RECOVERING;
+                return replica.standing() != Replica.Standing.RECOVERING;
             }
-            RollCall.Report r = report(who);
-            return r != null && r.votes() && r.incarnation() >= custodian.incarnationOf(who);
+            FailureDetector.Report r = report(who);
+            return r != null && r.votes() && r.incarnation() >= replica.incarnationOf(who);
         }
 
         @Override
         public long incarnation(Imprint who) {
             if (who.equals(self)) {
-                return custodian.incarnation();
+                return replica.incarnation();
             }
-            RollCall.Report r = report(who);
-            return Math.max(r == null ? 0 : r.incarnation(), custodian.incarnationOf(who));
+            FailureDetector.Report r = report(who);
+            return Math.max(r == null ? 0 : r.incarnation(), replica.incarnationOf(who));
         }
 
         @Override
         public String zone(Imprint who) {
-            RollCall.Report r = report(who);
+            FailureDetector.Report r = report(who);
             return who.equals(self) ? zone : r == null ? "" : r.zone();
         }
     }
 
     private MembershipPlan.Wish wish() {
-        Charter now = custodian.charter();
+        View now = replica.view();
         return MembershipPlan.wish(now, tolerated, companionSettled(now) && seatsRested(), new Seen());
     }
 
     /** Whether leases that voters before the last change of seats may have granted have run out. */
     private boolean seatsRested() {
-        return almanac.now().since(seatsSince) >= TenureOffice.TERM_MS || !Safeguard.SEATS_REST.holds();
+        return clock.now().since(seatsSince) >= LeaseOffice.TERM_MS || !Safeguard.SEATS_REST.holds();
     }
 
-    private void inForce(Charter charter) {
-        List<Imprint> voters = charter.electorate().stream().map(Fellow::imprint).toList();
+    private void inForce(View view) {
+        List<Imprint> voters = view.electorate().stream().map(Voter::imprint).toList();
         if (!voters.equals(seats)) {
             seats = voters;
-            seatsSince = almanac.now();
+            seatsSince = clock.now();
         }
     }
 
@@ -193,10 +193,10 @@
      * Whether everyone who keeps operation records holds all of them in this view. Voters may change only then:
      * the argument that some voter of the next view has every acknowledged record rests on it.
      */
-    private boolean companionSettled(Charter now) {
+    private boolean companionSettled(View now) {
         for (Imprint member : now.line(tolerated)) {
-            RollCall.Peer peer = rollCall.peer(member);
-            long settled = member.equals(self) ? custodian.companion().settledView()
+            FailureDetector.Peer peer = detector.peer(member);
+            long settled = member.equals(self) ? replica.companion().settledView()
                     : peer == null || peer.report() == null ? 0 : peer.report().settledView();
             if (settled < now.number()) {
                 return false;
@@ -206,9 +206,9 @@
     }
 
     private void reconcile() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (attempt != null) {
-            if (attempt.view <= custodian.charter().number()) {
+            if (attempt.view <= replica.view().number()) {
                 attempt = null;
             } else if (now.since(attempt.since) > ATTEMPT_MS) {
                 attempt = null;
@@ -219,24 +219,24 @@
             }
             return;
         }
-        if (custodian.standing() != Custodian.Standing.MEMBER || !selfGood() || now.isBefore(quietUntil)
-                || !rollCall.reachesMajority(custodian.charter()) || rollCall.unsettled(RollCall.SILENCE_MS)) {
+        if (replica.standing() != Replica.Standing.MEMBER || !selfGood() || now.isBefore(quietUntil)
+                || !detector.reachesMajority(replica.view()) || detector.unsettled(FailureDetector.SILENCE_MS)) {
             wantedSince = null;
             return;
         }
         MembershipPlan.Wish wish = wish();
-        if (wish == null && custodian.frozenMs() > FROZEN_MS) {
-            Charter c = custodian.charter();
-            wish = new MembershipPlan.Wish(new Charter(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
+        if (wish == null && replica.frozenMs() > FROZEN_MS) {
+            View c = replica.view();
+            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
         }
-        if (companionSettled(custodian.charter())) {
+        if (companionSettled(replica.view())) {
             unsettledSince = null;
         } else if (unsettledSince == null) {
             unsettledSince = now;
         } else if (wish == null && now.since(unsettledSince) > GATHERING_MS) {
             // Whoever held the records that this view begins with may be gone: the next one begins with what is there.
-            Charter c = custodian.charter();
-            wish = new MembershipPlan.Wish(new Charter(c.number() + 1, c.electorate(), c.chain()),
+            View c = replica.view();
+            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()),
                     "the operation records that it begins with are not to be had", true);
         }
         if (wish == null) {
@@ -255,7 +255,7 @@
     private long rank() {
         long rank = 0;
         Seen seen = new Seen();
-        for (Fellow f : custodian.charter().electorate()) {
+        for (Voter f : replica.view().electorate()) {
             if (f.imprint().compareTo(self) < 0 && seen.well(f.imprint()) && seen.hasMemory(f.imprint())) {
                 rank++;
             }
@@ -264,9 +264,9 @@
     }
 
     private void propose(MembershipPlan.Wish wish, Moment now) {
-        long round = custodian.promisedBallot().round() + 1;
+        long round = replica.promisedBallot().round() + 1;
         unsettledSince = null;
-        attempt = new Attempt(wish.charter().number(), new Ballot(round, self), wish.charter(), wish.why(), now);
+        attempt = new Attempt(wish.view().number(), new Ballot(round, self), wish.view(), wish.why(), now);
         wantedSince = null;
         LOG.info("Proposing view {} because {}.", attempt.view, attempt.why);
         tally.count("archive.views.proposed");
@@ -275,31 +275,31 @@
 
     /** Sends the current phase's message to the voters that have not answered. */
     private void push() {
-        for (Fellow f : custodian.charter().electorate()) {
+        for (Voter f : replica.view().electorate()) {
             if (attempt.proposal == null) {
                 if (!attempt.promises.containsKey(f.imprint())) {
-                    custodian.sendPrepare(f.imprint(), attempt.view, attempt.ballot);
+                    replica.sendPrepare(f.imprint(), attempt.view, attempt.ballot);
                 }
             } else if (attempt.accepted.stream().noneMatch(a -> a.imprint().equals(f.imprint()))) {
-                custodian.sendAccept(f.imprint(), attempt.view, attempt.ballot, attempt.proposal);
+                replica.sendAccept(f.imprint(), attempt.view, attempt.ballot, attempt.proposal);
             }
         }
     }
 
     /** Whether a vote comes from the newest incarnation known of its voter. */
-    private boolean counts(Fellow voter) {
-        return custodian.charter().votes(voter.imprint())
-                && voter.incarnation() >= custodian.incarnationOf(voter.imprint());
+    private boolean counts(Voter voter) {
+        return replica.view().votes(voter.imprint())
+                && voter.incarnation() >= replica.incarnationOf(voter.imprint());
     }
 
     @Override
-    public void promised(long view, Ballot ballot, Custodian.Promise promise) {
+    public void promised(long view, Ballot ballot, Replica.Promise promise) {
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal != null) {
             return;
         }
         attempt.promises.put(promise.voter().imprint(), promise);
         attempt.promises.values().removeIf(p -> !counts(p.voter()));
-        if (attempt.promises.size() < custodian.charter().majority()) {
+        if (attempt.promises.size() < replica.view().majority()) {
             return;
         }
         attempt.proposal = choose(attempt.promises.values(), attempt.wanted);
@@ -310,12 +310,12 @@
      * What has to be proposed, given the promises of a majority: what was accepted under the highest ballot if
      * anything was; otherwise what is wanted, starting from the newest state that any of them holds.
      */
-    static Proposal choose(Collection<Custodian.Promise> promises, Charter wanted) {
+    static Proposal choose(Collection<Replica.Promise> promises, View wanted) {
         Ballot best = Ballot.NONE;
         Proposal earlier = null;
-        Accession newest = null;
+        ConfigurationState newest = null;
         Bookmark mark = Bookmark.NONE;
-        for (Custodian.Promise p : promises) {
+        for (Replica.Promise p : promises) {
             if (p.accepted() != null && p.acceptedBallot().compareTo(best) > 0) {
                 best = p.acceptedBallot();
                 earlier = p.accepted();
@@ -333,17 +333,17 @@
     }
 
     @Override
-    public void accepted(long view, Ballot ballot, Fellow voter) {
+    public void accepted(long view, Ballot ballot, Voter voter) {
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal == null) {
             return;
         }
         attempt.accepted.add(voter);
         attempt.accepted.removeIf(a -> !counts(a));
-        if (attempt.accepted.size() >= custodian.charter().majority()) {
+        if (attempt.accepted.size() >= replica.view().majority()) {
             Proposal proposal = attempt.proposal;
             String why = attempt.why;
             attempt = null;
-            custodian.decided(proposal, why);
+            replica.decided(proposal, why);
         }
     }
 
@@ -351,7 +351,7 @@
     public void refused(long view, Ballot higher) {
         if (attempt != null && attempt.view == view && higher.compareTo(attempt.ballot) > 0) {
             attempt = null;
-            quietUntil = almanac.now().plus(150 + random.nextInt(450));
+            quietUntil = clock.now().plus(150 + random.nextInt(450));
         }
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Fellow.java
+++ b/archive/src/main/java/org/umbermount/archive/Voter.java
@@ -4,10 +4,10 @@
 import org.umbermount.kernel.Script;
 
 /** A voter: where it is, and which incarnation of its memory is meant. */
-public record Fellow(Imprint imprint, long incarnation) {
+public record Voter(Imprint imprint, long incarnation) {
     @Override
     public boolean equals(Object o) {
-        return o instanceof Fellow other && incarnation == other.incarnation && imprint.equals(other.imprint);
+        return o instanceof Voter other && incarnation == other.incarnation && imprint.equals(other.imprint);
     }
 
     @Override
@@ -19,7 +19,7 @@
         out.imprint(imprint).num(incarnation);
     }
 
-    static Fellow read(Script.Reader in) throws Script.UnreadableException {
-        return new Fellow(in.imprint(), in.num());
+    static Voter read(Script.Reader in) throws Script.UnreadableException {
+        return new Voter(in.imprint(), in.num());
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/AmendmentTest.java
+++ b/archive/src/test/java/org/umbermount/archive/AmendmentTest.java
@@ -67,27 +67,27 @@
         fleet.run(5_000);
         Fleet.Reply whole = fleet.submit(0, 0, 7, BASE);
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, whole.verdict);
+        assertEquals(Replica.Verdict.TAKEN, whole.verdict);
         Amendment call = Amendment.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"a\"]}}").getBytes());
         byte[] made = call.applyTo(BASE.getBytes());
-        assertEquals(Custodian.Verdict.TAKEN, submit(fleet, 1, 7, call, made));
-        assertEquals(Custodian.Verdict.TAKEN, submit(fleet, 2, 7, call, made));
+        assertEquals(Replica.Verdict.TAKEN, submit(fleet, 1, 7, call, made));
+        assertEquals(Replica.Verdict.TAKEN, submit(fleet, 2, 7, call, made));
         Fleet.Reply later = fleet.submit(3, 9, 12, BASE.replace("\"revision\":7", "\"revision\":12"));
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, later.verdict);
+        assertEquals(Replica.Verdict.TAKEN, later.verdict);
         // By now nobody holds version 7 any more.
-        assertEquals(Custodian.Verdict.TAKEN, submit(fleet, 0, 7, call, new byte[0]));
+        assertEquals(Replica.Verdict.TAKEN, submit(fleet, 0, 7, call, new byte[0]));
         Amendment other = Amendment.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"b\"]}}").getBytes());
-        assertEquals(Custodian.Verdict.STALE, submit(fleet, 0, 7, other, new byte[0]));
+        assertEquals(Replica.Verdict.STALE, submit(fleet, 0, 7, other, new byte[0]));
         Amendment onTop = Amendment.parse("{\"revision\":14}".getBytes());
         assertEquals(null, submit(fleet, 0, 12, onTop, new byte[0]), "a question is never taken");
         assertEquals(12, fleet.read(2, 850).edition().value());
     }
 
-    private static Custodian.Verdict submit(Fleet fleet, int at, long match, Amendment call, byte[] whole) throws IOException {
-        Custodian.Verdict[] out = new Custodian.Verdict[1];
+    private static Replica.Verdict submit(Fleet fleet, int at, long match, Amendment call, byte[] whole) throws IOException {
+        Replica.Verdict[] out = new Replica.Verdict[1];
         Order order = new Order(new Edition(match), call.edition(), call.digest());
-        fleet.porter(at).submit(order, whole, 850, v -> out[0] = v, () -> { });
+        fleet.chainClient(at).submit(order, whole, 850, v -> out[0] = v, () -> { });
         fleet.run(900);
         return out[0];
     }
--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -28,11 +28,11 @@
     private static void take(Fleet fleet, int at, long match, long edition) {
         Fleet.Reply reply = fleet.submit(at, match, edition, "c" + edition);
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, reply.verdict, "edition " + edition);
+        assertEquals(Replica.Verdict.TAKEN, reply.verdict, "edition " + edition);
     }
 
     private static long editionAt(Fleet fleet, int at) {
-        Accession read = fleet.read(at, 850);
+        ConfigurationState read = fleet.read(at, 850);
         assertNotNull(read, "no reading at " + at);
         return read.edition().value();
     }
@@ -40,13 +40,13 @@
     @Test
     void fourthRegistrarJoinsAndAnyOneTakesAConfiguration() throws IOException {
         Fleet fleet = settled(1);
-        assertEquals(4, fleet.running.get(0).custodian.charter().electorate().size());
+        assertEquals(4, fleet.running.get(0).replica.view().electorate().size());
         for (int i = 0; i < 4; i++) {
             take(fleet, i, i, i + 1);
             assertEquals(i + 1, editionAt(fleet, 3 - i));
         }
         for (int i = 0; i < 4; i++) {
-            assertEquals(4, fleet.running.get(i).custodian.committed().edition().value());
+            assertEquals(4, fleet.running.get(i).replica.committed().edition().value());
         }
     }
 
@@ -59,9 +59,9 @@
         Fleet.Reply other = fleet.submit(2, 0, 7, "c7");
         Fleet.Reply lower = fleet.submit(3, 9, 8, "c8");
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, again.verdict);
-        assertEquals(Custodian.Verdict.STALE, other.verdict);
-        assertEquals(Custodian.Verdict.NOT_HIGHER, lower.verdict);
+        assertEquals(Replica.Verdict.TAKEN, again.verdict);
+        assertEquals(Replica.Verdict.STALE, other.verdict);
+        assertEquals(Replica.Verdict.NOT_HIGHER, lower.verdict);
         assertEquals(9, editionAt(fleet, 0));
     }
 
@@ -87,12 +87,12 @@
         fleet.kill(2, true);
         fleet.wipe(2);
         fleet.start(2, false);
-        assertEquals(Custodian.Standing.RECOVERING, fleet.running.get(2).custodian.standing());
+        assertEquals(Replica.Standing.RECOVERING, fleet.running.get(2).replica.standing());
         fleet.run(6_000);
-        Custodian back = fleet.running.get(2).custodian;
-        assertEquals(Custodian.Standing.MEMBER, back.standing());
-        assertTrue(back.charter().fellow(Fleet.imprint(2)).incarnation() > 0);
-        assertTrue(back.charter().chains(Fleet.imprint(2)));
+        Replica back = fleet.running.get(2).replica;
+        assertEquals(Replica.Standing.MEMBER, back.standing());
+        assertTrue(back.view().fellow(Fleet.imprint(2)).incarnation() > 0);
+        assertTrue(back.view().chains(Fleet.imprint(2)));
         assertEquals(1, editionAt(fleet, 2));
     }
 
@@ -106,7 +106,7 @@
         fleet.wipe(2);
         fleet.start(2, false);
         fleet.run(10_000);
-        assertEquals(Custodian.Standing.RECOVERING, fleet.running.get(2).custodian.standing());
+        assertEquals(Replica.Standing.RECOVERING, fleet.running.get(2).replica.standing());
         assertNull(fleet.read(3, 850));
     }
 
@@ -114,16 +114,16 @@
     void promisedMemberTakesNoPartInTheOlderView() throws IOException {
         Fleet fleet = settled(30);
         take(fleet, 0, 0, 1);
-        Custodian proposer = fleet.running.get(3).custodian;
-        long view = proposer.charter().number();
-        Imprint middle = proposer.charter().chain().get(1);
+        Replica proposer = fleet.running.get(3).replica;
+        long view = proposer.view().number();
+        Imprint middle = proposer.view().chain().get(1);
         proposer.sendPrepare(middle, view + 1, new Ballot(9, Fleet.imprint(3)));
         fleet.run(20);
         Fleet.Reply reply = fleet.submit(0, 1, 2, "c2");
         fleet.run(400);
         assertNull(reply.verdict, "committed through a member that had promised a newer view");
         fleet.run(3_000);
-        assertTrue(proposer.charter().number() > view, "the view change was not finished");
+        assertTrue(proposer.view().number() > view, "the view change was not finished");
         take(fleet, 2, editionAt(fleet, 2), 5);
     }
 
@@ -142,9 +142,9 @@
                 reply = fleet.submit((victim + 1) % 4, 1, 2, "c2");
                 fleet.run(900);
             }
-            assertEquals(Custodian.Verdict.TAKEN, reply.verdict, how + " at " + victim);
+            assertEquals(Replica.Verdict.TAKEN, reply.verdict, how + " at " + victim);
             fleet.run(700);
-            assertEquals(2, fleet.custodian(victim).committed().edition().value(), how + " at " + victim);
+            assertEquals(2, fleet.replica(victim).committed().edition().value(), how + " at " + victim);
         }
     }
 
@@ -153,7 +153,7 @@
     void headThatWasLeftBehindRefusesNothing() throws IOException {
         Fleet fleet = settled(80);
         take(fleet, 0, 0, 1);
-        Imprint head = fleet.custodian(0).charter().head();
+        Imprint head = fleet.replica(0).view().head();
         int old = 0;
         while (!Fleet.imprint(old).equals(head)) {
             old++;
@@ -165,7 +165,7 @@
         }
         fleet.run(3_000);
         take(fleet, (old + 1) % 4, 1, 2);
-        assertEquals(head, fleet.custodian(old).charter().head(), "it knows of no newer view");
+        assertEquals(head, fleet.replica(old).view().head(), "it knows of no newer view");
         Fleet.Reply next = fleet.submit(old, 2, 5, "c5");
         Fleet.Reply lower = fleet.submit(old, 1, 1, "other");
         fleet.run(900);
@@ -179,42 +179,42 @@
     void lateWordOfACommitCountsThoughTheNextChangeIsOnItsWay() throws IOException {
         Fleet fleet = settled(81);
         take(fleet, 0, 0, 1);
-        Charter charter = fleet.custodian(0).charter();
-        fleet.network.cut(charter.tail(), charter.head());
+        View view = fleet.replica(0).view();
+        fleet.network.cut(view.tail(), view.head());
         // The head alone does not hear that edition 2 is committed; edition 3 is taken up by all but the tail.
         Fleet.Reply second = fleet.submit(1, 1, 2, "c2");
         fleet.run(60);
-        assertEquals(Custodian.Verdict.TAKEN, second.verdict);
-        fleet.network.cut(charter.chain().get(2), charter.chain().get(3));
+        assertEquals(Replica.Verdict.TAKEN, second.verdict);
+        fleet.network.cut(view.chain().get(2), view.chain().get(3));
         fleet.submit(1, 2, 3, "c3");
         fleet.run(600);
         int head = 0;
-        while (!Fleet.imprint(head).equals(charter.head())) {
+        while (!Fleet.imprint(head).equals(view.head())) {
             head++;
         }
-        assertTrue(fleet.custodian(head).committed().edition().value() >= 2, "the head has not heard of edition 2");
+        assertTrue(fleet.replica(head).committed().edition().value() >= 2, "the head has not heard of edition 2");
     }
 
     @Test
     void newViewStartsFromTheNewestStateAndKeepsWhatWasAccepted() {
-        Fellow a = new Fellow(Fleet.imprint(0), 0);
-        Fellow b = new Fellow(Fleet.imprint(1), 0);
-        Charter wanted = new Charter(4, List.of(a, b), List.of(a.imprint()));
-        Accession older = Accession.NONE.inView(3).take(new Edition(5), new byte[] {5});
-        Accession newer = older.take(new Edition(6), new byte[] {6});
-        Custodian.Promise fromA = new Custodian.Promise(a, newer, Ballot.NONE, null, Bookmark.NONE);
-        Custodian.Promise fromB = new Custodian.Promise(b, older, Ballot.NONE, null, Bookmark.NONE);
-        for (List<Custodian.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
-            Proposal p = Convener.choose(order, wanted);
+        Voter a = new Voter(Fleet.imprint(0), 0);
+        Voter b = new Voter(Fleet.imprint(1), 0);
+        View wanted = new View(4, List.of(a, b), List.of(a.imprint()));
+        ConfigurationState older = ConfigurationState.NONE.inView(3).take(new Edition(5), new byte[] {5});
+        ConfigurationState newer = older.take(new Edition(6), new byte[] {6});
+        Replica.Promise fromA = new Replica.Promise(a, newer, Ballot.NONE, null, Bookmark.NONE);
+        Replica.Promise fromB = new Replica.Promise(b, older, Ballot.NONE, null, Bookmark.NONE);
+        for (List<Replica.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
+            Proposal p = ViewProposer.choose(order, wanted);
             assertEquals(6, p.base().edition().value());
             assertEquals(4, p.base().view());
-            assertEquals(wanted, p.charter());
+            assertEquals(wanted, p.view());
         }
-        Proposal low = new Proposal(new Charter(4, List.of(a), List.of(a.imprint())), older.inView(4));
-        Proposal high = new Proposal(new Charter(4, List.of(b), List.of(b.imprint())), older.inView(4));
-        Proposal kept = Convener.choose(List.of(
-                new Custodian.Promise(a, newer, new Ballot(7, a.imprint()), high, Bookmark.NONE),
-                new Custodian.Promise(b, older, new Ballot(2, b.imprint()), low, Bookmark.NONE)), wanted);
+        Proposal low = new Proposal(new View(4, List.of(a), List.of(a.imprint())), older.inView(4));
+        Proposal high = new Proposal(new View(4, List.of(b), List.of(b.imprint())), older.inView(4));
+        Proposal kept = ViewProposer.choose(List.of(
+                new Replica.Promise(a, newer, new Ballot(7, a.imprint()), high, Bookmark.NONE),
+                new Replica.Promise(b, older, new Ballot(2, b.imprint()), low, Bookmark.NONE)), wanted);
         assertEquals(high, kept);
     }
 
@@ -243,7 +243,7 @@
             for (int t = 0; t < 3 && !taken; t++) {
                 Fleet.Reply reply = fleet.submit(3, 1, 2, "c2");
                 fleet.run(900);
-                taken = reply.verdict == Custodian.Verdict.TAKEN;
+                taken = reply.verdict == Replica.Verdict.TAKEN;
             }
             assertTrue(taken, how + " at " + victim);
         }
@@ -256,10 +256,10 @@
         fleet.disks.get(1).full = true;
         fleet.submit(3, 1, 2, "c2");
         fleet.run(3_000);
-        assertFalse(fleet.running.get(0).custodian.charter().chains(Fleet.imprint(1)));
+        assertFalse(fleet.running.get(0).replica.view().chains(Fleet.imprint(1)));
         fleet.disks.get(1).full = false;
         fleet.run(5_000);
-        assertTrue(fleet.running.get(0).custodian.charter().chains(Fleet.imprint(1)));
+        assertTrue(fleet.running.get(0).replica.view().chains(Fleet.imprint(1)));
         assertEquals(2, editionAt(fleet, 1));
     }
 
@@ -284,12 +284,12 @@
         for (int victim = 0; victim < size; victim++) {
             Fleet fleet = new Fleet(size, 3, 40 + victim, 2, null);
             fleet.run(9_000);
-            assertEquals(size, fleet.running.get(0).custodian.charter().electorate().size());
+            assertEquals(size, fleet.running.get(0).replica.view().electorate().size());
             Fleet.Reply reply = fleet.submit(victim, 0, 3, "c3");
             while (reply.verdict == null && !reply.gaveUp) {
                 fleet.run(1);
             }
-            assertEquals(Custodian.Verdict.TAKEN, reply.verdict);
+            assertEquals(Replica.Verdict.TAKEN, reply.verdict);
             List<Integer> wiped = List.of(victim, (victim + 1 + victim % 3) % size);
             for (int i = 0; i < size; i++) {
                 fleet.kill(i, true);
@@ -407,7 +407,7 @@
         private void judge() {
             for (Object[] o : open) {
                 Fleet.Reply reply = (Fleet.Reply) o[2];
-                if (reply.verdict == Custodian.Verdict.TAKEN) {
+                if (reply.verdict == Replica.Verdict.TAKEN) {
                     String old = winners.put((Long) o[0], "c" + o[1]);
                     assertTrue(old == null || old.equals("c" + o[1]), "two winners on " + o[0]);
                     newestTaken = Math.max(newestTaken, (Long) o[1]);
@@ -419,7 +419,7 @@
         private void look() {
             int at = random.nextInt(size);
             if (fleet.running.containsKey(at)) {
-                Accession read = fleet.read(at, 400);
+                ConfigurationState read = fleet.read(at, 400);
                 if (read != null) {
                     assertTrue(read.edition().value() >= newestTaken,
                             "read " + read.edition() + " after " + newestTaken + " was taken");
@@ -435,36 +435,36 @@
      */
     @Test
     void tailThatLearnsOfItsViewFromNewsCommitsOnlyWhatWasPassedToIt() throws Exception {
-        org.umbermount.kernel.testing.FakeAlmanac almanac = new org.umbermount.kernel.testing.FakeAlmanac();
+        org.umbermount.kernel.testing.FakeClock almanac = new org.umbermount.kernel.testing.FakeClock();
         org.umbermount.kernel.testing.FakePost network = new org.umbermount.kernel.testing.FakePost(almanac, 1);
         org.umbermount.stacks.testing.FakeVault disk = new org.umbermount.stacks.testing.FakeVault();
         disk.clock(almanac);
-        List<Fellow> voters = new ArrayList<>();
+        List<Voter> voters = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            voters.add(new Fellow(Fleet.imprint(i), 0));
+            voters.add(new Voter(Fleet.imprint(i), 0));
         }
         List<Imprint> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
-        Memory before = Memory.blank(0).adopt(new Charter(1, voters, chain), Accession.NONE.inView(1));
+        Memory before = Memory.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
         org.umbermount.stacks.StackRoom room = new org.umbermount.stacks.StackRoom(
                 org.umbermount.stacks.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
-        Custodian tail = new Custodian(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
+        Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
                 before, false, null, false);
         tail.start();
-        Charter next = new Charter(2, voters, chain);
-        Accession taken = Accession.NONE.inView(2).take(new Edition(8), "c8".getBytes());
+        View next = new View(2, voters, chain);
+        ConfigurationState taken = ConfigurationState.NONE.inView(2).take(new Edition(8), "c8".getBytes());
         org.umbermount.kernel.Script.Writer news = org.umbermount.kernel.Script.write().num(5);
         next.write(news);
         taken.write(news);
         news.flag(false);
-        Accession.NONE.write(news);
-        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CHARTER, news.done());
+        ConfigurationState.NONE.write(news);
+        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.VIEW, news.done());
         almanac.advance(1_000);
-        assertEquals(2, tail.charter().number());
+        assertEquals(2, tail.view().number());
         assertEquals(8, tail.newestEdition().value());
         assertEquals(0, tail.committed().edition().value());
         org.umbermount.kernel.Script.Writer write = org.umbermount.kernel.Script.write().num(2);
         taken.write(write);
-        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CUSTODY, write.num(0).done());
+        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CHAIN, write.num(0).done());
         almanac.advance(1_000);
         assertEquals(8, tail.committed().edition().value());
     }
--- a/archive/src/test/java/org/umbermount/archive/CutOffTest.java
+++ b/archive/src/test/java/org/umbermount/archive/CutOffTest.java
@@ -85,7 +85,7 @@
     private static void take(Fleet fleet, int at, long match, long edition) {
         Fleet.Reply reply = fleet.submit(at, match, edition, whole(edition));
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, reply.verdict, "edition " + edition);
+        assertEquals(Replica.Verdict.TAKEN, reply.verdict, "edition " + edition);
     }
 
     /** Edition 1 is committed, and a server is known everywhere. */
@@ -100,7 +100,7 @@
     }
 
     private static int head(Fleet fleet, boolean tail) {
-        Charter view = fleet.custodian(0).charter();
+        View view = fleet.replica(0).view();
         for (int i = 0; i < 9; i++) {
             if (Fleet.imprint(i).equals(tail ? view.tail() : view.head())) {
                 return i;
@@ -169,7 +169,7 @@
                 for (int z = 0; z < size; z++) {
                     int holders = 0;
                     for (int i = 0; i < size; i++) {
-                        holders += !frozen.contains(i) && fleet.tenures(i).epoch(Fleet.zone(z)) > 0 ? 1 : 0;
+                        holders += !frozen.contains(i) && fleet.leases(i).epoch(Fleet.zone(z)) > 0 ? 1 : 0;
                     }
                     assertTrue(holders <= 1, "two senders of zone " + z);
                     if (holders == 1) {
@@ -204,13 +204,13 @@
                 assertFalse(fleet.contact(i).holds(), how + ": " + i + " holds itself for confirmed");
                 assertTrue(fleet.contact(i).confirmedAt().since(cut) <= 5, "answered after the cut");
                 for (int z = 0; z < size; z++) {
-                    assertEquals(0, fleet.tenures(i).epoch(Fleet.zone(z)), "a duty at one that is cut off");
+                    assertEquals(0, fleet.leases(i).epoch(Fleet.zone(z)), "a duty at one that is cut off");
                 }
             }
             duties.run(3_000, frozen);
             Fleet.Reply taken = fleet.submit(other, 1, 5, whole(5));
             duties.run(1_000, frozen);
-            assertEquals(Custodian.Verdict.TAKEN, taken.verdict, how + " of " + one);
+            assertEquals(Replica.Verdict.TAKEN, taken.verdict, how + " of " + one);
             for (int salt = 0; frozen.isEmpty() && salt < 3; salt++) {
                 for (int i : side) {
                     calls.addAll(everyCall(fleet, i, salt));
@@ -236,7 +236,7 @@
             for (int i = 0; i < size; i++) {
                 assertTrue(fleet.contact(i).holds(), i + " is not in touch after " + how + " of " + one);
                 assertTrue(fleet.contact(i).assured(), i + " is not assured after " + how + " of " + one);
-                assertEquals(5, fleet.custodian(i).committed().edition().value());
+                assertEquals(5, fleet.replica(i).committed().edition().value());
                 assertEquals(fleet.running.get(0).census.digest(), fleet.running.get(i).census.digest());
             }
             List<Call> after = new ArrayList<>();
@@ -300,8 +300,8 @@
             int tail = head(calm(4, 1), true);
             Fleet fleet = leftBehind(tail);
             fleet.network.healAll();
-            Accession[] read = new Accession[1];
-            fleet.porter(tail).read(850, a -> read[0] = a, () -> { });
+            ConfigurationState[] read = new ConfigurationState[1];
+            fleet.chainClient(tail).read(850, a -> read[0] = a, () -> { });
             fleet.run(900);
             return read[0] != null && read[0].edition().value() < 5 ? "read " + read[0].edition() : null;
         });
@@ -312,10 +312,10 @@
         rests(Safeguard.LATE_ANSWERS_DROPPED, () -> {
             Fleet fleet = calm(4, 1);
             int one = 1 + head(fleet, true) % 3;
-            Accession[] read = new Accession[1];
+            ConfigurationState[] read = new ConfigurationState[1];
             boolean[] gaveUp = new boolean[1];
             fleet.network.delayMs = 20;
-            fleet.porter(one).read(850, a -> read[0] = a, () -> gaveUp[0] = true);
+            fleet.chainClient(one).read(850, a -> read[0] = a, () -> gaveUp[0] = true);
             fleet.run(25);
             fleet.freeze(one);
             fleet.run(5_000);
@@ -444,7 +444,7 @@
     private static String twoHolders(Fleet fleet, int size, String zone) {
         List<Integer> holders = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            if (fleet.isRunning(i) && fleet.tenures(i).epoch(zone) > 0) {
+            if (fleet.isRunning(i) && fleet.leases(i).epoch(zone) > 0) {
                 holders.add(i);
             }
         }
@@ -460,7 +460,7 @@
             fleet.run(1_000);
             boolean[] asked = new boolean[1];
             fleet.network.tap = (from, to, topic, body) -> {
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Postbag.Topic.TENURE && asksFor(body, Fleet.zone(1));
+                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Postbag.Topic.LEASE && asksFor(body, Fleet.zone(1));
                 return true;
             };
             while (!asked[0]) {
@@ -495,7 +495,7 @@
             fleet.run(6_000);
             int holder = -1;
             for (int i = 0; i < 3; i++) {
-                holder = fleet.isRunning(i) && fleet.tenures(i).epoch(Fleet.zone(1)) > 0 ? i : holder;
+                holder = fleet.isRunning(i) && fleet.leases(i).epoch(Fleet.zone(1)) > 0 ? i : holder;
             }
             assertTrue(holder >= 0);
             Isolation.BOTH_WAYS.begin(fleet, 3, holder);
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -8,13 +8,13 @@
 import java.util.TreeMap;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakePost;
 import org.umbermount.stacks.Stack;
 import org.umbermount.stacks.testing.FakeVault;
@@ -23,10 +23,10 @@
 public final class Fleet {
     /** Puts something beside the configuration of a daemon that starts. */
     public interface Attachment {
-        void attach(int i, Almanac clock, Postbag bag, Custodian custodian, FakeVault disk) throws IOException;
+        void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException;
     }
 
-    public final FakeAlmanac almanac = new FakeAlmanac();
+    public final FakeClock almanac = new FakeClock();
     public final FakePost network;
     final Map<Integer, Archive> running = new TreeMap<>();
     public final Map<Integer, FakeVault> disks = new HashMap<>();
@@ -38,7 +38,7 @@
     private final java.util.Set<String> guarantees;
 
     /** One process: its timers die with it. */
-    private final Map<Integer, MortalAlmanac> clocks = new HashMap<>();
+    private final Map<Integer, MortalClock> clocks = new HashMap<>();
     private final Map<Integer, String> zones = new HashMap<>();
 
     Fleet(int size, int seeds, long seed) throws IOException {
@@ -82,7 +82,7 @@
         }
         Archive archive = launch(i, bootstrap, first);
         for (int other = 0; other < size; other++) {
-            archive.rollCall.enlist(imprint(other));
+            archive.detector.enlist(imprint(other));
         }
     }
 
@@ -94,7 +94,7 @@
     }
 
     private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
-        MortalAlmanac clock = new MortalAlmanac(almanac);
+        MortalClock clock = new MortalClock(almanac);
         clocks.put(i, clock);
         List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
@@ -110,7 +110,7 @@
                 Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
         running.put(i, archive);
         if (attachment != null) {
-            attachment.attach(i, clock, bag, archive.custodian, disk);
+            attachment.attach(i, clock, bag, archive.replica, disk);
         }
         archive.start();
         return archive;
@@ -118,22 +118,22 @@
 
     /** The epoch under which a registrar that runs holds a duty now, or 0. */
     public long epoch(int i, String duty) {
-        return running.get(i).tenures.epoch(duty);
+        return running.get(i).leases.epoch(duty);
     }
 
     /** What a registrar that runs holds to be so, for a reader. */
     public String describe(int i) {
         Archive a = running.get(i);
-        return a.custodian.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.custodian.charter() + ", committed "
-                + a.custodian.committed().edition() + " in view " + a.custodian.committed().view() + ", newest "
-                + a.custodian.newestEdition() + ", duties " + a.tenures.activeDuties() + (a.census.ready() ? "" : ", no server list")
-                + (a.rollCall.reachesMajority(a.custodian.charter()) ? "" : ", reaches no majority");
+        return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
+                + a.replica.committed().edition() + " in view " + a.replica.committed().view() + ", newest "
+                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.census.ready() ? "" : ", no server list")
+                + (a.detector.reachesMajority(a.replica.view()) ? "" : ", reaches no majority");
     }
 
     /** Says that a registrar is leaving, as before a planned stop. */
     public void leave(int i) {
-        running.get(i).tenures.releaseAll();
-        running.get(i).rollCall.leaving();
+        running.get(i).leases.releaseAll();
+        running.get(i).detector.leaving();
     }
 
     /** Ends the process; what was not synced is lost if the power goes too. */
@@ -161,23 +161,23 @@
     public Institution host(int i, HouseRules rules) {
         Archive archive = running.get(i);
         Institution host = new Institution(Role.REGISTRAR, rules, clocks.get(i));
-        host.offer(Custodian.class, archive.custodian);
+        host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
-        host.offer(TenureOffice.class, archive.tenures);
-        host.offer(RollCall.class, archive.rollCall);
+        host.offer(LeaseOffice.class, archive.leases);
+        host.offer(FailureDetector.class, archive.detector);
         host.offer(MajorityContact.class, archive.contact);
-        host.offer(Porter.class, archive.porter);
+        host.offer(ChainClient.class, archive.chainClient);
         host.offer(StatusPage.class, section -> { });
         return host;
     }
 
     /** The clock of a running process. */
-    public Almanac clock(int i) {
+    public Clock clock(int i) {
         return clocks.get(i);
     }
 
-    public TenureOffice tenures(int i) {
-        return running.get(i).tenures;
+    public LeaseOffice leases(int i) {
+        return running.get(i).leases;
     }
 
     public MajorityContact contact(int i) {
@@ -188,8 +188,8 @@
         return bags.get(i);
     }
 
-    public Porter porter(int i) {
-        return running.get(i).porter;
+    public ChainClient chainClient(int i) {
+        return running.get(i).chainClient;
     }
 
     public void wipe(int i) {
@@ -200,8 +200,8 @@
         return running.containsKey(i);
     }
 
-    public Custodian custodian(int i) {
-        return running.get(i).custodian;
+    public Replica replica(int i) {
+        return running.get(i).replica;
     }
 
     public void run(long ms) {
@@ -210,20 +210,20 @@
 
     /** What a submission came to, once it has. */
     static final class Reply {
-        Custodian.Verdict verdict;
+        Replica.Verdict verdict;
         boolean gaveUp;
     }
 
     Reply submit(int at, long match, long edition, String text) {
         Reply reply = new Reply();
-        running.get(at).porter.submit(new Edition(match), new Edition(edition), text.getBytes(), 850,
+        running.get(at).chainClient.submit(new Edition(match), new Edition(edition), text.getBytes(), 850,
                 v -> reply.verdict = v, () -> reply.gaveUp = true);
         return reply;
     }
 
-    Accession read(int at, long patience) {
-        Accession[] out = new Accession[1];
-        running.get(at).porter.read(patience, a -> out[0] = a, () -> { });
+    ConfigurationState read(int at, long patience) {
+        ConfigurationState[] out = new ConfigurationState[1];
+        running.get(at).chainClient.read(patience, a -> out[0] = a, () -> { });
         run(patience);
         return out[0];
     }
--- a/archive/src/test/java/org/umbermount/archive/TenureTest.java
+++ b/archive/src/test/java/org/umbermount/archive/LeaseTest.java
@@ -11,11 +11,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class TenureTest {
+class LeaseTest {
     private static int holder(Fleet fleet, String zone) {
         int found = -1;
         for (Map.Entry<Integer, Archive> e : fleet.running.entrySet()) {
-            if (e.getValue().tenures.epoch(zone) > 0) {
+            if (e.getValue().leases.epoch(zone) > 0) {
                 assertEquals(-1, found, "two holders of " + zone);
                 found = e.getKey();
             }
@@ -30,12 +30,12 @@
         for (int z = 0; z < 4; z++) {
             assertEquals(z, holder(fleet, "z" + z));
         }
-        long epoch = fleet.running.get(2).tenures.epoch("z2");
+        long epoch = fleet.running.get(2).leases.epoch("z2");
         fleet.kill(2, true);
         fleet.run(3_800);
         int other = holder(fleet, "z2");
         assertTrue(other >= 0, "nobody took the duty in time");
-        assertTrue(fleet.running.get(other).tenures.epoch("z2") > epoch);
+        assertTrue(fleet.running.get(other).leases.epoch("z2") > epoch);
         fleet.start(2, false);
         fleet.run(8_000);
         assertEquals(2, holder(fleet, "z2"));
@@ -99,7 +99,7 @@
             for (int z = 0; z < 4; z++) {
                 int h = holder(fleet, "z" + z);
                 if (h >= 0) {
-                    long epoch = fleet.running.get(h).tenures.epoch("z" + z);
+                    long epoch = fleet.running.get(h).leases.epoch("z" + z);
                     Integer before = last.put("z" + z, h);
                     long top = highest.getOrDefault("z" + z, 0L);
                     assertTrue(before == null || before == h ? epoch >= top : epoch > top, "epoch fell in z" + z);
--- a/archive/src/test/java/org/umbermount/archive/LongDayTest.java
+++ b/archive/src/test/java/org/umbermount/archive/LongDayTest.java
@@ -30,7 +30,7 @@
     LongDayTest() throws IOException {
         loseBySeed(0);
         fleet.run(9_000);
-        assertEquals(SIZE, fleet.custodian(0).charter().electorate().size());
+        assertEquals(SIZE, fleet.replica(0).view().electorate().size());
     }
 
     private void loseBySeed(long first) {
@@ -56,7 +56,7 @@
                 fleet.run(1);
             }
             if (reply.verdict != null) {
-                assertEquals(Custodian.Verdict.TAKEN, reply.verdict, "edition " + edition);
+                assertEquals(Replica.Verdict.TAKEN, reply.verdict, "edition " + edition);
                 changes++;
                 measure();
                 return;
@@ -83,7 +83,7 @@
 
     /** Another one goes and comes back, with an empty disk perhaps: the view changes, and with the disk the voters. */
     private void changeViews(int who, boolean wipe) throws IOException {
-        long view = fleet.custodian(who).charter().number();
+        long view = fleet.replica(who).view().number();
         other = who;
         fleet.kill(who, true);
         change();
@@ -94,24 +94,24 @@
         fleet.start(who, false);
         fleet.run(5_000);
         other = -1;
-        assertEquals(Custodian.Standing.MEMBER, fleet.custodian(who).standing());
-        assertTrue(fleet.custodian(who).charter().number() > view, "the view stayed");
+        assertEquals(Replica.Standing.MEMBER, fleet.replica(who).standing());
+        assertTrue(fleet.replica(who).view().number() > view, "the view stayed");
     }
 
     /** The newest edition is known as committed, in the view that the others are in. */
     private boolean isCaughtUp(int who) {
-        Custodian custodian = fleet.custodian(who);
+        Replica replica = fleet.replica(who);
         for (int i = 0; i < SIZE; i++) {
-            if (fleet.custodian(i).charter().number() > custodian.charter().number()) {
+            if (fleet.replica(i).view().number() > replica.view().number()) {
                 return false;
             }
         }
-        return custodian.standing() == Custodian.Standing.MEMBER && custodian.committed().edition().value() >= newest;
+        return replica.standing() == Replica.Standing.MEMBER && replica.committed().edition().value() >= newest;
     }
 
     private void away(int who, String how, int missed, int viewChanges) throws IOException {
-        long view = fleet.custodian(who).charter().number();
-        Object voters = fleet.custodian(who).charter().electorate();
+        long view = fleet.replica(who).view().number();
+        Object voters = fleet.replica(who).view().electorate();
         int before = changes;
         victim = who;
         if (how.equals("cut")) {
@@ -141,14 +141,14 @@
             }
         }
         long ms = fleet.almanac.now().since(back);
-        boolean sameVoters = voters.equals(fleet.custodian(who).charter().electorate());
-        System.out.println("away " + how + ": " + passed + " changes, " + (fleet.custodian(who).charter().number() - view)
+        boolean sameVoters = voters.equals(fleet.replica(who).view().electorate());
+        System.out.println("away " + how + ": " + passed + " changes, " + (fleet.replica(who).view().number() - view)
                 + " views, voters " + (sameVoters ? "as before" : "changed") + ": caught up in " + ms + " ms");
         assertTrue(ms <= CATCH_UP_MS, how + " for " + missed + ": not caught up in " + CATCH_UP_MS + " ms");
         fleet.run(Math.max(0, CATCH_UP_MS - ms));
         change();
         fleet.run(200);
-        assertEquals(newest, fleet.custodian(who).committed().edition().value(), "stays behind");
+        assertEquals(newest, fleet.replica(who).committed().edition().value(), "stays behind");
     }
 
     @Test
@@ -167,7 +167,7 @@
         report("long day", began);
         assertTrue(longestFile <= REWRITE_OVER, "a file of " + longestFile);
         for (int i = 0; i < SIZE; i++) {
-            assertEquals(newest, fleet.custodian(i).committed().edition().value());
+            assertEquals(newest, fleet.replica(i).committed().edition().value());
         }
         allLosePower();
     }
@@ -186,7 +186,7 @@
         }
         fleet.run(CATCH_UP_MS);
         for (int i = 0; i < SIZE; i++) {
-            assertEquals(newest, fleet.custodian(i).committed().edition().value());
+            assertEquals(newest, fleet.replica(i).committed().edition().value());
         }
         change();
     }
--- a/archive/src/test/java/org/umbermount/archive/MembershipSearchTest.java
+++ b/archive/src/test/java/org/umbermount/archive/MembershipSearchTest.java
@@ -99,18 +99,18 @@
         return (machine & mask) == mask;
     }
 
-    private static Charter view(State s) {
-        List<Fellow> voters = new ArrayList<>();
+    private static View view(State s) {
+        List<Voter> voters = new ArrayList<>();
         List<Imprint> chain = new ArrayList<>();
         for (int i = 0; i < s.machines.length; i++) {
             if (is(s.machines[i], VOTER)) {
-                voters.add(new Fellow(ADDRESSES[i], 0));
+                voters.add(new Voter(ADDRESSES[i], 0));
             }
             if (is(s.machines[i], CHAINED)) {
                 chain.add(ADDRESSES[i]);
             }
         }
-        return new Charter(1, voters, chain);
+        return new View(1, voters, chain);
     }
 
     /** Everyone who is up sees who is. */
@@ -162,7 +162,7 @@
 
     /** The next view comes into force at those voters that are up; whoever is new in it has yet to hear of it. */
     private static State step(State s, int f, boolean seatsMayChange) {
-        Charter now = view(s);
+        View now = view(s);
         if (s.count(ABLE, ABLE) < now.majority()) {
             return null;
         }
@@ -174,14 +174,14 @@
         for (int i = 0; i < next.length; i++) {
             boolean present = is(next[i], ABLE);
             next[i] = next[i] & ~(INFORMED | NEWEST | VOTER | CHAINED) | (present ? INFORMED | NEWEST : 0)
-                    | (wish.charter().votes(ADDRESSES[i]) ? VOTER : 0) | (wish.charter().chains(ADDRESSES[i]) ? CHAINED : 0);
+                    | (wish.view().votes(ADDRESSES[i]) ? VOTER : 0) | (wish.view().chains(ADDRESSES[i]) ? CHAINED : 0);
         }
         return State.of(next, "view because " + wish.why().replaceAll("10\\.0\\.0\\.(\\d+):7000", "$1"), s);
     }
 
     /** Those that are up and were left behind, or have lost their memory, come by the view from those that have it. */
     private static State inform(State s) {
-        Charter now = view(s);
+        View now = view(s);
         int present = s.count(ABLE, ABLE);
         int[] next = s.machines.clone();
         boolean any = false;
@@ -222,7 +222,7 @@
     }
 
     private static String wrong(State s) {
-        Charter now = view(s);
+        View now = view(s);
         if (s.count(ABLE, ABLE) < now.majority()) {
             return "no majority of " + now.electorate().size() + " can vote";
         }
--- a/archive/src/test/java/org/umbermount/archive/MortalAlmanac.java
+++ b/archive/src/test/java/org/umbermount/archive/MortalClock.java
@@ -2,18 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 
 /** The clock of one process: when it dies, or while it is frozen, none of its tasks run. */
-public final class MortalAlmanac implements Almanac {
-    private final FakeAlmanac shared;
+public final class MortalClock implements Clock {
+    private final FakeClock shared;
     private final List<Runnable> held = new ArrayList<>();
     private boolean dead;
     private boolean frozen;
 
-    public MortalAlmanac(FakeAlmanac shared) {
+    public MortalClock(FakeClock shared) {
         this.shared = shared;
     }
 
