--- a/archive/src/test/java/org/umbermount/archive/OrdersTest.java
+++ b/archive/src/test/java/org/umbermount/archive/OrdersTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Custodian.Verdict;
+import org.umbermount.archive.Replica.Verdict;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Mutation;
@@ -22,7 +22,7 @@
 
 /** One number is confirmed to one content, and an order that was taken is never refused, however it comes again. */
 class OrdersTest {
-    /** Positions in the custodian's kinds of messages. */
+    /** Positions in the replica's kinds of messages. */
     private static final int VERDICT = 1;
     private static final int WRITE = 2;
     private static final int NEWS = 5;
@@ -61,7 +61,7 @@
     }
 
     private static int head(Fleet fleet, int seenFrom) {
-        return indexOf(fleet.custodian(seenFrom).charter().head());
+        return indexOf(fleet.replica(seenFrom).view().head());
     }
 
     // ---- a repeat after any number of others ----
@@ -87,7 +87,7 @@
                         order(fleet, at, others == 0 ? 10 : newest - 1, others == 0 ? 9 : newest + 5, "x"));
             }
         }
-        long floor = fleet.custodian(0).committed().taken().floor().value();
+        long floor = fleet.replica(0).committed().taken().floor().value();
         assertEquals(newest - TakenOrders.REMEMBERED, floor);
         assertNull(order(fleet, 2, floor - 1, floor, "c" + floor), "at the floor");
         assertNull(order(fleet, 2, floor - 1, floor, "other"), "at the floor");
@@ -168,7 +168,7 @@
         }
         assertEquals(Verdict.TAKEN, order(fleet, 3, 0, 1, "c1"));
         assertEquals(Verdict.TAKEN, order(fleet, 3, 99, 100, "c100"));
-        assertEquals(100, fleet.custodian(3).committed().taken().entries().size());
+        assertEquals(100, fleet.replica(3).committed().taken().entries().size());
     }
 
     // ---- which orders are the same ----
@@ -212,7 +212,7 @@
             fleet.network.doubles = 0.1;
             fleet.network.jitterMs = 20;
             for (long round = 0; round < 30; round++) {
-                long base = fleet.custodian(0).committed().edition().value();
+                long base = fleet.replica(0).committed().edition().value();
                 List<Fleet.Reply> replies = new ArrayList<>();
                 for (int k = 0; k < 8; k++) {
                     replies.add(fleet.submit(k % registrars, base, base + 1 + k / 4, "r" + round + "k" + k));
@@ -220,7 +220,7 @@
                 fleet.run(900);
                 long taken = replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
                 assertTrue(taken <= 1, taken + " winners on " + base);
-                TakenOrders history = fleet.custodian(0).committed().taken();
+                TakenOrders history = fleet.replica(0).committed().taken();
                 for (int k = 0; k < 8; k++) {
                     Order order = new Order(new Edition(base), new Edition(base + 1 + k / 4),
                             Digest.ofCall("PUT", ("r" + round + "k" + k).getBytes()));
@@ -229,7 +229,7 @@
                     assertTrue(verdict == null || (verdict == Verdict.TAKEN) == isTaken, order + " " + verdict);
                 }
             }
-            assertTrue(fleet.custodian(0).committed().taken().entries().size() > 20);
+            assertTrue(fleet.replica(0).committed().taken().entries().size() > 20);
         }
     }
 
@@ -240,11 +240,11 @@
         Fleet fleet = settled(seed);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        Imprint next = fleet.custodian(old).charter().successor(Fleet.imprint(old));
+        Imprint next = fleet.replica(old).view().successor(Fleet.imprint(old));
         fleet.network.cut(Fleet.imprint(old), next);
         Fleet.Reply lost = fleet.submit(old, 2, 3, "one");
         fleet.run(50);
-        assertEquals(3, fleet.custodian(old).newestEdition().value(), "the head has written it");
+        assertEquals(3, fleet.replica(old).newestEdition().value(), "the head has written it");
         assertNull(lost.verdict);
         fleet.kill(old, false);
         fleet.network.healAll();
@@ -296,7 +296,7 @@
         Fleet fleet = settled(43);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        fleet.network.cut(Fleet.imprint(old), fleet.custodian(old).charter().successor(Fleet.imprint(old)));
+        fleet.network.cut(Fleet.imprint(old), fleet.replica(old).view().successor(Fleet.imprint(old)));
         fleet.submit(old, 2, 3, "one");
         fleet.run(50);
         fleet.kill(old, false);
@@ -306,17 +306,17 @@
         fleet.disks.get(old).full = true;
         fleet.start(old, false);
         fleet.run(2_000);
-        assertEquals("two", new String(fleet.custodian(old).committed().blob()));
+        assertEquals("two", new String(fleet.replica(old).committed().blob()));
         String[] told = {"nothing"};
         var asker = fleet.network.bag(Fleet.imprint(9));
-        asker.subscribe(Postbag.Topic.CHARTER, (from, body) -> {
+        asker.subscribe(Postbag.Topic.VIEW, (from, body) -> {
             Script.Reader in = Script.read(body);
             assertEquals(NEWS, in.num());
-            Charter.read(in);
-            Accession state = Accession.read(in);
-            told[0] = new String((in.flag() ? state : Accession.read(in)).blob());
+            View.read(in);
+            ConfigurationState state = ConfigurationState.read(in);
+            told[0] = new String((in.flag() ? state : ConfigurationState.read(in)).blob());
         });
-        asker.send(Fleet.imprint(old), Postbag.Topic.CHARTER, Script.write().num(FETCH).done());
+        asker.send(Fleet.imprint(old), Postbag.Topic.VIEW, Script.write().num(FETCH).done());
         fleet.run(20);
         return told[0];
     }
@@ -370,21 +370,21 @@
     private static Verdict debtOfAnotherOrder() throws IOException {
         Fleet fleet = settled(51);
         takeAll(fleet, 1, 2);
-        Charter charter = fleet.custodian(0).charter();
+        View view = fleet.replica(0).view();
         int asker = head(fleet, 0);
-        int before = indexOf(charter.chain().get(charter.chain().size() - 2));
-        fleet.network.cut(Fleet.imprint(asker), charter.successor(Fleet.imprint(asker)));
+        int before = indexOf(view.chain().get(view.chain().size() - 2));
+        fleet.network.cut(Fleet.imprint(asker), view.successor(Fleet.imprint(asker)));
         Fleet.Reply lost = fleet.submit(asker, 2, 3, "one");
         fleet.run(20);
         Script.Writer write = Script.write().num(WRITE);
-        fleet.custodian(before).committed().write(write);
-        RequestId id = fleet.porter(asker).newestId();
+        fleet.replica(before).committed().write(write);
+        RequestId id = fleet.chainClient(asker).newestId();
         write.list(List.of(id), (o, d) -> {
             d.write(o);
             o.imprint(Fleet.imprint(asker)).num(3);
             Digest.ofCall("PUT", "one".getBytes()).write(o);
         });
-        fleet.bag(before).send(charter.tail(), Postbag.Topic.CUSTODY, write.done());
+        fleet.bag(before).send(view.tail(), Postbag.Topic.CHAIN, write.done());
         fleet.run(20);
         return lost.verdict;
     }
@@ -401,29 +401,29 @@
         takeAll(fleet, 1, 2);
         int asker = 3;
         assertEquals(Verdict.TAKEN, order(fleet, asker, 2, 3, "c3"));
-        RequestId earlier = fleet.porter(asker).newestId();
+        RequestId earlier = fleet.chainClient(asker).newestId();
         long wall = fleet.almanac.wallMillis();
         fleet.kill(asker, false);
         fleet.run(2_000);
         fleet.almanac.stepWallClock(wall - fleet.almanac.wallMillis());
         fleet.start(asker, false);
         fleet.run(5_000);
-        Charter charter = fleet.custodian(asker).charter();
-        for (Imprint member : charter.chain()) {
+        View view = fleet.replica(asker).view();
+        for (Imprint member : view.chain()) {
             fleet.network.cut(member, Fleet.imprint(asker));
             fleet.network.cut(Fleet.imprint(asker), member);
         }
         Fleet.Reply reply = null;
-        while (fleet.porter(asker).newestId().number() < earlier.number()) {
+        while (fleet.chainClient(asker).newestId().number() < earlier.number()) {
             reply = fleet.submit(asker, 1, 9, "never taken");
         }
-        assertEquals(earlier.number(), fleet.porter(asker).newestId().number());
-        assertNotEquals(earlier, fleet.porter(asker).newestId());
+        assertEquals(earlier.number(), fleet.chainClient(asker).newestId().number());
+        assertNotEquals(earlier, fleet.chainClient(asker).newestId());
         fleet.network.healAll();
         Script.Writer late = Script.write().num(VERDICT);
         earlier.write(late);
-        int tail = indexOf(charter.tail()) == asker ? (asker + 1) % 4 : indexOf(charter.tail());
-        fleet.bag(tail).send(Fleet.imprint(asker), Postbag.Topic.CUSTODY, late.num(Verdict.TAKEN.ordinal()).done());
+        int tail = indexOf(view.tail()) == asker ? (asker + 1) % 4 : indexOf(view.tail());
+        fleet.bag(tail).send(Fleet.imprint(asker), Postbag.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
         fleet.run(2);
         return reply.verdict;
     }
@@ -456,20 +456,20 @@
     private static String lateCopyAtTheNextLifeOfTheHead() throws IOException {
         Fleet fleet = settled(54);
         takeAll(fleet, 1, 2);
-        Charter charter = fleet.custodian(0).charter();
+        View view = fleet.replica(0).view();
         int head = head(fleet, 0);
         int other = (head + 1) % 4;
         assertEquals(Verdict.STALE, order(fleet, other, 3, 4, "ahead"));
-        RequestId id = fleet.porter(other).newestId();
+        RequestId id = fleet.chainClient(other).newestId();
         fleet.kill(head, false);
         fleet.start(head, false);
         fleet.run(5);
         assertEquals(Verdict.TAKEN, order(fleet, other, 2, 3, "c3"));
-        assertEquals(charter.number(), fleet.custodian(head).charter().number(), "the view has changed");
+        assertEquals(view.number(), fleet.replica(head).view().number(), "the view has changed");
         Order late = new Order(new Edition(3), new Edition(4), Digest.ofCall("PUT", "ahead".getBytes()));
-        fleet.custodian(other).sendSubmission(charter.head(), id, charter.number(), late, "ahead".getBytes());
+        fleet.replica(other).sendSubmission(view.head(), id, view.number(), late, "ahead".getBytes());
         fleet.run(20);
-        return new String(fleet.custodian(other).committed().blob());
+        return new String(fleet.replica(other).committed().blob());
     }
 
     @Test
@@ -480,7 +480,7 @@
 
     // ---- on the disk and in messages ----
 
-    private static byte[] written(Accession state) {
+    private static byte[] written(ConfigurationState state) {
         Script.Writer out = Script.write();
         state.write(out);
         return out.done();
@@ -489,13 +489,13 @@
     @Test
     void fullMemoryOfOrdersIsBoundedAndReadsBack() throws Exception {
         for (long step : new long[] {1, 1_000_000}) {
-            Accession state = Accession.NONE.inView(3);
+            ConfigurationState state = ConfigurationState.NONE.inView(3);
             for (int i = 1; i <= 3_000; i++) {
                 state = state.take(new Edition(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
             }
             byte[] bytes = written(state);
             assertTrue(bytes.length < 12_000, "bytes: " + bytes.length);
-            Accession back = Accession.read(Script.read(bytes));
+            ConfigurationState back = ConfigurationState.read(Script.read(bytes));
             assertEquals(state.taken(), back.taken());
             assertEquals(state.edition(), back.edition());
         }
@@ -504,7 +504,7 @@
     @Test
     void stateOfTheFormerFormatIsReadAsKnowingNoOrders() throws Exception {
         byte[] former = Script.write().num(4).num(9).bytes("c9".getBytes()).num(2).num(8).num(77).num(9).num(78).done();
-        Accession read = Accession.read(Script.read(former));
+        ConfigurationState read = ConfigurationState.read(Script.read(former));
         assertEquals(9, read.edition().value());
         assertEquals(4, read.view());
         assertEquals(new TakenOrders(new Edition(9), List.of()), read.taken());
@@ -514,11 +514,11 @@
 
     @Test
     void damagedStateIsNotMistakenForAGoodOne() throws Exception {
-        Accession good = Accession.NONE.inView(1).take(new Edition(5), "c".getBytes()).take(new Edition(6), "d".getBytes());
+        ConfigurationState good = ConfigurationState.NONE.inView(1).take(new Edition(5), "c".getBytes()).take(new Edition(6), "d".getBytes());
         byte[] bytes = written(good);
         for (int cut = 0; cut < bytes.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(bytes, cut);
-            assertThrows(Script.UnreadableException.class, () -> Accession.read(Script.read(part)), "cut at " + cut);
+            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(part)), "cut at " + cut);
         }
         Digest d = Digest.ofCall("PUT", "c".getBytes());
         List<Script.Writer> bad = new ArrayList<>();
@@ -531,7 +531,7 @@
         bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(TakenOrders.REMEMBERED + 1));
         for (Script.Writer w : bad) {
             byte[] wrong = w.done();
-            assertThrows(Script.UnreadableException.class, () -> Accession.read(Script.read(wrong)));
+            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(wrong)));
         }
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/RecoveryTest.java
+++ b/archive/src/test/java/org/umbermount/archive/RecoveryTest.java
@@ -18,7 +18,7 @@
         }
 
         @Override
-        public void adopted(Charter charter) {
+        public void adopted(View view) {
         }
 
         @Override
@@ -40,10 +40,10 @@
     @Test
     void memoryThatIsRebuiltLateDoesNotTakeAnOlderViewForTheOneInForce() throws IOException {
         SlowCompanion[] slow = new SlowCompanion[1];
-        Fleet fleet = new Fleet(5, 3, 11, 1, (i, clock, bag, custodian, disk) -> {
-            if (i == 4 && slow[0] == null && custodian.charter().number() == 0 && fleetHasRun(clock)) {
+        Fleet fleet = new Fleet(5, 3, 11, 1, (i, clock, bag, replica, disk) -> {
+            if (i == 4 && slow[0] == null && replica.view().number() == 0 && fleetHasRun(clock)) {
                 slow[0] = new SlowCompanion();
-                custodian.accompany(slow[0]);
+                replica.accompany(slow[0]);
             }
         });
         fleet.run(8_000);
@@ -55,14 +55,14 @@
         Runnable late = slow[0].done;
         fleet.kill(0, true);
         fleet.run(3_000);
-        long view = fleet.custodian(4).charter().number();
-        assertEquals(fleet.custodian(2).charter().number(), view, "it has not heard of the newer view");
+        long view = fleet.replica(4).view().number();
+        assertEquals(fleet.replica(2).view().number(), view, "it has not heard of the newer view");
         late.run();
         fleet.run(50);
-        assertTrue(fleet.custodian(4).charter().number() >= view, "the view went back to " + fleet.custodian(4).charter());
+        assertTrue(fleet.replica(4).view().number() >= view, "the view went back to " + fleet.replica(4).view());
     }
 
-    private static boolean fleetHasRun(org.umbermount.kernel.Almanac clock) {
+    private static boolean fleetHasRun(org.umbermount.kernel.Clock clock) {
         return clock.now().millis() > 7_000;
     }
 
@@ -71,8 +71,8 @@
     void promisesThatAllHaveGivenBeforeAStopAreNotTheEnd() throws IOException {
         Fleet fleet = new Fleet(4, 3, 12);
         fleet.run(6_000);
-        Custodian proposer = fleet.custodian(3);
-        long view = proposer.charter().number();
+        Replica proposer = fleet.replica(3);
+        long view = proposer.view().number();
         for (int i = 0; i < 4; i++) {
             proposer.sendPrepare(Fleet.imprint(i), view + 1, new Ballot(9, Fleet.imprint(3)));
         }
@@ -86,6 +86,6 @@
         fleet.run(3_500);
         Fleet.Reply reply = fleet.submit(1, 0, 1, "c1");
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, reply.verdict);
+        assertEquals(Replica.Verdict.TAKEN, reply.verdict);
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/SeatsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/SeatsTest.java
@@ -19,8 +19,8 @@
 class SeatsTest {
     private static final long SYNC_MS = 4_000;
 
-    private static Custodian any(Fleet fleet) {
-        return fleet.running.values().iterator().next().custodian;
+    private static Replica any(Fleet fleet) {
+        return fleet.running.values().iterator().next().replica;
     }
 
     private static void take(Fleet fleet, long match, long edition, String when) {
@@ -28,7 +28,7 @@
             int at = List.copyOf(fleet.running.keySet()).get(i % fleet.running.size());
             Fleet.Reply reply = fleet.submit(at, match, edition, "c" + edition);
             fleet.run(900);
-            if (reply.verdict == Custodian.Verdict.TAKEN) {
+            if (reply.verdict == Replica.Verdict.TAKEN) {
                 return;
             }
         }
@@ -60,12 +60,12 @@
             fleet.kill(second, true);
             fleet.wipe(second);
             fleet.run(500);
-            take(fleet, n + 1, n + 2, "after replacement " + (n + 1) + " and a second loss: " + any(fleet).charter());
+            take(fleet, n + 1, n + 2, "after replacement " + (n + 1) + " and a second loss: " + any(fleet).view());
             fleet.start(second, "z" + second, List.of(second + 1, second + 2, fresh));
             fleet.run(SYNC_MS);
             assertNotNull(fleet.read(fresh, 850));
         }
-        assertTrue(any(fleet).charter().electorate().size() <= 5, "dead seats are left: " + any(fleet).charter());
+        assertTrue(any(fleet).view().electorate().size() <= 5, "dead seats are left: " + any(fleet).view());
     }
 
     @ParameterizedTest
@@ -92,19 +92,19 @@
     private static long shortestRest() throws IOException {
         Fleet fleet = new Fleet(7, 3, 22, 2, null);
         fleet.run(15_000);
-        assertEquals(7, any(fleet).charter().electorate().size());
+        assertEquals(7, any(fleet).view().electorate().size());
         fleet.kill(5, true);
         fleet.kill(6, true);
         long last = Long.MIN_VALUE / 2;
         long shortest = Long.MAX_VALUE;
-        List<Fellow> before = any(fleet).charter().electorate();
+        List<Voter> before = any(fleet).view().electorate();
         for (int t = 0; t < 9_000; t += 10) {
             if (t == 5_000) {
                 fleet.start(5, false);
                 fleet.start(6, false);
             }
             fleet.run(10);
-            List<Fellow> now = any(fleet).charter().electorate();
+            List<Voter> now = any(fleet).view().electorate();
             if (!now.equals(before)) {
                 shortest = Math.min(shortest, t - last);
                 last = t;
@@ -117,9 +117,9 @@
     /** Two changes within a lease could leave two majorities that do not meet. */
     @Test
     void votersChangeOnlyWhenLeasesGrantedBeforeHaveRunOut() throws Exception {
-        assertTrue(shortestRest() >= TenureOffice.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
+        assertTrue(shortestRest() >= LeaseOffice.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
         long without = Mutation.without(Safeguard.SEATS_REST, SeatsTest::shortestRest);
-        assertTrue(without < TenureOffice.TERM_MS - 20, "nothing was missed without it: " + without);
+        assertTrue(without < LeaseOffice.TERM_MS - 20, "nothing was missed without it: " + without);
     }
 
     /** Whether a voter grants a duty to one that asks the voters of an earlier view. */
@@ -128,9 +128,9 @@
         fleet.run(6_000);
         boolean[] granted = new boolean[1];
         var stranger = fleet.network.bag(Fleet.imprint(9));
-        stranger.subscribe(Postbag.Topic.TENURE, (from, body) -> granted[0] |= Script.read(body).num() == 1);
-        long view = any(fleet).charter().number();
-        stranger.send(Fleet.imprint(1), Postbag.Topic.TENURE, Script.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        stranger.subscribe(Postbag.Topic.LEASE, (from, body) -> granted[0] |= Script.read(body).num() == 1);
+        long view = any(fleet).view().number();
+        stranger.send(Fleet.imprint(1), Postbag.Topic.LEASE, Script.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
         fleet.run(100);
         return granted[0];
     }
@@ -149,15 +149,15 @@
         take(fleet, 0, 1, "at the start");
         fleet.network.cutBoth(Fleet.imprint(2), Fleet.imprint(3));
         fleet.run(3_000);
-        long view = any(fleet).charter().number();
-        assertEquals(3, any(fleet).charter().chain().size());
+        long view = any(fleet).view().number();
+        assertEquals(3, any(fleet).view().chain().size());
         for (int n = 1; n < 12; n++) {
             take(fleet, n, n + 1, "while a link is broken");
             fleet.run(600);
         }
-        assertEquals(view, any(fleet).charter().number(), "views went on changing");
+        assertEquals(view, any(fleet).view().number(), "views went on changing");
         fleet.network.healAll();
         fleet.run(4_000);
-        assertEquals(4, any(fleet).charter().chain().size());
+        assertEquals(4, any(fleet).view().chain().size());
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/TwoOperatorsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/TwoOperatorsTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Custodian.Verdict;
+import org.umbermount.archive.Replica.Verdict;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
@@ -244,7 +244,7 @@
             for (int i = 0; i < size; i++) {
                 if (fleet.isRunning(i)) {
                     Edition base = Edition.NONE;
-                    for (TakenOrders.Taken t : fleet.custodian(i).committed().taken().entries()) {
+                    for (TakenOrders.Taken t : fleet.replica(i).committed().taken().entries()) {
                         Order order = new Order(base, t.edition(), t.digest());
                         Order other = history.put(t.edition(), order);
                         assertTrue(other == null || other.equals(order), "two histories: " + other + " and " + order);
--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -48,7 +48,7 @@
 
     /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
     void write(Carrel over) {
-        Moment now = repository.desk().almanac().now();
+        Moment now = repository.desk().clock().now();
         long left = borrowing.deadline().since(now);
         if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
             over.unused();
@@ -225,7 +225,7 @@
 
     /** The answer is whole. */
     void finished() {
-        Moment now = repository.desk().almanac().now();
+        Moment now = repository.desk().clock().now();
         String load = head.headers().get(Headings.LOAD);
         if (load != null) {
             repository.reportedLoad(now, load);
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
@@ -41,9 +41,9 @@
     private int placements;
     private int active;
     private boolean waiting;
-    private Almanac.Cancellable deadlineTimer;
-    private Almanac.Cancellable waitTimer;
-    private Almanac.Cancellable hedgeTimer;
+    private Clock.Cancellable deadlineTimer;
+    private Clock.Cancellable waitTimer;
+    private Clock.Cancellable hedgeTimer;
     private Attempt carrier;
     private final ArrayDeque<byte[]> pieces = new ArrayDeque<>();
     private boolean lastPiece;
@@ -78,7 +78,7 @@
         this.route = route;
         this.wing = wing;
         this.sendings = new Sendings(route != null && route.safe());
-        this.arrived = desk.almanac().now();
+        this.arrived = desk.clock().now();
         this.deadline = arrived.plus(deadlineMs);
     }
 
@@ -213,7 +213,7 @@
             return;
         }
         started = true;
-        Moment now = desk.almanac().now();
+        Moment now = desk.clock().now();
         wing.allowance.request(now);
         long left = deadline.since(now);
         if (left <= 0) {
@@ -224,13 +224,13 @@
             refuse(Erratum.OVERLOADED);
             return;
         }
-        deadlineTimer = desk.almanac().after(left, this::deadlineReached);
+        deadlineTimer = desk.clock().after(left, this::deadlineReached);
         charge();
     }
 
     /** How long the daemons that count and remember are waited for: soon enough for another try elsewhere. */
     private long sharedPatience() {
-        long left = Math.max(SHARED_LEAST_MS, route.targetLatencyMs() / 4 - desk.almanac().now().since(arrived));
+        long left = Math.max(SHARED_LEAST_MS, route.targetLatencyMs() / 4 - desk.clock().now().since(arrived));
         return Math.min(SHARED_PATIENCE_MS, left);
     }
 
@@ -339,13 +339,13 @@
         if (!wanted()) {
             return;
         }
-        Moment now = desk.almanac().now();
+        Moment now = desk.clock().now();
         long patience = Math.min(route.targetLatencyMs(), deadline.since(arrived) / 3);
         if (now.since(arrived) + BUSY_LOOK_MS > patience) {
             giveBack();
             refuse(Erratum.AT_WORK);
         } else {
-            desk.almanac().after(BUSY_LOOK_MS, () -> {
+            desk.clock().after(BUSY_LOOK_MS, () -> {
                 if (wanted()) {
                     borrow();
                 }
@@ -379,14 +379,14 @@
         if (tryPlace()) {
             return;
         }
-        Moment now = desk.almanac().now();
+        Moment now = desk.clock().now();
         long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
         if (patience <= 0 || !wing.enqueue(this)) {
             giveUp();
             return;
         }
         waiting = true;
-        waitTimer = desk.almanac().after(patience, () -> {
+        waitTimer = desk.clock().after(patience, () -> {
             if (waiting) {
                 stopWaiting();
                 giveUp();
@@ -443,7 +443,7 @@
         if (isSafe() && !large && sendings.sent() == 1 && route.maxTries() > 1) {
             long hedge = desk.concierge().hedgeAfterMs(wing, route);
             if (now.plus(hedge).isBefore(deadline)) {
-                hedgeTimer = desk.almanac().after(hedge, this::hedge);
+                hedgeTimer = desk.clock().after(hedge, this::hedge);
             }
         }
     }
@@ -453,7 +453,7 @@
         if (!wanted() || active != 1 || sendings.sent() >= route.maxTries()) {
             return;
         }
-        Moment now = desk.almanac().now();
+        Moment now = desk.clock().now();
         Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
         if (second == null) {
             return;
@@ -475,7 +475,7 @@
             closeLoan();
             return;
         }
-        if (!desk.almanac().now().isBefore(deadline)) {
+        if (!desk.clock().now().isBefore(deadline)) {
             deadlineReached();
         } else if (placements >= PLACEMENTS_AT_MOST) {
             giveUp();
@@ -538,7 +538,7 @@
 
     /** Sends again if that may be, and gives up otherwise. */
     private void goOn(Sendings.NotRun proof) {
-        Moment now = desk.almanac().now();
+        Moment now = desk.clock().now();
         if (sendings.sent() >= route.maxTries() || !now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -7,7 +7,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.courier.Consignee;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.loans.LoanCounter;
 import org.umbermount.readership.QuotaCounter;
 
@@ -52,13 +52,13 @@
     public void open(Institution host) throws Exception {
         institution = host;
         HouseRules rules = host.rules();
-        Almanac almanac = host.almanac();
-        EventLoop loop = ((LoopAlmanac) almanac).loop();
+        Clock clock = host.clock();
+        EventLoop loop = ((LoopClock) clock).loop();
         consignee = host.find(Consignee.class);
-        desk = new FrontDesk(loop, almanac, host.tally(), rules.bounds(), rules.zone(),
-                new Random(Imprint.parse(rules.ip() + ":1").packed() ^ almanac.wallMillis()));
+        desk = new FrontDesk(loop, clock, host.tally(), rules.bounds(), rules.zone(),
+                new Random(Imprint.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
         desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
-        desk.watch(new Occupancy(almanac, host.find(Postbag.class), rules.zone(), consignee::sender));
+        desk.watch(new Occupancy(clock, host.find(Postbag.class), rules.zone(), consignee::sender));
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
         Imprint readiness = listener(rules, "readiness");
@@ -95,26 +95,26 @@
 
     @Override
     public void leave(Runnable done) {
-        Almanac almanac = institution.almanac();
-        Moment end = almanac.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
+        Clock clock = institution.clock();
+        Moment end = clock.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
         leaving = true;
         desk.beginClosing();
         LOG.info("Leaving: not ready any more, {} connections open.", desk.openConnections());
-        almanac.after(institution.rules().bounds().graceMs() / 2, () -> desk.unblock(false));
+        clock.after(institution.rules().bounds().graceMs() / 2, () -> desk.unblock(false));
         long notice = Math.min(NOTICED_MS, institution.rules().bounds().graceMs() / 2);
-        almanac.after(notice, () -> {
+        clock.after(notice, () -> {
             desk.stopListening();
             finish(end, done);
         });
     }
 
     private void finish(Moment end, Runnable done) {
-        if (!desk.anyBusy() || !institution.almanac().now().isBefore(end)) {
+        if (!desk.anyBusy() || !institution.clock().now().isBefore(end)) {
             desk.unblock(true);
             // What was written has a moment to leave.
-            institution.almanac().after(LAST_MS, done);
+            institution.clock().after(LAST_MS, done);
         } else {
-            institution.almanac().after(LOOK_MS, () -> finish(end, done));
+            institution.clock().after(LOOK_MS, () -> finish(end, done));
         }
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Concierge.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Random;
 import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 
 /** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
@@ -19,17 +19,17 @@
     private static final int FURTHER_LOCAL = 3;
     private static final int FURTHER_ELSEWHERE = 3;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Random random;
 
-    Concierge(Almanac almanac, Random random) {
-        this.almanac = almanac;
+    Concierge(Clock clock, Random random) {
+        this.clock = clock;
         this.random = random;
     }
 
     /** A server with room, or null. */
     Repository choose(Wing wing, Regulations.Route route, List<Repository> tried, Moment deadline) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
         Repository local = chooseLocal(wing, tried, now, queue);
         double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -29,7 +29,7 @@
 import org.umbermount.archive.Regulations;
 import org.umbermount.courier.Inventory;
 import org.umbermount.courier.Tables;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
@@ -48,7 +48,7 @@
     private static final long DOUBTFUL_MS = 700;
 
     private final EventLoop loop;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Tally tally;
     private final HouseRules.Bounds bounds;
     private final Random random;
@@ -70,16 +70,16 @@
     private QuotaCounter quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
-    FrontDesk(EventLoop loop, Almanac almanac, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
+    FrontDesk(EventLoop loop, Clock clock, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
         this.loop = loop;
-        this.almanac = almanac;
+        this.clock = clock;
         this.tally = tally;
         this.bounds = bounds;
         this.random = random;
         this.zone = zone;
-        this.concierge = new Concierge(almanac, random);
-        this.started = almanac.now();
-        almanac.every(SWEEP_MS, this::sweep);
+        this.concierge = new Concierge(clock, random);
+        this.started = clock.now();
+        clock.every(SWEEP_MS, this::sweep);
     }
 
     /** Listens at an address. */
@@ -347,7 +347,7 @@
     /** A server has become free: those that wait are looked at once the current event is over. */
     void slotFreed(Wing wing) {
         if (wing.waitingCount() > 0 && freed.add(wing) && freed.size() == 1) {
-            almanac.execute(() -> {
+            clock.execute(() -> {
                 Set<Wing> now = new HashSet<>(freed);
                 freed.clear();
                 now.forEach(Wing::serveWaiting);
@@ -364,7 +364,7 @@
         for (Wing wing : wings.values()) {
             if (wing.waitingCount() > 0) {
                 looking = true;
-                almanac.after(WAITING_LOOK_MS, () -> {
+                clock.after(WAITING_LOOK_MS, () -> {
                     looking = false;
                     wings.values().forEach(Wing::serveWaiting);
                     lookAgain();
@@ -385,7 +385,7 @@
     }
 
     private void sweep() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         for (Reader reader : List.copyOf(readers)) {
             reader.sweep(now);
         }
@@ -449,8 +449,8 @@
         return loop;
     }
 
-    Almanac almanac() {
-        return almanac;
+    Clock clock() {
+        return clock;
     }
 
     Tally tally() {
--- a/circulation/src/main/java/org/umbermount/circulation/Occupancy.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Occupancy.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -22,7 +22,7 @@
     static final long FRESH_MS = 400;
     private static final int ENTRIES_AT_MOST = 20_000;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final String zone;
     private final Supplier<Imprint> registrar;
@@ -32,8 +32,8 @@
     private Moment heard = Moment.NEVER;
     private boolean reporting;
 
-    Occupancy(Almanac almanac, Postbag post, String zone, Supplier<Imprint> registrar) {
-        this.almanac = almanac;
+    Occupancy(Clock clock, Postbag post, String zone, Supplier<Imprint> registrar) {
+        this.clock = clock;
         this.post = post;
         this.zone = zone;
         this.registrar = registrar;
@@ -45,7 +45,7 @@
         busy.add(repository);
         if (!reporting) {
             reporting = true;
-            almanac.after(REPORT_MS, this::report);
+            clock.after(REPORT_MS, this::report);
         }
     }
 
@@ -69,14 +69,14 @@
             post.send(to, Postbag.Topic.OCCUPANCY, out.done());
         }
         if (!nothing) {
-            almanac.after(REPORT_MS, this::report);
+            clock.after(REPORT_MS, this::report);
         }
     }
 
     private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
         Script.Reader in = Script.read(body);
         sums = readCounts(in);
-        heard = almanac.now();
+        heard = clock.now();
     }
 
     static Int2IntOpenHashMap readCounts(Script.Reader in) throws Script.UnreadableException {
--- a/circulation/src/main/java/org/umbermount/circulation/OccupancyBoard.java
+++ b/circulation/src/main/java/org/umbermount/circulation/OccupancyBoard.java
@@ -4,7 +4,7 @@
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -23,13 +23,13 @@
     private record Word(Moment at, Int2IntOpenHashMap counts) {
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final Map<String, Map<Imprint, Word>> zones = new HashMap<>();
 
-    OccupancyBoard(Almanac almanac, Postbag post, Tally tally) {
-        this.almanac = almanac;
+    OccupancyBoard(Clock clock, Postbag post, Tally tally) {
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
@@ -38,18 +38,18 @@
     private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
         Script.Reader in = Script.read(body);
         String zone = in.text();
-        Word word = new Word(almanac.now(), Occupancy.readCounts(in));
+        Word word = new Word(clock.now(), Occupancy.readCounts(in));
         Map<Imprint, Word> words = zones.get(zone);
         if (words == null) {
             words = new HashMap<>();
             zones.put(zone, words);
-            almanac.after(GATHER_MS, () -> tell(zone));
+            clock.after(GATHER_MS, () -> tell(zone));
         }
         words.put(from, word);
     }
 
     private void tell(String zone) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         Map<Imprint, Word> words = zones.get(zone);
         words.values().removeIf(w -> now.since(w.at()) > LISTENS_MS);
         if (words.isEmpty()) {
@@ -73,6 +73,6 @@
             post.send(lector, Postbag.Topic.OCCUPANCY, body);
         }
         tally.count("occupancy.told");
-        almanac.after(GATHER_MS, () -> tell(zone));
+        clock.after(GATHER_MS, () -> tell(zone));
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/OccupancyDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/OccupancyDepartment.java
@@ -24,6 +24,6 @@
 
     @Override
     public void open(Institution host) {
-        new OccupancyBoard(host.almanac(), host.find(Postbag.class), host.tally());
+        new OccupancyBoard(host.clock(), host.find(Postbag.class), host.tally());
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -58,7 +58,7 @@
     Reader(FrontDesk desk, int headLimit) {
         this.desk = desk;
         this.headLimit = headLimit;
-        this.lastActivity = desk.almanac().now();
+        this.lastActivity = desk.clock().now();
     }
 
     @Override
@@ -71,7 +71,7 @@
     void bytesRead() {
         if (pipeline.isEmpty() && arriving == null && !headUnderway) {
             headUnderway = true;
-            lastActivity = desk.almanac().now();
+            lastActivity = desk.clock().now();
         }
     }
 
@@ -284,7 +284,7 @@
                 }
                 wrote = true;
                 pipeline.poll();
-                lastActivity = desk.almanac().now();
+                lastActivity = desk.clock().now();
                 streamingHead = false;
                 closeTold = false;
             }
@@ -412,7 +412,7 @@
         }
         channel.config().setAutoRead(true);
         ((DuplexChannel) channel).shutdownOutput();
-        desk.almanac().after(LINGER_MS, channel::close);
+        desk.clock().after(LINGER_MS, channel::close);
     }
 
     /** Writes what has come of a long answer; true once it is whole. */
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -13,7 +13,7 @@
 import java.util.Iterator;
 import jdk.net.ExtendedSocketOptions;
 import org.umbermount.courier.Tables;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
@@ -35,7 +35,7 @@
     private static final double FAILURE_FREE = 0.16;
 
     private final FrontDesk desk;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Tally tally;
     private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
     Wing wing;
@@ -64,13 +64,13 @@
     Repository(FrontDesk desk, Wing wing, Tables.Instance instance, boolean local) {
         this.local = local;
         this.desk = desk;
-        this.almanac = desk.almanac();
+        this.clock = desk.clock();
         this.tally = desk.tally();
         this.wing = wing;
         this.instance = instance;
-        this.warmAt = almanac.now().plus(desk.hasTable() ? instance.warmMs() : 0);
+        this.warmAt = clock.now().plus(desk.hasTable() ? instance.warmMs() : 0);
         this.code = instance.id().value().hashCode();
-        this.latencyAt = almanac.now();
+        this.latencyAt = clock.now();
         this.othersAt = latencyAt;
     }
 
@@ -212,7 +212,7 @@
 
     /** Sends over an idle connection, or over a new one. */
     void carry(Attempt attempt) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         begin(now);
         while (!idle.isEmpty()) {
             Carrel carrel = idle.pollLast();
@@ -253,7 +253,7 @@
                 carrel.send(attempt);
             } else {
                 connections--;
-                unreachable(almanac.now());
+                unreachable(clock.now());
                 end();
                 attempt.notSent();
             }
@@ -261,8 +261,8 @@
     }
 
     void rest(Carrel carrel) {
-        if (usable(almanac.now()) && !desk.closing()) {
-            carrel.restingSince = almanac.now();
+        if (usable(clock.now()) && !desk.closing()) {
+            carrel.restingSince = clock.now();
             idle.addLast(carrel);
         } else {
             carrel.close();
@@ -273,7 +273,7 @@
     void putBack(Carrel carrel) {
         if (!carrel.reused()) {
             rest(carrel);
-        } else if (usable(almanac.now()) && !desk.closing()) {
+        } else if (usable(clock.now()) && !desk.closing()) {
             idle.addFirst(carrel);
         } else {
             carrel.close();
--- a/circulation/src/test/java/org/umbermount/circulation/ConciergeTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ConciergeTest.java
@@ -19,12 +19,12 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 
 class ConciergeTest {
-    private final FakeAlmanac almanac = new FakeAlmanac();
+    private final FakeClock clock = new FakeClock();
     private final EventLoop loop = new DefaultEventLoop();
-    private final FrontDesk desk = new FrontDesk(loop, almanac, new Tally(),
+    private final FrontDesk desk = new FrontDesk(loop, clock, new Tally(),
             new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
     private final Wing wing = new Wing("s", null);
     private final Regulations.Route route = new Regulations.Route("r", "h", "/p/", Regulations.Kind.SAFE, false, 5_000, 800, 1,
@@ -52,7 +52,7 @@
     private Set<Repository> chosen(Repository... tried) {
         Set<Repository> chosen = new HashSet<>();
         for (int i = 0; i < 300; i++) {
-            chosen.add(desk.concierge().choose(wing, route, List.of(tried), almanac.now().plus(2_000)));
+            chosen.add(desk.concierge().choose(wing, route, List.of(tried), clock.now().plus(2_000)));
         }
         return chosen;
     }
@@ -62,7 +62,7 @@
         Repository full = server("a", "z");
         Repository free = server("b", "z");
         server("far", "y");
-        busy(full, 3, almanac.now());
+        busy(full, 3, clock.now());
         assertEquals(Set.of(free), chosen());
         assertTrue(chosen(free).contains(full), "the only one left here has room for a queue");
     }
@@ -70,8 +70,8 @@
     @Test
     void whereNothingHasRoomHereTheRequestGoesElsewhereAndOtherwiseNowhere() {
         Repository here = server("a", "z");
-        busy(here, 6, almanac.now());
-        assertNull(desk.concierge().choose(wing, route, List.of(), almanac.now().plus(2_000)));
+        busy(here, 6, clock.now());
+        assertNull(desk.concierge().choose(wing, route, List.of(), clock.now().plus(2_000)));
         Repository far = server("far", "y");
         assertEquals(Set.of(far), chosen());
     }
@@ -79,16 +79,16 @@
     @Test
     void serversElsewhereOfWhichNothingIsKnownAreNotTakenForIdle() {
         for (int i = 0; i < 4; i++) {
-            busy(server("a" + i, "z"), 4, almanac.now());
+            busy(server("a" + i, "z"), 4, clock.now());
         }
         Repository far = server("far", "y");
-        almanac.advance(3_000);
-        assertEquals(3, far.load(almanac.now()), 0.01);
+        clock.advance(3_000);
+        assertEquals(3, far.load(clock.now()), 0.01);
     }
 
     @Test
     void overflowIsSpreadOverTheServersElsewhere() {
-        busy(server("a", "z"), 6, almanac.now());
+        busy(server("a", "z"), 6, clock.now());
         Set<Repository> far = new HashSet<>();
         for (int i = 0; i < 8; i++) {
             far.add(server("far" + i, "y"));
--- a/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
@@ -32,7 +32,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.loans.LoanCounter;
 
 /**
@@ -120,9 +120,9 @@
         List<UnrulyServer> servers = new ArrayList<>();
         Tally tally = new Tally();
         try {
-            LoopAlmanac almanac = new LoopAlmanac(group.next());
+            LoopClock clock = new LoopClock(group.next());
             HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
-            FrontDesk desk = new FrontDesk(almanac.loop(), almanac, tally, bounds, "z", new Random(seed));
+            FrontDesk desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed));
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
             }
@@ -130,11 +130,11 @@
             for (int i = 0; i < SERVERS; i++) {
                 servers.add(new UnrulyServer("i" + i, seed, this));
             }
-            LoanCounter counter = new LoanCounter(almanac, new FakeCounterPost(almanac, new FakeRegister()::answer), tally,
+            LoanCounter counter = new LoanCounter(clock, new FakeCounterPost(clock, new FakeRegister()::answer), tally,
                     new Random(seed), List::of);
             counter.head(Imprint.parse("10.0.0.1:7000"));
-            almanac.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
-            apply(desk, almanac, servers, 0);
+            clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+            apply(desk, clock, servers, 0);
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 Random random = new Random(seed * 1_000 + i);
@@ -147,14 +147,14 @@
                 while (t.isAlive()) {
                     t.join(LIMITS_MS);
                     // With other limits, answers end the connections that were there before.
-                    apply(desk, almanac, servers, ++limits);
+                    apply(desk, clock, servers, ++limits);
                 }
             }
             settle();
-            int left = almanac.loop().submit(desk::atServers).get();
+            int left = clock.loop().submit(desk::atServers).get();
             for (int i = 0; i < SETTLE_MS / 20 && left != 0; i++) {
                 Thread.sleep(20);
-                left = almanac.loop().submit(desk::atServers).get();
+                left = clock.loop().submit(desk::atServers).get();
             }
             if (left != 0) {
                 breaks.add("KEPT " + left + " requests still count as being at servers");
@@ -168,9 +168,9 @@
         return report(tally);
     }
 
-    private static void apply(FrontDesk desk, LoopAlmanac almanac, List<UnrulyServer> servers, int limits) throws Exception {
+    private static void apply(FrontDesk desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
         Inventory table = table(servers, limits);
-        almanac.loop().submit(() -> desk.apply(table)).get();
+        clock.loop().submit(() -> desk.apply(table)).get();
     }
 
     private static Inventory table(List<UnrulyServer> servers, int limits) throws Exception {
--- a/circulation/src/test/java/org/umbermount/circulation/FakeCounterPost.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FakeCounterPost.java
@@ -1,19 +1,19 @@
 package org.umbermount.circulation;
 
 import java.util.function.Function;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 
 /** A postbag behind which one scripted registrar answers. */
 final class FakeCounterPost implements Postbag {
-    private final Almanac almanac;
+    private final Clock clock;
     private final Function<Script.Reader, byte[]> registrar;
     private Listener listener;
 
-    FakeCounterPost(Almanac almanac, Function<Script.Reader, byte[]> registrar) {
-        this.almanac = almanac;
+    FakeCounterPost(Clock clock, Function<Script.Reader, byte[]> registrar) {
+        this.clock = clock;
         this.registrar = registrar;
     }
 
@@ -26,7 +26,7 @@
     public void send(Imprint to, Topic topic, byte[] body) {
         byte[] reply = registrar.apply(Script.read(body));
         if (reply != null) {
-            almanac.execute(() -> {
+            clock.execute(() -> {
                 try {
                     listener.receive(to, reply);
                 } catch (Script.UnreadableException e) {
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -37,13 +37,13 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.Script;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.loans.LoanCounter;
 
 class FrontDeskTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final LoopAlmanac almanac = new LoopAlmanac(group.next());
+    private final LoopClock clock = new LoopClock(group.next());
     private final Tally tally = new Tally();
     private FrontDesk desk;
     private int port;
@@ -59,7 +59,7 @@
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
         HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
-        desk = new FrontDesk(almanac.loop(), almanac, tally, bounds, "z", new Random(1));
+        desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
         desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
     }
@@ -90,7 +90,7 @@
                     "127.0.0.1:" + s.port(), "z", "v", 4, 0, CensusEntry.Standing.IN_SERVICE, 1, Imprint.NONE)));
         }
         Inventory table = Inventory.of(entries);
-        almanac.loop().submit(() -> desk.apply(table)).get();
+        clock.loop().submit(() -> desk.apply(table)).get();
     }
 
     private String exchange(String request) throws IOException {
@@ -363,7 +363,7 @@
     @Test
     void leavingDaemonAnswersAndEndsTheConnection() throws Exception {
         table(first);
-        almanac.loop().submit(desk::beginClosing).get();
+        clock.loop().submit(desk::beginClosing).get();
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(3_000);
             ScriptedServer.write(socket.getOutputStream(), get("/safe/x").replace("Connection: close\r\n", ""));
@@ -395,7 +395,7 @@
                 CensusEntry.Standing.DRAINING, 2, Imprint.NONE);
         table(first, second);
         Map<String, byte[]> entries = new HashMap<>();
-        almanac.loop().submit(() -> {
+        clock.loop().submit(() -> {
             entries.putAll(desk.table().entries());
             entries.put(Inventory.INSTANCE + "i0", Tables.packInstance(draining));
             desk.apply(Inventory.of(entries));
@@ -508,7 +508,7 @@
         });
         String answer = exchange(post("/once/x", "b").replace("t1", "t2"));
         assertEquals(502, status(answer), answer);
-        assertEquals(0, almanac.loop().submit(desk::atServers).get());
+        assertEquals(0, clock.loop().submit(desk::atServers).get());
     }
 
     /** A surplus refusal without a name, late in the next request's place, is no promise for that one. */
@@ -596,7 +596,7 @@
                 + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,"
                 + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
                 + "\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"k1\",\"k2\"]},{\"label\":\"shop\",\"apiKeys\":[\"k3\"]}]}").getBytes());
-        almanac.loop().submit(() -> {
+        clock.loop().submit(() -> {
             Map<String, byte[]> entries = new HashMap<>(desk.table().entries());
             entries.keySet().removeIf(k -> k.startsWith(Inventory.ROUTE));
             entries.putAll(Tables.packConfiguration(r));
@@ -635,7 +635,7 @@
     void tableThatNobodyVouchesForAnyMoreSendsNothing() throws Exception {
         keyedTable(first);
         long[] good = {1_000};
-        almanac.loop().submit(() -> desk.share(null, null, () -> good[0])).get();
+        clock.loop().submit(() -> desk.share(null, null, () -> good[0])).get();
         assertEquals(200, status(exchange(keyed("/safe/x", "Authorization: Token k1\r\n"))));
         good[0] = 300;
         String doubtful = exchange(keyed("/safe/x", "Authorization: Token new\r\n"));
@@ -650,8 +650,8 @@
 
     /** What a registrar's side would say, scripted: each message to it is answered by the function. */
     private LoanCounter counter(java.util.function.Function<Script.Reader, byte[]> registrar) {
-        FakeCounterPost post = new FakeCounterPost(almanac, registrar);
-        LoanCounter counter = new LoanCounter(almanac, post, tally, new Random(4), java.util.List::of);
+        FakeCounterPost post = new FakeCounterPost(clock, registrar);
+        LoanCounter counter = new LoanCounter(clock, post, tally, new Random(4), java.util.List::of);
         counter.head(Imprint.parse("10.0.0.1:7000"));
         return counter;
     }
@@ -661,7 +661,7 @@
         keyedTable(first);
         FakeRegister register = new FakeRegister();
         LoanCounter counter = counter(register::answer);
-        almanac.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+        clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
         String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         register.granting = false;
         String none = exchange(operation);
@@ -685,7 +685,7 @@
         keyedTable(first, second);
         FakeRegister register = new FakeRegister();
         LoanCounter counter = counter(register::answer);
-        almanac.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+        clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
         first.act(ScriptedServer.raw("", false));
         second.act(ScriptedServer.raw("", false));
         String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
@@ -701,11 +701,11 @@
             socket.setSoTimeout(5_000);
             ScriptedServer.write(socket.getOutputStream(), before);
             Thread.sleep(300);
-            almanac.loop().submit(desk::beginClosing).get();
+            clock.loop().submit(desk::beginClosing).get();
             ScriptedServer.write(socket.getOutputStream(), after);
             Thread.sleep(300);
             if (last) {
-                almanac.loop().submit(() -> desk.unblock(true)).get();
+                clock.loop().submit(() -> desk.unblock(true)).get();
             }
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
--- a/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
@@ -14,29 +14,29 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakePost;
 
 class OccupancyTest {
-    private final FakeAlmanac almanac = new FakeAlmanac();
-    private final FakePost post = new FakePost(almanac, 5);
+    private final FakeClock clock = new FakeClock();
+    private final FakePost post = new FakePost(clock, 5);
     private final Imprint registrar = Imprint.parse("10.0.0.1:7540");
     private final EventLoop loop = new DefaultEventLoop();
 
     /** A lector with one server, seen through the occupancy of its zone. */
     private final class Lector {
-        final FrontDesk desk = new FrontDesk(loop, almanac, new Tally(),
+        final FrontDesk desk = new FrontDesk(loop, clock, new Tally(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
         final Repository server;
 
         Lector(String address, String zone) {
-            desk.watch(new Occupancy(almanac, post.bag(Imprint.parse(address)), zone, () -> registrar));
+            desk.watch(new Occupancy(clock, post.bag(Imprint.parse(address)), zone, () -> registrar));
             server = new Repository(desk, new Wing("s", null), new Tables.Instance(new Pressmark("i-1"), "s",
                     Imprint.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
 
         double load() {
-            return server.load(almanac.now());
+            return server.load(clock.now());
         }
     }
 
@@ -46,7 +46,7 @@
     }
 
     private void startRegistrar() {
-        new OccupancyBoard(almanac, post.bag(registrar), new Tally());
+        new OccupancyBoard(clock, post.bag(registrar), new Tally());
     }
 
     @Test
@@ -55,20 +55,20 @@
         Lector a = new Lector("10.0.0.2:7541", "z");
         Lector b = new Lector("10.0.0.3:7541", "z");
         Lector elsewhere = new Lector("10.0.0.4:7541", "y");
-        a.server.begin(almanac.now());
-        a.server.begin(almanac.now());
-        b.server.begin(almanac.now());
-        elsewhere.server.begin(almanac.now());
-        almanac.advance(400);
+        a.server.begin(clock.now());
+        a.server.begin(clock.now());
+        b.server.begin(clock.now());
+        elsewhere.server.begin(clock.now());
+        clock.advance(400);
         assertEquals(3, a.load());
         assertEquals(3, b.load());
         assertEquals(1, elsewhere.load());
         // Its own requests count at once, those of others within some tenths of a second.
-        b.server.begin(almanac.now());
+        b.server.begin(clock.now());
         assertEquals(4, b.load());
         a.server.end();
         a.server.end();
-        almanac.advance(400);
+        clock.advance(400);
         assertEquals(2, b.load());
     }
 
@@ -77,34 +77,34 @@
         startRegistrar();
         Lector a = new Lector("10.0.0.2:7541", "z");
         Lector b = new Lector("10.0.0.3:7541", "z");
-        a.server.begin(almanac.now());
-        b.server.begin(almanac.now());
-        almanac.advance(400);
+        a.server.begin(clock.now());
+        b.server.begin(clock.now());
+        clock.advance(400);
         assertEquals(2, b.load());
         post.down(Imprint.parse("10.0.0.2:7541"));
-        almanac.advance(700);
+        clock.advance(700);
         assertEquals(1, b.load());
         post.down(registrar);
-        almanac.advance(Occupancy.FRESH_MS + 100);
-        assertFalse(b.desk.occupancy().fresh(almanac.now()));
+        clock.advance(Occupancy.FRESH_MS + 100);
+        assertFalse(b.desk.occupancy().fresh(clock.now()));
         startRegistrar();
-        almanac.advance(300);
-        assertTrue(b.desk.occupancy().fresh(almanac.now()));
+        clock.advance(300);
+        assertTrue(b.desk.occupancy().fresh(clock.now()));
     }
 
     @Test
     void nothingIsSaidWhileNothingIsUnderway() {
         startRegistrar();
         Lector a = new Lector("10.0.0.2:7541", "z");
-        almanac.advance(5_000);
+        clock.advance(5_000);
         assertEquals(0, post.sent);
-        a.server.begin(almanac.now());
-        almanac.advance(1_000);
+        a.server.begin(clock.now());
+        clock.advance(1_000);
         assertTrue(post.sent > 10);
         a.server.end();
-        almanac.advance(2_500);
+        clock.advance(2_500);
         long before = post.sent;
-        almanac.advance(5_000);
+        clock.advance(5_000);
         assertEquals(before, post.sent);
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/Consignee.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignee.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
@@ -20,7 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final int HELD_STATES = 64;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final long life;
@@ -33,8 +33,8 @@
     private long keepMs = -1;
     private Moment goodUntil = Moment.NEVER;
 
-    Consignee(Almanac almanac, Postbag post, Tally tally, long life) {
-        this.almanac = almanac;
+    Consignee(Clock clock, Postbag post, Tally tally, long life) {
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.life = life;
@@ -49,7 +49,7 @@
 
     /** How much longer the table in force counts for requests that carry a key. */
     public long goodForMs() {
-        return keepMs < 0 ? Long.MAX_VALUE : goodUntil.since(almanac.now());
+        return keepMs < 0 ? Long.MAX_VALUE : goodUntil.since(clock.now());
     }
 
     /**
@@ -58,7 +58,7 @@
      * word spent on its way, or this process standing still, is counted against it.
      */
     private void vouched(Dispatch d) {
-        long now = almanac.now().millis();
+        long now = clock.now().millis();
         if (keepMs < 0 || d.vouched() < 0 || d.echo() < 0 || d.echo() > now || d.life() != life
                 || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
             return;
@@ -120,7 +120,7 @@
             held.clear();
             held.put(0L, Inventory.EMPTY);
         }
-        lastHeard = almanac.now();
+        lastHeard = clock.now();
         if (d.difference() != null && !held.containsKey(d.newNum())) {
             // State 0 is the empty table and is always known, whatever has been trimmed.
             Inventory base = d.oldNum() == 0 ? Inventory.EMPTY : held.get(d.oldNum());
@@ -169,7 +169,7 @@
     }
 
     private void acknowledge(Imprint to, Dispatch d, long num) {
-        post.send(to, Postbag.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, almanac.now().millis(),
+        post.send(to, Postbag.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, clock.now().millis(),
                 d.stamp(), null).pack());
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
@@ -37,7 +37,7 @@
 
     private final Imprint proxy;
     private final long epoch;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final List<Sent> sent = new ArrayList<>();
@@ -50,20 +50,20 @@
     private int unanswered;
     private long echoStamp = -1;
     private Moment echoAt;
-    private Almanac.Cancellable timer;
+    private Clock.Cancellable timer;
     private boolean closed;
     private Vouching vouching = Vouching.NONE;
     private long renewMs = HEARTBEAT_MS;
     private BooleanSupplier leased = () -> true;
 
-    Consignor(Imprint proxy, long life, long epoch, Almanac almanac, Postbag post, Tally tally) {
+    Consignor(Imprint proxy, long life, long epoch, Clock clock, Postbag post, Tally tally) {
         this.proxy = proxy;
         this.life = life;
         this.epoch = epoch;
-        this.almanac = almanac;
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
-        this.lastHeard = almanac.now();
+        this.lastHeard = clock.now();
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
     }
 
@@ -92,7 +92,7 @@
 
     /** The proxy needs to hear now how fresh its table is. */
     void renew() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (mayEmit() && now.since(lastSend) >= roundTrip.frame()) {
             sendEmpty(now);
             scheduleNext(now);
@@ -117,7 +117,7 @@
     }
 
     long assumedNum() {
-        return assumed(almanac.now()).num;
+        return assumed(clock.now()).num;
     }
 
     double smoothedRtt() {
@@ -144,7 +144,7 @@
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
         unanswered = 0;
         echoStamp = -1;
-        lastHeard = almanac.now();
+        lastHeard = clock.now();
         lastSend = Moment.NEVER;
         schedule(0);
     }
@@ -156,7 +156,7 @@
         if (timer != null) {
             timer.cancel();
         }
-        timer = almanac.after(ms, this::tick);
+        timer = clock.after(ms, this::tick);
     }
 
     private Sent newest() {
@@ -188,7 +188,7 @@
             schedule(LAPSED_MS);
             return;
         }
-        Moment now = almanac.now();
+        Moment now = clock.now();
         long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
         long wait = frame - now.since(lastSend);
         if (wait > 0) {
@@ -280,7 +280,7 @@
 
     /** Takes an acknowledgment. */
     void acknowledged(Dispatch ack) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
             tally.count("courier.earlier.epoch");
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
@@ -54,8 +54,8 @@
     public void open(Institution host) {
         institution = host;
         gazetteer = host.find(Gazetteer.class);
-        Almanac almanac = host.almanac();
-        consignee = new Consignee(almanac, host.find(Postbag.class), host.tally(), almanac.wallMillis());
+        Clock clock = host.clock();
+        consignee = new Consignee(clock, host.find(Postbag.class), host.tally(), clock.wallMillis());
         host.offer(Consignee.class, consignee);
         HouseRules.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
@@ -65,23 +65,23 @@
         }
         host.tally().gauge("courier.epoch", consignee::epoch);
         host.tally().gauge("courier.edition", () -> consignee.inForce().edition().value());
-        host.tally().gauge("courier.silence.ms", () -> almanac.now().since(consignee.lastHeard()));
+        host.tally().gauge("courier.silence.ms", () -> clock.now().since(consignee.lastHeard()));
         consignee.observe(this::learn);
-        almanac.execute(this::tell);
-        almanac.every(LOOP_MS, this::reconcile);
-        almanac.after(EAGER_MS, this::hurry);
+        clock.execute(this::tell);
+        clock.every(LOOP_MS, this::reconcile);
+        clock.after(EAGER_MS, this::hurry);
     }
 
     /** Without a table nothing can be served: asks again and again. */
     private void hurry() {
         if (consignee.inForce().isEmpty()) {
             tell();
-            institution.almanac().after(EAGER_MS, this::hurry);
+            institution.clock().after(EAGER_MS, this::hurry);
         }
     }
 
     private void reconcile() {
-        Moment now = institution.almanac().now();
+        Moment now = institution.clock().now();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
         if (strict && !consignee.inForce().isEmpty() && consignee.goodForMs() < VOUCH_LOW_MS) {
             askVoucher(now);
@@ -129,9 +129,9 @@
         }
         gazetteer.lasting(named);
         if (consignee.epoch() == 0) {
-            tellHere(institution.almanac().now());
+            tellHere(institution.clock().now());
             if (strict && consignee.goodForMs() <= 0) {
-                askVoucher(institution.almanac().now());
+                askVoucher(institution.clock().now());
             }
         }
     }
@@ -149,7 +149,7 @@
 
     /** Tells registrars of this proxy: all of them now and then, those of the zone first when in need. */
     private void tell() {
-        Moment now = institution.almanac().now();
+        Moment now = institution.clock().now();
         boolean empty = consignee.inForce().isEmpty();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -9,19 +9,19 @@
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Accession;
+import org.umbermount.archive.ConfigurationState;
 import org.umbermount.archive.Census;
 import org.umbermount.archive.CensusEntry;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.MajorityContact;
-import org.umbermount.archive.Porter;
+import org.umbermount.archive.ChainClient;
 import org.umbermount.archive.Regulations;
-import org.umbermount.archive.RollCall;
+import org.umbermount.archive.FailureDetector;
 import org.umbermount.archive.StatusPage;
-import org.umbermount.archive.TenureOffice;
+import org.umbermount.archive.LeaseOffice;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.HouseRules;
@@ -50,12 +50,12 @@
     private final Map<Imprint, Consignor> consignors = new HashMap<>();
     private final Map<Imprint, Long> askers = new HashMap<>();
     private Institution institution;
-    private Almanac almanac;
+    private Clock clock;
     private Postbag post;
-    private Custodian custodian;
+    private Replica replica;
     private Census census;
-    private TenureOffice tenures;
-    private RollCall rollCall;
+    private LeaseOffice leases;
+    private FailureDetector detector;
     private MajorityContact contact;
     private boolean dirty = true;
     private boolean assured;
@@ -64,18 +64,18 @@
     private Map<String, byte[]> packedConfiguration = Map.of();
 
     private final Map<Imprint, Signpost> waitingForVouch = new HashMap<>();
-    private Porter porter;
+    private ChainClient chainClient;
     private boolean strict;
     private Moment vouchedUntil = Moment.NEVER;
     private final Vouching vouching = new Vouching() {
         @Override
         public Edition edition() {
-            return porter.attested();
+            return chainClient.attested();
         }
 
         @Override
         public Moment at() {
-            return porter.attestedAt();
+            return chainClient.attestedAt();
         }
     };
 
@@ -115,25 +115,25 @@
     @Override
     public void open(Institution host) {
         institution = host;
-        almanac = host.almanac();
+        clock = host.clock();
         post = host.find(Postbag.class);
-        custodian = host.find(Custodian.class);
+        replica = host.find(Replica.class);
         census = host.find(Census.class);
-        tenures = host.find(TenureOffice.class);
-        rollCall = host.find(RollCall.class);
+        leases = host.find(LeaseOffice.class);
+        detector = host.find(FailureDetector.class);
         contact = host.find(MajorityContact.class);
-        porter = host.find(Porter.class);
+        chainClient = host.find(ChainClient.class);
         strict = host.rules().bounds().sharing().strictRevocation();
         post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
         post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
         host.find(Gazetteer.class).observe(this::noticed);
-        custodian.onCommit(c -> {
+        replica.onCommit(c -> {
             changed();
             beginOnceAssured();
         });
-        rollCall.observe(p -> beginOnceAssured());
+        detector.observe(p -> beginOnceAssured());
         census.observe(this::changed);
-        tenures.observe(new TenureOffice.Observer() {
+        leases.observe(new LeaseOffice.Observer() {
             @Override
             public void began(String zone, long epoch) {
                 reconcile();
@@ -151,27 +151,27 @@
                 }
             }
         });
-        custodian.onCharter(c -> changed());
+        replica.onView(c -> changed());
         if (strict) {
-            almanac.every(ATTEST_MS, this::attest);
-            porter.onAttested(this::vouchWaiting);
+            clock.every(ATTEST_MS, this::attest);
+            chainClient.onAttested(this::vouchWaiting);
         }
         host.find(StatusPage.class).addSection(this::show);
         host.tally().gauge("courier.proxies.known", proxies::size);
         host.tally().gauge("courier.proxies.served", consignors::size);
-        almanac.every(LOOP_MS, this::reconcile);
+        clock.every(LOOP_MS, this::reconcile);
     }
 
     /** What each proxy is known and assumed to hold. */
     private void show(ObjectNode page) {
         page.putObject("table").put("edition", table.edition().value()).put("entries", table.entries().size())
                 .put("vouchedEdition", vouching.at() == null ? 0 : vouching.edition().value())
-                .put("vouchedMsAgo", vouching.at() == null ? -1 : almanac.now().since(vouching.at()));
+                .put("vouchedMsAgo", vouching.at() == null ? -1 : clock.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
         for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
             Consignor c = consignors.get(e.getKey());
             ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
-                    .put("heardMsAgo", almanac.now().since(e.getValue().heard)).put("servedHere", c != null);
+                    .put("heardMsAgo", clock.now().since(e.getValue().heard)).put("servedHere", c != null);
             if (c != null) {
                 one.put("knownNum", c.knownNum()).put("knownEdition", c.knownEdition().value())
                         .put("assumedNum", c.assumedNum()).put("rttMs", c.smoothedRtt());
@@ -181,26 +181,26 @@
 
     private void noticed(Placename p) {
         if (p.role() == Role.LECTOR && p.age() == 0 && !proxies.containsKey(p.imprint())) {
-            proxies.put(p.imprint(), new Known(p.zone(), 0, almanac.now()));
+            proxies.put(p.imprint(), new Known(p.zone(), 0, clock.now()));
             reconcile();
         }
     }
 
     /** Keeps the word on the newest edition fresh while there is someone to pass it on to. */
     private void attest() {
-        if (custodian.standing() != Custodian.Standing.RECOVERING
-                && (!consignors.isEmpty() || almanac.now().isBefore(vouchedUntil))) {
-            porter.askNewest();
+        if (replica.standing() != Replica.Standing.RECOVERING
+                && (!consignors.isEmpty() || clock.now().isBefore(vouchedUntil))) {
+            chainClient.askNewest();
         }
     }
 
     /** Tells a proxy that is not served here, or late served, how fresh its table is. */
     private void vouch(Imprint to, Signpost s, Consignor consignor) {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         vouchedUntil = now.plus(VOUCH_MS);
         if (vouching.at() == null || now.since(vouching.at()) > 2 * ATTEST_MS) {
             if (waitingForVouch.isEmpty() || waitingForVouch.size() % 16 == 0) {
-                porter.askNewest();
+                chainClient.askNewest();
             }
             waitingForVouch.put(to, s);
             return;
@@ -223,11 +223,11 @@
         Known known = proxies.get(from);
         boolean fresh = known == null || !known.zone.equals(s.zone());
         if (fresh) {
-            known = new Known(s.zone(), s.life(), almanac.now());
+            known = new Known(s.zone(), s.life(), clock.now());
             proxies.put(from, known);
             changed();
         }
-        known.heard = almanac.now();
+        known.heard = clock.now();
         known.life = s.life();
         known.stamp = s.stamp();
         if (fresh) {
@@ -259,7 +259,7 @@
             }
             askers.clear();
         } else if (looksLeft > 0) {
-            almanac.after(ASKER_LOOK_MS, () -> serveAskers(looksLeft - 1));
+            clock.after(ASKER_LOOK_MS, () -> serveAskers(looksLeft - 1));
         } else {
             // Those that still have nothing ask again.
             askers.clear();
@@ -270,13 +270,13 @@
         Known known = proxies.get(to);
         boolean vouch = strict && known != null && known.life == life && vouching.at() != null;
         if (strict) {
-            vouchedUntil = almanac.now().plus(VOUCH_MS);
+            vouchedUntil = clock.now().plus(VOUCH_MS);
             if (vouching.at() == null) {
-                porter.askNewest();
+                chainClient.askNewest();
             }
         }
         return new Dispatch(0, life, 0, 1, 0, 0, 0, vouch ? known.stamp : -1, everything,
-                vouch ? vouching.edition().value() : -1, vouch ? almanac.now().since(vouching.at()) : 0);
+                vouch ? vouching.edition().value() : -1, vouch ? clock.now().since(vouching.at()) : 0);
     }
 
     /**
@@ -284,13 +284,13 @@
      * newest by a majority, none of those heard of holding anything newer.
      */
     private boolean reliable() {
-        Edition edition = custodian.committed().edition();
-        if (!census.ready() || !assured() || custodian.newestEdition().isAfter(edition)
+        Edition edition = replica.committed().edition();
+        if (!census.ready() || !assured() || replica.newestEdition().isAfter(edition)
                 || Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() && !contact.confirms(edition)) {
             return false;
         }
-        for (RollCall.Peer p : rollCall.peers()) {
-            if (rollCall.connected(p.imprint()) && p.report().newestEdition() > edition.value()) {
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (detector.connected(p.imprint()) && p.report().newestEdition() > edition.value()) {
                 return false;
             }
         }
@@ -320,14 +320,14 @@
         if (known == null) {
             return;
         }
-        known.heard = almanac.now();
+        known.heard = clock.now();
         Consignor consignor = consignors.get(from);
         if (consignor == null) {
             return;
         }
-        long epoch = tenures.epoch(known.zone);
+        long epoch = leases.epoch(known.zone);
         if (ack.epoch() > epoch) {
-            tenures.noteEpoch(known.zone, ack.epoch());
+            leases.noteEpoch(known.zone, ack.epoch());
             return;
         }
         consignor.acknowledged(ack);
@@ -336,7 +336,7 @@
     private void changed() {
         if (!dirty) {
             dirty = true;
-            almanac.execute(this::offerAll);
+            clock.execute(this::offerAll);
         }
     }
 
@@ -350,22 +350,22 @@
 
     /** Wanted: a sender for each proxy of each zone whose duty is held here. */
     private void reconcile() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
         Iterator<Map.Entry<Imprint, Consignor>> it = consignors.entrySet().iterator();
         while (it.hasNext()) {
             Map.Entry<Imprint, Consignor> e = it.next();
             Known known = proxies.get(e.getKey());
-            if (known == null || tenures.epoch(known.zone) == 0) {
+            if (known == null || leases.epoch(known.zone) == 0) {
                 e.getValue().close();
                 it.remove();
             }
         }
         boolean ready = census.ready() && assured();
         for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
-            long epoch = tenures.epoch(e.getValue().zone);
+            long epoch = leases.epoch(e.getValue().zone);
             if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
-                Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, almanac, post, institution.tally());
+                Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, clock, post, institution.tally());
                 consignors.put(e.getKey(), c);
                 if (strict) {
                     c.vouch(vouching, RENEW_MS);
@@ -374,7 +374,7 @@
                     }
                 }
                 String zone = e.getValue().zone;
-                c.under(() -> tenures.epoch(zone) == epoch);
+                c.under(() -> leases.epoch(zone) == epoch);
                 c.offer(table());
             }
         }
@@ -389,9 +389,9 @@
             return table;
         }
         dirty = false;
-        Accession committed = custodian.committed();
+        ConfigurationState committed = replica.committed();
         if (!committed.edition().equals(packedEdition)) {
-            Regulations regulations = custodian.regulations();
+            Regulations regulations = replica.regulations();
             if (regulations != null) {
                 packedConfiguration = Tables.packConfiguration(regulations);
                 packedEdition = committed.edition();
@@ -410,18 +410,18 @@
         }
         packedServers = fresh;
         HouseRules rules = institution.rules();
-        Imprint head = custodian.charter().head();
+        Imprint head = replica.view().head();
         if (rules.guarantees(HouseRules.KEYS) && head != null) {
             entries.put(Inventory.DUTY + "loans", Script.write().imprint(head).done());
         }
         entries.put(Inventory.REGISTRAR + post.self(), Tables.packRegistrar(post.self(), rules.zone()));
-        for (RollCall.Peer p : rollCall.peers()) {
-            if (p.report() != null && rollCall.lostForMs(p.imprint()) < FORGET_MS) {
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (p.report() != null && detector.lostForMs(p.imprint()) < FORGET_MS) {
                 entries.put(Inventory.REGISTRAR + p.imprint(), Tables.packRegistrar(p.imprint(), p.report().zone()));
             }
         }
-        for (String duty : rules.guarantees(HouseRules.QUOTA) ? TenureOffice.QUOTA_DUTIES : List.<String>of()) {
-            Imprint holder = tenures.holder(duty);
+        for (String duty : rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.<String>of()) {
+            Imprint holder = leases.holder(duty);
             if (holder != null) {
                 entries.put(Inventory.DUTY + duty, Script.write().imprint(holder).done());
             }
--- a/courier/src/test/java/org/umbermount/courier/Checks.java
+++ b/courier/src/test/java/org/umbermount/courier/Checks.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.archive.Accession;
+import org.umbermount.archive.ConfigurationState;
 import org.umbermount.archive.Fleet;
 
 /** What must be true after every step, whatever happens to the machines. */
@@ -18,7 +18,7 @@
     private final Due due = new Due(APPLY_MS);
     private final Due longDue = new Due(APPLY_MS + SKEW_MS);
     /** What each registrar has said is committed. */
-    private final Map<Integer, Accession> seen = new HashMap<>();
+    private final Map<Integer, ConfigurationState> seen = new HashMap<>();
     private long majoritySince = ReadingRoom.NEVER;
     /** When more machines than may be lost at once last were; until some time later the longer bound holds. */
     private long exceededAt = ReadingRoom.NEVER;
@@ -79,7 +79,7 @@
         }
         for (int i : machines.core()) {
             if (room.fleet.isRunning(i)) {
-                Accession state = room.fleet.custodian(i).committed();
+                ConfigurationState state = room.fleet.replica(i).committed();
                 if (state.edition().value() > 0 && seen.put(i, state) != state) {
                     operators.seen(state.edition().value(), new String(state.blob()), "registrar " + i + " says it is committed");
                 }
--- a/courier/src/test/java/org/umbermount/courier/CourierTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CourierTest.java
@@ -16,21 +16,21 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakePost;
 
 class CourierTest {
     private static final Imprint SENDER = Imprint.parse("10.0.0.1:7000");
     private static final Imprint OTHER = Imprint.parse("10.0.0.2:7000");
     private static final Imprint PROXY = Imprint.parse("10.0.0.3:7001");
-    private final FakeAlmanac almanac = new FakeAlmanac();
-    private final FakePost network = new FakePost(almanac, 5);
+    private final FakeClock clock = new FakeClock();
+    private final FakePost network = new FakePost(clock, 5);
     private final Tally tally = new Tally();
     private final List<Long> inForce = new ArrayList<>();
     private Consignee consignee;
 
     private Consignee proxy(long life) {
-        Consignee c = new Consignee(almanac, network.bag(PROXY), tally, life);
+        Consignee c = new Consignee(clock, network.bag(PROXY), tally, life);
         c.observe(t -> inForce.add(t.edition().value()));
         return c;
     }
@@ -59,7 +59,7 @@
                 bag.subscribe(topic, listener);
             }
         };
-        c[0] = new Consignor(PROXY, 0, epoch, almanac, watched, tally);
+        c[0] = new Consignor(PROXY, 0, epoch, clock, watched, tally);
         bag.subscribe(Postbag.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
         return c[0];
     }
@@ -87,10 +87,10 @@
         List<Dispatch> seen = new ArrayList<>();
         Consignor c = sender(SENDER, 1, seen);
         c.offer(wide(1, 100));
-        almanac.advance(500);
+        clock.advance(500);
         assertEquals(101, seen.get(0).difference().come().size());
         c.offer(wide(2, 101));
-        almanac.advance(500);
+        clock.advance(500);
         Dispatch second = seen.get(seen.size() - 1);
         assertEquals(2, second.difference().come().size());
         assertEquals(seen.get(0).newNum(), second.oldNum());
@@ -104,9 +104,9 @@
         consignee = proxy(11);
         List<Dispatch> seen = new ArrayList<>();
         sender(SENDER, 1, seen).offer(wide(1, 3));
-        almanac.advance(500);
+        clock.advance(500);
         int before = seen.size();
-        almanac.advance(9_100);
+        clock.advance(9_100);
         assertEquals(before + 3, seen.size());
         assertTrue(seen.get(seen.size() - 1).difference() == null);
     }
@@ -117,21 +117,21 @@
         List<Dispatch> seen = new ArrayList<>();
         Consignor c = sender(SENDER, 1, seen);
         c.offer(table(1, 1));
-        almanac.advance(2_000);
+        clock.advance(2_000);
         long known = c.knownNum();
         network.cut(SENDER, PROXY);
         c.offer(table(1, 1, 2));
-        almanac.advance(30);
+        clock.advance(30);
         c.offer(table(1, 1, 2, 3));
-        almanac.advance(30);
+        clock.advance(30);
         Dispatch third = seen.get(seen.size() - 1);
         assertTrue(third.oldNum() > known, "assumes that the second has arrived");
-        almanac.advance(300);
+        clock.advance(300);
         Dispatch again = seen.get(seen.size() - 1);
         assertEquals(known, again.oldNum());
         assertEquals(2, again.difference().come().size());
         network.healAll();
-        almanac.advance(1_500);
+        clock.advance(1_500);
         assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
     }
 
@@ -141,9 +141,9 @@
         consignee = proxy(11);
         network.cut(SENDER, PROXY);
         sender(SENDER, 1, new ArrayList<>()).offer(table(1, 1));
-        almanac.advance(50);
+        clock.advance(50);
         network.healAll();
-        almanac.advance(200);
+        clock.advance(200);
         assertEquals(1, consignee.inForce().edition().value());
     }
 
@@ -153,14 +153,14 @@
         consignee = proxy(11);
         Consignor c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
-        almanac.advance(2_000);
+        clock.advance(2_000);
         for (int gap = 0; gap < 25; gap++) {
             c.offer(table(2 + gap, gap));
-            almanac.advance(9);
+            clock.advance(9);
             c.offer(table(2 + gap, gap, gap + 1));
-            almanac.advance(gap);
+            clock.advance(gap);
             c.acknowledged(new Dispatch(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
-            almanac.advance(200);
+            clock.advance(200);
             assertTrue(consignee.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
         }
     }
@@ -176,22 +176,22 @@
         consignee = proxy(11);
         Consignor c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
-        almanac.advance(500);
+        clock.advance(500);
         for (int i = 0; i < 3; i++) {
             network.freeze(PROXY);
             c.offer(table(2 + i, i));
-            almanac.advance(2_500);
+            clock.advance(2_500);
             network.thaw(PROXY);
-            almanac.advance(300);
+            clock.advance(300);
         }
         network.cut(SENDER, PROXY);
         c.offer(table(9, 1, 2));
-        almanac.advance(50);
+        clock.advance(50);
         network.healAll();
         long edition = 10;
         for (int t = 0; t < 1_500; t += gap) {
             c.offer(table(edition++, t));
-            almanac.advance(gap);
+            clock.advance(gap);
         }
         assertTrue(consignee.inForce().edition().value() > 9, "still " + consignee.inForce().edition());
     }
@@ -203,11 +203,11 @@
         Consignor first = sender(SENDER, 1, new ArrayList<>());
         for (int i = 1; i < 9; i++) {
             first.offer(table(i, i));
-            almanac.advance(200);
+            clock.advance(200);
         }
         first.close();
         sender(SENDER, 1, new ArrayList<>()).offer(table(20, 1));
-        almanac.advance(1_000);
+        clock.advance(1_000);
         assertEquals(20, consignee.inForce().edition().value());
     }
 
@@ -217,13 +217,13 @@
         consignee = proxy(11);
         Consignor c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
-        almanac.advance(500);
+        clock.advance(500);
         c.offer(table(2, 1));
-        almanac.advance(500);
+        clock.advance(500);
         c.restart(10);
-        almanac.advance(300);
+        clock.advance(300);
         c.offer(table(3, 1));
-        almanac.advance(700);
+        clock.advance(700);
         assertEquals(3, consignee.inForce().edition().value());
     }
 
@@ -233,12 +233,12 @@
         Consignor c = sender(SENDER, 1, seen);
         for (int i = 1; i < 400; i++) {
             c.offer(table(i, i));
-            almanac.advance(300);
+            clock.advance(300);
         }
         // Silence slows the sender down: it does not flood a dead proxy.
         assertTrue(seen.size() < 200, "sent " + seen.size());
         consignee = proxy(11);
-        almanac.advance(3_000);
+        clock.advance(3_000);
         assertEquals(399, consignee.inForce().edition().value());
     }
 
@@ -256,9 +256,9 @@
         for (int i = 1; i < 60; i++) {
             last = table(1 + i / 4, random.nextInt(9), random.nextInt(9), 10 + random.nextInt(9));
             c.offer(last);
-            almanac.advance(random.nextInt(120));
+            clock.advance(random.nextInt(120));
         }
-        almanac.advance(4_000);
+        clock.advance(4_000);
         assertTrue(consignee.inForce().sameAs(last));
         for (int i = 1; i < inForce.size(); i++) {
             assertTrue(inForce.get(i) >= inForce.get(i - 1), "went back to " + inForce.get(i));
@@ -270,14 +270,14 @@
         consignee = proxy(11);
         Consignor old = sender(SENDER, 5, new ArrayList<>());
         old.offer(table(3, 1));
-        almanac.advance(500);
+        clock.advance(500);
         List<Dispatch> seen = new ArrayList<>();
         sender(OTHER, 6, seen).offer(table(3, 1, 2));
-        almanac.advance(500);
+        clock.advance(500);
         assertEquals(0, seen.get(0).oldNum());
         assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
         old.offer(table(4, 9));
-        almanac.advance(2_000);
+        clock.advance(2_000);
         assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
         assertEquals(OTHER, consignee.sender());
         assertTrue(tally.counter("courier.stale.epoch").count() > 0);
@@ -287,13 +287,13 @@
     void lowerRevisionIsNotTakenWithinALife() {
         consignee = proxy(11);
         sender(SENDER, 5, new ArrayList<>()).offer(table(7, 1));
-        almanac.advance(500);
+        clock.advance(500);
         Consignor behind = sender(OTHER, 6, new ArrayList<>());
         behind.offer(table(6, 1));
-        almanac.advance(1_000);
+        clock.advance(1_000);
         assertEquals(7, consignee.inForce().edition().value());
         behind.offer(table(8, 1));
-        almanac.advance(3_000);
+        clock.advance(3_000);
         assertEquals(8, consignee.inForce().edition().value());
     }
 
@@ -302,10 +302,10 @@
         consignee = proxy(11);
         Consignor c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(2, 1, 2));
-        almanac.advance(500);
+        clock.advance(500);
         consignee = proxy(12);
         c.offer(table(2, 1, 2, 3));
-        almanac.advance(1_500);
+        clock.advance(1_500);
         assertTrue(consignee.inForce().sameAs(table(2, 1, 2, 3)));
     }
 
@@ -315,11 +315,11 @@
         FakePost.Bag any = network.bag(OTHER);
         any.send(PROXY, Postbag.Topic.DISPATCH,
                 new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(Inventory.EMPTY)).pack());
-        almanac.advance(10);
+        clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
         any.send(PROXY, Postbag.Topic.DISPATCH,
                 new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(Inventory.EMPTY)).pack());
-        almanac.advance(10);
+        clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
     }
 
@@ -329,7 +329,7 @@
         consignee = proxy(11);
         consignee.countFor(4_700);
         Consignor c = sender(SENDER, 1, new ArrayList<>());
-        long[] asked = {almanac.now().millis()};
+        long[] asked = {clock.now().millis()};
         boolean[] asking = {true};
         c.vouch(new Vouching() {
             @Override
@@ -340,7 +340,7 @@
             @Override
             public org.umbermount.kernel.Moment at() {
                 if (asking[0]) {
-                    asked[0] = almanac.now().millis() - 200;
+                    asked[0] = clock.now().millis() - 200;
                 }
                 return new org.umbermount.kernel.Moment(asked[0]);
             }
@@ -348,7 +348,7 @@
         assertTrue(consignee.goodForMs() <= 0);
         c.offer(table(2, 1));
         for (int i = 0; i < 40; i++) {
-            almanac.advance(100);
+            clock.advance(100);
             long good = consignee.goodForMs();
             assertTrue(i < 10 || good > 3_000, "good for " + good);
             assertTrue(good <= 4_500, "good for " + good);
@@ -356,14 +356,14 @@
         // The sender is cut off from the voters, and goes on talking.
         asking[0] = false;
         long since = asked[0];
-        almanac.advance(3_000);
-        assertTrue(consignee.goodForMs() <= since + 4_700 - almanac.now().millis());
-        almanac.advance(2_000);
+        clock.advance(3_000);
+        assertTrue(consignee.goodForMs() <= since + 4_700 - clock.now().millis());
+        clock.advance(2_000);
         assertTrue(consignee.goodForMs() <= 0);
         // Word that waited while this process stood still says nothing about now.
         network.delayMs = 6_000;
         asking[0] = true;
-        almanac.advance(8_000);
+        clock.advance(8_000);
         assertTrue(consignee.goodForMs() <= 0, "good for " + consignee.goodForMs());
     }
 
@@ -372,19 +372,19 @@
     void acknowledgmentOfAnEarlierSenderDoesNotCount() {
         consignee = proxy(11);
         sender(SENDER, 1, new ArrayList<>()).offer(table(2, 1, 2));
-        almanac.advance(500);
+        clock.advance(500);
         List<Dispatch> seen = new ArrayList<>();
         Consignor next = sender(SENDER, 2, seen);
         next.offer(table(2, 1));
         // The earlier sender's number 1 is acknowledged late; the new one's number 1 has been lost.
         Dispatch late = new Dispatch(1, 11, 0, 0, 1, 0, 0, -1, null);
         network.cutBoth(SENDER, PROXY);
-        almanac.advance(20);
+        clock.advance(20);
         next.acknowledged(late);
         assertEquals(0, next.knownNum());
-        almanac.advance(200);
+        clock.advance(200);
         network.healAll();
-        almanac.advance(2_000);
+        clock.advance(2_000);
         assertTrue(consignee.inForce().sameAs(table(2, 1)));
         assertEquals(1, next.knownNum());
     }
--- a/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
+++ b/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
@@ -15,12 +15,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.Fleet;
 import org.umbermount.archive.Isolation;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
@@ -103,7 +103,7 @@
 
         private static Gazetteer furnish(Institution host, Imprint self, Role role, String zone, Postbag bag) {
             Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0),
-                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.almanac(), bag, new Tally(),
+                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.clock(), bag, new Tally(),
                     new Random(self.packed()));
             host.offer(Postbag.class, bag);
             host.offer(Gazetteer.class, g);
@@ -115,7 +115,7 @@
             return Imprint.parse("10." + (zone + 1) + ".1." + k + ":7001");
         }
 
-        Consignee lector(int zone, int k, Almanac clock) {
+        Consignee lector(int zone, int k, Clock clock) {
             Imprint self = imprint(zone, k);
             Institution host = new Institution(Role.LECTOR, rules(Fleet.zone(zone), self), clock);
             furnish(host, self, Role.LECTOR, Fleet.zone(zone), fleet.network.bag(self));
@@ -124,12 +124,12 @@
         }
 
         void take(int at, long match, long edition) {
-            Custodian.Verdict[] verdict = new Custodian.Verdict[1];
-            fleet.porter(at).submit(new Edition(match), new Edition(edition),
+            Replica.Verdict[] verdict = new Replica.Verdict[1];
+            fleet.chainClient(at).submit(new Edition(match), new Edition(edition),
                     ("{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[]}").getBytes(), 850,
                     v -> verdict[0] = v, () -> { });
             fleet.run(900);
-            assertEquals(Custodian.Verdict.TAKEN, verdict[0]);
+            assertEquals(Replica.Verdict.TAKEN, verdict[0]);
         }
     }
 
@@ -203,7 +203,7 @@
     void aSenderThatStoodStillSendsNothingUnderItsOldLease() throws Exception {
         rests(Safeguard.LEASE_CHECKED_ON_SENDING, () -> {
             Site site = new Site();
-            long epoch = site.fleet.tenures(1).epoch(Fleet.zone(1));
+            long epoch = site.fleet.leases(1).epoch(Fleet.zone(1));
             assertTrue(epoch > 0);
             site.fleet.run(700);
             site.fleet.freeze(1);
@@ -231,7 +231,7 @@
             site.fleet.run(8_000);
             long until = site.fleet.almanac.now().millis() + 3_000;
             site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(1))
-                    || topic != Postbag.Topic.CHARTER || site.fleet.almanac.now().millis() > until;
+                    || topic != Postbag.Topic.VIEW || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
             Consignee fresh = site.lector(1, 2, site.fleet.almanac);
--- a/courier/src/test/java/org/umbermount/courier/Operators.java
+++ b/courier/src/test/java/org/umbermount/courier/Operators.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.kernel.Edition;
 
 /** The operators: what they order and are told, and what must be true of that whoever hears it. */
@@ -88,13 +88,13 @@
         }
 
         private void send(int at, int mine) {
-            room.fleet.porter(at).submit(new Edition(match), new Edition(edition), text.getBytes(), 850, v -> {
+            room.fleet.chainClient(at).submit(new Edition(match), new Edition(edition), text.getBytes(), 850, v -> {
                 said(v, at);
                 // A caller that has turned to another daemon does not hear what this one says, and some answers are lost.
                 if (lostAnswers > 0 && random.nextDouble() < lostAnswers) {
                     room.note("that answer is lost");
                 } else if (tries == mine && underWay()) {
-                    taken = v == Custodian.Verdict.TAKEN;
+                    taken = v == Replica.Verdict.TAKEN;
                     if (!taken) {
                         read();
                     }
@@ -103,9 +103,9 @@
         }
 
         /** What a daemon says binds, whether or not it is heard. */
-        void said(Custodian.Verdict verdict, int at) {
+        void said(Replica.Verdict verdict, int at) {
             room.note(this + ": " + verdict + " from " + at);
-            if (verdict == Custodian.Verdict.TAKEN) {
+            if (verdict == Replica.Verdict.TAKEN) {
                 if (refused) {
                     room.broken(this + " was refused and then confirmed");
                 }
@@ -298,7 +298,7 @@
         }
         long least = acknowledged;
         reads++;
-        room.fleet.porter(up.get(random.nextInt(up.size()))).read(850, state -> {
+        room.fleet.chainClient(up.get(random.nextInt(up.size()))).read(850, state -> {
             reads--;
             long edition = state.edition().value();
             if (edition < least) {
@@ -319,6 +319,6 @@
 
     /** A second change on the version of the first, for a day that is to be found broken. */
     void confirmTwice() {
-        new Order(all.get(0).match, 50, 0).said(Custodian.Verdict.TAKEN, 0);
+        new Order(all.get(0).match, 50, 0).said(Replica.Verdict.TAKEN, 0);
     }
 }
--- a/courier/src/test/java/org/umbermount/courier/Proxies.java
+++ b/courier/src/test/java/org/umbermount/courier/Proxies.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.umbermount.archive.MortalAlmanac;
+import org.umbermount.archive.MortalClock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
@@ -15,7 +15,7 @@
     static final class Proxy {
         final Imprint imprint;
         final String zone;
-        MortalAlmanac clock;
+        MortalClock clock;
         Consignee consignee;
         long edition;
         boolean up;
@@ -51,7 +51,7 @@
     }
 
     private void open(Proxy p) {
-        p.clock = new MortalAlmanac(room.fleet.almanac);
+        p.clock = new MortalClock(room.fleet.almanac);
         p.consignee = room.openLector(p.imprint, p.zone, p.clock);
         p.edition = 0;
         p.up = true;
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
@@ -8,10 +8,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.umbermount.archive.Fleet;
-import org.umbermount.archive.RollCall;
+import org.umbermount.archive.FailureDetector;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
@@ -159,7 +159,7 @@
     }
 
     private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds, FakePost.Bag bag) {
-        Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0), seeds, host.almanac(), bag, new Tally(),
+        Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0), seeds, host.clock(), bag, new Tally(),
                 new Random(random.nextLong()));
         host.offer(Postbag.class, bag);
         host.offer(Gazetteer.class, g);
@@ -178,7 +178,7 @@
         Gazetteer g = gazetteer(host, self, Role.REGISTRAR, machines.zone(i), imprints(seeds), fleet.bag(i));
         g.observe(p -> {
             if (p.role() == Role.REGISTRAR) {
-                host.find(RollCall.class).enlist(p.imprint());
+                host.find(FailureDetector.class).enlist(p.imprint());
             }
         });
         new SendingDepartment().open(host);
@@ -197,7 +197,7 @@
         }
     }
 
-    Consignee openLector(Imprint self, String zone, Almanac clock) {
+    Consignee openLector(Imprint self, String zone, Clock clock) {
         List<Imprint> seeds = imprints(machines.seeds(random));
         FakePost.Bag bag = fleet.network.bag(self);
         Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
+++ b/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
@@ -31,7 +31,7 @@
     private static final int QUICK_ROUNDS = 6;
 
     private final Placename self;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final Random random;
@@ -42,10 +42,10 @@
     private List<Imprint> sentSample = List.of();
     private int rounds;
 
-    public Gazetteer(Placename self, List<Imprint> seeds, Almanac almanac, Postbag post, Tally tally, Random random) {
+    public Gazetteer(Placename self, List<Imprint> seeds, Clock clock, Postbag post, Tally tally, Random random) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
-        this.almanac = almanac;
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.random = random;
@@ -53,7 +53,7 @@
     }
 
     public void start() {
-        almanac.execute(this::round);
+        clock.execute(this::round);
     }
 
     /** Takes a changed list of seeds into use. */
@@ -106,7 +106,7 @@
 
     private void round() {
         rounds++;
-        almanac.after(rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
+        clock.after(rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
         view.replaceAll((k, p) -> p.older());
         Placename oldest = null;
         for (Placename p : view.values()) {
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/GazetteerDepartment.java
+++ b/gazetteer/src/main/java/org/umbermount/gazetteer/GazetteerDepartment.java
@@ -33,8 +33,8 @@
         HouseRules rules = institution.rules();
         Postbag post = institution.find(Postbag.class);
         Placename self = new Placename(post.self(), institution.role(), rules.zone(), 0);
-        gazetteer = new Gazetteer(self, seeds(rules), institution.almanac(), post, institution.tally(),
-                new Random(post.self().packed() ^ institution.almanac().wallMillis()));
+        gazetteer = new Gazetteer(self, seeds(rules), institution.clock(), post, institution.tally(),
+                new Random(post.self().packed() ^ institution.clock().wallMillis()));
         institution.offer(Gazetteer.class, gazetteer);
         institution.tally().gauge("gazetteer.view.size", () -> gazetteer.view().size());
         gazetteer.start();
--- a/kernel/src/main/java/org/umbermount/kernel/Almanac.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -1,7 +1,7 @@
 package org.umbermount.kernel;
 
 /** The clocks and timers of a process. All tasks run on the process's one loop. */
-public interface Almanac {
+public interface Clock {
     Moment now();
 
     /** Time of day in milliseconds; close to true time but may step. */
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -20,17 +20,17 @@
     private static final String JOINED = "META-INF/umbermount/departments";
 
     private final Role role;
-    private final Almanac almanac;
+    private final Clock clock;
     private final Tally tally = new Tally();
     private final Map<Class<?>, Object> offers = new HashMap<>();
     private final List<Department> open = new ArrayList<>();
     private HouseRules rules;
 
-    public Institution(Role role, HouseRules rules, Almanac almanac) {
+    public Institution(Role role, HouseRules rules, Clock clock) {
         this.role = role;
         this.rules = rules;
-        this.almanac = almanac;
-        offer(Almanac.class, almanac);
+        this.clock = clock;
+        offer(Clock.class, clock);
     }
 
     public Role role() {
@@ -41,8 +41,8 @@
         return rules;
     }
 
-    public Almanac almanac() {
-        return almanac;
+    public Clock clock() {
+        return clock;
     }
 
     public Tally tally() {
@@ -72,7 +72,7 @@
      */
     public void openAll() throws Exception {
         CompletableFuture<Void> opened = new CompletableFuture<>();
-        almanac.execute(() -> {
+        clock.execute(() -> {
             try {
                 openOnLoop();
                 opened.complete(null);
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopAlmanac.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -5,15 +5,15 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 
 /** The real clocks, with timers on a Netty event loop. */
-public final class LoopAlmanac implements Almanac {
+public final class LoopClock implements Clock {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
     private final EventLoop loop;
 
-    public LoopAlmanac(EventLoop loop) {
+    public LoopClock(EventLoop loop) {
         this.loop = loop;
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -34,10 +34,10 @@
     private final Tally.Count bytesIn;
     private Channel channel;
 
-    public Mailroom(Imprint self, LoopAlmanac almanac, Tally tally) {
+    public Mailroom(Imprint self, LoopClock clock, Tally tally) {
         this.self = self;
         this.tally = tally;
-        this.parcels = new Parcels(almanac);
+        this.parcels = new Parcels(clock);
         tally.gauge("mail.parts.foreign", parcels::foreign);
         this.bytesIn = tally.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -10,7 +10,7 @@
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -32,19 +32,19 @@
     private static final int OPEN_AT_MOST = 64;
     private static final long KEEP_MS = 3_000;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Map<Key, Partial> partials = new LinkedHashMap<>();
     private final int life;
     private int nextId;
     private long foreign;
 
-    public Parcels(Almanac almanac) {
-        this(almanac, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
+    public Parcels(Clock clock) {
+        this(clock, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
     }
 
     /** For tests: with a given life and first id. */
-    Parcels(Almanac almanac, int life, int firstId) {
-        this.almanac = almanac;
+    Parcels(Clock clock, int life, int firstId) {
+        this.clock = clock;
         this.life = life;
         this.nextId = firstId;
     }
@@ -149,7 +149,7 @@
     }
 
     private byte[] join(Imprint from, byte[] datagram, int index, int count) throws Script.UnreadableException {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         Iterator<Partial> oldest = partials.values().iterator();
         while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
             if (partials.size() >= OPEN_AT_MOST) {
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 
 class InstitutionTest {
     /** A part found through the test's own service file. */
@@ -47,8 +47,8 @@
     }
 
     private static Institution institution(Thread[] loop) {
-        FakeAlmanac clock = new FakeAlmanac();
-        Almanac threaded = new Almanac() {
+        FakeClock clock = new FakeClock();
+        Clock threaded = new Clock() {
             @Override
             public Moment now() {
                 return clock.now();
--- a/kernel/src/test/java/org/umbermount/kernel/net/ParcelsTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/ParcelsTest.java
@@ -17,13 +17,13 @@
 import org.umbermount.kernel.Postbag.Topic;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 
 class ParcelsTest {
     private static final Imprint FROM = Imprint.parse("10.0.0.1:7000");
-    private final FakeAlmanac almanac = new FakeAlmanac();
-    private final Parcels sender = new Parcels(almanac);
-    private final Parcels receiver = new Parcels(almanac);
+    private final FakeClock clock = new FakeClock();
+    private final Parcels sender = new Parcels(clock);
+    private final Parcels receiver = new Parcels(clock);
 
     private static byte[] noise(int n, long seed) {
         byte[] bytes = new byte[n];
@@ -59,7 +59,7 @@
     @Test
     void repetitiveMessageTravelsInOnePart() throws Script.UnreadableException {
         byte[] body = "{\"label\":\"r\",\"upstream\":\"s\"}".repeat(400).getBytes();
-        List<byte[]> parts = sender.wrap(Topic.CUSTODY, body);
+        List<byte[]> parts = sender.wrap(Topic.CHAIN, body);
         assertEquals(1, parts.size());
         assertArrayEquals(body, receiver.unwrap(FROM, parts.get(0)).body());
     }
@@ -79,8 +79,8 @@
 
     /** A sender that was started anew and came upon the same ids: its message and the earlier life's are not mixed. */
     private boolean mixesLives() throws Script.UnreadableException {
-        Parcels earlier = new Parcels(almanac, 1, 77);
-        Parcels later = new Parcels(almanac, 2, 77);
+        Parcels earlier = new Parcels(clock, 1, 77);
+        Parcels later = new Parcels(clock, 2, 77);
         byte[] old = noise(5_000, 3);
         byte[] fresh = noise(5_000, 4);
         List<byte[]> left = earlier.wrap(Topic.LOAN, old);
@@ -104,7 +104,7 @@
         assertEquals(1, receiver.foreign());
         byte[] again = noise(5_000, 5);
         Parcels.Whole whole = null;
-        for (byte[] part : new Parcels(almanac, 2, 78).wrap(Topic.LOAN, again)) {
+        for (byte[] part : new Parcels(clock, 2, 78).wrap(Topic.LOAN, again)) {
             whole = receiver.unwrap(FROM, part);
         }
         assertArrayEquals(again, whole.body());
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeAlmanac.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeClock.java
@@ -1,11 +1,11 @@
 package org.umbermount.kernel.testing;
 
 import java.util.PriorityQueue;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 
 /** A clock that moves only when a test moves it. */
-public final class FakeAlmanac implements Almanac {
+public final class FakeClock implements Clock {
     private static final class Task implements Comparable<Task> {
         long at;
         long order;
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
@@ -14,7 +14,7 @@
 
 /** A network for tests: delays, loses, doubles and cuts messages by a seed. */
 public final class FakePost {
-    private final FakeAlmanac almanac;
+    private final FakeClock clock;
     private final Random random;
     private final Map<Imprint, Bag> bags = new HashMap<>();
     private final Set<Long> cuts = new HashSet<>();
@@ -32,8 +32,8 @@
         boolean passes(Imprint from, Imprint to, Postbag.Topic topic, byte[] body);
     }
 
-    public FakePost(FakeAlmanac almanac, long seed) {
-        this.almanac = almanac;
+    public FakePost(FakeClock clock, long seed) {
+        this.clock = clock;
         this.random = new Random(seed);
     }
 
@@ -111,7 +111,7 @@
             int copies = random.nextDouble() < doubles ? 2 : 1;
             for (int i = 0; i < copies; i++) {
                 long delay = delayMs + (jitterMs > 0 ? random.nextInt((int) jitterMs) : 0);
-                almanac.after(delay, () -> {
+                clock.after(delay, () -> {
                     List<Runnable> waiting = frozen.get(to);
                     if (waiting != null) {
                         waiting.add(() -> deliver(to, topic, body));
--- a/loans/src/main/java/org/umbermount/loans/CounterDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/CounterDepartment.java
@@ -47,8 +47,8 @@
         }
         Gazetteer gazetteer = host.find(Gazetteer.class);
         Postbag post = host.find(Postbag.class);
-        counter = new LoanCounter(host.almanac(), post, host.tally(),
-                new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.almanac().wallMillis() << 20),
+        counter = new LoanCounter(host.clock(), post, host.tally(),
+                new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
                 () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
         host.offer(LoanCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
@@ -79,7 +79,7 @@
         if (counter.closing() == 0 || looks <= 0) {
             done.run();
         } else {
-            institution.almanac().after(LOOK_MS, () -> waitForNotes(looks - 1, done));
+            institution.clock().after(LOOK_MS, () -> waitForNotes(looks - 1, done));
         }
     }
 }
--- a/loans/src/main/java/org/umbermount/loans/LoanCounter.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanCounter.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Supplier;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -68,14 +68,14 @@
         private byte[] answer = NOTHING;
         private int asks;
         private long pause = CLOSE_FIRST_MS;
-        private Almanac.Cancellable timer;
+        private Clock.Cancellable timer;
 
         private Ticket(OperationKey key, boolean mayRepeat, Outcome outcome, long patienceMs) {
             this.serial = nextSerial++;
             this.key = key;
             this.mayRepeat = mayRepeat;
             this.outcome = outcome;
-            this.since = almanac.now();
+            this.since = clock.now();
             this.until = since.plus(patienceMs);
         }
 
@@ -96,7 +96,7 @@
         }
 
         private void ask() {
-            Moment now = almanac.now();
+            Moment now = clock.now();
             if (outcome == null) {
                 return;
             }
@@ -113,11 +113,11 @@
                 post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).flag(mayRepeat).done());
             }
-            timer = almanac.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
+            timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
         }
 
         private void tellClose() {
-            Moment now = almanac.now();
+            Moment now = clock.now();
             if (now.since(since) > CLOSE_MS) {
                 tally.count("loans.closes.abandoned");
                 forget();
@@ -128,7 +128,7 @@
                 post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
             }
-            timer = almanac.after(pause, this::tellClose);
+            timer = clock.after(pause, this::tellClose);
             pause = Math.min(CLOSE_LONGEST_MS, pause * 2);
         }
 
@@ -190,7 +190,7 @@
         }
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final Supplier<List<Imprint>> registrars;
@@ -201,8 +201,8 @@
     private int closing;
 
     /** @param registrars the registrars known, for when the head is not */
-    public LoanCounter(Almanac almanac, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> registrars) {
-        this.almanac = almanac;
+    public LoanCounter(Clock clock, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> registrars) {
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.registrars = registrars;
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -8,10 +8,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.archive.Bookmark;
-import org.umbermount.archive.Charter;
+import org.umbermount.archive.View;
 import org.umbermount.archive.Companion;
-import org.umbermount.archive.Custodian;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.archive.Replica;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -47,9 +47,9 @@
         GRANTED, ANSWERED, BUSY, UNKNOWN, STORED, ELSEWHERE, AGAIN
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
-    private final Custodian custodian;
+    private final Replica replica;
     private final Ledger ledger;
     private final LoanBook book;
     private final java.util.concurrent.Executor disk;
@@ -68,7 +68,7 @@
     private Bookmark durable;
 
     // The view.
-    private Charter charter = Charter.NONE;
+    private View view = View.NONE;
     private List<Imprint> line = List.of();
     private int place = -1;
     private long acked = -1;
@@ -101,11 +101,11 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    LoanDesk(Almanac almanac, Postbag post, Custodian custodian, Ledger ledger, LoanBook book,
+    LoanDesk(Clock clock, Postbag post, Replica replica, Ledger ledger, LoanBook book,
             java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Tally tally) {
-        this.almanac = almanac;
+        this.clock = clock;
         this.post = post;
-        this.custodian = custodian;
+        this.replica = replica;
         this.ledger = ledger;
         this.book = book;
         this.disk = disk;
@@ -116,18 +116,18 @@
         this.durable = book.mark();
         for (int s = 0; s <= ledger.current(); s++) {
             // How old a record is after a stop nobody knows: its age counts from now.
-            segmentWritten.put(s, almanac.now());
+            segmentWritten.put(s, clock.now());
         }
         post.subscribe(Postbag.Topic.LOAN, this::receive);
     }
 
     void start() {
-        custodian.accompany(this);
-        if (custodian.charter().number() > 0) {
-            adopted(custodian.charter());
+        replica.accompany(this);
+        if (replica.view().number() > 0) {
+            adopted(replica.view());
         }
-        almanac.every(LOOK_MS, this::look);
-        almanac.every(2_000, this::expire);
+        clock.every(LOOK_MS, this::look);
+        clock.every(2_000, this::expire);
     }
 
     // ---- what the views ask ----
@@ -144,12 +144,12 @@
 
     @Override
     public boolean diskGood(long patienceMs) {
-        return !refusing && (!writing || almanac.now().since(writeBegan) < patienceMs);
+        return !refusing && (!writing || clock.now().since(writeBegan) < patienceMs);
     }
 
     @Override
-    public void adopted(Charter next) {
-        charter = next;
+    public void adopted(View next) {
+        view = next;
         line = next.line(tolerated);
         place = line.indexOf(post.self());
         acked = -1;
@@ -177,29 +177,29 @@
 
     /** Whether the book may grow: a promise on its way or given stands still until the next view. */
     private boolean mayMove() {
-        return custodian.mayMove();
+        return replica.mayMove();
     }
 
     /** Brings the book to where the view begins, and takes part in it. */
     private void join() {
-        if (place < 0 || !mayMove() || book.mark().view() == charter.number()) {
+        if (place < 0 || !mayMove() || book.mark().view() == view.number()) {
             return;
         }
-        if (book.mark().sameAs(charter.base())) {
+        if (book.mark().sameAs(view.base())) {
             enterView();
         } else if (fetching == null) {
-            fetching = new Fetching(charter.number(), charter.base().holder(), null);
+            fetching = new Fetching(view.number(), view.base().holder(), null);
             fetch();
         }
     }
 
     private void enterView() {
-        book.enter(charter.number());
-        write(Slip.marker(Slip.Kind.ENTER, charter.number(), 0));
+        book.enter(view.number());
+        write(Slip.marker(Slip.Kind.ENTER, view.number(), 0));
     }
 
     private boolean joined() {
-        return place >= 0 && durable.view() == charter.number();
+        return place >= 0 && durable.view() == view.number();
     }
 
     private boolean isHead() {
@@ -213,14 +213,14 @@
     // ---- the disk ----
 
     private void write(Slip slip) {
-        slip.since = almanac.now();
+        slip.since = clock.now();
         queue.add(slip);
         if (!isHead() || writing) {
             flush();
         } else if (!gathering) {
             // A few more come within moments: one write, one message down the line and one back serve them all.
             gathering = true;
-            almanac.after(GATHER_MS, () -> {
+            clock.after(GATHER_MS, () -> {
                 gathering = false;
                 flush();
             });
@@ -239,7 +239,7 @@
             raw.add(s.raw);
         }
         writing = true;
-        writeBegan = almanac.now();
+        writeBegan = clock.now();
         disk.execute(() -> {
             int segment = 0;
             try {
@@ -249,7 +249,7 @@
                 segment = -1;
             }
             int where = segment;
-            almanac.execute(() -> written(batch, upTo, where));
+            clock.execute(() -> written(batch, upTo, where));
         });
     }
 
@@ -266,9 +266,9 @@
         for (Slip s : batch) {
             s.segment = segment;
         }
-        segmentWritten.put(segment, almanac.now());
+        segmentWritten.put(segment, clock.now());
         durable = upTo;
-        if (!queue.isEmpty() && !mayMove() && custodian.standing() == Custodian.Standing.MEMBER) {
+        if (!queue.isEmpty() && !mayMove() && replica.standing() == Replica.Standing.MEMBER) {
             // A promise was given meanwhile: it names what is on disk now.
             queue.clear();
             book.cut(durable);
@@ -287,7 +287,7 @@
 
     /** Lets go of what is older than any operation has to be remembered, a segment at a time. */
     private void expire() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         int current = ledger.current();
         int through = 0;
         for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
@@ -372,10 +372,10 @@
     // ---- the head ----
 
     private boolean turnedAway(Imprint from, long serial) {
-        if (isHead() && joined() && custodian.acting() && !refusing) {
+        if (isHead() && joined() && replica.acting() && !refusing) {
             return false;
         }
-        Imprint head = custodian.charter().head();
+        Imprint head = replica.view().head();
         reply(from, serial, Reply.ELSEWHERE, Script.write().imprint(head == null || head.equals(post.self())
                 ? Imprint.NONE : head).done());
         return true;
@@ -397,7 +397,7 @@
                     if (isCommitted(s)) {
                         reply(from, serial, Reply.GRANTED, NOTHING);
                     }
-                } else if (almanac.now().since(s.since) < LONGEST_WORK_MS) {
+                } else if (clock.now().since(s.since) < LONGEST_WORK_MS) {
                     replyConfirmed(from, serial, Reply.BUSY);
                 } else if (mayRepeat) {
                     enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
@@ -435,7 +435,7 @@
             return;
         }
         unconfirmed.add(() -> reply(to, serial, why, NOTHING));
-        if (almanac.now().since(confirmingSince) >= CONFIRM_MS) {
+        if (clock.now().since(confirmingSince) >= CONFIRM_MS) {
             confirmReplies();
         }
     }
@@ -443,9 +443,9 @@
     private void confirmReplies() {
         List<Runnable> some = unconfirmed;
         unconfirmed = new ArrayList<>();
-        Moment asked = almanac.now();
+        Moment asked = clock.now();
         confirmingSince = asked;
-        custodian.whileInForce(() -> {
+        replica.whileInForce(() -> {
             some.forEach(Runnable::run);
             if (confirmingSince.equals(asked)) {
                 confirmingSince = Moment.NEVER;
@@ -461,7 +461,7 @@
         tally.count("loans.answers.elsewhere");
         byte[] body = message(Message.PEEK).num(serial).imprint(lector).num(s.key.high()).num(s.key.low())
                 .imprint(s.origin).num(s.serial).done();
-        charter.electorate().forEach(f -> {
+        view.electorate().forEach(f -> {
             if (!f.imprint().equals(post.self())) {
                 post.send(f.imprint(), Postbag.Topic.LOAN, body);
             }
@@ -500,13 +500,13 @@
     }
 
     private void enter(Slip.Kind kind, OperationKey key, Imprint origin, long serial, byte[] payload) {
-        Slip s = Slip.of(kind, charter.number(), book.mark().pos() + 1, key, origin, serial, payload);
+        Slip s = Slip.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
         book.add(s);
         write(s);
     }
 
     private boolean isCommitted(Slip s) {
-        return s.view < charter.number() ? committed >= 0 : s.pos <= committed;
+        return s.view < view.number() ? committed >= 0 : s.pos <= committed;
     }
 
     // ---- the line ----
@@ -517,7 +517,7 @@
 
     /** Does what the newest news allows: commits at the tail, passes on elsewhere. */
     private void advance() {
-        if (!joined() || !custodian.acting()) {
+        if (!joined() || !replica.acting()) {
             return;
         }
         if (isTail()) {
@@ -528,25 +528,25 @@
     }
 
     private void pass() {
-        Moment now = almanac.now();
+        Moment now = clock.now();
         if (passing && now.since(passedAt) < REPEAT_MS || acked >= position()) {
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<Slip> next = book.between(new Bookmark(charter.number(), from, Imprint.NONE), durable, PASS_BYTES);
-        post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(charter.number()).num(from)
+        List<Slip> next = book.between(new Bookmark(view.number(), from, Imprint.NONE), durable, PASS_BYTES);
+        post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
                 .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
         passedAt = now;
     }
 
     private void passed(Imprint from, long view, long since, long theirs, List<Slip> next) {
-        if (view > custodian.charter().number()) {
-            custodian.fetchFrom(from);
+        if (view > replica.view().number()) {
+            replica.fetchFrom(from);
             return;
         }
-        if (view != charter.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
-                || !custodian.acting()) {
+        if (view != view.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
+                || !replica.acting()) {
             return;
         }
         announced = Math.max(announced, theirs);
@@ -569,13 +569,13 @@
     private void acknowledge() {
         if (place >= 1 && joined()) {
             toldCommitted = committed;
-            post.send(line.get(place - 1), Postbag.Topic.LOAN, message(Message.ACK).num(charter.number())
+            post.send(line.get(place - 1), Postbag.Topic.LOAN, message(Message.ACK).num(view.number())
                     .num(position()).num(committed).done());
         }
     }
 
     private void acknowledged(Imprint from, long view, long pos, long theirCommitted) {
-        if (view != charter.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
+        if (view != view.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
             return;
         }
         passing = false;
@@ -590,20 +590,20 @@
             return;
         }
         if (isTail()) {
-            Bookmark after = new Bookmark(charter.number(), Math.max(0, committed), Imprint.NONE);
-            for (Slip s : book.between(after, new Bookmark(charter.number(), upTo, Imprint.NONE), Integer.MAX_VALUE)) {
+            Bookmark after = new Bookmark(view.number(), Math.max(0, committed), Imprint.NONE);
+            for (Slip s : book.between(after, new Bookmark(view.number(), upTo, Imprint.NONE), Integer.MAX_VALUE)) {
                 reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
         if (committed < 0) {
-            LOG.info("View {} keeps operation records from {}/{}, {} of them.", charter.number(), charter.base().view(),
-                    charter.base().pos(), book.size());
+            LOG.info("View {} keeps operation records from {}/{}, {} of them.", view.number(), view.base().view(),
+                    view.base().pos(), book.size());
         }
         committed = upTo;
     }
 
     private void look() {
-        if (fetching != null && fetching.from != null && almanac.now().since(fetching.asked) > FETCH_MS) {
+        if (fetching != null && fetching.from != null && clock.now().since(fetching.asked) > FETCH_MS) {
             fetch();
         }
         if (refusing && !writing && queue.isEmpty()) {
@@ -631,15 +631,15 @@
         }
         f.turn++;
         f.nonce++;
-        f.asked = almanac.now();
+        f.asked = clock.now();
         tally.count("loans.fetches");
         post.send(f.from, Postbag.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
                 .list(book.lineage(), (o, m) -> m.write(o)).done());
     }
 
     private void fetched(Imprint from, long view, long nonce, List<Bookmark> theirs) {
-        boolean able = view < 0 ? custodian.standing() != Custodian.Standing.RECOVERING
-                : view == charter.number() && (durable.view() == view || durable.sameAs(charter.base()));
+        boolean able = view < 0 ? replica.standing() != Replica.Standing.RECOVERING
+                : view == view.number() && (durable.view() == view || durable.sameAs(view.base()));
         if (!able) {
             return;
         }
@@ -660,7 +660,7 @@
     private void portion(Imprint from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
         Fetching f = fetching;
         if (f == null || f.nonce != nonce || !from.equals(f.from)
-                || f.view >= 0 && (f.view != charter.number() || !mayMove())) {
+                || f.view >= 0 && (f.view != view.number() || !mayMove())) {
             return;
         }
         if (!book.mark().sameAs(common)) {
@@ -705,7 +705,7 @@
         return book;
     }
 
-    Charter view() {
-        return charter;
+    View view() {
+        return view;
     }
 }
--- a/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.StatusPage;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
@@ -59,7 +59,7 @@
         if (book.size() > 0) {
             LOG.info("Read {} operation records from disk, up to {}/{}.", book.size(), book.mark().view(), book.mark().pos());
         }
-        desk = new LoanDesk(host.almanac(), host.find(Postbag.class), host.find(Custodian.class), ledger, book,
+        desk = new LoanDesk(host.clock(), host.find(Postbag.class), host.find(Replica.class), ledger, book,
                 cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
                 MOST_BYTES, host.tally());
         desk.start();
@@ -105,7 +105,7 @@
                 case CUT -> book.cut(new org.umbermount.archive.Bookmark(s.view, s.pos, org.umbermount.kernel.Imprint.NONE));
                 default -> {
                     s.segment = segment;
-                    s.since = host.almanac().now();
+                    s.since = host.clock().now();
                     book.add(s);
                 }
             }
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/loans/src/test/java/org/umbermount/loans/LoansTest.java
@@ -17,9 +17,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.Fleet;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Postbag;
@@ -83,7 +83,7 @@
         fleet.run(8_000);
     }
 
-    private void attach(int i, Almanac clock, Postbag bag, Custodian custodian, FakeVault disk) throws IOException {
+    private void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException {
         LoanBook book = new LoanBook();
         Ledger ledger = Ledger.open(disk, "loans", 2_000, (segment, body) -> {
             try {
@@ -97,7 +97,7 @@
                 throw new AssertionError(e);
             }
         });
-        LoanDesk desk = new LoanDesk(clock, bag, custodian, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
+        LoanDesk desk = new LoanDesk(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
                 new Tally());
         desks.put(i, desk);
         desk.start();
@@ -133,7 +133,7 @@
         LoanCounter.Ticket released = claim(0, "k", first);
         fleet.run(200);
         assertEquals("granted", first.word);
-        Imprint old = fleet.custodian(0).charter().head();
+        Imprint old = fleet.replica(0).view().head();
         for (int i = 0; i < SIZE; i++) {
             if (!Fleet.imprint(i).equals(old)) {
                 fleet.network.cutBoth(old, Fleet.imprint(i));
@@ -196,7 +196,7 @@
     @Test
     void nothingIsGrantedBeforeEnoughDisksHaveIt() throws IOException {
         open(3);
-        List<Imprint> line = fleet.custodian(0).charter().line(TOLERATED);
+        List<Imprint> line = fleet.replica(0).view().line(TOLERATED);
         assertEquals(3, line.size());
         int last = -1;
         for (int i = 0; i < SIZE; i++) {
@@ -241,7 +241,7 @@
     @Test
     void viewWhoseFirstRecordsAreLostIsFollowedByOneThatHasThem() throws IOException {
         open(5);
-        Imprint head = fleet.custodian(0).charter().head();
+        Imprint head = fleet.replica(0).view().head();
         int first = -1;
         for (int i = 0; i < SIZE; i++) {
             first = Fleet.imprint(i).equals(head) ? i : first;
--- a/readership/src/main/java/org/umbermount/readership/CountingDepartment.java
+++ b/readership/src/main/java/org/umbermount/readership/CountingDepartment.java
@@ -46,7 +46,7 @@
         Gazetteer gazetteer = host.find(Gazetteer.class);
         // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
         long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
-        counter = new QuotaCounter(host.almanac(), host.find(Postbag.class), host.tally(), ttl,
+        counter = new QuotaCounter(host.clock(), host.find(Postbag.class), host.tally(), ttl,
                 () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
         host.offer(QuotaCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
@@ -59,13 +59,13 @@
         Moment tokensUntil = Moment.NEVER;
         Moment refusedUntil = Moment.NEVER;
         double demand;
-        Moment demandAt = almanac.now();
+        Moment demandAt = clock.now();
         double refusals;
         Moment refusedAt = demandAt;
         boolean asking;
         int asks;
         int hops;
-        Almanac.Cancellable timer;
+        Clock.Cancellable timer;
 
         Purse(String tenant) {
             this.tenant = tenant;
@@ -77,7 +77,7 @@
         }
 
         void refused(Outcome outcome) {
-            Moment now = almanac.now();
+            Moment now = clock.now();
             refusals = refusals * Math.exp(-now.since(refusedAt) / 2_000.0) + 1;
             refusedAt = now;
             tally.count("quota.refused");
@@ -93,7 +93,7 @@
         }
 
         void ask() {
-            Moment now = almanac.now();
+            Moment now = clock.now();
             while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until)) {
                 Waiting late = waiting.poll();
                 if (late.again) {
@@ -115,11 +115,11 @@
                 post.send(to, Postbag.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
                         List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
             }
-            timer = almanac.after(REPEAT_MS, this::ask);
+            timer = clock.after(REPEAT_MS, this::ask);
         }
 
         void granted(QuotaMessages.Grant grant, Moment asked, Imprint from) {
-            Moment now = almanac.now();
+            Moment now = clock.now();
             String duty = QuotaMessages.dutyOf(tenant);
             if (grant.count() < 0) {
                 boolean known = !grant.keeper().equals(Imprint.NONE) && !grant.keeper().equals(from);
@@ -156,7 +156,7 @@
                 } else {
                     waiting.forEach(w -> w.again = true);
                     timer.cancel();
-                    timer = almanac.after(grant.waitMs() + 1, this::ask);
+                    timer = clock.after(grant.waitMs() + 1, this::ask);
                     return;
                 }
             }
@@ -168,7 +168,7 @@
         }
     }
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
     private final Tally tally;
     private final long ttlMs;
@@ -182,8 +182,8 @@
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
      * @param registrars the registrars known, for when the keeper of a count is not
      */
-    public QuotaCounter(Almanac almanac, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> registrars) {
-        this.almanac = almanac;
+    public QuotaCounter(Clock clock, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> registrars) {
+        this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.ttlMs = Math.max(1, ttlMs);
@@ -211,7 +211,7 @@
             outcome.told(Word.MAY);
             return;
         }
-        Moment now = almanac.now();
+        Moment now = clock.now();
         Purse purse = purses.computeIfAbsent(tenant.label(), Purse::new);
         purse.note(now);
         if (purse.spend(now)) {
@@ -238,7 +238,7 @@
     /** Gives back what was taken for a request that was not sent. */
     public void giveBack(Regulations.Tenant tenant) {
         Purse purse = purses.get(tenant.label());
-        if (purse != null && almanac.now().isBefore(purse.tokensUntil)) {
+        if (purse != null && clock.now().isBefore(purse.tokensUntil)) {
             purse.tokens++;
         }
     }
@@ -253,7 +253,7 @@
             tally.count("quota.replies.foreign");
             return;
         }
-        if (answer.stamp() > almanac.now().millis()) {
+        if (answer.stamp() > clock.now().millis()) {
             return;
         }
         for (QuotaMessages.Grant g : answer.grants()) {
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
@@ -4,11 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.MajorityContact;
 import org.umbermount.archive.Regulations;
-import org.umbermount.archive.TenureOffice;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.archive.LeaseOffice;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
@@ -23,10 +23,10 @@
     private static final double START_SHARE = 0.4;
     private static final double CAP_SHARE = 0.2;
 
-    private final Almanac almanac;
+    private final Clock clock;
     private final Postbag post;
-    private final Custodian custodian;
-    private final TenureOffice tenures;
+    private final Replica replica;
+    private final LeaseOffice leases;
     private final MajorityContact contact;
     private final HouseRules.Sharing sharing;
     private final Tally tally;
@@ -34,12 +34,12 @@
     private Regulations limitsOf;
     private Map<String, Regulations.Tenant> limits = Map.of();
 
-    QuotaDesk(Almanac almanac, Postbag post, Custodian custodian, TenureOffice tenures,
+    QuotaDesk(Clock clock, Postbag post, Replica replica, LeaseOffice leases,
             MajorityContact contact, HouseRules.Sharing sharing, Tally tally) {
-        this.almanac = almanac;
+        this.clock = clock;
         this.post = post;
-        this.custodian = custodian;
-        this.tenures = tenures;
+        this.replica = replica;
+        this.leases = leases;
         this.contact = contact;
         this.sharing = sharing;
         this.tally = tally;
@@ -47,7 +47,7 @@
     }
 
     private Map<String, Regulations.Tenant> limits() {
-        Regulations now = custodian.regulations();
+        Regulations now = replica.regulations();
         if (now != limitsOf) {
             limitsOf = now;
             limits = new HashMap<>();
@@ -73,9 +73,9 @@
     }
 
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
-        long epoch = tenures.epoch(QuotaMessages.dutyOf(wish.tenant()));
+        long epoch = leases.epoch(QuotaMessages.dutyOf(wish.tenant()));
         if (epoch == 0) {
-            Imprint holder = tenures.holder(QuotaMessages.dutyOf(wish.tenant()));
+            Imprint holder = leases.holder(QuotaMessages.dutyOf(wish.tenant()));
             return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? Imprint.NONE : holder);
         }
         if (Safeguard.QUOTA_UNDER_CONFIRMED_EDITION.holds() && !contact.assured()) {
@@ -86,7 +86,7 @@
         if (limit == null || !limit.limited()) {
             return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
         }
-        Moment now = almanac.now();
+        Moment now = clock.now();
         Bucket bucket = buckets.get(wish.tenant());
         if (bucket == null || bucket.epoch != epoch) {
             bucket = new Bucket(epoch, START_SHARE * sharing.quotaBurst(), now);
--- a/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
@@ -1,7 +1,7 @@
 package org.umbermount.readership;
 
 import java.util.List;
-import org.umbermount.archive.TenureOffice;
+import org.umbermount.archive.LeaseOffice;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
@@ -13,7 +13,7 @@
     /** The duty that counts a tenant. */
     static String dutyOf(String tenant) {
         int h = tenant.hashCode();
-        return TenureOffice.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, TenureOffice.QUOTA_DUTIES.size()));
+        return LeaseOffice.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, LeaseOffice.QUOTA_DUTIES.size()));
     }
 
     /** A lector's wish for one tenant. */
--- a/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
+++ b/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
@@ -2,11 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.MajorityContact;
 import org.umbermount.archive.Regulations;
 import org.umbermount.archive.StatusPage;
-import org.umbermount.archive.TenureOffice;
+import org.umbermount.archive.LeaseOffice;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Institution;
@@ -15,7 +15,7 @@
 
 /** The counting of tenants as a plug-in of the registrar. */
 public final class ReadershipDepartment implements Department {
-    private Custodian custodian;
+    private Replica replica;
     private QuotaDesk desk;
 
     @Override
@@ -35,9 +35,9 @@
 
     @Override
     public void open(Institution host) {
-        custodian = host.find(Custodian.class);
+        replica = host.find(Replica.class);
         if (host.rules().guarantees(HouseRules.QUOTA)) {
-            desk = new QuotaDesk(host.almanac(), host.find(Postbag.class), custodian, host.find(TenureOffice.class),
+            desk = new QuotaDesk(host.clock(), host.find(Postbag.class), replica, host.find(LeaseOffice.class),
                     host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
@@ -48,7 +48,7 @@
 
     /** Tenants with how many keys they have; the keys themselves are never shown. */
     private void show(ObjectNode page) {
-        Regulations regulations = custodian.regulations();
+        Regulations regulations = replica.regulations();
         ArrayNode tenants = page.putArray("tenants");
         if (regulations == null) {
             return;
--- a/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
+++ b/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.umbermount.archive.Custodian;
+import org.umbermount.archive.Replica;
 import org.umbermount.archive.Fleet;
 import org.umbermount.archive.Isolation;
 import org.umbermount.kernel.Edition;
@@ -36,7 +36,7 @@
     private void open() throws IOException {
         fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(HouseRules.QUOTA));
         for (int i = 0; i < SIZE; i++) {
-            new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.custodian(i), fleet.tenures(i), fleet.contact(i),
+            new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
                     HouseRules.Sharing.NONE, new Tally());
         }
         lector = fleet.network.bag(LECTOR);
@@ -53,13 +53,13 @@
     }
 
     private void take(int at, long match, long edition, int rate) {
-        Custodian.Verdict[] verdict = new Custodian.Verdict[1];
-        fleet.porter(at).submit(new Edition(match), new Edition(edition), ("{\"revision\":" + edition
+        Replica.Verdict[] verdict = new Replica.Verdict[1];
+        fleet.chainClient(at).submit(new Edition(match), new Edition(edition), ("{\"revision\":" + edition
                 + ",\"routeTable\":[],\"upstreams\":[],\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"key-of-mill-0001\"],"
                 + "\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}").getBytes(), 850,
                 v -> verdict[0] = v, () -> { });
         fleet.run(900);
-        assertEquals(Custodian.Verdict.TAKEN, verdict[0]);
+        assertEquals(Replica.Verdict.TAKEN, verdict[0]);
     }
 
     private void ask(int at) {
@@ -70,7 +70,7 @@
     private int holder() {
         List<Integer> holders = new ArrayList<>();
         for (int i = 0; i < SIZE; i++) {
-            if (fleet.tenures(i).epoch(QuotaMessages.dutyOf("mill")) > 0) {
+            if (fleet.leases(i).epoch(QuotaMessages.dutyOf("mill")) > 0) {
                 holders.add(i);
             }
         }
@@ -122,7 +122,7 @@
         take((one + 1) % SIZE, 1, 5, 1);
         fleet.run(12_000);
         long until = fleet.almanac.now().millis() + 12_000;
-        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Postbag.Topic.CHARTER
+        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Postbag.Topic.VIEW
                 || fleet.almanac.now().millis() > until;
         // The others stop, one after the other, so that the duty comes back.
         end.run();
@@ -133,14 +133,14 @@
             granted.clear();
             int now = holder();
             if (now >= 0 && now != one && t % 100 == 20) {
-                fleet.tenures(now).releaseAll();
+                fleet.leases(now).releaseAll();
             }
             ask(one);
             fleet.run(20);
             counted += holder() == one ? 1 : 0;
             if (granted.getOrDefault(Fleet.imprint(one), -1) >= 0
-                    && fleet.custodian(one).committed().edition().value() < 5) {
-                wrong = "granted under edition " + fleet.custodian(one).committed().edition();
+                    && fleet.replica(one).committed().edition().value() < 5) {
+                wrong = "granted under edition " + fleet.replica(one).committed().edition();
             }
         }
         assertEquals(held, counted > 0, "whether the duty came back before the news");
--- a/readership/src/test/java/org/umbermount/readership/QuotaTest.java
+++ b/readership/src/test/java/org/umbermount/readership/QuotaTest.java
@@ -18,7 +18,7 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakePost;
 
 class QuotaTest {
@@ -28,14 +28,14 @@
     private static final double OVERSHOOT = 0.1;
     private static final double BURST = 20;
 
-    private final FakeAlmanac almanac = new FakeAlmanac();
-    private final FakePost network = new FakePost(almanac, 3);
+    private final FakeClock clock = new FakeClock();
+    private final FakePost network = new FakePost(clock, 3);
     private final List<QuotaCounter> lectors = new ArrayList<>();
     private Bucket bucket;
     private boolean reachable = true;
 
     private void open(int count) {
-        bucket = new Bucket(1, 8, almanac.now());
+        bucket = new Bucket(1, 8, clock.now());
         FakePost.Bag bag = network.bag(KEEPER);
         bag.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
             Script.Reader in = Script.read(body);
@@ -43,13 +43,13 @@
             QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
             if (reachable) {
                 QuotaMessages.Wish w = ask.wishes().get(0);
-                int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, almanac.now());
+                int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, clock.now());
                 bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
                         List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
             }
         });
         for (int i = 0; i < count; i++) {
-            QuotaCounter c = new QuotaCounter(almanac, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
+            QuotaCounter c = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
                     (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
             lectors.add(c);
@@ -73,16 +73,16 @@
                 lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> {
                     if (word == QuotaCounter.Word.MAY) {
                         granted[0]++;
-                        sent.add(almanac.now().millis());
+                        sent.add(clock.now().millis());
                     }
                 });
             }
             if (t - changed > 2_500 && random.nextInt(100) == 0) {
                 changed = t;
-                bucket = new Bucket(bucket.epoch + 1, 8, almanac.now());
+                bucket = new Bucket(bucket.epoch + 1, 8, clock.now());
             }
-            almanac.advance(5);
-            while (!sent.isEmpty() && sent.peek() <= almanac.now().millis() - WINDOW_MS) {
+            clock.advance(5);
+            while (!sent.isEmpty() && sent.peek() <= clock.now().millis() - WINDOW_MS) {
                 sent.poll();
             }
             assertTrue(sent.size() <= most, sent.size() + " in a window with seed " + seed);
@@ -94,11 +94,11 @@
     void requestsWithinTheLimitAreNotRefused() {
         open(12);
         Random random = new Random(9);
-        almanac.advance(3_000);
+        clock.advance(3_000);
         int[] told = new int[3];
         for (int t = 0; t < 20_000; t += 50) {
             lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
-            almanac.advance(50);
+            clock.advance(50);
         }
         assertEquals(0, told[QuotaCounter.Word.NOBODY.ordinal()]);
         assertTrue(told[QuotaCounter.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaCounter.Word.SPENT.ordinal()]);
@@ -107,34 +107,34 @@
     @Test
     void daemonThatReachesNobodySpendsNothingBeyondWhatIsLive() {
         open(1);
-        almanac.advance(3_000);
+        clock.advance(3_000);
         reachable = false;
         int[] told = new int[3];
-        Moment start = almanac.now();
+        Moment start = clock.now();
         for (int i = 0; i < 40; i++) {
             lectors.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
-            almanac.advance(25);
+            clock.advance(25);
         }
-        almanac.advance(400);
+        clock.advance(400);
         assertEquals(0, told[QuotaCounter.Word.MAY.ordinal()]);
         assertEquals(40, told[QuotaCounter.Word.NOBODY.ordinal()]);
-        assertTrue(almanac.now().since(start) < 2_000);
+        assertTrue(clock.now().since(start) < 2_000);
     }
 
     /** What a daemon is told that was started anew while the answer to its earlier life was on the way. */
     private QuotaCounter.Word toldAfterARestart() {
         open(1);
-        almanac.advance(3_000);
+        clock.advance(3_000);
         network.delayMs = 30;
         lectors.get(0).take(TENANT, 200, word -> { });
-        almanac.advance(35);
+        clock.advance(35);
         reachable = false;
-        QuotaCounter anew = new QuotaCounter(almanac, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
+        QuotaCounter anew = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
                 (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
         anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
         QuotaCounter.Word[] told = new QuotaCounter.Word[1];
         anew.take(TENANT, 200, word -> told[0] = word);
-        almanac.advance(500);
+        clock.advance(500);
         return told[0];
     }
 
--- a/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
+++ b/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
@@ -4,7 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.Executor;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 
 /**
@@ -17,7 +17,7 @@
 
     private final Stack stack;
     private final Executor thread;
-    private final Almanac almanac;
+    private final Clock clock;
     private final ArrayDeque<Moment> pending = new ArrayDeque<>();
     private boolean refusing;
     private Moment lastRefusal = Moment.NEVER;
@@ -28,16 +28,16 @@
         void done(boolean safe);
     }
 
-    public StackRoom(Stack stack, Executor thread, Almanac almanac) {
+    public StackRoom(Stack stack, Executor thread, Clock clock) {
         this.stack = stack;
         this.thread = thread;
-        this.almanac = almanac;
-        almanac.every(PROBE_MS, this::probe);
+        this.clock = clock;
+        clock.every(PROBE_MS, this::probe);
     }
 
     /** Writes; {@code outcome} runs on the loop. */
     public void write(List<Folio> folios, Outcome outcome) {
-        Moment start = almanac.now();
+        Moment start = clock.now();
         pending.add(start);
         thread.execute(() -> {
             boolean safe;
@@ -48,13 +48,13 @@
                 safe = false;
             }
             boolean result = safe;
-            almanac.execute(() -> {
+            clock.execute(() -> {
                 pending.poll();
                 refusing = !result;
                 if (!result) {
-                    lastRefusal = almanac.now();
+                    lastRefusal = clock.now();
                 }
-                slowestMs = Math.max(slowestMs / 2, almanac.now().since(start));
+                slowestMs = Math.max(slowestMs / 2, clock.now().since(start));
                 outcome.done(result);
             });
         });
@@ -68,7 +68,7 @@
 
     /** How long the oldest unfinished write has waited. */
     public long stuckMs() {
-        return pending.isEmpty() ? 0 : almanac.now().since(pending.peek());
+        return pending.isEmpty() ? 0 : clock.now().since(pending.peek());
     }
 
     /** Whether the last write was refused. */
--- a/stacks/src/test/java/org/umbermount/stacks/DurabilityTest.java
+++ b/stacks/src/test/java/org/umbermount/stacks/DurabilityTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.testing.FakeAlmanac;
+import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.stacks.testing.FakeVault;
 
 /** Stacks and ledgers through kills at every call, losses of power, full and stalled disks. */
@@ -363,7 +363,7 @@
         for (int seed = 1; seed <= 60; seed++) {
             Random random = new Random(seed);
             FakeVault vault = new FakeVault().chance(seed);
-            FakeAlmanac almanac = new FakeAlmanac();
+            FakeClock almanac = new FakeClock();
             vault.clock(almanac);
             StackRoom room = new StackRoom(Stack.open(vault, "f", REWRITE_OVER), vault.executor(), almanac);
             int[] confirmed = {0};
--- a/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
+++ b/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
-import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Clock;
 import org.umbermount.stacks.Disk;
 import org.umbermount.stacks.SyncedVault;
 import org.umbermount.stacks.Vault;
@@ -27,7 +27,7 @@
     private final Platter platter = new Platter();
     private final List<Runnable> held = new ArrayList<>();
     private Vault process = new SyncedVault(platter);
-    private Almanac clock;
+    private Clock clock;
     private Random chance;
     public long delayMs = 1;
     public boolean full;
@@ -57,7 +57,7 @@
         return this;
     }
 
-    public void clock(Almanac almanac) {
+    public void clock(Clock almanac) {
         clock = almanac;
         restart();
     }
@@ -71,7 +71,7 @@
 
     /** Runs disk work after the disk's delay; while the disk hangs, work piles up. */
     public Executor executor() {
-        Almanac mine = clock;
+        Clock mine = clock;
         return work -> mine.after(delayMs, () -> {
             if (hung) {
                 held.add(work);
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.kernel.net.Mailroom;
 
 /** One running program: reads its settings, opens its parts, and leaves in order when told to. */
@@ -30,7 +30,7 @@
     private Logger log;
     private byte[] lastRead;
     private Institution institution;
-    private LoopAlmanac almanac;
+    private LoopClock clock;
     private boolean leaving;
 
     Daemon(Role role, Path file) {
@@ -73,9 +73,9 @@
         ServerSocketChannel early = role == Role.LECTOR ? listenEarly(rules) : null;
         log = LoggerFactory.getLogger("umbermount");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        almanac = new LoopAlmanac(loop);
-        institution = new Institution(role, rules, almanac);
-        Mailroom mailroom = new Mailroom(rules.ownMail(role), almanac, institution.tally());
+        clock = new LoopClock(loop);
+        institution = new Institution(role, rules, clock);
+        Mailroom mailroom = new Mailroom(rules.ownMail(role), clock, institution.tally());
         institution.offer(Postbag.class, mailroom);
         if (early != null) {
             institution.offer(ServerSocketChannel.class, early);
@@ -83,7 +83,7 @@
         mailroom.bind(loop);
         institution.openAll();
         watchSignals();
-        almanac.every(REREAD_MS, this::rereadIfChanged);
+        clock.every(REREAD_MS, this::rereadIfChanged);
         log.info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
     }
 
@@ -103,9 +103,9 @@
     }
 
     private void watchSignals() {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> almanac.execute(this::rereadIfChanged));
-        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> almanac.execute(this::leave));
-        sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> almanac.execute(this::leave));
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> clock.execute(this::rereadIfChanged));
+        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> clock.execute(this::leave));
+        sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> clock.execute(this::leave));
     }
 
     private void leave() {
--- a/umbermount/src/main/java/org/umbermount/umbermount/HollowLector.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/HollowLector.java
@@ -9,7 +9,7 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopAlmanac;
+import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.kernel.net.Mailroom;
 
 /** A lector as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
@@ -20,9 +20,9 @@
 
     HollowLector(HouseRules rules, EventLoop loop) {
         this.loop = loop;
-        LoopAlmanac almanac = new LoopAlmanac(loop);
-        institution = new Institution(Role.LECTOR, rules, almanac);
-        mailroom = new Mailroom(rules.ownMail(Role.LECTOR), almanac, institution.tally());
+        LoopClock clock = new LoopClock(loop);
+        institution = new Institution(Role.LECTOR, rules, clock);
+        mailroom = new Mailroom(rules.ownMail(Role.LECTOR), clock, institution.tally());
         institution.offer(Postbag.class, mailroom);
     }
 
