--- a/archive/src/test/java/org/umbermount/archive/SeatsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/SeatsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -160,4 +161,33 @@
         fleet.run(4_000);
         assertEquals(4, any(fleet).view().chain().size());
     }
+
+    /** Whether changes stand still after one of five froze and another was gone for good a moment later. */
+    private static String standsStill() throws IOException {
+        for (int frozen = 0; frozen < 5; frozen++) {
+            for (long gap = 0; gap <= 1_400; gap += 100) {
+                Fleet fleet = new Fleet(5, 3, 25, 2, null);
+                fleet.run(9_000);
+                fleet.freeze(frozen);
+                fleet.run(gap);
+                int gone = (frozen + 3) % 5;
+                fleet.kill(gone, true);
+                fleet.run(1_900 - gap);
+                fleet.thaw(frozen);
+                fleet.run(5_000);
+                Fleet.Reply reply = fleet.submit((frozen + 1) % 5, 0, 1, "c1");
+                fleet.run(900);
+                if (reply.verdict != Replica.Verdict.TAKEN) {
+                    return frozen + " froze, " + gone + " was gone " + gap + " ms later: " + fleet.replica(frozen).view();
+                }
+            }
+        }
+        return null;
+    }
+
+    @Test
+    void aChainThatIsTooShortIsFilledThoughAnotherHasToBeDropped() throws Exception {
+        assertNull(standsStill());
+        assertNotNull(Mutation.without(Safeguard.SHORT_CHAIN_FILLED, SeatsTest::standsStill));
+    }
 }
