A duty that was given up does not come back; a new sender is told of its lectors

Change: giving up forgets what was asked for; whoever grants a zone's duty to another tells it which lectors of the zone it has heard within 6 s (one datagram for each change of hands).

--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -394,6 +394,11 @@
 
     private void release(String zone, String why) {
         Held h = held.get(zone);
+        if (h != null && Safeguard.RELEASED_FOR_GOOD.holds()) {
+            // Grants that are still on their way are not wanted any more.
+            h.asked = Moment.NEVER;
+            h.granted.clear();
+        }
         if (h == null || !h.active) {
             return;
         }
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -39,6 +40,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
+    /** A lector speaks up to every registrar that it knows within 5 s. */
+    private static final long INTRODUCE_MS = 6_000;
     private static final long ASKER_LOOK_MS = 20;
     private static final int ASKER_LOOKS = 25;
     private static final String QUOTA = "quota/";
@@ -125,6 +128,7 @@
         chainClient = host.find(ChainClient.class);
         strict = host.rules().bounds().sharing().strictRevocation();
         post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
+        post.subscribe(Postbag.Topic.INTRODUCTION, (from, body) -> introduced(body));
         post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
         host.find(Gazetteer.class).observe(this::noticed);
         replica.onCommit(c -> {
@@ -148,6 +152,8 @@
             public void moved(String duty) {
                 if (duty.startsWith(QUOTA)) {
                     changed();
+                } else if (Safeguard.LECTORS_INTRODUCED.holds()) {
+                    introduce(duty);
                 }
             }
         });
@@ -179,6 +185,34 @@
         }
     }
 
+    /** Tells the new holder of a zone's duty which lectors of the zone are there: it may have been heard of by none of them. */
+    private void introduce(String zone) {
+        Imprint holder = leases.holder(zone);
+        List<Map.Entry<Imprint, Known>> there = new ArrayList<>();
+        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+            if (e.getValue().zone.equals(zone) && clock.now().since(e.getValue().heard) < INTRODUCE_MS) {
+                there.add(e);
+            }
+        }
+        if (holder != null && !holder.equals(post.self()) && !there.isEmpty()) {
+            post.send(holder, Postbag.Topic.INTRODUCTION, Script.write().text(zone)
+                    .list(there, (o, e) -> o.imprint(e.getKey()).num(e.getValue().life)).done());
+        }
+    }
+
+    private void introduced(byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        String zone = in.text();
+        boolean any = false;
+        for (Signpost.Proxy p : in.list(one -> new Signpost.Proxy(one.imprint(), zone, one.num()))) {
+            any |= proxies.putIfAbsent(p.imprint(), new Known(zone, p.life(), clock.now())) == null;
+        }
+        if (any) {
+            changed();
+            reconcile();
+        }
+    }
+
     private void noticed(Placename p) {
         if (p.role() == Role.LECTOR && p.age() == 0 && !proxies.containsKey(p.imprint())) {
             proxies.put(p.imprint(), new Known(p.zone(), 0, clock.now()));
--- a/kernel/src/main/java/org/umbermount/kernel/Postbag.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Postbag.java
@@ -19,6 +19,6 @@
 
     /** What a message is about. The order is part of the format. */
     enum Topic {
-        SHUFFLE, ROLL_CALL, VIEW, CHAIN, CENSUS, LEASE, DISPATCH, SIGNPOST, INQUIRY, LOAN, QUOTA, OCCUPANCY
+        SHUFFLE, ROLL_CALL, VIEW, CHAIN, CENSUS, LEASE, DISPATCH, SIGNPOST, INQUIRY, LOAN, QUOTA, OCCUPANCY, INTRODUCTION
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -47,6 +47,8 @@
     LEASE_COUNTED_FROM_ASKING,
     /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
     LEASE_FROM_ASKING,
+    /** Whoever grants a zone's duty anew tells its holder which lectors of the zone it has heard. */
+    LECTORS_INTRODUCED,
     /** A view starts from the newest state among the promises of a majority. */
     NEWEST_PROMISED_STATE,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
@@ -75,6 +77,8 @@
     REFUSAL_CONFIRMED,
     /** An answer without a server takes no other request's place among a client's answers. */
     REFUSAL_IN_ITS_PLACE,
+    /** Grants that come after a duty was given up do not bring it back. */
+    RELEASED_FOR_GOOD,
     /** News that was not acknowledged the first time is not acknowledged to a repeat for its being known here. */
     REPEATED_NEWS_WAITS,
     /** An order that is already committed is confirmed to its caller only after a majority has confirmed the view. */
