--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/ChainMessages.java
@@ -0,0 +1,148 @@
+package org.umbermount.archive;
+
+import java.util.Collection;
+import java.util.List;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Script;
+
+/**
+ * The messages of the chain on the wire. Invariant: a message is read whole before anything acts on it, and this class
+ * decides nothing.
+ */
+final class ChainMessages {
+    /** The order is part of the format. */
+    private enum Kind {
+        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED, ATTEST, ATTESTED
+    }
+
+    /** Acts on what has been received. */
+    interface Handler {
+        void submit(ChainReplica.Submission submission);
+
+        void verdict(RequestId id, Custodian.Verdict verdict);
+
+        void write(Imprint from, Accession state, List<PendingReply> replies);
+
+        void committed(Imprint tail, long view, Edition edition, Digest digest);
+
+        /** A read of the committed state, or of its edition alone if it is brief. */
+        void read(Imprint origin, RequestId id, boolean brief);
+
+        void reading(RequestId id, Accession committed);
+
+        void attested(RequestId id, Edition newest);
+
+        void confirm(Imprint from, long nonce, long view);
+
+        void confirmed(Imprint from, long nonce, long incarnation);
+    }
+
+    private final Channel channel;
+    private Handler handler;
+
+    ChainMessages(Almanac almanac, Postbag post) {
+        channel = new Channel(almanac, post, Postbag.Topic.CUSTODY, this::receive);
+    }
+
+    void open(Handler to) {
+        handler = to;
+        channel.open();
+    }
+
+    // ---- sending ----
+
+    private static Script.Writer message(Kind kind) {
+        return Script.write().num(kind.ordinal());
+    }
+
+    private static Script.Writer message(Kind kind, RequestId id) {
+        Script.Writer out = message(kind);
+        id.write(out);
+        return out;
+    }
+
+    /** Only the head of that one view may act on it; 0 is any view. */
+    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+        Script.Writer out = message(Kind.SUBMIT, id).num(onlyIn);
+        order.write(out);
+        channel.send(to, out.bytes(blob));
+    }
+
+    void sendVerdict(Imprint to, RequestId id, Custodian.Verdict verdict) {
+        channel.send(to, message(Kind.VERDICT, id).num(verdict.ordinal()));
+    }
+
+    void sendWrite(Imprint to, Accession state, Collection<PendingReply> replies) {
+        Script.Writer out = message(Kind.WRITE);
+        state.write(out);
+        out.list(replies, (o, r) -> r.write(o));
+        channel.send(to, out);
+    }
+
+    void sendCommitted(Imprint to, Accession state) {
+        Script.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
+        state.taken().newestDigest().write(out);
+        channel.send(to, out);
+    }
+
+    void sendRead(Imprint to, RequestId id) {
+        channel.send(to, message(Kind.READ, id));
+    }
+
+    void sendReading(Imprint to, RequestId id, Accession committed) {
+        Script.Writer out = message(Kind.READING, id);
+        committed.write(out);
+        channel.send(to, out);
+    }
+
+    void sendAttest(Imprint to, RequestId id) {
+        channel.send(to, message(Kind.ATTEST, id));
+    }
+
+    void sendAttested(Imprint to, RequestId id, Edition newest) {
+        channel.send(to, message(Kind.ATTESTED, id).num(newest.value()));
+    }
+
+    void sendConfirm(Imprint to, long nonce, long view) {
+        channel.send(to, message(Kind.CONFIRM).num(nonce).num(view));
+    }
+
+    void sendConfirmed(Imprint to, long nonce, long incarnation) {
+        channel.send(to, message(Kind.CONFIRMED).num(nonce).num(incarnation));
+    }
+
+    // ---- receiving ----
+
+    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
+        Script.Reader in = Script.read(body);
+        int kind = (int) in.num();
+        if (kind < 0 || kind >= Kind.values().length) {
+            throw new Script.UnreadableException("an unknown message of the chain", null);
+        }
+        switch (Kind.values()[kind]) {
+            case SUBMIT -> handler.submit(new ChainReplica.Submission(from, RequestId.read(in), in.num(),
+                    Order.read(in), in.bytes()));
+            case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
+            case WRITE -> handler.write(from, Accession.read(in), in.list(PendingReply::read));
+            case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), Digest.read(in));
+            case READ -> handler.read(from, RequestId.read(in), false);
+            case ATTEST -> handler.read(from, RequestId.read(in), true);
+            case ATTESTED -> handler.attested(RequestId.read(in), new Edition(in.num()));
+            case READING -> handler.reading(RequestId.read(in), Accession.read(in));
+            case CONFIRM -> handler.confirm(from, in.num(), in.num());
+            case CONFIRMED -> handler.confirmed(from, in.num(), in.num());
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private static Custodian.Verdict readVerdict(Script.Reader in) throws Script.UnreadableException {
+        int verdict = (int) in.num();
+        if (verdict < 0 || verdict >= Custodian.Verdict.values().length) {
+            throw new Script.UnreadableException("an unknown verdict", null);
+        }
+        return Custodian.Verdict.values()[verdict];
+    }
+}
--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -0,0 +1,209 @@
+package org.umbermount.archive;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.umbermount.kernel.Almanac;
+import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Tally;
+
+/**
+ * A member of the chain (chain replication). Invariant: a state is passed on only once it is on disk here, it is
+ * taken only from the member before, and only the tail commits; so what is committed is on the disk of every member.
+ */
+final class ChainReplica {
+    /** An order that a caller hands in, with the whole that results; only the head of the one view may act on it, 0 is any. */
+    record Submission(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
+        PendingReply reply() {
+            return new PendingReply(id, origin, order.edition(), order.digest());
+        }
+    }
+
+    private final Imprint self;
+    private final DurableState durable;
+    private final Membership membership;
+    private final CommitPoint commits;
+    private final ViewConfirmation confirmation;
+    private final ChainMessages messages;
+    private final Almanac almanac;
+    private final Tally tally;
+    private final RefusedAhead aheads = new RefusedAhead();
+    private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
+
+    ChainReplica(Imprint self, Almanac almanac, DurableState durable, Membership membership, CommitPoint commits,
+            ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
+        this.self = self;
+        this.almanac = almanac;
+        this.tally = tally;
+        this.durable = durable;
+        this.membership = membership;
+        this.commits = commits;
+        this.confirmation = confirmation;
+        this.messages = messages;
+    }
+
+    // ---- the head ----
+
+    void submit(Submission s) {
+        if (!membership.inChain() || !membership.isHead()) {
+            answer(s, Custodian.Verdict.ELSEWHERE);
+            return;
+        }
+        if (s.onlyIn() != 0 && s.onlyIn() != membership.charter().number()) {
+            return;
+        }
+        Order order = s.order();
+        Accession state = durable.memory().state();
+        TakenOrders.Finding found = commits.committed().taken().find(order);
+        if (!order.rises()) {
+            refuse(s, Custodian.Verdict.NOT_HIGHER);
+        } else if (found == TakenOrders.Finding.TAKEN) {
+            answer(s, Custodian.Verdict.TAKEN);
+        } else if (found == TakenOrders.Finding.UNCLEAR) {
+            tally.count("archive.orders.unclear");
+        } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
+            oweAndForward(s);
+        } else if (commits.edition().isAfter(order.match())) {
+            // The version it builds on has been built on: it was not taken then, and never will be.
+            refuse(s, Custodian.Verdict.STALE);
+        } else if (!order.match().equals(state.edition())) {
+            refuseAhead(s, state);
+        } else if (s.blob().length == 0) {
+            // A question only: its sender knows no version to build on.
+            answer(s, Custodian.Verdict.ELSEWHERE);
+        } else if (!aheads.bars(order, almanac.now())) {
+            replaceState(state.take(order.edition(), s.blob(), order.digest()), () -> oweAndForward(s));
+        }
+    }
+
+    private void answer(Submission s, Custodian.Verdict verdict) {
+        messages.sendVerdict(s.origin(), s.id(), verdict);
+    }
+
+    private void oweAndForward(Submission s) {
+        owed.put(s.id(), s.reply());
+        forward();
+    }
+
+    /** Until a majority has confirmed the view, nothing can come to pass here that would take the order. */
+    private void refuse(Submission s, Custodian.Verdict verdict) {
+        confirmation.refuse(s.origin(), s.id(), s.order(), verdict);
+    }
+
+    /** What is not committed may still give way, and then the version below it is the newest again: nothing is said then. */
+    private void refuseAhead(Submission s, Accession state) {
+        if (commits.committed().isSameAs(state) && aheads.bar(s.order(), almanac.now())) {
+            refuse(s, Custodian.Verdict.STALE);
+        }
+    }
+
+    /** Only the head starts: a tail that took this view from news may hold a state that those before it do not. */
+    void begin() {
+        if (membership.isHead()) {
+            forward();
+        }
+    }
+
+    /** The head sends again what the chain has not committed in this view. */
+    void resend() {
+        Memory memory = durable.memory();
+        boolean unsettled = commits.committed().view() < memory.charter().number()
+                || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
+        if (membership.isHead() && unsettled) {
+            durable.serially(this::forward);
+        }
+    }
+
+    // ---- every member ----
+
+    void write(Imprint from, Accession state, List<PendingReply> replies) {
+        Memory memory = durable.memory();
+        if (state.view() > memory.charter().number()) {
+            membership.fetch(from);
+            return;
+        }
+        if (!membership.inChain() || state.view() != memory.charter().number()
+                || !self.equals(memory.charter().successor(from))) {
+            return;
+        }
+        if (state.isNewerThan(memory.state())) {
+            replaceState(state, () -> pass(replies));
+        } else if (memory.state().isSameAs(state.edition(), state.taken().newestDigest())) {
+            pass(replies);
+        }
+    }
+
+    private void pass(List<PendingReply> replies) {
+        owed.clear();
+        for (PendingReply reply : replies) {
+            owed.put(reply.id(), reply);
+        }
+        forward();
+    }
+
+    /** Takes a newer state of the same view; the one before may be committed all the same. */
+    private void replaceState(Accession next, Runnable then) {
+        Accession before = durable.memory().state();
+        durable.persist(durable.memory().withState(next), () -> {
+            commits.supersede(before);
+            then.run();
+        });
+    }
+
+    /** Passes the newest state on, or commits it at the tail. */
+    private void forward() {
+        Memory memory = durable.memory();
+        if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
+            return;
+        }
+        Imprint next = memory.charter().successor(self);
+        if (next == null) {
+            commit(memory);
+        } else {
+            messages.sendWrite(next, memory.state(), owed.values());
+        }
+    }
+
+    /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
+    void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
+        Accession meant = commits.superseded(edition, durable.memory().state());
+        if (meant.view() == view && meant.isSameAs(edition, digest)) {
+            commits.advance(meant);
+            owed.values().removeIf(reply -> !reply.edition().isAfter(edition));
+        } else if (edition.isAfter(commits.edition())) {
+            membership.fetch(tail);
+        }
+    }
+
+    /** Answers are owed within one view; whoever still waits asks again. */
+    void viewAdopted() {
+        owed.clear();
+        aheads.clear();
+    }
+
+    // ---- the tail ----
+
+    private void commit(Memory memory) {
+        Accession state = memory.state();
+        Set<Imprint> targets = new HashSet<>(membership.audience());
+        targets.addAll(memory.charter().chain());
+        targets.remove(self);
+        for (PendingReply reply : owed.values()) {
+            if (state.taken().holds(new TakenOrders.Taken(reply.edition(), reply.digest()))
+                    || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
+                messages.sendVerdict(reply.origin(), reply.id(), Custodian.Verdict.TAKEN);
+            } else {
+                tally.count("archive.debts.foreign");
+            }
+        }
+        owed.clear();
+        for (Imprint target : targets) {
+            messages.sendCommitted(target, state);
+        }
+        commits.advance(state);
+    }
+}
