--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -31,7 +31,7 @@
     private final ChainMessages messages;
     private final Almanac almanac;
     private final Tally tally;
-    private final RefusedAhead aheads = new RefusedAhead();
+    private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
     ChainReplica(Imprint self, Almanac almanac, DurableState durable, Membership membership, CommitPoint commits,
@@ -39,6 +39,7 @@
         this.self = self;
         this.almanac = almanac;
         this.tally = tally;
+        this.aheads = new RefusedAhead(almanac.now());
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
@@ -60,22 +61,26 @@
         Accession state = durable.memory().state();
         TakenOrders.Finding found = commits.committed().taken().find(order);
         if (!order.rises()) {
-            refuse(s, Custodian.Verdict.NOT_HIGHER);
+            conclude(s, Custodian.Verdict.NOT_HIGHER);
         } else if (found == TakenOrders.Finding.TAKEN) {
-            answer(s, Custodian.Verdict.TAKEN);
+            if (Safeguard.REPEAT_CONFIRMED.holds()) {
+                conclude(s, Custodian.Verdict.TAKEN);
+            } else {
+                answer(s, Custodian.Verdict.TAKEN);
+            }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
             tally.count("archive.orders.unclear");
         } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
             // The version it builds on has been built on: it was not taken then, and never will be.
-            refuse(s, Custodian.Verdict.STALE);
+            conclude(s, Custodian.Verdict.STALE);
         } else if (!order.match().equals(state.edition())) {
             refuseAhead(s, state);
         } else if (s.blob().length == 0) {
             // A question only: its sender knows no version to build on.
             answer(s, Custodian.Verdict.ELSEWHERE);
-        } else if (!aheads.bars(order, almanac.now())) {
+        } else if (!aheads.bars(order, s.onlyIn() != 0, almanac.now())) {
             replaceState(state.take(order.edition(), s.blob(), order.digest()), () -> oweAndForward(s));
         }
     }
@@ -89,15 +94,15 @@
         forward();
     }
 
-    /** Until a majority has confirmed the view, nothing can come to pass here that would take the order. */
-    private void refuse(Submission s, Custodian.Verdict verdict) {
-        confirmation.refuse(s.origin(), s.id(), s.order(), verdict);
+    /** Until a majority has confirmed the view, nothing can come to pass here that would make the verdict another one. */
+    private void conclude(Submission s, Custodian.Verdict verdict) {
+        confirmation.verdict(s.origin(), s.id(), s.order(), verdict);
     }
 
     /** What is not committed may still give way, and then the version below it is the newest again: nothing is said then. */
     private void refuseAhead(Submission s, Accession state) {
         if (commits.committed().isSameAs(state) && aheads.bar(s.order(), almanac.now())) {
-            refuse(s, Custodian.Verdict.STALE);
+            conclude(s, Custodian.Verdict.STALE);
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/Custodian.java
+++ b/archive/src/main/java/org/umbermount/archive/Custodian.java
@@ -158,6 +158,11 @@
         return durable.freezing() || durable.memory().frozen();
     }
 
+    /** Runs something once a majority, asked from now on, has confirmed the view; never if it has not. */
+    public void whileInForce(Runnable then) {
+        confirmation.whileInForce(then);
+    }
+
     /** Asks a registrar that is ahead for its view. */
     public void fetchFrom(Imprint ahead) {
         fetch(ahead);
