--- a/archive/src/main/java/org/umbermount/archive/TenureOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/TenureOffice.java
@@ -361,7 +361,8 @@
                 votes++;
             }
         }
-        if (custodian.charter().electorate().isEmpty() || votes < custodian.charter().majority()) {
+        int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? custodian.charter().majority() : 1;
+        if (custodian.charter().electorate().isEmpty() || votes < needed) {
             return;
         }
         Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : almanac.now();
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -7,20 +7,30 @@
 public enum Safeguard {
     /** An order that was refused since the version it builds on is not there yet is not taken when that version comes. */
     AHEAD_BARRED,
+    /** A server's answer counts only for the request whose id it shows. */
+    ANSWER_MATCHED_BY_ATTEMPT,
+    /** A client's connection ends with the answer that says so, whatever has come behind it meanwhile. */
+    CLOSE_AS_TOLD,
     /** What is held counts as committed only if it is the very configuration that is, and not another under its number. */
     COMMITTED_BY_CONTENT,
+    /** A request that is not safe uses no connection that a server may have forgotten. */
+    CONNECTION_RESTED_TOO_LONG,
     /** Beats and sign-offs are answered only while a majority answers roll calls sent lately. */
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
+    /** A lector drops what a sender of a lower epoch sends. */
+    FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
     /** Nothing is said of an order whose number is at or below the newest one that is no longer remembered. */
     FLOOR_RESPECTED,
     /** A file counts as safe only when its folder has been synced after the file was made. */
     FOLDER_SYNCED,
+    /** A duty is held only once a majority of the voters has granted it. */
+    GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
@@ -33,12 +43,20 @@
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
     LEASE_COUNTED_FROM_ASKING,
+    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
+    LEASE_FROM_ASKING,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
     NEWS_WITH_MAJORITY,
+    /** Within its life a lector takes no table with an older edition than the one in force. */
+    NO_WAY_BACK,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
     /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
     OWED_ONLY_IF_TAKEN,
+    /** The parts of a long message are put together only if one life of the sender has sent them. */
+    PARTS_OF_ONE_LIFE,
+    /** A client is promised that its request has not run only if no sending is underway and none may have run. */
+    PROMISE_ONLY_IF_NOT_RUN,
     /** A purge is confirmed only after a majority has confirmed the view, asked after the call came in. */
     PURGE_CONFIRMED,
     /** Quota is granted, and limits are applied, only under a lease that holds at that moment and a confirmed edition. */
@@ -47,10 +65,14 @@
     READ_CONFIRMED,
     /** A refusal of an order is given only after a majority has confirmed the view that it rests on. */
     REFUSAL_CONFIRMED,
+    /** An answer without a server takes no other request's place among a client's answers. */
+    REFUSAL_IN_ITS_PLACE,
     /** News that was not acknowledged the first time is not acknowledged to a repeat for its being known here. */
     REPEATED_NEWS_WAITS,
     /** An order that is already committed is confirmed to its caller only after a majority has confirmed the view. */
     REPEAT_CONFIRMED,
+    /** A count that was asked for by an earlier life of a daemon is not spent by this one. */
+    REPLY_MATCHED_BY_LIFE,
     /** An answer counts only for the life of the process that asked. */
     REPLY_OF_THIS_LIFE,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
@@ -59,20 +81,24 @@
     SEATS_REST,
     /** A voter that is gone gives up its seat while there are more than 2f + 1, or it is taken by one that is well. */
     SEAT_GIVEN_UP,
+    /** A request that is not safe is sent again only with the proof that it has not run. */
+    SENT_ONCE,
+    /** A connection to a server on which anything follows a whole answer is not used again. */
+    SURPLUS_RETIRES_CONNECTION,
     /** What is behind the last whole record is cut off before the next record is written. */
     TORN_TAIL_DROPPED,
     /** A vote counts only from a member of the view asked about that no promise binds, in its newest incarnation. */
     VOTES_OF_THE_VIEW_ONLY;
 
-    private static volatile Safeguard leftOut;
+    private volatile boolean leftOut;
 
     /** Whether the mechanism is in place; false only within a test that leaves it out. */
     public boolean holds() {
-        return leftOut != this;
+        return !leftOut;
     }
 
-    /** For tests of the same package alone: null puts everything in place again. */
-    static void leaveOut(Safeguard one) {
-        leftOut = one;
+    /** For tests of the same package alone. */
+    void leaveOut(boolean out) {
+        leftOut = out;
     }
 }
