The lector's own fences are shown to be needed; a safeguard that nothing asks for goes

Cause: FENCED_BY_EPOCH and NO_WAY_BACK had no test that fails without them, and LEASE_FROM_ASKING stood twice under two names. Change: FencingMutationsTest runs the two checks of CourierTest without them; the unused name goes. Before and after: both fail without their fence, and pass with it.

--- /dev/null
+++ b/courier/src/test/java/org/umbermount/courier/FencingMutationsTest.java
@@ -0,0 +1,26 @@
+package org.umbermount.courier;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
+
+/** What {@link CourierTest} checks of a lector's own guard fails without it; before its senders confirm an edition, it stands alone. */
+class FencingMutationsTest {
+    @Test
+    void anEarlierSenderIsFenced() {
+        assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.FENCED_BY_EPOCH, () -> {
+            new CourierTest().newSenderResyncsAndTheOldOneIsFenced();
+            return null;
+        }));
+    }
+
+    @Test
+    void aLowerRevisionIsNotTaken() {
+        assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.NO_WAY_BACK, () -> {
+            new CourierTest().lowerRevisionIsNotTakenWithinALife();
+            return null;
+        }));
+    }
+}
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -45,8 +45,6 @@
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
     LEASE_COUNTED_FROM_ASKING,
-    /** A lease is counted by its holder from when it asked, and by a grantor from when it granted. */
-    LEASE_FROM_ASKING,
     /** Whoever grants a zone's duty anew tells its holder which lectors of the zone it has heard. */
     LECTORS_INTRODUCED,
     /** A view starts from the newest state among the promises of a majority. */
