--- a/umbermount/src/main/java/org/umbermount/umbermount/CheckConfigurationCommand.java
+++ b/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
@@ -1,10 +1,10 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.FaultException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/umbermount/src/main/java/org/umbermount/umbermount/HollowLector.java
+++ b/app/src/main/java/org/umbermount/app/HollowLector.java
@@ -1,10 +1,10 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import io.netty.channel.EventLoop;
 import java.util.function.BiConsumer;
-import org.umbermount.courier.Consignee;
-import org.umbermount.courier.ReceivingDepartment;
-import org.umbermount.gazetteer.GazetteerDepartment;
+import org.umbermount.distribution.Consignee;
+import org.umbermount.distribution.ReceivingDepartment;
+import org.umbermount.membership.GazetteerDepartment;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
--- a/umbermount/src/main/java/org/umbermount/umbermount/Main.java
+++ b/app/src/main/java/org/umbermount/app/Main.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import org.umbermount.kernel.Role;
 
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/app/src/main/java/org/umbermount/app/Rehearsal.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/umbermount/src/main/java/org/umbermount/umbermount/ShowCommand.java
+++ b/app/src/main/java/org/umbermount/app/ShowCommand.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/umbermount/src/main/java/org/umbermount/umbermount/StocktakeCommand.java
+++ b/app/src/main/java/org/umbermount/app/StocktakeCommand.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
--- a/umbermount/src/test/java/org/umbermount/umbermount/FleetSummaryTest.java
+++ b/app/src/test/java/org/umbermount/app/FleetSummaryTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/archive/src/main/java/org/umbermount/archive/Amendment.java
+++ b/control/src/main/java/org/umbermount/control/Amendment.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/control/src/main/java/org/umbermount/control/Archive.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -14,8 +14,8 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.Stack;
+import org.umbermount.storage.StackRoom;
 
 /** The control plane of one registrar, put together: chain and views, roll call, servers, leases. */
 final class Archive {
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -6,8 +6,8 @@
 import java.util.concurrent.Executors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
@@ -18,9 +18,9 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.stacks.Cellar;
-import org.umbermount.stacks.Shelving;
-import org.umbermount.stacks.Stack;
+import org.umbermount.storage.Cellar;
+import org.umbermount.storage.Shelving;
+import org.umbermount.storage.Stack;
 
 /** The control plane as a plug-in of the registrar. */
 public final class ArchiveDepartment implements Department {
--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/control/src/main/java/org/umbermount/control/CensusNotebook.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Script;
-import org.umbermount.stacks.Folio;
-import org.umbermount.stacks.Stack;
+import org.umbermount.storage.Folio;
+import org.umbermount.storage.Stack;
 
 /**
  * Notes the servers on disk now and then, so that a control plane that was stopped as a whole need not wait for
--- a/archive/src/main/java/org/umbermount/archive/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.StackRoom;
 
 /**
  * The newest state known here to be committed. Invariant: it only rises, and its observers hear of each edition once, in
--- a/archive/src/main/java/org/umbermount/archive/Companion.java
+++ b/control/src/main/java/org/umbermount/control/Companion.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 /** Something that is kept beside the configuration under the same views. */
 public interface Companion {
--- a/archive/src/main/java/org/umbermount/archive/Digest.java
+++ b/control/src/main/java/org/umbermount/control/Digest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -1,10 +1,10 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.StackRoom;
 
 /**
  * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/control/src/main/java/org/umbermount/control/Memory.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,8 +6,8 @@
 import java.util.Map;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
-import org.umbermount.stacks.Folio;
-import org.umbermount.stacks.Stack;
+import org.umbermount.storage.Folio;
+import org.umbermount.storage.Stack;
 
 /**
  * What a registrar must not forget. {@code recoveredFor} is the number of the view for which a new
--- a/archive/src/main/java/org/umbermount/archive/RefusedAhead.java
+++ b/control/src/main/java/org/umbermount/control/RefusedAhead.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/archive/src/main/java/org/umbermount/archive/Regulations.java
+++ b/control/src/main/java/org/umbermount/control/Regulations.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,7 +15,7 @@
 /** A configuration: routes, services and limits. */
 public record Regulations(Edition edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
         Limits limits) {
-    private static final Regimen SCHEMA = new Regimen("/org/umbermount/archive/configuration.schema.json");
+    private static final Regimen SCHEMA = new Regimen("/org/umbermount/control/configuration.schema.json");
 
     /** A service with its share of a route's requests. */
     public record Share(String upstream, long weight) {
--- a/archive/src/main/java/org/umbermount/archive/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.List;
 import java.util.Map;
@@ -10,7 +10,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.StackRoom;
 
 /**
  * One member of the chain that holds the configuration, and one voter on its views: the face of the parts that do the
--- a/archive/src/test/java/org/umbermount/archive/AmendmentTest.java
+++ b/control/src/test/java/org/umbermount/control/AmendmentTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -437,7 +437,7 @@
     void tailThatLearnsOfItsViewFromNewsCommitsOnlyWhatWasPassedToIt() throws Exception {
         org.umbermount.kernel.testing.FakeClock almanac = new org.umbermount.kernel.testing.FakeClock();
         org.umbermount.kernel.testing.FakePost network = new org.umbermount.kernel.testing.FakePost(almanac, 1);
-        org.umbermount.stacks.testing.FakeVault disk = new org.umbermount.stacks.testing.FakeVault();
+        org.umbermount.storage.testing.FakeVault disk = new org.umbermount.storage.testing.FakeVault();
         disk.clock(almanac);
         List<Voter> voters = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
@@ -445,8 +445,8 @@
         }
         List<Imprint> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
         Memory before = Memory.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
-        org.umbermount.stacks.StackRoom room = new org.umbermount.stacks.StackRoom(
-                org.umbermount.stacks.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
+        org.umbermount.storage.StackRoom room = new org.umbermount.storage.StackRoom(
+                org.umbermount.storage.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
         Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
                 before, false, null, false);
         tail.start();
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,8 +16,8 @@
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakePost;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.Stack;
+import org.umbermount.storage.testing.FakeVault;
 
 /** Registrars on a fake clock, network and disk. */
 public final class Fleet {
--- a/archive/src/test/java/org/umbermount/archive/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,7 +10,7 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeVault;
 
 /** Thousands of changes, while one registrar is away for some of them, and what that takes of the disk and of time. */
 class LongDayTest {
--- a/archive/src/test/java/org/umbermount/archive/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Replica.Verdict;
+import org.umbermount.control.Replica.Verdict;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Mutation;
--- a/archive/src/test/java/org/umbermount/archive/RecoveryTest.java
+++ b/control/src/test/java/org/umbermount/control/RecoveryTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/archive/src/test/java/org/umbermount/archive/TwoOperatorsTest.java
+++ b/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Replica.Verdict;
+import org.umbermount.control.Replica.Verdict;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 # the programs run all the same, only slower to start.
 set -e
 mvn -B -ntp -q -DskipTests package
-dir=target/umbermount
+dir=target/app
 rm -rf "$dir/rehearsal" "$dir/umbermount.jsa" "$dir/whole" "$dir/whole.jar" "$dir/daemon.jar" "$dir/near.txt" "$dir/near.list"
 mkdir -p "$dir/whole"
 root=$(pwd)
@@ -26,7 +26,7 @@
 # What the parts of a program are, in one place: a start that finds this need not look through every jar for them.
 mkdir -p "$dir/whole/META-INF/umbermount"
 cp "$dir/whole/META-INF/services/org.umbermount.kernel.Department" "$dir/whole/META-INF/umbermount/departments"
-printf 'Main-Class: org.umbermount.umbermount.Main\n' >"$dir/whole.manifest"
+printf 'Main-Class: org.umbermount.app.Main\n' >"$dir/whole.manifest"
 jar -c -f "$dir/whole.jar" -0 -m "$dir/whole.manifest" -C "$dir/whole" .
 flags="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true"
 # A jar is read through when it is first opened, and of nine thousand classes a start needs two. A rehearsal tells which:
@@ -38,7 +38,7 @@
 fi
 sort -u "$dir/near.txt" >"$dir/near.list" 2>/dev/null || (cd "$dir/whole" && find . -type f) >"$dir/near.list"
 (cd "$dir/whole" && while read -r name; do [ ! -f "$name" ] || printf '%s\n' "$name"; done) <"$dir/near.list" >"$dir/near.txt"
-printf 'Main-Class: org.umbermount.umbermount.Main\nClass-Path: whole.jar\n' >"$dir/daemon.manifest"
+printf 'Main-Class: org.umbermount.app.Main\nClass-Path: whole.jar\n' >"$dir/daemon.manifest"
 (cd "$dir/whole" && jar -c -f "$root/$dir/daemon.jar" -0 -m "$root/$dir/daemon.manifest" @"$root/$dir/near.txt")
 rm -rf "$dir/whole" "$dir/rehearsal"
 java -Xshare:auto $flags -XX:ArchiveClassesAtExit="$dir/umbermount.jsa" \
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Consignor.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
@@ -1,10 +1,10 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
--- a/courier/src/main/java/org/umbermount/courier/RoundTrip.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoundTrip.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 /** Round-trip time and retransmission timeout by TCP's formula (RFC 6298), in milliseconds. */
 final class RoundTrip {
--- a/courier/src/main/java/org/umbermount/courier/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -1,10 +1,10 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.archive.CensusEntry;
-import org.umbermount.archive.Regulations;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.control.CensusEntry;
+import org.umbermount.control.Regulations;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Role;
--- a/courier/src/main/java/org/umbermount/courier/Vouching.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Vouching.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Moment;
--- a/courier/src/test/java/org/umbermount/courier/Checks.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Checks.java
@@ -1,9 +1,9 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.archive.ConfigurationState;
-import org.umbermount.archive.Fleet;
+import org.umbermount.control.ConfigurationState;
+import org.umbermount.control.Fleet;
 
 /** What must be true after every step, whatever happens to the machines. */
 final class Checks {
--- a/courier/src/test/java/org/umbermount/courier/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -15,11 +15,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.Fleet;
-import org.umbermount.archive.Isolation;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.control.Replica;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.Isolation;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.HouseRules;
--- a/courier/src/test/java/org/umbermount/courier/FencingMutationsTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/FencingMutationsTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
--- a/courier/src/test/java/org/umbermount/courier/Machines.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Machines.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import org.umbermount.archive.Fleet;
+import org.umbermount.control.Fleet;
 import org.umbermount.kernel.Imprint;
 
 /**
--- a/courier/src/test/java/org/umbermount/courier/Operators.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Operators.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.umbermount.archive.Replica;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Edition;
 
 /** The operators: what they order and are told, and what must be true of that whoever hears it. */
--- a/courier/src/test/java/org/umbermount/courier/Profile.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Profile.java
@@ -1,25 +1,25 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
-import static org.umbermount.courier.Day.Kind.ALL_DOWN;
-import static org.umbermount.courier.Day.Kind.AWAY;
-import static org.umbermount.courier.Day.Kind.BIG_STORM;
-import static org.umbermount.courier.Day.Kind.CHANGE;
-import static org.umbermount.courier.Day.Kind.CLASH;
-import static org.umbermount.courier.Day.Kind.CLOCK;
-import static org.umbermount.courier.Day.Kind.LONG_LOSS;
-import static org.umbermount.courier.Day.Kind.LOSS;
-import static org.umbermount.courier.Day.Kind.MANY;
-import static org.umbermount.courier.Day.Kind.PLANNED;
-import static org.umbermount.courier.Day.Kind.PROXY;
-import static org.umbermount.courier.Day.Kind.READ;
-import static org.umbermount.courier.Day.Kind.REPEAT;
-import static org.umbermount.courier.Day.Kind.REPLACE;
-import static org.umbermount.courier.Day.Kind.REST;
-import static org.umbermount.courier.Day.Kind.RIVALS;
-import static org.umbermount.courier.Day.Kind.SLOW;
-import static org.umbermount.courier.Day.Kind.STALL;
-import static org.umbermount.courier.Day.Kind.STORM;
-import static org.umbermount.courier.Day.Kind.WIPE;
+import static org.umbermount.distribution.Day.Kind.ALL_DOWN;
+import static org.umbermount.distribution.Day.Kind.AWAY;
+import static org.umbermount.distribution.Day.Kind.BIG_STORM;
+import static org.umbermount.distribution.Day.Kind.CHANGE;
+import static org.umbermount.distribution.Day.Kind.CLASH;
+import static org.umbermount.distribution.Day.Kind.CLOCK;
+import static org.umbermount.distribution.Day.Kind.LONG_LOSS;
+import static org.umbermount.distribution.Day.Kind.LOSS;
+import static org.umbermount.distribution.Day.Kind.MANY;
+import static org.umbermount.distribution.Day.Kind.PLANNED;
+import static org.umbermount.distribution.Day.Kind.PROXY;
+import static org.umbermount.distribution.Day.Kind.READ;
+import static org.umbermount.distribution.Day.Kind.REPEAT;
+import static org.umbermount.distribution.Day.Kind.REPLACE;
+import static org.umbermount.distribution.Day.Kind.REST;
+import static org.umbermount.distribution.Day.Kind.RIVALS;
+import static org.umbermount.distribution.Day.Kind.SLOW;
+import static org.umbermount.distribution.Day.Kind.STALL;
+import static org.umbermount.distribution.Day.Kind.STORM;
+import static org.umbermount.distribution.Day.Kind.WIPE;
 
 import java.util.List;
 
--- a/courier/src/test/java/org/umbermount/courier/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -1,9 +1,9 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.umbermount.archive.MortalClock;
+import org.umbermount.control.MortalClock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.io.IOException;
 import java.util.HashMap;
@@ -7,10 +7,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.umbermount.archive.Fleet;
-import org.umbermount.archive.FailureDetector;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.FailureDetector;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
--- a/courier/src/test/java/org/umbermount/courier/ReceivingDepartmentTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReceivingDepartmentTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Institution;
--- a/loans/src/main/java/org/umbermount/loans/LoanBook.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
@@ -1,10 +1,10 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.archive.Bookmark;
+import org.umbermount.control.Bookmark;
 import org.umbermount.kernel.Imprint;
 
 /**
--- a/loans/src/main/java/org/umbermount/loans/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.util.HashMap;
 import java.util.List;
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -7,10 +7,10 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Bookmark;
-import org.umbermount.archive.View;
-import org.umbermount.archive.Companion;
-import org.umbermount.archive.Replica;
+import org.umbermount.control.Bookmark;
+import org.umbermount.control.View;
+import org.umbermount.control.Companion;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
@@ -18,7 +18,7 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.Ledger;
+import org.umbermount.storage.Ledger;
 
 /**
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
--- a/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -7,18 +7,18 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.StatusPage;
+import org.umbermount.control.Replica;
+import org.umbermount.control.StatusPage;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
-import org.umbermount.stacks.Cellar;
-import org.umbermount.stacks.Ledger;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.Vault;
+import org.umbermount.storage.Cellar;
+import org.umbermount.storage.Ledger;
+import org.umbermount.storage.Stack;
+import org.umbermount.storage.Vault;
 
 /** The keeping of operation records as a plug-in of the registrar. */
 public final class LoansDepartment implements Department {
@@ -102,7 +102,7 @@
             Slip s = Slip.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
-                case CUT -> book.cut(new org.umbermount.archive.Bookmark(s.view, s.pos, org.umbermount.kernel.Imprint.NONE));
+                case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, org.umbermount.kernel.Imprint.NONE));
                 default -> {
                     s.segment = segment;
                     s.since = host.clock().now();
--- a/loans/src/main/java/org/umbermount/loans/OperationKey.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKey.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/loans/src/main/java/org/umbermount/loans/Slip.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.nio.ByteBuffer;
 import org.umbermount.kernel.Imprint;
--- a/loans/src/test/java/org/umbermount/loans/ForgettingTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/ForgettingTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,10 +6,10 @@
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.umbermount.stacks.Folio;
-import org.umbermount.stacks.Ledger;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.Folio;
+import org.umbermount.storage.Ledger;
+import org.umbermount.storage.Stack;
+import org.umbermount.storage.testing.FakeVault;
 
 class ForgettingTest {
     /** Whoever ends while it gives its records up has no vote left, or all its records. */
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.Fleet;
+import org.umbermount.control.Replica;
+import org.umbermount.control.Fleet;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Mutation;
@@ -26,8 +26,8 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.Ledger;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.Ledger;
+import org.umbermount.storage.testing.FakeVault;
 
 /** Registrars that keep operation records and lectors that claim, on a fake clock, network and disks. */
 class LoansTest {
@@ -90,7 +90,7 @@
                 Slip s = Slip.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
-                    case CUT -> book.cut(new org.umbermount.archive.Bookmark(s.view, s.pos, Imprint.NONE));
+                    case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, Imprint.NONE));
                     default -> book.add(s);
                 }
             } catch (Script.UnreadableException e) {
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
+++ b/membership/src/main/java/org/umbermount/membership/Gazetteer.java
@@ -1,4 +1,4 @@
-package org.umbermount.gazetteer;
+package org.umbermount.membership;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/Placename.java
+++ b/membership/src/main/java/org/umbermount/membership/Placename.java
@@ -1,4 +1,4 @@
-package org.umbermount.gazetteer;
+package org.umbermount.membership;
 
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Role;
--- a/circulation/src/main/java/org/umbermount/circulation/Allowance.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Allowance.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import org.umbermount.kernel.Moment;
 
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -7,14 +7,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.loans.OperationKey;
+import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.idempotency.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
 final class Borrowing {
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -6,7 +6,7 @@
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.courier.Consignee;
+import org.umbermount.distribution.Consignee;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
@@ -16,8 +16,8 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.readership.QuotaCounter;
+import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.quota.QuotaCounter;
 
 /** The traffic plane as a plug-in of the lector. */
 public final class CirculationDepartment implements Department {
--- a/circulation/src/main/java/org/umbermount/circulation/Concierge.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Concierge.java
@@ -1,8 +1,8 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import java.util.List;
 import java.util.Random;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 
--- a/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Doorplate.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -26,9 +26,9 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.Regulations;
+import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.HouseRules;
@@ -36,8 +36,8 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.readership.QuotaCounter;
+import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.quota.QuotaCounter;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class FrontDesk {
--- a/circulation/src/main/java/org/umbermount/circulation/Holdings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Holdings.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.Regulations;
+import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Script;
 
 /** The routes of a table, ready for looking up. */
--- a/circulation/src/main/java/org/umbermount/circulation/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import it.unimi.dsi.fastutil.ints.Int2IntMap;
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Reader.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -27,7 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.Locale;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Erratum;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Repository.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -12,7 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import jdk.net.ExtendedSocketOptions;
-import org.umbermount.courier.Tables;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Safeguard;
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Wing.java
@@ -1,10 +1,10 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Moment;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
--- a/circulation/src/test/java/org/umbermount/circulation/ConciergeTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -12,8 +12,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.Regulations;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
--- a/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -24,16 +24,16 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.umbermount.archive.CensusEntry;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.CensusEntry;
+import org.umbermount.control.Regulations;
+import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.loans.LoanCounter;
+import org.umbermount.idempotency.LoanCounter;
 
 /**
  * Clients that pipeline and give up, servers that do everything that servers in trouble do, and a front desk between them.
--- a/circulation/src/test/java/org/umbermount/circulation/FakeCounterPost.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import java.util.function.Function;
 import org.umbermount.kernel.Clock;
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -26,10 +26,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.archive.CensusEntry;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.CensusEntry;
+import org.umbermount.control.Regulations;
+import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Mutation;
@@ -38,7 +38,7 @@
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.loans.LoanCounter;
+import org.umbermount.idempotency.LoanCounter;
 
 class FrontDeskTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
--- a/circulation/src/test/java/org/umbermount/circulation/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,7 +9,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.courier.Tables;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Pressmark;
--- a/circulation/src/test/java/org/umbermount/circulation/PressureTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/PressureTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/readership/src/main/java/org/umbermount/readership/Bucket.java
+++ b/quota/src/main/java/org/umbermount/quota/Bucket.java
@@ -1,4 +1,4 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import org.umbermount.kernel.Moment;
 
--- a/readership/src/main/java/org/umbermount/readership/CountingDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
@@ -1,13 +1,13 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.courier.Consignee;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.distribution.Consignee;
+import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.Tables;
+import org.umbermount.membership.Gazetteer;
+import org.umbermount.membership.Placename;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Institution;
--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
@@ -1,4 +1,4 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
@@ -1,13 +1,13 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.MajorityContact;
-import org.umbermount.archive.Regulations;
-import org.umbermount.archive.LeaseOffice;
+import org.umbermount.control.Replica;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.Regulations;
+import org.umbermount.control.LeaseOffice;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
--- a/readership/src/main/java/org/umbermount/readership/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -1,7 +1,7 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import java.util.List;
-import org.umbermount.archive.LeaseOffice;
+import org.umbermount.control.LeaseOffice;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
--- a/readership/src/main/java/org/umbermount/readership/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
@@ -1,12 +1,12 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.MajorityContact;
-import org.umbermount.archive.Regulations;
-import org.umbermount.archive.StatusPage;
-import org.umbermount.archive.LeaseOffice;
+import org.umbermount.control.Replica;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.Regulations;
+import org.umbermount.control.StatusPage;
+import org.umbermount.control.LeaseOffice;
 import org.umbermount.kernel.Department;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Institution;
--- a/readership/src/test/java/org/umbermount/readership/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -12,9 +12,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.Fleet;
-import org.umbermount.archive.Isolation;
+import org.umbermount.control.Replica;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.Isolation;
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
--- a/readership/src/test/java/org/umbermount/readership/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Mutation;
--- a/stacks/src/main/java/org/umbermount/stacks/Disk.java
+++ b/storage/src/main/java/org/umbermount/storage/Disk.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.util.List;
--- a/stacks/src/main/java/org/umbermount/stacks/Folio.java
+++ b/storage/src/main/java/org/umbermount/storage/Folio.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 /** One record of a stack: a key, and the newest value under it. */
 public record Folio(byte key, byte[] value) {
--- a/stacks/src/test/java/org/umbermount/stacks/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -13,7 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeVault;
 
 /** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
 class DamageTest {
--- a/stacks/src/test/java/org/umbermount/stacks/DurabilityTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeVault;
 
 /** Stacks and ledgers through kills at every call, losses of power, full and stalled disks. */
 class DurabilityTest {
--- a/stacks/src/test/java/org/umbermount/stacks/StackTest.java
+++ b/storage/src/test/java/org/umbermount/storage/StackTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -11,7 +11,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeVault;
 
 class StackTest {
     private static List<Folio> folio(int key, String value) {
--- a/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
+++ b/storage/src/test/java/org/umbermount/storage/testing/FakeVault.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks.testing;
+package org.umbermount.storage.testing;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -11,9 +11,9 @@
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.stacks.Disk;
-import org.umbermount.stacks.SyncedVault;
-import org.umbermount.stacks.Vault;
+import org.umbermount.storage.Disk;
+import org.umbermount.storage.SyncedVault;
+import org.umbermount.storage.Vault;
 
 /**
  * A disk for tests: slow, hung, full or torn as a test wants. The vault on it is the real one; only the file system's calls
