--- a/app/src/main/java/org/umbermount/app/RegistrarCommand.java
+++ b/app/src/main/java/org/umbermount/app/ControllerCommand.java
@@ -4,12 +4,12 @@
 import picocli.CommandLine.Command;
 
 /** Starts the program that keeps servers and configuration. */
-@Command(name = "registrar", mixinStandardHelpOptions = true,
+@Command(name = "controller", mixinStandardHelpOptions = true,
         description = "Knows servers and daemons, holds the configuration and delivers it. "
                 + "Reads the settings file named by UMBERMOUNT_CONFIG.")
-final class RegistrarCommand implements Runnable {
+final class ControllerCommand implements Runnable {
     @Override
     public void run() {
-        Daemon.run(Role.REGISTRAR);
+        Daemon.run(Role.CONTROLLER);
     }
 }
--- a/app/src/main/java/org/umbermount/app/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -70,7 +70,7 @@
     void start() throws Exception {
         HouseRules rules = HouseRules.load(file);
         lastRead = Files.readAllBytes(file);
-        ServerSocketChannel early = role == Role.LECTOR ? listenEarly(rules) : null;
+        ServerSocketChannel early = role == Role.PROXY ? listenEarly(rules) : null;
         log = LoggerFactory.getLogger("umbermount");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         clock = new LoopClock(loop);
--- a/app/src/main/java/org/umbermount/app/FleetSummary.java
+++ b/app/src/main/java/org/umbermount/app/FleetSummary.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** A registrar's whole status in one screen, and what of it calls for somebody's attention. */
+/** A controller's whole status in one screen, and what of it calls for somebody's attention. */
 final class FleetSummary {
     private static final long SILENT_MS = 8_000;
 
@@ -15,13 +15,13 @@
 
     FleetSummary(JsonNode status) {
         chain(status);
-        lectors(status);
+        proxies(status);
         servers(status);
         for (String w : wrong) {
             text.append("! ").append(w).append('\n');
         }
         if (wrong.isEmpty()) {
-            text.append("Nothing calls for attention, as far as this registrar knows.\n");
+            text.append("Nothing calls for attention, as far as this controller knows.\n");
         }
     }
 
@@ -37,7 +37,7 @@
     private void chain(JsonNode status) {
         int voters = status.path("electorate").size();
         int connected = 1;
-        for (JsonNode r : status.path("registrars")) {
+        for (JsonNode r : status.path("controllers")) {
             boolean votes = false;
             for (JsonNode v : status.path("electorate")) {
                 votes |= v.asText().equals(r.path("daemon").asText());
@@ -45,7 +45,7 @@
             if (r.path("connected").asBoolean()) {
                 connected += votes ? 1 : 0;
             } else if (votes) {
-                wrong.add("Registrar " + r.path("daemon").asText() + " of " + r.path("zone").asText() + " is not connected.");
+                wrong.add("Controller " + r.path("daemon").asText() + " of " + r.path("zone").asText() + " is not connected.");
             }
         }
         text.append("View ").append(status.path("view").asLong()).append(": ").append(voters).append(" voters, ")
@@ -59,7 +59,7 @@
         }
     }
 
-    private void lectors(JsonNode status) {
+    private void proxies(JsonNode status) {
         Map<String, int[]> zones = new TreeMap<>();
         long edition = status.path("edition").asLong();
         for (JsonNode p : status.path("proxies")) {
@@ -81,15 +81,15 @@
             String holder = status.path("duties").path(e.getKey()).path("holder").asText();
             int[] n = e.getValue();
             text.append("Zone ").append(e.getKey()).append(": sender ").append(holder.isEmpty() ? "none" : holder).append(", ")
-                    .append(n[0]).append(" lectors known here, ").append(n[1]).append(" silent, ").append(n[2]).append(" behind.\n");
+                    .append(n[0]).append(" proxies known here, ").append(n[1]).append(" silent, ").append(n[2]).append(" behind.\n");
             if (holder.isEmpty()) {
                 wrong.add("Zone " + e.getKey() + " has no sender.");
             }
             if (n[1] > 0) {
-                wrong.add(n[1] + " lectors of " + e.getKey() + " have been silent for over " + SILENT_MS / 1_000 + " s.");
+                wrong.add(n[1] + " proxies of " + e.getKey() + " have been silent for over " + SILENT_MS / 1_000 + " s.");
             }
             if (n[2] > 0) {
-                wrong.add(n[2] + " lectors of " + e.getKey() + " have not acknowledged edition " + edition + ".");
+                wrong.add(n[2] + " proxies of " + e.getKey() + " have not acknowledged edition " + edition + ".");
             }
         }
     }
--- a/app/src/main/java/org/umbermount/app/HollowLector.java
+++ b/app/src/main/java/org/umbermount/app/HollowProxy.java
@@ -12,22 +12,22 @@
 import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.kernel.net.Mailroom;
 
-/** A lector as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
-final class HollowLector {
+/** A proxy as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
+final class HollowProxy {
     private final Institution institution;
     private final Mailroom mailroom;
     private final EventLoop loop;
 
-    HollowLector(HouseRules rules, EventLoop loop) {
+    HollowProxy(HouseRules rules, EventLoop loop) {
         this.loop = loop;
         LoopClock clock = new LoopClock(loop);
-        institution = new Institution(Role.LECTOR, rules, clock);
-        mailroom = new Mailroom(rules.ownMail(Role.LECTOR), clock, institution.tally());
+        institution = new Institution(Role.PROXY, rules, clock);
+        mailroom = new Mailroom(rules.ownMail(Role.PROXY), clock, institution.tally());
         institution.offer(Postbag.class, mailroom);
     }
 
     /** Binds its address and opens its parts; {@code inForce} is told of each edition with the moment in nanoseconds. */
-    void start(BiConsumer<HollowLector, Long> inForce) throws InterruptedException {
+    void start(BiConsumer<HollowProxy, Long> inForce) throws InterruptedException {
         mailroom.bind(loop);
         loop.submit(() -> {
             new GazetteerDepartment().open(institution);
--- a/app/src/main/java/org/umbermount/app/Main.java
+++ b/app/src/main/java/org/umbermount/app/Main.java
@@ -11,10 +11,10 @@
     }
 
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("lector")) {
-            Daemon.run(Role.LECTOR);
-        } else if (args.length == 1 && args[0].equals("registrar")) {
-            Daemon.run(Role.REGISTRAR);
+        if (args.length == 1 && args[0].equals("proxy")) {
+            Daemon.run(Role.PROXY);
+        } else if (args.length == 1 && args[0].equals("controller")) {
+            Daemon.run(Role.CONTROLLER);
         } else {
             Umbermount.main(args);
         }
--- a/app/src/main/java/org/umbermount/app/LectorCommand.java
+++ b/app/src/main/java/org/umbermount/app/ProxyCommand.java
@@ -4,11 +4,11 @@
 import picocli.CommandLine.Command;
 
 /** Starts the program that carries traffic. */
-@Command(name = "lector", mixinStandardHelpOptions = true,
+@Command(name = "proxy", mixinStandardHelpOptions = true,
         description = "Carries traffic. Reads the settings file named by UMBERMOUNT_CONFIG.")
-final class LectorCommand implements Runnable {
+final class ProxyCommand implements Runnable {
     @Override
     public void run() {
-        Daemon.run(Role.LECTOR);
+        Daemon.run(Role.PROXY);
     }
 }
--- a/app/src/main/java/org/umbermount/app/RehearseCommand.java
+++ b/app/src/main/java/org/umbermount/app/RehearseCommand.java
@@ -9,7 +9,7 @@
 @Command(name = "rehearse", mixinStandardHelpOptions = true,
         description = "Runs both programs on the loopback address and takes one request through them.")
 final class RehearseCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "FOLDER", description = "an empty folder for the registrar's files")
+    @Parameters(paramLabel = "FOLDER", description = "an empty folder for the controller's files")
     private Path folder;
 
     @Override
--- a/app/src/main/java/org/umbermount/app/ShowCommand.java
+++ b/app/src/main/java/org/umbermount/app/ShowCommand.java
@@ -14,8 +14,8 @@
 
 /** Shows the state of a running daemon. */
 @Command(name = "show", mixinStandardHelpOptions = true,
-        description = "Shows a part of a running daemon's state. A registrar answers at its controlPlane address, "
-                + "a lector at its readiness address.")
+        description = "Shows a part of a running daemon's state. A controller answers at its controlPlane address, "
+                + "a proxy at its readiness address.")
 final class ShowCommand implements Callable<Integer> {
     /** What can be shown. */
     enum Part {
@@ -58,7 +58,7 @@
             JsonNode shown = switch (part) {
                 case view -> parts(root, "view", "standing", "seat", "incarnation", "edition", "newestEdition", "electorate",
                         "chain", "contact");
-                case members -> root.path("registrars");
+                case members -> root.path("controllers");
                 case duties -> root.path("duties");
                 case servers -> root.path("servers");
                 case proxies -> root.path("proxies");
--- a/app/src/main/java/org/umbermount/app/StocktakeCommand.java
+++ b/app/src/main/java/org/umbermount/app/StocktakeCommand.java
@@ -8,13 +8,13 @@
 
 /** Measures what control costs at one size on this machine. */
 @Command(name = "stocktake", mixinStandardHelpOptions = true,
-        description = "Runs registrars, a few lectors, and hollow lectors and servers on loopback addresses, and prints what they cost.")
+        description = "Runs controllers, a few proxies, and hollow proxies and servers on loopback addresses, and prints what they cost.")
 final class StocktakeCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "FOLDER", description = "an empty folder for settings, logs and the registrars' files")
+    @Parameters(paramLabel = "FOLDER", description = "an empty folder for settings, logs and the controllers' files")
     private Path folder;
 
-    @Option(names = "--lectors", defaultValue = "50", description = "hollow lectors, at most " + Stocktaking.MOST_LECTORS)
-    private int lectors;
+    @Option(names = "--proxies", defaultValue = "50", description = "hollow proxies, at most " + Stocktaking.MOST_PROXIES)
+    private int proxies;
 
     @Option(names = "--servers", defaultValue = "100", description = "hollow servers, at most " + Stocktaking.MOST_SERVERS)
     private int servers;
@@ -22,23 +22,23 @@
     @Option(names = "--routes", defaultValue = "50", description = "routes, at most 8000")
     private int routes;
 
-    @Option(names = "--registrars", defaultValue = "3", description = "real registrars, 3 to 12")
-    private int registrars;
+    @Option(names = "--controllers", defaultValue = "3", description = "real controllers, 3 to 12")
+    private int controllers;
 
     @Option(names = "--seconds", defaultValue = "20", description = "how long to measure, at most 120")
     private int seconds;
 
     @Override
     public Integer call() {
-        if (lectors < 1 || lectors > Stocktaking.MOST_LECTORS || servers < 1 || servers > Stocktaking.MOST_SERVERS || routes < 1
-                || routes > 8_000 || registrars < 3 || registrars > 12 || seconds < 1 || seconds > 120) {
+        if (proxies < 1 || proxies > Stocktaking.MOST_PROXIES || servers < 1 || servers > Stocktaking.MOST_SERVERS || routes < 1
+                || routes > 8_000 || controllers < 3 || controllers > 12 || seconds < 1 || seconds > 120) {
             System.err.println("A number is out of its range; see --help.");
             return 2;
         }
-        // Hundreds of lectors in one process would each log every table.
+        // Hundreds of proxies in one process would each log every table.
         System.setProperty("org.slf4j.simpleLogger.log.courier", "error");
         try {
-            Stocktaking.Figures figures = new Stocktaking(folder, lectors, servers, routes, registrars, seconds).measure();
+            Stocktaking.Figures figures = new Stocktaking(folder, proxies, servers, routes, controllers, seconds).measure();
             figures.values().forEach((name, value) -> System.out.println(name + "\t" + Math.round(value * 10_000) / 10_000.0));
             return 0;
         } catch (Exception e) {
--- a/app/src/main/java/org/umbermount/app/Stocktaking.java
+++ b/app/src/main/java/org/umbermount/app/Stocktaking.java
@@ -24,13 +24,13 @@
 import org.umbermount.kernel.HouseRules;
 
 /**
- * Measures what control costs at one size: real registrars and a few real lectors as processes of their own, and beside
- * them hollow lectors and servers in this one, all on loopback addresses, for a bounded time.
+ * Measures what control costs at one size: real controllers and a few real proxies as processes of their own, and beside
+ * them hollow proxies and servers in this one, all on loopback addresses, for a bounded time.
  */
 final class Stocktaking {
     static final int ZONES = 3;
-    static final int REAL_LECTORS = 3;
-    static final int MOST_LECTORS = 2_000;
+    static final int REAL_PROXIES = 3;
+    static final int MOST_PROXIES = 2_000;
     static final int MOST_SERVERS = 10_000;
     private static final int PORT = 27_100;
     private static final int CONTROL = PORT + 4;
@@ -43,26 +43,26 @@
     }
 
     private final Path folder;
-    private final int lectors;
+    private final int proxies;
     private final int servers;
     private final int routes;
-    private final int registrars;
+    private final int controllers;
     private final int seconds;
     private final List<Process> processes = new ArrayList<>();
     private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
-    private final List<HollowLector> hollow = new ArrayList<>();
+    private final List<HollowProxy> hollow = new ArrayList<>();
     private final Map<Long, AtomicInteger> arrived = new ConcurrentHashMap<>();
     private final Map<Long, Long> acknowledged = new ConcurrentHashMap<>();
     private final Map<Long, Long> everywhere = new ConcurrentHashMap<>();
     private final AtomicLong beats = new AtomicLong();
     private final AtomicLong beatsFailed = new AtomicLong();
 
-    Stocktaking(Path folder, int lectors, int servers, int routes, int registrars, int seconds) {
+    Stocktaking(Path folder, int proxies, int servers, int routes, int controllers, int seconds) {
         this.folder = folder;
-        this.lectors = lectors;
+        this.proxies = proxies;
         this.servers = servers;
         this.routes = routes;
-        this.registrars = registrars;
+        this.controllers = controllers;
         this.seconds = seconds;
     }
 
@@ -71,14 +71,14 @@
         return "127." + kind + "." + n / 250 + "." + (n % 250 + 1);
     }
 
-    private static String registrar(int i) {
+    private static String controller(int i) {
         return ip(100, i + 1);
     }
 
     private String settings(String ip, String name, int zone, boolean disk) {
         StringBuilder seeds = new StringBuilder();
-        for (int i = 0; i < Math.min(3, registrars); i++) {
-            seeds.append(i == 0 ? "" : ",").append('"').append(registrar(i)).append(':').append(CONTROL).append('"');
+        for (int i = 0; i < Math.min(3, controllers); i++) {
+            seeds.append(i == 0 ? "" : ",").append('"').append(controller(i)).append(':').append(CONTROL).append('"');
         }
         return "{\"nodeName\":\"" + name + "\",\"ipAddress\":\"" + ip + "\",\"zone\":\"z" + zone
                 + "\",\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},\"listeners\":{\"controlPlane\":\"" + ip + ":" + CONTROL
@@ -134,12 +134,12 @@
         String text = configuration(revision);
         for (int tries = 0; tries < 40; tries++) {
             try {
-                if (call("PUT", registrar((int) (revision + tries) % registrars), "/config", text, match) == 200) {
+                if (call("PUT", controller((int) (revision + tries) % controllers), "/config", text, match) == 200) {
                     acknowledged.put(revision, System.nanoTime());
                     return;
                 }
             } catch (IOException e) {
-                // Another registrar is asked.
+                // Another controller is asked.
             }
             Thread.sleep(250);
         }
@@ -151,17 +151,17 @@
         String body = "{\"upstream\":\"s" + server % services() + "\",\"address\":\"" + ip(110, server + 1)
                 + ":8080\",\"zone\":\"" + zone + "\",\"revision\":\"v1\",\"capacity\":6,\"status\":\"in_service\",\"warmupLeftMs\":0,"
                 + "\"sequence\":" + sequence + "}";
-        int at = server % ZONES % registrars;
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + registrar(at) + ":" + CONTROL + "/instances/i-" + server))
+        int at = server % ZONES % controllers;
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + controller(at) + ":" + CONTROL + "/instances/i-" + server))
                 .timeout(PATIENCE).PUT(HttpRequest.BodyPublishers.ofString(body)).build();
         client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).whenComplete((answer, failed) -> {
             (failed == null && answer.statusCode() == 200 ? beats : beatsFailed).incrementAndGet();
         });
     }
 
-    private void inForce(HollowLector lector, long edition) {
+    private void inForce(HollowProxy proxy, long edition) {
         AtomicInteger n = arrived.get(edition);
-        if (n != null && n.incrementAndGet() == lectors) {
+        if (n != null && n.incrementAndGet() == proxies) {
             everywhere.put(edition, System.nanoTime());
         }
     }
@@ -198,15 +198,15 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         try {
             List<Process> control = new ArrayList<>();
-            for (int i = 0; i < registrars; i++) {
-                control.add(launch("registrar", registrar(i), "registrar-" + i, i % ZONES, true, "-Xmx256m"));
+            for (int i = 0; i < controllers; i++) {
+                control.add(launch("controller", controller(i), "controller-" + i, i % ZONES, true, "-Xmx256m"));
             }
             List<Process> real = new ArrayList<>();
-            for (int i = 0; i < REAL_LECTORS; i++) {
-                real.add(launch("lector", ip(101, i + 1), "lector-" + i, i % ZONES, false, "-Xmx128m"));
+            for (int i = 0; i < REAL_PROXIES; i++) {
+                real.add(launch("proxy", ip(101, i + 1), "proxy-" + i, i % ZONES, false, "-Xmx128m"));
             }
-            for (int i = 0; i < lectors; i++) {
-                HollowLector one = new HollowLector(HouseRules.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
+            for (int i = 0; i < proxies; i++) {
+                HollowProxy one = new HollowProxy(HouseRules.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
                         .getBytes(java.nio.charset.StandardCharsets.UTF_8)), group.next());
                 one.start(this::inForce);
                 hollow.add(one);
@@ -236,11 +236,11 @@
     private Figures window(List<Process> control, List<Process> real) throws Exception {
         double[] cpuBefore = control.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
         double[] realBefore = real.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
-        double in = hollow.stream().mapToDouble(HollowLector::bytesIn).sum();
-        double out = hollow.stream().mapToDouble(HollowLector::bytesOut).sum();
+        double in = hollow.stream().mapToDouble(HollowProxy::bytesIn).sum();
+        double out = hollow.stream().mapToDouble(HollowProxy::bytesOut).sum();
         List<Map<String, Double>> metersBefore = new ArrayList<>();
-        for (int i = 0; i < registrars; i++) {
-            metersBefore.add(meters(registrar(i)));
+        for (int i = 0; i < controllers; i++) {
+            metersBefore.add(meters(controller(i)));
         }
         long beatsBefore = beats.get();
         long begin = System.nanoTime();
@@ -252,29 +252,29 @@
         }
         double took = (System.nanoTime() - begin) / 1e9;
         Map<String, Double> f = new java.util.LinkedHashMap<>();
-        f.put("lectors", (double) lectors);
+        f.put("proxies", (double) proxies);
         f.put("servers", (double) servers);
         f.put("routes", (double) routes);
-        f.put("registrars", (double) registrars);
-        double[] cpu = new double[registrars];
-        double[] memory = new double[registrars];
+        f.put("controllers", (double) controllers);
+        double[] cpu = new double[controllers];
+        double[] memory = new double[controllers];
         Map<String, Double> mail = new TreeMap<>();
-        for (int i = 0; i < registrars; i++) {
+        for (int i = 0; i < controllers; i++) {
             cpu[i] = (cpuSeconds(control.get(i)) - cpuBefore[i]) / took;
             memory[i] = residentMb(control.get(i));
-            Map<String, Double> after = meters(registrar(i));
+            Map<String, Double> after = meters(controller(i));
             for (Map.Entry<String, Double> e : after.entrySet()) {
                 if (e.getKey().startsWith("umbermount_mail_")) {
                     mail.merge(e.getKey().substring(16), (e.getValue() - metersBefore.get(i).getOrDefault(e.getKey(), 0.0)) / took, Double::sum);
                 }
             }
         }
-        f.put("registrar cores, mean", Arrays.stream(cpu).average().orElse(0));
-        f.put("registrar cores, most", Arrays.stream(cpu).max().orElse(0));
-        f.put("registrar MB, most", Arrays.stream(memory).max().orElse(0));
+        f.put("controller cores, mean", Arrays.stream(cpu).average().orElse(0));
+        f.put("controller cores, most", Arrays.stream(cpu).max().orElse(0));
+        f.put("controller MB, most", Arrays.stream(memory).max().orElse(0));
         mail.forEach((name, rate) -> {
             if (rate >= 1) {
-                f.put("registrars together, " + name.replace('_', ' ') + " /s", rate);
+                f.put("controllers together, " + name.replace('_', ' ') + " /s", rate);
             }
         });
         double realCpu = 0;
@@ -283,10 +283,10 @@
             realCpu = Math.max(realCpu, (cpuSeconds(real.get(i)) - realBefore[i]) / took);
             realMemory = Math.max(realMemory, residentMb(real.get(i)));
         }
-        f.put("lector cores, most", realCpu);
-        f.put("lector MB, most", realMemory);
-        f.put("lector bytes in /s, mean", (hollow.stream().mapToDouble(HollowLector::bytesIn).sum() - in) / took / lectors);
-        f.put("lector bytes out /s, mean", (hollow.stream().mapToDouble(HollowLector::bytesOut).sum() - out) / took / lectors);
+        f.put("proxy cores, most", realCpu);
+        f.put("proxy MB, most", realMemory);
+        f.put("proxy bytes in /s, mean", (hollow.stream().mapToDouble(HollowProxy::bytesIn).sum() - in) / took / proxies);
+        f.put("proxy bytes out /s, mean", (hollow.stream().mapToDouble(HollowProxy::bytesOut).sum() - out) / took / proxies);
         f.put("beats /s", (beats.get() - beatsBefore) / took);
         f.put("beats failed", (double) beatsFailed.get());
         f.put("changes /s", (revision - 1) / took);
@@ -298,9 +298,9 @@
             }
         }
         delays.sort(null);
-        f.put("changes seen at every lector", (double) delays.size());
-        f.put("ms from answer to last lector, median", delays.isEmpty() ? Double.NaN : delays.get(delays.size() / 2));
-        f.put("ms from answer to last lector, most", delays.isEmpty() ? Double.NaN : delays.get(delays.size() - 1));
+        f.put("changes seen at every proxy", (double) delays.size());
+        f.put("ms from answer to last proxy, median", delays.isEmpty() ? Double.NaN : delays.get(delays.size() / 2));
+        f.put("ms from answer to last proxy, most", delays.isEmpty() ? Double.NaN : delays.get(delays.size() - 1));
         return new Figures(f);
     }
 }
--- a/app/src/test/java/org/umbermount/app/FleetSummaryTest.java
+++ b/app/src/test/java/org/umbermount/app/FleetSummaryTest.java
@@ -9,7 +9,7 @@
 
 class FleetSummaryTest {
     private static final String WELL = "{'view':4,'edition':9,'newestEdition':9,'electorate':['a','b','c'],'chain':['a','b'],"
-            + "'registrars':[{'daemon':'b','zone':'y','connected':true},{'daemon':'c','zone':'x','connected':true}],"
+            + "'controllers':[{'daemon':'b','zone':'y','connected':true},{'daemon':'c','zone':'x','connected':true}],"
             + "'duties':{'x':{'holder':'a'},'y':{'holder':'b'},'quota/0':{'holder':''}},"
             + "'servers':[{'upstream':'s','standing':'in_service'},{'upstream':'s','standing':'draining'}],"
             + "'proxies':[{'zone':'x','heardMsAgo':20,'servedHere':true,'knownEdition':9}]}";
@@ -35,12 +35,12 @@
 
     @Test
     void eachThingThatIsWrongHasItsSentence() throws Exception {
-        complains("'c','zone':'x','connected':true", "'c','zone':'x','connected':false", "Registrar c of x is not connected.");
+        complains("'c','zone':'x','connected':true", "'c','zone':'x','connected':false", "Controller c of x is not connected.");
         complains("'electorate':['a','b','c']", "'electorate':['a','b','c','d','e','f']", "Fewer than a majority");
         complains("'newestEdition':9", "'newestEdition':10", "Edition 10 is held here and not committed.");
         complains("'y':{'holder':'b'}", "'y':{'holder':''}", "Zone y has no sender.");
-        complains("'heardMsAgo':20", "'heardMsAgo':20000", "1 lectors of x have been silent");
-        complains("'knownEdition':9", "'knownEdition':8", "1 lectors of x have not acknowledged edition 9.");
+        complains("'heardMsAgo':20", "'heardMsAgo':20000", "1 proxies of x have been silent");
+        complains("'knownEdition':9", "'knownEdition':8", "1 proxies of x have not acknowledged edition 9.");
         complains("'standing':'in_service'", "'standing':'missed'", "Service s has no server in service.");
     }
 }
--- a/control/src/main/java/org/umbermount/control/Amendment.java
+++ b/control/src/main/java/org/umbermount/control/Amendment.java
@@ -24,7 +24,7 @@
 final class Amendment {
     private static final List<String> LISTS = List.of("routeTable", "upstreams", "tenants");
 
-    /** Built when first asked for: a registrar of a site without such calls never loads it. */
+    /** Built when first asked for: a controller of a site without such calls never loads it. */
     private static final class Json {
         static final ObjectMapper MAPPER = new ObjectMapper().enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
                 .setNodeFactory(JsonNodeFactory.withExactBigDecimals(true));
--- a/control/src/main/java/org/umbermount/control/Archive.java
+++ b/control/src/main/java/org/umbermount/control/Archive.java
@@ -17,13 +17,13 @@
 import org.umbermount.storage.Stack;
 import org.umbermount.storage.StackRoom;
 
-/** The control plane of one registrar, put together: chain and views, roll call, servers, leases. */
+/** The control plane of one controller, put together: chain and views, roll call, servers, leases. */
 final class Archive {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     /** A write that waits longer than this makes the chain go on without this daemon. */
     private static final long DISK_PATIENCE_MS = 900;
 
-    /** After so long without a break a change of another registrar that was missed has been asked for. */
+    /** After so long without a break a change of another controller that was missed has been asked for. */
     private static final long IN_TOUCH_MS = 1_500;
 
     final Replica replica;
@@ -50,7 +50,7 @@
         Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
         room = new StackRoom(memory, disk, clock);
         Memory loaded = load(memory);
-        List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
+        List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
         replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
--- a/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
+++ b/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
@@ -22,7 +22,7 @@
 import org.umbermount.storage.Shelving;
 import org.umbermount.storage.Stack;
 
-/** The control plane as a plug-in of the registrar. */
+/** The control plane as a plug-in of the controller. */
 public final class ArchiveDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
     private static final long REWRITE_OVER = 4 << 20;
@@ -47,7 +47,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.REGISTRAR;
+        return role == Role.CONTROLLER;
     }
 
     @Override
@@ -99,7 +99,7 @@
 
     private static Shelving shelving(HouseRules rules) throws IOException {
         if (rules.dataPath().isEmpty()) {
-            throw new IllegalStateException("The settings name no dataPath, and a registrar needs a disk.");
+            throw new IllegalStateException("The settings name no dataPath, and a controller needs a disk.");
         }
         return new Shelving(Path.of(rules.dataPath()));
     }
@@ -115,7 +115,7 @@
     }
 
     private void noticed(Placename placename) {
-        if (placename.role() == Role.REGISTRAR) {
+        if (placename.role() == Role.CONTROLLER) {
             archive.detector.enlist(placename.imprint());
         }
     }
@@ -145,6 +145,6 @@
 
     @Override
     public void reread(HouseRules rules) {
-        rules.seedNodes().forEach(s -> archive.detector.enlist(rules.mailAddress(s, Role.REGISTRAR)));
+        rules.seedNodes().forEach(s -> archive.detector.enlist(rules.mailAddress(s, Role.CONTROLLER)));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Census.java
+++ b/control/src/main/java/org/umbermount/control/Census.java
@@ -23,8 +23,8 @@
 import org.umbermount.kernel.Tally;
 
 /**
- * The servers there are: soft state on every registrar. Each registrar numbers its own changes; the others
- * follow them, and one that has missed some takes a snapshot. The registrar that a server's beats reach keeps
+ * The servers there are: soft state on every controller. Each controller numbers its own changes; the others
+ * follow them, and one that has missed some takes a snapshot. The controller that a server's beats reach keeps
  * it, and only its keeper declares it gone for missing beats.
  */
 public final class Census {
@@ -125,7 +125,7 @@
     }
 
     /**
-     * Whether the list can be relied on to be whole: it has been taken from a registrar whose list was, or every
+     * Whether the list can be relied on to be whole: it has been taken from a controller whose list was, or every
      * server has had time to send a beat since this daemon started.
      */
     public boolean ready() {
@@ -466,7 +466,7 @@
         publish(gone);
     }
 
-    /** Whether this registrar is the first of those left to look after another's servers. */
+    /** Whether this controller is the first of those left to look after another's servers. */
     private boolean heir(Imprint lost) {
         for (FailureDetector.Peer p : detector.peers()) {
             if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && detector.connected(p.imprint())) {
--- a/control/src/main/java/org/umbermount/control/CensusNotebook.java
+++ b/control/src/main/java/org/umbermount/control/CensusNotebook.java
@@ -13,7 +13,7 @@
 
 /**
  * Notes the servers on disk now and then, so that a control plane that was stopped as a whole need not wait for
- * every server's next beat. The notes are a memory aid: beats and other registrars overrule them, and servers
+ * every server's next beat. The notes are a memory aid: beats and other controllers overrule them, and servers
  * that do not show up are dropped like any other.
  */
 final class CensusNotebook {
--- a/control/src/main/java/org/umbermount/control/ControlDesk.java
+++ b/control/src/main/java/org/umbermount/control/ControlDesk.java
@@ -355,7 +355,7 @@
         });
     }
 
-    /** Steers a server's beats to a registrar of its own zone that a majority answers. */
+    /** Steers a server's beats to a controller of its own zone that a majority answers. */
     private String heartbeatAnswer(String serverZone) {
         if (serverZone.equals(zone)) {
             return "{}";
@@ -369,7 +369,7 @@
         return "{}";
     }
 
-    /** The part that the view in force gives a registrar. */
+    /** The part that the view in force gives a controller. */
     private static String seat(View view, Imprint who) {
         if (!view.votes(who)) {
             return "none";
@@ -394,7 +394,7 @@
         ArrayNode chain = root.putArray("chain");
         view.chain().forEach(m -> chain.add(m.toString()));
         showOrders(root.putObject("orders"), replica.committed().taken());
-        ArrayNode peers = root.putArray("registrars");
+        ArrayNode peers = root.putArray("controllers");
         for (FailureDetector.Peer p : detector.peers()) {
             ObjectNode one = peers.addObject().put("daemon", p.imprint().toString()).put("seat", seat(view, p.imprint()))
                     .put("connected", detector.connected(p.imprint())).put("goodForMs", detector.goodForMs(p.imprint()))
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -14,7 +14,7 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 
-/** Registrars tell each other at short intervals that they are there, how they are, and whom they hear. */
+/** Controllers tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
     public static final long INTERVAL_MS = 300;
     /** Silence after which a peer is not relied on. */
@@ -26,7 +26,7 @@
     private static final int SLOW_ROUNDS = 5;
 
     /**
-     * What a registrar tells of itself.
+     * What a controller tells of itself.
      *
      * @param mayMove whether it is a voter with its memory that no promise binds
      * @param inContact whether a majority answers it
@@ -51,7 +51,7 @@
         }
     }
 
-    /** What is known of another registrar. */
+    /** What is known of another controller. */
     public static final class Peer {
         private final Imprint imprint;
         private Report report;
@@ -122,7 +122,7 @@
         clock.every(INTERVAL_MS, this::tick);
     }
 
-    /** Adds a registrar to those that are called. */
+    /** Adds a controller to those that are called. */
     public void enlist(Imprint imprint) {
         if (!imprint.equals(post.self())) {
             peers.computeIfAbsent(imprint, i -> new Peer(i, clock.now()));
@@ -142,7 +142,7 @@
         return imprint.equals(post.self());
     }
 
-    /** When that was sent which a registrar has answered last; now for this one. */
+    /** When that was sent which a controller has answered last; now for this one. */
     Moment answered(Imprint imprint) {
         Peer p = peers.get(imprint);
         return isSelf(imprint) ? clock.now() : p == null ? Moment.NEVER : p.answered;
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -129,9 +129,9 @@
         observers.add(observer);
     }
 
-    /** Sets which registrars beside the voters are told of views and commits. */
-    void audience(List<Imprint> registrars) {
-        audience = List.copyOf(registrars);
+    /** Sets which controllers beside the voters are told of views and commits. */
+    void audience(List<Imprint> controllers) {
+        audience = List.copyOf(controllers);
     }
 
     List<Imprint> audience() {
@@ -197,7 +197,7 @@
         }
     }
 
-    /** Asks a registrar for its view and state. */
+    /** Asks a controller for its view and state. */
     void fetch(Imprint from) {
         messages.sendFetch(from);
     }
--- a/control/src/main/java/org/umbermount/control/MembershipPlan.java
+++ b/control/src/main/java/org/umbermount/control/MembershipPlan.java
@@ -8,17 +8,17 @@
 import org.umbermount.kernel.Safeguard;
 
 /**
- * Which view is wanted after the one in force, as a function of what is seen of the registrars. The voters are the registrars
+ * Which view is wanted after the one in force, as a function of what is seen of the controllers. The voters are the controllers
  * that are well, 2f + 1 at least where f may be lost at once, and nine at most: whoever is gone gives its seat up, or has it
- * taken by a registrar that is well where there are no seats to spare. One seat changes in one view. docs/control.md, point 3,
+ * taken by a controller that is well where there are no seats to spare. One seat changes in one view. docs/control.md, point 3,
  * has the argument; MembershipSearchTest looks at all orders of losses, returns and arrivals.
  */
 final class MembershipPlan {
     static final int LARGEST_ELECTORATE = 9;
 
-    /** What a daemon sees of the registrars. */
+    /** What a daemon sees of the controllers. */
     interface Sight {
-        /** All registrars that are known, also those without a vote. */
+        /** All controllers that are known, also those without a vote. */
         Iterable<Imprint> known();
 
         /** Whether it is reached by a majority of the voters, can write, and stays. */
@@ -30,7 +30,7 @@
         /** Whether it may still be on its way, since the one that looks has just started. */
         boolean expected(Imprint who);
 
-        /** Whether two registrars hear each other. */
+        /** Whether two controllers hear each other. */
         boolean linked(Imprint one, Imprint other);
 
         /** Whether it has its memory and votes, or has rebuilt it. */
--- a/control/src/main/java/org/umbermount/control/Memory.java
+++ b/control/src/main/java/org/umbermount/control/Memory.java
@@ -10,7 +10,7 @@
 import org.umbermount.storage.Stack;
 
 /**
- * What a registrar must not forget. {@code recoveredFor} is the number of the view for which a new
+ * What a controller must not forget. {@code recoveredFor} is the number of the view for which a new
  * incarnation has read enough others; {@code incarnations} is the crash vector.
  */
 record Memory(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
--- a/control/src/main/java/org/umbermount/control/RefusedAhead.java
+++ b/control/src/main/java/org/umbermount/control/RefusedAhead.java
@@ -7,7 +7,7 @@
 
 /**
  * The orders that the head of a view refused because the version they build on is not there. A copy of one that is late on the
- * network, or under way through another registrar, must not be taken when that version comes. Kept for longer than a call
+ * network, or under way through another controller, must not be taken when that version comes. Kept for longer than a call
  * waits; nobody remembers them in the next view, and they are put to this one alone. What an earlier life of this process
  * refused in this view is not known either: while calls of that time may wait, a life takes no order that may be one of them.
  */
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -163,7 +163,7 @@
         confirmation.whileInForce(then);
     }
 
-    /** Asks a registrar that is ahead for its view. */
+    /** Asks a controller that is ahead for its view. */
     public void fetchFrom(Imprint ahead) {
         fetch(ahead);
     }
@@ -177,9 +177,9 @@
         membership.observe(observer);
     }
 
-    /** Sets which registrars beside the voters are told of views and commits. */
-    public void audience(List<Imprint> registrars) {
-        membership.audience(registrars);
+    /** Sets which controllers beside the voters are told of views and commits. */
+    public void audience(List<Imprint> controllers) {
+        membership.audience(controllers);
     }
 
     public Standing standing() {
@@ -234,7 +234,7 @@
         durable.serially(() -> membership.decided(proposal, why));
     }
 
-    /** Asks a registrar for its view and state. */
+    /** Asks a controller for its view and state. */
     void fetch(Imprint from) {
         membership.fetch(from);
     }
--- a/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
+++ b/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
@@ -17,7 +17,7 @@
 import org.umbermount.kernel.Safeguard;
 
 /**
- * Bounded model check on the registrars as they are: two operators order two changes under one number on one version, and a
+ * Bounded model check on the controllers as they are: two operators order two changes under one number on one version, and a
  * member of the chain loses power in the same moment. Each message of views and chain that follows is lost, comes late or twice,
  * or its sender or receiver loses power with it, one message at a time; {@code -Dfaults=2} does so for every pair of messages.
  */
@@ -154,7 +154,7 @@
             return broken != null ? broken : judge(a, b);
         }
 
-        /** An operator that sends its order again, to the next registrar, until it has a clear answer. */
+        /** An operator that sends its order again, to the next controller, until it has a clear answer. */
         private final class Caller {
             private final String text;
             private int at;
@@ -262,7 +262,7 @@
     void oneFaultAtAnyMessageBreaksNothing(int size) throws IOException {
         int faults = Integer.getInteger("faults", 1);
         Outcome found = search(size, faults, List.of(Fault.values()));
-        System.out.println("faults: " + size + " registrars, " + faults + " at a time: " + found.runs + " runs");
+        System.out.println("faults: " + size + " controllers, " + faults + " at a time: " + found.runs + " runs");
         assertNull(found.broken, found.broken);
     }
 
--- a/control/src/test/java/org/umbermount/control/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -38,7 +38,7 @@
     }
 
     @Test
-    void fourthRegistrarJoinsAndAnyOneTakesAConfiguration() throws IOException {
+    void fourthControllerJoinsAndAnyOneTakesAConfiguration() throws IOException {
         Fleet fleet = settled(1);
         assertEquals(4, fleet.running.get(0).replica.view().electorate().size());
         for (int i = 0; i < 4; i++) {
@@ -127,7 +127,7 @@
         take(fleet, 2, editionAt(fleet, 2), 5);
     }
 
-    /** A registrar whose disk hangs or refuses still has lectors to send to. */
+    /** A controller whose disk hangs or refuses still has proxies to send to. */
     @ParameterizedTest
     @ValueSource(strings = {"hung", "full", "slow"})
     void commitIsKnownWhereTheDiskIsInTrouble(String how) throws IOException {
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -28,7 +28,7 @@
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
-/** A registrar that a majority does not answer gives out nothing as current, refuses nothing and confirms nothing. */
+/** A controller that a majority does not answer gives out nothing as current, refuses nothing and confirms nothing. */
 class CutOffTest {
     private static final long CUT_MS = 20_000;
     private static final long SYNC_MS = 4_000;
@@ -38,7 +38,7 @@
             "{\"revision\":90,\"upsert\":{\"routeTable\":[{\"label\":\"r\",\"virtualHost\":\"h.example\",\"pathPrefix\":\"/\","
             + "\"routeType\":\"idempotent\",\"timeoutMs\":500,\"upstream\":\"nobody\",\"maxTries\":1}]}}";
 
-    /** A call at a registrar's control address. */
+    /** A call at a controller's control address. */
     private static final class Call {
         final EmbeddedChannel channel;
         int status;
@@ -405,7 +405,7 @@
         }
     }
 
-    /** A server of another zone is sent to that zone's registrar, but not while a majority does not answer that one. */
+    /** A server of another zone is sent to that zone's controller, but not while a majority does not answer that one. */
     @Test
     void aServerIsNotSentToOneThatIsCutOffAndThePageSaysWhoIs() throws IOException {
         Fleet fleet = calm(4, 1);
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -19,7 +19,7 @@
 import org.umbermount.storage.Stack;
 import org.umbermount.storage.testing.FakeVault;
 
-/** Registrars on a fake clock, network and disk. */
+/** Controllers on a fake clock, network and disk. */
 public final class Fleet {
     /** Puts something beside the configuration of a daemon that starts. */
     public interface Attachment {
@@ -74,7 +74,7 @@
         return "z" + i;
     }
 
-    /** Starts a registrar of the first days, which is told of all others of them. */
+    /** Starts a controller of the first days, which is told of all others of them. */
     public void start(int i, boolean bootstrap) throws IOException {
         List<Integer> first = new ArrayList<>();
         for (int s = 0; s < seeds; s++) {
@@ -86,7 +86,7 @@
         }
     }
 
-    /** Starts a registrar, perhaps one that there was none of before, which is told of its seeds alone. */
+    /** Starts a controller, perhaps one that there was none of before, which is told of its seeds alone. */
     public void start(int i, String zone, List<Integer> seedNodes) throws IOException {
         zones.put(i, zone);
         disks.computeIfAbsent(i, n -> new FakeVault());
@@ -116,12 +116,12 @@
         return archive;
     }
 
-    /** The epoch under which a registrar that runs holds a duty now, or 0. */
+    /** The epoch under which a controller that runs holds a duty now, or 0. */
     public long epoch(int i, String duty) {
         return running.get(i).leases.epoch(duty);
     }
 
-    /** What a registrar that runs holds to be so, for a reader. */
+    /** What a controller that runs holds to be so, for a reader. */
     public String describe(int i) {
         Archive a = running.get(i);
         return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
@@ -130,7 +130,7 @@
                 + (a.detector.reachesMajority(a.replica.view()) ? "" : ", reaches no majority");
     }
 
-    /** Says that a registrar is leaving, as before a planned stop. */
+    /** Says that a controller is leaving, as before a planned stop. */
     public void leave(int i) {
         running.get(i).leases.releaseAll();
         running.get(i).detector.leaving();
@@ -157,10 +157,10 @@
         clocks.get(i).thaw();
     }
 
-    /** Offers the parts of a running registrar to another host, on the registrar's own clock. */
+    /** Offers the parts of a running controller to another host, on the controller's own clock. */
     public Institution host(int i, HouseRules rules) {
         Archive archive = running.get(i);
-        Institution host = new Institution(Role.REGISTRAR, rules, clocks.get(i));
+        Institution host = new Institution(Role.CONTROLLER, rules, clocks.get(i));
         host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
         host.offer(LeaseOffice.class, archive.leases);
--- a/control/src/test/java/org/umbermount/control/Isolation.java
+++ b/control/src/test/java/org/umbermount/control/Isolation.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** Ways in which a part of the registrars loses the others, for a while. */
+/** Ways in which a part of the controllers loses the others, for a while. */
 public enum Isolation {
     BOTH_WAYS, OUTWARD, INWARD, FROM_SOME, WITH_A_SEED, FROZEN;
 
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -46,9 +46,9 @@
         assertEquals(2, holder(fleet, "z2"));
     }
 
-    /** Beyond nine registrars some have no vote and are granted nothing; their zones once had nobody to send to them. */
+    /** Beyond nine controllers some have no vote and are granted nothing; their zones once had nobody to send to them. */
     @Test
-    void zoneWhoseRegistrarHasNoVoteIsLookedAfterByAnother() throws IOException {
+    void zoneWhoseControllerHasNoVoteIsLookedAfterByAnother() throws IOException {
         Fleet fleet = new Fleet(11, 3, 7);
         fleet.run(30_000);
         int without = 0;
--- a/control/src/test/java/org/umbermount/control/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -12,7 +12,7 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.storage.testing.FakeVault;
 
-/** Thousands of changes, while one registrar is away for some of them, and what that takes of the disk and of time. */
+/** Thousands of changes, while one controller is away for some of them, and what that takes of the disk and of time. */
 class LongDayTest {
     private static final int SIZE = 5;
     private static final int REWRITE_OVER = 1 << 16;
@@ -39,7 +39,7 @@
         }
     }
 
-    /** One change by an operator who repeats it, at one registrar after the other, until it is taken. */
+    /** One change by an operator who repeats it, at one controller after the other, until it is taken. */
     private void change() throws IOException {
         long match = newest;
         long edition = ++newest;
--- a/control/src/test/java/org/umbermount/control/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -152,7 +152,7 @@
     }
 
     @Test
-    void repeatThroughARegistrarThatHasJustJoinedBySnapshotIsTaken() throws IOException {
+    void repeatThroughAControllerThatHasJustJoinedBySnapshotIsTaken() throws IOException {
         Fleet fleet = settled(21);
         fleet.kill(3, true);
         fleet.wipe(3);
@@ -206,8 +206,8 @@
 
     @Test
     void eightOrdersUnderWayAtOnceAtOneAndAtSeveral() throws IOException {
-        for (int registrars : new int[] {1, 4}) {
-            Fleet fleet = settled(32 + registrars);
+        for (int controllers : new int[] {1, 4}) {
+            Fleet fleet = settled(32 + controllers);
             fleet.network.loss = 0.05;
             fleet.network.doubles = 0.1;
             fleet.network.jitterMs = 20;
@@ -215,7 +215,7 @@
                 long base = fleet.replica(0).committed().edition().value();
                 List<Fleet.Reply> replies = new ArrayList<>();
                 for (int k = 0; k < 8; k++) {
-                    replies.add(fleet.submit(k % registrars, base, base + 1 + k / 4, "r" + round + "k" + k));
+                    replies.add(fleet.submit(k % controllers, base, base + 1 + k / 4, "r" + round + "k" + k));
                 }
                 fleet.run(900);
                 long taken = replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
@@ -395,7 +395,7 @@
         assertEquals(Verdict.TAKEN, Mutation.without(Safeguard.OWED_ONLY_IF_TAKEN, OrdersTest::debtOfAnotherOrder));
     }
 
-    /** A registrar starts anew, and what was said to its earlier life comes late; the clock was set back meanwhile. */
+    /** A controller starts anew, and what was said to its earlier life comes late; the clock was set back meanwhile. */
     private static Verdict lateAnswerToAnEarlierLife() throws IOException {
         Fleet fleet = settled(52);
         takeAll(fleet, 1, 2);
--- a/control/src/test/java/org/umbermount/control/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
-/** Seats are given up, taken over and rested, by registrars as they are. */
+/** Seats are given up, taken over and rested, by controllers as they are. */
 class SeatsTest {
     private static final long SYNC_MS = 4_000;
 
--- a/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
+++ b/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
@@ -22,7 +22,7 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
-/** Two operators choose the same numbers, lose answers and send again through any registrar, in random trouble. */
+/** Two operators choose the same numbers, lose answers and send again through any controller, in random trouble. */
 class TwoOperatorsTest {
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
@@ -239,7 +239,7 @@
             }
         }
 
-        /** What any registrar knows to be committed; all must agree. */
+        /** What any controller knows to be committed; all must agree. */
         private void readHistories() {
             for (int i = 0; i < size; i++) {
                 if (fleet.isRunning(i)) {
--- a/distribution/src/main/java/org/umbermount/distribution/Inventory.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Inventory.java
@@ -23,9 +23,9 @@
     public static final String UPSTREAM = "u/";
     public static final String INSTANCE = "i/";
     public static final String TENANT = "t/";
-    /** A registrar and its zone: in a large fleet few of them are among a proxy's neighbours. */
-    public static final String REGISTRAR = "g/";
-    /** Which registrar does a duty that proxies ask for. */
+    /** A controller and its zone: in a large fleet few of them are among a proxy's neighbours. */
+    public static final String CONTROLLER = "g/";
+    /** Which controller does a duty that proxies ask for. */
     public static final String DUTY = "d/";
 
     private final Map<String, byte[]> entries;
--- a/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
-/** The receiving side as a plug-in of the lector. */
+/** The receiving side as a plug-in of the proxy. */
 public final class ReceivingDepartment implements Department {
     private static final long LOOP_MS = 500;
     private static final long EAGER_MS = 100;
@@ -47,7 +47,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.LECTOR;
+        return role == Role.PROXY;
     }
 
     @Override
@@ -94,7 +94,7 @@
     }
 
     /**
-     * Tells the zone's own registrars more often, and whoever sends here: one that has just started takes the zone's duty
+     * Tells the zone's own controllers more often, and whoever sends here: one that has just started takes the zone's duty
      * within a second, and has to know then whom to send to.
      */
     private void tellHere(Moment now) {
@@ -103,7 +103,7 @@
         byte[] body = new Signpost(consignee.life(), zone, consignee.inForce().isEmpty(), false,
                 consignee.inForce().edition().value(), now.millis()).pack();
         Imprint sender = consignee.sender();
-        for (Placename p : gazetteer.known(Role.REGISTRAR, zone)) {
+        for (Placename p : gazetteer.known(Role.CONTROLLER, zone)) {
             if (p.zone().equals(zone)) {
                 institution.find(Postbag.class).send(p.imprint(), Postbag.Topic.SIGNPOST, body);
                 sender = p.imprint().equals(sender) ? null : sender;
@@ -114,17 +114,17 @@
         }
     }
 
-    /** Takes up the registrars that the table names, and makes itself known to those of the zone at once. */
+    /** Takes up the controllers that the table names, and makes itself known to those of the zone at once. */
     private void learn(Inventory table) {
         List<Placename> named = new ArrayList<>();
         try {
             for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
-                if (e.getKey().startsWith(Inventory.REGISTRAR)) {
-                    named.add(Tables.readRegistrar(e.getValue()));
+                if (e.getKey().startsWith(Inventory.CONTROLLER)) {
+                    named.add(Tables.readController(e.getValue()));
                 }
             }
         } catch (Script.UnreadableException e) {
-            institution.tally().count("courier.registrars.unreadable");
+            institution.tally().count("courier.controllers.unreadable");
             return;
         }
         gazetteer.lasting(named);
@@ -136,9 +136,9 @@
         }
     }
 
-    /** The sender is late with its word on how fresh the table is: any registrar may give it. */
+    /** The sender is late with its word on how fresh the table is: any controller may give it. */
     private void askVoucher(Moment now) {
-        List<Placename> known = gazetteer.known(Role.REGISTRAR, institution.rules().zone());
+        List<Placename> known = gazetteer.known(Role.CONTROLLER, institution.rules().zone());
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), false, true,
                 consignee.inForce().edition().value(), now.millis()).pack();
         for (int i = 0; i < Math.min(2, known.size()); i++) {
@@ -147,14 +147,14 @@
         }
     }
 
-    /** Tells registrars of this proxy: all of them now and then, those of the zone first when in need. */
+    /** Tells controllers of this proxy: all of them now and then, those of the zone first when in need. */
     private void tell() {
         Moment now = institution.clock().now();
         boolean empty = consignee.inForce().isEmpty();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
                 consignee.inForce().edition().value(), now.millis()).pack();
-        List<Imprint> targets = gazetteer.known(Role.REGISTRAR, institution.rules().zone()).stream()
+        List<Imprint> targets = gazetteer.known(Role.CONTROLLER, institution.rules().zone()).stream()
                 .map(Placename::imprint).toList();
         if (targets.isEmpty()) {
             targets = gazetteer.seeds();
--- a/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
@@ -35,12 +35,12 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 
-/** The sending side as a plug-in of the registrar: one sender for each proxy of the zones whose duty is held. */
+/** The sending side as a plug-in of the controller: one sender for each proxy of the zones whose duty is held. */
 public final class SendingDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("courier");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
-    /** A lector speaks up to every registrar that it knows within 5 s. */
+    /** A proxy speaks up to every controller that it knows within 5 s. */
     private static final long INTRODUCE_MS = 6_000;
     private static final long ASKER_LOOK_MS = 20;
     private static final int ASKER_LOOKS = 25;
@@ -112,7 +112,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.REGISTRAR;
+        return role == Role.CONTROLLER;
     }
 
     @Override
@@ -152,7 +152,7 @@
             public void moved(String duty) {
                 if (duty.startsWith(QUOTA)) {
                     changed();
-                } else if (Safeguard.LECTORS_INTRODUCED.holds()) {
+                } else if (Safeguard.PROXIES_INTRODUCED.holds()) {
                     introduce(duty);
                 }
             }
@@ -185,7 +185,7 @@
         }
     }
 
-    /** Tells the new holder of a zone's duty which lectors of the zone are there: it may have been heard of by none of them. */
+    /** Tells the new holder of a zone's duty which proxies of the zone are there: it may have been heard of by none of them. */
     private void introduce(String zone) {
         Imprint holder = leases.holder(zone);
         List<Map.Entry<Imprint, Known>> there = new ArrayList<>();
@@ -214,7 +214,7 @@
     }
 
     private void noticed(Placename p) {
-        if (p.role() == Role.LECTOR && p.age() == 0 && !proxies.containsKey(p.imprint())) {
+        if (p.role() == Role.PROXY && p.age() == 0 && !proxies.containsKey(p.imprint())) {
             proxies.put(p.imprint(), new Known(p.zone(), 0, clock.now()));
             reconcile();
         }
@@ -314,7 +314,7 @@
     }
 
     /**
-     * Whether what this daemon holds may be handed out to a lector that has nothing: whole, and confirmed just now as the
+     * Whether what this daemon holds may be handed out to a proxy that has nothing: whole, and confirmed just now as the
      * newest by a majority, none of those heard of holding anything newer.
      */
     private boolean reliable() {
@@ -333,7 +333,7 @@
 
     /**
      * Whether what this daemon holds has been confirmed as the newest since it was last without contact, or without its
-     * memory. A lector that holds nothing would take an older edition for the one in force.
+     * memory. A proxy that holds nothing would take an older edition for the one in force.
      */
     private boolean assured() {
         boolean now = contact.assured();
@@ -448,10 +448,10 @@
         if (rules.guarantees(HouseRules.KEYS) && head != null) {
             entries.put(Inventory.DUTY + "loans", Script.write().imprint(head).done());
         }
-        entries.put(Inventory.REGISTRAR + post.self(), Tables.packRegistrar(post.self(), rules.zone()));
+        entries.put(Inventory.CONTROLLER + post.self(), Tables.packController(post.self(), rules.zone()));
         for (FailureDetector.Peer p : detector.peers()) {
             if (p.report() != null && detector.lostForMs(p.imprint()) < FORGET_MS) {
-                entries.put(Inventory.REGISTRAR + p.imprint(), Tables.packRegistrar(p.imprint(), p.report().zone()));
+                entries.put(Inventory.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
             }
         }
         for (String duty : rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.<String>of()) {
--- a/distribution/src/main/java/org/umbermount/distribution/Signpost.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Signpost.java
@@ -4,8 +4,8 @@
 import org.umbermount.kernel.Script;
 
 /**
- * What a proxy says to registrars: which life and zone it is, whether it holds a table, and whether its table
- * wants vouching for; the stamp is for measuring. Registrars learn from it whom to send to.
+ * What a proxy says to controllers: which life and zone it is, whether it holds a table, and whether its table
+ * wants vouching for; the stamp is for measuring. Controllers learn from it whom to send to.
  */
 record Signpost(long life, String zone, boolean empty, boolean wantsVoucher, long edition, long stamp) {
     byte[] pack() {
@@ -17,7 +17,7 @@
         return new Signpost(in.num(), in.text(), in.flag(), in.flag(), in.num(), in.num());
     }
 
-    /** A proxy as the registrars know it. */
+    /** A proxy as the controllers know it. */
     record Proxy(Imprint imprint, String zone, long life) {
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -49,14 +49,14 @@
                 in.num() / 1_000.0);
     }
 
-    public static byte[] packRegistrar(Imprint imprint, String zone) {
+    public static byte[] packController(Imprint imprint, String zone) {
         return Script.write().imprint(imprint).text(zone).done();
     }
 
-    /** A registrar as a table names it. */
-    public static Placename readRegistrar(byte[] packed) throws Script.UnreadableException {
+    /** A controller as a table names it. */
+    public static Placename readController(byte[] packed) throws Script.UnreadableException {
         Script.Reader in = Script.read(packed);
-        return new Placename(in.imprint(), Role.REGISTRAR, in.text(), 0);
+        return new Placename(in.imprint(), Role.CONTROLLER, in.text(), 0);
     }
 
     public static Imprint readHolder(byte[] packed) throws Script.UnreadableException {
--- a/distribution/src/test/java/org/umbermount/distribution/Checks.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Checks.java
@@ -17,7 +17,7 @@
     private final Operators operators;
     private final Due due = new Due(APPLY_MS);
     private final Due longDue = new Due(APPLY_MS + SKEW_MS);
-    /** What each registrar has said is committed. */
+    /** What each controller has said is committed. */
     private final Map<Integer, ConfigurationState> seen = new HashMap<>();
     private long majoritySince = ReadingRoom.NEVER;
     /** When more machines than may be lost at once last were; until some time later the longer bound holds. */
@@ -81,7 +81,7 @@
             if (room.fleet.isRunning(i)) {
                 ConfigurationState state = room.fleet.replica(i).committed();
                 if (state.edition().value() > 0 && seen.put(i, state) != state) {
-                    operators.seen(state.edition().value(), new String(state.blob()), "registrar " + i + " says it is committed");
+                    operators.seen(state.edition().value(), new String(state.blob()), "controller " + i + " says it is committed");
                 }
             }
         }
@@ -100,7 +100,7 @@
             for (int i : machines.made()) {
                 if (room.fleet.isRunning(i) && room.fleet.epoch(i, zone) > 0) {
                     if (holder >= 0) {
-                        room.broken("registrars " + holder + " and " + i + " hold the duty for " + zone + " at once");
+                        room.broken("controllers " + holder + " and " + i + " hold the duty for " + zone + " at once");
                     }
                     holder = i;
                 }
--- a/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
@@ -135,7 +135,7 @@
         assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
     }
 
-    /** The first timeout was 600 ms once, and a lector waited that long for its first table. */
+    /** The first timeout was 600 ms once, and a proxy waited that long for its first table. */
     @Test
     void firstInstructionThatIsLostCostsLittle() {
         consignee = proxy(11);
--- a/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -33,18 +33,18 @@
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
-/** What a registrar that is cut off, or was, sends to lectors. */
+/** What a controller that is cut off, or was, sends to proxies. */
 class CutOffSenderTest {
     private static final int SIZE = 4;
     private static final long CUT_MS = 20_000;
     private static final long SYNC_MS = 4_000;
     private static final long REVOKE_MS = 5_000;
 
-    /** One lector in each zone, with registrars as they are. */
+    /** One proxy in each zone, with controllers as they are. */
     private static final class Site {
         final Fleet fleet = new Fleet(SIZE, 3, 21, 1, null);
-        final List<Consignee> lectors = new ArrayList<>();
-        /** Epochs and editions of tables that a registrar has sent, with the time. */
+        final List<Consignee> proxies = new ArrayList<>();
+        /** Epochs and editions of tables that a controller has sent, with the time. */
         final List<long[]> sent = new ArrayList<>();
         int watched = -1;
 
@@ -58,11 +58,11 @@
             this.strict = strict;
             for (int i = 0; i < SIZE; i++) {
                 Institution host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
-                furnish(host, Fleet.imprint(i), Role.REGISTRAR, Fleet.zone(i), fleet.bag(i));
+                furnish(host, Fleet.imprint(i), Role.CONTROLLER, Fleet.zone(i), fleet.bag(i));
                 new SendingDepartment().open(host);
             }
             for (int i = 0; i < SIZE; i++) {
-                lectors.add(lector(i, 1, fleet.almanac));
+                proxies.add(proxy(i, 1, fleet.almanac));
             }
             fleet.network.tap = (from, to, topic, body) -> {
                 if (topic == Postbag.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.imprint(watched))) {
@@ -73,7 +73,7 @@
             fleet.run(9_000);
             take(2, 0, 1);
             fleet.run(2_000);
-            for (Consignee c : lectors) {
+            for (Consignee c : proxies) {
                 assertEquals(1, c.inForce().edition().value());
             }
         }
@@ -115,10 +115,10 @@
             return Imprint.parse("10." + (zone + 1) + ".1." + k + ":7001");
         }
 
-        Consignee lector(int zone, int k, Clock clock) {
+        Consignee proxy(int zone, int k, Clock clock) {
             Imprint self = imprint(zone, k);
-            Institution host = new Institution(Role.LECTOR, rules(Fleet.zone(zone), self), clock);
-            furnish(host, self, Role.LECTOR, Fleet.zone(zone), fleet.network.bag(self));
+            Institution host = new Institution(Role.PROXY, rules(Fleet.zone(zone), self), clock);
+            furnish(host, self, Role.PROXY, Fleet.zone(zone), fleet.network.bag(self));
             new ReceivingDepartment().open(host);
             return host.find(Consignee.class);
         }
@@ -133,10 +133,10 @@
         }
     }
 
-    /** Lectors stay where they were; each hears of a change made during the cut, and of one made after it. */
+    /** Proxies stay where they were; each hears of a change made during the cut, and of one made after it. */
     @ParameterizedTest
     @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROM_SOME", "FROZEN"})
-    void noLectorIsLeftWithoutASenderByACut(Isolation how) throws IOException {
+    void noProxyIsLeftWithoutASenderByACut(Isolation how) throws IOException {
         for (int one = 0; one < SIZE; one++) {
             Site site = new Site();
             site.watched = one;
@@ -147,30 +147,30 @@
             int other = (one + 2) % SIZE;
             site.take(other, 1, 5);
             site.fleet.run(1_600);
-            for (Consignee c : site.lectors) {
+            for (Consignee c : site.proxies) {
                 assertEquals(5, c.inForce().edition().value(), how + " of " + one);
             }
             site.fleet.run(CUT_MS - site.fleet.almanac.now().since(cut));
-            assertTrue(site.sent.isEmpty(), "it sent to a lector " + how + " of " + one);
+            assertTrue(site.sent.isEmpty(), "it sent to a proxy " + how + " of " + one);
             end.run();
             site.fleet.run(SYNC_MS);
-            for (Consignee c : site.lectors) {
+            for (Consignee c : site.proxies) {
                 assertEquals(5, c.inForce().edition().value());
             }
             site.take(one, 5, 6);
-            for (Consignee c : site.lectors) {
+            for (Consignee c : site.proxies) {
                 assertEquals(6, c.inForce().edition().value());
             }
         }
     }
 
-    /** A lector that reaches nobody but a registrar that is cut off, or stood still, is told of no freshness after the cut. */
+    /** A proxy that reaches nobody but a controller that is cut off, or stood still, is told of no freshness after the cut. */
     @ParameterizedTest
     @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROZEN"})
     void nothingIsVouchedForBeyondTheCut(Isolation how) throws IOException {
         Site site = new Site(true);
-        Consignee lector = site.lectors.get(1);
-        assertTrue(lector.goodForMs() > 0, "not vouched for to begin with");
+        Consignee proxy = site.proxies.get(1);
+        assertTrue(proxy.goodForMs() > 0, "not vouched for to begin with");
         for (int i = 0; i < SIZE; i++) {
             if (i != 1) {
                 site.fleet.network.cutBoth(Site.imprint(1, 1), Fleet.imprint(i));
@@ -180,13 +180,13 @@
         Runnable end = how.begin(site.fleet, SIZE, 1);
         while (site.fleet.almanac.now().since(cut) < CUT_MS) {
             site.fleet.run(50);
-            long until = site.fleet.almanac.now().since(cut) + lector.goodForMs();
+            long until = site.fleet.almanac.now().since(cut) + proxy.goodForMs();
             assertTrue(until <= REVOKE_MS, "counts until " + until + " ms after the cut");
         }
         end.run();
-        assertTrue(lector.goodForMs() <= 0, "vouched for on the thaw");
+        assertTrue(proxy.goodForMs() <= 0, "vouched for on the thaw");
         site.fleet.run(SYNC_MS);
-        assertTrue(lector.goodForMs() > 0, "not vouched for after the cut");
+        assertTrue(proxy.goodForMs() > 0, "not vouched for after the cut");
     }
 
     private interface Check {
@@ -220,7 +220,7 @@
         });
     }
 
-    /** After the cut the lease is back, but news of the newer configuration is lost for a while; a lector starts then. */
+    /** After the cut the lease is back, but news of the newer configuration is lost for a while; a proxy starts then. */
     @Test
     void aSenderThatComesBackOffersNothingBeforeItsEditionIsConfirmed() throws Exception {
         rests(Safeguard.EDITION_CONFIRMED_BEFORE_TABLES, () -> {
@@ -234,10 +234,10 @@
                     || topic != Postbag.Topic.VIEW || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
-            Consignee fresh = site.lector(1, 2, site.fleet.almanac);
+            Consignee fresh = site.proxy(1, 2, site.fleet.almanac);
             long[] first = new long[1];
             fresh.observe(t -> first[0] = first[0] == 0 ? t.edition().value() : first[0]);
-            // It reaches only the registrar of its own zone: the others would have given it the newer one.
+            // It reaches only the controller of its own zone: the others would have given it the newer one.
             for (int i = 0; i < SIZE; i++) {
                 if (i != 1) {
                     site.fleet.network.cutBoth(Site.imprint(1, 2), Fleet.imprint(i));
--- a/distribution/src/test/java/org/umbermount/distribution/Day.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Day.java
@@ -8,25 +8,25 @@
 record Day(long seed, Profile profile, List<Event> events) {
     /** What may happen. */
     enum Kind {
-        /** A registrar is lost for some seconds at most: killed, without power, wiped, cut off, frozen, its disk in trouble. */
+        /** A controller is lost for some seconds at most: killed, without power, wiped, cut off, frozen, its disk in trouble. */
         LOSS,
-        /** A registrar is cut off or frozen for some twenty seconds. */
+        /** A controller is cut off or frozen for some twenty seconds. */
         LONG_LOSS,
-        /** A registrar gets a part of its processor's time. */
+        /** A controller gets a part of its processor's time. */
         SLOW,
-        /** A registrar comes back with an empty disk. */
+        /** A controller comes back with an empty disk. */
         WIPE,
-        /** A registrar is gone for good, and an empty one with a new address comes for it. */
+        /** A controller is gone for good, and an empty one with a new address comes for it. */
         REPLACE,
-        /** An empty registrar comes, and then the one that it replaces leaves. */
+        /** An empty controller comes, and then the one that it replaces leaves. */
         PLANNED,
-        /** Every registrar ends, with or without the power, or nothing of the kind. */
+        /** Every controller ends, with or without the power, or nothing of the kind. */
         ALL_DOWN,
         /** The time of day steps. */
         CLOCK,
         /** A process gets no processor for a moment. */
         STALL,
-        /** A lector is lost for some seconds. */
+        /** A proxy is lost for some seconds. */
         PROXY,
         CHANGE,
         /** Two changes on one version. */
@@ -40,7 +40,7 @@
         STORM,
         /** Hundreds of changes. */
         BIG_STORM,
-        /** Hundreds of changes while a registrar is away. */
+        /** Hundreds of changes while a controller is away. */
         AWAY,
         READ,
         /** Nothing, for long enough that calm comes and a change must be taken. */
--- a/distribution/src/test/java/org/umbermount/distribution/FencingMutationsTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/FencingMutationsTest.java
@@ -6,7 +6,7 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
-/** What {@link CourierTest} checks of a lector's own guard fails without it; before its senders confirm an edition, it stands alone. */
+/** What {@link CourierTest} checks of a proxy's own guard fails without it; before its senders confirm an edition, it stands alone. */
 class FencingMutationsTest {
     @Test
     void anEarlierSenderIsFenced() {
--- a/distribution/src/test/java/org/umbermount/distribution/Machines.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Machines.java
@@ -14,7 +14,7 @@
 import org.umbermount.kernel.Imprint;
 
 /**
- * The registrars' machines: one for each place of the control plane, what happens to them, and how many of them may be lost at
+ * The controllers' machines: one for each place of the control plane, what happens to them, and how many of them may be lost at
  * once. A machine counts as lost while it is away or disturbed and for a time after it is back.
  */
 final class Machines {
@@ -125,7 +125,7 @@
 
     private void event(int i, String what) {
         lastEvent = room.now();
-        room.note("registrar " + i + " " + what);
+        room.note("controller " + i + " " + what);
     }
 
     // ---- how many may be lost ----
@@ -387,7 +387,7 @@
         places.put(fresh, place);
         room.wires.add(Fleet.imprint(fresh));
         List<Integer> named = room.start(fresh);
-        event(fresh, "comes, empty, for registrar " + core.get(place) + ", and is told of " + named);
+        event(fresh, "comes, empty, for controller " + core.get(place) + ", and is told of " + named);
         return fresh;
     }
 
--- a/distribution/src/test/java/org/umbermount/distribution/Operators.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Operators.java
@@ -173,7 +173,7 @@
         this.random = random;
     }
 
-    /** A configuration whose variant shows in a lector's table. */
+    /** A configuration whose variant shows in a proxy's table. */
     static String text(long edition, long variant) {
         return "{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[],\"limits\":{\"maxHeaderBytes\":"
                 + (LEAST_LIMIT + variant) + "}}";
--- a/distribution/src/test/java/org/umbermount/distribution/Profile.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Profile.java
@@ -25,7 +25,7 @@
 
 /** What a day is made of: one of the kinds is drawn for each step. */
 enum Profile {
-    /** Short losses, stops of everything, lectors in trouble, changes and races. */
+    /** Short losses, stops of everything, proxies in trouble, changes and races. */
     ORDINARY(LOSS, LOSS, LOSS, PROXY, PROXY, ALL_DOWN, RIVALS, READ, STORM, STALL, CHANGE, CHANGE, CHANGE),
     /** Machines that are cut off, frozen or slow for some twenty seconds, wholly, in one direction or from some others. */
     CUTS(LONG_LOSS, LONG_LOSS, LONG_LOSS, SLOW, LOSS, PROXY, RIVALS, READ, STORM, STALL, CHANGE, CHANGE, REST),
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -7,11 +7,11 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
-/** The lectors of the room: what each has in force, and what happens to them. */
+/** The proxies of the room: what each has in force, and what happens to them. */
 final class Proxies {
     private static final long NEVER = ReadingRoom.NEVER;
 
-    /** One lector and what it has had in force. */
+    /** One proxy and what it has had in force. */
     static final class Proxy {
         final Imprint imprint;
         final String zone;
@@ -52,7 +52,7 @@
 
     private void open(Proxy p) {
         p.clock = new MortalClock(room.fleet.almanac);
-        p.consignee = room.openLector(p.imprint, p.zone, p.clock);
+        p.consignee = room.openProxy(p.imprint, p.zone, p.clock);
         p.edition = 0;
         p.up = true;
         p.consignee.observe(t -> inForce(p, t));
--- a/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -21,12 +21,12 @@
 import org.umbermount.kernel.testing.FakePost;
 
 /**
- * Registrars and lectors as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
+ * Controllers and proxies as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
  * races go on while daemons are killed, frozen, cut off, robbed of their disks and replaced as a drawn day has it, and what
  * the rules say of configurations is checked after every step. Nothing here knows how the parts work.
  */
 final class ReadingRoom {
-    static final int LECTORS_A_ZONE = 2;
+    static final int PROXIES_A_ZONE = 2;
     static final long STEP_MS = 50;
     static final long NEVER = Long.MIN_VALUE / 4;
     private static final long TURN_MS = 15_000;
@@ -68,34 +68,34 @@
         this.day = day;
         long seed = day.seed();
         random = new Random(seed);
-        int registrars = seed % 4 == 3 ? 6 : 4;
-        int tolerated = registrars == 6 ? 2 : 1;
+        int controllers = seed % 4 == 3 ? 6 : 4;
+        int tolerated = controllers == 6 ? 2 : 1;
         if (lenient()) {
-            registrars = 3 + random.nextInt(7);
-            tolerated = registrars >= 5 && random.nextBoolean() ? 2 : 1;
+            controllers = 3 + random.nextInt(7);
+            tolerated = controllers >= 5 && random.nextBoolean() ? 2 : 1;
         }
-        fleet = new Fleet(registrars, 3, seed, tolerated, null);
+        fleet = new Fleet(controllers, 3, seed, tolerated, null);
         fleet.network.loss = random.nextInt(3) == 0 ? 0.03 : 0.005;
         fleet.network.jitterMs = 1 + random.nextInt(6);
         fleet.network.doubles = 0.01;
         wires = new Wires(fleet.network);
-        machines = new Machines(this, registrars, tolerated);
+        machines = new Machines(this, controllers, tolerated);
         operators = new Operators(this, random);
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
         checks = new Checks(this);
-        for (int i = 0; i < registrars && lenient(); i++) {
+        for (int i = 0; i < controllers && lenient(); i++) {
             fleet.disks.get(i).chance(seed * 31 + i);
         }
-        for (int i = 0; i < registrars; i++) {
+        for (int i = 0; i < controllers; i++) {
             furnish(i, List.of(0, 1, 2));
-            for (int k = 0; k < LECTORS_A_ZONE; k++) {
-                Imprint lector = Imprint.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
-                wires.add(lector);
-                proxies.add(lector, Fleet.zone(i));
+            for (int k = 0; k < PROXIES_A_ZONE; k++) {
+                Imprint proxy = Imprint.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
+                wires.add(proxy);
+                proxies.add(proxy, Fleet.zone(i));
             }
         }
-        note(registrars + " registrars, of which " + tolerated + " may be lost at once");
+        note(controllers + " controllers, of which " + tolerated + " may be lost at once");
     }
 
     /** Plays a day; what broke, or null. */
@@ -137,7 +137,7 @@
     void broken(String what) {
         note("BROKEN: " + what);
         for (int i : machines.core()) {
-            note("  registrar " + i + ": " + (fleet.isRunning(i) ? fleet.describe(i) : "does not run"));
+            note("  controller " + i + ": " + (fleet.isRunning(i) ? fleet.describe(i) : "does not run"));
         }
         throw new BrokenException(what + "\n" + log, played);
     }
@@ -171,20 +171,20 @@
         return machines.stream().map(Fleet::imprint).toList();
     }
 
-    /** Gives a registrar that has started its sending side. */
+    /** Gives a controller that has started its sending side. */
     private void furnish(int i, List<Integer> seeds) {
         Imprint self = Fleet.imprint(i);
         Institution host = fleet.host(i, rules(machines.zone(i), self, imprints(seeds)));
-        Gazetteer g = gazetteer(host, self, Role.REGISTRAR, machines.zone(i), imprints(seeds), fleet.bag(i));
+        Gazetteer g = gazetteer(host, self, Role.CONTROLLER, machines.zone(i), imprints(seeds), fleet.bag(i));
         g.observe(p -> {
-            if (p.role() == Role.REGISTRAR) {
+            if (p.role() == Role.CONTROLLER) {
                 host.find(FailureDetector.class).enlist(p.imprint());
             }
         });
         new SendingDepartment().open(host);
     }
 
-    /** Starts a registrar; the list of those that it is told of is the operator's. */
+    /** Starts a controller; the list of those that it is told of is the operator's. */
     List<Integer> start(int i) {
         try {
             List<Integer> seeds = machines.seeds(random);
@@ -197,11 +197,11 @@
         }
     }
 
-    Consignee openLector(Imprint self, String zone, Clock clock) {
+    Consignee openProxy(Imprint self, String zone, Clock clock) {
         List<Imprint> seeds = imprints(machines.seeds(random));
         FakePost.Bag bag = fleet.network.bag(self);
-        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
-        gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
+        Institution host = new Institution(Role.PROXY, rules(zone, self, seeds), clock);
+        gazetteer(host, self, Role.PROXY, zone, seeds, bag);
         new ReceivingDepartment().open(host);
         return host.find(Consignee.class);
     }
@@ -346,7 +346,7 @@
         run(20_000);
     }
 
-    /** A lector that nobody reaches any more. */
+    /** A proxy that nobody reaches any more. */
     void forget() {
         for (int i = 0; i < machines.size(); i++) {
             fleet.network.cutBoth(proxies.all().get(0).imprint, Fleet.imprint(i));
@@ -362,7 +362,7 @@
         }
     }
 
-    /** A lector that takes whatever it is given. */
+    /** A proxy that takes whatever it is given. */
     void handOld() {
         proxies.inForce(proxies.all().get(0), 0);
     }
@@ -370,7 +370,7 @@
     /** A change that is refused and then delivered. */
     void deliverRefused() {
         operators.refuse(99);
-        operators.seen(99, Operators.text(99, 0), "a lector has it in force");
+        operators.seen(99, Operators.text(99, 0), "a proxy has it in force");
     }
 
     /** A second change on the version of the first. */
--- a/distribution/src/test/java/org/umbermount/distribution/SafeguardsAreNeededTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/SafeguardsAreNeededTest.java
@@ -17,7 +17,7 @@
         "DUTY_LEFT_TO_ONE_IN_CONTACT, CUTS, 36, 40, still has",
         "FOLDER_SYNCED, ALL, 1, 40, got no answer",
         "GRANTED_BY_MAJORITY, ORDINARY, 18, 40, hold the duty",
-        "LECTORS_INTRODUCED, REPLACEMENTS, 97, 40, still has",
+        "PROXIES_INTRODUCED, REPLACEMENTS, 97, 40, still has",
         "REFUSAL_CONFIRMED, CUTS, 31, 40, was refused and then confirmed",
         "SEATS_REST, REPLACEMENTS, 22, 40, hold the duty",
         "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"})
--- a/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
-/** The claiming of operations as a plug-in of the lector. */
+/** The claiming of operations as a plug-in of the proxy. */
 public final class CounterDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("loans");
     private static final long LOOK_MS = 50;
@@ -36,7 +36,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.LECTOR;
+        return role == Role.PROXY;
     }
 
     @Override
@@ -49,7 +49,7 @@
         Postbag post = host.find(Postbag.class);
         counter = new LoanCounter(host.clock(), post, host.tally(),
                 new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
-                () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
+                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(Placename::imprint).toList());
         host.offer(LoanCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
@@ -12,7 +12,7 @@
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
-/** A lector's side of the operation records: claims operations for tries, and closes what was claimed. */
+/** A proxy's side of the operation records: claims operations for tries, and closes what was claimed. */
 public final class LoanCounter {
     private static final long REPEAT_MS = 70;
     private static final long CLOSE_FIRST_MS = 150;
@@ -193,19 +193,19 @@
     private final Clock clock;
     private final Postbag post;
     private final Tally tally;
-    private final Supplier<List<Imprint>> registrars;
+    private final Supplier<List<Imprint>> controllers;
     private final Map<Long, Ticket> tickets = new HashMap<>();
     private Imprint head;
     private Imprint hint;
     private long nextSerial;
     private int closing;
 
-    /** @param registrars the registrars known, for when the head is not */
-    public LoanCounter(Clock clock, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> registrars) {
+    /** @param controllers the controllers known, for when the head is not */
+    public LoanCounter(Clock clock, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
-        this.registrars = registrars;
+        this.controllers = controllers;
         this.nextSerial = random.nextLong() >>> 1;
         post.subscribe(Postbag.Topic.LOAN, this::receive);
         tally.gauge("loans.open", tickets::size);
@@ -226,7 +226,7 @@
         if (turn % 3 < 2 && head != null) {
             return head;
         }
-        List<Imprint> known = registrars.get();
+        List<Imprint> known = controllers.get();
         return known.isEmpty() ? head : known.get(turn % known.size());
     }
 
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
@@ -42,7 +42,7 @@
         CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION, PEEK
     }
 
-    /** What a lector is told. */
+    /** What a proxy is told. */
     enum Reply {
         GRANTED, ANSWERED, BUSY, UNKNOWN, STORED, ELSEWHERE, AGAIN
     }
@@ -342,9 +342,9 @@
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
             case PEEK -> {
                 long serial = in.num();
-                Imprint lector = in.imprint();
+                Imprint proxy = in.imprint();
                 OperationKey key = new OperationKey(in.num(), in.num());
-                peeked(serial, lector, key, in.imprint(), in.num());
+                peeked(serial, proxy, key, in.imprint(), in.num());
             }
             case FETCH -> {
                 long view = in.num();
@@ -456,10 +456,10 @@
         });
     }
 
-    /** Only the fact is kept here: whoever has the answer gives it to the lector. */
-    private void askForAnswer(Imprint lector, long serial, Slip s) {
+    /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
+    private void askForAnswer(Imprint proxy, long serial, Slip s) {
         tally.count("loans.answers.elsewhere");
-        byte[] body = message(Message.PEEK).num(serial).imprint(lector).num(s.key.high()).num(s.key.low())
+        byte[] body = message(Message.PEEK).num(serial).imprint(proxy).num(s.key.high()).num(s.key.low())
                 .imprint(s.origin).num(s.serial).done();
         view.electorate().forEach(f -> {
             if (!f.imprint().equals(post.self())) {
@@ -468,10 +468,10 @@
         });
     }
 
-    private void peeked(long serial, Imprint lector, OperationKey key, Imprint origin, long theirs) {
+    private void peeked(long serial, Imprint proxy, OperationKey key, Imprint origin, long theirs) {
         Slip s = book.standing(key);
         if (s != null && s.kind == Slip.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
-            reply(lector, serial, Reply.ANSWERED, s.payload());
+            reply(proxy, serial, Reply.ANSWERED, s.payload());
         }
     }
 
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
@@ -20,7 +20,7 @@
 import org.umbermount.storage.Stack;
 import org.umbermount.storage.Vault;
 
-/** The keeping of operation records as a plug-in of the registrar. */
+/** The keeping of operation records as a plug-in of the controller. */
 public final class LoansDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("loans");
     private static final String FILES = "loans";
@@ -44,7 +44,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.REGISTRAR;
+        return role == Role.CONTROLLER;
     }
 
     @Override
--- a/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
@@ -7,7 +7,7 @@
 
 /**
  * One entry of the operation records, as it travels and lies on disk: kind (1 byte), view (8), position (8), key
- * (16), the lector that the try is at (8), the try's number there (8), and what was answered.
+ * (16), the proxy that the try is at (8), the try's number there (8), and what was answered.
  */
 final class Slip {
     enum Kind {
--- a/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
@@ -29,13 +29,13 @@
 import org.umbermount.storage.Ledger;
 import org.umbermount.storage.testing.FakeVault;
 
-/** Registrars that keep operation records and lectors that claim, on a fake clock, network and disks. */
+/** Controllers that keep operation records and proxies that claim, on a fake clock, network and disks. */
 class LoansTest {
     private static final int SIZE = 5;
     private static final int TOLERATED = 2;
 
     private final Map<Integer, LoanDesk> desks = new HashMap<>();
-    private final List<LoanCounter> lectors = new ArrayList<>();
+    private final List<LoanCounter> proxies = new ArrayList<>();
     private Fleet fleet;
 
     /** What a claim came to. */
@@ -78,7 +78,7 @@
             for (int r = 0; r < SIZE; r++) {
                 known.add(Fleet.imprint(r));
             }
-            lectors.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Tally(), new Random(seed + i), () -> known));
+            proxies.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Tally(), new Random(seed + i), () -> known));
         }
         fleet.run(8_000);
     }
@@ -103,20 +103,20 @@
         desk.start();
     }
 
-    private LoanCounter.Ticket claim(int lector, String key, Told told) {
-        return lectors.get(lector).claim(OperationKey.of("t", key), false, 800, told);
+    private LoanCounter.Ticket claim(int proxy, String key, Told told) {
+        return proxies.get(proxy).claim(OperationKey.of("t", key), false, 800, told);
     }
 
-    private Told ask(int lector, String key) {
+    private Told ask(int proxy, String key) {
         Told told = new Told();
-        claim(lector, key, told);
+        claim(proxy, key, told);
         fleet.run(850);
         return told;
     }
 
     /**
-     * The head is cut off from the other registrars, but not from lectors, and two operations have moved on without it: one
-     * was released, and one was claimed that the old head has never heard of. A lector that still takes it for the head is
+     * The head is cut off from the other controllers, but not from proxies, and two operations have moved on without it: one
+     * was released, and one was claimed that the old head has never heard of. A proxy that still takes it for the head is
      * refused nothing there, and told of nothing that it is noted.
      */
     @Test
@@ -126,7 +126,7 @@
     }
 
     private String leftBehind() throws IOException {
-        lectors.clear();
+        proxies.clear();
         desks.clear();
         open(8);
         Told first = new Told();
@@ -143,17 +143,17 @@
         fleet.run(4_000);
         released.close(LoanCounter.End.RELEASED, new byte[0]);
         fleet.run(2_000);
-        assertEquals(0, lectors.get(0).closing());
+        assertEquals(0, proxies.get(0).closing());
         Told noted = new Told();
         LoanCounter.Ticket answered = claim(2, "m", noted);
         fleet.run(900);
         assertEquals("granted", noted.word);
-        lectors.get(2).head(old);
+        proxies.get(2).head(old);
         answered.close(LoanCounter.End.ANSWERED, new byte[] {4});
-        lectors.get(1).head(old);
+        proxies.get(1).head(old);
         Told second = ask(1, "k");
         fleet.run(3_000);
-        lectors.get(0).head(null);
+        proxies.get(0).head(null);
         Told repeat = ask(0, "m");
         return second.word.equals("busy") ? "busy with what was released"
                 : !"answered".equals(repeat.word) ? "the answer was lost: " + repeat.word : null;
@@ -169,7 +169,7 @@
         assertEquals("busy", ask(1, "k").word);
         ticket.close(LoanCounter.End.ANSWERED, new byte[] {1, 2, 3});
         fleet.run(300);
-        assertEquals(0, lectors.get(0).closing());
+        assertEquals(0, proxies.get(0).closing());
         Told repeat = ask(2, "k");
         assertEquals("answered", repeat.word);
         assertArrayEquals(new byte[] {1, 2, 3}, repeat.answer);
@@ -281,9 +281,9 @@
         for (int step = 0; step < 700; step++) {
             String key = "k" + random.nextInt(120);
             String name = key + "/" + step;
-            int lector = random.nextInt(3);
+            int proxy = random.nextInt(3);
             Told told = new Told();
-            LoanCounter.Ticket ticket = claim(lector, key, told);
+            LoanCounter.Ticket ticket = claim(proxy, key, told);
             fleet.run(20 + random.nextInt(120));
             if ("granted".equals(told.word)) {
                 granted++;
--- a/kernel/src/main/java/org/umbermount/kernel/Role.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Role.java
@@ -3,12 +3,12 @@
 /** What a process is for. */
 public enum Role {
     /** Carries traffic. */
-    LECTOR,
+    PROXY,
     /** Knows servers and daemons, holds the configuration and delivers it. */
-    REGISTRAR;
+    CONTROLLER;
 
     /** The offset of the role's datagram port in the internal range. */
     public int portOffset() {
-        return this == REGISTRAR ? 0 : 1;
+        return this == CONTROLLER ? 0 : 1;
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -19,11 +19,11 @@
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
-    /** A duty is left to a registrar of its zone only if that one says that a majority answers it. */
+    /** A duty is left to a controller of its zone only if that one says that a majority answers it. */
     DUTY_LEFT_TO_ONE_IN_CONTACT,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
-    /** A lector drops what a sender of a lower epoch sends. */
+    /** A proxy drops what a sender of a lower epoch sends. */
     FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
@@ -41,17 +41,17 @@
     INVALIDITY_CONFIRMED,
     /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
     LATE_ANSWERS_DROPPED,
-    /** The lease is looked at each time that something is sent to a lector, not only when it is known to have ended. */
+    /** The lease is looked at each time that something is sent to a proxy, not only when it is known to have ended. */
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
     LEASE_COUNTED_FROM_ASKING,
-    /** Whoever grants a zone's duty anew tells its holder which lectors of the zone it has heard. */
-    LECTORS_INTRODUCED,
+    /** Whoever grants a zone's duty anew tells its holder which proxies of the zone it has heard. */
+    PROXIES_INTRODUCED,
     /** A view starts from the newest state among the promises of a majority. */
     NEWEST_PROMISED_STATE,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
     NEWS_WITH_MAJORITY,
-    /** Within its life a lector takes no table with an older edition than the one in force. */
+    /** Within its life a proxy takes no table with an older edition than the one in force. */
     NO_WAY_BACK,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
--- a/kernel/src/test/java/org/umbermount/kernel/HouseRulesTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/HouseRulesTest.java
@@ -21,7 +21,7 @@
         HouseRules rules = HouseRules.parse(GOOD.getBytes());
         assertEquals("", rules.dataPath());
         assertEquals(6_000, rules.bounds().graceMs());
-        assertEquals("10.1.0.3:7540", rules.mailAddress(rules.seedNodes().get(0), Role.REGISTRAR).toString());
+        assertEquals("10.1.0.3:7540", rules.mailAddress(rules.seedNodes().get(0), Role.CONTROLLER).toString());
         assertNull(HouseRules.problem(GOOD.getBytes()));
     }
 
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
@@ -27,7 +27,7 @@
 
         @Override
         public boolean serves(Role role) {
-            return role == Role.LECTOR;
+            return role == Role.PROXY;
         }
 
         @Override
@@ -70,7 +70,7 @@
                 loop[0].start();
             }
         };
-        return new Institution(Role.LECTOR, null, threaded);
+        return new Institution(Role.PROXY, null, threaded);
     }
 
     /** Parts opened beside the loop once met changes that the loop was making, and the start failed. */
--- a/membership/src/main/java/org/umbermount/membership/Gazetteer.java
+++ b/membership/src/main/java/org/umbermount/membership/Gazetteer.java
@@ -72,7 +72,7 @@
         return Collections.unmodifiableCollection(view.values());
     }
 
-    /** Sets the registrars that a table names, which are known beside the neighbours. */
+    /** Sets the controllers that a table names, which are known beside the neighbours. */
     public void lasting(Collection<Placename> named) {
         lasting = List.copyOf(named);
     }
--- a/membership/src/main/java/org/umbermount/membership/GazetteerDepartment.java
+++ b/membership/src/main/java/org/umbermount/membership/GazetteerDepartment.java
@@ -46,6 +46,6 @@
     }
 
     private static List<Imprint> seeds(HouseRules rules) {
-        return rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
+        return rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
@@ -19,7 +19,7 @@
 import org.umbermount.idempotency.LoanCounter;
 import org.umbermount.quota.QuotaCounter;
 
-/** The traffic plane as a plug-in of the lector. */
+/** The traffic plane as a plug-in of the proxy. */
 public final class CirculationDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("circulation");
     /** By then the platform has noticed twice that this daemon is not ready. */
@@ -45,7 +45,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.LECTOR;
+        return role == Role.PROXY;
     }
 
     @Override
--- a/proxy/src/main/java/org/umbermount/proxy/Concierge.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Concierge.java
@@ -38,7 +38,7 @@
         }
         Repository best = local;
         double bestMs = localMs;
-        // A few at random, of here and of elsewhere, and not the best of all: every lector would find the same one.
+        // A few at random, of here and of elsewhere, and not the best of all: every proxy would find the same one.
         for (int i = 0; i < FURTHER_LOCAL + FURTHER_ELSEWHERE; i++) {
             Repository r = draw(i < FURTHER_LOCAL ? wing.local : wing.elsewhere, tried, now, queue, best);
             double ms = r == null ? Double.MAX_VALUE : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -286,12 +286,12 @@
         goodForMs = tableGoodForMs;
     }
 
-    /** Sets who tells what the other lectors have at the servers. */
+    /** Sets who tells what the other proxies have at the servers. */
     void watch(Occupancy zone) {
         occupancy = zone;
     }
 
-    /** What the other lectors have at the servers, or null where nobody tells. */
+    /** What the other proxies have at the servers, or null where nobody tells. */
     Occupancy occupancy() {
         return occupancy;
     }
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -11,10 +11,10 @@
 import org.umbermount.kernel.Script;
 
 /**
- * How many requests the lectors of the zone have at each server. A lector alone sees a server a few times in a minute and
- * what the server then says of its load is old before it is used; so each lector that has requests underway tells the
- * zone's registrar at short intervals, and is told the sums. Nothing is said while nothing is underway, and without news
- * a lector goes by what the servers say.
+ * How many requests the proxies of the zone have at each server. A proxy alone sees a server a few times in a minute and
+ * what the server then says of its load is old before it is used; so each proxy that has requests underway tells the
+ * zone's controller at short intervals, and is told the sums. Nothing is said while nothing is underway, and without news
+ * a proxy goes by what the servers say.
  */
 final class Occupancy {
     static final long REPORT_MS = 100;
@@ -25,18 +25,18 @@
     private final Clock clock;
     private final Postbag post;
     private final String zone;
-    private final Supplier<Imprint> registrar;
+    private final Supplier<Imprint> controller;
     private final Set<Repository> busy = new LinkedHashSet<>();
     private Int2IntOpenHashMap sums = new Int2IntOpenHashMap();
     private Int2IntOpenHashMap reported = new Int2IntOpenHashMap();
     private Moment heard = Moment.NEVER;
     private boolean reporting;
 
-    Occupancy(Clock clock, Postbag post, String zone, Supplier<Imprint> registrar) {
+    Occupancy(Clock clock, Postbag post, String zone, Supplier<Imprint> controller) {
         this.clock = clock;
         this.post = post;
         this.zone = zone;
-        this.registrar = registrar;
+        this.controller = controller;
         post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
     }
 
@@ -57,7 +57,7 @@
     private void report() {
         boolean nothing = busy.isEmpty();
         reporting = !nothing;
-        Imprint to = registrar.get();
+        Imprint to = controller.get();
         if (to != null) {
             Int2IntOpenHashMap now = new Int2IntOpenHashMap(busy.size());
             Script.Writer out = Script.write().text(zone).num(busy.size());
@@ -100,7 +100,7 @@
         return now.since(heard) <= FRESH_MS;
     }
 
-    /** Requests that the other lectors of the zone have at a server. */
+    /** Requests that the other proxies of the zone have at a server. */
     int others(int code) {
         return Math.max(0, sums.get(code) - reported.get(code));
     }
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -12,8 +12,8 @@
 import org.umbermount.kernel.Tally;
 
 /**
- * Adds up what the lectors of each zone have at the servers, and tells it to those that have spoken lately. It is soft
- * state of a moment: a registrar that starts has it again as soon as its lectors have spoken.
+ * Adds up what the proxies of each zone have at the servers, and tells it to those that have spoken lately. It is soft
+ * state of a moment: a controller that starts has it again as soon as its proxies have spoken.
  */
 final class OccupancyBoard {
     private static final long GATHER_MS = 60;
@@ -69,8 +69,8 @@
             out.num(e.getIntKey()).num(e.getIntValue());
         }
         byte[] body = out.done();
-        for (Imprint lector : words.keySet()) {
-            post.send(lector, Postbag.Topic.OCCUPANCY, body);
+        for (Imprint proxy : words.keySet()) {
+            post.send(proxy, Postbag.Topic.OCCUPANCY, body);
         }
         tally.count("occupancy.told");
         clock.after(GATHER_MS, () -> tell(zone));
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyDepartment.java
@@ -5,7 +5,7 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 
-/** The sums of what lectors have at servers, as a plug-in of the registrar. */
+/** The sums of what proxies have at servers, as a plug-in of the controller. */
 public final class OccupancyDepartment implements Department {
     @Override
     public String name() {
@@ -19,7 +19,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.REGISTRAR;
+        return role == Role.CONTROLLER;
     }
 
     @Override
--- a/proxy/src/main/java/org/umbermount/proxy/Pressure.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Pressure.java
@@ -6,7 +6,7 @@
  * Which part of a service's requests is turned away. When servers are full, one request more does not make one answer
  * more: it makes all of them late.
  *
- * <p>There are two signs, and the stronger counts. What the zone's lectors have at its servers, as a part of their slots,
+ * <p>There are two signs, and the stronger counts. What the zone's proxies have at its servers, as a part of their slots,
  * tells at once, but not of what other zones send there. How long answers take, against what the operator aims at, tells
  * of everything, but late. Of the answer times the middle is followed, by small steps up and down, so that a few slow
  * servers do not count as a full service: what they delay is the business of choosing among servers.
--- a/proxy/src/main/java/org/umbermount/proxy/Repository.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Repository.java
@@ -40,7 +40,7 @@
     private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
     Wing wing;
     Tables.Instance instance;
-    /** Stands for the id in what lectors tell of their requests. */
+    /** Stands for the id in what proxies tell of their requests. */
     final int code;
     /** Whether it stands in this daemon's zone. */
     final boolean local;
--- a/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
@@ -6,15 +6,15 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 
-/** A postbag behind which one scripted registrar answers. */
+/** A postbag behind which one scripted controller answers. */
 final class FakeCounterPost implements Postbag {
     private final Clock clock;
-    private final Function<Script.Reader, byte[]> registrar;
+    private final Function<Script.Reader, byte[]> controller;
     private Listener listener;
 
-    FakeCounterPost(Clock clock, Function<Script.Reader, byte[]> registrar) {
+    FakeCounterPost(Clock clock, Function<Script.Reader, byte[]> controller) {
         this.clock = clock;
-        this.registrar = registrar;
+        this.controller = controller;
     }
 
     @Override
@@ -24,7 +24,7 @@
 
     @Override
     public void send(Imprint to, Topic topic, byte[] body) {
-        byte[] reply = registrar.apply(Script.read(body));
+        byte[] reply = controller.apply(Script.read(body));
         if (reply != null) {
             clock.execute(() -> {
                 try {
--- a/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.umbermount.kernel.Script;
 
-/** Keeps operation records as a registrar would, in memory. */
+/** Keeps operation records as a controller would, in memory. */
 final class FakeRegister {
     private static final int CLAIM = 0;
     private static final int REPLY = 2;
@@ -38,7 +38,7 @@
             byte[] answer = in.bytes();
             Kept standing = kept.get(key);
             if (standing != null && standing.serial != serial) {
-                // As a registrar does: only the try that holds an operation says how it ended.
+                // As a controller does: only the try that holds an operation says how it ended.
                 return reply(serial, STORED, new byte[0]);
             }
             if (how == RELEASE) {
--- a/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
@@ -648,9 +648,9 @@
         assertEquals(200, status(exchange(keyed("/open/x", ""))));
     }
 
-    /** What a registrar's side would say, scripted: each message to it is answered by the function. */
-    private LoanCounter counter(java.util.function.Function<Script.Reader, byte[]> registrar) {
-        FakeCounterPost post = new FakeCounterPost(clock, registrar);
+    /** What a controller's side would say, scripted: each message to it is answered by the function. */
+    private LoanCounter counter(java.util.function.Function<Script.Reader, byte[]> controller) {
+        FakeCounterPost post = new FakeCounterPost(clock, controller);
         LoanCounter counter = new LoanCounter(clock, post, tally, new Random(4), java.util.List::of);
         counter.head(Imprint.parse("10.0.0.1:7000"));
         return counter;
--- a/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -20,17 +20,17 @@
 class OccupancyTest {
     private final FakeClock clock = new FakeClock();
     private final FakePost post = new FakePost(clock, 5);
-    private final Imprint registrar = Imprint.parse("10.0.0.1:7540");
+    private final Imprint controller = Imprint.parse("10.0.0.1:7540");
     private final EventLoop loop = new DefaultEventLoop();
 
-    /** A lector with one server, seen through the occupancy of its zone. */
-    private final class Lector {
+    /** A proxy with one server, seen through the occupancy of its zone. */
+    private final class Proxy {
         final FrontDesk desk = new FrontDesk(loop, clock, new Tally(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
         final Repository server;
 
-        Lector(String address, String zone) {
-            desk.watch(new Occupancy(clock, post.bag(Imprint.parse(address)), zone, () -> registrar));
+        Proxy(String address, String zone) {
+            desk.watch(new Occupancy(clock, post.bag(Imprint.parse(address)), zone, () -> controller));
             server = new Repository(desk, new Wing("s", null), new Tables.Instance(new Pressmark("i-1"), "s",
                     Imprint.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
@@ -45,16 +45,16 @@
         loop.shutdownGracefully();
     }
 
-    private void startRegistrar() {
-        new OccupancyBoard(clock, post.bag(registrar), new Tally());
+    private void startController() {
+        new OccupancyBoard(clock, post.bag(controller), new Tally());
     }
 
     @Test
-    void lectorsOfAZoneSeeWhatTheOthersHaveAndNobodyElseDoes() {
-        startRegistrar();
-        Lector a = new Lector("10.0.0.2:7541", "z");
-        Lector b = new Lector("10.0.0.3:7541", "z");
-        Lector elsewhere = new Lector("10.0.0.4:7541", "y");
+    void proxiesOfAZoneSeeWhatTheOthersHaveAndNobodyElseDoes() {
+        startController();
+        Proxy a = new Proxy("10.0.0.2:7541", "z");
+        Proxy b = new Proxy("10.0.0.3:7541", "z");
+        Proxy elsewhere = new Proxy("10.0.0.4:7541", "y");
         a.server.begin(clock.now());
         a.server.begin(clock.now());
         b.server.begin(clock.now());
@@ -73,10 +73,10 @@
     }
 
     @Test
-    void silentLectorIsForgottenAndOldSumsAreNotUsed() {
-        startRegistrar();
-        Lector a = new Lector("10.0.0.2:7541", "z");
-        Lector b = new Lector("10.0.0.3:7541", "z");
+    void silentProxyIsForgottenAndOldSumsAreNotUsed() {
+        startController();
+        Proxy a = new Proxy("10.0.0.2:7541", "z");
+        Proxy b = new Proxy("10.0.0.3:7541", "z");
         a.server.begin(clock.now());
         b.server.begin(clock.now());
         clock.advance(400);
@@ -84,18 +84,18 @@
         post.down(Imprint.parse("10.0.0.2:7541"));
         clock.advance(700);
         assertEquals(1, b.load());
-        post.down(registrar);
+        post.down(controller);
         clock.advance(Occupancy.FRESH_MS + 100);
         assertFalse(b.desk.occupancy().fresh(clock.now()));
-        startRegistrar();
+        startController();
         clock.advance(300);
         assertTrue(b.desk.occupancy().fresh(clock.now()));
     }
 
     @Test
     void nothingIsSaidWhileNothingIsUnderway() {
-        startRegistrar();
-        Lector a = new Lector("10.0.0.2:7541", "z");
+        startController();
+        Proxy a = new Proxy("10.0.0.2:7541", "z");
         clock.advance(5_000);
         assertEquals(0, post.sent);
         a.server.begin(clock.now());
--- a/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
-/** The asking for quota as a plug-in of the lector. */
+/** The asking for quota as a plug-in of the proxy. */
 public final class CountingDepartment implements Department {
     private static final Logger LOG = LoggerFactory.getLogger("readership");
     private static final String QUOTA = Inventory.DUTY + "quota/";
@@ -34,7 +34,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.LECTOR;
+        return role == Role.PROXY;
     }
 
     @Override
@@ -47,7 +47,7 @@
         // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
         long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
         counter = new QuotaCounter(host.clock(), host.find(Postbag.class), host.tally(), ttl,
-                () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
+                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(Placename::imprint).toList());
         host.offer(QuotaCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
     }
--- a/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 
-/** A lector's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
+/** A proxy's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
 public final class QuotaCounter {
     private static final long REPEAT_MS = 60;
     private static final long REFUSE_MS = 250;
@@ -174,20 +174,20 @@
     private final long ttlMs;
     /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
     private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
-    private final Supplier<List<Imprint>> registrars;
+    private final Supplier<List<Imprint>> controllers;
     private final Map<String, Purse> purses = new HashMap<>();
     private final Map<String, Imprint> keepers = new HashMap<>();
 
     /**
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
-     * @param registrars the registrars known, for when the keeper of a count is not
+     * @param controllers the controllers known, for when the keeper of a count is not
      */
-    public QuotaCounter(Clock clock, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> registrars) {
+    public QuotaCounter(Clock clock, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.ttlMs = Math.max(1, ttlMs);
-        this.registrars = registrars;
+        this.controllers = controllers;
         post.subscribe(Postbag.Topic.QUOTA, this::receive);
     }
 
@@ -201,7 +201,7 @@
         if (keeper != null && turn % 3 != 2) {
             return keeper;
         }
-        List<Imprint> known = registrars.get();
+        List<Imprint> known = controllers.get();
         return known.isEmpty() ? keeper : known.get(turn % known.size());
     }
 
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -5,7 +5,7 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
-/** What lectors and registrars say to each other about quotas. */
+/** What proxies and controllers say to each other about quotas. */
 final class QuotaMessages {
     private QuotaMessages() {
     }
@@ -16,7 +16,7 @@
         return LeaseOffice.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, LeaseOffice.QUOTA_DUTIES.size()));
     }
 
-    /** A lector's wish for one tenant. */
+    /** A proxy's wish for one tenant. */
     record Wish(String tenant, int count) {
         void write(Script.Writer out) {
             out.text(tenant).num(count);
@@ -27,7 +27,7 @@
         }
     }
 
-    /** A lector asks; the stamp is its own clock, the life stands for this run of it, and both come back with the answer. */
+    /** A proxy asks; the stamp is its own clock, the life stands for this run of it, and both come back with the answer. */
     record Ask(long life, long stamp, List<Wish> wishes) {
         byte[] pack() {
             return Script.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
@@ -52,7 +52,7 @@
         }
     }
 
-    /** A registrar answers. */
+    /** A controller answers. */
     record Answer(long life, long stamp, List<Grant> grants) {
         byte[] pack() {
             return Script.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
--- a/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
@@ -13,7 +13,7 @@
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
 
-/** The counting of tenants as a plug-in of the registrar. */
+/** The counting of tenants as a plug-in of the controller. */
 public final class ReadershipDepartment implements Department {
     private Replica replica;
     private QuotaDesk desk;
@@ -30,7 +30,7 @@
 
     @Override
     public boolean serves(Role role) {
-        return role == Role.REGISTRAR;
+        return role == Role.CONTROLLER;
     }
 
     @Override
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -28,9 +28,9 @@
 /** What a counter of quotas grants that is cut off, or was. */
 class CutOffQuotaTest {
     private static final int SIZE = 4;
-    private static final Imprint LECTOR = Imprint.parse("10.9.9.9:7001");
+    private static final Imprint PROXY = Imprint.parse("10.9.9.9:7001");
     private Fleet fleet;
-    private FakePost.Bag lector;
+    private FakePost.Bag proxy;
     private final Map<Imprint, Integer> granted = new HashMap<>();
 
     private void open() throws IOException {
@@ -39,8 +39,8 @@
             new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
                     HouseRules.Sharing.NONE, new Tally());
         }
-        lector = fleet.network.bag(LECTOR);
-        lector.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
+        proxy = fleet.network.bag(PROXY);
+        proxy.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
             Script.Reader in = Script.read(body);
             in.flag();
             for (QuotaMessages.Grant g : QuotaMessages.Answer.read(in).grants()) {
@@ -63,7 +63,7 @@
     }
 
     private void ask(int at) {
-        lector.send(Fleet.imprint(at), Postbag.Topic.QUOTA,
+        proxy.send(Fleet.imprint(at), Postbag.Topic.QUOTA,
                 new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
     }
 
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -30,7 +30,7 @@
 
     private final FakeClock clock = new FakeClock();
     private final FakePost network = new FakePost(clock, 3);
-    private final List<QuotaCounter> lectors = new ArrayList<>();
+    private final List<QuotaCounter> proxies = new ArrayList<>();
     private Bucket bucket;
     private boolean reachable = true;
 
@@ -52,7 +52,7 @@
             QuotaCounter c = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
                     (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
-            lectors.add(c);
+            proxies.add(c);
         }
     }
 
@@ -70,7 +70,7 @@
         long changed = 0;
         for (int t = 0; t < 30_000; t += 5) {
             if (random.nextInt(3) > 0) {
-                lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> {
+                proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> {
                     if (word == QuotaCounter.Word.MAY) {
                         granted[0]++;
                         sent.add(clock.now().millis());
@@ -97,7 +97,7 @@
         clock.advance(3_000);
         int[] told = new int[3];
         for (int t = 0; t < 20_000; t += 50) {
-            lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
+            proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(50);
         }
         assertEquals(0, told[QuotaCounter.Word.NOBODY.ordinal()]);
@@ -112,7 +112,7 @@
         int[] told = new int[3];
         Moment start = clock.now();
         for (int i = 0; i < 40; i++) {
-            lectors.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
+            proxies.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(25);
         }
         clock.advance(400);
@@ -126,7 +126,7 @@
         open(1);
         clock.advance(3_000);
         network.delayMs = 30;
-        lectors.get(0).take(TENANT, 200, word -> { });
+        proxies.get(0).take(TENANT, 200, word -> { });
         clock.advance(35);
         reachable = false;
         QuotaCounter anew = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
