--- a/app/src/main/java/org/umbermount/app/StocktakeCommand.java
+++ b/app/src/main/java/org/umbermount/app/StocktakeCommand.java
@@ -36,7 +36,7 @@
             return 2;
         }
         // Hundreds of proxies in one process would each log every table.
-        System.setProperty("org.slf4j.simpleLogger.log.courier", "error");
+        System.setProperty("org.slf4j.simpleLogger.log.distribution", "error");
         try {
             Stocktaking.Figures figures = new Stocktaking(folder, proxies, servers, routes, controllers, seconds).measure();
             figures.values().forEach((name, value) -> System.out.println(name + "\t" + Math.round(value * 10_000) / 10_000.0));
--- a/control/src/main/java/org/umbermount/control/Archive.java
+++ b/control/src/main/java/org/umbermount/control/Archive.java
@@ -19,7 +19,7 @@
 
 /** The control plane of one controller, put together: chain and views, roll call, servers, leases. */
 final class Archive {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     /** A write that waits longer than this makes the chain go on without this daemon. */
     private static final long DISK_PATIENCE_MS = 900;
 
--- a/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
+++ b/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
@@ -24,7 +24,7 @@
 
 /** The control plane as a plug-in of the controller. */
 public final class ArchiveDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long REWRITE_OVER = 4 << 20;
     /** How long the others have to hear that this daemon leaves, and at most to go on without it. */
     private static final long LEAVE_MS = 700;
@@ -37,7 +37,7 @@
 
     @Override
     public String name() {
-        return "archive";
+        return "control";
     }
 
     @Override
@@ -61,14 +61,14 @@
             throw new IllegalStateException("The settings name no controlPlane listener.");
         }
         ExecutorService thread = Executors.newSingleThreadExecutor(r -> {
-            Thread t = new Thread(null, r, "stacks", 128 << 10);
+            Thread t = new Thread(null, r, "storage", 128 << 10);
             t.setDaemon(true);
             return t;
         });
         Shelving shelving = shelving(rules);
         host.offer(Cellar.class, new Cellar(shelving, thread));
         archive = new Archive(clock, post, rules, control, stackFor(shelving, "memory.stack"),
-                stackFor(shelving, "census.stack"), thread, host.tally());
+                stackFor(shelving, "registry.stack"), thread, host.tally());
         host.find(Gazetteer.class).observe(this::noticed);
         host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
@@ -86,15 +86,15 @@
 
     private void meter(Tally tally) {
         Replica replica = archive.replica;
-        tally.gauge("archive.view", () -> replica.view().number());
-        tally.gauge("archive.edition", () -> replica.committed().edition().value());
-        tally.gauge("archive.standing", () -> replica.standing().ordinal());
-        tally.gauge("archive.frozen.ms", replica::frozenMs);
-        tally.gauge("archive.disk.stuck.ms", archive.room::stuckMs);
-        tally.gauge("archive.disk.slowest.ms", archive.room::slowestMs);
-        tally.gauge("archive.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
-        tally.gauge("archive.reaches.majority", () -> archive.contact.holds() ? 1 : 0);
-        tally.gauge("census.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
+        tally.gauge("control.view", () -> replica.view().number());
+        tally.gauge("control.edition", () -> replica.committed().edition().value());
+        tally.gauge("control.standing", () -> replica.standing().ordinal());
+        tally.gauge("control.frozen.ms", replica::frozenMs);
+        tally.gauge("control.disk.stuck.ms", archive.room::stuckMs);
+        tally.gauge("control.disk.slowest.ms", archive.room::slowestMs);
+        tally.gauge("control.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
+        tally.gauge("control.reaches.majority", () -> archive.contact.holds() ? 1 : 0);
+        tally.gauge("registry.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
     private static Shelving shelving(HouseRules rules) throws IOException {
--- a/control/src/main/java/org/umbermount/control/Census.java
+++ b/control/src/main/java/org/umbermount/control/Census.java
@@ -28,7 +28,7 @@
  * it, and only its keeper declares it gone for missing beats.
  */
 public final class Census {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int LOG_LENGTH = 256;
     private static final long TOMBSTONE_MS = 60_000;
     private static final long LOOP_MS = 300;
@@ -150,7 +150,7 @@
     public void beat(CensusEntry beat, Runnable told) {
         CensusEntry known = entries.get(beat.id());
         if (known != null && beat.sequence() < known.sequence()) {
-            tally.count("census.beats.late");
+            tally.count("registry.beats.late");
             repeat(known, told);
             return;
         }
@@ -370,7 +370,7 @@
             }
             post.send(from, Postbag.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
         } else {
-            tally.count("census.snapshots");
+            tally.count("registry.snapshots");
             post.send(from, Postbag.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
         }
     }
@@ -462,7 +462,7 @@
             store(next);
             gone.add(next);
         }
-        tally.counter("census.missed").increment(gone.size());
+        tally.counter("registry.missed").increment(gone.size());
         publish(gone);
     }
 
--- a/control/src/main/java/org/umbermount/control/CensusNotebook.java
+++ b/control/src/main/java/org/umbermount/control/CensusNotebook.java
@@ -17,7 +17,7 @@
  * that do not show up are dropped like any other.
  */
 final class CensusNotebook {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final byte SERVERS = 1;
     private static final long INTERVAL_MS = 700;
     /** Older notes say nothing about now. */
--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -69,7 +69,7 @@
                 answer(s, Replica.Verdict.TAKEN);
             }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
-            tally.count("archive.orders.unclear");
+            tally.count("control.orders.unclear");
         } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
@@ -202,7 +202,7 @@
                     || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
                 messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
             } else {
-                tally.count("archive.debts.foreign");
+                tally.count("control.debts.foreign");
             }
         }
         owed.clear();
--- a/control/src/main/java/org/umbermount/control/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -15,7 +15,7 @@
  * rising order. It waits for no disk: what has been committed may be handed out, whatever happens to it here.
  */
 final class CommitPoint {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int SUPERSEDED = 8;
 
     private final StackRoom room;
--- a/control/src/main/java/org/umbermount/control/ControlDesk.java
+++ b/control/src/main/java/org/umbermount/control/ControlDesk.java
@@ -52,7 +52,7 @@
 
 /** The calls of servers and of the operator. */
 final class ControlDesk implements StatusPage {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int LARGEST_BODY = 3 << 20;
     /** Within the second after which callers go elsewhere. */
     private static final long PATIENCE_MS = 850;
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -60,7 +60,7 @@
         } else if (backlog.size() < BACKLOG) {
             backlog.add(change);
         } else {
-            tally.count("archive.backlog.dropped");
+            tally.count("control.backlog.dropped");
         }
     }
 
@@ -104,7 +104,7 @@
 
     /** Only the very first write is tried again by itself: nothing else would ask for it. */
     private void refused(Memory old, Memory next, Runnable then) {
-        tally.count("archive.writes.refused");
+        tally.count("control.writes.refused");
         if (!onDisk && old.view().number() == 0) {
             clock.after(RETRY_MS, () -> serially(() -> persist(next, then)));
         }
--- a/control/src/main/java/org/umbermount/control/LeaseOffice.java
+++ b/control/src/main/java/org/umbermount/control/LeaseOffice.java
@@ -22,7 +22,7 @@
  * and stops before the grants end; the epoch rises with each new holder.
  */
 public final class LeaseOffice {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     public static final long TERM_MS = 1_500;
     /** Each keeps the counts of a share of the tenants. */
     public static final List<String> QUOTA_DUTIES =
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -18,7 +18,7 @@
  * is done in the new one.
  */
 final class Membership {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
 
     /** Follows the change of views. */
     interface Listener {
--- a/control/src/main/java/org/umbermount/control/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -13,7 +13,7 @@
  * majority; and none of them answers before that incarnation is on its own disk.
  */
 final class Recovery {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long REBUILD_MS = 6_000;
 
     /** What one of the others remembers. */
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -17,7 +17,7 @@
  * work. Invariant: whatever may change {@link Memory} goes through {@link DurableState#serially}, one at a time.
  */
 public final class Replica {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long RESEND_MS = 200;
 
     /** How far this daemon's memory can be relied on. */
--- a/control/src/main/java/org/umbermount/control/ViewConfirmation.java
+++ b/control/src/main/java/org/umbermount/control/ViewConfirmation.java
@@ -18,7 +18,7 @@
  * newest version, and be taken by the head of that view.
  */
 final class ViewConfirmation {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int MOST = 256;
 
     private final Imprint self;
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -21,7 +21,7 @@
  * Paxos per view number among the voters of the view before.
  */
 final class ViewProposer implements Replica.BallotListener {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
     private static final long STEADY_MS = 1_500;
@@ -213,7 +213,7 @@
             } else if (now.since(attempt.since) > ATTEMPT_MS) {
                 attempt = null;
                 quietUntil = now.plus(100 + random.nextInt(400));
-                tally.count("archive.views.abandoned");
+                tally.count("control.views.abandoned");
             } else {
                 push();
             }
@@ -269,7 +269,7 @@
         attempt = new Attempt(wish.view().number(), new Ballot(round, self), wish.view(), wish.why(), now);
         wantedSince = null;
         LOG.info("Proposing view {} because {}.", attempt.view, attempt.why);
-        tally.count("archive.views.proposed");
+        tally.count("control.views.proposed");
         push();
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/Consignee.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Consignee.java
@@ -17,7 +17,7 @@
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
 public final class Consignee {
-    private static final Logger LOG = LoggerFactory.getLogger("courier");
+    private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final int HELD_STATES = 64;
 
     private final Clock clock;
@@ -97,7 +97,7 @@
     private void receive(Imprint from, Dispatch d) {
         if (d.life() != 0 && d.life() != life) {
             // Meant for an earlier life of this daemon. The answer tells the sender of this one.
-            tally.count("courier.earlier.life");
+            tally.count("distribution.earlier.life");
             acknowledge(from, d, 0);
             return;
         }
@@ -109,7 +109,7 @@
             return;
         }
         if (d.epoch() < epoch && Safeguard.FENCED_BY_EPOCH.holds()) {
-            tally.count("courier.stale.epoch");
+            tally.count("distribution.stale.epoch");
             acknowledge(from, d, 0);
             return;
         }
@@ -125,11 +125,11 @@
             // State 0 is the empty table and is always known, whatever has been trimmed.
             Inventory base = d.oldNum() == 0 ? Inventory.EMPTY : held.get(d.oldNum());
             if (base == null) {
-                tally.count("courier.unknown.base");
+                tally.count("distribution.unknown.base");
             } else {
                 Inventory table = base.with(d.difference());
                 if (inForce.edition().isAfter(table.edition()) && Safeguard.NO_WAY_BACK.holds()) {
-                    tally.count("courier.older.edition");
+                    tally.count("distribution.older.edition");
                     return;
                 }
                 boolean newest = d.newNum() > held.lastKey();
@@ -162,7 +162,7 @@
         if (!before.equals(table.edition())) {
             LOG.info("Edition {} is in force, from {}.", table.edition(), from);
         }
-        tally.count("courier.tables");
+        tally.count("distribution.tables");
         for (Consumer<Inventory> o : observers) {
             o.accept(table);
         }
--- a/distribution/src/main/java/org/umbermount/distribution/Consignor.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Consignor.java
@@ -227,14 +227,14 @@
         emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
                 to.table.since(from.table), vouched(now), vouchAge(now)), now);
         unanswered++;
-        tally.count("courier.sent");
+        tally.count("distribution.sent");
     }
 
     private void sendEmpty(Moment now) {
         long num = newest().num;
         emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
                 vouched(now), vouchAge(now)), now);
-        tally.count("courier.heartbeats");
+        tally.count("distribution.heartbeats");
     }
 
     private void emit(Dispatch dispatch, Moment now) {
@@ -283,7 +283,7 @@
         Moment now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
-            tally.count("courier.earlier.epoch");
+            tally.count("distribution.earlier.epoch");
             met(ack.life());
             return;
         }
@@ -310,7 +310,7 @@
             sent.removeIf(s -> s.num < ack.ackNum());
         } else if (ack.ackNum() > topNum) {
             // The proxy holds numbers of an earlier sender under this epoch: go on above them, from nothing.
-            tally.count("courier.numbers.met");
+            tally.count("distribution.numbers.met");
             topNum = ack.ackNum();
             sent.clear();
             sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
--- a/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
@@ -37,7 +37,7 @@
 
     @Override
     public String name() {
-        return "courier";
+        return "distribution";
     }
 
     @Override
@@ -61,11 +61,11 @@
         strict = sharing.strictRevocation();
         if (strict) {
             consignee.countFor(sharing.revokeMs() - VOUCH_MARGIN_MS);
-            host.tally().gauge("courier.table.good.ms", () -> Math.max(0, consignee.goodForMs()));
+            host.tally().gauge("distribution.table.good.ms", () -> Math.max(0, consignee.goodForMs()));
         }
-        host.tally().gauge("courier.epoch", consignee::epoch);
-        host.tally().gauge("courier.edition", () -> consignee.inForce().edition().value());
-        host.tally().gauge("courier.silence.ms", () -> clock.now().since(consignee.lastHeard()));
+        host.tally().gauge("distribution.epoch", consignee::epoch);
+        host.tally().gauge("distribution.edition", () -> consignee.inForce().edition().value());
+        host.tally().gauge("distribution.silence.ms", () -> clock.now().since(consignee.lastHeard()));
         consignee.observe(this::learn);
         clock.execute(this::tell);
         clock.every(LOOP_MS, this::reconcile);
@@ -124,7 +124,7 @@
                 }
             }
         } catch (Script.UnreadableException e) {
-            institution.tally().count("courier.controllers.unreadable");
+            institution.tally().count("distribution.controllers.unreadable");
             return;
         }
         gazetteer.lasting(named);
--- a/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
@@ -37,7 +37,7 @@
 
 /** The sending side as a plug-in of the controller: one sender for each proxy of the zones whose duty is held. */
 public final class SendingDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("courier");
+    private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
     /** A proxy speaks up to every controller that it knows within 5 s. */
@@ -102,7 +102,7 @@
 
     @Override
     public String name() {
-        return "courier";
+        return "distribution";
     }
 
     @Override
@@ -163,8 +163,8 @@
             chainClient.onAttested(this::vouchWaiting);
         }
         host.find(StatusPage.class).addSection(this::show);
-        host.tally().gauge("courier.proxies.known", proxies::size);
-        host.tally().gauge("courier.proxies.served", consignors::size);
+        host.tally().gauge("distribution.proxies.known", proxies::size);
+        host.tally().gauge("distribution.proxies.served", consignors::size);
         clock.every(LOOP_MS, this::reconcile);
     }
 
@@ -289,7 +289,7 @@
             for (Map.Entry<Imprint, Long> e : askers.entrySet()) {
                 post.send(e.getKey(), Postbag.Topic.DISPATCH,
                         baseline(e.getKey(), e.getValue(), everything).pack());
-                institution.tally().count("courier.baselines");
+                institution.tally().count("distribution.baselines");
             }
             askers.clear();
         } else if (looksLeft > 0) {
--- a/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
@@ -280,7 +280,7 @@
         clock.advance(2_000);
         assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
         assertEquals(OTHER, consignee.sender());
-        assertTrue(tally.counter("courier.stale.epoch").count() > 0);
+        assertTrue(tally.counter("distribution.stale.epoch").count() > 0);
     }
 
     @Test
--- a/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
@@ -17,7 +17,7 @@
 
 /** The claiming of operations as a plug-in of the proxy. */
 public final class CounterDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("loans");
+    private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 50;
     private static final long LEAVE_MS = 1_500;
 
@@ -26,7 +26,7 @@
 
     @Override
     public String name() {
-        return "loans";
+        return "idempotency";
     }
 
     @Override
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
@@ -102,7 +102,7 @@
             }
             if (!now.isBefore(until)) {
                 Outcome told = outcome;
-                tally.count("loans.claims.unavailable");
+                tally.count("idempotency.claims.unavailable");
                 // The claim may be on its way: until it is given back for certain, no other try may run.
                 close(End.RELEASED, NOTHING);
                 told.unavailable();
@@ -119,7 +119,7 @@
         private void tellClose() {
             Moment now = clock.now();
             if (now.since(since) > CLOSE_MS) {
-                tally.count("loans.closes.abandoned");
+                tally.count("idempotency.closes.abandoned");
                 forget();
                 return;
             }
@@ -208,7 +208,7 @@
         this.controllers = controllers;
         this.nextSerial = random.nextLong() >>> 1;
         post.subscribe(Postbag.Topic.LOAN, this::receive);
-        tally.gauge("loans.open", tickets::size);
+        tally.gauge("idempotency.open", tickets::size);
     }
 
     /** Where the table says that claims go. */
@@ -234,7 +234,7 @@
     public Ticket claim(OperationKey key, boolean mayRepeat, long patienceMs, Outcome outcome) {
         Ticket ticket = new Ticket(key, mayRepeat, outcome, patienceMs);
         tickets.put(ticket.serial, ticket);
-        tally.count("loans.claims");
+        tally.count("idempotency.claims");
         ticket.ask();
         return ticket;
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
@@ -25,7 +25,7 @@
  * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
  */
 public final class LoanDesk implements Companion {
-    private static final Logger LOG = LoggerFactory.getLogger("loans");
+    private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 40;
     private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
@@ -257,12 +257,12 @@
         writing = false;
         refusing = segment < 0;
         if (refusing) {
-            tally.count("loans.writes.refused");
+            tally.count("idempotency.writes.refused");
             queue.clear();
             book.cut(durable);
             return;
         }
-        tally.count("loans.writes");
+        tally.count("idempotency.writes");
         for (Slip s : batch) {
             s.segment = segment;
         }
@@ -306,12 +306,12 @@
         int last = through;
         int dropped = book.expireThrough(last);
         segmentWritten.keySet().removeIf(s -> s <= last);
-        tally.counter("loans.expired").increment(dropped);
+        tally.counter("idempotency.expired").increment(dropped);
         disk.execute(() -> {
             try {
                 ledger.dropThrough(last);
             } catch (IOException | RuntimeException e) {
-                tally.count("loans.segments.kept");
+                tally.count("idempotency.segments.kept");
             }
         });
     }
@@ -351,7 +351,7 @@
                 fetched(from, view, in.num(), in.list(Bookmark::read));
             }
             case PORTION -> portion(from, in.num(), Bookmark.read(in), Bookmark.read(in), in.flag(), slips(in));
-            default -> tally.count("loans.unwanted");
+            default -> tally.count("idempotency.unwanted");
         }
     }
 
@@ -407,7 +407,7 @@
             }
             case ANSWER -> {
                 if (isCommitted(s) && !s.isThin()) {
-                    tally.count("loans.repeats.answered");
+                    tally.count("idempotency.repeats.answered");
                     reply(from, serial, Reply.ANSWERED, s.payload());
                 } else if (isCommitted(s)) {
                     askForAnswer(from, serial, s);
@@ -458,7 +458,7 @@
 
     /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
     private void askForAnswer(Imprint proxy, long serial, Slip s) {
-        tally.count("loans.answers.elsewhere");
+        tally.count("idempotency.answers.elsewhere");
         byte[] body = message(Message.PEEK).num(serial).imprint(proxy).num(s.key.high()).num(s.key.low())
                 .imprint(s.origin).num(s.serial).done();
         view.electorate().forEach(f -> {
@@ -492,7 +492,7 @@
         if (!open) {
             replyConfirmed(from, serial, Reply.STORED);
         } else if (how == Slip.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
-            tally.count("loans.answers.unkept");
+            tally.count("idempotency.answers.unkept");
             enter(Slip.Kind.END, key, from, serial, NOTHING);
         } else {
             enter(how, key, from, serial, payload);
@@ -632,7 +632,7 @@
         f.turn++;
         f.nonce++;
         f.asked = clock.now();
-        tally.count("loans.fetches");
+        tally.count("idempotency.fetches");
         post.send(f.from, Postbag.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
                 .list(book.lineage(), (o, m) -> m.write(o)).done());
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
@@ -22,7 +22,7 @@
 
 /** The keeping of operation records as a plug-in of the controller. */
 public final class LoansDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("loans");
+    private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final String FILES = "loans";
     private static final int SEGMENT_BYTES = 1 << 20;
     /** A record outlives the window by the time in which a try may still be on its way, and a margin. */
@@ -34,7 +34,7 @@
 
     @Override
     public String name() {
-        return "loans";
+        return "idempotency";
     }
 
     @Override
@@ -63,11 +63,11 @@
                 cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
                 MOST_BYTES, host.tally());
         desk.start();
-        host.tally().gauge("loans.records", () -> desk.book().size());
-        host.tally().gauge("loans.keys", () -> desk.book().keys());
-        host.tally().gauge("loans.bytes", () -> desk.book().bytes());
-        host.tally().gauge("loans.position", () -> desk.durable().pos());
-        host.tally().gauge("loans.committed", () -> desk.committed());
+        host.tally().gauge("idempotency.records", () -> desk.book().size());
+        host.tally().gauge("idempotency.keys", () -> desk.book().keys());
+        host.tally().gauge("idempotency.bytes", () -> desk.book().bytes());
+        host.tally().gauge("idempotency.position", () -> desk.durable().pos());
+        host.tally().gauge("idempotency.committed", () -> desk.committed());
         StatusPage page = host.findOrNull(StatusPage.class);
         if (page != null) {
             page.addSection(this::show);
--- a/membership/src/main/java/org/umbermount/membership/Gazetteer.java
+++ b/membership/src/main/java/org/umbermount/membership/Gazetteer.java
@@ -136,7 +136,7 @@
         sentSample = sample.stream().map(Placename::imprint).toList();
         sample.add(self.fresh());
         post.send(target, Postbag.Topic.SHUFFLE, encode(true, sample));
-        tally.count("gazetteer.shuffles");
+        tally.count("membership.shuffles");
     }
 
     private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
--- a/membership/src/main/java/org/umbermount/membership/GazetteerDepartment.java
+++ b/membership/src/main/java/org/umbermount/membership/GazetteerDepartment.java
@@ -15,7 +15,7 @@
 
     @Override
     public String name() {
-        return "gazetteer";
+        return "membership";
     }
 
     @Override
@@ -36,7 +36,7 @@
         gazetteer = new Gazetteer(self, seeds(rules), institution.clock(), post, institution.tally(),
                 new Random(post.self().packed() ^ institution.clock().wallMillis()));
         institution.offer(Gazetteer.class, gazetteer);
-        institution.tally().gauge("gazetteer.view.size", () -> gazetteer.view().size());
+        institution.tally().gauge("membership.view.size", () -> gazetteer.view().size());
         gazetteer.start();
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
@@ -21,7 +21,7 @@
 
 /** The traffic plane as a plug-in of the proxy. */
 public final class CirculationDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("circulation");
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** By then the platform has noticed twice that this daemon is not ready. */
     private static final long NOTICED_MS = 2_300;
     private static final long LOOK_MS = 50;
@@ -35,7 +35,7 @@
 
     @Override
     public String name() {
-        return "circulation";
+        return "proxy";
     }
 
     @Override
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -41,7 +41,7 @@
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class FrontDesk {
-    private static final Logger LOG = LoggerFactory.getLogger("circulation");
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 1_000;
     private static final long WAITING_LOOK_MS = 25;
--- a/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
@@ -17,14 +17,14 @@
 
 /** The asking for quota as a plug-in of the proxy. */
 public final class CountingDepartment implements Department {
-    private static final Logger LOG = LoggerFactory.getLogger("readership");
+    private static final Logger LOG = LoggerFactory.getLogger("quota");
     private static final String QUOTA = Inventory.DUTY + "quota/";
 
     private QuotaCounter counter;
 
     @Override
     public String name() {
-        return "readership";
+        return "quota";
     }
 
     @Override
--- a/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
@@ -20,7 +20,7 @@
 
     @Override
     public String name() {
-        return "readership";
+        return "quota";
     }
 
     @Override
