--- a/app/src/main/java/org/umbermount/app/CheckSettingsCommand.java
+++ b/app/src/main/java/org/umbermount/app/CheckSettingsCommand.java
@@ -4,7 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Settings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -17,7 +17,7 @@
     @Override
     public Integer call() {
         try {
-            String problem = HouseRules.problem(Files.readAllBytes(file));
+            String problem = Settings.problem(Files.readAllBytes(file));
             if (problem == null) {
                 System.out.println("The settings are valid.");
                 return 0;
--- a/app/src/main/java/org/umbermount/app/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -11,13 +11,13 @@
 import java.util.Arrays;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.kernel.net.Mailroom;
+import org.umbermount.kernel.net.DatagramMessenger;
 
 /** One running program: reads its settings, opens its parts, and leaves in order when told to. */
 final class Daemon {
@@ -29,7 +29,7 @@
     private final Path file;
     private Logger log;
     private byte[] lastRead;
-    private Institution institution;
+    private PluginHost institution;
     private LoopClock clock;
     private boolean leaving;
 
@@ -48,7 +48,7 @@
         Daemon daemon = new Daemon(role, Path.of(name));
         try {
             daemon.start();
-        } catch (HouseRules.InvalidException | IllegalStateException e) {
+        } catch (Settings.InvalidException | IllegalStateException e) {
             System.err.println(e.getMessage());
             System.exit(1);
         } catch (Exception e) {
@@ -68,15 +68,15 @@
     }
 
     void start() throws Exception {
-        HouseRules rules = HouseRules.load(file);
+        Settings rules = Settings.load(file);
         lastRead = Files.readAllBytes(file);
         ServerSocketChannel early = role == Role.PROXY ? listenEarly(rules) : null;
         log = LoggerFactory.getLogger("umbermount");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         clock = new LoopClock(loop);
-        institution = new Institution(role, rules, clock);
-        Mailroom mailroom = new Mailroom(rules.ownMail(role), clock, institution.tally());
-        institution.offer(Postbag.class, mailroom);
+        institution = new PluginHost(role, rules, clock);
+        DatagramMessenger mailroom = new DatagramMessenger(rules.ownMail(role), clock, institution.tally());
+        institution.offer(Messenger.class, mailroom);
         if (early != null) {
             institution.offer(ServerSocketChannel.class, early);
         }
@@ -91,8 +91,8 @@
      * Opens the clients' address before anything else is loaded: connections made meanwhile wait in the system's
      * queue for the few hundred milliseconds of the start, instead of being refused.
      */
-    private static ServerSocketChannel listenEarly(HouseRules rules) throws IOException {
-        Imprint http = rules.listeners().get("http");
+    private static ServerSocketChannel listenEarly(Settings rules) throws IOException {
+        DaemonAddress http = rules.listeners().get("http");
         if (http == null) {
             return null;
         }
@@ -127,9 +127,9 @@
                 return;
             }
             lastRead = bytes;
-            institution.reread(HouseRules.parse(bytes));
+            institution.reread(Settings.parse(bytes));
             log.info("The settings have been read again.");
-        } catch (IOException | HouseRules.InvalidException e) {
+        } catch (IOException | Settings.InvalidException e) {
             log.warn("The changed settings are not used: {}", e.getMessage());
         }
     }
--- a/app/src/main/java/org/umbermount/app/HollowProxy.java
+++ b/app/src/main/java/org/umbermount/app/HollowProxy.java
@@ -4,33 +4,33 @@
 import java.util.function.BiConsumer;
 import org.umbermount.distribution.Consignee;
 import org.umbermount.distribution.ReceivingDepartment;
-import org.umbermount.membership.GazetteerDepartment;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.membership.MembershipPlugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.kernel.net.Mailroom;
+import org.umbermount.kernel.net.DatagramMessenger;
 
 /** A proxy as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
 final class HollowProxy {
-    private final Institution institution;
-    private final Mailroom mailroom;
+    private final PluginHost institution;
+    private final DatagramMessenger mailroom;
     private final EventLoop loop;
 
-    HollowProxy(HouseRules rules, EventLoop loop) {
+    HollowProxy(Settings rules, EventLoop loop) {
         this.loop = loop;
         LoopClock clock = new LoopClock(loop);
-        institution = new Institution(Role.PROXY, rules, clock);
-        mailroom = new Mailroom(rules.ownMail(Role.PROXY), clock, institution.tally());
-        institution.offer(Postbag.class, mailroom);
+        institution = new PluginHost(Role.PROXY, rules, clock);
+        mailroom = new DatagramMessenger(rules.ownMail(Role.PROXY), clock, institution.tally());
+        institution.offer(Messenger.class, mailroom);
     }
 
     /** Binds its address and opens its parts; {@code inForce} is told of each edition with the moment in nanoseconds. */
     void start(BiConsumer<HollowProxy, Long> inForce) throws InterruptedException {
         mailroom.bind(loop);
         loop.submit(() -> {
-            new GazetteerDepartment().open(institution);
+            new MembershipPlugin().open(institution);
             new ReceivingDepartment().open(institution);
             institution.find(Consignee.class).observe(t -> inForce.accept(this, t.edition().value()));
         }).awaitUninterruptibly();
--- a/app/src/main/java/org/umbermount/app/ShowCommand.java
+++ b/app/src/main/java/org/umbermount/app/ShowCommand.java
@@ -7,7 +7,7 @@
 import java.net.HttpURLConnection;
 import java.net.URI;
 import java.util.concurrent.Callable;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -31,7 +31,7 @@
     @Override
     public Integer call() {
         try {
-            Imprint.parse(address);
+            DaemonAddress.parse(address);
         } catch (IllegalArgumentException e) {
             System.err.println("The address must be an IPv4 address and a port.");
             return 2;
--- a/app/src/main/java/org/umbermount/app/Stocktaking.java
+++ b/app/src/main/java/org/umbermount/app/Stocktaking.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Settings;
 
 /**
  * Measures what control costs at one size: real controllers and a few real proxies as processes of their own, and beside
@@ -206,7 +206,7 @@
                 real.add(launch("proxy", ip(101, i + 1), "proxy-" + i, i % ZONES, false, "-Xmx128m"));
             }
             for (int i = 0; i < proxies; i++) {
-                HollowProxy one = new HollowProxy(HouseRules.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
+                HollowProxy one = new HollowProxy(Settings.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
                         .getBytes(java.nio.charset.StandardCharsets.UTF_8)), group.next());
                 one.start(this::inForce);
                 hollow.add(one);
--- a/control/src/main/java/org/umbermount/control/Acceptor.java
+++ b/control/src/main/java/org/umbermount/control/Acceptor.java
@@ -1,6 +1,6 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * A voter on the next view: the acceptor of single-decree Paxos. Invariant: only a voter with its memory votes, and only
@@ -18,7 +18,7 @@
         this.messages = messages;
     }
 
-    void prepare(Imprint from, long view, Ballot ballot) {
+    void prepare(DaemonAddress from, long view, Ballot ballot) {
         if (!mayVote(from, view)) {
             return;
         }
@@ -32,7 +32,7 @@
         }
     }
 
-    void accept(Imprint from, long view, Ballot ballot, Proposal proposal) {
+    void accept(DaemonAddress from, long view, Ballot ballot, Proposal proposal) {
         if (!mayVote(from, view)) {
             return;
         }
@@ -47,7 +47,7 @@
     }
 
     /** A proposer that is behind is told the view; one that is ahead is asked for it. */
-    private boolean mayVote(Imprint proposer, long view) {
+    private boolean mayVote(DaemonAddress proposer, long view) {
         if (membership.standing() != Replica.Standing.MEMBER) {
             return false;
         }
@@ -63,15 +63,15 @@
         return true;
     }
 
-    private void refuse(Imprint to, long view) {
+    private void refuse(DaemonAddress to, long view) {
         messages.sendRefusal(to, view, durable.memory().promised());
     }
 
-    private void promise(Imprint to, long view, Ballot ballot) {
+    private void promise(DaemonAddress to, long view, Ballot ballot) {
         messages.sendPromise(to, view, ballot, durable.memory(), membership.companion().mark());
     }
 
-    private void accepted(Imprint to, long view, Ballot ballot) {
+    private void accepted(DaemonAddress to, long view, Ballot ballot) {
         messages.sendAccepted(to, view, ballot, durable.memory());
     }
 }
--- a/control/src/main/java/org/umbermount/control/Amendment.java
+++ b/control/src/main/java/org/umbermount/control/Amendment.java
@@ -12,10 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.kernel.Form;
+import org.umbermount.kernel.JsonValue;
 
 /**
  * A change of named items of a configuration. Applied to the same version it makes the same bytes everywhere: an item keeps
@@ -30,17 +30,17 @@
                 .setNodeFactory(JsonNodeFactory.withExactBigDecimals(true));
     }
 
-    private final Edition edition;
+    private final ConfigurationRevision edition;
     private final Digest digest;
     private final Map<String, Map<String, JsonNode>> upsert = new HashMap<>();
     private final Map<String, Set<String>> remove = new HashMap<>();
 
-    private Amendment(Edition edition, Digest digest) {
+    private Amendment(ConfigurationRevision edition, Digest digest) {
         this.edition = edition;
         this.digest = digest;
     }
 
-    Edition edition() {
+    ConfigurationRevision edition() {
         return edition;
     }
 
@@ -52,29 +52,29 @@
     static Amendment parse(byte[] call) throws FaultException {
         try {
             // The strict reader first: it refuses members that are there twice, and anything behind the object.
-            Form form = Form.parse(call);
-            Amendment out = new Amendment(new Edition(form.member("revision").whole(1, Long.MAX_VALUE)),
+            JsonValue form = JsonValue.parse(call);
+            Amendment out = new Amendment(new ConfigurationRevision(form.member("revision").whole(1, Long.MAX_VALUE)),
                     Digest.ofCall("PATCH", call));
             JsonNode root = Json.MAPPER.readTree(call);
-            for (Map.Entry<String, Form> list : form.optional("upsert").members().entrySet()) {
+            for (Map.Entry<String, JsonValue> list : form.optional("upsert").members().entrySet()) {
                 out.readUpsert(list.getKey(), form.optional("upsert"), root.path("upsert").path(list.getKey()));
             }
-            for (Map.Entry<String, Form> list : form.optional("remove").members().entrySet()) {
+            for (Map.Entry<String, JsonValue> list : form.optional("remove").members().entrySet()) {
                 out.readRemove(list.getKey(), form.optional("remove"));
             }
             return out;
-        } catch (Form.WrongException e) {
+        } catch (JsonValue.WrongException e) {
             throw invalid(e.getMessage());
         } catch (IOException e) {
             throw invalid("it is not whole JSON");
         }
     }
 
-    private void readUpsert(String list, Form lists, JsonNode nodes) throws Form.WrongException, FaultException {
+    private void readUpsert(String list, JsonValue lists, JsonNode nodes) throws JsonValue.WrongException, FaultException {
         known(list);
         Map<String, JsonNode> items = new java.util.LinkedHashMap<>();
         int i = 0;
-        for (Form item : lists.array(list)) {
+        for (JsonValue item : lists.array(list)) {
             String label = item.member("label").text();
             if (items.put(label, nodes.get(i++)) != null) {
                 throw invalid("upsert." + list + " holds " + label + " twice");
@@ -83,10 +83,10 @@
         upsert.put(list, items);
     }
 
-    private void readRemove(String list, Form lists) throws Form.WrongException, FaultException {
+    private void readRemove(String list, JsonValue lists) throws JsonValue.WrongException, FaultException {
         known(list);
         Set<String> names = new HashSet<>();
-        for (Form name : lists.array(list)) {
+        for (JsonValue name : lists.array(list)) {
             if (upsert.getOrDefault(list, Map.of()).containsKey(name.text())) {
                 throw invalid(name.text() + " is both in upsert and in remove");
             }
@@ -139,6 +139,6 @@
     }
 
     private static FaultException invalid(String reason) {
-        return new FaultException(Erratum.INVALID_CONFIGURATION, "The change is invalid: " + reason + ".");
+        return new FaultException(ErrorKind.INVALID_CONFIGURATION, "The change is invalid: " + reason + ".");
     }
 }
--- a/control/src/main/java/org/umbermount/control/Archive.java
+++ b/control/src/main/java/org/umbermount/control/Archive.java
@@ -8,14 +8,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.storage.Stack;
-import org.umbermount.storage.StackRoom;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.DiskWriter;
 
 /** The control plane of one controller, put together: chain and views, roll call, servers, leases. */
 final class Archive {
@@ -32,25 +32,25 @@
     final FailureDetector detector;
     final MajorityContact contact;
     final LeaseOffice leases;
-    final StackRoom room;
+    final DiskWriter room;
     private final ViewProposer convener;
     private final CensusNotebook notebook;
     private final Clock clock;
-    private final HouseRules rules;
+    private final Settings rules;
 
     /**
      * @param memory the file of the chain and the views
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
      */
-    Archive(Clock clock, Postbag post, HouseRules rules, Imprint control, Stack memory, Stack notes, Executor disk,
-            Tally tally) throws java.io.IOException {
+    Archive(Clock clock, Messenger post, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
+            Metrics tally) throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
         Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
-        room = new StackRoom(memory, disk, clock);
+        room = new DiskWriter(memory, disk, clock);
         Memory loaded = load(memory);
-        List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
+        List<DaemonAddress> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
         replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
@@ -66,7 +66,7 @@
         replica.listen(convener, chainClient);
         leases = new LeaseOffice(clock, post, replica, detector, tally, rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
-                rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
+                rules.guarantees(Settings.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
         replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
@@ -89,7 +89,7 @@
         return room.healthy(DISK_PATIENCE_MS) && replica.companion().diskGood(DISK_PATIENCE_MS);
     }
 
-    private FailureDetector.Report report(List<Imprint> heard, List<Imprint> connected, Imprint control) {
+    private FailureDetector.Report report(List<DaemonAddress> heard, List<DaemonAddress> connected, DaemonAddress control) {
         return new FailureDetector.Report(replica.incarnation(), replica.standing() == Replica.Standing.MEMBER,
                 replica.mayMove(), contact.holds(), diskGood(), detector.isLeaving(), replica.view().number(),
                 replica.committed().edition().value(), replica.newestEdition().value(), census.boot(), census.seq(),
@@ -98,26 +98,26 @@
                 connected);
     }
 
-    private static Memory load(Stack stack) throws java.io.IOException {
+    private static Memory load(AppendOnlyFile stack) throws java.io.IOException {
         try {
             return Memory.load(stack);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("The memory on disk cannot be read: {}. It is rebuilt from the others.", e.getMessage());
             stack.clear();
             return null;
         }
     }
 
-    private static boolean notedCommitted(Memory loaded, Stack stack) {
+    private static boolean notedCommitted(Memory loaded, AppendOnlyFile stack) {
         try {
             return loaded != null && loaded.isNotedCommitted(stack);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             return false;
         }
     }
 
-    private static View genesis(List<Imprint> seeds) {
-        List<Imprint> members = new ArrayList<>(new TreeSet<>(seeds));
+    private static View genesis(List<DaemonAddress> seeds) {
+        List<DaemonAddress> members = new ArrayList<>(new TreeSet<>(seeds));
         return new View(1, members.stream().map(m -> new Voter(m, 0)).toList(), members);
     }
 
--- a/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
+++ b/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
@@ -6,24 +6,24 @@
 import java.util.concurrent.Executors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.storage.Cellar;
-import org.umbermount.storage.Shelving;
-import org.umbermount.storage.Stack;
+import org.umbermount.storage.DiskAccess;
+import org.umbermount.storage.LocalDirectory;
+import org.umbermount.storage.AppendOnlyFile;
 
 /** The control plane as a plug-in of the controller. */
-public final class ArchiveDepartment implements Department {
+public final class ArchiveDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long REWRITE_OVER = 4 << 20;
     /** How long the others have to hear that this daemon leaves, and at most to go on without it. */
@@ -31,7 +31,7 @@
     private static final long LET_GO_MS = 3_500;
     private static final long LOOK_MS = 50;
 
-    private Institution institution;
+    private PluginHost institution;
     private Archive archive;
     private ControlDesk desk;
 
@@ -51,12 +51,12 @@
     }
 
     @Override
-    public void open(Institution host) throws Exception {
+    public void open(PluginHost host) throws Exception {
         institution = host;
-        HouseRules rules = host.rules();
+        Settings rules = host.rules();
         Clock clock = host.clock();
-        Postbag post = host.find(Postbag.class);
-        Imprint control = rules.listeners().get("controlPlane");
+        Messenger post = host.find(Messenger.class);
+        DaemonAddress control = rules.listeners().get("controlPlane");
         if (control == null) {
             throw new IllegalStateException("The settings name no controlPlane listener.");
         }
@@ -65,11 +65,11 @@
             t.setDaemon(true);
             return t;
         });
-        Shelving shelving = shelving(rules);
-        host.offer(Cellar.class, new Cellar(shelving, thread));
+        LocalDirectory shelving = shelving(rules);
+        host.offer(DiskAccess.class, new DiskAccess(shelving, thread));
         archive = new Archive(clock, post, rules, control, stackFor(shelving, "memory.stack"),
                 stackFor(shelving, "registry.stack"), thread, host.tally());
-        host.find(Gazetteer.class).observe(this::noticed);
+        host.find(PeerSampling.class).observe(this::noticed);
         host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
         host.offer(LeaseOffice.class, archive.leases);
@@ -84,7 +84,7 @@
                 e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
     }
 
-    private void meter(Tally tally) {
+    private void meter(Metrics tally) {
         Replica replica = archive.replica;
         tally.gauge("control.view", () -> replica.view().number());
         tally.gauge("control.edition", () -> replica.committed().edition().value());
@@ -97,24 +97,24 @@
         tally.gauge("registry.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
-    private static Shelving shelving(HouseRules rules) throws IOException {
+    private static LocalDirectory shelving(Settings rules) throws IOException {
         if (rules.dataPath().isEmpty()) {
             throw new IllegalStateException("The settings name no dataPath, and a controller needs a disk.");
         }
-        return new Shelving(Path.of(rules.dataPath()));
+        return new LocalDirectory(Path.of(rules.dataPath()));
     }
 
-    private static Stack stackFor(Shelving shelving, String name) throws IOException {
+    private static AppendOnlyFile stackFor(LocalDirectory shelving, String name) throws IOException {
         try {
-            return Stack.open(shelving, name, REWRITE_OVER);
-        } catch (Stack.DamagedException e) {
+            return AppendOnlyFile.open(shelving, name, REWRITE_OVER);
+        } catch (AppendOnlyFile.DamagedException e) {
             LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
-            Stack.discard(shelving, name);
-            return Stack.open(shelving, name, REWRITE_OVER);
+            AppendOnlyFile.discard(shelving, name);
+            return AppendOnlyFile.open(shelving, name, REWRITE_OVER);
         }
     }
 
-    private void noticed(Placename placename) {
+    private void noticed(MemberDescriptor placename) {
         if (placename.role() == Role.CONTROLLER) {
             archive.detector.enlist(placename.imprint());
         }
@@ -130,10 +130,10 @@
     }
 
     /** Ends only when the others go on without this daemon's copy and vote, if they bring that about in time. */
-    private void onceLetGo(Moment latest, Runnable done) {
+    private void onceLetGo(MonotonicTime latest, Runnable done) {
         Clock clock = institution.clock();
         View view = archive.replica.view();
-        Imprint self = institution.find(Postbag.class).self();
+        DaemonAddress self = institution.find(Messenger.class).self();
         boolean needed = view.chains(self) || view.votes(self)
                 && MembershipPlan.hasSeatToSpare(view, institution.rules().toleratedMachines());
         if (needed && clock.now().isBefore(latest)) {
@@ -144,7 +144,7 @@
     }
 
     @Override
-    public void reread(HouseRules rules) {
+    public void reread(Settings rules) {
         rules.seedNodes().forEach(s -> archive.detector.enlist(rules.mailAddress(s, Role.CONTROLLER)));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Ballot.java
+++ b/control/src/main/java/org/umbermount/control/Ballot.java
@@ -1,11 +1,11 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The rank of a proposal: a round, and the proposer to tell equal rounds apart. */
-public record Ballot(long round, Imprint proposer) implements Comparable<Ballot> {
-    public static final Ballot NONE = new Ballot(0, Imprint.NONE);
+public record Ballot(long round, DaemonAddress proposer) implements Comparable<Ballot> {
+    public static final Ballot NONE = new Ballot(0, DaemonAddress.NONE);
 
     @Override
     public int compareTo(Ballot other) {
@@ -16,11 +16,11 @@
         return round == 0;
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.num(round).imprint(proposer);
     }
 
-    static Ballot read(Script.Reader in) throws Script.UnreadableException {
+    static Ballot read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Ballot(in.num(), in.imprint());
     }
 }
--- a/control/src/main/java/org/umbermount/control/Bookmark.java
+++ b/control/src/main/java/org/umbermount/control/Bookmark.java
@@ -1,14 +1,14 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * How far a daemon holds the operation records: the view in which it took part last, its position there, and the
  * daemon that is there. The further of two marks holds all that was acknowledged up to the nearer one.
  */
-public record Bookmark(long view, long pos, Imprint holder) {
-    public static final Bookmark NONE = new Bookmark(0, 0, Imprint.NONE);
+public record Bookmark(long view, long pos, DaemonAddress holder) {
+    public static final Bookmark NONE = new Bookmark(0, 0, DaemonAddress.NONE);
 
     public boolean isBeyond(Bookmark other) {
         return view != other.view ? view > other.view : pos > other.pos;
@@ -18,11 +18,11 @@
         return view == other.view && pos == other.pos;
     }
 
-    public void write(Script.Writer out) {
+    public void write(MessagePackCodec.Writer out) {
         out.num(view).num(pos).imprint(holder);
     }
 
-    public static Bookmark read(Script.Reader in) throws Script.UnreadableException {
+    public static Bookmark read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Bookmark(in.num(), in.num(), in.imprint());
     }
 }
--- a/control/src/main/java/org/umbermount/control/Census.java
+++ b/control/src/main/java/org/umbermount/control/Census.java
@@ -14,13 +14,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /**
  * The servers there are: soft state on every controller. Each controller numbers its own changes; the others
@@ -45,10 +45,10 @@
         long applied = -1;
         int digestOff;
         long askedBoot;
-        Moment asked = Moment.NEVER;
+        MonotonicTime asked = MonotonicTime.NEVER;
     }
 
-    private record Change(long seq, Pressmark id) {
+    private record Change(long seq, InstanceId id) {
     }
 
     private static final class Waiting {
@@ -62,16 +62,16 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger post;
+    private final Metrics tally;
     private final long heartbeatMs;
     private final long boot;
-    private final Map<Pressmark, CensusEntry> entries = new LinkedHashMap<>();
-    private final Map<Pressmark, Moment> lastBeat = new HashMap<>();
-    private final Map<Pressmark, Moment> goneSince = new HashMap<>();
+    private final Map<InstanceId, CensusEntry> entries = new LinkedHashMap<>();
+    private final Map<InstanceId, MonotonicTime> lastBeat = new HashMap<>();
+    private final Map<InstanceId, MonotonicTime> goneSince = new HashMap<>();
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
-    private final Map<Imprint, Followed> followed = new HashMap<>();
-    private final Map<Imprint, Long> acknowledged = new HashMap<>();
+    private final Map<DaemonAddress, Followed> followed = new HashMap<>();
+    private final Map<DaemonAddress, Long> acknowledged = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<Runnable> observers = new ArrayList<>();
     private FailureDetector detector;
@@ -79,20 +79,20 @@
     private BooleanSupplier listStands = () -> true;
     private BooleanSupplier mayExpire = () -> false;
     /** Under which of this daemon's own changes its news of a server went out last. */
-    private final Map<Pressmark, Long> newsAt = new HashMap<>();
-    private final Moment started;
+    private final Map<InstanceId, Long> newsAt = new HashMap<>();
+    private final MonotonicTime started;
     private boolean ready;
     private long seq;
     private long digest;
 
-    public Census(Clock clock, Postbag post, Tally tally, long heartbeatMs, long boot) {
+    public Census(Clock clock, Messenger post, Metrics tally, long heartbeatMs, long boot) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.heartbeatMs = heartbeatMs;
         this.boot = boot;
         this.started = clock.now();
-        post.subscribe(Postbag.Topic.CENSUS, this::receive);
+        post.subscribe(Messenger.Topic.CENSUS, this::receive);
     }
 
     /**
@@ -221,7 +221,7 @@
     }
 
     /** Takes a sign-off. */
-    public void signOff(Pressmark id, Runnable told) {
+    public void signOff(InstanceId id, Runnable told) {
         CensusEntry known = entries.get(id);
         if (known == null) {
             // Nothing to sign off, if what is known here is whole; otherwise the caller tries again, here or elsewhere.
@@ -272,22 +272,22 @@
         if (detector != null) {
             for (FailureDetector.Peer p : detector.peers()) {
                 if (detector.connected(p.imprint())) {
-                    post.send(p.imprint(), Postbag.Topic.CENSUS, body);
+                    post.send(p.imprint(), Messenger.Topic.CENSUS, body);
                 }
             }
         }
     }
 
     private byte[] encode(Kind kind, long from, Collection<CensusEntry> which) {
-        return Script.write().num(kind.ordinal()).num(boot).num(from).num(seq)
+        return MessagePackCodec.write().num(kind.ordinal()).num(boot).num(from).num(seq)
                 .list(which, (o, e) -> e.write(o)).done();
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown message about servers", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about servers", null);
         }
         switch (Kind.values()[kind]) {
             case CHANGES, SNAPSHOT -> {
@@ -311,7 +311,7 @@
         }
     }
 
-    private void apply(Imprint from, boolean snapshot, long theirBoot, long since, long until, List<CensusEntry> news) {
+    private void apply(DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<CensusEntry> news) {
         Followed f = followed.computeIfAbsent(from, k -> new Followed());
         for (CensusEntry e : news) {
             learn(e);
@@ -327,7 +327,7 @@
                 f.applied = -1;
             }
             f.applied = Math.max(f.applied, until);
-            post.send(from, Postbag.Topic.CENSUS, Script.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
+            post.send(from, Messenger.Topic.CENSUS, MessagePackCodec.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
         } else {
             ask(from, f);
         }
@@ -348,30 +348,30 @@
         }
     }
 
-    private void ask(Imprint from, Followed f) {
-        Moment now = clock.now();
+    private void ask(DaemonAddress from, Followed f) {
+        MonotonicTime now = clock.now();
         if (now.since(f.asked) < LOOP_MS) {
             return;
         }
         f.asked = now;
-        post.send(from, Postbag.Topic.CENSUS,
-                Script.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
+        post.send(from, Messenger.Topic.CENSUS,
+                MessagePackCodec.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
     }
 
-    private void answerAsk(Imprint from, long theirBoot, long applied) {
+    private void answerAsk(DaemonAddress from, long theirBoot, long applied) {
         long oldest = changes.isEmpty() ? seq : changes.peek().seq() - 1;
         if (theirBoot == boot && applied >= oldest && applied <= seq) {
-            Map<Pressmark, CensusEntry> missed = new LinkedHashMap<>();
+            Map<InstanceId, CensusEntry> missed = new LinkedHashMap<>();
             for (Change c : changes) {
                 CensusEntry e = entries.get(c.id());
                 if (c.seq() > applied && e != null) {
                     missed.put(c.id(), e);
                 }
             }
-            post.send(from, Postbag.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
+            post.send(from, Messenger.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
         } else {
             tally.count("registry.snapshots");
-            post.send(from, Postbag.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
+            post.send(from, Messenger.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
         }
     }
 
@@ -414,7 +414,7 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (now.since(started) > READY_BEATS * heartbeatMs) {
             becomeReady();
         }
@@ -447,7 +447,7 @@
                 lastBeat.put(e.id(), now);
                 continue;
             }
-            Moment last = lastBeat.computeIfAbsent(e.id(), k -> now);
+            MonotonicTime last = lastBeat.computeIfAbsent(e.id(), k -> now);
             if (now.since(last) > MISSED_BEATS * heartbeatMs) {
                 missed.add(e);
             }
@@ -467,7 +467,7 @@
     }
 
     /** Whether this controller is the first of those left to look after another's servers. */
-    private boolean heir(Imprint lost) {
+    private boolean heir(DaemonAddress lost) {
         for (FailureDetector.Peer p : detector.peers()) {
             if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && detector.connected(p.imprint())) {
                 return false;
--- a/control/src/main/java/org/umbermount/control/CensusEntry.java
+++ b/control/src/main/java/org/umbermount/control/CensusEntry.java
@@ -1,15 +1,15 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Pressmark;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * What is known of one life of a server. {@code warmMs} is how long it had left to get warm when it was first heard of;
  * whoever uses that counts on its own steady clock from when it learned of the server.
  */
-public record CensusEntry(Pressmark id, String upstream, String address, String zone, String revision, int capacity,
-        long warmMs, Standing standing, long sequence, Imprint keeper) {
+public record CensusEntry(InstanceId id, String upstream, String address, String zone, String revision, int capacity,
+        long warmMs, Standing standing, long sequence, DaemonAddress keeper) {
 
     /** Where the server stands. */
     public enum Standing {
@@ -20,7 +20,7 @@
         }
     }
 
-    CensusEntry with(Standing next, long nextSequence, Imprint nextKeeper) {
+    CensusEntry with(Standing next, long nextSequence, DaemonAddress nextKeeper) {
         return new CensusEntry(id, upstream, address, zone, revision, capacity, warmMs, next, nextSequence, nextKeeper);
     }
 
@@ -60,13 +60,13 @@
         return h * 0xBF58476D1CE4E5B9L;
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.text(id.value()).text(upstream).text(address).text(zone).text(revision).num(capacity).num(warmMs)
                 .num(standing.ordinal()).num(sequence).imprint(keeper);
     }
 
-    static CensusEntry read(Script.Reader in) throws Script.UnreadableException {
-        Pressmark id = new Pressmark(in.text());
+    static CensusEntry read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        InstanceId id = new InstanceId(in.text());
         String upstream = in.text();
         String address = in.text();
         String zone = in.text();
@@ -75,7 +75,7 @@
         long warm = in.num();
         long standing = in.num();
         if (standing < 0 || standing >= Standing.values().length) {
-            throw new Script.UnreadableException("an unknown standing", null);
+            throw new MessagePackCodec.UnreadableException("an unknown standing", null);
         }
         return new CensusEntry(id, upstream, address, zone, revision, capacity, warm,
                 Standing.values()[(int) standing], in.num(), in.imprint());
--- a/control/src/main/java/org/umbermount/control/CensusNotebook.java
+++ b/control/src/main/java/org/umbermount/control/CensusNotebook.java
@@ -7,9 +7,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Script;
-import org.umbermount.storage.Folio;
-import org.umbermount.storage.Stack;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.storage.LogRecord;
+import org.umbermount.storage.AppendOnlyFile;
 
 /**
  * Notes the servers on disk now and then, so that a control plane that was stopped as a whole need not wait for
@@ -24,14 +24,14 @@
     private static final long WORTHLESS_MS = 30_000;
 
     private final Census census;
-    private final Stack stack;
+    private final AppendOnlyFile stack;
     private final Executor thread;
     private final Clock clock;
     private long notedDigest;
     private long notedAt;
     private boolean busy;
 
-    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock) {
+    CensusNotebook(Census census, AppendOnlyFile stack, Executor thread, Clock clock) {
         this.census = census;
         this.stack = stack;
         this.thread = thread;
@@ -45,14 +45,14 @@
             return;
         }
         try {
-            Script.Reader in = Script.read(notes);
+            MessagePackCodec.Reader in = MessagePackCodec.read(notes);
             long age = clock.wallMillis() - in.num();
             List<CensusEntry> entries = in.list(CensusEntry::read);
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
                 census.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
             }
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             LOG.warn("The notes on servers cannot be read: {}.", e.getMessage());
         }
     }
@@ -71,10 +71,10 @@
         notedDigest = census.digest();
         notedAt = now;
         List<CensusEntry> entries = new ArrayList<>(census.entries());
-        byte[] notes = Script.write().num(now).list(entries, (o, e) -> e.write(o)).done();
+        byte[] notes = MessagePackCodec.write().num(now).list(entries, (o, e) -> e.write(o)).done();
         thread.execute(() -> {
             try {
-                stack.put(List.of(new Folio(SERVERS, notes)));
+                stack.put(List.of(new LogRecord(SERVERS, notes)));
             } catch (IOException | RuntimeException e) {
                 // A disk that refuses these refuses the chain's writes too, and is dealt with there.
                 notedDigest = 0;
--- a/control/src/main/java/org/umbermount/control/ChainClient.java
+++ b/control/src/main/java/org/umbermount/control/ChainClient.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** Carries a caller's configuration to the head, and a caller's read to the tail, and repeats until answered. */
@@ -19,14 +19,14 @@
     private final Clock clock;
     private final Map<RequestId, Errand> errands = new HashMap<>();
     private final Map<RequestId, Asked> asks = new HashMap<>();
-    private Edition attested;
-    private Moment attestedAt;
+    private ConfigurationRevision attested;
+    private MonotonicTime attestedAt;
     private Runnable onAttested = () -> { };
     /** No other life of any process has it, whatever its clock says. */
     private final long life = new SecureRandom().nextLong();
     private long lastNumber;
 
-    private record Asked(Moment at) {
+    private record Asked(MonotonicTime at) {
     }
 
     private static final class Errand {
@@ -35,7 +35,7 @@
         Consumer<ConfigurationState> reading;
         Runnable confirmed;
         Runnable gaveUp;
-        Moment until;
+        MonotonicTime until;
         /** The one view that it may be put to; 0 for any. */
         long onlyIn;
     }
@@ -46,7 +46,7 @@
     }
 
     /** Has a configuration taken that was sent whole; exactly one of the two is called. */
-    public void submit(Edition match, Edition edition, byte[] blob, long patienceMs,
+    public void submit(ConfigurationRevision match, ConfigurationRevision edition, byte[] blob, long patienceMs,
             Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
         submit(new Order(match, edition, Digest.ofCall("PUT", blob)), blob, patienceMs, verdict, gaveUp);
     }
@@ -63,7 +63,7 @@
         boolean ahead = order.match().isAfter(replica.committed().edition());
         errand.verdict = verdict;
         errand.ask = () -> {
-            Imprint head = replica.view().head();
+            DaemonAddress head = replica.view().head();
             if (head != null) {
                 if (ahead && errand.onlyIn == 0) {
                     errand.onlyIn = replica.view().number();
@@ -80,7 +80,7 @@
         RequestId id = nextId();
         errand.reading = reading;
         errand.ask = () -> {
-            Imprint tail = replica.view().tail();
+            DaemonAddress tail = replica.view().tail();
             if (tail != null) {
                 replica.sendRead(tail, id);
             }
@@ -108,7 +108,7 @@
         RequestId id = nextId();
         errand.confirmed = confirmed;
         errand.ask = () -> {
-            Imprint tail = replica.view().tail();
+            DaemonAddress tail = replica.view().tail();
             if (tail != null) {
                 replica.sendAttest(tail, id);
             }
@@ -166,7 +166,7 @@
     }
 
     @Override
-    public void attested(RequestId id, Edition newest) {
+    public void attested(RequestId id, ConfigurationRevision newest) {
         Errand errand = inTime(own(id));
         if (errand != null && errand.confirmed != null) {
             errands.remove(own(id));
@@ -182,7 +182,7 @@
 
     /** Asks which edition is the newest that anyone has been told is taken; the answer is kept. */
     public void askNewest() {
-        Imprint tail = replica.view().tail();
+        DaemonAddress tail = replica.view().tail();
         if (tail != null) {
             asks.values().removeIf(a -> clock.now().since(a.at()) > ASK_MS);
             RequestId id = nextId();
@@ -197,12 +197,12 @@
     }
 
     /** The newest edition as a majority has confirmed it, or null. */
-    public Edition attested() {
+    public ConfigurationRevision attested() {
         return attested;
     }
 
     /** The moment before which the confirmation was asked for. */
-    public Moment attestedAt() {
+    public MonotonicTime attestedAt() {
         return attestedAt;
     }
 }
--- a/control/src/main/java/org/umbermount/control/ChainMessages.java
+++ b/control/src/main/java/org/umbermount/control/ChainMessages.java
@@ -3,10 +3,10 @@
 import java.util.Collection;
 import java.util.List;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * The messages of the chain on the wire. Invariant: a message is read whole before anything acts on it, and this class
@@ -24,27 +24,27 @@
 
         void verdict(RequestId id, Replica.Verdict verdict);
 
-        void write(Imprint from, ConfigurationState state, List<PendingReply> replies);
+        void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies);
 
-        void committed(Imprint tail, long view, Edition edition, Digest digest);
+        void committed(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest);
 
         /** A read of the committed state, or of its edition alone if it is brief. */
-        void read(Imprint origin, RequestId id, boolean brief);
+        void read(DaemonAddress origin, RequestId id, boolean brief);
 
         void reading(RequestId id, ConfigurationState committed);
 
-        void attested(RequestId id, Edition newest);
+        void attested(RequestId id, ConfigurationRevision newest);
 
-        void confirm(Imprint from, long nonce, long view);
+        void confirm(DaemonAddress from, long nonce, long view);
 
-        void confirmed(Imprint from, long nonce, long incarnation);
+        void confirmed(DaemonAddress from, long nonce, long incarnation);
     }
 
     private final Channel channel;
     private Handler handler;
 
-    ChainMessages(Clock clock, Postbag post) {
-        channel = new Channel(clock, post, Postbag.Topic.CHAIN, this::receive);
+    ChainMessages(Clock clock, Messenger post) {
+        channel = new Channel(clock, post, Messenger.Topic.CHAIN, this::receive);
     }
 
     void open(Handler to) {
@@ -54,83 +54,83 @@
 
     // ---- sending ----
 
-    private static Script.Writer message(Kind kind) {
-        return Script.write().num(kind.ordinal());
+    private static MessagePackCodec.Writer message(Kind kind) {
+        return MessagePackCodec.write().num(kind.ordinal());
     }
 
-    private static Script.Writer message(Kind kind, RequestId id) {
-        Script.Writer out = message(kind);
+    private static MessagePackCodec.Writer message(Kind kind, RequestId id) {
+        MessagePackCodec.Writer out = message(kind);
         id.write(out);
         return out;
     }
 
     /** Only the head of that one view may act on it; 0 is any view. */
-    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
-        Script.Writer out = message(Kind.SUBMIT, id).num(onlyIn);
+    void sendSubmission(DaemonAddress to, RequestId id, long onlyIn, Order order, byte[] blob) {
+        MessagePackCodec.Writer out = message(Kind.SUBMIT, id).num(onlyIn);
         order.write(out);
         channel.send(to, out.bytes(blob));
     }
 
-    void sendVerdict(Imprint to, RequestId id, Replica.Verdict verdict) {
+    void sendVerdict(DaemonAddress to, RequestId id, Replica.Verdict verdict) {
         channel.send(to, message(Kind.VERDICT, id).num(verdict.ordinal()));
     }
 
-    void sendWrite(Imprint to, ConfigurationState state, Collection<PendingReply> replies) {
-        Script.Writer out = message(Kind.WRITE);
+    void sendWrite(DaemonAddress to, ConfigurationState state, Collection<PendingReply> replies) {
+        MessagePackCodec.Writer out = message(Kind.WRITE);
         state.write(out);
         out.list(replies, (o, r) -> r.write(o));
         channel.send(to, out);
     }
 
-    void sendCommitted(Imprint to, ConfigurationState state) {
-        Script.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
+    void sendCommitted(DaemonAddress to, ConfigurationState state) {
+        MessagePackCodec.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
         state.taken().newestDigest().write(out);
         channel.send(to, out);
     }
 
-    void sendRead(Imprint to, RequestId id) {
+    void sendRead(DaemonAddress to, RequestId id) {
         channel.send(to, message(Kind.READ, id));
     }
 
-    void sendReading(Imprint to, RequestId id, ConfigurationState committed) {
-        Script.Writer out = message(Kind.READING, id);
+    void sendReading(DaemonAddress to, RequestId id, ConfigurationState committed) {
+        MessagePackCodec.Writer out = message(Kind.READING, id);
         committed.write(out);
         channel.send(to, out);
     }
 
-    void sendAttest(Imprint to, RequestId id) {
+    void sendAttest(DaemonAddress to, RequestId id) {
         channel.send(to, message(Kind.ATTEST, id));
     }
 
-    void sendAttested(Imprint to, RequestId id, Edition newest) {
+    void sendAttested(DaemonAddress to, RequestId id, ConfigurationRevision newest) {
         channel.send(to, message(Kind.ATTESTED, id).num(newest.value()));
     }
 
-    void sendConfirm(Imprint to, long nonce, long view) {
+    void sendConfirm(DaemonAddress to, long nonce, long view) {
         channel.send(to, message(Kind.CONFIRM).num(nonce).num(view));
     }
 
-    void sendConfirmed(Imprint to, long nonce, long incarnation) {
+    void sendConfirmed(DaemonAddress to, long nonce, long incarnation) {
         channel.send(to, message(Kind.CONFIRMED).num(nonce).num(incarnation));
     }
 
     // ---- receiving ----
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown message of the chain", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message of the chain", null);
         }
         switch (Kind.values()[kind]) {
             case SUBMIT -> handler.submit(new ChainReplica.Submission(from, RequestId.read(in), in.num(),
                     Order.read(in), in.bytes()));
             case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
             case WRITE -> handler.write(from, ConfigurationState.read(in), in.list(PendingReply::read));
-            case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), Digest.read(in));
+            case COMMITTED -> handler.committed(from, in.num(), new ConfigurationRevision(in.num()), Digest.read(in));
             case READ -> handler.read(from, RequestId.read(in), false);
             case ATTEST -> handler.read(from, RequestId.read(in), true);
-            case ATTESTED -> handler.attested(RequestId.read(in), new Edition(in.num()));
+            case ATTESTED -> handler.attested(RequestId.read(in), new ConfigurationRevision(in.num()));
             case READING -> handler.reading(RequestId.read(in), ConfigurationState.read(in));
             case CONFIRM -> handler.confirm(from, in.num(), in.num());
             case CONFIRMED -> handler.confirmed(from, in.num(), in.num());
@@ -138,10 +138,10 @@
         }
     }
 
-    private static Replica.Verdict readVerdict(Script.Reader in) throws Script.UnreadableException {
+    private static Replica.Verdict readVerdict(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         int verdict = (int) in.num();
         if (verdict < 0 || verdict >= Replica.Verdict.values().length) {
-            throw new Script.UnreadableException("an unknown verdict", null);
+            throw new MessagePackCodec.UnreadableException("an unknown verdict", null);
         }
         return Replica.Verdict.values()[verdict];
     }
--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 import java.util.Set;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /**
  * A member of the chain (chain replication). Invariant: a state is passed on only once it is on disk here, it is
@@ -17,25 +17,25 @@
  */
 final class ChainReplica {
     /** An order that a caller hands in, with the whole that results; only the head of the one view may act on it, 0 is any. */
-    record Submission(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
+    record Submission(DaemonAddress origin, RequestId id, long onlyIn, Order order, byte[] blob) {
         PendingReply reply() {
             return new PendingReply(id, origin, order.edition(), order.digest());
         }
     }
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final DurableState durable;
     private final Membership membership;
     private final CommitPoint commits;
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
     private final Clock clock;
-    private final Tally tally;
+    private final Metrics tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
-    ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
+    ChainReplica(DaemonAddress self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
+            ViewConfirmation confirmation, ChainMessages messages, Metrics tally) {
         this.self = self;
         this.clock = clock;
         this.tally = tally;
@@ -125,7 +125,7 @@
 
     // ---- every member ----
 
-    void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
+    void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies) {
         Memory memory = durable.memory();
         if (state.view() > memory.view().number()) {
             membership.fetch(from);
@@ -162,10 +162,10 @@
     /** Passes the newest state on, or commits it at the tail. */
     private void forward() {
         Memory memory = durable.memory();
-        if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
+        if (!membership.inChain() || memory.state().edition().equals(ConfigurationRevision.NONE)) {
             return;
         }
-        Imprint next = memory.view().successor(self);
+        DaemonAddress next = memory.view().successor(self);
         if (next == null) {
             commit(memory);
         } else {
@@ -174,7 +174,7 @@
     }
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
-    void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
+    void committedElsewhere(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest) {
         ConfigurationState meant = commits.superseded(edition, durable.memory().state());
         if (meant.view() == view && meant.isSameAs(edition, digest)) {
             commits.advance(meant);
@@ -194,7 +194,7 @@
 
     private void commit(Memory memory) {
         ConfigurationState state = memory.state();
-        Set<Imprint> targets = new HashSet<>(membership.audience());
+        Set<DaemonAddress> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.view().chain());
         targets.remove(self);
         for (PendingReply reply : owed.values()) {
@@ -206,7 +206,7 @@
             }
         }
         owed.clear();
-        for (Imprint target : targets) {
+        for (DaemonAddress target : targets) {
             messages.sendCommitted(target, state);
         }
         commits.advance(state);
--- a/control/src/main/java/org/umbermount/control/Channel.java
+++ b/control/src/main/java/org/umbermount/control/Channel.java
@@ -1,9 +1,9 @@
 package org.umbermount.control;
 
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * Sends the messages of one topic. Invariant: what this daemon sends to itself goes through the same bytes and the same
@@ -11,11 +11,11 @@
  */
 final class Channel {
     private final Clock clock;
-    private final Postbag post;
-    private final Postbag.Topic topic;
-    private final Postbag.Listener receiver;
+    private final Messenger post;
+    private final Messenger.Topic topic;
+    private final Messenger.Listener receiver;
 
-    Channel(Clock clock, Postbag post, Postbag.Topic topic, Postbag.Listener receiver) {
+    Channel(Clock clock, Messenger post, Messenger.Topic topic, Messenger.Listener receiver) {
         this.clock = clock;
         this.post = post;
         this.topic = topic;
@@ -27,7 +27,7 @@
         post.subscribe(topic, receiver);
     }
 
-    void send(Imprint to, Script.Writer out) {
+    void send(DaemonAddress to, MessagePackCodec.Writer out) {
         byte[] body = out.done();
         if (to.equals(post.self())) {
             clock.execute(() -> deliver(to, body));
@@ -36,10 +36,10 @@
         }
     }
 
-    private void deliver(Imprint self, byte[] body) {
+    private void deliver(DaemonAddress self, byte[] body) {
         try {
             receiver.receive(self, body);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new IllegalStateException(e);
         }
     }
--- a/control/src/main/java/org/umbermount/control/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -6,9 +6,9 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.storage.StackRoom;
+import org.umbermount.storage.DiskWriter;
 
 /**
  * The newest state known here to be committed. Invariant: it only rises, and its observers hear of each edition once, in
@@ -18,15 +18,15 @@
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int SUPERSEDED = 8;
 
-    private final StackRoom room;
+    private final DiskWriter room;
     private final List<Consumer<ConfigurationState>> observers = new ArrayList<>();
     /** States that a newer one has replaced here before word came that they were committed. */
     private final ArrayDeque<ConfigurationState> superseded = new ArrayDeque<>();
     private ConfigurationState committed = ConfigurationState.NONE;
-    private Edition readEdition = Edition.NONE;
+    private ConfigurationRevision readEdition = ConfigurationRevision.NONE;
     private Regulations regulations;
 
-    CommitPoint(StackRoom room) {
+    CommitPoint(DiskWriter room) {
         this.room = room;
     }
 
@@ -43,7 +43,7 @@
         return committed;
     }
 
-    Edition edition() {
+    ConfigurationRevision edition() {
         return committed.edition();
     }
 
@@ -51,7 +51,7 @@
     Regulations regulations() {
         if (!committed.edition().equals(readEdition)) {
             try {
-                regulations = committed.edition().equals(Edition.NONE) ? null : Regulations.readTaken(committed.blob());
+                regulations = committed.edition().equals(ConfigurationRevision.NONE) ? null : Regulations.readTaken(committed.blob());
             } catch (FaultException e) {
                 LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
             }
@@ -71,7 +71,7 @@
     }
 
     /** The superseded state of an edition, or else the newest state. */
-    ConfigurationState superseded(Edition edition, ConfigurationState newest) {
+    ConfigurationState superseded(ConfigurationRevision edition, ConfigurationState newest) {
         ConfigurationState meant = newest;
         for (ConfigurationState earlier : superseded) {
             if (earlier.edition().equals(edition)) {
--- a/control/src/main/java/org/umbermount/control/ConfigurationState.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationState.java
@@ -2,26 +2,26 @@
 
 import java.util.Arrays;
 import java.util.List;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * The configuration store's whole state: the newest configuration, the view it belongs to, and which
  * orders were taken up to it.
  */
-public record ConfigurationState(long view, Edition edition, byte[] blob, TakenOrders taken) {
-    public static final ConfigurationState NONE = new ConfigurationState(0, Edition.NONE, new byte[0], TakenOrders.NONE);
+public record ConfigurationState(long view, ConfigurationRevision edition, byte[] blob, TakenOrders taken) {
+    public static final ConfigurationState NONE = new ConfigurationState(0, ConfigurationRevision.NONE, new byte[0], TakenOrders.NONE);
     /** What a state begins with; one that was written before there were formats begins with its view, which is not negative. */
     private static final long FORMAT = -2;
 
     /** The state after taking one more configuration that was sent whole. */
-    public ConfigurationState take(Edition next, byte[] nextBlob) {
+    public ConfigurationState take(ConfigurationRevision next, byte[] nextBlob) {
         return take(next, nextBlob, Digest.ofCall("PUT", nextBlob));
     }
 
     /** The state after taking one more configuration; the digest is that of the call, by which its repeats are known. */
-    public ConfigurationState take(Edition next, byte[] nextBlob, Digest call) {
+    public ConfigurationState take(ConfigurationRevision next, byte[] nextBlob, Digest call) {
         return new ConfigurationState(view, next, nextBlob, taken.with(new TakenOrders.Taken(next, call)));
     }
 
@@ -34,7 +34,7 @@
     }
 
     /** Whether the other holds the same configuration, brought by the same call. */
-    public boolean isSameAs(Edition other, Digest call) {
+    public boolean isSameAs(ConfigurationRevision other, Digest call) {
         return edition.equals(other) && taken.newestDigest().equals(call);
     }
 
@@ -44,29 +44,29 @@
                 || taken.newestDigest().equals(other.taken.newestDigest()) && Arrays.equals(blob, other.blob));
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.num(FORMAT).num(view).num(edition.value()).bytes(blob);
         taken.write(out);
     }
 
-    static ConfigurationState read(Script.Reader in) throws Script.UnreadableException {
+    static ConfigurationState read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         long first = in.num();
         if (first >= 0) {
             return readOlder(first, in);
         }
         if (first != FORMAT) {
-            throw new Script.UnreadableException("a state of an unknown format", null);
+            throw new MessagePackCodec.UnreadableException("a state of an unknown format", null);
         }
-        ConfigurationState read = new ConfigurationState(in.num(), new Edition(in.num()), in.bytes(), TakenOrders.read(in));
+        ConfigurationState read = new ConfigurationState(in.num(), new ConfigurationRevision(in.num()), in.bytes(), TakenOrders.read(in));
         if (!read.taken.newest().equals(read.edition)) {
-            throw new Script.UnreadableException("a state whose newest order is another one", null);
+            throw new MessagePackCodec.UnreadableException("a state whose newest order is another one", null);
         }
         return read;
     }
 
     /** Its short hashes tell nothing for sure: all that it took is below the floor. */
-    private static ConfigurationState readOlder(long view, Script.Reader in) throws Script.UnreadableException {
-        Edition edition = new Edition(in.num());
+    private static ConfigurationState readOlder(long view, MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        ConfigurationRevision edition = new ConfigurationRevision(in.num());
         byte[] blob = in.bytes();
         in.list(entry -> new long[] {entry.num(), entry.num()});
         return new ConfigurationState(view, edition, blob, new TakenOrders(edition, List.of()));
--- a/control/src/main/java/org/umbermount/control/ControlDesk.java
+++ b/control/src/main/java/org/umbermount/control/ControlDesk.java
@@ -40,15 +40,15 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.kernel.Form;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.JsonValue;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /** The calls of servers and of the operator. */
 final class ControlDesk implements StatusPage {
@@ -66,14 +66,14 @@
     private final LeaseOffice leases;
     private final FailureDetector detector;
     private final MajorityContact contact;
-    private final Imprint self;
-    private final Imprint control;
+    private final DaemonAddress self;
+    private final DaemonAddress control;
     private final String zone;
-    private final Tally tally;
+    private final Metrics tally;
     private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlDesk(Archive archive, Clock clock, Imprint self, Imprint control, String zone, Tally tally) {
+    ControlDesk(Archive archive, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics tally) {
         this.clock = clock;
         this.chainClient = archive.chainClient;
         this.replica = archive.replica;
@@ -129,7 +129,7 @@
             boolean keep = HttpUtil.isKeepAlive(request);
             try {
                 if (request.decoderResult().isFailure()) {
-                    throw new FaultException(Erratum.MALFORMED, "The call cannot be read.");
+                    throw new FaultException(ErrorKind.MALFORMED, "The call cannot be read.");
                 }
                 route(ctx, request, keep);
             } catch (FaultException e) {
@@ -157,34 +157,34 @@
             } else if (method.equals(HttpMethod.GET)) {
                 getConfig(ctx, keep);
             } else {
-                throw new FaultException(Erratum.WRONG_METHOD, "/config takes GET, PUT and PATCH.");
+                throw new FaultException(ErrorKind.WRONG_METHOD, "/config takes GET, PUT and PATCH.");
             }
         } else if (path.equals("/purge")) {
             if (!method.equals(HttpMethod.POST)) {
-                throw new FaultException(Erratum.WRONG_METHOD, "/purge takes POST.");
+                throw new FaultException(ErrorKind.WRONG_METHOD, "/purge takes POST.");
             }
             purge(ctx, request, keep);
         } else if (path.startsWith("/instances/") && path.length() > 11 && path.indexOf('/', 11) < 0) {
-            Pressmark id = new Pressmark(path.substring(11));
+            InstanceId id = new InstanceId(path.substring(11));
             if (method.equals(HttpMethod.PUT)) {
                 beat(ctx, request, id, keep);
             } else if (method.equals(HttpMethod.DELETE)) {
                 signOff(ctx, id, keep);
             } else {
-                throw new FaultException(Erratum.WRONG_METHOD, "/instances/ID takes PUT and DELETE.");
+                throw new FaultException(ErrorKind.WRONG_METHOD, "/instances/ID takes PUT and DELETE.");
             }
         } else if (method.equals(HttpMethod.GET) && path.equals("/status")) {
             json(ctx, keep, 200, status().toString());
         } else if (method.equals(HttpMethod.GET) && path.equals("/metrics")) {
             send(ctx, keep, 200, "text/plain", tally.page().getBytes(StandardCharsets.UTF_8), null);
         } else {
-            throw new FaultException(Erratum.UNKNOWN_CALL, "There is no call " + method + " " + path + ".");
+            throw new FaultException(ErrorKind.UNKNOWN_CALL, "There is no call " + method + " " + path + ".");
         }
     }
 
     private void putConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         byte[] blob = ByteBufUtil.getBytes(request.content());
-        Edition match = match(request);
+        ConfigurationRevision match = match(request);
         // All that can be wrong with an order by itself is told from the call alone: one that was taken passes at any time.
         Order order = rising(new Order(match, Regulations.parse(blob).edition(), Digest.ofCall("PUT", blob)));
         submit(ctx, keep, order, blob, PATIENCE_MS);
@@ -192,25 +192,25 @@
 
     private static Order rising(Order order) throws FaultException {
         if (!order.rises()) {
-            throw new FaultException(Erratum.INVALID_CONFIGURATION, "The configuration is invalid: revision "
+            throw new FaultException(ErrorKind.INVALID_CONFIGURATION, "The configuration is invalid: revision "
                     + order.edition() + " is not above " + order.match() + ", on which it builds.");
         }
         return order;
     }
 
-    private static Edition match(FullHttpRequest request) throws FaultException {
+    private static ConfigurationRevision match(FullHttpRequest request) throws FaultException {
         String text = request.headers().get(HttpHeaderNames.IF_MATCH);
         try {
-            return new Edition(Long.parseLong(text == null ? "" : text.replace("\"", "").trim()));
+            return new ConfigurationRevision(Long.parseLong(text == null ? "" : text.replace("\"", "").trim()));
         } catch (NumberFormatException e) {
-            throw new FaultException(Erratum.INVALID_CONFIGURATION, "If-Match must hold the number of a version.");
+            throw new FaultException(ErrorKind.INVALID_CONFIGURATION, "If-Match must hold the number of a version.");
         }
     }
 
     /** Changes named items: the whole that results from the version named by If-Match goes the way of every whole. */
     private void patchConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         byte[] call = ByteBufUtil.getBytes(request.content());
-        Edition match = match(request);
+        ConfigurationRevision match = match(request);
         Amendment amendment = Amendment.parse(call);
         Order order = rising(new Order(match, amendment.edition(), amendment.digest()));
         ConfigurationState here = replica.committed();
@@ -225,14 +225,14 @@
                 }
             }
         }
-        Moment asked = clock.now();
+        MonotonicTime asked = clock.now();
         chainClient.read(PATIENCE_MS, newest -> {
             try {
                 amend(ctx, keep, order, amendment, newest, PATIENCE_MS - clock.now().since(asked));
             } catch (FaultException e) {
                 refuse(ctx, keep, e.erratum(), e.getMessage());
             }
-        }, () -> refuse(ctx, keep, Erratum.CHANGE_UNKNOWN,
+        }, () -> refuse(ctx, keep, ErrorKind.CHANGE_UNKNOWN,
                 "The version it builds on is not known here yet; an earlier sending may have been taken."));
     }
 
@@ -250,10 +250,10 @@
 
     private void purge(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         try {
-            Form call = Form.parse(ByteBufUtil.getBytes(request.content()));
+            JsonValue call = JsonValue.parse(ByteBufUtil.getBytes(request.content()));
             boolean tag = call.has("tag");
             if (tag == (call.has("virtualHost") || call.has("path"))) {
-                throw new FaultException(Erratum.INVALID_PURGE, "A purge names a virtualHost and a path, or a tag.");
+                throw new FaultException(ErrorKind.INVALID_PURGE, "A purge names a virtualHost and a path, or a tag.");
             }
             if (tag) {
                 call.member("tag").text();
@@ -261,8 +261,8 @@
                 call.member("virtualHost").text();
                 call.member("path").text();
             }
-        } catch (Form.WrongException e) {
-            throw new FaultException(Erratum.INVALID_PURGE, "The purge is invalid: " + e.getMessage() + ".");
+        } catch (JsonValue.WrongException e) {
+            throw new FaultException(ErrorKind.INVALID_PURGE, "The purge is invalid: " + e.getMessage() + ".");
         }
         if (!Safeguard.PURGE_CONFIRMED.holds()) {
             json(ctx, keep, 200, "{}");
@@ -270,42 +270,42 @@
         }
         // No daemon keeps copies yet: nothing that was replaced can be handed out after this.
         chainClient.confirm(PATIENCE_MS, () -> json(ctx, keep, 200, "{}"),
-                () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
+                () -> refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
     private void submit(ChannelHandlerContext ctx, boolean keep, Order order, byte[] blob, long patienceMs) {
-        Edition edition = order.edition();
+        ConfigurationRevision edition = order.edition();
         chainClient.submit(order, blob, patienceMs, verdict -> {
             switch (verdict) {
                 case TAKEN -> {
                     LOG.info("Edition {} was taken.", edition);
                     json(ctx, keep, 200, "{\"revision\":" + edition + "}");
                 }
-                case STALE -> refuse(ctx, keep, Erratum.STALE_MATCH, "Another version than " + order.match() + " is current.");
-                default -> refuse(ctx, keep, Erratum.INVALID_CONFIGURATION,
+                case STALE -> refuse(ctx, keep, ErrorKind.STALE_MATCH, "Another version than " + order.match() + " is current.");
+                default -> refuse(ctx, keep, ErrorKind.INVALID_CONFIGURATION,
                         "The configuration is invalid: revision " + edition + " is not above the current one.");
             }
-        }, () -> refuse(ctx, keep, Erratum.CHANGE_UNKNOWN, "The chain did not answer in time; the change may still be taken."));
+        }, () -> refuse(ctx, keep, ErrorKind.CHANGE_UNKNOWN, "The chain did not answer in time; the change may still be taken."));
     }
 
     private void getConfig(ChannelHandlerContext ctx, boolean keep) {
         chainClient.read(PATIENCE_MS, state -> {
-            if (state.edition().equals(Edition.NONE)) {
-                refuse(ctx, keep, Erratum.UNKNOWN_CALL, "No configuration has been taken yet.");
+            if (state.edition().equals(ConfigurationRevision.NONE)) {
+                refuse(ctx, keep, ErrorKind.UNKNOWN_CALL, "No configuration has been taken yet.");
             } else {
                 send(ctx, keep, 200, "application/json", state.blob(), state.edition());
             }
-        }, () -> refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
+        }, () -> refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
-    private void beat(ChannelHandlerContext ctx, FullHttpRequest request, Pressmark id, boolean keep)
+    private void beat(ChannelHandlerContext ctx, FullHttpRequest request, InstanceId id, boolean keep)
             throws FaultException {
         requireContact();
         CensusEntry entry;
         try {
-            entry = readBeat(Form.parse(ByteBufUtil.getBytes(request.content())), id);
-        } catch (Form.WrongException e) {
-            throw new FaultException(Erratum.INVALID_BEAT, "The beat is invalid: " + e.getMessage() + ".");
+            entry = readBeat(JsonValue.parse(ByteBufUtil.getBytes(request.content())), id);
+        } catch (JsonValue.WrongException e) {
+            throw new FaultException(ErrorKind.INVALID_BEAT, "The beat is invalid: " + e.getMessage() + ".");
         }
         String answer = heartbeatAnswer(entry.zone());
         acknowledge(ctx, keep, done -> census.beat(entry, done), answer);
@@ -313,11 +313,11 @@
 
     private void requireContact() throws FaultException {
         if (Safeguard.CONTACT_BEFORE_BEATS.holds() ? !contact.holds() : !detector.reachesMajority(replica.view())) {
-            throw new FaultException(Erratum.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
+            throw new FaultException(ErrorKind.CONTROL_UNAVAILABLE, "This daemon is cut off from the others.");
         }
     }
 
-    private CensusEntry readBeat(Form beat, Pressmark id) throws Form.WrongException {
+    private CensusEntry readBeat(JsonValue beat, InstanceId id) throws JsonValue.WrongException {
         String status = beat.member("status").text();
         boolean draining = status.equals("draining");
         if (!draining && !status.equals("in_service")) {
@@ -331,7 +331,7 @@
                 beat.member("sequence").whole(0, Long.MAX_VALUE), self);
     }
 
-    private void signOff(ChannelHandlerContext ctx, Pressmark id, boolean keep) throws FaultException {
+    private void signOff(ChannelHandlerContext ctx, InstanceId id, boolean keep) throws FaultException {
         requireContact();
         acknowledge(ctx, keep, done -> census.signOff(id, done), "{}");
     }
@@ -343,7 +343,7 @@
         Clock.Cancellable timer = clock.after(TOLD_MS, () -> {
             if (!answered[0]) {
                 answered[0] = true;
-                refuse(ctx, keep, Erratum.CONTROL_UNAVAILABLE, "Too few other daemons could be told.");
+                refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "Too few other daemons could be told.");
             }
         });
         action.accept(() -> {
@@ -370,7 +370,7 @@
     }
 
     /** The part that the view in force gives a controller. */
-    private static String seat(View view, Imprint who) {
+    private static String seat(View view, DaemonAddress who) {
         if (!view.votes(who)) {
             return "none";
         }
@@ -385,9 +385,9 @@
                 .put("incarnation", replica.incarnation()).put("view", view.number())
                 .put("edition", replica.committed().edition().value())
                 .put("newestEdition", replica.newestEdition().value());
-        Moment confirmedAt = contact.confirmedAt();
+        MonotonicTime confirmedAt = contact.confirmedAt();
         root.putObject("contact").put("majorityAnswers", contact.holds())
-                .put("confirmedMsAgo", confirmedAt.equals(Moment.NEVER) ? -1 : clock.now().since(confirmedAt))
+                .put("confirmedMsAgo", confirmedAt.equals(MonotonicTime.NEVER) ? -1 : clock.now().since(confirmedAt))
                 .put("unbrokenMs", contact.unbrokenMs()).put("editionConfirmed", contact.assured());
         ArrayNode electorate = root.putArray("electorate");
         view.electorate().forEach(f -> electorate.add(f.imprint().toString()));
@@ -411,7 +411,7 @@
         }
         ObjectNode duties = root.putObject("duties");
         for (String z : leases.zones()) {
-            Imprint holder = leases.holder(z);
+            DaemonAddress holder = leases.holder(z);
             duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", leases.epoch(z));
         }
         ArrayNode servers = root.putArray("servers");
@@ -432,7 +432,7 @@
                 .put("edition", t.edition().value()).put("digest", t.digest().toString()));
     }
 
-    private void refuse(ChannelHandlerContext ctx, boolean keep, Erratum erratum, String detail) {
+    private void refuse(ChannelHandlerContext ctx, boolean keep, ErrorKind erratum, String detail) {
         tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
         json(ctx, keep && !erratum.closes(), erratum.status(),
                 "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
@@ -442,7 +442,7 @@
         send(ctx, keep, status, "application/json", body.getBytes(StandardCharsets.UTF_8), null);
     }
 
-    private void send(ChannelHandlerContext ctx, boolean keep, int status, String type, byte[] body, Edition edition) {
+    private void send(ChannelHandlerContext ctx, boolean keep, int status, String type, byte[] body, ConfigurationRevision edition) {
         ByteBuf content = Unpooled.wrappedBuffer(body);
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status), content);
--- a/control/src/main/java/org/umbermount/control/Digest.java
+++ b/control/src/main/java/org/umbermount/control/Digest.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The first 128 bits of a SHA-256: nobody finds two calls that share it. */
 public record Digest(long high, long low) {
@@ -31,11 +31,11 @@
         }
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.num(high).num(low);
     }
 
-    static Digest read(Script.Reader in) throws Script.UnreadableException {
+    static Digest read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Digest(in.num(), in.num());
     }
 
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -2,9 +2,9 @@
 
 import java.util.ArrayDeque;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Tally;
-import org.umbermount.storage.StackRoom;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.storage.DiskWriter;
 
 /**
  * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
@@ -15,20 +15,20 @@
     private static final long RETRY_MS = 200;
 
     private final Clock clock;
-    private final StackRoom room;
-    private final Tally tally;
+    private final DiskWriter room;
+    private final Metrics tally;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
     private Memory memory;
     private boolean busy;
     private boolean onDisk;
     private boolean freezing;
-    private Moment frozenSince;
+    private MonotonicTime frozenSince;
 
     /**
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, StackRoom room, Tally tally, Memory memory, boolean onDisk) {
+    DurableState(Clock clock, DiskWriter room, Metrics tally, Memory memory, boolean onDisk) {
         this.clock = clock;
         this.room = room;
         this.tally = tally;
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -9,10 +9,10 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** Controllers tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
@@ -35,40 +35,40 @@
      */
     public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
             boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
-            long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
-            List<Imprint> heard, List<Imprint> connected) {
-        void write(Script.Writer out) {
+            long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, DaemonAddress control,
+            List<DaemonAddress> heard, List<DaemonAddress> connected) {
+        void write(MessagePackCodec.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
                     .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
-                    .list(duties, Script.Writer::text).text(zone).imprint(control)
-                    .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint);
+                    .list(duties, MessagePackCodec.Writer::text).text(zone).imprint(control)
+                    .list(heard, MessagePackCodec.Writer::imprint).list(connected, MessagePackCodec.Writer::imprint);
         }
 
-        static Report read(Script.Reader in) throws Script.UnreadableException {
+        static Report read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
-                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(),
-                    in.imprint(), in.list(Script.Reader::imprint), in.list(Script.Reader::imprint));
+                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(MessagePackCodec.Reader::text), in.text(),
+                    in.imprint(), in.list(MessagePackCodec.Reader::imprint), in.list(MessagePackCodec.Reader::imprint));
         }
     }
 
     /** What is known of another controller. */
     public static final class Peer {
-        private final Imprint imprint;
+        private final DaemonAddress imprint;
         private Report report;
-        private Moment lastHeard = Moment.NEVER;
+        private MonotonicTime lastHeard = MonotonicTime.NEVER;
         /** The newest moment of this daemon's clock that the peer has sent back. */
-        private Moment answered = Moment.NEVER;
+        private MonotonicTime answered = MonotonicTime.NEVER;
         /** The newest stamp of the peer's own clock. */
         private long stamp = -1;
-        private Moment goodSince;
-        private Moment lostSince;
+        private MonotonicTime goodSince;
+        private MonotonicTime lostSince;
 
-        Peer(Imprint imprint, Moment now) {
+        Peer(DaemonAddress imprint, MonotonicTime now) {
             this.imprint = imprint;
             this.lostSince = now;
         }
 
-        public Imprint imprint() {
+        public DaemonAddress imprint() {
             return imprint;
         }
 
@@ -77,36 +77,36 @@
             return report;
         }
 
-        public Moment lastHeard() {
+        public MonotonicTime lastHeard() {
             return lastHeard;
         }
 
         /** When that was sent which the newest report answers. */
-        public Moment answered() {
+        public MonotonicTime answered() {
             return answered;
         }
     }
 
     /** Gives the own report; the lists of those heard, and heard in both directions, are filled in here. */
     public interface Reporter {
-        Report report(List<Imprint> heard, List<Imprint> connected);
+        Report report(List<DaemonAddress> heard, List<DaemonAddress> connected);
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger post;
     private final Reporter reporter;
-    private final Map<Imprint, Peer> peers = new TreeMap<>();
+    private final Map<DaemonAddress, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
-    private final Moment started;
+    private final MonotonicTime started;
     /** Stamps of another life of this daemon are below it, or above now. */
     private final long firstStamp;
     private Runnable keeper = () -> { };
-    private Moment lastTick;
-    private Moment stalledUntil;
+    private MonotonicTime lastTick;
+    private MonotonicTime stalledUntil;
     private boolean leaving;
     private int rounds;
 
-    public FailureDetector(Clock clock, Postbag post, Reporter reporter) {
+    public FailureDetector(Clock clock, Messenger post, Reporter reporter) {
         this.clock = clock;
         this.post = post;
         this.reporter = reporter;
@@ -114,7 +114,7 @@
         this.firstStamp = clock.wallMillis();
         this.lastTick = started;
         this.stalledUntil = started;
-        post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
+        post.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
     }
 
     public void start() {
@@ -123,7 +123,7 @@
     }
 
     /** Adds a controller to those that are called. */
-    public void enlist(Imprint imprint) {
+    public void enlist(DaemonAddress imprint) {
         if (!imprint.equals(post.self())) {
             peers.computeIfAbsent(imprint, i -> new Peer(i, clock.now()));
         }
@@ -138,21 +138,21 @@
         keeper = look;
     }
 
-    boolean isSelf(Imprint imprint) {
+    boolean isSelf(DaemonAddress imprint) {
         return imprint.equals(post.self());
     }
 
     /** When that was sent which a controller has answered last; now for this one. */
-    Moment answered(Imprint imprint) {
+    MonotonicTime answered(DaemonAddress imprint) {
         Peer p = peers.get(imprint);
-        return isSelf(imprint) ? clock.now() : p == null ? Moment.NEVER : p.answered;
+        return isSelf(imprint) ? clock.now() : p == null ? MonotonicTime.NEVER : p.answered;
     }
 
     public Collection<Peer> peers() {
         return Collections.unmodifiableCollection(peers.values());
     }
 
-    public Peer peer(Imprint imprint) {
+    public Peer peer(DaemonAddress imprint) {
         return peers.get(imprint);
     }
 
@@ -171,7 +171,7 @@
     }
 
     private void tick() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         rounds++;
         if (now.since(lastTick) > STALL_MS) {
             // This process stood still: the silence was its own. Give everyone time to be heard again.
@@ -190,9 +190,9 @@
         }
     }
 
-    private byte[] ownReport(Moment now) {
-        List<Imprint> heard = new ArrayList<>();
-        List<Imprint> both = new ArrayList<>();
+    private byte[] ownReport(MonotonicTime now) {
+        List<DaemonAddress> heard = new ArrayList<>();
+        List<DaemonAddress> both = new ArrayList<>();
         for (Peer p : peers.values()) {
             if (now.since(p.lastHeard) <= SILENCE_MS) {
                 heard.add(p.imprint);
@@ -201,13 +201,13 @@
                 both.add(p.imprint);
             }
         }
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         reporter.report(heard, both).write(out);
         return out.done();
     }
 
     private void send(boolean everyone) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         byte[] report = ownReport(now);
         for (Peer p : peers.values()) {
             if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
@@ -218,25 +218,25 @@
 
     /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
     private void send(Peer to, byte[] report) {
-        byte[] stamps = Script.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
+        byte[] stamps = MessagePackCodec.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
-        post.send(to.imprint, Postbag.Topic.ROLL_CALL, body);
+        post.send(to.imprint, Messenger.Topic.ROLL_CALL, body);
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
         long echo = in.num();
         keeper.run();
         boolean unknown = !peers.containsKey(from);
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
         boolean anew = peer.report != null && peer.report.censusBoot() != report.censusBoot();
         if (anew) {
-            peer.answered = Moment.NEVER;
+            peer.answered = MonotonicTime.NEVER;
         } else if (stamp < peer.stamp) {
             // Overtaken on its way by a newer one.
             return;
@@ -244,7 +244,7 @@
         peer.report = report;
         peer.lastHeard = now;
         peer.stamp = stamp;
-        Moment answered = started.plus(echo - firstStamp);
+        MonotonicTime answered = started.plus(echo - firstStamp);
         if (echo >= firstStamp && !now.isBefore(answered) && peer.answered.isBefore(answered)) {
             peer.answered = answered;
         }
@@ -259,7 +259,7 @@
         }
     }
 
-    private void judge(Peer p, Moment now) {
+    private void judge(Peer p, MonotonicTime now) {
         boolean good = isConnected(p, now) && p.report.diskGood() && !p.report.leaving();
         if (!good) {
             p.goodSince = null;
@@ -272,12 +272,12 @@
         }
     }
 
-    private boolean isConnected(Peer p, Moment now) {
+    private boolean isConnected(Peer p, MonotonicTime now) {
         return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(post.self());
     }
 
     /** Heard of lately, and hears this daemon. */
-    public boolean connected(Imprint imprint) {
+    public boolean connected(DaemonAddress imprint) {
         if (imprint.equals(post.self())) {
             return true;
         }
@@ -286,42 +286,42 @@
     }
 
     /** How long a peer has been connected with a working disk; -1 if it is not. */
-    public long goodForMs(Imprint imprint) {
+    public long goodForMs(DaemonAddress imprint) {
         Peer p = peers.get(imprint);
         if (p == null) {
             return -1;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         judge(p, now);
         return p.goodSince == null ? -1 : now.since(p.goodSince);
     }
 
     /** Whether a peer may still be on its way: this daemon has just started and has not heard of it. */
-    public boolean expected(Imprint imprint) {
+    public boolean expected(DaemonAddress imprint) {
         Peer p = peers.get(imprint);
         return p != null && p.report == null && clock.now().since(started) < FIRST_MS;
     }
 
     /** How long a peer has not been usable; 0 if it is. */
-    public long lostForMs(Imprint imprint) {
+    public long lostForMs(DaemonAddress imprint) {
         Peer p = peers.get(imprint);
         if (p == null) {
             return 0;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         judge(p, now);
         return p.lostSince == null ? 0 : now.since(p.lostSince);
     }
 
     /** Whether a peer is connected and has said how it is in answer to something sent later than a moment. */
-    public boolean answeredSince(Imprint imprint, Moment moment) {
+    public boolean answeredSince(DaemonAddress imprint, MonotonicTime moment) {
         Peer p = peers.get(imprint);
         return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         return now.since(lastTick) > STALL_MS || now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
--- a/control/src/main/java/org/umbermount/control/LeaseOffice.java
+++ b/control/src/main/java/org/umbermount/control/LeaseOffice.java
@@ -10,12 +10,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /**
  * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
@@ -40,17 +40,17 @@
     }
 
     private static final class Granted {
-        Imprint holder;
+        DaemonAddress holder;
         long epoch;
-        Moment until = Moment.NEVER;
+        MonotonicTime until = MonotonicTime.NEVER;
     }
 
     private static final class Held {
         long epoch;
-        Moment until = Moment.NEVER;
-        Moment asked = Moment.NEVER;
-        final Set<Imprint> granted = new HashSet<>();
-        Moment vacantSince;
+        MonotonicTime until = MonotonicTime.NEVER;
+        MonotonicTime asked = MonotonicTime.NEVER;
+        final Set<DaemonAddress> granted = new HashSet<>();
+        MonotonicTime vacantSince;
         boolean active;
     }
 
@@ -66,19 +66,19 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger post;
     private final Replica replica;
     private final FailureDetector detector;
-    private final Tally tally;
+    private final Metrics tally;
     private final String ownZone;
     private final List<String> zones;
     private final List<String> quotas;
-    private final Moment started;
+    private final MonotonicTime started;
     private final Map<String, Granted> grants = new HashMap<>();
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally,
+    public LeaseOffice(Clock clock, Messenger post, Replica replica, FailureDetector detector, Metrics tally,
             String ownZone, Iterable<String> zones, List<String> quotas) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
@@ -91,7 +91,7 @@
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
         this.started = clock.now();
-        post.subscribe(Postbag.Topic.LEASE, this::receive);
+        post.subscribe(Messenger.Topic.LEASE, this::receive);
     }
 
     public void start() {
@@ -115,7 +115,7 @@
     }
 
     /** Who holds a zone's duty as far as this daemon has granted it; null if nobody. */
-    public Imprint holder(String zone) {
+    public DaemonAddress holder(String zone) {
         if (epoch(zone) > 0) {
             return post.self();
         }
@@ -140,7 +140,7 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         for (String zone : zones) {
             Held h = held.computeIfAbsent(zone, z -> new Held());
             if (h.active && !now.isBefore(h.until)) {
@@ -159,7 +159,7 @@
     }
 
     /** Whether this daemon should have the duty. */
-    private boolean wanted(String zone, Held h, Moment now) {
+    private boolean wanted(String zone, Held h, MonotonicTime now) {
         if (detector.isLeaving() || !replica.view().votes(post.self())
                 || replica.standing() == Replica.Standing.RECOVERING
                 || !detector.reachesMajority(replica.view())) {
@@ -179,7 +179,7 @@
         if (h.active) {
             return true;
         }
-        Imprint other = holder(zone);
+        DaemonAddress other = holder(zone);
         if (other != null && !other.equals(post.self())) {
             h.vacantSince = null;
             return false;
@@ -238,18 +238,18 @@
         return true;
     }
 
-    private static long order(Imprint imprint, int salt) {
+    private static long order(DaemonAddress imprint, int salt) {
         return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
     }
 
-    private void ask(String zone, Held h, Moment now) {
+    private void ask(String zone, Held h, MonotonicTime now) {
         if (!h.active) {
             Granted g = grants.get(zone);
             h.epoch = Math.max(Math.max(h.epoch, g == null ? 0 : g.epoch) + 1, clock.wallMillis());
         }
         h.asked = now;
         h.granted.clear();
-        byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
+        byte[] body = MessagePackCodec.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
             if (f.imprint().equals(post.self())) {
@@ -257,16 +257,16 @@
                     granted(post.self(), zone, h.epoch, now.millis());
                 }
             } else if (detector.connected(f.imprint())) {
-                post.send(f.imprint(), Postbag.Topic.LEASE, body);
+                post.send(f.imprint(), Messenger.Topic.LEASE, body);
             }
         }
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown message about leases", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about leases", null);
         }
         String zone = in.text();
         long epoch = in.num();
@@ -275,7 +275,7 @@
                 long asked = in.num();
                 boolean yes = grant(zone, from, epoch, in.num());
                 long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
-                post.send(from, Postbag.Topic.LEASE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                post.send(from, Messenger.Topic.LEASE, MessagePackCodec.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
                         .text(zone).num(yes ? epoch : newest).num(asked).done());
             }
             case GRANT -> granted(from, zone, epoch, in.num());
@@ -288,15 +288,15 @@
             case RELEASE -> {
                 Granted g = grants.get(zone);
                 if (g != null && from.equals(g.holder) && g.epoch == epoch) {
-                    g.until = Moment.NEVER;
+                    g.until = MonotonicTime.NEVER;
                 }
             }
             default -> throw new IllegalStateException();
         }
     }
 
-    private boolean grant(String zone, Imprint who, long epoch, long view) {
-        Moment now = clock.now();
+    private boolean grant(String zone, DaemonAddress who, long epoch, long view) {
+        MonotonicTime now = clock.now();
         // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
         // later view meets one that has granted.
         if ((view != replica.view().number() || replica.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
@@ -328,9 +328,9 @@
      * Whether every voter but the one that asks has said, asked well after this daemon's start, that it does not hold the
      * duty. Only voters hold duties, and none becomes a holder later than {@link #GRANT_MS} after it asked.
      */
-    private boolean nobodyHolds(String duty, Imprint except) {
+    private boolean nobodyHolds(String duty, DaemonAddress except) {
         for (Voter f : replica.view().electorate()) {
-            Imprint who = f.imprint();
+            DaemonAddress who = f.imprint();
             if (who.equals(except) || who.equals(post.self())) {
                 continue;
             }
@@ -353,7 +353,7 @@
         return active;
     }
 
-    private void granted(Imprint from, String zone, long epoch, long asked) {
+    private void granted(DaemonAddress from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
         if (h == null || h.epoch != epoch || h.asked.millis() != asked
                 || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
@@ -361,7 +361,7 @@
         }
         h.granted.add(from);
         int votes = 0;
-        for (Imprint g : h.granted) {
+        for (DaemonAddress g : h.granted) {
             if (replica.view().votes(g)) {
                 votes++;
             }
@@ -370,7 +370,7 @@
         if (replica.view().electorate().isEmpty() || votes < needed) {
             return;
         }
-        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
+        MonotonicTime begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
         h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
@@ -396,7 +396,7 @@
         Held h = held.get(zone);
         if (h != null && Safeguard.RELEASED_FOR_GOOD.holds()) {
             // Grants that are still on their way are not wanted any more.
-            h.asked = Moment.NEVER;
+            h.asked = MonotonicTime.NEVER;
             h.granted.clear();
         }
         if (h == null || !h.active) {
@@ -405,12 +405,12 @@
         end(zone, h, why);
         Granted own = grants.get(zone);
         if (own != null && post.self().equals(own.holder)) {
-            own.until = Moment.NEVER;
+            own.until = MonotonicTime.NEVER;
         }
-        byte[] body = Script.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
+        byte[] body = MessagePackCodec.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
         for (Voter f : replica.view().electorate()) {
             if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Postbag.Topic.LEASE, body);
+                post.send(f.imprint(), Messenger.Topic.LEASE, body);
             }
         }
     }
--- a/control/src/main/java/org/umbermount/control/MajorityContact.java
+++ b/control/src/main/java/org/umbermount/control/MajorityContact.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * When a majority of the voters last answered this daemon. Roll calls carry a stamp of their sender's steady clock, and those
@@ -19,8 +19,8 @@
     private final FailureDetector detector;
     private final Replica replica;
     private final Supplier<View> view;
-    private Moment judgedAt;
-    private Moment unbrokenSince;
+    private MonotonicTime judgedAt;
+    private MonotonicTime unbrokenSince;
     private boolean assured;
 
     MajorityContact(Clock clock, FailureDetector detector, Replica replica) {
@@ -33,26 +33,26 @@
     }
 
     /** The latest moment such that a majority of the voters has answered something sent then or later. */
-    public Moment confirmedAt() {
+    public MonotonicTime confirmedAt() {
         View view = this.view.get();
         if (view.electorate().isEmpty()) {
-            return Moment.NEVER;
+            return MonotonicTime.NEVER;
         }
         long[] answered = new long[view.electorate().size()];
         for (int i = 0; i < answered.length; i++) {
             answered[i] = detector.answered(view.electorate().get(i).imprint()).millis();
         }
         Arrays.sort(answered);
-        return new Moment(answered[answered.length - view.majority()]);
+        return new MonotonicTime(answered[answered.length - view.majority()]);
     }
 
-    private boolean fresh(Moment at) {
+    private boolean fresh(MonotonicTime at) {
         return clock.now().since(at) <= LIMIT_MS;
     }
 
     /** Looks at every roll call that comes or goes, before and after, so that no break passes unnoticed. */
     private void judge() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (!fresh(confirmedAt()) || now.since(judgedAt) > LIMIT_MS) {
             unbrokenSince = null;
             assured = false;
@@ -79,7 +79,7 @@
      * nothing newer than an edition. What is committed is held by a majority, so whatever was committed before they were
      * asked would show.
      */
-    public boolean confirms(Edition edition) {
+    public boolean confirms(ConfigurationRevision edition) {
         View view = this.view.get();
         int n = 0;
         for (Voter f : view.electorate()) {
@@ -100,9 +100,9 @@
      */
     public boolean assured() {
         judge();
-        Edition edition = replica.committed().edition();
+        ConfigurationRevision edition = replica.committed().edition();
         if (unbrokenSince != null && !assured) {
-            assured = !edition.equals(Edition.NONE) && !replica.newestEdition().isAfter(edition) && confirms(edition);
+            assured = !edition.equals(ConfigurationRevision.NONE) && !replica.newestEdition().isAfter(edition) && confirms(edition);
         }
         return assured;
     }
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -29,7 +29,7 @@
         void inForce();
     }
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages messages;
@@ -37,9 +37,9 @@
     private Listener listener;
     private Replica.Standing standing;
     private Companion companion = Companion.NONE;
-    private List<Imprint> audience = List.of();
+    private List<DaemonAddress> audience = List.of();
 
-    Membership(Imprint self, DurableState durable, CommitPoint commits, ViewMessages messages) {
+    Membership(DaemonAddress self, DurableState durable, CommitPoint commits, ViewMessages messages) {
         this.self = self;
         this.durable = durable;
         this.commits = commits;
@@ -91,7 +91,7 @@
         if (standing != Replica.Standing.MEMBER || bound || !memory.view().chains(self)) {
             return false;
         }
-        for (Imprint member : memory.view().chain()) {
+        for (DaemonAddress member : memory.view().chain()) {
             if (memory.view().fellow(member).incarnation() < incarnationOf(member)) {
                 return false;
             }
@@ -100,7 +100,7 @@
     }
 
     /** The newest incarnation known of a daemon. */
-    long incarnationOf(Imprint who) {
+    long incarnationOf(DaemonAddress who) {
         Memory memory = durable.memory();
         return who.equals(self) ? memory.incarnation() : memory.incarnationOf(who);
     }
@@ -130,17 +130,17 @@
     }
 
     /** Sets which controllers beside the voters are told of views and commits. */
-    void audience(List<Imprint> controllers) {
+    void audience(List<DaemonAddress> controllers) {
         audience = List.copyOf(controllers);
     }
 
-    List<Imprint> audience() {
+    List<DaemonAddress> audience() {
         return audience;
     }
 
     /** The audience and the voters of a view, without this daemon. */
-    Set<Imprint> others(View view) {
-        Set<Imprint> targets = new HashSet<>(audience);
+    Set<DaemonAddress> others(View view) {
+        Set<DaemonAddress> targets = new HashSet<>(audience);
         for (Voter f : view.electorate()) {
             targets.add(f.imprint());
         }
@@ -157,7 +157,7 @@
         }
         durable.persist(durable.memory().adopt(proposal.view(), proposal.base()), () -> {
             adopted(why);
-            for (Imprint target : others(proposal.view())) {
+            for (DaemonAddress target : others(proposal.view())) {
                 sendNews(target);
             }
         });
@@ -191,19 +191,19 @@
         listener.inForce();
     }
 
-    void sendNews(Imprint to) {
+    void sendNews(DaemonAddress to) {
         if (view().number() != 0) {
             messages.sendNews(to, durable.memory(), commits.committed());
         }
     }
 
     /** Asks a controller for its view and state. */
-    void fetch(Imprint from) {
+    void fetch(DaemonAddress from) {
         messages.sendFetch(from);
     }
 
     /** Takes in which incarnations another has met; {@code then} runs once they are on disk. */
-    void learnIncarnations(Map<Imprint, Long> met, Runnable then) {
+    void learnIncarnations(Map<DaemonAddress, Long> met, Runnable then) {
         Memory memory = durable.memory();
         Memory next = memory.withIncarnations(met);
         if (next.incarnations().equals(memory.incarnations())) {
--- a/control/src/main/java/org/umbermount/control/MembershipPlan.java
+++ b/control/src/main/java/org/umbermount/control/MembershipPlan.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -19,26 +19,26 @@
     /** What a daemon sees of the controllers. */
     interface Sight {
         /** All controllers that are known, also those without a vote. */
-        Iterable<Imprint> known();
+        Iterable<DaemonAddress> known();
 
         /** Whether it is reached by a majority of the voters, can write, and stays. */
-        boolean well(Imprint who);
+        boolean well(DaemonAddress who);
 
         /** Whether it has been well for long enough to be taken in. */
-        boolean steady(Imprint who);
+        boolean steady(DaemonAddress who);
 
         /** Whether it may still be on its way, since the one that looks has just started. */
-        boolean expected(Imprint who);
+        boolean expected(DaemonAddress who);
 
         /** Whether two controllers hear each other. */
-        boolean linked(Imprint one, Imprint other);
+        boolean linked(DaemonAddress one, DaemonAddress other);
 
         /** Whether it has its memory and votes, or has rebuilt it. */
-        boolean hasMemory(Imprint who);
+        boolean hasMemory(DaemonAddress who);
 
-        long incarnation(Imprint who);
+        long incarnation(DaemonAddress who);
 
-        String zone(Imprint who);
+        String zone(DaemonAddress who);
     }
 
     /** The wanted view, why, and whether it cannot wait. */
@@ -49,7 +49,7 @@
     private final int tolerated;
     private final Sight sight;
     private final List<Voter> electorate = new ArrayList<>();
-    private final List<Imprint> chain = new ArrayList<>();
+    private final List<DaemonAddress> chain = new ArrayList<>();
     private String why;
     private boolean pressing;
 
@@ -81,7 +81,7 @@
     private Wish wish(boolean seatsMayChange) {
         renewIncarnations();
         keepWhoIsWell();
-        Imprint candidate = pressing || !seatsMayChange ? null : candidate();
+        DaemonAddress candidate = pressing || !seatsMayChange ? null : candidate();
         if (seatsMayChange) {
             changeOneSeat(candidate);
         }
@@ -115,7 +115,7 @@
 
     /** Members of the chain stay if they are well and hear all those before them: so everyone who looks keeps the same ones. */
     private void keepWhoIsWell() {
-        for (Imprint member : now.chain().stream().sorted().toList()) {
+        for (DaemonAddress member : now.chain().stream().sorted().toList()) {
             if (sight.expected(member)) {
                 continue;
             }
@@ -129,7 +129,7 @@
                 chain.add(member);
             }
         }
-        for (Imprint member : now.chain()) {
+        for (DaemonAddress member : now.chain()) {
             if (sight.expected(member)) {
                 chain.add(member);
             }
@@ -137,13 +137,13 @@
         chain.sort(Comparator.comparing(now.chain()::indexOf));
     }
 
-    private void drop(Imprint member, String cause) {
+    private void drop(DaemonAddress member, String cause) {
         why = member + " " + cause;
         pressing = true;
     }
 
-    private boolean hearsAll(Imprint who) {
-        for (Imprint other : chain) {
+    private boolean hearsAll(DaemonAddress who) {
+        for (DaemonAddress other : chain) {
             if (!sight.expected(other) && !sight.linked(who, other)) {
                 return false;
             }
@@ -152,7 +152,7 @@
     }
 
     /** A voter that is not well any more: it is not in the wanted chain. */
-    private Imprint gone() {
+    private DaemonAddress gone() {
         for (Voter f : electorate) {
             if (!sight.expected(f.imprint()) && !sight.well(f.imprint()) && !chain.contains(f.imprint())) {
                 return f.imprint();
@@ -161,8 +161,8 @@
         return null;
     }
 
-    private void changeOneSeat(Imprint candidate) {
-        Imprint gone = Safeguard.SEAT_GIVEN_UP.holds() ? gone() : null;
+    private void changeOneSeat(DaemonAddress candidate) {
+        DaemonAddress gone = Safeguard.SEAT_GIVEN_UP.holds() ? gone() : null;
         boolean spare = electorate.size() > leastElectorate(tolerated);
         if (gone != null && spare) {
             // Also out of the line that committed last: a majority of those left still meets the rest of it.
@@ -178,9 +178,9 @@
         }
     }
 
-    private Imprint candidate() {
-        TreeSet<Imprint> found = new TreeSet<>();
-        for (Imprint who : sight.known()) {
+    private DaemonAddress candidate() {
+        TreeSet<DaemonAddress> found = new TreeSet<>();
+        for (DaemonAddress who : sight.known()) {
             if (!now.votes(who) && sight.well(who) && sight.steady(who)) {
                 found.add(who);
             }
@@ -188,9 +188,9 @@
         return found.isEmpty() ? null : found.first();
     }
 
-    private void takeIn(Imprint candidate) {
+    private void takeIn(DaemonAddress candidate) {
         for (Voter f : electorate) {
-            Imprint who = f.imprint();
+            DaemonAddress who = f.imprint();
             if (!chain.contains(who) && sight.well(who) && sight.steady(who) && hearsAll(who)
                     && (sight.hasMemory(who) || who.equals(candidate))) {
                 chain.add(who);
--- a/control/src/main/java/org/umbermount/control/Memory.java
+++ b/control/src/main/java/org/umbermount/control/Memory.java
@@ -4,17 +4,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
-import org.umbermount.storage.Folio;
-import org.umbermount.storage.Stack;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.storage.LogRecord;
+import org.umbermount.storage.AppendOnlyFile;
 
 /**
  * What a controller must not forget. {@code recoveredFor} is the number of the view for which a new
  * incarnation has read enough others; {@code incarnations} is the crash vector.
  */
 record Memory(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
-        Ballot acceptedBallot, Proposal accepted, Map<Imprint, Long> incarnations) {
+        Ballot acceptedBallot, Proposal accepted, Map<DaemonAddress, Long> incarnations) {
 
     private static final byte IDENTITY = 1;
     private static final byte VIEW = 2;
@@ -52,22 +52,22 @@
         return new Memory(incarnation, recoveredFor, view, state, p, ab, a, incarnations);
     }
 
-    Memory withIncarnation(Imprint who, long which) {
-        Map<Imprint, Long> next = new HashMap<>(incarnations);
+    Memory withIncarnation(DaemonAddress who, long which) {
+        Map<DaemonAddress, Long> next = new HashMap<>(incarnations);
         next.merge(who, which, Math::max);
         return new Memory(incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
     }
 
-    Memory withIncarnations(Map<Imprint, Long> more) {
+    Memory withIncarnations(Map<DaemonAddress, Long> more) {
         Memory next = this;
-        for (Map.Entry<Imprint, Long> e : more.entrySet()) {
+        for (Map.Entry<DaemonAddress, Long> e : more.entrySet()) {
             next = next.withIncarnation(e.getKey(), e.getValue());
         }
         return next;
     }
 
     /** The newest incarnation known of a daemon. */
-    long incarnationOf(Imprint who) {
+    long incarnationOf(DaemonAddress who) {
         long known = incarnations.getOrDefault(who, 0L);
         Voter fellow = view.fellow(who);
         return fellow == null ? known : Math.max(known, fellow.incarnation());
@@ -78,37 +78,37 @@
     }
 
     /** The folios that differ from an older memory. */
-    List<Folio> changesSince(Memory old) {
-        List<Folio> out = new ArrayList<>();
+    List<LogRecord> changesSince(Memory old) {
+        List<LogRecord> out = new ArrayList<>();
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
-            out.add(new Folio(IDENTITY, Script.write().num(incarnation).num(recoveredFor).done()));
+            out.add(new LogRecord(IDENTITY, MessagePackCodec.write().num(incarnation).num(recoveredFor).done()));
         }
         if (old == null || old.view != view) {
-            Script.Writer w = Script.write();
+            MessagePackCodec.Writer w = MessagePackCodec.write();
             view.write(w);
-            out.add(new Folio(VIEW, w.done()));
+            out.add(new LogRecord(VIEW, w.done()));
         }
         if (old == null || old.state != state) {
-            Script.Writer w = Script.write();
+            MessagePackCodec.Writer w = MessagePackCodec.write();
             state.write(w);
-            out.add(new Folio(STATE, w.done()));
+            out.add(new LogRecord(STATE, w.done()));
         }
         if (old == null || !old.promised.equals(promised) || old.accepted != accepted
                 || !old.acceptedBallot.equals(acceptedBallot)) {
-            Script.Writer w = Script.write();
+            MessagePackCodec.Writer w = MessagePackCodec.write();
             promised.write(w);
             writeAccepted(w);
-            out.add(new Folio(ACCEPTOR, w.done()));
+            out.add(new LogRecord(ACCEPTOR, w.done()));
         }
         if (old == null || !old.incarnations.equals(incarnations)) {
-            Script.Writer w = Script.write();
+            MessagePackCodec.Writer w = MessagePackCodec.write();
             writeIncarnations(w);
-            out.add(new Folio(CRASHES, w.done()));
+            out.add(new LogRecord(CRASHES, w.done()));
         }
         return out;
     }
 
-    void writeAccepted(Script.Writer w) {
+    void writeAccepted(MessagePackCodec.Writer w) {
         acceptedBallot.write(w);
         w.flag(accepted != null);
         if (accepted != null) {
@@ -116,12 +116,12 @@
         }
     }
 
-    void writeIncarnations(Script.Writer w) {
+    void writeIncarnations(MessagePackCodec.Writer w) {
         w.list(incarnations.entrySet(), (o, e) -> o.imprint(e.getKey()).num(e.getValue()));
     }
 
-    static Map<Imprint, Long> readIncarnations(Script.Reader in) throws Script.UnreadableException {
-        Map<Imprint, Long> out = new HashMap<>();
+    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        Map<DaemonAddress, Long> out = new HashMap<>();
         for (Voter f : in.list(Voter::read)) {
             out.put(f.imprint(), f.incarnation());
         }
@@ -129,31 +129,31 @@
     }
 
     /** A note beside the memory that an edition is known to be committed. */
-    static Folio committedNote(ConfigurationState state) {
-        Script.Writer out = Script.write().num(state.edition().value());
+    static LogRecord committedNote(ConfigurationState state) {
+        MessagePackCodec.Writer out = MessagePackCodec.write().num(state.edition().value());
         Digest.of(state.blob()).write(out);
-        return new Folio(COMMITTED, out.done());
+        return new LogRecord(COMMITTED, out.done());
     }
 
     /** Whether the stack's note says that the state in this memory is committed. */
-    boolean isNotedCommitted(Stack stack) throws Script.UnreadableException {
+    boolean isNotedCommitted(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
         byte[] note = stack.get(COMMITTED);
         if (note == null) {
             return false;
         }
-        Script.Reader in = Script.read(note);
+        MessagePackCodec.Reader in = MessagePackCodec.read(note);
         return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
     }
 
     /** Reads the memory from a stack; null if there is none. */
-    static Memory load(Stack stack) throws Script.UnreadableException {
+    static Memory load(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
         if (stack.get(IDENTITY) == null) {
             return null;
         }
-        Script.Reader identity = Script.read(stack.get(IDENTITY));
-        Script.Reader acceptor = Script.read(stack.get(ACCEPTOR));
-        return new Memory(identity.num(), identity.num(), View.read(Script.read(stack.get(VIEW))),
-                ConfigurationState.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
-                acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(Script.read(stack.get(CRASHES))));
+        MessagePackCodec.Reader identity = MessagePackCodec.read(stack.get(IDENTITY));
+        MessagePackCodec.Reader acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
+        return new Memory(identity.num(), identity.num(), View.read(MessagePackCodec.read(stack.get(VIEW))),
+                ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
+                acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
     }
 }
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -1,18 +1,18 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** A caller who is owed an answer once its order is committed; it goes down the chain with the write. */
-record PendingReply(RequestId id, Imprint origin, Edition edition, Digest digest) {
-    void write(Script.Writer out) {
+record PendingReply(RequestId id, DaemonAddress origin, ConfigurationRevision edition, Digest digest) {
+    void write(MessagePackCodec.Writer out) {
         id.write(out);
         out.imprint(origin).num(edition.value());
         digest.write(out);
     }
 
-    static PendingReply read(Script.Reader in) throws Script.UnreadableException {
-        return new PendingReply(RequestId.read(in), in.imprint(), new Edition(in.num()), Digest.read(in));
+    static PendingReply read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        return new PendingReply(RequestId.read(in), in.imprint(), new ConfigurationRevision(in.num()), Digest.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -5,7 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * A voter without its memory reads others before it votes. Invariant: it takes up its part again only as an incarnation
@@ -18,19 +18,19 @@
 
     /** What one of the others remembers. */
     record Reply(View view, ConfigurationState state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
-            Map<Imprint, Long> incarnations, Bookmark mark) {
+            Map<DaemonAddress, Long> incarnations, Bookmark mark) {
     }
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final Clock clock;
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
-    private final Map<Imprint, Reply> replies = new HashMap<>();
+    private final Map<DaemonAddress, Reply> replies = new HashMap<>();
     private boolean rebuilding;
     private long attempt;
 
-    Recovery(Imprint self, Clock clock, DurableState durable, Membership membership, ViewMessages messages) {
+    Recovery(DaemonAddress self, Clock clock, DurableState durable, Membership membership, ViewMessages messages) {
         this.self = self;
         this.clock = clock;
         this.durable = durable;
@@ -40,7 +40,7 @@
 
     // ---- for another that lost its memory ----
 
-    void answer(Imprint who, long incarnation) {
+    void answer(DaemonAddress who, long incarnation) {
         Memory memory = durable.memory();
         if (membership.standing() == Replica.Standing.RECOVERING || memory.view().number() == 0) {
             return;
@@ -52,7 +52,7 @@
         }
     }
 
-    private void sendRecovered(Imprint who, long incarnation) {
+    private void sendRecovered(DaemonAddress who, long incarnation) {
         messages.sendRecovered(who, incarnation, durable.memory(), membership.companion().mark());
     }
 
@@ -61,7 +61,7 @@
     /** Asks all others what they remember. */
     void ask() {
         Memory memory = durable.memory();
-        for (Imprint target : membership.others(memory.view())) {
+        for (DaemonAddress target : membership.others(memory.view())) {
             messages.sendRecover(target, memory.incarnation());
         }
     }
@@ -72,7 +72,7 @@
         rebuilding = false;
     }
 
-    void recovered(Imprint from, long incarnation, Reply reply) {
+    void recovered(DaemonAddress from, long incarnation, Reply reply) {
         Memory memory = durable.memory();
         if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
             return;
@@ -115,7 +115,7 @@
 
     private int votersRead(View view) {
         int reads = 0;
-        for (Imprint who : replies.keySet()) {
+        for (DaemonAddress who : replies.keySet()) {
             if (view.votes(who)) {
                 reads++;
             }
--- a/control/src/main/java/org/umbermount/control/RefusedAhead.java
+++ b/control/src/main/java/org/umbermount/control/RefusedAhead.java
@@ -2,7 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -17,15 +17,15 @@
     private static final long STARTING_MS = 1_000;
     private static final int MOST = 256;
 
-    private final Map<Order, Moment> refused = new LinkedHashMap<>();
-    private final Moment started;
+    private final Map<Order, MonotonicTime> refused = new LinkedHashMap<>();
+    private final MonotonicTime started;
 
-    RefusedAhead(Moment started) {
+    RefusedAhead(MonotonicTime started) {
         this.started = started;
     }
 
     /** Bars an order that is about to be refused; false if there is no room, and it must not be refused then. */
-    boolean bar(Order order, Moment now) {
+    boolean bar(Order order, MonotonicTime now) {
         refused.values().removeIf(at -> now.since(at) > KEPT_MS);
         if (refused.size() >= MOST && !refused.containsKey(order)) {
             return false;
@@ -35,8 +35,8 @@
     }
 
     /** Whether an order must not be taken now; {@code ahead} says that its base was not known where it came in. */
-    boolean bars(Order order, boolean ahead, Moment now) {
-        Moment at = refused.get(order);
+    boolean bars(Order order, boolean ahead, MonotonicTime now) {
+        MonotonicTime at = refused.get(order);
         boolean barred = at != null && now.since(at) <= KEPT_MS || ahead && now.since(started) <= STARTING_MS;
         return barred && Safeguard.AHEAD_BARRED.holds();
     }
--- a/control/src/main/java/org/umbermount/control/Regulations.java
+++ b/control/src/main/java/org/umbermount/control/Regulations.java
@@ -6,16 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.kernel.Form;
-import org.umbermount.kernel.Regimen;
+import org.umbermount.kernel.JsonValue;
+import org.umbermount.kernel.SchemaCheck;
 
 /** A configuration: routes, services and limits. */
-public record Regulations(Edition edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
+public record Regulations(ConfigurationRevision edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
         Limits limits) {
-    private static final Regimen SCHEMA = new Regimen("/org/umbermount/control/configuration.schema.json");
+    private static final SchemaCheck SCHEMA = new SchemaCheck("/org/umbermount/control/configuration.schema.json");
 
     /** A service with its share of a route's requests. */
     public record Share(String upstream, long weight) {
@@ -73,21 +73,21 @@
 
     private static Regulations read(byte[] bytes, boolean withSchema) throws FaultException {
         try {
-            Form root = Form.parse(bytes);
+            JsonValue root = JsonValue.parse(bytes);
             String problem = withSchema ? SCHEMA.firstProblem(bytes) : null;
             if (problem != null) {
                 throw invalid(problem);
             }
             return read(root);
-        } catch (Form.WrongException e) {
+        } catch (JsonValue.WrongException e) {
             throw invalid(e.getMessage());
         }
     }
 
-    private static Regulations read(Form root) throws Form.WrongException, FaultException {
+    private static Regulations read(JsonValue root) throws JsonValue.WrongException, FaultException {
         Set<String> known = new HashSet<>();
         List<Upstream> upstreams = new ArrayList<>();
-        for (Form u : root.array("upstreams")) {
+        for (JsonValue u : root.array("upstreams")) {
             String label = u.member("label").text();
             if (!known.add(label)) {
                 throw invalid("service " + label + " is there twice");
@@ -98,38 +98,38 @@
         }
         List<Route> routes = new ArrayList<>();
         Set<String> places = new HashSet<>();
-        for (Form r : root.array("routeTable")) {
+        for (JsonValue r : root.array("routeTable")) {
             Route route = route(r, known);
             if (!places.add(route.host() + " " + route.prefix())) {
                 throw invalid("two routes share " + route.host() + route.prefix());
             }
             routes.add(route);
         }
-        Form l = root.optional("limits");
+        JsonValue l = root.optional("limits");
         Limits d = Limits.DEFAULT;
         Limits limits = new Limits((int) l.whole("maxHeaderBytes", 256, 1 << 24, d.maxHeaderBytes),
                 l.whole("maxBodyBytes", 0, Long.MAX_VALUE, d.maxBodyBytes),
                 l.whole("headerTimeoutMs", 1, Integer.MAX_VALUE, d.headerTimeoutMs),
                 l.whole("idleTimeoutMs", 1, Integer.MAX_VALUE, d.idleTimeoutMs));
-        return new Regulations(new Edition(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
+        return new Regulations(new ConfigurationRevision(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
                 List.copyOf(upstreams), tenants(root), limits);
     }
 
-    private static List<Tenant> tenants(Form root) throws Form.WrongException, FaultException {
+    private static List<Tenant> tenants(JsonValue root) throws JsonValue.WrongException, FaultException {
         if (!root.has("tenants")) {
             return List.of();
         }
         Set<String> labels = new HashSet<>();
         Map<String, String> holders = new HashMap<>();
         List<Tenant> tenants = new ArrayList<>();
-        for (Form t : root.array("tenants")) {
+        for (JsonValue t : root.array("tenants")) {
             String label = t.member("label").text();
             if (!labels.add(label)) {
                 throw invalid("tenant " + label + " is there twice");
             }
             List<String> keys = new ArrayList<>();
             if (t.has("apiKeys")) {
-                for (Form k : t.array("apiKeys")) {
+                for (JsonValue k : t.array("apiKeys")) {
                     String holder = holders.putIfAbsent(k.text(), label);
                     if (holder != null && !holder.equals(label)) {
                         throw invalid("tenants " + holder + " and " + label + " share a key");
@@ -143,7 +143,7 @@
         return List.copyOf(tenants);
     }
 
-    private static Kind kind(Form type) throws Form.WrongException {
+    private static Kind kind(JsonValue type) throws JsonValue.WrongException {
         return switch (type.text()) {
             case "safe" -> Kind.SAFE;
             case "unsafe" -> Kind.UNSAFE;
@@ -153,12 +153,12 @@
         };
     }
 
-    private static Route route(Form r, Set<String> known) throws Form.WrongException, FaultException {
+    private static Route route(JsonValue r, Set<String> known) throws JsonValue.WrongException, FaultException {
         String label = r.member("label").text();
         List<Share> shares = new ArrayList<>();
         long sum = 0;
         if (r.has("weightedUpstreams")) {
-            for (Form w : r.array("weightedUpstreams")) {
+            for (JsonValue w : r.array("weightedUpstreams")) {
                 long weight = w.member("weight").whole(0, Integer.MAX_VALUE);
                 shares.add(new Share(w.member("upstream").text(), weight));
                 sum += weight;
@@ -185,6 +185,6 @@
     }
 
     private static FaultException invalid(String reason) {
-        return new FaultException(Erratum.INVALID_CONFIGURATION, "The configuration is invalid: " + reason + ".");
+        return new FaultException(ErrorKind.INVALID_CONFIGURATION, "The configuration is invalid: " + reason + ".");
     }
 }
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -6,11 +6,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Tally;
-import org.umbermount.storage.StackRoom;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.storage.DiskWriter;
 
 /**
  * One member of the chain that holds the configuration, and one voter on its views: the face of the parts that do the
@@ -54,7 +54,7 @@
 
         void reading(RequestId id, ConfigurationState committed);
 
-        void attested(RequestId id, Edition newest);
+        void attested(RequestId id, ConfigurationRevision newest);
     }
 
     private final Clock clock;
@@ -76,10 +76,10 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Replica(Clock clock, Postbag post, StackRoom room, Tally tally, Memory loaded,
+    Replica(Clock clock, Messenger post, DiskWriter room, Metrics tally, Memory loaded,
             boolean loadedCommitted, View genesis, boolean newcomer) {
         this.clock = clock;
-        Imprint self = post.self();
+        DaemonAddress self = post.self();
         durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer), loaded != null);
         commits = new CommitPoint(room);
         viewMessages = new ViewMessages(clock, post);
@@ -164,7 +164,7 @@
     }
 
     /** Asks a controller that is ahead for its view. */
-    public void fetchFrom(Imprint ahead) {
+    public void fetchFrom(DaemonAddress ahead) {
         fetch(ahead);
     }
 
@@ -178,7 +178,7 @@
     }
 
     /** Sets which controllers beside the voters are told of views and commits. */
-    public void audience(List<Imprint> controllers) {
+    public void audience(List<DaemonAddress> controllers) {
         membership.audience(controllers);
     }
 
@@ -203,7 +203,7 @@
         return durable.memory().incarnation();
     }
 
-    public Edition newestEdition() {
+    public ConfigurationRevision newestEdition() {
         return durable.memory().state().edition();
     }
 
@@ -213,7 +213,7 @@
     }
 
     /** The newest incarnation known of a daemon. */
-    long incarnationOf(Imprint who) {
+    long incarnationOf(DaemonAddress who) {
         return membership.incarnationOf(who);
     }
 
@@ -221,11 +221,11 @@
         return durable.memory().promised();
     }
 
-    void sendPrepare(Imprint to, long view, Ballot ballot) {
+    void sendPrepare(DaemonAddress to, long view, Ballot ballot) {
         viewMessages.sendPrepare(to, view, ballot);
     }
 
-    void sendAccept(Imprint to, long view, Ballot ballot, Proposal proposal) {
+    void sendAccept(DaemonAddress to, long view, Ballot ballot, Proposal proposal) {
         viewMessages.sendAccept(to, view, ballot, proposal);
     }
 
@@ -235,20 +235,20 @@
     }
 
     /** Asks a controller for its view and state. */
-    void fetch(Imprint from) {
+    void fetch(DaemonAddress from) {
         membership.fetch(from);
     }
 
     /** Only the head of that one view may act on it; 0 is any view. */
-    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+    void sendSubmission(DaemonAddress to, RequestId id, long onlyIn, Order order, byte[] blob) {
         chainMessages.sendSubmission(to, id, onlyIn, order, blob);
     }
 
-    void sendRead(Imprint to, RequestId id) {
+    void sendRead(DaemonAddress to, RequestId id) {
         chainMessages.sendRead(to, id);
     }
 
-    void sendAttest(Imprint to, RequestId id) {
+    void sendAttest(DaemonAddress to, RequestId id) {
         chainMessages.sendAttest(to, id);
     }
 
@@ -270,23 +270,23 @@
 
     private final class ViewHandler implements ViewMessages.Handler {
         @Override
-        public void prepare(Imprint from, long view, Ballot ballot) {
+        public void prepare(DaemonAddress from, long view, Ballot ballot) {
             durable.serially(() -> acceptor.prepare(from, view, ballot));
         }
 
         @Override
-        public void promise(long view, Ballot ballot, Promise promise, Map<Imprint, Long> incarnations) {
+        public void promise(long view, Ballot ballot, Promise promise, Map<DaemonAddress, Long> incarnations) {
             durable.serially(() -> membership.learnIncarnations(incarnations,
                     () -> ballots.promised(view, ballot, promise)));
         }
 
         @Override
-        public void accept(Imprint from, long view, Ballot ballot, Proposal proposal) {
+        public void accept(DaemonAddress from, long view, Ballot ballot, Proposal proposal) {
             durable.serially(() -> acceptor.accept(from, view, ballot, proposal));
         }
 
         @Override
-        public void accepted(long view, Ballot ballot, Voter voter, Map<Imprint, Long> incarnations) {
+        public void accepted(long view, Ballot ballot, Voter voter, Map<DaemonAddress, Long> incarnations) {
             durable.serially(() -> membership.learnIncarnations(incarnations,
                     () -> ballots.accepted(view, ballot, voter)));
         }
@@ -304,17 +304,17 @@
         }
 
         @Override
-        public void fetch(Imprint from) {
+        public void fetch(DaemonAddress from) {
             membership.sendNews(from);
         }
 
         @Override
-        public void recover(Imprint from, long incarnation) {
+        public void recover(DaemonAddress from, long incarnation) {
             durable.serially(() -> recovery.answer(from, incarnation));
         }
 
         @Override
-        public void recovered(Imprint from, long incarnation, Recovery.Reply reply) {
+        public void recovered(DaemonAddress from, long incarnation, Recovery.Reply reply) {
             durable.serially(() -> recovery.recovered(from, incarnation, reply));
         }
     }
@@ -331,17 +331,17 @@
         }
 
         @Override
-        public void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
+        public void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies) {
             durable.serially(() -> chain.write(from, state, replies));
         }
 
         @Override
-        public void committed(Imprint tail, long view, Edition edition, Digest digest) {
+        public void committed(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest) {
             chain.committedElsewhere(tail, view, edition, digest);
         }
 
         @Override
-        public void read(Imprint origin, RequestId id, boolean brief) {
+        public void read(DaemonAddress origin, RequestId id, boolean brief) {
             confirmation.read(origin, id, brief);
         }
 
@@ -351,17 +351,17 @@
         }
 
         @Override
-        public void attested(RequestId id, Edition newest) {
+        public void attested(RequestId id, ConfigurationRevision newest) {
             origins.attested(id, newest);
         }
 
         @Override
-        public void confirm(Imprint from, long nonce, long view) {
+        public void confirm(DaemonAddress from, long nonce, long view) {
             durable.serially(() -> confirmation.attest(from, nonce, view));
         }
 
         @Override
-        public void confirmed(Imprint from, long nonce, long incarnation) {
+        public void confirmed(DaemonAddress from, long nonce, long incarnation) {
             confirmation.confirmed(from, nonce, incarnation);
         }
     }
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -2,21 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * The orders that were taken last, oldest first, and the floor: the newest number that was taken and is no longer told apart.
  * Numbers rise strictly, so an order above the floor that is not here was never taken. Nothing is said of one at or below it.
  */
-public record TakenOrders(Edition floor, List<Taken> entries) {
-    public static final TakenOrders NONE = new TakenOrders(Edition.NONE, List.of());
+public record TakenOrders(ConfigurationRevision floor, List<Taken> entries) {
+    public static final TakenOrders NONE = new TakenOrders(ConfigurationRevision.NONE, List.of());
     /** Some 10 KB: it travels with each change. Hundreds of changes are made in a day. */
     static final int REMEMBERED = 512;
 
     /** The number that a taken order gave, and the digest of its call. It was built on the number before it. */
-    public record Taken(Edition edition, Digest digest) {
+    public record Taken(ConfigurationRevision edition, Digest digest) {
     }
 
     /** What is known of an order. */
@@ -44,7 +44,7 @@
     }
 
     /** The newest number that was taken. */
-    Edition newest() {
+    ConfigurationRevision newest() {
         return entries.isEmpty() ? floor : entries.get(entries.size() - 1).edition();
     }
 
@@ -56,7 +56,7 @@
         if (!order.edition().isAfter(floor)) {
             return Safeguard.FLOOR_RESPECTED.holds() ? Finding.UNCLEAR : Finding.NOT_TAKEN;
         }
-        Edition base = floor;
+        ConfigurationRevision base = floor;
         for (Taken t : entries) {
             if (t.edition().equals(order.edition())) {
                 if (!t.digest().equals(order.digest()) && Safeguard.DIGEST_COMPARED.holds()) {
@@ -74,9 +74,9 @@
         return entries.contains(one);
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.num(floor.value()).num(entries.size());
-        Edition base = floor;
+        ConfigurationRevision base = floor;
         for (Taken t : entries) {
             // The step, since small numbers take fewer bytes.
             out.num(t.edition().value() - base.value());
@@ -85,19 +85,19 @@
         }
     }
 
-    static TakenOrders read(Script.Reader in) throws Script.UnreadableException {
-        Edition floor = new Edition(in.num());
+    static TakenOrders read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        ConfigurationRevision floor = new ConfigurationRevision(in.num());
         long size = in.num();
         if (floor.value() < 0 || size < 0 || size > REMEMBERED) {
-            throw new Script.UnreadableException("the orders that were taken are out of bounds", null);
+            throw new MessagePackCodec.UnreadableException("the orders that were taken are out of bounds", null);
         }
         List<Taken> entries = new ArrayList<>();
-        Edition base = floor;
+        ConfigurationRevision base = floor;
         for (int i = 0; i < size; i++) {
             long step = in.num();
-            Edition next = new Edition(base.value() + step);
+            ConfigurationRevision next = new ConfigurationRevision(base.value() + step);
             if (step <= 0 || !next.isAfter(base)) {
-                throw new Script.UnreadableException("the numbers that were taken do not rise", null);
+                throw new MessagePackCodec.UnreadableException("the numbers that were taken do not rise", null);
             }
             entries.add(new Taken(next, Digest.read(in)));
             base = next;
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -1,18 +1,18 @@
 package org.umbermount.control;
 
 import java.util.List;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
  * operation records go on.
  */
-public record View(long number, List<Voter> electorate, List<Imprint> chain, Bookmark base) {
+public record View(long number, List<Voter> electorate, List<DaemonAddress> chain, Bookmark base) {
     public static final View NONE = new View(0, List.of(), List.of());
 
-    public View(long number, List<Voter> electorate, List<Imprint> chain) {
+    public View(long number, List<Voter> electorate, List<DaemonAddress> chain) {
         this(number, electorate, chain, Bookmark.NONE);
     }
 
@@ -31,7 +31,7 @@
     }
 
     /** The part of the chain that keeps operation records: as many members as a chain needs. */
-    public List<Imprint> line(int tolerated) {
+    public List<DaemonAddress> line(int tolerated) {
         return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
     }
 
@@ -44,7 +44,7 @@
         return Safeguard.RECOVERY_MEETS_MAJORITIES.holds() ? electorate.size() - majority() + 1 : 1;
     }
 
-    public Voter fellow(Imprint imprint) {
+    public Voter fellow(DaemonAddress imprint) {
         for (Voter f : electorate) {
             if (f.imprint().equals(imprint)) {
                 return f;
@@ -53,23 +53,23 @@
         return null;
     }
 
-    public boolean votes(Imprint imprint) {
+    public boolean votes(DaemonAddress imprint) {
         return fellow(imprint) != null;
     }
 
-    public Imprint head() {
+    public DaemonAddress head() {
         return chain.isEmpty() ? null : chain.get(0);
     }
 
-    public Imprint tail() {
+    public DaemonAddress tail() {
         return chain.isEmpty() ? null : chain.get(chain.size() - 1);
     }
 
-    public boolean chains(Imprint imprint) {
+    public boolean chains(DaemonAddress imprint) {
         return chain.contains(imprint);
     }
 
-    public Imprint successor(Imprint imprint) {
+    public DaemonAddress successor(DaemonAddress imprint) {
         int at = chain.indexOf(imprint);
         return at < 0 || at + 1 >= chain.size() ? null : chain.get(at + 1);
     }
@@ -79,13 +79,13 @@
         return electorate.equals(other.electorate) && chain.equals(other.chain);
     }
 
-    void write(Script.Writer out) {
-        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, Script.Writer::imprint);
+    void write(MessagePackCodec.Writer out) {
+        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, MessagePackCodec.Writer::imprint);
         base.write(out);
     }
 
-    static View read(Script.Reader in) throws Script.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(Script.Reader::imprint), Bookmark.read(in));
+    static View read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.Reader::imprint), Bookmark.read(in));
     }
 
     @Override
--- a/control/src/main/java/org/umbermount/control/ViewConfirmation.java
+++ b/control/src/main/java/org/umbermount/control/ViewConfirmation.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -21,7 +21,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int MOST = 256;
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final DurableState durable;
     private final Membership membership;
     private final CommitPoint commits;
@@ -31,11 +31,11 @@
     private long nextNonce = new SecureRandom().nextLong() >>> 1;
 
     /** What waits for a majority: a verdict on a submission, the committed state for a read, or something of this daemon's. */
-    private record Question(Imprint origin, RequestId id, long view, ConfigurationState reading, boolean brief, Order order,
-            Replica.Verdict verdict, Runnable then, Set<Imprint> agreed) {
+    private record Question(DaemonAddress origin, RequestId id, long view, ConfigurationState reading, boolean brief, Order order,
+            Replica.Verdict verdict, Runnable then, Set<DaemonAddress> agreed) {
     }
 
-    ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
+    ViewConfirmation(DaemonAddress self, DurableState durable, Membership membership, CommitPoint commits,
             ChainMessages messages) {
         this.self = self;
         this.durable = durable;
@@ -45,9 +45,9 @@
     }
 
     /** The tail answers a read, once it knows what is committed in its view. */
-    void read(Imprint origin, RequestId id, boolean brief) {
+    void read(DaemonAddress origin, RequestId id, boolean brief) {
         Memory memory = durable.memory();
-        boolean known = memory.state().edition().equals(Edition.NONE)
+        boolean known = memory.state().edition().equals(ConfigurationRevision.NONE)
                 || commits.committed().view() == memory.view().number();
         if (!membership.inChain() || !known || !self.equals(memory.view().tail())) {
             return;
@@ -56,7 +56,7 @@
     }
 
     /** The head refuses a submission, or says again that it was taken. */
-    void verdict(Imprint origin, RequestId id, Order order, Replica.Verdict verdict) {
+    void verdict(DaemonAddress origin, RequestId id, Order order, Replica.Verdict verdict) {
         ask(question(origin, id, false, order, verdict, null), Safeguard.REFUSAL_CONFIRMED);
     }
 
@@ -65,7 +65,7 @@
         ask(question(self, null, true, null, null, then), null);
     }
 
-    private Question question(Imprint origin, RequestId id, boolean brief, Order order, Replica.Verdict verdict,
+    private Question question(DaemonAddress origin, RequestId id, boolean brief, Order order, Replica.Verdict verdict,
             Runnable then) {
         return new Question(origin, id, durable.memory().view().number(), commits.committed(), brief, order, verdict, then,
                 new HashSet<>());
@@ -88,7 +88,7 @@
     }
 
     /** A voter says whether a view is still its own and no promise may have ended it. */
-    void attest(Imprint from, long nonce, long view) {
+    void attest(DaemonAddress from, long nonce, long view) {
         Memory memory = durable.memory();
         if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Replica.Standing.MEMBER
                 && memory.view().number() == view && !memory.frozen()) {
@@ -96,7 +96,7 @@
         }
     }
 
-    void confirmed(Imprint from, long nonce, long incarnation) {
+    void confirmed(DaemonAddress from, long nonce, long incarnation) {
         Question q = questions.get(nonce);
         View view = durable.memory().view();
         if (q == null || q.view() != view.number() || incarnation < membership.incarnationOf(from)
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -11,10 +11,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /**
  * Works out which view is wanted and, where it differs from the one in force, proposes it: one single-decree
@@ -36,28 +36,28 @@
     private final java.util.function.BooleanSupplier diskGood;
     private final Clock clock;
     private final Random random;
-    private final Tally tally;
-    private final Imprint self;
+    private final Metrics tally;
+    private final DaemonAddress self;
     private final String zone;
     private final int tolerated;
-    private Moment wantedSince;
-    private Moment unsettledSince;
-    private Moment quietUntil = Moment.NEVER;
+    private MonotonicTime wantedSince;
+    private MonotonicTime unsettledSince;
+    private MonotonicTime quietUntil = MonotonicTime.NEVER;
     private Attempt attempt;
-    private List<Imprint> seats;
-    private Moment seatsSince;
+    private List<DaemonAddress> seats;
+    private MonotonicTime seatsSince;
 
     private static final class Attempt {
         final long view;
         final Ballot ballot;
         final View wanted;
         final String why;
-        final Moment since;
-        final Map<Imprint, Replica.Promise> promises = new HashMap<>();
+        final MonotonicTime since;
+        final Map<DaemonAddress, Replica.Promise> promises = new HashMap<>();
         final Set<Voter> accepted = new HashSet<>();
         Proposal proposal;
 
-        Attempt(long view, Ballot ballot, View wanted, String why, Moment since) {
+        Attempt(long view, Ballot ballot, View wanted, String why, MonotonicTime since) {
             this.view = view;
             this.ballot = ballot;
             this.wanted = wanted;
@@ -67,7 +67,7 @@
     }
 
     ViewProposer(Replica replica, FailureDetector detector, java.util.function.BooleanSupplier diskGood, Clock clock,
-            Random random, Tally tally, Imprint self, String zone, int tolerated) {
+            Random random, Metrics tally, DaemonAddress self, String zone, int tolerated) {
         this.zone = zone;
         this.tolerated = tolerated;
         this.replica = replica;
@@ -90,7 +90,7 @@
         return diskGood.getAsBoolean() && !detector.isLeaving();
     }
 
-    private FailureDetector.Report report(Imprint who) {
+    private FailureDetector.Report report(DaemonAddress who) {
         FailureDetector.Peer peer = detector.peer(who);
         return peer == null ? null : peer.report();
     }
@@ -100,15 +100,15 @@
         private final View view = replica.view();
 
         @Override
-        public Iterable<Imprint> known() {
-            Set<Imprint> all = new TreeSet<>();
+        public Iterable<DaemonAddress> known() {
+            Set<DaemonAddress> all = new TreeSet<>();
             detector.peers().forEach(p -> all.add(p.imprint()));
             all.add(self);
             return all;
         }
 
         @Override
-        public boolean linked(Imprint one, Imprint other) {
+        public boolean linked(DaemonAddress one, DaemonAddress other) {
             if (one.equals(other)) {
                 return true;
             }
@@ -122,7 +122,7 @@
         }
 
         @Override
-        public boolean well(Imprint who) {
+        public boolean well(DaemonAddress who) {
             FailureDetector.Report r = report(who);
             if (who.equals(self) ? !selfGood() : r == null || !r.diskGood() || r.leaving()) {
                 return false;
@@ -137,17 +137,17 @@
         }
 
         @Override
-        public boolean steady(Imprint who) {
+        public boolean steady(DaemonAddress who) {
             return who.equals(self) ? !detector.unsettled(STEADY_MS) : detector.goodForMs(who) >= STEADY_MS;
         }
 
         @Override
-        public boolean expected(Imprint who) {
+        public boolean expected(DaemonAddress who) {
             return detector.expected(who);
         }
 
         @Override
-        public boolean hasMemory(Imprint who) {
+        public boolean hasMemory(DaemonAddress who) {
             if (who.equals(self)) {
                 return replica.standing() != Replica.Standing.RECOVERING;
             }
@@ -156,7 +156,7 @@
         }
 
         @Override
-        public long incarnation(Imprint who) {
+        public long incarnation(DaemonAddress who) {
             if (who.equals(self)) {
                 return replica.incarnation();
             }
@@ -165,7 +165,7 @@
         }
 
         @Override
-        public String zone(Imprint who) {
+        public String zone(DaemonAddress who) {
             FailureDetector.Report r = report(who);
             return who.equals(self) ? zone : r == null ? "" : r.zone();
         }
@@ -182,7 +182,7 @@
     }
 
     private void inForce(View view) {
-        List<Imprint> voters = view.electorate().stream().map(Voter::imprint).toList();
+        List<DaemonAddress> voters = view.electorate().stream().map(Voter::imprint).toList();
         if (!voters.equals(seats)) {
             seats = voters;
             seatsSince = clock.now();
@@ -194,7 +194,7 @@
      * the argument that some voter of the next view has every acknowledged record rests on it.
      */
     private boolean companionSettled(View now) {
-        for (Imprint member : now.line(tolerated)) {
+        for (DaemonAddress member : now.line(tolerated)) {
             FailureDetector.Peer peer = detector.peer(member);
             long settled = member.equals(self) ? replica.companion().settledView()
                     : peer == null || peer.report() == null ? 0 : peer.report().settledView();
@@ -206,7 +206,7 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (attempt != null) {
             if (attempt.view <= replica.view().number()) {
                 attempt = null;
@@ -263,7 +263,7 @@
         return rank;
     }
 
-    private void propose(MembershipPlan.Wish wish, Moment now) {
+    private void propose(MembershipPlan.Wish wish, MonotonicTime now) {
         long round = replica.promisedBallot().round() + 1;
         unsettledSince = null;
         attempt = new Attempt(wish.view().number(), new Ballot(round, self), wish.view(), wish.why(), now);
--- a/control/src/main/java/org/umbermount/control/Voter.java
+++ b/control/src/main/java/org/umbermount/control/Voter.java
@@ -1,10 +1,10 @@
 package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** A voter: where it is, and which incarnation of its memory is meant. */
-public record Voter(Imprint imprint, long incarnation) {
+public record Voter(DaemonAddress imprint, long incarnation) {
     @Override
     public boolean equals(Object o) {
         return o instanceof Voter other && incarnation == other.incarnation && imprint.equals(other.imprint);
@@ -15,11 +15,11 @@
         return imprint.hashCode() * 31 + Long.hashCode(incarnation);
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.imprint(imprint).num(incarnation);
     }
 
-    static Voter read(Script.Reader in) throws Script.UnreadableException {
+    static Voter read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Voter(in.imprint(), in.num());
     }
 }
--- a/control/src/test/java/org/umbermount/control/AmendmentTest.java
+++ b/control/src/test/java/org/umbermount/control/AmendmentTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.FaultException;
 
 class AmendmentTest {
@@ -86,7 +86,7 @@
 
     private static Replica.Verdict submit(Fleet fleet, int at, long match, Amendment call, byte[] whole) throws IOException {
         Replica.Verdict[] out = new Replica.Verdict[1];
-        Order order = new Order(new Edition(match), call.edition(), call.digest());
+        Order order = new Order(new ConfigurationRevision(match), call.edition(), call.digest());
         fleet.chainClient(at).submit(order, whole, 850, v -> out[0] = v, () -> { });
         fleet.run(900);
         return out[0];
--- a/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
+++ b/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -58,7 +58,7 @@
             });
         }
 
-        private int indexOf(Imprint who) {
+        private int indexOf(DaemonAddress who) {
             for (int i = 0; i < size; i++) {
                 if (Fleet.imprint(i).equals(who)) {
                     return i;
@@ -67,8 +67,8 @@
             throw new IllegalStateException();
         }
 
-        private boolean strike(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
-            if (!open || passing || topic != Postbag.Topic.VIEW && topic != Postbag.Topic.CHAIN) {
+        private boolean strike(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
+            if (!open || passing || topic != Messenger.Topic.VIEW && topic != Messenger.Topic.CHAIN) {
                 return true;
             }
             int mine = count++;
@@ -80,7 +80,7 @@
             return true;
         }
 
-        private boolean apply(Fault fault, Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
+        private boolean apply(Fault fault, DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
             switch (fault) {
                 case LOST -> {
                     return false;
@@ -97,7 +97,7 @@
             return true;
         }
 
-        private void again(Imprint from, Imprint to, Postbag.Topic topic, byte[] body, long ms) {
+        private void again(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body, long ms) {
             fleet.almanac.after(ms, () -> {
                 if (fleet.isRunning(indexOf(from))) {
                     passing = true;
@@ -141,7 +141,7 @@
                 return "no calm at the start";
             }
             open = true;
-            Imprint member = fleet.replica(0).view().chain().get(1);
+            DaemonAddress member = fleet.replica(0).view().chain().get(1);
             Caller a = new Caller("a", 0);
             Caller b = new Caller("b", 2);
             fall(indexOf(member), false, 2);
--- a/control/src/test/java/org/umbermount/control/CensusTest.java
+++ b/control/src/test/java/org/umbermount/control/CensusTest.java
@@ -6,11 +6,11 @@
 
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.InstanceId;
 
 class CensusTest {
     private static CensusEntry beat(Fleet fleet, int at, String id, CensusEntry.Standing standing, long sequence) {
-        return new CensusEntry(new Pressmark(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
+        return new CensusEntry(new InstanceId(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
                 Fleet.imprint(at));
     }
 
@@ -61,7 +61,7 @@
     void signOffIsFinal() throws IOException {
         Fleet fleet = settled();
         send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
-        fleet.running.get(1).census.signOff(new Pressmark("a"), () -> { });
+        fleet.running.get(1).census.signOff(new InstanceId("a"), () -> { });
         fleet.run(50);
         send(fleet, 2, "a", CensusEntry.Standing.IN_SERVICE, 9);
         assertEquals(CensusEntry.Standing.SIGNED_OFF, standing(fleet, 3, "a"));
--- a/control/src/test/java/org/umbermount/control/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -13,8 +13,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -116,7 +116,7 @@
         take(fleet, 0, 0, 1);
         Replica proposer = fleet.running.get(3).replica;
         long view = proposer.view().number();
-        Imprint middle = proposer.view().chain().get(1);
+        DaemonAddress middle = proposer.view().chain().get(1);
         proposer.sendPrepare(middle, view + 1, new Ballot(9, Fleet.imprint(3)));
         fleet.run(20);
         Fleet.Reply reply = fleet.submit(0, 1, 2, "c2");
@@ -153,7 +153,7 @@
     void headThatWasLeftBehindRefusesNothing() throws IOException {
         Fleet fleet = settled(80);
         take(fleet, 0, 0, 1);
-        Imprint head = fleet.replica(0).view().head();
+        DaemonAddress head = fleet.replica(0).view().head();
         int old = 0;
         while (!Fleet.imprint(old).equals(head)) {
             old++;
@@ -200,8 +200,8 @@
         Voter a = new Voter(Fleet.imprint(0), 0);
         Voter b = new Voter(Fleet.imprint(1), 0);
         View wanted = new View(4, List.of(a, b), List.of(a.imprint()));
-        ConfigurationState older = ConfigurationState.NONE.inView(3).take(new Edition(5), new byte[] {5});
-        ConfigurationState newer = older.take(new Edition(6), new byte[] {6});
+        ConfigurationState older = ConfigurationState.NONE.inView(3).take(new ConfigurationRevision(5), new byte[] {5});
+        ConfigurationState newer = older.take(new ConfigurationRevision(6), new byte[] {6});
         Replica.Promise fromA = new Replica.Promise(a, newer, Ballot.NONE, null, Bookmark.NONE);
         Replica.Promise fromB = new Replica.Promise(b, older, Ballot.NONE, null, Bookmark.NONE);
         for (List<Replica.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
@@ -436,35 +436,35 @@
     @Test
     void tailThatLearnsOfItsViewFromNewsCommitsOnlyWhatWasPassedToIt() throws Exception {
         org.umbermount.kernel.testing.FakeClock almanac = new org.umbermount.kernel.testing.FakeClock();
-        org.umbermount.kernel.testing.FakePost network = new org.umbermount.kernel.testing.FakePost(almanac, 1);
-        org.umbermount.storage.testing.FakeVault disk = new org.umbermount.storage.testing.FakeVault();
+        org.umbermount.kernel.testing.FakeMessenger network = new org.umbermount.kernel.testing.FakeMessenger(almanac, 1);
+        org.umbermount.storage.testing.FakeDirectory disk = new org.umbermount.storage.testing.FakeDirectory();
         disk.clock(almanac);
         List<Voter> voters = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
             voters.add(new Voter(Fleet.imprint(i), 0));
         }
-        List<Imprint> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
+        List<DaemonAddress> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
         Memory before = Memory.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
-        org.umbermount.storage.StackRoom room = new org.umbermount.storage.StackRoom(
-                org.umbermount.storage.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
-        Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
+        org.umbermount.storage.DiskWriter room = new org.umbermount.storage.DiskWriter(
+                org.umbermount.storage.AppendOnlyFile.open(disk, "m", 1 << 16), disk.executor(), almanac);
+        Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Metrics(),
                 before, false, null, false);
         tail.start();
         View next = new View(2, voters, chain);
-        ConfigurationState taken = ConfigurationState.NONE.inView(2).take(new Edition(8), "c8".getBytes());
-        org.umbermount.kernel.Script.Writer news = org.umbermount.kernel.Script.write().num(5);
+        ConfigurationState taken = ConfigurationState.NONE.inView(2).take(new ConfigurationRevision(8), "c8".getBytes());
+        org.umbermount.kernel.MessagePackCodec.Writer news = org.umbermount.kernel.MessagePackCodec.write().num(5);
         next.write(news);
         taken.write(news);
         news.flag(false);
         ConfigurationState.NONE.write(news);
-        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.VIEW, news.done());
+        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Messenger.Topic.VIEW, news.done());
         almanac.advance(1_000);
         assertEquals(2, tail.view().number());
         assertEquals(8, tail.newestEdition().value());
         assertEquals(0, tail.committed().edition().value());
-        org.umbermount.kernel.Script.Writer write = org.umbermount.kernel.Script.write().num(2);
+        org.umbermount.kernel.MessagePackCodec.Writer write = org.umbermount.kernel.MessagePackCodec.write().num(2);
         taken.write(write);
-        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Postbag.Topic.CHAIN, write.num(0).done());
+        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Messenger.Topic.CHAIN, write.num(0).done());
         almanac.advance(1_000);
         assertEquals(8, tail.committed().edition().value());
     }
--- a/control/src/test/java/org/umbermount/control/ControlDeskOrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/ControlDeskOrdersTest.java
@@ -12,7 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /** Orders as calls, from the bytes of the request to the status of the answer. */
 class ControlDeskOrdersTest {
@@ -42,7 +42,7 @@
 
     private String exchange(int at, String request) {
         ControlDesk desk = new ControlDesk(fleet.running.get(at), fleet.almanac, Fleet.imprint(at),
-                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Tally());
+                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
         channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.UTF_8));
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -20,13 +20,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** A controller that a majority does not answer gives out nothing as current, refuses nothing and confirms nothing. */
 class CutOffTest {
@@ -62,7 +62,7 @@
 
     private static Call call(Fleet fleet, int at, HttpMethod method, String path, String match, String body) {
         ControlDesk desk = new ControlDesk(fleet.running.get(at), fleet.clock(at), Fleet.imprint(at),
-                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Tally());
+                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
         Call call = new Call(desk);
         DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
@@ -192,7 +192,7 @@
             duties.run(3_000, Set.of());
             Set<Integer> side = how.side(one);
             Runnable end = how.begin(fleet, size, one);
-            Moment cut = fleet.almanac.now();
+            MonotonicTime cut = fleet.almanac.now();
             Set<Integer> frozen = how == Isolation.FROZEN ? side : Set.of();
             duties.run(MajorityContact.LIMIT_MS + 20, frozen);
             int other = 0;
@@ -400,7 +400,7 @@
             assertEquals(200, c.status(), c.body);
         }
         for (int i = 0; i < 4; i++) {
-            assertTrue(fleet.running.get(i).census.entries().stream().filter(e -> e.id().equals(new Pressmark("s")))
+            assertTrue(fleet.running.get(i).census.entries().stream().filter(e -> e.id().equals(new InstanceId("s")))
                     .allMatch(e -> e.standing() == CensusEntry.Standing.SIGNED_OFF));
         }
     }
@@ -460,7 +460,7 @@
             fleet.run(1_000);
             boolean[] asked = new boolean[1];
             fleet.network.tap = (from, to, topic, body) -> {
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Postbag.Topic.LEASE && asksFor(body, Fleet.zone(1));
+                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Messenger.Topic.LEASE && asksFor(body, Fleet.zone(1));
                 return true;
             };
             while (!asked[0]) {
@@ -479,9 +479,9 @@
 
     private static boolean asksFor(byte[] body, String zone) {
         try {
-            Script.Reader in = Script.read(body);
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             return in.num() == 0 && in.text().equals(zone);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new AssertionError(e);
         }
     }
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -6,31 +6,31 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
-import org.umbermount.storage.Stack;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.kernel.testing.FakeMessenger;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.testing.FakeDirectory;
 
 /** Controllers on a fake clock, network and disk. */
 public final class Fleet {
     /** Puts something beside the configuration of a daemon that starts. */
     public interface Attachment {
-        void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException;
+        void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException;
     }
 
     public final FakeClock almanac = new FakeClock();
-    public final FakePost network;
+    public final FakeMessenger network;
     final Map<Integer, Archive> running = new TreeMap<>();
-    public final Map<Integer, FakeVault> disks = new HashMap<>();
-    private final Map<Integer, FakePost.Bag> bags = new HashMap<>();
+    public final Map<Integer, FakeDirectory> disks = new HashMap<>();
+    private final Map<Integer, FakeMessenger.Bag> bags = new HashMap<>();
     private final int size;
     private final int seeds;
     private final int tolerated;
@@ -55,19 +55,19 @@
         this.guarantees = guarantees;
         this.tolerated = tolerated;
         this.attachment = attachment;
-        this.network = new FakePost(almanac, seed);
+        this.network = new FakeMessenger(almanac, seed);
         this.seeds = seeds;
         for (int i = 0; i < size; i++) {
             zones.put(i, zone(i));
         }
         for (int i = 0; i < size; i++) {
-            disks.put(i, new FakeVault());
+            disks.put(i, new FakeDirectory());
             start(i, true);
         }
     }
 
-    public static Imprint imprint(int i) {
-        return Imprint.parse("10." + (i + 1) + ".0.1:7000");
+    public static DaemonAddress imprint(int i) {
+        return DaemonAddress.parse("10." + (i + 1) + ".0.1:7000");
     }
 
     public static String zone(int i) {
@@ -89,25 +89,25 @@
     /** Starts a controller, perhaps one that there was none of before, which is told of its seeds alone. */
     public void start(int i, String zone, List<Integer> seedNodes) throws IOException {
         zones.put(i, zone);
-        disks.computeIfAbsent(i, n -> new FakeVault());
+        disks.computeIfAbsent(i, n -> new FakeDirectory());
         launch(i, false, seedNodes);
     }
 
     private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
         MortalClock clock = new MortalClock(almanac);
         clocks.put(i, clock);
-        List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
+        List<DaemonAddress> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
         zones.values().forEach(z -> allZones.put(z, "r"));
-        HouseRules rules = new HouseRules("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
+        Settings rules = new Settings("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
                 bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
-                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
-        FakeVault disk = disks.get(i);
+                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+        FakeDirectory disk = disks.get(i);
         disk.clock(clock);
-        FakePost.Bag bag = network.bag(imprint(i));
+        FakeMessenger.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
         Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+                AppendOnlyFile.open(disk, "memory", 1 << 16), AppendOnlyFile.open(disk, "census", 1 << 16), disk.executor(), new Metrics());
         running.put(i, archive);
         if (attachment != null) {
             attachment.attach(i, clock, bag, archive.replica, disk);
@@ -158,9 +158,9 @@
     }
 
     /** Offers the parts of a running controller to another host, on the controller's own clock. */
-    public Institution host(int i, HouseRules rules) {
+    public PluginHost host(int i, Settings rules) {
         Archive archive = running.get(i);
-        Institution host = new Institution(Role.CONTROLLER, rules, clocks.get(i));
+        PluginHost host = new PluginHost(Role.CONTROLLER, rules, clocks.get(i));
         host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
         host.offer(LeaseOffice.class, archive.leases);
@@ -184,7 +184,7 @@
         return running.get(i).contact;
     }
 
-    public FakePost.Bag bag(int i) {
+    public FakeMessenger.Bag bag(int i) {
         return bags.get(i);
     }
 
@@ -193,7 +193,7 @@
     }
 
     public void wipe(int i) {
-        disks.put(i, new FakeVault());
+        disks.put(i, new FakeDirectory());
     }
 
     public boolean isRunning(int i) {
@@ -216,7 +216,7 @@
 
     Reply submit(int at, long match, long edition, String text) {
         Reply reply = new Reply();
-        running.get(at).chainClient.submit(new Edition(match), new Edition(edition), text.getBytes(), 850,
+        running.get(at).chainClient.submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), text.getBytes(), 850,
                 v -> reply.verdict = v, () -> reply.gaveUp = true);
         return reply;
     }
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 class LeaseTest {
     private static int holder(Fleet fleet, String zone) {
@@ -123,10 +123,10 @@
         boolean[] asked = new boolean[1];
         fleet.network.tap = (from, to, topic, body) -> {
             try {
-                Script.Reader in = Script.read(body);
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Postbag.Topic.LEASE && in.num() == 0
+                MessagePackCodec.Reader in = MessagePackCodec.read(body);
+                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Messenger.Topic.LEASE && in.num() == 0
                         && in.text().equals("z1");
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
             return true;
--- a/control/src/test/java/org/umbermount/control/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -7,10 +7,10 @@
 import java.io.IOException;
 import java.util.Arrays;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
 
 /** Thousands of changes, while one controller is away for some of them, and what that takes of the disk and of time. */
 class LongDayTest {
@@ -65,7 +65,7 @@
     }
 
     private void measure() throws IOException {
-        for (FakeVault disk : fleet.disks.values()) {
+        for (FakeDirectory disk : fleet.disks.values()) {
             mostTaken = Math.max(mostTaken, disk.taken());
             for (String name : disk.list()) {
                 longestFile = Math.max(longestFile, disk.raw(name).length);
@@ -133,7 +133,7 @@
         }
         victim = -1;
         // The operator goes on meanwhile, with a change about every 25 ms.
-        Moment back = fleet.almanac.now();
+        MonotonicTime back = fleet.almanac.now();
         for (int i = 1; !isCaughtUp(who) && fleet.almanac.now().since(back) <= CATCH_UP_MS; i++) {
             fleet.run(1);
             if (i % 20 == 0 && !isCaughtUp(who)) {
