--- a/control/src/test/java/org/umbermount/control/MembershipSearchTest.java
+++ b/control/src/test/java/org/umbermount/control/MembershipSearchTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
@@ -87,11 +87,11 @@
         }
     }
 
-    private static final Imprint[] ADDRESSES = new Imprint[20];
+    private static final DaemonAddress[] ADDRESSES = new DaemonAddress[20];
 
     static {
         for (int i = 0; i < ADDRESSES.length; i++) {
-            ADDRESSES[i] = Imprint.parse("10.0.0." + (i + 10) + ":7000");
+            ADDRESSES[i] = DaemonAddress.parse("10.0.0." + (i + 10) + ":7000");
         }
     }
 
@@ -101,7 +101,7 @@
 
     private static View view(State s) {
         List<Voter> voters = new ArrayList<>();
-        List<Imprint> chain = new ArrayList<>();
+        List<DaemonAddress> chain = new ArrayList<>();
         for (int i = 0; i < s.machines.length; i++) {
             if (is(s.machines[i], VOTER)) {
                 voters.add(new Voter(ADDRESSES[i], 0));
@@ -115,47 +115,47 @@
 
     /** Everyone who is up sees who is. */
     private record Seen(int[] machines) implements MembershipPlan.Sight {
-        private int at(Imprint who) {
+        private int at(DaemonAddress who) {
             return machines[(int) (who.packed() - ADDRESSES[0].packed() >> 16) % 256];
         }
 
         @Override
-        public Iterable<Imprint> known() {
+        public Iterable<DaemonAddress> known() {
             return Arrays.asList(ADDRESSES).subList(0, machines.length);
         }
 
         @Override
-        public boolean well(Imprint who) {
+        public boolean well(DaemonAddress who) {
             return is(at(who), UP) && !is(at(who), LEAVING);
         }
 
         @Override
-        public boolean steady(Imprint who) {
+        public boolean steady(DaemonAddress who) {
             return is(at(who), UP);
         }
 
         @Override
-        public boolean expected(Imprint who) {
+        public boolean expected(DaemonAddress who) {
             return false;
         }
 
         @Override
-        public boolean linked(Imprint one, Imprint other) {
+        public boolean linked(DaemonAddress one, DaemonAddress other) {
             return is(at(one) & at(other), UP);
         }
 
         @Override
-        public boolean hasMemory(Imprint who) {
+        public boolean hasMemory(DaemonAddress who) {
             return is(at(who), MEMORY);
         }
 
         @Override
-        public long incarnation(Imprint who) {
+        public long incarnation(DaemonAddress who) {
             return is(at(who), MEMORY) ? 0 : 1;
         }
 
         @Override
-        public String zone(Imprint who) {
+        public String zone(DaemonAddress who) {
             return "";
         }
     }
--- a/control/src/test/java/org/umbermount/control/MortalClock.java
+++ b/control/src/test/java/org/umbermount/control/MortalClock.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.testing.FakeClock;
 
 /** The clock of one process: when it dies, or while it is frozen, none of its tasks run. */
@@ -34,7 +34,7 @@
     }
 
     @Override
-    public Moment now() {
+    public MonotonicTime now() {
         return shared.now();
     }
 
--- a/control/src/test/java/org/umbermount/control/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -13,12 +13,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.control.Replica.Verdict;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** One number is confirmed to one content, and an order that was taken is never refused, however it comes again. */
 class OrdersTest {
@@ -52,7 +52,7 @@
         }
     }
 
-    private static int indexOf(Imprint who) {
+    private static int indexOf(DaemonAddress who) {
         int i = 0;
         while (!Fleet.imprint(i).equals(who)) {
             i++;
@@ -222,7 +222,7 @@
                 assertTrue(taken <= 1, taken + " winners on " + base);
                 TakenOrders history = fleet.replica(0).committed().taken();
                 for (int k = 0; k < 8; k++) {
-                    Order order = new Order(new Edition(base), new Edition(base + 1 + k / 4),
+                    Order order = new Order(new ConfigurationRevision(base), new ConfigurationRevision(base + 1 + k / 4),
                             Digest.ofCall("PUT", ("r" + round + "k" + k).getBytes()));
                     boolean isTaken = history.find(order) == TakenOrders.Finding.TAKEN;
                     Verdict verdict = replies.get(k).verdict;
@@ -240,7 +240,7 @@
         Fleet fleet = settled(seed);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        Imprint next = fleet.replica(old).view().successor(Fleet.imprint(old));
+        DaemonAddress next = fleet.replica(old).view().successor(Fleet.imprint(old));
         fleet.network.cut(Fleet.imprint(old), next);
         Fleet.Reply lost = fleet.submit(old, 2, 3, "one");
         fleet.run(50);
@@ -309,14 +309,14 @@
         assertEquals("two", new String(fleet.replica(old).committed().blob()));
         String[] told = {"nothing"};
         var asker = fleet.network.bag(Fleet.imprint(9));
-        asker.subscribe(Postbag.Topic.VIEW, (from, body) -> {
-            Script.Reader in = Script.read(body);
+        asker.subscribe(Messenger.Topic.VIEW, (from, body) -> {
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             assertEquals(NEWS, in.num());
             View.read(in);
             ConfigurationState state = ConfigurationState.read(in);
             told[0] = new String((in.flag() ? state : ConfigurationState.read(in)).blob());
         });
-        asker.send(Fleet.imprint(old), Postbag.Topic.VIEW, Script.write().num(FETCH).done());
+        asker.send(Fleet.imprint(old), Messenger.Topic.VIEW, MessagePackCodec.write().num(FETCH).done());
         fleet.run(20);
         return told[0];
     }
@@ -332,9 +332,9 @@
     private static Verdict repeatBelowTheFloor() {
         TakenOrders taken = TakenOrders.NONE;
         for (long e = 1; e <= 10 + TakenOrders.REMEMBERED; e++) {
-            taken = taken.with(new TakenOrders.Taken(new Edition(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
+            taken = taken.with(new TakenOrders.Taken(new ConfigurationRevision(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
         }
-        Order old = new Order(new Edition(9), new Edition(10), Digest.ofCall("PUT", "c10".getBytes()));
+        Order old = new Order(new ConfigurationRevision(9), new ConfigurationRevision(10), Digest.ofCall("PUT", "c10".getBytes()));
         return taken.find(old) == TakenOrders.Finding.NOT_TAKEN ? Verdict.STALE : null;
     }
 
@@ -376,7 +376,7 @@
         fleet.network.cut(Fleet.imprint(asker), view.successor(Fleet.imprint(asker)));
         Fleet.Reply lost = fleet.submit(asker, 2, 3, "one");
         fleet.run(20);
-        Script.Writer write = Script.write().num(WRITE);
+        MessagePackCodec.Writer write = MessagePackCodec.write().num(WRITE);
         fleet.replica(before).committed().write(write);
         RequestId id = fleet.chainClient(asker).newestId();
         write.list(List.of(id), (o, d) -> {
@@ -384,7 +384,7 @@
             o.imprint(Fleet.imprint(asker)).num(3);
             Digest.ofCall("PUT", "one".getBytes()).write(o);
         });
-        fleet.bag(before).send(view.tail(), Postbag.Topic.CHAIN, write.done());
+        fleet.bag(before).send(view.tail(), Messenger.Topic.CHAIN, write.done());
         fleet.run(20);
         return lost.verdict;
     }
@@ -409,7 +409,7 @@
         fleet.start(asker, false);
         fleet.run(5_000);
         View view = fleet.replica(asker).view();
-        for (Imprint member : view.chain()) {
+        for (DaemonAddress member : view.chain()) {
             fleet.network.cut(member, Fleet.imprint(asker));
             fleet.network.cut(Fleet.imprint(asker), member);
         }
@@ -420,10 +420,10 @@
         assertEquals(earlier.number(), fleet.chainClient(asker).newestId().number());
         assertNotEquals(earlier, fleet.chainClient(asker).newestId());
         fleet.network.healAll();
-        Script.Writer late = Script.write().num(VERDICT);
+        MessagePackCodec.Writer late = MessagePackCodec.write().num(VERDICT);
         earlier.write(late);
         int tail = indexOf(view.tail()) == asker ? (asker + 1) % 4 : indexOf(view.tail());
-        fleet.bag(tail).send(Fleet.imprint(asker), Postbag.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
+        fleet.bag(tail).send(Fleet.imprint(asker), Messenger.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
         fleet.run(2);
         return reply.verdict;
     }
@@ -466,7 +466,7 @@
         fleet.run(5);
         assertEquals(Verdict.TAKEN, order(fleet, other, 2, 3, "c3"));
         assertEquals(view.number(), fleet.replica(head).view().number(), "the view has changed");
-        Order late = new Order(new Edition(3), new Edition(4), Digest.ofCall("PUT", "ahead".getBytes()));
+        Order late = new Order(new ConfigurationRevision(3), new ConfigurationRevision(4), Digest.ofCall("PUT", "ahead".getBytes()));
         fleet.replica(other).sendSubmission(view.head(), id, view.number(), late, "ahead".getBytes());
         fleet.run(20);
         return new String(fleet.replica(other).committed().blob());
@@ -481,7 +481,7 @@
     // ---- on the disk and in messages ----
 
     private static byte[] written(ConfigurationState state) {
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         state.write(out);
         return out.done();
     }
@@ -491,11 +491,11 @@
         for (long step : new long[] {1, 1_000_000}) {
             ConfigurationState state = ConfigurationState.NONE.inView(3);
             for (int i = 1; i <= 3_000; i++) {
-                state = state.take(new Edition(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
+                state = state.take(new ConfigurationRevision(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
             }
             byte[] bytes = written(state);
             assertTrue(bytes.length < 12_000, "bytes: " + bytes.length);
-            ConfigurationState back = ConfigurationState.read(Script.read(bytes));
+            ConfigurationState back = ConfigurationState.read(MessagePackCodec.read(bytes));
             assertEquals(state.taken(), back.taken());
             assertEquals(state.edition(), back.edition());
         }
@@ -503,35 +503,35 @@
 
     @Test
     void stateOfTheFormerFormatIsReadAsKnowingNoOrders() throws Exception {
-        byte[] former = Script.write().num(4).num(9).bytes("c9".getBytes()).num(2).num(8).num(77).num(9).num(78).done();
-        ConfigurationState read = ConfigurationState.read(Script.read(former));
+        byte[] former = MessagePackCodec.write().num(4).num(9).bytes("c9".getBytes()).num(2).num(8).num(77).num(9).num(78).done();
+        ConfigurationState read = ConfigurationState.read(MessagePackCodec.read(former));
         assertEquals(9, read.edition().value());
         assertEquals(4, read.view());
-        assertEquals(new TakenOrders(new Edition(9), List.of()), read.taken());
-        Order repeat = new Order(new Edition(8), new Edition(9), Digest.ofCall("PUT", "c9".getBytes()));
+        assertEquals(new TakenOrders(new ConfigurationRevision(9), List.of()), read.taken());
+        Order repeat = new Order(new ConfigurationRevision(8), new ConfigurationRevision(9), Digest.ofCall("PUT", "c9".getBytes()));
         assertEquals(TakenOrders.Finding.UNCLEAR, read.taken().find(repeat), "never refused");
     }
 
     @Test
     void damagedStateIsNotMistakenForAGoodOne() throws Exception {
-        ConfigurationState good = ConfigurationState.NONE.inView(1).take(new Edition(5), "c".getBytes()).take(new Edition(6), "d".getBytes());
+        ConfigurationState good = ConfigurationState.NONE.inView(1).take(new ConfigurationRevision(5), "c".getBytes()).take(new ConfigurationRevision(6), "d".getBytes());
         byte[] bytes = written(good);
         for (int cut = 0; cut < bytes.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(bytes, cut);
-            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(part)), "cut at " + cut);
+            assertThrows(MessagePackCodec.UnreadableException.class, () -> ConfigurationState.read(MessagePackCodec.read(part)), "cut at " + cut);
         }
         Digest d = Digest.ofCall("PUT", "c".getBytes());
-        List<Script.Writer> bad = new ArrayList<>();
-        bad.add(Script.write().num(-3).num(1).num(5).bytes(new byte[0]).num(5).num(0));
-        bad.add(Script.write().num(-2).num(1).num(6).bytes(new byte[0]).num(5).num(0));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(0).num(d.high()).num(d.low()));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(Long.MAX_VALUE)
+        List<MessagePackCodec.Writer> bad = new ArrayList<>();
+        bad.add(MessagePackCodec.write().num(-3).num(1).num(5).bytes(new byte[0]).num(5).num(0));
+        bad.add(MessagePackCodec.write().num(-2).num(1).num(6).bytes(new byte[0]).num(5).num(0));
+        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(0).num(d.high()).num(d.low()));
+        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(Long.MAX_VALUE)
                 .num(d.high()).num(d.low()));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(-1).num(0));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(TakenOrders.REMEMBERED + 1));
-        for (Script.Writer w : bad) {
+        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(-1).num(0));
+        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(TakenOrders.REMEMBERED + 1));
+        for (MessagePackCodec.Writer w : bad) {
             byte[] wrong = w.done();
-            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(wrong)));
+            assertThrows(MessagePackCodec.UnreadableException.class, () -> ConfigurationState.read(MessagePackCodec.read(wrong)));
         }
     }
 }
--- a/control/src/test/java/org/umbermount/control/RegulationsTest.java
+++ b/control/src/test/java/org/umbermount/control/RegulationsTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Erratum;
+import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
 
 class RegulationsTest {
@@ -42,13 +42,13 @@
     void badConfigurationIsRefusedWithTheReason(String good, String bad, String reason) {
         assertTrue(GOOD.contains(good), good);
         FaultException e = assertThrows(FaultException.class, () -> Regulations.parse(GOOD.replace(good, bad).getBytes()));
-        assertEquals(Erratum.INVALID_CONFIGURATION, e.erratum());
+        assertEquals(ErrorKind.INVALID_CONFIGURATION, e.erratum());
         assertTrue(e.getMessage().contains(reason), e.getMessage());
     }
 
     private static void refused(String text, String what) {
         FaultException e = assertThrows(FaultException.class, () -> Regulations.parse(text.getBytes()), what);
-        assertEquals(Erratum.INVALID_CONFIGURATION, e.erratum(), what);
+        assertEquals(ErrorKind.INVALID_CONFIGURATION, e.erratum(), what);
         assertTrue(e.getMessage().startsWith("The configuration is invalid: ") && e.getMessage().length() < 400, e.getMessage());
     }
 
--- a/control/src/test/java/org/umbermount/control/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** Seats are given up, taken over and rested, by controllers as they are. */
 class SeatsTest {
@@ -129,9 +129,9 @@
         fleet.run(6_000);
         boolean[] granted = new boolean[1];
         var stranger = fleet.network.bag(Fleet.imprint(9));
-        stranger.subscribe(Postbag.Topic.LEASE, (from, body) -> granted[0] |= Script.read(body).num() == 1);
+        stranger.subscribe(Messenger.Topic.LEASE, (from, body) -> granted[0] |= MessagePackCodec.read(body).num() == 1);
         long view = any(fleet).view().number();
-        stranger.send(Fleet.imprint(1), Postbag.Topic.LEASE, Script.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        stranger.send(Fleet.imprint(1), Messenger.Topic.LEASE, MessagePackCodec.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
         fleet.run(100);
         return granted[0];
     }
--- a/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
+++ b/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.control.Replica.Verdict;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
@@ -70,8 +70,8 @@
         private final List<Call> open = new ArrayList<>();
         private final List<Call> acknowledged = new ArrayList<>();
         /** Which order was confirmed under a number, by any answer, heard or not. */
-        private final Map<Edition, Order> confirmed = new HashMap<>();
-        private final Map<Edition, Order> history = new TreeMap<>();
+        private final Map<ConfigurationRevision, Order> confirmed = new HashMap<>();
+        private final Map<ConfigurationRevision, Order> history = new TreeMap<>();
         /** On a version that had been built on: never in force, whatever is sent. */
         private final Set<Order> heardRefused = new HashSet<>();
         /** On a version that was not there: not in force unless someone sends the same again after the refusal. */
@@ -177,7 +177,7 @@
                 long number = base + 1 + random.nextInt(2);
                 String text = random.nextInt(6) == 0 ? "both " + number : "operator " + operator + " number " + number
                         + " try " + random.nextInt(3);
-                Call call = new Call(new Order(new Edition(base), new Edition(number),
+                Call call = new Call(new Order(new ConfigurationRevision(base), new ConfigurationRevision(number),
                         Digest.ofCall("PUT", text.getBytes())), text, operator);
                 open.add(call);
                 send(call, random.nextInt(size));
@@ -186,7 +186,7 @@
 
         private long newest() {
             long newest = 0;
-            for (Edition e : history.keySet()) {
+            for (ConfigurationRevision e : history.keySet()) {
                 newest = Math.max(newest, e.value());
             }
             return newest;
@@ -243,7 +243,7 @@
         private void readHistories() {
             for (int i = 0; i < size; i++) {
                 if (fleet.isRunning(i)) {
-                    Edition base = Edition.NONE;
+                    ConfigurationRevision base = ConfigurationRevision.NONE;
                     for (TakenOrders.Taken t : fleet.replica(i).committed().taken().entries()) {
                         Order order = new Order(base, t.edition(), t.digest());
                         Order other = history.put(t.edition(), order);
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -25,7 +25,7 @@
 rm -rf "$dir/services"
 # What the parts of a program are, in one place: a start that finds this need not look through every jar for them.
 mkdir -p "$dir/whole/META-INF/umbermount"
-cp "$dir/whole/META-INF/services/org.umbermount.kernel.Department" "$dir/whole/META-INF/umbermount/departments"
+cp "$dir/whole/META-INF/services/org.umbermount.kernel.Plugin" "$dir/whole/META-INF/umbermount/departments"
 printf 'Main-Class: org.umbermount.app.Main\n' >"$dir/whole.manifest"
 jar -c -f "$dir/whole.jar" -0 -m "$dir/whole.manifest" -C "$dir/whole" .
 flags="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true"
--- a/distribution/src/main/java/org/umbermount/distribution/Consignee.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Consignee.java
@@ -8,12 +8,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
 public final class Consignee {
@@ -21,25 +21,25 @@
     private static final int HELD_STATES = 64;
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger post;
+    private final Metrics tally;
     private final long life;
     private final TreeMap<Long, Inventory> held = new TreeMap<>();
     private final List<Consumer<Inventory>> observers = new ArrayList<>();
     private long epoch;
-    private Imprint sender;
-    private Moment lastHeard = Moment.NEVER;
+    private DaemonAddress sender;
+    private MonotonicTime lastHeard = MonotonicTime.NEVER;
     private Inventory inForce = Inventory.EMPTY;
     private long keepMs = -1;
-    private Moment goodUntil = Moment.NEVER;
+    private MonotonicTime goodUntil = MonotonicTime.NEVER;
 
-    Consignee(Clock clock, Postbag post, Tally tally, long life) {
+    Consignee(Clock clock, Messenger post, Metrics tally, long life) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.life = life;
         held.put(0L, Inventory.EMPTY);
-        post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
+        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
     }
 
     /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
@@ -63,7 +63,7 @@
                 || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
             return;
         }
-        Moment until = new Moment(d.echo() - d.vouchAge() + keepMs);
+        MonotonicTime until = new MonotonicTime(d.echo() - d.vouchAge() + keepMs);
         if (goodUntil.isBefore(until)) {
             goodUntil = until;
         }
@@ -86,15 +86,15 @@
         return epoch;
     }
 
-    public Imprint sender() {
+    public DaemonAddress sender() {
         return sender;
     }
 
-    public Moment lastHeard() {
+    public MonotonicTime lastHeard() {
         return lastHeard;
     }
 
-    private void receive(Imprint from, Dispatch d) {
+    private void receive(DaemonAddress from, Dispatch d) {
         if (d.life() != 0 && d.life() != life) {
             // Meant for an earlier life of this daemon. The answer tells the sender of this one.
             tally.count("distribution.earlier.life");
@@ -156,8 +156,8 @@
         }
     }
 
-    private void bringIntoForce(Inventory table, Imprint from) {
-        Edition before = inForce.edition();
+    private void bringIntoForce(Inventory table, DaemonAddress from) {
+        ConfigurationRevision before = inForce.edition();
         inForce = table;
         if (!before.equals(table.edition())) {
             LOG.info("Edition {} is in force, from {}.", table.edition(), from);
@@ -168,8 +168,8 @@
         }
     }
 
-    private void acknowledge(Imprint to, Dispatch d, long num) {
-        post.send(to, Postbag.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, clock.now().millis(),
+    private void acknowledge(DaemonAddress to, Dispatch d, long num) {
+        post.send(to, Messenger.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, clock.now().millis(),
                 d.stamp(), null).pack());
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Consignor.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Consignor.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /**
  * The sender for one proxy, as in the State Synchronization Protocol: a rolling list of sent states whose first
@@ -26,37 +26,37 @@
     private static final class Sent {
         final long num;
         final Inventory table;
-        Moment at;
+        MonotonicTime at;
 
-        Sent(long num, Inventory table, Moment at) {
+        Sent(long num, Inventory table, MonotonicTime at) {
             this.num = num;
             this.table = table;
             this.at = at;
         }
     }
 
-    private final Imprint proxy;
+    private final DaemonAddress proxy;
     private final long epoch;
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger post;
+    private final Metrics tally;
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
     private long life;
     private Inventory current = Inventory.EMPTY;
     private long topNum;
-    private Moment lastSend = Moment.NEVER;
-    private Moment lastHeard;
+    private MonotonicTime lastSend = MonotonicTime.NEVER;
+    private MonotonicTime lastHeard;
     private int unanswered;
     private long echoStamp = -1;
-    private Moment echoAt;
+    private MonotonicTime echoAt;
     private Clock.Cancellable timer;
     private boolean closed;
     private Vouching vouching = Vouching.NONE;
     private long renewMs = HEARTBEAT_MS;
     private BooleanSupplier leased = () -> true;
 
-    Consignor(Imprint proxy, long life, long epoch, Clock clock, Postbag post, Tally tally) {
+    Consignor(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger post, Metrics tally) {
         this.proxy = proxy;
         this.life = life;
         this.epoch = epoch;
@@ -64,7 +64,7 @@
         this.post = post;
         this.tally = tally;
         this.lastHeard = clock.now();
-        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+        sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
     }
 
     /** Sets what says at each moment whether the lease is held under which this sends. */
@@ -83,7 +83,7 @@
     }
 
     /** The proxy's clock was heard of beside an acknowledgment. */
-    void stamped(long forLife, long stamp, Moment at) {
+    void stamped(long forLife, long stamp, MonotonicTime at) {
         if (forLife == life && (echoStamp < 0 || echoAt.isBefore(at))) {
             echoStamp = stamp;
             echoAt = at;
@@ -92,14 +92,14 @@
 
     /** The proxy needs to hear now how fresh its table is. */
     void renew() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (mayEmit() && now.since(lastSend) >= roundTrip.frame()) {
             sendEmpty(now);
             scheduleNext(now);
         }
     }
 
-    Moment lastHeard() {
+    MonotonicTime lastHeard() {
         return lastHeard;
     }
 
@@ -112,7 +112,7 @@
         return sent.get(0).num;
     }
 
-    Edition knownEdition() {
+    ConfigurationRevision knownEdition() {
         return sent.get(0).table.edition();
     }
 
@@ -141,11 +141,11 @@
     void restart(long newLife) {
         life = newLife;
         sent.clear();
-        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+        sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
         unanswered = 0;
         echoStamp = -1;
         lastHeard = clock.now();
-        lastSend = Moment.NEVER;
+        lastSend = MonotonicTime.NEVER;
         schedule(0);
     }
 
@@ -167,7 +167,7 @@
      * The newest sent state up to which no timeout has passed, or the known one. A state that was not acknowledged in time
      * makes those after it doubtful too: they were built on it, or on one that was built on it.
      */
-    private Sent assumed(Moment now) {
+    private Sent assumed(MonotonicTime now) {
         Sent assumed = sent.get(0);
         for (Sent s : sent) {
             if (s == assumed) {
@@ -188,7 +188,7 @@
             schedule(LAPSED_MS);
             return;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
         long wait = frame - now.since(lastSend);
         if (wait > 0) {
@@ -215,7 +215,7 @@
         scheduleNext(now);
     }
 
-    private void scheduleNext(Moment now) {
+    private void scheduleNext(MonotonicTime now) {
         long next = renewMs - now.since(lastSend);
         if (sent.size() > 1) {
             next = Math.min(next, roundTrip.rto() - now.since(newest().at) + 1);
@@ -223,34 +223,34 @@
         schedule(Math.max(1, next));
     }
 
-    private void send(Sent from, Sent to, Moment now) {
+    private void send(Sent from, Sent to, MonotonicTime now) {
         emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
                 to.table.since(from.table), vouched(now), vouchAge(now)), now);
         unanswered++;
         tally.count("distribution.sent");
     }
 
-    private void sendEmpty(Moment now) {
+    private void sendEmpty(MonotonicTime now) {
         long num = newest().num;
         emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
                 vouched(now), vouchAge(now)), now);
         tally.count("distribution.heartbeats");
     }
 
-    private void emit(Dispatch dispatch, Moment now) {
+    private void emit(Dispatch dispatch, MonotonicTime now) {
         lastSend = now;
-        post.send(proxy, Postbag.Topic.DISPATCH, dispatch.pack());
+        post.send(proxy, Messenger.Topic.DISPATCH, dispatch.pack());
     }
 
-    private long vouched(Moment now) {
+    private long vouched(MonotonicTime now) {
         return echo(now) < 0 || vouching.at() == null ? -1 : vouching.edition().value();
     }
 
-    private long vouchAge(Moment now) {
+    private long vouchAge(MonotonicTime now) {
         return vouching.at() == null ? 0 : now.since(vouching.at());
     }
 
-    private long echo(Moment now) {
+    private long echo(MonotonicTime now) {
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
 
@@ -271,7 +271,7 @@
         boolean any = false;
         for (Sent s : sent) {
             if (s.num > ack.ackNum() && ack.echo() >= 0 && s.at.millis() <= ack.echo()) {
-                s.at = Moment.NEVER;
+                s.at = MonotonicTime.NEVER;
                 any = true;
             }
         }
@@ -280,7 +280,7 @@
 
     /** Takes an acknowledgment. */
     void acknowledged(Dispatch ack) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
             tally.count("distribution.earlier.epoch");
@@ -313,7 +313,7 @@
             tally.count("distribution.numbers.met");
             topNum = ack.ackNum();
             sent.clear();
-            sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+            sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
         }
         if (doubt(ack) || !current.sameAs(newest().table)) {
             // A change is waiting for its turn; what is heard meanwhile must not put it off.
--- a/distribution/src/main/java/org/umbermount/distribution/Dispatch.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Dispatch.java
@@ -1,6 +1,6 @@
 package org.umbermount.distribution;
 
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * One instruction. From sender to proxy it builds state {@code newNum} from {@code oldNum}; with an empty
@@ -23,7 +23,7 @@
 
 
     byte[] pack() {
-        Script.Writer out = Script.write().num(epoch).num(life).num(oldNum).num(newNum).num(ackNum)
+        MessagePackCodec.Writer out = MessagePackCodec.write().num(epoch).num(life).num(oldNum).num(newNum).num(ackNum)
                 .num(throwawayNum).num(stamp).num(echo).num(vouched).num(vouchAge);
         out.flag(difference != null);
         if (difference != null) {
@@ -32,8 +32,8 @@
         return out.done();
     }
 
-    static Dispatch unpack(byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    static Dispatch unpack(byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         long epoch = in.num();
         long life = in.num();
         long oldNum = in.num();
--- a/distribution/src/main/java/org/umbermount/distribution/Inventory.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Inventory.java
@@ -6,8 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * The route and endpoint table at one moment: entries under keys, each packed. It never changes; a difference
@@ -29,7 +29,7 @@
     public static final String DUTY = "d/";
 
     private final Map<String, byte[]> entries;
-    private final Edition edition;
+    private final ConfigurationRevision edition;
     // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
     private Inventory comparedWith;
     private Difference compared;
@@ -43,14 +43,14 @@
         return new Inventory(Map.copyOf(entries));
     }
 
-    private static Edition readEdition(byte[] configuration) {
+    private static ConfigurationRevision readEdition(byte[] configuration) {
         if (configuration == null) {
-            return Edition.NONE;
+            return ConfigurationRevision.NONE;
         }
         try {
-            return new Edition(Script.read(configuration).num());
-        } catch (Script.UnreadableException e) {
-            return Edition.NONE;
+            return new ConfigurationRevision(MessagePackCodec.read(configuration).num());
+        } catch (MessagePackCodec.UnreadableException e) {
+            return ConfigurationRevision.NONE;
         }
     }
 
@@ -59,7 +59,7 @@
     }
 
     /** The revision of the configuration that the table holds. */
-    public Edition edition() {
+    public ConfigurationRevision edition() {
         return edition;
     }
 
@@ -73,13 +73,13 @@
             return gone.isEmpty() && come.isEmpty();
         }
 
-        void write(Script.Writer out) {
-            out.list(gone, Script.Writer::text)
+        void write(MessagePackCodec.Writer out) {
+            out.list(gone, MessagePackCodec.Writer::text)
                     .list(come.entrySet(), (o, e) -> o.text(e.getKey()).bytes(e.getValue()));
         }
 
-        static Difference read(Script.Reader in) throws Script.UnreadableException {
-            List<String> gone = in.list(Script.Reader::text);
+        static Difference read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+            List<String> gone = in.list(MessagePackCodec.Reader::text);
             Map<String, byte[]> come = new HashMap<>();
             in.list(r -> come.put(r.text(), r.bytes()));
             return new Difference(gone, come);
--- a/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
@@ -3,20 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The receiving side as a plug-in of the proxy. */
-public final class ReceivingDepartment implements Department {
+public final class ReceivingDepartment implements Plugin {
     private static final long LOOP_MS = 500;
     private static final long EAGER_MS = 100;
     private static final long LOST_MS = 500;
@@ -26,11 +26,11 @@
     private static final long VOUCH_LOW_MS = 2_600;
     private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
 
-    private Institution institution;
-    private Gazetteer gazetteer;
+    private PluginHost institution;
+    private PeerSampling gazetteer;
     private Consignee consignee;
-    private Moment lastTold = Moment.NEVER;
-    private Moment lastToldHere = Moment.NEVER;
+    private MonotonicTime lastTold = MonotonicTime.NEVER;
+    private MonotonicTime lastToldHere = MonotonicTime.NEVER;
     private int tries;
     private boolean strict;
     private int voucherTurn;
@@ -51,13 +51,13 @@
     }
 
     @Override
-    public void open(Institution host) {
+    public void open(PluginHost host) {
         institution = host;
-        gazetteer = host.find(Gazetteer.class);
+        gazetteer = host.find(PeerSampling.class);
         Clock clock = host.clock();
-        consignee = new Consignee(clock, host.find(Postbag.class), host.tally(), clock.wallMillis());
+        consignee = new Consignee(clock, host.find(Messenger.class), host.tally(), clock.wallMillis());
         host.offer(Consignee.class, consignee);
-        HouseRules.Sharing sharing = host.rules().bounds().sharing();
+        Settings.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
         if (strict) {
             consignee.countFor(sharing.revokeMs() - VOUCH_MARGIN_MS);
@@ -81,7 +81,7 @@
     }
 
     private void reconcile() {
-        Moment now = institution.clock().now();
+        MonotonicTime now = institution.clock().now();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
         if (strict && !consignee.inForce().isEmpty() && consignee.goodForMs() < VOUCH_LOW_MS) {
             askVoucher(now);
@@ -97,33 +97,33 @@
      * Tells the zone's own controllers more often, and whoever sends here: one that has just started takes the zone's duty
      * within a second, and has to know then whom to send to.
      */
-    private void tellHere(Moment now) {
+    private void tellHere(MonotonicTime now) {
         lastToldHere = now;
         String zone = institution.rules().zone();
         byte[] body = new Signpost(consignee.life(), zone, consignee.inForce().isEmpty(), false,
                 consignee.inForce().edition().value(), now.millis()).pack();
-        Imprint sender = consignee.sender();
-        for (Placename p : gazetteer.known(Role.CONTROLLER, zone)) {
+        DaemonAddress sender = consignee.sender();
+        for (MemberDescriptor p : gazetteer.known(Role.CONTROLLER, zone)) {
             if (p.zone().equals(zone)) {
-                institution.find(Postbag.class).send(p.imprint(), Postbag.Topic.SIGNPOST, body);
+                institution.find(Messenger.class).send(p.imprint(), Messenger.Topic.SIGNPOST, body);
                 sender = p.imprint().equals(sender) ? null : sender;
             }
         }
         if (sender != null) {
-            institution.find(Postbag.class).send(sender, Postbag.Topic.SIGNPOST, body);
+            institution.find(Messenger.class).send(sender, Messenger.Topic.SIGNPOST, body);
         }
     }
 
     /** Takes up the controllers that the table names, and makes itself known to those of the zone at once. */
     private void learn(Inventory table) {
-        List<Placename> named = new ArrayList<>();
+        List<MemberDescriptor> named = new ArrayList<>();
         try {
             for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
                 if (e.getKey().startsWith(Inventory.CONTROLLER)) {
                     named.add(Tables.readController(e.getValue()));
                 }
             }
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             institution.tally().count("distribution.controllers.unreadable");
             return;
         }
@@ -137,33 +137,33 @@
     }
 
     /** The sender is late with its word on how fresh the table is: any controller may give it. */
-    private void askVoucher(Moment now) {
-        List<Placename> known = gazetteer.known(Role.CONTROLLER, institution.rules().zone());
+    private void askVoucher(MonotonicTime now) {
+        List<MemberDescriptor> known = gazetteer.known(Role.CONTROLLER, institution.rules().zone());
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), false, true,
                 consignee.inForce().edition().value(), now.millis()).pack();
         for (int i = 0; i < Math.min(2, known.size()); i++) {
-            institution.find(Postbag.class).send(known.get(voucherTurn++ % known.size()).imprint(),
-                    Postbag.Topic.SIGNPOST, body);
+            institution.find(Messenger.class).send(known.get(voucherTurn++ % known.size()).imprint(),
+                    Messenger.Topic.SIGNPOST, body);
         }
     }
 
     /** Tells controllers of this proxy: all of them now and then, those of the zone first when in need. */
     private void tell() {
-        Moment now = institution.clock().now();
+        MonotonicTime now = institution.clock().now();
         boolean empty = consignee.inForce().isEmpty();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
                 consignee.inForce().edition().value(), now.millis()).pack();
-        List<Imprint> targets = gazetteer.known(Role.CONTROLLER, institution.rules().zone()).stream()
-                .map(Placename::imprint).toList();
+        List<DaemonAddress> targets = gazetteer.known(Role.CONTROLLER, institution.rules().zone()).stream()
+                .map(MemberDescriptor::imprint).toList();
         if (targets.isEmpty()) {
             targets = gazetteer.seeds();
         }
         boolean everyone = !empty || tries++ % 2 == 1;
         int n = 0;
-        for (Imprint target : targets) {
+        for (DaemonAddress target : targets) {
             if (everyone || n++ < 1) {
-                institution.find(Postbag.class).send(target, Postbag.Topic.SIGNPOST, body);
+                institution.find(Messenger.class).send(target, Messenger.Topic.SIGNPOST, body);
             }
         }
         lastTold = now;
--- a/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
@@ -20,23 +20,23 @@
 import org.umbermount.control.FailureDetector;
 import org.umbermount.control.StatusPage;
 import org.umbermount.control.LeaseOffice;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The sending side as a plug-in of the controller: one sender for each proxy of the zones whose duty is held. */
-public final class SendingDepartment implements Department {
+public final class SendingDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
@@ -49,12 +49,12 @@
     private static final long RENEW_MS = 1_100;
     private static final long VOUCH_MS = 5_000;
 
-    private final Map<Imprint, Known> proxies = new TreeMap<>();
-    private final Map<Imprint, Consignor> consignors = new HashMap<>();
-    private final Map<Imprint, Long> askers = new HashMap<>();
-    private Institution institution;
+    private final Map<DaemonAddress, Known> proxies = new TreeMap<>();
+    private final Map<DaemonAddress, Consignor> consignors = new HashMap<>();
+    private final Map<DaemonAddress, Long> askers = new HashMap<>();
+    private PluginHost institution;
     private Clock clock;
-    private Postbag post;
+    private Messenger post;
     private Replica replica;
     private Census census;
     private LeaseOffice leases;
@@ -63,26 +63,26 @@
     private boolean dirty = true;
     private boolean assured;
     private Inventory table = Inventory.EMPTY;
-    private Edition packedEdition = Edition.NONE;
+    private ConfigurationRevision packedEdition = ConfigurationRevision.NONE;
     private Map<String, byte[]> packedConfiguration = Map.of();
 
-    private final Map<Imprint, Signpost> waitingForVouch = new HashMap<>();
+    private final Map<DaemonAddress, Signpost> waitingForVouch = new HashMap<>();
     private ChainClient chainClient;
     private boolean strict;
-    private Moment vouchedUntil = Moment.NEVER;
+    private MonotonicTime vouchedUntil = MonotonicTime.NEVER;
     private final Vouching vouching = new Vouching() {
         @Override
-        public Edition edition() {
+        public ConfigurationRevision edition() {
             return chainClient.attested();
         }
 
         @Override
-        public Moment at() {
+        public MonotonicTime at() {
             return chainClient.attestedAt();
         }
     };
 
-    private Map<Pressmark, Packed> packedServers = Map.of();
+    private Map<InstanceId, Packed> packedServers = Map.of();
 
     private record Packed(CensusEntry entry, String key, byte[] bytes) {
     }
@@ -91,9 +91,9 @@
         long stamp;
         final String zone;
         long life;
-        Moment heard;
+        MonotonicTime heard;
 
-        Known(String zone, long life, Moment heard) {
+        Known(String zone, long life, MonotonicTime heard) {
             this.zone = zone;
             this.life = life;
             this.heard = heard;
@@ -116,10 +116,10 @@
     }
 
     @Override
-    public void open(Institution host) {
+    public void open(PluginHost host) {
         institution = host;
         clock = host.clock();
-        post = host.find(Postbag.class);
+        post = host.find(Messenger.class);
         replica = host.find(Replica.class);
         census = host.find(Census.class);
         leases = host.find(LeaseOffice.class);
@@ -127,10 +127,10 @@
         contact = host.find(MajorityContact.class);
         chainClient = host.find(ChainClient.class);
         strict = host.rules().bounds().sharing().strictRevocation();
-        post.subscribe(Postbag.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
-        post.subscribe(Postbag.Topic.INTRODUCTION, (from, body) -> introduced(body));
-        post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
-        host.find(Gazetteer.class).observe(this::noticed);
+        post.subscribe(Messenger.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
+        post.subscribe(Messenger.Topic.INTRODUCTION, (from, body) -> introduced(body));
+        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
+        host.find(PeerSampling.class).observe(this::noticed);
         replica.onCommit(c -> {
             changed();
             beginOnceAssured();
@@ -174,7 +174,7 @@
                 .put("vouchedEdition", vouching.at() == null ? 0 : vouching.edition().value())
                 .put("vouchedMsAgo", vouching.at() == null ? -1 : clock.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
-        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+        for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             Consignor c = consignors.get(e.getKey());
             ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
                     .put("heardMsAgo", clock.now().since(e.getValue().heard)).put("servedHere", c != null);
@@ -187,21 +187,21 @@
 
     /** Tells the new holder of a zone's duty which proxies of the zone are there: it may have been heard of by none of them. */
     private void introduce(String zone) {
-        Imprint holder = leases.holder(zone);
-        List<Map.Entry<Imprint, Known>> there = new ArrayList<>();
-        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+        DaemonAddress holder = leases.holder(zone);
+        List<Map.Entry<DaemonAddress, Known>> there = new ArrayList<>();
+        for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             if (e.getValue().zone.equals(zone) && clock.now().since(e.getValue().heard) < INTRODUCE_MS) {
                 there.add(e);
             }
         }
         if (holder != null && !holder.equals(post.self()) && !there.isEmpty()) {
-            post.send(holder, Postbag.Topic.INTRODUCTION, Script.write().text(zone)
+            post.send(holder, Messenger.Topic.INTRODUCTION, MessagePackCodec.write().text(zone)
                     .list(there, (o, e) -> o.imprint(e.getKey()).num(e.getValue().life)).done());
         }
     }
 
-    private void introduced(byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void introduced(byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         String zone = in.text();
         boolean any = false;
         for (Signpost.Proxy p : in.list(one -> new Signpost.Proxy(one.imprint(), zone, one.num()))) {
@@ -213,7 +213,7 @@
         }
     }
 
-    private void noticed(Placename p) {
+    private void noticed(MemberDescriptor p) {
         if (p.role() == Role.PROXY && p.age() == 0 && !proxies.containsKey(p.imprint())) {
             proxies.put(p.imprint(), new Known(p.zone(), 0, clock.now()));
             reconcile();
@@ -229,8 +229,8 @@
     }
 
     /** Tells a proxy that is not served here, or late served, how fresh its table is. */
-    private void vouch(Imprint to, Signpost s, Consignor consignor) {
-        Moment now = clock.now();
+    private void vouch(DaemonAddress to, Signpost s, Consignor consignor) {
+        MonotonicTime now = clock.now();
         vouchedUntil = now.plus(VOUCH_MS);
         if (vouching.at() == null || now.since(vouching.at()) > 2 * ATTEST_MS) {
             if (waitingForVouch.isEmpty() || waitingForVouch.size() % 16 == 0) {
@@ -242,18 +242,18 @@
         if (consignor != null) {
             consignor.renew();
         } else if (vouching.at() != null) {
-            post.send(to, Postbag.Topic.DISPATCH, new Dispatch(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
+            post.send(to, Messenger.Topic.DISPATCH, new Dispatch(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
                     vouching.edition().value(), now.since(vouching.at())).pack());
         }
     }
 
     private void vouchWaiting() {
-        Map<Imprint, Signpost> waiting = new HashMap<>(waitingForVouch);
+        Map<DaemonAddress, Signpost> waiting = new HashMap<>(waitingForVouch);
         waitingForVouch.clear();
         waiting.forEach((to, s) -> vouch(to, s, consignors.get(to)));
     }
 
-    private void met(Imprint from, Signpost s) {
+    private void met(DaemonAddress from, Signpost s) {
         Known known = proxies.get(from);
         boolean fresh = known == null || !known.zone.equals(s.zone());
         if (fresh) {
@@ -286,8 +286,8 @@
     private void serveAskers(int looksLeft) {
         if (reliable()) {
             Inventory.Difference everything = table().since(Inventory.EMPTY);
-            for (Map.Entry<Imprint, Long> e : askers.entrySet()) {
-                post.send(e.getKey(), Postbag.Topic.DISPATCH,
+            for (Map.Entry<DaemonAddress, Long> e : askers.entrySet()) {
+                post.send(e.getKey(), Messenger.Topic.DISPATCH,
                         baseline(e.getKey(), e.getValue(), everything).pack());
                 institution.tally().count("distribution.baselines");
             }
@@ -300,7 +300,7 @@
         }
     }
 
-    private Dispatch baseline(Imprint to, long life, Inventory.Difference everything) {
+    private Dispatch baseline(DaemonAddress to, long life, Inventory.Difference everything) {
         Known known = proxies.get(to);
         boolean vouch = strict && known != null && known.life == life && vouching.at() != null;
         if (strict) {
@@ -318,7 +318,7 @@
      * newest by a majority, none of those heard of holding anything newer.
      */
     private boolean reliable() {
-        Edition edition = replica.committed().edition();
+        ConfigurationRevision edition = replica.committed().edition();
         if (!census.ready() || !assured() || replica.newestEdition().isAfter(edition)
                 || Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() && !contact.confirms(edition)) {
             return false;
@@ -349,7 +349,7 @@
         }
     }
 
-    private void acknowledged(Imprint from, Dispatch ack) {
+    private void acknowledged(DaemonAddress from, Dispatch ack) {
         Known known = proxies.get(from);
         if (known == null) {
             return;
@@ -384,11 +384,11 @@
 
     /** Wanted: a sender for each proxy of each zone whose duty is held here. */
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
-        Iterator<Map.Entry<Imprint, Consignor>> it = consignors.entrySet().iterator();
+        Iterator<Map.Entry<DaemonAddress, Consignor>> it = consignors.entrySet().iterator();
         while (it.hasNext()) {
-            Map.Entry<Imprint, Consignor> e = it.next();
+            Map.Entry<DaemonAddress, Consignor> e = it.next();
             Known known = proxies.get(e.getKey());
             if (known == null || leases.epoch(known.zone) == 0) {
                 e.getValue().close();
@@ -396,7 +396,7 @@
             }
         }
         boolean ready = census.ready() && assured();
-        for (Map.Entry<Imprint, Known> e : proxies.entrySet()) {
+        for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             long epoch = leases.epoch(e.getValue().zone);
             if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
                 Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, clock, post, institution.tally());
@@ -432,7 +432,7 @@
             }
         }
         Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
-        Map<Pressmark, Packed> fresh = new HashMap<>();
+        Map<InstanceId, Packed> fresh = new HashMap<>();
         for (CensusEntry e : census.entries()) {
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
@@ -443,10 +443,10 @@
             }
         }
         packedServers = fresh;
-        HouseRules rules = institution.rules();
-        Imprint head = replica.view().head();
-        if (rules.guarantees(HouseRules.KEYS) && head != null) {
-            entries.put(Inventory.DUTY + "loans", Script.write().imprint(head).done());
+        Settings rules = institution.rules();
+        DaemonAddress head = replica.view().head();
+        if (rules.guarantees(Settings.KEYS) && head != null) {
+            entries.put(Inventory.DUTY + "loans", MessagePackCodec.write().imprint(head).done());
         }
         entries.put(Inventory.CONTROLLER + post.self(), Tables.packController(post.self(), rules.zone()));
         for (FailureDetector.Peer p : detector.peers()) {
@@ -454,13 +454,13 @@
                 entries.put(Inventory.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
             }
         }
-        for (String duty : rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.<String>of()) {
-            Imprint holder = leases.holder(duty);
+        for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.<String>of()) {
+            DaemonAddress holder = leases.holder(duty);
             if (holder != null) {
-                entries.put(Inventory.DUTY + duty, Script.write().imprint(holder).done());
+                entries.put(Inventory.DUTY + duty, MessagePackCodec.write().imprint(holder).done());
             }
         }
-        entries.put(Inventory.FLEET, Script.write().num(proxies.size()).done());
+        entries.put(Inventory.FLEET, MessagePackCodec.write().num(proxies.size()).done());
         table = Inventory.of(entries);
         return table;
     }
--- a/distribution/src/main/java/org/umbermount/distribution/Signpost.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Signpost.java
@@ -1,7 +1,7 @@
 package org.umbermount.distribution;
 
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * What a proxy says to controllers: which life and zone it is, whether it holds a table, and whether its table
@@ -9,15 +9,15 @@
  */
 record Signpost(long life, String zone, boolean empty, boolean wantsVoucher, long edition, long stamp) {
     byte[] pack() {
-        return Script.write().num(life).text(zone).flag(empty).flag(wantsVoucher).num(edition).num(stamp).done();
+        return MessagePackCodec.write().num(life).text(zone).flag(empty).flag(wantsVoucher).num(edition).num(stamp).done();
     }
 
-    static Signpost unpack(byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    static Signpost unpack(byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         return new Signpost(in.num(), in.text(), in.flag(), in.flag(), in.num(), in.num());
     }
 
     /** A proxy as the controllers know it. */
-    record Proxy(Imprint imprint, String zone, long life) {
+    record Proxy(DaemonAddress imprint, String zone, long life) {
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import org.umbermount.control.CensusEntry;
 import org.umbermount.control.Regulations;
-import org.umbermount.membership.Placename;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** How the entries of a table are packed. */
 public final class Tables {
@@ -16,89 +16,89 @@
     }
 
     /** A server as a proxy sees it. {@code warmMs} counts from when the proxy learns of the server. */
-    public record Instance(Pressmark id, String upstream, Imprint address, String zone, int capacity, long warmMs,
+    public record Instance(InstanceId id, String upstream, DaemonAddress address, String zone, int capacity, long warmMs,
             boolean draining) {
     }
 
     public static Map<String, byte[]> packConfiguration(Regulations r) {
         Map<String, byte[]> out = new HashMap<>();
         Regulations.Limits l = r.limits();
-        out.put(Inventory.CONFIGURATION, Script.write().num(r.edition().value()).num(l.maxHeaderBytes())
+        out.put(Inventory.CONFIGURATION, MessagePackCodec.write().num(r.edition().value()).num(l.maxHeaderBytes())
                 .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
         for (Regulations.Upstream u : r.upstreams()) {
             out.put(Inventory.UPSTREAM + u.label(),
-                    Script.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
+                    MessagePackCodec.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
         }
         for (Regulations.Route route : r.routes()) {
-            out.put(Inventory.ROUTE + route.host() + route.prefix(), Script.write().text(route.label())
+            out.put(Inventory.ROUTE + route.host() + route.prefix(), MessagePackCodec.write().text(route.label())
                     .text(route.host()).text(route.prefix()).num(route.kind().ordinal())
                     .flag(route.anonymous()).num(route.timeoutMs())
                     .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
                     .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
         }
         for (Regulations.Tenant t : r.tenants()) {
-            out.put(Inventory.TENANT + t.label(), Script.write().text(t.label()).list(t.apiKeys(), Script.Writer::text)
+            out.put(Inventory.TENANT + t.label(), MessagePackCodec.write().text(t.label()).list(t.apiKeys(), MessagePackCodec.Writer::text)
                     .num(t.priority()).num(Math.round(t.ratePerS() * 1_000)).num(Math.round(t.burst() * 1_000)).done());
         }
         return out;
     }
 
-    public static Regulations.Tenant readTenant(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
-        return new Regulations.Tenant(in.text(), in.list(Script.Reader::text), (int) in.num(), in.num() / 1_000.0,
+    public static Regulations.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        return new Regulations.Tenant(in.text(), in.list(MessagePackCodec.Reader::text), (int) in.num(), in.num() / 1_000.0,
                 in.num() / 1_000.0);
     }
 
-    public static byte[] packController(Imprint imprint, String zone) {
-        return Script.write().imprint(imprint).text(zone).done();
+    public static byte[] packController(DaemonAddress imprint, String zone) {
+        return MessagePackCodec.write().imprint(imprint).text(zone).done();
     }
 
     /** A controller as a table names it. */
-    public static Placename readController(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
-        return new Placename(in.imprint(), Role.CONTROLLER, in.text(), 0);
+    public static MemberDescriptor readController(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        return new MemberDescriptor(in.imprint(), Role.CONTROLLER, in.text(), 0);
     }
 
-    public static Imprint readHolder(byte[] packed) throws Script.UnreadableException {
-        return Script.read(packed).imprint();
+    public static DaemonAddress readHolder(byte[] packed) throws MessagePackCodec.UnreadableException {
+        return MessagePackCodec.read(packed).imprint();
     }
 
-    public static Regulations.Limits readLimits(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
+    public static Regulations.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         in.num();
         return new Regulations.Limits((int) in.num(), in.num(), in.num(), in.num());
     }
 
-    public static Regulations.Upstream readUpstream(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
+    public static Regulations.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Regulations.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
-    public static Regulations.Route readRoute(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
+    public static Regulations.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Regulations.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
                 (int) in.num(), (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
     }
 
     public static byte[] packInstance(CensusEntry e) {
-        return Script.write().text(e.id().value()).text(e.upstream()).imprint(Imprint.parse(e.address()))
+        return MessagePackCodec.write().text(e.id().value()).text(e.upstream()).imprint(DaemonAddress.parse(e.address()))
                 .text(e.zone()).num(e.capacity()).num(e.warmMs())
                 .flag(e.standing() == CensusEntry.Standing.DRAINING).done();
     }
 
-    public static Instance readInstance(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
-        return new Instance(new Pressmark(in.text()), in.text(), in.imprint(), in.text(), (int) in.num(), in.num(),
+    public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        return new Instance(new InstanceId(in.text()), in.text(), in.imprint(), in.text(), (int) in.num(), in.num(),
                 in.flag());
     }
 
-    public static int readFleet(byte[] packed) throws Script.UnreadableException {
-        return (int) Script.read(packed).num();
+    public static int readFleet(byte[] packed) throws MessagePackCodec.UnreadableException {
+        return (int) MessagePackCodec.read(packed).num();
     }
 
-    private static Regulations.Kind kind(long ordinal) throws Script.UnreadableException {
+    private static Regulations.Kind kind(long ordinal) throws MessagePackCodec.UnreadableException {
         if (ordinal < 0 || ordinal >= Regulations.Kind.values().length) {
-            throw new Script.UnreadableException("an unknown kind of route", null);
+            throw new MessagePackCodec.UnreadableException("an unknown kind of route", null);
         }
         return Regulations.Kind.values()[(int) ordinal];
     }
--- a/distribution/src/main/java/org/umbermount/distribution/Vouching.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Vouching.java
@@ -1,24 +1,24 @@
 package org.umbermount.distribution;
 
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.MonotonicTime;
 
 /** Where a sender learns which edition a majority has confirmed as the newest, and when that was asked. */
 interface Vouching {
-    Edition edition();
+    ConfigurationRevision edition();
 
     /** Null while nothing has been confirmed. */
-    Moment at();
+    MonotonicTime at();
 
     /** Nothing is ever vouched for. */
     Vouching NONE = new Vouching() {
         @Override
-        public Edition edition() {
-            return Edition.NONE;
+        public ConfigurationRevision edition() {
+            return ConfigurationRevision.NONE;
         }
 
         @Override
-        public Moment at() {
+        public MonotonicTime at() {
             return null;
         }
     };
--- a/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
@@ -12,20 +12,20 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 class CourierTest {
-    private static final Imprint SENDER = Imprint.parse("10.0.0.1:7000");
-    private static final Imprint OTHER = Imprint.parse("10.0.0.2:7000");
-    private static final Imprint PROXY = Imprint.parse("10.0.0.3:7001");
+    private static final DaemonAddress SENDER = DaemonAddress.parse("10.0.0.1:7000");
+    private static final DaemonAddress OTHER = DaemonAddress.parse("10.0.0.2:7000");
+    private static final DaemonAddress PROXY = DaemonAddress.parse("10.0.0.3:7001");
     private final FakeClock clock = new FakeClock();
-    private final FakePost network = new FakePost(clock, 5);
-    private final Tally tally = new Tally();
+    private final FakeMessenger network = new FakeMessenger(clock, 5);
+    private final Metrics tally = new Metrics();
     private final List<Long> inForce = new ArrayList<>();
     private Consignee consignee;
 
@@ -35,20 +35,20 @@
         return c;
     }
 
-    private Consignor sender(Imprint self, long epoch, List<Dispatch> seen) {
-        FakePost.Bag bag = network.bag(self);
+    private Consignor sender(DaemonAddress self, long epoch, List<Dispatch> seen) {
+        FakeMessenger.Bag bag = network.bag(self);
         Consignor[] c = new Consignor[1];
-        Postbag watched = new Postbag() {
+        Messenger watched = new Messenger() {
             @Override
-            public Imprint self() {
+            public DaemonAddress self() {
                 return self;
             }
 
             @Override
-            public void send(Imprint to, Topic topic, byte[] body) {
+            public void send(DaemonAddress to, Topic topic, byte[] body) {
                 try {
                     seen.add(Dispatch.unpack(body));
-                } catch (Script.UnreadableException e) {
+                } catch (MessagePackCodec.UnreadableException e) {
                     throw new AssertionError(e);
                 }
                 bag.send(to, topic, body);
@@ -60,13 +60,13 @@
             }
         };
         c[0] = new Consignor(PROXY, 0, epoch, clock, watched, tally);
-        bag.subscribe(Postbag.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
+        bag.subscribe(Messenger.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
         return c[0];
     }
 
     private static Inventory table(long edition, int... servers) {
         Map<String, byte[]> entries = new HashMap<>();
-        entries.put(Inventory.CONFIGURATION, Script.write().num(edition).done());
+        entries.put(Inventory.CONFIGURATION, MessagePackCodec.write().num(edition).done());
         for (int s : servers) {
             entries.put(Inventory.INSTANCE + s, new byte[] {(byte) s});
         }
@@ -245,7 +245,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void everyTableArrivesUnderLossDoublingAndReordering(long seed) {
-        FakePost bad = network;
+        FakeMessenger bad = network;
         bad.loss = 0.3;
         bad.doubles = 0.2;
         bad.jitterMs = 40;
@@ -312,12 +312,12 @@
     @Test
     void baselineWithoutALeaseIsTakenOnlyByAnEmptyProxy() {
         consignee = proxy(11);
-        FakePost.Bag any = network.bag(OTHER);
-        any.send(PROXY, Postbag.Topic.DISPATCH,
+        FakeMessenger.Bag any = network.bag(OTHER);
+        any.send(PROXY, Messenger.Topic.DISPATCH,
                 new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(Inventory.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
-        any.send(PROXY, Postbag.Topic.DISPATCH,
+        any.send(PROXY, Messenger.Topic.DISPATCH,
                 new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(Inventory.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
@@ -333,16 +333,16 @@
         boolean[] asking = {true};
         c.vouch(new Vouching() {
             @Override
-            public org.umbermount.kernel.Edition edition() {
-                return new org.umbermount.kernel.Edition(2);
+            public org.umbermount.kernel.ConfigurationRevision edition() {
+                return new org.umbermount.kernel.ConfigurationRevision(2);
             }
 
             @Override
-            public org.umbermount.kernel.Moment at() {
+            public org.umbermount.kernel.MonotonicTime at() {
                 if (asking[0]) {
                     asked[0] = clock.now().millis() - 200;
                 }
-                return new org.umbermount.kernel.Moment(asked[0]);
+                return new org.umbermount.kernel.MonotonicTime(asked[0]);
             }
         }, 800);
         assertTrue(consignee.goodForMs() <= 0);
--- a/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -18,20 +18,20 @@
 import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
 import org.umbermount.control.Isolation;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** What a controller that is cut off, or was, sends to proxies. */
 class CutOffSenderTest {
@@ -57,7 +57,7 @@
         Site(boolean strict) throws IOException {
             this.strict = strict;
             for (int i = 0; i < SIZE; i++) {
-                Institution host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
+                PluginHost host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
                 furnish(host, Fleet.imprint(i), Role.CONTROLLER, Fleet.zone(i), fleet.bag(i));
                 new SendingDepartment().open(host);
             }
@@ -65,7 +65,7 @@
                 proxies.add(proxy(i, 1, fleet.almanac));
             }
             fleet.network.tap = (from, to, topic, body) -> {
-                if (topic == Postbag.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.imprint(watched))) {
+                if (topic == Messenger.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.imprint(watched))) {
                     note(body);
                 }
                 return true;
@@ -82,42 +82,42 @@
             try {
                 Dispatch d = Dispatch.unpack(body);
                 sent.add(new long[] {fleet.almanac.now().millis(), d.epoch(), d.vouched(), d.vouchAge()});
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
         }
 
-        private HouseRules rules(String zone, Imprint self) {
+        private Settings rules(String zone, DaemonAddress self) {
             Map<String, String> zones = new HashMap<>();
-            List<Imprint> seeds = new ArrayList<>();
+            List<DaemonAddress> seeds = new ArrayList<>();
             for (int z = 0; z < SIZE; z++) {
                 zones.put(Fleet.zone(z), "r");
                 if (z < 3) {
                     seeds.add(Fleet.imprint(z).withPort(8000));
                 }
             }
-            return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
-                    Set.of(), new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000,
-                            new HouseRules.Sharing(strict, REVOKE_MS, 60_000, 5_000, 0.1, 10)));
+            return new Settings("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
+                    Set.of(), new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000,
+                            new Settings.Sharing(strict, REVOKE_MS, 60_000, 5_000, 0.1, 10)));
         }
 
-        private static Gazetteer furnish(Institution host, Imprint self, Role role, String zone, Postbag bag) {
-            Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0),
-                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.clock(), bag, new Tally(),
+        private static PeerSampling furnish(PluginHost host, DaemonAddress self, Role role, String zone, Messenger bag) {
+            PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0),
+                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.clock(), bag, new Metrics(),
                     new Random(self.packed()));
-            host.offer(Postbag.class, bag);
-            host.offer(Gazetteer.class, g);
+            host.offer(Messenger.class, bag);
+            host.offer(PeerSampling.class, g);
             g.start();
             return g;
         }
 
-        static Imprint imprint(int zone, int k) {
-            return Imprint.parse("10." + (zone + 1) + ".1." + k + ":7001");
+        static DaemonAddress imprint(int zone, int k) {
+            return DaemonAddress.parse("10." + (zone + 1) + ".1." + k + ":7001");
         }
 
         Consignee proxy(int zone, int k, Clock clock) {
-            Imprint self = imprint(zone, k);
-            Institution host = new Institution(Role.PROXY, rules(Fleet.zone(zone), self), clock);
+            DaemonAddress self = imprint(zone, k);
+            PluginHost host = new PluginHost(Role.PROXY, rules(Fleet.zone(zone), self), clock);
             furnish(host, self, Role.PROXY, Fleet.zone(zone), fleet.network.bag(self));
             new ReceivingDepartment().open(host);
             return host.find(Consignee.class);
@@ -125,7 +125,7 @@
 
         void take(int at, long match, long edition) {
             Replica.Verdict[] verdict = new Replica.Verdict[1];
-            fleet.chainClient(at).submit(new Edition(match), new Edition(edition),
+            fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition),
                     ("{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[]}").getBytes(), 850,
                     v -> verdict[0] = v, () -> { });
             fleet.run(900);
@@ -140,7 +140,7 @@
         for (int one = 0; one < SIZE; one++) {
             Site site = new Site();
             site.watched = one;
-            Moment cut = site.fleet.almanac.now();
+            MonotonicTime cut = site.fleet.almanac.now();
             Runnable end = how.begin(site.fleet, SIZE, one);
             site.fleet.run(2_600);
             site.sent.clear();
@@ -176,7 +176,7 @@
                 site.fleet.network.cutBoth(Site.imprint(1, 1), Fleet.imprint(i));
             }
         }
-        Moment cut = site.fleet.almanac.now();
+        MonotonicTime cut = site.fleet.almanac.now();
         Runnable end = how.begin(site.fleet, SIZE, 1);
         while (site.fleet.almanac.now().since(cut) < CUT_MS) {
             site.fleet.run(50);
@@ -231,7 +231,7 @@
             site.fleet.run(8_000);
             long until = site.fleet.almanac.now().millis() + 3_000;
             site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(1))
-                    || topic != Postbag.Topic.VIEW || site.fleet.almanac.now().millis() > until;
+                    || topic != Messenger.Topic.VIEW || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
             Consignee fresh = site.proxy(1, 2, site.fleet.almanac);
--- a/distribution/src/test/java/org/umbermount/distribution/Machines.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Machines.java
@@ -11,7 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.umbermount.control.Fleet;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * The controllers' machines: one for each place of the control plane, what happens to them, and how many of them may be lost at
@@ -56,7 +56,7 @@
         lastEvent = room.now();
     }
 
-    static boolean isMachine(Imprint imprint) {
+    static boolean isMachine(DaemonAddress imprint) {
         return imprint.port() == 7000;
     }
 
@@ -210,7 +210,7 @@
         });
     }
 
-    private void cut(int place, long forMs, Predicate<Imprint> others, Random random) {
+    private void cut(int place, long forMs, Predicate<DaemonAddress> others, Random random) {
         int i = core.get(place);
         Wires.Way way = Wires.Way.values()[random.nextInt(3)];
         Wires.Cut cut = room.wires.cut(Fleet.imprint(i), way, others);
@@ -272,7 +272,7 @@
             case 1 -> cut(place, forMs, Machines::isMachine, random);
             case 2 -> cut(place, forMs, o -> true, random);
             default -> {
-                List<Imprint> some = new ArrayList<>();
+                List<DaemonAddress> some = new ArrayList<>();
                 for (int o : core) {
                     if (random.nextBoolean()) {
                         some.add(Fleet.imprint(o));
--- a/distribution/src/test/java/org/umbermount/distribution/Operators.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Operators.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.umbermount.control.Replica;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 
 /** The operators: what they order and are told, and what must be true of that whoever hears it. */
 final class Operators {
@@ -88,7 +88,7 @@
         }
 
         private void send(int at, int mine) {
-            room.fleet.chainClient(at).submit(new Edition(match), new Edition(edition), text.getBytes(), 850, v -> {
+            room.fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), text.getBytes(), 850, v -> {
                 said(v, at);
                 // A caller that has turned to another daemon does not hear what this one says, and some answers are lost.
                 if (lostAnswers > 0 && random.nextDouble() < lostAnswers) {
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Random;
 import org.umbermount.control.MortalClock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The proxies of the room: what each has in force, and what happens to them. */
 final class Proxies {
@@ -13,7 +13,7 @@
 
     /** One proxy and what it has had in force. */
     static final class Proxy {
-        final Imprint imprint;
+        final DaemonAddress imprint;
         final String zone;
         MortalClock clock;
         Consignee consignee;
@@ -23,7 +23,7 @@
         long lastEvent = NEVER;
         boolean cut;
 
-        Proxy(Imprint imprint, String zone) {
+        Proxy(DaemonAddress imprint, String zone) {
             this.imprint = imprint;
             this.zone = zone;
         }
@@ -40,7 +40,7 @@
         this.room = room;
     }
 
-    void add(Imprint imprint, String zone) {
+    void add(DaemonAddress imprint, String zone) {
         Proxy p = new Proxy(imprint, zone);
         all.add(p);
         open(p);
@@ -62,10 +62,10 @@
         long edition = table.edition().value();
         if (edition > 0) {
             try {
-                Script.Reader in = Script.read(table.entries().get(Inventory.CONFIGURATION));
+                MessagePackCodec.Reader in = MessagePackCodec.read(table.entries().get(Inventory.CONFIGURATION));
                 in.num();
                 room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.imprint + " has it in force");
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new IllegalStateException(e);
             }
         }
--- a/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -9,16 +9,16 @@
 import java.util.function.Consumer;
 import org.umbermount.control.Fleet;
 import org.umbermount.control.FailureDetector;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 /**
  * Controllers and proxies as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
@@ -90,7 +90,7 @@
         for (int i = 0; i < controllers; i++) {
             furnish(i, List.of(0, 1, 2));
             for (int k = 0; k < PROXIES_A_ZONE; k++) {
-                Imprint proxy = Imprint.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
+                DaemonAddress proxy = DaemonAddress.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
                 wires.add(proxy);
                 proxies.add(proxy, Fleet.zone(i));
             }
@@ -148,34 +148,34 @@
 
     // ---- daemons ----
 
-    private HouseRules rules(String zone, Imprint self, List<Imprint> seeds) {
+    private Settings rules(String zone, DaemonAddress self, List<DaemonAddress> seeds) {
         Map<String, String> zones = new HashMap<>();
         for (int z = 0; z < machines.size(); z++) {
             zones.put(Fleet.zone(z), "r");
         }
-        return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010,
+        return new Settings("n", zone, zones, self.host(), Map.of(), 7000, 7010,
                 seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500, 1, Set.of(),
-                new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
+                new Settings.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
     }
 
-    private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds, FakePost.Bag bag) {
-        Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0), seeds, host.clock(), bag, new Tally(),
+    private PeerSampling gazetteer(PluginHost host, DaemonAddress self, Role role, String zone, List<DaemonAddress> seeds, FakeMessenger.Bag bag) {
+        PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0), seeds, host.clock(), bag, new Metrics(),
                 new Random(random.nextLong()));
-        host.offer(Postbag.class, bag);
-        host.offer(Gazetteer.class, g);
+        host.offer(Messenger.class, bag);
+        host.offer(PeerSampling.class, g);
         g.start();
         return g;
     }
 
-    private static List<Imprint> imprints(List<Integer> machines) {
+    private static List<DaemonAddress> imprints(List<Integer> machines) {
         return machines.stream().map(Fleet::imprint).toList();
     }
 
     /** Gives a controller that has started its sending side. */
     private void furnish(int i, List<Integer> seeds) {
-        Imprint self = Fleet.imprint(i);
-        Institution host = fleet.host(i, rules(machines.zone(i), self, imprints(seeds)));
-        Gazetteer g = gazetteer(host, self, Role.CONTROLLER, machines.zone(i), imprints(seeds), fleet.bag(i));
+        DaemonAddress self = Fleet.imprint(i);
+        PluginHost host = fleet.host(i, rules(machines.zone(i), self, imprints(seeds)));
+        PeerSampling g = gazetteer(host, self, Role.CONTROLLER, machines.zone(i), imprints(seeds), fleet.bag(i));
         g.observe(p -> {
             if (p.role() == Role.CONTROLLER) {
                 host.find(FailureDetector.class).enlist(p.imprint());
@@ -197,10 +197,10 @@
         }
     }
 
-    Consignee openProxy(Imprint self, String zone, Clock clock) {
-        List<Imprint> seeds = imprints(machines.seeds(random));
-        FakePost.Bag bag = fleet.network.bag(self);
-        Institution host = new Institution(Role.PROXY, rules(zone, self, seeds), clock);
+    Consignee openProxy(DaemonAddress self, String zone, Clock clock) {
+        List<DaemonAddress> seeds = imprints(machines.seeds(random));
+        FakeMessenger.Bag bag = fleet.network.bag(self);
+        PluginHost host = new PluginHost(Role.PROXY, rules(zone, self, seeds), clock);
         gazetteer(host, self, Role.PROXY, zone, seeds, bag);
         new ReceivingDepartment().open(host);
         return host.find(Consignee.class);
--- a/distribution/src/test/java/org/umbermount/distribution/Wires.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Wires.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 /** Cuts that may lie over each other: what one of them cuts stays cut when another ends, and holds for who comes later. */
 final class Wires {
@@ -15,25 +15,25 @@
     }
 
     /** One daemon cut off from some others. */
-    record Cut(Imprint one, Way way, Predicate<Imprint> others) {
+    record Cut(DaemonAddress one, Way way, Predicate<DaemonAddress> others) {
     }
 
-    private final FakePost network;
-    private final Set<Imprint> daemons = new java.util.TreeSet<>();
+    private final FakeMessenger network;
+    private final Set<DaemonAddress> daemons = new java.util.TreeSet<>();
     private final List<Cut> cuts = new ArrayList<>();
 
-    Wires(FakePost network) {
+    Wires(FakeMessenger network) {
         this.network = network;
     }
 
     /** Says that a daemon is there. */
-    void add(Imprint daemon) {
+    void add(DaemonAddress daemon) {
         if (daemons.add(daemon) && !cuts.isEmpty()) {
             apply();
         }
     }
 
-    Cut cut(Imprint one, Way way, Predicate<Imprint> others) {
+    Cut cut(DaemonAddress one, Way way, Predicate<DaemonAddress> others) {
         Cut cut = new Cut(one, way, others);
         cuts.add(cut);
         apply();
@@ -48,7 +48,7 @@
     private void apply() {
         network.healAll();
         for (Cut cut : cuts) {
-            for (Imprint other : daemons) {
+            for (DaemonAddress other : daemons) {
                 if (other.equals(cut.one) || !cut.others.test(other)) {
                     continue;
                 }
--- a/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
@@ -6,22 +6,22 @@
 import org.umbermount.distribution.Consignee;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The claiming of operations as a plug-in of the proxy. */
-public final class CounterDepartment implements Department {
+public final class CounterDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 50;
     private static final long LEAVE_MS = 1_500;
 
-    private Institution institution;
+    private PluginHost institution;
     private LoanCounter counter;
 
     @Override
@@ -40,16 +40,16 @@
     }
 
     @Override
-    public void open(Institution host) {
+    public void open(PluginHost host) {
         institution = host;
-        if (!host.rules().guarantees(HouseRules.KEYS)) {
+        if (!host.rules().guarantees(Settings.KEYS)) {
             return;
         }
-        Gazetteer gazetteer = host.find(Gazetteer.class);
-        Postbag post = host.find(Postbag.class);
+        PeerSampling gazetteer = host.find(PeerSampling.class);
+        Messenger post = host.find(Messenger.class);
         counter = new LoanCounter(host.clock(), post, host.tally(),
                 new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
-                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(Placename::imprint).toList());
+                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
         host.offer(LoanCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
     }
@@ -59,7 +59,7 @@
         if (packed != null) {
             try {
                 counter.head(Tables.readHolder(packed));
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 LOG.warn("The table does not say who keeps the operation records: {}.", e.getMessage());
             }
         }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.umbermount.control.Bookmark;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * The operation records of one daemon: the entries of all views in order, and for each key the entry that counts.
@@ -21,7 +21,7 @@
 
     /** Where the book ends. */
     Bookmark mark() {
-        return new Bookmark(view, pos, Imprint.NONE);
+        return new Bookmark(view, pos, DaemonAddress.NONE);
     }
 
     /** What stands for a key: the last entry about it, or null. */
@@ -110,12 +110,12 @@
         Slip last = null;
         for (Slip s : slips) {
             if (last != null && last.view != s.view) {
-                out.add(new Bookmark(last.view, last.pos, Imprint.NONE));
+                out.add(new Bookmark(last.view, last.pos, DaemonAddress.NONE));
             }
             last = s;
         }
         if (last != null && last.view != view) {
-            out.add(new Bookmark(last.view, last.pos, Imprint.NONE));
+            out.add(new Bookmark(last.view, last.pos, DaemonAddress.NONE));
         }
         out.add(mark());
         return out;
@@ -139,7 +139,7 @@
         Bookmark common = Bookmark.NONE;
         while (i < a.size() && j < b.size() && a.get(i).view() == b.get(j).view()) {
             long least = Math.min(a.get(i).pos(), b.get(j).pos());
-            common = new Bookmark(a.get(i).view(), least, Imprint.NONE);
+            common = new Bookmark(a.get(i).view(), least, DaemonAddress.NONE);
             if (a.get(i).pos() != b.get(j).pos()) {
                 return common;
             }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
@@ -6,11 +6,11 @@
 import java.util.Random;
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** A proxy's side of the operation records: claims operations for tries, and closes what was claimed. */
 public final class LoanCounter {
@@ -61,8 +61,8 @@
         private final long serial;
         private final OperationKey key;
         private final boolean mayRepeat;
-        private final Moment since;
-        private final Moment until;
+        private final MonotonicTime since;
+        private final MonotonicTime until;
         private Outcome outcome;
         private End end;
         private byte[] answer = NOTHING;
@@ -96,7 +96,7 @@
         }
 
         private void ask() {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             if (outcome == null) {
                 return;
             }
@@ -108,24 +108,24 @@
                 told.unavailable();
                 return;
             }
-            Imprint to = target(asks++);
+            DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
+                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).flag(mayRepeat).done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
         }
 
         private void tellClose() {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             if (now.since(since) > CLOSE_MS) {
                 tally.count("idempotency.closes.abandoned");
                 forget();
                 return;
             }
-            Imprint to = target(asks++);
+            DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
+                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
             }
             timer = clock.after(pause, this::tellClose);
@@ -141,11 +141,11 @@
             }
         }
 
-        private void replied(LoanDesk.Reply reply, byte[] payload) throws Script.UnreadableException {
+        private void replied(LoanDesk.Reply reply, byte[] payload) throws MessagePackCodec.UnreadableException {
             if (reply == LoanDesk.Reply.ELSEWHERE) {
-                Imprint better = Script.read(payload).imprint();
+                DaemonAddress better = MessagePackCodec.read(payload).imprint();
                 boolean news = !better.equals(hint);
-                if (!better.equals(Imprint.NONE)) {
+                if (!better.equals(DaemonAddress.NONE)) {
                     hint = better;
                     if (news && (outcome != null || end != null)) {
                         timer.cancel();
@@ -191,42 +191,42 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
-    private final Supplier<List<Imprint>> controllers;
+    private final Messenger post;
+    private final Metrics tally;
+    private final Supplier<List<DaemonAddress>> controllers;
     private final Map<Long, Ticket> tickets = new HashMap<>();
-    private Imprint head;
-    private Imprint hint;
+    private DaemonAddress head;
+    private DaemonAddress hint;
     private long nextSerial;
     private int closing;
 
     /** @param controllers the controllers known, for when the head is not */
-    public LoanCounter(Clock clock, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> controllers) {
+    public LoanCounter(Clock clock, Messenger post, Metrics tally, Random random, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.controllers = controllers;
         this.nextSerial = random.nextLong() >>> 1;
-        post.subscribe(Postbag.Topic.LOAN, this::receive);
+        post.subscribe(Messenger.Topic.LOAN, this::receive);
         tally.gauge("idempotency.open", tickets::size);
     }
 
     /** Where the table says that claims go. */
-    public void head(Imprint now) {
+    public void head(DaemonAddress now) {
         if (now != null && !now.equals(head)) {
             head = now;
             hint = null;
         }
     }
 
-    private Imprint target(int turn) {
+    private DaemonAddress target(int turn) {
         if (turn % 3 < 2 && hint != null) {
             return hint;
         }
         if (turn % 3 < 2 && head != null) {
             return head;
         }
-        List<Imprint> known = controllers.get();
+        List<DaemonAddress> known = controllers.get();
         return known.isEmpty() ? head : known.get(turn % known.size());
     }
 
@@ -244,8 +244,8 @@
         return closing;
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (in.num() != LoanDesk.Message.REPLY.ordinal()) {
             return;
         }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
@@ -12,13 +12,13 @@
 import org.umbermount.control.Companion;
 import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.storage.Ledger;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.storage.SegmentedLog;
 
 /**
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
@@ -48,48 +48,48 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger post;
     private final Replica replica;
-    private final Ledger ledger;
+    private final SegmentedLog ledger;
     private final LoanBook book;
     private final java.util.concurrent.Executor disk;
     private final int tolerated;
     private final long keepMs;
     private final long mostBytes;
-    private final Tally tally;
+    private final Metrics tally;
 
     // The disk.
     private List<Slip> queue = new ArrayList<>();
-    private final Map<Integer, Moment> segmentWritten = new HashMap<>();
+    private final Map<Integer, MonotonicTime> segmentWritten = new HashMap<>();
     private boolean writing;
     private boolean gathering;
-    private Moment writeBegan = Moment.NEVER;
+    private MonotonicTime writeBegan = MonotonicTime.NEVER;
     private boolean refusing;
     private Bookmark durable;
 
     // The view.
     private View view = View.NONE;
-    private List<Imprint> line = List.of();
+    private List<DaemonAddress> line = List.of();
     private int place = -1;
     private long acked = -1;
     private boolean passing;
-    private Moment passedAt = Moment.NEVER;
+    private MonotonicTime passedAt = MonotonicTime.NEVER;
     private long announced = -1;
     private long committed = -1;
     private long toldCommitted = -1;
     private Fetching fetching;
     private List<Runnable> unconfirmed = new ArrayList<>();
-    private Moment confirmingSince = Moment.NEVER;
+    private MonotonicTime confirmingSince = MonotonicTime.NEVER;
 
     private static final class Fetching {
         final long view;
         final Runnable done;
         long nonce;
         int turn;
-        Imprint from;
-        Moment asked = Moment.NEVER;
+        DaemonAddress from;
+        MonotonicTime asked = MonotonicTime.NEVER;
 
-        Fetching(long view, Imprint from, Runnable done) {
+        Fetching(long view, DaemonAddress from, Runnable done) {
             this.view = view;
             this.from = from;
             this.done = done;
@@ -101,8 +101,8 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    LoanDesk(Clock clock, Postbag post, Replica replica, Ledger ledger, LoanBook book,
-            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Tally tally) {
+    LoanDesk(Clock clock, Messenger post, Replica replica, SegmentedLog ledger, LoanBook book,
+            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Metrics tally) {
         this.clock = clock;
         this.post = post;
         this.replica = replica;
@@ -118,7 +118,7 @@
             // How old a record is after a stop nobody knows: its age counts from now.
             segmentWritten.put(s, clock.now());
         }
-        post.subscribe(Postbag.Topic.LOAN, this::receive);
+        post.subscribe(Messenger.Topic.LOAN, this::receive);
     }
 
     void start() {
@@ -160,7 +160,7 @@
         fetching = null;
         // Those that wait for a word ask again.
         unconfirmed.clear();
-        confirmingSince = Moment.NEVER;
+        confirmingSince = MonotonicTime.NEVER;
         join();
     }
 
@@ -287,15 +287,15 @@
 
     /** Lets go of what is older than any operation has to be remembered, a segment at a time. */
     private void expire() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         int current = ledger.current();
         int through = 0;
-        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+        for (Map.Entry<Integer, MonotonicTime> e : segmentWritten.entrySet()) {
             if (e.getKey() < current && now.since(e.getValue()) > keepMs) {
                 through = Math.max(through, e.getKey());
             }
         }
-        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+        for (Map.Entry<Integer, MonotonicTime> e : segmentWritten.entrySet()) {
             if (e.getKey() < current && now.since(e.getValue()) <= keepMs) {
                 through = Math.min(through, e.getKey() - 1);
             }
@@ -318,11 +318,11 @@
 
     // ---- messages ----
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Message.values().length) {
-            throw new Script.UnreadableException("an unknown message about operations", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about operations", null);
         }
         switch (Message.values()[kind]) {
             case CLAIM -> {
@@ -334,7 +334,7 @@
                 OperationKey key = new OperationKey(in.num(), in.num());
                 int how = (int) in.num();
                 if (how < Slip.Kind.ANSWER.ordinal() || how > Slip.Kind.END.ordinal()) {
-                    throw new Script.UnreadableException("an unknown end of an operation", null);
+                    throw new MessagePackCodec.UnreadableException("an unknown end of an operation", null);
                 }
                 close(from, serial, key, Slip.Kind.values()[how], in.bytes());
             }
@@ -342,7 +342,7 @@
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
             case PEEK -> {
                 long serial = in.num();
-                Imprint proxy = in.imprint();
+                DaemonAddress proxy = in.imprint();
                 OperationKey key = new OperationKey(in.num(), in.num());
                 peeked(serial, proxy, key, in.imprint(), in.num());
             }
@@ -355,33 +355,33 @@
         }
     }
 
-    private static List<Slip> slips(Script.Reader in) throws Script.UnreadableException {
+    private static List<Slip> slips(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return in.list(r -> Slip.read(r.bytes()));
     }
 
-    private static Script.Writer message(Message kind) {
-        return Script.write().num(kind.ordinal());
+    private static MessagePackCodec.Writer message(Message kind) {
+        return MessagePackCodec.write().num(kind.ordinal());
     }
 
-    private void reply(Imprint to, long serial, Reply reply, byte[] payload) {
-        post.send(to, Postbag.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
+    private void reply(DaemonAddress to, long serial, Reply reply, byte[] payload) {
+        post.send(to, Messenger.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
     }
 
     private static final byte[] NOTHING = new byte[0];
 
     // ---- the head ----
 
-    private boolean turnedAway(Imprint from, long serial) {
+    private boolean turnedAway(DaemonAddress from, long serial) {
         if (isHead() && joined() && replica.acting() && !refusing) {
             return false;
         }
-        Imprint head = replica.view().head();
-        reply(from, serial, Reply.ELSEWHERE, Script.write().imprint(head == null || head.equals(post.self())
-                ? Imprint.NONE : head).done());
+        DaemonAddress head = replica.view().head();
+        reply(from, serial, Reply.ELSEWHERE, MessagePackCodec.write().imprint(head == null || head.equals(post.self())
+                ? DaemonAddress.NONE : head).done());
         return true;
     }
 
-    private void claim(Imprint from, long serial, OperationKey key, boolean mayRepeat) {
+    private void claim(DaemonAddress from, long serial, OperationKey key, boolean mayRepeat) {
         if (turnedAway(from, serial)) {
             return;
         }
@@ -429,7 +429,7 @@
      * head that was left behind does not know what has been claimed, released or answered since. What is decided while a
      * question is out waits for the next one.
      */
-    private void replyConfirmed(Imprint to, long serial, Reply why) {
+    private void replyConfirmed(DaemonAddress to, long serial, Reply why) {
         if (!Safeguard.OPERATION_REFUSAL_CONFIRMED.holds()) {
             reply(to, serial, why, NOTHING);
             return;
@@ -443,12 +443,12 @@
     private void confirmReplies() {
         List<Runnable> some = unconfirmed;
         unconfirmed = new ArrayList<>();
-        Moment asked = clock.now();
+        MonotonicTime asked = clock.now();
         confirmingSince = asked;
         replica.whileInForce(() -> {
             some.forEach(Runnable::run);
             if (confirmingSince.equals(asked)) {
-                confirmingSince = Moment.NEVER;
+                confirmingSince = MonotonicTime.NEVER;
                 if (!unconfirmed.isEmpty()) {
                     confirmReplies();
                 }
@@ -457,25 +457,25 @@
     }
 
     /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
-    private void askForAnswer(Imprint proxy, long serial, Slip s) {
+    private void askForAnswer(DaemonAddress proxy, long serial, Slip s) {
         tally.count("idempotency.answers.elsewhere");
         byte[] body = message(Message.PEEK).num(serial).imprint(proxy).num(s.key.high()).num(s.key.low())
                 .imprint(s.origin).num(s.serial).done();
         view.electorate().forEach(f -> {
             if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Postbag.Topic.LOAN, body);
+                post.send(f.imprint(), Messenger.Topic.LOAN, body);
             }
         });
     }
 
-    private void peeked(long serial, Imprint proxy, OperationKey key, Imprint origin, long theirs) {
+    private void peeked(long serial, DaemonAddress proxy, OperationKey key, DaemonAddress origin, long theirs) {
         Slip s = book.standing(key);
         if (s != null && s.kind == Slip.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
             reply(proxy, serial, Reply.ANSWERED, s.payload());
         }
     }
 
-    private void close(Imprint from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
+    private void close(DaemonAddress from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
         if (turnedAway(from, serial)) {
             return;
         }
@@ -499,7 +499,7 @@
         }
     }
 
-    private void enter(Slip.Kind kind, OperationKey key, Imprint origin, long serial, byte[] payload) {
+    private void enter(Slip.Kind kind, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
         Slip s = Slip.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
         book.add(s);
         write(s);
@@ -528,19 +528,19 @@
     }
 
     private void pass() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (passing && now.since(passedAt) < REPEAT_MS || acked >= position()) {
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<Slip> next = book.between(new Bookmark(view.number(), from, Imprint.NONE), durable, PASS_BYTES);
-        post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
+        List<Slip> next = book.between(new Bookmark(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
+        post.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
                 .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
         passedAt = now;
     }
 
-    private void passed(Imprint from, long view, long since, long theirs, List<Slip> next) {
+    private void passed(DaemonAddress from, long view, long since, long theirs, List<Slip> next) {
         if (view > replica.view().number()) {
             replica.fetchFrom(from);
             return;
@@ -569,12 +569,12 @@
     private void acknowledge() {
         if (place >= 1 && joined()) {
             toldCommitted = committed;
-            post.send(line.get(place - 1), Postbag.Topic.LOAN, message(Message.ACK).num(view.number())
+            post.send(line.get(place - 1), Messenger.Topic.LOAN, message(Message.ACK).num(view.number())
                     .num(position()).num(committed).done());
         }
     }
 
-    private void acknowledged(Imprint from, long view, long pos, long theirCommitted) {
+    private void acknowledged(DaemonAddress from, long view, long pos, long theirCommitted) {
         if (view != this.view.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
             return;
         }
@@ -590,8 +590,8 @@
             return;
         }
         if (isTail()) {
-            Bookmark after = new Bookmark(view.number(), Math.max(0, committed), Imprint.NONE);
-            for (Slip s : book.between(after, new Bookmark(view.number(), upTo, Imprint.NONE), Integer.MAX_VALUE)) {
+            Bookmark after = new Bookmark(view.number(), Math.max(0, committed), DaemonAddress.NONE);
+            for (Slip s : book.between(after, new Bookmark(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
                 reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
@@ -633,11 +633,11 @@
         f.nonce++;
         f.asked = clock.now();
         tally.count("idempotency.fetches");
-        post.send(f.from, Postbag.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
+        post.send(f.from, Messenger.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
                 .list(book.lineage(), (o, m) -> m.write(o)).done());
     }
 
-    private void fetched(Imprint from, long view, long nonce, List<Bookmark> theirs) {
+    private void fetched(DaemonAddress from, long view, long nonce, List<Bookmark> theirs) {
         boolean able = view < 0 ? replica.standing() != Replica.Standing.RECOVERING
                 : view == this.view.number() && (durable.view() == view || durable.sameAs(this.view.base()));
         if (!able) {
@@ -649,15 +649,15 @@
         }
         List<Slip> some = book.between(common, durable, PORTION_BYTES);
         Slip last = some.isEmpty() ? null : some.get(some.size() - 1);
-        boolean whole = book.between(last == null ? common : new Bookmark(last.view, last.pos, Imprint.NONE), durable, 1)
+        boolean whole = book.between(last == null ? common : new Bookmark(last.view, last.pos, DaemonAddress.NONE), durable, 1)
                 .isEmpty();
-        Script.Writer out = message(Message.PORTION).num(nonce);
+        MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
         common.write(out);
         durable.write(out);
-        post.send(from, Postbag.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
+        post.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
     }
 
-    private void portion(Imprint from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
+    private void portion(DaemonAddress from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
         Fetching f = fetching;
         if (f == null || f.nonce != nonce || !from.equals(f.from)
                 || f.view >= 0 && (f.view != view.number() || !mayMove())) {
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
@@ -9,19 +9,19 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.control.Replica;
 import org.umbermount.control.StatusPage;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
-import org.umbermount.storage.Cellar;
-import org.umbermount.storage.Ledger;
-import org.umbermount.storage.Stack;
-import org.umbermount.storage.Vault;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.storage.DiskAccess;
+import org.umbermount.storage.SegmentedLog;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.StorageDirectory;
 
 /** The keeping of operation records as a plug-in of the controller. */
-public final class LoansDepartment implements Department {
+public final class LoansDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final String FILES = "loans";
     private static final int SEGMENT_BYTES = 1 << 20;
@@ -48,18 +48,18 @@
     }
 
     @Override
-    public void open(Institution host) throws Exception {
-        HouseRules rules = host.rules();
-        if (!rules.guarantees(HouseRules.KEYS)) {
+    public void open(PluginHost host) throws Exception {
+        Settings rules = host.rules();
+        if (!rules.guarantees(Settings.KEYS)) {
             return;
         }
-        Cellar cellar = host.find(Cellar.class);
+        DiskAccess cellar = host.find(DiskAccess.class);
         LoanBook book = new LoanBook();
-        Ledger ledger = open(cellar, book, host);
+        SegmentedLog ledger = open(cellar, book, host);
         if (book.size() > 0) {
             LOG.info("Read {} operation records from disk, up to {}/{}.", book.size(), book.mark().view(), book.mark().pos());
         }
-        desk = new LoanDesk(host.clock(), host.find(Postbag.class), host.find(Replica.class), ledger, book,
+        desk = new LoanDesk(host.clock(), host.find(Messenger.class), host.find(Replica.class), ledger, book,
                 cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
                 MOST_BYTES, host.tally());
         desk.start();
@@ -74,10 +74,10 @@
         }
     }
 
-    private static Ledger open(Cellar cellar, LoanBook book, Institution host) throws IOException {
+    private static SegmentedLog open(DiskAccess cellar, LoanBook book, PluginHost host) throws IOException {
         try {
-            return Ledger.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
-        } catch (Stack.DamagedException | IllegalStateException e) {
+            return SegmentedLog.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
+        } catch (AppendOnlyFile.DamagedException | IllegalStateException e) {
             LOG.error("{} The daemon starts again without any memory.", e.getMessage());
             forget(cellar.vault());
             host.fatal("The operation records on disk cannot be used.");
@@ -89,7 +89,7 @@
      * A voter that forgot what it said must not vote as if it had not: it becomes a new incarnation. The records go last, for
      * whoever ends on the way must not be left with its vote and without them.
      */
-    static void forget(Vault vault) throws IOException {
+    static void forget(StorageDirectory vault) throws IOException {
         List<String> names = new ArrayList<>(vault.list());
         names.sort(Comparator.comparing(name -> name.startsWith(FILES + ".")));
         for (String name : names) {
@@ -97,19 +97,19 @@
         }
     }
 
-    private static void replay(LoanBook book, int segment, byte[] body, Institution host) {
+    private static void replay(LoanBook book, int segment, byte[] body, PluginHost host) {
         try {
             Slip s = Slip.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
-                case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, org.umbermount.kernel.Imprint.NONE));
+                case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
                 default -> {
                     s.segment = segment;
                     s.since = host.clock().now();
                     book.add(s);
                 }
             }
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new IllegalStateException("An operation record on disk cannot be read: " + e.getMessage() + ".", e);
         }
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
@@ -1,9 +1,9 @@
 package org.umbermount.idempotency;
 
 import java.nio.ByteBuffer;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * One entry of the operation records, as it travels and lies on disk: kind (1 byte), view (8), position (8), key
@@ -31,14 +31,14 @@
     final long view;
     final long pos;
     final OperationKey key;
-    final Imprint origin;
+    final DaemonAddress origin;
     final long serial;
     final byte[] raw;
     /** The segment on disk; 0 until it is written. */
     int segment;
-    Moment since = Moment.NEVER;
+    MonotonicTime since = MonotonicTime.NEVER;
 
-    private Slip(Kind kind, long view, long pos, OperationKey key, Imprint origin, long serial, byte[] raw) {
+    private Slip(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] raw) {
         this.kind = kind;
         this.view = view;
         this.pos = pos;
@@ -48,24 +48,24 @@
         this.raw = raw;
     }
 
-    static Slip of(Kind kind, long view, long pos, OperationKey key, Imprint origin, long serial, byte[] payload) {
+    static Slip of(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
         byte[] raw = ByteBuffer.allocate(HEAD + payload.length).put((byte) kind.ordinal()).putLong(view).putLong(pos)
                 .putLong(key.high()).putLong(key.low()).putLong(origin.packed()).putLong(serial).put(payload).array();
         return new Slip(kind, view, pos, key, origin, serial, raw);
     }
 
     static Slip marker(Kind kind, long view, long pos) {
-        return of(kind, view, pos, new OperationKey(0, 0), Imprint.NONE, 0, new byte[0]);
+        return of(kind, view, pos, new OperationKey(0, 0), DaemonAddress.NONE, 0, new byte[0]);
     }
 
-    static Slip read(byte[] raw) throws Script.UnreadableException {
+    static Slip read(byte[] raw) throws MessagePackCodec.UnreadableException {
         if (raw.length < HEAD || raw[0] < 0 || raw[0] >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown operation record", null);
+            throw new MessagePackCodec.UnreadableException("an unknown operation record", null);
         }
         ByteBuffer in = ByteBuffer.wrap(raw);
         Kind kind = Kind.values()[in.get()];
         return new Slip(kind, in.getLong(), in.getLong(), new OperationKey(in.getLong(), in.getLong()),
-                Imprint.unpack(in.getLong()), in.getLong(), raw);
+                DaemonAddress.unpack(in.getLong()), in.getLong(), raw);
     }
 
     /** The entry without what was answered, for members that only have to know that it was. */
@@ -84,7 +84,7 @@
         return out;
     }
 
-    boolean sameTry(Imprint who, long number) {
+    boolean sameTry(DaemonAddress who, long number) {
         return serial == number && origin.equals(who);
     }
 }
--- a/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
@@ -20,14 +20,14 @@
 import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.storage.Ledger;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.storage.SegmentedLog;
+import org.umbermount.storage.testing.FakeDirectory;
 
 /** Controllers that keep operation records and proxies that claim, on a fake clock, network and disks. */
 class LoansTest {
@@ -73,32 +73,32 @@
     private void open(long seed) throws IOException {
         fleet = new Fleet(SIZE, 3, seed, TOLERATED, this::attach);
         for (int i = 0; i < 3; i++) {
-            Imprint self = Imprint.parse("10.9.0." + (i + 1) + ":7001");
-            List<Imprint> known = new ArrayList<>();
+            DaemonAddress self = DaemonAddress.parse("10.9.0." + (i + 1) + ":7001");
+            List<DaemonAddress> known = new ArrayList<>();
             for (int r = 0; r < SIZE; r++) {
                 known.add(Fleet.imprint(r));
             }
-            proxies.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Tally(), new Random(seed + i), () -> known));
+            proxies.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
         }
         fleet.run(8_000);
     }
 
-    private void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException {
+    private void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException {
         LoanBook book = new LoanBook();
-        Ledger ledger = Ledger.open(disk, "loans", 2_000, (segment, body) -> {
+        SegmentedLog ledger = SegmentedLog.open(disk, "loans", 2_000, (segment, body) -> {
             try {
                 Slip s = Slip.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
-                    case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, Imprint.NONE));
+                    case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, DaemonAddress.NONE));
                     default -> book.add(s);
                 }
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
         });
         LoanDesk desk = new LoanDesk(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
-                new Tally());
+                new Metrics());
         desks.put(i, desk);
         desk.start();
     }
@@ -133,13 +133,13 @@
         LoanCounter.Ticket released = claim(0, "k", first);
         fleet.run(200);
         assertEquals("granted", first.word);
-        Imprint old = fleet.replica(0).view().head();
+        DaemonAddress old = fleet.replica(0).view().head();
         for (int i = 0; i < SIZE; i++) {
             if (!Fleet.imprint(i).equals(old)) {
                 fleet.network.cutBoth(old, Fleet.imprint(i));
             }
         }
-        fleet.network.cutBoth(old, Imprint.parse("10.9.0.1:7001"));
+        fleet.network.cutBoth(old, DaemonAddress.parse("10.9.0.1:7001"));
         fleet.run(4_000);
         released.close(LoanCounter.End.RELEASED, new byte[0]);
         fleet.run(2_000);
@@ -196,7 +196,7 @@
     @Test
     void nothingIsGrantedBeforeEnoughDisksHaveIt() throws IOException {
         open(3);
-        List<Imprint> line = fleet.replica(0).view().line(TOLERATED);
+        List<DaemonAddress> line = fleet.replica(0).view().line(TOLERATED);
         assertEquals(3, line.size());
         int last = -1;
         for (int i = 0; i < SIZE; i++) {
@@ -241,7 +241,7 @@
     @Test
     void viewWhoseFirstRecordsAreLostIsFollowedByOneThatHasThem() throws IOException {
         open(5);
-        Imprint head = fleet.replica(0).view().head();
+        DaemonAddress head = fleet.replica(0).view().head();
         int first = -1;
         for (int i = 0; i < SIZE; i++) {
             first = Fleet.imprint(i).equals(head) ? i : first;
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -2,7 +2,7 @@
 
 /** The clocks and timers of a process. All tasks run on the process's one loop. */
 public interface Clock {
-    Moment now();
+    MonotonicTime now();
 
     /** Time of day in milliseconds; close to true time but may step. */
     long wallMillis();
--- a/kernel/src/main/java/org/umbermount/kernel/Edition.java
+++ b/kernel/src/main/java/org/umbermount/kernel/ConfigurationRevision.java
@@ -1,10 +1,10 @@
 package org.umbermount.kernel;
 
 /** The revision of a configuration; 0 is the empty one that precedes the first. */
-public record Edition(long value) implements Comparable<Edition> {
+public record ConfigurationRevision(long value) implements Comparable<ConfigurationRevision> {
     @Override
     public boolean equals(Object o) {
-        return o instanceof Edition other && value == other.value;
+        return o instanceof ConfigurationRevision other && value == other.value;
     }
 
     @Override
@@ -12,14 +12,14 @@
         return Long.hashCode(value);
     }
 
-    public static final Edition NONE = new Edition(0);
+    public static final ConfigurationRevision NONE = new ConfigurationRevision(0);
 
-    public boolean isAfter(Edition other) {
+    public boolean isAfter(ConfigurationRevision other) {
         return value > other.value;
     }
 
     @Override
-    public int compareTo(Edition other) {
+    public int compareTo(ConfigurationRevision other) {
         return Long.compare(value, other.value);
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Imprint.java
+++ b/kernel/src/main/java/org/umbermount/kernel/DaemonAddress.java
@@ -3,11 +3,11 @@
 import java.net.InetSocketAddress;
 
 /** Where a daemon receives internal datagrams: an IPv4 address and a port. This is also the daemon's id. */
-public record Imprint(int ip, int port) implements Comparable<Imprint> {
+public record DaemonAddress(int ip, int port) implements Comparable<DaemonAddress> {
     // Written out for the small types that serve as keys: what a record makes itself is put together anew at each start.
     @Override
     public boolean equals(Object o) {
-        return o instanceof Imprint other && ip == other.ip && port == other.port;
+        return o instanceof DaemonAddress other && ip == other.ip && port == other.port;
     }
 
     @Override
@@ -15,15 +15,15 @@
         return ip * 31 + port;
     }
 
-    public static final Imprint NONE = new Imprint(0, 0);
+    public static final DaemonAddress NONE = new DaemonAddress(0, 0);
 
-    public static Imprint of(InetSocketAddress address) {
+    public static DaemonAddress of(InetSocketAddress address) {
         byte[] b = address.getAddress().getAddress();
-        return new Imprint((b[0] & 255) << 24 | (b[1] & 255) << 16 | (b[2] & 255) << 8 | b[3] & 255, address.getPort());
+        return new DaemonAddress((b[0] & 255) << 24 | (b[1] & 255) << 16 | (b[2] & 255) << 8 | b[3] & 255, address.getPort());
     }
 
     /** Reads {@code a.b.c.d:port}; names are not looked up. */
-    public static Imprint parse(String text) {
+    public static DaemonAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         String[] parts = colon < 0 ? new String[0] : text.substring(0, colon).split("\\.", -1);
         if (parts.length != 4) {
@@ -41,7 +41,7 @@
         if (port < 1 || port > 65535) {
             throw new IllegalArgumentException("port out of range: " + text);
         }
-        return new Imprint(ip, port);
+        return new DaemonAddress(ip, port);
     }
 
     public String host() {
@@ -57,8 +57,8 @@
         }
     }
 
-    public Imprint withPort(int other) {
-        return new Imprint(ip, other);
+    public DaemonAddress withPort(int other) {
+        return new DaemonAddress(ip, other);
     }
 
     /** Both halves in one number, as sent between daemons. */
@@ -66,12 +66,12 @@
         return (ip & 0xffffffffL) << 16 | port;
     }
 
-    public static Imprint unpack(long packed) {
-        return new Imprint((int) (packed >>> 16), (int) (packed & 0xffff));
+    public static DaemonAddress unpack(long packed) {
+        return new DaemonAddress((int) (packed >>> 16), (int) (packed & 0xffff));
     }
 
     @Override
-    public int compareTo(Imprint other) {
+    public int compareTo(DaemonAddress other) {
         return Long.compare(packed(), other.packed());
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Erratum.java
+++ b/kernel/src/main/java/org/umbermount/kernel/ErrorKind.java
@@ -1,7 +1,7 @@
 package org.umbermount.kernel;
 
 /** The closed list of error kinds, each with its answer. */
-public enum Erratum {
+public enum ErrorKind {
     MALFORMED(400, true, false, "The request cannot be read."),
     INVALID_CONFIGURATION(400, false, false, "The configuration is invalid."),
     INVALID_PURGE(400, false, false, "The purge is invalid."),
@@ -36,7 +36,7 @@
     private final boolean retryAfter;
     private final String sentence;
 
-    Erratum(int status, boolean closes, boolean retryAfter, String sentence) {
+    ErrorKind(int status, boolean closes, boolean retryAfter, String sentence) {
         this.status = status;
         this.closes = closes;
         this.retryAfter = retryAfter;
--- a/kernel/src/main/java/org/umbermount/kernel/FaultException.java
+++ b/kernel/src/main/java/org/umbermount/kernel/FaultException.java
@@ -2,14 +2,14 @@
 
 /** An error of a listed kind with a detail for a person. */
 public final class FaultException extends Exception {
-    private final Erratum erratum;
+    private final ErrorKind erratum;
 
-    public FaultException(Erratum erratum, String detail) {
+    public FaultException(ErrorKind erratum, String detail) {
         super(detail);
         this.erratum = erratum;
     }
 
-    public Erratum erratum() {
+    public ErrorKind erratum() {
         return erratum;
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Pressmark.java
+++ b/kernel/src/main/java/org/umbermount/kernel/InstanceId.java
@@ -1,10 +1,10 @@
 package org.umbermount.kernel;
 
 /** The id of one life of a server. */
-public record Pressmark(String value) {
+public record InstanceId(String value) {
     @Override
     public boolean equals(Object o) {
-        return o instanceof Pressmark other && value.equals(other.value);
+        return o instanceof InstanceId other && value.equals(other.value);
     }
 
     @Override
--- a/kernel/src/main/java/org/umbermount/kernel/Form.java
+++ b/kernel/src/main/java/org/umbermount/kernel/JsonValue.java
@@ -15,7 +15,7 @@
  * A JSON value together with its name, for sentences that say what is wrong with it. It is read by Jackson's
  * streaming parser: binding classes would more than double what reading a small file costs at a start.
  */
-public final class Form {
+public final class JsonValue {
     private static final JsonFactory FACTORY = JsonFactory.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(40).build()).build();
@@ -31,13 +31,13 @@
         }
     }
 
-    private Form(String name, Object value) {
+    private JsonValue(String name, Object value) {
         this.name = name;
         this.value = value;
     }
 
     /** Reads one whole object. */
-    public static Form parse(byte[] bytes) throws WrongException {
+    public static JsonValue parse(byte[] bytes) throws WrongException {
         try (JsonParser parser = FACTORY.createParser(bytes)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new WrongException("it is not an object");
@@ -46,7 +46,7 @@
             if (parser.nextToken() != null) {
                 throw new WrongException("something follows the object");
             }
-            return new Form("", value);
+            return new JsonValue("", value);
         } catch (IOException e) {
             String message = e.getMessage();
             int end = message.indexOf('\n');
@@ -114,15 +114,15 @@
         return v != null && v != NULL;
     }
 
-    public Form member(String child) throws WrongException {
+    public JsonValue member(String child) throws WrongException {
         if (!has(child)) {
             throw new WrongException(path(child) + " is missing");
         }
-        return new Form(path(child), map().get(child));
+        return new JsonValue(path(child), map().get(child));
     }
 
-    public Form object(String child) throws WrongException {
-        Form form = member(child);
+    public JsonValue object(String child) throws WrongException {
+        JsonValue form = member(child);
         if (!(form.value instanceof Map)) {
             throw form.wrong("must be an object");
         }
@@ -130,24 +130,24 @@
     }
 
     /** The member, or an empty object. */
-    public Form optional(String child) throws WrongException {
-        return has(child) ? object(child) : new Form(path(child), Map.of());
+    public JsonValue optional(String child) throws WrongException {
+        return has(child) ? object(child) : new JsonValue(path(child), Map.of());
     }
 
-    public Map<String, Form> members() {
-        Map<String, Form> out = new LinkedHashMap<>();
-        map().forEach((k, v) -> out.put((String) k, new Form(path((String) k), v)));
+    public Map<String, JsonValue> members() {
+        Map<String, JsonValue> out = new LinkedHashMap<>();
+        map().forEach((k, v) -> out.put((String) k, new JsonValue(path((String) k), v)));
         return out;
     }
 
-    public List<Form> array(String child) throws WrongException {
-        Form form = member(child);
+    public List<JsonValue> array(String child) throws WrongException {
+        JsonValue form = member(child);
         if (!(form.value instanceof List<?> list)) {
             throw form.wrong("must be a list");
         }
-        List<Form> out = new ArrayList<>();
+        List<JsonValue> out = new ArrayList<>();
         for (Object v : list) {
-            out.add(new Form(form.name + "[" + out.size() + "]", v));
+            out.add(new JsonValue(form.name + "[" + out.size() + "]", v));
         }
         return out;
     }
@@ -196,18 +196,18 @@
         return has(child) ? member(child).whole(least, most) : otherwise;
     }
 
-    public Imprint address() throws WrongException {
+    public DaemonAddress address() throws WrongException {
         try {
-            return Imprint.parse(text());
+            return DaemonAddress.parse(text());
         } catch (IllegalArgumentException e) {
             throw wrong("must hold an IPv4 address and a port");
         }
     }
 
     /** An address without a port. */
-    public Imprint host() throws WrongException {
+    public DaemonAddress host() throws WrongException {
         try {
-            return Imprint.parse(text() + ":1");
+            return DaemonAddress.parse(text() + ":1");
         } catch (IllegalArgumentException e) {
             throw wrong("must be an IPv4 address");
         }
--- a/kernel/src/main/java/org/umbermount/kernel/Script.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -9,8 +9,8 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** MessagePack without checked exceptions for writing, and with one kind of failure for reading. */
-public final class Script {
-    private Script() {
+public final class MessagePackCodec {
+    private MessagePackCodec() {
     }
 
     /** A message that does not hold what it should. */
@@ -71,7 +71,7 @@
             }
         }
 
-        public Writer imprint(Imprint value) {
+        public Writer imprint(DaemonAddress value) {
             return num(value.packed());
         }
 
@@ -149,8 +149,8 @@
             }
         }
 
-        public Imprint imprint() throws UnreadableException {
-            return Imprint.unpack(num());
+        public DaemonAddress imprint() throws UnreadableException {
+            return DaemonAddress.unpack(num());
         }
 
         public <T> List<T> list(Element<T> element) throws UnreadableException {
--- a/kernel/src/main/java/org/umbermount/kernel/Postbag.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Messenger.java
@@ -1,11 +1,11 @@
 package org.umbermount.kernel;
 
 /** Datagrams between daemons. Delivery is neither certain nor in order. */
-public interface Postbag {
-    Imprint self();
+public interface Messenger {
+    DaemonAddress self();
 
     /** Sends a message of any size up to {@link #LARGEST}. */
-    void send(Imprint to, Topic topic, byte[] body);
+    void send(DaemonAddress to, Topic topic, byte[] body);
 
     void subscribe(Topic topic, Listener listener);
 
@@ -14,7 +14,7 @@
 
     /** Receives the messages of one topic. A message that cannot be read is reported by throwing. */
     interface Listener {
-        void receive(Imprint from, byte[] body) throws Script.UnreadableException;
+        void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException;
     }
 
     /** What a message is about. The order is part of the format. */
--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Metrics.java
@@ -15,7 +15,7 @@
  * The process's meters, handed to Micrometer and shown as plain text. Counting itself is a plain addition: the registry
  * is put together when somebody first looks, because loading it at each start cost a tenth of the start.
  */
-public final class Tally {
+public final class Metrics {
     /** A number that only rises. It is counted on the process's loop; readers may see it a little late. */
     public static final class Count {
         private volatile double value;
--- a/kernel/src/main/java/org/umbermount/kernel/Moment.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MonotonicTime.java
@@ -1,10 +1,10 @@
 package org.umbermount.kernel;
 
 /** A point on the steady clock, in milliseconds since an arbitrary start. */
-public record Moment(long millis) implements Comparable<Moment> {
+public record MonotonicTime(long millis) implements Comparable<MonotonicTime> {
     @Override
     public boolean equals(Object o) {
-        return o instanceof Moment other && millis == other.millis;
+        return o instanceof MonotonicTime other && millis == other.millis;
     }
 
     @Override
@@ -13,23 +13,23 @@
     }
 
     /** Earlier than every moment a clock gives out. */
-    public static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
+    public static final MonotonicTime NEVER = new MonotonicTime(Long.MIN_VALUE / 4);
 
-    public Moment plus(long ms) {
-        return new Moment(millis + ms);
+    public MonotonicTime plus(long ms) {
+        return new MonotonicTime(millis + ms);
     }
 
     /** Milliseconds from {@code earlier} to this moment. */
-    public long since(Moment earlier) {
+    public long since(MonotonicTime earlier) {
         return millis - earlier.millis;
     }
 
-    public boolean isBefore(Moment other) {
+    public boolean isBefore(MonotonicTime other) {
         return millis < other.millis;
     }
 
     @Override
-    public int compareTo(Moment other) {
+    public int compareTo(MonotonicTime other) {
         return Long.compare(millis, other.millis);
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Department.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Plugin.java
@@ -2,9 +2,9 @@
 
 /**
  * A plug-in: one part of a program. Parts register themselves through
- * {@code META-INF/services/org.umbermount.kernel.Department}.
+ * {@code META-INF/services/org.umbermount.kernel.Plugin}.
  */
-public interface Department {
+public interface Plugin {
     /** The part's name; also the prefix of its log lines. */
     String name();
 
@@ -14,7 +14,7 @@
     /** Whether the part belongs to this role. */
     boolean serves(Role role);
 
-    void open(Institution institution) throws Exception;
+    void open(PluginHost institution) throws Exception;
 
     /**
      * Leaves in order. The part calls {@code done} once it has nothing left to finish.
@@ -24,6 +24,6 @@
     }
 
     /** Called when the settings file has been read again. */
-    default void reread(HouseRules rules) {
+    default void reread(Settings rules) {
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -14,19 +14,19 @@
 import org.slf4j.LoggerFactory;
 
 /** The host of the plug-ins of one process: opens them, lets them find each other, and closes them in order. */
-public final class Institution {
+public final class PluginHost {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
 
     private static final String JOINED = "META-INF/umbermount/departments";
 
     private final Role role;
     private final Clock clock;
-    private final Tally tally = new Tally();
+    private final Metrics tally = new Metrics();
     private final Map<Class<?>, Object> offers = new HashMap<>();
-    private final List<Department> open = new ArrayList<>();
-    private HouseRules rules;
+    private final List<Plugin> open = new ArrayList<>();
+    private Settings rules;
 
-    public Institution(Role role, HouseRules rules, Clock clock) {
+    public PluginHost(Role role, Settings rules, Clock clock) {
         this.role = role;
         this.rules = rules;
         this.clock = clock;
@@ -37,7 +37,7 @@
         return role;
     }
 
-    public HouseRules rules() {
+    public Settings rules() {
         return rules;
     }
 
@@ -45,7 +45,7 @@
         return clock;
     }
 
-    public Tally tally() {
+    public Metrics tally() {
         return tally;
     }
 
@@ -94,14 +94,14 @@
     }
 
     private void openOnLoop() throws Exception {
-        List<Department> found = new ArrayList<>();
-        for (Department department : registered()) {
+        List<Plugin> found = new ArrayList<>();
+        for (Plugin department : registered()) {
             if (department.serves(role)) {
                 found.add(department);
             }
         }
-        found.sort(Comparator.comparingInt(Department::order));
-        for (Department department : found) {
+        found.sort(Comparator.comparingInt(Plugin::order));
+        for (Plugin department : found) {
             department.open(this);
             open.add(department);
         }
@@ -112,15 +112,15 @@
      * The parts that have registered themselves. The build joins their registrations into one list; where there is none,
      * as in tests, every jar is looked through.
      */
-    private static Iterable<Department> registered() throws Exception {
-        try (InputStream joined = Institution.class.getClassLoader().getResourceAsStream(JOINED)) {
+    private static Iterable<Plugin> registered() throws Exception {
+        try (InputStream joined = PluginHost.class.getClassLoader().getResourceAsStream(JOINED)) {
             if (joined == null) {
-                return ServiceLoader.load(Department.class);
+                return ServiceLoader.load(Plugin.class);
             }
-            List<Department> all = new ArrayList<>();
+            List<Plugin> all = new ArrayList<>();
             for (String name : new String(joined.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
                 if (!name.isBlank()) {
-                    all.add((Department) Class.forName(name.trim()).getDeclaredConstructor().newInstance());
+                    all.add((Plugin) Class.forName(name.trim()).getDeclaredConstructor().newInstance());
                 }
             }
             return all;
@@ -141,9 +141,9 @@
     }
 
     /** Takes newly read settings into use. */
-    public void reread(HouseRules fresh) {
+    public void reread(Settings fresh) {
         rules = fresh;
-        for (Department department : open) {
+        for (Plugin department : open) {
             department.reread(fresh);
         }
     }
--- a/kernel/src/main/java/org/umbermount/kernel/Regimen.java
+++ b/kernel/src/main/java/org/umbermount/kernel/SchemaCheck.java
@@ -10,20 +10,20 @@
 import java.util.Set;
 
 /** A JSON schema from the class path, read on first use. */
-public final class Regimen {
-    public static final Regimen SETTINGS = new Regimen("/org/umbermount/kernel/settings.schema.json");
+public final class SchemaCheck {
+    public static final SchemaCheck SETTINGS = new SchemaCheck("/org/umbermount/kernel/settings.schema.json");
 
     private final String resource;
     private JsonSchema schema;
 
-    public Regimen(String resource) {
+    public SchemaCheck(String resource) {
         this.resource = resource;
     }
 
     /** The first thing that is wrong, as a clause naming the field; null if all is well. */
     public synchronized String firstProblem(byte[] json) {
         if (schema == null) {
-            try (InputStream in = Regimen.class.getResourceAsStream(resource)) {
+            try (InputStream in = SchemaCheck.class.getResourceAsStream(resource)) {
                 schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V7).getSchema(in);
             } catch (IOException e) {
                 throw new IllegalStateException(e);
--- a/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Settings.java
@@ -12,9 +12,9 @@
 import java.util.Set;
 
 /** The settings of a process, checked against {@code settings.schema.json}. */
-public record HouseRules(
+public record Settings(
         String nodeName, String zone, Map<String, String> zones, String ip,
-        Map<String, Imprint> listeners, int firstPort, int lastPort, List<Imprint> seedNodes, boolean bootstrap,
+        Map<String, DaemonAddress> listeners, int firstPort, int lastPort, List<DaemonAddress> seedNodes, boolean bootstrap,
         String dataPath, long memoryMb, int maxFds, long heartbeatMs, int toleratedMachines, Set<String> guarantees,
         Bounds bounds) {
 
@@ -51,7 +51,7 @@
         }
     }
 
-    public static HouseRules load(Path file) throws InvalidException {
+    public static Settings load(Path file) throws InvalidException {
         byte[] bytes;
         try {
             bytes = Files.readAllBytes(file);
@@ -62,28 +62,28 @@
     }
 
     /** Reads settings; every field that is used is checked here, and named if it cannot be used. */
-    public static HouseRules parse(byte[] bytes) throws InvalidException {
+    public static Settings parse(byte[] bytes) throws InvalidException {
         try {
-            return read(Form.parse(bytes));
-        } catch (Form.WrongException e) {
+            return read(JsonValue.parse(bytes));
+        } catch (JsonValue.WrongException e) {
             throw new InvalidException("The settings are invalid: " + e.getMessage() + ".");
         }
     }
 
-    private static HouseRules read(Form root) throws Form.WrongException {
-        Map<String, Imprint> listeners = new LinkedHashMap<>();
-        for (Map.Entry<String, Form> e : root.object("listeners").members().entrySet()) {
+    private static Settings read(JsonValue root) throws JsonValue.WrongException {
+        Map<String, DaemonAddress> listeners = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonValue> e : root.object("listeners").members().entrySet()) {
             listeners.put(e.getKey(), e.getValue().address());
         }
-        List<Imprint> seeds = new ArrayList<>();
-        for (Form seed : root.array("seedNodes")) {
+        List<DaemonAddress> seeds = new ArrayList<>();
+        for (JsonValue seed : root.array("seedNodes")) {
             seeds.add(seed.address());
         }
         Map<String, String> zones = new HashMap<>();
-        for (Map.Entry<String, Form> e : root.optional("zones").members().entrySet()) {
+        for (Map.Entry<String, JsonValue> e : root.optional("zones").members().entrySet()) {
             zones.put(e.getKey(), e.getValue().text());
         }
-        List<Form> ports = root.array("internalPortRange");
+        List<JsonValue> ports = root.array("internalPortRange");
         if (ports.size() != 2) {
             throw root.member("internalPortRange").wrong("needs a first and a last port");
         }
@@ -92,20 +92,20 @@
         if (last <= first) {
             throw root.member("internalPortRange").wrong("needs two ports or more");
         }
-        Form b = root.optional("bounds");
+        JsonValue b = root.optional("bounds");
         Bounds bounds = new Bounds((long) b.number("contactMs", 4_000), (long) b.number("ackMs", 5_000),
                 (long) b.number("drainMs", 3_000), (long) (b.number("graceS", 6) * 1_000),
                 (long) b.number("configApplyMs", 3_000), b.number("retryRatio", 0.1),
                 (long) (b.number("retryWindowS", 10) * 1_000), b.number("retryBurst", 10),
                 (long) (b.number("syncTimeS", 4) * 1_000), sharing(b));
-        Form limits = root.optional("limits");
+        JsonValue limits = root.optional("limits");
         Set<String> guarantees = new HashSet<>();
         if (root.has("guarantees")) {
-            for (Form g : root.array("guarantees")) {
+            for (JsonValue g : root.array("guarantees")) {
                 guarantees.add(g.text());
             }
         }
-        return new HouseRules(root.member("nodeName").text(), root.member("zone").text(), zones,
+        return new Settings(root.member("nodeName").text(), root.member("zone").text(), zones,
                 root.member("ipAddress").host().host(), listeners, first, last, seeds,
                 root.has("bootstrap") && root.member("bootstrap").flag(), root.text("dataPath", ""),
                 (long) limits.number("memoryMb", 0), (int) limits.number("maxFds", 1_024),
@@ -113,7 +113,7 @@
                 Set.copyOf(guarantees), bounds);
     }
 
-    private static Sharing sharing(Form b) throws Form.WrongException {
+    private static Sharing sharing(JsonValue b) throws JsonValue.WrongException {
         Sharing d = Sharing.NONE;
         return new Sharing(b.has("strictRevocation") && b.member("strictRevocation").flag(),
                 (long) b.number("revokeMs", d.revokeMs), (long) (b.number("credentialWindowS", d.credentialWindowMs / 1_000) * 1_000),
@@ -125,7 +125,7 @@
     public static String problem(byte[] bytes) {
         try {
             parse(bytes);
-            String problem = Regimen.SETTINGS.firstProblem(bytes);
+            String problem = SchemaCheck.SETTINGS.firstProblem(bytes);
             return problem == null ? null : "The settings are invalid: " + problem + ".";
         } catch (InvalidException e) {
             return e.getMessage();
@@ -133,11 +133,11 @@
     }
 
     /** The datagram address of a role on the machine that this control or listener address names. */
-    public Imprint mailAddress(Imprint listener, Role role) {
+    public DaemonAddress mailAddress(DaemonAddress listener, Role role) {
         return listener.withPort(firstPort + role.portOffset());
     }
 
-    public Imprint ownMail(Role role) {
-        return Imprint.parse(ip + ":" + (firstPort + role.portOffset()));
+    public DaemonAddress ownMail(Role role) {
+        return DaemonAddress.parse(ip + ":" + (firstPort + role.portOffset()));
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
@@ -16,28 +16,28 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** One UDP socket for all internal messages of a process; long messages travel in parts. */
-public final class Mailroom implements Postbag {
+public final class DatagramMessenger implements Messenger {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
 
-    private final Imprint self;
-    private final Tally tally;
-    private final Parcels parcels;
+    private final DaemonAddress self;
+    private final Metrics tally;
+    private final Fragmentation parcels;
     private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
-    private final Tally.Count[] bytesOut = new Tally.Count[Topic.values().length];
-    private final Tally.Count[] messagesOut = new Tally.Count[Topic.values().length];
-    private final Tally.Count bytesIn;
+    private final Metrics.Count[] bytesOut = new Metrics.Count[Topic.values().length];
+    private final Metrics.Count[] messagesOut = new Metrics.Count[Topic.values().length];
+    private final Metrics.Count bytesIn;
     private Channel channel;
 
-    public Mailroom(Imprint self, LoopClock clock, Tally tally) {
+    public DatagramMessenger(DaemonAddress self, LoopClock clock, Metrics tally) {
         this.self = self;
         this.tally = tally;
-        this.parcels = new Parcels(clock);
+        this.parcels = new Fragmentation(clock);
         tally.gauge("mail.parts.foreign", parcels::foreign);
         this.bytesIn = tally.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
@@ -56,12 +56,12 @@
     }
 
     @Override
-    public Imprint self() {
+    public DaemonAddress self() {
         return self;
     }
 
     @Override
-    public void send(Imprint to, Topic topic, byte[] body) {
+    public void send(DaemonAddress to, Topic topic, byte[] body) {
         InetSocketAddress address = to.socketAddress();
         messagesOut[topic.ordinal()].increment();
         for (byte[] part : parcels.wrap(topic, body)) {
@@ -83,9 +83,9 @@
             byte[] bytes = new byte[content.readableBytes()];
             bytesIn.increment(bytes.length);
             content.readBytes(bytes);
-            Imprint from = Imprint.of(packet.sender());
+            DaemonAddress from = DaemonAddress.of(packet.sender());
             try {
-                Parcels.Whole whole = parcels.unwrap(from, bytes);
+                Fragmentation.Whole whole = parcels.unwrap(from, bytes);
                 if (whole == null) {
                     return;
                 }
@@ -95,7 +95,7 @@
                     return;
                 }
                 listener.receive(from, whole.body());
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 tally.count("mail.unreadable");
             } catch (RuntimeException e) {
                 LOG.error("A message from {} could not be handled.", from, e);
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
@@ -11,18 +11,18 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * Splits messages into datagrams and puts them together again. Each datagram is
  * {@code magic, topic, flags, id, index, count, checksum, bytes}; where the count is over one, a number that stands for this
  * life of the sender comes before the bytes. A message over {@link #COMPRESS_OVER} bytes is deflated first.
  */
-public final class Parcels {
+public final class Fragmentation {
     static final int PART = 1180;
     /** Operation records hold servers' bytes, which hardly shrink, and are too many to try each. */
     static final int COMPRESS_OVER = 600;
@@ -38,12 +38,12 @@
     private int nextId;
     private long foreign;
 
-    public Parcels(Clock clock) {
+    public Fragmentation(Clock clock) {
         this(clock, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
     }
 
     /** For tests: with a given life and first id. */
-    Parcels(Clock clock, int life, int firstId) {
+    Fragmentation(Clock clock, int life, int firstId) {
         this.clock = clock;
         this.life = life;
         this.nextId = firstId;
@@ -55,10 +55,10 @@
     }
 
     /** A message put together again. */
-    public record Whole(Postbag.Topic topic, byte[] body) {
+    public record Whole(Messenger.Topic topic, byte[] body) {
     }
 
-    private record Key(Imprint from, int id) {
+    private record Key(DaemonAddress from, int id) {
         @Override
         public boolean equals(Object o) {
             return o instanceof Key other && id == other.id && from.equals(other.from);
@@ -72,11 +72,11 @@
 
     private static final class Partial {
         final byte[][] parts;
-        final Moment since;
+        final MonotonicTime since;
         final int life;
         int missing;
 
-        Partial(int count, int life, Moment since) {
+        Partial(int count, int life, MonotonicTime since) {
             this.life = life;
             parts = new byte[count][];
             missing = count;
@@ -84,13 +84,13 @@
         }
     }
 
-    public List<byte[]> wrap(Postbag.Topic topic, byte[] body) {
-        if (body.length > Postbag.LARGEST) {
+    public List<byte[]> wrap(Messenger.Topic topic, byte[] body) {
+        if (body.length > Messenger.LARGEST) {
             throw new IllegalArgumentException("message too large: " + body.length);
         }
         byte flags = 0;
         byte[] load = body;
-        if (body.length > COMPRESS_OVER && topic != Postbag.Topic.LOAN) {
+        if (body.length > COMPRESS_OVER && topic != Messenger.Topic.LOAN) {
             byte[] small = deflate(body);
             if (small.length < body.length) {
                 load = small;
@@ -122,19 +122,19 @@
     }
 
     /** The whole message, or null while parts are missing. */
-    public Whole unwrap(Imprint from, byte[] datagram) throws Script.UnreadableException {
+    public Whole unwrap(DaemonAddress from, byte[] datagram) throws MessagePackCodec.UnreadableException {
         if (datagram.length < HEAD || datagram[0] != MAGIC) {
-            throw new Script.UnreadableException("a foreign datagram", null);
+            throw new MessagePackCodec.UnreadableException("a foreign datagram", null);
         }
         int expected = getInt(datagram, 11);
         putInt(datagram, 11, 0);
         int topicIndex = datagram[1];
-        Postbag.Topic[] topics = Postbag.Topic.values();
+        Messenger.Topic[] topics = Messenger.Topic.values();
         int index = getShort(datagram, 7);
         int count = getShort(datagram, 9);
         if (checksum(datagram) != expected || topicIndex < 0 || topicIndex >= topics.length
-                || index >= count || count > Postbag.LARGEST / PART + 1 || count > 1 && datagram.length < HEAD + LIFE) {
-            throw new Script.UnreadableException("a damaged datagram", null);
+                || index >= count || count > Messenger.LARGEST / PART + 1 || count > 1 && datagram.length < HEAD + LIFE) {
+            throw new MessagePackCodec.UnreadableException("a damaged datagram", null);
         }
         byte[] load;
         if (count == 1) {
@@ -148,8 +148,8 @@
         return new Whole(topics[topicIndex], datagram[2] == 1 ? inflate(load) : load);
     }
 
-    private byte[] join(Imprint from, byte[] datagram, int index, int count) throws Script.UnreadableException {
-        Moment now = clock.now();
+    private byte[] join(DaemonAddress from, byte[] datagram, int index, int count) throws MessagePackCodec.UnreadableException {
+        MonotonicTime now = clock.now();
         Iterator<Partial> oldest = partials.values().iterator();
         while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
             if (partials.size() >= OPEN_AT_MOST) {
@@ -164,11 +164,11 @@
         if (partial.life != sentIn && Safeguard.PARTS_OF_ONE_LIFE.holds()) {
             partials.remove(key);
             foreign++;
-            throw new Script.UnreadableException("parts of two lives of a sender share an id", null);
+            throw new MessagePackCodec.UnreadableException("parts of two lives of a sender share an id", null);
         }
         if (partial.parts.length != count) {
             partials.remove(key);
-            throw new Script.UnreadableException("parts of two messages share an id", null);
+            throw new MessagePackCodec.UnreadableException("parts of two messages share an id", null);
         }
         if (partial.parts[index] != null) {
             return null;
@@ -204,7 +204,7 @@
         }
     }
 
-    private static byte[] inflate(byte[] load) throws Script.UnreadableException {
+    private static byte[] inflate(byte[] load) throws MessagePackCodec.UnreadableException {
         Inflater inflater = new Inflater(true);
         try {
             inflater.setInput(load);
@@ -212,14 +212,14 @@
             byte[] chunk = new byte[8192];
             while (!inflater.finished()) {
                 int n = inflater.inflate(chunk);
-                if (n == 0 && !inflater.finished() || out.size() + n > Postbag.LARGEST) {
-                    throw new Script.UnreadableException("a message cannot be unpacked", null);
+                if (n == 0 && !inflater.finished() || out.size() + n > Messenger.LARGEST) {
+                    throw new MessagePackCodec.UnreadableException("a message cannot be unpacked", null);
                 }
                 out.write(chunk, 0, n);
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new Script.UnreadableException("a message cannot be unpacked", e);
+            throw new MessagePackCodec.UnreadableException("a message cannot be unpacked", e);
         } finally {
             inflater.end();
         }
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -6,7 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /** The real clocks, with timers on a Netty event loop. */
 public final class LoopClock implements Clock {
@@ -22,8 +22,8 @@
     }
 
     @Override
-    public Moment now() {
-        return new Moment(System.nanoTime() / 1_000_000);
+    public MonotonicTime now() {
+        return new MonotonicTime(System.nanoTime() / 1_000_000);
     }
 
     @Override
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
@@ -8,9 +8,9 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.testing.FakeClock;
 
-class InstitutionTest {
+class PluginHostTest {
     /** A part found through the test's own service file. */
-    public static final class Recorder implements Department {
+    public static final class Recorder implements Plugin {
         static final List<String> EVENTS = new ArrayList<>();
         static Thread opener;
         static boolean broken;
@@ -31,7 +31,7 @@
         }
 
         @Override
-        public void open(Institution institution) {
+        public void open(PluginHost institution) {
             opener = Thread.currentThread();
             EVENTS.add("open");
             if (broken) {
@@ -46,11 +46,11 @@
         }
     }
 
-    private static Institution institution(Thread[] loop) {
+    private static PluginHost institution(Thread[] loop) {
         FakeClock clock = new FakeClock();
         Clock threaded = new Clock() {
             @Override
-            public Moment now() {
+            public MonotonicTime now() {
                 return clock.now();
             }
 
@@ -70,7 +70,7 @@
                 loop[0].start();
             }
         };
-        return new Institution(Role.PROXY, null, threaded);
+        return new PluginHost(Role.PROXY, null, threaded);
     }
 
     /** Parts opened beside the loop once met changes that the loop was making, and the start failed. */
@@ -79,7 +79,7 @@
         Recorder.EVENTS.clear();
         Recorder.broken = false;
         Thread[] loop = new Thread[1];
-        Institution institution = institution(loop);
+        PluginHost institution = institution(loop);
         institution.openAll();
         assertEquals(loop[0], Recorder.opener);
         institution.leave(() -> Recorder.EVENTS.add("done"));
--- a/kernel/src/test/java/org/umbermount/kernel/HouseRulesTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/SettingsTest.java
@@ -10,19 +10,19 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class HouseRulesTest {
+class SettingsTest {
     private static final String GOOD = "{\"nodeName\":\"n\",\"ipAddress\":\"10.1.0.3\",\"zone\":\"z\",\"zones\":{\"z\":\"r\"},"
             + "\"listeners\":{\"http\":\"10.1.0.3:8080\"},\"internalPortRange\":[7540,7555],"
             + "\"seedNodes\":[\"10.1.0.3:8544\"],\"bootstrap\":true,\"dataPath\":null,\"later\":{\"field\":1},"
             + "\"bounds\":{\"graceS\":6,\"retryRatio\":0.2}}";
 
     @Test
-    void settingsAreReadAndUnknownFieldsIgnored() throws HouseRules.InvalidException {
-        HouseRules rules = HouseRules.parse(GOOD.getBytes());
+    void settingsAreReadAndUnknownFieldsIgnored() throws Settings.InvalidException {
+        Settings rules = Settings.parse(GOOD.getBytes());
         assertEquals("", rules.dataPath());
         assertEquals(6_000, rules.bounds().graceMs());
         assertEquals("10.1.0.3:7540", rules.mailAddress(rules.seedNodes().get(0), Role.CONTROLLER).toString());
-        assertNull(HouseRules.problem(GOOD.getBytes()));
+        assertNull(Settings.problem(GOOD.getBytes()));
     }
 
     @ParameterizedTest
@@ -34,14 +34,14 @@
     void badSettingsAreRefusedInOneSentenceNamingTheField(String good, String bad, String field) {
         assertTrue(GOOD.contains(good));
         byte[] bytes = GOOD.replace(good, bad == null ? "" : bad).getBytes();
-        HouseRules.InvalidException e = assertThrows(HouseRules.InvalidException.class, () -> HouseRules.parse(bytes));
+        Settings.InvalidException e = assertThrows(Settings.InvalidException.class, () -> Settings.parse(bytes));
         assertTrue(e.getMessage().contains(field) && e.getMessage().endsWith("."), e.getMessage());
-        assertNotNull(HouseRules.problem(bytes));
+        assertNotNull(Settings.problem(bytes));
     }
 
     @Test
     void settingsThatAreNotWholeAreRefused() {
         byte[] bytes = GOOD.substring(0, GOOD.length() - 9).getBytes();
-        assertThrows(HouseRules.InvalidException.class, () -> HouseRules.parse(bytes));
+        assertThrows(Settings.InvalidException.class, () -> Settings.parse(bytes));
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/net/ParcelsTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/FragmentationTest.java
@@ -12,18 +12,18 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag.Topic;
+import org.umbermount.kernel.Messenger.Topic;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.testing.FakeClock;
 
-class ParcelsTest {
-    private static final Imprint FROM = Imprint.parse("10.0.0.1:7000");
+class FragmentationTest {
+    private static final DaemonAddress FROM = DaemonAddress.parse("10.0.0.1:7000");
     private final FakeClock clock = new FakeClock();
-    private final Parcels sender = new Parcels(clock);
-    private final Parcels receiver = new Parcels(clock);
+    private final Fragmentation sender = new Fragmentation(clock);
+    private final Fragmentation receiver = new Fragmentation(clock);
 
     private static byte[] noise(int n, long seed) {
         byte[] bytes = new byte[n];
@@ -32,11 +32,11 @@
     }
 
     @Test
-    void longMessageIsPutTogetherInAnyOrderAndDoubled() throws Script.UnreadableException {
+    void longMessageIsPutTogetherInAnyOrderAndDoubled() throws MessagePackCodec.UnreadableException {
         byte[] body = noise(50_000, 1);
         List<byte[]> parts = sender.wrap(Topic.DISPATCH, body);
         Collections.shuffle(parts, new Random(2));
-        Parcels.Whole whole = null;
+        Fragmentation.Whole whole = null;
         for (byte[] part : parts) {
             whole = receiver.unwrap(FROM, part.clone());
             if (whole == null) {
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void messageWithALostPartNeverAppears() throws Script.UnreadableException {
+    void messageWithALostPartNeverAppears() throws MessagePackCodec.UnreadableException {
         List<byte[]> parts = sender.wrap(Topic.DISPATCH, noise(5_000, 1));
         for (byte[] part : parts.subList(1, parts.size())) {
             assertNull(receiver.unwrap(FROM, part));
@@ -57,7 +57,7 @@
     }
 
     @Test
-    void repetitiveMessageTravelsInOnePart() throws Script.UnreadableException {
+    void repetitiveMessageTravelsInOnePart() throws MessagePackCodec.UnreadableException {
         byte[] body = "{\"label\":\"r\",\"upstream\":\"s\"}".repeat(400).getBytes();
         List<byte[]> parts = sender.wrap(Topic.CHAIN, body);
         assertEquals(1, parts.size());
@@ -67,31 +67,31 @@
     @Test
     void foreignCutAndDamagedDatagramsAreRefused() {
         byte[] good = sender.wrap(Topic.SHUFFLE, noise(300, 1)).get(0);
-        assertThrows(Script.UnreadableException.class, () -> receiver.unwrap(FROM, "GET / HTTP/1.1\r\n\r\n".getBytes()));
+        assertThrows(MessagePackCodec.UnreadableException.class, () -> receiver.unwrap(FROM, "GET / HTTP/1.1\r\n\r\n".getBytes()));
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 0x10;
-            assertThrows(Script.UnreadableException.class, () -> receiver.unwrap(FROM, bad), "byte " + i);
+            assertThrows(MessagePackCodec.UnreadableException.class, () -> receiver.unwrap(FROM, bad), "byte " + i);
             byte[] cut = java.util.Arrays.copyOf(good, i);
-            assertThrows(Script.UnreadableException.class, () -> receiver.unwrap(FROM, cut), "length " + i);
+            assertThrows(MessagePackCodec.UnreadableException.class, () -> receiver.unwrap(FROM, cut), "length " + i);
         }
     }
 
     /** A sender that was started anew and came upon the same ids: its message and the earlier life's are not mixed. */
-    private boolean mixesLives() throws Script.UnreadableException {
-        Parcels earlier = new Parcels(clock, 1, 77);
-        Parcels later = new Parcels(clock, 2, 77);
+    private boolean mixesLives() throws MessagePackCodec.UnreadableException {
+        Fragmentation earlier = new Fragmentation(clock, 1, 77);
+        Fragmentation later = new Fragmentation(clock, 2, 77);
         byte[] old = noise(5_000, 3);
         byte[] fresh = noise(5_000, 4);
         List<byte[]> left = earlier.wrap(Topic.LOAN, old);
         receiver.unwrap(FROM, left.get(0));
         for (byte[] part : later.wrap(Topic.LOAN, fresh)) {
             try {
-                Parcels.Whole whole = receiver.unwrap(FROM, part);
+                Fragmentation.Whole whole = receiver.unwrap(FROM, part);
                 if (whole != null && !java.util.Arrays.equals(whole.body(), fresh)) {
                     return true;
                 }
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 assertEquals(1, receiver.foreign());
             }
         }
@@ -103,11 +103,11 @@
         assertFalse(mixesLives());
         assertEquals(1, receiver.foreign());
         byte[] again = noise(5_000, 5);
-        Parcels.Whole whole = null;
-        for (byte[] part : new Parcels(clock, 2, 78).wrap(Topic.LOAN, again)) {
+        Fragmentation.Whole whole = null;
+        for (byte[] part : new Fragmentation(clock, 2, 78).wrap(Topic.LOAN, again)) {
             whole = receiver.unwrap(FROM, part);
         }
         assertArrayEquals(again, whole.body());
-        assertTrue(Mutation.without(Safeguard.PARTS_OF_ONE_LIFE, () -> new ParcelsTest().mixesLives()));
+        assertTrue(Mutation.without(Safeguard.PARTS_OF_ONE_LIFE, () -> new FragmentationTest().mixesLives()));
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeClock.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeClock.java
@@ -2,7 +2,7 @@
 
 import java.util.PriorityQueue;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /** A clock that moves only when a test moves it. */
 public final class FakeClock implements Clock {
@@ -24,8 +24,8 @@
     private long wallOffset = 1_700_000_000_000L;
 
     @Override
-    public Moment now() {
-        return new Moment(now);
+    public MonotonicTime now() {
+        return new MonotonicTime(now);
     }
 
     @Override
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
@@ -8,17 +8,17 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** A network for tests: delays, loses, doubles and cuts messages by a seed. */
-public final class FakePost {
+public final class FakeMessenger {
     private final FakeClock clock;
     private final Random random;
-    private final Map<Imprint, Bag> bags = new HashMap<>();
+    private final Map<DaemonAddress, Bag> bags = new HashMap<>();
     private final Set<Long> cuts = new HashSet<>();
-    private final Map<Imprint, List<Runnable>> frozen = new HashMap<>();
+    private final Map<DaemonAddress, List<Runnable>> frozen = new HashMap<>();
     public double loss;
     public double doubles;
     public long delayMs = 1;
@@ -29,32 +29,32 @@
 
     /** Looks at messages. */
     public interface Tap {
-        boolean passes(Imprint from, Imprint to, Postbag.Topic topic, byte[] body);
+        boolean passes(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body);
     }
 
-    public FakePost(FakeClock clock, long seed) {
+    public FakeMessenger(FakeClock clock, long seed) {
         this.clock = clock;
         this.random = new Random(seed);
     }
 
     /** A daemon's bag; a second call with the same address replaces the first, as a restart does. */
-    public Bag bag(Imprint self) {
+    public Bag bag(DaemonAddress self) {
         Bag bag = new Bag(self);
         bags.put(self, bag);
         return bag;
     }
 
-    public void down(Imprint self) {
+    public void down(DaemonAddress self) {
         bags.remove(self);
         frozen.remove(self);
     }
 
     /** Cuts one direction. */
-    public void cut(Imprint from, Imprint to) {
+    public void cut(DaemonAddress from, DaemonAddress to) {
         cuts.add(key(from, to));
     }
 
-    public void cutBoth(Imprint a, Imprint b) {
+    public void cutBoth(DaemonAddress a, DaemonAddress b) {
         cut(a, b);
         cut(b, a);
     }
@@ -64,11 +64,11 @@
     }
 
     /** Messages for a frozen daemon wait for it. */
-    public void freeze(Imprint who) {
+    public void freeze(DaemonAddress who) {
         frozen.putIfAbsent(who, new ArrayList<>());
     }
 
-    public void thaw(Imprint who) {
+    public void thaw(DaemonAddress who) {
         List<Runnable> waiting = frozen.remove(who);
         if (waiting != null) {
             waiting.forEach(Runnable::run);
@@ -76,33 +76,33 @@
     }
 
     /** Joins one direction again. */
-    public void join(Imprint from, Imprint to) {
+    public void join(DaemonAddress from, DaemonAddress to) {
         cuts.remove(key(from, to));
     }
 
-    public boolean reaches(Imprint from, Imprint to) {
+    public boolean reaches(DaemonAddress from, DaemonAddress to) {
         return !cuts.contains(key(from, to));
     }
 
-    private static long key(Imprint from, Imprint to) {
+    private static long key(DaemonAddress from, DaemonAddress to) {
         return from.packed() * 31 + to.packed();
     }
 
-    public final class Bag implements Postbag {
-        private final Imprint self;
+    public final class Bag implements Messenger {
+        private final DaemonAddress self;
         private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
 
-        Bag(Imprint self) {
+        Bag(DaemonAddress self) {
             this.self = self;
         }
 
         @Override
-        public Imprint self() {
+        public DaemonAddress self() {
             return self;
         }
 
         @Override
-        public void send(Imprint to, Topic topic, byte[] body) {
+        public void send(DaemonAddress to, Topic topic, byte[] body) {
             sent++;
             if (bags.get(self) != this || cuts.contains(key(self, to)) || random.nextDouble() < loss
                     || !tap.passes(self, to, topic, body)) {
@@ -122,13 +122,13 @@
             }
         }
 
-        private void deliver(Imprint to, Topic topic, byte[] body) {
+        private void deliver(DaemonAddress to, Topic topic, byte[] body) {
             Bag target = bags.get(to);
             Listener listener = target == null ? null : target.listeners.get(topic);
             if (listener != null) {
                 try {
                     listener.receive(self, body);
-                } catch (Script.UnreadableException e) {
+                } catch (MessagePackCodec.UnreadableException e) {
                     throw new AssertionError(e);
                 }
             }
