--- a/membership/src/main/java/org/umbermount/membership/Gazetteer.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -10,18 +10,18 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /**
  * Who is there, by partial views that neighbours shuffle (CYCLON): each round the oldest neighbour is asked
  * and leaves the view; it answers with a sample of its own. A neighbour that does not answer is thereby
  * forgotten. Seeds are asked while the view is thin.
  */
-public final class Gazetteer {
+public final class PeerSampling {
     /** How many daemons are kept. */
     public static final int VIEW = 16;
     private static final int SAMPLE = 5;
@@ -30,26 +30,26 @@
     private static final long ROUND_MS = 2_500;
     private static final int QUICK_ROUNDS = 6;
 
-    private final Placename self;
+    private final MemberDescriptor self;
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger post;
+    private final Metrics tally;
     private final Random random;
-    private final Map<Imprint, Placename> view = new LinkedHashMap<>();
-    private final List<Consumer<Placename>> observers = new ArrayList<>();
-    private List<Imprint> seeds;
-    private List<Placename> lasting = List.of();
-    private List<Imprint> sentSample = List.of();
+    private final Map<DaemonAddress, MemberDescriptor> view = new LinkedHashMap<>();
+    private final List<Consumer<MemberDescriptor>> observers = new ArrayList<>();
+    private List<DaemonAddress> seeds;
+    private List<MemberDescriptor> lasting = List.of();
+    private List<DaemonAddress> sentSample = List.of();
     private int rounds;
 
-    public Gazetteer(Placename self, List<Imprint> seeds, Clock clock, Postbag post, Tally tally, Random random) {
+    public PeerSampling(MemberDescriptor self, List<DaemonAddress> seeds, Clock clock, Messenger post, Metrics tally, Random random) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.random = random;
-        post.subscribe(Postbag.Topic.SHUFFLE, this::receive);
+        post.subscribe(Messenger.Topic.SHUFFLE, this::receive);
     }
 
     public void start() {
@@ -57,50 +57,50 @@
     }
 
     /** Takes a changed list of seeds into use. */
-    public void seeds(List<Imprint> fresh) {
+    public void seeds(List<DaemonAddress> fresh) {
         if (!fresh.equals(seeds)) {
             seeds = List.copyOf(fresh);
             rounds = 0;
         }
     }
 
-    public List<Imprint> seeds() {
+    public List<DaemonAddress> seeds() {
         return seeds;
     }
 
-    public Collection<Placename> view() {
+    public Collection<MemberDescriptor> view() {
         return Collections.unmodifiableCollection(view.values());
     }
 
     /** Sets the controllers that a table names, which are known beside the neighbours. */
-    public void lasting(Collection<Placename> named) {
+    public void lasting(Collection<MemberDescriptor> named) {
         lasting = List.copyOf(named);
     }
 
     /** The known daemons of a role, those of the zone first, the freshest news first within that. */
-    public List<Placename> known(Role role, String zoneFirst) {
-        List<Placename> found = new ArrayList<>();
-        for (Placename p : view.values()) {
+    public List<MemberDescriptor> known(Role role, String zoneFirst) {
+        List<MemberDescriptor> found = new ArrayList<>();
+        for (MemberDescriptor p : view.values()) {
             if (p.role() == role) {
                 found.add(p);
             }
         }
-        for (Placename p : lasting) {
+        for (MemberDescriptor p : lasting) {
             if (p.role() == role && !view.containsKey(p.imprint())) {
                 found.add(p);
             }
         }
-        found.sort(Comparator.comparing((Placename p) -> !p.zone().equals(zoneFirst)).thenComparingInt(Placename::age));
+        found.sort(Comparator.comparing((MemberDescriptor p) -> !p.zone().equals(zoneFirst)).thenComparingInt(MemberDescriptor::age));
         return found;
     }
 
     /** Told of every daemon heard of, each time. */
-    public void observe(Consumer<Placename> observer) {
+    public void observe(Consumer<MemberDescriptor> observer) {
         observers.add(observer);
     }
 
     /** Takes note of a daemon met outside a shuffle. */
-    public void meet(Placename placename) {
+    public void meet(MemberDescriptor placename) {
         merge(List.of(placename), List.of());
     }
 
@@ -108,8 +108,8 @@
         rounds++;
         clock.after(rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
         view.replaceAll((k, p) -> p.older());
-        Placename oldest = null;
-        for (Placename p : view.values()) {
+        MemberDescriptor oldest = null;
+        for (MemberDescriptor p : view.values()) {
             if (oldest == null || p.age() > oldest.age()) {
                 oldest = p;
             }
@@ -124,50 +124,50 @@
     }
 
     private void askSeed() {
-        List<Imprint> others = new ArrayList<>(seeds);
+        List<DaemonAddress> others = new ArrayList<>(seeds);
         others.remove(self.imprint());
         if (!others.isEmpty()) {
             ask(others.get(random.nextInt(others.size())));
         }
     }
 
-    private void ask(Imprint target) {
-        List<Placename> sample = sample(target);
-        sentSample = sample.stream().map(Placename::imprint).toList();
+    private void ask(DaemonAddress target) {
+        List<MemberDescriptor> sample = sample(target);
+        sentSample = sample.stream().map(MemberDescriptor::imprint).toList();
         sample.add(self.fresh());
-        post.send(target, Postbag.Topic.SHUFFLE, encode(true, sample));
+        post.send(target, Messenger.Topic.SHUFFLE, encode(true, sample));
         tally.count("membership.shuffles");
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         boolean wantsAnswer = in.flag();
-        List<Placename> theirs = in.list(Placename::read);
+        List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
-            List<Placename> mine = sample(from);
-            List<Imprint> given = mine.stream().map(Placename::imprint).toList();
+            List<MemberDescriptor> mine = sample(from);
+            List<DaemonAddress> given = mine.stream().map(MemberDescriptor::imprint).toList();
             mine.add(self.fresh());
-            post.send(from, Postbag.Topic.SHUFFLE, encode(false, mine));
+            post.send(from, Messenger.Topic.SHUFFLE, encode(false, mine));
             merge(theirs, given);
         } else {
             merge(theirs, sentSample);
         }
     }
 
-    private List<Placename> sample(Imprint except) {
-        List<Placename> all = new ArrayList<>(view.values());
+    private List<MemberDescriptor> sample(DaemonAddress except) {
+        List<MemberDescriptor> all = new ArrayList<>(view.values());
         all.removeIf(p -> p.imprint().equals(except));
         Collections.shuffle(all, random);
         return new ArrayList<>(all.subList(0, Math.min(SAMPLE, all.size())));
     }
 
-    private void merge(List<Placename> theirs, List<Imprint> given) {
-        List<Imprint> replaceable = new ArrayList<>(given);
-        for (Placename p : theirs) {
+    private void merge(List<MemberDescriptor> theirs, List<DaemonAddress> given) {
+        List<DaemonAddress> replaceable = new ArrayList<>(given);
+        for (MemberDescriptor p : theirs) {
             if (p.imprint().equals(self.imprint())) {
                 continue;
             }
-            Placename known = view.get(p.imprint());
+            MemberDescriptor known = view.get(p.imprint());
             if (known != null) {
                 if (p.age() < known.age()) {
                     view.put(p.imprint(), p);
@@ -181,18 +181,18 @@
                 }
                 view.put(p.imprint(), p);
             }
-            for (Consumer<Placename> observer : observers) {
+            for (Consumer<MemberDescriptor> observer : observers) {
                 observer.accept(p);
             }
         }
     }
 
     private void evictOldest() {
-        Placename oldest = Collections.max(view.values(), Comparator.comparingInt(Placename::age));
+        MemberDescriptor oldest = Collections.max(view.values(), Comparator.comparingInt(MemberDescriptor::age));
         view.remove(oldest.imprint());
     }
 
-    private static byte[] encode(boolean wantsAnswer, List<Placename> sample) {
-        return Script.write().flag(wantsAnswer).list(sample, (out, p) -> p.write(out)).done();
+    private static byte[] encode(boolean wantsAnswer, List<MemberDescriptor> sample) {
+        return MessagePackCodec.write().flag(wantsAnswer).list(sample, (out, p) -> p.write(out)).done();
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/Allowance.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Allowance.java
@@ -1,6 +1,6 @@
 package org.umbermount.proxy;
 
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * How many further tries this daemon may send to one service. Tries are earned by own requests within the
@@ -16,13 +16,13 @@
     private final double ratio;
     private final long slotMs;
     private final double burst;
-    private final Moment started;
+    private final MonotonicTime started;
     private final long windowMs;
     private final long[] slotNumber = new long[SLOTS];
     private final int[] requests = new int[SLOTS];
     private final int[] spent = new int[SLOTS];
 
-    Allowance(double ratio, double burst, long windowMs, Moment started) {
+    Allowance(double ratio, double burst, long windowMs, MonotonicTime started) {
         this.ratio = ratio;
         this.burst = burst;
         this.windowMs = windowMs;
@@ -31,7 +31,7 @@
         java.util.Arrays.fill(slotNumber, Long.MIN_VALUE);
     }
 
-    private int slot(Moment now) {
+    private int slot(MonotonicTime now) {
         long number = Math.floorDiv(now.millis(), slotMs);
         int at = (int) Math.floorMod(number, (long) SLOTS);
         if (slotNumber[at] != number) {
@@ -42,12 +42,12 @@
         return at;
     }
 
-    void request(Moment now) {
+    void request(MonotonicTime now) {
         requests[slot(now)]++;
     }
 
     /** What is left to spend now. */
-    double left(Moment now, int fleet) {
+    double left(MonotonicTime now, int fleet) {
         slot(now);
         long oldest = Math.floorDiv(now.millis(), slotMs) - SLOTS + 1;
         int earned = 0;
@@ -63,7 +63,7 @@
     }
 
     /** Takes one try if there is one, leaving {@code reserve} untouched. */
-    boolean spend(Moment now, int fleet, double reserve) {
+    boolean spend(MonotonicTime now, int fleet, double reserve) {
         if (left(now, fleet) < 1 + reserve) {
             return false;
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Attempt.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Attempt.java
@@ -14,8 +14,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** One sending of a request to one server. */
@@ -29,7 +29,7 @@
     private Carrel carrel;
     /** Whether the connection had rested before: what comes on it first may be late. */
     private boolean reused;
-    private Moment sentAt;
+    private MonotonicTime sentAt;
     private boolean requestWritten;
     private HttpResponse head;
     private final ByteArrayOutputStream held = new ByteArrayOutputStream(512);
@@ -48,14 +48,14 @@
 
     /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
     void write(Carrel over) {
-        Moment now = repository.desk().clock().now();
+        MonotonicTime now = repository.desk().clock().now();
         long left = borrowing.deadline().since(now);
         if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
             over.unused();
             notSent();
             return;
         }
-        Erratum why = borrowing.whyNot();
+        ErrorKind why = borrowing.whyNot();
         if (why != null) {
             over.unused();
             permit.giveBack();
@@ -225,7 +225,7 @@
 
     /** The answer is whole. */
     void finished() {
-        Moment now = repository.desk().clock().now();
+        MonotonicTime now = repository.desk().clock().now();
         String load = head.headers().get(Headings.LOAD);
         if (load != null) {
             repository.reportedLoad(now, load);
--- a/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
@@ -9,10 +9,10 @@
 import java.util.List;
 import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.idempotency.LoanCounter;
 import org.umbermount.idempotency.OperationKey;
 
@@ -29,8 +29,8 @@
     private final HttpRequest request;
     private final Regulations.Route route;
     private final Wing wing;
-    private final Moment arrived;
-    private final Moment deadline;
+    private final MonotonicTime arrived;
+    private final MonotonicTime deadline;
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
     private final List<Repository> tried = new ArrayList<>(2);
     private byte[] body = new byte[0];
@@ -59,7 +59,7 @@
     private Answer kept;
 
     // What the reader writes.
-    private Erratum erratum;
+    private ErrorKind erratum;
     private Answer answer;
     private HttpResponse streamHead;
     private final ArrayDeque<byte[]> stream = new ArrayDeque<>();
@@ -83,7 +83,7 @@
     }
 
     /** A request that is answered without asking a server. */
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Erratum erratum) {
+    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, ErrorKind erratum) {
         this(desk, reader, request, null, null, 0, null, null);
         this.erratum = erratum;
         this.answered = true;
@@ -97,7 +97,7 @@
         return body;
     }
 
-    Moment deadline() {
+    MonotonicTime deadline() {
         return deadline;
     }
 
@@ -120,7 +120,7 @@
     }
 
     /** Why the request may not be sent any more; null if it may. */
-    Erratum whyNot() {
+    ErrorKind whyNot() {
         return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
@@ -141,7 +141,7 @@
         return answered;
     }
 
-    Erratum erratum() {
+    ErrorKind erratum() {
         return erratum;
     }
 
@@ -213,15 +213,15 @@
             return;
         }
         started = true;
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         wing.allowance.request(now);
         long left = deadline.since(now);
         if (left <= 0) {
-            refuse(Erratum.DEADLINE_BEFORE_RUN);
+            refuse(ErrorKind.DEADLINE_BEFORE_RUN);
             return;
         }
         if (desk.turnsAway(wing, now)) {
-            refuse(Erratum.OVERLOADED);
+            refuse(ErrorKind.OVERLOADED);
             return;
         }
         deadlineTimer = desk.clock().after(left, this::deadlineReached);
@@ -251,9 +251,9 @@
                 }
                 case SPENT -> {
                     comeAgainMs = desk.quotas().comeAgainMs(tenant);
-                    refuse(Erratum.QUOTA_SPENT);
+                    refuse(ErrorKind.QUOTA_SPENT);
                 }
-                default -> refuse(Erratum.QUOTA_UNKNOWN);
+                default -> refuse(ErrorKind.QUOTA_UNKNOWN);
             }
         });
     }
@@ -297,7 +297,7 @@
                         over[0] = true;
                         ticket = null;
                         if (wanted()) {
-                            refuse(Erratum.OUTCOME_UNKNOWN);
+                            refuse(ErrorKind.OUTCOME_UNKNOWN);
                         }
                     }
 
@@ -306,7 +306,7 @@
                         over[0] = true;
                         ticket = null;
                         if (wanted()) {
-                            refuse(Erratum.LOANS_UNAVAILABLE);
+                            refuse(ErrorKind.LOANS_UNAVAILABLE);
                         }
                     }
                 });
@@ -329,8 +329,8 @@
             }
             desk.tally().count("requests.repeats");
             deliver(first);
-        } catch (Script.UnreadableException e) {
-            refuse(Erratum.OUTCOME_UNKNOWN);
+        } catch (MessagePackCodec.UnreadableException e) {
+            refuse(ErrorKind.OUTCOME_UNKNOWN);
         }
     }
 
@@ -339,11 +339,11 @@
         if (!wanted()) {
             return;
         }
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         long patience = Math.min(route.targetLatencyMs(), deadline.since(arrived) / 3);
         if (now.since(arrived) + BUSY_LOOK_MS > patience) {
             giveBack();
-            refuse(Erratum.AT_WORK);
+            refuse(ErrorKind.AT_WORK);
         } else {
             desk.clock().after(BUSY_LOOK_MS, () -> {
                 if (wanted()) {
@@ -379,7 +379,7 @@
         if (tryPlace()) {
             return;
         }
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
         if (patience <= 0 || !wing.enqueue(this)) {
             giveUp();
@@ -432,13 +432,13 @@
         if (lastFailure != null) {
             deliver(lastFailure);
         } else if (sendings.sent() > 0) {
-            refuse(Erratum.SERVERS_REFUSED);
+            refuse(ErrorKind.SERVERS_REFUSED);
         } else {
-            refuse(wing.repositories.isEmpty() ? Erratum.NO_SERVER : Erratum.OVERLOADED);
+            refuse(wing.repositories.isEmpty() ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED);
         }
     }
 
-    void nowSent(Attempt attempt, Moment now) {
+    void nowSent(Attempt attempt, MonotonicTime now) {
         tried.add(attempt.repository);
         if (isSafe() && !large && sendings.sent() == 1 && route.maxTries() > 1) {
             long hedge = desk.concierge().hedgeAfterMs(wing, route);
@@ -453,7 +453,7 @@
         if (!wanted() || active != 1 || sendings.sent() >= route.maxTries()) {
             return;
         }
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
         if (second == null) {
             return;
@@ -492,10 +492,10 @@
     }
 
     /** The request may not be sent any more: its key has gone, or the table here is too old to say. */
-    void withdrawn(Erratum why) {
+    void withdrawn(ErrorKind why) {
         active--;
         if (wanted() && active == 0) {
-            refuse(sendings.hasNotRun() ? why : Erratum.SERVER_FAILED);
+            refuse(sendings.hasNotRun() ? why : ErrorKind.SERVER_FAILED);
         }
         closeLoan();
     }
@@ -508,7 +508,7 @@
             return;
         }
         if (status == 400) {
-            refuse(Erratum.MALFORMED);
+            refuse(ErrorKind.MALFORMED);
         } else {
             goOn(proof);
         }
@@ -538,7 +538,7 @@
 
     /** Sends again if that may be, and gives up otherwise. */
     private void goOn(Sendings.NotRun proof) {
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         if (sendings.sent() >= route.maxTries() || !now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
@@ -557,7 +557,7 @@
             if (waiting) {
                 stopWaiting();
             }
-            refuse(sendings.sent() > 0 ? Erratum.TIMED_OUT : Erratum.DEADLINE_BEFORE_RUN);
+            refuse(sendings.sent() > 0 ? ErrorKind.TIMED_OUT : ErrorKind.DEADLINE_BEFORE_RUN);
             if (carrier != null) {
                 carrier.dropUnlessWritten();
             }
@@ -577,10 +577,10 @@
     }
 
     /** Answers without a server's answer. What would promise that the request has not run says so only if that is certain. */
-    private void refuse(Erratum why) {
-        Erratum kind = why;
+    private void refuse(ErrorKind why) {
+        ErrorKind kind = why;
         if (kind.promisesNotRun() && !sendings.hasNotRun() && Safeguard.PROMISE_ONLY_IF_NOT_RUN.holds()) {
-            kind = Erratum.SERVER_FAILED;
+            kind = ErrorKind.SERVER_FAILED;
         }
         erratum = kind;
         desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
--- a/proxy/src/main/java/org/umbermount/proxy/Carrel.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Carrel.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** One connection to a server; it serves one request at a time. Nothing else writes to a server's connection. */
@@ -23,7 +23,7 @@
     private boolean reusable;
     private boolean interim;
     private boolean closed;
-    Moment restingSince = Moment.NEVER;
+    MonotonicTime restingSince = MonotonicTime.NEVER;
     long keepAliveMs = Long.MAX_VALUE;
 
     Carrel(Repository repository, AnswerDecoder decoder) {
@@ -82,7 +82,7 @@
 
     /** Whether another request has been answered on this connection before. */
     boolean reused() {
-        return restingSince != Moment.NEVER;
+        return restingSince != MonotonicTime.NEVER;
     }
 
     void send(Attempt attempt) {
--- a/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
@@ -8,19 +8,19 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.distribution.Consignee;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.idempotency.LoanCounter;
 import org.umbermount.quota.QuotaCounter;
 
 /** The traffic plane as a plug-in of the proxy. */
-public final class CirculationDepartment implements Department {
+public final class CirculationDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** By then the platform has noticed twice that this daemon is not ready. */
     private static final long NOTICED_MS = 2_300;
@@ -28,7 +28,7 @@
     private static final long LAST_MS = 100;
     private static final long GRACE_MARGIN_MS = 400;
 
-    private Institution institution;
+    private PluginHost institution;
     private FrontDesk desk;
     private Consignee consignee;
     private boolean leaving;
@@ -49,27 +49,27 @@
     }
 
     @Override
-    public void open(Institution host) throws Exception {
+    public void open(PluginHost host) throws Exception {
         institution = host;
-        HouseRules rules = host.rules();
+        Settings rules = host.rules();
         Clock clock = host.clock();
         EventLoop loop = ((LoopClock) clock).loop();
         consignee = host.find(Consignee.class);
         desk = new FrontDesk(loop, clock, host.tally(), rules.bounds(), rules.zone(),
-                new Random(Imprint.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
+                new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
         desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
-        desk.watch(new Occupancy(clock, host.find(Postbag.class), rules.zone(), consignee::sender));
+        desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), consignee::sender));
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
-        Imprint readiness = listener(rules, "readiness");
-        Imprint http = listener(rules, "http");
+        DaemonAddress readiness = listener(rules, "readiness");
+        DaemonAddress http = listener(rules, "http");
         watch(new Doorplate(() -> !leaving && desk.hasTable(), host.tally()::page, this::status).bind(loop, readiness),
                 readiness);
         ServerSocketChannel listening = host.findOrNull(ServerSocketChannel.class);
         watch(listening == null ? desk.bind(http) : desk.adopt(listening), http);
     }
 
-    private void watch(ChannelFuture bound, Imprint address) {
+    private void watch(ChannelFuture bound, DaemonAddress address) {
         bound.addListener(f -> {
             if (!f.isSuccess()) {
                 institution.fatal("The address " + address + " cannot be used: " + f.cause().getMessage() + ".");
@@ -77,8 +77,8 @@
         });
     }
 
-    private static Imprint listener(HouseRules rules, String name) {
-        Imprint address = rules.listeners().get(name);
+    private static DaemonAddress listener(Settings rules, String name) {
+        DaemonAddress address = rules.listeners().get(name);
         if (address == null) {
             throw new IllegalStateException("The settings name no " + name + " listener.");
         }
@@ -96,7 +96,7 @@
     @Override
     public void leave(Runnable done) {
         Clock clock = institution.clock();
-        Moment end = clock.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
+        MonotonicTime end = clock.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
         leaving = true;
         desk.beginClosing();
         LOG.info("Leaving: not ready any more, {} connections open.", desk.openConnections());
@@ -108,7 +108,7 @@
         });
     }
 
-    private void finish(Moment end, Runnable done) {
+    private void finish(MonotonicTime end, Runnable done) {
         if (!desk.anyBusy() || !institution.clock().now().isBefore(end)) {
             desk.unblock(true);
             // What was written has a moment to leave.
--- a/proxy/src/main/java/org/umbermount/proxy/Concierge.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Concierge.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
 final class Concierge {
@@ -28,8 +28,8 @@
     }
 
     /** A server with room, or null. */
-    Repository choose(Wing wing, Regulations.Route route, List<Repository> tried, Moment deadline) {
-        Moment now = clock.now();
+    Repository choose(Wing wing, Regulations.Route route, List<Repository> tried, MonotonicTime deadline) {
+        MonotonicTime now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
         Repository local = chooseLocal(wing, tried, now, queue);
         double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
@@ -51,7 +51,7 @@
     }
 
     /** When draws find none: the first with room, looked for from a random place. */
-    private Repository anyWithRoom(Wing wing, List<Repository> tried, Moment now, double queue) {
+    private Repository anyWithRoom(Wing wing, List<Repository> tried, MonotonicTime now, double queue) {
         int n = wing.elsewhere.size();
         int start = n == 0 ? 0 : random.nextInt(n);
         for (int i = 0; i < n; i++) {
@@ -63,11 +63,11 @@
         return null;
     }
 
-    private static boolean hasRoom(Repository r, List<Repository> tried, Moment now, double queue) {
+    private static boolean hasRoom(Repository r, List<Repository> tried, MonotonicTime now, double queue) {
         return !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue);
     }
 
-    private Repository chooseLocal(Wing wing, List<Repository> tried, Moment now, double queue) {
+    private Repository chooseLocal(Wing wing, List<Repository> tried, MonotonicTime now, double queue) {
         Repository first = draw(wing.local, tried, now, queue, null);
         Repository second = first == null ? null : draw(wing.local, tried, now, queue, first);
         if (second != null) {
@@ -99,7 +99,7 @@
     }
 
     /** One at random that has room; null if a few draws find none. */
-    private Repository draw(List<Repository> among, List<Repository> tried, Moment now, double queue, Repository not) {
+    private Repository draw(List<Repository> among, List<Repository> tried, MonotonicTime now, double queue, Repository not) {
         int n = among.size();
         for (int i = 0; n > 0 && i < DRAWS; i++) {
             Repository r = among.get(random.nextInt(n));
@@ -110,7 +110,7 @@
         return null;
     }
 
-    private Repository better(Repository first, Repository second, Moment now) {
+    private Repository better(Repository first, Repository second, MonotonicTime now) {
         double a = first.expectedMs(now);
         double b = second.expectedMs(now);
         if (Math.abs(a - b) < 0.02 * a) {
--- a/proxy/src/main/java/org/umbermount/proxy/Doorplate.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Doorplate.java
@@ -25,7 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /** Says whether this daemon takes clients, and shows its meters and its state to an operator. */
 final class Doorplate {
@@ -39,7 +39,7 @@
         this.status = status;
     }
 
-    ChannelFuture bind(EventLoop loop, Imprint address) {
+    ChannelFuture bind(EventLoop loop, DaemonAddress address) {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -30,12 +30,12 @@
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.idempotency.LoanCounter;
 import org.umbermount.quota.QuotaCounter;
 
@@ -49,12 +49,12 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Tally tally;
-    private final HouseRules.Bounds bounds;
+    private final Metrics tally;
+    private final Settings.Bounds bounds;
     private final Random random;
     private final String zone;
     private final Concierge concierge;
-    private final Moment started;
+    private final MonotonicTime started;
     private final Map<String, Wing> wings = new HashMap<>();
     private final Map<String, Repository> repositories = new HashMap<>();
     private final Set<Reader> readers = new LinkedHashSet<>();
@@ -70,7 +70,7 @@
     private QuotaCounter quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
-    FrontDesk(EventLoop loop, Clock clock, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
+    FrontDesk(EventLoop loop, Clock clock, Metrics tally, Settings.Bounds bounds, String zone, Random random) {
         this.loop = loop;
         this.clock = clock;
         this.tally = tally;
@@ -83,7 +83,7 @@
     }
 
     /** Listens at an address. */
-    ChannelFuture bind(Imprint http) {
+    ChannelFuture bind(DaemonAddress http) {
         ChannelFuture bound = bootstrap().channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true).bind(http.socketAddress());
         listener = bound.channel();
@@ -144,7 +144,7 @@
                 }
             }
             table = next;
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("A table could not be read: {}.", e.getMessage());
         }
         for (Wing wing : wings.values()) {
@@ -157,7 +157,7 @@
                 || key.startsWith(Inventory.TENANT);
     }
 
-    private void applyConfiguration(Inventory next) throws Script.UnreadableException {
+    private void applyConfiguration(Inventory next) throws MessagePackCodec.UnreadableException {
         for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
             if (e.getKey().startsWith(Inventory.UPSTREAM)) {
                 Regulations.Upstream upstream = Tables.readUpstream(e.getValue());
@@ -212,17 +212,17 @@
     Borrowing receive(Reader reader, HttpRequest request, long deadlineMs) {
         tally.count("requests.received");
         if (!hasTable()) {
-            return new Borrowing(this, reader, request, Erratum.NOT_READY);
+            return new Borrowing(this, reader, request, ErrorKind.NOT_READY);
         }
         Regulations.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
         if (route == null) {
-            return refused(reader, request, doubtful() ? Erratum.TABLE_STALE : Erratum.NO_ROUTE);
+            return refused(reader, request, doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NO_ROUTE);
         }
         String key = null;
         Regulations.Tenant tenant = null;
         if (holdings.keyed() && !route.anonymous()) {
             key = Headings.token(request.headers());
-            Erratum why = whyNot(key);
+            ErrorKind why = whyNot(key);
             if (why != null) {
                 return refused(reader, request, why);
             }
@@ -231,34 +231,34 @@
         if (route.idempotent() && loans != null) {
             String operation = request.headers().get(Headings.OPERATION_KEY);
             if (operation == null || operation.isBlank()) {
-                return refused(reader, request, Erratum.KEY_MISSING);
+                return refused(reader, request, ErrorKind.KEY_MISSING);
             }
         }
         return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
                 tenant, key);
     }
 
-    private Borrowing refused(Reader reader, HttpRequest request, Erratum why) {
+    private Borrowing refused(Reader reader, HttpRequest request, ErrorKind why) {
         tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
         return new Borrowing(this, reader, request, why);
     }
 
     /** Why a request with this key may not be sent to a server now; null if it may. */
-    Erratum whyNot(String key) {
+    ErrorKind whyNot(String key) {
         long good = goodForMs.getAsLong();
         if (good <= 0) {
-            return Erratum.TABLE_STALE;
+            return ErrorKind.TABLE_STALE;
         }
         if (holdings.tenant(key) == null) {
-            return key != null && doubtful() ? Erratum.TABLE_STALE : Erratum.NOT_A_READER;
+            return key != null && doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NOT_A_READER;
         }
         return null;
     }
 
     /** The same for a request that was taken in for a tenant: a key that has moved on is looked up anew by another try. */
-    Erratum whyNot(String key, String tenant) {
-        Erratum why = whyNot(key);
-        return why == null && !holdings.tenant(key).label().equals(tenant) ? Erratum.TABLE_STALE : why;
+    ErrorKind whyNot(String key, String tenant) {
+        ErrorKind why = whyNot(key);
+        return why == null && !holdings.tenant(key).label().equals(tenant) ? ErrorKind.TABLE_STALE : why;
     }
 
     /** Whether the table may well be behind: what it does not know may still be there. */
@@ -318,29 +318,29 @@
     /** Seconds after which a refused client may come again. */
     String retryAfter(Borrowing b) {
         // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
-        boolean shared = b.erratum() == Erratum.QUOTA_UNKNOWN || b.erratum() == Erratum.LOANS_UNAVAILABLE
-                || b.erratum() == Erratum.TABLE_STALE || b.erratum() == Erratum.NOT_READY;
+        boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
+                || b.erratum() == ErrorKind.TABLE_STALE || b.erratum() == ErrorKind.NOT_READY;
         double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
         long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
-    boolean turnsAway(Wing wing, Moment now) {
+    boolean turnsAway(Wing wing, MonotonicTime now) {
         return wing.pressure.turnsAway(ratio(wing, now), random);
     }
 
     /** Whether a service has so much to do that nothing should be asked of it twice without need. */
-    boolean busy(Wing wing, Moment now) {
+    boolean busy(Wing wing, MonotonicTime now) {
         return wing.pressure.busy(ratio(wing, now));
     }
 
-    private double ratio(Wing wing, Moment now) {
+    private double ratio(Wing wing, MonotonicTime now) {
         return occupancy != null && occupancy.fresh(now) ? wing.localRatio(now) : 0;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
-    double hedgeReserve(Wing wing, Moment now) {
+    double hedgeReserve(Wing wing, MonotonicTime now) {
         return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
     }
 
@@ -385,7 +385,7 @@
     }
 
     private void sweep() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         for (Reader reader : List.copyOf(readers)) {
             reader.sweep(now);
         }
@@ -453,7 +453,7 @@
         return clock;
     }
 
-    Tally tally() {
+    Metrics tally() {
         return tally;
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/Holdings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Holdings.java
@@ -9,7 +9,7 @@
 import org.umbermount.control.Regulations;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The routes of a table, ready for looking up. */
 final class Holdings {
@@ -30,7 +30,7 @@
         this.limits = limits;
     }
 
-    static Holdings of(Inventory table) throws Script.UnreadableException {
+    static Holdings of(Inventory table) throws MessagePackCodec.UnreadableException {
         Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost = new Object2ObjectOpenHashMap<>();
         Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey = new Object2ObjectOpenHashMap<>();
         boolean keyed = false;
--- a/proxy/src/main/java/org/umbermount/proxy/KeptAnswers.java
+++ b/proxy/src/main/java/org/umbermount/proxy/KeptAnswers.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** How an answer is packed that is kept for repeats of its operation. */
 final class KeptAnswers {
@@ -17,12 +17,12 @@
         // These were about the first try and the moment.
         kept.remove(Headings.ATTEMPT).remove(Headings.LOAD);
         List<Map.Entry<String, String>> headers = kept.entries();
-        return Script.write().num(answer.status()).list(headers, (o, e) -> o.text(e.getKey()).text(e.getValue()))
+        return MessagePackCodec.write().num(answer.status()).list(headers, (o, e) -> o.text(e.getKey()).text(e.getValue()))
                 .bytes(answer.body()).done();
     }
 
-    static Answer unpack(byte[] packed) throws Script.UnreadableException {
-        Script.Reader in = Script.read(packed);
+    static Answer unpack(byte[] packed) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         int status = (int) in.num();
         HttpHeaders headers = new DefaultHttpHeaders(false);
         in.list(r -> headers.add(r.text(), r.text()));
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -5,10 +5,10 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * How many requests the proxies of the zone have at each server. A proxy alone sees a server a few times in a minute and
@@ -23,21 +23,21 @@
     private static final int ENTRIES_AT_MOST = 20_000;
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger post;
     private final String zone;
-    private final Supplier<Imprint> controller;
+    private final Supplier<DaemonAddress> controller;
     private final Set<Repository> busy = new LinkedHashSet<>();
     private Int2IntOpenHashMap sums = new Int2IntOpenHashMap();
     private Int2IntOpenHashMap reported = new Int2IntOpenHashMap();
-    private Moment heard = Moment.NEVER;
+    private MonotonicTime heard = MonotonicTime.NEVER;
     private boolean reporting;
 
-    Occupancy(Clock clock, Postbag post, String zone, Supplier<Imprint> controller) {
+    Occupancy(Clock clock, Messenger post, String zone, Supplier<DaemonAddress> controller) {
         this.clock = clock;
         this.post = post;
         this.zone = zone;
         this.controller = controller;
-        post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
+        post.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
     }
 
     /** A server has got its first request from here. */
@@ -57,32 +57,32 @@
     private void report() {
         boolean nothing = busy.isEmpty();
         reporting = !nothing;
-        Imprint to = controller.get();
+        DaemonAddress to = controller.get();
         if (to != null) {
             Int2IntOpenHashMap now = new Int2IntOpenHashMap(busy.size());
-            Script.Writer out = Script.write().text(zone).num(busy.size());
+            MessagePackCodec.Writer out = MessagePackCodec.write().text(zone).num(busy.size());
             for (Repository r : busy) {
                 out.num(r.code).num(r.inFlight);
                 now.put(r.code, r.inFlight);
             }
             reported = now;
-            post.send(to, Postbag.Topic.OCCUPANCY, out.done());
+            post.send(to, Messenger.Topic.OCCUPANCY, out.done());
         }
         if (!nothing) {
             clock.after(REPORT_MS, this::report);
         }
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         sums = readCounts(in);
         heard = clock.now();
     }
 
-    static Int2IntOpenHashMap readCounts(Script.Reader in) throws Script.UnreadableException {
+    static Int2IntOpenHashMap readCounts(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         long n = in.num();
         if (n < 0 || n > ENTRIES_AT_MOST) {
-            throw new Script.UnreadableException("a count is beyond reason", null);
+            throw new MessagePackCodec.UnreadableException("a count is beyond reason", null);
         }
         Int2IntOpenHashMap counts = new Int2IntOpenHashMap((int) n);
         for (long i = 0; i < n; i++) {
@@ -92,11 +92,11 @@
     }
 
     /** When the sums in use came. */
-    Moment heard() {
+    MonotonicTime heard() {
         return heard;
     }
 
-    boolean fresh(Moment now) {
+    boolean fresh(MonotonicTime now) {
         return now.since(heard) <= FRESH_MS;
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -5,11 +5,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /**
  * Adds up what the proxies of each zone have at the servers, and tells it to those that have spoken lately. It is soft
@@ -20,26 +20,26 @@
     private static final long COUNTS_MS = 450;
     private static final long LISTENS_MS = 1_000;
 
-    private record Word(Moment at, Int2IntOpenHashMap counts) {
+    private record Word(MonotonicTime at, Int2IntOpenHashMap counts) {
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
-    private final Map<String, Map<Imprint, Word>> zones = new HashMap<>();
+    private final Messenger post;
+    private final Metrics tally;
+    private final Map<String, Map<DaemonAddress, Word>> zones = new HashMap<>();
 
-    OccupancyBoard(Clock clock, Postbag post, Tally tally) {
+    OccupancyBoard(Clock clock, Messenger post, Metrics tally) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
-        post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
+        post.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         String zone = in.text();
         Word word = new Word(clock.now(), Occupancy.readCounts(in));
-        Map<Imprint, Word> words = zones.get(zone);
+        Map<DaemonAddress, Word> words = zones.get(zone);
         if (words == null) {
             words = new HashMap<>();
             zones.put(zone, words);
@@ -49,8 +49,8 @@
     }
 
     private void tell(String zone) {
-        Moment now = clock.now();
-        Map<Imprint, Word> words = zones.get(zone);
+        MonotonicTime now = clock.now();
+        Map<DaemonAddress, Word> words = zones.get(zone);
         words.values().removeIf(w -> now.since(w.at()) > LISTENS_MS);
         if (words.isEmpty()) {
             zones.remove(zone);
@@ -64,13 +64,13 @@
                 }
             }
         }
-        Script.Writer out = Script.write().num(sums.size());
+        MessagePackCodec.Writer out = MessagePackCodec.write().num(sums.size());
         for (Int2IntMap.Entry e : sums.int2IntEntrySet()) {
             out.num(e.getIntKey()).num(e.getIntValue());
         }
         byte[] body = out.done();
-        for (Imprint proxy : words.keySet()) {
-            post.send(proxy, Postbag.Topic.OCCUPANCY, body);
+        for (DaemonAddress proxy : words.keySet()) {
+            post.send(proxy, Messenger.Topic.OCCUPANCY, body);
         }
         tally.count("occupancy.told");
         clock.after(GATHER_MS, () -> tell(zone));
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyDepartment.java
@@ -1,12 +1,12 @@
 package org.umbermount.proxy;
 
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 
 /** The sums of what proxies have at servers, as a plug-in of the controller. */
-public final class OccupancyDepartment implements Department {
+public final class OccupancyDepartment implements Plugin {
     @Override
     public String name() {
         return "occupancy";
@@ -23,7 +23,7 @@
     }
 
     @Override
-    public void open(Institution host) {
-        new OccupancyBoard(host.clock(), host.find(Postbag.class), host.tally());
+    public void open(PluginHost host) {
+        new OccupancyBoard(host.clock(), host.find(Messenger.class), host.tally());
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/Reader.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Reader.java
@@ -28,8 +28,8 @@
 import java.util.Iterator;
 import java.util.Locale;
 import org.umbermount.control.Regulations;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** A client's connection: reads requests, and writes their answers in the order they came. */
@@ -52,7 +52,7 @@
     /** The head of the answer that is being streamed says that the connection ends with it. */
     private boolean closeTold;
     private boolean gone;
-    private Moment lastActivity;
+    private MonotonicTime lastActivity;
     private boolean headUnderway;
 
     Reader(FrontDesk desk, int headLimit) {
@@ -98,15 +98,15 @@
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-            turnAway(request, tooLong ? Erratum.HEADER_TOO_LARGE : Erratum.MALFORMED);
+            turnAway(request, tooLong ? ErrorKind.HEADER_TOO_LARGE : ErrorKind.MALFORMED);
             return;
         }
         if (!wellFormed(request)) {
-            turnAway(request, Erratum.MALFORMED);
+            turnAway(request, ErrorKind.MALFORMED);
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > desk.limits().maxBodyBytes()) {
-            turnAway(request, Erratum.BODY_TOO_LARGE);
+            turnAway(request, ErrorKind.BODY_TOO_LARGE);
             return;
         }
         lastRequest = !HttpUtil.isKeepAlive(request);
@@ -153,7 +153,7 @@
     }
 
     /** Answers without reading on; the connection ends with the answer. */
-    private void turnAway(HttpRequest request, Erratum erratum) {
+    private void turnAway(HttpRequest request, ErrorKind erratum) {
         lastRequest = true;
         if (!pipeline.isEmpty() && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
                 && !pipeline.peekLast().isStarted()) {
@@ -179,7 +179,7 @@
                 arriving = null;
                 channel.close();
             } else {
-                turnAway(b.request(), Erratum.MALFORMED);
+                turnAway(b.request(), ErrorKind.MALFORMED);
             }
             return;
         }
@@ -192,7 +192,7 @@
                 arriving = null;
                 channel.close();
             } else {
-                turnAway(b.request(), Erratum.BODY_TOO_LARGE);
+                turnAway(b.request(), ErrorKind.BODY_TOO_LARGE);
             }
             return;
         }
@@ -354,7 +354,7 @@
         FullHttpResponse response;
         boolean head = b.request() != null && b.request().method().equals(HttpMethod.HEAD);
         if (b.erratum() != null) {
-            Erratum e = b.erratum();
+            ErrorKind e = b.erratum();
             byte[] body = ("{\"errorMessage\":\"" + e.sentence() + "\"}").getBytes(StandardCharsets.UTF_8);
             response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(e.status()),
                     head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
@@ -466,13 +466,13 @@
     }
 
     /** Ends a connection that has been idle, or whose request head takes too long. */
-    void sweep(Moment now) {
+    void sweep(MonotonicTime now) {
         long still = now.since(lastActivity);
         if (pipeline.isEmpty() && arriving == null && !lingering) {
             Regulations.Limits limits = desk.limits();
             if (headUnderway ? still > limits.headerTimeoutMs() : still > limits.idleTimeoutMs()) {
                 if (headUnderway) {
-                    turnAway(null, Erratum.SLOW_REQUEST);
+                    turnAway(null, ErrorKind.SLOW_REQUEST);
                 } else {
                     channel.close();
                 }
--- a/proxy/src/main/java/org/umbermount/proxy/Repository.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Repository.java
@@ -14,9 +14,9 @@
 import jdk.net.ExtendedSocketOptions;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /** One life of a server: its connections, and what its answers have shown of it. */
 final class Repository {
@@ -36,7 +36,7 @@
 
     private final FrontDesk desk;
     private final Clock clock;
-    private final Tally tally;
+    private final Metrics tally;
     private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
     Wing wing;
     Tables.Instance instance;
@@ -49,15 +49,15 @@
     int connections;
     private double latencyMs;
     private boolean measured;
-    private Moment latencyAt;
+    private MonotonicTime latencyAt;
     private double othersLoad;
     private double othersAverage;
-    private Moment othersAt;
-    private final Moment warmAt;
-    private Moment downUntil = Moment.NEVER;
+    private MonotonicTime othersAt;
+    private final MonotonicTime warmAt;
+    private MonotonicTime downUntil = MonotonicTime.NEVER;
     private long downMs;
-    private Moment lastAnswer = Moment.NEVER;
-    private Moment busySince = Moment.NEVER;
+    private MonotonicTime lastAnswer = MonotonicTime.NEVER;
+    private MonotonicTime busySince = MonotonicTime.NEVER;
     private boolean misdirected;
     private double failures;
 
@@ -87,12 +87,12 @@
         closeIdle();
     }
 
-    boolean usable(Moment now) {
+    boolean usable(MonotonicTime now) {
         return listed && !instance.draining() && !misdirected && !now.isBefore(downUntil);
     }
 
     /** Requests believed to be at the server: those of this daemon, and those that others sent. */
-    double load(Moment now) {
+    double load(MonotonicTime now) {
         Occupancy zone = desk.occupancy();
         if (zone != null && zone.fresh(now) && !zone.heard().isBefore(othersAt)) {
             return inFlight + zone.others(code);
@@ -105,7 +105,7 @@
         return inFlight + othersLoad * fade + usual * (1 - fade);
     }
 
-    boolean hasRoom(Moment now, double extra) {
+    boolean hasRoom(MonotonicTime now, double extra) {
         return load(now) + 1 <= instance.capacity() + extra && (!idle.isEmpty() || connections < connectionCap());
     }
 
@@ -114,7 +114,7 @@
     }
 
     /** The time an answer is expected to take if the request is sent now. */
-    double expectedMs(Moment now) {
+    double expectedMs(MonotonicTime now) {
         double age = now.since(latencyAt);
         double weight = measured ? Math.exp(-age / 6_000) : 0;
         double service = latencyMs * weight + wing.typicalMs * (1 - weight);
@@ -136,7 +136,7 @@
         return expected;
     }
 
-    void begin(Moment now) {
+    void begin(MonotonicTime now) {
         if (inFlight++ == 0) {
             busySince = now;
             if (desk.occupancy() != null) {
@@ -153,7 +153,7 @@
         desk.slotFreed(wing);
     }
 
-    void answered(Moment now, double ms, boolean good) {
+    void answered(MonotonicTime now, double ms, boolean good) {
         lastAnswer = now;
         downMs = 0;
         if (good) {
@@ -165,7 +165,7 @@
     }
 
     /** Reads {@code running,waiting,slots} as the server saw it when it answered. */
-    void reportedLoad(Moment now, String text) {
+    void reportedLoad(MonotonicTime now, String text) {
         String[] parts = text.split(",");
         if (parts.length < 2) {
             return;
@@ -190,13 +190,13 @@
         failures = failures * FAILURE_MEMORY + (well ? 0 : 1 - FAILURE_MEMORY);
     }
 
-    void full(Moment now) {
+    void full(MonotonicTime now) {
         othersLoad = Math.max(othersLoad, instance.capacity() + 1 - inFlight);
         othersAt = now;
     }
 
     /** The server could not be reached. */
-    void unreachable(Moment now) {
+    void unreachable(MonotonicTime now) {
         downMs = downMs == 0 ? DOWN_FIRST_MS : Math.min(DOWN_LONGEST_MS, downMs * 2);
         downUntil = now.plus(downMs);
         tally.count("servers.unreachable");
@@ -212,7 +212,7 @@
 
     /** Sends over an idle connection, or over a new one. */
     void carry(Attempt attempt) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         begin(now);
         while (!idle.isEmpty()) {
             Carrel carrel = idle.pollLast();
@@ -286,7 +286,7 @@
     }
 
     /** Closes connections before the server does. */
-    void sweep(Moment now) {
+    void sweep(MonotonicTime now) {
         Iterator<Carrel> it = idle.iterator();
         while (it.hasNext()) {
             Carrel carrel = it.next();
--- a/proxy/src/main/java/org/umbermount/proxy/Sendings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Sendings.java
@@ -1,7 +1,7 @@
 package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.HttpResponse;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -58,7 +58,7 @@
     }
 
     /** A permit for a further sending, paid from the budget; null if it may not be or there is nothing left. */
-    Permit further(NotRun proof, Allowance budget, Moment now, int fleet, double reserve) {
+    Permit further(NotRun proof, Allowance budget, MonotonicTime now, int fleet, double reserve) {
         if (!allowsFurther(proof) || !budget.spend(now, fleet, reserve)) {
             return null;
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Wing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Wing.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import org.umbermount.control.Regulations;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
 final class Wing {
@@ -29,7 +29,7 @@
     double typicalMs = 100;
     boolean measured;
     private double localRatio;
-    private Moment localRatioAt = Moment.NEVER;
+    private MonotonicTime localRatioAt = MonotonicTime.NEVER;
 
     Wing(String label, Allowance allowance) {
         this.label = label;
@@ -45,7 +45,7 @@
      * The requests at the servers of this daemon's zone as a part of their slots; looked at anew now and then. A server that
      * hangs counts for twice its slots at most.
      */
-    double localRatio(Moment now) {
+    double localRatio(MonotonicTime now) {
         if (now.since(localRatioAt) > LOCAL_RATIO_MS) {
             localRatioAt = now;
             double sum = 0;
--- a/proxy/src/test/java/org/umbermount/proxy/AllowanceTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/AllowanceTest.java
@@ -8,15 +8,15 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 class AllowanceTest {
     @Test
     void restartedDaemonStartsWithNone() {
-        Allowance a = new Allowance(0.2, 60, 10_000, new Moment(0));
-        assertFalse(a.spend(new Moment(10), 4, 0));
-        assertFalse(a.spend(new Moment(9_900), 4, 0));
-        assertTrue(a.spend(new Moment(10_100), 4, 0));
+        Allowance a = new Allowance(0.2, 60, 10_000, new MonotonicTime(0));
+        assertFalse(a.spend(new MonotonicTime(10), 4, 0));
+        assertFalse(a.spend(new MonotonicTime(9_900), 4, 0));
+        assertTrue(a.spend(new MonotonicTime(10_100), 4, 0));
     }
 
     @Test
@@ -25,13 +25,13 @@
         int fleet = 11;
         List<Allowance> all = new ArrayList<>();
         for (int i = 0; i < fleet; i++) {
-            all.add(new Allowance(0.2, 60, 10_000, new Moment(0)));
+            all.add(new Allowance(0.2, 60, 10_000, new MonotonicTime(0)));
         }
         List<Long> requests = new ArrayList<>();
         List<Long> tries = new ArrayList<>();
         for (long t = 0; t < 60_000; t += 7) {
             Allowance a = all.get(random.nextInt(fleet));
-            Moment now = new Moment(t);
+            MonotonicTime now = new MonotonicTime(t);
             // Traffic stops now and then, and every request wants a second try.
             if (t / 10_000 % 3 != 1) {
                 a.request(now);
@@ -55,15 +55,15 @@
 
     @Test
     void reserveIsLeftForFailures() {
-        Allowance a = new Allowance(0.2, 0, 10_000, new Moment(0));
+        Allowance a = new Allowance(0.2, 0, 10_000, new MonotonicTime(0));
         for (int i = 0; i < 100; i++) {
-            a.request(new Moment(100));
+            a.request(new MonotonicTime(100));
         }
         int spent = 0;
-        while (a.spend(new Moment(200), 1, 10)) {
+        while (a.spend(new MonotonicTime(200), 1, 10)) {
             spent++;
         }
         assertEquals(7, spent);
-        assertTrue(a.spend(new Moment(200), 1, 0));
+        assertTrue(a.spend(new MonotonicTime(200), 1, 0));
     }
 }
--- a/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
@@ -14,18 +14,18 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.control.Regulations;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Pressmark;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
 
 class ConciergeTest {
     private final FakeClock clock = new FakeClock();
     private final EventLoop loop = new DefaultEventLoop();
-    private final FrontDesk desk = new FrontDesk(loop, clock, new Tally(),
-            new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
+    private final FrontDesk desk = new FrontDesk(loop, clock, new Metrics(),
+            new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
     private final Wing wing = new Wing("s", null);
     private final Regulations.Route route = new Regulations.Route("r", "h", "/p/", Regulations.Kind.SAFE, false, 5_000, 800, 1,
             2, List.of(new Regulations.Share("s", 1)));
@@ -36,14 +36,14 @@
     }
 
     private Repository server(String id, String zone) {
-        Repository r = new Repository(desk, wing, new Tables.Instance(new Pressmark(id), "s", Imprint.parse("10.0.9.9:80"), zone, 3,
+        Repository r = new Repository(desk, wing, new Tables.Instance(new InstanceId(id), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3,
                 0, false), zone.equals("z"));
         wing.repositories.add(r);
         (r.local ? wing.local : wing.elsewhere).add(r);
         return r;
     }
 
-    private static void busy(Repository r, int requests, Moment now) {
+    private static void busy(Repository r, int requests, MonotonicTime now) {
         while (r.inFlight < requests) {
             r.begin(now);
         }
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -28,10 +28,10 @@
 import org.umbermount.control.Regulations;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Pressmark;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.idempotency.LoanCounter;
 
@@ -118,21 +118,21 @@
     Report run() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         List<UnrulyServer> servers = new ArrayList<>();
-        Tally tally = new Tally();
+        Metrics tally = new Metrics();
         try {
             LoopClock clock = new LoopClock(group.next());
-            HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
+            Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
             FrontDesk desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed));
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
             }
-            desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
+            desk.bind(DaemonAddress.parse("127.0.0.1:" + port)).sync();
             for (int i = 0; i < SERVERS; i++) {
                 servers.add(new UnrulyServer("i" + i, seed, this));
             }
             LoanCounter counter = new LoanCounter(clock, new FakeCounterPost(clock, new FakeRegister()::answer), tally,
                     new Random(seed), List::of);
-            counter.head(Imprint.parse("10.0.0.1:7000"));
+            counter.head(DaemonAddress.parse("10.0.0.1:7000"));
             clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
             apply(desk, clock, servers, 0);
             List<Thread> clients = new ArrayList<>();
@@ -183,8 +183,8 @@
                 + "\"limits\":{\"maxHeaderBytes\":" + (8_192 + limits) + "}}").getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
         for (int i = 0; i < servers.size(); i++) {
-            entries.put(Inventory.INSTANCE + "i" + i, Tables.packInstance(new CensusEntry(new Pressmark("i" + i), "s",
-                    "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, CensusEntry.Standing.IN_SERVICE, 1, Imprint.NONE)));
+            entries.put(Inventory.INSTANCE + "i" + i, Tables.packInstance(new CensusEntry(new InstanceId("i" + i), "s",
+                    "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, CensusEntry.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
         return Inventory.of(entries);
     }
@@ -198,7 +198,7 @@
         }
     }
 
-    private Report report(Tally tally) {
+    private Report report(Metrics tally) {
         int total = 0;
         Map<String, Integer> byOperation = new HashMap<>();
         for (Map.Entry<String, AtomicInteger> e : runs.entrySet()) {
--- a/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
@@ -2,34 +2,34 @@
 
 import java.util.function.Function;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** A postbag behind which one scripted controller answers. */
-final class FakeCounterPost implements Postbag {
+final class FakeCounterPost implements Messenger {
     private final Clock clock;
-    private final Function<Script.Reader, byte[]> controller;
+    private final Function<MessagePackCodec.Reader, byte[]> controller;
     private Listener listener;
 
-    FakeCounterPost(Clock clock, Function<Script.Reader, byte[]> controller) {
+    FakeCounterPost(Clock clock, Function<MessagePackCodec.Reader, byte[]> controller) {
         this.clock = clock;
         this.controller = controller;
     }
 
     @Override
-    public Imprint self() {
-        return Imprint.parse("10.0.0.9:7001");
+    public DaemonAddress self() {
+        return DaemonAddress.parse("10.0.0.9:7001");
     }
 
     @Override
-    public void send(Imprint to, Topic topic, byte[] body) {
-        byte[] reply = controller.apply(Script.read(body));
+    public void send(DaemonAddress to, Topic topic, byte[] body) {
+        byte[] reply = controller.apply(MessagePackCodec.read(body));
         if (reply != null) {
             clock.execute(() -> {
                 try {
                     listener.receive(to, reply);
-                } catch (Script.UnreadableException e) {
+                } catch (MessagePackCodec.UnreadableException e) {
                     throw new AssertionError(e);
                 }
             });
--- a/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** Keeps operation records as a controller would, in memory. */
 final class FakeRegister {
@@ -21,7 +21,7 @@
     volatile boolean granting = true;
     private final Map<Long, Kept> kept = new HashMap<>();
 
-    synchronized byte[] answer(Script.Reader in) {
+    synchronized byte[] answer(MessagePackCodec.Reader in) {
         try {
             boolean claim = in.num() == CLAIM;
             long serial = in.num();
@@ -47,12 +47,12 @@
                 kept.put(key, new Kept(how == 1 ? ANSWERED : UNKNOWN, serial, answer));
             }
             return reply(serial, STORED, new byte[0]);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new AssertionError(e);
         }
     }
 
     private static byte[] reply(long serial, int word, byte[] payload) {
-        return Script.write().num(REPLY).num(serial).num(word).bytes(payload).done();
+        return MessagePackCodec.write().num(REPLY).num(serial).num(word).bytes(payload).done();
     }
 }
--- a/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
@@ -30,13 +30,13 @@
 import org.umbermount.control.Regulations;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.idempotency.LoanCounter;
 
@@ -44,7 +44,7 @@
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LoopClock clock = new LoopClock(group.next());
-    private final Tally tally = new Tally();
+    private final Metrics tally = new Metrics();
     private FrontDesk desk;
     private int port;
     private ScriptedServer first;
@@ -58,9 +58,9 @@
             port = probe.getLocalPort();
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
-        HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
+        Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
         desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
-        desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
+        desk.bind(DaemonAddress.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
     }
 
@@ -86,8 +86,8 @@
         int n = 0;
         for (ScriptedServer s : servers) {
             String id = "i" + n++;
-            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new CensusEntry(new Pressmark(id), "s",
-                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, CensusEntry.Standing.IN_SERVICE, 1, Imprint.NONE)));
+            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new CensusEntry(new InstanceId(id), "s",
+                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, CensusEntry.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
         Inventory table = Inventory.of(entries);
         clock.loop().submit(() -> desk.apply(table)).get();
@@ -391,8 +391,8 @@
     @Test
     void drainingServerGetsNothingNew() throws Exception {
         table(first, second);
-        CensusEntry draining = new CensusEntry(new Pressmark("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
-                CensusEntry.Standing.DRAINING, 2, Imprint.NONE);
+        CensusEntry draining = new CensusEntry(new InstanceId("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
+                CensusEntry.Standing.DRAINING, 2, DaemonAddress.NONE);
         table(first, second);
         Map<String, byte[]> entries = new HashMap<>();
         clock.loop().submit(() -> {
@@ -649,10 +649,10 @@
     }
 
     /** What a controller's side would say, scripted: each message to it is answered by the function. */
-    private LoanCounter counter(java.util.function.Function<Script.Reader, byte[]> controller) {
+    private LoanCounter counter(java.util.function.Function<MessagePackCodec.Reader, byte[]> controller) {
         FakeCounterPost post = new FakeCounterPost(clock, controller);
         LoanCounter counter = new LoanCounter(clock, post, tally, new Random(4), java.util.List::of);
-        counter.head(Imprint.parse("10.0.0.1:7000"));
+        counter.head(DaemonAddress.parse("10.0.0.1:7000"));
         return counter;
     }
 
--- a/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -10,29 +10,29 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Pressmark;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 class OccupancyTest {
     private final FakeClock clock = new FakeClock();
-    private final FakePost post = new FakePost(clock, 5);
-    private final Imprint controller = Imprint.parse("10.0.0.1:7540");
+    private final FakeMessenger post = new FakeMessenger(clock, 5);
+    private final DaemonAddress controller = DaemonAddress.parse("10.0.0.1:7540");
     private final EventLoop loop = new DefaultEventLoop();
 
     /** A proxy with one server, seen through the occupancy of its zone. */
     private final class Proxy {
-        final FrontDesk desk = new FrontDesk(loop, clock, new Tally(),
-                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
+        final FrontDesk desk = new FrontDesk(loop, clock, new Metrics(),
+                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
         final Repository server;
 
         Proxy(String address, String zone) {
-            desk.watch(new Occupancy(clock, post.bag(Imprint.parse(address)), zone, () -> controller));
-            server = new Repository(desk, new Wing("s", null), new Tables.Instance(new Pressmark("i-1"), "s",
-                    Imprint.parse("10.0.9.9:80"), zone, 3, 0, false), true);
+            desk.watch(new Occupancy(clock, post.bag(DaemonAddress.parse(address)), zone, () -> controller));
+            server = new Repository(desk, new Wing("s", null), new Tables.Instance(new InstanceId("i-1"), "s",
+                    DaemonAddress.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
 
         double load() {
@@ -46,7 +46,7 @@
     }
 
     private void startController() {
-        new OccupancyBoard(clock, post.bag(controller), new Tally());
+        new OccupancyBoard(clock, post.bag(controller), new Metrics());
     }
 
     @Test
@@ -81,7 +81,7 @@
         b.server.begin(clock.now());
         clock.advance(400);
         assertEquals(2, b.load());
-        post.down(Imprint.parse("10.0.0.2:7541"));
+        post.down(DaemonAddress.parse("10.0.0.2:7541"));
         clock.advance(700);
         assertEquals(1, b.load());
         post.down(controller);
--- a/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
@@ -16,13 +16,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
 class SendingsTest {
-    private static final Moment NOW = new Moment(10_000);
-    private final Allowance budget = new Allowance(0.2, 100, 1_000, new Moment(0));
+    private static final MonotonicTime NOW = new MonotonicTime(10_000);
+    private final Allowance budget = new Allowance(0.2, 100, 1_000, new MonotonicTime(0));
 
     private static HttpResponse answer(int status, boolean notExecuted) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
--- a/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
@@ -6,17 +6,17 @@
 import org.umbermount.distribution.Consignee;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
-import org.umbermount.membership.Gazetteer;
-import org.umbermount.membership.Placename;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** The asking for quota as a plug-in of the proxy. */
-public final class CountingDepartment implements Department {
+public final class CountingDepartment implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("quota");
     private static final String QUOTA = Inventory.DUTY + "quota/";
 
@@ -38,16 +38,16 @@
     }
 
     @Override
-    public void open(Institution host) {
-        if (!host.rules().guarantees(HouseRules.QUOTA)) {
+    public void open(PluginHost host) {
+        if (!host.rules().guarantees(Settings.QUOTA)) {
             return;
         }
-        HouseRules.Sharing sharing = host.rules().bounds().sharing();
-        Gazetteer gazetteer = host.find(Gazetteer.class);
+        Settings.Sharing sharing = host.rules().bounds().sharing();
+        PeerSampling gazetteer = host.find(PeerSampling.class);
         // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
         long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
-        counter = new QuotaCounter(host.clock(), host.find(Postbag.class), host.tally(), ttl,
-                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(Placename::imprint).toList());
+        counter = new QuotaCounter(host.clock(), host.find(Messenger.class), host.tally(), ttl,
+                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
         host.offer(QuotaCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
     }
@@ -57,7 +57,7 @@
             if (e.getKey().startsWith(QUOTA)) {
                 try {
                     counter.keeper(e.getKey().substring(Inventory.DUTY.length()), Tables.readHolder(e.getValue()));
-                } catch (Script.UnreadableException x) {
+                } catch (MessagePackCodec.UnreadableException x) {
                     LOG.warn("The table does not say who counts {}: {}.", e.getKey(), x.getMessage());
                 }
             }
--- a/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
@@ -8,12 +8,12 @@
 import java.util.function.Supplier;
 import org.umbermount.control.Regulations;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** A proxy's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
 public final class QuotaCounter {
@@ -43,10 +43,10 @@
 
     private static final class Waiting {
         final Outcome outcome;
-        final Moment until;
+        final MonotonicTime until;
         boolean again;
 
-        Waiting(Outcome outcome, Moment until) {
+        Waiting(Outcome outcome, MonotonicTime until) {
             this.outcome = outcome;
             this.until = until;
         }
@@ -56,12 +56,12 @@
         final String tenant;
         final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
         int tokens;
-        Moment tokensUntil = Moment.NEVER;
-        Moment refusedUntil = Moment.NEVER;
+        MonotonicTime tokensUntil = MonotonicTime.NEVER;
+        MonotonicTime refusedUntil = MonotonicTime.NEVER;
         double demand;
-        Moment demandAt = clock.now();
+        MonotonicTime demandAt = clock.now();
         double refusals;
-        Moment refusedAt = demandAt;
+        MonotonicTime refusedAt = demandAt;
         boolean asking;
         int asks;
         int hops;
@@ -71,20 +71,20 @@
             this.tenant = tenant;
         }
 
-        void note(Moment now) {
+        void note(MonotonicTime now) {
             demand = demand * Math.exp(-now.since(demandAt) / 1_000.0) + 1;
             demandAt = now;
         }
 
         void refused(Outcome outcome) {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             refusals = refusals * Math.exp(-now.since(refusedAt) / 2_000.0) + 1;
             refusedAt = now;
             tally.count("quota.refused");
             outcome.told(Word.SPENT);
         }
 
-        boolean spend(Moment now) {
+        boolean spend(MonotonicTime now) {
             if (tokens > 0 && now.isBefore(tokensUntil)) {
                 tokens--;
                 return true;
@@ -93,7 +93,7 @@
         }
 
         void ask() {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             while (!waiting.isEmpty() && !now.isBefore(waiting.peek().until)) {
                 Waiting late = waiting.poll();
                 if (late.again) {
@@ -110,19 +110,19 @@
             asking = true;
             // What comes beyond those that wait is for the requests of the next moments.
             int ahead = (int) Math.min(6, demand * ttlMs / 2_000);
-            Imprint to = target(tenant, asks++);
+            DaemonAddress to = target(tenant, asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
+                post.send(to, Messenger.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
                         List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
             }
             timer = clock.after(REPEAT_MS, this::ask);
         }
 
-        void granted(QuotaMessages.Grant grant, Moment asked, Imprint from) {
-            Moment now = clock.now();
+        void granted(QuotaMessages.Grant grant, MonotonicTime asked, DaemonAddress from) {
+            MonotonicTime now = clock.now();
             String duty = QuotaMessages.dutyOf(tenant);
             if (grant.count() < 0) {
-                boolean known = !grant.keeper().equals(Imprint.NONE) && !grant.keeper().equals(from);
+                boolean known = !grant.keeper().equals(DaemonAddress.NONE) && !grant.keeper().equals(from);
                 if (known) {
                     keepers.put(duty, grant.keeper());
                 }
@@ -169,39 +169,39 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger post;
+    private final Metrics tally;
     private final long ttlMs;
     /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
     private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
-    private final Supplier<List<Imprint>> controllers;
+    private final Supplier<List<DaemonAddress>> controllers;
     private final Map<String, Purse> purses = new HashMap<>();
-    private final Map<String, Imprint> keepers = new HashMap<>();
+    private final Map<String, DaemonAddress> keepers = new HashMap<>();
 
     /**
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
      * @param controllers the controllers known, for when the keeper of a count is not
      */
-    public QuotaCounter(Clock clock, Postbag post, Tally tally, long ttlMs, Supplier<List<Imprint>> controllers) {
+    public QuotaCounter(Clock clock, Messenger post, Metrics tally, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.ttlMs = Math.max(1, ttlMs);
         this.controllers = controllers;
-        post.subscribe(Postbag.Topic.QUOTA, this::receive);
+        post.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
     /** Where the table says that a share of the tenants is counted. */
-    public void keeper(String duty, Imprint holder) {
+    public void keeper(String duty, DaemonAddress holder) {
         keepers.put(duty, holder);
     }
 
-    private Imprint target(String tenant, int turn) {
-        Imprint keeper = keepers.get(QuotaMessages.dutyOf(tenant));
+    private DaemonAddress target(String tenant, int turn) {
+        DaemonAddress keeper = keepers.get(QuotaMessages.dutyOf(tenant));
         if (keeper != null && turn % 3 != 2) {
             return keeper;
         }
-        List<Imprint> known = controllers.get();
+        List<DaemonAddress> known = controllers.get();
         return known.isEmpty() ? keeper : known.get(turn % known.size());
     }
 
@@ -211,7 +211,7 @@
             outcome.told(Word.MAY);
             return;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         Purse purse = purses.computeIfAbsent(tenant.label(), Purse::new);
         purse.note(now);
         if (purse.spend(now)) {
@@ -243,8 +243,8 @@
         }
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (in.flag()) {
             return;
         }
@@ -259,7 +259,7 @@
         for (QuotaMessages.Grant g : answer.grants()) {
             Purse purse = purses.get(g.tenant());
             if (purse != null) {
-                purse.granted(g, new Moment(answer.stamp()), from);
+                purse.granted(g, new MonotonicTime(answer.stamp()), from);
             }
         }
     }
--- a/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
@@ -9,13 +9,13 @@
 import org.umbermount.control.Regulations;
 import org.umbermount.control.LeaseOffice;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 
 /** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
 final class QuotaDesk {
@@ -24,18 +24,18 @@
     private static final double CAP_SHARE = 0.2;
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger post;
     private final Replica replica;
     private final LeaseOffice leases;
     private final MajorityContact contact;
-    private final HouseRules.Sharing sharing;
-    private final Tally tally;
+    private final Settings.Sharing sharing;
+    private final Metrics tally;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private Regulations limitsOf;
     private Map<String, Regulations.Tenant> limits = Map.of();
 
-    QuotaDesk(Clock clock, Postbag post, Replica replica, LeaseOffice leases,
-            MajorityContact contact, HouseRules.Sharing sharing, Tally tally) {
+    QuotaDesk(Clock clock, Messenger post, Replica replica, LeaseOffice leases,
+            MajorityContact contact, Settings.Sharing sharing, Metrics tally) {
         this.clock = clock;
         this.post = post;
         this.replica = replica;
@@ -43,7 +43,7 @@
         this.contact = contact;
         this.sharing = sharing;
         this.tally = tally;
-        post.subscribe(Postbag.Topic.QUOTA, this::receive);
+        post.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
     private Map<String, Regulations.Tenant> limits() {
@@ -59,8 +59,8 @@
         return limits;
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (!in.flag()) {
             return;
         }
@@ -69,14 +69,14 @@
         for (QuotaMessages.Wish w : ask.wishes()) {
             grants.add(grant(w));
         }
-        post.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
+        post.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
     }
 
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
         long epoch = leases.epoch(QuotaMessages.dutyOf(wish.tenant()));
         if (epoch == 0) {
-            Imprint holder = leases.holder(QuotaMessages.dutyOf(wish.tenant()));
-            return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? Imprint.NONE : holder);
+            DaemonAddress holder = leases.holder(QuotaMessages.dutyOf(wish.tenant()));
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? DaemonAddress.NONE : holder);
         }
         if (Safeguard.QUOTA_UNDER_CONFIRMED_EDITION.holds() && !contact.assured()) {
             // The limits held here may be old ones: as after a cut, when the lease is back before the configuration.
@@ -86,7 +86,7 @@
         if (limit == null || !limit.limited()) {
             return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         Bucket bucket = buckets.get(wish.tenant());
         if (bucket == null || bucket.epoch != epoch) {
             bucket = new Bucket(epoch, START_SHARE * sharing.quotaBurst(), now);
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.umbermount.control.LeaseOffice;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** What proxies and controllers say to each other about quotas. */
 final class QuotaMessages {
@@ -18,11 +18,11 @@
 
     /** A proxy's wish for one tenant. */
     record Wish(String tenant, int count) {
-        void write(Script.Writer out) {
+        void write(MessagePackCodec.Writer out) {
             out.text(tenant).num(count);
         }
 
-        static Wish read(Script.Reader in) throws Script.UnreadableException {
+        static Wish read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Wish(in.text(), (int) in.num());
         }
     }
@@ -30,10 +30,10 @@
     /** A proxy asks; the stamp is its own clock, the life stands for this run of it, and both come back with the answer. */
     record Ask(long life, long stamp, List<Wish> wishes) {
         byte[] pack() {
-            return Script.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
+            return MessagePackCodec.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
         }
 
-        static Ask read(Script.Reader in) throws Script.UnreadableException {
+        static Ask read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Ask(in.num(), in.num(), in.list(Wish::read));
         }
     }
@@ -42,12 +42,12 @@
      * What is granted of one wish; a count of -1 if it is kept elsewhere, by the keeper named if that is known.
      * {@code waitMs} is until there is more.
      */
-    record Grant(String tenant, int count, long waitMs, Imprint keeper) {
-        void write(Script.Writer out) {
+    record Grant(String tenant, int count, long waitMs, DaemonAddress keeper) {
+        void write(MessagePackCodec.Writer out) {
             out.text(tenant).num(count).num(waitMs).imprint(keeper);
         }
 
-        static Grant read(Script.Reader in) throws Script.UnreadableException {
+        static Grant read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Grant(in.text(), (int) in.num(), in.num(), in.imprint());
         }
     }
@@ -55,10 +55,10 @@
     /** A controller answers. */
     record Answer(long life, long stamp, List<Grant> grants) {
         byte[] pack() {
-            return Script.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
+            return MessagePackCodec.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
         }
 
-        static Answer read(Script.Reader in) throws Script.UnreadableException {
+        static Answer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Answer(in.num(), in.num(), in.list(Grant::read));
         }
     }
--- a/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
@@ -7,14 +7,14 @@
 import org.umbermount.control.Regulations;
 import org.umbermount.control.StatusPage;
 import org.umbermount.control.LeaseOffice;
-import org.umbermount.kernel.Department;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 
 /** The counting of tenants as a plug-in of the controller. */
-public final class ReadershipDepartment implements Department {
+public final class ReadershipDepartment implements Plugin {
     private Replica replica;
     private QuotaDesk desk;
 
@@ -34,10 +34,10 @@
     }
 
     @Override
-    public void open(Institution host) {
+    public void open(PluginHost host) {
         replica = host.find(Replica.class);
-        if (host.rules().guarantees(HouseRules.QUOTA)) {
-            desk = new QuotaDesk(host.clock(), host.find(Postbag.class), replica, host.find(LeaseOffice.class),
+        if (host.rules().guarantees(Settings.QUOTA)) {
+            desk = new QuotaDesk(host.clock(), host.find(Messenger.class), replica, host.find(LeaseOffice.class),
                     host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -15,33 +15,33 @@
 import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
 import org.umbermount.control.Isolation;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 /** What a counter of quotas grants that is cut off, or was. */
 class CutOffQuotaTest {
     private static final int SIZE = 4;
-    private static final Imprint PROXY = Imprint.parse("10.9.9.9:7001");
+    private static final DaemonAddress PROXY = DaemonAddress.parse("10.9.9.9:7001");
     private Fleet fleet;
-    private FakePost.Bag proxy;
-    private final Map<Imprint, Integer> granted = new HashMap<>();
+    private FakeMessenger.Bag proxy;
+    private final Map<DaemonAddress, Integer> granted = new HashMap<>();
 
     private void open() throws IOException {
-        fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(HouseRules.QUOTA));
+        fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(Settings.QUOTA));
         for (int i = 0; i < SIZE; i++) {
             new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
-                    HouseRules.Sharing.NONE, new Tally());
+                    Settings.Sharing.NONE, new Metrics());
         }
         proxy = fleet.network.bag(PROXY);
-        proxy.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
-            Script.Reader in = Script.read(body);
+        proxy.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             in.flag();
             for (QuotaMessages.Grant g : QuotaMessages.Answer.read(in).grants()) {
                 granted.put(from, g.count());
@@ -54,7 +54,7 @@
 
     private void take(int at, long match, long edition, int rate) {
         Replica.Verdict[] verdict = new Replica.Verdict[1];
-        fleet.chainClient(at).submit(new Edition(match), new Edition(edition), ("{\"revision\":" + edition
+        fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), ("{\"revision\":" + edition
                 + ",\"routeTable\":[],\"upstreams\":[],\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"key-of-mill-0001\"],"
                 + "\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}").getBytes(), 850,
                 v -> verdict[0] = v, () -> { });
@@ -63,7 +63,7 @@
     }
 
     private void ask(int at) {
-        proxy.send(Fleet.imprint(at), Postbag.Topic.QUOTA,
+        proxy.send(Fleet.imprint(at), Messenger.Topic.QUOTA,
                 new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
     }
 
@@ -122,7 +122,7 @@
         take((one + 1) % SIZE, 1, 5, 1);
         fleet.run(12_000);
         long until = fleet.almanac.now().millis() + 12_000;
-        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Postbag.Topic.VIEW
+        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Messenger.Topic.VIEW
                 || fleet.almanac.now().millis() > until;
         // The others stop, one after the other, so that the duty comes back.
         end.run();
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -11,45 +11,45 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.control.Regulations;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.testing.FakeMessenger;
 
 class QuotaTest {
-    private static final Imprint KEEPER = Imprint.parse("10.0.0.1:7000");
+    private static final DaemonAddress KEEPER = DaemonAddress.parse("10.0.0.1:7000");
     private static final Regulations.Tenant TENANT = new Regulations.Tenant("mill", List.of("k"), 0, 30, 30);
     private static final long WINDOW_MS = 5_000;
     private static final double OVERSHOOT = 0.1;
     private static final double BURST = 20;
 
     private final FakeClock clock = new FakeClock();
-    private final FakePost network = new FakePost(clock, 3);
+    private final FakeMessenger network = new FakeMessenger(clock, 3);
     private final List<QuotaCounter> proxies = new ArrayList<>();
     private Bucket bucket;
     private boolean reachable = true;
 
     private void open(int count) {
         bucket = new Bucket(1, 8, clock.now());
-        FakePost.Bag bag = network.bag(KEEPER);
-        bag.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
-            Script.Reader in = Script.read(body);
+        FakeMessenger.Bag bag = network.bag(KEEPER);
+        bag.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             in.flag();
             QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
             if (reachable) {
                 QuotaMessages.Wish w = ask.wishes().get(0);
                 int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, clock.now());
-                bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
+                bag.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
                         List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
             }
         });
         for (int i = 0; i < count; i++) {
-            QuotaCounter c = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
+            QuotaCounter c = new QuotaCounter(clock, network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")), new Metrics(),
                     (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
             proxies.add(c);
@@ -110,7 +110,7 @@
         clock.advance(3_000);
         reachable = false;
         int[] told = new int[3];
-        Moment start = clock.now();
+        MonotonicTime start = clock.now();
         for (int i = 0; i < 40; i++) {
             proxies.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(25);
@@ -129,7 +129,7 @@
         proxies.get(0).take(TENANT, 200, word -> { });
         clock.advance(35);
         reachable = false;
-        QuotaCounter anew = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
+        QuotaCounter anew = new QuotaCounter(clock, network.bag(DaemonAddress.parse("10.0.1.1:7001")), new Metrics(),
                 (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
         anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
         QuotaCounter.Word[] told = new QuotaCounter.Word[1];
--- a/storage/src/main/java/org/umbermount/storage/Stack.java
+++ b/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
@@ -26,7 +26,7 @@
  * <p>After a put the length is at most the largest of {@code rewriteOver}, twice what counted before it, and what counted
  * before it with the new record; during a rewrite the disk holds what counts a second time.
  */
-public final class Stack {
+public final class AppendOnlyFile {
     /** A record in the middle of the file is damaged: the disk cannot be trusted. */
     public static final class DamagedException extends IOException {
         DamagedException(String name, long at) {
@@ -42,7 +42,7 @@
     private static final int LONGEST = 64 << 20;
     private static final java.nio.ByteOrder ORDER = java.nio.ByteOrder.BIG_ENDIAN;
 
-    private final Vault vault;
+    private final StorageDirectory vault;
     private final long rewriteOver;
     private final Map<Byte, byte[]> newest = new TreeMap<>();
     /** The file in use. */
@@ -54,7 +54,7 @@
     /** The spare file may hold a rewrite that did not come to its end. */
     private boolean uncertainSpare;
 
-    private Stack(Vault vault, String name, long rewriteOver) {
+    private AppendOnlyFile(StorageDirectory vault, String name, long rewriteOver) {
         this.vault = vault;
         this.name = name;
         this.spare = spareOf(name);
@@ -66,14 +66,14 @@
     }
 
     /** Opens the stack without a write; a torn tail and what is left of a rewrite go before the next put. */
-    public static Stack open(Vault vault, String name, long rewriteOver) throws IOException {
-        Stack stack = new Stack(vault, name, rewriteOver);
+    public static AppendOnlyFile open(StorageDirectory vault, String name, long rewriteOver) throws IOException {
+        AppendOnlyFile stack = new AppendOnlyFile(vault, name, rewriteOver);
         stack.load();
         return stack;
     }
 
     /** Empties the files of a stack that cannot be read. */
-    public static void discard(Vault vault, String name) throws IOException {
+    public static void discard(StorageDirectory vault, String name) throws IOException {
         vault.truncate(name, 0);
         vault.truncate(spareOf(name), 0);
     }
@@ -213,7 +213,7 @@
     }
 
     /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
-    public void put(List<Folio> folios) throws IOException {
+    public void put(List<LogRecord> folios) throws IOException {
         if (folios.stream().anyMatch(f -> f.key() == GENERATION)) {
             throw new IllegalArgumentException("The key " + GENERATION + " is the stack's own.");
         }
@@ -237,16 +237,16 @@
         vault.append(name, length, bytes);
         uncertainTail = false;
         length += bytes.length;
-        for (Folio folio : folios) {
+        for (LogRecord folio : folios) {
             newest.put(folio.key(), folio.value());
         }
     }
 
     /** All that counts, as the first record of the next generation. */
     private byte[] whole() {
-        List<Folio> all = new ArrayList<>();
-        all.add(new Folio(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
-        newest.forEach((k, v) -> all.add(new Folio(k, v)));
+        List<LogRecord> all = new ArrayList<>();
+        all.add(new LogRecord(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
+        newest.forEach((k, v) -> all.add(new LogRecord(k, v)));
         return encode(all, true);
     }
 
@@ -281,7 +281,7 @@
         return length;
     }
 
-    private static byte[] encode(List<Folio> folios, boolean withTitle) {
+    private static byte[] encode(List<LogRecord> folios, boolean withTitle) {
         ExpandableArrayBuffer out = new ExpandableArrayBuffer(256);
         int at = 0;
         if (withTitle) {
@@ -290,7 +290,7 @@
         }
         int record = at;
         at += HEAD;
-        for (Folio folio : folios) {
+        for (LogRecord folio : folios) {
             out.putByte(at, folio.key());
             out.putInt(at + 1, folio.value().length, ORDER);
             out.putBytes(at + FOLIO_HEAD, folio.value());
--- a/storage/src/main/java/org/umbermount/storage/StackRoom.java
+++ b/storage/src/main/java/org/umbermount/storage/DiskWriter.java
@@ -5,22 +5,22 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * Writes to a stack on a thread of its own and reports back on the loop. Says how long the disk has kept a
  * write waiting, so that others can act on a full, hung or slow disk.
  */
-public final class StackRoom {
+public final class DiskWriter {
     private static final long PROBE_MS = 1_000;
     private static final byte PROBE_KEY = 127;
 
-    private final Stack stack;
+    private final AppendOnlyFile stack;
     private final Executor thread;
     private final Clock clock;
-    private final ArrayDeque<Moment> pending = new ArrayDeque<>();
+    private final ArrayDeque<MonotonicTime> pending = new ArrayDeque<>();
     private boolean refusing;
-    private Moment lastRefusal = Moment.NEVER;
+    private MonotonicTime lastRefusal = MonotonicTime.NEVER;
     private long slowestMs;
 
     /** Told whether a write is safe. */
@@ -28,7 +28,7 @@
         void done(boolean safe);
     }
 
-    public StackRoom(Stack stack, Executor thread, Clock clock) {
+    public DiskWriter(AppendOnlyFile stack, Executor thread, Clock clock) {
         this.stack = stack;
         this.thread = thread;
         this.clock = clock;
@@ -36,8 +36,8 @@
     }
 
     /** Writes; {@code outcome} runs on the loop. */
-    public void write(List<Folio> folios, Outcome outcome) {
-        Moment start = clock.now();
+    public void write(List<LogRecord> folios, Outcome outcome) {
+        MonotonicTime start = clock.now();
         pending.add(start);
         thread.execute(() -> {
             boolean safe;
@@ -62,7 +62,7 @@
 
     private void probe() {
         if (refusing && pending.isEmpty()) {
-            write(List.of(new Folio(PROBE_KEY, new byte[64])), safe -> { });
+            write(List.of(new LogRecord(PROBE_KEY, new byte[64])), safe -> { });
         }
     }
 
@@ -85,7 +85,7 @@
         return slowestMs;
     }
 
-    public Moment lastRefusal() {
+    public MonotonicTime lastRefusal() {
         return lastRefusal;
     }
 }
--- a/storage/src/main/java/org/umbermount/storage/Shelving.java
+++ b/storage/src/main/java/org/umbermount/storage/LocalDirectory.java
@@ -12,8 +12,8 @@
 import java.util.stream.Stream;
 
 /** A vault in one folder of the real disk. */
-public final class Shelving extends SyncedVault {
-    public Shelving(Path folder) throws IOException {
+public final class LocalDirectory extends SyncedDirectory {
+    public LocalDirectory(Path folder) throws IOException {
         super(new Folder(folder));
     }
 
--- a/storage/src/main/java/org/umbermount/storage/Ledger.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -19,13 +19,13 @@
  * nothing. The highest bit of the length marks a record that is not the first of its sync. A whole first one behind a
  * broken record therefore shows damage to what was safe, and that is reported.
  */
-public final class Ledger {
+public final class SegmentedLog {
     /** The last byte is the version of the format; in version 1 no record was marked. */
     static final byte[] TITLE = {'u', 'm', 'b', 'l', 'd', 'g', 0, 2};
     private static final int HEAD = 8;
     private static final int FOLLOWS = 1 << 31;
 
-    private final Vault vault;
+    private final StorageDirectory vault;
     private final String prefix;
     private final int segmentBytes;
     private final TreeMap<Integer, Long> segments = new TreeMap<>();
@@ -37,15 +37,15 @@
         void record(int segment, byte[] body);
     }
 
-    private Ledger(Vault vault, String prefix, int segmentBytes) {
+    private SegmentedLog(StorageDirectory vault, String prefix, int segmentBytes) {
         this.vault = vault;
         this.prefix = prefix;
         this.segmentBytes = segmentBytes;
     }
 
     /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
-    public static Ledger open(Vault vault, String prefix, int segmentBytes, Reader reader) throws IOException {
-        Ledger ledger = new Ledger(vault, prefix, segmentBytes);
+    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, Reader reader) throws IOException {
+        SegmentedLog ledger = new SegmentedLog(vault, prefix, segmentBytes);
         ledger.load(reader);
         return ledger;
     }
@@ -65,7 +65,7 @@
             byte[] bytes = vault.read(name(number));
             Content content = new Content(bytes);
             if (content.damaged || !last && content.end < bytes.length) {
-                throw new Stack.DamagedException(name(number), content.brokenAt);
+                throw new AppendOnlyFile.DamagedException(name(number), content.brokenAt);
             }
             if (last && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
                 vault.sync(name(number));
--- a/storage/src/main/java/org/umbermount/storage/Vault.java
+++ b/storage/src/main/java/org/umbermount/storage/StorageDirectory.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** The few things asked of a disk. Every call may block; none is made on an event loop once a daemon runs. */
-public interface Vault {
+public interface StorageDirectory {
     /** The whole file, or null if there is none. */
     byte[] read(String name) throws IOException;
 
--- a/storage/src/main/java/org/umbermount/storage/SyncedVault.java
+++ b/storage/src/main/java/org/umbermount/storage/SyncedDirectory.java
@@ -10,11 +10,11 @@
  * renamed. A removal is not forced: those who remove a file must bear its return. At the start the loop's thread uses the
  * disk beside the disk's own, so one call at a time is let in.
  */
-public class SyncedVault implements Vault {
+public class SyncedDirectory implements StorageDirectory {
     private final Disk disk;
     private boolean uncertainNames = true;
 
-    public SyncedVault(Disk disk) {
+    public SyncedDirectory(Disk disk) {
         this.disk = disk;
     }
 
--- a/storage/src/test/java/org/umbermount/storage/StackTest.java
+++ b/storage/src/test/java/org/umbermount/storage/AppendOnlyFileTest.java
@@ -11,38 +11,38 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
 
-class StackTest {
-    private static List<Folio> folio(int key, String value) {
-        return List.of(new Folio((byte) key, value.getBytes()));
+class AppendOnlyFileTest {
+    private static List<LogRecord> folio(int key, String value) {
+        return List.of(new LogRecord((byte) key, value.getBytes()));
     }
 
-    private static Stack open(Vault vault) throws IOException {
-        return Stack.open(vault, "f", 400);
+    private static AppendOnlyFile open(StorageDirectory vault) throws IOException {
+        return AppendOnlyFile.open(vault, "f", 400);
     }
 
     @Test
     void newestValueOfAKeyIsReadBack(@TempDir Path folder) throws IOException {
-        Stack stack = Stack.open(new Shelving(folder), "f", 400);
+        AppendOnlyFile stack = AppendOnlyFile.open(new LocalDirectory(folder), "f", 400);
         stack.put(folio(1, "old"));
-        stack.put(List.of(new Folio((byte) 1, "new".getBytes()), new Folio((byte) 2, "two".getBytes())));
-        Stack again = Stack.open(new Shelving(folder), "f", 400);
+        stack.put(List.of(new LogRecord((byte) 1, "new".getBytes()), new LogRecord((byte) 2, "two".getBytes())));
+        AppendOnlyFile again = AppendOnlyFile.open(new LocalDirectory(folder), "f", 400);
         assertArrayEquals("new".getBytes(), again.get((byte) 1));
         assertArrayEquals("two".getBytes(), again.get((byte) 2));
     }
 
     @Test
     void tornTailIsDroppedAtEveryLength() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = open(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
         stack.put(folio(1, "kept"));
         int whole = vault.raw("f").length;
-        stack.put(List.of(new Folio((byte) 1, "lost".getBytes()), new Folio((byte) 2, "lost too".getBytes())));
+        stack.put(List.of(new LogRecord((byte) 1, "lost".getBytes()), new LogRecord((byte) 2, "lost too".getBytes())));
         byte[] full = vault.raw("f");
         for (int n = whole; n < full.length; n++) {
             vault.raw("f", Arrays.copyOf(full, n));
-            Stack again = open(vault);
+            AppendOnlyFile again = open(vault);
             assertArrayEquals("kept".getBytes(), again.get((byte) 1), "cut at " + n);
             assertNull(again.get((byte) 2), "cut at " + n);
             again.put(folio(3, "after"));
@@ -52,20 +52,20 @@
 
     @Test
     void damageInTheMiddleIsReported() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = open(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
         stack.put(folio(1, "first"));
         stack.put(folio(2, "second"));
         byte[] bytes = vault.raw("f");
-        bytes[Stack.TITLE.length + 14] ^= 1;
+        bytes[AppendOnlyFile.TITLE.length + 14] ^= 1;
         vault.raw("f", bytes);
-        assertThrows(Stack.DamagedException.class, () -> open(vault));
+        assertThrows(AppendOnlyFile.DamagedException.class, () -> open(vault));
     }
 
     @Test
     void longFileIsRewrittenAndKeepsTheNewest() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = open(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
         stack.put(folio(9, "stays"));
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
@@ -77,8 +77,8 @@
 
     @Test
     void refusedWriteCountsForNothingAndTheNextOneIsWhole() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = open(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
         stack.put(folio(1, "kept"));
         vault.tearAt = 7;
         assertThrows(IOException.class, () -> stack.put(folio(1, "refused")));
@@ -91,8 +91,8 @@
     /** A process that ended before its disk had confirmed a write reads it back; the next one must not rest on it unsynced. */
     @Test
     void whatIsReadAtAStartIsSafeBeforeAnythingRestsOnIt() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = open(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
         stack.put(folio(1, "first"));
         vault.endBeforeSync = true;
         assertThrows(IOException.class, () -> stack.put(folio(1, "second")));
@@ -103,22 +103,22 @@
 
     @Test
     void ledgerKeepsWholeRecordsDropsATornTailAndOldSegments() throws IOException {
-        FakeVault vault = new FakeVault();
+        FakeDirectory vault = new FakeDirectory();
         List<String> read = new java.util.ArrayList<>();
-        Ledger ledger = Ledger.open(vault, "l", 60, (segment, body) -> read.add("never"));
+        SegmentedLog ledger = SegmentedLog.open(vault, "l", 60, (segment, body) -> read.add("never"));
         for (int i = 0; i < 8; i++) {
             ledger.append(List.of(("record " + i).getBytes(), ("and " + i).getBytes()));
         }
         assertTrue(ledger.current() > 2, "one segment only");
         vault.tearAt = 11;
         assertThrows(IOException.class, () -> ledger.append(List.of("torn".getBytes())));
-        Ledger.open(vault, "l", 60, (segment, body) -> read.add(new String(body)));
+        SegmentedLog.open(vault, "l", 60, (segment, body) -> read.add(new String(body)));
         assertTrue(read.size() == 16 && read.get(0).equals("record 0") && read.get(15).equals("and 7"), read.toString());
         ledger.dropThrough(2);
         read.clear();
-        Ledger.open(vault, "l", 60, (segment, body) -> read.add(segment + new String(body)));
+        SegmentedLog.open(vault, "l", 60, (segment, body) -> read.add(segment + new String(body)));
         assertTrue(!read.isEmpty() && read.get(0).startsWith("3") && read.get(read.size() - 1).endsWith("and 7"), read.toString());
         vault.raw("l.3", Arrays.copyOf(vault.raw("l.3"), vault.raw("l.3").length - 3));
-        assertThrows(Stack.DamagedException.class, () -> Ledger.open(vault, "l", 60, (segment, body) -> { }));
+        assertThrows(AppendOnlyFile.DamagedException.class, () -> SegmentedLog.open(vault, "l", 60, (segment, body) -> { }));
     }
 }
--- a/storage/src/test/java/org/umbermount/storage/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -13,31 +13,31 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
 
 /** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
 class DamageTest {
     private static final int SEGMENT = 60;
 
-    private static List<String> records(Vault vault) throws IOException {
+    private static List<String> records(StorageDirectory vault) throws IOException {
         List<String> out = new ArrayList<>();
-        Ledger.open(vault, "l", SEGMENT, (segment, body) -> out.add(new String(body)));
+        SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> out.add(new String(body)));
         return out;
     }
 
-    private static Ledger ledger(FakeVault vault) throws IOException {
-        return Ledger.open(vault, "l", SEGMENT, (segment, body) -> { });
+    private static SegmentedLog ledger(FakeDirectory vault) throws IOException {
+        return SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> { });
     }
 
-    private static void append(Ledger ledger, String... records) throws IOException {
+    private static void append(SegmentedLog ledger, String... records) throws IOException {
         ledger.append(Arrays.stream(records).map(String::getBytes).toList());
     }
 
-    private static List<Folio> folio(int key, String value) {
-        return List.of(new Folio((byte) key, value.getBytes()));
+    private static List<LogRecord> folio(int key, String value) {
+        return List.of(new LogRecord((byte) key, value.getBytes()));
     }
 
-    private static void flip(FakeVault vault, String name, int at) {
+    private static void flip(FakeDirectory vault, String name, int at) {
         byte[] bytes = vault.raw(name);
         bytes[at] ^= 1;
         vault.raw(name, bytes);
@@ -45,8 +45,8 @@
 
     @Test
     void damageIsReportedWithFileAndOffsetInTheLastSegmentToo() throws IOException {
-        FakeVault vault = new FakeVault();
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        SegmentedLog ledger = ledger(vault);
         append(ledger, "one", "two");
         append(ledger, "three");
         byte[] good = vault.raw("l.1");
@@ -55,15 +55,15 @@
             vault.raw("l.1", good);
             flip(vault, "l.1", at);
             long broken = at < 8 ? 0 : at < second ? 8 : second;
-            Exception e = assertThrows(Stack.DamagedException.class, () -> records(vault), "byte " + at);
+            Exception e = assertThrows(AppendOnlyFile.DamagedException.class, () -> records(vault), "byte " + at);
             assertEquals("The file l.1 is damaged at byte " + broken + ".", e.getMessage());
         }
     }
 
     @Test
     void damageToAStackIsReportedWithFileAndOffset() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 120);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 120);
         for (int i = 0; i < 20; i++) {
             stack.put(folio(1, "value " + i));
         }
@@ -75,18 +75,18 @@
         for (int at = 0; at < last; at++) {
             vault.raw(name, good);
             flip(vault, name, at);
-            Exception e = assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 120), "byte " + at);
+            Exception e = assertThrows(AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 120), "byte " + at);
             assertTrue(e.getMessage().startsWith("The file " + name + " is damaged at byte "), e.getMessage());
         }
-        Stack.discard(vault, "f");
-        assertTrue(Stack.open(vault, "f", 120).isEmpty());
+        AppendOnlyFile.discard(vault, "f");
+        assertTrue(AppendOnlyFile.open(vault, "f", 120).isEmpty());
     }
 
     /** A rewrite is one record: if it is gone and the other file is empty, something safe was harmed. */
     @Test
     void damageToARewriteAloneIsReported() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 60);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 60);
         for (String name : List.of("f.spare", "f")) {
             String other = name.equals("f") ? "f.spare" : "f";
             for (int i = 0; vault.raw(other) == null || vault.raw(other).length > 0; i++) {
@@ -95,7 +95,7 @@
             byte[] good = vault.raw(name);
             for (int length = 1; length < 40; length++) {
                 vault.raw(name, Arrays.copyOf(good, length));
-                assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 60), name + " cut to " + length);
+                assertThrows(AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 60), name + " cut to " + length);
             }
             vault.raw(name, good);
         }
@@ -104,7 +104,7 @@
     @Test
     void syncThatWasTornInItsMiddleIsNoDamage() throws IOException {
         for (int seed = 0; seed < 300; seed++) {
-            FakeVault vault = new FakeVault().chance(seed);
+            FakeDirectory vault = new FakeDirectory().chance(seed);
             append(ledger(vault), "kept");
             vault.endBeforeSync = true;
             assertThrows(IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
@@ -117,8 +117,8 @@
 
     @Test
     void segmentsOfVersionOneAreRead() throws IOException {
-        FakeVault vault = new FakeVault();
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        SegmentedLog ledger = ledger(vault);
         append(ledger, "one");
         byte[] bytes = vault.raw("l.1");
         bytes[7] = 1;
@@ -131,8 +131,8 @@
     @Test
     void removedSegmentsThatComeBackInAnyChoiceLeaveNoGap() throws IOException {
         for (int choice = 0; choice < 16; choice++) {
-            FakeVault vault = new FakeVault();
-            Ledger ledger = ledger(vault);
+            FakeDirectory vault = new FakeDirectory();
+            SegmentedLog ledger = ledger(vault);
             List<byte[]> files = new ArrayList<>();
             for (int i = 1; i <= 6; i++) {
                 append(ledger, i + " ".repeat(60));
@@ -165,8 +165,8 @@
         int calls = 0;
         for (int at = 0; at <= calls; at++) {
             for (int seed = 0; seed <= 40; seed++) {
-                FakeVault vault = new FakeVault().chance(seed);
-                Stack stack = Stack.open(vault, "f", 200);
+                FakeDirectory vault = new FakeDirectory().chance(seed);
+                AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 200);
                 stack.put(folio(2, "stays"));
                 while (stack.length() + 30 <= 200) {
                     stack.put(folio(1, "a value"));
@@ -176,7 +176,7 @@
                 boolean done = true;
                 try {
                     stack.put(folio(1, "a longer, newer value"));
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     done = false;
                 }
                 calls = Math.max(calls, vault.calls - before);
@@ -185,13 +185,13 @@
                 } else {
                     vault.restart();
                 }
-                Stack again = Stack.open(vault, "f", 200);
+                AppendOnlyFile again = AppendOnlyFile.open(vault, "f", 200);
                 String read = new String(again.get((byte) 1));
                 assertTrue(read.equals("a longer, newer value") || !done && read.equals("a value"), at + ": " + read);
                 assertArrayEquals("stays".getBytes(), again.get((byte) 2));
                 again.put(folio(1, "last"));
                 vault.losePower();
-                assertArrayEquals("last".getBytes(), Stack.open(vault, "f", 200).get((byte) 1));
+                assertArrayEquals("last".getBytes(), AppendOnlyFile.open(vault, "f", 200).get((byte) 1));
                 assertEquals(again.length(), vault.taken(), "ended at call " + at + ", seed " + seed);
             }
         }
@@ -200,9 +200,9 @@
 
     @Test
     void folderIsForcedForEachNewFileAndNotForEachAppend() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 400);
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 400);
+        SegmentedLog ledger = ledger(vault);
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
             append(ledger, "record " + i);
@@ -210,7 +210,7 @@
         int files = vault.list().size();
         assertEquals(files, vault.folderForces);
         vault.restart();
-        Stack.open(vault, "f", 400);
+        AppendOnlyFile.open(vault, "f", 400);
         ledger(vault);
         assertEquals(files + 1, vault.folderForces);
     }
@@ -218,11 +218,11 @@
     @Test
     void realFolderIsMadeAndKeepsAStackThroughRewrites(@TempDir Path above) throws IOException {
         Path folder = above.resolve("made").resolve("here");
-        Stack stack = Stack.open(new Shelving(folder), "f", 400);
+        AppendOnlyFile stack = AppendOnlyFile.open(new LocalDirectory(folder), "f", 400);
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
         }
-        assertArrayEquals("value 99".getBytes(), Stack.open(new Shelving(folder), "f", 400).get((byte) 1));
+        assertArrayEquals("value 99".getBytes(), AppendOnlyFile.open(new LocalDirectory(folder), "f", 400).get((byte) 1));
         assertEquals(stack.length(), Files.size(folder.resolve("f")) + Files.size(folder.resolve("f.spare")));
     }
 }
--- a/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.storage.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
 
 /** Stacks and ledgers through kills at every call, losses of power, full and stalled disks. */
 class DurabilityTest {
@@ -28,12 +28,12 @@
     /** What a disk is played through, and what must be true of it. */
     private abstract static class Play {
         final Random random;
-        final FakeVault vault;
+        final FakeDirectory vault;
         int losses;
 
         Play(long seed) {
             random = new Random(seed);
-            vault = new FakeVault().chance(seed);
+            vault = new FakeDirectory().chance(seed);
         }
 
         abstract void open() throws IOException;
@@ -52,7 +52,7 @@
                 trouble();
                 try {
                     step();
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     end();
                 } catch (IOException e) {
                     rethrowDamage(e);
@@ -96,7 +96,7 @@
                     check();
                     rely();
                     break;
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     if (random.nextBoolean()) {
                         vault.losePower();
                     } else {
@@ -121,7 +121,7 @@
         }
 
         private static void rethrowDamage(IOException e) {
-            if (e instanceof Stack.DamagedException) {
+            if (e instanceof AppendOnlyFile.DamagedException) {
                 throw new AssertionError("taken for damage: " + e.getMessage(), e);
             }
         }
@@ -131,7 +131,7 @@
         private Map<Byte, String> confirmed = new TreeMap<>();
         /** What may be there as well: puts that were refused or cut short since the last confirmed one. */
         private final List<Map<Byte, String>> possible = new ArrayList<>();
-        private Stack stack;
+        private AppendOnlyFile stack;
         private int puts;
         private int rewrites;
         private long longest;
@@ -144,7 +144,7 @@
 
         @Override
         void open() throws IOException {
-            stack = Stack.open(vault, "f", REWRITE_OVER);
+            stack = AppendOnlyFile.open(vault, "f", REWRITE_OVER);
         }
 
         private Map<Byte, String> read() {
@@ -178,12 +178,12 @@
         @Override
         void step() throws IOException {
             Map<Byte, String> next = new TreeMap<>(confirmed);
-            List<Folio> folios = new ArrayList<>();
+            List<LogRecord> folios = new ArrayList<>();
             int record = 16;
             for (int n = random.nextInt(3); n >= 0; n--) {
                 byte key = (byte) (1 + random.nextInt(7));
                 String value = "v" + puts++ + "x".repeat(random.nextInt(random.nextInt(10) == 0 ? 200 : 40));
-                folios.add(new Folio(key, value.getBytes()));
+                folios.add(new LogRecord(key, value.getBytes()));
                 next.put(key, value);
                 record += 5 + value.length();
             }
@@ -213,7 +213,7 @@
         private final List<List<Integer>> possible = new ArrayList<>();
         private final Map<Integer, Integer> segmentOf = new TreeMap<>();
         private List<Integer> read = new ArrayList<>();
-        private Ledger ledger;
+        private SegmentedLog ledger;
         private int next;
         /** The first record that was not to go. */
         private int keptFrom;
@@ -228,7 +228,7 @@
         void open() throws IOException {
             List<Integer> into = new ArrayList<>();
             read = into;
-            ledger = Ledger.open(vault, "l", SEGMENT, (segment, body) -> {
+            ledger = SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {
                 int id = Integer.parseInt(new String(body).trim());
                 segmentOf.put(id, segment);
                 into.add(id);
@@ -362,14 +362,14 @@
     void stalledDiskConfirmsNothingAndLosesNothing() throws IOException {
         for (int seed = 1; seed <= 60; seed++) {
             Random random = new Random(seed);
-            FakeVault vault = new FakeVault().chance(seed);
+            FakeDirectory vault = new FakeDirectory().chance(seed);
             FakeClock almanac = new FakeClock();
             vault.clock(almanac);
-            StackRoom room = new StackRoom(Stack.open(vault, "f", REWRITE_OVER), vault.executor(), almanac);
+            DiskWriter room = new DiskWriter(AppendOnlyFile.open(vault, "f", REWRITE_OVER), vault.executor(), almanac);
             int[] confirmed = {0};
             for (int i = 1; i <= 60; i++) {
                 int value = i;
-                room.write(List.of(new Folio((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
+                room.write(List.of(new LogRecord((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
                     assertTrue(!vault.hung, "confirmed by a stalled disk");
                     confirmed[0] = safe ? value : confirmed[0];
                 });
@@ -387,7 +387,7 @@
             } else {
                 vault.restart();
             }
-            Stack again = Stack.open(vault, "f", REWRITE_OVER);
+            AppendOnlyFile again = AppendOnlyFile.open(vault, "f", REWRITE_OVER);
             int read = again.isEmpty() ? 0 : Integer.parseInt(new String(again.get((byte) 1)).trim());
             assertTrue(read >= stood && read <= 60, "read " + read + ", confirmed " + stood);
         }
--- a/storage/src/test/java/org/umbermount/storage/testing/FakeVault.java
+++ b/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
 import org.umbermount.storage.Disk;
-import org.umbermount.storage.SyncedVault;
-import org.umbermount.storage.Vault;
+import org.umbermount.storage.SyncedDirectory;
+import org.umbermount.storage.StorageDirectory;
 
 /**
  * A disk for tests: slow, hung, full or torn as a test wants. The vault on it is the real one; only the file system's calls
@@ -21,12 +21,12 @@
  * each name that was made or removed since the folder was forced is kept or lost, each by itself. Without a seed all of
  * that is lost.
  */
-public final class FakeVault implements Vault {
+public final class FakeDirectory implements StorageDirectory {
     private static final int SECTOR = 32;
 
     private final Platter platter = new Platter();
     private final List<Runnable> held = new ArrayList<>();
-    private Vault process = new SyncedVault(platter);
+    private StorageDirectory process = new SyncedDirectory(platter);
     private Clock clock;
     private Random chance;
     public long delayMs = 1;
@@ -51,7 +51,7 @@
     }
 
     /** What a loss of power leaves hangs on the seed from here on. */
-    public FakeVault chance(long seed) {
+    public FakeDirectory chance(long seed) {
         // Neighbouring seeds would begin alike.
         chance = new Random((seed + 1) * 0x9E3779B97F4A7C15L);
         return this;
@@ -66,7 +66,7 @@
     public void restart() {
         held.clear();
         callsLeft = Integer.MAX_VALUE;
-        process = new SyncedVault(platter);
+        process = new SyncedDirectory(platter);
     }
 
     /** Runs disk work after the disk's delay; while the disk hangs, work piles up. */
