--- a/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
+++ b/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
@@ -4,7 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.FaultException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -18,7 +18,7 @@
     @Override
     public Integer call() {
         try {
-            Regulations r = Regulations.parse(Files.readAllBytes(file));
+            Configuration r = Configuration.parse(Files.readAllBytes(file));
             System.out.println("Revision " + r.edition() + " is valid: " + r.routes().size() + " routes, "
                     + r.upstreams().size() + " services.");
             return 0;
--- a/control/src/main/java/org/umbermount/control/Acceptor.java
+++ b/control/src/main/java/org/umbermount/control/Acceptor.java
@@ -22,7 +22,7 @@
         if (!mayVote(from, view)) {
             return;
         }
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (ballot.compareTo(memory.promised()) < 0) {
             refuse(from, view);
         } else if (ballot.equals(memory.promised())) {
@@ -36,7 +36,7 @@
         if (!mayVote(from, view)) {
             return;
         }
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (ballot.compareTo(memory.promised()) < 0) {
             refuse(from, view);
         } else if (ballot.equals(memory.acceptedBallot())) {
--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -115,7 +115,7 @@
 
     /** The head sends again what the chain has not committed in this view. */
     void resend() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         boolean unsettled = commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
@@ -126,7 +126,7 @@
     // ---- every member ----
 
     void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (state.view() > memory.view().number()) {
             membership.fetch(from);
             return;
@@ -161,7 +161,7 @@
 
     /** Passes the newest state on, or commits it at the tail. */
     private void forward() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (!membership.inChain() || memory.state().edition().equals(ConfigurationRevision.NONE)) {
             return;
         }
@@ -192,7 +192,7 @@
 
     // ---- the tail ----
 
-    private void commit(Memory memory) {
+    private void commit(ReplicaStorage memory) {
         ConfigurationState state = memory.state();
         Set<DaemonAddress> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.view().chain());
--- a/control/src/main/java/org/umbermount/control/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -24,7 +24,7 @@
     private final ArrayDeque<ConfigurationState> superseded = new ArrayDeque<>();
     private ConfigurationState committed = ConfigurationState.NONE;
     private ConfigurationRevision readEdition = ConfigurationRevision.NONE;
-    private Regulations regulations;
+    private Configuration regulations;
 
     CommitPoint(DiskWriter room) {
         this.room = room;
@@ -48,10 +48,10 @@
     }
 
     /** The committed configuration as read, or null before the first. */
-    Regulations regulations() {
+    Configuration regulations() {
         if (!committed.edition().equals(readEdition)) {
             try {
-                regulations = committed.edition().equals(ConfigurationRevision.NONE) ? null : Regulations.readTaken(committed.blob());
+                regulations = committed.edition().equals(ConfigurationRevision.NONE) ? null : Configuration.readTaken(committed.blob());
             } catch (FaultException e) {
                 LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
             }
@@ -92,7 +92,7 @@
             superseded.removeIf(s -> !s.edition().isAfter(state.edition()));
             LOG.info("Edition {} is committed in view {}.", state.edition(), state.view());
             committed = state;
-            room.write(List.of(Memory.committedNote(state)), safe -> { });
+            room.write(List.of(ReplicaStorage.committedNote(state)), safe -> { });
             for (Consumer<ConfigurationState> o : observers) {
                 o.accept(state);
             }
--- a/control/src/main/java/org/umbermount/control/Companion.java
+++ b/control/src/main/java/org/umbermount/control/CompanionState.java
@@ -1,15 +1,15 @@
 package org.umbermount.control;
 
 /** Something that is kept beside the configuration under the same views. */
-public interface Companion {
+public interface CompanionState {
     /** How far this daemon holds it on disk. While a promise freezes this daemon the mark does not move. */
-    Bookmark mark();
+    OperationLogPosition mark();
 
     /** A view has come into force here. */
     void adopted(View view);
 
     /** This daemon's memory was lost: fetches everything up to the mark from its holder. */
-    void rebuild(Bookmark upTo, Runnable done);
+    void rebuild(OperationLogPosition upTo, Runnable done);
 
     /** The newest view in which this daemon holds everything. */
     long settledView();
@@ -18,10 +18,10 @@
     boolean diskGood(long patienceMs);
 
     /** Nothing is kept beside the configuration. */
-    Companion NONE = new Companion() {
+    CompanionState NONE = new CompanionState() {
         @Override
-        public Bookmark mark() {
-            return Bookmark.NONE;
+        public OperationLogPosition mark() {
+            return OperationLogPosition.NONE;
         }
 
         @Override
@@ -29,7 +29,7 @@
         }
 
         @Override
-        public void rebuild(Bookmark upTo, Runnable done) {
+        public void rebuild(OperationLogPosition upTo, Runnable done) {
             done.run();
         }
 
--- a/control/src/main/java/org/umbermount/control/Regulations.java
+++ b/control/src/main/java/org/umbermount/control/Configuration.java
@@ -13,7 +13,7 @@
 import org.umbermount.kernel.SchemaCheck;
 
 /** A configuration: routes, services and limits. */
-public record Regulations(ConfigurationRevision edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
+public record Configuration(ConfigurationRevision edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
         Limits limits) {
     private static final SchemaCheck SCHEMA = new SchemaCheck("/org/umbermount/control/configuration.schema.json");
 
@@ -62,16 +62,16 @@
     }
 
     /** Reads and checks a configuration. */
-    public static Regulations parse(byte[] bytes) throws FaultException {
+    public static Configuration parse(byte[] bytes) throws FaultException {
         return read(bytes, true);
     }
 
     /** Reads a configuration that was checked against the schema before it was taken. */
-    public static Regulations readTaken(byte[] bytes) throws FaultException {
+    public static Configuration readTaken(byte[] bytes) throws FaultException {
         return read(bytes, false);
     }
 
-    private static Regulations read(byte[] bytes, boolean withSchema) throws FaultException {
+    private static Configuration read(byte[] bytes, boolean withSchema) throws FaultException {
         try {
             JsonValue root = JsonValue.parse(bytes);
             String problem = withSchema ? SCHEMA.firstProblem(bytes) : null;
@@ -84,7 +84,7 @@
         }
     }
 
-    private static Regulations read(JsonValue root) throws JsonValue.WrongException, FaultException {
+    private static Configuration read(JsonValue root) throws JsonValue.WrongException, FaultException {
         Set<String> known = new HashSet<>();
         List<Upstream> upstreams = new ArrayList<>();
         for (JsonValue u : root.array("upstreams")) {
@@ -111,7 +111,7 @@
                 l.whole("maxBodyBytes", 0, Long.MAX_VALUE, d.maxBodyBytes),
                 l.whole("headerTimeoutMs", 1, Integer.MAX_VALUE, d.headerTimeoutMs),
                 l.whole("idleTimeoutMs", 1, Integer.MAX_VALUE, d.idleTimeoutMs));
-        return new Regulations(new ConfigurationRevision(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
+        return new Configuration(new ConfigurationRevision(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
                 List.copyOf(upstreams), tenants(root), limits);
     }
 
--- a/control/src/main/java/org/umbermount/control/Amendment.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationPatch.java
@@ -21,7 +21,7 @@
  * A change of named items of a configuration. Applied to the same version it makes the same bytes everywhere: an item keeps
  * its place when it is replaced, new ones follow in the order of the call.
  */
-final class Amendment {
+final class ConfigurationPatch {
     private static final List<String> LISTS = List.of("routeTable", "upstreams", "tenants");
 
     /** Built when first asked for: a controller of a site without such calls never loads it. */
@@ -35,7 +35,7 @@
     private final Map<String, Map<String, JsonNode>> upsert = new HashMap<>();
     private final Map<String, Set<String>> remove = new HashMap<>();
 
-    private Amendment(ConfigurationRevision edition, Digest digest) {
+    private ConfigurationPatch(ConfigurationRevision edition, Digest digest) {
         this.edition = edition;
         this.digest = digest;
     }
@@ -49,11 +49,11 @@
         return digest;
     }
 
-    static Amendment parse(byte[] call) throws FaultException {
+    static ConfigurationPatch parse(byte[] call) throws FaultException {
         try {
             // The strict reader first: it refuses members that are there twice, and anything behind the object.
             JsonValue form = JsonValue.parse(call);
-            Amendment out = new Amendment(new ConfigurationRevision(form.member("revision").whole(1, Long.MAX_VALUE)),
+            ConfigurationPatch out = new ConfigurationPatch(new ConfigurationRevision(form.member("revision").whole(1, Long.MAX_VALUE)),
                     Digest.ofCall("PATCH", call));
             JsonNode root = Json.MAPPER.readTree(call);
             for (Map.Entry<String, JsonValue> list : form.optional("upsert").members().entrySet()) {
--- a/control/src/main/java/org/umbermount/control/ControlDesk.java
+++ b/control/src/main/java/org/umbermount/control/ControlApi.java
@@ -51,7 +51,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** The calls of servers and of the operator. */
-final class ControlDesk implements StatusPage {
+final class ControlApi implements StatusPage {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int LARGEST_BODY = 3 << 20;
     /** Within the second after which callers go elsewhere. */
@@ -62,8 +62,8 @@
     private final Clock clock;
     private final ChainClient chainClient;
     private final Replica replica;
-    private final Census census;
-    private final LeaseOffice leases;
+    private final ServerRegistry census;
+    private final LeaseManager leases;
     private final FailureDetector detector;
     private final MajorityContact contact;
     private final DaemonAddress self;
@@ -73,7 +73,7 @@
     private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlDesk(Archive archive, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics tally) {
+    ControlApi(ControlPlane archive, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics tally) {
         this.clock = clock;
         this.chainClient = archive.chainClient;
         this.replica = archive.replica;
@@ -186,7 +186,7 @@
         byte[] blob = ByteBufUtil.getBytes(request.content());
         ConfigurationRevision match = match(request);
         // All that can be wrong with an order by itself is told from the call alone: one that was taken passes at any time.
-        Order order = rising(new Order(match, Regulations.parse(blob).edition(), Digest.ofCall("PUT", blob)));
+        Order order = rising(new Order(match, Configuration.parse(blob).edition(), Digest.ofCall("PUT", blob)));
         submit(ctx, keep, order, blob, PATIENCE_MS);
     }
 
@@ -211,7 +211,7 @@
     private void patchConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         byte[] call = ByteBufUtil.getBytes(request.content());
         ConfigurationRevision match = match(request);
-        Amendment amendment = Amendment.parse(call);
+        ConfigurationPatch amendment = ConfigurationPatch.parse(call);
         Order order = rising(new Order(match, amendment.edition(), amendment.digest()));
         ConfigurationState here = replica.committed();
         if (here.edition().equals(match) || here.edition().isAfter(match)) {
@@ -236,13 +236,13 @@
                 "The version it builds on is not known here yet; an earlier sending may have been taken."));
     }
 
-    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, Amendment amendment, ConfigurationState base,
+    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, ConfigurationPatch amendment, ConfigurationState base,
             long patienceMs) throws FaultException {
         byte[] whole = new byte[0];
         if (base.edition().equals(order.match())) {
             // Made from this base before, it is made again: both depend on the bytes of the base and of the call alone.
             whole = amendment.applyTo(base.blob());
-            Regulations.parse(whole);
+            Configuration.parse(whole);
         }
         // On top of another version it can only be one that was taken before, or one that comes too late.
         submit(ctx, keep, order, whole, patienceMs);
@@ -301,7 +301,7 @@
     private void beat(ChannelHandlerContext ctx, FullHttpRequest request, InstanceId id, boolean keep)
             throws FaultException {
         requireContact();
-        CensusEntry entry;
+        RegisteredServer entry;
         try {
             entry = readBeat(JsonValue.parse(ByteBufUtil.getBytes(request.content())), id);
         } catch (JsonValue.WrongException e) {
@@ -317,17 +317,17 @@
         }
     }
 
-    private CensusEntry readBeat(JsonValue beat, InstanceId id) throws JsonValue.WrongException {
+    private RegisteredServer readBeat(JsonValue beat, InstanceId id) throws JsonValue.WrongException {
         String status = beat.member("status").text();
         boolean draining = status.equals("draining");
         if (!draining && !status.equals("in_service")) {
             throw beat.member("status").wrong("must be in_service or draining");
         }
         long warm = beat.whole("warmupLeftMs", 0, Integer.MAX_VALUE, 0);
-        return new CensusEntry(id, beat.member("upstream").text(), beat.member("address").address().toString(),
+        return new RegisteredServer(id, beat.member("upstream").text(), beat.member("address").address().toString(),
                 beat.text("zone", zone), beat.text("revision", "-"),
                 (int) beat.whole("capacity", 1, 1_000_000, 1), warm,
-                draining ? CensusEntry.Standing.DRAINING : CensusEntry.Standing.IN_SERVICE,
+                draining ? RegisteredServer.Standing.DRAINING : RegisteredServer.Standing.IN_SERVICE,
                 beat.member("sequence").whole(0, Long.MAX_VALUE), self);
     }
 
@@ -415,7 +415,7 @@
             duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", leases.epoch(z));
         }
         ArrayNode servers = root.putArray("servers");
-        for (CensusEntry e : census.entries()) {
+        for (RegisteredServer e : census.entries()) {
             servers.addObject().put("id", e.id().value()).put("upstream", e.upstream()).put("address", e.address())
                     .put("zone", e.zone()).put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
                     .put("sequence", e.sequence()).put("keeper", e.keeper().toString());
--- a/control/src/main/java/org/umbermount/control/Archive.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlane.java
@@ -18,7 +18,7 @@
 import org.umbermount.storage.DiskWriter;
 
 /** The control plane of one controller, put together: chain and views, roll call, servers, leases. */
-final class Archive {
+final class ControlPlane {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     /** A write that waits longer than this makes the chain go on without this daemon. */
     private static final long DISK_PATIENCE_MS = 900;
@@ -28,13 +28,13 @@
 
     final Replica replica;
     final ChainClient chainClient;
-    final Census census;
+    final ServerRegistry census;
     final FailureDetector detector;
     final MajorityContact contact;
-    final LeaseOffice leases;
+    final LeaseManager leases;
     final DiskWriter room;
     private final ViewProposer convener;
-    private final CensusNotebook notebook;
+    private final RegistrySnapshotFile notebook;
     private final Clock clock;
     private final Settings rules;
 
@@ -43,30 +43,30 @@
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
      */
-    Archive(Clock clock, Messenger post, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
+    ControlPlane(Clock clock, Messenger post, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
             Metrics tally) throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
         Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
         room = new DiskWriter(memory, disk, clock);
-        Memory loaded = load(memory);
+        ReplicaStorage loaded = load(memory);
         List<DaemonAddress> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
         replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
                 newcomer);
         chainClient = new ChainClient(replica, clock);
-        census = new Census(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
-        notebook = new CensusNotebook(census, notes, disk, clock);
+        census = new ServerRegistry(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
+        notebook = new RegistrySnapshotFile(census, notes, disk, clock);
         notebook.recall();
         detector = new FailureDetector(clock, post, (heard, connected) -> report(heard, connected, control));
         contact = new MajorityContact(clock, detector, replica);
         convener = new ViewProposer(replica, detector, this::diskGood, clock, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
         replica.listen(convener, chainClient);
-        leases = new LeaseOffice(clock, post, replica, detector, tally, rules.zone(),
+        leases = new LeaseManager(clock, post, replica, detector, tally, rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
-                rules.guarantees(Settings.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
+                rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.of());
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
         replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
@@ -98,9 +98,9 @@
                 connected);
     }
 
-    private static Memory load(AppendOnlyFile stack) throws java.io.IOException {
+    private static ReplicaStorage load(AppendOnlyFile stack) throws java.io.IOException {
         try {
-            return Memory.load(stack);
+            return ReplicaStorage.load(stack);
         } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("The memory on disk cannot be read: {}. It is rebuilt from the others.", e.getMessage());
             stack.clear();
@@ -108,7 +108,7 @@
         }
     }
 
-    private static boolean notedCommitted(Memory loaded, AppendOnlyFile stack) {
+    private static boolean notedCommitted(ReplicaStorage loaded, AppendOnlyFile stack) {
         try {
             return loaded != null && loaded.isNotedCommitted(stack);
         } catch (MessagePackCodec.UnreadableException e) {
--- a/control/src/main/java/org/umbermount/control/ArchiveDepartment.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlugin.java
@@ -23,7 +23,7 @@
 import org.umbermount.storage.AppendOnlyFile;
 
 /** The control plane as a plug-in of the controller. */
-public final class ArchiveDepartment implements Plugin {
+public final class ControlPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long REWRITE_OVER = 4 << 20;
     /** How long the others have to hear that this daemon leaves, and at most to go on without it. */
@@ -32,8 +32,8 @@
     private static final long LOOK_MS = 50;
 
     private PluginHost institution;
-    private Archive archive;
-    private ControlDesk desk;
+    private ControlPlane archive;
+    private ControlApi desk;
 
     @Override
     public String name() {
@@ -67,18 +67,18 @@
         });
         LocalDirectory shelving = shelving(rules);
         host.offer(DiskAccess.class, new DiskAccess(shelving, thread));
-        archive = new Archive(clock, post, rules, control, stackFor(shelving, "memory.stack"),
+        archive = new ControlPlane(clock, post, rules, control, stackFor(shelving, "memory.stack"),
                 stackFor(shelving, "registry.stack"), thread, host.tally());
         host.find(PeerSampling.class).observe(this::noticed);
         host.offer(Replica.class, archive.replica);
-        host.offer(Census.class, archive.census);
-        host.offer(LeaseOffice.class, archive.leases);
+        host.offer(ServerRegistry.class, archive.census);
+        host.offer(LeaseManager.class, archive.leases);
         host.offer(FailureDetector.class, archive.detector);
         host.offer(MajorityContact.class, archive.contact);
         host.offer(ChainClient.class, archive.chainClient);
         meter(host.tally());
         archive.start();
-        desk = new ControlDesk(archive, clock, post.self(), control, rules.zone(), host.tally());
+        desk = new ControlApi(archive, clock, post.self(), control, rules.zone(), host.tally());
         host.offer(StatusPage.class, desk);
         desk.bind(((LoopClock) clock).loop(),
                 e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -7,7 +7,7 @@
 import org.umbermount.storage.DiskWriter;
 
 /**
- * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
+ * The one place where {@link ReplicaStorage} changes. Invariant: changes are made one at a time, and each is on disk before
  * {@link #memory()} shows it and before anything runs that rests on it. A refused change never shows.
  */
 final class DurableState {
@@ -18,7 +18,7 @@
     private final DiskWriter room;
     private final Metrics tally;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
-    private Memory memory;
+    private ReplicaStorage memory;
     private boolean busy;
     private boolean onDisk;
     private boolean freezing;
@@ -28,7 +28,7 @@
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, DiskWriter room, Metrics tally, Memory memory, boolean onDisk) {
+    DurableState(Clock clock, DiskWriter room, Metrics tally, ReplicaStorage memory, boolean onDisk) {
         this.clock = clock;
         this.room = room;
         this.tally = tally;
@@ -39,7 +39,7 @@
     }
 
     /** The newest memory that is on disk; before the first write the one to start from. */
-    Memory memory() {
+    ReplicaStorage memory() {
         return memory;
     }
 
@@ -65,18 +65,18 @@
     }
 
     /** Writes a memory that holds a new promise; {@link #freezing()} holds from now until the disk has answered. */
-    void persistPromise(Memory next, Runnable then) {
+    void persistPromise(ReplicaStorage next, Runnable then) {
         freezing = true;
         persist(next, then);
     }
 
     /** Writes the next memory; {@code then} runs once it is on disk, and never if the disk refuses it. */
-    void persist(Memory next, Runnable then) {
+    void persist(ReplicaStorage next, Runnable then) {
         if (busy) {
             throw new IllegalStateException("Two changes of memory at once.");
         }
         busy = true;
-        Memory old = memory;
+        ReplicaStorage old = memory;
         room.write(next.changesSince(onDisk ? old : null), safe -> {
             busy = false;
             freezing = false;
@@ -92,7 +92,7 @@
         });
     }
 
-    private void take(Memory next) {
+    private void take(ReplicaStorage next) {
         onDisk = true;
         memory = next;
         if (!next.frozen()) {
@@ -103,7 +103,7 @@
     }
 
     /** Only the very first write is tried again by itself: nothing else would ask for it. */
-    private void refused(Memory old, Memory next, Runnable then) {
+    private void refused(ReplicaStorage old, ReplicaStorage next, Runnable then) {
         tally.count("control.writes.refused");
         if (!onDisk && old.view().number() == 0) {
             clock.after(RETRY_MS, () -> serially(() -> persist(next, then)));
--- a/control/src/main/java/org/umbermount/control/LeaseOffice.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -21,7 +21,7 @@
  * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
  * and stops before the grants end; the epoch rises with each new holder.
  */
-public final class LeaseOffice {
+public final class LeaseManager {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     public static final long TERM_MS = 1_500;
     /** Each keeps the counts of a share of the tenants. */
@@ -78,7 +78,7 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public LeaseOffice(Clock clock, Messenger post, Replica replica, FailureDetector detector, Metrics tally,
+    public LeaseManager(Clock clock, Messenger post, Replica replica, FailureDetector detector, Metrics tally,
             String ownZone, Iterable<String> zones, List<String> quotas) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
--- a/control/src/main/java/org/umbermount/control/MajorityContact.java
+++ b/control/src/main/java/org/umbermount/control/MajorityContact.java
@@ -13,7 +13,7 @@
  */
 public final class MajorityContact {
     /** How long a majority's word counts: as long as a lease. */
-    public static final long LIMIT_MS = LeaseOffice.TERM_MS;
+    public static final long LIMIT_MS = LeaseManager.TERM_MS;
 
     private final Clock clock;
     private final FailureDetector detector;
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -36,7 +36,7 @@
     private final List<Consumer<View>> observers = new ArrayList<>();
     private Listener listener;
     private Replica.Standing standing;
-    private Companion companion = Companion.NONE;
+    private CompanionState companion = CompanionState.NONE;
     private List<DaemonAddress> audience = List.of();
 
     Membership(DaemonAddress self, DurableState durable, CommitPoint commits, ViewMessages messages) {
@@ -86,7 +86,7 @@
 
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     boolean inChain() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         boolean bound = memory.frozen() && Safeguard.PROMISE_FREEZES.holds();
         if (standing != Replica.Standing.MEMBER || bound || !memory.view().chains(self)) {
             return false;
@@ -101,11 +101,11 @@
 
     /** The newest incarnation known of a daemon. */
     long incarnationOf(DaemonAddress who) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         return who.equals(self) ? memory.incarnation() : memory.incarnationOf(who);
     }
 
-    private Replica.Standing standingIn(Memory m) {
+    private Replica.Standing standingIn(ReplicaStorage m) {
         Voter me = m.view().fellow(self);
         if (me == null) {
             return m.view().number() == 0 ? Replica.Standing.RECOVERING : Replica.Standing.LEARNER;
@@ -117,11 +117,11 @@
     // ---- who goes along ----
 
     /** Sets what is kept beside the configuration. */
-    void accompany(Companion other) {
+    void accompany(CompanionState other) {
         companion = other;
     }
 
-    Companion companion() {
+    CompanionState companion() {
         return companion;
     }
 
@@ -165,7 +165,7 @@
 
     /** Hears of another's view and state. */
     void news(View view, ConfigurationState state, boolean isCommitted) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (view.number() < memory.view().number() || state.view() != view.number()) {
             return;
         }
@@ -179,7 +179,7 @@
 
     /** The view in the memory is new here and on disk. */
     void adopted(String why) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         standing = standingIn(memory);
         listener.reset();
         LOG.info("In force after {}: {}; edition {}; {}.", why, memory.view(), memory.state().edition(),
@@ -204,8 +204,8 @@
 
     /** Takes in which incarnations another has met; {@code then} runs once they are on disk. */
     void learnIncarnations(Map<DaemonAddress, Long> met, Runnable then) {
-        Memory memory = durable.memory();
-        Memory next = memory.withIncarnations(met);
+        ReplicaStorage memory = durable.memory();
+        ReplicaStorage next = memory.withIncarnations(met);
         if (next.incarnations().equals(memory.incarnations())) {
             then.run();
         } else {
--- a/control/src/main/java/org/umbermount/control/Bookmark.java
+++ b/control/src/main/java/org/umbermount/control/OperationLogPosition.java
@@ -7,14 +7,14 @@
  * How far a daemon holds the operation records: the view in which it took part last, its position there, and the
  * daemon that is there. The further of two marks holds all that was acknowledged up to the nearer one.
  */
-public record Bookmark(long view, long pos, DaemonAddress holder) {
-    public static final Bookmark NONE = new Bookmark(0, 0, DaemonAddress.NONE);
+public record OperationLogPosition(long view, long pos, DaemonAddress holder) {
+    public static final OperationLogPosition NONE = new OperationLogPosition(0, 0, DaemonAddress.NONE);
 
-    public boolean isBeyond(Bookmark other) {
+    public boolean isBeyond(OperationLogPosition other) {
         return view != other.view ? view > other.view : pos > other.pos;
     }
 
-    public boolean sameAs(Bookmark other) {
+    public boolean sameAs(OperationLogPosition other) {
         return view == other.view && pos == other.pos;
     }
 
@@ -22,7 +22,7 @@
         out.num(view).num(pos).imprint(holder);
     }
 
-    public static Bookmark read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
-        return new Bookmark(in.num(), in.num(), in.imprint());
+    public static OperationLogPosition read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        return new OperationLogPosition(in.num(), in.num(), in.imprint());
     }
 }
--- a/control/src/main/java/org/umbermount/control/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -18,7 +18,7 @@
 
     /** What one of the others remembers. */
     record Reply(View view, ConfigurationState state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
-            Map<DaemonAddress, Long> incarnations, Bookmark mark) {
+            Map<DaemonAddress, Long> incarnations, OperationLogPosition mark) {
     }
 
     private final DaemonAddress self;
@@ -41,7 +41,7 @@
     // ---- for another that lost its memory ----
 
     void answer(DaemonAddress who, long incarnation) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (membership.standing() == Replica.Standing.RECOVERING || memory.view().number() == 0) {
             return;
         }
@@ -60,7 +60,7 @@
 
     /** Asks all others what they remember. */
     void ask() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         for (DaemonAddress target : membership.others(memory.view())) {
             messages.sendRecover(target, memory.incarnation());
         }
@@ -73,7 +73,7 @@
     }
 
     void recovered(DaemonAddress from, long incarnation, Reply reply) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
             return;
         }
@@ -98,8 +98,8 @@
     /** Someone has met a later life of this daemon: choose a number above it and read again. */
     private void startAbove(long known) {
         replies.clear();
-        Memory m = durable.memory();
-        durable.persist(new Memory(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
+        ReplicaStorage m = durable.memory();
+        durable.persist(new ReplicaStorage(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
                 m.incarnations()), this::ask);
     }
 
@@ -125,7 +125,7 @@
 
     /** Enough has been read; what is kept beside the configuration is fetched before the memory counts as whole. */
     private void finish(View newest) {
-        Memory whole = merge(newest);
+        ReplicaStorage whole = merge(newest);
         int reads = replies.size();
         long mine = ++attempt;
         rebuilding = true;
@@ -154,12 +154,12 @@
     }
 
     /** The newest state, promise and acceptance that those in the newest view remember. */
-    private Memory merge(View newest) {
+    private ReplicaStorage merge(View newest) {
         ConfigurationState state = ConfigurationState.NONE;
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
-        Memory next = durable.memory();
+        ReplicaStorage next = durable.memory();
         for (Reply r : replies.values()) {
             next = next.withIncarnations(r.incarnations());
             if (r.view().number() != newest.number()) {
@@ -179,8 +179,8 @@
         return next.adopt(newest, state).recovered(newest.number()).withAcceptor(promised, acceptedBallot, accepted);
     }
 
-    private Bookmark furthestMark() {
-        Bookmark furthest = Bookmark.NONE;
+    private OperationLogPosition furthestMark() {
+        OperationLogPosition furthest = OperationLogPosition.NONE;
         for (Reply r : replies.values()) {
             if (r.mark().isBeyond(furthest)) {
                 furthest = r.mark();
--- a/control/src/main/java/org/umbermount/control/CensusEntry.java
+++ b/control/src/main/java/org/umbermount/control/RegisteredServer.java
@@ -8,7 +8,7 @@
  * What is known of one life of a server. {@code warmMs} is how long it had left to get warm when it was first heard of;
  * whoever uses that counts on its own steady clock from when it learned of the server.
  */
-public record CensusEntry(InstanceId id, String upstream, String address, String zone, String revision, int capacity,
+public record RegisteredServer(InstanceId id, String upstream, String address, String zone, String revision, int capacity,
         long warmMs, Standing standing, long sequence, DaemonAddress keeper) {
 
     /** Where the server stands. */
@@ -20,21 +20,21 @@
         }
     }
 
-    CensusEntry with(Standing next, long nextSequence, DaemonAddress nextKeeper) {
-        return new CensusEntry(id, upstream, address, zone, revision, capacity, warmMs, next, nextSequence, nextKeeper);
+    RegisteredServer with(Standing next, long nextSequence, DaemonAddress nextKeeper) {
+        return new RegisteredServer(id, upstream, address, zone, revision, capacity, warmMs, next, nextSequence, nextKeeper);
     }
 
-    private CensusEntry settled(Standing merged, long warm) {
+    private RegisteredServer settled(Standing merged, long warm) {
         return merged == standing && warm == warmMs ? this
-                : new CensusEntry(id, upstream, address, zone, revision, capacity, warm, merged, sequence, keeper);
+                : new RegisteredServer(id, upstream, address, zone, revision, capacity, warm, merged, sequence, keeper);
     }
 
     /**
      * The two reports of one life in one: a sign-off is final, draining never reverts, and for the rest the
      * higher sequence counts.
      */
-    CensusEntry merge(CensusEntry other) {
-        CensusEntry winner = other.sequence > sequence
+    RegisteredServer merge(RegisteredServer other) {
+        RegisteredServer winner = other.sequence > sequence
                 || other.sequence == sequence && other.standing.compareTo(standing) > 0 ? other : this;
         Standing merged = winner.standing;
         if (standing == Standing.SIGNED_OFF || other.standing == Standing.SIGNED_OFF) {
@@ -47,7 +47,7 @@
     }
 
     /** Equal but for the running number of the beat. */
-    public boolean sameNews(CensusEntry other) {
+    public boolean sameNews(RegisteredServer other) {
         return upstream.equals(other.upstream) && address.equals(other.address) && zone.equals(other.zone)
                 && revision.equals(other.revision) && capacity == other.capacity && standing == other.standing
                 && keeper.equals(other.keeper);
@@ -65,7 +65,7 @@
                 .num(standing.ordinal()).num(sequence).imprint(keeper);
     }
 
-    static CensusEntry read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static RegisteredServer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         InstanceId id = new InstanceId(in.text());
         String upstream = in.text();
         String address = in.text();
@@ -77,7 +77,7 @@
         if (standing < 0 || standing >= Standing.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown standing", null);
         }
-        return new CensusEntry(id, upstream, address, zone, revision, capacity, warm,
+        return new RegisteredServer(id, upstream, address, zone, revision, capacity, warm,
                 Standing.values()[(int) standing], in.num(), in.imprint());
     }
 }
--- a/control/src/main/java/org/umbermount/control/CensusNotebook.java
+++ b/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
@@ -16,14 +16,14 @@
  * every server's next beat. The notes are a memory aid: beats and other controllers overrule them, and servers
  * that do not show up are dropped like any other.
  */
-final class CensusNotebook {
+final class RegistrySnapshotFile {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final byte SERVERS = 1;
     private static final long INTERVAL_MS = 700;
     /** Older notes say nothing about now. */
     private static final long WORTHLESS_MS = 30_000;
 
-    private final Census census;
+    private final ServerRegistry census;
     private final AppendOnlyFile stack;
     private final Executor thread;
     private final Clock clock;
@@ -31,7 +31,7 @@
     private long notedAt;
     private boolean busy;
 
-    CensusNotebook(Census census, AppendOnlyFile stack, Executor thread, Clock clock) {
+    RegistrySnapshotFile(ServerRegistry census, AppendOnlyFile stack, Executor thread, Clock clock) {
         this.census = census;
         this.stack = stack;
         this.thread = thread;
@@ -47,7 +47,7 @@
         try {
             MessagePackCodec.Reader in = MessagePackCodec.read(notes);
             long age = clock.wallMillis() - in.num();
-            List<CensusEntry> entries = in.list(CensusEntry::read);
+            List<RegisteredServer> entries = in.list(RegisteredServer::read);
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
                 census.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
@@ -70,7 +70,7 @@
         busy = true;
         notedDigest = census.digest();
         notedAt = now;
-        List<CensusEntry> entries = new ArrayList<>(census.entries());
+        List<RegisteredServer> entries = new ArrayList<>(census.entries());
         byte[] notes = MessagePackCodec.write().num(now).list(entries, (o, e) -> e.write(o)).done();
         thread.execute(() -> {
             try {
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -14,7 +14,7 @@
 
 /**
  * One member of the chain that holds the configuration, and one voter on its views: the face of the parts that do the
- * work. Invariant: whatever may change {@link Memory} goes through {@link DurableState#serially}, one at a time.
+ * work. Invariant: whatever may change {@link ReplicaStorage} goes through {@link DurableState#serially}, one at a time.
  */
 public final class Replica {
     private static final Logger LOG = LoggerFactory.getLogger("control");
@@ -36,7 +36,7 @@
     }
 
     /** A promise as the proposer sees it. */
-    record Promise(Voter voter, ConfigurationState state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
+    record Promise(Voter voter, ConfigurationState state, Ballot acceptedBallot, Proposal accepted, OperationLogPosition mark) {
     }
 
     /** Hears what concerns proposals. */
@@ -76,7 +76,7 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Replica(Clock clock, Messenger post, DiskWriter room, Metrics tally, Memory loaded,
+    Replica(Clock clock, Messenger post, DiskWriter room, Metrics tally, ReplicaStorage loaded,
             boolean loadedCommitted, View genesis, boolean newcomer) {
         this.clock = clock;
         DaemonAddress self = post.self();
@@ -95,14 +95,14 @@
         begin(loaded, loadedCommitted, genesis, newcomer);
     }
 
-    private Memory initial(Memory loaded, View genesis, boolean newcomer) {
+    private ReplicaStorage initial(ReplicaStorage loaded, View genesis, boolean newcomer) {
         if (loaded != null) {
             return loaded;
         }
-        return Memory.blank(genesis != null || newcomer ? 0 : clock.wallMillis());
+        return ReplicaStorage.blank(genesis != null || newcomer ? 0 : clock.wallMillis());
     }
 
-    private void begin(Memory loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
+    private void begin(ReplicaStorage loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
         if (loaded != null) {
             membership.resume();
             if (loadedCommitted) {
@@ -135,11 +135,11 @@
     }
 
     /** Sets what is kept beside the configuration. */
-    public void accompany(Companion other) {
+    public void accompany(CompanionState other) {
         membership.accompany(other);
     }
 
-    public Companion companion() {
+    public CompanionState companion() {
         return membership.companion();
     }
 
@@ -195,7 +195,7 @@
     }
 
     /** The committed configuration as read, or null before the first. */
-    public Regulations regulations() {
+    public Configuration regulations() {
         return commits.regulations();
     }
 
--- a/control/src/main/java/org/umbermount/control/Memory.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -13,7 +13,7 @@
  * What a controller must not forget. {@code recoveredFor} is the number of the view for which a new
  * incarnation has read enough others; {@code incarnations} is the crash vector.
  */
-record Memory(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
+record ReplicaStorage(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
         Ballot acceptedBallot, Proposal accepted, Map<DaemonAddress, Long> incarnations) {
 
     private static final byte IDENTITY = 1;
@@ -23,43 +23,43 @@
     private static final byte CRASHES = 5;
     private static final byte COMMITTED = 6;
 
-    static Memory blank(long incarnation) {
-        return new Memory(incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
+    static ReplicaStorage blank(long incarnation) {
+        return new ReplicaStorage(incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
     }
 
     /** The view is in force and its voter slate for the next view is clean. */
-    Memory adopt(View next, ConfigurationState base) {
-        return new Memory(incarnation, recoveredFor, next, base, Ballot.NONE, Ballot.NONE, null, incarnations);
+    ReplicaStorage adopt(View next, ConfigurationState base) {
+        return new ReplicaStorage(incarnation, recoveredFor, next, base, Ballot.NONE, Ballot.NONE, null, incarnations);
     }
 
-    Memory withState(ConfigurationState next) {
-        return new Memory(incarnation, recoveredFor, view, next, promised, acceptedBallot, accepted, incarnations);
+    ReplicaStorage withState(ConfigurationState next) {
+        return new ReplicaStorage(incarnation, recoveredFor, view, next, promised, acceptedBallot, accepted, incarnations);
     }
 
-    Memory promise(Ballot ballot) {
-        return new Memory(incarnation, recoveredFor, view, state, ballot, acceptedBallot, accepted, incarnations);
+    ReplicaStorage promise(Ballot ballot) {
+        return new ReplicaStorage(incarnation, recoveredFor, view, state, ballot, acceptedBallot, accepted, incarnations);
     }
 
-    Memory accept(Ballot ballot, Proposal proposal) {
-        return new Memory(incarnation, recoveredFor, view, state, ballot, ballot, proposal, incarnations);
+    ReplicaStorage accept(Ballot ballot, Proposal proposal) {
+        return new ReplicaStorage(incarnation, recoveredFor, view, state, ballot, ballot, proposal, incarnations);
     }
 
-    Memory recovered(long forView) {
-        return new Memory(incarnation, forView, view, state, promised, acceptedBallot, accepted, incarnations);
+    ReplicaStorage recovered(long forView) {
+        return new ReplicaStorage(incarnation, forView, view, state, promised, acceptedBallot, accepted, incarnations);
     }
 
-    Memory withAcceptor(Ballot p, Ballot ab, Proposal a) {
-        return new Memory(incarnation, recoveredFor, view, state, p, ab, a, incarnations);
+    ReplicaStorage withAcceptor(Ballot p, Ballot ab, Proposal a) {
+        return new ReplicaStorage(incarnation, recoveredFor, view, state, p, ab, a, incarnations);
     }
 
-    Memory withIncarnation(DaemonAddress who, long which) {
+    ReplicaStorage withIncarnation(DaemonAddress who, long which) {
         Map<DaemonAddress, Long> next = new HashMap<>(incarnations);
         next.merge(who, which, Math::max);
-        return new Memory(incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
+        return new ReplicaStorage(incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
     }
 
-    Memory withIncarnations(Map<DaemonAddress, Long> more) {
-        Memory next = this;
+    ReplicaStorage withIncarnations(Map<DaemonAddress, Long> more) {
+        ReplicaStorage next = this;
         for (Map.Entry<DaemonAddress, Long> e : more.entrySet()) {
             next = next.withIncarnation(e.getKey(), e.getValue());
         }
@@ -78,7 +78,7 @@
     }
 
     /** The folios that differ from an older memory. */
-    List<LogRecord> changesSince(Memory old) {
+    List<LogRecord> changesSince(ReplicaStorage old) {
         List<LogRecord> out = new ArrayList<>();
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
             out.add(new LogRecord(IDENTITY, MessagePackCodec.write().num(incarnation).num(recoveredFor).done()));
@@ -146,13 +146,13 @@
     }
 
     /** Reads the memory from a stack; null if there is none. */
-    static Memory load(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
+    static ReplicaStorage load(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
         if (stack.get(IDENTITY) == null) {
             return null;
         }
         MessagePackCodec.Reader identity = MessagePackCodec.read(stack.get(IDENTITY));
         MessagePackCodec.Reader acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
-        return new Memory(identity.num(), identity.num(), View.read(MessagePackCodec.read(stack.get(VIEW))),
+        return new ReplicaStorage(identity.num(), identity.num(), View.read(MessagePackCodec.read(stack.get(VIEW))),
                 ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
                 acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
     }
--- a/control/src/main/java/org/umbermount/control/Census.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -27,7 +27,7 @@
  * follow them, and one that has missed some takes a snapshot. The controller that a server's beats reach keeps
  * it, and only its keeper declares it gone for missing beats.
  */
-public final class Census {
+public final class ServerRegistry {
     private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int LOG_LENGTH = 256;
     private static final long TOMBSTONE_MS = 60_000;
@@ -66,7 +66,7 @@
     private final Metrics tally;
     private final long heartbeatMs;
     private final long boot;
-    private final Map<InstanceId, CensusEntry> entries = new LinkedHashMap<>();
+    private final Map<InstanceId, RegisteredServer> entries = new LinkedHashMap<>();
     private final Map<InstanceId, MonotonicTime> lastBeat = new HashMap<>();
     private final Map<InstanceId, MonotonicTime> goneSince = new HashMap<>();
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
@@ -85,7 +85,7 @@
     private long seq;
     private long digest;
 
-    public Census(Clock clock, Messenger post, Metrics tally, long heartbeatMs, long boot) {
+    public ServerRegistry(Clock clock, Messenger post, Metrics tally, long heartbeatMs, long boot) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
@@ -109,8 +109,8 @@
     }
 
     /** Takes up what an earlier life of this daemon had noted. */
-    void recall(List<CensusEntry> noted) {
-        for (CensusEntry e : noted) {
+    void recall(List<RegisteredServer> noted) {
+        for (RegisteredServer e : noted) {
             learn(e);
         }
         ready = ready || !noted.isEmpty();
@@ -120,7 +120,7 @@
         observers.add(observer);
     }
 
-    public Collection<CensusEntry> entries() {
+    public Collection<RegisteredServer> entries() {
         return Collections.unmodifiableCollection(entries.values());
     }
 
@@ -147,17 +147,17 @@
     /**
      * Takes a beat. {@code told} runs once a majority of the voters has the news, or at once if there is none to tell.
      */
-    public void beat(CensusEntry beat, Runnable told) {
-        CensusEntry known = entries.get(beat.id());
+    public void beat(RegisteredServer beat, Runnable told) {
+        RegisteredServer known = entries.get(beat.id());
         if (known != null && beat.sequence() < known.sequence()) {
             tally.count("registry.beats.late");
             repeat(known, told);
             return;
         }
         lastBeat.put(beat.id(), clock.now());
-        CensusEntry next = known == null ? beat : known.merge(beat);
-        if (next.standing() == CensusEntry.Standing.MISSED) {
-            next = next.with(CensusEntry.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
+        RegisteredServer next = known == null ? beat : known.merge(beat);
+        if (next.standing() == RegisteredServer.Standing.MISSED) {
+            next = next.with(RegisteredServer.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
         }
         if (!next.standing().isGone()) {
             next = next.with(next.standing(), beat.sequence(), post.self());
@@ -171,7 +171,7 @@
             LOG.info("Server {} of {} at {} is {}.", next.id(), next.upstream(), next.address(), name(next.standing()));
         }
         boolean urgent = known == null || known.standing() != next.standing()
-                || next.standing() != CensusEntry.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
+                || next.standing() != RegisteredServer.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
         store(next);
         publish(List.of(next));
         if (urgent) {
@@ -182,7 +182,7 @@
     }
 
     /** A server says again what is known here; whether others know it is another matter. */
-    private void repeat(CensusEntry known, Runnable told) {
+    private void repeat(RegisteredServer known, Runnable told) {
         if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
             onceKnown(known, told);
         } else {
@@ -191,8 +191,8 @@
     }
 
     /** Runs something once enough others hold what is known here of a server, whoever was told of it first. */
-    private void onceKnown(CensusEntry entry, Runnable told) {
-        if (!newsAt.containsKey(entry.id()) && entry.standing() != CensusEntry.Standing.IN_SERVICE) {
+    private void onceKnown(RegisteredServer entry, Runnable told) {
+        if (!newsAt.containsKey(entry.id()) && entry.standing() != RegisteredServer.Standing.IN_SERVICE) {
             publish(List.of(entry));
         }
         Long at = newsAt.get(entry.id());
@@ -222,7 +222,7 @@
 
     /** Takes a sign-off. */
     public void signOff(InstanceId id, Runnable told) {
-        CensusEntry known = entries.get(id);
+        RegisteredServer known = entries.get(id);
         if (known == null) {
             // Nothing to sign off, if what is known here is whole; otherwise the caller tries again, here or elsewhere.
             if (ready && listStands.getAsBoolean()) {
@@ -230,23 +230,23 @@
             }
             return;
         }
-        if (known.standing() == CensusEntry.Standing.SIGNED_OFF) {
+        if (known.standing() == RegisteredServer.Standing.SIGNED_OFF) {
             repeat(known, told);
             return;
         }
-        CensusEntry next = known.with(CensusEntry.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
+        RegisteredServer next = known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
         onceKnown(next, told);
     }
 
-    private static String name(CensusEntry.Standing standing) {
+    private static String name(RegisteredServer.Standing standing) {
         return standing.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
     }
 
-    private void store(CensusEntry next) {
-        CensusEntry old = entries.put(next.id(), next);
+    private void store(RegisteredServer next) {
+        RegisteredServer old = entries.put(next.id(), next);
         digest += next.digest() - (old == null ? 0 : old.digest());
         if (next.standing().isGone()) {
             goneSince.putIfAbsent(next.id(), clock.now());
@@ -259,9 +259,9 @@
         }
     }
 
-    private void publish(List<CensusEntry> changed) {
+    private void publish(List<RegisteredServer> changed) {
         long from = seq;
-        for (CensusEntry e : changed) {
+        for (RegisteredServer e : changed) {
             changes.add(new Change(++seq, e.id()));
             newsAt.put(e.id(), seq);
             if (changes.size() > LOG_LENGTH) {
@@ -278,7 +278,7 @@
         }
     }
 
-    private byte[] encode(Kind kind, long from, Collection<CensusEntry> which) {
+    private byte[] encode(Kind kind, long from, Collection<RegisteredServer> which) {
         return MessagePackCodec.write().num(kind.ordinal()).num(boot).num(from).num(seq)
                 .list(which, (o, e) -> e.write(o)).done();
     }
@@ -294,7 +294,7 @@
                 long theirBoot = in.num();
                 long since = in.num();
                 long until = in.num();
-                List<CensusEntry> news = in.list(CensusEntry::read);
+                List<RegisteredServer> news = in.list(RegisteredServer::read);
                 apply(from, Kind.values()[kind] == Kind.SNAPSHOT, theirBoot, since, until, news);
             }
             case APPLIED -> {
@@ -311,9 +311,9 @@
         }
     }
 
-    private void apply(DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<CensusEntry> news) {
+    private void apply(DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<RegisteredServer> news) {
         Followed f = followed.computeIfAbsent(from, k -> new Followed());
-        for (CensusEntry e : news) {
+        for (RegisteredServer e : news) {
             learn(e);
         }
         boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
@@ -333,9 +333,9 @@
         }
     }
 
-    private void learn(CensusEntry e) {
-        CensusEntry known = entries.get(e.id());
-        CensusEntry next = known == null ? e : known.merge(e);
+    private void learn(RegisteredServer e) {
+        RegisteredServer known = entries.get(e.id());
+        RegisteredServer next = known == null ? e : known.merge(e);
         if (known == null || !known.equals(next)) {
             if (known == null || !known.sameNews(next)) {
                 if (!next.standing().isGone()) {
@@ -361,9 +361,9 @@
     private void answerAsk(DaemonAddress from, long theirBoot, long applied) {
         long oldest = changes.isEmpty() ? seq : changes.peek().seq() - 1;
         if (theirBoot == boot && applied >= oldest && applied <= seq) {
-            Map<InstanceId, CensusEntry> missed = new LinkedHashMap<>();
+            Map<InstanceId, RegisteredServer> missed = new LinkedHashMap<>();
             for (Change c : changes) {
-                CensusEntry e = entries.get(c.id());
+                RegisteredServer e = entries.get(c.id());
                 if (c.seq() > applied && e != null) {
                     missed.put(c.id(), e);
                 }
@@ -426,7 +426,7 @@
                 return false;
             }
             newsAt.remove(e.getKey());
-            CensusEntry old = entries.remove(e.getKey());
+            RegisteredServer old = entries.remove(e.getKey());
             if (old != null) {
                 digest -= old.digest();
             }
@@ -437,8 +437,8 @@
             lastBeat.replaceAll((id, at) -> now);
             return;
         }
-        List<CensusEntry> missed = new ArrayList<>();
-        for (CensusEntry e : entries.values()) {
+        List<RegisteredServer> missed = new ArrayList<>();
+        for (RegisteredServer e : entries.values()) {
             if (e.standing().isGone()) {
                 continue;
             }
@@ -455,10 +455,10 @@
         if (missed.isEmpty()) {
             return;
         }
-        List<CensusEntry> gone = new ArrayList<>();
-        for (CensusEntry e : missed) {
+        List<RegisteredServer> gone = new ArrayList<>();
+        for (RegisteredServer e : missed) {
             LOG.info("Server {} of {} at {} is gone: its beats stopped.", e.id(), e.upstream(), e.address());
-            CensusEntry next = e.with(CensusEntry.Standing.MISSED, e.sequence(), post.self());
+            RegisteredServer next = e.with(RegisteredServer.Standing.MISSED, e.sequence(), post.self());
             store(next);
             gone.add(next);
         }
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -9,11 +9,11 @@
  * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
  * operation records go on.
  */
-public record View(long number, List<Voter> electorate, List<DaemonAddress> chain, Bookmark base) {
+public record View(long number, List<Voter> electorate, List<DaemonAddress> chain, OperationLogPosition base) {
     public static final View NONE = new View(0, List.of(), List.of());
 
     public View(long number, List<Voter> electorate, List<DaemonAddress> chain) {
-        this(number, electorate, chain, Bookmark.NONE);
+        this(number, electorate, chain, OperationLogPosition.NONE);
     }
 
     public View {
@@ -35,7 +35,7 @@
         return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
     }
 
-    public View withBase(Bookmark mark) {
+    public View withBase(OperationLogPosition mark) {
         return new View(number, electorate, chain, mark);
     }
 
@@ -85,7 +85,7 @@
     }
 
     static View read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.Reader::imprint), Bookmark.read(in));
+        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.Reader::imprint), OperationLogPosition.read(in));
     }
 
     @Override
--- a/control/src/main/java/org/umbermount/control/ViewConfirmation.java
+++ b/control/src/main/java/org/umbermount/control/ViewConfirmation.java
@@ -46,7 +46,7 @@
 
     /** The tail answers a read, once it knows what is committed in its view. */
     void read(DaemonAddress origin, RequestId id, boolean brief) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         boolean known = memory.state().edition().equals(ConfigurationRevision.NONE)
                 || commits.committed().view() == memory.view().number();
         if (!membership.inChain() || !known || !self.equals(memory.view().tail())) {
@@ -89,7 +89,7 @@
 
     /** A voter says whether a view is still its own and no promise may have ended it. */
     void attest(DaemonAddress from, long nonce, long view) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Replica.Standing.MEMBER
                 && memory.view().number() == view && !memory.frozen()) {
             messages.sendConfirmed(from, nonce, memory.incarnation());
--- a/control/src/main/java/org/umbermount/control/ViewMessages.java
+++ b/control/src/main/java/org/umbermount/control/ViewMessages.java
@@ -62,7 +62,7 @@
         channel.send(to, out);
     }
 
-    void sendPromise(DaemonAddress to, long view, Ballot ballot, Memory memory, Bookmark mark) {
+    void sendPromise(DaemonAddress to, long view, Ballot ballot, ReplicaStorage memory, OperationLogPosition mark) {
         MessagePackCodec.Writer out = message(Kind.PROMISE).num(view);
         ballot.write(out);
         out.num(memory.incarnation());
@@ -80,7 +80,7 @@
         channel.send(to, out);
     }
 
-    void sendAccepted(DaemonAddress to, long view, Ballot ballot, Memory memory) {
+    void sendAccepted(DaemonAddress to, long view, Ballot ballot, ReplicaStorage memory) {
         MessagePackCodec.Writer out = message(Kind.ACCEPTED).num(view);
         ballot.write(out);
         out.num(memory.incarnation());
@@ -94,7 +94,7 @@
         channel.send(to, out);
     }
 
-    void sendNews(DaemonAddress to, Memory memory, ConfigurationState committed) {
+    void sendNews(DaemonAddress to, ReplicaStorage memory, ConfigurationState committed) {
         MessagePackCodec.Writer out = message(Kind.NEWS);
         memory.view().write(out);
         // Outside the chain only what is committed may be passed on as such.
@@ -115,7 +115,7 @@
         channel.send(to, message(Kind.RECOVER).num(incarnation));
     }
 
-    void sendRecovered(DaemonAddress to, long incarnation, Memory memory, Bookmark mark) {
+    void sendRecovered(DaemonAddress to, long incarnation, ReplicaStorage memory, OperationLogPosition mark) {
         MessagePackCodec.Writer out = message(Kind.RECOVERED).num(incarnation);
         memory.view().write(out);
         memory.state().write(out);
@@ -139,7 +139,7 @@
             case PROMISE -> readPromise(from, in);
             case ACCEPT -> handler.accept(from, in.num(), Ballot.read(in), Proposal.read(in));
             case ACCEPTED -> handler.accepted(in.num(), Ballot.read(in), new Voter(from, in.num()),
-                    Memory.readIncarnations(in));
+                    ReplicaStorage.readIncarnations(in));
             case REFUSAL -> handler.refusal(in.num(), Ballot.read(in));
             case NEWS -> readNews(in);
             case FETCH -> handler.fetch(from);
@@ -156,8 +156,8 @@
         ConfigurationState state = ConfigurationState.read(in);
         Ballot acceptedBallot = Ballot.read(in);
         Proposal accepted = in.flag() ? Proposal.read(in) : null;
-        Map<DaemonAddress, Long> incarnations = Memory.readIncarnations(in);
-        Bookmark mark = Bookmark.read(in);
+        Map<DaemonAddress, Long> incarnations = ReplicaStorage.readIncarnations(in);
+        OperationLogPosition mark = OperationLogPosition.read(in);
         handler.promise(view, ballot, new Replica.Promise(voter, state, acceptedBallot, accepted, mark), incarnations);
     }
 
@@ -170,6 +170,6 @@
 
     private static Recovery.Reply readReply(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Recovery.Reply(View.read(in), ConfigurationState.read(in), Ballot.read(in), Ballot.read(in),
-                in.flag() ? Proposal.read(in) : null, Memory.readIncarnations(in), Bookmark.read(in));
+                in.flag() ? Proposal.read(in) : null, ReplicaStorage.readIncarnations(in), OperationLogPosition.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -178,7 +178,7 @@
 
     /** Whether leases that voters before the last change of seats may have granted have run out. */
     private boolean seatsRested() {
-        return clock.now().since(seatsSince) >= LeaseOffice.TERM_MS || !Safeguard.SEATS_REST.holds();
+        return clock.now().since(seatsSince) >= LeaseManager.TERM_MS || !Safeguard.SEATS_REST.holds();
     }
 
     private void inForce(View view) {
@@ -314,7 +314,7 @@
         Ballot best = Ballot.NONE;
         Proposal earlier = null;
         ConfigurationState newest = null;
-        Bookmark mark = Bookmark.NONE;
+        OperationLogPosition mark = OperationLogPosition.NONE;
         for (Replica.Promise p : promises) {
             if (p.accepted() != null && p.acceptedBallot().compareTo(best) > 0) {
                 best = p.acceptedBallot();
--- a/control/src/test/java/org/umbermount/control/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -202,8 +202,8 @@
         View wanted = new View(4, List.of(a, b), List.of(a.imprint()));
         ConfigurationState older = ConfigurationState.NONE.inView(3).take(new ConfigurationRevision(5), new byte[] {5});
         ConfigurationState newer = older.take(new ConfigurationRevision(6), new byte[] {6});
-        Replica.Promise fromA = new Replica.Promise(a, newer, Ballot.NONE, null, Bookmark.NONE);
-        Replica.Promise fromB = new Replica.Promise(b, older, Ballot.NONE, null, Bookmark.NONE);
+        Replica.Promise fromA = new Replica.Promise(a, newer, Ballot.NONE, null, OperationLogPosition.NONE);
+        Replica.Promise fromB = new Replica.Promise(b, older, Ballot.NONE, null, OperationLogPosition.NONE);
         for (List<Replica.Promise> order : List.of(List.of(fromA, fromB), List.of(fromB, fromA))) {
             Proposal p = ViewProposer.choose(order, wanted);
             assertEquals(6, p.base().edition().value());
@@ -213,8 +213,8 @@
         Proposal low = new Proposal(new View(4, List.of(a), List.of(a.imprint())), older.inView(4));
         Proposal high = new Proposal(new View(4, List.of(b), List.of(b.imprint())), older.inView(4));
         Proposal kept = ViewProposer.choose(List.of(
-                new Replica.Promise(a, newer, new Ballot(7, a.imprint()), high, Bookmark.NONE),
-                new Replica.Promise(b, older, new Ballot(2, b.imprint()), low, Bookmark.NONE)), wanted);
+                new Replica.Promise(a, newer, new Ballot(7, a.imprint()), high, OperationLogPosition.NONE),
+                new Replica.Promise(b, older, new Ballot(2, b.imprint()), low, OperationLogPosition.NONE)), wanted);
         assertEquals(high, kept);
     }
 
@@ -444,7 +444,7 @@
             voters.add(new Voter(Fleet.imprint(i), 0));
         }
         List<DaemonAddress> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
-        Memory before = Memory.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
+        ReplicaStorage before = ReplicaStorage.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
         org.umbermount.storage.DiskWriter room = new org.umbermount.storage.DiskWriter(
                 org.umbermount.storage.AppendOnlyFile.open(disk, "m", 1 << 16), disk.executor(), almanac);
         Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Metrics(),
--- a/control/src/test/java/org/umbermount/control/AmendmentTest.java
+++ b/control/src/test/java/org/umbermount/control/ConfigurationPatchTest.java
@@ -12,7 +12,7 @@
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.FaultException;
 
-class AmendmentTest {
+class ConfigurationPatchTest {
     private static final String BASE = "{\"revision\":7,\"odd\":1.50,\"routeTable\":[" + route("a", "/a/", 20) + "," + route("b", "/b/", 20)
             + "],\"upstreams\":[{\"label\":\"s\",\"ratePerS\":224.0}],\"limits\":{\"idleTimeoutMs\":15000}}";
 
@@ -21,22 +21,22 @@
                 + "\"timeoutMs\":5000,\"upstream\":\"s\",\"maxTries\":2,\"cacheTtlS\":" + ttl + ".0}";
     }
 
-    private static Regulations result(String call) throws FaultException {
-        return Regulations.parse(Amendment.parse(call.getBytes()).applyTo(BASE.getBytes()));
+    private static Configuration result(String call) throws FaultException {
+        return Configuration.parse(ConfigurationPatch.parse(call.getBytes()).applyTo(BASE.getBytes()));
     }
 
     @Test
     void itemsAreReplacedAddedAndRemovedByLabel() throws FaultException {
         String call = "{\"revision\":9,\"upsert\":{\"routeTable\":[" + route("c", "/c/", 5) + "," + route("b", "/bb/", 9)
                 + "],\"upstreams\":[{\"label\":\"t\"}]},\"remove\":{\"routeTable\":[\"a\",\"never-there\"]}}";
-        Regulations r = result(call);
+        Configuration r = result(call);
         assertEquals(9, r.edition().value());
-        assertEquals(java.util.List.of("/bb/", "/c/"), r.routes().stream().map(Regulations.Route::prefix).toList());
+        assertEquals(java.util.List.of("/bb/", "/c/"), r.routes().stream().map(Configuration.Route::prefix).toList());
         assertTrue(r.routes().get(0).safe());
         assertEquals(2, r.upstreams().size());
         assertEquals(15_000, r.limits().idleTimeoutMs());
-        byte[] once = Amendment.parse(call.getBytes()).applyTo(BASE.getBytes());
-        assertArrayEquals(once, Amendment.parse(call.getBytes()).applyTo(BASE.getBytes()));
+        byte[] once = ConfigurationPatch.parse(call.getBytes()).applyTo(BASE.getBytes());
+        assertArrayEquals(once, ConfigurationPatch.parse(call.getBytes()).applyTo(BASE.getBytes()));
         assertTrue(new String(once).contains("\"odd\":1.50") && new String(once).contains("\"ratePerS\":224.0"), "kept as it was written");
     }
 
@@ -68,7 +68,7 @@
         Fleet.Reply whole = fleet.submit(0, 0, 7, BASE);
         fleet.run(900);
         assertEquals(Replica.Verdict.TAKEN, whole.verdict);
-        Amendment call = Amendment.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"a\"]}}").getBytes());
+        ConfigurationPatch call = ConfigurationPatch.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"a\"]}}").getBytes());
         byte[] made = call.applyTo(BASE.getBytes());
         assertEquals(Replica.Verdict.TAKEN, submit(fleet, 1, 7, call, made));
         assertEquals(Replica.Verdict.TAKEN, submit(fleet, 2, 7, call, made));
@@ -77,14 +77,14 @@
         assertEquals(Replica.Verdict.TAKEN, later.verdict);
         // By now nobody holds version 7 any more.
         assertEquals(Replica.Verdict.TAKEN, submit(fleet, 0, 7, call, new byte[0]));
-        Amendment other = Amendment.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"b\"]}}").getBytes());
+        ConfigurationPatch other = ConfigurationPatch.parse(("{\"revision\":9,\"remove\":{\"routeTable\":[\"b\"]}}").getBytes());
         assertEquals(Replica.Verdict.STALE, submit(fleet, 0, 7, other, new byte[0]));
-        Amendment onTop = Amendment.parse("{\"revision\":14}".getBytes());
+        ConfigurationPatch onTop = ConfigurationPatch.parse("{\"revision\":14}".getBytes());
         assertEquals(null, submit(fleet, 0, 12, onTop, new byte[0]), "a question is never taken");
         assertEquals(12, fleet.read(2, 850).edition().value());
     }
 
-    private static Replica.Verdict submit(Fleet fleet, int at, long match, Amendment call, byte[] whole) throws IOException {
+    private static Replica.Verdict submit(Fleet fleet, int at, long match, ConfigurationPatch call, byte[] whole) throws IOException {
         Replica.Verdict[] out = new Replica.Verdict[1];
         Order order = new Order(new ConfigurationRevision(match), call.edition(), call.digest());
         fleet.chainClient(at).submit(order, whole, 850, v -> out[0] = v, () -> { });
--- a/control/src/test/java/org/umbermount/control/RegulationsTest.java
+++ b/control/src/test/java/org/umbermount/control/ConfigurationTest.java
@@ -10,7 +10,7 @@
 import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
 
-class RegulationsTest {
+class ConfigurationTest {
     private static final String GOOD = "{\"revision\":7,\"unknownField\":1,\"routeTable\":[{\"label\":\"a\",\"virtualHost\":\"H.example\","
             + "\"pathPrefix\":\"/p/\",\"routeType\":\"safe\",\"timeoutMs\":5000,\"targetLatencyMs\":800,\"priority\":2,"
             + "\"weightedUpstreams\":[{\"upstream\":\"s\",\"weight\":90},{\"upstream\":\"t\",\"weight\":10}],\"maxTries\":2},"
@@ -21,7 +21,7 @@
 
     @Test
     void goodConfigurationIsRead() throws FaultException {
-        Regulations r = Regulations.parse(GOOD.getBytes());
+        Configuration r = Configuration.parse(GOOD.getBytes());
         assertEquals(7, r.edition().value());
         assertEquals(2, r.routes().size());
         assertEquals("h.example", r.routes().get(0).host());
@@ -41,13 +41,13 @@
             "\"label\":\"t\"|\"label\":\"s\"|there twice"})
     void badConfigurationIsRefusedWithTheReason(String good, String bad, String reason) {
         assertTrue(GOOD.contains(good), good);
-        FaultException e = assertThrows(FaultException.class, () -> Regulations.parse(GOOD.replace(good, bad).getBytes()));
+        FaultException e = assertThrows(FaultException.class, () -> Configuration.parse(GOOD.replace(good, bad).getBytes()));
         assertEquals(ErrorKind.INVALID_CONFIGURATION, e.erratum());
         assertTrue(e.getMessage().contains(reason), e.getMessage());
     }
 
     private static void refused(String text, String what) {
-        FaultException e = assertThrows(FaultException.class, () -> Regulations.parse(text.getBytes()), what);
+        FaultException e = assertThrows(FaultException.class, () -> Configuration.parse(text.getBytes()), what);
         assertEquals(ErrorKind.INVALID_CONFIGURATION, e.erratum(), what);
         assertTrue(e.getMessage().startsWith("The configuration is invalid: ") && e.getMessage().length() < 400, e.getMessage());
     }
@@ -102,7 +102,7 @@
             "\"revision\":7|  \"revision\" : 7 "})
     void validConfigurationsAreNeverRefused(String good, String other) throws FaultException {
         assertTrue(GOOD.contains(good), good);
-        Regulations r = Regulations.parse(GOOD.replace(good, other == null ? "" : other).getBytes());
+        Configuration r = Configuration.parse(GOOD.replace(good, other == null ? "" : other).getBytes());
         assertEquals(2, r.routes().size());
     }
 
--- a/control/src/test/java/org/umbermount/control/ControlDeskOrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** Orders as calls, from the bytes of the request to the status of the answer. */
-class ControlDeskOrdersTest {
+class ControlApiOrdersTest {
     private Fleet fleet;
 
     @BeforeEach
@@ -41,7 +41,7 @@
     }
 
     private String exchange(int at, String request) {
-        ControlDesk desk = new ControlDesk(fleet.running.get(at), fleet.almanac, Fleet.imprint(at),
+        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.almanac, Fleet.imprint(at),
                 Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -44,7 +44,7 @@
         int status;
         String body;
 
-        Call(ControlDesk desk) {
+        Call(ControlApi desk) {
             channel = new EmbeddedChannel(desk.calls());
         }
 
@@ -61,7 +61,7 @@
     }
 
     private static Call call(Fleet fleet, int at, HttpMethod method, String path, String match, String body) {
-        ControlDesk desk = new ControlDesk(fleet.running.get(at), fleet.clock(at), Fleet.imprint(at),
+        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.clock(at), Fleet.imprint(at),
                 Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
         Call call = new Call(desk);
         DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
@@ -401,7 +401,7 @@
         }
         for (int i = 0; i < 4; i++) {
             assertTrue(fleet.running.get(i).census.entries().stream().filter(e -> e.id().equals(new InstanceId("s")))
-                    .allMatch(e -> e.standing() == CensusEntry.Standing.SIGNED_OFF));
+                    .allMatch(e -> e.standing() == RegisteredServer.Standing.SIGNED_OFF));
         }
     }
 
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -28,7 +28,7 @@
 
     public final FakeClock almanac = new FakeClock();
     public final FakeMessenger network;
-    final Map<Integer, Archive> running = new TreeMap<>();
+    final Map<Integer, ControlPlane> running = new TreeMap<>();
     public final Map<Integer, FakeDirectory> disks = new HashMap<>();
     private final Map<Integer, FakeMessenger.Bag> bags = new HashMap<>();
     private final int size;
@@ -80,7 +80,7 @@
         for (int s = 0; s < seeds; s++) {
             first.add(s);
         }
-        Archive archive = launch(i, bootstrap, first);
+        ControlPlane archive = launch(i, bootstrap, first);
         for (int other = 0; other < size; other++) {
             archive.detector.enlist(imprint(other));
         }
@@ -93,7 +93,7 @@
         launch(i, false, seedNodes);
     }
 
-    private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
+    private ControlPlane launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
         MortalClock clock = new MortalClock(almanac);
         clocks.put(i, clock);
         List<DaemonAddress> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
@@ -106,7 +106,7 @@
         disk.clock(clock);
         FakeMessenger.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
-        Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
+        ControlPlane archive = new ControlPlane(clock, bag, rules, imprint(i).withPort(8000),
                 AppendOnlyFile.open(disk, "memory", 1 << 16), AppendOnlyFile.open(disk, "census", 1 << 16), disk.executor(), new Metrics());
         running.put(i, archive);
         if (attachment != null) {
@@ -123,7 +123,7 @@
 
     /** What a controller that runs holds to be so, for a reader. */
     public String describe(int i) {
-        Archive a = running.get(i);
+        ControlPlane a = running.get(i);
         return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
                 + a.replica.committed().edition() + " in view " + a.replica.committed().view() + ", newest "
                 + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.census.ready() ? "" : ", no server list")
@@ -159,11 +159,11 @@
 
     /** Offers the parts of a running controller to another host, on the controller's own clock. */
     public PluginHost host(int i, Settings rules) {
-        Archive archive = running.get(i);
+        ControlPlane archive = running.get(i);
         PluginHost host = new PluginHost(Role.CONTROLLER, rules, clocks.get(i));
         host.offer(Replica.class, archive.replica);
-        host.offer(Census.class, archive.census);
-        host.offer(LeaseOffice.class, archive.leases);
+        host.offer(ServerRegistry.class, archive.census);
+        host.offer(LeaseManager.class, archive.leases);
         host.offer(FailureDetector.class, archive.detector);
         host.offer(MajorityContact.class, archive.contact);
         host.offer(ChainClient.class, archive.chainClient);
@@ -176,7 +176,7 @@
         return clocks.get(i);
     }
 
-    public LeaseOffice leases(int i) {
+    public LeaseManager leases(int i) {
         return running.get(i).leases;
     }
 
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -19,7 +19,7 @@
 class LeaseTest {
     private static int holder(Fleet fleet, String zone) {
         int found = -1;
-        for (Map.Entry<Integer, Archive> e : fleet.running.entrySet()) {
+        for (Map.Entry<Integer, ControlPlane> e : fleet.running.entrySet()) {
             if (e.getValue().leases.epoch(zone) > 0) {
                 assertEquals(-1, found, "two holders of " + zone);
                 found = e.getKey();
--- a/control/src/test/java/org/umbermount/control/RecoveryTest.java
+++ b/control/src/test/java/org/umbermount/control/RecoveryTest.java
@@ -9,12 +9,12 @@
 
 class RecoveryTest {
     /** Keeps nothing, and is slow to say that it has been rebuilt. */
-    private static final class SlowCompanion implements Companion {
+    private static final class SlowCompanion implements CompanionState {
         Runnable done;
 
         @Override
-        public Bookmark mark() {
-            return Bookmark.NONE;
+        public OperationLogPosition mark() {
+            return OperationLogPosition.NONE;
         }
 
         @Override
@@ -22,7 +22,7 @@
         }
 
         @Override
-        public void rebuild(Bookmark upTo, Runnable then) {
+        public void rebuild(OperationLogPosition upTo, Runnable then) {
             done = then;
         }
 
--- a/control/src/test/java/org/umbermount/control/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -118,9 +118,9 @@
     /** Two changes within a lease could leave two majorities that do not meet. */
     @Test
     void votersChangeOnlyWhenLeasesGrantedBeforeHaveRunOut() throws Exception {
-        assertTrue(shortestRest() >= LeaseOffice.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
+        assertTrue(shortestRest() >= LeaseManager.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
         long without = Mutation.without(Safeguard.SEATS_REST, SeatsTest::shortestRest);
-        assertTrue(without < LeaseOffice.TERM_MS - 20, "nothing was missed without it: " + without);
+        assertTrue(without < LeaseManager.TERM_MS - 20, "nothing was missed without it: " + without);
     }
 
     /** Whether a voter grants a duty to one that asks the voters of an earlier view. */
--- a/control/src/test/java/org/umbermount/control/CensusTest.java
+++ b/control/src/test/java/org/umbermount/control/ServerRegistryTest.java
@@ -8,21 +8,21 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.InstanceId;
 
-class CensusTest {
-    private static CensusEntry beat(Fleet fleet, int at, String id, CensusEntry.Standing standing, long sequence) {
-        return new CensusEntry(new InstanceId(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
+class ServerRegistryTest {
+    private static RegisteredServer beat(Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
+        return new RegisteredServer(new InstanceId(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
                 Fleet.imprint(at));
     }
 
-    private static boolean send(Fleet fleet, int at, String id, CensusEntry.Standing standing, long sequence) {
+    private static boolean send(Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
         boolean[] told = new boolean[1];
         fleet.running.get(at).census.beat(beat(fleet, at, id, standing, sequence), () -> told[0] = true);
         fleet.run(50);
         return told[0];
     }
 
-    private static CensusEntry.Standing standing(Fleet fleet, int at, String id) {
-        for (CensusEntry e : fleet.running.get(at).census.entries()) {
+    private static RegisteredServer.Standing standing(Fleet fleet, int at, String id) {
+        for (RegisteredServer e : fleet.running.get(at).census.entries()) {
             if (e.id().value().equals(id)) {
                 return e.standing();
             }
@@ -39,12 +39,12 @@
     @Test
     void drainingIsKnownEverywhereBeforeItIsAcknowledgedAndNeverReverts() throws IOException {
         Fleet fleet = settled();
-        assertTrue(send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1));
-        assertTrue(send(fleet, 1, "a", CensusEntry.Standing.DRAINING, 5));
-        assertTrue(send(fleet, 2, "a", CensusEntry.Standing.IN_SERVICE, 4));
-        assertTrue(send(fleet, 2, "a", CensusEntry.Standing.IN_SERVICE, 6));
+        assertTrue(send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1));
+        assertTrue(send(fleet, 1, "a", RegisteredServer.Standing.DRAINING, 5));
+        assertTrue(send(fleet, 2, "a", RegisteredServer.Standing.IN_SERVICE, 4));
+        assertTrue(send(fleet, 2, "a", RegisteredServer.Standing.IN_SERVICE, 6));
         for (int i = 0; i < 4; i++) {
-            assertEquals(CensusEntry.Standing.DRAINING, standing(fleet, i, "a"));
+            assertEquals(RegisteredServer.Standing.DRAINING, standing(fleet, i, "a"));
         }
     }
 
@@ -54,50 +54,50 @@
         for (int i = 1; i < 4; i++) {
             fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(i));
         }
-        assertFalse(send(fleet, 0, "a", CensusEntry.Standing.DRAINING, 1));
+        assertFalse(send(fleet, 0, "a", RegisteredServer.Standing.DRAINING, 1));
     }
 
     @Test
     void signOffIsFinal() throws IOException {
         Fleet fleet = settled();
-        send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
+        send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         fleet.running.get(1).census.signOff(new InstanceId("a"), () -> { });
         fleet.run(50);
-        send(fleet, 2, "a", CensusEntry.Standing.IN_SERVICE, 9);
-        assertEquals(CensusEntry.Standing.SIGNED_OFF, standing(fleet, 3, "a"));
+        send(fleet, 2, "a", RegisteredServer.Standing.IN_SERVICE, 9);
+        assertEquals(RegisteredServer.Standing.SIGNED_OFF, standing(fleet, 3, "a"));
     }
 
     @Test
     void serverWithoutBeatsIsGoneAndComesBackWithABeat() throws IOException {
         Fleet fleet = settled();
-        send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
+        send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         fleet.run(3_000);
-        assertEquals(CensusEntry.Standing.IN_SERVICE, standing(fleet, 2, "a"));
+        assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 2, "a"));
         fleet.run(4_000);
-        assertEquals(CensusEntry.Standing.MISSED, standing(fleet, 2, "a"));
-        send(fleet, 3, "a", CensusEntry.Standing.IN_SERVICE, 2);
-        assertEquals(CensusEntry.Standing.IN_SERVICE, standing(fleet, 0, "a"));
+        assertEquals(RegisteredServer.Standing.MISSED, standing(fleet, 2, "a"));
+        send(fleet, 3, "a", RegisteredServer.Standing.IN_SERVICE, 2);
+        assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 0, "a"));
     }
 
     @Test
     void daemonThatIsCutOffDoesNotDeclareServersGone() throws IOException {
         Fleet fleet = settled();
-        send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
+        send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         for (int i = 1; i < 4; i++) {
             fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(i));
         }
         fleet.run(8_000);
-        assertEquals(CensusEntry.Standing.IN_SERVICE, standing(fleet, 0, "a"));
+        assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 0, "a"));
     }
 
     @Test
     void anotherTakesOverTheServersOfALostKeeper() throws IOException {
         Fleet fleet = settled();
-        send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
+        send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         fleet.kill(0, true);
         fleet.run(12_000);
         for (int i = 1; i < 4; i++) {
-            assertEquals(CensusEntry.Standing.MISSED, standing(fleet, i, "a"));
+            assertEquals(RegisteredServer.Standing.MISSED, standing(fleet, i, "a"));
         }
     }
 
@@ -106,7 +106,7 @@
         Fleet fleet = settled();
         fleet.kill(3, true);
         for (int i = 0; i < 300; i++) {
-            fleet.running.get(0).census.beat(beat(fleet, 0, "s" + i, CensusEntry.Standing.IN_SERVICE, 1), () -> { });
+            fleet.running.get(0).census.beat(beat(fleet, 0, "s" + i, RegisteredServer.Standing.IN_SERVICE, 1), () -> { });
         }
         fleet.disks.get(3).raw("census", new byte[0]);
         fleet.start(3, false);
@@ -119,7 +119,7 @@
     @Test
     void wholeControlPlaneRemembersServersAfterAStop() throws IOException {
         Fleet fleet = settled();
-        send(fleet, 0, "a", CensusEntry.Standing.IN_SERVICE, 1);
+        send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         fleet.run(2_000);
         for (int i = 0; i < 4; i++) {
             fleet.kill(i, true);
@@ -128,9 +128,9 @@
             fleet.start(i, false);
         }
         fleet.run(10);
-        assertEquals(CensusEntry.Standing.IN_SERVICE, standing(fleet, 2, "a"));
+        assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 2, "a"));
         assertTrue(fleet.running.get(2).census.ready());
         fleet.run(15_000);
-        assertEquals(CensusEntry.Standing.MISSED, standing(fleet, 2, "a"));
+        assertEquals(RegisteredServer.Standing.MISSED, standing(fleet, 2, "a"));
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
@@ -11,15 +11,15 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.control.ConfigurationState;
-import org.umbermount.control.Census;
-import org.umbermount.control.CensusEntry;
+import org.umbermount.control.ServerRegistry;
+import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Replica;
 import org.umbermount.control.MajorityContact;
 import org.umbermount.control.ChainClient;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.control.FailureDetector;
 import org.umbermount.control.StatusPage;
-import org.umbermount.control.LeaseOffice;
+import org.umbermount.control.LeaseManager;
 import org.umbermount.membership.PeerSampling;
 import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
@@ -56,8 +56,8 @@
     private Clock clock;
     private Messenger post;
     private Replica replica;
-    private Census census;
-    private LeaseOffice leases;
+    private ServerRegistry census;
+    private LeaseManager leases;
     private FailureDetector detector;
     private MajorityContact contact;
     private boolean dirty = true;
@@ -84,7 +84,7 @@
 
     private Map<InstanceId, Packed> packedServers = Map.of();
 
-    private record Packed(CensusEntry entry, String key, byte[] bytes) {
+    private record Packed(RegisteredServer entry, String key, byte[] bytes) {
     }
 
     private static final class Known {
@@ -121,8 +121,8 @@
         clock = host.clock();
         post = host.find(Messenger.class);
         replica = host.find(Replica.class);
-        census = host.find(Census.class);
-        leases = host.find(LeaseOffice.class);
+        census = host.find(ServerRegistry.class);
+        leases = host.find(LeaseManager.class);
         detector = host.find(FailureDetector.class);
         contact = host.find(MajorityContact.class);
         chainClient = host.find(ChainClient.class);
@@ -137,7 +137,7 @@
         });
         detector.observe(p -> beginOnceAssured());
         census.observe(this::changed);
-        leases.observe(new LeaseOffice.Observer() {
+        leases.observe(new LeaseManager.Observer() {
             @Override
             public void began(String zone, long epoch) {
                 reconcile();
@@ -425,7 +425,7 @@
         dirty = false;
         ConfigurationState committed = replica.committed();
         if (!committed.edition().equals(packedEdition)) {
-            Regulations regulations = replica.regulations();
+            Configuration regulations = replica.regulations();
             if (regulations != null) {
                 packedConfiguration = Tables.packConfiguration(regulations);
                 packedEdition = committed.edition();
@@ -433,7 +433,7 @@
         }
         Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
         Map<InstanceId, Packed> fresh = new HashMap<>();
-        for (CensusEntry e : census.entries()) {
+        for (RegisteredServer e : census.entries()) {
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
                 Packed now = old != null && old.entry.sameNews(e) && old.entry.warmMs() == e.warmMs()
@@ -454,7 +454,7 @@
                 entries.put(Inventory.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
             }
         }
-        for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.<String>of()) {
+        for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.<String>of()) {
             DaemonAddress holder = leases.holder(duty);
             if (holder != null) {
                 entries.put(Inventory.DUTY + duty, MessagePackCodec.write().imprint(holder).done());
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -2,8 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.control.CensusEntry;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.RegisteredServer;
+import org.umbermount.control.Configuration;
 import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.InstanceId;
@@ -20,32 +20,32 @@
             boolean draining) {
     }
 
-    public static Map<String, byte[]> packConfiguration(Regulations r) {
+    public static Map<String, byte[]> packConfiguration(Configuration r) {
         Map<String, byte[]> out = new HashMap<>();
-        Regulations.Limits l = r.limits();
+        Configuration.Limits l = r.limits();
         out.put(Inventory.CONFIGURATION, MessagePackCodec.write().num(r.edition().value()).num(l.maxHeaderBytes())
                 .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
-        for (Regulations.Upstream u : r.upstreams()) {
+        for (Configuration.Upstream u : r.upstreams()) {
             out.put(Inventory.UPSTREAM + u.label(),
                     MessagePackCodec.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
         }
-        for (Regulations.Route route : r.routes()) {
+        for (Configuration.Route route : r.routes()) {
             out.put(Inventory.ROUTE + route.host() + route.prefix(), MessagePackCodec.write().text(route.label())
                     .text(route.host()).text(route.prefix()).num(route.kind().ordinal())
                     .flag(route.anonymous()).num(route.timeoutMs())
                     .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
                     .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
         }
-        for (Regulations.Tenant t : r.tenants()) {
+        for (Configuration.Tenant t : r.tenants()) {
             out.put(Inventory.TENANT + t.label(), MessagePackCodec.write().text(t.label()).list(t.apiKeys(), MessagePackCodec.Writer::text)
                     .num(t.priority()).num(Math.round(t.ratePerS() * 1_000)).num(Math.round(t.burst() * 1_000)).done());
         }
         return out;
     }
 
-    public static Regulations.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
+    public static Configuration.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(packed);
-        return new Regulations.Tenant(in.text(), in.list(MessagePackCodec.Reader::text), (int) in.num(), in.num() / 1_000.0,
+        return new Configuration.Tenant(in.text(), in.list(MessagePackCodec.Reader::text), (int) in.num(), in.num() / 1_000.0,
                 in.num() / 1_000.0);
     }
 
@@ -63,27 +63,27 @@
         return MessagePackCodec.read(packed).imprint();
     }
 
-    public static Regulations.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
+    public static Configuration.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         in.num();
-        return new Regulations.Limits((int) in.num(), in.num(), in.num(), in.num());
+        return new Configuration.Limits((int) in.num(), in.num(), in.num(), in.num());
     }
 
-    public static Regulations.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
+    public static Configuration.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(packed);
-        return new Regulations.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
+        return new Configuration.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
-    public static Regulations.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
+    public static Configuration.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(packed);
-        return new Regulations.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
-                (int) in.num(), (int) in.num(), in.list(r -> new Regulations.Share(r.text(), r.num())));
+        return new Configuration.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
+                (int) in.num(), (int) in.num(), in.list(r -> new Configuration.Share(r.text(), r.num())));
     }
 
-    public static byte[] packInstance(CensusEntry e) {
+    public static byte[] packInstance(RegisteredServer e) {
         return MessagePackCodec.write().text(e.id().value()).text(e.upstream()).imprint(DaemonAddress.parse(e.address()))
                 .text(e.zone()).num(e.capacity()).num(e.warmMs())
-                .flag(e.standing() == CensusEntry.Standing.DRAINING).done();
+                .flag(e.standing() == RegisteredServer.Standing.DRAINING).done();
     }
 
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
@@ -96,10 +96,10 @@
         return (int) MessagePackCodec.read(packed).num();
     }
 
-    private static Regulations.Kind kind(long ordinal) throws MessagePackCodec.UnreadableException {
-        if (ordinal < 0 || ordinal >= Regulations.Kind.values().length) {
+    private static Configuration.Kind kind(long ordinal) throws MessagePackCodec.UnreadableException {
+        if (ordinal < 0 || ordinal >= Configuration.Kind.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown kind of route", null);
         }
-        return Regulations.Kind.values()[(int) ordinal];
+        return Configuration.Kind.values()[(int) ordinal];
     }
 }
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.control.Bookmark;
+import org.umbermount.control.OperationLogPosition;
 import org.umbermount.kernel.DaemonAddress;
 
 /**
@@ -20,8 +20,8 @@
     private long bytes;
 
     /** Where the book ends. */
-    Bookmark mark() {
-        return new Bookmark(view, pos, DaemonAddress.NONE);
+    OperationLogPosition mark() {
+        return new OperationLogPosition(view, pos, DaemonAddress.NONE);
     }
 
     /** What stands for a key: the last entry about it, or null. */
@@ -71,12 +71,12 @@
     }
 
     /** Whether an entry lies behind a mark. */
-    private static boolean beyond(Slip s, Bookmark mark) {
+    private static boolean beyond(Slip s, OperationLogPosition mark) {
         return s.view != mark.view() ? s.view > mark.view() : s.pos > mark.pos();
     }
 
     /** Drops what lies behind the mark. */
-    void cut(Bookmark mark) {
+    void cut(OperationLogPosition mark) {
         boolean dropped = false;
         while (!slips.isEmpty() && beyond(slips.get(slips.size() - 1), mark)) {
             bytes -= slips.remove(slips.size() - 1).raw.length;
@@ -105,24 +105,24 @@
     }
 
     /** How far the book reaches in each view that it has entries of, and in the last. */
-    List<Bookmark> lineage() {
-        List<Bookmark> out = new ArrayList<>();
+    List<OperationLogPosition> lineage() {
+        List<OperationLogPosition> out = new ArrayList<>();
         Slip last = null;
         for (Slip s : slips) {
             if (last != null && last.view != s.view) {
-                out.add(new Bookmark(last.view, last.pos, DaemonAddress.NONE));
+                out.add(new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE));
             }
             last = s;
         }
         if (last != null && last.view != view) {
-            out.add(new Bookmark(last.view, last.pos, DaemonAddress.NONE));
+            out.add(new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE));
         }
         out.add(mark());
         return out;
     }
 
     /** Up to where two books are the same. */
-    static Bookmark common(List<Bookmark> a, List<Bookmark> b) {
+    static OperationLogPosition common(List<OperationLogPosition> a, List<OperationLogPosition> b) {
         int i = 0;
         int j = 0;
         // One of them may have let its oldest views go.
@@ -134,12 +134,12 @@
             }
         }
         if (i > 0 && j > 0) {
-            return Bookmark.NONE;
+            return OperationLogPosition.NONE;
         }
-        Bookmark common = Bookmark.NONE;
+        OperationLogPosition common = OperationLogPosition.NONE;
         while (i < a.size() && j < b.size() && a.get(i).view() == b.get(j).view()) {
             long least = Math.min(a.get(i).pos(), b.get(j).pos());
-            common = new Bookmark(a.get(i).view(), least, DaemonAddress.NONE);
+            common = new OperationLogPosition(a.get(i).view(), least, DaemonAddress.NONE);
             if (a.get(i).pos() != b.get(j).pos()) {
                 return common;
             }
@@ -150,7 +150,7 @@
     }
 
     /** Where the entries behind a mark begin. */
-    private int indexAfter(Bookmark mark) {
+    private int indexAfter(OperationLogPosition mark) {
         int low = 0;
         int high = slips.size();
         while (low < high) {
@@ -165,7 +165,7 @@
     }
 
     /** Entries behind one mark and not behind another, as many as fit. */
-    List<Slip> between(Bookmark after, Bookmark until, int mostBytes) {
+    List<Slip> between(OperationLogPosition after, OperationLogPosition until, int mostBytes) {
         List<Slip> out = new ArrayList<>();
         int room = mostBytes;
         for (int i = indexAfter(after); i < slips.size(); i++) {
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.control.Bookmark;
+import org.umbermount.control.OperationLogPosition;
 import org.umbermount.control.View;
-import org.umbermount.control.Companion;
+import org.umbermount.control.CompanionState;
 import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
@@ -24,7 +24,7 @@
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
  * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
  */
-public final class LoanDesk implements Companion {
+public final class LoanDesk implements CompanionState {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 40;
     private static final long GATHER_MS = 6;
@@ -65,7 +65,7 @@
     private boolean gathering;
     private MonotonicTime writeBegan = MonotonicTime.NEVER;
     private boolean refusing;
-    private Bookmark durable;
+    private OperationLogPosition durable;
 
     // The view.
     private View view = View.NONE;
@@ -133,8 +133,8 @@
     // ---- what the views ask ----
 
     @Override
-    public Bookmark mark() {
-        return new Bookmark(durable.view(), durable.pos(), post.self());
+    public OperationLogPosition mark() {
+        return new OperationLogPosition(durable.view(), durable.pos(), post.self());
     }
 
     @Override
@@ -165,8 +165,8 @@
     }
 
     @Override
-    public void rebuild(Bookmark upTo, Runnable done) {
-        if (upTo.sameAs(Bookmark.NONE)) {
+    public void rebuild(OperationLogPosition upTo, Runnable done) {
+        if (upTo.sameAs(OperationLogPosition.NONE)) {
             done.run();
             return;
         }
@@ -233,7 +233,7 @@
         }
         List<Slip> batch = queue;
         queue = new ArrayList<>();
-        Bookmark upTo = book.mark();
+        OperationLogPosition upTo = book.mark();
         List<byte[]> raw = new ArrayList<>(batch.size());
         for (Slip s : batch) {
             raw.add(s.raw);
@@ -253,7 +253,7 @@
         });
     }
 
-    private void written(List<Slip> batch, Bookmark upTo, int segment) {
+    private void written(List<Slip> batch, OperationLogPosition upTo, int segment) {
         writing = false;
         refusing = segment < 0;
         if (refusing) {
@@ -348,9 +348,9 @@
             }
             case FETCH -> {
                 long view = in.num();
-                fetched(from, view, in.num(), in.list(Bookmark::read));
+                fetched(from, view, in.num(), in.list(OperationLogPosition::read));
             }
-            case PORTION -> portion(from, in.num(), Bookmark.read(in), Bookmark.read(in), in.flag(), slips(in));
+            case PORTION -> portion(from, in.num(), OperationLogPosition.read(in), OperationLogPosition.read(in), in.flag(), slips(in));
             default -> tally.count("idempotency.unwanted");
         }
     }
@@ -533,7 +533,7 @@
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<Slip> next = book.between(new Bookmark(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
+        List<Slip> next = book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
         post.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
                 .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
@@ -590,8 +590,8 @@
             return;
         }
         if (isTail()) {
-            Bookmark after = new Bookmark(view.number(), Math.max(0, committed), DaemonAddress.NONE);
-            for (Slip s : book.between(after, new Bookmark(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
+            OperationLogPosition after = new OperationLogPosition(view.number(), Math.max(0, committed), DaemonAddress.NONE);
+            for (Slip s : book.between(after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
                 reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
@@ -637,19 +637,19 @@
                 .list(book.lineage(), (o, m) -> m.write(o)).done());
     }
 
-    private void fetched(DaemonAddress from, long view, long nonce, List<Bookmark> theirs) {
+    private void fetched(DaemonAddress from, long view, long nonce, List<OperationLogPosition> theirs) {
         boolean able = view < 0 ? replica.standing() != Replica.Standing.RECOVERING
                 : view == this.view.number() && (durable.view() == view || durable.sameAs(this.view.base()));
         if (!able) {
             return;
         }
-        Bookmark common = LoanBook.common(book.lineage(), theirs);
+        OperationLogPosition common = LoanBook.common(book.lineage(), theirs);
         if (common.isBeyond(durable)) {
             common = durable;
         }
         List<Slip> some = book.between(common, durable, PORTION_BYTES);
         Slip last = some.isEmpty() ? null : some.get(some.size() - 1);
-        boolean whole = book.between(last == null ? common : new Bookmark(last.view, last.pos, DaemonAddress.NONE), durable, 1)
+        boolean whole = book.between(last == null ? common : new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE), durable, 1)
                 .isEmpty();
         MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
         common.write(out);
@@ -657,7 +657,7 @@
         post.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
     }
 
-    private void portion(DaemonAddress from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
+    private void portion(DaemonAddress from, long nonce, OperationLogPosition common, OperationLogPosition theirs, boolean whole, List<Slip> some) {
         Fetching f = fetching;
         if (f == null || f.nonce != nonce || !from.equals(f.from)
                 || f.view >= 0 && (f.view != view.number() || !mayMove())) {
@@ -693,7 +693,7 @@
 
     // ---- for people ----
 
-    Bookmark durable() {
+    OperationLogPosition durable() {
         return durable;
     }
 
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
@@ -102,7 +102,7 @@
             Slip s = Slip.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
-                case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
+                case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
                 default -> {
                     s.segment = segment;
                     s.since = host.clock().now();
--- a/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
@@ -90,7 +90,7 @@
                 Slip s = Slip.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
-                    case CUT -> book.cut(new org.umbermount.control.Bookmark(s.view, s.pos, DaemonAddress.NONE));
+                    case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, DaemonAddress.NONE));
                     default -> book.add(s);
                 }
             } catch (MessagePackCodec.UnreadableException e) {
--- a/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
@@ -7,7 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.MonotonicTime;
@@ -27,7 +27,7 @@
     private final FrontDesk desk;
     private final Reader reader;
     private final HttpRequest request;
-    private final Regulations.Route route;
+    private final Configuration.Route route;
     private final Wing wing;
     private final MonotonicTime arrived;
     private final MonotonicTime deadline;
@@ -51,7 +51,7 @@
     private final Sendings sendings;
     /** What the next sending goes out under, while a server is looked for. */
     private Sendings.Permit permit;
-    private final Regulations.Tenant tenant;
+    private final Configuration.Tenant tenant;
     private final String key;
     private boolean charged;
     private long comeAgainMs;
@@ -68,8 +68,8 @@
     private boolean streamCut;
     private int streamHeld;
 
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs,
-            Regulations.Tenant tenant, String key) {
+    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Configuration.Route route, Wing wing, long deadlineMs,
+            Configuration.Tenant tenant, String key) {
         this.tenant = tenant;
         this.key = key;
         this.desk = desk;
@@ -115,7 +115,7 @@
     }
 
     /** Whom the request is from, or null where nobody is asked. */
-    Regulations.Tenant tenant() {
+    Configuration.Tenant tenant() {
         return tenant;
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/Concierge.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Concierge.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.MonotonicTime;
 
@@ -28,7 +28,7 @@
     }
 
     /** A server with room, or null. */
-    Repository choose(Wing wing, Regulations.Route route, List<Repository> tried, MonotonicTime deadline) {
+    Repository choose(Wing wing, Configuration.Route route, List<Repository> tried, MonotonicTime deadline) {
         MonotonicTime now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
         Repository local = chooseLocal(wing, tried, now, queue);
@@ -120,7 +120,7 @@
     }
 
     /** How long the first server has before a second is asked. */
-    long hedgeAfterMs(Wing wing, Regulations.Route route) {
+    long hedgeAfterMs(Wing wing, Configuration.Route route) {
         return (long) Math.max(4.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -26,7 +26,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
@@ -160,7 +160,7 @@
     private void applyConfiguration(Inventory next) throws MessagePackCodec.UnreadableException {
         for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
             if (e.getKey().startsWith(Inventory.UPSTREAM)) {
-                Regulations.Upstream upstream = Tables.readUpstream(e.getValue());
+                Configuration.Upstream upstream = Tables.readUpstream(e.getValue());
                 wing(upstream.label()).configure(upstream);
             }
         }
@@ -199,7 +199,7 @@
     }
 
     /** The limits in force now, for connections that were there before too. */
-    Regulations.Limits limits() {
+    Configuration.Limits limits() {
         return holdings.limits();
     }
 
@@ -214,12 +214,12 @@
         if (!hasTable()) {
             return new Borrowing(this, reader, request, ErrorKind.NOT_READY);
         }
-        Regulations.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        Configuration.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
         if (route == null) {
             return refused(reader, request, doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NO_ROUTE);
         }
         String key = null;
-        Regulations.Tenant tenant = null;
+        Configuration.Tenant tenant = null;
         if (holdings.keyed() && !route.anonymous()) {
             key = Headings.token(request.headers());
             ErrorKind why = whyNot(key);
@@ -296,17 +296,17 @@
         return occupancy;
     }
 
-    private String draw(Regulations.Route route) {
-        List<Regulations.Share> shares = route.shares();
+    private String draw(Configuration.Route route) {
+        List<Configuration.Share> shares = route.shares();
         if (shares.size() == 1) {
             return shares.get(0).upstream();
         }
         long sum = 0;
-        for (Regulations.Share s : shares) {
+        for (Configuration.Share s : shares) {
             sum += s.weight();
         }
         long at = (long) (random.nextDouble() * sum);
-        for (Regulations.Share s : shares) {
+        for (Configuration.Share s : shares) {
             at -= s.weight();
             if (at < 0) {
                 return s.upstream();
--- a/proxy/src/main/java/org/umbermount/proxy/Holdings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Holdings.java
@@ -6,24 +6,24 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The routes of a table, ready for looking up. */
 final class Holdings {
-    static final Holdings EMPTY = new Holdings(new Object2ObjectOpenHashMap<>(), Regulations.Limits.DEFAULT,
+    static final Holdings EMPTY = new Holdings(new Object2ObjectOpenHashMap<>(), Configuration.Limits.DEFAULT,
             new Object2ObjectOpenHashMap<>(), false);
 
-    private final Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost;
-    private final Regulations.Limits limits;
+    private final Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost;
+    private final Configuration.Limits limits;
 
-    private final Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey;
+    private final Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey;
     private final boolean keyed;
 
-    private Holdings(Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost, Regulations.Limits limits,
-            Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey, boolean keyed) {
+    private Holdings(Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost, Configuration.Limits limits,
+            Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey, boolean keyed) {
         this.byKey = byKey;
         this.keyed = keyed;
         this.byHost = byHost;
@@ -31,28 +31,28 @@
     }
 
     static Holdings of(Inventory table) throws MessagePackCodec.UnreadableException {
-        Object2ObjectOpenHashMap<String, List<Regulations.Route>> byHost = new Object2ObjectOpenHashMap<>();
-        Object2ObjectOpenHashMap<String, Regulations.Tenant> byKey = new Object2ObjectOpenHashMap<>();
+        Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost = new Object2ObjectOpenHashMap<>();
+        Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey = new Object2ObjectOpenHashMap<>();
         boolean keyed = false;
         for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
             if (e.getKey().startsWith(Inventory.TENANT)) {
-                Regulations.Tenant tenant = Tables.readTenant(e.getValue());
+                Configuration.Tenant tenant = Tables.readTenant(e.getValue());
                 keyed = true;
                 tenant.apiKeys().forEach(k -> byKey.put(k, tenant));
             }
             if (e.getKey().startsWith(Inventory.ROUTE)) {
-                Regulations.Route route = Tables.readRoute(e.getValue());
+                Configuration.Route route = Tables.readRoute(e.getValue());
                 byHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route);
             }
         }
-        for (List<Regulations.Route> routes : byHost.values()) {
-            routes.sort(Comparator.comparingInt((Regulations.Route r) -> r.prefix().length()).reversed());
+        for (List<Configuration.Route> routes : byHost.values()) {
+            routes.sort(Comparator.comparingInt((Configuration.Route r) -> r.prefix().length()).reversed());
         }
         byte[] limits = table.entries().get(Inventory.CONFIGURATION);
-        return new Holdings(byHost, limits == null ? Regulations.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
+        return new Holdings(byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
     }
 
-    Regulations.Limits limits() {
+    Configuration.Limits limits() {
         return limits;
     }
 
@@ -62,24 +62,24 @@
     }
 
     /** The tenant that holds a key, or null. */
-    Regulations.Tenant tenant(String key) {
+    Configuration.Tenant tenant(String key) {
         return key == null ? null : byKey.get(key);
     }
 
     /** The route with the longest prefix that begins the path, or null. */
-    Regulations.Route route(String hostHeader, String uri) {
+    Configuration.Route route(String hostHeader, String uri) {
         if (hostHeader == null) {
             return null;
         }
         int colon = hostHeader.lastIndexOf(':');
         String host = (colon >= 0 ? hostHeader.substring(0, colon) : hostHeader).toLowerCase(Locale.ROOT);
-        List<Regulations.Route> routes = byHost.get(host);
+        List<Configuration.Route> routes = byHost.get(host);
         if (routes == null) {
             return null;
         }
         int query = uri.indexOf('?');
         String path = query >= 0 ? uri.substring(0, query) : uri;
-        for (Regulations.Route r : routes) {
+        for (Configuration.Route r : routes) {
             if (path.startsWith(r.prefix())) {
                 return r;
             }
--- a/proxy/src/main/java/org/umbermount/proxy/Reader.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Reader.java
@@ -27,7 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.Locale;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
@@ -469,7 +469,7 @@
     void sweep(MonotonicTime now) {
         long still = now.since(lastActivity);
         if (pipeline.isEmpty() && arriving == null && !lingering) {
-            Regulations.Limits limits = desk.limits();
+            Configuration.Limits limits = desk.limits();
             if (headUnderway ? still > limits.headerTimeoutMs() : still > limits.idleTimeoutMs()) {
                 if (headUnderway) {
                     turnAway(null, ErrorKind.SLOW_REQUEST);
--- a/proxy/src/main/java/org/umbermount/proxy/Wing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Wing.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.MonotonicTime;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
@@ -36,7 +36,7 @@
         this.allowance = allowance;
     }
 
-    void configure(Regulations.Upstream upstream) {
+    void configure(Configuration.Upstream upstream) {
         maxConnections = upstream.maxConnections();
         dedupCapable = upstream.dedupCapable();
     }
--- a/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
@@ -27,8 +27,8 @@
     private final FrontDesk desk = new FrontDesk(loop, clock, new Metrics(),
             new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
     private final Wing wing = new Wing("s", null);
-    private final Regulations.Route route = new Regulations.Route("r", "h", "/p/", Regulations.Kind.SAFE, false, 5_000, 800, 1,
-            2, List.of(new Regulations.Share("s", 1)));
+    private final Configuration.Route route = new Configuration.Route("r", "h", "/p/", Configuration.Kind.SAFE, false, 5_000, 800, 1,
+            2, List.of(new Configuration.Share("s", 1)));
 
     @AfterEach
     void close() {
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -24,8 +24,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.umbermount.control.CensusEntry;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.RegisteredServer;
+import org.umbermount.control.Configuration;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Settings;
@@ -175,7 +175,7 @@
 
     private static Inventory table(List<UnrulyServer> servers, int limits) throws Exception {
         String route = "\"virtualHost\":\"h\",\"timeoutMs\":3000,\"targetLatencyMs\":100,\"upstream\":\"s\",\"maxTries\":3,";
-        Regulations r = Regulations.parse(("{\"revision\":1,\"routeTable\":["
+        Configuration r = Configuration.parse(("{\"revision\":1,\"routeTable\":["
                 + "{\"label\":\"a\"," + route + "\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\"},"
                 + "{\"label\":\"o\"," + route + "\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\"},"
                 + "{\"label\":\"b\"," + route + "\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\"}],"
@@ -183,8 +183,8 @@
                 + "\"limits\":{\"maxHeaderBytes\":" + (8_192 + limits) + "}}").getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
         for (int i = 0; i < servers.size(); i++) {
-            entries.put(Inventory.INSTANCE + "i" + i, Tables.packInstance(new CensusEntry(new InstanceId("i" + i), "s",
-                    "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, CensusEntry.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
+            entries.put(Inventory.INSTANCE + "i" + i, Tables.packInstance(new RegisteredServer(new InstanceId("i" + i), "s",
+                    "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
         return Inventory.of(entries);
     }
--- a/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
@@ -26,8 +26,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.control.CensusEntry;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.RegisteredServer;
+import org.umbermount.control.Configuration;
 import org.umbermount.distribution.Inventory;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Settings;
@@ -76,7 +76,7 @@
     }
 
     private void table(String limits, ScriptedServer... servers) throws Exception {
-        Regulations r = Regulations.parse(("{\"revision\":1,\"routeTable\":["
+        Configuration r = Configuration.parse(("{\"revision\":1,\"routeTable\":["
                 + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
                 + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
                 + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\",\"timeoutMs\":3000,"
@@ -86,8 +86,8 @@
         int n = 0;
         for (ScriptedServer s : servers) {
             String id = "i" + n++;
-            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new CensusEntry(new InstanceId(id), "s",
-                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, CensusEntry.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
+            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new RegisteredServer(new InstanceId(id), "s",
+                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
         Inventory table = Inventory.of(entries);
         clock.loop().submit(() -> desk.apply(table)).get();
@@ -391,8 +391,8 @@
     @Test
     void drainingServerGetsNothingNew() throws Exception {
         table(first, second);
-        CensusEntry draining = new CensusEntry(new InstanceId("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
-                CensusEntry.Standing.DRAINING, 2, DaemonAddress.NONE);
+        RegisteredServer draining = new RegisteredServer(new InstanceId("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
+                RegisteredServer.Standing.DRAINING, 2, DaemonAddress.NONE);
         table(first, second);
         Map<String, byte[]> entries = new HashMap<>();
         clock.loop().submit(() -> {
@@ -588,7 +588,7 @@
 
     private void keyedTable(ScriptedServer... servers) throws Exception {
         table(servers);
-        Regulations r = Regulations.parse(("{\"revision\":2,\"routeTable\":["
+        Configuration r = Configuration.parse(("{\"revision\":2,\"routeTable\":["
                 + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
                 + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
                 + "{\"label\":\"o\",\"virtualHost\":\"h\",\"pathPrefix\":\"/open/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
--- a/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MonotonicTime;
@@ -206,7 +206,7 @@
     }
 
     /** Takes one request's worth; answers at once if there is one here. */
-    public void take(Regulations.Tenant tenant, long patienceMs, Outcome outcome) {
+    public void take(Configuration.Tenant tenant, long patienceMs, Outcome outcome) {
         if (!tenant.limited()) {
             outcome.told(Word.MAY);
             return;
@@ -230,13 +230,13 @@
      * When a refused request may come again. A tenant that is refused again and again is far over its limit: its clients
      * would only be refused once more if they came soon.
      */
-    public long comeAgainMs(Regulations.Tenant tenant) {
+    public long comeAgainMs(Configuration.Tenant tenant) {
         Purse purse = purses.get(tenant.label());
         return purse == null || purse.refusals < OFTEN_REFUSED ? SOON_MS : LATER_MS;
     }
 
     /** Gives back what was taken for a request that was not sent. */
-    public void giveBack(Regulations.Tenant tenant) {
+    public void giveBack(Configuration.Tenant tenant) {
         Purse purse = purses.get(tenant.label());
         if (purse != null && clock.now().isBefore(purse.tokensUntil)) {
             purse.tokens++;
--- a/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import org.umbermount.control.Replica;
 import org.umbermount.control.MajorityContact;
-import org.umbermount.control.Regulations;
-import org.umbermount.control.LeaseOffice;
+import org.umbermount.control.Configuration;
+import org.umbermount.control.LeaseManager;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
@@ -26,15 +26,15 @@
     private final Clock clock;
     private final Messenger post;
     private final Replica replica;
-    private final LeaseOffice leases;
+    private final LeaseManager leases;
     private final MajorityContact contact;
     private final Settings.Sharing sharing;
     private final Metrics tally;
     private final Map<String, Bucket> buckets = new HashMap<>();
-    private Regulations limitsOf;
-    private Map<String, Regulations.Tenant> limits = Map.of();
+    private Configuration limitsOf;
+    private Map<String, Configuration.Tenant> limits = Map.of();
 
-    QuotaDesk(Clock clock, Messenger post, Replica replica, LeaseOffice leases,
+    QuotaDesk(Clock clock, Messenger post, Replica replica, LeaseManager leases,
             MajorityContact contact, Settings.Sharing sharing, Metrics tally) {
         this.clock = clock;
         this.post = post;
@@ -46,8 +46,8 @@
         post.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
-    private Map<String, Regulations.Tenant> limits() {
-        Regulations now = replica.regulations();
+    private Map<String, Configuration.Tenant> limits() {
+        Configuration now = replica.regulations();
         if (now != limitsOf) {
             limitsOf = now;
             limits = new HashMap<>();
@@ -82,7 +82,7 @@
             // The limits held here may be old ones: as after a cut, when the lease is back before the configuration.
             return new QuotaMessages.Grant(wish.tenant(), -1, 0, post.self());
         }
-        Regulations.Tenant limit = limits().get(wish.tenant());
+        Configuration.Tenant limit = limits().get(wish.tenant());
         if (limit == null || !limit.limited()) {
             return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
         }
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -1,7 +1,7 @@
 package org.umbermount.quota;
 
 import java.util.List;
-import org.umbermount.control.LeaseOffice;
+import org.umbermount.control.LeaseManager;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MessagePackCodec;
 
@@ -13,7 +13,7 @@
     /** The duty that counts a tenant. */
     static String dutyOf(String tenant) {
         int h = tenant.hashCode();
-        return LeaseOffice.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, LeaseOffice.QUOTA_DUTIES.size()));
+        return LeaseManager.QUOTA_DUTIES.get(Math.floorMod(h ^ h >>> 15, LeaseManager.QUOTA_DUTIES.size()));
     }
 
     /** A proxy's wish for one tenant. */
--- a/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.umbermount.control.Replica;
 import org.umbermount.control.MajorityContact;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.control.StatusPage;
-import org.umbermount.control.LeaseOffice;
+import org.umbermount.control.LeaseManager;
 import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.PluginHost;
@@ -37,7 +37,7 @@
     public void open(PluginHost host) {
         replica = host.find(Replica.class);
         if (host.rules().guarantees(Settings.QUOTA)) {
-            desk = new QuotaDesk(host.clock(), host.find(Messenger.class), replica, host.find(LeaseOffice.class),
+            desk = new QuotaDesk(host.clock(), host.find(Messenger.class), replica, host.find(LeaseManager.class),
                     host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
@@ -48,12 +48,12 @@
 
     /** Tenants with how many keys they have; the keys themselves are never shown. */
     private void show(ObjectNode page) {
-        Regulations regulations = replica.regulations();
+        Configuration regulations = replica.regulations();
         ArrayNode tenants = page.putArray("tenants");
         if (regulations == null) {
             return;
         }
-        for (Regulations.Tenant t : regulations.tenants()) {
+        for (Configuration.Tenant t : regulations.tenants()) {
             ObjectNode one = tenants.addObject().put("tenant", t.label()).put("keys", t.apiKeys().size())
                     .put("priority", t.priority()).put("ratePerS", t.ratePerS()).put("burst", t.burst());
             Bucket bucket = desk == null ? null : desk.buckets().get(t.label());
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.control.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
@@ -23,7 +23,7 @@
 
 class QuotaTest {
     private static final DaemonAddress KEEPER = DaemonAddress.parse("10.0.0.1:7000");
-    private static final Regulations.Tenant TENANT = new Regulations.Tenant("mill", List.of("k"), 0, 30, 30);
+    private static final Configuration.Tenant TENANT = new Configuration.Tenant("mill", List.of("k"), 0, 30, 30);
     private static final long WINDOW_MS = 5_000;
     private static final double OVERSHOOT = 0.1;
     private static final double BURST = 20;
