--- a/app/src/main/java/org/umbermount/app/HollowProxy.java
+++ b/app/src/main/java/org/umbermount/app/HollowProxy.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.BiConsumer;
-import org.umbermount.distribution.Consignee;
-import org.umbermount.distribution.ReceivingDepartment;
+import org.umbermount.distribution.StateReceiver;
+import org.umbermount.distribution.TableReceiverPlugin;
 import org.umbermount.membership.MembershipPlugin;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.PluginHost;
@@ -31,8 +31,8 @@
         mailroom.bind(loop);
         loop.submit(() -> {
             new MembershipPlugin().open(institution);
-            new ReceivingDepartment().open(institution);
-            institution.find(Consignee.class).observe(t -> inForce.accept(this, t.edition().value()));
+            new TableReceiverPlugin().open(institution);
+            institution.find(StateReceiver.class).observe(t -> inForce.accept(this, t.edition().value()));
         }).awaitUninterruptibly();
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/Dispatch.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Instruction.java
@@ -13,11 +13,11 @@
  * @param vouched the edition that a majority has confirmed as the newest one taken; -1 if nothing is said of it
  * @param vouchAge how long ago that confirmation was asked for
  */
-record Dispatch(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp,
-        long echo, Inventory.Difference difference, long vouched, long vouchAge) {
+record Instruction(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp,
+        long echo, RoutingTable.Difference difference, long vouched, long vouchAge) {
 
-    Dispatch(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp, long echo,
-            Inventory.Difference difference) {
+    Instruction(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp, long echo,
+            RoutingTable.Difference difference) {
         this(epoch, life, oldNum, newNum, ackNum, throwawayNum, stamp, echo, difference, -1, 0);
     }
 
@@ -32,7 +32,7 @@
         return out.done();
     }
 
-    static Dispatch unpack(byte[] body) throws MessagePackCodec.UnreadableException {
+    static Instruction unpack(byte[] body) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(body);
         long epoch = in.num();
         long life = in.num();
@@ -44,7 +44,7 @@
         long echo = in.num();
         long vouched = in.num();
         long age = in.num();
-        return new Dispatch(epoch, life, oldNum, newNum, ackNum, throwaway, stamp, echo,
-                in.flag() ? Inventory.Difference.read(in) : null, vouched, age);
+        return new Instruction(epoch, life, oldNum, newNum, ackNum, throwaway, stamp, echo,
+                in.flag() ? RoutingTable.Difference.read(in) : null, vouched, age);
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Inventory.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -13,8 +13,8 @@
  * The route and endpoint table at one moment: entries under keys, each packed. It never changes; a difference
  * between two of them says which keys go and which entries come, so that taking it twice does no harm.
  */
-public final class Inventory {
-    public static final Inventory EMPTY = new Inventory(Map.of());
+public final class RoutingTable {
+    public static final RoutingTable EMPTY = new RoutingTable(Map.of());
     /** Holds the edition and the limits; a table without it is empty. */
     public static final String CONFIGURATION = "c";
     /** Holds the number of proxies that share the fleet's budgets. */
@@ -31,16 +31,16 @@
     private final Map<String, byte[]> entries;
     private final ConfigurationRevision edition;
     // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
-    private Inventory comparedWith;
+    private RoutingTable comparedWith;
     private Difference compared;
 
-    private Inventory(Map<String, byte[]> entries) {
+    private RoutingTable(Map<String, byte[]> entries) {
         this.entries = entries;
         this.edition = readEdition(entries.get(CONFIGURATION));
     }
 
-    public static Inventory of(Map<String, byte[]> entries) {
-        return new Inventory(Map.copyOf(entries));
+    public static RoutingTable of(Map<String, byte[]> entries) {
+        return new RoutingTable(Map.copyOf(entries));
     }
 
     private static ConfigurationRevision readEdition(byte[] configuration) {
@@ -86,7 +86,7 @@
         }
     }
 
-    public Difference since(Inventory older) {
+    public Difference since(RoutingTable older) {
         if (older != comparedWith) {
             compared = compare(older);
             comparedWith = older;
@@ -94,7 +94,7 @@
         return compared;
     }
 
-    private Difference compare(Inventory older) {
+    private Difference compare(RoutingTable older) {
         List<String> gone = new ArrayList<>();
         for (String key : older.entries.keySet()) {
             if (!entries.containsKey(key)) {
@@ -111,17 +111,17 @@
         return new Difference(gone, come);
     }
 
-    public Inventory with(Difference difference) {
+    public RoutingTable with(Difference difference) {
         Map<String, byte[]> next = new HashMap<>(entries);
         difference.gone().forEach(next::remove);
         next.putAll(difference.come());
-        Inventory result = new Inventory(next);
+        RoutingTable result = new RoutingTable(next);
         result.compared = difference;
         result.comparedWith = this;
         return result;
     }
 
-    public boolean sameAs(Inventory other) {
+    public boolean sameAs(RoutingTable other) {
         return this == other || entries.size() == other.entries.size() && since(other).isEmpty();
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Consignee.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
-public final class Consignee {
+public final class StateReceiver {
     private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final int HELD_STATES = 64;
 
@@ -24,22 +24,22 @@
     private final Messenger post;
     private final Metrics tally;
     private final long life;
-    private final TreeMap<Long, Inventory> held = new TreeMap<>();
-    private final List<Consumer<Inventory>> observers = new ArrayList<>();
+    private final TreeMap<Long, RoutingTable> held = new TreeMap<>();
+    private final List<Consumer<RoutingTable>> observers = new ArrayList<>();
     private long epoch;
     private DaemonAddress sender;
     private MonotonicTime lastHeard = MonotonicTime.NEVER;
-    private Inventory inForce = Inventory.EMPTY;
+    private RoutingTable inForce = RoutingTable.EMPTY;
     private long keepMs = -1;
     private MonotonicTime goodUntil = MonotonicTime.NEVER;
 
-    Consignee(Clock clock, Messenger post, Metrics tally, long life) {
+    StateReceiver(Clock clock, Messenger post, Metrics tally, long life) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
         this.life = life;
-        held.put(0L, Inventory.EMPTY);
-        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
+        held.put(0L, RoutingTable.EMPTY);
+        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Instruction.unpack(body)));
     }
 
     /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
@@ -57,7 +57,7 @@
      * put on this daemon's own clock by the echo of its own stamp, which is never later than now: whatever time the
      * word spent on its way, or this process standing still, is counted against it.
      */
-    private void vouched(Dispatch d) {
+    private void vouched(Instruction d) {
         long now = clock.now().millis();
         if (keepMs < 0 || d.vouched() < 0 || d.echo() < 0 || d.echo() > now || d.life() != life
                 || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
@@ -70,11 +70,11 @@
     }
 
     /** Told of each table that comes into force. */
-    public void observe(Consumer<Inventory> observer) {
+    public void observe(Consumer<RoutingTable> observer) {
         observers.add(observer);
     }
 
-    public Inventory inForce() {
+    public RoutingTable inForce() {
         return inForce;
     }
 
@@ -94,7 +94,7 @@
         return lastHeard;
     }
 
-    private void receive(DaemonAddress from, Dispatch d) {
+    private void receive(DaemonAddress from, Instruction d) {
         if (d.life() != 0 && d.life() != life) {
             // Meant for an earlier life of this daemon. The answer tells the sender of this one.
             tally.count("distribution.earlier.life");
@@ -103,7 +103,7 @@
         }
         if (d.epoch() == 0) {
             if (inForce.isEmpty() && epoch == 0 && d.difference() != null && d.oldNum() == 0) {
-                bringIntoForce(Inventory.EMPTY.with(d.difference()), from);
+                bringIntoForce(RoutingTable.EMPTY.with(d.difference()), from);
             }
             vouched(d);
             return;
@@ -118,16 +118,16 @@
             epoch = d.epoch();
             sender = from;
             held.clear();
-            held.put(0L, Inventory.EMPTY);
+            held.put(0L, RoutingTable.EMPTY);
         }
         lastHeard = clock.now();
         if (d.difference() != null && !held.containsKey(d.newNum())) {
             // State 0 is the empty table and is always known, whatever has been trimmed.
-            Inventory base = d.oldNum() == 0 ? Inventory.EMPTY : held.get(d.oldNum());
+            RoutingTable base = d.oldNum() == 0 ? RoutingTable.EMPTY : held.get(d.oldNum());
             if (base == null) {
                 tally.count("distribution.unknown.base");
             } else {
-                Inventory table = base.with(d.difference());
+                RoutingTable table = base.with(d.difference());
                 if (inForce.edition().isAfter(table.edition()) && Safeguard.NO_WAY_BACK.holds()) {
                     tally.count("distribution.older.edition");
                     return;
@@ -152,24 +152,24 @@
             it.remove();
         }
         if (held.isEmpty()) {
-            held.put(0L, Inventory.EMPTY);
+            held.put(0L, RoutingTable.EMPTY);
         }
     }
 
-    private void bringIntoForce(Inventory table, DaemonAddress from) {
+    private void bringIntoForce(RoutingTable table, DaemonAddress from) {
         ConfigurationRevision before = inForce.edition();
         inForce = table;
         if (!before.equals(table.edition())) {
             LOG.info("Edition {} is in force, from {}.", table.edition(), from);
         }
         tally.count("distribution.tables");
-        for (Consumer<Inventory> o : observers) {
+        for (Consumer<RoutingTable> o : observers) {
             o.accept(table);
         }
     }
 
-    private void acknowledge(DaemonAddress to, Dispatch d, long num) {
-        post.send(to, Messenger.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, clock.now().millis(),
+    private void acknowledge(DaemonAddress to, Instruction d, long num) {
+        post.send(to, Messenger.Topic.DISPATCH, new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(),
                 d.stamp(), null).pack());
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Consignor.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateSender.java
@@ -16,7 +16,7 @@
  * is the one known to have arrived; each difference starts from the newest state that may still be on its way,
  * and from the known one once its timeout has passed.
  */
-final class Consignor {
+final class StateSender {
     static final int SENT_STATES = 32;
     static final long HEARTBEAT_MS = 3_000;
     /** Changes within this time travel together. */
@@ -25,10 +25,10 @@
 
     private static final class Sent {
         final long num;
-        final Inventory table;
+        final RoutingTable table;
         MonotonicTime at;
 
-        Sent(long num, Inventory table, MonotonicTime at) {
+        Sent(long num, RoutingTable table, MonotonicTime at) {
             this.num = num;
             this.table = table;
             this.at = at;
@@ -43,7 +43,7 @@
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
     private long life;
-    private Inventory current = Inventory.EMPTY;
+    private RoutingTable current = RoutingTable.EMPTY;
     private long topNum;
     private MonotonicTime lastSend = MonotonicTime.NEVER;
     private MonotonicTime lastHeard;
@@ -52,11 +52,11 @@
     private MonotonicTime echoAt;
     private Clock.Cancellable timer;
     private boolean closed;
-    private Vouching vouching = Vouching.NONE;
+    private TableFreshness vouching = TableFreshness.NONE;
     private long renewMs = HEARTBEAT_MS;
     private BooleanSupplier leased = () -> true;
 
-    Consignor(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger post, Metrics tally) {
+    StateSender(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger post, Metrics tally) {
         this.proxy = proxy;
         this.life = life;
         this.epoch = epoch;
@@ -64,7 +64,7 @@
         this.post = post;
         this.tally = tally;
         this.lastHeard = clock.now();
-        sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
+        sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
     }
 
     /** Sets what says at each moment whether the lease is held under which this sends. */
@@ -77,7 +77,7 @@
     }
 
     /** From now on instructions say how fresh the table is known to be, at least as often as this. */
-    void vouch(Vouching by, long everyMs) {
+    void vouch(TableFreshness by, long everyMs) {
         vouching = by;
         renewMs = Math.min(HEARTBEAT_MS, everyMs);
     }
@@ -132,7 +132,7 @@
     }
 
     /** The table that the proxy should have. */
-    void offer(Inventory table) {
+    void offer(RoutingTable table) {
         current = table;
         schedule(COLLECT_MS);
     }
@@ -141,7 +141,7 @@
     void restart(long newLife) {
         life = newLife;
         sent.clear();
-        sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
+        sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
         unanswered = 0;
         echoStamp = -1;
         lastHeard = clock.now();
@@ -224,7 +224,7 @@
     }
 
     private void send(Sent from, Sent to, MonotonicTime now) {
-        emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
+        emit(new Instruction(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
                 to.table.since(from.table), vouched(now), vouchAge(now)), now);
         unanswered++;
         tally.count("distribution.sent");
@@ -232,12 +232,12 @@
 
     private void sendEmpty(MonotonicTime now) {
         long num = newest().num;
-        emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
+        emit(new Instruction(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
                 vouched(now), vouchAge(now)), now);
         tally.count("distribution.heartbeats");
     }
 
-    private void emit(Dispatch dispatch, MonotonicTime now) {
+    private void emit(Instruction dispatch, MonotonicTime now) {
         lastSend = now;
         post.send(proxy, Messenger.Topic.DISPATCH, dispatch.pack());
     }
@@ -267,7 +267,7 @@
      * What was sent no later than the instruction that this answers, and is above what the proxy acknowledges, has not
      * arrived there: it need not be waited for. Tells whether there is such a state.
      */
-    private boolean doubt(Dispatch ack) {
+    private boolean doubt(Instruction ack) {
         boolean any = false;
         for (Sent s : sent) {
             if (s.num > ack.ackNum() && ack.echo() >= 0 && s.at.millis() <= ack.echo()) {
@@ -279,7 +279,7 @@
     }
 
     /** Takes an acknowledgment. */
-    void acknowledged(Dispatch ack) {
+    void acknowledged(Instruction ack) {
         MonotonicTime now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
@@ -313,7 +313,7 @@
             tally.count("distribution.numbers.met");
             topNum = ack.ackNum();
             sent.clear();
-            sent.add(new Sent(0, Inventory.EMPTY, MonotonicTime.NEVER));
+            sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
         }
         if (doubt(ack) || !current.sameAs(newest().table)) {
             // A change is waiting for its turn; what is heard meanwhile must not put it off.
--- a/distribution/src/main/java/org/umbermount/distribution/Vouching.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableFreshness.java
@@ -4,14 +4,14 @@
 import org.umbermount.kernel.MonotonicTime;
 
 /** Where a sender learns which edition a majority has confirmed as the newest, and when that was asked. */
-interface Vouching {
+interface TableFreshness {
     ConfigurationRevision edition();
 
     /** Null while nothing has been confirmed. */
     MonotonicTime at();
 
     /** Nothing is ever vouched for. */
-    Vouching NONE = new Vouching() {
+    TableFreshness NONE = new TableFreshness() {
         @Override
         public ConfigurationRevision edition() {
             return ConfigurationRevision.NONE;
--- a/distribution/src/main/java/org/umbermount/distribution/ReceivingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The receiving side as a plug-in of the proxy. */
-public final class ReceivingDepartment implements Plugin {
+public final class TableReceiverPlugin implements Plugin {
     private static final long LOOP_MS = 500;
     private static final long EAGER_MS = 100;
     private static final long LOST_MS = 500;
@@ -24,11 +24,11 @@
     private static final long TELL_HERE_MS = 1_000;
     private static final long VOUCH_MARGIN_MS = 300;
     private static final long VOUCH_LOW_MS = 2_600;
-    private static final long SILENCE_MS = Consignor.HEARTBEAT_MS + 700;
+    private static final long SILENCE_MS = StateSender.HEARTBEAT_MS + 700;
 
     private PluginHost institution;
     private PeerSampling gazetteer;
-    private Consignee consignee;
+    private StateReceiver consignee;
     private MonotonicTime lastTold = MonotonicTime.NEVER;
     private MonotonicTime lastToldHere = MonotonicTime.NEVER;
     private int tries;
@@ -55,8 +55,8 @@
         institution = host;
         gazetteer = host.find(PeerSampling.class);
         Clock clock = host.clock();
-        consignee = new Consignee(clock, host.find(Messenger.class), host.tally(), clock.wallMillis());
-        host.offer(Consignee.class, consignee);
+        consignee = new StateReceiver(clock, host.find(Messenger.class), host.tally(), clock.wallMillis());
+        host.offer(StateReceiver.class, consignee);
         Settings.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
         if (strict) {
@@ -100,7 +100,7 @@
     private void tellHere(MonotonicTime now) {
         lastToldHere = now;
         String zone = institution.rules().zone();
-        byte[] body = new Signpost(consignee.life(), zone, consignee.inForce().isEmpty(), false,
+        byte[] body = new ProxyAnnouncer(consignee.life(), zone, consignee.inForce().isEmpty(), false,
                 consignee.inForce().edition().value(), now.millis()).pack();
         DaemonAddress sender = consignee.sender();
         for (MemberDescriptor p : gazetteer.known(Role.CONTROLLER, zone)) {
@@ -115,11 +115,11 @@
     }
 
     /** Takes up the controllers that the table names, and makes itself known to those of the zone at once. */
-    private void learn(Inventory table) {
+    private void learn(RoutingTable table) {
         List<MemberDescriptor> named = new ArrayList<>();
         try {
             for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
-                if (e.getKey().startsWith(Inventory.CONTROLLER)) {
+                if (e.getKey().startsWith(RoutingTable.CONTROLLER)) {
                     named.add(Tables.readController(e.getValue()));
                 }
             }
@@ -139,7 +139,7 @@
     /** The sender is late with its word on how fresh the table is: any controller may give it. */
     private void askVoucher(MonotonicTime now) {
         List<MemberDescriptor> known = gazetteer.known(Role.CONTROLLER, institution.rules().zone());
-        byte[] body = new Signpost(consignee.life(), institution.rules().zone(), false, true,
+        byte[] body = new ProxyAnnouncer(consignee.life(), institution.rules().zone(), false, true,
                 consignee.inForce().edition().value(), now.millis()).pack();
         for (int i = 0; i < Math.min(2, known.size()); i++) {
             institution.find(Messenger.class).send(known.get(voucherTurn++ % known.size()).imprint(),
@@ -152,7 +152,7 @@
         MonotonicTime now = institution.clock().now();
         boolean empty = consignee.inForce().isEmpty();
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
-        byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
+        byte[] body = new ProxyAnnouncer(consignee.life(), institution.rules().zone(), empty, lost && strict,
                 consignee.inForce().edition().value(), now.millis()).pack();
         List<DaemonAddress> targets = gazetteer.known(Role.CONTROLLER, institution.rules().zone()).stream()
                 .map(MemberDescriptor::imprint).toList();
--- a/distribution/src/main/java/org/umbermount/distribution/SendingDepartment.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -36,7 +36,7 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The sending side as a plug-in of the controller: one sender for each proxy of the zones whose duty is held. */
-public final class SendingDepartment implements Plugin {
+public final class TableSenderPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final long LOOP_MS = 500;
     private static final long FORGET_MS = 20_000;
@@ -50,7 +50,7 @@
     private static final long VOUCH_MS = 5_000;
 
     private final Map<DaemonAddress, Known> proxies = new TreeMap<>();
-    private final Map<DaemonAddress, Consignor> consignors = new HashMap<>();
+    private final Map<DaemonAddress, StateSender> consignors = new HashMap<>();
     private final Map<DaemonAddress, Long> askers = new HashMap<>();
     private PluginHost institution;
     private Clock clock;
@@ -62,15 +62,15 @@
     private MajorityContact contact;
     private boolean dirty = true;
     private boolean assured;
-    private Inventory table = Inventory.EMPTY;
+    private RoutingTable table = RoutingTable.EMPTY;
     private ConfigurationRevision packedEdition = ConfigurationRevision.NONE;
     private Map<String, byte[]> packedConfiguration = Map.of();
 
-    private final Map<DaemonAddress, Signpost> waitingForVouch = new HashMap<>();
+    private final Map<DaemonAddress, ProxyAnnouncer> waitingForVouch = new HashMap<>();
     private ChainClient chainClient;
     private boolean strict;
     private MonotonicTime vouchedUntil = MonotonicTime.NEVER;
-    private final Vouching vouching = new Vouching() {
+    private final TableFreshness vouching = new TableFreshness() {
         @Override
         public ConfigurationRevision edition() {
             return chainClient.attested();
@@ -127,9 +127,9 @@
         contact = host.find(MajorityContact.class);
         chainClient = host.find(ChainClient.class);
         strict = host.rules().bounds().sharing().strictRevocation();
-        post.subscribe(Messenger.Topic.SIGNPOST, (from, body) -> met(from, Signpost.unpack(body)));
+        post.subscribe(Messenger.Topic.SIGNPOST, (from, body) -> met(from, ProxyAnnouncer.unpack(body)));
         post.subscribe(Messenger.Topic.INTRODUCTION, (from, body) -> introduced(body));
-        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> acknowledged(from, Dispatch.unpack(body)));
+        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> acknowledged(from, Instruction.unpack(body)));
         host.find(PeerSampling.class).observe(this::noticed);
         replica.onCommit(c -> {
             changed();
@@ -175,7 +175,7 @@
                 .put("vouchedMsAgo", vouching.at() == null ? -1 : clock.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
-            Consignor c = consignors.get(e.getKey());
+            StateSender c = consignors.get(e.getKey());
             ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
                     .put("heardMsAgo", clock.now().since(e.getValue().heard)).put("servedHere", c != null);
             if (c != null) {
@@ -204,7 +204,7 @@
         MessagePackCodec.Reader in = MessagePackCodec.read(body);
         String zone = in.text();
         boolean any = false;
-        for (Signpost.Proxy p : in.list(one -> new Signpost.Proxy(one.imprint(), zone, one.num()))) {
+        for (ProxyAnnouncer.Proxy p : in.list(one -> new ProxyAnnouncer.Proxy(one.imprint(), zone, one.num()))) {
             any |= proxies.putIfAbsent(p.imprint(), new Known(zone, p.life(), clock.now())) == null;
         }
         if (any) {
@@ -229,7 +229,7 @@
     }
 
     /** Tells a proxy that is not served here, or late served, how fresh its table is. */
-    private void vouch(DaemonAddress to, Signpost s, Consignor consignor) {
+    private void vouch(DaemonAddress to, ProxyAnnouncer s, StateSender consignor) {
         MonotonicTime now = clock.now();
         vouchedUntil = now.plus(VOUCH_MS);
         if (vouching.at() == null || now.since(vouching.at()) > 2 * ATTEST_MS) {
@@ -242,18 +242,18 @@
         if (consignor != null) {
             consignor.renew();
         } else if (vouching.at() != null) {
-            post.send(to, Messenger.Topic.DISPATCH, new Dispatch(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
+            post.send(to, Messenger.Topic.DISPATCH, new Instruction(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
                     vouching.edition().value(), now.since(vouching.at())).pack());
         }
     }
 
     private void vouchWaiting() {
-        Map<DaemonAddress, Signpost> waiting = new HashMap<>(waitingForVouch);
+        Map<DaemonAddress, ProxyAnnouncer> waiting = new HashMap<>(waitingForVouch);
         waitingForVouch.clear();
         waiting.forEach((to, s) -> vouch(to, s, consignors.get(to)));
     }
 
-    private void met(DaemonAddress from, Signpost s) {
+    private void met(DaemonAddress from, ProxyAnnouncer s) {
         Known known = proxies.get(from);
         boolean fresh = known == null || !known.zone.equals(s.zone());
         if (fresh) {
@@ -267,7 +267,7 @@
         if (fresh) {
             reconcile();
         }
-        Consignor consignor = consignors.get(from);
+        StateSender consignor = consignors.get(from);
         if (consignor != null && consignor.life() != s.life()) {
             consignor.restart(s.life());
         }
@@ -285,7 +285,7 @@
     /** Gives empty proxies a baseline as soon as this daemon can vouch for what it holds. */
     private void serveAskers(int looksLeft) {
         if (reliable()) {
-            Inventory.Difference everything = table().since(Inventory.EMPTY);
+            RoutingTable.Difference everything = table().since(RoutingTable.EMPTY);
             for (Map.Entry<DaemonAddress, Long> e : askers.entrySet()) {
                 post.send(e.getKey(), Messenger.Topic.DISPATCH,
                         baseline(e.getKey(), e.getValue(), everything).pack());
@@ -300,7 +300,7 @@
         }
     }
 
-    private Dispatch baseline(DaemonAddress to, long life, Inventory.Difference everything) {
+    private Instruction baseline(DaemonAddress to, long life, RoutingTable.Difference everything) {
         Known known = proxies.get(to);
         boolean vouch = strict && known != null && known.life == life && vouching.at() != null;
         if (strict) {
@@ -309,7 +309,7 @@
                 chainClient.askNewest();
             }
         }
-        return new Dispatch(0, life, 0, 1, 0, 0, 0, vouch ? known.stamp : -1, everything,
+        return new Instruction(0, life, 0, 1, 0, 0, 0, vouch ? known.stamp : -1, everything,
                 vouch ? vouching.edition().value() : -1, vouch ? clock.now().since(vouching.at()) : 0);
     }
 
@@ -349,13 +349,13 @@
         }
     }
 
-    private void acknowledged(DaemonAddress from, Dispatch ack) {
+    private void acknowledged(DaemonAddress from, Instruction ack) {
         Known known = proxies.get(from);
         if (known == null) {
             return;
         }
         known.heard = clock.now();
-        Consignor consignor = consignors.get(from);
+        StateSender consignor = consignors.get(from);
         if (consignor == null) {
             return;
         }
@@ -378,7 +378,7 @@
         if (consignors.isEmpty() || !census.ready() || !assured()) {
             return;
         }
-        Inventory now = table();
+        RoutingTable now = table();
         consignors.values().forEach(c -> c.offer(now));
     }
 
@@ -386,9 +386,9 @@
     private void reconcile() {
         MonotonicTime now = clock.now();
         boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
-        Iterator<Map.Entry<DaemonAddress, Consignor>> it = consignors.entrySet().iterator();
+        Iterator<Map.Entry<DaemonAddress, StateSender>> it = consignors.entrySet().iterator();
         while (it.hasNext()) {
-            Map.Entry<DaemonAddress, Consignor> e = it.next();
+            Map.Entry<DaemonAddress, StateSender> e = it.next();
             Known known = proxies.get(e.getKey());
             if (known == null || leases.epoch(known.zone) == 0) {
                 e.getValue().close();
@@ -399,7 +399,7 @@
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             long epoch = leases.epoch(e.getValue().zone);
             if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
-                Consignor c = new Consignor(e.getKey(), e.getValue().life, epoch, clock, post, institution.tally());
+                StateSender c = new StateSender(e.getKey(), e.getValue().life, epoch, clock, post, institution.tally());
                 consignors.put(e.getKey(), c);
                 if (strict) {
                     c.vouch(vouching, RENEW_MS);
@@ -418,7 +418,7 @@
     }
 
     /** The table as it is now: the committed configuration joined with the servers. */
-    private Inventory table() {
+    private RoutingTable table() {
         if (!dirty) {
             return table;
         }
@@ -437,7 +437,7 @@
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
                 Packed now = old != null && old.entry.sameNews(e) && old.entry.warmMs() == e.warmMs()
-                        ? old : new Packed(e, Inventory.INSTANCE + e.id(), Tables.packInstance(e));
+                        ? old : new Packed(e, RoutingTable.INSTANCE + e.id(), Tables.packInstance(e));
                 fresh.put(e.id(), now);
                 entries.put(now.key, now.bytes);
             }
@@ -446,22 +446,22 @@
         Settings rules = institution.rules();
         DaemonAddress head = replica.view().head();
         if (rules.guarantees(Settings.KEYS) && head != null) {
-            entries.put(Inventory.DUTY + "loans", MessagePackCodec.write().imprint(head).done());
+            entries.put(RoutingTable.DUTY + "loans", MessagePackCodec.write().imprint(head).done());
         }
-        entries.put(Inventory.CONTROLLER + post.self(), Tables.packController(post.self(), rules.zone()));
+        entries.put(RoutingTable.CONTROLLER + post.self(), Tables.packController(post.self(), rules.zone()));
         for (FailureDetector.Peer p : detector.peers()) {
             if (p.report() != null && detector.lostForMs(p.imprint()) < FORGET_MS) {
-                entries.put(Inventory.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
+                entries.put(RoutingTable.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
             }
         }
         for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.<String>of()) {
             DaemonAddress holder = leases.holder(duty);
             if (holder != null) {
-                entries.put(Inventory.DUTY + duty, MessagePackCodec.write().imprint(holder).done());
+                entries.put(RoutingTable.DUTY + duty, MessagePackCodec.write().imprint(holder).done());
             }
         }
-        entries.put(Inventory.FLEET, MessagePackCodec.write().num(proxies.size()).done());
-        table = Inventory.of(entries);
+        entries.put(RoutingTable.FLEET, MessagePackCodec.write().num(proxies.size()).done());
+        table = RoutingTable.of(entries);
         return table;
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -23,21 +23,21 @@
     public static Map<String, byte[]> packConfiguration(Configuration r) {
         Map<String, byte[]> out = new HashMap<>();
         Configuration.Limits l = r.limits();
-        out.put(Inventory.CONFIGURATION, MessagePackCodec.write().num(r.edition().value()).num(l.maxHeaderBytes())
+        out.put(RoutingTable.CONFIGURATION, MessagePackCodec.write().num(r.edition().value()).num(l.maxHeaderBytes())
                 .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
         for (Configuration.Upstream u : r.upstreams()) {
-            out.put(Inventory.UPSTREAM + u.label(),
+            out.put(RoutingTable.UPSTREAM + u.label(),
                     MessagePackCodec.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
         }
         for (Configuration.Route route : r.routes()) {
-            out.put(Inventory.ROUTE + route.host() + route.prefix(), MessagePackCodec.write().text(route.label())
+            out.put(RoutingTable.ROUTE + route.host() + route.prefix(), MessagePackCodec.write().text(route.label())
                     .text(route.host()).text(route.prefix()).num(route.kind().ordinal())
                     .flag(route.anonymous()).num(route.timeoutMs())
                     .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
                     .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
         }
         for (Configuration.Tenant t : r.tenants()) {
-            out.put(Inventory.TENANT + t.label(), MessagePackCodec.write().text(t.label()).list(t.apiKeys(), MessagePackCodec.Writer::text)
+            out.put(RoutingTable.TENANT + t.label(), MessagePackCodec.write().text(t.label()).list(t.apiKeys(), MessagePackCodec.Writer::text)
                     .num(t.priority()).num(Math.round(t.ratePerS() * 1_000)).num(Math.round(t.burst() * 1_000)).done());
         }
         return out;
--- a/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -43,7 +43,7 @@
     /** One proxy in each zone, with controllers as they are. */
     private static final class Site {
         final Fleet fleet = new Fleet(SIZE, 3, 21, 1, null);
-        final List<Consignee> proxies = new ArrayList<>();
+        final List<StateReceiver> proxies = new ArrayList<>();
         /** Epochs and editions of tables that a controller has sent, with the time. */
         final List<long[]> sent = new ArrayList<>();
         int watched = -1;
@@ -59,7 +59,7 @@
             for (int i = 0; i < SIZE; i++) {
                 PluginHost host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
                 furnish(host, Fleet.imprint(i), Role.CONTROLLER, Fleet.zone(i), fleet.bag(i));
-                new SendingDepartment().open(host);
+                new TableSenderPlugin().open(host);
             }
             for (int i = 0; i < SIZE; i++) {
                 proxies.add(proxy(i, 1, fleet.almanac));
@@ -73,14 +73,14 @@
             fleet.run(9_000);
             take(2, 0, 1);
             fleet.run(2_000);
-            for (Consignee c : proxies) {
+            for (StateReceiver c : proxies) {
                 assertEquals(1, c.inForce().edition().value());
             }
         }
 
         private void note(byte[] body) {
             try {
-                Dispatch d = Dispatch.unpack(body);
+                Instruction d = Instruction.unpack(body);
                 sent.add(new long[] {fleet.almanac.now().millis(), d.epoch(), d.vouched(), d.vouchAge()});
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
@@ -115,12 +115,12 @@
             return DaemonAddress.parse("10." + (zone + 1) + ".1." + k + ":7001");
         }
 
-        Consignee proxy(int zone, int k, Clock clock) {
+        StateReceiver proxy(int zone, int k, Clock clock) {
             DaemonAddress self = imprint(zone, k);
             PluginHost host = new PluginHost(Role.PROXY, rules(Fleet.zone(zone), self), clock);
             furnish(host, self, Role.PROXY, Fleet.zone(zone), fleet.network.bag(self));
-            new ReceivingDepartment().open(host);
-            return host.find(Consignee.class);
+            new TableReceiverPlugin().open(host);
+            return host.find(StateReceiver.class);
         }
 
         void take(int at, long match, long edition) {
@@ -147,18 +147,18 @@
             int other = (one + 2) % SIZE;
             site.take(other, 1, 5);
             site.fleet.run(1_600);
-            for (Consignee c : site.proxies) {
+            for (StateReceiver c : site.proxies) {
                 assertEquals(5, c.inForce().edition().value(), how + " of " + one);
             }
             site.fleet.run(CUT_MS - site.fleet.almanac.now().since(cut));
             assertTrue(site.sent.isEmpty(), "it sent to a proxy " + how + " of " + one);
             end.run();
             site.fleet.run(SYNC_MS);
-            for (Consignee c : site.proxies) {
+            for (StateReceiver c : site.proxies) {
                 assertEquals(5, c.inForce().edition().value());
             }
             site.take(one, 5, 6);
-            for (Consignee c : site.proxies) {
+            for (StateReceiver c : site.proxies) {
                 assertEquals(6, c.inForce().edition().value());
             }
         }
@@ -169,7 +169,7 @@
     @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROZEN"})
     void nothingIsVouchedForBeyondTheCut(Isolation how) throws IOException {
         Site site = new Site(true);
-        Consignee proxy = site.proxies.get(1);
+        StateReceiver proxy = site.proxies.get(1);
         assertTrue(proxy.goodForMs() > 0, "not vouched for to begin with");
         for (int i = 0; i < SIZE; i++) {
             if (i != 1) {
@@ -234,7 +234,7 @@
                     || topic != Messenger.Topic.VIEW || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
-            Consignee fresh = site.proxy(1, 2, site.fleet.almanac);
+            StateReceiver fresh = site.proxy(1, 2, site.fleet.almanac);
             long[] first = new long[1];
             fresh.observe(t -> first[0] = first[0] == 0 ? t.edition().value() : first[0]);
             // It reaches only the controller of its own zone: the others would have given it the newer one.
--- a/distribution/src/test/java/org/umbermount/distribution/FencingMutationsTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/FencingMutationsTest.java
@@ -6,12 +6,12 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
-/** What {@link CourierTest} checks of a proxy's own guard fails without it; before its senders confirm an edition, it stands alone. */
+/** What {@link StateSynchronizationTest} checks of a proxy's own guard fails without it; before its senders confirm an edition, it stands alone. */
 class FencingMutationsTest {
     @Test
     void anEarlierSenderIsFenced() {
         assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.FENCED_BY_EPOCH, () -> {
-            new CourierTest().newSenderResyncsAndTheOldOneIsFenced();
+            new StateSynchronizationTest().newSenderResyncsAndTheOldOneIsFenced();
             return null;
         }));
     }
@@ -19,7 +19,7 @@
     @Test
     void aLowerRevisionIsNotTaken() {
         assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.NO_WAY_BACK, () -> {
-            new CourierTest().lowerRevisionIsNotTakenWithinALife();
+            new StateSynchronizationTest().lowerRevisionIsNotTakenWithinALife();
             return null;
         }));
     }
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -16,7 +16,7 @@
         final DaemonAddress imprint;
         final String zone;
         MortalClock clock;
-        Consignee consignee;
+        StateReceiver consignee;
         long edition;
         boolean up;
         boolean frozen;
@@ -58,11 +58,11 @@
         p.consignee.observe(t -> inForce(p, t));
     }
 
-    private void inForce(Proxy p, Inventory table) {
+    private void inForce(Proxy p, RoutingTable table) {
         long edition = table.edition().value();
         if (edition > 0) {
             try {
-                MessagePackCodec.Reader in = MessagePackCodec.read(table.entries().get(Inventory.CONFIGURATION));
+                MessagePackCodec.Reader in = MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
                 in.num();
                 room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.imprint + " has it in force");
             } catch (MessagePackCodec.UnreadableException e) {
--- a/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -181,7 +181,7 @@
                 host.find(FailureDetector.class).enlist(p.imprint());
             }
         });
-        new SendingDepartment().open(host);
+        new TableSenderPlugin().open(host);
     }
 
     /** Starts a controller; the list of those that it is told of is the operator's. */
@@ -197,13 +197,13 @@
         }
     }
 
-    Consignee openProxy(DaemonAddress self, String zone, Clock clock) {
+    StateReceiver openProxy(DaemonAddress self, String zone, Clock clock) {
         List<DaemonAddress> seeds = imprints(machines.seeds(random));
         FakeMessenger.Bag bag = fleet.network.bag(self);
         PluginHost host = new PluginHost(Role.PROXY, rules(zone, self, seeds), clock);
         gazetteer(host, self, Role.PROXY, zone, seeds, bag);
-        new ReceivingDepartment().open(host);
-        return host.find(Consignee.class);
+        new TableReceiverPlugin().open(host);
+        return host.find(StateReceiver.class);
     }
 
     // ---- a day ----
--- a/distribution/src/test/java/org/umbermount/distribution/CourierTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
@@ -19,7 +19,7 @@
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 
-class CourierTest {
+class StateSynchronizationTest {
     private static final DaemonAddress SENDER = DaemonAddress.parse("10.0.0.1:7000");
     private static final DaemonAddress OTHER = DaemonAddress.parse("10.0.0.2:7000");
     private static final DaemonAddress PROXY = DaemonAddress.parse("10.0.0.3:7001");
@@ -27,17 +27,17 @@
     private final FakeMessenger network = new FakeMessenger(clock, 5);
     private final Metrics tally = new Metrics();
     private final List<Long> inForce = new ArrayList<>();
-    private Consignee consignee;
+    private StateReceiver consignee;
 
-    private Consignee proxy(long life) {
-        Consignee c = new Consignee(clock, network.bag(PROXY), tally, life);
+    private StateReceiver proxy(long life) {
+        StateReceiver c = new StateReceiver(clock, network.bag(PROXY), tally, life);
         c.observe(t -> inForce.add(t.edition().value()));
         return c;
     }
 
-    private Consignor sender(DaemonAddress self, long epoch, List<Dispatch> seen) {
+    private StateSender sender(DaemonAddress self, long epoch, List<Instruction> seen) {
         FakeMessenger.Bag bag = network.bag(self);
-        Consignor[] c = new Consignor[1];
+        StateSender[] c = new StateSender[1];
         Messenger watched = new Messenger() {
             @Override
             public DaemonAddress self() {
@@ -47,7 +47,7 @@
             @Override
             public void send(DaemonAddress to, Topic topic, byte[] body) {
                 try {
-                    seen.add(Dispatch.unpack(body));
+                    seen.add(Instruction.unpack(body));
                 } catch (MessagePackCodec.UnreadableException e) {
                     throw new AssertionError(e);
                 }
@@ -59,21 +59,21 @@
                 bag.subscribe(topic, listener);
             }
         };
-        c[0] = new Consignor(PROXY, 0, epoch, clock, watched, tally);
-        bag.subscribe(Messenger.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
+        c[0] = new StateSender(PROXY, 0, epoch, clock, watched, tally);
+        bag.subscribe(Messenger.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Instruction.unpack(body)));
         return c[0];
     }
 
-    private static Inventory table(long edition, int... servers) {
+    private static RoutingTable table(long edition, int... servers) {
         Map<String, byte[]> entries = new HashMap<>();
-        entries.put(Inventory.CONFIGURATION, MessagePackCodec.write().num(edition).done());
+        entries.put(RoutingTable.CONFIGURATION, MessagePackCodec.write().num(edition).done());
         for (int s : servers) {
-            entries.put(Inventory.INSTANCE + s, new byte[] {(byte) s});
+            entries.put(RoutingTable.INSTANCE + s, new byte[] {(byte) s});
         }
-        return Inventory.of(entries);
+        return RoutingTable.of(entries);
     }
 
-    private static Inventory wide(long edition, int servers) {
+    private static RoutingTable wide(long edition, int servers) {
         int[] ids = new int[servers];
         for (int i = 0; i < servers; i++) {
             ids[i] = i;
@@ -84,14 +84,14 @@
     @Test
     void changesTravelAsSmallDifferencesAndAreTrimmed() {
         consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         c.offer(wide(1, 100));
         clock.advance(500);
         assertEquals(101, seen.get(0).difference().come().size());
         c.offer(wide(2, 101));
         clock.advance(500);
-        Dispatch second = seen.get(seen.size() - 1);
+        Instruction second = seen.get(seen.size() - 1);
         assertEquals(2, second.difference().come().size());
         assertEquals(seen.get(0).newNum(), second.oldNum());
         assertEquals(seen.get(0).newNum(), second.throwawayNum());
@@ -102,7 +102,7 @@
     @Test
     void quietSenderBeatsWithEmptyInstructions() {
         consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
+        List<Instruction> seen = new ArrayList<>();
         sender(SENDER, 1, seen).offer(wide(1, 3));
         clock.advance(500);
         int before = seen.size();
@@ -114,8 +114,8 @@
     @Test
     void afterALossTheDifferenceStartsFromTheKnownState() {
         consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         c.offer(table(1, 1));
         clock.advance(2_000);
         long known = c.knownNum();
@@ -124,10 +124,10 @@
         clock.advance(30);
         c.offer(table(1, 1, 2, 3));
         clock.advance(30);
-        Dispatch third = seen.get(seen.size() - 1);
+        Instruction third = seen.get(seen.size() - 1);
         assertTrue(third.oldNum() > known, "assumes that the second has arrived");
         clock.advance(300);
-        Dispatch again = seen.get(seen.size() - 1);
+        Instruction again = seen.get(seen.size() - 1);
         assertEquals(known, again.oldNum());
         assertEquals(2, again.difference().come().size());
         network.healAll();
@@ -151,7 +151,7 @@
     @Test
     void acknowledgmentDoesNotPutOffAWaitingChange() {
         consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(2_000);
         for (int gap = 0; gap < 25; gap++) {
@@ -159,7 +159,7 @@
             clock.advance(9);
             c.offer(table(2 + gap, gap, gap + 1));
             clock.advance(gap);
-            c.acknowledged(new Dispatch(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
+            c.acknowledged(new Instruction(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
             clock.advance(200);
             assertTrue(consignee.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
         }
@@ -174,7 +174,7 @@
     @ValueSource(ints = {60, 200, 330, 700})
     void changesFasterThanTheTimeoutDoNotKeepALossFromBeingMended(int gap) {
         consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
         for (int i = 0; i < 3; i++) {
@@ -200,7 +200,7 @@
     @Test
     void senderMadeAnewUnderTheSameEpochIsUnderstood() {
         consignee = proxy(11);
-        Consignor first = sender(SENDER, 1, new ArrayList<>());
+        StateSender first = sender(SENDER, 1, new ArrayList<>());
         for (int i = 1; i < 9; i++) {
             first.offer(table(i, i));
             clock.advance(200);
@@ -215,7 +215,7 @@
     @Test
     void lateWordOfAnEarlierLifeDoesNoLastingHarm() {
         consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
         c.offer(table(2, 1));
@@ -229,8 +229,8 @@
 
     @Test
     void sentStatesStayBoundedWhileTheProxyIsSilent() {
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         for (int i = 1; i < 400; i++) {
             c.offer(table(i, i));
             clock.advance(300);
@@ -250,9 +250,9 @@
         bad.doubles = 0.2;
         bad.jitterMs = 40;
         consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         Random random = new Random(seed);
-        Inventory last = Inventory.EMPTY;
+        RoutingTable last = RoutingTable.EMPTY;
         for (int i = 1; i < 60; i++) {
             last = table(1 + i / 4, random.nextInt(9), random.nextInt(9), 10 + random.nextInt(9));
             c.offer(last);
@@ -268,10 +268,10 @@
     @Test
     void newSenderResyncsAndTheOldOneIsFenced() {
         consignee = proxy(11);
-        Consignor old = sender(SENDER, 5, new ArrayList<>());
+        StateSender old = sender(SENDER, 5, new ArrayList<>());
         old.offer(table(3, 1));
         clock.advance(500);
-        List<Dispatch> seen = new ArrayList<>();
+        List<Instruction> seen = new ArrayList<>();
         sender(OTHER, 6, seen).offer(table(3, 1, 2));
         clock.advance(500);
         assertEquals(0, seen.get(0).oldNum());
@@ -288,7 +288,7 @@
         consignee = proxy(11);
         sender(SENDER, 5, new ArrayList<>()).offer(table(7, 1));
         clock.advance(500);
-        Consignor behind = sender(OTHER, 6, new ArrayList<>());
+        StateSender behind = sender(OTHER, 6, new ArrayList<>());
         behind.offer(table(6, 1));
         clock.advance(1_000);
         assertEquals(7, consignee.inForce().edition().value());
@@ -300,7 +300,7 @@
     @Test
     void proxyThatStartsAgainEmptyIsGivenEverything() {
         consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(2, 1, 2));
         clock.advance(500);
         consignee = proxy(12);
@@ -314,11 +314,11 @@
         consignee = proxy(11);
         FakeMessenger.Bag any = network.bag(OTHER);
         any.send(PROXY, Messenger.Topic.DISPATCH,
-                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(Inventory.EMPTY)).pack());
+                new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
         any.send(PROXY, Messenger.Topic.DISPATCH,
-                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(Inventory.EMPTY)).pack());
+                new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, consignee.inForce().edition().value());
     }
@@ -328,10 +328,10 @@
     void tableCountsFromBeforeItsConfirmationWasAsked() {
         consignee = proxy(11);
         consignee.countFor(4_700);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         long[] asked = {clock.now().millis()};
         boolean[] asking = {true};
-        c.vouch(new Vouching() {
+        c.vouch(new TableFreshness() {
             @Override
             public org.umbermount.kernel.ConfigurationRevision edition() {
                 return new org.umbermount.kernel.ConfigurationRevision(2);
@@ -373,11 +373,11 @@
         consignee = proxy(11);
         sender(SENDER, 1, new ArrayList<>()).offer(table(2, 1, 2));
         clock.advance(500);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor next = sender(SENDER, 2, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender next = sender(SENDER, 2, seen);
         next.offer(table(2, 1));
         // The earlier sender's number 1 is acknowledged late; the new one's number 1 has been lost.
-        Dispatch late = new Dispatch(1, 11, 0, 0, 1, 0, 0, -1, null);
+        Instruction late = new Instruction(1, 11, 0, 0, 1, 0, 0, -1, null);
         network.cutBoth(SENDER, PROXY);
         clock.advance(20);
         next.acknowledged(late);
--- a/distribution/src/test/java/org/umbermount/distribution/ReceivingDepartmentTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/TableReceiverPluginTest.java
@@ -18,7 +18,7 @@
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 
-class ReceivingDepartmentTest {
+class TableReceiverPluginTest {
     /** A controller that started again took its zone's duty without knowing a proxy, for 4 s and more. */
     @Test
     void controllerOfTheZoneThatStartsAgainHearsOfTheProxyWithinASecond() throws Exception {
@@ -36,13 +36,13 @@
                 new Metrics(), new Random(1));
         host.offer(PeerSampling.class, gazetteer);
         gazetteer.meet(new MemberDescriptor(controller, Role.CONTROLLER, "z", 0));
-        ReceivingDepartment department = new ReceivingDepartment();
+        TableReceiverPlugin department = new TableReceiverPlugin();
         department.open(host);
         FakeMessenger.Bag sender = network.bag(controller);
         // A sender is heard all the time, so the proxy does not think itself forgotten.
         for (int i = 0; i < 20; i++) {
-            sender.send(proxy, Messenger.Topic.DISPATCH, new Dispatch(5, 0, 0, 1 + i, 0, 0, 0, -1,
-                    Inventory.of(Map.of(Inventory.CONFIGURATION, MessagePackCodec.write().num(1).done())).since(Inventory.EMPTY)).pack());
+            sender.send(proxy, Messenger.Topic.DISPATCH, new Instruction(5, 0, 0, 1 + i, 0, 0, 0, -1,
+                    RoutingTable.of(Map.of(RoutingTable.CONFIGURATION, MessagePackCodec.write().num(1).done())).since(RoutingTable.EMPTY)).pack());
             clock.advance(300);
         }
         int[] heard = new int[1];
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -13,7 +13,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** A proxy's side of the operation records: claims operations for tries, and closes what was claimed. */
-public final class LoanCounter {
+public final class OperationClient {
     private static final long REPEAT_MS = 70;
     private static final long CLOSE_FIRST_MS = 150;
     private static final long CLOSE_LONGEST_MS = 1_200;
@@ -25,15 +25,15 @@
     /** How a claimed operation ended. */
     public enum End {
         /** It ran and was answered. */
-        ANSWERED(Slip.Kind.ANSWER),
+        ANSWERED(OperationRecord.Kind.ANSWER),
         /** It has not run and will not. */
-        RELEASED(Slip.Kind.RELEASE),
+        RELEASED(OperationRecord.Kind.RELEASE),
         /** It may have run. */
-        UNKNOWN(Slip.Kind.END);
+        UNKNOWN(OperationRecord.Kind.END);
 
-        private final Slip.Kind kind;
+        private final OperationRecord.Kind kind;
 
-        End(Slip.Kind kind) {
+        End(OperationRecord.Kind kind) {
             this.kind = kind;
         }
     }
@@ -110,7 +110,7 @@
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
+                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLAIM.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).flag(mayRepeat).done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
@@ -125,7 +125,7 @@
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
+                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLOSE.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
             }
             timer = clock.after(pause, this::tellClose);
@@ -141,8 +141,8 @@
             }
         }
 
-        private void replied(LoanDesk.Reply reply, byte[] payload) throws MessagePackCodec.UnreadableException {
-            if (reply == LoanDesk.Reply.ELSEWHERE) {
+        private void replied(OperationKeeper.Reply reply, byte[] payload) throws MessagePackCodec.UnreadableException {
+            if (reply == OperationKeeper.Reply.ELSEWHERE) {
                 DaemonAddress better = MessagePackCodec.read(payload).imprint();
                 boolean news = !better.equals(hint);
                 if (!better.equals(DaemonAddress.NONE)) {
@@ -160,7 +160,7 @@
                 return;
             }
             if (end != null) {
-                if (reply == LoanDesk.Reply.STORED) {
+                if (reply == OperationKeeper.Reply.STORED) {
                     forget();
                 }
                 return;
@@ -201,7 +201,7 @@
     private int closing;
 
     /** @param controllers the controllers known, for when the head is not */
-    public LoanCounter(Clock clock, Messenger post, Metrics tally, Random random, Supplier<List<DaemonAddress>> controllers) {
+    public OperationClient(Clock clock, Messenger post, Metrics tally, Random random, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
@@ -246,14 +246,14 @@
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.Reader in = MessagePackCodec.read(body);
-        if (in.num() != LoanDesk.Message.REPLY.ordinal()) {
+        if (in.num() != OperationKeeper.Message.REPLY.ordinal()) {
             return;
         }
         Ticket ticket = tickets.get(in.num());
         int reply = (int) in.num();
         byte[] payload = in.bytes();
-        if (ticket != null && reply >= 0 && reply < LoanDesk.Reply.values().length) {
-            ticket.replied(LoanDesk.Reply.values()[reply], payload);
+        if (ticket != null && reply >= 0 && reply < OperationKeeper.Reply.values().length) {
+            ticket.replied(OperationKeeper.Reply.values()[reply], payload);
         }
     }
 }
--- a/idempotency/src/main/java/org/umbermount/idempotency/CounterDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
@@ -3,8 +3,8 @@
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.distribution.Consignee;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.StateReceiver;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.membership.PeerSampling;
 import org.umbermount.membership.MemberDescriptor;
@@ -16,13 +16,13 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The claiming of operations as a plug-in of the proxy. */
-public final class CounterDepartment implements Plugin {
+public final class OperationClientPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 50;
     private static final long LEAVE_MS = 1_500;
 
     private PluginHost institution;
-    private LoanCounter counter;
+    private OperationClient counter;
 
     @Override
     public String name() {
@@ -47,15 +47,15 @@
         }
         PeerSampling gazetteer = host.find(PeerSampling.class);
         Messenger post = host.find(Messenger.class);
-        counter = new LoanCounter(host.clock(), post, host.tally(),
+        counter = new OperationClient(host.clock(), post, host.tally(),
                 new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
                 () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
-        host.offer(LoanCounter.class, counter);
-        host.find(Consignee.class).observe(this::learn);
+        host.offer(OperationClient.class, counter);
+        host.find(StateReceiver.class).observe(this::learn);
     }
 
-    private void learn(Inventory table) {
-        byte[] packed = table.entries().get(Inventory.DUTY + "loans");
+    private void learn(RoutingTable table) {
+        byte[] packed = table.entries().get(RoutingTable.DUTY + "loans");
         if (packed != null) {
             try {
                 counter.head(Tables.readHolder(packed));
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -24,7 +24,7 @@
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
  * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
  */
-public final class LoanDesk implements CompanionState {
+public final class OperationKeeper implements CompanionState {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 40;
     private static final long GATHER_MS = 6;
@@ -51,7 +51,7 @@
     private final Messenger post;
     private final Replica replica;
     private final SegmentedLog ledger;
-    private final LoanBook book;
+    private final OperationStore book;
     private final java.util.concurrent.Executor disk;
     private final int tolerated;
     private final long keepMs;
@@ -59,7 +59,7 @@
     private final Metrics tally;
 
     // The disk.
-    private List<Slip> queue = new ArrayList<>();
+    private List<OperationRecord> queue = new ArrayList<>();
     private final Map<Integer, MonotonicTime> segmentWritten = new HashMap<>();
     private boolean writing;
     private boolean gathering;
@@ -101,7 +101,7 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    LoanDesk(Clock clock, Messenger post, Replica replica, SegmentedLog ledger, LoanBook book,
+    OperationKeeper(Clock clock, Messenger post, Replica replica, SegmentedLog ledger, OperationStore book,
             java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Metrics tally) {
         this.clock = clock;
         this.post = post;
@@ -195,7 +195,7 @@
 
     private void enterView() {
         book.enter(view.number());
-        write(Slip.marker(Slip.Kind.ENTER, view.number(), 0));
+        write(OperationRecord.marker(OperationRecord.Kind.ENTER, view.number(), 0));
     }
 
     private boolean joined() {
@@ -212,7 +212,7 @@
 
     // ---- the disk ----
 
-    private void write(Slip slip) {
+    private void write(OperationRecord slip) {
         slip.since = clock.now();
         queue.add(slip);
         if (!isHead() || writing) {
@@ -231,11 +231,11 @@
         if (writing || queue.isEmpty()) {
             return;
         }
-        List<Slip> batch = queue;
+        List<OperationRecord> batch = queue;
         queue = new ArrayList<>();
         OperationLogPosition upTo = book.mark();
         List<byte[]> raw = new ArrayList<>(batch.size());
-        for (Slip s : batch) {
+        for (OperationRecord s : batch) {
             raw.add(s.raw);
         }
         writing = true;
@@ -253,7 +253,7 @@
         });
     }
 
-    private void written(List<Slip> batch, OperationLogPosition upTo, int segment) {
+    private void written(List<OperationRecord> batch, OperationLogPosition upTo, int segment) {
         writing = false;
         refusing = segment < 0;
         if (refusing) {
@@ -263,7 +263,7 @@
             return;
         }
         tally.count("idempotency.writes");
-        for (Slip s : batch) {
+        for (OperationRecord s : batch) {
             s.segment = segment;
         }
         segmentWritten.put(segment, clock.now());
@@ -333,10 +333,10 @@
                 long serial = in.num();
                 OperationKey key = new OperationKey(in.num(), in.num());
                 int how = (int) in.num();
-                if (how < Slip.Kind.ANSWER.ordinal() || how > Slip.Kind.END.ordinal()) {
+                if (how < OperationRecord.Kind.ANSWER.ordinal() || how > OperationRecord.Kind.END.ordinal()) {
                     throw new MessagePackCodec.UnreadableException("an unknown end of an operation", null);
                 }
-                close(from, serial, key, Slip.Kind.values()[how], in.bytes());
+                close(from, serial, key, OperationRecord.Kind.values()[how], in.bytes());
             }
             case PASS -> passed(from, in.num(), in.num(), in.num(), slips(in));
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
@@ -355,8 +355,8 @@
         }
     }
 
-    private static List<Slip> slips(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
-        return in.list(r -> Slip.read(r.bytes()));
+    private static List<OperationRecord> slips(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        return in.list(r -> OperationRecord.read(r.bytes()));
     }
 
     private static MessagePackCodec.Writer message(Message kind) {
@@ -385,9 +385,9 @@
         if (turnedAway(from, serial)) {
             return;
         }
-        Slip s = book.standing(key);
-        if (s == null || s.kind == Slip.Kind.RELEASE && !s.sameTry(from, serial)) {
-            enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+        OperationRecord s = book.standing(key);
+        if (s == null || s.kind == OperationRecord.Kind.RELEASE && !s.sameTry(from, serial)) {
+            enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
             return;
         }
         boolean same = s.sameTry(from, serial);
@@ -400,7 +400,7 @@
                 } else if (clock.now().since(s.since) < LONGEST_WORK_MS) {
                     replyConfirmed(from, serial, Reply.BUSY);
                 } else if (mayRepeat) {
-                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                    enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
                     replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
@@ -415,7 +415,7 @@
             }
             case END -> {
                 if (mayRepeat && !same) {
-                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                    enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
                     replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
@@ -457,7 +457,7 @@
     }
 
     /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
-    private void askForAnswer(DaemonAddress proxy, long serial, Slip s) {
+    private void askForAnswer(DaemonAddress proxy, long serial, OperationRecord s) {
         tally.count("idempotency.answers.elsewhere");
         byte[] body = message(Message.PEEK).num(serial).imprint(proxy).num(s.key.high()).num(s.key.low())
                 .imprint(s.origin).num(s.serial).done();
@@ -469,17 +469,17 @@
     }
 
     private void peeked(long serial, DaemonAddress proxy, OperationKey key, DaemonAddress origin, long theirs) {
-        Slip s = book.standing(key);
-        if (s != null && s.kind == Slip.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
+        OperationRecord s = book.standing(key);
+        if (s != null && s.kind == OperationRecord.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
             reply(proxy, serial, Reply.ANSWERED, s.payload());
         }
     }
 
-    private void close(DaemonAddress from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
+    private void close(DaemonAddress from, long serial, OperationKey key, OperationRecord.Kind how, byte[] payload) {
         if (turnedAway(from, serial)) {
             return;
         }
-        Slip s = book.standing(key);
+        OperationRecord s = book.standing(key);
         boolean mine = s != null && s.sameTry(from, serial);
         if (mine && s.kind == how) {
             if (isCommitted(s)) {
@@ -487,25 +487,25 @@
             }
             return;
         }
-        boolean open = mine && (s.kind == Slip.Kind.CLAIM || s.kind == Slip.Kind.END && how == Slip.Kind.ANSWER)
-                || s == null && how == Slip.Kind.RELEASE;
+        boolean open = mine && (s.kind == OperationRecord.Kind.CLAIM || s.kind == OperationRecord.Kind.END && how == OperationRecord.Kind.ANSWER)
+                || s == null && how == OperationRecord.Kind.RELEASE;
         if (!open) {
             replyConfirmed(from, serial, Reply.STORED);
-        } else if (how == Slip.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
+        } else if (how == OperationRecord.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
             tally.count("idempotency.answers.unkept");
-            enter(Slip.Kind.END, key, from, serial, NOTHING);
+            enter(OperationRecord.Kind.END, key, from, serial, NOTHING);
         } else {
             enter(how, key, from, serial, payload);
         }
     }
 
-    private void enter(Slip.Kind kind, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
-        Slip s = Slip.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
+    private void enter(OperationRecord.Kind kind, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
+        OperationRecord s = OperationRecord.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
         book.add(s);
         write(s);
     }
 
-    private boolean isCommitted(Slip s) {
+    private boolean isCommitted(OperationRecord s) {
         return s.view < view.number() ? committed >= 0 : s.pos <= committed;
     }
 
@@ -533,14 +533,14 @@
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<Slip> next = book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
+        List<OperationRecord> next = book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
         post.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
                 .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
         passedAt = now;
     }
 
-    private void passed(DaemonAddress from, long view, long since, long theirs, List<Slip> next) {
+    private void passed(DaemonAddress from, long view, long since, long theirs, List<OperationRecord> next) {
         if (view > replica.view().number()) {
             replica.fetchFrom(from);
             return;
@@ -552,7 +552,7 @@
         announced = Math.max(announced, theirs);
         boolean grew = false;
         if (since <= book.mark().pos()) {
-            for (Slip s : next) {
+            for (OperationRecord s : next) {
                 if (s.view == view && s.pos == book.mark().pos() + 1) {
                     book.add(s);
                     write(s);
@@ -591,8 +591,8 @@
         }
         if (isTail()) {
             OperationLogPosition after = new OperationLogPosition(view.number(), Math.max(0, committed), DaemonAddress.NONE);
-            for (Slip s : book.between(after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
-                reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
+            for (OperationRecord s : book.between(after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
+                reply(s.origin, s.serial, s.kind == OperationRecord.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
         if (committed < 0) {
@@ -607,7 +607,7 @@
             fetch();
         }
         if (refusing && !writing && queue.isEmpty()) {
-            write(Slip.marker(Slip.Kind.CUT, durable.view(), durable.pos()));
+            write(OperationRecord.marker(OperationRecord.Kind.CUT, durable.view(), durable.pos()));
         }
         if (place >= 0 && !joined() && !writing && fetching == null) {
             join();
@@ -643,12 +643,12 @@
         if (!able) {
             return;
         }
-        OperationLogPosition common = LoanBook.common(book.lineage(), theirs);
+        OperationLogPosition common = OperationStore.common(book.lineage(), theirs);
         if (common.isBeyond(durable)) {
             common = durable;
         }
-        List<Slip> some = book.between(common, durable, PORTION_BYTES);
-        Slip last = some.isEmpty() ? null : some.get(some.size() - 1);
+        List<OperationRecord> some = book.between(common, durable, PORTION_BYTES);
+        OperationRecord last = some.isEmpty() ? null : some.get(some.size() - 1);
         boolean whole = book.between(last == null ? common : new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE), durable, 1)
                 .isEmpty();
         MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
@@ -657,7 +657,7 @@
         post.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
     }
 
-    private void portion(DaemonAddress from, long nonce, OperationLogPosition common, OperationLogPosition theirs, boolean whole, List<Slip> some) {
+    private void portion(DaemonAddress from, long nonce, OperationLogPosition common, OperationLogPosition theirs, boolean whole, List<OperationRecord> some) {
         Fetching f = fetching;
         if (f == null || f.nonce != nonce || !from.equals(f.from)
                 || f.view >= 0 && (f.view != view.number() || !mayMove())) {
@@ -668,9 +668,9 @@
                 return;
             }
             book.cut(common);
-            write(Slip.marker(Slip.Kind.CUT, common.view(), common.pos()));
+            write(OperationRecord.marker(OperationRecord.Kind.CUT, common.view(), common.pos()));
         }
-        for (Slip s : some) {
+        for (OperationRecord s : some) {
             book.add(s);
             write(s);
         }
@@ -683,7 +683,7 @@
         if (book.mark().view() < enter) {
             book.enter(enter);
         }
-        write(Slip.marker(Slip.Kind.ENTER, enter, 0));
+        write(OperationRecord.marker(OperationRecord.Kind.ENTER, enter, 0));
         if (f.done == null) {
             fetching = null;
         } else {
@@ -701,7 +701,7 @@
         return committed;
     }
 
-    LoanBook book() {
+    OperationStore book() {
         return book;
     }
 
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoansDepartment.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
@@ -21,7 +21,7 @@
 import org.umbermount.storage.StorageDirectory;
 
 /** The keeping of operation records as a plug-in of the controller. */
-public final class LoansDepartment implements Plugin {
+public final class OperationKeeperPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final String FILES = "loans";
     private static final int SEGMENT_BYTES = 1 << 20;
@@ -30,7 +30,7 @@
     /** Of the disk, and of the memory, what the records may take. */
     private static final long MOST_BYTES = 40L << 20;
 
-    private LoanDesk desk;
+    private OperationKeeper desk;
 
     @Override
     public String name() {
@@ -54,12 +54,12 @@
             return;
         }
         DiskAccess cellar = host.find(DiskAccess.class);
-        LoanBook book = new LoanBook();
+        OperationStore book = new OperationStore();
         SegmentedLog ledger = open(cellar, book, host);
         if (book.size() > 0) {
             LOG.info("Read {} operation records from disk, up to {}/{}.", book.size(), book.mark().view(), book.mark().pos());
         }
-        desk = new LoanDesk(host.clock(), host.find(Messenger.class), host.find(Replica.class), ledger, book,
+        desk = new OperationKeeper(host.clock(), host.find(Messenger.class), host.find(Replica.class), ledger, book,
                 cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
                 MOST_BYTES, host.tally());
         desk.start();
@@ -74,7 +74,7 @@
         }
     }
 
-    private static SegmentedLog open(DiskAccess cellar, LoanBook book, PluginHost host) throws IOException {
+    private static SegmentedLog open(DiskAccess cellar, OperationStore book, PluginHost host) throws IOException {
         try {
             return SegmentedLog.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
         } catch (AppendOnlyFile.DamagedException | IllegalStateException e) {
@@ -97,9 +97,9 @@
         }
     }
 
-    private static void replay(LoanBook book, int segment, byte[] body, PluginHost host) {
+    private static void replay(OperationStore book, int segment, byte[] body, PluginHost host) {
         try {
-            Slip s = Slip.read(body);
+            OperationRecord s = OperationRecord.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
                 case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
--- a/idempotency/src/main/java/org/umbermount/idempotency/Slip.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationRecord.java
@@ -9,7 +9,7 @@
  * One entry of the operation records, as it travels and lies on disk: kind (1 byte), view (8), position (8), key
  * (16), the proxy that the try is at (8), the try's number there (8), and what was answered.
  */
-final class Slip {
+final class OperationRecord {
     enum Kind {
         /** A try takes the operation. */
         CLAIM,
@@ -38,7 +38,7 @@
     int segment;
     MonotonicTime since = MonotonicTime.NEVER;
 
-    private Slip(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] raw) {
+    private OperationRecord(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] raw) {
         this.kind = kind;
         this.view = view;
         this.pos = pos;
@@ -48,23 +48,23 @@
         this.raw = raw;
     }
 
-    static Slip of(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
+    static OperationRecord of(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
         byte[] raw = ByteBuffer.allocate(HEAD + payload.length).put((byte) kind.ordinal()).putLong(view).putLong(pos)
                 .putLong(key.high()).putLong(key.low()).putLong(origin.packed()).putLong(serial).put(payload).array();
-        return new Slip(kind, view, pos, key, origin, serial, raw);
+        return new OperationRecord(kind, view, pos, key, origin, serial, raw);
     }
 
-    static Slip marker(Kind kind, long view, long pos) {
+    static OperationRecord marker(Kind kind, long view, long pos) {
         return of(kind, view, pos, new OperationKey(0, 0), DaemonAddress.NONE, 0, new byte[0]);
     }
 
-    static Slip read(byte[] raw) throws MessagePackCodec.UnreadableException {
+    static OperationRecord read(byte[] raw) throws MessagePackCodec.UnreadableException {
         if (raw.length < HEAD || raw[0] < 0 || raw[0] >= Kind.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown operation record", null);
         }
         ByteBuffer in = ByteBuffer.wrap(raw);
         Kind kind = Kind.values()[in.get()];
-        return new Slip(kind, in.getLong(), in.getLong(), new OperationKey(in.getLong(), in.getLong()),
+        return new OperationRecord(kind, in.getLong(), in.getLong(), new OperationKey(in.getLong(), in.getLong()),
                 DaemonAddress.unpack(in.getLong()), in.getLong(), raw);
     }
 
--- a/idempotency/src/main/java/org/umbermount/idempotency/LoanBook.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationStore.java
@@ -12,9 +12,9 @@
  * Within a view the positions are given by its head alone, so two daemons' entries of one view differ only in how
  * far they reach.
  */
-final class LoanBook {
-    private final List<Slip> slips = new ArrayList<>();
-    private final Map<OperationKey, Slip> standing = new Object2ObjectOpenHashMap<>();
+final class OperationStore {
+    private final List<OperationRecord> slips = new ArrayList<>();
+    private final Map<OperationKey, OperationRecord> standing = new Object2ObjectOpenHashMap<>();
     private long view;
     private long pos;
     private long bytes;
@@ -25,7 +25,7 @@
     }
 
     /** What stands for a key: the last entry about it, or null. */
-    Slip standing(OperationKey key) {
+    OperationRecord standing(OperationKey key) {
         return standing.get(key);
     }
 
@@ -50,7 +50,7 @@
     }
 
     /** Adds the next entry. */
-    void add(Slip slip) {
+    void add(OperationRecord slip) {
         enter(slip.view);
         if (slip.view != view || slip.pos <= pos) {
             throw new IllegalStateException("An operation record at " + slip.view + "/" + slip.pos + " behind " + view + "/" + pos);
@@ -61,17 +61,17 @@
         stand(slip);
     }
 
-    private void stand(Slip slip) {
-        Slip before = standing.get(slip.key);
+    private void stand(OperationRecord slip) {
+        OperationRecord before = standing.get(slip.key);
         // Only a claim can replace another try's entry; what comes late for an expired claim says nothing.
-        if (slip.kind == Slip.Kind.CLAIM || slip.kind == Slip.Kind.RELEASE && before == null
+        if (slip.kind == OperationRecord.Kind.CLAIM || slip.kind == OperationRecord.Kind.RELEASE && before == null
                 || before != null && before.sameTry(slip.origin, slip.serial)) {
             standing.put(slip.key, slip);
         }
     }
 
     /** Whether an entry lies behind a mark. */
-    private static boolean beyond(Slip s, OperationLogPosition mark) {
+    private static boolean beyond(OperationRecord s, OperationLogPosition mark) {
         return s.view != mark.view() ? s.view > mark.view() : s.pos > mark.pos();
     }
 
@@ -94,7 +94,7 @@
     int expireThrough(int segment) {
         int n = 0;
         while (n < slips.size() && slips.get(n).segment > 0 && slips.get(n).segment <= segment) {
-            Slip s = slips.get(n++);
+            OperationRecord s = slips.get(n++);
             bytes -= s.raw.length;
             if (standing.get(s.key) == s) {
                 standing.remove(s.key);
@@ -107,8 +107,8 @@
     /** How far the book reaches in each view that it has entries of, and in the last. */
     List<OperationLogPosition> lineage() {
         List<OperationLogPosition> out = new ArrayList<>();
-        Slip last = null;
-        for (Slip s : slips) {
+        OperationRecord last = null;
+        for (OperationRecord s : slips) {
             if (last != null && last.view != s.view) {
                 out.add(new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE));
             }
@@ -165,11 +165,11 @@
     }
 
     /** Entries behind one mark and not behind another, as many as fit. */
-    List<Slip> between(OperationLogPosition after, OperationLogPosition until, int mostBytes) {
-        List<Slip> out = new ArrayList<>();
+    List<OperationRecord> between(OperationLogPosition after, OperationLogPosition until, int mostBytes) {
+        List<OperationRecord> out = new ArrayList<>();
         int room = mostBytes;
         for (int i = indexAfter(after); i < slips.size(); i++) {
-            Slip s = slips.get(i);
+            OperationRecord s = slips.get(i);
             if (beyond(s, until) || !out.isEmpty() && s.raw.length > room) {
                 break;
             }
--- a/idempotency/src/test/java/org/umbermount/idempotency/ForgettingTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/ForgettingTest.java
@@ -24,9 +24,9 @@
                 ledger.append(List.of(new byte[20]));
                 vault.callsLeft = at;
                 if (at < 6) {
-                    assertThrows(FakeDirectory.EndedException.class, () -> LoansDepartment.forget(vault));
+                    assertThrows(FakeDirectory.EndedException.class, () -> OperationKeeperPlugin.forget(vault));
                 } else {
-                    LoansDepartment.forget(vault);
+                    OperationKeeperPlugin.forget(vault);
                 }
                 vault.losePower();
                 int[] records = {0};
--- a/idempotency/src/test/java/org/umbermount/idempotency/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
@@ -30,16 +30,16 @@
 import org.umbermount.storage.testing.FakeDirectory;
 
 /** Controllers that keep operation records and proxies that claim, on a fake clock, network and disks. */
-class LoansTest {
+class OperationRecordsTest {
     private static final int SIZE = 5;
     private static final int TOLERATED = 2;
 
-    private final Map<Integer, LoanDesk> desks = new HashMap<>();
-    private final List<LoanCounter> proxies = new ArrayList<>();
+    private final Map<Integer, OperationKeeper> desks = new HashMap<>();
+    private final List<OperationClient> proxies = new ArrayList<>();
     private Fleet fleet;
 
     /** What a claim came to. */
-    private static final class Told implements LoanCounter.Outcome {
+    private static final class Told implements OperationClient.Outcome {
         String word;
         byte[] answer;
 
@@ -78,16 +78,16 @@
             for (int r = 0; r < SIZE; r++) {
                 known.add(Fleet.imprint(r));
             }
-            proxies.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
+            proxies.add(new OperationClient(fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
         }
         fleet.run(8_000);
     }
 
     private void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException {
-        LoanBook book = new LoanBook();
+        OperationStore book = new OperationStore();
         SegmentedLog ledger = SegmentedLog.open(disk, "loans", 2_000, (segment, body) -> {
             try {
-                Slip s = Slip.read(body);
+                OperationRecord s = OperationRecord.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
                     case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, DaemonAddress.NONE));
@@ -97,13 +97,13 @@
                 throw new AssertionError(e);
             }
         });
-        LoanDesk desk = new LoanDesk(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
+        OperationKeeper desk = new OperationKeeper(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
                 new Metrics());
         desks.put(i, desk);
         desk.start();
     }
 
-    private LoanCounter.Ticket claim(int proxy, String key, Told told) {
+    private OperationClient.Ticket claim(int proxy, String key, Told told) {
         return proxies.get(proxy).claim(OperationKey.of("t", key), false, 800, told);
     }
 
@@ -130,7 +130,7 @@
         desks.clear();
         open(8);
         Told first = new Told();
-        LoanCounter.Ticket released = claim(0, "k", first);
+        OperationClient.Ticket released = claim(0, "k", first);
         fleet.run(200);
         assertEquals("granted", first.word);
         DaemonAddress old = fleet.replica(0).view().head();
@@ -141,15 +141,15 @@
         }
         fleet.network.cutBoth(old, DaemonAddress.parse("10.9.0.1:7001"));
         fleet.run(4_000);
-        released.close(LoanCounter.End.RELEASED, new byte[0]);
+        released.close(OperationClient.End.RELEASED, new byte[0]);
         fleet.run(2_000);
         assertEquals(0, proxies.get(0).closing());
         Told noted = new Told();
-        LoanCounter.Ticket answered = claim(2, "m", noted);
+        OperationClient.Ticket answered = claim(2, "m", noted);
         fleet.run(900);
         assertEquals("granted", noted.word);
         proxies.get(2).head(old);
-        answered.close(LoanCounter.End.ANSWERED, new byte[] {4});
+        answered.close(OperationClient.End.ANSWERED, new byte[] {4});
         proxies.get(1).head(old);
         Told second = ask(1, "k");
         fleet.run(3_000);
@@ -163,11 +163,11 @@
     void firstTryRunsAndARepeatElsewhereGetsItsAnswer() throws IOException {
         open(1);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
         assertEquals("granted", first.word);
         assertEquals("busy", ask(1, "k").word);
-        ticket.close(LoanCounter.End.ANSWERED, new byte[] {1, 2, 3});
+        ticket.close(OperationClient.End.ANSWERED, new byte[] {1, 2, 3});
         fleet.run(300);
         assertEquals(0, proxies.get(0).closing());
         Told repeat = ask(2, "k");
@@ -180,15 +180,15 @@
     void aReleasedClaimMayBeTakenAndALostOneNever() throws IOException {
         open(2);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
-        ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+        ticket.close(OperationClient.End.RELEASED, new byte[0]);
         fleet.run(300);
         Told second = new Told();
         ticket = claim(1, "k", second);
         fleet.run(100);
         assertEquals("granted", second.word);
-        ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+        ticket.close(OperationClient.End.UNKNOWN, new byte[0]);
         fleet.run(300);
         assertEquals("unknown", ask(2, "k").word);
     }
@@ -218,9 +218,9 @@
     void whatWasAnsweredOutlivesALossOfPowerAndTheWipeOfTwo() throws IOException {
         open(4);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
-        ticket.close(LoanCounter.End.ANSWERED, new byte[] {9});
+        ticket.close(OperationClient.End.ANSWERED, new byte[] {9});
         fleet.run(300);
         for (int i = 0; i < SIZE; i++) {
             fleet.kill(i, true);
@@ -283,25 +283,25 @@
             String name = key + "/" + step;
             int proxy = random.nextInt(3);
             Told told = new Told();
-            LoanCounter.Ticket ticket = claim(proxy, key, told);
+            OperationClient.Ticket ticket = claim(proxy, key, told);
             fleet.run(20 + random.nextInt(120));
             if ("granted".equals(told.word)) {
                 granted++;
                 if (random.nextInt(4) == 0) {
-                    ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+                    ticket.close(OperationClient.End.RELEASED, new byte[0]);
                 } else {
                     assertNull(ran.put(key, name), key + " ran twice with seed " + seed);
                     if (random.nextInt(5) > 0) {
-                        ticket.close(LoanCounter.End.ANSWERED, name.getBytes());
+                        ticket.close(OperationClient.End.ANSWERED, name.getBytes());
                     } else if (random.nextBoolean()) {
-                        ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+                        ticket.close(OperationClient.End.UNKNOWN, new byte[0]);
                     }
                 }
             } else if ("answered".equals(told.word)) {
                 repeats++;
                 assertEquals(ran.get(key), new String(told.answer), "another answer with seed " + seed);
             } else if (told.word == null) {
-                ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+                ticket.close(OperationClient.End.RELEASED, new byte[0]);
             }
             trouble(random, down);
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
@@ -13,7 +13,7 @@
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.idempotency.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
@@ -55,7 +55,7 @@
     private final String key;
     private boolean charged;
     private long comeAgainMs;
-    private LoanCounter.Ticket ticket;
+    private OperationClient.Ticket ticket;
     private Answer kept;
 
     // What the reader writes.
@@ -267,8 +267,8 @@
         OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
                 request.headers().get(Headings.OPERATION_KEY));
         boolean[] over = new boolean[1];
-        LoanCounter.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
-                new LoanCounter.Outcome() {
+        OperationClient.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
+                new OperationClient.Outcome() {
                     @Override
                     public void granted() {
                         if (wanted()) {
@@ -365,12 +365,12 @@
         if (ticket == null || active > 0 || wanted()) {
             return;
         }
-        LoanCounter.Ticket ending = ticket;
+        OperationClient.Ticket ending = ticket;
         ticket = null;
         if (kept != null) {
-            ending.close(LoanCounter.End.ANSWERED, KeptAnswers.pack(kept));
+            ending.close(OperationClient.End.ANSWERED, KeptAnswers.pack(kept));
         } else {
-            ending.close(sendings.hasNotRun() ? LoanCounter.End.RELEASED : LoanCounter.End.UNKNOWN, new byte[0]);
+            ending.close(sendings.hasNotRun() ? OperationClient.End.RELEASED : OperationClient.End.UNKNOWN, new byte[0]);
         }
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
@@ -6,7 +6,7 @@
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.distribution.Consignee;
+import org.umbermount.distribution.StateReceiver;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.Settings;
@@ -16,8 +16,8 @@
 import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.LoanCounter;
-import org.umbermount.quota.QuotaCounter;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.quota.QuotaClient;
 
 /** The traffic plane as a plug-in of the proxy. */
 public final class CirculationDepartment implements Plugin {
@@ -30,7 +30,7 @@
 
     private PluginHost institution;
     private FrontDesk desk;
-    private Consignee consignee;
+    private StateReceiver consignee;
     private boolean leaving;
 
     @Override
@@ -54,10 +54,10 @@
         Settings rules = host.rules();
         Clock clock = host.clock();
         EventLoop loop = ((LoopClock) clock).loop();
-        consignee = host.find(Consignee.class);
+        consignee = host.find(StateReceiver.class);
         desk = new FrontDesk(loop, clock, host.tally(), rules.bounds(), rules.zone(),
                 new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
-        desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
+        desk.share(host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), consignee::goodForMs);
         desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), consignee::sender));
         consignee.observe(desk::apply);
         host.tally().gauge("clients.connections", desk::openConnections);
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
@@ -27,7 +27,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.control.Configuration;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ErrorKind;
@@ -36,8 +36,8 @@
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Metrics;
-import org.umbermount.idempotency.LoanCounter;
-import org.umbermount.quota.QuotaCounter;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.quota.QuotaClient;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class FrontDesk {
@@ -60,14 +60,14 @@
     private final Set<Reader> readers = new LinkedHashSet<>();
     private final Set<Wing> freed = new HashSet<>();
     private Holdings holdings = Holdings.EMPTY;
-    private Inventory table = Inventory.EMPTY;
+    private RoutingTable table = RoutingTable.EMPTY;
     private int fleet = 1;
     private boolean closing;
     private boolean looking;
     private Channel listener;
     private Occupancy occupancy;
-    private LoanCounter loans;
-    private QuotaCounter quotas;
+    private OperationClient loans;
+    private QuotaClient quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
     FrontDesk(EventLoop loop, Clock clock, Metrics tally, Settings.Bounds bounds, String zone, Random random) {
@@ -118,8 +118,8 @@
     // ---- the table ----
 
     /** Takes a table into force. */
-    void apply(Inventory next) {
-        Inventory.Difference d = next.since(table);
+    void apply(RoutingTable next) {
+        RoutingTable.Difference d = next.since(table);
         boolean routes = table.isEmpty();
         for (String key : d.gone()) {
             routes |= isConfiguration(key);
@@ -132,14 +132,14 @@
                 applyConfiguration(next);
             }
             for (String key : d.gone()) {
-                if (key.startsWith(Inventory.INSTANCE)) {
+                if (key.startsWith(RoutingTable.INSTANCE)) {
                     remove(key);
                 }
             }
             for (Map.Entry<String, byte[]> e : d.come().entrySet()) {
-                if (e.getKey().startsWith(Inventory.INSTANCE)) {
+                if (e.getKey().startsWith(RoutingTable.INSTANCE)) {
                     place(e.getKey(), Tables.readInstance(e.getValue()));
-                } else if (e.getKey().equals(Inventory.FLEET)) {
+                } else if (e.getKey().equals(RoutingTable.FLEET)) {
                     fleet = Math.max(1, Tables.readFleet(e.getValue()));
                 }
             }
@@ -153,13 +153,13 @@
     }
 
     private static boolean isConfiguration(String key) {
-        return key.equals(Inventory.CONFIGURATION) || key.startsWith(Inventory.ROUTE) || key.startsWith(Inventory.UPSTREAM)
-                || key.startsWith(Inventory.TENANT);
+        return key.equals(RoutingTable.CONFIGURATION) || key.startsWith(RoutingTable.ROUTE) || key.startsWith(RoutingTable.UPSTREAM)
+                || key.startsWith(RoutingTable.TENANT);
     }
 
-    private void applyConfiguration(Inventory next) throws MessagePackCodec.UnreadableException {
+    private void applyConfiguration(RoutingTable next) throws MessagePackCodec.UnreadableException {
         for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
-            if (e.getKey().startsWith(Inventory.UPSTREAM)) {
+            if (e.getKey().startsWith(RoutingTable.UPSTREAM)) {
                 Configuration.Upstream upstream = Tables.readUpstream(e.getValue());
                 wing(upstream.label()).configure(upstream);
             }
@@ -194,7 +194,7 @@
         }
     }
 
-    Inventory table() {
+    RoutingTable table() {
         return table;
     }
 
@@ -271,16 +271,16 @@
         return holdings.keyed();
     }
 
-    LoanCounter loans() {
+    OperationClient loans() {
         return loans;
     }
 
-    QuotaCounter quotas() {
+    QuotaClient quotas() {
         return quotas;
     }
 
     /** Sets what is shared with other daemons: operation records and quotas where they are kept, and how long the table counts. */
-    void share(LoanCounter operations, QuotaCounter counts, LongSupplier tableGoodForMs) {
+    void share(OperationClient operations, QuotaClient counts, LongSupplier tableGoodForMs) {
         loans = operations;
         quotas = counts;
         goodForMs = tableGoodForMs;
--- a/proxy/src/main/java/org/umbermount/proxy/Holdings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Holdings.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.umbermount.control.Configuration;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.MessagePackCodec;
 
@@ -30,17 +30,17 @@
         this.limits = limits;
     }
 
-    static Holdings of(Inventory table) throws MessagePackCodec.UnreadableException {
+    static Holdings of(RoutingTable table) throws MessagePackCodec.UnreadableException {
         Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost = new Object2ObjectOpenHashMap<>();
         Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey = new Object2ObjectOpenHashMap<>();
         boolean keyed = false;
         for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
-            if (e.getKey().startsWith(Inventory.TENANT)) {
+            if (e.getKey().startsWith(RoutingTable.TENANT)) {
                 Configuration.Tenant tenant = Tables.readTenant(e.getValue());
                 keyed = true;
                 tenant.apiKeys().forEach(k -> byKey.put(k, tenant));
             }
-            if (e.getKey().startsWith(Inventory.ROUTE)) {
+            if (e.getKey().startsWith(RoutingTable.ROUTE)) {
                 Configuration.Route route = Tables.readRoute(e.getValue());
                 byHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route);
             }
@@ -48,7 +48,7 @@
         for (List<Configuration.Route> routes : byHost.values()) {
             routes.sort(Comparator.comparingInt((Configuration.Route r) -> r.prefix().length()).reversed());
         }
-        byte[] limits = table.entries().get(Inventory.CONFIGURATION);
+        byte[] limits = table.entries().get(RoutingTable.CONFIGURATION);
         return new Holdings(byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
     }
 
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -26,14 +26,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Configuration;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.idempotency.OperationClient;
 
 /**
  * Clients that pipeline and give up, servers that do everything that servers in trouble do, and a front desk between them.
@@ -130,7 +130,7 @@
             for (int i = 0; i < SERVERS; i++) {
                 servers.add(new UnrulyServer("i" + i, seed, this));
             }
-            LoanCounter counter = new LoanCounter(clock, new FakeCounterPost(clock, new FakeRegister()::answer), tally,
+            OperationClient counter = new OperationClient(clock, new FakeCounterPost(clock, new FakeRegister()::answer), tally,
                     new Random(seed), List::of);
             counter.head(DaemonAddress.parse("10.0.0.1:7000"));
             clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
@@ -169,11 +169,11 @@
     }
 
     private static void apply(FrontDesk desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
-        Inventory table = table(servers, limits);
+        RoutingTable table = table(servers, limits);
         clock.loop().submit(() -> desk.apply(table)).get();
     }
 
-    private static Inventory table(List<UnrulyServer> servers, int limits) throws Exception {
+    private static RoutingTable table(List<UnrulyServer> servers, int limits) throws Exception {
         String route = "\"virtualHost\":\"h\",\"timeoutMs\":3000,\"targetLatencyMs\":100,\"upstream\":\"s\",\"maxTries\":3,";
         Configuration r = Configuration.parse(("{\"revision\":1,\"routeTable\":["
                 + "{\"label\":\"a\"," + route + "\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\"},"
@@ -183,10 +183,10 @@
                 + "\"limits\":{\"maxHeaderBytes\":" + (8_192 + limits) + "}}").getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
         for (int i = 0; i < servers.size(); i++) {
-            entries.put(Inventory.INSTANCE + "i" + i, Tables.packInstance(new RegisteredServer(new InstanceId("i" + i), "s",
+            entries.put(RoutingTable.INSTANCE + "i" + i, Tables.packInstance(new RegisteredServer(new InstanceId("i" + i), "s",
                     "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
-        return Inventory.of(entries);
+        return RoutingTable.of(entries);
     }
 
     /** Waits, a while at most, until no server is at work any more: a promise is about what comes after it too. */
--- a/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Configuration;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
@@ -38,7 +38,7 @@
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.LoanCounter;
+import org.umbermount.idempotency.OperationClient;
 
 class FrontDeskTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
@@ -86,10 +86,10 @@
         int n = 0;
         for (ScriptedServer s : servers) {
             String id = "i" + n++;
-            entries.put(Inventory.INSTANCE + id, Tables.packInstance(new RegisteredServer(new InstanceId(id), "s",
+            entries.put(RoutingTable.INSTANCE + id, Tables.packInstance(new RegisteredServer(new InstanceId(id), "s",
                     "127.0.0.1:" + s.port(), "z", "v", 4, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
         }
-        Inventory table = Inventory.of(entries);
+        RoutingTable table = RoutingTable.of(entries);
         clock.loop().submit(() -> desk.apply(table)).get();
     }
 
@@ -397,8 +397,8 @@
         Map<String, byte[]> entries = new HashMap<>();
         clock.loop().submit(() -> {
             entries.putAll(desk.table().entries());
-            entries.put(Inventory.INSTANCE + "i0", Tables.packInstance(draining));
-            desk.apply(Inventory.of(entries));
+            entries.put(RoutingTable.INSTANCE + "i0", Tables.packInstance(draining));
+            desk.apply(RoutingTable.of(entries));
         }).get();
         for (int i = 0; i < 6; i++) {
             assertEquals(200, status(exchange(get("/safe/x"))));
@@ -598,9 +598,9 @@
                 + "\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"k1\",\"k2\"]},{\"label\":\"shop\",\"apiKeys\":[\"k3\"]}]}").getBytes());
         clock.loop().submit(() -> {
             Map<String, byte[]> entries = new HashMap<>(desk.table().entries());
-            entries.keySet().removeIf(k -> k.startsWith(Inventory.ROUTE));
+            entries.keySet().removeIf(k -> k.startsWith(RoutingTable.ROUTE));
             entries.putAll(Tables.packConfiguration(r));
-            desk.apply(Inventory.of(entries));
+            desk.apply(RoutingTable.of(entries));
         }).get();
     }
 
@@ -649,9 +649,9 @@
     }
 
     /** What a controller's side would say, scripted: each message to it is answered by the function. */
-    private LoanCounter counter(java.util.function.Function<MessagePackCodec.Reader, byte[]> controller) {
+    private OperationClient counter(java.util.function.Function<MessagePackCodec.Reader, byte[]> controller) {
         FakeCounterPost post = new FakeCounterPost(clock, controller);
-        LoanCounter counter = new LoanCounter(clock, post, tally, new Random(4), java.util.List::of);
+        OperationClient counter = new OperationClient(clock, post, tally, new Random(4), java.util.List::of);
         counter.head(DaemonAddress.parse("10.0.0.1:7000"));
         return counter;
     }
@@ -660,7 +660,7 @@
     void operationRunsOnlyOnceItIsGrantedAndARepeatGetsTheFirstAnswer() throws Exception {
         keyedTable(first);
         FakeRegister register = new FakeRegister();
-        LoanCounter counter = counter(register::answer);
+        OperationClient counter = counter(register::answer);
         clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
         String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         register.granting = false;
@@ -684,7 +684,7 @@
     void operationWhoseAnswerWasLostIsNotRunAgain() throws Exception {
         keyedTable(first, second);
         FakeRegister register = new FakeRegister();
-        LoanCounter counter = counter(register::answer);
+        OperationClient counter = counter(register::answer);
         clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
         first.act(ScriptedServer.raw("", false));
         second.act(ScriptedServer.raw("", false));
--- a/quota/src/main/java/org/umbermount/quota/QuotaCounter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -16,7 +16,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** A proxy's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
-public final class QuotaCounter {
+public final class QuotaClient {
     private static final long REPEAT_MS = 60;
     private static final long REFUSE_MS = 250;
     /** A token that comes so soon is waited for, once. */
@@ -182,7 +182,7 @@
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
      * @param controllers the controllers known, for when the keeper of a count is not
      */
-    public QuotaCounter(Clock clock, Messenger post, Metrics tally, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
+    public QuotaClient(Clock clock, Messenger post, Metrics tally, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.post = post;
         this.tally = tally;
--- a/quota/src/main/java/org/umbermount/quota/CountingDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClientPlugin.java
@@ -3,8 +3,8 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.distribution.Consignee;
-import org.umbermount.distribution.Inventory;
+import org.umbermount.distribution.StateReceiver;
+import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
 import org.umbermount.membership.PeerSampling;
 import org.umbermount.membership.MemberDescriptor;
@@ -16,11 +16,11 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The asking for quota as a plug-in of the proxy. */
-public final class CountingDepartment implements Plugin {
+public final class QuotaClientPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("quota");
-    private static final String QUOTA = Inventory.DUTY + "quota/";
+    private static final String QUOTA = RoutingTable.DUTY + "quota/";
 
-    private QuotaCounter counter;
+    private QuotaClient counter;
 
     @Override
     public String name() {
@@ -46,17 +46,17 @@
         PeerSampling gazetteer = host.find(PeerSampling.class);
         // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
         long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
-        counter = new QuotaCounter(host.clock(), host.find(Messenger.class), host.tally(), ttl,
+        counter = new QuotaClient(host.clock(), host.find(Messenger.class), host.tally(), ttl,
                 () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
-        host.offer(QuotaCounter.class, counter);
-        host.find(Consignee.class).observe(this::learn);
+        host.offer(QuotaClient.class, counter);
+        host.find(StateReceiver.class).observe(this::learn);
     }
 
-    private void learn(Inventory table) {
+    private void learn(RoutingTable table) {
         for (Map.Entry<String, byte[]> e : table.entries().entrySet()) {
             if (e.getKey().startsWith(QUOTA)) {
                 try {
-                    counter.keeper(e.getKey().substring(Inventory.DUTY.length()), Tables.readHolder(e.getValue()));
+                    counter.keeper(e.getKey().substring(RoutingTable.DUTY.length()), Tables.readHolder(e.getValue()));
                 } catch (MessagePackCodec.UnreadableException x) {
                     LOG.warn("The table does not say who counts {}: {}.", e.getKey(), x.getMessage());
                 }
--- a/quota/src/main/java/org/umbermount/quota/QuotaDesk.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -18,7 +18,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
-final class QuotaDesk {
+final class QuotaGranter {
     /** What a new holder starts with: small enough that two changes of holder in a window stay inside the slack. */
     private static final double START_SHARE = 0.4;
     private static final double CAP_SHARE = 0.2;
@@ -34,7 +34,7 @@
     private Configuration limitsOf;
     private Map<String, Configuration.Tenant> limits = Map.of();
 
-    QuotaDesk(Clock clock, Messenger post, Replica replica, LeaseManager leases,
+    QuotaGranter(Clock clock, Messenger post, Replica replica, LeaseManager leases,
             MajorityContact contact, Settings.Sharing sharing, Metrics tally) {
         this.clock = clock;
         this.post = post;
--- a/quota/src/main/java/org/umbermount/quota/ReadershipDepartment.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranterPlugin.java
@@ -14,9 +14,9 @@
 import org.umbermount.kernel.Role;
 
 /** The counting of tenants as a plug-in of the controller. */
-public final class ReadershipDepartment implements Plugin {
+public final class QuotaGranterPlugin implements Plugin {
     private Replica replica;
-    private QuotaDesk desk;
+    private QuotaGranter desk;
 
     @Override
     public String name() {
@@ -37,7 +37,7 @@
     public void open(PluginHost host) {
         replica = host.find(Replica.class);
         if (host.rules().guarantees(Settings.QUOTA)) {
-            desk = new QuotaDesk(host.clock(), host.find(Messenger.class), replica, host.find(LeaseManager.class),
+            desk = new QuotaGranter(host.clock(), host.find(Messenger.class), replica, host.find(LeaseManager.class),
                     host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -36,7 +36,7 @@
     private void open() throws IOException {
         fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(Settings.QUOTA));
         for (int i = 0; i < SIZE; i++) {
-            new QuotaDesk(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
+            new QuotaGranter(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
                     Settings.Sharing.NONE, new Metrics());
         }
         proxy = fleet.network.bag(PROXY);
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -30,7 +30,7 @@
 
     private final FakeClock clock = new FakeClock();
     private final FakeMessenger network = new FakeMessenger(clock, 3);
-    private final List<QuotaCounter> proxies = new ArrayList<>();
+    private final List<QuotaClient> proxies = new ArrayList<>();
     private Bucket bucket;
     private boolean reachable = true;
 
@@ -49,7 +49,7 @@
             }
         });
         for (int i = 0; i < count; i++) {
-            QuotaCounter c = new QuotaCounter(clock, network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")), new Metrics(),
+            QuotaClient c = new QuotaClient(clock, network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")), new Metrics(),
                     (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
             proxies.add(c);
@@ -71,7 +71,7 @@
         for (int t = 0; t < 30_000; t += 5) {
             if (random.nextInt(3) > 0) {
                 proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> {
-                    if (word == QuotaCounter.Word.MAY) {
+                    if (word == QuotaClient.Word.MAY) {
                         granted[0]++;
                         sent.add(clock.now().millis());
                     }
@@ -100,8 +100,8 @@
             proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(50);
         }
-        assertEquals(0, told[QuotaCounter.Word.NOBODY.ordinal()]);
-        assertTrue(told[QuotaCounter.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaCounter.Word.SPENT.ordinal()]);
+        assertEquals(0, told[QuotaClient.Word.NOBODY.ordinal()]);
+        assertTrue(told[QuotaClient.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaClient.Word.SPENT.ordinal()]);
     }
 
     @Test
@@ -116,23 +116,23 @@
             clock.advance(25);
         }
         clock.advance(400);
-        assertEquals(0, told[QuotaCounter.Word.MAY.ordinal()]);
-        assertEquals(40, told[QuotaCounter.Word.NOBODY.ordinal()]);
+        assertEquals(0, told[QuotaClient.Word.MAY.ordinal()]);
+        assertEquals(40, told[QuotaClient.Word.NOBODY.ordinal()]);
         assertTrue(clock.now().since(start) < 2_000);
     }
 
     /** What a daemon is told that was started anew while the answer to its earlier life was on the way. */
-    private QuotaCounter.Word toldAfterARestart() {
+    private QuotaClient.Word toldAfterARestart() {
         open(1);
         clock.advance(3_000);
         network.delayMs = 30;
         proxies.get(0).take(TENANT, 200, word -> { });
         clock.advance(35);
         reachable = false;
-        QuotaCounter anew = new QuotaCounter(clock, network.bag(DaemonAddress.parse("10.0.1.1:7001")), new Metrics(),
+        QuotaClient anew = new QuotaClient(clock, network.bag(DaemonAddress.parse("10.0.1.1:7001")), new Metrics(),
                 (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
         anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
-        QuotaCounter.Word[] told = new QuotaCounter.Word[1];
+        QuotaClient.Word[] told = new QuotaClient.Word[1];
         anew.take(TENANT, 200, word -> told[0] = word);
         clock.advance(500);
         return told[0];
@@ -140,8 +140,8 @@
 
     @Test
     void grantToAnEarlierLifeIsNotSpent() throws Exception {
-        assertEquals(QuotaCounter.Word.NOBODY, toldAfterARestart());
-        assertEquals(QuotaCounter.Word.MAY,
+        assertEquals(QuotaClient.Word.NOBODY, toldAfterARestart());
+        assertEquals(QuotaClient.Word.MAY,
                 Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest().toldAfterARestart()));
     }
 }
