--- a/app/src/main/java/org/umbermount/app/Stocktaking.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRun.java
@@ -27,7 +27,7 @@
  * Measures what control costs at one size: real controllers and a few real proxies as processes of their own, and beside
  * them hollow proxies and servers in this one, all on loopback addresses, for a bounded time.
  */
-final class Stocktaking {
+final class ScaleRun {
     static final int ZONES = 3;
     static final int REAL_PROXIES = 3;
     static final int MOST_PROXIES = 2_000;
@@ -57,7 +57,7 @@
     private final AtomicLong beats = new AtomicLong();
     private final AtomicLong beatsFailed = new AtomicLong();
 
-    Stocktaking(Path folder, int proxies, int servers, int routes, int controllers, int seconds) {
+    ScaleRun(Path folder, int proxies, int servers, int routes, int controllers, int seconds) {
         this.folder = folder;
         this.proxies = proxies;
         this.servers = servers;
@@ -234,8 +234,8 @@
     }
 
     private Figures window(List<Process> control, List<Process> real) throws Exception {
-        double[] cpuBefore = control.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
-        double[] realBefore = real.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
+        double[] cpuBefore = control.stream().mapToDouble(ScaleRun::cpuSeconds).toArray();
+        double[] realBefore = real.stream().mapToDouble(ScaleRun::cpuSeconds).toArray();
         double in = hollow.stream().mapToDouble(HollowProxy::bytesIn).sum();
         double out = hollow.stream().mapToDouble(HollowProxy::bytesOut).sum();
         List<Map<String, Double>> metersBefore = new ArrayList<>();
--- a/app/src/main/java/org/umbermount/app/StocktakeCommand.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRunCommand.java
@@ -9,14 +9,14 @@
 /** Measures what control costs at one size on this machine. */
 @Command(name = "stocktake", mixinStandardHelpOptions = true,
         description = "Runs controllers, a few proxies, and hollow proxies and servers on loopback addresses, and prints what they cost.")
-final class StocktakeCommand implements Callable<Integer> {
+final class ScaleRunCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FOLDER", description = "an empty folder for settings, logs and the controllers' files")
     private Path folder;
 
-    @Option(names = "--proxies", defaultValue = "50", description = "hollow proxies, at most " + Stocktaking.MOST_PROXIES)
+    @Option(names = "--proxies", defaultValue = "50", description = "hollow proxies, at most " + ScaleRun.MOST_PROXIES)
     private int proxies;
 
-    @Option(names = "--servers", defaultValue = "100", description = "hollow servers, at most " + Stocktaking.MOST_SERVERS)
+    @Option(names = "--servers", defaultValue = "100", description = "hollow servers, at most " + ScaleRun.MOST_SERVERS)
     private int servers;
 
     @Option(names = "--routes", defaultValue = "50", description = "routes, at most 8000")
@@ -30,7 +30,7 @@
 
     @Override
     public Integer call() {
-        if (proxies < 1 || proxies > Stocktaking.MOST_PROXIES || servers < 1 || servers > Stocktaking.MOST_SERVERS || routes < 1
+        if (proxies < 1 || proxies > ScaleRun.MOST_PROXIES || servers < 1 || servers > ScaleRun.MOST_SERVERS || routes < 1
                 || routes > 8_000 || controllers < 3 || controllers > 12 || seconds < 1 || seconds > 120) {
             System.err.println("A number is out of its range; see --help.");
             return 2;
@@ -38,7 +38,7 @@
         // Hundreds of proxies in one process would each log every table.
         System.setProperty("org.slf4j.simpleLogger.log.distribution", "error");
         try {
-            Stocktaking.Figures figures = new Stocktaking(folder, proxies, servers, routes, controllers, seconds).measure();
+            ScaleRun.Figures figures = new ScaleRun(folder, proxies, servers, routes, controllers, seconds).measure();
             figures.values().forEach((name, value) -> System.out.println(name + "\t" + Math.round(value * 10_000) / 10_000.0));
             return 0;
         } catch (Exception e) {
--- a/app/src/main/java/org/umbermount/app/Umbermount.java
+++ b/app/src/main/java/org/umbermount/app/Umbermount.java
@@ -7,7 +7,7 @@
 @Command(name = "umbermount", mixinStandardHelpOptions = true, version = "umbermount 0.1.0",
         description = "An API gateway: a fleet of daemons that carry traffic and agree on their configuration.",
         subcommands = {ProxyCommand.class, ControllerCommand.class, CheckSettingsCommand.class,
-                CheckConfigurationCommand.class, ShowCommand.class, RehearseCommand.class, StocktakeCommand.class},
+                CheckConfigurationCommand.class, ShowCommand.class, RehearseCommand.class, ScaleRunCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a file or an answer is invalid", "2:the arguments are wrong",
                 "3:a daemon cannot be reached"})
--- a/control/src/main/java/org/umbermount/control/ConfigurationState.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationState.java
@@ -49,7 +49,7 @@
         taken.write(out);
     }
 
-    static ConfigurationState read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static ConfigurationState read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         long first = in.num();
         if (first >= 0) {
             return readOlder(first, in);
@@ -65,7 +65,7 @@
     }
 
     /** Its short hashes tell nothing for sure: all that it took is below the floor. */
-    private static ConfigurationState readOlder(long view, MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    private static ConfigurationState readOlder(long view, MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         ConfigurationRevision edition = new ConfigurationRevision(in.num());
         byte[] blob = in.bytes();
         in.list(entry -> new long[] {entry.num(), entry.num()});
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -44,10 +44,10 @@
                     .list(heard, MessagePackCodec.Writer::imprint).list(connected, MessagePackCodec.Writer::imprint);
         }
 
-        static Report read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
-                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(MessagePackCodec.Reader::text), in.text(),
-                    in.imprint(), in.list(MessagePackCodec.Reader::imprint), in.list(MessagePackCodec.Reader::imprint));
+                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(MessagePackCodec.ClientConnection::text), in.text(),
+                    in.imprint(), in.list(MessagePackCodec.ClientConnection::imprint), in.list(MessagePackCodec.ClientConnection::imprint));
         }
     }
 
@@ -225,7 +225,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
         long echo = in.num();
--- a/control/src/main/java/org/umbermount/control/OperationLogPosition.java
+++ b/control/src/main/java/org/umbermount/control/OperationLogPosition.java
@@ -22,7 +22,7 @@
         out.num(view).num(pos).imprint(holder);
     }
 
-    public static OperationLogPosition read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    public static OperationLogPosition read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         return new OperationLogPosition(in.num(), in.num(), in.imprint());
     }
 }
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -12,7 +12,7 @@
         digest.write(out);
     }
 
-    static PendingReply read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static PendingReply read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         return new PendingReply(RequestId.read(in), in.imprint(), new ConfigurationRevision(in.num()), Digest.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/RegisteredServer.java
+++ b/control/src/main/java/org/umbermount/control/RegisteredServer.java
@@ -65,7 +65,7 @@
                 .num(standing.ordinal()).num(sequence).imprint(keeper);
     }
 
-    static RegisteredServer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static RegisteredServer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         InstanceId id = new InstanceId(in.text());
         String upstream = in.text();
         String address = in.text();
--- a/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
+++ b/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
@@ -45,7 +45,7 @@
             return;
         }
         try {
-            MessagePackCodec.Reader in = MessagePackCodec.read(notes);
+            MessagePackCodec.ClientConnection in = MessagePackCodec.read(notes);
             long age = clock.wallMillis() - in.num();
             List<RegisteredServer> entries = in.list(RegisteredServer::read);
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
--- a/control/src/main/java/org/umbermount/control/ReplicaStorage.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -120,7 +120,7 @@
         w.list(incarnations.entrySet(), (o, e) -> o.imprint(e.getKey()).num(e.getValue()));
     }
 
-    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         Map<DaemonAddress, Long> out = new HashMap<>();
         for (Voter f : in.list(Voter::read)) {
             out.put(f.imprint(), f.incarnation());
@@ -141,7 +141,7 @@
         if (note == null) {
             return false;
         }
-        MessagePackCodec.Reader in = MessagePackCodec.read(note);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(note);
         return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
     }
 
@@ -150,8 +150,8 @@
         if (stack.get(IDENTITY) == null) {
             return null;
         }
-        MessagePackCodec.Reader identity = MessagePackCodec.read(stack.get(IDENTITY));
-        MessagePackCodec.Reader acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
+        MessagePackCodec.ClientConnection identity = MessagePackCodec.read(stack.get(IDENTITY));
+        MessagePackCodec.ClientConnection acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
         return new ReplicaStorage(identity.num(), identity.num(), View.read(MessagePackCodec.read(stack.get(VIEW))),
                 ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
                 acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -85,7 +85,7 @@
         }
     }
 
-    static TakenOrders read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static TakenOrders read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         ConfigurationRevision floor = new ConfigurationRevision(in.num());
         long size = in.num();
         if (floor.value() < 0 || size < 0 || size > REMEMBERED) {
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -84,8 +84,8 @@
         base.write(out);
     }
 
-    static View read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.Reader::imprint), OperationLogPosition.read(in));
+    static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.ClientConnection::imprint), OperationLogPosition.read(in));
     }
 
     @Override
--- a/control/src/main/java/org/umbermount/control/Voter.java
+++ b/control/src/main/java/org/umbermount/control/Voter.java
@@ -19,7 +19,7 @@
         out.imprint(imprint).num(incarnation);
     }
 
-    static Voter read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static Voter read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         return new Voter(in.imprint(), in.num());
     }
 }
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -123,7 +123,7 @@
         boolean[] asked = new boolean[1];
         fleet.network.tap = (from, to, topic, body) -> {
             try {
-                MessagePackCodec.Reader in = MessagePackCodec.read(body);
+                MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
                 asked[0] |= from.equals(Fleet.imprint(1)) && topic == Messenger.Topic.LEASE && in.num() == 0
                         && in.text().equals("z1");
             } catch (MessagePackCodec.UnreadableException e) {
--- a/distribution/src/main/java/org/umbermount/distribution/Instruction.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Instruction.java
@@ -33,7 +33,7 @@
     }
 
     static Instruction unpack(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         long epoch = in.num();
         long life = in.num();
         long oldNum = in.num();
--- a/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
@@ -13,7 +13,7 @@
     }
 
     static ProxyAnnouncer unpack(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         return new ProxyAnnouncer(in.num(), in.text(), in.flag(), in.flag(), in.num(), in.num());
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -201,7 +201,7 @@
     }
 
     private void introduced(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         String zone = in.text();
         boolean any = false;
         for (ProxyAnnouncer.Proxy p : in.list(one -> new ProxyAnnouncer.Proxy(one.imprint(), zone, one.num()))) {
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -44,8 +44,8 @@
     }
 
     public static Configuration.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
-        return new Configuration.Tenant(in.text(), in.list(MessagePackCodec.Reader::text), (int) in.num(), in.num() / 1_000.0,
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        return new Configuration.Tenant(in.text(), in.list(MessagePackCodec.ClientConnection::text), (int) in.num(), in.num() / 1_000.0,
                 in.num() / 1_000.0);
     }
 
@@ -55,7 +55,7 @@
 
     /** A controller as a table names it. */
     public static MemberDescriptor readController(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new MemberDescriptor(in.imprint(), Role.CONTROLLER, in.text(), 0);
     }
 
@@ -64,18 +64,18 @@
     }
 
     public static Configuration.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         in.num();
         return new Configuration.Limits((int) in.num(), in.num(), in.num(), in.num());
     }
 
     public static Configuration.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Configuration.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
     public static Configuration.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Configuration.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
                 (int) in.num(), (int) in.num(), in.list(r -> new Configuration.Share(r.text(), r.num())));
     }
@@ -87,7 +87,7 @@
     }
 
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Instance(new InstanceId(in.text()), in.text(), in.imprint(), in.text(), (int) in.num(), in.num(),
                 in.flag());
     }
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -62,7 +62,7 @@
         long edition = table.edition().value();
         if (edition > 0) {
             try {
-                MessagePackCodec.Reader in = MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
+                MessagePackCodec.ClientConnection in = MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
                 in.num();
                 room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.imprint + " has it in force");
             } catch (MessagePackCodec.UnreadableException e) {
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -245,7 +245,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         if (in.num() != OperationKeeper.Message.REPLY.ordinal()) {
             return;
         }
--- a/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -24,8 +24,8 @@
         return new Writer();
     }
 
-    public static Reader read(byte[] bytes) {
-        return new Reader(bytes);
+    public static ClientConnection read(byte[] bytes) {
+        return new ClientConnection(bytes);
     }
 
     /** Packs values one after the other. */
@@ -100,15 +100,15 @@
 
     /** Unpacks one value. */
     public interface Element<T> {
-        T read(Reader reader) throws UnreadableException;
+        T read(ClientConnection reader) throws UnreadableException;
     }
 
     /** Unpacks values one after the other. */
-    public static final class Reader {
+    public static final class ClientConnection {
         private final MessageUnpacker unpacker;
         private final int size;
 
-        Reader(byte[] bytes) {
+        ClientConnection(byte[] bytes) {
             unpacker = MessagePack.newDefaultUnpacker(bytes);
             size = bytes.length;
         }
--- a/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
+++ b/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
@@ -18,7 +18,7 @@
         out.imprint(imprint).num(role.ordinal()).text(zone).num(age);
     }
 
-    static MemberDescriptor read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static MemberDescriptor read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         DaemonAddress imprint = in.imprint();
         long role = in.num();
         if (role < 0 || role >= Role.values().length) {
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -140,7 +140,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         boolean wantsAnswer = in.flag();
         List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
--- a/proxy/src/main/java/org/umbermount/proxy/Pressure.java
+++ b/proxy/src/main/java/org/umbermount/proxy/AdmissionControl.java
@@ -11,7 +11,7 @@
  * of everything, but late. Of the answer times the middle is followed, by small steps up and down, so that a few slow
  * servers do not count as a full service: what they delay is the business of choosing among servers.
  */
-final class Pressure {
+final class AdmissionControl {
     /** Here no slot is ever idle, and nothing is asked twice without need. */
     private static final double RATIO_BUSY = 0.95;
     private static final double RATIO_FROM = 1.2;
--- a/proxy/src/main/java/org/umbermount/proxy/Attempt.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Attempt.java
@@ -23,10 +23,10 @@
     /** Answers up to this size are held whole before the client sees any of them. */
     static final int HELD_WHOLE = 128 << 10;
 
-    final Borrowing borrowing;
-    final Repository repository;
+    final RequestExchange borrowing;
+    final UpstreamServer repository;
     private final Sendings.Permit permit;
-    private Carrel carrel;
+    private ServerConnection carrel;
     /** Whether the connection had rested before: what comes on it first may be late. */
     private boolean reused;
     private MonotonicTime sentAt;
@@ -36,7 +36,7 @@
     private boolean streaming;
     private boolean ignored;
 
-    Attempt(Borrowing borrowing, Repository repository, Sendings.Permit permit) {
+    Attempt(RequestExchange borrowing, UpstreamServer repository, Sendings.Permit permit) {
         this.permit = permit;
         this.borrowing = borrowing;
         this.repository = repository;
@@ -47,7 +47,7 @@
     }
 
     /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
-    void write(Carrel over) {
+    void write(ServerConnection over) {
         MonotonicTime now = repository.desk().clock().now();
         long left = borrowing.deadline().since(now);
         if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
@@ -73,16 +73,16 @@
         } else {
             to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
         }
-        Headings.copyEndToEnd(from.headers(), to.headers());
-        to.headers().remove(Headings.TENANT);
+        HeaderNames.copyEndToEnd(from.headers(), to.headers());
+        to.headers().remove(HeaderNames.TENANT);
         if (repository.desk().keyed()) {
             to.headers().remove(HttpHeaderNames.AUTHORIZATION);
         }
         if (borrowing.tenant() != null) {
-            to.headers().set(Headings.TENANT, borrowing.tenant().label());
+            to.headers().set(HeaderNames.TENANT, borrowing.tenant().label());
         }
-        to.headers().set(Headings.TARGET, repository.instance.id().value());
-        to.headers().set(Headings.DEADLINE, Long.toString(left));
+        to.headers().set(HeaderNames.TARGET, repository.instance.id().value());
+        to.headers().set(HeaderNames.DEADLINE, Long.toString(left));
         if (borrowing.isLarge()) {
             String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
             if (length != null) {
@@ -112,7 +112,7 @@
     }
 
     /** The client has been answered meanwhile: nothing was written. */
-    private void permitVoid(Carrel over) {
+    private void permitVoid(ServerConnection over) {
         over.unused();
         notSent();
     }
@@ -164,7 +164,7 @@
         if (!Safeguard.ANSWER_MATCHED_BY_ATTEMPT.holds()) {
             return true;
         }
-        String echoed = head.headers().get(Headings.ATTEMPT);
+        String echoed = head.headers().get(HeaderNames.ATTEMPT);
         if (echoed == null && reused) {
             repository.desk().tally().count("servers.answers.unnamed");
         }
@@ -172,14 +172,14 @@
             // On a connection that has carried others, an answer without a name may be anyone's, a refusal too.
             return !reused;
         }
-        return echoed.equals(borrowing.request().headers().get(Headings.ATTEMPT));
+        return echoed.equals(borrowing.request().headers().get(HeaderNames.ATTEMPT));
     }
 
     private boolean isSealedSuccess() {
         int status = head.status().code();
         boolean framed = status == 204 || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
                 || borrowing.request().method().equals(HttpMethod.HEAD);
-        return status / 100 == 2 && head.headers().contains(Headings.SEAL) && framed
+        return status / 100 == 2 && head.headers().contains(HeaderNames.SEAL) && framed
                 && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
@@ -226,7 +226,7 @@
     /** The answer is whole. */
     void finished() {
         MonotonicTime now = repository.desk().clock().now();
-        String load = head.headers().get(Headings.LOAD);
+        String load = head.headers().get(HeaderNames.LOAD);
         if (load != null) {
             repository.reportedLoad(now, load);
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Reader.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
@@ -33,18 +33,18 @@
 import org.umbermount.kernel.Safeguard;
 
 /** A client's connection: reads requests, and writes their answers in the order they came. */
-final class Reader extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final int PIPELINE_AT_MOST = 32;
     private static final int HELD_BODY = 256 << 10;
     private static final long LINGER_MS = 1_000;
     private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-    private final FrontDesk desk;
+    private final ProxyListener desk;
     /** The longest head that the decoder of this connection takes. */
     private final int headLimit;
-    private final ArrayDeque<Borrowing> pipeline = new ArrayDeque<>();
+    private final ArrayDeque<RequestExchange> pipeline = new ArrayDeque<>();
     private Channel channel;
-    private Borrowing arriving;
+    private RequestExchange arriving;
     private long arrivedBytes;
     private boolean lastRequest;
     private boolean lingering;
@@ -55,7 +55,7 @@
     private MonotonicTime lastActivity;
     private boolean headUnderway;
 
-    Reader(FrontDesk desk, int headLimit) {
+    ClientConnection(ProxyListener desk, int headLimit) {
         this.desk = desk;
         this.headLimit = headLimit;
         this.lastActivity = desk.clock().now();
@@ -110,7 +110,7 @@
             return;
         }
         lastRequest = !HttpUtil.isKeepAlive(request);
-        Borrowing borrowing = desk.receive(this, request, deadlineMs(request));
+        RequestExchange borrowing = desk.receive(this, request, deadlineMs(request));
         arriving = borrowing;
         pipeline.add(borrowing);
         if (pipeline.size() >= PIPELINE_AT_MOST) {
@@ -128,7 +128,7 @@
             return false;
         }
         if (request.headers().getAll(HttpHeaderNames.AUTHORIZATION).size() > 1
-                || request.headers().getAll(Headings.OPERATION_KEY).size() > 1) {
+                || request.headers().getAll(HeaderNames.OPERATION_KEY).size() > 1) {
             return false;
         }
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
@@ -141,7 +141,7 @@
     }
 
     private static long deadlineMs(HttpRequest request) {
-        String text = request.headers().get(Headings.DEADLINE);
+        String text = request.headers().get(HeaderNames.DEADLINE);
         if (text != null) {
             try {
                 return Math.max(0, Math.min(600_000, Long.parseLong(text.trim())));
@@ -166,13 +166,13 @@
             pipeline.pollLast();
         }
         arriving = null;
-        pipeline.add(new Borrowing(desk, this, request, erratum));
+        pipeline.add(new RequestExchange(desk, this, request, erratum));
         desk.tally().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
         ready();
     }
 
     private void proceed(HttpContent content) {
-        Borrowing b = arriving;
+        RequestExchange b = arriving;
         if (content.decoderResult().isFailure()) {
             if (b.isLarge() || b.isStarted()) {
                 // Part of it has been passed on: only the connections can end now.
@@ -228,17 +228,17 @@
      */
     private void startInTurn() {
         // A request may be answered while it is being started, and what is in the pipeline be another thing then.
-        for (Borrowing next = nextToStart(); next != null; next = nextToStart()) {
+        for (RequestExchange next = nextToStart(); next != null; next = nextToStart()) {
             next.start();
         }
     }
 
-    private Borrowing nextToStart() {
+    private RequestExchange nextToStart() {
         if (gone || lingering) {
             return null;
         }
         boolean first = true;
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             boolean whole = b != arriving || b.isLarge();
             if (!b.isStarted() && !b.isAnswered() && whole && (first || b.isSafe() && !desk.closing())) {
                 return b;
@@ -266,7 +266,7 @@
         try {
             boolean wrote = false;
             while (!pipeline.isEmpty() && !gone && !lingering) {
-                Borrowing first = pipeline.peek();
+                RequestExchange first = pipeline.peek();
                 if (!first.isAnswered()) {
                     break;
                 }
@@ -300,7 +300,7 @@
         }
     }
 
-    private boolean closesAfter(Borrowing b, boolean stillReading) {
+    private boolean closesAfter(RequestExchange b, boolean stillReading) {
         // A decoder keeps the limit it was made with: after a change the client's next connection has the new one.
         boolean outdated = headLimit != desk.limits().maxHeaderBytes() && !anyStartedBehind();
         return stillReading || outdated || b.erratum() != null && b.erratum().closes()
@@ -309,7 +309,7 @@
 
     /** Whether a request behind the first has been passed on, so that its answer is owed on this connection. */
     private boolean anyStartedBehind() {
-        Iterator<Borrowing> it = pipeline.iterator();
+        Iterator<RequestExchange> it = pipeline.iterator();
         it.next();
         while (it.hasNext()) {
             if (it.next().isStarted()) {
@@ -325,7 +325,7 @@
      */
     void unblock(boolean last) {
         while (!gone && !lingering && !pipeline.isEmpty() && !pipeline.peek().isAnswered() && anyStartedBehind()) {
-            Borrowing first = pipeline.peek();
+            RequestExchange first = pipeline.peek();
             if (!last) {
                 first.askAnother();
                 return;
@@ -341,7 +341,7 @@
     }
 
     private boolean anyAnswered() {
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             if (b.isAnswered()) {
                 return true;
             }
@@ -349,7 +349,7 @@
         return false;
     }
 
-    private void writeWhole(Borrowing b, boolean stillReading) {
+    private void writeWhole(RequestExchange b, boolean stillReading) {
         boolean close = closesAfter(b, stillReading);
         FullHttpResponse response;
         boolean head = b.request() != null && b.request().method().equals(HttpMethod.HEAD);
@@ -360,9 +360,9 @@
                     head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            String attempt = b.request() == null ? null : b.request().headers().get(Headings.ATTEMPT);
+            String attempt = b.request() == null ? null : b.request().headers().get(HeaderNames.ATTEMPT);
             if (attempt != null) {
-                response.headers().set(Headings.ATTEMPT, attempt);
+                response.headers().set(HeaderNames.ATTEMPT, attempt);
             }
             if (e.retryAfter()) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, desk.retryAfter(b));
@@ -371,7 +371,7 @@
             Answer a = b.answer();
             response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()),
                     Unpooled.wrappedBuffer(a.body()));
-            Headings.copyEndToEnd(a.headers(), response.headers());
+            HeaderNames.copyEndToEnd(a.headers(), response.headers());
             if (head) {
                 String length = a.headers().get(HttpHeaderNames.CONTENT_LENGTH);
                 if (length != null) {
@@ -399,8 +399,8 @@
 
     /** What was sent behind the last answer has not been passed on: the client sends it again elsewhere. */
     private void dropBehind() {
-        Borrowing answered = pipeline.poll();
-        pipeline.forEach(Borrowing::abandon);
+        RequestExchange answered = pipeline.poll();
+        pipeline.forEach(RequestExchange::abandon);
         pipeline.clear();
         pipeline.add(answered);
     }
@@ -416,13 +416,13 @@
     }
 
     /** Writes what has come of a long answer; true once it is whole. */
-    private boolean writeStream(Borrowing b) {
+    private boolean writeStream(RequestExchange b) {
         boolean close = closeTold && Safeguard.CLOSE_AS_TOLD.holds() || closesAfter(b, false);
         boolean chunked = !HttpUtil.isContentLengthSet(b.streamHead());
         if (!streamingHead) {
             streamingHead = true;
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
-            Headings.copyEndToEnd(b.streamHead().headers(), head.headers());
+            HeaderNames.copyEndToEnd(b.streamHead().headers(), head.headers());
             if (chunked) {
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
@@ -497,7 +497,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         gone = true;
         desk.left(this);
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             b.abandon();
         }
         pipeline.clear();
--- a/proxy/src/main/java/org/umbermount/proxy/Headings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/HeaderNames.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 /** The header names of the protocol, and which headers stay on one connection. */
-final class Headings {
+final class HeaderNames {
     static final AsciiString ATTEMPT = AsciiString.cached("request-attempt");
     static final AsciiString DEADLINE = AsciiString.cached("deadline-ms");
     static final AsciiString SEAL = AsciiString.cached("server-seal");
@@ -28,7 +28,7 @@
     /** A bit for each length that one of them has: most headers are told apart by that. */
     private static final long HOP_LENGTHS = HOP.stream().mapToLong(h -> 1L << h.length()).reduce(0, (a, b) -> a | b);
 
-    private Headings() {
+    private HeaderNames() {
     }
 
     /** Copies what is not about one connection; the body's length is left to the caller. */
--- a/proxy/src/main/java/org/umbermount/proxy/Concierge.java
+++ b/proxy/src/main/java/org/umbermount/proxy/LoadBalancer.java
@@ -7,7 +7,7 @@
 import org.umbermount.kernel.MonotonicTime;
 
 /** Chooses the server: of two drawn from the own zone the better one, and one elsewhere where that is worth it. */
-final class Concierge {
+final class LoadBalancer {
     /** What leaving the zone has to save, as a part of the route's aim. */
     private static final double ELSEWHERE = 0.35;
     /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
@@ -22,25 +22,25 @@
     private final Clock clock;
     private final Random random;
 
-    Concierge(Clock clock, Random random) {
+    LoadBalancer(Clock clock, Random random) {
         this.clock = clock;
         this.random = random;
     }
 
     /** A server with room, or null. */
-    Repository choose(Wing wing, Configuration.Route route, List<Repository> tried, MonotonicTime deadline) {
+    UpstreamServer choose(UpstreamService wing, Configuration.Route route, List<UpstreamServer> tried, MonotonicTime deadline) {
         MonotonicTime now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
-        Repository local = chooseLocal(wing, tried, now, queue);
+        UpstreamServer local = chooseLocal(wing, tried, now, queue);
         double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
         if (local != null && local.load(now) + 1 <= local.instance.capacity() && localMs <= route.targetLatencyMs() * 0.8) {
             return local;
         }
-        Repository best = local;
+        UpstreamServer best = local;
         double bestMs = localMs;
         // A few at random, of here and of elsewhere, and not the best of all: every proxy would find the same one.
         for (int i = 0; i < FURTHER_LOCAL + FURTHER_ELSEWHERE; i++) {
-            Repository r = draw(i < FURTHER_LOCAL ? wing.local : wing.elsewhere, tried, now, queue, best);
+            UpstreamServer r = draw(i < FURTHER_LOCAL ? wing.local : wing.elsewhere, tried, now, queue, best);
             double ms = r == null ? Double.MAX_VALUE : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
             if (ms < bestMs) {
                 best = r;
@@ -51,11 +51,11 @@
     }
 
     /** When draws find none: the first with room, looked for from a random place. */
-    private Repository anyWithRoom(Wing wing, List<Repository> tried, MonotonicTime now, double queue) {
+    private UpstreamServer anyWithRoom(UpstreamService wing, List<UpstreamServer> tried, MonotonicTime now, double queue) {
         int n = wing.elsewhere.size();
         int start = n == 0 ? 0 : random.nextInt(n);
         for (int i = 0; i < n; i++) {
-            Repository r = wing.elsewhere.get((start + i) % n);
+            UpstreamServer r = wing.elsewhere.get((start + i) % n);
             if (hasRoom(r, tried, now, queue)) {
                 return r;
             }
@@ -63,20 +63,20 @@
         return null;
     }
 
-    private static boolean hasRoom(Repository r, List<Repository> tried, MonotonicTime now, double queue) {
+    private static boolean hasRoom(UpstreamServer r, List<UpstreamServer> tried, MonotonicTime now, double queue) {
         return !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue);
     }
 
-    private Repository chooseLocal(Wing wing, List<Repository> tried, MonotonicTime now, double queue) {
-        Repository first = draw(wing.local, tried, now, queue, null);
-        Repository second = first == null ? null : draw(wing.local, tried, now, queue, first);
+    private UpstreamServer chooseLocal(UpstreamService wing, List<UpstreamServer> tried, MonotonicTime now, double queue) {
+        UpstreamServer first = draw(wing.local, tried, now, queue, null);
+        UpstreamServer second = first == null ? null : draw(wing.local, tried, now, queue, first);
         if (second != null) {
             return better(first, second, now);
         }
         // Few are left: look at each of them.
         first = null;
         int seen = 0;
-        for (Repository r : wing.local) {
+        for (UpstreamServer r : wing.local) {
             if (!hasRoom(r, tried, now, queue)) {
                 continue;
             }
@@ -99,10 +99,10 @@
     }
 
     /** One at random that has room; null if a few draws find none. */
-    private Repository draw(List<Repository> among, List<Repository> tried, MonotonicTime now, double queue, Repository not) {
+    private UpstreamServer draw(List<UpstreamServer> among, List<UpstreamServer> tried, MonotonicTime now, double queue, UpstreamServer not) {
         int n = among.size();
         for (int i = 0; n > 0 && i < DRAWS; i++) {
-            Repository r = among.get(random.nextInt(n));
+            UpstreamServer r = among.get(random.nextInt(n));
             if (r != not && hasRoom(r, tried, now, queue)) {
                 return r;
             }
@@ -110,7 +110,7 @@
         return null;
     }
 
-    private Repository better(Repository first, Repository second, MonotonicTime now) {
+    private UpstreamServer better(UpstreamServer first, UpstreamServer second, MonotonicTime now) {
         double a = first.expectedMs(now);
         double b = second.expectedMs(now);
         if (Math.abs(a - b) < 0.02 * a) {
@@ -120,7 +120,7 @@
     }
 
     /** How long the first server has before a second is asked. */
-    long hedgeAfterMs(Wing wing, Configuration.Route route) {
+    long hedgeAfterMs(UpstreamService wing, Configuration.Route route) {
         return (long) Math.max(4.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -26,7 +26,7 @@
     private final Messenger post;
     private final String zone;
     private final Supplier<DaemonAddress> controller;
-    private final Set<Repository> busy = new LinkedHashSet<>();
+    private final Set<UpstreamServer> busy = new LinkedHashSet<>();
     private Int2IntOpenHashMap sums = new Int2IntOpenHashMap();
     private Int2IntOpenHashMap reported = new Int2IntOpenHashMap();
     private MonotonicTime heard = MonotonicTime.NEVER;
@@ -41,7 +41,7 @@
     }
 
     /** A server has got its first request from here. */
-    void began(Repository repository) {
+    void began(UpstreamServer repository) {
         busy.add(repository);
         if (!reporting) {
             reporting = true;
@@ -50,7 +50,7 @@
     }
 
     /** The last request from here has left a server. */
-    void ended(Repository repository) {
+    void ended(UpstreamServer repository) {
         busy.remove(repository);
     }
 
@@ -61,7 +61,7 @@
         if (to != null) {
             Int2IntOpenHashMap now = new Int2IntOpenHashMap(busy.size());
             MessagePackCodec.Writer out = MessagePackCodec.write().text(zone).num(busy.size());
-            for (Repository r : busy) {
+            for (UpstreamServer r : busy) {
                 out.num(r.code).num(r.inFlight);
                 now.put(r.code, r.inFlight);
             }
@@ -74,12 +74,12 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         sums = readCounts(in);
         heard = clock.now();
     }
 
-    static Int2IntOpenHashMap readCounts(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+    static Int2IntOpenHashMap readCounts(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         long n = in.num();
         if (n < 0 || n > ENTRIES_AT_MOST) {
             throw new MessagePackCodec.UnreadableException("a count is beyond reason", null);
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -36,7 +36,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         String zone = in.text();
         Word word = new Word(clock.now(), Occupancy.readCounts(in));
         Map<DaemonAddress, Word> words = zones.get(zone);
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyPlugin.java
@@ -6,7 +6,7 @@
 import org.umbermount.kernel.Role;
 
 /** The sums of what proxies have at servers, as a plug-in of the controller. */
-public final class OccupancyDepartment implements Plugin {
+public final class OccupancyPlugin implements Plugin {
     @Override
     public String name() {
         return "occupancy";
--- a/proxy/src/main/java/org/umbermount/proxy/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
@@ -40,7 +40,7 @@
 import org.umbermount.quota.QuotaClient;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
-final class FrontDesk {
+final class ProxyListener {
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
     static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 1_000;
@@ -53,13 +53,13 @@
     private final Settings.Bounds bounds;
     private final Random random;
     private final String zone;
-    private final Concierge concierge;
+    private final LoadBalancer concierge;
     private final MonotonicTime started;
-    private final Map<String, Wing> wings = new HashMap<>();
-    private final Map<String, Repository> repositories = new HashMap<>();
-    private final Set<Reader> readers = new LinkedHashSet<>();
-    private final Set<Wing> freed = new HashSet<>();
-    private Holdings holdings = Holdings.EMPTY;
+    private final Map<String, UpstreamService> wings = new HashMap<>();
+    private final Map<String, UpstreamServer> repositories = new HashMap<>();
+    private final Set<ClientConnection> readers = new LinkedHashSet<>();
+    private final Set<UpstreamService> freed = new HashSet<>();
+    private RouteIndex holdings = RouteIndex.EMPTY;
     private RoutingTable table = RoutingTable.EMPTY;
     private int fleet = 1;
     private boolean closing;
@@ -70,14 +70,14 @@
     private QuotaClient quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
-    FrontDesk(EventLoop loop, Clock clock, Metrics tally, Settings.Bounds bounds, String zone, Random random) {
+    ProxyListener(EventLoop loop, Clock clock, Metrics tally, Settings.Bounds bounds, String zone, Random random) {
         this.loop = loop;
         this.clock = clock;
         this.tally = tally;
         this.bounds = bounds;
         this.random = random;
         this.zone = zone;
-        this.concierge = new Concierge(clock, random);
+        this.concierge = new LoadBalancer(clock, random);
         this.started = clock.now();
         clock.every(SWEEP_MS, this::sweep);
     }
@@ -102,7 +102,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        Reader reader = new Reader(FrontDesk.this, limits().maxHeaderBytes());
+                        ClientConnection reader = new ClientConnection(ProxyListener.this, limits().maxHeaderBytes());
                         ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
                             @Override
                             public void channelRead(ChannelHandlerContext ctx, Object msg) {
@@ -147,7 +147,7 @@
         } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("A table could not be read: {}.", e.getMessage());
         }
-        for (Wing wing : wings.values()) {
+        for (UpstreamService wing : wings.values()) {
             wing.serveWaiting();
         }
     }
@@ -164,29 +164,29 @@
                 wing(upstream.label()).configure(upstream);
             }
         }
-        holdings = Holdings.of(next);
+        holdings = RouteIndex.of(next);
     }
 
-    private Wing wing(String label) {
-        return wings.computeIfAbsent(label, l -> new Wing(l,
-                new Allowance(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
+    private UpstreamService wing(String label) {
+        return wings.computeIfAbsent(label, l -> new UpstreamService(l,
+                new RetryBudget(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
     }
 
     private void place(String key, Tables.Instance instance) {
-        Repository known = repositories.get(key);
+        UpstreamServer known = repositories.get(key);
         if (known != null) {
             known.update(instance);
             return;
         }
-        Wing wing = wing(instance.upstream());
-        Repository fresh = new Repository(this, wing, instance, instance.zone().equals(zone));
+        UpstreamService wing = wing(instance.upstream());
+        UpstreamServer fresh = new UpstreamServer(this, wing, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
         wing.repositories.add(fresh);
         (fresh.local ? wing.local : wing.elsewhere).add(fresh);
     }
 
     private void remove(String key) {
-        Repository old = repositories.remove(key);
+        UpstreamServer old = repositories.remove(key);
         if (old != null) {
             old.retire();
             old.wing.repositories.remove(old);
@@ -209,10 +209,10 @@
 
     // ---- requests ----
 
-    Borrowing receive(Reader reader, HttpRequest request, long deadlineMs) {
+    RequestExchange receive(ClientConnection reader, HttpRequest request, long deadlineMs) {
         tally.count("requests.received");
         if (!hasTable()) {
-            return new Borrowing(this, reader, request, ErrorKind.NOT_READY);
+            return new RequestExchange(this, reader, request, ErrorKind.NOT_READY);
         }
         Configuration.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
         if (route == null) {
@@ -221,7 +221,7 @@
         String key = null;
         Configuration.Tenant tenant = null;
         if (holdings.keyed() && !route.anonymous()) {
-            key = Headings.token(request.headers());
+            key = HeaderNames.token(request.headers());
             ErrorKind why = whyNot(key);
             if (why != null) {
                 return refused(reader, request, why);
@@ -229,18 +229,18 @@
             tenant = holdings.tenant(key);
         }
         if (route.idempotent() && loans != null) {
-            String operation = request.headers().get(Headings.OPERATION_KEY);
+            String operation = request.headers().get(HeaderNames.OPERATION_KEY);
             if (operation == null || operation.isBlank()) {
                 return refused(reader, request, ErrorKind.KEY_MISSING);
             }
         }
-        return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
+        return new RequestExchange(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
                 tenant, key);
     }
 
-    private Borrowing refused(Reader reader, HttpRequest request, ErrorKind why) {
+    private RequestExchange refused(ClientConnection reader, HttpRequest request, ErrorKind why) {
         tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
-        return new Borrowing(this, reader, request, why);
+        return new RequestExchange(this, reader, request, why);
     }
 
     /** Why a request with this key may not be sent to a server now; null if it may. */
@@ -316,7 +316,7 @@
     }
 
     /** Seconds after which a refused client may come again. */
-    String retryAfter(Borrowing b) {
+    String retryAfter(RequestExchange b) {
         // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
         boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
                 || b.erratum() == ErrorKind.TABLE_STALE || b.erratum() == ErrorKind.NOT_READY;
@@ -326,31 +326,31 @@
     }
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
-    boolean turnsAway(Wing wing, MonotonicTime now) {
+    boolean turnsAway(UpstreamService wing, MonotonicTime now) {
         return wing.pressure.turnsAway(ratio(wing, now), random);
     }
 
     /** Whether a service has so much to do that nothing should be asked of it twice without need. */
-    boolean busy(Wing wing, MonotonicTime now) {
+    boolean busy(UpstreamService wing, MonotonicTime now) {
         return wing.pressure.busy(ratio(wing, now));
     }
 
-    private double ratio(Wing wing, MonotonicTime now) {
+    private double ratio(UpstreamService wing, MonotonicTime now) {
         return occupancy != null && occupancy.fresh(now) ? wing.localRatio(now) : 0;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
-    double hedgeReserve(Wing wing, MonotonicTime now) {
+    double hedgeReserve(UpstreamService wing, MonotonicTime now) {
         return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
     }
 
     /** A server has become free: those that wait are looked at once the current event is over. */
-    void slotFreed(Wing wing) {
+    void slotFreed(UpstreamService wing) {
         if (wing.waitingCount() > 0 && freed.add(wing) && freed.size() == 1) {
             clock.execute(() -> {
-                Set<Wing> now = new HashSet<>(freed);
+                Set<UpstreamService> now = new HashSet<>(freed);
                 freed.clear();
-                now.forEach(Wing::serveWaiting);
+                now.forEach(UpstreamService::serveWaiting);
             });
         }
         lookAgain();
@@ -361,12 +361,12 @@
         if (looking) {
             return;
         }
-        for (Wing wing : wings.values()) {
+        for (UpstreamService wing : wings.values()) {
             if (wing.waitingCount() > 0) {
                 looking = true;
                 clock.after(WAITING_LOOK_MS, () -> {
                     looking = false;
-                    wings.values().forEach(Wing::serveWaiting);
+                    wings.values().forEach(UpstreamService::serveWaiting);
                     lookAgain();
                 });
                 return;
@@ -376,20 +376,20 @@
 
     // ---- connections ----
 
-    void arrived(Reader reader) {
+    void arrived(ClientConnection reader) {
         readers.add(reader);
     }
 
-    void left(Reader reader) {
+    void left(ClientConnection reader) {
         readers.remove(reader);
     }
 
     private void sweep() {
         MonotonicTime now = clock.now();
-        for (Reader reader : List.copyOf(readers)) {
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.sweep(now);
         }
-        for (Iterator<Repository> it = repositories.values().iterator(); it.hasNext();) {
+        for (Iterator<UpstreamServer> it = repositories.values().iterator(); it.hasNext();) {
             it.next().sweep(now);
         }
         lookAgain();
@@ -398,7 +398,7 @@
     /** How many requests are at servers now, or on their way to one. */
     int atServers() {
         int sum = 0;
-        for (Repository r : repositories.values()) {
+        for (UpstreamServer r : repositories.values()) {
             sum += r.inFlight;
         }
         return sum;
@@ -416,20 +416,20 @@
     /** Takes no new connections, and ends those on which nothing is underway. */
     void stopListening() {
         listener.close();
-        for (Reader reader : List.copyOf(readers)) {
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.closeIfIdle();
         }
     }
 
-    /** See {@link Reader#unblock}. */
+    /** See {@link ClientConnection#unblock}. */
     void unblock(boolean last) {
-        for (Reader reader : List.copyOf(readers)) {
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.unblock(last);
         }
     }
 
     boolean anyBusy() {
-        for (Reader reader : readers) {
+        for (ClientConnection reader : readers) {
             if (reader.busy()) {
                 return true;
             }
@@ -457,7 +457,7 @@
         return tally;
     }
 
-    Concierge concierge() {
+    LoadBalancer concierge() {
         return concierge;
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/CirculationDepartment.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
@@ -20,7 +20,7 @@
 import org.umbermount.quota.QuotaClient;
 
 /** The traffic plane as a plug-in of the proxy. */
-public final class CirculationDepartment implements Plugin {
+public final class ProxyPlugin implements Plugin {
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** By then the platform has noticed twice that this daemon is not ready. */
     private static final long NOTICED_MS = 2_300;
@@ -29,7 +29,7 @@
     private static final long GRACE_MARGIN_MS = 400;
 
     private PluginHost institution;
-    private FrontDesk desk;
+    private ProxyListener desk;
     private StateReceiver consignee;
     private boolean leaving;
 
@@ -55,7 +55,7 @@
         Clock clock = host.clock();
         EventLoop loop = ((LoopClock) clock).loop();
         consignee = host.find(StateReceiver.class);
-        desk = new FrontDesk(loop, clock, host.tally(), rules.bounds(), rules.zone(),
+        desk = new ProxyListener(loop, clock, host.tally(), rules.bounds(), rules.zone(),
                 new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
         desk.share(host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), consignee::goodForMs);
         desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), consignee::sender));
@@ -63,7 +63,7 @@
         host.tally().gauge("clients.connections", desk::openConnections);
         DaemonAddress readiness = listener(rules, "readiness");
         DaemonAddress http = listener(rules, "http");
-        watch(new Doorplate(() -> !leaving && desk.hasTable(), host.tally()::page, this::status).bind(loop, readiness),
+        watch(new StatusServer(() -> !leaving && desk.hasTable(), host.tally()::page, this::status).bind(loop, readiness),
                 readiness);
         ServerSocketChannel listening = host.findOrNull(ServerSocketChannel.class);
         watch(listening == null ? desk.bind(http) : desk.adopt(listening), http);
--- a/proxy/src/main/java/org/umbermount/proxy/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
@@ -17,22 +17,22 @@
 import org.umbermount.idempotency.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
-final class Borrowing {
+final class RequestExchange {
     private static final int PLACEMENTS_AT_MOST = 6;
     private static final long SHORTEST_WAIT_MS = 20;
     private static final long SHARED_PATIENCE_MS = 250;
     private static final long SHARED_LEAST_MS = 100;
     private static final long BUSY_LOOK_MS = 90;
 
-    private final FrontDesk desk;
-    private final Reader reader;
+    private final ProxyListener desk;
+    private final ClientConnection reader;
     private final HttpRequest request;
     private final Configuration.Route route;
-    private final Wing wing;
+    private final UpstreamService wing;
     private final MonotonicTime arrived;
     private final MonotonicTime deadline;
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
-    private final List<Repository> tried = new ArrayList<>(2);
+    private final List<UpstreamServer> tried = new ArrayList<>(2);
     private byte[] body = new byte[0];
     private boolean large;
     private boolean started;
@@ -68,7 +68,7 @@
     private boolean streamCut;
     private int streamHeld;
 
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Configuration.Route route, Wing wing, long deadlineMs,
+    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, Configuration.Route route, UpstreamService wing, long deadlineMs,
             Configuration.Tenant tenant, String key) {
         this.tenant = tenant;
         this.key = key;
@@ -83,7 +83,7 @@
     }
 
     /** A request that is answered without asking a server. */
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, ErrorKind erratum) {
+    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, ErrorKind erratum) {
         this(desk, reader, request, null, null, 0, null, null);
         this.erratum = erratum;
         this.answered = true;
@@ -153,7 +153,7 @@
         return streamHead;
     }
 
-    Wing wing() {
+    UpstreamService wing() {
         return wing;
     }
 
@@ -265,7 +265,7 @@
             return;
         }
         OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
-                request.headers().get(Headings.OPERATION_KEY));
+                request.headers().get(HeaderNames.OPERATION_KEY));
         boolean[] over = new boolean[1];
         OperationClient.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
                 new OperationClient.Outcome() {
@@ -322,10 +322,10 @@
         }
         giveBack();
         try {
-            Answer first = KeptAnswers.unpack(packed);
-            String attempt = request.headers().get(Headings.ATTEMPT);
+            Answer first = StoredAnswers.unpack(packed);
+            String attempt = request.headers().get(HeaderNames.ATTEMPT);
             if (attempt != null) {
-                first.headers().set(Headings.ATTEMPT, attempt);
+                first.headers().set(HeaderNames.ATTEMPT, attempt);
             }
             desk.tally().count("requests.repeats");
             deliver(first);
@@ -368,7 +368,7 @@
         OperationClient.Ticket ending = ticket;
         ticket = null;
         if (kept != null) {
-            ending.close(OperationClient.End.ANSWERED, KeptAnswers.pack(kept));
+            ending.close(OperationClient.End.ANSWERED, StoredAnswers.pack(kept));
         } else {
             ending.close(sendings.hasNotRun() ? OperationClient.End.RELEASED : OperationClient.End.UNKNOWN, new byte[0]);
         }
@@ -408,7 +408,7 @@
             waiting = false;
             return true;
         }
-        Repository repository = desk.concierge().choose(wing, route, tried, deadline);
+        UpstreamServer repository = desk.concierge().choose(wing, route, tried, deadline);
         if (repository == null) {
             return false;
         }
@@ -454,7 +454,7 @@
             return;
         }
         MonotonicTime now = desk.clock().now();
-        Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
+        UpstreamServer second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
         if (second == null) {
             return;
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Allowance.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RetryBudget.java
@@ -6,7 +6,7 @@
  * How many further tries this daemon may send to one service. Tries are earned by own requests within the
  * window; beside them stands this daemon's share of the burst, which a restarted daemon does not have.
  */
-final class Allowance {
+final class RetryBudget {
     private static final int SLOTS = 20;
     /** Of the ratio, what is kept back for requests counted differently elsewhere. */
     private static final double CAUTION = 0.85;
@@ -22,7 +22,7 @@
     private final int[] requests = new int[SLOTS];
     private final int[] spent = new int[SLOTS];
 
-    Allowance(double ratio, double burst, long windowMs, MonotonicTime started) {
+    RetryBudget(double ratio, double burst, long windowMs, MonotonicTime started) {
         this.ratio = ratio;
         this.burst = burst;
         this.windowMs = windowMs;
--- a/proxy/src/main/java/org/umbermount/proxy/Holdings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RouteIndex.java
@@ -12,8 +12,8 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** The routes of a table, ready for looking up. */
-final class Holdings {
-    static final Holdings EMPTY = new Holdings(new Object2ObjectOpenHashMap<>(), Configuration.Limits.DEFAULT,
+final class RouteIndex {
+    static final RouteIndex EMPTY = new RouteIndex(new Object2ObjectOpenHashMap<>(), Configuration.Limits.DEFAULT,
             new Object2ObjectOpenHashMap<>(), false);
 
     private final Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost;
@@ -22,7 +22,7 @@
     private final Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey;
     private final boolean keyed;
 
-    private Holdings(Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost, Configuration.Limits limits,
+    private RouteIndex(Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost, Configuration.Limits limits,
             Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey, boolean keyed) {
         this.byKey = byKey;
         this.keyed = keyed;
@@ -30,7 +30,7 @@
         this.limits = limits;
     }
 
-    static Holdings of(RoutingTable table) throws MessagePackCodec.UnreadableException {
+    static RouteIndex of(RoutingTable table) throws MessagePackCodec.UnreadableException {
         Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost = new Object2ObjectOpenHashMap<>();
         Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey = new Object2ObjectOpenHashMap<>();
         boolean keyed = false;
@@ -49,7 +49,7 @@
             routes.sort(Comparator.comparingInt((Configuration.Route r) -> r.prefix().length()).reversed());
         }
         byte[] limits = table.entries().get(RoutingTable.CONFIGURATION);
-        return new Holdings(byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
+        return new RouteIndex(byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
     }
 
     Configuration.Limits limits() {
--- a/proxy/src/main/java/org/umbermount/proxy/Sendings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Sendings.java
@@ -5,7 +5,7 @@
 import org.umbermount.kernel.Safeguard;
 
 /**
- * What has become of the sendings of one request. It alone makes the permits that {@link Carrel} asks for before it writes to
+ * What has become of the sendings of one request. It alone makes the permits that {@link ServerConnection} asks for before it writes to
  * a server, and the proofs that a further one rests on. Whether a request may still be promised not to run is known here too.
  */
 final class Sendings {
@@ -58,7 +58,7 @@
     }
 
     /** A permit for a further sending, paid from the budget; null if it may not be or there is nothing left. */
-    Permit further(NotRun proof, Allowance budget, MonotonicTime now, int fleet, double reserve) {
+    Permit further(NotRun proof, RetryBudget budget, MonotonicTime now, int fleet, double reserve) {
         if (!allowsFurther(proof) || !budget.spend(now, fleet, reserve)) {
             return null;
         }
@@ -132,7 +132,7 @@
         /** A whole answer to this request has come; the proof if it says that the request has not run, otherwise null. */
         NotRun answered(HttpResponse head) {
             int status = head.status().code();
-            boolean notRun = status == 421 || status / 100 != 2 && head.headers().contains(Headings.NOT_EXECUTED);
+            boolean notRun = status == 421 || status / 100 != 2 && head.headers().contains(HeaderNames.NOT_EXECUTED);
             close(!notRun);
             return notRun ? new NotRun(true) : null;
         }
--- a/proxy/src/main/java/org/umbermount/proxy/Carrel.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
@@ -14,8 +14,8 @@
 import org.umbermount.kernel.Safeguard;
 
 /** One connection to a server; it serves one request at a time. Nothing else writes to a server's connection. */
-final class Carrel extends ChannelInboundHandlerAdapter {
-    private final Repository repository;
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    private final UpstreamServer repository;
     private final AnswerDecoder decoder;
     private Channel channel;
     private Attempt current;
@@ -26,7 +26,7 @@
     MonotonicTime restingSince = MonotonicTime.NEVER;
     long keepAliveMs = Long.MAX_VALUE;
 
-    Carrel(Repository repository, AnswerDecoder decoder) {
+    ServerConnection(UpstreamServer repository, AnswerDecoder decoder) {
         this.repository = repository;
         this.decoder = decoder;
     }
@@ -155,7 +155,7 @@
     }
 
     private void readKeepAlive(HttpResponse response) {
-        String value = response.headers().get(Headings.KEEP_ALIVE);
+        String value = response.headers().get(HeaderNames.KEEP_ALIVE);
         int at = value == null ? -1 : value.indexOf("timeout=");
         if (at >= 0) {
             int end = at + 8;
--- a/proxy/src/main/java/org/umbermount/proxy/Doorplate.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StatusServer.java
@@ -28,12 +28,12 @@
 import org.umbermount.kernel.DaemonAddress;
 
 /** Says whether this daemon takes clients, and shows its meters and its state to an operator. */
-final class Doorplate {
+final class StatusServer {
     private final BooleanSupplier ready;
     private final Supplier<String> metrics;
     private final Supplier<String> status;
 
-    Doorplate(BooleanSupplier ready, Supplier<String> metrics, Supplier<String> status) {
+    StatusServer(BooleanSupplier ready, Supplier<String> metrics, Supplier<String> status) {
         this.ready = ready;
         this.metrics = metrics;
         this.status = status;
--- a/proxy/src/main/java/org/umbermount/proxy/Repository.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
@@ -19,7 +19,7 @@
 import org.umbermount.kernel.Metrics;
 
 /** One life of a server: its connections, and what its answers have shown of it. */
-final class Repository {
+final class UpstreamServer {
     static final int CONNECT_MS = 350;
     private static final int HEADER_BYTES = 32_768;
     private static final long IDLE_MS = 8_000;
@@ -34,11 +34,11 @@
     private static final double FAILURE_WEIGHT = 8;
     private static final double FAILURE_FREE = 0.16;
 
-    private final FrontDesk desk;
+    private final ProxyListener desk;
     private final Clock clock;
     private final Metrics tally;
-    private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
-    Wing wing;
+    private final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
+    UpstreamService wing;
     Tables.Instance instance;
     /** Stands for the id in what proxies tell of their requests. */
     final int code;
@@ -61,7 +61,7 @@
     private boolean misdirected;
     private double failures;
 
-    Repository(FrontDesk desk, Wing wing, Tables.Instance instance, boolean local) {
+    UpstreamServer(ProxyListener desk, UpstreamService wing, Tables.Instance instance, boolean local) {
         this.local = local;
         this.desk = desk;
         this.clock = desk.clock();
@@ -215,7 +215,7 @@
         MonotonicTime now = clock.now();
         begin(now);
         while (!idle.isEmpty()) {
-            Carrel carrel = idle.pollLast();
+            ServerConnection carrel = idle.pollLast();
             if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS
                     && Safeguard.CONNECTION_RESTED_TOO_LONG.holds()) {
                 // A server may have forgotten it without a word, and what it resets then cannot be sent again.
@@ -241,7 +241,7 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
         AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
                 .setMaxInitialLineLength(4096).setInitialBufferSize(256));
-        Carrel carrel = new Carrel(this, decoder);
+        ServerConnection carrel = new ServerConnection(this, decoder);
         ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel ch) {
@@ -260,7 +260,7 @@
         });
     }
 
-    void rest(Carrel carrel) {
+    void rest(ServerConnection carrel) {
         if (usable(clock.now()) && !desk.closing()) {
             carrel.restingSince = clock.now();
             idle.addLast(carrel);
@@ -270,7 +270,7 @@
     }
 
     /** Nothing was sent over it after all. It has rested since it last carried an answer, not since now. */
-    void putBack(Carrel carrel) {
+    void putBack(ServerConnection carrel) {
         if (!carrel.reused()) {
             rest(carrel);
         } else if (usable(clock.now()) && !desk.closing()) {
@@ -280,16 +280,16 @@
         }
     }
 
-    void lost(Carrel carrel) {
+    void lost(ServerConnection carrel) {
         connections--;
         idle.remove(carrel);
     }
 
     /** Closes connections before the server does. */
     void sweep(MonotonicTime now) {
-        Iterator<Carrel> it = idle.iterator();
+        Iterator<ServerConnection> it = idle.iterator();
         while (it.hasNext()) {
-            Carrel carrel = it.next();
+            ServerConnection carrel = it.next();
             if (now.since(carrel.restingSince) > Math.min(IDLE_MS, carrel.keepAliveMs)) {
                 it.remove();
                 carrel.close();
@@ -303,7 +303,7 @@
         }
     }
 
-    FrontDesk desk() {
+    ProxyListener desk() {
         return desk;
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/Wing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
@@ -8,20 +8,20 @@
 import org.umbermount.kernel.MonotonicTime;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
-final class Wing {
+final class UpstreamService {
     private static final int WAITING_AT_MOST = 256;
     private static final long LOCAL_RATIO_MS = 100;
 
     final String label;
-    final Allowance allowance;
-    final List<Repository> repositories = new ArrayList<>();
+    final RetryBudget allowance;
+    final List<UpstreamServer> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
-    final List<Repository> local = new ArrayList<>();
-    final List<Repository> elsewhere = new ArrayList<>();
-    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
-            Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
+    final List<UpstreamServer> local = new ArrayList<>();
+    final List<UpstreamServer> elsewhere = new ArrayList<>();
+    private final PriorityQueue<RequestExchange> waiting = new PriorityQueue<>(
+            Comparator.comparingInt(RequestExchange::tenantPriority).thenComparingInt(RequestExchange::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
-    final Pressure pressure = new Pressure();
+    final AdmissionControl pressure = new AdmissionControl();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
     boolean dedupCapable;
@@ -31,7 +31,7 @@
     private double localRatio;
     private MonotonicTime localRatioAt = MonotonicTime.NEVER;
 
-    Wing(String label, Allowance allowance) {
+    UpstreamService(String label, RetryBudget allowance) {
         this.label = label;
         this.allowance = allowance;
     }
@@ -50,7 +50,7 @@
             localRatioAt = now;
             double sum = 0;
             int slots = 0;
-            for (Repository r : local) {
+            for (UpstreamServer r : local) {
                 if (r.usable(now)) {
                     int capacity = r.instance.capacity();
                     sum += Math.min(r.load(now), 2 * capacity);
@@ -68,14 +68,14 @@
     }
 
     /** Takes a request into the queue; false if the queue is full of requests that come first. */
-    boolean enqueue(Borrowing borrowing) {
+    boolean enqueue(RequestExchange borrowing) {
         if (waiting.size() >= WAITING_AT_MOST) {
             return false;
         }
         return waiting.add(borrowing);
     }
 
-    void dequeue(Borrowing borrowing) {
+    void dequeue(RequestExchange borrowing) {
         waiting.remove(borrowing);
     }
 
@@ -87,7 +87,7 @@
     void serveWaiting() {
         while (!waiting.isEmpty()) {
             // Out of the queue first: it may come back into it while it is being placed.
-            Borrowing first = waiting.poll();
+            RequestExchange first = waiting.poll();
             if (!first.tryPlace()) {
                 waiting.add(first);
                 return;
--- a/proxy/src/test/java/org/umbermount/proxy/PressureTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/AdmissionControlTest.java
@@ -7,9 +7,9 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-class PressureTest {
+class AdmissionControlTest {
     private final Random random = new Random(7);
-    private final Pressure pressure = new Pressure();
+    private final AdmissionControl pressure = new AdmissionControl();
 
     @Test
     void nothingIsTurnedAwayWhileSlotsAreLeftOrQueuesAreShort() {
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -122,7 +122,7 @@
         try {
             LoopClock clock = new LoopClock(group.next());
             Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
-            FrontDesk desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed));
+            ProxyListener desk = new ProxyListener(clock.loop(), clock, tally, bounds, "z", new Random(seed));
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
             }
@@ -168,7 +168,7 @@
         return report(tally);
     }
 
-    private static void apply(FrontDesk desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
+    private static void apply(ProxyListener desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
         RoutingTable table = table(servers, limits);
         clock.loop().submit(() -> desk.apply(table)).get();
     }
--- a/proxy/src/test/java/org/umbermount/proxy/ConciergeTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/LoadBalancerTest.java
@@ -21,12 +21,12 @@
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
 
-class ConciergeTest {
+class LoadBalancerTest {
     private final FakeClock clock = new FakeClock();
     private final EventLoop loop = new DefaultEventLoop();
-    private final FrontDesk desk = new FrontDesk(loop, clock, new Metrics(),
+    private final ProxyListener desk = new ProxyListener(loop, clock, new Metrics(),
             new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
-    private final Wing wing = new Wing("s", null);
+    private final UpstreamService wing = new UpstreamService("s", null);
     private final Configuration.Route route = new Configuration.Route("r", "h", "/p/", Configuration.Kind.SAFE, false, 5_000, 800, 1,
             2, List.of(new Configuration.Share("s", 1)));
 
@@ -35,22 +35,22 @@
         loop.shutdownGracefully();
     }
 
-    private Repository server(String id, String zone) {
-        Repository r = new Repository(desk, wing, new Tables.Instance(new InstanceId(id), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3,
+    private UpstreamServer server(String id, String zone) {
+        UpstreamServer r = new UpstreamServer(desk, wing, new Tables.Instance(new InstanceId(id), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3,
                 0, false), zone.equals("z"));
         wing.repositories.add(r);
         (r.local ? wing.local : wing.elsewhere).add(r);
         return r;
     }
 
-    private static void busy(Repository r, int requests, MonotonicTime now) {
+    private static void busy(UpstreamServer r, int requests, MonotonicTime now) {
         while (r.inFlight < requests) {
             r.begin(now);
         }
     }
 
-    private Set<Repository> chosen(Repository... tried) {
-        Set<Repository> chosen = new HashSet<>();
+    private Set<UpstreamServer> chosen(UpstreamServer... tried) {
+        Set<UpstreamServer> chosen = new HashSet<>();
         for (int i = 0; i < 300; i++) {
             chosen.add(desk.concierge().choose(wing, route, List.of(tried), clock.now().plus(2_000)));
         }
@@ -59,8 +59,8 @@
 
     @Test
     void freeSlotHereIsUsedAndTheZoneNotLeft() {
-        Repository full = server("a", "z");
-        Repository free = server("b", "z");
+        UpstreamServer full = server("a", "z");
+        UpstreamServer free = server("b", "z");
         server("far", "y");
         busy(full, 3, clock.now());
         assertEquals(Set.of(free), chosen());
@@ -69,10 +69,10 @@
 
     @Test
     void whereNothingHasRoomHereTheRequestGoesElsewhereAndOtherwiseNowhere() {
-        Repository here = server("a", "z");
+        UpstreamServer here = server("a", "z");
         busy(here, 6, clock.now());
         assertNull(desk.concierge().choose(wing, route, List.of(), clock.now().plus(2_000)));
-        Repository far = server("far", "y");
+        UpstreamServer far = server("far", "y");
         assertEquals(Set.of(far), chosen());
     }
 
@@ -81,7 +81,7 @@
         for (int i = 0; i < 4; i++) {
             busy(server("a" + i, "z"), 4, clock.now());
         }
-        Repository far = server("far", "y");
+        UpstreamServer far = server("far", "y");
         clock.advance(3_000);
         assertEquals(3, far.load(clock.now()), 0.01);
     }
@@ -89,7 +89,7 @@
     @Test
     void overflowIsSpreadOverTheServersElsewhere() {
         busy(server("a", "z"), 6, clock.now());
-        Set<Repository> far = new HashSet<>();
+        Set<UpstreamServer> far = new HashSet<>();
         for (int i = 0; i < 8; i++) {
             far.add(server("far" + i, "y"));
         }
--- a/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -25,13 +25,13 @@
 
     /** A proxy with one server, seen through the occupancy of its zone. */
     private final class Proxy {
-        final FrontDesk desk = new FrontDesk(loop, clock, new Metrics(),
+        final ProxyListener desk = new ProxyListener(loop, clock, new Metrics(),
                 new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
-        final Repository server;
+        final UpstreamServer server;
 
         Proxy(String address, String zone) {
             desk.watch(new Occupancy(clock, post.bag(DaemonAddress.parse(address)), zone, () -> controller));
-            server = new Repository(desk, new Wing("s", null), new Tables.Instance(new InstanceId("i-1"), "s",
+            server = new UpstreamServer(desk, new UpstreamService("s", null), new Tables.Instance(new InstanceId("i-1"), "s",
                     DaemonAddress.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
 
--- a/proxy/src/test/java/org/umbermount/proxy/FrontDeskTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
@@ -40,12 +40,12 @@
 import org.umbermount.kernel.net.LoopClock;
 import org.umbermount.idempotency.OperationClient;
 
-class FrontDeskTest {
+class ProxyListenerTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LoopClock clock = new LoopClock(group.next());
     private final Metrics tally = new Metrics();
-    private FrontDesk desk;
+    private ProxyListener desk;
     private int port;
     private ScriptedServer first;
     private ScriptedServer second;
@@ -59,7 +59,7 @@
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
         Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
-        desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
+        desk = new ProxyListener(clock.loop(), clock, tally, bounds, "z", new Random(1));
         desk.bind(DaemonAddress.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
     }
@@ -649,7 +649,7 @@
     }
 
     /** What a controller's side would say, scripted: each message to it is answered by the function. */
-    private OperationClient counter(java.util.function.Function<MessagePackCodec.Reader, byte[]> controller) {
+    private OperationClient counter(java.util.function.Function<MessagePackCodec.ClientConnection, byte[]> controller) {
         FakeCounterPost post = new FakeCounterPost(clock, controller);
         OperationClient counter = new OperationClient(clock, post, tally, new Random(4), java.util.List::of);
         counter.head(DaemonAddress.parse("10.0.0.1:7000"));
--- a/proxy/src/test/java/org/umbermount/proxy/AllowanceTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/RetryBudgetTest.java
@@ -10,10 +10,10 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.MonotonicTime;
 
-class AllowanceTest {
+class RetryBudgetTest {
     @Test
     void restartedDaemonStartsWithNone() {
-        Allowance a = new Allowance(0.2, 60, 10_000, new MonotonicTime(0));
+        RetryBudget a = new RetryBudget(0.2, 60, 10_000, new MonotonicTime(0));
         assertFalse(a.spend(new MonotonicTime(10), 4, 0));
         assertFalse(a.spend(new MonotonicTime(9_900), 4, 0));
         assertTrue(a.spend(new MonotonicTime(10_100), 4, 0));
@@ -23,14 +23,14 @@
     void fleetStaysInsideTheSharedBudgetInEveryWindow() {
         Random random = new Random(3);
         int fleet = 11;
-        List<Allowance> all = new ArrayList<>();
+        List<RetryBudget> all = new ArrayList<>();
         for (int i = 0; i < fleet; i++) {
-            all.add(new Allowance(0.2, 60, 10_000, new MonotonicTime(0)));
+            all.add(new RetryBudget(0.2, 60, 10_000, new MonotonicTime(0)));
         }
         List<Long> requests = new ArrayList<>();
         List<Long> tries = new ArrayList<>();
         for (long t = 0; t < 60_000; t += 7) {
-            Allowance a = all.get(random.nextInt(fleet));
+            RetryBudget a = all.get(random.nextInt(fleet));
             MonotonicTime now = new MonotonicTime(t);
             // Traffic stops now and then, and every request wants a second try.
             if (t / 10_000 % 3 != 1) {
@@ -55,7 +55,7 @@
 
     @Test
     void reserveIsLeftForFailures() {
-        Allowance a = new Allowance(0.2, 0, 10_000, new MonotonicTime(0));
+        RetryBudget a = new RetryBudget(0.2, 0, 10_000, new MonotonicTime(0));
         for (int i = 0; i < 100; i++) {
             a.request(new MonotonicTime(100));
         }
--- a/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
@@ -22,12 +22,12 @@
 
 class SendingsTest {
     private static final MonotonicTime NOW = new MonotonicTime(10_000);
-    private final Allowance budget = new Allowance(0.2, 100, 1_000, new MonotonicTime(0));
+    private final RetryBudget budget = new RetryBudget(0.2, 100, 1_000, new MonotonicTime(0));
 
     private static HttpResponse answer(int status, boolean notExecuted) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         if (notExecuted) {
-            head.headers().set(Headings.NOT_EXECUTED, "1");
+            head.headers().set(HeaderNames.NOT_EXECUTED, "1");
         }
         return head;
     }
@@ -109,7 +109,7 @@
         Sendings safe = new Sendings(true);
         assertTrue(safe.first().use());
         assertNotNull(further(safe, null));
-        assertNull(safe.further(null, new Allowance(0, 0, 1_000, NOW), NOW, 1, 0));
+        assertNull(safe.further(null, new RetryBudget(0, 0, 1_000, NOW), NOW, 1, 0));
         safe.tooLong();
         assertNull(further(safe, null));
     }
--- a/quota/src/main/java/org/umbermount/quota/QuotaClient.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -244,7 +244,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         if (in.flag()) {
             return;
         }
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -60,7 +60,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.Reader in = MessagePackCodec.read(body);
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         if (!in.flag()) {
             return;
         }
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -22,7 +22,7 @@
             out.text(tenant).num(count);
         }
 
-        static Wish read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        static Wish read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Wish(in.text(), (int) in.num());
         }
     }
@@ -33,7 +33,7 @@
             return MessagePackCodec.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
         }
 
-        static Ask read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        static Ask read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Ask(in.num(), in.num(), in.list(Wish::read));
         }
     }
@@ -47,7 +47,7 @@
             out.text(tenant).num(count).num(waitMs).imprint(keeper);
         }
 
-        static Grant read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        static Grant read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Grant(in.text(), (int) in.num(), in.num(), in.imprint());
         }
     }
@@ -58,7 +58,7 @@
             return MessagePackCodec.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
         }
 
-        static Answer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+        static Answer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Answer(in.num(), in.num(), in.list(Grant::read));
         }
     }
--- a/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -33,7 +33,7 @@
     private volatile int current = 1;
 
     /** Receives what the ledger holds, in order. */
-    public interface Reader {
+    public interface ClientConnection {
         void record(int segment, byte[] body);
     }
 
@@ -44,13 +44,13 @@
     }
 
     /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
-    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, Reader reader) throws IOException {
+    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, ClientConnection reader) throws IOException {
         SegmentedLog ledger = new SegmentedLog(vault, prefix, segmentBytes);
         ledger.load(reader);
         return ledger;
     }
 
-    private void load(Reader reader) throws IOException {
+    private void load(ClientConnection reader) throws IOException {
         List<Integer> numbers = new ArrayList<>();
         for (String name : vault.list()) {
             if (name.startsWith(prefix + ".") && name.substring(prefix.length() + 1).matches("[0-9]{1,9}")) {
