--- a/app/src/main/java/org/umbermount/app/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -29,7 +29,7 @@
     private final Path file;
     private Logger log;
     private byte[] lastRead;
-    private PluginHost institution;
+    private PluginHost pluginHost;
     private LoopClock clock;
     private boolean leaving;
 
@@ -74,14 +74,14 @@
         log = LoggerFactory.getLogger("umbermount");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         clock = new LoopClock(loop);
-        institution = new PluginHost(role, rules, clock);
-        DatagramMessenger mailroom = new DatagramMessenger(rules.ownMail(role), clock, institution.tally());
-        institution.offer(Messenger.class, mailroom);
+        pluginHost = new PluginHost(role, rules, clock);
+        DatagramMessenger mailroom = new DatagramMessenger(rules.ownMail(role), clock, pluginHost.metrics());
+        pluginHost.offer(Messenger.class, mailroom);
         if (early != null) {
-            institution.offer(ServerSocketChannel.class, early);
+            pluginHost.offer(ServerSocketChannel.class, early);
         }
         mailroom.bind(loop);
-        institution.openAll();
+        pluginHost.openAll();
         watchSignals();
         clock.every(REREAD_MS, this::rereadIfChanged);
         log.info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
@@ -114,7 +114,7 @@
         }
         leaving = true;
         log.info("Told to stop.");
-        institution.leave(() -> {
+        pluginHost.leave(() -> {
             log.info("Everything is finished.");
             Runtime.getRuntime().halt(0);
         });
@@ -127,7 +127,7 @@
                 return;
             }
             lastRead = bytes;
-            institution.reread(Settings.parse(bytes));
+            pluginHost.reread(Settings.parse(bytes));
             log.info("The settings have been read again.");
         } catch (IOException | Settings.InvalidException e) {
             log.warn("The changed settings are not used: {}", e.getMessage());
--- a/app/src/main/java/org/umbermount/app/HollowProxy.java
+++ b/app/src/main/java/org/umbermount/app/HollowProxy.java
@@ -14,31 +14,31 @@
 
 /** A proxy as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
 final class HollowProxy {
-    private final PluginHost institution;
+    private final PluginHost pluginHost;
     private final DatagramMessenger mailroom;
     private final EventLoop loop;
 
     HollowProxy(Settings rules, EventLoop loop) {
         this.loop = loop;
         LoopClock clock = new LoopClock(loop);
-        institution = new PluginHost(Role.PROXY, rules, clock);
-        mailroom = new DatagramMessenger(rules.ownMail(Role.PROXY), clock, institution.tally());
-        institution.offer(Messenger.class, mailroom);
+        pluginHost = new PluginHost(Role.PROXY, rules, clock);
+        mailroom = new DatagramMessenger(rules.ownMail(Role.PROXY), clock, pluginHost.metrics());
+        pluginHost.offer(Messenger.class, mailroom);
     }
 
     /** Binds its address and opens its parts; {@code inForce} is told of each edition with the moment in nanoseconds. */
     void start(BiConsumer<HollowProxy, Long> inForce) throws InterruptedException {
         mailroom.bind(loop);
         loop.submit(() -> {
-            new MembershipPlugin().open(institution);
-            new TableReceiverPlugin().open(institution);
-            institution.find(StateReceiver.class).observe(t -> inForce.accept(this, t.edition().value()));
+            new MembershipPlugin().open(pluginHost);
+            new TableReceiverPlugin().open(pluginHost);
+            pluginHost.find(StateReceiver.class).observe(t -> inForce.accept(this, t.edition().value()));
         }).awaitUninterruptibly();
     }
 
     private double sum(String prefix) {
         double[] total = new double[1];
-        institution.tally().forEach((name, value) -> total[0] += name.startsWith(prefix) ? value : 0);
+        pluginHost.metrics().forEach((name, value) -> total[0] += name.startsWith(prefix) ? value : 0);
         return total[0];
     }
 
--- a/control/src/main/java/org/umbermount/control/Ballot.java
+++ b/control/src/main/java/org/umbermount/control/Ballot.java
@@ -17,10 +17,10 @@
     }
 
     void write(MessagePackCodec.Writer out) {
-        out.num(round).imprint(proposer);
+        out.num(round).daemonAddress(proposer);
     }
 
     static Ballot read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new Ballot(in.num(), in.imprint());
+        return new Ballot(in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/ChainMessages.java
+++ b/control/src/main/java/org/umbermount/control/ChainMessages.java
@@ -43,8 +43,8 @@
     private final Channel channel;
     private Handler handler;
 
-    ChainMessages(Clock clock, Messenger post) {
-        channel = new Channel(clock, post, Messenger.Topic.CHAIN, this::receive);
+    ChainMessages(Clock clock, Messenger messenger) {
+        channel = new Channel(clock, messenger, Messenger.Topic.CHAIN, this::receive);
     }
 
     void open(Handler to) {
--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -30,15 +30,15 @@
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
     private final Clock clock;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
     ChainReplica(DaemonAddress self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, Metrics tally) {
+            ViewConfirmation confirmation, ChainMessages messages, Metrics metrics) {
         this.self = self;
         this.clock = clock;
-        this.tally = tally;
+        this.metrics = metrics;
         this.aheads = new RefusedAhead(clock.now());
         this.durable = durable;
         this.membership = membership;
@@ -69,7 +69,7 @@
                 answer(s, Replica.Verdict.TAKEN);
             }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
-            tally.count("control.orders.unclear");
+            metrics.count("control.orders.unclear");
         } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
@@ -202,7 +202,7 @@
                     || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
                 messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
             } else {
-                tally.count("control.debts.foreign");
+                metrics.count("control.debts.foreign");
             }
         }
         owed.clear();
--- a/control/src/main/java/org/umbermount/control/Channel.java
+++ b/control/src/main/java/org/umbermount/control/Channel.java
@@ -11,28 +11,28 @@
  */
 final class Channel {
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final Messenger.Topic topic;
     private final Messenger.Listener receiver;
 
-    Channel(Clock clock, Messenger post, Messenger.Topic topic, Messenger.Listener receiver) {
+    Channel(Clock clock, Messenger messenger, Messenger.Topic topic, Messenger.Listener receiver) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.topic = topic;
         this.receiver = receiver;
     }
 
     /** Begins to receive. */
     void open() {
-        post.subscribe(topic, receiver);
+        messenger.subscribe(topic, receiver);
     }
 
     void send(DaemonAddress to, MessagePackCodec.Writer out) {
         byte[] body = out.done();
-        if (to.equals(post.self())) {
+        if (to.equals(messenger.self())) {
             clock.execute(() -> deliver(to, body));
         } else {
-            post.send(to, topic, body);
+            messenger.send(to, topic, body);
         }
     }
 
--- a/control/src/main/java/org/umbermount/control/ControlApi.java
+++ b/control/src/main/java/org/umbermount/control/ControlApi.java
@@ -62,29 +62,29 @@
     private final Clock clock;
     private final ChainClient chainClient;
     private final Replica replica;
-    private final ServerRegistry census;
+    private final ServerRegistry serverRegistry;
     private final LeaseManager leases;
     private final FailureDetector detector;
     private final MajorityContact contact;
     private final DaemonAddress self;
     private final DaemonAddress control;
     private final String zone;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlApi(ControlPlane archive, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics tally) {
+    ControlApi(ControlPlane controlPlane, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics metrics) {
         this.clock = clock;
-        this.chainClient = archive.chainClient;
-        this.replica = archive.replica;
-        this.census = archive.census;
-        this.leases = archive.leases;
-        this.detector = archive.detector;
-        this.contact = archive.contact;
+        this.chainClient = controlPlane.chainClient;
+        this.replica = controlPlane.replica;
+        this.serverRegistry = controlPlane.serverRegistry;
+        this.leases = controlPlane.leases;
+        this.detector = controlPlane.detector;
+        this.contact = controlPlane.contact;
         this.self = self;
         this.control = control;
         this.zone = zone;
-        this.tally = tally;
+        this.metrics = metrics;
     }
 
     @Override
@@ -176,7 +176,7 @@
         } else if (method.equals(HttpMethod.GET) && path.equals("/status")) {
             json(ctx, keep, 200, status().toString());
         } else if (method.equals(HttpMethod.GET) && path.equals("/metrics")) {
-            send(ctx, keep, 200, "text/plain", tally.page().getBytes(StandardCharsets.UTF_8), null);
+            send(ctx, keep, 200, "text/plain", metrics.page().getBytes(StandardCharsets.UTF_8), null);
         } else {
             throw new FaultException(ErrorKind.UNKNOWN_CALL, "There is no call " + method + " " + path + ".");
         }
@@ -308,7 +308,7 @@
             throw new FaultException(ErrorKind.INVALID_BEAT, "The beat is invalid: " + e.getMessage() + ".");
         }
         String answer = heartbeatAnswer(entry.zone());
-        acknowledge(ctx, keep, done -> census.beat(entry, done), answer);
+        acknowledge(ctx, keep, done -> serverRegistry.beat(entry, done), answer);
     }
 
     private void requireContact() throws FaultException {
@@ -333,7 +333,7 @@
 
     private void signOff(ChannelHandlerContext ctx, InstanceId id, boolean keep) throws FaultException {
         requireContact();
-        acknowledge(ctx, keep, done -> census.signOff(id, done), "{}");
+        acknowledge(ctx, keep, done -> serverRegistry.signOff(id, done), "{}");
     }
 
     /** Answers 200 once a majority of the voters has the news, and 503 if it does not take it in time. */
@@ -362,7 +362,7 @@
         }
         for (FailureDetector.Peer p : detector.peers()) {
             if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact()
-                    && detector.goodForMs(p.imprint()) > 2_000) {
+                    && detector.goodForMs(p.daemonAddress()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
         }
@@ -390,15 +390,15 @@
                 .put("confirmedMsAgo", confirmedAt.equals(MonotonicTime.NEVER) ? -1 : clock.now().since(confirmedAt))
                 .put("unbrokenMs", contact.unbrokenMs()).put("editionConfirmed", contact.assured());
         ArrayNode electorate = root.putArray("electorate");
-        view.electorate().forEach(f -> electorate.add(f.imprint().toString()));
+        view.electorate().forEach(f -> electorate.add(f.daemonAddress().toString()));
         ArrayNode chain = root.putArray("chain");
         view.chain().forEach(m -> chain.add(m.toString()));
         showOrders(root.putObject("orders"), replica.committed().taken());
         ArrayNode peers = root.putArray("controllers");
         for (FailureDetector.Peer p : detector.peers()) {
-            ObjectNode one = peers.addObject().put("daemon", p.imprint().toString()).put("seat", seat(view, p.imprint()))
-                    .put("connected", detector.connected(p.imprint())).put("goodForMs", detector.goodForMs(p.imprint()))
-                    .put("lostForMs", detector.lostForMs(p.imprint()));
+            ObjectNode one = peers.addObject().put("daemon", p.daemonAddress().toString()).put("seat", seat(view, p.daemonAddress()))
+                    .put("connected", detector.connected(p.daemonAddress())).put("goodForMs", detector.goodForMs(p.daemonAddress()))
+                    .put("lostForMs", detector.lostForMs(p.daemonAddress()));
             FailureDetector.Report r = p.report();
             if (r != null) {
                 one.put("zone", r.zone()).put("incarnation", r.incarnation()).put("view", r.view())
@@ -415,7 +415,7 @@
             duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", leases.epoch(z));
         }
         ArrayNode servers = root.putArray("servers");
-        for (RegisteredServer e : census.entries()) {
+        for (RegisteredServer e : serverRegistry.entries()) {
             servers.addObject().put("id", e.id().value()).put("upstream", e.upstream()).put("address", e.address())
                     .put("zone", e.zone()).put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
                     .put("sequence", e.sequence()).put("keeper", e.keeper().toString());
@@ -433,7 +433,7 @@
     }
 
     private void refuse(ChannelHandlerContext ctx, boolean keep, ErrorKind erratum, String detail) {
-        tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
+        metrics.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
         json(ctx, keep && !erratum.closes(), erratum.status(),
                 "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
     }
--- a/control/src/main/java/org/umbermount/control/ControlPlane.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlane.java
@@ -28,7 +28,7 @@
 
     final Replica replica;
     final ChainClient chainClient;
-    final ServerRegistry census;
+    final ServerRegistry serverRegistry;
     final FailureDetector detector;
     final MajorityContact contact;
     final LeaseManager leases;
@@ -43,33 +43,33 @@
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
      */
-    ControlPlane(Clock clock, Messenger post, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
-            Metrics tally) throws java.io.IOException {
+    ControlPlane(Clock clock, Messenger messenger, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
+            Metrics metrics) throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
-        Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
+        Random random = new Random(messenger.self().packed() * 31 + clock.wallMillis());
         room = new DiskWriter(memory, disk, clock);
         ReplicaStorage loaded = load(memory);
         List<DaemonAddress> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
-        View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
+        View genesis = rules.bootstrap() && loaded == null && seeds.contains(messenger.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
+        replica = new Replica(clock, messenger, room, metrics, loaded, notedCommitted(loaded, memory), genesis,
                 newcomer);
         chainClient = new ChainClient(replica, clock);
-        census = new ServerRegistry(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
-        notebook = new RegistrySnapshotFile(census, notes, disk, clock);
+        serverRegistry = new ServerRegistry(clock, messenger, metrics, rules.heartbeatMs(), clock.wallMillis());
+        notebook = new RegistrySnapshotFile(serverRegistry, notes, disk, clock);
         notebook.recall();
-        detector = new FailureDetector(clock, post, (heard, connected) -> report(heard, connected, control));
+        detector = new FailureDetector(clock, messenger, (heard, connected) -> report(heard, connected, control));
         contact = new MajorityContact(clock, detector, replica);
-        convener = new ViewProposer(replica, detector, this::diskGood, clock, random, tally, post.self(),
+        convener = new ViewProposer(replica, detector, this::diskGood, clock, random, metrics, messenger.self(),
                 rules.zone(), rules.toleratedMachines());
         replica.listen(convener, chainClient);
-        leases = new LeaseManager(clock, post, replica, detector, tally, rules.zone(),
+        leases = new LeaseManager(clock, messenger, replica, detector, metrics, rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
                 rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.of());
         seeds.forEach(detector::enlist);
-        replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
-        replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
+        replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.daemonAddress())));
+        replica.view().electorate().forEach(f -> detector.enlist(f.daemonAddress()));
         detector.observe(this::compare);
     }
 
@@ -79,7 +79,7 @@
         replica.start();
         convener.start();
         detector.start();
-        census.start(detector, replica::view, () -> contact.unbrokenMs() > IN_TOUCH_MS,
+        serverRegistry.start(detector, replica::view, () -> contact.unbrokenMs() > IN_TOUCH_MS,
                 () -> !detector.unsettled(2 * rules.heartbeatMs()) && contact.unbrokenMs() > 2 * rules.heartbeatMs());
         notebook.start();
         leases.start();
@@ -92,8 +92,8 @@
     private FailureDetector.Report report(List<DaemonAddress> heard, List<DaemonAddress> connected, DaemonAddress control) {
         return new FailureDetector.Report(replica.incarnation(), replica.standing() == Replica.Standing.MEMBER,
                 replica.mayMove(), contact.holds(), diskGood(), detector.isLeaving(), replica.view().number(),
-                replica.committed().edition().value(), replica.newestEdition().value(), census.boot(), census.seq(),
-                census.digest(), census.ready(),
+                replica.committed().edition().value(), replica.newestEdition().value(), serverRegistry.boot(), serverRegistry.seq(),
+                serverRegistry.digest(), serverRegistry.ready(),
                 replica.companion().settledView(), leases.activeDuties(), rules.zone(), control, heard,
                 connected);
     }
@@ -122,7 +122,7 @@
     }
 
     private void refreshAudience() {
-        replica.audience(detector.peers().stream().map(FailureDetector.Peer::imprint)
+        replica.audience(detector.peers().stream().map(FailureDetector.Peer::daemonAddress)
                 .filter(i -> detector.connected(i) || replica.standing() == Replica.Standing.RECOVERING).toList());
     }
 
@@ -131,7 +131,7 @@
         FailureDetector.Report r = peer.report();
         if (r.view() > replica.view().number() && replica.standing() != Replica.Standing.RECOVERING
                 || r.edition() > replica.committed().edition().value()) {
-            replica.fetch(peer.imprint());
+            replica.fetch(peer.daemonAddress());
         }
     }
 }
--- a/control/src/main/java/org/umbermount/control/ControlPlugin.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlugin.java
@@ -31,8 +31,8 @@
     private static final long LET_GO_MS = 3_500;
     private static final long LOOK_MS = 50;
 
-    private PluginHost institution;
-    private ControlPlane archive;
+    private PluginHost pluginHost;
+    private ControlPlane controlPlane;
     private ControlApi desk;
 
     @Override
@@ -52,10 +52,10 @@
 
     @Override
     public void open(PluginHost host) throws Exception {
-        institution = host;
+        pluginHost = host;
         Settings rules = host.rules();
         Clock clock = host.clock();
-        Messenger post = host.find(Messenger.class);
+        Messenger messenger = host.find(Messenger.class);
         DaemonAddress control = rules.listeners().get("controlPlane");
         if (control == null) {
             throw new IllegalStateException("The settings name no controlPlane listener.");
@@ -65,77 +65,77 @@
             t.setDaemon(true);
             return t;
         });
-        LocalDirectory shelving = shelving(rules);
-        host.offer(DiskAccess.class, new DiskAccess(shelving, thread));
-        archive = new ControlPlane(clock, post, rules, control, stackFor(shelving, "memory.stack"),
-                stackFor(shelving, "registry.stack"), thread, host.tally());
+        LocalDirectory directory = directory(rules);
+        host.offer(DiskAccess.class, new DiskAccess(directory, thread));
+        controlPlane = new ControlPlane(clock, messenger, rules, control, stackFor(directory, "memory.stack"),
+                stackFor(directory, "registry.stack"), thread, host.metrics());
         host.find(PeerSampling.class).observe(this::noticed);
-        host.offer(Replica.class, archive.replica);
-        host.offer(ServerRegistry.class, archive.census);
-        host.offer(LeaseManager.class, archive.leases);
-        host.offer(FailureDetector.class, archive.detector);
-        host.offer(MajorityContact.class, archive.contact);
-        host.offer(ChainClient.class, archive.chainClient);
-        meter(host.tally());
-        archive.start();
-        desk = new ControlApi(archive, clock, post.self(), control, rules.zone(), host.tally());
+        host.offer(Replica.class, controlPlane.replica);
+        host.offer(ServerRegistry.class, controlPlane.serverRegistry);
+        host.offer(LeaseManager.class, controlPlane.leases);
+        host.offer(FailureDetector.class, controlPlane.detector);
+        host.offer(MajorityContact.class, controlPlane.contact);
+        host.offer(ChainClient.class, controlPlane.chainClient);
+        meter(host.metrics());
+        controlPlane.start();
+        desk = new ControlApi(controlPlane, clock, messenger.self(), control, rules.zone(), host.metrics());
         host.offer(StatusPage.class, desk);
         desk.bind(((LoopClock) clock).loop(),
                 e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
     }
 
-    private void meter(Metrics tally) {
-        Replica replica = archive.replica;
-        tally.gauge("control.view", () -> replica.view().number());
-        tally.gauge("control.edition", () -> replica.committed().edition().value());
-        tally.gauge("control.standing", () -> replica.standing().ordinal());
-        tally.gauge("control.frozen.ms", replica::frozenMs);
-        tally.gauge("control.disk.stuck.ms", archive.room::stuckMs);
-        tally.gauge("control.disk.slowest.ms", archive.room::slowestMs);
-        tally.gauge("control.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
-        tally.gauge("control.reaches.majority", () -> archive.contact.holds() ? 1 : 0);
-        tally.gauge("registry.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
+    private void meter(Metrics metrics) {
+        Replica replica = controlPlane.replica;
+        metrics.gauge("control.view", () -> replica.view().number());
+        metrics.gauge("control.edition", () -> replica.committed().edition().value());
+        metrics.gauge("control.standing", () -> replica.standing().ordinal());
+        metrics.gauge("control.frozen.ms", replica::frozenMs);
+        metrics.gauge("control.disk.stuck.ms", controlPlane.room::stuckMs);
+        metrics.gauge("control.disk.slowest.ms", controlPlane.room::slowestMs);
+        metrics.gauge("control.disk.refusing", () -> controlPlane.room.refusing() ? 1 : 0);
+        metrics.gauge("control.reaches.majority", () -> controlPlane.contact.holds() ? 1 : 0);
+        metrics.gauge("registry.servers", () -> controlPlane.serverRegistry.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
-    private static LocalDirectory shelving(Settings rules) throws IOException {
+    private static LocalDirectory directory(Settings rules) throws IOException {
         if (rules.dataPath().isEmpty()) {
             throw new IllegalStateException("The settings name no dataPath, and a controller needs a disk.");
         }
         return new LocalDirectory(Path.of(rules.dataPath()));
     }
 
-    private static AppendOnlyFile stackFor(LocalDirectory shelving, String name) throws IOException {
+    private static AppendOnlyFile stackFor(LocalDirectory directory, String name) throws IOException {
         try {
-            return AppendOnlyFile.open(shelving, name, REWRITE_OVER);
+            return AppendOnlyFile.open(directory, name, REWRITE_OVER);
         } catch (AppendOnlyFile.DamagedException e) {
             LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
-            AppendOnlyFile.discard(shelving, name);
-            return AppendOnlyFile.open(shelving, name, REWRITE_OVER);
+            AppendOnlyFile.discard(directory, name);
+            return AppendOnlyFile.open(directory, name, REWRITE_OVER);
         }
     }
 
-    private void noticed(MemberDescriptor placename) {
-        if (placename.role() == Role.CONTROLLER) {
-            archive.detector.enlist(placename.imprint());
+    private void noticed(MemberDescriptor memberDescriptor) {
+        if (memberDescriptor.role() == Role.CONTROLLER) {
+            controlPlane.detector.enlist(memberDescriptor.daemonAddress());
         }
     }
 
     @Override
     public void leave(Runnable done) {
-        archive.leases.releaseAll();
-        archive.detector.leaving();
+        controlPlane.leases.releaseAll();
+        controlPlane.detector.leaving();
         desk.close();
-        Clock clock = institution.clock();
+        Clock clock = pluginHost.clock();
         clock.after(LEAVE_MS, () -> onceLetGo(clock.now().plus(LET_GO_MS - LEAVE_MS), done));
     }
 
     /** Ends only when the others go on without this daemon's copy and vote, if they bring that about in time. */
     private void onceLetGo(MonotonicTime latest, Runnable done) {
-        Clock clock = institution.clock();
-        View view = archive.replica.view();
-        DaemonAddress self = institution.find(Messenger.class).self();
+        Clock clock = pluginHost.clock();
+        View view = controlPlane.replica.view();
+        DaemonAddress self = pluginHost.find(Messenger.class).self();
         boolean needed = view.chains(self) || view.votes(self)
-                && MembershipPlan.hasSeatToSpare(view, institution.rules().toleratedMachines());
+                && MembershipPlan.hasSeatToSpare(view, pluginHost.rules().toleratedMachines());
         if (needed && clock.now().isBefore(latest)) {
             clock.after(LOOK_MS, () -> onceLetGo(latest, done));
         } else {
@@ -145,6 +145,6 @@
 
     @Override
     public void reread(Settings rules) {
-        rules.seedNodes().forEach(s -> archive.detector.enlist(rules.mailAddress(s, Role.CONTROLLER)));
+        rules.seedNodes().forEach(s -> controlPlane.detector.enlist(rules.mailAddress(s, Role.CONTROLLER)));
     }
 }
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -16,7 +16,7 @@
 
     private final Clock clock;
     private final DiskWriter room;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
     private ReplicaStorage memory;
     private boolean busy;
@@ -28,10 +28,10 @@
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, DiskWriter room, Metrics tally, ReplicaStorage memory, boolean onDisk) {
+    DurableState(Clock clock, DiskWriter room, Metrics metrics, ReplicaStorage memory, boolean onDisk) {
         this.clock = clock;
         this.room = room;
-        this.tally = tally;
+        this.metrics = metrics;
         this.memory = memory;
         this.onDisk = onDisk;
         // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
@@ -60,7 +60,7 @@
         } else if (backlog.size() < BACKLOG) {
             backlog.add(change);
         } else {
-            tally.count("control.backlog.dropped");
+            metrics.count("control.backlog.dropped");
         }
     }
 
@@ -104,7 +104,7 @@
 
     /** Only the very first write is tried again by itself: nothing else would ask for it. */
     private void refused(ReplicaStorage old, ReplicaStorage next, Runnable then) {
-        tally.count("control.writes.refused");
+        metrics.count("control.writes.refused");
         if (!onDisk && old.view().number() == 0) {
             clock.after(RETRY_MS, () -> serially(() -> persist(next, then)));
         }
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -40,20 +40,20 @@
         void write(MessagePackCodec.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
                     .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
-                    .list(duties, MessagePackCodec.Writer::text).text(zone).imprint(control)
-                    .list(heard, MessagePackCodec.Writer::imprint).list(connected, MessagePackCodec.Writer::imprint);
+                    .list(duties, MessagePackCodec.Writer::text).text(zone).daemonAddress(control)
+                    .list(heard, MessagePackCodec.Writer::daemonAddress).list(connected, MessagePackCodec.Writer::daemonAddress);
         }
 
         static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
                     in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(MessagePackCodec.ClientConnection::text), in.text(),
-                    in.imprint(), in.list(MessagePackCodec.ClientConnection::imprint), in.list(MessagePackCodec.ClientConnection::imprint));
+                    in.daemonAddress(), in.list(MessagePackCodec.ClientConnection::daemonAddress), in.list(MessagePackCodec.ClientConnection::daemonAddress));
         }
     }
 
     /** What is known of another controller. */
     public static final class Peer {
-        private final DaemonAddress imprint;
+        private final DaemonAddress daemonAddress;
         private Report report;
         private MonotonicTime lastHeard = MonotonicTime.NEVER;
         /** The newest moment of this daemon's clock that the peer has sent back. */
@@ -63,13 +63,13 @@
         private MonotonicTime goodSince;
         private MonotonicTime lostSince;
 
-        Peer(DaemonAddress imprint, MonotonicTime now) {
-            this.imprint = imprint;
+        Peer(DaemonAddress daemonAddress, MonotonicTime now) {
+            this.daemonAddress = daemonAddress;
             this.lostSince = now;
         }
 
-        public DaemonAddress imprint() {
-            return imprint;
+        public DaemonAddress daemonAddress() {
+            return daemonAddress;
         }
 
         /** The newest report, or null before the first. */
@@ -93,7 +93,7 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final Reporter reporter;
     private final Map<DaemonAddress, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
@@ -106,15 +106,15 @@
     private boolean leaving;
     private int rounds;
 
-    public FailureDetector(Clock clock, Messenger post, Reporter reporter) {
+    public FailureDetector(Clock clock, Messenger messenger, Reporter reporter) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.reporter = reporter;
         this.started = clock.now();
         this.firstStamp = clock.wallMillis();
         this.lastTick = started;
         this.stalledUntil = started;
-        post.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
+        messenger.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
     }
 
     public void start() {
@@ -123,9 +123,9 @@
     }
 
     /** Adds a controller to those that are called. */
-    public void enlist(DaemonAddress imprint) {
-        if (!imprint.equals(post.self())) {
-            peers.computeIfAbsent(imprint, i -> new Peer(i, clock.now()));
+    public void enlist(DaemonAddress daemonAddress) {
+        if (!daemonAddress.equals(messenger.self())) {
+            peers.computeIfAbsent(daemonAddress, i -> new Peer(i, clock.now()));
         }
     }
 
@@ -138,22 +138,22 @@
         keeper = look;
     }
 
-    boolean isSelf(DaemonAddress imprint) {
-        return imprint.equals(post.self());
+    boolean isSelf(DaemonAddress daemonAddress) {
+        return daemonAddress.equals(messenger.self());
     }
 
     /** When that was sent which a controller has answered last; now for this one. */
-    MonotonicTime answered(DaemonAddress imprint) {
-        Peer p = peers.get(imprint);
-        return isSelf(imprint) ? clock.now() : p == null ? MonotonicTime.NEVER : p.answered;
+    MonotonicTime answered(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
+        return isSelf(daemonAddress) ? clock.now() : p == null ? MonotonicTime.NEVER : p.answered;
     }
 
     public Collection<Peer> peers() {
         return Collections.unmodifiableCollection(peers.values());
     }
 
-    public Peer peer(DaemonAddress imprint) {
-        return peers.get(imprint);
+    public Peer peer(DaemonAddress daemonAddress) {
+        return peers.get(daemonAddress);
     }
 
     /** Says once more, and at once, how this daemon is. */
@@ -195,10 +195,10 @@
         List<DaemonAddress> both = new ArrayList<>();
         for (Peer p : peers.values()) {
             if (now.since(p.lastHeard) <= SILENCE_MS) {
-                heard.add(p.imprint);
+                heard.add(p.daemonAddress);
             }
             if (isConnected(p, now)) {
-                both.add(p.imprint);
+                both.add(p.daemonAddress);
             }
         }
         MessagePackCodec.Writer out = MessagePackCodec.write();
@@ -221,7 +221,7 @@
         byte[] stamps = MessagePackCodec.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
-        post.send(to.imprint, Messenger.Topic.ROLL_CALL, body);
+        messenger.send(to.daemonAddress, Messenger.Topic.ROLL_CALL, body);
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
@@ -273,21 +273,21 @@
     }
 
     private boolean isConnected(Peer p, MonotonicTime now) {
-        return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(post.self());
+        return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(messenger.self());
     }
 
     /** Heard of lately, and hears this daemon. */
-    public boolean connected(DaemonAddress imprint) {
-        if (imprint.equals(post.self())) {
+    public boolean connected(DaemonAddress daemonAddress) {
+        if (daemonAddress.equals(messenger.self())) {
             return true;
         }
-        Peer p = peers.get(imprint);
+        Peer p = peers.get(daemonAddress);
         return p != null && isConnected(p, clock.now());
     }
 
     /** How long a peer has been connected with a working disk; -1 if it is not. */
-    public long goodForMs(DaemonAddress imprint) {
-        Peer p = peers.get(imprint);
+    public long goodForMs(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         if (p == null) {
             return -1;
         }
@@ -297,14 +297,14 @@
     }
 
     /** Whether a peer may still be on its way: this daemon has just started and has not heard of it. */
-    public boolean expected(DaemonAddress imprint) {
-        Peer p = peers.get(imprint);
+    public boolean expected(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         return p != null && p.report == null && clock.now().since(started) < FIRST_MS;
     }
 
     /** How long a peer has not been usable; 0 if it is. */
-    public long lostForMs(DaemonAddress imprint) {
-        Peer p = peers.get(imprint);
+    public long lostForMs(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         if (p == null) {
             return 0;
         }
@@ -314,8 +314,8 @@
     }
 
     /** Whether a peer is connected and has said how it is in answer to something sent later than a moment. */
-    public boolean answeredSince(DaemonAddress imprint, MonotonicTime moment) {
-        Peer p = peers.get(imprint);
+    public boolean answeredSince(DaemonAddress daemonAddress, MonotonicTime moment) {
+        Peer p = peers.get(daemonAddress);
         return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
@@ -329,7 +329,7 @@
     public boolean reachesMajority(View view) {
         int n = 0;
         for (Voter f : view.electorate()) {
-            if (connected(f.imprint())) {
+            if (connected(f.daemonAddress())) {
                 n++;
             }
         }
--- a/control/src/main/java/org/umbermount/control/LeaseManager.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -66,10 +66,10 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final Replica replica;
     private final FailureDetector detector;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final String ownZone;
     private final List<String> zones;
     private final List<String> quotas;
@@ -78,20 +78,20 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public LeaseManager(Clock clock, Messenger post, Replica replica, FailureDetector detector, Metrics tally,
+    public LeaseManager(Clock clock, Messenger messenger, Replica replica, FailureDetector detector, Metrics metrics,
             String ownZone, Iterable<String> zones, List<String> quotas) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.detector = detector;
-        this.tally = tally;
+        this.metrics = metrics;
         this.ownZone = ownZone;
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
         this.started = clock.now();
-        post.subscribe(Messenger.Topic.LEASE, this::receive);
+        messenger.subscribe(Messenger.Topic.LEASE, this::receive);
     }
 
     public void start() {
@@ -117,7 +117,7 @@
     /** Who holds a zone's duty as far as this daemon has granted it; null if nobody. */
     public DaemonAddress holder(String zone) {
         if (epoch(zone) > 0) {
-            return post.self();
+            return messenger.self();
         }
         Granted g = grants.get(zone);
         return g != null && clock.now().isBefore(g.until) ? g.holder : null;
@@ -160,7 +160,7 @@
 
     /** Whether this daemon should have the duty. */
     private boolean wanted(String zone, Held h, MonotonicTime now) {
-        if (detector.isLeaving() || !replica.view().votes(post.self())
+        if (detector.isLeaving() || !replica.view().votes(messenger.self())
                 || replica.standing() == Replica.Standing.RECOVERING
                 || !detector.reachesMajority(replica.view())) {
             h.vacantSince = null;
@@ -180,7 +180,7 @@
             return true;
         }
         DaemonAddress other = holder(zone);
-        if (other != null && !other.equals(post.self())) {
+        if (other != null && !other.equals(messenger.self())) {
             h.vacantSince = null;
             return false;
         }
@@ -199,7 +199,7 @@
         }
         int daemons = 1;
         for (FailureDetector.Peer p : detector.peers()) {
-            daemons += detector.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
+            daemons += detector.goodForMs(p.daemonAddress()) >= STEADY_MS ? 1 : 0;
         }
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
@@ -209,15 +209,15 @@
      * and one that a majority does not answer asks for none.
      */
     private boolean mayHold(FailureDetector.Peer p) {
-        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
+        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.daemonAddress()) < STEADY_MS
                 || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
-        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint());
+        return inContact && detector.connected(p.daemonAddress()) && !p.report().leaving() && p.report().votes()
+                && replica.view().votes(p.daemonAddress());
     }
 
     private boolean localPeer(String zone, long steadyMs) {
         for (FailureDetector.Peer p : detector.peers()) {
-            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
+            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.daemonAddress()) >= steadyMs) {
                 return true;
             }
         }
@@ -231,15 +231,15 @@
             if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
                 continue;
             }
-            if (order(p.imprint(), salt) < order(post.self(), salt)) {
+            if (order(p.daemonAddress(), salt) < order(messenger.self(), salt)) {
                 return false;
             }
         }
         return true;
     }
 
-    private static long order(DaemonAddress imprint, int salt) {
-        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
+    private static long order(DaemonAddress daemonAddress, int salt) {
+        return salt == 0 ? daemonAddress.packed() : (daemonAddress.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
     }
 
     private void ask(String zone, Held h, MonotonicTime now) {
@@ -252,12 +252,12 @@
         byte[] body = MessagePackCodec.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
-            if (f.imprint().equals(post.self())) {
-                if (grant(zone, post.self(), h.epoch, replica.view().number())) {
-                    granted(post.self(), zone, h.epoch, now.millis());
+            if (f.daemonAddress().equals(messenger.self())) {
+                if (grant(zone, messenger.self(), h.epoch, replica.view().number())) {
+                    granted(messenger.self(), zone, h.epoch, now.millis());
                 }
-            } else if (detector.connected(f.imprint())) {
-                post.send(f.imprint(), Messenger.Topic.LEASE, body);
+            } else if (detector.connected(f.daemonAddress())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LEASE, body);
             }
         }
     }
@@ -275,7 +275,7 @@
                 long asked = in.num();
                 boolean yes = grant(zone, from, epoch, in.num());
                 long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
-                post.send(from, Messenger.Topic.LEASE, MessagePackCodec.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                messenger.send(from, Messenger.Topic.LEASE, MessagePackCodec.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
                         .text(zone).num(yes ? epoch : newest).num(asked).done());
             }
             case GRANT -> granted(from, zone, epoch, in.num());
@@ -304,7 +304,7 @@
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!replica.view().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+        if (!replica.view().votes(messenger.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
                 && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
             return false;
         }
@@ -330,8 +330,8 @@
      */
     private boolean nobodyHolds(String duty, DaemonAddress except) {
         for (Voter f : replica.view().electorate()) {
-            DaemonAddress who = f.imprint();
-            if (who.equals(except) || who.equals(post.self())) {
+            DaemonAddress who = f.daemonAddress();
+            if (who.equals(except) || who.equals(messenger.self())) {
                 continue;
             }
             if (!detector.answeredSince(who, started.plus(REPORTED_MS))
@@ -374,7 +374,7 @@
         h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
-            tally.count("tenure.begun");
+            metrics.count("tenure.begun");
             LOG.info("Duty for {} begins with epoch {}.", zone, epoch);
             for (Observer o : observers) {
                 o.began(zone, epoch);
@@ -404,13 +404,13 @@
         }
         end(zone, h, why);
         Granted own = grants.get(zone);
-        if (own != null && post.self().equals(own.holder)) {
+        if (own != null && messenger.self().equals(own.holder)) {
             own.until = MonotonicTime.NEVER;
         }
         byte[] body = MessagePackCodec.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
         for (Voter f : replica.view().electorate()) {
-            if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Messenger.Topic.LEASE, body);
+            if (!f.daemonAddress().equals(messenger.self())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LEASE, body);
             }
         }
     }
--- a/control/src/main/java/org/umbermount/control/MajorityContact.java
+++ b/control/src/main/java/org/umbermount/control/MajorityContact.java
@@ -40,7 +40,7 @@
         }
         long[] answered = new long[view.electorate().size()];
         for (int i = 0; i < answered.length; i++) {
-            answered[i] = detector.answered(view.electorate().get(i).imprint()).millis();
+            answered[i] = detector.answered(view.electorate().get(i).daemonAddress()).millis();
         }
         Arrays.sort(answered);
         return new MonotonicTime(answered[answered.length - view.majority()]);
@@ -83,9 +83,9 @@
         View view = this.view.get();
         int n = 0;
         for (Voter f : view.electorate()) {
-            FailureDetector.Peer p = detector.peer(f.imprint());
+            FailureDetector.Peer p = detector.peer(f.daemonAddress());
             if (p == null) {
-                n += detector.isSelf(f.imprint()) && replica.mayMove() ? 1 : 0;
+                n += detector.isSelf(f.daemonAddress()) && replica.mayMove() ? 1 : 0;
             } else if (p.report() != null && fresh(p.answered()) && p.report().mayMove()
                     && p.report().view() == view.number() && p.report().newestEdition() <= edition.value()) {
                 n++;
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -142,7 +142,7 @@
     Set<DaemonAddress> others(View view) {
         Set<DaemonAddress> targets = new HashSet<>(audience);
         for (Voter f : view.electorate()) {
-            targets.add(f.imprint());
+            targets.add(f.daemonAddress());
         }
         targets.remove(self);
         return targets;
--- a/control/src/main/java/org/umbermount/control/MembershipPlan.java
+++ b/control/src/main/java/org/umbermount/control/MembershipPlan.java
@@ -103,10 +103,10 @@
 
     private void renewIncarnations() {
         for (Voter f : now.electorate()) {
-            long incarnation = sight.incarnation(f.imprint());
-            if (incarnation > f.incarnation() && sight.well(f.imprint()) && sight.hasMemory(f.imprint())) {
-                electorate.add(new Voter(f.imprint(), incarnation));
-                why = f.imprint() + " came back with a new memory";
+            long incarnation = sight.incarnation(f.daemonAddress());
+            if (incarnation > f.incarnation() && sight.well(f.daemonAddress()) && sight.hasMemory(f.daemonAddress())) {
+                electorate.add(new Voter(f.daemonAddress(), incarnation));
+                why = f.daemonAddress() + " came back with a new memory";
             } else {
                 electorate.add(f);
             }
@@ -154,8 +154,8 @@
     /** A voter that is not well any more: it is not in the wanted chain. */
     private DaemonAddress gone() {
         for (Voter f : electorate) {
-            if (!sight.expected(f.imprint()) && !sight.well(f.imprint()) && !chain.contains(f.imprint())) {
-                return f.imprint();
+            if (!sight.expected(f.daemonAddress()) && !sight.well(f.daemonAddress()) && !chain.contains(f.daemonAddress())) {
+                return f.daemonAddress();
             }
         }
         return null;
@@ -166,10 +166,10 @@
         boolean spare = electorate.size() > leastElectorate(tolerated);
         if (gone != null && spare) {
             // Also out of the line that committed last: a majority of those left still meets the rest of it.
-            electorate.removeIf(f -> f.imprint().equals(gone));
+            electorate.removeIf(f -> f.daemonAddress().equals(gone));
             why = why == null ? gone + " gives up its seat" : why + " and gives up its seat";
         } else if (candidate != null && gone != null && !now.chains(gone)) {
-            electorate.removeIf(f -> f.imprint().equals(gone));
+            electorate.removeIf(f -> f.daemonAddress().equals(gone));
             electorate.add(new Voter(candidate, sight.incarnation(candidate)));
             why = candidate + " takes the seat of " + gone;
         } else if (candidate != null && gone == null && electorate.size() < LARGEST_ELECTORATE) {
@@ -190,7 +190,7 @@
 
     private void takeIn(DaemonAddress candidate) {
         for (Voter f : electorate) {
-            DaemonAddress who = f.imprint();
+            DaemonAddress who = f.daemonAddress();
             if (!chain.contains(who) && sight.well(who) && sight.steady(who) && hearsAll(who)
                     && (sight.hasMemory(who) || who.equals(candidate))) {
                 chain.add(who);
--- a/control/src/main/java/org/umbermount/control/OperationLogPosition.java
+++ b/control/src/main/java/org/umbermount/control/OperationLogPosition.java
@@ -19,10 +19,10 @@
     }
 
     public void write(MessagePackCodec.Writer out) {
-        out.num(view).num(pos).imprint(holder);
+        out.num(view).num(pos).daemonAddress(holder);
     }
 
     public static OperationLogPosition read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new OperationLogPosition(in.num(), in.num(), in.imprint());
+        return new OperationLogPosition(in.num(), in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -8,11 +8,11 @@
 record PendingReply(RequestId id, DaemonAddress origin, ConfigurationRevision edition, Digest digest) {
     void write(MessagePackCodec.Writer out) {
         id.write(out);
-        out.imprint(origin).num(edition.value());
+        out.daemonAddress(origin).num(edition.value());
         digest.write(out);
     }
 
     static PendingReply read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new PendingReply(RequestId.read(in), in.imprint(), new ConfigurationRevision(in.num()), Digest.read(in));
+        return new PendingReply(RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()), Digest.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/RegisteredServer.java
+++ b/control/src/main/java/org/umbermount/control/RegisteredServer.java
@@ -62,7 +62,7 @@
 
     void write(MessagePackCodec.Writer out) {
         out.text(id.value()).text(upstream).text(address).text(zone).text(revision).num(capacity).num(warmMs)
-                .num(standing.ordinal()).num(sequence).imprint(keeper);
+                .num(standing.ordinal()).num(sequence).daemonAddress(keeper);
     }
 
     static RegisteredServer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
@@ -78,6 +78,6 @@
             throw new MessagePackCodec.UnreadableException("an unknown standing", null);
         }
         return new RegisteredServer(id, upstream, address, zone, revision, capacity, warm,
-                Standing.values()[(int) standing], in.num(), in.imprint());
+                Standing.values()[(int) standing], in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
+++ b/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
@@ -23,7 +23,7 @@
     /** Older notes say nothing about now. */
     private static final long WORTHLESS_MS = 30_000;
 
-    private final ServerRegistry census;
+    private final ServerRegistry serverRegistry;
     private final AppendOnlyFile stack;
     private final Executor thread;
     private final Clock clock;
@@ -31,8 +31,8 @@
     private long notedAt;
     private boolean busy;
 
-    RegistrySnapshotFile(ServerRegistry census, AppendOnlyFile stack, Executor thread, Clock clock) {
-        this.census = census;
+    RegistrySnapshotFile(ServerRegistry serverRegistry, AppendOnlyFile stack, Executor thread, Clock clock) {
+        this.serverRegistry = serverRegistry;
         this.stack = stack;
         this.thread = thread;
         this.clock = clock;
@@ -49,7 +49,7 @@
             long age = clock.wallMillis() - in.num();
             List<RegisteredServer> entries = in.list(RegisteredServer::read);
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
-                census.recall(entries);
+                serverRegistry.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
             }
         } catch (MessagePackCodec.UnreadableException e) {
@@ -64,13 +64,13 @@
     private void note() {
         long now = clock.wallMillis();
         boolean stale = now - notedAt > WORTHLESS_MS / 3;
-        if (busy || !census.ready() || census.digest() == notedDigest && !stale) {
+        if (busy || !serverRegistry.ready() || serverRegistry.digest() == notedDigest && !stale) {
             return;
         }
         busy = true;
-        notedDigest = census.digest();
+        notedDigest = serverRegistry.digest();
         notedAt = now;
-        List<RegisteredServer> entries = new ArrayList<>(census.entries());
+        List<RegisteredServer> entries = new ArrayList<>(serverRegistry.entries());
         byte[] notes = MessagePackCodec.write().num(now).list(entries, (o, e) -> e.write(o)).done();
         thread.execute(() -> {
             try {
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -76,18 +76,18 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Replica(Clock clock, Messenger post, DiskWriter room, Metrics tally, ReplicaStorage loaded,
+    Replica(Clock clock, Messenger messenger, DiskWriter room, Metrics metrics, ReplicaStorage loaded,
             boolean loadedCommitted, View genesis, boolean newcomer) {
         this.clock = clock;
-        DaemonAddress self = post.self();
-        durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer), loaded != null);
+        DaemonAddress self = messenger.self();
+        durable = new DurableState(clock, room, metrics, initial(loaded, genesis, newcomer), loaded != null);
         commits = new CommitPoint(room);
-        viewMessages = new ViewMessages(clock, post);
-        chainMessages = new ChainMessages(clock, post);
+        viewMessages = new ViewMessages(clock, messenger);
+        chainMessages = new ChainMessages(clock, messenger);
         membership = new Membership(self, durable, commits, viewMessages);
         acceptor = new Acceptor(durable, membership, viewMessages);
         confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
-        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, tally);
+        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, metrics);
         recovery = new Recovery(self, clock, durable, membership, viewMessages);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
--- a/control/src/main/java/org/umbermount/control/ReplicaStorage.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -117,13 +117,13 @@
     }
 
     void writeIncarnations(MessagePackCodec.Writer w) {
-        w.list(incarnations.entrySet(), (o, e) -> o.imprint(e.getKey()).num(e.getValue()));
+        w.list(incarnations.entrySet(), (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue()));
     }
 
     static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         Map<DaemonAddress, Long> out = new HashMap<>();
         for (Voter f : in.list(Voter::read)) {
-            out.put(f.imprint(), f.incarnation());
+            out.put(f.daemonAddress(), f.incarnation());
         }
         return Map.copyOf(out);
     }
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -62,8 +62,8 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final long heartbeatMs;
     private final long boot;
     private final Map<InstanceId, RegisteredServer> entries = new LinkedHashMap<>();
@@ -85,14 +85,14 @@
     private long seq;
     private long digest;
 
-    public ServerRegistry(Clock clock, Messenger post, Metrics tally, long heartbeatMs, long boot) {
+    public ServerRegistry(Clock clock, Messenger messenger, Metrics metrics, long heartbeatMs, long boot) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.heartbeatMs = heartbeatMs;
         this.boot = boot;
         this.started = clock.now();
-        post.subscribe(Messenger.Topic.CENSUS, this::receive);
+        messenger.subscribe(Messenger.Topic.CENSUS, this::receive);
     }
 
     /**
@@ -150,7 +150,7 @@
     public void beat(RegisteredServer beat, Runnable told) {
         RegisteredServer known = entries.get(beat.id());
         if (known != null && beat.sequence() < known.sequence()) {
-            tally.count("registry.beats.late");
+            metrics.count("registry.beats.late");
             repeat(known, told);
             return;
         }
@@ -160,7 +160,7 @@
             next = next.with(RegisteredServer.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
         }
         if (!next.standing().isGone()) {
-            next = next.with(next.standing(), beat.sequence(), post.self());
+            next = next.with(next.standing(), beat.sequence(), messenger.self());
         }
         if (known != null && known.sameNews(next)) {
             entries.put(next.id(), next);
@@ -212,8 +212,8 @@
         int n = 0;
         int others = 0;
         for (Voter f : view.electorate()) {
-            boolean self = f.imprint().equals(post.self());
-            boolean holds = self || acknowledged.getOrDefault(f.imprint(), -1L) >= change;
+            boolean self = f.daemonAddress().equals(messenger.self());
+            boolean holds = self || acknowledged.getOrDefault(f.daemonAddress(), -1L) >= change;
             n += holds ? 1 : 0;
             others += holds && !self ? 1 : 0;
         }
@@ -234,7 +234,7 @@
             repeat(known, told);
             return;
         }
-        RegisteredServer next = known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
+        RegisteredServer next = known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, messenger.self());
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
@@ -271,8 +271,8 @@
         byte[] body = encode(Kind.CHANGES, from, changed);
         if (detector != null) {
             for (FailureDetector.Peer p : detector.peers()) {
-                if (detector.connected(p.imprint())) {
-                    post.send(p.imprint(), Messenger.Topic.CENSUS, body);
+                if (detector.connected(p.daemonAddress())) {
+                    messenger.send(p.daemonAddress(), Messenger.Topic.CENSUS, body);
                 }
             }
         }
@@ -327,7 +327,7 @@
                 f.applied = -1;
             }
             f.applied = Math.max(f.applied, until);
-            post.send(from, Messenger.Topic.CENSUS, MessagePackCodec.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
+            messenger.send(from, Messenger.Topic.CENSUS, MessagePackCodec.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
         } else {
             ask(from, f);
         }
@@ -354,7 +354,7 @@
             return;
         }
         f.asked = now;
-        post.send(from, Messenger.Topic.CENSUS,
+        messenger.send(from, Messenger.Topic.CENSUS,
                 MessagePackCodec.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
     }
 
@@ -368,25 +368,25 @@
                     missed.put(c.id(), e);
                 }
             }
-            post.send(from, Messenger.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
+            messenger.send(from, Messenger.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
         } else {
-            tally.count("registry.snapshots");
-            post.send(from, Messenger.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
+            metrics.count("registry.snapshots");
+            messenger.send(from, Messenger.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
         }
     }
 
     /** Compares what a peer says of itself with what has been applied of it. */
     private void compare(FailureDetector.Peer peer) {
         FailureDetector.Report r = peer.report();
-        Followed f = followed.computeIfAbsent(peer.imprint(), k -> new Followed());
+        Followed f = followed.computeIfAbsent(peer.daemonAddress(), k -> new Followed());
         if (f.boot != r.censusBoot() || f.applied < r.censusSeq()) {
-            ask(peer.imprint(), f);
+            ask(peer.daemonAddress(), f);
             f.digestOff = 0;
         } else if (r.censusDigest() != digest) {
             if (++f.digestOff >= DIGEST_PATIENCE) {
                 f.digestOff = 0;
                 f.applied = -1;
-                ask(peer.imprint(), f);
+                ask(peer.daemonAddress(), f);
             }
         } else {
             f.digestOff = 0;
@@ -442,7 +442,7 @@
             if (e.standing().isGone()) {
                 continue;
             }
-            boolean mine = e.keeper().equals(post.self());
+            boolean mine = e.keeper().equals(messenger.self());
             if (!mine && (detector.connected(e.keeper()) || !heir(e.keeper()))) {
                 lastBeat.put(e.id(), now);
                 continue;
@@ -458,18 +458,18 @@
         List<RegisteredServer> gone = new ArrayList<>();
         for (RegisteredServer e : missed) {
             LOG.info("Server {} of {} at {} is gone: its beats stopped.", e.id(), e.upstream(), e.address());
-            RegisteredServer next = e.with(RegisteredServer.Standing.MISSED, e.sequence(), post.self());
+            RegisteredServer next = e.with(RegisteredServer.Standing.MISSED, e.sequence(), messenger.self());
             store(next);
             gone.add(next);
         }
-        tally.counter("registry.missed").increment(gone.size());
+        metrics.counter("registry.missed").increment(gone.size());
         publish(gone);
     }
 
     /** Whether this controller is the first of those left to look after another's servers. */
     private boolean heir(DaemonAddress lost) {
         for (FailureDetector.Peer p : detector.peers()) {
-            if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && detector.connected(p.imprint())) {
+            if (!p.daemonAddress().equals(lost) && p.daemonAddress().compareTo(messenger.self()) < 0 && detector.connected(p.daemonAddress())) {
                 return false;
             }
         }
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -44,17 +44,17 @@
         return Safeguard.RECOVERY_MEETS_MAJORITIES.holds() ? electorate.size() - majority() + 1 : 1;
     }
 
-    public Voter fellow(DaemonAddress imprint) {
+    public Voter fellow(DaemonAddress daemonAddress) {
         for (Voter f : electorate) {
-            if (f.imprint().equals(imprint)) {
+            if (f.daemonAddress().equals(daemonAddress)) {
                 return f;
             }
         }
         return null;
     }
 
-    public boolean votes(DaemonAddress imprint) {
-        return fellow(imprint) != null;
+    public boolean votes(DaemonAddress daemonAddress) {
+        return fellow(daemonAddress) != null;
     }
 
     public DaemonAddress head() {
@@ -65,12 +65,12 @@
         return chain.isEmpty() ? null : chain.get(chain.size() - 1);
     }
 
-    public boolean chains(DaemonAddress imprint) {
-        return chain.contains(imprint);
+    public boolean chains(DaemonAddress daemonAddress) {
+        return chain.contains(daemonAddress);
     }
 
-    public DaemonAddress successor(DaemonAddress imprint) {
-        int at = chain.indexOf(imprint);
+    public DaemonAddress successor(DaemonAddress daemonAddress) {
+        int at = chain.indexOf(daemonAddress);
         return at < 0 || at + 1 >= chain.size() ? null : chain.get(at + 1);
     }
 
@@ -80,17 +80,17 @@
     }
 
     void write(MessagePackCodec.Writer out) {
-        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, MessagePackCodec.Writer::imprint);
+        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, MessagePackCodec.Writer::daemonAddress);
         base.write(out);
     }
 
     static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.ClientConnection::imprint), OperationLogPosition.read(in));
+        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.ClientConnection::daemonAddress), OperationLogPosition.read(in));
     }
 
     @Override
     public String toString() {
-        return "view " + number + " electorate " + electorate.stream().map(f -> f.imprint().toString()).toList()
+        return "view " + number + " electorate " + electorate.stream().map(f -> f.daemonAddress().toString()).toList()
                 + " chain " + chain;
     }
 }
--- a/control/src/main/java/org/umbermount/control/ViewConfirmation.java
+++ b/control/src/main/java/org/umbermount/control/ViewConfirmation.java
@@ -83,7 +83,7 @@
         long nonce = nextNonce++;
         questions.put(nonce, question);
         for (Voter f : view.electorate()) {
-            messages.sendConfirm(f.imprint(), nonce, view.number());
+            messages.sendConfirm(f.daemonAddress(), nonce, view.number());
         }
     }
 
--- a/control/src/main/java/org/umbermount/control/ViewMessages.java
+++ b/control/src/main/java/org/umbermount/control/ViewMessages.java
@@ -41,8 +41,8 @@
     private final Channel channel;
     private Handler handler;
 
-    ViewMessages(Clock clock, Messenger post) {
-        channel = new Channel(clock, post, Messenger.Topic.VIEW, this::receive);
+    ViewMessages(Clock clock, Messenger messenger) {
+        channel = new Channel(clock, messenger, Messenger.Topic.VIEW, this::receive);
     }
 
     void open(Handler to) {
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -36,7 +36,7 @@
     private final java.util.function.BooleanSupplier diskGood;
     private final Clock clock;
     private final Random random;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final DaemonAddress self;
     private final String zone;
     private final int tolerated;
@@ -67,7 +67,7 @@
     }
 
     ViewProposer(Replica replica, FailureDetector detector, java.util.function.BooleanSupplier diskGood, Clock clock,
-            Random random, Metrics tally, DaemonAddress self, String zone, int tolerated) {
+            Random random, Metrics metrics, DaemonAddress self, String zone, int tolerated) {
         this.zone = zone;
         this.tolerated = tolerated;
         this.replica = replica;
@@ -75,10 +75,10 @@
         this.diskGood = diskGood;
         this.clock = clock;
         this.random = random;
-        this.tally = tally;
+        this.metrics = metrics;
         this.self = self;
         this.seatsSince = clock.now();
-        this.seats = replica.view().electorate().stream().map(Voter::imprint).toList();
+        this.seats = replica.view().electorate().stream().map(Voter::daemonAddress).toList();
         replica.onView(this::inForce);
     }
 
@@ -102,7 +102,7 @@
         @Override
         public Iterable<DaemonAddress> known() {
             Set<DaemonAddress> all = new TreeSet<>();
-            detector.peers().forEach(p -> all.add(p.imprint()));
+            detector.peers().forEach(p -> all.add(p.daemonAddress()));
             all.add(self);
             return all;
         }
@@ -129,7 +129,7 @@
             }
             int reached = view.votes(who) ? 1 : 0;
             for (Voter f : view.electorate()) {
-                if (!f.imprint().equals(who) && linked(f.imprint(), who)) {
+                if (!f.daemonAddress().equals(who) && linked(f.daemonAddress(), who)) {
                     reached++;
                 }
             }
@@ -182,7 +182,7 @@
     }
 
     private void inForce(View view) {
-        List<DaemonAddress> voters = view.electorate().stream().map(Voter::imprint).toList();
+        List<DaemonAddress> voters = view.electorate().stream().map(Voter::daemonAddress).toList();
         if (!voters.equals(seats)) {
             seats = voters;
             seatsSince = clock.now();
@@ -213,7 +213,7 @@
             } else if (now.since(attempt.since) > ATTEMPT_MS) {
                 attempt = null;
                 quietUntil = now.plus(100 + random.nextInt(400));
-                tally.count("control.views.abandoned");
+                metrics.count("control.views.abandoned");
             } else {
                 push();
             }
@@ -256,7 +256,7 @@
         long rank = 0;
         Seen seen = new Seen();
         for (Voter f : replica.view().electorate()) {
-            if (f.imprint().compareTo(self) < 0 && seen.well(f.imprint()) && seen.hasMemory(f.imprint())) {
+            if (f.daemonAddress().compareTo(self) < 0 && seen.well(f.daemonAddress()) && seen.hasMemory(f.daemonAddress())) {
                 rank++;
             }
         }
@@ -269,7 +269,7 @@
         attempt = new Attempt(wish.view().number(), new Ballot(round, self), wish.view(), wish.why(), now);
         wantedSince = null;
         LOG.info("Proposing view {} because {}.", attempt.view, attempt.why);
-        tally.count("control.views.proposed");
+        metrics.count("control.views.proposed");
         push();
     }
 
@@ -277,19 +277,19 @@
     private void push() {
         for (Voter f : replica.view().electorate()) {
             if (attempt.proposal == null) {
-                if (!attempt.promises.containsKey(f.imprint())) {
-                    replica.sendPrepare(f.imprint(), attempt.view, attempt.ballot);
+                if (!attempt.promises.containsKey(f.daemonAddress())) {
+                    replica.sendPrepare(f.daemonAddress(), attempt.view, attempt.ballot);
                 }
-            } else if (attempt.accepted.stream().noneMatch(a -> a.imprint().equals(f.imprint()))) {
-                replica.sendAccept(f.imprint(), attempt.view, attempt.ballot, attempt.proposal);
+            } else if (attempt.accepted.stream().noneMatch(a -> a.daemonAddress().equals(f.daemonAddress()))) {
+                replica.sendAccept(f.daemonAddress(), attempt.view, attempt.ballot, attempt.proposal);
             }
         }
     }
 
     /** Whether a vote comes from the newest incarnation known of its voter. */
     private boolean counts(Voter voter) {
-        return replica.view().votes(voter.imprint())
-                && voter.incarnation() >= replica.incarnationOf(voter.imprint());
+        return replica.view().votes(voter.daemonAddress())
+                && voter.incarnation() >= replica.incarnationOf(voter.daemonAddress());
     }
 
     @Override
@@ -297,7 +297,7 @@
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal != null) {
             return;
         }
-        attempt.promises.put(promise.voter().imprint(), promise);
+        attempt.promises.put(promise.voter().daemonAddress(), promise);
         attempt.promises.values().removeIf(p -> !counts(p.voter()));
         if (attempt.promises.size() < replica.view().majority()) {
             return;
--- a/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
+++ b/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
@@ -60,7 +60,7 @@
 
         private int indexOf(DaemonAddress who) {
             for (int i = 0; i < size; i++) {
-                if (Fleet.imprint(i).equals(who)) {
+                if (Fleet.daemonAddress(i).equals(who)) {
                     return i;
                 }
             }
--- a/control/src/test/java/org/umbermount/control/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -91,8 +91,8 @@
         fleet.run(6_000);
         Replica back = fleet.running.get(2).replica;
         assertEquals(Replica.Standing.MEMBER, back.standing());
-        assertTrue(back.view().fellow(Fleet.imprint(2)).incarnation() > 0);
-        assertTrue(back.view().chains(Fleet.imprint(2)));
+        assertTrue(back.view().fellow(Fleet.daemonAddress(2)).incarnation() > 0);
+        assertTrue(back.view().chains(Fleet.daemonAddress(2)));
         assertEquals(1, editionAt(fleet, 2));
     }
 
@@ -117,7 +117,7 @@
         Replica proposer = fleet.running.get(3).replica;
         long view = proposer.view().number();
         DaemonAddress middle = proposer.view().chain().get(1);
-        proposer.sendPrepare(middle, view + 1, new Ballot(9, Fleet.imprint(3)));
+        proposer.sendPrepare(middle, view + 1, new Ballot(9, Fleet.daemonAddress(3)));
         fleet.run(20);
         Fleet.Reply reply = fleet.submit(0, 1, 2, "c2");
         fleet.run(400);
@@ -155,12 +155,12 @@
         take(fleet, 0, 0, 1);
         DaemonAddress head = fleet.replica(0).view().head();
         int old = 0;
-        while (!Fleet.imprint(old).equals(head)) {
+        while (!Fleet.daemonAddress(old).equals(head)) {
             old++;
         }
         for (int o = 0; o < 4; o++) {
             if (o != old) {
-                fleet.network.cutBoth(head, Fleet.imprint(o));
+                fleet.network.cutBoth(head, Fleet.daemonAddress(o));
             }
         }
         fleet.run(3_000);
@@ -189,7 +189,7 @@
         fleet.submit(1, 2, 3, "c3");
         fleet.run(600);
         int head = 0;
-        while (!Fleet.imprint(head).equals(view.head())) {
+        while (!Fleet.daemonAddress(head).equals(view.head())) {
             head++;
         }
         assertTrue(fleet.replica(head).committed().edition().value() >= 2, "the head has not heard of edition 2");
@@ -197,9 +197,9 @@
 
     @Test
     void newViewStartsFromTheNewestStateAndKeepsWhatWasAccepted() {
-        Voter a = new Voter(Fleet.imprint(0), 0);
-        Voter b = new Voter(Fleet.imprint(1), 0);
-        View wanted = new View(4, List.of(a, b), List.of(a.imprint()));
+        Voter a = new Voter(Fleet.daemonAddress(0), 0);
+        Voter b = new Voter(Fleet.daemonAddress(1), 0);
+        View wanted = new View(4, List.of(a, b), List.of(a.daemonAddress()));
         ConfigurationState older = ConfigurationState.NONE.inView(3).take(new ConfigurationRevision(5), new byte[] {5});
         ConfigurationState newer = older.take(new ConfigurationRevision(6), new byte[] {6});
         Replica.Promise fromA = new Replica.Promise(a, newer, Ballot.NONE, null, OperationLogPosition.NONE);
@@ -210,11 +210,11 @@
             assertEquals(4, p.base().view());
             assertEquals(wanted, p.view());
         }
-        Proposal low = new Proposal(new View(4, List.of(a), List.of(a.imprint())), older.inView(4));
-        Proposal high = new Proposal(new View(4, List.of(b), List.of(b.imprint())), older.inView(4));
+        Proposal low = new Proposal(new View(4, List.of(a), List.of(a.daemonAddress())), older.inView(4));
+        Proposal high = new Proposal(new View(4, List.of(b), List.of(b.daemonAddress())), older.inView(4));
         Proposal kept = ViewProposer.choose(List.of(
-                new Replica.Promise(a, newer, new Ballot(7, a.imprint()), high, OperationLogPosition.NONE),
-                new Replica.Promise(b, older, new Ballot(2, b.imprint()), low, OperationLogPosition.NONE)), wanted);
+                new Replica.Promise(a, newer, new Ballot(7, a.daemonAddress()), high, OperationLogPosition.NONE),
+                new Replica.Promise(b, older, new Ballot(2, b.daemonAddress()), low, OperationLogPosition.NONE)), wanted);
         assertEquals(high, kept);
     }
 
@@ -227,17 +227,17 @@
             var disk = fleet.disks.get(victim);
             for (int o = 0; o < 4; o++) {
                 if (o != victim && (how.equals("cut") || how.equals("one way in"))) {
-                    fleet.network.cut(Fleet.imprint(o), Fleet.imprint(victim));
+                    fleet.network.cut(Fleet.daemonAddress(o), Fleet.daemonAddress(victim));
                 }
                 if (o != victim && (how.equals("cut") || how.equals("one way out"))) {
-                    fleet.network.cut(Fleet.imprint(victim), Fleet.imprint(o));
+                    fleet.network.cut(Fleet.daemonAddress(victim), Fleet.daemonAddress(o));
                 }
             }
             disk.hung = how.equals("hung");
             disk.full = how.equals("full");
             disk.delayMs = how.equals("slow") ? 125 : 1;
             if (how.equals("frozen")) {
-                fleet.network.down(Fleet.imprint(victim));
+                fleet.network.down(Fleet.daemonAddress(victim));
             }
             boolean taken = false;
             for (int t = 0; t < 3 && !taken; t++) {
@@ -256,10 +256,10 @@
         fleet.disks.get(1).full = true;
         fleet.submit(3, 1, 2, "c2");
         fleet.run(3_000);
-        assertFalse(fleet.running.get(0).replica.view().chains(Fleet.imprint(1)));
+        assertFalse(fleet.running.get(0).replica.view().chains(Fleet.daemonAddress(1)));
         fleet.disks.get(1).full = false;
         fleet.run(5_000);
-        assertTrue(fleet.running.get(0).replica.view().chains(Fleet.imprint(1)));
+        assertTrue(fleet.running.get(0).replica.view().chains(Fleet.daemonAddress(1)));
         assertEquals(2, editionAt(fleet, 1));
     }
 
@@ -365,9 +365,9 @@
                     boolean oneWay = random.nextBoolean();
                     for (int o = 0; o < size; o++) {
                         if (o != victim && oneWay) {
-                            fleet.network.cut(Fleet.imprint(victim), Fleet.imprint(o));
+                            fleet.network.cut(Fleet.daemonAddress(victim), Fleet.daemonAddress(o));
                         } else if (o != victim) {
-                            fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(victim));
+                            fleet.network.cutBoth(Fleet.daemonAddress(o), Fleet.daemonAddress(victim));
                         }
                     }
                 }
@@ -441,13 +441,13 @@
         disk.clock(almanac);
         List<Voter> voters = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            voters.add(new Voter(Fleet.imprint(i), 0));
+            voters.add(new Voter(Fleet.daemonAddress(i), 0));
         }
-        List<DaemonAddress> chain = List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2));
+        List<DaemonAddress> chain = List.of(Fleet.daemonAddress(0), Fleet.daemonAddress(1), Fleet.daemonAddress(2));
         ReplicaStorage before = ReplicaStorage.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
         org.umbermount.storage.DiskWriter room = new org.umbermount.storage.DiskWriter(
                 org.umbermount.storage.AppendOnlyFile.open(disk, "m", 1 << 16), disk.executor(), almanac);
-        Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Metrics(),
+        Replica tail = new Replica(almanac, network.bag(Fleet.daemonAddress(2)), room, new org.umbermount.kernel.Metrics(),
                 before, false, null, false);
         tail.start();
         View next = new View(2, voters, chain);
@@ -457,14 +457,14 @@
         taken.write(news);
         news.flag(false);
         ConfigurationState.NONE.write(news);
-        network.bag(Fleet.imprint(0)).send(Fleet.imprint(2), org.umbermount.kernel.Messenger.Topic.VIEW, news.done());
+        network.bag(Fleet.daemonAddress(0)).send(Fleet.daemonAddress(2), org.umbermount.kernel.Messenger.Topic.VIEW, news.done());
         almanac.advance(1_000);
         assertEquals(2, tail.view().number());
         assertEquals(8, tail.newestEdition().value());
         assertEquals(0, tail.committed().edition().value());
         org.umbermount.kernel.MessagePackCodec.Writer write = org.umbermount.kernel.MessagePackCodec.write().num(2);
         taken.write(write);
-        network.bag(Fleet.imprint(1)).send(Fleet.imprint(2), org.umbermount.kernel.Messenger.Topic.CHAIN, write.num(0).done());
+        network.bag(Fleet.daemonAddress(1)).send(Fleet.daemonAddress(2), org.umbermount.kernel.Messenger.Topic.CHAIN, write.num(0).done());
         almanac.advance(1_000);
         assertEquals(8, tail.committed().edition().value());
     }
--- a/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
@@ -41,8 +41,8 @@
     }
 
     private String exchange(int at, String request) {
-        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.almanac, Fleet.imprint(at),
-                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
+        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.almanac, Fleet.daemonAddress(at),
+                Fleet.daemonAddress(at).withPort(8000), Fleet.zone(at), new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
         channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.UTF_8));
@@ -102,7 +102,7 @@
         int invalid = invalid();
         // None of the others can be heard: it is told from the call alone.
         for (int o = 1; o < 4; o++) {
-            fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(o));
+            fleet.network.cutBoth(Fleet.daemonAddress(0), Fleet.daemonAddress(o));
         }
         assertEquals(invalid, call(0, "PUT", 2, whole(2, "x")));
         assertEquals(invalid, call(0, "PUT", 2, whole(1, "a")));
@@ -125,7 +125,7 @@
     @Test
     void amendmentWhoseBaseIsNotAtHandHasNoClearAnswer() {
         for (int o = 0; o < 3; o++) {
-            fleet.network.cutBoth(Fleet.imprint(3), Fleet.imprint(o));
+            fleet.network.cutBoth(Fleet.daemonAddress(3), Fleet.daemonAddress(o));
         }
         fleet.run(3_000);
         assertEquals(200, call(0, "PUT", 2, whole(3, "c")));
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -61,8 +61,8 @@
     }
 
     private static Call call(Fleet fleet, int at, HttpMethod method, String path, String match, String body) {
-        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.clock(at), Fleet.imprint(at),
-                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Metrics());
+        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.clock(at), Fleet.daemonAddress(at),
+                Fleet.daemonAddress(at).withPort(8000), Fleet.zone(at), new Metrics());
         Call call = new Call(desk);
         DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
@@ -102,7 +102,7 @@
     private static int head(Fleet fleet, boolean tail) {
         View view = fleet.replica(0).view();
         for (int i = 0; i < 9; i++) {
-            if (Fleet.imprint(i).equals(tail ? view.tail() : view.head())) {
+            if (Fleet.daemonAddress(i).equals(tail ? view.tail() : view.head())) {
                 return i;
             }
         }
@@ -237,7 +237,7 @@
                 assertTrue(fleet.contact(i).holds(), i + " is not in touch after " + how + " of " + one);
                 assertTrue(fleet.contact(i).assured(), i + " is not assured after " + how + " of " + one);
                 assertEquals(5, fleet.replica(i).committed().edition().value());
-                assertEquals(fleet.running.get(0).census.digest(), fleet.running.get(i).census.digest());
+                assertEquals(fleet.running.get(0).serverRegistry.digest(), fleet.running.get(i).serverRegistry.digest());
             }
             List<Call> after = new ArrayList<>();
             for (int i : side) {
@@ -400,7 +400,7 @@
             assertEquals(200, c.status(), c.body);
         }
         for (int i = 0; i < 4; i++) {
-            assertTrue(fleet.running.get(i).census.entries().stream().filter(e -> e.id().equals(new InstanceId("s")))
+            assertTrue(fleet.running.get(i).serverRegistry.entries().stream().filter(e -> e.id().equals(new InstanceId("s")))
                     .allMatch(e -> e.standing() == RegisteredServer.Standing.SIGNED_OFF));
         }
     }
@@ -415,7 +415,7 @@
         assertEquals(200, before.status());
         assertEquals("{\"heartbeatUrl\":\"http://10.2.0.1:8000\"}", before.body);
         for (int i = 2; i < 4; i++) {
-            fleet.network.cutBoth(Fleet.imprint(1), Fleet.imprint(i));
+            fleet.network.cutBoth(Fleet.daemonAddress(1), Fleet.daemonAddress(i));
         }
         fleet.run(2_000);
         Call during = call(fleet, 0, HttpMethod.PUT, "/instances/e", null, beat + "2}");
@@ -460,7 +460,7 @@
             fleet.run(1_000);
             boolean[] asked = new boolean[1];
             fleet.network.tap = (from, to, topic, body) -> {
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Messenger.Topic.LEASE && asksFor(body, Fleet.zone(1));
+                asked[0] |= from.equals(Fleet.daemonAddress(1)) && topic == Messenger.Topic.LEASE && asksFor(body, Fleet.zone(1));
                 return true;
             };
             while (!asked[0]) {
@@ -470,7 +470,7 @@
             fleet.freeze(1);
             fleet.run(5_000);
             // What waited in the socket comes before any timer, and other questions may stand behind it.
-            fleet.network.thaw(Fleet.imprint(1));
+            fleet.network.thaw(Fleet.daemonAddress(1));
             String two = twoHolders(fleet, 4, Fleet.zone(1));
             fleet.thaw(1);
             return two != null ? two : twoHolders(fleet, 4, Fleet.zone(1), 1_000);
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -66,7 +66,7 @@
         }
     }
 
-    public static DaemonAddress imprint(int i) {
+    public static DaemonAddress daemonAddress(int i) {
         return DaemonAddress.parse("10." + (i + 1) + ".0.1:7000");
     }
 
@@ -80,9 +80,9 @@
         for (int s = 0; s < seeds; s++) {
             first.add(s);
         }
-        ControlPlane archive = launch(i, bootstrap, first);
+        ControlPlane controlPlane = launch(i, bootstrap, first);
         for (int other = 0; other < size; other++) {
-            archive.detector.enlist(imprint(other));
+            controlPlane.detector.enlist(daemonAddress(other));
         }
     }
 
@@ -96,24 +96,24 @@
     private ControlPlane launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
         MortalClock clock = new MortalClock(almanac);
         clocks.put(i, clock);
-        List<DaemonAddress> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
+        List<DaemonAddress> seedImprints = seedNodes.stream().map(s -> daemonAddress(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
         zones.values().forEach(z -> allZones.put(z, "r"));
-        Settings rules = new Settings("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
+        Settings rules = new Settings("n" + i, zones.get(i), allZones, daemonAddress(i).host(), Map.of(), 7000, 7010, seedImprints,
                 bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
                 new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeDirectory disk = disks.get(i);
         disk.clock(clock);
-        FakeMessenger.Bag bag = network.bag(imprint(i));
+        FakeMessenger.Bag bag = network.bag(daemonAddress(i));
         bags.put(i, bag);
-        ControlPlane archive = new ControlPlane(clock, bag, rules, imprint(i).withPort(8000),
+        ControlPlane controlPlane = new ControlPlane(clock, bag, rules, daemonAddress(i).withPort(8000),
                 AppendOnlyFile.open(disk, "memory", 1 << 16), AppendOnlyFile.open(disk, "census", 1 << 16), disk.executor(), new Metrics());
-        running.put(i, archive);
+        running.put(i, controlPlane);
         if (attachment != null) {
-            attachment.attach(i, clock, bag, archive.replica, disk);
+            attachment.attach(i, clock, bag, controlPlane.replica, disk);
         }
-        archive.start();
-        return archive;
+        controlPlane.start();
+        return controlPlane;
     }
 
     /** The epoch under which a controller that runs holds a duty now, or 0. */
@@ -126,7 +126,7 @@
         ControlPlane a = running.get(i);
         return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
                 + a.replica.committed().edition() + " in view " + a.replica.committed().view() + ", newest "
-                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.census.ready() ? "" : ", no server list")
+                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.serverRegistry.ready() ? "" : ", no server list")
                 + (a.detector.reachesMajority(a.replica.view()) ? "" : ", reaches no majority");
     }
 
@@ -139,7 +139,7 @@
     /** Ends the process; what was not synced is lost if the power goes too. */
     public void kill(int i, boolean power) {
         clocks.get(i).die();
-        network.down(imprint(i));
+        network.down(daemonAddress(i));
         running.remove(i);
         if (power) {
             disks.get(i).losePower();
@@ -149,24 +149,24 @@
     /** The process stands still, and what is sent to it waits. */
     public void freeze(int i) {
         clocks.get(i).freeze();
-        network.freeze(imprint(i));
+        network.freeze(daemonAddress(i));
     }
 
     public void thaw(int i) {
-        network.thaw(imprint(i));
+        network.thaw(daemonAddress(i));
         clocks.get(i).thaw();
     }
 
     /** Offers the parts of a running controller to another host, on the controller's own clock. */
     public PluginHost host(int i, Settings rules) {
-        ControlPlane archive = running.get(i);
+        ControlPlane controlPlane = running.get(i);
         PluginHost host = new PluginHost(Role.CONTROLLER, rules, clocks.get(i));
-        host.offer(Replica.class, archive.replica);
-        host.offer(ServerRegistry.class, archive.census);
-        host.offer(LeaseManager.class, archive.leases);
-        host.offer(FailureDetector.class, archive.detector);
-        host.offer(MajorityContact.class, archive.contact);
-        host.offer(ChainClient.class, archive.chainClient);
+        host.offer(Replica.class, controlPlane.replica);
+        host.offer(ServerRegistry.class, controlPlane.serverRegistry);
+        host.offer(LeaseManager.class, controlPlane.leases);
+        host.offer(FailureDetector.class, controlPlane.detector);
+        host.offer(MajorityContact.class, controlPlane.contact);
+        host.offer(ChainClient.class, controlPlane.chainClient);
         host.offer(StatusPage.class, section -> { });
         return host;
     }
--- a/control/src/test/java/org/umbermount/control/Isolation.java
+++ b/control/src/test/java/org/umbermount/control/Isolation.java
@@ -34,14 +34,14 @@
                 }
                 int other = out;
                 if (this != INWARD) {
-                    fleet.network.cut(Fleet.imprint(in), Fleet.imprint(other));
+                    fleet.network.cut(Fleet.daemonAddress(in), Fleet.daemonAddress(other));
                 }
                 if (this != OUTWARD) {
-                    fleet.network.cut(Fleet.imprint(other), Fleet.imprint(in));
+                    fleet.network.cut(Fleet.daemonAddress(other), Fleet.daemonAddress(in));
                 }
                 joins.add(() -> {
-                    fleet.network.join(Fleet.imprint(in), Fleet.imprint(other));
-                    fleet.network.join(Fleet.imprint(other), Fleet.imprint(in));
+                    fleet.network.join(Fleet.daemonAddress(in), Fleet.daemonAddress(other));
+                    fleet.network.join(Fleet.daemonAddress(other), Fleet.daemonAddress(in));
                 });
             }
         }
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -66,7 +66,7 @@
         fleet.run(6_000);
         for (int i = 0; i < 4; i++) {
             if (i != 1) {
-                fleet.network.cut(Fleet.imprint(i), Fleet.imprint(1));
+                fleet.network.cut(Fleet.daemonAddress(i), Fleet.daemonAddress(1));
             }
         }
         for (int t = 0; t < 600; t++) {
@@ -91,7 +91,7 @@
                 int a = random.nextInt(4);
                 for (int b = 0; b < 4; b++) {
                     if (a != b && random.nextBoolean()) {
-                        fleet.network.cut(Fleet.imprint(a), Fleet.imprint(b));
+                        fleet.network.cut(Fleet.daemonAddress(a), Fleet.daemonAddress(b));
                     }
                 }
             }
@@ -124,7 +124,7 @@
         fleet.network.tap = (from, to, topic, body) -> {
             try {
                 MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Messenger.Topic.LEASE && in.num() == 0
+                asked[0] |= from.equals(Fleet.daemonAddress(1)) && topic == Messenger.Topic.LEASE && in.num() == 0
                         && in.text().equals("z1");
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
--- a/control/src/test/java/org/umbermount/control/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -76,7 +76,7 @@
     private void cut(int who) {
         for (int o = 0; o < SIZE; o++) {
             if (o != who) {
-                fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(who));
+                fleet.network.cutBoth(Fleet.daemonAddress(o), Fleet.daemonAddress(who));
             }
         }
     }
--- a/control/src/test/java/org/umbermount/control/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -54,7 +54,7 @@
 
     private static int indexOf(DaemonAddress who) {
         int i = 0;
-        while (!Fleet.imprint(i).equals(who)) {
+        while (!Fleet.daemonAddress(i).equals(who)) {
             i++;
         }
         return i;
@@ -240,8 +240,8 @@
         Fleet fleet = settled(seed);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        DaemonAddress next = fleet.replica(old).view().successor(Fleet.imprint(old));
-        fleet.network.cut(Fleet.imprint(old), next);
+        DaemonAddress next = fleet.replica(old).view().successor(Fleet.daemonAddress(old));
+        fleet.network.cut(Fleet.daemonAddress(old), next);
         Fleet.Reply lost = fleet.submit(old, 2, 3, "one");
         fleet.run(50);
         assertEquals(3, fleet.replica(old).newestEdition().value(), "the head has written it");
@@ -296,7 +296,7 @@
         Fleet fleet = settled(43);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        fleet.network.cut(Fleet.imprint(old), fleet.replica(old).view().successor(Fleet.imprint(old)));
+        fleet.network.cut(Fleet.daemonAddress(old), fleet.replica(old).view().successor(Fleet.daemonAddress(old)));
         fleet.submit(old, 2, 3, "one");
         fleet.run(50);
         fleet.kill(old, false);
@@ -308,7 +308,7 @@
         fleet.run(2_000);
         assertEquals("two", new String(fleet.replica(old).committed().blob()));
         String[] told = {"nothing"};
-        var asker = fleet.network.bag(Fleet.imprint(9));
+        var asker = fleet.network.bag(Fleet.daemonAddress(9));
         asker.subscribe(Messenger.Topic.VIEW, (from, body) -> {
             MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
             assertEquals(NEWS, in.num());
@@ -316,7 +316,7 @@
             ConfigurationState state = ConfigurationState.read(in);
             told[0] = new String((in.flag() ? state : ConfigurationState.read(in)).blob());
         });
-        asker.send(Fleet.imprint(old), Messenger.Topic.VIEW, MessagePackCodec.write().num(FETCH).done());
+        asker.send(Fleet.daemonAddress(old), Messenger.Topic.VIEW, MessagePackCodec.write().num(FETCH).done());
         fleet.run(20);
         return told[0];
     }
@@ -351,7 +351,7 @@
         int old = head(fleet, 0);
         for (int o = 0; o < 4; o++) {
             if (o != old) {
-                fleet.network.cutBoth(Fleet.imprint(old), Fleet.imprint(o));
+                fleet.network.cutBoth(Fleet.daemonAddress(old), Fleet.daemonAddress(o));
             }
         }
         fleet.run(3_000);
@@ -373,7 +373,7 @@
         View view = fleet.replica(0).view();
         int asker = head(fleet, 0);
         int before = indexOf(view.chain().get(view.chain().size() - 2));
-        fleet.network.cut(Fleet.imprint(asker), view.successor(Fleet.imprint(asker)));
+        fleet.network.cut(Fleet.daemonAddress(asker), view.successor(Fleet.daemonAddress(asker)));
         Fleet.Reply lost = fleet.submit(asker, 2, 3, "one");
         fleet.run(20);
         MessagePackCodec.Writer write = MessagePackCodec.write().num(WRITE);
@@ -381,7 +381,7 @@
         RequestId id = fleet.chainClient(asker).newestId();
         write.list(List.of(id), (o, d) -> {
             d.write(o);
-            o.imprint(Fleet.imprint(asker)).num(3);
+            o.daemonAddress(Fleet.daemonAddress(asker)).num(3);
             Digest.ofCall("PUT", "one".getBytes()).write(o);
         });
         fleet.bag(before).send(view.tail(), Messenger.Topic.CHAIN, write.done());
@@ -410,8 +410,8 @@
         fleet.run(5_000);
         View view = fleet.replica(asker).view();
         for (DaemonAddress member : view.chain()) {
-            fleet.network.cut(member, Fleet.imprint(asker));
-            fleet.network.cut(Fleet.imprint(asker), member);
+            fleet.network.cut(member, Fleet.daemonAddress(asker));
+            fleet.network.cut(Fleet.daemonAddress(asker), member);
         }
         Fleet.Reply reply = null;
         while (fleet.chainClient(asker).newestId().number() < earlier.number()) {
@@ -423,7 +423,7 @@
         MessagePackCodec.Writer late = MessagePackCodec.write().num(VERDICT);
         earlier.write(late);
         int tail = indexOf(view.tail()) == asker ? (asker + 1) % 4 : indexOf(view.tail());
-        fleet.bag(tail).send(Fleet.imprint(asker), Messenger.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
+        fleet.bag(tail).send(Fleet.daemonAddress(asker), Messenger.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
         fleet.run(2);
         return reply.verdict;
     }
--- a/control/src/test/java/org/umbermount/control/RecoveryTest.java
+++ b/control/src/test/java/org/umbermount/control/RecoveryTest.java
@@ -74,7 +74,7 @@
         Replica proposer = fleet.replica(3);
         long view = proposer.view().number();
         for (int i = 0; i < 4; i++) {
-            proposer.sendPrepare(Fleet.imprint(i), view + 1, new Ballot(9, Fleet.imprint(3)));
+            proposer.sendPrepare(Fleet.daemonAddress(i), view + 1, new Ballot(9, Fleet.daemonAddress(3)));
         }
         fleet.run(20);
         for (int i = 0; i < 4; i++) {
--- a/control/src/test/java/org/umbermount/control/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -128,10 +128,10 @@
         Fleet fleet = new Fleet(4, 3, 23);
         fleet.run(6_000);
         boolean[] granted = new boolean[1];
-        var stranger = fleet.network.bag(Fleet.imprint(9));
+        var stranger = fleet.network.bag(Fleet.daemonAddress(9));
         stranger.subscribe(Messenger.Topic.LEASE, (from, body) -> granted[0] |= MessagePackCodec.read(body).num() == 1);
         long view = any(fleet).view().number();
-        stranger.send(Fleet.imprint(1), Messenger.Topic.LEASE, MessagePackCodec.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        stranger.send(Fleet.daemonAddress(1), Messenger.Topic.LEASE, MessagePackCodec.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
         fleet.run(100);
         return granted[0];
     }
@@ -148,7 +148,7 @@
         Fleet fleet = new Fleet(4, 3, 24);
         fleet.run(6_000);
         take(fleet, 0, 1, "at the start");
-        fleet.network.cutBoth(Fleet.imprint(2), Fleet.imprint(3));
+        fleet.network.cutBoth(Fleet.daemonAddress(2), Fleet.daemonAddress(3));
         fleet.run(3_000);
         long view = any(fleet).view().number();
         assertEquals(3, any(fleet).view().chain().size());
--- a/control/src/test/java/org/umbermount/control/ServerRegistryTest.java
+++ b/control/src/test/java/org/umbermount/control/ServerRegistryTest.java
@@ -11,18 +11,18 @@
 class ServerRegistryTest {
     private static RegisteredServer beat(Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
         return new RegisteredServer(new InstanceId(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
-                Fleet.imprint(at));
+                Fleet.daemonAddress(at));
     }
 
     private static boolean send(Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
         boolean[] told = new boolean[1];
-        fleet.running.get(at).census.beat(beat(fleet, at, id, standing, sequence), () -> told[0] = true);
+        fleet.running.get(at).serverRegistry.beat(beat(fleet, at, id, standing, sequence), () -> told[0] = true);
         fleet.run(50);
         return told[0];
     }
 
     private static RegisteredServer.Standing standing(Fleet fleet, int at, String id) {
-        for (RegisteredServer e : fleet.running.get(at).census.entries()) {
+        for (RegisteredServer e : fleet.running.get(at).serverRegistry.entries()) {
             if (e.id().value().equals(id)) {
                 return e.standing();
             }
@@ -52,7 +52,7 @@
     void newsThatNobodyElseHearsIsNotAcknowledged() throws IOException {
         Fleet fleet = settled();
         for (int i = 1; i < 4; i++) {
-            fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(i));
+            fleet.network.cutBoth(Fleet.daemonAddress(0), Fleet.daemonAddress(i));
         }
         assertFalse(send(fleet, 0, "a", RegisteredServer.Standing.DRAINING, 1));
     }
@@ -61,7 +61,7 @@
     void signOffIsFinal() throws IOException {
         Fleet fleet = settled();
         send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
-        fleet.running.get(1).census.signOff(new InstanceId("a"), () -> { });
+        fleet.running.get(1).serverRegistry.signOff(new InstanceId("a"), () -> { });
         fleet.run(50);
         send(fleet, 2, "a", RegisteredServer.Standing.IN_SERVICE, 9);
         assertEquals(RegisteredServer.Standing.SIGNED_OFF, standing(fleet, 3, "a"));
@@ -84,7 +84,7 @@
         Fleet fleet = settled();
         send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
         for (int i = 1; i < 4; i++) {
-            fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(i));
+            fleet.network.cutBoth(Fleet.daemonAddress(0), Fleet.daemonAddress(i));
         }
         fleet.run(8_000);
         assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 0, "a"));
@@ -106,14 +106,14 @@
         Fleet fleet = settled();
         fleet.kill(3, true);
         for (int i = 0; i < 300; i++) {
-            fleet.running.get(0).census.beat(beat(fleet, 0, "s" + i, RegisteredServer.Standing.IN_SERVICE, 1), () -> { });
+            fleet.running.get(0).serverRegistry.beat(beat(fleet, 0, "s" + i, RegisteredServer.Standing.IN_SERVICE, 1), () -> { });
         }
         fleet.disks.get(3).raw("census", new byte[0]);
         fleet.start(3, false);
         fleet.run(1_500);
-        assertEquals(300, fleet.running.get(3).census.entries().size());
-        assertTrue(fleet.running.get(3).census.ready());
-        assertEquals(fleet.running.get(0).census.digest(), fleet.running.get(3).census.digest());
+        assertEquals(300, fleet.running.get(3).serverRegistry.entries().size());
+        assertTrue(fleet.running.get(3).serverRegistry.ready());
+        assertEquals(fleet.running.get(0).serverRegistry.digest(), fleet.running.get(3).serverRegistry.digest());
     }
 
     @Test
@@ -129,7 +129,7 @@
         }
         fleet.run(10);
         assertEquals(RegisteredServer.Standing.IN_SERVICE, standing(fleet, 2, "a"));
-        assertTrue(fleet.running.get(2).census.ready());
+        assertTrue(fleet.running.get(2).serverRegistry.ready());
         fleet.run(15_000);
         assertEquals(RegisteredServer.Standing.MISSED, standing(fleet, 2, "a"));
     }
--- a/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
+++ b/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
@@ -125,7 +125,7 @@
                 int kind = random.nextInt(6);
                 if (kind < 2) {
                     for (int o = 0; o < size; o++) {
-                        fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(victim));
+                        fleet.network.cutBoth(Fleet.daemonAddress(o), Fleet.daemonAddress(victim));
                     }
                     cut.add(victim);
                 } else if (kind == 2) {
--- a/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
@@ -18,6 +18,6 @@
     }
 
     /** A proxy as the controllers know it. */
-    record Proxy(DaemonAddress imprint, String zone, long life) {
+    record Proxy(DaemonAddress daemonAddress, String zone, long life) {
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -21,8 +21,8 @@
     private static final int HELD_STATES = 64;
 
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final long life;
     private final TreeMap<Long, RoutingTable> held = new TreeMap<>();
     private final List<Consumer<RoutingTable>> observers = new ArrayList<>();
@@ -33,13 +33,13 @@
     private long keepMs = -1;
     private MonotonicTime goodUntil = MonotonicTime.NEVER;
 
-    StateReceiver(Clock clock, Messenger post, Metrics tally, long life) {
+    StateReceiver(Clock clock, Messenger messenger, Metrics metrics, long life) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.life = life;
         held.put(0L, RoutingTable.EMPTY);
-        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Instruction.unpack(body)));
+        messenger.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Instruction.unpack(body)));
     }
 
     /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
@@ -97,7 +97,7 @@
     private void receive(DaemonAddress from, Instruction d) {
         if (d.life() != 0 && d.life() != life) {
             // Meant for an earlier life of this daemon. The answer tells the sender of this one.
-            tally.count("distribution.earlier.life");
+            metrics.count("distribution.earlier.life");
             acknowledge(from, d, 0);
             return;
         }
@@ -109,7 +109,7 @@
             return;
         }
         if (d.epoch() < epoch && Safeguard.FENCED_BY_EPOCH.holds()) {
-            tally.count("distribution.stale.epoch");
+            metrics.count("distribution.stale.epoch");
             acknowledge(from, d, 0);
             return;
         }
@@ -125,11 +125,11 @@
             // State 0 is the empty table and is always known, whatever has been trimmed.
             RoutingTable base = d.oldNum() == 0 ? RoutingTable.EMPTY : held.get(d.oldNum());
             if (base == null) {
-                tally.count("distribution.unknown.base");
+                metrics.count("distribution.unknown.base");
             } else {
                 RoutingTable table = base.with(d.difference());
                 if (inForce.edition().isAfter(table.edition()) && Safeguard.NO_WAY_BACK.holds()) {
-                    tally.count("distribution.older.edition");
+                    metrics.count("distribution.older.edition");
                     return;
                 }
                 boolean newest = d.newNum() > held.lastKey();
@@ -162,14 +162,14 @@
         if (!before.equals(table.edition())) {
             LOG.info("Edition {} is in force, from {}.", table.edition(), from);
         }
-        tally.count("distribution.tables");
+        metrics.count("distribution.tables");
         for (Consumer<RoutingTable> o : observers) {
             o.accept(table);
         }
     }
 
     private void acknowledge(DaemonAddress to, Instruction d, long num) {
-        post.send(to, Messenger.Topic.DISPATCH, new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(),
+        messenger.send(to, Messenger.Topic.DISPATCH, new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(),
                 d.stamp(), null).pack());
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/StateSender.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateSender.java
@@ -38,8 +38,8 @@
     private final DaemonAddress proxy;
     private final long epoch;
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
     private long life;
@@ -56,13 +56,13 @@
     private long renewMs = HEARTBEAT_MS;
     private BooleanSupplier leased = () -> true;
 
-    StateSender(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger post, Metrics tally) {
+    StateSender(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger messenger, Metrics metrics) {
         this.proxy = proxy;
         this.life = life;
         this.epoch = epoch;
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.lastHeard = clock.now();
         sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
     }
@@ -227,19 +227,19 @@
         emit(new Instruction(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
                 to.table.since(from.table), vouched(now), vouchAge(now)), now);
         unanswered++;
-        tally.count("distribution.sent");
+        metrics.count("distribution.sent");
     }
 
     private void sendEmpty(MonotonicTime now) {
         long num = newest().num;
         emit(new Instruction(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
                 vouched(now), vouchAge(now)), now);
-        tally.count("distribution.heartbeats");
+        metrics.count("distribution.heartbeats");
     }
 
     private void emit(Instruction dispatch, MonotonicTime now) {
         lastSend = now;
-        post.send(proxy, Messenger.Topic.DISPATCH, dispatch.pack());
+        messenger.send(proxy, Messenger.Topic.DISPATCH, dispatch.pack());
     }
 
     private long vouched(MonotonicTime now) {
@@ -283,7 +283,7 @@
         MonotonicTime now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
-            tally.count("distribution.earlier.epoch");
+            metrics.count("distribution.earlier.epoch");
             met(ack.life());
             return;
         }
@@ -310,7 +310,7 @@
             sent.removeIf(s -> s.num < ack.ackNum());
         } else if (ack.ackNum() > topNum) {
             // The proxy holds numbers of an earlier sender under this epoch: go on above them, from nothing.
-            tally.count("distribution.numbers.met");
+            metrics.count("distribution.numbers.met");
             topNum = ack.ackNum();
             sent.clear();
             sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
--- a/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
@@ -26,9 +26,9 @@
     private static final long VOUCH_LOW_MS = 2_600;
     private static final long SILENCE_MS = StateSender.HEARTBEAT_MS + 700;
 
-    private PluginHost institution;
-    private PeerSampling gazetteer;
-    private StateReceiver consignee;
+    private PluginHost pluginHost;
+    private PeerSampling peerSampling;
+    private StateReceiver stateReceiver;
     private MonotonicTime lastTold = MonotonicTime.NEVER;
     private MonotonicTime lastToldHere = MonotonicTime.NEVER;
     private int tries;
@@ -52,21 +52,21 @@
 
     @Override
     public void open(PluginHost host) {
-        institution = host;
-        gazetteer = host.find(PeerSampling.class);
+        pluginHost = host;
+        peerSampling = host.find(PeerSampling.class);
         Clock clock = host.clock();
-        consignee = new StateReceiver(clock, host.find(Messenger.class), host.tally(), clock.wallMillis());
-        host.offer(StateReceiver.class, consignee);
+        stateReceiver = new StateReceiver(clock, host.find(Messenger.class), host.metrics(), clock.wallMillis());
+        host.offer(StateReceiver.class, stateReceiver);
         Settings.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
         if (strict) {
-            consignee.countFor(sharing.revokeMs() - VOUCH_MARGIN_MS);
-            host.tally().gauge("distribution.table.good.ms", () -> Math.max(0, consignee.goodForMs()));
+            stateReceiver.countFor(sharing.revokeMs() - VOUCH_MARGIN_MS);
+            host.metrics().gauge("distribution.table.good.ms", () -> Math.max(0, stateReceiver.goodForMs()));
         }
-        host.tally().gauge("distribution.epoch", consignee::epoch);
-        host.tally().gauge("distribution.edition", () -> consignee.inForce().edition().value());
-        host.tally().gauge("distribution.silence.ms", () -> clock.now().since(consignee.lastHeard()));
-        consignee.observe(this::learn);
+        host.metrics().gauge("distribution.epoch", stateReceiver::epoch);
+        host.metrics().gauge("distribution.edition", () -> stateReceiver.inForce().edition().value());
+        host.metrics().gauge("distribution.silence.ms", () -> clock.now().since(stateReceiver.lastHeard()));
+        stateReceiver.observe(this::learn);
         clock.execute(this::tell);
         clock.every(LOOP_MS, this::reconcile);
         clock.after(EAGER_MS, this::hurry);
@@ -74,16 +74,16 @@
 
     /** Without a table nothing can be served: asks again and again. */
     private void hurry() {
-        if (consignee.inForce().isEmpty()) {
+        if (stateReceiver.inForce().isEmpty()) {
             tell();
-            institution.clock().after(EAGER_MS, this::hurry);
+            pluginHost.clock().after(EAGER_MS, this::hurry);
         }
     }
 
     private void reconcile() {
-        MonotonicTime now = institution.clock().now();
-        boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
-        if (strict && !consignee.inForce().isEmpty() && consignee.goodForMs() < VOUCH_LOW_MS) {
+        MonotonicTime now = pluginHost.clock().now();
+        boolean lost = now.since(stateReceiver.lastHeard()) > SILENCE_MS && now.since(lastTold) > LOST_MS;
+        if (strict && !stateReceiver.inForce().isEmpty() && stateReceiver.goodForMs() < VOUCH_LOW_MS) {
             askVoucher(now);
         }
         if (lost || now.since(lastTold) > TELL_MS) {
@@ -99,18 +99,18 @@
      */
     private void tellHere(MonotonicTime now) {
         lastToldHere = now;
-        String zone = institution.rules().zone();
-        byte[] body = new ProxyAnnouncer(consignee.life(), zone, consignee.inForce().isEmpty(), false,
-                consignee.inForce().edition().value(), now.millis()).pack();
-        DaemonAddress sender = consignee.sender();
-        for (MemberDescriptor p : gazetteer.known(Role.CONTROLLER, zone)) {
+        String zone = pluginHost.rules().zone();
+        byte[] body = new ProxyAnnouncer(stateReceiver.life(), zone, stateReceiver.inForce().isEmpty(), false,
+                stateReceiver.inForce().edition().value(), now.millis()).pack();
+        DaemonAddress sender = stateReceiver.sender();
+        for (MemberDescriptor p : peerSampling.known(Role.CONTROLLER, zone)) {
             if (p.zone().equals(zone)) {
-                institution.find(Messenger.class).send(p.imprint(), Messenger.Topic.SIGNPOST, body);
-                sender = p.imprint().equals(sender) ? null : sender;
+                pluginHost.find(Messenger.class).send(p.daemonAddress(), Messenger.Topic.SIGNPOST, body);
+                sender = p.daemonAddress().equals(sender) ? null : sender;
             }
         }
         if (sender != null) {
-            institution.find(Messenger.class).send(sender, Messenger.Topic.SIGNPOST, body);
+            pluginHost.find(Messenger.class).send(sender, Messenger.Topic.SIGNPOST, body);
         }
     }
 
@@ -124,46 +124,46 @@
                 }
             }
         } catch (MessagePackCodec.UnreadableException e) {
-            institution.tally().count("distribution.controllers.unreadable");
+            pluginHost.metrics().count("distribution.controllers.unreadable");
             return;
         }
-        gazetteer.lasting(named);
-        if (consignee.epoch() == 0) {
-            tellHere(institution.clock().now());
-            if (strict && consignee.goodForMs() <= 0) {
-                askVoucher(institution.clock().now());
+        peerSampling.lasting(named);
+        if (stateReceiver.epoch() == 0) {
+            tellHere(pluginHost.clock().now());
+            if (strict && stateReceiver.goodForMs() <= 0) {
+                askVoucher(pluginHost.clock().now());
             }
         }
     }
 
     /** The sender is late with its word on how fresh the table is: any controller may give it. */
     private void askVoucher(MonotonicTime now) {
-        List<MemberDescriptor> known = gazetteer.known(Role.CONTROLLER, institution.rules().zone());
-        byte[] body = new ProxyAnnouncer(consignee.life(), institution.rules().zone(), false, true,
-                consignee.inForce().edition().value(), now.millis()).pack();
+        List<MemberDescriptor> known = peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone());
+        byte[] body = new ProxyAnnouncer(stateReceiver.life(), pluginHost.rules().zone(), false, true,
+                stateReceiver.inForce().edition().value(), now.millis()).pack();
         for (int i = 0; i < Math.min(2, known.size()); i++) {
-            institution.find(Messenger.class).send(known.get(voucherTurn++ % known.size()).imprint(),
+            pluginHost.find(Messenger.class).send(known.get(voucherTurn++ % known.size()).daemonAddress(),
                     Messenger.Topic.SIGNPOST, body);
         }
     }
 
     /** Tells controllers of this proxy: all of them now and then, those of the zone first when in need. */
     private void tell() {
-        MonotonicTime now = institution.clock().now();
-        boolean empty = consignee.inForce().isEmpty();
-        boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
-        byte[] body = new ProxyAnnouncer(consignee.life(), institution.rules().zone(), empty, lost && strict,
-                consignee.inForce().edition().value(), now.millis()).pack();
-        List<DaemonAddress> targets = gazetteer.known(Role.CONTROLLER, institution.rules().zone()).stream()
-                .map(MemberDescriptor::imprint).toList();
+        MonotonicTime now = pluginHost.clock().now();
+        boolean empty = stateReceiver.inForce().isEmpty();
+        boolean lost = now.since(stateReceiver.lastHeard()) > SILENCE_MS;
+        byte[] body = new ProxyAnnouncer(stateReceiver.life(), pluginHost.rules().zone(), empty, lost && strict,
+                stateReceiver.inForce().edition().value(), now.millis()).pack();
+        List<DaemonAddress> targets = peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone()).stream()
+                .map(MemberDescriptor::daemonAddress).toList();
         if (targets.isEmpty()) {
-            targets = gazetteer.seeds();
+            targets = peerSampling.seeds();
         }
         boolean everyone = !empty || tries++ % 2 == 1;
         int n = 0;
         for (DaemonAddress target : targets) {
             if (everyone || n++ < 1) {
-                institution.find(Messenger.class).send(target, Messenger.Topic.SIGNPOST, body);
+                pluginHost.find(Messenger.class).send(target, Messenger.Topic.SIGNPOST, body);
             }
         }
         lastTold = now;
--- a/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -50,13 +50,13 @@
     private static final long VOUCH_MS = 5_000;
 
     private final Map<DaemonAddress, Known> proxies = new TreeMap<>();
-    private final Map<DaemonAddress, StateSender> consignors = new HashMap<>();
+    private final Map<DaemonAddress, StateSender> stateSenders = new HashMap<>();
     private final Map<DaemonAddress, Long> askers = new HashMap<>();
-    private PluginHost institution;
+    private PluginHost pluginHost;
     private Clock clock;
-    private Messenger post;
+    private Messenger messenger;
     private Replica replica;
-    private ServerRegistry census;
+    private ServerRegistry serverRegistry;
     private LeaseManager leases;
     private FailureDetector detector;
     private MajorityContact contact;
@@ -117,26 +117,26 @@
 
     @Override
     public void open(PluginHost host) {
-        institution = host;
+        pluginHost = host;
         clock = host.clock();
-        post = host.find(Messenger.class);
+        messenger = host.find(Messenger.class);
         replica = host.find(Replica.class);
-        census = host.find(ServerRegistry.class);
+        serverRegistry = host.find(ServerRegistry.class);
         leases = host.find(LeaseManager.class);
         detector = host.find(FailureDetector.class);
         contact = host.find(MajorityContact.class);
         chainClient = host.find(ChainClient.class);
         strict = host.rules().bounds().sharing().strictRevocation();
-        post.subscribe(Messenger.Topic.SIGNPOST, (from, body) -> met(from, ProxyAnnouncer.unpack(body)));
-        post.subscribe(Messenger.Topic.INTRODUCTION, (from, body) -> introduced(body));
-        post.subscribe(Messenger.Topic.DISPATCH, (from, body) -> acknowledged(from, Instruction.unpack(body)));
+        messenger.subscribe(Messenger.Topic.SIGNPOST, (from, body) -> met(from, ProxyAnnouncer.unpack(body)));
+        messenger.subscribe(Messenger.Topic.INTRODUCTION, (from, body) -> introduced(body));
+        messenger.subscribe(Messenger.Topic.DISPATCH, (from, body) -> acknowledged(from, Instruction.unpack(body)));
         host.find(PeerSampling.class).observe(this::noticed);
         replica.onCommit(c -> {
             changed();
             beginOnceAssured();
         });
         detector.observe(p -> beginOnceAssured());
-        census.observe(this::changed);
+        serverRegistry.observe(this::changed);
         leases.observe(new LeaseManager.Observer() {
             @Override
             public void began(String zone, long epoch) {
@@ -163,8 +163,8 @@
             chainClient.onAttested(this::vouchWaiting);
         }
         host.find(StatusPage.class).addSection(this::show);
-        host.tally().gauge("distribution.proxies.known", proxies::size);
-        host.tally().gauge("distribution.proxies.served", consignors::size);
+        host.metrics().gauge("distribution.proxies.known", proxies::size);
+        host.metrics().gauge("distribution.proxies.served", stateSenders::size);
         clock.every(LOOP_MS, this::reconcile);
     }
 
@@ -175,7 +175,7 @@
                 .put("vouchedMsAgo", vouching.at() == null ? -1 : clock.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
-            StateSender c = consignors.get(e.getKey());
+            StateSender c = stateSenders.get(e.getKey());
             ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
                     .put("heardMsAgo", clock.now().since(e.getValue().heard)).put("servedHere", c != null);
             if (c != null) {
@@ -194,9 +194,9 @@
                 there.add(e);
             }
         }
-        if (holder != null && !holder.equals(post.self()) && !there.isEmpty()) {
-            post.send(holder, Messenger.Topic.INTRODUCTION, MessagePackCodec.write().text(zone)
-                    .list(there, (o, e) -> o.imprint(e.getKey()).num(e.getValue().life)).done());
+        if (holder != null && !holder.equals(messenger.self()) && !there.isEmpty()) {
+            messenger.send(holder, Messenger.Topic.INTRODUCTION, MessagePackCodec.write().text(zone)
+                    .list(there, (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue().life)).done());
         }
     }
 
@@ -204,8 +204,8 @@
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         String zone = in.text();
         boolean any = false;
-        for (ProxyAnnouncer.Proxy p : in.list(one -> new ProxyAnnouncer.Proxy(one.imprint(), zone, one.num()))) {
-            any |= proxies.putIfAbsent(p.imprint(), new Known(zone, p.life(), clock.now())) == null;
+        for (ProxyAnnouncer.Proxy p : in.list(one -> new ProxyAnnouncer.Proxy(one.daemonAddress(), zone, one.num()))) {
+            any |= proxies.putIfAbsent(p.daemonAddress(), new Known(zone, p.life(), clock.now())) == null;
         }
         if (any) {
             changed();
@@ -214,8 +214,8 @@
     }
 
     private void noticed(MemberDescriptor p) {
-        if (p.role() == Role.PROXY && p.age() == 0 && !proxies.containsKey(p.imprint())) {
-            proxies.put(p.imprint(), new Known(p.zone(), 0, clock.now()));
+        if (p.role() == Role.PROXY && p.age() == 0 && !proxies.containsKey(p.daemonAddress())) {
+            proxies.put(p.daemonAddress(), new Known(p.zone(), 0, clock.now()));
             reconcile();
         }
     }
@@ -223,13 +223,13 @@
     /** Keeps the word on the newest edition fresh while there is someone to pass it on to. */
     private void attest() {
         if (replica.standing() != Replica.Standing.RECOVERING
-                && (!consignors.isEmpty() || clock.now().isBefore(vouchedUntil))) {
+                && (!stateSenders.isEmpty() || clock.now().isBefore(vouchedUntil))) {
             chainClient.askNewest();
         }
     }
 
     /** Tells a proxy that is not served here, or late served, how fresh its table is. */
-    private void vouch(DaemonAddress to, ProxyAnnouncer s, StateSender consignor) {
+    private void vouch(DaemonAddress to, ProxyAnnouncer s, StateSender stateSender) {
         MonotonicTime now = clock.now();
         vouchedUntil = now.plus(VOUCH_MS);
         if (vouching.at() == null || now.since(vouching.at()) > 2 * ATTEST_MS) {
@@ -239,10 +239,10 @@
             waitingForVouch.put(to, s);
             return;
         }
-        if (consignor != null) {
-            consignor.renew();
+        if (stateSender != null) {
+            stateSender.renew();
         } else if (vouching.at() != null) {
-            post.send(to, Messenger.Topic.DISPATCH, new Instruction(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
+            messenger.send(to, Messenger.Topic.DISPATCH, new Instruction(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
                     vouching.edition().value(), now.since(vouching.at())).pack());
         }
     }
@@ -250,7 +250,7 @@
     private void vouchWaiting() {
         Map<DaemonAddress, ProxyAnnouncer> waiting = new HashMap<>(waitingForVouch);
         waitingForVouch.clear();
-        waiting.forEach((to, s) -> vouch(to, s, consignors.get(to)));
+        waiting.forEach((to, s) -> vouch(to, s, stateSenders.get(to)));
     }
 
     private void met(DaemonAddress from, ProxyAnnouncer s) {
@@ -267,17 +267,17 @@
         if (fresh) {
             reconcile();
         }
-        StateSender consignor = consignors.get(from);
-        if (consignor != null && consignor.life() != s.life()) {
-            consignor.restart(s.life());
+        StateSender stateSender = stateSenders.get(from);
+        if (stateSender != null && stateSender.life() != s.life()) {
+            stateSender.restart(s.life());
         }
-        if (consignor != null) {
-            consignor.stamped(s.life(), s.stamp(), known.heard);
+        if (stateSender != null) {
+            stateSender.stamped(s.life(), s.stamp(), known.heard);
         }
         if (strict && s.wantsVoucher()) {
-            vouch(from, s, consignor);
+            vouch(from, s, stateSender);
         }
-        if (s.empty() && consignor == null && askers.put(from, s.life()) == null && askers.size() == 1) {
+        if (s.empty() && stateSender == null && askers.put(from, s.life()) == null && askers.size() == 1) {
             serveAskers(ASKER_LOOKS);
         }
     }
@@ -287,9 +287,9 @@
         if (reliable()) {
             RoutingTable.Difference everything = table().since(RoutingTable.EMPTY);
             for (Map.Entry<DaemonAddress, Long> e : askers.entrySet()) {
-                post.send(e.getKey(), Messenger.Topic.DISPATCH,
+                messenger.send(e.getKey(), Messenger.Topic.DISPATCH,
                         baseline(e.getKey(), e.getValue(), everything).pack());
-                institution.tally().count("distribution.baselines");
+                pluginHost.metrics().count("distribution.baselines");
             }
             askers.clear();
         } else if (looksLeft > 0) {
@@ -319,12 +319,12 @@
      */
     private boolean reliable() {
         ConfigurationRevision edition = replica.committed().edition();
-        if (!census.ready() || !assured() || replica.newestEdition().isAfter(edition)
+        if (!serverRegistry.ready() || !assured() || replica.newestEdition().isAfter(edition)
                 || Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() && !contact.confirms(edition)) {
             return false;
         }
         for (FailureDetector.Peer p : detector.peers()) {
-            if (detector.connected(p.imprint()) && p.report().newestEdition() > edition.value()) {
+            if (detector.connected(p.daemonAddress()) && p.report().newestEdition() > edition.value()) {
                 return false;
             }
         }
@@ -355,8 +355,8 @@
             return;
         }
         known.heard = clock.now();
-        StateSender consignor = consignors.get(from);
-        if (consignor == null) {
+        StateSender stateSender = stateSenders.get(from);
+        if (stateSender == null) {
             return;
         }
         long epoch = leases.epoch(known.zone);
@@ -364,7 +364,7 @@
             leases.noteEpoch(known.zone, ack.epoch());
             return;
         }
-        consignor.acknowledged(ack);
+        stateSender.acknowledged(ack);
     }
 
     private void changed() {
@@ -375,18 +375,18 @@
     }
 
     private void offerAll() {
-        if (consignors.isEmpty() || !census.ready() || !assured()) {
+        if (stateSenders.isEmpty() || !serverRegistry.ready() || !assured()) {
             return;
         }
         RoutingTable now = table();
-        consignors.values().forEach(c -> c.offer(now));
+        stateSenders.values().forEach(c -> c.offer(now));
     }
 
     /** Wanted: a sender for each proxy of each zone whose duty is held here. */
     private void reconcile() {
         MonotonicTime now = clock.now();
         boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
-        Iterator<Map.Entry<DaemonAddress, StateSender>> it = consignors.entrySet().iterator();
+        Iterator<Map.Entry<DaemonAddress, StateSender>> it = stateSenders.entrySet().iterator();
         while (it.hasNext()) {
             Map.Entry<DaemonAddress, StateSender> e = it.next();
             Known known = proxies.get(e.getKey());
@@ -395,12 +395,12 @@
                 it.remove();
             }
         }
-        boolean ready = census.ready() && assured();
+        boolean ready = serverRegistry.ready() && assured();
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             long epoch = leases.epoch(e.getValue().zone);
-            if (epoch > 0 && ready && !consignors.containsKey(e.getKey())) {
-                StateSender c = new StateSender(e.getKey(), e.getValue().life, epoch, clock, post, institution.tally());
-                consignors.put(e.getKey(), c);
+            if (epoch > 0 && ready && !stateSenders.containsKey(e.getKey())) {
+                StateSender c = new StateSender(e.getKey(), e.getValue().life, epoch, clock, messenger, pluginHost.metrics());
+                stateSenders.put(e.getKey(), c);
                 if (strict) {
                     c.vouch(vouching, RENEW_MS);
                     if (e.getValue().life != 0) {
@@ -433,7 +433,7 @@
         }
         Map<String, byte[]> entries = new HashMap<>(packedConfiguration);
         Map<InstanceId, Packed> fresh = new HashMap<>();
-        for (RegisteredServer e : census.entries()) {
+        for (RegisteredServer e : serverRegistry.entries()) {
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
                 Packed now = old != null && old.entry.sameNews(e) && old.entry.warmMs() == e.warmMs()
@@ -443,21 +443,21 @@
             }
         }
         packedServers = fresh;
-        Settings rules = institution.rules();
+        Settings rules = pluginHost.rules();
         DaemonAddress head = replica.view().head();
         if (rules.guarantees(Settings.KEYS) && head != null) {
-            entries.put(RoutingTable.DUTY + "loans", MessagePackCodec.write().imprint(head).done());
+            entries.put(RoutingTable.DUTY + "loans", MessagePackCodec.write().daemonAddress(head).done());
         }
-        entries.put(RoutingTable.CONTROLLER + post.self(), Tables.packController(post.self(), rules.zone()));
+        entries.put(RoutingTable.CONTROLLER + messenger.self(), Tables.packController(messenger.self(), rules.zone()));
         for (FailureDetector.Peer p : detector.peers()) {
-            if (p.report() != null && detector.lostForMs(p.imprint()) < FORGET_MS) {
-                entries.put(RoutingTable.CONTROLLER + p.imprint(), Tables.packController(p.imprint(), p.report().zone()));
+            if (p.report() != null && detector.lostForMs(p.daemonAddress()) < FORGET_MS) {
+                entries.put(RoutingTable.CONTROLLER + p.daemonAddress(), Tables.packController(p.daemonAddress(), p.report().zone()));
             }
         }
         for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.<String>of()) {
             DaemonAddress holder = leases.holder(duty);
             if (holder != null) {
-                entries.put(RoutingTable.DUTY + duty, MessagePackCodec.write().imprint(holder).done());
+                entries.put(RoutingTable.DUTY + duty, MessagePackCodec.write().daemonAddress(holder).done());
             }
         }
         entries.put(RoutingTable.FLEET, MessagePackCodec.write().num(proxies.size()).done());
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -49,18 +49,18 @@
                 in.num() / 1_000.0);
     }
 
-    public static byte[] packController(DaemonAddress imprint, String zone) {
-        return MessagePackCodec.write().imprint(imprint).text(zone).done();
+    public static byte[] packController(DaemonAddress daemonAddress, String zone) {
+        return MessagePackCodec.write().daemonAddress(daemonAddress).text(zone).done();
     }
 
     /** A controller as a table names it. */
     public static MemberDescriptor readController(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
-        return new MemberDescriptor(in.imprint(), Role.CONTROLLER, in.text(), 0);
+        return new MemberDescriptor(in.daemonAddress(), Role.CONTROLLER, in.text(), 0);
     }
 
     public static DaemonAddress readHolder(byte[] packed) throws MessagePackCodec.UnreadableException {
-        return MessagePackCodec.read(packed).imprint();
+        return MessagePackCodec.read(packed).daemonAddress();
     }
 
     public static Configuration.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
@@ -81,14 +81,14 @@
     }
 
     public static byte[] packInstance(RegisteredServer e) {
-        return MessagePackCodec.write().text(e.id().value()).text(e.upstream()).imprint(DaemonAddress.parse(e.address()))
+        return MessagePackCodec.write().text(e.id().value()).text(e.upstream()).daemonAddress(DaemonAddress.parse(e.address()))
                 .text(e.zone()).num(e.capacity()).num(e.warmMs())
                 .flag(e.standing() == RegisteredServer.Standing.DRAINING).done();
     }
 
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
-        return new Instance(new InstanceId(in.text()), in.text(), in.imprint(), in.text(), (int) in.num(), in.num(),
+        return new Instance(new InstanceId(in.text()), in.text(), in.daemonAddress(), in.text(), (int) in.num(), in.num(),
                 in.flag());
     }
 
--- a/distribution/src/test/java/org/umbermount/distribution/Checks.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Checks.java
@@ -118,11 +118,11 @@
             Operators.Order missed = late != null && p.edition < late.edition ? late
                     : veryLate != null && p.edition < veryLate.edition ? veryLate : null;
             if (missed != null) {
-                room.broken(p.imprint + " still has " + p.edition + " when " + missed.edition + " was confirmed "
+                room.broken(p.daemonAddress + " still has " + p.edition + " when " + missed.edition + " was confirmed "
                         + (now - missed.takenAt) + " ms ago, core " + (settled ? "settled" : "not settled"));
             }
             if (settled && now - operators.firstAcknowledged() > APPLY_MS && p.edition == 0) {
-                room.broken(p.imprint + " has no table");
+                room.broken(p.daemonAddress + " has no table");
             }
         }
     }
--- a/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -57,15 +57,15 @@
         Site(boolean strict) throws IOException {
             this.strict = strict;
             for (int i = 0; i < SIZE; i++) {
-                PluginHost host = fleet.host(i, rules(Fleet.zone(i), Fleet.imprint(i)));
-                furnish(host, Fleet.imprint(i), Role.CONTROLLER, Fleet.zone(i), fleet.bag(i));
+                PluginHost host = fleet.host(i, rules(Fleet.zone(i), Fleet.daemonAddress(i)));
+                furnish(host, Fleet.daemonAddress(i), Role.CONTROLLER, Fleet.zone(i), fleet.bag(i));
                 new TableSenderPlugin().open(host);
             }
             for (int i = 0; i < SIZE; i++) {
                 proxies.add(proxy(i, 1, fleet.almanac));
             }
             fleet.network.tap = (from, to, topic, body) -> {
-                if (topic == Messenger.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.imprint(watched))) {
+                if (topic == Messenger.Topic.DISPATCH && watched >= 0 && from.equals(Fleet.daemonAddress(watched))) {
                     note(body);
                 }
                 return true;
@@ -93,7 +93,7 @@
             for (int z = 0; z < SIZE; z++) {
                 zones.put(Fleet.zone(z), "r");
                 if (z < 3) {
-                    seeds.add(Fleet.imprint(z).withPort(8000));
+                    seeds.add(Fleet.daemonAddress(z).withPort(8000));
                 }
             }
             return new Settings("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
@@ -103,7 +103,7 @@
 
         private static PeerSampling furnish(PluginHost host, DaemonAddress self, Role role, String zone, Messenger bag) {
             PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0),
-                    List.of(Fleet.imprint(0), Fleet.imprint(1), Fleet.imprint(2)), host.clock(), bag, new Metrics(),
+                    List.of(Fleet.daemonAddress(0), Fleet.daemonAddress(1), Fleet.daemonAddress(2)), host.clock(), bag, new Metrics(),
                     new Random(self.packed()));
             host.offer(Messenger.class, bag);
             host.offer(PeerSampling.class, g);
@@ -111,12 +111,12 @@
             return g;
         }
 
-        static DaemonAddress imprint(int zone, int k) {
+        static DaemonAddress daemonAddress(int zone, int k) {
             return DaemonAddress.parse("10." + (zone + 1) + ".1." + k + ":7001");
         }
 
         StateReceiver proxy(int zone, int k, Clock clock) {
-            DaemonAddress self = imprint(zone, k);
+            DaemonAddress self = daemonAddress(zone, k);
             PluginHost host = new PluginHost(Role.PROXY, rules(Fleet.zone(zone), self), clock);
             furnish(host, self, Role.PROXY, Fleet.zone(zone), fleet.network.bag(self));
             new TableReceiverPlugin().open(host);
@@ -173,7 +173,7 @@
         assertTrue(proxy.goodForMs() > 0, "not vouched for to begin with");
         for (int i = 0; i < SIZE; i++) {
             if (i != 1) {
-                site.fleet.network.cutBoth(Site.imprint(1, 1), Fleet.imprint(i));
+                site.fleet.network.cutBoth(Site.daemonAddress(1, 1), Fleet.daemonAddress(i));
             }
         }
         MonotonicTime cut = site.fleet.almanac.now();
@@ -230,7 +230,7 @@
             site.take(3, 1, 5);
             site.fleet.run(8_000);
             long until = site.fleet.almanac.now().millis() + 3_000;
-            site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(1))
+            site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.daemonAddress(1))
                     || topic != Messenger.Topic.VIEW || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
@@ -240,7 +240,7 @@
             // It reaches only the controller of its own zone: the others would have given it the newer one.
             for (int i = 0; i < SIZE; i++) {
                 if (i != 1) {
-                    site.fleet.network.cutBoth(Site.imprint(1, 2), Fleet.imprint(i));
+                    site.fleet.network.cutBoth(Site.daemonAddress(1, 2), Fleet.daemonAddress(i));
                 }
             }
             site.fleet.run(8_000);
--- a/distribution/src/test/java/org/umbermount/distribution/Machines.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Machines.java
@@ -49,15 +49,15 @@
         for (int i = 0; i < size; i++) {
             core.add(i);
             places.put(i, i);
-            room.wires.add(Fleet.imprint(i));
+            room.wires.add(Fleet.daemonAddress(i));
         }
         made = size;
         lists.put(Long.MIN_VALUE, List.copyOf(core));
         lastEvent = room.now();
     }
 
-    static boolean isMachine(DaemonAddress imprint) {
-        return imprint.port() == 7000;
+    static boolean isMachine(DaemonAddress daemonAddress) {
+        return daemonAddress.port() == 7000;
     }
 
     List<Integer> core() {
@@ -213,7 +213,7 @@
     private void cut(int place, long forMs, Predicate<DaemonAddress> others, Random random) {
         int i = core.get(place);
         Wires.Way way = Wires.Way.values()[random.nextInt(3)];
-        Wires.Cut cut = room.wires.cut(Fleet.imprint(i), way, others);
+        Wires.Cut cut = room.wires.cut(Fleet.daemonAddress(i), way, others);
         isolated.add(i);
         event(i, "is cut off, " + way + ", for " + forMs);
         room.later(forMs, () -> {
@@ -275,7 +275,7 @@
                 List<DaemonAddress> some = new ArrayList<>();
                 for (int o : core) {
                     if (random.nextBoolean()) {
-                        some.add(Fleet.imprint(o));
+                        some.add(Fleet.daemonAddress(o));
                     }
                 }
                 room.note("only from " + some);
@@ -385,7 +385,7 @@
     private int arrive(int place) {
         int fresh = made++;
         places.put(fresh, place);
-        room.wires.add(Fleet.imprint(fresh));
+        room.wires.add(Fleet.daemonAddress(fresh));
         List<Integer> named = room.start(fresh);
         event(fresh, "comes, empty, for controller " + core.get(place) + ", and is told of " + named);
         return fresh;
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -13,18 +13,18 @@
 
     /** One proxy and what it has had in force. */
     static final class Proxy {
-        final DaemonAddress imprint;
+        final DaemonAddress daemonAddress;
         final String zone;
         MortalClock clock;
-        StateReceiver consignee;
+        StateReceiver stateReceiver;
         long edition;
         boolean up;
         boolean frozen;
         long lastEvent = NEVER;
         boolean cut;
 
-        Proxy(DaemonAddress imprint, String zone) {
-            this.imprint = imprint;
+        Proxy(DaemonAddress daemonAddress, String zone) {
+            this.daemonAddress = daemonAddress;
             this.zone = zone;
         }
 
@@ -40,8 +40,8 @@
         this.room = room;
     }
 
-    void add(DaemonAddress imprint, String zone) {
-        Proxy p = new Proxy(imprint, zone);
+    void add(DaemonAddress daemonAddress, String zone) {
+        Proxy p = new Proxy(daemonAddress, zone);
         all.add(p);
         open(p);
     }
@@ -52,10 +52,10 @@
 
     private void open(Proxy p) {
         p.clock = new MortalClock(room.fleet.almanac);
-        p.consignee = room.openProxy(p.imprint, p.zone, p.clock);
+        p.stateReceiver = room.openProxy(p.daemonAddress, p.zone, p.clock);
         p.edition = 0;
         p.up = true;
-        p.consignee.observe(t -> inForce(p, t));
+        p.stateReceiver.observe(t -> inForce(p, t));
     }
 
     private void inForce(Proxy p, RoutingTable table) {
@@ -64,7 +64,7 @@
             try {
                 MessagePackCodec.ClientConnection in = MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
                 in.num();
-                room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.imprint + " has it in force");
+                room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.daemonAddress + " has it in force");
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new IllegalStateException(e);
             }
@@ -74,7 +74,7 @@
 
     void inForce(Proxy p, long edition) {
         if (edition < p.edition) {
-            room.broken(p.imprint + " went back from edition " + p.edition + " to " + edition);
+            room.broken(p.daemonAddress + " went back from edition " + p.edition + " to " + edition);
         }
         p.edition = edition;
     }
@@ -91,25 +91,25 @@
     private void freeze(Proxy p) {
         p.frozen = true;
         p.clock.freeze();
-        room.fleet.network.freeze(p.imprint);
+        room.fleet.network.freeze(p.daemonAddress);
     }
 
     private void thaw(Proxy p) {
         p.frozen = false;
-        room.fleet.network.thaw(p.imprint);
+        room.fleet.network.thaw(p.daemonAddress);
         p.clock.thaw();
     }
 
     void kill(Proxy p, long forMs) {
         p.up = false;
         p.clock.die();
-        room.fleet.network.down(p.imprint);
+        room.fleet.network.down(p.daemonAddress);
         p.lastEvent = room.now();
-        room.note(p.imprint + " is killed for " + forMs);
+        room.note(p.daemonAddress + " is killed for " + forMs);
         room.later(forMs, () -> {
             open(p);
             p.lastEvent = room.now();
-            room.note(p.imprint + " starts");
+            room.note(p.daemonAddress + " starts");
         });
     }
 
@@ -124,21 +124,21 @@
             case 0 -> kill(p, forMs);
             case 1 -> {
                 freeze(p);
-                room.note(p.imprint + " freezes for " + forMs);
+                room.note(p.daemonAddress + " freezes for " + forMs);
                 room.later(forMs, () -> {
                     p.lastEvent = room.now();
                     thaw(p);
-                    room.note(p.imprint + " thaws");
+                    room.note(p.daemonAddress + " thaws");
                 });
             }
             default -> {
                 p.cut = true;
-                room.note(p.imprint + " is cut off for " + forMs);
-                Wires.Cut cut = room.wires.cut(p.imprint, Wires.Way.BOTH, Machines::isMachine);
+                room.note(p.daemonAddress + " is cut off for " + forMs);
+                Wires.Cut cut = room.wires.cut(p.daemonAddress, Wires.Way.BOTH, Machines::isMachine);
                 room.later(forMs, () -> {
                     p.cut = false;
                     p.lastEvent = room.now();
-                    room.note(p.imprint + " is joined");
+                    room.note(p.daemonAddress + " is joined");
                     room.wires.join(cut);
                 });
             }
--- a/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -158,7 +158,7 @@
                 new Settings.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
     }
 
-    private PeerSampling gazetteer(PluginHost host, DaemonAddress self, Role role, String zone, List<DaemonAddress> seeds, FakeMessenger.Bag bag) {
+    private PeerSampling peerSampling(PluginHost host, DaemonAddress self, Role role, String zone, List<DaemonAddress> seeds, FakeMessenger.Bag bag) {
         PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0), seeds, host.clock(), bag, new Metrics(),
                 new Random(random.nextLong()));
         host.offer(Messenger.class, bag);
@@ -168,17 +168,17 @@
     }
 
     private static List<DaemonAddress> imprints(List<Integer> machines) {
-        return machines.stream().map(Fleet::imprint).toList();
+        return machines.stream().map(Fleet::daemonAddress).toList();
     }
 
     /** Gives a controller that has started its sending side. */
     private void furnish(int i, List<Integer> seeds) {
-        DaemonAddress self = Fleet.imprint(i);
+        DaemonAddress self = Fleet.daemonAddress(i);
         PluginHost host = fleet.host(i, rules(machines.zone(i), self, imprints(seeds)));
-        PeerSampling g = gazetteer(host, self, Role.CONTROLLER, machines.zone(i), imprints(seeds), fleet.bag(i));
+        PeerSampling g = peerSampling(host, self, Role.CONTROLLER, machines.zone(i), imprints(seeds), fleet.bag(i));
         g.observe(p -> {
             if (p.role() == Role.CONTROLLER) {
-                host.find(FailureDetector.class).enlist(p.imprint());
+                host.find(FailureDetector.class).enlist(p.daemonAddress());
             }
         });
         new TableSenderPlugin().open(host);
@@ -201,7 +201,7 @@
         List<DaemonAddress> seeds = imprints(machines.seeds(random));
         FakeMessenger.Bag bag = fleet.network.bag(self);
         PluginHost host = new PluginHost(Role.PROXY, rules(zone, self, seeds), clock);
-        gazetteer(host, self, Role.PROXY, zone, seeds, bag);
+        peerSampling(host, self, Role.PROXY, zone, seeds, bag);
         new TableReceiverPlugin().open(host);
         return host.find(StateReceiver.class);
     }
@@ -320,7 +320,7 @@
         run(2_000);
         for (Proxies.Proxy p : proxies.all()) {
             if (p.edition < operators.acknowledged()) {
-                broken(p.imprint + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
+                broken(p.daemonAddress + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
             }
         }
     }
@@ -349,7 +349,7 @@
     /** A proxy that nobody reaches any more. */
     void forget() {
         for (int i = 0; i < machines.size(); i++) {
-            fleet.network.cutBoth(proxies.all().get(0).imprint, Fleet.imprint(i));
+            fleet.network.cutBoth(proxies.all().get(0).daemonAddress, Fleet.daemonAddress(i));
         }
     }
 
@@ -357,7 +357,7 @@
     void muteAll() {
         for (int i = 0; i < machines.size(); i++) {
             for (int o = 0; o < machines.size(); o++) {
-                fleet.network.cut(Fleet.imprint(i), Fleet.imprint(o));
+                fleet.network.cut(Fleet.daemonAddress(i), Fleet.daemonAddress(o));
             }
         }
     }
--- a/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
@@ -25,12 +25,12 @@
     private static final DaemonAddress PROXY = DaemonAddress.parse("10.0.0.3:7001");
     private final FakeClock clock = new FakeClock();
     private final FakeMessenger network = new FakeMessenger(clock, 5);
-    private final Metrics tally = new Metrics();
+    private final Metrics metrics = new Metrics();
     private final List<Long> inForce = new ArrayList<>();
-    private StateReceiver consignee;
+    private StateReceiver stateReceiver;
 
     private StateReceiver proxy(long life) {
-        StateReceiver c = new StateReceiver(clock, network.bag(PROXY), tally, life);
+        StateReceiver c = new StateReceiver(clock, network.bag(PROXY), metrics, life);
         c.observe(t -> inForce.add(t.edition().value()));
         return c;
     }
@@ -59,7 +59,7 @@
                 bag.subscribe(topic, listener);
             }
         };
-        c[0] = new StateSender(PROXY, 0, epoch, clock, watched, tally);
+        c[0] = new StateSender(PROXY, 0, epoch, clock, watched, metrics);
         bag.subscribe(Messenger.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Instruction.unpack(body)));
         return c[0];
     }
@@ -83,7 +83,7 @@
 
     @Test
     void changesTravelAsSmallDifferencesAndAreTrimmed() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         List<Instruction> seen = new ArrayList<>();
         StateSender c = sender(SENDER, 1, seen);
         c.offer(wide(1, 100));
@@ -95,13 +95,13 @@
         assertEquals(2, second.difference().come().size());
         assertEquals(seen.get(0).newNum(), second.oldNum());
         assertEquals(seen.get(0).newNum(), second.throwawayNum());
-        assertTrue(consignee.inForce().sameAs(wide(2, 101)));
+        assertTrue(stateReceiver.inForce().sameAs(wide(2, 101)));
         assertEquals(second.newNum(), c.knownNum());
     }
 
     @Test
     void quietSenderBeatsWithEmptyInstructions() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         List<Instruction> seen = new ArrayList<>();
         sender(SENDER, 1, seen).offer(wide(1, 3));
         clock.advance(500);
@@ -113,7 +113,7 @@
 
     @Test
     void afterALossTheDifferenceStartsFromTheKnownState() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         List<Instruction> seen = new ArrayList<>();
         StateSender c = sender(SENDER, 1, seen);
         c.offer(table(1, 1));
@@ -132,25 +132,25 @@
         assertEquals(2, again.difference().come().size());
         network.healAll();
         clock.advance(1_500);
-        assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
+        assertTrue(stateReceiver.inForce().sameAs(table(1, 1, 2, 3)));
     }
 
     /** The first timeout was 600 ms once, and a proxy waited that long for its first table. */
     @Test
     void firstInstructionThatIsLostCostsLittle() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         network.cut(SENDER, PROXY);
         sender(SENDER, 1, new ArrayList<>()).offer(table(1, 1));
         clock.advance(50);
         network.healAll();
         clock.advance(200);
-        assertEquals(1, consignee.inForce().edition().value());
+        assertEquals(1, stateReceiver.inForce().edition().value());
     }
 
     /** An acknowledgment once put a waiting change off until the next sign of life, 3 s later. */
     @Test
     void acknowledgmentDoesNotPutOffAWaitingChange() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(2_000);
@@ -161,7 +161,7 @@
             clock.advance(gap);
             c.acknowledged(new Instruction(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
             clock.advance(200);
-            assertTrue(consignee.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
+            assertTrue(stateReceiver.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
         }
     }
 
@@ -173,7 +173,7 @@
     @ParameterizedTest
     @ValueSource(ints = {60, 200, 330, 700})
     void changesFasterThanTheTimeoutDoNotKeepALossFromBeingMended(int gap) {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
@@ -193,13 +193,13 @@
             c.offer(table(edition++, t));
             clock.advance(gap);
         }
-        assertTrue(consignee.inForce().edition().value() > 9, "still " + consignee.inForce().edition());
+        assertTrue(stateReceiver.inForce().edition().value() > 9, "still " + stateReceiver.inForce().edition());
     }
 
     /** The duty ended and began again under one epoch, and the new sender's numbers began below those the proxy held. */
     @Test
     void senderMadeAnewUnderTheSameEpochIsUnderstood() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender first = sender(SENDER, 1, new ArrayList<>());
         for (int i = 1; i < 9; i++) {
             first.offer(table(i, i));
@@ -208,13 +208,13 @@
         first.close();
         sender(SENDER, 1, new ArrayList<>()).offer(table(20, 1));
         clock.advance(1_000);
-        assertEquals(20, consignee.inForce().edition().value());
+        assertEquals(20, stateReceiver.inForce().edition().value());
     }
 
     /** Word of an earlier life that comes late makes the sender begin anew twice; the proxy is not left behind for it. */
     @Test
     void lateWordOfAnEarlierLifeDoesNoLastingHarm() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
@@ -224,7 +224,7 @@
         clock.advance(300);
         c.offer(table(3, 1));
         clock.advance(700);
-        assertEquals(3, consignee.inForce().edition().value());
+        assertEquals(3, stateReceiver.inForce().edition().value());
     }
 
     @Test
@@ -237,9 +237,9 @@
         }
         // Silence slows the sender down: it does not flood a dead proxy.
         assertTrue(seen.size() < 200, "sent " + seen.size());
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         clock.advance(3_000);
-        assertEquals(399, consignee.inForce().edition().value());
+        assertEquals(399, stateReceiver.inForce().edition().value());
     }
 
     @ParameterizedTest
@@ -249,7 +249,7 @@
         bad.loss = 0.3;
         bad.doubles = 0.2;
         bad.jitterMs = 40;
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         Random random = new Random(seed);
         RoutingTable last = RoutingTable.EMPTY;
@@ -259,7 +259,7 @@
             clock.advance(random.nextInt(120));
         }
         clock.advance(4_000);
-        assertTrue(consignee.inForce().sameAs(last));
+        assertTrue(stateReceiver.inForce().sameAs(last));
         for (int i = 1; i < inForce.size(); i++) {
             assertTrue(inForce.get(i) >= inForce.get(i - 1), "went back to " + inForce.get(i));
         }
@@ -267,7 +267,7 @@
 
     @Test
     void newSenderResyncsAndTheOldOneIsFenced() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender old = sender(SENDER, 5, new ArrayList<>());
         old.offer(table(3, 1));
         clock.advance(500);
@@ -275,59 +275,59 @@
         sender(OTHER, 6, seen).offer(table(3, 1, 2));
         clock.advance(500);
         assertEquals(0, seen.get(0).oldNum());
-        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
+        assertTrue(stateReceiver.inForce().sameAs(table(3, 1, 2)));
         old.offer(table(4, 9));
         clock.advance(2_000);
-        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
-        assertEquals(OTHER, consignee.sender());
-        assertTrue(tally.counter("distribution.stale.epoch").count() > 0);
+        assertTrue(stateReceiver.inForce().sameAs(table(3, 1, 2)));
+        assertEquals(OTHER, stateReceiver.sender());
+        assertTrue(metrics.counter("distribution.stale.epoch").count() > 0);
     }
 
     @Test
     void lowerRevisionIsNotTakenWithinALife() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         sender(SENDER, 5, new ArrayList<>()).offer(table(7, 1));
         clock.advance(500);
         StateSender behind = sender(OTHER, 6, new ArrayList<>());
         behind.offer(table(6, 1));
         clock.advance(1_000);
-        assertEquals(7, consignee.inForce().edition().value());
+        assertEquals(7, stateReceiver.inForce().edition().value());
         behind.offer(table(8, 1));
         clock.advance(3_000);
-        assertEquals(8, consignee.inForce().edition().value());
+        assertEquals(8, stateReceiver.inForce().edition().value());
     }
 
     @Test
     void proxyThatStartsAgainEmptyIsGivenEverything() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(2, 1, 2));
         clock.advance(500);
-        consignee = proxy(12);
+        stateReceiver = proxy(12);
         c.offer(table(2, 1, 2, 3));
         clock.advance(1_500);
-        assertTrue(consignee.inForce().sameAs(table(2, 1, 2, 3)));
+        assertTrue(stateReceiver.inForce().sameAs(table(2, 1, 2, 3)));
     }
 
     @Test
     void baselineWithoutALeaseIsTakenOnlyByAnEmptyProxy() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         FakeMessenger.Bag any = network.bag(OTHER);
         any.send(PROXY, Messenger.Topic.DISPATCH,
                 new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
-        assertEquals(4, consignee.inForce().edition().value());
+        assertEquals(4, stateReceiver.inForce().edition().value());
         any.send(PROXY, Messenger.Topic.DISPATCH,
                 new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
-        assertEquals(4, consignee.inForce().edition().value());
+        assertEquals(4, stateReceiver.inForce().edition().value());
     }
 
     /** However late word of a confirmation comes, the table counts only for so long after it was asked for. */
     @Test
     void tableCountsFromBeforeItsConfirmationWasAsked() {
-        consignee = proxy(11);
-        consignee.countFor(4_700);
+        stateReceiver = proxy(11);
+        stateReceiver.countFor(4_700);
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         long[] asked = {clock.now().millis()};
         boolean[] asking = {true};
@@ -345,11 +345,11 @@
                 return new org.umbermount.kernel.MonotonicTime(asked[0]);
             }
         }, 800);
-        assertTrue(consignee.goodForMs() <= 0);
+        assertTrue(stateReceiver.goodForMs() <= 0);
         c.offer(table(2, 1));
         for (int i = 0; i < 40; i++) {
             clock.advance(100);
-            long good = consignee.goodForMs();
+            long good = stateReceiver.goodForMs();
             assertTrue(i < 10 || good > 3_000, "good for " + good);
             assertTrue(good <= 4_500, "good for " + good);
         }
@@ -357,20 +357,20 @@
         asking[0] = false;
         long since = asked[0];
         clock.advance(3_000);
-        assertTrue(consignee.goodForMs() <= since + 4_700 - clock.now().millis());
+        assertTrue(stateReceiver.goodForMs() <= since + 4_700 - clock.now().millis());
         clock.advance(2_000);
-        assertTrue(consignee.goodForMs() <= 0);
+        assertTrue(stateReceiver.goodForMs() <= 0);
         // Word that waited while this process stood still says nothing about now.
         network.delayMs = 6_000;
         asking[0] = true;
         clock.advance(8_000);
-        assertTrue(consignee.goodForMs() <= 0, "good for " + consignee.goodForMs());
+        assertTrue(stateReceiver.goodForMs() <= 0, "good for " + stateReceiver.goodForMs());
     }
 
     /** A sender of the same address that came back at once must not take what the earlier one was told for its own. */
     @Test
     void acknowledgmentOfAnEarlierSenderDoesNotCount() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         sender(SENDER, 1, new ArrayList<>()).offer(table(2, 1, 2));
         clock.advance(500);
         List<Instruction> seen = new ArrayList<>();
@@ -385,7 +385,7 @@
         clock.advance(200);
         network.healAll();
         clock.advance(2_000);
-        assertTrue(consignee.inForce().sameAs(table(2, 1)));
+        assertTrue(stateReceiver.inForce().sameAs(table(2, 1)));
         assertEquals(1, next.knownNum());
     }
 
--- a/distribution/src/test/java/org/umbermount/distribution/TableReceiverPluginTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/TableReceiverPluginTest.java
@@ -32,10 +32,10 @@
         PluginHost host = new PluginHost(Role.PROXY, rules, clock);
         FakeMessenger.Bag own = network.bag(proxy);
         host.offer(Messenger.class, own);
-        PeerSampling gazetteer = new PeerSampling(new MemberDescriptor(proxy, Role.PROXY, "z", 0), List.of(controller), clock, own,
+        PeerSampling peerSampling = new PeerSampling(new MemberDescriptor(proxy, Role.PROXY, "z", 0), List.of(controller), clock, own,
                 new Metrics(), new Random(1));
-        host.offer(PeerSampling.class, gazetteer);
-        gazetteer.meet(new MemberDescriptor(controller, Role.CONTROLLER, "z", 0));
+        host.offer(PeerSampling.class, peerSampling);
+        peerSampling.meet(new MemberDescriptor(controller, Role.CONTROLLER, "z", 0));
         TableReceiverPlugin department = new TableReceiverPlugin();
         department.open(host);
         FakeMessenger.Bag sender = network.bag(controller);
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -102,7 +102,7 @@
             }
             if (!now.isBefore(until)) {
                 Outcome told = outcome;
-                tally.count("idempotency.claims.unavailable");
+                metrics.count("idempotency.claims.unavailable");
                 // The claim may be on its way: until it is given back for certain, no other try may run.
                 close(End.RELEASED, NOTHING);
                 told.unavailable();
@@ -110,7 +110,7 @@
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLAIM.ordinal()).num(serial)
+                messenger.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLAIM.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).flag(mayRepeat).done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
@@ -119,13 +119,13 @@
         private void tellClose() {
             MonotonicTime now = clock.now();
             if (now.since(since) > CLOSE_MS) {
-                tally.count("idempotency.closes.abandoned");
+                metrics.count("idempotency.closes.abandoned");
                 forget();
                 return;
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLOSE.ordinal()).num(serial)
+                messenger.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLOSE.ordinal()).num(serial)
                         .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
             }
             timer = clock.after(pause, this::tellClose);
@@ -143,7 +143,7 @@
 
         private void replied(OperationKeeper.Reply reply, byte[] payload) throws MessagePackCodec.UnreadableException {
             if (reply == OperationKeeper.Reply.ELSEWHERE) {
-                DaemonAddress better = MessagePackCodec.read(payload).imprint();
+                DaemonAddress better = MessagePackCodec.read(payload).daemonAddress();
                 boolean news = !better.equals(hint);
                 if (!better.equals(DaemonAddress.NONE)) {
                     hint = better;
@@ -191,8 +191,8 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final Supplier<List<DaemonAddress>> controllers;
     private final Map<Long, Ticket> tickets = new HashMap<>();
     private DaemonAddress head;
@@ -201,14 +201,14 @@
     private int closing;
 
     /** @param controllers the controllers known, for when the head is not */
-    public OperationClient(Clock clock, Messenger post, Metrics tally, Random random, Supplier<List<DaemonAddress>> controllers) {
+    public OperationClient(Clock clock, Messenger messenger, Metrics metrics, Random random, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.controllers = controllers;
         this.nextSerial = random.nextLong() >>> 1;
-        post.subscribe(Messenger.Topic.LOAN, this::receive);
-        tally.gauge("idempotency.open", tickets::size);
+        messenger.subscribe(Messenger.Topic.LOAN, this::receive);
+        metrics.gauge("idempotency.open", tickets::size);
     }
 
     /** Where the table says that claims go. */
@@ -234,7 +234,7 @@
     public Ticket claim(OperationKey key, boolean mayRepeat, long patienceMs, Outcome outcome) {
         Ticket ticket = new Ticket(key, mayRepeat, outcome, patienceMs);
         tickets.put(ticket.serial, ticket);
-        tally.count("idempotency.claims");
+        metrics.count("idempotency.claims");
         ticket.ask();
         return ticket;
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
@@ -21,7 +21,7 @@
     private static final long LOOK_MS = 50;
     private static final long LEAVE_MS = 1_500;
 
-    private PluginHost institution;
+    private PluginHost pluginHost;
     private OperationClient counter;
 
     @Override
@@ -41,15 +41,15 @@
 
     @Override
     public void open(PluginHost host) {
-        institution = host;
+        pluginHost = host;
         if (!host.rules().guarantees(Settings.KEYS)) {
             return;
         }
-        PeerSampling gazetteer = host.find(PeerSampling.class);
-        Messenger post = host.find(Messenger.class);
-        counter = new OperationClient(host.clock(), post, host.tally(),
-                new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
-                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
+        PeerSampling peerSampling = host.find(PeerSampling.class);
+        Messenger messenger = host.find(Messenger.class);
+        counter = new OperationClient(host.clock(), messenger, host.metrics(),
+                new Random(messenger.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
+                () -> peerSampling.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::daemonAddress).toList());
         host.offer(OperationClient.class, counter);
         host.find(StateReceiver.class).observe(this::learn);
     }
@@ -79,7 +79,7 @@
         if (counter.closing() == 0 || looks <= 0) {
             done.run();
         } else {
-            institution.clock().after(LOOK_MS, () -> waitForNotes(looks - 1, done));
+            pluginHost.clock().after(LOOK_MS, () -> waitForNotes(looks - 1, done));
         }
     }
 }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -48,7 +48,7 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final Replica replica;
     private final SegmentedLog ledger;
     private final OperationStore book;
@@ -56,7 +56,7 @@
     private final int tolerated;
     private final long keepMs;
     private final long mostBytes;
-    private final Metrics tally;
+    private final Metrics metrics;
 
     // The disk.
     private List<OperationRecord> queue = new ArrayList<>();
@@ -101,10 +101,10 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    OperationKeeper(Clock clock, Messenger post, Replica replica, SegmentedLog ledger, OperationStore book,
-            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Metrics tally) {
+    OperationKeeper(Clock clock, Messenger messenger, Replica replica, SegmentedLog ledger, OperationStore book,
+            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Metrics metrics) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.ledger = ledger;
         this.book = book;
@@ -112,13 +112,13 @@
         this.tolerated = tolerated;
         this.keepMs = keepMs;
         this.mostBytes = mostBytes;
-        this.tally = tally;
+        this.metrics = metrics;
         this.durable = book.mark();
         for (int s = 0; s <= ledger.current(); s++) {
             // How old a record is after a stop nobody knows: its age counts from now.
             segmentWritten.put(s, clock.now());
         }
-        post.subscribe(Messenger.Topic.LOAN, this::receive);
+        messenger.subscribe(Messenger.Topic.LOAN, this::receive);
     }
 
     void start() {
@@ -134,7 +134,7 @@
 
     @Override
     public OperationLogPosition mark() {
-        return new OperationLogPosition(durable.view(), durable.pos(), post.self());
+        return new OperationLogPosition(durable.view(), durable.pos(), messenger.self());
     }
 
     @Override
@@ -151,7 +151,7 @@
     public void adopted(View next) {
         view = next;
         line = next.line(tolerated);
-        place = line.indexOf(post.self());
+        place = line.indexOf(messenger.self());
         acked = -1;
         passing = false;
         announced = -1;
@@ -257,12 +257,12 @@
         writing = false;
         refusing = segment < 0;
         if (refusing) {
-            tally.count("idempotency.writes.refused");
+            metrics.count("idempotency.writes.refused");
             queue.clear();
             book.cut(durable);
             return;
         }
-        tally.count("idempotency.writes");
+        metrics.count("idempotency.writes");
         for (OperationRecord s : batch) {
             s.segment = segment;
         }
@@ -306,12 +306,12 @@
         int last = through;
         int dropped = book.expireThrough(last);
         segmentWritten.keySet().removeIf(s -> s <= last);
-        tally.counter("idempotency.expired").increment(dropped);
+        metrics.counter("idempotency.expired").increment(dropped);
         disk.execute(() -> {
             try {
                 ledger.dropThrough(last);
             } catch (IOException | RuntimeException e) {
-                tally.count("idempotency.segments.kept");
+                metrics.count("idempotency.segments.kept");
             }
         });
     }
@@ -342,16 +342,16 @@
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
             case PEEK -> {
                 long serial = in.num();
-                DaemonAddress proxy = in.imprint();
+                DaemonAddress proxy = in.daemonAddress();
                 OperationKey key = new OperationKey(in.num(), in.num());
-                peeked(serial, proxy, key, in.imprint(), in.num());
+                peeked(serial, proxy, key, in.daemonAddress(), in.num());
             }
             case FETCH -> {
                 long view = in.num();
                 fetched(from, view, in.num(), in.list(OperationLogPosition::read));
             }
             case PORTION -> portion(from, in.num(), OperationLogPosition.read(in), OperationLogPosition.read(in), in.flag(), slips(in));
-            default -> tally.count("idempotency.unwanted");
+            default -> metrics.count("idempotency.unwanted");
         }
     }
 
@@ -364,7 +364,7 @@
     }
 
     private void reply(DaemonAddress to, long serial, Reply reply, byte[] payload) {
-        post.send(to, Messenger.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
+        messenger.send(to, Messenger.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
     }
 
     private static final byte[] NOTHING = new byte[0];
@@ -376,7 +376,7 @@
             return false;
         }
         DaemonAddress head = replica.view().head();
-        reply(from, serial, Reply.ELSEWHERE, MessagePackCodec.write().imprint(head == null || head.equals(post.self())
+        reply(from, serial, Reply.ELSEWHERE, MessagePackCodec.write().daemonAddress(head == null || head.equals(messenger.self())
                 ? DaemonAddress.NONE : head).done());
         return true;
     }
@@ -407,7 +407,7 @@
             }
             case ANSWER -> {
                 if (isCommitted(s) && !s.isThin()) {
-                    tally.count("idempotency.repeats.answered");
+                    metrics.count("idempotency.repeats.answered");
                     reply(from, serial, Reply.ANSWERED, s.payload());
                 } else if (isCommitted(s)) {
                     askForAnswer(from, serial, s);
@@ -458,12 +458,12 @@
 
     /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
     private void askForAnswer(DaemonAddress proxy, long serial, OperationRecord s) {
-        tally.count("idempotency.answers.elsewhere");
-        byte[] body = message(Message.PEEK).num(serial).imprint(proxy).num(s.key.high()).num(s.key.low())
-                .imprint(s.origin).num(s.serial).done();
+        metrics.count("idempotency.answers.elsewhere");
+        byte[] body = message(Message.PEEK).num(serial).daemonAddress(proxy).num(s.key.high()).num(s.key.low())
+                .daemonAddress(s.origin).num(s.serial).done();
         view.electorate().forEach(f -> {
-            if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Messenger.Topic.LOAN, body);
+            if (!f.daemonAddress().equals(messenger.self())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LOAN, body);
             }
         });
     }
@@ -492,7 +492,7 @@
         if (!open) {
             replyConfirmed(from, serial, Reply.STORED);
         } else if (how == OperationRecord.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
-            tally.count("idempotency.answers.unkept");
+            metrics.count("idempotency.answers.unkept");
             enter(OperationRecord.Kind.END, key, from, serial, NOTHING);
         } else {
             enter(how, key, from, serial, payload);
@@ -534,7 +534,7 @@
         }
         long from = acked < 0 ? position() : acked;
         List<OperationRecord> next = book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
-        post.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
+        messenger.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
                 .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
         passing = true;
         passedAt = now;
@@ -569,7 +569,7 @@
     private void acknowledge() {
         if (place >= 1 && joined()) {
             toldCommitted = committed;
-            post.send(line.get(place - 1), Messenger.Topic.LOAN, message(Message.ACK).num(view.number())
+            messenger.send(line.get(place - 1), Messenger.Topic.LOAN, message(Message.ACK).num(view.number())
                     .num(position()).num(committed).done());
         }
     }
@@ -625,15 +625,15 @@
         Fetching f = fetching;
         if (f.view >= 0 && f.turn > 0) {
             f.from = line.get(f.turn % line.size());
-            if (f.from.equals(post.self())) {
+            if (f.from.equals(messenger.self())) {
                 f.from = line.get((f.turn + 1) % line.size());
             }
         }
         f.turn++;
         f.nonce++;
         f.asked = clock.now();
-        tally.count("idempotency.fetches");
-        post.send(f.from, Messenger.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
+        metrics.count("idempotency.fetches");
+        messenger.send(f.from, Messenger.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
                 .list(book.lineage(), (o, m) -> m.write(o)).done());
     }
 
@@ -654,7 +654,7 @@
         MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
         common.write(out);
         durable.write(out);
-        post.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
+        messenger.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
     }
 
     private void portion(DaemonAddress from, long nonce, OperationLogPosition common, OperationLogPosition theirs, boolean whole, List<OperationRecord> some) {
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
@@ -61,13 +61,13 @@
         }
         desk = new OperationKeeper(host.clock(), host.find(Messenger.class), host.find(Replica.class), ledger, book,
                 cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
-                MOST_BYTES, host.tally());
+                MOST_BYTES, host.metrics());
         desk.start();
-        host.tally().gauge("idempotency.records", () -> desk.book().size());
-        host.tally().gauge("idempotency.keys", () -> desk.book().keys());
-        host.tally().gauge("idempotency.bytes", () -> desk.book().bytes());
-        host.tally().gauge("idempotency.position", () -> desk.durable().pos());
-        host.tally().gauge("idempotency.committed", () -> desk.committed());
+        host.metrics().gauge("idempotency.records", () -> desk.book().size());
+        host.metrics().gauge("idempotency.keys", () -> desk.book().keys());
+        host.metrics().gauge("idempotency.bytes", () -> desk.book().bytes());
+        host.metrics().gauge("idempotency.position", () -> desk.durable().pos());
+        host.metrics().gauge("idempotency.committed", () -> desk.committed());
         StatusPage page = host.findOrNull(StatusPage.class);
         if (page != null) {
             page.addSection(this::show);
--- a/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
@@ -76,7 +76,7 @@
             DaemonAddress self = DaemonAddress.parse("10.9.0." + (i + 1) + ":7001");
             List<DaemonAddress> known = new ArrayList<>();
             for (int r = 0; r < SIZE; r++) {
-                known.add(Fleet.imprint(r));
+                known.add(Fleet.daemonAddress(r));
             }
             proxies.add(new OperationClient(fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
         }
@@ -135,8 +135,8 @@
         assertEquals("granted", first.word);
         DaemonAddress old = fleet.replica(0).view().head();
         for (int i = 0; i < SIZE; i++) {
-            if (!Fleet.imprint(i).equals(old)) {
-                fleet.network.cutBoth(old, Fleet.imprint(i));
+            if (!Fleet.daemonAddress(i).equals(old)) {
+                fleet.network.cutBoth(old, Fleet.daemonAddress(i));
             }
         }
         fleet.network.cutBoth(old, DaemonAddress.parse("10.9.0.1:7001"));
@@ -200,7 +200,7 @@
         assertEquals(3, line.size());
         int last = -1;
         for (int i = 0; i < SIZE; i++) {
-            if (Fleet.imprint(i).equals(line.get(2))) {
+            if (Fleet.daemonAddress(i).equals(line.get(2))) {
                 last = i;
             }
         }
@@ -244,12 +244,12 @@
         DaemonAddress head = fleet.replica(0).view().head();
         int first = -1;
         for (int i = 0; i < SIZE; i++) {
-            first = Fleet.imprint(i).equals(head) ? i : first;
+            first = Fleet.daemonAddress(i).equals(head) ? i : first;
         }
         // Nobody hears the head's records, but the views' messages come through until it is gone.
         for (int i = 0; i < SIZE; i++) {
             if (i != first) {
-                fleet.network.cut(head, Fleet.imprint(i));
+                fleet.network.cut(head, Fleet.daemonAddress(i));
             }
         }
         Told told = new Told();
@@ -328,7 +328,7 @@
                 // A returning disk counts as lost until its daemon has caught up.
                 fleet.run(2_500);
             }
-            case 3 -> fleet.network.cut(Fleet.imprint(which), Fleet.imprint((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
+            case 3 -> fleet.network.cut(Fleet.daemonAddress(which), Fleet.daemonAddress((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
             case 4, 5 -> {
                 fleet.network.healAll();
                 fleet.run(600);
--- a/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -71,7 +71,7 @@
             }
         }
 
-        public Writer imprint(DaemonAddress value) {
+        public Writer daemonAddress(DaemonAddress value) {
             return num(value.packed());
         }
 
@@ -149,7 +149,7 @@
             }
         }
 
-        public DaemonAddress imprint() throws UnreadableException {
+        public DaemonAddress daemonAddress() throws UnreadableException {
             return DaemonAddress.unpack(num());
         }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Plugin.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Plugin.java
@@ -14,7 +14,7 @@
     /** Whether the part belongs to this role. */
     boolean serves(Role role);
 
-    void open(PluginHost institution) throws Exception;
+    void open(PluginHost pluginHost) throws Exception;
 
     /**
      * Leaves in order. The part calls {@code done} once it has nothing left to finish.
--- a/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -21,7 +21,7 @@
 
     private final Role role;
     private final Clock clock;
-    private final Metrics tally = new Metrics();
+    private final Metrics metrics = new Metrics();
     private final Map<Class<?>, Object> offers = new HashMap<>();
     private final List<Plugin> open = new ArrayList<>();
     private Settings rules;
@@ -45,8 +45,8 @@
         return clock;
     }
 
-    public Metrics tally() {
-        return tally;
+    public Metrics metrics() {
+        return metrics;
     }
 
     public <T> void offer(Class<T> type, T service) {
--- a/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
@@ -26,7 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
 
     private final DaemonAddress self;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final Fragmentation parcels;
     private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
     private final Metrics.Count[] bytesOut = new Metrics.Count[Topic.values().length];
@@ -34,16 +34,16 @@
     private final Metrics.Count bytesIn;
     private Channel channel;
 
-    public DatagramMessenger(DaemonAddress self, LoopClock clock, Metrics tally) {
+    public DatagramMessenger(DaemonAddress self, LoopClock clock, Metrics metrics) {
         this.self = self;
-        this.tally = tally;
+        this.metrics = metrics;
         this.parcels = new Fragmentation(clock);
-        tally.gauge("mail.parts.foreign", parcels::foreign);
-        this.bytesIn = tally.counter("mail.bytes.in");
+        metrics.gauge("mail.parts.foreign", parcels::foreign);
+        this.bytesIn = metrics.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
             String name = topic.name().toLowerCase(java.util.Locale.ROOT);
-            bytesOut[topic.ordinal()] = tally.counter("mail.bytes.out." + name);
-            messagesOut[topic.ordinal()] = tally.counter("mail.messages.out." + name);
+            bytesOut[topic.ordinal()] = metrics.counter("mail.bytes.out." + name);
+            messagesOut[topic.ordinal()] = metrics.counter("mail.messages.out." + name);
         }
     }
 
@@ -91,12 +91,12 @@
                 }
                 Listener listener = listeners.get(whole.topic());
                 if (listener == null) {
-                    tally.count("mail.unwanted");
+                    metrics.count("mail.unwanted");
                     return;
                 }
                 listener.receive(from, whole.body());
             } catch (MessagePackCodec.UnreadableException e) {
-                tally.count("mail.unreadable");
+                metrics.count("mail.unreadable");
             } catch (RuntimeException e) {
                 LOG.error("A message from {} could not be handled.", from, e);
             }
@@ -104,7 +104,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            tally.count("mail.socket.errors");
+            metrics.count("mail.socket.errors");
         }
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
@@ -31,7 +31,7 @@
         }
 
         @Override
-        public void open(PluginHost institution) {
+        public void open(PluginHost pluginHost) {
             opener = Thread.currentThread();
             EVENTS.add("open");
             if (broken) {
@@ -46,7 +46,7 @@
         }
     }
 
-    private static PluginHost institution(Thread[] loop) {
+    private static PluginHost pluginHost(Thread[] loop) {
         FakeClock clock = new FakeClock();
         Clock threaded = new Clock() {
             @Override
@@ -79,16 +79,16 @@
         Recorder.EVENTS.clear();
         Recorder.broken = false;
         Thread[] loop = new Thread[1];
-        PluginHost institution = institution(loop);
-        institution.openAll();
+        PluginHost pluginHost = pluginHost(loop);
+        pluginHost.openAll();
         assertEquals(loop[0], Recorder.opener);
-        institution.leave(() -> Recorder.EVENTS.add("done"));
+        pluginHost.leave(() -> Recorder.EVENTS.add("done"));
         assertEquals(List.of("open", "leave", "done"), Recorder.EVENTS);
     }
 
     @Test
     void partThatCannotOpenEndsTheStart() {
         Recorder.broken = true;
-        assertThrows(IllegalStateException.class, () -> institution(new Thread[1]).openAll());
+        assertThrows(IllegalStateException.class, () -> pluginHost(new Thread[1]).openAll());
     }
 }
