--- a/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
+++ b/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
@@ -5,25 +5,25 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** What one daemon tells of itself: where it is, what it is for, its zone, and how old the news is in rounds. */
-public record MemberDescriptor(DaemonAddress imprint, Role role, String zone, int age) {
+public record MemberDescriptor(DaemonAddress daemonAddress, Role role, String zone, int age) {
     public MemberDescriptor older() {
-        return new MemberDescriptor(imprint, role, zone, age + 1);
+        return new MemberDescriptor(daemonAddress, role, zone, age + 1);
     }
 
     public MemberDescriptor fresh() {
-        return new MemberDescriptor(imprint, role, zone, 0);
+        return new MemberDescriptor(daemonAddress, role, zone, 0);
     }
 
     void write(MessagePackCodec.Writer out) {
-        out.imprint(imprint).num(role.ordinal()).text(zone).num(age);
+        out.daemonAddress(daemonAddress).num(role.ordinal()).text(zone).num(age);
     }
 
     static MemberDescriptor read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        DaemonAddress imprint = in.imprint();
+        DaemonAddress daemonAddress = in.daemonAddress();
         long role = in.num();
         if (role < 0 || role >= Role.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown role", null);
         }
-        return new MemberDescriptor(imprint, Role.values()[(int) role], in.text(), (int) in.num());
+        return new MemberDescriptor(daemonAddress, Role.values()[(int) role], in.text(), (int) in.num());
     }
 }
--- a/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
+++ b/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
@@ -11,7 +11,7 @@
 
 /** Membership as a plug-in of every role. */
 public final class MembershipPlugin implements Plugin {
-    private PeerSampling gazetteer;
+    private PeerSampling peerSampling;
 
     @Override
     public String name() {
@@ -29,20 +29,20 @@
     }
 
     @Override
-    public void open(PluginHost institution) {
-        Settings rules = institution.rules();
-        Messenger post = institution.find(Messenger.class);
-        MemberDescriptor self = new MemberDescriptor(post.self(), institution.role(), rules.zone(), 0);
-        gazetteer = new PeerSampling(self, seeds(rules), institution.clock(), post, institution.tally(),
-                new Random(post.self().packed() ^ institution.clock().wallMillis()));
-        institution.offer(PeerSampling.class, gazetteer);
-        institution.tally().gauge("membership.view.size", () -> gazetteer.view().size());
-        gazetteer.start();
+    public void open(PluginHost pluginHost) {
+        Settings rules = pluginHost.rules();
+        Messenger messenger = pluginHost.find(Messenger.class);
+        MemberDescriptor self = new MemberDescriptor(messenger.self(), pluginHost.role(), rules.zone(), 0);
+        peerSampling = new PeerSampling(self, seeds(rules), pluginHost.clock(), messenger, pluginHost.metrics(),
+                new Random(messenger.self().packed() ^ pluginHost.clock().wallMillis()));
+        pluginHost.offer(PeerSampling.class, peerSampling);
+        pluginHost.metrics().gauge("membership.view.size", () -> peerSampling.view().size());
+        peerSampling.start();
     }
 
     @Override
     public void reread(Settings rules) {
-        gazetteer.seeds(seeds(rules));
+        peerSampling.seeds(seeds(rules));
     }
 
     private static List<DaemonAddress> seeds(Settings rules) {
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -32,8 +32,8 @@
 
     private final MemberDescriptor self;
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final Random random;
     private final Map<DaemonAddress, MemberDescriptor> view = new LinkedHashMap<>();
     private final List<Consumer<MemberDescriptor>> observers = new ArrayList<>();
@@ -42,14 +42,14 @@
     private List<DaemonAddress> sentSample = List.of();
     private int rounds;
 
-    public PeerSampling(MemberDescriptor self, List<DaemonAddress> seeds, Clock clock, Messenger post, Metrics tally, Random random) {
+    public PeerSampling(MemberDescriptor self, List<DaemonAddress> seeds, Clock clock, Messenger messenger, Metrics metrics, Random random) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.random = random;
-        post.subscribe(Messenger.Topic.SHUFFLE, this::receive);
+        messenger.subscribe(Messenger.Topic.SHUFFLE, this::receive);
     }
 
     public void start() {
@@ -86,7 +86,7 @@
             }
         }
         for (MemberDescriptor p : lasting) {
-            if (p.role() == role && !view.containsKey(p.imprint())) {
+            if (p.role() == role && !view.containsKey(p.daemonAddress())) {
                 found.add(p);
             }
         }
@@ -100,8 +100,8 @@
     }
 
     /** Takes note of a daemon met outside a shuffle. */
-    public void meet(MemberDescriptor placename) {
-        merge(List.of(placename), List.of());
+    public void meet(MemberDescriptor memberDescriptor) {
+        merge(List.of(memberDescriptor), List.of());
     }
 
     private void round() {
@@ -115,8 +115,8 @@
             }
         }
         if (oldest != null) {
-            view.remove(oldest.imprint());
-            ask(oldest.imprint());
+            view.remove(oldest.daemonAddress());
+            ask(oldest.daemonAddress());
         }
         if (view.size() < THIN || rounds % 8 == 1) {
             askSeed();
@@ -125,7 +125,7 @@
 
     private void askSeed() {
         List<DaemonAddress> others = new ArrayList<>(seeds);
-        others.remove(self.imprint());
+        others.remove(self.daemonAddress());
         if (!others.isEmpty()) {
             ask(others.get(random.nextInt(others.size())));
         }
@@ -133,10 +133,10 @@
 
     private void ask(DaemonAddress target) {
         List<MemberDescriptor> sample = sample(target);
-        sentSample = sample.stream().map(MemberDescriptor::imprint).toList();
+        sentSample = sample.stream().map(MemberDescriptor::daemonAddress).toList();
         sample.add(self.fresh());
-        post.send(target, Messenger.Topic.SHUFFLE, encode(true, sample));
-        tally.count("membership.shuffles");
+        messenger.send(target, Messenger.Topic.SHUFFLE, encode(true, sample));
+        metrics.count("membership.shuffles");
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
@@ -145,9 +145,9 @@
         List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
             List<MemberDescriptor> mine = sample(from);
-            List<DaemonAddress> given = mine.stream().map(MemberDescriptor::imprint).toList();
+            List<DaemonAddress> given = mine.stream().map(MemberDescriptor::daemonAddress).toList();
             mine.add(self.fresh());
-            post.send(from, Messenger.Topic.SHUFFLE, encode(false, mine));
+            messenger.send(from, Messenger.Topic.SHUFFLE, encode(false, mine));
             merge(theirs, given);
         } else {
             merge(theirs, sentSample);
@@ -156,7 +156,7 @@
 
     private List<MemberDescriptor> sample(DaemonAddress except) {
         List<MemberDescriptor> all = new ArrayList<>(view.values());
-        all.removeIf(p -> p.imprint().equals(except));
+        all.removeIf(p -> p.daemonAddress().equals(except));
         Collections.shuffle(all, random);
         return new ArrayList<>(all.subList(0, Math.min(SAMPLE, all.size())));
     }
@@ -164,13 +164,13 @@
     private void merge(List<MemberDescriptor> theirs, List<DaemonAddress> given) {
         List<DaemonAddress> replaceable = new ArrayList<>(given);
         for (MemberDescriptor p : theirs) {
-            if (p.imprint().equals(self.imprint())) {
+            if (p.daemonAddress().equals(self.daemonAddress())) {
                 continue;
             }
-            MemberDescriptor known = view.get(p.imprint());
+            MemberDescriptor known = view.get(p.daemonAddress());
             if (known != null) {
                 if (p.age() < known.age()) {
-                    view.put(p.imprint(), p);
+                    view.put(p.daemonAddress(), p);
                 }
             } else {
                 while (view.size() >= VIEW && !replaceable.isEmpty()) {
@@ -179,7 +179,7 @@
                 if (view.size() >= VIEW) {
                     evictOldest();
                 }
-                view.put(p.imprint(), p);
+                view.put(p.daemonAddress(), p);
             }
             for (Consumer<MemberDescriptor> observer : observers) {
                 observer.accept(p);
@@ -189,7 +189,7 @@
 
     private void evictOldest() {
         MemberDescriptor oldest = Collections.max(view.values(), Comparator.comparingInt(MemberDescriptor::age));
-        view.remove(oldest.imprint());
+        view.remove(oldest.daemonAddress());
     }
 
     private static byte[] encode(boolean wantsAnswer, List<MemberDescriptor> sample) {
--- a/proxy/src/main/java/org/umbermount/proxy/Attempt.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Attempt.java
@@ -23,10 +23,10 @@
     /** Answers up to this size are held whole before the client sees any of them. */
     static final int HELD_WHOLE = 128 << 10;
 
-    final RequestExchange borrowing;
+    final RequestExchange requestExchange;
     final UpstreamServer repository;
     private final Sendings.Permit permit;
-    private ServerConnection carrel;
+    private ServerConnection serverConnection;
     /** Whether the connection had rested before: what comes on it first may be late. */
     private boolean reused;
     private MonotonicTime sentAt;
@@ -36,9 +36,9 @@
     private boolean streaming;
     private boolean ignored;
 
-    Attempt(RequestExchange borrowing, UpstreamServer repository, Sendings.Permit permit) {
+    Attempt(RequestExchange requestExchange, UpstreamServer repository, Sendings.Permit permit) {
         this.permit = permit;
-        this.borrowing = borrowing;
+        this.requestExchange = requestExchange;
         this.repository = repository;
     }
 
@@ -49,26 +49,26 @@
     /** The connection is there: sends, unless the request is no longer wanted or the server no longer takes any. */
     void write(ServerConnection over) {
         MonotonicTime now = repository.desk().clock().now();
-        long left = borrowing.deadline().since(now);
-        if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
+        long left = requestExchange.deadline().since(now);
+        if (!requestExchange.wanted() || left <= 0 || !repository.usable(now)) {
             over.unused();
             notSent();
             return;
         }
-        ErrorKind why = borrowing.whyNot();
+        ErrorKind why = requestExchange.whyNot();
         if (why != null) {
             over.unused();
             permit.giveBack();
-            borrowing.withdrawn(why);
+            requestExchange.withdrawn(why);
             return;
         }
-        carrel = over;
+        serverConnection = over;
         reused = over.reused();
         sentAt = now;
-        HttpRequest from = borrowing.request();
-        byte[] body = borrowing.body();
+        HttpRequest from = requestExchange.request();
+        byte[] body = requestExchange.body();
         HttpRequest to;
-        if (borrowing.isLarge()) {
+        if (requestExchange.isLarge()) {
             to = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
         } else {
             to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
@@ -78,12 +78,12 @@
         if (repository.desk().keyed()) {
             to.headers().remove(HttpHeaderNames.AUTHORIZATION);
         }
-        if (borrowing.tenant() != null) {
-            to.headers().set(HeaderNames.TENANT, borrowing.tenant().label());
+        if (requestExchange.tenant() != null) {
+            to.headers().set(HeaderNames.TENANT, requestExchange.tenant().label());
         }
         to.headers().set(HeaderNames.TARGET, repository.instance.id().value());
         to.headers().set(HeaderNames.DEADLINE, Long.toString(left));
-        if (borrowing.isLarge()) {
+        if (requestExchange.isLarge()) {
             String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
             if (length != null) {
                 to.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
@@ -94,7 +94,7 @@
                 permitVoid(over);
                 return;
             }
-            borrowing.carriedBy(this);
+            requestExchange.carriedBy(this);
             over.flush();
         } else {
             boolean hadBody = from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -108,7 +108,7 @@
             }
             requestWritten = true;
         }
-        borrowing.nowSent(this, now);
+        requestExchange.nowSent(this, now);
     }
 
     /** The client has been answered meanwhile: nothing was written. */
@@ -122,29 +122,29 @@
         ByteBuf buffer = Unpooled.wrappedBuffer(piece);
         if (last) {
             requestWritten = true;
-            carrel.transmitMore(permit, new DefaultLastHttpContent(buffer));
+            serverConnection.transmitMore(permit, new DefaultLastHttpContent(buffer));
         } else {
-            carrel.transmitMore(permit, new DefaultHttpContent(buffer));
+            serverConnection.transmitMore(permit, new DefaultHttpContent(buffer));
         }
     }
 
     boolean canTakeMore() {
-        return carrel.canTakeMore();
+        return serverConnection.canTakeMore();
     }
 
     /** Nobody waits any more for a request of which only a part has been sent: the server must not wait for the rest. */
     void dropUnlessWritten() {
-        if (!requestWritten && carrel.carries(this)) {
-            carrel.close();
+        if (!requestWritten && serverConnection.carries(this)) {
+            serverConnection.close();
         }
     }
 
     void writable() {
-        borrowing.serverWritable();
+        requestExchange.serverWritable();
     }
 
     void notSent() {
-        borrowing.notSent(permit.giveBack());
+        requestExchange.notSent(permit.giveBack());
     }
 
     /** The head of an answer has come; false if it is not this request's. */
@@ -166,19 +166,19 @@
         }
         String echoed = head.headers().get(HeaderNames.ATTEMPT);
         if (echoed == null && reused) {
-            repository.desk().tally().count("servers.answers.unnamed");
+            repository.desk().metrics().count("servers.answers.unnamed");
         }
         if (echoed == null) {
             // On a connection that has carried others, an answer without a name may be anyone's, a refusal too.
             return !reused;
         }
-        return echoed.equals(borrowing.request().headers().get(HeaderNames.ATTEMPT));
+        return echoed.equals(requestExchange.request().headers().get(HeaderNames.ATTEMPT));
     }
 
     private boolean isSealedSuccess() {
         int status = head.status().code();
         boolean framed = status == 204 || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
-                || borrowing.request().method().equals(HttpMethod.HEAD);
+                || requestExchange.request().method().equals(HttpMethod.HEAD);
         return status / 100 == 2 && head.headers().contains(HeaderNames.SEAL) && framed
                 && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
@@ -191,7 +191,7 @@
         byte[] piece = new byte[n];
         content.getBytes(content.readerIndex(), piece);
         if (streaming) {
-            borrowing.streamed(piece);
+            requestExchange.streamed(piece);
             return;
         }
         held.write(piece, 0, n);
@@ -205,21 +205,21 @@
     }
 
     private void beginStreaming() {
-        if (!borrowing.beginStreaming(this, head)) {
+        if (!requestExchange.beginStreaming(this, head)) {
             ignored = true;
             return;
         }
         streaming = true;
         if (held.size() > 0) {
-            borrowing.streamed(held.toByteArray());
+            requestExchange.streamed(held.toByteArray());
             held.reset();
         }
     }
 
     /** Stops or goes on reading the server's answer. */
     void reading(boolean on) {
-        if (carrel.carries(this)) {
-            carrel.reading(on);
+        if (serverConnection.carries(this)) {
+            serverConnection.reading(on);
         }
     }
 
@@ -235,7 +235,7 @@
         if (streaming) {
             permit.answered(head);
             repository.answered(now, ms, false);
-            borrowing.streamedWhole();
+            requestExchange.streamedWhole();
             return;
         }
         Answer answer = new Answer(status, head.headers(), held.toByteArray());
@@ -243,7 +243,7 @@
         boolean notRun = proof != null;
         repository.answered(now, ms, !notRun && status / 100 == 2);
         if (!notRun) {
-            repository.wing.pressure.answered(ms, borrowing.aimMs());
+            repository.upstreamService.pressure.answered(ms, requestExchange.aimMs());
         }
         if (!notRun) {
             repository.ran(status < 500 || status == 504);
@@ -254,29 +254,29 @@
             } else if (status == 503 || status == 429) {
                 repository.full(now);
             }
-            borrowing.refused(proof, status);
+            requestExchange.refused(proof, status);
         } else if (status / 100 == 2) {
             if (isSealedSuccess() && !ignored) {
-                borrowing.succeeded(answer);
+                requestExchange.succeeded(answer);
             } else {
-                borrowing.failed(this, "an unsealed answer", null);
+                requestExchange.failed(this, "an unsealed answer", null);
             }
         } else if (status == 503 || status == 429 || status == 408) {
             // These would promise the client that the request has not run; nothing here says so.
-            borrowing.failed(this, "status " + status + " without a promise", null);
+            requestExchange.failed(this, "status " + status + " without a promise", null);
         } else {
-            borrowing.failed(this, "status " + status, answer);
+            requestExchange.failed(this, "status " + status, answer);
         }
     }
 
     void broken(String how) {
-        repository.desk().tally().count("servers.answers.broken");
+        repository.desk().metrics().count("servers.answers.broken");
         repository.ran(false);
         permit.lost();
         if (streaming) {
-            borrowing.streamCut();
+            requestExchange.streamCut();
         } else {
-            borrowing.failed(this, how, null);
+            requestExchange.failed(this, how, null);
         }
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
@@ -110,9 +110,9 @@
             return;
         }
         lastRequest = !HttpUtil.isKeepAlive(request);
-        RequestExchange borrowing = desk.receive(this, request, deadlineMs(request));
-        arriving = borrowing;
-        pipeline.add(borrowing);
+        RequestExchange requestExchange = desk.receive(this, request, deadlineMs(request));
+        arriving = requestExchange;
+        pipeline.add(requestExchange);
         if (pipeline.size() >= PIPELINE_AT_MOST) {
             channel.config().setAutoRead(false);
         }
@@ -167,7 +167,7 @@
         }
         arriving = null;
         pipeline.add(new RequestExchange(desk, this, request, erratum));
-        desk.tally().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
+        desk.metrics().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
         ready();
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/LoadBalancer.java
+++ b/proxy/src/main/java/org/umbermount/proxy/LoadBalancer.java
@@ -28,10 +28,10 @@
     }
 
     /** A server with room, or null. */
-    UpstreamServer choose(UpstreamService wing, Configuration.Route route, List<UpstreamServer> tried, MonotonicTime deadline) {
+    UpstreamServer choose(UpstreamService upstreamService, Configuration.Route route, List<UpstreamServer> tried, MonotonicTime deadline) {
         MonotonicTime now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
-        UpstreamServer local = chooseLocal(wing, tried, now, queue);
+        UpstreamServer local = chooseLocal(upstreamService, tried, now, queue);
         double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
         if (local != null && local.load(now) + 1 <= local.instance.capacity() && localMs <= route.targetLatencyMs() * 0.8) {
             return local;
@@ -40,22 +40,22 @@
         double bestMs = localMs;
         // A few at random, of here and of elsewhere, and not the best of all: every proxy would find the same one.
         for (int i = 0; i < FURTHER_LOCAL + FURTHER_ELSEWHERE; i++) {
-            UpstreamServer r = draw(i < FURTHER_LOCAL ? wing.local : wing.elsewhere, tried, now, queue, best);
+            UpstreamServer r = draw(i < FURTHER_LOCAL ? upstreamService.local : upstreamService.elsewhere, tried, now, queue, best);
             double ms = r == null ? Double.MAX_VALUE : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
             if (ms < bestMs) {
                 best = r;
                 bestMs = ms;
             }
         }
-        return best != null ? best : anyWithRoom(wing, tried, now, queue);
+        return best != null ? best : anyWithRoom(upstreamService, tried, now, queue);
     }
 
     /** When draws find none: the first with room, looked for from a random place. */
-    private UpstreamServer anyWithRoom(UpstreamService wing, List<UpstreamServer> tried, MonotonicTime now, double queue) {
-        int n = wing.elsewhere.size();
+    private UpstreamServer anyWithRoom(UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
+        int n = upstreamService.elsewhere.size();
         int start = n == 0 ? 0 : random.nextInt(n);
         for (int i = 0; i < n; i++) {
-            UpstreamServer r = wing.elsewhere.get((start + i) % n);
+            UpstreamServer r = upstreamService.elsewhere.get((start + i) % n);
             if (hasRoom(r, tried, now, queue)) {
                 return r;
             }
@@ -67,16 +67,16 @@
         return !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue);
     }
 
-    private UpstreamServer chooseLocal(UpstreamService wing, List<UpstreamServer> tried, MonotonicTime now, double queue) {
-        UpstreamServer first = draw(wing.local, tried, now, queue, null);
-        UpstreamServer second = first == null ? null : draw(wing.local, tried, now, queue, first);
+    private UpstreamServer chooseLocal(UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
+        UpstreamServer first = draw(upstreamService.local, tried, now, queue, null);
+        UpstreamServer second = first == null ? null : draw(upstreamService.local, tried, now, queue, first);
         if (second != null) {
             return better(first, second, now);
         }
         // Few are left: look at each of them.
         first = null;
         int seen = 0;
-        for (UpstreamServer r : wing.local) {
+        for (UpstreamServer r : upstreamService.local) {
             if (!hasRoom(r, tried, now, queue)) {
                 continue;
             }
@@ -120,7 +120,7 @@
     }
 
     /** How long the first server has before a second is asked. */
-    long hedgeAfterMs(UpstreamService wing, Configuration.Route route) {
-        return (long) Math.max(4.0 * wing.typicalMs, HEDGE_AT * route.targetLatencyMs());
+    long hedgeAfterMs(UpstreamService upstreamService, Configuration.Route route) {
+        return (long) Math.max(4.0 * upstreamService.typicalMs, HEDGE_AT * route.targetLatencyMs());
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -23,7 +23,7 @@
     private static final int ENTRIES_AT_MOST = 20_000;
 
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final String zone;
     private final Supplier<DaemonAddress> controller;
     private final Set<UpstreamServer> busy = new LinkedHashSet<>();
@@ -32,12 +32,12 @@
     private MonotonicTime heard = MonotonicTime.NEVER;
     private boolean reporting;
 
-    Occupancy(Clock clock, Messenger post, String zone, Supplier<DaemonAddress> controller) {
+    Occupancy(Clock clock, Messenger messenger, String zone, Supplier<DaemonAddress> controller) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.zone = zone;
         this.controller = controller;
-        post.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
+        messenger.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
     }
 
     /** A server has got its first request from here. */
@@ -66,7 +66,7 @@
                 now.put(r.code, r.inFlight);
             }
             reported = now;
-            post.send(to, Messenger.Topic.OCCUPANCY, out.done());
+            messenger.send(to, Messenger.Topic.OCCUPANCY, out.done());
         }
         if (!nothing) {
             clock.after(REPORT_MS, this::report);
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -24,15 +24,15 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final Map<String, Map<DaemonAddress, Word>> zones = new HashMap<>();
 
-    OccupancyBoard(Clock clock, Messenger post, Metrics tally) {
+    OccupancyBoard(Clock clock, Messenger messenger, Metrics metrics) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
-        post.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
+        this.messenger = messenger;
+        this.metrics = metrics;
+        messenger.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
@@ -70,9 +70,9 @@
         }
         byte[] body = out.done();
         for (DaemonAddress proxy : words.keySet()) {
-            post.send(proxy, Messenger.Topic.OCCUPANCY, body);
+            messenger.send(proxy, Messenger.Topic.OCCUPANCY, body);
         }
-        tally.count("occupancy.told");
+        metrics.count("occupancy.told");
         clock.after(GATHER_MS, () -> tell(zone));
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyPlugin.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyPlugin.java
@@ -24,6 +24,6 @@
 
     @Override
     public void open(PluginHost host) {
-        new OccupancyBoard(host.clock(), host.find(Messenger.class), host.tally());
+        new OccupancyBoard(host.clock(), host.find(Messenger.class), host.metrics());
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
@@ -49,17 +49,17 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final Settings.Bounds bounds;
     private final Random random;
     private final String zone;
-    private final LoadBalancer concierge;
+    private final LoadBalancer loadBalancer;
     private final MonotonicTime started;
     private final Map<String, UpstreamService> wings = new HashMap<>();
     private final Map<String, UpstreamServer> repositories = new HashMap<>();
     private final Set<ClientConnection> readers = new LinkedHashSet<>();
     private final Set<UpstreamService> freed = new HashSet<>();
-    private RouteIndex holdings = RouteIndex.EMPTY;
+    private RouteIndex routeIndex = RouteIndex.EMPTY;
     private RoutingTable table = RoutingTable.EMPTY;
     private int fleet = 1;
     private boolean closing;
@@ -70,14 +70,14 @@
     private QuotaClient quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
-    ProxyListener(EventLoop loop, Clock clock, Metrics tally, Settings.Bounds bounds, String zone, Random random) {
+    ProxyListener(EventLoop loop, Clock clock, Metrics metrics, Settings.Bounds bounds, String zone, Random random) {
         this.loop = loop;
         this.clock = clock;
-        this.tally = tally;
+        this.metrics = metrics;
         this.bounds = bounds;
         this.random = random;
         this.zone = zone;
-        this.concierge = new LoadBalancer(clock, random);
+        this.loadBalancer = new LoadBalancer(clock, random);
         this.started = clock.now();
         clock.every(SWEEP_MS, this::sweep);
     }
@@ -147,8 +147,8 @@
         } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("A table could not be read: {}.", e.getMessage());
         }
-        for (UpstreamService wing : wings.values()) {
-            wing.serveWaiting();
+        for (UpstreamService upstreamService : wings.values()) {
+            upstreamService.serveWaiting();
         }
     }
 
@@ -161,13 +161,13 @@
         for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
             if (e.getKey().startsWith(RoutingTable.UPSTREAM)) {
                 Configuration.Upstream upstream = Tables.readUpstream(e.getValue());
-                wing(upstream.label()).configure(upstream);
+                upstreamService(upstream.label()).configure(upstream);
             }
         }
-        holdings = RouteIndex.of(next);
+        routeIndex = RouteIndex.of(next);
     }
 
-    private UpstreamService wing(String label) {
+    private UpstreamService upstreamService(String label) {
         return wings.computeIfAbsent(label, l -> new UpstreamService(l,
                 new RetryBudget(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
     }
@@ -178,19 +178,19 @@
             known.update(instance);
             return;
         }
-        UpstreamService wing = wing(instance.upstream());
-        UpstreamServer fresh = new UpstreamServer(this, wing, instance, instance.zone().equals(zone));
+        UpstreamService upstreamService = upstreamService(instance.upstream());
+        UpstreamServer fresh = new UpstreamServer(this, upstreamService, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
-        wing.repositories.add(fresh);
-        (fresh.local ? wing.local : wing.elsewhere).add(fresh);
+        upstreamService.repositories.add(fresh);
+        (fresh.local ? upstreamService.local : upstreamService.elsewhere).add(fresh);
     }
 
     private void remove(String key) {
         UpstreamServer old = repositories.remove(key);
         if (old != null) {
             old.retire();
-            old.wing.repositories.remove(old);
-            (old.local ? old.wing.local : old.wing.elsewhere).remove(old);
+            old.upstreamService.repositories.remove(old);
+            (old.local ? old.upstreamService.local : old.upstreamService.elsewhere).remove(old);
         }
     }
 
@@ -200,7 +200,7 @@
 
     /** The limits in force now, for connections that were there before too. */
     Configuration.Limits limits() {
-        return holdings.limits();
+        return routeIndex.limits();
     }
 
     boolean hasTable() {
@@ -210,23 +210,23 @@
     // ---- requests ----
 
     RequestExchange receive(ClientConnection reader, HttpRequest request, long deadlineMs) {
-        tally.count("requests.received");
+        metrics.count("requests.received");
         if (!hasTable()) {
             return new RequestExchange(this, reader, request, ErrorKind.NOT_READY);
         }
-        Configuration.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        Configuration.Route route = routeIndex.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
         if (route == null) {
             return refused(reader, request, doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NO_ROUTE);
         }
         String key = null;
         Configuration.Tenant tenant = null;
-        if (holdings.keyed() && !route.anonymous()) {
+        if (routeIndex.keyed() && !route.anonymous()) {
             key = HeaderNames.token(request.headers());
             ErrorKind why = whyNot(key);
             if (why != null) {
                 return refused(reader, request, why);
             }
-            tenant = holdings.tenant(key);
+            tenant = routeIndex.tenant(key);
         }
         if (route.idempotent() && loans != null) {
             String operation = request.headers().get(HeaderNames.OPERATION_KEY);
@@ -234,12 +234,12 @@
                 return refused(reader, request, ErrorKind.KEY_MISSING);
             }
         }
-        return new RequestExchange(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
+        return new RequestExchange(this, reader, request, route, upstreamService(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
                 tenant, key);
     }
 
     private RequestExchange refused(ClientConnection reader, HttpRequest request, ErrorKind why) {
-        tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
+        metrics.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
         return new RequestExchange(this, reader, request, why);
     }
 
@@ -249,7 +249,7 @@
         if (good <= 0) {
             return ErrorKind.TABLE_STALE;
         }
-        if (holdings.tenant(key) == null) {
+        if (routeIndex.tenant(key) == null) {
             return key != null && doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NOT_A_READER;
         }
         return null;
@@ -258,7 +258,7 @@
     /** The same for a request that was taken in for a tenant: a key that has moved on is looked up anew by another try. */
     ErrorKind whyNot(String key, String tenant) {
         ErrorKind why = whyNot(key);
-        return why == null && !holdings.tenant(key).label().equals(tenant) ? ErrorKind.TABLE_STALE : why;
+        return why == null && !routeIndex.tenant(key).label().equals(tenant) ? ErrorKind.TABLE_STALE : why;
     }
 
     /** Whether the table may well be behind: what it does not know may still be there. */
@@ -268,7 +268,7 @@
 
     /** Whether requests carry keys that are for this system alone. */
     boolean keyed() {
-        return holdings.keyed();
+        return routeIndex.keyed();
     }
 
     OperationClient loans() {
@@ -320,33 +320,33 @@
         // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
         boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
                 || b.erratum() == ErrorKind.TABLE_STALE || b.erratum() == ErrorKind.NOT_READY;
-        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
+        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.upstreamService() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.upstreamService().typicalMs / 1000));
         long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
-    boolean turnsAway(UpstreamService wing, MonotonicTime now) {
-        return wing.pressure.turnsAway(ratio(wing, now), random);
+    boolean turnsAway(UpstreamService upstreamService, MonotonicTime now) {
+        return upstreamService.pressure.turnsAway(ratio(upstreamService, now), random);
     }
 
     /** Whether a service has so much to do that nothing should be asked of it twice without need. */
-    boolean busy(UpstreamService wing, MonotonicTime now) {
-        return wing.pressure.busy(ratio(wing, now));
+    boolean busy(UpstreamService upstreamService, MonotonicTime now) {
+        return upstreamService.pressure.busy(ratio(upstreamService, now));
     }
 
-    private double ratio(UpstreamService wing, MonotonicTime now) {
-        return occupancy != null && occupancy.fresh(now) ? wing.localRatio(now) : 0;
+    private double ratio(UpstreamService upstreamService, MonotonicTime now) {
+        return occupancy != null && occupancy.fresh(now) ? upstreamService.localRatio(now) : 0;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
-    double hedgeReserve(UpstreamService wing, MonotonicTime now) {
-        return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
+    double hedgeReserve(UpstreamService upstreamService, MonotonicTime now) {
+        return Math.max(1, 0.4 * upstreamService.retryBudget.left(now, fleet));
     }
 
     /** A server has become free: those that wait are looked at once the current event is over. */
-    void slotFreed(UpstreamService wing) {
-        if (wing.waitingCount() > 0 && freed.add(wing) && freed.size() == 1) {
+    void slotFreed(UpstreamService upstreamService) {
+        if (upstreamService.waitingCount() > 0 && freed.add(upstreamService) && freed.size() == 1) {
             clock.execute(() -> {
                 Set<UpstreamService> now = new HashSet<>(freed);
                 freed.clear();
@@ -361,8 +361,8 @@
         if (looking) {
             return;
         }
-        for (UpstreamService wing : wings.values()) {
-            if (wing.waitingCount() > 0) {
+        for (UpstreamService upstreamService : wings.values()) {
+            if (upstreamService.waitingCount() > 0) {
                 looking = true;
                 clock.after(WAITING_LOOK_MS, () -> {
                     looking = false;
@@ -453,11 +453,11 @@
         return clock;
     }
 
-    Metrics tally() {
-        return tally;
+    Metrics metrics() {
+        return metrics;
     }
 
-    LoadBalancer concierge() {
-        return concierge;
+    LoadBalancer loadBalancer() {
+        return loadBalancer;
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
@@ -28,9 +28,9 @@
     private static final long LAST_MS = 100;
     private static final long GRACE_MARGIN_MS = 400;
 
-    private PluginHost institution;
+    private PluginHost pluginHost;
     private ProxyListener desk;
-    private StateReceiver consignee;
+    private StateReceiver stateReceiver;
     private boolean leaving;
 
     @Override
@@ -50,20 +50,20 @@
 
     @Override
     public void open(PluginHost host) throws Exception {
-        institution = host;
+        pluginHost = host;
         Settings rules = host.rules();
         Clock clock = host.clock();
         EventLoop loop = ((LoopClock) clock).loop();
-        consignee = host.find(StateReceiver.class);
-        desk = new ProxyListener(loop, clock, host.tally(), rules.bounds(), rules.zone(),
+        stateReceiver = host.find(StateReceiver.class);
+        desk = new ProxyListener(loop, clock, host.metrics(), rules.bounds(), rules.zone(),
                 new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
-        desk.share(host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), consignee::goodForMs);
-        desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), consignee::sender));
-        consignee.observe(desk::apply);
-        host.tally().gauge("clients.connections", desk::openConnections);
+        desk.share(host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), stateReceiver::goodForMs);
+        desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), stateReceiver::sender));
+        stateReceiver.observe(desk::apply);
+        host.metrics().gauge("clients.connections", desk::openConnections);
         DaemonAddress readiness = listener(rules, "readiness");
         DaemonAddress http = listener(rules, "http");
-        watch(new StatusServer(() -> !leaving && desk.hasTable(), host.tally()::page, this::status).bind(loop, readiness),
+        watch(new StatusServer(() -> !leaving && desk.hasTable(), host.metrics()::page, this::status).bind(loop, readiness),
                 readiness);
         ServerSocketChannel listening = host.findOrNull(ServerSocketChannel.class);
         watch(listening == null ? desk.bind(http) : desk.adopt(listening), http);
@@ -72,7 +72,7 @@
     private void watch(ChannelFuture bound, DaemonAddress address) {
         bound.addListener(f -> {
             if (!f.isSuccess()) {
-                institution.fatal("The address " + address + " cannot be used: " + f.cause().getMessage() + ".");
+                pluginHost.fatal("The address " + address + " cannot be used: " + f.cause().getMessage() + ".");
             }
         });
     }
@@ -86,22 +86,22 @@
     }
 
     private String status() {
-        return "{\"daemon\":\"" + institution.rules().nodeName() + "\",\"zone\":\"" + institution.rules().zone()
-                + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":" + consignee.inForce().edition()
-                + ",\"epoch\":" + consignee.epoch() + ",\"sender\":\"" + consignee.sender()
-                + "\",\"tableGoodForMs\":" + (consignee.goodForMs() == Long.MAX_VALUE ? -1 : Math.max(0, consignee.goodForMs()))
+        return "{\"daemon\":\"" + pluginHost.rules().nodeName() + "\",\"zone\":\"" + pluginHost.rules().zone()
+                + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":" + stateReceiver.inForce().edition()
+                + ",\"epoch\":" + stateReceiver.epoch() + ",\"sender\":\"" + stateReceiver.sender()
+                + "\",\"tableGoodForMs\":" + (stateReceiver.goodForMs() == Long.MAX_VALUE ? -1 : Math.max(0, stateReceiver.goodForMs()))
                 + ",\"loansToClose\":" + (desk.loans() == null ? 0 : desk.loans().closing()) + ",\"fleet\":" + desk.fleet() + "}";
     }
 
     @Override
     public void leave(Runnable done) {
-        Clock clock = institution.clock();
-        MonotonicTime end = clock.now().plus(institution.rules().bounds().graceMs() - GRACE_MARGIN_MS);
+        Clock clock = pluginHost.clock();
+        MonotonicTime end = clock.now().plus(pluginHost.rules().bounds().graceMs() - GRACE_MARGIN_MS);
         leaving = true;
         desk.beginClosing();
         LOG.info("Leaving: not ready any more, {} connections open.", desk.openConnections());
-        clock.after(institution.rules().bounds().graceMs() / 2, () -> desk.unblock(false));
-        long notice = Math.min(NOTICED_MS, institution.rules().bounds().graceMs() / 2);
+        clock.after(pluginHost.rules().bounds().graceMs() / 2, () -> desk.unblock(false));
+        long notice = Math.min(NOTICED_MS, pluginHost.rules().bounds().graceMs() / 2);
         clock.after(notice, () -> {
             desk.stopListening();
             finish(end, done);
@@ -109,12 +109,12 @@
     }
 
     private void finish(MonotonicTime end, Runnable done) {
-        if (!desk.anyBusy() || !institution.clock().now().isBefore(end)) {
+        if (!desk.anyBusy() || !pluginHost.clock().now().isBefore(end)) {
             desk.unblock(true);
             // What was written has a moment to leave.
-            institution.clock().after(LAST_MS, done);
+            pluginHost.clock().after(LAST_MS, done);
         } else {
-            institution.clock().after(LOOK_MS, () -> finish(end, done));
+            pluginHost.clock().after(LOOK_MS, () -> finish(end, done));
         }
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
@@ -28,7 +28,7 @@
     private final ClientConnection reader;
     private final HttpRequest request;
     private final Configuration.Route route;
-    private final UpstreamService wing;
+    private final UpstreamService upstreamService;
     private final MonotonicTime arrived;
     private final MonotonicTime deadline;
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
@@ -68,7 +68,7 @@
     private boolean streamCut;
     private int streamHeld;
 
-    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, Configuration.Route route, UpstreamService wing, long deadlineMs,
+    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, Configuration.Route route, UpstreamService upstreamService, long deadlineMs,
             Configuration.Tenant tenant, String key) {
         this.tenant = tenant;
         this.key = key;
@@ -76,7 +76,7 @@
         this.reader = reader;
         this.request = request;
         this.route = route;
-        this.wing = wing;
+        this.upstreamService = upstreamService;
         this.sendings = new Sendings(route != null && route.safe());
         this.arrived = desk.clock().now();
         this.deadline = arrived.plus(deadlineMs);
@@ -153,8 +153,8 @@
         return streamHead;
     }
 
-    UpstreamService wing() {
-        return wing;
+    UpstreamService upstreamService() {
+        return upstreamService;
     }
 
     /** Whether an answer is still looked for. */
@@ -214,13 +214,13 @@
         }
         started = true;
         MonotonicTime now = desk.clock().now();
-        wing.allowance.request(now);
+        upstreamService.retryBudget.request(now);
         long left = deadline.since(now);
         if (left <= 0) {
             refuse(ErrorKind.DEADLINE_BEFORE_RUN);
             return;
         }
-        if (desk.turnsAway(wing, now)) {
+        if (desk.turnsAway(upstreamService, now)) {
             refuse(ErrorKind.OVERLOADED);
             return;
         }
@@ -267,7 +267,7 @@
         OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
                 request.headers().get(HeaderNames.OPERATION_KEY));
         boolean[] over = new boolean[1];
-        OperationClient.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
+        OperationClient.Ticket claimed = desk.loans().claim(operation, upstreamService.dedupCapable, sharedPatience(),
                 new OperationClient.Outcome() {
                     @Override
                     public void granted() {
@@ -327,7 +327,7 @@
             if (attempt != null) {
                 first.headers().set(HeaderNames.ATTEMPT, attempt);
             }
-            desk.tally().count("requests.repeats");
+            desk.metrics().count("requests.repeats");
             deliver(first);
         } catch (MessagePackCodec.UnreadableException e) {
             refuse(ErrorKind.OUTCOME_UNKNOWN);
@@ -381,7 +381,7 @@
         }
         MonotonicTime now = desk.clock().now();
         long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
-        if (patience <= 0 || !wing.enqueue(this)) {
+        if (patience <= 0 || !upstreamService.enqueue(this)) {
             giveUp();
             return;
         }
@@ -396,7 +396,7 @@
 
     private void stopWaiting() {
         waiting = false;
-        wing.dequeue(this);
+        upstreamService.dequeue(this);
         if (waitTimer != null) {
             waitTimer.cancel();
         }
@@ -408,7 +408,7 @@
             waiting = false;
             return true;
         }
-        UpstreamServer repository = desk.concierge().choose(wing, route, tried, deadline);
+        UpstreamServer repository = desk.loadBalancer().choose(upstreamService, route, tried, deadline);
         if (repository == null) {
             return false;
         }
@@ -434,14 +434,14 @@
         } else if (sendings.sent() > 0) {
             refuse(ErrorKind.SERVERS_REFUSED);
         } else {
-            refuse(wing.repositories.isEmpty() ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED);
+            refuse(upstreamService.repositories.isEmpty() ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED);
         }
     }
 
     void nowSent(Attempt attempt, MonotonicTime now) {
         tried.add(attempt.repository);
         if (isSafe() && !large && sendings.sent() == 1 && route.maxTries() > 1) {
-            long hedge = desk.concierge().hedgeAfterMs(wing, route);
+            long hedge = desk.loadBalancer().hedgeAfterMs(upstreamService, route);
             if (now.plus(hedge).isBefore(deadline)) {
                 hedgeTimer = desk.clock().after(hedge, this::hedge);
             }
@@ -454,15 +454,15 @@
             return;
         }
         MonotonicTime now = desk.clock().now();
-        UpstreamServer second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
+        UpstreamServer second = desk.busy(upstreamService, now) ? null : desk.loadBalancer().choose(upstreamService, route, tried, deadline);
         if (second == null) {
             return;
         }
-        Sendings.Permit under = sendings.further(null, wing.allowance, now, desk.fleet(), desk.hedgeReserve(wing, now));
+        Sendings.Permit under = sendings.further(null, upstreamService.retryBudget, now, desk.fleet(), desk.hedgeReserve(upstreamService, now));
         if (under == null) {
             return;
         }
-        desk.tally().count("requests.hedged");
+        desk.metrics().count("requests.hedged");
         placements++;
         active++;
         second.carry(new Attempt(this, second, under));
@@ -543,8 +543,8 @@
             giveUp();
             return;
         }
-        Sendings.Permit under = sendings.further(proof, wing.allowance, now, desk.fleet(), 0);
-        desk.tally().count(under != null ? "requests.retried" : "requests.retry.denied");
+        Sendings.Permit under = sendings.further(proof, upstreamService.retryBudget, now, desk.fleet(), 0);
+        desk.metrics().count(under != null ? "requests.retried" : "requests.retry.denied");
         if (under == null) {
             giveUp();
         } else {
@@ -583,7 +583,7 @@
             kind = ErrorKind.SERVER_FAILED;
         }
         erratum = kind;
-        desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
+        desk.metrics().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
         done();
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
@@ -109,7 +109,7 @@
         try {
             if (current == null || finished) {
                 // Bytes that belong to no request: nothing on this connection can be trusted any more.
-                repository.desk().tally().count("servers.stray.bytes");
+                repository.desk().metrics().count("servers.stray.bytes");
                 if (Safeguard.SURPLUS_RETIRES_CONNECTION.holds()) {
                     reusable = false;
                     close();
--- a/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
@@ -36,9 +36,9 @@
 
     private final ProxyListener desk;
     private final Clock clock;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
-    UpstreamService wing;
+    UpstreamService upstreamService;
     Tables.Instance instance;
     /** Stands for the id in what proxies tell of their requests. */
     final int code;
@@ -61,12 +61,12 @@
     private boolean misdirected;
     private double failures;
 
-    UpstreamServer(ProxyListener desk, UpstreamService wing, Tables.Instance instance, boolean local) {
+    UpstreamServer(ProxyListener desk, UpstreamService upstreamService, Tables.Instance instance, boolean local) {
         this.local = local;
         this.desk = desk;
         this.clock = desk.clock();
-        this.tally = desk.tally();
-        this.wing = wing;
+        this.metrics = desk.metrics();
+        this.upstreamService = upstreamService;
         this.instance = instance;
         this.warmAt = clock.now().plus(desk.hasTable() ? instance.warmMs() : 0);
         this.code = instance.id().value().hashCode();
@@ -101,7 +101,7 @@
         // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody here
         // has asked lately is not idle for that.
         double usual = local ? othersAverage
-                : Math.max(othersAverage, UNKNOWN_LOAD * wing.localRatio(now) * instance.capacity());
+                : Math.max(othersAverage, UNKNOWN_LOAD * upstreamService.localRatio(now) * instance.capacity());
         return inFlight + othersLoad * fade + usual * (1 - fade);
     }
 
@@ -110,16 +110,16 @@
     }
 
     private int connectionCap() {
-        return Math.max(2, (int) (wing.maxConnections * 0.85 / Math.max(1, desk.fleet())));
+        return Math.max(2, (int) (upstreamService.maxConnections * 0.85 / Math.max(1, desk.fleet())));
     }
 
     /** The time an answer is expected to take if the request is sent now. */
     double expectedMs(MonotonicTime now) {
         double age = now.since(latencyAt);
         double weight = measured ? Math.exp(-age / 6_000) : 0;
-        double service = latencyMs * weight + wing.typicalMs * (1 - weight);
+        double service = latencyMs * weight + upstreamService.typicalMs * (1 - weight);
         if (now.isBefore(warmAt)) {
-            service = Math.max(service, wing.typicalMs * 1.8);
+            service = Math.max(service, upstreamService.typicalMs * 1.8);
         }
         double load = load(now) + 1;
         double cap = instance.capacity();
@@ -150,7 +150,7 @@
         if (--inFlight == 0 && desk.occupancy() != null) {
             desk.occupancy().ended(this);
         }
-        desk.slotFreed(wing);
+        desk.slotFreed(upstreamService);
     }
 
     void answered(MonotonicTime now, double ms, boolean good) {
@@ -160,7 +160,7 @@
             latencyMs = measured ? latencyMs * 0.8 + ms * 0.2 : ms;
             measured = true;
             latencyAt = now;
-            wing.sample(ms);
+            upstreamService.sample(ms);
         }
     }
 
@@ -176,7 +176,7 @@
             othersAverage = othersAverage * 0.9 + othersLoad * 0.1;
             othersAt = now;
         } catch (NumberFormatException e) {
-            tally.count("servers.load.unreadable");
+            metrics.count("servers.load.unreadable");
         }
     }
 
@@ -199,14 +199,14 @@
     void unreachable(MonotonicTime now) {
         downMs = downMs == 0 ? DOWN_FIRST_MS : Math.min(DOWN_LONGEST_MS, downMs * 2);
         downUntil = now.plus(downMs);
-        tally.count("servers.unreachable");
+        metrics.count("servers.unreachable");
         closeIdle();
     }
 
     /** Another server answers at the address. */
     void misdirected() {
         misdirected = true;
-        tally.count("servers.misdirected");
+        metrics.count("servers.misdirected");
         closeIdle();
     }
 
@@ -215,24 +215,24 @@
         MonotonicTime now = clock.now();
         begin(now);
         while (!idle.isEmpty()) {
-            ServerConnection carrel = idle.pollLast();
-            if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS
+            ServerConnection serverConnection = idle.pollLast();
+            if (!attempt.requestExchange.isSafe() && now.since(serverConnection.restingSince) > RESTED_MS
                     && Safeguard.CONNECTION_RESTED_TOO_LONG.holds()) {
                 // A server may have forgotten it without a word, and what it resets then cannot be sent again.
-                idle.addLast(carrel);
+                idle.addLast(serverConnection);
                 break;
             }
-            if (carrel.isOpen()) {
-                if (carrel.isClean()) {
-                    carrel.send(attempt);
+            if (serverConnection.isOpen()) {
+                if (serverConnection.isClean()) {
+                    serverConnection.send(attempt);
                     return;
                 }
-                tally.count("servers.stray.bytes");
-                carrel.close();
+                metrics.count("servers.stray.bytes");
+                serverConnection.close();
             }
         }
         connections++;
-        tally.count("servers.connections.opened");
+        metrics.count("servers.connections.opened");
         Bootstrap bootstrap = new Bootstrap().group(desk.loop()).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
@@ -241,16 +241,16 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
         AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
                 .setMaxInitialLineLength(4096).setInitialBufferSize(256));
-        ServerConnection carrel = new ServerConnection(this, decoder);
+        ServerConnection serverConnection = new ServerConnection(this, decoder);
         ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(carrel);
+                ch.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(serverConnection);
             }
         }).connect(instance.address().socketAddress());
         future.addListener(f -> {
             if (f.isSuccess()) {
-                carrel.send(attempt);
+                serverConnection.send(attempt);
             } else {
                 connections--;
                 unreachable(clock.now());
@@ -260,39 +260,39 @@
         });
     }
 
-    void rest(ServerConnection carrel) {
+    void rest(ServerConnection serverConnection) {
         if (usable(clock.now()) && !desk.closing()) {
-            carrel.restingSince = clock.now();
-            idle.addLast(carrel);
+            serverConnection.restingSince = clock.now();
+            idle.addLast(serverConnection);
         } else {
-            carrel.close();
+            serverConnection.close();
         }
     }
 
     /** Nothing was sent over it after all. It has rested since it last carried an answer, not since now. */
-    void putBack(ServerConnection carrel) {
-        if (!carrel.reused()) {
-            rest(carrel);
+    void putBack(ServerConnection serverConnection) {
+        if (!serverConnection.reused()) {
+            rest(serverConnection);
         } else if (usable(clock.now()) && !desk.closing()) {
-            idle.addFirst(carrel);
+            idle.addFirst(serverConnection);
         } else {
-            carrel.close();
+            serverConnection.close();
         }
     }
 
-    void lost(ServerConnection carrel) {
+    void lost(ServerConnection serverConnection) {
         connections--;
-        idle.remove(carrel);
+        idle.remove(serverConnection);
     }
 
     /** Closes connections before the server does. */
     void sweep(MonotonicTime now) {
         Iterator<ServerConnection> it = idle.iterator();
         while (it.hasNext()) {
-            ServerConnection carrel = it.next();
-            if (now.since(carrel.restingSince) > Math.min(IDLE_MS, carrel.keepAliveMs)) {
+            ServerConnection serverConnection = it.next();
+            if (now.since(serverConnection.restingSince) > Math.min(IDLE_MS, serverConnection.keepAliveMs)) {
                 it.remove();
-                carrel.close();
+                serverConnection.close();
             }
         }
     }
--- a/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
@@ -13,7 +13,7 @@
     private static final long LOCAL_RATIO_MS = 100;
 
     final String label;
-    final RetryBudget allowance;
+    final RetryBudget retryBudget;
     final List<UpstreamServer> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
     final List<UpstreamServer> local = new ArrayList<>();
@@ -31,9 +31,9 @@
     private double localRatio;
     private MonotonicTime localRatioAt = MonotonicTime.NEVER;
 
-    UpstreamService(String label, RetryBudget allowance) {
+    UpstreamService(String label, RetryBudget retryBudget) {
         this.label = label;
-        this.allowance = allowance;
+        this.retryBudget = retryBudget;
     }
 
     void configure(Configuration.Upstream upstream) {
@@ -68,15 +68,15 @@
     }
 
     /** Takes a request into the queue; false if the queue is full of requests that come first. */
-    boolean enqueue(RequestExchange borrowing) {
+    boolean enqueue(RequestExchange requestExchange) {
         if (waiting.size() >= WAITING_AT_MOST) {
             return false;
         }
-        return waiting.add(borrowing);
+        return waiting.add(requestExchange);
     }
 
-    void dequeue(RequestExchange borrowing) {
-        waiting.remove(borrowing);
+    void dequeue(RequestExchange requestExchange) {
+        waiting.remove(requestExchange);
     }
 
     int waitingCount() {
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -118,11 +118,11 @@
     Report run() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         List<UnrulyServer> servers = new ArrayList<>();
-        Metrics tally = new Metrics();
+        Metrics metrics = new Metrics();
         try {
             LoopClock clock = new LoopClock(group.next());
             Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
-            ProxyListener desk = new ProxyListener(clock.loop(), clock, tally, bounds, "z", new Random(seed));
+            ProxyListener desk = new ProxyListener(clock.loop(), clock, metrics, bounds, "z", new Random(seed));
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
             }
@@ -130,7 +130,7 @@
             for (int i = 0; i < SERVERS; i++) {
                 servers.add(new UnrulyServer("i" + i, seed, this));
             }
-            OperationClient counter = new OperationClient(clock, new FakeCounterPost(clock, new FakeRegister()::answer), tally,
+            OperationClient counter = new OperationClient(clock, new FakeCounterPost(clock, new FakeRegister()::answer), metrics,
                     new Random(seed), List::of);
             counter.head(DaemonAddress.parse("10.0.0.1:7000"));
             clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
@@ -165,7 +165,7 @@
             }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(3, TimeUnit.SECONDS);
         }
-        return report(tally);
+        return report(metrics);
     }
 
     private static void apply(ProxyListener desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
@@ -198,7 +198,7 @@
         }
     }
 
-    private Report report(Metrics tally) {
+    private Report report(Metrics metrics) {
         int total = 0;
         Map<String, Integer> byOperation = new HashMap<>();
         for (Map.Entry<String, AtomicInteger> e : runs.entrySet()) {
@@ -217,7 +217,7 @@
             }
         }
         StringBuilder counts = new StringBuilder();
-        tally.forEach((name, value) -> {
+        metrics.forEach((name, value) -> {
             if (value > 0 && (name.startsWith("servers.") || name.startsWith("requests."))) {
                 counts.append(name).append(' ').append((long) value).append(", ");
             }
--- a/proxy/src/test/java/org/umbermount/proxy/LoadBalancerTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/LoadBalancerTest.java
@@ -26,7 +26,7 @@
     private final EventLoop loop = new DefaultEventLoop();
     private final ProxyListener desk = new ProxyListener(loop, clock, new Metrics(),
             new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
-    private final UpstreamService wing = new UpstreamService("s", null);
+    private final UpstreamService upstreamService = new UpstreamService("s", null);
     private final Configuration.Route route = new Configuration.Route("r", "h", "/p/", Configuration.Kind.SAFE, false, 5_000, 800, 1,
             2, List.of(new Configuration.Share("s", 1)));
 
@@ -36,10 +36,10 @@
     }
 
     private UpstreamServer server(String id, String zone) {
-        UpstreamServer r = new UpstreamServer(desk, wing, new Tables.Instance(new InstanceId(id), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3,
+        UpstreamServer r = new UpstreamServer(desk, upstreamService, new Tables.Instance(new InstanceId(id), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3,
                 0, false), zone.equals("z"));
-        wing.repositories.add(r);
-        (r.local ? wing.local : wing.elsewhere).add(r);
+        upstreamService.repositories.add(r);
+        (r.local ? upstreamService.local : upstreamService.elsewhere).add(r);
         return r;
     }
 
@@ -52,7 +52,7 @@
     private Set<UpstreamServer> chosen(UpstreamServer... tried) {
         Set<UpstreamServer> chosen = new HashSet<>();
         for (int i = 0; i < 300; i++) {
-            chosen.add(desk.concierge().choose(wing, route, List.of(tried), clock.now().plus(2_000)));
+            chosen.add(desk.loadBalancer().choose(upstreamService, route, List.of(tried), clock.now().plus(2_000)));
         }
         return chosen;
     }
@@ -71,7 +71,7 @@
     void whereNothingHasRoomHereTheRequestGoesElsewhereAndOtherwiseNowhere() {
         UpstreamServer here = server("a", "z");
         busy(here, 6, clock.now());
-        assertNull(desk.concierge().choose(wing, route, List.of(), clock.now().plus(2_000)));
+        assertNull(desk.loadBalancer().choose(upstreamService, route, List.of(), clock.now().plus(2_000)));
         UpstreamServer far = server("far", "y");
         assertEquals(Set.of(far), chosen());
     }
--- a/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -19,7 +19,7 @@
 
 class OccupancyTest {
     private final FakeClock clock = new FakeClock();
-    private final FakeMessenger post = new FakeMessenger(clock, 5);
+    private final FakeMessenger messenger = new FakeMessenger(clock, 5);
     private final DaemonAddress controller = DaemonAddress.parse("10.0.0.1:7540");
     private final EventLoop loop = new DefaultEventLoop();
 
@@ -30,7 +30,7 @@
         final UpstreamServer server;
 
         Proxy(String address, String zone) {
-            desk.watch(new Occupancy(clock, post.bag(DaemonAddress.parse(address)), zone, () -> controller));
+            desk.watch(new Occupancy(clock, messenger.bag(DaemonAddress.parse(address)), zone, () -> controller));
             server = new UpstreamServer(desk, new UpstreamService("s", null), new Tables.Instance(new InstanceId("i-1"), "s",
                     DaemonAddress.parse("10.0.9.9:80"), zone, 3, 0, false), true);
         }
@@ -46,7 +46,7 @@
     }
 
     private void startController() {
-        new OccupancyBoard(clock, post.bag(controller), new Metrics());
+        new OccupancyBoard(clock, messenger.bag(controller), new Metrics());
     }
 
     @Test
@@ -81,10 +81,10 @@
         b.server.begin(clock.now());
         clock.advance(400);
         assertEquals(2, b.load());
-        post.down(DaemonAddress.parse("10.0.0.2:7541"));
+        messenger.down(DaemonAddress.parse("10.0.0.2:7541"));
         clock.advance(700);
         assertEquals(1, b.load());
-        post.down(controller);
+        messenger.down(controller);
         clock.advance(Occupancy.FRESH_MS + 100);
         assertFalse(b.desk.occupancy().fresh(clock.now()));
         startController();
@@ -97,14 +97,14 @@
         startController();
         Proxy a = new Proxy("10.0.0.2:7541", "z");
         clock.advance(5_000);
-        assertEquals(0, post.sent);
+        assertEquals(0, messenger.sent);
         a.server.begin(clock.now());
         clock.advance(1_000);
-        assertTrue(post.sent > 10);
+        assertTrue(messenger.sent > 10);
         a.server.end();
         clock.advance(2_500);
-        long before = post.sent;
+        long before = messenger.sent;
         clock.advance(5_000);
-        assertEquals(before, post.sent);
+        assertEquals(before, messenger.sent);
     }
 }
--- a/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
@@ -44,7 +44,7 @@
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LoopClock clock = new LoopClock(group.next());
-    private final Metrics tally = new Metrics();
+    private final Metrics metrics = new Metrics();
     private ProxyListener desk;
     private int port;
     private ScriptedServer first;
@@ -59,7 +59,7 @@
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
         Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
-        desk = new ProxyListener(clock.loop(), clock, tally, bounds, "z", new Random(1));
+        desk = new ProxyListener(clock.loop(), clock, metrics, bounds, "z", new Random(1));
         desk.bind(DaemonAddress.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
     }
@@ -105,7 +105,7 @@
         return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n";
     }
 
-    private static String post(String path, String body) {
+    private static String messenger(String path, String body) {
         return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -149,7 +149,7 @@
             assertTrue(answerOn(busy).toLowerCase().contains("connection: close"), "its decoder has the old limit");
             assertEquals(-1, idle.getInputStream().read(), "ended by the new time");
         }
-        assertEquals(413, status(exchange(post("/once/x", "more than ten bytes"))));
+        assertEquals(413, status(exchange(messenger("/once/x", "more than ten bytes"))));
     }
 
     private static String answerOn(Socket socket) throws IOException {
@@ -216,7 +216,7 @@
         String raw = text.replace("SEALED", SEALED).replace("\\r", "\r").replace("\\n", "\n");
         first.act(ScriptedServer.raw(raw, false));
         second.act(ScriptedServer.raw(raw, false));
-        String answer = exchange(post("/once/x", "body"));
+        String answer = exchange(messenger("/once/x", "body"));
         assertEquals(502, status(answer), answer);
         assertEquals(1, first.seen.size() + second.seen.size());
         first.act(ScriptedServer.ok("hello"));
@@ -253,10 +253,10 @@
         String shed = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\nContent-Length: 0\r\n\r\n";
         first.act(ScriptedServer.raw(shed, true));
         for (int i = 0; i < 4; i++) {
-            assertEquals(200, status(exchange(post("/once/x", "b"))));
+            assertEquals(200, status(exchange(messenger("/once/x", "b"))));
         }
         second.act(ScriptedServer.raw(shed, true));
-        String answer = exchange(post("/once/x", "b"));
+        String answer = exchange(messenger("/once/x", "b"));
         assertEquals(503, status(answer));
         assertTrue(answer.toLowerCase().contains("retry-after:"), answer);
     }
@@ -266,7 +266,7 @@
         table(first, second);
         first.act(ScriptedServer.raw("HTTP/1.1 421 Other\r\nInstance-Id: i9\r\nContent-Length: 0\r\n\r\n", true));
         for (int i = 0; i < 6; i++) {
-            assertEquals(200, status(exchange(post("/once/x", "b"))));
+            assertEquals(200, status(exchange(messenger("/once/x", "b"))));
         }
         assertTrue(first.seen.size() <= 1, "asked " + first.seen.size());
     }
@@ -296,7 +296,7 @@
             ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nt1");
             return true;
         });
-        String answer = exchange(post("/once/x", "b").replace("t1", "t2"));
+        String answer = exchange(messenger("/once/x", "b").replace("t1", "t2"));
         assertEquals(502, status(answer), answer);
         int before = first.connections.get();
         first.act(ScriptedServer.ok("hello"));
@@ -342,7 +342,7 @@
     void longRequestBodyIsPassedOnWhole() throws Exception {
         table(first);
         String body = "b".repeat(700_000);
-        assertEquals(200, status(exchange(post("/once/x", body))));
+        assertEquals(200, status(exchange(messenger("/once/x", body))));
         assertEquals(body, new String(first.seen.get(0).body()));
         assertEquals(1, first.seen.size());
     }
@@ -355,7 +355,7 @@
             return false;
         });
         long start = System.nanoTime();
-        String answer = exchange(post("/once/x", "b").replace("Deadline-Ms: 2000", "Deadline-Ms: 300"));
+        String answer = exchange(messenger("/once/x", "b").replace("Deadline-Ms: 2000", "Deadline-Ms: 300"));
         assertEquals(504, status(answer));
         assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(2));
     }
@@ -433,7 +433,7 @@
     private String answersAroundAnUnreadableRequest() throws Exception {
         table(first);
         first.act(slowOn("/once/a", 150));
-        return exchange(more(post("/once/a", "x")) + more(post("/once/b", "x")).replace("t1", "t2")
+        return exchange(more(messenger("/once/a", "x")) + more(messenger("/once/b", "x")).replace("t1", "t2")
                 + "GET /safe/c HTTP/1.1\r\nHost: h\r\nHost: g\r\nRequest-Attempt: t3\r\n\r\n");
     }
 
@@ -466,7 +466,7 @@
         int before = first.connections.get();
         first.act((request, out) -> first.connections.get() > before && ScriptedServer.ok("hello").answer(request, out));
         Thread.sleep(300);
-        return status(exchange(post("/once/x", "b")));
+        return status(exchange(messenger("/once/x", "b")));
     }
 
     @Test
@@ -486,7 +486,7 @@
             ScriptedServer.write(out, first.connections.get() > 1 ? "" : "ngth: 0\r\n\r\n");
             return ScriptedServer.ok("hello").answer(request, out);
         });
-        return status(exchange(post("/once/x", "b")));
+        return status(exchange(messenger("/once/x", "b")));
     }
 
     @Test
@@ -506,7 +506,7 @@
             ScriptedServer.write(out, SEALED + "Content-Length: 900\r\n\r\n");
             return ScriptedServer.ok("hello").answer(request, out);
         });
-        String answer = exchange(post("/once/x", "b").replace("t1", "t2"));
+        String answer = exchange(messenger("/once/x", "b").replace("t1", "t2"));
         assertEquals(502, status(answer), answer);
         assertEquals(0, clock.loop().submit(desk::atServers).get());
     }
@@ -517,7 +517,7 @@
         table(first);
         assertEquals(200, status(exchange(get("/safe/x"))));
         first.act(ScriptedServer.raw("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", false));
-        assertEquals(502, status(exchange(post("/once/x", "b"))));
+        assertEquals(502, status(exchange(messenger("/once/x", "b"))));
         assertEquals(2, first.seen.size());
     }
 
@@ -549,7 +549,7 @@
             }
             assertTrue(head.toString().toLowerCase().contains("connection: close"), head.toString());
             int seen = first.seen.size();
-            ScriptedServer.write(socket.getOutputStream(), more(get("/safe/b")) + more(post("/once/c", "x")));
+            ScriptedServer.write(socket.getOutputStream(), more(get("/safe/b")) + more(messenger("/once/c", "x")));
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
             while (first.seen.size() == seen && System.nanoTime() < until) {
                 Thread.sleep(5);
@@ -650,8 +650,8 @@
 
     /** What a controller's side would say, scripted: each message to it is answered by the function. */
     private OperationClient counter(java.util.function.Function<MessagePackCodec.ClientConnection, byte[]> controller) {
-        FakeCounterPost post = new FakeCounterPost(clock, controller);
-        OperationClient counter = new OperationClient(clock, post, tally, new Random(4), java.util.List::of);
+        FakeCounterPost messenger = new FakeCounterPost(clock, controller);
+        OperationClient counter = new OperationClient(clock, messenger, metrics, new Random(4), java.util.List::of);
         counter.head(DaemonAddress.parse("10.0.0.1:7000"));
         return counter;
     }
@@ -662,7 +662,7 @@
         FakeRegister register = new FakeRegister();
         OperationClient counter = counter(register::answer);
         clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
-        String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        String operation = messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         register.granting = false;
         String none = exchange(operation);
         assertEquals(503, status(none), none);
@@ -676,7 +676,7 @@
         assertEquals(200, status(repeat), repeat);
         assertTrue(repeat.contains("t7") && repeat.contains("s1") && repeat.endsWith("hello"), repeat);
         assertEquals(1, first.seen.size());
-        String without = exchange(post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"));
+        String without = exchange(messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"));
         assertEquals(400, status(without));
     }
 
@@ -688,7 +688,7 @@
         clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
         first.act(ScriptedServer.raw("", false));
         second.act(ScriptedServer.raw("", false));
-        String operation = post("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        String operation = messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         assertEquals(502, status(exchange(operation)));
         Thread.sleep(300);
         assertEquals(502, status(exchange(operation)));
--- a/quota/src/main/java/org/umbermount/quota/QuotaClient.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -80,7 +80,7 @@
             MonotonicTime now = clock.now();
             refusals = refusals * Math.exp(-now.since(refusedAt) / 2_000.0) + 1;
             refusedAt = now;
-            tally.count("quota.refused");
+            metrics.count("quota.refused");
             outcome.told(Word.SPENT);
         }
 
@@ -99,7 +99,7 @@
                 if (late.again) {
                     refused(late.outcome);
                 } else {
-                    tally.count("quota.unreachable");
+                    metrics.count("quota.unreachable");
                     late.outcome.told(Word.NOBODY);
                 }
             }
@@ -112,7 +112,7 @@
             int ahead = (int) Math.min(6, demand * ttlMs / 2_000);
             DaemonAddress to = target(tenant, asks++);
             if (to != null) {
-                post.send(to, Messenger.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
+                messenger.send(to, Messenger.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
                         List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
             }
             timer = clock.after(REPEAT_MS, this::ask);
@@ -169,8 +169,8 @@
     }
 
     private final Clock clock;
-    private final Messenger post;
-    private final Metrics tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final long ttlMs;
     /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
     private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
@@ -182,13 +182,13 @@
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
      * @param controllers the controllers known, for when the keeper of a count is not
      */
-    public QuotaClient(Clock clock, Messenger post, Metrics tally, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
+    public QuotaClient(Clock clock, Messenger messenger, Metrics metrics, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.ttlMs = Math.max(1, ttlMs);
         this.controllers = controllers;
-        post.subscribe(Messenger.Topic.QUOTA, this::receive);
+        messenger.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
     /** Where the table says that a share of the tenants is counted. */
@@ -250,7 +250,7 @@
         }
         QuotaMessages.Answer answer = QuotaMessages.Answer.read(in);
         if (answer.life() != life && Safeguard.REPLY_MATCHED_BY_LIFE.holds()) {
-            tally.count("quota.replies.foreign");
+            metrics.count("quota.replies.foreign");
             return;
         }
         if (answer.stamp() > clock.now().millis()) {
--- a/quota/src/main/java/org/umbermount/quota/QuotaClientPlugin.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClientPlugin.java
@@ -43,11 +43,11 @@
             return;
         }
         Settings.Sharing sharing = host.rules().bounds().sharing();
-        PeerSampling gazetteer = host.find(PeerSampling.class);
+        PeerSampling peerSampling = host.find(PeerSampling.class);
         // A grant spent late counts in a window that it was not given in; half of the overshoot is left for that.
         long ttl = (long) (sharing.quotaOvershoot() * sharing.quotaWindowMs() / 2);
-        counter = new QuotaClient(host.clock(), host.find(Messenger.class), host.tally(), ttl,
-                () -> gazetteer.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::imprint).toList());
+        counter = new QuotaClient(host.clock(), host.find(Messenger.class), host.metrics(), ttl,
+                () -> peerSampling.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::daemonAddress).toList());
         host.offer(QuotaClient.class, counter);
         host.find(StateReceiver.class).observe(this::learn);
     }
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -24,26 +24,26 @@
     private static final double CAP_SHARE = 0.2;
 
     private final Clock clock;
-    private final Messenger post;
+    private final Messenger messenger;
     private final Replica replica;
     private final LeaseManager leases;
     private final MajorityContact contact;
     private final Settings.Sharing sharing;
-    private final Metrics tally;
+    private final Metrics metrics;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private Configuration limitsOf;
     private Map<String, Configuration.Tenant> limits = Map.of();
 
-    QuotaGranter(Clock clock, Messenger post, Replica replica, LeaseManager leases,
-            MajorityContact contact, Settings.Sharing sharing, Metrics tally) {
+    QuotaGranter(Clock clock, Messenger messenger, Replica replica, LeaseManager leases,
+            MajorityContact contact, Settings.Sharing sharing, Metrics metrics) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.leases = leases;
         this.contact = contact;
         this.sharing = sharing;
-        this.tally = tally;
-        post.subscribe(Messenger.Topic.QUOTA, this::receive);
+        this.metrics = metrics;
+        messenger.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
     private Map<String, Configuration.Tenant> limits() {
@@ -69,7 +69,7 @@
         for (QuotaMessages.Wish w : ask.wishes()) {
             grants.add(grant(w));
         }
-        post.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
+        messenger.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
     }
 
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
@@ -80,11 +80,11 @@
         }
         if (Safeguard.QUOTA_UNDER_CONFIRMED_EDITION.holds() && !contact.assured()) {
             // The limits held here may be old ones: as after a cut, when the lease is back before the configuration.
-            return new QuotaMessages.Grant(wish.tenant(), -1, 0, post.self());
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, messenger.self());
         }
         Configuration.Tenant limit = limits().get(wish.tenant());
         if (limit == null || !limit.limited()) {
-            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
+            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, messenger.self());
         }
         MonotonicTime now = clock.now();
         Bucket bucket = buckets.get(wish.tenant());
@@ -93,8 +93,8 @@
             buckets.put(wish.tenant(), bucket);
         }
         int n = bucket.take(wish.count(), limit.ratePerS(), limit.burst() + CAP_SHARE * sharing.quotaBurst(), now);
-        tally.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
-        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), post.self());
+        metrics.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
+        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), messenger.self());
     }
 
     Map<String, Bucket> buckets() {
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranterPlugin.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranterPlugin.java
@@ -38,7 +38,7 @@
         replica = host.find(Replica.class);
         if (host.rules().guarantees(Settings.QUOTA)) {
             desk = new QuotaGranter(host.clock(), host.find(Messenger.class), replica, host.find(LeaseManager.class),
-                    host.find(MajorityContact.class), host.rules().bounds().sharing(), host.tally());
+                    host.find(MajorityContact.class), host.rules().bounds().sharing(), host.metrics());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
         if (page != null) {
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -44,11 +44,11 @@
      */
     record Grant(String tenant, int count, long waitMs, DaemonAddress keeper) {
         void write(MessagePackCodec.Writer out) {
-            out.text(tenant).num(count).num(waitMs).imprint(keeper);
+            out.text(tenant).num(count).num(waitMs).daemonAddress(keeper);
         }
 
         static Grant read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-            return new Grant(in.text(), (int) in.num(), in.num(), in.imprint());
+            return new Grant(in.text(), (int) in.num(), in.num(), in.daemonAddress());
         }
     }
 
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -63,7 +63,7 @@
     }
 
     private void ask(int at) {
-        proxy.send(Fleet.imprint(at), Messenger.Topic.QUOTA,
+        proxy.send(Fleet.daemonAddress(at), Messenger.Topic.QUOTA,
                 new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
     }
 
@@ -96,7 +96,7 @@
                 fleet.thaw(one);
                 fleet.run(2);
             }
-            assertEquals(-1, granted.get(Fleet.imprint(one)), how.toString());
+            assertEquals(-1, granted.get(Fleet.daemonAddress(one)), how.toString());
             assertTrue(holder() >= 0 && holder() != one, "nobody counts meanwhile");
             end.run();
         }
@@ -122,7 +122,7 @@
         take((one + 1) % SIZE, 1, 5, 1);
         fleet.run(12_000);
         long until = fleet.almanac.now().millis() + 12_000;
-        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.imprint(one)) || topic != Messenger.Topic.VIEW
+        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.daemonAddress(one)) || topic != Messenger.Topic.VIEW
                 || fleet.almanac.now().millis() > until;
         // The others stop, one after the other, so that the duty comes back.
         end.run();
@@ -138,7 +138,7 @@
             ask(one);
             fleet.run(20);
             counted += holder() == one ? 1 : 0;
-            if (granted.getOrDefault(Fleet.imprint(one), -1) >= 0
+            if (granted.getOrDefault(Fleet.daemonAddress(one), -1) >= 0
                     && fleet.replica(one).committed().edition().value() < 5) {
                 wrong = "granted under edition " + fleet.replica(one).committed().edition();
             }
