--- a/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -42,7 +42,7 @@
         messenger.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Instruction.unpack(body)));
     }
 
-    /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
+    /** From now on a table counts only for so long after a majority was asked about it; see docs/quotas.md. */
     void countFor(long ms) {
         keepMs = ms;
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -22,7 +22,7 @@
 
 /**
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
- * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
+ * head; each member writes the entries and passes them on; the tail answers. See docs/idempotency.md.
  */
 public final class OperationKeeper implements CompanionState {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
