--- a/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
+++ b/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
@@ -19,8 +19,8 @@
     public Integer call() {
         try {
             Configuration r = Configuration.parse(Files.readAllBytes(file));
-            System.out.println("Revision " + r.edition() + " is valid: " + r.routes().size() + " routes, "
-                    + r.upstreams().size() + " services.");
+            System.out.println("Revision " + r.edition() + " is valid: "
+                    + r.routes().size() + " routes, " + r.upstreams().size() + " services.");
             return 0;
         } catch (IOException e) {
             System.err.println("The file " + file + " cannot be opened.");
--- a/app/src/main/java/org/umbermount/app/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -11,13 +11,13 @@
 import java.util.Arrays;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopClock;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.DatagramMessenger;
+import org.umbermount.kernel.net.LoopClock;
 
 /** One running program: reads its settings, opens its parts, and leaves in order when told to. */
 final class Daemon {
@@ -84,7 +84,8 @@
         pluginHost.openAll();
         watchSignals();
         clock.every(REREAD_MS, this::rereadIfChanged);
-        log.info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
+        log.info(
+                "{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
     }
 
     /**
--- a/app/src/main/java/org/umbermount/app/FleetSummary.java
+++ b/app/src/main/java/org/umbermount/app/FleetSummary.java
@@ -45,12 +45,21 @@
             if (r.path("connected").asBoolean()) {
                 connected += votes ? 1 : 0;
             } else if (votes) {
-                wrong.add("Controller " + r.path("daemon").asText() + " of " + r.path("zone").asText() + " is not connected.");
+                wrong.add("Controller " + r.path("daemon").asText() + " of "
+                        + r.path("zone").asText() + " is not connected.");
             }
         }
-        text.append("View ").append(status.path("view").asLong()).append(": ").append(voters).append(" voters, ")
-                .append(connected).append(" connected, ").append(status.path("chain").size()).append(" in the chain; edition ")
-                .append(status.path("edition").asLong()).append(".\n");
+        text.append("View ")
+                .append(status.path("view").asLong())
+                .append(": ")
+                .append(voters)
+                .append(" voters, ")
+                .append(connected)
+                .append(" connected, ")
+                .append(status.path("chain").size())
+                .append(" in the chain; edition ")
+                .append(status.path("edition").asLong())
+                .append(".\n");
         if (connected <= voters / 2) {
             wrong.add("Fewer than a majority of the voters are connected: no configuration can be taken.");
         }
@@ -78,15 +87,26 @@
             }
         });
         for (Map.Entry<String, int[]> e : zones.entrySet()) {
-            String holder = status.path("duties").path(e.getKey()).path("holder").asText();
+            String holder =
+                    status.path("duties").path(e.getKey()).path("holder").asText();
             int[] n = e.getValue();
-            text.append("Zone ").append(e.getKey()).append(": sender ").append(holder.isEmpty() ? "none" : holder).append(", ")
-                    .append(n[0]).append(" proxies known here, ").append(n[1]).append(" silent, ").append(n[2]).append(" behind.\n");
+            text.append("Zone ")
+                    .append(e.getKey())
+                    .append(": sender ")
+                    .append(holder.isEmpty() ? "none" : holder)
+                    .append(", ")
+                    .append(n[0])
+                    .append(" proxies known here, ")
+                    .append(n[1])
+                    .append(" silent, ")
+                    .append(n[2])
+                    .append(" behind.\n");
             if (holder.isEmpty()) {
                 wrong.add("Zone " + e.getKey() + " has no sender.");
             }
             if (n[1] > 0) {
-                wrong.add(n[1] + " proxies of " + e.getKey() + " have been silent for over " + SILENT_MS / 1_000 + " s.");
+                wrong.add(
+                        n[1] + " proxies of " + e.getKey() + " have been silent for over " + SILENT_MS / 1_000 + " s.");
             }
             if (n[2] > 0) {
                 wrong.add(n[2] + " proxies of " + e.getKey() + " have not acknowledged edition " + edition + ".");
--- a/app/src/main/java/org/umbermount/app/HollowProxy.java
+++ b/app/src/main/java/org/umbermount/app/HollowProxy.java
@@ -4,13 +4,13 @@
 import java.util.function.BiConsumer;
 import org.umbermount.distribution.StateReceiver;
 import org.umbermount.distribution.TableReceiverPlugin;
-import org.umbermount.membership.MembershipPlugin;
-import org.umbermount.kernel.Settings;
-import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.net.LoopClock;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.DatagramMessenger;
+import org.umbermount.kernel.net.LoopClock;
+import org.umbermount.membership.MembershipPlugin;
 
 /** A proxy as the control plane knows it: it takes tables and gossips, and carries no traffic. Many fit into one process. */
 final class HollowProxy {
@@ -30,10 +30,13 @@
     void start(BiConsumer<HollowProxy, Long> inForce) throws InterruptedException {
         mailroom.bind(loop);
         loop.submit(() -> {
-            new MembershipPlugin().open(pluginHost);
-            new TableReceiverPlugin().open(pluginHost);
-            pluginHost.find(StateReceiver.class).observe(t -> inForce.accept(this, t.edition().value()));
-        }).awaitUninterruptibly();
+                    new MembershipPlugin().open(pluginHost);
+                    new TableReceiverPlugin().open(pluginHost);
+                    pluginHost
+                            .find(StateReceiver.class)
+                            .observe(t -> inForce.accept(this, t.edition().value()));
+                })
+                .awaitUninterruptibly();
     }
 
     private double sum(String prefix) {
--- a/app/src/main/java/org/umbermount/app/Main.java
+++ b/app/src/main/java/org/umbermount/app/Main.java
@@ -7,8 +7,7 @@
  * time of a start is time out of service.
  */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
         if (args.length == 1 && args[0].equals("proxy")) {
--- a/app/src/main/java/org/umbermount/app/Rehearsal.java
+++ b/app/src/main/java/org/umbermount/app/Rehearsal.java
@@ -39,18 +39,29 @@
             Thread server = new Thread(() -> serve(origin), "origin");
             server.setDaemon(true);
             server.start();
-            await("the beat", () -> call(port + 2, "PUT", "/instances/i-1", "{\"upstream\":\"s\",\"address\":\"127.0.0.1:"
-                    + (port + 5) + "\",\"zone\":\"z\",\"revision\":\"v\",\"capacity\":2,\"status\":\"in_service\","
-                    + "\"warmupLeftMs\":0,\"sequence\":1}").startsWith("HTTP/1.1 200"));
-            await("the configuration", () -> call(port + 2, "PUT", "/config", "{\"revision\":1,\"routeTable\":[{\"label\":\"r\","
-                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/p/\",\"routeType\":\"safe\",\"timeoutMs\":5000,"
-                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2},{\"label\":\"o\","
-                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/o/\",\"routeType\":\"idempotent\",\"timeoutMs\":5000,"
-                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2}],\"tenants\":[{\"label\":\"t\","
-                    + "\"apiKeys\":[\"k\"],\"priority\":0,\"ratePerS\":50,\"burst\":50}],\"upstreams\":[{\"label\":"
-                    + "\"s\",\"healthCheck\":\"/health\",\"maxConnections\":10,\"protocol\":\"h1\",\"tls\":false}],"
-                    + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,"
-                    + "\"idleTimeoutMs\":15000}}").startsWith("HTTP/1.1 200"));
+            await("the beat", () -> call(
+                            port + 2,
+                            "PUT",
+                            "/instances/i-1",
+                            "{\"upstream\":\"s\",\"address\":\"127.0.0.1:"
+                                    + (port + 5)
+                                    + "\",\"zone\":\"z\",\"revision\":\"v\",\"capacity\":2,\"status\":\"in_service\","
+                                    + "\"warmupLeftMs\":0,\"sequence\":1}")
+                    .startsWith("HTTP/1.1 200"));
+            await("the configuration", () -> call(
+                            port + 2,
+                            "PUT",
+                            "/config",
+                            "{\"revision\":1,\"routeTable\":[{\"label\":\"r\","
+                                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/p/\",\"routeType\":\"safe\",\"timeoutMs\":5000,"
+                                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2},{\"label\":\"o\","
+                                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/o/\",\"routeType\":\"idempotent\",\"timeoutMs\":5000,"
+                                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2}],\"tenants\":[{\"label\":\"t\","
+                                    + "\"apiKeys\":[\"k\"],\"priority\":0,\"ratePerS\":50,\"burst\":50}],\"upstreams\":[{\"label\":"
+                                    + "\"s\",\"healthCheck\":\"/health\",\"maxConnections\":10,\"protocol\":\"h1\",\"tls\":false}],"
+                                    + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,"
+                                    + "\"idleTimeoutMs\":15000}}")
+                    .startsWith("HTTP/1.1 200"));
             await("the reading", () -> call(port + 2, "GET", "/config", "").startsWith("HTTP/1.1 200"));
             await("readiness", () -> call(port + 4, "GET", "/readiness", "").startsWith("HTTP/1.1 200"));
             await("the request", () -> call(port + 3, "GET", "/p/x", "").contains(SEAL));
@@ -84,9 +95,12 @@
             socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
             socket.setSoTimeout(3_000);
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nIf-Match: 0\r\n"
-                    + "Request-Attempt: a1\r\nOperation-Key: o1\r\nAuthorization: Token k\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + bytes.length
-                    + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream()
+                    .write((method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nIf-Match: 0\r\n"
+                                    + "Request-Attempt: a1\r\nOperation-Key: o1\r\nAuthorization: Token k\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: "
+                                    + bytes.length
+                                    + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.UTF_8));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
@@ -105,7 +119,8 @@
                     head.append((char) b);
                 }
                 out.write(("HTTP/1.1 200 OK\r\nRequest-Attempt: a1\r\nServer-Seal: " + SEAL
-                        + "\r\nServer-Load: 1,0,2\r\nContent-Length: 2\r\n\r\nok").getBytes(StandardCharsets.UTF_8));
+                                + "\r\nServer-Load: 1,0,2\r\nContent-Length: 2\r\n\r\nok")
+                        .getBytes(StandardCharsets.UTF_8));
                 out.flush();
             } catch (IOException e) {
                 return;
@@ -118,7 +133,8 @@
                 + "\"listeners\":{\"controlPlane\":\"127.0.0.1:" + (port + 2) + "\",\"http\":\"127.0.0.1:" + (port + 3)
                 + "\",\"readiness\":\"127.0.0.1:" + (port + 4) + "\"},\"internalPortRange\":[" + port + "," + (port + 1)
                 + "],\"seedNodes\":[\"127.0.0.1:" + (port + 2) + "\"],\"bootstrap\":true,\"dataPath\":\""
-                + folder.toAbsolutePath() + "\",\"heartbeatMs\":300,\"guarantees\":[\"keys\",\"quota\"],\"bounds\":{\"strictRevocation\":true}}";
+                + folder.toAbsolutePath()
+                + "\",\"heartbeatMs\":300,\"guarantees\":[\"keys\",\"quota\"],\"bounds\":{\"strictRevocation\":true}}";
     }
 
     /** The first of six neighbouring ports that are free for both kinds of sockets. */
--- a/app/src/main/java/org/umbermount/app/RehearseCommand.java
+++ b/app/src/main/java/org/umbermount/app/RehearseCommand.java
@@ -6,7 +6,9 @@
 import picocli.CommandLine.Parameters;
 
 /** Takes one request through both programs on this machine. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true,
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
         description = "Runs both programs on the loopback address and takes one request through them.")
 final class RehearseCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FOLDER", description = "an empty folder for the controller's files")
--- a/app/src/main/java/org/umbermount/app/ScaleRun.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRun.java
@@ -39,8 +39,7 @@
     private static final Duration PATIENCE = Duration.ofSeconds(5);
 
     /** What was measured: names to figures, in order. */
-    record Figures(Map<String, Double> values) {
-    }
+    record Figures(Map<String, Double> values) {}
 
     private final Path folder;
     private final int proxies;
@@ -49,7 +48,8 @@
     private final int controllers;
     private final int seconds;
     private final List<Process> processes = new ArrayList<>();
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(PATIENCE).build();
     private final List<HollowProxy> hollow = new ArrayList<>();
     private final Map<Long, AtomicInteger> arrived = new ConcurrentHashMap<>();
     private final Map<Long, Long> acknowledged = new ConcurrentHashMap<>();
@@ -78,25 +78,44 @@
     private String settings(String ip, String name, int zone, boolean disk) {
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < Math.min(3, controllers); i++) {
-            seeds.append(i == 0 ? "" : ",").append('"').append(controller(i)).append(':').append(CONTROL).append('"');
+            seeds.append(i == 0 ? "" : ",")
+                    .append('"')
+                    .append(controller(i))
+                    .append(':')
+                    .append(CONTROL)
+                    .append('"');
         }
         return "{\"nodeName\":\"" + name + "\",\"ipAddress\":\"" + ip + "\",\"zone\":\"z" + zone
-                + "\",\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},\"listeners\":{\"controlPlane\":\"" + ip + ":" + CONTROL
+                + "\",\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},\"listeners\":{\"controlPlane\":\"" + ip + ":"
+                + CONTROL
                 + "\",\"http\":\"" + ip + ":" + (PORT + 5) + "\",\"readiness\":\"" + ip + ":" + (PORT + 6)
-                + "\"},\"internalPortRange\":[" + PORT + "," + (PORT + 3) + "],\"seedNodes\":[" + seeds + "],\"bootstrap\":true,"
+                + "\"},\"internalPortRange\":[" + PORT + "," + (PORT + 3) + "],\"seedNodes\":[" + seeds
+                + "],\"bootstrap\":true,"
                 + (disk ? "\"dataPath\":\"" + folder.resolve(name).toAbsolutePath() + "\"," : "")
                 + "\"heartbeatMs\":" + BEAT_MS + ",\"faultTolerance\":{\"machines\":1}}";
     }
 
-    private Process launch(String role, String ip, String name, int zone, boolean disk, String heap) throws IOException {
+    private Process launch(String role, String ip, String name, int zone, boolean disk, String heap)
+            throws IOException {
         Files.createDirectories(folder.resolve(name));
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, settings(ip, name, zone, disk));
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xms24m", heap,
-                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled",
-                "-Dio.netty.noPreferDirect=true", "-cp", System.getProperty("java.class.path"), Main.class.getName(), role);
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xms24m",
+                heap,
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dio.netty.allocator.type=unpooled",
+                "-Dio.netty.noPreferDirect=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                role);
         builder.environment().put("UMBERMOUNT_CONFIG", file.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve(name + ".log").toFile());
         Process process = builder.start();
         processes.add(process);
         return process;
@@ -105,14 +124,24 @@
     private String configuration(long revision) {
         StringBuilder out = new StringBuilder("{\"revision\":").append(revision).append(",\"routeTable\":[");
         for (int i = 0; i < routes; i++) {
-            out.append(i == 0 ? "" : ",").append("{\"label\":\"r").append(i).append("\",\"virtualHost\":\"h").append(i / 20)
-                    .append(".example\",\"pathPrefix\":\"/p").append(i).append("/\",\"routeType\":\"safe\",\"timeoutMs\":")
-                    .append(i == 0 ? 5_000 + revision % 1_000 : 5_000).append(",\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s")
-                    .append(i % services()).append("\",\"maxTries\":2}");
+            out.append(i == 0 ? "" : ",")
+                    .append("{\"label\":\"r")
+                    .append(i)
+                    .append("\",\"virtualHost\":\"h")
+                    .append(i / 20)
+                    .append(".example\",\"pathPrefix\":\"/p")
+                    .append(i)
+                    .append("/\",\"routeType\":\"safe\",\"timeoutMs\":")
+                    .append(i == 0 ? 5_000 + revision % 1_000 : 5_000)
+                    .append(",\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s")
+                    .append(i % services())
+                    .append("\",\"maxTries\":2}");
         }
         out.append("],\"upstreams\":[");
         for (int i = 0; i < services(); i++) {
-            out.append(i == 0 ? "" : ",").append("{\"label\":\"s").append(i)
+            out.append(i == 0 ? "" : ",")
+                    .append("{\"label\":\"s")
+                    .append(i)
                     .append("\",\"healthCheck\":\"/health\",\"maxConnections\":150,\"protocol\":\"h1\",\"tls\":false}");
         }
         return out.append("]}").toString();
@@ -122,10 +151,14 @@
         return Math.max(1, servers / 47);
     }
 
-    private int call(String method, String at, String path, String body, long match) throws IOException, InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + ":" + CONTROL + path)).timeout(PATIENCE)
-                .header("If-Match", Long.toString(match)).header("Content-Type", "application/json")
-                .method(method, HttpRequest.BodyPublishers.ofString(body)).build();
+    private int call(String method, String at, String path, String body, long match)
+            throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + ":" + CONTROL + path))
+                .timeout(PATIENCE)
+                .header("If-Match", Long.toString(match))
+                .header("Content-Type", "application/json")
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
         return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
     }
 
@@ -149,11 +182,15 @@
     private void beat(int server, long sequence) {
         String zone = "z" + server % ZONES;
         String body = "{\"upstream\":\"s" + server % services() + "\",\"address\":\"" + ip(110, server + 1)
-                + ":8080\",\"zone\":\"" + zone + "\",\"revision\":\"v1\",\"capacity\":6,\"status\":\"in_service\",\"warmupLeftMs\":0,"
+                + ":8080\",\"zone\":\"" + zone
+                + "\",\"revision\":\"v1\",\"capacity\":6,\"status\":\"in_service\",\"warmupLeftMs\":0,"
                 + "\"sequence\":" + sequence + "}";
         int at = server % ZONES % controllers;
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + controller(at) + ":" + CONTROL + "/instances/i-" + server))
-                .timeout(PATIENCE).PUT(HttpRequest.BodyPublishers.ofString(body)).build();
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + controller(at) + ":" + CONTROL + "/instances/i-" + server))
+                .timeout(PATIENCE)
+                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                .build();
         client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).whenComplete((answer, failed) -> {
             (failed == null && answer.statusCode() == 200 ? beats : beatsFailed).incrementAndGet();
         });
@@ -181,8 +218,12 @@
 
     private Map<String, Double> meters(String ip) throws IOException, InterruptedException {
         Map<String, Double> out = new TreeMap<>();
-        String page = client.send(HttpRequest.newBuilder(URI.create("http://" + ip + ":" + CONTROL + "/metrics")).timeout(PATIENCE).build(),
-                HttpResponse.BodyHandlers.ofString()).body();
+        String page = client.send(
+                        HttpRequest.newBuilder(URI.create("http://" + ip + ":" + CONTROL + "/metrics"))
+                                .timeout(PATIENCE)
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
         for (String line : page.split("\n")) {
             int space = line.indexOf(' ');
             if (space > 0) {
@@ -206,8 +247,10 @@
                 real.add(launch("proxy", ip(101, i + 1), "proxy-" + i, i % ZONES, false, "-Xmx128m"));
             }
             for (int i = 0; i < proxies; i++) {
-                HollowProxy one = new HollowProxy(Settings.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
-                        .getBytes(java.nio.charset.StandardCharsets.UTF_8)), group.next());
+                HollowProxy one = new HollowProxy(
+                        Settings.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
+                                .getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                        group.next());
                 one.start(this::inForce);
                 hollow.add(one);
             }
@@ -215,12 +258,16 @@
             change(0, 1);
             long[] sequence = new long[1];
             int slices = 30;
-            pacer.scheduleAtFixedRate(() -> {
-                long turn = sequence[0]++;
-                for (int s = (int) (turn % slices); s < servers; s += slices) {
-                    beat(s, turn / slices + 1);
-                }
-            }, 0, BEAT_MS / slices, TimeUnit.MILLISECONDS);
+            pacer.scheduleAtFixedRate(
+                    () -> {
+                        long turn = sequence[0]++;
+                        for (int s = (int) (turn % slices); s < servers; s += slices) {
+                            beat(s, turn / slices + 1);
+                        }
+                    },
+                    0,
+                    BEAT_MS / slices,
+                    TimeUnit.MILLISECONDS);
             Thread.sleep(9_000);
             return window(control, real);
         } finally {
@@ -265,7 +312,10 @@
             Map<String, Double> after = meters(controller(i));
             for (Map.Entry<String, Double> e : after.entrySet()) {
                 if (e.getKey().startsWith("umbermount_mail_")) {
-                    mail.merge(e.getKey().substring(16), (e.getValue() - metersBefore.get(i).getOrDefault(e.getKey(), 0.0)) / took, Double::sum);
+                    mail.merge(
+                            e.getKey().substring(16),
+                            (e.getValue() - metersBefore.get(i).getOrDefault(e.getKey(), 0.0)) / took,
+                            Double::sum);
                 }
             }
         }
@@ -285,8 +335,12 @@
         }
         f.put("proxy cores, most", realCpu);
         f.put("proxy MB, most", realMemory);
-        f.put("proxy bytes in /s, mean", (hollow.stream().mapToDouble(HollowProxy::bytesIn).sum() - in) / took / proxies);
-        f.put("proxy bytes out /s, mean", (hollow.stream().mapToDouble(HollowProxy::bytesOut).sum() - out) / took / proxies);
+        f.put(
+                "proxy bytes in /s, mean",
+                (hollow.stream().mapToDouble(HollowProxy::bytesIn).sum() - in) / took / proxies);
+        f.put(
+                "proxy bytes out /s, mean",
+                (hollow.stream().mapToDouble(HollowProxy::bytesOut).sum() - out) / took / proxies);
         f.put("beats /s", (beats.get() - beatsBefore) / took);
         f.put("beats failed", (double) beatsFailed.get());
         f.put("changes /s", (revision - 1) / took);
--- a/app/src/main/java/org/umbermount/app/ScaleRunCommand.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRunCommand.java
@@ -7,8 +7,11 @@
 import picocli.CommandLine.Parameters;
 
 /** Measures what control costs at one size on this machine. */
-@Command(name = "stocktake", mixinStandardHelpOptions = true,
-        description = "Runs controllers, a few proxies, and hollow proxies and servers on loopback addresses, and prints what they cost.")
+@Command(
+        name = "stocktake",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs controllers, a few proxies, and hollow proxies and servers on loopback addresses, and prints what they cost.")
 final class ScaleRunCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FOLDER", description = "an empty folder for settings, logs and the controllers' files")
     private Path folder;
@@ -30,8 +33,16 @@
 
     @Override
     public Integer call() {
-        if (proxies < 1 || proxies > ScaleRun.MOST_PROXIES || servers < 1 || servers > ScaleRun.MOST_SERVERS || routes < 1
-                || routes > 8_000 || controllers < 3 || controllers > 12 || seconds < 1 || seconds > 120) {
+        if (proxies < 1
+                || proxies > ScaleRun.MOST_PROXIES
+                || servers < 1
+                || servers > ScaleRun.MOST_SERVERS
+                || routes < 1
+                || routes > 8_000
+                || controllers < 3
+                || controllers > 12
+                || seconds < 1
+                || seconds > 120) {
             System.err.println("A number is out of its range; see --help.");
             return 2;
         }
@@ -39,7 +50,8 @@
         System.setProperty("org.slf4j.simpleLogger.log.distribution", "error");
         try {
             ScaleRun.Figures figures = new ScaleRun(folder, proxies, servers, routes, controllers, seconds).measure();
-            figures.values().forEach((name, value) -> System.out.println(name + "\t" + Math.round(value * 10_000) / 10_000.0));
+            figures.values()
+                    .forEach((name, value) -> System.out.println(name + "\t" + Math.round(value * 10_000) / 10_000.0));
             return 0;
         } catch (Exception e) {
             System.err.println("The stocktaking failed: " + e.getMessage());
--- a/app/src/main/java/org/umbermount/app/ShowCommand.java
+++ b/app/src/main/java/org/umbermount/app/ShowCommand.java
@@ -13,19 +13,36 @@
 import picocli.CommandLine.Parameters;
 
 /** Shows the state of a running daemon. */
-@Command(name = "show", mixinStandardHelpOptions = true,
+@Command(
+        name = "show",
+        mixinStandardHelpOptions = true,
         description = "Shows a part of a running daemon's state. A controller answers at its controlPlane address, "
                 + "a proxy at its readiness address.")
 final class ShowCommand implements Callable<Integer> {
     /** What can be shown. */
     enum Part {
-        all, fleet, view, members, duties, servers, proxies, tenants, orders, operations, table, metrics
+        all,
+        fleet,
+        view,
+        members,
+        duties,
+        servers,
+        proxies,
+        tenants,
+        orders,
+        operations,
+        table,
+        metrics
     }
 
     @Parameters(index = "0", paramLabel = "PART", description = "one of ${COMPLETION-CANDIDATES}")
     private Part part;
 
-    @Option(names = {"-a", "--address"}, required = true, paramLabel = "IP:PORT", description = "the daemon's address")
+    @Option(
+            names = {"-a", "--address"},
+            required = true,
+            paramLabel = "IP:PORT",
+            description = "the daemon's address")
     private String address;
 
     @Override
@@ -55,19 +72,29 @@
                 System.out.print(summary);
                 return summary.allWell() ? 0 : 4;
             }
-            JsonNode shown = switch (part) {
-                case view -> parts(root, "view", "standing", "seat", "incarnation", "edition", "newestEdition", "electorate",
-                        "chain", "contact");
-                case members -> root.path("controllers");
-                case duties -> root.path("duties");
-                case servers -> root.path("servers");
-                case proxies -> root.path("proxies");
-                case tenants -> root.path("tenants");
-                case orders -> root.path("orders");
-                case operations -> root.path("loans");
-                case table -> root.path("table");
-                default -> root;
-            };
+            JsonNode shown =
+                    switch (part) {
+                        case view -> parts(
+                                root,
+                                "view",
+                                "standing",
+                                "seat",
+                                "incarnation",
+                                "edition",
+                                "newestEdition",
+                                "electorate",
+                                "chain",
+                                "contact");
+                        case members -> root.path("controllers");
+                        case duties -> root.path("duties");
+                        case servers -> root.path("servers");
+                        case proxies -> root.path("proxies");
+                        case tenants -> root.path("tenants");
+                        case orders -> root.path("orders");
+                        case operations -> root.path("loans");
+                        case table -> root.path("table");
+                        default -> root;
+                    };
             System.out.println(mapper.writerWithDefaultPrettyPrinter().writeValueAsString(shown));
             return 0;
         } catch (IOException e) {
@@ -85,7 +112,8 @@
     }
 
     private String fetch(String path) throws IOException {
-        HttpURLConnection connection = (HttpURLConnection) URI.create("http://" + address + path).toURL().openConnection();
+        HttpURLConnection connection = (HttpURLConnection)
+                URI.create("http://" + address + path).toURL().openConnection();
         connection.setConnectTimeout(2_000);
         connection.setReadTimeout(5_000);
         try (java.io.InputStream in = connection.getInputStream()) {
--- a/app/src/main/java/org/umbermount/app/Umbermount.java
+++ b/app/src/main/java/org/umbermount/app/Umbermount.java
@@ -4,13 +4,27 @@
 import picocli.CommandLine.Command;
 
 /** The command line. */
-@Command(name = "umbermount", mixinStandardHelpOptions = true, version = "umbermount 0.1.0",
+@Command(
+        name = "umbermount",
+        mixinStandardHelpOptions = true,
+        version = "umbermount 0.1.0",
         description = "An API gateway: a fleet of daemons that carry traffic and agree on their configuration.",
-        subcommands = {ProxyCommand.class, ControllerCommand.class, CheckSettingsCommand.class,
-                CheckConfigurationCommand.class, ShowCommand.class, RehearseCommand.class, ScaleRunCommand.class},
+        subcommands = {
+            ProxyCommand.class,
+            ControllerCommand.class,
+            CheckSettingsCommand.class,
+            CheckConfigurationCommand.class,
+            ShowCommand.class,
+            RehearseCommand.class,
+            ScaleRunCommand.class
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:a file or an answer is invalid", "2:the arguments are wrong",
-                "3:a daemon cannot be reached"})
+        exitCodeList = {
+            "0:done",
+            "1:a file or an answer is invalid",
+            "2:the arguments are wrong",
+            "3:a daemon cannot be reached"
+        })
 public final class Umbermount implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/app/src/test/java/org/umbermount/app/FleetSummaryTest.java
+++ b/app/src/test/java/org/umbermount/app/FleetSummaryTest.java
@@ -1,18 +1,19 @@
 package org.umbermount.app;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Test;
+
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import org.junit.jupiter.api.Test;
-
 class FleetSummaryTest {
-    private static final String WELL = "{'view':4,'edition':9,'newestEdition':9,'electorate':['a','b','c'],'chain':['a','b'],"
-            + "'controllers':[{'daemon':'b','zone':'y','connected':true},{'daemon':'c','zone':'x','connected':true}],"
-            + "'duties':{'x':{'holder':'a'},'y':{'holder':'b'},'quota/0':{'holder':''}},"
-            + "'servers':[{'upstream':'s','standing':'in_service'},{'upstream':'s','standing':'draining'}],"
-            + "'proxies':[{'zone':'x','heardMsAgo':20,'servedHere':true,'knownEdition':9}]}";
+    private static final String WELL =
+            "{'view':4,'edition':9,'newestEdition':9,'electorate':['a','b','c'],'chain':['a','b'],"
+                    + "'controllers':[{'daemon':'b','zone':'y','connected':true},{'daemon':'c','zone':'x','connected':true}],"
+                    + "'duties':{'x':{'holder':'a'},'y':{'holder':'b'},'quota/0':{'holder':''}},"
+                    + "'servers':[{'upstream':'s','standing':'in_service'},{'upstream':'s','standing':'draining'}],"
+                    + "'proxies':[{'zone':'x','heardMsAgo':20,'servedHere':true,'knownEdition':9}]}";
 
     private static FleetSummary of(String json) throws Exception {
         return new FleetSummary(new ObjectMapper().readTree(json.replace('\'', '"')));
@@ -35,7 +36,10 @@
 
     @Test
     void eachThingThatIsWrongHasItsSentence() throws Exception {
-        complains("'c','zone':'x','connected':true", "'c','zone':'x','connected':false", "Controller c of x is not connected.");
+        complains(
+                "'c','zone':'x','connected':true",
+                "'c','zone':'x','connected':false",
+                "Controller c of x is not connected.");
         complains("'electorate':['a','b','c']", "'electorate':['a','b','c','d','e','f']", "Fewer than a majority");
         complains("'newestEdition':9", "'newestEdition':10", "Edition 10 is held here and not committed.");
         complains("'y':{'holder':'b'}", "'y':{'holder':''}", "Zone y has no sender.");
--- a/app/src/test/java/org/umbermount/app/ProgramTest.java
+++ b/app/src/test/java/org/umbermount/app/ProgramTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.app;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -11,6 +8,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class ProgramTest {
     private static String errors;
 
--- a/control/src/main/java/org/umbermount/control/Acceptor.java
+++ b/control/src/main/java/org/umbermount/control/Acceptor.java
@@ -68,7 +68,8 @@
     }
 
     private void promise(DaemonAddress to, long view, Ballot ballot) {
-        messages.sendPromise(to, view, ballot, durable.memory(), membership.companion().mark());
+        messages.sendPromise(
+                to, view, ballot, durable.memory(), membership.companion().mark());
     }
 
     private void accepted(DaemonAddress to, long view, Ballot ballot) {
--- a/control/src/main/java/org/umbermount/control/ChainClient.java
+++ b/control/src/main/java/org/umbermount/control/ChainClient.java
@@ -21,13 +21,13 @@
     private final Map<RequestId, Asked> asks = new HashMap<>();
     private ConfigurationRevision attested;
     private MonotonicTime attestedAt;
-    private Runnable onAttested = () -> { };
+    private Runnable onAttested = () -> {};
     /** No other life of any process has it, whatever its clock says. */
     private final long life = new SecureRandom().nextLong();
+
     private long lastNumber;
 
-    private record Asked(MonotonicTime at) {
-    }
+    private record Asked(MonotonicTime at) {}
 
     private static final class Errand {
         Runnable ask;
@@ -46,8 +46,13 @@
     }
 
     /** Has a configuration taken that was sent whole; exactly one of the two is called. */
-    public void submit(ConfigurationRevision match, ConfigurationRevision edition, byte[] blob, long patienceMs,
-            Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
+    public void submit(
+            ConfigurationRevision match,
+            ConfigurationRevision edition,
+            byte[] blob,
+            long patienceMs,
+            Consumer<Replica.Verdict> verdict,
+            Runnable gaveUp) {
         submit(new Order(match, edition, Digest.ofCall("PUT", blob)), blob, patienceMs, verdict, gaveUp);
     }
 
@@ -56,8 +61,7 @@
      * taken, or comes too late. An order on a version that is not known here is put to this view alone: where it is refused
      * for that, the head remembers, and the head of another view does not.
      */
-    public void submit(Order order, byte[] blob, long patienceMs,
-            Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
+    public void submit(Order order, byte[] blob, long patienceMs, Consumer<Replica.Verdict> verdict, Runnable gaveUp) {
         Errand errand = new Errand();
         RequestId id = nextId();
         boolean ahead = order.match().isAfter(replica.committed().edition());
--- a/control/src/main/java/org/umbermount/control/ChainMessages.java
+++ b/control/src/main/java/org/umbermount/control/ChainMessages.java
@@ -5,8 +5,8 @@
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /**
  * The messages of the chain on the wire. Invariant: a message is read whole before anything acts on it, and this class
@@ -15,7 +15,16 @@
 final class ChainMessages {
     /** The order is part of the format. */
     private enum Kind {
-        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED, ATTEST, ATTESTED
+        SUBMIT,
+        VERDICT,
+        WRITE,
+        COMMITTED,
+        READ,
+        READING,
+        CONFIRM,
+        CONFIRMED,
+        ATTEST,
+        ATTESTED
     }
 
     /** Acts on what has been received. */
@@ -83,7 +92,8 @@
     }
 
     void sendCommitted(DaemonAddress to, ConfigurationState state) {
-        MessagePackCodec.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
+        MessagePackCodec.Writer out =
+                message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
         state.taken().newestDigest().write(out);
         channel.send(to, out);
     }
@@ -123,8 +133,8 @@
             throw new MessagePackCodec.UnreadableException("an unknown message of the chain", null);
         }
         switch (Kind.values()[kind]) {
-            case SUBMIT -> handler.submit(new ChainReplica.Submission(from, RequestId.read(in), in.num(),
-                    Order.read(in), in.bytes()));
+            case SUBMIT -> handler.submit(
+                    new ChainReplica.Submission(from, RequestId.read(in), in.num(), Order.read(in), in.bytes()));
             case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
             case WRITE -> handler.write(from, ConfigurationState.read(in), in.list(PendingReply::read));
             case COMMITTED -> handler.committed(from, in.num(), new ConfigurationRevision(in.num()), Digest.read(in));
@@ -138,7 +148,8 @@
         }
     }
 
-    private static Replica.Verdict readVerdict(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private static Replica.Verdict readVerdict(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         int verdict = (int) in.num();
         if (verdict < 0 || verdict >= Replica.Verdict.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown verdict", null);
--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -8,8 +8,8 @@
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * A member of the chain (chain replication). Invariant: a state is passed on only once it is on disk here, it is
@@ -34,8 +34,15 @@
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
-    ChainReplica(DaemonAddress self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, Metrics metrics) {
+    ChainReplica(
+            DaemonAddress self,
+            Clock clock,
+            DurableState durable,
+            Membership membership,
+            CommitPoint commits,
+            ViewConfirmation confirmation,
+            ChainMessages messages,
+            Metrics metrics) {
         this.self = self;
         this.clock = clock;
         this.metrics = metrics;
@@ -117,7 +124,8 @@
     void resend() {
         ReplicaStorage memory = durable.memory();
         boolean unsettled = commits.committed().view() < memory.view().number()
-                || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
+                || memory.state().edition().isAfter(commits.edition())
+                || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
             durable.serially(this::forward);
         }
@@ -131,7 +139,8 @@
             membership.fetch(from);
             return;
         }
-        if (!membership.inChain() || state.view() != memory.view().number()
+        if (!membership.inChain()
+                || state.view() != memory.view().number()
                 || !self.equals(memory.view().successor(from))) {
             return;
         }
--- a/control/src/main/java/org/umbermount/control/Channel.java
+++ b/control/src/main/java/org/umbermount/control/Channel.java
@@ -2,8 +2,8 @@
 
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /**
  * Sends the messages of one topic. Invariant: what this daemon sends to itself goes through the same bytes and the same
--- a/control/src/main/java/org/umbermount/control/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -22,6 +22,7 @@
     private final List<Consumer<ConfigurationState>> observers = new ArrayList<>();
     /** States that a newer one has replaced here before word came that they were committed. */
     private final ArrayDeque<ConfigurationState> superseded = new ArrayDeque<>();
+
     private ConfigurationState committed = ConfigurationState.NONE;
     private ConfigurationRevision readEdition = ConfigurationRevision.NONE;
     private Configuration regulations;
@@ -51,7 +52,9 @@
     Configuration regulations() {
         if (!committed.edition().equals(readEdition)) {
             try {
-                regulations = committed.edition().equals(ConfigurationRevision.NONE) ? null : Configuration.readTaken(committed.blob());
+                regulations = committed.edition().equals(ConfigurationRevision.NONE)
+                        ? null
+                        : Configuration.readTaken(committed.blob());
             } catch (FaultException e) {
                 LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
             }
@@ -92,7 +95,7 @@
             superseded.removeIf(s -> !s.edition().isAfter(state.edition()));
             LOG.info("Edition {} is committed in view {}.", state.edition(), state.view());
             committed = state;
-            room.write(List.of(ReplicaStorage.committedNote(state)), safe -> { });
+            room.write(List.of(ReplicaStorage.committedNote(state)), safe -> {});
             for (Consumer<ConfigurationState> o : observers) {
                 o.accept(state);
             }
--- a/control/src/main/java/org/umbermount/control/CompanionState.java
+++ b/control/src/main/java/org/umbermount/control/CompanionState.java
@@ -25,8 +25,7 @@
         }
 
         @Override
-        public void adopted(View view) {
-        }
+        public void adopted(View view) {}
 
         @Override
         public void rebuild(OperationLogPosition upTo, Runnable done) {
--- a/control/src/main/java/org/umbermount/control/Configuration.java
+++ b/control/src/main/java/org/umbermount/control/Configuration.java
@@ -13,17 +13,29 @@
 import org.umbermount.kernel.SchemaCheck;
 
 /** A configuration: routes, services and limits. */
-public record Configuration(ConfigurationRevision edition, List<Route> routes, List<Upstream> upstreams, List<Tenant> tenants,
+public record Configuration(
+        ConfigurationRevision edition,
+        List<Route> routes,
+        List<Upstream> upstreams,
+        List<Tenant> tenants,
         Limits limits) {
     private static final SchemaCheck SCHEMA = new SchemaCheck("/org/umbermount/control/configuration.schema.json");
 
     /** A service with its share of a route's requests. */
-    public record Share(String upstream, long weight) {
-    }
+    public record Share(String upstream, long weight) {}
 
     /** Where the requests of a host and prefix go, and how. */
-    public record Route(String label, String host, String prefix, Kind kind, boolean anonymous, long timeoutMs,
-            long targetLatencyMs, int priority, int maxTries, List<Share> shares) {
+    public record Route(
+            String label,
+            String host,
+            String prefix,
+            Kind kind,
+            boolean anonymous,
+            long timeoutMs,
+            long targetLatencyMs,
+            int priority,
+            int maxTries,
+            List<Share> shares) {
         public boolean safe() {
             return kind == Kind.SAFE || kind == Kind.CACHEABLE;
         }
@@ -53,8 +65,7 @@
     }
 
     /** A service. */
-    public record Upstream(String label, String healthCheck, int maxConnections, boolean dedupCapable) {
-    }
+    public record Upstream(String label, String healthCheck, int maxConnections, boolean dedupCapable) {}
 
     /** What a client may send and how long it may take. */
     public record Limits(int maxHeaderBytes, long maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
@@ -92,7 +103,9 @@
             if (!known.add(label)) {
                 throw invalid("service " + label + " is there twice");
             }
-            upstreams.add(new Upstream(label, u.text("healthCheck", "/health"),
+            upstreams.add(new Upstream(
+                    label,
+                    u.text("healthCheck", "/health"),
                     (int) u.whole("maxConnections", 1, 1_000_000, 100),
                     u.has("dedupCapable") && u.member("dedupCapable").flag()));
         }
@@ -107,12 +120,17 @@
         }
         JsonValue l = root.optional("limits");
         Limits d = Limits.DEFAULT;
-        Limits limits = new Limits((int) l.whole("maxHeaderBytes", 256, 1 << 24, d.maxHeaderBytes),
+        Limits limits = new Limits(
+                (int) l.whole("maxHeaderBytes", 256, 1 << 24, d.maxHeaderBytes),
                 l.whole("maxBodyBytes", 0, Long.MAX_VALUE, d.maxBodyBytes),
                 l.whole("headerTimeoutMs", 1, Integer.MAX_VALUE, d.headerTimeoutMs),
                 l.whole("idleTimeoutMs", 1, Integer.MAX_VALUE, d.idleTimeoutMs));
-        return new Configuration(new ConfigurationRevision(root.member("revision").whole(1, Long.MAX_VALUE)), List.copyOf(routes),
-                List.copyOf(upstreams), tenants(root), limits);
+        return new Configuration(
+                new ConfigurationRevision(root.member("revision").whole(1, Long.MAX_VALUE)),
+                List.copyOf(routes),
+                List.copyOf(upstreams),
+                tenants(root),
+                limits);
     }
 
     private static List<Tenant> tenants(JsonValue root) throws JsonValue.WrongException, FaultException {
@@ -137,8 +155,12 @@
                     keys.add(k.text());
                 }
             }
-            tenants.add(new Tenant(label, List.copyOf(keys), (int) t.whole("priority", 0, Integer.MAX_VALUE, 0),
-                    t.number("ratePerS", 0), t.number("burst", 0)));
+            tenants.add(new Tenant(
+                    label,
+                    List.copyOf(keys),
+                    (int) t.whole("priority", 0, Integer.MAX_VALUE, 0),
+                    t.number("ratePerS", 0),
+                    t.number("burst", 0)));
         }
         return List.copyOf(tenants);
     }
@@ -176,11 +198,16 @@
             throw invalid("the weights of route " + label + " sum to 0");
         }
         long timeout = r.member("timeoutMs").whole(1, Integer.MAX_VALUE);
-        return new Route(label, r.member("virtualHost").text().toLowerCase(java.util.Locale.ROOT),
-                r.member("pathPrefix").text(), kind(r.member("routeType")),
-                r.has("anonymous") && r.member("anonymous").flag(), timeout,
+        return new Route(
+                label,
+                r.member("virtualHost").text().toLowerCase(java.util.Locale.ROOT),
+                r.member("pathPrefix").text(),
+                kind(r.member("routeType")),
+                r.has("anonymous") && r.member("anonymous").flag(),
+                timeout,
                 r.whole("targetLatencyMs", 1, Integer.MAX_VALUE, timeout),
-                (int) r.whole("priority", 0, Integer.MAX_VALUE, 1), (int) r.whole("maxTries", 1, Integer.MAX_VALUE, 1),
+                (int) r.whole("priority", 0, Integer.MAX_VALUE, 1),
+                (int) r.whole("maxTries", 1, Integer.MAX_VALUE, 1),
                 List.copyOf(shares));
     }
 
--- a/control/src/main/java/org/umbermount/control/ConfigurationPatch.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationPatch.java
@@ -26,7 +26,8 @@
 
     /** Built when first asked for: a controller of a site without such calls never loads it. */
     private static final class Json {
-        static final ObjectMapper MAPPER = new ObjectMapper().enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+        static final ObjectMapper MAPPER = new ObjectMapper()
+                .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
                 .setNodeFactory(JsonNodeFactory.withExactBigDecimals(true));
     }
 
@@ -53,13 +54,19 @@
         try {
             // The strict reader first: it refuses members that are there twice, and anything behind the object.
             JsonValue form = JsonValue.parse(call);
-            ConfigurationPatch out = new ConfigurationPatch(new ConfigurationRevision(form.member("revision").whole(1, Long.MAX_VALUE)),
+            ConfigurationPatch out = new ConfigurationPatch(
+                    new ConfigurationRevision(form.member("revision").whole(1, Long.MAX_VALUE)),
                     Digest.ofCall("PATCH", call));
             JsonNode root = Json.MAPPER.readTree(call);
-            for (Map.Entry<String, JsonValue> list : form.optional("upsert").members().entrySet()) {
-                out.readUpsert(list.getKey(), form.optional("upsert"), root.path("upsert").path(list.getKey()));
+            for (Map.Entry<String, JsonValue> list :
+                    form.optional("upsert").members().entrySet()) {
+                out.readUpsert(
+                        list.getKey(),
+                        form.optional("upsert"),
+                        root.path("upsert").path(list.getKey()));
             }
-            for (Map.Entry<String, JsonValue> list : form.optional("remove").members().entrySet()) {
+            for (Map.Entry<String, JsonValue> list :
+                    form.optional("remove").members().entrySet()) {
                 out.readRemove(list.getKey(), form.optional("remove"));
             }
             return out;
@@ -70,7 +77,8 @@
         }
     }
 
-    private void readUpsert(String list, JsonValue lists, JsonNode nodes) throws JsonValue.WrongException, FaultException {
+    private void readUpsert(String list, JsonValue lists, JsonNode nodes)
+            throws JsonValue.WrongException, FaultException {
         known(list);
         Map<String, JsonNode> items = new java.util.LinkedHashMap<>();
         int i = 0;
--- a/control/src/main/java/org/umbermount/control/ConfigurationState.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationState.java
@@ -3,15 +3,16 @@
 import java.util.Arrays;
 import java.util.List;
 import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * The configuration store's whole state: the newest configuration, the view it belongs to, and which
  * orders were taken up to it.
  */
 public record ConfigurationState(long view, ConfigurationRevision edition, byte[] blob, TakenOrders taken) {
-    public static final ConfigurationState NONE = new ConfigurationState(0, ConfigurationRevision.NONE, new byte[0], TakenOrders.NONE);
+    public static final ConfigurationState NONE =
+            new ConfigurationState(0, ConfigurationRevision.NONE, new byte[0], TakenOrders.NONE);
     /** What a state begins with; one that was written before there were formats begins with its view, which is not negative. */
     private static final long FORMAT = -2;
 
@@ -40,8 +41,9 @@
 
     /** Whether both hold the same configuration, in whatever views. The number alone does not say so. */
     public boolean isSameAs(ConfigurationState other) {
-        return edition.equals(other.edition) && (!Safeguard.COMMITTED_BY_CONTENT.holds()
-                || taken.newestDigest().equals(other.taken.newestDigest()) && Arrays.equals(blob, other.blob));
+        return edition.equals(other.edition)
+                && (!Safeguard.COMMITTED_BY_CONTENT.holds()
+                        || taken.newestDigest().equals(other.taken.newestDigest()) && Arrays.equals(blob, other.blob));
     }
 
     void write(MessagePackCodec.Writer out) {
@@ -57,7 +59,8 @@
         if (first != FORMAT) {
             throw new MessagePackCodec.UnreadableException("a state of an unknown format", null);
         }
-        ConfigurationState read = new ConfigurationState(in.num(), new ConfigurationRevision(in.num()), in.bytes(), TakenOrders.read(in));
+        ConfigurationState read =
+                new ConfigurationState(in.num(), new ConfigurationRevision(in.num()), in.bytes(), TakenOrders.read(in));
         if (!read.taken.newest().equals(read.edition)) {
             throw new MessagePackCodec.UnreadableException("a state whose newest order is another one", null);
         }
@@ -65,7 +68,8 @@
     }
 
     /** Its short hashes tell nothing for sure: all that it took is below the floor. */
-    private static ConfigurationState readOlder(long view, MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private static ConfigurationState readOlder(long view, MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         ConfigurationRevision edition = new ConfigurationRevision(in.num());
         byte[] blob = in.bytes();
         in.list(entry -> new long[] {entry.num(), entry.num()});
--- a/control/src/main/java/org/umbermount/control/ControlApi.java
+++ b/control/src/main/java/org/umbermount/control/ControlApi.java
@@ -41,14 +41,14 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.FaultException;
+import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.JsonValue;
-import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Metrics;
 
 /** The calls of servers and of the operator. */
 final class ControlApi implements StatusPage {
@@ -56,6 +56,7 @@
     private static final int LARGEST_BODY = 3 << 20;
     /** Within the second after which callers go elsewhere. */
     private static final long PATIENCE_MS = 850;
+
     private static final long TOLD_MS = 600;
     private static final int ORDERS_SHOWN = 32;
 
@@ -73,7 +74,13 @@
     private final List<Consumer<ObjectNode>> sections = new ArrayList<>();
     private Channel listener;
 
-    ControlApi(ControlPlane controlPlane, Clock clock, DaemonAddress self, DaemonAddress control, String zone, Metrics metrics) {
+    ControlApi(
+            ControlPlane controlPlane,
+            Clock clock,
+            DaemonAddress self,
+            DaemonAddress control,
+            String zone,
+            Metrics metrics) {
         this.clock = clock;
         this.chainClient = controlPlane.chainClient;
         this.replica = controlPlane.replica;
@@ -93,15 +100,19 @@
     }
 
     void bind(EventLoop loop, Consumer<Throwable> failed) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
                         answerCalls(ch.pipeline());
                     }
-                }).bind(control.socketAddress());
+                })
+                .bind(control.socketAddress());
         listener = bound.channel();
         bound.addListener(f -> {
             if (!f.isSuccess()) {
@@ -111,7 +122,9 @@
     }
 
     void answerCalls(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true)).addLast(new Calls());
+        pipeline.addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(LARGEST_BODY, true))
+                .addLast(new Calls());
     }
 
     void close() {
@@ -185,15 +198,18 @@
     private void putConfig(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws FaultException {
         byte[] blob = ByteBufUtil.getBytes(request.content());
         ConfigurationRevision match = match(request);
-        // All that can be wrong with an order by itself is told from the call alone: one that was taken passes at any time.
+        // All that can be wrong with an order by itself is told from the call alone: one that was taken passes at any
+        // time.
         Order order = rising(new Order(match, Configuration.parse(blob).edition(), Digest.ofCall("PUT", blob)));
         submit(ctx, keep, order, blob, PATIENCE_MS);
     }
 
     private static Order rising(Order order) throws FaultException {
         if (!order.rises()) {
-            throw new FaultException(ErrorKind.INVALID_CONFIGURATION, "The configuration is invalid: revision "
-                    + order.edition() + " is not above " + order.match() + ", on which it builds.");
+            throw new FaultException(
+                    ErrorKind.INVALID_CONFIGURATION,
+                    "The configuration is invalid: revision " + order.edition() + " is not above " + order.match()
+                            + ", on which it builds.");
         }
         return order;
     }
@@ -201,7 +217,8 @@
     private static ConfigurationRevision match(FullHttpRequest request) throws FaultException {
         String text = request.headers().get(HttpHeaderNames.IF_MATCH);
         try {
-            return new ConfigurationRevision(Long.parseLong(text == null ? "" : text.replace("\"", "").trim()));
+            return new ConfigurationRevision(
+                    Long.parseLong(text == null ? "" : text.replace("\"", "").trim()));
         } catch (NumberFormatException e) {
             throw new FaultException(ErrorKind.INVALID_CONFIGURATION, "If-Match must hold the number of a version.");
         }
@@ -226,18 +243,36 @@
             }
         }
         MonotonicTime asked = clock.now();
-        chainClient.read(PATIENCE_MS, newest -> {
-            try {
-                amend(ctx, keep, order, amendment, newest, PATIENCE_MS - clock.now().since(asked));
-            } catch (FaultException e) {
-                refuse(ctx, keep, e.erratum(), e.getMessage());
-            }
-        }, () -> refuse(ctx, keep, ErrorKind.CHANGE_UNKNOWN,
-                "The version it builds on is not known here yet; an earlier sending may have been taken."));
+        chainClient.read(
+                PATIENCE_MS,
+                newest -> {
+                    try {
+                        amend(
+                                ctx,
+                                keep,
+                                order,
+                                amendment,
+                                newest,
+                                PATIENCE_MS - clock.now().since(asked));
+                    } catch (FaultException e) {
+                        refuse(ctx, keep, e.erratum(), e.getMessage());
+                    }
+                },
+                () -> refuse(
+                        ctx,
+                        keep,
+                        ErrorKind.CHANGE_UNKNOWN,
+                        "The version it builds on is not known here yet; an earlier sending may have been taken."));
     }
 
-    private void amend(ChannelHandlerContext ctx, boolean keep, Order order, ConfigurationPatch amendment, ConfigurationState base,
-            long patienceMs) throws FaultException {
+    private void amend(
+            ChannelHandlerContext ctx,
+            boolean keep,
+            Order order,
+            ConfigurationPatch amendment,
+            ConfigurationState base,
+            long patienceMs)
+            throws FaultException {
         byte[] whole = new byte[0];
         if (base.edition().equals(order.match())) {
             // Made from this base before, it is made again: both depend on the bytes of the base and of the call alone.
@@ -269,33 +304,54 @@
             return;
         }
         // No daemon keeps copies yet: nothing that was replaced can be handed out after this.
-        chainClient.confirm(PATIENCE_MS, () -> json(ctx, keep, 200, "{}"),
+        chainClient.confirm(
+                PATIENCE_MS,
+                () -> json(ctx, keep, 200, "{}"),
                 () -> refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
     private void submit(ChannelHandlerContext ctx, boolean keep, Order order, byte[] blob, long patienceMs) {
         ConfigurationRevision edition = order.edition();
-        chainClient.submit(order, blob, patienceMs, verdict -> {
-            switch (verdict) {
-                case TAKEN -> {
-                    LOG.info("Edition {} was taken.", edition);
-                    json(ctx, keep, 200, "{\"revision\":" + edition + "}");
-                }
-                case STALE -> refuse(ctx, keep, ErrorKind.STALE_MATCH, "Another version than " + order.match() + " is current.");
-                default -> refuse(ctx, keep, ErrorKind.INVALID_CONFIGURATION,
-                        "The configuration is invalid: revision " + edition + " is not above the current one.");
-            }
-        }, () -> refuse(ctx, keep, ErrorKind.CHANGE_UNKNOWN, "The chain did not answer in time; the change may still be taken."));
+        chainClient.submit(
+                order,
+                blob,
+                patienceMs,
+                verdict -> {
+                    switch (verdict) {
+                        case TAKEN -> {
+                            LOG.info("Edition {} was taken.", edition);
+                            json(ctx, keep, 200, "{\"revision\":" + edition + "}");
+                        }
+                        case STALE -> refuse(
+                                ctx,
+                                keep,
+                                ErrorKind.STALE_MATCH,
+                                "Another version than " + order.match() + " is current.");
+                        default -> refuse(
+                                ctx,
+                                keep,
+                                ErrorKind.INVALID_CONFIGURATION,
+                                "The configuration is invalid: revision " + edition + " is not above the current one.");
+                    }
+                },
+                () -> refuse(
+                        ctx,
+                        keep,
+                        ErrorKind.CHANGE_UNKNOWN,
+                        "The chain did not answer in time; the change may still be taken."));
     }
 
     private void getConfig(ChannelHandlerContext ctx, boolean keep) {
-        chainClient.read(PATIENCE_MS, state -> {
-            if (state.edition().equals(ConfigurationRevision.NONE)) {
-                refuse(ctx, keep, ErrorKind.UNKNOWN_CALL, "No configuration has been taken yet.");
-            } else {
-                send(ctx, keep, 200, "application/json", state.blob(), state.edition());
-            }
-        }, () -> refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
+        chainClient.read(
+                PATIENCE_MS,
+                state -> {
+                    if (state.edition().equals(ConfigurationRevision.NONE)) {
+                        refuse(ctx, keep, ErrorKind.UNKNOWN_CALL, "No configuration has been taken yet.");
+                    } else {
+                        send(ctx, keep, 200, "application/json", state.blob(), state.edition());
+                    }
+                },
+                () -> refuse(ctx, keep, ErrorKind.CONTROL_UNAVAILABLE, "The view could not be confirmed in time."));
     }
 
     private void beat(ChannelHandlerContext ctx, FullHttpRequest request, InstanceId id, boolean keep)
@@ -324,11 +380,17 @@
             throw beat.member("status").wrong("must be in_service or draining");
         }
         long warm = beat.whole("warmupLeftMs", 0, Integer.MAX_VALUE, 0);
-        return new RegisteredServer(id, beat.member("upstream").text(), beat.member("address").address().toString(),
-                beat.text("zone", zone), beat.text("revision", "-"),
-                (int) beat.whole("capacity", 1, 1_000_000, 1), warm,
+        return new RegisteredServer(
+                id,
+                beat.member("upstream").text(),
+                beat.member("address").address().toString(),
+                beat.text("zone", zone),
+                beat.text("revision", "-"),
+                (int) beat.whole("capacity", 1, 1_000_000, 1),
+                warm,
                 draining ? RegisteredServer.Standing.DRAINING : RegisteredServer.Standing.IN_SERVICE,
-                beat.member("sequence").whole(0, Long.MAX_VALUE), self);
+                beat.member("sequence").whole(0, Long.MAX_VALUE),
+                self);
     }
 
     private void signOff(ChannelHandlerContext ctx, InstanceId id, boolean keep) throws FaultException {
@@ -337,8 +399,7 @@
     }
 
     /** Answers 200 once a majority of the voters has the news, and 503 if it does not take it in time. */
-    private void acknowledge(ChannelHandlerContext ctx, boolean keep, Consumer<Runnable> action,
-            String answer) {
+    private void acknowledge(ChannelHandlerContext ctx, boolean keep, Consumer<Runnable> action, String answer) {
         boolean[] answered = new boolean[1];
         Clock.Cancellable timer = clock.after(TOLD_MS, () -> {
             if (!answered[0]) {
@@ -361,7 +422,9 @@
             return "{}";
         }
         for (FailureDetector.Peer p : detector.peers()) {
-            if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact()
+            if (p.report() != null
+                    && p.report().zone().equals(serverZone)
+                    && p.report().inContact()
                     && detector.goodForMs(p.daemonAddress()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
@@ -374,21 +437,32 @@
         if (!view.votes(who)) {
             return "none";
         }
-        return !view.chains(who) ? "voter" : who.equals(view.head()) ? "head" : who.equals(view.tail()) ? "tail" : "chain";
+        return !view.chains(who)
+                ? "voter"
+                : who.equals(view.head()) ? "head" : who.equals(view.tail()) ? "tail" : "chain";
     }
 
     private ObjectNode status() {
         ObjectNode root = new ObjectMapper().createObjectNode();
         View view = replica.view();
-        root.put("daemon", self.toString()).put("zone", zone).put("seat", seat(view, self))
+        root.put("daemon", self.toString())
+                .put("zone", zone)
+                .put("seat", seat(view, self))
                 .put("standing", replica.standing().name().toLowerCase(java.util.Locale.ROOT))
-                .put("incarnation", replica.incarnation()).put("view", view.number())
+                .put("incarnation", replica.incarnation())
+                .put("view", view.number())
                 .put("edition", replica.committed().edition().value())
                 .put("newestEdition", replica.newestEdition().value());
         MonotonicTime confirmedAt = contact.confirmedAt();
-        root.putObject("contact").put("majorityAnswers", contact.holds())
-                .put("confirmedMsAgo", confirmedAt.equals(MonotonicTime.NEVER) ? -1 : clock.now().since(confirmedAt))
-                .put("unbrokenMs", contact.unbrokenMs()).put("editionConfirmed", contact.assured());
+        root.putObject("contact")
+                .put("majorityAnswers", contact.holds())
+                .put(
+                        "confirmedMsAgo",
+                        confirmedAt.equals(MonotonicTime.NEVER)
+                                ? -1
+                                : clock.now().since(confirmedAt))
+                .put("unbrokenMs", contact.unbrokenMs())
+                .put("editionConfirmed", contact.assured());
         ArrayNode electorate = root.putArray("electorate");
         view.electorate().forEach(f -> electorate.add(f.daemonAddress().toString()));
         ArrayNode chain = root.putArray("chain");
@@ -396,14 +470,23 @@
         showOrders(root.putObject("orders"), replica.committed().taken());
         ArrayNode peers = root.putArray("controllers");
         for (FailureDetector.Peer p : detector.peers()) {
-            ObjectNode one = peers.addObject().put("daemon", p.daemonAddress().toString()).put("seat", seat(view, p.daemonAddress()))
-                    .put("connected", detector.connected(p.daemonAddress())).put("goodForMs", detector.goodForMs(p.daemonAddress()))
+            ObjectNode one = peers.addObject()
+                    .put("daemon", p.daemonAddress().toString())
+                    .put("seat", seat(view, p.daemonAddress()))
+                    .put("connected", detector.connected(p.daemonAddress()))
+                    .put("goodForMs", detector.goodForMs(p.daemonAddress()))
                     .put("lostForMs", detector.lostForMs(p.daemonAddress()));
             FailureDetector.Report r = p.report();
             if (r != null) {
-                one.put("zone", r.zone()).put("incarnation", r.incarnation()).put("view", r.view())
-                        .put("edition", r.edition()).put("newestEdition", r.newestEdition()).put("hasMemory", r.votes())
-                        .put("majorityAnswers", r.inContact()).put("diskGood", r.diskGood()).put("leaving", r.leaving())
+                one.put("zone", r.zone())
+                        .put("incarnation", r.incarnation())
+                        .put("view", r.view())
+                        .put("edition", r.edition())
+                        .put("newestEdition", r.newestEdition())
+                        .put("hasMemory", r.votes())
+                        .put("majorityAnswers", r.inContact())
+                        .put("diskGood", r.diskGood())
+                        .put("leaving", r.leaving())
                         .put("operationsSettledInView", r.settledView());
                 ArrayNode connected = one.putArray("connectedWith");
                 r.connected().forEach(c -> connected.add(c.toString()));
@@ -412,40 +495,59 @@
         ObjectNode duties = root.putObject("duties");
         for (String z : leases.zones()) {
             DaemonAddress holder = leases.holder(z);
-            duties.putObject(z).put("holder", holder == null ? "" : holder.toString()).put("epochHere", leases.epoch(z));
+            duties.putObject(z)
+                    .put("holder", holder == null ? "" : holder.toString())
+                    .put("epochHere", leases.epoch(z));
         }
         ArrayNode servers = root.putArray("servers");
         for (RegisteredServer e : serverRegistry.entries()) {
-            servers.addObject().put("id", e.id().value()).put("upstream", e.upstream()).put("address", e.address())
-                    .put("zone", e.zone()).put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
-                    .put("sequence", e.sequence()).put("keeper", e.keeper().toString());
+            servers.addObject()
+                    .put("id", e.id().value())
+                    .put("upstream", e.upstream())
+                    .put("address", e.address())
+                    .put("zone", e.zone())
+                    .put("standing", e.standing().name().toLowerCase(java.util.Locale.ROOT))
+                    .put("sequence", e.sequence())
+                    .put("keeper", e.keeper().toString());
         }
         sections.forEach(section -> section.accept(root));
         return root;
     }
 
     private static void showOrders(ObjectNode orders, TakenOrders taken) {
-        orders.put("floor", taken.floor().value()).put("remembered", taken.entries().size());
+        orders.put("floor", taken.floor().value())
+                .put("remembered", taken.entries().size());
         ArrayNode last = orders.putArray("last");
         int size = taken.entries().size();
         taken.entries().subList(Math.max(0, size - ORDERS_SHOWN), size).forEach(t -> last.addObject()
-                .put("edition", t.edition().value()).put("digest", t.digest().toString()));
+                .put("edition", t.edition().value())
+                .put("digest", t.digest().toString()));
     }
 
     private void refuse(ChannelHandlerContext ctx, boolean keep, ErrorKind erratum, String detail) {
         metrics.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
-        json(ctx, keep && !erratum.closes(), erratum.status(),
-                "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
+        json(
+                ctx,
+                keep && !erratum.closes(),
+                erratum.status(),
+                "{\"errorMessage\":\""
+                        + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
     }
 
     private void json(ChannelHandlerContext ctx, boolean keep, int status, String body) {
         send(ctx, keep, status, "application/json", body.getBytes(StandardCharsets.UTF_8), null);
     }
 
-    private void send(ChannelHandlerContext ctx, boolean keep, int status, String type, byte[] body, ConfigurationRevision edition) {
+    private void send(
+            ChannelHandlerContext ctx,
+            boolean keep,
+            int status,
+            String type,
+            byte[] body,
+            ConfigurationRevision edition) {
         ByteBuf content = Unpooled.wrappedBuffer(body);
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), content);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, type).setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (edition != null) {
             response.headers().set(HttpHeaderNames.ETAG, edition.toString());
@@ -456,6 +558,7 @@
         if (!keep) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
         }
-        ctx.writeAndFlush(response).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        ctx.writeAndFlush(response)
+                .addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     }
 }
--- a/control/src/main/java/org/umbermount/control/ControlPlane.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlane.java
@@ -8,12 +8,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 import org.umbermount.storage.AppendOnlyFile;
 import org.umbermount.storage.DiskWriter;
 
@@ -43,29 +43,56 @@
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
      */
-    ControlPlane(Clock clock, Messenger messenger, Settings rules, DaemonAddress control, AppendOnlyFile memory, AppendOnlyFile notes, Executor disk,
-            Metrics metrics) throws java.io.IOException {
+    ControlPlane(
+            Clock clock,
+            Messenger messenger,
+            Settings rules,
+            DaemonAddress control,
+            AppendOnlyFile memory,
+            AppendOnlyFile notes,
+            Executor disk,
+            Metrics metrics)
+            throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
         Random random = new Random(messenger.self().packed() * 31 + clock.wallMillis());
         room = new DiskWriter(memory, disk, clock);
         ReplicaStorage loaded = load(memory);
-        List<DaemonAddress> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
+        List<DaemonAddress> seeds = rules.seedNodes().stream()
+                .map(s -> rules.mailAddress(s, Role.CONTROLLER))
+                .toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(messenger.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        replica = new Replica(clock, messenger, room, metrics, loaded, notedCommitted(loaded, memory), genesis,
-                newcomer);
+        replica =
+                new Replica(clock, messenger, room, metrics, loaded, notedCommitted(loaded, memory), genesis, newcomer);
         chainClient = new ChainClient(replica, clock);
         serverRegistry = new ServerRegistry(clock, messenger, metrics, rules.heartbeatMs(), clock.wallMillis());
         notebook = new RegistrySnapshotFile(serverRegistry, notes, disk, clock);
         notebook.recall();
         detector = new FailureDetector(clock, messenger, (heard, connected) -> report(heard, connected, control));
         contact = new MajorityContact(clock, detector, replica);
-        convener = new ViewProposer(replica, detector, this::diskGood, clock, random, metrics, messenger.self(),
-                rules.zone(), rules.toleratedMachines());
+        convener = new ViewProposer(
+                replica,
+                detector,
+                this::diskGood,
+                clock,
+                random,
+                metrics,
+                messenger.self(),
+                rules.zone(),
+                rules.toleratedMachines());
         replica.listen(convener, chainClient);
-        leases = new LeaseManager(clock, messenger, replica, detector, metrics, rules.zone(),
-                new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
+        leases = new LeaseManager(
+                clock,
+                messenger,
+                replica,
+                detector,
+                metrics,
+                rules.zone(),
+                new TreeSet<>(
+                        rules.zones().isEmpty()
+                                ? List.of(rules.zone())
+                                : rules.zones().keySet()),
                 rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.of());
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.daemonAddress())));
@@ -79,7 +106,10 @@
         replica.start();
         convener.start();
         detector.start();
-        serverRegistry.start(detector, replica::view, () -> contact.unbrokenMs() > IN_TOUCH_MS,
+        serverRegistry.start(
+                detector,
+                replica::view,
+                () -> contact.unbrokenMs() > IN_TOUCH_MS,
                 () -> !detector.unsettled(2 * rules.heartbeatMs()) && contact.unbrokenMs() > 2 * rules.heartbeatMs());
         notebook.start();
         leases.start();
@@ -89,12 +119,27 @@
         return room.healthy(DISK_PATIENCE_MS) && replica.companion().diskGood(DISK_PATIENCE_MS);
     }
 
-    private FailureDetector.Report report(List<DaemonAddress> heard, List<DaemonAddress> connected, DaemonAddress control) {
-        return new FailureDetector.Report(replica.incarnation(), replica.standing() == Replica.Standing.MEMBER,
-                replica.mayMove(), contact.holds(), diskGood(), detector.isLeaving(), replica.view().number(),
-                replica.committed().edition().value(), replica.newestEdition().value(), serverRegistry.boot(), serverRegistry.seq(),
-                serverRegistry.digest(), serverRegistry.ready(),
-                replica.companion().settledView(), leases.activeDuties(), rules.zone(), control, heard,
+    private FailureDetector.Report report(
+            List<DaemonAddress> heard, List<DaemonAddress> connected, DaemonAddress control) {
+        return new FailureDetector.Report(
+                replica.incarnation(),
+                replica.standing() == Replica.Standing.MEMBER,
+                replica.mayMove(),
+                contact.holds(),
+                diskGood(),
+                detector.isLeaving(),
+                replica.view().number(),
+                replica.committed().edition().value(),
+                replica.newestEdition().value(),
+                serverRegistry.boot(),
+                serverRegistry.seq(),
+                serverRegistry.digest(),
+                serverRegistry.ready(),
+                replica.companion().settledView(),
+                leases.activeDuties(),
+                rules.zone(),
+                control,
+                heard,
                 connected);
     }
 
@@ -122,8 +167,10 @@
     }
 
     private void refreshAudience() {
-        replica.audience(detector.peers().stream().map(FailureDetector.Peer::daemonAddress)
-                .filter(i -> detector.connected(i) || replica.standing() == Replica.Standing.RECOVERING).toList());
+        replica.audience(detector.peers().stream()
+                .map(FailureDetector.Peer::daemonAddress)
+                .filter(i -> detector.connected(i) || replica.standing() == Replica.Standing.RECOVERING)
+                .toList());
     }
 
     /** Asks a peer that is ahead for its view and state. */
--- a/control/src/main/java/org/umbermount/control/ControlPlugin.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlugin.java
@@ -6,21 +6,21 @@
 import java.util.concurrent.Executors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.storage.AppendOnlyFile;
 import org.umbermount.storage.DiskAccess;
 import org.umbermount.storage.LocalDirectory;
-import org.umbermount.storage.AppendOnlyFile;
 
 /** The control plane as a plug-in of the controller. */
 public final class ControlPlugin implements Plugin {
@@ -28,6 +28,7 @@
     private static final long REWRITE_OVER = 4 << 20;
     /** How long the others have to hear that this daemon leaves, and at most to go on without it. */
     private static final long LEAVE_MS = 700;
+
     private static final long LET_GO_MS = 3_500;
     private static final long LOOK_MS = 50;
 
@@ -67,8 +68,15 @@
         });
         LocalDirectory directory = directory(rules);
         host.offer(DiskAccess.class, new DiskAccess(directory, thread));
-        controlPlane = new ControlPlane(clock, messenger, rules, control, stackFor(directory, "memory.stack"),
-                stackFor(directory, "registry.stack"), thread, host.metrics());
+        controlPlane = new ControlPlane(
+                clock,
+                messenger,
+                rules,
+                control,
+                stackFor(directory, "memory.stack"),
+                stackFor(directory, "registry.stack"),
+                thread,
+                host.metrics());
         host.find(PeerSampling.class).observe(this::noticed);
         host.offer(Replica.class, controlPlane.replica);
         host.offer(ServerRegistry.class, controlPlane.serverRegistry);
@@ -80,7 +88,8 @@
         controlPlane.start();
         desk = new ControlApi(controlPlane, clock, messenger.self(), control, rules.zone(), host.metrics());
         host.offer(StatusPage.class, desk);
-        desk.bind(((LoopClock) clock).loop(),
+        desk.bind(
+                ((LoopClock) clock).loop(),
                 e -> host.fatal("The control address " + control + " cannot be used: " + e.getMessage() + "."));
     }
 
@@ -94,7 +103,9 @@
         metrics.gauge("control.disk.slowest.ms", controlPlane.room::slowestMs);
         metrics.gauge("control.disk.refusing", () -> controlPlane.room.refusing() ? 1 : 0);
         metrics.gauge("control.reaches.majority", () -> controlPlane.contact.holds() ? 1 : 0);
-        metrics.gauge("registry.servers", () -> controlPlane.serverRegistry.entries().stream().filter(e -> !e.standing().isGone()).count());
+        metrics.gauge("registry.servers", () -> controlPlane.serverRegistry.entries().stream()
+                .filter(e -> !e.standing().isGone())
+                .count());
     }
 
     private static LocalDirectory directory(Settings rules) throws IOException {
@@ -134,8 +145,10 @@
         Clock clock = pluginHost.clock();
         View view = controlPlane.replica.view();
         DaemonAddress self = pluginHost.find(Messenger.class).self();
-        boolean needed = view.chains(self) || view.votes(self)
-                && MembershipPlan.hasSeatToSpare(view, pluginHost.rules().toleratedMachines());
+        boolean needed = view.chains(self)
+                || view.votes(self)
+                        && MembershipPlan.hasSeatToSpare(
+                                view, pluginHost.rules().toleratedMachines());
         if (needed && clock.now().isBefore(latest)) {
             clock.after(LOOK_MS, () -> onceLetGo(latest, done));
         } else {
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayDeque;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.storage.DiskWriter;
 
 /**
@@ -34,7 +34,8 @@
         this.metrics = metrics;
         this.memory = memory;
         this.onDisk = onDisk;
-        // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
+        // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how
+        // long.
         this.frozenSince = memory.frozen() ? clock.now() : null;
     }
 
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -10,18 +10,20 @@
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
 
 /** Controllers tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
     public static final long INTERVAL_MS = 300;
     /** Silence after which a peer is not relied on. */
     public static final long SILENCE_MS = 1_000;
+
     private static final long STALL_MS = 700;
     /** How long a peer that was never heard has to show up after this daemon's start. */
     private static final long FIRST_MS = 3_000;
+
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
 
@@ -33,21 +35,69 @@
      * @param heard whom it hears
      * @param connected whom it hears, and is heard by
      */
-    public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
-            boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
-            long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, DaemonAddress control,
-            List<DaemonAddress> heard, List<DaemonAddress> connected) {
+    public record Report(
+            long incarnation,
+            boolean votes,
+            boolean mayMove,
+            boolean inContact,
+            boolean diskGood,
+            boolean leaving,
+            long view,
+            long edition,
+            long newestEdition,
+            long censusBoot,
+            long censusSeq,
+            long censusDigest,
+            boolean censusReady,
+            long settledView,
+            List<String> duties,
+            String zone,
+            DaemonAddress control,
+            List<DaemonAddress> heard,
+            List<DaemonAddress> connected) {
         void write(MessagePackCodec.Writer out) {
-            out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
-                    .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
-                    .list(duties, MessagePackCodec.Writer::text).text(zone).daemonAddress(control)
-                    .list(heard, MessagePackCodec.Writer::daemonAddress).list(connected, MessagePackCodec.Writer::daemonAddress);
+            out.num(incarnation)
+                    .flag(votes)
+                    .flag(mayMove)
+                    .flag(inContact)
+                    .flag(diskGood)
+                    .flag(leaving)
+                    .num(view)
+                    .num(edition)
+                    .num(newestEdition)
+                    .num(censusBoot)
+                    .num(censusSeq)
+                    .num(censusDigest)
+                    .flag(censusReady)
+                    .num(settledView)
+                    .list(duties, MessagePackCodec.Writer::text)
+                    .text(zone)
+                    .daemonAddress(control)
+                    .list(heard, MessagePackCodec.Writer::daemonAddress)
+                    .list(connected, MessagePackCodec.Writer::daemonAddress);
         }
 
         static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-            return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
-                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(MessagePackCodec.ClientConnection::text), in.text(),
-                    in.daemonAddress(), in.list(MessagePackCodec.ClientConnection::daemonAddress), in.list(MessagePackCodec.ClientConnection::daemonAddress));
+            return new Report(
+                    in.num(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.flag(),
+                    in.num(),
+                    in.list(MessagePackCodec.ClientConnection::text),
+                    in.text(),
+                    in.daemonAddress(),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress));
         }
     }
 
@@ -60,6 +110,7 @@
         private MonotonicTime answered = MonotonicTime.NEVER;
         /** The newest stamp of the peer's own clock. */
         private long stamp = -1;
+
         private MonotonicTime goodSince;
         private MonotonicTime lostSince;
 
@@ -100,7 +151,8 @@
     private final MonotonicTime started;
     /** Stamps of another life of this daemon are below it, or above now. */
     private final long firstStamp;
-    private Runnable keeper = () -> { };
+
+    private Runnable keeper = () -> {};
     private MonotonicTime lastTick;
     private MonotonicTime stalledUntil;
     private boolean leaving;
@@ -218,7 +270,10 @@
 
     /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
     private void send(Peer to, byte[] report) {
-        byte[] stamps = MessagePackCodec.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
+        byte[] stamps = MessagePackCodec.write()
+                .num(firstStamp + clock.now().since(started))
+                .num(to.stamp)
+                .done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
         messenger.send(to.daemonAddress, Messenger.Topic.ROLL_CALL, body);
@@ -273,7 +328,9 @@
     }
 
     private boolean isConnected(Peer p, MonotonicTime now) {
-        return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(messenger.self());
+        return p.report != null
+                && now.since(p.lastHeard) <= SILENCE_MS
+                && p.report.heard().contains(messenger.self());
     }
 
     /** Heard of lately, and hears this daemon. */
--- a/control/src/main/java/org/umbermount/control/LeaseManager.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -11,11 +11,11 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
@@ -27,16 +27,21 @@
     /** Each keeps the counts of a share of the tenants. */
     public static final List<String> QUOTA_DUTIES =
             List.of("quota/0", "quota/1", "quota/2", "quota/3", "quota/4", "quota/5", "quota/6", "quota/7");
+
     private static final long LOOP_MS = 200;
     private static final long RENEW_MS = 450;
     private static final long MARGIN_MS = 150;
     /** A grant that took longer to arrive is not used, so that who has become a holder shows soon after. */
     private static final long GRANT_MS = 300;
+
     private static final long REPORTED_MS = GRANT_MS + 150;
     private static final long STEADY_MS = 1_200;
 
     private enum Kind {
-        ASK, GRANT, DENY, RELEASE
+        ASK,
+        GRANT,
+        DENY,
+        RELEASE
     }
 
     private static final class Granted {
@@ -61,8 +66,7 @@
         void ended(String zone);
 
         /** A grant that this daemon has given has changed hands. */
-        default void moved(String duty) {
-        }
+        default void moved(String duty) {}
     }
 
     private final Clock clock;
@@ -78,8 +82,15 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public LeaseManager(Clock clock, Messenger messenger, Replica replica, FailureDetector detector, Metrics metrics,
-            String ownZone, Iterable<String> zones, List<String> quotas) {
+    public LeaseManager(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            FailureDetector detector,
+            Metrics metrics,
+            String ownZone,
+            Iterable<String> zones,
+            List<String> quotas) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
         this.messenger = messenger;
@@ -160,7 +171,8 @@
 
     /** Whether this daemon should have the duty. */
     private boolean wanted(String zone, Held h, MonotonicTime now) {
-        if (detector.isLeaving() || !replica.view().votes(messenger.self())
+        if (detector.isLeaving()
+                || !replica.view().votes(messenger.self())
                 || replica.standing() == Replica.Standing.RECOVERING
                 || !detector.reachesMajority(replica.view())) {
             h.vacantSince = null;
@@ -209,9 +221,14 @@
      * and one that a majority does not answer asks for none.
      */
     private boolean mayHold(FailureDetector.Peer p) {
-        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.daemonAddress()) < STEADY_MS
-                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
-        return inContact && detector.connected(p.daemonAddress()) && !p.report().leaving() && p.report().votes()
+        boolean inContact = p.report() != null
+                && (p.report().inContact()
+                        || detector.goodForMs(p.daemonAddress()) < STEADY_MS
+                        || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
+        return inContact
+                && detector.connected(p.daemonAddress())
+                && !p.report().leaving()
+                && p.report().votes()
                 && replica.view().votes(p.daemonAddress());
     }
 
@@ -239,7 +256,9 @@
     }
 
     private static long order(DaemonAddress daemonAddress, int salt) {
-        return salt == 0 ? daemonAddress.packed() : (daemonAddress.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
+        return salt == 0
+                ? daemonAddress.packed()
+                : (daemonAddress.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
     }
 
     private void ask(String zone, Held h, MonotonicTime now) {
@@ -249,8 +268,13 @@
         }
         h.asked = now;
         h.granted.clear();
-        byte[] body = MessagePackCodec.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
-                .num(replica.view().number()).done();
+        byte[] body = MessagePackCodec.write()
+                .num(Kind.ASK.ordinal())
+                .text(zone)
+                .num(h.epoch)
+                .num(now.millis())
+                .num(replica.view().number())
+                .done();
         for (Voter f : replica.view().electorate()) {
             if (f.daemonAddress().equals(messenger.self())) {
                 if (grant(zone, messenger.self(), h.epoch, replica.view().number())) {
@@ -275,8 +299,15 @@
                 long asked = in.num();
                 boolean yes = grant(zone, from, epoch, in.num());
                 long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
-                messenger.send(from, Messenger.Topic.LEASE, MessagePackCodec.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
-                        .text(zone).num(yes ? epoch : newest).num(asked).done());
+                messenger.send(
+                        from,
+                        Messenger.Topic.LEASE,
+                        MessagePackCodec.write()
+                                .num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                                .text(zone)
+                                .num(yes ? epoch : newest)
+                                .num(asked)
+                                .done());
             }
             case GRANT -> granted(from, zone, epoch, in.num());
             case DENY -> {
@@ -297,15 +328,18 @@
 
     private boolean grant(String zone, DaemonAddress who, long epoch, long view) {
         MonotonicTime now = clock.now();
-        // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
+        // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters
+        // of a
         // later view meets one that has granted.
         if ((view != replica.view().number() || replica.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
             return false;
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!replica.view().votes(messenger.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
-                && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+        if (!replica.view().votes(messenger.self())
+                || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+                        && now.since(started) < TERM_MS
+                        && !nobodyHolds(zone, who)) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -355,7 +389,9 @@
 
     private void granted(DaemonAddress from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
-        if (h == null || h.epoch != epoch || h.asked.millis() != asked
+        if (h == null
+                || h.epoch != epoch
+                || h.asked.millis() != asked
                 || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
             return;
         }
@@ -407,7 +443,11 @@
         if (own != null && messenger.self().equals(own.holder)) {
             own.until = MonotonicTime.NEVER;
         }
-        byte[] body = MessagePackCodec.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
+        byte[] body = MessagePackCodec.write()
+                .num(Kind.RELEASE.ordinal())
+                .text(zone)
+                .num(h.epoch)
+                .done();
         for (Voter f : replica.view().electorate()) {
             if (!f.daemonAddress().equals(messenger.self())) {
                 messenger.send(f.daemonAddress(), Messenger.Topic.LEASE, body);
--- a/control/src/main/java/org/umbermount/control/MajorityContact.java
+++ b/control/src/main/java/org/umbermount/control/MajorityContact.java
@@ -40,7 +40,8 @@
         }
         long[] answered = new long[view.electorate().size()];
         for (int i = 0; i < answered.length; i++) {
-            answered[i] = detector.answered(view.electorate().get(i).daemonAddress()).millis();
+            answered[i] =
+                    detector.answered(view.electorate().get(i).daemonAddress()).millis();
         }
         Arrays.sort(answered);
         return new MonotonicTime(answered[answered.length - view.majority()]);
@@ -86,8 +87,11 @@
             FailureDetector.Peer p = detector.peer(f.daemonAddress());
             if (p == null) {
                 n += detector.isSelf(f.daemonAddress()) && replica.mayMove() ? 1 : 0;
-            } else if (p.report() != null && fresh(p.answered()) && p.report().mayMove()
-                    && p.report().view() == view.number() && p.report().newestEdition() <= edition.value()) {
+            } else if (p.report() != null
+                    && fresh(p.answered())
+                    && p.report().mayMove()
+                    && p.report().view() == view.number()
+                    && p.report().newestEdition() <= edition.value()) {
                 n++;
             }
         }
@@ -102,7 +106,9 @@
         judge();
         ConfigurationRevision edition = replica.committed().edition();
         if (unbrokenSince != null && !assured) {
-            assured = !edition.equals(ConfigurationRevision.NONE) && !replica.newestEdition().isAfter(edition) && confirms(edition);
+            assured = !edition.equals(ConfigurationRevision.NONE)
+                    && !replica.newestEdition().isAfter(edition)
+                    && confirms(edition);
         }
         return assured;
     }
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -60,14 +60,15 @@
     /** The first start of the whole system, with this daemon in the first view. */
     void establish(View genesis) {
         standing = Replica.Standing.LEARNER;
-        durable.persist(durable.memory().adopt(genesis, ConfigurationState.NONE.inView(genesis.number())),
+        durable.persist(
+                durable.memory().adopt(genesis, ConfigurationState.NONE.inView(genesis.number())),
                 () -> adopted("the first start"));
     }
 
     /** A start with nothing on disk. */
     void startBlank(boolean newcomer) {
         standing = newcomer ? Replica.Standing.LEARNER : Replica.Standing.RECOVERING;
-        durable.persist(durable.memory(), () -> { });
+        durable.persist(durable.memory(), () -> {});
     }
 
     // ---- this daemon's part ----
@@ -110,8 +111,10 @@
         if (me == null) {
             return m.view().number() == 0 ? Replica.Standing.RECOVERING : Replica.Standing.LEARNER;
         }
-        return me.incarnation() == m.incarnation() || m.recoveredFor() == m.view().number()
-                ? Replica.Standing.MEMBER : Replica.Standing.RECOVERING;
+        return me.incarnation() == m.incarnation()
+                        || m.recoveredFor() == m.view().number()
+                ? Replica.Standing.MEMBER
+                : Replica.Standing.RECOVERING;
     }
 
     // ---- who goes along ----
@@ -173,7 +176,7 @@
             durable.persist(memory.adopt(view, state), () -> adopted("news of a newer view"));
         } else if (isCommitted && state.isNewerThan(memory.state()) && !view.chains(self)) {
             // A follower keeps what the chain has committed. Chain members change only by writes of the chain.
-            durable.persist(memory.withState(state), () -> { });
+            durable.persist(memory.withState(state), () -> {});
         }
     }
 
@@ -182,7 +185,11 @@
         ReplicaStorage memory = durable.memory();
         standing = standingIn(memory);
         listener.reset();
-        LOG.info("In force after {}: {}; edition {}; {}.", why, memory.view(), memory.state().edition(),
+        LOG.info(
+                "In force after {}: {}; edition {}; {}.",
+                why,
+                memory.view(),
+                memory.state().edition(),
                 standing.name().toLowerCase(Locale.ROOT));
         for (Consumer<View> o : observers) {
             o.accept(memory.view());
--- a/control/src/main/java/org/umbermount/control/MembershipPlan.java
+++ b/control/src/main/java/org/umbermount/control/MembershipPlan.java
@@ -42,8 +42,7 @@
     }
 
     /** The wanted view, why, and whether it cannot wait. */
-    record Wish(View view, String why, boolean pressing) {
-    }
+    record Wish(View view, String why, boolean pressing) {}
 
     private final View now;
     private final int tolerated;
@@ -154,7 +153,9 @@
     /** A voter that is not well any more: it is not in the wanted chain. */
     private DaemonAddress gone() {
         for (Voter f : electorate) {
-            if (!sight.expected(f.daemonAddress()) && !sight.well(f.daemonAddress()) && !chain.contains(f.daemonAddress())) {
+            if (!sight.expected(f.daemonAddress())
+                    && !sight.well(f.daemonAddress())
+                    && !chain.contains(f.daemonAddress())) {
                 return f.daemonAddress();
             }
         }
@@ -191,7 +192,10 @@
     private void takeIn(DaemonAddress candidate) {
         for (Voter f : electorate) {
             DaemonAddress who = f.daemonAddress();
-            if (!chain.contains(who) && sight.well(who) && sight.steady(who) && hearsAll(who)
+            if (!chain.contains(who)
+                    && sight.well(who)
+                    && sight.steady(who)
+                    && hearsAll(who)
                     && (sight.hasMemory(who) || who.equals(candidate))) {
                 chain.add(who);
                 why = why == null ? who + " is well again" : why;
--- a/control/src/main/java/org/umbermount/control/OperationLogPosition.java
+++ b/control/src/main/java/org/umbermount/control/OperationLogPosition.java
@@ -22,7 +22,8 @@
         out.num(view).num(pos).daemonAddress(holder);
     }
 
-    public static OperationLogPosition read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    public static OperationLogPosition read(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         return new OperationLogPosition(in.num(), in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -13,6 +13,7 @@
     }
 
     static PendingReply read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new PendingReply(RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()), Digest.read(in));
+        return new PendingReply(
+                RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()), Digest.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -17,9 +17,14 @@
     private static final long REBUILD_MS = 6_000;
 
     /** What one of the others remembers. */
-    record Reply(View view, ConfigurationState state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
-            Map<DaemonAddress, Long> incarnations, OperationLogPosition mark) {
-    }
+    record Reply(
+            View view,
+            ConfigurationState state,
+            Ballot promised,
+            Ballot acceptedBallot,
+            Proposal accepted,
+            Map<DaemonAddress, Long> incarnations,
+            OperationLogPosition mark) {}
 
     private final DaemonAddress self;
     private final Clock clock;
@@ -42,7 +47,8 @@
 
     void answer(DaemonAddress who, long incarnation) {
         ReplicaStorage memory = durable.memory();
-        if (membership.standing() == Replica.Standing.RECOVERING || memory.view().number() == 0) {
+        if (membership.standing() == Replica.Standing.RECOVERING
+                || memory.view().number() == 0) {
             return;
         }
         if (memory.incarnationOf(who) >= incarnation) {
@@ -53,7 +59,8 @@
     }
 
     private void sendRecovered(DaemonAddress who, long incarnation) {
-        messages.sendRecovered(who, incarnation, durable.memory(), membership.companion().mark());
+        messages.sendRecovered(
+                who, incarnation, durable.memory(), membership.companion().mark());
     }
 
     // ---- without memory here ----
@@ -91,7 +98,8 @@
 
     /** The newest life of this daemon that another has met. */
     private long incarnationIn(Reply reply) {
-        return Math.max(reply.incarnations().getOrDefault(self, 0L),
+        return Math.max(
+                reply.incarnations().getOrDefault(self, 0L),
                 reply.view().votes(self) ? reply.view().fellow(self).incarnation() : 0L);
     }
 
@@ -99,8 +107,17 @@
     private void startAbove(long known) {
         replies.clear();
         ReplicaStorage m = durable.memory();
-        durable.persist(new ReplicaStorage(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
-                m.incarnations()), this::ask);
+        durable.persist(
+                new ReplicaStorage(
+                        known + 1,
+                        0,
+                        m.view(),
+                        m.state(),
+                        m.promised(),
+                        m.acceptedBallot(),
+                        m.accepted(),
+                        m.incarnations()),
+                this::ask);
     }
 
     private View newestView() {
@@ -131,14 +148,21 @@
         rebuilding = true;
         // The one that is asked may be lost itself, or the disk refuse: then the others are read again.
         clock.after(REBUILD_MS, () -> giveUp(mine));
-        membership.companion().rebuild(furthestMark(), () -> durable.serially(() -> {
-            // What has come into force meanwhile is newer than what was read.
-            if (mine != attempt || !rebuilding || durable.memory().view().number() > newest.number()) {
-                giveUp(mine);
-                return;
-            }
-            durable.persist(whole.withIncarnations(durable.memory().incarnations()), () -> finished(reads));
-        }));
+        membership
+                .companion()
+                .rebuild(
+                        furthestMark(),
+                        () -> durable.serially(() -> {
+                            // What has come into force meanwhile is newer than what was read.
+                            if (mine != attempt
+                                    || !rebuilding
+                                    || durable.memory().view().number() > newest.number()) {
+                                giveUp(mine);
+                                return;
+                            }
+                            durable.persist(
+                                    whole.withIncarnations(durable.memory().incarnations()), () -> finished(reads));
+                        }));
     }
 
     private void giveUp(long which) {
@@ -149,7 +173,10 @@
 
     private void finished(int reads) {
         reset();
-        LOG.info("Memory rebuilt as incarnation {} from {} others.", durable.memory().incarnation(), reads);
+        LOG.info(
+                "Memory rebuilt as incarnation {} from {} others.",
+                durable.memory().incarnation(),
+                reads);
         membership.adopted("reading others");
     }
 
--- a/control/src/main/java/org/umbermount/control/RefusedAhead.java
+++ b/control/src/main/java/org/umbermount/control/RefusedAhead.java
@@ -15,6 +15,7 @@
     private static final long KEPT_MS = 10_000;
     /** Calls wait for 850 ms. */
     private static final long STARTING_MS = 1_000;
+
     private static final int MOST = 256;
 
     private final Map<Order, MonotonicTime> refused = new LinkedHashMap<>();
--- a/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
+++ b/control/src/main/java/org/umbermount/control/RegistrySnapshotFile.java
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.storage.LogRecord;
 import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.LogRecord;
 
 /**
  * Notes the servers on disk now and then, so that a control plane that was stopped as a whole need not wait for
@@ -71,7 +71,10 @@
         notedDigest = serverRegistry.digest();
         notedAt = now;
         List<RegisteredServer> entries = new ArrayList<>(serverRegistry.entries());
-        byte[] notes = MessagePackCodec.write().num(now).list(entries, (o, e) -> e.write(o)).done();
+        byte[] notes = MessagePackCodec.write()
+                .num(now)
+                .list(entries, (o, e) -> e.write(o))
+                .done();
         thread.execute(() -> {
             try {
                 stack.put(List.of(new LogRecord(SERVERS, notes)));
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -32,12 +32,19 @@
 
     /** What became of a submitted configuration. */
     public enum Verdict {
-        TAKEN, STALE, NOT_HIGHER, ELSEWHERE
+        TAKEN,
+        STALE,
+        NOT_HIGHER,
+        ELSEWHERE
     }
 
     /** A promise as the proposer sees it. */
-    record Promise(Voter voter, ConfigurationState state, Ballot acceptedBallot, Proposal accepted, OperationLogPosition mark) {
-    }
+    record Promise(
+            Voter voter,
+            ConfigurationState state,
+            Ballot acceptedBallot,
+            Proposal accepted,
+            OperationLogPosition mark) {}
 
     /** Hears what concerns proposals. */
     interface BallotListener {
@@ -76,8 +83,15 @@
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
      */
-    Replica(Clock clock, Messenger messenger, DiskWriter room, Metrics metrics, ReplicaStorage loaded,
-            boolean loadedCommitted, View genesis, boolean newcomer) {
+    Replica(
+            Clock clock,
+            Messenger messenger,
+            DiskWriter room,
+            Metrics metrics,
+            ReplicaStorage loaded,
+            boolean loadedCommitted,
+            View genesis,
+            boolean newcomer) {
         this.clock = clock;
         DaemonAddress self = messenger.self();
         durable = new DurableState(clock, room, metrics, initial(loaded, genesis, newcomer), loaded != null);
@@ -108,7 +122,10 @@
             if (loadedCommitted) {
                 commits.restore(loaded.state());
             }
-            LOG.info("Read from disk: {}, edition {}.", loaded.view(), loaded.state().edition());
+            LOG.info(
+                    "Read from disk: {}, edition {}.",
+                    loaded.view(),
+                    loaded.state().edition());
         } else if (genesis != null) {
             membership.establish(genesis);
         } else {
@@ -150,7 +167,9 @@
 
     /** Whether what is kept beside the configuration may change: not under a promise, and not without a memory. */
     public boolean mayMove() {
-        return !durable.freezing() && standing() == Standing.MEMBER && !durable.memory().frozen();
+        return !durable.freezing()
+                && standing() == Standing.MEMBER
+                && !durable.memory().frozen();
     }
 
     /** Whether this voter has promised itself to the next view, or the promise is on its way to disk. */
@@ -276,8 +295,8 @@
 
         @Override
         public void promise(long view, Ballot ballot, Promise promise, Map<DaemonAddress, Long> incarnations) {
-            durable.serially(() -> membership.learnIncarnations(incarnations,
-                    () -> ballots.promised(view, ballot, promise)));
+            durable.serially(
+                    () -> membership.learnIncarnations(incarnations, () -> ballots.promised(view, ballot, promise)));
         }
 
         @Override
@@ -287,8 +306,8 @@
 
         @Override
         public void accepted(long view, Ballot ballot, Voter voter, Map<DaemonAddress, Long> incarnations) {
-            durable.serially(() -> membership.learnIncarnations(incarnations,
-                    () -> ballots.accepted(view, ballot, voter)));
+            durable.serially(
+                    () -> membership.learnIncarnations(incarnations, () -> ballots.accepted(view, ballot, voter)));
         }
 
         @Override
--- a/control/src/main/java/org/umbermount/control/ReplicaStorage.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -6,15 +6,22 @@
 import java.util.Map;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.storage.LogRecord;
 import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.LogRecord;
 
 /**
  * What a controller must not forget. {@code recoveredFor} is the number of the view for which a new
  * incarnation has read enough others; {@code incarnations} is the crash vector.
  */
-record ReplicaStorage(long incarnation, long recoveredFor, View view, ConfigurationState state, Ballot promised,
-        Ballot acceptedBallot, Proposal accepted, Map<DaemonAddress, Long> incarnations) {
+record ReplicaStorage(
+        long incarnation,
+        long recoveredFor,
+        View view,
+        ConfigurationState state,
+        Ballot promised,
+        Ballot acceptedBallot,
+        Proposal accepted,
+        Map<DaemonAddress, Long> incarnations) {
 
     private static final byte IDENTITY = 1;
     private static final byte VIEW = 2;
@@ -24,7 +31,8 @@
     private static final byte COMMITTED = 6;
 
     static ReplicaStorage blank(long incarnation) {
-        return new ReplicaStorage(incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
+        return new ReplicaStorage(
+                incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
     }
 
     /** The view is in force and its voter slate for the next view is clean. */
@@ -33,11 +41,13 @@
     }
 
     ReplicaStorage withState(ConfigurationState next) {
-        return new ReplicaStorage(incarnation, recoveredFor, view, next, promised, acceptedBallot, accepted, incarnations);
+        return new ReplicaStorage(
+                incarnation, recoveredFor, view, next, promised, acceptedBallot, accepted, incarnations);
     }
 
     ReplicaStorage promise(Ballot ballot) {
-        return new ReplicaStorage(incarnation, recoveredFor, view, state, ballot, acceptedBallot, accepted, incarnations);
+        return new ReplicaStorage(
+                incarnation, recoveredFor, view, state, ballot, acceptedBallot, accepted, incarnations);
     }
 
     ReplicaStorage accept(Ballot ballot, Proposal proposal) {
@@ -55,7 +65,8 @@
     ReplicaStorage withIncarnation(DaemonAddress who, long which) {
         Map<DaemonAddress, Long> next = new HashMap<>(incarnations);
         next.merge(who, which, Math::max);
-        return new ReplicaStorage(incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
+        return new ReplicaStorage(
+                incarnation, recoveredFor, view, state, promised, acceptedBallot, accepted, Map.copyOf(next));
     }
 
     ReplicaStorage withIncarnations(Map<DaemonAddress, Long> more) {
@@ -81,7 +92,9 @@
     List<LogRecord> changesSince(ReplicaStorage old) {
         List<LogRecord> out = new ArrayList<>();
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
-            out.add(new LogRecord(IDENTITY, MessagePackCodec.write().num(incarnation).num(recoveredFor).done()));
+            out.add(new LogRecord(
+                    IDENTITY,
+                    MessagePackCodec.write().num(incarnation).num(recoveredFor).done()));
         }
         if (old == null || old.view != view) {
             MessagePackCodec.Writer w = MessagePackCodec.write();
@@ -93,7 +106,9 @@
             state.write(w);
             out.add(new LogRecord(STATE, w.done()));
         }
-        if (old == null || !old.promised.equals(promised) || old.accepted != accepted
+        if (old == null
+                || !old.promised.equals(promised)
+                || old.accepted != accepted
                 || !old.acceptedBallot.equals(acceptedBallot)) {
             MessagePackCodec.Writer w = MessagePackCodec.write();
             promised.write(w);
@@ -120,7 +135,8 @@
         w.list(incarnations.entrySet(), (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue()));
     }
 
-    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         Map<DaemonAddress, Long> out = new HashMap<>();
         for (Voter f : in.list(Voter::read)) {
             out.put(f.daemonAddress(), f.incarnation());
@@ -130,7 +146,8 @@
 
     /** A note beside the memory that an edition is known to be committed. */
     static LogRecord committedNote(ConfigurationState state) {
-        MessagePackCodec.Writer out = MessagePackCodec.write().num(state.edition().value());
+        MessagePackCodec.Writer out =
+                MessagePackCodec.write().num(state.edition().value());
         Digest.of(state.blob()).write(out);
         return new LogRecord(COMMITTED, out.done());
     }
@@ -152,8 +169,14 @@
         }
         MessagePackCodec.ClientConnection identity = MessagePackCodec.read(stack.get(IDENTITY));
         MessagePackCodec.ClientConnection acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
-        return new ReplicaStorage(identity.num(), identity.num(), View.read(MessagePackCodec.read(stack.get(VIEW))),
-                ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
-                acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
+        return new ReplicaStorage(
+                identity.num(),
+                identity.num(),
+                View.read(MessagePackCodec.read(stack.get(VIEW))),
+                ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))),
+                Ballot.read(acceptor),
+                Ballot.read(acceptor),
+                acceptor.flag() ? Proposal.read(acceptor) : null,
+                readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
     }
 }
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -15,12 +15,12 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.InstanceId;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * The servers there are: soft state on every controller. Each controller numbers its own changes; the others
@@ -37,7 +37,10 @@
     private static final int DIGEST_PATIENCE = 4;
 
     private enum Kind {
-        CHANGES, APPLIED, ASK, SNAPSHOT
+        CHANGES,
+        APPLIED,
+        ASK,
+        SNAPSHOT
     }
 
     private static final class Followed {
@@ -48,8 +51,7 @@
         MonotonicTime asked = MonotonicTime.NEVER;
     }
 
-    private record Change(long seq, InstanceId id) {
-    }
+    private record Change(long seq, InstanceId id) {}
 
     private static final class Waiting {
         final long seq;
@@ -80,6 +82,7 @@
     private BooleanSupplier mayExpire = () -> false;
     /** Under which of this daemon's own changes its news of a server went out last. */
     private final Map<InstanceId, Long> newsAt = new HashMap<>();
+
     private final MonotonicTime started;
     private boolean ready;
     private long seq;
@@ -170,7 +173,8 @@
         if (known == null || known.standing() != next.standing()) {
             LOG.info("Server {} of {} at {} is {}.", next.id(), next.upstream(), next.address(), name(next.standing()));
         }
-        boolean urgent = known == null || known.standing() != next.standing()
+        boolean urgent = known == null
+                || known.standing() != next.standing()
                 || next.standing() != RegisteredServer.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
         store(next);
         publish(List.of(next));
@@ -234,7 +238,8 @@
             repeat(known, told);
             return;
         }
-        RegisteredServer next = known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, messenger.self());
+        RegisteredServer next =
+                known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, messenger.self());
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
@@ -279,8 +284,13 @@
     }
 
     private byte[] encode(Kind kind, long from, Collection<RegisteredServer> which) {
-        return MessagePackCodec.write().num(kind.ordinal()).num(boot).num(from).num(seq)
-                .list(which, (o, e) -> e.write(o)).done();
+        return MessagePackCodec.write()
+                .num(kind.ordinal())
+                .num(boot)
+                .num(from)
+                .num(seq)
+                .list(which, (o, e) -> e.write(o))
+                .done();
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
@@ -311,7 +321,8 @@
         }
     }
 
-    private void apply(DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<RegisteredServer> news) {
+    private void apply(
+            DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<RegisteredServer> news) {
         Followed f = followed.computeIfAbsent(from, k -> new Followed());
         for (RegisteredServer e : news) {
             learn(e);
@@ -327,7 +338,14 @@
                 f.applied = -1;
             }
             f.applied = Math.max(f.applied, until);
-            messenger.send(from, Messenger.Topic.CENSUS, MessagePackCodec.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
+            messenger.send(
+                    from,
+                    Messenger.Topic.CENSUS,
+                    MessagePackCodec.write()
+                            .num(Kind.APPLIED.ordinal())
+                            .num(theirBoot)
+                            .num(until)
+                            .done());
         } else {
             ask(from, f);
         }
@@ -354,8 +372,14 @@
             return;
         }
         f.asked = now;
-        messenger.send(from, Messenger.Topic.CENSUS,
-                MessagePackCodec.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
+        messenger.send(
+                from,
+                Messenger.Topic.CENSUS,
+                MessagePackCodec.write()
+                        .num(Kind.ASK.ordinal())
+                        .num(f.boot)
+                        .num(f.applied)
+                        .done());
     }
 
     private void answerAsk(DaemonAddress from, long theirBoot, long applied) {
@@ -469,7 +493,9 @@
     /** Whether this controller is the first of those left to look after another's servers. */
     private boolean heir(DaemonAddress lost) {
         for (FailureDetector.Peer p : detector.peers()) {
-            if (!p.daemonAddress().equals(lost) && p.daemonAddress().compareTo(messenger.self()) < 0 && detector.connected(p.daemonAddress())) {
+            if (!p.daemonAddress().equals(lost)
+                    && p.daemonAddress().compareTo(messenger.self()) < 0
+                    && detector.connected(p.daemonAddress())) {
                 return false;
             }
         }
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * The orders that were taken last, oldest first, and the floor: the newest number that was taken and is no longer told apart.
@@ -16,8 +16,7 @@
     static final int REMEMBERED = 512;
 
     /** The number that a taken order gave, and the digest of its call. It was built on the number before it. */
-    public record Taken(ConfigurationRevision edition, Digest digest) {
-    }
+    public record Taken(ConfigurationRevision edition, Digest digest) {}
 
     /** What is known of an order. */
     public enum Finding {
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
@@ -85,12 +85,16 @@
     }
 
     static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(MessagePackCodec.ClientConnection::daemonAddress), OperationLogPosition.read(in));
+        return new View(
+                in.num(),
+                in.list(Voter::read),
+                in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                OperationLogPosition.read(in));
     }
 
     @Override
     public String toString() {
-        return "view " + number + " electorate " + electorate.stream().map(f -> f.daemonAddress().toString()).toList()
-                + " chain " + chain;
+        return "view " + number + " electorate "
+                + electorate.stream().map(f -> f.daemonAddress().toString()).toList() + " chain " + chain;
     }
 }
--- a/control/src/main/java/org/umbermount/control/ViewConfirmation.java
+++ b/control/src/main/java/org/umbermount/control/ViewConfirmation.java
@@ -31,11 +31,22 @@
     private long nextNonce = new SecureRandom().nextLong() >>> 1;
 
     /** What waits for a majority: a verdict on a submission, the committed state for a read, or something of this daemon's. */
-    private record Question(DaemonAddress origin, RequestId id, long view, ConfigurationState reading, boolean brief, Order order,
-            Replica.Verdict verdict, Runnable then, Set<DaemonAddress> agreed) {
-    }
+    private record Question(
+            DaemonAddress origin,
+            RequestId id,
+            long view,
+            ConfigurationState reading,
+            boolean brief,
+            Order order,
+            Replica.Verdict verdict,
+            Runnable then,
+            Set<DaemonAddress> agreed) {}
 
-    ViewConfirmation(DaemonAddress self, DurableState durable, Membership membership, CommitPoint commits,
+    ViewConfirmation(
+            DaemonAddress self,
+            DurableState durable,
+            Membership membership,
+            CommitPoint commits,
             ChainMessages messages) {
         this.self = self;
         this.durable = durable;
@@ -65,9 +76,17 @@
         ask(question(self, null, true, null, null, then), null);
     }
 
-    private Question question(DaemonAddress origin, RequestId id, boolean brief, Order order, Replica.Verdict verdict,
-            Runnable then) {
-        return new Question(origin, id, durable.memory().view().number(), commits.committed(), brief, order, verdict, then,
+    private Question question(
+            DaemonAddress origin, RequestId id, boolean brief, Order order, Replica.Verdict verdict, Runnable then) {
+        return new Question(
+                origin,
+                id,
+                durable.memory().view().number(),
+                commits.committed(),
+                brief,
+                order,
+                verdict,
+                then,
                 new HashSet<>());
     }
 
@@ -90,8 +109,10 @@
     /** A voter says whether a view is still its own and no promise may have ended it. */
     void attest(DaemonAddress from, long nonce, long view) {
         ReplicaStorage memory = durable.memory();
-        if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Replica.Standing.MEMBER
-                && memory.view().number() == view && !memory.frozen()) {
+        if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds()
+                || membership.standing() == Replica.Standing.MEMBER
+                        && memory.view().number() == view
+                        && !memory.frozen()) {
             messages.sendConfirmed(from, nonce, memory.incarnation());
         }
     }
@@ -99,7 +120,9 @@
     void confirmed(DaemonAddress from, long nonce, long incarnation) {
         Question q = questions.get(nonce);
         View view = durable.memory().view();
-        if (q == null || q.view() != view.number() || incarnation < membership.incarnationOf(from)
+        if (q == null
+                || q.view() != view.number()
+                || incarnation < membership.incarnationOf(from)
                 || !view.votes(from)) {
             return;
         }
@@ -115,8 +138,12 @@
             q.then().run();
         } else if (q.verdict() != null) {
             if (q.verdict() != Replica.Verdict.TAKEN) {
-                LOG.info("The order {} is refused as {}: view {} is confirmed, and {} is the newest number.", q.order(),
-                        q.verdict(), q.view(), q.reading().edition());
+                LOG.info(
+                        "The order {} is refused as {}: view {} is confirmed, and {} is the newest number.",
+                        q.order(),
+                        q.verdict(),
+                        q.view(),
+                        q.reading().edition());
             }
             messages.sendVerdict(q.origin(), q.id(), q.verdict());
         } else if (q.brief()) {
--- a/control/src/main/java/org/umbermount/control/ViewMessages.java
+++ b/control/src/main/java/org/umbermount/control/ViewMessages.java
@@ -3,8 +3,8 @@
 import java.util.Map;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /**
  * The messages about views on the wire. Invariant: a message is read whole before anything acts on it, and this class
@@ -13,7 +13,15 @@
 final class ViewMessages {
     /** The order is part of the format. */
     private enum Kind {
-        PREPARE, PROMISE, ACCEPT, ACCEPTED, REFUSAL, NEWS, FETCH, RECOVER, RECOVERED
+        PREPARE,
+        PROMISE,
+        ACCEPT,
+        ACCEPTED,
+        REFUSAL,
+        NEWS,
+        FETCH,
+        RECOVER,
+        RECOVERED
     }
 
     /** Acts on what has been received. */
@@ -138,8 +146,8 @@
             case PREPARE -> handler.prepare(from, in.num(), Ballot.read(in));
             case PROMISE -> readPromise(from, in);
             case ACCEPT -> handler.accept(from, in.num(), Ballot.read(in), Proposal.read(in));
-            case ACCEPTED -> handler.accepted(in.num(), Ballot.read(in), new Voter(from, in.num()),
-                    ReplicaStorage.readIncarnations(in));
+            case ACCEPTED -> handler.accepted(
+                    in.num(), Ballot.read(in), new Voter(from, in.num()), ReplicaStorage.readIncarnations(in));
             case REFUSAL -> handler.refusal(in.num(), Ballot.read(in));
             case NEWS -> readNews(in);
             case FETCH -> handler.fetch(from);
@@ -149,7 +157,8 @@
         }
     }
 
-    private void readPromise(DaemonAddress from, MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private void readPromise(DaemonAddress from, MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         long view = in.num();
         Ballot ballot = Ballot.read(in);
         Voter voter = new Voter(from, in.num());
@@ -168,8 +177,15 @@
         handler.news(view, state, isCommitted, isCommitted ? state : ConfigurationState.read(in));
     }
 
-    private static Recovery.Reply readReply(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new Recovery.Reply(View.read(in), ConfigurationState.read(in), Ballot.read(in), Ballot.read(in),
-                in.flag() ? Proposal.read(in) : null, ReplicaStorage.readIncarnations(in), OperationLogPosition.read(in));
+    private static Recovery.Reply readReply(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
+        return new Recovery.Reply(
+                View.read(in),
+                ConfigurationState.read(in),
+                Ballot.read(in),
+                Ballot.read(in),
+                in.flag() ? Proposal.read(in) : null,
+                ReplicaStorage.readIncarnations(in),
+                OperationLogPosition.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -12,9 +12,9 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Metrics;
 
 /**
  * Works out which view is wanted and, where it differs from the one in force, proposes it: one single-decree
@@ -25,6 +25,7 @@
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
     private static final long STEADY_MS = 1_500;
+
     private static final long RANK_MS = 450;
     private static final long ATTEMPT_MS = 900;
     private static final long FROZEN_MS = 600;
@@ -66,8 +67,16 @@
         }
     }
 
-    ViewProposer(Replica replica, FailureDetector detector, java.util.function.BooleanSupplier diskGood, Clock clock,
-            Random random, Metrics metrics, DaemonAddress self, String zone, int tolerated) {
+    ViewProposer(
+            Replica replica,
+            FailureDetector detector,
+            java.util.function.BooleanSupplier diskGood,
+            Clock clock,
+            Random random,
+            Metrics metrics,
+            DaemonAddress self,
+            String zone,
+            int tolerated) {
         this.zone = zone;
         this.tolerated = tolerated;
         this.replica = replica;
@@ -78,7 +87,8 @@
         this.metrics = metrics;
         this.self = self;
         this.seatsSince = clock.now();
-        this.seats = replica.view().electorate().stream().map(Voter::daemonAddress).toList();
+        this.seats =
+                replica.view().electorate().stream().map(Voter::daemonAddress).toList();
         replica.onView(this::inForce);
     }
 
@@ -117,7 +127,8 @@
             }
             boolean oneHeard = detector.connected(one);
             boolean otherHeard = detector.connected(other);
-            return (oneHeard || otherHeard) && (!oneHeard || report(one).connected().contains(other))
+            return (oneHeard || otherHeard)
+                    && (!oneHeard || report(one).connected().contains(other))
                     && (!otherHeard || report(other).connected().contains(one));
         }
 
@@ -182,7 +193,8 @@
     }
 
     private void inForce(View view) {
-        List<DaemonAddress> voters = view.electorate().stream().map(Voter::daemonAddress).toList();
+        List<DaemonAddress> voters =
+                view.electorate().stream().map(Voter::daemonAddress).toList();
         if (!voters.equals(seats)) {
             seats = voters;
             seatsSince = clock.now();
@@ -196,7 +208,8 @@
     private boolean companionSettled(View now) {
         for (DaemonAddress member : now.line(tolerated)) {
             FailureDetector.Peer peer = detector.peer(member);
-            long settled = member.equals(self) ? replica.companion().settledView()
+            long settled = member.equals(self)
+                    ? replica.companion().settledView()
                     : peer == null || peer.report() == null ? 0 : peer.report().settledView();
             if (settled < now.number()) {
                 return false;
@@ -219,15 +232,19 @@
             }
             return;
         }
-        if (replica.standing() != Replica.Standing.MEMBER || !selfGood() || now.isBefore(quietUntil)
-                || !detector.reachesMajority(replica.view()) || detector.unsettled(FailureDetector.SILENCE_MS)) {
+        if (replica.standing() != Replica.Standing.MEMBER
+                || !selfGood()
+                || now.isBefore(quietUntil)
+                || !detector.reachesMajority(replica.view())
+                || detector.unsettled(FailureDetector.SILENCE_MS)) {
             wantedSince = null;
             return;
         }
         MembershipPlan.Wish wish = wish();
         if (wish == null && replica.frozenMs() > FROZEN_MS) {
             View c = replica.view();
-            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
+            wish = new MembershipPlan.Wish(
+                    new View(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
         }
         if (companionSettled(replica.view())) {
             unsettledSince = null;
@@ -236,8 +253,10 @@
         } else if (wish == null && now.since(unsettledSince) > GATHERING_MS) {
             // Whoever held the records that this view begins with may be gone: the next one begins with what is there.
             View c = replica.view();
-            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()),
-                    "the operation records that it begins with are not to be had", true);
+            wish = new MembershipPlan.Wish(
+                    new View(c.number() + 1, c.electorate(), c.chain()),
+                    "the operation records that it begins with are not to be had",
+                    true);
         }
         if (wish == null) {
             wantedSince = null;
@@ -256,7 +275,9 @@
         long rank = 0;
         Seen seen = new Seen();
         for (Voter f : replica.view().electorate()) {
-            if (f.daemonAddress().compareTo(self) < 0 && seen.well(f.daemonAddress()) && seen.hasMemory(f.daemonAddress())) {
+            if (f.daemonAddress().compareTo(self) < 0
+                    && seen.well(f.daemonAddress())
+                    && seen.hasMemory(f.daemonAddress())) {
                 rank++;
             }
         }
@@ -280,7 +301,8 @@
                 if (!attempt.promises.containsKey(f.daemonAddress())) {
                     replica.sendPrepare(f.daemonAddress(), attempt.view, attempt.ballot);
                 }
-            } else if (attempt.accepted.stream().noneMatch(a -> a.daemonAddress().equals(f.daemonAddress()))) {
+            } else if (attempt.accepted.stream()
+                    .noneMatch(a -> a.daemonAddress().equals(f.daemonAddress()))) {
                 replica.sendAccept(f.daemonAddress(), attempt.view, attempt.ballot, attempt.proposal);
             }
         }
@@ -325,7 +347,9 @@
             }
             // Of two that hold the same, one that stays is asked for it.
             if (p.mark().isBeyond(mark)
-                    || p.mark().sameAs(mark) && !wanted.chains(mark.holder()) && wanted.chains(p.mark().holder())) {
+                    || p.mark().sameAs(mark)
+                            && !wanted.chains(mark.holder())
+                            && wanted.chains(p.mark().holder())) {
                 mark = p.mark();
             }
         }
--- a/control/src/main/java/org/umbermount/control/Voter.java
+++ b/control/src/main/java/org/umbermount/control/Voter.java
@@ -7,7 +7,9 @@
 public record Voter(DaemonAddress daemonAddress, long incarnation) {
     @Override
     public boolean equals(Object o) {
-        return o instanceof Voter other && incarnation == other.incarnation && daemonAddress.equals(other.daemonAddress);
+        return o instanceof Voter other
+                && incarnation == other.incarnation
+                && daemonAddress.equals(other.daemonAddress);
     }
 
     @Override
--- a/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
+++ b/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,10 +9,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 /**
  * Bounded model check on the controllers as they are: two operators order two changes under one number on one version, and a
  * member of the chain loses power in the same moment. Each message of views and chain that follows is lost, comes late or twice,
@@ -23,11 +23,15 @@
  */
 class BoundedFaultsTest {
     private enum Fault {
-        LOST, LATE, TWICE, RECEIVER_LOSES_POWER, SENDER_LOSES_POWER, RECEIVER_LOSES_DISK
+        LOST,
+        LATE,
+        TWICE,
+        RECEIVER_LOSES_POWER,
+        SENDER_LOSES_POWER,
+        RECEIVER_LOSES_DISK
     }
 
-    private record Strike(int message, Fault fault) {
-    }
+    private record Strike(int message, Fault fault) {}
 
     private static final long WINDOW_MS = 2_600;
     private static final long DOWN_MS = 1_200;
@@ -218,8 +222,7 @@
         }
     }
 
-    private record Outcome(int runs, String broken) {
-    }
+    private record Outcome(int runs, String broken) {}
 
     private static Outcome search(int size, int faults, List<Fault> kinds) throws IOException {
         Run plain = new Run(size, List.of());
@@ -243,7 +246,12 @@
                 }
                 for (List<Strike> plan : plans) {
                     // Two disks lost, or one with another member away, are more than may be lost at once.
-                    if (plan.stream().filter(s -> s.fault == Fault.RECEIVER_LOSES_DISK).count() > 0 && size < 5 && faults > 1) {
+                    if (plan.stream()
+                                            .filter(s -> s.fault == Fault.RECEIVER_LOSES_DISK)
+                                            .count()
+                                    > 0
+                            && size < 5
+                            && faults > 1) {
                         continue;
                     }
                     runs++;
--- a/control/src/test/java/org/umbermount/control/ChainTest.java
+++ b/control/src/test/java/org/umbermount/control/ChainTest.java
@@ -1,11 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,10 +7,16 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.DaemonAddress;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ChainTest {
     private static Fleet settled(long seed) throws IOException {
@@ -212,9 +212,13 @@
         }
         Proposal low = new Proposal(new View(4, List.of(a), List.of(a.daemonAddress())), older.inView(4));
         Proposal high = new Proposal(new View(4, List.of(b), List.of(b.daemonAddress())), older.inView(4));
-        Proposal kept = ViewProposer.choose(List.of(
-                new Replica.Promise(a, newer, new Ballot(7, a.daemonAddress()), high, OperationLogPosition.NONE),
-                new Replica.Promise(b, older, new Ballot(2, b.daemonAddress()), low, OperationLogPosition.NONE)), wanted);
+        Proposal kept = ViewProposer.choose(
+                List.of(
+                        new Replica.Promise(
+                                a, newer, new Ballot(7, a.daemonAddress()), high, OperationLogPosition.NONE),
+                        new Replica.Promise(
+                                b, older, new Ballot(2, b.daemonAddress()), low, OperationLogPosition.NONE)),
+                wanted);
         assertEquals(high, kept);
     }
 
@@ -421,7 +425,8 @@
             if (fleet.running.containsKey(at)) {
                 ConfigurationState read = fleet.read(at, 400);
                 if (read != null) {
-                    assertTrue(read.edition().value() >= newestTaken,
+                    assertTrue(
+                            read.edition().value() >= newestTaken,
                             "read " + read.edition() + " after " + newestTaken + " was taken");
                     newestTaken = Math.max(newestTaken, read.edition().value());
                 }
@@ -436,7 +441,8 @@
     @Test
     void tailThatLearnsOfItsViewFromNewsCommitsOnlyWhatWasPassedToIt() throws Exception {
         org.umbermount.kernel.testing.FakeClock almanac = new org.umbermount.kernel.testing.FakeClock();
-        org.umbermount.kernel.testing.FakeMessenger network = new org.umbermount.kernel.testing.FakeMessenger(almanac, 1);
+        org.umbermount.kernel.testing.FakeMessenger network =
+                new org.umbermount.kernel.testing.FakeMessenger(almanac, 1);
         org.umbermount.storage.testing.FakeDirectory disk = new org.umbermount.storage.testing.FakeDirectory();
         disk.clock(almanac);
         List<Voter> voters = new ArrayList<>();
@@ -444,27 +450,43 @@
             voters.add(new Voter(Fleet.daemonAddress(i), 0));
         }
         List<DaemonAddress> chain = List.of(Fleet.daemonAddress(0), Fleet.daemonAddress(1), Fleet.daemonAddress(2));
-        ReplicaStorage before = ReplicaStorage.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
+        ReplicaStorage before =
+                ReplicaStorage.blank(0).adopt(new View(1, voters, chain), ConfigurationState.NONE.inView(1));
         org.umbermount.storage.DiskWriter room = new org.umbermount.storage.DiskWriter(
                 org.umbermount.storage.AppendOnlyFile.open(disk, "m", 1 << 16), disk.executor(), almanac);
-        Replica tail = new Replica(almanac, network.bag(Fleet.daemonAddress(2)), room, new org.umbermount.kernel.Metrics(),
-                before, false, null, false);
+        Replica tail = new Replica(
+                almanac,
+                network.bag(Fleet.daemonAddress(2)),
+                room,
+                new org.umbermount.kernel.Metrics(),
+                before,
+                false,
+                null,
+                false);
         tail.start();
         View next = new View(2, voters, chain);
-        ConfigurationState taken = ConfigurationState.NONE.inView(2).take(new ConfigurationRevision(8), "c8".getBytes());
-        org.umbermount.kernel.MessagePackCodec.Writer news = org.umbermount.kernel.MessagePackCodec.write().num(5);
+        ConfigurationState taken =
+                ConfigurationState.NONE.inView(2).take(new ConfigurationRevision(8), "c8".getBytes());
+        org.umbermount.kernel.MessagePackCodec.Writer news =
+                org.umbermount.kernel.MessagePackCodec.write().num(5);
         next.write(news);
         taken.write(news);
         news.flag(false);
         ConfigurationState.NONE.write(news);
-        network.bag(Fleet.daemonAddress(0)).send(Fleet.daemonAddress(2), org.umbermount.kernel.Messenger.Topic.VIEW, news.done());
+        network.bag(Fleet.daemonAddress(0))
+                .send(Fleet.daemonAddress(2), org.umbermount.kernel.Messenger.Topic.VIEW, news.done());
         almanac.advance(1_000);
         assertEquals(2, tail.view().number());
         assertEquals(8, tail.newestEdition().value());
         assertEquals(0, tail.committed().edition().value());
-        org.umbermount.kernel.MessagePackCodec.Writer write = org.umbermount.kernel.MessagePackCodec.write().num(2);
+        org.umbermount.kernel.MessagePackCodec.Writer write =
+                org.umbermount.kernel.MessagePackCodec.write().num(2);
         taken.write(write);
-        network.bag(Fleet.daemonAddress(1)).send(Fleet.daemonAddress(2), org.umbermount.kernel.Messenger.Topic.CHAIN, write.num(0).done());
+        network.bag(Fleet.daemonAddress(1))
+                .send(
+                        Fleet.daemonAddress(2),
+                        org.umbermount.kernel.Messenger.Topic.CHAIN,
+                        write.num(0).done());
         almanac.advance(1_000);
         assertEquals(8, tail.committed().edition().value());
     }
--- a/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
@@ -14,6 +11,9 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.Metrics;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Orders as calls, from the bytes of the request to the status of the answer. */
 class ControlApiOrdersTest {
     private Fleet fleet;
@@ -41,8 +41,13 @@
     }
 
     private String exchange(int at, String request) {
-        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.almanac, Fleet.daemonAddress(at),
-                Fleet.daemonAddress(at).withPort(8000), Fleet.zone(at), new Metrics());
+        ControlApi desk = new ControlApi(
+                fleet.running.get(at),
+                fleet.almanac,
+                Fleet.daemonAddress(at),
+                Fleet.daemonAddress(at).withPort(8000),
+                Fleet.zone(at),
+                new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
         channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.UTF_8));
@@ -62,8 +67,10 @@
     }
 
     private int call(int at, String method, long match, String body) {
-        String answer = exchange(at, method + " /config HTTP/1.1\r\nHost: c\r\nIf-Match: " + match + "\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body);
+        String answer = exchange(
+                at,
+                method + " /config HTTP/1.1\r\nHost: c\r\nIf-Match: " + match + "\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body);
         assertTrue(answer.startsWith("HTTP/1.1 "), "no answer");
         return Integer.parseInt(answer.substring(9, 12));
     }
@@ -139,11 +146,14 @@
     @Test
     void statusShowsTheOrdersTakenLast() throws IOException {
         String answer = exchange(2, "GET /status HTTP/1.1\r\nHost: c\r\n\r\n");
-        JsonNode orders = new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n"))).path("orders");
+        JsonNode orders = new ObjectMapper()
+                .readTree(answer.substring(answer.indexOf("\r\n\r\n")))
+                .path("orders");
         assertEquals(0, orders.path("floor").asLong(-1));
         assertEquals(2, orders.path("remembered").asInt());
         assertEquals(2, orders.path("last").get(1).path("edition").asLong());
-        assertEquals(Digest.ofCall("PUT", whole(2, "b").getBytes()).toString(),
+        assertEquals(
+                Digest.ofCall("PUT", whole(2, "b").getBytes()).toString(),
                 orders.path("last").get(1).path("digest").asText());
     }
 }
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -1,11 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -20,13 +14,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.InstanceId;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** A controller that a majority does not answer gives out nothing as current, refuses nothing and confirms nothing. */
 class CutOffTest {
@@ -34,9 +34,10 @@
     private static final long SYNC_MS = 4_000;
     /** How long a zone may be without a sender after a sudden loss, see docs/design.md. */
     private static final long VACANT_MS = 2_600;
+
     private static final String INVALID_HERE =
             "{\"revision\":90,\"upsert\":{\"routeTable\":[{\"label\":\"r\",\"virtualHost\":\"h.example\",\"pathPrefix\":\"/\","
-            + "\"routeType\":\"idempotent\",\"timeoutMs\":500,\"upstream\":\"nobody\",\"maxTries\":1}]}}";
+                    + "\"routeType\":\"idempotent\",\"timeoutMs\":500,\"upstream\":\"nobody\",\"maxTries\":1}]}}";
 
     /** A call at a controller's control address. */
     private static final class Call {
@@ -61,11 +62,16 @@
     }
 
     private static Call call(Fleet fleet, int at, HttpMethod method, String path, String match, String body) {
-        ControlApi desk = new ControlApi(fleet.running.get(at), fleet.clock(at), Fleet.daemonAddress(at),
-                Fleet.daemonAddress(at).withPort(8000), Fleet.zone(at), new Metrics());
+        ControlApi desk = new ControlApi(
+                fleet.running.get(at),
+                fleet.clock(at),
+                Fleet.daemonAddress(at),
+                Fleet.daemonAddress(at).withPort(8000),
+                Fleet.zone(at),
+                new Metrics());
         Call call = new Call(desk);
-        DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
-                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        DefaultFullHttpRequest r = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, method, path, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         if (match != null) {
             r.headers().set("If-Match", match);
         }
@@ -74,8 +80,14 @@
     }
 
     private static Call beat(Fleet fleet, int at, String id, String status, long sequence) {
-        return call(fleet, at, HttpMethod.PUT, "/instances/" + id, null, "{\"upstream\":\"u\",\"address\":\"10.8.0.1:80\","
-                + "\"status\":\"" + status + "\",\"sequence\":" + sequence + "}");
+        return call(
+                fleet,
+                at,
+                HttpMethod.PUT,
+                "/instances/" + id,
+                null,
+                "{\"upstream\":\"u\",\"address\":\"10.8.0.1:80\"," + "\"status\":\"" + status + "\",\"sequence\":"
+                        + sequence + "}");
     }
 
     private static String whole(long edition) {
@@ -131,7 +143,9 @@
     private static void noneAnswered(List<Call> calls, String when) {
         for (int i = 0; i < calls.size(); i++) {
             int status = calls.get(i).status();
-            assertTrue(status == 503 || status == 504, "call " + i + " got " + status + " " + calls.get(i).body + " " + when);
+            assertTrue(
+                    status == 503 || status == 504,
+                    "call " + i + " got " + status + " " + calls.get(i).body + " " + when);
         }
     }
 
@@ -141,7 +155,8 @@
         for (int i = 0; i < calls.size(); i++) {
             int kind = i % expected.length;
             int status = calls.get(i).status();
-            assertTrue(status == 503 || status == 504 || status == expected[kind],
+            assertTrue(
+                    status == 503 || status == 504 || status == expected[kind],
                     "call " + kind + " got " + status + " " + calls.get(i).body + " " + when);
             if (kind == 0 && status == 200) {
                 assertEquals(whole(5), calls.get(i).body);
@@ -227,8 +242,11 @@
             end.run();
             for (int i : frozen) {
                 // Nothing has come from anyone that was sent since it stood still.
-                noneAnswered(List.of(beat(fleet, i, "s", "in_service", 9),
-                        call(fleet, i, HttpMethod.DELETE, "/instances/s", null, "")), "on its thaw");
+                noneAnswered(
+                        List.of(
+                                beat(fleet, i, "s", "in_service", 9),
+                                call(fleet, i, HttpMethod.DELETE, "/instances/s", null, "")),
+                        "on its thaw");
                 assertFalse(fleet.contact(i).holds());
                 assertFalse(fleet.contact(i).assured());
             }
@@ -237,7 +255,9 @@
                 assertTrue(fleet.contact(i).holds(), i + " is not in touch after " + how + " of " + one);
                 assertTrue(fleet.contact(i).assured(), i + " is not assured after " + how + " of " + one);
                 assertEquals(5, fleet.replica(i).committed().edition().value());
-                assertEquals(fleet.running.get(0).serverRegistry.digest(), fleet.running.get(i).serverRegistry.digest());
+                assertEquals(
+                        fleet.running.get(0).serverRegistry.digest(),
+                        fleet.running.get(i).serverRegistry.digest());
             }
             List<Call> after = new ArrayList<>();
             for (int i : side) {
@@ -271,7 +291,8 @@
         return fleet;
     }
 
-    private static String oneCall(Safeguard safeguard, boolean tail, HttpMethod method, String path, String match, String body)
+    private static String oneCall(
+            Safeguard safeguard, boolean tail, HttpMethod method, String path, String match, String body)
             throws IOException {
         int one = head(calm(4, 1), tail);
         Fleet fleet = leftBehind(one);
@@ -282,14 +303,20 @@
 
     @Test
     void readsRefusalsRepeatsInvalidChangesAndPurgesRestOnAConfirmation() throws Exception {
-        rests(Safeguard.READ_CONFIRMED, () -> oneCall(Safeguard.READ_CONFIRMED, true, HttpMethod.GET, "/config", null, ""));
-        rests(Safeguard.REFUSAL_CONFIRMED,
+        rests(
+                Safeguard.READ_CONFIRMED,
+                () -> oneCall(Safeguard.READ_CONFIRMED, true, HttpMethod.GET, "/config", null, ""));
+        rests(
+                Safeguard.REFUSAL_CONFIRMED,
                 () -> oneCall(Safeguard.REFUSAL_CONFIRMED, false, HttpMethod.PUT, "/config", "0", whole(77)));
-        rests(Safeguard.REPEAT_CONFIRMED,
+        rests(
+                Safeguard.REPEAT_CONFIRMED,
                 () -> oneCall(Safeguard.REPEAT_CONFIRMED, false, HttpMethod.PUT, "/config", "0", whole(1)));
-        rests(Safeguard.INVALIDITY_CONFIRMED,
+        rests(
+                Safeguard.INVALIDITY_CONFIRMED,
                 () -> oneCall(Safeguard.INVALIDITY_CONFIRMED, false, HttpMethod.PATCH, "/config", "1", INVALID_HERE));
-        rests(Safeguard.PURGE_CONFIRMED,
+        rests(
+                Safeguard.PURGE_CONFIRMED,
                 () -> oneCall(Safeguard.PURGE_CONFIRMED, false, HttpMethod.POST, "/purge", null, "{\"tag\":\"t\"}"));
     }
 
@@ -301,7 +328,7 @@
             Fleet fleet = leftBehind(tail);
             fleet.network.healAll();
             ConfigurationState[] read = new ConfigurationState[1];
-            fleet.chainClient(tail).read(850, a -> read[0] = a, () -> { });
+            fleet.chainClient(tail).read(850, a -> read[0] = a, () -> {});
             fleet.run(900);
             return read[0] != null && read[0].edition().value() < 5 ? "read " + read[0].edition() : null;
         });
@@ -400,7 +427,8 @@
             assertEquals(200, c.status(), c.body);
         }
         for (int i = 0; i < 4; i++) {
-            assertTrue(fleet.running.get(i).serverRegistry.entries().stream().filter(e -> e.id().equals(new InstanceId("s")))
+            assertTrue(fleet.running.get(i).serverRegistry.entries().stream()
+                    .filter(e -> e.id().equals(new InstanceId("s")))
                     .allMatch(e -> e.standing() == RegisteredServer.Standing.SIGNED_OFF));
         }
     }
@@ -409,7 +437,8 @@
     @Test
     void aServerIsNotSentToOneThatIsCutOffAndThePageSaysWhoIs() throws IOException {
         Fleet fleet = calm(4, 1);
-        String beat = "{\"upstream\":\"u\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\",\"status\":\"in_service\",\"sequence\":";
+        String beat =
+                "{\"upstream\":\"u\",\"address\":\"10.8.0.1:80\",\"zone\":\"z1\",\"status\":\"in_service\",\"sequence\":";
         Call before = call(fleet, 0, HttpMethod.PUT, "/instances/e", null, beat + "1}");
         fleet.run(300);
         assertEquals(200, before.status());
@@ -460,7 +489,9 @@
             fleet.run(1_000);
             boolean[] asked = new boolean[1];
             fleet.network.tap = (from, to, topic, body) -> {
-                asked[0] |= from.equals(Fleet.daemonAddress(1)) && topic == Messenger.Topic.LEASE && asksFor(body, Fleet.zone(1));
+                asked[0] |= from.equals(Fleet.daemonAddress(1))
+                        && topic == Messenger.Topic.LEASE
+                        && asksFor(body, Fleet.zone(1));
                 return true;
             };
             while (!asked[0]) {
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -6,14 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.Clock;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 import org.umbermount.storage.AppendOnlyFile;
@@ -39,6 +39,7 @@
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalClock> clocks = new HashMap<>();
+
     private final Map<Integer, String> zones = new HashMap<>();
 
     Fleet(int size, int seeds, long seed) throws IOException {
@@ -96,18 +97,40 @@
     private ControlPlane launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
         MortalClock clock = new MortalClock(almanac);
         clocks.put(i, clock);
-        List<DaemonAddress> seedImprints = seedNodes.stream().map(s -> daemonAddress(s).withPort(8000)).toList();
+        List<DaemonAddress> seedImprints =
+                seedNodes.stream().map(s -> daemonAddress(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
         zones.values().forEach(z -> allZones.put(z, "r"));
-        Settings rules = new Settings("n" + i, zones.get(i), allZones, daemonAddress(i).host(), Map.of(), 7000, 7010, seedImprints,
-                bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
+        Settings rules = new Settings(
+                "n" + i,
+                zones.get(i),
+                allZones,
+                daemonAddress(i).host(),
+                Map.of(),
+                7000,
+                7010,
+                seedImprints,
+                bootstrap,
+                "/data",
+                100,
+                1000,
+                1500,
+                tolerated,
+                guarantees,
                 new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         FakeDirectory disk = disks.get(i);
         disk.clock(clock);
         FakeMessenger.Bag bag = network.bag(daemonAddress(i));
         bags.put(i, bag);
-        ControlPlane controlPlane = new ControlPlane(clock, bag, rules, daemonAddress(i).withPort(8000),
-                AppendOnlyFile.open(disk, "memory", 1 << 16), AppendOnlyFile.open(disk, "census", 1 << 16), disk.executor(), new Metrics());
+        ControlPlane controlPlane = new ControlPlane(
+                clock,
+                bag,
+                rules,
+                daemonAddress(i).withPort(8000),
+                AppendOnlyFile.open(disk, "memory", 1 << 16),
+                AppendOnlyFile.open(disk, "census", 1 << 16),
+                disk.executor(),
+                new Metrics());
         running.put(i, controlPlane);
         if (attachment != null) {
             attachment.attach(i, clock, bag, controlPlane.replica, disk);
@@ -125,8 +148,10 @@
     public String describe(int i) {
         ControlPlane a = running.get(i);
         return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
-                + a.replica.committed().edition() + " in view " + a.replica.committed().view() + ", newest "
-                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.serverRegistry.ready() ? "" : ", no server list")
+                + a.replica.committed().edition() + " in view "
+                + a.replica.committed().view() + ", newest "
+                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties()
+                + (a.serverRegistry.ready() ? "" : ", no server list")
                 + (a.detector.reachesMajority(a.replica.view()) ? "" : ", reaches no majority");
     }
 
@@ -167,7 +192,7 @@
         host.offer(FailureDetector.class, controlPlane.detector);
         host.offer(MajorityContact.class, controlPlane.contact);
         host.offer(ChainClient.class, controlPlane.chainClient);
-        host.offer(StatusPage.class, section -> { });
+        host.offer(StatusPage.class, section -> {});
         return host;
     }
 
@@ -216,14 +241,21 @@
 
     Reply submit(int at, long match, long edition, String text) {
         Reply reply = new Reply();
-        running.get(at).chainClient.submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), text.getBytes(), 850,
-                v -> reply.verdict = v, () -> reply.gaveUp = true);
+        running.get(at)
+                .chainClient
+                .submit(
+                        new ConfigurationRevision(match),
+                        new ConfigurationRevision(edition),
+                        text.getBytes(),
+                        850,
+                        v -> reply.verdict = v,
+                        () -> reply.gaveUp = true);
         return reply;
     }
 
     ConfigurationState read(int at, long patience) {
         ConfigurationState[] out = new ConfigurationState[1];
-        running.get(at).chainClient.read(patience, a -> out[0] = a, () -> { });
+        running.get(at).chainClient.read(patience, a -> out[0] = a, () -> {});
         run(patience);
         return out[0];
     }
--- a/control/src/test/java/org/umbermount/control/Isolation.java
+++ b/control/src/test/java/org/umbermount/control/Isolation.java
@@ -7,7 +7,12 @@
 
 /** Ways in which a part of the controllers loses the others, for a while. */
 public enum Isolation {
-    BOTH_WAYS, OUTWARD, INWARD, FROM_SOME, WITH_A_SEED, FROZEN;
+    BOTH_WAYS,
+    OUTWARD,
+    INWARD,
+    FROM_SOME,
+    WITH_A_SEED,
+    FROZEN;
 
     /** Who is on the side that is cut off: the one, and with a seed the lowest other seed as well. */
     public Set<Integer> side(int one) {
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,10 +7,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class LeaseTest {
     private static int holder(Fleet fleet, String zone) {
@@ -124,7 +124,9 @@
         fleet.network.tap = (from, to, topic, body) -> {
             try {
                 MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
-                asked[0] |= from.equals(Fleet.daemonAddress(1)) && topic == Messenger.Topic.LEASE && in.num() == 0
+                asked[0] |= from.equals(Fleet.daemonAddress(1))
+                        && topic == Messenger.Topic.LEASE
+                        && in.num() == 0
                         && in.text().equals("z1");
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
--- a/control/src/test/java/org/umbermount/control/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.Arrays;
 import org.junit.jupiter.api.Test;
@@ -12,6 +8,10 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.storage.testing.FakeDirectory;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Thousands of changes, while one controller is away for some of them, and what that takes of the disk and of time. */
 class LongDayTest {
     private static final int SIZE = 5;
@@ -106,7 +106,8 @@
                 return false;
             }
         }
-        return replica.standing() == Replica.Standing.MEMBER && replica.committed().edition().value() >= newest;
+        return replica.standing() == Replica.Standing.MEMBER
+                && replica.committed().edition().value() >= newest;
     }
 
     private void away(int who, String how, int missed, int viewChanges) throws IOException {
@@ -142,8 +143,9 @@
         }
         long ms = fleet.almanac.now().since(back);
         boolean sameVoters = voters.equals(fleet.replica(who).view().electorate());
-        System.out.println("away " + how + ": " + passed + " changes, " + (fleet.replica(who).view().number() - view)
-                + " views, voters " + (sameVoters ? "as before" : "changed") + ": caught up in " + ms + " ms");
+        System.out.println("away " + how + ": " + passed + " changes, "
+                + (fleet.replica(who).view().number() - view) + " views, voters "
+                + (sameVoters ? "as before" : "changed") + ": caught up in " + ms + " ms");
         assertTrue(ms <= CATCH_UP_MS, how + " for " + missed + ": not caught up in " + CATCH_UP_MS + " ms");
         fleet.run(Math.max(0, CATCH_UP_MS - ms));
         change();
@@ -207,10 +209,12 @@
     @Test
     void lossOfPowerIsNoticedWithoutTheFoldersSync() throws Exception {
         losePowerAfterOneChange();
-        assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.FOLDER_SYNCED, () -> {
-            losePowerAfterOneChange();
-            return null;
-        }));
+        assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(Safeguard.FOLDER_SYNCED, () -> {
+                    losePowerAfterOneChange();
+                    return null;
+                }));
     }
 
     private static void losePowerAfterOneChange() throws IOException {
--- a/control/src/test/java/org/umbermount/control/MembershipSearchTest.java
+++ b/control/src/test/java/org/umbermount/control/MembershipSearchTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,6 +13,10 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /**
  * Looks at all orders of losses, returns, arrivals, departures, commits and views that may come where {@code f} machines may be
  * lost at once, breadth first up to a number of states. A machine counts as lost while it is down, and after its return or
@@ -33,15 +33,18 @@
     private static final int INFORMED = 8;
     /** It holds everything that was acknowledged. */
     private static final int NEWEST = 16;
+
     private static final int COUNTED_LOST = 32;
     private static final int VOTER = 64;
     private static final int CHAINED = 128;
     /** It came empty in the place of one that is gone, and has not had its time. */
     private static final int SUCCESSOR = 256;
+
     private static final int LEAVING = 512;
     private static final int ABLE = UP | VOTER | MEMORY | INFORMED;
-    private static final String[] NAMES = {"up", "gone", "memory", "informed", "newest", "lost", "voter", "chain", "successor",
-        "leaving"};
+    private static final String[] NAMES = {
+        "up", "gone", "memory", "informed", "newest", "lost", "voter", "chain", "successor", "leaving"
+    };
 
     /** What has become of each machine, sorted, and how it came to this. */
     private record State(int[] machines, String how, State before) {
@@ -173,8 +176,10 @@
         int[] next = s.machines.clone();
         for (int i = 0; i < next.length; i++) {
             boolean present = is(next[i], ABLE);
-            next[i] = next[i] & ~(INFORMED | NEWEST | VOTER | CHAINED) | (present ? INFORMED | NEWEST : 0)
-                    | (wish.view().votes(ADDRESSES[i]) ? VOTER : 0) | (wish.view().chains(ADDRESSES[i]) ? CHAINED : 0);
+            next[i] = next[i] & ~(INFORMED | NEWEST | VOTER | CHAINED)
+                    | (present ? INFORMED | NEWEST : 0)
+                    | (wish.view().votes(ADDRESSES[i]) ? VOTER : 0)
+                    | (wish.view().chains(ADDRESSES[i]) ? CHAINED : 0);
         }
         return State.of(next, "view because " + wish.why().replaceAll("10\\.0\\.0\\.(\\d+):7000", "$1"), s);
     }
@@ -217,7 +222,9 @@
                 successors--;
             }
         }
-        calm = Arrays.stream(calm).filter(m -> !is(m, GONE) || is(m, COUNTED_LOST) || is(m, VOTER)).toArray();
+        calm = Arrays.stream(calm)
+                .filter(m -> !is(m, GONE) || is(m, COUNTED_LOST) || is(m, VOTER))
+                .toArray();
         return State.of(calm, "rest", at);
     }
 
@@ -284,8 +291,7 @@
         return out;
     }
 
-    private record Found(int states, boolean all, String bad) {
-    }
+    private record Found(int states, boolean all, String bad) {}
 
     private static Found search(int size, int f, int states) {
         int[] first = new int[size];
@@ -309,7 +315,9 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"3,1", "4,1", "5,1", "6,1", "7,1", "8,1", "9,1", "5,2", "6,2", "7,2", "8,2", "9,2", "7,3", "8,3", "9,3", "9,4"})
+    @CsvSource({
+        "3,1", "4,1", "5,1", "6,1", "7,1", "8,1", "9,1", "5,2", "6,2", "7,2", "8,2", "9,2", "7,3", "8,3", "9,3", "9,4"
+    })
     void majorityAndNewestStateRemainInAllOrders(int size, int f) {
         Found found = search(size, f, 30_000);
         System.out.println("membership: " + size + " voters, " + f + " lost at once: " + found.states + " states"
