--- a/control/src/test/java/org/umbermount/control/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -1,11 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,15 +9,22 @@
 import org.umbermount.control.Replica.Verdict;
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** One number is confirmed to one content, and an order that was taken is never refused, however it comes again. */
 class OrdersTest {
     /** Positions in the replica's kinds of messages. */
     private static final int VERDICT = 1;
+
     private static final int WRITE = 2;
     private static final int NEWS = 5;
     private static final int FETCH = 6;
@@ -79,11 +80,16 @@
             takeAll(fleet, newest + 1, 10 + others);
             newest = 10 + others;
             for (int at = 0; at < 4; at++) {
-                assertEquals(others <= 500 ? Verdict.TAKEN : null, order(fleet, at, 9, 10, "c10"),
+                assertEquals(
+                        others <= 500 ? Verdict.TAKEN : null,
+                        order(fleet, at, 9, 10, "c10"),
                         "after " + others + " others, at " + at);
-                assertEquals(others <= 500 ? Verdict.STALE : null, order(fleet, at, 9, 10, "other"),
+                assertEquals(
+                        others <= 500 ? Verdict.STALE : null,
+                        order(fleet, at, 9, 10, "other"),
                         "another content after " + others + " others, at " + at);
-                assertEquals(others == 0 ? Verdict.NOT_HIGHER : Verdict.STALE,
+                assertEquals(
+                        others == 0 ? Verdict.NOT_HIGHER : Verdict.STALE,
                         order(fleet, at, others == 0 ? 10 : newest - 1, others == 0 ? 9 : newest + 5, "x"));
             }
         }
@@ -218,11 +224,14 @@
                     replies.add(fleet.submit(k % controllers, base, base + 1 + k / 4, "r" + round + "k" + k));
                 }
                 fleet.run(900);
-                long taken = replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
+                long taken =
+                        replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
                 assertTrue(taken <= 1, taken + " winners on " + base);
                 TakenOrders history = fleet.replica(0).committed().taken();
                 for (int k = 0; k < 8; k++) {
-                    Order order = new Order(new ConfigurationRevision(base), new ConfigurationRevision(base + 1 + k / 4),
+                    Order order = new Order(
+                            new ConfigurationRevision(base),
+                            new ConfigurationRevision(base + 1 + k / 4),
                             Digest.ofCall("PUT", ("r" + round + "k" + k).getBytes()));
                     boolean isTaken = history.find(order) == TakenOrders.Finding.TAKEN;
                     Verdict verdict = replies.get(k).verdict;
@@ -316,7 +325,10 @@
             ConfigurationState state = ConfigurationState.read(in);
             told[0] = new String((in.flag() ? state : ConfigurationState.read(in)).blob());
         });
-        asker.send(Fleet.daemonAddress(old), Messenger.Topic.VIEW, MessagePackCodec.write().num(FETCH).done());
+        asker.send(
+                Fleet.daemonAddress(old),
+                Messenger.Topic.VIEW,
+                MessagePackCodec.write().num(FETCH).done());
         fleet.run(20);
         return told[0];
     }
@@ -332,9 +344,11 @@
     private static Verdict repeatBelowTheFloor() {
         TakenOrders taken = TakenOrders.NONE;
         for (long e = 1; e <= 10 + TakenOrders.REMEMBERED; e++) {
-            taken = taken.with(new TakenOrders.Taken(new ConfigurationRevision(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
+            taken = taken.with(
+                    new TakenOrders.Taken(new ConfigurationRevision(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
         }
-        Order old = new Order(new ConfigurationRevision(9), new ConfigurationRevision(10), Digest.ofCall("PUT", "c10".getBytes()));
+        Order old = new Order(
+                new ConfigurationRevision(9), new ConfigurationRevision(10), Digest.ofCall("PUT", "c10".getBytes()));
         return taken.find(old) == TakenOrders.Finding.NOT_TAKEN ? Verdict.STALE : null;
     }
 
@@ -363,7 +377,8 @@
     @Test
     void withoutAConfirmedViewATakenOrderIsRefused() throws Exception {
         assertNull(atAHeadThatWasLeftBehind());
-        assertEquals(Verdict.STALE, Mutation.without(Safeguard.REFUSAL_CONFIRMED, OrdersTest::atAHeadThatWasLeftBehind));
+        assertEquals(
+                Verdict.STALE, Mutation.without(Safeguard.REFUSAL_CONFIRMED, OrdersTest::atAHeadThatWasLeftBehind));
     }
 
     /** The tail is handed a state with a debt whose order is not in it. */
@@ -423,7 +438,11 @@
         MessagePackCodec.Writer late = MessagePackCodec.write().num(VERDICT);
         earlier.write(late);
         int tail = indexOf(view.tail()) == asker ? (asker + 1) % 4 : indexOf(view.tail());
-        fleet.bag(tail).send(Fleet.daemonAddress(asker), Messenger.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
+        fleet.bag(tail)
+                .send(
+                        Fleet.daemonAddress(asker),
+                        Messenger.Topic.CHAIN,
+                        late.num(Verdict.TAKEN.ordinal()).done());
         fleet.run(2);
         return reply.verdict;
     }
@@ -431,7 +450,8 @@
     @Test
     void answerToAnEarlierLifeIsNotTakenForOneToThisLife() throws Exception {
         assertNotEquals(Verdict.TAKEN, lateAnswerToAnEarlierLife());
-        assertEquals(Verdict.TAKEN, Mutation.without(Safeguard.REPLY_OF_THIS_LIFE, OrdersTest::lateAnswerToAnEarlierLife));
+        assertEquals(
+                Verdict.TAKEN, Mutation.without(Safeguard.REPLY_OF_THIS_LIFE, OrdersTest::lateAnswerToAnEarlierLife));
     }
 
     /** An order on a version that is not there yet is refused; then the version comes, and a late copy of the order. */
@@ -448,7 +468,8 @@
     @Test
     void orderThatWasRefusedAheadIsNotTakenByALateCopy() throws Exception {
         assertNull(lateCopyOfAnOrderThatWasRefusedAhead());
-        assertEquals(Verdict.TAKEN,
+        assertEquals(
+                Verdict.TAKEN,
                 Mutation.without(Safeguard.AHEAD_BARRED, OrdersTest::lateCopyOfAnOrderThatWasRefusedAhead));
     }
 
@@ -466,7 +487,8 @@
         fleet.run(5);
         assertEquals(Verdict.TAKEN, order(fleet, other, 2, 3, "c3"));
         assertEquals(view.number(), fleet.replica(head).view().number(), "the view has changed");
-        Order late = new Order(new ConfigurationRevision(3), new ConfigurationRevision(4), Digest.ofCall("PUT", "ahead".getBytes()));
+        Order late = new Order(
+                new ConfigurationRevision(3), new ConfigurationRevision(4), Digest.ofCall("PUT", "ahead".getBytes()));
         fleet.replica(other).sendSubmission(view.head(), id, view.number(), late, "ahead".getBytes());
         fleet.run(20);
         return new String(fleet.replica(other).committed().blob());
@@ -491,7 +513,8 @@
         for (long step : new long[] {1, 1_000_000}) {
             ConfigurationState state = ConfigurationState.NONE.inView(3);
             for (int i = 1; i <= 3_000; i++) {
-                state = state.take(new ConfigurationRevision(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
+                state = state.take(
+                        new ConfigurationRevision(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
             }
             byte[] bytes = written(state);
             assertTrue(bytes.length < 12_000, "bytes: " + bytes.length);
@@ -503,35 +526,94 @@
 
     @Test
     void stateOfTheFormerFormatIsReadAsKnowingNoOrders() throws Exception {
-        byte[] former = MessagePackCodec.write().num(4).num(9).bytes("c9".getBytes()).num(2).num(8).num(77).num(9).num(78).done();
+        byte[] former = MessagePackCodec.write()
+                .num(4)
+                .num(9)
+                .bytes("c9".getBytes())
+                .num(2)
+                .num(8)
+                .num(77)
+                .num(9)
+                .num(78)
+                .done();
         ConfigurationState read = ConfigurationState.read(MessagePackCodec.read(former));
         assertEquals(9, read.edition().value());
         assertEquals(4, read.view());
         assertEquals(new TakenOrders(new ConfigurationRevision(9), List.of()), read.taken());
-        Order repeat = new Order(new ConfigurationRevision(8), new ConfigurationRevision(9), Digest.ofCall("PUT", "c9".getBytes()));
+        Order repeat = new Order(
+                new ConfigurationRevision(8), new ConfigurationRevision(9), Digest.ofCall("PUT", "c9".getBytes()));
         assertEquals(TakenOrders.Finding.UNCLEAR, read.taken().find(repeat), "never refused");
     }
 
     @Test
     void damagedStateIsNotMistakenForAGoodOne() throws Exception {
-        ConfigurationState good = ConfigurationState.NONE.inView(1).take(new ConfigurationRevision(5), "c".getBytes()).take(new ConfigurationRevision(6), "d".getBytes());
+        ConfigurationState good = ConfigurationState.NONE
+                .inView(1)
+                .take(new ConfigurationRevision(5), "c".getBytes())
+                .take(new ConfigurationRevision(6), "d".getBytes());
         byte[] bytes = written(good);
         for (int cut = 0; cut < bytes.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(bytes, cut);
-            assertThrows(MessagePackCodec.UnreadableException.class, () -> ConfigurationState.read(MessagePackCodec.read(part)), "cut at " + cut);
+            assertThrows(
+                    MessagePackCodec.UnreadableException.class,
+                    () -> ConfigurationState.read(MessagePackCodec.read(part)),
+                    "cut at " + cut);
         }
         Digest d = Digest.ofCall("PUT", "c".getBytes());
         List<MessagePackCodec.Writer> bad = new ArrayList<>();
-        bad.add(MessagePackCodec.write().num(-3).num(1).num(5).bytes(new byte[0]).num(5).num(0));
-        bad.add(MessagePackCodec.write().num(-2).num(1).num(6).bytes(new byte[0]).num(5).num(0));
-        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(0).num(d.high()).num(d.low()));
-        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(Long.MAX_VALUE)
-                .num(d.high()).num(d.low()));
-        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(-1).num(0));
-        bad.add(MessagePackCodec.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(TakenOrders.REMEMBERED + 1));
+        bad.add(MessagePackCodec.write()
+                .num(-3)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(6)
+                .bytes(new byte[0])
+                .num(5)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(1)
+                .num(0)
+                .num(d.high())
+                .num(d.low()));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(1)
+                .num(Long.MAX_VALUE)
+                .num(d.high())
+                .num(d.low()));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(-1)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(TakenOrders.REMEMBERED + 1));
         for (MessagePackCodec.Writer w : bad) {
             byte[] wrong = w.done();
-            assertThrows(MessagePackCodec.UnreadableException.class, () -> ConfigurationState.read(MessagePackCodec.read(wrong)));
+            assertThrows(
+                    MessagePackCodec.UnreadableException.class,
+                    () -> ConfigurationState.read(MessagePackCodec.read(wrong)));
         }
     }
 }
--- a/control/src/test/java/org/umbermount/control/RecoveryTest.java
+++ b/control/src/test/java/org/umbermount/control/RecoveryTest.java
@@ -1,12 +1,12 @@
 package org.umbermount.control;
 
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import org.junit.jupiter.api.Test;
-
 class RecoveryTest {
     /** Keeps nothing, and is slow to say that it has been rebuilt. */
     private static final class SlowCompanion implements CompanionState {
@@ -18,8 +18,7 @@
         }
 
         @Override
-        public void adopted(View view) {
-        }
+        public void adopted(View view) {}
 
         @Override
         public void rebuild(OperationLogPosition upTo, Runnable then) {
@@ -59,7 +58,9 @@
         assertEquals(fleet.replica(2).view().number(), view, "it has not heard of the newer view");
         late.run();
         fleet.run(50);
-        assertTrue(fleet.replica(4).view().number() >= view, "the view went back to " + fleet.replica(4).view());
+        assertTrue(
+                fleet.replica(4).view().number() >= view,
+                "the view went back to " + fleet.replica(4).view());
     }
 
     private static boolean fleetHasRun(org.umbermount.kernel.Clock clock) {
--- a/control/src/test/java/org/umbermount/control/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -1,20 +1,20 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Seats are given up, taken over and rested, by controllers as they are. */
 class SeatsTest {
@@ -61,12 +61,19 @@
             fleet.kill(second, true);
             fleet.wipe(second);
             fleet.run(500);
-            take(fleet, n + 1, n + 2, "after replacement " + (n + 1) + " and a second loss: " + any(fleet).view());
+            take(
+                    fleet,
+                    n + 1,
+                    n + 2,
+                    "after replacement " + (n + 1) + " and a second loss: "
+                            + any(fleet).view());
             fleet.start(second, "z" + second, List.of(second + 1, second + 2, fresh));
             fleet.run(SYNC_MS);
             assertNotNull(fleet.read(fresh, 850));
         }
-        assertTrue(any(fleet).view().electorate().size() <= 5, "dead seats are left: " + any(fleet).view());
+        assertTrue(
+                any(fleet).view().electorate().size() <= 5,
+                "dead seats are left: " + any(fleet).view());
     }
 
     @ParameterizedTest
@@ -129,9 +136,20 @@
         fleet.run(6_000);
         boolean[] granted = new boolean[1];
         var stranger = fleet.network.bag(Fleet.daemonAddress(9));
-        stranger.subscribe(Messenger.Topic.LEASE, (from, body) -> granted[0] |= MessagePackCodec.read(body).num() == 1);
+        stranger.subscribe(
+                Messenger.Topic.LEASE,
+                (from, body) -> granted[0] |= MessagePackCodec.read(body).num() == 1);
         long view = any(fleet).view().number();
-        stranger.send(Fleet.daemonAddress(1), Messenger.Topic.LEASE, MessagePackCodec.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        stranger.send(
+                Fleet.daemonAddress(1),
+                Messenger.Topic.LEASE,
+                MessagePackCodec.write()
+                        .num(0)
+                        .text("z9")
+                        .num(5)
+                        .num(1)
+                        .num(view - 1)
+                        .done());
         fleet.run(100);
         return granted[0];
     }
@@ -178,7 +196,8 @@
                 Fleet.Reply reply = fleet.submit((frozen + 1) % 5, 0, 1, "c1");
                 fleet.run(900);
                 if (reply.verdict != Replica.Verdict.TAKEN) {
-                    return frozen + " froze, " + gone + " was gone " + gap + " ms later: " + fleet.replica(frozen).view();
+                    return frozen + " froze, " + gone + " was gone " + gap + " ms later: "
+                            + fleet.replica(frozen).view();
                 }
             }
         }
--- a/control/src/test/java/org/umbermount/control/ServerRegistryTest.java
+++ b/control/src/test/java/org/umbermount/control/ServerRegistryTest.java
@@ -1,16 +1,26 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.InstanceId;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class ServerRegistryTest {
-    private static RegisteredServer beat(Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
-        return new RegisteredServer(new InstanceId(id), "svc", "10.9.0.1:80", "z0", "v1", 3, 0, standing, sequence,
+    private static RegisteredServer beat(
+            Fleet fleet, int at, String id, RegisteredServer.Standing standing, long sequence) {
+        return new RegisteredServer(
+                new InstanceId(id),
+                "svc",
+                "10.9.0.1:80",
+                "z0",
+                "v1",
+                3,
+                0,
+                standing,
+                sequence,
                 Fleet.daemonAddress(at));
     }
 
@@ -61,7 +71,7 @@
     void signOffIsFinal() throws IOException {
         Fleet fleet = settled();
         send(fleet, 0, "a", RegisteredServer.Standing.IN_SERVICE, 1);
-        fleet.running.get(1).serverRegistry.signOff(new InstanceId("a"), () -> { });
+        fleet.running.get(1).serverRegistry.signOff(new InstanceId("a"), () -> {});
         fleet.run(50);
         send(fleet, 2, "a", RegisteredServer.Standing.IN_SERVICE, 9);
         assertEquals(RegisteredServer.Standing.SIGNED_OFF, standing(fleet, 3, "a"));
@@ -106,14 +116,19 @@
         Fleet fleet = settled();
         fleet.kill(3, true);
         for (int i = 0; i < 300; i++) {
-            fleet.running.get(0).serverRegistry.beat(beat(fleet, 0, "s" + i, RegisteredServer.Standing.IN_SERVICE, 1), () -> { });
+            fleet.running
+                    .get(0)
+                    .serverRegistry
+                    .beat(beat(fleet, 0, "s" + i, RegisteredServer.Standing.IN_SERVICE, 1), () -> {});
         }
         fleet.disks.get(3).raw("census", new byte[0]);
         fleet.start(3, false);
         fleet.run(1_500);
         assertEquals(300, fleet.running.get(3).serverRegistry.entries().size());
         assertTrue(fleet.running.get(3).serverRegistry.ready());
-        assertEquals(fleet.running.get(0).serverRegistry.digest(), fleet.running.get(3).serverRegistry.digest());
+        assertEquals(
+                fleet.running.get(0).serverRegistry.digest(),
+                fleet.running.get(3).serverRegistry.digest());
     }
 
     @Test
--- a/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
+++ b/control/src/test/java/org/umbermount/control/TwoOperatorsTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.control;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,6 +18,10 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Two operators choose the same numbers, lose answers and send again through any controller, in random trouble. */
 class TwoOperatorsTest {
     @ParameterizedTest
@@ -39,8 +39,8 @@
     /** The play sees what a missing mechanism does. */
     @Test
     void withoutTheDigestThePlayFails() throws Exception {
-        Mutation.without(Safeguard.DIGEST_COMPARED,
-                () -> assertThrows(AssertionError.class, () -> new Play(4, 0, 1).play()));
+        Mutation.without(
+                Safeguard.DIGEST_COMPARED, () -> assertThrows(AssertionError.class, () -> new Play(4, 0, 1).play()));
     }
 
     /** An order as an operator has it, with what it has been told. */
@@ -71,11 +71,13 @@
         private final List<Call> acknowledged = new ArrayList<>();
         /** Which order was confirmed under a number, by any answer, heard or not. */
         private final Map<ConfigurationRevision, Order> confirmed = new HashMap<>();
+
         private final Map<ConfigurationRevision, Order> history = new TreeMap<>();
         /** On a version that had been built on: never in force, whatever is sent. */
         private final Set<Order> heardRefused = new HashSet<>();
         /** On a version that was not there: not in force unless someone sends the same again after the refusal. */
         private final Set<Order> heardRefusedAhead = new HashSet<>();
+
         private int repeats;
         private int aheads;
 
@@ -175,10 +177,16 @@
                     base = Math.max(0, base + random.nextInt(6) - 2);
                 }
                 long number = base + 1 + random.nextInt(2);
-                String text = random.nextInt(6) == 0 ? "both " + number : "operator " + operator + " number " + number
-                        + " try " + random.nextInt(3);
-                Call call = new Call(new Order(new ConfigurationRevision(base), new ConfigurationRevision(number),
-                        Digest.ofCall("PUT", text.getBytes())), text, operator);
+                String text = random.nextInt(6) == 0
+                        ? "both " + number
+                        : "operator " + operator + " number " + number + " try " + random.nextInt(3);
+                Call call = new Call(
+                        new Order(
+                                new ConfigurationRevision(base),
+                                new ConfigurationRevision(number),
+                                Digest.ofCall("PUT", text.getBytes())),
+                        text,
+                        operator);
                 open.add(call);
                 send(call, random.nextInt(size));
             }
@@ -199,7 +207,8 @@
                 call.reply = new Fleet.Reply();
                 call.reply.gaveUp = true;
             } else {
-                call.reply = fleet.submit(at, call.order.match().value(), call.order.edition().value(), call.text);
+                call.reply = fleet.submit(
+                        at, call.order.match().value(), call.order.edition().value(), call.text);
             }
         }
 
@@ -223,7 +232,8 @@
             acknowledged.forEach(this::check);
             for (Set<Order> all : List.of(heardRefused, heardRefusedAhead)) {
                 for (Order refused : all) {
-                    assertTrue(!refused.equals(history.get(refused.edition())), "in force after its refusal: " + refused);
+                    assertTrue(
+                            !refused.equals(history.get(refused.edition())), "in force after its refusal: " + refused);
                 }
             }
         }
@@ -232,7 +242,8 @@
             Verdict verdict = call.reply == null ? null : call.reply.verdict;
             if (verdict == Verdict.TAKEN) {
                 Order earlier = confirmed.put(call.order.edition(), call.order);
-                assertTrue(earlier == null || earlier.equals(call.order), "confirmed: " + earlier + " and " + call.order);
+                assertTrue(
+                        earlier == null || earlier.equals(call.order), "confirmed: " + earlier + " and " + call.order);
                 assertEquals(call.order, history.get(call.order.edition()), "confirmed, but not in force");
             } else if (verdict != null) {
                 assertTrue(!call.order.equals(history.get(call.order.edition())), "taken, and refused: " + call.order);
@@ -244,7 +255,8 @@
             for (int i = 0; i < size; i++) {
                 if (fleet.isRunning(i)) {
                     ConfigurationRevision base = ConfigurationRevision.NONE;
-                    for (TakenOrders.Taken t : fleet.replica(i).committed().taken().entries()) {
+                    for (TakenOrders.Taken t :
+                            fleet.replica(i).committed().taken().entries()) {
                         Order order = new Order(base, t.edition(), t.digest());
                         Order other = history.put(t.edition(), order);
                         assertTrue(other == null || other.equals(order), "two histories: " + other + " and " + order);
--- a/distribution/src/main/java/org/umbermount/distribution/Instruction.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Instruction.java
@@ -13,18 +13,44 @@
  * @param vouched the edition that a majority has confirmed as the newest one taken; -1 if nothing is said of it
  * @param vouchAge how long ago that confirmation was asked for
  */
-record Instruction(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp,
-        long echo, RoutingTable.Difference difference, long vouched, long vouchAge) {
+record Instruction(
+        long epoch,
+        long life,
+        long oldNum,
+        long newNum,
+        long ackNum,
+        long throwawayNum,
+        long stamp,
+        long echo,
+        RoutingTable.Difference difference,
+        long vouched,
+        long vouchAge) {
 
-    Instruction(long epoch, long life, long oldNum, long newNum, long ackNum, long throwawayNum, long stamp, long echo,
+    Instruction(
+            long epoch,
+            long life,
+            long oldNum,
+            long newNum,
+            long ackNum,
+            long throwawayNum,
+            long stamp,
+            long echo,
             RoutingTable.Difference difference) {
         this(epoch, life, oldNum, newNum, ackNum, throwawayNum, stamp, echo, difference, -1, 0);
     }
 
-
     byte[] pack() {
-        MessagePackCodec.Writer out = MessagePackCodec.write().num(epoch).num(life).num(oldNum).num(newNum).num(ackNum)
-                .num(throwawayNum).num(stamp).num(echo).num(vouched).num(vouchAge);
+        MessagePackCodec.Writer out = MessagePackCodec.write()
+                .num(epoch)
+                .num(life)
+                .num(oldNum)
+                .num(newNum)
+                .num(ackNum)
+                .num(throwawayNum)
+                .num(stamp)
+                .num(echo)
+                .num(vouched)
+                .num(vouchAge);
         out.flag(difference != null);
         if (difference != null) {
             difference.write(out);
@@ -44,7 +70,17 @@
         long echo = in.num();
         long vouched = in.num();
         long age = in.num();
-        return new Instruction(epoch, life, oldNum, newNum, ackNum, throwaway, stamp, echo,
-                in.flag() ? RoutingTable.Difference.read(in) : null, vouched, age);
+        return new Instruction(
+                epoch,
+                life,
+                oldNum,
+                newNum,
+                ackNum,
+                throwaway,
+                stamp,
+                echo,
+                in.flag() ? RoutingTable.Difference.read(in) : null,
+                vouched,
+                age);
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
@@ -9,7 +9,14 @@
  */
 record ProxyAnnouncer(long life, String zone, boolean empty, boolean wantsVoucher, long edition, long stamp) {
     byte[] pack() {
-        return MessagePackCodec.write().num(life).text(zone).flag(empty).flag(wantsVoucher).num(edition).num(stamp).done();
+        return MessagePackCodec.write()
+                .num(life)
+                .text(zone)
+                .flag(empty)
+                .flag(wantsVoucher)
+                .num(edition)
+                .num(stamp)
+                .done();
     }
 
     static ProxyAnnouncer unpack(byte[] body) throws MessagePackCodec.UnreadableException {
@@ -18,6 +25,5 @@
     }
 
     /** A proxy as the controllers know it. */
-    record Proxy(DaemonAddress daemonAddress, String zone, long life) {
-    }
+    record Proxy(DaemonAddress daemonAddress, String zone, long life) {}
 }
--- a/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -19,6 +19,7 @@
     public static final String CONFIGURATION = "c";
     /** Holds the number of proxies that share the fleet's budgets. */
     public static final String FLEET = "f";
+
     public static final String ROUTE = "r/";
     public static final String UPSTREAM = "u/";
     public static final String INSTANCE = "i/";
@@ -30,7 +31,8 @@
 
     private final Map<String, byte[]> entries;
     private final ConfigurationRevision edition;
-    // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
+    // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next
+    // one.
     private RoutingTable comparedWith;
     private Difference compared;
 
@@ -48,7 +50,8 @@
             return ConfigurationRevision.NONE;
         }
         try {
-            return new ConfigurationRevision(MessagePackCodec.read(configuration).num());
+            return new ConfigurationRevision(
+                    MessagePackCodec.read(configuration).num());
         } catch (MessagePackCodec.UnreadableException e) {
             return ConfigurationRevision.NONE;
         }
@@ -122,6 +125,7 @@
     }
 
     public boolean sameAs(RoutingTable other) {
-        return this == other || entries.size() == other.entries.size() && since(other).isEmpty();
+        return this == other
+                || entries.size() == other.entries.size() && since(other).isEmpty();
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -10,10 +10,10 @@
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
 public final class StateReceiver {
@@ -59,8 +59,13 @@
      */
     private void vouched(Instruction d) {
         long now = clock.now().millis();
-        if (keepMs < 0 || d.vouched() < 0 || d.echo() < 0 || d.echo() > now || d.life() != life
-                || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
+        if (keepMs < 0
+                || d.vouched() < 0
+                || d.echo() < 0
+                || d.echo() > now
+                || d.life() != life
+                || inForce.isEmpty()
+                || inForce.edition().value() < d.vouched()) {
             return;
         }
         MonotonicTime until = new MonotonicTime(d.echo() - d.vouchAge() + keepMs);
@@ -169,7 +174,9 @@
     }
 
     private void acknowledge(DaemonAddress to, Instruction d, long num) {
-        messenger.send(to, Messenger.Topic.DISPATCH, new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(),
-                d.stamp(), null).pack());
+        messenger.send(
+                to,
+                Messenger.Topic.DISPATCH,
+                new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(), d.stamp(), null).pack());
     }
 }
--- a/distribution/src/main/java/org/umbermount/distribution/StateSender.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateSender.java
@@ -6,10 +6,10 @@
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * The sender for one proxy, as in the State Synchronization Protocol: a rolling list of sent states whose first
@@ -21,6 +21,7 @@
     static final long HEARTBEAT_MS = 3_000;
     /** Changes within this time travel together. */
     private static final long COLLECT_MS = 8;
+
     private static final long LAPSED_MS = 50;
 
     private static final class Sent {
@@ -189,7 +190,8 @@
             return;
         }
         MonotonicTime now = clock.now();
-        long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
+        long frame =
+                unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
         long wait = frame - now.since(lastSend);
         if (wait > 0) {
             schedule(wait);
@@ -224,16 +226,40 @@
     }
 
     private void send(Sent from, Sent to, MonotonicTime now) {
-        emit(new Instruction(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
-                to.table.since(from.table), vouched(now), vouchAge(now)), now);
+        emit(
+                new Instruction(
+                        epoch,
+                        life,
+                        from.num,
+                        to.num,
+                        0,
+                        knownNum(),
+                        now.millis(),
+                        echo(now),
+                        to.table.since(from.table),
+                        vouched(now),
+                        vouchAge(now)),
+                now);
         unanswered++;
         metrics.count("distribution.sent");
     }
 
     private void sendEmpty(MonotonicTime now) {
         long num = newest().num;
-        emit(new Instruction(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
-                vouched(now), vouchAge(now)), now);
+        emit(
+                new Instruction(
+                        epoch,
+                        life,
+                        num,
+                        num,
+                        0,
+                        knownNum(),
+                        now.millis(),
+                        echo(now),
+                        null,
+                        vouched(now),
+                        vouchAge(now)),
+                now);
         metrics.count("distribution.heartbeats");
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
@@ -3,17 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Settings;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
 
 /** The receiving side as a plug-in of the proxy. */
 public final class TableReceiverPlugin implements Plugin {
@@ -64,7 +64,10 @@
             host.metrics().gauge("distribution.table.good.ms", () -> Math.max(0, stateReceiver.goodForMs()));
         }
         host.metrics().gauge("distribution.epoch", stateReceiver::epoch);
-        host.metrics().gauge("distribution.edition", () -> stateReceiver.inForce().edition().value());
+        host.metrics()
+                .gauge(
+                        "distribution.edition",
+                        () -> stateReceiver.inForce().edition().value());
         host.metrics().gauge("distribution.silence.ms", () -> clock.now().since(stateReceiver.lastHeard()));
         stateReceiver.observe(this::learn);
         clock.execute(this::tell);
@@ -100,8 +103,14 @@
     private void tellHere(MonotonicTime now) {
         lastToldHere = now;
         String zone = pluginHost.rules().zone();
-        byte[] body = new ProxyAnnouncer(stateReceiver.life(), zone, stateReceiver.inForce().isEmpty(), false,
-                stateReceiver.inForce().edition().value(), now.millis()).pack();
+        byte[] body = new ProxyAnnouncer(
+                        stateReceiver.life(),
+                        zone,
+                        stateReceiver.inForce().isEmpty(),
+                        false,
+                        stateReceiver.inForce().edition().value(),
+                        now.millis())
+                .pack();
         DaemonAddress sender = stateReceiver.sender();
         for (MemberDescriptor p : peerSampling.known(Role.CONTROLLER, zone)) {
             if (p.zone().equals(zone)) {
@@ -138,12 +147,20 @@
 
     /** The sender is late with its word on how fresh the table is: any controller may give it. */
     private void askVoucher(MonotonicTime now) {
-        List<MemberDescriptor> known = peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone());
-        byte[] body = new ProxyAnnouncer(stateReceiver.life(), pluginHost.rules().zone(), false, true,
-                stateReceiver.inForce().edition().value(), now.millis()).pack();
+        List<MemberDescriptor> known =
+                peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone());
+        byte[] body = new ProxyAnnouncer(
+                        stateReceiver.life(),
+                        pluginHost.rules().zone(),
+                        false,
+                        true,
+                        stateReceiver.inForce().edition().value(),
+                        now.millis())
+                .pack();
         for (int i = 0; i < Math.min(2, known.size()); i++) {
-            pluginHost.find(Messenger.class).send(known.get(voucherTurn++ % known.size()).daemonAddress(),
-                    Messenger.Topic.SIGNPOST, body);
+            pluginHost
+                    .find(Messenger.class)
+                    .send(known.get(voucherTurn++ % known.size()).daemonAddress(), Messenger.Topic.SIGNPOST, body);
         }
     }
 
@@ -152,10 +169,19 @@
         MonotonicTime now = pluginHost.clock().now();
         boolean empty = stateReceiver.inForce().isEmpty();
         boolean lost = now.since(stateReceiver.lastHeard()) > SILENCE_MS;
-        byte[] body = new ProxyAnnouncer(stateReceiver.life(), pluginHost.rules().zone(), empty, lost && strict,
-                stateReceiver.inForce().edition().value(), now.millis()).pack();
-        List<DaemonAddress> targets = peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone()).stream()
-                .map(MemberDescriptor::daemonAddress).toList();
+        byte[] body = new ProxyAnnouncer(
+                        stateReceiver.life(),
+                        pluginHost.rules().zone(),
+                        empty,
+                        lost && strict,
+                        stateReceiver.inForce().edition().value(),
+                        now.millis())
+                .pack();
+        List<DaemonAddress> targets = peerSampling
+                .known(Role.CONTROLLER, pluginHost.rules().zone())
+                .stream()
+                .map(MemberDescriptor::daemonAddress)
+                .toList();
         if (targets.isEmpty()) {
             targets = peerSampling.seeds();
         }
--- a/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -10,30 +10,30 @@
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.control.ConfigurationState;
-import org.umbermount.control.ServerRegistry;
-import org.umbermount.control.RegisteredServer;
-import org.umbermount.control.Replica;
-import org.umbermount.control.MajorityContact;
 import org.umbermount.control.ChainClient;
 import org.umbermount.control.Configuration;
+import org.umbermount.control.ConfigurationState;
 import org.umbermount.control.FailureDetector;
-import org.umbermount.control.StatusPage;
 import org.umbermount.control.LeaseManager;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.RegisteredServer;
+import org.umbermount.control.Replica;
+import org.umbermount.control.ServerRegistry;
+import org.umbermount.control.StatusPage;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Settings;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
 
 /** The sending side as a plug-in of the controller: one sender for each proxy of the zones whose duty is held. */
 public final class TableSenderPlugin implements Plugin {
@@ -42,6 +42,7 @@
     private static final long FORGET_MS = 20_000;
     /** A proxy speaks up to every controller that it knows within 5 s. */
     private static final long INTRODUCE_MS = 6_000;
+
     private static final long ASKER_LOOK_MS = 20;
     private static final int ASKER_LOOKS = 25;
     private static final String QUOTA = "quota/";
@@ -84,8 +85,7 @@
 
     private Map<InstanceId, Packed> packedServers = Map.of();
 
-    private record Packed(RegisteredServer entry, String key, byte[] bytes) {
-    }
+    private record Packed(RegisteredServer entry, String key, byte[] bytes) {}
 
     private static final class Known {
         long stamp;
@@ -170,17 +170,26 @@
 
     /** What each proxy is known and assumed to hold. */
     private void show(ObjectNode page) {
-        page.putObject("table").put("edition", table.edition().value()).put("entries", table.entries().size())
-                .put("vouchedEdition", vouching.at() == null ? 0 : vouching.edition().value())
+        page.putObject("table")
+                .put("edition", table.edition().value())
+                .put("entries", table.entries().size())
+                .put(
+                        "vouchedEdition",
+                        vouching.at() == null ? 0 : vouching.edition().value())
                 .put("vouchedMsAgo", vouching.at() == null ? -1 : clock.now().since(vouching.at()));
         ArrayNode list = page.putArray("proxies");
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             StateSender c = stateSenders.get(e.getKey());
-            ObjectNode one = list.addObject().put("daemon", e.getKey().toString()).put("zone", e.getValue().zone)
-                    .put("heardMsAgo", clock.now().since(e.getValue().heard)).put("servedHere", c != null);
+            ObjectNode one = list.addObject()
+                    .put("daemon", e.getKey().toString())
+                    .put("zone", e.getValue().zone)
+                    .put("heardMsAgo", clock.now().since(e.getValue().heard))
+                    .put("servedHere", c != null);
             if (c != null) {
-                one.put("knownNum", c.knownNum()).put("knownEdition", c.knownEdition().value())
-                        .put("assumedNum", c.assumedNum()).put("rttMs", c.smoothedRtt());
+                one.put("knownNum", c.knownNum())
+                        .put("knownEdition", c.knownEdition().value())
+                        .put("assumedNum", c.assumedNum())
+                        .put("rttMs", c.smoothedRtt());
             }
         }
     }
@@ -195,8 +204,13 @@
             }
         }
         if (holder != null && !holder.equals(messenger.self()) && !there.isEmpty()) {
-            messenger.send(holder, Messenger.Topic.INTRODUCTION, MessagePackCodec.write().text(zone)
-                    .list(there, (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue().life)).done());
+            messenger.send(
+                    holder,
+                    Messenger.Topic.INTRODUCTION,
+                    MessagePackCodec.write()
+                            .text(zone)
+                            .list(there, (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue().life))
+                            .done());
         }
     }
 
@@ -242,8 +256,22 @@
         if (stateSender != null) {
             stateSender.renew();
         } else if (vouching.at() != null) {
-            messenger.send(to, Messenger.Topic.DISPATCH, new Instruction(0, s.life(), 0, 0, 0, 0, 0, s.stamp(), null,
-                    vouching.edition().value(), now.since(vouching.at())).pack());
+            messenger.send(
+                    to,
+                    Messenger.Topic.DISPATCH,
+                    new Instruction(
+                                    0,
+                                    s.life(),
+                                    0,
+                                    0,
+                                    0,
+                                    0,
+                                    0,
+                                    s.stamp(),
+                                    null,
+                                    vouching.edition().value(),
+                                    now.since(vouching.at()))
+                            .pack());
         }
     }
 
@@ -287,7 +315,9 @@
         if (reliable()) {
             RoutingTable.Difference everything = table().since(RoutingTable.EMPTY);
             for (Map.Entry<DaemonAddress, Long> e : askers.entrySet()) {
-                messenger.send(e.getKey(), Messenger.Topic.DISPATCH,
+                messenger.send(
+                        e.getKey(),
+                        Messenger.Topic.DISPATCH,
                         baseline(e.getKey(), e.getValue(), everything).pack());
                 pluginHost.metrics().count("distribution.baselines");
             }
@@ -309,8 +339,18 @@
                 chainClient.askNewest();
             }
         }
-        return new Instruction(0, life, 0, 1, 0, 0, 0, vouch ? known.stamp : -1, everything,
-                vouch ? vouching.edition().value() : -1, vouch ? clock.now().since(vouching.at()) : 0);
+        return new Instruction(
+                0,
+                life,
+                0,
+                1,
+                0,
+                0,
+                0,
+                vouch ? known.stamp : -1,
+                everything,
+                vouch ? vouching.edition().value() : -1,
+                vouch ? clock.now().since(vouching.at()) : 0);
     }
 
     /**
@@ -319,7 +359,9 @@
      */
     private boolean reliable() {
         ConfigurationRevision edition = replica.committed().edition();
-        if (!serverRegistry.ready() || !assured() || replica.newestEdition().isAfter(edition)
+        if (!serverRegistry.ready()
+                || !assured()
+                || replica.newestEdition().isAfter(edition)
                 || Safeguard.EDITION_CONFIRMED_BEFORE_TABLES.holds() && !contact.confirms(edition)) {
             return false;
         }
@@ -386,7 +428,8 @@
     private void reconcile() {
         MonotonicTime now = clock.now();
         boolean forgot = proxies.values().removeIf(k -> now.since(k.heard) > FORGET_MS);
-        Iterator<Map.Entry<DaemonAddress, StateSender>> it = stateSenders.entrySet().iterator();
+        Iterator<Map.Entry<DaemonAddress, StateSender>> it =
+                stateSenders.entrySet().iterator();
         while (it.hasNext()) {
             Map.Entry<DaemonAddress, StateSender> e = it.next();
             Known known = proxies.get(e.getKey());
@@ -399,7 +442,8 @@
         for (Map.Entry<DaemonAddress, Known> e : proxies.entrySet()) {
             long epoch = leases.epoch(e.getValue().zone);
             if (epoch > 0 && ready && !stateSenders.containsKey(e.getKey())) {
-                StateSender c = new StateSender(e.getKey(), e.getValue().life, epoch, clock, messenger, pluginHost.metrics());
+                StateSender c =
+                        new StateSender(e.getKey(), e.getValue().life, epoch, clock, messenger, pluginHost.metrics());
                 stateSenders.put(e.getKey(), c);
                 if (strict) {
                     c.vouch(vouching, RENEW_MS);
@@ -437,7 +481,8 @@
             if (!e.standing().isGone()) {
                 Packed old = packedServers.get(e.id());
                 Packed now = old != null && old.entry.sameNews(e) && old.entry.warmMs() == e.warmMs()
-                        ? old : new Packed(e, RoutingTable.INSTANCE + e.id(), Tables.packInstance(e));
+                        ? old
+                        : new Packed(e, RoutingTable.INSTANCE + e.id(), Tables.packInstance(e));
                 fresh.put(e.id(), now);
                 entries.put(now.key, now.bytes);
             }
@@ -446,21 +491,28 @@
         Settings rules = pluginHost.rules();
         DaemonAddress head = replica.view().head();
         if (rules.guarantees(Settings.KEYS) && head != null) {
-            entries.put(RoutingTable.DUTY + "loans", MessagePackCodec.write().daemonAddress(head).done());
+            entries.put(
+                    RoutingTable.DUTY + "loans",
+                    MessagePackCodec.write().daemonAddress(head).done());
         }
         entries.put(RoutingTable.CONTROLLER + messenger.self(), Tables.packController(messenger.self(), rules.zone()));
         for (FailureDetector.Peer p : detector.peers()) {
             if (p.report() != null && detector.lostForMs(p.daemonAddress()) < FORGET_MS) {
-                entries.put(RoutingTable.CONTROLLER + p.daemonAddress(), Tables.packController(p.daemonAddress(), p.report().zone()));
+                entries.put(
+                        RoutingTable.CONTROLLER + p.daemonAddress(),
+                        Tables.packController(p.daemonAddress(), p.report().zone()));
             }
         }
         for (String duty : rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.<String>of()) {
             DaemonAddress holder = leases.holder(duty);
             if (holder != null) {
-                entries.put(RoutingTable.DUTY + duty, MessagePackCodec.write().daemonAddress(holder).done());
+                entries.put(
+                        RoutingTable.DUTY + duty,
+                        MessagePackCodec.write().daemonAddress(holder).done());
             }
         }
-        entries.put(RoutingTable.FLEET, MessagePackCodec.write().num(proxies.size()).done());
+        entries.put(
+                RoutingTable.FLEET, MessagePackCodec.write().num(proxies.size()).done());
         table = RoutingTable.of(entries);
         return table;
     }
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -2,50 +2,87 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Configuration;
-import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.control.RegisteredServer;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.InstanceId;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Role;
+import org.umbermount.membership.MemberDescriptor;
 
 /** How the entries of a table are packed. */
 public final class Tables {
-    private Tables() {
-    }
+    private Tables() {}
 
     /** A server as a proxy sees it. {@code warmMs} counts from when the proxy learns of the server. */
-    public record Instance(InstanceId id, String upstream, DaemonAddress address, String zone, int capacity, long warmMs,
-            boolean draining) {
-    }
+    public record Instance(
+            InstanceId id,
+            String upstream,
+            DaemonAddress address,
+            String zone,
+            int capacity,
+            long warmMs,
+            boolean draining) {}
 
     public static Map<String, byte[]> packConfiguration(Configuration r) {
         Map<String, byte[]> out = new HashMap<>();
         Configuration.Limits l = r.limits();
-        out.put(RoutingTable.CONFIGURATION, MessagePackCodec.write().num(r.edition().value()).num(l.maxHeaderBytes())
-                .num(l.maxBodyBytes()).num(l.headerTimeoutMs()).num(l.idleTimeoutMs()).done());
+        out.put(
+                RoutingTable.CONFIGURATION,
+                MessagePackCodec.write()
+                        .num(r.edition().value())
+                        .num(l.maxHeaderBytes())
+                        .num(l.maxBodyBytes())
+                        .num(l.headerTimeoutMs())
+                        .num(l.idleTimeoutMs())
+                        .done());
         for (Configuration.Upstream u : r.upstreams()) {
-            out.put(RoutingTable.UPSTREAM + u.label(),
-                    MessagePackCodec.write().text(u.label()).text(u.healthCheck()).num(u.maxConnections()).flag(u.dedupCapable()).done());
+            out.put(
+                    RoutingTable.UPSTREAM + u.label(),
+                    MessagePackCodec.write()
+                            .text(u.label())
+                            .text(u.healthCheck())
+                            .num(u.maxConnections())
+                            .flag(u.dedupCapable())
+                            .done());
         }
         for (Configuration.Route route : r.routes()) {
-            out.put(RoutingTable.ROUTE + route.host() + route.prefix(), MessagePackCodec.write().text(route.label())
-                    .text(route.host()).text(route.prefix()).num(route.kind().ordinal())
-                    .flag(route.anonymous()).num(route.timeoutMs())
-                    .num(route.targetLatencyMs()).num(route.priority()).num(route.maxTries())
-                    .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight())).done());
+            out.put(
+                    RoutingTable.ROUTE + route.host() + route.prefix(),
+                    MessagePackCodec.write()
+                            .text(route.label())
+                            .text(route.host())
+                            .text(route.prefix())
+                            .num(route.kind().ordinal())
+                            .flag(route.anonymous())
+                            .num(route.timeoutMs())
+                            .num(route.targetLatencyMs())
+                            .num(route.priority())
+                            .num(route.maxTries())
+                            .list(route.shares(), (o, s) -> o.text(s.upstream()).num(s.weight()))
+                            .done());
         }
         for (Configuration.Tenant t : r.tenants()) {
-            out.put(RoutingTable.TENANT + t.label(), MessagePackCodec.write().text(t.label()).list(t.apiKeys(), MessagePackCodec.Writer::text)
-                    .num(t.priority()).num(Math.round(t.ratePerS() * 1_000)).num(Math.round(t.burst() * 1_000)).done());
+            out.put(
+                    RoutingTable.TENANT + t.label(),
+                    MessagePackCodec.write()
+                            .text(t.label())
+                            .list(t.apiKeys(), MessagePackCodec.Writer::text)
+                            .num(t.priority())
+                            .num(Math.round(t.ratePerS() * 1_000))
+                            .num(Math.round(t.burst() * 1_000))
+                            .done());
         }
         return out;
     }
 
     public static Configuration.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
-        return new Configuration.Tenant(in.text(), in.list(MessagePackCodec.ClientConnection::text), (int) in.num(), in.num() / 1_000.0,
+        return new Configuration.Tenant(
+                in.text(),
+                in.list(MessagePackCodec.ClientConnection::text),
+                (int) in.num(),
+                in.num() / 1_000.0,
                 in.num() / 1_000.0);
     }
 
@@ -76,19 +113,40 @@
 
     public static Configuration.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
-        return new Configuration.Route(in.text(), in.text(), in.text(), kind(in.num()), in.flag(), in.num(), in.num(),
-                (int) in.num(), (int) in.num(), in.list(r -> new Configuration.Share(r.text(), r.num())));
+        return new Configuration.Route(
+                in.text(),
+                in.text(),
+                in.text(),
+                kind(in.num()),
+                in.flag(),
+                in.num(),
+                in.num(),
+                (int) in.num(),
+                (int) in.num(),
+                in.list(r -> new Configuration.Share(r.text(), r.num())));
     }
 
     public static byte[] packInstance(RegisteredServer e) {
-        return MessagePackCodec.write().text(e.id().value()).text(e.upstream()).daemonAddress(DaemonAddress.parse(e.address()))
-                .text(e.zone()).num(e.capacity()).num(e.warmMs())
-                .flag(e.standing() == RegisteredServer.Standing.DRAINING).done();
+        return MessagePackCodec.write()
+                .text(e.id().value())
+                .text(e.upstream())
+                .daemonAddress(DaemonAddress.parse(e.address()))
+                .text(e.zone())
+                .num(e.capacity())
+                .num(e.warmMs())
+                .flag(e.standing() == RegisteredServer.Standing.DRAINING)
+                .done();
     }
 
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
-        return new Instance(new InstanceId(in.text()), in.text(), in.daemonAddress(), in.text(), (int) in.num(), in.num(),
+        return new Instance(
+                new InstanceId(in.text()),
+                in.text(),
+                in.daemonAddress(),
+                in.text(),
+                (int) in.num(),
+                in.num(),
                 in.flag());
     }
 
--- a/distribution/src/test/java/org/umbermount/distribution/Checks.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Checks.java
@@ -19,9 +19,11 @@
     private final Due longDue = new Due(APPLY_MS + SKEW_MS);
     /** What each controller has said is committed. */
     private final Map<Integer, ConfigurationState> seen = new HashMap<>();
+
     private long majoritySince = ReadingRoom.NEVER;
     /** When more machines than may be lost at once last were; until some time later the longer bound holds. */
     private long exceededAt = ReadingRoom.NEVER;
+
     private long probedAt = ReadingRoom.NEVER;
 
     /** The newest change that was confirmed longer than some time ago. */
@@ -35,7 +37,8 @@
         }
 
         Operators.Order newest(long now) {
-            while (next < operators.confirmed().size() && now - operators.confirmed().get(next).takenAt > afterMs) {
+            while (next < operators.confirmed().size()
+                    && now - operators.confirmed().get(next).takenAt > afterMs) {
                 Operators.Order o = operators.confirmed().get(next++);
                 newest = newest == null || newest.edition < o.edition ? o : newest;
             }
@@ -81,7 +84,10 @@
             if (room.fleet.isRunning(i)) {
                 ConfigurationState state = room.fleet.replica(i).committed();
                 if (state.edition().value() > 0 && seen.put(i, state) != state) {
-                    operators.seen(state.edition().value(), new String(state.blob()), "controller " + i + " says it is committed");
+                    operators.seen(
+                            state.edition().value(),
+                            new String(state.blob()),
+                            "controller " + i + " says it is committed");
                 }
             }
         }
@@ -115,7 +121,8 @@
             if (!p.well() || now - p.lastEvent < CONTACT_MS) {
                 continue;
             }
-            Operators.Order missed = late != null && p.edition < late.edition ? late
+            Operators.Order missed = late != null && p.edition < late.edition
+                    ? late
                     : veryLate != null && p.edition < veryLate.edition ? veryLate : null;
             if (missed != null) {
                 room.broken(p.daemonAddress + " still has " + p.edition + " when " + missed.edition + " was confirmed "
--- a/distribution/src/test/java/org/umbermount/distribution/ConfigurationHoldsTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ConfigurationHoldsTest.java
@@ -1,12 +1,12 @@
 package org.umbermount.distribution;
 
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Plays seeded days over controllers, delivery and proxies. More of them, and longer ones: {@link Simulation}. */
 class ConfigurationHoldsTest {
     private static final int SEEDS = 200;
@@ -18,7 +18,11 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             String why = play(seed, STEPS);
             if (why != null) {
-                bad.append("seed ").append(seed).append(": ").append(why.lines().findFirst().orElse("")).append('\n');
+                bad.append("seed ")
+                        .append(seed)
+                        .append(": ")
+                        .append(why.lines().findFirst().orElse(""))
+                        .append('\n');
             }
         }
         assertTrue(bad.isEmpty(), bad.toString());
@@ -36,7 +40,11 @@
 
     private static String untold(Consumer<ReadingRoom> what) throws IOException {
         ReadingRoom room = new ReadingRoom(1);
-        return assertThrows(ReadingRoom.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
+        return assertThrows(ReadingRoom.BrokenException.class, () -> room.playUntold(what))
+                .getMessage()
+                .lines()
+                .findFirst()
+                .orElse("");
     }
 
     private static String play(long seed, int steps) throws IOException {
--- a/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/CutOffSenderTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.distribution;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,23 +10,28 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
 import org.umbermount.control.Isolation;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Settings;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What a controller that is cut off, or was, sends to proxies. */
 class CutOffSenderTest {
@@ -46,6 +46,7 @@
         final List<StateReceiver> proxies = new ArrayList<>();
         /** Epochs and editions of tables that a controller has sent, with the time. */
         final List<long[]> sent = new ArrayList<>();
+
         int watched = -1;
 
         private final boolean strict;
@@ -96,14 +97,43 @@
                     seeds.add(Fleet.daemonAddress(z).withPort(8000));
                 }
             }
-            return new Settings("n", zone, zones, self.host(), Map.of(), 7000, 7010, seeds, false, "", 100, 1000, 1500, 1,
-                    Set.of(), new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000,
+            return new Settings(
+                    "n",
+                    zone,
+                    zones,
+                    self.host(),
+                    Map.of(),
+                    7000,
+                    7010,
+                    seeds,
+                    false,
+                    "",
+                    100,
+                    1000,
+                    1500,
+                    1,
+                    Set.of(),
+                    new Settings.Bounds(
+                            4000,
+                            5000,
+                            3000,
+                            6000,
+                            3000,
+                            0.2,
+                            10_000,
+                            60,
+                            4000,
                             new Settings.Sharing(strict, REVOKE_MS, 60_000, 5_000, 0.1, 10)));
         }
 
-        private static PeerSampling furnish(PluginHost host, DaemonAddress self, Role role, String zone, Messenger bag) {
-            PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0),
-                    List.of(Fleet.daemonAddress(0), Fleet.daemonAddress(1), Fleet.daemonAddress(2)), host.clock(), bag, new Metrics(),
+        private static PeerSampling furnish(
+                PluginHost host, DaemonAddress self, Role role, String zone, Messenger bag) {
+            PeerSampling g = new PeerSampling(
+                    new MemberDescriptor(self, role, zone, 0),
+                    List.of(Fleet.daemonAddress(0), Fleet.daemonAddress(1), Fleet.daemonAddress(2)),
+                    host.clock(),
+                    bag,
+                    new Metrics(),
                     new Random(self.packed()));
             host.offer(Messenger.class, bag);
             host.offer(PeerSampling.class, g);
@@ -125,9 +155,14 @@
 
         void take(int at, long match, long edition) {
             Replica.Verdict[] verdict = new Replica.Verdict[1];
-            fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition),
-                    ("{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[]}").getBytes(), 850,
-                    v -> verdict[0] = v, () -> { });
+            fleet.chainClient(at)
+                    .submit(
+                            new ConfigurationRevision(match),
+                            new ConfigurationRevision(edition),
+                            ("{\"revision\":" + edition + ",\"routeTable\":[],\"upstreams\":[]}").getBytes(),
+                            850,
+                            v -> verdict[0] = v,
+                            () -> {});
             fleet.run(900);
             assertEquals(Replica.Verdict.TAKEN, verdict[0]);
         }
@@ -135,7 +170,9 @@
 
     /** Proxies stay where they were; each hears of a change made during the cut, and of one made after it. */
     @ParameterizedTest
-    @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROM_SOME", "FROZEN"})
+    @EnumSource(
+            value = Isolation.class,
+            names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROM_SOME", "FROZEN"})
     void noProxyIsLeftWithoutASenderByACut(Isolation how) throws IOException {
         for (int one = 0; one < SIZE; one++) {
             Site site = new Site();
@@ -166,7 +203,9 @@
 
     /** A proxy that reaches nobody but a controller that is cut off, or stood still, is told of no freshness after the cut. */
     @ParameterizedTest
-    @EnumSource(value = Isolation.class, names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROZEN"})
+    @EnumSource(
+            value = Isolation.class,
+            names = {"BOTH_WAYS", "OUTWARD", "INWARD", "FROZEN"})
     void nothingIsVouchedForBeyondTheCut(Isolation how) throws IOException {
         Site site = new Site(true);
         StateReceiver proxy = site.proxies.get(1);
@@ -231,7 +270,8 @@
             site.fleet.run(8_000);
             long until = site.fleet.almanac.now().millis() + 3_000;
             site.fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.daemonAddress(1))
-                    || topic != Messenger.Topic.VIEW || site.fleet.almanac.now().millis() > until;
+                    || topic != Messenger.Topic.VIEW
+                    || site.fleet.almanac.now().millis() > until;
             end.run();
             site.fleet.run(300);
             StateReceiver fresh = site.proxy(1, 2, site.fleet.almanac);
--- a/distribution/src/test/java/org/umbermount/distribution/Machines.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Machines.java
@@ -30,6 +30,7 @@
     private final List<Integer> core = new ArrayList<>();
     /** The operator's list of machines, by when it came into use. */
     private final TreeMap<Long, List<Integer>> lists = new TreeMap<>();
+
     private final Map<Integer, Integer> places = new TreeMap<>();
     private final Set<Integer> isolated = new TreeSet<>();
     private final Set<Integer> frozen = new TreeSet<>();
@@ -39,6 +40,7 @@
     private final Map<Integer, Long> lostUntil = new HashMap<>();
     /** Places whose machine is about to be replaced. */
     private final Set<Integer> reserved = new HashSet<>();
+
     private int made;
     private long lastEvent;
 
@@ -97,7 +99,11 @@
     }
 
     private boolean undisturbed(int i) {
-        return fleet.isRunning(i) && !frozen.contains(i) && !slowed.contains(i) && !isolated.contains(i) && !diskTrouble.contains(i);
+        return fleet.isRunning(i)
+                && !frozen.contains(i)
+                && !slowed.contains(i)
+                && !isolated.contains(i)
+                && !diskTrouble.contains(i);
     }
 
     private long running() {
@@ -118,7 +124,8 @@
 
     /** Any three that the operator's list has had, which is some seconds behind. */
     List<Integer> seeds(Random random) {
-        List<Integer> known = new ArrayList<>(lists.floorEntry(room.now() - LIST_LAG_MS).getValue());
+        List<Integer> known =
+                new ArrayList<>(lists.floorEntry(room.now() - LIST_LAG_MS).getValue());
         java.util.Collections.shuffle(known, random);
         return known.subList(0, 3);
     }
--- a/distribution/src/test/java/org/umbermount/distribution/Operators.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Operators.java
@@ -26,13 +26,16 @@
         final long since = room.now();
         /** Since when the core has been settled without a break while this was asked. */
         long settledSince = since;
+
         private int tries;
         private int askedLast = -1;
         /** What the operator has heard; null before. */
         Boolean taken;
+
         boolean givenUp;
         /** When a daemon first said that it is taken, whoever heard that. */
         long takenAt = ReadingRoom.NEVER;
+
         boolean refused;
 
         Order(long match, long edition, long variant) {
@@ -88,18 +91,27 @@
         }
 
         private void send(int at, int mine) {
-            room.fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), text.getBytes(), 850, v -> {
-                said(v, at);
-                // A caller that has turned to another daemon does not hear what this one says, and some answers are lost.
-                if (lostAnswers > 0 && random.nextDouble() < lostAnswers) {
-                    room.note("that answer is lost");
-                } else if (tries == mine && underWay()) {
-                    taken = v == Replica.Verdict.TAKEN;
-                    if (!taken) {
-                        read();
-                    }
-                }
-            }, () -> { });
+            room.fleet
+                    .chainClient(at)
+                    .submit(
+                            new ConfigurationRevision(match),
+                            new ConfigurationRevision(edition),
+                            text.getBytes(),
+                            850,
+                            v -> {
+                                said(v, at);
+                                // A caller that has turned to another daemon does not hear what this one says, and some
+                                // answers are lost.
+                                if (lostAnswers > 0 && random.nextDouble() < lostAnswers) {
+                                    room.note("that answer is lost");
+                                } else if (tries == mine && underWay()) {
+                                    taken = v == Replica.Verdict.TAKEN;
+                                    if (!taken) {
+                                        read();
+                                    }
+                                }
+                            },
+                            () -> {});
         }
 
         /** What a daemon says binds, whether or not it is heard. */
@@ -156,6 +168,7 @@
     private final Map<Long, Order> confirmedOn = new HashMap<>();
     /** What each number has been seen to stand for, wherever it was seen. */
     private final Map<Long, String> contents = new HashMap<>();
+
     private final Set<String> refusedTexts = new HashSet<>();
     private long acknowledged;
     private long firstAcknowledged = Long.MAX_VALUE / 4;
@@ -287,7 +300,7 @@
     /** Asks a daemon what is in force; whether it answers or not. */
     void read() {
         if (reads <= 3) {
-            read(() -> { });
+            read(() -> {});
         }
     }
 
@@ -298,18 +311,23 @@
         }
         long least = acknowledged;
         reads++;
-        room.fleet.chainClient(up.get(random.nextInt(up.size()))).read(850, state -> {
-            reads--;
-            long edition = state.edition().value();
-            if (edition < least) {
-                room.broken("edition " + edition + " was read when " + least + " had been confirmed");
-            }
-            if (edition > 0) {
-                seen(edition, new String(state.blob()), "it was read");
-                base = Math.max(base, edition);
-            }
-            done.run();
-        }, () -> reads--);
+        room.fleet
+                .chainClient(up.get(random.nextInt(up.size())))
+                .read(
+                        850,
+                        state -> {
+                            reads--;
+                            long edition = state.edition().value();
+                            if (edition < least) {
+                                room.broken("edition " + edition + " was read when " + least + " had been confirmed");
+                            }
+                            if (edition > 0) {
+                                seen(edition, new String(state.blob()), "it was read");
+                                base = Math.max(base, edition);
+                            }
+                            done.run();
+                        },
+                        () -> reads--);
     }
 
     /** A change that is refused, for a day that is to be found broken. */
--- a/distribution/src/test/java/org/umbermount/distribution/Profile.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Profile.java
@@ -1,5 +1,7 @@
 package org.umbermount.distribution;
 
+import java.util.List;
+
 import static org.umbermount.distribution.Day.Kind.ALL_DOWN;
 import static org.umbermount.distribution.Day.Kind.AWAY;
 import static org.umbermount.distribution.Day.Kind.BIG_STORM;
@@ -21,8 +23,6 @@
 import static org.umbermount.distribution.Day.Kind.STORM;
 import static org.umbermount.distribution.Day.Kind.WIPE;
 
-import java.util.List;
-
 /** What a day is made of: one of the kinds is drawn for each step. */
 enum Profile {
     /** Short losses, stops of everything, proxies in trouble, changes and races. */
@@ -32,12 +32,15 @@
     /** Operators that get in each other's way, answers that are lost, and orders that are sent again. */
     ORDERS(CLASH, CLASH, MANY, MANY, REPEAT, REPEAT, REPEAT, BIG_STORM, LOSS, LOSS, STALL, READ, REST),
     /** Machines that are gone for good, and empty ones that come for them. */
-    REPLACEMENTS(REPLACE, REPLACE, REPLACE, PLANNED, PLANNED, WIPE, LOSS, LOSS, STORM, CHANGE, CHANGE, MANY, READ, PROXY, REST, REST),
+    REPLACEMENTS(
+            REPLACE, REPLACE, REPLACE, PLANNED, PLANNED, WIPE, LOSS, LOSS, STORM, CHANGE, CHANGE, MANY, READ, PROXY,
+            REST, REST),
     /** Hundreds of changes while a member is away. */
     LONG(AWAY, AWAY, REST, CHANGE, REPEAT, READ, REPLACE, WIPE),
     /** All of it. */
-    ALL(LOSS, LOSS, PROXY, ALL_DOWN, CLOCK, RIVALS, STORM, STALL, CHANGE, CHANGE, LONG_LOSS, SLOW, CLASH, MANY, REPEAT, REPEAT,
-            BIG_STORM, REPLACE, REPLACE, PLANNED, WIPE, READ, REST, REST);
+    ALL(
+            LOSS, LOSS, PROXY, ALL_DOWN, CLOCK, RIVALS, STORM, STALL, CHANGE, CHANGE, LONG_LOSS, SLOW, CLASH, MANY,
+            REPEAT, REPEAT, BIG_STORM, REPLACE, REPLACE, PLANNED, WIPE, READ, REST, REST);
 
     private final List<Day.Kind> kinds;
 
--- a/distribution/src/test/java/org/umbermount/distribution/Proxies.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Proxies.java
@@ -62,9 +62,13 @@
         long edition = table.edition().value();
         if (edition > 0) {
             try {
-                MessagePackCodec.ClientConnection in = MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
+                MessagePackCodec.ClientConnection in =
+                        MessagePackCodec.read(table.entries().get(RoutingTable.CONFIGURATION));
                 in.num();
-                room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.daemonAddress + " has it in force");
+                room.operators.seen(
+                        edition,
+                        Operators.text(edition, in.num() - Operators.LEAST_LIMIT),
+                        p.daemonAddress + " has it in force");
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new IllegalStateException(e);
             }
--- a/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
+++ b/distribution/src/test/java/org/umbermount/distribution/ReadingRoom.java
@@ -7,18 +7,18 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.umbermount.control.Fleet;
 import org.umbermount.control.FailureDetector;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.control.Fleet;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.testing.FakeMessenger;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
 
 /**
  * Controllers and proxies as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
@@ -153,13 +153,39 @@
         for (int z = 0; z < machines.size(); z++) {
             zones.put(Fleet.zone(z), "r");
         }
-        return new Settings("n", zone, zones, self.host(), Map.of(), 7000, 7010,
-                seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500, 1, Set.of(),
-                new Settings.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
+        return new Settings(
+                "n",
+                zone,
+                zones,
+                self.host(),
+                Map.of(),
+                7000,
+                7010,
+                seeds.stream().map(s -> s.withPort(8000)).toList(),
+                false,
+                "",
+                100,
+                1000,
+                1500,
+                1,
+                Set.of(),
+                new Settings.Bounds(
+                        Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
     }
 
-    private PeerSampling peerSampling(PluginHost host, DaemonAddress self, Role role, String zone, List<DaemonAddress> seeds, FakeMessenger.Bag bag) {
-        PeerSampling g = new PeerSampling(new MemberDescriptor(self, role, zone, 0), seeds, host.clock(), bag, new Metrics(),
+    private PeerSampling peerSampling(
+            PluginHost host,
+            DaemonAddress self,
+            Role role,
+            String zone,
+            List<DaemonAddress> seeds,
+            FakeMessenger.Bag bag) {
+        PeerSampling g = new PeerSampling(
+                new MemberDescriptor(self, role, zone, 0),
+                seeds,
+                host.clock(),
+                bag,
+                new Metrics(),
                 new Random(random.nextLong()));
         host.offer(Messenger.class, bag);
         host.offer(PeerSampling.class, g);
@@ -227,7 +253,7 @@
         Random salt = new Random(event.salt());
         switch (event.kind()) {
             case LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, PLANNED, AWAY -> runUntilOneMayBeLost(salt);
-            default -> { }
+            default -> {}
         }
         switch (event.kind()) {
             case LOSS -> machines.trouble(salt);
@@ -264,7 +290,7 @@
                 operators.read();
                 stall(salt);
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -320,7 +346,8 @@
         run(2_000);
         for (Proxies.Proxy p : proxies.all()) {
             if (p.edition < operators.acknowledged()) {
-                broken(p.daemonAddress + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
+                broken(p.daemonAddress + " has " + p.edition + " at the end, and " + operators.acknowledged()
+                        + " was confirmed");
             }
         }
     }
@@ -330,7 +357,8 @@
         Random salt = new Random(day.seed() * 7 + 1);
         int how = salt.nextInt(3);
         note("-- the closing fault, " + how);
-        operators.onConfirmed(() -> later(salt.nextInt(3) == 0 ? salt.nextInt(30) : 0, () -> machines.closingFault(how, salt)));
+        operators.onConfirmed(
+                () -> later(salt.nextInt(3) == 0 ? salt.nextInt(30) : 0, () -> machines.closingFault(how, salt)));
         operators.change(1);
         run(12_000);
         calmDown();
--- a/distribution/src/test/java/org/umbermount/distribution/SafeguardsAreNeededTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/SafeguardsAreNeededTest.java
@@ -1,14 +1,14 @@
 package org.umbermount.distribution;
 
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Without a safeguard a day breaks, and for the reason that it is there for; with it the same day goes well. */
 class SafeguardsAreNeededTest {
     @ParameterizedTest
@@ -20,8 +20,10 @@
         "PROXIES_INTRODUCED, REPLACEMENTS, 97, 40, still has",
         "REFUSAL_CONFIRMED, CUTS, 31, 40, was refused and then confirmed",
         "SEATS_REST, REPLACEMENTS, 22, 40, hold the duty",
-        "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"})
-    void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
+        "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"
+    })
+    void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence)
+            throws Exception {
         Day day = Day.draw(seed, profile, steps);
         assertNull(ReadingRoom.breakOf(day));
         ReadingRoom.BrokenException broken = Mutation.without(safeguard, () -> ReadingRoom.breakOf(day));
--- a/distribution/src/test/java/org/umbermount/distribution/Shrinking.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Shrinking.java
@@ -28,7 +28,8 @@
             for (int run = Math.max(1, s.best.events().size() / 2); run >= 1; run /= 2) {
                 for (int from = s.best.events().size() - run; from >= 0 && System.nanoTime() < s.until; from -= run) {
                     if (from + run <= s.best.events().size()) {
-                        shorter |= s.tryOut(s.best.without(from, from + run, false)) || s.tryOut(s.best.without(from, from + run, true));
+                        shorter |= s.tryOut(s.best.without(from, from + run, false))
+                                || s.tryOut(s.best.without(from, from + run, true));
                     }
                 }
             }
--- a/distribution/src/test/java/org/umbermount/distribution/Simulation.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Simulation.java
@@ -13,8 +13,7 @@
 public final class Simulation {
     private static final long SHRINK_MS = 60_000;
 
-    private Simulation() {
-    }
+    private Simulation() {}
 
     public static void main(String[] args) throws Exception {
         long seed = 1;
@@ -37,7 +36,8 @@
             }
         }
         if (only != null) {
-            ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, profile, steps).only(only));
+            ReadingRoom.BrokenException broken =
+                    ReadingRoom.breakOf(Day.draw(seed, profile, steps).only(only));
             System.out.println(broken == null ? "nothing breaks" : broken.getMessage());
             System.exit(broken == null ? 0 : 1);
         }
@@ -45,8 +45,7 @@
         System.exit(without == null ? run(plan) : Mutation.without(without, () -> run(plan)));
     }
 
-    private record Plan(long first, int count, int steps, Profile profile, long shrinkMs) {
-    }
+    private record Plan(long first, int count, int steps, Profile profile, long shrinkMs) {}
 
     private static int run(Plan plan) throws IOException {
         int found = 0;
@@ -64,14 +63,15 @@
                     + broken.getMessage().lines().findFirst().orElse(""));
             if (plan.shrinkMs() > 0) {
                 Day shrunk = Shrinking.shrink(day, broken, plan.shrinkMs());
-                System.out.println("  shrunk from " + plan.steps() + " events to " + shrunk.events().size()
+                System.out.println("  shrunk from " + plan.steps() + " events to "
+                        + shrunk.events().size()
                         + ", again with --seed " + seed + " --profile " + plan.profile() + " --steps " + plan.steps()
                         + " --only " + shrunk.plan());
                 ReadingRoom.breakOf(shrunk).getMessage().lines().skip(1).forEach(l -> System.out.println("  " + l));
             }
         }
-        System.out.println(plan.count() + " days of profile " + plan.profile() + " from seed " + plan.first() + ", " + found
-                + " broken, " + Math.round(plan.count() * 60e9 / Math.max(1, playing)) + " a minute");
+        System.out.println(plan.count() + " days of profile " + plan.profile() + " from seed " + plan.first() + ", "
+                + found + " broken, " + Math.round(plan.count() * 60e9 / Math.max(1, playing)) + " a minute");
         return found == 0 ? 0 : 1;
     }
 }
--- a/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.distribution;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,12 +9,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class StateSynchronizationTest {
     private static final DaemonAddress SENDER = DaemonAddress.parse("10.0.0.1:7000");
     private static final DaemonAddress OTHER = DaemonAddress.parse("10.0.0.2:7000");
@@ -66,7 +66,9 @@
 
     private static RoutingTable table(long edition, int... servers) {
         Map<String, byte[]> entries = new HashMap<>();
-        entries.put(RoutingTable.CONFIGURATION, MessagePackCodec.write().num(edition).done());
+        entries.put(
+                RoutingTable.CONFIGURATION,
+                MessagePackCodec.write().num(edition).done());
         for (int s : servers) {
             entries.put(RoutingTable.INSTANCE + s, new byte[] {(byte) s});
         }
@@ -193,7 +195,9 @@
             c.offer(table(edition++, t));
             clock.advance(gap);
         }
-        assertTrue(stateReceiver.inForce().edition().value() > 9, "still " + stateReceiver.inForce().edition());
+        assertTrue(
+                stateReceiver.inForce().edition().value() > 9,
+                "still " + stateReceiver.inForce().edition());
     }
 
     /** The duty ended and began again under one epoch, and the new sender's numbers began below those the proxy held. */
@@ -313,11 +317,15 @@
     void baselineWithoutALeaseIsTakenOnlyByAnEmptyProxy() {
         stateReceiver = proxy(11);
         FakeMessenger.Bag any = network.bag(OTHER);
-        any.send(PROXY, Messenger.Topic.DISPATCH,
+        any.send(
+                PROXY,
+                Messenger.Topic.DISPATCH,
                 new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, stateReceiver.inForce().edition().value());
-        any.send(PROXY, Messenger.Topic.DISPATCH,
+        any.send(
+                PROXY,
+                Messenger.Topic.DISPATCH,
                 new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
         assertEquals(4, stateReceiver.inForce().edition().value());
@@ -331,20 +339,22 @@
         StateSender c = sender(SENDER, 1, new ArrayList<>());
         long[] asked = {clock.now().millis()};
         boolean[] asking = {true};
-        c.vouch(new TableFreshness() {
-            @Override
-            public org.umbermount.kernel.ConfigurationRevision edition() {
-                return new org.umbermount.kernel.ConfigurationRevision(2);
-            }
+        c.vouch(
+                new TableFreshness() {
+                    @Override
+                    public org.umbermount.kernel.ConfigurationRevision edition() {
+                        return new org.umbermount.kernel.ConfigurationRevision(2);
+                    }
 
-            @Override
-            public org.umbermount.kernel.MonotonicTime at() {
-                if (asking[0]) {
-                    asked[0] = clock.now().millis() - 200;
-                }
-                return new org.umbermount.kernel.MonotonicTime(asked[0]);
-            }
-        }, 800);
+                    @Override
+                    public org.umbermount.kernel.MonotonicTime at() {
+                        if (asking[0]) {
+                            asked[0] = clock.now().millis() - 200;
+                        }
+                        return new org.umbermount.kernel.MonotonicTime(asked[0]);
+                    }
+                },
+                800);
         assertTrue(stateReceiver.goodForMs() <= 0);
         c.offer(table(2, 1));
         for (int i = 0; i < 40; i++) {
--- a/distribution/src/test/java/org/umbermount/distribution/Wires.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Wires.java
@@ -11,12 +11,13 @@
 final class Wires {
     /** Both ways, only what it sends, or only what it receives. */
     enum Way {
-        BOTH, OUT, IN
+        BOTH,
+        OUT,
+        IN
     }
 
     /** One daemon cut off from some others. */
-    record Cut(DaemonAddress one, Way way, Predicate<DaemonAddress> others) {
-    }
+    record Cut(DaemonAddress one, Way way, Predicate<DaemonAddress> others) {}
 
     private final FakeMessenger network;
     private final Set<DaemonAddress> daemons = new java.util.TreeSet<>();
--- a/distribution/src/test/java/org/umbermount/distribution/WorstDaysTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/WorstDaysTest.java
@@ -1,11 +1,11 @@
 package org.umbermount.distribution;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Plays fixed days of each profile; {@link Simulation} plays others and shows what broke. */
 class WorstDaysTest {
     @Test
@@ -38,8 +38,15 @@
         for (long seed = first; seed < first + count; seed++) {
             ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, profile, steps));
             if (broken != null) {
-                bad.append("--seed ").append(seed).append(" --steps ").append(steps).append(" --profile ").append(profile).append(": ")
-                        .append(broken.getMessage().lines().findFirst().orElse("")).append('\n');
+                bad.append("--seed ")
+                        .append(seed)
+                        .append(" --steps ")
+                        .append(steps)
+                        .append(" --profile ")
+                        .append(profile)
+                        .append(": ")
+                        .append(broken.getMessage().lines().findFirst().orElse(""))
+                        .append('\n');
             }
         }
         assertTrue(bad.isEmpty(), bad.toString());
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -7,10 +7,10 @@
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 
 /** A proxy's side of the operation records: claims operations for tries, and closes what was claimed. */
 public final class OperationClient {
@@ -20,6 +20,7 @@
     private static final long CLOSE_MS = 30_000;
     /** The largest answer that is kept for repeats. */
     public static final int LARGEST_ANSWER = 64 << 10;
+
     private static final byte[] NOTHING = new byte[0];
 
     /** How a claimed operation ended. */
@@ -110,8 +111,16 @@
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                messenger.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLAIM.ordinal()).num(serial)
-                        .num(key.high()).num(key.low()).flag(mayRepeat).done());
+                messenger.send(
+                        to,
+                        Messenger.Topic.LOAN,
+                        MessagePackCodec.write()
+                                .num(OperationKeeper.Message.CLAIM.ordinal())
+                                .num(serial)
+                                .num(key.high())
+                                .num(key.low())
+                                .flag(mayRepeat)
+                                .done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
         }
@@ -125,8 +134,17 @@
             }
             DaemonAddress to = target(asks++);
             if (to != null) {
-                messenger.send(to, Messenger.Topic.LOAN, MessagePackCodec.write().num(OperationKeeper.Message.CLOSE.ordinal()).num(serial)
-                        .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
+                messenger.send(
+                        to,
+                        Messenger.Topic.LOAN,
+                        MessagePackCodec.write()
+                                .num(OperationKeeper.Message.CLOSE.ordinal())
+                                .num(serial)
+                                .num(key.high())
+                                .num(key.low())
+                                .num(end.kind.ordinal())
+                                .bytes(answer)
+                                .done());
             }
             timer = clock.after(pause, this::tellClose);
             pause = Math.min(CLOSE_LONGEST_MS, pause * 2);
@@ -201,7 +219,12 @@
     private int closing;
 
     /** @param controllers the controllers known, for when the head is not */
-    public OperationClient(Clock clock, Messenger messenger, Metrics metrics, Random random, Supplier<List<DaemonAddress>> controllers) {
+    public OperationClient(
+            Clock clock,
+            Messenger messenger,
+            Metrics metrics,
+            Random random,
+            Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.messenger = messenger;
         this.metrics = metrics;
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
@@ -3,17 +3,17 @@
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.distribution.StateReceiver;
 import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.StateReceiver;
 import org.umbermount.distribution.Tables;
-import org.umbermount.membership.PeerSampling;
-import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Settings;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
 
 /** The claiming of operations as a plug-in of the proxy. */
 public final class OperationClientPlugin implements Plugin {
@@ -47,9 +47,16 @@
         }
         PeerSampling peerSampling = host.find(PeerSampling.class);
         Messenger messenger = host.find(Messenger.class);
-        counter = new OperationClient(host.clock(), messenger, host.metrics(),
-                new Random(messenger.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
-                () -> peerSampling.known(Role.CONTROLLER, host.rules().zone()).stream().map(MemberDescriptor::daemonAddress).toList());
+        counter = new OperationClient(
+                host.clock(),
+                messenger,
+                host.metrics(),
+                new Random(messenger.self().packed() * 31
+                        ^ System.nanoTime()
+                        ^ host.clock().wallMillis() << 20),
+                () -> peerSampling.known(Role.CONTROLLER, host.rules().zone()).stream()
+                        .map(MemberDescriptor::daemonAddress)
+                        .toList());
         host.offer(OperationClient.class, counter);
         host.find(StateReceiver.class).observe(this::learn);
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -7,17 +7,17 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.control.OperationLogPosition;
-import org.umbermount.control.View;
 import org.umbermount.control.CompanionState;
+import org.umbermount.control.OperationLogPosition;
 import org.umbermount.control.Replica;
+import org.umbermount.control.View;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.storage.SegmentedLog;
 
 /**
@@ -32,6 +32,7 @@
     private static final long FETCH_MS = 200;
     /** After so long a question to the voters counts as lost. */
     private static final long CONFIRM_MS = 60;
+
     private static final int PASS_BYTES = 48 << 10;
     private static final int PORTION_BYTES = 256 << 10;
     /** After so long a claim that was not closed cannot be at work any more. */
@@ -39,12 +40,25 @@
 
     /** What daemons say about operation records. */
     enum Message {
-        CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION, PEEK
+        CLAIM,
+        CLOSE,
+        REPLY,
+        PASS,
+        ACK,
+        FETCH,
+        PORTION,
+        PEEK
     }
 
     /** What a proxy is told. */
     enum Reply {
-        GRANTED, ANSWERED, BUSY, UNKNOWN, STORED, ELSEWHERE, AGAIN
+        GRANTED,
+        ANSWERED,
+        BUSY,
+        UNKNOWN,
+        STORED,
+        ELSEWHERE,
+        AGAIN
     }
 
     private final Clock clock;
@@ -101,8 +115,17 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    OperationKeeper(Clock clock, Messenger messenger, Replica replica, SegmentedLog ledger, OperationStore book,
-            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Metrics metrics) {
+    OperationKeeper(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            SegmentedLog ledger,
+            OperationStore book,
+            java.util.concurrent.Executor disk,
+            int tolerated,
+            long keepMs,
+            long mostBytes,
+            Metrics metrics) {
         this.clock = clock;
         this.messenger = messenger;
         this.replica = replica;
@@ -350,12 +373,14 @@
                 long view = in.num();
                 fetched(from, view, in.num(), in.list(OperationLogPosition::read));
             }
-            case PORTION -> portion(from, in.num(), OperationLogPosition.read(in), OperationLogPosition.read(in), in.flag(), slips(in));
+            case PORTION -> portion(
+                    from, in.num(), OperationLogPosition.read(in), OperationLogPosition.read(in), in.flag(), slips(in));
             default -> metrics.count("idempotency.unwanted");
         }
     }
 
-    private static List<OperationRecord> slips(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private static List<OperationRecord> slips(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         return in.list(r -> OperationRecord.read(r.bytes()));
     }
 
@@ -364,7 +389,14 @@
     }
 
     private void reply(DaemonAddress to, long serial, Reply reply, byte[] payload) {
-        messenger.send(to, Messenger.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
+        messenger.send(
+                to,
+                Messenger.Topic.LOAN,
+                message(Message.REPLY)
+                        .num(serial)
+                        .num(reply.ordinal())
+                        .bytes(payload)
+                        .done());
     }
 
     private static final byte[] NOTHING = new byte[0];
@@ -376,8 +408,13 @@
             return false;
         }
         DaemonAddress head = replica.view().head();
-        reply(from, serial, Reply.ELSEWHERE, MessagePackCodec.write().daemonAddress(head == null || head.equals(messenger.self())
-                ? DaemonAddress.NONE : head).done());
+        reply(
+                from,
+                serial,
+                Reply.ELSEWHERE,
+                MessagePackCodec.write()
+                        .daemonAddress(head == null || head.equals(messenger.self()) ? DaemonAddress.NONE : head)
+                        .done());
         return true;
     }
 
@@ -459,8 +496,14 @@
     /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
     private void askForAnswer(DaemonAddress proxy, long serial, OperationRecord s) {
         metrics.count("idempotency.answers.elsewhere");
-        byte[] body = message(Message.PEEK).num(serial).daemonAddress(proxy).num(s.key.high()).num(s.key.low())
-                .daemonAddress(s.origin).num(s.serial).done();
+        byte[] body = message(Message.PEEK)
+                .num(serial)
+                .daemonAddress(proxy)
+                .num(s.key.high())
+                .num(s.key.low())
+                .daemonAddress(s.origin)
+                .num(s.serial)
+                .done();
         view.electorate().forEach(f -> {
             if (!f.daemonAddress().equals(messenger.self())) {
                 messenger.send(f.daemonAddress(), Messenger.Topic.LOAN, body);
@@ -487,7 +530,9 @@
             }
             return;
         }
-        boolean open = mine && (s.kind == OperationRecord.Kind.CLAIM || s.kind == OperationRecord.Kind.END && how == OperationRecord.Kind.ANSWER)
+        boolean open = mine
+                        && (s.kind == OperationRecord.Kind.CLAIM
+                                || s.kind == OperationRecord.Kind.END && how == OperationRecord.Kind.ANSWER)
                 || s == null && how == OperationRecord.Kind.RELEASE;
         if (!open) {
             replyConfirmed(from, serial, Reply.STORED);
@@ -500,7 +545,8 @@
     }
 
     private void enter(OperationRecord.Kind kind, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
-        OperationRecord s = OperationRecord.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
+        OperationRecord s =
+                OperationRecord.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
         book.add(s);
         write(s);
     }
@@ -533,9 +579,17 @@
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<OperationRecord> next = book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
-        messenger.send(line.get(place + 1), Messenger.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
-                .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
+        List<OperationRecord> next =
+                book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
+        messenger.send(
+                line.get(place + 1),
+                Messenger.Topic.LOAN,
+                message(Message.PASS)
+                        .num(view.number())
+                        .num(from)
+                        .num(position())
+                        .list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin()))
+                        .done());
         passing = true;
         passedAt = now;
     }
@@ -545,7 +599,10 @@
             replica.fetchFrom(from);
             return;
         }
-        if (view != this.view.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
+        if (view != this.view.number()
+                || place < 1
+                || !line.get(place - 1).equals(from)
+                || !joined()
                 || !replica.acting()) {
             return;
         }
@@ -569,13 +626,22 @@
     private void acknowledge() {
         if (place >= 1 && joined()) {
             toldCommitted = committed;
-            messenger.send(line.get(place - 1), Messenger.Topic.LOAN, message(Message.ACK).num(view.number())
-                    .num(position()).num(committed).done());
+            messenger.send(
+                    line.get(place - 1),
+                    Messenger.Topic.LOAN,
+                    message(Message.ACK)
+                            .num(view.number())
+                            .num(position())
+                            .num(committed)
+                            .done());
         }
     }
 
     private void acknowledged(DaemonAddress from, long view, long pos, long theirCommitted) {
-        if (view != this.view.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
+        if (view != this.view.number()
+                || place < 0
+                || place + 1 >= line.size()
+                || !line.get(place + 1).equals(from)) {
             return;
         }
         passing = false;
@@ -590,14 +656,20 @@
             return;
         }
         if (isTail()) {
-            OperationLogPosition after = new OperationLogPosition(view.number(), Math.max(0, committed), DaemonAddress.NONE);
-            for (OperationRecord s : book.between(after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
+            OperationLogPosition after =
+                    new OperationLogPosition(view.number(), Math.max(0, committed), DaemonAddress.NONE);
+            for (OperationRecord s : book.between(
+                    after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
                 reply(s.origin, s.serial, s.kind == OperationRecord.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
         if (committed < 0) {
-            LOG.info("View {} keeps operation records from {}/{}, {} of them.", view.number(), view.base().view(),
-                    view.base().pos(), book.size());
+            LOG.info(
+                    "View {} keeps operation records from {}/{}, {} of them.",
+                    view.number(),
+                    view.base().view(),
+                    view.base().pos(),
+                    book.size());
         }
         committed = upTo;
     }
@@ -633,12 +705,19 @@
         f.nonce++;
         f.asked = clock.now();
         metrics.count("idempotency.fetches");
-        messenger.send(f.from, Messenger.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
-                .list(book.lineage(), (o, m) -> m.write(o)).done());
+        messenger.send(
+                f.from,
+                Messenger.Topic.LOAN,
+                message(Message.FETCH)
+                        .num(f.view)
+                        .num(f.nonce)
+                        .list(book.lineage(), (o, m) -> m.write(o))
+                        .done());
     }
 
     private void fetched(DaemonAddress from, long view, long nonce, List<OperationLogPosition> theirs) {
-        boolean able = view < 0 ? replica.standing() != Replica.Standing.RECOVERING
+        boolean able = view < 0
+                ? replica.standing() != Replica.Standing.RECOVERING
                 : view == this.view.number() && (durable.view() == view || durable.sameAs(this.view.base()));
         if (!able) {
             return;
@@ -649,17 +728,31 @@
         }
         List<OperationRecord> some = book.between(common, durable, PORTION_BYTES);
         OperationRecord last = some.isEmpty() ? null : some.get(some.size() - 1);
-        boolean whole = book.between(last == null ? common : new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE), durable, 1)
+        boolean whole = book.between(
+                        last == null ? common : new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE),
+                        durable,
+                        1)
                 .isEmpty();
         MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
         common.write(out);
         durable.write(out);
-        messenger.send(from, Messenger.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
-    }
-
-    private void portion(DaemonAddress from, long nonce, OperationLogPosition common, OperationLogPosition theirs, boolean whole, List<OperationRecord> some) {
+        messenger.send(
+                from,
+                Messenger.Topic.LOAN,
+                out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
+    }
+
+    private void portion(
+            DaemonAddress from,
+            long nonce,
+            OperationLogPosition common,
+            OperationLogPosition theirs,
+            boolean whole,
+            List<OperationRecord> some) {
         Fetching f = fetching;
-        if (f == null || f.nonce != nonce || !from.equals(f.from)
+        if (f == null
+                || f.nonce != nonce
+                || !from.equals(f.from)
                 || f.view >= 0 && (f.view != view.number() || !mayMove())) {
             return;
         }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
@@ -9,15 +9,15 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.control.Replica;
 import org.umbermount.control.StatusPage;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Settings;
+import org.umbermount.storage.AppendOnlyFile;
 import org.umbermount.storage.DiskAccess;
 import org.umbermount.storage.SegmentedLog;
-import org.umbermount.storage.AppendOnlyFile;
 import org.umbermount.storage.StorageDirectory;
 
 /** The keeping of operation records as a plug-in of the controller. */
@@ -57,11 +57,23 @@
         OperationStore book = new OperationStore();
         SegmentedLog ledger = open(cellar, book, host);
         if (book.size() > 0) {
-            LOG.info("Read {} operation records from disk, up to {}/{}.", book.size(), book.mark().view(), book.mark().pos());
+            LOG.info(
+                    "Read {} operation records from disk, up to {}/{}.",
+                    book.size(),
+                    book.mark().view(),
+                    book.mark().pos());
         }
-        desk = new OperationKeeper(host.clock(), host.find(Messenger.class), host.find(Replica.class), ledger, book,
-                cellar.thread(), rules.toleratedMachines(), rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
-                MOST_BYTES, host.metrics());
+        desk = new OperationKeeper(
+                host.clock(),
+                host.find(Messenger.class),
+                host.find(Replica.class),
+                ledger,
+                book,
+                cellar.thread(),
+                rules.toleratedMachines(),
+                rules.bounds().sharing().credentialWindowMs() + MARGIN_MS,
+                MOST_BYTES,
+                host.metrics());
         desk.start();
         host.metrics().gauge("idempotency.records", () -> desk.book().size());
         host.metrics().gauge("idempotency.keys", () -> desk.book().keys());
@@ -76,7 +88,8 @@
 
     private static SegmentedLog open(DiskAccess cellar, OperationStore book, PluginHost host) throws IOException {
         try {
-            return SegmentedLog.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
+            return SegmentedLog.open(
+                    cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
         } catch (AppendOnlyFile.DamagedException | IllegalStateException e) {
             LOG.error("{} The daemon starts again without any memory.", e.getMessage());
             forget(cellar.vault());
@@ -102,7 +115,8 @@
             OperationRecord s = OperationRecord.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
-                case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
+                case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(
+                        s.view, s.pos, org.umbermount.kernel.DaemonAddress.NONE));
                 default -> {
                     s.segment = segment;
                     s.since = host.clock().now();
@@ -115,8 +129,12 @@
     }
 
     private void show(ObjectNode page) {
-        page.putObject("loans").put("view", desk.view().number()).put("records", desk.book().size())
-                .put("keys", desk.book().keys()).put("bytes", desk.book().bytes())
-                .put("onDisk", desk.durable().view() + "/" + desk.durable().pos()).put("committed", desk.committed());
+        page.putObject("loans")
+                .put("view", desk.view().number())
+                .put("records", desk.book().size())
+                .put("keys", desk.book().keys())
+                .put("bytes", desk.book().bytes())
+                .put("onDisk", desk.durable().view() + "/" + desk.durable().pos())
+                .put("committed", desk.committed());
     }
 }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationRecord.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationRecord.java
@@ -2,8 +2,8 @@
 
 import java.nio.ByteBuffer;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * One entry of the operation records, as it travels and lies on disk: kind (1 byte), view (8), position (8), key
@@ -36,9 +36,11 @@
     final byte[] raw;
     /** The segment on disk; 0 until it is written. */
     int segment;
+
     MonotonicTime since = MonotonicTime.NEVER;
 
-    private OperationRecord(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] raw) {
+    private OperationRecord(
+            Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] raw) {
         this.kind = kind;
         this.view = view;
         this.pos = pos;
@@ -48,9 +50,18 @@
         this.raw = raw;
     }
 
-    static OperationRecord of(Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
-        byte[] raw = ByteBuffer.allocate(HEAD + payload.length).put((byte) kind.ordinal()).putLong(view).putLong(pos)
-                .putLong(key.high()).putLong(key.low()).putLong(origin.packed()).putLong(serial).put(payload).array();
+    static OperationRecord of(
+            Kind kind, long view, long pos, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
+        byte[] raw = ByteBuffer.allocate(HEAD + payload.length)
+                .put((byte) kind.ordinal())
+                .putLong(view)
+                .putLong(pos)
+                .putLong(key.high())
+                .putLong(key.low())
+                .putLong(origin.packed())
+                .putLong(serial)
+                .put(payload)
+                .array();
         return new OperationRecord(kind, view, pos, key, origin, serial, raw);
     }
 
@@ -64,8 +75,14 @@
         }
         ByteBuffer in = ByteBuffer.wrap(raw);
         Kind kind = Kind.values()[in.get()];
-        return new OperationRecord(kind, in.getLong(), in.getLong(), new OperationKey(in.getLong(), in.getLong()),
-                DaemonAddress.unpack(in.getLong()), in.getLong(), raw);
+        return new OperationRecord(
+                kind,
+                in.getLong(),
+                in.getLong(),
+                new OperationKey(in.getLong(), in.getLong()),
+                DaemonAddress.unpack(in.getLong()),
+                in.getLong(),
+                raw);
     }
 
     /** The entry without what was answered, for members that only have to know that it was. */
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationStore.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationStore.java
@@ -53,7 +53,8 @@
     void add(OperationRecord slip) {
         enter(slip.view);
         if (slip.view != view || slip.pos <= pos) {
-            throw new IllegalStateException("An operation record at " + slip.view + "/" + slip.pos + " behind " + view + "/" + pos);
+            throw new IllegalStateException(
+                    "An operation record at " + slip.view + "/" + slip.pos + " behind " + view + "/" + pos);
         }
         pos = slip.pos;
         slips.add(slip);
@@ -64,7 +65,8 @@
     private void stand(OperationRecord slip) {
         OperationRecord before = standing.get(slip.key);
         // Only a claim can replace another try's entry; what comes late for an expired claim says nothing.
-        if (slip.kind == OperationRecord.Kind.CLAIM || slip.kind == OperationRecord.Kind.RELEASE && before == null
+        if (slip.kind == OperationRecord.Kind.CLAIM
+                || slip.kind == OperationRecord.Kind.RELEASE && before == null
                 || before != null && before.sameTry(slip.origin, slip.serial)) {
             standing.put(slip.key, slip);
         }
--- a/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
@@ -1,11 +1,5 @@
 package org.umbermount.idempotency;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,18 +11,24 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.storage.SegmentedLog;
 import org.umbermount.storage.testing.FakeDirectory;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Controllers that keep operation records and proxies that claim, on a fake clock, network and disks. */
 class OperationRecordsTest {
     private static final int SIZE = 5;
@@ -78,7 +78,8 @@
             for (int r = 0; r < SIZE; r++) {
                 known.add(Fleet.daemonAddress(r));
             }
-            proxies.add(new OperationClient(fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
+            proxies.add(new OperationClient(
+                    fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
         }
         fleet.run(8_000);
     }
@@ -90,15 +91,16 @@
                 OperationRecord s = OperationRecord.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
-                    case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(s.view, s.pos, DaemonAddress.NONE));
+                    case CUT -> book.cut(
+                            new org.umbermount.control.OperationLogPosition(s.view, s.pos, DaemonAddress.NONE));
                     default -> book.add(s);
                 }
             } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
         });
-        OperationKeeper desk = new OperationKeeper(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
-                new Metrics());
+        OperationKeeper desk = new OperationKeeper(
+                clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20, new Metrics());
         desks.put(i, desk);
         desk.start();
     }
@@ -155,7 +157,8 @@
         fleet.run(3_000);
         proxies.get(0).head(null);
         Told repeat = ask(0, "m");
-        return second.word.equals("busy") ? "busy with what was released"
+        return second.word.equals("busy")
+                ? "busy with what was released"
                 : !"answered".equals(repeat.word) ? "the answer was lost: " + repeat.word : null;
     }
 
@@ -328,7 +331,8 @@
                 // A returning disk counts as lost until its daemon has caught up.
                 fleet.run(2_500);
             }
-            case 3 -> fleet.network.cut(Fleet.daemonAddress(which), Fleet.daemonAddress((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
+            case 3 -> fleet.network.cut(
+                    Fleet.daemonAddress(which), Fleet.daemonAddress((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
             case 4, 5 -> {
                 fleet.network.healAll();
                 fleet.run(600);
@@ -344,8 +348,7 @@
                     fleet.run(4_000);
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/DaemonAddress.java
+++ b/kernel/src/main/java/org/umbermount/kernel/DaemonAddress.java
@@ -4,7 +4,8 @@
 
 /** Where a daemon receives internal datagrams: an IPv4 address and a port. This is also the daemon's id. */
 public record DaemonAddress(int ip, int port) implements Comparable<DaemonAddress> {
-    // Written out for the small types that serve as keys: what a record makes itself is put together anew at each start.
+    // Written out for the small types that serve as keys: what a record makes itself is put together anew at each
+    // start.
     @Override
     public boolean equals(Object o) {
         return o instanceof DaemonAddress other && ip == other.ip && port == other.port;
@@ -19,7 +20,8 @@
 
     public static DaemonAddress of(InetSocketAddress address) {
         byte[] b = address.getAddress().getAddress();
-        return new DaemonAddress((b[0] & 255) << 24 | (b[1] & 255) << 16 | (b[2] & 255) << 8 | b[3] & 255, address.getPort());
+        return new DaemonAddress(
+                (b[0] & 255) << 24 | (b[1] & 255) << 16 | (b[2] & 255) << 8 | b[3] & 255, address.getPort());
     }
 
     /** Reads {@code a.b.c.d:port}; names are not looked up. */
--- a/kernel/src/main/java/org/umbermount/kernel/JsonValue.java
+++ b/kernel/src/main/java/org/umbermount/kernel/JsonValue.java
@@ -18,7 +18,9 @@
 public final class JsonValue {
     private static final JsonFactory FACTORY = JsonFactory.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(40).build()).build();
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(40).build())
+            .build();
     private static final Object NULL = new Object();
 
     private final String name;
@@ -78,7 +80,8 @@
             case VALUE_NUMBER_INT -> {
                 // What does not fit is kept as a fraction, and refused where a whole number is asked for.
                 return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? (Object) parser.getDoubleValue() : (Object) parser.getLongValue();
+                        ? (Object) parser.getDoubleValue()
+                        : (Object) parser.getLongValue();
             }
             case VALUE_NUMBER_FLOAT -> {
                 return parser.getDoubleValue();
--- a/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -10,8 +10,7 @@
 
 /** MessagePack without checked exceptions for writing, and with one kind of failure for reading. */
 public final class MessagePackCodec {
-    private MessagePackCodec() {
-    }
+    private MessagePackCodec() {}
 
     /** A message that does not hold what it should. */
     public static final class UnreadableException extends Exception {
@@ -30,8 +29,7 @@
 
     /** Packs values one after the other. */
     public static final class Writer {
-        private static final MessagePack.PackerConfig CONFIG =
-                new MessagePack.PackerConfig().withBufferSize(512);
+        private static final MessagePack.PackerConfig CONFIG = new MessagePack.PackerConfig().withBufferSize(512);
         private final MessageBufferPacker packer = CONFIG.newBufferPacker();
 
         public Writer num(long value) {
--- a/kernel/src/main/java/org/umbermount/kernel/Messenger.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Messenger.java
@@ -19,6 +19,18 @@
 
     /** What a message is about. The order is part of the format. */
     enum Topic {
-        SHUFFLE, ROLL_CALL, VIEW, CHAIN, CENSUS, LEASE, DISPATCH, SIGNPOST, INQUIRY, LOAN, QUOTA, OCCUPANCY, INTRODUCTION
+        SHUFFLE,
+        ROLL_CALL,
+        VIEW,
+        CHAIN,
+        CENSUS,
+        LEASE,
+        DISPATCH,
+        SIGNPOST,
+        INQUIRY,
+        LOAN,
+        QUOTA,
+        OCCUPANCY,
+        INTRODUCTION
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Metrics.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Metrics.java
@@ -56,7 +56,8 @@
     /** The meters as a Micrometer registry, for whoever wants to export them. */
     public synchronized SimpleMeterRegistry registry() {
         SimpleMeterRegistry registry = new SimpleMeterRegistry();
-        counts.forEach((name, c) -> FunctionCounter.builder(name, c, Count::count).register(registry));
+        counts.forEach(
+                (name, c) -> FunctionCounter.builder(name, c, Count::count).register(registry));
         gauges.forEach((name, g) -> Gauge.builder(name, g::getAsDouble).register(registry));
         return registry;
     }
@@ -66,9 +67,13 @@
         StringBuilder out = new StringBuilder();
         for (Meter meter : registry().getMeters()) {
             double value = meter.measure().iterator().next().getValue();
-            out.append("umbermount_").append(meter.getId().getName().replace('.', '_')).append(' ')
-                    .append(value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
-                            : String.format(Locale.ROOT, "%.3f", value))
+            out.append("umbermount_")
+                    .append(meter.getId().getName().replace('.', '_'))
+                    .append(' ')
+                    .append(
+                            value == Math.rint(value) && Math.abs(value) < 1e15
+                                    ? Long.toString((long) value)
+                                    : String.format(Locale.ROOT, "%.3f", value))
                     .append('\n');
         }
         return out.toString();
--- a/kernel/src/main/java/org/umbermount/kernel/Plugin.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Plugin.java
@@ -24,6 +24,5 @@
     }
 
     /** Called when the settings file has been read again. */
-    default void reread(Settings rules) {
-    }
+    default void reread(Settings rules) {}
 }
--- a/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -120,7 +120,8 @@
             List<Plugin> all = new ArrayList<>();
             for (String name : new String(joined.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
                 if (!name.isBlank()) {
-                    all.add((Plugin) Class.forName(name.trim()).getDeclaredConstructor().newInstance());
+                    all.add((Plugin)
+                            Class.forName(name.trim()).getDeclaredConstructor().newInstance());
                 }
             }
             return all;
--- a/kernel/src/main/java/org/umbermount/kernel/SchemaCheck.java
+++ b/kernel/src/main/java/org/umbermount/kernel/SchemaCheck.java
@@ -24,7 +24,8 @@
     public synchronized String firstProblem(byte[] json) {
         if (schema == null) {
             try (InputStream in = SchemaCheck.class.getResourceAsStream(resource)) {
-                schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V7).getSchema(in);
+                schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V7)
+                        .getSchema(in);
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
--- a/kernel/src/main/java/org/umbermount/kernel/Settings.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Settings.java
@@ -13,9 +13,21 @@
 
 /** The settings of a process, checked against {@code settings.schema.json}. */
 public record Settings(
-        String nodeName, String zone, Map<String, String> zones, String ip,
-        Map<String, DaemonAddress> listeners, int firstPort, int lastPort, List<DaemonAddress> seedNodes, boolean bootstrap,
-        String dataPath, long memoryMb, int maxFds, long heartbeatMs, int toleratedMachines, Set<String> guarantees,
+        String nodeName,
+        String zone,
+        Map<String, String> zones,
+        String ip,
+        Map<String, DaemonAddress> listeners,
+        int firstPort,
+        int lastPort,
+        List<DaemonAddress> seedNodes,
+        boolean bootstrap,
+        String dataPath,
+        long memoryMb,
+        int maxFds,
+        long heartbeatMs,
+        int toleratedMachines,
+        Set<String> guarantees,
         Bounds bounds) {
 
     /** Which part of the rules covers operations that carry a key. */
@@ -24,18 +36,49 @@
     public static final String QUOTA = "quota";
 
     /** The figures that the rules are judged by. */
-    public record Bounds(long contactMs, long ackMs, long drainMs, long graceMs, long configApplyMs,
-            double retryRatio, long retryWindowMs, double retryBurst, long syncTimeMs, Sharing sharing) {
-        public Bounds(long contactMs, long ackMs, long drainMs, long graceMs, long configApplyMs,
-                double retryRatio, long retryWindowMs, double retryBurst, long syncTimeMs) {
-            this(contactMs, ackMs, drainMs, graceMs, configApplyMs, retryRatio, retryWindowMs, retryBurst, syncTimeMs,
+    public record Bounds(
+            long contactMs,
+            long ackMs,
+            long drainMs,
+            long graceMs,
+            long configApplyMs,
+            double retryRatio,
+            long retryWindowMs,
+            double retryBurst,
+            long syncTimeMs,
+            Sharing sharing) {
+        public Bounds(
+                long contactMs,
+                long ackMs,
+                long drainMs,
+                long graceMs,
+                long configApplyMs,
+                double retryRatio,
+                long retryWindowMs,
+                double retryBurst,
+                long syncTimeMs) {
+            this(
+                    contactMs,
+                    ackMs,
+                    drainMs,
+                    graceMs,
+                    configApplyMs,
+                    retryRatio,
+                    retryWindowMs,
+                    retryBurst,
+                    syncTimeMs,
                     Sharing.NONE);
         }
     }
 
     /** The figures of what the daemons count and remember as one. */
-    public record Sharing(boolean strictRevocation, long revokeMs, long credentialWindowMs, long quotaWindowMs,
-            double quotaOvershoot, double quotaBurst) {
+    public record Sharing(
+            boolean strictRevocation,
+            long revokeMs,
+            long credentialWindowMs,
+            long quotaWindowMs,
+            double quotaOvershoot,
+            double quotaBurst) {
         public static final Sharing NONE = new Sharing(false, 5_000, 60_000, 5_000, 0.1, 10);
     }
 
@@ -93,11 +136,17 @@
             throw root.member("internalPortRange").wrong("needs two ports or more");
         }
         JsonValue b = root.optional("bounds");
-        Bounds bounds = new Bounds((long) b.number("contactMs", 4_000), (long) b.number("ackMs", 5_000),
-                (long) b.number("drainMs", 3_000), (long) (b.number("graceS", 6) * 1_000),
-                (long) b.number("configApplyMs", 3_000), b.number("retryRatio", 0.1),
-                (long) (b.number("retryWindowS", 10) * 1_000), b.number("retryBurst", 10),
-                (long) (b.number("syncTimeS", 4) * 1_000), sharing(b));
+        Bounds bounds = new Bounds(
+                (long) b.number("contactMs", 4_000),
+                (long) b.number("ackMs", 5_000),
+                (long) b.number("drainMs", 3_000),
+                (long) (b.number("graceS", 6) * 1_000),
+                (long) b.number("configApplyMs", 3_000),
+                b.number("retryRatio", 0.1),
+                (long) (b.number("retryWindowS", 10) * 1_000),
+                b.number("retryBurst", 10),
+                (long) (b.number("syncTimeS", 4) * 1_000),
+                sharing(b));
         JsonValue limits = root.optional("limits");
         Set<String> guarantees = new HashSet<>();
         if (root.has("guarantees")) {
@@ -105,20 +154,34 @@
                 guarantees.add(g.text());
             }
         }
-        return new Settings(root.member("nodeName").text(), root.member("zone").text(), zones,
-                root.member("ipAddress").host().host(), listeners, first, last, seeds,
-                root.has("bootstrap") && root.member("bootstrap").flag(), root.text("dataPath", ""),
-                (long) limits.number("memoryMb", 0), (int) limits.number("maxFds", 1_024),
-                (long) root.number("heartbeatMs", 1_500), (int) root.optional("faultTolerance").whole("machines", 0, 1_000, 0),
-                Set.copyOf(guarantees), bounds);
+        return new Settings(
+                root.member("nodeName").text(),
+                root.member("zone").text(),
+                zones,
+                root.member("ipAddress").host().host(),
+                listeners,
+                first,
+                last,
+                seeds,
+                root.has("bootstrap") && root.member("bootstrap").flag(),
+                root.text("dataPath", ""),
+                (long) limits.number("memoryMb", 0),
+                (int) limits.number("maxFds", 1_024),
+                (long) root.number("heartbeatMs", 1_500),
+                (int) root.optional("faultTolerance").whole("machines", 0, 1_000, 0),
+                Set.copyOf(guarantees),
+                bounds);
     }
 
     private static Sharing sharing(JsonValue b) throws JsonValue.WrongException {
         Sharing d = Sharing.NONE;
-        return new Sharing(b.has("strictRevocation") && b.member("strictRevocation").flag(),
-                (long) b.number("revokeMs", d.revokeMs), (long) (b.number("credentialWindowS", d.credentialWindowMs / 1_000) * 1_000),
+        return new Sharing(
+                b.has("strictRevocation") && b.member("strictRevocation").flag(),
+                (long) b.number("revokeMs", d.revokeMs),
+                (long) (b.number("credentialWindowS", d.credentialWindowMs / 1_000) * 1_000),
                 (long) (b.number("quotaWindowS", d.quotaWindowMs / 1_000) * 1_000),
-                b.number("quotaOvershoot", d.quotaOvershoot), b.number("quotaBurst", d.quotaBurst));
+                b.number("quotaOvershoot", d.quotaOvershoot),
+                b.number("quotaBurst", d.quotaBurst));
     }
 
     /** Checks settings against the whole schema as well; null if all is well, or one sentence. */
--- a/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
@@ -17,8 +17,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
 
 /** One UDP socket for all internal messages of a process; long messages travel in parts. */
@@ -49,10 +49,15 @@
 
     /** Binds the socket and waits until it is bound. */
     public void bind(EventLoop loop) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_RCVBUF, 1 << 19)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(2048))
-                .handler(new Inbox()).bind(self.socketAddress()).sync().channel();
+                .handler(new Inbox())
+                .bind(self.socketAddress())
+                .sync()
+                .channel();
     }
 
     @Override
--- a/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
@@ -12,10 +12,10 @@
 import java.util.zip.Inflater;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * Splits messages into datagrams and puts them together again. Each datagram is
@@ -26,6 +26,7 @@
     static final int PART = 1180;
     /** Operation records hold servers' bytes, which hardly shrink, and are too many to try each. */
     static final int COMPRESS_OVER = 600;
+
     private static final byte MAGIC = (byte) 0xB7;
     private static final int HEAD = 15;
     private static final int LIFE = 4;
@@ -39,7 +40,10 @@
     private long foreign;
 
     public Fragmentation(Clock clock) {
-        this(clock, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
+        this(
+                clock,
+                ThreadLocalRandom.current().nextInt(),
+                ThreadLocalRandom.current().nextInt());
     }
 
     /** For tests: with a given life and first id. */
@@ -55,8 +59,7 @@
     }
 
     /** A message put together again. */
-    public record Whole(Messenger.Topic topic, byte[] body) {
-    }
+    public record Whole(Messenger.Topic topic, byte[] body) {}
 
     private record Key(DaemonAddress from, int id) {
         @Override
@@ -132,8 +135,12 @@
         Messenger.Topic[] topics = Messenger.Topic.values();
         int index = getShort(datagram, 7);
         int count = getShort(datagram, 9);
-        if (checksum(datagram) != expected || topicIndex < 0 || topicIndex >= topics.length
-                || index >= count || count > Messenger.LARGEST / PART + 1 || count > 1 && datagram.length < HEAD + LIFE) {
+        if (checksum(datagram) != expected
+                || topicIndex < 0
+                || topicIndex >= topics.length
+                || index >= count
+                || count > Messenger.LARGEST / PART + 1
+                || count > 1 && datagram.length < HEAD + LIFE) {
             throw new MessagePackCodec.UnreadableException("a damaged datagram", null);
         }
         byte[] load;
@@ -148,7 +155,8 @@
         return new Whole(topics[topicIndex], datagram[2] == 1 ? inflate(load) : load);
     }
 
-    private byte[] join(DaemonAddress from, byte[] datagram, int index, int count) throws MessagePackCodec.UnreadableException {
+    private byte[] join(DaemonAddress from, byte[] datagram, int index, int count)
+            throws MessagePackCodec.UnreadableException {
         MonotonicTime now = clock.now();
         Iterator<Partial> oldest = partials.values().iterator();
         while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
--- a/kernel/src/test/java/org/umbermount/kernel/Mutation.java
+++ b/kernel/src/test/java/org/umbermount/kernel/Mutation.java
@@ -7,8 +7,7 @@
         T run() throws Exception;
     }
 
-    private Mutation() {
-    }
+    private Mutation() {}
 
     public static <T> T without(Safeguard safeguard, Body<T> body) throws Exception {
         safeguard.leaveOut(true);
--- a/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
@@ -1,13 +1,13 @@
 package org.umbermount.kernel;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.testing.FakeClock;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
 class PluginHostTest {
     /** A part found through the test's own service file. */
     public static final class Recorder implements Plugin {
@@ -89,6 +89,7 @@
     @Test
     void partThatCannotOpenEndsTheStart() {
         Recorder.broken = true;
-        assertThrows(IllegalStateException.class, () -> pluginHost(new Thread[1]).openAll());
+        assertThrows(
+                IllegalStateException.class, () -> pluginHost(new Thread[1]).openAll());
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/net/FragmentationTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/FragmentationTest.java
@@ -1,24 +1,24 @@
 package org.umbermount.kernel.net;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger.Topic;
+import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.testing.FakeClock;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class FragmentationTest {
     private static final DaemonAddress FROM = DaemonAddress.parse("10.0.0.1:7000");
     private final FakeClock clock = new FakeClock();
@@ -67,7 +67,9 @@
     @Test
     void foreignCutAndDamagedDatagramsAreRefused() {
         byte[] good = sender.wrap(Topic.SHUFFLE, noise(300, 1)).get(0);
-        assertThrows(MessagePackCodec.UnreadableException.class, () -> receiver.unwrap(FROM, "GET / HTTP/1.1\r\n\r\n".getBytes()));
+        assertThrows(
+                MessagePackCodec.UnreadableException.class,
+                () -> receiver.unwrap(FROM, "GET / HTTP/1.1\r\n\r\n".getBytes()));
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 0x10;
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
@@ -9,8 +9,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /** A network for tests: delays, loses, doubles and cuts messages by a seed. */
 public final class FakeMessenger {
@@ -104,7 +104,9 @@
         @Override
         public void send(DaemonAddress to, Topic topic, byte[] body) {
             sent++;
-            if (bags.get(self) != this || cuts.contains(key(self, to)) || random.nextDouble() < loss
+            if (bags.get(self) != this
+                    || cuts.contains(key(self, to))
+                    || random.nextDouble() < loss
                     || !tap.passes(self, to, topic, body)) {
                 return;
             }
--- a/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
+++ b/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
@@ -1,8 +1,8 @@
 package org.umbermount.membership;
 
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Role;
 
 /** What one daemon tells of itself: where it is, what it is for, its zone, and how old the news is in rounds. */
 public record MemberDescriptor(DaemonAddress daemonAddress, Role role, String zone, int age) {
--- a/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
+++ b/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
@@ -2,12 +2,12 @@
 
 import java.util.List;
 import java.util.Random;
-import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 
 /** Membership as a plug-in of every role. */
 public final class MembershipPlugin implements Plugin {
@@ -33,10 +33,17 @@
         Settings rules = pluginHost.rules();
         Messenger messenger = pluginHost.find(Messenger.class);
         MemberDescriptor self = new MemberDescriptor(messenger.self(), pluginHost.role(), rules.zone(), 0);
-        peerSampling = new PeerSampling(self, seeds(rules), pluginHost.clock(), messenger, pluginHost.metrics(),
+        peerSampling = new PeerSampling(
+                self,
+                seeds(rules),
+                pluginHost.clock(),
+                messenger,
+                pluginHost.metrics(),
                 new Random(messenger.self().packed() ^ pluginHost.clock().wallMillis()));
         pluginHost.offer(PeerSampling.class, peerSampling);
-        pluginHost.metrics().gauge("membership.view.size", () -> peerSampling.view().size());
+        pluginHost
+                .metrics()
+                .gauge("membership.view.size", () -> peerSampling.view().size());
         peerSampling.start();
     }
 
@@ -46,6 +53,8 @@
     }
 
     private static List<DaemonAddress> seeds(Settings rules) {
-        return rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.CONTROLLER)).toList();
+        return rules.seedNodes().stream()
+                .map(s -> rules.mailAddress(s, Role.CONTROLLER))
+                .toList();
     }
 }
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -11,10 +11,10 @@
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Role;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Role;
 
 /**
  * Who is there, by partial views that neighbours shuffle (CYCLON): each round the oldest neighbour is asked
@@ -24,6 +24,7 @@
 public final class PeerSampling {
     /** How many daemons are kept. */
     public static final int VIEW = 16;
+
     private static final int SAMPLE = 5;
     private static final int THIN = 3;
     private static final long QUICK_MS = 400;
@@ -42,7 +43,13 @@
     private List<DaemonAddress> sentSample = List.of();
     private int rounds;
 
-    public PeerSampling(MemberDescriptor self, List<DaemonAddress> seeds, Clock clock, Messenger messenger, Metrics metrics, Random random) {
+    public PeerSampling(
+            MemberDescriptor self,
+            List<DaemonAddress> seeds,
+            Clock clock,
+            Messenger messenger,
+            Metrics metrics,
+            Random random) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.clock = clock;
@@ -90,7 +97,8 @@
                 found.add(p);
             }
         }
-        found.sort(Comparator.comparing((MemberDescriptor p) -> !p.zone().equals(zoneFirst)).thenComparingInt(MemberDescriptor::age));
+        found.sort(Comparator.comparing((MemberDescriptor p) -> !p.zone().equals(zoneFirst))
+                .thenComparingInt(MemberDescriptor::age));
         return found;
     }
 
@@ -106,7 +114,8 @@
 
     private void round() {
         rounds++;
-        clock.after(rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
+        clock.after(
+                rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
         view.replaceAll((k, p) -> p.older());
         MemberDescriptor oldest = null;
         for (MemberDescriptor p : view.values()) {
@@ -145,7 +154,8 @@
         List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
             List<MemberDescriptor> mine = sample(from);
-            List<DaemonAddress> given = mine.stream().map(MemberDescriptor::daemonAddress).toList();
+            List<DaemonAddress> given =
+                    mine.stream().map(MemberDescriptor::daemonAddress).toList();
             mine.add(self.fresh());
             messenger.send(from, Messenger.Topic.SHUFFLE, encode(false, mine));
             merge(theirs, given);
@@ -193,6 +203,9 @@
     }
 
     private static byte[] encode(boolean wantsAnswer, List<MemberDescriptor> sample) {
-        return MessagePackCodec.write().flag(wantsAnswer).list(sample, (out, p) -> p.write(out)).done();
+        return MessagePackCodec.write()
+                .flag(wantsAnswer)
+                .list(sample, (out, p) -> p.write(out))
+                .done();
     }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/AdmissionControl.java
+++ b/proxy/src/main/java/org/umbermount/proxy/AdmissionControl.java
@@ -14,6 +14,7 @@
 final class AdmissionControl {
     /** Here no slot is ever idle, and nothing is asked twice without need. */
     private static final double RATIO_BUSY = 0.95;
+
     private static final double RATIO_FROM = 1.2;
     private static final double RATIO_SPAN = 0.6;
     private static final double STEP = 0.05;
@@ -21,6 +22,7 @@
     private static final double HIGHEST = 1.4;
     /** Where the middle answer takes this part of the aim, nearly half of them are about to be late. */
     private static final double MIDDLE_FROM = 0.85;
+
     private static final double MIDDLE_SPAN = 0.6;
     private static final double MOST_TURNED_AWAY = 0.8;
 
--- a/proxy/src/main/java/org/umbermount/proxy/Attempt.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Attempt.java
@@ -29,6 +29,7 @@
     private ServerConnection serverConnection;
     /** Whether the connection had rested before: what comes on it first may be late. */
     private boolean reused;
+
     private MonotonicTime sentAt;
     private boolean requestWritten;
     private HttpResponse head;
@@ -71,7 +72,8 @@
         if (requestExchange.isLarge()) {
             to = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
         } else {
-            to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
+            to = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, from.method(), from.uri(), Unpooled.wrappedBuffer(body));
         }
         HeaderNames.copyEndToEnd(from.headers(), to.headers());
         to.headers().remove(HeaderNames.TENANT);
@@ -97,8 +99,8 @@
             requestExchange.carriedBy(this);
             over.flush();
         } else {
-            boolean hadBody = from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || HttpUtil.isTransferEncodingChunked(from);
+            boolean hadBody =
+                    from.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || HttpUtil.isTransferEncodingChunked(from);
             if (body.length > 0 || hadBody) {
                 to.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
@@ -177,9 +179,13 @@
 
     private boolean isSealedSuccess() {
         int status = head.status().code();
-        boolean framed = status == 204 || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
+        boolean framed = status == 204
+                || HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head)
                 || requestExchange.request().method().equals(HttpMethod.HEAD);
-        return status / 100 == 2 && head.headers().contains(HeaderNames.SEAL) && framed
+        return status / 100 == 2
+                && head.headers().contains(HeaderNames.SEAL)
+                && framed
                 && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
@@ -42,6 +42,7 @@
     private final ProxyListener desk;
     /** The longest head that the decoder of this connection takes. */
     private final int headLimit;
+
     private final ArrayDeque<RequestExchange> pipeline = new ArrayDeque<>();
     private Channel channel;
     private RequestExchange arriving;
@@ -51,6 +52,7 @@
     private boolean streamingHead;
     /** The head of the answer that is being streamed says that the connection ends with it. */
     private boolean closeTold;
+
     private boolean gone;
     private MonotonicTime lastActivity;
     private boolean headUnderway;
@@ -123,8 +125,10 @@
 
     private static boolean wellFormed(HttpRequest request) {
         String uri = request.uri();
-        if (!uri.startsWith("/") || request.headers().getAll(HttpHeaderNames.HOST).size() != 1
-                || request.protocolVersion().majorVersion() != 1 || request.method().equals(HttpMethod.CONNECT)) {
+        if (!uri.startsWith("/")
+                || request.headers().getAll(HttpHeaderNames.HOST).size() != 1
+                || request.protocolVersion().majorVersion() != 1
+                || request.method().equals(HttpMethod.CONNECT)) {
             return false;
         }
         if (request.headers().getAll(HttpHeaderNames.AUTHORIZATION).size() > 1
@@ -133,9 +137,13 @@
         }
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             return HttpUtil.isTransferEncodingChunked(request)
-                    && request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
-                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                            request.headers().get(HttpHeaderNames.TRANSFER_ENCODING).trim());
+                    && request.headers()
+                                    .getAll(HttpHeaderNames.TRANSFER_ENCODING)
+                                    .size()
+                            == 1
+                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(request.headers()
+                            .get(HttpHeaderNames.TRANSFER_ENCODING)
+                            .trim());
         }
         return true;
     }
@@ -155,7 +163,8 @@
     /** Answers without reading on; the connection ends with the answer. */
     private void turnAway(HttpRequest request, ErrorKind erratum) {
         lastRequest = true;
-        if (!pipeline.isEmpty() && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
+        if (!pipeline.isEmpty()
+                && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
                 && !pipeline.peekLast().isStarted()) {
             // Only the one whose body cannot be read gives way; those before it wait for their own answers.
             if (pipeline.peekLast().isAnswered()) {
@@ -276,7 +285,10 @@
                         break;
                     }
                 } else {
-                    if (reading && !first.isLarge() && first.erratum() != null && !first.erratum().closes()) {
+                    if (reading
+                            && !first.isLarge()
+                            && first.erratum() != null
+                            && !first.erratum().closes()) {
                         // An early answer waits until its request has been read to the end.
                         break;
                     }
@@ -303,8 +315,11 @@
     private boolean closesAfter(RequestExchange b, boolean stillReading) {
         // A decoder keeps the limit it was made with: after a change the client's next connection has the new one.
         boolean outdated = headLimit != desk.limits().maxHeaderBytes() && !anyStartedBehind();
-        return stillReading || outdated || b.erratum() != null && b.erratum().closes()
-                || pipeline.size() == 1 && lastRequest || desk.closing() && !anyStartedBehind();
+        return stillReading
+                || outdated
+                || b.erratum() != null && b.erratum().closes()
+                || pipeline.size() == 1 && lastRequest
+                || desk.closing() && !anyStartedBehind();
     }
 
     /** Whether a request behind the first has been passed on, so that its answer is owed on this connection. */
@@ -356,9 +371,12 @@
         if (b.erratum() != null) {
             ErrorKind e = b.erratum();
             byte[] body = ("{\"errorMessage\":\"" + e.sentence() + "\"}").getBytes(StandardCharsets.UTF_8);
-            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(e.status()),
+            response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(e.status()),
                     head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
             String attempt = b.request() == null ? null : b.request().headers().get(HeaderNames.ATTEMPT);
             if (attempt != null) {
@@ -369,8 +387,8 @@
             }
         } else {
             Answer a = b.answer();
-            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()),
-                    Unpooled.wrappedBuffer(a.body()));
+            response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()), Unpooled.wrappedBuffer(a.body()));
             HeaderNames.copyEndToEnd(a.headers(), response.headers());
             if (head) {
                 String length = a.headers().get(HttpHeaderNames.CONTENT_LENGTH);
@@ -421,13 +439,16 @@
         boolean chunked = !HttpUtil.isContentLengthSet(b.streamHead());
         if (!streamingHead) {
             streamingHead = true;
-            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
+            HttpResponse head =
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
             HeaderNames.copyEndToEnd(b.streamHead().headers(), head.headers());
             if (chunked) {
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
-                head.headers().set(HttpHeaderNames.CONTENT_LENGTH,
-                        b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
+                head.headers()
+                        .set(
+                                HttpHeaderNames.CONTENT_LENGTH,
+                                b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
             }
             if (close) {
                 closeTold = true;
--- a/proxy/src/main/java/org/umbermount/proxy/HeaderNames.java
+++ b/proxy/src/main/java/org/umbermount/proxy/HeaderNames.java
@@ -19,17 +19,24 @@
     static final AsciiString TENANT = AsciiString.cached("tenant");
     static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
 
-    private static final List<AsciiString> HOP = List.of(HttpHeaderNames.CONNECTION, KEEP_ALIVE,
-            AsciiString.cached("proxy-connection"), HttpHeaderNames.PROXY_AUTHENTICATE,
-            HttpHeaderNames.PROXY_AUTHORIZATION, HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
-            HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
+    private static final List<AsciiString> HOP = List.of(
+            HttpHeaderNames.CONNECTION,
+            KEEP_ALIVE,
+            AsciiString.cached("proxy-connection"),
+            HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION,
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.EXPECT,
             HttpHeaderNames.CONTENT_LENGTH);
 
     /** A bit for each length that one of them has: most headers are told apart by that. */
-    private static final long HOP_LENGTHS = HOP.stream().mapToLong(h -> 1L << h.length()).reduce(0, (a, b) -> a | b);
+    private static final long HOP_LENGTHS =
+            HOP.stream().mapToLong(h -> 1L << h.length()).reduce(0, (a, b) -> a | b);
 
-    private HeaderNames() {
-    }
+    private HeaderNames() {}
 
     /** Copies what is not about one connection; the body's length is left to the caller. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
@@ -37,7 +44,8 @@
         Iterator<Map.Entry<CharSequence, CharSequence>> it = from.iteratorCharSequence();
         while (it.hasNext()) {
             Map.Entry<CharSequence, CharSequence> e = it.next();
-            if (!isHop(e.getKey()) && (connection.isEmpty() || !isNamed(connection, e.getKey().toString()))) {
+            if (!isHop(e.getKey())
+                    && (connection.isEmpty() || !isNamed(connection, e.getKey().toString()))) {
                 to.add(e.getKey(), e.getValue());
             }
         }
@@ -74,8 +82,10 @@
             for (String token : value.split(",")) {
                 String t = token.trim();
                 // What the servers rely on cannot be taken away by naming it in Connection.
-                if (t.equalsIgnoreCase(name) && !ATTEMPT.contentEqualsIgnoreCase(name)
-                        && !DEADLINE.contentEqualsIgnoreCase(name) && !OPERATION_KEY.contentEqualsIgnoreCase(name)
+                if (t.equalsIgnoreCase(name)
+                        && !ATTEMPT.contentEqualsIgnoreCase(name)
+                        && !DEADLINE.contentEqualsIgnoreCase(name)
+                        && !OPERATION_KEY.contentEqualsIgnoreCase(name)
                         && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)) {
                     return true;
                 }
--- a/proxy/src/main/java/org/umbermount/proxy/LoadBalancer.java
+++ b/proxy/src/main/java/org/umbermount/proxy/LoadBalancer.java
@@ -12,11 +12,13 @@
     private static final double ELSEWHERE = 0.35;
     /** How far over its slots a server is offered requests: nothing tells how long its queue is. */
     private static final double QUEUE_SAFE = 0.67;
+
     private static final double QUEUE_UNSAFE = 0.67;
     private static final double HEDGE_AT = 1.8;
     private static final int DRAWS = 6;
     /** How many more are looked at when the first two have no free slot. */
     private static final int FURTHER_LOCAL = 3;
+
     private static final int FURTHER_ELSEWHERE = 3;
 
     private final Clock clock;
@@ -28,20 +30,29 @@
     }
 
     /** A server with room, or null. */
-    UpstreamServer choose(UpstreamService upstreamService, Configuration.Route route, List<UpstreamServer> tried, MonotonicTime deadline) {
+    UpstreamServer choose(
+            UpstreamService upstreamService,
+            Configuration.Route route,
+            List<UpstreamServer> tried,
+            MonotonicTime deadline) {
         MonotonicTime now = clock.now();
         double queue = route.safe() ? QUEUE_SAFE : QUEUE_UNSAFE;
         UpstreamServer local = chooseLocal(upstreamService, tried, now, queue);
         double localMs = local == null ? Double.MAX_VALUE : local.expectedMs(now);
-        if (local != null && local.load(now) + 1 <= local.instance.capacity() && localMs <= route.targetLatencyMs() * 0.8) {
+        if (local != null
+                && local.load(now) + 1 <= local.instance.capacity()
+                && localMs <= route.targetLatencyMs() * 0.8) {
             return local;
         }
         UpstreamServer best = local;
         double bestMs = localMs;
         // A few at random, of here and of elsewhere, and not the best of all: every proxy would find the same one.
         for (int i = 0; i < FURTHER_LOCAL + FURTHER_ELSEWHERE; i++) {
-            UpstreamServer r = draw(i < FURTHER_LOCAL ? upstreamService.local : upstreamService.elsewhere, tried, now, queue, best);
-            double ms = r == null ? Double.MAX_VALUE : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
+            UpstreamServer r = draw(
+                    i < FURTHER_LOCAL ? upstreamService.local : upstreamService.elsewhere, tried, now, queue, best);
+            double ms = r == null
+                    ? Double.MAX_VALUE
+                    : r.expectedMs(now) + (r.local ? 0 : route.targetLatencyMs() * ELSEWHERE);
             if (ms < bestMs) {
                 best = r;
                 bestMs = ms;
@@ -51,7 +62,8 @@
     }
 
     /** When draws find none: the first with room, looked for from a random place. */
-    private UpstreamServer anyWithRoom(UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
+    private UpstreamServer anyWithRoom(
+            UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
         int n = upstreamService.elsewhere.size();
         int start = n == 0 ? 0 : random.nextInt(n);
         for (int i = 0; i < n; i++) {
@@ -67,7 +79,8 @@
         return !tried.contains(r) && r.usable(now) && r.hasRoom(now, r.instance.capacity() * queue);
     }
 
-    private UpstreamServer chooseLocal(UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
+    private UpstreamServer chooseLocal(
+            UpstreamService upstreamService, List<UpstreamServer> tried, MonotonicTime now, double queue) {
         UpstreamServer first = draw(upstreamService.local, tried, now, queue, null);
         UpstreamServer second = first == null ? null : draw(upstreamService.local, tried, now, queue, first);
         if (second != null) {
@@ -99,7 +112,12 @@
     }
 
     /** One at random that has room; null if a few draws find none. */
-    private UpstreamServer draw(List<UpstreamServer> among, List<UpstreamServer> tried, MonotonicTime now, double queue, UpstreamServer not) {
+    private UpstreamServer draw(
+            List<UpstreamServer> among,
+            List<UpstreamServer> tried,
+            MonotonicTime now,
+            double queue,
+            UpstreamServer not) {
         int n = among.size();
         for (int i = 0; n > 0 && i < DRAWS; i++) {
             UpstreamServer r = among.get(random.nextInt(n));
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -6,9 +6,9 @@
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * How many requests the proxies of the zone have at each server. A proxy alone sees a server a few times in a minute and
@@ -20,6 +20,7 @@
     static final long REPORT_MS = 100;
     /** Older sums are not used. */
     static final long FRESH_MS = 400;
+
     private static final int ENTRIES_AT_MOST = 20_000;
 
     private final Clock clock;
@@ -79,7 +80,8 @@
         heard = clock.now();
     }
 
-    static Int2IntOpenHashMap readCounts(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Int2IntOpenHashMap readCounts(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
         long n = in.num();
         if (n < 0 || n > ENTRIES_AT_MOST) {
             throw new MessagePackCodec.UnreadableException("a count is beyond reason", null);
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * Adds up what the proxies of each zone have at the servers, and tells it to those that have spoken lately. It is soft
@@ -20,8 +20,7 @@
     private static final long COUNTS_MS = 450;
     private static final long LISTENS_MS = 1_000;
 
-    private record Word(MonotonicTime at, Int2IntOpenHashMap counts) {
-    }
+    private record Word(MonotonicTime at, Int2IntOpenHashMap counts) {}
 
     private final Clock clock;
     private final Messenger messenger;
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyPlugin.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyPlugin.java
@@ -1,8 +1,8 @@
 package org.umbermount.proxy;
 
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
 
 /** The sums of what proxies have at servers, as a plug-in of the controller. */
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
@@ -29,14 +29,14 @@
 import org.umbermount.control.Configuration;
 import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.ErrorKind;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.ErrorKind;
 import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Metrics;
-import org.umbermount.idempotency.OperationClient;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Settings;
 import org.umbermount.quota.QuotaClient;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
@@ -84,33 +84,43 @@
 
     /** Listens at an address. */
     ChannelFuture bind(DaemonAddress http) {
-        ChannelFuture bound = bootstrap().channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true).bind(http.socketAddress());
+        ChannelFuture bound = bootstrap()
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .bind(http.socketAddress());
         listener = bound.channel();
         return bound;
     }
 
     /** Goes on with a socket that has been listening since early in the start. */
     ChannelFuture adopt(ServerSocketChannel listening) {
-        ChannelFuture registered = bootstrap().channelFactory(() -> new NioServerSocketChannel(listening)).register();
+        ChannelFuture registered = bootstrap()
+                .channelFactory(() -> new NioServerSocketChannel(listening))
+                .register();
         listener = registered.channel();
         return registered;
     }
 
     private ServerBootstrap bootstrap() {
-        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
+        return new ServerBootstrap()
+                .group(loop)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ClientConnection reader = new ClientConnection(ProxyListener.this, limits().maxHeaderBytes());
-                        ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext ctx, Object msg) {
-                                reader.bytesRead();
-                                ctx.fireChannelRead(msg);
-                            }
-                        }).addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
-                                .addLast(new HttpResponseEncoder()).addLast(reader);
+                        ch.pipeline()
+                                .addLast(new ChannelInboundHandlerAdapter() {
+                                    @Override
+                                    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+                                        reader.bytesRead();
+                                        ctx.fireChannelRead(msg);
+                                    }
+                                })
+                                .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(reader);
                     }
                 });
     }
@@ -153,7 +163,9 @@
     }
 
     private static boolean isConfiguration(String key) {
-        return key.equals(RoutingTable.CONFIGURATION) || key.startsWith(RoutingTable.ROUTE) || key.startsWith(RoutingTable.UPSTREAM)
+        return key.equals(RoutingTable.CONFIGURATION)
+                || key.startsWith(RoutingTable.ROUTE)
+                || key.startsWith(RoutingTable.UPSTREAM)
                 || key.startsWith(RoutingTable.TENANT);
     }
 
@@ -168,8 +180,10 @@
     }
 
     private UpstreamService upstreamService(String label) {
-        return wings.computeIfAbsent(label, l -> new UpstreamService(l,
-                new RetryBudget(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
+        return wings.computeIfAbsent(
+                label,
+                l -> new UpstreamService(
+                        l, new RetryBudget(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
     }
 
     private void place(String key, Tables.Instance instance) {
@@ -179,7 +193,8 @@
             return;
         }
         UpstreamService upstreamService = upstreamService(instance.upstream());
-        UpstreamServer fresh = new UpstreamServer(this, upstreamService, instance, instance.zone().equals(zone));
+        UpstreamServer fresh = new UpstreamServer(
+                this, upstreamService, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
         upstreamService.repositories.add(fresh);
         (fresh.local ? upstreamService.local : upstreamService.elsewhere).add(fresh);
@@ -234,8 +249,15 @@
                 return refused(reader, request, ErrorKind.KEY_MISSING);
             }
         }
-        return new RequestExchange(this, reader, request, route, upstreamService(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
-                tenant, key);
+        return new RequestExchange(
+                this,
+                reader,
+                request,
+                route,
+                upstreamService(draw(route)),
+                Math.min(deadlineMs, route.timeoutMs()),
+                tenant,
+                key);
     }
 
     private RequestExchange refused(ClientConnection reader, HttpRequest request, ErrorKind why) {
@@ -317,10 +339,19 @@
 
     /** Seconds after which a refused client may come again. */
     String retryAfter(RequestExchange b) {
-        // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
-        boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
-                || b.erratum() == ErrorKind.TABLE_STALE || b.erratum() == ErrorKind.NOT_READY;
-        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.upstreamService() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.upstreamService().typicalMs / 1000));
+        // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps
+        // nobody.
+        boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN
+                || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
+                || b.erratum() == ErrorKind.TABLE_STALE
+                || b.erratum() == ErrorKind.NOT_READY;
+        double seconds = b.comeAgainMs() > 0
+                ? b.comeAgainMs() / 1_000.0
+                : shared
+                        ? 0.5
+                        : b.upstreamService() == null
+                                ? 0.5
+                                : Math.max(0.1, Math.min(1.0, b.upstreamService().typicalMs / 1000));
         long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
@@ -389,7 +420,7 @@
         for (ClientConnection reader : List.copyOf(readers)) {
             reader.sweep(now);
         }
-        for (Iterator<UpstreamServer> it = repositories.values().iterator(); it.hasNext();) {
+        for (Iterator<UpstreamServer> it = repositories.values().iterator(); it.hasNext(); ) {
             it.next().sweep(now);
         }
         lookAgain();
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
@@ -7,16 +7,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.distribution.StateReceiver;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Plugin;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.OperationClient;
 import org.umbermount.quota.QuotaClient;
 
 /** The traffic plane as a plug-in of the proxy. */
@@ -24,6 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** By then the platform has noticed twice that this daemon is not ready. */
     private static final long NOTICED_MS = 2_300;
+
     private static final long LOOK_MS = 50;
     private static final long LAST_MS = 100;
     private static final long GRACE_MARGIN_MS = 400;
@@ -55,15 +56,23 @@
         Clock clock = host.clock();
         EventLoop loop = ((LoopClock) clock).loop();
         stateReceiver = host.find(StateReceiver.class);
-        desk = new ProxyListener(loop, clock, host.metrics(), rules.bounds(), rules.zone(),
+        desk = new ProxyListener(
+                loop,
+                clock,
+                host.metrics(),
+                rules.bounds(),
+                rules.zone(),
                 new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
-        desk.share(host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), stateReceiver::goodForMs);
+        desk.share(
+                host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), stateReceiver::goodForMs);
         desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), stateReceiver::sender));
         stateReceiver.observe(desk::apply);
         host.metrics().gauge("clients.connections", desk::openConnections);
         DaemonAddress readiness = listener(rules, "readiness");
         DaemonAddress http = listener(rules, "http");
-        watch(new StatusServer(() -> !leaving && desk.hasTable(), host.metrics()::page, this::status).bind(loop, readiness),
+        watch(
+                new StatusServer(() -> !leaving && desk.hasTable(), host.metrics()::page, this::status)
+                        .bind(loop, readiness),
                 readiness);
         ServerSocketChannel listening = host.findOrNull(ServerSocketChannel.class);
         watch(listening == null ? desk.bind(http) : desk.adopt(listening), http);
@@ -72,7 +81,8 @@
     private void watch(ChannelFuture bound, DaemonAddress address) {
         bound.addListener(f -> {
             if (!f.isSuccess()) {
-                pluginHost.fatal("The address " + address + " cannot be used: " + f.cause().getMessage() + ".");
+                pluginHost.fatal("The address " + address + " cannot be used: "
+                        + f.cause().getMessage() + ".");
             }
         });
     }
@@ -86,11 +96,15 @@
     }
 
     private String status() {
-        return "{\"daemon\":\"" + pluginHost.rules().nodeName() + "\",\"zone\":\"" + pluginHost.rules().zone()
-                + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":" + stateReceiver.inForce().edition()
+        return "{\"daemon\":\"" + pluginHost.rules().nodeName() + "\",\"zone\":\""
+                + pluginHost.rules().zone()
+                + "\",\"ready\":" + (!leaving && desk.hasTable()) + ",\"edition\":"
+                + stateReceiver.inForce().edition()
                 + ",\"epoch\":" + stateReceiver.epoch() + ",\"sender\":\"" + stateReceiver.sender()
-                + "\",\"tableGoodForMs\":" + (stateReceiver.goodForMs() == Long.MAX_VALUE ? -1 : Math.max(0, stateReceiver.goodForMs()))
-                + ",\"loansToClose\":" + (desk.loans() == null ? 0 : desk.loans().closing()) + ",\"fleet\":" + desk.fleet() + "}";
+                + "\",\"tableGoodForMs\":"
+                + (stateReceiver.goodForMs() == Long.MAX_VALUE ? -1 : Math.max(0, stateReceiver.goodForMs()))
+                + ",\"loansToClose\":"
+                + (desk.loans() == null ? 0 : desk.loans().closing()) + ",\"fleet\":" + desk.fleet() + "}";
     }
 
     @Override
