--- a/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
@@ -8,13 +8,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.umbermount.control.Configuration;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.idempotency.OperationKey;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.idempotency.OperationClient;
-import org.umbermount.idempotency.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
 final class RequestExchange {
@@ -51,6 +51,7 @@
     private final Sendings sendings;
     /** What the next sending goes out under, while a server is looked for. */
     private Sendings.Permit permit;
+
     private final Configuration.Tenant tenant;
     private final String key;
     private boolean charged;
@@ -68,8 +69,15 @@
     private boolean streamCut;
     private int streamHeld;
 
-    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, Configuration.Route route, UpstreamService upstreamService, long deadlineMs,
-            Configuration.Tenant tenant, String key) {
+    RequestExchange(
+            ProxyListener desk,
+            ClientConnection reader,
+            HttpRequest request,
+            Configuration.Route route,
+            UpstreamService upstreamService,
+            long deadlineMs,
+            Configuration.Tenant tenant,
+            String key) {
         this.tenant = tenant;
         this.key = key;
         this.desk = desk;
@@ -230,7 +238,9 @@
 
     /** How long the daemons that count and remember are waited for: soon enough for another try elsewhere. */
     private long sharedPatience() {
-        long left = Math.max(SHARED_LEAST_MS, route.targetLatencyMs() / 4 - desk.clock().now().since(arrived));
+        long left = Math.max(
+                SHARED_LEAST_MS,
+                route.targetLatencyMs() / 4 - desk.clock().now().since(arrived));
         return Math.min(SHARED_PATIENCE_MS, left);
     }
 
@@ -264,11 +274,11 @@
             placeOrWait(sendings.first());
             return;
         }
-        OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
-                request.headers().get(HeaderNames.OPERATION_KEY));
+        OperationKey operation = OperationKey.of(
+                tenant == null ? "" : tenant.label(), request.headers().get(HeaderNames.OPERATION_KEY));
         boolean[] over = new boolean[1];
-        OperationClient.Ticket claimed = desk.loans().claim(operation, upstreamService.dedupCapable, sharedPatience(),
-                new OperationClient.Outcome() {
+        OperationClient.Ticket claimed = desk.loans()
+                .claim(operation, upstreamService.dedupCapable, sharedPatience(), new OperationClient.Outcome() {
                     @Override
                     public void granted() {
                         if (wanted()) {
@@ -370,7 +380,8 @@
         if (kept != null) {
             ending.close(OperationClient.End.ANSWERED, StoredAnswers.pack(kept));
         } else {
-            ending.close(sendings.hasNotRun() ? OperationClient.End.RELEASED : OperationClient.End.UNKNOWN, new byte[0]);
+            ending.close(
+                    sendings.hasNotRun() ? OperationClient.End.RELEASED : OperationClient.End.UNKNOWN, new byte[0]);
         }
     }
 
@@ -454,11 +465,14 @@
             return;
         }
         MonotonicTime now = desk.clock().now();
-        UpstreamServer second = desk.busy(upstreamService, now) ? null : desk.loadBalancer().choose(upstreamService, route, tried, deadline);
+        UpstreamServer second = desk.busy(upstreamService, now)
+                ? null
+                : desk.loadBalancer().choose(upstreamService, route, tried, deadline);
         if (second == null) {
             return;
         }
-        Sendings.Permit under = sendings.further(null, upstreamService.retryBudget, now, desk.fleet(), desk.hedgeReserve(upstreamService, now));
+        Sendings.Permit under = sendings.further(
+                null, upstreamService.retryBudget, now, desk.fleet(), desk.hedgeReserve(upstreamService, now));
         if (under == null) {
             return;
         }
@@ -527,7 +541,8 @@
             closeLoan();
             return;
         }
-        // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
+        // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the
+        // same.
         // It is different when one server fails far more than others do.
         if (relay == null || attempt.repository.suspect() && relay.status() != 504) {
             goOn(null);
--- a/proxy/src/main/java/org/umbermount/proxy/RouteIndex.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RouteIndex.java
@@ -13,8 +13,8 @@
 
 /** The routes of a table, ready for looking up. */
 final class RouteIndex {
-    static final RouteIndex EMPTY = new RouteIndex(new Object2ObjectOpenHashMap<>(), Configuration.Limits.DEFAULT,
-            new Object2ObjectOpenHashMap<>(), false);
+    static final RouteIndex EMPTY = new RouteIndex(
+            new Object2ObjectOpenHashMap<>(), Configuration.Limits.DEFAULT, new Object2ObjectOpenHashMap<>(), false);
 
     private final Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost;
     private final Configuration.Limits limits;
@@ -22,8 +22,11 @@
     private final Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey;
     private final boolean keyed;
 
-    private RouteIndex(Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost, Configuration.Limits limits,
-            Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey, boolean keyed) {
+    private RouteIndex(
+            Object2ObjectOpenHashMap<String, List<Configuration.Route>> byHost,
+            Configuration.Limits limits,
+            Object2ObjectOpenHashMap<String, Configuration.Tenant> byKey,
+            boolean keyed) {
         this.byKey = byKey;
         this.keyed = keyed;
         this.byHost = byHost;
@@ -46,10 +49,13 @@
             }
         }
         for (List<Configuration.Route> routes : byHost.values()) {
-            routes.sort(Comparator.comparingInt((Configuration.Route r) -> r.prefix().length()).reversed());
+            routes.sort(Comparator.comparingInt(
+                            (Configuration.Route r) -> r.prefix().length())
+                    .reversed());
         }
         byte[] limits = table.entries().get(RoutingTable.CONFIGURATION);
-        return new RouteIndex(byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
+        return new RouteIndex(
+                byHost, limits == null ? Configuration.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
     }
 
     Configuration.Limits limits() {
--- a/proxy/src/main/java/org/umbermount/proxy/Sendings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Sendings.java
@@ -17,6 +17,7 @@
     private int open;
     /** Those of them that have been used. */
     private int underway;
+
     private int sent;
     private boolean mayHaveRun;
 
@@ -87,6 +88,7 @@
     static final class NotRun {
         /** Whether the server itself said so; otherwise nothing was sent to it. */
         private final boolean arrived;
+
         private boolean used;
 
         private NotRun(boolean arrived) {
@@ -132,7 +134,8 @@
         /** A whole answer to this request has come; the proof if it says that the request has not run, otherwise null. */
         NotRun answered(HttpResponse head) {
             int status = head.status().code();
-            boolean notRun = status == 421 || status / 100 != 2 && head.headers().contains(HeaderNames.NOT_EXECUTED);
+            boolean notRun =
+                    status == 421 || status / 100 != 2 && head.headers().contains(HeaderNames.NOT_EXECUTED);
             close(!notRun);
             return notRun ? new NotRun(true) : null;
         }
--- a/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
@@ -130,8 +130,10 @@
                     return;
                 }
                 reusable = HttpUtil.isKeepAlive(response)
-                        && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-                        || response.status().code() == 204 || response.status().code() == 304);
+                        && (HttpUtil.isContentLengthSet(response)
+                                || HttpUtil.isTransferEncodingChunked(response)
+                                || response.status().code() == 204
+                                || response.status().code() == 304);
                 readKeepAlive(response);
                 if (!current.head(response)) {
                     // Where its body would end is for that request to know: a HEAD's would take the next answer for it.
--- a/proxy/src/main/java/org/umbermount/proxy/StatusServer.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StatusServer.java
@@ -40,14 +40,20 @@
     }
 
     ChannelFuture bind(EventLoop loop, DaemonAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new ReadTimeoutHandler(30)).addLast(new HttpServerCodec()).addLast(new Page());
+                        ch.pipeline()
+                                .addLast(new ReadTimeoutHandler(30))
+                                .addLast(new HttpServerCodec())
+                                .addLast(new Page());
                     }
-                }).bind(address.socketAddress());
+                })
+                .bind(address.socketAddress());
     }
 
     private final class Page extends SimpleChannelInboundHandler<Object> {
@@ -85,12 +91,14 @@
                 }
             }
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(code), Unpooled.wrappedBuffer(bytes));
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(code), Unpooled.wrappedBuffer(bytes));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-            boolean keep = HttpUtil.isKeepAlive(request) && !request.decoderResult().isFailure();
+            boolean keep =
+                    HttpUtil.isKeepAlive(request) && !request.decoderResult().isFailure();
             HttpUtil.setKeepAlive(response, keep);
-            ctx.writeAndFlush(response).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+            ctx.writeAndFlush(response)
+                    .addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
         }
 
         @Override
--- a/proxy/src/main/java/org/umbermount/proxy/StoredAnswers.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StoredAnswers.java
@@ -8,8 +8,7 @@
 
 /** How an answer is packed that is kept for repeats of its operation. */
 final class StoredAnswers {
-    private StoredAnswers() {
-    }
+    private StoredAnswers() {}
 
     static byte[] pack(Answer answer) {
         HttpHeaders kept = new DefaultHttpHeaders(false);
@@ -17,8 +16,11 @@
         // These were about the first try and the moment.
         kept.remove(HeaderNames.ATTEMPT).remove(HeaderNames.LOAD);
         List<Map.Entry<String, String>> headers = kept.entries();
-        return MessagePackCodec.write().num(answer.status()).list(headers, (o, e) -> o.text(e.getKey()).text(e.getValue()))
-                .bytes(answer.body()).done();
+        return MessagePackCodec.write()
+                .num(answer.status())
+                .list(headers, (o, e) -> o.text(e.getKey()).text(e.getValue()))
+                .bytes(answer.body())
+                .done();
     }
 
     static Answer unpack(byte[] packed) throws MessagePackCodec.UnreadableException {
--- a/proxy/src/main/java/org/umbermount/proxy/StrictRequestDecoder.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StrictRequestDecoder.java
@@ -14,8 +14,12 @@
     }
 
     StrictRequestDecoder(int maxHeaderBytes) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes).setMaxHeaderSize(maxHeaderBytes)
-                .setMaxChunkSize(16_384).setAllowDuplicateContentLengths(false).setStrictLineParsing(true)
+        super(new HttpDecoderConfig()
+                .setMaxInitialLineLength(maxHeaderBytes)
+                .setMaxHeaderSize(maxHeaderBytes)
+                .setMaxChunkSize(16_384)
+                .setAllowDuplicateContentLengths(false)
+                .setStrictLineParsing(true)
                 .setValidateHeaders(true)
                 .setInitialBufferSize(256));
     }
--- a/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
@@ -14,9 +14,9 @@
 import jdk.net.ExtendedSocketOptions;
 import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Metrics;
 
 /** One life of a server: its connections, and what its answers have shown of it. */
 final class UpstreamServer {
@@ -25,6 +25,7 @@
     private static final long IDLE_MS = 8_000;
     /** Requests that cannot be sent again use no connection that has rested longer. */
     private static final long RESTED_MS = 250;
+
     private static final long DOWN_FIRST_MS = 400;
     private static final long DOWN_LONGEST_MS = 4_000;
     private static final double OTHERS_FADE_MS = 500;
@@ -44,6 +45,7 @@
     final int code;
     /** Whether it stands in this daemon's zone. */
     final boolean local;
+
     boolean listed = true;
     int inFlight;
     int connections;
@@ -98,9 +100,11 @@
             return inFlight + zone.others(code);
         }
         double fade = Math.exp(-now.since(othersAt) / OTHERS_FADE_MS);
-        // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody here
+        // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody
+        // here
         // has asked lately is not idle for that.
-        double usual = local ? othersAverage
+        double usual = local
+                ? othersAverage
                 : Math.max(othersAverage, UNKNOWN_LOAD * upstreamService.localRatio(now) * instance.capacity());
         return inFlight + othersLoad * fade + usual * (1 - fade);
     }
@@ -216,7 +220,8 @@
         begin(now);
         while (!idle.isEmpty()) {
             ServerConnection serverConnection = idle.pollLast();
-            if (!attempt.requestExchange.isSafe() && now.since(serverConnection.restingSince) > RESTED_MS
+            if (!attempt.requestExchange.isSafe()
+                    && now.since(serverConnection.restingSince) > RESTED_MS
                     && Safeguard.CONNECTION_RESTED_TOO_LONG.holds()) {
                 // A server may have forgotten it without a word, and what it resets then cannot be sent again.
                 idle.addLast(serverConnection);
@@ -233,21 +238,31 @@
         }
         connections++;
         metrics.count("servers.connections.opened");
-        Bootstrap bootstrap = new Bootstrap().group(desk.loop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+        Bootstrap bootstrap = new Bootstrap()
+                .group(desk.loop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 2)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
-        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
-                .setMaxInitialLineLength(4096).setInitialBufferSize(256));
+        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig()
+                .setMaxHeaderSize(HEADER_BYTES)
+                .setMaxInitialLineLength(4096)
+                .setInitialBufferSize(256));
         ServerConnection serverConnection = new ServerConnection(this, decoder);
-        ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(serverConnection);
-            }
-        }).connect(instance.address().socketAddress());
+        ChannelFuture future = bootstrap
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline()
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(serverConnection);
+                    }
+                })
+                .connect(instance.address().socketAddress());
         future.addListener(f -> {
             if (f.isSuccess()) {
                 serverConnection.send(attempt);
--- a/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
@@ -17,9 +17,11 @@
     final List<UpstreamServer> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
     final List<UpstreamServer> local = new ArrayList<>();
+
     final List<UpstreamServer> elsewhere = new ArrayList<>();
-    private final PriorityQueue<RequestExchange> waiting = new PriorityQueue<>(
-            Comparator.comparingInt(RequestExchange::tenantPriority).thenComparingInt(RequestExchange::priority)
+    private final PriorityQueue<RequestExchange> waiting =
+            new PriorityQueue<>(Comparator.comparingInt(RequestExchange::tenantPriority)
+                    .thenComparingInt(RequestExchange::priority)
                     .thenComparingLong(b -> b.deadline().millis()));
     final AdmissionControl pressure = new AdmissionControl();
     int maxConnections = 64;
@@ -27,6 +29,7 @@
     boolean dedupCapable;
     /** Smoothed time of an answer, over all servers. */
     double typicalMs = 100;
+
     boolean measured;
     private double localRatio;
     private MonotonicTime localRatioAt = MonotonicTime.NEVER;
--- a/proxy/src/test/java/org/umbermount/proxy/AdmissionControlTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/AdmissionControlTest.java
@@ -1,12 +1,12 @@
 package org.umbermount.proxy;
 
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Random;
-import org.junit.jupiter.api.Test;
-
 class AdmissionControlTest {
     private final Random random = new Random(7);
     private final AdmissionControl pressure = new AdmissionControl();
@@ -51,7 +51,8 @@
         for (int i = 0; i < 60; i++) {
             pressure.answered(1_100 + random.nextInt(200), 1_000);
         }
-        assertTrue(pressure.turnedAway(0.5) > 0.4 && pressure.turnedAway(0.5) < 0.7, "part " + pressure.turnedAway(0.5));
+        assertTrue(
+                pressure.turnedAway(0.5) > 0.4 && pressure.turnedAway(0.5) < 0.7, "part " + pressure.turnedAway(0.5));
         for (int i = 0; i < 20; i++) {
             pressure.answered(200, 1_000);
         }
--- a/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ExchangeHunt.java
@@ -24,16 +24,16 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Configuration;
+import org.umbermount.control.RegisteredServer;
 import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.Settings;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.OperationClient;
 
 /**
  * Clients that pipeline and give up, servers that do everything that servers in trouble do, and a front desk between them.
@@ -46,8 +46,18 @@
     private static final long LIMITS_MS = 50;
 
     /** What came of a run. */
-    record Report(int exchanges, int successes, int repeats, int failures, int promises, int cuts, int unread, int runs,
-            List<String> breaks, String sorts, String counts) {
+    record Report(
+            int exchanges,
+            int successes,
+            int repeats,
+            int failures,
+            int promises,
+            int cuts,
+            int unread,
+            int runs,
+            List<String> breaks,
+            String sorts,
+            String counts) {
         boolean broke(String rule) {
             return breaks.stream().anyMatch(b -> b.startsWith(rule));
         }
@@ -75,12 +85,14 @@
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     /** Requests of which a client was told, or may take it, that they have not run and never will. */
     private final Map<String, String> promised = new ConcurrentHashMap<>();
+
     private final Queue<String> breaks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger nextId = new AtomicInteger();
     private final AtomicInteger nextOperation = new AtomicInteger();
     private final AtomicInteger repeats = new AtomicInteger();
     /** The operation that a try is of, by the try's id. */
     private final Map<String, String> operations = new ConcurrentHashMap<>();
+
     private int port;
 
     ExchangeHunt(long seed, int exchanges) {
@@ -130,10 +142,12 @@
             for (int i = 0; i < SERVERS; i++) {
                 servers.add(new UnrulyServer("i" + i, seed, this));
             }
-            OperationClient counter = new OperationClient(clock, new FakeCounterPost(clock, new FakeRegister()::answer), metrics,
-                    new Random(seed), List::of);
+            OperationClient counter = new OperationClient(
+                    clock, new FakeCounterPost(clock, new FakeRegister()::answer), metrics, new Random(seed), List::of);
             counter.head(DaemonAddress.parse("10.0.0.1:7000"));
-            clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+            clock.loop()
+                    .submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE))
+                    .get();
             apply(desk, clock, servers, 0);
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
@@ -168,23 +182,37 @@
         return report(metrics);
     }
 
-    private static void apply(ProxyListener desk, LoopClock clock, List<UnrulyServer> servers, int limits) throws Exception {
+    private static void apply(ProxyListener desk, LoopClock clock, List<UnrulyServer> servers, int limits)
+            throws Exception {
         RoutingTable table = table(servers, limits);
         clock.loop().submit(() -> desk.apply(table)).get();
     }
 
     private static RoutingTable table(List<UnrulyServer> servers, int limits) throws Exception {
-        String route = "\"virtualHost\":\"h\",\"timeoutMs\":3000,\"targetLatencyMs\":100,\"upstream\":\"s\",\"maxTries\":3,";
+        String route =
+                "\"virtualHost\":\"h\",\"timeoutMs\":3000,\"targetLatencyMs\":100,\"upstream\":\"s\",\"maxTries\":3,";
         Configuration r = Configuration.parse(("{\"revision\":1,\"routeTable\":["
-                + "{\"label\":\"a\"," + route + "\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\"},"
-                + "{\"label\":\"o\"," + route + "\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\"},"
-                + "{\"label\":\"b\"," + route + "\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\"}],"
-                + "\"upstreams\":[{\"label\":\"s\",\"maxConnections\":300}],"
-                + "\"limits\":{\"maxHeaderBytes\":" + (8_192 + limits) + "}}").getBytes(StandardCharsets.UTF_8));
+                        + "{\"label\":\"a\"," + route + "\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\"},"
+                        + "{\"label\":\"o\"," + route + "\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\"},"
+                        + "{\"label\":\"b\"," + route + "\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\"}],"
+                        + "\"upstreams\":[{\"label\":\"s\",\"maxConnections\":300}],"
+                        + "\"limits\":{\"maxHeaderBytes\":" + (8_192 + limits) + "}}")
+                .getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
         for (int i = 0; i < servers.size(); i++) {
-            entries.put(RoutingTable.INSTANCE + "i" + i, Tables.packInstance(new RegisteredServer(new InstanceId("i" + i), "s",
-                    "127.0.0.1:" + servers.get(i).port(), "z", "v", 12, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
+            entries.put(
+                    RoutingTable.INSTANCE + "i" + i,
+                    Tables.packInstance(new RegisteredServer(
+                            new InstanceId("i" + i),
+                            "s",
+                            "127.0.0.1:" + servers.get(i).port(),
+                            "z",
+                            "v",
+                            12,
+                            0,
+                            RegisteredServer.Standing.IN_SERVICE,
+                            1,
+                            DaemonAddress.NONE)));
         }
         return RoutingTable.of(entries);
     }
@@ -222,8 +250,18 @@
                 counts.append(name).append(' ').append((long) value).append(", ");
             }
         });
-        return new Report(exchanges.get(), successes.get(), repeats.get(), failures.get(), promised.size() - unread.get(),
-                cuts.get(), unread.get(), total, new ArrayList<>(breaks), Arrays.toString(sorts), counts.toString());
+        return new Report(
+                exchanges.get(),
+                successes.get(),
+                repeats.get(),
+                failures.get(),
+                promised.size() - unread.get(),
+                cuts.get(),
+                unread.get(),
+                total,
+                new ArrayList<>(breaks),
+                Arrays.toString(sorts),
+                counts.toString());
     }
 
     // ---- the clients ----
@@ -281,7 +319,8 @@
         int quit = random.nextInt(40);
         if (quit == 0) {
             // Gives up within the last request's body, or with all of it sent.
-            int upTo = random.nextBoolean() ? all.length : lastBody + random.nextInt(Math.max(1, all.length - lastBody));
+            int upTo =
+                    random.nextBoolean() ? all.length : lastBody + random.nextInt(Math.max(1, all.length - lastBody));
             socket.getOutputStream().write(all, 0, upTo);
             return false;
         }
@@ -324,14 +363,23 @@
         if (operation) {
             // A new one, or one of the last few, that may be at work or over.
             int back = random.nextInt(2) == 0 ? 0 : random.nextInt(30);
-            operations.put(id, "k" + (back == 0 ? nextOperation.incrementAndGet() : Math.max(0, nextOperation.get() - back)));
+            operations.put(
+                    id, "k" + (back == 0 ? nextOperation.incrementAndGet() : Math.max(0, nextOperation.get() - back)));
         }
         int kind = random.nextInt(6);
         String method = once || kind == 0 ? "POST" : kind == 1 ? "HEAD" : "GET";
         StringBuilder head = new StringBuilder(method)
-                .append(operation ? " /pay/" : once ? " /once/" : " /safe/").append(random.nextInt(9)).append('/')
-                .append(id).append("?of=").append(id).append(" HTTP/1.1\r\nHost: h\r\nRequest-Attempt: ").append(id)
-                .append("\r\nDeadline-Ms: ").append(350 + random.nextInt(100)).append("\r\n");
+                .append(operation ? " /pay/" : once ? " /once/" : " /safe/")
+                .append(random.nextInt(9))
+                .append('/')
+                .append(id)
+                .append("?of=")
+                .append(id)
+                .append(" HTTP/1.1\r\nHost: h\r\nRequest-Attempt: ")
+                .append(id)
+                .append("\r\nDeadline-Ms: ")
+                .append(350 + random.nextInt(100))
+                .append("\r\n");
         ByteArrayOutputStream wire = new ByteArrayOutputStream();
         if (operation) {
             head.append("Operation-Key: ").append(operations.get(id)).append("\r\n");
@@ -347,7 +395,7 @@
         wire.writeBytes(head.toString().getBytes(StandardCharsets.ISO_8859_1));
         int from = wire.size();
         if (chunks) {
-            for (int at = 0; at < body.length;) {
+            for (int at = 0; at < body.length; ) {
                 int n = Math.min(body.length - at, 1 + random.nextInt(40_000));
                 wire.writeBytes((Integer.toHexString(n) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
                 wire.write(body, at, n);
@@ -401,8 +449,10 @@
             successes.incrementAndGet();
             String from = ranAs(request, head.header("server-seal"));
             byte[] whole = request.method.equals("HEAD") ? body : UnrulyServer.Ink.body(from, true);
-            if (!UnrulyServer.Ink.seal(from).equals(head.header("server-seal")) || !Arrays.equals(whole, body)
-                    || head.header("content-encoding") != null || !runs.containsKey(from)) {
+            if (!UnrulyServer.Ink.seal(from).equals(head.header("server-seal"))
+                    || !Arrays.equals(whole, body)
+                    || head.header("content-encoding") != null
+                    || !runs.containsKey(from)) {
                 breaks.add("MIXED a success that is not the server's for " + request.id + ": " + head.text);
             }
         } else if (head.status == 429 || head.status == 503 || head.status == 408 || head.status == 421) {
--- a/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
@@ -3,8 +3,8 @@
 import java.util.function.Function;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /** A postbag behind which one scripted controller answers. */
 final class FakeCounterPost implements Messenger {
--- a/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
@@ -15,8 +15,7 @@
     private static final int STORED = 4;
     private static final int RELEASE = 2;
 
-    private record Kept(int how, long serial, byte[] answer) {
-    }
+    private record Kept(int how, long serial, byte[] answer) {}
 
     volatile boolean granting = true;
     private final Map<Long, Kept> kept = new HashMap<>();
@@ -53,6 +52,11 @@
     }
 
     private static byte[] reply(long serial, int word, byte[] payload) {
-        return MessagePackCodec.write().num(REPLY).num(serial).num(word).bytes(payload).done();
+        return MessagePackCodec.write()
+                .num(REPLY)
+                .num(serial)
+                .num(word)
+                .bytes(payload)
+                .done();
     }
 }
--- a/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/OccupancyTest.java
@@ -1,22 +1,22 @@
 package org.umbermount.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.InstanceId;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class OccupancyTest {
     private final FakeClock clock = new FakeClock();
     private final FakeMessenger messenger = new FakeMessenger(clock, 5);
@@ -25,14 +25,23 @@
 
     /** A proxy with one server, seen through the occupancy of its zone. */
     private final class Proxy {
-        final ProxyListener desk = new ProxyListener(loop, clock, new Metrics(),
-                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000), "z", new Random(1));
+        final ProxyListener desk = new ProxyListener(
+                loop,
+                clock,
+                new Metrics(),
+                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000),
+                "z",
+                new Random(1));
         final UpstreamServer server;
 
         Proxy(String address, String zone) {
             desk.watch(new Occupancy(clock, messenger.bag(DaemonAddress.parse(address)), zone, () -> controller));
-            server = new UpstreamServer(desk, new UpstreamService("s", null), new Tables.Instance(new InstanceId("i-1"), "s",
-                    DaemonAddress.parse("10.0.9.9:80"), zone, 3, 0, false), true);
+            server = new UpstreamServer(
+                    desk,
+                    new UpstreamService("s", null),
+                    new Tables.Instance(
+                            new InstanceId("i-1"), "s", DaemonAddress.parse("10.0.9.9:80"), zone, 3, 0, false),
+                    true);
         }
 
         double load() {
--- a/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -26,19 +21,24 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.control.RegisteredServer;
 import org.umbermount.control.Configuration;
+import org.umbermount.control.RegisteredServer;
 import org.umbermount.distribution.RoutingTable;
 import org.umbermount.distribution.Tables;
-import org.umbermount.kernel.Settings;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.InstanceId;
-import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.idempotency.OperationClient;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ProxyListenerTest {
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
@@ -77,17 +77,29 @@
 
     private void table(String limits, ScriptedServer... servers) throws Exception {
         Configuration r = Configuration.parse(("{\"revision\":1,\"routeTable\":["
-                + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
-                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
-                + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\",\"timeoutMs\":3000,"
-                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
-                + "\"limits\":" + limits + "}").getBytes());
+                        + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                        + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
+                        + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/once/\",\"routeType\":\"unsafe\",\"timeoutMs\":3000,"
+                        + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
+                        + "\"limits\":" + limits + "}")
+                .getBytes());
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(r));
         int n = 0;
         for (ScriptedServer s : servers) {
             String id = "i" + n++;
-            entries.put(RoutingTable.INSTANCE + id, Tables.packInstance(new RegisteredServer(new InstanceId(id), "s",
-                    "127.0.0.1:" + s.port(), "z", "v", 4, 0, RegisteredServer.Standing.IN_SERVICE, 1, DaemonAddress.NONE)));
+            entries.put(
+                    RoutingTable.INSTANCE + id,
+                    Tables.packInstance(new RegisteredServer(
+                            new InstanceId(id),
+                            "s",
+                            "127.0.0.1:" + s.port(),
+                            "z",
+                            "v",
+                            4,
+                            0,
+                            RegisteredServer.Standing.IN_SERVICE,
+                            1,
+                            DaemonAddress.NONE)));
         }
         RoutingTable table = RoutingTable.of(entries);
         clock.loop().submit(() -> desk.apply(table)).get();
@@ -102,11 +114,13 @@
     }
 
     private static String get(String path) {
-        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n";
+        return "GET " + path
+                + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n";
     }
 
     private static String messenger(String path, String body) {
-        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
+        return "POST " + path
+                + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
@@ -117,9 +131,10 @@
     @Test
     void requestReachesItsServerUnchanged() throws Exception {
         table(first);
-        String answer = exchange("POST /once/a%20b?x=1&y HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\n"
-                + "X-Other: kept\r\nConnection: close, X-Hop\r\nX-Hop: gone\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        String answer =
+                exchange("POST /once/a%20b?x=1&y HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\n"
+                        + "X-Other: kept\r\nConnection: close, X-Hop\r\nX-Hop: gone\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
         assertEquals(200, status(answer));
         assertTrue(answer.endsWith("\r\n\r\nhello") && answer.contains("s1"), answer);
         ScriptedServer.Request r = first.seen.get(0);
@@ -138,7 +153,8 @@
     void changedLimitsHoldForConnectionsThatAreThereAlready() throws Exception {
         table(first);
         String keep = "GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 2000\r\n\r\n";
-        try (Socket idle = new Socket("127.0.0.1", port); Socket busy = new Socket("127.0.0.1", port)) {
+        try (Socket idle = new Socket("127.0.0.1", port);
+                Socket busy = new Socket("127.0.0.1", port)) {
             for (Socket s : new Socket[] {idle, busy}) {
                 s.setSoTimeout(5_000);
                 ScriptedServer.write(s.getOutputStream(), keep);
@@ -175,16 +191,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-            "both|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
-            "lengths|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nContent-Length: 4\\r\\n\\r\\nabcd|400",
-            "chunk|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\nabc\\r\\n0\\r\\n\\r\\n|400",
-            "hosts|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nHost: g\\r\\n\\r\\n|400",
-            "no host|GET /safe/x HTTP/1.1\\r\\n\\r\\n|400",
-            "line|GARBAGE\\r\\n\\r\\n|400",
-            "encoding|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: gzip, chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
-            "space|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length : 3\\r\\n\\r\\nabc|400",
-            "body|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 1000001\\r\\n\\r\\nabc|413"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "both|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
+                "lengths|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 3\\r\\nContent-Length: 4\\r\\n\\r\\nabcd|400",
+                "chunk|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\nabc\\r\\n0\\r\\n\\r\\n|400",
+                "hosts|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nHost: g\\r\\n\\r\\n|400",
+                "no host|GET /safe/x HTTP/1.1\\r\\n\\r\\n|400",
+                "line|GARBAGE\\r\\n\\r\\n|400",
+                "encoding|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: gzip, chunked\\r\\n\\r\\n0\\r\\n\\r\\n|400",
+                "space|GET /safe/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length : 3\\r\\n\\r\\nabc|400",
+                "body|POST /once/x HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 1000001\\r\\n\\r\\nabc|413"
+            })
     void whatCanBeReadInTwoWaysIsRefusedAndReachesNobody(String name, String request, int expected) throws Exception {
         table(first);
         String answer = exchange(request.replace("\\r", "\r").replace("\\n", "\n"));
@@ -201,16 +220,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-            "unsealed|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 2\\r\\n\\r\\nok",
-            "short|SEALEDContent-Length: 90\\r\\n\\r\\nok",
-            "another's|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t9\\r\\nServer-Seal: s\\r\\nContent-Length: 2\\r\\n\\r\\nok",
-            "no framing|SEALED\\r\\nok",
-            "encoded|SEALEDContent-Encoding: gzip\\r\\nContent-Length: 2\\r\\n\\r\\nok",
-            "noise|\\u0001\\u0002 what is this\\r\\n\\r\\n",
-            "cut chunks|SEALEDTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nab",
-            "nothing|''",
-            "false promise|HTTP/1.1 503 Busy\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 0\\r\\n\\r\\n"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "unsealed|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+                "short|SEALEDContent-Length: 90\\r\\n\\r\\nok",
+                "another's|HTTP/1.1 200 OK\\r\\nRequest-Attempt: t9\\r\\nServer-Seal: s\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+                "no framing|SEALED\\r\\nok",
+                "encoded|SEALEDContent-Encoding: gzip\\r\\nContent-Length: 2\\r\\n\\r\\nok",
+                "noise|\\u0001\\u0002 what is this\\r\\n\\r\\n",
+                "cut chunks|SEALEDTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nab",
+                "nothing|''",
+                "false promise|HTTP/1.1 503 Busy\\r\\nRequest-Attempt: t1\\r\\nContent-Length: 0\\r\\n\\r\\n"
+            })
     void brokenAnswerIsNeverASuccessNorAPromiseAndAnUnsafeRequestIsSentOnce(String name, String text) throws Exception {
         table(first, second);
         String raw = text.replace("SEALED", SEALED).replace("\\r", "\r").replace("\\n", "\n");
@@ -274,7 +296,8 @@
     @Test
     void bytesBehindAnAnswerRetireTheConnection() throws Exception {
         table(first);
-        first.act(ScriptedServer.raw(SEALED + "Content-Length: 2\r\n\r\nok" + SEALED + "Content-Length: 4\r\n\r\nevil", true));
+        first.act(ScriptedServer.raw(
+                SEALED + "Content-Length: 2\r\n\r\nok" + SEALED + "Content-Length: 4\r\n\r\nevil", true));
         for (int i = 0; i < 3; i++) {
             String answer = exchange(get("/safe/x"));
             assertTrue(answer.endsWith("\r\n\r\nok"), answer);
@@ -288,12 +311,16 @@
         table(first);
         first.act((request, out) -> {
             String id = request.header("Request-Attempt");
-            ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: " + id + "\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n" + id);
+            ScriptedServer.write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nRequest-Attempt: " + id + "\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n"
+                            + id);
             return true;
         });
         assertTrue(exchange(get("/safe/x")).endsWith("t1"));
         first.act((request, out) -> {
-            ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nt1");
+            ScriptedServer.write(
+                    out, "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nt1");
             return true;
         });
         String answer = exchange(messenger("/once/x", "b").replace("t1", "t2"));
@@ -316,7 +343,8 @@
             return true;
         });
         String request = get("/safe/slow").replace("Connection: close\r\n", "")
-                + get("/safe/fast").replace("Connection: close\r\n", "") + get("/safe/last");
+                + get("/safe/fast").replace("Connection: close\r\n", "")
+                + get("/safe/last");
         String answer = exchange(request);
         int a = answer.indexOf("/safe/slow");
         int b = answer.indexOf("/safe/fast");
@@ -391,15 +419,26 @@
     @Test
     void drainingServerGetsNothingNew() throws Exception {
         table(first, second);
-        RegisteredServer draining = new RegisteredServer(new InstanceId("i0"), "s", "127.0.0.1:" + first.port(), "z", "v", 4, 0,
-                RegisteredServer.Standing.DRAINING, 2, DaemonAddress.NONE);
+        RegisteredServer draining = new RegisteredServer(
+                new InstanceId("i0"),
+                "s",
+                "127.0.0.1:" + first.port(),
+                "z",
+                "v",
+                4,
+                0,
+                RegisteredServer.Standing.DRAINING,
+                2,
+                DaemonAddress.NONE);
         table(first, second);
         Map<String, byte[]> entries = new HashMap<>();
-        clock.loop().submit(() -> {
-            entries.putAll(desk.table().entries());
-            entries.put(RoutingTable.INSTANCE + "i0", Tables.packInstance(draining));
-            desk.apply(RoutingTable.of(entries));
-        }).get();
+        clock.loop()
+                .submit(() -> {
+                    entries.putAll(desk.table().entries());
+                    entries.put(RoutingTable.INSTANCE + "i0", Tables.packInstance(draining));
+                    desk.apply(RoutingTable.of(entries));
+                })
+                .get();
         for (int i = 0; i < 6; i++) {
             assertEquals(200, status(exchange(get("/safe/x"))));
         }
@@ -433,7 +472,8 @@
     private String answersAroundAnUnreadableRequest() throws Exception {
         table(first);
         first.act(slowOn("/once/a", 150));
-        return exchange(more(messenger("/once/a", "x")) + more(messenger("/once/b", "x")).replace("t1", "t2")
+        return exchange(more(messenger("/once/a", "x"))
+                + more(messenger("/once/b", "x")).replace("t1", "t2")
                 + "GET /safe/c HTTP/1.1\r\nHost: h\r\nHost: g\r\nRequest-Attempt: t3\r\n\r\n");
     }
 
@@ -443,7 +483,10 @@
         int second = answers.indexOf("HTTP/1.1 ", 9);
         int third = answers.indexOf("HTTP/1.1 ", second + 9);
         assertTrue(status(answers) == 200 && third > 0, answers);
-        assertTrue(status(answers.substring(second)) == 200 && answers.substring(second, third).contains("t2"), answers);
+        assertTrue(
+                status(answers.substring(second)) == 200
+                        && answers.substring(second, third).contains("t2"),
+                answers);
         assertEquals(400, status(answers.substring(third)));
         String mixed = Mutation.without(Safeguard.REFUSAL_IN_ITS_PLACE, this::answersAroundAnUnreadableRequest);
         assertEquals(400, status(mixed.substring(mixed.indexOf("HTTP/1.1 ", 9))), mixed);
@@ -464,7 +507,8 @@
         first.act(ScriptedServer.ok("hello"));
         assertEquals(200, status(exchange(get("/safe/x"))));
         int before = first.connections.get();
-        first.act((request, out) -> first.connections.get() > before && ScriptedServer.ok("hello").answer(request, out));
+        first.act((request, out) ->
+                first.connections.get() > before && ScriptedServer.ok("hello").answer(request, out));
         Thread.sleep(300);
         return status(exchange(messenger("/once/x", "b")));
     }
@@ -557,7 +601,8 @@
             pipelined.countDown();
             String rest = new String(readToEnd(socket), StandardCharsets.ISO_8859_1);
             assertTrue(rest.startsWith(half + half));
-            return rest.length() > 400_000 || first.seen.stream().anyMatch(r -> r.head().contains("/once/c"));
+            return rest.length() > 400_000
+                    || first.seen.stream().anyMatch(r -> r.head().contains("/once/c"));
         }
     }
 
@@ -565,9 +610,12 @@
         java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
         byte[] piece = new byte[65_536];
         try {
-            for (int n = socket.getInputStream().read(piece); n > 0; n = socket.getInputStream().read(piece)) {
+            for (int n = socket.getInputStream().read(piece);
+                    n > 0;
+                    n = socket.getInputStream().read(piece)) {
                 all.write(piece, 0, n);
-                if (all.size() > 400_000 && new String(all.toByteArray(), StandardCharsets.ISO_8859_1).endsWith("hello")) {
+                if (all.size() > 400_000
+                        && new String(all.toByteArray(), StandardCharsets.ISO_8859_1).endsWith("hello")) {
                     break;
                 }
             }
@@ -589,19 +637,22 @@
     private void keyedTable(ScriptedServer... servers) throws Exception {
         table(servers);
         Configuration r = Configuration.parse(("{\"revision\":2,\"routeTable\":["
-                + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
-                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
-                + "{\"label\":\"o\",\"virtualHost\":\"h\",\"pathPrefix\":\"/open/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
-                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2,\"anonymous\":true},"
-                + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,"
-                + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
-                + "\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"k1\",\"k2\"]},{\"label\":\"shop\",\"apiKeys\":[\"k3\"]}]}").getBytes());
-        clock.loop().submit(() -> {
-            Map<String, byte[]> entries = new HashMap<>(desk.table().entries());
-            entries.keySet().removeIf(k -> k.startsWith(RoutingTable.ROUTE));
-            entries.putAll(Tables.packConfiguration(r));
-            desk.apply(RoutingTable.of(entries));
-        }).get();
+                        + "{\"label\":\"a\",\"virtualHost\":\"h\",\"pathPrefix\":\"/safe/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                        + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2},"
+                        + "{\"label\":\"o\",\"virtualHost\":\"h\",\"pathPrefix\":\"/open/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
+                        + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2,\"anonymous\":true},"
+                        + "{\"label\":\"b\",\"virtualHost\":\"h\",\"pathPrefix\":\"/pay/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,"
+                        + "\"targetLatencyMs\":400,\"upstream\":\"s\",\"maxTries\":2}],\"upstreams\":[{\"label\":\"s\"}],"
+                        + "\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"k1\",\"k2\"]},{\"label\":\"shop\",\"apiKeys\":[\"k3\"]}]}")
+                .getBytes());
+        clock.loop()
+                .submit(() -> {
+                    Map<String, byte[]> entries = new HashMap<>(desk.table().entries());
+                    entries.keySet().removeIf(k -> k.startsWith(RoutingTable.ROUTE));
+                    entries.putAll(Tables.packConfiguration(r));
+                    desk.apply(RoutingTable.of(entries));
+                })
+                .get();
     }
 
     private static String keyed(String path, String headers) {
@@ -616,17 +667,27 @@
         assertEquals(null, first.seen.get(0).header("Authorization"));
         assertEquals(200, status(exchange(keyed("/open/x", "Tenant: mill\r\n"))));
         assertEquals(null, first.seen.get(1).header("Tenant"));
-        assertEquals(200, status(exchange(keyed("/safe/x", "Authorization: Token k2\r\nConnection: close, Tenant\r\n"))));
+        assertEquals(
+                200, status(exchange(keyed("/safe/x", "Authorization: Token k2\r\nConnection: close, Tenant\r\n"))));
         assertEquals("mill", first.seen.get(2).header("Tenant"));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"''|401", "Authorization: Token k9\\r\\n|401", "Authorization: Basic k1\\r\\n|401",
-            "Authorization: Token\\r\\n|401", "Authorization: Token k1 k1\\r\\n|401",
-            "Authorization: Token k1\\r\\nAuthorization: Token k3\\r\\n|400"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "''|401",
+                "Authorization: Token k9\\r\\n|401",
+                "Authorization: Basic k1\\r\\n|401",
+                "Authorization: Token\\r\\n|401",
+                "Authorization: Token k1 k1\\r\\n|401",
+                "Authorization: Token k1\\r\\nAuthorization: Token k3\\r\\n|400"
+            })
     void requestWithoutAKeyThatCountsReachesNobody(String headers, int expected) throws Exception {
         keyedTable(first);
-        assertEquals(expected, status(exchange(keyed("/safe/x", headers.replace("\\r", "\r").replace("\\n", "\n")))));
+        assertEquals(
+                expected,
+                status(exchange(keyed("/safe/x", headers.replace("\\r", "\r").replace("\\n", "\n")))));
         assertEquals(0, first.seen.size());
     }
 
@@ -661,8 +722,11 @@
         keyedTable(first);
         FakeRegister register = new FakeRegister();
         OperationClient counter = counter(register::answer);
-        clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
-        String operation = messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        clock.loop()
+                .submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE))
+                .get();
+        String operation = messenger("/pay/x", "b")
+                .replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         register.granting = false;
         String none = exchange(operation);
         assertEquals(503, status(none), none);
@@ -676,7 +740,8 @@
         assertEquals(200, status(repeat), repeat);
         assertTrue(repeat.contains("t7") && repeat.contains("s1") && repeat.endsWith("hello"), repeat);
         assertEquals(1, first.seen.size());
-        String without = exchange(messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"));
+        String without =
+                exchange(messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"));
         assertEquals(400, status(without));
     }
 
@@ -685,10 +750,13 @@
         keyedTable(first, second);
         FakeRegister register = new FakeRegister();
         OperationClient counter = counter(register::answer);
-        clock.loop().submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE)).get();
+        clock.loop()
+                .submit(() -> desk.share(counter, null, () -> Long.MAX_VALUE))
+                .get();
         first.act(ScriptedServer.raw("", false));
         second.act(ScriptedServer.raw("", false));
-        String operation = messenger("/pay/x", "b").replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
+        String operation = messenger("/pay/x", "b")
+                .replace("Deadline-Ms", "Authorization: Token k1\r\nOperation-Key: op1\r\nDeadline-Ms");
         assertEquals(502, status(exchange(operation)));
         Thread.sleep(300);
         assertEquals(502, status(exchange(operation)));
--- a/proxy/src/test/java/org/umbermount/proxy/RetryBudgetTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/RetryBudgetTest.java
@@ -1,15 +1,15 @@
 package org.umbermount.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.MonotonicTime;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class RetryBudgetTest {
     @Test
     void restartedDaemonStartsWithNone() {
@@ -44,10 +44,13 @@
         assertTrue(tries.size() > 200, "too few: " + tries.size());
         for (long start = 0; start < 50_000; start += 100) {
             long from = start;
-            long used = tries.stream().filter(x -> x >= from && x < from + 10_000).count();
+            long used =
+                    tries.stream().filter(x -> x >= from && x < from + 10_000).count();
             long best = 0;
             for (long w : new long[] {from, from - 10_000, from - 5_000}) {
-                best = Math.max(best, requests.stream().filter(x -> x >= w && x < w + 10_000).count());
+                best = Math.max(
+                        best,
+                        requests.stream().filter(x -> x >= w && x < w + 10_000).count());
             }
             assertTrue(used <= best * 0.2 + 60, "window from " + from + ": " + used + " of " + best);
         }
--- a/proxy/src/test/java/org/umbermount/proxy/ScriptedServer.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ScriptedServer.java
@@ -54,8 +54,10 @@
 
     static Act ok(String body) {
         return (request, out) -> {
-            write(out, "HTTP/1.1 200 OK\r\nRequest-Attempt: " + request.header("Request-Attempt")
-                    + "\r\nServer-Seal: s1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nRequest-Attempt: " + request.header("Request-Attempt")
+                            + "\r\nServer-Seal: s1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
             return true;
         };
     }
--- a/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
@@ -1,12 +1,5 @@
 package org.umbermount.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -20,6 +13,13 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class SendingsTest {
     private static final MonotonicTime NOW = new MonotonicTime(10_000);
     private final RetryBudget budget = new RetryBudget(0.2, 100, 1_000, new MonotonicTime(0));
@@ -64,8 +64,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"503,true,true", "429,true,true", "400,true,true", "421,false,true", "503,false,false", "200,true,false",
-            "500,false,false", "408,false,false"})
+    @CsvSource({
+        "503,true,true",
+        "429,true,true",
+        "400,true,true",
+        "421,false,true",
+        "503,false,false",
+        "200,true,false",
+        "500,false,false",
+        "408,false,false"
+    })
     void onlyAnAnswerThatSaysSoProvesThatNothingRan(int status, boolean header, boolean proves) {
         Sendings unsafe = new Sendings(false);
         Sendings.Permit permit = unsafe.first();
--- a/proxy/src/test/java/org/umbermount/proxy/UnrulyServer.java
+++ b/proxy/src/test/java/org/umbermount/proxy/UnrulyServer.java
@@ -17,8 +17,7 @@
 final class UnrulyServer implements AutoCloseable {
     /** What every request and every answer of the hunt is made from. */
     static final class Ink {
-        private Ink() {
-        }
+        private Ink() {}
 
         static int hash(String text, long seed) {
             long h = seed * 0x9E3779B97F4A7C15L;
@@ -224,7 +223,8 @@
                 return false;
             }
             if (sort == 2) {
-                say("HTTP/1.1 429 Slow down\r\nNot-Executed: 1\r\nRequest-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\nno");
+                say("HTTP/1.1 429 Slow down\r\nNot-Executed: 1\r\nRequest-Attempt: " + id
+                        + "\r\nContent-Length: 2\r\n\r\nno");
                 return true;
             }
             if (!owed.isEmpty()) {
@@ -355,7 +355,8 @@
                     return true;
                 }
                 case 24 -> {
-                    say("HTTP/1.1 500 Oops\r\nRequest-Attempt: " + id + "\r\nContent-Length: 4\r\n\r\n" + (bare ? "" : "oops"));
+                    say("HTTP/1.1 500 Oops\r\nRequest-Attempt: " + id + "\r\nContent-Length: 4\r\n\r\n"
+                            + (bare ? "" : "oops"));
                     return true;
                 }
                 case 25 -> {
@@ -374,7 +375,10 @@
             StringBuilder out = new StringBuilder();
             Consumer<String> chunk = piece -> {
                 if (!piece.isEmpty()) {
-                    out.append(Integer.toHexString(piece.length())).append("\r\n").append(piece).append("\r\n");
+                    out.append(Integer.toHexString(piece.length()))
+                            .append("\r\n")
+                            .append(piece)
+                            .append("\r\n");
                 }
             };
             chunk.accept(text.substring(0, cut));
--- a/quota/src/main/java/org/umbermount/quota/QuotaClient.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -9,11 +9,11 @@
 import org.umbermount.control.Configuration;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /** A proxy's side of the quotas: asks for a few requests' worth at a time and lets what is not used soon lapse. */
 public final class QuotaClient {
@@ -21,6 +21,7 @@
     private static final long REFUSE_MS = 250;
     /** A token that comes so soon is waited for, once. */
     private static final long WORTH_WAITING_MS = 120;
+
     private static final int WAITING_AT_MOST = 64;
     private static final double OFTEN_REFUSED = 4;
     private static final long SOON_MS = 180;
@@ -112,8 +113,14 @@
             int ahead = (int) Math.min(6, demand * ttlMs / 2_000);
             DaemonAddress to = target(tenant, asks++);
             if (to != null) {
-                messenger.send(to, Messenger.Topic.QUOTA, new QuotaMessages.Ask(life, now.millis(),
-                        List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead))).pack());
+                messenger.send(
+                        to,
+                        Messenger.Topic.QUOTA,
+                        new QuotaMessages.Ask(
+                                        life,
+                                        now.millis(),
+                                        List.of(new QuotaMessages.Wish(tenant, waiting.size() + ahead)))
+                                .pack());
             }
             timer = clock.after(REPEAT_MS, this::ask);
         }
@@ -122,7 +129,8 @@
             MonotonicTime now = clock.now();
             String duty = QuotaMessages.dutyOf(tenant);
             if (grant.count() < 0) {
-                boolean known = !grant.keeper().equals(DaemonAddress.NONE) && !grant.keeper().equals(from);
+                boolean known = !grant.keeper().equals(DaemonAddress.NONE)
+                        && !grant.keeper().equals(from);
                 if (known) {
                     keepers.put(duty, grant.keeper());
                 }
@@ -174,6 +182,7 @@
     private final long ttlMs;
     /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
     private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
+
     private final Supplier<List<DaemonAddress>> controllers;
     private final Map<String, Purse> purses = new HashMap<>();
     private final Map<String, DaemonAddress> keepers = new HashMap<>();
@@ -182,7 +191,8 @@
      * @param ttlMs how long a grant that nobody waits for may be spent, counted from when it was asked for
      * @param controllers the controllers known, for when the keeper of a count is not
      */
-    public QuotaClient(Clock clock, Messenger messenger, Metrics metrics, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
+    public QuotaClient(
+            Clock clock, Messenger messenger, Metrics metrics, long ttlMs, Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
         this.messenger = messenger;
         this.metrics = metrics;
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -4,23 +4,24 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.control.Replica;
-import org.umbermount.control.MajorityContact;
 import org.umbermount.control.Configuration;
 import org.umbermount.control.LeaseManager;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MonotonicTime;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Settings;
 
 /** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
 final class QuotaGranter {
     /** What a new holder starts with: small enough that two changes of holder in a window stay inside the slack. */
     private static final double START_SHARE = 0.4;
+
     private static final double CAP_SHARE = 0.2;
 
     private final Clock clock;
@@ -34,8 +35,14 @@
     private Configuration limitsOf;
     private Map<String, Configuration.Tenant> limits = Map.of();
 
-    QuotaGranter(Clock clock, Messenger messenger, Replica replica, LeaseManager leases,
-            MajorityContact contact, Settings.Sharing sharing, Metrics metrics) {
+    QuotaGranter(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            LeaseManager leases,
+            MajorityContact contact,
+            Settings.Sharing sharing,
+            Metrics metrics) {
         this.clock = clock;
         this.messenger = messenger;
         this.replica = replica;
@@ -93,7 +100,8 @@
             buckets.put(wish.tenant(), bucket);
         }
         int n = bucket.take(wish.count(), limit.ratePerS(), limit.burst() + CAP_SHARE * sharing.quotaBurst(), now);
-        metrics.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
+        metrics.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met")
+                .increment();
         return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), messenger.self());
     }
 
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranterPlugin.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranterPlugin.java
@@ -2,16 +2,16 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.umbermount.control.Replica;
-import org.umbermount.control.MajorityContact;
 import org.umbermount.control.Configuration;
-import org.umbermount.control.StatusPage;
 import org.umbermount.control.LeaseManager;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.Replica;
+import org.umbermount.control.StatusPage;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Plugin;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.PluginHost;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
 
 /** The counting of tenants as a plug-in of the controller. */
 public final class QuotaGranterPlugin implements Plugin {
@@ -37,8 +37,14 @@
     public void open(PluginHost host) {
         replica = host.find(Replica.class);
         if (host.rules().guarantees(Settings.QUOTA)) {
-            desk = new QuotaGranter(host.clock(), host.find(Messenger.class), replica, host.find(LeaseManager.class),
-                    host.find(MajorityContact.class), host.rules().bounds().sharing(), host.metrics());
+            desk = new QuotaGranter(
+                    host.clock(),
+                    host.find(Messenger.class),
+                    replica,
+                    host.find(LeaseManager.class),
+                    host.find(MajorityContact.class),
+                    host.rules().bounds().sharing(),
+                    host.metrics());
         }
         StatusPage page = host.findOrNull(StatusPage.class);
         if (page != null) {
@@ -54,8 +60,12 @@
             return;
         }
         for (Configuration.Tenant t : regulations.tenants()) {
-            ObjectNode one = tenants.addObject().put("tenant", t.label()).put("keys", t.apiKeys().size())
-                    .put("priority", t.priority()).put("ratePerS", t.ratePerS()).put("burst", t.burst());
+            ObjectNode one = tenants.addObject()
+                    .put("tenant", t.label())
+                    .put("keys", t.apiKeys().size())
+                    .put("priority", t.priority())
+                    .put("ratePerS", t.ratePerS())
+                    .put("burst", t.burst());
             Bucket bucket = desk == null ? null : desk.buckets().get(t.label());
             if (bucket != null) {
                 one.put("tokensHere", Math.floor(bucket.tokens() * 10) / 10);
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -7,8 +7,7 @@
 
 /** What proxies and controllers say to each other about quotas. */
 final class QuotaMessages {
-    private QuotaMessages() {
-    }
+    private QuotaMessages() {}
 
     /** The duty that counts a tenant. */
     static String dutyOf(String tenant) {
@@ -30,7 +29,12 @@
     /** A proxy asks; the stamp is its own clock, the life stands for this run of it, and both come back with the answer. */
     record Ask(long life, long stamp, List<Wish> wishes) {
         byte[] pack() {
-            return MessagePackCodec.write().flag(true).num(life).num(stamp).list(wishes, (o, w) -> w.write(o)).done();
+            return MessagePackCodec.write()
+                    .flag(true)
+                    .num(life)
+                    .num(stamp)
+                    .list(wishes, (o, w) -> w.write(o))
+                    .done();
         }
 
         static Ask read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
@@ -55,7 +59,12 @@
     /** A controller answers. */
     record Answer(long life, long stamp, List<Grant> grants) {
         byte[] pack() {
-            return MessagePackCodec.write().flag(false).num(life).num(stamp).list(grants, (o, g) -> g.write(o)).done();
+            return MessagePackCodec.write()
+                    .flag(false)
+                    .num(life)
+                    .num(stamp)
+                    .list(grants, (o, g) -> g.write(o))
+                    .done();
         }
 
         static Answer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.quota;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,19 +7,24 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.umbermount.control.Replica;
 import org.umbermount.control.Fleet;
 import org.umbermount.control.Isolation;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.ConfigurationRevision;
-import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Messenger;
-import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.testing.FakeMessenger;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** What a counter of quotas grants that is cut off, or was. */
 class CutOffQuotaTest {
     private static final int SIZE = 4;
@@ -36,8 +36,14 @@
     private void open() throws IOException {
         fleet = new Fleet(SIZE, 3, 5, 1, null, Set.of(Settings.QUOTA));
         for (int i = 0; i < SIZE; i++) {
-            new QuotaGranter(fleet.clock(i), fleet.bag(i), fleet.replica(i), fleet.leases(i), fleet.contact(i),
-                    Settings.Sharing.NONE, new Metrics());
+            new QuotaGranter(
+                    fleet.clock(i),
+                    fleet.bag(i),
+                    fleet.replica(i),
+                    fleet.leases(i),
+                    fleet.contact(i),
+                    Settings.Sharing.NONE,
+                    new Metrics());
         }
         proxy = fleet.network.bag(PROXY);
         proxy.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
@@ -54,17 +60,27 @@
 
     private void take(int at, long match, long edition, int rate) {
         Replica.Verdict[] verdict = new Replica.Verdict[1];
-        fleet.chainClient(at).submit(new ConfigurationRevision(match), new ConfigurationRevision(edition), ("{\"revision\":" + edition
-                + ",\"routeTable\":[],\"upstreams\":[],\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"key-of-mill-0001\"],"
-                + "\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}").getBytes(), 850,
-                v -> verdict[0] = v, () -> { });
+        fleet.chainClient(at)
+                .submit(
+                        new ConfigurationRevision(match),
+                        new ConfigurationRevision(edition),
+                        ("{\"revision\":" + edition
+                                        + ",\"routeTable\":[],\"upstreams\":[],\"tenants\":[{\"label\":\"mill\",\"apiKeys\":[\"key-of-mill-0001\"],"
+                                        + "\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}")
+                                .getBytes(),
+                        850,
+                        v -> verdict[0] = v,
+                        () -> {});
         fleet.run(900);
         assertEquals(Replica.Verdict.TAKEN, verdict[0]);
     }
 
     private void ask(int at) {
-        proxy.send(Fleet.daemonAddress(at), Messenger.Topic.QUOTA,
-                new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3))).pack());
+        proxy.send(
+                Fleet.daemonAddress(at),
+                Messenger.Topic.QUOTA,
+                new QuotaMessages.Ask(1, fleet.almanac.now().millis(), List.of(new QuotaMessages.Wish("mill", 3)))
+                        .pack());
     }
 
     private int holder() {
@@ -110,7 +126,8 @@
     void aHolderAppliesNoLimitsThatMayBeOld() throws Exception {
         assertNull(oldLimits(false));
         assertNull(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW, () -> oldLimits(true)));
-        assertNotNull(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW,
+        assertNotNull(Mutation.without(
+                Safeguard.GRANTS_OF_ONE_VIEW,
                 () -> Mutation.without(Safeguard.QUOTA_UNDER_CONFIRMED_EDITION, () -> oldLimits(true))));
     }
 
@@ -122,7 +139,8 @@
         take((one + 1) % SIZE, 1, 5, 1);
         fleet.run(12_000);
         long until = fleet.almanac.now().millis() + 12_000;
-        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.daemonAddress(one)) || topic != Messenger.Topic.VIEW
+        fleet.network.tap = (from, to, topic, body) -> !to.equals(Fleet.daemonAddress(one))
+                || topic != Messenger.Topic.VIEW
                 || fleet.almanac.now().millis() > until;
         // The others stop, one after the other, so that the duty comes back.
         end.run();
@@ -140,7 +158,8 @@
             counted += holder() == one ? 1 : 0;
             if (granted.getOrDefault(Fleet.daemonAddress(one), -1) >= 0
                     && fleet.replica(one).committed().edition().value() < 5) {
-                wrong = "granted under edition " + fleet.replica(one).committed().edition();
+                wrong = "granted under edition "
+                        + fleet.replica(one).committed().edition();
             }
         }
         assertEquals(held, counted > 0, "whether the duty came back before the news");
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.quota;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,15 +9,18 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.umbermount.control.Configuration;
 import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.MessagePackCodec;
-import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.kernel.testing.FakeMessenger;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class QuotaTest {
     private static final DaemonAddress KEEPER = DaemonAddress.parse("10.0.0.1:7000");
     private static final Configuration.Tenant TENANT = new Configuration.Tenant("mill", List.of("k"), 0, 30, 30);
@@ -44,13 +44,24 @@
             if (reachable) {
                 QuotaMessages.Wish w = ask.wishes().get(0);
                 int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, clock.now());
-                bag.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
-                        List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
+                bag.send(
+                        from,
+                        Messenger.Topic.QUOTA,
+                        new QuotaMessages.Answer(
+                                        ask.life(),
+                                        ask.stamp(),
+                                        List.of(new QuotaMessages.Grant(
+                                                w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER)))
+                                .pack());
             }
         });
         for (int i = 0; i < count; i++) {
-            QuotaClient c = new QuotaClient(clock, network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")), new Metrics(),
-                    (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+            QuotaClient c = new QuotaClient(
+                    clock,
+                    network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")),
+                    new Metrics(),
+                    (long) (OVERSHOOT * WINDOW_MS / 2),
+                    List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
             proxies.add(c);
         }
@@ -126,11 +137,15 @@
         open(1);
         clock.advance(3_000);
         network.delayMs = 30;
-        proxies.get(0).take(TENANT, 200, word -> { });
+        proxies.get(0).take(TENANT, 200, word -> {});
         clock.advance(35);
         reachable = false;
-        QuotaClient anew = new QuotaClient(clock, network.bag(DaemonAddress.parse("10.0.1.1:7001")), new Metrics(),
-                (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+        QuotaClient anew = new QuotaClient(
+                clock,
+                network.bag(DaemonAddress.parse("10.0.1.1:7001")),
+                new Metrics(),
+                (long) (OVERSHOOT * WINDOW_MS / 2),
+                List::of);
         anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
         QuotaClient.Word[] told = new QuotaClient.Word[1];
         anew.take(TENANT, 200, word -> told[0] = word);
@@ -141,7 +156,7 @@
     @Test
     void grantToAnEarlierLifeIsNotSpent() throws Exception {
         assertEquals(QuotaClient.Word.NOBODY, toldAfterARestart());
-        assertEquals(QuotaClient.Word.MAY,
-                Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest().toldAfterARestart()));
+        assertEquals(QuotaClient.Word.MAY, Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest()
+                .toldAfterARestart()));
     }
 }
--- a/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
+++ b/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
@@ -36,6 +36,7 @@
 
     /** Holds the generation; no put may use it. */
     static final byte GENERATION = 0;
+
     static final byte[] TITLE = {'u', 'm', 'b', 's', 't', 'k', 0, 1};
     private static final int HEAD = 8;
     private static final int FOLIO_HEAD = 5;
@@ -47,6 +48,7 @@
     private final Map<Byte, byte[]> newest = new TreeMap<>();
     /** The file in use. */
     private String name;
+
     private String spare;
     private long generation;
     private long length;
@@ -126,6 +128,7 @@
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
         int end;
+
         int damagedAt = -1;
         long generation;
 
@@ -245,7 +248,9 @@
     /** All that counts, as the first record of the next generation. */
     private byte[] whole() {
         List<LogRecord> all = new ArrayList<>();
-        all.add(new LogRecord(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
+        all.add(new LogRecord(
+                GENERATION,
+                ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
         newest.forEach((k, v) -> all.add(new LogRecord(k, v)));
         return encode(all, true);
     }
@@ -259,7 +264,8 @@
         }
         uncertainSpare = true;
         vault.append(spare, 0, whole);
-        // The spare file is safe and says the same: from here on it is the one in use, also if the old one stays for now.
+        // The spare file is safe and says the same: from here on it is the one in use, also if the old one stays for
+        // now.
         swapFiles();
         generation++;
         length = whole.length;
--- a/storage/src/main/java/org/umbermount/storage/DiskWriter.java
+++ b/storage/src/main/java/org/umbermount/storage/DiskWriter.java
@@ -62,7 +62,7 @@
 
     private void probe() {
         if (refusing && pending.isEmpty()) {
-            write(List.of(new LogRecord(PROBE_KEY, new byte[64])), safe -> { });
+            write(List.of(new LogRecord(PROBE_KEY, new byte[64])), safe -> {});
         }
     }
 
--- a/storage/src/main/java/org/umbermount/storage/LogRecord.java
+++ b/storage/src/main/java/org/umbermount/storage/LogRecord.java
@@ -1,5 +1,4 @@
 package org.umbermount.storage;
 
 /** One record of a stack: a key, and the newest value under it. */
-public record LogRecord(byte key, byte[] value) {
-}
+public record LogRecord(byte key, byte[] value) {}
--- a/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -22,6 +22,7 @@
 public final class SegmentedLog {
     /** The last byte is the version of the format; in version 1 no record was marked. */
     static final byte[] TITLE = {'u', 'm', 'b', 'l', 'd', 'g', 0, 2};
+
     private static final int HEAD = 8;
     private static final int FOLLOWS = 1 << 31;
 
@@ -44,7 +45,8 @@
     }
 
     /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
-    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, ClientConnection reader) throws IOException {
+    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, ClientConnection reader)
+            throws IOException {
         SegmentedLog ledger = new SegmentedLog(vault, prefix, segmentBytes);
         ledger.load(reader);
         return ledger;
@@ -53,7 +55,8 @@
     private void load(ClientConnection reader) throws IOException {
         List<Integer> numbers = new ArrayList<>();
         for (String name : vault.list()) {
-            if (name.startsWith(prefix + ".") && name.substring(prefix.length() + 1).matches("[0-9]{1,9}")) {
+            if (name.startsWith(prefix + ".")
+                    && name.substring(prefix.length() + 1).matches("[0-9]{1,9}")) {
                 numbers.add(Integer.parseInt(name.substring(prefix.length() + 1)));
             }
         }
@@ -100,6 +103,7 @@
         final List<byte[]> records = new ArrayList<>();
         /** Where the last whole record ends; 0 if there is none. */
         int end;
+
         int brokenAt;
         boolean damaged;
 
@@ -206,7 +210,8 @@
 
     /** Removes every segment up to this one, the oldest first, but never the last one that holds something. */
     public void dropThrough(int number) throws IOException {
-        while (segments.size() > 1 && segments.firstKey() <= number
+        while (segments.size() > 1
+                && segments.firstKey() <= number
                 && segments.higherEntry(segments.firstKey()).getValue() > 0) {
             vault.remove(name(segments.firstKey()));
             segments.pollFirstEntry();
--- a/storage/src/test/java/org/umbermount/storage/AppendOnlyFileTest.java
+++ b/storage/src/test/java/org/umbermount/storage/AppendOnlyFileTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.storage;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -13,6 +8,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.umbermount.storage.testing.FakeDirectory;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class AppendOnlyFileTest {
     private static List<LogRecord> folio(int key, String value) {
         return List.of(new LogRecord((byte) key, value.getBytes()));
@@ -113,12 +113,21 @@
         vault.tearAt = 11;
         assertThrows(IOException.class, () -> ledger.append(List.of("torn".getBytes())));
         SegmentedLog.open(vault, "l", 60, (segment, body) -> read.add(new String(body)));
-        assertTrue(read.size() == 16 && read.get(0).equals("record 0") && read.get(15).equals("and 7"), read.toString());
+        assertTrue(
+                read.size() == 16
+                        && read.get(0).equals("record 0")
+                        && read.get(15).equals("and 7"),
+                read.toString());
         ledger.dropThrough(2);
         read.clear();
         SegmentedLog.open(vault, "l", 60, (segment, body) -> read.add(segment + new String(body)));
-        assertTrue(!read.isEmpty() && read.get(0).startsWith("3") && read.get(read.size() - 1).endsWith("and 7"), read.toString());
+        assertTrue(
+                !read.isEmpty()
+                        && read.get(0).startsWith("3")
+                        && read.get(read.size() - 1).endsWith("and 7"),
+                read.toString());
         vault.raw("l.3", Arrays.copyOf(vault.raw("l.3"), vault.raw("l.3").length - 3));
-        assertThrows(AppendOnlyFile.DamagedException.class, () -> SegmentedLog.open(vault, "l", 60, (segment, body) -> { }));
+        assertThrows(
+                AppendOnlyFile.DamagedException.class, () -> SegmentedLog.open(vault, "l", 60, (segment, body) -> {}));
     }
 }
--- a/storage/src/test/java/org/umbermount/storage/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.storage;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +10,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.umbermount.storage.testing.FakeDirectory;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
 class DamageTest {
     private static final int SEGMENT = 60;
@@ -26,7 +26,7 @@
     }
 
     private static SegmentedLog ledger(FakeDirectory vault) throws IOException {
-        return SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> { });
+        return SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {});
     }
 
     private static void append(SegmentedLog ledger, String... records) throws IOException {
@@ -75,7 +75,8 @@
         for (int at = 0; at < last; at++) {
             vault.raw(name, good);
             flip(vault, name, at);
-            Exception e = assertThrows(AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 120), "byte " + at);
+            Exception e = assertThrows(
+                    AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 120), "byte " + at);
             assertTrue(e.getMessage().startsWith("The file " + name + " is damaged at byte "), e.getMessage());
         }
         AppendOnlyFile.discard(vault, "f");
@@ -95,7 +96,10 @@
             byte[] good = vault.raw(name);
             for (int length = 1; length < 40; length++) {
                 vault.raw(name, Arrays.copyOf(good, length));
-                assertThrows(AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 60), name + " cut to " + length);
+                assertThrows(
+                        AppendOnlyFile.DamagedException.class,
+                        () -> AppendOnlyFile.open(vault, "f", 60),
+                        name + " cut to " + length);
             }
             vault.raw(name, good);
         }
@@ -107,11 +111,15 @@
             FakeDirectory vault = new FakeDirectory().chance(seed);
             append(ledger(vault), "kept");
             vault.endBeforeSync = true;
-            assertThrows(IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
+            assertThrows(
+                    IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
             vault.losePower();
             List<String> read = records(vault);
-            assertTrue(read.equals(List.of("kept", "a".repeat(40), "b".repeat(40), "c".repeat(40)).subList(0, read.size()))
-                    && !read.isEmpty(), read.toString());
+            assertTrue(
+                    read.equals(List.of("kept", "a".repeat(40), "b".repeat(40), "c".repeat(40))
+                                    .subList(0, read.size()))
+                            && !read.isEmpty(),
+                    read.toString());
         }
     }
 
@@ -144,7 +152,8 @@
                     vault.raw("l." + i, files.get(i - 1));
                 }
             }
-            List<Integer> read = records(vault).stream().map(r -> Integer.parseInt(r.trim())).toList();
+            List<Integer> read =
+                    records(vault).stream().map(r -> Integer.parseInt(r.trim())).toList();
             int first = 5;
             while (first > 1 && (choice >> (first - 2) & 1) > 0) {
                 first--;
@@ -191,7 +200,8 @@
                 assertArrayEquals("stays".getBytes(), again.get((byte) 2));
                 again.put(folio(1, "last"));
                 vault.losePower();
-                assertArrayEquals("last".getBytes(), AppendOnlyFile.open(vault, "f", 200).get((byte) 1));
+                assertArrayEquals(
+                        "last".getBytes(), AppendOnlyFile.open(vault, "f", 200).get((byte) 1));
                 assertEquals(again.length(), vault.taken(), "ended at call " + at + ", seed " + seed);
             }
         }
@@ -222,7 +232,9 @@
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
         }
-        assertArrayEquals("value 99".getBytes(), AppendOnlyFile.open(new LocalDirectory(folder), "f", 400).get((byte) 1));
+        assertArrayEquals(
+                "value 99".getBytes(),
+                AppendOnlyFile.open(new LocalDirectory(folder), "f", 400).get((byte) 1));
         assertEquals(stack.length(), Files.size(folder.resolve("f")) + Files.size(folder.resolve("f.spare")));
     }
 }
--- a/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.storage;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +14,10 @@
 import org.umbermount.kernel.testing.FakeClock;
 import org.umbermount.storage.testing.FakeDirectory;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Stacks and ledgers through kills at every call, losses of power, full and stalled disks. */
 class DurabilityTest {
     private static final int REWRITE_OVER = 600;
@@ -131,6 +131,7 @@
         private Map<Byte, String> confirmed = new TreeMap<>();
         /** What may be there as well: puts that were refused or cut short since the last confirmed one. */
         private final List<Map<Byte, String>> possible = new ArrayList<>();
+
         private AppendOnlyFile stack;
         private int puts;
         private int rewrites;
@@ -160,7 +161,8 @@
         @Override
         void check() {
             Map<Byte, String> read = read();
-            assertTrue(read.equals(confirmed) || possible.contains(read),
+            assertTrue(
+                    read.equals(confirmed) || possible.contains(read),
                     () -> "read " + read + ", confirmed " + confirmed + ", possible " + possible);
         }
 
@@ -172,7 +174,10 @@
 
         /** The length of a record that holds all of it, with title and generation. */
         private static long whole(Map<Byte, String> all) {
-            return 8 + 8 + 13 + all.values().stream().mapToLong(v -> 5 + v.length()).sum();
+            return 8
+                    + 8
+                    + 13
+                    + all.values().stream().mapToLong(v -> 5 + v.length()).sum();
         }
 
         @Override
@@ -217,6 +222,7 @@
         private int next;
         /** The first record that was not to go. */
         private int keptFrom;
+
         private int drops;
         private int rolls;
 
@@ -245,14 +251,16 @@
                     there = matches(all, read);
                 }
             }
-            assertTrue(there, () -> "read " + read + ", confirmed " + confirmed + " from " + keptFrom
-                    + ", possible " + possible);
+            assertTrue(
+                    there,
+                    () -> "read " + read + ", confirmed " + confirmed + " from " + keptFrom + ", possible " + possible);
         }
 
         /** All that was to be kept is there, and before it only what came right before it. */
         private boolean matches(List<Integer> all, List<Integer> found) {
             long least = all.stream().filter(id -> id >= keptFrom).count();
-            return found.size() >= least && found.size() <= all.size()
+            return found.size() >= least
+                    && found.size() <= all.size()
                     && all.subList(all.size() - found.size(), all.size()).equals(found);
         }
 
@@ -269,7 +277,12 @@
                 int last = confirmed.isEmpty() ? 0 : segmentOf.get(confirmed.get(confirmed.size() - 1));
                 int through = ledger.current() - 1 - random.nextInt(3);
                 int gone = Math.min(through, last - 1);
-                keptFrom = Math.max(keptFrom, confirmed.stream().filter(id -> segmentOf.get(id) > gone).findFirst().orElse(0));
+                keptFrom = Math.max(
+                        keptFrom,
+                        confirmed.stream()
+                                .filter(id -> segmentOf.get(id) > gone)
+                                .findFirst()
+                                .orElse(0));
                 drops++;
                 ledger.dropThrough(through);
                 return;
@@ -337,23 +350,30 @@
 
     /** The same plays fail without the mechanism: so they would notice if it were missing. */
     @ParameterizedTest
-    @EnumSource(value = Safeguard.class,
+    @EnumSource(
+            value = Safeguard.class,
             names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "REWRITTEN_BESIDE", "TORN_TAIL_DROPPED"})
     void stackPlaysNoticeWhatIsLeftOut(Safeguard one) {
-        AssertionError e = assertThrows(AssertionError.class, () -> Mutation.without(one, () -> {
-            playStacks(SEEDS);
-            return null;
-        }));
+        AssertionError e = assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(one, () -> {
+                    playStacks(SEEDS);
+                    return null;
+                }));
         System.out.println("stacks without " + one + ": " + e.getMessage());
     }
 
     @ParameterizedTest
-    @EnumSource(value = Safeguard.class, names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "TORN_TAIL_DROPPED"})
+    @EnumSource(
+            value = Safeguard.class,
+            names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "TORN_TAIL_DROPPED"})
     void ledgerPlaysNoticeWhatIsLeftOut(Safeguard one) {
-        AssertionError e = assertThrows(AssertionError.class, () -> Mutation.without(one, () -> {
-            playLedgers(SEEDS);
-            return null;
-        }));
+        AssertionError e = assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(one, () -> {
+                    playLedgers(SEEDS);
+                    return null;
+                }));
         System.out.println("ledgers without " + one + ": " + e.getMessage());
     }
 
@@ -369,10 +389,11 @@
             int[] confirmed = {0};
             for (int i = 1; i <= 60; i++) {
                 int value = i;
-                room.write(List.of(new LogRecord((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
-                    assertTrue(!vault.hung, "confirmed by a stalled disk");
-                    confirmed[0] = safe ? value : confirmed[0];
-                });
+                room.write(
+                        List.of(new LogRecord((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
+                            assertTrue(!vault.hung, "confirmed by a stalled disk");
+                            confirmed[0] = safe ? value : confirmed[0];
+                        });
                 if (random.nextInt(20) == 0) {
                     vault.hung = true;
                 } else if (vault.hung && random.nextInt(8) == 0) {
--- a/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
+++ b/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
 import org.umbermount.storage.Disk;
-import org.umbermount.storage.SyncedDirectory;
 import org.umbermount.storage.StorageDirectory;
+import org.umbermount.storage.SyncedDirectory;
 
 /**
  * A disk for tests: slow, hung, full or torn as a test wants. The vault on it is the real one; only the file system's calls
@@ -199,7 +199,8 @@
         private final Map<String, List<File>> passed = new TreeMap<>();
 
         private void put(String name, File file) {
-            passed.computeIfAbsent(name, n -> new ArrayList<>(Arrays.asList(safeNames.get(n)))).add(file);
+            passed.computeIfAbsent(name, n -> new ArrayList<>(Arrays.asList(safeNames.get(n))))
+                    .add(file);
             if (file == null) {
                 names.remove(name);
             } else {
