--- a/app/src/main/java/org/umbermount/app/Main.java
+++ b/app/src/main/java/org/umbermount/app/Main.java
@@ -9,6 +9,7 @@
 public final class Main {
     private Main() {}
 
+    /** Runs a daemon if the only argument names one, and a command of the command line otherwise. */
     public static void main(String[] args) {
         if (args.length == 1 && args[0].equals("proxy")) {
             Daemon.run(Role.PROXY);
--- a/control/src/main/java/org/umbermount/control/Configuration.java
+++ b/control/src/main/java/org/umbermount/control/Configuration.java
@@ -36,10 +36,12 @@
             int priority,
             int maxTries,
             List<Share> shares) {
+        /** Whether a request may be sent again without harm. */
         public boolean safe() {
             return kind == Kind.SAFE || kind == Kind.CACHEABLE;
         }
 
+        /** Whether the route requires an operation key. */
         public boolean idempotent() {
             return kind == Kind.IDEMPOTENT;
         }
@@ -59,6 +61,7 @@
 
     /** Who may ask: its keys, its rank, and how much it may ask for; a rate of 0 is no limit. */
     public record Tenant(String label, List<String> apiKeys, int priority, double ratePerS, double burst) {
+        /** Whether the tenant has a rate limit. */
         public boolean limited() {
             return ratePerS > 0;
         }
--- a/control/src/main/java/org/umbermount/control/ConfigurationState.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationState.java
@@ -26,10 +26,12 @@
         return new ConfigurationState(view, next, nextBlob, taken.with(new TakenOrders.Taken(next, call)));
     }
 
+    /** The same configuration and orders as the state of another view. */
     public ConfigurationState inView(long other) {
         return new ConfigurationState(other, edition, blob, taken);
     }
 
+    /** Whether this state replaces the other one: by view first, then by revision. */
     public boolean isNewerThan(ConfigurationState other) {
         return view != other.view ? view > other.view : edition.isAfter(other.edition);
     }
--- a/control/src/main/java/org/umbermount/control/Digest.java
+++ b/control/src/main/java/org/umbermount/control/Digest.java
@@ -11,6 +11,7 @@
     /** Of what is not known: no call has it. */
     public static final Digest NONE = new Digest(0, 0);
 
+    /** The digest of stored bytes; calls have {@link #ofCall}. */
     public static Digest of(byte[] bytes) {
         return of(new byte[0], bytes);
     }
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -119,6 +119,7 @@
             this.lostSince = now;
         }
 
+        /** The controller's datagram address. */
         public DaemonAddress daemonAddress() {
             return daemonAddress;
         }
@@ -128,6 +129,7 @@
             return report;
         }
 
+        /** When its last heartbeat arrived; {@link MonotonicTime#NEVER} before the first. */
         public MonotonicTime lastHeard() {
             return lastHeard;
         }
@@ -140,6 +142,7 @@
 
     /** Gives the own report; the lists of those heard, and heard in both directions, are filled in here. */
     public interface Reporter {
+        /** The state of this daemon now, with the peers that it hears and those connected in both directions. */
         Report report(List<DaemonAddress> heard, List<DaemonAddress> connected);
     }
 
@@ -158,6 +161,7 @@
     private boolean leaving;
     private int rounds;
 
+    /** Starts without peers; heartbeats begin with {@link #start}. */
     public FailureDetector(Clock clock, Messenger messenger, Reporter reporter) {
         this.clock = clock;
         this.messenger = messenger;
@@ -169,6 +173,7 @@
         messenger.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
     }
 
+    /** Sends the first heartbeat at once, and then one every {@link #INTERVAL_MS}. */
     public void start() {
         tick();
         clock.every(INTERVAL_MS, this::tick);
@@ -181,6 +186,7 @@
         }
     }
 
+    /** Adds an observer that is called with each peer whose heartbeat has arrived. */
     public void observe(Consumer<Peer> observer) {
         observers.add(observer);
     }
@@ -200,10 +206,12 @@
         return isSelf(daemonAddress) ? clock.now() : p == null ? MonotonicTime.NEVER : p.answered;
     }
 
+    /** All peers, also those that are silent now. The collection is live. */
     public Collection<Peer> peers() {
         return Collections.unmodifiableCollection(peers.values());
     }
 
+    /** The peer at an address, or null if it is unknown. */
     public Peer peer(DaemonAddress daemonAddress) {
         return peers.get(daemonAddress);
     }
@@ -213,6 +221,7 @@
         send(false);
     }
 
+    /** Tells all peers at once that this daemon is about to stop, so that they need not wait for its silence. */
     public void leaving() {
         leaving = true;
         send(true);
--- a/control/src/main/java/org/umbermount/control/LeaseManager.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -61,8 +61,10 @@
 
     /** Told when a duty begins or ends here. */
     public interface Observer {
+        /** The lease on a duty has been granted to this daemon under the given epoch. */
         void began(String zone, long epoch);
 
+        /** The lease on a duty is no longer held here: it ran out, was released, or its view ended. */
         void ended(String zone);
 
         /** A grant that this daemon has given has changed hands. */
@@ -82,6 +84,7 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
+    /** Manages a lease for each zone and for each of the quota duties; nothing is asked for before {@link #start}. */
     public LeaseManager(
             Clock clock,
             Messenger messenger,
@@ -105,12 +108,14 @@
         messenger.subscribe(Messenger.Topic.LEASE, this::receive);
     }
 
+    /** Begins to ask for the duties that this daemon should hold. */
     public void start() {
         clock.every(LOOP_MS, this::reconcile);
         // Who answers this could not become a holder by what was granted here before the start.
         clock.after(REPORTED_MS + 1, detector::callNow);
     }
 
+    /** Adds an observer of the duties held here; it is called on the event loop. */
     public void observe(Observer observer) {
         observers.add(observer);
     }
@@ -121,6 +126,7 @@
         return h != null && h.active && clock.now().isBefore(h.until) ? h.epoch : 0;
     }
 
+    /** All duties: the zones first, then those of the quotas. */
     public List<String> zones() {
         return zones;
     }
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -156,6 +156,7 @@
         membership.accompany(other);
     }
 
+    /** The state kept beside the configuration under the same views: the operation records. */
     public CompanionState companion() {
         return membership.companion();
     }
@@ -192,6 +193,7 @@
         commits.observe(observer);
     }
 
+    /** Adds an observer of each new view in force here. */
     public void onView(Consumer<View> observer) {
         membership.observe(observer);
     }
@@ -201,14 +203,17 @@
         membership.audience(controllers);
     }
 
+    /** The part that this daemon plays in its view. */
     public Standing standing() {
         return membership.standing();
     }
 
+    /** The view in force here. */
     public View view() {
         return membership.view();
     }
 
+    /** The newest state that is known here to be committed. */
     public ConfigurationState committed() {
         return commits.committed();
     }
@@ -218,10 +223,12 @@
         return commits.regulations();
     }
 
+    /** The incarnation of this daemon's durable state: it rises when that has been lost. */
     public long incarnation() {
         return durable.memory().incarnation();
     }
 
+    /** The newest revision on this daemon's disk, which need not be committed. */
     public ConfigurationRevision newestEdition() {
         return durable.memory().state().edition();
     }
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -88,6 +88,10 @@
     private long seq;
     private long digest;
 
+    /**
+     * Starts an empty registry. {@code heartbeatMs} is the interval at which servers report; {@code boot} tells the
+     * changes of this process from those of an earlier one.
+     */
     public ServerRegistry(Clock clock, Messenger messenger, Metrics metrics, long heartbeatMs, long boot) {
         this.clock = clock;
         this.messenger = messenger;
@@ -119,10 +123,12 @@
         ready = ready || !noted.isEmpty();
     }
 
+    /** Adds an observer that is called after the registry has changed. */
     public void observe(Runnable observer) {
         observers.add(observer);
     }
 
+    /** All servers, also those that have gone lately. The collection is live. */
     public Collection<RegisteredServer> entries() {
         return Collections.unmodifiableCollection(entries.values());
     }
@@ -135,14 +141,17 @@
         return ready;
     }
 
+    /** The number of this process under which its changes are counted. */
     public long boot() {
         return boot;
     }
 
+    /** The number of the last change that this daemon has made. */
     public long seq() {
         return seq;
     }
 
+    /** A checksum over all entries: daemons with equal registries show the same one. */
     public long digest() {
         return digest;
     }
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -28,6 +28,7 @@
         UNCLEAR
     }
 
+    /** Copies the list, so that a record of orders never changes. */
     public TakenOrders {
         entries = List.copyOf(entries);
     }
@@ -51,6 +52,7 @@
         return entries.isEmpty() ? Digest.NONE : entries.get(entries.size() - 1).digest();
     }
 
+    /** Says whether an order was taken, as far as the remembered orders can tell. */
     public Finding find(Order order) {
         if (!order.edition().isAfter(floor)) {
             return Safeguard.FLOOR_RESPECTED.holds() ? Finding.UNCLEAR : Finding.NOT_TAKEN;
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -12,15 +12,18 @@
 public record View(long number, List<Voter> electorate, List<DaemonAddress> chain, OperationLogPosition base) {
     public static final View NONE = new View(0, List.of(), List.of());
 
+    /** A view without operation records from an earlier one. */
     public View(long number, List<Voter> electorate, List<DaemonAddress> chain) {
         this(number, electorate, chain, OperationLogPosition.NONE);
     }
 
+    /** Copies the lists, so that a view never changes. */
     public View {
         electorate = List.copyOf(electorate);
         chain = List.copyOf(chain);
     }
 
+    /** How many voters are more than half of them. */
     public int majority() {
         return electorate.size() / 2 + 1;
     }
@@ -35,6 +38,7 @@
         return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
     }
 
+    /** The same view, from whose operation log position the records go on. */
     public View withBase(OperationLogPosition mark) {
         return new View(number, electorate, chain, mark);
     }
@@ -44,6 +48,7 @@
         return Safeguard.RECOVERY_MEETS_MAJORITIES.holds() ? electorate.size() - majority() + 1 : 1;
     }
 
+    /** The voter at an address, or null if none votes there. */
     public Voter fellow(DaemonAddress daemonAddress) {
         for (Voter f : electorate) {
             if (f.daemonAddress().equals(daemonAddress)) {
@@ -53,22 +58,27 @@
         return null;
     }
 
+    /** Whether the daemon at this address votes on the next view. */
     public boolean votes(DaemonAddress daemonAddress) {
         return fellow(daemonAddress) != null;
     }
 
+    /** The member of the chain that takes writes first; null if the chain is empty. */
     public DaemonAddress head() {
         return chain.isEmpty() ? null : chain.get(0);
     }
 
+    /** The member of the chain that commits writes and serves reads; null if the chain is empty. */
     public DaemonAddress tail() {
         return chain.isEmpty() ? null : chain.get(chain.size() - 1);
     }
 
+    /** Whether the daemon at this address is a member of the chain. */
     public boolean chains(DaemonAddress daemonAddress) {
         return chain.contains(daemonAddress);
     }
 
+    /** The next member towards the tail; null after the tail and for daemons outside the chain. */
     public DaemonAddress successor(DaemonAddress daemonAddress) {
         int at = chain.indexOf(daemonAddress);
         return at < 0 || at + 1 >= chain.size() ? null : chain.get(at + 1);
--- a/control/src/test/java/org/umbermount/control/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -23,6 +23,7 @@
 public final class Fleet {
     /** Puts something beside the configuration of a daemon that starts. */
     public interface Attachment {
+        /** Called for each controller that starts, with its own clock, messenger, replica and disk. */
         void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException;
     }
 
@@ -46,10 +47,15 @@
         this(size, seeds, seed, 0, null);
     }
 
+    /** A fleet whose daemons enforce none of the optional guarantees. */
     public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment) throws IOException {
         this(size, seeds, seed, tolerated, attachment, java.util.Set.of());
     }
 
+    /**
+     * A fleet of {@code size} controllers, of which the first {@code seeds} form the first view; {@code tolerated}
+     * machines may be lost at a time. All of them are started.
+     */
     public Fleet(int size, int seeds, long seed, int tolerated, Attachment attachment, java.util.Set<String> guarantees)
             throws IOException {
         this.size = size;
@@ -67,10 +73,12 @@
         }
     }
 
+    /** The address of a controller by its number. */
     public static DaemonAddress daemonAddress(int i) {
         return DaemonAddress.parse("10." + (i + 1) + ".0.1:7000");
     }
 
+    /** The zone of a controller by its number: each has one of its own. */
     public static String zone(int i) {
         return "z" + i;
     }
@@ -177,6 +185,7 @@
         network.freeze(daemonAddress(i));
     }
 
+    /** Lets a frozen controller run again; overdue timers and waiting messages come at once. */
     public void thaw(int i) {
         network.thaw(daemonAddress(i));
         clocks.get(i).thaw();
@@ -201,34 +210,42 @@
         return clocks.get(i);
     }
 
+    /** The lease manager of a running controller. */
     public LeaseManager leases(int i) {
         return running.get(i).leases;
     }
 
+    /** The majority contact of a running controller. */
     public MajorityContact contact(int i) {
         return running.get(i).contact;
     }
 
+    /** The messenger of a controller. */
     public FakeMessenger.Bag bag(int i) {
         return bags.get(i);
     }
 
+    /** The chain client of a running controller. */
     public ChainClient chainClient(int i) {
         return running.get(i).chainClient;
     }
 
+    /** Replaces a controller's disk by an empty one. The controller must be down. */
     public void wipe(int i) {
         disks.put(i, new FakeDirectory());
     }
 
+    /** Whether the controller has been started and not stopped since. */
     public boolean isRunning(int i) {
         return running.containsKey(i);
     }
 
+    /** The replica of a running controller. */
     public Replica replica(int i) {
         return running.get(i).replica;
     }
 
+    /** Advances the fleet's clock by so many milliseconds. */
     public void run(long ms) {
         almanac.advance(ms);
     }
--- a/control/src/test/java/org/umbermount/control/MortalClock.java
+++ b/control/src/test/java/org/umbermount/control/MortalClock.java
@@ -13,14 +13,17 @@
     private boolean dead;
     private boolean frozen;
 
+    /** Follows a clock that all processes of a test share. */
     public MortalClock(FakeClock shared) {
         this.shared = shared;
     }
 
+    /** Ends the process: its timers never run again. */
     public void die() {
         dead = true;
     }
 
+    /** Stops the process, as SIGSTOP does: its timers are held back until {@link #thaw}. */
     public void freeze() {
         frozen = true;
     }
--- a/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -41,6 +41,7 @@
         this.edition = readEdition(entries.get(CONFIGURATION));
     }
 
+    /** A table of the given entries. */
     public static RoutingTable of(Map<String, byte[]> entries) {
         return new RoutingTable(Map.copyOf(entries));
     }
@@ -57,6 +58,7 @@
         }
     }
 
+    /** The packed entries by key. Their arrays must not be changed. */
     public Map<String, byte[]> entries() {
         return Collections.unmodifiableMap(entries);
     }
@@ -89,6 +91,10 @@
         }
     }
 
+    /**
+     * What has to change in the older table to make this one. The last result is kept, since all proxies of a zone need
+     * it.
+     */
     public Difference since(RoutingTable older) {
         if (older != comparedWith) {
             compared = compare(older);
@@ -114,6 +120,7 @@
         return new Difference(gone, come);
     }
 
+    /** This table after a difference. Applying the same difference twice has the same result as once. */
     public RoutingTable with(Difference difference) {
         Map<String, byte[]> next = new HashMap<>(entries);
         difference.gone().forEach(next::remove);
@@ -124,6 +131,7 @@
         return result;
     }
 
+    /** Whether both tables have equal entries. */
     public boolean sameAs(RoutingTable other) {
         return this == other
                 || entries.size() == other.entries.size() && since(other).isEmpty();
--- a/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -79,22 +79,27 @@
         observers.add(observer);
     }
 
+    /** The table that requests are routed by now; empty before the first one arrives. */
     public RoutingTable inForce() {
         return inForce;
     }
 
+    /** The id of this process, by which a sender notices that the proxy has restarted. */
     public long life() {
         return life;
     }
 
+    /** The highest epoch met. Instructions of a lower one are dropped. */
     public long epoch() {
         return epoch;
     }
 
+    /** The controller that sends under the current epoch; null before the first instruction. */
     public DaemonAddress sender() {
         return sender;
     }
 
+    /** When the last instruction of the current epoch arrived; {@link MonotonicTime#NEVER} before the first. */
     public MonotonicTime lastHeard() {
         return lastHeard;
     }
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -24,6 +24,7 @@
             long warmMs,
             boolean draining) {}
 
+    /** The table entries of a configuration, by their keys in a {@link RoutingTable}. */
     public static Map<String, byte[]> packConfiguration(Configuration r) {
         Map<String, byte[]> out = new HashMap<>();
         Configuration.Limits l = r.limits();
@@ -76,6 +77,7 @@
         return out;
     }
 
+    /** Reads a tenant's entry. Rates travel in thousandths of a request per second. */
     public static Configuration.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Configuration.Tenant(
@@ -86,6 +88,7 @@
                 in.num() / 1_000.0);
     }
 
+    /** The entry of a controller and its zone. */
     public static byte[] packController(DaemonAddress daemonAddress, String zone) {
         return MessagePackCodec.write().daemonAddress(daemonAddress).text(zone).done();
     }
@@ -96,21 +99,25 @@
         return new MemberDescriptor(in.daemonAddress(), Role.CONTROLLER, in.text(), 0);
     }
 
+    /** Reads which controller performs a duty. */
     public static DaemonAddress readHolder(byte[] packed) throws MessagePackCodec.UnreadableException {
         return MessagePackCodec.read(packed).daemonAddress();
     }
 
+    /** Reads the request limits out of the configuration's entry, behind its revision. */
     public static Configuration.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         in.num();
         return new Configuration.Limits((int) in.num(), in.num(), in.num(), in.num());
     }
 
+    /** Reads the entry of an upstream service. */
     public static Configuration.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Configuration.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
+    /** Reads the entry of a route. */
     public static Configuration.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Configuration.Route(
@@ -126,6 +133,7 @@
                 in.list(r -> new Configuration.Share(r.text(), r.num())));
     }
 
+    /** The entry of a server instance. */
     public static byte[] packInstance(RegisteredServer e) {
         return MessagePackCodec.write()
                 .text(e.id().value())
@@ -138,6 +146,7 @@
                 .done();
     }
 
+    /** Reads the entry of a server instance. */
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
         return new Instance(
@@ -150,6 +159,7 @@
                 in.flag());
     }
 
+    /** Reads the number of proxies that share the retry budgets. */
     public static int readFleet(byte[] packed) throws MessagePackCodec.UnreadableException {
         return (int) MessagePackCodec.read(packed).num();
     }
--- a/distribution/src/test/java/org/umbermount/distribution/Simulation.java
+++ b/distribution/src/test/java/org/umbermount/distribution/Simulation.java
@@ -15,6 +15,10 @@
 
     private Simulation() {}
 
+    /**
+     * Runs the simulations that the arguments ask for, and prints the shortened events of each that breaks an
+     * invariant.
+     */
     public static void main(String[] args) throws Exception {
         long seed = 1;
         int count = 1;
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKey.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKey.java
@@ -17,6 +17,7 @@
         return Long.hashCode(low);
     }
 
+    /** The key of an operation: a hash of the tenant's label and of the key that its client chose. */
     public static OperationKey of(String tenant, String key) {
         try {
             MessageDigest sha = MessageDigest.getInstance("SHA-256");
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -2,11 +2,13 @@
 
 /** The clocks and timers of a process. All tasks run on the process's one loop. */
 public interface Clock {
+    /** The time on a clock that never goes back and is not comparable between processes. */
     MonotonicTime now();
 
     /** Time of day in milliseconds; close to true time but may step. */
     long wallMillis();
 
+    /** Runs the task once on the event loop, after so many milliseconds. */
     Cancellable after(long ms, Runnable task);
 
     /** Runs the task again and again with {@code ms} between the runs. */
@@ -40,6 +42,7 @@
 
     /** A pending task that can be taken back. */
     interface Cancellable {
+        /** Keeps the task from running again; does nothing if it has run already. */
         void cancel();
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/ConfigurationRevision.java
+++ b/kernel/src/main/java/org/umbermount/kernel/ConfigurationRevision.java
@@ -14,6 +14,7 @@
 
     public static final ConfigurationRevision NONE = new ConfigurationRevision(0);
 
+    /** Whether this revision was committed after the other one. */
     public boolean isAfter(ConfigurationRevision other) {
         return value > other.value;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/DaemonAddress.java
+++ b/kernel/src/main/java/org/umbermount/kernel/DaemonAddress.java
@@ -18,6 +18,7 @@
 
     public static final DaemonAddress NONE = new DaemonAddress(0, 0);
 
+    /** The address of a socket, which must be an IPv4 one. */
     public static DaemonAddress of(InetSocketAddress address) {
         byte[] b = address.getAddress().getAddress();
         return new DaemonAddress(
@@ -46,10 +47,12 @@
         return new DaemonAddress(ip, port);
     }
 
+    /** The IPv4 address in dotted decimal notation. */
     public String host() {
         return (ip >>> 24) + "." + (ip >> 16 & 255) + "." + (ip >> 8 & 255) + "." + (ip & 255);
     }
 
+    /** This address as the socket API takes it. */
     public InetSocketAddress socketAddress() {
         try {
             byte[] b = {(byte) (ip >>> 24), (byte) (ip >> 16), (byte) (ip >> 8), (byte) ip};
@@ -59,6 +62,7 @@
         }
     }
 
+    /** The same machine under another port. */
     public DaemonAddress withPort(int other) {
         return new DaemonAddress(ip, other);
     }
@@ -68,6 +72,7 @@
         return (ip & 0xffffffffL) << 16 | port;
     }
 
+    /** Reads what {@link #packed()} wrote. */
     public static DaemonAddress unpack(long packed) {
         return new DaemonAddress((int) (packed >>> 16), (int) (packed & 0xffff));
     }
--- a/kernel/src/main/java/org/umbermount/kernel/ErrorKind.java
+++ b/kernel/src/main/java/org/umbermount/kernel/ErrorKind.java
@@ -43,6 +43,7 @@
         this.sentence = sentence;
     }
 
+    /** The HTTP status of the answer. */
     public int status() {
         return status;
     }
@@ -62,6 +63,7 @@
         return status == 503 || status == 429 || status == 408 || status == 421;
     }
 
+    /** A sentence for people, without details of the request. Clients must not parse it. */
     public String sentence() {
         return sentence;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/FaultException.java
+++ b/kernel/src/main/java/org/umbermount/kernel/FaultException.java
@@ -4,11 +4,13 @@
 public final class FaultException extends Exception {
     private final ErrorKind erratum;
 
+    /** Makes an error whose detail, a sentence that names what is wrong, is shown to the caller. */
     public FaultException(ErrorKind erratum, String detail) {
         super(detail);
         this.erratum = erratum;
     }
 
+    /** The kind of error, which decides the status of the answer. */
     public ErrorKind erratum() {
         return erratum;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/JsonValue.java
+++ b/kernel/src/main/java/org/umbermount/kernel/JsonValue.java
@@ -117,6 +117,11 @@
         return v != null && v != NULL;
     }
 
+    /**
+     * The member of this object under a name.
+     *
+     * @throws WrongException if there is none
+     */
     public JsonValue member(String child) throws WrongException {
         if (!has(child)) {
             throw new WrongException(path(child) + " is missing");
@@ -124,6 +129,11 @@
         return new JsonValue(path(child), map().get(child));
     }
 
+    /**
+     * The member under a name, which must be an object.
+     *
+     * @throws WrongException if it is missing or of another type
+     */
     public JsonValue object(String child) throws WrongException {
         JsonValue form = member(child);
         if (!(form.value instanceof Map)) {
@@ -137,12 +147,18 @@
         return has(child) ? object(child) : new JsonValue(path(child), Map.of());
     }
 
+    /** All members of this object by name, in the order of the document. */
     public Map<String, JsonValue> members() {
         Map<String, JsonValue> out = new LinkedHashMap<>();
         map().forEach((k, v) -> out.put((String) k, new JsonValue(path((String) k), v)));
         return out;
     }
 
+    /**
+     * The elements of the member under a name, which must be a list.
+     *
+     * @throws WrongException if it is missing or of another type
+     */
     public List<JsonValue> array(String child) throws WrongException {
         JsonValue form = member(child);
         if (!(form.value instanceof List<?> list)) {
@@ -155,6 +171,11 @@
         return out;
     }
 
+    /**
+     * This value as a string that is not empty.
+     *
+     * @throws WrongException if it is anything else
+     */
     public String text() throws WrongException {
         if (!(value instanceof String text) || text.isEmpty()) {
             throw wrong("must be a text");
@@ -162,10 +183,16 @@
         return text;
     }
 
+    /** The string under a name, or {@code otherwise} if there is no such member. */
     public String text(String child, String otherwise) throws WrongException {
         return has(child) ? member(child).text() : otherwise;
     }
 
+    /**
+     * This value as a boolean.
+     *
+     * @throws WrongException if it is anything else
+     */
     public boolean flag() throws WrongException {
         if (!(value instanceof Boolean flag)) {
             throw wrong("must be true or false");
@@ -173,6 +200,11 @@
         return flag;
     }
 
+    /**
+     * This value as a number between two bounds, both included.
+     *
+     * @throws WrongException if it is outside of them or no number
+     */
     public double number(double least, double most) throws WrongException {
         if (!(value instanceof Number n) || n.doubleValue() < least || n.doubleValue() > most) {
             throw wrong("must be a number from " + (long) least + " to " + (long) most);
@@ -180,10 +212,16 @@
         return n.doubleValue();
     }
 
+    /** The number under a name, which must not be negative, or {@code otherwise} if there is no such member. */
     public double number(String child, double otherwise) throws WrongException {
         return has(child) ? member(child).number(0, Integer.MAX_VALUE) : otherwise;
     }
 
+    /**
+     * This value as a whole number between two bounds, both included.
+     *
+     * @throws WrongException if it is outside of them or not a whole number
+     */
     public long whole(long least, long most) throws WrongException {
         if (value instanceof Long n && n >= least && n <= most) {
             return n;
@@ -195,10 +233,16 @@
         throw wrong("must be a whole number from " + least + " to " + most);
     }
 
+    /** The whole number under a name, or {@code otherwise} if there is no such member. */
     public long whole(String child, long least, long most, long otherwise) throws WrongException {
         return has(child) ? member(child).whole(least, most) : otherwise;
     }
 
+    /**
+     * This value as {@code a.b.c.d:port}.
+     *
+     * @throws WrongException if it is anything else
+     */
     public DaemonAddress address() throws WrongException {
         try {
             return DaemonAddress.parse(text());
--- a/kernel/src/main/java/org/umbermount/kernel/Metrics.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Metrics.java
@@ -20,14 +20,17 @@
     public static final class Count {
         private volatile double value;
 
+        /** Adds one. */
         public void increment() {
             increment(1);
         }
 
+        /** Adds an amount, which must not be negative. Only the event loop may call this. */
         public void increment(double by) {
             value = value + by;
         }
 
+        /** The sum so far. */
         public double count() {
             return value;
         }
@@ -36,14 +39,17 @@
     private final Map<String, Count> counts = new HashMap<>();
     private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
 
+    /** The counter of this name, made on first use. Names are dotted, as in {@code servers.answers.broken}. */
     public synchronized Count counter(String name) {
         return counts.computeIfAbsent(name, n -> new Count());
     }
 
+    /** Adds one to the counter of this name. */
     public void count(String name) {
         counter(name).increment();
     }
 
+    /** Registers a value that is read each time the metrics are shown. A later gauge of the same name replaces it. */
     public synchronized void gauge(String name, DoubleSupplier value) {
         gauges.put(name, value);
     }
--- a/kernel/src/main/java/org/umbermount/kernel/MonotonicTime.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MonotonicTime.java
@@ -15,6 +15,7 @@
     /** Earlier than every moment a clock gives out. */
     public static final MonotonicTime NEVER = new MonotonicTime(Long.MIN_VALUE / 4);
 
+    /** The time that is so many milliseconds later; earlier if the number is negative. */
     public MonotonicTime plus(long ms) {
         return new MonotonicTime(millis + ms);
     }
@@ -24,6 +25,7 @@
         return millis - earlier.millis;
     }
 
+    /** Whether this time comes before the other one. */
     public boolean isBefore(MonotonicTime other) {
         return millis < other.millis;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/Plugin.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Plugin.java
@@ -14,6 +14,11 @@
     /** Whether the part belongs to this role. */
     boolean serves(Role role);
 
+    /**
+     * Starts the plug-in. It runs on the event loop, after the plug-ins of lower order.
+     *
+     * @throws Exception if the plug-in cannot work; the program then does not start
+     */
     void open(PluginHost pluginHost) throws Exception;
 
     /**
--- a/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -26,6 +26,7 @@
     private final List<Plugin> open = new ArrayList<>();
     private Settings rules;
 
+    /** Makes a host without plug-ins. The clock is offered at once; plug-ins are opened by {@link #openAll()}. */
     public PluginHost(Role role, Settings rules, Clock clock) {
         this.role = role;
         this.rules = rules;
@@ -33,22 +34,27 @@
         offer(Clock.class, clock);
     }
 
+    /** The program that this process runs. */
     public Role role() {
         return role;
     }
 
+    /** The settings in force; another record after they have been read again. */
     public Settings rules() {
         return rules;
     }
 
+    /** The clock and timers of the process's event loop. */
     public Clock clock() {
         return clock;
     }
 
+    /** The counters and gauges of this process. */
     public Metrics metrics() {
         return metrics;
     }
 
+    /** Offers a service to the plug-ins opened later. A later offer under the same type replaces the earlier one. */
     public <T> void offer(Class<T> type, T service) {
         offers.put(type, service);
     }
@@ -58,6 +64,11 @@
         return type.cast(offers.get(type));
     }
 
+    /**
+     * The service offered under the type.
+     *
+     * @throws IllegalStateException if no plug-in opened so far offers it
+     */
     public <T> T find(Class<T> type) {
         Object service = offers.get(type);
         if (service == null) {
--- a/kernel/src/main/java/org/umbermount/kernel/SchemaCheck.java
+++ b/kernel/src/main/java/org/umbermount/kernel/SchemaCheck.java
@@ -16,6 +16,7 @@
     private final String resource;
     private JsonSchema schema;
 
+    /** Names the schema's resource on the class path; it is loaded by the first check. */
     public SchemaCheck(String resource) {
         this.resource = resource;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/Settings.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Settings.java
@@ -47,6 +47,7 @@
             double retryBurst,
             long syncTimeMs,
             Sharing sharing) {
+        /** Bounds of a process that shares neither quotas nor operation records with others. */
         public Bounds(
                 long contactMs,
                 long ackMs,
@@ -94,6 +95,11 @@
         }
     }
 
+    /**
+     * Reads settings from a file.
+     *
+     * @throws InvalidException if the file cannot be read, or a field cannot be used
+     */
     public static Settings load(Path file) throws InvalidException {
         byte[] bytes;
         try {
@@ -200,6 +206,7 @@
         return listener.withPort(firstPort + role.portOffset());
     }
 
+    /** The datagram address of a daemon of this role on this machine. */
     public DaemonAddress ownMail(Role role) {
         return DaemonAddress.parse(ip + ":" + (firstPort + role.portOffset()));
     }
--- a/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
@@ -34,6 +34,7 @@
     private final Metrics.Count bytesIn;
     private Channel channel;
 
+    /** Prepares a messenger and its metrics; nothing is received or sent before {@link #bind}. */
     public DatagramMessenger(DaemonAddress self, LoopClock clock, Metrics metrics) {
         this.self = self;
         this.metrics = metrics;
--- a/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
@@ -39,6 +39,10 @@
     private int nextId;
     private long foreign;
 
+    /**
+     * Starts with a random sender id and message id, so that fragments of an earlier process are not mixed with new
+     * ones.
+     */
     public Fragmentation(Clock clock) {
         this(
                 clock,
@@ -87,6 +91,11 @@
         }
     }
 
+    /**
+     * Splits a message into datagrams of about 1,200 bytes at most, to be sent in any order.
+     *
+     * @throws IllegalArgumentException if the body is longer than {@link Messenger#LARGEST}
+     */
     public List<byte[]> wrap(Messenger.Topic topic, byte[] body) {
         if (body.length > Messenger.LARGEST) {
             throw new IllegalArgumentException("message too large: " + body.length);
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -13,10 +13,12 @@
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
     private final EventLoop loop;
 
+    /** Makes a clock whose tasks run on the given event loop. */
     public LoopClock(EventLoop loop) {
         this.loop = loop;
     }
 
+    /** The event loop on which all tasks run. */
     public EventLoop loop() {
         return loop;
     }
--- a/kernel/src/test/java/org/umbermount/kernel/Mutation.java
+++ b/kernel/src/test/java/org/umbermount/kernel/Mutation.java
@@ -4,11 +4,13 @@
 public final class Mutation {
     /** What runs under the mutation. */
     public interface Body<T> {
+        /** Runs with the safeguard left out. */
         T run() throws Exception;
     }
 
     private Mutation() {}
 
+    /** Runs the body with one safeguard left out, and puts it back afterwards, also after a failure. */
     public static <T> T without(Safeguard safeguard, Body<T> body) throws Exception {
         safeguard.leaveOut(true);
         try {
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeClock.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeClock.java
@@ -33,6 +33,7 @@
         return now + wallOffset;
     }
 
+    /** Moves the time of day, as when an administrator or NTP sets it. Timers are not affected. */
     public void stepWallClock(long ms) {
         wallOffset += ms;
     }
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
@@ -29,9 +29,11 @@
 
     /** Looks at messages. */
     public interface Tap {
+        /** Whether the message may travel on; false drops it. */
         boolean passes(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body);
     }
 
+    /** Makes a network without daemons; the seed decides about delays, losses and duplicates. */
     public FakeMessenger(FakeClock clock, long seed) {
         this.clock = clock;
         this.random = new Random(seed);
@@ -44,6 +46,7 @@
         return bag;
     }
 
+    /** Takes a daemon off the network: it neither sends nor receives. */
     public void down(DaemonAddress self) {
         bags.remove(self);
         frozen.remove(self);
@@ -54,11 +57,13 @@
         cuts.add(key(from, to));
     }
 
+    /** Cuts the link between two daemons in both directions. */
     public void cutBoth(DaemonAddress a, DaemonAddress b) {
         cut(a, b);
         cut(b, a);
     }
 
+    /** Restores all links. */
     public void healAll() {
         cuts.clear();
     }
@@ -68,6 +73,7 @@
         frozen.putIfAbsent(who, new ArrayList<>());
     }
 
+    /** Lets a frozen daemon run again; it receives at once what has come for it meanwhile. */
     public void thaw(DaemonAddress who) {
         List<Runnable> waiting = frozen.remove(who);
         if (waiting != null) {
@@ -80,6 +86,7 @@
         cuts.remove(key(from, to));
     }
 
+    /** Whether the direction between two daemons is not cut. */
     public boolean reaches(DaemonAddress from, DaemonAddress to) {
         return !cuts.contains(key(from, to));
     }
@@ -88,6 +95,7 @@
         return from.packed() * 31 + to.packed();
     }
 
+    /** The endpoint of one daemon. It no longer sends or receives once another one has taken its address. */
     public final class Bag implements Messenger {
         private final DaemonAddress self;
         private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
--- a/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
+++ b/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
@@ -6,10 +6,12 @@
 
 /** What one daemon tells of itself: where it is, what it is for, its zone, and how old the news is in rounds. */
 public record MemberDescriptor(DaemonAddress daemonAddress, Role role, String zone, int age) {
+    /** The same descriptor, one round older. */
     public MemberDescriptor older() {
         return new MemberDescriptor(daemonAddress, role, zone, age + 1);
     }
 
+    /** The same descriptor with age 0, as its own daemon sends it. */
     public MemberDescriptor fresh() {
         return new MemberDescriptor(daemonAddress, role, zone, 0);
     }
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -43,6 +43,7 @@
     private List<DaemonAddress> sentSample = List.of();
     private int rounds;
 
+    /** Starts with an empty view; {@code random} decides which neighbours are sampled. */
     public PeerSampling(
             MemberDescriptor self,
             List<DaemonAddress> seeds,
@@ -59,6 +60,7 @@
         messenger.subscribe(Messenger.Topic.SHUFFLE, this::receive);
     }
 
+    /** Begins the rounds on the event loop. */
     public void start() {
         clock.execute(this::round);
     }
@@ -71,10 +73,12 @@
         }
     }
 
+    /** The addresses asked while too few neighbours are known. */
     public List<DaemonAddress> seeds() {
         return seeds;
     }
 
+    /** The neighbours of the partial view. It is live and must not be kept across events. */
     public Collection<MemberDescriptor> view() {
         return Collections.unmodifiableCollection(view.values());
     }
--- a/quota/src/main/java/org/umbermount/quota/QuotaClient.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -39,6 +39,7 @@
 
     /** Told once whether a request may be sent. */
     public interface Outcome {
+        /** Called once with the decision. */
         void told(Word word);
     }
 
--- a/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
+++ b/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
@@ -207,6 +207,7 @@
         return (int) crc.getValue();
     }
 
+    /** The newest value under the key, or null if there is none. */
     public byte[] get(byte key) {
         return newest.get(key);
     }
@@ -283,6 +284,7 @@
         uncertainSpare = false;
     }
 
+    /** The bytes of the file in use. */
     public long length() {
         return length;
     }
--- a/storage/src/main/java/org/umbermount/storage/Disk.java
+++ b/storage/src/main/java/org/umbermount/storage/Disk.java
@@ -17,13 +17,18 @@
     /** Opens a file for what follows, and makes it if there is none; says whether it was made. */
     boolean open(String name) throws IOException;
 
+    /** Writes at an offset of an open file. It may be lost until {@link #force}. */
     void write(String name, long at, byte[] bytes) throws IOException;
 
+    /** Shortens an open file. It may be undone by a loss of power until {@link #force}. */
     void cut(String name, long length) throws IOException;
 
+    /** Waits until the content of an open file is on the medium (fsync). */
     void force(String name) throws IOException;
 
+    /** Removes a file. It may come back after a loss of power until {@link #forceFolder}. */
     void delete(String name) throws IOException;
 
+    /** Waits until the names of the files are on the medium (fsync of the directory). */
     void forceFolder() throws IOException;
 }
--- a/storage/src/main/java/org/umbermount/storage/DiskWriter.java
+++ b/storage/src/main/java/org/umbermount/storage/DiskWriter.java
@@ -25,9 +25,13 @@
 
     /** Told whether a write is safe. */
     public interface Outcome {
+        /** Called once, on the event loop: {@code safe} is false if the write failed and may or may not be on disk. */
         void done(boolean safe);
     }
 
+    /**
+     * Starts to write to the file on the disk's thread, and to try again once a second while the disk refuses writes.
+     */
     public DiskWriter(AppendOnlyFile stack, Executor thread, Clock clock) {
         this.stack = stack;
         this.thread = thread;
@@ -81,10 +85,12 @@
         return !refusing && stuckMs() < patienceMs;
     }
 
+    /** The longest recent write in milliseconds; an old maximum fades by half with each write. */
     public long slowestMs() {
         return slowestMs;
     }
 
+    /** When a write was refused last; {@link MonotonicTime#NEVER} if none was. */
     public MonotonicTime lastRefusal() {
         return lastRefusal;
     }
--- a/storage/src/main/java/org/umbermount/storage/LocalDirectory.java
+++ b/storage/src/main/java/org/umbermount/storage/LocalDirectory.java
@@ -13,6 +13,11 @@
 
 /** A vault in one folder of the real disk. */
 public final class LocalDirectory extends SyncedDirectory {
+    /**
+     * Uses the given directory, which is made if it does not exist.
+     *
+     * @throws IOException if it cannot be made
+     */
     public LocalDirectory(Path folder) throws IOException {
         super(new Folder(folder));
     }
--- a/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -35,6 +35,7 @@
 
     /** Receives what the ledger holds, in order. */
     public interface ClientConnection {
+        /** Takes one record and the number of the segment that holds it. The bytes are the receiver's own. */
         void record(int segment, byte[] body);
     }
 
@@ -218,6 +219,7 @@
         }
     }
 
+    /** The bytes of all segments together. */
     public long length() {
         long total = 0;
         for (long n : segments.values()) {
--- a/storage/src/main/java/org/umbermount/storage/SyncedDirectory.java
+++ b/storage/src/main/java/org/umbermount/storage/SyncedDirectory.java
@@ -14,6 +14,7 @@
     private final Disk disk;
     private boolean uncertainNames = true;
 
+    /** Uses a disk on which an earlier process may have left unsynced files. */
     public SyncedDirectory(Disk disk) {
         this.disk = disk;
     }
--- a/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
+++ b/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
@@ -57,6 +57,7 @@
         return this;
     }
 
+    /** Sets the clock that times the disk's work, and starts a new process on the disk. */
     public void clock(Clock almanac) {
         clock = almanac;
         restart();
@@ -81,6 +82,7 @@
         });
     }
 
+    /** Ends a hang: the work that has piled up is done at once. */
     public void unhang() {
         hung = false;
         List<Runnable> work = new ArrayList<>(held);
@@ -97,10 +99,12 @@
     /** The next append reaches the file, and the process ends before the disk has confirmed it. */
     public boolean endBeforeSync;
 
+    /** The content of a file as a process would read it now, or null if there is none. */
     public byte[] raw(String name) {
         return platter.read(name);
     }
 
+    /** Puts a file on the disk, synced with its name, as if an earlier process had left it. */
     public void raw(String name, byte[] bytes) {
         File file = new File();
         file.now = bytes.clone();
