Confinement to the event loop can be checked; a start that meets an error ends

Cause: nothing told when an object of the loop was touched by another thread, and a part that threw an Error while opening left the process waiting for good with half of its parts. Settings that one part could not use were kept from the parts behind it, and parts were opened also after the program had been told to leave. Change: Clock.inEventLoop, asserted by Mailroom.send, the meters, Institution.leave and reread; assertions are off in the daemons, so the request path pays nothing. Institution ends a failed start for any Throwable, tells each part of new settings by itself, and opens nothing once it leaves.

--- a/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
@@ -118,9 +118,10 @@
     Report run() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         List<UnrulyServer> servers = new ArrayList<>();
-        Tally tally = new Tally();
+        LoopClock clock = new LoopClock(group.next());
+        // Everything that is counted while exchanges are played has to be counted on the loop.
+        Tally tally = new Tally(clock::inEventLoop);
         try {
-            LoopClock clock = new LoopClock(group.next());
             HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
             FrontDesk desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed));
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -44,7 +44,7 @@
     private static final String SEALED = "HTTP/1.1 200 OK\r\nRequest-Attempt: t1\r\nServer-Seal: s\r\n";
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LoopClock clock = new LoopClock(group.next());
-    private final Tally tally = new Tally();
+    private final Tally tally = new Tally(clock::inEventLoop);
     private FrontDesk desk;
     private int port;
     private ScriptedServer first;
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -38,6 +38,14 @@
     /** Runs the task on the loop soon, from any thread. */
     void execute(Runnable task);
 
+    /**
+     * Whether the calling thread is the loop's. Objects that are confined to the loop assert it where other threads could
+     * come in; assertions are on in tests only.
+     */
+    default boolean inEventLoop() {
+        return true;
+    }
+
     /** A pending task that can be taken back. */
     interface Cancellable {
         void cancel();
--- a/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
+++ b/kernel/src/main/java/org/umbermount/kernel/HouseRules.java
@@ -51,14 +51,13 @@
         }
     }
 
-    public static HouseRules load(Path file) throws InvalidException {
-        byte[] bytes;
+    /** The bytes of a settings file, for {@link #parse}. */
+    public static byte[] read(Path file) throws InvalidException {
         try {
-            bytes = Files.readAllBytes(file);
+            return Files.readAllBytes(file);
         } catch (IOException e) {
             throw new InvalidException("The settings file " + file + " cannot be opened.");
         }
-        return parse(bytes);
     }
 
     /** Reads settings; every field that is used is checked here, and named if it cannot be used. */
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -21,15 +21,17 @@
 
     private final Role role;
     private final Clock clock;
-    private final Tally tally = new Tally();
+    private final Tally tally;
     private final Map<Class<?>, Object> offers = new HashMap<>();
     private final List<Department> open = new ArrayList<>();
     private HouseRules rules;
+    private boolean leaving;
 
     public Institution(Role role, HouseRules rules, Clock clock) {
         this.role = role;
         this.rules = rules;
         this.clock = clock;
+        this.tally = new Tally(clock::inEventLoop);
         offer(Clock.class, clock);
     }
 
@@ -76,7 +78,8 @@
             try {
                 openOnLoop();
                 opened.complete(null);
-            } catch (Exception e) {
+            } catch (Throwable e) {
+                // Also an error, as of memory: whoever waits has to learn that the start has failed.
                 opened.completeExceptionally(e);
             }
         });
@@ -94,6 +97,10 @@
     }
 
     private void openOnLoop() throws Exception {
+        if (leaving) {
+            // Told to stop before the first part was opened.
+            return;
+        }
         List<Department> found = new ArrayList<>();
         for (Department department : registered()) {
             if (department.serves(role)) {
@@ -129,6 +136,8 @@
 
     /** Closes the parts one after the other, the last opened first, then runs {@code done}. */
     public void leave(Runnable done) {
+        assert clock.inEventLoop() : "parts are closed beside the event loop";
+        leaving = true;
         leaveFrom(open.size() - 1, done);
     }
 
@@ -140,11 +149,16 @@
         open.get(index).leave(() -> leaveFrom(index - 1, done));
     }
 
-    /** Takes newly read settings into use. */
+    /** Takes newly read settings into use; a part that cannot use them does not keep them from the others. */
     public void reread(HouseRules fresh) {
+        assert clock.inEventLoop() : "settings are taken over beside the event loop";
         rules = fresh;
         for (Department department : open) {
-            department.reread(fresh);
+            try {
+                department.reread(fresh);
+            } catch (RuntimeException e) {
+                LOG.error("The part {} cannot use the settings that were read again.", department.name(), e);
+            }
         }
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -19,8 +19,12 @@
     CONTACT_BEFORE_BEATS,
     /** An order counts as taken only if the digest of its call is that of the one which was taken under its number. */
     DIGEST_COMPARED,
+    /** An error on the disk's thread is told to the loop as a refusal, like an exception. */
+    DISK_ERRORS_REPORTED,
     /** A duty is left to a registrar of its zone only if that one says that a majority answers it. */
     DUTY_LEFT_TO_ONE_IN_CONTACT,
+    /** A signal that comes before the event loop runs is kept for it. */
+    EARLY_SIGNALS_KEPT,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
     /** A lector drops what a sender of a lower epoch sends. */
--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Tally.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.ObjDoubleConsumer;
 
@@ -16,15 +17,24 @@
  * is put together when somebody first looks, because loading it at each start cost a tenth of the start.
  */
 public final class Tally {
-    /** A number that only rises. It is counted on the process's loop; readers may see it a little late. */
+    /**
+     * A number that only rises. It is counted on the process's loop alone, since an addition is a reading and a writing;
+     * readers may see it a little late.
+     */
     public static final class Count {
+        private final BooleanSupplier inEventLoop;
         private volatile double value;
 
+        private Count(BooleanSupplier inEventLoop) {
+            this.inEventLoop = inEventLoop;
+        }
+
         public void increment() {
             increment(1);
         }
 
         public void increment(double by) {
+            assert inEventLoop.getAsBoolean() : "a meter is counted beside the event loop";
             value = value + by;
         }
 
@@ -33,11 +43,22 @@
         }
     }
 
+    private final BooleanSupplier inEventLoop;
     private final Map<String, Count> counts = new HashMap<>();
     private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
 
+    /** Meters whose counting thread is not checked. */
+    public Tally() {
+        this(() -> true);
+    }
+
+    /** Meters that are counted only where {@code inEventLoop} holds; assertions check it. */
+    public Tally(BooleanSupplier inEventLoop) {
+        this.inEventLoop = inEventLoop;
+    }
+
     public synchronized Count counter(String name) {
-        return counts.computeIfAbsent(name, n -> new Count());
+        return counts.computeIfAbsent(name, n -> new Count(inEventLoop));
     }
 
     public void count(String name) {
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -42,6 +42,11 @@
         loop.execute(() -> guard(task));
     }
 
+    @Override
+    public boolean inEventLoop() {
+        return loop.inEventLoop();
+    }
+
     private static void guard(Runnable task) {
         try {
             task.run();
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -62,6 +62,7 @@
 
     @Override
     public void send(Imprint to, Topic topic, byte[] body) {
+        assert channel.eventLoop().inEventLoop() : "a message is sent beside the event loop";
         InetSocketAddress address = to.socketAddress();
         messagesOut[topic.ordinal()].increment();
         for (byte[] part : parcels.wrap(topic, body)) {
--- a/kernel/src/test/java/org/umbermount/kernel/HouseRulesTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/HouseRulesTest.java
@@ -16,6 +16,11 @@
             + "\"seedNodes\":[\"10.1.0.3:8544\"],\"bootstrap\":true,\"dataPath\":null,\"later\":{\"field\":1},"
             + "\"bounds\":{\"graceS\":6,\"retryRatio\":0.2}}";
 
+    /** Settings for other tests. */
+    static HouseRules valid() throws HouseRules.InvalidException {
+        return HouseRules.parse(GOOD.getBytes());
+    }
+
     @Test
     void settingsAreReadAndUnknownFieldsIgnored() throws HouseRules.InvalidException {
         HouseRules rules = HouseRules.parse(GOOD.getBytes());
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
@@ -1,10 +1,15 @@
 package org.umbermount.kernel;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.testing.FakeClock;
 
@@ -14,6 +19,7 @@
         static final List<String> EVENTS = new ArrayList<>();
         static Thread opener;
         static boolean broken;
+        static Error error;
 
         @Override
         public String name() {
@@ -37,6 +43,15 @@
             if (broken) {
                 throw new IllegalStateException("no");
             }
+            if (error != null) {
+                throw error;
+            }
+        }
+
+        @Override
+        public void reread(HouseRules rules) {
+            EVENTS.add("reread");
+            throw new IllegalStateException("no use for them");
         }
 
         @Override
@@ -73,11 +88,16 @@
         return new Institution(Role.LECTOR, null, threaded);
     }
 
+    @BeforeEach
+    void forget() {
+        Recorder.EVENTS.clear();
+        Recorder.broken = false;
+        Recorder.error = null;
+    }
+
     /** Parts opened beside the loop once met changes that the loop was making, and the start failed. */
     @Test
     void partsOpenOnTheLoopAndLeaveInOrder() throws Exception {
-        Recorder.EVENTS.clear();
-        Recorder.broken = false;
         Thread[] loop = new Thread[1];
         Institution institution = institution(loop);
         institution.openAll();
@@ -91,4 +111,41 @@
         Recorder.broken = true;
         assertThrows(IllegalStateException.class, () -> institution(new Thread[1]).openAll());
     }
+
+    /** Only exceptions ended the start once: after an error the process stayed, with half of its parts, for good. */
+    @Test
+    void errorOfAPartEndsTheStartToo() {
+        Recorder.error = new NoClassDefFoundError("played by the test");
+        ExecutionException e = assertTimeoutPreemptively(Duration.ofSeconds(10),
+                () -> assertThrows(ExecutionException.class, () -> institution(new Thread[1]).openAll()));
+        assertSame(Recorder.error, e.getCause());
+    }
+
+    @Test
+    void settingsThatAPartCannotUseAreInForceForTheOthers() throws Exception {
+        Institution institution = institution(new Thread[1]);
+        institution.openAll();
+        HouseRules fresh = HouseRulesTest.valid();
+        institution.reread(fresh);
+        assertSame(fresh, institution.rules());
+        assertEquals(List.of("open", "reread"), Recorder.EVENTS);
+    }
+
+    @Test
+    void nothingIsOpenedOnceTheProgramLeaves() throws Exception {
+        Institution institution = institution(new Thread[1]);
+        institution.leave(() -> Recorder.EVENTS.add("done"));
+        institution.openAll();
+        assertEquals(List.of("done"), Recorder.EVENTS);
+    }
+
+    @Test
+    void metersAreCountedOnTheLoopOnly() {
+        boolean[] inLoop = {true};
+        Tally tally = new Tally(() -> inLoop[0]);
+        tally.count("a");
+        inLoop[0] = false;
+        assertThrows(AssertionError.class, () -> tally.count("a"));
+        assertEquals(1, tally.counter("a").count());
+    }
 }
