Disk tasks end on the loop exactly once, whatever they throw

Cause: three classes handed work to the disk's thread each in its own way. An Error there (memory) left the write pending for good: the registrar counted as hung until its end, and the notes on servers were never written again. The disk's thread also counted a meter and set a field of the notes, which are the loop's. Change: DiskTasks submits work and brings back its result or failure on the loop, in order; StackRoom, CensusNotebook and LoanDesk use it, and touch nothing of the loop on the disk's thread.

--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -1,6 +1,5 @@
 package org.umbermount.archive;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -8,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Script;
+import org.umbermount.stacks.DiskTasks;
 import org.umbermount.stacks.Folio;
 import org.umbermount.stacks.Stack;
 
@@ -25,7 +25,7 @@
 
     private final Census census;
     private final Stack stack;
-    private final Executor thread;
+    private final DiskTasks disk;
     private final Clock clock;
     private long notedDigest;
     private long notedAt;
@@ -34,7 +34,7 @@
     CensusNotebook(Census census, Stack stack, Executor thread, Clock clock) {
         this.census = census;
         this.stack = stack;
-        this.thread = thread;
+        this.disk = new DiskTasks(thread, clock);
         this.clock = clock;
     }
 
@@ -72,14 +72,13 @@
         notedAt = now;
         List<CensusEntry> entries = new ArrayList<>(census.entries());
         byte[] notes = Script.write().num(now).list(entries, (o, e) -> e.write(o)).done();
-        thread.execute(() -> {
-            try {
-                stack.put(List.of(new Folio(SERVERS, notes)));
-            } catch (IOException | RuntimeException e) {
-                // A disk that refuses these refuses the chain's writes too, and is dealt with there.
-                notedDigest = 0;
-            }
-            clock.execute(() -> busy = false);
+        disk.submit(() -> {
+            stack.put(List.of(new Folio(SERVERS, notes)));
+            return null;
+        }, written -> busy = false, failure -> {
+            // A disk that refuses these refuses the chain's writes too, and is dealt with there.
+            notedDigest = 0;
+            busy = false;
         });
     }
 }
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -1,6 +1,5 @@
 package org.umbermount.loans;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
+import org.umbermount.stacks.DiskTasks;
 import org.umbermount.stacks.Ledger;
 
 /**
@@ -27,6 +27,8 @@
 public final class LoanDesk implements Companion {
     private static final Logger LOG = LoggerFactory.getLogger("loans");
     private static final long LOOK_MS = 40;
+    /** In place of a segment's number: the disk has not taken the records. */
+    private static final int REFUSED = -1;
     private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
     private static final long FETCH_MS = 200;
@@ -52,7 +54,7 @@
     private final Replica replica;
     private final Ledger ledger;
     private final LoanBook book;
-    private final java.util.concurrent.Executor disk;
+    private final DiskTasks disk;
     private final int tolerated;
     private final long keepMs;
     private final long mostBytes;
@@ -108,7 +110,7 @@
         this.replica = replica;
         this.ledger = ledger;
         this.book = book;
-        this.disk = disk;
+        this.disk = new DiskTasks(disk, clock);
         this.tolerated = tolerated;
         this.keepMs = keepMs;
         this.mostBytes = mostBytes;
@@ -240,22 +242,15 @@
         }
         writing = true;
         writeBegan = clock.now();
-        disk.execute(() -> {
-            int segment = 0;
-            try {
-                ledger.append(raw);
-                segment = ledger.current();
-            } catch (IOException | RuntimeException e) {
-                segment = -1;
-            }
-            int where = segment;
-            clock.execute(() -> written(batch, upTo, where));
-        });
+        disk.submit(() -> {
+            ledger.append(raw);
+            return ledger.current();
+        }, segment -> written(batch, upTo, segment), failure -> written(batch, upTo, REFUSED));
     }
 
     private void written(List<Slip> batch, Bookmark upTo, int segment) {
         writing = false;
-        refusing = segment < 0;
+        refusing = segment == REFUSED;
         if (refusing) {
             tally.count("loans.writes.refused");
             queue.clear();
@@ -307,13 +302,10 @@
         int dropped = book.expireThrough(last);
         segmentWritten.keySet().removeIf(s -> s <= last);
         tally.counter("loans.expired").increment(dropped);
-        disk.execute(() -> {
-            try {
-                ledger.dropThrough(last);
-            } catch (IOException | RuntimeException e) {
-                tally.count("loans.segments.kept");
-            }
-        });
+        disk.submit(() -> {
+            ledger.dropThrough(last);
+            return null;
+        }, removed -> { }, failure -> tally.count("loans.segments.kept"));
     }
 
     // ---- messages ----
--- a/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
+++ b/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
@@ -1,6 +1,5 @@
 package org.umbermount.stacks;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -16,7 +15,7 @@
     private static final byte PROBE_KEY = 127;
 
     private final Stack stack;
-    private final Executor thread;
+    private final DiskTasks disk;
     private final Clock clock;
     private final ArrayDeque<Moment> pending = new ArrayDeque<>();
     private boolean refusing;
@@ -30,7 +29,7 @@
 
     public StackRoom(Stack stack, Executor thread, Clock clock) {
         this.stack = stack;
-        this.thread = thread;
+        this.disk = new DiskTasks(thread, clock);
         this.clock = clock;
         clock.every(PROBE_MS, this::probe);
     }
@@ -39,25 +38,20 @@
     public void write(List<Folio> folios, Outcome outcome) {
         Moment start = clock.now();
         pending.add(start);
-        thread.execute(() -> {
-            boolean safe;
-            try {
-                stack.put(folios);
-                safe = true;
-            } catch (IOException | RuntimeException e) {
-                safe = false;
-            }
-            boolean result = safe;
-            clock.execute(() -> {
-                pending.poll();
-                refusing = !result;
-                if (!result) {
-                    lastRefusal = clock.now();
-                }
-                slowestMs = Math.max(slowestMs / 2, clock.now().since(start));
-                outcome.done(result);
-            });
-        });
+        disk.submit(() -> {
+            stack.put(folios);
+            return null;
+        }, written -> settled(start, true, outcome), failure -> settled(start, false, outcome));
+    }
+
+    private void settled(Moment start, boolean safe, Outcome outcome) {
+        pending.poll();
+        refusing = !safe;
+        if (!safe) {
+            lastRefusal = clock.now();
+        }
+        slowestMs = Math.max(slowestMs / 2, clock.now().since(start));
+        outcome.done(safe);
     }
 
     private void probe() {
