Signals are taken from the first moment and served on the loop

Cause: handlers were set after the parts were opened. A SIGHUP until then ended the process, a SIGTERM ended it without order although clients were being served already; with several cores the thread that starts may wait between the two. The settings were read twice at the start, so that a change in between was never noticed. A reload while the parts closed was handed to parts that had left. Change: SignalRelay is installed before anything else and keeps what comes before the loop is there; a stop before the first part opens nothing. Settings are read once; while the program leaves they are not read again. The timer of the settings is set on the loop.

--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -27,25 +27,39 @@
 
     private final Role role;
     private final Path file;
-    private Logger log;
+    private final SignalRelay signals;
+    private final Runnable end;
+    // Set by the thread that starts, before the loop is handed anything; from then on the loop's alone.
     private byte[] lastRead;
     private Institution institution;
-    private LoopClock clock;
     private boolean leaving;
 
-    Daemon(Role role, Path file) {
+    /**
+     * @param signals where the requests to stop and to read the settings again come from
+     * @param end ends the process once everything is closed
+     */
+    Daemon(Role role, Path file, SignalRelay signals, Runnable end) {
         this.role = role;
         this.file = file;
+        this.signals = signals;
+        this.end = end;
+    }
+
+    /** Not a constant: the log is loaded only after the clients' address is open. */
+    private static Logger log() {
+        return LoggerFactory.getLogger("umbermount");
     }
 
     static void run(Role role) {
+        SignalRelay signals = new SignalRelay();
+        signals.install();
         prepare();
         String name = System.getenv(VARIABLE);
         if (name == null || name.isEmpty()) {
             System.err.println("The variable " + VARIABLE + " must name the settings file.");
             System.exit(2);
         }
-        Daemon daemon = new Daemon(role, Path.of(name));
+        Daemon daemon = new Daemon(role, Path.of(name), signals, () -> Runtime.getRuntime().halt(0));
         try {
             daemon.start();
         } catch (HouseRules.InvalidException | IllegalStateException e) {
@@ -68,12 +82,13 @@
     }
 
     void start() throws Exception {
-        HouseRules rules = HouseRules.load(file);
-        lastRead = Files.readAllBytes(file);
+        byte[] settings = HouseRules.read(file);
+        // The very bytes that are in use: read a second time, a change in between would never be noticed.
+        lastRead = settings;
+        HouseRules rules = HouseRules.parse(settings);
         ServerSocketChannel early = role == Role.LECTOR ? listenEarly(rules) : null;
-        log = LoggerFactory.getLogger("umbermount");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        clock = new LoopClock(loop);
+        LoopClock clock = new LoopClock(loop);
         institution = new Institution(role, rules, clock);
         Mailroom mailroom = new Mailroom(rules.ownMail(role), clock, institution.tally());
         institution.offer(Postbag.class, mailroom);
@@ -81,10 +96,10 @@
             institution.offer(ServerSocketChannel.class, early);
         }
         mailroom.bind(loop);
+        signals.connect(request -> clock.execute(() -> serve(request)));
         institution.openAll();
-        watchSignals();
-        clock.every(REREAD_MS, this::rereadIfChanged);
-        log.info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
+        clock.execute(() -> clock.every(REREAD_MS, this::rereadIfChanged));
+        log().info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
     }
 
     /**
@@ -102,25 +117,33 @@
         return channel;
     }
 
-    private void watchSignals() {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> clock.execute(this::rereadIfChanged));
-        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> clock.execute(this::leave));
-        sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> clock.execute(this::leave));
+    /** Serves a signal, on the loop. */
+    private void serve(SignalRelay.Request request) {
+        if (request == SignalRelay.Request.STOP) {
+            leave();
+        } else {
+            rereadIfChanged();
+        }
     }
 
+    /** Closes the parts that are open and ends the process; also before the first one has been opened. */
     private void leave() {
         if (leaving) {
             return;
         }
         leaving = true;
-        log.info("Told to stop.");
+        log().info("Told to stop.");
         institution.leave(() -> {
-            log.info("Everything is finished.");
-            Runtime.getRuntime().halt(0);
+            log().info("Everything is finished.");
+            end.run();
         });
     }
 
     private void rereadIfChanged() {
+        if (leaving) {
+            // The parts are closing one after the other; new settings are the next process's.
+            return;
+        }
         try {
             byte[] bytes = Files.readAllBytes(file);
             if (Arrays.equals(bytes, lastRead)) {
@@ -128,9 +151,9 @@
             }
             lastRead = bytes;
             institution.reread(HouseRules.parse(bytes));
-            log.info("The settings have been read again.");
+            log().info("The settings have been read again.");
         } catch (IOException | HouseRules.InvalidException e) {
-            log.warn("The changed settings are not used: {}", e.getMessage());
+            log().warn("The changed settings are not used: {}", e.getMessage());
         }
     }
 }
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -33,7 +33,7 @@
         Path settings = folder.resolve("settings.json");
         Files.writeString(settings, settings(folder));
         for (Role role : Role.values()) {
-            new Daemon(role, settings).start();
+            new Daemon(role, settings, new SignalRelay(), () -> { }).start();
         }
         try (ServerSocket origin = new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"))) {
             Thread server = new Thread(() -> serve(origin), "origin");
@@ -122,7 +122,7 @@
     }
 
     /** The first of six neighbouring ports that are free for both kinds of sockets. */
-    private static int freePorts() {
+    static int freePorts() {
         for (int first = 21_000; first < 60_000; first += 11) {
             boolean free = true;
             for (int i = 0; i < 6 && free; i++) {
