Datagrams and messages that are dropped are counted by their reason

Cause: unreadable datagrams of all kinds shared one meter, and messages of an ended view or of another incarnation were dropped without a word; a message that met a fault was only logged. Change: the reason of an unreadable datagram, the topic of an unreadable, unwanted or failed message, and old_view, foreign_incarnation or not_a_member of a message of views and chain are parts of the meter's name. mail.unreadable and mail.unwanted are replaced by these (nothing in the repository read them). Nothing else is decided than before.

--- a/archive/src/main/java/org/umbermount/archive/Acceptor.java
+++ b/archive/src/main/java/org/umbermount/archive/Acceptor.java
@@ -11,11 +11,13 @@
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
+    private final DroppedMessages dropped;
 
-    Acceptor(DurableState durable, Membership membership, ViewMessages messages) {
+    Acceptor(DurableState durable, Membership membership, ViewMessages messages, DroppedMessages dropped) {
         this.durable = durable;
         this.membership = membership;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     void prepare(Imprint from, long view, Ballot ballot) {
@@ -53,6 +55,7 @@
         }
         long number = durable.memory().view().number();
         if (number >= view) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
             membership.sendNews(proposer);
             return false;
         }
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -301,6 +301,8 @@
                 if (in.num() == boot) {
                     acknowledged.merge(from, in.num(), Math::max);
                     settle();
+                } else {
+                    tally.count("census.messages.dropped.earlier_life");
                 }
             }
             case ASK -> {
--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -29,13 +29,14 @@
     private final CommitPoint commits;
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
+    private final DroppedMessages dropped;
     private final Clock clock;
     private final Tally tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
 
     ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
+            ViewConfirmation confirmation, ChainMessages messages, DroppedMessages dropped, Tally tally) {
         this.self = self;
         this.clock = clock;
         this.tally = tally;
@@ -45,6 +46,7 @@
         this.commits = commits;
         this.confirmation = confirmation;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     // ---- the head ----
@@ -55,6 +57,7 @@
             return;
         }
         if (s.onlyIn() != 0 && s.onlyIn() != membership.view().number()) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
             return;
         }
         Order order = s.order();
@@ -131,8 +134,12 @@
             membership.fetch(from);
             return;
         }
-        if (!membership.inChain() || state.view() != memory.view().number()
-                || !self.equals(memory.view().successor(from))) {
+        if (state.view() < memory.view().number()) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
+            return;
+        }
+        if (!membership.inChain() || !self.equals(memory.view().successor(from))) {
+            dropped.count(DroppedMessages.Reason.NOT_A_MEMBER);
             return;
         }
         if (state.isNewerThan(memory.state())) {
--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/archive/src/main/java/org/umbermount/archive/Membership.java
@@ -33,17 +33,20 @@
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages messages;
+    private final DroppedMessages dropped;
     private final List<Consumer<View>> observers = new ArrayList<>();
     private Listener listener;
     private Replica.Standing standing;
     private Companion companion = Companion.NONE;
     private List<Imprint> audience = List.of();
 
-    Membership(Imprint self, DurableState durable, CommitPoint commits, ViewMessages messages) {
+    Membership(Imprint self, DurableState durable, CommitPoint commits, ViewMessages messages,
+            DroppedMessages dropped) {
         this.self = self;
         this.durable = durable;
         this.commits = commits;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     void listen(Listener to) {
@@ -167,6 +170,7 @@
     void news(View view, ConfigurationState state, boolean isCommitted) {
         Memory memory = durable.memory();
         if (view.number() < memory.view().number() || state.view() != view.number()) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
             return;
         }
         if (view.number() > memory.view().number()) {
--- a/archive/src/main/java/org/umbermount/archive/Recovery.java
+++ b/archive/src/main/java/org/umbermount/archive/Recovery.java
@@ -26,16 +26,19 @@
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
+    private final DroppedMessages dropped;
     private final Map<Imprint, Reply> replies = new HashMap<>();
     private boolean rebuilding;
     private long attempt;
 
-    Recovery(Imprint self, Clock clock, DurableState durable, Membership membership, ViewMessages messages) {
+    Recovery(Imprint self, Clock clock, DurableState durable, Membership membership, ViewMessages messages,
+            DroppedMessages dropped) {
         this.self = self;
         this.clock = clock;
         this.durable = durable;
         this.membership = membership;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     // ---- for another that lost its memory ----
@@ -74,7 +77,11 @@
 
     void recovered(Imprint from, long incarnation, Reply reply) {
         Memory memory = durable.memory();
-        if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+        if (incarnation != memory.incarnation()) {
+            dropped.count(DroppedMessages.Reason.FOREIGN_INCARNATION);
+            return;
+        }
+        if (membership.standing() != Replica.Standing.RECOVERING || rebuilding) {
             return;
         }
         long known = incarnationIn(reply);
--- a/archive/src/main/java/org/umbermount/archive/Replica.java
+++ b/archive/src/main/java/org/umbermount/archive/Replica.java
@@ -84,11 +84,12 @@
         commits = new CommitPoint(room);
         viewMessages = new ViewMessages(clock, post);
         chainMessages = new ChainMessages(clock, post);
-        membership = new Membership(self, durable, commits, viewMessages);
-        acceptor = new Acceptor(durable, membership, viewMessages);
-        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
-        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, tally);
-        recovery = new Recovery(self, clock, durable, membership, viewMessages);
+        DroppedMessages dropped = new DroppedMessages(tally);
+        membership = new Membership(self, durable, commits, viewMessages, dropped);
+        acceptor = new Acceptor(durable, membership, viewMessages, dropped);
+        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages, dropped);
+        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, dropped, tally);
+        recovery = new Recovery(self, clock, durable, membership, viewMessages, dropped);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
         chainMessages.open(new ChainHandler());
--- a/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewConfirmation.java
@@ -26,6 +26,7 @@
     private final Membership membership;
     private final CommitPoint commits;
     private final ChainMessages messages;
+    private final DroppedMessages dropped;
     private final Map<Long, Question> questions = new HashMap<>();
     /** Not from the clock: after it was set back, answers to an earlier life would count for this one. */
     private long nextNonce = new SecureRandom().nextLong() >>> 1;
@@ -36,12 +37,13 @@
     }
 
     ViewConfirmation(Imprint self, DurableState durable, Membership membership, CommitPoint commits,
-            ChainMessages messages) {
+            ChainMessages messages, DroppedMessages dropped) {
         this.self = self;
         this.durable = durable;
         this.membership = membership;
         this.commits = commits;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     /** The tail answers a read, once it knows what is committed in its view. */
@@ -93,14 +95,24 @@
         if (!Safeguard.VOTES_OF_THE_VIEW_ONLY.holds() || membership.standing() == Replica.Standing.MEMBER
                 && memory.view().number() == view && !memory.frozen()) {
             messages.sendConfirmed(from, nonce, memory.incarnation());
+        } else if (memory.view().number() != view) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
         }
     }
 
     void confirmed(Imprint from, long nonce, long incarnation) {
         Question q = questions.get(nonce);
         View view = durable.memory().view();
-        if (q == null || q.view() != view.number() || incarnation < membership.incarnationOf(from)
-                || !view.votes(from)) {
+        if (q == null || q.view() != view.number()) {
+            // Settled by others already, or its view has ended.
+            return;
+        }
+        if (!view.votes(from)) {
+            dropped.count(DroppedMessages.Reason.NOT_A_MEMBER);
+            return;
+        }
+        if (incarnation < membership.incarnationOf(from)) {
+            dropped.count(DroppedMessages.Reason.FOREIGN_INCARNATION);
             return;
         }
         q.agreed().add(from);
--- a/archive/src/main/java/org/umbermount/archive/ViewProposer.java
+++ b/archive/src/main/java/org/umbermount/archive/ViewProposer.java
@@ -37,6 +37,7 @@
     private final Clock clock;
     private final Random random;
     private final Tally tally;
+    private final DroppedMessages dropped;
     private final Imprint self;
     private final String zone;
     private final int tolerated;
@@ -76,6 +77,7 @@
         this.clock = clock;
         this.random = random;
         this.tally = tally;
+        this.dropped = new DroppedMessages(tally);
         this.self = self;
         this.seatsSince = clock.now();
         this.seats = replica.view().electorate().stream().map(Voter::imprint).toList();
@@ -292,11 +294,19 @@
                 && voter.incarnation() >= replica.incarnationOf(voter.imprint());
     }
 
+    private void noteUncounted(Voter voter) {
+        if (!counts(voter)) {
+            dropped.count(replica.view().votes(voter.imprint()) ? DroppedMessages.Reason.FOREIGN_INCARNATION
+                    : DroppedMessages.Reason.NOT_A_MEMBER);
+        }
+    }
+
     @Override
     public void promised(long view, Ballot ballot, Replica.Promise promise) {
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal != null) {
             return;
         }
+        noteUncounted(promise.voter());
         attempt.promises.put(promise.voter().imprint(), promise);
         attempt.promises.values().removeIf(p -> !counts(p.voter()));
         if (attempt.promises.size() < replica.view().majority()) {
@@ -337,6 +347,7 @@
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal == null) {
             return;
         }
+        noteUncounted(voter);
         attempt.accepted.add(voter);
         attempt.accepted.removeIf(a -> !counts(a));
         if (attempt.accepted.size() >= replica.view().majority()) {
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -31,6 +31,7 @@
     final Map<Integer, Archive> running = new TreeMap<>();
     public final Map<Integer, FakeVault> disks = new HashMap<>();
     private final Map<Integer, FakePost.Bag> bags = new HashMap<>();
+    final Map<Integer, Tally> tallies = new HashMap<>();
     private final int size;
     private final int seeds;
     private final int tolerated;
@@ -106,8 +107,9 @@
         disk.clock(clock);
         FakePost.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
+        tallies.put(i, new Tally());
         Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), tallies.get(i));
         running.put(i, archive);
         if (attachment != null) {
             attachment.attach(i, clock, bag, archive.replica, disk);
--- a/kernel/src/main/java/org/umbermount/kernel/Script.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Script.java
@@ -14,7 +14,7 @@
     }
 
     /** A message that does not hold what it should. */
-    public static final class UnreadableException extends Exception {
+    public static class UnreadableException extends Exception {
         public UnreadableException(String what, Throwable cause) {
             super(what, cause);
         }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -13,9 +13,11 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
@@ -34,14 +36,14 @@
     private final Tally.Count bytesIn;
     private Channel channel;
 
-    public Mailroom(Imprint self, LoopClock clock, Tally tally) {
+    public Mailroom(Imprint self, Clock clock, Tally tally) {
         this.self = self;
         this.tally = tally;
         this.parcels = new Parcels(clock);
         tally.gauge("mail.parts.foreign", parcels::foreign);
         this.bytesIn = tally.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
-            String name = topic.name().toLowerCase(java.util.Locale.ROOT);
+            String name = lower(topic);
             bytesOut[topic.ordinal()] = tally.counter("mail.bytes.out." + name);
             messagesOut[topic.ordinal()] = tally.counter("mail.messages.out." + name);
         }
@@ -77,6 +79,37 @@
         listeners.put(topic, listener);
     }
 
+    /** Takes one datagram; what cannot be used is counted by its reason and dropped. */
+    void receive(Imprint from, byte[] datagram) {
+        Parcels.Whole whole;
+        try {
+            whole = parcels.unwrap(from, datagram);
+        } catch (UnreadableDatagramException e) {
+            tally.count("mail.unreadable." + lower(e.reason()));
+            return;
+        }
+        if (whole == null) {
+            return;
+        }
+        Listener listener = listeners.get(whole.topic());
+        if (listener == null) {
+            tally.count("mail.unwanted." + lower(whole.topic()));
+            return;
+        }
+        try {
+            listener.receive(from, whole.body());
+        } catch (Script.UnreadableException e) {
+            tally.count("mail.unreadable.message." + lower(whole.topic()));
+        } catch (RuntimeException e) {
+            tally.count("mail.failed." + lower(whole.topic()));
+            LOG.error("A message from {} could not be handled.", from, e);
+        }
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
     private final class Inbox extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -84,23 +117,7 @@
             byte[] bytes = new byte[content.readableBytes()];
             bytesIn.increment(bytes.length);
             content.readBytes(bytes);
-            Imprint from = Imprint.of(packet.sender());
-            try {
-                Parcels.Whole whole = parcels.unwrap(from, bytes);
-                if (whole == null) {
-                    return;
-                }
-                Listener listener = listeners.get(whole.topic());
-                if (listener == null) {
-                    tally.count("mail.unwanted");
-                    return;
-                }
-                listener.receive(from, whole.body());
-            } catch (Script.UnreadableException e) {
-                tally.count("mail.unreadable");
-            } catch (RuntimeException e) {
-                LOG.error("A message from {} could not be handled.", from, e);
-            }
+            receive(Imprint.of(packet.sender()), bytes);
         }
 
         @Override
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -15,7 +15,7 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.net.UnreadableDatagramException.Reason;
 
 /**
  * Splits messages into datagrams and puts them together again. Each datagram is
@@ -122,9 +122,9 @@
     }
 
     /** The whole message, or null while parts are missing. */
-    public Whole unwrap(Imprint from, byte[] datagram) throws Script.UnreadableException {
+    public Whole unwrap(Imprint from, byte[] datagram) throws UnreadableDatagramException {
         if (datagram.length < HEAD || datagram[0] != MAGIC) {
-            throw new Script.UnreadableException("a foreign datagram", null);
+            throw new UnreadableDatagramException(Reason.FOREIGN, null);
         }
         int expected = getInt(datagram, 11);
         putInt(datagram, 11, 0);
@@ -134,7 +134,7 @@
         int count = getShort(datagram, 9);
         if (checksum(datagram) != expected || topicIndex < 0 || topicIndex >= topics.length
                 || index >= count || count > Postbag.LARGEST / PART + 1 || count > 1 && datagram.length < HEAD + LIFE) {
-            throw new Script.UnreadableException("a damaged datagram", null);
+            throw new UnreadableDatagramException(Reason.DAMAGED, null);
         }
         byte[] load;
         if (count == 1) {
@@ -148,7 +148,7 @@
         return new Whole(topics[topicIndex], datagram[2] == 1 ? inflate(load) : load);
     }
 
-    private byte[] join(Imprint from, byte[] datagram, int index, int count) throws Script.UnreadableException {
+    private byte[] join(Imprint from, byte[] datagram, int index, int count) throws UnreadableDatagramException {
         Moment now = clock.now();
         Iterator<Partial> oldest = partials.values().iterator();
         while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
@@ -164,11 +164,11 @@
         if (partial.life != sentIn && Safeguard.PARTS_OF_ONE_LIFE.holds()) {
             partials.remove(key);
             foreign++;
-            throw new Script.UnreadableException("parts of two lives of a sender share an id", null);
+            throw new UnreadableDatagramException(Reason.MIXED_LIVES, null);
         }
         if (partial.parts.length != count) {
             partials.remove(key);
-            throw new Script.UnreadableException("parts of two messages share an id", null);
+            throw new UnreadableDatagramException(Reason.MIXED_MESSAGES, null);
         }
         if (partial.parts[index] != null) {
             return null;
@@ -204,7 +204,7 @@
         }
     }
 
-    private static byte[] inflate(byte[] load) throws Script.UnreadableException {
+    private static byte[] inflate(byte[] load) throws UnreadableDatagramException {
         Inflater inflater = new Inflater(true);
         try {
             inflater.setInput(load);
@@ -213,13 +213,13 @@
             while (!inflater.finished()) {
                 int n = inflater.inflate(chunk);
                 if (n == 0 && !inflater.finished() || out.size() + n > Postbag.LARGEST) {
-                    throw new Script.UnreadableException("a message cannot be unpacked", null);
+                    throw new UnreadableDatagramException(Reason.NOT_INFLATABLE, null);
                 }
                 out.write(chunk, 0, n);
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new Script.UnreadableException("a message cannot be unpacked", e);
+            throw new UnreadableDatagramException(Reason.NOT_INFLATABLE, e);
         } finally {
             inflater.end();
         }
--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/loans/src/main/java/org/umbermount/loans/LoanDesk.java
@@ -537,6 +537,10 @@
             replica.fetchFrom(from);
             return;
         }
+        if (view < this.view.number()) {
+            tally.count("loans.messages.dropped.old_view");
+            return;
+        }
         if (view != this.view.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
                 || !replica.acting()) {
             return;
@@ -567,6 +571,10 @@
     }
 
     private void acknowledged(Imprint from, long view, long pos, long theirCommitted) {
+        if (view < this.view.number()) {
+            tally.count("loans.messages.dropped.old_view");
+            return;
+        }
         if (view != this.view.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
             return;
         }
