What a file holds and cannot be read is reported with file and offset

Cause: of a record that is whole by its checksum and holds what nobody can have written, file and place were not told; a memory with a missing entry ended the start with a NullPointerException. Operation records that were damaged were forgotten on the loop beside the disk's thread: a write of the memory that waited there could come behind it and, by a rewrite, leave a vote without its records. Change: Stack.read and Ledger's reader turn such an entry into a DamagedException with file and offset, handled as damage is. The forgetting runs on the disk's thread, which ends the process there.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -12,7 +12,6 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.Stack;
 import org.umbermount.stacks.StackRoom;
@@ -101,8 +100,8 @@
     private static Memory load(Stack stack) throws java.io.IOException {
         try {
             return Memory.load(stack);
-        } catch (Script.UnreadableException e) {
-            LOG.error("The memory on disk cannot be read: {}. It is rebuilt from the others.", e.getMessage());
+        } catch (Stack.DamagedException e) {
+            LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
             stack.clear();
             return null;
         }
@@ -111,7 +110,8 @@
     private static boolean notedCommitted(Memory loaded, Stack stack) {
         try {
             return loaded != null && loaded.isNotedCommitted(stack);
-        } catch (Script.UnreadableException e) {
+        } catch (Stack.DamagedException e) {
+            LOG.warn("{} What is committed is asked of the others.", e.getMessage());
             return false;
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -23,6 +23,10 @@
     /** Older notes say nothing about now. */
     private static final long WORTHLESS_MS = 30_000;
 
+    /** What was noted, and when by the time of day. */
+    private record Notes(long at, List<CensusEntry> entries) {
+    }
+
     private final Census census;
     private final Stack stack;
     private final DiskTasks disk;
@@ -40,20 +44,19 @@
 
     /** Reads the notes of an earlier life, if they are fresh. */
     void recall() {
-        byte[] notes = stack.get(SERVERS);
-        if (notes == null) {
+        if (stack.get(SERVERS) == null) {
             return;
         }
         try {
-            Script.Reader in = Script.read(notes);
-            long age = clock.wallMillis() - in.num();
-            List<CensusEntry> entries = in.list(CensusEntry::read);
+            Notes notes = stack.read(SERVERS, in -> new Notes(in.num(), in.list(CensusEntry::read)));
+            long age = clock.wallMillis() - notes.at;
+            List<CensusEntry> entries = notes.entries;
             if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
                 census.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
             }
-        } catch (Script.UnreadableException e) {
-            LOG.warn("The notes on servers cannot be read: {}.", e.getMessage());
+        } catch (Stack.DamagedException e) {
+            LOG.warn("{} The servers' next beats are waited for.", e.getMessage());
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -136,24 +136,21 @@
     }
 
     /** Whether the stack's note says that the state in this memory is committed. */
-    boolean isNotedCommitted(Stack stack) throws Script.UnreadableException {
-        byte[] note = stack.get(COMMITTED);
-        if (note == null) {
-            return false;
-        }
-        Script.Reader in = Script.read(note);
-        return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
+    boolean isNotedCommitted(Stack stack) throws Stack.DamagedException {
+        return stack.get(COMMITTED) != null && stack.read(COMMITTED,
+                in -> in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob())));
     }
 
     /** Reads the memory from a stack; null if there is none. */
-    static Memory load(Stack stack) throws Script.UnreadableException {
+    static Memory load(Stack stack) throws Stack.DamagedException {
         if (stack.get(IDENTITY) == null) {
             return null;
         }
-        Script.Reader identity = Script.read(stack.get(IDENTITY));
-        Script.Reader acceptor = Script.read(stack.get(ACCEPTOR));
-        return new Memory(identity.num(), identity.num(), View.read(Script.read(stack.get(VIEW))),
-                ConfigurationState.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
-                acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(Script.read(stack.get(CRASHES))));
+        Memory identity = stack.read(IDENTITY, in -> blank(in.num()).recovered(in.num()));
+        View view = stack.read(VIEW, View::read);
+        ConfigurationState state = stack.read(STATE, ConfigurationState::read);
+        Map<Imprint, Long> incarnations = stack.read(CRASHES, Memory::readIncarnations);
+        return stack.read(ACCEPTOR, in -> new Memory(identity.incarnation, identity.recoveredFor, view, state,
+                Ballot.read(in), Ballot.read(in), in.flag() ? Proposal.read(in) : null, incarnations));
     }
 }
--- a/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.archive.Replica;
@@ -77,14 +78,32 @@
     private static Ledger open(Cellar cellar, LoanBook book, Institution host) throws IOException {
         try {
             return Ledger.open(cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
-        } catch (Stack.DamagedException | IllegalStateException e) {
+        } catch (Stack.DamagedException e) {
             LOG.error("{} The daemon starts again without any memory.", e.getMessage());
-            forget(cellar.vault());
-            host.fatal("The operation records on disk cannot be used.");
+            forgetAndEnd(cellar, () -> host.fatal("The operation records on disk cannot be used."));
             throw e;
         }
     }
 
+    /**
+     * Forgets on the disk's own thread and ends the process there, while the caller waits: what was handed to that thread
+     * before goes first, and nothing that waits behind it can write a memory again.
+     */
+    static void forgetAndEnd(Cellar cellar, Runnable end) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        cellar.thread().execute(() -> {
+            try {
+                forget(cellar.vault());
+            } catch (IOException e) {
+                LOG.error("The files could not be emptied: {}.", e.getMessage());
+            } finally {
+                end.run();
+                ended.complete(null);
+            }
+        });
+        ended.join();
+    }
+
     /**
      * A voter that forgot what it said must not vote as if it had not: it becomes a new incarnation. The records go last, for
      * whoever ends on the way must not be left with its vote and without them.
@@ -97,9 +116,10 @@
         }
     }
 
-    private static void replay(LoanBook book, int segment, byte[] body, Institution host) {
+    private static void replay(LoanBook book, int segment, byte[] body, Institution host)
+            throws Script.UnreadableException {
+        Slip s = Slip.read(body);
         try {
-            Slip s = Slip.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
                 case CUT -> book.cut(new org.umbermount.archive.Bookmark(s.view, s.pos, org.umbermount.kernel.Imprint.NONE));
@@ -109,8 +129,8 @@
                     book.add(s);
                 }
             }
-        } catch (Script.UnreadableException e) {
-            throw new IllegalStateException("An operation record on disk cannot be read: " + e.getMessage() + ".", e);
+        } catch (IllegalStateException e) {
+            throw new Script.UnreadableException(e.getMessage(), e);
         }
     }
 
--- a/stacks/src/main/java/org/umbermount/stacks/Ledger.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Ledger.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
 
 /**
  * A run of checksummed records in segments. Records are written at the end, many in one sync; old ones go a whole
@@ -34,7 +35,7 @@
 
     /** Receives what the ledger holds, in order. */
     public interface Reader {
-        void record(int segment, byte[] body);
+        void record(int segment, byte[] body) throws Script.UnreadableException;
     }
 
     private Ledger(Vault vault, String prefix, int segmentBytes) {
@@ -70,13 +71,25 @@
             if (last && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
                 vault.sync(name(number));
             }
-            content.records.forEach(body -> reader.record(number, body));
+            hand(content, number, reader);
             segments.put(number, (long) content.end);
             uncertainTail = content.end < bytes.length;
             current = number;
         }
     }
 
+    private void hand(Content content, int number, Reader reader) throws Stack.DamagedException {
+        int at = TITLE.length;
+        for (byte[] body : content.records) {
+            try {
+                reader.record(number, body);
+            } catch (Script.UnreadableException e) {
+                throw new Stack.DamagedException(name(number), at, e);
+            }
+            at += HEAD + body.length;
+        }
+    }
+
     /** Segments go from the oldest on. So what lies before a gap was removed, and came back with a loss of power. */
     private List<Integer> withoutReturned(List<Integer> numbers) throws IOException {
         int first = numbers.size() - 1;
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -11,6 +12,7 @@
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
 import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.Script;
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
@@ -32,6 +34,11 @@
         DamagedException(String name, long at) {
             super("The file " + name + " is damaged at byte " + at + ".");
         }
+
+        /** A whole record holds something that nobody can have written. */
+        DamagedException(String name, long at, Script.UnreadableException cause) {
+            super("The file " + name + " cannot be read at byte " + at + ": " + cause.getMessage() + ".", cause);
+        }
     }
 
     /** Holds the generation; no put may use it. */
@@ -45,6 +52,8 @@
     private final Vault vault;
     private final long rewriteOver;
     private final Map<Byte, byte[]> newest = new TreeMap<>();
+    /** Where the folios stood that the file held at its opening. */
+    private final Map<Byte, Integer> foundAt = new HashMap<>();
     /** The file in use. */
     private String name;
     private String spare;
@@ -105,6 +114,7 @@
         uncertainSpare = other.exists;
         generation = content.generation;
         newest.putAll(content.newest);
+        foundAt.putAll(content.foundAt);
     }
 
     private void swapFiles() {
@@ -122,6 +132,7 @@
     /** What one of the files holds. */
     private static final class Content {
         final Map<Byte, byte[]> newest = new TreeMap<>();
+        final Map<Byte, Integer> foundAt = new HashMap<>();
         final boolean exists;
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
@@ -164,6 +175,7 @@
                     generation = new UnsafeBuffer(value).getLong(0, ORDER);
                 } else {
                     newest.put(buffer.getByte(at), value);
+                    foundAt.put(buffer.getByte(at), at);
                 }
                 at += FOLIO_HEAD + value.length;
             }
@@ -208,6 +220,19 @@
         return newest.get(key);
     }
 
+    /** Reads the value that a key had at the opening; what cannot be read is reported with file and offset. */
+    public <T> T read(byte key, Script.Element<T> element) throws DamagedException {
+        try {
+            byte[] value = newest.get(key);
+            if (value == null) {
+                throw new Script.UnreadableException("the entry " + key + " is missing", null);
+            }
+            return element.read(Script.read(value));
+        } catch (Script.UnreadableException e) {
+            throw new DamagedException(name, foundAt.getOrDefault(key, 0), e);
+        }
+    }
+
     public boolean isEmpty() {
         return newest.isEmpty();
     }
--- a/stacks/src/test/java/org/umbermount/stacks/DamageTest.java
+++ b/stacks/src/test/java/org/umbermount/stacks/DamageTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.kernel.Script;
 import org.umbermount.stacks.testing.FakeVault;
 
 /** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
@@ -82,6 +83,26 @@
         assertTrue(Stack.open(vault, "f", 120).isEmpty());
     }
 
+    /** The record is whole, and what it holds is not what belongs there: as after a fault of a program. */
+    @Test
+    void entryThatCannotBeReadIsReportedWithFileAndOffset() throws IOException {
+        FakeVault vault = new FakeVault();
+        Stack.open(vault, "f", 400).put(List.of(new Folio((byte) 1, Script.write().num(7).done()),
+                new Folio((byte) 2, Script.write().text("no number").done())));
+        Stack stack = Stack.open(vault, "f", 400);
+        assertEquals(7, stack.read((byte) 1, Script.Reader::num));
+        Exception e = assertThrows(Stack.DamagedException.class, () -> stack.read((byte) 2, Script.Reader::num));
+        assertEquals("The file f cannot be read at byte 22: a number is missing.", e.getMessage());
+        assertThrows(Stack.DamagedException.class, () -> stack.read((byte) 3, Script.Reader::num));
+        append(ledger(vault), "one", "three");
+        e = assertThrows(Stack.DamagedException.class, () -> Ledger.open(vault, "l", SEGMENT, (segment, body) -> {
+            if (body.length == 5) {
+                throw new Script.UnreadableException("an unknown record", null);
+            }
+        }));
+        assertEquals("The file l.1 cannot be read at byte 19: an unknown record.", e.getMessage());
+    }
+
     /** A rewrite is one record: if it is gone and the other file is empty, something safe was harmed. */
     @Test
     void damageToARewriteAloneIsReported() throws IOException {
