A control call that is too long is told so

Cause: the reason of a 413 was left out, and such a call was not counted. Change: its answer bears the reason, like every refusal of a control call.

--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -111,7 +112,21 @@
     }
 
     void answerCalls(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpServerCodec()).addLast(new HttpObjectAggregator(LARGEST_BODY, true)).addLast(new Calls());
+        pipeline.addLast(new HttpServerCodec()).addLast(new WholeCalls()).addLast(new Calls());
+    }
+
+    /** Puts a call together; one that is too long gets its reason at once, and the rest of it is read and thrown away. */
+    private final class WholeCalls extends HttpObjectAggregator {
+        WholeCalls() {
+            super(LARGEST_BODY, true);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            tally.count("control.refusals.body_too_large");
+            json(ctx, HttpUtil.isKeepAlive(oversized), Erratum.BODY_TOO_LARGE.status(),
+                    error("The call is over " + LARGEST_BODY + " bytes."));
+        }
     }
 
     void close() {
@@ -434,8 +449,11 @@
 
     private void refuse(ChannelHandlerContext ctx, boolean keep, Erratum erratum, String detail) {
         tally.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
-        json(ctx, keep && !erratum.closes(), erratum.status(),
-                "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
+        json(ctx, keep && !erratum.closes(), erratum.status(), error(detail));
+    }
+
+    private static String error(String detail) {
+        return "{\"errorMessage\":\"" + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}";
     }
 
     private void json(ChannelHandlerContext ctx, boolean keep, int status, String body) {
