Timers are set and cancelled on the loop; tables compare for each caller

Cause: nothing told when a timer was set beside the loop (tests did), and the empty table, which a process with several loops shares (rehearse, stocktake), kept its last comparison in two fields: one loop could get the other's difference. Change: LoopClock asserts the loop for timers; Inventory keeps its last comparison as one immutable object. Two fixtures of circulation make their FrontDesk on the loop, as the daemon does (stricter than before).

--- a/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
@@ -123,7 +123,8 @@
         Tally tally = new Tally(clock::inEventLoop);
         try {
             HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 2.0, 1, 1000, 4000);
-            FrontDesk desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed));
+            FrontDesk desk = clock.loop()
+                    .submit(() -> new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(seed))).get();
             try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
             }
--- a/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/FrontDeskTest.java
@@ -59,7 +59,7 @@
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
         HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 100, 4000);
-        desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
+        desk = clock.loop().submit(() -> new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1))).get();
         desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
     }
--- a/courier/src/main/java/org/umbermount/courier/Inventory.java
+++ b/courier/src/main/java/org/umbermount/courier/Inventory.java
@@ -31,8 +31,8 @@
     private final Map<String, byte[]> entries;
     private final Edition edition;
     // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
-    private Inventory comparedWith;
-    private Difference compared;
+    // One immutable object, read and written whole: a process with several event loops shares the empty table.
+    private Comparison last;
 
     private Inventory(Map<String, byte[]> entries) {
         this.entries = entries;
@@ -86,12 +86,17 @@
         }
     }
 
+    private record Comparison(Inventory older, Difference difference) {
+    }
+
+    /** What changes from an older table to this one. */
     public Difference since(Inventory older) {
-        if (older != comparedWith) {
-            compared = compare(older);
-            comparedWith = older;
+        Comparison known = last;
+        if (known == null || known.older != older) {
+            known = new Comparison(older, compare(older));
+            last = known;
         }
-        return compared;
+        return known.difference;
     }
 
     private Difference compare(Inventory older) {
@@ -116,8 +121,7 @@
         difference.gone().forEach(next::remove);
         next.putAll(difference.come());
         Inventory result = new Inventory(next);
-        result.compared = difference;
-        result.comparedWith = this;
+        result.last = new Comparison(this, difference);
         return result;
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -7,6 +7,7 @@
     /** Time of day in milliseconds; close to true time but may step. */
     long wallMillis();
 
+    /** Runs the task on the loop after {@code ms}; timers are set and cancelled on the loop alone. */
     Cancellable after(long ms, Runnable task);
 
     /** Runs the task again and again with {@code ms} between the runs. */
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -33,8 +33,12 @@
 
     @Override
     public Cancellable after(long ms, Runnable task) {
+        assert loop.inEventLoop() : "a timer is set beside the event loop";
         Future<?> future = loop.schedule(() -> guard(task), ms, TimeUnit.MILLISECONDS);
-        return () -> future.cancel(false);
+        return () -> {
+            assert loop.inEventLoop() : "a timer is cancelled beside the event loop";
+            future.cancel(false);
+        };
     }
 
     @Override
--- a/stacks/src/test/java/org/umbermount/stacks/DiskHandOverTest.java
+++ b/stacks/src/test/java/org/umbermount/stacks/DiskHandOverTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.kernel.Mutation;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.net.LoopClock;
 
 /** The hand-over between the event loop and the disk's thread, with real threads. */
@@ -197,6 +199,24 @@
         assertArrayEquals(new byte[] {3}, Stack.open(vault, "s", 1 << 20).get((byte) 1));
     }
 
+    @Test
+    void withoutTheSafeguardTheWriteStaysPending(@TempDir Path folder) throws Exception {
+        FailingVault vault = new FailingVault(new Shelving(folder));
+        StackRoom room = onLoop(() -> new StackRoom(Stack.open(vault, "s", 1 << 20), disk, clock));
+        CompletableFuture<Boolean> told = new CompletableFuture<>();
+        vault.next = new OutOfMemoryError("played by the test");
+        Mutation.without(Safeguard.DISK_ERRORS_REPORTED, () -> {
+            onLoop(() -> {
+                room.write(List.of(folio(1)), told::complete);
+                return null;
+            });
+            return disk.submit(() -> null).get(PATIENCE_S, TimeUnit.SECONDS);
+        });
+        onLoop(() -> null);
+        assertFalse(told.isDone());
+        assertFalse(onLoop(room::refusing), "nobody learns of it");
+    }
+
     /** The loop ends while a write waits for the disk: nobody is told of it, and what the disk then holds is whole. */
     @Test
     void theLoopEndsWhileAWriteIsInFlight(@TempDir Path folder) throws Exception {
