Errors of timers, of the mail socket and of the start are told

Cause: an Error in a timer was kept by a future that nobody asks, one while a datagram was handled counted as a fault of the socket, and one on the thread that starts left the process to the loop's thread. Change: LoopClock logs whatever a task throws, Mailroom what is no fault of the socket, Daemon ends its start for any Throwable. SignalRelay takes signals itself, without a lambda, since it runs before the clients' address is open; a rehearsal installs it, as Daemon.start did before, so that the build still sees the classes.

--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -54,7 +54,8 @@
     private static void guard(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
+            // An error of a timer would otherwise be kept by its future, which nobody asks.
             LOG.error("A task failed.", e);
         }
     }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.Locale;
@@ -123,6 +124,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             tally.count("mail.socket.errors");
+            if (!(cause instanceof IOException)) {
+                LOG.error("A datagram could not be handled.", cause);
+            }
         }
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
@@ -20,6 +20,7 @@
         static Thread opener;
         static boolean broken;
         static Error error;
+        static boolean refusesSettings;
 
         @Override
         public String name() {
@@ -51,7 +52,9 @@
         @Override
         public void reread(HouseRules rules) {
             EVENTS.add("reread");
-            throw new IllegalStateException("no use for them");
+            if (refusesSettings) {
+                throw new IllegalStateException("no use for them");
+            }
         }
 
         @Override
@@ -93,6 +96,7 @@
         Recorder.EVENTS.clear();
         Recorder.broken = false;
         Recorder.error = null;
+        Recorder.refusesSettings = false;
     }
 
     /** Parts opened beside the loop once met changes that the loop was making, and the start failed. */
@@ -126,6 +130,7 @@
         Institution institution = institution(new Thread[1]);
         institution.openAll();
         HouseRules fresh = HouseRulesTest.valid();
+        Recorder.refusesSettings = true;
         institution.reread(fresh);
         assertSame(fresh, institution.rules());
         assertEquals(List.of("open", "reread"), Recorder.EVENTS);
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -65,7 +65,8 @@
         } catch (HouseRules.InvalidException | IllegalStateException e) {
             System.err.println(e.getMessage());
             System.exit(1);
-        } catch (Exception e) {
+        } catch (Throwable e) {
+            // An error too: the loop's thread would keep the process, which serves nobody.
             System.err.println("The program could not start: " + e + ".");
             System.exit(1);
         }
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -33,7 +33,10 @@
         Path settings = folder.resolve("settings.json");
         Files.writeString(settings, settings(folder));
         for (Role role : Role.values()) {
-            new Daemon(role, settings, new SignalRelay(), () -> { }).start();
+            // As a daemon of its own does, so that the build sees which classes that takes.
+            SignalRelay signals = new SignalRelay();
+            signals.install();
+            new Daemon(role, settings, signals, () -> Runtime.getRuntime().halt(0)).start();
         }
         try (ServerSocket origin = new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"))) {
             Thread server = new Thread(() -> serve(origin), "origin");
--- a/umbermount/src/main/java/org/umbermount/umbermount/SignalRelay.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/SignalRelay.java
@@ -5,13 +5,16 @@
 import java.util.function.Consumer;
 import org.umbermount.kernel.Safeguard;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Carries signals from the JVM's signal threads to whoever serves them. It is installed before anything else of a
  * program, since a signal without a handler ends the process: one that comes while the program is still starting is kept
  * until somebody is there to serve it. All fields are guarded by the relay's monitor.
  */
-final class SignalRelay {
+final class SignalRelay implements SignalHandler {
+    private static final String RELOAD_SIGNAL = "HUP";
+
     /** What a signal asks for. */
     enum Request {
         /** SIGHUP: the settings file has changed. */
@@ -25,9 +28,14 @@
 
     /** Takes over the signals of this process. */
     void install() {
-        Signal.handle(new Signal("HUP"), signal -> deliver(Request.RELOAD));
-        Signal.handle(new Signal("TERM"), signal -> deliver(Request.STOP));
-        Signal.handle(new Signal("INT"), signal -> deliver(Request.STOP));
+        Signal.handle(new Signal(RELOAD_SIGNAL), this);
+        Signal.handle(new Signal("TERM"), this);
+        Signal.handle(new Signal("INT"), this);
+    }
+
+    @Override
+    public void handle(Signal signal) {
+        deliver(signal.getName().equals(RELOAD_SIGNAL) ? Request.RELOAD : Request.STOP);
     }
 
     /** Passes a request on, or keeps it while there is no receiver; may be called on any thread. */
--- a/umbermount/src/test/java/org/umbermount/umbermount/SignalRelayTest.java
+++ b/umbermount/src/test/java/org/umbermount/umbermount/SignalRelayTest.java
@@ -110,6 +110,7 @@
             relay.install();
             Signal.raise(new Signal("TERM"));
             CountDownLatch stops = new CountDownLatch(1);
+            // SIGHUP is not raised: a process that was started with it ignored, as in some shells, cannot take it.
             relay.connect(request -> {
                 if (request == Request.STOP) {
                     stops.countDown();
