A registrar that stands still again and again leaves duties to others

Cause: one that gets the processor for 67 ms in 954 is heard within the second, so the others kept a zone's duty for it; it held itself for unsettled and asked for none, or asked and had its grants too late, which renewed what the voters had granted to it. Change: two pauses within 10 s make a registrar slow until 10 s after the last: its own timers late by 400 ms, a majority's grants too late, or, where its clock stands still with it, most of the other voters that find its roll calls late. It says so in its roll call, gives its duties up, takes back what it asked for in vain and is not preferred, as long as a majority of the voters is prompt.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -59,7 +59,7 @@
         census = new Census(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
         notebook = new CensusNotebook(census, notes, disk, clock);
         notebook.recall();
-        detector = new FailureDetector(clock, post, (heard, connected) -> report(heard, connected, control));
+        detector = new FailureDetector(clock, post, (heard, connected, slowPeers) -> report(heard, connected, slowPeers, control));
         contact = new MajorityContact(clock, detector, replica);
         convener = new ViewProposer(replica, detector, this::diskGood, clock, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
@@ -89,13 +89,14 @@
         return room.healthy(DISK_PATIENCE_MS) && replica.companion().diskGood(DISK_PATIENCE_MS);
     }
 
-    private FailureDetector.Report report(List<Imprint> heard, List<Imprint> connected, Imprint control) {
+    private FailureDetector.Report report(List<Imprint> heard, List<Imprint> connected, List<Imprint> slowPeers,
+            Imprint control) {
         return new FailureDetector.Report(replica.incarnation(), replica.standing() == Replica.Standing.MEMBER,
                 replica.mayMove(), contact.holds(), diskGood(), detector.isLeaving(), replica.view().number(),
                 replica.committed().edition().value(), replica.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(),
                 replica.companion().settledView(), leases.activeDuties(), rules.zone(), control, heard,
-                connected);
+                connected, detector.isSlow(replica.view()), slowPeers);
     }
 
     private static Memory load(Stack stack) throws java.io.IOException {
--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -361,7 +361,7 @@
             return "{}";
         }
         for (FailureDetector.Peer p : detector.peers()) {
-            if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact()
+            if (p.report() != null && p.report().zone().equals(serverZone) && p.report().inContact() && !p.report().slow()
                     && detector.goodForMs(p.imprint()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
@@ -384,7 +384,7 @@
                 .put("standing", replica.standing().name().toLowerCase(java.util.Locale.ROOT))
                 .put("incarnation", replica.incarnation()).put("view", view.number())
                 .put("edition", replica.committed().edition().value())
-                .put("newestEdition", replica.newestEdition().value());
+                .put("newestEdition", replica.newestEdition().value()).put("slow", detector.isSlow(view));
         Moment confirmedAt = contact.confirmedAt();
         root.putObject("contact").put("majorityAnswers", contact.holds())
                 .put("confirmedMsAgo", confirmedAt.equals(Moment.NEVER) ? -1 : clock.now().since(confirmedAt))
@@ -404,6 +404,7 @@
                 one.put("zone", r.zone()).put("incarnation", r.incarnation()).put("view", r.view())
                         .put("edition", r.edition()).put("newestEdition", r.newestEdition()).put("hasMemory", r.votes())
                         .put("majorityAnswers", r.inContact()).put("diskGood", r.diskGood()).put("leaving", r.leaving())
+                        .put("slow", r.slow())
                         .put("operationsSettledInView", r.settledView());
                 ArrayNode connected = one.putArray("connectedWith");
                 r.connected().forEach(c -> connected.add(c.toString()));
--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/archive/src/main/java/org/umbermount/archive/FailureDetector.java
@@ -24,6 +24,8 @@
     private static final long FIRST_MS = 3_000;
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
+    /** Pauses of a process that has just started say nothing of how it will go on. */
+    private static final long STARTING_MS = 5_000;
 
     /**
      * What a registrar tells of itself.
@@ -32,22 +34,26 @@
      * @param inContact whether a majority answers it
      * @param heard whom it hears
      * @param connected whom it hears, and is heard by
+     * @param slow whether it stands still again and again, by its own clock or as a majority has told it
+     * @param slowPeers whose roll calls come to it in long gaps, again and again
      */
     public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
             boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
             long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
-            List<Imprint> heard, List<Imprint> connected) {
+            List<Imprint> heard, List<Imprint> connected, boolean slow, List<Imprint> slowPeers) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
                     .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
-                    .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint);
+                    .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint)
+                    .flag(slow).list(slowPeers, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
                     in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(),
-                    in.imprint(), in.list(Script.Reader::imprint), in.list(Script.Reader::imprint));
+                    in.imprint(), in.list(Script.Reader::imprint), in.list(Script.Reader::imprint), in.flag(),
+                    in.list(Script.Reader::imprint));
         }
     }
 
@@ -62,6 +68,8 @@
         private long stamp = -1;
         private Moment goodSince;
         private Moment lostSince;
+        /** When its roll calls came after a long gap, in this life of it. */
+        private PauseHistory gaps;
 
         Peer(Imprint imprint, Moment now) {
             this.imprint = imprint;
@@ -87,9 +95,10 @@
         }
     }
 
-    /** Gives the own report; the lists of those heard, and heard in both directions, are filled in here. */
+    /** Gives the own report; the lists of those heard, heard in both directions, and found slow are filled in here. */
     public interface Reporter {
-        Report report(List<Imprint> heard, List<Imprint> connected);
+        /** The report of this moment. */
+        Report report(List<Imprint> heard, List<Imprint> connected, List<Imprint> slowPeers);
     }
 
     private final Clock clock;
@@ -103,6 +112,9 @@
     private Runnable keeper = () -> { };
     private Moment lastTick;
     private Moment stalledUntil;
+    private final PauseHistory pauses;
+    /** The tick before the last pause that was counted. */
+    private Moment pausedAfter = Moment.NEVER;
     private boolean leaving;
     private int rounds;
 
@@ -114,6 +126,7 @@
         this.firstStamp = clock.wallMillis();
         this.lastTick = started;
         this.stalledUntil = started;
+        this.pauses = new PauseHistory(started.plus(STARTING_MS));
         post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
     }
 
@@ -173,6 +186,7 @@
     private void tick() {
         Moment now = clock.now();
         rounds++;
+        lookForPause(now);
         if (now.since(lastTick) > STALL_MS) {
             // This process stood still: the silence was its own. Give everyone time to be heard again.
             stalledUntil = now.plus(SILENCE_MS);
@@ -193,6 +207,7 @@
     private byte[] ownReport(Moment now) {
         List<Imprint> heard = new ArrayList<>();
         List<Imprint> both = new ArrayList<>();
+        List<Imprint> slowPeers = new ArrayList<>();
         for (Peer p : peers.values()) {
             if (now.since(p.lastHeard) <= SILENCE_MS) {
                 heard.add(p.imprint);
@@ -200,9 +215,12 @@
             if (isConnected(p, now)) {
                 both.add(p.imprint);
             }
+            if (p.gaps != null && p.gaps.isSlow(now)) {
+                slowPeers.add(p.imprint);
+            }
         }
         Script.Writer out = Script.write();
-        reporter.report(heard, both).write(out);
+        reporter.report(heard, both, slowPeers).write(out);
         return out.done();
     }
 
@@ -241,6 +259,12 @@
             // Overtaken on its way by a newer one.
             return;
         }
+        if (anew || peer.gaps == null) {
+            peer.gaps = new PauseHistory(now.plus(STARTING_MS));
+        } else if (lastTick.since(peer.lastHeard) > STALL_MS) {
+            // Counted up to the last tick, so that a pause of this process is not taken for one of the peer's.
+            peer.gaps.paused(now);
+        }
         peer.report = report;
         peer.lastHeard = now;
         peer.stamp = stamp;
@@ -319,6 +343,37 @@
         return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
+    private void lookForPause(Moment now) {
+        if (now.since(lastTick) > STALL_MS && !lastTick.equals(pausedAfter)) {
+            pausedAfter = lastTick;
+            pauses.paused(now);
+        }
+    }
+
+    /** Notes a sign that this daemon stood still, other than its own timers. */
+    void pauseNoticed() {
+        pauses.paused(clock.now());
+    }
+
+    /**
+     * Whether this daemon stands still again and again: by its own clock, or because most of the voters that it is connected
+     * with, and two at least, find its roll calls late. The second holds also where the clock stands still with the process.
+     */
+    public boolean isSlow(View view) {
+        Moment now = clock.now();
+        lookForPause(now);
+        int connected = 0;
+        int complaints = 0;
+        for (Voter f : view.electorate()) {
+            Peer p = peers.get(f.imprint());
+            if (p != null && isConnected(p, now)) {
+                connected++;
+                complaints += p.report.slowPeers().contains(post.self()) ? 1 : 0;
+            }
+        }
+        return pauses.isSlow(now) || complaints >= 2 && 2 * complaints > connected;
+    }
+
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
         Moment now = clock.now();
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -50,6 +50,7 @@
         Moment until = Moment.NEVER;
         Moment asked = Moment.NEVER;
         final Set<Imprint> granted = new HashSet<>();
+        final Set<Imprint> grantedLate = new HashSet<>();
         Moment vacantSince;
         boolean active;
     }
@@ -147,8 +148,8 @@
                 end(zone, h, "the lease ran out");
             }
             if (!wanted(zone, h, now)) {
-                if (h.active) {
-                    release(zone, "a daemon of the zone takes it");
+                if (h.active || now.since(h.asked) < TERM_MS) {
+                    release(zone, standsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
                 }
                 continue;
             }
@@ -162,7 +163,7 @@
     private boolean wanted(String zone, Held h, Moment now) {
         if (detector.isLeaving() || !replica.view().votes(post.self())
                 || replica.standing() == Replica.Standing.RECOVERING
-                || !detector.reachesMajority(replica.view())) {
+                || !detector.reachesMajority(replica.view()) || standsBack()) {
             h.vacantSince = null;
             return false;
         }
@@ -204,15 +205,36 @@
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
+    /** Whether this daemon leaves duties to others, since it is slow and a majority of the voters is not. */
+    private boolean standsBack() {
+        return detector.isSlow(replica.view()) && majorityIsPrompt();
+    }
+
+    /**
+     * Whether a majority of the voters could hold duties and none of these is slow. If most are slow, as when little
+     * processor time is left to all, moving duties about would help nobody and cost more.
+     */
+    private boolean majorityIsPrompt() {
+        int prompt = 0;
+        for (Voter f : replica.view().electorate()) {
+            FailureDetector.Peer p = detector.peer(f.imprint());
+            if (detector.isSelf(f.imprint()) ? !detector.isSlow(replica.view()) : p != null && detector.connected(f.imprint())
+                    && p.report().votes() && !p.report().leaving() && !p.report().slow()) {
+                prompt++;
+            }
+        }
+        return prompt >= replica.view().majority() && Safeguard.SLOW_STANDS_BACK.holds();
+    }
+
     /**
      * Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none,
-     * and one that a majority does not answer asks for none.
+     * one that a majority does not answer asks for none, and one that is slow leaves them to others.
      */
     private boolean mayHold(FailureDetector.Peer p) {
         boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
                 || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
         return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint());
+                && replica.view().votes(p.imprint()) && !(p.report().slow() && majorityIsPrompt());
     }
 
     private boolean localPeer(String zone, long steadyMs) {
@@ -249,6 +271,7 @@
         }
         h.asked = now;
         h.granted.clear();
+        h.grantedLate.clear();
         byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
@@ -355,19 +378,16 @@
 
     private void granted(Imprint from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
-        if (h == null || h.epoch != epoch || h.asked.millis() != asked
-                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
+        if (h == null || h.epoch != epoch || h.asked.millis() != asked) {
             return;
         }
-        h.granted.add(from);
-        int votes = 0;
-        for (Imprint g : h.granted) {
-            if (replica.view().votes(g)) {
-                votes++;
-            }
+        if (Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
+            grantedLate(h, from);
+            return;
         }
+        h.granted.add(from);
         int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? replica.view().majority() : 1;
-        if (replica.view().electorate().isEmpty() || votes < needed) {
+        if (replica.view().electorate().isEmpty() || votes(h.granted) < needed) {
             return;
         }
         Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
@@ -382,6 +402,28 @@
         }
     }
 
+    private int votes(Set<Imprint> grantors) {
+        int votes = 0;
+        for (Imprint grantor : grantors) {
+            if (replica.view().votes(grantor)) {
+                votes++;
+            }
+        }
+        return votes;
+    }
+
+    /** A majority that would have granted in time but for this daemon, or its links, is a sign of a pause here. */
+    private void grantedLate(Held h, Imprint from) {
+        int needed = replica.view().majority();
+        boolean inTime = votes(h.granted) >= needed;
+        h.grantedLate.add(from);
+        Set<Imprint> all = new HashSet<>(h.granted);
+        all.addAll(h.grantedLate);
+        if (!inTime && votes(all) >= needed) {
+            detector.pauseNoticed();
+        }
+    }
+
     private void end(String zone, Held h, String why) {
         if (h.active) {
             h.active = false;
@@ -394,12 +436,14 @@
 
     private void release(String zone, String why) {
         Held h = held.get(zone);
+        // What was asked for and not granted by a majority is given back too: it would keep others waiting.
+        boolean pending = h != null && clock.now().since(h.asked) < TERM_MS;
         if (h != null && Safeguard.RELEASED_FOR_GOOD.holds()) {
             // Grants that are still on their way are not wanted any more.
             h.asked = Moment.NEVER;
             h.granted.clear();
         }
-        if (h == null || !h.active) {
+        if (h == null || !h.active && !pending) {
             return;
         }
         end(zone, h, why);
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -148,11 +148,21 @@
 
     /** The process stands still, and what is sent to it waits. */
     public void freeze(int i) {
-        clocks.get(i).freeze();
+        freeze(i, false);
+    }
+
+    /** The process stands still, and its steady clock with it if so asked. */
+    void freeze(int i, boolean clockToo) {
+        if (clockToo) {
+            clocks.get(i).suspend();
+        } else {
+            clocks.get(i).freeze();
+        }
         network.freeze(imprint(i));
     }
 
     public void thaw(int i) {
+        clocks.get(i).resume();
         network.thaw(imprint(i));
         clocks.get(i).thaw();
     }
--- a/archive/src/test/java/org/umbermount/archive/MortalClock.java
+++ b/archive/src/test/java/org/umbermount/archive/MortalClock.java
@@ -12,6 +12,9 @@
     private final List<Runnable> held = new ArrayList<>();
     private boolean dead;
     private boolean frozen;
+    /** When this clock stopped with the process; null while it runs. */
+    private Moment stoppedAt;
+    private long behindMs;
 
     public MortalClock(FakeClock shared) {
         this.shared = shared;
@@ -25,6 +28,20 @@
         frozen = true;
     }
 
+    /** The clock itself stands still too, as on a machine that is suspended. */
+    void suspend() {
+        stoppedAt = now();
+        freeze();
+    }
+
+    /** The clock goes on from where it stopped, if it did. */
+    void resume() {
+        if (stoppedAt != null) {
+            behindMs = shared.now().since(stoppedAt);
+            stoppedAt = null;
+        }
+    }
+
     /** What fell due meanwhile runs now, in order. */
     public void thaw() {
         frozen = false;
@@ -35,7 +52,7 @@
 
     @Override
     public Moment now() {
-        return shared.now();
+        return stoppedAt != null ? stoppedAt : shared.now().plus(-behindMs);
     }
 
     @Override
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -97,6 +97,8 @@
     SHORT_CHAIN_FILLED,
     /** A connection to a server on which anything follows a whole answer is not used again. */
     SURPLUS_RETIRES_CONNECTION,
+    /** A registrar that stands still again and again holds no duties while a majority of the voters does not. */
+    SLOW_STANDS_BACK,
     /** What is behind the last whole record is cut off before the next record is written. */
     TORN_TAIL_DROPPED,
     /** A vote counts only from a member of the view asked about that no promise binds, in its newest incarnation. */
