Who comes into question for a duty stands by itself; two views' majorities grant one duty twice without the check

Change: DutyCandidates holds who may hold a duty and who comes first. SeatsTest plays two seats given up, a voter that changes sides and lost news of views: with the check one holder, without it two.

--- /dev/null
+++ b/archive/src/main/java/org/umbermount/archive/DutyCandidates.java
@@ -0,0 +1,89 @@
+package org.umbermount.archive;
+
+import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
+
+/** Who comes into question for a duty, as far as this daemon hears of the others, and who of them comes first. */
+final class DutyCandidates {
+    /** How long another has to be well before a duty is left to it. */
+    static final long STEADY_MS = 1_200;
+
+    private final Imprint self;
+    private final Replica replica;
+    private final FailureDetector detector;
+    private final String ownZone;
+
+    DutyCandidates(Imprint self, Replica replica, FailureDetector detector, String ownZone) {
+        this.self = self;
+        this.replica = replica;
+        this.detector = detector;
+        this.ownZone = ownZone;
+    }
+
+    /** Whether this daemon leaves duties to others, since it is slow and a majority of the voters is not. */
+    boolean selfStandsBack() {
+        return detector.isSlow(replica.view()) && majorityIsPrompt();
+    }
+
+    /**
+     * Whether a majority of the voters could hold duties and none of these is slow. If most are slow, as when little
+     * processor time is left to all, moving duties about would help nobody and cost more.
+     */
+    private boolean majorityIsPrompt() {
+        int prompt = 0;
+        for (Voter voter : replica.view().electorate()) {
+            prompt += isPrompt(voter.imprint()) ? 1 : 0;
+        }
+        return prompt >= replica.view().majority() && Safeguard.SLOW_STANDS_BACK.holds();
+    }
+
+    private boolean isPrompt(Imprint who) {
+        if (who.equals(self)) {
+            return !detector.isSlow(replica.view());
+        }
+        if (!detector.connected(who)) {
+            return false;
+        }
+        FailureDetector.Report report = detector.peer(who).report();
+        return report.votes() && !report.leaving() && !report.slow();
+    }
+
+    /**
+     * Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none,
+     * one that a majority does not answer asks for none, and one that is slow leaves them to others.
+     */
+    private boolean mayHold(FailureDetector.Peer p) {
+        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
+                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
+        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
+                && replica.view().votes(p.imprint()) && !(p.report().slow() && majorityIsPrompt());
+    }
+
+    /** Whether a registrar of a zone comes into question that has been well for some time. */
+    boolean hasLocalPeer(String zone, long steadyMs) {
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Among the daemons that come into question, whether this one comes first. */
+    boolean isFirst(String zone, int salt) {
+        boolean local = zone.equals(ownZone);
+        for (FailureDetector.Peer p : detector.peers()) {
+            if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
+                continue;
+            }
+            if (order(p.imprint(), salt) < order(self, salt)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static long order(Imprint imprint, int salt) {
+        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
+    }
+}
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -33,7 +33,6 @@
     /** A grant that took longer to arrive is not used, so that who has become a holder shows soon after. */
     private static final long GRANT_MS = 300;
     private static final long REPORTED_MS = GRANT_MS + 150;
-    private static final long STEADY_MS = 1_200;
 
     private enum Kind {
         ASK, GRANT, DENY, RELEASE
@@ -72,6 +71,7 @@
     private final FailureDetector detector;
     private final Tally tally;
     private final String ownZone;
+    private final DutyCandidates candidates;
     private final List<String> zones;
     private final List<String> quotas;
     private final Moment started;
@@ -88,6 +88,7 @@
         this.detector = detector;
         this.tally = tally;
         this.ownZone = ownZone;
+        this.candidates = new DutyCandidates(post.self(), replica, detector, ownZone);
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
@@ -149,7 +150,7 @@
             }
             if (!wanted(zone, h, now)) {
                 if (h.active || now.since(h.asked) < TERM_MS) {
-                    release(zone, standsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
+                    release(zone, candidates.selfStandsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
                 }
                 continue;
             }
@@ -163,17 +164,17 @@
     private boolean wanted(String zone, Held h, Moment now) {
         if (detector.isLeaving() || !replica.view().votes(post.self())
                 || replica.standing() == Replica.Standing.RECOVERING
-                || !detector.reachesMajority(replica.view()) || standsBack()) {
+                || !detector.reachesMajority(replica.view()) || candidates.selfStandsBack()) {
             h.vacantSince = null;
             return false;
         }
         if (zone.equals(ownZone)) {
-            return firstOf(zone, 0);
+            return candidates.isFirst(zone, 0);
         }
-        if (quotas.contains(zone) && h.active && tooMany() && !firstOf(zone, zone.hashCode())) {
+        if (quotas.contains(zone) && h.active && tooMany() && !candidates.isFirst(zone, zone.hashCode())) {
             return false;
         }
-        if (localPeer(zone, h.active ? STEADY_MS : 0)) {
+        if (candidates.hasLocalPeer(zone, h.active ? DutyCandidates.STEADY_MS : 0)) {
             h.vacantSince = null;
             return false;
         }
@@ -188,7 +189,8 @@
         if (h.vacantSince == null) {
             h.vacantSince = now;
         }
-        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
+        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(DutyCandidates.STEADY_MS)
+                && candidates.isFirst(zone, zone.hashCode());
     }
 
     /** Whether this daemon has clearly more than its share of the quota duties, as the first one up has. */
@@ -200,70 +202,11 @@
         }
         int daemons = 1;
         for (FailureDetector.Peer p : detector.peers()) {
-            daemons += detector.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
+            daemons += detector.goodForMs(p.imprint()) >= DutyCandidates.STEADY_MS ? 1 : 0;
         }
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
-    /** Whether this daemon leaves duties to others, since it is slow and a majority of the voters is not. */
-    private boolean standsBack() {
-        return detector.isSlow(replica.view()) && majorityIsPrompt();
-    }
-
-    /**
-     * Whether a majority of the voters could hold duties and none of these is slow. If most are slow, as when little
-     * processor time is left to all, moving duties about would help nobody and cost more.
-     */
-    private boolean majorityIsPrompt() {
-        int prompt = 0;
-        for (Voter f : replica.view().electorate()) {
-            FailureDetector.Peer p = detector.peer(f.imprint());
-            if (detector.isSelf(f.imprint()) ? !detector.isSlow(replica.view()) : p != null && detector.connected(f.imprint())
-                    && p.report().votes() && !p.report().leaving() && !p.report().slow()) {
-                prompt++;
-            }
-        }
-        return prompt >= replica.view().majority() && Safeguard.SLOW_STANDS_BACK.holds();
-    }
-
-    /**
-     * Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none,
-     * one that a majority does not answer asks for none, and one that is slow leaves them to others.
-     */
-    private boolean mayHold(FailureDetector.Peer p) {
-        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
-                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
-        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint()) && !(p.report().slow() && majorityIsPrompt());
-    }
-
-    private boolean localPeer(String zone, long steadyMs) {
-        for (FailureDetector.Peer p : detector.peers()) {
-            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Among the daemons that come into question, whether this one comes first. */
-    private boolean firstOf(String zone, int salt) {
-        boolean local = zone.equals(ownZone);
-        for (FailureDetector.Peer p : detector.peers()) {
-            if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
-                continue;
-            }
-            if (order(p.imprint(), salt) < order(post.self(), salt)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static long order(Imprint imprint, int salt) {
-        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
-    }
-
     private void ask(String zone, Held h, Moment now) {
         if (!h.active) {
             Granted g = grants.get(zone);
--- a/archive/src/test/java/org/umbermount/archive/SeatsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/SeatsTest.java
@@ -142,6 +142,52 @@
         assertTrue(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW, SeatsTest::grantsToOneOfAnEarlierView));
     }
 
+    private static void cutOff(Fleet fleet, int one, int... others) {
+        for (int other : others) {
+            fleet.network.cutBoth(Fleet.imprint(one), Fleet.imprint(other));
+        }
+    }
+
+    /**
+     * Whether a zone has two holders after two of five gave up their seats, one of the three left changed sides, and news of
+     * views is lost: three of the five first voters hear each other, and so do two of the three present ones.
+     */
+    private static boolean holdersUnderTwoViews() throws IOException {
+        Fleet fleet = new Fleet(5, 3, 26, 1, null);
+        fleet.run(8_000);
+        cutOff(fleet, 4, 0, 1, 2, 3);
+        fleet.run(4_000);
+        cutOff(fleet, 3, 0, 1, 2);
+        fleet.run(4_000);
+        assertEquals(3, fleet.replica(0).view().electorate().size());
+        assertEquals(5, fleet.replica(4).view().electorate().size());
+        cutOff(fleet, 2, 0, 1);
+        fleet.network.tap = (from, to, topic, body) -> topic != Postbag.Topic.VIEW;
+        fleet.network.join(Fleet.imprint(3), Fleet.imprint(4));
+        fleet.network.join(Fleet.imprint(4), Fleet.imprint(3));
+        for (int other : new int[] {3, 4}) {
+            fleet.network.join(Fleet.imprint(2), Fleet.imprint(other));
+            fleet.network.join(Fleet.imprint(other), Fleet.imprint(2));
+        }
+        for (long t = 0; t < 6_000; t += 10) {
+            fleet.run(10);
+            int holders = 0;
+            for (int i = 0; i < 5; i++) {
+                holders += fleet.epoch(i, Fleet.zone(4)) > 0 ? 1 : 0;
+            }
+            if (holders > 1) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Test
+    void majoritiesOfTwoViewsDoNotGrantOneDutyTwice() throws Exception {
+        assertFalse(holdersUnderTwoViews());
+        assertTrue(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW, SeatsTest::holdersUnderTwoViews));
+    }
+
     /** Only some of the others are out of reach: everyone leaves out the same one, and views do not take turns. */
     @Test
     void brokenLinkBetweenTwoLeavesTheSameOneOutForEveryone() throws IOException {
