The head repeats what a view begins with until the tail has committed it

Cause: news of a view says that its state is committed, as it was in the view before; a head that adopted the view from such news held the view for begun. Change: the head sends again until the tail's word of this view has come. Shown by: SeatsTest.whatAViewBeginsWithIsRepeatedUntilTheTailHasIt, without VIEW_BEGINNING_REPEATED nothing is read.

--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -33,6 +33,8 @@
     private final Tally tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
+    /** Whether the tail has committed anything in this view; that it was committed in an earlier one can be heard of others. */
+    private boolean begun;
 
     ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
             ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
@@ -116,7 +118,8 @@
     /** The head sends again what the chain has not committed in this view. */
     void resend() {
         Memory memory = durable.memory();
-        boolean unsettled = commits.committed().view() < memory.view().number()
+        boolean unsettled = !begun && Safeguard.VIEW_BEGINNING_REPEATED.holds()
+                || commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
             durable.serially(this::forward);
@@ -175,6 +178,7 @@
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
     void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
+        begun |= view == durable.memory().view().number();
         ConfigurationState meant = commits.superseded(edition, durable.memory().state());
         if (meant.view() == view && meant.isSameAs(edition, digest)) {
             commits.advance(meant);
@@ -186,6 +190,7 @@
 
     /** Answers are owed within one view, where states only grow; whoever still waits asks again. */
     void viewAdopted() {
+        begun = false;
         if (Safeguard.OWED_WITHIN_ONE_VIEW.holds()) {
             owed.clear();
         }
@@ -196,6 +201,7 @@
 
     private void commit(Memory memory) {
         ConfigurationState state = memory.state();
+        begun = true;
         Set<Imprint> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.view().chain());
         targets.remove(self);
--- a/archive/src/test/java/org/umbermount/archive/SeatsTest.java
+++ b/archive/src/test/java/org/umbermount/archive/SeatsTest.java
@@ -142,6 +142,35 @@
         assertTrue(Mutation.without(Safeguard.GRANTS_OF_ONE_VIEW, SeatsTest::grantsToOneOfAnEarlierView));
     }
 
+    /** What is read after a newcomer became head by the tail's proposal, and the first writes of the view were lost. */
+    private static ConfigurationState readUnderANewHead() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 27);
+        fleet.run(6_000);
+        // The chain is sorted by zone: this one proposes views, by its address, and comes last.
+        fleet.kill(0, false);
+        fleet.start(0, "zz", List.of(0, 1, 2));
+        fleet.run(6_000);
+        take(fleet, 0, 1, "at the start");
+        assertEquals(Fleet.imprint(0), fleet.replica(0).view().tail());
+        fleet.start(4, "a", List.of(0, 1, 2));
+        boolean[] lost = {true};
+        fleet.network.tap = (from, to, topic, body) -> !lost[0] || topic != Postbag.Topic.CHAIN;
+        while (!Fleet.imprint(4).equals(fleet.replica(0).view().head())) {
+            fleet.run(10);
+        }
+        fleet.run(300);
+        lost[0] = false;
+        fleet.run(3_000);
+        assertEquals(Fleet.imprint(4), fleet.replica(0).view().head());
+        return fleet.read(0, 850);
+    }
+
+    @Test
+    void whatAViewBeginsWithIsRepeatedUntilTheTailHasIt() throws Exception {
+        assertNotNull(readUnderANewHead());
+        assertNull(Mutation.without(Safeguard.VIEW_BEGINNING_REPEATED, SeatsTest::readUnderANewHead));
+    }
+
     private static void cutOff(Fleet fleet, int one, int... others) {
         for (int other : others) {
             fleet.network.cutBoth(Fleet.imprint(one), Fleet.imprint(other));
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -101,6 +101,8 @@
     SLOW_STANDS_BACK,
     /** What is behind the last whole record is cut off before the next record is written. */
     TORN_TAIL_DROPPED,
+    /** The head repeats what a view begins with until the tail has committed it. */
+    VIEW_BEGINNING_REPEATED,
     /** A vote counts only from a member of the view asked about that no promise binds, in its newest incarnation. */
     VOTES_OF_THE_VIEW_ONLY;
 
