--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -94,6 +94,7 @@
         tally.gauge("archive.disk.slowest.ms", archive.room::slowestMs);
         tally.gauge("archive.disk.refusing", () -> archive.room.refusing() ? 1 : 0);
         tally.gauge("archive.reaches.majority", () -> archive.contact.holds() ? 1 : 0);
+        tally.gauge("archive.slow", () -> archive.detector.isSlow(archive.replica.view()) ? 1 : 0);
         tally.gauge("census.servers", () -> archive.census.entries().stream().filter(e -> !e.standing().isGone()).count());
     }
 
