--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -19,7 +19,7 @@
     /** An order that a caller hands in, with the whole that results; only the head of the one view may act on it, 0 is any. */
     record Submission(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
         PendingReply reply() {
-            return new PendingReply(id, origin, order.edition(), order.digest());
+            return new PendingReply(id, origin, order.edition());
         }
     }
 
@@ -34,6 +34,8 @@
     private final Tally tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
+    /** Whether the tail has committed anything in this view; that it was committed in an earlier one can be heard of others. */
+    private boolean begun;
 
     ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
             ViewConfirmation confirmation, ChainMessages messages, DroppedMessages dropped, Tally tally) {
@@ -119,7 +121,8 @@
     /** The head sends again what the chain has not committed in this view. */
     void resend() {
         Memory memory = durable.memory();
-        boolean unsettled = commits.committed().view() < memory.view().number()
+        boolean unsettled = !begun && Safeguard.VIEW_BEGINNING_REPEATED.holds()
+                || commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
             durable.serially(this::forward);
@@ -182,6 +185,7 @@
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
     void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
+        begun |= view == durable.memory().view().number();
         ConfigurationState meant = commits.superseded(edition, durable.memory().state());
         if (meant.view() == view && meant.isSameAs(edition, digest)) {
             commits.advance(meant);
@@ -191,9 +195,12 @@
         }
     }
 
-    /** Answers are owed within one view; whoever still waits asks again. */
+    /** Answers are owed within one view, where states only grow; whoever still waits asks again. */
     void viewAdopted() {
-        owed.clear();
+        begun = false;
+        if (Safeguard.OWED_WITHIN_ONE_VIEW.holds()) {
+            owed.clear();
+        }
         aheads.clear();
     }
 
@@ -201,16 +208,12 @@
 
     private void commit(Memory memory) {
         ConfigurationState state = memory.state();
+        begun = true;
         Set<Imprint> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.view().chain());
         targets.remove(self);
         for (PendingReply reply : owed.values()) {
-            if (state.taken().holds(new TakenOrders.Taken(reply.edition(), reply.digest()))
-                    || !Safeguard.OWED_ONLY_IF_TAKEN.holds()) {
-                messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
-            } else {
-                tally.count("archive.debts.foreign");
-            }
+            messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
         }
         owed.clear();
         for (Imprint target : targets) {
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -33,7 +33,6 @@
     /** A grant that took longer to arrive is not used, so that who has become a holder shows soon after. */
     private static final long GRANT_MS = 300;
     private static final long REPORTED_MS = GRANT_MS + 150;
-    private static final long STEADY_MS = 1_200;
 
     private enum Kind {
         ASK, GRANT, DENY, RELEASE
@@ -50,6 +49,7 @@
         Moment until = Moment.NEVER;
         Moment asked = Moment.NEVER;
         final Set<Imprint> granted = new HashSet<>();
+        final Set<Imprint> grantedLate = new HashSet<>();
         Moment vacantSince;
         boolean active;
     }
@@ -71,6 +71,7 @@
     private final FailureDetector detector;
     private final Tally tally;
     private final String ownZone;
+    private final DutyCandidates candidates;
     private final List<String> zones;
     private final List<String> quotas;
     private final Moment started;
@@ -87,6 +88,7 @@
         this.detector = detector;
         this.tally = tally;
         this.ownZone = ownZone;
+        this.candidates = new DutyCandidates(post.self(), replica, detector, ownZone);
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
@@ -147,8 +149,8 @@
                 end(zone, h, "the lease ran out");
             }
             if (!wanted(zone, h, now)) {
-                if (h.active) {
-                    release(zone, "a daemon of the zone takes it");
+                if (h.active || now.since(h.asked) < TERM_MS) {
+                    release(zone, candidates.selfStandsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
                 }
                 continue;
             }
@@ -162,17 +164,17 @@
     private boolean wanted(String zone, Held h, Moment now) {
         if (detector.isLeaving() || !replica.view().votes(post.self())
                 || replica.standing() == Replica.Standing.RECOVERING
-                || !detector.reachesMajority(replica.view())) {
+                || !detector.reachesMajority(replica.view()) || candidates.selfStandsBack()) {
             h.vacantSince = null;
             return false;
         }
         if (zone.equals(ownZone)) {
-            return firstOf(zone, 0);
+            return candidates.isFirst(zone, 0);
         }
-        if (quotas.contains(zone) && h.active && tooMany() && !firstOf(zone, zone.hashCode())) {
+        if (quotas.contains(zone) && h.active && tooMany() && !candidates.isFirst(zone, zone.hashCode())) {
             return false;
         }
-        if (localPeer(zone, h.active ? STEADY_MS : 0)) {
+        if (candidates.hasLocalPeer(zone, h.active ? DutyCandidates.STEADY_MS : 0)) {
             h.vacantSince = null;
             return false;
         }
@@ -187,7 +189,8 @@
         if (h.vacantSince == null) {
             h.vacantSince = now;
         }
-        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(STEADY_MS) && firstOf(zone, zone.hashCode());
+        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(DutyCandidates.STEADY_MS)
+                && candidates.isFirst(zone, zone.hashCode());
     }
 
     /** Whether this daemon has clearly more than its share of the quota duties, as the first one up has. */
@@ -199,49 +202,11 @@
         }
         int daemons = 1;
         for (FailureDetector.Peer p : detector.peers()) {
-            daemons += detector.goodForMs(p.imprint()) >= STEADY_MS ? 1 : 0;
+            daemons += detector.goodForMs(p.imprint()) >= DutyCandidates.STEADY_MS ? 1 : 0;
         }
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
-    /**
-     * Whether a peer could hold duties: one outside the electorate, or without its memory, is granted none,
-     * and one that a majority does not answer asks for none.
-     */
-    private boolean mayHold(FailureDetector.Peer p) {
-        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
-                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
-        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint());
-    }
-
-    private boolean localPeer(String zone, long steadyMs) {
-        for (FailureDetector.Peer p : detector.peers()) {
-            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Among the daemons that come into question, whether this one comes first. */
-    private boolean firstOf(String zone, int salt) {
-        boolean local = zone.equals(ownZone);
-        for (FailureDetector.Peer p : detector.peers()) {
-            if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
-                continue;
-            }
-            if (order(p.imprint(), salt) < order(post.self(), salt)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static long order(Imprint imprint, int salt) {
-        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
-    }
-
     private void ask(String zone, Held h, Moment now) {
         if (!h.active) {
             Granted g = grants.get(zone);
@@ -249,6 +214,7 @@
         }
         h.asked = now;
         h.granted.clear();
+        h.grantedLate.clear();
         byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
@@ -355,19 +321,16 @@
 
     private void granted(Imprint from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
-        if (h == null || h.epoch != epoch || h.asked.millis() != asked
-                || Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
+        if (h == null || h.epoch != epoch || h.asked.millis() != asked) {
             return;
         }
-        h.granted.add(from);
-        int votes = 0;
-        for (Imprint g : h.granted) {
-            if (replica.view().votes(g)) {
-                votes++;
-            }
+        if (Safeguard.LEASE_COUNTED_FROM_ASKING.holds() && clock.now().since(h.asked) > GRANT_MS) {
+            grantedLate(h, from);
+            return;
         }
+        h.granted.add(from);
         int needed = Safeguard.GRANTED_BY_MAJORITY.holds() ? replica.view().majority() : 1;
-        if (replica.view().electorate().isEmpty() || votes < needed) {
+        if (replica.view().electorate().isEmpty() || votes(h.granted) < needed) {
             return;
         }
         Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
@@ -382,6 +345,28 @@
         }
     }
 
+    private int votes(Set<Imprint> grantors) {
+        int votes = 0;
+        for (Imprint grantor : grantors) {
+            if (replica.view().votes(grantor)) {
+                votes++;
+            }
+        }
+        return votes;
+    }
+
+    /** A majority that would have granted in time but for this daemon, or its links, is a sign of a pause here. */
+    private void grantedLate(Held h, Imprint from) {
+        int needed = replica.view().majority();
+        boolean inTime = votes(h.granted) >= needed;
+        h.grantedLate.add(from);
+        Set<Imprint> all = new HashSet<>(h.granted);
+        all.addAll(h.grantedLate);
+        if (!inTime && votes(all) >= needed) {
+            detector.pauseNoticed();
+        }
+    }
+
     private void end(String zone, Held h, String why) {
         if (h.active) {
             h.active = false;
@@ -394,12 +379,14 @@
 
     private void release(String zone, String why) {
         Held h = held.get(zone);
+        // What was asked for and not granted by a majority is given back too: it would keep others waiting.
+        boolean pending = h != null && clock.now().since(h.asked) < TERM_MS;
         if (h != null && Safeguard.RELEASED_FOR_GOOD.holds()) {
             // Grants that are still on their way are not wanted any more.
             h.asked = Moment.NEVER;
             h.granted.clear();
         }
-        if (h == null || !h.active) {
+        if (h == null || !h.active && !pending) {
             return;
         }
         end(zone, h, why);
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -59,8 +59,8 @@
     NO_WAY_BACK,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
-    /** The tail answers a debt that came down the chain only if its order is in the state that is committed. */
-    OWED_ONLY_IF_TAKEN,
+    /** An answer that is owed once an order is committed is not given in a later view, where the order may have given way. */
+    OWED_WITHIN_ONE_VIEW,
     /** The parts of a long message are put together only if one life of the sender has sent them. */
     PARTS_OF_ONE_LIFE,
     /** A voter that has promised itself to the next view takes no part in the chain of the present one. */
@@ -101,8 +101,12 @@
     SHORT_CHAIN_FILLED,
     /** A connection to a server on which anything follows a whole answer is not used again. */
     SURPLUS_RETIRES_CONNECTION,
+    /** A registrar that stands still again and again holds no duties while a majority of the voters does not. */
+    SLOW_STANDS_BACK,
     /** What is behind the last whole record is cut off before the next record is written. */
     TORN_TAIL_DROPPED,
+    /** The head repeats what a view begins with until the tail has committed it. */
+    VIEW_BEGINNING_REPEATED,
     /** A vote counts only from a member of the view asked about that no promise binds, in its newest incarnation. */
     VOTES_OF_THE_VIEW_ONLY;
 
