Simulation: the classes of courier's tests become a module of their own

The fake clock, network, disk and Fleet stay where they are: the tests of kernel, stacks and archive use them, and a module that depends on those three cannot be one that their tests depend on.

--- a/courier/src/test/java/org/umbermount/courier/Checks.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Checks.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/courier/src/test/java/org/umbermount/courier/Operators.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Operators.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/courier/src/test/java/org/umbermount/courier/Profile.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Profile.java
@@ -1,25 +1,25 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
-import static org.umbermount.courier.Day.Kind.ALL_DOWN;
-import static org.umbermount.courier.Day.Kind.AWAY;
-import static org.umbermount.courier.Day.Kind.BIG_STORM;
-import static org.umbermount.courier.Day.Kind.CHANGE;
-import static org.umbermount.courier.Day.Kind.CLASH;
-import static org.umbermount.courier.Day.Kind.CLOCK;
-import static org.umbermount.courier.Day.Kind.LONG_LOSS;
-import static org.umbermount.courier.Day.Kind.LOSS;
-import static org.umbermount.courier.Day.Kind.MANY;
-import static org.umbermount.courier.Day.Kind.PLANNED;
-import static org.umbermount.courier.Day.Kind.PROXY;
-import static org.umbermount.courier.Day.Kind.READ;
-import static org.umbermount.courier.Day.Kind.REPEAT;
-import static org.umbermount.courier.Day.Kind.REPLACE;
-import static org.umbermount.courier.Day.Kind.REST;
-import static org.umbermount.courier.Day.Kind.RIVALS;
-import static org.umbermount.courier.Day.Kind.SLOW;
-import static org.umbermount.courier.Day.Kind.STALL;
-import static org.umbermount.courier.Day.Kind.STORM;
-import static org.umbermount.courier.Day.Kind.WIPE;
+import static org.umbermount.simulation.Day.Kind.ALL_DOWN;
+import static org.umbermount.simulation.Day.Kind.AWAY;
+import static org.umbermount.simulation.Day.Kind.BIG_STORM;
+import static org.umbermount.simulation.Day.Kind.CHANGE;
+import static org.umbermount.simulation.Day.Kind.CLASH;
+import static org.umbermount.simulation.Day.Kind.CLOCK;
+import static org.umbermount.simulation.Day.Kind.LONG_LOSS;
+import static org.umbermount.simulation.Day.Kind.LOSS;
+import static org.umbermount.simulation.Day.Kind.MANY;
+import static org.umbermount.simulation.Day.Kind.PLANNED;
+import static org.umbermount.simulation.Day.Kind.PROXY;
+import static org.umbermount.simulation.Day.Kind.READ;
+import static org.umbermount.simulation.Day.Kind.REPEAT;
+import static org.umbermount.simulation.Day.Kind.REPLACE;
+import static org.umbermount.simulation.Day.Kind.REST;
+import static org.umbermount.simulation.Day.Kind.RIVALS;
+import static org.umbermount.simulation.Day.Kind.SLOW;
+import static org.umbermount.simulation.Day.Kind.STALL;
+import static org.umbermount.simulation.Day.Kind.STORM;
+import static org.umbermount.simulation.Day.Kind.WIPE;
 
 import java.util.List;
 
--- a/courier/src/test/java/org/umbermount/courier/Proxies.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Proxies.java
@@ -1,9 +1,11 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.umbermount.archive.MortalClock;
+import org.umbermount.courier.Consignee;
+import org.umbermount.courier.Inventory;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Script;
 
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/simulation/src/main/java/org/umbermount/simulation/ReadingRoom.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.io.IOException;
 import java.util.HashMap;
@@ -9,6 +9,9 @@
 import java.util.function.Consumer;
 import org.umbermount.archive.Fleet;
 import org.umbermount.archive.FailureDetector;
+import org.umbermount.courier.Consignee;
+import org.umbermount.courier.ReceivingDepartment;
+import org.umbermount.courier.SendingDepartment;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
 import org.umbermount.kernel.Clock;
--- a/courier/src/test/java/org/umbermount/courier/Simulation.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Simulation.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.io.IOException;
 import java.util.Locale;
@@ -7,7 +7,7 @@
 
 /**
  * Plays drawn days and shows what broke, as short as it can be made:
- * {@code java -cp ... org.umbermount.courier.Simulation --seed N --count N --steps N --profile P}, or one day again with some of
+ * {@code java -cp ... org.umbermount.simulation.Simulation --seed N --count N --steps N --profile P}, or one day again with some of
  * its events: {@code --seed N --steps N --profile P --only 3:450,8:500}.
  */
 public final class Simulation {
--- a/courier/src/test/java/org/umbermount/courier/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
