--- a/simulation/src/main/java/org/umbermount/simulation/Checks.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Checks.java
@@ -12,17 +12,17 @@
     static final long ACK_MS = 5_000;
     private static final long SKEW_MS = 12_000;
 
-    private final ReadingRoom room;
+    private final SimulatedCluster room;
     private final Machines machines;
     private final Operators operators;
     private final Due due = new Due(APPLY_MS);
     private final Due longDue = new Due(APPLY_MS + SKEW_MS);
     /** What each registrar has said is committed. */
     private final Map<Integer, ConfigurationState> seen = new HashMap<>();
-    private long majoritySince = ReadingRoom.NEVER;
+    private long majoritySince = SimulatedCluster.NEVER;
     /** When more machines than may be lost at once last were; until some time later the longer bound holds. */
-    private long exceededAt = ReadingRoom.NEVER;
-    private long probedAt = ReadingRoom.NEVER;
+    private long exceededAt = SimulatedCluster.NEVER;
+    private long probedAt = SimulatedCluster.NEVER;
 
     /** The newest change that was confirmed longer than some time ago. */
     private final class Due {
@@ -43,7 +43,7 @@
         }
     }
 
-    Checks(ReadingRoom room) {
+    Checks(SimulatedCluster room) {
         this.room = room;
         this.machines = room.machines;
         this.operators = room.operators;
@@ -62,7 +62,7 @@
     void check() {
         long now = room.now();
         if (!machines.majorityRuns()) {
-            majoritySince = now + ReadingRoom.STEP_MS;
+            majoritySince = now + SimulatedCluster.STEP_MS;
         }
         boolean settled = settled();
         if (room.lenient() && machines.lostNow() > machines.tolerated()) {
--- a/simulation/src/main/java/org/umbermount/simulation/Machines.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Machines.java
@@ -23,7 +23,7 @@
     private static final long LEAVE_MS = 700;
     private static final long OPEN = Long.MAX_VALUE / 4;
 
-    private final ReadingRoom room;
+    private final SimulatedCluster room;
     private final Fleet fleet;
     private final int tolerated;
     /** Which machine stands at each place. */
@@ -42,7 +42,7 @@
     private int made;
     private long lastEvent;
 
-    Machines(ReadingRoom room, int size, int tolerated) {
+    Machines(SimulatedCluster room, int size, int tolerated) {
         this.room = room;
         this.fleet = room.fleet;
         this.tolerated = tolerated;
@@ -131,7 +131,7 @@
     // ---- how many may be lost ----
 
     private boolean lost(int place) {
-        return room.now() < lostUntil.getOrDefault(place, ReadingRoom.NEVER);
+        return room.now() < lostUntil.getOrDefault(place, SimulatedCluster.NEVER);
     }
 
     int lostNow() {
@@ -212,8 +212,8 @@
 
     private void cut(int place, long forMs, Predicate<Imprint> others, Random random) {
         int i = core.get(place);
-        Wires.Way way = Wires.Way.values()[random.nextInt(3)];
-        Wires.Cut cut = room.wires.cut(Fleet.imprint(i), way, others);
+        NetworkCuts.Way way = NetworkCuts.Way.values()[random.nextInt(3)];
+        NetworkCuts.Cut cut = room.wires.cut(Fleet.imprint(i), way, others);
         isolated.add(i);
         event(i, "is cut off, " + way + ", for " + forMs);
         room.later(forMs, () -> {
--- a/simulation/src/main/java/org/umbermount/simulation/Wires.java
+++ b/simulation/src/main/java/org/umbermount/simulation/NetworkCuts.java
@@ -8,7 +8,7 @@
 import org.umbermount.kernel.testing.FakePost;
 
 /** Cuts that may lie over each other: what one of them cuts stays cut when another ends, and holds for who comes later. */
-final class Wires {
+final class NetworkCuts {
     /** Both ways, only what it sends, or only what it receives. */
     enum Way {
         BOTH, OUT, IN
@@ -22,7 +22,7 @@
     private final Set<Imprint> daemons = new java.util.TreeSet<>();
     private final List<Cut> cuts = new ArrayList<>();
 
-    Wires(FakePost network) {
+    NetworkCuts(FakePost network) {
         this.network = network;
     }
 
--- a/simulation/src/main/java/org/umbermount/simulation/Operators.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Operators.java
@@ -32,7 +32,7 @@
         Boolean taken;
         boolean givenUp;
         /** When a daemon first said that it is taken, whoever heard that. */
-        long takenAt = ReadingRoom.NEVER;
+        long takenAt = SimulatedCluster.NEVER;
         boolean refused;
 
         Order(long match, long edition, long variant) {
@@ -43,7 +43,7 @@
         }
 
         boolean confirmed() {
-            return takenAt != ReadingRoom.NEVER;
+            return takenAt != SimulatedCluster.NEVER;
         }
 
         /** Whether any daemon has answered it, though the operator may not have heard that. */
@@ -149,7 +149,7 @@
         }
     }
 
-    private final ReadingRoom room;
+    private final SimulatedCluster room;
     private final Random random;
     private final List<Order> all = new ArrayList<>();
     private final List<Order> open = new ArrayList<>();
@@ -168,7 +168,7 @@
     /** The part of the answers that get lost on their way to the operator. */
     double lostAnswers;
 
-    Operators(ReadingRoom room, Random random) {
+    Operators(SimulatedCluster room, Random random) {
         this.room = room;
         this.random = random;
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Proxies.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Proxies.java
@@ -11,7 +11,7 @@
 
 /** The lectors of the room: what each has in force, and what happens to them. */
 final class Proxies {
-    private static final long NEVER = ReadingRoom.NEVER;
+    private static final long NEVER = SimulatedCluster.NEVER;
 
     /** One lector and what it has had in force. */
     static final class Proxy {
@@ -35,10 +35,10 @@
         }
     }
 
-    private final ReadingRoom room;
+    private final SimulatedCluster room;
     private final List<Proxy> all = new ArrayList<>();
 
-    Proxies(ReadingRoom room) {
+    Proxies(SimulatedCluster room) {
         this.room = room;
     }
 
@@ -136,7 +136,7 @@
             default -> {
                 p.cut = true;
                 room.note(p.imprint + " is cut off for " + forMs);
-                Wires.Cut cut = room.wires.cut(p.imprint, Wires.Way.BOTH, Machines::isMachine);
+                NetworkCuts.Cut cut = room.wires.cut(p.imprint, NetworkCuts.Way.BOTH, Machines::isMachine);
                 room.later(forMs, () -> {
                     p.cut = false;
                     p.lastEvent = room.now();
--- a/simulation/src/main/java/org/umbermount/simulation/Shrinking.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Shrinking.java
@@ -19,7 +19,7 @@
         return message.lines().findFirst().orElse("").replaceAll("[0-9]+(\\.[0-9]+)*(:[0-9]+)?", "#");
     }
 
-    static Day shrink(Day day, ReadingRoom.BrokenException broken, long forMs) throws IOException {
+    static Day shrink(Day day, SimulatedCluster.BrokenException broken, long forMs) throws IOException {
         Shrinking s = new Shrinking(day, sentence(broken.getMessage()), forMs);
         s.tryOut(day.upTo(broken.played()));
         boolean shorter = true;
@@ -37,7 +37,7 @@
     }
 
     private boolean tryOut(Day day) throws IOException {
-        ReadingRoom.BrokenException broken = ReadingRoom.breakOf(day);
+        SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(day);
         if (broken == null || !sentence(broken.getMessage()).equals(sentence)) {
             return false;
         }
--- a/simulation/src/main/java/org/umbermount/simulation/ReadingRoom.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
@@ -28,13 +28,13 @@
  * races go on while daemons are killed, frozen, cut off, robbed of their disks and replaced as a drawn day has it, and what
  * the rules say of configurations is checked after every step. Nothing here knows how the parts work.
  */
-final class ReadingRoom {
+final class SimulatedCluster {
     static final int LECTORS_A_ZONE = 2;
     static final long STEP_MS = 50;
     static final long NEVER = Long.MIN_VALUE / 4;
     private static final long TURN_MS = 15_000;
     /** Set to read a day together with what the daemons log. */
-    private static final boolean ALOUD = Boolean.getBoolean("umbermount.aloud");
+    static final boolean ALOUD = Boolean.getBoolean("umbermount.aloud");
 
     /** A rule is broken. */
     static final class BrokenException extends RuntimeException {
@@ -53,7 +53,7 @@
     }
 
     final Fleet fleet;
-    final Wires wires;
+    final NetworkCuts wires;
     final Machines machines;
     final Proxies proxies;
     final Operators operators;
@@ -63,11 +63,11 @@
     private final StringBuilder log = new StringBuilder();
     private int played;
 
-    ReadingRoom(long seed) throws IOException {
+    SimulatedCluster(long seed) throws IOException {
         this(new Day(seed, Profile.ORDINARY, List.of()));
     }
 
-    ReadingRoom(Day day) throws IOException {
+    SimulatedCluster(Day day) throws IOException {
         this.day = day;
         long seed = day.seed();
         random = new Random(seed);
@@ -81,7 +81,7 @@
         fleet.network.loss = random.nextInt(3) == 0 ? 0.03 : 0.005;
         fleet.network.jitterMs = 1 + random.nextInt(6);
         fleet.network.doubles = 0.01;
-        wires = new Wires(fleet.network);
+        wires = new NetworkCuts(fleet.network);
         machines = new Machines(this, registrars, tolerated);
         operators = new Operators(this, random);
         operators.lostAnswers = lenient() ? 0.2 : 0;
@@ -104,7 +104,7 @@
     /** Plays a day; what broke, or null. */
     static BrokenException breakOf(Day day) throws IOException {
         try {
-            new ReadingRoom(day).play();
+            new SimulatedCluster(day).play();
             return null;
         } catch (BrokenException e) {
             return e;
@@ -340,7 +340,7 @@
     }
 
     /** Plays a calm day on which something goes on that the checks are not told of. */
-    void playUntold(Consumer<ReadingRoom> what) {
+    void playUntold(Consumer<SimulatedCluster> what) {
         run(5_000);
         operators.change(1);
         run(2_000);
--- a/simulation/src/main/java/org/umbermount/simulation/Simulation.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Simulation.java
@@ -37,7 +37,7 @@
             }
         }
         if (only != null) {
-            ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, profile, steps).only(only));
+            SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(Day.draw(seed, profile, steps).only(only));
             System.out.println(broken == null ? "nothing breaks" : broken.getMessage());
             System.exit(broken == null ? 0 : 1);
         }
@@ -54,7 +54,7 @@
         for (long seed = plan.first(); seed < plan.first() + plan.count(); seed++) {
             Day day = Day.draw(seed, plan.profile(), plan.steps());
             long begun = System.nanoTime();
-            ReadingRoom.BrokenException broken = ReadingRoom.breakOf(day);
+            SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(day);
             playing += System.nanoTime() - begun;
             if (broken == null) {
                 continue;
@@ -67,7 +67,7 @@
                 System.out.println("  shrunk from " + plan.steps() + " events to " + shrunk.events().size()
                         + ", again with --seed " + seed + " --profile " + plan.profile() + " --steps " + plan.steps()
                         + " --only " + shrunk.plan());
-                ReadingRoom.breakOf(shrunk).getMessage().lines().skip(1).forEach(l -> System.out.println("  " + l));
+                SimulatedCluster.breakOf(shrunk).getMessage().lines().skip(1).forEach(l -> System.out.println("  " + l));
             }
         }
         System.out.println(plan.count() + " days of profile " + plan.profile() + " from seed " + plan.first() + ", " + found
--- a/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -27,20 +27,20 @@
     /** The checks themselves: each of these days has to be found broken, for its own reason. */
     @Test
     void eachCheckNoticesWhatItIsFor() throws IOException {
-        assertTrue(untold(ReadingRoom::forget).contains("still has"));
-        assertTrue(untold(ReadingRoom::muteAll).contains("got no answer"));
-        assertTrue(untold(ReadingRoom::handOld).contains("went back"));
-        assertTrue(untold(ReadingRoom::deliverRefused).contains("was refused"));
-        assertTrue(untold(ReadingRoom::confirmTwice).contains("two changes"));
+        assertTrue(untold(SimulatedCluster::forget).contains("still has"));
+        assertTrue(untold(SimulatedCluster::muteAll).contains("got no answer"));
+        assertTrue(untold(SimulatedCluster::handOld).contains("went back"));
+        assertTrue(untold(SimulatedCluster::deliverRefused).contains("was refused"));
+        assertTrue(untold(SimulatedCluster::confirmTwice).contains("two changes"));
     }
 
-    private static String untold(Consumer<ReadingRoom> what) throws IOException {
-        ReadingRoom room = new ReadingRoom(1);
-        return assertThrows(ReadingRoom.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
+    private static String untold(Consumer<SimulatedCluster> what) throws IOException {
+        SimulatedCluster room = new SimulatedCluster(1);
+        return assertThrows(SimulatedCluster.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
     }
 
     private static String play(long seed, int steps) throws IOException {
-        ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, Profile.ORDINARY, steps));
+        SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(Day.draw(seed, Profile.ORDINARY, steps));
         return broken == null ? null : broken.getMessage();
     }
 }
--- a/simulation/src/test/java/org/umbermount/simulation/SafeguardsAreNeededTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/SafeguardsAreNeededTest.java
@@ -23,8 +23,8 @@
         "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"})
     void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
         Day day = Day.draw(seed, profile, steps);
-        assertNull(ReadingRoom.breakOf(day));
-        ReadingRoom.BrokenException broken = Mutation.without(safeguard, () -> ReadingRoom.breakOf(day));
+        assertNull(SimulatedCluster.breakOf(day));
+        SimulatedCluster.BrokenException broken = Mutation.without(safeguard, () -> SimulatedCluster.breakOf(day));
         assertNotNull(broken, "nothing breaks without " + safeguard);
         assertTrue(broken.getMessage().lines().findFirst().orElse("").contains(sentence), broken.getMessage());
     }
--- a/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -36,7 +36,7 @@
     private static void hold(Profile profile, long first, int count, int steps) throws IOException {
         StringBuilder bad = new StringBuilder();
         for (long seed = first; seed < first + count; seed++) {
-            ReadingRoom.BrokenException broken = ReadingRoom.breakOf(Day.draw(seed, profile, steps));
+            SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(Day.draw(seed, profile, steps));
             if (broken != null) {
                 bad.append("--seed ").append(seed).append(" --steps ").append(steps).append(" --profile ").append(profile).append(": ")
                         .append(broken.getMessage().lines().findFirst().orElse("")).append('\n');
@@ -49,8 +49,8 @@
     @Test
     void aSeedGivesTheSameDayAgain() throws IOException {
         Day day = Day.draw(4, Profile.ALL, 12);
-        ReadingRoom one = new ReadingRoom(day);
-        ReadingRoom other = new ReadingRoom(day);
+        SimulatedCluster one = new SimulatedCluster(day);
+        SimulatedCluster other = new SimulatedCluster(day);
         one.play();
         other.play();
         assertEquals(one.trace(), other.trace());
