--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,10 @@
 mkdir -p "$dir/whole"
 root=$(pwd)
 for jar in "$dir"/lib/*.jar "$dir/umbermount.jar"; do
+    # The simulation, and the fakes that it plays with, are for developers: no daemon opens them.
+    case $jar in
+        */simulation-*.jar | *-tests.jar) continue ;;
+    esac
     (cd "$dir/whole" && jar xf "$root/$jar" && rm -rf META-INF/versions META-INF/*.SF META-INF/*.RSA module-info.class META-INF/maven)
     # Each library names its plug-ins in a file of the same name: they are joined.
     for list in "$dir"/whole/META-INF/services/*; do
--- a/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-/** Plays seeded days over registrars, delivery and lectors. More of them, and longer ones: {@link Simulation}. */
+/** Plays seeded days over registrars, delivery and lectors. More of them, and longer ones: {@link SimulateCommand}. */
 class ConfigurationHoldsTest {
     private static final int SEEDS = 200;
     private static final int STEPS = 40;
--- a/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 
-/** Plays fixed days of each profile; {@link Simulation} plays others and shows what broke. */
+/** Plays fixed days of each profile; {@link SimulateCommand} plays others and shows what broke. */
 class WorstDaysTest {
     @Test
     void cutsAndFrozenMachines() throws IOException {
--- a/umbermount/src/main/java/org/umbermount/umbermount/Umbermount.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Umbermount.java
@@ -1,5 +1,7 @@
 package org.umbermount.umbermount;
 
+import java.util.ServiceLoader;
+import org.umbermount.kernel.CommandExtension;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,14 +11,21 @@
         subcommands = {LectorCommand.class, RegistrarCommand.class, CheckSettingsCommand.class,
                 CheckConfigurationCommand.class, ShowCommand.class, RehearseCommand.class, StocktakeCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:a file or an answer is invalid", "2:the arguments are wrong",
+        exitCodeList = {"0:done", "1:a file or an answer is invalid, or a rule is broken", "2:the arguments are wrong",
                 "3:a daemon cannot be reached"})
 public final class Umbermount implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     static void main(String[] args) {
-        System.exit(new CommandLine(new Umbermount()).execute(args));
+        System.exit(commandLine().execute(args));
+    }
+
+    /** The commands of this module, and those of others that are on the class path. */
+    static CommandLine commandLine() {
+        CommandLine line = new CommandLine(new Umbermount());
+        ServiceLoader.load(CommandExtension.class).forEach(line::addSubcommand);
+        return line.setCaseInsensitiveEnumValuesAllowed(true);
     }
 
     @Override
--- a/umbermount/src/test/java/org/umbermount/umbermount/ProgramTest.java
+++ b/umbermount/src/test/java/org/umbermount/umbermount/ProgramTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 
 class ProgramTest {
     private static String errors;
@@ -19,7 +18,7 @@
         PrintStream old = System.err;
         System.setErr(new PrintStream(out, true));
         try {
-            return new CommandLine(new Umbermount()).execute(args);
+            return Umbermount.commandLine().execute(args);
         } finally {
             System.setErr(old);
             errors = out.toString();
@@ -47,4 +46,11 @@
         Files.writeString(file, "{\"revision\":1,\"routeTable\":{}}");
         assertEquals(1, run("check-configuration", file.toString()));
     }
+
+    /** The simulation is in a module that this one does not name: the command line has to find it. */
+    @Test
+    void aDayCanBeSimulated() {
+        assertEquals(0, run("simulate", "--seed", "3", "--count", "2", "--steps", "2", "--profile", "cuts"));
+        assertEquals(2, run("simulate", "--profile", "none"));
+    }
 }
