--- a/courier/src/test/java/org/umbermount/courier/Proxies.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Proxies.java
@@ -1,15 +1,20 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.umbermount.archive.MortalClock;
+import org.umbermount.courier.Consignee;
+import org.umbermount.courier.Inventory;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Script;
+import org.umbermount.loans.LoanCounter;
+import org.umbermount.readership.QuotaCounter;
 
 /** The lectors of the room: what each has in force, and what happens to them. */
 final class Proxies {
-    private static final long NEVER = ReadingRoom.NEVER;
+    private static final long NEVER = SimulatedCluster.NEVER;
 
     /** One lector and what it has had in force. */
     static final class Proxy {
@@ -17,6 +22,9 @@
         final String zone;
         MortalClock clock;
         Consignee consignee;
+        /** Null on days without clients. */
+        LoanCounter loans;
+        QuotaCounter quota;
         long edition;
         boolean up;
         boolean frozen;
@@ -33,10 +41,10 @@
         }
     }
 
-    private final ReadingRoom room;
+    private final SimulatedCluster room;
     private final List<Proxy> all = new ArrayList<>();
 
-    Proxies(ReadingRoom room) {
+    Proxies(SimulatedCluster room) {
         this.room = room;
     }
 
@@ -52,7 +60,10 @@
 
     private void open(Proxy p) {
         p.clock = new MortalClock(room.fleet.almanac);
-        p.consignee = room.openLector(p.imprint, p.zone, p.clock);
+        Institution host = room.openLector(p.imprint, p.zone, p.clock);
+        p.consignee = host.find(Consignee.class);
+        p.loans = host.findOrNull(LoanCounter.class);
+        p.quota = host.findOrNull(QuotaCounter.class);
         p.edition = 0;
         p.up = true;
         p.consignee.observe(t -> inForce(p, t));
@@ -62,9 +73,7 @@
         long edition = table.edition().value();
         if (edition > 0) {
             try {
-                Script.Reader in = Script.read(table.entries().get(Inventory.CONFIGURATION));
-                in.num();
-                room.operators.seen(edition, Operators.text(edition, in.num() - Operators.LEAST_LIMIT), p.imprint + " has it in force");
+                room.operators.seen(edition, Content.of(table).text(), p.imprint + " has it in force");
             } catch (Script.UnreadableException e) {
                 throw new IllegalStateException(e);
             }
@@ -134,7 +143,7 @@
             default -> {
                 p.cut = true;
                 room.note(p.imprint + " is cut off for " + forMs);
-                Wires.Cut cut = room.wires.cut(p.imprint, Wires.Way.BOTH, Machines::isMachine);
+                NetworkCuts.Cut cut = room.wires.cut(p.imprint, NetworkCuts.Way.BOTH, Machines::isMachine);
                 room.later(forMs, () -> {
                     p.cut = false;
                     p.lastEvent = room.now();
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import java.io.IOException;
 import java.util.HashMap;
@@ -7,8 +7,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.umbermount.archive.ControlCaller;
 import org.umbermount.archive.Fleet;
 import org.umbermount.archive.FailureDetector;
+import org.umbermount.courier.ReceivingDepartment;
+import org.umbermount.courier.SendingDepartment;
 import org.umbermount.gazetteer.Gazetteer;
 import org.umbermount.gazetteer.Placename;
 import org.umbermount.kernel.Clock;
@@ -19,19 +22,25 @@
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.loans.CounterDepartment;
+import org.umbermount.loans.LoansDepartment;
+import org.umbermount.readership.CountingDepartment;
+import org.umbermount.readership.ReadershipDepartment;
+import org.umbermount.stacks.Cellar;
+import org.umbermount.stacks.testing.FakeVault;
 
 /**
  * Registrars and lectors as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
  * races go on while daemons are killed, frozen, cut off, robbed of their disks and replaced as a drawn day has it, and what
  * the rules say of configurations is checked after every step. Nothing here knows how the parts work.
  */
-final class ReadingRoom {
+final class SimulatedCluster {
     static final int LECTORS_A_ZONE = 2;
     static final long STEP_MS = 50;
     static final long NEVER = Long.MIN_VALUE / 4;
     private static final long TURN_MS = 15_000;
     /** Set to read a day together with what the daemons log. */
-    private static final boolean ALOUD = Boolean.getBoolean("umbermount.aloud");
+    static final boolean ALOUD = Boolean.getBoolean("umbermount.aloud");
 
     /** A rule is broken. */
     static final class BrokenException extends RuntimeException {
@@ -50,21 +59,25 @@
     }
 
     final Fleet fleet;
-    final Wires wires;
+    final NetworkCuts wires;
     final Machines machines;
     final Proxies proxies;
+    final ControlCalls calls;
     final Operators operators;
+    private final MalformedCalls malformedCalls;
     private final Checks checks;
+    /** Null on days without clients. */
+    final Clients clients;
     private final Day day;
     private final Random random;
     private final StringBuilder log = new StringBuilder();
     private int played;
 
-    ReadingRoom(long seed) throws IOException {
+    SimulatedCluster(long seed) throws IOException {
         this(new Day(seed, Profile.ORDINARY, List.of()));
     }
 
-    ReadingRoom(Day day) throws IOException {
+    SimulatedCluster(Day day) throws IOException {
         this.day = day;
         long seed = day.seed();
         random = new Random(seed);
@@ -74,16 +87,19 @@
             registrars = 3 + random.nextInt(7);
             tolerated = registrars >= 5 && random.nextBoolean() ? 2 : 1;
         }
-        fleet = new Fleet(registrars, 3, seed, tolerated, null);
+        fleet = new Fleet(registrars, 3, seed, tolerated, null, guarantees());
         fleet.network.loss = random.nextInt(3) == 0 ? 0.03 : 0.005;
         fleet.network.jitterMs = 1 + random.nextInt(6);
         fleet.network.doubles = 0.01;
-        wires = new Wires(fleet.network);
+        wires = new NetworkCuts(fleet.network);
         machines = new Machines(this, registrars, tolerated);
-        operators = new Operators(this, random);
+        calls = new ControlCalls(this, day.profile() == Profile.CALLS);
+        operators = new Operators(this, random, calls, day.profile() == Profile.CALLS);
+        malformedCalls = new MalformedCalls(this);
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
         checks = new Checks(this);
+        clients = hasClients() ? new Clients(this, seed) : null;
         for (int i = 0; i < registrars && lenient(); i++) {
             fleet.disks.get(i).chance(seed * 31 + i);
         }
@@ -101,7 +117,7 @@
     /** Plays a day; what broke, or null. */
     static BrokenException breakOf(Day day) throws IOException {
         try {
-            new ReadingRoom(day).play();
+            new SimulatedCluster(day).play();
             return null;
         } catch (BrokenException e) {
             return e;
@@ -118,6 +134,15 @@
         return day.profile() != Profile.ORDINARY;
     }
 
+    /** Whether clients claim operations and ask for quota. */
+    boolean hasClients() {
+        return day.profile() == Profile.SHARED;
+    }
+
+    private Set<String> guarantees() {
+        return hasClients() ? Set.of(HouseRules.KEYS, HouseRules.QUOTA) : Set.of();
+    }
+
     long now() {
         return fleet.almanac.now().millis();
     }
@@ -134,6 +159,11 @@
         return log.toString();
     }
 
+    /** What clients have got; null on days without them. */
+    Clients.Served served() {
+        return clients == null ? null : clients.served();
+    }
+
     void broken(String what) {
         note("BROKEN: " + what);
         for (int i : machines.core()) {
@@ -154,8 +184,9 @@
             zones.put(Fleet.zone(z), "r");
         }
         return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010,
-                seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500, 1, Set.of(),
-                new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000));
+                seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500, hasClients() ? machines.tolerated() : 1,
+                guarantees(), new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60,
+                        4000, Clients.SHARING));
     }
 
     private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds, FakePost.Bag bag) {
@@ -181,9 +212,24 @@
                 host.find(FailureDetector.class).enlist(p.imprint());
             }
         });
+        if (hasClients()) {
+            keepForClients(i, host);
+        }
         new SendingDepartment().open(host);
     }
 
+    /** Gives a registrar its operation records and counts. */
+    private void keepForClients(int i, Institution host) {
+        FakeVault disk = fleet.disks.get(i);
+        host.offer(Cellar.class, new Cellar(disk, disk.executor()));
+        try {
+            new LoansDepartment().open(host);
+        } catch (Exception e) {
+            throw new IllegalStateException("Registrar " + i + " cannot open its operation records.", e);
+        }
+        new ReadershipDepartment().open(host);
+    }
+
     /** Starts a registrar; the list of those that it is told of is the operator's. */
     List<Integer> start(int i) {
         try {
@@ -197,19 +243,26 @@
         }
     }
 
-    Consignee openLector(Imprint self, String zone, Clock clock) {
+    Institution openLector(Imprint self, String zone, Clock clock) {
         List<Imprint> seeds = imprints(machines.seeds(random));
         FakePost.Bag bag = fleet.network.bag(self);
         Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
         gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
         new ReceivingDepartment().open(host);
-        return host.find(Consignee.class);
+        if (hasClients()) {
+            new CounterDepartment().open(host);
+            new CountingDepartment().open(host);
+        }
+        return host;
     }
 
     // ---- a day ----
 
     void run(long ms) {
         for (long t = 0; t < ms; t += STEP_MS) {
+            if (clients != null) {
+                clients.step();
+            }
             fleet.run(STEP_MS);
             checks.check();
         }
@@ -260,6 +313,7 @@
                     run(forMs);
                 }
             }
+            case MALFORMED -> malformedCalls.send(salt);
             case READ -> {
                 operators.read();
                 stall(salt);
@@ -292,6 +346,7 @@
             happen(event);
             run(event.gapMs());
         }
+        runUntilStormsEnd();
         run(8_000);
         calmDown();
         if (lenient()) {
@@ -299,6 +354,13 @@
         }
     }
 
+    /** A change of a storm would stand in the way of the one that has to be answered at the end. */
+    private void runUntilStormsEnd() {
+        while (operators.storming()) {
+            run(STEP_MS);
+        }
+    }
+
     /** Calm has to come, and all that was confirmed is there. */
     private void calmDown() {
         for (long t = 0; t < 2 * TURN_MS && !checks.calm() && lenient(); t += STEP_MS) {
@@ -309,6 +371,7 @@
         if (operators.pending() || !checks.settled()) {
             broken("no calm at the end");
         }
+        Clients.Served before = served();
         boolean[] read = new boolean[1];
         for (int t = 0; t < 5 && !read[0]; t++) {
             operators.read(() -> read[0] = true);
@@ -318,6 +381,9 @@
             broken("nothing can be read at the end");
         }
         run(2_000);
+        if (before != null && !clients.served().isMoreThan(before)) {
+            broken("clients get nothing in calm: " + before + ", and 3 s later " + clients.served());
+        }
         for (Proxies.Proxy p : proxies.all()) {
             if (p.edition < operators.acknowledged()) {
                 broken(p.imprint + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
@@ -337,13 +403,14 @@
     }
 
     /** Plays a calm day on which something goes on that the checks are not told of. */
-    void playUntold(Consumer<ReadingRoom> what) {
+    void playUntold(Consumer<SimulatedCluster> what) {
         run(5_000);
         operators.change(1);
         run(2_000);
         what.accept(this);
         operators.change(1);
         run(20_000);
+        calmDown();
     }
 
     /** A lector that nobody reaches any more. */
@@ -370,7 +437,41 @@
     /** A change that is refused and then delivered. */
     void deliverRefused() {
         operators.refuse(99);
-        operators.seen(99, Operators.text(99, 0), "a lector has it in force");
+        operators.seen(99, Content.whole(99, 0).text(), "a lector has it in force");
+    }
+
+    /** A configuration that no operator has asked for. */
+    void deliverUnordered() {
+        operators.seen(98, Content.whole(98, 7_000).text(), "a lector has it in force");
+    }
+
+    /** A call that cannot be read, and is taken. */
+    void takeMalformed() {
+        malformedCalls.check(MalformedCalls.Fault.CUT_SHORT, new ControlCaller.Answer(200, "{}"));
+    }
+
+    /** An operation that has run, and runs again. */
+    void runTwice() {
+        clients.run("a key", "the first run");
+        clients.run("a key", "the second run");
+    }
+
+    /** A repeat that is told of another run than its own. */
+    void answerOtherwise() {
+        clients.run("a key", "the only run");
+        clients.repeat("a key", "another run");
+    }
+
+    /** Nobody counts the tenant's requests. */
+    void allowAll() {
+        for (int i = 0; i < 1_000; i++) {
+            clients.allowed();
+        }
+    }
+
+    /** Clients that get no answer any more. */
+    void serveNobody() {
+        clients.stop();
     }
 
     /** A second change on the version of the first. */
--- /dev/null
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -0,0 +1,55 @@
+package org.umbermount.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Plays seeded days over registrars, delivery and lectors. More of them, and longer ones: {@link SimulateCommand}. */
+class ConfigurationHoldsTest {
+    private static final int SEEDS = 200;
+    private static final int STEPS = 40;
+
+    @Test
+    void whatTheRulesSayOfConfigurationsHoldsOnSeededDays() throws IOException {
+        String bad = LongStream.rangeClosed(1, SEEDS).parallel()
+                .mapToObj(seed -> Days.breakOf(Day.draw(seed, Profile.ORDINARY, STEPS)))
+                .filter(why -> !why.isEmpty()).collect(Collectors.joining("\n"));
+        assertTrue(bad.isEmpty(), bad);
+    }
+
+    /** The checks themselves: each of these days has to be found broken, for its own reason. */
+    @Test
+    void eachCheckNoticesWhatItIsFor() throws IOException {
+        assertTrue(untold(SimulatedCluster::forget).contains("still has"));
+        assertTrue(untold(SimulatedCluster::muteAll).contains("got no answer"));
+        assertTrue(untold(SimulatedCluster::handOld).contains("went back"));
+        assertTrue(untold(SimulatedCluster::deliverRefused).contains("was refused"));
+        assertTrue(untold(SimulatedCluster::confirmTwice).contains("two changes"));
+        assertTrue(untold(SimulatedCluster::deliverUnordered).contains("nobody ordered"));
+        assertTrue(untold(SimulatedCluster::takeMalformed).contains("was answered with status 200"));
+    }
+
+    @Test
+    void eachCheckOfClientsNoticesWhatItIsFor() throws IOException {
+        Day day = new Day(1, Profile.SHARED, List.of());
+        assertTrue(untold(day, SimulatedCluster::runTwice).contains("runs twice"));
+        assertTrue(untold(day, SimulatedCluster::answerOtherwise).contains("was answered with another run"));
+        assertTrue(untold(day, SimulatedCluster::allowAll).contains("quota was exceeded"));
+        assertTrue(untold(day, SimulatedCluster::serveNobody).contains("clients get nothing in calm"));
+    }
+
+    private static String untold(Consumer<SimulatedCluster> what) throws IOException {
+        return untold(new Day(1, Profile.ORDINARY, List.of()), what);
+    }
+
+    private static String untold(Day day, Consumer<SimulatedCluster> what) throws IOException {
+        SimulatedCluster room = new SimulatedCluster(day);
+        return assertThrows(SimulatedCluster.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
+    }
+}
--- a/courier/src/test/java/org/umbermount/courier/SafeguardsAreNeededTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/SafeguardsAreNeededTest.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -14,6 +14,7 @@
     @ParameterizedTest
     @CsvSource({
         "DIGEST_COMPARED, ORDERS, 1, 40, two changes on version",
+        "DIGEST_COMPARED, CALLS, 1, 40, got no answer",
         "DUTY_LEFT_TO_ONE_IN_CONTACT, CUTS, 36, 40, still has",
         "FOLDER_SYNCED, ALL, 1, 40, got no answer",
         "GRANTED_BY_MAJORITY, ORDINARY, 18, 40, hold the duty",
@@ -24,8 +25,8 @@
         "SLOW_STANDS_BACK, ALL, 37, 40, still has"})
     void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
         Day day = Day.draw(seed, profile, steps);
-        assertNull(ReadingRoom.breakOf(day));
-        ReadingRoom.BrokenException broken = Mutation.without(safeguard, () -> ReadingRoom.breakOf(day));
+        assertNull(SimulatedCluster.breakOf(day));
+        SimulatedCluster.BrokenException broken = Mutation.without(safeguard, () -> SimulatedCluster.breakOf(day));
         assertNotNull(broken, "nothing breaks without " + safeguard);
         assertTrue(broken.getMessage().lines().findFirst().orElse("").contains(sentence), broken.getMessage());
     }
