No try goes to more servers than its route's maxTries, with second askings counted

Cause: a second asking looked only at sendings that had begun. When the first server's answer was lost and the retry was still being connected to, the timer of the second asking added one more: three servers where the route allows two. A daemon that was leaving could do the same to a request that was not sent yet.

Change: Sendings knows the limit and counts permits that are not used yet against it. Before each further sending the limit of the route in force counts where it is lower than the one that the request was taken in under.

Shown by: SendingsTest.permitsThatAreNotUsedYetCountAgainstTheNumberOfServers, numberOfServersMayBeLoweredMeanwhileButNotRaised and BudgetRulesTest.

--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -77,7 +77,7 @@
         this.request = request;
         this.route = route;
         this.wing = wing;
-        this.sendings = new Sendings(route != null && route.safe());
+        this.sendings = new Sendings(route != null && route.safe(), route == null ? 1 : route.maxTries());
         this.arrived = desk.clock().now();
         this.deadline = arrived.plus(deadlineMs);
     }
@@ -450,7 +450,11 @@
 
     /** The first server is slow to answer: asks a second one, and takes whichever answers first. */
     private void hedge() {
-        if (!wanted() || active != 1 || sendings.sent() >= route.maxTries()) {
+        if (!wanted() || active != 1) {
+            return;
+        }
+        limitToRouteInForce();
+        if (!sendings.allowsFurther(null)) {
             return;
         }
         Moment now = desk.clock().now();
@@ -536,10 +540,19 @@
         }
     }
 
+    /** A configuration may have lowered the number of servers since the request was taken in. */
+    private void limitToRouteInForce() {
+        Regulations.Route inForce = desk.route(request);
+        if (inForce != null) {
+            sendings.limitTo(inForce.maxTries());
+        }
+    }
+
     /** Sends again if that may be, and gives up otherwise. */
     private void goOn(Sendings.NotRun proof) {
         Moment now = desk.clock().now();
-        if (sendings.sent() >= route.maxTries() || !now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
+        limitToRouteInForce();
+        if (!now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
         }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -214,7 +214,7 @@
         if (!hasTable()) {
             return new Borrowing(this, reader, request, Erratum.NOT_READY);
         }
-        Regulations.Route route = holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        Regulations.Route route = route(request);
         if (route == null) {
             return refused(reader, request, doubtful() ? Erratum.TABLE_STALE : Erratum.NO_ROUTE);
         }
@@ -238,6 +238,11 @@
                 tenant, key);
     }
 
+    /** The route of a request in the table in force, or null. */
+    Regulations.Route route(HttpRequest request) {
+        return holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+    }
+
     private Borrowing refused(Reader reader, HttpRequest request, Erratum why) {
         tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
         return new Borrowing(this, reader, request, why);
--- a/circulation/src/main/java/org/umbermount/circulation/Sendings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Sendings.java
@@ -10,6 +10,8 @@
  */
 final class Sendings {
     private final boolean safe;
+    /** To how many servers the request may be sent. */
+    private int mostServers;
     private boolean tooLong;
     private boolean begun;
     private boolean ended;
@@ -20,9 +22,18 @@
     private int sent;
     private boolean mayHaveRun;
 
-    /** @param safe whether the request may run more than once */
-    Sendings(boolean safe) {
+    /**
+     * @param safe whether the request may run more than once
+     * @param mostServers to how many servers it may be sent
+     */
+    Sendings(boolean safe, int mostServers) {
         this.safe = safe;
+        this.mostServers = Math.max(1, mostServers);
+    }
+
+    /** The route has been changed meanwhile: no further sending may go beyond its new limit. */
+    void limitTo(int servers) {
+        mostServers = Math.max(1, Math.min(mostServers, servers));
     }
 
     /** The body is not kept: what has been sent of it cannot be sent again. */
@@ -50,7 +61,9 @@
 
     /** Whether there may be a further sending; a request that is not safe needs the proof that none before has run. */
     boolean allowsFurther(NotRun proof) {
-        if (tooLong || ended) {
+        // A permit that is not used yet will be: a server may be on the way of being connected to.
+        int unused = open - underway;
+        if (tooLong || ended || sent + unused >= mostServers) {
             return false;
         }
         boolean proven = proof != null && !proof.used && open == 0 && !mayHaveRun;
--- a/circulation/src/test/java/org/umbermount/circulation/SendingsTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/SendingsTest.java
@@ -22,6 +22,7 @@
 
 class SendingsTest {
     private static final Moment NOW = new Moment(10_000);
+    private static final int SERVERS = 3;
     private final Allowance budget = new Allowance(0.2, 100, 1_000, new Moment(0));
 
     private static HttpResponse answer(int status, boolean notExecuted) {
@@ -38,7 +39,7 @@
 
     @Test
     void permitIsGoodForOneSending() {
-        Sendings unsafe = new Sendings(false);
+        Sendings unsafe = new Sendings(false, SERVERS);
         Sendings.Permit permit = unsafe.first();
         assertThrows(IllegalStateException.class, unsafe::first);
         assertTrue(unsafe.hasNotRun());
@@ -55,7 +56,7 @@
 
     @Test
     void unsafeRequestLostAfterItWentOutIsSentAgainOnlyWithoutTheSafeguard() throws Exception {
-        Sendings unsafe = new Sendings(false);
+        Sendings unsafe = new Sendings(false, SERVERS);
         Sendings.Permit permit = unsafe.first();
         permit.use();
         permit.lost();
@@ -67,7 +68,7 @@
     @CsvSource({"503,true,true", "429,true,true", "400,true,true", "421,false,true", "503,false,false", "200,true,false",
             "500,false,false", "408,false,false"})
     void onlyAnAnswerThatSaysSoProvesThatNothingRan(int status, boolean header, boolean proves) {
-        Sendings unsafe = new Sendings(false);
+        Sendings unsafe = new Sendings(false, SERVERS);
         Sendings.Permit permit = unsafe.first();
         permit.use();
         Sendings.NotRun proof = permit.answered(answer(status, header));
@@ -86,7 +87,7 @@
 
     @Test
     void whatWasNotSentGivesItsPlaceToOneOther() {
-        Sendings unsafe = new Sendings(false);
+        Sendings unsafe = new Sendings(false, SERVERS);
         Sendings.NotRun proof = unsafe.first().giveBack();
         Sendings.Permit other = unsafe.instead(proof);
         assertThrows(IllegalStateException.class, () -> unsafe.instead(proof));
@@ -96,7 +97,7 @@
 
     @Test
     void noPermitOutlivesTheAnswer() {
-        Sendings safe = new Sendings(true);
+        Sendings safe = new Sendings(true, SERVERS);
         Sendings.Permit permit = safe.first();
         safe.end();
         assertFalse(permit.use());
@@ -106,7 +107,7 @@
 
     @Test
     void safeRequestIsSentAgainWithinTheBudgetUnlessItsBodyIsGone() {
-        Sendings safe = new Sendings(true);
+        Sendings safe = new Sendings(true, SERVERS);
         assertTrue(safe.first().use());
         assertNotNull(further(safe, null));
         assertNull(safe.further(null, new Allowance(0, 0, 1_000, NOW), NOW, 1, 0));
@@ -114,6 +115,32 @@
         assertNull(further(safe, null));
     }
 
+    /** A second asking beside a retry that was still connecting once went to one server too many. */
+    @Test
+    void permitsThatAreNotUsedYetCountAgainstTheNumberOfServers() {
+        Sendings safe = new Sendings(true, 2);
+        Sendings.Permit lost = safe.first();
+        assertTrue(lost.use());
+        lost.lost();
+        Sendings.Permit connecting = further(safe, null);
+        assertNotNull(connecting);
+        assertNull(further(safe, null));
+        Sendings.Permit other = safe.instead(connecting.giveBack());
+        assertNull(further(safe, null));
+        assertTrue(other.use());
+        assertEquals(2, safe.sent());
+    }
+
+    @Test
+    void numberOfServersMayBeLoweredMeanwhileButNotRaised() {
+        Sendings safe = new Sendings(true, 2);
+        assertTrue(safe.first().use());
+        safe.limitTo(1);
+        assertNull(further(safe, null));
+        safe.limitTo(3);
+        assertNull(further(safe, null));
+    }
+
     /** Nobody but the type itself makes permits and proofs, and only one method takes a permit and a request. */
     @Test
     void permitsAndProofsHaveNoOtherMaker() {
