A request is held no longer than its route's timeout, also while its body arrives

Cause: the time of a request ran only from when a server was looked for, so a body that trickled or stopped held its request for ever. At the timeout a request that every server had turned away and that waited for another got 504 although it had surely not run, and a server's own failure that was there was not passed on while a second server was silent. A send with next to no time left was made and counted as no offer.

Change: the timer starts when a read ends with the body still incomplete; the answer then is 503 with Retry-After and ends the connection. At the timeout the answer is the server's failure if there is one, 503 if nothing can have run, 504 otherwise. Nothing is sent with less than a tenth of the route's aim left, where the service usually takes longer than that.

--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -50,7 +50,7 @@
     void write(Carrel over) {
         Moment now = repository.desk().clock().now();
         long left = borrowing.deadline().since(now);
-        if (!borrowing.wanted() || left <= 0 || !repository.usable(now)) {
+        if (!borrowing.wanted() || left < borrowing.leastMs() || !repository.usable(now)) {
             over.unused();
             notSent();
             return;
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -23,6 +23,8 @@
     private static final long SHARED_PATIENCE_MS = 250;
     private static final long SHARED_LEAST_MS = 100;
     private static final long BUSY_LOOK_MS = 90;
+    /** A server that has less than this part of the route's aim left, and less than it usually takes, is not asked. */
+    private static final double LEAST_PART_OF_AIM = 0.1;
 
     private final FrontDesk desk;
     private final Reader reader;
@@ -36,6 +38,8 @@
     private byte[] body = new byte[0];
     private boolean large;
     private boolean started;
+    /** Whether it was ended because its time was over. */
+    private boolean overdue;
     private boolean abandoned;
     private boolean answered;
     private int placements;
@@ -207,6 +211,31 @@
         return started;
     }
 
+    /** Whether it has been answered because its time was over. */
+    boolean isOverdue() {
+        return overdue;
+    }
+
+    /** The body is still arriving: the route's time counts meanwhile too. */
+    void awaitBody() {
+        if (deadlineTimer == null && route != null && wanted()) {
+            startDeadlineTimer(deadline.since(desk.clock().now()));
+        }
+    }
+
+    private void startDeadlineTimer(long leftMs) {
+        deadlineTimer = desk.clock().after(Math.max(0, leftMs), this::deadlineReached);
+    }
+
+    /** With less time than this left, no server would come to an answer. */
+    long leastMs() {
+        return Math.max(1, (long) Math.min(LEAST_PART_OF_AIM * route.targetLatencyMs(), wing.typicalMs));
+    }
+
+    private boolean tooLateToSend(Moment now) {
+        return deadline.since(now) < leastMs();
+    }
+
     /** Looks for a server. */
     void start() {
         if (started || answered) {
@@ -216,7 +245,7 @@
         Moment now = desk.clock().now();
         wing.allowance.request(now);
         long left = deadline.since(now);
-        if (left <= 0) {
+        if (left < leastMs()) {
             refuse(Erratum.DEADLINE_BEFORE_RUN);
             return;
         }
@@ -224,7 +253,9 @@
             refuse(Erratum.OVERLOADED);
             return;
         }
-        deadlineTimer = desk.clock().after(left, this::deadlineReached);
+        if (deadlineTimer == null) {
+            startDeadlineTimer(left);
+        }
         charge();
     }
 
@@ -479,7 +510,7 @@
             closeLoan();
             return;
         }
-        if (!desk.clock().now().isBefore(deadline)) {
+        if (tooLateToSend(desk.clock().now())) {
             deadlineReached();
         } else if (placements >= PLACEMENTS_AT_MOST) {
             giveUp();
@@ -552,7 +583,7 @@
     private void goOn(Sendings.NotRun proof) {
         Moment now = desk.clock().now();
         limitToRouteInForce();
-        if (!now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
+        if (tooLateToSend(now) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
         }
@@ -570,7 +601,12 @@
             if (waiting) {
                 stopWaiting();
             }
-            refuse(sendings.sent() > 0 ? Erratum.TIMED_OUT : Erratum.DEADLINE_BEFORE_RUN);
+            overdue = true;
+            if (lastFailure != null) {
+                deliver(lastFailure);
+            } else {
+                refuse(sendings.hasNotRun() ? Erratum.DEADLINE_BEFORE_RUN : Erratum.TIMED_OUT);
+            }
             if (carrier != null) {
                 carrier.dropUnlessWritten();
             }
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Reader.java
@@ -92,6 +92,15 @@
         }
     }
 
+    /** What has come in one go has been looked at: if a body is not whole yet, its request's time runs already. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (arriving != null) {
+            arriving.awaitBody();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     private void begin(HttpRequest request) {
         headUnderway = false;
         arrivedBytes = 0;
@@ -276,8 +285,9 @@
                         break;
                     }
                 } else {
-                    if (reading && !first.isLarge() && first.erratum() != null && !first.erratum().closes()) {
-                        // An early answer waits until its request has been read to the end.
+                    if (reading && !first.isLarge() && !first.isOverdue() && first.erratum() != null
+                            && !first.erratum().closes()) {
+                        // An early answer waits until its request has been read to the end, if that comes in time.
                         break;
                     }
                     writeWhole(first, reading);
--- a/circulation/src/test/java/org/umbermount/circulation/ProxyFixture.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ProxyFixture.java
@@ -26,6 +26,7 @@
 
 /** The traffic side on the loopback address, with a table that tests write and scripted servers behind it. */
 final class ProxyFixture implements AutoCloseable {
+    private static final long TICK_MS = 10;
     private static final String DEFAULT_LIMITS = "\"maxHeaderBytes\":8192,\"maxBodyBytes\":4000000";
 
     /** A route as tests write it. */
@@ -73,6 +74,9 @@
     private final List<ScriptedServer> servers = new ArrayList<>();
     private final Map<String, byte[]> instances = new HashMap<>();
     private String limits = DEFAULT_LIMITS;
+    private String tenants = "";
+    private volatile long lastTick;
+    private volatile long worstLagNanos;
 
     ProxyFixture() throws Exception {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
@@ -83,6 +87,24 @@
         desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
         desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
+        clock.every(TICK_MS, this::tick);
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        worstLagNanos = Math.max(worstLagNanos, now - lastTick - TimeUnit.MILLISECONDS.toNanos(TICK_MS));
+        lastTick = now;
+    }
+
+    /** Forgets how late timers have been. */
+    void resetLag() {
+        lastTick = System.nanoTime();
+        worstLagNanos = 0;
+    }
+
+    /** By how much a timer has been late since then: what a busy machine may add to any time that a test measures. */
+    long worstLagMs() {
+        return TimeUnit.NANOSECONDS.toMillis(worstLagNanos);
     }
 
     /** Starts a server of a service and lists it in the next table. */
@@ -105,6 +127,11 @@
         limits = json;
     }
 
+    /** Sets the tenants of the configurations that follow, as the members of a JSON list. */
+    void tenants(String json) {
+        tenants = ",\"tenants\":[" + json + "]";
+    }
+
     /** Takes a configuration with these routes into force, and the servers listed so far. */
     void routes(RouteSpec... routes) throws Exception {
         List<String> written = new ArrayList<>();
@@ -112,7 +139,7 @@
             written.add(route.json(written.size()));
         }
         Regulations regulations = Regulations.parse(("{\"revision\":1,\"routeTable\":[" + String.join(",", written)
-                + "],\"upstreams\":[{\"label\":\"s\"},{\"label\":\"later\"}],\"limits\":{" + limits + "}}")
+                + "],\"upstreams\":[{\"label\":\"s\"},{\"label\":\"later\"}],\"limits\":{" + limits + "}" + tenants + "}")
                 .getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(regulations));
         entries.putAll(instances);
