A server's long failure passes whole; a long answer that has stopped ends at the timeout

Cause: of a failure over 128 KB a part went to the client with a length that made it look whole, and was kept so for repeats. A long answer had no timer at all: one whose server had stopped sending was held until the connection to it broke.

Change: a framed failure of the server's own is streamed as a success is, with its status and seal; what is neither held whole nor streamed is never passed on. Once the route's time is over, an answer of which nothing has come for 100 ms, with nothing waiting for the client, is cut without its end; one that still comes, or waits for a slow client, goes on.

Shown by AnswerRulesTest.

--- a/circulation/src/main/java/org/umbermount/circulation/Attempt.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Attempt.java
@@ -196,7 +196,7 @@
         }
         held.write(piece, 0, n);
         if (held.size() > HELD_WHOLE) {
-            if (isSealedSuccess()) {
+            if (isSealedSuccess() || isOwnFailure()) {
                 beginStreaming();
             } else {
                 ignored = true;
@@ -204,6 +204,18 @@
         }
     }
 
+    /** Whether the answer is a failure of the server's own, to be passed on as it is. */
+    private boolean isOwnFailure() {
+        int status = head.status().code();
+        return status / 100 != 2 && !promises(status) && !head.headers().contains(Headings.NOT_EXECUTED)
+                && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+    }
+
+    /** Whether a client would take the status as a promise that the request has not run. */
+    private static boolean promises(int status) {
+        return status == 503 || status == 429 || status == 408 || status == 421;
+    }
+
     private void beginStreaming() {
         if (!borrowing.beginStreaming(this, head)) {
             ignored = true;
@@ -235,6 +247,7 @@
         if (streaming) {
             permit.answered(head);
             repository.answered(now, ms, false);
+            repository.ran(status < 500 || status == 504);
             borrowing.streamedWhole();
             return;
         }
@@ -261,11 +274,11 @@
             } else {
                 borrowing.failed(this, "an unsealed answer", null);
             }
-        } else if (status == 503 || status == 429 || status == 408) {
-            // These would promise the client that the request has not run; nothing here says so.
-            borrowing.failed(this, "status " + status + " without a promise", null);
+        } else if (promises(status) || ignored) {
+            // It would promise the client that the request has not run, and nothing here says so; or not all of it was held.
+            borrowing.failed(this, "an answer that cannot be passed on", null);
         } else {
-            borrowing.failed(this, "status " + status, answer);
+            borrowing.failed(this, "a failure of its own", answer);
         }
     }
 
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -23,6 +23,8 @@
     private static final long SHARED_PATIENCE_MS = 250;
     private static final long SHARED_LEAST_MS = 100;
     private static final long BUSY_LOOK_MS = 90;
+    /** How long the server may send nothing once the time is over, before its answer is cut. */
+    private static final long STALL_MS = 100;
     /** A server that has less than this part of the route's aim left, and less than it usually takes, is not asked. */
     private static final double LEAST_PART_OF_AIM = 0.1;
 
@@ -71,6 +73,7 @@
     private boolean streamWhole;
     private boolean streamCut;
     private int streamHeld;
+    private long streamReceived;
 
     Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs,
             Regulations.Tenant tenant, String key) {
@@ -691,15 +694,35 @@
         // Too long to be kept for repeats: that it ran is all that is noted.
         streamHead = head;
         done();
+        long left = deadline.since(desk.clock().now());
+        deadlineTimer = desk.clock().after(Math.max(0, left), this::watchForStall);
         return true;
     }
 
+    /** The time is over: an answer of which nothing more comes is cut, one that still comes or waits for the client goes on. */
+    private void watchForStall() {
+        long before = streamReceived;
+        deadlineTimer = desk.clock().after(STALL_MS, () -> {
+            if (abandoned || streamWhole || streamCut) {
+                return;
+            }
+            if (stream.isEmpty() && streamReceived == before) {
+                desk.tally().count("requests.streams.stalled");
+                streamCut = true;
+                reader.ready();
+            } else {
+                watchForStall();
+            }
+        });
+    }
+
     void streamed(byte[] piece) {
         if (abandoned) {
             return;
         }
         stream.add(piece);
         streamHeld += piece.length;
+        streamReceived += piece.length;
         reader.ready();
         if (streamHeld > Attempt.HELD_WHOLE) {
             streamer.reading(false);
@@ -725,6 +748,7 @@
         active--;
         closeLoan();
         streamWhole = true;
+        cancelTimers();
         reader.ready();
     }
 
@@ -732,6 +756,7 @@
         active--;
         closeLoan();
         streamCut = true;
+        cancelTimers();
         reader.ready();
     }
 
