A test of a settings reload with a request under way; reloads are counted

SettingsReloadTest starts both programs, holds a request at its server, changes seeds in the settings, raises SIGHUP and waits for the meter settings.reread before the server answers. Rehearsal is split into steps for it and starts the registrar first, so that the signal goes to the lector.

--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -143,6 +143,7 @@
     /** Takes newly read settings into use. */
     public void reread(HouseRules fresh) {
         rules = fresh;
+        tally.count("settings.reread");
         for (Department department : open) {
             department.reread(fresh);
         }
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -20,6 +20,7 @@
  * it to learn which classes a start needs; it fails if the request is not served.
  */
 final class Rehearsal {
+    static final String SETTINGS = "settings.json";
     private static final String SEAL = "rehearsal-seal";
     private final int port = freePorts();
 
@@ -28,43 +29,68 @@
     }
 
     private void play(Path folder) throws Exception {
-        Daemon.prepare();
-        Files.createDirectories(folder);
-        Path settings = folder.resolve("settings.json");
-        Files.writeString(settings, settings(folder));
-        for (Role role : Role.values()) {
-            new Daemon(role, settings).start();
-        }
-        try (ServerSocket origin = new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"))) {
+        start(folder);
+        try (ServerSocket origin = listen()) {
             Thread server = new Thread(() -> serve(origin), "origin");
             server.setDaemon(true);
             server.start();
-            await("the beat", () -> call(port + 2, "PUT", "/instances/i-1", "{\"upstream\":\"s\",\"address\":\"127.0.0.1:"
-                    + (port + 5) + "\",\"zone\":\"z\",\"revision\":\"v\",\"capacity\":2,\"status\":\"in_service\","
-                    + "\"warmupLeftMs\":0,\"sequence\":1}").startsWith("HTTP/1.1 200"));
-            await("the configuration", () -> call(port + 2, "PUT", "/config", "{\"revision\":1,\"routeTable\":[{\"label\":\"r\","
-                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/p/\",\"routeType\":\"safe\",\"timeoutMs\":5000,"
-                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2},{\"label\":\"o\","
-                    + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/o/\",\"routeType\":\"idempotent\",\"timeoutMs\":5000,"
-                    + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2}],\"tenants\":[{\"label\":\"t\","
-                    + "\"apiKeys\":[\"k\"],\"priority\":0,\"ratePerS\":50,\"burst\":50}],\"upstreams\":[{\"label\":"
-                    + "\"s\",\"healthCheck\":\"/health\",\"maxConnections\":10,\"protocol\":\"h1\",\"tls\":false}],"
-                    + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,"
-                    + "\"idleTimeoutMs\":15000}}").startsWith("HTTP/1.1 200"));
+            configure();
             await("the reading", () -> call(port + 2, "GET", "/config", "").startsWith("HTTP/1.1 200"));
-            await("readiness", () -> call(port + 4, "GET", "/readiness", "").startsWith("HTTP/1.1 200"));
             await("the request", () -> call(port + 3, "GET", "/p/x", "").contains(SEAL));
             await("the operation", () -> call(port + 3, "POST", "/o/x", "b").contains(SEAL));
             await("its repeat", () -> call(port + 3, "POST", "/o/x", "b").contains(SEAL));
-            await("the meters", () -> call(port + 4, "GET", "/metrics", "").contains("umbermount_"));
+            await("the meters", () -> metrics().contains("umbermount_"));
         }
     }
 
-    private interface Step {
+    /** Writes the settings and starts both programs; signals to the process go to the one that carries traffic. */
+    void start(Path folder) throws Exception {
+        Daemon.prepare();
+        Files.createDirectories(folder);
+        Path settings = folder.resolve(SETTINGS);
+        Files.writeString(settings, settings(folder));
+        new Daemon(Role.REGISTRAR, settings).start();
+        new Daemon(Role.LECTOR, settings).start();
+    }
+
+    /** Listens where the one server is listed. */
+    ServerSocket listen() throws IOException {
+        return new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** Lists the server, sets a configuration and waits until it is in force. */
+    void configure() throws Exception {
+        await("the beat", () -> call(port + 2, "PUT", "/instances/i-1", "{\"upstream\":\"s\",\"address\":\"127.0.0.1:"
+                + (port + 5) + "\",\"zone\":\"z\",\"revision\":\"v\",\"capacity\":2,\"status\":\"in_service\","
+                + "\"warmupLeftMs\":0,\"sequence\":1}").startsWith("HTTP/1.1 200"));
+        await("the configuration", () -> call(port + 2, "PUT", "/config", "{\"revision\":1,\"routeTable\":[{\"label\":\"r\","
+                + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/p/\",\"routeType\":\"safe\",\"timeoutMs\":5000,"
+                + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2},{\"label\":\"o\","
+                + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/o/\",\"routeType\":\"idempotent\",\"timeoutMs\":5000,"
+                + "\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s\",\"maxTries\":2}],\"tenants\":[{\"label\":\"t\","
+                + "\"apiKeys\":[\"k\"],\"priority\":0,\"ratePerS\":50,\"burst\":50}],\"upstreams\":[{\"label\":"
+                + "\"s\",\"healthCheck\":\"/health\",\"maxConnections\":10,\"protocol\":\"h1\",\"tls\":false}],"
+                + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,"
+                + "\"idleTimeoutMs\":15000}}").startsWith("HTTP/1.1 200"));
+        await("readiness", () -> call(port + 4, "GET", "/readiness", "").startsWith("HTTP/1.1 200"));
+    }
+
+    /** What one request of a client is answered. */
+    String request(String path) throws IOException {
+        return call(port + 3, "GET", path, "");
+    }
+
+    /** The meters of the daemon that carries traffic. */
+    String metrics() throws IOException {
+        return call(port + 4, "GET", "/metrics", "");
+    }
+
+    /** Something that is repeated until it is done. */
+    interface Step {
         boolean done() throws IOException;
     }
 
-    private static void await(String what, Step step) throws Exception {
+    static void await(String what, Step step) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (System.nanoTime() < end) {
             try {
--- /dev/null
+++ b/umbermount/src/test/java/org/umbermount/umbermount/SettingsReloadTest.java
@@ -0,0 +1,75 @@
+package org.umbermount.umbermount;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sun.misc.Signal;
+
+/** Requests under way survive a SIGHUP and the settings that it brings. */
+class SettingsReloadTest {
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nRequest-Attempt: a1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+    private final CountDownLatch received = new CountDownLatch(1);
+    private final CountDownLatch reloaded = new CountDownLatch(1);
+    private final AtomicInteger seen = new AtomicInteger();
+
+    /** Answers the first request only once the settings have been read again. */
+    private void serve(ServerSocket origin) {
+        while (!origin.isClosed()) {
+            try (Socket socket = origin.accept()) {
+                StringBuilder head = new StringBuilder();
+                InputStream in = socket.getInputStream();
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    head.append((char) in.read());
+                }
+                seen.incrementAndGet();
+                received.countDown();
+                reloaded.await(4, TimeUnit.SECONDS);
+                socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException | InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    @Test
+    void requestAtAServerIsAnsweredThroughAReload(@TempDir Path folder) throws Exception {
+        Rehearsal daemons = new Rehearsal();
+        daemons.start(folder);
+        try (ServerSocket origin = daemons.listen()) {
+            Thread server = new Thread(() -> serve(origin), "origin");
+            server.setDaemon(true);
+            server.start();
+            daemons.configure();
+            CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return daemons.request("/p/x");
+                } catch (IOException e) {
+                    return e.toString();
+                }
+            });
+            assertTrue(received.await(10, TimeUnit.SECONDS));
+            Path settings = folder.resolve(Rehearsal.SETTINGS);
+            Files.writeString(settings, Files.readString(settings).replace("\"bootstrap\":true", "\"bootstrap\":false")
+                    .replace("\"seedNodes\":[", "\"seedNodes\":[\"127.0.0.1:9\","));
+            Signal.raise(new Signal("HUP"));
+            Rehearsal.await("the reload", () -> daemons.metrics().contains("settings_reread"));
+            reloaded.countDown();
+            String whole = answer.get(5, TimeUnit.SECONDS);
+            assertTrue(whole.startsWith("HTTP/1.1 200") && whole.endsWith("ok"), whole);
+            assertEquals(1, seen.get());
+        }
+    }
+}
