Where requests wait for a server the urgent come first, and nobody is kept from a slot that another cannot use

Change: who comes while others wait joins the queue, which is served at once; a full queue gives up its last in rank; a request that has been to some servers is passed over where it finds none; looking for room starts when someone begins to wait.

--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
@@ -410,22 +410,41 @@
 
     private void placeOrWait(Sendings.Permit under) {
         permit = under;
-        if (tryPlace()) {
+        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - desk.clock().now().since(arrived);
+        // Who comes now does not take a slot that others wait for and come before in rank.
+        boolean others = patience > 0 && wing.waitingCount() > 0;
+        if (!others && tryPlace()) {
             return;
         }
-        Moment now = desk.clock().now();
-        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
         if (patience <= 0 || !wing.enqueue(this)) {
             giveUp();
             return;
         }
         waiting = true;
-        waitTimer = desk.clock().after(patience, () -> {
-            if (waiting) {
-                stopWaiting();
-                giveUp();
-            }
-        });
+        waitTimer = desk.clock().after(patience, this::patienceOver);
+        if (others) {
+            wing.serveWaiting();
+        }
+        desk.someoneWaits();
+    }
+
+    private void patienceOver() {
+        if (waiting) {
+            stopWaiting();
+            giveUp();
+        }
+    }
+
+    /** The queue is full, and this one is the last in rank. */
+    void displaced() {
+        waiting = false;
+        waitTimer.cancel();
+        giveUp();
+    }
+
+    /** Whether it has been to no server yet, so that none is closed to it. */
+    boolean mayGoAnywhere() {
+        return tried.isEmpty();
     }
 
     private void stopWaiting() {
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -361,6 +361,11 @@
         lookAgain();
     }
 
+    /** A request has begun to wait for a server. */
+    void someoneWaits() {
+        lookAgain();
+    }
+
     /** While someone waits, servers that others have freed are noticed by looking. */
     private void lookAgain() {
         if (looking) {
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -1,6 +1,7 @@
 package org.umbermount.circulation;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -12,15 +13,18 @@
     private static final int WAITING_AT_MOST = 256;
     private static final long LOCAL_RATIO_MS = 100;
 
+    /** Who comes first among those that wait. */
+    private static final Comparator<Borrowing> RANK = Comparator.comparingInt(Borrowing::tenantPriority)
+            .thenComparingInt(Borrowing::priority).thenComparingLong(b -> b.deadline().millis());
+
     final String label;
     final Allowance allowance;
     final List<Repository> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
     final List<Repository> local = new ArrayList<>();
     final List<Repository> elsewhere = new ArrayList<>();
-    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
-            Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
-                    .thenComparingLong(b -> b.deadline().millis()));
+    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(RANK);
+    private boolean serving;
     final Pressure pressure = new Pressure();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
@@ -70,7 +74,12 @@
     /** Takes a request into the queue; false if the queue is full of requests that come first. */
     boolean enqueue(Borrowing borrowing) {
         if (waiting.size() >= WAITING_AT_MOST) {
-            return false;
+            Borrowing last = Collections.max(waiting, RANK);
+            if (RANK.compare(borrowing, last) >= 0) {
+                return false;
+            }
+            waiting.remove(last);
+            last.displaced();
         }
         return waiting.add(borrowing);
     }
@@ -83,15 +92,31 @@
         return waiting.size();
     }
 
-    /** Offers a slot to those that wait, the first in rank first. */
+    /**
+     * Offers a slot to those that wait, the first in rank first. One that has been to some servers already may find none among
+     * the others: whoever is behind it is still looked at.
+     */
     void serveWaiting() {
-        while (!waiting.isEmpty()) {
-            // Out of the queue first: it may come back into it while it is being placed.
-            Borrowing first = waiting.poll();
-            if (!first.tryPlace()) {
-                waiting.add(first);
-                return;
+        if (serving || waiting.isEmpty()) {
+            return;
+        }
+        serving = true;
+        List<Borrowing> passedOver = new ArrayList<>(0);
+        try {
+            while (!waiting.isEmpty()) {
+                // Out of the queue first: it may come back into it while it is being placed.
+                Borrowing first = waiting.poll();
+                if (first.tryPlace()) {
+                    continue;
+                }
+                passedOver.add(first);
+                if (first.mayGoAnywhere()) {
+                    return;
+                }
             }
+        } finally {
+            waiting.addAll(passedOver);
+            serving = false;
         }
     }
 }
