--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -153,6 +153,7 @@
     public void reread(HouseRules fresh) {
         assert clock.inEventLoop() : "settings are taken over beside the event loop";
         rules = fresh;
+        tally.count("settings.reread");
         for (Department department : open) {
             try {
                 department.reread(fresh);
