--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -36,6 +36,8 @@
     private final int tolerated;
     private final Attachment attachment;
     private final java.util.Set<String> guarantees;
+    /** Over which length the files of registrars that start from now on are rewritten. */
+    long rewriteOver = 1 << 16;
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalClock> clocks = new HashMap<>();
@@ -107,7 +109,7 @@
         FakePost.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
         Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+                Stack.open(disk, "memory", rewriteOver), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
         running.put(i, archive);
         if (attachment != null) {
             attachment.attach(i, clock, bag, archive.replica, disk);
--- a/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
+++ b/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
@@ -40,6 +40,10 @@
     public int callsLeft = Integer.MAX_VALUE;
     /** The calls that changed or forced something. */
     public int calls;
+    /** How often a file was forced. */
+    public int fileForces;
+    /** What was written to all files. */
+    public long bytesWritten;
     /** How often the folder was forced. */
     public int folderForces;
 
@@ -273,6 +277,7 @@
             int n = tearAt >= 0 ? Math.min(tearAt, bytes.length) : bytes.length;
             n = last && chance != null ? chance.nextInt(n + 1) : n;
             int length = n;
+            bytesWritten += length;
             names.get(name).change(old -> written(old, at, bytes, length));
             if (last || endBeforeSync) {
                 endBeforeSync = false;
@@ -300,6 +305,7 @@
             if (ends()) {
                 throw new EndedException();
             }
+            fileForces++;
             File file = names.get(name);
             file.safe = file.now;
             file.unforced.clear();
