A change travels and is written as what is new in the state, where its base is known

Each change of the configuration carried 10 KB of remembered orders and the whole configuration over every hop of the chain and into every member's file. StateIncrement names its base by the fingerprint of the whole state and carries the one new order and a ByteDelta of the configuration; a member that holds another state asks for the whole (STATE_WANTED). The head's first repeat goes like the first sending, later ones whole as before.

--- a/archive/src/main/java/org/umbermount/archive/ChainMessages.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainMessages.java
@@ -15,7 +15,8 @@
 final class ChainMessages {
     /** The order is part of the format. */
     private enum Kind {
-        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED, ATTEST, ATTESTED
+        SUBMIT, VERDICT, WRITE, COMMITTED, READ, READING, CONFIRM, CONFIRMED, ATTEST, ATTESTED, INCREMENT,
+        STATE_WANTED
     }
 
     /** Acts on what has been received. */
@@ -26,6 +27,12 @@
 
         void write(Imprint from, ConfigurationState state, List<PendingReply> replies);
 
+        /** A write that only says what is new in the state. */
+        void increment(Imprint from, StateIncrement increment, List<PendingReply> replies);
+
+        /** The member after lacks the state that an increment builds on. */
+        void stateWanted(Imprint from, long view);
+
         void committed(Imprint tail, long view, Edition edition, Digest digest);
 
         /** A read of the committed state, or of its edition alone if it is brief. */
@@ -82,6 +89,17 @@
         channel.send(to, out);
     }
 
+    void sendIncrement(Imprint to, StateIncrement increment, Collection<PendingReply> replies) {
+        Script.Writer out = message(Kind.INCREMENT);
+        increment.write(out);
+        out.list(replies, (o, r) -> r.write(o));
+        channel.send(to, out);
+    }
+
+    void sendStateWanted(Imprint to, long view) {
+        channel.send(to, message(Kind.STATE_WANTED).num(view));
+    }
+
     void sendCommitted(Imprint to, ConfigurationState state) {
         Script.Writer out = message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
         state.taken().newestDigest().write(out);
@@ -127,6 +145,8 @@
                     Order.read(in), in.bytes()));
             case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
             case WRITE -> handler.write(from, ConfigurationState.read(in), in.list(PendingReply::read));
+            case INCREMENT -> handler.increment(from, StateIncrement.read(in), in.list(PendingReply::read));
+            case STATE_WANTED -> handler.stateWanted(from, in.num());
             case COMMITTED -> handler.committed(from, in.num(), new Edition(in.num()), Digest.read(in));
             case READ -> handler.read(from, RequestId.read(in), false);
             case ATTEST -> handler.read(from, RequestId.read(in), true);
--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -29,14 +29,20 @@
     private final CommitPoint commits;
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
+    private final StateIncrements increments;
     private final Clock clock;
     private final Tally tally;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
+    /** The state of this view that the newest one has replaced here, or null. */
+    private ConfigurationState replaced;
+    /** The state that was passed on again last. */
+    private ConfigurationState repeated;
 
     ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, Tally tally) {
+            ViewConfirmation confirmation, ChainMessages messages, StateIncrements increments, Tally tally) {
         this.self = self;
+        this.increments = increments;
         this.clock = clock;
         this.tally = tally;
         this.aheads = new RefusedAhead(clock.now());
@@ -91,7 +97,7 @@
 
     private void oweAndForward(Submission s) {
         owed.put(s.id(), s.reply());
-        forward();
+        forward(false);
     }
 
     /** Until a majority has confirmed the view, nothing can come to pass here that would make the verdict another one. */
@@ -109,7 +115,7 @@
     /** Only the head starts: a tail that took this view from news may hold a state that those before it do not. */
     void begin() {
         if (membership.isHead()) {
-            forward();
+            forward(false);
         }
     }
 
@@ -119,35 +125,75 @@
         boolean unsettled = commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
-            durable.serially(this::forward);
+            durable.serially(this::repeat);
         }
     }
 
+    /** What was passed on again before, and is still not committed, goes whole: someone may lack what it builds on. */
+    private void repeat() {
+        ConfigurationState state = durable.memory().state();
+        boolean whole = state == repeated;
+        repeated = state;
+        forward(whole);
+    }
+
     // ---- every member ----
 
     void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
-        Memory memory = durable.memory();
-        if (state.view() > memory.view().number()) {
-            membership.fetch(from);
+        if (!isFromPredecessor(from, state.view())) {
             return;
         }
-        if (!membership.inChain() || state.view() != memory.view().number()
-                || !self.equals(memory.view().successor(from))) {
+        ConfigurationState held = durable.memory().state();
+        if (state.isNewerThan(held)) {
+            replaceState(state, () -> pass(replies, true));
+        } else if (held.isSameAs(state.edition(), state.taken().newestDigest())) {
+            pass(replies, true);
+        }
+    }
+
+    /** As {@link #write}, or nothing but a request for the whole state where this daemon lacks what it builds on. */
+    void increment(Imprint from, StateIncrement increment, List<PendingReply> replies) {
+        if (!isFromPredecessor(from, increment.view())) {
             return;
         }
-        if (state.isNewerThan(memory.state())) {
-            replaceState(state, () -> pass(replies));
-        } else if (memory.state().isSameAs(state.edition(), state.taken().newestDigest())) {
-            pass(replies);
+        ConfigurationState held = durable.memory().state();
+        if (increment.order().edition().isAfter(held.edition())) {
+            ConfigurationState next = increments.apply(increment, held);
+            if (next == null) {
+                tally.count("archive.increments.base_missing");
+                messages.sendStateWanted(from, increment.view());
+            } else {
+                replaceState(next, () -> pass(replies, false));
+            }
+        } else if (held.isSameAs(increment.order().edition(), increment.order().digest())) {
+            pass(replies, false);
+        }
+    }
+
+    /** The member after lacks what an increment builds on. */
+    void stateWanted(Imprint from, long view) {
+        Memory memory = durable.memory();
+        if (view == memory.view().number() && from.equals(memory.view().successor(self))) {
+            forward(true);
         }
     }
 
-    private void pass(List<PendingReply> replies) {
+    /** Whether the member before may have this daemon take a state of a view; whoever is ahead is asked for its view. */
+    private boolean isFromPredecessor(Imprint from, long view) {
+        View mine = durable.memory().view();
+        if (view > mine.number()) {
+            membership.fetch(from);
+            return false;
+        }
+        return membership.inChain() && view == mine.number() && self.equals(mine.successor(from));
+    }
+
+    private void pass(List<PendingReply> replies, boolean whole) {
         owed.clear();
         for (PendingReply reply : replies) {
             owed.put(reply.id(), reply);
         }
-        forward();
+        forward(whole);
     }
 
     /** Takes a newer state of the same view; the one before may be committed all the same. */
@@ -155,12 +201,13 @@
         ConfigurationState before = durable.memory().state();
         durable.persist(durable.memory().withState(next), () -> {
             commits.supersede(before);
+            replaced = before;
             then.run();
         });
     }
 
-    /** Passes the newest state on, or commits it at the tail. */
-    private void forward() {
+    /** Passes the newest state on, whole or as what is new in it, or commits it at the tail. */
+    private void forward(boolean whole) {
         Memory memory = durable.memory();
         if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
             return;
@@ -168,8 +215,13 @@
         Imprint next = memory.view().successor(self);
         if (next == null) {
             commit(memory);
-        } else {
+            return;
+        }
+        StateIncrement increment = whole || replaced == null ? null : increments.between(replaced, memory.state());
+        if (increment == null) {
             messages.sendWrite(next, memory.state(), owed.values());
+        } else {
+            messages.sendIncrement(next, increment, owed.values());
         }
     }
 
@@ -188,6 +240,8 @@
     void viewAdopted() {
         owed.clear();
         aheads.clear();
+        replaced = null;
+        repeated = null;
     }
 
     // ---- the tail ----
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/archive/src/main/java/org/umbermount/archive/DurableState.java
@@ -17,6 +17,7 @@
     private final Clock clock;
     private final StackRoom room;
     private final Tally tally;
+    private final StateJournal journal;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
     private Memory memory;
     private boolean busy;
@@ -28,10 +29,11 @@
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, StackRoom room, Tally tally, Memory memory, boolean onDisk) {
+    DurableState(Clock clock, StackRoom room, Tally tally, StateIncrements increments, Memory memory, boolean onDisk) {
         this.clock = clock;
         this.room = room;
         this.tally = tally;
+        this.journal = new StateJournal(increments);
         this.memory = memory;
         this.onDisk = onDisk;
         // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
@@ -77,10 +79,12 @@
         }
         busy = true;
         Memory old = memory;
-        room.write(next.changesSince(onDisk ? old : null), safe -> {
+        StateIncrement increment = onDisk ? journal.next(old.state(), next.state()) : null;
+        room.write(next.changesSince(onDisk ? old : null, increment), safe -> {
             busy = false;
             freezing = false;
             if (safe) {
+                noteWritten(old, next, increment);
                 take(next);
                 then.run();
             } else {
@@ -92,6 +96,14 @@
         });
     }
 
+    private void noteWritten(Memory old, Memory next, StateIncrement increment) {
+        if (increment != null) {
+            journal.incrementWritten(increment);
+        } else if (!onDisk || old.state() != next.state()) {
+            journal.stateWritten();
+        }
+    }
+
     private void take(Memory next) {
         onDisk = true;
         memory = next;
--- a/archive/src/main/java/org/umbermount/archive/Memory.java
+++ b/archive/src/main/java/org/umbermount/archive/Memory.java
@@ -22,6 +22,11 @@
     private static final byte ACCEPTOR = 4;
     private static final byte CRASHES = 5;
     private static final byte COMMITTED = 6;
+    /**
+     * What a state on disk begins with that increments may follow. No state begins with it by itself, so a build that knows
+     * of no increments refuses the file, and does not take an older state for the newest.
+     */
+    private static final long WITH_INCREMENTS = -100;
 
     static Memory blank(long incarnation) {
         return new Memory(incarnation, 0, View.NONE, ConfigurationState.NONE, Ballot.NONE, Ballot.NONE, null, Map.of());
@@ -77,8 +82,12 @@
         return !promised.isNone();
     }
 
-    /** The folios that differ from an older memory. */
-    List<Folio> changesSince(Memory old) {
+    /**
+     * The folios that differ from an older memory.
+     *
+     * @param increment the change of the state, or null to write the state whole if it has changed
+     */
+    List<Folio> changesSince(Memory old, StateIncrement increment) {
         List<Folio> out = new ArrayList<>();
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
             out.add(new Folio(IDENTITY, Script.write().num(incarnation).num(recoveredFor).done()));
@@ -88,8 +97,10 @@
             view.write(w);
             out.add(new Folio(VIEW, w.done()));
         }
-        if (old == null || old.state != state) {
-            Script.Writer w = Script.write();
+        if (increment != null) {
+            out.add(Folio.addition(STATE, increment.encoded()));
+        } else if (old == null || old.state != state) {
+            Script.Writer w = Script.write().num(WITH_INCREMENTS);
             state.write(w);
             out.add(new Folio(STATE, w.done()));
         }
@@ -145,6 +156,24 @@
         return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
     }
 
+    /** The state that was written whole last, with what was added to it since. */
+    private static ConfigurationState loadState(Stack stack) throws Script.UnreadableException {
+        Script.Reader in = Script.read(stack.get(STATE));
+        if (in.num() != WITH_INCREMENTS) {
+            // Written by a build that knew of none.
+            in = Script.read(stack.get(STATE));
+        }
+        ConfigurationState state = ConfigurationState.read(in);
+        StateIncrements increments = new StateIncrements();
+        for (byte[] addition : stack.additions(STATE)) {
+            state = increments.apply(StateIncrement.read(Script.read(addition)), state);
+            if (state == null) {
+                throw new Script.UnreadableException("an increment of another state", null);
+            }
+        }
+        return state;
+    }
+
     /** Reads the memory from a stack; null if there is none. */
     static Memory load(Stack stack) throws Script.UnreadableException {
         if (stack.get(IDENTITY) == null) {
@@ -153,7 +182,7 @@
         Script.Reader identity = Script.read(stack.get(IDENTITY));
         Script.Reader acceptor = Script.read(stack.get(ACCEPTOR));
         return new Memory(identity.num(), identity.num(), View.read(Script.read(stack.get(VIEW))),
-                ConfigurationState.read(Script.read(stack.get(STATE))), Ballot.read(acceptor), Ballot.read(acceptor),
+                loadState(stack), Ballot.read(acceptor), Ballot.read(acceptor),
                 acceptor.flag() ? Proposal.read(acceptor) : null, readIncarnations(Script.read(stack.get(CRASHES))));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Replica.java
+++ b/archive/src/main/java/org/umbermount/archive/Replica.java
@@ -80,14 +80,16 @@
             boolean loadedCommitted, View genesis, boolean newcomer) {
         this.clock = clock;
         Imprint self = post.self();
-        durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer), loaded != null);
+        StateIncrements increments = new StateIncrements();
+        durable = new DurableState(clock, room, tally, increments, initial(loaded, genesis, newcomer), loaded != null);
         commits = new CommitPoint(room);
         viewMessages = new ViewMessages(clock, post);
         chainMessages = new ChainMessages(clock, post);
         membership = new Membership(self, durable, commits, viewMessages);
         acceptor = new Acceptor(durable, membership, viewMessages);
         confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
-        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, tally);
+        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, increments,
+                tally);
         recovery = new Recovery(self, clock, durable, membership, viewMessages);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
@@ -335,6 +337,16 @@
             durable.serially(() -> chain.write(from, state, replies));
         }
 
+        @Override
+        public void increment(Imprint from, StateIncrement increment, List<PendingReply> replies) {
+            durable.serially(() -> chain.increment(from, increment, replies));
+        }
+
+        @Override
+        public void stateWanted(Imprint from, long view) {
+            durable.serially(() -> chain.stateWanted(from, view));
+        }
+
         @Override
         public void committed(Imprint tail, long view, Edition edition, Digest digest) {
             chain.committedElsewhere(tail, view, edition, digest);
--- a/archive/src/main/java/org/umbermount/archive/TakenOrders.java
+++ b/archive/src/main/java/org/umbermount/archive/TakenOrders.java
@@ -12,11 +12,19 @@
  */
 public record TakenOrders(Edition floor, List<Taken> entries) {
     public static final TakenOrders NONE = new TakenOrders(Edition.NONE, List.of());
-    /** Some 10 KB: it travels with each change. Hundreds of changes are made in a day. */
+    /** Some 10 KB. Hundreds of changes are made in a day. */
     static final int REMEMBERED = 512;
 
     /** The number that a taken order gave, and the digest of its call. It was built on the number before it. */
     public record Taken(Edition edition, Digest digest) {
+        void write(Script.Writer out) {
+            out.num(edition.value());
+            digest.write(out);
+        }
+
+        static Taken read(Script.Reader in) throws Script.UnreadableException {
+            return new Taken(new Edition(in.num()), Digest.read(in));
+        }
     }
 
     /** What is known of an order. */
@@ -49,7 +57,12 @@
     }
 
     Digest newestDigest() {
-        return entries.isEmpty() ? Digest.NONE : entries.get(entries.size() - 1).digest();
+        return entries.isEmpty() ? Digest.NONE : newestTaken().digest();
+    }
+
+    /** The order that was taken last, or null if none is remembered. */
+    Taken newestTaken() {
+        return entries.isEmpty() ? null : entries.get(entries.size() - 1);
     }
 
     public Finding find(Order order) {
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -37,6 +37,8 @@
     GRANTS_OF_ONE_VIEW,
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
     GRANTS_WAIT_AFTER_RESTART,
+    /** What is new in a state is added only to the very state that it builds on. */
+    INCREMENT_BASE_COMPARED,
     /** A named change that is invalid on the version held here is refused only after a confirmed reading of it. */
     INVALIDITY_CONFIRMED,
     /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -5,8 +5,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
@@ -14,7 +12,8 @@
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
- * write, so that a write is there whole or not at all; only the newest folio of a key counts. The format: an
+ * write, so that a write is there whole or not at all; only the newest folio of a key counts, and what was added to it
+ * since ({@link Folio#addition}). The format: an
  * 8-byte title, then for each record the length of its body (4 bytes), its checksum (4) and its body. A body is
  * a run of folios: key (1), length of the value (4), value. Numbers are big-endian; the checksum is CRC-32C over
  * the length and the body.
@@ -44,7 +43,7 @@
 
     private final Vault vault;
     private final long rewriteOver;
-    private final Map<Byte, byte[]> newest = new TreeMap<>();
+    private final StoredValues stored = new StoredValues();
     /** The file in use. */
     private String name;
     private String spare;
@@ -104,7 +103,7 @@
         // Also an empty one: an ended process may have cut it without waiting for the disk.
         uncertainSpare = other.exists;
         generation = content.generation;
-        newest.putAll(content.newest);
+        stored.applyAll(content.stored);
     }
 
     private void swapFiles() {
@@ -121,7 +120,7 @@
 
     /** What one of the files holds. */
     private static final class Content {
-        final Map<Byte, byte[]> newest = new TreeMap<>();
+        final StoredValues stored = new StoredValues();
         final boolean exists;
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
@@ -163,7 +162,7 @@
                 if (buffer.getByte(at) == GENERATION) {
                     generation = new UnsafeBuffer(value).getLong(0, ORDER);
                 } else {
-                    newest.put(buffer.getByte(at), value);
+                    stored.apply(new Folio(buffer.getByte(at), value));
                 }
                 at += FOLIO_HEAD + value.length;
             }
@@ -205,16 +204,21 @@
     }
 
     public byte[] get(byte key) {
-        return newest.get(key);
+        return stored.value(key);
+    }
+
+    /** What was added to the newest value under a key, oldest first. */
+    public List<byte[]> additions(byte key) {
+        return stored.additions(key);
     }
 
     public boolean isEmpty() {
-        return newest.isEmpty();
+        return stored.isEmpty();
     }
 
     /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
     public void put(List<Folio> folios) throws IOException {
-        if (folios.stream().anyMatch(f -> f.key() == GENERATION)) {
+        if (folios.stream().anyMatch(f -> f.target() == GENERATION)) {
             throw new IllegalArgumentException("The key " + GENERATION + " is the stack's own.");
         }
         if (uncertainTail) {
@@ -237,16 +241,14 @@
         vault.append(name, length, bytes);
         uncertainTail = false;
         length += bytes.length;
-        for (Folio folio : folios) {
-            newest.put(folio.key(), folio.value());
-        }
+        folios.forEach(stored::apply);
     }
 
     /** All that counts, as the first record of the next generation. */
     private byte[] whole() {
         List<Folio> all = new ArrayList<>();
         all.add(new Folio(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
-        newest.forEach((k, v) -> all.add(new Folio(k, v)));
+        all.addAll(stored.folios());
         return encode(all, true);
     }
 
@@ -271,7 +273,7 @@
     public void clear() throws IOException {
         vault.truncate(spare, 0);
         vault.truncate(name, 0);
-        newest.clear();
+        stored.clear();
         length = 0;
         uncertainTail = false;
         uncertainSpare = false;
