--- a/umbermount/src/main/java/org/umbermount/umbermount/Stocktaking.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Stocktaking.java
@@ -52,6 +52,8 @@
     private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
     private final List<HollowLector> hollow = new ArrayList<>();
     private final Map<Long, AtomicInteger> arrived = new ConcurrentHashMap<>();
+    /** How long each change took from the first call to its answer. */
+    private final List<Double> answerMs = new ArrayList<>();
     private final Map<Long, Long> acknowledged = new ConcurrentHashMap<>();
     private final Map<Long, Long> everywhere = new ConcurrentHashMap<>();
     private final AtomicLong beats = new AtomicLong();
@@ -132,10 +134,12 @@
     private void change(long match, long revision) throws InterruptedException {
         arrived.put(revision, new AtomicInteger());
         String text = configuration(revision);
+        long began = System.nanoTime();
         for (int tries = 0; tries < 40; tries++) {
             try {
                 if (call("PUT", registrar((int) (revision + tries) % registrars), "/config", text, match) == 200) {
                     acknowledged.put(revision, System.nanoTime());
+                    answerMs.add((System.nanoTime() - began) / 1e6);
                     return;
                 }
             } catch (IOException e) {
@@ -243,6 +247,7 @@
             metersBefore.add(meters(registrar(i)));
         }
         long beatsBefore = beats.get();
+        answerMs.clear();
         long begin = System.nanoTime();
         long revision = 1;
         while (System.nanoTime() - begin < TimeUnit.SECONDS.toNanos(seconds)) {
@@ -297,10 +302,15 @@
                 delays.add((everywhere.get(e.getKey()) - e.getValue()) / 1e6);
             }
         }
-        delays.sort(null);
         f.put("changes seen at every lector", (double) delays.size());
-        f.put("ms from answer to last lector, median", delays.isEmpty() ? Double.NaN : delays.get(delays.size() / 2));
-        f.put("ms from answer to last lector, most", delays.isEmpty() ? Double.NaN : delays.get(delays.size() - 1));
+        putSpread(f, "ms from call to answer", answerMs);
+        putSpread(f, "ms from answer to last lector", delays);
         return new Figures(f);
     }
+
+    private static void putSpread(Map<String, Double> figures, String name, List<Double> values) {
+        values.sort(null);
+        figures.put(name + ", median", values.isEmpty() ? Double.NaN : values.get(values.size() / 2));
+        figures.put(name + ", most", values.isEmpty() ? Double.NaN : values.get(values.size() - 1));
+    }
 }
