--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/archive/src/main/java/org/umbermount/archive/ChainReplica.java
@@ -30,6 +30,7 @@
     private final ViewConfirmation confirmation;
     private final ChainMessages messages;
     private final DroppedMessages dropped;
+    private final StateIncrements increments;
     private final Clock clock;
     private final Tally tally;
     private final RefusedAhead aheads;
@@ -37,9 +38,16 @@
     /** Whether the tail has committed anything in this view; that it was committed in an earlier one can be heard of others. */
     private boolean begun;
 
+    /** The state of this view that the newest one has replaced here, or null. */
+    private ConfigurationState replaced;
+    /** The state that was passed on again last. */
+    private ConfigurationState repeated;
+
     ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, DroppedMessages dropped, Tally tally) {
+            ViewConfirmation confirmation, ChainMessages messages, DroppedMessages dropped,
+            StateIncrements increments, Tally tally) {
         this.self = self;
+        this.increments = increments;
         this.clock = clock;
         this.tally = tally;
         this.aheads = new RefusedAhead(clock.now());
@@ -96,7 +104,7 @@
 
     private void oweAndForward(Submission s) {
         owed.put(s.id(), s.reply());
-        forward();
+        forward(false);
     }
 
     /** Until a majority has confirmed the view, nothing can come to pass here that would make the verdict another one. */
@@ -114,7 +122,7 @@
     /** Only the head starts: a tail that took this view from news may hold a state that those before it do not. */
     void begin() {
         if (membership.isHead()) {
-            forward();
+            forward(false);
         }
     }
 
@@ -125,39 +133,83 @@
                 || commits.committed().view() < memory.view().number()
                 || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
-            durable.serially(this::forward);
+            durable.serially(this::repeat);
         }
     }
 
+    /** What was passed on again before, and is still not committed, goes whole: someone may lack what it builds on. */
+    private void repeat() {
+        ConfigurationState state = durable.memory().state();
+        boolean whole = state == repeated;
+        repeated = state;
+        forward(whole);
+    }
+
     // ---- every member ----
 
     void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
+        if (!isFromPredecessor(from, state.view())) {
+            return;
+        }
+        ConfigurationState held = durable.memory().state();
+        if (state.isNewerThan(held)) {
+            replaceState(state, () -> pass(replies, true));
+        } else if (held.isSameAs(state.edition(), state.taken().newestDigest())) {
+            pass(replies, true);
+        }
+    }
+
+    /** As {@link #write}, or nothing but a request for the whole state where this daemon lacks what it builds on. */
+    void increment(Imprint from, StateIncrement increment, List<PendingReply> replies) {
+        if (!isFromPredecessor(from, increment.view())) {
+            return;
+        }
+        ConfigurationState held = durable.memory().state();
+        if (increment.order().edition().isAfter(held.edition())) {
+            ConfigurationState next = increments.apply(increment, held);
+            if (next == null) {
+                tally.count("archive.increments.base_missing");
+                messages.sendStateWanted(from, increment.view());
+            } else {
+                replaceState(next, () -> pass(replies, false));
+            }
+        } else if (held.isSameAs(increment.order().edition(), increment.order().digest())) {
+            pass(replies, false);
+        }
+    }
+
+    /** The member after lacks what an increment builds on. */
+    void stateWanted(Imprint from, long view) {
         Memory memory = durable.memory();
-        if (state.view() > memory.view().number()) {
+        if (view == memory.view().number() && from.equals(memory.view().successor(self))) {
+            forward(true);
+        }
+    }
+
+    /** Whether the member before may have this daemon take a state of a view; whoever is ahead is asked for its view. */
+    private boolean isFromPredecessor(Imprint from, long view) {
+        View mine = durable.memory().view();
+        if (view > mine.number()) {
             membership.fetch(from);
-            return;
+            return false;
         }
-        if (state.view() < memory.view().number()) {
+        if (view < mine.number()) {
             dropped.count(DroppedMessages.Reason.OLD_VIEW);
-            return;
+            return false;
         }
-        if (!membership.inChain() || !self.equals(memory.view().successor(from))) {
+        if (!membership.inChain() || !self.equals(mine.successor(from))) {
             dropped.count(DroppedMessages.Reason.NOT_A_MEMBER);
-            return;
-        }
-        if (state.isNewerThan(memory.state())) {
-            replaceState(state, () -> pass(replies));
-        } else if (memory.state().isSameAs(state.edition(), state.taken().newestDigest())) {
-            pass(replies);
+            return false;
         }
+        return true;
     }
 
-    private void pass(List<PendingReply> replies) {
+    private void pass(List<PendingReply> replies, boolean whole) {
         owed.clear();
         for (PendingReply reply : replies) {
             owed.put(reply.id(), reply);
         }
-        forward();
+        forward(whole);
     }
 
     /** Takes a newer state of the same view; the one before may be committed all the same. */
@@ -165,12 +217,13 @@
         ConfigurationState before = durable.memory().state();
         durable.persist(durable.memory().withState(next), () -> {
             commits.supersede(before);
+            replaced = before;
             then.run();
         });
     }
 
-    /** Passes the newest state on, or commits it at the tail. */
-    private void forward() {
+    /** Passes the newest state on, whole or as what is new in it, or commits it at the tail. */
+    private void forward(boolean whole) {
         Memory memory = durable.memory();
         if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
             return;
@@ -178,8 +231,13 @@
         Imprint next = memory.view().successor(self);
         if (next == null) {
             commit(memory);
-        } else {
+            return;
+        }
+        StateIncrement increment = whole || replaced == null ? null : increments.between(replaced, memory.state());
+        if (increment == null) {
             messages.sendWrite(next, memory.state(), owed.values());
+        } else {
+            messages.sendIncrement(next, increment, owed.values());
         }
     }
 
@@ -202,6 +260,8 @@
             owed.clear();
         }
         aheads.clear();
+        replaced = null;
+        repeated = null;
     }
 
     // ---- the tail ----
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/stacks/src/main/java/org/umbermount/stacks/Stack.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
@@ -16,7 +15,8 @@
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
- * write, so that a write is there whole or not at all; only the newest folio of a key counts. The format: an
+ * write, so that a write is there whole or not at all; only the newest folio of a key counts, and what was added to it
+ * since ({@link Folio#addition}). The format: an
  * 8-byte title, then for each record the length of its body (4 bytes), its checksum (4) and its body. A body is
  * a run of folios: key (1), length of the value (4), value. Numbers are big-endian; the checksum is CRC-32C over
  * the length and the body.
@@ -51,7 +51,7 @@
 
     private final Vault vault;
     private final long rewriteOver;
-    private final Map<Byte, byte[]> newest = new TreeMap<>();
+    private final StoredValues stored = new StoredValues();
     /** Where the folios stood that the file held at its opening. */
     private final Map<Byte, Integer> foundAt = new HashMap<>();
     /** The file in use. */
@@ -113,7 +113,7 @@
         // Also an empty one: an ended process may have cut it without waiting for the disk.
         uncertainSpare = other.exists;
         generation = content.generation;
-        newest.putAll(content.newest);
+        stored.applyAll(content.stored);
         foundAt.putAll(content.foundAt);
     }
 
@@ -131,7 +131,7 @@
 
     /** What one of the files holds. */
     private static final class Content {
-        final Map<Byte, byte[]> newest = new TreeMap<>();
+        final StoredValues stored = new StoredValues();
         final Map<Byte, Integer> foundAt = new HashMap<>();
         final boolean exists;
         final int size;
@@ -174,7 +174,7 @@
                 if (buffer.getByte(at) == GENERATION) {
                     generation = new UnsafeBuffer(value).getLong(0, ORDER);
                 } else {
-                    newest.put(buffer.getByte(at), value);
+                    stored.apply(new Folio(buffer.getByte(at), value));
                     foundAt.put(buffer.getByte(at), at);
                 }
                 at += FOLIO_HEAD + value.length;
@@ -217,13 +217,18 @@
     }
 
     public byte[] get(byte key) {
-        return newest.get(key);
+        return stored.value(key);
+    }
+
+    /** What was added to the newest value under a key, oldest first. */
+    public List<byte[]> additions(byte key) {
+        return stored.additions(key);
     }
 
     /** Reads the value that a key had at the opening; what cannot be read is reported with file and offset. */
     public <T> T read(byte key, Script.Element<T> element) throws DamagedException {
         try {
-            byte[] value = newest.get(key);
+            byte[] value = stored.value(key);
             if (value == null) {
                 throw new Script.UnreadableException("the entry " + key + " is missing", null);
             }
@@ -234,12 +239,16 @@
     }
 
     public boolean isEmpty() {
-        return newest.isEmpty();
+        return stored.isEmpty();
     }
 
     /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
     public void put(List<Folio> folios) throws IOException {
-        if (folios.stream().anyMatch(f -> f.key() == GENERATION)) {
+        if (folios.isEmpty()) {
+            // A record without a body would be taken for a broken one.
+            return;
+        }
+        if (folios.stream().anyMatch(f -> f.target() == GENERATION)) {
             throw new IllegalArgumentException("The key " + GENERATION + " is the stack's own.");
         }
         if (uncertainTail) {
@@ -262,16 +271,14 @@
         vault.append(name, length, bytes);
         uncertainTail = false;
         length += bytes.length;
-        for (Folio folio : folios) {
-            newest.put(folio.key(), folio.value());
-        }
+        folios.forEach(stored::apply);
     }
 
     /** All that counts, as the first record of the next generation. */
     private byte[] whole() {
         List<Folio> all = new ArrayList<>();
         all.add(new Folio(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
-        newest.forEach((k, v) -> all.add(new Folio(k, v)));
+        all.addAll(stored.folios());
         return encode(all, true);
     }
 
@@ -296,7 +303,7 @@
     public void clear() throws IOException {
         vault.truncate(spare, 0);
         vault.truncate(name, 0);
-        newest.clear();
+        stored.clear();
         length = 0;
         uncertainTail = false;
         uncertainSpare = false;
