--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -10,7 +10,9 @@
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.MachineUptime;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
@@ -42,35 +44,38 @@
      * @param memory the file of the chain and the views
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
+     * @param random where the numbers come from that tell lives apart
+     * @param uptime by which the notes of an earlier life are dated
      */
     Archive(Clock clock, Postbag post, HouseRules rules, Imprint control, Stack memory, Stack notes, Executor disk,
-            Tally tally) throws java.io.IOException {
+            Tally tally, Random random, MachineUptime uptime) throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
-        Random random = new Random(post.self().packed() * 31 + clock.wallMillis());
+        long life = RandomNumbers.life(random);
         room = new StackRoom(memory, disk, clock);
         Memory loaded = load(memory);
         List<Imprint> seeds = rules.seedNodes().stream().map(s -> rules.mailAddress(s, Role.REGISTRAR)).toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(post.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
         replica = new Replica(clock, post, room, tally, loaded, notedCommitted(loaded, memory), genesis,
-                newcomer);
+                newcomer, random);
         chainClient = new ChainClient(replica, clock);
-        census = new Census(clock, post, tally, rules.heartbeatMs(), clock.wallMillis());
-        notebook = new CensusNotebook(census, notes, disk, clock);
+        census = new Census(clock, post, tally, rules.heartbeatMs(), life);
+        notebook = new CensusNotebook(census, notes, disk, clock, uptime);
         notebook.recall();
-        detector = new FailureDetector(clock, post, (heard, connected) -> report(heard, connected, control));
+        detector = new FailureDetector(clock, post, tally, life, (heard, connected) -> report(heard, connected, control));
         contact = new MajorityContact(clock, detector, replica);
         convener = new ViewProposer(replica, detector, this::diskGood, clock, random, tally, post.self(),
                 rules.zone(), rules.toleratedMachines());
         replica.listen(convener, chainClient);
-        leases = new LeaseOffice(clock, post, replica, detector, tally, rules.zone(),
+        leases = new LeaseOffice(clock, post, replica, detector, tally, new LeaseEpochs(room, memory), rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
                 rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
         replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
         detector.observe(this::compare);
+        detector.observe(replica::compareIncarnations);
     }
 
     void start() {
--- a/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
+++ b/archive/src/main/java/org/umbermount/archive/ArchiveDepartment.java
@@ -15,6 +15,7 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ProcUptime;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.net.LoopClock;
@@ -68,7 +69,8 @@
         Shelving shelving = shelving(rules);
         host.offer(Cellar.class, new Cellar(shelving, thread));
         archive = new Archive(clock, post, rules, control, stackFor(shelving, "memory.stack"),
-                stackFor(shelving, "census.stack"), thread, host.tally());
+                stackFor(shelving, "census.stack"), thread, host.tally(), host.random(),
+                new ProcUptime());
         host.find(Gazetteer.class).observe(this::noticed);
         host.offer(Replica.class, archive.replica);
         host.offer(Census.class, archive.census);
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/archive/src/main/java/org/umbermount/archive/Census.java
@@ -317,11 +317,12 @@
             learn(e);
         }
         boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
-        FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
-        if (snapshot && peer != null && peer.report() != null && peer.report().censusReady()) {
+        // What is said of servers is joined by the servers' own numbers; a list that is whole is one of the sender's present life.
+        boolean whole = snapshot && isPresentLife(from, theirBoot);
+        if (whole && detector != null && detector.peer(from).report().censusReady()) {
             becomeReady();
         }
-        if (snapshot || follows) {
+        if (whole || follows) {
             if (theirBoot != f.boot) {
                 f.boot = theirBoot;
                 f.applied = -1;
@@ -333,6 +334,11 @@
         }
     }
 
+    private boolean isPresentLife(Imprint from, long life) {
+        FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
+        return detector == null || peer != null && peer.report() != null && peer.report().life() == life;
+    }
+
     private void learn(CensusEntry e) {
         CensusEntry known = entries.get(e.id());
         CensusEntry next = known == null ? e : known.merge(e);
@@ -379,7 +385,7 @@
     private void compare(FailureDetector.Peer peer) {
         FailureDetector.Report r = peer.report();
         Followed f = followed.computeIfAbsent(peer.imprint(), k -> new Followed());
-        if (f.boot != r.censusBoot() || f.applied < r.censusSeq()) {
+        if (f.boot != r.life() || f.applied < r.censusSeq()) {
             ask(peer.imprint(), f);
             f.digestOff = 0;
         } else if (r.censusDigest() != digest) {
--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -7,6 +7,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
+import org.umbermount.kernel.MachineUptime;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.stacks.Folio;
 import org.umbermount.stacks.Stack;
@@ -18,7 +21,8 @@
  */
 final class CensusNotebook {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
-    private static final byte SERVERS = 1;
+    /** Notes under number 1 were dated by the time of day. */
+    private static final byte SERVERS = 2;
     private static final long INTERVAL_MS = 700;
     /** Older notes say nothing about now. */
     private static final long WORTHLESS_MS = 30_000;
@@ -27,15 +31,17 @@
     private final Stack stack;
     private final Executor thread;
     private final Clock clock;
+    private final MachineUptime uptime;
     private long notedDigest;
-    private long notedAt;
+    private Moment notedAt = Moment.NEVER;
     private boolean busy;
 
-    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock) {
+    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock, MachineUptime uptime) {
         this.census = census;
         this.stack = stack;
         this.thread = thread;
         this.clock = clock;
+        this.uptime = uptime;
     }
 
     /** Reads the notes of an earlier life, if they are fresh. */
@@ -46,9 +52,10 @@
         }
         try {
             Script.Reader in = Script.read(notes);
-            long age = clock.wallMillis() - in.num();
+            boolean dated = isThisBoot(in.text());
+            long age = uptime.millis() - in.num();
             List<CensusEntry> entries = in.list(CensusEntry::read);
-            if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
+            if (dated && age >= 0 && age < WORTHLESS_MS) {
                 census.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
             }
@@ -57,13 +64,18 @@
         }
     }
 
+    /** Whether a time was counted from the same start of the machine as now: only then it says how old the notes are. */
+    private boolean isThisBoot(String bootId) {
+        return !bootId.isEmpty() && bootId.equals(uptime.bootId()) || !Safeguard.NOTES_DATED_BY_UPTIME.holds();
+    }
+
     void start() {
         clock.every(INTERVAL_MS, this::note);
     }
 
     private void note() {
-        long now = clock.wallMillis();
-        boolean stale = now - notedAt > WORTHLESS_MS / 3;
+        Moment now = clock.now();
+        boolean stale = now.since(notedAt) > WORTHLESS_MS / 3;
         if (busy || !census.ready() || census.digest() == notedDigest && !stale) {
             return;
         }
@@ -71,7 +83,7 @@
         notedDigest = census.digest();
         notedAt = now;
         List<CensusEntry> entries = new ArrayList<>(census.entries());
-        byte[] notes = Script.write().num(now).list(entries, (o, e) -> e.write(o)).done();
+        byte[] notes = Script.write().text(uptime.bootId()).num(uptime.millis()).list(entries, (o, e) -> e.write(o)).done();
         thread.execute(() -> {
             try {
                 stack.put(List.of(new Folio(SERVERS, notes)));
--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/archive/src/main/java/org/umbermount/archive/FailureDetector.java
@@ -12,7 +12,9 @@
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
+import org.umbermount.kernel.Tally;
 
 /** Registrars tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
@@ -24,22 +26,24 @@
     private static final long FIRST_MS = 3_000;
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
+    private static final long NO_LIFE = 0;
 
     /**
      * What a registrar tells of itself.
      *
+     * @param life the number of this life of the process, drawn at random
      * @param mayMove whether it is a voter with its memory that no promise binds
      * @param inContact whether a majority answers it
      * @param heard whom it hears
      * @param connected whom it hears, and is heard by
      */
     public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
-            boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
+            boolean leaving, long view, long edition, long newestEdition, long life, long censusSeq,
             long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
             List<Imprint> heard, List<Imprint> connected) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
-                    .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
+                    .num(newestEdition).num(life).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint);
         }
@@ -58,7 +62,7 @@
         private Moment lastHeard = Moment.NEVER;
         /** The newest moment of this daemon's clock that the peer has sent back. */
         private Moment answered = Moment.NEVER;
-        /** The newest stamp of the peer's own clock. */
+        /** The newest stamp of the peer's own clock, in the life that the report is of. */
         private long stamp = -1;
         private Moment goodSince;
         private Moment lostSince;
@@ -98,20 +102,25 @@
     private final Map<Imprint, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
     private final Moment started;
-    /** Stamps of another life of this daemon are below it, or above now. */
-    private final long firstStamp;
+    /** Tells this life of the process from all others; stamps count the milliseconds since its start. */
+    private final long life;
+    private final Tally tally;
     private Runnable keeper = () -> { };
     private Moment lastTick;
     private Moment stalledUntil;
     private boolean leaving;
     private int rounds;
 
-    public FailureDetector(Clock clock, Postbag post, Reporter reporter) {
+    /**
+     * @param life the number of this life of the process, which the reporter gives as well
+     */
+    public FailureDetector(Clock clock, Postbag post, Tally tally, long life, Reporter reporter) {
         this.clock = clock;
         this.post = post;
         this.reporter = reporter;
         this.started = clock.now();
-        this.firstStamp = clock.wallMillis();
+        this.life = life;
+        this.tally = tally;
         this.lastTick = started;
         this.stalledUntil = started;
         post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
@@ -191,10 +200,15 @@
     }
 
     private byte[] ownReport(Moment now) {
+        return ownReport(now, null);
+    }
+
+    /** The own report; {@code asWell} is said to be heard, too. */
+    private byte[] ownReport(Moment now, Peer asWell) {
         List<Imprint> heard = new ArrayList<>();
         List<Imprint> both = new ArrayList<>();
         for (Peer p : peers.values()) {
-            if (now.since(p.lastHeard) <= SILENCE_MS) {
+            if (now.since(p.lastHeard) <= SILENCE_MS || p == asWell) {
                 heard.add(p.imprint);
             }
             if (isConnected(p, now)) {
@@ -216,9 +230,13 @@
         }
     }
 
-    /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
     private void send(Peer to, byte[] report) {
-        byte[] stamps = Script.write().num(firstStamp + clock.now().since(started)).num(to.stamp).done();
+        send(to, report, to.report == null ? NO_LIFE : to.report.life(), to.stamp);
+    }
+
+    /** A report, the moment at which it was sent, which life of the other it is for, and the newest such moment of that life. */
+    private void send(Peer to, byte[] report, long addressee, long echo) {
+        byte[] stamps = Script.write().num(clock.now().since(started)).num(addressee).num(echo).done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
         post.send(to.imprint, Postbag.Topic.ROLL_CALL, body);
@@ -228,24 +246,29 @@
         Script.Reader in = Script.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
+        long addressee = in.num();
         long echo = in.num();
         keeper.run();
         boolean unknown = !peers.containsKey(from);
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
         Moment now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
-        boolean anew = peer.report != null && peer.report.censusBoot() != report.censusBoot();
-        if (anew) {
-            peer.answered = Moment.NEVER;
-        } else if (stamp < peer.stamp) {
-            // Overtaken on its way by a newer one.
+        if (addressee != life && Safeguard.ROLL_CALL_NAMES_LIFE.holds()) {
+            introduce(peer, report.life(), stamp, now);
+            return;
+        }
+        boolean anew = peer.report == null || peer.report.life() != report.life();
+        Moment answered = started.plus(echo);
+        boolean isAnswer = echo >= 0 && !now.isBefore(answered) && peer.answered.isBefore(answered);
+        if (anew ? !isAnswer && Safeguard.LATER_LIFE_ANSWERS_LATER.holds() : stamp < peer.stamp) {
+            // Of a life that has ended, or overtaken on its way by a newer one.
+            tally.count("rollcall.late");
             return;
         }
         peer.report = report;
         peer.lastHeard = now;
         peer.stamp = stamp;
-        Moment answered = started.plus(echo - firstStamp);
-        if (echo >= firstStamp && !now.isBefore(answered) && peer.answered.isBefore(answered)) {
+        if (isAnswer) {
             peer.answered = answered;
         }
         judge(peer, now);
@@ -259,6 +282,15 @@
         }
     }
 
+    /**
+     * Answers a report that is not for this life of the daemon. It may be of a life of the sender that has ended, so nothing of
+     * it is taken: a life that runs comes back with the stamp of this answer, which names it.
+     */
+    private void introduce(Peer peer, long theirLife, long theirStamp, Moment now) {
+        tally.count("rollcall.unacquainted");
+        send(peer, ownReport(now, peer), theirLife, theirStamp);
+    }
+
     private void judge(Peer p, Moment now) {
         boolean good = isConnected(p, now) && p.report.diskGood() && !p.report.leaving();
         if (!good) {
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -70,6 +70,7 @@
     private final Replica replica;
     private final FailureDetector detector;
     private final Tally tally;
+    private final LeaseEpochs epochs;
     private final String ownZone;
     private final List<String> zones;
     private final List<String> quotas;
@@ -78,7 +79,7 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    public LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally,
+    LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally, LeaseEpochs epochs,
             String ownZone, Iterable<String> zones, List<String> quotas) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
@@ -86,6 +87,7 @@
         this.replica = replica;
         this.detector = detector;
         this.tally = tally;
+        this.epochs = epochs;
         this.ownZone = ownZone;
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
@@ -95,6 +97,7 @@
     }
 
     public void start() {
+        epochs.start();
         clock.every(LOOP_MS, this::reconcile);
         // Who answers this could not become a holder by what was granted here before the start.
         clock.after(REPORTED_MS + 1, detector::callNow);
@@ -129,6 +132,7 @@
         if (epoch > h.epoch) {
             end(zone, h, "a later epoch was met");
             h.epoch = epoch;
+            askAgain(zone, h);
         }
     }
 
@@ -244,8 +248,7 @@
 
     private void ask(String zone, Held h, Moment now) {
         if (!h.active) {
-            Granted g = grants.get(zone);
-            h.epoch = Math.max(Math.max(h.epoch, g == null ? 0 : g.epoch) + 1, clock.wallMillis());
+            h.epoch = nextEpoch(zone, h);
         }
         h.asked = now;
         h.granted.clear();
@@ -253,15 +256,36 @@
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
             if (f.imprint().equals(post.self())) {
-                if (grant(zone, post.self(), h.epoch, replica.view().number())) {
-                    granted(post.self(), zone, h.epoch, now.millis());
-                }
+                grantOwn(zone, h.epoch, now, replica.view().number());
             } else if (detector.connected(f.imprint())) {
                 post.send(f.imprint(), Postbag.Topic.LEASE, body);
             }
         }
     }
 
+    /** Above every epoch of the duty that is known here, and of the present view. */
+    private long nextEpoch(String zone, Held h) {
+        Granted g = grants.get(zone);
+        long known = LeaseEpochs.join(h.epoch, g == null ? 0 : g.epoch);
+        return LeaseEpochs.join(known, LeaseEpochs.of(replica.view().number(), epochs.first())) + 1;
+    }
+
+    private void grantOwn(String zone, long epoch, Moment asked, long view) {
+        epochs.whenCovered(epoch, () -> {
+            if (grant(zone, post.self(), epoch, view)) {
+                granted(post.self(), zone, epoch, asked.millis());
+            }
+        });
+    }
+
+    /** Asks at once where the last question failed only for its epoch. */
+    private void askAgain(String zone, Held h) {
+        Moment now = clock.now();
+        if (zones.contains(zone) && wanted(zone, h, now)) {
+            ask(zone, h, now);
+        }
+    }
+
     private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
         Script.Reader in = Script.read(body);
         int kind = (int) in.num();
@@ -273,16 +297,19 @@
         switch (Kind.values()[kind]) {
             case ASK -> {
                 long asked = in.num();
-                boolean yes = grant(zone, from, epoch, in.num());
-                long newest = grants.containsKey(zone) ? grants.get(zone).epoch : 0;
-                post.send(from, Postbag.Topic.LEASE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
-                        .text(zone).num(yes ? epoch : newest).num(asked).done());
+                long view = in.num();
+                if (view == replica.view().number()) {
+                    epochs.whenCovered(epoch, () -> answer(from, zone, epoch, asked, view));
+                } else {
+                    answer(from, zone, epoch, asked, view);
+                }
             }
             case GRANT -> granted(from, zone, epoch, in.num());
             case DENY -> {
                 Held h = held.get(zone);
-                if (h != null && !h.active && epoch > h.epoch) {
-                    h.epoch = epoch;
+                if (h != null && !h.active && LeaseEpochs.join(epoch, h.epoch) > h.epoch) {
+                    h.epoch = LeaseEpochs.join(epoch, h.epoch);
+                    askAgain(zone, h);
                 }
             }
             case RELEASE -> {
@@ -295,6 +322,14 @@
         }
     }
 
+    private void answer(Imprint from, String zone, long epoch, long asked, long view) {
+        boolean yes = grant(zone, from, epoch, view);
+        Granted g = grants.get(zone);
+        long newest = LeaseEpochs.join(g == null ? 0 : g.epoch, epochs.floor());
+        post.send(from, Postbag.Topic.LEASE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                .text(zone).num(yes ? epoch : newest).num(asked).done());
+    }
+
     private boolean grant(String zone, Imprint who, long epoch, long view) {
         Moment now = clock.now();
         // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
@@ -302,6 +337,10 @@
         if ((view != replica.view().number() || replica.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
             return false;
         }
+        // What was granted before the memory was lost is above no floor here; in a later view every epoch is above it.
+        if (!replica.holdsMemoryOfView() && Safeguard.GRANTS_WITH_MEMORY_OF_VIEW.holds()) {
+            return false;
+        }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
         if (!replica.view().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
@@ -311,7 +350,7 @@
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
         boolean same = who.equals(g.holder) && epoch == g.epoch;
         boolean free = !now.isBefore(g.until) || who.equals(g.holder);
-        if (!same && (!free || epoch <= g.epoch)) {
+        if (!same && (!free || epoch <= g.epoch || LeaseEpochs.counter(epoch) <= epochs.floor())) {
             return false;
         }
         boolean moved = !who.equals(g.holder);
--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/archive/src/main/java/org/umbermount/archive/Membership.java
@@ -72,6 +72,10 @@
 
     // ---- this daemon's part ----
 
+    Imprint self() {
+        return self;
+    }
+
     Replica.Standing standing() {
         return standing;
     }
@@ -177,6 +181,12 @@
         }
     }
 
+    /** The incarnation in the memory is new here and on disk: this daemon votes again once it has read others. */
+    void reincarnated() {
+        standing = standingIn(durable.memory());
+        listener.reset();
+    }
+
     /** The view in the memory is new here and on disk. */
     void adopted(String why) {
         Memory memory = durable.memory();
--- a/archive/src/main/java/org/umbermount/archive/Recovery.java
+++ b/archive/src/main/java/org/umbermount/archive/Recovery.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * A voter without its memory reads others before it votes. Invariant: it takes up its part again only as an incarnation
@@ -52,6 +53,11 @@
         }
     }
 
+    /** Tells a daemon what is remembered here, of itself as well. */
+    void tell(Imprint who, long incarnation) {
+        sendRecovered(who, incarnation);
+    }
+
     private void sendRecovered(Imprint who, long incarnation) {
         messages.sendRecovered(who, incarnation, durable.memory(), membership.companion().mark());
     }
@@ -74,14 +80,18 @@
 
     void recovered(Imprint from, long incarnation, Reply reply) {
         Memory memory = durable.memory();
-        if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+        if (incarnation != memory.incarnation() || rebuilding) {
             return;
         }
+        boolean recovering = membership.standing() == Replica.Standing.RECOVERING;
         long known = incarnationIn(reply);
-        if (known > memory.incarnation()) {
+        if (known > memory.incarnation() && (recovering || Safeguard.INCARNATION_RAISED.holds())) {
             startAbove(known);
             return;
         }
+        if (!recovering) {
+            return;
+        }
         replies.put(from, reply);
         View newest = newestView();
         if (newest.number() >= memory.view().number() && votersRead(newest) >= newest.recoveryReads()) {
@@ -95,12 +105,18 @@
                 reply.view().votes(self) ? reply.view().fellow(self).incarnation() : 0L);
     }
 
-    /** Someone has met a later life of this daemon: choose a number above it and read again. */
+    /**
+     * Someone has met an incarnation of this daemon with a higher number: choose one above it and read again. This happens to
+     * one that votes, too, where a message of a life that has ended came late; its own memory is then one of those read.
+     */
     private void startAbove(long known) {
-        replies.clear();
         Memory m = durable.memory();
+        LOG.info("Incarnation {} is known of this daemon: it goes on as the next.", known);
         durable.persist(new Memory(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
-                m.incarnations()), this::ask);
+                m.incarnations()), () -> {
+                    membership.reincarnated();
+                    ask();
+                });
     }
 
     private View newestView() {
@@ -159,7 +175,14 @@
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
-        Memory next = durable.memory();
+        Memory own = durable.memory();
+        if (own.view().number() == newest.number()) {
+            state = own.state();
+            promised = own.promised();
+            acceptedBallot = own.acceptedBallot();
+            accepted = own.accepted();
+        }
+        Memory next = own;
         for (Reply r : replies.values()) {
             next = next.withIncarnations(r.incarnations());
             if (r.view().number() != newest.number()) {
--- a/archive/src/main/java/org/umbermount/archive/Replica.java
+++ b/archive/src/main/java/org/umbermount/archive/Replica.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -9,6 +10,7 @@
 import org.umbermount.kernel.Edition;
 import org.umbermount.kernel.Imprint;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.kernel.Tally;
 import org.umbermount.stacks.StackRoom;
 
@@ -75,12 +77,13 @@
      * @param loadedCommitted whether the disk also says that the loaded state is committed
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
+     * @param random where the first incarnation comes from that a daemon without its memory asks others with
      */
     Replica(Clock clock, Postbag post, StackRoom room, Tally tally, Memory loaded,
-            boolean loadedCommitted, View genesis, boolean newcomer) {
+            boolean loadedCommitted, View genesis, boolean newcomer, Random random) {
         this.clock = clock;
         Imprint self = post.self();
-        durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer), loaded != null);
+        durable = new DurableState(clock, room, tally, initial(loaded, genesis, newcomer, random), loaded != null);
         commits = new CommitPoint(room);
         viewMessages = new ViewMessages(clock, post);
         chainMessages = new ChainMessages(clock, post);
@@ -95,11 +98,11 @@
         begin(loaded, loadedCommitted, genesis, newcomer);
     }
 
-    private Memory initial(Memory loaded, View genesis, boolean newcomer) {
+    private static Memory initial(Memory loaded, View genesis, boolean newcomer, Random random) {
         if (loaded != null) {
             return loaded;
         }
-        return Memory.blank(genesis != null || newcomer ? 0 : clock.wallMillis());
+        return Memory.blank(genesis != null || newcomer ? 0 : RandomNumbers.life(random));
     }
 
     private void begin(Memory loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
@@ -234,6 +237,20 @@
         durable.serially(() -> membership.decided(proposal, why));
     }
 
+    /** Tells a registrar of which a later incarnation is known here than the one that runs. */
+    void compareIncarnations(FailureDetector.Peer peer) {
+        long runs = peer.report().incarnation();
+        if (runs < membership.incarnationOf(peer.imprint()) && standing() != Standing.RECOVERING) {
+            recovery.tell(peer.imprint(), runs);
+        }
+    }
+
+    /** Whether this voter holds the memory with which its view counts it: it has lost none since the view came into force. */
+    boolean holdsMemoryOfView() {
+        Voter own = view().fellow(membership.self());
+        return own != null && standing() == Standing.MEMBER && own.incarnation() == durable.memory().incarnation();
+    }
+
     /** Asks a registrar for its view and state. */
     void fetch(Imprint from) {
         membership.fetch(from);
--- a/archive/src/test/java/org/umbermount/archive/ChainTest.java
+++ b/archive/src/test/java/org/umbermount/archive/ChainTest.java
@@ -448,7 +448,7 @@
         org.umbermount.stacks.StackRoom room = new org.umbermount.stacks.StackRoom(
                 org.umbermount.stacks.Stack.open(disk, "m", 1 << 16), disk.executor(), almanac);
         Replica tail = new Replica(almanac, network.bag(Fleet.imprint(2)), room, new org.umbermount.kernel.Tally(),
-                before, false, null, false);
+                before, false, null, false, new java.util.Random(1));
         tail.start();
         View next = new View(2, voters, chain);
         ConfigurationState taken = ConfigurationState.NONE.inView(2).take(new Edition(8), "c8".getBytes());
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -10,6 +10,7 @@
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.MachineUptime;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
@@ -37,6 +38,30 @@
     private final Attachment attachment;
     private final java.util.Set<String> guarantees;
 
+    private final java.util.Random lives;
+    private final Map<Integer, Tally> tallies = new HashMap<>();
+    /** How often each machine has lost power. */
+    private final Map<Integer, Integer> boots = new HashMap<>();
+
+    /** The clock of a machine that starts again with its power. */
+    private final class Uptime implements MachineUptime {
+        private final int machine;
+
+        Uptime(int machine) {
+            this.machine = machine;
+        }
+
+        @Override
+        public String bootId() {
+            return machine + "-" + boots.getOrDefault(machine, 0);
+        }
+
+        @Override
+        public long millis() {
+            return almanac.now().millis();
+        }
+    }
+
     /** One process: its timers die with it. */
     private final Map<Integer, MortalClock> clocks = new HashMap<>();
     private final Map<Integer, String> zones = new HashMap<>();
@@ -57,6 +82,7 @@
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
         this.seeds = seeds;
+        this.lives = new java.util.Random(seed * 31 + 7);
         for (int i = 0; i < size; i++) {
             zones.put(i, zone(i));
         }
@@ -106,8 +132,11 @@
         disk.clock(clock);
         FakePost.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
+        Tally tally = new Tally();
+        tallies.put(i, tally);
         Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), tally,
+                new java.util.Random(lives.nextLong()), new Uptime(i));
         running.put(i, archive);
         if (attachment != null) {
             attachment.attach(i, clock, bag, archive.replica, disk);
@@ -142,6 +171,7 @@
         network.down(imprint(i));
         running.remove(i);
         if (power) {
+            boots.merge(i, 1, Integer::sum);
             disks.get(i).losePower();
         }
     }
@@ -171,6 +201,11 @@
         return host;
     }
 
+    /** What a registrar has counted since it last started. */
+    public Tally tally(int i) {
+        return tallies.get(i);
+    }
+
     /** The clock of a running process. */
     public Clock clock(int i) {
         return clocks.get(i);
--- a/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
+++ b/circulation/src/main/java/org/umbermount/circulation/CirculationDepartment.java
@@ -56,7 +56,7 @@
         EventLoop loop = ((LoopClock) clock).loop();
         consignee = host.find(Consignee.class);
         desk = new FrontDesk(loop, clock, host.tally(), rules.bounds(), rules.zone(),
-                new Random(Imprint.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
+                new Random(host.random().nextLong()));
         desk.share(host.findOrNull(LoanCounter.class), host.findOrNull(QuotaCounter.class), consignee::goodForMs);
         desk.watch(new Occupancy(clock, host.find(Postbag.class), rules.zone(), consignee::sender));
         consignee.observe(desk::apply);
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/courier/src/main/java/org/umbermount/courier/Consignor.java
@@ -1,5 +1,6 @@
 package org.umbermount.courier;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -22,6 +23,8 @@
     /** Changes within this time travel together. */
     private static final long COLLECT_MS = 8;
     private static final long LAPSED_MS = 50;
+    /** How many lives of the proxy that have ended are remembered. */
+    private static final int ENDED_LIVES = 16;
 
     private static final class Sent {
         final long num;
@@ -42,7 +45,9 @@
     private final Tally tally;
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
+    private final ArrayDeque<Long> ended = new ArrayDeque<>();
     private long life;
+    private Moment metAt;
     private Inventory current = Inventory.EMPTY;
     private long topNum;
     private Moment lastSend = Moment.NEVER;
@@ -64,6 +69,7 @@
         this.post = post;
         this.tally = tally;
         this.lastHeard = clock.now();
+        this.metAt = lastHeard;
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
     }
 
@@ -137,9 +143,38 @@
         schedule(COLLECT_MS);
     }
 
+    /**
+     * The proxy names a life of its own, without saying when. One that has been followed by another is taken for a message that
+     * comes late; any other for a later one. If that is wrong, the answer to what is sent next proves it.
+     */
+    void announced(long thatLife) {
+        if (life == 0) {
+            life = thatLife;
+        } else if (thatLife != life && (!ended.contains(thatLife) || !Safeguard.ENDED_LIFE_NOT_SERVED.holds())) {
+            restart(thatLife);
+        } else if (thatLife != life) {
+            tally.count("courier.ended.life");
+        }
+    }
+
+    /** As {@link #announced}, by an answer: to what was sent since the present life was met, only a life that runs can answer. */
+    private void answered(Dispatch ack) {
+        if (ack.echo() >= metAt.millis() && ack.echo() <= clock.now().millis() && ack.life() != life && life != 0) {
+            restart(ack.life());
+        } else {
+            announced(ack.life());
+        }
+    }
+
     /** The proxy has started again with nothing: everything goes out anew, under higher numbers. */
-    void restart(long newLife) {
+    private void restart(long newLife) {
+        ended.remove(newLife);
+        ended.add(life);
+        if (ended.size() > ENDED_LIVES) {
+            ended.poll();
+        }
         life = newLife;
+        metAt = clock.now();
         sent.clear();
         sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
         unanswered = 0;
@@ -254,15 +289,6 @@
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
 
-    /** Learns which life of the proxy is there, from something that acknowledges nothing of this sender. */
-    private void met(long thatLife) {
-        if (life == 0) {
-            life = thatLife;
-        } else if (life != thatLife) {
-            restart(thatLife);
-        }
-    }
-
     /**
      * What was sent no later than the instruction that this answers, and is above what the proxy acknowledges, has not
      * arrived there: it need not be waited for. Tells whether there is such a state.
@@ -284,14 +310,13 @@
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
             tally.count("courier.earlier.epoch");
-            met(ack.life());
+            answered(ack);
             return;
         }
         if (ack.life() != life) {
-            if (life == 0) {
-                life = ack.life();
-            } else {
-                restart(ack.life());
+            boolean first = life == 0;
+            answered(ack);
+            if (!first) {
                 return;
             }
         }
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -12,6 +12,7 @@
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Script;
 
@@ -55,7 +56,7 @@
         institution = host;
         gazetteer = host.find(Gazetteer.class);
         Clock clock = host.clock();
-        consignee = new Consignee(clock, host.find(Postbag.class), host.tally(), clock.wallMillis());
+        consignee = new Consignee(clock, host.find(Postbag.class), host.tally(), RandomNumbers.life(host.random()));
         host.offer(Consignee.class, consignee);
         HouseRules.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
--- a/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/SendingDepartment.java
@@ -268,8 +268,8 @@
             reconcile();
         }
         Consignor consignor = consignors.get(from);
-        if (consignor != null && consignor.life() != s.life()) {
-            consignor.restart(s.life());
+        if (consignor != null) {
+            consignor.announced(s.life());
         }
         if (consignor != null) {
             consignor.stamped(s.life(), s.stamp(), known.heard);
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
@@ -200,7 +200,7 @@
     Consignee openLector(Imprint self, String zone, Clock clock) {
         List<Imprint> seeds = imprints(machines.seeds(random));
         FakePost.Bag bag = fleet.network.bag(self);
-        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
+        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock, new Random(random.nextLong()));
         gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
         new ReceivingDepartment().open(host);
         return host.find(Consignee.class);
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/GazetteerDepartment.java
+++ b/gazetteer/src/main/java/org/umbermount/gazetteer/GazetteerDepartment.java
@@ -34,7 +34,7 @@
         Postbag post = institution.find(Postbag.class);
         Placename self = new Placename(post.self(), institution.role(), rules.zone(), 0);
         gazetteer = new Gazetteer(self, seeds(rules), institution.clock(), post, institution.tally(),
-                new Random(post.self().packed() ^ institution.clock().wallMillis()));
+                new Random(institution.random().nextLong()));
         institution.offer(Gazetteer.class, gazetteer);
         institution.tally().gauge("gazetteer.view.size", () -> gazetteer.view().size());
         gazetteer.start();
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -2,11 +2,13 @@
 
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.ServiceLoader;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -24,9 +26,18 @@
     private final Tally tally = new Tally();
     private final Map<Class<?>, Object> offers = new HashMap<>();
     private final List<Department> open = new ArrayList<>();
+    private final Random random;
     private HouseRules rules;
 
     public Institution(Role role, HouseRules rules, Clock clock) {
+        this(role, rules, clock, new SecureRandom());
+    }
+
+    /**
+     * @param random where all numbers of this process come from that must differ from those of other lives
+     */
+    public Institution(Role role, HouseRules rules, Clock clock, Random random) {
+        this.random = random;
         this.role = role;
         this.rules = rules;
         this.clock = clock;
@@ -45,6 +56,11 @@
         return clock;
     }
 
+    /** Where numbers come from that tell this life of the process from others; used on the loop. */
+    public Random random() {
+        return random;
+    }
+
     public Tally tally() {
         return tally;
     }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Parcels.java
@@ -1,11 +1,11 @@
 package org.umbermount.kernel.net;
 
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.zip.CRC32C;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
@@ -39,7 +39,7 @@
     private long foreign;
 
     public Parcels(Clock clock) {
-        this(clock, ThreadLocalRandom.current().nextInt(), ThreadLocalRandom.current().nextInt());
+        this(clock, new SecureRandom().nextInt(), new SecureRandom().nextInt());
     }
 
     /** For tests: with a given life and first id. */
--- a/loans/src/main/java/org/umbermount/loans/CounterDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/CounterDepartment.java
@@ -48,7 +48,7 @@
         Gazetteer gazetteer = host.find(Gazetteer.class);
         Postbag post = host.find(Postbag.class);
         counter = new LoanCounter(host.clock(), post, host.tally(),
-                new Random(post.self().packed() * 31 ^ System.nanoTime() ^ host.clock().wallMillis() << 20),
+                host.random(),
                 () -> gazetteer.known(Role.REGISTRAR, host.rules().zone()).stream().map(Placename::imprint).toList());
         host.offer(LoanCounter.class, counter);
         host.find(Consignee.class).observe(this::learn);
--- a/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
+++ b/readership/src/main/java/org/umbermount/readership/QuotaCounter.java
@@ -1,10 +1,10 @@
 package org.umbermount.readership;
 
+import java.security.SecureRandom;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.Clock;
@@ -173,7 +173,7 @@
     private final Tally tally;
     private final long ttlMs;
     /** Told apart from earlier runs of this daemon, whose grants have been spent or are forgotten. */
-    private final long life = ThreadLocalRandom.current().nextInt() & 0xFFFF_FFFFL;
+    private final long life = new SecureRandom().nextInt() & 0xFFFF_FFFFL;
     private final Supplier<List<Imprint>> registrars;
     private final Map<String, Purse> purses = new HashMap<>();
     private final Map<String, Imprint> keepers = new HashMap<>();
