--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/archive/src/main/java/org/umbermount/archive/FailureDetector.java
@@ -253,7 +253,7 @@
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
         Moment now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
-        if (addressee != life && Safeguard.ROLL_CALL_NAMES_LIFE.holds()) {
+        if (addressee == NO_LIFE || addressee != life && Safeguard.ROLL_CALL_NAMES_LIFE.holds()) {
             introduce(peer, report.life(), stamp, now);
             return;
         }
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -42,6 +42,7 @@
     private final Map<Integer, Tally> tallies = new HashMap<>();
     /** How often each machine has started. */
     private final Map<Integer, Integer> boots = new HashMap<>();
+    private final Map<Integer, Long> bootedAt = new HashMap<>();
 
     /** The clock of a machine, which goes on while processes end and start. */
     private final class Uptime implements MachineUptime {
@@ -58,7 +59,7 @@
 
         @Override
         public long millis() {
-            return almanac.now().millis();
+            return almanac.now().millis() - bootedAt.getOrDefault(machine, 0L);
         }
     }
 
@@ -178,6 +179,7 @@
     /** The machine of a process that has ended starts again: its uptime is counted anew. */
     public void reboot(int i) {
         boots.merge(i, 1, Integer::sum);
+        bootedAt.put(i, almanac.now().millis());
     }
 
     /** The process stands still, and what is sent to it waits. */
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakePost.java
@@ -49,6 +49,15 @@
         frozen.remove(self);
     }
 
+    /** A message that was sent before comes now, whoever listens at the address by this time. */
+    public void deliverLate(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
+        clock.after(0, () -> {
+            if (!frozen.containsKey(to)) {
+                new Bag(from).deliver(to, topic, body);
+            }
+        });
+    }
+
     /** Cuts one direction. */
     public void cut(Imprint from, Imprint to) {
         cuts.add(key(from, to));
