--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -43,6 +43,7 @@
     /** How often each machine has started. */
     private final Map<Integer, Integer> boots = new HashMap<>();
     private final Map<Integer, Long> bootedAt = new HashMap<>();
+    private final Map<Integer, Long> wallOffsets = new HashMap<>();
 
     /** The clock of a machine, which goes on while processes end and start. */
     private final class Uptime implements MachineUptime {
@@ -121,7 +122,7 @@
     }
 
     private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
-        MortalClock clock = new MortalClock(almanac);
+        MortalClock clock = new MortalClock(almanac, () -> wallOffsets.getOrDefault(i, 0L));
         clocks.put(i, clock);
         List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
@@ -212,6 +213,27 @@
         return tallies.get(i);
     }
 
+    /** Sets the time of day of one machine; it stays so over ends and starts of processes. */
+    public void stepWallClock(int i, long ms) {
+        wallOffsets.merge(i, ms, Long::sum);
+    }
+
+    /** The number of the life of a process that runs. */
+    public long life(int i) {
+        return running.get(i).census.boot();
+    }
+
+    /** The number of the life of another registrar that one takes for the present one; 0 for none. */
+    public long lifeKnown(int at, int other) {
+        FailureDetector.Peer peer = running.get(at).detector.peer(imprint(other));
+        return peer == null || peer.report() == null ? 0 : peer.report().life();
+    }
+
+    /** The incarnation of another registrar's memory that one takes for the present one. */
+    public long incarnationKnown(int at, int other) {
+        return running.get(at).replica.incarnationOf(imprint(other));
+    }
+
     /** The clock of a running process. */
     public Clock clock(int i) {
         return clocks.get(i);
--- a/archive/src/test/java/org/umbermount/archive/MortalClock.java
+++ b/archive/src/test/java/org/umbermount/archive/MortalClock.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.testing.FakeClock;
@@ -10,11 +11,20 @@
 public final class MortalClock implements Clock {
     private final FakeClock shared;
     private final List<Runnable> held = new ArrayList<>();
+    private final LongSupplier wallOffset;
     private boolean dead;
     private boolean frozen;
 
     public MortalClock(FakeClock shared) {
+        this(shared, () -> 0);
+    }
+
+    /**
+     * @param wallOffset how far the machine's time of day is off
+     */
+    public MortalClock(FakeClock shared, LongSupplier wallOffset) {
         this.shared = shared;
+        this.wallOffset = wallOffset;
     }
 
     public void die() {
@@ -40,7 +50,7 @@
 
     @Override
     public long wallMillis() {
-        return shared.wallMillis();
+        return shared.wallMillis() + wallOffset.getAsLong();
     }
 
     @Override
--- a/courier/src/test/java/org/umbermount/courier/Checks.java
+++ b/courier/src/test/java/org/umbermount/courier/Checks.java
@@ -86,6 +86,7 @@
             }
         }
         checkDuties();
+        room.lives.check();
         if (room.probes() && calm() && probedAt < machines.lastEvent() && !operators.pending()) {
             probedAt = now;
             operators.change(1);
--- a/courier/src/test/java/org/umbermount/courier/Day.java
+++ b/courier/src/test/java/org/umbermount/courier/Day.java
@@ -44,7 +44,9 @@
         AWAY,
         READ,
         /** Nothing, for long enough that calm comes and a change must be taken. */
-        REST
+        REST,
+        /** Messages of lives that have ended come late. */
+        LATE
     }
 
     /** One thing that happens; what it comes to is drawn from its own salt, whatever has happened before. */
--- a/courier/src/test/java/org/umbermount/courier/Machines.java
+++ b/courier/src/test/java/org/umbermount/courier/Machines.java
@@ -21,6 +21,7 @@
     private static final long SYNC_MS = 4_000;
     private static final long LIST_LAG_MS = 3_000;
     private static final long LEAVE_MS = 700;
+    private static final int MOST_STEP_MINUTES = 300;
     private static final long OPEN = Long.MAX_VALUE / 4;
 
     private final ReadingRoom room;
@@ -123,6 +124,19 @@
         return known.subList(0, 3);
     }
 
+    /** The time of day steps by minutes or hours, on one machine, some or all of them. */
+    void stepClocks(Random random) {
+        int how = random.nextInt(3);
+        int only = core.get(random.nextInt(core.size()));
+        for (int i : core) {
+            if (how == 0 ? i == only : how == 1 ? random.nextBoolean() : true) {
+                long by = (random.nextInt(2 * MOST_STEP_MINUTES) - MOST_STEP_MINUTES) * 60_000L + 7;
+                fleet.stepWallClock(i, by);
+                room.note("the time of day of registrar " + i + " steps by " + by);
+            }
+        }
+    }
+
     private void event(int i, String what) {
         lastEvent = room.now();
         room.note("registrar " + i + " " + what);
@@ -189,6 +203,8 @@
     }
 
     private void down(int i, boolean power, boolean wiped) {
+        room.ended(Fleet.imprint(i));
+        room.lives.ended(i, wiped);
         fleet.kill(i, power);
         fleet.disks.get(i).endBeforeSync = false;
         if (wiped) {
@@ -423,6 +439,8 @@
         event(old, "leaves");
         room.later(LEAVE_MS, () -> {
             if (fleet.isRunning(old)) {
+                room.ended(Fleet.imprint(old));
+                room.lives.ended(old, false);
                 fleet.kill(old, false);
                 event(old, "has left");
             }
--- a/courier/src/test/java/org/umbermount/courier/Profile.java
+++ b/courier/src/test/java/org/umbermount/courier/Profile.java
@@ -6,6 +6,7 @@
 import static org.umbermount.courier.Day.Kind.CHANGE;
 import static org.umbermount.courier.Day.Kind.CLASH;
 import static org.umbermount.courier.Day.Kind.CLOCK;
+import static org.umbermount.courier.Day.Kind.LATE;
 import static org.umbermount.courier.Day.Kind.LONG_LOSS;
 import static org.umbermount.courier.Day.Kind.LOSS;
 import static org.umbermount.courier.Day.Kind.MANY;
@@ -37,7 +38,10 @@
     LONG(AWAY, AWAY, REST, CHANGE, REPEAT, READ, REPLACE, WIPE),
     /** All of it. */
     ALL(LOSS, LOSS, PROXY, ALL_DOWN, CLOCK, RIVALS, STORM, STALL, CHANGE, CHANGE, LONG_LOSS, SLOW, CLASH, MANY, REPEAT, REPEAT,
-            BIG_STORM, REPLACE, REPLACE, PLANNED, WIPE, READ, REST, REST);
+            BIG_STORM, REPLACE, REPLACE, PLANNED, WIPE, READ, REST, REST),
+    /** Times of day that step around kills, wipes and replacements, and messages of lives that have ended. */
+    CLOCKS(CLOCK, CLOCK, LATE, LATE, LATE, LATE, LOSS, LOSS, WIPE, WIPE, REPLACE, PLANNED, ALL_DOWN, PROXY, PROXY, CHANGE, CHANGE,
+            MANY, READ, REST);
 
     private final List<Day.Kind> kinds;
 
--- a/courier/src/test/java/org/umbermount/courier/Proxies.java
+++ b/courier/src/test/java/org/umbermount/courier/Proxies.java
@@ -104,6 +104,7 @@
         p.up = false;
         p.clock.die();
         room.fleet.network.down(p.imprint);
+        room.ended(p.imprint);
         p.lastEvent = room.now();
         room.note(p.imprint + " is killed for " + forMs);
         room.later(forMs, () -> {
--- a/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
+++ b/courier/src/test/java/org/umbermount/courier/ReadingRoom.java
@@ -54,6 +54,8 @@
     final Machines machines;
     final Proxies proxies;
     final Operators operators;
+    final Lives lives;
+    private final LateMessages late;
     private final Checks checks;
     private final Day day;
     private final Random random;
@@ -83,6 +85,8 @@
         operators = new Operators(this, random);
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
+        lives = new Lives(this);
+        late = day.profile() == Profile.CLOCKS ? new LateMessages(fleet) : null;
         checks = new Checks(this);
         for (int i = 0; i < registrars && lenient(); i++) {
             fleet.disks.get(i).chance(seed * 31 + i);
@@ -129,6 +133,13 @@
         }
     }
 
+    /** A process has ended: what it has sent may still come. */
+    void ended(Imprint daemon) {
+        if (late != null) {
+            late.ended(daemon);
+        }
+    }
+
     /** All that has happened. */
     String trace() {
         return log.toString();
@@ -229,6 +240,9 @@
             case LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, PLANNED, AWAY -> runUntilOneMayBeLost(salt);
             default -> { }
         }
+        if (late != null) {
+            stepClocksAround(event);
+        }
         switch (event.kind()) {
             case LOSS -> machines.trouble(salt);
             case LONG_LOSS -> machines.troubleForLong(salt);
@@ -250,6 +264,7 @@
             case RIVALS -> operators.change(2);
             case CLASH -> operators.clash(salt);
             case MANY -> operators.many(2 + salt.nextInt(7), salt);
+            case LATE -> note(late.deliver(salt) + " messages of ended lives come");
             case REPEAT -> operators.repeat(1 + salt.nextInt(4), salt);
             case STORM -> operators.storm(4 + salt.nextInt(12), 60 + salt.nextInt(600));
             case BIG_STORM -> operators.storm(100 + salt.nextInt(200), 30 + salt.nextInt(50));
@@ -268,6 +283,18 @@
         }
     }
 
+    /** Clocks step before and after what ends processes. */
+    private void stepClocksAround(Day.Event event) {
+        Random salt = new Random(event.salt() + 1);
+        switch (event.kind()) {
+            case LOSS, WIPE, REPLACE, PLANNED, ALL_DOWN, PROXY, CLOCK -> {
+                machines.stepClocks(salt);
+                later(salt.nextInt(3_000), () -> machines.stepClocks(salt));
+            }
+            default -> { }
+        }
+    }
+
     private void stepClock(Random salt) {
         long by = (salt.nextInt(7_200) - 3_600) * 1_000L;
         note("the time of day steps by " + by);
@@ -317,6 +344,7 @@
         if (!read[0]) {
             broken("nothing can be read at the end");
         }
+        lives.checkAtTheEnd();
         run(2_000);
         for (Proxies.Proxy p : proxies.all()) {
             if (p.edition < operators.acknowledged()) {
--- a/courier/src/test/java/org/umbermount/courier/WorstDaysTest.java
+++ b/courier/src/test/java/org/umbermount/courier/WorstDaysTest.java
@@ -33,6 +33,11 @@
         hold(Profile.ALL, 1, 25, 16);
     }
 
+    @Test
+    void steppedClocksAndLateMessages() throws IOException {
+        hold(Profile.CLOCKS, 1, 12, 16);
+    }
+
     private static void hold(Profile profile, long first, int count, int steps) throws IOException {
         StringBuilder bad = new StringBuilder();
         for (long seed = first; seed < first + count; seed++) {
