--- a/courier/src/test/java/org/umbermount/courier/SafeguardsAreNeededTest.java
+++ b/courier/src/test/java/org/umbermount/courier/SafeguardsAreNeededTest.java
@@ -15,11 +15,13 @@
     @CsvSource({
         "DIGEST_COMPARED, ORDERS, 1, 40, two changes on version",
         "DUTY_LEFT_TO_ONE_IN_CONTACT, CUTS, 36, 40, still has",
+        "EPOCHS_RISE_OVER_RESTARTS, CLOCKS, 8, 16, under epoch",
         "FOLDER_SYNCED, ALL, 1, 40, got no answer",
         "GRANTED_BY_MAJORITY, ORDINARY, 18, 40, hold the duty",
+        "LATER_LIFE_ANSWERS_LATER, CLOCKS, 7, 16, for the present one after",
         "LECTORS_INTRODUCED, REPLACEMENTS, 97, 40, still has",
         "REFUSAL_CONFIRMED, CUTS, 31, 40, was refused and then confirmed",
-        "SEATS_REST, REPLACEMENTS, 22, 40, hold the duty",
+        "SEATS_REST, REPLACEMENTS, 2, 40, hold the duty",
         "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer"})
     void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
         Day day = Day.draw(seed, profile, steps);
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -4,7 +4,10 @@
 public interface Clock {
     Moment now();
 
-    /** Time of day in milliseconds; close to true time but may step. */
+    /**
+     * Time of day in milliseconds, for people to read. It may step by hours, back as well as ahead: nothing is decided by it, and
+     * no number that must differ from others, or rise, is made of it.
+     */
     long wallMillis();
 
     Cancellable after(long ms, Runnable task);
