--- a/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
+++ b/archive/src/main/java/org/umbermount/archive/CensusNotebook.java
@@ -6,6 +6,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
+import org.umbermount.kernel.MachineUptime;
+import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Script;
 import org.umbermount.stacks.DiskTasks;
 import org.umbermount.stacks.Folio;
@@ -18,28 +21,31 @@
  */
 final class CensusNotebook {
     private static final Logger LOG = LoggerFactory.getLogger("archive");
-    private static final byte SERVERS = 1;
+    /** Notes under number 1 were dated by the time of day. */
+    private static final byte SERVERS = 2;
     private static final long INTERVAL_MS = 700;
     /** Older notes say nothing about now. */
     private static final long WORTHLESS_MS = 30_000;
 
-    /** What was noted, and when by the time of day. */
-    private record Notes(long at, List<CensusEntry> entries) {
+    /** What was noted, in which life of the machine, and when by its uptime. */
+    private record Notes(String bootId, long at, List<CensusEntry> entries) {
     }
 
     private final Census census;
     private final Stack stack;
     private final DiskTasks disk;
     private final Clock clock;
+    private final MachineUptime uptime;
     private long notedDigest;
-    private long notedAt;
+    private Moment notedAt = Moment.NEVER;
     private boolean busy;
 
-    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock) {
+    CensusNotebook(Census census, Stack stack, Executor thread, Clock clock, MachineUptime uptime) {
         this.census = census;
         this.stack = stack;
         this.disk = new DiskTasks(thread, clock);
         this.clock = clock;
+        this.uptime = uptime;
     }
 
     /** Reads the notes of an earlier life, if they are fresh. */
@@ -48,10 +54,10 @@
             return;
         }
         try {
-            Notes notes = stack.read(SERVERS, in -> new Notes(in.num(), in.list(CensusEntry::read)));
-            long age = clock.wallMillis() - notes.at;
+            Notes notes = stack.read(SERVERS, in -> new Notes(in.text(), in.num(), in.list(CensusEntry::read)));
+            long age = uptime.millis() - notes.at;
             List<CensusEntry> entries = notes.entries;
-            if (age >= -WORTHLESS_MS && age < WORTHLESS_MS) {
+            if (isThisBoot(notes.bootId) && age >= 0 && age < WORTHLESS_MS) {
                 census.recall(entries);
                 LOG.info("Recalled {} servers noted {} ms ago.", entries.size(), age);
             }
@@ -60,13 +66,18 @@
         }
     }
 
+    /** Whether a time was counted from the same start of the machine as now: only then it says how old the notes are. */
+    private boolean isThisBoot(String bootId) {
+        return !bootId.isEmpty() && bootId.equals(uptime.bootId()) || !Safeguard.NOTES_DATED_BY_UPTIME.holds();
+    }
+
     void start() {
         clock.every(INTERVAL_MS, this::note);
     }
 
     private void note() {
-        long now = clock.wallMillis();
-        boolean stale = now - notedAt > WORTHLESS_MS / 3;
+        Moment now = clock.now();
+        boolean stale = now.since(notedAt) > WORTHLESS_MS / 3;
         if (busy || !census.ready() || census.digest() == notedDigest && !stale) {
             return;
         }
@@ -74,7 +85,7 @@
         notedDigest = census.digest();
         notedAt = now;
         List<CensusEntry> entries = new ArrayList<>(census.entries());
-        byte[] notes = Script.write().num(now).list(entries, (o, e) -> e.write(o)).done();
+        byte[] notes = Script.write().text(uptime.bootId()).num(uptime.millis()).list(entries, (o, e) -> e.write(o)).done();
         disk.submit(() -> {
             stack.put(List.of(new Folio(SERVERS, notes)));
             return null;
--- a/archive/src/test/java/org/umbermount/archive/DroppedMessagesTest.java
+++ b/archive/src/test/java/org/umbermount/archive/DroppedMessagesTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.MachineUptime;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
@@ -172,6 +173,19 @@
         assertTrue(unreadable > 5_000, unreadable + " were unreadable");
     }
 
+    /** A machine that cannot say since when it runs. */
+    private static final MachineUptime UNDATED = new MachineUptime() {
+        @Override
+        public String bootId() {
+            return "";
+        }
+
+        @Override
+        public long millis() {
+            return 0;
+        }
+    };
+
     private static CapturingPost freshRegistrar(Fleet fleet) throws IOException {
         CapturingPost post = new CapturingPost();
         FakeVault disk = new FakeVault();
@@ -181,7 +195,8 @@
                 true, "/data", 100, 1000, 1500, 0, java.util.Set.of(),
                 new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
         Archive archive = new Archive(fleet.almanac, post, rules, Fleet.imprint(1).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally());
+                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally(),
+                new java.util.Random(1), UNDATED);
         archive.start();
         fleet.run(100);
         return post;
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/archive/src/test/java/org/umbermount/archive/Fleet.java
@@ -10,6 +10,7 @@
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.MachineUptime;
 import org.umbermount.kernel.Institution;
 import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Role;
@@ -40,6 +41,31 @@
     /** Over which length the files of registrars that start from now on are rewritten. */
     long rewriteOver = 1 << 16;
 
+    private final java.util.Random lives;
+    /** How often each machine has started. */
+    private final Map<Integer, Integer> boots = new HashMap<>();
+    private final Map<Integer, Long> bootedAt = new HashMap<>();
+    private final Map<Integer, Long> wallOffsets = new HashMap<>();
+
+    /** The clock of a machine, which goes on while processes end and start. */
+    private final class Uptime implements MachineUptime {
+        private final int machine;
+
+        Uptime(int machine) {
+            this.machine = machine;
+        }
+
+        @Override
+        public String bootId() {
+            return machine + "-" + boots.getOrDefault(machine, 0);
+        }
+
+        @Override
+        public long millis() {
+            return almanac.now().millis() - bootedAt.getOrDefault(machine, 0L);
+        }
+    }
+
     /** One process: its timers die with it. */
     private final Map<Integer, MortalClock> clocks = new HashMap<>();
     private final Map<Integer, String> zones = new HashMap<>();
@@ -60,6 +86,7 @@
         this.attachment = attachment;
         this.network = new FakePost(almanac, seed);
         this.seeds = seeds;
+        this.lives = new java.util.Random(seed * 31 + 7);
         for (int i = 0; i < size; i++) {
             zones.put(i, zone(i));
         }
@@ -97,7 +124,7 @@
     }
 
     private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
-        MortalClock clock = new MortalClock(almanac);
+        MortalClock clock = new MortalClock(almanac, () -> wallOffsets.getOrDefault(i, 0L));
         clocks.put(i, clock);
         List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
@@ -109,9 +136,11 @@
         disk.clock(clock);
         FakePost.Bag bag = network.bag(imprint(i));
         bags.put(i, bag);
-        tallies.put(i, new Tally());
+        Tally tally = new Tally();
+        tallies.put(i, tally);
         Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", rewriteOver), Stack.open(disk, "census", 1 << 16), disk.executor(), tallies.get(i));
+                Stack.open(disk, "memory", rewriteOver), Stack.open(disk, "census", 1 << 16), disk.executor(), tally,
+                new java.util.Random(lives.nextLong()), new Uptime(i));
         running.put(i, archive);
         if (attachment != null) {
             attachment.attach(i, clock, bag, archive.replica, disk);
@@ -150,6 +179,12 @@
         }
     }
 
+    /** The machine of a process that has ended starts again: its uptime is counted anew. */
+    public void reboot(int i) {
+        boots.merge(i, 1, Integer::sum);
+        bootedAt.put(i, almanac.now().millis());
+    }
+
     /** The process stands still, and what is sent to it waits. */
     public void freeze(int i) {
         freeze(i, false);
@@ -185,6 +220,32 @@
         return host;
     }
 
+    /** What a registrar has counted since it last started. */
+    public Tally tally(int i) {
+        return tallies.get(i);
+    }
+
+    /** Sets the time of day of one machine; it stays so over ends and starts of processes. */
+    public void stepWallClock(int i, long ms) {
+        wallOffsets.merge(i, ms, Long::sum);
+    }
+
+    /** The number of the life of a process that runs. */
+    public long life(int i) {
+        return running.get(i).census.boot();
+    }
+
+    /** The number of the life of another registrar that one takes for the present one; 0 for none. */
+    public long lifeKnown(int at, int other) {
+        FailureDetector.Peer peer = running.get(at).detector.peer(imprint(other));
+        return peer == null || peer.report() == null ? 0 : peer.report().life();
+    }
+
+    /** The incarnation of another registrar's memory that one takes for the present one. */
+    public long incarnationKnown(int at, int other) {
+        return running.get(at).replica.incarnationOf(imprint(other));
+    }
+
     /** The clock of a running process. */
     public Clock clock(int i) {
         return clocks.get(i);
--- a/simulation/src/main/java/org/umbermount/simulation/Day.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Day.java
@@ -46,7 +46,9 @@
         /** Calls that cannot be read, or that say what nobody may take. */
         MALFORMED,
         /** Nothing, for long enough that calm comes and a change must be taken. */
-        REST
+        REST,
+        /** Messages of lives that have ended come late. */
+        LATE
     }
 
     /** One thing that happens; what it comes to is drawn from its own salt, whatever has happened before. */
--- a/simulation/src/main/java/org/umbermount/simulation/Profile.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Profile.java
@@ -6,6 +6,7 @@
 import static org.umbermount.simulation.Day.Kind.CHANGE;
 import static org.umbermount.simulation.Day.Kind.CLASH;
 import static org.umbermount.simulation.Day.Kind.CLOCK;
+import static org.umbermount.simulation.Day.Kind.LATE;
 import static org.umbermount.simulation.Day.Kind.LONG_LOSS;
 import static org.umbermount.simulation.Day.Kind.LOSS;
 import static org.umbermount.simulation.Day.Kind.MALFORMED;
@@ -44,7 +45,10 @@
             MALFORMED, MALFORMED, REST),
     /** Clients whose operations are remembered and whose requests are counted, through losses, replacements and cuts. */
     SHARED(LOSS, LOSS, LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, REPLACE, PLANNED, PROXY, PROXY, STALL, STALL, ALL_DOWN, CHANGE,
-            CHANGE, STORM, REST);
+            CHANGE, STORM, REST),
+    /** Times of day that step around kills, wipes and replacements, and messages of lives that have ended. */
+    CLOCKS(CLOCK, CLOCK, LATE, LATE, LATE, LATE, LOSS, LOSS, WIPE, WIPE, REPLACE, PLANNED, ALL_DOWN, PROXY, PROXY, CHANGE, CHANGE,
+            MANY, READ, REST);
 
     private final List<Day.Kind> kinds;
 
--- a/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
@@ -65,6 +65,8 @@
     final ControlCalls calls;
     final Operators operators;
     private final MalformedCalls malformedCalls;
+    final Lives lives;
+    private final LateMessages late;
     private final Checks checks;
     /** Null on days without clients. */
     final Clients clients;
@@ -98,6 +100,8 @@
         malformedCalls = new MalformedCalls(this);
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
+        lives = new Lives(this);
+        late = day.profile() == Profile.CLOCKS ? new LateMessages(fleet) : null;
         checks = new Checks(this);
         clients = hasClients() ? new Clients(this, seed) : null;
         for (int i = 0; i < registrars && lenient(); i++) {
@@ -154,6 +158,13 @@
         }
     }
 
+    /** A process has ended: what it has sent may still come. */
+    void ended(Imprint daemon) {
+        if (late != null) {
+            late.ended(daemon);
+        }
+    }
+
     /** All that has happened. */
     String trace() {
         return log.toString();
@@ -246,7 +257,7 @@
     Institution openLector(Imprint self, String zone, Clock clock) {
         List<Imprint> seeds = imprints(machines.seeds(random));
         FakePost.Bag bag = fleet.network.bag(self);
-        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
+        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock, new Random(random.nextLong()));
         gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
         new ReceivingDepartment().open(host);
         if (hasClients()) {
@@ -282,6 +293,9 @@
             case LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, PLANNED, AWAY -> runUntilOneMayBeLost(salt);
             default -> { }
         }
+        if (late != null) {
+            stepClocksAround(event);
+        }
         switch (event.kind()) {
             case LOSS -> machines.trouble(salt);
             case LONG_LOSS -> machines.troubleForLong(salt);
@@ -303,6 +317,7 @@
             case RIVALS -> operators.change(2);
             case CLASH -> operators.clash(salt);
             case MANY -> operators.many(2 + salt.nextInt(7), salt);
+            case LATE -> note(late.deliver(salt) + " messages of ended lives come");
             case REPEAT -> operators.repeat(1 + salt.nextInt(4), salt);
             case STORM -> operators.storm(4 + salt.nextInt(12), 60 + salt.nextInt(600));
             case BIG_STORM -> operators.storm(100 + salt.nextInt(200), 30 + salt.nextInt(50));
@@ -322,6 +337,18 @@
         }
     }
 
+    /** Clocks step before and after what ends processes. */
+    private void stepClocksAround(Day.Event event) {
+        Random salt = new Random(event.salt() + 1);
+        switch (event.kind()) {
+            case LOSS, WIPE, REPLACE, PLANNED, ALL_DOWN, PROXY, CLOCK -> {
+                machines.stepClocks(salt);
+                later(salt.nextInt(3_000), () -> machines.stepClocks(salt));
+            }
+            default -> { }
+        }
+    }
+
     private void stepClock(Random salt) {
         long by = (salt.nextInt(7_200) - 3_600) * 1_000L;
         note("the time of day steps by " + by);
@@ -380,6 +407,7 @@
         if (!read[0]) {
             broken("nothing can be read at the end");
         }
+        lives.checkAtTheEnd();
         run(2_000);
         if (before != null && !clients.served().isMoreThan(before)) {
             broken("clients get nothing in calm: " + before + ", and 3 s later " + clients.served());
--- a/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -53,6 +53,11 @@
         hold(Profile.SHARED, 1, 6, 10);
     }
 
+    @Test
+    void steppedClocksAndLateMessages() {
+        hold(Profile.CLOCKS, 1, 12, 16);
+    }
+
     private static void hold(Profile profile, long first, int count, int steps) {
         String bad = LongStream.range(first, first + count).parallel().mapToObj(seed -> Days.breakOf(Day.draw(seed, profile, steps)))
                 .filter(why -> !why.isEmpty()).collect(Collectors.joining("\n"));
