The class archive of a build is whole also where other builds rehearse at the same time

Cause: a rehearsal looked for free ports from one fixed place, so two builds on one machine took the same ones; the second ended with 'Address already in use', and the build went on with the archive of the half that had run (3.5 MB instead of 19.7 MB). Every start then loads 979 classes from the jar instead of some 15.

Change: ports are looked for from a random place; a rehearsal that fails is repeated, thrice in all, and the build says so.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -29,10 +29,21 @@
 printf 'Main-Class: org.umbermount.umbermount.Main\n' >"$dir/whole.manifest"
 jar -c -f "$dir/whole.jar" -0 -m "$dir/whole.manifest" -C "$dir/whole" .
 flags="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true"
+# Runs a rehearsal with the given options of the JVM. It is repeated where it fails, as it may on a full machine: a rehearsal
+# that was cut short leaves out most classes, and then every start of every daemon pays for them.
+rehearse() {
+    for attempt in 1 2 3; do
+        rm -rf "$dir/rehearsal" "$dir/umbermount.jsa"
+        if java -Xshare:auto $flags "$@" rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1; then
+            return 0
+        fi
+        echo "Rehearsal $attempt: $(grep -m 1 'rehearsal failed' "$dir/rehearsal.log")"
+    done
+    return 1
+}
 # A jar is read through when it is first opened, and of nine thousand classes a start needs two. A rehearsal tells which:
 # they go into the first jar, and the whole one is only opened for what is not among them.
-if java -Xshare:auto $flags -Xlog:class+load:file="$dir/loaded.txt":none -jar "$dir/whole.jar" \
-    rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1; then
+if rehearse -Xlog:class+load:file="$dir/loaded.txt":none -jar "$dir/whole.jar"; then
     sed -n 's/^\([^ ]*\) source: .*whole\.jar$/\1/p' "$dir/loaded.txt" | tr . / | sed 's/$/.class/' >"$dir/near.txt"
     (cd "$dir/whole" && find org/umbermount META-INF/umbermount -type f) >>"$dir/near.txt"
 fi
@@ -41,6 +52,5 @@
 printf 'Main-Class: org.umbermount.umbermount.Main\nClass-Path: whole.jar\n' >"$dir/daemon.manifest"
 (cd "$dir/whole" && jar -c -f "$root/$dir/daemon.jar" -0 -m "$root/$dir/daemon.manifest" @"$root/$dir/near.txt")
 rm -rf "$dir/whole" "$dir/rehearsal"
-java -Xshare:auto $flags -XX:ArchiveClassesAtExit="$dir/umbermount.jsa" \
-    -jar "$dir/daemon.jar" rehearse "$dir/rehearsal" >"$dir/rehearsal.log" 2>&1 ||
-    echo "No class archive could be made; see $dir/rehearsal.log."
+rehearse -XX:ArchiveClassesAtExit="$dir/umbermount.jsa" -jar "$dir/daemon.jar" ||
+    echo "The class archive is not whole, and starts are slow; see $dir/rehearsal.log."
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.umbermount.kernel.Role;
@@ -21,6 +22,9 @@
  */
 final class Rehearsal {
     private static final String SEAL = "rehearsal-seal";
+    private static final int PORTS = 6;
+    private static final int LOWEST_PORT = 12_000;
+    private static final int PORT_GROUPS = 3_300;
     private final int port = freePorts();
 
     static void run(Path folder) throws Exception {
@@ -121,22 +125,32 @@
                 + folder.toAbsolutePath() + "\",\"heartbeatMs\":300,\"guarantees\":[\"keys\",\"quota\"],\"bounds\":{\"strictRevocation\":true}}";
     }
 
-    /** The first of six neighbouring ports that are free for both kinds of sockets. */
+    /**
+     * The first of six neighbouring ports that are free for both kinds of sockets. They are looked for from a random place, since
+     * rehearsals of several builds may run on one machine, and below the ports that systems give to outgoing connections.
+     */
     private static int freePorts() {
-        for (int first = 21_000; first < 60_000; first += 11) {
-            boolean free = true;
-            for (int i = 0; i < 6 && free; i++) {
-                try (ServerSocket tcp = new ServerSocket(first + i, 1, InetAddress.getLoopbackAddress());
-                        DatagramSocket udp = new DatagramSocket(first + i, InetAddress.getLoopbackAddress())) {
-                    free = tcp.isBound() && udp.isBound();
-                } catch (IOException e) {
-                    free = false;
-                }
-            }
-            if (free) {
+        int start = ThreadLocalRandom.current().nextInt(PORT_GROUPS);
+        for (int i = 0; i < PORT_GROUPS; i++) {
+            int first = LOWEST_PORT + (start + i) % PORT_GROUPS * PORTS;
+            if (areFree(first)) {
                 return first;
             }
         }
         throw new IllegalStateException("No ports are free.");
     }
+
+    private static boolean areFree(int first) {
+        for (int i = 0; i < PORTS; i++) {
+            try (ServerSocket tcp = new ServerSocket(first + i, 1, InetAddress.getLoopbackAddress());
+                    DatagramSocket udp = new DatagramSocket(first + i, InetAddress.getLoopbackAddress())) {
+                if (!tcp.isBound() || !udp.isBound()) {
+                    return false;
+                }
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
