Starts and new connections of a proxy run less code

Cause: Netty's bootstraps load shared handlers, whose annotations make the JVM generate proxy classes, and go through maps of options and a name resolver for each connection; the JDK's ready-made comparators and SLF4J's simple backend cost each start generated classes, a properties file and date formats.

Change: ConnectionAcceptor in place of the server bootstrap, channels to servers set up by hand, comparators as classes, a log backend of our own for the two programs (the other commands keep the simple one).

--- a/archive/src/main/java/org/umbermount/archive/ControlDesk.java
+++ b/archive/src/main/java/org/umbermount/archive/ControlDesk.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,13 +12,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -49,6 +44,7 @@
 import org.umbermount.kernel.Pressmark;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.net.ConnectionAcceptor;
 
 /** The calls of servers and of the operator. */
 final class ControlDesk implements StatusPage {
@@ -93,15 +89,13 @@
     }
 
     void bind(EventLoop loop, Consumer<Throwable> failed) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
-                        answerCalls(ch.pipeline());
-                    }
-                }).bind(control.socketAddress());
+        ChannelFuture bound = new ConnectionAcceptor(loop) {
+            @Override
+            protected void initialize(ChannelPipeline pipeline) {
+                pipeline.addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
+                answerCalls(pipeline);
+            }
+        }.bind(control.socketAddress());
         listener = bound.channel();
         bound.addListener(f -> {
             if (!f.isSuccess()) {
--- a/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
@@ -1,16 +1,12 @@
 package org.umbermount.circulation;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,6 +22,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.net.ConnectionAcceptor;
 
 /** Says whether this daemon takes clients, and shows its meters and its state to an operator. */
 final class Doorplate {
@@ -40,14 +37,12 @@
     }
 
     ChannelFuture bind(EventLoop loop, Imprint address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new ReadTimeoutHandler(30)).addLast(new HttpServerCodec()).addLast(new Page());
-                    }
-                }).bind(address.socketAddress());
+        return new ConnectionAcceptor(loop) {
+            @Override
+            protected void initialize(ChannelPipeline pipeline) {
+                pipeline.addLast(new ReadTimeoutHandler(30)).addLast(new HttpServerCodec()).addLast(new Page());
+            }
+        }.bind(address.socketAddress());
     }
 
     private final class Page extends SimpleChannelInboundHandler<Object> {
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
@@ -1,15 +1,11 @@
 package org.umbermount.circulation;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -36,13 +32,13 @@
 import org.umbermount.kernel.Moment;
 import org.umbermount.kernel.Script;
 import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.net.ConnectionAcceptor;
 import org.umbermount.loans.LoanCounter;
 import org.umbermount.readership.QuotaCounter;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class FrontDesk {
     private static final Logger LOG = LoggerFactory.getLogger("circulation");
-    static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 1_000;
     private static final long WAITING_LOOK_MS = 25;
     private static final long DOUBTFUL_MS = 700;
@@ -84,35 +80,45 @@
 
     /** Listens at an address. */
     ChannelFuture bind(Imprint http) {
-        ChannelFuture bound = bootstrap().channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true).bind(http.socketAddress());
+        ChannelFuture bound = new Acceptor().bind(http.socketAddress());
         listener = bound.channel();
         return bound;
     }
 
     /** Goes on with a socket that has been listening since early in the start. */
     ChannelFuture adopt(ServerSocketChannel listening) {
-        ChannelFuture registered = bootstrap().channelFactory(() -> new NioServerSocketChannel(listening)).register();
+        ChannelFuture registered = new Acceptor().adopt(listening);
         listener = registered.channel();
         return registered;
     }
 
-    private ServerBootstrap bootstrap() {
-        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        Reader reader = new Reader(FrontDesk.this, limits().maxHeaderBytes());
-                        ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext ctx, Object msg) {
-                                reader.bytesRead();
-                                ctx.fireChannelRead(msg);
-                            }
-                        }).addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
-                                .addLast(new HttpResponseEncoder()).addLast(reader);
-                    }
-                });
+    /** Sets up the connections of clients. */
+    private final class Acceptor extends ConnectionAcceptor {
+        Acceptor() {
+            super(loop);
+        }
+
+        @Override
+        protected void initialize(ChannelPipeline pipeline) {
+            Reader reader = new Reader(FrontDesk.this, limits().maxHeaderBytes());
+            pipeline.addLast(new ArrivalObserver(reader)).addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                    .addLast(new HttpResponseEncoder()).addLast(reader);
+        }
+    }
+
+    /** Tells a connection's reader that bytes have come, before they are decoded. */
+    private static final class ArrivalObserver extends ChannelInboundHandlerAdapter {
+        private final Reader reader;
+
+        ArrivalObserver(Reader reader) {
+            this.reader = reader;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            reader.bytesRead();
+            ctx.fireChannelRead(msg);
+        }
     }
 
     // ---- the table ----
--- a/circulation/src/main/java/org/umbermount/circulation/Holdings.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Holdings.java
@@ -46,7 +46,7 @@
             }
         }
         for (List<Regulations.Route> routes : byHost.values()) {
-            routes.sort(Comparator.comparingInt((Regulations.Route r) -> r.prefix().length()).reversed());
+            routes.sort(new LongestPrefixFirst());
         }
         byte[] limits = table.entries().get(Inventory.CONFIGURATION);
         return new Holdings(byHost, limits == null ? Regulations.Limits.DEFAULT : Tables.readLimits(limits), byKey, keyed);
@@ -86,4 +86,12 @@
         }
         return null;
     }
+
+    /** Orders routes so that the first that fits a path is the most specific. */
+    private static final class LongestPrefixFirst implements Comparator<Regulations.Route> {
+        @Override
+        public int compare(Regulations.Route first, Regulations.Route second) {
+            return Integer.compare(second.prefix().length(), first.prefix().length());
+        }
+    }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Repository.java
@@ -1,10 +1,10 @@
 package org.umbermount.circulation;
 
-import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -33,6 +33,10 @@
     private static final double SUSPECT = 0.25;
     private static final double FAILURE_WEIGHT = 8;
     private static final double FAILURE_FREE = 0.16;
+    private static final ChannelOption<Integer> KEEP_ALIVE_IDLE_S = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
+    private static final ChannelOption<Integer> KEEP_ALIVE_INTERVAL_S =
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
+    private static final ChannelOption<Integer> KEEP_ALIVE_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
 
     private final FrontDesk desk;
     private final Clock clock;
@@ -233,33 +237,54 @@
         }
         connections++;
         tally.count("servers.connections.opened");
-        Bootstrap bootstrap = new Bootstrap().group(desk.loop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 2)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
         AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
                 .setMaxInitialLineLength(4096).setInitialBufferSize(256));
         Carrel carrel = new Carrel(this, decoder);
-        ChannelFuture future = bootstrap.handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture connected;
+        try {
+            connected = connect(decoder, carrel);
+        } catch (ChannelException e) {
+            notConnected(attempt);
+            return;
+        }
+        connected.addListener(new ChannelFutureListener() {
             @Override
-            protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(carrel);
-            }
-        }).connect(instance.address().socketAddress());
-        future.addListener(f -> {
-            if (f.isSuccess()) {
-                carrel.send(attempt);
-            } else {
-                connections--;
-                unreachable(clock.now());
-                end();
-                attempt.notSent();
+            public void operationComplete(ChannelFuture future) {
+                if (future.isSuccess()) {
+                    carrel.send(attempt);
+                } else {
+                    notConnected(attempt);
+                }
             }
         });
     }
 
+    /**
+     * Opens a connection. The channel is set up by hand: most requests of a proxy in a large fleet use a new connection, and
+     * Netty's bootstrap would go through maps of options and a name resolver for each.
+     */
+    private ChannelFuture connect(AnswerDecoder decoder, Carrel carrel) {
+        NioSocketChannel channel = new NioSocketChannel();
+        SocketChannelConfig config = channel.config();
+        config.setConnectTimeoutMillis(CONNECT_MS).setTcpNoDelay(true).setKeepAlive(true);
+        config.setOption(KEEP_ALIVE_IDLE_S, 2);
+        config.setOption(KEEP_ALIVE_INTERVAL_S, 1);
+        config.setOption(KEEP_ALIVE_COUNT, 2);
+        channel.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(carrel);
+        ChannelFuture registered = desk.loop().register(channel);
+        if (registered.isDone() && !registered.isSuccess()) {
+            return registered;
+        }
+        return channel.connect(instance.address().socketAddress());
+    }
+
+    private void notConnected(Attempt attempt) {
+        connections--;
+        unreachable(clock.now());
+        end();
+        attempt.notSent();
+    }
+
     void rest(Carrel carrel) {
         if (usable(clock.now()) && !desk.closing()) {
             carrel.restingSince = clock.now();
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -18,9 +18,7 @@
     /** Those of this daemon's zone. */
     final List<Repository> local = new ArrayList<>();
     final List<Repository> elsewhere = new ArrayList<>();
-    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(
-            Comparator.comparingInt(Borrowing::tenantPriority).thenComparingInt(Borrowing::priority)
-                    .thenComparingLong(b -> b.deadline().millis()));
+    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(new MostUrgentFirst());
     final Pressure pressure = new Pressure();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
@@ -94,4 +92,16 @@
             }
         }
     }
+
+    /** Orders waiting requests by their tenant's priority, their route's, and their deadline. */
+    private static final class MostUrgentFirst implements Comparator<Borrowing> {
+        @Override
+        public int compare(Borrowing first, Borrowing second) {
+            int order = Integer.compare(first.tenantPriority(), second.tenantPriority());
+            if (order == 0) {
+                order = Integer.compare(first.priority(), second.priority());
+            }
+            return order != 0 ? order : Long.compare(first.deadline().millis(), second.deadline().millis());
+        }
+    }
 }
--- a/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
+++ b/courier/src/main/java/org/umbermount/courier/ReceivingDepartment.java
@@ -154,8 +154,10 @@
         boolean lost = now.since(consignee.lastHeard()) > SILENCE_MS;
         byte[] body = new Signpost(consignee.life(), institution.rules().zone(), empty, lost && strict,
                 consignee.inForce().edition().value(), now.millis()).pack();
-        List<Imprint> targets = gazetteer.known(Role.REGISTRAR, institution.rules().zone()).stream()
-                .map(Placename::imprint).toList();
+        List<Imprint> targets = new ArrayList<>();
+        for (Placename p : gazetteer.known(Role.REGISTRAR, institution.rules().zone())) {
+            targets.add(p.imprint());
+        }
         if (targets.isEmpty()) {
             targets = gazetteer.seeds();
         }
--- a/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
+++ b/gazetteer/src/main/java/org/umbermount/gazetteer/Gazetteer.java
@@ -90,7 +90,7 @@
                 found.add(p);
             }
         }
-        found.sort(Comparator.comparing((Placename p) -> !p.zone().equals(zoneFirst)).thenComparingInt(Placename::age));
+        found.sort(new NearestAndFreshestFirst(zoneFirst));
         return found;
     }
 
@@ -108,12 +108,7 @@
         rounds++;
         clock.after(rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
         view.replaceAll((k, p) -> p.older());
-        Placename oldest = null;
-        for (Placename p : view.values()) {
-            if (oldest == null || p.age() > oldest.age()) {
-                oldest = p;
-            }
-        }
+        Placename oldest = oldest();
         if (oldest != null) {
             view.remove(oldest.imprint());
             ask(oldest.imprint());
@@ -133,7 +128,7 @@
 
     private void ask(Imprint target) {
         List<Placename> sample = sample(target);
-        sentSample = sample.stream().map(Placename::imprint).toList();
+        sentSample = addresses(sample);
         sample.add(self.fresh());
         post.send(target, Postbag.Topic.SHUFFLE, encode(true, sample));
         tally.count("gazetteer.shuffles");
@@ -145,7 +140,7 @@
         List<Placename> theirs = in.list(Placename::read);
         if (wantsAnswer) {
             List<Placename> mine = sample(from);
-            List<Imprint> given = mine.stream().map(Placename::imprint).toList();
+            List<Imprint> given = addresses(mine);
             mine.add(self.fresh());
             post.send(from, Postbag.Topic.SHUFFLE, encode(false, mine));
             merge(theirs, given);
@@ -161,6 +156,14 @@
         return new ArrayList<>(all.subList(0, Math.min(SAMPLE, all.size())));
     }
 
+    private static List<Imprint> addresses(List<Placename> sample) {
+        List<Imprint> addresses = new ArrayList<>(sample.size());
+        for (Placename p : sample) {
+            addresses.add(p.imprint());
+        }
+        return addresses;
+    }
+
     private void merge(List<Placename> theirs, List<Imprint> given) {
         List<Imprint> replaceable = new ArrayList<>(given);
         for (Placename p : theirs) {
@@ -187,9 +190,40 @@
         }
     }
 
+    /** The neighbour of whom the oldest news is kept, or null if there is none. */
+    private Placename oldest() {
+        Placename oldest = null;
+        for (Placename p : view.values()) {
+            if (oldest == null || p.age() > oldest.age()) {
+                oldest = p;
+            }
+        }
+        return oldest;
+    }
+
     private void evictOldest() {
-        Placename oldest = Collections.max(view.values(), Comparator.comparingInt(Placename::age));
-        view.remove(oldest.imprint());
+        Placename oldest = oldest();
+        if (oldest != null) {
+            view.remove(oldest.imprint());
+        }
+    }
+
+    /** Orders daemons: those of a zone first, and within that the freshest news first. */
+    private static final class NearestAndFreshestFirst implements Comparator<Placename> {
+        private final String zone;
+
+        NearestAndFreshestFirst(String zone) {
+            this.zone = zone;
+        }
+
+        @Override
+        public int compare(Placename first, Placename second) {
+            boolean firstHere = first.zone().equals(zone);
+            if (firstHere != second.zone().equals(zone)) {
+                return firstHere ? -1 : 1;
+            }
+            return Integer.compare(first.age(), second.age());
+        }
     }
 
     private static byte[] encode(boolean wantsAnswer, List<Placename> sample) {
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Institution.java
@@ -100,7 +100,13 @@
                 found.add(department);
             }
         }
-        found.sort(Comparator.comparingInt(Department::order));
+        // A class of its own: the JDK's ready-made comparators are lambdas that each start would generate anew.
+        found.sort(new Comparator<>() {
+            @Override
+            public int compare(Department first, Department second) {
+                return Integer.compare(first.order(), second.order());
+            }
+        });
         for (Department department : found) {
             department.open(this);
             open.add(department);
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -64,7 +64,7 @@
         System.setProperty("io.netty.processId", "1");
         // Named here, the log backend is not searched for in every jar.
         System.setProperty("slf4j.internal.verbosity", "WARN");
-        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("slf4j.provider", ConsoleLogging.class.getName());
     }
 
     void start() throws Exception {
