--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -45,6 +45,10 @@
 # they go into the first jar, and the whole one is only opened for what is not among them.
 if rehearse -Xlog:class+load:file="$dir/loaded.txt":none -jar "$dir/whole.jar"; then
     sed -n 's/^\([^ ]*\) source: .*whole\.jar$/\1/p' "$dir/loaded.txt" | tr . / | sed 's/$/.class/' >"$dir/near.txt"
+    # With a class go the ones nested in it: what a longer run needs of them must not make it open the whole jar.
+    (cd "$dir/whole" && find . -name '*$*.class') | sed 's|^\./||' >"$dir/nested.txt"
+    awk -F '[$]' 'NR == FNR { loaded[$0]; next } ($1 ".class") in loaded' "$dir/near.txt" "$dir/nested.txt" >"$dir/nested.list"
+    cat "$dir/nested.list" >>"$dir/near.txt"
     (cd "$dir/whole" && find org/umbermount META-INF/umbermount -type f) >>"$dir/near.txt"
 fi
 sort -u "$dir/near.txt" >"$dir/near.list" 2>/dev/null || (cd "$dir/whole" && find . -type f) >"$dir/near.list"
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
@@ -1,18 +1,22 @@
 package org.umbermount.kernel.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,6 +28,7 @@
 /** One UDP socket for all internal messages of a process; long messages travel in parts. */
 public final class Mailroom implements Postbag {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
+    private static final int ADDRESSES_KEPT = 1_024;
 
     private final Imprint self;
     private final Tally tally;
@@ -32,6 +37,8 @@
     private final Tally.Count[] bytesOut = new Tally.Count[Topic.values().length];
     private final Tally.Count[] messagesOut = new Tally.Count[Topic.values().length];
     private final Tally.Count bytesIn;
+    private final Map<Imprint, InetSocketAddress> addresses = new HashMap<>();
+    private DatagramChannel socket;
     private Channel channel;
 
     public Mailroom(Imprint self, LoopClock clock, Tally tally) {
@@ -49,10 +56,17 @@
 
     /** Binds the socket and waits until it is bound. */
     public void bind(EventLoop loop) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.SO_RCVBUF, 1 << 19)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(2048))
-                .handler(new Inbox()).bind(self.socketAddress()).sync().channel();
+        try {
+            socket = DatagramChannel.open(StandardProtocolFamily.INET);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        NioDatagramChannel bound = new NioDatagramChannel(socket);
+        bound.config().setReceiveBufferSize(1 << 19).setRecvByteBufAllocator(new FixedRecvByteBufAllocator(2048));
+        bound.pipeline().addLast(new Inbox());
+        loop.register(bound).sync();
+        bound.bind(self.socketAddress()).sync();
+        channel = bound;
     }
 
     @Override
@@ -62,13 +76,35 @@
 
     @Override
     public void send(Imprint to, Topic topic, byte[] body) {
-        InetSocketAddress address = to.socketAddress();
+        InetSocketAddress address = addressOf(to);
         messagesOut[topic.ordinal()].increment();
         for (byte[] part : parcels.wrap(topic, body)) {
             bytesOut[topic.ordinal()].increment(part.length);
-            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(part), address));
+            sendPart(part, address);
+        }
+    }
+
+    /** Straight into the socket: the way through the channel's pipeline is for when the socket's buffer is full. */
+    private void sendPart(byte[] part, InetSocketAddress address) {
+        try {
+            if (socket.send(ByteBuffer.wrap(part), address) == 0) {
+                channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(part), address));
+            }
+        } catch (IOException e) {
+            tally.count("mail.socket.errors");
+        }
+    }
+
+    private InetSocketAddress addressOf(Imprint to) {
+        InetSocketAddress known = addresses.get(to);
+        if (known == null) {
+            if (addresses.size() >= ADDRESSES_KEPT) {
+                addresses.clear();
+            }
+            known = to.socketAddress();
+            addresses.put(to, known);
         }
-        channel.flush();
+        return known;
     }
 
     @Override
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -62,6 +62,8 @@
         // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
         System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("io.netty.processId", "1");
+        // Objects are made anew instead of taken from pools, whose queues are more code than a short life pays back.
+        System.setProperty("io.netty.recycler.maxCapacityPerThread", "0");
         // Named here, the log backend is not searched for in every jar.
         System.setProperty("slf4j.internal.verbosity", "WARN");
         System.setProperty("slf4j.provider", ConsoleLogging.class.getName());
