--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/circulation/src/main/java/org/umbermount/circulation/Wing.java
@@ -14,8 +14,7 @@
     private static final long LOCAL_RATIO_MS = 100;
 
     /** Who comes first among those that wait. */
-    private static final Comparator<Borrowing> RANK = Comparator.comparingInt(Borrowing::tenantPriority)
-            .thenComparingInt(Borrowing::priority).thenComparingLong(b -> b.deadline().millis());
+    private static final Comparator<Borrowing> RANK = new MostUrgentFirst();
 
     final String label;
     final Allowance allowance;
@@ -119,4 +118,16 @@
             serving = false;
         }
     }
+
+    /** Orders waiting requests by their tenant's priority, their route's, and their deadline. */
+    private static final class MostUrgentFirst implements Comparator<Borrowing> {
+        @Override
+        public int compare(Borrowing first, Borrowing second) {
+            int order = Integer.compare(first.tenantPriority(), second.tenantPriority());
+            if (order == 0) {
+                order = Integer.compare(first.priority(), second.priority());
+            }
+            return order != 0 ? order : Long.compare(first.deadline().millis(), second.deadline().millis());
+        }
+    }
 }
