No lambda is linked before the clients' address is open

Cause: the end of the process was handed to Daemon as a lambda, the first of a start and the one that the class archive does not hold, before the early socket is bound. Change: a class of its own. Test: ProgramTest, DaemonSignalsTest, SignalRelayTest.

--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
@@ -59,7 +59,7 @@
             System.err.println("The variable " + VARIABLE + " must name the settings file.");
             System.exit(2);
         }
-        Daemon daemon = new Daemon(role, Path.of(name), signals, () -> Runtime.getRuntime().halt(0));
+        Daemon daemon = new Daemon(role, Path.of(name), signals, new ProcessEnd());
         try {
             daemon.start();
         } catch (HouseRules.InvalidException | IllegalStateException e) {
@@ -72,6 +72,14 @@
         }
     }
 
+    /** Ends the process. Not a lambda: the first one of a start costs time before the clients' address is open. */
+    static final class ProcessEnd implements Runnable {
+        @Override
+        public void run() {
+            Runtime.getRuntime().halt(0);
+        }
+    }
+
     /** Settles what would otherwise be looked for at each start. */
     static void prepare() {
         // Netty would look for a hardware address to tell channels of different machines apart; nothing here does.
--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -36,7 +36,7 @@
             // As a daemon of its own does, so that the build sees which classes that takes.
             SignalRelay signals = new SignalRelay();
             signals.install();
-            new Daemon(role, settings, signals, () -> Runtime.getRuntime().halt(0)).start();
+            new Daemon(role, settings, signals, new Daemon.ProcessEnd()).start();
         }
         try (ServerSocket origin = new ServerSocket(port + 5, 8, InetAddress.getByName("127.0.0.1"))) {
             Thread server = new Thread(() -> serve(origin), "origin");
