--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -40,8 +40,8 @@
     void execute(Runnable task);
 
     /**
-     * Whether the calling thread is the loop's. Objects that are confined to the loop assert it where other threads could
-     * come in; assertions are on in tests only.
+     * Whether the calling thread is the loop's. Objects that are confined to the loop assert it where other threads
+     * could come in; assertions are on in tests only.
      */
     default boolean inEventLoop() {
         return true;
--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Tally.java
@@ -18,8 +18,8 @@
  */
 public final class Tally {
     /**
-     * A number that only rises. It is counted on the process's loop alone, since an addition is a reading and a writing;
-     * readers may see it a little late.
+     * A number that only rises. It is counted on the process's loop alone, since an addition is a reading and a
+     * writing; readers may see it a little late.
      */
     public static final class Count {
         private final BooleanSupplier inEventLoop;
--- a/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
+++ b/loans/src/main/java/org/umbermount/loans/LoansDepartment.java
@@ -86,8 +86,8 @@
     }
 
     /**
-     * Forgets on the disk's own thread and ends the process there, while the caller waits: what was handed to that thread
-     * before goes first, and nothing that waits behind it can write a memory again.
+     * Forgets on the disk's own thread and ends the process there, while the caller waits: what was handed to that
+     * thread before goes first, and nothing that waits behind it can write a memory again.
      */
     static void forgetAndEnd(Cellar cellar, Runnable end) {
         CompletableFuture<Void> ended = new CompletableFuture<>();
--- a/umbermount/src/main/java/org/umbermount/umbermount/SignalRelay.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/SignalRelay.java
@@ -9,8 +9,8 @@
 
 /**
  * Carries signals from the JVM's signal threads to whoever serves them. It is installed before anything else of a
- * program, since a signal without a handler ends the process: one that comes while the program is still starting is kept
- * until somebody is there to serve it. All fields are guarded by the relay's monitor.
+ * program, since a signal without a handler ends the process: one that comes while the program is still starting is
+ * kept until somebody is there to serve it. All fields are guarded by the relay's monitor.
  */
 final class SignalRelay implements SignalHandler {
     private static final String RELOAD_SIGNAL = "HUP";
