--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -58,7 +58,7 @@
             // As a daemon of its own does, so that the build sees which classes that takes.
             SignalRelay signals = new SignalRelay();
             signals.install();
-            new Daemon(role, settings, signals, () -> Runtime.getRuntime().halt(0)).start();
+            new Daemon(role, settings, signals, new Daemon.ProcessEnd()).start();
         }
     }
 
