--- a/circulation/src/test/java/org/umbermount/circulation/AnswerRulesTest.java
+++ b/circulation/src/test/java/org/umbermount/circulation/AnswerRulesTest.java
@@ -156,6 +156,16 @@
         assertEquals(2, server.seen.size());
     }
 
+    /** Only a request that was offered to a server may end with a 502 or a 504 of ours. */
+    @Test
+    void requestThatReachedNoServerEndsWithThePromise() throws Exception {
+        server.close();
+        for (String answer : List.of(proxy.exchange(ProxyFixture.get("/safe/x")),
+                proxy.exchange(ProxyFixture.post("/once/x", "b")))) {
+            assertTrue(ProxyFixture.status(answer) == 503 && answer.toLowerCase().contains("retry-after:"), answer);
+        }
+    }
+
     private static String operation(String key) {
         return ProxyFixture.post("/pay/x", "b").replace("Deadline-Ms", "Operation-Key: " + key + "\r\nDeadline-Ms");
     }
