Simulation: servers over HTTP, noted answers kept; daemons and sabotage in classes of their own

Change: Servers beat, drain and sign off over HTTP, with old beats that arrive late; no lector in touch has one in service 3 s after it was acknowledged that it leaves, and at the end every lector has those in service. Clients take note of answers that the records hold: a later try is not told that another is at work, nor that nobody knows. One run in four takes up to 5 s. Daemons starts the plug-ins; Sabotage (tests) does what the checks have to notice. Shown by: ConfigurationHoldsTest (each check of servers and clients notices what it is for), SimulateCommandTest.

--- a/archive/src/test/java/org/umbermount/archive/ControlCaller.java
+++ b/archive/src/test/java/org/umbermount/archive/ControlCaller.java
@@ -12,8 +12,8 @@
 import org.umbermount.kernel.Tally;
 
 /**
- * Puts HTTP calls to the registrars of a {@link Fleet}: each on a connection of its own, from the bytes of the request to
- * those of the answer. A call waits for a process that stands still, and one that dies answers nothing.
+ * Puts HTTP calls to the registrars of a {@link Fleet}: each on a connection of its own, from the bytes of the request
+ * to those of the answer. A call waits for a process that stands still, and one that dies answers nothing.
  */
 public final class ControlCaller {
     /** What a registrar answered. */
@@ -33,8 +33,9 @@
 
     /** The bytes of a call; an {@code ifMatch} of null leaves the header out. */
     public static String request(String method, String path, String ifMatch, String body) {
-        return method + " " + path + " HTTP/1.1\r\nHost: control\r\n" + (ifMatch == null ? "" : "If-Match: " + ifMatch + "\r\n")
-                + "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + END_OF_HEADERS + body;
+        return method + " " + path + " HTTP/1.1\r\nHost: control\r\n"
+                + (ifMatch == null ? "" : "If-Match: " + ifMatch + "\r\n") + "Content-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + END_OF_HEADERS + body;
     }
 
     /** Sends a call to a registrar that runs; the answer comes once, or never. */
--- a/simulation/src/main/java/org/umbermount/simulation/Checks.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Checks.java
@@ -122,6 +122,9 @@
             if (!p.well() || now - p.lastEvent < CONTACT_MS) {
                 continue;
             }
+            if (settled && room.servers != null) {
+                room.servers.check(p, now);
+            }
             Operators.Order missed = late != null && p.edition < late.edition ? late
                     : veryLate != null && p.edition < veryLate.edition ? veryLate : null;
             if (missed != null) {
--- a/simulation/src/main/java/org/umbermount/simulation/Clients.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Clients.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.umbermount.archive.Regulations;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.loans.LoanCounter;
@@ -13,9 +15,9 @@
 import org.umbermount.readership.QuotaCounter;
 
 /**
- * Clients of one tenant, which go on asking proxies all day: tries of operations that carry a key, most of them repeats, and
- * more requests than the tenant's quota allows. An operation may run once, its repeats get the answer of that run, and no
- * window of time sees more requests than the rule has it.
+ * Clients of one tenant, which go on asking proxies all day: tries of operations that carry a key, most of them
+ * repeats, and more requests than the tenant's quota allows. An operation may run once, its repeats get the answer of
+ * that run, and no window of time sees more requests than the rule has it.
  */
 final class Clients {
     /** The figures of the rules: the window of operations is longer than any day. */
@@ -28,8 +30,12 @@
             * (1 + SHARING.quotaOvershoot()) + SHARING.quotaBurst();
     private static final long CLAIM_MS = 800;
     private static final long QUOTA_MS = 200;
-    private static final int LONGEST_RUN_MS = 200;
+    private static final int SHORT_RUN_MS = 200;
+    /** One run in four takes up to so long: it may outlive a view, and the head that granted it. */
+    private static final int LONG_RUN_MS = 5_000;
     private static final int REQUESTS_A_STEP = 4;
+    /** A proxy gives up to have an end noted 30 s after the claim. */
+    private static final long NOTED_WITHIN_MS = 25_000;
     /** Repeats are of one of so many operations begun last. */
     private static final int REPEATED = 40;
 
@@ -38,6 +44,10 @@
     private final List<String> keys = new ArrayList<>();
     /** The operations that have run, each with its answer. */
     private final Map<String, String> ran = new HashMap<>();
+    /** Answers that proxies are still having noted. */
+    private final List<Closing> closing = new ArrayList<>();
+    /** The operations whose answer has been noted: a repeat that begins later gets it. */
+    private final Set<String> noted = new HashSet<>();
     private final ArrayDeque<Long> allowed = new ArrayDeque<>();
     private boolean stopped;
     private long tries;
@@ -57,6 +67,7 @@
 
     /** What clients do within one step of the day. */
     void step() {
+        closing.removeIf(this::isOver);
         if (stopped) {
             return;
         }
@@ -78,6 +89,24 @@
         }
     }
 
+    /** An answer that a proxy has said, and goes on saying until it is noted. */
+    private record Closing(String key, Proxies.Proxy proxy, LoanCounter counter, long claimedAt) {
+    }
+
+    /** Whether nothing more is to be learned of a closing: it was noted, or its proxy has ended or may give it up. */
+    private boolean isOver(Closing one) {
+        boolean givenUp = one.proxy.loans != one.counter || room.now() - one.claimedAt > NOTED_WITHIN_MS;
+        if (!givenUp && one.counter.closing() == 0) {
+            noted(one.key);
+        }
+        return givenUp || one.counter.closing() == 0;
+    }
+
+    /** The records hold an operation's answer. */
+    void noted(String key) {
+        noted.add(key);
+    }
+
     private Proxies.Proxy anyInUse() {
         List<Proxies.Proxy> all = room.proxies.all();
         Proxies.Proxy proxy = all.get(random.nextInt(all.size()));
@@ -102,12 +131,16 @@
         private final Proxies.Proxy proxy;
         private final String key;
         private final String name;
+        private final long claimedAt = room.now();
+        /** Whether the operation's answer had been noted before this began. */
+        private final boolean repeatsNoted;
         private LoanCounter.Ticket ticket;
 
         Attempt(Proxies.Proxy proxy, String key, String name) {
             this.proxy = proxy;
             this.key = key;
             this.name = name;
+            this.repeatsNoted = noted.contains(key);
         }
 
         @Override
@@ -118,8 +151,17 @@
             }
             run(key, name);
             boolean answers = random.nextInt(6) > 0;
-            proxy.clock.after(random.nextInt(LONGEST_RUN_MS), () -> ticket.close(
-                    answers ? LoanCounter.End.ANSWERED : LoanCounter.End.UNKNOWN, answers ? name.getBytes() : new byte[0]));
+            int forMs = random.nextInt(random.nextInt(4) == 0 ? LONG_RUN_MS : SHORT_RUN_MS);
+            proxy.clock.after(forMs, () -> close(answers));
+        }
+
+        private void close(boolean answers) {
+            if (answers) {
+                ticket.close(LoanCounter.End.ANSWERED, name.getBytes());
+                closing.add(new Closing(key, proxy, proxy.loans, claimedAt));
+            } else {
+                ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+            }
         }
 
         @Override
@@ -129,12 +171,12 @@
 
         @Override
         public void busy() {
-            // Another try is at work on it: the client comes again.
+            withoutAnswer(repeatsNoted, key, "busy");
         }
 
         @Override
         public void unknown() {
-            // It may have run: the client is told so.
+            withoutAnswer(repeatsNoted, key, "unknown");
         }
 
         @Override
@@ -156,7 +198,15 @@
     void repeat(String key, String answer) {
         repeatsAnswered++;
         if (!answer.equals(ran.get(key))) {
-            room.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as " + ran.get(key));
+            room.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as "
+                    + ran.get(key));
+        }
+    }
+
+    /** A try is told that another is at work on the operation, or that nobody knows what became of it. */
+    void withoutAnswer(boolean repeatsNoted, String key, String told) {
+        if (repeatsNoted) {
+            room.broken("the answer of " + key + " was noted, and a later try is told: " + told);
         }
     }
 
@@ -169,8 +219,8 @@
             allowed.poll();
         }
         if (allowed.size() > MOST_IN_A_WINDOW) {
-            room.broken("the tenant's quota was exceeded: " + allowed.size() + " requests within " + SHARING.quotaWindowMs()
-                    + " ms, and " + (long) MOST_IN_A_WINDOW + " is the most");
+            room.broken("the tenant's quota was exceeded: " + allowed.size() + " requests within "
+                    + SHARING.quotaWindowMs() + " ms, and " + (long) MOST_IN_A_WINDOW + " is the most");
         }
     }
 
--- a/simulation/src/main/java/org/umbermount/simulation/Content.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Content.java
@@ -5,8 +5,8 @@
 import org.umbermount.kernel.Script;
 
 /**
- * What a configuration of a simulated day holds. Its limits tell orders that were sent whole apart, and its one route tells
- * changes of single items apart, so that a proxy's table shows which order it comes from.
+ * What a configuration of a simulated day holds. Its limits tell orders that were sent whole apart, and its one route
+ * tells changes of single items apart, so that a proxy's table shows which order it comes from.
  */
 record Content(long edition, long limitVariant, long routeVariant, boolean hasTenant) {
     /** The least {@code maxHeaderBytes}; the variant is added to it. */
@@ -16,8 +16,8 @@
     private static final String ROUTE_HOST = "h.example";
     private static final String ROUTE_PREFIX = "/p/";
     private static final String TENANTS = "[{\"label\":\"" + Clients.TENANT.label() + "\",\"apiKeys\":[\""
-            + Clients.TENANT.apiKeys().get(0) + "\"],\"priority\":1,\"ratePerS\":" + Clients.TENANT.ratePerS() + ",\"burst\":"
-            + Clients.TENANT.burst() + "}]";
+            + Clients.TENANT.apiKeys().get(0) + "\"],\"priority\":1,\"ratePerS\":" + Clients.TENANT.ratePerS()
+            + ",\"burst\":" + Clients.TENANT.burst() + "}]";
     private static final String SERVICES = "[{\"label\":\"s\"}]";
 
     /** A configuration that is sent whole. */
@@ -45,7 +45,8 @@
 
     /** The body of the PATCH that makes this one of the version before. */
     String amendment() {
-        return "{\"revision\":" + edition + ",\"upsert\":{\"routeTable\":" + routes() + ",\"upstreams\":" + SERVICES + "}}";
+        return "{\"revision\":" + edition + ",\"upsert\":{\"routeTable\":" + routes() + ",\"upstreams\":" + SERVICES
+                + "}}";
     }
 
     private String routes() {
@@ -59,7 +60,8 @@
         byte[] limits = table.entries().get(Inventory.CONFIGURATION);
         byte[] route = table.entries().get(Inventory.ROUTE + ROUTE_HOST + ROUTE_PREFIX);
         long routeVariant = route == null ? NO_ROUTE : Tables.readRoute(route).timeoutMs() - LEAST_TIMEOUT_MS;
-        return new Content(table.edition().value(), Tables.readLimits(limits).maxHeaderBytes() - LEAST_LIMIT, routeVariant,
+        long limitVariant = Tables.readLimits(limits).maxHeaderBytes() - LEAST_LIMIT;
+        return new Content(table.edition().value(), limitVariant, routeVariant,
                 table.entries().containsKey(Inventory.TENANT + Clients.TENANT.label()));
     }
 }
--- a/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
@@ -59,7 +59,7 @@
         return status >= 400 && status < 500;
     }
 
-    /** Reads the configuration, of which an empty text stands for none; one of the two is called, if the daemon lives on. */
+    /** Reads the configuration, or an empty text if there is none; one of the two is called if the daemon lives on. */
     void read(int machine, Consumer<String> reading, Runnable gaveUp) {
         if (!overHttp) {
             room.fleet.chainClient(machine).read(PATIENCE_MS,
--- a/simulation/src/main/java/org/umbermount/simulation/Day.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Day.java
@@ -45,6 +45,8 @@
         READ,
         /** Calls that cannot be read, or that say what nobody may take. */
         MALFORMED,
+        /** A server drains and another comes, or an old beat of one that drains arrives. */
+        SERVER,
         /** Nothing, for long enough that calm comes and a change must be taken. */
         REST
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Machines.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Machines.java
@@ -212,7 +212,7 @@
         down(i, power, wiped);
         event(i, (wiped ? "loses its disk" : power ? "loses power" : "is killed") + ", for " + forMs);
         room.later(forMs, () -> {
-            room.start(i);
+            room.daemons.start(i);
             event(i, "starts");
         });
     }
@@ -393,7 +393,7 @@
         int fresh = made++;
         places.put(fresh, place);
         room.wires.add(Fleet.imprint(fresh));
-        List<Integer> named = room.start(fresh);
+        List<Integer> named = room.daemons.start(fresh);
         event(fresh, "comes, empty, for registrar " + core.get(place) + ", and is told of " + named);
         return fresh;
     }
--- a/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
@@ -4,16 +4,16 @@
 import org.umbermount.archive.ControlCaller;
 
 /**
- * Calls that no daemon may take, from bytes that are no HTTP to a change that contradicts itself. Each gets a refusal, from
- * any daemon that can be called, and changes nothing: what they ask for is ordered by nobody, so that the checks on contents
- * notice it wherever it shows.
+ * Calls that no daemon may take, from bytes that are no HTTP to a change that contradicts itself. Each gets a refusal,
+ * from any daemon that can be called, and changes nothing: what they ask for is ordered by nobody, so that the checks on
+ * contents notice it wherever it shows.
  */
 final class MalformedCalls {
     /** The calls, each with what is wrong with it. */
     enum Fault {
-        NO_HTTP, CUT_SHORT, MEMBER_TWICE, TEXT_FOR_A_NUMBER, SOMETHING_BEHIND, UNKNOWN_SERVICE, NO_VERSION, UNREADABLE_VERSION,
-        NUMBER_THAT_DOES_NOT_RISE, CHANGE_OF_AN_UNKNOWN_LIST, CHANGE_THAT_CONTRADICTS_ITSELF, WRONG_METHOD, UNKNOWN_PATH,
-        BEAT_WITHOUT_MEMBERS, PURGE_OF_NOTHING
+        NO_HTTP, CUT_SHORT, MEMBER_TWICE, TEXT_FOR_A_NUMBER, SOMETHING_BEHIND, UNKNOWN_SERVICE, NO_VERSION,
+        UNREADABLE_VERSION, NUMBER_THAT_DOES_NOT_RISE, CHANGE_OF_AN_UNKNOWN_LIST, CHANGE_THAT_CONTRADICTS_ITSELF,
+        WRONG_METHOD, UNKNOWN_PATH, BEAT_WITHOUT_MEMBERS, PURGE_OF_NOTHING
     }
 
     /** What these calls carry as a variant, which no order has. */
@@ -67,10 +67,12 @@
             case NO_HTTP -> "something else\r\n\r\n";
             case CUT_SHORT -> config("PUT", match, whole.substring(0, whole.length() - 1));
             case MEMBER_TWICE -> config("PUT", match, "{\"revision\":" + edition + "," + whole.substring(1));
-            case TEXT_FOR_A_NUMBER -> config("PUT", match, whole.replace("\"revision\":" + edition, "\"revision\":\"" + edition + "\""));
+            case TEXT_FOR_A_NUMBER -> config("PUT", match,
+                    whole.replace("\"revision\":" + edition, "\"revision\":\"" + edition + "\""));
             case SOMETHING_BEHIND -> config("PUT", match, whole + "{}");
-            case UNKNOWN_SERVICE -> config("PUT", match, Content.whole(edition, VARIANT).amended(edition, VARIANT).text()
-                    .replace("\"upstream\":\"s\"", "\"upstream\":\"other\""));
+            case UNKNOWN_SERVICE -> config("PUT", match,
+                    Content.whole(edition, VARIANT).amended(edition, VARIANT).text()
+                            .replace("\"upstream\":\"s\"", "\"upstream\":\"other\""));
             case NO_VERSION -> config("PUT", null, whole);
             case UNREADABLE_VERSION -> config("PUT", "the last one", whole);
             case NUMBER_THAT_DOES_NOT_RISE -> config("PUT", Long.toString(edition), whole);
@@ -79,7 +81,8 @@
                     change.substring(0, change.length() - 1) + ",\"remove\":{\"upstreams\":[\"s\"]}}");
             case WRONG_METHOD -> config("POST", match, whole);
             case UNKNOWN_PATH -> ControlCaller.request("PUT", "/configuration", match, whole);
-            case BEAT_WITHOUT_MEMBERS -> ControlCaller.request("PUT", "/instances/nobody", null, "{\"status\":\"in_service\"}");
+            case BEAT_WITHOUT_MEMBERS ->
+                    ControlCaller.request("PUT", "/instances/nobody", null, "{\"status\":\"in_service\"}");
             case PURGE_OF_NOTHING -> ControlCaller.request("POST", "/purge", null, "{}");
         };
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Profile.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Profile.java
@@ -17,6 +17,7 @@
 import static org.umbermount.simulation.Day.Kind.REPLACE;
 import static org.umbermount.simulation.Day.Kind.REST;
 import static org.umbermount.simulation.Day.Kind.RIVALS;
+import static org.umbermount.simulation.Day.Kind.SERVER;
 import static org.umbermount.simulation.Day.Kind.SLOW;
 import static org.umbermount.simulation.Day.Kind.STALL;
 import static org.umbermount.simulation.Day.Kind.STORM;
@@ -41,7 +42,7 @@
             BIG_STORM, REPLACE, REPLACE, PLANNED, WIPE, READ, REST, REST),
     /** Operators and servers as they call over HTTP, changes of single items, and calls that cannot be read. */
     CALLS(LOSS, LOSS, WIPE, REPLACE, PROXY, STALL, CHANGE, CHANGE, RIVALS, CLASH, MANY, REPEAT, REPEAT, STORM, READ, MALFORMED,
-            MALFORMED, MALFORMED, REST),
+            MALFORMED, MALFORMED, SERVER, SERVER, SERVER, REST),
     /** Clients whose operations are remembered and whose requests are counted, through losses, replacements and cuts. */
     SHARED(LOSS, LOSS, LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, REPLACE, PLANNED, PROXY, PROXY, STALL, STALL, ALL_DOWN, CHANGE,
             CHANGE, STORM, REST);
--- a/simulation/src/main/java/org/umbermount/simulation/Proxies.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Proxies.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.umbermount.archive.MortalClock;
 import org.umbermount.courier.Consignee;
@@ -26,6 +27,8 @@
         LoanCounter loans;
         QuotaCounter quota;
         long edition;
+        /** The entries of the table in force. */
+        Map<String, byte[]> table = Map.of();
         boolean up;
         boolean frozen;
         long lastEvent = NEVER;
@@ -60,17 +63,19 @@
 
     private void open(Proxy p) {
         p.clock = new MortalClock(room.fleet.almanac);
-        Institution host = room.openLector(p.imprint, p.zone, p.clock);
+        Institution host = room.daemons.openProxy(p.imprint, p.zone, p.clock);
         p.consignee = host.find(Consignee.class);
         p.loans = host.findOrNull(LoanCounter.class);
         p.quota = host.findOrNull(QuotaCounter.class);
         p.edition = 0;
+        p.table = Map.of();
         p.up = true;
         p.consignee.observe(t -> inForce(p, t));
     }
 
     private void inForce(Proxy p, Inventory table) {
         long edition = table.edition().value();
+        p.table = table.entries();
         if (edition > 0) {
             try {
                 room.operators.seen(edition, Content.of(table).text(), p.imprint + " has it in force");
--- a/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
@@ -1,33 +1,13 @@
 package org.umbermount.simulation;
 
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.umbermount.archive.ControlCaller;
 import org.umbermount.archive.Fleet;
-import org.umbermount.archive.FailureDetector;
-import org.umbermount.courier.ReceivingDepartment;
-import org.umbermount.courier.SendingDepartment;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
-import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakePost;
-import org.umbermount.loans.CounterDepartment;
-import org.umbermount.loans.LoansDepartment;
-import org.umbermount.readership.CountingDepartment;
-import org.umbermount.readership.ReadershipDepartment;
-import org.umbermount.stacks.Cellar;
-import org.umbermount.stacks.testing.FakeVault;
 
 /**
  * Registrars and lectors as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
@@ -60,12 +40,15 @@
 
     final Fleet fleet;
     final NetworkCuts wires;
+    final Daemons daemons;
     final Machines machines;
     final Proxies proxies;
     final ControlCalls calls;
     final Operators operators;
-    private final MalformedCalls malformedCalls;
+    final MalformedCalls malformedCalls;
     private final Checks checks;
+    /** Null on days without servers. */
+    final Servers servers;
     /** Null on days without clients. */
     final Clients clients;
     private final Day day;
@@ -73,10 +56,6 @@
     private final StringBuilder log = new StringBuilder();
     private int played;
 
-    SimulatedCluster(long seed) throws IOException {
-        this(new Day(seed, Profile.ORDINARY, List.of()));
-    }
-
     SimulatedCluster(Day day) throws IOException {
         this.day = day;
         long seed = day.seed();
@@ -92,10 +71,12 @@
         fleet.network.jitterMs = 1 + random.nextInt(6);
         fleet.network.doubles = 0.01;
         wires = new NetworkCuts(fleet.network);
+        daemons = new Daemons(this, random);
         machines = new Machines(this, registrars, tolerated);
         calls = new ControlCalls(this, day.profile() == Profile.CALLS);
         operators = new Operators(this, random, calls, day.profile() == Profile.CALLS);
         malformedCalls = new MalformedCalls(this);
+        servers = day.profile() == Profile.CALLS ? new Servers(this, seed) : null;
         operators.lostAnswers = lenient() ? 0.2 : 0;
         proxies = new Proxies(this);
         checks = new Checks(this);
@@ -104,7 +85,7 @@
             fleet.disks.get(i).chance(seed * 31 + i);
         }
         for (int i = 0; i < registrars; i++) {
-            furnish(i, List.of(0, 1, 2));
+            daemons.openPlugIns(i, List.of(0, 1, 2));
             for (int k = 0; k < LECTORS_A_ZONE; k++) {
                 Imprint lector = Imprint.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
                 wires.add(lector);
@@ -139,7 +120,8 @@
         return day.profile() == Profile.SHARED;
     }
 
-    private Set<String> guarantees() {
+    /** The parts of the rules that are in force. */
+    Set<String> guarantees() {
         return hasClients() ? Set.of(HouseRules.KEYS, HouseRules.QUOTA) : Set.of();
     }
 
@@ -176,86 +158,6 @@
         fleet.almanac.after(ms, then);
     }
 
-    // ---- daemons ----
-
-    private HouseRules rules(String zone, Imprint self, List<Imprint> seeds) {
-        Map<String, String> zones = new HashMap<>();
-        for (int z = 0; z < machines.size(); z++) {
-            zones.put(Fleet.zone(z), "r");
-        }
-        return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010,
-                seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500, hasClients() ? machines.tolerated() : 1,
-                guarantees(), new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60,
-                        4000, Clients.SHARING));
-    }
-
-    private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds, FakePost.Bag bag) {
-        Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0), seeds, host.clock(), bag, new Tally(),
-                new Random(random.nextLong()));
-        host.offer(Postbag.class, bag);
-        host.offer(Gazetteer.class, g);
-        g.start();
-        return g;
-    }
-
-    private static List<Imprint> imprints(List<Integer> machines) {
-        return machines.stream().map(Fleet::imprint).toList();
-    }
-
-    /** Gives a registrar that has started its sending side. */
-    private void furnish(int i, List<Integer> seeds) {
-        Imprint self = Fleet.imprint(i);
-        Institution host = fleet.host(i, rules(machines.zone(i), self, imprints(seeds)));
-        Gazetteer g = gazetteer(host, self, Role.REGISTRAR, machines.zone(i), imprints(seeds), fleet.bag(i));
-        g.observe(p -> {
-            if (p.role() == Role.REGISTRAR) {
-                host.find(FailureDetector.class).enlist(p.imprint());
-            }
-        });
-        if (hasClients()) {
-            keepForClients(i, host);
-        }
-        new SendingDepartment().open(host);
-    }
-
-    /** Gives a registrar its operation records and counts. */
-    private void keepForClients(int i, Institution host) {
-        FakeVault disk = fleet.disks.get(i);
-        host.offer(Cellar.class, new Cellar(disk, disk.executor()));
-        try {
-            new LoansDepartment().open(host);
-        } catch (Exception e) {
-            throw new IllegalStateException("Registrar " + i + " cannot open its operation records.", e);
-        }
-        new ReadershipDepartment().open(host);
-    }
-
-    /** Starts a registrar; the list of those that it is told of is the operator's. */
-    List<Integer> start(int i) {
-        try {
-            List<Integer> seeds = machines.seeds(random);
-            fleet.start(i, machines.zone(i), seeds);
-            fleet.disks.get(i).chance(random.nextLong());
-            furnish(i, seeds);
-            return seeds;
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    Institution openLector(Imprint self, String zone, Clock clock) {
-        List<Imprint> seeds = imprints(machines.seeds(random));
-        FakePost.Bag bag = fleet.network.bag(self);
-        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
-        gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
-        new ReceivingDepartment().open(host);
-        if (hasClients()) {
-            new CounterDepartment().open(host);
-            new CountingDepartment().open(host);
-        }
-        return host;
-    }
-
     // ---- a day ----
 
     void run(long ms) {
@@ -313,6 +215,7 @@
                     run(forMs);
                 }
             }
+            case SERVER -> servers.change(salt);
             case MALFORMED -> malformedCalls.send(salt);
             case READ -> {
                 operators.read();
@@ -338,6 +241,9 @@
     /** Plays the day and ends in calm. */
     void play() {
         run(5_000);
+        if (servers != null) {
+            servers.start();
+        }
         operators.change(1);
         run(2_000);
         for (Day.Event event : day.events()) {
@@ -385,6 +291,9 @@
             broken("clients get nothing in calm: " + before + ", and 3 s later " + clients.served());
         }
         for (Proxies.Proxy p : proxies.all()) {
+            if (servers != null) {
+                servers.checkPresent(p);
+            }
             if (p.edition < operators.acknowledged()) {
                 broken(p.imprint + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
             }
@@ -412,70 +321,4 @@
         run(20_000);
         calmDown();
     }
-
-    /** A lector that nobody reaches any more. */
-    void forget() {
-        for (int i = 0; i < machines.size(); i++) {
-            fleet.network.cutBoth(proxies.all().get(0).imprint, Fleet.imprint(i));
-        }
-    }
-
-    /** A control plane that answers nobody. */
-    void muteAll() {
-        for (int i = 0; i < machines.size(); i++) {
-            for (int o = 0; o < machines.size(); o++) {
-                fleet.network.cut(Fleet.imprint(i), Fleet.imprint(o));
-            }
-        }
-    }
-
-    /** A lector that takes whatever it is given. */
-    void handOld() {
-        proxies.inForce(proxies.all().get(0), 0);
-    }
-
-    /** A change that is refused and then delivered. */
-    void deliverRefused() {
-        operators.refuse(99);
-        operators.seen(99, Content.whole(99, 0).text(), "a lector has it in force");
-    }
-
-    /** A configuration that no operator has asked for. */
-    void deliverUnordered() {
-        operators.seen(98, Content.whole(98, 7_000).text(), "a lector has it in force");
-    }
-
-    /** A call that cannot be read, and is taken. */
-    void takeMalformed() {
-        malformedCalls.check(MalformedCalls.Fault.CUT_SHORT, new ControlCaller.Answer(200, "{}"));
-    }
-
-    /** An operation that has run, and runs again. */
-    void runTwice() {
-        clients.run("a key", "the first run");
-        clients.run("a key", "the second run");
-    }
-
-    /** A repeat that is told of another run than its own. */
-    void answerOtherwise() {
-        clients.run("a key", "the only run");
-        clients.repeat("a key", "another run");
-    }
-
-    /** Nobody counts the tenant's requests. */
-    void allowAll() {
-        for (int i = 0; i < 1_000; i++) {
-            clients.allowed();
-        }
-    }
-
-    /** Clients that get no answer any more. */
-    void serveNobody() {
-        clients.stop();
-    }
-
-    /** A second change on the version of the first. */
-    void confirmTwice() {
-        operators.confirmTwice();
-    }
 }
--- a/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -26,22 +26,30 @@
     /** The checks themselves: each of these days has to be found broken, for its own reason. */
     @Test
     void eachCheckNoticesWhatItIsFor() throws IOException {
-        assertTrue(untold(SimulatedCluster::forget).contains("still has"));
-        assertTrue(untold(SimulatedCluster::muteAll).contains("got no answer"));
-        assertTrue(untold(SimulatedCluster::handOld).contains("went back"));
-        assertTrue(untold(SimulatedCluster::deliverRefused).contains("was refused"));
-        assertTrue(untold(SimulatedCluster::confirmTwice).contains("two changes"));
-        assertTrue(untold(SimulatedCluster::deliverUnordered).contains("nobody ordered"));
-        assertTrue(untold(SimulatedCluster::takeMalformed).contains("was answered with status 200"));
+        assertTrue(untold(Sabotage::forget).contains("still has"));
+        assertTrue(untold(Sabotage::muteAll).contains("got no answer"));
+        assertTrue(untold(Sabotage::handOld).contains("went back"));
+        assertTrue(untold(Sabotage::deliverRefused).contains("was refused"));
+        assertTrue(untold(Sabotage::confirmTwice).contains("two changes"));
+        assertTrue(untold(Sabotage::deliverUnordered).contains("nobody ordered"));
+        assertTrue(untold(Sabotage::takeMalformed).contains("was answered with status 200"));
+    }
+
+    @Test
+    void eachCheckOfServersNoticesWhatItIsFor() throws IOException {
+        Day day = new Day(1, Profile.CALLS, List.of());
+        assertTrue(untold(day, Sabotage::goOnSending).contains("still sends to"));
+        assertTrue(untold(day, Sabotage::forgetServer).contains("does not know"));
     }
 
     @Test
     void eachCheckOfClientsNoticesWhatItIsFor() throws IOException {
         Day day = new Day(1, Profile.SHARED, List.of());
-        assertTrue(untold(day, SimulatedCluster::runTwice).contains("runs twice"));
-        assertTrue(untold(day, SimulatedCluster::answerOtherwise).contains("was answered with another run"));
-        assertTrue(untold(day, SimulatedCluster::allowAll).contains("quota was exceeded"));
-        assertTrue(untold(day, SimulatedCluster::serveNobody).contains("clients get nothing in calm"));
+        assertTrue(untold(day, Sabotage::runTwice).contains("runs twice"));
+        assertTrue(untold(day, Sabotage::answerOtherwise).contains("was answered with another run"));
+        assertTrue(untold(day, Sabotage::loseAnswer).contains("was noted, and a later try is told"));
+        assertTrue(untold(day, Sabotage::allowAll).contains("quota was exceeded"));
+        assertTrue(untold(day, Sabotage::serveNobody).contains("clients get nothing in calm"));
     }
 
     private static String untold(Consumer<SimulatedCluster> what) throws IOException {
--- a/simulation/src/test/java/org/umbermount/simulation/Days.java
+++ b/simulation/src/test/java/org/umbermount/simulation/Days.java
@@ -12,8 +12,8 @@
     static String breakOf(Day day) {
         try {
             SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(day);
-            return broken == null ? "" : "--seed " + day.seed() + " --steps " + day.events().size() + " --profile " + day.profile()
-                    + ": " + broken.getMessage().lines().findFirst().orElse("");
+            return broken == null ? "" : "--seed " + day.seed() + " --steps " + day.events().size() + " --profile "
+                    + day.profile() + ": " + broken.getMessage().lines().findFirst().orElse("");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -54,7 +54,8 @@
     }
 
     private static void hold(Profile profile, long first, int count, int steps) {
-        String bad = LongStream.range(first, first + count).parallel().mapToObj(seed -> Days.breakOf(Day.draw(seed, profile, steps)))
+        String bad = LongStream.range(first, first + count).parallel()
+                .mapToObj(seed -> Days.breakOf(Day.draw(seed, profile, steps)))
                 .filter(why -> !why.isEmpty()).collect(Collectors.joining("\n"));
         assertTrue(bad.isEmpty(), bad);
     }
