--- a/archive/src/main/java/org/umbermount/archive/LeaseEpochs.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseEpochs.java
@@ -23,6 +23,8 @@
     private static final long COUNTER_MASK = (1L << COUNTER_BITS) - 1;
     /** How far a bound reaches beyond what is asked for, so that it is seldom written. */
     private static final long RESERVE = 1_024;
+    /** How many wait for the disk at most; those beyond ask again. */
+    private static final int MOST_WAITING = 512;
 
     private final StackRoom room;
     private final long floor;
@@ -90,7 +92,9 @@
             then.run();
             return;
         }
-        waiting.add(new Waiting(counter(epoch), then));
+        if (waiting.size() < MOST_WAITING) {
+            waiting.add(new Waiting(counter(epoch), then));
+        }
         if (!writing) {
             write(counter(epoch) + RESERVE);
         }
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -272,7 +272,7 @@
 
     private void grantOwn(String zone, long epoch, Moment asked, long view) {
         epochs.whenCovered(epoch, () -> {
-            if (grant(zone, post.self(), epoch, view)) {
+            if (clock.now().since(asked) <= GRANT_MS && grant(zone, post.self(), epoch, view)) {
                 granted(post.self(), zone, epoch, asked.millis());
             }
         });
@@ -299,7 +299,13 @@
                 long asked = in.num();
                 long view = in.num();
                 if (view == replica.view().number()) {
-                    epochs.whenCovered(epoch, () -> answer(from, zone, epoch, asked, view));
+                    Moment came = clock.now();
+                    epochs.whenCovered(epoch, () -> {
+                        // Whoever asked uses no grant that comes later.
+                        if (clock.now().since(came) <= GRANT_MS) {
+                            answer(from, zone, epoch, asked, view);
+                        }
+                    });
                 } else {
                     answer(from, zone, epoch, asked, view);
                 }
