--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -23,10 +23,10 @@
     DUTY_LEFT_TO_ONE_IN_CONTACT,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
-    /** A voter that restarts grants only lease epochs above all that it may have granted before. */
-    EPOCHS_RISE_OVER_RESTARTS,
     /** A life of a lector that was followed by another is not served again, unless it answers what was sent since. */
     ENDED_LIFE_NOT_SERVED,
+    /** A voter that restarts grants only lease epochs above all that it may have granted before. */
+    EPOCHS_RISE_OVER_RESTARTS,
     /** A lector drops what a sender of a lower epoch sends. */
     FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
@@ -37,20 +37,20 @@
     FOLDER_SYNCED,
     /** A duty is held only once a majority of the voters has granted it. */
     GRANTED_BY_MAJORITY,
-    /** A voter that has lost its memory grants no lease before a view counts it with its new one. */
-    GRANTS_WITH_MEMORY_OF_VIEW,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
     GRANTS_WAIT_AFTER_RESTART,
+    /** A voter that has lost its memory grants no lease before a view counts it with its new one. */
+    GRANTS_WITH_MEMORY_OF_VIEW,
     /** A voter of which a higher incarnation is known takes the next above it. */
     INCARNATION_RAISED,
     /** A named change that is invalid on the version held here is refused only after a confirmed reading of it. */
     INVALIDITY_CONFIRMED,
-    /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
-    LATE_ANSWERS_DROPPED,
     /** A roll call of another life of its sender counts only if it answers something later than the life before it did. */
     LATER_LIFE_ANSWERS_LATER,
+    /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
+    LATE_ANSWERS_DROPPED,
     /** The lease is looked at each time that something is sent to a lector, not only when it is known to have ended. */
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
@@ -89,8 +89,6 @@
     REFUSAL_IN_ITS_PLACE,
     /** Grants that come after a duty was given up do not bring it back. */
     RELEASED_FOR_GOOD,
-    /** A roll call counts only for the life of the process that it names. */
-    ROLL_CALL_NAMES_LIFE,
     /** News that was not acknowledged the first time is not acknowledged to a repeat for its being known here. */
     REPEATED_NEWS_WAITS,
     /** An order that is already committed is confirmed to its caller only after a majority has confirmed the view. */
@@ -101,6 +99,8 @@
     REPLY_OF_THIS_LIFE,
     /** A long file is written anew beside the old one, which is emptied only when the new one is safe. */
     REWRITTEN_BESIDE,
+    /** A roll call counts only for the life of the process that it names. */
+    ROLL_CALL_NAMES_LIFE,
     /** Seats change again only when the leases that the voters before may have granted have run out. */
     SEATS_REST,
     /** A voter that is gone gives up its seat while there are more than 2f + 1, or it is taken by one that is well. */
