--- a/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
+++ b/umbermount/src/main/java/org/umbermount/umbermount/Rehearsal.java
@@ -11,8 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.umbermount.kernel.Role;
@@ -161,7 +161,7 @@
      * rehearsals of several builds may run on one machine, and below the ports that systems give to outgoing connections.
      */
     static int freePorts() {
-        int start = ThreadLocalRandom.current().nextInt(PORT_GROUPS);
+        int start = new SecureRandom().nextInt(PORT_GROUPS);
         for (int i = 0; i < PORT_GROUPS; i++) {
             int first = LOWEST_PORT + (start + i) % PORT_GROUPS * PORTS;
             if (areFree(first)) {
