Voters that are split between two who ask for a duty are given back

Change: who has some grants and some refusals and no majority gives back what it has, and waits for none, one or two rounds of 400 ms, drawn.

--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import org.slf4j.Logger;
@@ -32,6 +33,8 @@
     private static final long MARGIN_MS = 150;
     /** A grant that took longer to arrive is not used, so that who has become a holder shows soon after. */
     private static final long GRANT_MS = 300;
+    /** How many waits of two rounds there are to draw from, none included, when the voters of several are split. */
+    private static final int SPLIT_WAITS = 3;
     private static final long REPORTED_MS = GRANT_MS + 150;
 
     private enum Kind {
@@ -50,6 +53,8 @@
         Moment asked = Moment.NEVER;
         final Set<Imprint> granted = new HashSet<>();
         final Set<Imprint> grantedLate = new HashSet<>();
+        final Set<Imprint> denied = new HashSet<>();
+        Moment notAskedBefore = Moment.NEVER;
         Moment vacantSince;
         boolean active;
     }
@@ -75,6 +80,7 @@
     private final List<String> zones;
     private final List<String> quotas;
     private final Moment started;
+    private final Random random;
     private final Map<String, Granted> grants = new HashMap<>();
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
@@ -93,6 +99,7 @@
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
         this.started = clock.now();
+        this.random = new Random(post.self().packed() * 31 + clock.wallMillis());
         post.subscribe(Postbag.Topic.LEASE, this::receive);
     }
 
@@ -154,12 +161,26 @@
                 }
                 continue;
             }
-            if (now.since(h.asked) >= (h.active ? RENEW_MS : 2 * LOOP_MS)) {
+            if (isSplit(h, now)) {
+                release(zone, "its voters are split");
+                h.notAskedBefore = now.plus(2 * LOOP_MS * random.nextInt(SPLIT_WAITS));
+            }
+            if (!now.isBefore(h.notAskedBefore) && now.since(h.asked) >= (h.active ? RENEW_MS : 2 * LOOP_MS)) {
                 ask(zone, h, now);
             }
         }
     }
 
+    /**
+     * Whether this daemon and others each have a part of the voters, and none a majority. Each would keep its part by asking
+     * again; so whoever finds it so gives its part back, and waits for a time that is drawn.
+     */
+    private static boolean isSplit(Held h, Moment now) {
+        long waited = now.since(h.asked);
+        return !h.active && waited > GRANT_MS && waited < TERM_MS && h.granted.size() > 1 && !h.denied.isEmpty()
+                && Safeguard.SPLIT_GRANTS_GIVEN_BACK.holds();
+    }
+
     /** Whether this daemon should have the duty. */
     private boolean wanted(String zone, Held h, Moment now) {
         if (detector.isLeaving() || !replica.view().votes(post.self())
@@ -215,6 +236,7 @@
         h.asked = now;
         h.granted.clear();
         h.grantedLate.clear();
+        h.denied.clear();
         byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
                 .num(replica.view().number()).done();
         for (Voter f : replica.view().electorate()) {
@@ -247,6 +269,9 @@
             case GRANT -> granted(from, zone, epoch, in.num());
             case DENY -> {
                 Held h = held.get(zone);
+                if (h != null && h.asked.millis() == in.num()) {
+                    h.denied.add(from);
+                }
                 if (h != null && !h.active && epoch > h.epoch) {
                     h.epoch = epoch;
                 }
--- a/archive/src/test/java/org/umbermount/archive/LeaseTest.java
+++ b/archive/src/test/java/org/umbermount/archive/LeaseTest.java
@@ -145,6 +145,37 @@
         return back;
     }
 
+    /**
+     * How long two registrars that each want a duty go without one of them having it, after each got half of the voters: one does
+     * not hear the other, and messages about leases were lost for a while.
+     */
+    private static long vacantAfterASplit() throws IOException {
+        Fleet fleet = new Fleet(4, 3, 13);
+        fleet.run(8_000);
+        int own = 3;
+        int rival = 2;
+        fleet.network.cut(Fleet.imprint(rival), Fleet.imprint(own));
+        boolean[] lost = {true};
+        fleet.network.tap = (from, to, topic, body) -> !lost[0] || topic != Postbag.Topic.LEASE
+                || !(from.equals(Fleet.imprint(own)) && to.equals(Fleet.imprint(0))
+                        || from.equals(Fleet.imprint(rival)) && to.equals(Fleet.imprint(1)));
+        fleet.run(6_000);
+        assertEquals(-1, holder(fleet, "z3"));
+        lost[0] = false;
+        long waited = 0;
+        while (waited < 20_000 && holder(fleet, "z3") < 0) {
+            fleet.run(10);
+            waited += 10;
+        }
+        return waited;
+    }
+
+    @Test
+    void aSplitOfTheVotersDoesNotLast() throws Exception {
+        assertTrue(vacantAfterASplit() <= 1_500);
+        assertEquals(20_000, Mutation.without(Safeguard.SPLIT_GRANTS_GIVEN_BACK, LeaseTest::vacantAfterASplit));
+    }
+
     @Test
     void aDutyThatWasGivenUpDoesNotComeBackWithLateGrants() throws Exception {
         assertFalse(comesBack());
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -95,6 +95,8 @@
     SENT_ONCE,
     /** A chain that has become too short takes in who is well at once, also while others have to be dropped. */
     SHORT_CHAIN_FILLED,
+    /** Who asks for a duty at the same time as others, and has a part of the voters only, gives them back for a time. */
+    SPLIT_GRANTS_GIVEN_BACK,
     /** A connection to a server on which anything follows a whole answer is not used again. */
     SURPLUS_RETIRES_CONNECTION,
     /** A registrar that stands still again and again holds no duties while a majority of the voters does not. */
