--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -70,7 +70,7 @@
         replica.listen(convener, chainClient);
         leases = new LeaseOffice(clock, post, replica, detector, tally, new LeaseEpochs(room, memory), rules.zone(),
                 new TreeSet<>(rules.zones().isEmpty() ? List.of(rules.zone()) : rules.zones().keySet()),
-                rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of());
+                rules.guarantees(HouseRules.QUOTA) ? LeaseOffice.QUOTA_DUTIES : List.of(), random);
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.imprint())));
         replica.view().electorate().forEach(f -> detector.enlist(f.imprint()));
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -87,7 +87,8 @@
     private final List<Observer> observers = new ArrayList<>();
 
     LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally, LeaseEpochs epochs,
-            String ownZone, Iterable<String> zones, List<String> quotas) {
+            String ownZone, Iterable<String> zones, List<String> quotas,
+            Random random) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
         this.post = post;
@@ -101,7 +102,7 @@
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
         this.started = clock.now();
-        this.random = new Random(post.self().packed() * 31 + clock.wallMillis());
+        this.random = random;
         post.subscribe(Postbag.Topic.LEASE, this::receive);
     }
 
