A slow replica alone says whether it stands back

Cause: each judged for itself whether enough others are prompt. Change: the roll call says both that a registrar is slow and whether it stands back; the others go by the second.

--- a/archive/src/main/java/org/umbermount/archive/Archive.java
+++ b/archive/src/main/java/org/umbermount/archive/Archive.java
@@ -96,7 +96,7 @@
                 replica.committed().edition().value(), replica.newestEdition().value(), census.boot(), census.seq(),
                 census.digest(), census.ready(),
                 replica.companion().settledView(), leases.activeDuties(), rules.zone(), control, heard,
-                connected, detector.isSlow(replica.view()), slowPeers);
+                connected, detector.isSlow(replica.view()), leases.standsBack(), slowPeers);
     }
 
     private static Memory load(Stack stack) throws java.io.IOException {
--- a/archive/src/main/java/org/umbermount/archive/DutyCandidates.java
+++ b/archive/src/main/java/org/umbermount/archive/DutyCandidates.java
@@ -56,7 +56,7 @@
         boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
                 || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
         return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint()) && !(p.report().slow() && majorityIsPrompt());
+                && replica.view().votes(p.imprint()) && !p.report().standsBack();
     }
 
     /** Whether a registrar of a zone comes into question that has been well for some time. */
--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/archive/src/main/java/org/umbermount/archive/FailureDetector.java
@@ -35,25 +35,27 @@
      * @param heard whom it hears
      * @param connected whom it hears, and is heard by
      * @param slow whether it stands still again and again, by its own clock or as a majority has told it
+     * @param standsBack whether it leaves duties to others, being slow
      * @param slowPeers whose roll calls come to it in long gaps, again and again
      */
     public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
             boolean leaving, long view, long edition, long newestEdition, long censusBoot, long censusSeq,
             long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
-            List<Imprint> heard, List<Imprint> connected, boolean slow, List<Imprint> slowPeers) {
+            List<Imprint> heard, List<Imprint> connected, boolean slow, boolean standsBack,
+            List<Imprint> slowPeers) {
         void write(Script.Writer out) {
             out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
                     .num(newestEdition).num(censusBoot).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
                     .list(duties, Script.Writer::text).text(zone).imprint(control)
                     .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint)
-                    .flag(slow).list(slowPeers, Script.Writer::imprint);
+                    .flag(slow).flag(standsBack).list(slowPeers, Script.Writer::imprint);
         }
 
         static Report read(Script.Reader in) throws Script.UnreadableException {
             return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
                     in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(),
                     in.imprint(), in.list(Script.Reader::imprint), in.list(Script.Reader::imprint), in.flag(),
-                    in.list(Script.Reader::imprint));
+                    in.flag(), in.list(Script.Reader::imprint));
         }
     }
 
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -333,6 +333,11 @@
         return true;
     }
 
+    /** Whether this daemon leaves duties to others, being slow. It alone says so, and all go by that. */
+    boolean standsBack() {
+        return candidates.selfStandsBack();
+    }
+
     /** The duties that are held here now. */
     List<String> activeDuties() {
         List<String> active = new ArrayList<>();
