--- a/archive/src/test/java/org/umbermount/archive/SlowReplicaTest.java
+++ b/archive/src/test/java/org/umbermount/archive/SlowReplicaTest.java
@@ -152,6 +152,30 @@
         assertEquals(1, holder(Fleet.zone(1)));
     }
 
+    /** A stand-in that hears only one other beside the slow one does not see that enough are prompt; the slow one decides. */
+    @ParameterizedTest
+    @CsvSource({"0", "1", "2"})
+    void allAgreeOnWhoStandsBack(int heard) {
+        int who = 1;
+        slow = true;
+        goOnSlowly(who, 887, 67, false);
+        fleet.run(5_000);
+        slow = false;
+        fleet.run(1_000);
+        int standIn = holder(Fleet.zone(who));
+        assertTrue(standIn >= 0 && standIn != who);
+        List<Integer> others = new ArrayList<>(List.of(0, 1, 2, 3, 4));
+        others.removeAll(List.of(who, standIn));
+        others.remove(heard);
+        others.forEach(o -> fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(standIn)));
+        long vacantSince = 0;
+        for (long t = 0; t < 6_000; t += 10) {
+            fleet.run(10);
+            vacantSince = holder(Fleet.zone(who)) >= 0 ? t : vacantSince;
+            assertTrue(t - vacantSince <= LONGEST_VACANCY_MS, "vacant for " + (t - vacantSince) + " ms");
+        }
+    }
+
     /** Where all have little processor time, each goes on with its own zone. */
     @Test
     void nobodyStandsBackWhereMostAreSlow() {
