ExchangeHunt plays its last sixth on a front desk that leaves

Change: the last sixth of the exchanges is played after beginClosing(), which drops requests behind its answers. The checks are the same as before.

--- a/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
+++ b/circulation/src/test/java/org/umbermount/circulation/ExchangeHunt.java
@@ -44,6 +44,8 @@
     private static final int SERVERS = 6;
     private static final long SETTLE_MS = 3_000;
     private static final long LIMITS_MS = 50;
+    /** The last of so many parts of the exchanges is played on a daemon that has been told to stop. */
+    private static final int LEAVING_PART = 6;
 
     /** What came of a run. */
     record Report(int exchanges, int successes, int repeats, int failures, int promises, int cuts, int unread, int runs,
@@ -82,6 +84,7 @@
     /** The operation that a try is of, by the try's id. */
     private final Map<String, String> operations = new ConcurrentHashMap<>();
     private int port;
+    private boolean leaving;
 
     ExchangeHunt(long seed, int exchanges) {
         this.seed = seed;
@@ -148,6 +151,11 @@
                     t.join(LIMITS_MS);
                     // With other limits, answers end the connections that were there before.
                     apply(desk, clock, servers, ++limits);
+                    if (!leaving && exchanges.get() > most - most / LEAVING_PART) {
+                        // The rest is played on a daemon that leaves, and drops what is behind its answers.
+                        leaving = true;
+                        clock.loop().submit(desk::beginClosing).get();
+                    }
                 }
             }
             settle();
