Who comes to vote waits with grants, as after a restart

Change: a newcomer grants nothing for a term after the view in which it votes, unless every voter says, asked since, that it does not hold the duty.

--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
@@ -74,7 +74,9 @@
     private final String ownZone;
     private final List<String> zones;
     private final List<String> quotas;
-    private final Moment started;
+    /** Since when this daemon knows what it has granted: its start, or when it came to vote. */
+    private Moment grantsKnownSince;
+    private boolean voting;
     private final Map<String, Granted> grants = new HashMap<>();
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
@@ -92,7 +94,9 @@
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
-        this.started = clock.now();
+        this.grantsKnownSince = clock.now();
+        this.voting = replica.view().votes(post.self());
+        replica.onView(this::viewChanged);
         post.subscribe(Postbag.Topic.LEASE, this::receive);
     }
 
@@ -126,6 +130,16 @@
         return g != null && clock.now().isBefore(g.until) ? g.holder : null;
     }
 
+    /** Who takes the seat of another does not know what that one has granted, as after a restart. */
+    private void viewChanged(View view) {
+        boolean votes = view.votes(post.self());
+        if (votes && !voting && Safeguard.GRANTS_WAIT_AFTER_JOINING.holds()) {
+            grantsKnownSince = clock.now();
+            clock.after(REPORTED_MS + 1, detector::callNow);
+        }
+        voting = votes;
+    }
+
     /** Makes sure that the next epoch asked for is above one that was met. */
     public void noteEpoch(String zone, long epoch) {
         Held h = held.computeIfAbsent(zone, z -> new Held());
@@ -350,7 +364,7 @@
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
         if (!replica.view().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
-                && now.since(started) < TERM_MS && !nobodyHolds(zone, who)) {
+                && now.since(grantsKnownSince) < TERM_MS && !nobodyHolds(zone, who)) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -379,7 +393,7 @@
             if (who.equals(except) || who.equals(post.self())) {
                 continue;
             }
-            if (!detector.answeredSince(who, started.plus(REPORTED_MS))
+            if (!detector.answeredSince(who, grantsKnownSince.plus(REPORTED_MS))
                     || detector.peer(who).report().duties().contains(duty)) {
                 return false;
             }
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -39,6 +39,8 @@
     GRANTED_BY_MAJORITY,
     /** Leases count only grants of voters that are in the view of whoever asks, and not promised to the next. */
     GRANTS_OF_ONE_VIEW,
+    /** Who comes to vote grants nothing while a lease may run that the voter before it in its seat has granted. */
+    GRANTS_WAIT_AFTER_JOINING,
     /** Who has restarted grants nothing while a lease that it has forgotten may run. */
     GRANTS_WAIT_AFTER_RESTART,
     /** A voter that has lost its memory grants no lease before a view counts it with its new one. */
