--- a/archive/src/main/java/org/umbermount/archive/View.java
+++ b/archive/src/main/java/org/umbermount/archive/View.java
@@ -85,7 +85,13 @@
     }
 
     static View read(Script.Reader in) throws Script.UnreadableException {
-        return new View(in.num(), in.list(Voter::read), in.list(Script.Reader::imprint), Bookmark.read(in));
+        View view = new View(in.num(), in.list(Voter::read), in.list(Script.Reader::imprint), Bookmark.read(in));
+        for (Imprint member : view.chain) {
+            if (!view.votes(member)) {
+                throw new Script.UnreadableException("a view with a chain member that has no vote", null);
+            }
+        }
+        return view;
     }
 
     @Override
--- a/archive/src/test/java/org/umbermount/archive/StateIncrementTest.java
+++ b/archive/src/test/java/org/umbermount/archive/StateIncrementTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -184,7 +185,10 @@
         ConfigurationState other = FIRST.take(new Edition(2), "other".getBytes());
         StateIncrement wrong = maker.between(other, other.take(new Edition(3), "c3".getBytes()));
         disk.stack.put(List.of(org.umbermount.stacks.Folio.addition((byte) 3, wrong.encoded())));
-        assertThrows(Script.UnreadableException.class, () -> Memory.load(Stack.open(disk.vault, "m", 3_000)));
+        Stack.DamagedException reported =
+                assertThrows(Stack.DamagedException.class, () -> Memory.load(Stack.open(disk.vault, "m", 3_000)));
+        assertInstanceOf(Script.UnreadableException.class, reported.getCause());
+        assertTrue(reported.getMessage().contains("an increment of another state"), reported.getMessage());
     }
 
     /** A build that knows of no increments must not take the whole state below them for the newest. */
