--- a/umbermount/src/main/java/org/umbermount/umbermount/CheckConfigurationCommand.java
+++ b/app/src/main/java/org/umbermount/app/CheckConfigurationCommand.java
@@ -1,10 +1,10 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Configuration;
 import org.umbermount.kernel.FaultException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -18,9 +18,9 @@
     @Override
     public Integer call() {
         try {
-            Regulations r = Regulations.parse(Files.readAllBytes(file));
-            System.out.println("Revision " + r.edition() + " is valid: " + r.routes().size() + " routes, "
-                    + r.upstreams().size() + " services.");
+            Configuration r = Configuration.parse(Files.readAllBytes(file));
+            System.out.println("Revision " + r.edition() + " is valid: "
+                    + r.routes().size() + " routes, " + r.upstreams().size() + " services.");
             return 0;
         } catch (IOException e) {
             System.err.println("The file " + file + " cannot be opened.");
--- a/umbermount/src/main/java/org/umbermount/umbermount/ConsoleLogger.java
+++ b/app/src/main/java/org/umbermount/app/ConsoleLogger.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import org.slf4j.Marker;
 import org.slf4j.event.Level;
@@ -48,10 +48,14 @@
     }
 
     @Override
-    protected void handleNormalizedLoggingCall(Level level, Marker marker, String pattern, Object[] arguments,
-            Throwable thrown) {
+    protected void handleNormalizedLoggingCall(
+            Level level, Marker marker, String pattern, Object[] arguments, Throwable thrown) {
         String message = arguments == null ? pattern : MessageFormatter.basicArrayFormat(pattern, arguments);
-        StringBuilder line = new StringBuilder(level.name()).append(' ').append(name).append(" - ").append(message);
+        StringBuilder line = new StringBuilder(level.name())
+                .append(' ')
+                .append(name)
+                .append(" - ")
+                .append(message);
         synchronized (System.err) {
             System.err.println(line);
             if (thrown != null) {
--- a/umbermount/src/main/java/org/umbermount/umbermount/ConsoleLogging.java
+++ b/app/src/main/java/org/umbermount/app/ConsoleLogging.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
--- a/umbermount/src/main/java/org/umbermount/umbermount/Daemon.java
+++ b/app/src/main/java/org/umbermount/app/Daemon.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -11,13 +11,13 @@
 import java.util.Arrays;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.net.DatagramMessenger;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.kernel.net.Mailroom;
 
 /** One running program: reads its settings, opens its parts, and leaves in order when told to. */
 final class Daemon {
@@ -31,7 +31,7 @@
     private final Runnable end;
     // Set by the thread that starts, before the loop is handed anything; from then on the loop's alone.
     private byte[] lastRead;
-    private Institution institution;
+    private PluginHost pluginHost;
     private boolean leaving;
 
     /**
@@ -62,7 +62,7 @@
         Daemon daemon = new Daemon(role, Path.of(name), signals, new ProcessEnd());
         try {
             daemon.start();
-        } catch (HouseRules.InvalidException | IllegalStateException e) {
+        } catch (Settings.InvalidException | IllegalStateException e) {
             System.err.println(e.getMessage());
             System.exit(1);
         } catch (Throwable e) {
@@ -93,32 +93,36 @@
     }
 
     void start() throws Exception {
-        byte[] settings = HouseRules.read(file);
+        byte[] settings = Settings.read(file);
         // The very bytes that are in use: read a second time, a change in between would never be noticed.
         lastRead = settings;
-        HouseRules rules = HouseRules.parse(settings);
-        ServerSocketChannel early = role == Role.LECTOR ? listenEarly(rules) : null;
+        Settings rules = Settings.parse(settings);
+        ServerSocketChannel early = role == Role.PROXY ? listenEarly(rules) : null;
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         LoopClock clock = new LoopClock(loop);
-        institution = new Institution(role, rules, clock);
-        Mailroom mailroom = new Mailroom(rules.ownMail(role), clock, institution.tally());
-        institution.offer(Postbag.class, mailroom);
+        pluginHost = new PluginHost(role, rules, clock);
+        DatagramMessenger mailroom = new DatagramMessenger(rules.ownMail(role), clock, pluginHost.metrics());
+        pluginHost.offer(Messenger.class, mailroom);
         if (early != null) {
-            institution.offer(ServerSocketChannel.class, early);
+            pluginHost.offer(ServerSocketChannel.class, early);
         }
         mailroom.bind(loop);
         signals.connect(request -> clock.execute(() -> serve(request)));
-        institution.openAll();
+        pluginHost.openAll();
         clock.execute(() -> clock.every(REREAD_MS, this::rereadIfChanged));
-        log().info("{} runs as {} in {}.", rules.nodeName(), role.name().toLowerCase(java.util.Locale.ROOT), rules.zone());
+        log().info(
+                        "{} runs as {} in {}.",
+                        rules.nodeName(),
+                        role.name().toLowerCase(java.util.Locale.ROOT),
+                        rules.zone());
     }
 
     /**
      * Opens the clients' address before anything else is loaded: connections made meanwhile wait in the system's
      * queue for the few hundred milliseconds of the start, instead of being refused.
      */
-    private static ServerSocketChannel listenEarly(HouseRules rules) throws IOException {
-        Imprint http = rules.listeners().get("http");
+    private static ServerSocketChannel listenEarly(Settings rules) throws IOException {
+        DaemonAddress http = rules.listeners().get("http");
         if (http == null) {
             return null;
         }
@@ -144,7 +148,7 @@
         }
         leaving = true;
         log().info("Told to stop.");
-        institution.leave(() -> {
+        pluginHost.leave(() -> {
             log().info("Everything is finished.");
             end.run();
         });
@@ -161,9 +165,9 @@
                 return;
             }
             lastRead = bytes;
-            institution.reread(HouseRules.parse(bytes));
+            pluginHost.reread(Settings.parse(bytes));
             log().info("The settings have been read again.");
-        } catch (IOException | HouseRules.InvalidException e) {
+        } catch (IOException | Settings.InvalidException e) {
             log().warn("The changed settings are not used: {}", e.getMessage());
         }
     }
--- a/umbermount/src/main/java/org/umbermount/umbermount/Main.java
+++ b/app/src/main/java/org/umbermount/app/Main.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import org.umbermount.kernel.Role;
 
@@ -7,14 +7,13 @@
  * time of a start is time out of service.
  */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("lector")) {
-            Daemon.run(Role.LECTOR);
-        } else if (args.length == 1 && args[0].equals("registrar")) {
-            Daemon.run(Role.REGISTRAR);
+        if (args.length == 1 && args[0].equals("proxy")) {
+            Daemon.run(Role.PROXY);
+        } else if (args.length == 1 && args[0].equals("controller")) {
+            Daemon.run(Role.CONTROLLER);
         } else {
             Umbermount.main(args);
         }
--- a/umbermount/src/main/java/org/umbermount/umbermount/RehearseCommand.java
+++ b/app/src/main/java/org/umbermount/app/RehearseCommand.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -6,10 +6,12 @@
 import picocli.CommandLine.Parameters;
 
 /** Takes one request through both programs on this machine. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true,
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
         description = "Runs both programs on the loopback address and takes one request through them.")
 final class RehearseCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "FOLDER", description = "an empty folder for the registrar's files")
+    @Parameters(paramLabel = "FOLDER", description = "an empty folder for the controller's files")
     private Path folder;
 
     @Override
--- a/umbermount/src/main/java/org/umbermount/umbermount/Stocktaking.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRun.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,16 +21,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.umbermount.kernel.HouseRules;
+import org.umbermount.kernel.Settings;
 
 /**
- * Measures what control costs at one size: real registrars and a few real lectors as processes of their own, and beside
- * them hollow lectors and servers in this one, all on loopback addresses, for a bounded time.
+ * Measures what control costs at one size: real controllers and a few real proxies as processes of their own, and beside
+ * them hollow proxies and servers in this one, all on loopback addresses, for a bounded time.
  */
-final class Stocktaking {
+final class ScaleRun {
     static final int ZONES = 3;
-    static final int REAL_LECTORS = 3;
-    static final int MOST_LECTORS = 2_000;
+    static final int REAL_PROXIES = 3;
+    static final int MOST_PROXIES = 2_000;
     static final int MOST_SERVERS = 10_000;
     private static final int PORT = 27_100;
     private static final int CONTROL = PORT + 4;
@@ -39,32 +39,33 @@
     private static final Duration PATIENCE = Duration.ofSeconds(5);
 
     /** What was measured: names to figures, in order. */
-    record Figures(Map<String, Double> values) {
-    }
+    record Figures(Map<String, Double> values) {}
 
     private final Path folder;
-    private final int lectors;
+    private final int proxies;
     private final int servers;
     private final int routes;
-    private final int registrars;
+    private final int controllers;
     private final int seconds;
     private final List<Process> processes = new ArrayList<>();
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
-    private final List<HollowLector> hollow = new ArrayList<>();
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+    private final List<HollowProxy> hollow = new ArrayList<>();
     private final Map<Long, AtomicInteger> arrived = new ConcurrentHashMap<>();
     /** How long each change took from the first call to its answer. */
     private final List<Double> answerMs = new ArrayList<>();
+
     private final Map<Long, Long> acknowledged = new ConcurrentHashMap<>();
     private final Map<Long, Long> everywhere = new ConcurrentHashMap<>();
     private final AtomicLong beats = new AtomicLong();
     private final AtomicLong beatsFailed = new AtomicLong();
 
-    Stocktaking(Path folder, int lectors, int servers, int routes, int registrars, int seconds) {
+    ScaleRun(Path folder, int proxies, int servers, int routes, int controllers, int seconds) {
         this.folder = folder;
-        this.lectors = lectors;
+        this.proxies = proxies;
         this.servers = servers;
         this.routes = routes;
-        this.registrars = registrars;
+        this.controllers = controllers;
         this.seconds = seconds;
     }
 
@@ -73,32 +74,51 @@
         return "127." + kind + "." + n / 250 + "." + (n % 250 + 1);
     }
 
-    private static String registrar(int i) {
+    private static String controller(int i) {
         return ip(100, i + 1);
     }
 
     private String settings(String ip, String name, int zone, boolean disk) {
         StringBuilder seeds = new StringBuilder();
-        for (int i = 0; i < Math.min(3, registrars); i++) {
-            seeds.append(i == 0 ? "" : ",").append('"').append(registrar(i)).append(':').append(CONTROL).append('"');
+        for (int i = 0; i < Math.min(3, controllers); i++) {
+            seeds.append(i == 0 ? "" : ",")
+                    .append('"')
+                    .append(controller(i))
+                    .append(':')
+                    .append(CONTROL)
+                    .append('"');
         }
         return "{\"nodeName\":\"" + name + "\",\"ipAddress\":\"" + ip + "\",\"zone\":\"z" + zone
-                + "\",\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},\"listeners\":{\"controlPlane\":\"" + ip + ":" + CONTROL
+                + "\",\"zones\":{\"z0\":\"r\",\"z1\":\"r\",\"z2\":\"r\"},\"listeners\":{\"controlPlane\":\"" + ip + ":"
+                + CONTROL
                 + "\",\"http\":\"" + ip + ":" + (PORT + 5) + "\",\"readiness\":\"" + ip + ":" + (PORT + 6)
-                + "\"},\"internalPortRange\":[" + PORT + "," + (PORT + 3) + "],\"seedNodes\":[" + seeds + "],\"bootstrap\":true,"
+                + "\"},\"internalPortRange\":[" + PORT + "," + (PORT + 3) + "],\"seedNodes\":[" + seeds
+                + "],\"bootstrap\":true,"
                 + (disk ? "\"dataPath\":\"" + folder.resolve(name).toAbsolutePath() + "\"," : "")
                 + "\"heartbeatMs\":" + BEAT_MS + ",\"faultTolerance\":{\"machines\":1}}";
     }
 
-    private Process launch(String role, String ip, String name, int zone, boolean disk, String heap) throws IOException {
+    private Process launch(String role, String ip, String name, int zone, boolean disk, String heap)
+            throws IOException {
         Files.createDirectories(folder.resolve(name));
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, settings(ip, name, zone, disk));
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xms24m", heap,
-                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled",
-                "-Dio.netty.noPreferDirect=true", "-cp", System.getProperty("java.class.path"), Main.class.getName(), role);
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xms24m",
+                heap,
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dio.netty.allocator.type=unpooled",
+                "-Dio.netty.noPreferDirect=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                role);
         builder.environment().put("UMBERMOUNT_CONFIG", file.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve(name + ".log").toFile());
         Process process = builder.start();
         processes.add(process);
         return process;
@@ -107,14 +127,24 @@
     private String configuration(long revision) {
         StringBuilder out = new StringBuilder("{\"revision\":").append(revision).append(",\"routeTable\":[");
         for (int i = 0; i < routes; i++) {
-            out.append(i == 0 ? "" : ",").append("{\"label\":\"r").append(i).append("\",\"virtualHost\":\"h").append(i / 20)
-                    .append(".example\",\"pathPrefix\":\"/p").append(i).append("/\",\"routeType\":\"safe\",\"timeoutMs\":")
-                    .append(i == 0 ? 5_000 + revision % 1_000 : 5_000).append(",\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s")
-                    .append(i % services()).append("\",\"maxTries\":2}");
+            out.append(i == 0 ? "" : ",")
+                    .append("{\"label\":\"r")
+                    .append(i)
+                    .append("\",\"virtualHost\":\"h")
+                    .append(i / 20)
+                    .append(".example\",\"pathPrefix\":\"/p")
+                    .append(i)
+                    .append("/\",\"routeType\":\"safe\",\"timeoutMs\":")
+                    .append(i == 0 ? 5_000 + revision % 1_000 : 5_000)
+                    .append(",\"targetLatencyMs\":800,\"priority\":1,\"upstream\":\"s")
+                    .append(i % services())
+                    .append("\",\"maxTries\":2}");
         }
         out.append("],\"upstreams\":[");
         for (int i = 0; i < services(); i++) {
-            out.append(i == 0 ? "" : ",").append("{\"label\":\"s").append(i)
+            out.append(i == 0 ? "" : ",")
+                    .append("{\"label\":\"s")
+                    .append(i)
                     .append("\",\"healthCheck\":\"/health\",\"maxConnections\":150,\"protocol\":\"h1\",\"tls\":false}");
         }
         return out.append("]}").toString();
@@ -124,10 +154,14 @@
         return Math.max(1, servers / 47);
     }
 
-    private int call(String method, String at, String path, String body, long match) throws IOException, InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + ":" + CONTROL + path)).timeout(PATIENCE)
-                .header("If-Match", Long.toString(match)).header("Content-Type", "application/json")
-                .method(method, HttpRequest.BodyPublishers.ofString(body)).build();
+    private int call(String method, String at, String path, String body, long match)
+            throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + ":" + CONTROL + path))
+                .timeout(PATIENCE)
+                .header("If-Match", Long.toString(match))
+                .header("Content-Type", "application/json")
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
         return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
     }
 
@@ -137,13 +171,13 @@
         long began = System.nanoTime();
         for (int tries = 0; tries < 40; tries++) {
             try {
-                if (call("PUT", registrar((int) (revision + tries) % registrars), "/config", text, match) == 200) {
+                if (call("PUT", controller((int) (revision + tries) % controllers), "/config", text, match) == 200) {
                     acknowledged.put(revision, System.nanoTime());
                     answerMs.add((System.nanoTime() - began) / 1e6);
                     return;
                 }
             } catch (IOException e) {
-                // Another registrar is asked.
+                // Another controller is asked.
             }
             Thread.sleep(250);
         }
@@ -153,19 +187,23 @@
     private void beat(int server, long sequence) {
         String zone = "z" + server % ZONES;
         String body = "{\"upstream\":\"s" + server % services() + "\",\"address\":\"" + ip(110, server + 1)
-                + ":8080\",\"zone\":\"" + zone + "\",\"revision\":\"v1\",\"capacity\":6,\"status\":\"in_service\",\"warmupLeftMs\":0,"
+                + ":8080\",\"zone\":\"" + zone
+                + "\",\"revision\":\"v1\",\"capacity\":6,\"status\":\"in_service\",\"warmupLeftMs\":0,"
                 + "\"sequence\":" + sequence + "}";
-        int at = server % ZONES % registrars;
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + registrar(at) + ":" + CONTROL + "/instances/i-" + server))
-                .timeout(PATIENCE).PUT(HttpRequest.BodyPublishers.ofString(body)).build();
+        int at = server % ZONES % controllers;
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + controller(at) + ":" + CONTROL + "/instances/i-" + server))
+                .timeout(PATIENCE)
+                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                .build();
         client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).whenComplete((answer, failed) -> {
             (failed == null && answer.statusCode() == 200 ? beats : beatsFailed).incrementAndGet();
         });
     }
 
-    private void inForce(HollowLector lector, long edition) {
+    private void inForce(HollowProxy proxy, long edition) {
         AtomicInteger n = arrived.get(edition);
-        if (n != null && n.incrementAndGet() == lectors) {
+        if (n != null && n.incrementAndGet() == proxies) {
             everywhere.put(edition, System.nanoTime());
         }
     }
@@ -185,8 +223,12 @@
 
     private Map<String, Double> meters(String ip) throws IOException, InterruptedException {
         Map<String, Double> out = new TreeMap<>();
-        String page = client.send(HttpRequest.newBuilder(URI.create("http://" + ip + ":" + CONTROL + "/metrics")).timeout(PATIENCE).build(),
-                HttpResponse.BodyHandlers.ofString()).body();
+        String page = client.send(
+                        HttpRequest.newBuilder(URI.create("http://" + ip + ":" + CONTROL + "/metrics"))
+                                .timeout(PATIENCE)
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
         for (String line : page.split("\n")) {
             int space = line.indexOf(' ');
             if (space > 0) {
@@ -202,16 +244,18 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         try {
             List<Process> control = new ArrayList<>();
-            for (int i = 0; i < registrars; i++) {
-                control.add(launch("registrar", registrar(i), "registrar-" + i, i % ZONES, true, "-Xmx256m"));
+            for (int i = 0; i < controllers; i++) {
+                control.add(launch("controller", controller(i), "controller-" + i, i % ZONES, true, "-Xmx256m"));
             }
             List<Process> real = new ArrayList<>();
-            for (int i = 0; i < REAL_LECTORS; i++) {
-                real.add(launch("lector", ip(101, i + 1), "lector-" + i, i % ZONES, false, "-Xmx128m"));
+            for (int i = 0; i < REAL_PROXIES; i++) {
+                real.add(launch("proxy", ip(101, i + 1), "proxy-" + i, i % ZONES, false, "-Xmx128m"));
             }
-            for (int i = 0; i < lectors; i++) {
-                HollowLector one = new HollowLector(HouseRules.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
-                        .getBytes(java.nio.charset.StandardCharsets.UTF_8)), group.next());
+            for (int i = 0; i < proxies; i++) {
+                HollowProxy one = new HollowProxy(
+                        Settings.parse(settings(ip(102, i + 1), "hollow-" + i, i % ZONES, false)
+                                .getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                        group.next());
                 one.start(this::inForce);
                 hollow.add(one);
             }
@@ -219,12 +263,16 @@
             change(0, 1);
             long[] sequence = new long[1];
             int slices = 30;
-            pacer.scheduleAtFixedRate(() -> {
-                long turn = sequence[0]++;
-                for (int s = (int) (turn % slices); s < servers; s += slices) {
-                    beat(s, turn / slices + 1);
-                }
-            }, 0, BEAT_MS / slices, TimeUnit.MILLISECONDS);
+            pacer.scheduleAtFixedRate(
+                    () -> {
+                        long turn = sequence[0]++;
+                        for (int s = (int) (turn % slices); s < servers; s += slices) {
+                            beat(s, turn / slices + 1);
+                        }
+                    },
+                    0,
+                    BEAT_MS / slices,
+                    TimeUnit.MILLISECONDS);
             Thread.sleep(9_000);
             return window(control, real);
         } finally {
@@ -238,13 +286,13 @@
     }
 
     private Figures window(List<Process> control, List<Process> real) throws Exception {
-        double[] cpuBefore = control.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
-        double[] realBefore = real.stream().mapToDouble(Stocktaking::cpuSeconds).toArray();
-        double in = hollow.stream().mapToDouble(HollowLector::bytesIn).sum();
-        double out = hollow.stream().mapToDouble(HollowLector::bytesOut).sum();
+        double[] cpuBefore = control.stream().mapToDouble(ScaleRun::cpuSeconds).toArray();
+        double[] realBefore = real.stream().mapToDouble(ScaleRun::cpuSeconds).toArray();
+        double in = hollow.stream().mapToDouble(HollowProxy::bytesIn).sum();
+        double out = hollow.stream().mapToDouble(HollowProxy::bytesOut).sum();
         List<Map<String, Double>> metersBefore = new ArrayList<>();
-        for (int i = 0; i < registrars; i++) {
-            metersBefore.add(meters(registrar(i)));
+        for (int i = 0; i < controllers; i++) {
+            metersBefore.add(meters(controller(i)));
         }
         long beatsBefore = beats.get();
         answerMs.clear();
@@ -257,29 +305,32 @@
         }
         double took = (System.nanoTime() - begin) / 1e9;
         Map<String, Double> f = new java.util.LinkedHashMap<>();
-        f.put("lectors", (double) lectors);
+        f.put("proxies", (double) proxies);
         f.put("servers", (double) servers);
         f.put("routes", (double) routes);
-        f.put("registrars", (double) registrars);
-        double[] cpu = new double[registrars];
-        double[] memory = new double[registrars];
+        f.put("controllers", (double) controllers);
+        double[] cpu = new double[controllers];
+        double[] memory = new double[controllers];
         Map<String, Double> mail = new TreeMap<>();
-        for (int i = 0; i < registrars; i++) {
+        for (int i = 0; i < controllers; i++) {
             cpu[i] = (cpuSeconds(control.get(i)) - cpuBefore[i]) / took;
             memory[i] = residentMb(control.get(i));
-            Map<String, Double> after = meters(registrar(i));
+            Map<String, Double> after = meters(controller(i));
             for (Map.Entry<String, Double> e : after.entrySet()) {
                 if (e.getKey().startsWith("umbermount_mail_")) {
-                    mail.merge(e.getKey().substring(16), (e.getValue() - metersBefore.get(i).getOrDefault(e.getKey(), 0.0)) / took, Double::sum);
+                    mail.merge(
+                            e.getKey().substring(16),
+                            (e.getValue() - metersBefore.get(i).getOrDefault(e.getKey(), 0.0)) / took,
+                            Double::sum);
                 }
             }
         }
-        f.put("registrar cores, mean", Arrays.stream(cpu).average().orElse(0));
-        f.put("registrar cores, most", Arrays.stream(cpu).max().orElse(0));
-        f.put("registrar MB, most", Arrays.stream(memory).max().orElse(0));
+        f.put("controller cores, mean", Arrays.stream(cpu).average().orElse(0));
+        f.put("controller cores, most", Arrays.stream(cpu).max().orElse(0));
+        f.put("controller MB, most", Arrays.stream(memory).max().orElse(0));
         mail.forEach((name, rate) -> {
             if (rate >= 1) {
-                f.put("registrars together, " + name.replace('_', ' ') + " /s", rate);
+                f.put("controllers together, " + name.replace('_', ' ') + " /s", rate);
             }
         });
         double realCpu = 0;
@@ -288,10 +339,14 @@
             realCpu = Math.max(realCpu, (cpuSeconds(real.get(i)) - realBefore[i]) / took);
             realMemory = Math.max(realMemory, residentMb(real.get(i)));
         }
-        f.put("lector cores, most", realCpu);
-        f.put("lector MB, most", realMemory);
-        f.put("lector bytes in /s, mean", (hollow.stream().mapToDouble(HollowLector::bytesIn).sum() - in) / took / lectors);
-        f.put("lector bytes out /s, mean", (hollow.stream().mapToDouble(HollowLector::bytesOut).sum() - out) / took / lectors);
+        f.put("proxy cores, most", realCpu);
+        f.put("proxy MB, most", realMemory);
+        f.put(
+                "proxy bytes in /s, mean",
+                (hollow.stream().mapToDouble(HollowProxy::bytesIn).sum() - in) / took / proxies);
+        f.put(
+                "proxy bytes out /s, mean",
+                (hollow.stream().mapToDouble(HollowProxy::bytesOut).sum() - out) / took / proxies);
         f.put("beats /s", (beats.get() - beatsBefore) / took);
         f.put("beats failed", (double) beatsFailed.get());
         f.put("changes /s", (revision - 1) / took);
@@ -302,9 +357,9 @@
                 delays.add((everywhere.get(e.getKey()) - e.getValue()) / 1e6);
             }
         }
-        f.put("changes seen at every lector", (double) delays.size());
+        f.put("changes seen at every proxy", (double) delays.size());
         putSpread(f, "ms from call to answer", answerMs);
-        putSpread(f, "ms from answer to last lector", delays);
+        putSpread(f, "ms from answer to last proxy", delays);
         return new Figures(f);
     }
 
--- a/umbermount/src/main/java/org/umbermount/umbermount/SignalRelay.java
+++ b/app/src/main/java/org/umbermount/app/SignalRelay.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.util.EnumSet;
 import java.util.Set;
--- a/umbermount/src/main/java/org/umbermount/umbermount/Umbermount.java
+++ b/app/src/main/java/org/umbermount/app/Umbermount.java
@@ -1,4 +1,4 @@
-package org.umbermount.umbermount;
+package org.umbermount.app;
 
 import java.util.ServiceLoader;
 import org.umbermount.kernel.CommandExtension;
@@ -6,13 +6,27 @@
 import picocli.CommandLine.Command;
 
 /** The command line. */
-@Command(name = "umbermount", mixinStandardHelpOptions = true, version = "umbermount 0.1.0",
+@Command(
+        name = "umbermount",
+        mixinStandardHelpOptions = true,
+        version = "umbermount 0.1.0",
         description = "An API gateway: a fleet of daemons that carry traffic and agree on their configuration.",
-        subcommands = {LectorCommand.class, RegistrarCommand.class, CheckSettingsCommand.class,
-                CheckConfigurationCommand.class, ShowCommand.class, RehearseCommand.class, StocktakeCommand.class},
+        subcommands = {
+            ProxyCommand.class,
+            ControllerCommand.class,
+            CheckSettingsCommand.class,
+            CheckConfigurationCommand.class,
+            ShowCommand.class,
+            RehearseCommand.class,
+            ScaleRunCommand.class
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:a file or an answer is invalid, or a rule is broken", "2:the arguments are wrong",
-                "3:a daemon cannot be reached"})
+        exitCodeList = {
+            "0:done",
+            "1:a file or an answer is invalid, or a rule is broken",
+            "2:the arguments are wrong",
+            "3:a daemon cannot be reached"
+        })
 public final class Umbermount implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/umbermount/src/test/java/org/umbermount/umbermount/DaemonSignalsTest.java
+++ b/app/src/test/java/org/umbermount/app/DaemonSignalsTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.umbermount;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.app;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -18,8 +15,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.app.SignalRelay.Request;
 import org.umbermount.kernel.Role;
-import org.umbermount.umbermount.SignalRelay.Request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Requests to stop and to read the settings again, at any point of a real daemon's life, from several threads. */
 class DaemonSignalsTest {
@@ -29,6 +29,7 @@
 
     @TempDir
     private Path folder;
+
     private final SignalRelay signals = new SignalRelay();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicInteger ends = new AtomicInteger();
@@ -61,8 +62,10 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.0.1", at), 5_000);
             socket.setSoTimeout(PATIENCE_S * 1_000);
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: a\r\n"
-                    + "Deadline-Ms: 2000\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: a\r\n"
+                                    + "Deadline-Ms: 2000\r\nConnection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
@@ -88,20 +91,22 @@
     @Test
     void toldToStopBeforeItsStartADaemonOpensNothing() throws Exception {
         deliverFromThreads(signals, Request.STOP, Request.STOP, Request.RELOAD);
-        daemon(Role.REGISTRAR).start();
+        daemon(Role.CONTROLLER).start();
         awaitOneEnd();
         assertTrue(Files.notExists(folder.resolve("memory.stack")));
     }
 
     @Test
     void toldToStopWhileItStartsADaemonEndsOnceInOrder() throws Exception {
-        Thread signal = new Thread(() -> {
-            for (int i = 0; i < 50; i++) {
-                signals.deliver(i % 2 == 0 ? Request.RELOAD : Request.STOP);
-            }
-        }, "signal");
+        Thread signal = new Thread(
+                () -> {
+                    for (int i = 0; i < 50; i++) {
+                        signals.deliver(i % 2 == 0 ? Request.RELOAD : Request.STOP);
+                    }
+                },
+                "signal");
         signal.start();
-        daemon(Role.LECTOR).start();
+        daemon(Role.PROXY).start();
         signal.join();
         awaitOneEnd();
     }
@@ -109,7 +114,7 @@
     /** Whole, half-written and invalid settings come while clients ask, and go on coming while the daemon stops. */
     @Test
     void requestsAreAnsweredWhileSettingsChangeAndTheStopComesTwice() throws Exception {
-        daemon(Role.LECTOR).start();
+        daemon(Role.PROXY).start();
         AtomicBoolean over = new AtomicBoolean();
         AtomicInteger answered = new AtomicInteger();
         List<String> wrong = java.util.Collections.synchronizedList(new ArrayList<>());
@@ -121,8 +126,11 @@
         }
         for (int i = 0; i < RELOADS; i++) {
             String whole = settings("node-" + i);
-            Files.writeString(file, i % 3 == 0 ? whole.substring(0, whole.length() / 2)
-                    : i % 3 == 1 ? whole.replace("127.0.0.1:" + (port + 2), "nowhere") : whole);
+            Files.writeString(
+                    file,
+                    i % 3 == 0
+                            ? whole.substring(0, whole.length() / 2)
+                            : i % 3 == 1 ? whole.replace("127.0.0.1:" + (port + 2), "nowhere") : whole);
             deliverFromThreads(signals, Request.RELOAD, Request.RELOAD);
         }
         Files.writeString(file, settings("last"));
--- a/umbermount/src/test/java/org/umbermount/umbermount/ProgramTest.java
+++ b/app/src/test/java/org/umbermount/app/ProgramTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.umbermount;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.app;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -10,6 +7,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class ProgramTest {
     private static String errors;
 
--- a/umbermount/src/test/java/org/umbermount/umbermount/SettingsReloadTest.java
+++ b/app/src/test/java/org/umbermount/app/SettingsReloadTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.umbermount;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.app;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,9 +15,13 @@
 import org.junit.jupiter.api.io.TempDir;
 import sun.misc.Signal;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Requests under way survive a SIGHUP and the settings that it brings. */
 class SettingsReloadTest {
-    private static final String ANSWER = "HTTP/1.1 200 OK\r\nRequest-Attempt: a1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+    private static final String ANSWER =
+            "HTTP/1.1 200 OK\r\nRequest-Attempt: a1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
     private final CountDownLatch received = new CountDownLatch(1);
     private final CountDownLatch reloaded = new CountDownLatch(1);
     private final AtomicInteger seen = new AtomicInteger();
@@ -70,8 +71,11 @@
             CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> answerOnceServed(daemons));
             assertTrue(received.await(10, TimeUnit.SECONDS));
             Path settings = folder.resolve(Rehearsal.SETTINGS);
-            Files.writeString(settings, Files.readString(settings).replace("\"bootstrap\":true", "\"bootstrap\":false")
-                    .replace("\"seedNodes\":[", "\"seedNodes\":[\"127.0.0.1:9\","));
+            Files.writeString(
+                    settings,
+                    Files.readString(settings)
+                            .replace("\"bootstrap\":true", "\"bootstrap\":false")
+                            .replace("\"seedNodes\":[", "\"seedNodes\":[\"127.0.0.1:9\","));
             Signal.raise(new Signal("HUP"));
             Rehearsal.await("the reload", () -> daemons.metrics().contains("settings_reread"));
             reloaded.countDown();
--- a/umbermount/src/test/java/org/umbermount/umbermount/SignalRelayTest.java
+++ b/app/src/test/java/org/umbermount/app/SignalRelayTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.umbermount;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.app;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,13 +11,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.umbermount.app.SignalRelay.Request;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.net.LoopClock;
-import org.umbermount.umbermount.SignalRelay.Request;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Signals on their way to the loop, before it runs, meanwhile and at once with its start. */
 class SignalRelayTest {
     private static List<Request> servedAfterEarly(Request... requests) {
@@ -37,7 +37,8 @@
     void earlySignalsAreServedOnceEachAndAReloadBeforeAStop() {
         assertEquals(List.of(), servedAfterEarly());
         assertEquals(List.of(Request.STOP), servedAfterEarly(Request.STOP, Request.STOP));
-        assertEquals(List.of(Request.RELOAD, Request.STOP), servedAfterEarly(Request.STOP, Request.RELOAD, Request.RELOAD));
+        assertEquals(
+                List.of(Request.RELOAD, Request.STOP), servedAfterEarly(Request.STOP, Request.RELOAD, Request.RELOAD));
     }
 
     @Test
@@ -66,10 +67,12 @@
         CountDownLatch go = new CountDownLatch(1);
         List<Thread> signalThreads = new ArrayList<>();
         for (Request request : Request.values()) {
-            Thread thread = new Thread(() -> {
-                awaitQuietly(go);
-                relay.deliver(request);
-            }, "signal");
+            Thread thread = new Thread(
+                    () -> {
+                        awaitQuietly(go);
+                        relay.deliver(request);
+                    },
+                    "signal");
             thread.start();
             signalThreads.add(thread);
         }
--- a/circulation/src/main/java/org/umbermount/circulation/Answer.java
+++ /dev/null
@@ -1,7 +0,0 @@
-package org.umbermount.circulation;
-
-import io.netty.handler.codec.http.HttpHeaders;
-
-/** A server's answer held whole. */
-record Answer(int status, HttpHeaders headers, byte[] body) {
-}
--- a/archive/src/main/java/org/umbermount/archive/Acceptor.java
+++ b/control/src/main/java/org/umbermount/control/Acceptor.java
@@ -1,6 +1,6 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * A voter on the next view: the acceptor of single-decree Paxos. Invariant: only a voter with its memory votes, and only
@@ -20,11 +20,11 @@
         this.dropped = dropped;
     }
 
-    void prepare(Imprint from, long view, Ballot ballot) {
+    void prepare(DaemonAddress from, long view, Ballot ballot) {
         if (!mayVote(from, view)) {
             return;
         }
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (ballot.compareTo(memory.promised()) < 0) {
             refuse(from, view);
         } else if (ballot.equals(memory.promised())) {
@@ -34,11 +34,11 @@
         }
     }
 
-    void accept(Imprint from, long view, Ballot ballot, Proposal proposal) {
+    void accept(DaemonAddress from, long view, Ballot ballot, Proposal proposal) {
         if (!mayVote(from, view)) {
             return;
         }
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (ballot.compareTo(memory.promised()) < 0) {
             refuse(from, view);
         } else if (ballot.equals(memory.acceptedBallot())) {
@@ -49,7 +49,7 @@
     }
 
     /** A proposer that is behind is told the view; one that is ahead is asked for it. */
-    private boolean mayVote(Imprint proposer, long view) {
+    private boolean mayVote(DaemonAddress proposer, long view) {
         if (membership.standing() != Replica.Standing.MEMBER) {
             return false;
         }
@@ -66,15 +66,16 @@
         return true;
     }
 
-    private void refuse(Imprint to, long view) {
+    private void refuse(DaemonAddress to, long view) {
         messages.sendRefusal(to, view, durable.memory().promised());
     }
 
-    private void promise(Imprint to, long view, Ballot ballot) {
-        messages.sendPromise(to, view, ballot, durable.memory(), membership.companion().mark());
+    private void promise(DaemonAddress to, long view, Ballot ballot) {
+        messages.sendPromise(
+                to, view, ballot, durable.memory(), membership.companion().mark());
     }
 
-    private void accepted(Imprint to, long view, Ballot ballot) {
+    private void accepted(DaemonAddress to, long view, Ballot ballot) {
         messages.sendAccepted(to, view, ballot, durable.memory());
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/ByteDelta.java
+++ b/control/src/main/java/org/umbermount/control/ByteDelta.java
@@ -1,10 +1,10 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 
 /**
  * How one run of bytes is made from another: each step copies a part of the base and then appends bytes of its own. Both runs
@@ -13,11 +13,10 @@
  */
 record ByteDelta(List<Step> steps) {
     /** Some bytes of the base, and then some others. */
-    record Step(int from, int length, byte[] literal) {
-    }
+    record Step(int from, int length, byte[] literal) {}
 
     /** The longest outcome that is made: a configuration has to fit into one message. */
-    static final int LONGEST = Postbag.LARGEST;
+    static final int LONGEST = Messenger.LARGEST;
     /** How many pieces of the base are looked at for one of the target. */
     private static final int WINDOW = 64;
 
@@ -142,18 +141,18 @@
         return out;
     }
 
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.list(steps, (o, step) -> o.num(step.from).num(step.length).bytes(step.literal));
     }
 
-    static ByteDelta read(Script.Reader in) throws Script.UnreadableException {
+    static ByteDelta read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         return new ByteDelta(in.list(step -> new Step(readInt(step), readInt(step), step.bytes())));
     }
 
-    private static int readInt(Script.Reader in) throws Script.UnreadableException {
+    private static int readInt(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         long value = in.num();
         if (value < 0 || value > LONGEST) {
-            throw new Script.UnreadableException("a part of a base is out of bounds", null);
+            throw new MessagePackCodec.UnreadableException("a part of a base is out of bounds", null);
         }
         return (int) value;
     }
--- a/archive/src/main/java/org/umbermount/archive/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -6,10 +6,10 @@
 import java.util.Map;
 import java.util.Set;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
 
 /**
  * A member of the chain (chain replication). Invariant: a state is passed on only once it is on disk here, it is
@@ -17,13 +17,13 @@
  */
 final class ChainReplica {
     /** An order that a caller hands in, with the whole that results; only the head of the one view may act on it, 0 is any. */
-    record Submission(Imprint origin, RequestId id, long onlyIn, Order order, byte[] blob) {
+    record Submission(DaemonAddress origin, RequestId id, long onlyIn, Order order, byte[] blob) {
         PendingReply reply() {
             return new PendingReply(id, origin, order.edition());
         }
     }
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final DurableState durable;
     private final Membership membership;
     private final CommitPoint commits;
@@ -32,7 +32,7 @@
     private final DroppedMessages dropped;
     private final StateIncrements increments;
     private final Clock clock;
-    private final Tally tally;
+    private final Metrics metrics;
     private final RefusedAhead aheads;
     private final Map<RequestId, PendingReply> owed = new LinkedHashMap<>();
     /** Whether the tail has committed anything in this view; that it was committed in an earlier one can be heard of others. */
@@ -43,13 +43,21 @@
     /** The state that was passed on again last. */
     private ConfigurationState repeated;
 
-    ChainReplica(Imprint self, Clock clock, DurableState durable, Membership membership, CommitPoint commits,
-            ViewConfirmation confirmation, ChainMessages messages, DroppedMessages dropped,
-            StateIncrements increments, Tally tally) {
+    ChainReplica(
+            DaemonAddress self,
+            Clock clock,
+            DurableState durable,
+            Membership membership,
+            CommitPoint commits,
+            ViewConfirmation confirmation,
+            ChainMessages messages,
+            DroppedMessages dropped,
+            StateIncrements increments,
+            Metrics metrics) {
         this.self = self;
         this.increments = increments;
         this.clock = clock;
-        this.tally = tally;
+        this.metrics = metrics;
         this.aheads = new RefusedAhead(clock.now());
         this.durable = durable;
         this.membership = membership;
@@ -82,7 +90,7 @@
                 answer(s, Replica.Verdict.TAKEN);
             }
         } else if (found == TakenOrders.Finding.UNCLEAR) {
-            tally.count("archive.orders.unclear");
+            metrics.count("control.orders.unclear");
         } else if (state.taken().find(order) == TakenOrders.Finding.TAKEN) {
             oweAndForward(s);
         } else if (commits.edition().isAfter(order.match())) {
@@ -128,10 +136,11 @@
 
     /** The head sends again what the chain has not committed in this view. */
     void resend() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         boolean unsettled = !begun && Safeguard.VIEW_BEGINNING_REPEATED.holds()
                 || commits.committed().view() < memory.view().number()
-                || memory.state().edition().isAfter(commits.edition()) || !owed.isEmpty();
+                || memory.state().edition().isAfter(commits.edition())
+                || !owed.isEmpty();
         if (membership.isHead() && unsettled) {
             durable.serially(this::repeat);
         }
@@ -147,7 +156,7 @@
 
     // ---- every member ----
 
-    void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
+    void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies) {
         if (!isFromPredecessor(from, state.view())) {
             return;
         }
@@ -160,7 +169,7 @@
     }
 
     /** As {@link #write}, or nothing but a request for the whole state where this daemon lacks what it builds on. */
-    void increment(Imprint from, StateIncrement increment, List<PendingReply> replies) {
+    void increment(DaemonAddress from, StateIncrement increment, List<PendingReply> replies) {
         if (!isFromPredecessor(from, increment.view())) {
             return;
         }
@@ -168,7 +177,7 @@
         if (increment.order().edition().isAfter(held.edition())) {
             ConfigurationState next = increments.apply(increment, held);
             if (next == null) {
-                tally.count("archive.increments.base_missing");
+                metrics.count("archive.increments.base_missing");
                 messages.sendStateWanted(from, increment.view());
             } else {
                 replaceState(next, () -> pass(replies, false));
@@ -179,15 +188,15 @@
     }
 
     /** The member after lacks what an increment builds on. */
-    void stateWanted(Imprint from, long view) {
-        Memory memory = durable.memory();
+    void stateWanted(DaemonAddress from, long view) {
+        ReplicaStorage memory = durable.memory();
         if (view == memory.view().number() && from.equals(memory.view().successor(self))) {
             forward(true);
         }
     }
 
     /** Whether the member before may have this daemon take a state of a view; whoever is ahead is asked for its view. */
-    private boolean isFromPredecessor(Imprint from, long view) {
+    private boolean isFromPredecessor(DaemonAddress from, long view) {
         View mine = durable.memory().view();
         if (view > mine.number()) {
             membership.fetch(from);
@@ -224,11 +233,11 @@
 
     /** Passes the newest state on, whole or as what is new in it, or commits it at the tail. */
     private void forward(boolean whole) {
-        Memory memory = durable.memory();
-        if (!membership.inChain() || memory.state().edition().equals(Edition.NONE)) {
+        ReplicaStorage memory = durable.memory();
+        if (!membership.inChain() || memory.state().edition().equals(ConfigurationRevision.NONE)) {
             return;
         }
-        Imprint next = memory.view().successor(self);
+        DaemonAddress next = memory.view().successor(self);
         if (next == null) {
             commit(memory);
             return;
@@ -242,7 +251,7 @@
     }
 
     /** This waits for no disk: what has been committed may be handed out, whatever happens to it here. */
-    void committedElsewhere(Imprint tail, long view, Edition edition, Digest digest) {
+    void committedElsewhere(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest) {
         begun |= view == durable.memory().view().number();
         ConfigurationState meant = commits.superseded(edition, durable.memory().state());
         if (meant.view() == view && meant.isSameAs(edition, digest)) {
@@ -266,17 +275,17 @@
 
     // ---- the tail ----
 
-    private void commit(Memory memory) {
+    private void commit(ReplicaStorage memory) {
         ConfigurationState state = memory.state();
         begun = true;
-        Set<Imprint> targets = new HashSet<>(membership.audience());
+        Set<DaemonAddress> targets = new HashSet<>(membership.audience());
         targets.addAll(memory.view().chain());
         targets.remove(self);
         for (PendingReply reply : owed.values()) {
             messages.sendVerdict(reply.origin(), reply.id(), Replica.Verdict.TAKEN);
         }
         owed.clear();
-        for (Imprint target : targets) {
+        for (DaemonAddress target : targets) {
             messages.sendCommitted(target, state);
         }
         commits.advance(state);
--- a/archive/src/main/java/org/umbermount/archive/CommitPoint.java
+++ b/control/src/main/java/org/umbermount/control/CommitPoint.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,27 +6,28 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Edition;
+import org.umbermount.kernel.ConfigurationRevision;
 import org.umbermount.kernel.FaultException;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.DiskWriter;
 
 /**
  * The newest state known here to be committed. Invariant: it only rises, and its observers hear of each edition once, in
  * rising order. It waits for no disk: what has been committed may be handed out, whatever happens to it here.
  */
 final class CommitPoint {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int SUPERSEDED = 8;
 
-    private final StackRoom room;
+    private final DiskWriter room;
     private final List<Consumer<ConfigurationState>> observers = new ArrayList<>();
     /** States that a newer one has replaced here before word came that they were committed. */
     private final ArrayDeque<ConfigurationState> superseded = new ArrayDeque<>();
+
     private ConfigurationState committed = ConfigurationState.NONE;
-    private Edition readEdition = Edition.NONE;
-    private Regulations regulations;
+    private ConfigurationRevision readEdition = ConfigurationRevision.NONE;
+    private Configuration regulations;
 
-    CommitPoint(StackRoom room) {
+    CommitPoint(DiskWriter room) {
         this.room = room;
     }
 
@@ -43,15 +44,17 @@
         return committed;
     }
 
-    Edition edition() {
+    ConfigurationRevision edition() {
         return committed.edition();
     }
 
     /** The committed configuration as read, or null before the first. */
-    Regulations regulations() {
+    Configuration regulations() {
         if (!committed.edition().equals(readEdition)) {
             try {
-                regulations = committed.edition().equals(Edition.NONE) ? null : Regulations.readTaken(committed.blob());
+                regulations = committed.edition().equals(ConfigurationRevision.NONE)
+                        ? null
+                        : Configuration.readTaken(committed.blob());
             } catch (FaultException e) {
                 LOG.error("Edition {} is committed but cannot be read: {}", committed.edition(), e.getMessage());
             }
@@ -71,7 +74,7 @@
     }
 
     /** The superseded state of an edition, or else the newest state. */
-    ConfigurationState superseded(Edition edition, ConfigurationState newest) {
+    ConfigurationState superseded(ConfigurationRevision edition, ConfigurationState newest) {
         ConfigurationState meant = newest;
         for (ConfigurationState earlier : superseded) {
             if (earlier.edition().equals(edition)) {
@@ -92,7 +95,7 @@
             superseded.removeIf(s -> !s.edition().isAfter(state.edition()));
             LOG.info("Edition {} is committed in view {}.", state.edition(), state.view());
             committed = state;
-            room.write(List.of(Memory.committedNote(state)), safe -> { });
+            room.write(List.of(ReplicaStorage.committedNote(state)), safe -> {});
             for (Consumer<ConfigurationState> o : observers) {
                 o.accept(state);
             }
--- a/archive/src/main/java/org/umbermount/archive/DroppedMessages.java
+++ b/control/src/main/java/org/umbermount/control/DroppedMessages.java
@@ -1,7 +1,7 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.Locale;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
 
 /** Counts the readable messages of views and chain that nothing is done about, by the reason for it. */
 final class DroppedMessages {
@@ -15,13 +15,13 @@
         NOT_A_MEMBER
     }
 
-    private final Tally tally;
+    private final Metrics metrics;
 
-    DroppedMessages(Tally tally) {
-        this.tally = tally;
+    DroppedMessages(Metrics metrics) {
+        this.metrics = metrics;
     }
 
     void count(Reason reason) {
-        tally.count("archive.messages.dropped." + reason.name().toLowerCase(Locale.ROOT));
+        metrics.count("control.messages.dropped." + reason.name().toLowerCase(Locale.ROOT));
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -1,13 +1,13 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.storage.DiskWriter;
 
 /**
- * The one place where {@link Memory} changes. Invariant: changes are made one at a time, and each is on disk before
+ * The one place where {@link ReplicaStorage} changes. Invariant: changes are made one at a time, and each is on disk before
  * {@link #memory()} shows it and before anything runs that rests on it. A refused change never shows.
  */
 final class DurableState {
@@ -15,33 +15,40 @@
     private static final long RETRY_MS = 200;
 
     private final Clock clock;
-    private final StackRoom room;
-    private final Tally tally;
+    private final DiskWriter room;
+    private final Metrics metrics;
     private final StateJournal journal;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
-    private Memory memory;
+    private ReplicaStorage memory;
     private boolean busy;
     private boolean onDisk;
     private boolean freezing;
-    private Moment frozenSince;
+    private MonotonicTime frozenSince;
 
     /**
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, StackRoom room, Tally tally, StateIncrements increments, Memory memory, boolean onDisk) {
+    DurableState(
+            Clock clock,
+            DiskWriter room,
+            Metrics metrics,
+            StateIncrements increments,
+            ReplicaStorage memory,
+            boolean onDisk) {
         this.clock = clock;
         this.room = room;
-        this.tally = tally;
+        this.metrics = metrics;
         this.journal = new StateJournal(increments);
         this.memory = memory;
         this.onDisk = onDisk;
-        // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how long.
+        // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how
+        // long.
         this.frozenSince = memory.frozen() ? clock.now() : null;
     }
 
     /** The newest memory that is on disk; before the first write the one to start from. */
-    Memory memory() {
+    ReplicaStorage memory() {
         return memory;
     }
 
@@ -62,23 +69,23 @@
         } else if (backlog.size() < BACKLOG) {
             backlog.add(change);
         } else {
-            tally.count("archive.backlog.dropped");
+            metrics.count("control.backlog.dropped");
         }
     }
 
     /** Writes a memory that holds a new promise; {@link #freezing()} holds from now until the disk has answered. */
-    void persistPromise(Memory next, Runnable then) {
+    void persistPromise(ReplicaStorage next, Runnable then) {
         freezing = true;
         persist(next, then);
     }
 
     /** Writes the next memory; {@code then} runs once it is on disk, and never if the disk refuses it. */
-    void persist(Memory next, Runnable then) {
+    void persist(ReplicaStorage next, Runnable then) {
         if (busy) {
             throw new IllegalStateException("Two changes of memory at once.");
         }
         busy = true;
-        Memory old = memory;
+        ReplicaStorage old = memory;
         StateIncrement increment = onDisk ? journal.next(old.state(), next.state()) : null;
         room.write(next.changesSince(onDisk ? old : null, increment), safe -> {
             busy = false;
@@ -96,7 +103,7 @@
         });
     }
 
-    private void noteWritten(Memory old, Memory next, StateIncrement increment) {
+    private void noteWritten(ReplicaStorage old, ReplicaStorage next, StateIncrement increment) {
         if (increment != null) {
             journal.incrementWritten(increment);
         } else if (!onDisk || old.state() != next.state()) {
@@ -104,7 +111,7 @@
         }
     }
 
-    private void take(Memory next) {
+    private void take(ReplicaStorage next) {
         onDisk = true;
         memory = next;
         if (!next.frozen()) {
@@ -115,8 +122,8 @@
     }
 
     /** Only the very first write is tried again by itself: nothing else would ask for it. */
-    private void refused(Memory old, Memory next, Runnable then) {
-        tally.count("archive.writes.refused");
+    private void refused(ReplicaStorage old, ReplicaStorage next, Runnable then) {
+        metrics.count("control.writes.refused");
         if (!onDisk && old.view().number() == 0) {
             clock.after(RETRY_MS, () -> serially(() -> persist(next, then)));
         }
--- a/archive/src/main/java/org/umbermount/archive/DutyCandidates.java
+++ b/control/src/main/java/org/umbermount/control/DutyCandidates.java
@@ -1,6 +1,6 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /** Who comes into question for a duty, as far as this daemon hears of the others, and who of them comes first. */
@@ -8,12 +8,12 @@
     /** How long another has to be well before a duty is left to it. */
     static final long STEADY_MS = 1_200;
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final Replica replica;
     private final FailureDetector detector;
     private final String ownZone;
 
-    DutyCandidates(Imprint self, Replica replica, FailureDetector detector, String ownZone) {
+    DutyCandidates(DaemonAddress self, Replica replica, FailureDetector detector, String ownZone) {
         this.self = self;
         this.replica = replica;
         this.detector = detector;
@@ -32,12 +32,12 @@
     private boolean majorityIsPrompt() {
         int prompt = 0;
         for (Voter voter : replica.view().electorate()) {
-            prompt += isPrompt(voter.imprint()) ? 1 : 0;
+            prompt += isPrompt(voter.daemonAddress()) ? 1 : 0;
         }
         return prompt >= replica.view().majority() && Safeguard.SLOW_STANDS_BACK.holds();
     }
 
-    private boolean isPrompt(Imprint who) {
+    private boolean isPrompt(DaemonAddress who) {
         if (who.equals(self)) {
             return !detector.isSlow(replica.view());
         }
@@ -53,16 +53,22 @@
      * one that a majority does not answer asks for none, and one that is slow leaves them to others.
      */
     private boolean mayHold(FailureDetector.Peer p) {
-        boolean inContact = p.report() != null && (p.report().inContact() || detector.goodForMs(p.imprint()) < STEADY_MS
-                || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
-        return inContact && detector.connected(p.imprint()) && !p.report().leaving() && p.report().votes()
-                && replica.view().votes(p.imprint()) && !p.report().standsBack();
+        boolean inContact = p.report() != null
+                && (p.report().inContact()
+                        || detector.goodForMs(p.daemonAddress()) < STEADY_MS
+                        || !Safeguard.DUTY_LEFT_TO_ONE_IN_CONTACT.holds());
+        return inContact
+                && detector.connected(p.daemonAddress())
+                && !p.report().leaving()
+                && p.report().votes()
+                && replica.view().votes(p.daemonAddress())
+                && !p.report().standsBack();
     }
 
-    /** Whether a registrar of a zone comes into question that has been well for some time. */
+    /** Whether a controller of a zone comes into question that has been well for some time. */
     boolean hasLocalPeer(String zone, long steadyMs) {
         for (FailureDetector.Peer p : detector.peers()) {
-            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.imprint()) >= steadyMs) {
+            if (mayHold(p) && p.report().zone().equals(zone) && detector.goodForMs(p.daemonAddress()) >= steadyMs) {
                 return true;
             }
         }
@@ -76,14 +82,16 @@
             if (!mayHold(p) || local && !p.report().zone().equals(zone)) {
                 continue;
             }
-            if (order(p.imprint(), salt) < order(self, salt)) {
+            if (order(p.daemonAddress(), salt) < order(self, salt)) {
                 return false;
             }
         }
         return true;
     }
 
-    private static long order(Imprint imprint, int salt) {
-        return salt == 0 ? imprint.packed() : (imprint.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
+    private static long order(DaemonAddress daemonAddress, int salt) {
+        return salt == 0
+                ? daemonAddress.packed()
+                : (daemonAddress.packed() * 0x9E3779B97F4A7C15L ^ salt) * 0xBF58476D1CE4E5B9L >>> 1;
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,29 +9,32 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
 
-/** Registrars tell each other at short intervals that they are there, how they are, and whom they hear. */
+/** Controllers tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
     public static final long INTERVAL_MS = 300;
     /** Silence after which a peer is not relied on. */
     public static final long SILENCE_MS = 1_000;
+
     private static final long STALL_MS = 700;
     /** How long a peer that was never heard has to show up after this daemon's start. */
     private static final long FIRST_MS = 3_000;
+
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
     /** Pauses of a process that has just started say nothing of how it will go on. */
     private static final long STARTING_MS = 5_000;
+
     private static final long NO_LIFE = 0;
 
     /**
-     * What a registrar tells of itself.
+     * What a controller tells of itself.
      *
      * @param life the number of this life of the process, drawn at random
      * @param mayMove whether it is a voter with its memory that no promise binds
@@ -42,48 +45,103 @@
      * @param standsBack whether it leaves duties to others, being slow
      * @param slowPeers whose roll calls come to it in long gaps, again and again
      */
-    public record Report(long incarnation, boolean votes, boolean mayMove, boolean inContact, boolean diskGood,
-            boolean leaving, long view, long edition, long newestEdition, long life, long censusSeq,
-            long censusDigest, boolean censusReady, long settledView, List<String> duties, String zone, Imprint control,
-            List<Imprint> heard, List<Imprint> connected, boolean slow, boolean standsBack,
-            List<Imprint> slowPeers) {
-        void write(Script.Writer out) {
-            out.num(incarnation).flag(votes).flag(mayMove).flag(inContact).flag(diskGood).flag(leaving).num(view).num(edition)
-                    .num(newestEdition).num(life).num(censusSeq).num(censusDigest).flag(censusReady).num(settledView)
-                    .list(duties, Script.Writer::text).text(zone).imprint(control)
-                    .list(heard, Script.Writer::imprint).list(connected, Script.Writer::imprint)
-                    .flag(slow).flag(standsBack).list(slowPeers, Script.Writer::imprint);
+    public record Report(
+            long incarnation,
+            boolean votes,
+            boolean mayMove,
+            boolean inContact,
+            boolean diskGood,
+            boolean leaving,
+            long view,
+            long edition,
+            long newestEdition,
+            long life,
+            long censusSeq,
+            long censusDigest,
+            boolean censusReady,
+            long settledView,
+            List<String> duties,
+            String zone,
+            DaemonAddress control,
+            List<DaemonAddress> heard,
+            List<DaemonAddress> connected,
+            boolean slow,
+            boolean standsBack,
+            List<DaemonAddress> slowPeers) {
+        void write(MessagePackCodec.Writer out) {
+            out.num(incarnation)
+                    .flag(votes)
+                    .flag(mayMove)
+                    .flag(inContact)
+                    .flag(diskGood)
+                    .flag(leaving)
+                    .num(view)
+                    .num(edition)
+                    .num(newestEdition)
+                    .num(life)
+                    .num(censusSeq)
+                    .num(censusDigest)
+                    .flag(censusReady)
+                    .num(settledView)
+                    .list(duties, MessagePackCodec.Writer::text)
+                    .text(zone)
+                    .daemonAddress(control)
+                    .list(heard, MessagePackCodec.Writer::daemonAddress)
+                    .list(connected, MessagePackCodec.Writer::daemonAddress)
+                    .flag(slow)
+                    .flag(standsBack)
+                    .list(slowPeers, MessagePackCodec.Writer::daemonAddress);
         }
 
-        static Report read(Script.Reader in) throws Script.UnreadableException {
-            return new Report(in.num(), in.flag(), in.flag(), in.flag(), in.flag(), in.flag(), in.num(), in.num(),
-                    in.num(), in.num(), in.num(), in.num(), in.flag(), in.num(), in.list(Script.Reader::text), in.text(),
-                    in.imprint(), in.list(Script.Reader::imprint), in.list(Script.Reader::imprint), in.flag(),
-                    in.flag(), in.list(Script.Reader::imprint));
+        static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+            return new Report(
+                    in.num(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.flag(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.num(),
+                    in.flag(),
+                    in.num(),
+                    in.list(MessagePackCodec.ClientConnection::text),
+                    in.text(),
+                    in.daemonAddress(),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.flag(),
+                    in.flag(),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress));
         }
     }
 
-    /** What is known of another registrar. */
+    /** What is known of another controller. */
     public static final class Peer {
-        private final Imprint imprint;
+        private final DaemonAddress daemonAddress;
         private Report report;
-        private Moment lastHeard = Moment.NEVER;
+        private MonotonicTime lastHeard = MonotonicTime.NEVER;
         /** The newest moment of this daemon's clock that the peer has sent back. */
-        private Moment answered = Moment.NEVER;
+        private MonotonicTime answered = MonotonicTime.NEVER;
         /** The newest stamp of the peer's own clock, in the life that the report is of. */
         private long stamp = -1;
-        private Moment goodSince;
-        private Moment lostSince;
+
+        private MonotonicTime goodSince;
+        private MonotonicTime lostSince;
         /** When its roll calls came after a long gap, in this life of it. */
         private PauseHistory gaps;
 
-        Peer(Imprint imprint, Moment now) {
-            this.imprint = imprint;
+        Peer(DaemonAddress daemonAddress, MonotonicTime now) {
+            this.daemonAddress = daemonAddress;
             this.lostSince = now;
         }
 
-        public Imprint imprint() {
-            return imprint;
+        public DaemonAddress daemonAddress() {
+            return daemonAddress;
         }
 
         /** The newest report, or null before the first. */
@@ -91,12 +149,12 @@
             return report;
         }
 
-        public Moment lastHeard() {
+        public MonotonicTime lastHeard() {
             return lastHeard;
         }
 
         /** When that was sent which the newest report answers. */
-        public Moment answered() {
+        public MonotonicTime answered() {
             return answered;
         }
     }
@@ -104,41 +162,43 @@
     /** Gives the own report; the lists of those heard, heard in both directions, and found slow are filled in here. */
     public interface Reporter {
         /** The report of this moment. */
-        Report report(List<Imprint> heard, List<Imprint> connected, List<Imprint> slowPeers);
+        Report report(List<DaemonAddress> heard, List<DaemonAddress> connected, List<DaemonAddress> slowPeers);
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger messenger;
     private final Reporter reporter;
-    private final Map<Imprint, Peer> peers = new TreeMap<>();
+    private final Map<DaemonAddress, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
-    private final Moment started;
+    private final MonotonicTime started;
     /** Tells this life of the process from all others; stamps count the milliseconds since its start. */
     private final long life;
-    private final Tally tally;
-    private Runnable keeper = () -> { };
-    private Moment lastTick;
-    private Moment stalledUntil;
+
+    private final Metrics metrics;
+    private Runnable keeper = () -> {};
+    private MonotonicTime lastTick;
+    private MonotonicTime stalledUntil;
     private final PauseHistory pauses;
     /** The tick before the last pause that was counted. */
-    private Moment pausedAfter = Moment.NEVER;
+    private MonotonicTime pausedAfter = MonotonicTime.NEVER;
+
     private boolean leaving;
     private int rounds;
 
     /**
      * @param life the number of this life of the process, which the reporter gives as well
      */
-    public FailureDetector(Clock clock, Postbag post, Tally tally, long life, Reporter reporter) {
+    public FailureDetector(Clock clock, Messenger messenger, Metrics metrics, long life, Reporter reporter) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.reporter = reporter;
         this.started = clock.now();
         this.life = life;
-        this.tally = tally;
+        this.metrics = metrics;
         this.lastTick = started;
         this.stalledUntil = started;
         this.pauses = new PauseHistory(started.plus(STARTING_MS));
-        post.subscribe(Postbag.Topic.ROLL_CALL, this::receive);
+        messenger.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
     }
 
     public void start() {
@@ -146,10 +206,10 @@
         clock.every(INTERVAL_MS, this::tick);
     }
 
-    /** Adds a registrar to those that are called. */
-    public void enlist(Imprint imprint) {
-        if (!imprint.equals(post.self())) {
-            peers.computeIfAbsent(imprint, i -> new Peer(i, clock.now()));
+    /** Adds a controller to those that are called. */
+    public void enlist(DaemonAddress daemonAddress) {
+        if (!daemonAddress.equals(messenger.self())) {
+            peers.computeIfAbsent(daemonAddress, i -> new Peer(i, clock.now()));
         }
     }
 
@@ -162,22 +222,22 @@
         keeper = look;
     }
 
-    boolean isSelf(Imprint imprint) {
-        return imprint.equals(post.self());
+    boolean isSelf(DaemonAddress daemonAddress) {
+        return daemonAddress.equals(messenger.self());
     }
 
-    /** When that was sent which a registrar has answered last; now for this one. */
-    Moment answered(Imprint imprint) {
-        Peer p = peers.get(imprint);
-        return isSelf(imprint) ? clock.now() : p == null ? Moment.NEVER : p.answered;
+    /** When that was sent which a controller has answered last; now for this one. */
+    MonotonicTime answered(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
+        return isSelf(daemonAddress) ? clock.now() : p == null ? MonotonicTime.NEVER : p.answered;
     }
 
     public Collection<Peer> peers() {
         return Collections.unmodifiableCollection(peers.values());
     }
 
-    public Peer peer(Imprint imprint) {
-        return peers.get(imprint);
+    public Peer peer(DaemonAddress daemonAddress) {
+        return peers.get(daemonAddress);
     }
 
     /** Says once more, and at once, how this daemon is. */
@@ -195,7 +255,7 @@
     }
 
     private void tick() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         rounds++;
         lookForPause(now);
         if (now.since(lastTick) > STALL_MS) {
@@ -215,33 +275,33 @@
         }
     }
 
-    private byte[] ownReport(Moment now) {
+    private byte[] ownReport(MonotonicTime now) {
         return ownReport(now, null);
     }
 
     /** The own report; {@code asWell} is said to be heard, too. */
-    private byte[] ownReport(Moment now, Peer asWell) {
-        List<Imprint> heard = new ArrayList<>();
-        List<Imprint> both = new ArrayList<>();
-        List<Imprint> slowPeers = new ArrayList<>();
+    private byte[] ownReport(MonotonicTime now, Peer asWell) {
+        List<DaemonAddress> heard = new ArrayList<>();
+        List<DaemonAddress> both = new ArrayList<>();
+        List<DaemonAddress> slowPeers = new ArrayList<>();
         for (Peer p : peers.values()) {
             if (now.since(p.lastHeard) <= SILENCE_MS || p == asWell) {
-                heard.add(p.imprint);
+                heard.add(p.daemonAddress);
             }
             if (isConnected(p, now)) {
-                both.add(p.imprint);
+                both.add(p.daemonAddress);
             }
             if (p.gaps != null && p.gaps.isSlow(now)) {
-                slowPeers.add(p.imprint);
+                slowPeers.add(p.daemonAddress);
             }
         }
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         reporter.report(heard, both, slowPeers).write(out);
         return out.done();
     }
 
     private void send(boolean everyone) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         byte[] report = ownReport(now);
         for (Peer p : peers.values()) {
             if (everyone || now.since(p.lastHeard) < 10 * SILENCE_MS && now.since(p.lastHeard) < FORGET_MS) {
@@ -256,14 +316,18 @@
 
     /** A report, the moment at which it was sent, which life of the other it is for, and the newest such moment of that life. */
     private void send(Peer to, byte[] report, long addressee, long echo) {
-        byte[] stamps = Script.write().num(clock.now().since(started)).num(addressee).num(echo).done();
+        byte[] stamps = MessagePackCodec.write()
+                .num(clock.now().since(started))
+                .num(addressee)
+                .num(echo)
+                .done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
-        post.send(to.imprint, Postbag.Topic.ROLL_CALL, body);
+        messenger.send(to.daemonAddress, Messenger.Topic.ROLL_CALL, body);
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
         long addressee = in.num();
@@ -271,18 +335,18 @@
         keeper.run();
         boolean unknown = !peers.containsKey(from);
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
         if (addressee == NO_LIFE || addressee != life && Safeguard.ROLL_CALL_NAMES_LIFE.holds()) {
             introduce(peer, report.life(), stamp, now);
             return;
         }
         boolean anew = peer.report == null || peer.report.life() != report.life();
-        Moment answered = started.plus(echo);
+        MonotonicTime answered = started.plus(echo);
         boolean isAnswer = echo >= 0 && !now.isBefore(answered) && peer.answered.isBefore(answered);
         if (anew ? !isAnswer && Safeguard.LATER_LIFE_ANSWERS_LATER.holds() : stamp < peer.stamp) {
             // Of a life that has ended, or overtaken on its way by a newer one.
-            tally.count("rollcall.late");
+            metrics.count("rollcall.late");
             return;
         }
         if (anew || peer.gaps == null) {
@@ -312,12 +376,12 @@
      * Answers a report that is not for this life of the daemon. It may be of a life of the sender that has ended, so nothing of
      * it is taken: a life that runs comes back with the stamp of this answer, which names it.
      */
-    private void introduce(Peer peer, long theirLife, long theirStamp, Moment now) {
-        tally.count("rollcall.unacquainted");
+    private void introduce(Peer peer, long theirLife, long theirStamp, MonotonicTime now) {
+        metrics.count("rollcall.unacquainted");
         send(peer, ownReport(now, peer), theirLife, theirStamp);
     }
 
-    private void judge(Peer p, Moment now) {
+    private void judge(Peer p, MonotonicTime now) {
         boolean good = isConnected(p, now) && p.report.diskGood() && !p.report.leaving();
         if (!good) {
             p.goodSince = null;
@@ -330,54 +394,56 @@
         }
     }
 
-    private boolean isConnected(Peer p, Moment now) {
-        return p.report != null && now.since(p.lastHeard) <= SILENCE_MS && p.report.heard().contains(post.self());
+    private boolean isConnected(Peer p, MonotonicTime now) {
+        return p.report != null
+                && now.since(p.lastHeard) <= SILENCE_MS
+                && p.report.heard().contains(messenger.self());
     }
 
     /** Heard of lately, and hears this daemon. */
-    public boolean connected(Imprint imprint) {
-        if (imprint.equals(post.self())) {
+    public boolean connected(DaemonAddress daemonAddress) {
+        if (daemonAddress.equals(messenger.self())) {
             return true;
         }
-        Peer p = peers.get(imprint);
+        Peer p = peers.get(daemonAddress);
         return p != null && isConnected(p, clock.now());
     }
 
     /** How long a peer has been connected with a working disk; -1 if it is not. */
-    public long goodForMs(Imprint imprint) {
-        Peer p = peers.get(imprint);
+    public long goodForMs(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         if (p == null) {
             return -1;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         judge(p, now);
         return p.goodSince == null ? -1 : now.since(p.goodSince);
     }
 
     /** Whether a peer may still be on its way: this daemon has just started and has not heard of it. */
-    public boolean expected(Imprint imprint) {
-        Peer p = peers.get(imprint);
+    public boolean expected(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         return p != null && p.report == null && clock.now().since(started) < FIRST_MS;
     }
 
     /** How long a peer has not been usable; 0 if it is. */
-    public long lostForMs(Imprint imprint) {
-        Peer p = peers.get(imprint);
+    public long lostForMs(DaemonAddress daemonAddress) {
+        Peer p = peers.get(daemonAddress);
         if (p == null) {
             return 0;
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         judge(p, now);
         return p.lostSince == null ? 0 : now.since(p.lostSince);
     }
 
     /** Whether a peer is connected and has said how it is in answer to something sent later than a moment. */
-    public boolean answeredSince(Imprint imprint, Moment moment) {
-        Peer p = peers.get(imprint);
+    public boolean answeredSince(DaemonAddress daemonAddress, MonotonicTime moment) {
+        Peer p = peers.get(daemonAddress);
         return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
-    private void lookForPause(Moment now) {
+    private void lookForPause(MonotonicTime now) {
         if (now.since(lastTick) > STALL_MS && !lastTick.equals(pausedAfter)) {
             pausedAfter = lastTick;
             pauses.paused(now);
@@ -394,15 +460,15 @@
      * with, and two at least, find its roll calls late. The second holds also where the clock stands still with the process.
      */
     public boolean isSlow(View view) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         lookForPause(now);
         int connected = 0;
         int complaints = 0;
         for (Voter f : view.electorate()) {
-            Peer p = peers.get(f.imprint());
+            Peer p = peers.get(f.daemonAddress());
             if (p != null && isConnected(p, now)) {
                 connected++;
-                complaints += p.report.slowPeers().contains(post.self()) ? 1 : 0;
+                complaints += p.report.slowPeers().contains(messenger.self()) ? 1 : 0;
             }
         }
         return pauses.isSlow(now) || complaints >= 2 && 2 * complaints > connected;
@@ -410,7 +476,7 @@
 
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         return now.since(lastTick) > STALL_MS || now.since(started) < ms || now.isBefore(stalledUntil.plus(ms));
     }
 
@@ -418,7 +484,7 @@
     public boolean reachesMajority(View view) {
         int n = 0;
         for (Voter f : view.electorate()) {
-            if (connected(f.imprint())) {
+            if (connected(f.daemonAddress())) {
                 n++;
             }
         }
--- a/archive/src/main/java/org/umbermount/archive/LeaseEpochs.java
+++ b/control/src/main/java/org/umbermount/control/LeaseEpochs.java
@@ -1,14 +1,14 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.stacks.Folio;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.DiskWriter;
+import org.umbermount.storage.LogRecord;
 
 /**
  * The epochs of leases as one voter grants them: the number of a view and a counter that rises in and over all views. What was
@@ -16,9 +16,10 @@
  * and after a restart nothing is granted at or below the bound of before.
  */
 final class LeaseEpochs {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
-    /** The entry in the file of the chain and the views; {@link Memory} has those before it. */
+    private static final Logger LOG = LoggerFactory.getLogger("control");
+    /** The entry in the file of the chain and the views; {@link ReplicaStorage} has those before it. */
     private static final byte BOUND = 7;
+
     private static final int COUNTER_BITS = 36;
     private static final long COUNTER_MASK = (1L << COUNTER_BITS) - 1;
     /** How far a bound reaches beyond what is asked for, so that it is seldom written. */
@@ -26,33 +27,32 @@
     /** How many wait for the disk at most; those beyond ask again. */
     private static final int MOST_WAITING = 512;
 
-    private final StackRoom room;
+    private final DiskWriter room;
     private final long floor;
     private final List<Waiting> waiting = new ArrayList<>();
     private long bound;
     private boolean writing;
 
-    private record Waiting(long counter, Runnable then) {
-    }
+    private record Waiting(long counter, Runnable then) {}
 
     /**
      * @param room writes to the file
      * @param memory the file of the chain and the views, as it was found
      */
-    LeaseEpochs(StackRoom room, Stack memory) {
+    LeaseEpochs(DiskWriter room, AppendOnlyFile memory) {
         this.room = room;
         this.floor = Safeguard.EPOCHS_RISE_OVER_RESTARTS.holds() ? read(memory) : 0;
         this.bound = floor;
     }
 
-    private static long read(Stack memory) {
+    private static long read(AppendOnlyFile memory) {
         byte[] noted = memory.get(BOUND);
         if (noted == null) {
             return 0;
         }
         try {
-            return Script.read(noted).num();
-        } catch (Script.UnreadableException e) {
+            return MessagePackCodec.read(noted).num();
+        } catch (MessagePackCodec.UnreadableException e) {
             LOG.warn("The bound of the lease epochs cannot be read: {}.", e.getMessage());
             return 0;
         }
@@ -73,7 +73,7 @@
 
     /** Writes a first bound, while nobody needs it yet. */
     void start() {
-        whenCovered(of(0, floor + 1), () -> { });
+        whenCovered(of(0, floor + 1), () -> {});
     }
 
     /** No counter above it was granted here before this start. */
@@ -102,14 +102,15 @@
 
     private void write(long next) {
         writing = true;
-        room.write(List.of(new Folio(BOUND, Script.write().num(next).done())), safe -> {
-            writing = false;
-            List<Waiting> these = new ArrayList<>(waiting);
-            waiting.clear();
-            if (safe) {
-                bound = next;
-                these.forEach(w -> whenCovered(w.counter(), w.then()));
-            }
-        });
+        room.write(
+                List.of(new LogRecord(BOUND, MessagePackCodec.write().num(next).done())), safe -> {
+                    writing = false;
+                    List<Waiting> these = new ArrayList<>(waiting);
+                    waiting.clear();
+                    if (safe) {
+                        bound = next;
+                        these.forEach(w -> whenCovered(w.counter(), w.then()));
+                    }
+                });
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/LeaseOffice.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,23 +11,24 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
 
 /**
  * Leases on duties, one for each zone. A majority of the voters grants; the holder counts from when it asked
  * and stops before the grants end; the epoch rises with each new holder.
  */
-public final class LeaseOffice {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+public final class LeaseManager {
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     public static final long TERM_MS = 1_500;
     /** Each keeps the counts of a share of the tenants. */
     public static final List<String> QUOTA_DUTIES =
             List.of("quota/0", "quota/1", "quota/2", "quota/3", "quota/4", "quota/5", "quota/6", "quota/7");
+
     private static final long LOOP_MS = 200;
     private static final long RENEW_MS = 450;
     private static final long MARGIN_MS = 150;
@@ -35,27 +36,31 @@
     private static final long GRANT_MS = 300;
     /** How many waits of two rounds there are to draw from, none included, when the voters of several are split. */
     private static final int SPLIT_WAITS = 3;
+
     private static final long REPORTED_MS = GRANT_MS + 150;
 
     private enum Kind {
-        ASK, GRANT, DENY, RELEASE
+        ASK,
+        GRANT,
+        DENY,
+        RELEASE
     }
 
     private static final class Granted {
-        Imprint holder;
+        DaemonAddress holder;
         long epoch;
-        Moment until = Moment.NEVER;
+        MonotonicTime until = MonotonicTime.NEVER;
     }
 
     private static final class Held {
         long epoch;
-        Moment until = Moment.NEVER;
-        Moment asked = Moment.NEVER;
-        final Set<Imprint> granted = new HashSet<>();
-        final Set<Imprint> grantedLate = new HashSet<>();
-        final Set<Imprint> denied = new HashSet<>();
-        Moment notAskedBefore = Moment.NEVER;
-        Moment vacantSince;
+        MonotonicTime until = MonotonicTime.NEVER;
+        MonotonicTime asked = MonotonicTime.NEVER;
+        final Set<DaemonAddress> granted = new HashSet<>();
+        final Set<DaemonAddress> grantedLate = new HashSet<>();
+        final Set<DaemonAddress> denied = new HashSet<>();
+        MonotonicTime notAskedBefore = MonotonicTime.NEVER;
+        MonotonicTime vacantSince;
         boolean active;
     }
 
@@ -66,15 +71,14 @@
         void ended(String zone);
 
         /** A grant that this daemon has given has changed hands. */
-        default void moved(String duty) {
-        }
+        default void moved(String duty) {}
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger messenger;
     private final Replica replica;
     private final FailureDetector detector;
-    private final Tally tally;
+    private final Metrics metrics;
     private final LeaseEpochs epochs;
     private final String ownZone;
     private final DutyCandidates candidates;
@@ -82,32 +86,41 @@
     private final List<String> quotas;
     private final Random random;
     /** Since when this daemon knows what it has granted: its start, or when it came to vote. */
-    private Moment grantsKnownSince;
+    private MonotonicTime grantsKnownSince;
+
     private boolean voting;
     private final Map<String, Granted> grants = new HashMap<>();
     private final Map<String, Held> held = new TreeMap<>();
     private final List<Observer> observers = new ArrayList<>();
 
-    LeaseOffice(Clock clock, Postbag post, Replica replica, FailureDetector detector, Tally tally, LeaseEpochs epochs,
-            String ownZone, Iterable<String> zones, List<String> quotas,
+    LeaseManager(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            FailureDetector detector,
+            Metrics metrics,
+            LeaseEpochs epochs,
+            String ownZone,
+            Iterable<String> zones,
+            List<String> quotas,
             Random random) {
         this.quotas = List.copyOf(quotas);
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.detector = detector;
-        this.tally = tally;
+        this.metrics = metrics;
         this.epochs = epochs;
         this.ownZone = ownZone;
-        this.candidates = new DutyCandidates(post.self(), replica, detector, ownZone);
+        this.candidates = new DutyCandidates(messenger.self(), replica, detector, ownZone);
         this.zones = new ArrayList<>();
         zones.forEach(this.zones::add);
         this.zones.addAll(quotas);
         this.random = random;
         this.grantsKnownSince = clock.now();
-        this.voting = replica.view().votes(post.self());
+        this.voting = replica.view().votes(messenger.self());
         replica.onView(this::viewChanged);
-        post.subscribe(Postbag.Topic.LEASE, this::receive);
+        messenger.subscribe(Messenger.Topic.LEASE, this::receive);
     }
 
     public void start() {
@@ -132,9 +145,9 @@
     }
 
     /** Who holds a zone's duty as far as this daemon has granted it; null if nobody. */
-    public Imprint holder(String zone) {
+    public DaemonAddress holder(String zone) {
         if (epoch(zone) > 0) {
-            return post.self();
+            return messenger.self();
         }
         Granted g = grants.get(zone);
         return g != null && clock.now().isBefore(g.until) ? g.holder : null;
@@ -142,7 +155,7 @@
 
     /** Who takes the seat of another does not know what that one has granted, as after a restart. */
     private void viewChanged(View view) {
-        boolean votes = view.votes(post.self());
+        boolean votes = view.votes(messenger.self());
         if (votes && !voting && Safeguard.GRANTS_WAIT_AFTER_JOINING.holds()) {
             grantsKnownSince = clock.now();
             clock.after(REPORTED_MS + 1, detector::callNow);
@@ -168,7 +181,7 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         for (String zone : zones) {
             Held h = held.computeIfAbsent(zone, z -> new Held());
             if (h.active && !now.isBefore(h.until)) {
@@ -176,7 +189,9 @@
             }
             if (!wanted(zone, h, now)) {
                 if (h.active || now.since(h.asked) < TERM_MS) {
-                    release(zone, candidates.selfStandsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
+                    release(
+                            zone,
+                            candidates.selfStandsBack() ? "this daemon is slow" : "a daemon of the zone takes it");
                 }
                 continue;
             }
@@ -194,17 +209,23 @@
      * Whether this daemon and others each have a part of the voters, and none a majority. Each would keep its part by asking
      * again; so whoever finds it so gives its part back, and waits for a time that is drawn.
      */
-    private static boolean isSplit(Held h, Moment now) {
+    private static boolean isSplit(Held h, MonotonicTime now) {
         long waited = now.since(h.asked);
-        return !h.active && waited > GRANT_MS && waited < TERM_MS && h.granted.size() > 1 && !h.denied.isEmpty()
+        return !h.active
+                && waited > GRANT_MS
+                && waited < TERM_MS
+                && h.granted.size() > 1
+                && !h.denied.isEmpty()
                 && Safeguard.SPLIT_GRANTS_GIVEN_BACK.holds();
     }
 
     /** Whether this daemon should have the duty. */
-    private boolean wanted(String zone, Held h, Moment now) {
-        if (detector.isLeaving() || !replica.view().votes(post.self())
+    private boolean wanted(String zone, Held h, MonotonicTime now) {
+        if (detector.isLeaving()
+                || !replica.view().votes(messenger.self())
                 || replica.standing() == Replica.Standing.RECOVERING
-                || !detector.reachesMajority(replica.view()) || candidates.selfStandsBack()) {
+                || !detector.reachesMajority(replica.view())
+                || candidates.selfStandsBack()) {
             h.vacantSince = null;
             return false;
         }
@@ -221,15 +242,16 @@
         if (h.active) {
             return true;
         }
-        Imprint other = holder(zone);
-        if (other != null && !other.equals(post.self())) {
+        DaemonAddress other = holder(zone);
+        if (other != null && !other.equals(messenger.self())) {
             h.vacantSince = null;
             return false;
         }
         if (h.vacantSince == null) {
             h.vacantSince = now;
         }
-        return now.since(h.vacantSince) > LOOP_MS && !detector.unsettled(DutyCandidates.STEADY_MS)
+        return now.since(h.vacantSince) > LOOP_MS
+                && !detector.unsettled(DutyCandidates.STEADY_MS)
                 && candidates.isFirst(zone, zone.hashCode());
     }
 
@@ -242,12 +264,12 @@
         }
         int daemons = 1;
         for (FailureDetector.Peer p : detector.peers()) {
-            daemons += detector.goodForMs(p.imprint()) >= DutyCandidates.STEADY_MS ? 1 : 0;
+            daemons += detector.goodForMs(p.daemonAddress()) >= DutyCandidates.STEADY_MS ? 1 : 0;
         }
         return mine > (quotas.size() + daemons - 1) / daemons + 1;
     }
 
-    private void ask(String zone, Held h, Moment now) {
+    private void ask(String zone, Held h, MonotonicTime now) {
         if (!h.active) {
             h.epoch = nextEpoch(zone, h);
         }
@@ -255,13 +277,18 @@
         h.granted.clear();
         h.grantedLate.clear();
         h.denied.clear();
-        byte[] body = Script.write().num(Kind.ASK.ordinal()).text(zone).num(h.epoch).num(now.millis())
-                .num(replica.view().number()).done();
+        byte[] body = MessagePackCodec.write()
+                .num(Kind.ASK.ordinal())
+                .text(zone)
+                .num(h.epoch)
+                .num(now.millis())
+                .num(replica.view().number())
+                .done();
         for (Voter f : replica.view().electorate()) {
-            if (f.imprint().equals(post.self())) {
+            if (f.daemonAddress().equals(messenger.self())) {
                 grantOwn(zone, h.epoch, now, replica.view().number());
-            } else if (detector.connected(f.imprint())) {
-                post.send(f.imprint(), Postbag.Topic.LEASE, body);
+            } else if (detector.connected(f.daemonAddress())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LEASE, body);
             }
         }
     }
@@ -273,27 +300,27 @@
         return LeaseEpochs.join(known, LeaseEpochs.of(replica.view().number(), epochs.first())) + 1;
     }
 
-    private void grantOwn(String zone, long epoch, Moment asked, long view) {
+    private void grantOwn(String zone, long epoch, MonotonicTime asked, long view) {
         epochs.whenCovered(epoch, () -> {
-            if (clock.now().since(asked) <= GRANT_MS && grant(zone, post.self(), epoch, view)) {
-                granted(post.self(), zone, epoch, asked.millis());
+            if (clock.now().since(asked) <= GRANT_MS && grant(zone, messenger.self(), epoch, view)) {
+                granted(messenger.self(), zone, epoch, asked.millis());
             }
         });
     }
 
     /** Asks at once where the last question failed only for its epoch. */
     private void askAgain(String zone, Held h) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (zones.contains(zone) && wanted(zone, h, now)) {
             ask(zone, h, now);
         }
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown message about leases", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about leases", null);
         }
         String zone = in.text();
         long epoch = in.num();
@@ -302,7 +329,7 @@
                 long asked = in.num();
                 long view = in.num();
                 if (view == replica.view().number()) {
-                    Moment came = clock.now();
+                    MonotonicTime came = clock.now();
                     epochs.whenCovered(epoch, () -> {
                         // Whoever asked uses no grant that comes later.
                         if (clock.now().since(came) <= GRANT_MS) {
@@ -327,24 +354,32 @@
             case RELEASE -> {
                 Granted g = grants.get(zone);
                 if (g != null && from.equals(g.holder) && g.epoch == epoch) {
-                    g.until = Moment.NEVER;
+                    g.until = MonotonicTime.NEVER;
                 }
             }
             default -> throw new IllegalStateException();
         }
     }
 
-    private void answer(Imprint from, String zone, long epoch, long asked, long view) {
+    private void answer(DaemonAddress from, String zone, long epoch, long asked, long view) {
         boolean yes = grant(zone, from, epoch, view);
         Granted g = grants.get(zone);
         long newest = LeaseEpochs.join(g == null ? 0 : g.epoch, epochs.floor());
-        post.send(from, Postbag.Topic.LEASE, Script.write().num((yes ? Kind.GRANT : Kind.DENY).ordinal())
-                .text(zone).num(yes ? epoch : newest).num(asked).done());
-    }
-
-    private boolean grant(String zone, Imprint who, long epoch, long view) {
-        Moment now = clock.now();
-        // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters of a
+        messenger.send(
+                from,
+                Messenger.Topic.LEASE,
+                MessagePackCodec.write()
+                        .num((yes ? Kind.GRANT : Kind.DENY).ordinal())
+                        .text(zone)
+                        .num(yes ? epoch : newest)
+                        .num(asked)
+                        .done());
+    }
+
+    private boolean grant(String zone, DaemonAddress who, long epoch, long view) {
+        MonotonicTime now = clock.now();
+        // Grants of one view only are counted together, and none is given under a promise: so whoever asks the voters
+        // of a
         // later view meets one that has granted.
         if ((view != replica.view().number() || replica.promised()) && Safeguard.GRANTS_OF_ONE_VIEW.holds()) {
             return false;
@@ -355,8 +390,10 @@
         }
         // What was granted before a restart is not remembered: let it run out first, unless all who could hold it say
         // that they do not.
-        if (!replica.view().votes(post.self()) || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
-                && now.since(grantsKnownSince) < TERM_MS && !nobodyHolds(zone, who)) {
+        if (!replica.view().votes(messenger.self())
+                || Safeguard.GRANTS_WAIT_AFTER_RESTART.holds()
+                        && now.since(grantsKnownSince) < TERM_MS
+                        && !nobodyHolds(zone, who)) {
             return false;
         }
         Granted g = grants.computeIfAbsent(zone, z -> new Granted());
@@ -379,10 +416,10 @@
      * Whether every voter but the one that asks has said, asked well after this daemon's start, that it does not hold the
      * duty. Only voters hold duties, and none becomes a holder later than {@link #GRANT_MS} after it asked.
      */
-    private boolean nobodyHolds(String duty, Imprint except) {
+    private boolean nobodyHolds(String duty, DaemonAddress except) {
         for (Voter f : replica.view().electorate()) {
-            Imprint who = f.imprint();
-            if (who.equals(except) || who.equals(post.self())) {
+            DaemonAddress who = f.daemonAddress();
+            if (who.equals(except) || who.equals(messenger.self())) {
                 continue;
             }
             if (!detector.answeredSince(who, grantsKnownSince.plus(REPORTED_MS))
@@ -409,7 +446,7 @@
         return active;
     }
 
-    private void granted(Imprint from, String zone, long epoch, long asked) {
+    private void granted(DaemonAddress from, String zone, long epoch, long asked) {
         Held h = held.get(zone);
         if (h == null || h.epoch != epoch || h.asked.millis() != asked) {
             return;
@@ -423,11 +460,11 @@
         if (replica.view().electorate().isEmpty() || votes(h.granted) < needed) {
             return;
         }
-        Moment begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
+        MonotonicTime begins = Safeguard.LEASE_COUNTED_FROM_ASKING.holds() ? h.asked : clock.now();
         h.until = begins.plus(TERM_MS - MARGIN_MS);
         if (!h.active) {
             h.active = true;
-            tally.count("tenure.begun");
+            metrics.count("tenure.begun");
             LOG.info("Duty for {} begins with epoch {}.", zone, epoch);
             for (Observer o : observers) {
                 o.began(zone, epoch);
@@ -435,9 +472,9 @@
         }
     }
 
-    private int votes(Set<Imprint> grantors) {
+    private int votes(Set<DaemonAddress> grantors) {
         int votes = 0;
-        for (Imprint grantor : grantors) {
+        for (DaemonAddress grantor : grantors) {
             if (replica.view().votes(grantor)) {
                 votes++;
             }
@@ -446,11 +483,11 @@
     }
 
     /** A majority that would have granted in time but for this daemon, or its links, is a sign of a pause here. */
-    private void grantedLate(Held h, Imprint from) {
+    private void grantedLate(Held h, DaemonAddress from) {
         int needed = replica.view().majority();
         boolean inTime = votes(h.granted) >= needed;
         h.grantedLate.add(from);
-        Set<Imprint> all = new HashSet<>(h.granted);
+        Set<DaemonAddress> all = new HashSet<>(h.granted);
         all.addAll(h.grantedLate);
         if (!inTime && votes(all) >= needed) {
             detector.pauseNoticed();
@@ -473,7 +510,7 @@
         boolean pending = h != null && clock.now().since(h.asked) < TERM_MS;
         if (h != null && Safeguard.RELEASED_FOR_GOOD.holds()) {
             // Grants that are still on their way are not wanted any more.
-            h.asked = Moment.NEVER;
+            h.asked = MonotonicTime.NEVER;
             h.granted.clear();
         }
         if (h == null || !h.active && !pending) {
@@ -481,13 +518,17 @@
         }
         end(zone, h, why);
         Granted own = grants.get(zone);
-        if (own != null && post.self().equals(own.holder)) {
-            own.until = Moment.NEVER;
-        }
-        byte[] body = Script.write().num(Kind.RELEASE.ordinal()).text(zone).num(h.epoch).done();
+        if (own != null && messenger.self().equals(own.holder)) {
+            own.until = MonotonicTime.NEVER;
+        }
+        byte[] body = MessagePackCodec.write()
+                .num(Kind.RELEASE.ordinal())
+                .text(zone)
+                .num(h.epoch)
+                .done();
         for (Voter f : replica.view().electorate()) {
-            if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Postbag.Topic.LEASE, body);
+            if (!f.daemonAddress().equals(messenger.self())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LEASE, body);
             }
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -18,7 +18,7 @@
  * is done in the new one.
  */
 final class Membership {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
 
     /** Follows the change of views. */
     interface Listener {
@@ -29,7 +29,7 @@
         void inForce();
     }
 
-    private final Imprint self;
+    private final DaemonAddress self;
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages messages;
@@ -37,10 +37,14 @@
     private final List<Consumer<View>> observers = new ArrayList<>();
     private Listener listener;
     private Replica.Standing standing;
-    private Companion companion = Companion.NONE;
-    private List<Imprint> audience = List.of();
-
-    Membership(Imprint self, DurableState durable, CommitPoint commits, ViewMessages messages,
+    private CompanionState companion = CompanionState.NONE;
+    private List<DaemonAddress> audience = List.of();
+
+    Membership(
+            DaemonAddress self,
+            DurableState durable,
+            CommitPoint commits,
+            ViewMessages messages,
             DroppedMessages dropped) {
         this.self = self;
         this.durable = durable;
@@ -63,19 +67,20 @@
     /** The first start of the whole system, with this daemon in the first view. */
     void establish(View genesis) {
         standing = Replica.Standing.LEARNER;
-        durable.persist(durable.memory().adopt(genesis, ConfigurationState.NONE.inView(genesis.number())),
+        durable.persist(
+                durable.memory().adopt(genesis, ConfigurationState.NONE.inView(genesis.number())),
                 () -> adopted("the first start"));
     }
 
     /** A start with nothing on disk. */
     void startBlank(boolean newcomer) {
         standing = newcomer ? Replica.Standing.LEARNER : Replica.Standing.RECOVERING;
-        durable.persist(durable.memory(), () -> { });
+        durable.persist(durable.memory(), () -> {});
     }
 
     // ---- this daemon's part ----
 
-    Imprint self() {
+    DaemonAddress self() {
         return self;
     }
 
@@ -93,12 +98,12 @@
 
     /** Whether the chain may be acted in: this voter is in it, not frozen, and no member lost its memory since. */
     boolean inChain() {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         boolean bound = memory.frozen() && Safeguard.PROMISE_FREEZES.holds();
         if (standing != Replica.Standing.MEMBER || bound || !memory.view().chains(self)) {
             return false;
         }
-        for (Imprint member : memory.view().chain()) {
+        for (DaemonAddress member : memory.view().chain()) {
             if (memory.view().fellow(member).incarnation() < incarnationOf(member)) {
                 return false;
             }
@@ -107,28 +112,30 @@
     }
 
     /** The newest incarnation known of a daemon. */
-    long incarnationOf(Imprint who) {
-        Memory memory = durable.memory();
+    long incarnationOf(DaemonAddress who) {
+        ReplicaStorage memory = durable.memory();
         return who.equals(self) ? memory.incarnation() : memory.incarnationOf(who);
     }
 
-    private Replica.Standing standingIn(Memory m) {
+    private Replica.Standing standingIn(ReplicaStorage m) {
         Voter me = m.view().fellow(self);
         if (me == null) {
             return m.view().number() == 0 ? Replica.Standing.RECOVERING : Replica.Standing.LEARNER;
         }
-        return me.incarnation() == m.incarnation() || m.recoveredFor() == m.view().number()
-                ? Replica.Standing.MEMBER : Replica.Standing.RECOVERING;
+        return me.incarnation() == m.incarnation()
+                        || m.recoveredFor() == m.view().number()
+                ? Replica.Standing.MEMBER
+                : Replica.Standing.RECOVERING;
     }
 
     // ---- who goes along ----
 
     /** Sets what is kept beside the configuration. */
-    void accompany(Companion other) {
+    void accompany(CompanionState other) {
         companion = other;
     }
 
-    Companion companion() {
+    CompanionState companion() {
         return companion;
     }
 
@@ -136,20 +143,20 @@
         observers.add(observer);
     }
 
-    /** Sets which registrars beside the voters are told of views and commits. */
-    void audience(List<Imprint> registrars) {
-        audience = List.copyOf(registrars);
+    /** Sets which controllers beside the voters are told of views and commits. */
+    void audience(List<DaemonAddress> controllers) {
+        audience = List.copyOf(controllers);
     }
 
-    List<Imprint> audience() {
+    List<DaemonAddress> audience() {
         return audience;
     }
 
     /** The audience and the voters of a view, without this daemon. */
-    Set<Imprint> others(View view) {
-        Set<Imprint> targets = new HashSet<>(audience);
+    Set<DaemonAddress> others(View view) {
+        Set<DaemonAddress> targets = new HashSet<>(audience);
         for (Voter f : view.electorate()) {
-            targets.add(f.imprint());
+            targets.add(f.daemonAddress());
         }
         targets.remove(self);
         return targets;
@@ -164,7 +171,7 @@
         }
         durable.persist(durable.memory().adopt(proposal.view(), proposal.base()), () -> {
             adopted(why);
-            for (Imprint target : others(proposal.view())) {
+            for (DaemonAddress target : others(proposal.view())) {
                 sendNews(target);
             }
         });
@@ -172,7 +179,7 @@
 
     /** Hears of another's view and state. */
     void news(View view, ConfigurationState state, boolean isCommitted) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         if (view.number() < memory.view().number() || state.view() != view.number()) {
             dropped.count(DroppedMessages.Reason.OLD_VIEW);
             return;
@@ -181,7 +188,7 @@
             durable.persist(memory.adopt(view, state), () -> adopted("news of a newer view"));
         } else if (isCommitted && state.isNewerThan(memory.state()) && !view.chains(self)) {
             // A follower keeps what the chain has committed. Chain members change only by writes of the chain.
-            durable.persist(memory.withState(state), () -> { });
+            durable.persist(memory.withState(state), () -> {});
         }
     }
 
@@ -193,10 +200,14 @@
 
     /** The view in the memory is new here and on disk. */
     void adopted(String why) {
-        Memory memory = durable.memory();
+        ReplicaStorage memory = durable.memory();
         standing = standingIn(memory);
         listener.reset();
-        LOG.info("In force after {}: {}; edition {}; {}.", why, memory.view(), memory.state().edition(),
+        LOG.info(
+                "In force after {}: {}; edition {}; {}.",
+                why,
+                memory.view(),
+                memory.state().edition(),
                 standing.name().toLowerCase(Locale.ROOT));
         for (Consumer<View> o : observers) {
             o.accept(memory.view());
@@ -205,21 +216,21 @@
         listener.inForce();
     }
 
-    void sendNews(Imprint to) {
+    void sendNews(DaemonAddress to) {
         if (view().number() != 0) {
             messages.sendNews(to, durable.memory(), commits.committed());
         }
     }
 
-    /** Asks a registrar for its view and state. */
-    void fetch(Imprint from) {
+    /** Asks a controller for its view and state. */
+    void fetch(DaemonAddress from) {
         messages.sendFetch(from);
     }
 
     /** Takes in which incarnations another has met; {@code then} runs once they are on disk. */
-    void learnIncarnations(Map<Imprint, Long> met, Runnable then) {
-        Memory memory = durable.memory();
-        Memory next = memory.withIncarnations(met);
+    void learnIncarnations(Map<DaemonAddress, Long> met, Runnable then) {
+        ReplicaStorage memory = durable.memory();
+        ReplicaStorage next = memory.withIncarnations(met);
         if (next.incarnations().equals(memory.incarnations())) {
             then.run();
         } else {
--- a/archive/src/main/java/org/umbermount/archive/PauseHistory.java
+++ b/control/src/main/java/org/umbermount/control/PauseHistory.java
@@ -1,6 +1,6 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * Tells a process that stands still again and again from one that did so once: it counts as slow when two pauses lie within
@@ -12,19 +12,19 @@
     /** What is noticed this soon after a pause is taken for a part of it. */
     static final long SAME_MS = 600;
 
-    private final Moment countedFrom;
-    private Moment last = Moment.NEVER;
-    private Moment slowUntil = Moment.NEVER;
+    private final MonotonicTime countedFrom;
+    private MonotonicTime last = MonotonicTime.NEVER;
+    private MonotonicTime slowUntil = MonotonicTime.NEVER;
 
     /**
      * @param countedFrom pauses before it do not count, as those of a process that is starting
      */
-    PauseHistory(Moment countedFrom) {
+    PauseHistory(MonotonicTime countedFrom) {
         this.countedFrom = countedFrom;
     }
 
     /** Notes that a pause has ended. */
-    void paused(Moment now) {
+    void paused(MonotonicTime now) {
         if (now.isBefore(countedFrom) || now.since(last) < SAME_MS) {
             return;
         }
@@ -35,7 +35,7 @@
     }
 
     /** Whether pauses came again and again. */
-    boolean isSlow(Moment now) {
+    boolean isSlow(MonotonicTime now) {
         return now.isBefore(slowUntil);
     }
 }
--- a/archive/src/main/java/org/umbermount/archive/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -1,11 +1,11 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -14,25 +14,35 @@
  * majority; and none of them answers before that incarnation is on its own disk.
  */
 final class Recovery {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long REBUILD_MS = 6_000;
 
     /** What one of the others remembers. */
-    record Reply(View view, ConfigurationState state, Ballot promised, Ballot acceptedBallot, Proposal accepted,
-            Map<Imprint, Long> incarnations, Bookmark mark) {
-    }
-
-    private final Imprint self;
+    record Reply(
+            View view,
+            ConfigurationState state,
+            Ballot promised,
+            Ballot acceptedBallot,
+            Proposal accepted,
+            Map<DaemonAddress, Long> incarnations,
+            OperationLogPosition mark) {}
+
+    private final DaemonAddress self;
     private final Clock clock;
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
     private final DroppedMessages dropped;
-    private final Map<Imprint, Reply> replies = new HashMap<>();
+    private final Map<DaemonAddress, Reply> replies = new HashMap<>();
     private boolean rebuilding;
     private long attempt;
 
-    Recovery(Imprint self, Clock clock, DurableState durable, Membership membership, ViewMessages messages,
+    Recovery(
+            DaemonAddress self,
+            Clock clock,
+            DurableState durable,
+            Membership membership,
+            ViewMessages messages,
             DroppedMessages dropped) {
         this.self = self;
         this.clock = clock;
@@ -44,9 +54,10 @@
 
     // ---- for another that lost its memory ----
 
-    void answer(Imprint who, long incarnation) {
-        Memory memory = durable.memory();
-        if (membership.standing() == Replica.Standing.RECOVERING || memory.view().number() == 0) {
+    void answer(DaemonAddress who, long incarnation) {
+        ReplicaStorage memory = durable.memory();
+        if (membership.standing() == Replica.Standing.RECOVERING
+                || memory.view().number() == 0) {
             return;
         }
         if (memory.incarnationOf(who) >= incarnation) {
@@ -57,20 +68,21 @@
     }
 
     /** Tells a daemon what is remembered here, of itself as well. */
-    void tell(Imprint who, long incarnation) {
+    void tell(DaemonAddress who, long incarnation) {
         sendRecovered(who, incarnation);
     }
 
-    private void sendRecovered(Imprint who, long incarnation) {
-        messages.sendRecovered(who, incarnation, durable.memory(), membership.companion().mark());
+    private void sendRecovered(DaemonAddress who, long incarnation) {
+        messages.sendRecovered(
+                who, incarnation, durable.memory(), membership.companion().mark());
     }
 
     // ---- without memory here ----
 
     /** Asks all others what they remember. */
     void ask() {
-        Memory memory = durable.memory();
-        for (Imprint target : membership.others(memory.view())) {
+        ReplicaStorage memory = durable.memory();
+        for (DaemonAddress target : membership.others(memory.view())) {
             messages.sendRecover(target, memory.incarnation());
         }
     }
@@ -81,8 +93,8 @@
         rebuilding = false;
     }
 
-    void recovered(Imprint from, long incarnation, Reply reply) {
-        Memory memory = durable.memory();
+    void recovered(DaemonAddress from, long incarnation, Reply reply) {
+        ReplicaStorage memory = durable.memory();
         if (incarnation != memory.incarnation()) {
             dropped.count(DroppedMessages.Reason.FOREIGN_INCARNATION);
             return;
@@ -108,7 +120,8 @@
 
     /** The newest life of this daemon that another has met. */
     private long incarnationIn(Reply reply) {
-        return Math.max(reply.incarnations().getOrDefault(self, 0L),
+        return Math.max(
+                reply.incarnations().getOrDefault(self, 0L),
                 reply.view().votes(self) ? reply.view().fellow(self).incarnation() : 0L);
     }
 
@@ -117,10 +130,19 @@
      * one that votes, too, where a message of a life that has ended came late; its own memory is then one of those read.
      */
     private void startAbove(long known) {
-        Memory m = durable.memory();
+        ReplicaStorage m = durable.memory();
         LOG.info("Incarnation {} is known of this daemon: it goes on as the next.", known);
-        durable.persist(new Memory(known + 1, 0, m.view(), m.state(), m.promised(), m.acceptedBallot(), m.accepted(),
-                m.incarnations()), () -> {
+        durable.persist(
+                new ReplicaStorage(
+                        known + 1,
+                        0,
+                        m.view(),
+                        m.state(),
+                        m.promised(),
+                        m.acceptedBallot(),
+                        m.accepted(),
+                        m.incarnations()),
+                () -> {
                     membership.reincarnated();
                     ask();
                 });
@@ -138,7 +160,7 @@
 
     private int votersRead(View view) {
         int reads = 0;
-        for (Imprint who : replies.keySet()) {
+        for (DaemonAddress who : replies.keySet()) {
             if (view.votes(who)) {
                 reads++;
             }
@@ -148,20 +170,27 @@
 
     /** Enough has been read; what is kept beside the configuration is fetched before the memory counts as whole. */
     private void finish(View newest) {
-        Memory whole = merge(newest);
+        ReplicaStorage whole = merge(newest);
         int reads = replies.size();
         long mine = ++attempt;
         rebuilding = true;
         // The one that is asked may be lost itself, or the disk refuse: then the others are read again.
         clock.after(REBUILD_MS, () -> giveUp(mine));
-        membership.companion().rebuild(furthestMark(), () -> durable.serially(() -> {
-            // What has come into force meanwhile is newer than what was read.
-            if (mine != attempt || !rebuilding || durable.memory().view().number() > newest.number()) {
-                giveUp(mine);
-                return;
-            }
-            durable.persist(whole.withIncarnations(durable.memory().incarnations()), () -> finished(reads));
-        }));
+        membership
+                .companion()
+                .rebuild(
+                        furthestMark(),
+                        () -> durable.serially(() -> {
+                            // What has come into force meanwhile is newer than what was read.
+                            if (mine != attempt
+                                    || !rebuilding
+                                    || durable.memory().view().number() > newest.number()) {
+                                giveUp(mine);
+                                return;
+                            }
+                            durable.persist(
+                                    whole.withIncarnations(durable.memory().incarnations()), () -> finished(reads));
+                        }));
     }
 
     private void giveUp(long which) {
@@ -172,24 +201,27 @@
 
     private void finished(int reads) {
         reset();
-        LOG.info("Memory rebuilt as incarnation {} from {} others.", durable.memory().incarnation(), reads);
+        LOG.info(
+                "Memory rebuilt as incarnation {} from {} others.",
+                durable.memory().incarnation(),
+                reads);
         membership.adopted("reading others");
     }
 
     /** The newest state, promise and acceptance that those in the newest view remember. */
-    private Memory merge(View newest) {
+    private ReplicaStorage merge(View newest) {
         ConfigurationState state = ConfigurationState.NONE;
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
-        Memory own = durable.memory();
+        ReplicaStorage own = durable.memory();
         if (own.view().number() == newest.number()) {
             state = own.state();
             promised = own.promised();
             acceptedBallot = own.acceptedBallot();
             accepted = own.accepted();
         }
-        Memory next = own;
+        ReplicaStorage next = own;
         for (Reply r : replies.values()) {
             next = next.withIncarnations(r.incarnations());
             if (r.view().number() != newest.number()) {
@@ -209,8 +241,8 @@
         return next.adopt(newest, state).recovered(newest.number()).withAcceptor(promised, acceptedBallot, accepted);
     }
 
-    private Bookmark furthestMark() {
-        Bookmark furthest = Bookmark.NONE;
+    private OperationLogPosition furthestMark() {
+        OperationLogPosition furthest = OperationLogPosition.NONE;
         for (Reply r : replies.values()) {
             if (r.mark().isBeyond(furthest)) {
                 furthest = r.mark();
--- a/archive/src/main/java/org/umbermount/archive/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.List;
 import java.util.Map;
@@ -7,19 +7,19 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.RandomNumbers;
-import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.StackRoom;
+import org.umbermount.storage.DiskWriter;
 
 /**
  * One member of the chain that holds the configuration, and one voter on its views: the face of the parts that do the
- * work. Invariant: whatever may change {@link Memory} goes through {@link DurableState#serially}, one at a time.
+ * work. Invariant: whatever may change {@link ReplicaStorage} goes through {@link DurableState#serially}, one at a time.
  */
 public final class Replica {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long RESEND_MS = 200;
 
     /** How far this daemon's memory can be relied on. */
@@ -34,12 +34,19 @@
 
     /** What became of a submitted configuration. */
     public enum Verdict {
-        TAKEN, STALE, NOT_HIGHER, ELSEWHERE
+        TAKEN,
+        STALE,
+        NOT_HIGHER,
+        ELSEWHERE
     }
 
     /** A promise as the proposer sees it. */
-    record Promise(Voter voter, ConfigurationState state, Ballot acceptedBallot, Proposal accepted, Bookmark mark) {
-    }
+    record Promise(
+            Voter voter,
+            ConfigurationState state,
+            Ballot acceptedBallot,
+            Proposal accepted,
+            OperationLogPosition mark) {}
 
     /** Hears what concerns proposals. */
     interface BallotListener {
@@ -56,7 +63,7 @@
 
         void reading(RequestId id, ConfigurationState committed);
 
-        void attested(RequestId id, Edition newest);
+        void attested(RequestId id, ConfigurationRevision newest);
     }
 
     private final Clock clock;
@@ -79,22 +86,30 @@
      * @param newcomer true on the first start of the whole system outside the first view
      * @param random where the first incarnation comes from that a daemon without its memory asks others with
      */
-    Replica(Clock clock, Postbag post, StackRoom room, Tally tally, Memory loaded,
-            boolean loadedCommitted, View genesis, boolean newcomer, Random random) {
+    Replica(
+            Clock clock,
+            Messenger messenger,
+            DiskWriter room,
+            Metrics metrics,
+            ReplicaStorage loaded,
+            boolean loadedCommitted,
+            View genesis,
+            boolean newcomer,
+            Random random) {
         this.clock = clock;
-        Imprint self = post.self();
+        DaemonAddress self = messenger.self();
         StateIncrements increments = new StateIncrements();
-        durable = new DurableState(clock, room, tally, increments, initial(loaded, genesis, newcomer, random),
-                loaded != null);
+        durable = new DurableState(
+                clock, room, metrics, increments, initial(loaded, genesis, newcomer, random), loaded != null);
         commits = new CommitPoint(room);
-        viewMessages = new ViewMessages(clock, post);
-        chainMessages = new ChainMessages(clock, post);
-        DroppedMessages dropped = new DroppedMessages(tally);
+        viewMessages = new ViewMessages(clock, messenger);
+        chainMessages = new ChainMessages(clock, messenger);
+        DroppedMessages dropped = new DroppedMessages(metrics);
         membership = new Membership(self, durable, commits, viewMessages, dropped);
         acceptor = new Acceptor(durable, membership, viewMessages, dropped);
         confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages, dropped);
-        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, dropped,
-                increments, tally);
+        chain = new ChainReplica(
+                self, clock, durable, membership, commits, confirmation, chainMessages, dropped, increments, metrics);
         recovery = new Recovery(self, clock, durable, membership, viewMessages, dropped);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
@@ -102,20 +117,23 @@
         begin(loaded, loadedCommitted, genesis, newcomer);
     }
 
-    private static Memory initial(Memory loaded, View genesis, boolean newcomer, Random random) {
+    private static ReplicaStorage initial(ReplicaStorage loaded, View genesis, boolean newcomer, Random random) {
         if (loaded != null) {
             return loaded;
         }
-        return Memory.blank(genesis != null || newcomer ? 0 : RandomNumbers.life(random));
+        return ReplicaStorage.blank(genesis != null || newcomer ? 0 : RandomNumbers.life(random));
     }
 
-    private void begin(Memory loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
+    private void begin(ReplicaStorage loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
         if (loaded != null) {
             membership.resume();
             if (loadedCommitted) {
                 commits.restore(loaded.state());
             }
-            LOG.info("Read from disk: {}, edition {}.", loaded.view(), loaded.state().edition());
+            LOG.info(
+                    "Read from disk: {}, edition {}.",
+                    loaded.view(),
+                    loaded.state().edition());
         } else if (genesis != null) {
             membership.establish(genesis);
         } else {
@@ -142,11 +160,11 @@
     }
 
     /** Sets what is kept beside the configuration. */
-    public void accompany(Companion other) {
+    public void accompany(CompanionState other) {
         membership.accompany(other);
     }
 
-    public Companion companion() {
+    public CompanionState companion() {
         return membership.companion();
     }
 
@@ -157,7 +175,9 @@
 
     /** Whether what is kept beside the configuration may change: not under a promise, and not without a memory. */
     public boolean mayMove() {
-        return !durable.freezing() && standing() == Standing.MEMBER && !durable.memory().frozen();
+        return !durable.freezing()
+                && standing() == Standing.MEMBER
+                && !durable.memory().frozen();
     }
 
     /** Whether this voter has promised itself to the next view, or the promise is on its way to disk. */
@@ -170,8 +190,8 @@
         confirmation.whileInForce(then);
     }
 
-    /** Asks a registrar that is ahead for its view. */
-    public void fetchFrom(Imprint ahead) {
+    /** Asks a controller that is ahead for its view. */
+    public void fetchFrom(DaemonAddress ahead) {
         fetch(ahead);
     }
 
@@ -184,9 +204,9 @@
         membership.observe(observer);
     }
 
-    /** Sets which registrars beside the voters are told of views and commits. */
-    public void audience(List<Imprint> registrars) {
-        membership.audience(registrars);
+    /** Sets which controllers beside the voters are told of views and commits. */
+    public void audience(List<DaemonAddress> controllers) {
+        membership.audience(controllers);
     }
 
     public Standing standing() {
@@ -202,7 +222,7 @@
     }
 
     /** The committed configuration as read, or null before the first. */
-    public Regulations regulations() {
+    public Configuration regulations() {
         return commits.regulations();
     }
 
@@ -210,7 +230,7 @@
         return durable.memory().incarnation();
     }
 
-    public Edition newestEdition() {
+    public ConfigurationRevision newestEdition() {
         return durable.memory().state().edition();
     }
 
@@ -220,7 +240,7 @@
     }
 
     /** The newest incarnation known of a daemon. */
-    long incarnationOf(Imprint who) {
+    long incarnationOf(DaemonAddress who) {
         return membership.incarnationOf(who);
     }
 
@@ -228,11 +248,11 @@
         return durable.memory().promised();
     }
 
-    void sendPrepare(Imprint to, long view, Ballot ballot) {
+    void sendPrepare(DaemonAddress to, long view, Ballot ballot) {
         viewMessages.sendPrepare(to, view, ballot);
     }
 
-    void sendAccept(Imprint to, long view, Ballot ballot, Proposal proposal) {
+    void sendAccept(DaemonAddress to, long view, Ballot ballot, Proposal proposal) {
         viewMessages.sendAccept(to, view, ballot, proposal);
     }
 
@@ -241,35 +261,37 @@
         durable.serially(() -> membership.decided(proposal, why));
     }
 
-    /** Tells a registrar of which a later incarnation is known here than the one that runs. */
+    /** Tells a controller of which a later incarnation is known here than the one that runs. */
     void compareIncarnations(FailureDetector.Peer peer) {
         long runs = peer.report().incarnation();
-        if (runs < membership.incarnationOf(peer.imprint()) && standing() != Standing.RECOVERING) {
-            recovery.tell(peer.imprint(), runs);
+        if (runs < membership.incarnationOf(peer.daemonAddress()) && standing() != Standing.RECOVERING) {
+            recovery.tell(peer.daemonAddress(), runs);
         }
     }
 
     /** Whether this voter holds the memory with which its view counts it: it has lost none since the view came into force. */
     boolean holdsMemoryOfView() {
         Voter own = view().fellow(membership.self());
-        return own != null && standing() == Standing.MEMBER && own.incarnation() == durable.memory().incarnation();
+        return own != null
+                && standing() == Standing.MEMBER
+                && own.incarnation() == durable.memory().incarnation();
     }
 
-    /** Asks a registrar for its view and state. */
-    void fetch(Imprint from) {
+    /** Asks a controller for its view and state. */
+    void fetch(DaemonAddress from) {
         membership.fetch(from);
     }
 
     /** Only the head of that one view may act on it; 0 is any view. */
-    void sendSubmission(Imprint to, RequestId id, long onlyIn, Order order, byte[] blob) {
+    void sendSubmission(DaemonAddress to, RequestId id, long onlyIn, Order order, byte[] blob) {
         chainMessages.sendSubmission(to, id, onlyIn, order, blob);
     }
 
-    void sendRead(Imprint to, RequestId id) {
+    void sendRead(DaemonAddress to, RequestId id) {
         chainMessages.sendRead(to, id);
     }
 
-    void sendAttest(Imprint to, RequestId id) {
+    void sendAttest(DaemonAddress to, RequestId id) {
         chainMessages.sendAttest(to, id);
     }
 
@@ -291,25 +313,25 @@
 
     private final class ViewHandler implements ViewMessages.Handler {
         @Override
-        public void prepare(Imprint from, long view, Ballot ballot) {
+        public void prepare(DaemonAddress from, long view, Ballot ballot) {
             durable.serially(() -> acceptor.prepare(from, view, ballot));
         }
 
         @Override
-        public void promise(long view, Ballot ballot, Promise promise, Map<Imprint, Long> incarnations) {
-            durable.serially(() -> membership.learnIncarnations(incarnations,
-                    () -> ballots.promised(view, ballot, promise)));
+        public void promise(long view, Ballot ballot, Promise promise, Map<DaemonAddress, Long> incarnations) {
+            durable.serially(
+                    () -> membership.learnIncarnations(incarnations, () -> ballots.promised(view, ballot, promise)));
         }
 
         @Override
-        public void accept(Imprint from, long view, Ballot ballot, Proposal proposal) {
+        public void accept(DaemonAddress from, long view, Ballot ballot, Proposal proposal) {
             durable.serially(() -> acceptor.accept(from, view, ballot, proposal));
         }
 
         @Override
-        public void accepted(long view, Ballot ballot, Voter voter, Map<Imprint, Long> incarnations) {
-            durable.serially(() -> membership.learnIncarnations(incarnations,
-                    () -> ballots.accepted(view, ballot, voter)));
+        public void accepted(long view, Ballot ballot, Voter voter, Map<DaemonAddress, Long> incarnations) {
+            durable.serially(
+                    () -> membership.learnIncarnations(incarnations, () -> ballots.accepted(view, ballot, voter)));
         }
 
         @Override
@@ -325,17 +347,17 @@
         }
 
         @Override
-        public void fetch(Imprint from) {
+        public void fetch(DaemonAddress from) {
             membership.sendNews(from);
         }
 
         @Override
-        public void recover(Imprint from, long incarnation) {
+        public void recover(DaemonAddress from, long incarnation) {
             durable.serially(() -> recovery.answer(from, incarnation));
         }
 
         @Override
-        public void recovered(Imprint from, long incarnation, Recovery.Reply reply) {
+        public void recovered(DaemonAddress from, long incarnation, Recovery.Reply reply) {
             durable.serially(() -> recovery.recovered(from, incarnation, reply));
         }
     }
@@ -352,27 +374,27 @@
         }
 
         @Override
-        public void write(Imprint from, ConfigurationState state, List<PendingReply> replies) {
+        public void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies) {
             durable.serially(() -> chain.write(from, state, replies));
         }
 
         @Override
-        public void increment(Imprint from, StateIncrement increment, List<PendingReply> replies) {
+        public void increment(DaemonAddress from, StateIncrement increment, List<PendingReply> replies) {
             durable.serially(() -> chain.increment(from, increment, replies));
         }
 
         @Override
-        public void stateWanted(Imprint from, long view) {
+        public void stateWanted(DaemonAddress from, long view) {
             durable.serially(() -> chain.stateWanted(from, view));
         }
 
         @Override
-        public void committed(Imprint tail, long view, Edition edition, Digest digest) {
+        public void committed(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest) {
             chain.committedElsewhere(tail, view, edition, digest);
         }
 
         @Override
-        public void read(Imprint origin, RequestId id, boolean brief) {
+        public void read(DaemonAddress origin, RequestId id, boolean brief) {
             confirmation.read(origin, id, brief);
         }
 
@@ -382,17 +404,17 @@
         }
 
         @Override
-        public void attested(RequestId id, Edition newest) {
+        public void attested(RequestId id, ConfigurationRevision newest) {
             origins.attested(id, newest);
         }
 
         @Override
-        public void confirm(Imprint from, long nonce, long view) {
+        public void confirm(DaemonAddress from, long nonce, long view) {
             durable.serially(() -> confirmation.attest(from, nonce, view));
         }
 
         @Override
-        public void confirmed(Imprint from, long nonce, long incarnation) {
+        public void confirmed(DaemonAddress from, long nonce, long incarnation) {
             confirmation.confirmed(from, nonce, incarnation);
         }
     }
--- a/archive/src/main/java/org/umbermount/archive/Census.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,21 +14,21 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Pressmark;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
 
 /**
- * The servers there are: soft state on every registrar. Each registrar numbers its own changes; the others
- * follow them, and one that has missed some takes a snapshot. The registrar that a server's beats reach keeps
+ * The servers there are: soft state on every controller. Each controller numbers its own changes; the others
+ * follow them, and one that has missed some takes a snapshot. The controller that a server's beats reach keeps
  * it, and only its keeper declares it gone for missing beats.
  */
-public final class Census {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+public final class ServerRegistry {
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final int LOG_LENGTH = 256;
     private static final long TOMBSTONE_MS = 60_000;
     private static final long LOOP_MS = 300;
@@ -37,7 +37,10 @@
     private static final int DIGEST_PATIENCE = 4;
 
     private enum Kind {
-        CHANGES, APPLIED, ASK, SNAPSHOT
+        CHANGES,
+        APPLIED,
+        ASK,
+        SNAPSHOT
     }
 
     private static final class Followed {
@@ -45,11 +48,10 @@
         long applied = -1;
         int digestOff;
         long askedBoot;
-        Moment asked = Moment.NEVER;
+        MonotonicTime asked = MonotonicTime.NEVER;
     }
 
-    private record Change(long seq, Pressmark id) {
-    }
+    private record Change(long seq, InstanceId id) {}
 
     private static final class Waiting {
         final long seq;
@@ -62,16 +64,16 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final long heartbeatMs;
     private final long boot;
-    private final Map<Pressmark, CensusEntry> entries = new LinkedHashMap<>();
-    private final Map<Pressmark, Moment> lastBeat = new HashMap<>();
-    private final Map<Pressmark, Moment> goneSince = new HashMap<>();
+    private final Map<InstanceId, RegisteredServer> entries = new LinkedHashMap<>();
+    private final Map<InstanceId, MonotonicTime> lastBeat = new HashMap<>();
+    private final Map<InstanceId, MonotonicTime> goneSince = new HashMap<>();
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
-    private final Map<Imprint, Followed> followed = new HashMap<>();
-    private final Map<Imprint, Long> acknowledged = new HashMap<>();
+    private final Map<DaemonAddress, Followed> followed = new HashMap<>();
+    private final Map<DaemonAddress, Long> acknowledged = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<Runnable> observers = new ArrayList<>();
     private FailureDetector detector;
@@ -79,20 +81,21 @@
     private BooleanSupplier listStands = () -> true;
     private BooleanSupplier mayExpire = () -> false;
     /** Under which of this daemon's own changes its news of a server went out last. */
-    private final Map<Pressmark, Long> newsAt = new HashMap<>();
-    private final Moment started;
+    private final Map<InstanceId, Long> newsAt = new HashMap<>();
+
+    private final MonotonicTime started;
     private boolean ready;
     private long seq;
     private long digest;
 
-    public Census(Clock clock, Postbag post, Tally tally, long heartbeatMs, long boot) {
+    public ServerRegistry(Clock clock, Messenger messenger, Metrics metrics, long heartbeatMs, long boot) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.heartbeatMs = heartbeatMs;
         this.boot = boot;
         this.started = clock.now();
-        post.subscribe(Postbag.Topic.CENSUS, this::receive);
+        messenger.subscribe(Messenger.Topic.CENSUS, this::receive);
     }
 
     /**
@@ -109,8 +112,8 @@
     }
 
     /** Takes up what an earlier life of this daemon had noted. */
-    void recall(List<CensusEntry> noted) {
-        for (CensusEntry e : noted) {
+    void recall(List<RegisteredServer> noted) {
+        for (RegisteredServer e : noted) {
             learn(e);
         }
         ready = ready || !noted.isEmpty();
@@ -120,12 +123,12 @@
         observers.add(observer);
     }
 
-    public Collection<CensusEntry> entries() {
+    public Collection<RegisteredServer> entries() {
         return Collections.unmodifiableCollection(entries.values());
     }
 
     /**
-     * Whether the list can be relied on to be whole: it has been taken from a registrar whose list was, or every
+     * Whether the list can be relied on to be whole: it has been taken from a controller whose list was, or every
      * server has had time to send a beat since this daemon started.
      */
     public boolean ready() {
@@ -147,20 +150,20 @@
     /**
      * Takes a beat. {@code told} runs once a majority of the voters has the news, or at once if there is none to tell.
      */
-    public void beat(CensusEntry beat, Runnable told) {
-        CensusEntry known = entries.get(beat.id());
+    public void beat(RegisteredServer beat, Runnable told) {
+        RegisteredServer known = entries.get(beat.id());
         if (known != null && beat.sequence() < known.sequence()) {
-            tally.count("census.beats.late");
+            metrics.count("registry.beats.late");
             repeat(known, told);
             return;
         }
         lastBeat.put(beat.id(), clock.now());
-        CensusEntry next = known == null ? beat : known.merge(beat);
-        if (next.standing() == CensusEntry.Standing.MISSED) {
-            next = next.with(CensusEntry.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
+        RegisteredServer next = known == null ? beat : known.merge(beat);
+        if (next.standing() == RegisteredServer.Standing.MISSED) {
+            next = next.with(RegisteredServer.Standing.IN_SERVICE, beat.sequence(), beat.keeper());
         }
         if (!next.standing().isGone()) {
-            next = next.with(next.standing(), beat.sequence(), post.self());
+            next = next.with(next.standing(), beat.sequence(), messenger.self());
         }
         if (known != null && known.sameNews(next)) {
             entries.put(next.id(), next);
@@ -170,8 +173,9 @@
         if (known == null || known.standing() != next.standing()) {
             LOG.info("Server {} of {} at {} is {}.", next.id(), next.upstream(), next.address(), name(next.standing()));
         }
-        boolean urgent = known == null || known.standing() != next.standing()
-                || next.standing() != CensusEntry.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
+        boolean urgent = known == null
+                || known.standing() != next.standing()
+                || next.standing() != RegisteredServer.Standing.IN_SERVICE && Safeguard.REPEATED_NEWS_WAITS.holds();
         store(next);
         publish(List.of(next));
         if (urgent) {
@@ -182,7 +186,7 @@
     }
 
     /** A server says again what is known here; whether others know it is another matter. */
-    private void repeat(CensusEntry known, Runnable told) {
+    private void repeat(RegisteredServer known, Runnable told) {
         if (Safeguard.REPEATED_NEWS_WAITS.holds()) {
             onceKnown(known, told);
         } else {
@@ -191,8 +195,8 @@
     }
 
     /** Runs something once enough others hold what is known here of a server, whoever was told of it first. */
-    private void onceKnown(CensusEntry entry, Runnable told) {
-        if (!newsAt.containsKey(entry.id()) && entry.standing() != CensusEntry.Standing.IN_SERVICE) {
+    private void onceKnown(RegisteredServer entry, Runnable told) {
+        if (!newsAt.containsKey(entry.id()) && entry.standing() != RegisteredServer.Standing.IN_SERVICE) {
             publish(List.of(entry));
         }
         Long at = newsAt.get(entry.id());
@@ -212,8 +216,8 @@
         int n = 0;
         int others = 0;
         for (Voter f : view.electorate()) {
-            boolean self = f.imprint().equals(post.self());
-            boolean holds = self || acknowledged.getOrDefault(f.imprint(), -1L) >= change;
+            boolean self = f.daemonAddress().equals(messenger.self());
+            boolean holds = self || acknowledged.getOrDefault(f.daemonAddress(), -1L) >= change;
             n += holds ? 1 : 0;
             others += holds && !self ? 1 : 0;
         }
@@ -221,8 +225,8 @@
     }
 
     /** Takes a sign-off. */
-    public void signOff(Pressmark id, Runnable told) {
-        CensusEntry known = entries.get(id);
+    public void signOff(InstanceId id, Runnable told) {
+        RegisteredServer known = entries.get(id);
         if (known == null) {
             // Nothing to sign off, if what is known here is whole; otherwise the caller tries again, here or elsewhere.
             if (ready && listStands.getAsBoolean()) {
@@ -230,23 +234,24 @@
             }
             return;
         }
-        if (known.standing() == CensusEntry.Standing.SIGNED_OFF) {
+        if (known.standing() == RegisteredServer.Standing.SIGNED_OFF) {
             repeat(known, told);
             return;
         }
-        CensusEntry next = known.with(CensusEntry.Standing.SIGNED_OFF, known.sequence() + 1, post.self());
+        RegisteredServer next =
+                known.with(RegisteredServer.Standing.SIGNED_OFF, known.sequence() + 1, messenger.self());
         LOG.info("Server {} of {} at {} signed off.", id, known.upstream(), known.address());
         store(next);
         publish(List.of(next));
         onceKnown(next, told);
     }
 
-    private static String name(CensusEntry.Standing standing) {
+    private static String name(RegisteredServer.Standing standing) {
         return standing.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
     }
 
-    private void store(CensusEntry next) {
-        CensusEntry old = entries.put(next.id(), next);
+    private void store(RegisteredServer next) {
+        RegisteredServer old = entries.put(next.id(), next);
         digest += next.digest() - (old == null ? 0 : old.digest());
         if (next.standing().isGone()) {
             goneSince.putIfAbsent(next.id(), clock.now());
@@ -259,9 +264,9 @@
         }
     }
 
-    private void publish(List<CensusEntry> changed) {
+    private void publish(List<RegisteredServer> changed) {
         long from = seq;
-        for (CensusEntry e : changed) {
+        for (RegisteredServer e : changed) {
             changes.add(new Change(++seq, e.id()));
             newsAt.put(e.id(), seq);
             if (changes.size() > LOG_LENGTH) {
@@ -271,30 +276,35 @@
         byte[] body = encode(Kind.CHANGES, from, changed);
         if (detector != null) {
             for (FailureDetector.Peer p : detector.peers()) {
-                if (detector.connected(p.imprint())) {
-                    post.send(p.imprint(), Postbag.Topic.CENSUS, body);
+                if (detector.connected(p.daemonAddress())) {
+                    messenger.send(p.daemonAddress(), Messenger.Topic.CENSUS, body);
                 }
             }
         }
     }
 
-    private byte[] encode(Kind kind, long from, Collection<CensusEntry> which) {
-        return Script.write().num(kind.ordinal()).num(boot).num(from).num(seq)
-                .list(which, (o, e) -> e.write(o)).done();
+    private byte[] encode(Kind kind, long from, Collection<RegisteredServer> which) {
+        return MessagePackCodec.write()
+                .num(kind.ordinal())
+                .num(boot)
+                .num(from)
+                .num(seq)
+                .list(which, (o, e) -> e.write(o))
+                .done();
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
-            throw new Script.UnreadableException("an unknown message about servers", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about servers", null);
         }
         switch (Kind.values()[kind]) {
             case CHANGES, SNAPSHOT -> {
                 long theirBoot = in.num();
                 long since = in.num();
                 long until = in.num();
-                List<CensusEntry> news = in.list(CensusEntry::read);
+                List<RegisteredServer> news = in.list(RegisteredServer::read);
                 apply(from, Kind.values()[kind] == Kind.SNAPSHOT, theirBoot, since, until, news);
             }
             case APPLIED -> {
@@ -302,7 +312,7 @@
                     acknowledged.merge(from, in.num(), Math::max);
                     settle();
                 } else {
-                    tally.count("census.messages.dropped.earlier_life");
+                    metrics.count("census.messages.dropped.earlier_life");
                 }
             }
             case ASK -> {
@@ -313,13 +323,15 @@
         }
     }
 
-    private void apply(Imprint from, boolean snapshot, long theirBoot, long since, long until, List<CensusEntry> news) {
+    private void apply(
+            DaemonAddress from, boolean snapshot, long theirBoot, long since, long until, List<RegisteredServer> news) {
         Followed f = followed.computeIfAbsent(from, k -> new Followed());
-        for (CensusEntry e : news) {
+        for (RegisteredServer e : news) {
             learn(e);
         }
         boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
-        // What is said of servers is joined by the servers' own numbers; a list that is whole is one of the sender's present life.
+        // What is said of servers is joined by the servers' own numbers; a list that is whole is one of the sender's
+        // present life.
         boolean whole = snapshot && isPresentLife(from, theirBoot);
         if (whole && detector != null && detector.peer(from).report().censusReady()) {
             becomeReady();
@@ -330,20 +342,28 @@
                 f.applied = -1;
             }
             f.applied = Math.max(f.applied, until);
-            post.send(from, Postbag.Topic.CENSUS, Script.write().num(Kind.APPLIED.ordinal()).num(theirBoot).num(until).done());
+            messenger.send(
+                    from,
+                    Messenger.Topic.CENSUS,
+                    MessagePackCodec.write()
+                            .num(Kind.APPLIED.ordinal())
+                            .num(theirBoot)
+                            .num(until)
+                            .done());
         } else {
             ask(from, f);
         }
     }
 
-    private boolean isPresentLife(Imprint from, long life) {
+    private boolean isPresentLife(DaemonAddress from, long life) {
         FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
-        return detector == null || peer != null && peer.report() != null && peer.report().life() == life;
+        return detector == null
+                || peer != null && peer.report() != null && peer.report().life() == life;
     }
 
-    private void learn(CensusEntry e) {
-        CensusEntry known = entries.get(e.id());
-        CensusEntry next = known == null ? e : known.merge(e);
+    private void learn(RegisteredServer e) {
+        RegisteredServer known = entries.get(e.id());
+        RegisteredServer next = known == null ? e : known.merge(e);
         if (known == null || !known.equals(next)) {
             if (known == null || !known.sameNews(next)) {
                 if (!next.standing().isGone()) {
@@ -356,45 +376,51 @@
         }
     }
 
-    private void ask(Imprint from, Followed f) {
-        Moment now = clock.now();
+    private void ask(DaemonAddress from, Followed f) {
+        MonotonicTime now = clock.now();
         if (now.since(f.asked) < LOOP_MS) {
             return;
         }
         f.asked = now;
-        post.send(from, Postbag.Topic.CENSUS,
-                Script.write().num(Kind.ASK.ordinal()).num(f.boot).num(f.applied).done());
+        messenger.send(
+                from,
+                Messenger.Topic.CENSUS,
+                MessagePackCodec.write()
+                        .num(Kind.ASK.ordinal())
+                        .num(f.boot)
+                        .num(f.applied)
+                        .done());
     }
 
-    private void answerAsk(Imprint from, long theirBoot, long applied) {
+    private void answerAsk(DaemonAddress from, long theirBoot, long applied) {
         long oldest = changes.isEmpty() ? seq : changes.peek().seq() - 1;
         if (theirBoot == boot && applied >= oldest && applied <= seq) {
-            Map<Pressmark, CensusEntry> missed = new LinkedHashMap<>();
+            Map<InstanceId, RegisteredServer> missed = new LinkedHashMap<>();
             for (Change c : changes) {
-                CensusEntry e = entries.get(c.id());
+                RegisteredServer e = entries.get(c.id());
                 if (c.seq() > applied && e != null) {
                     missed.put(c.id(), e);
                 }
             }
-            post.send(from, Postbag.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
+            messenger.send(from, Messenger.Topic.CENSUS, encode(Kind.CHANGES, applied, missed.values()));
         } else {
-            tally.count("census.snapshots");
-            post.send(from, Postbag.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
+            metrics.count("registry.snapshots");
+            messenger.send(from, Messenger.Topic.CENSUS, encode(Kind.SNAPSHOT, 0, entries.values()));
         }
     }
 
     /** Compares what a peer says of itself with what has been applied of it. */
     private void compare(FailureDetector.Peer peer) {
         FailureDetector.Report r = peer.report();
-        Followed f = followed.computeIfAbsent(peer.imprint(), k -> new Followed());
+        Followed f = followed.computeIfAbsent(peer.daemonAddress(), k -> new Followed());
         if (f.boot != r.life() || f.applied < r.censusSeq()) {
-            ask(peer.imprint(), f);
+            ask(peer.daemonAddress(), f);
             f.digestOff = 0;
         } else if (r.censusDigest() != digest) {
             if (++f.digestOff >= DIGEST_PATIENCE) {
                 f.digestOff = 0;
                 f.applied = -1;
-                ask(peer.imprint(), f);
+                ask(peer.daemonAddress(), f);
             }
         } else {
             f.digestOff = 0;
@@ -422,7 +448,7 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (now.since(started) > READY_BEATS * heartbeatMs) {
             becomeReady();
         }
@@ -434,7 +460,7 @@
                 return false;
             }
             newsAt.remove(e.getKey());
-            CensusEntry old = entries.remove(e.getKey());
+            RegisteredServer old = entries.remove(e.getKey());
             if (old != null) {
                 digest -= old.digest();
             }
@@ -445,17 +471,17 @@
             lastBeat.replaceAll((id, at) -> now);
             return;
         }
-        List<CensusEntry> missed = new ArrayList<>();
-        for (CensusEntry e : entries.values()) {
+        List<RegisteredServer> missed = new ArrayList<>();
+        for (RegisteredServer e : entries.values()) {
             if (e.standing().isGone()) {
                 continue;
             }
-            boolean mine = e.keeper().equals(post.self());
+            boolean mine = e.keeper().equals(messenger.self());
             if (!mine && (detector.connected(e.keeper()) || !heir(e.keeper()))) {
                 lastBeat.put(e.id(), now);
                 continue;
             }
-            Moment last = lastBeat.computeIfAbsent(e.id(), k -> now);
+            MonotonicTime last = lastBeat.computeIfAbsent(e.id(), k -> now);
             if (now.since(last) > MISSED_BEATS * heartbeatMs) {
                 missed.add(e);
             }
@@ -463,21 +489,23 @@
         if (missed.isEmpty()) {
             return;
         }
-        List<CensusEntry> gone = new ArrayList<>();
-        for (CensusEntry e : missed) {
+        List<RegisteredServer> gone = new ArrayList<>();
+        for (RegisteredServer e : missed) {
             LOG.info("Server {} of {} at {} is gone: its beats stopped.", e.id(), e.upstream(), e.address());
-            CensusEntry next = e.with(CensusEntry.Standing.MISSED, e.sequence(), post.self());
+            RegisteredServer next = e.with(RegisteredServer.Standing.MISSED, e.sequence(), messenger.self());
             store(next);
             gone.add(next);
         }
-        tally.counter("census.missed").increment(gone.size());
+        metrics.counter("registry.missed").increment(gone.size());
         publish(gone);
     }
 
-    /** Whether this registrar is the first of those left to look after another's servers. */
-    private boolean heir(Imprint lost) {
+    /** Whether this controller is the first of those left to look after another's servers. */
+    private boolean heir(DaemonAddress lost) {
         for (FailureDetector.Peer p : detector.peers()) {
-            if (!p.imprint().equals(lost) && p.imprint().compareTo(post.self()) < 0 && detector.connected(p.imprint())) {
+            if (!p.daemonAddress().equals(lost)
+                    && p.daemonAddress().compareTo(messenger.self()) < 0
+                    && detector.connected(p.daemonAddress())) {
                 return false;
             }
         }
--- a/archive/src/main/java/org/umbermount/archive/StateIncrement.java
+++ b/control/src/main/java/org/umbermount/control/StateIncrement.java
@@ -1,6 +1,6 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * One more order on top of a state, as it travels and is written in place of the state that results. It names its base by
@@ -12,19 +12,19 @@
  * @param change what becomes of the configuration
  */
 record StateIncrement(long view, Digest base, TakenOrders.Taken order, ByteDelta change) {
-    void write(Script.Writer out) {
+    void write(MessagePackCodec.Writer out) {
         out.num(view);
         base.write(out);
         order.write(out);
         change.write(out);
     }
 
-    static StateIncrement read(Script.Reader in) throws Script.UnreadableException {
+    static StateIncrement read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
         return new StateIncrement(in.num(), Digest.read(in), TakenOrders.Taken.read(in), ByteDelta.read(in));
     }
 
     byte[] encoded() {
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         write(out);
         return out.done();
     }
--- a/archive/src/main/java/org/umbermount/archive/StateIncrements.java
+++ b/control/src/main/java/org/umbermount/control/StateIncrements.java
@@ -1,7 +1,7 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
 
 /**
  * Makes increments of states, and states of increments. Invariant: an increment that was made from {@code before} and
@@ -21,21 +21,31 @@
             if (!isNext(base, next)) {
                 return null;
             }
-            remember(base, next, new StateIncrement(next.view(), fingerprintOf(base), next.taken().newestTaken(),
-                    ByteDelta.between(base.blob(), next.blob())));
+            remember(
+                    base,
+                    next,
+                    new StateIncrement(
+                            next.view(),
+                            fingerprintOf(base),
+                            next.taken().newestTaken(),
+                            ByteDelta.between(base.blob(), next.blob())));
         }
         return latest;
     }
 
     private static boolean isNext(ConfigurationState base, ConfigurationState next) {
         TakenOrders.Taken order = next.taken().newestTaken();
-        return next.view() == base.view() && order != null && order.edition().equals(next.edition())
-                && order.edition().isAfter(base.taken().newest()) && base.taken().with(order).equals(next.taken());
+        return next.view() == base.view()
+                && order != null
+                && order.edition().equals(next.edition())
+                && order.edition().isAfter(base.taken().newest())
+                && base.taken().with(order).equals(next.taken());
     }
 
     /** The state that results, or null if this is not the state that the increment builds on. */
     ConfigurationState apply(StateIncrement increment, ConfigurationState base) {
-        if (increment.view() != base.view() || !increment.order().edition().isAfter(base.taken().newest())) {
+        if (increment.view() != base.view()
+                || !increment.order().edition().isAfter(base.taken().newest())) {
             return null;
         }
         if (!increment.base().equals(fingerprintOf(base)) && Safeguard.INCREMENT_BASE_COMPARED.holds()) {
@@ -45,7 +55,8 @@
         if (blob == null) {
             return null;
         }
-        ConfigurationState next = base.take(increment.order().edition(), blob, increment.order().digest());
+        ConfigurationState next =
+                base.take(increment.order().edition(), blob, increment.order().digest());
         remember(base, next, increment);
         return next;
     }
@@ -59,7 +70,7 @@
     /** Of everything in a state. */
     private Digest fingerprintOf(ConfigurationState state) {
         if (state != fingerprinted) {
-            Script.Writer out = Script.write();
+            MessagePackCodec.Writer out = MessagePackCodec.write();
             state.write(out);
             fingerprint = Digest.of(out.done());
             fingerprinted = state;
--- a/archive/src/main/java/org/umbermount/archive/StateJournal.java
+++ b/control/src/main/java/org/umbermount/control/StateJournal.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 /**
  * Decides whether a state goes to disk whole or as an increment on what the disk holds. Invariant: what the disk holds is a
@@ -31,7 +31,10 @@
     }
 
     private static long lengthAllowed(ConfigurationState state) {
-        return LENGTH_ALLOWANCE + (state.blob().length + (long) ORDER_LENGTH * state.taken().entries().size()) / 2;
+        return LENGTH_ALLOWANCE
+                + (state.blob().length
+                                + (long) ORDER_LENGTH * state.taken().entries().size())
+                        / 2;
     }
 
     /** The increment is on disk. */
--- a/archive/src/main/java/org/umbermount/archive/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -1,19 +1,19 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.List;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
 
 /**
  * A view: its number, who votes on the next one, the chain from head to tail, and the mark from which the
  * operation records go on.
  */
-public record View(long number, List<Voter> electorate, List<Imprint> chain, Bookmark base) {
+public record View(long number, List<Voter> electorate, List<DaemonAddress> chain, OperationLogPosition base) {
     public static final View NONE = new View(0, List.of(), List.of());
 
-    public View(long number, List<Voter> electorate, List<Imprint> chain) {
-        this(number, electorate, chain, Bookmark.NONE);
+    public View(long number, List<Voter> electorate, List<DaemonAddress> chain) {
+        this(number, electorate, chain, OperationLogPosition.NONE);
     }
 
     public View {
@@ -31,11 +31,11 @@
     }
 
     /** The part of the chain that keeps operation records: as many members as a chain needs. */
-    public List<Imprint> line(int tolerated) {
+    public List<DaemonAddress> line(int tolerated) {
         return chain.subList(0, Math.min(chain.size(), leastChain(tolerated)));
     }
 
-    public View withBase(Bookmark mark) {
+    public View withBase(OperationLogPosition mark) {
         return new View(number, electorate, chain, mark);
     }
 
@@ -44,33 +44,33 @@
         return Safeguard.RECOVERY_MEETS_MAJORITIES.holds() ? electorate.size() - majority() + 1 : 1;
     }
 
-    public Voter fellow(Imprint imprint) {
+    public Voter fellow(DaemonAddress daemonAddress) {
         for (Voter f : electorate) {
-            if (f.imprint().equals(imprint)) {
+            if (f.daemonAddress().equals(daemonAddress)) {
                 return f;
             }
         }
         return null;
     }
 
-    public boolean votes(Imprint imprint) {
-        return fellow(imprint) != null;
+    public boolean votes(DaemonAddress daemonAddress) {
+        return fellow(daemonAddress) != null;
     }
 
-    public Imprint head() {
+    public DaemonAddress head() {
         return chain.isEmpty() ? null : chain.get(0);
     }
 
-    public Imprint tail() {
+    public DaemonAddress tail() {
         return chain.isEmpty() ? null : chain.get(chain.size() - 1);
     }
 
-    public boolean chains(Imprint imprint) {
-        return chain.contains(imprint);
+    public boolean chains(DaemonAddress daemonAddress) {
+        return chain.contains(daemonAddress);
     }
 
-    public Imprint successor(Imprint imprint) {
-        int at = chain.indexOf(imprint);
+    public DaemonAddress successor(DaemonAddress daemonAddress) {
+        int at = chain.indexOf(daemonAddress);
         return at < 0 || at + 1 >= chain.size() ? null : chain.get(at + 1);
     }
 
@@ -79,16 +79,20 @@
         return electorate.equals(other.electorate) && chain.equals(other.chain);
     }
 
-    void write(Script.Writer out) {
-        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, Script.Writer::imprint);
+    void write(MessagePackCodec.Writer out) {
+        out.num(number).list(electorate, (o, f) -> f.write(o)).list(chain, MessagePackCodec.Writer::daemonAddress);
         base.write(out);
     }
 
-    static View read(Script.Reader in) throws Script.UnreadableException {
-        View view = new View(in.num(), in.list(Voter::read), in.list(Script.Reader::imprint), Bookmark.read(in));
-        for (Imprint member : view.chain) {
+    static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        View view = new View(
+                in.num(),
+                in.list(Voter::read),
+                in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                OperationLogPosition.read(in));
+        for (DaemonAddress member : view.chain) {
             if (!view.votes(member)) {
-                throw new Script.UnreadableException("a view with a chain member that has no vote", null);
+                throw new MessagePackCodec.UnreadableException("a view with a chain member that has no vote", null);
             }
         }
         return view;
@@ -96,7 +100,7 @@
 
     @Override
     public String toString() {
-        return "view " + number + " electorate " + electorate.stream().map(f -> f.imprint().toString()).toList()
-                + " chain " + chain;
+        return "view " + number + " electorate "
+                + electorate.stream().map(f -> f.daemonAddress().toString()).toList() + " chain " + chain;
     }
 }
