--- a/archive/src/main/java/org/umbermount/archive/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -11,20 +11,21 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
 
 /**
  * Works out which view is wanted and, where it differs from the one in force, proposes it: one single-decree
  * Paxos per view number among the voters of the view before.
  */
 final class ViewProposer implements Replica.BallotListener {
-    private static final Logger LOG = LoggerFactory.getLogger("archive");
+    private static final Logger LOG = LoggerFactory.getLogger("control");
     private static final long LOOP_MS = 150;
     /** How long a returning or new daemon has to be well before it is taken in. */
     private static final long STEADY_MS = 1_500;
+
     private static final long RANK_MS = 450;
     private static final long ATTEMPT_MS = 900;
     private static final long FROZEN_MS = 600;
@@ -36,29 +37,29 @@
     private final java.util.function.BooleanSupplier diskGood;
     private final Clock clock;
     private final Random random;
-    private final Tally tally;
+    private final Metrics metrics;
     private final DroppedMessages dropped;
-    private final Imprint self;
+    private final DaemonAddress self;
     private final String zone;
     private final int tolerated;
-    private Moment wantedSince;
-    private Moment unsettledSince;
-    private Moment quietUntil = Moment.NEVER;
+    private MonotonicTime wantedSince;
+    private MonotonicTime unsettledSince;
+    private MonotonicTime quietUntil = MonotonicTime.NEVER;
     private Attempt attempt;
-    private List<Imprint> seats;
-    private Moment seatsSince;
+    private List<DaemonAddress> seats;
+    private MonotonicTime seatsSince;
 
     private static final class Attempt {
         final long view;
         final Ballot ballot;
         final View wanted;
         final String why;
-        final Moment since;
-        final Map<Imprint, Replica.Promise> promises = new HashMap<>();
+        final MonotonicTime since;
+        final Map<DaemonAddress, Replica.Promise> promises = new HashMap<>();
         final Set<Voter> accepted = new HashSet<>();
         Proposal proposal;
 
-        Attempt(long view, Ballot ballot, View wanted, String why, Moment since) {
+        Attempt(long view, Ballot ballot, View wanted, String why, MonotonicTime since) {
             this.view = view;
             this.ballot = ballot;
             this.wanted = wanted;
@@ -67,8 +68,16 @@
         }
     }
 
-    ViewProposer(Replica replica, FailureDetector detector, java.util.function.BooleanSupplier diskGood, Clock clock,
-            Random random, Tally tally, Imprint self, String zone, int tolerated) {
+    ViewProposer(
+            Replica replica,
+            FailureDetector detector,
+            java.util.function.BooleanSupplier diskGood,
+            Clock clock,
+            Random random,
+            Metrics metrics,
+            DaemonAddress self,
+            String zone,
+            int tolerated) {
         this.zone = zone;
         this.tolerated = tolerated;
         this.replica = replica;
@@ -76,11 +85,12 @@
         this.diskGood = diskGood;
         this.clock = clock;
         this.random = random;
-        this.tally = tally;
-        this.dropped = new DroppedMessages(tally);
+        this.metrics = metrics;
+        this.dropped = new DroppedMessages(metrics);
         this.self = self;
         this.seatsSince = clock.now();
-        this.seats = replica.view().electorate().stream().map(Voter::imprint).toList();
+        this.seats =
+                replica.view().electorate().stream().map(Voter::daemonAddress).toList();
         replica.onView(this::inForce);
     }
 
@@ -92,7 +102,7 @@
         return diskGood.getAsBoolean() && !detector.isLeaving();
     }
 
-    private FailureDetector.Report report(Imprint who) {
+    private FailureDetector.Report report(DaemonAddress who) {
         FailureDetector.Peer peer = detector.peer(who);
         return peer == null ? null : peer.report();
     }
@@ -102,15 +112,15 @@
         private final View view = replica.view();
 
         @Override
-        public Iterable<Imprint> known() {
-            Set<Imprint> all = new TreeSet<>();
-            detector.peers().forEach(p -> all.add(p.imprint()));
+        public Iterable<DaemonAddress> known() {
+            Set<DaemonAddress> all = new TreeSet<>();
+            detector.peers().forEach(p -> all.add(p.daemonAddress()));
             all.add(self);
             return all;
         }
 
         @Override
-        public boolean linked(Imprint one, Imprint other) {
+        public boolean linked(DaemonAddress one, DaemonAddress other) {
             if (one.equals(other)) {
                 return true;
             }
@@ -119,19 +129,20 @@
             }
             boolean oneHeard = detector.connected(one);
             boolean otherHeard = detector.connected(other);
-            return (oneHeard || otherHeard) && (!oneHeard || report(one).connected().contains(other))
+            return (oneHeard || otherHeard)
+                    && (!oneHeard || report(one).connected().contains(other))
                     && (!otherHeard || report(other).connected().contains(one));
         }
 
         @Override
-        public boolean well(Imprint who) {
+        public boolean well(DaemonAddress who) {
             FailureDetector.Report r = report(who);
             if (who.equals(self) ? !selfGood() : r == null || !r.diskGood() || r.leaving()) {
                 return false;
             }
             int reached = view.votes(who) ? 1 : 0;
             for (Voter f : view.electorate()) {
-                if (!f.imprint().equals(who) && linked(f.imprint(), who)) {
+                if (!f.daemonAddress().equals(who) && linked(f.daemonAddress(), who)) {
                     reached++;
                 }
             }
@@ -139,17 +150,17 @@
         }
 
         @Override
-        public boolean steady(Imprint who) {
+        public boolean steady(DaemonAddress who) {
             return who.equals(self) ? !detector.unsettled(STEADY_MS) : detector.goodForMs(who) >= STEADY_MS;
         }
 
         @Override
-        public boolean expected(Imprint who) {
+        public boolean expected(DaemonAddress who) {
             return detector.expected(who);
         }
 
         @Override
-        public boolean hasMemory(Imprint who) {
+        public boolean hasMemory(DaemonAddress who) {
             if (who.equals(self)) {
                 return replica.standing() != Replica.Standing.RECOVERING;
             }
@@ -158,7 +169,7 @@
         }
 
         @Override
-        public long incarnation(Imprint who) {
+        public long incarnation(DaemonAddress who) {
             if (who.equals(self)) {
                 return replica.incarnation();
             }
@@ -167,7 +178,7 @@
         }
 
         @Override
-        public String zone(Imprint who) {
+        public String zone(DaemonAddress who) {
             FailureDetector.Report r = report(who);
             return who.equals(self) ? zone : r == null ? "" : r.zone();
         }
@@ -180,11 +191,12 @@
 
     /** Whether leases that voters before the last change of seats may have granted have run out. */
     private boolean seatsRested() {
-        return clock.now().since(seatsSince) >= LeaseOffice.TERM_MS || !Safeguard.SEATS_REST.holds();
+        return clock.now().since(seatsSince) >= LeaseManager.TERM_MS || !Safeguard.SEATS_REST.holds();
     }
 
     private void inForce(View view) {
-        List<Imprint> voters = view.electorate().stream().map(Voter::imprint).toList();
+        List<DaemonAddress> voters =
+                view.electorate().stream().map(Voter::daemonAddress).toList();
         if (!voters.equals(seats)) {
             seats = voters;
             seatsSince = clock.now();
@@ -196,9 +208,10 @@
      * the argument that some voter of the next view has every acknowledged record rests on it.
      */
     private boolean companionSettled(View now) {
-        for (Imprint member : now.line(tolerated)) {
+        for (DaemonAddress member : now.line(tolerated)) {
             FailureDetector.Peer peer = detector.peer(member);
-            long settled = member.equals(self) ? replica.companion().settledView()
+            long settled = member.equals(self)
+                    ? replica.companion().settledView()
                     : peer == null || peer.report() == null ? 0 : peer.report().settledView();
             if (settled < now.number()) {
                 return false;
@@ -208,28 +221,32 @@
     }
 
     private void reconcile() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (attempt != null) {
             if (attempt.view <= replica.view().number()) {
                 attempt = null;
             } else if (now.since(attempt.since) > ATTEMPT_MS) {
                 attempt = null;
                 quietUntil = now.plus(100 + random.nextInt(400));
-                tally.count("archive.views.abandoned");
+                metrics.count("control.views.abandoned");
             } else {
                 push();
             }
             return;
         }
-        if (replica.standing() != Replica.Standing.MEMBER || !selfGood() || now.isBefore(quietUntil)
-                || !detector.reachesMajority(replica.view()) || detector.unsettled(FailureDetector.SILENCE_MS)) {
+        if (replica.standing() != Replica.Standing.MEMBER
+                || !selfGood()
+                || now.isBefore(quietUntil)
+                || !detector.reachesMajority(replica.view())
+                || detector.unsettled(FailureDetector.SILENCE_MS)) {
             wantedSince = null;
             return;
         }
         MembershipPlan.Wish wish = wish();
         if (wish == null && replica.frozenMs() > FROZEN_MS) {
             View c = replica.view();
-            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
+            wish = new MembershipPlan.Wish(
+                    new View(c.number() + 1, c.electorate(), c.chain()), "a view change was not finished", true);
         }
         if (companionSettled(replica.view())) {
             unsettledSince = null;
@@ -238,8 +255,10 @@
         } else if (wish == null && now.since(unsettledSince) > GATHERING_MS) {
             // Whoever held the records that this view begins with may be gone: the next one begins with what is there.
             View c = replica.view();
-            wish = new MembershipPlan.Wish(new View(c.number() + 1, c.electorate(), c.chain()),
-                    "the operation records that it begins with are not to be had", true);
+            wish = new MembershipPlan.Wish(
+                    new View(c.number() + 1, c.electorate(), c.chain()),
+                    "the operation records that it begins with are not to be had",
+                    true);
         }
         if (wish == null) {
             wantedSince = null;
@@ -258,20 +277,22 @@
         long rank = 0;
         Seen seen = new Seen();
         for (Voter f : replica.view().electorate()) {
-            if (f.imprint().compareTo(self) < 0 && seen.well(f.imprint()) && seen.hasMemory(f.imprint())) {
+            if (f.daemonAddress().compareTo(self) < 0
+                    && seen.well(f.daemonAddress())
+                    && seen.hasMemory(f.daemonAddress())) {
                 rank++;
             }
         }
         return rank;
     }
 
-    private void propose(MembershipPlan.Wish wish, Moment now) {
+    private void propose(MembershipPlan.Wish wish, MonotonicTime now) {
         long round = replica.promisedBallot().round() + 1;
         unsettledSince = null;
         attempt = new Attempt(wish.view().number(), new Ballot(round, self), wish.view(), wish.why(), now);
         wantedSince = null;
         LOG.info("Proposing view {} because {}.", attempt.view, attempt.why);
-        tally.count("archive.views.proposed");
+        metrics.count("control.views.proposed");
         push();
     }
 
@@ -279,25 +300,28 @@
     private void push() {
         for (Voter f : replica.view().electorate()) {
             if (attempt.proposal == null) {
-                if (!attempt.promises.containsKey(f.imprint())) {
-                    replica.sendPrepare(f.imprint(), attempt.view, attempt.ballot);
+                if (!attempt.promises.containsKey(f.daemonAddress())) {
+                    replica.sendPrepare(f.daemonAddress(), attempt.view, attempt.ballot);
                 }
-            } else if (attempt.accepted.stream().noneMatch(a -> a.imprint().equals(f.imprint()))) {
-                replica.sendAccept(f.imprint(), attempt.view, attempt.ballot, attempt.proposal);
+            } else if (attempt.accepted.stream()
+                    .noneMatch(a -> a.daemonAddress().equals(f.daemonAddress()))) {
+                replica.sendAccept(f.daemonAddress(), attempt.view, attempt.ballot, attempt.proposal);
             }
         }
     }
 
     /** Whether a vote comes from the newest incarnation known of its voter. */
     private boolean counts(Voter voter) {
-        return replica.view().votes(voter.imprint())
-                && voter.incarnation() >= replica.incarnationOf(voter.imprint());
+        return replica.view().votes(voter.daemonAddress())
+                && voter.incarnation() >= replica.incarnationOf(voter.daemonAddress());
     }
 
     private void noteUncounted(Voter voter) {
         if (!counts(voter)) {
-            dropped.count(replica.view().votes(voter.imprint()) ? DroppedMessages.Reason.FOREIGN_INCARNATION
-                    : DroppedMessages.Reason.NOT_A_MEMBER);
+            dropped.count(
+                    replica.view().votes(voter.daemonAddress())
+                            ? DroppedMessages.Reason.FOREIGN_INCARNATION
+                            : DroppedMessages.Reason.NOT_A_MEMBER);
         }
     }
 
@@ -307,7 +331,7 @@
             return;
         }
         noteUncounted(promise.voter());
-        attempt.promises.put(promise.voter().imprint(), promise);
+        attempt.promises.put(promise.voter().daemonAddress(), promise);
         attempt.promises.values().removeIf(p -> !counts(p.voter()));
         if (attempt.promises.size() < replica.view().majority()) {
             return;
@@ -324,7 +348,7 @@
         Ballot best = Ballot.NONE;
         Proposal earlier = null;
         ConfigurationState newest = null;
-        Bookmark mark = Bookmark.NONE;
+        OperationLogPosition mark = OperationLogPosition.NONE;
         for (Replica.Promise p : promises) {
             if (p.accepted() != null && p.acceptedBallot().compareTo(best) > 0) {
                 best = p.acceptedBallot();
@@ -335,7 +359,9 @@
             }
             // Of two that hold the same, one that stays is asked for it.
             if (p.mark().isBeyond(mark)
-                    || p.mark().sameAs(mark) && !wanted.chains(mark.holder()) && wanted.chains(p.mark().holder())) {
+                    || p.mark().sameAs(mark)
+                            && !wanted.chains(mark.holder())
+                            && wanted.chains(p.mark().holder())) {
                 mark = p.mark();
             }
         }
--- a/archive/src/test/java/org/umbermount/archive/BoundedFaultsTest.java
+++ b/control/src/test/java/org/umbermount/control/BoundedFaultsTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -18,13 +15,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 /**
- * Bounded model check on the registrars as they are: two operators order two changes under one number on one version, and a
+ * Bounded model check on the controllers as they are: two operators order two changes under one number on one version, and a
  * member of the chain loses power in the same moment. Each message of views and chain that follows is lost, comes late or twice,
  * or its sender or receiver loses power with it, one message at a time; {@code -Dfaults=2} does so for every pair of messages.
  * Runs share nothing, so {@code -Dthreads=2} plays them side by side; {@code -Dminutes=15} ends the search then, and says how
@@ -32,11 +32,15 @@
  */
 class BoundedFaultsTest {
     private enum Fault {
-        LOST, LATE, TWICE, RECEIVER_LOSES_POWER, SENDER_LOSES_POWER, RECEIVER_LOSES_DISK
+        LOST,
+        LATE,
+        TWICE,
+        RECEIVER_LOSES_POWER,
+        SENDER_LOSES_POWER,
+        RECEIVER_LOSES_DISK
     }
 
-    private record Strike(int message, Fault fault) {
-    }
+    private record Strike(int message, Fault fault) {}
 
     private static final long WINDOW_MS = 2_600;
     private static final long DOWN_MS = 1_200;
@@ -67,17 +71,17 @@
             });
         }
 
-        private int indexOf(Imprint who) {
+        private int indexOf(DaemonAddress who) {
             for (int i = 0; i < size; i++) {
-                if (Fleet.imprint(i).equals(who)) {
+                if (Fleet.daemonAddress(i).equals(who)) {
                     return i;
                 }
             }
             throw new IllegalStateException();
         }
 
-        private boolean strike(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
-            if (!open || passing || topic != Postbag.Topic.VIEW && topic != Postbag.Topic.CHAIN) {
+        private boolean strike(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
+            if (!open || passing || topic != Messenger.Topic.VIEW && topic != Messenger.Topic.CHAIN) {
                 return true;
             }
             int mine = count++;
@@ -89,7 +93,7 @@
             return true;
         }
 
-        private boolean apply(Fault fault, Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
+        private boolean apply(Fault fault, DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
             switch (fault) {
                 case LOST -> {
                     return false;
@@ -106,7 +110,7 @@
             return true;
         }
 
-        private void again(Imprint from, Imprint to, Postbag.Topic topic, byte[] body, long ms) {
+        private void again(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body, long ms) {
             fleet.almanac.after(ms, () -> {
                 if (fleet.isRunning(indexOf(from))) {
                     passing = true;
@@ -150,7 +154,7 @@
                 return "no calm at the start";
             }
             open = true;
-            Imprint member = fleet.replica(0).view().chain().get(1);
+            DaemonAddress member = fleet.replica(0).view().chain().get(1);
             Caller a = new Caller("a", 0);
             Caller b = new Caller("b", 2);
             fall(indexOf(member), false, 2);
@@ -163,7 +167,7 @@
             return broken != null ? broken : judge(a, b);
         }
 
-        /** An operator that sends its order again, to the next registrar, until it has a clear answer. */
+        /** An operator that sends its order again, to the next controller, until it has a clear answer. */
         private final class Caller {
             private final String text;
             private int at;
@@ -228,8 +232,7 @@
     }
 
     /** How many of the planned runs were played, and what broke first, or null. */
-    private record Outcome(int runs, int planned, String broken) {
-    }
+    private record Outcome(int runs, int planned, String broken) {}
 
     private static Outcome search(int size, int faults, List<Fault> kinds) throws Exception {
         Run plain = new Run(size, List.of());
@@ -243,7 +246,9 @@
         AtomicInteger runs = new AtomicInteger(1);
         TreeMap<Integer, String> broken = new TreeMap<>();
         Callable<Void> worker = () -> {
-            for (int k = next.getAndIncrement(); k < plans.size() && System.nanoTime() < end; k = next.getAndIncrement()) {
+            for (int k = next.getAndIncrement();
+                    k < plans.size() && System.nanoTime() < end;
+                    k = next.getAndIncrement()) {
                 runs.incrementAndGet();
                 String found = new Run(size, plans.get(k)).play();
                 if (found != null) {
@@ -264,7 +269,10 @@
         } finally {
             pool.shutdown();
         }
-        return new Outcome(runs.get(), plans.size() + 1, broken.isEmpty() ? null : broken.firstEntry().getValue());
+        return new Outcome(
+                runs.get(),
+                plans.size() + 1,
+                broken.isEmpty() ? null : broken.firstEntry().getValue());
     }
 
     private static List<List<Strike>> plans(int messages, int size, int faults, List<Fault> kinds) {
@@ -283,7 +291,8 @@
             }
         }
         // Two disks lost, or one with another member away, are more than may be lost at once.
-        plans.removeIf(plan -> size < 5 && faults > 1 && plan.stream().anyMatch(s -> s.fault == Fault.RECEIVER_LOSES_DISK));
+        plans.removeIf(
+                plan -> size < 5 && faults > 1 && plan.stream().anyMatch(s -> s.fault == Fault.RECEIVER_LOSES_DISK));
         return plans;
     }
 
@@ -292,8 +301,8 @@
     void oneFaultAtAnyMessageBreaksNothing(int size) throws Exception {
         int faults = Integer.getInteger("faults", 1);
         Outcome found = search(size, faults, List.of(Fault.values()));
-        System.out.println("faults: " + size + " registrars, " + faults + " at a time: " + found.runs + " of " + found.planned
-                + " runs");
+        System.out.println("faults: " + size + " controllers, " + faults + " at a time: " + found.runs + " of "
+                + found.planned + " runs");
         assertNull(found.broken, found.broken);
     }
 
--- a/archive/src/test/java/org/umbermount/archive/ByteDeltaTest.java
+++ b/control/src/test/java/org/umbermount/control/ByteDeltaTest.java
@@ -1,4 +1,10 @@
-package org.umbermount.archive;
+package org.umbermount.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.umbermount.kernel.MessagePackCodec;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -6,21 +12,15 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Script;
-
 class ByteDeltaTest {
-    private static ByteDelta carried(ByteDelta delta) throws Script.UnreadableException {
-        Script.Writer out = Script.write();
+    private static ByteDelta carried(ByteDelta delta) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         delta.write(out);
-        return ByteDelta.read(Script.read(out.done()));
+        return ByteDelta.read(MessagePackCodec.read(out.done()));
     }
 
     private static int length(ByteDelta delta) {
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         delta.write(out);
         return out.done().length;
     }
@@ -31,7 +31,7 @@
 
     /** Items are replaced, put in, taken out and moved about; pieces and whole texts are empty now and then. */
     @Test
-    void whateverBecomesOfTheBytesTheOutcomeIsExact() throws Script.UnreadableException {
+    void whateverBecomesOfTheBytesTheOutcomeIsExact() throws MessagePackCodec.UnreadableException {
         Random random = new Random(5);
         for (int round = 0; round < 3_000; round++) {
             List<String> items = new ArrayList<>();
@@ -80,14 +80,19 @@
 
     @Test
     void whatIsCutOffOrOutOfBoundsIsNotRead() {
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         ByteDelta.between("{a}{b}".getBytes(), "{b}{c}".getBytes()).write(out);
         byte[] whole = out.done();
         for (int cut = 0; cut < whole.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(whole, cut);
-            assertThrows(Script.UnreadableException.class, () -> ByteDelta.read(Script.read(part)));
+            assertThrows(MessagePackCodec.UnreadableException.class, () -> ByteDelta.read(MessagePackCodec.read(part)));
         }
-        byte[] beyond = Script.write().num(1).num(0).num(1L << 40).bytes(new byte[0]).done();
-        assertThrows(Script.UnreadableException.class, () -> ByteDelta.read(Script.read(beyond)));
+        byte[] beyond = MessagePackCodec.write()
+                .num(1)
+                .num(0)
+                .num(1L << 40)
+                .bytes(new byte[0])
+                .done();
+        assertThrows(MessagePackCodec.UnreadableException.class, () -> ByteDelta.read(MessagePackCodec.read(beyond)));
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/ControlDeskOrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/ControlApiOrdersTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,10 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Orders as calls, from the bytes of the request to the status of the answer. */
-class ControlDeskOrdersTest {
+class ControlApiOrdersTest {
     private Fleet fleet;
 
     @BeforeEach
@@ -41,8 +41,13 @@
     }
 
     private String exchange(int at, String request) {
-        ControlDesk desk = new ControlDesk(fleet.running.get(at), fleet.almanac, Fleet.imprint(at),
-                Fleet.imprint(at).withPort(8000), Fleet.zone(at), new Tally());
+        ControlApi desk = new ControlApi(
+                fleet.running.get(at),
+                fleet.almanac,
+                Fleet.daemonAddress(at),
+                Fleet.daemonAddress(at).withPort(8000),
+                Fleet.zone(at),
+                new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
         channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.UTF_8));
@@ -62,8 +67,10 @@
     }
 
     private int call(int at, String method, long match, String body) {
-        String answer = exchange(at, method + " /config HTTP/1.1\r\nHost: c\r\nIf-Match: " + match + "\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body);
+        String answer = exchange(
+                at,
+                method + " /config HTTP/1.1\r\nHost: c\r\nIf-Match: " + match + "\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body);
         assertTrue(answer.startsWith("HTTP/1.1 "), "no answer");
         return Integer.parseInt(answer.substring(9, 12));
     }
@@ -102,7 +109,7 @@
         int invalid = invalid();
         // None of the others can be heard: it is told from the call alone.
         for (int o = 1; o < 4; o++) {
-            fleet.network.cutBoth(Fleet.imprint(0), Fleet.imprint(o));
+            fleet.network.cutBoth(Fleet.daemonAddress(0), Fleet.daemonAddress(o));
         }
         assertEquals(invalid, call(0, "PUT", 2, whole(2, "x")));
         assertEquals(invalid, call(0, "PUT", 2, whole(1, "a")));
@@ -125,7 +132,7 @@
     @Test
     void amendmentWhoseBaseIsNotAtHandHasNoClearAnswer() {
         for (int o = 0; o < 3; o++) {
-            fleet.network.cutBoth(Fleet.imprint(3), Fleet.imprint(o));
+            fleet.network.cutBoth(Fleet.daemonAddress(3), Fleet.daemonAddress(o));
         }
         fleet.run(3_000);
         assertEquals(200, call(0, "PUT", 2, whole(3, "c")));
@@ -139,11 +146,14 @@
     @Test
     void statusShowsTheOrdersTakenLast() throws IOException {
         String answer = exchange(2, "GET /status HTTP/1.1\r\nHost: c\r\n\r\n");
-        JsonNode orders = new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n"))).path("orders");
+        JsonNode orders = new ObjectMapper()
+                .readTree(answer.substring(answer.indexOf("\r\n\r\n")))
+                .path("orders");
         assertEquals(0, orders.path("floor").asLong(-1));
         assertEquals(2, orders.path("remembered").asInt());
         assertEquals(2, orders.path("last").get(1).path("edition").asLong());
-        assertEquals(Digest.ofCall("PUT", whole(2, "b").getBytes()).toString(),
+        assertEquals(
+                Digest.ofCall("PUT", whole(2, "b").getBytes()).toString(),
                 orders.path("last").get(1).path("digest").asText());
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/ControlCaller.java
+++ b/control/src/test/java/org/umbermount/control/ControlCaller.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -8,17 +8,16 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Metrics;
 
 /**
- * Puts HTTP calls to the registrars of a {@link Fleet}: each on a connection of its own, from the bytes of the request
+ * Puts HTTP calls to the controllers of a {@link Fleet}: each on a connection of its own, from the bytes of the request
  * to those of the answer. A call waits for a process that stands still, and one that dies answers nothing.
  */
 public final class ControlCaller {
-    /** What a registrar answered. */
-    public record Answer(int status, String body) {
-    }
+    /** What a controller answered. */
+    public record Answer(int status, String body) {}
 
     private static final int STATUS_AT = "HTTP/1.1 ".length();
     private static final int STATUS_LENGTH = 3;
@@ -26,7 +25,7 @@
 
     private final Fleet fleet;
 
-    /** @param fleet whose registrars are called */
+    /** @param fleet whose controllers are called */
     public ControlCaller(Fleet fleet) {
         this.fleet = fleet;
     }
@@ -38,12 +37,12 @@
                 + body.getBytes(StandardCharsets.UTF_8).length + END_OF_HEADERS + body;
     }
 
-    /** Sends a call to a registrar that runs; the answer comes once, or never. */
+    /** Sends a call to a controller that runs; the answer comes once, or never. */
     public void call(int machine, String request, Consumer<Answer> answered) {
-        Archive archive = fleet.running.get(machine);
-        Imprint self = Fleet.imprint(machine);
-        ControlDesk desk = new ControlDesk(archive, fleet.clock(machine), self, self.withPort(8000), Fleet.zone(machine),
-                new Tally());
+        ControlPlane controlPlane = fleet.running.get(machine);
+        DaemonAddress self = Fleet.daemonAddress(machine);
+        ControlApi desk = new ControlApi(
+                controlPlane, fleet.clock(machine), self, self.withPort(8000), Fleet.zone(machine), new Metrics());
         fleet.clock(machine).execute(() -> {
             EmbeddedChannel channel = new EmbeddedChannel();
             desk.answerCalls(channel.pipeline());
@@ -52,7 +51,7 @@
         });
     }
 
-    /** Gathers what a registrar writes, and hands it on when it is flushed. */
+    /** Gathers what a controller writes, and hands it on when it is flushed. */
     private static final class AnswerReader extends ChannelOutboundHandlerAdapter {
         private final Consumer<Answer> answered;
         private final StringBuilder written = new StringBuilder();
--- a/archive/src/test/java/org/umbermount/archive/DroppedMessagesTest.java
+++ b/control/src/test/java/org/umbermount/control/DroppedMessagesTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -10,22 +7,24 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MachineUptime;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Settings;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.testing.FakeDirectory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Messages of views and chain that come too late, from the wrong life or damaged: counted, and without effect. */
 class DroppedMessagesTest {
-    private static final String DROPPED = "archive.messages.dropped.";
+    private static final String DROPPED = "control.messages.dropped.";
 
     /** A message on its way. */
-    private record Sent(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
-    }
+    private record Sent(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {}
 
     private final List<Sent> sent = new ArrayList<>();
 
@@ -43,15 +42,15 @@
 
     private static String state(Fleet fleet, int i) {
         Replica replica = fleet.replica(i);
-        return replica.view() + " " + replica.newestEdition() + " " + replica.committed().edition() + " "
-                + replica.incarnation() + " " + replica.standing();
+        return replica.view() + " " + replica.newestEdition() + " "
+                + replica.committed().edition() + " " + replica.incarnation() + " " + replica.standing();
     }
 
     private static double count(Fleet fleet, int i, String reason) {
         return fleet.tallies.get(i).counter(DROPPED + reason).count();
     }
 
-    private static void replay(Fleet fleet, List<Sent> messages, Imprint to, Postbag.Topic topic) {
+    private static void replay(Fleet fleet, List<Sent> messages, DaemonAddress to, Messenger.Topic topic) {
         for (Sent m : messages) {
             if (m.to.equals(to) && m.topic == topic) {
                 fleet.bag(indexOf(m.from)).send(to, topic, m.body);
@@ -60,9 +59,9 @@
         fleet.run(100);
     }
 
-    private static int indexOf(Imprint from) {
+    private static int indexOf(DaemonAddress from) {
         for (int i = 0; i < 4; i++) {
-            if (Fleet.imprint(i).equals(from)) {
+            if (Fleet.daemonAddress(i).equals(from)) {
                 return i;
             }
         }
@@ -81,10 +80,10 @@
         assertTrue(fleet.replica(1).view().number() > view);
         String before = state(fleet, 1);
         double counted = count(fleet, 1, "old_view");
-        replay(fleet, old, Fleet.imprint(1), Postbag.Topic.CHAIN);
+        replay(fleet, old, Fleet.daemonAddress(1), Messenger.Topic.CHAIN);
         double chain = count(fleet, 1, "old_view");
         assertTrue(chain > counted, "messages of the chain");
-        replay(fleet, old, Fleet.imprint(1), Postbag.Topic.VIEW);
+        replay(fleet, old, Fleet.daemonAddress(1), Messenger.Topic.VIEW);
         assertTrue(count(fleet, 1, "old_view") > chain, "messages about views");
         assertEquals(before, state(fleet, 1));
     }
@@ -110,7 +109,7 @@
         fleet.start(1, false);
         double counted = count(fleet, 1, "foreign_incarnation");
         for (Sent m : toThisLife) {
-            if (m.to.equals(Fleet.imprint(1)) && m.topic == Postbag.Topic.VIEW) {
+            if (m.to.equals(Fleet.daemonAddress(1)) && m.topic == Messenger.Topic.VIEW) {
                 fleet.bag(indexOf(m.from)).send(m.to, m.topic, m.body);
             }
         }
@@ -121,17 +120,17 @@
         assertEquals(Replica.Standing.MEMBER, fleet.replica(1).standing());
     }
 
-    /** Takes what the parts of one registrar subscribe to. */
-    private static final class CapturingPost implements Postbag {
+    /** Takes what the parts of one controller subscribe to. */
+    private static final class CapturingPost implements Messenger {
         final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
 
         @Override
-        public Imprint self() {
-            return Fleet.imprint(1);
+        public DaemonAddress self() {
+            return Fleet.daemonAddress(1);
         }
 
         @Override
-        public void send(Imprint to, Topic topic, byte[] body) {
+        public void send(DaemonAddress to, Topic topic, byte[] body) {
             // What is answered to damaged messages does not matter here.
         }
 
@@ -150,7 +149,7 @@
         fleet.start(2, false);
         fleet.run(4_000);
         Random random = new Random(5);
-        CapturingPost post = freshRegistrar(fleet);
+        CapturingPost messenger = freshController(fleet);
         int unreadable = 0;
         for (int i = 0; i < 30_000; i++) {
             Sent m = sent.get(random.nextInt(sent.size()));
@@ -162,11 +161,12 @@
                 body = java.util.Arrays.copyOf(body, random.nextInt(body.length));
             }
             try {
-                post.listeners.get(m.topic).receive(m.from, body);
-            } catch (Script.UnreadableException e) {
+                messenger.listeners.get(m.topic).receive(m.from, body);
+            } catch (MessagePackCodec.UnreadableException e) {
                 unreadable++;
             } catch (RuntimeException e) {
-                throw new AssertionError(m.topic + " " + java.util.HexFormat.of().formatHex(body), e);
+                throw new AssertionError(
+                        m.topic + " " + java.util.HexFormat.of().formatHex(body), e);
             }
             fleet.run(i % 10 == 0 ? 1 : 0);
         }
@@ -186,19 +186,43 @@
         }
     };
 
-    private static CapturingPost freshRegistrar(Fleet fleet) throws IOException {
-        CapturingPost post = new CapturingPost();
-        FakeVault disk = new FakeVault();
+    private static CapturingPost freshController(Fleet fleet) throws IOException {
+        CapturingPost messenger = new CapturingPost();
+        FakeDirectory disk = new FakeDirectory();
         disk.clock(fleet.almanac);
-        HouseRules rules = new HouseRules("n", "z1", Map.of("z1", "r"), Fleet.imprint(1).host(), Map.of(), 7000, 7010,
-                List.of(Fleet.imprint(0).withPort(8000), Fleet.imprint(1).withPort(8000), Fleet.imprint(2).withPort(8000)),
-                true, "/data", 100, 1000, 1500, 0, java.util.Set.of(),
-                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
-        Archive archive = new Archive(fleet.almanac, post, rules, Fleet.imprint(1).withPort(8000),
-                Stack.open(disk, "memory", 1 << 16), Stack.open(disk, "census", 1 << 16), disk.executor(), new Tally(),
-                new java.util.Random(1), UNDATED);
-        archive.start();
+        Settings rules = new Settings(
+                "n",
+                "z1",
+                Map.of("z1", "r"),
+                Fleet.daemonAddress(1).host(),
+                Map.of(),
+                7000,
+                7010,
+                List.of(
+                        Fleet.daemonAddress(0).withPort(8000),
+                        Fleet.daemonAddress(1).withPort(8000),
+                        Fleet.daemonAddress(2).withPort(8000)),
+                true,
+                "/data",
+                100,
+                1000,
+                1500,
+                0,
+                java.util.Set.of(),
+                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+        ControlPlane controlPlane = new ControlPlane(
+                fleet.almanac,
+                messenger,
+                rules,
+                Fleet.daemonAddress(1).withPort(8000),
+                AppendOnlyFile.open(disk, "memory", 1 << 16),
+                AppendOnlyFile.open(disk, "census", 1 << 16),
+                disk.executor(),
+                new Metrics(),
+                new java.util.Random(1),
+                UNDATED);
+        controlPlane.start();
         fleet.run(100);
-        return post;
+        return messenger;
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/Fleet.java
+++ b/control/src/test/java/org/umbermount/control/Fleet.java
@@ -1,4 +1,4 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -6,44 +6,45 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.HouseRules;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MachineUptime;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.kernel.testing.FakeMessenger;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.testing.FakeDirectory;
 
-/** Registrars on a fake clock, network and disk. */
+/** Controllers on a fake clock, network and disk. */
 public final class Fleet {
     /** Puts something beside the configuration of a daemon that starts. */
     public interface Attachment {
-        void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException;
+        void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException;
     }
 
     public final FakeClock almanac = new FakeClock();
-    public final FakePost network;
-    final Map<Integer, Archive> running = new TreeMap<>();
-    public final Map<Integer, FakeVault> disks = new HashMap<>();
-    private final Map<Integer, FakePost.Bag> bags = new HashMap<>();
-    final Map<Integer, Tally> tallies = new HashMap<>();
+    public final FakeMessenger network;
+    final Map<Integer, ControlPlane> running = new TreeMap<>();
+    public final Map<Integer, FakeDirectory> disks = new HashMap<>();
+    private final Map<Integer, FakeMessenger.Bag> bags = new HashMap<>();
+    final Map<Integer, Metrics> tallies = new HashMap<>();
     private final int size;
     private final int seeds;
     private final int tolerated;
     private final Attachment attachment;
     private final java.util.Set<String> guarantees;
-    /** Over which length the files of registrars that start from now on are rewritten. */
+    /** Over which length the files of controllers that start from now on are rewritten. */
     long rewriteOver = 1 << 16;
 
     private final java.util.Random lives;
     /** How often each machine has started. */
     private final Map<Integer, Integer> boots = new HashMap<>();
+
     private final Map<Integer, Long> bootedAt = new HashMap<>();
     private final Map<Integer, Long> wallOffsets = new HashMap<>();
 
@@ -68,6 +69,7 @@
 
     /** One process: its timers die with it. */
     private final Map<Integer, MortalClock> clocks = new HashMap<>();
+
     private final Map<Integer, String> zones = new HashMap<>();
 
     Fleet(int size, int seeds, long seed) throws IOException {
@@ -84,86 +86,111 @@
         this.guarantees = guarantees;
         this.tolerated = tolerated;
         this.attachment = attachment;
-        this.network = new FakePost(almanac, seed);
+        this.network = new FakeMessenger(almanac, seed);
         this.seeds = seeds;
         this.lives = new java.util.Random(seed * 31 + 7);
         for (int i = 0; i < size; i++) {
             zones.put(i, zone(i));
         }
         for (int i = 0; i < size; i++) {
-            disks.put(i, new FakeVault());
+            disks.put(i, new FakeDirectory());
             start(i, true);
         }
     }
 
-    public static Imprint imprint(int i) {
-        return Imprint.parse("10." + (i + 1) + ".0.1:7000");
+    public static DaemonAddress daemonAddress(int i) {
+        return DaemonAddress.parse("10." + (i + 1) + ".0.1:7000");
     }
 
     public static String zone(int i) {
         return "z" + i;
     }
 
-    /** Starts a registrar of the first days, which is told of all others of them. */
+    /** Starts a controller of the first days, which is told of all others of them. */
     public void start(int i, boolean bootstrap) throws IOException {
         List<Integer> first = new ArrayList<>();
         for (int s = 0; s < seeds; s++) {
             first.add(s);
         }
-        Archive archive = launch(i, bootstrap, first);
+        ControlPlane controlPlane = launch(i, bootstrap, first);
         for (int other = 0; other < size; other++) {
-            archive.detector.enlist(imprint(other));
+            controlPlane.detector.enlist(daemonAddress(other));
         }
     }
 
-    /** Starts a registrar, perhaps one that there was none of before, which is told of its seeds alone. */
+    /** Starts a controller, perhaps one that there was none of before, which is told of its seeds alone. */
     public void start(int i, String zone, List<Integer> seedNodes) throws IOException {
         zones.put(i, zone);
-        disks.computeIfAbsent(i, n -> new FakeVault());
+        disks.computeIfAbsent(i, n -> new FakeDirectory());
         launch(i, false, seedNodes);
     }
 
-    private Archive launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
+    private ControlPlane launch(int i, boolean bootstrap, List<Integer> seedNodes) throws IOException {
         MortalClock clock = new MortalClock(almanac, () -> wallOffsets.getOrDefault(i, 0L));
         clocks.put(i, clock);
-        List<Imprint> seedImprints = seedNodes.stream().map(s -> imprint(s).withPort(8000)).toList();
+        List<DaemonAddress> seedImprints =
+                seedNodes.stream().map(s -> daemonAddress(s).withPort(8000)).toList();
         Map<String, String> allZones = new HashMap<>();
         zones.values().forEach(z -> allZones.put(z, "r"));
-        HouseRules rules = new HouseRules("n" + i, zones.get(i), allZones, imprint(i).host(), Map.of(), 7000, 7010, seedImprints,
-                bootstrap, "/data", 100, 1000, 1500, tolerated, guarantees,
-                new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
-        FakeVault disk = disks.get(i);
+        Settings rules = new Settings(
+                "n" + i,
+                zones.get(i),
+                allZones,
+                daemonAddress(i).host(),
+                Map.of(),
+                7000,
+                7010,
+                seedImprints,
+                bootstrap,
+                "/data",
+                100,
+                1000,
+                1500,
+                tolerated,
+                guarantees,
+                new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 10_000, 60, 4000));
+        FakeDirectory disk = disks.get(i);
         disk.clock(clock);
-        FakePost.Bag bag = network.bag(imprint(i));
+        FakeMessenger.Bag bag = network.bag(daemonAddress(i));
         bags.put(i, bag);
-        Tally tally = new Tally();
-        tallies.put(i, tally);
-        Archive archive = new Archive(clock, bag, rules, imprint(i).withPort(8000),
-                Stack.open(disk, "memory", rewriteOver), Stack.open(disk, "census", 1 << 16), disk.executor(), tally,
-                new java.util.Random(lives.nextLong()), new Uptime(i));
-        running.put(i, archive);
+        Metrics metrics = new Metrics();
+        tallies.put(i, metrics);
+        ControlPlane controlPlane = new ControlPlane(
+                clock,
+                bag,
+                rules,
+                daemonAddress(i).withPort(8000),
+                AppendOnlyFile.open(disk, "memory", rewriteOver),
+                AppendOnlyFile.open(disk, "census", 1 << 16),
+                disk.executor(),
+                metrics,
+                new java.util.Random(lives.nextLong()),
+                new Uptime(i));
+        running.put(i, controlPlane);
         if (attachment != null) {
-            attachment.attach(i, clock, bag, archive.replica, disk);
+            attachment.attach(i, clock, bag, controlPlane.replica, disk);
         }
-        archive.start();
-        return archive;
+        controlPlane.start();
+        return controlPlane;
     }
 
-    /** The epoch under which a registrar that runs holds a duty now, or 0. */
+    /** The epoch under which a controller that runs holds a duty now, or 0. */
     public long epoch(int i, String duty) {
         return running.get(i).leases.epoch(duty);
     }
 
-    /** What a registrar that runs holds to be so, for a reader. */
+    /** What a controller that runs holds to be so, for a reader. */
     public String describe(int i) {
-        Archive a = running.get(i);
+        ControlPlane a = running.get(i);
         return a.replica.standing().name().toLowerCase(java.util.Locale.ROOT) + ", " + a.replica.view() + ", committed "
-                + a.replica.committed().edition() + " in view " + a.replica.committed().view() + ", newest "
-                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties() + (a.census.ready() ? "" : ", no server list")
+                + a.replica.committed().edition() + " in view "
+                + a.replica.committed().view() + ", newest "
+                + a.replica.newestEdition() + ", duties " + a.leases.activeDuties()
+                + (a.serverRegistry.ready() ? "" : ", no server list")
                 + (a.detector.reachesMajority(a.replica.view()) ? "" : ", reaches no majority");
     }
 
-    /** Says that a registrar is leaving, as before a planned stop. */
+    /** Says that a controller is leaving, as before a planned stop. */
     public void leave(int i) {
         running.get(i).leases.releaseAll();
         running.get(i).detector.leaving();
@@ -172,7 +199,7 @@
     /** Ends the process; what was not synced is lost if the power goes too. */
     public void kill(int i, boolean power) {
         clocks.get(i).die();
-        network.down(imprint(i));
+        network.down(daemonAddress(i));
         running.remove(i);
         if (power) {
             disks.get(i).losePower();
@@ -197,31 +224,31 @@
         } else {
             clocks.get(i).freeze();
         }
-        network.freeze(imprint(i));
+        network.freeze(daemonAddress(i));
     }
 
     public void thaw(int i) {
         clocks.get(i).resume();
-        network.thaw(imprint(i));
+        network.thaw(daemonAddress(i));
         clocks.get(i).thaw();
     }
 
-    /** Offers the parts of a running registrar to another host, on the registrar's own clock. */
-    public Institution host(int i, HouseRules rules) {
-        Archive archive = running.get(i);
-        Institution host = new Institution(Role.REGISTRAR, rules, clocks.get(i));
-        host.offer(Replica.class, archive.replica);
-        host.offer(Census.class, archive.census);
-        host.offer(LeaseOffice.class, archive.leases);
-        host.offer(FailureDetector.class, archive.detector);
-        host.offer(MajorityContact.class, archive.contact);
-        host.offer(ChainClient.class, archive.chainClient);
-        host.offer(StatusPage.class, section -> { });
+    /** Offers the parts of a running controller to another host, on the controller's own clock. */
+    public PluginHost host(int i, Settings rules) {
+        ControlPlane controlPlane = running.get(i);
+        PluginHost host = new PluginHost(Role.CONTROLLER, rules, clocks.get(i));
+        host.offer(Replica.class, controlPlane.replica);
+        host.offer(ServerRegistry.class, controlPlane.serverRegistry);
+        host.offer(LeaseManager.class, controlPlane.leases);
+        host.offer(FailureDetector.class, controlPlane.detector);
+        host.offer(MajorityContact.class, controlPlane.contact);
+        host.offer(ChainClient.class, controlPlane.chainClient);
+        host.offer(StatusPage.class, section -> {});
         return host;
     }
 
-    /** What a registrar has counted since it last started. */
-    public Tally tally(int i) {
+    /** What a controller has counted since it last started. */
+    public Metrics metrics(int i) {
         return tallies.get(i);
     }
 
@@ -232,18 +259,18 @@
 
     /** The number of the life of a process that runs. */
     public long life(int i) {
-        return running.get(i).census.boot();
+        return running.get(i).serverRegistry.boot();
     }
 
-    /** The number of the life of another registrar that one takes for the present one; 0 for none. */
+    /** The number of the life of another controller that one takes for the present one; 0 for none. */
     public long lifeKnown(int at, int other) {
-        FailureDetector.Peer peer = running.get(at).detector.peer(imprint(other));
+        FailureDetector.Peer peer = running.get(at).detector.peer(daemonAddress(other));
         return peer == null || peer.report() == null ? 0 : peer.report().life();
     }
 
-    /** The incarnation of another registrar's memory that one takes for the present one. */
+    /** The incarnation of another controller's memory that one takes for the present one. */
     public long incarnationKnown(int at, int other) {
-        return running.get(at).replica.incarnationOf(imprint(other));
+        return running.get(at).replica.incarnationOf(daemonAddress(other));
     }
 
     /** The clock of a running process. */
@@ -251,7 +278,7 @@
         return clocks.get(i);
     }
 
-    public LeaseOffice leases(int i) {
+    public LeaseManager leases(int i) {
         return running.get(i).leases;
     }
 
@@ -259,7 +286,7 @@
         return running.get(i).contact;
     }
 
-    public FakePost.Bag bag(int i) {
+    public FakeMessenger.Bag bag(int i) {
         return bags.get(i);
     }
 
@@ -268,7 +295,7 @@
     }
 
     public void wipe(int i) {
-        disks.put(i, new FakeVault());
+        disks.put(i, new FakeDirectory());
     }
 
     public boolean isRunning(int i) {
@@ -291,14 +318,21 @@
 
     Reply submit(int at, long match, long edition, String text) {
         Reply reply = new Reply();
-        running.get(at).chainClient.submit(new Edition(match), new Edition(edition), text.getBytes(), 850,
-                v -> reply.verdict = v, () -> reply.gaveUp = true);
+        running.get(at)
+                .chainClient
+                .submit(
+                        new ConfigurationRevision(match),
+                        new ConfigurationRevision(edition),
+                        text.getBytes(),
+                        850,
+                        v -> reply.verdict = v,
+                        () -> reply.gaveUp = true);
         return reply;
     }
 
     ConfigurationState read(int at, long patience) {
         ConfigurationState[] out = new ConfigurationState[1];
-        running.get(at).chainClient.read(patience, a -> out[0] = a, () -> { });
+        running.get(at).chainClient.read(patience, a -> out[0] = a, () -> {});
         run(patience);
         return out[0];
     }
--- a/archive/src/test/java/org/umbermount/archive/IncrementChainTest.java
+++ b/control/src/test/java/org/umbermount/control/IncrementChainTest.java
@@ -1,10 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -13,17 +7,24 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.control.Replica.Verdict;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.archive.Replica.Verdict;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Changes that travel as increments: what is lost, doubled, late or overtaken, and members that lack what one builds on. */
 class IncrementChainTest {
     /** Positions in the replica's kinds of messages. */
     private static final int WRITE = 2;
+
     private static final int INCREMENT = 10;
     private static final int STATE_WANTED = 11;
     private static final int SIZE = 4;
@@ -32,7 +33,7 @@
 
     /** Whether a message of the chain goes on its way. */
     private interface Filter {
-        boolean passes(int kind, Imprint from, Imprint to, byte[] body);
+        boolean passes(int kind, DaemonAddress from, DaemonAddress to, byte[] body);
     }
 
     private Fleet settled(long seed) throws IOException {
@@ -48,7 +49,7 @@
     private void watch(Fleet fleet, Filter filter) {
         sent.clear();
         fleet.network.tap = (from, to, topic, body) -> {
-            if (topic != Postbag.Topic.CHAIN) {
+            if (topic != Messenger.Topic.CHAIN) {
                 return true;
             }
             sent.merge((int) body[0], 1, Integer::sum);
@@ -67,26 +68,28 @@
         return reply.verdict;
     }
 
-    private static int indexOf(Imprint who) {
+    private static int indexOf(DaemonAddress who) {
         int i = 0;
-        while (!Fleet.imprint(i).equals(who)) {
+        while (!Fleet.daemonAddress(i).equals(who)) {
             i++;
         }
         return i;
     }
 
-    private static Imprint member(Fleet fleet, int place) {
+    private static DaemonAddress member(Fleet fleet, int place) {
         return fleet.replica(0).view().chain().get(place);
     }
 
-    /** Every registrar has the same committed state, all of it, and it remembers these numbers. */
+    /** Every controller has the same committed state, all of it, and it remembers these numbers. */
     private static void assertAllHold(Fleet fleet, Long... numbers) {
         ConfigurationState first = fleet.replica(0).committed();
-        assertEquals(List.of(numbers), first.taken().entries().stream().map(t -> t.edition().value()).toList());
+        assertEquals(
+                List.of(numbers),
+                first.taken().entries().stream().map(t -> t.edition().value()).toList());
         for (int i = 1; i < SIZE; i++) {
             ConfigurationState other = fleet.replica(i).committed();
-            assertTrue(first.isSameAs(other), "registrar " + i);
-            assertEquals(first.taken(), other.taken(), "registrar " + i);
+            assertTrue(first.isSameAs(other), "controller " + i);
+            assertEquals(first.taken(), other.taken(), "controller " + i);
         }
     }
 
@@ -106,7 +109,7 @@
     private static void aMemberIsSentTheSecondOfTwoChangesAlone() throws IOException {
         IncrementChainTest test = new IncrementChainTest();
         Fleet fleet = test.settled(2);
-        Imprint head = member(fleet, 0);
+        DaemonAddress head = member(fleet, 0);
         boolean[] lost = new boolean[1];
         test.watch(fleet, (kind, from, to, body) -> {
             boolean first = kind == INCREMENT && from.equals(head) && !lost[0];
@@ -128,19 +131,23 @@
     @Test
     void aMemberThatLacksTheBaseIsSentTheWholeState() throws Exception {
         aMemberIsSentTheSecondOfTwoChangesAlone();
-        assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.INCREMENT_BASE_COMPARED, () -> {
-            aMemberIsSentTheSecondOfTwoChangesAlone();
-            return null;
-        }));
+        assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(Safeguard.INCREMENT_BASE_COMPARED, () -> {
+                    aMemberIsSentTheSecondOfTwoChangesAlone();
+                    return null;
+                }));
     }
 
     @Test
     void whereTheRequestForTheWholeIsLostTheHeadsRepeatBringsIt() throws IOException {
         Fleet fleet = settled(3);
-        Imprint head = member(fleet, 0);
+        DaemonAddress head = member(fleet, 0);
         int[] increments = new int[1];
-        watch(fleet, (kind, from, to, body) -> kind != STATE_WANTED
-                && !(kind == INCREMENT && from.equals(head) && increments[0]++ == 0));
+        watch(
+                fleet,
+                (kind, from, to, body) ->
+                        kind != STATE_WANTED && !(kind == INCREMENT && from.equals(head) && increments[0]++ == 0));
         fleet.submit(indexOf(head), 3, 4, "c4");
         fleet.run(5);
         Fleet.Reply five = fleet.submit(indexOf(head), 4, 5, "c5");
@@ -156,13 +163,19 @@
         Fleet fleet = settled(4);
         long view = fleet.replica(0).view().number();
         watch(fleet, (kind, from, to, body) -> true);
-        byte[] wanted = org.umbermount.kernel.Script.write().num(STATE_WANTED).num(view).done();
-        byte[] other = org.umbermount.kernel.Script.write().num(STATE_WANTED).num(view + 1).done();
-        fleet.bag(indexOf(member(fleet, 2))).send(member(fleet, 0), Postbag.Topic.CHAIN, wanted);
-        fleet.bag(indexOf(member(fleet, 1))).send(member(fleet, 0), Postbag.Topic.CHAIN, other);
+        byte[] wanted = org.umbermount.kernel.MessagePackCodec.write()
+                .num(STATE_WANTED)
+                .num(view)
+                .done();
+        byte[] other = org.umbermount.kernel.MessagePackCodec.write()
+                .num(STATE_WANTED)
+                .num(view + 1)
+                .done();
+        fleet.bag(indexOf(member(fleet, 2))).send(member(fleet, 0), Messenger.Topic.CHAIN, wanted);
+        fleet.bag(indexOf(member(fleet, 1))).send(member(fleet, 0), Messenger.Topic.CHAIN, other);
         fleet.run(10);
         assertEquals(0, sent(WRITE));
-        fleet.bag(indexOf(member(fleet, 1))).send(member(fleet, 0), Postbag.Topic.CHAIN, wanted);
+        fleet.bag(indexOf(member(fleet, 1))).send(member(fleet, 0), Messenger.Topic.CHAIN, wanted);
         fleet.run(10);
         assertTrue(sent(WRITE) > 0);
     }
@@ -171,8 +184,8 @@
     @Test
     void anIncrementOfAnEarlierViewIsDropped() throws IOException {
         Fleet fleet = settled(5);
-        Imprint head = member(fleet, 0);
-        Imprint second = member(fleet, 1);
+        DaemonAddress head = member(fleet, 0);
+        DaemonAddress second = member(fleet, 1);
         List<byte[]> late = new ArrayList<>();
         watch(fleet, (kind, from, to, body) -> {
             if (kind == INCREMENT && from.equals(head)) {
@@ -193,7 +206,7 @@
         fleet.start(indexOf(head), false);
         fleet.run(5_000);
         for (int i = 0; i < 3; i++) {
-            fleet.bag(indexOf(head)).send(second, Postbag.Topic.CHAIN, late.get(0));
+            fleet.bag(indexOf(head)).send(second, Messenger.Topic.CHAIN, late.get(0));
         }
         fleet.run(300);
         assertAllHold(fleet, 1L, 2L, 3L, 6L);
@@ -201,9 +214,9 @@
 
     // ---- drawn days ----
 
-    /** What was committed under each number, seen from every registrar at every moment. */
+    /** What was committed under each number, seen from every controller at every moment. */
     private static final class Witness {
-        private final Map<Edition, ConfigurationState> committed = new HashMap<>();
+        private final Map<ConfigurationRevision, ConfigurationState> committed = new HashMap<>();
         private String broken;
 
         void watch(Replica replica) {
@@ -235,7 +248,8 @@
             for (int i = 0; i < 12; i++) {
                 long match = newest++;
                 String text = "{\"n\":" + random.nextInt() + "},".repeat(random.nextInt(20));
-                orders.add(new Ordered(new TakenOrders.Taken(new Edition(newest), Digest.ofCall("PUT", text.getBytes())),
+                orders.add(new Ordered(
+                        new TakenOrders.Taken(new ConfigurationRevision(newest), Digest.ofCall("PUT", text.getBytes())),
                         fleet.submit(at, match, newest, text)));
                 // The next one follows as soon as the head has this one, while it is still on its way along the chain.
                 for (int t = 0; t < 300 && newestAnywhere(fleet) < newest; t++) {
@@ -256,7 +270,9 @@
     private static long newestAnywhere(Fleet fleet) {
         long newest = 0;
         for (int i = 0; i < SIZE; i++) {
-            newest = fleet.isRunning(i) ? Math.max(newest, fleet.replica(i).newestEdition().value()) : newest;
+            newest = fleet.isRunning(i)
+                    ? Math.max(newest, fleet.replica(i).newestEdition().value())
+                    : newest;
         }
         return newest;
     }
@@ -270,11 +286,11 @@
             }
             case 2 -> {
                 for (int other = 0; other < SIZE; other++) {
-                    fleet.network.cutBoth(Fleet.imprint(victim), Fleet.imprint(other));
+                    fleet.network.cutBoth(Fleet.daemonAddress(victim), Fleet.daemonAddress(other));
                 }
             }
             case 3 -> fleet.disks.get(victim).hung = true;
-            default -> { }
+            default -> {}
         }
     }
 
@@ -287,18 +303,18 @@
     }
 
     /** An order as it was handed in, and what its caller was told. */
-    private record Ordered(TakenOrders.Taken order, Fleet.Reply reply) {
-    }
+    private record Ordered(TakenOrders.Taken order, Fleet.Reply reply) {}
 
     private static String judge(Fleet fleet, List<Ordered> orders) {
         ConfigurationState first = fleet.replica(0).committed();
         for (int i = 0; i < SIZE; i++) {
             ConfigurationState other = fleet.replica(i).committed();
             if (!first.isSameAs(other) || !first.taken().equals(other.taken())) {
-                return "registrars 0 and " + i + " differ in calm";
+                return "controllers 0 and " + i + " differ in calm";
             }
         }
-        List<Ordered> confirmed = orders.stream().filter(o -> o.reply().verdict == Verdict.TAKEN).toList();
+        List<Ordered> confirmed =
+                orders.stream().filter(o -> o.reply().verdict == Verdict.TAKEN).toList();
         for (Ordered one : confirmed) {
             if (!first.taken().entries().contains(one.order())) {
                 return one.order().edition() + " was confirmed and is not remembered";
--- a/archive/src/test/java/org/umbermount/archive/Isolation.java
+++ b/control/src/test/java/org/umbermount/control/Isolation.java
@@ -1,13 +1,18 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
-/** Ways in which a part of the registrars loses the others, for a while. */
+/** Ways in which a part of the controllers loses the others, for a while. */
 public enum Isolation {
-    BOTH_WAYS, OUTWARD, INWARD, FROM_SOME, WITH_A_SEED, FROZEN;
+    BOTH_WAYS,
+    OUTWARD,
+    INWARD,
+    FROM_SOME,
+    WITH_A_SEED,
+    FROZEN;
 
     /** Who is on the side that is cut off: the one, and with a seed the lowest other seed as well. */
     public Set<Integer> side(int one) {
@@ -34,14 +39,14 @@
                 }
                 int other = out;
                 if (this != INWARD) {
-                    fleet.network.cut(Fleet.imprint(in), Fleet.imprint(other));
+                    fleet.network.cut(Fleet.daemonAddress(in), Fleet.daemonAddress(other));
                 }
                 if (this != OUTWARD) {
-                    fleet.network.cut(Fleet.imprint(other), Fleet.imprint(in));
+                    fleet.network.cut(Fleet.daemonAddress(other), Fleet.daemonAddress(in));
                 }
                 joins.add(() -> {
-                    fleet.network.join(Fleet.imprint(in), Fleet.imprint(other));
-                    fleet.network.join(Fleet.imprint(other), Fleet.imprint(in));
+                    fleet.network.join(Fleet.daemonAddress(in), Fleet.daemonAddress(other));
+                    fleet.network.join(Fleet.daemonAddress(other), Fleet.daemonAddress(in));
                 });
             }
         }
--- a/archive/src/test/java/org/umbermount/archive/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.HashMap;
@@ -11,15 +7,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class LeaseTest {
     private static int holder(Fleet fleet, String zone) {
         int found = -1;
-        for (Map.Entry<Integer, Archive> e : fleet.running.entrySet()) {
+        for (Map.Entry<Integer, ControlPlane> e : fleet.running.entrySet()) {
             if (e.getValue().leases.epoch(zone) > 0) {
                 assertEquals(-1, found, "two holders of " + zone);
                 found = e.getKey();
@@ -46,9 +46,9 @@
         assertEquals(2, holder(fleet, "z2"));
     }
 
-    /** Beyond nine registrars some have no vote and are granted nothing; their zones once had nobody to send to them. */
+    /** Beyond nine controllers some have no vote and are granted nothing; their zones once had nobody to send to them. */
     @Test
-    void zoneWhoseRegistrarHasNoVoteIsLookedAfterByAnother() throws IOException {
+    void zoneWhoseControllerHasNoVoteIsLookedAfterByAnother() throws IOException {
         Fleet fleet = new Fleet(11, 3, 7);
         fleet.run(30_000);
         int without = 0;
@@ -66,7 +66,7 @@
         fleet.run(6_000);
         for (int i = 0; i < 4; i++) {
             if (i != 1) {
-                fleet.network.cut(Fleet.imprint(i), Fleet.imprint(1));
+                fleet.network.cut(Fleet.daemonAddress(i), Fleet.daemonAddress(1));
             }
         }
         for (int t = 0; t < 600; t++) {
@@ -91,7 +91,7 @@
                 int a = random.nextInt(4);
                 for (int b = 0; b < 4; b++) {
                     if (a != b && random.nextBoolean()) {
-                        fleet.network.cut(Fleet.imprint(a), Fleet.imprint(b));
+                        fleet.network.cut(Fleet.daemonAddress(a), Fleet.daemonAddress(b));
                     }
                 }
             }
@@ -123,10 +123,12 @@
         boolean[] asked = new boolean[1];
         fleet.network.tap = (from, to, topic, body) -> {
             try {
-                Script.Reader in = Script.read(body);
-                asked[0] |= from.equals(Fleet.imprint(1)) && topic == Postbag.Topic.LEASE && in.num() == 0
+                MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+                asked[0] |= from.equals(Fleet.daemonAddress(1))
+                        && topic == Messenger.Topic.LEASE
+                        && in.num() == 0
                         && in.text().equals("z1");
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
             return true;
@@ -146,7 +148,7 @@
     }
 
     /**
-     * How long two registrars that each want a duty go without one of them having it, after each got half of the voters: one does
+     * How long two controllers that each want a duty go without one of them having it, after each got half of the voters: one does
      * not hear the other, and messages about leases were lost for a while.
      */
     private static long vacantAfterASplit() throws IOException {
@@ -154,11 +156,12 @@
         fleet.run(8_000);
         int own = 3;
         int rival = 2;
-        fleet.network.cut(Fleet.imprint(rival), Fleet.imprint(own));
+        fleet.network.cut(Fleet.daemonAddress(rival), Fleet.daemonAddress(own));
         boolean[] lost = {true};
-        fleet.network.tap = (from, to, topic, body) -> !lost[0] || topic != Postbag.Topic.LEASE
-                || !(from.equals(Fleet.imprint(own)) && to.equals(Fleet.imprint(0))
-                        || from.equals(Fleet.imprint(rival)) && to.equals(Fleet.imprint(1)));
+        fleet.network.tap = (from, to, topic, body) -> !lost[0]
+                || topic != Messenger.Topic.LEASE
+                || !(from.equals(Fleet.daemonAddress(own)) && to.equals(Fleet.daemonAddress(0))
+                        || from.equals(Fleet.daemonAddress(rival)) && to.equals(Fleet.daemonAddress(1)));
         fleet.run(6_000);
         assertEquals(-1, holder(fleet, "z3"));
         lost[0] = false;
--- a/archive/src/test/java/org/umbermount/archive/LongDayTest.java
+++ b/control/src/test/java/org/umbermount/control/LongDayTest.java
@@ -1,18 +1,18 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.Arrays;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Thousands of changes, while one registrar is away for some of them, and what that takes of the disk and of time. */
+/** Thousands of changes, while one controller is away for some of them, and what that takes of the disk and of time. */
 class LongDayTest {
     private static final int SIZE = 5;
     private static final int REWRITE_OVER = 1 << 16;
@@ -39,7 +39,7 @@
         }
     }
 
-    /** One change by an operator who repeats it, at one registrar after the other, until it is taken. */
+    /** One change by an operator who repeats it, at one controller after the other, until it is taken. */
     private void change() throws IOException {
         long match = newest;
         long edition = ++newest;
@@ -65,7 +65,7 @@
     }
 
     private void measure() throws IOException {
-        for (FakeVault disk : fleet.disks.values()) {
+        for (FakeDirectory disk : fleet.disks.values()) {
             mostTaken = Math.max(mostTaken, disk.taken());
             for (String name : disk.list()) {
                 longestFile = Math.max(longestFile, disk.raw(name).length);
@@ -76,7 +76,7 @@
     private void cut(int who) {
         for (int o = 0; o < SIZE; o++) {
             if (o != who) {
-                fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(who));
+                fleet.network.cutBoth(Fleet.daemonAddress(o), Fleet.daemonAddress(who));
             }
         }
     }
@@ -106,7 +106,8 @@
                 return false;
             }
         }
-        return replica.standing() == Replica.Standing.MEMBER && replica.committed().edition().value() >= newest;
+        return replica.standing() == Replica.Standing.MEMBER
+                && replica.committed().edition().value() >= newest;
     }
 
     private void away(int who, String how, int missed, int viewChanges) throws IOException {
@@ -133,7 +134,7 @@
         }
         victim = -1;
         // The operator goes on meanwhile, with a change about every 25 ms.
-        Moment back = fleet.almanac.now();
+        MonotonicTime back = fleet.almanac.now();
         for (int i = 1; !isCaughtUp(who) && fleet.almanac.now().since(back) <= CATCH_UP_MS; i++) {
             fleet.run(1);
             if (i % 20 == 0 && !isCaughtUp(who)) {
@@ -142,8 +143,9 @@
         }
         long ms = fleet.almanac.now().since(back);
         boolean sameVoters = voters.equals(fleet.replica(who).view().electorate());
-        System.out.println("away " + how + ": " + passed + " changes, " + (fleet.replica(who).view().number() - view)
-                + " views, voters " + (sameVoters ? "as before" : "changed") + ": caught up in " + ms + " ms");
+        System.out.println("away " + how + ": " + passed + " changes, "
+                + (fleet.replica(who).view().number() - view) + " views, voters "
+                + (sameVoters ? "as before" : "changed") + ": caught up in " + ms + " ms");
         assertTrue(ms <= CATCH_UP_MS, how + " for " + missed + ": not caught up in " + CATCH_UP_MS + " ms");
         fleet.run(Math.max(0, CATCH_UP_MS - ms));
         change();
@@ -207,10 +209,12 @@
     @Test
     void lossOfPowerIsNoticedWithoutTheFoldersSync() throws Exception {
         losePowerAfterOneChange();
-        assertThrows(AssertionError.class, () -> Mutation.without(Safeguard.FOLDER_SYNCED, () -> {
-            losePowerAfterOneChange();
-            return null;
-        }));
+        assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(Safeguard.FOLDER_SYNCED, () -> {
+                    losePowerAfterOneChange();
+                    return null;
+                }));
     }
 
     private static void losePowerAfterOneChange() throws IOException {
--- a/archive/src/test/java/org/umbermount/archive/MalformedCallsTest.java
+++ b/control/src/test/java/org/umbermount/control/MalformedCallsTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
@@ -15,9 +12,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Metrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Calls that cannot be understood get 4xx with the reason, on any registrar, and change nothing. */
+/** Calls that cannot be understood get 4xx with the reason, on any controller, and change nothing. */
 class MalformedCallsTest {
     private static final String CONFIGURATION = "{\"revision\":2,\"routeTable\":[{\"label\":\"a\","
             + "\"virtualHost\":\"h.example\",\"pathPrefix\":\"/a/\",\"routeType\":\"safe\",\"timeoutMs\":5000,"
@@ -40,7 +40,8 @@
     }
 
     private static String request(String method, String path, String headers, byte[] body) {
-        return method + " " + path + " HTTP/1.1\r\nHost: c\r\n" + headers + "Content-Length: " + body.length + "\r\n\r\n";
+        return method + " " + path + " HTTP/1.1\r\nHost: c\r\n" + headers + "Content-Length: " + body.length
+                + "\r\n\r\n";
     }
 
     private String call(String method, String path, String headers, String body) {
@@ -48,13 +49,19 @@
     }
 
     private String call(String method, String path, String headers, byte[] body) {
-        return exchange(Unpooled.wrappedBuffer(request(method, path, headers, body).getBytes(StandardCharsets.UTF_8), body));
+        return exchange(
+                Unpooled.wrappedBuffer(request(method, path, headers, body).getBytes(StandardCharsets.UTF_8), body));
     }
 
-    /** What one connection to a registrar answers to the bytes; nothing if it is closed without a word. */
+    /** What one connection to a controller answers to the bytes; nothing if it is closed without a word. */
     private String exchange(ByteBuf bytes) {
-        ControlDesk desk = new ControlDesk(fleet.running.get(1), fleet.almanac, Fleet.imprint(1),
-                Fleet.imprint(1).withPort(8000), Fleet.zone(1), new Tally());
+        ControlApi desk = new ControlApi(
+                fleet.running.get(1),
+                fleet.almanac,
+                Fleet.daemonAddress(1),
+                Fleet.daemonAddress(1).withPort(8000),
+                Fleet.zone(1),
+                new Metrics());
         EmbeddedChannel channel = new EmbeddedChannel();
         desk.answerCalls(channel.pipeline());
         channel.writeInbound(bytes);
@@ -84,22 +91,38 @@
 
     private void refusedWithReason(int expected, String answer) throws IOException {
         assertEquals(expected, status(answer), answer);
-        String reason = new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")))
-                .path("errorMessage").asText();
+        String reason = new ObjectMapper()
+                .readTree(answer.substring(answer.indexOf("\r\n\r\n")))
+                .path("errorMessage")
+                .asText();
         assertTrue(reason.length() > 10 && reason.endsWith("."), answer);
     }
 
     private String state() {
-        Archive one = fleet.running.get(1);
-        return one.replica.newestEdition() + " " + one.replica.committed().edition() + " " + one.census.digest()
-                + " " + one.census.entries().size();
+        ControlPlane one = fleet.running.get(1);
+        return one.replica.newestEdition() + " " + one.replica.committed().edition() + " " + one.serverRegistry.digest()
+                + " " + one.serverRegistry.entries().size();
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '^', value = {
-            "GET|/nowhere|404", "GET|/instances/|404", "PUT|/instances/a/b|404", "DELETE|/config|405",
-            "GET|/instances/a|405", "GET|/purge|405", "POST|/config|405", "BREW|/config|405", "PUT|/status|404",
-            "PUT|/config|400", "PATCH|/config|400", "POST|/purge|400", "PUT|/instances/a|400"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '^',
+            value = {
+                "GET|/nowhere|404",
+                "GET|/instances/|404",
+                "PUT|/instances/a/b|404",
+                "DELETE|/config|405",
+                "GET|/instances/a|405",
+                "GET|/purge|405",
+                "POST|/config|405",
+                "BREW|/config|405",
+                "PUT|/status|404",
+                "PUT|/config|400",
+                "PATCH|/config|400",
+                "POST|/purge|400",
+                "PUT|/instances/a|400"
+            })
     void callsWithoutWhatTheyNeedAreRefused(String method, String path, int expected) throws IOException {
         String before = state();
         refusedWithReason(expected, call(method, path, "", ""));
@@ -108,8 +131,10 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '^', value = {
-            "1|two", "1|9223372036854775808", "1|1.5", "1|", "1|-1x"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '^',
+            value = {"1|two", "1|9223372036854775808", "1|1.5", "1|", "1|-1x"})
     void versionThatIsNoNumberIsRefused(String good, String bad) throws IOException {
         String before = state();
         refusedWithReason(400, call("PUT", "/config", "If-Match: " + (bad == null ? "" : bad) + "\r\n", CONFIGURATION));
@@ -122,8 +147,12 @@
         String before = state();
         refusedWithReason(400, exchange(Unpooled.copiedBuffer("PUT /config\r\n\r\n", StandardCharsets.UTF_8)));
         refusedWithReason(400, exchange(Unpooled.copiedBuffer("\u0000\u0001 what\r\n\r\n", StandardCharsets.UTF_8)));
-        refusedWithReason(400, exchange(Unpooled.copiedBuffer("PUT /config HTTP/1.1\r\nHost: c\r\nIf-Match: 1\r\n"
-                + "Transfer-Encoding: chunked\r\n\r\nnot a length\r\n", StandardCharsets.UTF_8)));
+        refusedWithReason(
+                400,
+                exchange(Unpooled.copiedBuffer(
+                        "PUT /config HTTP/1.1\r\nHost: c\r\nIf-Match: 1\r\n"
+                                + "Transfer-Encoding: chunked\r\n\r\nnot a length\r\n",
+                        StandardCharsets.UTF_8)));
         refusedWithReason(413, call("PUT", "/config", "If-Match: 1\r\n", new byte[(3 << 20) + 1]));
         assertEquals(before, state());
     }
@@ -131,9 +160,11 @@
     /** Each call with some of its bytes changed, cut or doubled: it is refused, or it is a sound call after all. */
     @Test
     void damagedCallsAreRefusedOrSound() throws IOException {
-        List<String[]> calls = List.of(new String[] {"PUT", "/config", "If-Match: 1\r\n", CONFIGURATION},
+        List<String[]> calls = List.of(
+                new String[] {"PUT", "/config", "If-Match: 1\r\n", CONFIGURATION},
                 new String[] {"PATCH", "/config", "If-Match: 1\r\n", AMENDMENT},
-                new String[] {"PUT", "/instances/i-1", "", BEAT}, new String[] {"POST", "/purge", "", PURGE});
+                new String[] {"PUT", "/instances/i-1", "", BEAT},
+                new String[] {"POST", "/purge", "", PURGE});
         Random random = new Random(3);
         int refused = 0;
         for (int i = 0; i < 400; i++) {
@@ -162,8 +193,11 @@
         switch (random.nextInt(4)) {
             case 0 -> out[at] = (byte) random.nextInt(256);
             case 1 -> out = java.util.Arrays.copyOf(out, at);
-            case 2 -> out = new String(body, StandardCharsets.UTF_8).replaceFirst(":[^,}\\[{]+",
-                    List.of(":null", ":-1", ":1e300", ":[]", ":\"\"", ":99999999999999999999").get(random.nextInt(6)))
+            case 2 -> out = new String(body, StandardCharsets.UTF_8)
+                    .replaceFirst(
+                            ":[^,}\\[{]+",
+                            List.of(":null", ":-1", ":1e300", ":[]", ":\"\"", ":99999999999999999999")
+                                    .get(random.nextInt(6)))
                     .getBytes(StandardCharsets.UTF_8);
             default -> {
                 int n = Math.min(out.length - at, 1 + random.nextInt(20));
--- a/archive/src/test/java/org/umbermount/archive/MembershipSearchTest.java
+++ b/control/src/test/java/org/umbermount/control/MembershipSearchTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,10 +9,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /**
  * Looks at all orders of losses, returns, arrivals, departures, commits and views that may come where {@code f} machines may be
  * lost at once, breadth first up to a number of states. A machine counts as lost while it is down, and after its return or
@@ -33,15 +33,18 @@
     private static final int INFORMED = 8;
     /** It holds everything that was acknowledged. */
     private static final int NEWEST = 16;
+
     private static final int COUNTED_LOST = 32;
     private static final int VOTER = 64;
     private static final int CHAINED = 128;
     /** It came empty in the place of one that is gone, and has not had its time. */
     private static final int SUCCESSOR = 256;
+
     private static final int LEAVING = 512;
     private static final int ABLE = UP | VOTER | MEMORY | INFORMED;
-    private static final String[] NAMES = {"up", "gone", "memory", "informed", "newest", "lost", "voter", "chain", "successor",
-        "leaving"};
+    private static final String[] NAMES = {
+        "up", "gone", "memory", "informed", "newest", "lost", "voter", "chain", "successor", "leaving"
+    };
 
     /** What has become of each machine, sorted, and how it came to this. */
     private record State(int[] machines, String how, State before) {
@@ -87,11 +90,11 @@
         }
     }
 
-    private static final Imprint[] ADDRESSES = new Imprint[20];
+    private static final DaemonAddress[] ADDRESSES = new DaemonAddress[20];
 
     static {
         for (int i = 0; i < ADDRESSES.length; i++) {
-            ADDRESSES[i] = Imprint.parse("10.0.0." + (i + 10) + ":7000");
+            ADDRESSES[i] = DaemonAddress.parse("10.0.0." + (i + 10) + ":7000");
         }
     }
 
@@ -101,7 +104,7 @@
 
     private static View view(State s) {
         List<Voter> voters = new ArrayList<>();
-        List<Imprint> chain = new ArrayList<>();
+        List<DaemonAddress> chain = new ArrayList<>();
         for (int i = 0; i < s.machines.length; i++) {
             if (is(s.machines[i], VOTER)) {
                 voters.add(new Voter(ADDRESSES[i], 0));
@@ -115,47 +118,47 @@
 
     /** Everyone who is up sees who is. */
     private record Seen(int[] machines) implements MembershipPlan.Sight {
-        private int at(Imprint who) {
+        private int at(DaemonAddress who) {
             return machines[(int) (who.packed() - ADDRESSES[0].packed() >> 16) % 256];
         }
 
         @Override
-        public Iterable<Imprint> known() {
+        public Iterable<DaemonAddress> known() {
             return Arrays.asList(ADDRESSES).subList(0, machines.length);
         }
 
         @Override
-        public boolean well(Imprint who) {
+        public boolean well(DaemonAddress who) {
             return is(at(who), UP) && !is(at(who), LEAVING);
         }
 
         @Override
-        public boolean steady(Imprint who) {
+        public boolean steady(DaemonAddress who) {
             return is(at(who), UP);
         }
 
         @Override
-        public boolean expected(Imprint who) {
+        public boolean expected(DaemonAddress who) {
             return false;
         }
 
         @Override
-        public boolean linked(Imprint one, Imprint other) {
+        public boolean linked(DaemonAddress one, DaemonAddress other) {
             return is(at(one) & at(other), UP);
         }
 
         @Override
-        public boolean hasMemory(Imprint who) {
+        public boolean hasMemory(DaemonAddress who) {
             return is(at(who), MEMORY);
         }
 
         @Override
-        public long incarnation(Imprint who) {
+        public long incarnation(DaemonAddress who) {
             return is(at(who), MEMORY) ? 0 : 1;
         }
 
         @Override
-        public String zone(Imprint who) {
+        public String zone(DaemonAddress who) {
             return "";
         }
     }
@@ -173,8 +176,10 @@
         int[] next = s.machines.clone();
         for (int i = 0; i < next.length; i++) {
             boolean present = is(next[i], ABLE);
-            next[i] = next[i] & ~(INFORMED | NEWEST | VOTER | CHAINED) | (present ? INFORMED | NEWEST : 0)
-                    | (wish.view().votes(ADDRESSES[i]) ? VOTER : 0) | (wish.view().chains(ADDRESSES[i]) ? CHAINED : 0);
+            next[i] = next[i] & ~(INFORMED | NEWEST | VOTER | CHAINED)
+                    | (present ? INFORMED | NEWEST : 0)
+                    | (wish.view().votes(ADDRESSES[i]) ? VOTER : 0)
+                    | (wish.view().chains(ADDRESSES[i]) ? CHAINED : 0);
         }
         return State.of(next, "view because " + wish.why().replaceAll("10\\.0\\.0\\.(\\d+):7000", "$1"), s);
     }
@@ -217,7 +222,9 @@
                 successors--;
             }
         }
-        calm = Arrays.stream(calm).filter(m -> !is(m, GONE) || is(m, COUNTED_LOST) || is(m, VOTER)).toArray();
+        calm = Arrays.stream(calm)
+                .filter(m -> !is(m, GONE) || is(m, COUNTED_LOST) || is(m, VOTER))
+                .toArray();
         return State.of(calm, "rest", at);
     }
 
@@ -284,8 +291,7 @@
         return out;
     }
 
-    private record Found(int states, boolean all, String bad) {
-    }
+    private record Found(int states, boolean all, String bad) {}
 
     private static Found search(int size, int f, int states) {
         int[] first = new int[size];
@@ -309,7 +315,9 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"3,1", "4,1", "5,1", "6,1", "7,1", "8,1", "9,1", "5,2", "6,2", "7,2", "8,2", "9,2", "7,3", "8,3", "9,3", "9,4"})
+    @CsvSource({
+        "3,1", "4,1", "5,1", "6,1", "7,1", "8,1", "9,1", "5,2", "6,2", "7,2", "8,2", "9,2", "7,3", "8,3", "9,3", "9,4"
+    })
     void majorityAndNewestStateRemainInAllOrders(int size, int f) {
         Found found = search(size, f, 30_000);
         System.out.println("membership: " + size + " voters, " + f + " lost at once: " + found.states + " states"
--- a/archive/src/test/java/org/umbermount/archive/MortalClock.java
+++ b/control/src/test/java/org/umbermount/control/MortalClock.java
@@ -1,10 +1,10 @@
-package org.umbermount.archive;
+package org.umbermount.control;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.testing.FakeClock;
 
 /** The clock of one process: when it dies, or while it is frozen, none of its tasks run. */
@@ -15,7 +15,8 @@
     private boolean dead;
     private boolean frozen;
     /** When this clock stopped with the process; null while it runs. */
-    private Moment stoppedAt;
+    private MonotonicTime stoppedAt;
+
     private long behindMs;
 
     public MortalClock(FakeClock shared) {
@@ -61,7 +62,7 @@
     }
 
     @Override
-    public Moment now() {
+    public MonotonicTime now() {
         return stoppedAt != null ? stoppedAt : shared.now().plus(-behindMs);
     }
 
--- a/archive/src/test/java/org/umbermount/archive/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -1,10 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -12,18 +6,25 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Replica.Verdict;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.control.Replica.Verdict;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** One number is confirmed to one content, and an order that was taken is never refused, however it comes again. */
 class OrdersTest {
     /** Positions in the replica's kinds of messages. */
     private static final int SUBMIT = 0;
+
     private static final int VERDICT = 1;
     private static final int WRITE = 2;
     private static final int NEWS = 5;
@@ -53,9 +54,9 @@
         }
     }
 
-    private static int indexOf(Imprint who) {
+    private static int indexOf(DaemonAddress who) {
         int i = 0;
-        while (!Fleet.imprint(i).equals(who)) {
+        while (!Fleet.daemonAddress(i).equals(who)) {
             i++;
         }
         return i;
@@ -80,11 +81,16 @@
             takeAll(fleet, newest + 1, 10 + others);
             newest = 10 + others;
             for (int at = 0; at < 4; at++) {
-                assertEquals(others <= 500 ? Verdict.TAKEN : null, order(fleet, at, 9, 10, "c10"),
+                assertEquals(
+                        others <= 500 ? Verdict.TAKEN : null,
+                        order(fleet, at, 9, 10, "c10"),
                         "after " + others + " others, at " + at);
-                assertEquals(others <= 500 ? Verdict.STALE : null, order(fleet, at, 9, 10, "other"),
+                assertEquals(
+                        others <= 500 ? Verdict.STALE : null,
+                        order(fleet, at, 9, 10, "other"),
                         "another content after " + others + " others, at " + at);
-                assertEquals(others == 0 ? Verdict.NOT_HIGHER : Verdict.STALE,
+                assertEquals(
+                        others == 0 ? Verdict.NOT_HIGHER : Verdict.STALE,
                         order(fleet, at, others == 0 ? 10 : newest - 1, others == 0 ? 9 : newest + 5, "x"));
             }
         }
@@ -153,7 +159,7 @@
     }
 
     @Test
-    void repeatThroughARegistrarThatHasJustJoinedBySnapshotIsTaken() throws IOException {
+    void repeatThroughAControllerThatHasJustJoinedBySnapshotIsTaken() throws IOException {
         Fleet fleet = settled(21);
         fleet.kill(3, true);
         fleet.wipe(3);
@@ -207,8 +213,8 @@
 
     @Test
     void eightOrdersUnderWayAtOnceAtOneAndAtSeveral() throws IOException {
-        for (int registrars : new int[] {1, 4}) {
-            Fleet fleet = settled(32 + registrars);
+        for (int controllers : new int[] {1, 4}) {
+            Fleet fleet = settled(32 + controllers);
             fleet.network.loss = 0.05;
             fleet.network.doubles = 0.1;
             fleet.network.jitterMs = 20;
@@ -216,14 +222,17 @@
                 long base = fleet.replica(0).committed().edition().value();
                 List<Fleet.Reply> replies = new ArrayList<>();
                 for (int k = 0; k < 8; k++) {
-                    replies.add(fleet.submit(k % registrars, base, base + 1 + k / 4, "r" + round + "k" + k));
+                    replies.add(fleet.submit(k % controllers, base, base + 1 + k / 4, "r" + round + "k" + k));
                 }
                 fleet.run(900);
-                long taken = replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
+                long taken =
+                        replies.stream().filter(r -> r.verdict == Verdict.TAKEN).count();
                 assertTrue(taken <= 1, taken + " winners on " + base);
                 TakenOrders history = fleet.replica(0).committed().taken();
                 for (int k = 0; k < 8; k++) {
-                    Order order = new Order(new Edition(base), new Edition(base + 1 + k / 4),
+                    Order order = new Order(
+                            new ConfigurationRevision(base),
+                            new ConfigurationRevision(base + 1 + k / 4),
                             Digest.ofCall("PUT", ("r" + round + "k" + k).getBytes()));
                     boolean isTaken = history.find(order) == TakenOrders.Finding.TAKEN;
                     Verdict verdict = replies.get(k).verdict;
@@ -241,8 +250,8 @@
         Fleet fleet = settled(seed);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        Imprint next = fleet.replica(old).view().successor(Fleet.imprint(old));
-        fleet.network.cut(Fleet.imprint(old), next);
+        DaemonAddress next = fleet.replica(old).view().successor(Fleet.daemonAddress(old));
+        fleet.network.cut(Fleet.daemonAddress(old), next);
         Fleet.Reply lost = fleet.submit(old, 2, 3, "one");
         fleet.run(50);
         assertEquals(3, fleet.replica(old).newestEdition().value(), "the head has written it");
@@ -297,7 +306,7 @@
         Fleet fleet = settled(43);
         takeAll(fleet, 1, 2);
         int old = head(fleet, 0);
-        fleet.network.cut(Fleet.imprint(old), fleet.replica(old).view().successor(Fleet.imprint(old)));
+        fleet.network.cut(Fleet.daemonAddress(old), fleet.replica(old).view().successor(Fleet.daemonAddress(old)));
         fleet.submit(old, 2, 3, "one");
         fleet.run(50);
         fleet.kill(old, false);
@@ -309,15 +318,18 @@
         fleet.run(2_000);
         assertEquals("two", new String(fleet.replica(old).committed().blob()));
         String[] told = {"nothing"};
-        var asker = fleet.network.bag(Fleet.imprint(9));
-        asker.subscribe(Postbag.Topic.VIEW, (from, body) -> {
-            Script.Reader in = Script.read(body);
+        var asker = fleet.network.bag(Fleet.daemonAddress(9));
+        asker.subscribe(Messenger.Topic.VIEW, (from, body) -> {
+            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
             assertEquals(NEWS, in.num());
             View.read(in);
             ConfigurationState state = ConfigurationState.read(in);
             told[0] = new String((in.flag() ? state : ConfigurationState.read(in)).blob());
         });
-        asker.send(Fleet.imprint(old), Postbag.Topic.VIEW, Script.write().num(FETCH).done());
+        asker.send(
+                Fleet.daemonAddress(old),
+                Messenger.Topic.VIEW,
+                MessagePackCodec.write().num(FETCH).done());
         fleet.run(20);
         return told[0];
     }
@@ -333,9 +345,11 @@
     private static Verdict repeatBelowTheFloor() {
         TakenOrders taken = TakenOrders.NONE;
         for (long e = 1; e <= 10 + TakenOrders.REMEMBERED; e++) {
-            taken = taken.with(new TakenOrders.Taken(new Edition(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
+            taken = taken.with(
+                    new TakenOrders.Taken(new ConfigurationRevision(e), Digest.ofCall("PUT", ("c" + e).getBytes())));
         }
-        Order old = new Order(new Edition(9), new Edition(10), Digest.ofCall("PUT", "c10".getBytes()));
+        Order old = new Order(
+                new ConfigurationRevision(9), new ConfigurationRevision(10), Digest.ofCall("PUT", "c10".getBytes()));
         return taken.find(old) == TakenOrders.Finding.NOT_TAKEN ? Verdict.STALE : null;
     }
 
@@ -352,7 +366,7 @@
         int old = head(fleet, 0);
         for (int o = 0; o < 4; o++) {
             if (o != old) {
-                fleet.network.cutBoth(Fleet.imprint(old), Fleet.imprint(o));
+                fleet.network.cutBoth(Fleet.daemonAddress(old), Fleet.daemonAddress(o));
             }
         }
         fleet.run(3_000);
@@ -364,20 +378,21 @@
     @Test
     void withoutAConfirmedViewATakenOrderIsRefused() throws Exception {
         assertNull(atAHeadThatWasLeftBehind());
-        assertEquals(Verdict.STALE, Mutation.without(Safeguard.REFUSAL_CONFIRMED, OrdersTest::atAHeadThatWasLeftBehind));
+        assertEquals(
+                Verdict.STALE, Mutation.without(Safeguard.REFUSAL_CONFIRMED, OrdersTest::atAHeadThatWasLeftBehind));
     }
 
-    private static boolean isSubmission(Postbag.Topic topic, byte[] body) {
+    private static boolean isSubmission(Messenger.Topic topic, byte[] body) {
         try {
-            return topic == Postbag.Topic.CHAIN && Script.read(body).num() == SUBMIT;
-        } catch (Script.UnreadableException e) {
+            return topic == Messenger.Topic.CHAIN && MessagePackCodec.read(body).num() == SUBMIT;
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new AssertionError(e);
         }
     }
 
     /**
      * A head whose messages are lost takes an order, which gives way in the next view; what its caller, which asks only once,
-     * hears when the registrar is head again.
+     * hears when the controller is head again.
      */
     private static Verdict orderThatGaveWay() throws IOException {
         Fleet fleet = settled(51);
@@ -386,13 +401,21 @@
         int asker = (old + 2) % 4;
         for (int o = 0; o < 4; o++) {
             if (o != old) {
-                fleet.network.cut(Fleet.imprint(old), Fleet.imprint(o));
+                fleet.network.cut(Fleet.daemonAddress(old), Fleet.daemonAddress(o));
             }
         }
         Verdict[] heard = new Verdict[1];
-        fleet.chainClient(asker).submit(new Edition(2), new Edition(3), "one".getBytes(), 30_000, v -> heard[0] = v, () -> { });
+        fleet.chainClient(asker)
+                .submit(
+                        new ConfigurationRevision(2),
+                        new ConfigurationRevision(3),
+                        "one".getBytes(),
+                        30_000,
+                        v -> heard[0] = v,
+                        () -> {});
         fleet.run(20);
-        fleet.network.tap = (from, to, topic, body) -> !from.equals(Fleet.imprint(asker)) || !isSubmission(topic, body);
+        fleet.network.tap =
+                (from, to, topic, body) -> !from.equals(Fleet.daemonAddress(asker)) || !isSubmission(topic, body);
         fleet.run(3_000);
         assertEquals(Verdict.TAKEN, order(fleet, (old + 1) % 4, 2, 3, "two"));
         fleet.network.healAll();
@@ -408,7 +431,7 @@
         assertEquals(Verdict.TAKEN, Mutation.without(Safeguard.OWED_WITHIN_ONE_VIEW, OrdersTest::orderThatGaveWay));
     }
 
-    /** A registrar starts anew, and what was said to its earlier life comes late; the clock was set back meanwhile. */
+    /** A controller starts anew, and what was said to its earlier life comes late; the clock was set back meanwhile. */
     private static Verdict lateAnswerToAnEarlierLife() throws IOException {
         Fleet fleet = settled(52);
         takeAll(fleet, 1, 2);
@@ -422,9 +445,9 @@
         fleet.start(asker, false);
         fleet.run(5_000);
         View view = fleet.replica(asker).view();
-        for (Imprint member : view.chain()) {
-            fleet.network.cut(member, Fleet.imprint(asker));
-            fleet.network.cut(Fleet.imprint(asker), member);
+        for (DaemonAddress member : view.chain()) {
+            fleet.network.cut(member, Fleet.daemonAddress(asker));
+            fleet.network.cut(Fleet.daemonAddress(asker), member);
         }
         Fleet.Reply reply = null;
         while (fleet.chainClient(asker).newestId().number() < earlier.number()) {
@@ -433,10 +456,14 @@
         assertEquals(earlier.number(), fleet.chainClient(asker).newestId().number());
         assertNotEquals(earlier, fleet.chainClient(asker).newestId());
         fleet.network.healAll();
-        Script.Writer late = Script.write().num(VERDICT);
+        MessagePackCodec.Writer late = MessagePackCodec.write().num(VERDICT);
         earlier.write(late);
         int tail = indexOf(view.tail()) == asker ? (asker + 1) % 4 : indexOf(view.tail());
-        fleet.bag(tail).send(Fleet.imprint(asker), Postbag.Topic.CHAIN, late.num(Verdict.TAKEN.ordinal()).done());
+        fleet.bag(tail)
+                .send(
+                        Fleet.daemonAddress(asker),
+                        Messenger.Topic.CHAIN,
+                        late.num(Verdict.TAKEN.ordinal()).done());
         fleet.run(2);
         return reply.verdict;
     }
@@ -444,7 +471,8 @@
     @Test
     void answerToAnEarlierLifeIsNotTakenForOneToThisLife() throws Exception {
         assertNotEquals(Verdict.TAKEN, lateAnswerToAnEarlierLife());
-        assertEquals(Verdict.TAKEN, Mutation.without(Safeguard.REPLY_OF_THIS_LIFE, OrdersTest::lateAnswerToAnEarlierLife));
+        assertEquals(
+                Verdict.TAKEN, Mutation.without(Safeguard.REPLY_OF_THIS_LIFE, OrdersTest::lateAnswerToAnEarlierLife));
     }
 
     /** An order on a version that is not there yet is refused; then the version comes, and a late copy of the order. */
@@ -461,7 +489,8 @@
     @Test
     void orderThatWasRefusedAheadIsNotTakenByALateCopy() throws Exception {
         assertNull(lateCopyOfAnOrderThatWasRefusedAhead());
-        assertEquals(Verdict.TAKEN,
+        assertEquals(
+                Verdict.TAKEN,
                 Mutation.without(Safeguard.AHEAD_BARRED, OrdersTest::lateCopyOfAnOrderThatWasRefusedAhead));
     }
 
@@ -479,7 +508,8 @@
         fleet.run(5);
         assertEquals(Verdict.TAKEN, order(fleet, other, 2, 3, "c3"));
         assertEquals(view.number(), fleet.replica(head).view().number(), "the view has changed");
-        Order late = new Order(new Edition(3), new Edition(4), Digest.ofCall("PUT", "ahead".getBytes()));
+        Order late = new Order(
+                new ConfigurationRevision(3), new ConfigurationRevision(4), Digest.ofCall("PUT", "ahead".getBytes()));
         fleet.replica(other).sendSubmission(view.head(), id, view.number(), late, "ahead".getBytes());
         fleet.run(20);
         return new String(fleet.replica(other).committed().blob());
@@ -494,7 +524,7 @@
     // ---- on the disk and in messages ----
 
     private static byte[] written(ConfigurationState state) {
-        Script.Writer out = Script.write();
+        MessagePackCodec.Writer out = MessagePackCodec.write();
         state.write(out);
         return out.done();
     }
@@ -504,11 +534,12 @@
         for (long step : new long[] {1, 1_000_000}) {
             ConfigurationState state = ConfigurationState.NONE.inView(3);
             for (int i = 1; i <= 3_000; i++) {
-                state = state.take(new Edition(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
+                state = state.take(
+                        new ConfigurationRevision(1_700_000_000_000L * (step > 1 ? 1 : 0) + i * step), new byte[0]);
             }
             byte[] bytes = written(state);
             assertTrue(bytes.length < 12_000, "bytes: " + bytes.length);
-            ConfigurationState back = ConfigurationState.read(Script.read(bytes));
+            ConfigurationState back = ConfigurationState.read(MessagePackCodec.read(bytes));
             assertEquals(state.taken(), back.taken());
             assertEquals(state.edition(), back.edition());
         }
@@ -516,35 +547,94 @@
 
     @Test
     void stateOfTheFormerFormatIsReadAsKnowingNoOrders() throws Exception {
-        byte[] former = Script.write().num(4).num(9).bytes("c9".getBytes()).num(2).num(8).num(77).num(9).num(78).done();
-        ConfigurationState read = ConfigurationState.read(Script.read(former));
+        byte[] former = MessagePackCodec.write()
+                .num(4)
+                .num(9)
+                .bytes("c9".getBytes())
+                .num(2)
+                .num(8)
+                .num(77)
+                .num(9)
+                .num(78)
+                .done();
+        ConfigurationState read = ConfigurationState.read(MessagePackCodec.read(former));
         assertEquals(9, read.edition().value());
         assertEquals(4, read.view());
-        assertEquals(new TakenOrders(new Edition(9), List.of()), read.taken());
-        Order repeat = new Order(new Edition(8), new Edition(9), Digest.ofCall("PUT", "c9".getBytes()));
+        assertEquals(new TakenOrders(new ConfigurationRevision(9), List.of()), read.taken());
+        Order repeat = new Order(
+                new ConfigurationRevision(8), new ConfigurationRevision(9), Digest.ofCall("PUT", "c9".getBytes()));
         assertEquals(TakenOrders.Finding.UNCLEAR, read.taken().find(repeat), "never refused");
     }
 
     @Test
     void damagedStateIsNotMistakenForAGoodOne() throws Exception {
-        ConfigurationState good = ConfigurationState.NONE.inView(1).take(new Edition(5), "c".getBytes()).take(new Edition(6), "d".getBytes());
+        ConfigurationState good = ConfigurationState.NONE
+                .inView(1)
+                .take(new ConfigurationRevision(5), "c".getBytes())
+                .take(new ConfigurationRevision(6), "d".getBytes());
         byte[] bytes = written(good);
         for (int cut = 0; cut < bytes.length; cut++) {
             byte[] part = java.util.Arrays.copyOf(bytes, cut);
-            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(part)), "cut at " + cut);
+            assertThrows(
+                    MessagePackCodec.UnreadableException.class,
+                    () -> ConfigurationState.read(MessagePackCodec.read(part)),
+                    "cut at " + cut);
         }
         Digest d = Digest.ofCall("PUT", "c".getBytes());
-        List<Script.Writer> bad = new ArrayList<>();
-        bad.add(Script.write().num(-3).num(1).num(5).bytes(new byte[0]).num(5).num(0));
-        bad.add(Script.write().num(-2).num(1).num(6).bytes(new byte[0]).num(5).num(0));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(0).num(d.high()).num(d.low()));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(1).num(Long.MAX_VALUE)
-                .num(d.high()).num(d.low()));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(-1).num(0));
-        bad.add(Script.write().num(-2).num(1).num(5).bytes(new byte[0]).num(5).num(TakenOrders.REMEMBERED + 1));
-        for (Script.Writer w : bad) {
+        List<MessagePackCodec.Writer> bad = new ArrayList<>();
+        bad.add(MessagePackCodec.write()
+                .num(-3)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(6)
+                .bytes(new byte[0])
+                .num(5)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(1)
+                .num(0)
+                .num(d.high())
+                .num(d.low()));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(1)
+                .num(Long.MAX_VALUE)
+                .num(d.high())
+                .num(d.low()));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(-1)
+                .num(0));
+        bad.add(MessagePackCodec.write()
+                .num(-2)
+                .num(1)
+                .num(5)
+                .bytes(new byte[0])
+                .num(5)
+                .num(TakenOrders.REMEMBERED + 1));
+        for (MessagePackCodec.Writer w : bad) {
             byte[] wrong = w.done();
-            assertThrows(Script.UnreadableException.class, () -> ConfigurationState.read(Script.read(wrong)));
+            assertThrows(
+                    MessagePackCodec.UnreadableException.class,
+                    () -> ConfigurationState.read(MessagePackCodec.read(wrong)));
         }
     }
 }
--- a/archive/src/test/java/org/umbermount/archive/RecoveryTest.java
+++ b/control/src/test/java/org/umbermount/control/RecoveryTest.java
@@ -1,28 +1,27 @@
-package org.umbermount.archive;
+package org.umbermount.control;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import org.junit.jupiter.api.Test;
-
 class RecoveryTest {
     /** Keeps nothing, and is slow to say that it has been rebuilt. */
-    private static final class SlowCompanion implements Companion {
+    private static final class SlowCompanion implements CompanionState {
         Runnable done;
 
         @Override
-        public Bookmark mark() {
-            return Bookmark.NONE;
+        public OperationLogPosition mark() {
+            return OperationLogPosition.NONE;
         }
 
         @Override
-        public void adopted(View view) {
-        }
+        public void adopted(View view) {}
 
         @Override
-        public void rebuild(Bookmark upTo, Runnable then) {
+        public void rebuild(OperationLogPosition upTo, Runnable then) {
             done = then;
         }
 
@@ -59,7 +58,9 @@
         assertEquals(fleet.replica(2).view().number(), view, "it has not heard of the newer view");
         late.run();
         fleet.run(50);
-        assertTrue(fleet.replica(4).view().number() >= view, "the view went back to " + fleet.replica(4).view());
+        assertTrue(
+                fleet.replica(4).view().number() >= view,
+                "the view went back to " + fleet.replica(4).view());
     }
 
     private static boolean fleetHasRun(org.umbermount.kernel.Clock clock) {
@@ -74,7 +75,7 @@
         Replica proposer = fleet.replica(3);
         long view = proposer.view().number();
         for (int i = 0; i < 4; i++) {
-            proposer.sendPrepare(Fleet.imprint(i), view + 1, new Ballot(9, Fleet.imprint(3)));
+            proposer.sendPrepare(Fleet.daemonAddress(i), view + 1, new Ballot(9, Fleet.daemonAddress(3)));
         }
         fleet.run(20);
         for (int i = 0; i < 4; i++) {
--- a/archive/src/test/java/org/umbermount/archive/SeatsTest.java
+++ b/control/src/test/java/org/umbermount/control/SeatsTest.java
@@ -1,22 +1,22 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
 
-/** Seats are given up, taken over and rested, by registrars as they are. */
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Seats are given up, taken over and rested, by controllers as they are. */
 class SeatsTest {
     private static final long SYNC_MS = 4_000;
 
@@ -61,12 +61,19 @@
             fleet.kill(second, true);
             fleet.wipe(second);
             fleet.run(500);
-            take(fleet, n + 1, n + 2, "after replacement " + (n + 1) + " and a second loss: " + any(fleet).view());
+            take(
+                    fleet,
+                    n + 1,
+                    n + 2,
+                    "after replacement " + (n + 1) + " and a second loss: "
+                            + any(fleet).view());
             fleet.start(second, "z" + second, List.of(second + 1, second + 2, fresh));
             fleet.run(SYNC_MS);
             assertNotNull(fleet.read(fresh, 850));
         }
-        assertTrue(any(fleet).view().electorate().size() <= 5, "dead seats are left: " + any(fleet).view());
+        assertTrue(
+                any(fleet).view().electorate().size() <= 5,
+                "dead seats are left: " + any(fleet).view());
     }
 
     @ParameterizedTest
@@ -118,9 +125,9 @@
     /** Two changes within a lease could leave two majorities that do not meet. */
     @Test
     void votersChangeOnlyWhenLeasesGrantedBeforeHaveRunOut() throws Exception {
-        assertTrue(shortestRest() >= LeaseOffice.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
+        assertTrue(shortestRest() >= LeaseManager.TERM_MS - 20, "changed again after " + shortestRest() + " ms");
         long without = Mutation.without(Safeguard.SEATS_REST, SeatsTest::shortestRest);
-        assertTrue(without < LeaseOffice.TERM_MS - 20, "nothing was missed without it: " + without);
+        assertTrue(without < LeaseManager.TERM_MS - 20, "nothing was missed without it: " + without);
     }
 
     /** Whether a voter grants a duty to one that asks the voters of an earlier view. */
@@ -128,10 +135,21 @@
         Fleet fleet = new Fleet(4, 3, 23);
         fleet.run(6_000);
         boolean[] granted = new boolean[1];
-        var stranger = fleet.network.bag(Fleet.imprint(9));
-        stranger.subscribe(Postbag.Topic.LEASE, (from, body) -> granted[0] |= Script.read(body).num() == 1);
+        var stranger = fleet.network.bag(Fleet.daemonAddress(9));
+        stranger.subscribe(
+                Messenger.Topic.LEASE,
+                (from, body) -> granted[0] |= MessagePackCodec.read(body).num() == 1);
         long view = any(fleet).view().number();
-        stranger.send(Fleet.imprint(1), Postbag.Topic.LEASE, Script.write().num(0).text("z9").num(5).num(1).num(view - 1).done());
+        stranger.send(
+                Fleet.daemonAddress(1),
+                Messenger.Topic.LEASE,
+                MessagePackCodec.write()
+                        .num(0)
+                        .text("z9")
+                        .num(5)
+                        .num(1)
+                        .num(view - 1)
+                        .done());
         fleet.run(100);
         return granted[0];
     }
@@ -151,17 +169,17 @@
         fleet.start(0, "zz", List.of(0, 1, 2));
         fleet.run(6_000);
         take(fleet, 0, 1, "at the start");
-        assertEquals(Fleet.imprint(0), fleet.replica(0).view().tail());
+        assertEquals(Fleet.daemonAddress(0), fleet.replica(0).view().tail());
         fleet.start(4, "a", List.of(0, 1, 2));
         boolean[] lost = {true};
-        fleet.network.tap = (from, to, topic, body) -> !lost[0] || topic != Postbag.Topic.CHAIN;
-        while (!Fleet.imprint(4).equals(fleet.replica(0).view().head())) {
+        fleet.network.tap = (from, to, topic, body) -> !lost[0] || topic != Messenger.Topic.CHAIN;
+        while (!Fleet.daemonAddress(4).equals(fleet.replica(0).view().head())) {
             fleet.run(10);
         }
         fleet.run(300);
         lost[0] = false;
         fleet.run(3_000);
-        assertEquals(Fleet.imprint(4), fleet.replica(0).view().head());
+        assertEquals(Fleet.daemonAddress(4), fleet.replica(0).view().head());
         return fleet.read(0, 850);
     }
 
@@ -173,7 +191,7 @@
 
     private static void cutOff(Fleet fleet, int one, int... others) {
         for (int other : others) {
-            fleet.network.cutBoth(Fleet.imprint(one), Fleet.imprint(other));
+            fleet.network.cutBoth(Fleet.daemonAddress(one), Fleet.daemonAddress(other));
         }
     }
 
@@ -191,12 +209,12 @@
         assertEquals(3, fleet.replica(0).view().electorate().size());
         assertEquals(5, fleet.replica(4).view().electorate().size());
         cutOff(fleet, 2, 0, 1);
-        fleet.network.tap = (from, to, topic, body) -> topic != Postbag.Topic.VIEW;
-        fleet.network.join(Fleet.imprint(3), Fleet.imprint(4));
-        fleet.network.join(Fleet.imprint(4), Fleet.imprint(3));
+        fleet.network.tap = (from, to, topic, body) -> topic != Messenger.Topic.VIEW;
+        fleet.network.join(Fleet.daemonAddress(3), Fleet.daemonAddress(4));
+        fleet.network.join(Fleet.daemonAddress(4), Fleet.daemonAddress(3));
         for (int other : new int[] {3, 4}) {
-            fleet.network.join(Fleet.imprint(2), Fleet.imprint(other));
-            fleet.network.join(Fleet.imprint(other), Fleet.imprint(2));
+            fleet.network.join(Fleet.daemonAddress(2), Fleet.daemonAddress(other));
+            fleet.network.join(Fleet.daemonAddress(other), Fleet.daemonAddress(2));
         }
         for (long t = 0; t < 6_000; t += 10) {
             fleet.run(10);
@@ -223,7 +241,7 @@
         Fleet fleet = new Fleet(4, 3, 24);
         fleet.run(6_000);
         take(fleet, 0, 1, "at the start");
-        fleet.network.cutBoth(Fleet.imprint(2), Fleet.imprint(3));
+        fleet.network.cutBoth(Fleet.daemonAddress(2), Fleet.daemonAddress(3));
         fleet.run(3_000);
         long view = any(fleet).view().number();
         assertEquals(3, any(fleet).view().chain().size());
@@ -253,7 +271,8 @@
                 Fleet.Reply reply = fleet.submit((frozen + 1) % 5, 0, 1, "c1");
                 fleet.run(900);
                 if (reply.verdict != Replica.Verdict.TAKEN) {
-                    return frozen + " froze, " + gone + " was gone " + gap + " ms later: " + fleet.replica(frozen).view();
+                    return frozen + " froze, " + gone + " was gone " + gap + " ms later: "
+                            + fleet.replica(frozen).view();
                 }
             }
         }
--- a/archive/src/test/java/org/umbermount/archive/SlowReplicaTest.java
+++ b/control/src/test/java/org/umbermount/control/SlowReplicaTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.archive;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.control;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -10,14 +6,18 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
-/** A registrar that gets the processor only now and then leaves duties to others; one that stood still once does not. */
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A controller that gets the processor only now and then leaves duties to others; one that stood still once does not. */
 class SlowReplicaTest {
     private static final int CUT_OFF = 3;
-    /** A table has to reach a zone's lectors within 3 s; taking it there needs some of that. */
+    /** A table has to reach a zone's proxies within 3 s; taking it there needs some of that. */
     private static final long LONGEST_VACANCY_MS = 2_800;
 
     private final Fleet fleet;
@@ -53,10 +53,10 @@
         });
     }
 
-    /** The registrar that stands in for one that is cut off. */
+    /** The controller that stands in for one that is cut off. */
     private int standIn() {
         for (int i = 0; i < 5; i++) {
-            fleet.network.cutBoth(Fleet.imprint(i), Fleet.imprint(CUT_OFF));
+            fleet.network.cutBoth(Fleet.daemonAddress(i), Fleet.daemonAddress(CUT_OFF));
         }
         fleet.run(6_000);
         return holder(Fleet.zone(CUT_OFF));
@@ -85,7 +85,8 @@
         "887, 67, 1",
         "970, 30, 1",
         // The timers are not noticeably late, but grants are.
-        "600, 30, 20"})
+        "600, 30, 20"
+    })
     void dutiesOfASlowReplicaAreTakenByOthers(long stands, long runs, long delayMs) {
         fleet.network.delayMs = delayMs;
         int who = standIn();
@@ -167,7 +168,7 @@
         List<Integer> others = new ArrayList<>(List.of(0, 1, 2, 3, 4));
         others.removeAll(List.of(who, standIn));
         others.remove(heard);
-        others.forEach(o -> fleet.network.cutBoth(Fleet.imprint(o), Fleet.imprint(standIn)));
+        others.forEach(o -> fleet.network.cutBoth(Fleet.daemonAddress(o), Fleet.daemonAddress(standIn)));
         long vacantSince = 0;
         for (long t = 0; t < 6_000; t += 10) {
             fleet.run(10);
@@ -193,16 +194,16 @@
 
     @Test
     void pausesCountWhenTheyComeAgain() {
-        PauseHistory history = new PauseHistory(new Moment(5_000));
-        history.paused(new Moment(4_000));
-        history.paused(new Moment(6_000));
-        history.paused(new Moment(6_000 + PauseHistory.SAME_MS - 1));
-        assertFalse(history.isSlow(new Moment(6_700)));
-        history.paused(new Moment(6_000 + PauseHistory.WINDOW_MS + 1));
-        assertFalse(history.isSlow(new Moment(16_002)));
-        history.paused(new Moment(17_000));
-        assertTrue(history.isSlow(new Moment(17_000)));
-        assertTrue(history.isSlow(new Moment(17_000 + PauseHistory.WINDOW_MS - 1)));
-        assertFalse(history.isSlow(new Moment(17_000 + PauseHistory.WINDOW_MS)));
+        PauseHistory history = new PauseHistory(new MonotonicTime(5_000));
+        history.paused(new MonotonicTime(4_000));
+        history.paused(new MonotonicTime(6_000));
+        history.paused(new MonotonicTime(6_000 + PauseHistory.SAME_MS - 1));
+        assertFalse(history.isSlow(new MonotonicTime(6_700)));
+        history.paused(new MonotonicTime(6_000 + PauseHistory.WINDOW_MS + 1));
+        assertFalse(history.isSlow(new MonotonicTime(16_002)));
+        history.paused(new MonotonicTime(17_000));
+        assertTrue(history.isSlow(new MonotonicTime(17_000)));
+        assertTrue(history.isSlow(new MonotonicTime(17_000 + PauseHistory.WINDOW_MS - 1)));
+        assertFalse(history.isSlow(new MonotonicTime(17_000 + PauseHistory.WINDOW_MS)));
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/Inventory.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -6,51 +6,54 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * The route and endpoint table at one moment: entries under keys, each packed. It never changes; a difference
  * between two of them says which keys go and which entries come, so that taking it twice does no harm.
  */
-public final class Inventory {
-    public static final Inventory EMPTY = new Inventory(Map.of());
+public final class RoutingTable {
+    public static final RoutingTable EMPTY = new RoutingTable(Map.of());
     /** Holds the edition and the limits; a table without it is empty. */
     public static final String CONFIGURATION = "c";
     /** Holds the number of proxies that share the fleet's budgets. */
     public static final String FLEET = "f";
+
     public static final String ROUTE = "r/";
     public static final String UPSTREAM = "u/";
     public static final String INSTANCE = "i/";
     public static final String TENANT = "t/";
-    /** A registrar and its zone: in a large fleet few of them are among a proxy's neighbours. */
-    public static final String REGISTRAR = "g/";
-    /** Which registrar does a duty that proxies ask for. */
+    /** A controller and its zone: in a large fleet few of them are among a proxy's neighbours. */
+    public static final String CONTROLLER = "g/";
+    /** Which controller does a duty that proxies ask for. */
     public static final String DUTY = "d/";
 
     private final Map<String, byte[]> entries;
-    private final Edition edition;
-    // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next one.
+    private final ConfigurationRevision edition;
+    // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next
+    // one.
     // One immutable object, read and written whole: a process with several event loops shares the empty table.
     private Comparison last;
 
-    private Inventory(Map<String, byte[]> entries) {
+    private RoutingTable(Map<String, byte[]> entries) {
         this.entries = entries;
         this.edition = readEdition(entries.get(CONFIGURATION));
     }
 
-    public static Inventory of(Map<String, byte[]> entries) {
-        return new Inventory(Map.copyOf(entries));
+    public static RoutingTable of(Map<String, byte[]> entries) {
+        return new RoutingTable(Map.copyOf(entries));
     }
 
-    private static Edition readEdition(byte[] configuration) {
+    private static ConfigurationRevision readEdition(byte[] configuration) {
         if (configuration == null) {
-            return Edition.NONE;
+            return ConfigurationRevision.NONE;
         }
         try {
-            return new Edition(Script.read(configuration).num());
-        } catch (Script.UnreadableException e) {
-            return Edition.NONE;
+            return new ConfigurationRevision(
+                    MessagePackCodec.read(configuration).num());
+        } catch (MessagePackCodec.UnreadableException e) {
+            return ConfigurationRevision.NONE;
         }
     }
 
@@ -59,7 +62,7 @@
     }
 
     /** The revision of the configuration that the table holds. */
-    public Edition edition() {
+    public ConfigurationRevision edition() {
         return edition;
     }
 
@@ -73,24 +76,23 @@
             return gone.isEmpty() && come.isEmpty();
         }
 
-        void write(Script.Writer out) {
-            out.list(gone, Script.Writer::text)
+        void write(MessagePackCodec.Writer out) {
+            out.list(gone, MessagePackCodec.Writer::text)
                     .list(come.entrySet(), (o, e) -> o.text(e.getKey()).bytes(e.getValue()));
         }
 
-        static Difference read(Script.Reader in) throws Script.UnreadableException {
-            List<String> gone = in.list(Script.Reader::text);
+        static Difference read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+            List<String> gone = in.list(MessagePackCodec.ClientConnection::text);
             Map<String, byte[]> come = new HashMap<>();
             in.list(r -> come.put(r.text(), r.bytes()));
             return new Difference(gone, come);
         }
     }
 
-    private record Comparison(Inventory older, Difference difference) {
-    }
+    private record Comparison(RoutingTable older, Difference difference) {}
 
     /** What changes from an older table to this one. */
-    public Difference since(Inventory older) {
+    public Difference since(RoutingTable older) {
         Comparison known = last;
         if (known == null || known.older != older) {
             known = new Comparison(older, compare(older));
@@ -99,7 +101,7 @@
         return known.difference;
     }
 
-    private Difference compare(Inventory older) {
+    private Difference compare(RoutingTable older) {
         List<String> gone = new ArrayList<>();
         for (String key : older.entries.keySet()) {
             if (!entries.containsKey(key)) {
@@ -116,16 +118,17 @@
         return new Difference(gone, come);
     }
 
-    public Inventory with(Difference difference) {
+    public RoutingTable with(Difference difference) {
         Map<String, byte[]> next = new HashMap<>(entries);
         difference.gone().forEach(next::remove);
         next.putAll(difference.come());
-        Inventory result = new Inventory(next);
+        RoutingTable result = new RoutingTable(next);
         result.last = new Comparison(this, difference);
         return result;
     }
 
-    public boolean sameAs(Inventory other) {
-        return this == other || entries.size() == other.entries.size() && since(other).isEmpty();
+    public boolean sameAs(RoutingTable other) {
+        return this == other
+                || entries.size() == other.entries.size() && since(other).isEmpty();
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/Consignee.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateReceiver.java
@@ -1,4 +1,4 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -8,41 +8,41 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
 
 /** The receiver in a proxy: numbered states of one sender at a time, fenced by epoch. */
-public final class Consignee {
-    private static final Logger LOG = LoggerFactory.getLogger("courier");
+public final class StateReceiver {
+    private static final Logger LOG = LoggerFactory.getLogger("distribution");
     private static final int HELD_STATES = 64;
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final long life;
-    private final TreeMap<Long, Inventory> held = new TreeMap<>();
-    private final List<Consumer<Inventory>> observers = new ArrayList<>();
+    private final TreeMap<Long, RoutingTable> held = new TreeMap<>();
+    private final List<Consumer<RoutingTable>> observers = new ArrayList<>();
     private long epoch;
-    private Imprint sender;
-    private Moment lastHeard = Moment.NEVER;
-    private Inventory inForce = Inventory.EMPTY;
+    private DaemonAddress sender;
+    private MonotonicTime lastHeard = MonotonicTime.NEVER;
+    private RoutingTable inForce = RoutingTable.EMPTY;
     private long keepMs = -1;
-    private Moment goodUntil = Moment.NEVER;
+    private MonotonicTime goodUntil = MonotonicTime.NEVER;
 
-    Consignee(Clock clock, Postbag post, Tally tally, long life) {
+    StateReceiver(Clock clock, Messenger messenger, Metrics metrics, long life) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.life = life;
-        held.put(0L, Inventory.EMPTY);
-        post.subscribe(Postbag.Topic.DISPATCH, (from, body) -> receive(from, Dispatch.unpack(body)));
+        held.put(0L, RoutingTable.EMPTY);
+        messenger.subscribe(Messenger.Topic.DISPATCH, (from, body) -> receive(from, Instruction.unpack(body)));
     }
 
-    /** From now on a table counts only for so long after a majority was asked about it; see docs/readership.md. */
+    /** From now on a table counts only for so long after a majority was asked about it; see docs/quotas.md. */
     void countFor(long ms) {
         keepMs = ms;
     }
@@ -57,24 +57,29 @@
      * put on this daemon's own clock by the echo of its own stamp, which is never later than now: whatever time the
      * word spent on its way, or this process standing still, is counted against it.
      */
-    private void vouched(Dispatch d) {
+    private void vouched(Instruction d) {
         long now = clock.now().millis();
-        if (keepMs < 0 || d.vouched() < 0 || d.echo() < 0 || d.echo() > now || d.life() != life
-                || inForce.isEmpty() || inForce.edition().value() < d.vouched()) {
+        if (keepMs < 0
+                || d.vouched() < 0
+                || d.echo() < 0
+                || d.echo() > now
+                || d.life() != life
+                || inForce.isEmpty()
+                || inForce.edition().value() < d.vouched()) {
             return;
         }
-        Moment until = new Moment(d.echo() - d.vouchAge() + keepMs);
+        MonotonicTime until = new MonotonicTime(d.echo() - d.vouchAge() + keepMs);
         if (goodUntil.isBefore(until)) {
             goodUntil = until;
         }
     }
 
     /** Told of each table that comes into force. */
-    public void observe(Consumer<Inventory> observer) {
+    public void observe(Consumer<RoutingTable> observer) {
         observers.add(observer);
     }
 
-    public Inventory inForce() {
+    public RoutingTable inForce() {
         return inForce;
     }
 
@@ -86,30 +91,30 @@
         return epoch;
     }
 
-    public Imprint sender() {
+    public DaemonAddress sender() {
         return sender;
     }
 
-    public Moment lastHeard() {
+    public MonotonicTime lastHeard() {
         return lastHeard;
     }
 
-    private void receive(Imprint from, Dispatch d) {
+    private void receive(DaemonAddress from, Instruction d) {
         if (d.life() != 0 && d.life() != life) {
             // Meant for an earlier life of this daemon. The answer tells the sender of this one.
-            tally.count("courier.earlier.life");
+            metrics.count("distribution.earlier.life");
             acknowledge(from, d, 0);
             return;
         }
         if (d.epoch() == 0) {
             if (inForce.isEmpty() && epoch == 0 && d.difference() != null && d.oldNum() == 0) {
-                bringIntoForce(Inventory.EMPTY.with(d.difference()), from);
+                bringIntoForce(RoutingTable.EMPTY.with(d.difference()), from);
             }
             vouched(d);
             return;
         }
         if (d.epoch() < epoch && Safeguard.FENCED_BY_EPOCH.holds()) {
-            tally.count("courier.stale.epoch");
+            metrics.count("distribution.stale.epoch");
             acknowledge(from, d, 0);
             return;
         }
@@ -118,18 +123,18 @@
             epoch = d.epoch();
             sender = from;
             held.clear();
-            held.put(0L, Inventory.EMPTY);
+            held.put(0L, RoutingTable.EMPTY);
         }
         lastHeard = clock.now();
         if (d.difference() != null && !held.containsKey(d.newNum())) {
             // State 0 is the empty table and is always known, whatever has been trimmed.
-            Inventory base = d.oldNum() == 0 ? Inventory.EMPTY : held.get(d.oldNum());
+            RoutingTable base = d.oldNum() == 0 ? RoutingTable.EMPTY : held.get(d.oldNum());
             if (base == null) {
-                tally.count("courier.unknown.base");
+                metrics.count("distribution.unknown.base");
             } else {
-                Inventory table = base.with(d.difference());
+                RoutingTable table = base.with(d.difference());
                 if (inForce.edition().isAfter(table.edition()) && Safeguard.NO_WAY_BACK.holds()) {
-                    tally.count("courier.older.edition");
+                    metrics.count("distribution.older.edition");
                     return;
                 }
                 boolean newest = d.newNum() > held.lastKey();
@@ -152,24 +157,26 @@
             it.remove();
         }
         if (held.isEmpty()) {
-            held.put(0L, Inventory.EMPTY);
+            held.put(0L, RoutingTable.EMPTY);
         }
     }
 
-    private void bringIntoForce(Inventory table, Imprint from) {
-        Edition before = inForce.edition();
+    private void bringIntoForce(RoutingTable table, DaemonAddress from) {
+        ConfigurationRevision before = inForce.edition();
         inForce = table;
         if (!before.equals(table.edition())) {
             LOG.info("Edition {} is in force, from {}.", table.edition(), from);
         }
-        tally.count("courier.tables");
-        for (Consumer<Inventory> o : observers) {
+        metrics.count("distribution.tables");
+        for (Consumer<RoutingTable> o : observers) {
             o.accept(table);
         }
     }
 
-    private void acknowledge(Imprint to, Dispatch d, long num) {
-        post.send(to, Postbag.Topic.DISPATCH, new Dispatch(epoch, life, 0, 0, num, 0, clock.now().millis(),
-                d.stamp(), null).pack());
+    private void acknowledge(DaemonAddress to, Instruction d, long num) {
+        messenger.send(
+                to,
+                Messenger.Topic.DISPATCH,
+                new Instruction(epoch, life, 0, 0, num, 0, clock.now().millis(), d.stamp(), null).pack());
     }
 }
--- a/courier/src/main/java/org/umbermount/courier/Consignor.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateSender.java
@@ -1,76 +1,77 @@
-package org.umbermount.courier;
+package org.umbermount.distribution;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Edition;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.ConfigurationRevision;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
 
 /**
  * The sender for one proxy, as in the State Synchronization Protocol: a rolling list of sent states whose first
  * is the one known to have arrived; each difference starts from the newest state that may still be on its way,
  * and from the known one once its timeout has passed.
  */
-final class Consignor {
+final class StateSender {
     static final int SENT_STATES = 32;
     static final long HEARTBEAT_MS = 3_000;
     /** Changes within this time travel together. */
     private static final long COLLECT_MS = 8;
+
     private static final long LAPSED_MS = 50;
     /** How many lives of the proxy that have ended are remembered. */
     private static final int ENDED_LIVES = 16;
 
     private static final class Sent {
         final long num;
-        final Inventory table;
-        Moment at;
+        final RoutingTable table;
+        MonotonicTime at;
 
-        Sent(long num, Inventory table, Moment at) {
+        Sent(long num, RoutingTable table, MonotonicTime at) {
             this.num = num;
             this.table = table;
             this.at = at;
         }
     }
 
-    private final Imprint proxy;
+    private final DaemonAddress proxy;
     private final long epoch;
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
+    private final Messenger messenger;
+    private final Metrics metrics;
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
     private final ArrayDeque<Long> ended = new ArrayDeque<>();
     private long life;
-    private Moment metAt;
-    private Inventory current = Inventory.EMPTY;
+    private MonotonicTime metAt;
+    private RoutingTable current = RoutingTable.EMPTY;
     private long topNum;
-    private Moment lastSend = Moment.NEVER;
-    private Moment lastHeard;
+    private MonotonicTime lastSend = MonotonicTime.NEVER;
+    private MonotonicTime lastHeard;
     private int unanswered;
     private long echoStamp = -1;
-    private Moment echoAt;
+    private MonotonicTime echoAt;
     private Clock.Cancellable timer;
     private boolean closed;
-    private Vouching vouching = Vouching.NONE;
+    private TableFreshness vouching = TableFreshness.NONE;
     private long renewMs = HEARTBEAT_MS;
     private BooleanSupplier leased = () -> true;
 
-    Consignor(Imprint proxy, long life, long epoch, Clock clock, Postbag post, Tally tally) {
+    StateSender(DaemonAddress proxy, long life, long epoch, Clock clock, Messenger messenger, Metrics metrics) {
         this.proxy = proxy;
         this.life = life;
         this.epoch = epoch;
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
+        this.messenger = messenger;
+        this.metrics = metrics;
         this.lastHeard = clock.now();
         this.metAt = lastHeard;
-        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+        sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
     }
 
     /** Sets what says at each moment whether the lease is held under which this sends. */
@@ -83,13 +84,13 @@
     }
 
     /** From now on instructions say how fresh the table is known to be, at least as often as this. */
-    void vouch(Vouching by, long everyMs) {
+    void vouch(TableFreshness by, long everyMs) {
         vouching = by;
         renewMs = Math.min(HEARTBEAT_MS, everyMs);
     }
 
     /** The proxy's clock was heard of beside an acknowledgment. */
-    void stamped(long forLife, long stamp, Moment at) {
+    void stamped(long forLife, long stamp, MonotonicTime at) {
         if (forLife == life && (echoStamp < 0 || echoAt.isBefore(at))) {
             echoStamp = stamp;
             echoAt = at;
@@ -98,14 +99,14 @@
 
     /** The proxy needs to hear now how fresh its table is. */
     void renew() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (mayEmit() && now.since(lastSend) >= roundTrip.frame()) {
             sendEmpty(now);
             scheduleNext(now);
         }
     }
 
-    Moment lastHeard() {
+    MonotonicTime lastHeard() {
         return lastHeard;
     }
 
@@ -118,7 +119,7 @@
         return sent.get(0).num;
     }
 
-    Edition knownEdition() {
+    ConfigurationRevision knownEdition() {
         return sent.get(0).table.edition();
     }
 
@@ -138,7 +139,7 @@
     }
 
     /** The table that the proxy should have. */
-    void offer(Inventory table) {
+    void offer(RoutingTable table) {
         current = table;
         schedule(COLLECT_MS);
     }
@@ -153,12 +154,12 @@
         } else if (thatLife != life && (!ended.contains(thatLife) || !Safeguard.ENDED_LIFE_NOT_SERVED.holds())) {
             restart(thatLife);
         } else if (thatLife != life) {
-            tally.count("courier.ended.life");
+            metrics.count("distribution.ended.life");
         }
     }
 
     /** As {@link #announced}, by an answer: to what was sent since the present life was met, only a life that runs can answer. */
-    private void answered(Dispatch ack) {
+    private void answered(Instruction ack) {
         if (ack.echo() >= metAt.millis() && ack.echo() <= clock.now().millis() && ack.life() != life && life != 0) {
             restart(ack.life());
         } else {
@@ -176,11 +177,11 @@
         life = newLife;
         metAt = clock.now();
         sent.clear();
-        sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+        sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
         unanswered = 0;
         echoStamp = -1;
         lastHeard = clock.now();
-        lastSend = Moment.NEVER;
+        lastSend = MonotonicTime.NEVER;
         schedule(0);
     }
 
@@ -202,7 +203,7 @@
      * The newest sent state up to which no timeout has passed, or the known one. A state that was not acknowledged in time
      * makes those after it doubtful too: they were built on it, or on one that was built on it.
      */
-    private Sent assumed(Moment now) {
+    private Sent assumed(MonotonicTime now) {
         Sent assumed = sent.get(0);
         for (Sent s : sent) {
             if (s == assumed) {
@@ -223,8 +224,9 @@
             schedule(LAPSED_MS);
             return;
         }
-        Moment now = clock.now();
-        long frame = unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
+        MonotonicTime now = clock.now();
+        long frame =
+                unanswered > 2 ? Math.min(1_000, roundTrip.rto() << Math.min(5, unanswered - 2)) : roundTrip.frame();
         long wait = frame - now.since(lastSend);
         if (wait > 0) {
             schedule(wait);
@@ -250,7 +252,7 @@
         scheduleNext(now);
     }
 
-    private void scheduleNext(Moment now) {
+    private void scheduleNext(MonotonicTime now) {
         long next = renewMs - now.since(lastSend);
         if (sent.size() > 1) {
             next = Math.min(next, roundTrip.rto() - now.since(newest().at) + 1);
@@ -258,34 +260,58 @@
         schedule(Math.max(1, next));
     }
 
-    private void send(Sent from, Sent to, Moment now) {
-        emit(new Dispatch(epoch, life, from.num, to.num, 0, knownNum(), now.millis(), echo(now),
-                to.table.since(from.table), vouched(now), vouchAge(now)), now);
+    private void send(Sent from, Sent to, MonotonicTime now) {
+        emit(
+                new Instruction(
+                        epoch,
+                        life,
+                        from.num,
+                        to.num,
+                        0,
+                        knownNum(),
+                        now.millis(),
+                        echo(now),
+                        to.table.since(from.table),
+                        vouched(now),
+                        vouchAge(now)),
+                now);
         unanswered++;
-        tally.count("courier.sent");
+        metrics.count("distribution.sent");
     }
 
-    private void sendEmpty(Moment now) {
+    private void sendEmpty(MonotonicTime now) {
         long num = newest().num;
-        emit(new Dispatch(epoch, life, num, num, 0, knownNum(), now.millis(), echo(now), null,
-                vouched(now), vouchAge(now)), now);
-        tally.count("courier.heartbeats");
+        emit(
+                new Instruction(
+                        epoch,
+                        life,
+                        num,
+                        num,
+                        0,
+                        knownNum(),
+                        now.millis(),
+                        echo(now),
+                        null,
+                        vouched(now),
+                        vouchAge(now)),
+                now);
+        metrics.count("distribution.heartbeats");
     }
 
-    private void emit(Dispatch dispatch, Moment now) {
+    private void emit(Instruction dispatch, MonotonicTime now) {
         lastSend = now;
-        post.send(proxy, Postbag.Topic.DISPATCH, dispatch.pack());
+        messenger.send(proxy, Messenger.Topic.DISPATCH, dispatch.pack());
     }
 
-    private long vouched(Moment now) {
+    private long vouched(MonotonicTime now) {
         return echo(now) < 0 || vouching.at() == null ? -1 : vouching.edition().value();
     }
 
-    private long vouchAge(Moment now) {
+    private long vouchAge(MonotonicTime now) {
         return vouching.at() == null ? 0 : now.since(vouching.at());
     }
 
-    private long echo(Moment now) {
+    private long echo(MonotonicTime now) {
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
 
@@ -293,11 +319,11 @@
      * What was sent no later than the instruction that this answers, and is above what the proxy acknowledges, has not
      * arrived there: it need not be waited for. Tells whether there is such a state.
      */
-    private boolean doubt(Dispatch ack) {
+    private boolean doubt(Instruction ack) {
         boolean any = false;
         for (Sent s : sent) {
             if (s.num > ack.ackNum() && ack.echo() >= 0 && s.at.millis() <= ack.echo()) {
-                s.at = Moment.NEVER;
+                s.at = MonotonicTime.NEVER;
                 any = true;
             }
         }
@@ -305,11 +331,11 @@
     }
 
     /** Takes an acknowledgment. */
-    void acknowledged(Dispatch ack) {
-        Moment now = clock.now();
+    void acknowledged(Instruction ack) {
+        MonotonicTime now = clock.now();
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
-            tally.count("courier.earlier.epoch");
+            metrics.count("distribution.earlier.epoch");
             answered(ack);
             return;
         }
@@ -335,10 +361,10 @@
             sent.removeIf(s -> s.num < ack.ackNum());
         } else if (ack.ackNum() > topNum) {
             // The proxy holds numbers of an earlier sender under this epoch: go on above them, from nothing.
-            tally.count("courier.numbers.met");
+            metrics.count("distribution.numbers.met");
             topNum = ack.ackNum();
             sent.clear();
-            sent.add(new Sent(0, Inventory.EMPTY, Moment.NEVER));
+            sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
         }
         if (doubt(ack) || !current.sameAs(newest().table)) {
             // A change is waiting for its turn; what is heard meanwhile must not put it off.
--- a/courier/src/test/java/org/umbermount/courier/InventoryTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/InventoryTest.java
@@ -1,6 +1,4 @@
-package org.umbermount.courier;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,15 +8,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 class InventoryTest {
     private static final int ROUNDS = 40_000;
 
-    private static Inventory table(int keys) {
+    private static RoutingTable table(int keys) {
         Map<String, byte[]> entries = new HashMap<>();
         for (int i = 0; i < keys; i++) {
             entries.put("i/" + i, new byte[] {(byte) keys});
         }
-        return Inventory.of(entries);
+        return RoutingTable.of(entries);
     }
 
     /** A process with several loops shares the empty table; one loop once got the difference to another's table. */
@@ -28,20 +28,22 @@
         CyclicBarrier together = new CyclicBarrier(3);
         List<Thread> loops = new ArrayList<>();
         for (int t = 1; t <= 3; t++) {
-            Inventory mine = table(t);
+            RoutingTable mine = table(t);
             int keys = t;
-            Thread loop = new Thread(() -> {
-                try {
-                    together.await();
-                } catch (Exception e) {
-                    wrong.incrementAndGet();
-                }
-                for (int i = 0; i < ROUNDS; i++) {
-                    if (Inventory.EMPTY.since(mine).gone().size() != keys) {
-                        wrong.incrementAndGet();
-                    }
-                }
-            }, "loop");
+            Thread loop = new Thread(
+                    () -> {
+                        try {
+                            together.await();
+                        } catch (Exception e) {
+                            wrong.incrementAndGet();
+                        }
+                        for (int i = 0; i < ROUNDS; i++) {
+                            if (RoutingTable.EMPTY.since(mine).gone().size() != keys) {
+                                wrong.incrementAndGet();
+                            }
+                        }
+                    },
+                    "loop");
             loop.start();
             loops.add(loop);
         }
--- a/courier/src/test/java/org/umbermount/courier/CourierTest.java
+++ b/distribution/src/test/java/org/umbermount/distribution/StateSynchronizationTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.courier;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.distribution;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,43 +8,47 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.testing.FakeMessenger;
 
-class CourierTest {
-    private static final Imprint SENDER = Imprint.parse("10.0.0.1:7000");
-    private static final Imprint OTHER = Imprint.parse("10.0.0.2:7000");
-    private static final Imprint PROXY = Imprint.parse("10.0.0.3:7001");
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class StateSynchronizationTest {
+    private static final DaemonAddress SENDER = DaemonAddress.parse("10.0.0.1:7000");
+    private static final DaemonAddress OTHER = DaemonAddress.parse("10.0.0.2:7000");
+    private static final DaemonAddress PROXY = DaemonAddress.parse("10.0.0.3:7001");
     private final FakeClock clock = new FakeClock();
-    private final FakePost network = new FakePost(clock, 5);
-    private final Tally tally = new Tally();
+    private final FakeMessenger network = new FakeMessenger(clock, 5);
+    private final Metrics metrics = new Metrics();
     private final List<Long> inForce = new ArrayList<>();
-    private Consignee consignee;
+    private StateReceiver stateReceiver;
 
-    private Consignee proxy(long life) {
-        Consignee c = new Consignee(clock, network.bag(PROXY), tally, life);
+    private StateReceiver proxy(long life) {
+        StateReceiver c = new StateReceiver(clock, network.bag(PROXY), metrics, life);
         c.observe(t -> inForce.add(t.edition().value()));
         return c;
     }
 
-    private Consignor sender(Imprint self, long epoch, List<Dispatch> seen) {
-        FakePost.Bag bag = network.bag(self);
-        Consignor[] c = new Consignor[1];
-        Postbag watched = new Postbag() {
+    private StateSender sender(DaemonAddress self, long epoch, List<Instruction> seen) {
+        FakeMessenger.Bag bag = network.bag(self);
+        StateSender[] c = new StateSender[1];
+        Messenger watched = new Messenger() {
             @Override
-            public Imprint self() {
+            public DaemonAddress self() {
                 return self;
             }
 
             @Override
-            public void send(Imprint to, Topic topic, byte[] body) {
+            public void send(DaemonAddress to, Topic topic, byte[] body) {
                 try {
-                    seen.add(Dispatch.unpack(body));
-                } catch (Script.UnreadableException e) {
+                    seen.add(Instruction.unpack(body));
+                } catch (MessagePackCodec.UnreadableException e) {
                     throw new AssertionError(e);
                 }
                 bag.send(to, topic, body);
@@ -59,21 +59,23 @@
                 bag.subscribe(topic, listener);
             }
         };
-        c[0] = new Consignor(PROXY, 0, epoch, clock, watched, tally);
-        bag.subscribe(Postbag.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Dispatch.unpack(body)));
+        c[0] = new StateSender(PROXY, 0, epoch, clock, watched, metrics);
+        bag.subscribe(Messenger.Topic.DISPATCH, (from, body) -> c[0].acknowledged(Instruction.unpack(body)));
         return c[0];
     }
 
-    private static Inventory table(long edition, int... servers) {
+    private static RoutingTable table(long edition, int... servers) {
         Map<String, byte[]> entries = new HashMap<>();
-        entries.put(Inventory.CONFIGURATION, Script.write().num(edition).done());
+        entries.put(
+                RoutingTable.CONFIGURATION,
+                MessagePackCodec.write().num(edition).done());
         for (int s : servers) {
-            entries.put(Inventory.INSTANCE + s, new byte[] {(byte) s});
+            entries.put(RoutingTable.INSTANCE + s, new byte[] {(byte) s});
         }
-        return Inventory.of(entries);
+        return RoutingTable.of(entries);
     }
 
-    private static Inventory wide(long edition, int servers) {
+    private static RoutingTable wide(long edition, int servers) {
         int[] ids = new int[servers];
         for (int i = 0; i < servers; i++) {
             ids[i] = i;
@@ -83,26 +85,26 @@
 
     @Test
     void changesTravelAsSmallDifferencesAndAreTrimmed() {
-        consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        stateReceiver = proxy(11);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         c.offer(wide(1, 100));
         clock.advance(500);
         assertEquals(101, seen.get(0).difference().come().size());
         c.offer(wide(2, 101));
         clock.advance(500);
-        Dispatch second = seen.get(seen.size() - 1);
+        Instruction second = seen.get(seen.size() - 1);
         assertEquals(2, second.difference().come().size());
         assertEquals(seen.get(0).newNum(), second.oldNum());
         assertEquals(seen.get(0).newNum(), second.throwawayNum());
-        assertTrue(consignee.inForce().sameAs(wide(2, 101)));
+        assertTrue(stateReceiver.inForce().sameAs(wide(2, 101)));
         assertEquals(second.newNum(), c.knownNum());
     }
 
     @Test
     void quietSenderBeatsWithEmptyInstructions() {
-        consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
+        stateReceiver = proxy(11);
+        List<Instruction> seen = new ArrayList<>();
         sender(SENDER, 1, seen).offer(wide(1, 3));
         clock.advance(500);
         int before = seen.size();
@@ -113,9 +115,9 @@
 
     @Test
     void afterALossTheDifferenceStartsFromTheKnownState() {
-        consignee = proxy(11);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        stateReceiver = proxy(11);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         c.offer(table(1, 1));
         clock.advance(2_000);
         long known = c.knownNum();
@@ -124,34 +126,34 @@
         clock.advance(30);
         c.offer(table(1, 1, 2, 3));
         clock.advance(30);
-        Dispatch third = seen.get(seen.size() - 1);
+        Instruction third = seen.get(seen.size() - 1);
         assertTrue(third.oldNum() > known, "assumes that the second has arrived");
         clock.advance(300);
-        Dispatch again = seen.get(seen.size() - 1);
+        Instruction again = seen.get(seen.size() - 1);
         assertEquals(known, again.oldNum());
         assertEquals(2, again.difference().come().size());
         network.healAll();
         clock.advance(1_500);
-        assertTrue(consignee.inForce().sameAs(table(1, 1, 2, 3)));
+        assertTrue(stateReceiver.inForce().sameAs(table(1, 1, 2, 3)));
     }
 
-    /** The first timeout was 600 ms once, and a lector waited that long for its first table. */
+    /** The first timeout was 600 ms once, and a proxy waited that long for its first table. */
     @Test
     void firstInstructionThatIsLostCostsLittle() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         network.cut(SENDER, PROXY);
         sender(SENDER, 1, new ArrayList<>()).offer(table(1, 1));
         clock.advance(50);
         network.healAll();
         clock.advance(200);
-        assertEquals(1, consignee.inForce().edition().value());
+        assertEquals(1, stateReceiver.inForce().edition().value());
     }
 
     /** An acknowledgment once put a waiting change off until the next sign of life, 3 s later. */
     @Test
     void acknowledgmentDoesNotPutOffAWaitingChange() {
-        consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(2_000);
         for (int gap = 0; gap < 25; gap++) {
@@ -159,9 +161,9 @@
             clock.advance(9);
             c.offer(table(2 + gap, gap, gap + 1));
             clock.advance(gap);
-            c.acknowledged(new Dispatch(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
+            c.acknowledged(new Instruction(1, 11, 0, 0, c.knownNum(), 0, 0, -1, null));
             clock.advance(200);
-            assertTrue(consignee.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
+            assertTrue(stateReceiver.inForce().sameAs(table(2 + gap, gap, gap + 1)), "gap " + gap);
         }
     }
 
@@ -173,8 +175,8 @@
     @ParameterizedTest
     @ValueSource(ints = {60, 200, 330, 700})
     void changesFasterThanTheTimeoutDoNotKeepALossFromBeingMended(int gap) {
-        consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
         for (int i = 0; i < 3; i++) {
@@ -193,14 +195,16 @@
             c.offer(table(edition++, t));
             clock.advance(gap);
         }
-        assertTrue(consignee.inForce().edition().value() > 9, "still " + consignee.inForce().edition());
+        assertTrue(
+                stateReceiver.inForce().edition().value() > 9,
+                "still " + stateReceiver.inForce().edition());
     }
 
     /** The duty ended and began again under one epoch, and the new sender's numbers began below those the proxy held. */
     @Test
     void senderMadeAnewUnderTheSameEpochIsUnderstood() {
-        consignee = proxy(11);
-        Consignor first = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender first = sender(SENDER, 1, new ArrayList<>());
         for (int i = 1; i < 9; i++) {
             first.offer(table(i, i));
             clock.advance(200);
@@ -208,14 +212,14 @@
         first.close();
         sender(SENDER, 1, new ArrayList<>()).offer(table(20, 1));
         clock.advance(1_000);
-        assertEquals(20, consignee.inForce().edition().value());
+        assertEquals(20, stateReceiver.inForce().edition().value());
     }
 
     /** Word of an earlier life that comes late makes the sender begin anew twice; the proxy is not left behind for it. */
     @Test
     void lateWordOfAnEarlierLifeDoesNoLastingHarm() {
-        consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(1, 1));
         clock.advance(500);
         c.offer(table(2, 1));
@@ -224,42 +228,42 @@
         clock.advance(300);
         c.offer(table(3, 1));
         clock.advance(700);
-        assertEquals(3, consignee.inForce().edition().value());
+        assertEquals(3, stateReceiver.inForce().edition().value());
     }
 
     @Test
     void sentStatesStayBoundedWhileTheProxyIsSilent() {
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor c = sender(SENDER, 1, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender c = sender(SENDER, 1, seen);
         for (int i = 1; i < 400; i++) {
             c.offer(table(i, i));
             clock.advance(300);
         }
         // Silence slows the sender down: it does not flood a dead proxy.
         assertTrue(seen.size() < 200, "sent " + seen.size());
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         clock.advance(3_000);
-        assertEquals(399, consignee.inForce().edition().value());
+        assertEquals(399, stateReceiver.inForce().edition().value());
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void everyTableArrivesUnderLossDoublingAndReordering(long seed) {
-        FakePost bad = network;
+        FakeMessenger bad = network;
         bad.loss = 0.3;
         bad.doubles = 0.2;
         bad.jitterMs = 40;
-        consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         Random random = new Random(seed);
-        Inventory last = Inventory.EMPTY;
+        RoutingTable last = RoutingTable.EMPTY;
         for (int i = 1; i < 60; i++) {
             last = table(1 + i / 4, random.nextInt(9), random.nextInt(9), 10 + random.nextInt(9));
             c.offer(last);
             clock.advance(random.nextInt(120));
         }
         clock.advance(4_000);
-        assertTrue(consignee.inForce().sameAs(last));
+        assertTrue(stateReceiver.inForce().sameAs(last));
         for (int i = 1; i < inForce.size(); i++) {
             assertTrue(inForce.get(i) >= inForce.get(i - 1), "went back to " + inForce.get(i));
         }
@@ -267,89 +271,95 @@
 
     @Test
     void newSenderResyncsAndTheOldOneIsFenced() {
-        consignee = proxy(11);
-        Consignor old = sender(SENDER, 5, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender old = sender(SENDER, 5, new ArrayList<>());
         old.offer(table(3, 1));
         clock.advance(500);
-        List<Dispatch> seen = new ArrayList<>();
+        List<Instruction> seen = new ArrayList<>();
         sender(OTHER, 6, seen).offer(table(3, 1, 2));
         clock.advance(500);
         assertEquals(0, seen.get(0).oldNum());
-        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
+        assertTrue(stateReceiver.inForce().sameAs(table(3, 1, 2)));
         old.offer(table(4, 9));
         clock.advance(2_000);
-        assertTrue(consignee.inForce().sameAs(table(3, 1, 2)));
-        assertEquals(OTHER, consignee.sender());
-        assertTrue(tally.counter("courier.stale.epoch").count() > 0);
+        assertTrue(stateReceiver.inForce().sameAs(table(3, 1, 2)));
+        assertEquals(OTHER, stateReceiver.sender());
+        assertTrue(metrics.counter("distribution.stale.epoch").count() > 0);
     }
 
     @Test
     void lowerRevisionIsNotTakenWithinALife() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         sender(SENDER, 5, new ArrayList<>()).offer(table(7, 1));
         clock.advance(500);
-        Consignor behind = sender(OTHER, 6, new ArrayList<>());
+        StateSender behind = sender(OTHER, 6, new ArrayList<>());
         behind.offer(table(6, 1));
         clock.advance(1_000);
-        assertEquals(7, consignee.inForce().edition().value());
+        assertEquals(7, stateReceiver.inForce().edition().value());
         behind.offer(table(8, 1));
         clock.advance(3_000);
-        assertEquals(8, consignee.inForce().edition().value());
+        assertEquals(8, stateReceiver.inForce().edition().value());
     }
 
     @Test
     void proxyThatStartsAgainEmptyIsGivenEverything() {
-        consignee = proxy(11);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         c.offer(table(2, 1, 2));
         clock.advance(500);
-        consignee = proxy(12);
+        stateReceiver = proxy(12);
         c.offer(table(2, 1, 2, 3));
         clock.advance(1_500);
-        assertTrue(consignee.inForce().sameAs(table(2, 1, 2, 3)));
+        assertTrue(stateReceiver.inForce().sameAs(table(2, 1, 2, 3)));
     }
 
     @Test
     void baselineWithoutALeaseIsTakenOnlyByAnEmptyProxy() {
-        consignee = proxy(11);
-        FakePost.Bag any = network.bag(OTHER);
-        any.send(PROXY, Postbag.Topic.DISPATCH,
-                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(Inventory.EMPTY)).pack());
+        stateReceiver = proxy(11);
+        FakeMessenger.Bag any = network.bag(OTHER);
+        any.send(
+                PROXY,
+                Messenger.Topic.DISPATCH,
+                new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(4, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
-        assertEquals(4, consignee.inForce().edition().value());
-        any.send(PROXY, Postbag.Topic.DISPATCH,
-                new Dispatch(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(Inventory.EMPTY)).pack());
+        assertEquals(4, stateReceiver.inForce().edition().value());
+        any.send(
+                PROXY,
+                Messenger.Topic.DISPATCH,
+                new Instruction(0, 11, 0, 1, 0, 0, 0, -1, table(9, 1).since(RoutingTable.EMPTY)).pack());
         clock.advance(10);
-        assertEquals(4, consignee.inForce().edition().value());
+        assertEquals(4, stateReceiver.inForce().edition().value());
     }
 
     /** However late word of a confirmation comes, the table counts only for so long after it was asked for. */
     @Test
     void tableCountsFromBeforeItsConfirmationWasAsked() {
-        consignee = proxy(11);
-        consignee.countFor(4_700);
-        Consignor c = sender(SENDER, 1, new ArrayList<>());
+        stateReceiver = proxy(11);
+        stateReceiver.countFor(4_700);
+        StateSender c = sender(SENDER, 1, new ArrayList<>());
         long[] asked = {clock.now().millis()};
         boolean[] asking = {true};
-        c.vouch(new Vouching() {
-            @Override
-            public org.umbermount.kernel.Edition edition() {
-                return new org.umbermount.kernel.Edition(2);
-            }
+        c.vouch(
+                new TableFreshness() {
+                    @Override
+                    public org.umbermount.kernel.ConfigurationRevision edition() {
+                        return new org.umbermount.kernel.ConfigurationRevision(2);
+                    }
 
-            @Override
-            public org.umbermount.kernel.Moment at() {
-                if (asking[0]) {
-                    asked[0] = clock.now().millis() - 200;
-                }
-                return new org.umbermount.kernel.Moment(asked[0]);
-            }
-        }, 800);
-        assertTrue(consignee.goodForMs() <= 0);
+                    @Override
+                    public org.umbermount.kernel.MonotonicTime at() {
+                        if (asking[0]) {
+                            asked[0] = clock.now().millis() - 200;
+                        }
+                        return new org.umbermount.kernel.MonotonicTime(asked[0]);
+                    }
+                },
+                800);
+        assertTrue(stateReceiver.goodForMs() <= 0);
         c.offer(table(2, 1));
         for (int i = 0; i < 40; i++) {
             clock.advance(100);
-            long good = consignee.goodForMs();
+            long good = stateReceiver.goodForMs();
             assertTrue(i < 10 || good > 3_000, "good for " + good);
             assertTrue(good <= 4_500, "good for " + good);
         }
@@ -357,27 +367,27 @@
         asking[0] = false;
         long since = asked[0];
         clock.advance(3_000);
-        assertTrue(consignee.goodForMs() <= since + 4_700 - clock.now().millis());
+        assertTrue(stateReceiver.goodForMs() <= since + 4_700 - clock.now().millis());
         clock.advance(2_000);
-        assertTrue(consignee.goodForMs() <= 0);
+        assertTrue(stateReceiver.goodForMs() <= 0);
         // Word that waited while this process stood still says nothing about now.
         network.delayMs = 6_000;
         asking[0] = true;
         clock.advance(8_000);
-        assertTrue(consignee.goodForMs() <= 0, "good for " + consignee.goodForMs());
+        assertTrue(stateReceiver.goodForMs() <= 0, "good for " + stateReceiver.goodForMs());
     }
 
     /** A sender of the same address that came back at once must not take what the earlier one was told for its own. */
     @Test
     void acknowledgmentOfAnEarlierSenderDoesNotCount() {
-        consignee = proxy(11);
+        stateReceiver = proxy(11);
         sender(SENDER, 1, new ArrayList<>()).offer(table(2, 1, 2));
         clock.advance(500);
-        List<Dispatch> seen = new ArrayList<>();
-        Consignor next = sender(SENDER, 2, seen);
+        List<Instruction> seen = new ArrayList<>();
+        StateSender next = sender(SENDER, 2, seen);
         next.offer(table(2, 1));
         // The earlier sender's number 1 is acknowledged late; the new one's number 1 has been lost.
-        Dispatch late = new Dispatch(1, 11, 0, 0, 1, 0, 0, -1, null);
+        Instruction late = new Instruction(1, 11, 0, 0, 1, 0, 0, -1, null);
         network.cutBoth(SENDER, PROXY);
         clock.advance(20);
         next.acknowledged(late);
@@ -385,7 +395,7 @@
         clock.advance(200);
         network.healAll();
         clock.advance(2_000);
-        assertTrue(consignee.inForce().sameAs(table(2, 1)));
+        assertTrue(stateReceiver.inForce().sameAs(table(2, 1)));
         assertEquals(1, next.knownNum());
     }
 
--- a/loans/src/main/java/org/umbermount/loans/LoanCounter.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.util.HashMap;
 import java.util.List;
@@ -6,34 +6,35 @@
 import java.util.Random;
 import java.util.function.Supplier;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 
-/** A lector's side of the operation records: claims operations for tries, and closes what was claimed. */
-public final class LoanCounter {
+/** A proxy's side of the operation records: claims operations for tries, and closes what was claimed. */
+public final class OperationClient {
     private static final long REPEAT_MS = 70;
     private static final long CLOSE_FIRST_MS = 150;
     private static final long CLOSE_LONGEST_MS = 1_200;
     private static final long CLOSE_MS = 30_000;
     /** The largest answer that is kept for repeats. */
     public static final int LARGEST_ANSWER = 64 << 10;
+
     private static final byte[] NOTHING = new byte[0];
 
     /** How a claimed operation ended. */
     public enum End {
         /** It ran and was answered. */
-        ANSWERED(Slip.Kind.ANSWER),
+        ANSWERED(OperationRecord.Kind.ANSWER),
         /** It has not run and will not. */
-        RELEASED(Slip.Kind.RELEASE),
+        RELEASED(OperationRecord.Kind.RELEASE),
         /** It may have run. */
-        UNKNOWN(Slip.Kind.END);
+        UNKNOWN(OperationRecord.Kind.END);
 
-        private final Slip.Kind kind;
+        private final OperationRecord.Kind kind;
 
-        End(Slip.Kind kind) {
+        End(OperationRecord.Kind kind) {
             this.kind = kind;
         }
     }
@@ -61,8 +62,8 @@
         private final long serial;
         private final OperationKey key;
         private final boolean mayRepeat;
-        private final Moment since;
-        private final Moment until;
+        private final MonotonicTime since;
+        private final MonotonicTime until;
         private Outcome outcome;
         private End end;
         private byte[] answer = NOTHING;
@@ -96,37 +97,54 @@
         }
 
         private void ask() {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             if (outcome == null) {
                 return;
             }
             if (!now.isBefore(until)) {
                 Outcome told = outcome;
-                tally.count("loans.claims.unavailable");
+                metrics.count("idempotency.claims.unavailable");
                 // The claim may be on its way: until it is given back for certain, no other try may run.
                 close(End.RELEASED, NOTHING);
                 told.unavailable();
                 return;
             }
-            Imprint to = target(asks++);
+            DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLAIM.ordinal()).num(serial)
-                        .num(key.high()).num(key.low()).flag(mayRepeat).done());
+                messenger.send(
+                        to,
+                        Messenger.Topic.LOAN,
+                        MessagePackCodec.write()
+                                .num(OperationKeeper.Message.CLAIM.ordinal())
+                                .num(serial)
+                                .num(key.high())
+                                .num(key.low())
+                                .flag(mayRepeat)
+                                .done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
         }
 
         private void tellClose() {
-            Moment now = clock.now();
+            MonotonicTime now = clock.now();
             if (now.since(since) > CLOSE_MS) {
-                tally.count("loans.closes.abandoned");
+                metrics.count("idempotency.closes.abandoned");
                 forget();
                 return;
             }
-            Imprint to = target(asks++);
+            DaemonAddress to = target(asks++);
             if (to != null) {
-                post.send(to, Postbag.Topic.LOAN, Script.write().num(LoanDesk.Message.CLOSE.ordinal()).num(serial)
-                        .num(key.high()).num(key.low()).num(end.kind.ordinal()).bytes(answer).done());
+                messenger.send(
+                        to,
+                        Messenger.Topic.LOAN,
+                        MessagePackCodec.write()
+                                .num(OperationKeeper.Message.CLOSE.ordinal())
+                                .num(serial)
+                                .num(key.high())
+                                .num(key.low())
+                                .num(end.kind.ordinal())
+                                .bytes(answer)
+                                .done());
             }
             timer = clock.after(pause, this::tellClose);
             pause = Math.min(CLOSE_LONGEST_MS, pause * 2);
@@ -141,11 +159,11 @@
             }
         }
 
-        private void replied(LoanDesk.Reply reply, byte[] payload) throws Script.UnreadableException {
-            if (reply == LoanDesk.Reply.ELSEWHERE) {
-                Imprint better = Script.read(payload).imprint();
+        private void replied(OperationKeeper.Reply reply, byte[] payload) throws MessagePackCodec.UnreadableException {
+            if (reply == OperationKeeper.Reply.ELSEWHERE) {
+                DaemonAddress better = MessagePackCodec.read(payload).daemonAddress();
                 boolean news = !better.equals(hint);
-                if (!better.equals(Imprint.NONE)) {
+                if (!better.equals(DaemonAddress.NONE)) {
                     hint = better;
                     if (news && (outcome != null || end != null)) {
                         timer.cancel();
@@ -160,7 +178,7 @@
                 return;
             }
             if (end != null) {
-                if (reply == LoanDesk.Reply.STORED) {
+                if (reply == OperationKeeper.Reply.STORED) {
                     forget();
                 }
                 return;
@@ -191,42 +209,47 @@
     }
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
-    private final Supplier<List<Imprint>> registrars;
+    private final Messenger messenger;
+    private final Metrics metrics;
+    private final Supplier<List<DaemonAddress>> controllers;
     private final Map<Long, Ticket> tickets = new HashMap<>();
-    private Imprint head;
-    private Imprint hint;
+    private DaemonAddress head;
+    private DaemonAddress hint;
     private long nextSerial;
     private int closing;
 
-    /** @param registrars the registrars known, for when the head is not */
-    public LoanCounter(Clock clock, Postbag post, Tally tally, Random random, Supplier<List<Imprint>> registrars) {
+    /** @param controllers the controllers known, for when the head is not */
+    public OperationClient(
+            Clock clock,
+            Messenger messenger,
+            Metrics metrics,
+            Random random,
+            Supplier<List<DaemonAddress>> controllers) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
-        this.registrars = registrars;
+        this.messenger = messenger;
+        this.metrics = metrics;
+        this.controllers = controllers;
         this.nextSerial = random.nextLong() >>> 1;
-        post.subscribe(Postbag.Topic.LOAN, this::receive);
-        tally.gauge("loans.open", tickets::size);
+        messenger.subscribe(Messenger.Topic.LOAN, this::receive);
+        metrics.gauge("idempotency.open", tickets::size);
     }
 
     /** Where the table says that claims go. */
-    public void head(Imprint now) {
+    public void head(DaemonAddress now) {
         if (now != null && !now.equals(head)) {
             head = now;
             hint = null;
         }
     }
 
-    private Imprint target(int turn) {
+    private DaemonAddress target(int turn) {
         if (turn % 3 < 2 && hint != null) {
             return hint;
         }
         if (turn % 3 < 2 && head != null) {
             return head;
         }
-        List<Imprint> known = registrars.get();
+        List<DaemonAddress> known = controllers.get();
         return known.isEmpty() ? head : known.get(turn % known.size());
     }
 
@@ -234,7 +257,7 @@
     public Ticket claim(OperationKey key, boolean mayRepeat, long patienceMs, Outcome outcome) {
         Ticket ticket = new Ticket(key, mayRepeat, outcome, patienceMs);
         tickets.put(ticket.serial, ticket);
-        tally.count("loans.claims");
+        metrics.count("idempotency.claims");
         ticket.ask();
         return ticket;
     }
@@ -244,16 +267,16 @@
         return closing;
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
-        if (in.num() != LoanDesk.Message.REPLY.ordinal()) {
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        if (in.num() != OperationKeeper.Message.REPLY.ordinal()) {
             return;
         }
         Ticket ticket = tickets.get(in.num());
         int reply = (int) in.num();
         byte[] payload = in.bytes();
-        if (ticket != null && reply >= 0 && reply < LoanDesk.Reply.values().length) {
-            ticket.replied(LoanDesk.Reply.values()[reply], payload);
+        if (ticket != null && reply >= 0 && reply < OperationKeeper.Reply.values().length) {
+            ticket.replied(OperationKeeper.Reply.values()[reply], payload);
         }
     }
 }
