--- a/loans/src/main/java/org/umbermount/loans/LoanDesk.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -1,4 +1,4 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,34 +6,36 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Bookmark;
-import org.umbermount.archive.View;
-import org.umbermount.archive.Companion;
-import org.umbermount.archive.Replica;
+import org.umbermount.control.CompanionState;
+import org.umbermount.control.OperationLogPosition;
+import org.umbermount.control.Replica;
+import org.umbermount.control.View;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.DiskTasks;
-import org.umbermount.stacks.Ledger;
+import org.umbermount.storage.DiskTasks;
+import org.umbermount.storage.SegmentedLog;
 
 /**
  * One member of the line that keeps operation records: the first members of the view's chain. Tries claim at the
- * head; each member writes the entries and passes them on; the tail answers. See docs/loans.md.
+ * head; each member writes the entries and passes them on; the tail answers. See docs/idempotency.md.
  */
-public final class LoanDesk implements Companion {
-    private static final Logger LOG = LoggerFactory.getLogger("loans");
+public final class OperationKeeper implements CompanionState {
+    private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 40;
     /** In place of a segment's number: the disk has not taken the records. */
     private static final int REFUSED = -1;
+
     private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
     private static final long FETCH_MS = 200;
     /** After so long a question to the voters counts as lost. */
     private static final long CONFIRM_MS = 60;
+
     private static final int PASS_BYTES = 48 << 10;
     private static final int PORTION_BYTES = 256 << 10;
     /** After so long a claim that was not closed cannot be at work any more. */
@@ -41,57 +43,70 @@
 
     /** What daemons say about operation records. */
     enum Message {
-        CLAIM, CLOSE, REPLY, PASS, ACK, FETCH, PORTION, PEEK
+        CLAIM,
+        CLOSE,
+        REPLY,
+        PASS,
+        ACK,
+        FETCH,
+        PORTION,
+        PEEK
     }
 
-    /** What a lector is told. */
+    /** What a proxy is told. */
     enum Reply {
-        GRANTED, ANSWERED, BUSY, UNKNOWN, STORED, ELSEWHERE, AGAIN
+        GRANTED,
+        ANSWERED,
+        BUSY,
+        UNKNOWN,
+        STORED,
+        ELSEWHERE,
+        AGAIN
     }
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger messenger;
     private final Replica replica;
-    private final Ledger ledger;
-    private final LoanBook book;
+    private final SegmentedLog ledger;
+    private final OperationStore book;
     private final DiskTasks disk;
     private final int tolerated;
     private final long keepMs;
     private final long mostBytes;
-    private final Tally tally;
+    private final Metrics metrics;
 
     // The disk.
-    private List<Slip> queue = new ArrayList<>();
-    private final Map<Integer, Moment> segmentWritten = new HashMap<>();
+    private List<OperationRecord> queue = new ArrayList<>();
+    private final Map<Integer, MonotonicTime> segmentWritten = new HashMap<>();
     private boolean writing;
     private boolean gathering;
-    private Moment writeBegan = Moment.NEVER;
+    private MonotonicTime writeBegan = MonotonicTime.NEVER;
     private boolean refusing;
-    private Bookmark durable;
+    private OperationLogPosition durable;
 
     // The view.
     private View view = View.NONE;
-    private List<Imprint> line = List.of();
+    private List<DaemonAddress> line = List.of();
     private int place = -1;
     private long acked = -1;
     private boolean passing;
-    private Moment passedAt = Moment.NEVER;
+    private MonotonicTime passedAt = MonotonicTime.NEVER;
     private long announced = -1;
     private long committed = -1;
     private long toldCommitted = -1;
     private Fetching fetching;
     private List<Runnable> unconfirmed = new ArrayList<>();
-    private Moment confirmingSince = Moment.NEVER;
+    private MonotonicTime confirmingSince = MonotonicTime.NEVER;
 
     private static final class Fetching {
         final long view;
         final Runnable done;
         long nonce;
         int turn;
-        Imprint from;
-        Moment asked = Moment.NEVER;
+        DaemonAddress from;
+        MonotonicTime asked = MonotonicTime.NEVER;
 
-        Fetching(long view, Imprint from, Runnable done) {
+        Fetching(long view, DaemonAddress from, Runnable done) {
             this.view = view;
             this.from = from;
             this.done = done;
@@ -103,10 +118,19 @@
      * @param keepMs how long a record is kept after it was written
      * @param mostBytes beyond this answers are no longer kept, only that the operation ran
      */
-    LoanDesk(Clock clock, Postbag post, Replica replica, Ledger ledger, LoanBook book,
-            java.util.concurrent.Executor disk, int tolerated, long keepMs, long mostBytes, Tally tally) {
+    OperationKeeper(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            SegmentedLog ledger,
+            OperationStore book,
+            java.util.concurrent.Executor disk,
+            int tolerated,
+            long keepMs,
+            long mostBytes,
+            Metrics metrics) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.ledger = ledger;
         this.book = book;
@@ -114,13 +138,13 @@
         this.tolerated = tolerated;
         this.keepMs = keepMs;
         this.mostBytes = mostBytes;
-        this.tally = tally;
+        this.metrics = metrics;
         this.durable = book.mark();
         for (int s = 0; s <= ledger.current(); s++) {
             // How old a record is after a stop nobody knows: its age counts from now.
             segmentWritten.put(s, clock.now());
         }
-        post.subscribe(Postbag.Topic.LOAN, this::receive);
+        messenger.subscribe(Messenger.Topic.LOAN, this::receive);
     }
 
     void start() {
@@ -135,8 +159,8 @@
     // ---- what the views ask ----
 
     @Override
-    public Bookmark mark() {
-        return new Bookmark(durable.view(), durable.pos(), post.self());
+    public OperationLogPosition mark() {
+        return new OperationLogPosition(durable.view(), durable.pos(), messenger.self());
     }
 
     @Override
@@ -153,7 +177,7 @@
     public void adopted(View next) {
         view = next;
         line = next.line(tolerated);
-        place = line.indexOf(post.self());
+        place = line.indexOf(messenger.self());
         acked = -1;
         passing = false;
         announced = -1;
@@ -162,13 +186,13 @@
         fetching = null;
         // Those that wait for a word ask again.
         unconfirmed.clear();
-        confirmingSince = Moment.NEVER;
+        confirmingSince = MonotonicTime.NEVER;
         join();
     }
 
     @Override
-    public void rebuild(Bookmark upTo, Runnable done) {
-        if (upTo.sameAs(Bookmark.NONE)) {
+    public void rebuild(OperationLogPosition upTo, Runnable done) {
+        if (upTo.sameAs(OperationLogPosition.NONE)) {
             done.run();
             return;
         }
@@ -197,7 +221,7 @@
 
     private void enterView() {
         book.enter(view.number());
-        write(Slip.marker(Slip.Kind.ENTER, view.number(), 0));
+        write(OperationRecord.marker(OperationRecord.Kind.ENTER, view.number(), 0));
     }
 
     private boolean joined() {
@@ -214,7 +238,7 @@
 
     // ---- the disk ----
 
-    private void write(Slip slip) {
+    private void write(OperationRecord slip) {
         slip.since = clock.now();
         queue.add(slip);
         if (!isHead() || writing) {
@@ -233,32 +257,35 @@
         if (writing || queue.isEmpty()) {
             return;
         }
-        List<Slip> batch = queue;
+        List<OperationRecord> batch = queue;
         queue = new ArrayList<>();
-        Bookmark upTo = book.mark();
+        OperationLogPosition upTo = book.mark();
         List<byte[]> raw = new ArrayList<>(batch.size());
-        for (Slip s : batch) {
+        for (OperationRecord s : batch) {
             raw.add(s.raw);
         }
         writing = true;
         writeBegan = clock.now();
-        disk.submit(() -> {
-            ledger.append(raw);
-            return ledger.current();
-        }, segment -> written(batch, upTo, segment), failure -> written(batch, upTo, REFUSED));
+        disk.submit(
+                () -> {
+                    ledger.append(raw);
+                    return ledger.current();
+                },
+                segment -> written(batch, upTo, segment),
+                failure -> written(batch, upTo, REFUSED));
     }
 
-    private void written(List<Slip> batch, Bookmark upTo, int segment) {
+    private void written(List<OperationRecord> batch, OperationLogPosition upTo, int segment) {
         writing = false;
         refusing = segment == REFUSED;
         if (refusing) {
-            tally.count("loans.writes.refused");
+            metrics.count("idempotency.writes.refused");
             queue.clear();
             book.cut(durable);
             return;
         }
-        tally.count("loans.writes");
-        for (Slip s : batch) {
+        metrics.count("idempotency.writes");
+        for (OperationRecord s : batch) {
             s.segment = segment;
         }
         segmentWritten.put(segment, clock.now());
@@ -282,15 +309,15 @@
 
     /** Lets go of what is older than any operation has to be remembered, a segment at a time. */
     private void expire() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         int current = ledger.current();
         int through = 0;
-        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+        for (Map.Entry<Integer, MonotonicTime> e : segmentWritten.entrySet()) {
             if (e.getKey() < current && now.since(e.getValue()) > keepMs) {
                 through = Math.max(through, e.getKey());
             }
         }
-        for (Map.Entry<Integer, Moment> e : segmentWritten.entrySet()) {
+        for (Map.Entry<Integer, MonotonicTime> e : segmentWritten.entrySet()) {
             if (e.getKey() < current && now.since(e.getValue()) <= keepMs) {
                 through = Math.min(through, e.getKey() - 1);
             }
@@ -301,20 +328,23 @@
         int last = through;
         int dropped = book.expireThrough(last);
         segmentWritten.keySet().removeIf(s -> s <= last);
-        tally.counter("loans.expired").increment(dropped);
-        disk.submit(() -> {
-            ledger.dropThrough(last);
-            return null;
-        }, removed -> { }, failure -> tally.count("loans.segments.kept"));
+        metrics.counter("idempotency.expired").increment(dropped);
+        disk.submit(
+                () -> {
+                    ledger.dropThrough(last);
+                    return null;
+                },
+                removed -> {},
+                failure -> metrics.count("idempotency.segments.kept"));
     }
 
     // ---- messages ----
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Message.values().length) {
-            throw new Script.UnreadableException("an unknown message about operations", null);
+            throw new MessagePackCodec.UnreadableException("an unknown message about operations", null);
         }
         switch (Message.values()[kind]) {
             case CLAIM -> {
@@ -325,61 +355,75 @@
                 long serial = in.num();
                 OperationKey key = new OperationKey(in.num(), in.num());
                 int how = (int) in.num();
-                if (how < Slip.Kind.ANSWER.ordinal() || how > Slip.Kind.END.ordinal()) {
-                    throw new Script.UnreadableException("an unknown end of an operation", null);
+                if (how < OperationRecord.Kind.ANSWER.ordinal() || how > OperationRecord.Kind.END.ordinal()) {
+                    throw new MessagePackCodec.UnreadableException("an unknown end of an operation", null);
                 }
-                close(from, serial, key, Slip.Kind.values()[how], in.bytes());
+                close(from, serial, key, OperationRecord.Kind.values()[how], in.bytes());
             }
             case PASS -> passed(from, in.num(), in.num(), in.num(), slips(in));
             case ACK -> acknowledged(from, in.num(), in.num(), in.num());
             case PEEK -> {
                 long serial = in.num();
-                Imprint lector = in.imprint();
+                DaemonAddress proxy = in.daemonAddress();
                 OperationKey key = new OperationKey(in.num(), in.num());
-                peeked(serial, lector, key, in.imprint(), in.num());
+                peeked(serial, proxy, key, in.daemonAddress(), in.num());
             }
             case FETCH -> {
                 long view = in.num();
-                fetched(from, view, in.num(), in.list(Bookmark::read));
+                fetched(from, view, in.num(), in.list(OperationLogPosition::read));
             }
-            case PORTION -> portion(from, in.num(), Bookmark.read(in), Bookmark.read(in), in.flag(), slips(in));
-            default -> tally.count("loans.unwanted");
+            case PORTION -> portion(
+                    from, in.num(), OperationLogPosition.read(in), OperationLogPosition.read(in), in.flag(), slips(in));
+            default -> metrics.count("idempotency.unwanted");
         }
     }
 
-    private static List<Slip> slips(Script.Reader in) throws Script.UnreadableException {
-        return in.list(r -> Slip.read(r.bytes()));
+    private static List<OperationRecord> slips(MessagePackCodec.ClientConnection in)
+            throws MessagePackCodec.UnreadableException {
+        return in.list(r -> OperationRecord.read(r.bytes()));
     }
 
-    private static Script.Writer message(Message kind) {
-        return Script.write().num(kind.ordinal());
+    private static MessagePackCodec.Writer message(Message kind) {
+        return MessagePackCodec.write().num(kind.ordinal());
     }
 
-    private void reply(Imprint to, long serial, Reply reply, byte[] payload) {
-        post.send(to, Postbag.Topic.LOAN, message(Message.REPLY).num(serial).num(reply.ordinal()).bytes(payload).done());
+    private void reply(DaemonAddress to, long serial, Reply reply, byte[] payload) {
+        messenger.send(
+                to,
+                Messenger.Topic.LOAN,
+                message(Message.REPLY)
+                        .num(serial)
+                        .num(reply.ordinal())
+                        .bytes(payload)
+                        .done());
     }
 
     private static final byte[] NOTHING = new byte[0];
 
     // ---- the head ----
 
-    private boolean turnedAway(Imprint from, long serial) {
+    private boolean turnedAway(DaemonAddress from, long serial) {
         if (isHead() && joined() && replica.acting() && !refusing) {
             return false;
         }
-        Imprint head = replica.view().head();
-        reply(from, serial, Reply.ELSEWHERE, Script.write().imprint(head == null || head.equals(post.self())
-                ? Imprint.NONE : head).done());
+        DaemonAddress head = replica.view().head();
+        reply(
+                from,
+                serial,
+                Reply.ELSEWHERE,
+                MessagePackCodec.write()
+                        .daemonAddress(head == null || head.equals(messenger.self()) ? DaemonAddress.NONE : head)
+                        .done());
         return true;
     }
 
-    private void claim(Imprint from, long serial, OperationKey key, boolean mayRepeat) {
+    private void claim(DaemonAddress from, long serial, OperationKey key, boolean mayRepeat) {
         if (turnedAway(from, serial)) {
             return;
         }
-        Slip s = book.standing(key);
-        if (s == null || s.kind == Slip.Kind.RELEASE && !s.sameTry(from, serial)) {
-            enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+        OperationRecord s = book.standing(key);
+        if (s == null || s.kind == OperationRecord.Kind.RELEASE && !s.sameTry(from, serial)) {
+            enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
             return;
         }
         boolean same = s.sameTry(from, serial);
@@ -392,14 +436,14 @@
                 } else if (clock.now().since(s.since) < LONGEST_WORK_MS) {
                     replyConfirmed(from, serial, Reply.BUSY);
                 } else if (mayRepeat) {
-                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                    enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
                     replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
             }
             case ANSWER -> {
                 if (isCommitted(s) && !s.isThin()) {
-                    tally.count("loans.repeats.answered");
+                    metrics.count("idempotency.repeats.answered");
                     reply(from, serial, Reply.ANSWERED, s.payload());
                 } else if (isCommitted(s)) {
                     askForAnswer(from, serial, s);
@@ -407,7 +451,7 @@
             }
             case END -> {
                 if (mayRepeat && !same) {
-                    enter(Slip.Kind.CLAIM, key, from, serial, NOTHING);
+                    enter(OperationRecord.Kind.CLAIM, key, from, serial, NOTHING);
                 } else {
                     replyConfirmed(from, serial, Reply.UNKNOWN);
                 }
@@ -421,7 +465,7 @@
      * head that was left behind does not know what has been claimed, released or answered since. What is decided while a
      * question is out waits for the next one.
      */
-    private void replyConfirmed(Imprint to, long serial, Reply why) {
+    private void replyConfirmed(DaemonAddress to, long serial, Reply why) {
         if (!Safeguard.OPERATION_REFUSAL_CONFIRMED.holds()) {
             reply(to, serial, why, NOTHING);
             return;
@@ -435,12 +479,12 @@
     private void confirmReplies() {
         List<Runnable> some = unconfirmed;
         unconfirmed = new ArrayList<>();
-        Moment asked = clock.now();
+        MonotonicTime asked = clock.now();
         confirmingSince = asked;
         replica.whileInForce(() -> {
             some.forEach(Runnable::run);
             if (confirmingSince.equals(asked)) {
-                confirmingSince = Moment.NEVER;
+                confirmingSince = MonotonicTime.NEVER;
                 if (!unconfirmed.isEmpty()) {
                     confirmReplies();
                 }
@@ -448,30 +492,36 @@
         });
     }
 
-    /** Only the fact is kept here: whoever has the answer gives it to the lector. */
-    private void askForAnswer(Imprint lector, long serial, Slip s) {
-        tally.count("loans.answers.elsewhere");
-        byte[] body = message(Message.PEEK).num(serial).imprint(lector).num(s.key.high()).num(s.key.low())
-                .imprint(s.origin).num(s.serial).done();
+    /** Only the fact is kept here: whoever has the answer gives it to the proxy. */
+    private void askForAnswer(DaemonAddress proxy, long serial, OperationRecord s) {
+        metrics.count("idempotency.answers.elsewhere");
+        byte[] body = message(Message.PEEK)
+                .num(serial)
+                .daemonAddress(proxy)
+                .num(s.key.high())
+                .num(s.key.low())
+                .daemonAddress(s.origin)
+                .num(s.serial)
+                .done();
         view.electorate().forEach(f -> {
-            if (!f.imprint().equals(post.self())) {
-                post.send(f.imprint(), Postbag.Topic.LOAN, body);
+            if (!f.daemonAddress().equals(messenger.self())) {
+                messenger.send(f.daemonAddress(), Messenger.Topic.LOAN, body);
             }
         });
     }
 
-    private void peeked(long serial, Imprint lector, OperationKey key, Imprint origin, long theirs) {
-        Slip s = book.standing(key);
-        if (s != null && s.kind == Slip.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
-            reply(lector, serial, Reply.ANSWERED, s.payload());
+    private void peeked(long serial, DaemonAddress proxy, OperationKey key, DaemonAddress origin, long theirs) {
+        OperationRecord s = book.standing(key);
+        if (s != null && s.kind == OperationRecord.Kind.ANSWER && !s.isThin() && s.sameTry(origin, theirs)) {
+            reply(proxy, serial, Reply.ANSWERED, s.payload());
         }
     }
 
-    private void close(Imprint from, long serial, OperationKey key, Slip.Kind how, byte[] payload) {
+    private void close(DaemonAddress from, long serial, OperationKey key, OperationRecord.Kind how, byte[] payload) {
         if (turnedAway(from, serial)) {
             return;
         }
-        Slip s = book.standing(key);
+        OperationRecord s = book.standing(key);
         boolean mine = s != null && s.sameTry(from, serial);
         if (mine && s.kind == how) {
             if (isCommitted(s)) {
@@ -479,25 +529,28 @@
             }
             return;
         }
-        boolean open = mine && (s.kind == Slip.Kind.CLAIM || s.kind == Slip.Kind.END && how == Slip.Kind.ANSWER)
-                || s == null && how == Slip.Kind.RELEASE;
+        boolean open = mine
+                        && (s.kind == OperationRecord.Kind.CLAIM
+                                || s.kind == OperationRecord.Kind.END && how == OperationRecord.Kind.ANSWER)
+                || s == null && how == OperationRecord.Kind.RELEASE;
         if (!open) {
             replyConfirmed(from, serial, Reply.STORED);
-        } else if (how == Slip.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
-            tally.count("loans.answers.unkept");
-            enter(Slip.Kind.END, key, from, serial, NOTHING);
+        } else if (how == OperationRecord.Kind.ANSWER && book.bytes() + payload.length > mostBytes) {
+            metrics.count("idempotency.answers.unkept");
+            enter(OperationRecord.Kind.END, key, from, serial, NOTHING);
         } else {
             enter(how, key, from, serial, payload);
         }
     }
 
-    private void enter(Slip.Kind kind, OperationKey key, Imprint origin, long serial, byte[] payload) {
-        Slip s = Slip.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
+    private void enter(OperationRecord.Kind kind, OperationKey key, DaemonAddress origin, long serial, byte[] payload) {
+        OperationRecord s =
+                OperationRecord.of(kind, view.number(), book.mark().pos() + 1, key, origin, serial, payload);
         book.add(s);
         write(s);
     }
 
-    private boolean isCommitted(Slip s) {
+    private boolean isCommitted(OperationRecord s) {
         return s.view < view.number() ? committed >= 0 : s.pos <= committed;
     }
 
@@ -520,35 +573,46 @@
     }
 
     private void pass() {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         if (passing && now.since(passedAt) < REPEAT_MS || acked >= position()) {
             return;
         }
         long from = acked < 0 ? position() : acked;
-        List<Slip> next = book.between(new Bookmark(view.number(), from, Imprint.NONE), durable, PASS_BYTES);
-        post.send(line.get(place + 1), Postbag.Topic.LOAN, message(Message.PASS).num(view.number()).num(from)
-                .num(position()).list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin())).done());
+        List<OperationRecord> next =
+                book.between(new OperationLogPosition(view.number(), from, DaemonAddress.NONE), durable, PASS_BYTES);
+        messenger.send(
+                line.get(place + 1),
+                Messenger.Topic.LOAN,
+                message(Message.PASS)
+                        .num(view.number())
+                        .num(from)
+                        .num(position())
+                        .list(next, (o, s) -> o.bytes(place < tolerated ? s.raw : s.thin()))
+                        .done());
         passing = true;
         passedAt = now;
     }
 
-    private void passed(Imprint from, long view, long since, long theirs, List<Slip> next) {
+    private void passed(DaemonAddress from, long view, long since, long theirs, List<OperationRecord> next) {
         if (view > replica.view().number()) {
             replica.fetchFrom(from);
             return;
         }
         if (view < this.view.number()) {
-            tally.count("loans.messages.dropped.old_view");
+            metrics.count("loans.messages.dropped.old_view");
             return;
         }
-        if (view != this.view.number() || place < 1 || !line.get(place - 1).equals(from) || !joined()
+        if (view != this.view.number()
+                || place < 1
+                || !line.get(place - 1).equals(from)
+                || !joined()
                 || !replica.acting()) {
             return;
         }
         announced = Math.max(announced, theirs);
         boolean grew = false;
         if (since <= book.mark().pos()) {
-            for (Slip s : next) {
+            for (OperationRecord s : next) {
                 if (s.view == view && s.pos == book.mark().pos() + 1) {
                     book.add(s);
                     write(s);
@@ -565,17 +629,26 @@
     private void acknowledge() {
         if (place >= 1 && joined()) {
             toldCommitted = committed;
-            post.send(line.get(place - 1), Postbag.Topic.LOAN, message(Message.ACK).num(view.number())
-                    .num(position()).num(committed).done());
+            messenger.send(
+                    line.get(place - 1),
+                    Messenger.Topic.LOAN,
+                    message(Message.ACK)
+                            .num(view.number())
+                            .num(position())
+                            .num(committed)
+                            .done());
         }
     }
 
-    private void acknowledged(Imprint from, long view, long pos, long theirCommitted) {
+    private void acknowledged(DaemonAddress from, long view, long pos, long theirCommitted) {
         if (view < this.view.number()) {
-            tally.count("loans.messages.dropped.old_view");
+            metrics.count("loans.messages.dropped.old_view");
             return;
         }
-        if (view != this.view.number() || place < 0 || place + 1 >= line.size() || !line.get(place + 1).equals(from)) {
+        if (view != this.view.number()
+                || place < 0
+                || place + 1 >= line.size()
+                || !line.get(place + 1).equals(from)) {
             return;
         }
         passing = false;
@@ -590,14 +663,20 @@
             return;
         }
         if (isTail()) {
-            Bookmark after = new Bookmark(view.number(), Math.max(0, committed), Imprint.NONE);
-            for (Slip s : book.between(after, new Bookmark(view.number(), upTo, Imprint.NONE), Integer.MAX_VALUE)) {
-                reply(s.origin, s.serial, s.kind == Slip.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
+            OperationLogPosition after =
+                    new OperationLogPosition(view.number(), Math.max(0, committed), DaemonAddress.NONE);
+            for (OperationRecord s : book.between(
+                    after, new OperationLogPosition(view.number(), upTo, DaemonAddress.NONE), Integer.MAX_VALUE)) {
+                reply(s.origin, s.serial, s.kind == OperationRecord.Kind.CLAIM ? Reply.GRANTED : Reply.STORED, NOTHING);
             }
         }
         if (committed < 0) {
-            LOG.info("View {} keeps operation records from {}/{}, {} of them.", view.number(), view.base().view(),
-                    view.base().pos(), book.size());
+            LOG.info(
+                    "View {} keeps operation records from {}/{}, {} of them.",
+                    view.number(),
+                    view.base().view(),
+                    view.base().pos(),
+                    book.size());
         }
         committed = upTo;
     }
@@ -607,7 +686,7 @@
             fetch();
         }
         if (refusing && !writing && queue.isEmpty()) {
-            write(Slip.marker(Slip.Kind.CUT, durable.view(), durable.pos()));
+            write(OperationRecord.marker(OperationRecord.Kind.CUT, durable.view(), durable.pos()));
         }
         if (place >= 0 && !joined() && !writing && fetching == null) {
             join();
@@ -625,41 +704,62 @@
         Fetching f = fetching;
         if (f.view >= 0 && f.turn > 0) {
             f.from = line.get(f.turn % line.size());
-            if (f.from.equals(post.self())) {
+            if (f.from.equals(messenger.self())) {
                 f.from = line.get((f.turn + 1) % line.size());
             }
         }
         f.turn++;
         f.nonce++;
         f.asked = clock.now();
-        tally.count("loans.fetches");
-        post.send(f.from, Postbag.Topic.LOAN, message(Message.FETCH).num(f.view).num(f.nonce)
-                .list(book.lineage(), (o, m) -> m.write(o)).done());
-    }
-
-    private void fetched(Imprint from, long view, long nonce, List<Bookmark> theirs) {
-        boolean able = view < 0 ? replica.standing() != Replica.Standing.RECOVERING
+        metrics.count("idempotency.fetches");
+        messenger.send(
+                f.from,
+                Messenger.Topic.LOAN,
+                message(Message.FETCH)
+                        .num(f.view)
+                        .num(f.nonce)
+                        .list(book.lineage(), (o, m) -> m.write(o))
+                        .done());
+    }
+
+    private void fetched(DaemonAddress from, long view, long nonce, List<OperationLogPosition> theirs) {
+        boolean able = view < 0
+                ? replica.standing() != Replica.Standing.RECOVERING
                 : view == this.view.number() && (durable.view() == view || durable.sameAs(this.view.base()));
         if (!able) {
             return;
         }
-        Bookmark common = LoanBook.common(book.lineage(), theirs);
+        OperationLogPosition common = OperationStore.common(book.lineage(), theirs);
         if (common.isBeyond(durable)) {
             common = durable;
         }
-        List<Slip> some = book.between(common, durable, PORTION_BYTES);
-        Slip last = some.isEmpty() ? null : some.get(some.size() - 1);
-        boolean whole = book.between(last == null ? common : new Bookmark(last.view, last.pos, Imprint.NONE), durable, 1)
+        List<OperationRecord> some = book.between(common, durable, PORTION_BYTES);
+        OperationRecord last = some.isEmpty() ? null : some.get(some.size() - 1);
+        boolean whole = book.between(
+                        last == null ? common : new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE),
+                        durable,
+                        1)
                 .isEmpty();
-        Script.Writer out = message(Message.PORTION).num(nonce);
+        MessagePackCodec.Writer out = message(Message.PORTION).num(nonce);
         common.write(out);
         durable.write(out);
-        post.send(from, Postbag.Topic.LOAN, out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
-    }
-
-    private void portion(Imprint from, long nonce, Bookmark common, Bookmark theirs, boolean whole, List<Slip> some) {
+        messenger.send(
+                from,
+                Messenger.Topic.LOAN,
+                out.flag(whole).list(some, (o, s) -> o.bytes(s.raw)).done());
+    }
+
+    private void portion(
+            DaemonAddress from,
+            long nonce,
+            OperationLogPosition common,
+            OperationLogPosition theirs,
+            boolean whole,
+            List<OperationRecord> some) {
         Fetching f = fetching;
-        if (f == null || f.nonce != nonce || !from.equals(f.from)
+        if (f == null
+                || f.nonce != nonce
+                || !from.equals(f.from)
                 || f.view >= 0 && (f.view != view.number() || !mayMove())) {
             return;
         }
@@ -668,9 +768,9 @@
                 return;
             }
             book.cut(common);
-            write(Slip.marker(Slip.Kind.CUT, common.view(), common.pos()));
+            write(OperationRecord.marker(OperationRecord.Kind.CUT, common.view(), common.pos()));
         }
-        for (Slip s : some) {
+        for (OperationRecord s : some) {
             book.add(s);
             write(s);
         }
@@ -683,7 +783,7 @@
         if (book.mark().view() < enter) {
             book.enter(enter);
         }
-        write(Slip.marker(Slip.Kind.ENTER, enter, 0));
+        write(OperationRecord.marker(OperationRecord.Kind.ENTER, enter, 0));
         if (f.done == null) {
             fetching = null;
         } else {
@@ -693,7 +793,7 @@
 
     // ---- for people ----
 
-    Bookmark durable() {
+    OperationLogPosition durable() {
         return durable;
     }
 
@@ -701,7 +801,7 @@
         return committed;
     }
 
-    LoanBook book() {
+    OperationStore book() {
         return book;
     }
 
--- a/loans/src/main/java/org/umbermount/loans/LoanBook.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationStore.java
@@ -1,31 +1,31 @@
-package org.umbermount.loans;
+package org.umbermount.idempotency;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.archive.Bookmark;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.control.OperationLogPosition;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
  * The operation records of one daemon: the entries of all views in order, and for each key the entry that counts.
  * Within a view the positions are given by its head alone, so two daemons' entries of one view differ only in how
  * far they reach.
  */
-final class LoanBook {
-    private final List<Slip> slips = new ArrayList<>();
-    private final Map<OperationKey, Slip> standing = new Object2ObjectOpenHashMap<>();
+final class OperationStore {
+    private final List<OperationRecord> slips = new ArrayList<>();
+    private final Map<OperationKey, OperationRecord> standing = new Object2ObjectOpenHashMap<>();
     private long view;
     private long pos;
     private long bytes;
 
     /** Where the book ends. */
-    Bookmark mark() {
-        return new Bookmark(view, pos, Imprint.NONE);
+    OperationLogPosition mark() {
+        return new OperationLogPosition(view, pos, DaemonAddress.NONE);
     }
 
     /** What stands for a key: the last entry about it, or null. */
-    Slip standing(OperationKey key) {
+    OperationRecord standing(OperationKey key) {
         return standing.get(key);
     }
 
@@ -50,10 +50,11 @@
     }
 
     /** Adds the next entry. */
-    void add(Slip slip) {
+    void add(OperationRecord slip) {
         enter(slip.view);
         if (slip.view != view || slip.pos <= pos) {
-            throw new IllegalStateException("An operation record at " + slip.view + "/" + slip.pos + " behind " + view + "/" + pos);
+            throw new IllegalStateException(
+                    "An operation record at " + slip.view + "/" + slip.pos + " behind " + view + "/" + pos);
         }
         pos = slip.pos;
         slips.add(slip);
@@ -61,22 +62,23 @@
         stand(slip);
     }
 
-    private void stand(Slip slip) {
-        Slip before = standing.get(slip.key);
+    private void stand(OperationRecord slip) {
+        OperationRecord before = standing.get(slip.key);
         // Only a claim can replace another try's entry; what comes late for an expired claim says nothing.
-        if (slip.kind == Slip.Kind.CLAIM || slip.kind == Slip.Kind.RELEASE && before == null
+        if (slip.kind == OperationRecord.Kind.CLAIM
+                || slip.kind == OperationRecord.Kind.RELEASE && before == null
                 || before != null && before.sameTry(slip.origin, slip.serial)) {
             standing.put(slip.key, slip);
         }
     }
 
     /** Whether an entry lies behind a mark. */
-    private static boolean beyond(Slip s, Bookmark mark) {
+    private static boolean beyond(OperationRecord s, OperationLogPosition mark) {
         return s.view != mark.view() ? s.view > mark.view() : s.pos > mark.pos();
     }
 
     /** Drops what lies behind the mark. */
-    void cut(Bookmark mark) {
+    void cut(OperationLogPosition mark) {
         boolean dropped = false;
         while (!slips.isEmpty() && beyond(slips.get(slips.size() - 1), mark)) {
             bytes -= slips.remove(slips.size() - 1).raw.length;
@@ -94,7 +96,7 @@
     int expireThrough(int segment) {
         int n = 0;
         while (n < slips.size() && slips.get(n).segment > 0 && slips.get(n).segment <= segment) {
-            Slip s = slips.get(n++);
+            OperationRecord s = slips.get(n++);
             bytes -= s.raw.length;
             if (standing.get(s.key) == s) {
                 standing.remove(s.key);
@@ -105,24 +107,24 @@
     }
 
     /** How far the book reaches in each view that it has entries of, and in the last. */
-    List<Bookmark> lineage() {
-        List<Bookmark> out = new ArrayList<>();
-        Slip last = null;
-        for (Slip s : slips) {
+    List<OperationLogPosition> lineage() {
+        List<OperationLogPosition> out = new ArrayList<>();
+        OperationRecord last = null;
+        for (OperationRecord s : slips) {
             if (last != null && last.view != s.view) {
-                out.add(new Bookmark(last.view, last.pos, Imprint.NONE));
+                out.add(new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE));
             }
             last = s;
         }
         if (last != null && last.view != view) {
-            out.add(new Bookmark(last.view, last.pos, Imprint.NONE));
+            out.add(new OperationLogPosition(last.view, last.pos, DaemonAddress.NONE));
         }
         out.add(mark());
         return out;
     }
 
     /** Up to where two books are the same. */
-    static Bookmark common(List<Bookmark> a, List<Bookmark> b) {
+    static OperationLogPosition common(List<OperationLogPosition> a, List<OperationLogPosition> b) {
         int i = 0;
         int j = 0;
         // One of them may have let its oldest views go.
@@ -134,12 +136,12 @@
             }
         }
         if (i > 0 && j > 0) {
-            return Bookmark.NONE;
+            return OperationLogPosition.NONE;
         }
-        Bookmark common = Bookmark.NONE;
+        OperationLogPosition common = OperationLogPosition.NONE;
         while (i < a.size() && j < b.size() && a.get(i).view() == b.get(j).view()) {
             long least = Math.min(a.get(i).pos(), b.get(j).pos());
-            common = new Bookmark(a.get(i).view(), least, Imprint.NONE);
+            common = new OperationLogPosition(a.get(i).view(), least, DaemonAddress.NONE);
             if (a.get(i).pos() != b.get(j).pos()) {
                 return common;
             }
@@ -150,7 +152,7 @@
     }
 
     /** Where the entries behind a mark begin. */
-    private int indexAfter(Bookmark mark) {
+    private int indexAfter(OperationLogPosition mark) {
         int low = 0;
         int high = slips.size();
         while (low < high) {
@@ -165,11 +167,11 @@
     }
 
     /** Entries behind one mark and not behind another, as many as fit. */
-    List<Slip> between(Bookmark after, Bookmark until, int mostBytes) {
-        List<Slip> out = new ArrayList<>();
+    List<OperationRecord> between(OperationLogPosition after, OperationLogPosition until, int mostBytes) {
+        List<OperationRecord> out = new ArrayList<>();
         int room = mostBytes;
         for (int i = indexAfter(after); i < slips.size(); i++) {
-            Slip s = slips.get(i);
+            OperationRecord s = slips.get(i);
             if (beyond(s, until) || !out.isEmpty() && s.raw.length > room) {
                 break;
             }
--- a/loans/src/test/java/org/umbermount/loans/ForgettingTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/ForgettingTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.loans;
-
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.idempotency;
 
 import java.io.IOException;
 import java.util.List;
@@ -11,31 +7,35 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.umbermount.stacks.Cellar;
-import org.umbermount.stacks.Folio;
-import org.umbermount.stacks.Ledger;
-import org.umbermount.stacks.Stack;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.AppendOnlyFile;
+import org.umbermount.storage.DiskAccess;
+import org.umbermount.storage.LogRecord;
+import org.umbermount.storage.SegmentedLog;
+import org.umbermount.storage.testing.FakeDirectory;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ForgettingTest {
     private static final int REWRITE_OVER = 200;
 
     /** A memory that is written again by a write that waits behind the forgetting would be a vote without its records. */
     private static boolean votesWithoutRecords(boolean onTheDisksThread) throws Exception {
-        FakeVault vault = new FakeVault();
-        Stack memory = Stack.open(vault, "memory.stack", REWRITE_OVER);
-        memory.put(List.of(new Folio((byte) 1, new byte[20])));
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile memory = AppendOnlyFile.open(vault, "memory.stack", REWRITE_OVER);
+        memory.put(List.of(new LogRecord((byte) 1, new byte[20])));
         while (memory.length() < REWRITE_OVER - 60) {
-            memory.put(List.of(new Folio((byte) 2, new byte[20])));
+            memory.put(List.of(new LogRecord((byte) 2, new byte[20])));
         }
-        Ledger.open(vault, "loans", 10, (segment, body) -> { }).append(List.of(new byte[20]));
+        SegmentedLog.open(vault, "loans", 10, (segment, body) -> {}).append(List.of(new byte[20]));
         ThreadPoolExecutor disk = new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>());
         CountDownLatch go = new CountDownLatch(1);
         disk.execute(() -> await(go));
         Runnable write = () -> put(memory);
-        Cellar cellar = new Cellar(vault, disk);
+        DiskAccess cellar = new DiskAccess(vault, disk);
         if (onTheDisksThread) {
-            Thread loop = new Thread(() -> LoansDepartment.forgetAndEnd(cellar, disk::shutdownNow), "loop");
+            Thread loop = new Thread(() -> OperationKeeperPlugin.forgetAndEnd(cellar, disk::shutdownNow), "loop");
             loop.start();
             while (disk.getQueue().isEmpty()) {
                 Thread.onSpinWait();
@@ -44,13 +44,13 @@
             go.countDown();
             loop.join();
         } else {
-            LoansDepartment.forget(vault);
+            OperationKeeperPlugin.forget(vault);
             disk.execute(write);
             go.countDown();
             disk.shutdown();
         }
         disk.awaitTermination(10, TimeUnit.SECONDS);
-        return !Stack.open(vault, "memory.stack", REWRITE_OVER).isEmpty();
+        return !AppendOnlyFile.open(vault, "memory.stack", REWRITE_OVER).isEmpty();
     }
 
     private static void await(CountDownLatch latch) {
@@ -61,9 +61,9 @@
         }
     }
 
-    private static void put(Stack memory) {
+    private static void put(AppendOnlyFile memory) {
         try {
-            memory.put(List.of(new Folio((byte) 2, new byte[90])));
+            memory.put(List.of(new LogRecord((byte) 2, new byte[90])));
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
@@ -80,21 +80,23 @@
     void voteGoesBeforeTheRecords() throws IOException {
         for (int at = 0; at < 10; at++) {
             for (int seed = 0; seed < 20; seed++) {
-                FakeVault vault = new FakeVault().chance(seed);
-                Stack.open(vault, "memory.stack", 400).put(List.of(new Folio((byte) 1, new byte[9])));
-                Ledger ledger = Ledger.open(vault, "loans", 10, (segment, body) -> { });
+                FakeDirectory vault = new FakeDirectory().chance(seed);
+                AppendOnlyFile.open(vault, "memory.stack", 400).put(List.of(new LogRecord((byte) 1, new byte[9])));
+                SegmentedLog ledger = SegmentedLog.open(vault, "loans", 10, (segment, body) -> {});
                 ledger.append(List.of(new byte[20]));
                 ledger.append(List.of(new byte[20]));
                 vault.callsLeft = at;
                 if (at < 6) {
-                    assertThrows(FakeVault.EndedException.class, () -> LoansDepartment.forget(vault));
+                    assertThrows(FakeDirectory.EndedException.class, () -> OperationKeeperPlugin.forget(vault));
                 } else {
-                    LoansDepartment.forget(vault);
+                    OperationKeeperPlugin.forget(vault);
                 }
                 vault.losePower();
                 int[] records = {0};
-                Ledger.open(vault, "loans", 10, (segment, body) -> records[0]++);
-                assertTrue(Stack.open(vault, "memory.stack", 400).isEmpty() || records[0] == 2, "ended at call " + at);
+                SegmentedLog.open(vault, "loans", 10, (segment, body) -> records[0]++);
+                assertTrue(
+                        AppendOnlyFile.open(vault, "memory.stack", 400).isEmpty() || records[0] == 2,
+                        "ended at call " + at);
                 assertTrue(at < 6 || records[0] == 0);
             }
         }
--- a/loans/src/test/java/org/umbermount/loans/LoansTest.java
+++ b/idempotency/src/test/java/org/umbermount/idempotency/OperationRecordsTest.java
@@ -1,10 +1,4 @@
-package org.umbermount.loans;
-
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.idempotency;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -17,29 +11,35 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.Fleet;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
-import org.umbermount.stacks.Ledger;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.SegmentedLog;
+import org.umbermount.storage.testing.FakeDirectory;
 
-/** Registrars that keep operation records and lectors that claim, on a fake clock, network and disks. */
-class LoansTest {
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Controllers that keep operation records and proxies that claim, on a fake clock, network and disks. */
+class OperationRecordsTest {
     private static final int SIZE = 5;
     private static final int TOLERATED = 2;
 
-    private final Map<Integer, LoanDesk> desks = new HashMap<>();
-    private final List<LoanCounter> lectors = new ArrayList<>();
+    private final Map<Integer, OperationKeeper> desks = new HashMap<>();
+    private final List<OperationClient> proxies = new ArrayList<>();
     private Fleet fleet;
 
     /** What a claim came to. */
-    private static final class Told implements LoanCounter.Outcome {
+    private static final class Told implements OperationClient.Outcome {
         String word;
         byte[] answer;
 
@@ -73,50 +73,52 @@
     private void open(long seed) throws IOException {
         fleet = new Fleet(SIZE, 3, seed, TOLERATED, this::attach);
         for (int i = 0; i < 3; i++) {
-            Imprint self = Imprint.parse("10.9.0." + (i + 1) + ":7001");
-            List<Imprint> known = new ArrayList<>();
+            DaemonAddress self = DaemonAddress.parse("10.9.0." + (i + 1) + ":7001");
+            List<DaemonAddress> known = new ArrayList<>();
             for (int r = 0; r < SIZE; r++) {
-                known.add(Fleet.imprint(r));
+                known.add(Fleet.daemonAddress(r));
             }
-            lectors.add(new LoanCounter(fleet.almanac, fleet.network.bag(self), new Tally(), new Random(seed + i), () -> known));
+            proxies.add(new OperationClient(
+                    fleet.almanac, fleet.network.bag(self), new Metrics(), new Random(seed + i), () -> known));
         }
         fleet.run(8_000);
     }
 
-    private void attach(int i, Clock clock, Postbag bag, Replica replica, FakeVault disk) throws IOException {
-        LoanBook book = new LoanBook();
-        Ledger ledger = Ledger.open(disk, "loans", 2_000, (segment, body) -> {
+    private void attach(int i, Clock clock, Messenger bag, Replica replica, FakeDirectory disk) throws IOException {
+        OperationStore book = new OperationStore();
+        SegmentedLog ledger = SegmentedLog.open(disk, "loans", 2_000, (segment, body) -> {
             try {
-                Slip s = Slip.read(body);
+                OperationRecord s = OperationRecord.read(body);
                 switch (s.kind) {
                     case ENTER -> book.enter(s.view);
-                    case CUT -> book.cut(new org.umbermount.archive.Bookmark(s.view, s.pos, Imprint.NONE));
+                    case CUT -> book.cut(
+                            new org.umbermount.control.OperationLogPosition(s.view, s.pos, DaemonAddress.NONE));
                     default -> book.add(s);
                 }
-            } catch (Script.UnreadableException e) {
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new AssertionError(e);
             }
         });
-        LoanDesk desk = new LoanDesk(clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20,
-                new Tally());
+        OperationKeeper desk = new OperationKeeper(
+                clock, bag, replica, ledger, book, disk.executor(), TOLERATED, 600_000, 1 << 20, new Metrics());
         desks.put(i, desk);
         desk.start();
     }
 
-    private LoanCounter.Ticket claim(int lector, String key, Told told) {
-        return lectors.get(lector).claim(OperationKey.of("t", key), false, 800, told);
+    private OperationClient.Ticket claim(int proxy, String key, Told told) {
+        return proxies.get(proxy).claim(OperationKey.of("t", key), false, 800, told);
     }
 
-    private Told ask(int lector, String key) {
+    private Told ask(int proxy, String key) {
         Told told = new Told();
-        claim(lector, key, told);
+        claim(proxy, key, told);
         fleet.run(850);
         return told;
     }
 
     /**
-     * The head is cut off from the other registrars, but not from lectors, and two operations have moved on without it: one
-     * was released, and one was claimed that the old head has never heard of. A lector that still takes it for the head is
+     * The head is cut off from the other controllers, but not from proxies, and two operations have moved on without it: one
+     * was released, and one was claimed that the old head has never heard of. A proxy that still takes it for the head is
      * refused nothing there, and told of nothing that it is noted.
      */
     @Test
@@ -126,36 +128,37 @@
     }
 
     private String leftBehind() throws IOException {
-        lectors.clear();
+        proxies.clear();
         desks.clear();
         open(8);
         Told first = new Told();
-        LoanCounter.Ticket released = claim(0, "k", first);
+        OperationClient.Ticket released = claim(0, "k", first);
         fleet.run(200);
         assertEquals("granted", first.word);
-        Imprint old = fleet.replica(0).view().head();
+        DaemonAddress old = fleet.replica(0).view().head();
         for (int i = 0; i < SIZE; i++) {
-            if (!Fleet.imprint(i).equals(old)) {
-                fleet.network.cutBoth(old, Fleet.imprint(i));
+            if (!Fleet.daemonAddress(i).equals(old)) {
+                fleet.network.cutBoth(old, Fleet.daemonAddress(i));
             }
         }
-        fleet.network.cutBoth(old, Imprint.parse("10.9.0.1:7001"));
+        fleet.network.cutBoth(old, DaemonAddress.parse("10.9.0.1:7001"));
         fleet.run(4_000);
-        released.close(LoanCounter.End.RELEASED, new byte[0]);
+        released.close(OperationClient.End.RELEASED, new byte[0]);
         fleet.run(2_000);
-        assertEquals(0, lectors.get(0).closing());
+        assertEquals(0, proxies.get(0).closing());
         Told noted = new Told();
-        LoanCounter.Ticket answered = claim(2, "m", noted);
+        OperationClient.Ticket answered = claim(2, "m", noted);
         fleet.run(900);
         assertEquals("granted", noted.word);
-        lectors.get(2).head(old);
-        answered.close(LoanCounter.End.ANSWERED, new byte[] {4});
-        lectors.get(1).head(old);
+        proxies.get(2).head(old);
+        answered.close(OperationClient.End.ANSWERED, new byte[] {4});
+        proxies.get(1).head(old);
         Told second = ask(1, "k");
         fleet.run(3_000);
-        lectors.get(0).head(null);
+        proxies.get(0).head(null);
         Told repeat = ask(0, "m");
-        return second.word.equals("busy") ? "busy with what was released"
+        return second.word.equals("busy")
+                ? "busy with what was released"
                 : !"answered".equals(repeat.word) ? "the answer was lost: " + repeat.word : null;
     }
 
@@ -163,13 +166,13 @@
     void firstTryRunsAndARepeatElsewhereGetsItsAnswer() throws IOException {
         open(1);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
         assertEquals("granted", first.word);
         assertEquals("busy", ask(1, "k").word);
-        ticket.close(LoanCounter.End.ANSWERED, new byte[] {1, 2, 3});
+        ticket.close(OperationClient.End.ANSWERED, new byte[] {1, 2, 3});
         fleet.run(300);
-        assertEquals(0, lectors.get(0).closing());
+        assertEquals(0, proxies.get(0).closing());
         Told repeat = ask(2, "k");
         assertEquals("answered", repeat.word);
         assertArrayEquals(new byte[] {1, 2, 3}, repeat.answer);
@@ -180,15 +183,15 @@
     void aReleasedClaimMayBeTakenAndALostOneNever() throws IOException {
         open(2);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
-        ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+        ticket.close(OperationClient.End.RELEASED, new byte[0]);
         fleet.run(300);
         Told second = new Told();
         ticket = claim(1, "k", second);
         fleet.run(100);
         assertEquals("granted", second.word);
-        ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+        ticket.close(OperationClient.End.UNKNOWN, new byte[0]);
         fleet.run(300);
         assertEquals("unknown", ask(2, "k").word);
     }
@@ -196,11 +199,11 @@
     @Test
     void nothingIsGrantedBeforeEnoughDisksHaveIt() throws IOException {
         open(3);
-        List<Imprint> line = fleet.replica(0).view().line(TOLERATED);
+        List<DaemonAddress> line = fleet.replica(0).view().line(TOLERATED);
         assertEquals(3, line.size());
         int last = -1;
         for (int i = 0; i < SIZE; i++) {
-            if (Fleet.imprint(i).equals(line.get(2))) {
+            if (Fleet.daemonAddress(i).equals(line.get(2))) {
                 last = i;
             }
         }
@@ -218,9 +221,9 @@
     void whatWasAnsweredOutlivesALossOfPowerAndTheWipeOfTwo() throws IOException {
         open(4);
         Told first = new Told();
-        LoanCounter.Ticket ticket = claim(0, "k", first);
+        OperationClient.Ticket ticket = claim(0, "k", first);
         fleet.run(100);
-        ticket.close(LoanCounter.End.ANSWERED, new byte[] {9});
+        ticket.close(OperationClient.End.ANSWERED, new byte[] {9});
         fleet.run(300);
         for (int i = 0; i < SIZE; i++) {
             fleet.kill(i, true);
@@ -241,15 +244,15 @@
     @Test
     void viewWhoseFirstRecordsAreLostIsFollowedByOneThatHasThem() throws IOException {
         open(5);
-        Imprint head = fleet.replica(0).view().head();
+        DaemonAddress head = fleet.replica(0).view().head();
         int first = -1;
         for (int i = 0; i < SIZE; i++) {
-            first = Fleet.imprint(i).equals(head) ? i : first;
+            first = Fleet.daemonAddress(i).equals(head) ? i : first;
         }
         // Nobody hears the head's records, but the views' messages come through until it is gone.
         for (int i = 0; i < SIZE; i++) {
             if (i != first) {
-                fleet.network.cut(head, Fleet.imprint(i));
+                fleet.network.cut(head, Fleet.daemonAddress(i));
             }
         }
         Told told = new Told();
@@ -281,27 +284,27 @@
         for (int step = 0; step < 700; step++) {
             String key = "k" + random.nextInt(120);
             String name = key + "/" + step;
-            int lector = random.nextInt(3);
+            int proxy = random.nextInt(3);
             Told told = new Told();
-            LoanCounter.Ticket ticket = claim(lector, key, told);
+            OperationClient.Ticket ticket = claim(proxy, key, told);
             fleet.run(20 + random.nextInt(120));
             if ("granted".equals(told.word)) {
                 granted++;
                 if (random.nextInt(4) == 0) {
-                    ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+                    ticket.close(OperationClient.End.RELEASED, new byte[0]);
                 } else {
                     assertNull(ran.put(key, name), key + " ran twice with seed " + seed);
                     if (random.nextInt(5) > 0) {
-                        ticket.close(LoanCounter.End.ANSWERED, name.getBytes());
+                        ticket.close(OperationClient.End.ANSWERED, name.getBytes());
                     } else if (random.nextBoolean()) {
-                        ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+                        ticket.close(OperationClient.End.UNKNOWN, new byte[0]);
                     }
                 }
             } else if ("answered".equals(told.word)) {
                 repeats++;
                 assertEquals(ran.get(key), new String(told.answer), "another answer with seed " + seed);
             } else if (told.word == null) {
-                ticket.close(LoanCounter.End.RELEASED, new byte[0]);
+                ticket.close(OperationClient.End.RELEASED, new byte[0]);
             }
             trouble(random, down);
         }
@@ -328,7 +331,8 @@
                 // A returning disk counts as lost until its daemon has caught up.
                 fleet.run(2_500);
             }
-            case 3 -> fleet.network.cut(Fleet.imprint(which), Fleet.imprint((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
+            case 3 -> fleet.network.cut(
+                    Fleet.daemonAddress(which), Fleet.daemonAddress((which + 1 + random.nextInt(SIZE - 1)) % SIZE));
             case 4, 5 -> {
                 fleet.network.healAll();
                 fleet.run(600);
@@ -344,8 +348,7 @@
                     fleet.run(4_000);
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Clock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Clock.java
@@ -2,7 +2,7 @@
 
 /** The clocks and timers of a process. All tasks run on the process's one loop. */
 public interface Clock {
-    Moment now();
+    MonotonicTime now();
 
     /**
      * Time of day in milliseconds, for people to read. It may step by hours, back as well as ahead: nothing is decided by it, and
--- a/kernel/src/main/java/org/umbermount/kernel/CommandExtension.java
+++ b/kernel/src/main/java/org/umbermount/kernel/CommandExtension.java
@@ -7,5 +7,4 @@
  * never do, so that what such a module holds costs them nothing. The class carries the annotations of the command line's
  * library, and what it returns is the exit code.
  */
-public interface CommandExtension extends Callable<Integer> {
-}
+public interface CommandExtension extends Callable<Integer> {}
--- a/kernel/src/main/java/org/umbermount/kernel/Script.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -10,7 +10,7 @@
  * messages are made of, straight on byte arrays: a daemon reads and writes its first few thousand messages interpreted, where each
  * layer of a general library costs as much as the work itself.
  */
-public final class Script {
+public final class MessagePackCodec {
     private static final int LEAST_SMALL = -32;
     private static final int FIXED_TEXT = 0xa0;
     private static final int FIXED_TEXT_MASK = 0xe0;
@@ -28,8 +28,7 @@
     private static final int INT64 = 0xd3;
     private static final int TEXT8 = 0xd9;
 
-    private Script() {
-    }
+    private MessagePackCodec() {}
 
     /** A message that does not hold what it should. */
     public static class UnreadableException extends Exception {
@@ -42,8 +41,8 @@
         return new Writer();
     }
 
-    public static Reader read(byte[] bytes) {
-        return new Reader(bytes);
+    public static ClientConnection read(byte[] bytes) {
+        return new ClientConnection(bytes);
     }
 
     /** Packs values one after the other, each in its shortest form. */
@@ -53,8 +52,7 @@
         private byte[] buffer = new byte[FIRST_SIZE];
         private int length;
 
-        private Writer() {
-        }
+        private Writer() {}
 
         public Writer num(long value) {
             room(1 + Long.BYTES);
@@ -151,7 +149,7 @@
             }
         }
 
-        public Writer imprint(Imprint value) {
+        public Writer daemonAddress(DaemonAddress value) {
             return num(value.packed());
         }
 
@@ -174,15 +172,15 @@
 
     /** Unpacks one value. */
     public interface Element<T> {
-        T read(Reader reader) throws UnreadableException;
+        T read(ClientConnection reader) throws UnreadableException;
     }
 
     /** Unpacks values one after the other. */
-    public static final class Reader {
+    public static final class ClientConnection {
         private final byte[] buffer;
         private int at;
 
-        private Reader(byte[] bytes) {
+        private ClientConnection(byte[] bytes) {
             buffer = bytes;
         }
 
@@ -276,8 +274,8 @@
             return value;
         }
 
-        public Imprint imprint() throws UnreadableException {
-            return Imprint.unpack(num());
+        public DaemonAddress daemonAddress() throws UnreadableException {
+            return DaemonAddress.unpack(num());
         }
 
         public <T> List<T> list(Element<T> element) throws UnreadableException {
--- a/kernel/src/main/java/org/umbermount/kernel/Tally.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Metrics.java
@@ -16,7 +16,7 @@
  * The process's meters, handed to Micrometer and shown as plain text. Counting itself is a plain addition: the registry
  * is put together when somebody first looks, because loading it at each start cost a tenth of the start.
  */
-public final class Tally {
+public final class Metrics {
     /**
      * A number that only rises. It is counted on the process's loop alone, since an addition is a reading and a
      * writing; readers may see it a little late.
@@ -48,12 +48,12 @@
     private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
 
     /** Meters whose counting thread is not checked. */
-    public Tally() {
+    public Metrics() {
         this(() -> true);
     }
 
     /** Meters that are counted only where {@code inEventLoop} holds; assertions check it. */
-    public Tally(BooleanSupplier inEventLoop) {
+    public Metrics(BooleanSupplier inEventLoop) {
         this.inEventLoop = inEventLoop;
     }
 
@@ -77,7 +77,8 @@
     /** The meters as a Micrometer registry, for whoever wants to export them. */
     public synchronized SimpleMeterRegistry registry() {
         SimpleMeterRegistry registry = new SimpleMeterRegistry();
-        counts.forEach((name, c) -> FunctionCounter.builder(name, c, Count::count).register(registry));
+        counts.forEach(
+                (name, c) -> FunctionCounter.builder(name, c, Count::count).register(registry));
         gauges.forEach((name, g) -> Gauge.builder(name, g::getAsDouble).register(registry));
         return registry;
     }
@@ -87,9 +88,13 @@
         StringBuilder out = new StringBuilder();
         for (Meter meter : registry().getMeters()) {
             double value = meter.measure().iterator().next().getValue();
-            out.append("umbermount_").append(meter.getId().getName().replace('.', '_')).append(' ')
-                    .append(value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
-                            : String.format(Locale.ROOT, "%.3f", value))
+            out.append("umbermount_")
+                    .append(meter.getId().getName().replace('.', '_'))
+                    .append(' ')
+                    .append(
+                            value == Math.rint(value) && Math.abs(value) < 1e15
+                                    ? Long.toString((long) value)
+                                    : String.format(Locale.ROOT, "%.3f", value))
                     .append('\n');
         }
         return out.toString();
--- a/kernel/src/main/java/org/umbermount/kernel/Institution.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -16,33 +16,33 @@
 import org.slf4j.LoggerFactory;
 
 /** The host of the plug-ins of one process: opens them, lets them find each other, and closes them in order. */
-public final class Institution {
+public final class PluginHost {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
 
     private static final String JOINED = "META-INF/umbermount/departments";
 
     private final Role role;
     private final Clock clock;
-    private final Tally tally;
+    private final Metrics metrics;
     private final Map<Class<?>, Object> offers = new HashMap<>();
-    private final List<Department> open = new ArrayList<>();
+    private final List<Plugin> open = new ArrayList<>();
     private final Random random;
-    private HouseRules rules;
+    private Settings rules;
     private boolean leaving;
 
-    public Institution(Role role, HouseRules rules, Clock clock) {
+    public PluginHost(Role role, Settings rules, Clock clock) {
         this(role, rules, clock, new SecureRandom());
     }
 
     /**
      * @param random where all numbers of this process come from that must differ from those of other lives
      */
-    public Institution(Role role, HouseRules rules, Clock clock, Random random) {
+    public PluginHost(Role role, Settings rules, Clock clock, Random random) {
         this.random = random;
         this.role = role;
         this.rules = rules;
         this.clock = clock;
-        this.tally = new Tally(clock::inEventLoop);
+        this.metrics = new Metrics(clock::inEventLoop);
         offer(Clock.class, clock);
     }
 
@@ -50,7 +50,7 @@
         return role;
     }
 
-    public HouseRules rules() {
+    public Settings rules() {
         return rules;
     }
 
@@ -63,8 +63,8 @@
         return random;
     }
 
-    public Tally tally() {
-        return tally;
+    public Metrics metrics() {
+        return metrics;
     }
 
     public <T> void offer(Class<T> type, T service) {
@@ -117,8 +117,8 @@
             // Told to stop before the first part was opened.
             return;
         }
-        List<Department> found = new ArrayList<>();
-        for (Department department : registered()) {
+        List<Plugin> found = new ArrayList<>();
+        for (Plugin department : registered()) {
             if (department.serves(role)) {
                 found.add(department);
             }
@@ -126,11 +126,11 @@
         // A class of its own: the JDK's ready-made comparators are lambdas that each start would generate anew.
         found.sort(new Comparator<>() {
             @Override
-            public int compare(Department first, Department second) {
+            public int compare(Plugin first, Plugin second) {
                 return Integer.compare(first.order(), second.order());
             }
         });
-        for (Department department : found) {
+        for (Plugin department : found) {
             department.open(this);
             open.add(department);
         }
@@ -141,15 +141,16 @@
      * The parts that have registered themselves. The build joins their registrations into one list; where there is none,
      * as in tests, every jar is looked through.
      */
-    private static Iterable<Department> registered() throws Exception {
-        try (InputStream joined = Institution.class.getClassLoader().getResourceAsStream(JOINED)) {
+    private static Iterable<Plugin> registered() throws Exception {
+        try (InputStream joined = PluginHost.class.getClassLoader().getResourceAsStream(JOINED)) {
             if (joined == null) {
-                return ServiceLoader.load(Department.class);
+                return ServiceLoader.load(Plugin.class);
             }
-            List<Department> all = new ArrayList<>();
+            List<Plugin> all = new ArrayList<>();
             for (String name : new String(joined.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
                 if (!name.isBlank()) {
-                    all.add((Department) Class.forName(name.trim()).getDeclaredConstructor().newInstance());
+                    all.add((Plugin)
+                            Class.forName(name.trim()).getDeclaredConstructor().newInstance());
                 }
             }
             return all;
@@ -172,11 +173,11 @@
     }
 
     /** Takes newly read settings into use; a part that cannot use them does not keep them from the others. */
-    public void reread(HouseRules fresh) {
+    public void reread(Settings fresh) {
         assert clock.inEventLoop() : "settings are taken over beside the event loop";
         rules = fresh;
-        tally.count("settings.reread");
-        for (Department department : open) {
+        metrics.count("settings.reread");
+        for (Plugin department : open) {
             try {
                 department.reread(fresh);
             } catch (RuntimeException e) {
--- a/kernel/src/main/java/org/umbermount/kernel/RandomNumbers.java
+++ b/kernel/src/main/java/org/umbermount/kernel/RandomNumbers.java
@@ -6,8 +6,7 @@
 public final class RandomNumbers {
     private static final int BITS_LEFT_OUT = 2;
 
-    private RandomNumbers() {
-    }
+    private RandomNumbers() {}
 
     /** A number of 62 bits that is not 0; half of the range of positive numbers is left above it. */
     public static long life(Random random) {
--- a/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Safeguard.java
@@ -21,17 +21,17 @@
     DIGEST_COMPARED,
     /** An error on the disk's thread is told to the loop as a refusal, like an exception. */
     DISK_ERRORS_REPORTED,
-    /** A duty is left to a registrar of its zone only if that one says that a majority answers it. */
+    /** A duty is left to a controller of its zone only if that one says that a majority answers it. */
     DUTY_LEFT_TO_ONE_IN_CONTACT,
     /** A signal that comes before the event loop runs is kept for it. */
     EARLY_SIGNALS_KEPT,
     /** Tables are offered only after the edition was confirmed as the newest, and anew after each break of the contact. */
     EDITION_CONFIRMED_BEFORE_TABLES,
-    /** A life of a lector that was followed by another is not served again, unless it answers what was sent since. */
+    /** A life of a proxy that was followed by another is not served again, unless it answers what was sent since. */
     ENDED_LIFE_NOT_SERVED,
     /** A voter that restarts grants only lease epochs above all that it may have granted before. */
     EPOCHS_RISE_OVER_RESTARTS,
-    /** A lector drops what a sender of a lower epoch sends. */
+    /** A proxy drops what a sender of a lower epoch sends. */
     FENCED_BY_EPOCH,
     /** What an earlier process wrote and may not have waited for is synced before anything rests on it. */
     FILE_SYNCED_AT_OPENING,
@@ -59,19 +59,19 @@
     LATER_LIFE_ANSWERS_LATER,
     /** An answer that comes after its caller's time, as to a process that stood still, is not handed on. */
     LATE_ANSWERS_DROPPED,
-    /** The lease is looked at each time that something is sent to a lector, not only when it is known to have ended. */
+    /** The lease is looked at each time that something is sent to a proxy, not only when it is known to have ended. */
     LEASE_CHECKED_ON_SENDING,
     /** A lease is counted from the moment at which it was asked for. */
     LEASE_COUNTED_FROM_ASKING,
-    /** Whoever grants a zone's duty anew tells its holder which lectors of the zone it has heard. */
-    LECTORS_INTRODUCED,
+    /** Whoever grants a zone's duty anew tells its holder which proxies of the zone it has heard. */
+    PROXIES_INTRODUCED,
     /** A view starts from the newest state among the promises of a majority. */
     NEWEST_PROMISED_STATE,
     /** News of a server is acknowledged only once a majority of the voters holds it. */
     NEWS_WITH_MAJORITY,
     /** Notes on servers are read again only if they were made since the machine's start, and their age is known by it. */
     NOTES_DATED_BY_UPTIME,
-    /** Within its life a lector takes no table with an older edition than the one in force. */
+    /** Within its life a proxy takes no table with an older edition than the one in force. */
     NO_WAY_BACK,
     /** An operation is refused only after a majority has confirmed the view, asked after the refusal was decided. */
     OPERATION_REFUSAL_CONFIRMED,
@@ -121,7 +121,7 @@
     SPLIT_GRANTS_GIVEN_BACK,
     /** A connection to a server on which anything follows a whole answer is not used again. */
     SURPLUS_RETIRES_CONNECTION,
-    /** A registrar that stands still again and again holds no duties while a majority of the voters does not. */
+    /** A controller that stands still again and again holds no duties while a majority of the voters does not. */
     SLOW_STANDS_BACK,
     /** What is behind the last whole record is cut off before the next record is written. */
     TORN_TAIL_DROPPED,
--- a/kernel/src/main/java/org/umbermount/kernel/net/ConnectionAcceptor.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/ConnectionAcceptor.java
@@ -21,6 +21,7 @@
 public abstract class ConnectionAcceptor extends ChannelInboundHandlerAdapter {
     /** How many connections the system keeps until they are accepted. */
     public static final int BACKLOG = 1_024;
+
     private static final long PAUSE_MS = 1_000;
 
     private final EventLoop loop;
@@ -74,12 +75,15 @@
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (ctx.channel().config().isAutoRead()) {
             ctx.channel().config().setAutoRead(false);
-            loop.schedule(new Runnable() {
-                @Override
-                public void run() {
-                    ctx.channel().config().setAutoRead(true);
-                }
-            }, PAUSE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    new Runnable() {
+                        @Override
+                        public void run() {
+                            ctx.channel().config().setAutoRead(true);
+                        }
+                    },
+                    PAUSE_MS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/net/Mailroom.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/DatagramMessenger.java
@@ -22,37 +22,37 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 
 /** One UDP socket for all internal messages of a process; long messages travel in parts. */
-public final class Mailroom implements Postbag {
+public final class DatagramMessenger implements Messenger {
     private static final Logger LOG = LoggerFactory.getLogger("kernel");
     private static final int ADDRESSES_KEPT = 1_024;
 
-    private final Imprint self;
-    private final Tally tally;
-    private final Parcels parcels;
+    private final DaemonAddress self;
+    private final Metrics metrics;
+    private final Fragmentation parcels;
     private final Map<Topic, Listener> listeners = new EnumMap<>(Topic.class);
-    private final Tally.Count[] bytesOut = new Tally.Count[Topic.values().length];
-    private final Tally.Count[] messagesOut = new Tally.Count[Topic.values().length];
-    private final Tally.Count bytesIn;
-    private final Map<Imprint, InetSocketAddress> addresses = new HashMap<>();
+    private final Metrics.Count[] bytesOut = new Metrics.Count[Topic.values().length];
+    private final Metrics.Count[] messagesOut = new Metrics.Count[Topic.values().length];
+    private final Metrics.Count bytesIn;
+    private final Map<DaemonAddress, InetSocketAddress> addresses = new HashMap<>();
     private DatagramChannel socket;
     private Channel channel;
 
-    public Mailroom(Imprint self, Clock clock, Tally tally) {
+    public DatagramMessenger(DaemonAddress self, Clock clock, Metrics metrics) {
         this.self = self;
-        this.tally = tally;
-        this.parcels = new Parcels(clock);
-        tally.gauge("mail.parts.foreign", parcels::foreign);
-        this.bytesIn = tally.counter("mail.bytes.in");
+        this.metrics = metrics;
+        this.parcels = new Fragmentation(clock);
+        metrics.gauge("mail.parts.foreign", parcels::foreign);
+        this.bytesIn = metrics.counter("mail.bytes.in");
         for (Topic topic : Topic.values()) {
             String name = lower(topic);
-            bytesOut[topic.ordinal()] = tally.counter("mail.bytes.out." + name);
-            messagesOut[topic.ordinal()] = tally.counter("mail.messages.out." + name);
+            bytesOut[topic.ordinal()] = metrics.counter("mail.bytes.out." + name);
+            messagesOut[topic.ordinal()] = metrics.counter("mail.messages.out." + name);
         }
     }
 
@@ -72,12 +72,12 @@
     }
 
     @Override
-    public Imprint self() {
+    public DaemonAddress self() {
         return self;
     }
 
     @Override
-    public void send(Imprint to, Topic topic, byte[] body) {
+    public void send(DaemonAddress to, Topic topic, byte[] body) {
         assert channel.eventLoop().inEventLoop() : "a message is sent beside the event loop";
         InetSocketAddress address = addressOf(to);
         messagesOut[topic.ordinal()].increment();
@@ -94,11 +94,11 @@
                 channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(part), address));
             }
         } catch (IOException e) {
-            tally.count("mail.socket.errors");
+            metrics.count("mail.socket.errors");
         }
     }
 
-    private InetSocketAddress addressOf(Imprint to) {
+    private InetSocketAddress addressOf(DaemonAddress to) {
         InetSocketAddress known = addresses.get(to);
         if (known == null) {
             if (addresses.size() >= ADDRESSES_KEPT) {
@@ -116,12 +116,12 @@
     }
 
     /** Takes one datagram; what cannot be used is counted by its reason and dropped. */
-    void receive(Imprint from, byte[] datagram) {
-        Parcels.Whole whole;
+    void receive(DaemonAddress from, byte[] datagram) {
+        Fragmentation.Whole whole;
         try {
             whole = parcels.unwrap(from, datagram);
         } catch (UnreadableDatagramException e) {
-            tally.count("mail.unreadable." + lower(e.reason()));
+            metrics.count("mail.unreadable." + lower(e.reason()));
             return;
         }
         if (whole == null) {
@@ -129,15 +129,15 @@
         }
         Listener listener = listeners.get(whole.topic());
         if (listener == null) {
-            tally.count("mail.unwanted." + lower(whole.topic()));
+            metrics.count("mail.unwanted." + lower(whole.topic()));
             return;
         }
         try {
             listener.receive(from, whole.body());
-        } catch (Script.UnreadableException e) {
-            tally.count("mail.unreadable.message." + lower(whole.topic()));
+        } catch (MessagePackCodec.UnreadableException e) {
+            metrics.count("mail.unreadable.message." + lower(whole.topic()));
         } catch (RuntimeException e) {
-            tally.count("mail.failed." + lower(whole.topic()));
+            metrics.count("mail.failed." + lower(whole.topic()));
             LOG.error("A message from {} could not be handled.", from, e);
         }
     }
@@ -153,12 +153,12 @@
             byte[] bytes = new byte[content.readableBytes()];
             bytesIn.increment(bytes.length);
             content.readBytes(bytes);
-            receive(Imprint.of(packet.sender()), bytes);
+            receive(DaemonAddress.of(packet.sender()), bytes);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            tally.count("mail.socket.errors");
+            metrics.count("mail.socket.errors");
             if (!(cause instanceof IOException)) {
                 LOG.error("A datagram could not be handled.", cause);
             }
--- a/kernel/src/main/java/org/umbermount/kernel/net/UnreadableDatagramException.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/UnreadableDatagramException.java
@@ -1,9 +1,9 @@
 package org.umbermount.kernel.net;
 
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
 /** A datagram that cannot become part of a message; it is counted under its reason and dropped. */
-final class UnreadableDatagramException extends Script.UnreadableException {
+final class UnreadableDatagramException extends MessagePackCodec.UnreadableException {
     private static final long serialVersionUID = 1L;
 
     /** Why a datagram is dropped; the name in lower case is part of the meter's name. */
--- a/kernel/src/test/java/org/umbermount/kernel/InstitutionTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
@@ -1,10 +1,5 @@
 package org.umbermount.kernel;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertSame;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,9 +8,14 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.testing.FakeClock;
 
-class InstitutionTest {
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+class PluginHostTest {
     /** A part found through the test's own service file. */
-    public static final class Recorder implements Department {
+    public static final class Recorder implements Plugin {
         static final List<String> EVENTS = new ArrayList<>();
         static Thread opener;
         static boolean broken;
@@ -34,11 +34,11 @@
 
         @Override
         public boolean serves(Role role) {
-            return role == Role.LECTOR;
+            return role == Role.PROXY;
         }
 
         @Override
-        public void open(Institution institution) {
+        public void open(PluginHost pluginHost) {
             opener = Thread.currentThread();
             EVENTS.add("open");
             if (broken) {
@@ -50,7 +50,7 @@
         }
 
         @Override
-        public void reread(HouseRules rules) {
+        public void reread(Settings rules) {
             EVENTS.add("reread");
             if (refusesSettings) {
                 throw new IllegalStateException("no use for them");
@@ -64,11 +64,11 @@
         }
     }
 
-    private static Institution institution(Thread[] loop) {
+    private static PluginHost pluginHost(Thread[] loop) {
         FakeClock clock = new FakeClock();
         Clock threaded = new Clock() {
             @Override
-            public Moment now() {
+            public MonotonicTime now() {
                 return clock.now();
             }
 
@@ -88,7 +88,7 @@
                 loop[0].start();
             }
         };
-        return new Institution(Role.LECTOR, null, threaded);
+        return new PluginHost(Role.PROXY, null, threaded);
     }
 
     @BeforeEach
@@ -103,54 +103,57 @@
     @Test
     void partsOpenOnTheLoopAndLeaveInOrder() throws Exception {
         Thread[] loop = new Thread[1];
-        Institution institution = institution(loop);
-        institution.openAll();
+        PluginHost pluginHost = pluginHost(loop);
+        pluginHost.openAll();
         assertEquals(loop[0], Recorder.opener);
-        institution.leave(() -> Recorder.EVENTS.add("done"));
+        pluginHost.leave(() -> Recorder.EVENTS.add("done"));
         assertEquals(List.of("open", "leave", "done"), Recorder.EVENTS);
     }
 
     @Test
     void partThatCannotOpenEndsTheStart() {
         Recorder.broken = true;
-        assertThrows(IllegalStateException.class, () -> institution(new Thread[1]).openAll());
+        assertThrows(
+                IllegalStateException.class, () -> pluginHost(new Thread[1]).openAll());
     }
 
     /** Only exceptions ended the start once: after an error the process stayed, with half of its parts, for good. */
     @Test
     void errorOfAPartEndsTheStartToo() {
         Recorder.error = new NoClassDefFoundError("played by the test");
-        ExecutionException e = assertTimeoutPreemptively(Duration.ofSeconds(10),
-                () -> assertThrows(ExecutionException.class, () -> institution(new Thread[1]).openAll()));
+        ExecutionException e = assertTimeoutPreemptively(
+                Duration.ofSeconds(10),
+                () -> assertThrows(ExecutionException.class, () -> pluginHost(new Thread[1])
+                        .openAll()));
         assertSame(Recorder.error, e.getCause());
     }
 
     @Test
     void settingsThatAPartCannotUseAreInForceForTheOthers() throws Exception {
-        Institution institution = institution(new Thread[1]);
-        institution.openAll();
-        HouseRules fresh = HouseRulesTest.valid();
+        PluginHost pluginHost = pluginHost(new Thread[1]);
+        pluginHost.openAll();
+        Settings fresh = SettingsTest.valid();
         Recorder.refusesSettings = true;
-        institution.reread(fresh);
-        assertSame(fresh, institution.rules());
+        pluginHost.reread(fresh);
+        assertSame(fresh, pluginHost.rules());
         assertEquals(List.of("open", "reread"), Recorder.EVENTS);
     }
 
     @Test
     void nothingIsOpenedOnceTheProgramLeaves() throws Exception {
-        Institution institution = institution(new Thread[1]);
-        institution.leave(() -> Recorder.EVENTS.add("done"));
-        institution.openAll();
+        PluginHost pluginHost = pluginHost(new Thread[1]);
+        pluginHost.leave(() -> Recorder.EVENTS.add("done"));
+        pluginHost.openAll();
         assertEquals(List.of("done"), Recorder.EVENTS);
     }
 
     @Test
     void metersAreCountedOnTheLoopOnly() {
         boolean[] inLoop = {true};
-        Tally tally = new Tally(() -> inLoop[0]);
-        tally.count("a");
+        Metrics metrics = new Metrics(() -> inLoop[0]);
+        metrics.count("a");
         inLoop[0] = false;
-        assertThrows(AssertionError.class, () -> tally.count("a"));
-        assertEquals(1, tally.counter("a").count());
+        assertThrows(AssertionError.class, () -> metrics.count("a"));
+        assertEquals(1, metrics.counter("a").count());
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/net/ConnectionAcceptorTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/ConnectionAcceptorTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.kernel.net;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,6 +17,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class ConnectionAcceptorTest {
     private static final long PATIENCE_S = 10;
 
--- a/kernel/src/test/java/org/umbermount/kernel/net/LoopClockTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/LoopClockTest.java
@@ -1,9 +1,5 @@
 package org.umbermount.kernel.net;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -16,6 +12,10 @@
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.Clock;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Timers of the real loop against their owner's closing. */
 class LoopClockTest {
     private static final int OWNERS = 2_000;
@@ -105,8 +105,8 @@
 
     @Test
     void timersOutsideTheLoopAreFoundOut() throws Exception {
-        assertThrows(AssertionError.class, () -> clock.after(1, () -> { }));
-        Clock.Cancellable timer = onLoop(() -> clock.after(10_000, () -> { }));
+        assertThrows(AssertionError.class, () -> clock.after(1, () -> {}));
+        Clock.Cancellable timer = onLoop(() -> clock.after(10_000, () -> {}));
         assertThrows(AssertionError.class, timer::cancel);
     }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/net/MailroomTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/net/MailroomTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.kernel.net;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -15,24 +12,28 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 class MailroomTest {
     private static final long PATIENCE_S = 10;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final Tally tally = new Tally();
+    private final Metrics metrics = new Metrics();
 
     @AfterEach
     void end() {
         group.shutdownGracefully(0, PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    private Mailroom mailroom() throws Exception {
-        Mailroom mailroom = new Mailroom(Imprint.parse("127.0.0.1:" + freePort()), new LoopClock(loop), tally);
+    private DatagramMessenger mailroom() throws Exception {
+        DatagramMessenger mailroom =
+                new DatagramMessenger(DaemonAddress.parse("127.0.0.1:" + freePort()), new LoopClock(loop), metrics);
         mailroom.bind(loop);
         return mailroom;
     }
@@ -45,10 +46,10 @@
 
     @Test
     void messagesOfAnyLengthArriveAsTheyWereSent() throws Exception {
-        Mailroom sender = mailroom();
-        Mailroom receiver = mailroom();
+        DatagramMessenger sender = mailroom();
+        DatagramMessenger receiver = mailroom();
         BlockingQueue<byte[]> arrived = new ArrayBlockingQueue<>(16);
-        receiver.subscribe(Postbag.Topic.DISPATCH, (from, body) -> {
+        receiver.subscribe(Messenger.Topic.DISPATCH, (from, body) -> {
             assertEquals(sender.self(), from);
             arrived.add(body);
         });
@@ -56,23 +57,26 @@
         for (int length : new int[] {0, 1, 600, 1_179, 1_181, 20_000}) {
             byte[] body = new byte[length];
             random.nextBytes(body);
-            loop.submit(() -> sender.send(receiver.self(), Postbag.Topic.DISPATCH, body)).sync();
+            loop.submit(() -> sender.send(receiver.self(), Messenger.Topic.DISPATCH, body))
+                    .sync();
             assertArrayEquals(body, arrived.poll(PATIENCE_S, TimeUnit.SECONDS), "length " + length);
         }
-        assertEquals(6, tally.counter("mail.messages.out.dispatch").count());
+        assertEquals(6, metrics.counter("mail.messages.out.dispatch").count());
     }
 
     @Test
     void nobodyAtTheOtherEndIsNoFailure() throws Exception {
-        Mailroom sender = mailroom();
-        Mailroom receiver = mailroom();
+        DatagramMessenger sender = mailroom();
+        DatagramMessenger receiver = mailroom();
         BlockingQueue<byte[]> arrived = new ArrayBlockingQueue<>(16);
-        receiver.subscribe(Postbag.Topic.DISPATCH, (from, body) -> arrived.add(body));
-        Imprint nobody = Imprint.parse("127.0.0.1:" + freePort());
+        receiver.subscribe(Messenger.Topic.DISPATCH, (from, body) -> arrived.add(body));
+        DaemonAddress nobody = DaemonAddress.parse("127.0.0.1:" + freePort());
         for (int i = 0; i < 50; i++) {
-            loop.submit(() -> sender.send(nobody, Postbag.Topic.DISPATCH, new byte[100])).sync();
+            loop.submit(() -> sender.send(nobody, Messenger.Topic.DISPATCH, new byte[100]))
+                    .sync();
         }
-        loop.submit(() -> sender.send(receiver.self(), Postbag.Topic.DISPATCH, new byte[] {7})).sync();
+        loop.submit(() -> sender.send(receiver.self(), Messenger.Topic.DISPATCH, new byte[] {7}))
+                .sync();
         assertArrayEquals(new byte[] {7}, arrived.poll(PATIENCE_S, TimeUnit.SECONDS));
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Reader.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,35 +28,37 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.Locale;
-import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Moment;
+import org.umbermount.control.Configuration;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** A client's connection: reads requests, and writes their answers in the order they came. */
-final class Reader extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final int PIPELINE_AT_MOST = 32;
     private static final int HELD_BODY = 256 << 10;
     private static final long LINGER_MS = 1_000;
     private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-    private final FrontDesk desk;
+    private final ProxyListener desk;
     /** The longest head that the decoder of this connection takes. */
     private final int headLimit;
-    private final ArrayDeque<Borrowing> pipeline = new ArrayDeque<>();
+
+    private final ArrayDeque<RequestExchange> pipeline = new ArrayDeque<>();
     private Channel channel;
-    private Borrowing arriving;
+    private RequestExchange arriving;
     private long arrivedBytes;
     private boolean lastRequest;
     private boolean lingering;
     private boolean streamingHead;
     /** The head of the answer that is being streamed says that the connection ends with it. */
     private boolean closeTold;
+
     private boolean gone;
-    private Moment lastActivity;
+    private MonotonicTime lastActivity;
     private boolean headUnderway;
 
-    Reader(FrontDesk desk, int headLimit) {
+    ClientConnection(ProxyListener desk, int headLimit) {
         this.desk = desk;
         this.headLimit = headLimit;
         this.lastActivity = desk.clock().now();
@@ -108,21 +110,21 @@
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-            turnAway(request, tooLong ? Erratum.HEADER_TOO_LARGE : Erratum.MALFORMED);
+            turnAway(request, tooLong ? ErrorKind.HEADER_TOO_LARGE : ErrorKind.MALFORMED);
             return;
         }
         if (!wellFormed(request)) {
-            turnAway(request, Erratum.MALFORMED);
+            turnAway(request, ErrorKind.MALFORMED);
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > desk.limits().maxBodyBytes()) {
-            turnAway(request, Erratum.BODY_TOO_LARGE);
+            turnAway(request, ErrorKind.BODY_TOO_LARGE);
             return;
         }
         lastRequest = !HttpUtil.isKeepAlive(request);
-        Borrowing borrowing = desk.receive(this, request, deadlineMs(request));
-        arriving = borrowing;
-        pipeline.add(borrowing);
+        RequestExchange requestExchange = desk.receive(this, request, deadlineMs(request));
+        arriving = requestExchange;
+        pipeline.add(requestExchange);
         if (pipeline.size() >= PIPELINE_AT_MOST) {
             channel.config().setAutoRead(false);
         }
@@ -133,25 +135,31 @@
 
     private static boolean wellFormed(HttpRequest request) {
         String uri = request.uri();
-        if (!uri.startsWith("/") || request.headers().getAll(HttpHeaderNames.HOST).size() != 1
-                || request.protocolVersion().majorVersion() != 1 || request.method().equals(HttpMethod.CONNECT)) {
+        if (!uri.startsWith("/")
+                || request.headers().getAll(HttpHeaderNames.HOST).size() != 1
+                || request.protocolVersion().majorVersion() != 1
+                || request.method().equals(HttpMethod.CONNECT)) {
             return false;
         }
         if (request.headers().getAll(HttpHeaderNames.AUTHORIZATION).size() > 1
-                || request.headers().getAll(Headings.OPERATION_KEY).size() > 1) {
+                || request.headers().getAll(HeaderNames.OPERATION_KEY).size() > 1) {
             return false;
         }
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             return HttpUtil.isTransferEncodingChunked(request)
-                    && request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
-                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                            request.headers().get(HttpHeaderNames.TRANSFER_ENCODING).trim());
+                    && request.headers()
+                                    .getAll(HttpHeaderNames.TRANSFER_ENCODING)
+                                    .size()
+                            == 1
+                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(request.headers()
+                            .get(HttpHeaderNames.TRANSFER_ENCODING)
+                            .trim());
         }
         return true;
     }
 
     private static long deadlineMs(HttpRequest request) {
-        String text = request.headers().get(Headings.DEADLINE);
+        String text = request.headers().get(HeaderNames.DEADLINE);
         if (text != null) {
             try {
                 return Math.max(0, Math.min(600_000, Long.parseLong(text.trim())));
@@ -163,9 +171,10 @@
     }
 
     /** Answers without reading on; the connection ends with the answer. */
-    private void turnAway(HttpRequest request, Erratum erratum) {
+    private void turnAway(HttpRequest request, ErrorKind erratum) {
         lastRequest = true;
-        if (!pipeline.isEmpty() && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
+        if (!pipeline.isEmpty()
+                && (pipeline.peekLast() == arriving || !Safeguard.REFUSAL_IN_ITS_PLACE.holds())
                 && !pipeline.peekLast().isStarted()) {
             // Only the one whose body cannot be read gives way; those before it wait for their own answers.
             if (pipeline.peekLast().isAnswered()) {
@@ -176,20 +185,20 @@
             pipeline.pollLast();
         }
         arriving = null;
-        pipeline.add(new Borrowing(desk, this, request, erratum));
-        desk.tally().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
+        pipeline.add(new RequestExchange(desk, this, request, erratum));
+        desk.metrics().count("requests.refused." + erratum.name().toLowerCase(Locale.ROOT));
         ready();
     }
 
     private void proceed(HttpContent content) {
-        Borrowing b = arriving;
+        RequestExchange b = arriving;
         if (content.decoderResult().isFailure()) {
             if (b.isLarge() || b.isStarted()) {
                 // Part of it has been passed on: only the connections can end now.
                 arriving = null;
                 channel.close();
             } else {
-                turnAway(b.request(), Erratum.MALFORMED);
+                turnAway(b.request(), ErrorKind.MALFORMED);
             }
             return;
         }
@@ -202,7 +211,7 @@
                 arriving = null;
                 channel.close();
             } else {
-                turnAway(b.request(), Erratum.BODY_TOO_LARGE);
+                turnAway(b.request(), ErrorKind.BODY_TOO_LARGE);
             }
             return;
         }
@@ -238,18 +247,18 @@
      */
     private void startInTurn() {
         // A request may be answered while it is being started, and what is in the pipeline be another thing then.
-        for (Borrowing next = nextToStart(); next != null; next = nextToStart()) {
+        for (RequestExchange next = nextToStart(); next != null; next = nextToStart()) {
             next.start();
         }
     }
 
-    private Borrowing nextToStart() {
+    private RequestExchange nextToStart() {
         if (gone || lingering || closeTold && Safeguard.CLOSE_AS_TOLD.holds()) {
             // Nothing follows an answer whose head says that the connection ends with it.
             return null;
         }
         boolean first = true;
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             boolean whole = b != arriving || b.isLarge();
             if (!b.isStarted() && !b.isAnswered() && whole && (first || b.isSafe() && !desk.closing())) {
                 return b;
@@ -277,7 +286,7 @@
         try {
             boolean wrote = false;
             while (!pipeline.isEmpty() && !gone && !lingering) {
-                Borrowing first = pipeline.peek();
+                RequestExchange first = pipeline.peek();
                 if (!first.isAnswered()) {
                     break;
                 }
@@ -287,7 +296,10 @@
                         break;
                     }
                 } else {
-                    if (reading && !first.isLarge() && !first.isOverdue() && first.erratum() != null
+                    if (reading
+                            && !first.isLarge()
+                            && !first.isOverdue()
+                            && first.erratum() != null
                             && !first.erratum().closes()) {
                         // An early answer waits until its request has been read to the end, if that comes in time.
                         break;
@@ -312,17 +324,21 @@
         }
     }
 
-    private boolean closesAfter(Borrowing b, boolean stillReading) {
-        // A decoder keeps the limit it was made with: after a change the client's next connection has the new one. Requests
+    private boolean closesAfter(RequestExchange b, boolean stillReading) {
+        // A decoder keeps the limit it was made with: after a change the client's next connection has the new one.
+        // Requests
         // that are here already are answered first.
         boolean outdated = headLimit != desk.limits().maxHeaderBytes() && pipeline.size() == 1;
-        return stillReading || outdated || b.erratum() != null && b.erratum().closes()
-                || pipeline.size() == 1 && lastRequest || desk.closing() && !anyStartedBehind();
+        return stillReading
+                || outdated
+                || b.erratum() != null && b.erratum().closes()
+                || pipeline.size() == 1 && lastRequest
+                || desk.closing() && !anyStartedBehind();
     }
 
     /** Whether a request behind the first has been passed on, so that its answer is owed on this connection. */
     private boolean anyStartedBehind() {
-        Iterator<Borrowing> it = pipeline.iterator();
+        Iterator<RequestExchange> it = pipeline.iterator();
         it.next();
         while (it.hasNext()) {
             if (it.next().isStarted()) {
@@ -338,7 +354,7 @@
      */
     void unblock(boolean last) {
         while (!gone && !lingering && !pipeline.isEmpty() && !pipeline.peek().isAnswered() && anyStartedBehind()) {
-            Borrowing first = pipeline.peek();
+            RequestExchange first = pipeline.peek();
             if (!last) {
                 first.askAnother();
                 return;
@@ -354,7 +370,7 @@
     }
 
     private boolean anyAnswered() {
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             if (b.isAnswered()) {
                 return true;
             }
@@ -362,29 +378,32 @@
         return false;
     }
 
-    private void writeWhole(Borrowing b, boolean stillReading) {
+    private void writeWhole(RequestExchange b, boolean stillReading) {
         boolean close = closesAfter(b, stillReading);
         FullHttpResponse response;
         boolean head = b.request() != null && b.request().method().equals(HttpMethod.HEAD);
         if (b.erratum() != null) {
-            Erratum e = b.erratum();
+            ErrorKind e = b.erratum();
             byte[] body = ("{\"errorMessage\":\"" + e.sentence() + "\"}").getBytes(StandardCharsets.UTF_8);
-            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(e.status()),
+            response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(e.status()),
                     head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            String attempt = b.request() == null ? null : b.request().headers().get(Headings.ATTEMPT);
+            String attempt = b.request() == null ? null : b.request().headers().get(HeaderNames.ATTEMPT);
             if (attempt != null) {
-                response.headers().set(Headings.ATTEMPT, attempt);
+                response.headers().set(HeaderNames.ATTEMPT, attempt);
             }
             if (e.retryAfter()) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, desk.retryAfter(b));
             }
         } else {
             Answer a = b.answer();
-            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()),
-                    Unpooled.wrappedBuffer(a.body()));
-            Headings.copyEndToEnd(a.headers(), response.headers());
+            response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()), Unpooled.wrappedBuffer(a.body()));
+            HeaderNames.copyEndToEnd(a.headers(), response.headers());
             if (head) {
                 String length = a.headers().get(HttpHeaderNames.CONTENT_LENGTH);
                 if (length != null) {
@@ -412,8 +431,8 @@
 
     /** What was sent behind the last answer has not been passed on: the client sends it again elsewhere. */
     private void dropBehind() {
-        Borrowing answered = pipeline.poll();
-        pipeline.forEach(Borrowing::abandon);
+        RequestExchange answered = pipeline.poll();
+        pipeline.forEach(RequestExchange::abandon);
         pipeline.clear();
         pipeline.add(answered);
     }
@@ -429,18 +448,21 @@
     }
 
     /** Writes what has come of a long answer; true once it is whole. */
-    private boolean writeStream(Borrowing b) {
+    private boolean writeStream(RequestExchange b) {
         boolean close = closeTold && Safeguard.CLOSE_AS_TOLD.holds() || closesAfter(b, false);
         boolean chunked = !HttpUtil.isContentLengthSet(b.streamHead());
         if (!streamingHead) {
             streamingHead = true;
-            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
-            Headings.copyEndToEnd(b.streamHead().headers(), head.headers());
+            HttpResponse head =
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, b.streamHead().status());
+            HeaderNames.copyEndToEnd(b.streamHead().headers(), head.headers());
             if (chunked) {
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
-                head.headers().set(HttpHeaderNames.CONTENT_LENGTH,
-                        b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
+                head.headers()
+                        .set(
+                                HttpHeaderNames.CONTENT_LENGTH,
+                                b.streamHead().headers().get(HttpHeaderNames.CONTENT_LENGTH));
             }
             if (close) {
                 closeTold = true;
@@ -479,13 +501,13 @@
     }
 
     /** Ends a connection that has been idle, or whose request head takes too long. */
-    void sweep(Moment now) {
+    void sweep(MonotonicTime now) {
         long still = now.since(lastActivity);
         if (pipeline.isEmpty() && arriving == null && !lingering) {
-            Regulations.Limits limits = desk.limits();
+            Configuration.Limits limits = desk.limits();
             if (headUnderway ? still > limits.headerTimeoutMs() : still > limits.idleTimeoutMs()) {
                 if (headUnderway) {
-                    turnAway(null, Erratum.SLOW_REQUEST);
+                    turnAway(null, ErrorKind.SLOW_REQUEST);
                 } else {
                     channel.close();
                 }
@@ -510,7 +532,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         gone = true;
         desk.left(this);
-        for (Borrowing b : pipeline) {
+        for (RequestExchange b : pipeline) {
             b.abandon();
         }
         pipeline.clear();
--- a/circulation/src/main/java/org/umbermount/circulation/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -1,45 +1,44 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import it.unimi.dsi.fastutil.ints.Int2IntMap;
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import java.util.HashMap;
 import java.util.Map;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
- * Adds up what the lectors of each zone have at the servers, and tells it to those that have spoken lately. It is soft
- * state of a moment: a registrar that starts has it again as soon as its lectors have spoken.
+ * Adds up what the proxies of each zone have at the servers, and tells it to those that have spoken lately. It is soft
+ * state of a moment: a controller that starts has it again as soon as its proxies have spoken.
  */
 final class OccupancyBoard {
     private static final long GATHER_MS = 60;
     private static final long COUNTS_MS = 450;
     private static final long LISTENS_MS = 1_000;
 
-    private record Word(Moment at, Int2IntOpenHashMap counts) {
-    }
+    private record Word(MonotonicTime at, Int2IntOpenHashMap counts) {}
 
     private final Clock clock;
-    private final Postbag post;
-    private final Tally tally;
-    private final Map<String, Map<Imprint, Word>> zones = new HashMap<>();
+    private final Messenger messenger;
+    private final Metrics metrics;
+    private final Map<String, Map<DaemonAddress, Word>> zones = new HashMap<>();
 
-    OccupancyBoard(Clock clock, Postbag post, Tally tally) {
+    OccupancyBoard(Clock clock, Messenger messenger, Metrics metrics) {
         this.clock = clock;
-        this.post = post;
-        this.tally = tally;
-        post.subscribe(Postbag.Topic.OCCUPANCY, this::receive);
+        this.messenger = messenger;
+        this.metrics = metrics;
+        messenger.subscribe(Messenger.Topic.OCCUPANCY, this::receive);
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         String zone = in.text();
         Word word = new Word(clock.now(), Occupancy.readCounts(in));
-        Map<Imprint, Word> words = zones.get(zone);
+        Map<DaemonAddress, Word> words = zones.get(zone);
         if (words == null) {
             words = new HashMap<>();
             zones.put(zone, words);
@@ -49,8 +48,8 @@
     }
 
     private void tell(String zone) {
-        Moment now = clock.now();
-        Map<Imprint, Word> words = zones.get(zone);
+        MonotonicTime now = clock.now();
+        Map<DaemonAddress, Word> words = zones.get(zone);
         words.values().removeIf(w -> now.since(w.at()) > LISTENS_MS);
         if (words.isEmpty()) {
             zones.remove(zone);
@@ -64,15 +63,15 @@
                 }
             }
         }
-        Script.Writer out = Script.write().num(sums.size());
+        MessagePackCodec.Writer out = MessagePackCodec.write().num(sums.size());
         for (Int2IntMap.Entry e : sums.int2IntEntrySet()) {
             out.num(e.getIntKey()).num(e.getIntValue());
         }
         byte[] body = out.done();
-        for (Imprint lector : words.keySet()) {
-            post.send(lector, Postbag.Topic.OCCUPANCY, body);
+        for (DaemonAddress proxy : words.keySet()) {
+            messenger.send(proxy, Messenger.Topic.OCCUPANCY, body);
         }
-        tally.count("occupancy.told");
+        metrics.count("occupancy.told");
         clock.after(GATHER_MS, () -> tell(zone));
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/FrontDesk.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -22,64 +22,64 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
+import org.umbermount.control.Configuration;
+import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.Tables;
+import org.umbermount.idempotency.OperationClient;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.ConnectionAcceptor;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.readership.QuotaCounter;
+import org.umbermount.quota.QuotaClient;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
-final class FrontDesk {
-    private static final Logger LOG = LoggerFactory.getLogger("circulation");
+final class ProxyListener {
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     private static final long SWEEP_MS = 1_000;
     private static final long WAITING_LOOK_MS = 25;
     private static final long DOUBTFUL_MS = 700;
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Tally tally;
-    private final HouseRules.Bounds bounds;
+    private final Metrics metrics;
+    private final Settings.Bounds bounds;
     private final Random random;
     private final String zone;
-    private final Concierge concierge;
-    private final Moment started;
-    private final Map<String, Wing> wings = new HashMap<>();
-    private final Map<String, Repository> repositories = new HashMap<>();
-    private final Set<Reader> readers = new LinkedHashSet<>();
-    private final Set<Wing> freed = new HashSet<>();
-    private Holdings holdings = Holdings.EMPTY;
-    private Inventory table = Inventory.EMPTY;
+    private final LoadBalancer loadBalancer;
+    private final MonotonicTime started;
+    private final Map<String, UpstreamService> wings = new HashMap<>();
+    private final Map<String, UpstreamServer> repositories = new HashMap<>();
+    private final Set<ClientConnection> readers = new LinkedHashSet<>();
+    private final Set<UpstreamService> freed = new HashSet<>();
+    private RouteIndex routeIndex = RouteIndex.EMPTY;
+    private RoutingTable table = RoutingTable.EMPTY;
     private int fleet = 1;
     private boolean closing;
     private boolean looking;
     private Channel listener;
     private Occupancy occupancy;
-    private LoanCounter loans;
-    private QuotaCounter quotas;
+    private OperationClient loans;
+    private QuotaClient quotas;
     private LongSupplier goodForMs = () -> Long.MAX_VALUE;
 
-    FrontDesk(EventLoop loop, Clock clock, Tally tally, HouseRules.Bounds bounds, String zone, Random random) {
+    ProxyListener(EventLoop loop, Clock clock, Metrics metrics, Settings.Bounds bounds, String zone, Random random) {
         this.loop = loop;
         this.clock = clock;
-        this.tally = tally;
+        this.metrics = metrics;
         this.bounds = bounds;
         this.random = random;
         this.zone = zone;
-        this.concierge = new Concierge(clock, random);
+        this.loadBalancer = new LoadBalancer(clock, random);
         this.started = clock.now();
         clock.every(SWEEP_MS, this::sweep);
     }
 
     /** Listens at an address. */
-    ChannelFuture bind(Imprint http) {
+    ChannelFuture bind(DaemonAddress http) {
         ChannelFuture bound = new Acceptor().bind(http.socketAddress());
         listener = bound.channel();
         return bound;
@@ -100,17 +100,19 @@
 
         @Override
         protected void initialize(ChannelPipeline pipeline) {
-            Reader reader = new Reader(FrontDesk.this, limits().maxHeaderBytes());
-            pipeline.addLast(new ArrivalObserver(reader)).addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
-                    .addLast(new HttpResponseEncoder()).addLast(reader);
+            ClientConnection reader = new ClientConnection(ProxyListener.this, limits().maxHeaderBytes());
+            pipeline.addLast(new ArrivalObserver(reader))
+                    .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(reader);
         }
     }
 
     /** Tells a connection's reader that bytes have come, before they are decoded. */
     private static final class ArrivalObserver extends ChannelInboundHandlerAdapter {
-        private final Reader reader;
+        private final ClientConnection reader;
 
-        ArrivalObserver(Reader reader) {
+        ArrivalObserver(ClientConnection reader) {
             this.reader = reader;
         }
 
@@ -124,8 +126,8 @@
     // ---- the table ----
 
     /** Takes a table into force. */
-    void apply(Inventory next) {
-        Inventory.Difference d = next.since(table);
+    void apply(RoutingTable next) {
+        RoutingTable.Difference d = next.since(table);
         boolean routes = table.isEmpty();
         for (String key : d.gone()) {
             routes |= isConfiguration(key);
@@ -138,75 +140,80 @@
                 applyConfiguration(next);
             }
             for (String key : d.gone()) {
-                if (key.startsWith(Inventory.INSTANCE)) {
+                if (key.startsWith(RoutingTable.INSTANCE)) {
                     remove(key);
                 }
             }
             for (Map.Entry<String, byte[]> e : d.come().entrySet()) {
-                if (e.getKey().startsWith(Inventory.INSTANCE)) {
+                if (e.getKey().startsWith(RoutingTable.INSTANCE)) {
                     place(e.getKey(), Tables.readInstance(e.getValue()));
-                } else if (e.getKey().equals(Inventory.FLEET)) {
+                } else if (e.getKey().equals(RoutingTable.FLEET)) {
                     fleet = Math.max(1, Tables.readFleet(e.getValue()));
                 }
             }
             table = next;
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             LOG.error("A table could not be read: {}.", e.getMessage());
         }
-        for (Wing wing : wings.values()) {
-            wing.serveWaiting();
+        for (UpstreamService upstreamService : wings.values()) {
+            upstreamService.serveWaiting();
         }
     }
 
     private static boolean isConfiguration(String key) {
-        return key.equals(Inventory.CONFIGURATION) || key.startsWith(Inventory.ROUTE) || key.startsWith(Inventory.UPSTREAM)
-                || key.startsWith(Inventory.TENANT);
+        return key.equals(RoutingTable.CONFIGURATION)
+                || key.startsWith(RoutingTable.ROUTE)
+                || key.startsWith(RoutingTable.UPSTREAM)
+                || key.startsWith(RoutingTable.TENANT);
     }
 
-    private void applyConfiguration(Inventory next) throws Script.UnreadableException {
+    private void applyConfiguration(RoutingTable next) throws MessagePackCodec.UnreadableException {
         for (Map.Entry<String, byte[]> e : next.entries().entrySet()) {
-            if (e.getKey().startsWith(Inventory.UPSTREAM)) {
-                Regulations.Upstream upstream = Tables.readUpstream(e.getValue());
-                wing(upstream.label()).configure(upstream);
+            if (e.getKey().startsWith(RoutingTable.UPSTREAM)) {
+                Configuration.Upstream upstream = Tables.readUpstream(e.getValue());
+                upstreamService(upstream.label()).configure(upstream);
             }
         }
-        holdings = Holdings.of(next);
+        routeIndex = RouteIndex.of(next);
     }
 
-    private Wing wing(String label) {
-        return wings.computeIfAbsent(label, l -> new Wing(l,
-                new Allowance(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
+    private UpstreamService upstreamService(String label) {
+        return wings.computeIfAbsent(
+                label,
+                l -> new UpstreamService(
+                        l, new RetryBudget(bounds.retryRatio(), bounds.retryBurst(), bounds.retryWindowMs(), started)));
     }
 
     private void place(String key, Tables.Instance instance) {
-        Repository known = repositories.get(key);
+        UpstreamServer known = repositories.get(key);
         if (known != null) {
             known.update(instance);
             return;
         }
-        Wing wing = wing(instance.upstream());
-        Repository fresh = new Repository(this, wing, instance, instance.zone().equals(zone));
+        UpstreamService upstreamService = upstreamService(instance.upstream());
+        UpstreamServer fresh = new UpstreamServer(
+                this, upstreamService, instance, instance.zone().equals(zone));
         repositories.put(key, fresh);
-        wing.repositories.add(fresh);
-        (fresh.local ? wing.local : wing.elsewhere).add(fresh);
+        upstreamService.repositories.add(fresh);
+        (fresh.local ? upstreamService.local : upstreamService.elsewhere).add(fresh);
     }
 
     private void remove(String key) {
-        Repository old = repositories.remove(key);
+        UpstreamServer old = repositories.remove(key);
         if (old != null) {
             old.retire();
-            old.wing.repositories.remove(old);
-            (old.local ? old.wing.local : old.wing.elsewhere).remove(old);
+            old.upstreamService.repositories.remove(old);
+            (old.local ? old.upstreamService.local : old.upstreamService.elsewhere).remove(old);
         }
     }
 
-    Inventory table() {
+    RoutingTable table() {
         return table;
     }
 
     /** The limits in force now, for connections that were there before too. */
-    Regulations.Limits limits() {
-        return holdings.limits();
+    Configuration.Limits limits() {
+        return routeIndex.limits();
     }
 
     boolean hasTable() {
@@ -215,61 +222,68 @@
 
     // ---- requests ----
 
-    Borrowing receive(Reader reader, HttpRequest request, long deadlineMs) {
-        tally.count("requests.received");
+    RequestExchange receive(ClientConnection reader, HttpRequest request, long deadlineMs) {
+        metrics.count("requests.received");
         if (!hasTable()) {
-            return new Borrowing(this, reader, request, Erratum.NOT_READY);
+            return new RequestExchange(this, reader, request, ErrorKind.NOT_READY);
         }
-        Regulations.Route route = route(request);
+        Configuration.Route route = route(request);
         if (route == null) {
-            return refused(reader, request, doubtful() ? Erratum.TABLE_STALE : Erratum.NO_ROUTE);
+            return refused(reader, request, doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NO_ROUTE);
         }
         String key = null;
-        Regulations.Tenant tenant = null;
-        if (holdings.keyed() && !route.anonymous()) {
-            key = Headings.token(request.headers());
-            Erratum why = whyNot(key);
+        Configuration.Tenant tenant = null;
+        if (routeIndex.keyed() && !route.anonymous()) {
+            key = HeaderNames.token(request.headers());
+            ErrorKind why = whyNot(key);
             if (why != null) {
                 return refused(reader, request, why);
             }
-            tenant = holdings.tenant(key);
+            tenant = routeIndex.tenant(key);
         }
         if (route.idempotent() && loans != null) {
-            String operation = request.headers().get(Headings.OPERATION_KEY);
+            String operation = request.headers().get(HeaderNames.OPERATION_KEY);
             if (operation == null || operation.isBlank()) {
-                return refused(reader, request, Erratum.KEY_MISSING);
+                return refused(reader, request, ErrorKind.KEY_MISSING);
             }
         }
-        return new Borrowing(this, reader, request, route, wing(draw(route)), Math.min(deadlineMs, route.timeoutMs()),
-                tenant, key);
+        return new RequestExchange(
+                this,
+                reader,
+                request,
+                route,
+                upstreamService(draw(route)),
+                Math.min(deadlineMs, route.timeoutMs()),
+                tenant,
+                key);
     }
 
     /** The route of a request in the table in force, or null. */
-    Regulations.Route route(HttpRequest request) {
-        return holdings.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+    Configuration.Route route(HttpRequest request) {
+        return routeIndex.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
     }
 
-    private Borrowing refused(Reader reader, HttpRequest request, Erratum why) {
-        tally.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
-        return new Borrowing(this, reader, request, why);
+    private RequestExchange refused(ClientConnection reader, HttpRequest request, ErrorKind why) {
+        metrics.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
+        return new RequestExchange(this, reader, request, why);
     }
 
     /** Why a request with this key may not be sent to a server now; null if it may. */
-    Erratum whyNot(String key) {
+    ErrorKind whyNot(String key) {
         long good = goodForMs.getAsLong();
         if (good <= 0) {
-            return Erratum.TABLE_STALE;
+            return ErrorKind.TABLE_STALE;
         }
-        if (holdings.tenant(key) == null) {
-            return key != null && doubtful() ? Erratum.TABLE_STALE : Erratum.NOT_A_READER;
+        if (routeIndex.tenant(key) == null) {
+            return key != null && doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NOT_A_READER;
         }
         return null;
     }
 
     /** The same for a request that was taken in for a tenant: a key that has moved on is looked up anew by another try. */
-    Erratum whyNot(String key, String tenant) {
-        Erratum why = whyNot(key);
-        return why == null && !holdings.tenant(key).label().equals(tenant) ? Erratum.TABLE_STALE : why;
+    ErrorKind whyNot(String key, String tenant) {
+        ErrorKind why = whyNot(key);
+        return why == null && !routeIndex.tenant(key).label().equals(tenant) ? ErrorKind.TABLE_STALE : why;
     }
 
     /** Whether the table may well be behind: what it does not know may still be there. */
@@ -279,45 +293,45 @@
 
     /** Whether requests carry keys that are for this system alone. */
     boolean keyed() {
-        return holdings.keyed();
+        return routeIndex.keyed();
     }
 
-    LoanCounter loans() {
+    OperationClient loans() {
         return loans;
     }
 
-    QuotaCounter quotas() {
+    QuotaClient quotas() {
         return quotas;
     }
 
     /** Sets what is shared with other daemons: operation records and quotas where they are kept, and how long the table counts. */
-    void share(LoanCounter operations, QuotaCounter counts, LongSupplier tableGoodForMs) {
+    void share(OperationClient operations, QuotaClient counts, LongSupplier tableGoodForMs) {
         loans = operations;
         quotas = counts;
         goodForMs = tableGoodForMs;
     }
 
-    /** Sets who tells what the other lectors have at the servers. */
+    /** Sets who tells what the other proxies have at the servers. */
     void watch(Occupancy zone) {
         occupancy = zone;
     }
 
-    /** What the other lectors have at the servers, or null where nobody tells. */
+    /** What the other proxies have at the servers, or null where nobody tells. */
     Occupancy occupancy() {
         return occupancy;
     }
 
-    private String draw(Regulations.Route route) {
-        List<Regulations.Share> shares = route.shares();
+    private String draw(Configuration.Route route) {
+        List<Configuration.Share> shares = route.shares();
         if (shares.size() == 1) {
             return shares.get(0).upstream();
         }
         long sum = 0;
-        for (Regulations.Share s : shares) {
+        for (Configuration.Share s : shares) {
             sum += s.weight();
         }
         long at = (long) (random.nextDouble() * sum);
-        for (Regulations.Share s : shares) {
+        for (Configuration.Share s : shares) {
             at -= s.weight();
             if (at < 0) {
                 return s.upstream();
@@ -327,41 +341,50 @@
     }
 
     /** Seconds after which a refused client may come again. */
-    String retryAfter(Borrowing b) {
-        // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps nobody.
-        boolean shared = b.erratum() == Erratum.QUOTA_UNKNOWN || b.erratum() == Erratum.LOANS_UNAVAILABLE
-                || b.erratum() == Erratum.TABLE_STALE || b.erratum() == Erratum.NOT_READY;
-        double seconds = b.comeAgainMs() > 0 ? b.comeAgainMs() / 1_000.0 : shared ? 0.5 : b.wing() == null ? 0.5 : Math.max(0.1, Math.min(1.0, b.wing().typicalMs / 1000));
+    String retryAfter(RequestExchange b) {
+        // What is shared among the daemons is away for about a second when it is away: to ask again sooner helps
+        // nobody.
+        boolean shared = b.erratum() == ErrorKind.QUOTA_UNKNOWN
+                || b.erratum() == ErrorKind.LOANS_UNAVAILABLE
+                || b.erratum() == ErrorKind.TABLE_STALE
+                || b.erratum() == ErrorKind.NOT_READY;
+        double seconds = b.comeAgainMs() > 0
+                ? b.comeAgainMs() / 1_000.0
+                : shared
+                        ? 0.5
+                        : b.upstreamService() == null
+                                ? 0.5
+                                : Math.max(0.1, Math.min(1.0, b.upstreamService().typicalMs / 1000));
         long hundredths = Math.max(1, Math.round(seconds * (75 + 50 * random.nextDouble())));
         return hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100;
     }
 
     /** Whether a request just taken in is turned away, because the service has more than it can answer in time. */
-    boolean turnsAway(Wing wing, Moment now) {
-        return wing.pressure.turnsAway(ratio(wing, now), random);
+    boolean turnsAway(UpstreamService upstreamService, MonotonicTime now) {
+        return upstreamService.pressure.turnsAway(ratio(upstreamService, now), random);
     }
 
     /** Whether a service has so much to do that nothing should be asked of it twice without need. */
-    boolean busy(Wing wing, Moment now) {
-        return wing.pressure.busy(ratio(wing, now));
+    boolean busy(UpstreamService upstreamService, MonotonicTime now) {
+        return upstreamService.pressure.busy(ratio(upstreamService, now));
     }
 
-    private double ratio(Wing wing, Moment now) {
-        return occupancy != null && occupancy.fresh(now) ? wing.localRatio(now) : 0;
+    private double ratio(UpstreamService upstreamService, MonotonicTime now) {
+        return occupancy != null && occupancy.fresh(now) ? upstreamService.localRatio(now) : 0;
     }
 
     /** Tries that are kept for failures and not spent on slow answers. */
-    double hedgeReserve(Wing wing, Moment now) {
-        return Math.max(1, 0.4 * wing.allowance.left(now, fleet));
+    double hedgeReserve(UpstreamService upstreamService, MonotonicTime now) {
+        return Math.max(1, 0.4 * upstreamService.retryBudget.left(now, fleet));
     }
 
     /** A server has become free: those that wait are looked at once the current event is over. */
-    void slotFreed(Wing wing) {
-        if (wing.waitingCount() > 0 && freed.add(wing) && freed.size() == 1) {
+    void slotFreed(UpstreamService upstreamService) {
+        if (upstreamService.waitingCount() > 0 && freed.add(upstreamService) && freed.size() == 1) {
             clock.execute(() -> {
-                Set<Wing> now = new HashSet<>(freed);
+                Set<UpstreamService> now = new HashSet<>(freed);
                 freed.clear();
-                now.forEach(Wing::serveWaiting);
+                now.forEach(UpstreamService::serveWaiting);
             });
         }
         lookAgain();
@@ -377,12 +400,12 @@
         if (looking) {
             return;
         }
-        for (Wing wing : wings.values()) {
-            if (wing.waitingCount() > 0) {
+        for (UpstreamService upstreamService : wings.values()) {
+            if (upstreamService.waitingCount() > 0) {
                 looking = true;
                 clock.after(WAITING_LOOK_MS, () -> {
                     looking = false;
-                    wings.values().forEach(Wing::serveWaiting);
+                    wings.values().forEach(UpstreamService::serveWaiting);
                     lookAgain();
                 });
                 return;
@@ -392,20 +415,20 @@
 
     // ---- connections ----
 
-    void arrived(Reader reader) {
+    void arrived(ClientConnection reader) {
         readers.add(reader);
     }
 
-    void left(Reader reader) {
+    void left(ClientConnection reader) {
         readers.remove(reader);
     }
 
     private void sweep() {
-        Moment now = clock.now();
-        for (Reader reader : List.copyOf(readers)) {
+        MonotonicTime now = clock.now();
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.sweep(now);
         }
-        for (Iterator<Repository> it = repositories.values().iterator(); it.hasNext();) {
+        for (Iterator<UpstreamServer> it = repositories.values().iterator(); it.hasNext(); ) {
             it.next().sweep(now);
         }
         lookAgain();
@@ -414,7 +437,7 @@
     /** How many requests are at servers now, or on their way to one. */
     int atServers() {
         int sum = 0;
-        for (Repository r : repositories.values()) {
+        for (UpstreamServer r : repositories.values()) {
             sum += r.inFlight;
         }
         return sum;
@@ -432,20 +455,20 @@
     /** Takes no new connections, and ends those on which nothing is underway. */
     void stopListening() {
         listener.close();
-        for (Reader reader : List.copyOf(readers)) {
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.closeIfIdle();
         }
     }
 
-    /** See {@link Reader#unblock}. */
+    /** See {@link ClientConnection#unblock}. */
     void unblock(boolean last) {
-        for (Reader reader : List.copyOf(readers)) {
+        for (ClientConnection reader : List.copyOf(readers)) {
             reader.unblock(last);
         }
     }
 
     boolean anyBusy() {
-        for (Reader reader : readers) {
+        for (ClientConnection reader : readers) {
             if (reader.busy()) {
                 return true;
             }
@@ -469,11 +492,11 @@
         return clock;
     }
 
-    Tally tally() {
-        return tally;
+    Metrics metrics() {
+        return metrics;
     }
 
-    Concierge concierge() {
-        return concierge;
+    LoadBalancer loadBalancer() {
+        return loadBalancer;
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Borrowing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -7,17 +7,17 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import org.umbermount.archive.Regulations;
+import org.umbermount.control.Configuration;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.idempotency.OperationKey;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.loans.OperationKey;
 
 /** One try of a client, from its arrival to its answer. */
-final class Borrowing {
+final class RequestExchange {
     private static final int PLACEMENTS_AT_MOST = 6;
     private static final long SHORTEST_WAIT_MS = 20;
     private static final long SHARED_PATIENCE_MS = 250;
@@ -28,20 +28,21 @@
     /** A server that has less than this part of the route's aim left, and less than it usually takes, is not asked. */
     private static final double LEAST_PART_OF_AIM = 0.1;
 
-    private final FrontDesk desk;
-    private final Reader reader;
+    private final ProxyListener desk;
+    private final ClientConnection reader;
     private final HttpRequest request;
-    private final Regulations.Route route;
-    private final Wing wing;
-    private final Moment arrived;
-    private final Moment deadline;
+    private final Configuration.Route route;
+    private final UpstreamService upstreamService;
+    private final MonotonicTime arrived;
+    private final MonotonicTime deadline;
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(0);
-    private final List<Repository> tried = new ArrayList<>(2);
+    private final List<UpstreamServer> tried = new ArrayList<>(2);
     private byte[] body = new byte[0];
     private boolean large;
     private boolean started;
     /** Whether it was ended because its time was over. */
     private boolean overdue;
+
     private boolean abandoned;
     private boolean answered;
     private int placements;
@@ -57,15 +58,16 @@
     private final Sendings sendings;
     /** What the next sending goes out under, while a server is looked for. */
     private Sendings.Permit permit;
-    private final Regulations.Tenant tenant;
+
+    private final Configuration.Tenant tenant;
     private final String key;
     private boolean charged;
     private long comeAgainMs;
-    private LoanCounter.Ticket ticket;
+    private OperationClient.Ticket ticket;
     private Answer kept;
 
     // What the reader writes.
-    private Erratum erratum;
+    private ErrorKind erratum;
     private Answer answer;
     private HttpResponse streamHead;
     private final ArrayDeque<byte[]> stream = new ArrayDeque<>();
@@ -75,22 +77,29 @@
     private int streamHeld;
     private long streamReceived;
 
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Regulations.Route route, Wing wing, long deadlineMs,
-            Regulations.Tenant tenant, String key) {
+    RequestExchange(
+            ProxyListener desk,
+            ClientConnection reader,
+            HttpRequest request,
+            Configuration.Route route,
+            UpstreamService upstreamService,
+            long deadlineMs,
+            Configuration.Tenant tenant,
+            String key) {
         this.tenant = tenant;
         this.key = key;
         this.desk = desk;
         this.reader = reader;
         this.request = request;
         this.route = route;
-        this.wing = wing;
+        this.upstreamService = upstreamService;
         this.sendings = new Sendings(route != null && route.safe(), route == null ? 1 : route.maxTries());
         this.arrived = desk.clock().now();
         this.deadline = arrived.plus(deadlineMs);
     }
 
     /** A request that is answered without asking a server. */
-    Borrowing(FrontDesk desk, Reader reader, HttpRequest request, Erratum erratum) {
+    RequestExchange(ProxyListener desk, ClientConnection reader, HttpRequest request, ErrorKind erratum) {
         this(desk, reader, request, null, null, 0, null, null);
         this.erratum = erratum;
         this.answered = true;
@@ -104,7 +113,7 @@
         return body;
     }
 
-    Moment deadline() {
+    MonotonicTime deadline() {
         return deadline;
     }
 
@@ -122,12 +131,12 @@
     }
 
     /** Whom the request is from, or null where nobody is asked. */
-    Regulations.Tenant tenant() {
+    Configuration.Tenant tenant() {
         return tenant;
     }
 
     /** Why the request may not be sent any more; null if it may. */
-    Erratum whyNot() {
+    ErrorKind whyNot() {
         return tenant == null ? null : desk.whyNot(key, tenant.label());
     }
 
@@ -148,7 +157,7 @@
         return answered;
     }
 
-    Erratum erratum() {
+    ErrorKind erratum() {
         return erratum;
     }
 
@@ -160,8 +169,8 @@
         return streamHead;
     }
 
-    Wing wing() {
-        return wing;
+    UpstreamService upstreamService() {
+        return upstreamService;
     }
 
     /** Whether an answer is still looked for. */
@@ -232,10 +241,10 @@
 
     /** With less time than this left, no server would come to an answer. */
     long leastMs() {
-        return Math.max(1, (long) Math.min(LEAST_PART_OF_AIM * route.targetLatencyMs(), wing.typicalMs));
+        return Math.max(1, (long) Math.min(LEAST_PART_OF_AIM * route.targetLatencyMs(), upstreamService.typicalMs));
     }
 
-    private boolean tooLateToSend(Moment now) {
+    private boolean tooLateToSend(MonotonicTime now) {
         return deadline.since(now) < leastMs();
     }
 
@@ -245,15 +254,15 @@
             return;
         }
         started = true;
-        Moment now = desk.clock().now();
-        wing.allowance.request(now);
+        MonotonicTime now = desk.clock().now();
+        upstreamService.retryBudget.request(now);
         long left = deadline.since(now);
         if (left < leastMs()) {
-            refuse(Erratum.DEADLINE_BEFORE_RUN);
+            refuse(ErrorKind.DEADLINE_BEFORE_RUN);
             return;
         }
-        if (desk.turnsAway(wing, now)) {
-            refuse(Erratum.OVERLOADED);
+        if (desk.turnsAway(upstreamService, now)) {
+            refuse(ErrorKind.OVERLOADED);
             return;
         }
         if (deadlineTimer == null) {
@@ -264,7 +273,9 @@
 
     /** How long the daemons that count and remember are waited for: soon enough for another try elsewhere. */
     private long sharedPatience() {
-        long left = Math.max(SHARED_LEAST_MS, route.targetLatencyMs() / 4 - desk.clock().now().since(arrived));
+        long left = Math.max(
+                SHARED_LEAST_MS,
+                route.targetLatencyMs() / 4 - desk.clock().now().since(arrived));
         return Math.min(SHARED_PATIENCE_MS, left);
     }
 
@@ -285,9 +296,9 @@
                 }
                 case SPENT -> {
                     comeAgainMs = desk.quotas().comeAgainMs(tenant);
-                    refuse(Erratum.QUOTA_SPENT);
+                    refuse(ErrorKind.QUOTA_SPENT);
                 }
-                default -> refuse(Erratum.QUOTA_UNKNOWN);
+                default -> refuse(ErrorKind.QUOTA_UNKNOWN);
             }
         });
     }
@@ -298,11 +309,11 @@
             placeOrWait(sendings.first());
             return;
         }
-        OperationKey operation = OperationKey.of(tenant == null ? "" : tenant.label(),
-                request.headers().get(Headings.OPERATION_KEY));
+        OperationKey operation = OperationKey.of(
+                tenant == null ? "" : tenant.label(), request.headers().get(HeaderNames.OPERATION_KEY));
         boolean[] over = new boolean[1];
-        LoanCounter.Ticket claimed = desk.loans().claim(operation, wing.dedupCapable, sharedPatience(),
-                new LoanCounter.Outcome() {
+        OperationClient.Ticket claimed = desk.loans()
+                .claim(operation, upstreamService.dedupCapable, sharedPatience(), new OperationClient.Outcome() {
                     @Override
                     public void granted() {
                         if (wanted()) {
@@ -331,7 +342,7 @@
                         over[0] = true;
                         ticket = null;
                         if (wanted()) {
-                            refuse(Erratum.OUTCOME_UNKNOWN);
+                            refuse(ErrorKind.OUTCOME_UNKNOWN);
                         }
                     }
 
@@ -340,7 +351,7 @@
                         over[0] = true;
                         ticket = null;
                         if (wanted()) {
-                            refuse(Erratum.LOANS_UNAVAILABLE);
+                            refuse(ErrorKind.LOANS_UNAVAILABLE);
                         }
                     }
                 });
@@ -356,15 +367,15 @@
         }
         giveBack();
         try {
-            Answer first = KeptAnswers.unpack(packed);
-            String attempt = request.headers().get(Headings.ATTEMPT);
+            Answer first = StoredAnswers.unpack(packed);
+            String attempt = request.headers().get(HeaderNames.ATTEMPT);
             if (attempt != null) {
-                first.headers().set(Headings.ATTEMPT, attempt);
+                first.headers().set(HeaderNames.ATTEMPT, attempt);
             }
-            desk.tally().count("requests.repeats");
+            desk.metrics().count("requests.repeats");
             deliver(first);
-        } catch (Script.UnreadableException e) {
-            refuse(Erratum.OUTCOME_UNKNOWN);
+        } catch (MessagePackCodec.UnreadableException e) {
+            refuse(ErrorKind.OUTCOME_UNKNOWN);
         }
     }
 
@@ -373,11 +384,11 @@
         if (!wanted()) {
             return;
         }
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         long patience = Math.min(route.targetLatencyMs(), deadline.since(arrived) / 3);
         if (now.since(arrived) + BUSY_LOOK_MS > patience) {
             giveBack();
-            refuse(Erratum.AT_WORK);
+            refuse(ErrorKind.AT_WORK);
         } else {
             desk.clock().after(BUSY_LOOK_MS, () -> {
                 if (wanted()) {
@@ -399,31 +410,33 @@
         if (ticket == null || active > 0 || wanted()) {
             return;
         }
-        LoanCounter.Ticket ending = ticket;
+        OperationClient.Ticket ending = ticket;
         ticket = null;
         if (kept != null) {
-            ending.close(LoanCounter.End.ANSWERED, KeptAnswers.pack(kept));
+            ending.close(OperationClient.End.ANSWERED, StoredAnswers.pack(kept));
         } else {
-            ending.close(sendings.hasNotRun() ? LoanCounter.End.RELEASED : LoanCounter.End.UNKNOWN, new byte[0]);
+            ending.close(
+                    sendings.hasNotRun() ? OperationClient.End.RELEASED : OperationClient.End.UNKNOWN, new byte[0]);
         }
     }
 
     private void placeOrWait(Sendings.Permit under) {
         permit = under;
-        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - desk.clock().now().since(arrived);
+        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4)
+                - desk.clock().now().since(arrived);
         // Who comes now does not take a slot that others wait for and come before in rank.
-        boolean others = patience > 0 && wing.waitingCount() > 0;
+        boolean others = patience > 0 && upstreamService.waitingCount() > 0;
         if (!others && tryPlace()) {
             return;
         }
-        if (patience <= 0 || !wing.enqueue(this)) {
+        if (patience <= 0 || !upstreamService.enqueue(this)) {
             giveUp();
             return;
         }
         waiting = true;
         waitTimer = desk.clock().after(patience, this::patienceOver);
         if (others) {
-            wing.serveWaiting();
+            upstreamService.serveWaiting();
         }
         desk.someoneWaits();
     }
@@ -449,7 +462,7 @@
 
     private void stopWaiting() {
         waiting = false;
-        wing.dequeue(this);
+        upstreamService.dequeue(this);
         if (waitTimer != null) {
             waitTimer.cancel();
         }
@@ -461,7 +474,7 @@
             waiting = false;
             return true;
         }
-        Repository repository = desk.concierge().choose(wing, route, tried, deadline);
+        UpstreamServer repository = desk.loadBalancer().choose(upstreamService, route, tried, deadline);
         if (repository == null) {
             return false;
         }
@@ -485,16 +498,16 @@
         if (lastFailure != null) {
             deliver(lastFailure);
         } else if (sendings.sent() > 0) {
-            refuse(Erratum.SERVERS_REFUSED);
+            refuse(ErrorKind.SERVERS_REFUSED);
         } else {
-            refuse(wing.repositories.isEmpty() ? Erratum.NO_SERVER : Erratum.OVERLOADED);
+            refuse(upstreamService.repositories.isEmpty() ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED);
         }
     }
 
-    void nowSent(Attempt attempt, Moment now) {
+    void nowSent(Attempt attempt, MonotonicTime now) {
         tried.add(attempt.repository);
         if (isSafe() && !large && sendings.sent() == 1 && route.maxTries() > 1) {
-            long hedge = desk.concierge().hedgeAfterMs(wing, route);
+            long hedge = desk.loadBalancer().hedgeAfterMs(upstreamService, route);
             if (now.plus(hedge).isBefore(deadline)) {
                 hedgeTimer = desk.clock().after(hedge, this::hedge);
             }
@@ -510,16 +523,19 @@
         if (!sendings.allowsFurther(null)) {
             return;
         }
-        Moment now = desk.clock().now();
-        Repository second = desk.busy(wing, now) ? null : desk.concierge().choose(wing, route, tried, deadline);
+        MonotonicTime now = desk.clock().now();
+        UpstreamServer second = desk.busy(upstreamService, now)
+                ? null
+                : desk.loadBalancer().choose(upstreamService, route, tried, deadline);
         if (second == null) {
             return;
         }
-        Sendings.Permit under = sendings.further(null, wing.allowance, now, desk.fleet(), desk.hedgeReserve(wing, now));
+        Sendings.Permit under = sendings.further(
+                null, upstreamService.retryBudget, now, desk.fleet(), desk.hedgeReserve(upstreamService, now));
         if (under == null) {
             return;
         }
-        desk.tally().count("requests.hedged");
+        desk.metrics().count("requests.hedged");
         placements++;
         active++;
         second.carry(new Attempt(this, second, under));
@@ -549,10 +565,10 @@
     }
 
     /** The request may not be sent any more: its key has gone, or the table here is too old to say. */
-    void withdrawn(Erratum why) {
+    void withdrawn(ErrorKind why) {
         active--;
         if (wanted() && active == 0) {
-            refuse(sendings.hasNotRun() ? why : Erratum.SERVER_FAILED);
+            refuse(sendings.hasNotRun() ? why : ErrorKind.SERVER_FAILED);
         }
         closeLoan();
     }
@@ -565,7 +581,7 @@
             return;
         }
         if (status == 400) {
-            refuse(Erratum.MALFORMED);
+            refuse(ErrorKind.MALFORMED);
         } else {
             goOn(proof);
         }
@@ -584,7 +600,8 @@
             closeLoan();
             return;
         }
-        // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the same.
+        // A whole answer of the server's own is its answer, whatever its status; asking another tends to bring the
+        // same.
         // It is different when one server fails far more than others do.
         if (relay == null || attempt.repository.suspect() && relay.status() != 504) {
             goOn(null);
@@ -595,7 +612,7 @@
 
     /** A configuration may have lowered the number of servers since the request was taken in. */
     private void limitToRouteInForce() {
-        Regulations.Route inForce = desk.route(request);
+        Configuration.Route inForce = desk.route(request);
         if (inForce != null) {
             sendings.limitTo(inForce.maxTries());
         }
@@ -603,14 +620,14 @@
 
     /** Sends again if that may be, and gives up otherwise. */
     private void goOn(Sendings.NotRun proof) {
-        Moment now = desk.clock().now();
+        MonotonicTime now = desk.clock().now();
         limitToRouteInForce();
         if (tooLateToSend(now) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
         }
-        Sendings.Permit under = sendings.further(proof, wing.allowance, now, desk.fleet(), 0);
-        desk.tally().count(under != null ? "requests.retried" : "requests.retry.denied");
+        Sendings.Permit under = sendings.further(proof, upstreamService.retryBudget, now, desk.fleet(), 0);
+        desk.metrics().count(under != null ? "requests.retried" : "requests.retry.denied");
         if (under == null) {
             giveUp();
         } else {
@@ -627,7 +644,7 @@
             if (lastFailure != null) {
                 deliver(lastFailure);
             } else {
-                refuse(sendings.hasNotRun() ? Erratum.DEADLINE_BEFORE_RUN : Erratum.TIMED_OUT);
+                refuse(sendings.hasNotRun() ? ErrorKind.DEADLINE_BEFORE_RUN : ErrorKind.TIMED_OUT);
             }
             if (carrier != null) {
                 carrier.dropUnlessWritten();
@@ -648,13 +665,13 @@
     }
 
     /** Answers without a server's answer. What would promise that the request has not run says so only if that is certain. */
-    private void refuse(Erratum why) {
-        Erratum kind = why;
+    private void refuse(ErrorKind why) {
+        ErrorKind kind = why;
         if (kind.promisesNotRun() && !sendings.hasNotRun() && Safeguard.PROMISE_ONLY_IF_NOT_RUN.holds()) {
-            kind = Erratum.SERVER_FAILED;
+            kind = ErrorKind.SERVER_FAILED;
         }
         erratum = kind;
-        desk.tally().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
+        desk.metrics().count("requests.refused." + kind.name().toLowerCase(java.util.Locale.ROOT));
         done();
     }
 
@@ -726,7 +743,7 @@
                 return;
             }
             if (stream.isEmpty() && streamReceived == before) {
-                desk.tally().count("requests.streams.stalled");
+                desk.metrics().count("requests.streams.stalled");
                 streamCut = true;
                 reader.ready();
             } else {
--- a/circulation/src/main/java/org/umbermount/circulation/Sendings.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Sendings.java
@@ -1,17 +1,18 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.HttpResponse;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /**
- * What has become of the sendings of one request. It alone makes the permits that {@link Carrel} asks for before it writes to
+ * What has become of the sendings of one request. It alone makes the permits that {@link ServerConnection} asks for before it writes to
  * a server, and the proofs that a further one rests on. Whether a request may still be promised not to run is known here too.
  */
 final class Sendings {
     private final boolean safe;
     /** To how many servers the request may be sent. */
     private int mostServers;
+
     private boolean tooLong;
     private boolean begun;
     private boolean ended;
@@ -19,6 +20,7 @@
     private int open;
     /** Those of them that have been used. */
     private int underway;
+
     private int sent;
     private boolean mayHaveRun;
 
@@ -71,7 +73,7 @@
     }
 
     /** A permit for a further sending, paid from the budget; null if it may not be or there is nothing left. */
-    Permit further(NotRun proof, Allowance budget, Moment now, int fleet, double reserve) {
+    Permit further(NotRun proof, RetryBudget budget, MonotonicTime now, int fleet, double reserve) {
         if (!allowsFurther(proof) || !budget.spend(now, fleet, reserve)) {
             return null;
         }
@@ -100,6 +102,7 @@
     static final class NotRun {
         /** Whether the server itself said so; otherwise nothing was sent to it. */
         private final boolean arrived;
+
         private boolean used;
 
         private NotRun(boolean arrived) {
@@ -145,7 +148,8 @@
         /** A whole answer to this request has come; the proof if it says that the request has not run, otherwise null. */
         NotRun answered(HttpResponse head) {
             int status = head.status().code();
-            boolean notRun = status == 421 || status / 100 != 2 && head.headers().contains(Headings.NOT_EXECUTED);
+            boolean notRun =
+                    status == 421 || status / 100 != 2 && head.headers().contains(HeaderNames.NOT_EXECUTED);
             close(!notRun);
             return notRun ? new NotRun(true) : null;
         }
--- a/circulation/src/main/java/org/umbermount/circulation/Carrel.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ServerConnection.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,12 +10,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
 
 /** One connection to a server; it serves one request at a time. Nothing else writes to a server's connection. */
-final class Carrel extends ChannelInboundHandlerAdapter {
-    private final Repository repository;
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    private final UpstreamServer repository;
     private final AnswerDecoder decoder;
     private Channel channel;
     private Attempt current;
@@ -23,10 +23,10 @@
     private boolean reusable;
     private boolean interim;
     private boolean closed;
-    Moment restingSince = Moment.NEVER;
+    MonotonicTime restingSince = MonotonicTime.NEVER;
     long keepAliveMs = Long.MAX_VALUE;
 
-    Carrel(Repository repository, AnswerDecoder decoder) {
+    ServerConnection(UpstreamServer repository, AnswerDecoder decoder) {
         this.repository = repository;
         this.decoder = decoder;
     }
@@ -82,7 +82,7 @@
 
     /** Whether another request has been answered on this connection before. */
     boolean reused() {
-        return restingSince != Moment.NEVER;
+        return restingSince != MonotonicTime.NEVER;
     }
 
     void send(Attempt attempt) {
@@ -109,7 +109,7 @@
         try {
             if (current == null || finished) {
                 // Bytes that belong to no request: nothing on this connection can be trusted any more.
-                repository.desk().tally().count("servers.stray.bytes");
+                repository.desk().metrics().count("servers.stray.bytes");
                 if (Safeguard.SURPLUS_RETIRES_CONNECTION.holds()) {
                     reusable = false;
                     close();
@@ -130,8 +130,10 @@
                     return;
                 }
                 reusable = HttpUtil.isKeepAlive(response)
-                        && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-                        || response.status().code() == 204 || response.status().code() == 304);
+                        && (HttpUtil.isContentLengthSet(response)
+                                || HttpUtil.isTransferEncodingChunked(response)
+                                || response.status().code() == 204
+                                || response.status().code() == 304);
                 readKeepAlive(response);
                 if (!current.head(response)) {
                     // Where its body would end is for that request to know: a HEAD's would take the next answer for it.
@@ -155,7 +157,7 @@
     }
 
     private void readKeepAlive(HttpResponse response) {
-        String value = response.headers().get(Headings.KEEP_ALIVE);
+        String value = response.headers().get(HeaderNames.KEEP_ALIVE);
         int at = value == null ? -1 : value.indexOf("timeout=");
         if (at >= 0) {
             int end = at + 8;
--- a/circulation/src/main/java/org/umbermount/circulation/Doorplate.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StatusServer.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -21,26 +21,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.net.ConnectionAcceptor;
 
 /** Says whether this daemon takes clients, and shows its meters and its state to an operator. */
-final class Doorplate {
+final class StatusServer {
     private final BooleanSupplier ready;
     private final Supplier<String> metrics;
     private final Supplier<String> status;
 
-    Doorplate(BooleanSupplier ready, Supplier<String> metrics, Supplier<String> status) {
+    StatusServer(BooleanSupplier ready, Supplier<String> metrics, Supplier<String> status) {
         this.ready = ready;
         this.metrics = metrics;
         this.status = status;
     }
 
-    ChannelFuture bind(EventLoop loop, Imprint address) {
+    ChannelFuture bind(EventLoop loop, DaemonAddress address) {
         return new ConnectionAcceptor(loop) {
             @Override
             protected void initialize(ChannelPipeline pipeline) {
-                pipeline.addLast(new ReadTimeoutHandler(30)).addLast(new HttpServerCodec()).addLast(new Page());
+                pipeline.addLast(new ReadTimeoutHandler(30))
+                        .addLast(new HttpServerCodec())
+                        .addLast(new Page());
             }
         }.bind(address.socketAddress());
     }
@@ -80,12 +82,14 @@
                 }
             }
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(code), Unpooled.wrappedBuffer(bytes));
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(code), Unpooled.wrappedBuffer(bytes));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-            boolean keep = HttpUtil.isKeepAlive(request) && !request.decoderResult().isFailure();
+            boolean keep =
+                    HttpUtil.isKeepAlive(request) && !request.decoderResult().isFailure();
             HttpUtil.setKeepAlive(response, keep);
-            ctx.writeAndFlush(response).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+            ctx.writeAndFlush(response)
+                    .addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
         }
 
         @Override
--- a/circulation/src/main/java/org/umbermount/circulation/StrictRequestDecoder.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StrictRequestDecoder.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -14,8 +14,12 @@
     }
 
     StrictRequestDecoder(int maxHeaderBytes) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes).setMaxHeaderSize(maxHeaderBytes)
-                .setMaxChunkSize(16_384).setAllowDuplicateContentLengths(false).setStrictLineParsing(true)
+        super(new HttpDecoderConfig()
+                .setMaxInitialLineLength(maxHeaderBytes)
+                .setMaxHeaderSize(maxHeaderBytes)
+                .setMaxChunkSize(16_384)
+                .setAllowDuplicateContentLengths(false)
+                .setStrictLineParsing(true)
                 .setValidateHeaders(true)
                 .setInitialBufferSize(256));
     }
--- a/circulation/src/main/java/org/umbermount/circulation/Repository.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamServer.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -12,19 +12,20 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import jdk.net.ExtendedSocketOptions;
-import org.umbermount.courier.Tables;
+import org.umbermount.distribution.Tables;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Tally;
 
 /** One life of a server: its connections, and what its answers have shown of it. */
-final class Repository {
+final class UpstreamServer {
     static final int CONNECT_MS = 350;
     private static final int HEADER_BYTES = 32_768;
     private static final long IDLE_MS = 8_000;
     /** Requests that cannot be sent again use no connection that has rested longer. */
     private static final long RESTED_MS = 250;
+
     private static final long DOWN_FIRST_MS = 400;
     private static final long DOWN_LONGEST_MS = 4_000;
     private static final double OTHERS_FADE_MS = 500;
@@ -33,44 +34,47 @@
     private static final double SUSPECT = 0.25;
     private static final double FAILURE_WEIGHT = 8;
     private static final double FAILURE_FREE = 0.16;
-    private static final ChannelOption<Integer> KEEP_ALIVE_IDLE_S = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
+    private static final ChannelOption<Integer> KEEP_ALIVE_IDLE_S =
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
     private static final ChannelOption<Integer> KEEP_ALIVE_INTERVAL_S =
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
-    private static final ChannelOption<Integer> KEEP_ALIVE_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
+    private static final ChannelOption<Integer> KEEP_ALIVE_COUNT =
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
 
-    private final FrontDesk desk;
+    private final ProxyListener desk;
     private final Clock clock;
-    private final Tally tally;
-    private final ArrayDeque<Carrel> idle = new ArrayDeque<>();
-    Wing wing;
+    private final Metrics metrics;
+    private final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
+    UpstreamService upstreamService;
     Tables.Instance instance;
-    /** Stands for the id in what lectors tell of their requests. */
+    /** Stands for the id in what proxies tell of their requests. */
     final int code;
     /** Whether it stands in this daemon's zone. */
     final boolean local;
+
     boolean listed = true;
     int inFlight;
     int connections;
     private double latencyMs;
     private boolean measured;
-    private Moment latencyAt;
+    private MonotonicTime latencyAt;
     private double othersLoad;
     private double othersAverage;
-    private Moment othersAt;
-    private final Moment warmAt;
-    private Moment downUntil = Moment.NEVER;
+    private MonotonicTime othersAt;
+    private final MonotonicTime warmAt;
+    private MonotonicTime downUntil = MonotonicTime.NEVER;
     private long downMs;
-    private Moment lastAnswer = Moment.NEVER;
-    private Moment busySince = Moment.NEVER;
+    private MonotonicTime lastAnswer = MonotonicTime.NEVER;
+    private MonotonicTime busySince = MonotonicTime.NEVER;
     private boolean misdirected;
     private double failures;
 
-    Repository(FrontDesk desk, Wing wing, Tables.Instance instance, boolean local) {
+    UpstreamServer(ProxyListener desk, UpstreamService upstreamService, Tables.Instance instance, boolean local) {
         this.local = local;
         this.desk = desk;
         this.clock = desk.clock();
-        this.tally = desk.tally();
-        this.wing = wing;
+        this.metrics = desk.metrics();
+        this.upstreamService = upstreamService;
         this.instance = instance;
         this.warmAt = clock.now().plus(desk.hasTable() ? instance.warmMs() : 0);
         this.code = instance.id().value().hashCode();
@@ -91,39 +95,41 @@
         closeIdle();
     }
 
-    boolean usable(Moment now) {
+    boolean usable(MonotonicTime now) {
         return listed && !instance.draining() && !misdirected && !now.isBefore(downUntil);
     }
 
     /** Requests believed to be at the server: those of this daemon, and those that others sent. */
-    double load(Moment now) {
+    double load(MonotonicTime now) {
         Occupancy zone = desk.occupancy();
         if (zone != null && zone.fresh(now) && !zone.heard().isBefore(othersAt)) {
             return inFlight + zone.others(code);
         }
         double fade = Math.exp(-now.since(othersAt) / OTHERS_FADE_MS);
-        // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody here
+        // What is not known of a server elsewhere is taken to be much like what is known of those here: one that nobody
+        // here
         // has asked lately is not idle for that.
-        double usual = local ? othersAverage
-                : Math.max(othersAverage, UNKNOWN_LOAD * wing.localRatio(now) * instance.capacity());
+        double usual = local
+                ? othersAverage
+                : Math.max(othersAverage, UNKNOWN_LOAD * upstreamService.localRatio(now) * instance.capacity());
         return inFlight + othersLoad * fade + usual * (1 - fade);
     }
 
-    boolean hasRoom(Moment now, double extra) {
+    boolean hasRoom(MonotonicTime now, double extra) {
         return load(now) + 1 <= instance.capacity() + extra && (!idle.isEmpty() || connections < connectionCap());
     }
 
     private int connectionCap() {
-        return Math.max(2, (int) (wing.maxConnections * 0.85 / Math.max(1, desk.fleet())));
+        return Math.max(2, (int) (upstreamService.maxConnections * 0.85 / Math.max(1, desk.fleet())));
     }
 
     /** The time an answer is expected to take if the request is sent now. */
-    double expectedMs(Moment now) {
+    double expectedMs(MonotonicTime now) {
         double age = now.since(latencyAt);
         double weight = measured ? Math.exp(-age / 6_000) : 0;
-        double service = latencyMs * weight + wing.typicalMs * (1 - weight);
+        double service = latencyMs * weight + upstreamService.typicalMs * (1 - weight);
         if (now.isBefore(warmAt)) {
-            service = Math.max(service, wing.typicalMs * 1.8);
+            service = Math.max(service, upstreamService.typicalMs * 1.8);
         }
         double load = load(now) + 1;
         double cap = instance.capacity();
@@ -140,7 +146,7 @@
         return expected;
     }
 
-    void begin(Moment now) {
+    void begin(MonotonicTime now) {
         if (inFlight++ == 0) {
             busySince = now;
             if (desk.occupancy() != null) {
@@ -154,22 +160,22 @@
         if (--inFlight == 0 && desk.occupancy() != null) {
             desk.occupancy().ended(this);
         }
-        desk.slotFreed(wing);
+        desk.slotFreed(upstreamService);
     }
 
-    void answered(Moment now, double ms, boolean good) {
+    void answered(MonotonicTime now, double ms, boolean good) {
         lastAnswer = now;
         downMs = 0;
         if (good) {
             latencyMs = measured ? latencyMs * 0.8 + ms * 0.2 : ms;
             measured = true;
             latencyAt = now;
-            wing.sample(ms);
+            upstreamService.sample(ms);
         }
     }
 
     /** Reads {@code running,waiting,slots} as the server saw it when it answered. */
-    void reportedLoad(Moment now, String text) {
+    void reportedLoad(MonotonicTime now, String text) {
         String[] parts = text.split(",");
         if (parts.length < 2) {
             return;
@@ -180,7 +186,7 @@
             othersAverage = othersAverage * 0.9 + othersLoad * 0.1;
             othersAt = now;
         } catch (NumberFormatException e) {
-            tally.count("servers.load.unreadable");
+            metrics.count("servers.load.unreadable");
         }
     }
 
@@ -194,55 +200,58 @@
         failures = failures * FAILURE_MEMORY + (well ? 0 : 1 - FAILURE_MEMORY);
     }
 
-    void full(Moment now) {
+    void full(MonotonicTime now) {
         othersLoad = Math.max(othersLoad, instance.capacity() + 1 - inFlight);
         othersAt = now;
     }
 
     /** The server could not be reached. */
-    void unreachable(Moment now) {
+    void unreachable(MonotonicTime now) {
         downMs = downMs == 0 ? DOWN_FIRST_MS : Math.min(DOWN_LONGEST_MS, downMs * 2);
         downUntil = now.plus(downMs);
-        tally.count("servers.unreachable");
+        metrics.count("servers.unreachable");
         closeIdle();
     }
 
     /** Another server answers at the address. */
     void misdirected() {
         misdirected = true;
-        tally.count("servers.misdirected");
+        metrics.count("servers.misdirected");
         closeIdle();
     }
 
     /** Sends over an idle connection, or over a new one. */
     void carry(Attempt attempt) {
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         begin(now);
         while (!idle.isEmpty()) {
-            Carrel carrel = idle.pollLast();
-            if (!attempt.borrowing.isSafe() && now.since(carrel.restingSince) > RESTED_MS
+            ServerConnection serverConnection = idle.pollLast();
+            if (!attempt.requestExchange.isSafe()
+                    && now.since(serverConnection.restingSince) > RESTED_MS
                     && Safeguard.CONNECTION_RESTED_TOO_LONG.holds()) {
                 // A server may have forgotten it without a word, and what it resets then cannot be sent again.
-                idle.addLast(carrel);
+                idle.addLast(serverConnection);
                 break;
             }
-            if (carrel.isOpen()) {
-                if (carrel.isClean()) {
-                    carrel.send(attempt);
+            if (serverConnection.isOpen()) {
+                if (serverConnection.isClean()) {
+                    serverConnection.send(attempt);
                     return;
                 }
-                tally.count("servers.stray.bytes");
-                carrel.close();
+                metrics.count("servers.stray.bytes");
+                serverConnection.close();
             }
         }
         connections++;
-        tally.count("servers.connections.opened");
-        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
-                .setMaxInitialLineLength(4096).setInitialBufferSize(256));
-        Carrel carrel = new Carrel(this, decoder);
+        metrics.count("servers.connections.opened");
+        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig()
+                .setMaxHeaderSize(HEADER_BYTES)
+                .setMaxInitialLineLength(4096)
+                .setInitialBufferSize(256));
+        ServerConnection serverConnection = new ServerConnection(this, decoder);
         ChannelFuture connected;
         try {
-            connected = connect(decoder, carrel);
+            connected = connect(decoder, serverConnection);
         } catch (ChannelException e) {
             notConnected(attempt);
             return;
@@ -251,7 +260,7 @@
             @Override
             public void operationComplete(ChannelFuture future) {
                 if (future.isSuccess()) {
-                    carrel.send(attempt);
+                    serverConnection.send(attempt);
                 } else {
                     notConnected(attempt);
                 }
@@ -263,14 +272,14 @@
      * Opens a connection. The channel is set up by hand: most requests of a proxy in a large fleet use a new connection, and
      * Netty's bootstrap would go through maps of options and a name resolver for each.
      */
-    private ChannelFuture connect(AnswerDecoder decoder, Carrel carrel) {
+    private ChannelFuture connect(AnswerDecoder decoder, ServerConnection serverConnection) {
         NioSocketChannel channel = new NioSocketChannel();
         SocketChannelConfig config = channel.config();
         config.setConnectTimeoutMillis(CONNECT_MS).setTcpNoDelay(true).setKeepAlive(true);
         config.setOption(KEEP_ALIVE_IDLE_S, 2);
         config.setOption(KEEP_ALIVE_INTERVAL_S, 1);
         config.setOption(KEEP_ALIVE_COUNT, 2);
-        channel.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(carrel);
+        channel.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(serverConnection);
         ChannelFuture registered = desk.loop().register(channel);
         if (registered.isDone() && !registered.isSuccess()) {
             return registered;
@@ -285,39 +294,39 @@
         attempt.notSent();
     }
 
-    void rest(Carrel carrel) {
+    void rest(ServerConnection serverConnection) {
         if (usable(clock.now()) && !desk.closing()) {
-            carrel.restingSince = clock.now();
-            idle.addLast(carrel);
+            serverConnection.restingSince = clock.now();
+            idle.addLast(serverConnection);
         } else {
-            carrel.close();
+            serverConnection.close();
         }
     }
 
     /** Nothing was sent over it after all. It has rested since it last carried an answer, not since now. */
-    void putBack(Carrel carrel) {
-        if (!carrel.reused()) {
-            rest(carrel);
+    void putBack(ServerConnection serverConnection) {
+        if (!serverConnection.reused()) {
+            rest(serverConnection);
         } else if (usable(clock.now()) && !desk.closing()) {
-            idle.addFirst(carrel);
+            idle.addFirst(serverConnection);
         } else {
-            carrel.close();
+            serverConnection.close();
         }
     }
 
-    void lost(Carrel carrel) {
+    void lost(ServerConnection serverConnection) {
         connections--;
-        idle.remove(carrel);
+        idle.remove(serverConnection);
     }
 
     /** Closes connections before the server does. */
-    void sweep(Moment now) {
-        Iterator<Carrel> it = idle.iterator();
+    void sweep(MonotonicTime now) {
+        Iterator<ServerConnection> it = idle.iterator();
         while (it.hasNext()) {
-            Carrel carrel = it.next();
-            if (now.since(carrel.restingSince) > Math.min(IDLE_MS, carrel.keepAliveMs)) {
+            ServerConnection serverConnection = it.next();
+            if (now.since(serverConnection.restingSince) > Math.min(IDLE_MS, serverConnection.keepAliveMs)) {
                 it.remove();
-                carrel.close();
+                serverConnection.close();
             }
         }
     }
@@ -328,7 +337,7 @@
         }
     }
 
-    FrontDesk desk() {
+    ProxyListener desk() {
         return desk;
     }
 }
--- a/circulation/src/main/java/org/umbermount/circulation/Wing.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
@@ -1,45 +1,47 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Moment;
+import org.umbermount.control.Configuration;
+import org.umbermount.kernel.MonotonicTime;
 
 /** A service as this daemon sees it: its servers, its budget of further tries, and who waits for a slot. */
-final class Wing {
+final class UpstreamService {
     private static final int WAITING_AT_MOST = 256;
     private static final long LOCAL_RATIO_MS = 100;
 
     /** Who comes first among those that wait. */
-    private static final Comparator<Borrowing> RANK = new MostUrgentFirst();
+    private static final Comparator<RequestExchange> RANK = new MostUrgentFirst();
 
     final String label;
-    final Allowance allowance;
-    final List<Repository> repositories = new ArrayList<>();
+    final RetryBudget retryBudget;
+    final List<UpstreamServer> repositories = new ArrayList<>();
     /** Those of this daemon's zone. */
-    final List<Repository> local = new ArrayList<>();
-    final List<Repository> elsewhere = new ArrayList<>();
-    private final PriorityQueue<Borrowing> waiting = new PriorityQueue<>(RANK);
+    final List<UpstreamServer> local = new ArrayList<>();
+
+    final List<UpstreamServer> elsewhere = new ArrayList<>();
+    private final PriorityQueue<RequestExchange> waiting = new PriorityQueue<>(RANK);
     private boolean serving;
-    final Pressure pressure = new Pressure();
+    final AdmissionControl pressure = new AdmissionControl();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
     boolean dedupCapable;
     /** Smoothed time of an answer, over all servers. */
     double typicalMs = 100;
+
     boolean measured;
     private double localRatio;
-    private Moment localRatioAt = Moment.NEVER;
+    private MonotonicTime localRatioAt = MonotonicTime.NEVER;
 
-    Wing(String label, Allowance allowance) {
+    UpstreamService(String label, RetryBudget retryBudget) {
         this.label = label;
-        this.allowance = allowance;
+        this.retryBudget = retryBudget;
     }
 
-    void configure(Regulations.Upstream upstream) {
+    void configure(Configuration.Upstream upstream) {
         maxConnections = upstream.maxConnections();
         dedupCapable = upstream.dedupCapable();
     }
@@ -48,12 +50,12 @@
      * The requests at the servers of this daemon's zone as a part of their slots; looked at anew now and then. A server that
      * hangs counts for twice its slots at most.
      */
-    double localRatio(Moment now) {
+    double localRatio(MonotonicTime now) {
         if (now.since(localRatioAt) > LOCAL_RATIO_MS) {
             localRatioAt = now;
             double sum = 0;
             int slots = 0;
-            for (Repository r : local) {
+            for (UpstreamServer r : local) {
                 if (r.usable(now)) {
                     int capacity = r.instance.capacity();
                     sum += Math.min(r.load(now), 2 * capacity);
@@ -71,20 +73,20 @@
     }
 
     /** Takes a request into the queue; false if the queue is full of requests that come first. */
-    boolean enqueue(Borrowing borrowing) {
+    boolean enqueue(RequestExchange requestExchange) {
         if (waiting.size() >= WAITING_AT_MOST) {
-            Borrowing last = Collections.max(waiting, RANK);
-            if (RANK.compare(borrowing, last) >= 0) {
+            RequestExchange last = Collections.max(waiting, RANK);
+            if (RANK.compare(requestExchange, last) >= 0) {
                 return false;
             }
             waiting.remove(last);
             last.displaced();
         }
-        return waiting.add(borrowing);
+        return waiting.add(requestExchange);
     }
 
-    void dequeue(Borrowing borrowing) {
-        waiting.remove(borrowing);
+    void dequeue(RequestExchange requestExchange) {
+        waiting.remove(requestExchange);
     }
 
     int waitingCount() {
@@ -100,11 +102,11 @@
             return;
         }
         serving = true;
-        List<Borrowing> passedOver = new ArrayList<>(0);
+        List<RequestExchange> passedOver = new ArrayList<>(0);
         try {
             while (!waiting.isEmpty()) {
                 // Out of the queue first: it may come back into it while it is being placed.
-                Borrowing first = waiting.poll();
+                RequestExchange first = waiting.poll();
                 if (first.tryPlace()) {
                     continue;
                 }
@@ -120,14 +122,16 @@
     }
 
     /** Orders waiting requests by their tenant's priority, their route's, and their deadline. */
-    private static final class MostUrgentFirst implements Comparator<Borrowing> {
+    private static final class MostUrgentFirst implements Comparator<RequestExchange> {
         @Override
-        public int compare(Borrowing first, Borrowing second) {
+        public int compare(RequestExchange first, RequestExchange second) {
             int order = Integer.compare(first.tenantPriority(), second.tenantPriority());
             if (order == 0) {
                 order = Integer.compare(first.priority(), second.priority());
             }
-            return order != 0 ? order : Long.compare(first.deadline().millis(), second.deadline().millis());
+            return order != 0
+                    ? order
+                    : Long.compare(first.deadline().millis(), second.deadline().millis());
         }
     }
 }
--- a/circulation/src/test/java/org/umbermount/circulation/AddedRoutesTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/AddedRoutesTest.java
@@ -1,12 +1,12 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+package org.umbermount.proxy;
 
 import java.net.Socket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.circulation.ProxyFixture.RouteSpec;
+import org.umbermount.proxy.ProxyFixture.RouteSpec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Routes that are added later are served as well as those that a daemon began with; see docs/traffic.md. */
 class AddedRoutesTest {
--- a/circulation/src/test/java/org/umbermount/circulation/BudgetRulesTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/BudgetRulesTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.proxy;
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +6,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** No try of a client runs on more servers than its route's {@code maxTries}; see docs/traffic.md. */
 class BudgetRulesTest {
     private static final int SERVERS = 4;
@@ -42,7 +42,6 @@
         return sum;
     }
 
-
     @Test
     void cutAnswersAreAskedForAtMaxTriesServersAndNoMore() throws Exception {
         act(ScriptedServer.raw("", false));
@@ -56,9 +55,10 @@
 
     @Test
     void refusalsThatProveThatNothingRanCountToo() throws Exception {
-        act(ScriptedServer.raw("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\nContent-Length: 0\r\n\r\n", true));
+        act(ScriptedServer.raw(
+                "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\nContent-Length: 0\r\n\r\n", true));
         proxy.routes(ProxyFixture.RouteSpec.unsafe("/a/").tries(2));
-        assertEquals(503, ProxyFixture.status(proxy.exchange(ProxyFixture.post("/a/x", "b"))));
+        assertEquals(503, ProxyFixture.status(proxy.exchange(ProxyFixture.messenger("/a/x", "b"))));
         assertEquals(2, seen());
     }
 
--- a/circulation/src/test/java/org/umbermount/circulation/FakeRegister.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
@@ -1,10 +1,10 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.MessagePackCodec;
 
-/** Keeps operation records as a registrar would, in memory. */
+/** Keeps operation records as a controller would, in memory. */
 final class FakeRegister {
     private static final int CLAIM = 0;
     private static final int REPLY = 2;
@@ -15,13 +15,12 @@
     private static final int STORED = 4;
     private static final int RELEASE = 2;
 
-    private record Kept(int how, long serial, byte[] answer) {
-    }
+    private record Kept(int how, long serial, byte[] answer) {}
 
     volatile boolean granting = true;
     private final Map<Long, Kept> kept = new HashMap<>();
 
-    synchronized byte[] answer(Script.Reader in) {
+    synchronized byte[] answer(MessagePackCodec.ClientConnection in) {
         try {
             boolean claim = in.num() == CLAIM;
             long serial = in.num();
@@ -38,7 +37,7 @@
             byte[] answer = in.bytes();
             Kept standing = kept.get(key);
             if (standing != null && standing.serial != serial) {
-                // As a registrar does: only the try that holds an operation says how it ended.
+                // As a controller does: only the try that holds an operation says how it ended.
                 return reply(serial, STORED, new byte[0]);
             }
             if (how == RELEASE) {
@@ -47,12 +46,17 @@
                 kept.put(key, new Kept(how == 1 ? ANSWERED : UNKNOWN, serial, answer));
             }
             return reply(serial, STORED, new byte[0]);
-        } catch (Script.UnreadableException e) {
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new AssertionError(e);
         }
     }
 
     private static byte[] reply(long serial, int word, byte[] payload) {
-        return Script.write().num(REPLY).num(serial).num(word).bytes(payload).done();
+        return MessagePackCodec.write()
+                .num(REPLY)
+                .num(serial)
+                .num(word)
+                .bytes(payload)
+                .done();
     }
 }
