--- a/circulation/src/test/java/org/umbermount/circulation/PlannedWorkRulesTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/PlannedWorkRulesTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.proxy;
 
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -13,7 +9,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.circulation.ProxyFixture.RouteSpec;
+import org.umbermount.proxy.ProxyFixture.RouteSpec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Requests under way survive a new table and a planned stop; see docs/traffic.md. */
 class PlannedWorkRulesTest {
@@ -26,7 +26,8 @@
     void open() throws Exception {
         proxy = new ProxyFixture();
         server = proxy.server("s", 1);
-        proxy.routes(RouteSpec.safe("/safe/").aim(2_500), RouteSpec.unsafe("/once/").aim(20_000));
+        proxy.routes(
+                RouteSpec.safe("/safe/").aim(2_500), RouteSpec.unsafe("/once/").aim(20_000));
     }
 
     @AfterEach
@@ -38,7 +39,9 @@
     private void change(String what) throws Exception {
         switch (what) {
             case "route dropped" -> proxy.routes(RouteSpec.safe("/other/"));
-            case "route moved" -> proxy.routes(RouteSpec.safe("/safe/").at("later"), RouteSpec.unsafe("/once/").at("later"));
+            case "route moved" -> proxy.routes(
+                    RouteSpec.safe("/safe/").at("later"),
+                    RouteSpec.unsafe("/once/").at("later"));
             case "server gone" -> {
                 proxy.unlist(server);
                 proxy.routes(RouteSpec.safe("/safe/"), RouteSpec.unsafe("/once/"));
@@ -47,7 +50,8 @@
                 proxy.limits("\"maxHeaderBytes\":1024,\"maxBodyBytes\":1,\"headerTimeoutMs\":50,\"idleTimeoutMs\":50");
                 proxy.routes(RouteSpec.safe("/safe/"), RouteSpec.unsafe("/once/"));
             }
-            case "timeout lowered" -> proxy.routes(RouteSpec.safe("/safe/").timeout(1).aim(1),
+            case "timeout lowered" -> proxy.routes(
+                    RouteSpec.safe("/safe/").timeout(1).aim(1),
                     RouteSpec.unsafe("/once/").timeout(1).aim(1));
             default -> throw new IllegalArgumentException(what);
         }
@@ -63,7 +67,7 @@
             return ScriptedServer.ok("hello").answer(request, out);
         });
         try (Socket client = proxy.connect()) {
-            ScriptedServer.write(client.getOutputStream(), ProxyFixture.post("/once/x", "b"));
+            ScriptedServer.write(client.getOutputStream(), ProxyFixture.messenger("/once/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
             change(what);
             changed.countDown();
@@ -101,10 +105,11 @@
             changed.await(3, TimeUnit.SECONDS);
             return ScriptedServer.ok("hello").answer(request, out);
         });
-        try (Socket first = proxy.connect(); Socket second = proxy.connect()) {
-            ScriptedServer.write(first.getOutputStream(), ProxyFixture.post("/once/x", "b"));
+        try (Socket first = proxy.connect();
+                Socket second = proxy.connect()) {
+            ScriptedServer.write(first.getOutputStream(), ProxyFixture.messenger("/once/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
-            ScriptedServer.write(second.getOutputStream(), ProxyFixture.post("/once/y", "b"));
+            ScriptedServer.write(second.getOutputStream(), ProxyFixture.messenger("/once/y", "b"));
             Thread.sleep(100);
             change(what);
             changed.countDown();
@@ -121,7 +126,7 @@
             return ScriptedServer.ok("hello").answer(request, out);
         });
         try (Socket client = proxy.connect()) {
-            String request = ProxyFixture.keep(ProxyFixture.post("/once/x", "b"));
+            String request = ProxyFixture.keep(ProxyFixture.messenger("/once/x", "b"));
             ScriptedServer.write(client.getOutputStream(), request + request + request);
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
             proxy.limits("\"maxHeaderBytes\":4096");
@@ -129,8 +134,10 @@
             changed.countDown();
             String answers = ProxyFixture.readToEnd(client);
             assertEquals(3, answers.split("HTTP/1.1 200", -1).length - 1, answers);
-            assertEquals(answers.toLowerCase().indexOf("connection: close"),
-                    answers.toLowerCase().lastIndexOf("connection: close"), answers);
+            assertEquals(
+                    answers.toLowerCase().indexOf("connection: close"),
+                    answers.toLowerCase().lastIndexOf("connection: close"),
+                    answers);
         }
     }
 
@@ -150,15 +157,20 @@
                 assertTrue(ProxyFixture.eventually(() -> server.seen.size() == sent));
             }
             Thread.sleep(100);
-            proxy.clock.loop().submit(() -> {
-                proxy.desk.beginClosing();
-                proxy.desk.stopListening();
-            }).get();
+            proxy.clock
+                    .loop()
+                    .submit(() -> {
+                        proxy.desk.beginClosing();
+                        proxy.desk.stopListening();
+                    })
+                    .get();
             assertTrue(proxy.clock.loop().submit(proxy.desk::anyBusy).get(), "the answers are still to be taken");
             long read = 0;
             long owed = answers * (long) body.length();
             byte[] piece = new byte[65_536];
-            for (int n = client.getInputStream().read(piece); n > 0 && read < owed; n = client.getInputStream().read(piece)) {
+            for (int n = client.getInputStream().read(piece);
+                    n > 0 && read < owed;
+                    n = client.getInputStream().read(piece)) {
                 read += n;
                 if (read >= owed) {
                     break;
--- a/circulation/src/test/java/org/umbermount/circulation/ProxyFixture.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ProxyFixture.java
@@ -1,4 +1,4 @@
-package org.umbermount.circulation;
+package org.umbermount.proxy;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,14 +14,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import org.umbermount.archive.CensusEntry;
-import org.umbermount.archive.Regulations;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Pressmark;
-import org.umbermount.kernel.Tally;
+import org.umbermount.control.Configuration;
+import org.umbermount.control.RegisteredServer;
+import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.Tables;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.InstanceId;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
 
 /** The traffic side on the loopback address, with a table that tests write and scripted servers behind it. */
@@ -60,7 +60,8 @@
         }
 
         private String json(int number) {
-            return "{\"label\":\"r" + number + "\",\"virtualHost\":\"h\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type
+            return "{\"label\":\"r" + number + "\",\"virtualHost\":\"h\",\"pathPrefix\":\"" + prefix
+                    + "\",\"routeType\":\"" + type
                     + "\",\"timeoutMs\":" + timeoutMs + ",\"targetLatencyMs\":" + aimMs + ",\"priority\":" + priority
                     + ",\"upstream\":\"" + service + "\",\"maxTries\":" + maxTries + "}";
         }
@@ -68,8 +69,8 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final LoopClock clock = new LoopClock(group.next());
-    final Tally tally = new Tally();
-    final FrontDesk desk;
+    final Metrics metrics = new Metrics();
+    final ProxyListener desk;
     final int port;
     private final List<ScriptedServer> servers = new ArrayList<>();
     private final Map<String, byte[]> instances = new HashMap<>();
@@ -84,9 +85,9 @@
             port = probe.getLocalPort();
         }
         // A budget with plenty in it: the burst stands at once, since the daemon is taken to be old.
-        HouseRules.Bounds bounds = new HouseRules.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 1_000, 4000);
-        desk = new FrontDesk(clock.loop(), clock, tally, bounds, "z", new Random(1));
-        desk.bind(Imprint.parse("127.0.0.1:" + port)).sync();
+        Settings.Bounds bounds = new Settings.Bounds(4000, 5000, 3000, 6000, 3000, 0.2, 1, 1_000, 4000);
+        desk = new ProxyListener(clock.loop(), clock, metrics, bounds, "z", new Random(1));
+        desk.bind(DaemonAddress.parse("127.0.0.1:" + port)).sync();
         Thread.sleep(5);
         clock.every(TICK_MS, this::tick);
     }
@@ -113,20 +114,31 @@
         ScriptedServer server = new ScriptedServer(ScriptedServer.ok("hello"));
         String id = "i" + servers.size();
         servers.add(server);
-        instances.put(Inventory.INSTANCE + id, Tables.packInstance(new CensusEntry(new Pressmark(id), service,
-                "127.0.0.1:" + server.port(), "z", "v", capacity, 0, CensusEntry.Standing.IN_SERVICE, 1, Imprint.NONE)));
+        instances.put(
+                RoutingTable.INSTANCE + id,
+                Tables.packInstance(new RegisteredServer(
+                        new InstanceId(id),
+                        service,
+                        "127.0.0.1:" + server.port(),
+                        "z",
+                        "v",
+                        capacity,
+                        0,
+                        RegisteredServer.Standing.IN_SERVICE,
+                        1,
+                        DaemonAddress.NONE)));
         return server;
     }
 
     /** Takes a server out of the tables that follow. */
     void unlist(ScriptedServer server) {
-        String key = Inventory.INSTANCE + "i" + servers.indexOf(server);
+        String key = RoutingTable.INSTANCE + "i" + servers.indexOf(server);
         unlisted.put(key, instances.remove(key));
     }
 
     /** Takes a server into the tables that follow again. */
     void relist(ScriptedServer server) {
-        String key = Inventory.INSTANCE + "i" + servers.indexOf(server);
+        String key = RoutingTable.INSTANCE + "i" + servers.indexOf(server);
         instances.put(key, unlisted.remove(key));
     }
 
@@ -146,12 +158,13 @@
         for (RouteSpec route : routes) {
             written.add(route.json(written.size()));
         }
-        Regulations regulations = Regulations.parse(("{\"revision\":1,\"routeTable\":[" + String.join(",", written)
-                + "],\"upstreams\":[{\"label\":\"s\"},{\"label\":\"later\"}],\"limits\":{" + limits + "}" + tenants + "}")
+        Configuration regulations = Configuration.parse(("{\"revision\":1,\"routeTable\":[" + String.join(",", written)
+                        + "],\"upstreams\":[{\"label\":\"s\"},{\"label\":\"later\"}],\"limits\":{" + limits + "}"
+                        + tenants + "}")
                 .getBytes(StandardCharsets.UTF_8));
         Map<String, byte[]> entries = new HashMap<>(Tables.packConfiguration(regulations));
         entries.putAll(instances);
-        Inventory table = Inventory.of(entries);
+        RoutingTable table = RoutingTable.of(entries);
         clock.loop().submit(() -> desk.apply(table)).get();
     }
 
@@ -175,11 +188,13 @@
     }
 
     static String get(String path) {
-        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\nConnection: close\r\n\r\n";
+        return "GET " + path
+                + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\nConnection: close\r\n\r\n";
     }
 
-    static String post(String path, String body) {
-        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\nConnection: close\r\n"
+    static String messenger(String path, String body) {
+        return "POST " + path
+                + " HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\nConnection: close\r\n"
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
--- a/circulation/src/test/java/org/umbermount/circulation/QueueRulesTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/QueueRulesTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,32 +13,36 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.umbermount.circulation.ProxyFixture.RouteSpec;
-import org.umbermount.kernel.Erratum;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
-import org.umbermount.kernel.Script;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.ErrorKind;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.proxy.ProxyFixture.RouteSpec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** The more urgent kind of request comes first where requests wait for servers; see docs/traffic.md. */
 class QueueRulesTest {
     private static final int QUEUE = 256;
     private static final int AIM_MS = 20_000;
     private final CountDownLatch release = new CountDownLatch(1);
-    private final SumsPost post = new SumsPost();
+    private final SumsPost messenger = new SumsPost();
     private ProxyFixture proxy;
     private ScriptedServer server;
 
-    /** Tells what others have at the servers, as the zone's registrar does. */
-    private static final class SumsPost implements Postbag {
+    /** Tells what others have at the servers, as the zone's controller does. */
+    private static final class SumsPost implements Messenger {
         private Listener listener;
 
         @Override
-        public Imprint self() {
-            return Imprint.NONE;
+        public DaemonAddress self() {
+            return DaemonAddress.NONE;
         }
 
         @Override
-        public void send(Imprint to, Topic topic, byte[] body) {
+        public void send(DaemonAddress to, Topic topic, byte[] body) {
             // What this daemon has is of no interest here.
         }
 
@@ -51,8 +51,10 @@
             listener = l;
         }
 
-        void othersHave(int code, int requests) throws Script.UnreadableException {
-            listener.receive(Imprint.NONE, Script.write().num(1).num(code).num(requests).done());
+        void othersHave(int code, int requests) throws MessagePackCodec.UnreadableException {
+            listener.receive(
+                    DaemonAddress.NONE,
+                    MessagePackCodec.write().num(1).num(code).num(requests).done());
         }
     }
 
@@ -60,8 +62,10 @@
     void open() throws Exception {
         proxy = new ProxyFixture();
         server = proxy.server("s", 1);
-        proxy.routes(RouteSpec.safe("/urgent/").aim(AIM_MS).timeout(10_000).rank(0),
-                RouteSpec.safe("/other/").aim(AIM_MS).timeout(6_000).rank(3), RouteSpec.unsafe("/hold/").rank(1));
+        proxy.routes(
+                RouteSpec.safe("/urgent/").aim(AIM_MS).timeout(10_000).rank(0),
+                RouteSpec.safe("/other/").aim(AIM_MS).timeout(6_000).rank(3),
+                RouteSpec.unsafe("/hold/").rank(1));
     }
 
     @AfterEach
@@ -84,10 +88,10 @@
     }
 
     /** Has a request taken in, as if a client had just sent it; to be called on the loop. */
-    private Borrowing arrive(String path) {
+    private RequestExchange arrive(String path) {
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
         request.headers().set("Host", "h").set("Request-Attempt", "t1");
-        Borrowing taken = proxy.desk.receive(new Reader(proxy.desk, 8_192), request, 10_000);
+        RequestExchange taken = proxy.desk.receive(new ClientConnection(proxy.desk, 8_192), request, 10_000);
         taken.bodyWhole();
         taken.start();
         return taken;
@@ -103,14 +107,14 @@
 
     private void othersFill(int requests) throws Exception {
         onLoop(() -> {
-            post.othersHave("i0".hashCode(), requests);
+            messenger.othersHave("i0".hashCode(), requests);
             return null;
         });
     }
 
     private void watchOthers() throws Exception {
         onLoop(() -> {
-            proxy.desk.watch(new Occupancy(proxy.clock, post, "z", () -> null));
+            proxy.desk.watch(new Occupancy(proxy.clock, messenger, "z", () -> null));
             return null;
         });
     }
@@ -119,7 +123,7 @@
     void slotThatIsFreedGoesToTheMostUrgentThatWaits() throws Exception {
         hold(server, "/hold/");
         try (Socket holding = proxy.connect()) {
-            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.post("/hold/x", "b"));
+            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.messenger("/hold/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
             server.seen.clear();
             onLoop(() -> List.of(arrive("/other/1"), arrive("/other/2"), arrive("/urgent/3")));
@@ -134,9 +138,9 @@
     void whoComesNowTakesNoSlotThatAMoreUrgentRequestWaitsFor() throws Exception {
         watchOthers();
         othersFill(1);
-        List<Borrowing> taken = onLoop(() -> {
-            Borrowing waits = arrive("/urgent/1");
-            post.othersHave("i0".hashCode(), 0);
+        List<RequestExchange> taken = onLoop(() -> {
+            RequestExchange waits = arrive("/urgent/1");
+            messenger.othersHave("i0".hashCode(), 0);
             return List.of(waits, arrive("/other/2"));
         });
         assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 2));
@@ -164,23 +168,23 @@
     void fullQueueGivesTheUrgentRequestThePlaceOfTheLastInRank() throws Exception {
         watchOthers();
         othersFill(1);
-        List<Borrowing> waiting = onLoop(() -> {
-            List<Borrowing> all = new ArrayList<>();
+        List<RequestExchange> waiting = onLoop(() -> {
+            List<RequestExchange> all = new ArrayList<>();
             for (int i = 0; i < QUEUE; i++) {
                 all.add(arrive("/other/" + i));
             }
             return all;
         });
-        Borrowing urgent = onLoop(() -> arrive("/urgent/x"));
+        RequestExchange urgent = onLoop(() -> arrive("/urgent/x"));
         assertFalse(onLoop(urgent::isAnswered));
         int refused = 0;
-        for (Borrowing other : waiting) {
+        for (RequestExchange other : waiting) {
             boolean over = onLoop(other::isAnswered);
-            assertTrue(!over || other.erratum() == Erratum.OVERLOADED);
+            assertTrue(!over || other.erratum() == ErrorKind.OVERLOADED);
             refused += over ? 1 : 0;
         }
         assertEquals(1, refused);
-        assertEquals(Erratum.OVERLOADED, onLoop(() -> arrive("/other/y").erratum()));
+        assertEquals(ErrorKind.OVERLOADED, onLoop(() -> arrive("/other/y").erratum()));
     }
 
     /** The first in rank has been refused by the server that has room: whoever is behind it goes there. */
@@ -188,21 +192,28 @@
     void requestThatCannotUseAFreeSlotKeepsNobodyElseFromIt() throws Exception {
         server.act((request, out) -> {
             if (request.head().contains("/urgent/")) {
-                return ScriptedServer.raw("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\n"
-                        + "Content-Length: 0\r\n\r\n", true).answer(request, out);
+                return ScriptedServer.raw(
+                                "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\n"
+                                        + "Content-Length: 0\r\n\r\n",
+                                true)
+                        .answer(request, out);
             }
             return ScriptedServer.ok("hello").answer(request, out);
         });
         ScriptedServer held = proxy.server("s", 1);
         hold(held, "/");
         proxy.unlist(server);
-        proxy.routes(RouteSpec.unsafe("/hold/").timeout(6_000), RouteSpec.safe("/urgent/").aim(AIM_MS).rank(0),
+        proxy.routes(
+                RouteSpec.unsafe("/hold/").timeout(6_000),
+                RouteSpec.safe("/urgent/").aim(AIM_MS).rank(0),
                 RouteSpec.safe("/other/").aim(AIM_MS).rank(3));
         try (Socket holding = proxy.connect()) {
-            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.post("/hold/x", "b"));
+            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.messenger("/hold/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> held.seen.size() == 1));
             proxy.relist(server);
-            proxy.routes(RouteSpec.unsafe("/hold/").timeout(6_000), RouteSpec.safe("/urgent/").aim(AIM_MS).rank(0),
+            proxy.routes(
+                    RouteSpec.unsafe("/hold/").timeout(6_000),
+                    RouteSpec.safe("/urgent/").aim(AIM_MS).rank(0),
                     RouteSpec.safe("/other/").aim(AIM_MS).rank(3));
             onLoop(() -> arrive("/urgent/1"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
--- a/circulation/src/test/java/org/umbermount/circulation/SendingsTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/SendingsTest.java
@@ -1,11 +1,4 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.proxy;
 
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,19 +9,26 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class SendingsTest {
-    private static final Moment NOW = new Moment(10_000);
+    private static final MonotonicTime NOW = new MonotonicTime(10_000);
     private static final int SERVERS = 3;
-    private final Allowance budget = new Allowance(0.2, 100, 1_000, new Moment(0));
+    private final RetryBudget budget = new RetryBudget(0.2, 100, 1_000, new MonotonicTime(0));
 
     private static HttpResponse answer(int status, boolean notExecuted) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         if (notExecuted) {
-            head.headers().set(Headings.NOT_EXECUTED, "1");
+            head.headers().set(HeaderNames.NOT_EXECUTED, "1");
         }
         return head;
     }
@@ -65,8 +65,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"503,true,true", "429,true,true", "400,true,true", "421,false,true", "503,false,false", "200,true,false",
-            "500,false,false", "408,false,false"})
+    @CsvSource({
+        "503,true,true",
+        "429,true,true",
+        "400,true,true",
+        "421,false,true",
+        "503,false,false",
+        "200,true,false",
+        "500,false,false",
+        "408,false,false"
+    })
     void onlyAnAnswerThatSaysSoProvesThatNothingRan(int status, boolean header, boolean proves) {
         Sendings unsafe = new Sendings(false, SERVERS);
         Sendings.Permit permit = unsafe.first();
@@ -110,7 +118,7 @@
         Sendings safe = new Sendings(true, SERVERS);
         assertTrue(safe.first().use());
         assertNotNull(further(safe, null));
-        assertNull(safe.further(null, new Allowance(0, 0, 1_000, NOW), NOW, 1, 0));
+        assertNull(safe.further(null, new RetryBudget(0, 0, 1_000, NOW), NOW, 1, 0));
         safe.tooLong();
         assertNull(further(safe, null));
     }
--- a/circulation/src/test/java/org/umbermount/circulation/TimeoutRulesTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/TimeoutRulesTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.circulation;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.proxy;
 
 import java.net.Socket;
 import java.util.List;
@@ -12,10 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.circulation.ProxyFixture.RouteSpec;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.readership.QuotaCounter;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.proxy.ProxyFixture.RouteSpec;
+import org.umbermount.quota.QuotaClient;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** A request is held no longer than its route's {@code timeoutMs}, whatever it waits for; see docs/traffic.md. */
 class TimeoutRulesTest {
@@ -30,7 +30,7 @@
         server = proxy.server("s", 1);
         // The first request of a process is slow for its classes being loaded.
         proxy.routes(RouteSpec.unsafe("/warm/"));
-        proxy.exchange(ProxyFixture.post("/warm/x", "b"));
+        proxy.exchange(ProxyFixture.messenger("/warm/x", "b"));
         assertEquals(404, ProxyFixture.status(proxy.exchange(ProxyFixture.get("/none/"))));
         server.seen.clear();
     }
@@ -67,12 +67,17 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"Content-Length: 100\r\n\r\n", "Content-Length: 100\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n",
-            "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"})
+    @ValueSource(
+            strings = {
+                "Content-Length: 100\r\n\r\n",
+                "Content-Length: 100\r\n\r\npart",
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+            })
     void whileTheBodyIsStillBeingRead(String body) throws Exception {
         proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS));
-        String answer = answerAtTimeout("POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\n" + body,
-                TIMEOUT_MS);
+        String answer = answerAtTimeout(
+                "POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\n" + body, TIMEOUT_MS);
         assertPromise(answer);
         assertTrue(answer.toLowerCase().contains("connection: close"), answer);
         assertEquals(0, server.seen.size());
@@ -81,8 +86,10 @@
     @Test
     void whileALongBodyIsPassedOn() throws Exception {
         proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS));
-        String answer = answerAtTimeout("POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\n"
-                + "Content-Length: 900000\r\n\r\n" + "b".repeat(400_000), TIMEOUT_MS);
+        String answer = answerAtTimeout(
+                "POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Attempt: t1\r\nDeadline-Ms: 5000\r\n"
+                        + "Content-Length: 900000\r\n\r\n" + "b".repeat(400_000),
+                TIMEOUT_MS);
         assertEquals(504, ProxyFixture.status(answer), answer);
     }
 
@@ -90,18 +97,20 @@
     void whileTheServerIsSilent() throws Exception {
         server.act(silent());
         proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS));
-        assertEquals(504, ProxyFixture.status(answerAtTimeout(ProxyFixture.post("/a/x", "b"), TIMEOUT_MS)));
+        assertEquals(504, ProxyFixture.status(answerAtTimeout(ProxyFixture.messenger("/a/x", "b"), TIMEOUT_MS)));
         assertEquals(1, server.seen.size());
     }
 
     @Test
     void whileQueuedForAServer() throws Exception {
         server.act(silent());
-        proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000), RouteSpec.unsafe("/hold/").timeout(4_000));
+        proxy.routes(
+                RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000),
+                RouteSpec.unsafe("/hold/").timeout(4_000));
         try (Socket holding = proxy.connect()) {
-            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.post("/hold/x", "b"));
+            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.messenger("/hold/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
-            assertPromise(answerAtTimeout(ProxyFixture.post("/a/x", "b"), TIMEOUT_MS));
+            assertPromise(answerAtTimeout(ProxyFixture.messenger("/a/x", "b"), TIMEOUT_MS));
             assertEquals(1, server.seen.size());
         }
     }
@@ -110,15 +119,20 @@
     @Test
     void whileQueuedAgainAfterARefusal() throws Exception {
         server.act(silent());
-        proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000), RouteSpec.unsafe("/hold/").timeout(4_000));
+        proxy.routes(
+                RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000),
+                RouteSpec.unsafe("/hold/").timeout(4_000));
         try (Socket holding = proxy.connect()) {
-            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.post("/hold/x", "b"));
+            ScriptedServer.write(holding.getOutputStream(), ProxyFixture.messenger("/hold/x", "b"));
             assertTrue(ProxyFixture.eventually(() -> server.seen.size() == 1));
             ScriptedServer refusing = proxy.server("s", 1);
-            refusing.act(ScriptedServer.raw("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\n"
-                    + "Content-Length: 0\r\n\r\n", true));
-            proxy.routes(RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000), RouteSpec.unsafe("/hold/").timeout(4_000));
-            assertPromise(answerAtTimeout(ProxyFixture.post("/a/x", "b"), TIMEOUT_MS));
+            refusing.act(ScriptedServer.raw(
+                    "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Attempt: t1\r\n" + "Content-Length: 0\r\n\r\n",
+                    true));
+            proxy.routes(
+                    RouteSpec.unsafe("/a/").timeout(TIMEOUT_MS).aim(20_000),
+                    RouteSpec.unsafe("/hold/").timeout(4_000));
+            assertPromise(answerAtTimeout(ProxyFixture.messenger("/a/x", "b"), TIMEOUT_MS));
             assertEquals(1, refusing.seen.size());
         }
     }
@@ -126,20 +140,27 @@
     @Test
     void whileAClaimOrAPermitIsWaitedFor() throws Exception {
         int timeout = 120;
-        LoanCounter claims = new LoanCounter(proxy.clock, new FakeCounterPost(proxy.clock, in -> null), proxy.tally,
-                new Random(4), List::of);
-        claims.head(Imprint.parse("10.0.0.1:7000"));
+        OperationClient claims = new OperationClient(
+                proxy.clock, new FakeCounterPost(proxy.clock, in -> null), proxy.metrics, new Random(4), List::of);
+        claims.head(DaemonAddress.parse("10.0.0.1:7000"));
         proxy.routes(new RouteSpec("/pay/", "idempotent", "s", 2, timeout, 4_000, 1));
-        proxy.clock.loop().submit(() -> proxy.desk.share(claims, null, () -> Long.MAX_VALUE)).get();
-        assertPromise(answerAtTimeout(ProxyFixture.post("/pay/x", "b").replace("Deadline-Ms", "Operation-Key: k\r\nDeadline-Ms"),
+        proxy.clock
+                .loop()
+                .submit(() -> proxy.desk.share(claims, null, () -> Long.MAX_VALUE))
+                .get();
+        assertPromise(answerAtTimeout(
+                ProxyFixture.messenger("/pay/x", "b").replace("Deadline-Ms", "Operation-Key: k\r\nDeadline-Ms"),
                 timeout));
-        QuotaCounter permits = new QuotaCounter(proxy.clock, new FakeCounterPost(proxy.clock, in -> null), proxy.tally, 1_000,
-                List::of);
+        QuotaClient permits = new QuotaClient(
+                proxy.clock, new FakeCounterPost(proxy.clock, in -> null), proxy.metrics, 1_000, List::of);
         proxy.tenants("{\"label\":\"mill\",\"apiKeys\":[\"k1\"],\"priority\":0,\"ratePerS\":50,\"burst\":50}");
         proxy.routes(RouteSpec.safe("/a/").timeout(timeout).aim(4_000));
-        proxy.clock.loop().submit(() -> proxy.desk.share(null, permits, () -> Long.MAX_VALUE)).get();
-        assertPromise(answerAtTimeout(ProxyFixture.get("/a/x").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"),
-                timeout));
+        proxy.clock
+                .loop()
+                .submit(() -> proxy.desk.share(null, permits, () -> Long.MAX_VALUE))
+                .get();
+        assertPromise(answerAtTimeout(
+                ProxyFixture.get("/a/x").replace("Deadline-Ms", "Authorization: Token k1\r\nDeadline-Ms"), timeout));
         assertEquals(0, server.seen.size());
     }
 
@@ -150,8 +171,11 @@
         ScriptedServer.Act act = (request, out) -> {
             if (server.seen.size() + second.seen.size() == 1) {
                 Thread.sleep(600);
-                return ScriptedServer.raw("HTTP/1.1 500 Oops\r\nRequest-Attempt: t1\r\nServer-Seal: s7\r\n"
-                        + "Content-Length: 4\r\n\r\noops", true).answer(request, out);
+                return ScriptedServer.raw(
+                                "HTTP/1.1 500 Oops\r\nRequest-Attempt: t1\r\nServer-Seal: s7\r\n"
+                                        + "Content-Length: 4\r\n\r\noops",
+                                true)
+                        .answer(request, out);
             }
             return silent().answer(request, out);
         };
@@ -169,7 +193,8 @@
         server = proxy.server("later", 1);
         server.act(silent());
         proxy.routes(RouteSpec.unsafe("/a/").at("later").aim(400));
-        assertPromise(proxy.exchange(ProxyFixture.post("/a/x", "b").replace("Deadline-Ms: 5000", "Deadline-Ms: 30")));
+        assertPromise(
+                proxy.exchange(ProxyFixture.messenger("/a/x", "b").replace("Deadline-Ms: 5000", "Deadline-Ms: 30")));
         assertEquals(0, server.seen.size());
     }
 }
--- a/readership/src/main/java/org/umbermount/readership/QuotaDesk.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -1,53 +1,60 @@
-package org.umbermount.readership;
+package org.umbermount.quota;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.umbermount.archive.Replica;
-import org.umbermount.archive.MajorityContact;
-import org.umbermount.archive.Regulations;
-import org.umbermount.archive.LeaseOffice;
+import org.umbermount.control.Configuration;
+import org.umbermount.control.LeaseManager;
+import org.umbermount.control.MajorityContact;
+import org.umbermount.control.Replica;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
+import org.umbermount.kernel.Settings;
 
 /** Keeps the buckets of the tenants whose duty is held here, and grants out of them. */
-final class QuotaDesk {
+final class QuotaGranter {
     /** What a new holder starts with: small enough that two changes of holder in a window stay inside the slack. */
     private static final double START_SHARE = 0.4;
+
     private static final double CAP_SHARE = 0.2;
 
     private final Clock clock;
-    private final Postbag post;
+    private final Messenger messenger;
     private final Replica replica;
-    private final LeaseOffice leases;
+    private final LeaseManager leases;
     private final MajorityContact contact;
-    private final HouseRules.Sharing sharing;
-    private final Tally tally;
+    private final Settings.Sharing sharing;
+    private final Metrics metrics;
     private final Map<String, Bucket> buckets = new HashMap<>();
-    private Regulations limitsOf;
-    private Map<String, Regulations.Tenant> limits = Map.of();
+    private Configuration limitsOf;
+    private Map<String, Configuration.Tenant> limits = Map.of();
 
-    QuotaDesk(Clock clock, Postbag post, Replica replica, LeaseOffice leases,
-            MajorityContact contact, HouseRules.Sharing sharing, Tally tally) {
+    QuotaGranter(
+            Clock clock,
+            Messenger messenger,
+            Replica replica,
+            LeaseManager leases,
+            MajorityContact contact,
+            Settings.Sharing sharing,
+            Metrics metrics) {
         this.clock = clock;
-        this.post = post;
+        this.messenger = messenger;
         this.replica = replica;
         this.leases = leases;
         this.contact = contact;
         this.sharing = sharing;
-        this.tally = tally;
-        post.subscribe(Postbag.Topic.QUOTA, this::receive);
+        this.metrics = metrics;
+        messenger.subscribe(Messenger.Topic.QUOTA, this::receive);
     }
 
-    private Map<String, Regulations.Tenant> limits() {
-        Regulations now = replica.regulations();
+    private Map<String, Configuration.Tenant> limits() {
+        Configuration now = replica.regulations();
         if (now != limitsOf) {
             limitsOf = now;
             limits = new HashMap<>();
@@ -59,8 +66,8 @@
         return limits;
     }
 
-    private void receive(Imprint from, byte[] body) throws Script.UnreadableException {
-        Script.Reader in = Script.read(body);
+    private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
+        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         if (!in.flag()) {
             return;
         }
@@ -69,32 +76,33 @@
         for (QuotaMessages.Wish w : ask.wishes()) {
             grants.add(grant(w));
         }
-        post.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
+        messenger.send(from, Messenger.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(), grants).pack());
     }
 
     private QuotaMessages.Grant grant(QuotaMessages.Wish wish) {
         long epoch = leases.epoch(QuotaMessages.dutyOf(wish.tenant()));
         if (epoch == 0) {
-            Imprint holder = leases.holder(QuotaMessages.dutyOf(wish.tenant()));
-            return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? Imprint.NONE : holder);
+            DaemonAddress holder = leases.holder(QuotaMessages.dutyOf(wish.tenant()));
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, holder == null ? DaemonAddress.NONE : holder);
         }
         if (Safeguard.QUOTA_UNDER_CONFIRMED_EDITION.holds() && !contact.assured()) {
             // The limits held here may be old ones: as after a cut, when the lease is back before the configuration.
-            return new QuotaMessages.Grant(wish.tenant(), -1, 0, post.self());
+            return new QuotaMessages.Grant(wish.tenant(), -1, 0, messenger.self());
         }
-        Regulations.Tenant limit = limits().get(wish.tenant());
+        Configuration.Tenant limit = limits().get(wish.tenant());
         if (limit == null || !limit.limited()) {
-            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, post.self());
+            return new QuotaMessages.Grant(wish.tenant(), limit == null ? 0 : wish.count(), 0, messenger.self());
         }
-        Moment now = clock.now();
+        MonotonicTime now = clock.now();
         Bucket bucket = buckets.get(wish.tenant());
         if (bucket == null || bucket.epoch != epoch) {
             bucket = new Bucket(epoch, START_SHARE * sharing.quotaBurst(), now);
             buckets.put(wish.tenant(), bucket);
         }
         int n = bucket.take(wish.count(), limit.ratePerS(), limit.burst() + CAP_SHARE * sharing.quotaBurst(), now);
-        tally.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met").increment();
-        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), post.self());
+        metrics.counter(n < wish.count() ? "quota.asks.short" : "quota.asks.met")
+                .increment();
+        return new QuotaMessages.Grant(wish.tenant(), n, bucket.waitMs(limit.ratePerS()), messenger.self());
     }
 
     Map<String, Bucket> buckets() {
--- a/readership/src/test/java/org/umbermount/readership/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -1,7 +1,4 @@
-package org.umbermount.readership;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.quota;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,49 +7,63 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Moment;
+import org.umbermount.control.Configuration;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Mutation;
-import org.umbermount.kernel.Postbag;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
-import org.umbermount.kernel.Tally;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.kernel.testing.FakePost;
+import org.umbermount.kernel.testing.FakeMessenger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class QuotaTest {
-    private static final Imprint KEEPER = Imprint.parse("10.0.0.1:7000");
-    private static final Regulations.Tenant TENANT = new Regulations.Tenant("mill", List.of("k"), 0, 30, 30);
+    private static final DaemonAddress KEEPER = DaemonAddress.parse("10.0.0.1:7000");
+    private static final Configuration.Tenant TENANT = new Configuration.Tenant("mill", List.of("k"), 0, 30, 30);
     private static final long WINDOW_MS = 5_000;
     private static final double OVERSHOOT = 0.1;
     private static final double BURST = 20;
 
     private final FakeClock clock = new FakeClock();
-    private final FakePost network = new FakePost(clock, 3);
-    private final List<QuotaCounter> lectors = new ArrayList<>();
+    private final FakeMessenger network = new FakeMessenger(clock, 3);
+    private final List<QuotaClient> proxies = new ArrayList<>();
     private Bucket bucket;
     private boolean reachable = true;
 
     private void open(int count) {
         bucket = new Bucket(1, 8, clock.now());
-        FakePost.Bag bag = network.bag(KEEPER);
-        bag.subscribe(Postbag.Topic.QUOTA, (from, body) -> {
-            Script.Reader in = Script.read(body);
+        FakeMessenger.Bag bag = network.bag(KEEPER);
+        bag.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
+            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
             in.flag();
             QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
             if (reachable) {
                 QuotaMessages.Wish w = ask.wishes().get(0);
                 int n = bucket.take(w.count(), TENANT.ratePerS(), TENANT.burst() + 4, clock.now());
-                bag.send(from, Postbag.Topic.QUOTA, new QuotaMessages.Answer(ask.life(), ask.stamp(),
-                        List.of(new QuotaMessages.Grant(w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER))).pack());
+                bag.send(
+                        from,
+                        Messenger.Topic.QUOTA,
+                        new QuotaMessages.Answer(
+                                        ask.life(),
+                                        ask.stamp(),
+                                        List.of(new QuotaMessages.Grant(
+                                                w.tenant(), n, bucket.waitMs(TENANT.ratePerS()), KEEPER)))
+                                .pack());
             }
         });
         for (int i = 0; i < count; i++) {
-            QuotaCounter c = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1." + (i + 1) + ":7001")), new Tally(),
-                    (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+            QuotaClient c = new QuotaClient(
+                    clock,
+                    network.bag(DaemonAddress.parse("10.0.1." + (i + 1) + ":7001")),
+                    new Metrics(),
+                    (long) (OVERSHOOT * WINDOW_MS / 2),
+                    List::of);
             c.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
-            lectors.add(c);
+            proxies.add(c);
         }
     }
 
@@ -70,8 +81,8 @@
         long changed = 0;
         for (int t = 0; t < 30_000; t += 5) {
             if (random.nextInt(3) > 0) {
-                lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> {
-                    if (word == QuotaCounter.Word.MAY) {
+                proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> {
+                    if (word == QuotaClient.Word.MAY) {
                         granted[0]++;
                         sent.add(clock.now().millis());
                     }
@@ -97,11 +108,11 @@
         clock.advance(3_000);
         int[] told = new int[3];
         for (int t = 0; t < 20_000; t += 50) {
-            lectors.get(random.nextInt(lectors.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
+            proxies.get(random.nextInt(proxies.size())).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(50);
         }
-        assertEquals(0, told[QuotaCounter.Word.NOBODY.ordinal()]);
-        assertTrue(told[QuotaCounter.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaCounter.Word.SPENT.ordinal()]);
+        assertEquals(0, told[QuotaClient.Word.NOBODY.ordinal()]);
+        assertTrue(told[QuotaClient.Word.SPENT.ordinal()] < 4, "refused " + told[QuotaClient.Word.SPENT.ordinal()]);
     }
 
     @Test
@@ -110,29 +121,33 @@
         clock.advance(3_000);
         reachable = false;
         int[] told = new int[3];
-        Moment start = clock.now();
+        MonotonicTime start = clock.now();
         for (int i = 0; i < 40; i++) {
-            lectors.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
+            proxies.get(0).take(TENANT, 200, word -> told[word.ordinal()]++);
             clock.advance(25);
         }
         clock.advance(400);
-        assertEquals(0, told[QuotaCounter.Word.MAY.ordinal()]);
-        assertEquals(40, told[QuotaCounter.Word.NOBODY.ordinal()]);
+        assertEquals(0, told[QuotaClient.Word.MAY.ordinal()]);
+        assertEquals(40, told[QuotaClient.Word.NOBODY.ordinal()]);
         assertTrue(clock.now().since(start) < 2_000);
     }
 
     /** What a daemon is told that was started anew while the answer to its earlier life was on the way. */
-    private QuotaCounter.Word toldAfterARestart() {
+    private QuotaClient.Word toldAfterARestart() {
         open(1);
         clock.advance(3_000);
         network.delayMs = 30;
-        lectors.get(0).take(TENANT, 200, word -> { });
+        proxies.get(0).take(TENANT, 200, word -> {});
         clock.advance(35);
         reachable = false;
-        QuotaCounter anew = new QuotaCounter(clock, network.bag(Imprint.parse("10.0.1.1:7001")), new Tally(),
-                (long) (OVERSHOOT * WINDOW_MS / 2), List::of);
+        QuotaClient anew = new QuotaClient(
+                clock,
+                network.bag(DaemonAddress.parse("10.0.1.1:7001")),
+                new Metrics(),
+                (long) (OVERSHOOT * WINDOW_MS / 2),
+                List::of);
         anew.keeper(QuotaMessages.dutyOf("mill"), KEEPER);
-        QuotaCounter.Word[] told = new QuotaCounter.Word[1];
+        QuotaClient.Word[] told = new QuotaClient.Word[1];
         anew.take(TENANT, 200, word -> told[0] = word);
         clock.advance(500);
         return told[0];
@@ -140,8 +155,8 @@
 
     @Test
     void grantToAnEarlierLifeIsNotSpent() throws Exception {
-        assertEquals(QuotaCounter.Word.NOBODY, toldAfterARestart());
-        assertEquals(QuotaCounter.Word.MAY,
-                Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest().toldAfterARestart()));
+        assertEquals(QuotaClient.Word.NOBODY, toldAfterARestart());
+        assertEquals(QuotaClient.Word.MAY, Mutation.without(Safeguard.REPLY_MATCHED_BY_LIFE, () -> new QuotaTest()
+                .toldAfterARestart()));
     }
 }
--- a/simulation/src/main/java/org/umbermount/simulation/Checks.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Checks.java
@@ -2,9 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.umbermount.archive.ConfigurationState;
-import org.umbermount.archive.Fleet;
-import org.umbermount.archive.LeaseOffice;
+import org.umbermount.control.ConfigurationState;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.LeaseManager;
 
 /** What must be true after every step, whatever happens to the machines. */
 final class Checks {
@@ -18,11 +18,13 @@
     private final Operators operators;
     private final Due due = new Due(APPLY_MS);
     private final Due longDue = new Due(APPLY_MS + SKEW_MS);
-    /** What each registrar has said is committed. */
+    /** What each controller has said is committed. */
     private final Map<Integer, ConfigurationState> seen = new HashMap<>();
+
     private long majoritySince = SimulatedCluster.NEVER;
     /** When more machines than may be lost at once last were; until some time later the longer bound holds. */
     private long exceededAt = SimulatedCluster.NEVER;
+
     private long probedAt = SimulatedCluster.NEVER;
 
     /** The newest change that was confirmed longer than some time ago. */
@@ -36,7 +38,8 @@
         }
 
         Operators.Order newest(long now) {
-            while (next < operators.confirmed().size() && now - operators.confirmed().get(next).takenAt > afterMs) {
+            while (next < operators.confirmed().size()
+                    && now - operators.confirmed().get(next).takenAt > afterMs) {
                 Operators.Order o = operators.confirmed().get(next++);
                 newest = newest == null || newest.edition < o.edition ? o : newest;
             }
@@ -82,7 +85,10 @@
             if (room.fleet.isRunning(i)) {
                 ConfigurationState state = room.fleet.replica(i).committed();
                 if (state.edition().value() > 0 && seen.put(i, state) != state) {
-                    operators.seen(state.edition().value(), new String(state.blob()), "registrar " + i + " says it is committed");
+                    operators.seen(
+                            state.edition().value(),
+                            new String(state.blob()),
+                            "controller " + i + " says it is committed");
                 }
             }
         }
@@ -100,7 +106,7 @@
             checkHolder(Fleet.zone(place));
         }
         if (room.hasClients()) {
-            LeaseOffice.QUOTA_DUTIES.forEach(this::checkHolder);
+            LeaseManager.QUOTA_DUTIES.forEach(this::checkHolder);
         }
     }
 
@@ -109,7 +115,7 @@
         for (int i : machines.made()) {
             if (room.fleet.isRunning(i) && room.fleet.epoch(i, duty) > 0) {
                 if (holder >= 0) {
-                    room.broken("registrars " + holder + " and " + i + " hold the duty for " + duty + " at once");
+                    room.broken("controllers " + holder + " and " + i + " hold the duty for " + duty + " at once");
                 }
                 holder = i;
             }
@@ -126,14 +132,15 @@
             if (settled && room.servers != null) {
                 room.servers.check(p, now);
             }
-            Operators.Order missed = late != null && p.edition < late.edition ? late
+            Operators.Order missed = late != null && p.edition < late.edition
+                    ? late
                     : veryLate != null && p.edition < veryLate.edition ? veryLate : null;
             if (missed != null) {
-                room.broken(p.imprint + " still has " + p.edition + " when " + missed.edition + " was confirmed "
+                room.broken(p.daemonAddress + " still has " + p.edition + " when " + missed.edition + " was confirmed "
                         + (now - missed.takenAt) + " ms ago, core " + (settled ? "settled" : "not settled"));
             }
             if (settled && now - operators.firstAcknowledged() > APPLY_MS && p.edition == 0) {
-                room.broken(p.imprint + " has no table");
+                room.broken(p.daemonAddress + " has no table");
             }
         }
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Clients.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Clients.java
@@ -8,11 +8,11 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.umbermount.archive.Regulations;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.loans.OperationKey;
-import org.umbermount.readership.QuotaCounter;
+import org.umbermount.control.Configuration;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.idempotency.OperationKey;
+import org.umbermount.kernel.Settings;
+import org.umbermount.quota.QuotaClient;
 
 /**
  * Clients of one tenant, which go on asking proxies all day: tries of operations that carry a key, most of them
@@ -21,18 +21,21 @@
  */
 final class Clients {
     /** The figures of the rules: the window of operations is longer than any day. */
-    static final HouseRules.Sharing SHARING = new HouseRules.Sharing(false, 5_000, 3_600_000, 5_000, 0.1, 20);
+    static final Settings.Sharing SHARING = new Settings.Sharing(false, 5_000, 3_600_000, 5_000, 0.1, 20);
+
     private static final double RATE_PER_S = 30;
     private static final double BURST = 30;
-    static final Regulations.Tenant TENANT =
-            new Regulations.Tenant("mill", List.of("key-of-mill-0001"), 1, RATE_PER_S, BURST);
-    private static final double MOST_IN_A_WINDOW = (RATE_PER_S * SHARING.quotaWindowMs() / 1_000 + BURST)
-            * (1 + SHARING.quotaOvershoot()) + SHARING.quotaBurst();
+    static final Configuration.Tenant TENANT =
+            new Configuration.Tenant("mill", List.of("key-of-mill-0001"), 1, RATE_PER_S, BURST);
+    private static final double MOST_IN_A_WINDOW =
+            (RATE_PER_S * SHARING.quotaWindowMs() / 1_000 + BURST) * (1 + SHARING.quotaOvershoot())
+                    + SHARING.quotaBurst();
     private static final long CLAIM_MS = 800;
     private static final long QUOTA_MS = 200;
     private static final int SHORT_RUN_MS = 200;
     /** One run in four takes up to so long: it may outlive a view, and the head that granted it. */
     private static final int LONG_RUN_MS = 5_000;
+
     private static final int REQUESTS_A_STEP = 4;
     /** A proxy gives up to have an end noted 30 s after the claim. */
     private static final long NOTED_WITHIN_MS = 25_000;
@@ -48,6 +51,7 @@
     private final List<Closing> closing = new ArrayList<>();
     /** The operations whose answer has been noted: a repeat that begins later gets it. */
     private final Set<String> noted = new HashSet<>();
+
     private final ArrayDeque<Long> allowed = new ArrayDeque<>();
     private boolean stopped;
     private long tries;
@@ -75,7 +79,7 @@
             Proxies.Proxy proxy = anyInUse();
             if (proxy != null) {
                 proxy.quota.take(TENANT, QUOTA_MS, word -> {
-                    if (word == QuotaCounter.Word.MAY) {
+                    if (word == QuotaClient.Word.MAY) {
                         allowed();
                     }
                 });
@@ -90,8 +94,7 @@
     }
 
     /** An answer that a proxy has said, and goes on saying until it is noted. */
-    private record Closing(String key, Proxies.Proxy proxy, LoanCounter counter, long claimedAt) {
-    }
+    private record Closing(String key, Proxies.Proxy proxy, OperationClient counter, long claimedAt) {}
 
     /** Whether nothing more is to be learned of a closing: it was noted, or its proxy has ended or may give it up. */
     private boolean isOver(Closing one) {
@@ -121,20 +124,21 @@
     }
 
     private void attempt(Proxies.Proxy proxy, String key) {
-        String name = key + ", try " + tries++ + " at " + proxy.imprint;
+        String name = key + ", try " + tries++ + " at " + proxy.daemonAddress;
         Attempt attempt = new Attempt(proxy, key, name);
         attempt.ticket = proxy.loans.claim(OperationKey.of(TENANT.label(), key), false, CLAIM_MS, attempt);
     }
 
     /** One try of an operation, from the claim at a proxy to what its client is told. */
-    private final class Attempt implements LoanCounter.Outcome {
+    private final class Attempt implements OperationClient.Outcome {
         private final Proxies.Proxy proxy;
         private final String key;
         private final String name;
         private final long claimedAt = room.now();
         /** Whether the operation's answer had been noted before this began. */
         private final boolean repeatsNoted;
-        private LoanCounter.Ticket ticket;
+
+        private OperationClient.Ticket ticket;
 
         Attempt(Proxies.Proxy proxy, String key, String name) {
             this.proxy = proxy;
@@ -146,7 +150,7 @@
         @Override
         public void granted() {
             if (random.nextInt(5) == 0) {
-                proxy.clock.execute(() -> ticket.close(LoanCounter.End.RELEASED, new byte[0]));
+                proxy.clock.execute(() -> ticket.close(OperationClient.End.RELEASED, new byte[0]));
                 return;
             }
             run(key, name);
@@ -157,10 +161,10 @@
 
         private void close(boolean answers) {
             if (answers) {
-                ticket.close(LoanCounter.End.ANSWERED, name.getBytes());
+                ticket.close(OperationClient.End.ANSWERED, name.getBytes());
                 closing.add(new Closing(key, proxy, proxy.loans, claimedAt));
             } else {
-                ticket.close(LoanCounter.End.UNKNOWN, new byte[0]);
+                ticket.close(OperationClient.End.UNKNOWN, new byte[0]);
             }
         }
 
@@ -198,8 +202,7 @@
     void repeat(String key, String answer) {
         repeatsAnswered++;
         if (!answer.equals(ran.get(key))) {
-            room.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as "
-                    + ran.get(key));
+            room.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as " + ran.get(key));
         }
     }
 
@@ -232,7 +235,8 @@
     record Served(long runs, long repeatsAnswered, long requestsAllowed) {
         /** Whether there is more of each. */
         boolean isMoreThan(Served earlier) {
-            return runs > earlier.runs && repeatsAnswered > earlier.repeatsAnswered
+            return runs > earlier.runs
+                    && repeatsAnswered > earlier.repeatsAnswered
                     && requestsAllowed > earlier.requestsAllowed;
         }
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Content.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Content.java
@@ -1,8 +1,8 @@
 package org.umbermount.simulation;
 
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
-import org.umbermount.kernel.Script;
+import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.Tables;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * What a configuration of a simulated day holds. Its limits tell orders that were sent whole apart, and its one route
@@ -11,6 +11,7 @@
 record Content(long edition, long limitVariant, long routeVariant, boolean hasTenant) {
     /** The least {@code maxHeaderBytes}; the variant is added to it. */
     static final long LEAST_LIMIT = 4_096;
+
     private static final long NO_ROUTE = -1;
     private static final long LEAST_TIMEOUT_MS = 1_000;
     private static final String ROUTE_HOST = "h.example";
@@ -56,12 +57,15 @@
     }
 
     /** What a proxy has in force. */
-    static Content of(Inventory table) throws Script.UnreadableException {
-        byte[] limits = table.entries().get(Inventory.CONFIGURATION);
-        byte[] route = table.entries().get(Inventory.ROUTE + ROUTE_HOST + ROUTE_PREFIX);
+    static Content of(RoutingTable table) throws MessagePackCodec.UnreadableException {
+        byte[] limits = table.entries().get(RoutingTable.CONFIGURATION);
+        byte[] route = table.entries().get(RoutingTable.ROUTE + ROUTE_HOST + ROUTE_PREFIX);
         long routeVariant = route == null ? NO_ROUTE : Tables.readRoute(route).timeoutMs() - LEAST_TIMEOUT_MS;
         long limitVariant = Tables.readLimits(limits).maxHeaderBytes() - LEAST_LIMIT;
-        return new Content(table.edition().value(), limitVariant, routeVariant,
-                table.entries().containsKey(Inventory.TENANT + Clients.TENANT.label()));
+        return new Content(
+                table.edition().value(),
+                limitVariant,
+                routeVariant,
+                table.entries().containsKey(RoutingTable.TENANT + Clients.TENANT.label()));
     }
 }
--- a/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
@@ -1,9 +1,9 @@
 package org.umbermount.simulation;
 
 import java.util.function.Consumer;
-import org.umbermount.archive.ControlCaller;
-import org.umbermount.archive.Replica;
-import org.umbermount.kernel.Edition;
+import org.umbermount.control.ControlCaller;
+import org.umbermount.control.Replica;
+import org.umbermount.kernel.ConfigurationRevision;
 
 /** How operators reach a daemon: by its calls over HTTP, or by what lies behind them. */
 final class ControlCalls {
@@ -26,8 +26,15 @@
     /** Sends an order; what a daemon says of it is handed on, unless it says that it does not know. */
     void submit(int machine, Operators.Order order, Consumer<Replica.Verdict> verdict) {
         if (!overHttp) {
-            room.fleet.chainClient(machine).submit(new Edition(order.match), new Edition(order.edition),
-                    order.text.getBytes(), PATIENCE_MS, verdict, () -> { });
+            room.fleet
+                    .chainClient(machine)
+                    .submit(
+                            new ConfigurationRevision(order.match),
+                            new ConfigurationRevision(order.edition),
+                            order.text.getBytes(),
+                            PATIENCE_MS,
+                            verdict,
+                            () -> {});
             return;
         }
         String request = order.amendment == null
@@ -62,8 +69,12 @@
     /** Reads the configuration, or an empty text if there is none; one of the two is called if the daemon lives on. */
     void read(int machine, Consumer<String> reading, Runnable gaveUp) {
         if (!overHttp) {
-            room.fleet.chainClient(machine).read(PATIENCE_MS,
-                    state -> reading.accept(state.edition().value() > 0 ? new String(state.blob()) : ""), gaveUp);
+            room.fleet
+                    .chainClient(machine)
+                    .read(
+                            PATIENCE_MS,
+                            state -> reading.accept(state.edition().value() > 0 ? new String(state.blob()) : ""),
+                            gaveUp);
             return;
         }
         caller.call(machine, ControlCaller.request("GET", "/config", null, ""), answer -> {
--- a/simulation/src/main/java/org/umbermount/simulation/Daemons.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Daemons.java
@@ -5,31 +5,31 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.umbermount.archive.FailureDetector;
-import org.umbermount.archive.Fleet;
-import org.umbermount.courier.ReceivingDepartment;
-import org.umbermount.courier.SendingDepartment;
-import org.umbermount.gazetteer.Gazetteer;
-import org.umbermount.gazetteer.Placename;
+import org.umbermount.control.FailureDetector;
+import org.umbermount.control.Fleet;
+import org.umbermount.distribution.TableReceiverPlugin;
+import org.umbermount.distribution.TableSenderPlugin;
+import org.umbermount.idempotency.OperationClientPlugin;
+import org.umbermount.idempotency.OperationKeeperPlugin;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.PluginHost;
 import org.umbermount.kernel.Role;
-import org.umbermount.kernel.Tally;
-import org.umbermount.kernel.testing.FakePost;
-import org.umbermount.loans.CounterDepartment;
-import org.umbermount.loans.LoansDepartment;
-import org.umbermount.readership.CountingDepartment;
-import org.umbermount.readership.ReadershipDepartment;
-import org.umbermount.stacks.Cellar;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.testing.FakeMessenger;
+import org.umbermount.membership.MemberDescriptor;
+import org.umbermount.membership.PeerSampling;
+import org.umbermount.quota.QuotaClientPlugin;
+import org.umbermount.quota.QuotaGranterPlugin;
+import org.umbermount.storage.DiskAccess;
+import org.umbermount.storage.testing.FakeDirectory;
 
-/** Starts registrars and proxies as the programs do, plug-in by plug-in, on what is simulated beneath them. */
+/** Starts controllers and proxies as the programs do, plug-in by plug-in, on what is simulated beneath them. */
 final class Daemons {
-    private static final HouseRules.Bounds BOUNDS = new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000,
-            Checks.APPLY_MS, 0.2, 10_000, 60, 4000, Clients.SHARING);
+    private static final Settings.Bounds BOUNDS = new Settings.Bounds(
+            Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000, Checks.APPLY_MS, 0.2, 10_000, 60, 4000, Clients.SHARING);
 
     private final SimulatedCluster room;
     private final Random random;
@@ -39,59 +39,84 @@
         this.random = random;
     }
 
-    private HouseRules rules(String zone, Imprint self, List<Imprint> seeds) {
+    private Settings rules(String zone, DaemonAddress self, List<DaemonAddress> seeds) {
         Map<String, String> zones = new HashMap<>();
         for (int z = 0; z < room.machines.size(); z++) {
             zones.put(Fleet.zone(z), "r");
         }
-        return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010,
-                seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500,
-                room.hasClients() ? room.machines.tolerated() : 1, room.guarantees(), BOUNDS);
+        return new Settings(
+                "n",
+                zone,
+                zones,
+                self.host(),
+                Map.of(),
+                7000,
+                7010,
+                seeds.stream().map(s -> s.withPort(8000)).toList(),
+                false,
+                "",
+                100,
+                1000,
+                1500,
+                room.hasClients() ? room.machines.tolerated() : 1,
+                room.guarantees(),
+                BOUNDS);
     }
 
-    private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds,
-            FakePost.Bag bag) {
-        Gazetteer g = new Gazetteer(new Placename(self, role, zone, 0), seeds, host.clock(), bag, new Tally(),
+    private PeerSampling peerSampling(
+            PluginHost host,
+            DaemonAddress self,
+            Role role,
+            String zone,
+            List<DaemonAddress> seeds,
+            FakeMessenger.Bag bag) {
+        PeerSampling g = new PeerSampling(
+                new MemberDescriptor(self, role, zone, 0),
+                seeds,
+                host.clock(),
+                bag,
+                new Metrics(),
                 new Random(random.nextLong()));
-        host.offer(Postbag.class, bag);
-        host.offer(Gazetteer.class, g);
+        host.offer(Messenger.class, bag);
+        host.offer(PeerSampling.class, g);
         g.start();
         return g;
     }
 
-    private static List<Imprint> imprints(List<Integer> machines) {
-        return machines.stream().map(Fleet::imprint).toList();
+    private static List<DaemonAddress> imprints(List<Integer> machines) {
+        return machines.stream().map(Fleet::daemonAddress).toList();
     }
 
-    /** Gives a registrar that has started the plug-ins beside its control plane. */
+    /** Gives a controller that has started the plug-ins beside its control plane. */
     void openPlugIns(int i, List<Integer> seeds) {
-        Imprint self = Fleet.imprint(i);
-        Institution host = room.fleet.host(i, rules(room.machines.zone(i), self, imprints(seeds)));
-        Gazetteer g = gazetteer(host, self, Role.REGISTRAR, room.machines.zone(i), imprints(seeds), room.fleet.bag(i));
+        DaemonAddress self = Fleet.daemonAddress(i);
+        PluginHost host = room.fleet.host(i, rules(room.machines.zone(i), self, imprints(seeds)));
+        PeerSampling g =
+                peerSampling(host, self, Role.CONTROLLER, room.machines.zone(i), imprints(seeds), room.fleet.bag(i));
         g.observe(p -> {
-            if (p.role() == Role.REGISTRAR) {
-                host.find(FailureDetector.class).enlist(p.imprint());
+            if (p.role() == Role.CONTROLLER) {
+                host.find(FailureDetector.class).enlist(p.daemonAddress());
             }
         });
         if (room.hasClients()) {
             openRecordsAndCounts(i, host);
         }
-        new SendingDepartment().open(host);
+        new TableSenderPlugin().open(host);
     }
 
-    /** Gives a registrar its operation records and counts. */
-    private void openRecordsAndCounts(int i, Institution host) {
-        FakeVault disk = room.fleet.disks.get(i);
-        host.offer(Cellar.class, new Cellar(disk, disk.executor()));
+    /** Gives a controller its operation records and counts. */
+    private void openRecordsAndCounts(int i, PluginHost host) {
+        FakeDirectory disk = room.fleet.disks.get(i);
+        host.offer(DiskAccess.class, new DiskAccess(disk, disk.executor()));
         try {
-            new LoansDepartment().open(host);
+            new OperationKeeperPlugin().open(host);
         } catch (Exception e) {
-            throw new IllegalStateException("Registrar " + i + " cannot open its operation records.", e);
+            throw new IllegalStateException("Controller " + i + " cannot open its operation records.", e);
         }
-        new ReadershipDepartment().open(host);
+        new QuotaGranterPlugin().open(host);
     }
 
-    /** Starts a registrar; the list of those that it is told of is the operator's. */
+    /** Starts a controller; the list of those that it is told of is the operator's. */
     List<Integer> start(int i) {
         try {
             List<Integer> seeds = room.machines.seeds(random);
@@ -105,16 +130,15 @@
     }
 
     /** Starts a proxy. */
-    Institution openProxy(Imprint self, String zone, Clock clock) {
-        List<Imprint> seeds = imprints(room.machines.seeds(random));
-        FakePost.Bag bag = room.fleet.network.bag(self);
-        Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock,
-                new Random(random.nextLong()));
-        gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
-        new ReceivingDepartment().open(host);
+    PluginHost openProxy(DaemonAddress self, String zone, Clock clock) {
+        List<DaemonAddress> seeds = imprints(room.machines.seeds(random));
+        FakeMessenger.Bag bag = room.fleet.network.bag(self);
+        PluginHost host = new PluginHost(Role.PROXY, rules(zone, self, seeds), clock, new Random(random.nextLong()));
+        peerSampling(host, self, Role.PROXY, zone, seeds, bag);
+        new TableReceiverPlugin().open(host);
         if (room.hasClients()) {
-            new CounterDepartment().open(host);
-            new CountingDepartment().open(host);
+            new OperationClientPlugin().open(host);
+            new QuotaClientPlugin().open(host);
         }
         return host;
     }
--- a/simulation/src/main/java/org/umbermount/simulation/LateMessages.java
+++ b/simulation/src/main/java/org/umbermount/simulation/LateMessages.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.umbermount.archive.Fleet;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Postbag;
+import org.umbermount.control.Fleet;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Messenger;
 
 /** Keeps some of what each process has sent, and lets it come again when that process has ended. */
 final class LateMessages {
@@ -18,11 +18,10 @@
     /** Of the messages that are sent, one in so many is kept: those of a life's last second or two, and not only the last ones. */
     private static final int ONE_IN = 3;
 
-    private record Message(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
-    }
+    private record Message(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {}
 
     private final Fleet fleet;
-    private final Map<Imprint, ArrayDeque<Message>> present = new HashMap<>();
+    private final Map<DaemonAddress, ArrayDeque<Message>> present = new HashMap<>();
     private final List<Message> ended = new ArrayList<>();
     private long seen;
 
@@ -31,7 +30,7 @@
         fleet.network.tap = this::sent;
     }
 
-    private boolean sent(Imprint from, Imprint to, Postbag.Topic topic, byte[] body) {
+    private boolean sent(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
         if (seen++ % ONE_IN == 0) {
             ArrayDeque<Message> kept = present.computeIfAbsent(from, f -> new ArrayDeque<>());
             kept.add(new Message(from, to, topic, body));
@@ -43,7 +42,7 @@
     }
 
     /** A process has ended. */
-    void ended(Imprint daemon) {
+    void ended(DaemonAddress daemon) {
         ArrayDeque<Message> kept = present.remove(daemon);
         if (kept != null) {
             ended.addAll(kept);
--- a/simulation/src/main/java/org/umbermount/simulation/Lives.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Lives.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.umbermount.archive.Fleet;
-import org.umbermount.archive.Replica;
+import org.umbermount.control.Fleet;
+import org.umbermount.control.Replica;
 
-/** No earlier life of a registrar passes for a later one, and no later one is refused. */
+/** No earlier life of a controller passes for a later one, and no later one is refused. */
 final class Lives {
     private final SimulatedCluster room;
     private final Fleet fleet;
@@ -19,6 +19,7 @@
     private final Map<List<Long>, Integer> taken = new HashMap<>();
     /** The incarnations that a machine's disks had before they were lost. */
     private final Map<Integer, Set<Long>> lost = new HashMap<>();
+
     private final Map<Integer, Long> voted = new HashMap<>();
     private final Map<String, Long> highest = new HashMap<>();
     private final Map<String, Integer> holder = new HashMap<>();
@@ -59,7 +60,7 @@
             long now = fleet.replica(i).incarnation();
             voted.put(i, now);
             if (lost.getOrDefault(i, Set.of()).contains(now)) {
-                room.broken("registrar " + i + " votes as incarnation " + now + ", which an earlier memory of it was");
+                room.broken("controller " + i + " votes as incarnation " + now + ", which an earlier memory of it was");
             }
         }
     }
@@ -69,8 +70,8 @@
             int index = e.getValue().indexOf(fleet.lifeKnown(at, e.getKey()));
             Integer before = index < 0 ? null : taken.put(List.of(fleet.life(at), (long) e.getKey()), index);
             if (before != null && index < before) {
-                room.broken("registrar " + at + " takes life " + index + " of registrar " + e.getKey() + " for the present one after life "
-                        + before);
+                room.broken("controller " + at + " takes life " + index + " of controller " + e.getKey()
+                        + " for the present one after life " + before);
             }
         }
     }
@@ -85,7 +86,8 @@
             long top = highest.getOrDefault(duty, 0L);
             Integer last = holder.put(duty, at);
             if (epoch < top || epoch == top && last != null && last != at) {
-                room.broken("registrar " + at + " holds the duty for " + duty + " under epoch " + epoch + " after " + top);
+                room.broken(
+                        "controller " + at + " holds the duty for " + duty + " under epoch " + epoch + " after " + top);
             }
             highest.put(duty, epoch);
         }
@@ -96,10 +98,10 @@
         for (int at : room.machines.core()) {
             for (int other : room.machines.core()) {
                 if (at != other && fleet.lifeKnown(at, other) != fleet.life(other)) {
-                    room.broken("registrar " + at + " does not know the present life of registrar " + other);
+                    room.broken("controller " + at + " does not know the present life of controller " + other);
                 }
                 if (fleet.incarnationKnown(at, other) > fleet.replica(other).incarnation()) {
-                    room.broken("registrar " + at + " refuses registrar " + other + " for a higher incarnation");
+                    room.broken("controller " + at + " refuses controller " + other + " for a higher incarnation");
                 }
             }
         }
--- a/simulation/src/main/java/org/umbermount/simulation/Machines.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Machines.java
@@ -10,11 +10,11 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import org.umbermount.archive.Fleet;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.control.Fleet;
+import org.umbermount.kernel.DaemonAddress;
 
 /**
- * The registrars' machines: one for each place of the control plane, what happens to them, and how many of them may be lost at
+ * The controllers' machines: one for each place of the control plane, what happens to them, and how many of them may be lost at
  * once. A machine counts as lost while it is away or disturbed and for a time after it is back.
  */
 final class Machines {
@@ -31,6 +31,7 @@
     private final List<Integer> core = new ArrayList<>();
     /** The operator's list of machines, by when it came into use. */
     private final TreeMap<Long, List<Integer>> lists = new TreeMap<>();
+
     private final Map<Integer, Integer> places = new TreeMap<>();
     private final Set<Integer> isolated = new TreeSet<>();
     private final Set<Integer> frozen = new TreeSet<>();
@@ -40,6 +41,7 @@
     private final Map<Integer, Long> lostUntil = new HashMap<>();
     /** Places whose machine is about to be replaced. */
     private final Set<Integer> reserved = new HashSet<>();
+
     private int made;
     private long lastEvent;
 
@@ -50,15 +52,15 @@
         for (int i = 0; i < size; i++) {
             core.add(i);
             places.put(i, i);
-            room.wires.add(Fleet.imprint(i));
+            room.wires.add(Fleet.daemonAddress(i));
         }
         made = size;
         lists.put(Long.MIN_VALUE, List.copyOf(core));
         lastEvent = room.now();
     }
 
-    static boolean isMachine(Imprint imprint) {
-        return imprint.port() == 7000;
+    static boolean isMachine(DaemonAddress daemonAddress) {
+        return daemonAddress.port() == 7000;
     }
 
     List<Integer> core() {
@@ -105,7 +107,11 @@
 
     /** Whether a machine's daemon runs, and nothing is the matter with its processor, network or disk. */
     boolean undisturbed(int i) {
-        return fleet.isRunning(i) && !frozen.contains(i) && !slowed.contains(i) && !isolated.contains(i) && !diskTrouble.contains(i);
+        return fleet.isRunning(i)
+                && !frozen.contains(i)
+                && !slowed.contains(i)
+                && !isolated.contains(i)
+                && !diskTrouble.contains(i);
     }
 
     private long running() {
@@ -126,7 +132,8 @@
 
     /** Any three that the operator's list has had, which is some seconds behind. */
     List<Integer> seeds(Random random) {
-        List<Integer> known = new ArrayList<>(lists.floorEntry(room.now() - LIST_LAG_MS).getValue());
+        List<Integer> known =
+                new ArrayList<>(lists.floorEntry(room.now() - LIST_LAG_MS).getValue());
         java.util.Collections.shuffle(known, random);
         return known.subList(0, 3);
     }
@@ -139,14 +146,14 @@
             if (how == 0 ? i == only : how == 1 ? random.nextBoolean() : true) {
                 long by = (random.nextInt(2 * MOST_STEP_MINUTES) - MOST_STEP_MINUTES) * 60_000L + 7;
                 fleet.stepWallClock(i, by);
-                room.note("the time of day of registrar " + i + " steps by " + by);
+                room.note("the time of day of controller " + i + " steps by " + by);
             }
         }
     }
 
     private void event(int i, String what) {
         lastEvent = room.now();
-        room.note("registrar " + i + " " + what);
+        room.note("controller " + i + " " + what);
     }
 
     // ---- how many may be lost ----
@@ -210,7 +217,7 @@
     }
 
     private void down(int i, boolean power, boolean wiped) {
-        room.ended(Fleet.imprint(i));
+        room.ended(Fleet.daemonAddress(i));
         room.lives.ended(i, wiped);
         fleet.kill(i, power);
         fleet.disks.get(i).endBeforeSync = false;
@@ -233,10 +240,10 @@
         });
     }
 
-    private void cut(int place, long forMs, Predicate<Imprint> others, Random random) {
+    private void cut(int place, long forMs, Predicate<DaemonAddress> others, Random random) {
         int i = core.get(place);
         NetworkCuts.Way way = NetworkCuts.Way.values()[random.nextInt(3)];
-        NetworkCuts.Cut cut = room.wires.cut(Fleet.imprint(i), way, others);
+        NetworkCuts.Cut cut = room.wires.cut(Fleet.daemonAddress(i), way, others);
         isolated.add(i);
         event(i, "is cut off, " + way + ", for " + forMs);
         room.later(forMs, () -> {
@@ -295,10 +302,10 @@
             case 1 -> cut(place, forMs, Machines::isMachine, random);
             case 2 -> cut(place, forMs, o -> true, random);
             default -> {
-                List<Imprint> some = new ArrayList<>();
+                List<DaemonAddress> some = new ArrayList<>();
                 for (int o : core) {
                     if (random.nextBoolean()) {
-                        some.add(Fleet.imprint(o));
+                        some.add(Fleet.daemonAddress(o));
                     }
                 }
                 room.note("only from " + some);
@@ -408,9 +415,9 @@
     private int arrive(int place) {
         int fresh = made++;
         places.put(fresh, place);
-        room.wires.add(Fleet.imprint(fresh));
+        room.wires.add(Fleet.daemonAddress(fresh));
         List<Integer> named = room.daemons.start(fresh);
-        event(fresh, "comes, empty, for registrar " + core.get(place) + ", and is told of " + named);
+        event(fresh, "comes, empty, for controller " + core.get(place) + ", and is told of " + named);
         return fresh;
     }
 
@@ -446,7 +453,7 @@
         event(old, "leaves");
         room.later(LEAVE_MS, () -> {
             if (fleet.isRunning(old)) {
-                room.ended(Fleet.imprint(old));
+                room.ended(Fleet.daemonAddress(old));
                 room.lives.ended(old, false);
                 fleet.kill(old, false);
                 event(old, "has left");
--- a/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
@@ -1,7 +1,7 @@
 package org.umbermount.simulation;
 
 import java.util.Random;
-import org.umbermount.archive.ControlCaller;
+import org.umbermount.control.ControlCaller;
 
 /**
  * Calls that no daemon may take, from bytes that are no HTTP to a change that contradicts itself. Each gets a refusal,
@@ -11,13 +11,26 @@
 final class MalformedCalls {
     /** The calls, each with what is wrong with it. */
     enum Fault {
-        NO_HTTP, CUT_SHORT, MEMBER_TWICE, TEXT_FOR_A_NUMBER, SOMETHING_BEHIND, UNKNOWN_SERVICE, NO_VERSION,
-        UNREADABLE_VERSION, NUMBER_THAT_DOES_NOT_RISE, CHANGE_OF_AN_UNKNOWN_LIST, CHANGE_THAT_CONTRADICTS_ITSELF,
-        WRONG_METHOD, UNKNOWN_PATH, BEAT_WITHOUT_MEMBERS, PURGE_OF_NOTHING
+        NO_HTTP,
+        CUT_SHORT,
+        MEMBER_TWICE,
+        TEXT_FOR_A_NUMBER,
+        SOMETHING_BEHIND,
+        UNKNOWN_SERVICE,
+        NO_VERSION,
+        UNREADABLE_VERSION,
+        NUMBER_THAT_DOES_NOT_RISE,
+        CHANGE_OF_AN_UNKNOWN_LIST,
+        CHANGE_THAT_CONTRADICTS_ITSELF,
+        WRONG_METHOD,
+        UNKNOWN_PATH,
+        BEAT_WITHOUT_MEMBERS,
+        PURGE_OF_NOTHING
     }
 
     /** What these calls carry as a variant, which no order has. */
     private static final long VARIANT = 9_000_000;
+
     private static final long ANSWER_MS = 1_000;
     private static final int UNAVAILABLE = 503;
 
@@ -45,7 +58,7 @@
         });
         room.later(ANSWER_MS, () -> {
             if (!answered[0] && well && room.machines.undisturbed(machine) && room.machines.lastEvent() < sent) {
-                room.broken("registrar " + machine + " did not answer a call with " + fault);
+                room.broken("controller " + machine + " did not answer a call with " + fault);
             }
         });
     }
@@ -62,27 +75,32 @@
     private static String request(Fault fault, long base, long edition) {
         String match = Long.toString(base);
         String whole = Content.whole(edition, VARIANT).text();
-        String change = Content.whole(edition, VARIANT).amended(edition, VARIANT).amendment();
+        String change =
+                Content.whole(edition, VARIANT).amended(edition, VARIANT).amendment();
         return switch (fault) {
             case NO_HTTP -> "something else\r\n\r\n";
             case CUT_SHORT -> config("PUT", match, whole.substring(0, whole.length() - 1));
             case MEMBER_TWICE -> config("PUT", match, "{\"revision\":" + edition + "," + whole.substring(1));
-            case TEXT_FOR_A_NUMBER -> config("PUT", match,
-                    whole.replace("\"revision\":" + edition, "\"revision\":\"" + edition + "\""));
+            case TEXT_FOR_A_NUMBER -> config(
+                    "PUT", match, whole.replace("\"revision\":" + edition, "\"revision\":\"" + edition + "\""));
             case SOMETHING_BEHIND -> config("PUT", match, whole + "{}");
-            case UNKNOWN_SERVICE -> config("PUT", match,
-                    Content.whole(edition, VARIANT).amended(edition, VARIANT).text()
+            case UNKNOWN_SERVICE -> config(
+                    "PUT",
+                    match,
+                    Content.whole(edition, VARIANT)
+                            .amended(edition, VARIANT)
+                            .text()
                             .replace("\"upstream\":\"s\"", "\"upstream\":\"other\""));
             case NO_VERSION -> config("PUT", null, whole);
             case UNREADABLE_VERSION -> config("PUT", "the last one", whole);
             case NUMBER_THAT_DOES_NOT_RISE -> config("PUT", Long.toString(edition), whole);
             case CHANGE_OF_AN_UNKNOWN_LIST -> config("PATCH", match, change.replace("routeTable", "routes"));
-            case CHANGE_THAT_CONTRADICTS_ITSELF -> config("PATCH", match,
-                    change.substring(0, change.length() - 1) + ",\"remove\":{\"upstreams\":[\"s\"]}}");
+            case CHANGE_THAT_CONTRADICTS_ITSELF -> config(
+                    "PATCH", match, change.substring(0, change.length() - 1) + ",\"remove\":{\"upstreams\":[\"s\"]}}");
             case WRONG_METHOD -> config("POST", match, whole);
             case UNKNOWN_PATH -> ControlCaller.request("PUT", "/configuration", match, whole);
-            case BEAT_WITHOUT_MEMBERS ->
-                    ControlCaller.request("PUT", "/instances/nobody", null, "{\"status\":\"in_service\"}");
+            case BEAT_WITHOUT_MEMBERS -> ControlCaller.request(
+                    "PUT", "/instances/nobody", null, "{\"status\":\"in_service\"}");
             case PURGE_OF_NOTHING -> ControlCaller.request("POST", "/purge", null, "{}");
         };
     }
--- a/simulation/src/main/java/org/umbermount/simulation/Operators.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Operators.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.umbermount.archive.Replica;
+import org.umbermount.control.Replica;
 
 /** The operators: what they order and are told, and what must be true of that whoever hears it. */
 final class Operators {
@@ -22,17 +22,21 @@
         final String text;
         /** The body of the call that changes items of the version before; null if the whole is sent. */
         final String amendment;
+
         private final long variant;
         final long since = room.now();
         /** Since when the core has been settled without a break while this was asked. */
         long settledSince = since;
+
         private int tries;
         private int askedLast = -1;
         /** What the operator has heard; null before. */
         Boolean taken;
+
         boolean givenUp;
         /** When a daemon first said that it is taken, whoever heard that. */
         long takenAt = SimulatedCluster.NEVER;
+
         boolean refused;
 
         Order(long match, long edition, long variant) {
@@ -96,7 +100,8 @@
         private void send(int at, int mine) {
             calls.submit(at, this, v -> {
                 said(v, at);
-                // A caller that has turned to another daemon does not hear what this one says, and some answers are lost.
+                // A caller that has turned to another daemon does not hear what this one says, and some answers are
+                // lost.
                 if (lostAnswers > 0 && random.nextDouble() < lostAnswers) {
                     room.note("that answer is lost");
                 } else if (tries == mine && underWay()) {
@@ -151,7 +156,8 @@
 
         @Override
         public String toString() {
-            return "edition " + edition + " on " + match + " (" + (amendment == null ? "order " : "change ") + variant + ")";
+            return "edition " + edition + " on " + match + " (" + (amendment == null ? "order " : "change ") + variant
+                    + ")";
         }
     }
 
@@ -165,6 +171,7 @@
     private final Map<Long, String> contents = new HashMap<>();
     /** What each order asks for, by its text. */
     private final Map<String, Content> ordered = new HashMap<>();
+
     private final Set<String> refusedTexts = new HashSet<>();
     private long acknowledged;
     private long firstAcknowledged = Long.MAX_VALUE / 4;
@@ -320,7 +327,7 @@
     /** Asks a daemon what is in force; whether it answers or not. */
     void read() {
         if (reads <= 3) {
-            read(() -> { });
+            read(() -> {});
         }
     }
 
@@ -331,18 +338,21 @@
         }
         long least = acknowledged;
         reads++;
-        calls.read(up.get(random.nextInt(up.size())), text -> {
-            reads--;
-            long edition = text.isEmpty() ? 0 : edition(text);
-            if (edition < least) {
-                room.broken("edition " + edition + " was read when " + least + " had been confirmed");
-            }
-            if (edition > 0) {
-                seen(edition, text, "it was read");
-                base = Math.max(base, edition);
-            }
-            done.run();
-        }, () -> reads--);
+        calls.read(
+                up.get(random.nextInt(up.size())),
+                text -> {
+                    reads--;
+                    long edition = text.isEmpty() ? 0 : edition(text);
+                    if (edition < least) {
+                        room.broken("edition " + edition + " was read when " + least + " had been confirmed");
+                    }
+                    if (edition > 0) {
+                        seen(edition, text, "it was read");
+                        base = Math.max(base, edition);
+                    }
+                    done.run();
+                },
+                () -> reads--);
     }
 
     private long edition(String text) {
--- a/simulation/src/main/java/org/umbermount/simulation/Proxies.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Proxies.java
@@ -4,38 +4,40 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.umbermount.archive.MortalClock;
-import org.umbermount.courier.Consignee;
-import org.umbermount.courier.Inventory;
-import org.umbermount.kernel.Imprint;
-import org.umbermount.kernel.Institution;
-import org.umbermount.kernel.Script;
-import org.umbermount.loans.LoanCounter;
-import org.umbermount.readership.QuotaCounter;
-
-/** The lectors of the room: what each has in force, and what happens to them. */
+import org.umbermount.control.MortalClock;
+import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.StateReceiver;
+import org.umbermount.idempotency.OperationClient;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.PluginHost;
+import org.umbermount.quota.QuotaClient;
+
+/** The proxies of the room: what each has in force, and what happens to them. */
 final class Proxies {
     private static final long NEVER = SimulatedCluster.NEVER;
 
-    /** One lector and what it has had in force. */
+    /** One proxy and what it has had in force. */
     static final class Proxy {
-        final Imprint imprint;
+        final DaemonAddress daemonAddress;
         final String zone;
         MortalClock clock;
-        Consignee consignee;
+        StateReceiver stateReceiver;
         /** Null on days without clients. */
-        LoanCounter loans;
-        QuotaCounter quota;
+        OperationClient loans;
+
+        QuotaClient quota;
         long edition;
         /** The entries of the table in force. */
         Map<String, byte[]> table = Map.of();
+
         boolean up;
         boolean frozen;
         long lastEvent = NEVER;
         boolean cut;
 
-        Proxy(Imprint imprint, String zone) {
-            this.imprint = imprint;
+        Proxy(DaemonAddress daemonAddress, String zone) {
+            this.daemonAddress = daemonAddress;
             this.zone = zone;
         }
 
@@ -51,8 +53,8 @@
         this.room = room;
     }
 
-    void add(Imprint imprint, String zone) {
-        Proxy p = new Proxy(imprint, zone);
+    void add(DaemonAddress daemonAddress, String zone) {
+        Proxy p = new Proxy(daemonAddress, zone);
         all.add(p);
         open(p);
     }
@@ -63,23 +65,23 @@
 
     private void open(Proxy p) {
         p.clock = new MortalClock(room.fleet.almanac);
-        Institution host = room.daemons.openProxy(p.imprint, p.zone, p.clock);
-        p.consignee = host.find(Consignee.class);
-        p.loans = host.findOrNull(LoanCounter.class);
-        p.quota = host.findOrNull(QuotaCounter.class);
+        PluginHost host = room.daemons.openProxy(p.daemonAddress, p.zone, p.clock);
+        p.stateReceiver = host.find(StateReceiver.class);
+        p.loans = host.findOrNull(OperationClient.class);
+        p.quota = host.findOrNull(QuotaClient.class);
         p.edition = 0;
         p.table = Map.of();
         p.up = true;
-        p.consignee.observe(t -> inForce(p, t));
+        p.stateReceiver.observe(t -> inForce(p, t));
     }
 
-    private void inForce(Proxy p, Inventory table) {
+    private void inForce(Proxy p, RoutingTable table) {
         long edition = table.edition().value();
         p.table = table.entries();
         if (edition > 0) {
             try {
-                room.operators.seen(edition, Content.of(table).text(), p.imprint + " has it in force");
-            } catch (Script.UnreadableException e) {
+                room.operators.seen(edition, Content.of(table).text(), p.daemonAddress + " has it in force");
+            } catch (MessagePackCodec.UnreadableException e) {
                 throw new IllegalStateException(e);
             }
         }
@@ -88,7 +90,7 @@
 
     void inForce(Proxy p, long edition) {
         if (edition < p.edition) {
-            room.broken(p.imprint + " went back from edition " + p.edition + " to " + edition);
+            room.broken(p.daemonAddress + " went back from edition " + p.edition + " to " + edition);
         }
         p.edition = edition;
     }
@@ -105,26 +107,26 @@
     private void freeze(Proxy p) {
         p.frozen = true;
         p.clock.freeze();
-        room.fleet.network.freeze(p.imprint);
+        room.fleet.network.freeze(p.daemonAddress);
     }
 
     private void thaw(Proxy p) {
         p.frozen = false;
-        room.fleet.network.thaw(p.imprint);
+        room.fleet.network.thaw(p.daemonAddress);
         p.clock.thaw();
     }
 
     void kill(Proxy p, long forMs) {
         p.up = false;
         p.clock.die();
-        room.fleet.network.down(p.imprint);
-        room.ended(p.imprint);
+        room.fleet.network.down(p.daemonAddress);
+        room.ended(p.daemonAddress);
         p.lastEvent = room.now();
-        room.note(p.imprint + " is killed for " + forMs);
+        room.note(p.daemonAddress + " is killed for " + forMs);
         room.later(forMs, () -> {
             open(p);
             p.lastEvent = room.now();
-            room.note(p.imprint + " starts");
+            room.note(p.daemonAddress + " starts");
         });
     }
 
@@ -139,21 +141,21 @@
             case 0 -> kill(p, forMs);
             case 1 -> {
                 freeze(p);
-                room.note(p.imprint + " freezes for " + forMs);
+                room.note(p.daemonAddress + " freezes for " + forMs);
                 room.later(forMs, () -> {
                     p.lastEvent = room.now();
                     thaw(p);
-                    room.note(p.imprint + " thaws");
+                    room.note(p.daemonAddress + " thaws");
                 });
             }
             default -> {
                 p.cut = true;
-                room.note(p.imprint + " is cut off for " + forMs);
-                NetworkCuts.Cut cut = room.wires.cut(p.imprint, NetworkCuts.Way.BOTH, Machines::isMachine);
+                room.note(p.daemonAddress + " is cut off for " + forMs);
+                NetworkCuts.Cut cut = room.wires.cut(p.daemonAddress, NetworkCuts.Way.BOTH, Machines::isMachine);
                 room.later(forMs, () -> {
                     p.cut = false;
                     p.lastEvent = room.now();
-                    room.note(p.imprint + " is joined");
+                    room.note(p.daemonAddress + " is joined");
                     room.wires.join(cut);
                 });
             }
--- a/simulation/src/main/java/org/umbermount/simulation/Servers.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Servers.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.umbermount.archive.ControlCaller;
-import org.umbermount.archive.Fleet;
-import org.umbermount.courier.Inventory;
-import org.umbermount.courier.Tables;
-import org.umbermount.kernel.Script;
+import org.umbermount.control.ControlCaller;
+import org.umbermount.control.Fleet;
+import org.umbermount.distribution.RoutingTable;
+import org.umbermount.distribution.Tables;
+import org.umbermount.kernel.MessagePackCodec;
 
 /**
  * Servers that say over HTTP that they are there, drain and sign off. Once a daemon has acknowledged that one drains or
@@ -21,10 +21,13 @@
     private static final long DRAIN_MS = 3_000;
     /** How long a server that drains goes on after that was acknowledged. */
     private static final long SERVE_ON_MS = 3_300;
+
     private static final int OK = 200;
 
     private enum Status {
-        IN_SERVICE, DRAINING, GONE
+        IN_SERVICE,
+        DRAINING,
+        GONE
     }
 
     /** One life of a server. */
@@ -56,11 +59,14 @@
             if (said == Status.GONE) {
                 return ControlCaller.request("DELETE", "/instances/" + id, null, "");
             }
-            return ControlCaller.request("PUT", "/instances/" + id, null,
+            return ControlCaller.request(
+                    "PUT",
+                    "/instances/" + id,
+                    null,
                     "{\"upstream\":\"s\",\"address\":\"10.200.0." + (1 + number % 250) + ":8080\",\"zone\":\""
-                    + Fleet.zone(0) + "\",\"revision\":\"v1\",\"capacity\":6,"
-                    + "\"status\":\"" + (said == Status.DRAINING ? "draining" : "in_service")
-                    + "\",\"warmupLeftMs\":0,\"sequence\":" + stamp + "}");
+                            + Fleet.zone(0) + "\",\"revision\":\"v1\",\"capacity\":6,"
+                            + "\"status\":\"" + (said == Status.DRAINING ? "draining" : "in_service")
+                            + "\",\"warmupLeftMs\":0,\"sequence\":" + stamp + "}");
         }
 
         private void tell(Status said, long stamp) {
@@ -121,7 +127,7 @@
         void lateBeat() {
             int machine = room.machines.anyAnswering(random);
             if (machine >= 0) {
-                room.calls.send(machine, request(Status.IN_SERVICE, 1), answer -> { });
+                room.calls.send(machine, request(Status.IN_SERVICE, 1), answer -> {});
             }
         }
     }
@@ -168,8 +174,8 @@
             boolean due = server.leavingAcknowledgedAt != SimulatedCluster.NEVER
                     && now - server.leavingAcknowledgedAt > DRAIN_MS;
             if (due && sendsTo(proxy.table, server.id)) {
-                room.broken(proxy.imprint + " still sends to " + server.id + " " + (now - server.leavingAcknowledgedAt)
-                        + " ms after it was acknowledged that it leaves");
+                room.broken(proxy.daemonAddress + " still sends to " + server.id + " "
+                        + (now - server.leavingAcknowledgedAt) + " ms after it was acknowledged that it leaves");
             }
         }
     }
@@ -178,7 +184,7 @@
     void checkPresent(Proxies.Proxy proxy) {
         for (Server server : inService) {
             if (server.sequence > 2 && !sendsTo(proxy.table, server.id)) {
-                room.broken(proxy.imprint + " does not know " + server.id + " at the end");
+                room.broken(proxy.daemonAddress + " does not know " + server.id + " at the end");
             }
         }
     }
@@ -199,13 +205,13 @@
 
     private static boolean sendsTo(Map<String, byte[]> table, String id) {
         for (Map.Entry<String, byte[]> entry : table.entrySet()) {
-            if (entry.getKey().startsWith(Inventory.INSTANCE)) {
+            if (entry.getKey().startsWith(RoutingTable.INSTANCE)) {
                 try {
                     Tables.Instance instance = Tables.readInstance(entry.getValue());
                     if (instance.id().value().equals(id) && !instance.draining()) {
                         return true;
                     }
-                } catch (Script.UnreadableException e) {
+                } catch (MessagePackCodec.UnreadableException e) {
                     throw new IllegalStateException(e);
                 }
             }
--- a/simulation/src/main/java/org/umbermount/simulation/SimulateCommand.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulateCommand.java
@@ -11,7 +11,9 @@
 import picocli.CommandLine.Option;
 
 /** Plays drawn days and shows what broke, as short as it can be made; or one day again with some of its events. */
-@Command(name = "simulate", mixinStandardHelpOptions = true,
+@Command(
+        name = "simulate",
+        mixinStandardHelpOptions = true,
         description = "Plays seeded days over the control side on a simulated clock, network and disks, and shows "
                 + "the shortest day found for each seed that breaks a rule.")
 public final class SimulateCommand implements CommandExtension {
@@ -22,31 +24,50 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--seed", paramLabel = "NUMBER", defaultValue = "1",
+    @Option(
+            names = "--seed",
+            paramLabel = "NUMBER",
+            defaultValue = "1",
             description = "the first seed (${DEFAULT-VALUE})")
     private long seed;
 
-    @Option(names = "--count", paramLabel = "NUMBER", defaultValue = "1",
+    @Option(
+            names = "--count",
+            paramLabel = "NUMBER",
+            defaultValue = "1",
             description = "how many days to play, each with the next seed (${DEFAULT-VALUE})")
     private int count;
 
-    @Option(names = "--steps", paramLabel = "NUMBER", defaultValue = "40",
+    @Option(
+            names = "--steps",
+            paramLabel = "NUMBER",
+            defaultValue = "40",
             description = "events of each day (${DEFAULT-VALUE})")
     private int steps;
 
-    @Option(names = "--profile", paramLabel = "NAME", defaultValue = "ALL",
+    @Option(
+            names = "--profile",
+            paramLabel = "NAME",
+            defaultValue = "ALL",
             description = "what the days are made of (${DEFAULT-VALUE}): one of ${COMPLETION-CANDIDATES}")
     private Profile profile;
 
-    @Option(names = "--only", paramLabel = "EVENTS",
+    @Option(
+            names = "--only",
+            paramLabel = "EVENTS",
             description = "plays nothing but these events of the first seed's day, as a shrunk day prints them")
     private String only;
 
-    @Option(names = "--without", paramLabel = "SAFEGUARD",
+    @Option(
+            names = "--without",
+            paramLabel = "SAFEGUARD",
             description = "leaves out a mechanism that the arguments rest on: one of ${COMPLETION-CANDIDATES}")
     private Safeguard without;
 
-    @Option(names = "--shrink-ms", paramLabel = "MS", defaultValue = "60000",
+    @Option(
+            names = "--shrink-ms",
+            paramLabel = "MS",
+            defaultValue = "60000",
             description = "time for shortening each day that breaks, 0 for none (${DEFAULT-VALUE})")
     private long shrinkMs;
 
@@ -56,8 +77,8 @@
             silenceDaemons();
         }
         if (count < 1 || steps < 0 || shrinkMs < 0) {
-            throw new CommandLine.ParameterException(spec.commandLine(),
-                    "--count must be 1 or more, --steps and --shrink-ms 0 or more.");
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--count must be 1 or more, --steps and --shrink-ms 0 or more.");
         }
         return without == null ? play() : Mutation.without(without, this::play);
     }
@@ -77,8 +98,8 @@
         try {
             day = Day.draw(seed, profile, steps).only(only);
         } catch (IndexOutOfBoundsException | NumberFormatException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(),
-                    "--only names no events of this day: " + only + ".");
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--only names no events of this day: " + only + ".");
         }
         SimulatedCluster.BrokenException broken = SimulatedCluster.breakOf(day);
         print(broken == null ? "nothing breaks" : broken.getMessage());
--- a/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
+++ b/simulation/src/main/java/org/umbermount/simulation/SimulatedCluster.java
@@ -5,17 +5,17 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.umbermount.archive.Fleet;
-import org.umbermount.kernel.HouseRules;
-import org.umbermount.kernel.Imprint;
+import org.umbermount.control.Fleet;
+import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Settings;
 
 /**
- * Registrars and lectors as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
+ * Controllers and proxies as they are, from the chain to the table, on a fake clock, network and disks: operators' changes and
  * races go on while daemons are killed, frozen, cut off, robbed of their disks and replaced as a drawn day has it, and what
  * the rules say of configurations is checked after every step. Nothing here knows how the parts work.
  */
 final class SimulatedCluster {
-    static final int LECTORS_A_ZONE = 2;
+    static final int PROXIES_A_ZONE = 2;
     static final long STEP_MS = 50;
     static final long NEVER = Long.MIN_VALUE / 4;
     private static final long TURN_MS = 15_000;
@@ -53,6 +53,7 @@
     final Servers servers;
     /** Null on days without clients. */
     final Clients clients;
+
     private final Day day;
     private final Random random;
     private final StringBuilder log = new StringBuilder();
@@ -62,19 +63,19 @@
         this.day = day;
         long seed = day.seed();
         random = new Random(seed);
-        int registrars = seed % 4 == 3 ? 6 : 4;
-        int tolerated = registrars == 6 ? 2 : 1;
+        int controllers = seed % 4 == 3 ? 6 : 4;
+        int tolerated = controllers == 6 ? 2 : 1;
         if (lenient()) {
-            registrars = 3 + random.nextInt(7);
-            tolerated = registrars >= 5 && random.nextBoolean() ? 2 : 1;
+            controllers = 3 + random.nextInt(7);
+            tolerated = controllers >= 5 && random.nextBoolean() ? 2 : 1;
         }
-        fleet = new Fleet(registrars, 3, seed, tolerated, null, guarantees());
+        fleet = new Fleet(controllers, 3, seed, tolerated, null, guarantees());
         fleet.network.loss = random.nextInt(3) == 0 ? 0.03 : 0.005;
         fleet.network.jitterMs = 1 + random.nextInt(6);
         fleet.network.doubles = 0.01;
         wires = new NetworkCuts(fleet.network);
         daemons = new Daemons(this, random);
-        machines = new Machines(this, registrars, tolerated);
+        machines = new Machines(this, controllers, tolerated);
         calls = new ControlCalls(this, day.profile() == Profile.CALLS);
         operators = new Operators(this, random, calls, day.profile() == Profile.CALLS);
         malformedCalls = new MalformedCalls(this);
@@ -85,18 +86,18 @@
         late = day.profile() == Profile.CLOCKS ? new LateMessages(fleet) : null;
         checks = new Checks(this);
         clients = hasClients() ? new Clients(this, seed) : null;
-        for (int i = 0; i < registrars && lenient(); i++) {
+        for (int i = 0; i < controllers && lenient(); i++) {
             fleet.disks.get(i).chance(seed * 31 + i);
         }
-        for (int i = 0; i < registrars; i++) {
+        for (int i = 0; i < controllers; i++) {
             daemons.openPlugIns(i, List.of(0, 1, 2));
-            for (int k = 0; k < LECTORS_A_ZONE; k++) {
-                Imprint lector = Imprint.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
-                wires.add(lector);
-                proxies.add(lector, Fleet.zone(i));
+            for (int k = 0; k < PROXIES_A_ZONE; k++) {
+                DaemonAddress proxy = DaemonAddress.parse("10." + (i + 1) + ".1." + (k + 1) + ":7001");
+                wires.add(proxy);
+                proxies.add(proxy, Fleet.zone(i));
             }
         }
-        note(registrars + " registrars, of which " + tolerated + " may be lost at once");
+        note(controllers + " controllers, of which " + tolerated + " may be lost at once");
     }
 
     /** Plays a day; what broke, or null. */
@@ -126,7 +127,7 @@
 
     /** The parts of the rules that are in force. */
     Set<String> guarantees() {
-        return hasClients() ? Set.of(HouseRules.KEYS, HouseRules.QUOTA) : Set.of();
+        return hasClients() ? Set.of(Settings.KEYS, Settings.QUOTA) : Set.of();
     }
 
     long now() {
@@ -141,7 +142,7 @@
     }
 
     /** A process has ended: what it has sent may still come. */
-    void ended(Imprint daemon) {
+    void ended(DaemonAddress daemon) {
         if (late != null) {
             late.ended(daemon);
         }
@@ -160,7 +161,7 @@
     void broken(String what) {
         note("BROKEN: " + what);
         for (int i : machines.core()) {
-            note("  registrar " + i + ": " + (fleet.isRunning(i) ? fleet.describe(i) : "does not run"));
+            note("  controller " + i + ": " + (fleet.isRunning(i) ? fleet.describe(i) : "does not run"));
         }
         throw new BrokenException(what + "\n" + log, played);
     }
@@ -193,7 +194,7 @@
         Random salt = new Random(event.salt());
         switch (event.kind()) {
             case LOSS, LONG_LOSS, SLOW, WIPE, REPLACE, PLANNED, AWAY -> runUntilOneMayBeLost(salt);
-            default -> { }
+            default -> {}
         }
         if (late != null) {
             stepClocksAround(event);
@@ -236,7 +237,7 @@
                 operators.read();
                 stall(salt);
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -248,7 +249,7 @@
                 machines.stepClocks(salt);
                 later(salt.nextInt(3_000), () -> machines.stepClocks(salt));
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -323,7 +324,8 @@
                 servers.checkPresent(p);
             }
             if (p.edition < operators.acknowledged()) {
-                broken(p.imprint + " has " + p.edition + " at the end, and " + operators.acknowledged() + " was confirmed");
+                broken(p.daemonAddress + " has " + p.edition + " at the end, and " + operators.acknowledged()
+                        + " was confirmed");
             }
         }
     }
@@ -333,7 +335,8 @@
         Random salt = new Random(day.seed() * 7 + 1);
         int how = salt.nextInt(3);
         note("-- the closing fault, " + how);
-        operators.onConfirmed(() -> later(salt.nextInt(3) == 0 ? salt.nextInt(30) : 0, () -> machines.closingFault(how, salt)));
+        operators.onConfirmed(
+                () -> later(salt.nextInt(3) == 0 ? salt.nextInt(30) : 0, () -> machines.closingFault(how, salt)));
         operators.change(1);
         run(12_000);
         calmDown();
--- a/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.simulation;
 
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.List;
 import java.util.function.Consumer;
@@ -10,16 +7,21 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-/** Plays seeded days over registrars, delivery and lectors. More of them, and longer ones: {@link SimulateCommand}. */
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Plays seeded days over controllers, delivery and proxies. More of them, and longer ones: {@link SimulateCommand}. */
 class ConfigurationHoldsTest {
     private static final int SEEDS = 200;
     private static final int STEPS = 40;
 
     @Test
     void whatTheRulesSayOfConfigurationsHoldsOnSeededDays() throws IOException {
-        String bad = LongStream.rangeClosed(1, SEEDS).parallel()
+        String bad = LongStream.rangeClosed(1, SEEDS)
+                .parallel()
                 .mapToObj(seed -> Days.breakOf(Day.draw(seed, Profile.ORDINARY, STEPS)))
-                .filter(why -> !why.isEmpty()).collect(Collectors.joining("\n"));
+                .filter(why -> !why.isEmpty())
+                .collect(Collectors.joining("\n"));
         assertTrue(bad.isEmpty(), bad);
     }
 
@@ -58,6 +60,10 @@
 
     private static String untold(Day day, Consumer<SimulatedCluster> what) throws IOException {
         SimulatedCluster room = new SimulatedCluster(day);
-        return assertThrows(SimulatedCluster.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
+        return assertThrows(SimulatedCluster.BrokenException.class, () -> room.playUntold(what))
+                .getMessage()
+                .lines()
+                .findFirst()
+                .orElse("");
     }
 }
--- a/simulation/src/test/java/org/umbermount/simulation/Sabotage.java
+++ b/simulation/src/test/java/org/umbermount/simulation/Sabotage.java
@@ -1,17 +1,16 @@
 package org.umbermount.simulation;
 
-import org.umbermount.archive.ControlCaller;
-import org.umbermount.archive.Fleet;
+import org.umbermount.control.ControlCaller;
+import org.umbermount.control.Fleet;
 
 /** What goes wrong behind the back of the checks, for days that have to be found broken. */
 final class Sabotage {
-    private Sabotage() {
-    }
+    private Sabotage() {}
 
-    /** A lector that nobody reaches any more. */
+    /** A proxy that nobody reaches any more. */
     static void forget(SimulatedCluster cluster) {
         for (int i = 0; i < cluster.machines.size(); i++) {
-            cluster.fleet.network.cutBoth(cluster.proxies.all().get(0).imprint, Fleet.imprint(i));
+            cluster.fleet.network.cutBoth(cluster.proxies.all().get(0).daemonAddress, Fleet.daemonAddress(i));
         }
     }
 
@@ -19,12 +18,12 @@
     static void muteAll(SimulatedCluster cluster) {
         for (int i = 0; i < cluster.machines.size(); i++) {
             for (int o = 0; o < cluster.machines.size(); o++) {
-                cluster.fleet.network.cut(Fleet.imprint(i), Fleet.imprint(o));
+                cluster.fleet.network.cut(Fleet.daemonAddress(i), Fleet.daemonAddress(o));
             }
         }
     }
 
-    /** A lector that takes whatever it is given. */
+    /** A proxy that takes whatever it is given. */
     static void handOld(SimulatedCluster cluster) {
         cluster.proxies.inForce(cluster.proxies.all().get(0), 0);
     }
@@ -32,12 +31,12 @@
     /** A change that is refused and then delivered. */
     static void deliverRefused(SimulatedCluster cluster) {
         cluster.operators.refuse(99);
-        cluster.operators.seen(99, Content.whole(99, 0).text(), "a lector has it in force");
+        cluster.operators.seen(99, Content.whole(99, 0).text(), "a proxy has it in force");
     }
 
     /** A configuration that no operator has asked for. */
     static void deliverUnordered(SimulatedCluster cluster) {
-        cluster.operators.seen(98, Content.whole(98, 7_000).text(), "a lector has it in force");
+        cluster.operators.seen(98, Content.whole(98, 7_000).text(), "a proxy has it in force");
     }
 
     /** A call that cannot be read, and is taken. */
--- a/simulation/src/test/java/org/umbermount/simulation/SafeguardsAreNeededTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/SafeguardsAreNeededTest.java
@@ -1,14 +1,14 @@
 package org.umbermount.simulation;
 
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Without a safeguard a day breaks, and for the reason that it is there for; with it the same day goes well. */
 class SafeguardsAreNeededTest {
     @ParameterizedTest
@@ -20,12 +20,14 @@
         "FOLDER_SYNCED, ALL, 1, 40, got no answer",
         "GRANTED_BY_MAJORITY, ORDINARY, 18, 40, hold the duty",
         "LATER_LIFE_ANSWERS_LATER, CLOCKS, 7, 16, for the present one after",
-        "LECTORS_INTRODUCED, REPLACEMENTS, 97, 40, still has",
+        "PROXIES_INTRODUCED, REPLACEMENTS, 97, 40, still has",
         "REFUSAL_CONFIRMED, CUTS, 31, 40, was refused and then confirmed",
         "SEATS_REST, REPLACEMENTS, 2, 40, hold the duty",
         "SEAT_GIVEN_UP, REPLACEMENTS, 1, 40, got no answer",
-        "SLOW_STANDS_BACK, ALL, 37, 40, still has"})
-    void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence) throws Exception {
+        "SLOW_STANDS_BACK, ALL, 37, 40, still has"
+    })
+    void theDayBreaksWithoutIt(Safeguard safeguard, Profile profile, long seed, int steps, String sentence)
+            throws Exception {
         Day day = Day.draw(seed, profile, steps);
         assertNull(SimulatedCluster.breakOf(day));
         SimulatedCluster.BrokenException broken = Mutation.without(safeguard, () -> SimulatedCluster.breakOf(day));
--- a/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/WorstDaysTest.java
@@ -1,8 +1,5 @@
 package org.umbermount.simulation;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
@@ -10,6 +7,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Plays fixed days of each profile; {@link SimulateCommand} plays others and shows what broke. */
 class WorstDaysTest {
     @Test
@@ -59,9 +59,11 @@
     }
 
     private static void hold(Profile profile, long first, int count, int steps) {
-        String bad = LongStream.range(first, first + count).parallel()
+        String bad = LongStream.range(first, first + count)
+                .parallel()
                 .mapToObj(seed -> Days.breakOf(Day.draw(seed, profile, steps)))
-                .filter(why -> !why.isEmpty()).collect(Collectors.joining("\n"));
+                .filter(why -> !why.isEmpty())
+                .collect(Collectors.joining("\n"));
         assertTrue(bad.isEmpty(), bad);
     }
 
--- a/stacks/src/main/java/org/umbermount/stacks/Stack.java
+++ b/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -10,13 +10,13 @@
 import java.util.zip.CRC32C;
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
  * write, so that a write is there whole or not at all; only the newest folio of a key counts, and what was added to it
- * since ({@link Folio#addition}). The format: an
+ * since ({@link LogRecord#addition}). The format: an
  * 8-byte title, then for each record the length of its body (4 bytes), its checksum (4) and its body. A body is
  * a run of folios: key (1), length of the value (4), value. Numbers are big-endian; the checksum is CRC-32C over
  * the length and the body.
@@ -28,7 +28,7 @@
  * <p>After a put the length is at most the largest of {@code rewriteOver}, twice what counted before it, and what counted
  * before it with the new record; during a rewrite the disk holds what counts a second time.
  */
-public final class Stack {
+public final class AppendOnlyFile {
     /** A record in the middle of the file is damaged: the disk cannot be trusted. */
     public static final class DamagedException extends IOException {
         DamagedException(String name, long at) {
@@ -36,26 +36,28 @@
         }
 
         /** A whole record holds something that nobody can have written. */
-        DamagedException(String name, long at, Script.UnreadableException cause) {
+        DamagedException(String name, long at, MessagePackCodec.UnreadableException cause) {
             super("The file " + name + " cannot be read at byte " + at + ": " + cause.getMessage() + ".", cause);
         }
     }
 
     /** Holds the generation; no put may use it. */
     static final byte GENERATION = 0;
+
     static final byte[] TITLE = {'u', 'm', 'b', 's', 't', 'k', 0, 1};
     private static final int HEAD = 8;
     private static final int FOLIO_HEAD = 5;
     private static final int LONGEST = 64 << 20;
     private static final java.nio.ByteOrder ORDER = java.nio.ByteOrder.BIG_ENDIAN;
 
-    private final Vault vault;
+    private final StorageDirectory vault;
     private final long rewriteOver;
     private final StoredValues stored = new StoredValues();
     /** Where the folios stood that the file held at its opening. */
     private final Map<Byte, Integer> foundAt = new HashMap<>();
     /** The file in use. */
     private String name;
+
     private String spare;
     private long generation;
     private long length;
@@ -63,7 +65,7 @@
     /** The spare file may hold a rewrite that did not come to its end. */
     private boolean uncertainSpare;
 
-    private Stack(Vault vault, String name, long rewriteOver) {
+    private AppendOnlyFile(StorageDirectory vault, String name, long rewriteOver) {
         this.vault = vault;
         this.name = name;
         this.spare = spareOf(name);
@@ -75,14 +77,14 @@
     }
 
     /** Opens the stack without a write; a torn tail and what is left of a rewrite go before the next put. */
-    public static Stack open(Vault vault, String name, long rewriteOver) throws IOException {
-        Stack stack = new Stack(vault, name, rewriteOver);
+    public static AppendOnlyFile open(StorageDirectory vault, String name, long rewriteOver) throws IOException {
+        AppendOnlyFile stack = new AppendOnlyFile(vault, name, rewriteOver);
         stack.load();
         return stack;
     }
 
     /** Empties the files of a stack that cannot be read. */
-    public static void discard(Vault vault, String name) throws IOException {
+    public static void discard(StorageDirectory vault, String name) throws IOException {
         vault.truncate(name, 0);
         vault.truncate(spareOf(name), 0);
     }
@@ -137,6 +139,7 @@
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
         int end;
+
         int damagedAt = -1;
         long generation;
 
@@ -174,7 +177,7 @@
                 if (buffer.getByte(at) == GENERATION) {
                     generation = new UnsafeBuffer(value).getLong(0, ORDER);
                 } else {
-                    stored.apply(new Folio(buffer.getByte(at), value));
+                    stored.apply(new LogRecord(buffer.getByte(at), value));
                     foundAt.put(buffer.getByte(at), at);
                 }
                 at += FOLIO_HEAD + value.length;
@@ -226,14 +229,14 @@
     }
 
     /** Reads the value that a key had at the opening; what cannot be read is reported with file and offset. */
-    public <T> T read(byte key, Script.Element<T> element) throws DamagedException {
+    public <T> T read(byte key, MessagePackCodec.Element<T> element) throws DamagedException {
         try {
             byte[] value = stored.value(key);
             if (value == null) {
-                throw new Script.UnreadableException("the entry " + key + " is missing", null);
+                throw new MessagePackCodec.UnreadableException("the entry " + key + " is missing", null);
             }
-            return element.read(Script.read(value));
-        } catch (Script.UnreadableException e) {
+            return element.read(MessagePackCodec.read(value));
+        } catch (MessagePackCodec.UnreadableException e) {
             throw new DamagedException(name, foundAt.getOrDefault(key, 0), e);
         }
     }
@@ -243,7 +246,7 @@
     }
 
     /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
-    public void put(List<Folio> folios) throws IOException {
+    public void put(List<LogRecord> folios) throws IOException {
         if (folios.isEmpty()) {
             // A record without a body would be taken for a broken one.
             return;
@@ -276,8 +279,10 @@
 
     /** All that counts, as the first record of the next generation. */
     private byte[] whole() {
-        List<Folio> all = new ArrayList<>();
-        all.add(new Folio(GENERATION, ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
+        List<LogRecord> all = new ArrayList<>();
+        all.add(new LogRecord(
+                GENERATION,
+                ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
         all.addAll(stored.folios());
         return encode(all, true);
     }
@@ -291,7 +296,8 @@
         }
         uncertainSpare = true;
         vault.append(spare, 0, whole);
-        // The spare file is safe and says the same: from here on it is the one in use, also if the old one stays for now.
+        // The spare file is safe and says the same: from here on it is the one in use, also if the old one stays for
+        // now.
         swapFiles();
         generation++;
         length = whole.length;
@@ -313,7 +319,7 @@
         return length;
     }
 
-    private static byte[] encode(List<Folio> folios, boolean withTitle) {
+    private static byte[] encode(List<LogRecord> folios, boolean withTitle) {
         ExpandableArrayBuffer out = new ExpandableArrayBuffer(256);
         int at = 0;
         if (withTitle) {
@@ -322,7 +328,7 @@
         }
         int record = at;
         at += HEAD;
-        for (Folio folio : folios) {
+        for (LogRecord folio : folios) {
             out.putByte(at, folio.key());
             out.putInt(at + 1, folio.value().length, ORDER);
             out.putBytes(at + FOLIO_HEAD, folio.value());
--- a/stacks/src/main/java/org/umbermount/stacks/DiskTasks.java
+++ b/storage/src/main/java/org/umbermount/storage/DiskTasks.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.util.concurrent.Executor;
@@ -15,7 +15,7 @@
  * only what it was handed and what the disk's thread alone uses; what it found out travels as its result.
  */
 public final class DiskTasks {
-    private static final Logger LOG = LoggerFactory.getLogger("stacks");
+    private static final Logger LOG = LoggerFactory.getLogger("storage");
 
     private final Executor thread;
     private final Clock clock;
--- a/stacks/src/main/java/org/umbermount/stacks/StackRoom.java
+++ b/storage/src/main/java/org/umbermount/storage/DiskWriter.java
@@ -1,25 +1,25 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.kernel.Moment;
+import org.umbermount.kernel.MonotonicTime;
 
 /**
  * Writes to a stack on a thread of its own and reports back on the loop. Says how long the disk has kept a
  * write waiting, so that others can act on a full, hung or slow disk.
  */
-public final class StackRoom {
+public final class DiskWriter {
     private static final long PROBE_MS = 1_000;
     private static final byte PROBE_KEY = 127;
 
-    private final Stack stack;
+    private final AppendOnlyFile stack;
     private final DiskTasks disk;
     private final Clock clock;
-    private final ArrayDeque<Moment> pending = new ArrayDeque<>();
+    private final ArrayDeque<MonotonicTime> pending = new ArrayDeque<>();
     private boolean refusing;
-    private Moment lastRefusal = Moment.NEVER;
+    private MonotonicTime lastRefusal = MonotonicTime.NEVER;
     private long slowestMs;
 
     /** Told whether a write is safe. */
@@ -27,7 +27,7 @@
         void done(boolean safe);
     }
 
-    public StackRoom(Stack stack, Executor thread, Clock clock) {
+    public DiskWriter(AppendOnlyFile stack, Executor thread, Clock clock) {
         this.stack = stack;
         this.disk = new DiskTasks(thread, clock);
         this.clock = clock;
@@ -35,16 +35,19 @@
     }
 
     /** Writes; {@code outcome} runs on the loop. */
-    public void write(List<Folio> folios, Outcome outcome) {
-        Moment start = clock.now();
+    public void write(List<LogRecord> folios, Outcome outcome) {
+        MonotonicTime start = clock.now();
         pending.add(start);
-        disk.submit(() -> {
-            stack.put(folios);
-            return null;
-        }, written -> settled(start, true, outcome), failure -> settled(start, false, outcome));
+        disk.submit(
+                () -> {
+                    stack.put(folios);
+                    return null;
+                },
+                written -> settled(start, true, outcome),
+                failure -> settled(start, false, outcome));
     }
 
-    private void settled(Moment start, boolean safe, Outcome outcome) {
+    private void settled(MonotonicTime start, boolean safe, Outcome outcome) {
         pending.poll();
         refusing = !safe;
         if (!safe) {
@@ -56,7 +59,7 @@
 
     private void probe() {
         if (refusing && pending.isEmpty()) {
-            write(List.of(new Folio(PROBE_KEY, new byte[64])), safe -> { });
+            write(List.of(new LogRecord(PROBE_KEY, new byte[64])), safe -> {});
         }
     }
 
@@ -79,7 +82,7 @@
         return slowestMs;
     }
 
-    public Moment lastRefusal() {
+    public MonotonicTime lastRefusal() {
         return lastRefusal;
     }
 }
--- a/stacks/src/main/java/org/umbermount/stacks/Ledger.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
-import org.umbermount.kernel.Script;
 
 /**
  * A run of checksummed records in segments. Records are written at the end, many in one sync; old ones go a whole
@@ -20,13 +20,14 @@
  * nothing. The highest bit of the length marks a record that is not the first of its sync. A whole first one behind a
  * broken record therefore shows damage to what was safe, and that is reported.
  */
-public final class Ledger {
+public final class SegmentedLog {
     /** The last byte is the version of the format; in version 1 no record was marked. */
     static final byte[] TITLE = {'u', 'm', 'b', 'l', 'd', 'g', 0, 2};
+
     private static final int HEAD = 8;
     private static final int FOLLOWS = 1 << 31;
 
-    private final Vault vault;
+    private final StorageDirectory vault;
     private final String prefix;
     private final int segmentBytes;
     private final TreeMap<Integer, Long> segments = new TreeMap<>();
@@ -34,27 +35,29 @@
     private volatile int current = 1;
 
     /** Receives what the ledger holds, in order. */
-    public interface Reader {
-        void record(int segment, byte[] body) throws Script.UnreadableException;
+    public interface ClientConnection {
+        void record(int segment, byte[] body) throws MessagePackCodec.UnreadableException;
     }
 
-    private Ledger(Vault vault, String prefix, int segmentBytes) {
+    private SegmentedLog(StorageDirectory vault, String prefix, int segmentBytes) {
         this.vault = vault;
         this.prefix = prefix;
         this.segmentBytes = segmentBytes;
     }
 
     /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
-    public static Ledger open(Vault vault, String prefix, int segmentBytes, Reader reader) throws IOException {
-        Ledger ledger = new Ledger(vault, prefix, segmentBytes);
+    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, ClientConnection reader)
+            throws IOException {
+        SegmentedLog ledger = new SegmentedLog(vault, prefix, segmentBytes);
         ledger.load(reader);
         return ledger;
     }
 
-    private void load(Reader reader) throws IOException {
+    private void load(ClientConnection reader) throws IOException {
         List<Integer> numbers = new ArrayList<>();
         for (String name : vault.list()) {
-            if (name.startsWith(prefix + ".") && name.substring(prefix.length() + 1).matches("[0-9]{1,9}")) {
+            if (name.startsWith(prefix + ".")
+                    && name.substring(prefix.length() + 1).matches("[0-9]{1,9}")) {
                 numbers.add(Integer.parseInt(name.substring(prefix.length() + 1)));
             }
         }
@@ -66,7 +69,7 @@
             byte[] bytes = vault.read(name(number));
             Content content = new Content(bytes);
             if (content.damaged || !last && content.end < bytes.length) {
-                throw new Stack.DamagedException(name(number), content.brokenAt);
+                throw new AppendOnlyFile.DamagedException(name(number), content.brokenAt);
             }
             if (last && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
                 vault.sync(name(number));
@@ -78,13 +81,13 @@
         }
     }
 
-    private void hand(Content content, int number, Reader reader) throws Stack.DamagedException {
+    private void hand(Content content, int number, ClientConnection reader) throws AppendOnlyFile.DamagedException {
         int at = TITLE.length;
         for (byte[] body : content.records) {
             try {
                 reader.record(number, body);
-            } catch (Script.UnreadableException e) {
-                throw new Stack.DamagedException(name(number), at, e);
+            } catch (MessagePackCodec.UnreadableException e) {
+                throw new AppendOnlyFile.DamagedException(name(number), at, e);
             }
             at += HEAD + body.length;
         }
@@ -113,6 +116,7 @@
         final List<byte[]> records = new ArrayList<>();
         /** Where the last whole record ends; 0 if there is none. */
         int end;
+
         int brokenAt;
         boolean damaged;
 
@@ -219,7 +223,8 @@
 
     /** Removes every segment up to this one, the oldest first, but never the last one that holds something. */
     public void dropThrough(int number) throws IOException {
-        while (segments.size() > 1 && segments.firstKey() <= number
+        while (segments.size() > 1
+                && segments.firstKey() <= number
                 && segments.higherEntry(segments.firstKey()).getValue() > 0) {
             vault.remove(name(segments.firstKey()));
             segments.pollFirstEntry();
--- a/stacks/src/main/java/org/umbermount/stacks/StoredValues.java
+++ b/storage/src/main/java/org/umbermount/storage/StoredValues.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks;
+package org.umbermount.storage;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +11,7 @@
     private final Map<Byte, List<byte[]>> additions = new TreeMap<>();
 
     /** Takes the next of the records in. */
-    void apply(Folio folio) {
+    void apply(LogRecord folio) {
         if (folio.isAddition()) {
             additions.computeIfAbsent(folio.target(), key -> new ArrayList<>()).add(folio.value());
         } else {
@@ -45,10 +45,10 @@
     }
 
     /** The fewest records that come to the same. */
-    List<Folio> folios() {
-        List<Folio> out = new ArrayList<>();
-        values.forEach((key, value) -> out.add(new Folio(key, value)));
-        additions.forEach((key, added) -> added.forEach(one -> out.add(Folio.addition(key, one))));
+    List<LogRecord> folios() {
+        List<LogRecord> out = new ArrayList<>();
+        values.forEach((key, value) -> out.add(new LogRecord(key, value)));
+        additions.forEach((key, added) -> added.forEach(one -> out.add(LogRecord.addition(key, one))));
         return out;
     }
 }
--- a/stacks/src/test/java/org/umbermount/stacks/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -1,9 +1,4 @@
-package org.umbermount.stacks;
-
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -13,32 +8,37 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.umbermount.kernel.Script;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.storage.testing.FakeDirectory;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What is found in the files at a start: damage, torn tails, what came back, and what each call left. */
 class DamageTest {
     private static final int SEGMENT = 60;
 
-    private static List<String> records(Vault vault) throws IOException {
+    private static List<String> records(StorageDirectory vault) throws IOException {
         List<String> out = new ArrayList<>();
-        Ledger.open(vault, "l", SEGMENT, (segment, body) -> out.add(new String(body)));
+        SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> out.add(new String(body)));
         return out;
     }
 
-    private static Ledger ledger(FakeVault vault) throws IOException {
-        return Ledger.open(vault, "l", SEGMENT, (segment, body) -> { });
+    private static SegmentedLog ledger(FakeDirectory vault) throws IOException {
+        return SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {});
     }
 
-    private static void append(Ledger ledger, String... records) throws IOException {
+    private static void append(SegmentedLog ledger, String... records) throws IOException {
         ledger.append(Arrays.stream(records).map(String::getBytes).toList());
     }
 
-    private static List<Folio> folio(int key, String value) {
-        return List.of(new Folio((byte) key, value.getBytes()));
+    private static List<LogRecord> folio(int key, String value) {
+        return List.of(new LogRecord((byte) key, value.getBytes()));
     }
 
-    private static void flip(FakeVault vault, String name, int at) {
+    private static void flip(FakeDirectory vault, String name, int at) {
         byte[] bytes = vault.raw(name);
         bytes[at] ^= 1;
         vault.raw(name, bytes);
@@ -46,8 +46,8 @@
 
     @Test
     void damageIsReportedWithFileAndOffsetInTheLastSegmentToo() throws IOException {
-        FakeVault vault = new FakeVault();
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        SegmentedLog ledger = ledger(vault);
         append(ledger, "one", "two");
         append(ledger, "three");
         byte[] good = vault.raw("l.1");
@@ -56,15 +56,15 @@
             vault.raw("l.1", good);
             flip(vault, "l.1", at);
             long broken = at < 8 ? 0 : at < second ? 8 : second;
-            Exception e = assertThrows(Stack.DamagedException.class, () -> records(vault), "byte " + at);
+            Exception e = assertThrows(AppendOnlyFile.DamagedException.class, () -> records(vault), "byte " + at);
             assertEquals("The file l.1 is damaged at byte " + broken + ".", e.getMessage());
         }
     }
 
     @Test
     void damageToAStackIsReportedWithFileAndOffset() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 120);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 120);
         for (int i = 0; i < 20; i++) {
             stack.put(folio(1, "value " + i));
         }
@@ -76,38 +76,49 @@
         for (int at = 0; at < last; at++) {
             vault.raw(name, good);
             flip(vault, name, at);
-            Exception e = assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 120), "byte " + at);
+            Exception e = assertThrows(
+                    AppendOnlyFile.DamagedException.class, () -> AppendOnlyFile.open(vault, "f", 120), "byte " + at);
             assertTrue(e.getMessage().startsWith("The file " + name + " is damaged at byte "), e.getMessage());
         }
-        Stack.discard(vault, "f");
-        assertTrue(Stack.open(vault, "f", 120).isEmpty());
+        AppendOnlyFile.discard(vault, "f");
+        assertTrue(AppendOnlyFile.open(vault, "f", 120).isEmpty());
     }
 
     /** The record is whole, and what it holds is not what belongs there: as after a fault of a program. */
     @Test
     void entryThatCannotBeReadIsReportedWithFileAndOffset() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack.open(vault, "f", 400).put(List.of(new Folio((byte) 1, Script.write().num(7).done()),
-                new Folio((byte) 2, Script.write().text("no number").done())));
-        Stack stack = Stack.open(vault, "f", 400);
-        assertEquals(7, stack.read((byte) 1, Script.Reader::num));
-        Exception e = assertThrows(Stack.DamagedException.class, () -> stack.read((byte) 2, Script.Reader::num));
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile.open(vault, "f", 400)
+                .put(List.of(
+                        new LogRecord((byte) 1, MessagePackCodec.write().num(7).done()),
+                        new LogRecord(
+                                (byte) 2,
+                                MessagePackCodec.write().text("no number").done())));
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 400);
+        assertEquals(7, stack.read((byte) 1, MessagePackCodec.ClientConnection::num));
+        Exception e = assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> stack.read((byte) 2, MessagePackCodec.ClientConnection::num));
         assertEquals("The file f cannot be read at byte 22: a number is missing.", e.getMessage());
-        assertThrows(Stack.DamagedException.class, () -> stack.read((byte) 3, Script.Reader::num));
+        assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> stack.read((byte) 3, MessagePackCodec.ClientConnection::num));
         append(ledger(vault), "one", "three");
-        e = assertThrows(Stack.DamagedException.class, () -> Ledger.open(vault, "l", SEGMENT, (segment, body) -> {
-            if (body.length == 5) {
-                throw new Script.UnreadableException("an unknown record", null);
-            }
-        }));
+        e = assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {
+                    if (body.length == 5) {
+                        throw new MessagePackCodec.UnreadableException("an unknown record", null);
+                    }
+                }));
         assertEquals("The file l.1 cannot be read at byte 19: an unknown record.", e.getMessage());
     }
 
     /** A rewrite is one record: if it is gone and the other file is empty, something safe was harmed. */
     @Test
     void damageToARewriteAloneIsReported() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 60);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 60);
         for (String name : List.of("f.spare", "f")) {
             String other = name.equals("f") ? "f.spare" : "f";
             for (int i = 0; vault.raw(other) == null || vault.raw(other).length > 0; i++) {
@@ -116,7 +127,10 @@
             byte[] good = vault.raw(name);
             for (int length = 1; length < 40; length++) {
                 vault.raw(name, Arrays.copyOf(good, length));
-                assertThrows(Stack.DamagedException.class, () -> Stack.open(vault, "f", 60), name + " cut to " + length);
+                assertThrows(
+                        AppendOnlyFile.DamagedException.class,
+                        () -> AppendOnlyFile.open(vault, "f", 60),
+                        name + " cut to " + length);
             }
             vault.raw(name, good);
         }
@@ -125,21 +139,25 @@
     @Test
     void syncThatWasTornInItsMiddleIsNoDamage() throws IOException {
         for (int seed = 0; seed < 300; seed++) {
-            FakeVault vault = new FakeVault().chance(seed);
+            FakeDirectory vault = new FakeDirectory().chance(seed);
             append(ledger(vault), "kept");
             vault.endBeforeSync = true;
-            assertThrows(IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
+            assertThrows(
+                    IOException.class, () -> append(ledger(vault), "a".repeat(40), "b".repeat(40), "c".repeat(40)));
             vault.losePower();
             List<String> read = records(vault);
-            assertTrue(read.equals(List.of("kept", "a".repeat(40), "b".repeat(40), "c".repeat(40)).subList(0, read.size()))
-                    && !read.isEmpty(), read.toString());
+            assertTrue(
+                    read.equals(List.of("kept", "a".repeat(40), "b".repeat(40), "c".repeat(40))
+                                    .subList(0, read.size()))
+                            && !read.isEmpty(),
+                    read.toString());
         }
     }
 
     @Test
     void segmentsOfVersionOneAreRead() throws IOException {
-        FakeVault vault = new FakeVault();
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        SegmentedLog ledger = ledger(vault);
         append(ledger, "one");
         byte[] bytes = vault.raw("l.1");
         bytes[7] = 1;
@@ -152,8 +170,8 @@
     @Test
     void removedSegmentsThatComeBackInAnyChoiceLeaveNoGap() throws IOException {
         for (int choice = 0; choice < 16; choice++) {
-            FakeVault vault = new FakeVault();
-            Ledger ledger = ledger(vault);
+            FakeDirectory vault = new FakeDirectory();
+            SegmentedLog ledger = ledger(vault);
             List<byte[]> files = new ArrayList<>();
             for (int i = 1; i <= 6; i++) {
                 append(ledger, i + " ".repeat(60));
@@ -165,7 +183,8 @@
                     vault.raw("l." + i, files.get(i - 1));
                 }
             }
-            List<Integer> read = records(vault).stream().map(r -> Integer.parseInt(r.trim())).toList();
+            List<Integer> read =
+                    records(vault).stream().map(r -> Integer.parseInt(r.trim())).toList();
             int first = 5;
             while (first > 1 && (choice >> (first - 2) & 1) > 0) {
                 first--;
@@ -186,8 +205,8 @@
         int calls = 0;
         for (int at = 0; at <= calls; at++) {
             for (int seed = 0; seed <= 40; seed++) {
-                FakeVault vault = new FakeVault().chance(seed);
-                Stack stack = Stack.open(vault, "f", 200);
+                FakeDirectory vault = new FakeDirectory().chance(seed);
+                AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 200);
                 stack.put(folio(2, "stays"));
                 while (stack.length() + 30 <= 200) {
                     stack.put(folio(1, "a value"));
@@ -197,7 +216,7 @@
                 boolean done = true;
                 try {
                     stack.put(folio(1, "a longer, newer value"));
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     done = false;
                 }
                 calls = Math.max(calls, vault.calls - before);
@@ -206,13 +225,14 @@
                 } else {
                     vault.restart();
                 }
-                Stack again = Stack.open(vault, "f", 200);
+                AppendOnlyFile again = AppendOnlyFile.open(vault, "f", 200);
                 String read = new String(again.get((byte) 1));
                 assertTrue(read.equals("a longer, newer value") || !done && read.equals("a value"), at + ": " + read);
                 assertArrayEquals("stays".getBytes(), again.get((byte) 2));
                 again.put(folio(1, "last"));
                 vault.losePower();
-                assertArrayEquals("last".getBytes(), Stack.open(vault, "f", 200).get((byte) 1));
+                assertArrayEquals(
+                        "last".getBytes(), AppendOnlyFile.open(vault, "f", 200).get((byte) 1));
                 assertEquals(again.length(), vault.taken(), "ended at call " + at + ", seed " + seed);
             }
         }
@@ -221,9 +241,9 @@
 
     @Test
     void folderIsForcedForEachNewFileAndNotForEachAppend() throws IOException {
-        FakeVault vault = new FakeVault();
-        Stack stack = Stack.open(vault, "f", 400);
-        Ledger ledger = ledger(vault);
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 400);
+        SegmentedLog ledger = ledger(vault);
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
             append(ledger, "record " + i);
@@ -231,7 +251,7 @@
         int files = vault.list().size();
         assertEquals(files, vault.folderForces);
         vault.restart();
-        Stack.open(vault, "f", 400);
+        AppendOnlyFile.open(vault, "f", 400);
         ledger(vault);
         assertEquals(files + 1, vault.folderForces);
     }
@@ -239,11 +259,13 @@
     @Test
     void realFolderIsMadeAndKeepsAStackThroughRewrites(@TempDir Path above) throws IOException {
         Path folder = above.resolve("made").resolve("here");
-        Stack stack = Stack.open(new Shelving(folder), "f", 400);
+        AppendOnlyFile stack = AppendOnlyFile.open(new LocalDirectory(folder), "f", 400);
         for (int i = 0; i < 100; i++) {
             stack.put(folio(1, "value " + i));
         }
-        assertArrayEquals("value 99".getBytes(), Stack.open(new Shelving(folder), "f", 400).get((byte) 1));
+        assertArrayEquals(
+                "value 99".getBytes(),
+                AppendOnlyFile.open(new LocalDirectory(folder), "f", 400).get((byte) 1));
         assertEquals(stack.length(), Files.size(folder.resolve("f")) + Files.size(folder.resolve("f.spare")));
     }
 }
--- a/stacks/src/test/java/org/umbermount/stacks/DiskHandOverTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DiskHandOverTest.java
@@ -1,10 +1,4 @@
-package org.umbermount.stacks;
-
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.storage;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -27,6 +21,12 @@
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.net.LoopClock;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** The hand-over between the event loop and the disk's thread, with real threads. */
 class DiskHandOverTest {
     private static final int TASKS = 20_000;
@@ -93,7 +93,9 @@
         int until = Math.min(flaws.size(), from + 50);
         for (int i = from; i < until; i++) {
             int number = i;
-            tasks.submit(() -> play(number, flaws.get(number)), done -> note(done, outcomes, flaws.size(), all),
+            tasks.submit(
+                    () -> play(number, flaws.get(number)),
+                    done -> note(done, outcomes, flaws.size(), all),
                     failure -> note(failure, outcomes, flaws.size(), all));
         }
         if (until < flaws.size()) {
@@ -113,16 +115,16 @@
 
     @Test
     void submittingBesideTheLoopIsFoundOut() {
-        assertThrows(AssertionError.class, () -> tasks.submit(() -> 0, done -> { }, failure -> { }));
+        assertThrows(AssertionError.class, () -> tasks.submit(() -> 0, done -> {}, failure -> {}));
     }
 
     /** Fails at the next append with what the test sets. */
-    private static final class FailingVault implements Vault {
-        private final Vault inner;
+    private static final class FailingVault implements StorageDirectory {
+        private final StorageDirectory inner;
         volatile Error next;
         volatile CountDownLatch hold;
 
-        FailingVault(Vault inner) {
+        FailingVault(StorageDirectory inner) {
             this.inner = inner;
         }
 
@@ -174,21 +176,21 @@
         }
     }
 
-    private boolean write(StackRoom room, int value) throws Exception {
+    private boolean write(DiskWriter room, int value) throws Exception {
         CompletableFuture<Boolean> safe = new CompletableFuture<>();
         clock.execute(() -> room.write(List.of(folio(value)), safe::complete));
         return safe.get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    private static Folio folio(int value) {
-        return new Folio((byte) 1, new byte[] {(byte) value});
+    private static LogRecord folio(int value) {
+        return new LogRecord((byte) 1, new byte[] {(byte) value});
     }
 
     /** An error on the disk's thread once left the write pending for good: the daemon counted as hung until its end. */
     @Test
     void anErrorOnTheDisksThreadIsARefusalAndTheRoomGoesOn(@TempDir Path folder) throws Exception {
-        FailingVault vault = new FailingVault(new Shelving(folder));
-        StackRoom room = onLoop(() -> new StackRoom(Stack.open(vault, "s", 1 << 20), disk, clock));
+        FailingVault vault = new FailingVault(new LocalDirectory(folder));
+        DiskWriter room = onLoop(() -> new DiskWriter(AppendOnlyFile.open(vault, "s", 1 << 20), disk, clock));
         assertTrue(write(room, 1));
         vault.next = new OutOfMemoryError("played by the test");
         assertFalse(write(room, 2));
@@ -196,13 +198,14 @@
         assertEquals(0L, onLoop(room::stuckMs));
         assertTrue(write(room, 3));
         assertFalse(onLoop(room::refusing));
-        assertArrayEquals(new byte[] {3}, Stack.open(vault, "s", 1 << 20).get((byte) 1));
+        assertArrayEquals(
+                new byte[] {3}, AppendOnlyFile.open(vault, "s", 1 << 20).get((byte) 1));
     }
 
     @Test
     void withoutTheSafeguardTheWriteStaysPending(@TempDir Path folder) throws Exception {
-        FailingVault vault = new FailingVault(new Shelving(folder));
-        StackRoom room = onLoop(() -> new StackRoom(Stack.open(vault, "s", 1 << 20), disk, clock));
+        FailingVault vault = new FailingVault(new LocalDirectory(folder));
+        DiskWriter room = onLoop(() -> new DiskWriter(AppendOnlyFile.open(vault, "s", 1 << 20), disk, clock));
         CompletableFuture<Boolean> told = new CompletableFuture<>();
         vault.next = new OutOfMemoryError("played by the test");
         Mutation.without(Safeguard.DISK_ERRORS_REPORTED, () -> {
@@ -220,8 +223,8 @@
     /** The loop ends while a write waits for the disk: nobody is told of it, and what the disk then holds is whole. */
     @Test
     void theLoopEndsWhileAWriteIsInFlight(@TempDir Path folder) throws Exception {
-        FailingVault vault = new FailingVault(new Shelving(folder));
-        StackRoom room = onLoop(() -> new StackRoom(Stack.open(vault, "s", 1 << 20), disk, clock));
+        FailingVault vault = new FailingVault(new LocalDirectory(folder));
+        DiskWriter room = onLoop(() -> new DiskWriter(AppendOnlyFile.open(vault, "s", 1 << 20), disk, clock));
         assertTrue(write(room, 1));
         CountDownLatch latch = new CountDownLatch(1);
         vault.hold = latch;
@@ -234,8 +237,10 @@
         assertTrue(group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(PATIENCE_S, TimeUnit.SECONDS));
         latch.countDown();
         // The same thread takes this after both writes: neither kept it from going on.
-        disk.submit(() -> { }).get(PATIENCE_S, TimeUnit.SECONDS);
+        disk.submit(() -> {}).get(PATIENCE_S, TimeUnit.SECONDS);
         assertFalse(told.isDone());
-        assertArrayEquals(new byte[] {3}, Stack.open(new Shelving(folder), "s", 1 << 20).get((byte) 1));
+        assertArrayEquals(
+                new byte[] {3},
+                AppendOnlyFile.open(new LocalDirectory(folder), "s", 1 << 20).get((byte) 1));
     }
 }
--- a/stacks/src/test/java/org/umbermount/stacks/DurabilityTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DurabilityTest.java
@@ -1,8 +1,4 @@
-package org.umbermount.stacks;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+package org.umbermount.storage;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,7 +12,11 @@
 import org.umbermount.kernel.Mutation;
 import org.umbermount.kernel.Safeguard;
 import org.umbermount.kernel.testing.FakeClock;
-import org.umbermount.stacks.testing.FakeVault;
+import org.umbermount.storage.testing.FakeDirectory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Stacks and ledgers through kills at every call, losses of power, full and stalled disks. */
 class DurabilityTest {
@@ -28,12 +28,12 @@
     /** What a disk is played through, and what must be true of it. */
     private abstract static class Play {
         final Random random;
-        final FakeVault vault;
+        final FakeDirectory vault;
         int losses;
 
         Play(long seed) {
             random = new Random(seed);
-            vault = new FakeVault().chance(seed);
+            vault = new FakeDirectory().chance(seed);
         }
 
         abstract void open() throws IOException;
@@ -52,7 +52,7 @@
                 trouble();
                 try {
                     step();
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     end();
                 } catch (IOException e) {
                     rethrowDamage(e);
@@ -96,7 +96,7 @@
                     check();
                     rely();
                     break;
-                } catch (FakeVault.EndedException e) {
+                } catch (FakeDirectory.EndedException e) {
                     if (random.nextBoolean()) {
                         vault.losePower();
                     } else {
@@ -121,7 +121,7 @@
         }
 
         private static void rethrowDamage(IOException e) {
-            if (e instanceof Stack.DamagedException) {
+            if (e instanceof AppendOnlyFile.DamagedException) {
                 throw new AssertionError("taken for damage: " + e.getMessage(), e);
             }
         }
@@ -131,7 +131,8 @@
         private Map<Byte, String> confirmed = new TreeMap<>();
         /** What may be there as well: puts that were refused or cut short since the last confirmed one. */
         private final List<Map<Byte, String>> possible = new ArrayList<>();
-        private Stack stack;
+
+        private AppendOnlyFile stack;
         private int puts;
         private int rewrites;
         private long longest;
@@ -144,7 +145,7 @@
 
         @Override
         void open() throws IOException {
-            stack = Stack.open(vault, "f", REWRITE_OVER);
+            stack = AppendOnlyFile.open(vault, "f", REWRITE_OVER);
         }
 
         private Map<Byte, String> read() {
@@ -160,7 +161,8 @@
         @Override
         void check() {
             Map<Byte, String> read = read();
-            assertTrue(read.equals(confirmed) || possible.contains(read),
+            assertTrue(
+                    read.equals(confirmed) || possible.contains(read),
                     () -> "read " + read + ", confirmed " + confirmed + ", possible " + possible);
         }
 
@@ -172,18 +174,21 @@
 
         /** The length of a record that holds all of it, with title and generation. */
         private static long whole(Map<Byte, String> all) {
-            return 8 + 8 + 13 + all.values().stream().mapToLong(v -> 5 + v.length()).sum();
+            return 8
+                    + 8
+                    + 13
+                    + all.values().stream().mapToLong(v -> 5 + v.length()).sum();
         }
 
         @Override
         void step() throws IOException {
             Map<Byte, String> next = new TreeMap<>(confirmed);
-            List<Folio> folios = new ArrayList<>();
+            List<LogRecord> folios = new ArrayList<>();
             int record = 16;
             for (int n = random.nextInt(3); n >= 0; n--) {
                 byte key = (byte) (1 + random.nextInt(7));
                 String value = "v" + puts++ + "x".repeat(random.nextInt(random.nextInt(10) == 0 ? 200 : 40));
-                folios.add(new Folio(key, value.getBytes()));
+                folios.add(new LogRecord(key, value.getBytes()));
                 next.put(key, value);
                 record += 5 + value.length();
             }
@@ -213,10 +218,11 @@
         private final List<List<Integer>> possible = new ArrayList<>();
         private final Map<Integer, Integer> segmentOf = new TreeMap<>();
         private List<Integer> read = new ArrayList<>();
-        private Ledger ledger;
+        private SegmentedLog ledger;
         private int next;
         /** The first record that was not to go. */
         private int keptFrom;
+
         private int drops;
         private int rolls;
 
@@ -228,7 +234,7 @@
         void open() throws IOException {
             List<Integer> into = new ArrayList<>();
             read = into;
-            ledger = Ledger.open(vault, "l", SEGMENT, (segment, body) -> {
+            ledger = SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {
                 int id = Integer.parseInt(new String(body).trim());
                 segmentOf.put(id, segment);
                 into.add(id);
@@ -245,14 +251,16 @@
                     there = matches(all, read);
                 }
             }
-            assertTrue(there, () -> "read " + read + ", confirmed " + confirmed + " from " + keptFrom
-                    + ", possible " + possible);
+            assertTrue(
+                    there,
+                    () -> "read " + read + ", confirmed " + confirmed + " from " + keptFrom + ", possible " + possible);
         }
 
         /** All that was to be kept is there, and before it only what came right before it. */
         private boolean matches(List<Integer> all, List<Integer> found) {
             long least = all.stream().filter(id -> id >= keptFrom).count();
-            return found.size() >= least && found.size() <= all.size()
+            return found.size() >= least
+                    && found.size() <= all.size()
                     && all.subList(all.size() - found.size(), all.size()).equals(found);
         }
 
@@ -269,7 +277,12 @@
                 int last = confirmed.isEmpty() ? 0 : segmentOf.get(confirmed.get(confirmed.size() - 1));
                 int through = ledger.current() - 1 - random.nextInt(3);
                 int gone = Math.min(through, last - 1);
-                keptFrom = Math.max(keptFrom, confirmed.stream().filter(id -> segmentOf.get(id) > gone).findFirst().orElse(0));
+                keptFrom = Math.max(
+                        keptFrom,
+                        confirmed.stream()
+                                .filter(id -> segmentOf.get(id) > gone)
+                                .findFirst()
+                                .orElse(0));
                 drops++;
                 ledger.dropThrough(through);
                 return;
@@ -337,23 +350,30 @@
 
     /** The same plays fail without the mechanism: so they would notice if it were missing. */
     @ParameterizedTest
-    @EnumSource(value = Safeguard.class,
+    @EnumSource(
+            value = Safeguard.class,
             names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "REWRITTEN_BESIDE", "TORN_TAIL_DROPPED"})
     void stackPlaysNoticeWhatIsLeftOut(Safeguard one) {
-        AssertionError e = assertThrows(AssertionError.class, () -> Mutation.without(one, () -> {
-            playStacks(SEEDS);
-            return null;
-        }));
+        AssertionError e = assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(one, () -> {
+                    playStacks(SEEDS);
+                    return null;
+                }));
         System.out.println("stacks without " + one + ": " + e.getMessage());
     }
 
     @ParameterizedTest
-    @EnumSource(value = Safeguard.class, names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "TORN_TAIL_DROPPED"})
+    @EnumSource(
+            value = Safeguard.class,
+            names = {"FILE_SYNCED_AT_OPENING", "FOLDER_SYNCED", "TORN_TAIL_DROPPED"})
     void ledgerPlaysNoticeWhatIsLeftOut(Safeguard one) {
-        AssertionError e = assertThrows(AssertionError.class, () -> Mutation.without(one, () -> {
-            playLedgers(SEEDS);
-            return null;
-        }));
+        AssertionError e = assertThrows(
+                AssertionError.class,
+                () -> Mutation.without(one, () -> {
+                    playLedgers(SEEDS);
+                    return null;
+                }));
         System.out.println("ledgers without " + one + ": " + e.getMessage());
     }
 
@@ -362,17 +382,18 @@
     void stalledDiskConfirmsNothingAndLosesNothing() throws IOException {
         for (int seed = 1; seed <= 60; seed++) {
             Random random = new Random(seed);
-            FakeVault vault = new FakeVault().chance(seed);
+            FakeDirectory vault = new FakeDirectory().chance(seed);
             FakeClock almanac = new FakeClock();
             vault.clock(almanac);
-            StackRoom room = new StackRoom(Stack.open(vault, "f", REWRITE_OVER), vault.executor(), almanac);
+            DiskWriter room = new DiskWriter(AppendOnlyFile.open(vault, "f", REWRITE_OVER), vault.executor(), almanac);
             int[] confirmed = {0};
             for (int i = 1; i <= 60; i++) {
                 int value = i;
-                room.write(List.of(new Folio((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
-                    assertTrue(!vault.hung, "confirmed by a stalled disk");
-                    confirmed[0] = safe ? value : confirmed[0];
-                });
+                room.write(
+                        List.of(new LogRecord((byte) 1, (value + " ".repeat(random.nextInt(60))).getBytes())), safe -> {
+                            assertTrue(!vault.hung, "confirmed by a stalled disk");
+                            confirmed[0] = safe ? value : confirmed[0];
+                        });
                 if (random.nextInt(20) == 0) {
                     vault.hung = true;
                 } else if (vault.hung && random.nextInt(8) == 0) {
@@ -387,7 +408,7 @@
             } else {
                 vault.restart();
             }
-            Stack again = Stack.open(vault, "f", REWRITE_OVER);
+            AppendOnlyFile again = AppendOnlyFile.open(vault, "f", REWRITE_OVER);
             int read = again.isEmpty() ? 0 : Integer.parseInt(new String(again.get((byte) 1)).trim());
             assertTrue(read >= stood && read <= 60, "read " + read + ", confirmed " + stood);
         }
--- a/stacks/src/test/java/org/umbermount/stacks/testing/FakeVault.java
+++ b/storage/src/test/java/org/umbermount/storage/testing/FakeDirectory.java
@@ -1,4 +1,4 @@
-package org.umbermount.stacks.testing;
+package org.umbermount.storage.testing;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -11,9 +11,9 @@
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import org.umbermount.kernel.Clock;
-import org.umbermount.stacks.Disk;
-import org.umbermount.stacks.SyncedVault;
-import org.umbermount.stacks.Vault;
+import org.umbermount.storage.Disk;
+import org.umbermount.storage.StorageDirectory;
+import org.umbermount.storage.SyncedDirectory;
 
 /**
  * A disk for tests: slow, hung, full or torn as a test wants. The vault on it is the real one; only the file system's calls
@@ -21,12 +21,12 @@
  * each name that was made or removed since the folder was forced is kept or lost, each by itself. Without a seed all of
  * that is lost.
  */
-public final class FakeVault implements Vault {
+public final class FakeDirectory implements StorageDirectory {
     private static final int SECTOR = 32;
 
     private final Platter platter = new Platter();
     private final List<Runnable> held = new ArrayList<>();
-    private Vault process = new SyncedVault(platter);
+    private StorageDirectory process = new SyncedDirectory(platter);
     private Clock clock;
     private Random chance;
     public long delayMs = 1;
@@ -55,7 +55,7 @@
     }
 
     /** What a loss of power leaves hangs on the seed from here on. */
-    public FakeVault chance(long seed) {
+    public FakeDirectory chance(long seed) {
         // Neighbouring seeds would begin alike.
         chance = new Random((seed + 1) * 0x9E3779B97F4A7C15L);
         return this;
@@ -70,7 +70,7 @@
     public void restart() {
         held.clear();
         callsLeft = Integer.MAX_VALUE;
-        process = new SyncedVault(platter);
+        process = new SyncedDirectory(platter);
     }
 
     /** Runs disk work after the disk's delay; while the disk hangs, work piles up. */
@@ -203,7 +203,8 @@
         private final Map<String, List<File>> passed = new TreeMap<>();
 
         private void put(String name, File file) {
-            passed.computeIfAbsent(name, n -> new ArrayList<>(Arrays.asList(safeNames.get(n)))).add(file);
+            passed.computeIfAbsent(name, n -> new ArrayList<>(Arrays.asList(safeNames.get(n))))
+                    .add(file);
             if (file == null) {
                 names.remove(name);
             } else {
