--- a/app/src/main/java/org/umbermount/app/ScaleRun.java
+++ b/app/src/main/java/org/umbermount/app/ScaleRun.java
@@ -56,6 +56,9 @@
             HttpClient.newBuilder().connectTimeout(PATIENCE).build();
     private final List<HollowProxy> hollow = new ArrayList<>();
     private final Map<Long, AtomicInteger> arrived = new ConcurrentHashMap<>();
+    /** How long each change took from the first call to its answer. */
+    private final List<Double> answerMs = new ArrayList<>();
+
     private final Map<Long, Long> acknowledged = new ConcurrentHashMap<>();
     private final Map<Long, Long> everywhere = new ConcurrentHashMap<>();
     private final AtomicLong beats = new AtomicLong();
@@ -169,10 +172,12 @@
     private void change(long match, long revision) throws InterruptedException {
         arrived.put(revision, new AtomicInteger());
         String text = configuration(revision);
+        long began = System.nanoTime();
         for (int tries = 0; tries < 40; tries++) {
             try {
                 if (call("PUT", controller((int) (revision + tries) % controllers), "/config", text, match) == 200) {
                     acknowledged.put(revision, System.nanoTime());
+                    answerMs.add((System.nanoTime() - began) / 1e6);
                     return;
                 }
             } catch (IOException e) {
@@ -308,6 +313,7 @@
 
     private Figures window(List<Process> control, List<Process> real) throws Exception {
         Baseline before = baseline(control, real);
+        answerMs.clear();
         long begin = System.nanoTime();
         long revision = 1;
         while (System.nanoTime() - begin < TimeUnit.SECONDS.toNanos(seconds)) {
@@ -382,11 +388,14 @@
                 delays.add((everywhere.get(e.getKey()) - e.getValue()) / 1e6);
             }
         }
-        delays.sort(null);
-        double median = delays.isEmpty() ? Double.NaN : delays.get(delays.size() / 2);
-        double most = delays.isEmpty() ? Double.NaN : delays.get(delays.size() - 1);
         figures.put("changes seen at every proxy", (double) delays.size());
-        figures.put("ms from answer to last proxy, median", median);
-        figures.put("ms from answer to last proxy, most", most);
+        putSpread(figures, "ms from call to answer", answerMs);
+        putSpread(figures, "ms from answer to last proxy", delays);
+    }
+
+    private static void putSpread(Map<String, Double> figures, String name, List<Double> values) {
+        values.sort(null);
+        figures.put(name + ", median", values.isEmpty() ? Double.NaN : values.get(values.size() / 2));
+        figures.put(name + ", most", values.isEmpty() ? Double.NaN : values.get(values.size() - 1));
     }
 }
--- a/control/src/main/java/org/umbermount/control/ChainMessages.java
+++ b/control/src/main/java/org/umbermount/control/ChainMessages.java
@@ -24,7 +24,9 @@
         CONFIRM,
         CONFIRMED,
         ATTEST,
-        ATTESTED
+        ATTESTED,
+        INCREMENT,
+        STATE_WANTED
     }
 
     /** Acts on what has been received. */
@@ -35,6 +37,12 @@
 
         void write(DaemonAddress from, ConfigurationState state, List<PendingReply> replies);
 
+        /** A write that only says what is new in the state. */
+        void increment(DaemonAddress from, StateIncrement increment, List<PendingReply> replies);
+
+        /** The member after lacks the state that an increment builds on. */
+        void stateWanted(DaemonAddress from, long view);
+
         void committed(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest);
 
         /** A read of the committed state, or of its edition alone if it is brief. */
@@ -91,6 +99,17 @@
         channel.send(to, out);
     }
 
+    void sendIncrement(DaemonAddress to, StateIncrement increment, Collection<PendingReply> replies) {
+        MessagePackCodec.Writer out = message(Kind.INCREMENT);
+        increment.write(out);
+        out.list(replies, (o, r) -> r.write(o));
+        channel.send(to, out);
+    }
+
+    void sendStateWanted(DaemonAddress to, long view) {
+        channel.send(to, message(Kind.STATE_WANTED).num(view));
+    }
+
     void sendCommitted(DaemonAddress to, ConfigurationState state) {
         MessagePackCodec.Writer out =
                 message(Kind.COMMITTED).num(state.view()).num(state.edition().value());
@@ -137,6 +156,8 @@
                     new ChainReplica.Submission(from, RequestId.read(in), in.num(), Order.read(in), in.bytes()));
             case VERDICT -> handler.verdict(RequestId.read(in), readVerdict(in));
             case WRITE -> handler.write(from, ConfigurationState.read(in), in.list(PendingReply::read));
+            case INCREMENT -> handler.increment(from, StateIncrement.read(in), in.list(PendingReply::read));
+            case STATE_WANTED -> handler.stateWanted(from, in.num());
             case COMMITTED -> handler.committed(from, in.num(), new ConfigurationRevision(in.num()), Digest.read(in));
             case READ -> handler.read(from, RequestId.read(in), false);
             case ATTEST -> handler.read(from, RequestId.read(in), true);
--- a/control/src/main/java/org/umbermount/control/ControlApi.java
+++ b/control/src/main/java/org/umbermount/control/ControlApi.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,17 +12,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -49,6 +45,7 @@
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.net.ConnectionAcceptor;
 
 /** The calls of servers and of the operator. */
 final class ControlApi implements StatusPage {
@@ -100,19 +97,13 @@
     }
 
     void bind(EventLoop loop, Consumer<Throwable> failed) {
-        ChannelFuture bound = new ServerBootstrap()
-                .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 256)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
-                        answerCalls(ch.pipeline());
-                    }
-                })
-                .bind(control.socketAddress());
+        ChannelFuture bound = new ConnectionAcceptor(loop) {
+            @Override
+            protected void initialize(ChannelPipeline pipeline) {
+                pipeline.addLast(new ReadTimeoutHandler(60, TimeUnit.SECONDS));
+                answerCalls(pipeline);
+            }
+        }.bind(control.socketAddress());
         listener = bound.channel();
         bound.addListener(f -> {
             if (!f.isSuccess()) {
@@ -122,9 +113,24 @@
     }
 
     void answerCalls(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpServerCodec())
-                .addLast(new HttpObjectAggregator(LARGEST_BODY, true))
-                .addLast(new Calls());
+        pipeline.addLast(new HttpServerCodec()).addLast(new WholeCalls()).addLast(new Calls());
+    }
+
+    /** Puts a call together; one that is too long gets its reason at once, and the rest of it is read and thrown away. */
+    private final class WholeCalls extends HttpObjectAggregator {
+        WholeCalls() {
+            super(LARGEST_BODY, true);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            metrics.count("control.refusals.body_too_large");
+            json(
+                    ctx,
+                    HttpUtil.isKeepAlive(oversized),
+                    ErrorKind.BODY_TOO_LARGE.status(),
+                    error("The call is over " + LARGEST_BODY + " bytes."));
+        }
     }
 
     void close() {
@@ -425,6 +431,7 @@
             if (p.report() != null
                     && p.report().zone().equals(serverZone)
                     && p.report().inContact()
+                    && !p.report().slow()
                     && detector.goodForMs(p.daemonAddress()) > 2_000) {
                 return "{\"heartbeatUrl\":\"http://" + p.report().control() + "\"}";
             }
@@ -452,7 +459,8 @@
                 .put("incarnation", replica.incarnation())
                 .put("view", view.number())
                 .put("edition", replica.committed().edition().value())
-                .put("newestEdition", replica.newestEdition().value());
+                .put("newestEdition", replica.newestEdition().value())
+                .put("slow", detector.isSlow(view));
         showContact(root.putObject("contact"));
         ArrayNode electorate = root.putArray("electorate");
         view.electorate().forEach(f -> electorate.add(f.daemonAddress().toString()));
@@ -502,6 +510,7 @@
                 .put("majorityAnswers", report.inContact())
                 .put("diskGood", report.diskGood())
                 .put("leaving", report.leaving())
+                .put("slow", report.slow())
                 .put("operationsSettledInView", report.settledView());
         ArrayNode connected = page.putArray("connectedWith");
         report.connected().forEach(c -> connected.add(c.toString()));
@@ -541,12 +550,12 @@
 
     private void refuse(ChannelHandlerContext ctx, boolean keep, ErrorKind erratum, String detail) {
         metrics.count("control.refusals." + erratum.name().toLowerCase(java.util.Locale.ROOT));
-        json(
-                ctx,
-                keep && !erratum.closes(),
-                erratum.status(),
-                "{\"errorMessage\":\""
-                        + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}");
+        json(ctx, keep && !erratum.closes(), erratum.status(), error(detail));
+    }
+
+    private static String error(String detail) {
+        return "{\"errorMessage\":\""
+                + new String(JsonStringEncoder.getInstance().quoteAsString(detail)) + "\"}";
     }
 
     private void json(ChannelHandlerContext ctx, boolean keep, int status, String body) {
--- a/control/src/main/java/org/umbermount/control/ControlPlane.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlane.java
@@ -9,9 +9,10 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MessagePackCodec;
+import org.umbermount.kernel.MachineUptime;
 import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Settings;
 import org.umbermount.storage.AppendOnlyFile;
@@ -42,6 +43,8 @@
      * @param memory the file of the chain and the views
      * @param notes the file of the servers seen
      * @param disk runs what may wait for the disk
+     * @param random where the numbers come from that tell lives apart
+     * @param uptime by which the notes of an earlier life are dated
      */
     ControlPlane(
             Clock clock,
@@ -51,11 +54,13 @@
             AppendOnlyFile memory,
             AppendOnlyFile notes,
             Executor disk,
-            Metrics metrics)
+            Metrics metrics,
+            Random random,
+            MachineUptime uptime)
             throws java.io.IOException {
         this.clock = clock;
         this.rules = rules;
-        Random random = new Random(messenger.self().packed() * 31 + clock.wallMillis());
+        long life = RandomNumbers.life(random);
         room = new DiskWriter(memory, disk, clock);
         ReplicaStorage loaded = load(memory);
         List<DaemonAddress> seeds = rules.seedNodes().stream()
@@ -63,13 +68,18 @@
                 .toList();
         View genesis = rules.bootstrap() && loaded == null && seeds.contains(messenger.self()) ? genesis(seeds) : null;
         boolean newcomer = rules.bootstrap() && genesis == null;
-        replica =
-                new Replica(clock, messenger, room, metrics, loaded, notedCommitted(loaded, memory), genesis, newcomer);
+        replica = new Replica(
+                clock, messenger, room, metrics, loaded, notedCommitted(loaded, memory), genesis, newcomer, random);
         chainClient = new ChainClient(replica, clock);
-        serverRegistry = new ServerRegistry(clock, messenger, metrics, rules.heartbeatMs(), clock.wallMillis());
-        notebook = new RegistrySnapshotFile(serverRegistry, notes, disk, clock);
+        serverRegistry = new ServerRegistry(clock, messenger, metrics, rules.heartbeatMs(), life);
+        notebook = new RegistrySnapshotFile(serverRegistry, notes, disk, clock, uptime);
         notebook.recall();
-        detector = new FailureDetector(clock, messenger, (heard, connected) -> report(heard, connected, control));
+        detector = new FailureDetector(
+                clock,
+                messenger,
+                metrics,
+                life,
+                (heard, connected, slowPeers) -> report(heard, connected, slowPeers, control));
         contact = new MajorityContact(clock, detector, replica);
         convener = new ViewProposer(
                 replica,
@@ -88,16 +98,19 @@
                 replica,
                 detector,
                 metrics,
+                new LeaseEpochs(room, memory),
                 rules.zone(),
                 new TreeSet<>(
                         rules.zones().isEmpty()
                                 ? List.of(rules.zone())
                                 : rules.zones().keySet()),
-                rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.of());
+                rules.guarantees(Settings.QUOTA) ? LeaseManager.QUOTA_DUTIES : List.of(),
+                random);
         seeds.forEach(detector::enlist);
         replica.onView(c -> c.electorate().forEach(f -> detector.enlist(f.daemonAddress())));
         replica.view().electorate().forEach(f -> detector.enlist(f.daemonAddress()));
         detector.observe(this::compare);
+        detector.observe(replica::compareIncarnations);
     }
 
     void start() {
@@ -120,7 +133,10 @@
     }
 
     private FailureDetector.Report report(
-            List<DaemonAddress> heard, List<DaemonAddress> connected, DaemonAddress control) {
+            List<DaemonAddress> heard,
+            List<DaemonAddress> connected,
+            List<DaemonAddress> slowPeers,
+            DaemonAddress control) {
         return new FailureDetector.Report(
                 replica.incarnation(),
                 replica.standing() == Replica.Standing.MEMBER,
@@ -140,14 +156,17 @@
                 rules.zone(),
                 control,
                 heard,
-                connected);
+                connected,
+                detector.isSlow(replica.view()),
+                leases.standsBack(),
+                slowPeers);
     }
 
     private static ReplicaStorage load(AppendOnlyFile stack) throws java.io.IOException {
         try {
             return ReplicaStorage.load(stack);
-        } catch (MessagePackCodec.UnreadableException e) {
-            LOG.error("The memory on disk cannot be read: {}. It is rebuilt from the others.", e.getMessage());
+        } catch (AppendOnlyFile.DamagedException e) {
+            LOG.error("{} What it held is rebuilt from the others.", e.getMessage());
             stack.clear();
             return null;
         }
@@ -156,7 +175,8 @@
     private static boolean notedCommitted(ReplicaStorage loaded, AppendOnlyFile stack) {
         try {
             return loaded != null && loaded.isNotedCommitted(stack);
-        } catch (MessagePackCodec.UnreadableException e) {
+        } catch (AppendOnlyFile.DamagedException e) {
+            LOG.warn("{} What is committed is asked of the others.", e.getMessage());
             return false;
         }
     }
--- a/control/src/main/java/org/umbermount/control/ControlPlugin.java
+++ b/control/src/main/java/org/umbermount/control/ControlPlugin.java
@@ -13,6 +13,7 @@
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.ProcUptime;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Settings;
 import org.umbermount.kernel.net.LoopClock;
@@ -76,7 +77,9 @@
                 stackFor(directory, "memory.stack"),
                 stackFor(directory, "registry.stack"),
                 thread,
-                host.metrics());
+                host.metrics(),
+                host.random(),
+                new ProcUptime());
         host.find(PeerSampling.class).observe(this::noticed);
         host.offer(Replica.class, controlPlane.replica);
         host.offer(ServerRegistry.class, controlPlane.serverRegistry);
@@ -103,6 +106,7 @@
         metrics.gauge("control.disk.slowest.ms", controlPlane.room::slowestMs);
         metrics.gauge("control.disk.refusing", () -> controlPlane.room.refusing() ? 1 : 0);
         metrics.gauge("control.reaches.majority", () -> controlPlane.contact.holds() ? 1 : 0);
+        metrics.gauge("control.slow", () -> controlPlane.detector.isSlow(controlPlane.replica.view()) ? 1 : 0);
         metrics.gauge("registry.servers", () -> controlPlane.serverRegistry.entries().stream()
                 .filter(e -> !e.standing().isGone())
                 .count());
--- a/control/src/main/java/org/umbermount/control/DurableState.java
+++ b/control/src/main/java/org/umbermount/control/DurableState.java
@@ -17,6 +17,7 @@
     private final Clock clock;
     private final DiskWriter room;
     private final Metrics metrics;
+    private final StateJournal journal;
     private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
     private ReplicaStorage memory;
     private boolean busy;
@@ -28,10 +29,17 @@
      * @param memory what the disk held, or a blank memory to start from
      * @param onDisk whether the disk held it
      */
-    DurableState(Clock clock, DiskWriter room, Metrics metrics, ReplicaStorage memory, boolean onDisk) {
+    DurableState(
+            Clock clock,
+            DiskWriter room,
+            Metrics metrics,
+            StateIncrements increments,
+            ReplicaStorage memory,
+            boolean onDisk) {
         this.clock = clock;
         this.room = room;
         this.metrics = metrics;
+        this.journal = new StateJournal(increments);
         this.memory = memory;
         this.onDisk = onDisk;
         // A promise of before a restart freezes as well: whoever finds it unfinished has to be able to tell for how
@@ -78,10 +86,12 @@
         }
         busy = true;
         ReplicaStorage old = memory;
-        room.write(next.changesSince(onDisk ? old : null), safe -> {
+        StateIncrement increment = onDisk ? journal.next(old.state(), next.state()) : null;
+        room.write(next.changesSince(onDisk ? old : null, increment), safe -> {
             busy = false;
             freezing = false;
             if (safe) {
+                noteWritten(old, next, increment);
                 take(next);
                 then.run();
             } else {
@@ -93,6 +103,14 @@
         });
     }
 
+    private void noteWritten(ReplicaStorage old, ReplicaStorage next, StateIncrement increment) {
+        if (increment != null) {
+            journal.incrementWritten(increment);
+        } else if (!onDisk || old.state() != next.state()) {
+            journal.stateWritten();
+        }
+    }
+
     private void take(ReplicaStorage next) {
         onDisk = true;
         memory = next;
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -12,7 +12,9 @@
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
+import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
+import org.umbermount.kernel.Safeguard;
 
 /** Controllers tell each other at short intervals that they are there, how they are, and whom they hear. */
 public final class FailureDetector {
@@ -26,14 +28,22 @@
 
     private static final long FORGET_MS = 60_000;
     private static final int SLOW_ROUNDS = 5;
+    /** Pauses of a process that has just started say nothing of how it will go on. */
+    private static final long STARTING_MS = 5_000;
+
+    private static final long NO_LIFE = 0;
 
     /**
      * What a controller tells of itself.
      *
+     * @param life the number of this life of the process, drawn at random
      * @param mayMove whether it is a voter with its memory that no promise binds
      * @param inContact whether a majority answers it
      * @param heard whom it hears
      * @param connected whom it hears, and is heard by
+     * @param slow whether it stands still again and again, by its own clock or as a majority has told it
+     * @param standsBack whether it leaves duties to others, being slow
+     * @param slowPeers whose roll calls come to it in long gaps, again and again
      */
     public record Report(
             long incarnation,
@@ -45,7 +55,7 @@
             long view,
             long edition,
             long newestEdition,
-            long censusBoot,
+            long life,
             long censusSeq,
             long censusDigest,
             boolean censusReady,
@@ -54,7 +64,10 @@
             String zone,
             DaemonAddress control,
             List<DaemonAddress> heard,
-            List<DaemonAddress> connected) {
+            List<DaemonAddress> connected,
+            boolean slow,
+            boolean standsBack,
+            List<DaemonAddress> slowPeers) {
         void write(MessagePackCodec.Writer out) {
             out.num(incarnation)
                     .flag(votes)
@@ -65,7 +78,7 @@
                     .num(view)
                     .num(edition)
                     .num(newestEdition)
-                    .num(censusBoot)
+                    .num(life)
                     .num(censusSeq)
                     .num(censusDigest)
                     .flag(censusReady)
@@ -74,7 +87,10 @@
                     .text(zone)
                     .daemonAddress(control)
                     .list(heard, MessagePackCodec.Writer::daemonAddress)
-                    .list(connected, MessagePackCodec.Writer::daemonAddress);
+                    .list(connected, MessagePackCodec.Writer::daemonAddress)
+                    .flag(slow)
+                    .flag(standsBack)
+                    .list(slowPeers, MessagePackCodec.Writer::daemonAddress);
         }
 
         static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
@@ -97,6 +113,9 @@
                     in.text(),
                     in.daemonAddress(),
                     in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.flag(),
+                    in.flag(),
                     in.list(MessagePackCodec.ClientConnection::daemonAddress));
         }
     }
@@ -108,11 +127,13 @@
         private MonotonicTime lastHeard = MonotonicTime.NEVER;
         /** The newest moment of this daemon's clock that the peer has sent back. */
         private MonotonicTime answered = MonotonicTime.NEVER;
-        /** The newest stamp of the peer's own clock. */
+        /** The newest stamp of the peer's own clock, in the life that the report is of. */
         private long stamp = -1;
 
         private MonotonicTime goodSince;
         private MonotonicTime lostSince;
+        /** When its roll calls came after a long gap, in this life of it. */
+        private PauseHistory gaps;
 
         Peer(DaemonAddress daemonAddress, MonotonicTime now) {
             this.daemonAddress = daemonAddress;
@@ -140,10 +161,13 @@
         }
     }
 
-    /** Gives the own report; the lists of those heard, and heard in both directions, are filled in here. */
+    /** Gives the own report; the lists of those heard, heard in both directions, and found slow are filled in here. */
     public interface Reporter {
-        /** The state of this daemon now, with the peers that it hears and those connected in both directions. */
-        Report report(List<DaemonAddress> heard, List<DaemonAddress> connected);
+        /**
+         * The state of this daemon now, with the peers that it hears, those connected in both directions, and those found
+         * slow.
+         */
+        Report report(List<DaemonAddress> heard, List<DaemonAddress> connected, List<DaemonAddress> slowPeers);
     }
 
     private final Clock clock;
@@ -152,24 +176,35 @@
     private final Map<DaemonAddress, Peer> peers = new TreeMap<>();
     private final List<Consumer<Peer>> observers = new ArrayList<>();
     private final MonotonicTime started;
-    /** Stamps of another life of this daemon are below it, or above now. */
-    private final long firstStamp;
+    /** Tells this life of the process from all others; stamps count the milliseconds since its start. */
+    private final long life;
 
+    private final Metrics metrics;
     private Runnable keeper = () -> {};
     private MonotonicTime lastTick;
     private MonotonicTime stalledUntil;
+    private final PauseHistory pauses;
+    /** The tick before the last pause that was counted. */
+    private MonotonicTime pausedAfter = MonotonicTime.NEVER;
+
     private boolean leaving;
     private int rounds;
 
-    /** Starts without peers; heartbeats begin with {@link #start}. */
-    public FailureDetector(Clock clock, Messenger messenger, Reporter reporter) {
+    /**
+     * Starts without peers; heartbeats begin with {@link #start}.
+     *
+     * @param life the number of this life of the process, which the reporter gives as well
+     */
+    public FailureDetector(Clock clock, Messenger messenger, Metrics metrics, long life, Reporter reporter) {
         this.clock = clock;
         this.messenger = messenger;
         this.reporter = reporter;
         this.started = clock.now();
-        this.firstStamp = clock.wallMillis();
+        this.life = life;
+        this.metrics = metrics;
         this.lastTick = started;
         this.stalledUntil = started;
+        this.pauses = new PauseHistory(started.plus(STARTING_MS));
         messenger.subscribe(Messenger.Topic.ROLL_CALL, this::receive);
     }
 
@@ -234,6 +269,7 @@
     private void tick() {
         MonotonicTime now = clock.now();
         rounds++;
+        lookForPause(now);
         if (now.since(lastTick) > STALL_MS) {
             // This process stood still: the silence was its own. Give everyone time to be heard again.
             stalledUntil = now.plus(SILENCE_MS);
@@ -252,18 +288,27 @@
     }
 
     private byte[] ownReport(MonotonicTime now) {
+        return ownReport(now, null);
+    }
+
+    /** The own report; {@code asWell} is said to be heard, too. */
+    private byte[] ownReport(MonotonicTime now, Peer asWell) {
         List<DaemonAddress> heard = new ArrayList<>();
         List<DaemonAddress> both = new ArrayList<>();
+        List<DaemonAddress> slowPeers = new ArrayList<>();
         for (Peer p : peers.values()) {
-            if (now.since(p.lastHeard) <= SILENCE_MS) {
+            if (now.since(p.lastHeard) <= SILENCE_MS || p == asWell) {
                 heard.add(p.daemonAddress);
             }
             if (isConnected(p, now)) {
                 both.add(p.daemonAddress);
             }
+            if (p.gaps != null && p.gaps.isSlow(now)) {
+                slowPeers.add(p.daemonAddress);
+            }
         }
         MessagePackCodec.Writer out = MessagePackCodec.write();
-        reporter.report(heard, both).write(out);
+        reporter.report(heard, both, slowPeers).write(out);
         return out.done();
     }
 
@@ -277,11 +322,16 @@
         }
     }
 
-    /** A report, the moment at which it was sent, and the newest such moment of the other's that has come here. */
     private void send(Peer to, byte[] report) {
+        send(to, report, to.report == null ? NO_LIFE : to.report.life(), to.stamp);
+    }
+
+    /** A report, the moment at which it was sent, which life of the other it is for, and the newest such moment of that life. */
+    private void send(Peer to, byte[] report, long addressee, long echo) {
         byte[] stamps = MessagePackCodec.write()
-                .num(firstStamp + clock.now().since(started))
-                .num(to.stamp)
+                .num(clock.now().since(started))
+                .num(addressee)
+                .num(echo)
                 .done();
         byte[] body = Arrays.copyOf(report, report.length + stamps.length);
         System.arraycopy(stamps, 0, body, report.length, stamps.length);
@@ -292,24 +342,35 @@
         MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
+        long addressee = in.num();
         long echo = in.num();
         keeper.run();
         boolean unknown = !peers.containsKey(from);
         Peer peer = peers.computeIfAbsent(from, i -> new Peer(i, clock.now()));
         MonotonicTime now = clock.now();
         boolean wasSilent = now.since(peer.lastHeard) > SILENCE_MS;
-        boolean anew = peer.report != null && peer.report.censusBoot() != report.censusBoot();
-        if (anew) {
-            peer.answered = MonotonicTime.NEVER;
-        } else if (stamp < peer.stamp) {
-            // Overtaken on its way by a newer one.
+        if (addressee == NO_LIFE || addressee != life && Safeguard.ROLL_CALL_NAMES_LIFE.holds()) {
+            introduce(peer, report.life(), stamp, now);
             return;
         }
+        boolean anew = peer.report == null || peer.report.life() != report.life();
+        MonotonicTime answered = started.plus(echo);
+        boolean isAnswer = echo >= 0 && !now.isBefore(answered) && peer.answered.isBefore(answered);
+        if (anew ? !isAnswer && Safeguard.LATER_LIFE_ANSWERS_LATER.holds() : stamp < peer.stamp) {
+            // Of a life that has ended, or overtaken on its way by a newer one.
+            metrics.count("rollcall.late");
+            return;
+        }
+        if (anew || peer.gaps == null) {
+            peer.gaps = new PauseHistory(now.plus(STARTING_MS));
+        } else if (lastTick.since(peer.lastHeard) > STALL_MS) {
+            // Counted up to the last tick, so that a pause of this process is not taken for one of the peer's.
+            peer.gaps.paused(now);
+        }
         peer.report = report;
         peer.lastHeard = now;
         peer.stamp = stamp;
-        MonotonicTime answered = started.plus(echo - firstStamp);
-        if (echo >= firstStamp && !now.isBefore(answered) && peer.answered.isBefore(answered)) {
+        if (isAnswer) {
             peer.answered = answered;
         }
         judge(peer, now);
@@ -323,6 +384,15 @@
         }
     }
 
+    /**
+     * Answers a report that is not for this life of the daemon. It may be of a life of the sender that has ended, so nothing of
+     * it is taken: a life that runs comes back with the stamp of this answer, which names it.
+     */
+    private void introduce(Peer peer, long theirLife, long theirStamp, MonotonicTime now) {
+        metrics.count("rollcall.unacquainted");
+        send(peer, ownReport(now, peer), theirLife, theirStamp);
+    }
+
     private void judge(Peer p, MonotonicTime now) {
         boolean good = isConnected(p, now) && p.report.diskGood() && !p.report.leaving();
         if (!good) {
@@ -385,6 +455,37 @@
         return p != null && isConnected(p, clock.now()) && moment.isBefore(p.answered);
     }
 
+    private void lookForPause(MonotonicTime now) {
+        if (now.since(lastTick) > STALL_MS && !lastTick.equals(pausedAfter)) {
+            pausedAfter = lastTick;
+            pauses.paused(now);
+        }
+    }
+
+    /** Notes a sign that this daemon stood still, other than its own timers. */
+    void pauseNoticed() {
+        pauses.paused(clock.now());
+    }
+
+    /**
+     * Whether this daemon stands still again and again: by its own clock, or because most of the voters that it is connected
+     * with, and two at least, find its roll calls late. The second holds also where the clock stands still with the process.
+     */
+    public boolean isSlow(View view) {
+        MonotonicTime now = clock.now();
+        lookForPause(now);
+        int connected = 0;
+        int complaints = 0;
+        for (Voter f : view.electorate()) {
+            Peer p = peers.get(f.daemonAddress());
+            if (p != null && isConnected(p, now)) {
+                connected++;
+                complaints += p.report.slowPeers().contains(messenger.self()) ? 1 : 0;
+            }
+        }
+        return pauses.isSlow(now) || complaints >= 2 && 2 * complaints > connected;
+    }
+
     /** Whether this daemon itself stood still a moment ago or has just started. */
     public boolean unsettled(long ms) {
         MonotonicTime now = clock.now();
--- a/control/src/main/java/org/umbermount/control/Membership.java
+++ b/control/src/main/java/org/umbermount/control/Membership.java
@@ -33,17 +33,24 @@
     private final DurableState durable;
     private final CommitPoint commits;
     private final ViewMessages messages;
+    private final DroppedMessages dropped;
     private final List<Consumer<View>> observers = new ArrayList<>();
     private Listener listener;
     private Replica.Standing standing;
     private CompanionState companion = CompanionState.NONE;
     private List<DaemonAddress> audience = List.of();
 
-    Membership(DaemonAddress self, DurableState durable, CommitPoint commits, ViewMessages messages) {
+    Membership(
+            DaemonAddress self,
+            DurableState durable,
+            CommitPoint commits,
+            ViewMessages messages,
+            DroppedMessages dropped) {
         this.self = self;
         this.durable = durable;
         this.commits = commits;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     void listen(Listener to) {
@@ -73,6 +80,10 @@
 
     // ---- this daemon's part ----
 
+    DaemonAddress self() {
+        return self;
+    }
+
     Replica.Standing standing() {
         return standing;
     }
@@ -170,6 +181,7 @@
     void news(View view, ConfigurationState state, boolean isCommitted) {
         ReplicaStorage memory = durable.memory();
         if (view.number() < memory.view().number() || state.view() != view.number()) {
+            dropped.count(DroppedMessages.Reason.OLD_VIEW);
             return;
         }
         if (view.number() > memory.view().number()) {
@@ -180,6 +192,12 @@
         }
     }
 
+    /** The incarnation in the memory is new here and on disk: this daemon votes again once it has read others. */
+    void reincarnated() {
+        standing = standingIn(durable.memory());
+        listener.reset();
+    }
+
     /** The view in the memory is new here and on disk. */
     void adopted(String why) {
         ReplicaStorage memory = durable.memory();
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -5,15 +5,13 @@
 import org.umbermount.kernel.MessagePackCodec;
 
 /** A caller who is owed an answer once its order is committed; it goes down the chain with the write. */
-record PendingReply(RequestId id, DaemonAddress origin, ConfigurationRevision edition, Digest digest) {
+record PendingReply(RequestId id, DaemonAddress origin, ConfigurationRevision edition) {
     void write(MessagePackCodec.Writer out) {
         id.write(out);
         out.daemonAddress(origin).num(edition.value());
-        digest.write(out);
     }
 
     static PendingReply read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new PendingReply(
-                RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()), Digest.read(in));
+        return new PendingReply(RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Recovery.java
+++ b/control/src/main/java/org/umbermount/control/Recovery.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
+import org.umbermount.kernel.Safeguard;
 
 /**
  * A voter without its memory reads others before it votes. Invariant: it takes up its part again only as an incarnation
@@ -31,16 +32,24 @@
     private final DurableState durable;
     private final Membership membership;
     private final ViewMessages messages;
+    private final DroppedMessages dropped;
     private final Map<DaemonAddress, Reply> replies = new HashMap<>();
     private boolean rebuilding;
     private long attempt;
 
-    Recovery(DaemonAddress self, Clock clock, DurableState durable, Membership membership, ViewMessages messages) {
+    Recovery(
+            DaemonAddress self,
+            Clock clock,
+            DurableState durable,
+            Membership membership,
+            ViewMessages messages,
+            DroppedMessages dropped) {
         this.self = self;
         this.clock = clock;
         this.durable = durable;
         this.membership = membership;
         this.messages = messages;
+        this.dropped = dropped;
     }
 
     // ---- for another that lost its memory ----
@@ -58,6 +67,11 @@
         }
     }
 
+    /** Tells a daemon what is remembered here, of itself as well. */
+    void tell(DaemonAddress who, long incarnation) {
+        sendRecovered(who, incarnation);
+    }
+
     private void sendRecovered(DaemonAddress who, long incarnation) {
         messages.sendRecovered(
                 who, incarnation, durable.memory(), membership.companion().mark());
@@ -81,14 +95,22 @@
 
     void recovered(DaemonAddress from, long incarnation, Reply reply) {
         ReplicaStorage memory = durable.memory();
-        if (membership.standing() != Replica.Standing.RECOVERING || incarnation != memory.incarnation() || rebuilding) {
+        if (incarnation != memory.incarnation()) {
+            dropped.count(DroppedMessages.Reason.FOREIGN_INCARNATION);
+            return;
+        }
+        if (rebuilding) {
             return;
         }
+        boolean recovering = membership.standing() == Replica.Standing.RECOVERING;
         long known = incarnationIn(reply);
-        if (known > memory.incarnation()) {
+        if (known > memory.incarnation() && (recovering || Safeguard.INCARNATION_RAISED.holds())) {
             startAbove(known);
             return;
         }
+        if (!recovering) {
+            return;
+        }
         replies.put(from, reply);
         View newest = newestView();
         if (newest.number() >= memory.view().number() && votersRead(newest) >= newest.recoveryReads()) {
@@ -103,10 +125,13 @@
                 reply.view().votes(self) ? reply.view().fellow(self).incarnation() : 0L);
     }
 
-    /** Someone has met a later life of this daemon: choose a number above it and read again. */
+    /**
+     * Someone has met an incarnation of this daemon with a higher number: choose one above it and read again. This happens to
+     * one that votes, too, where a message of a life that has ended came late; its own memory is then one of those read.
+     */
     private void startAbove(long known) {
-        replies.clear();
         ReplicaStorage m = durable.memory();
+        LOG.info("Incarnation {} is known of this daemon: it goes on as the next.", known);
         durable.persist(
                 new ReplicaStorage(
                         known + 1,
@@ -117,7 +142,10 @@
                         m.acceptedBallot(),
                         m.accepted(),
                         m.incarnations()),
-                this::ask);
+                () -> {
+                    membership.reincarnated();
+                    ask();
+                });
     }
 
     private View newestView() {
@@ -186,7 +214,14 @@
         Ballot promised = Ballot.NONE;
         Ballot acceptedBallot = Ballot.NONE;
         Proposal accepted = null;
-        ReplicaStorage next = durable.memory();
+        ReplicaStorage own = durable.memory();
+        if (own.view().number() == newest.number()) {
+            state = own.state();
+            promised = own.promised();
+            acceptedBallot = own.acceptedBallot();
+            accepted = own.accepted();
+        }
+        ReplicaStorage next = own;
         for (Reply r : replies.values()) {
             next = next.withIncarnations(r.incarnations());
             if (r.view().number() != newest.number()) {
--- a/control/src/main/java/org/umbermount/control/Replica.java
+++ b/control/src/main/java/org/umbermount/control/Replica.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -10,6 +11,7 @@
 import org.umbermount.kernel.DaemonAddress;
 import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.Metrics;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.storage.DiskWriter;
 
 /**
@@ -82,6 +84,7 @@
      * @param loadedCommitted whether the disk also says that the loaded state is committed
      * @param genesis the first view if this is the first start of the whole system and this daemon is in it
      * @param newcomer true on the first start of the whole system outside the first view
+     * @param random where the first incarnation comes from that a daemon without its memory asks others with
      */
     Replica(
             Clock clock,
@@ -91,29 +94,34 @@
             ReplicaStorage loaded,
             boolean loadedCommitted,
             View genesis,
-            boolean newcomer) {
+            boolean newcomer,
+            Random random) {
         this.clock = clock;
         DaemonAddress self = messenger.self();
-        durable = new DurableState(clock, room, metrics, initial(loaded, genesis, newcomer), loaded != null);
+        StateIncrements increments = new StateIncrements();
+        durable = new DurableState(
+                clock, room, metrics, increments, initial(loaded, genesis, newcomer, random), loaded != null);
         commits = new CommitPoint(room);
         viewMessages = new ViewMessages(clock, messenger);
         chainMessages = new ChainMessages(clock, messenger);
-        membership = new Membership(self, durable, commits, viewMessages);
-        acceptor = new Acceptor(durable, membership, viewMessages);
-        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages);
-        chain = new ChainReplica(self, clock, durable, membership, commits, confirmation, chainMessages, metrics);
-        recovery = new Recovery(self, clock, durable, membership, viewMessages);
+        DroppedMessages dropped = new DroppedMessages(metrics);
+        membership = new Membership(self, durable, commits, viewMessages, dropped);
+        acceptor = new Acceptor(durable, membership, viewMessages, dropped);
+        confirmation = new ViewConfirmation(self, durable, membership, commits, chainMessages, dropped);
+        chain = new ChainReplica(
+                self, clock, durable, membership, commits, confirmation, chainMessages, dropped, increments, metrics);
+        recovery = new Recovery(self, clock, durable, membership, viewMessages, dropped);
         membership.listen(new ViewChange());
         viewMessages.open(new ViewHandler());
         chainMessages.open(new ChainHandler());
         begin(loaded, loadedCommitted, genesis, newcomer);
     }
 
-    private ReplicaStorage initial(ReplicaStorage loaded, View genesis, boolean newcomer) {
+    private static ReplicaStorage initial(ReplicaStorage loaded, View genesis, boolean newcomer, Random random) {
         if (loaded != null) {
             return loaded;
         }
-        return ReplicaStorage.blank(genesis != null || newcomer ? 0 : clock.wallMillis());
+        return ReplicaStorage.blank(genesis != null || newcomer ? 0 : RandomNumbers.life(random));
     }
 
     private void begin(ReplicaStorage loaded, boolean loadedCommitted, View genesis, boolean newcomer) {
@@ -260,6 +268,22 @@
         durable.serially(() -> membership.decided(proposal, why));
     }
 
+    /** Tells a controller of which a later incarnation is known here than the one that runs. */
+    void compareIncarnations(FailureDetector.Peer peer) {
+        long runs = peer.report().incarnation();
+        if (runs < membership.incarnationOf(peer.daemonAddress()) && standing() != Standing.RECOVERING) {
+            recovery.tell(peer.daemonAddress(), runs);
+        }
+    }
+
+    /** Whether this voter holds the memory with which its view counts it: it has lost none since the view came into force. */
+    boolean holdsMemoryOfView() {
+        Voter own = view().fellow(membership.self());
+        return own != null
+                && standing() == Standing.MEMBER
+                && own.incarnation() == durable.memory().incarnation();
+    }
+
     /** Asks a controller for its view and state. */
     void fetch(DaemonAddress from) {
         membership.fetch(from);
@@ -361,6 +385,16 @@
             durable.serially(() -> chain.write(from, state, replies));
         }
 
+        @Override
+        public void increment(DaemonAddress from, StateIncrement increment, List<PendingReply> replies) {
+            durable.serially(() -> chain.increment(from, increment, replies));
+        }
+
+        @Override
+        public void stateWanted(DaemonAddress from, long view) {
+            durable.serially(() -> chain.stateWanted(from, view));
+        }
+
         @Override
         public void committed(DaemonAddress tail, long view, ConfigurationRevision edition, Digest digest) {
             chain.committedElsewhere(tail, view, edition, digest);
--- a/control/src/main/java/org/umbermount/control/ReplicaStorage.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -29,6 +29,11 @@
     private static final byte ACCEPTOR = 4;
     private static final byte CRASHES = 5;
     private static final byte COMMITTED = 6;
+    /**
+     * What a state on disk begins with that increments may follow. No state begins with it by itself, so a build that knows
+     * of no increments refuses the file, and does not take an older state for the newest.
+     */
+    private static final long WITH_INCREMENTS = -100;
 
     static ReplicaStorage blank(long incarnation) {
         return new ReplicaStorage(
@@ -88,8 +93,12 @@
         return !promised.isNone();
     }
 
-    /** The folios that differ from an older memory. */
-    List<LogRecord> changesSince(ReplicaStorage old) {
+    /**
+     * The folios that differ from an older memory.
+     *
+     * @param increment the change of the state, or null to write the state whole if it has changed
+     */
+    List<LogRecord> changesSince(ReplicaStorage old, StateIncrement increment) {
         List<LogRecord> out = new ArrayList<>();
         if (old == null || old.incarnation != incarnation || old.recoveredFor != recoveredFor) {
             out.add(new LogRecord(
@@ -101,8 +110,10 @@
             view.write(w);
             out.add(new LogRecord(VIEW, w.done()));
         }
-        if (old == null || old.state != state) {
-            MessagePackCodec.Writer w = MessagePackCodec.write();
+        if (increment != null) {
+            out.add(LogRecord.addition(STATE, increment.encoded()));
+        } else if (old == null || old.state != state) {
+            MessagePackCodec.Writer w = MessagePackCodec.write().num(WITH_INCREMENTS);
             state.write(w);
             out.add(new LogRecord(STATE, w.done()));
         }
@@ -153,30 +164,51 @@
     }
 
     /** Whether the stack's note says that the state in this memory is committed. */
-    boolean isNotedCommitted(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
-        byte[] note = stack.get(COMMITTED);
-        if (note == null) {
-            return false;
+    boolean isNotedCommitted(AppendOnlyFile stack) throws AppendOnlyFile.DamagedException {
+        return stack.get(COMMITTED) != null
+                && stack.read(
+                        COMMITTED,
+                        in -> in.num() == state.edition().value()
+                                && Digest.read(in).equals(Digest.of(state.blob())));
+    }
+
+    /** The state that was written whole last, with what was added to it since. */
+    private static ConfigurationState readState(MessagePackCodec.ClientConnection in, AppendOnlyFile stack)
+            throws MessagePackCodec.UnreadableException {
+        if (in.num() != WITH_INCREMENTS) {
+            // Written by a build that knew of none.
+            in = MessagePackCodec.read(stack.get(STATE));
+        }
+        ConfigurationState state = ConfigurationState.read(in);
+        StateIncrements increments = new StateIncrements();
+        for (byte[] addition : stack.additions(STATE)) {
+            state = increments.apply(StateIncrement.read(MessagePackCodec.read(addition)), state);
+            if (state == null) {
+                throw new MessagePackCodec.UnreadableException("an increment of another state", null);
+            }
         }
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(note);
-        return in.num() == state.edition().value() && Digest.read(in).equals(Digest.of(state.blob()));
+        return state;
     }
 
     /** Reads the memory from a stack; null if there is none. */
-    static ReplicaStorage load(AppendOnlyFile stack) throws MessagePackCodec.UnreadableException {
+    static ReplicaStorage load(AppendOnlyFile stack) throws AppendOnlyFile.DamagedException {
         if (stack.get(IDENTITY) == null) {
             return null;
         }
-        MessagePackCodec.ClientConnection identity = MessagePackCodec.read(stack.get(IDENTITY));
-        MessagePackCodec.ClientConnection acceptor = MessagePackCodec.read(stack.get(ACCEPTOR));
-        return new ReplicaStorage(
-                identity.num(),
-                identity.num(),
-                View.read(MessagePackCodec.read(stack.get(VIEW))),
-                ConfigurationState.read(MessagePackCodec.read(stack.get(STATE))),
-                Ballot.read(acceptor),
-                Ballot.read(acceptor),
-                acceptor.flag() ? Proposal.read(acceptor) : null,
-                readIncarnations(MessagePackCodec.read(stack.get(CRASHES))));
+        ReplicaStorage identity = stack.read(IDENTITY, in -> blank(in.num()).recovered(in.num()));
+        View view = stack.read(VIEW, View::read);
+        ConfigurationState state = stack.read(STATE, in -> readState(in, stack));
+        Map<DaemonAddress, Long> incarnations = stack.read(CRASHES, ReplicaStorage::readIncarnations);
+        return stack.read(
+                ACCEPTOR,
+                in -> new ReplicaStorage(
+                        identity.incarnation,
+                        identity.recoveredFor,
+                        view,
+                        state,
+                        Ballot.read(in),
+                        Ballot.read(in),
+                        in.flag() ? Proposal.read(in) : null,
+                        incarnations));
     }
 }
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -320,6 +320,8 @@
                 if (in.num() == boot) {
                     acknowledged.merge(from, in.num(), Math::max);
                     settle();
+                } else {
+                    metrics.count("census.messages.dropped.earlier_life");
                 }
             }
             case ASK -> {
@@ -337,11 +339,13 @@
             learn(e);
         }
         boolean follows = theirBoot == f.boot && f.applied >= 0 && since <= f.applied;
-        FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
-        if (snapshot && peer != null && peer.report() != null && peer.report().censusReady()) {
+        // What is said of servers is joined by the servers' own numbers; a list that is whole is one of the sender's
+        // present life.
+        boolean whole = snapshot && isPresentLife(from, theirBoot);
+        if (whole && detector != null && detector.peer(from).report().censusReady()) {
             becomeReady();
         }
-        if (snapshot || follows) {
+        if (whole || follows) {
             if (theirBoot != f.boot) {
                 f.boot = theirBoot;
                 f.applied = -1;
@@ -360,6 +364,12 @@
         }
     }
 
+    private boolean isPresentLife(DaemonAddress from, long life) {
+        FailureDetector.Peer peer = detector == null ? null : detector.peer(from);
+        return detector == null
+                || peer != null && peer.report() != null && peer.report().life() == life;
+    }
+
     private void learn(RegisteredServer e) {
         RegisteredServer known = entries.get(e.id());
         RegisteredServer next = known == null ? e : known.merge(e);
@@ -412,7 +422,7 @@
     private void compare(FailureDetector.Peer peer) {
         FailureDetector.Report r = peer.report();
         Followed f = followed.computeIfAbsent(peer.daemonAddress(), k -> new Followed());
-        if (f.boot != r.censusBoot() || f.applied < r.censusSeq()) {
+        if (f.boot != r.life() || f.applied < r.censusSeq()) {
             ask(peer.daemonAddress(), f);
             f.digestOff = 0;
         } else if (r.censusDigest() != digest) {
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -12,11 +12,20 @@
  */
 public record TakenOrders(ConfigurationRevision floor, List<Taken> entries) {
     public static final TakenOrders NONE = new TakenOrders(ConfigurationRevision.NONE, List.of());
-    /** Some 10 KB: it travels with each change. Hundreds of changes are made in a day. */
+    /** Some 10 KB. Hundreds of changes are made in a day. */
     static final int REMEMBERED = 512;
 
     /** The number that a taken order gave, and the digest of its call. It was built on the number before it. */
-    public record Taken(ConfigurationRevision edition, Digest digest) {}
+    public record Taken(ConfigurationRevision edition, Digest digest) {
+        void write(MessagePackCodec.Writer out) {
+            out.num(edition.value());
+            digest.write(out);
+        }
+
+        static Taken read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+            return new Taken(new ConfigurationRevision(in.num()), Digest.read(in));
+        }
+    }
 
     /** What is known of an order. */
     public enum Finding {
@@ -49,7 +58,12 @@
     }
 
     Digest newestDigest() {
-        return entries.isEmpty() ? Digest.NONE : entries.get(entries.size() - 1).digest();
+        return entries.isEmpty() ? Digest.NONE : newestTaken().digest();
+    }
+
+    /** The order that was taken last, or null if none is remembered. */
+    Taken newestTaken() {
+        return entries.isEmpty() ? null : entries.get(entries.size() - 1);
     }
 
     /** Says whether an order was taken, as far as the remembered orders can tell. */
@@ -70,11 +84,6 @@
         return Finding.NOT_TAKEN;
     }
 
-    /** Whether the call with this digest was taken under this number. */
-    boolean holds(Taken one) {
-        return entries.contains(one);
-    }
-
     void write(MessagePackCodec.Writer out) {
         out.num(floor.value()).num(entries.size());
         ConfigurationRevision base = floor;
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -95,11 +95,17 @@
     }
 
     static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-        return new View(
+        View view = new View(
                 in.num(),
                 in.list(Voter::read),
                 in.list(MessagePackCodec.ClientConnection::daemonAddress),
                 OperationLogPosition.read(in));
+        for (DaemonAddress member : view.chain) {
+            if (!view.votes(member)) {
+                throw new MessagePackCodec.UnreadableException("a view with a chain member that has no vote", null);
+            }
+        }
+        return view;
     }
 
     @Override
--- a/control/src/main/java/org/umbermount/control/ViewProposer.java
+++ b/control/src/main/java/org/umbermount/control/ViewProposer.java
@@ -38,6 +38,7 @@
     private final Clock clock;
     private final Random random;
     private final Metrics metrics;
+    private final DroppedMessages dropped;
     private final DaemonAddress self;
     private final String zone;
     private final int tolerated;
@@ -85,6 +86,7 @@
         this.clock = clock;
         this.random = random;
         this.metrics = metrics;
+        this.dropped = new DroppedMessages(metrics);
         this.self = self;
         this.seatsSince = clock.now();
         this.seats =
@@ -314,11 +316,21 @@
                 && voter.incarnation() >= replica.incarnationOf(voter.daemonAddress());
     }
 
+    private void noteUncounted(Voter voter) {
+        if (!counts(voter)) {
+            dropped.count(
+                    replica.view().votes(voter.daemonAddress())
+                            ? DroppedMessages.Reason.FOREIGN_INCARNATION
+                            : DroppedMessages.Reason.NOT_A_MEMBER);
+        }
+    }
+
     @Override
     public void promised(long view, Ballot ballot, Replica.Promise promise) {
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal != null) {
             return;
         }
+        noteUncounted(promise.voter());
         attempt.promises.put(promise.voter().daemonAddress(), promise);
         attempt.promises.values().removeIf(p -> !counts(p.voter()));
         if (attempt.promises.size() < replica.view().majority()) {
@@ -361,6 +373,7 @@
         if (attempt == null || attempt.view != view || !attempt.ballot.equals(ballot) || attempt.proposal == null) {
             return;
         }
+        noteUncounted(voter);
         attempt.accepted.add(voter);
         attempt.accepted.removeIf(a -> !counts(a));
         if (attempt.accepted.size() >= replica.view().majority()) {
--- a/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -33,8 +33,8 @@
     private final ConfigurationRevision edition;
     // A sender has one table for all its proxies, and a proxy steps from one to the next: the last question is the next
     // one.
-    private RoutingTable comparedWith;
-    private Difference compared;
+    // One immutable object, read and written whole: a process with several event loops shares the empty table.
+    private Comparison last;
 
     private RoutingTable(Map<String, byte[]> entries) {
         this.entries = entries;
@@ -91,16 +91,19 @@
         }
     }
 
+    private record Comparison(RoutingTable older, Difference difference) {}
+
     /**
      * What has to change in the older table to make this one. The last result is kept, since all proxies of a zone need
      * it.
      */
     public Difference since(RoutingTable older) {
-        if (older != comparedWith) {
-            compared = compare(older);
-            comparedWith = older;
+        Comparison known = last;
+        if (known == null || known.older != older) {
+            known = new Comparison(older, compare(older));
+            last = known;
         }
-        return compared;
+        return known.difference;
     }
 
     private Difference compare(RoutingTable older) {
@@ -126,8 +129,7 @@
         difference.gone().forEach(next::remove);
         next.putAll(difference.come());
         RoutingTable result = new RoutingTable(next);
-        result.compared = difference;
-        result.comparedWith = this;
+        result.last = new Comparison(this, difference);
         return result;
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/StateSender.java
+++ b/distribution/src/main/java/org/umbermount/distribution/StateSender.java
@@ -1,5 +1,6 @@
 package org.umbermount.distribution;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -23,6 +24,8 @@
     private static final long COLLECT_MS = 8;
 
     private static final long LAPSED_MS = 50;
+    /** How many lives of the proxy that have ended are remembered. */
+    private static final int ENDED_LIVES = 16;
 
     private static final class Sent {
         final long num;
@@ -43,7 +46,9 @@
     private final Metrics metrics;
     private final List<Sent> sent = new ArrayList<>();
     private final RoundTrip roundTrip = new RoundTrip();
+    private final ArrayDeque<Long> ended = new ArrayDeque<>();
     private long life;
+    private MonotonicTime metAt;
     private RoutingTable current = RoutingTable.EMPTY;
     private long topNum;
     private MonotonicTime lastSend = MonotonicTime.NEVER;
@@ -65,6 +70,7 @@
         this.messenger = messenger;
         this.metrics = metrics;
         this.lastHeard = clock.now();
+        this.metAt = lastHeard;
         sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
     }
 
@@ -138,9 +144,38 @@
         schedule(COLLECT_MS);
     }
 
+    /**
+     * The proxy names a life of its own, without saying when. One that has been followed by another is taken for a message that
+     * comes late; any other for a later one. If that is wrong, the answer to what is sent next proves it.
+     */
+    void announced(long thatLife) {
+        if (life == 0) {
+            life = thatLife;
+        } else if (thatLife != life && (!ended.contains(thatLife) || !Safeguard.ENDED_LIFE_NOT_SERVED.holds())) {
+            restart(thatLife);
+        } else if (thatLife != life) {
+            metrics.count("distribution.ended.life");
+        }
+    }
+
+    /** As {@link #announced}, by an answer: to what was sent since the present life was met, only a life that runs can answer. */
+    private void answered(Instruction ack) {
+        if (ack.echo() >= metAt.millis() && ack.echo() <= clock.now().millis() && ack.life() != life && life != 0) {
+            restart(ack.life());
+        } else {
+            announced(ack.life());
+        }
+    }
+
     /** The proxy has started again with nothing: everything goes out anew, under higher numbers. */
-    void restart(long newLife) {
+    private void restart(long newLife) {
+        ended.remove(newLife);
+        ended.add(life);
+        if (ended.size() > ENDED_LIVES) {
+            ended.poll();
+        }
         life = newLife;
+        metAt = clock.now();
         sent.clear();
         sent.add(new Sent(0, RoutingTable.EMPTY, MonotonicTime.NEVER));
         unanswered = 0;
@@ -280,15 +315,6 @@
         return echoStamp < 0 ? -1 : echoStamp + now.since(echoAt);
     }
 
-    /** Learns which life of the proxy is there, from something that acknowledges nothing of this sender. */
-    private void met(long thatLife) {
-        if (life == 0) {
-            life = thatLife;
-        } else if (life != thatLife) {
-            restart(thatLife);
-        }
-    }
-
     /**
      * What was sent no later than the instruction that this answers, and is above what the proxy acknowledges, has not
      * arrived there: it need not be waited for. Tells whether there is such a state.
@@ -310,14 +336,13 @@
         if (ack.epoch() < epoch) {
             // It speaks of an earlier sender's numbers, which are not these.
             metrics.count("distribution.earlier.epoch");
-            met(ack.life());
+            answered(ack);
             return;
         }
         if (ack.life() != life) {
-            if (life == 0) {
-                life = ack.life();
-            } else {
-                restart(ack.life());
+            boolean first = life == 0;
+            answered(ack);
+            if (!first) {
                 return;
             }
         }
--- a/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableReceiverPlugin.java
@@ -10,6 +10,7 @@
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Plugin;
 import org.umbermount.kernel.PluginHost;
+import org.umbermount.kernel.RandomNumbers;
 import org.umbermount.kernel.Role;
 import org.umbermount.kernel.Settings;
 import org.umbermount.membership.MemberDescriptor;
@@ -55,7 +56,8 @@
         pluginHost = host;
         peerSampling = host.find(PeerSampling.class);
         Clock clock = host.clock();
-        stateReceiver = new StateReceiver(clock, host.find(Messenger.class), host.metrics(), clock.wallMillis());
+        stateReceiver =
+                new StateReceiver(clock, host.find(Messenger.class), host.metrics(), RandomNumbers.life(host.random()));
         host.offer(StateReceiver.class, stateReceiver);
         Settings.Sharing sharing = host.rules().bounds().sharing();
         strict = sharing.strictRevocation();
@@ -177,11 +179,11 @@
                         stateReceiver.inForce().edition().value(),
                         now.millis())
                 .pack();
-        List<DaemonAddress> targets = peerSampling
-                .known(Role.CONTROLLER, pluginHost.rules().zone())
-                .stream()
-                .map(MemberDescriptor::daemonAddress)
-                .toList();
+        List<DaemonAddress> targets = new ArrayList<>();
+        for (MemberDescriptor p :
+                peerSampling.known(Role.CONTROLLER, pluginHost.rules().zone())) {
+            targets.add(p.daemonAddress());
+        }
         if (targets.isEmpty()) {
             targets = peerSampling.seeds();
         }
--- a/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -296,8 +296,8 @@
             reconcile();
         }
         StateSender stateSender = stateSenders.get(from);
-        if (stateSender != null && stateSender.life() != s.life()) {
-            stateSender.restart(s.life());
+        if (stateSender != null) {
+            stateSender.announced(s.life());
         }
         if (stateSender != null) {
             stateSender.stamped(s.life(), s.stamp(), known.heard);
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClientPlugin.java
@@ -1,6 +1,5 @@
 package org.umbermount.idempotency;
 
-import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.distribution.RoutingTable;
@@ -51,9 +50,7 @@
                 host.clock(),
                 messenger,
                 host.metrics(),
-                new Random(messenger.self().packed() * 31
-                        ^ System.nanoTime()
-                        ^ host.clock().wallMillis() << 20),
+                host.random(),
                 () -> peerSampling.known(Role.CONTROLLER, host.rules().zone()).stream()
                         .map(MemberDescriptor::daemonAddress)
                         .toList());
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -1,6 +1,5 @@
 package org.umbermount.idempotency;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
+import org.umbermount.storage.DiskTasks;
 import org.umbermount.storage.SegmentedLog;
 
 /**
@@ -27,6 +27,9 @@
 public final class OperationKeeper implements CompanionState {
     private static final Logger LOG = LoggerFactory.getLogger("idempotency");
     private static final long LOOK_MS = 40;
+    /** In place of a segment's number: the disk has not taken the records. */
+    private static final int REFUSED = -1;
+
     private static final long GATHER_MS = 6;
     private static final long REPEAT_MS = 90;
     private static final long FETCH_MS = 200;
@@ -66,7 +69,7 @@
     private final Replica replica;
     private final SegmentedLog ledger;
     private final OperationStore book;
-    private final java.util.concurrent.Executor disk;
+    private final DiskTasks disk;
     private final int tolerated;
     private final long keepMs;
     private final long mostBytes;
@@ -131,7 +134,7 @@
         this.replica = replica;
         this.ledger = ledger;
         this.book = book;
-        this.disk = disk;
+        this.disk = new DiskTasks(disk, clock);
         this.tolerated = tolerated;
         this.keepMs = keepMs;
         this.mostBytes = mostBytes;
@@ -263,22 +266,18 @@
         }
         writing = true;
         writeBegan = clock.now();
-        disk.execute(() -> {
-            int segment = 0;
-            try {
-                ledger.append(raw);
-                segment = ledger.current();
-            } catch (IOException | RuntimeException e) {
-                segment = -1;
-            }
-            int where = segment;
-            clock.execute(() -> written(batch, upTo, where));
-        });
+        disk.submit(
+                () -> {
+                    ledger.append(raw);
+                    return ledger.current();
+                },
+                segment -> written(batch, upTo, segment),
+                failure -> written(batch, upTo, REFUSED));
     }
 
     private void written(List<OperationRecord> batch, OperationLogPosition upTo, int segment) {
         writing = false;
-        refusing = segment < 0;
+        refusing = segment == REFUSED;
         if (refusing) {
             metrics.count("idempotency.writes.refused");
             queue.clear();
@@ -330,13 +329,13 @@
         int dropped = book.expireThrough(last);
         segmentWritten.keySet().removeIf(s -> s <= last);
         metrics.counter("idempotency.expired").increment(dropped);
-        disk.execute(() -> {
-            try {
-                ledger.dropThrough(last);
-            } catch (IOException | RuntimeException e) {
-                metrics.count("idempotency.segments.kept");
-            }
-        });
+        disk.submit(
+                () -> {
+                    ledger.dropThrough(last);
+                    return null;
+                },
+                removed -> {},
+                failure -> metrics.count("idempotency.segments.kept"));
     }
 
     // ---- messages ----
@@ -599,6 +598,10 @@
             replica.fetchFrom(from);
             return;
         }
+        if (view < this.view.number()) {
+            metrics.count("loans.messages.dropped.old_view");
+            return;
+        }
         if (view != this.view.number()
                 || place < 1
                 || !line.get(place - 1).equals(from)
@@ -638,6 +641,10 @@
     }
 
     private void acknowledged(DaemonAddress from, long view, long pos, long theirCommitted) {
+        if (view < this.view.number()) {
+            metrics.count("loans.messages.dropped.old_view");
+            return;
+        }
         if (view != this.view.number()
                 || place < 0
                 || place + 1 >= line.size()
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeperPlugin.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.umbermount.control.Replica;
@@ -90,14 +91,32 @@
         try {
             return SegmentedLog.open(
                     cellar.vault(), FILES, SEGMENT_BYTES, (segment, body) -> replay(book, segment, body, host));
-        } catch (AppendOnlyFile.DamagedException | IllegalStateException e) {
+        } catch (AppendOnlyFile.DamagedException e) {
             LOG.error("{} The daemon starts again without any memory.", e.getMessage());
-            forget(cellar.vault());
-            host.fatal("The operation records on disk cannot be used.");
+            forgetAndEnd(cellar, () -> host.fatal("The operation records on disk cannot be used."));
             throw e;
         }
     }
 
+    /**
+     * Forgets on the disk's own thread and ends the process there, while the caller waits: what was handed to that
+     * thread before goes first, and nothing that waits behind it can write a memory again.
+     */
+    static void forgetAndEnd(DiskAccess cellar, Runnable end) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        cellar.thread().execute(() -> {
+            try {
+                forget(cellar.vault());
+            } catch (IOException e) {
+                LOG.error("The files could not be emptied: {}.", e.getMessage());
+            } finally {
+                end.run();
+                ended.complete(null);
+            }
+        });
+        ended.join();
+    }
+
     /**
      * A voter that forgot what it said must not vote as if it had not: it becomes a new incarnation. The records go last, for
      * whoever ends on the way must not be left with its vote and without them.
@@ -110,9 +129,10 @@
         }
     }
 
-    private static void replay(OperationStore book, int segment, byte[] body, PluginHost host) {
+    private static void replay(OperationStore book, int segment, byte[] body, PluginHost host)
+            throws MessagePackCodec.UnreadableException {
+        OperationRecord s = OperationRecord.read(body);
         try {
-            OperationRecord s = OperationRecord.read(body);
             switch (s.kind) {
                 case ENTER -> book.enter(s.view);
                 case CUT -> book.cut(new org.umbermount.control.OperationLogPosition(
@@ -123,8 +143,8 @@
                     book.add(s);
                 }
             }
-        } catch (MessagePackCodec.UnreadableException e) {
-            throw new IllegalStateException("An operation record on disk cannot be read: " + e.getMessage() + ".", e);
+        } catch (IllegalStateException e) {
+            throw new MessagePackCodec.UnreadableException(e.getMessage(), e);
         }
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/Metrics.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Metrics.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.ObjDoubleConsumer;
 
@@ -16,10 +17,18 @@
  * is put together when somebody first looks, because loading it at each start cost a tenth of the start.
  */
 public final class Metrics {
-    /** A number that only rises. It is counted on the process's loop; readers may see it a little late. */
+    /**
+     * A number that only rises. It is counted on the process's loop alone, since an addition is a reading and a
+     * writing; readers may see it a little late.
+     */
     public static final class Count {
+        private final BooleanSupplier inEventLoop;
         private volatile double value;
 
+        private Count(BooleanSupplier inEventLoop) {
+            this.inEventLoop = inEventLoop;
+        }
+
         /** Adds one. */
         public void increment() {
             increment(1);
@@ -27,6 +36,7 @@
 
         /** Adds an amount, which must not be negative. Only the event loop may call this. */
         public void increment(double by) {
+            assert inEventLoop.getAsBoolean() : "a meter is counted beside the event loop";
             value = value + by;
         }
 
@@ -36,12 +46,23 @@
         }
     }
 
+    private final BooleanSupplier inEventLoop;
     private final Map<String, Count> counts = new HashMap<>();
     private final Map<String, DoubleSupplier> gauges = new TreeMap<>();
 
+    /** Meters whose counting thread is not checked. */
+    public Metrics() {
+        this(() -> true);
+    }
+
+    /** Meters that are counted only where {@code inEventLoop} holds; assertions check it. */
+    public Metrics(BooleanSupplier inEventLoop) {
+        this.inEventLoop = inEventLoop;
+    }
+
     /** The counter of this name, made on first use. Names are dotted, as in {@code servers.answers.broken}. */
     public synchronized Count counter(String name) {
-        return counts.computeIfAbsent(name, n -> new Count());
+        return counts.computeIfAbsent(name, n -> new Count(inEventLoop));
     }
 
     /** Adds one to the counter of this name. */
--- a/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
+++ b/kernel/src/main/java/org/umbermount/kernel/PluginHost.java
@@ -2,11 +2,13 @@
 
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.ServiceLoader;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -21,16 +23,27 @@
 
     private final Role role;
     private final Clock clock;
-    private final Metrics metrics = new Metrics();
+    private final Metrics metrics;
     private final Map<Class<?>, Object> offers = new HashMap<>();
     private final List<Plugin> open = new ArrayList<>();
+    private final Random random;
     private Settings rules;
+    private boolean leaving;
 
     /** Makes a host without plug-ins. The clock is offered at once; plug-ins are opened by {@link #openAll()}. */
     public PluginHost(Role role, Settings rules, Clock clock) {
+        this(role, rules, clock, new SecureRandom());
+    }
+
+    /**
+     * @param random where all numbers of this process come from that must differ from those of other lives
+     */
+    public PluginHost(Role role, Settings rules, Clock clock, Random random) {
+        this.random = random;
         this.role = role;
         this.rules = rules;
         this.clock = clock;
+        this.metrics = new Metrics(clock::inEventLoop);
         offer(Clock.class, clock);
     }
 
@@ -49,6 +62,11 @@
         return clock;
     }
 
+    /** Where numbers come from that tell this life of the process from others; used on the loop. */
+    public Random random() {
+        return random;
+    }
+
     /** The counters and gauges of this process. */
     public Metrics metrics() {
         return metrics;
@@ -87,7 +105,8 @@
             try {
                 openOnLoop();
                 opened.complete(null);
-            } catch (Exception e) {
+            } catch (Throwable e) {
+                // Also an error, as of memory: whoever waits has to learn that the start has failed.
                 opened.completeExceptionally(e);
             }
         });
@@ -105,13 +124,23 @@
     }
 
     private void openOnLoop() throws Exception {
+        if (leaving) {
+            // Told to stop before the first part was opened.
+            return;
+        }
         List<Plugin> found = new ArrayList<>();
         for (Plugin department : registered()) {
             if (department.serves(role)) {
                 found.add(department);
             }
         }
-        found.sort(Comparator.comparingInt(Plugin::order));
+        // A class of its own: the JDK's ready-made comparators are lambdas that each start would generate anew.
+        found.sort(new Comparator<>() {
+            @Override
+            public int compare(Plugin first, Plugin second) {
+                return Integer.compare(first.order(), second.order());
+            }
+        });
         for (Plugin department : found) {
             department.open(this);
             open.add(department);
@@ -141,6 +170,8 @@
 
     /** Closes the parts one after the other, the last opened first, then runs {@code done}. */
     public void leave(Runnable done) {
+        assert clock.inEventLoop() : "parts are closed beside the event loop";
+        leaving = true;
         leaveFrom(open.size() - 1, done);
     }
 
@@ -152,11 +183,17 @@
         open.get(index).leave(() -> leaveFrom(index - 1, done));
     }
 
-    /** Takes newly read settings into use. */
+    /** Takes newly read settings into use; a part that cannot use them does not keep them from the others. */
     public void reread(Settings fresh) {
+        assert clock.inEventLoop() : "settings are taken over beside the event loop";
         rules = fresh;
+        metrics.count("settings.reread");
         for (Plugin department : open) {
-            department.reread(fresh);
+            try {
+                department.reread(fresh);
+            } catch (RuntimeException e) {
+                LOG.error("The part {} cannot use the settings that were read again.", department.name(), e);
+            }
         }
     }
 }
--- a/kernel/src/main/java/org/umbermount/kernel/Settings.java
+++ b/kernel/src/main/java/org/umbermount/kernel/Settings.java
@@ -96,18 +96,16 @@
     }
 
     /**
-     * Reads settings from a file.
+     * The bytes of a settings file, for {@link #parse}.
      *
-     * @throws InvalidException if the file cannot be read, or a field cannot be used
+     * @throws InvalidException if the file cannot be read
      */
-    public static Settings load(Path file) throws InvalidException {
-        byte[] bytes;
+    public static byte[] read(Path file) throws InvalidException {
         try {
-            bytes = Files.readAllBytes(file);
+            return Files.readAllBytes(file);
         } catch (IOException e) {
             throw new InvalidException("The settings file " + file + " cannot be opened.");
         }
-        return parse(bytes);
     }
 
     /** Reads settings; every field that is used is checked here, and named if it cannot be used. */
--- a/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/Fragmentation.java
@@ -1,21 +1,21 @@
 package org.umbermount.kernel.net;
 
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.zip.CRC32C;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 import org.umbermount.kernel.Clock;
 import org.umbermount.kernel.DaemonAddress;
-import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Messenger;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Safeguard;
+import org.umbermount.kernel.net.UnreadableDatagramException.Reason;
 
 /**
  * Splits messages into datagrams and puts them together again. Each datagram is
@@ -44,10 +44,7 @@
      * ones.
      */
     public Fragmentation(Clock clock) {
-        this(
-                clock,
-                ThreadLocalRandom.current().nextInt(),
-                ThreadLocalRandom.current().nextInt());
+        this(clock, new SecureRandom().nextInt(), new SecureRandom().nextInt());
     }
 
     /** For tests: with a given life and first id. */
@@ -134,9 +131,9 @@
     }
 
     /** The whole message, or null while parts are missing. */
-    public Whole unwrap(DaemonAddress from, byte[] datagram) throws MessagePackCodec.UnreadableException {
+    public Whole unwrap(DaemonAddress from, byte[] datagram) throws UnreadableDatagramException {
         if (datagram.length < HEAD || datagram[0] != MAGIC) {
-            throw new MessagePackCodec.UnreadableException("a foreign datagram", null);
+            throw new UnreadableDatagramException(Reason.FOREIGN, null);
         }
         int expected = getInt(datagram, 11);
         putInt(datagram, 11, 0);
@@ -150,7 +147,7 @@
                 || index >= count
                 || count > Messenger.LARGEST / PART + 1
                 || count > 1 && datagram.length < HEAD + LIFE) {
-            throw new MessagePackCodec.UnreadableException("a damaged datagram", null);
+            throw new UnreadableDatagramException(Reason.DAMAGED, null);
         }
         byte[] load;
         if (count == 1) {
@@ -164,8 +161,7 @@
         return new Whole(topics[topicIndex], datagram[2] == 1 ? inflate(load) : load);
     }
 
-    private byte[] join(DaemonAddress from, byte[] datagram, int index, int count)
-            throws MessagePackCodec.UnreadableException {
+    private byte[] join(DaemonAddress from, byte[] datagram, int index, int count) throws UnreadableDatagramException {
         MonotonicTime now = clock.now();
         Iterator<Partial> oldest = partials.values().iterator();
         while (oldest.hasNext() && (partials.size() >= OPEN_AT_MOST || now.since(oldest.next().since) > KEEP_MS)) {
@@ -181,11 +177,11 @@
         if (partial.life != sentIn && Safeguard.PARTS_OF_ONE_LIFE.holds()) {
             partials.remove(key);
             foreign++;
-            throw new MessagePackCodec.UnreadableException("parts of two lives of a sender share an id", null);
+            throw new UnreadableDatagramException(Reason.MIXED_LIVES, null);
         }
         if (partial.parts.length != count) {
             partials.remove(key);
-            throw new MessagePackCodec.UnreadableException("parts of two messages share an id", null);
+            throw new UnreadableDatagramException(Reason.MIXED_MESSAGES, null);
         }
         if (partial.parts[index] != null) {
             return null;
@@ -221,7 +217,7 @@
         }
     }
 
-    private static byte[] inflate(byte[] load) throws MessagePackCodec.UnreadableException {
+    private static byte[] inflate(byte[] load) throws UnreadableDatagramException {
         Inflater inflater = new Inflater(true);
         try {
             inflater.setInput(load);
@@ -230,13 +226,13 @@
             while (!inflater.finished()) {
                 int n = inflater.inflate(chunk);
                 if (n == 0 && !inflater.finished() || out.size() + n > Messenger.LARGEST) {
-                    throw new MessagePackCodec.UnreadableException("a message cannot be unpacked", null);
+                    throw new UnreadableDatagramException(Reason.NOT_INFLATABLE, null);
                 }
                 out.write(chunk, 0, n);
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new MessagePackCodec.UnreadableException("a message cannot be unpacked", e);
+            throw new UnreadableDatagramException(Reason.NOT_INFLATABLE, e);
         } finally {
             inflater.end();
         }
--- a/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
+++ b/kernel/src/main/java/org/umbermount/kernel/net/LoopClock.java
@@ -35,8 +35,12 @@
 
     @Override
     public Cancellable after(long ms, Runnable task) {
+        assert loop.inEventLoop() : "a timer is set beside the event loop";
         Future<?> future = loop.schedule(() -> guard(task), ms, TimeUnit.MILLISECONDS);
-        return () -> future.cancel(false);
+        return () -> {
+            assert loop.inEventLoop() : "a timer is cancelled beside the event loop";
+            future.cancel(false);
+        };
     }
 
     @Override
@@ -44,10 +48,16 @@
         loop.execute(() -> guard(task));
     }
 
+    @Override
+    public boolean inEventLoop() {
+        return loop.inEventLoop();
+    }
+
     private static void guard(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
+            // An error of a timer would otherwise be kept by its future, which nobody asks.
             LOG.error("A task failed.", e);
         }
     }
--- a/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/PluginHostTest.java
@@ -1,12 +1,17 @@
 package org.umbermount.kernel;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.umbermount.kernel.testing.FakeClock;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 class PluginHostTest {
     /** A part found through the test's own service file. */
@@ -14,6 +19,8 @@
         static final List<String> EVENTS = new ArrayList<>();
         static Thread opener;
         static boolean broken;
+        static Error error;
+        static boolean refusesSettings;
 
         @Override
         public String name() {
@@ -37,6 +44,17 @@
             if (broken) {
                 throw new IllegalStateException("no");
             }
+            if (error != null) {
+                throw error;
+            }
+        }
+
+        @Override
+        public void reread(Settings rules) {
+            EVENTS.add("reread");
+            if (refusesSettings) {
+                throw new IllegalStateException("no use for them");
+            }
         }
 
         @Override
@@ -73,11 +91,17 @@
         return new PluginHost(Role.PROXY, null, threaded);
     }
 
+    @BeforeEach
+    void forget() {
+        Recorder.EVENTS.clear();
+        Recorder.broken = false;
+        Recorder.error = null;
+        Recorder.refusesSettings = false;
+    }
+
     /** Parts opened beside the loop once met changes that the loop was making, and the start failed. */
     @Test
     void partsOpenOnTheLoopAndLeaveInOrder() throws Exception {
-        Recorder.EVENTS.clear();
-        Recorder.broken = false;
         Thread[] loop = new Thread[1];
         PluginHost pluginHost = pluginHost(loop);
         pluginHost.openAll();
@@ -92,4 +116,44 @@
         assertThrows(
                 IllegalStateException.class, () -> pluginHost(new Thread[1]).openAll());
     }
+
+    /** Only exceptions ended the start once: after an error the process stayed, with half of its parts, for good. */
+    @Test
+    void errorOfAPartEndsTheStartToo() {
+        Recorder.error = new NoClassDefFoundError("played by the test");
+        ExecutionException e = assertTimeoutPreemptively(
+                Duration.ofSeconds(10),
+                () -> assertThrows(ExecutionException.class, () -> pluginHost(new Thread[1])
+                        .openAll()));
+        assertSame(Recorder.error, e.getCause());
+    }
+
+    @Test
+    void settingsThatAPartCannotUseAreInForceForTheOthers() throws Exception {
+        PluginHost pluginHost = pluginHost(new Thread[1]);
+        pluginHost.openAll();
+        Settings fresh = SettingsTest.valid();
+        Recorder.refusesSettings = true;
+        pluginHost.reread(fresh);
+        assertSame(fresh, pluginHost.rules());
+        assertEquals(List.of("open", "reread"), Recorder.EVENTS);
+    }
+
+    @Test
+    void nothingIsOpenedOnceTheProgramLeaves() throws Exception {
+        PluginHost pluginHost = pluginHost(new Thread[1]);
+        pluginHost.leave(() -> Recorder.EVENTS.add("done"));
+        pluginHost.openAll();
+        assertEquals(List.of("done"), Recorder.EVENTS);
+    }
+
+    @Test
+    void metersAreCountedOnTheLoopOnly() {
+        boolean[] inLoop = {true};
+        Metrics metrics = new Metrics(() -> inLoop[0]);
+        metrics.count("a");
+        inLoop[0] = false;
+        assertThrows(AssertionError.class, () -> metrics.count("a"));
+        assertEquals(1, metrics.counter("a").count());
+    }
 }
--- a/kernel/src/test/java/org/umbermount/kernel/SettingsTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/SettingsTest.java
@@ -17,6 +17,11 @@
                     + "\"seedNodes\":[\"10.1.0.3:8544\"],\"bootstrap\":true,\"dataPath\":null,\"later\":{\"field\":1},"
                     + "\"bounds\":{\"graceS\":6,\"retryRatio\":0.2}}";
 
+    /** Settings for other tests. */
+    static Settings valid() throws Settings.InvalidException {
+        return Settings.parse(GOOD.getBytes());
+    }
+
     @Test
     void settingsAreReadAndUnknownFieldsIgnored() throws Settings.InvalidException {
         Settings rules = Settings.parse(GOOD.getBytes());
--- a/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
+++ b/kernel/src/test/java/org/umbermount/kernel/testing/FakeMessenger.java
@@ -52,6 +52,15 @@
         frozen.remove(self);
     }
 
+    /** A message that was sent before comes now, whoever listens at the address by this time. */
+    public void deliverLate(DaemonAddress from, DaemonAddress to, Messenger.Topic topic, byte[] body) {
+        clock.after(0, () -> {
+            if (!frozen.containsKey(to)) {
+                new Bag(from).deliver(to, topic, body);
+            }
+        });
+    }
+
     /** Cuts one direction. */
     public void cut(DaemonAddress from, DaemonAddress to) {
         cuts.add(key(from, to));
--- a/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
+++ b/membership/src/main/java/org/umbermount/membership/MembershipPlugin.java
@@ -39,7 +39,7 @@
                 pluginHost.clock(),
                 messenger,
                 pluginHost.metrics(),
-                new Random(messenger.self().packed() ^ pluginHost.clock().wallMillis()));
+                new Random(pluginHost.random().nextLong()));
         pluginHost.offer(PeerSampling.class, peerSampling);
         pluginHost
                 .metrics()
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -101,8 +101,7 @@
                 found.add(p);
             }
         }
-        found.sort(Comparator.comparing((MemberDescriptor p) -> !p.zone().equals(zoneFirst))
-                .thenComparingInt(MemberDescriptor::age));
+        found.sort(new NearestAndFreshestFirst(zoneFirst));
         return found;
     }
 
@@ -121,12 +120,7 @@
         clock.after(
                 rounds < QUICK_ROUNDS || view.size() < THIN ? QUICK_MS : ROUND_MS + random.nextInt(500), this::round);
         view.replaceAll((k, p) -> p.older());
-        MemberDescriptor oldest = null;
-        for (MemberDescriptor p : view.values()) {
-            if (oldest == null || p.age() > oldest.age()) {
-                oldest = p;
-            }
-        }
+        MemberDescriptor oldest = oldest();
         if (oldest != null) {
             view.remove(oldest.daemonAddress());
             ask(oldest.daemonAddress());
@@ -146,7 +140,7 @@
 
     private void ask(DaemonAddress target) {
         List<MemberDescriptor> sample = sample(target);
-        sentSample = sample.stream().map(MemberDescriptor::daemonAddress).toList();
+        sentSample = addresses(sample);
         sample.add(self.fresh());
         messenger.send(target, Messenger.Topic.SHUFFLE, encode(true, sample));
         metrics.count("membership.shuffles");
@@ -158,8 +152,7 @@
         List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
             List<MemberDescriptor> mine = sample(from);
-            List<DaemonAddress> given =
-                    mine.stream().map(MemberDescriptor::daemonAddress).toList();
+            List<DaemonAddress> given = addresses(mine);
             mine.add(self.fresh());
             messenger.send(from, Messenger.Topic.SHUFFLE, encode(false, mine));
             merge(theirs, given);
@@ -175,6 +168,14 @@
         return new ArrayList<>(all.subList(0, Math.min(SAMPLE, all.size())));
     }
 
+    private static List<DaemonAddress> addresses(List<MemberDescriptor> sample) {
+        List<DaemonAddress> addresses = new ArrayList<>(sample.size());
+        for (MemberDescriptor p : sample) {
+            addresses.add(p.daemonAddress());
+        }
+        return addresses;
+    }
+
     private void merge(List<MemberDescriptor> theirs, List<DaemonAddress> given) {
         List<DaemonAddress> replaceable = new ArrayList<>(given);
         for (MemberDescriptor p : theirs) {
@@ -201,9 +202,40 @@
         }
     }
 
+    /** The neighbour of whom the oldest news is kept, or null if there is none. */
+    private MemberDescriptor oldest() {
+        MemberDescriptor oldest = null;
+        for (MemberDescriptor p : view.values()) {
+            if (oldest == null || p.age() > oldest.age()) {
+                oldest = p;
+            }
+        }
+        return oldest;
+    }
+
     private void evictOldest() {
-        MemberDescriptor oldest = Collections.max(view.values(), Comparator.comparingInt(MemberDescriptor::age));
-        view.remove(oldest.daemonAddress());
+        MemberDescriptor oldest = oldest();
+        if (oldest != null) {
+            view.remove(oldest.daemonAddress());
+        }
+    }
+
+    /** Orders daemons: those of a zone first, and within that the freshest news first. */
+    private static final class NearestAndFreshestFirst implements Comparator<MemberDescriptor> {
+        private final String zone;
+
+        NearestAndFreshestFirst(String zone) {
+            this.zone = zone;
+        }
+
+        @Override
+        public int compare(MemberDescriptor first, MemberDescriptor second) {
+            boolean firstHere = first.zone().equals(zone);
+            if (firstHere != second.zone().equals(zone)) {
+                return firstHere ? -1 : 1;
+            }
+            return Integer.compare(first.age(), second.age());
+        }
     }
 
     private static byte[] encode(boolean wantsAnswer, List<MemberDescriptor> sample) {
--- a/proxy/src/main/java/org/umbermount/proxy/Attempt.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Attempt.java
@@ -52,7 +52,7 @@
     void write(ServerConnection over) {
         MonotonicTime now = repository.desk().clock().now();
         long left = requestExchange.deadline().since(now);
-        if (!requestExchange.wanted() || left <= 0 || !repository.usable(now)) {
+        if (!requestExchange.wanted() || left < requestExchange.leastMs() || !repository.usable(now)) {
             over.unused();
             notSent();
             return;
@@ -213,7 +213,7 @@
         }
         held.write(piece, 0, n);
         if (held.size() > HELD_WHOLE) {
-            if (isSealedSuccess()) {
+            if (isSealedSuccess() || isOwnFailure()) {
                 beginStreaming();
             } else {
                 ignored = true;
@@ -221,6 +221,20 @@
         }
     }
 
+    /** Whether the answer is a failure of the server's own, to be passed on as it is. */
+    private boolean isOwnFailure() {
+        int status = head.status().code();
+        return status / 100 != 2
+                && !promises(status)
+                && !head.headers().contains(HeaderNames.NOT_EXECUTED)
+                && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+    }
+
+    /** Whether a client would take the status as a promise that the request has not run. */
+    private static boolean promises(int status) {
+        return status == 503 || status == 429 || status == 408 || status == 421;
+    }
+
     private void beginStreaming() {
         if (!requestExchange.beginStreaming(this, head)) {
             ignored = true;
@@ -252,6 +266,7 @@
         if (streaming) {
             permit.answered(head);
             repository.answered(now, ms, false);
+            repository.ran(status < 500 || status == 504);
             requestExchange.streamedWhole();
             return;
         }
@@ -278,11 +293,12 @@
             } else {
                 requestExchange.failed(this, "an unsealed answer", null);
             }
-        } else if (status == 503 || status == 429 || status == 408) {
-            // These would promise the client that the request has not run; nothing here says so.
-            requestExchange.failed(this, "status " + status + " without a promise", null);
+        } else if (promises(status) || ignored) {
+            // It would promise the client that the request has not run, and nothing here says so; or not all of it was
+            // held.
+            requestExchange.failed(this, "an answer that cannot be passed on", null);
         } else {
-            requestExchange.failed(this, "status " + status, answer);
+            requestExchange.failed(this, "a failure of its own", answer);
         }
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -94,6 +95,15 @@
         }
     }
 
+    /** What has come in one go has been looked at: if a body is not whole yet, its request's time runs already. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (arriving != null) {
+            arriving.awaitBody();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     private void begin(HttpRequest request) {
         headUnderway = false;
         arrivedBytes = 0;
@@ -243,7 +253,8 @@
     }
 
     private RequestExchange nextToStart() {
-        if (gone || lingering) {
+        if (gone || lingering || closeTold && Safeguard.CLOSE_AS_TOLD.holds()) {
+            // Nothing follows an answer whose head says that the connection ends with it.
             return null;
         }
         boolean first = true;
@@ -287,9 +298,10 @@
                 } else {
                     if (reading
                             && !first.isLarge()
+                            && !first.isOverdue()
                             && first.erratum() != null
                             && !first.erratum().closes()) {
-                        // An early answer waits until its request has been read to the end.
+                        // An early answer waits until its request has been read to the end, if that comes in time.
                         break;
                     }
                     writeWhole(first, reading);
@@ -314,7 +326,9 @@
 
     private boolean closesAfter(RequestExchange b, boolean stillReading) {
         // A decoder keeps the limit it was made with: after a change the client's next connection has the new one.
-        boolean outdated = headLimit != desk.limits().maxHeaderBytes() && !anyStartedBehind();
+        // Requests
+        // that are here already are answered first.
+        boolean outdated = headLimit != desk.limits().maxHeaderBytes() && pipeline.size() == 1;
         return stillReading
                 || outdated
                 || b.erratum() != null && b.erratum().closes()
@@ -502,16 +516,16 @@
     }
 
     /** Ends the connection if nothing is underway on it. */
-    boolean closeIfIdle() {
-        if (pipeline.isEmpty() && !headUnderway) {
+    void closeIfIdle() {
+        if (!busy() && !headUnderway) {
             channel.close();
-            return true;
         }
-        return false;
     }
 
+    /** Whether a request waits for its answer, or a part of an answer for the client to take it. */
     boolean busy() {
-        return !pipeline.isEmpty();
+        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+        return !pipeline.isEmpty() || unwritten != null && unwritten.totalPendingWriteBytes() > 0;
     }
 
     @Override
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyListener.java
@@ -1,15 +1,11 @@
 package org.umbermount.proxy;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -37,12 +33,12 @@
 import org.umbermount.kernel.Metrics;
 import org.umbermount.kernel.MonotonicTime;
 import org.umbermount.kernel.Settings;
+import org.umbermount.kernel.net.ConnectionAcceptor;
 import org.umbermount.quota.QuotaClient;
 
 /** Where clients arrive: takes their requests to the routes of the table in force and the servers behind them. */
 final class ProxyListener {
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
-    static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 1_000;
     private static final long WAITING_LOOK_MS = 25;
     private static final long DOUBTFUL_MS = 700;
@@ -84,45 +80,47 @@
 
     /** Listens at an address. */
     ChannelFuture bind(DaemonAddress http) {
-        ChannelFuture bound = bootstrap()
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .bind(http.socketAddress());
+        ChannelFuture bound = new Acceptor().bind(http.socketAddress());
         listener = bound.channel();
         return bound;
     }
 
     /** Goes on with a socket that has been listening since early in the start. */
     ChannelFuture adopt(ServerSocketChannel listening) {
-        ChannelFuture registered = bootstrap()
-                .channelFactory(() -> new NioServerSocketChannel(listening))
-                .register();
+        ChannelFuture registered = new Acceptor().adopt(listening);
         listener = registered.channel();
         return registered;
     }
 
-    private ServerBootstrap bootstrap() {
-        return new ServerBootstrap()
-                .group(loop)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ClientConnection reader = new ClientConnection(ProxyListener.this, limits().maxHeaderBytes());
-                        ch.pipeline()
-                                .addLast(new ChannelInboundHandlerAdapter() {
-                                    @Override
-                                    public void channelRead(ChannelHandlerContext ctx, Object msg) {
-                                        reader.bytesRead();
-                                        ctx.fireChannelRead(msg);
-                                    }
-                                })
-                                .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
-                                .addLast(new HttpResponseEncoder())
-                                .addLast(reader);
-                    }
-                });
+    /** Sets up the connections of clients. */
+    private final class Acceptor extends ConnectionAcceptor {
+        Acceptor() {
+            super(loop);
+        }
+
+        @Override
+        protected void initialize(ChannelPipeline pipeline) {
+            ClientConnection reader = new ClientConnection(ProxyListener.this, limits().maxHeaderBytes());
+            pipeline.addLast(new ArrivalObserver(reader))
+                    .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(reader);
+        }
+    }
+
+    /** Tells a connection's reader that bytes have come, before they are decoded. */
+    private static final class ArrivalObserver extends ChannelInboundHandlerAdapter {
+        private final ClientConnection reader;
+
+        ArrivalObserver(ClientConnection reader) {
+            this.reader = reader;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            reader.bytesRead();
+            ctx.fireChannelRead(msg);
+        }
     }
 
     // ---- the table ----
@@ -229,7 +227,7 @@
         if (!hasTable()) {
             return new RequestExchange(this, reader, request, ErrorKind.NOT_READY);
         }
-        Configuration.Route route = routeIndex.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        Configuration.Route route = route(request);
         if (route == null) {
             return refused(reader, request, doubtful() ? ErrorKind.TABLE_STALE : ErrorKind.NO_ROUTE);
         }
@@ -260,6 +258,11 @@
                 key);
     }
 
+    /** The route of a request in the table in force, or null. */
+    Configuration.Route route(HttpRequest request) {
+        return routeIndex.route(request.headers().get(HttpHeaderNames.HOST), request.uri());
+    }
+
     private RequestExchange refused(ClientConnection reader, HttpRequest request, ErrorKind why) {
         metrics.count("requests.refused." + why.name().toLowerCase(Locale.ROOT));
         return new RequestExchange(this, reader, request, why);
@@ -387,6 +390,11 @@
         lookAgain();
     }
 
+    /** A request has begun to wait for a server. */
+    void someoneWaits() {
+        lookAgain();
+    }
+
     /** While someone waits, servers that others have freed are noticed by looking. */
     private void lookAgain() {
         if (looking) {
--- a/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
+++ b/proxy/src/main/java/org/umbermount/proxy/ProxyPlugin.java
@@ -62,7 +62,7 @@
                 host.metrics(),
                 rules.bounds(),
                 rules.zone(),
-                new Random(DaemonAddress.parse(rules.ip() + ":1").packed() ^ clock.wallMillis()));
+                new Random(host.random().nextLong()));
         desk.share(
                 host.findOrNull(OperationClient.class), host.findOrNull(QuotaClient.class), stateReceiver::goodForMs);
         desk.watch(new Occupancy(clock, host.find(Messenger.class), rules.zone(), stateReceiver::sender));
--- a/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RequestExchange.java
@@ -23,6 +23,10 @@
     private static final long SHARED_PATIENCE_MS = 250;
     private static final long SHARED_LEAST_MS = 100;
     private static final long BUSY_LOOK_MS = 90;
+    /** How long the server may send nothing once the time is over, before its answer is cut. */
+    private static final long STALL_MS = 100;
+    /** A server that has less than this part of the route's aim left, and less than it usually takes, is not asked. */
+    private static final double LEAST_PART_OF_AIM = 0.1;
 
     private final ProxyListener desk;
     private final ClientConnection reader;
@@ -36,6 +40,9 @@
     private byte[] body = new byte[0];
     private boolean large;
     private boolean started;
+    /** Whether it was ended because its time was over. */
+    private boolean overdue;
+
     private boolean abandoned;
     private boolean answered;
     private int placements;
@@ -68,6 +75,7 @@
     private boolean streamWhole;
     private boolean streamCut;
     private int streamHeld;
+    private long streamReceived;
 
     RequestExchange(
             ProxyListener desk,
@@ -85,7 +93,7 @@
         this.request = request;
         this.route = route;
         this.upstreamService = upstreamService;
-        this.sendings = new Sendings(route != null && route.safe());
+        this.sendings = new Sendings(route != null && route.safe(), route == null ? 1 : route.maxTries());
         this.arrived = desk.clock().now();
         this.deadline = arrived.plus(deadlineMs);
     }
@@ -215,6 +223,31 @@
         return started;
     }
 
+    /** Whether it has been answered because its time was over. */
+    boolean isOverdue() {
+        return overdue;
+    }
+
+    /** The body is still arriving: the route's time counts meanwhile too. */
+    void awaitBody() {
+        if (deadlineTimer == null && route != null && wanted()) {
+            startDeadlineTimer(deadline.since(desk.clock().now()));
+        }
+    }
+
+    private void startDeadlineTimer(long leftMs) {
+        deadlineTimer = desk.clock().after(Math.max(0, leftMs), this::deadlineReached);
+    }
+
+    /** With less time than this left, no server would come to an answer. */
+    long leastMs() {
+        return Math.max(1, (long) Math.min(LEAST_PART_OF_AIM * route.targetLatencyMs(), upstreamService.typicalMs));
+    }
+
+    private boolean tooLateToSend(MonotonicTime now) {
+        return deadline.since(now) < leastMs();
+    }
+
     /** Looks for a server. */
     void start() {
         if (started || answered) {
@@ -224,7 +257,7 @@
         MonotonicTime now = desk.clock().now();
         upstreamService.retryBudget.request(now);
         long left = deadline.since(now);
-        if (left <= 0) {
+        if (left < leastMs()) {
             refuse(ErrorKind.DEADLINE_BEFORE_RUN);
             return;
         }
@@ -232,7 +265,9 @@
             refuse(ErrorKind.OVERLOADED);
             return;
         }
-        deadlineTimer = desk.clock().after(left, this::deadlineReached);
+        if (deadlineTimer == null) {
+            startDeadlineTimer(left);
+        }
         charge();
     }
 
@@ -387,22 +422,42 @@
 
     private void placeOrWait(Sendings.Permit under) {
         permit = under;
-        if (tryPlace()) {
+        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4)
+                - desk.clock().now().since(arrived);
+        // Who comes now does not take a slot that others wait for and come before in rank.
+        boolean others = patience > 0 && upstreamService.waitingCount() > 0;
+        if (!others && tryPlace()) {
             return;
         }
-        MonotonicTime now = desk.clock().now();
-        long patience = Math.max(SHORTEST_WAIT_MS, route.targetLatencyMs() / 4) - now.since(arrived);
         if (patience <= 0 || !upstreamService.enqueue(this)) {
             giveUp();
             return;
         }
         waiting = true;
-        waitTimer = desk.clock().after(patience, () -> {
-            if (waiting) {
-                stopWaiting();
-                giveUp();
-            }
-        });
+        waitTimer = desk.clock().after(patience, this::patienceOver);
+        if (others) {
+            upstreamService.serveWaiting();
+        }
+        desk.someoneWaits();
+    }
+
+    private void patienceOver() {
+        if (waiting) {
+            stopWaiting();
+            giveUp();
+        }
+    }
+
+    /** The queue is full, and this one is the last in rank. */
+    void displaced() {
+        waiting = false;
+        waitTimer.cancel();
+        giveUp();
+    }
+
+    /** Whether it has been to no server yet, so that none is closed to it. */
+    boolean mayGoAnywhere() {
+        return tried.isEmpty();
     }
 
     private void stopWaiting() {
@@ -461,7 +516,11 @@
 
     /** The first server is slow to answer: asks a second one, and takes whichever answers first. */
     private void hedge() {
-        if (!wanted() || active != 1 || sendings.sent() >= route.maxTries()) {
+        if (!wanted() || active != 1) {
+            return;
+        }
+        limitToRouteInForce();
+        if (!sendings.allowsFurther(null)) {
             return;
         }
         MonotonicTime now = desk.clock().now();
@@ -489,7 +548,7 @@
             closeLoan();
             return;
         }
-        if (!desk.clock().now().isBefore(deadline)) {
+        if (tooLateToSend(desk.clock().now())) {
             deadlineReached();
         } else if (placements >= PLACEMENTS_AT_MOST) {
             giveUp();
@@ -551,10 +610,19 @@
         }
     }
 
+    /** A configuration may have lowered the number of servers since the request was taken in. */
+    private void limitToRouteInForce() {
+        Configuration.Route inForce = desk.route(request);
+        if (inForce != null) {
+            sendings.limitTo(inForce.maxTries());
+        }
+    }
+
     /** Sends again if that may be, and gives up otherwise. */
     private void goOn(Sendings.NotRun proof) {
         MonotonicTime now = desk.clock().now();
-        if (sendings.sent() >= route.maxTries() || !now.isBefore(deadline) || !sendings.allowsFurther(proof)) {
+        limitToRouteInForce();
+        if (tooLateToSend(now) || !sendings.allowsFurther(proof)) {
             giveUp();
             return;
         }
@@ -572,7 +640,12 @@
             if (waiting) {
                 stopWaiting();
             }
-            refuse(sendings.sent() > 0 ? ErrorKind.TIMED_OUT : ErrorKind.DEADLINE_BEFORE_RUN);
+            overdue = true;
+            if (lastFailure != null) {
+                deliver(lastFailure);
+            } else {
+                refuse(sendings.hasNotRun() ? ErrorKind.DEADLINE_BEFORE_RUN : ErrorKind.TIMED_OUT);
+            }
             if (carrier != null) {
                 carrier.dropUnlessWritten();
             }
@@ -657,15 +730,35 @@
         // Too long to be kept for repeats: that it ran is all that is noted.
         streamHead = head;
         done();
+        long left = deadline.since(desk.clock().now());
+        deadlineTimer = desk.clock().after(Math.max(0, left), this::watchForStall);
         return true;
     }
 
+    /** The time is over: an answer of which nothing more comes is cut, one that still comes or waits for the client goes on. */
+    private void watchForStall() {
+        long before = streamReceived;
+        deadlineTimer = desk.clock().after(STALL_MS, () -> {
+            if (abandoned || streamWhole || streamCut) {
+                return;
+            }
+            if (stream.isEmpty() && streamReceived == before) {
+                desk.metrics().count("requests.streams.stalled");
+                streamCut = true;
+                reader.ready();
+            } else {
+                watchForStall();
+            }
+        });
+    }
+
     void streamed(byte[] piece) {
         if (abandoned) {
             return;
         }
         stream.add(piece);
         streamHeld += piece.length;
+        streamReceived += piece.length;
         reader.ready();
         if (streamHeld > Attempt.HELD_WHOLE) {
             streamer.reading(false);
@@ -691,6 +784,7 @@
         active--;
         closeLoan();
         streamWhole = true;
+        cancelTimers();
         reader.ready();
     }
 
@@ -698,6 +792,7 @@
         active--;
         closeLoan();
         streamCut = true;
+        cancelTimers();
         reader.ready();
     }
 
--- a/proxy/src/main/java/org/umbermount/proxy/RouteIndex.java
+++ b/proxy/src/main/java/org/umbermount/proxy/RouteIndex.java
@@ -49,9 +49,7 @@
             }
         }
         for (List<Configuration.Route> routes : byHost.values()) {
-            routes.sort(Comparator.comparingInt(
-                            (Configuration.Route r) -> r.prefix().length())
-                    .reversed());
+            routes.sort(new LongestPrefixFirst());
         }
         byte[] limits = table.entries().get(RoutingTable.CONFIGURATION);
         return new RouteIndex(
@@ -92,4 +90,12 @@
         }
         return null;
     }
+
+    /** Orders routes so that the first that fits a path is the most specific. */
+    private static final class LongestPrefixFirst implements Comparator<Configuration.Route> {
+        @Override
+        public int compare(Configuration.Route first, Configuration.Route second) {
+            return Integer.compare(second.prefix().length(), first.prefix().length());
+        }
+    }
 }
--- a/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
+++ b/proxy/src/main/java/org/umbermount/proxy/UpstreamService.java
@@ -1,6 +1,7 @@
 package org.umbermount.proxy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -12,6 +13,9 @@
     private static final int WAITING_AT_MOST = 256;
     private static final long LOCAL_RATIO_MS = 100;
 
+    /** Who comes first among those that wait. */
+    private static final Comparator<RequestExchange> RANK = new MostUrgentFirst();
+
     final String label;
     final RetryBudget retryBudget;
     final List<UpstreamServer> repositories = new ArrayList<>();
@@ -19,10 +23,8 @@
     final List<UpstreamServer> local = new ArrayList<>();
 
     final List<UpstreamServer> elsewhere = new ArrayList<>();
-    private final PriorityQueue<RequestExchange> waiting =
-            new PriorityQueue<>(Comparator.comparingInt(RequestExchange::tenantPriority)
-                    .thenComparingInt(RequestExchange::priority)
-                    .thenComparingLong(b -> b.deadline().millis()));
+    private final PriorityQueue<RequestExchange> waiting = new PriorityQueue<>(RANK);
+    private boolean serving;
     final AdmissionControl pressure = new AdmissionControl();
     int maxConnections = 64;
     /** Whether its servers themselves know a key again. */
@@ -73,7 +75,12 @@
     /** Takes a request into the queue; false if the queue is full of requests that come first. */
     boolean enqueue(RequestExchange requestExchange) {
         if (waiting.size() >= WAITING_AT_MOST) {
-            return false;
+            RequestExchange last = Collections.max(waiting, RANK);
+            if (RANK.compare(requestExchange, last) >= 0) {
+                return false;
+            }
+            waiting.remove(last);
+            last.displaced();
         }
         return waiting.add(requestExchange);
     }
@@ -86,15 +93,45 @@
         return waiting.size();
     }
 
-    /** Offers a slot to those that wait, the first in rank first. */
+    /**
+     * Offers a slot to those that wait, the first in rank first. One that has been to some servers already may find none among
+     * the others: whoever is behind it is still looked at.
+     */
     void serveWaiting() {
-        while (!waiting.isEmpty()) {
-            // Out of the queue first: it may come back into it while it is being placed.
-            RequestExchange first = waiting.poll();
-            if (!first.tryPlace()) {
-                waiting.add(first);
-                return;
+        if (serving || waiting.isEmpty()) {
+            return;
+        }
+        serving = true;
+        List<RequestExchange> passedOver = new ArrayList<>(0);
+        try {
+            while (!waiting.isEmpty()) {
+                // Out of the queue first: it may come back into it while it is being placed.
+                RequestExchange first = waiting.poll();
+                if (first.tryPlace()) {
+                    continue;
+                }
+                passedOver.add(first);
+                if (first.mayGoAnywhere()) {
+                    return;
+                }
+            }
+        } finally {
+            waiting.addAll(passedOver);
+            serving = false;
+        }
+    }
+
+    /** Orders waiting requests by their tenant's priority, their route's, and their deadline. */
+    private static final class MostUrgentFirst implements Comparator<RequestExchange> {
+        @Override
+        public int compare(RequestExchange first, RequestExchange second) {
+            int order = Integer.compare(first.tenantPriority(), second.tenantPriority());
+            if (order == 0) {
+                order = Integer.compare(first.priority(), second.priority());
             }
+            return order != 0
+                    ? order
+                    : Long.compare(first.deadline().millis(), second.deadline().millis());
         }
     }
 }
--- a/distribution/src/test/java/org/umbermount/distribution/Day.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Day.java
@@ -1,4 +1,4 @@
-package org.umbermount.distribution;
+package org.umbermount.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -43,8 +43,14 @@
         /** Hundreds of changes while a controller is away. */
         AWAY,
         READ,
+        /** Calls that cannot be read, or that say what nobody may take. */
+        MALFORMED,
+        /** A server drains and another comes, or an old beat of one that drains arrives. */
+        SERVER,
         /** Nothing, for long enough that calm comes and a change must be taken. */
-        REST
+        REST,
+        /** Messages of lives that have ended come late. */
+        LATE
     }
 
     /** One thing that happens; what it comes to is drawn from its own salt, whatever has happened before. */
--- a/distribution/src/test/java/org/umbermount/distribution/Wires.java
+++ b/simulation/src/main/java/org/umbermount/simulation/NetworkCuts.java
@@ -1,4 +1,4 @@
-package org.umbermount.distribution;
+package org.umbermount.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +8,7 @@
 import org.umbermount.kernel.testing.FakeMessenger;
 
 /** Cuts that may lie over each other: what one of them cuts stays cut when another ends, and holds for who comes later. */
-final class Wires {
+final class NetworkCuts {
     /** Both ways, only what it sends, or only what it receives. */
     enum Way {
         BOTH,
@@ -23,7 +23,7 @@
     private final Set<DaemonAddress> daemons = new java.util.TreeSet<>();
     private final List<Cut> cuts = new ArrayList<>();
 
-    Wires(FakeMessenger network) {
+    NetworkCuts(FakeMessenger network) {
         this.network = network;
     }
 
--- a/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
+++ b/storage/src/main/java/org/umbermount/storage/AppendOnlyFile.java
@@ -4,17 +4,19 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.agrona.ExpandableArrayBuffer;
 import org.agrona.concurrent.UnsafeBuffer;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
 
 /**
  * An append-only file of checksummed records, rewritten when it gets long. A record holds the folios of one
- * write, so that a write is there whole or not at all; only the newest folio of a key counts. The format: an
+ * write, so that a write is there whole or not at all; only the newest folio of a key counts, and what was added to it
+ * since ({@link LogRecord#addition}). The format: an
  * 8-byte title, then for each record the length of its body (4 bytes), its checksum (4) and its body. A body is
  * a run of folios: key (1), length of the value (4), value. Numbers are big-endian; the checksum is CRC-32C over
  * the length and the body.
@@ -32,6 +34,11 @@
         DamagedException(String name, long at) {
             super("The file " + name + " is damaged at byte " + at + ".");
         }
+
+        /** A whole record holds something that nobody can have written. */
+        DamagedException(String name, long at, MessagePackCodec.UnreadableException cause) {
+            super("The file " + name + " cannot be read at byte " + at + ": " + cause.getMessage() + ".", cause);
+        }
     }
 
     /** Holds the generation; no put may use it. */
@@ -45,7 +52,9 @@
 
     private final StorageDirectory vault;
     private final long rewriteOver;
-    private final Map<Byte, byte[]> newest = new TreeMap<>();
+    private final StoredValues stored = new StoredValues();
+    /** Where the folios stood that the file held at its opening. */
+    private final Map<Byte, Integer> foundAt = new HashMap<>();
     /** The file in use. */
     private String name;
 
@@ -106,7 +115,8 @@
         // Also an empty one: an ended process may have cut it without waiting for the disk.
         uncertainSpare = other.exists;
         generation = content.generation;
-        newest.putAll(content.newest);
+        stored.applyAll(content.stored);
+        foundAt.putAll(content.foundAt);
     }
 
     private void swapFiles() {
@@ -123,7 +133,8 @@
 
     /** What one of the files holds. */
     private static final class Content {
-        final Map<Byte, byte[]> newest = new TreeMap<>();
+        final StoredValues stored = new StoredValues();
+        final Map<Byte, Integer> foundAt = new HashMap<>();
         final boolean exists;
         final int size;
         /** Where the last whole record ends; 0 if there is none. */
@@ -166,7 +177,8 @@
                 if (buffer.getByte(at) == GENERATION) {
                     generation = new UnsafeBuffer(value).getLong(0, ORDER);
                 } else {
-                    newest.put(buffer.getByte(at), value);
+                    stored.apply(new LogRecord(buffer.getByte(at), value));
+                    foundAt.put(buffer.getByte(at), at);
                 }
                 at += FOLIO_HEAD + value.length;
             }
@@ -209,16 +221,38 @@
 
     /** The newest value under the key, or null if there is none. */
     public byte[] get(byte key) {
-        return newest.get(key);
+        return stored.value(key);
+    }
+
+    /** What was added to the newest value under a key, oldest first. */
+    public List<byte[]> additions(byte key) {
+        return stored.additions(key);
+    }
+
+    /** Reads the value that a key had at the opening; what cannot be read is reported with file and offset. */
+    public <T> T read(byte key, MessagePackCodec.Element<T> element) throws DamagedException {
+        try {
+            byte[] value = stored.value(key);
+            if (value == null) {
+                throw new MessagePackCodec.UnreadableException("the entry " + key + " is missing", null);
+            }
+            return element.read(MessagePackCodec.read(value));
+        } catch (MessagePackCodec.UnreadableException e) {
+            throw new DamagedException(name, foundAt.getOrDefault(key, 0), e);
+        }
     }
 
     public boolean isEmpty() {
-        return newest.isEmpty();
+        return stored.isEmpty();
     }
 
     /** Writes the folios and waits until all of them are safe. After a failure nothing of them counts here. */
     public void put(List<LogRecord> folios) throws IOException {
-        if (folios.stream().anyMatch(f -> f.key() == GENERATION)) {
+        if (folios.isEmpty()) {
+            // A record without a body would be taken for a broken one.
+            return;
+        }
+        if (folios.stream().anyMatch(f -> f.target() == GENERATION)) {
             throw new IllegalArgumentException("The key " + GENERATION + " is the stack's own.");
         }
         if (uncertainTail) {
@@ -241,9 +275,7 @@
         vault.append(name, length, bytes);
         uncertainTail = false;
         length += bytes.length;
-        for (LogRecord folio : folios) {
-            newest.put(folio.key(), folio.value());
-        }
+        folios.forEach(stored::apply);
     }
 
     /** All that counts, as the first record of the next generation. */
@@ -252,7 +284,7 @@
         all.add(new LogRecord(
                 GENERATION,
                 ByteBuffer.allocate(Long.BYTES).putLong(generation + 1).array()));
-        newest.forEach((k, v) -> all.add(new LogRecord(k, v)));
+        all.addAll(stored.folios());
         return encode(all, true);
     }
 
@@ -278,7 +310,7 @@
     public void clear() throws IOException {
         vault.truncate(spare, 0);
         vault.truncate(name, 0);
-        newest.clear();
+        stored.clear();
         length = 0;
         uncertainTail = false;
         uncertainSpare = false;
--- a/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.kernel.Safeguard;
 
 /**
@@ -36,7 +37,7 @@
     /** Receives what the ledger holds, in order. */
     public interface ClientConnection {
         /** Takes one record and the number of the segment that holds it. The bytes are the receiver's own. */
-        void record(int segment, byte[] body);
+        void record(int segment, byte[] body) throws MessagePackCodec.UnreadableException;
     }
 
     private SegmentedLog(StorageDirectory vault, String prefix, int segmentBytes) {
@@ -74,13 +75,25 @@
             if (last && Safeguard.FILE_SYNCED_AT_OPENING.holds()) {
                 vault.sync(name(number));
             }
-            content.records.forEach(body -> reader.record(number, body));
+            hand(content, number, reader);
             segments.put(number, (long) content.end);
             uncertainTail = content.end < bytes.length;
             current = number;
         }
     }
 
+    private void hand(Content content, int number, ClientConnection reader) throws AppendOnlyFile.DamagedException {
+        int at = TITLE.length;
+        for (byte[] body : content.records) {
+            try {
+                reader.record(number, body);
+            } catch (MessagePackCodec.UnreadableException e) {
+                throw new AppendOnlyFile.DamagedException(name(number), at, e);
+            }
+            at += HEAD + body.length;
+        }
+    }
+
     /** Segments go from the oldest on. So what lies before a gap was removed, and came back with a loss of power. */
     private List<Integer> withoutReturned(List<Integer> numbers) throws IOException {
         int first = numbers.size() - 1;
--- a/storage/src/test/java/org/umbermount/storage/AppendOnlyFileTest.java
+++ b/storage/src/test/java/org/umbermount/storage/AppendOnlyFileTest.java
@@ -32,6 +32,18 @@
         assertArrayEquals("two".getBytes(), again.get((byte) 2));
     }
 
+    @Test
+    void aPutOfNothingHarmsNothing() throws IOException {
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile stack = open(vault);
+        stack.put(folio(1, "one"));
+        stack.put(List.of());
+        stack.put(folio(2, "two"));
+        AppendOnlyFile again = open(vault);
+        assertArrayEquals("one".getBytes(), again.get((byte) 1));
+        assertArrayEquals("two".getBytes(), again.get((byte) 2));
+    }
+
     @Test
     void tornTailIsDroppedAtEveryLength() throws IOException {
         FakeDirectory vault = new FakeDirectory();
--- a/storage/src/test/java/org/umbermount/storage/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.umbermount.kernel.MessagePackCodec;
 import org.umbermount.storage.testing.FakeDirectory;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -83,6 +84,36 @@
         assertTrue(AppendOnlyFile.open(vault, "f", 120).isEmpty());
     }
 
+    /** The record is whole, and what it holds is not what belongs there: as after a fault of a program. */
+    @Test
+    void entryThatCannotBeReadIsReportedWithFileAndOffset() throws IOException {
+        FakeDirectory vault = new FakeDirectory();
+        AppendOnlyFile.open(vault, "f", 400)
+                .put(List.of(
+                        new LogRecord((byte) 1, MessagePackCodec.write().num(7).done()),
+                        new LogRecord(
+                                (byte) 2,
+                                MessagePackCodec.write().text("no number").done())));
+        AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 400);
+        assertEquals(7, stack.read((byte) 1, MessagePackCodec.ClientConnection::num));
+        Exception e = assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> stack.read((byte) 2, MessagePackCodec.ClientConnection::num));
+        assertEquals("The file f cannot be read at byte 22: a number is missing.", e.getMessage());
+        assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> stack.read((byte) 3, MessagePackCodec.ClientConnection::num));
+        append(ledger(vault), "one", "three");
+        e = assertThrows(
+                AppendOnlyFile.DamagedException.class,
+                () -> SegmentedLog.open(vault, "l", SEGMENT, (segment, body) -> {
+                    if (body.length == 5) {
+                        throw new MessagePackCodec.UnreadableException("an unknown record", null);
+                    }
+                }));
+        assertEquals("The file l.1 cannot be read at byte 19: an unknown record.", e.getMessage());
+    }
+
     /** A rewrite is one record: if it is gone and the other file is empty, something safe was harmed. */
     @Test
     void damageToARewriteAloneIsReported() throws IOException {
