--- a/control/src/main/java/org/umbermount/control/Ballot.java
+++ b/control/src/main/java/org/umbermount/control/Ballot.java
@@ -20,7 +20,7 @@
         out.num(round).daemonAddress(proposer);
     }
 
-    static Ballot read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Ballot read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Ballot(in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/ByteDelta.java
+++ b/control/src/main/java/org/umbermount/control/ByteDelta.java
@@ -145,11 +145,11 @@
         out.list(steps, (o, step) -> o.num(step.from).num(step.length).bytes(step.literal));
     }
 
-    static ByteDelta read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static ByteDelta read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new ByteDelta(in.list(step -> new Step(readInt(step), readInt(step), step.bytes())));
     }
 
-    private static int readInt(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private static int readInt(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         long value = in.num();
         if (value < 0 || value > LONGEST) {
             throw new MessagePackCodec.UnreadableException("a part of a base is out of bounds", null);
--- a/control/src/main/java/org/umbermount/control/ChainMessages.java
+++ b/control/src/main/java/org/umbermount/control/ChainMessages.java
@@ -146,7 +146,7 @@
     // ---- receiving ----
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown message of the chain", null);
@@ -169,8 +169,7 @@
         }
     }
 
-    private static Replica.Verdict readVerdict(MessagePackCodec.ClientConnection in)
-            throws MessagePackCodec.UnreadableException {
+    private static Replica.Verdict readVerdict(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         int verdict = (int) in.num();
         if (verdict < 0 || verdict >= Replica.Verdict.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown verdict", null);
--- a/control/src/main/java/org/umbermount/control/ConfigurationState.java
+++ b/control/src/main/java/org/umbermount/control/ConfigurationState.java
@@ -53,7 +53,7 @@
         taken.write(out);
     }
 
-    static ConfigurationState read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static ConfigurationState read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         long first = in.num();
         if (first >= 0) {
             return readOlder(first, in);
@@ -70,7 +70,7 @@
     }
 
     /** Its short hashes tell nothing for sure: all that it took is below the floor. */
-    private static ConfigurationState readOlder(long view, MessagePackCodec.ClientConnection in)
+    private static ConfigurationState readOlder(long view, MessagePackCodec.Reader in)
             throws MessagePackCodec.UnreadableException {
         ConfigurationRevision edition = new ConfigurationRevision(in.num());
         byte[] blob = in.bytes();
--- a/control/src/main/java/org/umbermount/control/Digest.java
+++ b/control/src/main/java/org/umbermount/control/Digest.java
@@ -36,7 +36,7 @@
         out.num(high).num(low);
     }
 
-    static Digest read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Digest read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Digest(in.num(), in.num());
     }
 
--- a/control/src/main/java/org/umbermount/control/FailureDetector.java
+++ b/control/src/main/java/org/umbermount/control/FailureDetector.java
@@ -93,7 +93,7 @@
                     .list(slowPeers, MessagePackCodec.Writer::daemonAddress);
         }
 
-        static Report read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Report read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Report(
                     in.num(),
                     in.flag(),
@@ -109,14 +109,14 @@
                     in.num(),
                     in.flag(),
                     in.num(),
-                    in.list(MessagePackCodec.ClientConnection::text),
+                    in.list(MessagePackCodec.Reader::text),
                     in.text(),
                     in.daemonAddress(),
-                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
-                    in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                    in.list(MessagePackCodec.Reader::daemonAddress),
+                    in.list(MessagePackCodec.Reader::daemonAddress),
                     in.flag(),
                     in.flag(),
-                    in.list(MessagePackCodec.ClientConnection::daemonAddress));
+                    in.list(MessagePackCodec.Reader::daemonAddress));
         }
     }
 
@@ -339,7 +339,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         Report report = Report.read(in);
         long stamp = in.num();
         long addressee = in.num();
--- a/control/src/main/java/org/umbermount/control/OperationLogPosition.java
+++ b/control/src/main/java/org/umbermount/control/OperationLogPosition.java
@@ -26,8 +26,7 @@
     }
 
     /** Reads a position from a message. */
-    public static OperationLogPosition read(MessagePackCodec.ClientConnection in)
-            throws MessagePackCodec.UnreadableException {
+    public static OperationLogPosition read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new OperationLogPosition(in.num(), in.num(), in.daemonAddress());
     }
 }
--- a/control/src/main/java/org/umbermount/control/Order.java
+++ b/control/src/main/java/org/umbermount/control/Order.java
@@ -15,7 +15,7 @@
         digest.write(out);
     }
 
-    static Order read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Order read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Order(new ConfigurationRevision(in.num()), new ConfigurationRevision(in.num()), Digest.read(in));
     }
 
--- a/control/src/main/java/org/umbermount/control/PendingReply.java
+++ b/control/src/main/java/org/umbermount/control/PendingReply.java
@@ -11,7 +11,7 @@
         out.daemonAddress(origin).num(edition.value());
     }
 
-    static PendingReply read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static PendingReply read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new PendingReply(RequestId.read(in), in.daemonAddress(), new ConfigurationRevision(in.num()));
     }
 }
--- a/control/src/main/java/org/umbermount/control/Proposal.java
+++ b/control/src/main/java/org/umbermount/control/Proposal.java
@@ -9,7 +9,7 @@
         base.write(out);
     }
 
-    static Proposal read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Proposal read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Proposal(View.read(in), ConfigurationState.read(in));
     }
 }
--- a/control/src/main/java/org/umbermount/control/RegisteredServer.java
+++ b/control/src/main/java/org/umbermount/control/RegisteredServer.java
@@ -94,7 +94,7 @@
                 .daemonAddress(keeper);
     }
 
-    static RegisteredServer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static RegisteredServer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         InstanceId id = new InstanceId(in.text());
         String upstream = in.text();
         String address = in.text();
--- a/control/src/main/java/org/umbermount/control/ReplicaStorage.java
+++ b/control/src/main/java/org/umbermount/control/ReplicaStorage.java
@@ -146,7 +146,7 @@
         w.list(incarnations.entrySet(), (o, e) -> o.daemonAddress(e.getKey()).num(e.getValue()));
     }
 
-    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.ClientConnection in)
+    static Map<DaemonAddress, Long> readIncarnations(MessagePackCodec.Reader in)
             throws MessagePackCodec.UnreadableException {
         Map<DaemonAddress, Long> out = new HashMap<>();
         for (Voter f : in.list(Voter::read)) {
@@ -173,7 +173,7 @@
     }
 
     /** The state that was written whole last, with what was added to it since. */
-    private static ConfigurationState readState(MessagePackCodec.ClientConnection in, AppendOnlyFile stack)
+    private static ConfigurationState readState(MessagePackCodec.Reader in, AppendOnlyFile stack)
             throws MessagePackCodec.UnreadableException {
         if (in.num() != WITH_INCREMENTS) {
             // Written by a build that knew of none.
--- a/control/src/main/java/org/umbermount/control/RequestId.java
+++ b/control/src/main/java/org/umbermount/control/RequestId.java
@@ -8,7 +8,7 @@
         out.num(life).num(number);
     }
 
-    static RequestId read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static RequestId read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new RequestId(in.num(), in.num());
     }
 }
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -303,7 +303,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown message about servers", null);
--- a/control/src/main/java/org/umbermount/control/StateIncrement.java
+++ b/control/src/main/java/org/umbermount/control/StateIncrement.java
@@ -19,7 +19,7 @@
         change.write(out);
     }
 
-    static StateIncrement read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static StateIncrement read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new StateIncrement(in.num(), Digest.read(in), TakenOrders.Taken.read(in), ByteDelta.read(in));
     }
 
--- a/control/src/main/java/org/umbermount/control/TakenOrders.java
+++ b/control/src/main/java/org/umbermount/control/TakenOrders.java
@@ -22,7 +22,7 @@
             digest.write(out);
         }
 
-        static Taken read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Taken read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Taken(new ConfigurationRevision(in.num()), Digest.read(in));
         }
     }
@@ -95,7 +95,7 @@
         }
     }
 
-    static TakenOrders read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static TakenOrders read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         ConfigurationRevision floor = new ConfigurationRevision(in.num());
         long size = in.num();
         if (floor.value() < 0 || size < 0 || size > REMEMBERED) {
--- a/control/src/main/java/org/umbermount/control/View.java
+++ b/control/src/main/java/org/umbermount/control/View.java
@@ -94,11 +94,11 @@
         base.write(out);
     }
 
-    static View read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static View read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         View view = new View(
                 in.num(),
                 in.list(Voter::read),
-                in.list(MessagePackCodec.ClientConnection::daemonAddress),
+                in.list(MessagePackCodec.Reader::daemonAddress),
                 OperationLogPosition.read(in));
         for (DaemonAddress member : view.chain) {
             if (!view.votes(member)) {
--- a/control/src/main/java/org/umbermount/control/ViewMessages.java
+++ b/control/src/main/java/org/umbermount/control/ViewMessages.java
@@ -137,7 +137,7 @@
     // ---- receiving ----
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Kind.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown message about views", null);
@@ -157,7 +157,7 @@
         }
     }
 
-    private void readPromise(DaemonAddress from, MessagePackCodec.ClientConnection in)
+    private void readPromise(DaemonAddress from, MessagePackCodec.Reader in)
             throws MessagePackCodec.UnreadableException {
         long view = in.num();
         Ballot ballot = Ballot.read(in);
@@ -170,15 +170,14 @@
         handler.promise(view, ballot, new Replica.Promise(voter, state, acceptedBallot, accepted, mark), incarnations);
     }
 
-    private void readNews(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    private void readNews(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         View view = View.read(in);
         ConfigurationState state = ConfigurationState.read(in);
         boolean isCommitted = in.flag();
         handler.news(view, state, isCommitted, isCommitted ? state : ConfigurationState.read(in));
     }
 
-    private static Recovery.Reply readReply(MessagePackCodec.ClientConnection in)
-            throws MessagePackCodec.UnreadableException {
+    private static Recovery.Reply readReply(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Recovery.Reply(
                 View.read(in),
                 ConfigurationState.read(in),
--- a/control/src/main/java/org/umbermount/control/Voter.java
+++ b/control/src/main/java/org/umbermount/control/Voter.java
@@ -21,7 +21,7 @@
         out.daemonAddress(daemonAddress).num(incarnation);
     }
 
-    static Voter read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static Voter read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return new Voter(in.daemonAddress(), in.num());
     }
 }
--- a/control/src/test/java/org/umbermount/control/CutOffTest.java
+++ b/control/src/test/java/org/umbermount/control/CutOffTest.java
@@ -533,7 +533,7 @@
 
     private static boolean asksFor(byte[] body, String zone) {
         try {
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             return in.num() == 0 && in.text().equals(zone);
         } catch (MessagePackCodec.UnreadableException e) {
             throw new AssertionError(e);
--- a/control/src/test/java/org/umbermount/control/LeaseTest.java
+++ b/control/src/test/java/org/umbermount/control/LeaseTest.java
@@ -123,7 +123,7 @@
         boolean[] asked = new boolean[1];
         fleet.network.tap = (from, to, topic, body) -> {
             try {
-                MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+                MessagePackCodec.Reader in = MessagePackCodec.read(body);
                 asked[0] |= from.equals(Fleet.daemonAddress(1))
                         && topic == Messenger.Topic.LEASE
                         && in.num() == 0
--- a/control/src/test/java/org/umbermount/control/OrdersTest.java
+++ b/control/src/test/java/org/umbermount/control/OrdersTest.java
@@ -320,7 +320,7 @@
         String[] told = {"nothing"};
         var asker = fleet.network.bag(Fleet.daemonAddress(9));
         asker.subscribe(Messenger.Topic.VIEW, (from, body) -> {
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             assertEquals(NEWS, in.num());
             View.read(in);
             ConfigurationState state = ConfigurationState.read(in);
--- a/distribution/src/main/java/org/umbermount/distribution/Instruction.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Instruction.java
@@ -59,7 +59,7 @@
     }
 
     static Instruction unpack(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         long epoch = in.num();
         long life = in.num();
         long oldNum = in.num();
--- a/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
+++ b/distribution/src/main/java/org/umbermount/distribution/ProxyAnnouncer.java
@@ -20,7 +20,7 @@
     }
 
     static ProxyAnnouncer unpack(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         return new ProxyAnnouncer(in.num(), in.text(), in.flag(), in.flag(), in.num(), in.num());
     }
 
--- a/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
+++ b/distribution/src/main/java/org/umbermount/distribution/RoutingTable.java
@@ -83,8 +83,8 @@
                     .list(come.entrySet(), (o, e) -> o.text(e.getKey()).bytes(e.getValue()));
         }
 
-        static Difference read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
-            List<String> gone = in.list(MessagePackCodec.ClientConnection::text);
+        static Difference read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
+            List<String> gone = in.list(MessagePackCodec.Reader::text);
             Map<String, byte[]> come = new HashMap<>();
             in.list(r -> come.put(r.text(), r.bytes()));
             return new Difference(gone, come);
--- a/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
+++ b/distribution/src/main/java/org/umbermount/distribution/TableSenderPlugin.java
@@ -215,7 +215,7 @@
     }
 
     private void introduced(byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         String zone = in.text();
         boolean any = false;
         for (ProxyAnnouncer.Proxy p : in.list(one -> new ProxyAnnouncer.Proxy(one.daemonAddress(), zone, one.num()))) {
--- a/distribution/src/main/java/org/umbermount/distribution/Tables.java
+++ b/distribution/src/main/java/org/umbermount/distribution/Tables.java
@@ -79,10 +79,10 @@
 
     /** Reads a tenant's entry. Rates travel in thousandths of a request per second. */
     public static Configuration.Tenant readTenant(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Configuration.Tenant(
                 in.text(),
-                in.list(MessagePackCodec.ClientConnection::text),
+                in.list(MessagePackCodec.Reader::text),
                 (int) in.num(),
                 in.num() / 1_000.0,
                 in.num() / 1_000.0);
@@ -95,7 +95,7 @@
 
     /** A controller as a table names it. */
     public static MemberDescriptor readController(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new MemberDescriptor(in.daemonAddress(), Role.CONTROLLER, in.text(), 0);
     }
 
@@ -106,20 +106,20 @@
 
     /** Reads the request limits out of the configuration's entry, behind its revision. */
     public static Configuration.Limits readLimits(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         in.num();
         return new Configuration.Limits((int) in.num(), in.num(), in.num(), in.num());
     }
 
     /** Reads the entry of an upstream service. */
     public static Configuration.Upstream readUpstream(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Configuration.Upstream(in.text(), in.text(), (int) in.num(), in.flag());
     }
 
     /** Reads the entry of a route. */
     public static Configuration.Route readRoute(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Configuration.Route(
                 in.text(),
                 in.text(),
@@ -148,7 +148,7 @@
 
     /** Reads the entry of a server instance. */
     public static Instance readInstance(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         return new Instance(
                 new InstanceId(in.text()),
                 in.text(),
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -268,7 +268,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (in.num() != OperationKeeper.Message.REPLY.ordinal()) {
             return;
         }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -341,7 +341,7 @@
     // ---- messages ----
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         int kind = (int) in.num();
         if (kind < 0 || kind >= Message.values().length) {
             throw new MessagePackCodec.UnreadableException("an unknown message about operations", null);
@@ -378,8 +378,7 @@
         }
     }
 
-    private static List<OperationRecord> slips(MessagePackCodec.ClientConnection in)
-            throws MessagePackCodec.UnreadableException {
+    private static List<OperationRecord> slips(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         return in.list(r -> OperationRecord.read(r.bytes()));
     }
 
--- a/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
+++ b/kernel/src/main/java/org/umbermount/kernel/MessagePackCodec.java
@@ -45,8 +45,8 @@
     }
 
     /** Starts reading a message. */
-    public static ClientConnection read(byte[] bytes) {
-        return new ClientConnection(bytes);
+    public static Reader read(byte[] bytes) {
+        return new Reader(bytes);
     }
 
     /** Packs values one after the other, each in its shortest form. */
@@ -180,15 +180,15 @@
     /** Unpacks one value. */
     public interface Element<T> {
         /** Reads one element at the reader's position. */
-        T read(ClientConnection reader) throws UnreadableException;
+        T read(Reader reader) throws UnreadableException;
     }
 
     /** Unpacks values one after the other. */
-    public static final class ClientConnection {
+    public static final class Reader {
         private final byte[] buffer;
         private int at;
 
-        private ClientConnection(byte[] bytes) {
+        private Reader(byte[] bytes) {
             buffer = bytes;
         }
 
--- a/kernel/src/test/java/org/umbermount/kernel/ScriptTest.java
+++ b/kernel/src/test/java/org/umbermount/kernel/ScriptTest.java
@@ -31,7 +31,7 @@
             MessageBufferPacker theirs = MessagePack.newDefaultBufferPacker();
             theirs.packLong(value).packBoolean(flag).packLong(-value);
             assertArrayEquals(theirs.toByteArray(), ours, "number " + value);
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(ours);
+            MessagePackCodec.Reader in = MessagePackCodec.read(ours);
             assertEquals(value, in.num());
             assertEquals(flag, in.flag());
             assertEquals(-value, in.num());
@@ -64,7 +64,7 @@
             assertArrayEquals(theirs.toByteArray(), ours, "length " + length);
             MessageUnpacker library = MessagePack.newDefaultUnpacker(ours);
             assertEquals(text.toString(), library.unpackString());
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(ours);
+            MessagePackCodec.Reader in = MessagePackCodec.read(ours);
             assertEquals(text.toString(), in.text());
             assertArrayEquals(bytes, in.bytes());
         }
@@ -80,7 +80,7 @@
                 .num(-70_000)
                 .done();
         for (int n = 0; n < whole.length; n++) {
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(Arrays.copyOf(whole, n));
+            MessagePackCodec.Reader in = MessagePackCodec.read(Arrays.copyOf(whole, n));
             assertThrows(
                     MessagePackCodec.UnreadableException.class,
                     () -> {
@@ -119,11 +119,11 @@
         for (int i = 0; i < 20_000; i++) {
             byte[] noise = new byte[random.nextInt(24)];
             random.nextBytes(noise);
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(noise);
+            MessagePackCodec.Reader in = MessagePackCodec.read(noise);
             try {
                 in.num();
                 in.text();
-                in.list(MessagePackCodec.ClientConnection::bytes);
+                in.list(MessagePackCodec.Reader::bytes);
             } catch (MessagePackCodec.UnreadableException expected) {
                 continue;
             }
--- a/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
+++ b/membership/src/main/java/org/umbermount/membership/MemberDescriptor.java
@@ -20,7 +20,7 @@
         out.daemonAddress(daemonAddress).num(role.ordinal()).text(zone).num(age);
     }
 
-    static MemberDescriptor read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+    static MemberDescriptor read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         DaemonAddress daemonAddress = in.daemonAddress();
         long role = in.num();
         if (role < 0 || role >= Role.values().length) {
--- a/membership/src/main/java/org/umbermount/membership/PeerSampling.java
+++ b/membership/src/main/java/org/umbermount/membership/PeerSampling.java
@@ -147,7 +147,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         boolean wantsAnswer = in.flag();
         List<MemberDescriptor> theirs = in.list(MemberDescriptor::read);
         if (wantsAnswer) {
--- a/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
+++ b/proxy/src/main/java/org/umbermount/proxy/Occupancy.java
@@ -75,13 +75,12 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         sums = readCounts(in);
         heard = clock.now();
     }
 
-    static Int2IntOpenHashMap readCounts(MessagePackCodec.ClientConnection in)
-            throws MessagePackCodec.UnreadableException {
+    static Int2IntOpenHashMap readCounts(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
         long n = in.num();
         if (n < 0 || n > ENTRIES_AT_MOST) {
             throw new MessagePackCodec.UnreadableException("a count is beyond reason", null);
--- a/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
+++ b/proxy/src/main/java/org/umbermount/proxy/OccupancyBoard.java
@@ -35,7 +35,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         String zone = in.text();
         Word word = new Word(clock.now(), Occupancy.readCounts(in));
         Map<DaemonAddress, Word> words = zones.get(zone);
--- a/proxy/src/main/java/org/umbermount/proxy/StoredAnswers.java
+++ b/proxy/src/main/java/org/umbermount/proxy/StoredAnswers.java
@@ -24,7 +24,7 @@
     }
 
     static Answer unpack(byte[] packed) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(packed);
+        MessagePackCodec.Reader in = MessagePackCodec.read(packed);
         int status = (int) in.num();
         HttpHeaders headers = new DefaultHttpHeaders(false);
         in.list(r -> headers.add(r.text(), r.text()));
--- a/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeCounterPost.java
@@ -9,10 +9,10 @@
 /** A postbag behind which one scripted controller answers. */
 final class FakeCounterPost implements Messenger {
     private final Clock clock;
-    private final Function<MessagePackCodec.ClientConnection, byte[]> controller;
+    private final Function<MessagePackCodec.Reader, byte[]> controller;
     private Listener listener;
 
-    FakeCounterPost(Clock clock, Function<MessagePackCodec.ClientConnection, byte[]> controller) {
+    FakeCounterPost(Clock clock, Function<MessagePackCodec.Reader, byte[]> controller) {
         this.clock = clock;
         this.controller = controller;
     }
--- a/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
+++ b/proxy/src/test/java/org/umbermount/proxy/FakeRegister.java
@@ -20,7 +20,7 @@
     volatile boolean granting = true;
     private final Map<Long, Kept> kept = new HashMap<>();
 
-    synchronized byte[] answer(MessagePackCodec.ClientConnection in) {
+    synchronized byte[] answer(MessagePackCodec.Reader in) {
         try {
             boolean claim = in.num() == CLAIM;
             long serial = in.num();
--- a/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
+++ b/proxy/src/test/java/org/umbermount/proxy/ProxyListenerTest.java
@@ -715,7 +715,7 @@
     }
 
     /** What a controller's side would say, scripted: each message to it is answered by the function. */
-    private OperationClient counter(java.util.function.Function<MessagePackCodec.ClientConnection, byte[]> controller) {
+    private OperationClient counter(java.util.function.Function<MessagePackCodec.Reader, byte[]> controller) {
         FakeCounterPost messenger = new FakeCounterPost(clock, controller);
         OperationClient counter = new OperationClient(clock, messenger, metrics, new Random(4), java.util.List::of);
         counter.head(DaemonAddress.parse("10.0.0.1:7000"));
--- a/quota/src/main/java/org/umbermount/quota/QuotaClient.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaClient.java
@@ -255,7 +255,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (in.flag()) {
             return;
         }
--- a/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaGranter.java
@@ -67,7 +67,7 @@
     }
 
     private void receive(DaemonAddress from, byte[] body) throws MessagePackCodec.UnreadableException {
-        MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+        MessagePackCodec.Reader in = MessagePackCodec.read(body);
         if (!in.flag()) {
             return;
         }
--- a/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
+++ b/quota/src/main/java/org/umbermount/quota/QuotaMessages.java
@@ -21,7 +21,7 @@
             out.text(tenant).num(count);
         }
 
-        static Wish read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Wish read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Wish(in.text(), (int) in.num());
         }
     }
@@ -37,7 +37,7 @@
                     .done();
         }
 
-        static Ask read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Ask read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Ask(in.num(), in.num(), in.list(Wish::read));
         }
     }
@@ -51,7 +51,7 @@
             out.text(tenant).num(count).num(waitMs).daemonAddress(keeper);
         }
 
-        static Grant read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Grant read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Grant(in.text(), (int) in.num(), in.num(), in.daemonAddress());
         }
     }
@@ -67,7 +67,7 @@
                     .done();
         }
 
-        static Answer read(MessagePackCodec.ClientConnection in) throws MessagePackCodec.UnreadableException {
+        static Answer read(MessagePackCodec.Reader in) throws MessagePackCodec.UnreadableException {
             return new Answer(in.num(), in.num(), in.list(Grant::read));
         }
     }
--- a/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/CutOffQuotaTest.java
@@ -47,7 +47,7 @@
         }
         proxy = fleet.network.bag(PROXY);
         proxy.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             in.flag();
             for (QuotaMessages.Grant g : QuotaMessages.Answer.read(in).grants()) {
                 granted.put(from, g.count());
--- a/quota/src/test/java/org/umbermount/quota/QuotaTest.java
+++ b/quota/src/test/java/org/umbermount/quota/QuotaTest.java
@@ -38,7 +38,7 @@
         bucket = new Bucket(1, 8, clock.now());
         FakeMessenger.Bag bag = network.bag(KEEPER);
         bag.subscribe(Messenger.Topic.QUOTA, (from, body) -> {
-            MessagePackCodec.ClientConnection in = MessagePackCodec.read(body);
+            MessagePackCodec.Reader in = MessagePackCodec.read(body);
             in.flag();
             QuotaMessages.Ask ask = QuotaMessages.Ask.read(in);
             if (reachable) {
--- a/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
+++ b/storage/src/main/java/org/umbermount/storage/SegmentedLog.java
@@ -35,7 +35,7 @@
     private volatile int current = 1;
 
     /** Receives what the ledger holds, in order. */
-    public interface ClientConnection {
+    public interface RecordReader {
         /** Takes one record and the number of the segment that holds it. The bytes are the receiver's own. */
         void record(int segment, byte[] body) throws MessagePackCodec.UnreadableException;
     }
@@ -47,14 +47,14 @@
     }
 
     /** Opens the segments, makes them safe and hands out what they hold; a torn tail is cut off before the next record. */
-    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, ClientConnection reader)
+    public static SegmentedLog open(StorageDirectory vault, String prefix, int segmentBytes, RecordReader reader)
             throws IOException {
         SegmentedLog ledger = new SegmentedLog(vault, prefix, segmentBytes);
         ledger.load(reader);
         return ledger;
     }
 
-    private void load(ClientConnection reader) throws IOException {
+    private void load(RecordReader reader) throws IOException {
         List<Integer> numbers = new ArrayList<>();
         for (String name : vault.list()) {
             if (name.startsWith(prefix + ".")
@@ -82,7 +82,7 @@
         }
     }
 
-    private void hand(Content content, int number, ClientConnection reader) throws AppendOnlyFile.DamagedException {
+    private void hand(Content content, int number, RecordReader reader) throws AppendOnlyFile.DamagedException {
         int at = TITLE.length;
         for (byte[] body : content.records) {
             try {
--- a/storage/src/test/java/org/umbermount/storage/DamageTest.java
+++ b/storage/src/test/java/org/umbermount/storage/DamageTest.java
@@ -95,14 +95,11 @@
                                 (byte) 2,
                                 MessagePackCodec.write().text("no number").done())));
         AppendOnlyFile stack = AppendOnlyFile.open(vault, "f", 400);
-        assertEquals(7, stack.read((byte) 1, MessagePackCodec.ClientConnection::num));
+        assertEquals(7, stack.read((byte) 1, MessagePackCodec.Reader::num));
         Exception e = assertThrows(
-                AppendOnlyFile.DamagedException.class,
-                () -> stack.read((byte) 2, MessagePackCodec.ClientConnection::num));
+                AppendOnlyFile.DamagedException.class, () -> stack.read((byte) 2, MessagePackCodec.Reader::num));
         assertEquals("The file f cannot be read at byte 22: a number is missing.", e.getMessage());
-        assertThrows(
-                AppendOnlyFile.DamagedException.class,
-                () -> stack.read((byte) 3, MessagePackCodec.ClientConnection::num));
+        assertThrows(AppendOnlyFile.DamagedException.class, () -> stack.read((byte) 3, MessagePackCodec.Reader::num));
         append(ledger(vault), "one", "three");
         e = assertThrows(
                 AppendOnlyFile.DamagedException.class,
