SettingsReloadTest speaks for its server as long as it runs

Cause, seen with a probe: the rehearsal sends one beat, the registrar forgets the server when the next ones are missing for a second, and on a busy machine that is before the quota duties begin and a request may pass ("Server i-1 ... is gone: its beats stopped" right behind "Duty for quota/7 begins"). The test now beats every 200 ms.

--- a/umbermount/src/test/java/org/umbermount/umbermount/SettingsReloadTest.java
+++ b/umbermount/src/test/java/org/umbermount/umbermount/SettingsReloadTest.java
@@ -20,6 +20,8 @@
 
 /** Requests under way survive a SIGHUP and the settings that it brings. */
 class SettingsReloadTest {
+    private static final String CONTROL = "\"controlPlane\":\"127.0.0.1:";
+    private static final long BEAT_MS = 200;
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nRequest-Attempt: a1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
     private final CountDownLatch received = new CountDownLatch(1);
     private final CountDownLatch reloaded = new CountDownLatch(1);
@@ -44,6 +46,26 @@
         }
     }
 
+    /** Speaks for the server as long as the test runs: one beat alone is forgotten after a second. */
+    private void beat(ServerSocket origin, String settings) {
+        int from = settings.indexOf(CONTROL) + CONTROL.length();
+        int port = Integer.parseInt(settings.substring(from, settings.indexOf('"', from)));
+        String address = "127.0.0.1:" + origin.getLocalPort();
+        for (int sequence = 2; !origin.isClosed(); sequence++) {
+            String body = "{\"upstream\":\"s\",\"address\":\"" + address + "\",\"zone\":\"z\",\"revision\":\"v\",\"capacity\":2,"
+                    + "\"status\":\"in_service\",\"warmupLeftMs\":0,\"sequence\":" + sequence + "}";
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(1_000);
+                socket.getOutputStream().write(("PUT /instances/i-1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+                        + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+                socket.getInputStream().readAllBytes();
+                Thread.sleep(BEAT_MS);
+            } catch (IOException | InterruptedException e) {
+                // The next beat tries again.
+            }
+        }
+    }
+
     /** Right after the start a daemon may still refuse: the request is sent until a server has answered it. */
     private static String answerOnceServed(Rehearsal daemons) {
         try {
@@ -66,6 +88,10 @@
             Thread server = new Thread(() -> serve(origin), "origin");
             server.setDaemon(true);
             server.start();
+            String written = Files.readString(folder.resolve(Rehearsal.SETTINGS));
+            Thread beats = new Thread(() -> beat(origin, written), "beats");
+            beats.setDaemon(true);
+            beats.start();
             daemons.configure();
             CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> answerOnceServed(daemons));
             assertTrue(received.await(10, TimeUnit.SECONDS));
