Simulation: the newer classes call the cluster a cluster; the page is wrapped

Cause: the field 'room' is a word of the earlier house style. Change: names in Clients, Servers, ControlCalls, MalformedCalls, Daemons; Machines, Operators, Proxies and Checks keep theirs, since others edit beside them now.

--- a/simulation/src/main/java/org/umbermount/simulation/Clients.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Clients.java
@@ -39,7 +39,7 @@
     /** Repeats are of one of so many operations begun last. */
     private static final int REPEATED = 40;
 
-    private final SimulatedCluster room;
+    private final SimulatedCluster cluster;
     private final Random random;
     private final List<String> keys = new ArrayList<>();
     /** The operations that have run, each with its answer. */
@@ -55,8 +55,8 @@
     private long repeatsAnswered;
     private long requestsAllowed;
 
-    Clients(SimulatedCluster room, long seed) {
-        this.room = room;
+    Clients(SimulatedCluster cluster, long seed) {
+        this.cluster = cluster;
         this.random = new Random(seed);
     }
 
@@ -95,7 +95,7 @@
 
     /** Whether nothing more is to be learned of a closing: it was noted, or its proxy has ended or may give it up. */
     private boolean isOver(Closing one) {
-        boolean givenUp = one.proxy.loans != one.counter || room.now() - one.claimedAt > NOTED_WITHIN_MS;
+        boolean givenUp = one.proxy.loans != one.counter || cluster.now() - one.claimedAt > NOTED_WITHIN_MS;
         if (!givenUp && one.counter.closing() == 0) {
             noted(one.key);
         }
@@ -108,7 +108,7 @@
     }
 
     private Proxies.Proxy anyInUse() {
-        List<Proxies.Proxy> all = room.proxies.all();
+        List<Proxies.Proxy> all = cluster.proxies.all();
         Proxies.Proxy proxy = all.get(random.nextInt(all.size()));
         return proxy.up && !proxy.frozen && proxy.edition > 0 ? proxy : null;
     }
@@ -131,7 +131,7 @@
         private final Proxies.Proxy proxy;
         private final String key;
         private final String name;
-        private final long claimedAt = room.now();
+        private final long claimedAt = cluster.now();
         /** Whether the operation's answer had been noted before this began. */
         private final boolean repeatsNoted;
         private LoanCounter.Ticket ticket;
@@ -190,7 +190,7 @@
         runs++;
         String earlier = ran.putIfAbsent(key, name);
         if (earlier != null) {
-            room.broken("an operation runs twice: " + earlier + ", and then " + name);
+            cluster.broken("an operation runs twice: " + earlier + ", and then " + name);
         }
     }
 
@@ -198,7 +198,7 @@
     void repeat(String key, String answer) {
         repeatsAnswered++;
         if (!answer.equals(ran.get(key))) {
-            room.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as "
+            cluster.broken("a repeat of " + key + " was answered with " + answer + ", and it ran as "
                     + ran.get(key));
         }
     }
@@ -206,20 +206,20 @@
     /** A try is told that another is at work on the operation, or that nobody knows what became of it. */
     void withoutAnswer(boolean repeatsNoted, String key, String told) {
         if (repeatsNoted) {
-            room.broken("the answer of " + key + " was noted, and a later try is told: " + told);
+            cluster.broken("the answer of " + key + " was noted, and a later try is told: " + told);
         }
     }
 
     /** A request of the tenant may be sent. */
     void allowed() {
         requestsAllowed++;
-        long now = room.now();
+        long now = cluster.now();
         allowed.add(now);
         while (allowed.peek() <= now - SHARING.quotaWindowMs()) {
             allowed.poll();
         }
         if (allowed.size() > MOST_IN_A_WINDOW) {
-            room.broken("the tenant's quota was exceeded: " + allowed.size() + " requests within "
+            cluster.broken("the tenant's quota was exceeded: " + allowed.size() + " requests within "
                     + SHARING.quotaWindowMs() + " ms, and " + (long) MOST_IN_A_WINDOW + " is the most");
         }
     }
--- a/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/ControlCalls.java
@@ -12,21 +12,21 @@
     private static final int NOTHING_YET = 404;
     private static final int STALE = 412;
 
-    private final SimulatedCluster room;
+    private final SimulatedCluster cluster;
     private final ControlCaller caller;
     private final boolean overHttp;
 
     /** @param overHttp whether the calls go through HTTP, from bytes to status */
-    ControlCalls(SimulatedCluster room, boolean overHttp) {
-        this.room = room;
-        this.caller = new ControlCaller(room.fleet);
+    ControlCalls(SimulatedCluster cluster, boolean overHttp) {
+        this.cluster = cluster;
+        this.caller = new ControlCaller(cluster.fleet);
         this.overHttp = overHttp;
     }
 
     /** Sends an order; what a daemon says of it is handed on, unless it says that it does not know. */
     void submit(int machine, Operators.Order order, Consumer<Replica.Verdict> verdict) {
         if (!overHttp) {
-            room.fleet.chainClient(machine).submit(new Edition(order.match), new Edition(order.edition),
+            cluster.fleet.chainClient(machine).submit(new Edition(order.match), new Edition(order.edition),
                     order.text.getBytes(), PATIENCE_MS, verdict, () -> { });
             return;
         }
@@ -38,7 +38,7 @@
             if (said != null) {
                 verdict.accept(said);
             } else {
-                room.note(order + ": status " + answer.status() + " from " + machine);
+                cluster.note(order + ": status " + answer.status() + " from " + machine);
             }
         });
     }
@@ -62,7 +62,7 @@
     /** Reads the configuration, or an empty text if there is none; one of the two is called if the daemon lives on. */
     void read(int machine, Consumer<String> reading, Runnable gaveUp) {
         if (!overHttp) {
-            room.fleet.chainClient(machine).read(PATIENCE_MS,
+            cluster.fleet.chainClient(machine).read(PATIENCE_MS,
                     state -> reading.accept(state.edition().value() > 0 ? new String(state.blob()) : ""), gaveUp);
             return;
         }
--- a/simulation/src/main/java/org/umbermount/simulation/Daemons.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Daemons.java
@@ -31,22 +31,22 @@
     private static final HouseRules.Bounds BOUNDS = new HouseRules.Bounds(Checks.CONTACT_MS, Checks.ACK_MS, 3000, 6000,
             Checks.APPLY_MS, 0.2, 10_000, 60, 4000, Clients.SHARING);
 
-    private final SimulatedCluster room;
+    private final SimulatedCluster cluster;
     private final Random random;
 
-    Daemons(SimulatedCluster room, Random random) {
-        this.room = room;
+    Daemons(SimulatedCluster cluster, Random random) {
+        this.cluster = cluster;
         this.random = random;
     }
 
     private HouseRules rules(String zone, Imprint self, List<Imprint> seeds) {
         Map<String, String> zones = new HashMap<>();
-        for (int z = 0; z < room.machines.size(); z++) {
+        for (int z = 0; z < cluster.machines.size(); z++) {
             zones.put(Fleet.zone(z), "r");
         }
         return new HouseRules("n", zone, zones, self.host(), Map.of(), 7000, 7010,
                 seeds.stream().map(s -> s.withPort(8000)).toList(), false, "", 100, 1000, 1500,
-                room.hasClients() ? room.machines.tolerated() : 1, room.guarantees(), BOUNDS);
+                cluster.hasClients() ? cluster.machines.tolerated() : 1, cluster.guarantees(), BOUNDS);
     }
 
     private Gazetteer gazetteer(Institution host, Imprint self, Role role, String zone, List<Imprint> seeds,
@@ -66,14 +66,15 @@
     /** Gives a registrar that has started the plug-ins beside its control plane. */
     void openPlugIns(int i, List<Integer> seeds) {
         Imprint self = Fleet.imprint(i);
-        Institution host = room.fleet.host(i, rules(room.machines.zone(i), self, imprints(seeds)));
-        Gazetteer g = gazetteer(host, self, Role.REGISTRAR, room.machines.zone(i), imprints(seeds), room.fleet.bag(i));
+        Institution host = cluster.fleet.host(i, rules(cluster.machines.zone(i), self, imprints(seeds)));
+        Gazetteer g = gazetteer(host, self, Role.REGISTRAR, cluster.machines.zone(i), imprints(seeds),
+                cluster.fleet.bag(i));
         g.observe(p -> {
             if (p.role() == Role.REGISTRAR) {
                 host.find(FailureDetector.class).enlist(p.imprint());
             }
         });
-        if (room.hasClients()) {
+        if (cluster.hasClients()) {
             openRecordsAndCounts(i, host);
         }
         new SendingDepartment().open(host);
@@ -81,7 +82,7 @@
 
     /** Gives a registrar its operation records and counts. */
     private void openRecordsAndCounts(int i, Institution host) {
-        FakeVault disk = room.fleet.disks.get(i);
+        FakeVault disk = cluster.fleet.disks.get(i);
         host.offer(Cellar.class, new Cellar(disk, disk.executor()));
         try {
             new LoansDepartment().open(host);
@@ -94,9 +95,9 @@
     /** Starts a registrar; the list of those that it is told of is the operator's. */
     List<Integer> start(int i) {
         try {
-            List<Integer> seeds = room.machines.seeds(random);
-            room.fleet.start(i, room.machines.zone(i), seeds);
-            room.fleet.disks.get(i).chance(random.nextLong());
+            List<Integer> seeds = cluster.machines.seeds(random);
+            cluster.fleet.start(i, cluster.machines.zone(i), seeds);
+            cluster.fleet.disks.get(i).chance(random.nextLong());
             openPlugIns(i, seeds);
             return seeds;
         } catch (IOException e) {
@@ -106,12 +107,12 @@
 
     /** Starts a proxy. */
     Institution openProxy(Imprint self, String zone, Clock clock) {
-        List<Imprint> seeds = imprints(room.machines.seeds(random));
-        FakePost.Bag bag = room.fleet.network.bag(self);
+        List<Imprint> seeds = imprints(cluster.machines.seeds(random));
+        FakePost.Bag bag = cluster.fleet.network.bag(self);
         Institution host = new Institution(Role.LECTOR, rules(zone, self, seeds), clock);
         gazetteer(host, self, Role.LECTOR, zone, seeds, bag);
         new ReceivingDepartment().open(host);
-        if (room.hasClients()) {
+        if (cluster.hasClients()) {
             new CounterDepartment().open(host);
             new CountingDepartment().open(host);
         }
--- a/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
+++ b/simulation/src/main/java/org/umbermount/simulation/MalformedCalls.java
@@ -5,8 +5,8 @@
 
 /**
  * Calls that no daemon may take, from bytes that are no HTTP to a change that contradicts itself. Each gets a refusal,
- * from any daemon that can be called, and changes nothing: what they ask for is ordered by nobody, so that the checks on
- * contents notice it wherever it shows.
+ * from any daemon that can be called, and changes nothing: what they ask for is ordered by nobody, so that the checks
+ * on contents notice it wherever it shows.
  */
 final class MalformedCalls {
     /** The calls, each with what is wrong with it. */
@@ -21,31 +21,31 @@
     private static final long ANSWER_MS = 1_000;
     private static final int UNAVAILABLE = 503;
 
-    private final SimulatedCluster room;
+    private final SimulatedCluster cluster;
 
-    MalformedCalls(SimulatedCluster room) {
-        this.room = room;
+    MalformedCalls(SimulatedCluster cluster) {
+        this.cluster = cluster;
     }
 
     /** Sends one of them to a daemon that can be called. */
     void send(Random salt) {
         Fault fault = Fault.values()[salt.nextInt(Fault.values().length)];
-        int machine = room.machines.anyAnswering(salt);
+        int machine = cluster.machines.anyAnswering(salt);
         if (machine < 0) {
             return;
         }
-        long base = room.operators.base();
+        long base = cluster.operators.base();
         boolean[] answered = new boolean[1];
-        boolean well = room.machines.undisturbed(machine);
-        long sent = room.now();
-        room.calls.send(machine, request(fault, base, base + 1 + salt.nextInt(3)), answer -> {
+        boolean well = cluster.machines.undisturbed(machine);
+        long sent = cluster.now();
+        cluster.calls.send(machine, request(fault, base, base + 1 + salt.nextInt(3)), answer -> {
             answered[0] = true;
-            room.note("call with " + fault + ": status " + answer.status() + " from " + machine);
+            cluster.note("call with " + fault + ": status " + answer.status() + " from " + machine);
             check(fault, answer);
         });
-        room.later(ANSWER_MS, () -> {
-            if (!answered[0] && well && room.machines.undisturbed(machine) && room.machines.lastEvent() < sent) {
-                room.broken("registrar " + machine + " did not answer a call with " + fault);
+        cluster.later(ANSWER_MS, () -> {
+            if (!answered[0] && well && cluster.machines.undisturbed(machine) && cluster.machines.lastEvent() < sent) {
+                cluster.broken("registrar " + machine + " did not answer a call with " + fault);
             }
         });
     }
@@ -55,7 +55,7 @@
         // A daemon that is cut off takes no beats at all, whatever they say.
         boolean cutOff = fault == Fault.BEAT_WITHOUT_MEMBERS && answer.status() == UNAVAILABLE;
         if (!ControlCalls.isRefusal(answer.status()) && !cutOff) {
-            room.broken("a call with " + fault + " was answered with status " + answer.status());
+            cluster.broken("a call with " + fault + " was answered with status " + answer.status());
         }
     }
 
--- a/simulation/src/main/java/org/umbermount/simulation/Servers.java
+++ b/simulation/src/main/java/org/umbermount/simulation/Servers.java
@@ -53,7 +53,7 @@
                 return;
             }
             tell(status, ++sequence);
-            room.later(BEAT_MS, this::beat);
+            cluster.later(BEAT_MS, this::beat);
         }
 
         private String request(Status said, long stamp) {
@@ -70,21 +70,21 @@
         private void tell(Status said, long stamp) {
             int call = ++calls;
             if (at < 0) {
-                at = room.machines.anyAnswering(random);
+                at = cluster.machines.anyAnswering(random);
             }
-            if (at < 0 || !room.fleet.isRunning(at)) {
+            if (at < 0 || !cluster.fleet.isRunning(at)) {
                 at = -1;
-                room.later(ANSWER_MS, () -> repeat(call, said));
+                cluster.later(ANSWER_MS, () -> repeat(call, said));
                 return;
             }
             boolean[] answered = new boolean[1];
-            room.calls.send(at, request(said, stamp), answer -> {
+            cluster.calls.send(at, request(said, stamp), answer -> {
                 answered[0] = answer.status() == OK;
                 if (answered[0]) {
                     acknowledged(said);
                 }
             });
-            room.later(ANSWER_MS, () -> {
+            cluster.later(ANSWER_MS, () -> {
                 if (!answered[0]) {
                     at = -1;
                     repeat(call, said);
@@ -101,45 +101,45 @@
 
         private void acknowledged(Status said) {
             if (said != Status.IN_SERVICE && leavingAcknowledgedAt == SimulatedCluster.NEVER) {
-                leavingAcknowledgedAt = room.now();
-                room.note(id + ": " + said + " is acknowledged");
-                room.later(SERVE_ON_MS, this::signOff);
+                leavingAcknowledgedAt = cluster.now();
+                cluster.note(id + ": " + said + " is acknowledged");
+                cluster.later(SERVE_ON_MS, this::signOff);
             }
         }
 
         void drain() {
             status = Status.DRAINING;
-            room.note(id + " drains");
+            cluster.note(id + " drains");
             tell(status, ++sequence);
         }
 
         private void signOff() {
             if (status != Status.GONE) {
                 status = Status.GONE;
-                room.note(id + " signs off");
+                cluster.note(id + " signs off");
                 tell(status, ++sequence);
             }
         }
 
         /** A beat from before it drained comes to some daemon only now. */
         void lateBeat() {
-            int machine = room.machines.anyAnswering(random);
+            int machine = cluster.machines.anyAnswering(random);
             boolean possible = leavingAcknowledgedAt == SimulatedCluster.NEVER
-                    || room.now() - leavingAcknowledgedAt < LATEST_BEAT_MS;
+                    || cluster.now() - leavingAcknowledgedAt < LATEST_BEAT_MS;
             if (machine >= 0 && possible) {
-                room.calls.send(machine, request(Status.IN_SERVICE, 1), answer -> { });
+                cluster.calls.send(machine, request(Status.IN_SERVICE, 1), answer -> { });
             }
         }
     }
 
-    private final SimulatedCluster room;
+    private final SimulatedCluster cluster;
     private final Random random;
     private final List<Server> inService = new ArrayList<>();
     private final List<Server> leaving = new ArrayList<>();
     private int made;
 
-    Servers(SimulatedCluster room, long seed) {
-        this.room = room;
+    Servers(SimulatedCluster cluster, long seed) {
+        this.cluster = cluster;
         this.random = new Random(seed);
     }
 
@@ -153,7 +153,7 @@
     private void add() {
         Server server = new Server(made++);
         inService.add(server);
-        room.later(random.nextInt((int) BEAT_MS), server::beat);
+        cluster.later(random.nextInt((int) BEAT_MS), server::beat);
     }
 
     /** One drains and another comes for it; or one that left lately is heard of late. */
@@ -174,8 +174,8 @@
             boolean due = server.leavingAcknowledgedAt != SimulatedCluster.NEVER
                     && now - server.leavingAcknowledgedAt > DRAIN_MS;
             if (due && sendsTo(proxy.table, server.id)) {
-                room.broken(proxy.imprint + " still sends to " + server.id + " " + (now - server.leavingAcknowledgedAt)
-                        + " ms after it was acknowledged that it leaves");
+                cluster.broken(proxy.imprint + " still sends to " + server.id + " "
+                        + (now - server.leavingAcknowledgedAt) + " ms after it was acknowledged that it leaves");
             }
         }
     }
@@ -184,7 +184,7 @@
     void checkPresent(Proxies.Proxy proxy) {
         for (Server server : inService) {
             if (server.sequence > 2 && !sendsTo(proxy.table, server.id)) {
-                room.broken(proxy.imprint + " does not know " + server.id + " at the end");
+                cluster.broken(proxy.imprint + " does not know " + server.id + " at the end");
             }
         }
     }
@@ -193,7 +193,7 @@
     void goOnAfterLeaving() {
         Server server = inService.remove(0);
         leaving.add(server);
-        server.leavingAcknowledgedAt = room.now();
+        server.leavingAcknowledgedAt = cluster.now();
     }
 
     /** One is in service and nobody has heard of it, for a day that is to be found broken. */
--- a/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
+++ b/simulation/src/test/java/org/umbermount/simulation/ConfigurationHoldsTest.java
@@ -57,7 +57,7 @@
     }
 
     private static String untold(Day day, Consumer<SimulatedCluster> what) throws IOException {
-        SimulatedCluster room = new SimulatedCluster(day);
-        return assertThrows(SimulatedCluster.BrokenException.class, () -> room.playUntold(what)).getMessage().lines().findFirst().orElse("");
+        SimulatedCluster cluster = new SimulatedCluster(day);
+        return assertThrows(SimulatedCluster.BrokenException.class, () -> cluster.playUntold(what)).getMessage().lines().findFirst().orElse("");
     }
 }
