--- a/control/src/main/java/org/umbermount/control/ChainReplica.java
+++ b/control/src/main/java/org/umbermount/control/ChainReplica.java
@@ -177,7 +177,7 @@
         if (increment.order().edition().isAfter(held.edition())) {
             ConfigurationState next = increments.apply(increment, held);
             if (next == null) {
-                metrics.count("archive.increments.base_missing");
+                metrics.count("control.increments.base_missing");
                 messages.sendStateWanted(from, increment.view());
             } else {
                 replaceState(next, () -> pass(replies, false));
--- a/control/src/main/java/org/umbermount/control/ServerRegistry.java
+++ b/control/src/main/java/org/umbermount/control/ServerRegistry.java
@@ -321,7 +321,7 @@
                     acknowledged.merge(from, in.num(), Math::max);
                     settle();
                 } else {
-                    metrics.count("census.messages.dropped.earlier_life");
+                    metrics.count("registry.messages.dropped.earlier_life");
                 }
             }
             case ASK -> {
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationKeeper.java
@@ -598,7 +598,7 @@
             return;
         }
         if (view < this.view.number()) {
-            metrics.count("loans.messages.dropped.old_view");
+            metrics.count("idempotency.messages.dropped.old_view");
             return;
         }
         if (view != this.view.number()
@@ -641,7 +641,7 @@
 
     private void acknowledged(DaemonAddress from, long view, long pos, long theirCommitted) {
         if (view < this.view.number()) {
-            metrics.count("loans.messages.dropped.old_view");
+            metrics.count("idempotency.messages.dropped.old_view");
             return;
         }
         if (view != this.view.number()
