What stood twice is one method; the boot id is read once

LeaseManager asked for reports in two places, OperationClient wrote one head of two messages, ProcUptime read a file for each note that never changes in a life.

--- a/control/src/main/java/org/umbermount/control/LeaseManager.java
+++ b/control/src/main/java/org/umbermount/control/LeaseManager.java
@@ -130,7 +130,11 @@
     public void start() {
         epochs.start();
         clock.every(LOOP_MS, this::reconcile);
-        // Who answers this could not become a holder by what was granted here before the start.
+        askForReports();
+    }
+
+    /** Asks the others what they hold; who answers this could not become a holder by what is not known here. */
+    private void askForReports() {
         clock.after(REPORTED_MS + 1, detector::callNow);
     }
 
@@ -164,7 +168,7 @@
         boolean votes = view.votes(messenger.self());
         if (votes && !voting && Safeguard.GRANTS_WAIT_AFTER_JOINING.holds()) {
             grantsKnownSince = clock.now();
-            clock.after(REPORTED_MS + 1, detector::callNow);
+            askForReports();
         }
         voting = votes;
     }
--- a/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
+++ b/idempotency/src/main/java/org/umbermount/idempotency/OperationClient.java
@@ -114,17 +114,20 @@
                 messenger.send(
                         to,
                         Messenger.Topic.LOAN,
-                        MessagePackCodec.write()
-                                .num(OperationKeeper.Message.CLAIM.ordinal())
-                                .num(serial)
-                                .num(key.high())
-                                .num(key.low())
-                                .flag(mayRepeat)
-                                .done());
+                        message(OperationKeeper.Message.CLAIM).flag(mayRepeat).done());
             }
             timer = clock.after(Math.max(1, Math.min(REPEAT_MS, until.since(now))), this::ask);
         }
 
+        /** The head of a message about this operation. */
+        private MessagePackCodec.Writer message(OperationKeeper.Message kind) {
+            return MessagePackCodec.write()
+                    .num(kind.ordinal())
+                    .num(serial)
+                    .num(key.high())
+                    .num(key.low());
+        }
+
         private void tellClose() {
             MonotonicTime now = clock.now();
             if (now.since(since) > CLOSE_MS) {
@@ -137,11 +140,7 @@
                 messenger.send(
                         to,
                         Messenger.Topic.LOAN,
-                        MessagePackCodec.write()
-                                .num(OperationKeeper.Message.CLOSE.ordinal())
-                                .num(serial)
-                                .num(key.high())
-                                .num(key.low())
+                        message(OperationKeeper.Message.CLOSE)
                                 .num(end.kind.ordinal())
                                 .bytes(answer)
                                 .done());
--- a/kernel/src/main/java/org/umbermount/kernel/ProcUptime.java
+++ b/kernel/src/main/java/org/umbermount/kernel/ProcUptime.java
@@ -11,9 +11,12 @@
     private static final Path UPTIME = Path.of("/proc/uptime");
     private static final int MS_PER_SECOND = 1_000;
 
+    /** It stays the same for the life of a process. */
+    private final String bootId = read(BOOT_ID);
+
     @Override
     public String bootId() {
-        return read(BOOT_ID);
+        return bootId;
     }
 
     @Override
